--- /dev/null
+++ b/extra/install.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs what the build needs beside Rust: a C compiler and cmake, for the bundled nng.
+set -euo pipefail
+
+missing=()
+command -v cmake >/dev/null || missing+=(cmake)
+command -v cc >/dev/null || missing+=(gcc libc6-dev)
+command -v make >/dev/null || missing+=(make)
+if [ ${#missing[@]} -gt 0 ]; then
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}"
+fi
+command -v cargo >/dev/null || {
+    echo "install Rust first: the toolchain with cargo, rustfmt and clippy" >&2
+    exit 1
+}
--- /dev/null
+++ b/reachhead/src/args.rs
@@ -0,0 +1,174 @@
+//! The command line's words.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use argh::FromArgs;
+use reachhead_types::{
+    fleet::RowKey,
+    id::{ChangeId, GroupName},
+    size::Version,
+};
+
+/// Operators' command line of reachhead. Exit codes: 1 failed, 2 usage, 3 faults in settings.
+#[derive(FromArgs)]
+pub struct Args {
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Check(CheckArgs),
+    Dump(DumpArgs),
+    Apply(ApplyArgs),
+    Settings(SettingsArgs),
+}
+
+/// Check a settings file without starting anything, or explain the settings of a program.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// settings file of any program, or a fleet file
+    #[argh(positional)]
+    pub file: Option<PathBuf>,
+
+    /// print every setting of a program with its default: entry, control, admin or fleet
+    #[argh(option)]
+    pub explain: Option<String>,
+}
+
+/// Print the state of a process.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub struct DumpArgs {
+    /// ops address of the process
+    #[argh(positional)]
+    pub address: SocketAddr,
+
+    /// what to print: state (default), metrics, ready or live
+    #[argh(option, default = "String::from(\"state\")")]
+    pub page: String,
+}
+
+/// Bring the configuration in line with a fleet file.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyArgs {
+    /// fleet file
+    #[argh(positional)]
+    pub file: PathBuf,
+
+    /// delete rows that the file does not have
+    #[argh(switch)]
+    pub prune: bool,
+
+    /// print what would change and change nothing
+    #[argh(switch)]
+    pub dry_run: bool,
+
+    /// address of an admin; REACHHEAD_ADMIN by default
+    #[argh(option)]
+    pub admin: Option<SocketAddr>,
+}
+
+/// Read and change the tree of settings, one row at a time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub struct SettingsArgs {
+    #[argh(subcommand)]
+    pub command: SettingsCommand,
+
+    /// address of an admin; REACHHEAD_ADMIN by default
+    #[argh(option)]
+    pub admin: Option<SocketAddr>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum SettingsCommand {
+    Get(GetArgs),
+    Set(SetArgs),
+    Delete(DeleteArgs),
+    Effective(EffectiveArgs),
+    Log(LogArgs),
+    Status(StatusArgs),
+}
+
+/// Print rows.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "get")]
+pub struct GetArgs {
+    /// what the keys start with, as in group/ or minion/check-in/
+    #[argh(positional, default = "String::new()")]
+    pub prefix: String,
+}
+
+/// Write a row.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "set")]
+pub struct SetArgs {
+    /// key, as in group/do-mayor
+    #[argh(positional)]
+    pub key: RowKey,
+
+    /// value in JSON
+    #[argh(positional)]
+    pub value: String,
+
+    /// version that the row was seen at, 0 for a new row; refuse if it changed since
+    #[argh(option)]
+    pub expected: Option<Version>,
+
+    /// id of the change; give the same one again after a lost answer
+    #[argh(option)]
+    pub id: Option<ChangeId>,
+}
+
+/// Delete a row.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "delete")]
+pub struct DeleteArgs {
+    /// key, as in minion/check-in/m1
+    #[argh(positional)]
+    pub key: RowKey,
+
+    /// version that the row was seen at; refuse if it changed since
+    #[argh(option)]
+    pub expected: Option<Version>,
+
+    /// id of the change; give the same one again after a lost answer
+    #[argh(option)]
+    pub id: Option<ChangeId>,
+}
+
+/// Print what is in force for a group and where it comes from.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "effective")]
+pub struct EffectiveArgs {
+    /// group
+    #[argh(positional)]
+    pub group: GroupName,
+}
+
+/// Print who changed what.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+pub struct LogArgs {
+    /// start after this version
+    #[argh(option, default = "Version(0)")]
+    pub after: Version,
+}
+
+/// Print on how many entry hosts the newest version is in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {
+    /// wait until it is in force on all, at most this many seconds
+    #[argh(option, default = "0")]
+    pub wait: u64,
+}
--- /dev/null
+++ b/reachhead/src/command/settings.rs
@@ -0,0 +1,167 @@
+//! `reachhead settings`.
+
+use std::time::{Duration, Instant};
+
+use reachhead_types::{
+    id::{ChangeId, HostId, OperatorName},
+    size::{Millis, Version},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::time;
+
+use crate::{
+    args::{DeleteArgs, SetArgs, SettingsArgs, SettingsCommand, StatusArgs},
+    client::Client,
+    command::{self, CommandError, RowWrite},
+    print,
+};
+
+/// Pause between two looks while waiting.
+const WAIT_STEP: Duration = Duration::from_millis(200);
+
+/// Runs a command on the tree of settings.
+pub async fn run(args: &SettingsArgs) -> Result<(), CommandError> {
+    let client = Client::with_admin(args.admin)?;
+    match &args.command {
+        SettingsCommand::Get(get) => print_rows(&client, &get.prefix, args.json).await,
+        SettingsCommand::Set(set) => write(&client, set).await,
+        SettingsCommand::Delete(delete) => remove(&client, delete).await,
+        SettingsCommand::Effective(effective) => {
+            let report: Effective =
+                client.get(&format!("/v1/effective/{}", effective.group)).await?;
+            print_effective(&report, args.json)
+        }
+        SettingsCommand::Log(log) => {
+            let rows = client.get(&format!("/v1/log?after={}", log.after)).await?;
+            print_log(rows, args.json)
+        }
+        SettingsCommand::Status(status) => wait_status(&client, status, args.json).await,
+    }
+}
+
+async fn print_rows(client: &Client, prefix: &str, json: bool) -> Result<(), CommandError> {
+    let rows = command::rows(client, prefix).await?;
+    if json {
+        print::line(&serde_json::to_string_pretty(&rows)?);
+        return Ok(());
+    }
+    let mut lines = vec![head(&["KEY", "VERSION", "VALUE"])];
+    for row in rows {
+        lines.push(vec![row.key.to_string(), row.version.to_string(), row.value.to_string()]);
+    }
+    print::table(&lines);
+    Ok(())
+}
+
+async fn write(client: &Client, args: &SetArgs) -> Result<(), CommandError> {
+    let value: Value = serde_json::from_str(&args.value)?;
+    let write = RowWrite { key: args.key.clone(), value: Some(value), expected: args.expected };
+    let version = command::change(client, args.id, vec![write]).await?;
+    print::line(&format!("accepted as version {version}"));
+    Ok(())
+}
+
+async fn remove(client: &Client, args: &DeleteArgs) -> Result<(), CommandError> {
+    let write = RowWrite { key: args.key.clone(), value: None, expected: args.expected };
+    let version = command::change(client, args.id, vec![write]).await?;
+    print::line(&format!("accepted as version {version}"));
+    Ok(())
+}
+
+#[derive(Deserialize, Serialize)]
+struct Effective {
+    settings: serde_json::Map<String, Value>,
+    origins: serde_json::Map<String, Value>,
+}
+
+fn print_effective(report: &Effective, json: bool) -> Result<(), CommandError> {
+    if json {
+        print::line(&serde_json::to_string_pretty(report)?);
+        return Ok(());
+    }
+    let mut lines = vec![head(&["SETTING", "VALUE", "FROM"])];
+    for (name, value) in &report.settings {
+        let origin = report.origins.get(name).and_then(Value::as_str).unwrap_or("(default)");
+        lines.push(vec![name.clone(), value.to_string(), origin.to_owned()]);
+    }
+    print::table(&lines);
+    Ok(())
+}
+
+#[derive(Deserialize, Serialize)]
+struct LogRow {
+    version: Version,
+    id: ChangeId,
+    operator: OperatorName,
+    at: Millis,
+    writes: Vec<Value>,
+}
+
+fn print_log(rows: Vec<LogRow>, json: bool) -> Result<(), CommandError> {
+    if json {
+        print::line(&serde_json::to_string_pretty(&rows)?);
+        return Ok(());
+    }
+    let mut lines = vec![head(&["VERSION", "CHANGE", "BY", "AT (ms)", "ROWS"])];
+    for row in rows {
+        let keys = row.writes.iter().filter_map(|write| write["key"].as_str());
+        lines.push(vec![
+            row.version.to_string(),
+            row.id.to_string(),
+            row.operator.to_string(),
+            row.at.to_string(),
+            keys.collect::<Vec<_>>().join(" "),
+        ]);
+    }
+    print::table(&lines);
+    Ok(())
+}
+
+#[derive(Deserialize, Serialize)]
+struct HostStatus {
+    host: HostId,
+    control: Option<Version>,
+    entry: Option<Version>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Status {
+    version: Version,
+    in_force: usize,
+    hosts: Vec<HostStatus>,
+}
+
+async fn wait_status(client: &Client, args: &StatusArgs, json: bool) -> Result<(), CommandError> {
+    let limit = Instant::now() + Duration::from_secs(args.wait);
+    loop {
+        let status: Status = client.get("/v1/status").await?;
+        let is_everywhere = status.in_force == status.hosts.len();
+        if is_everywhere || Instant::now() >= limit {
+            print_status(&status, json)?;
+            let is_late = args.wait > 0 && !is_everywhere;
+            return if is_late { Err(CommandError::Late) } else { Ok(()) };
+        }
+        time::sleep(WAIT_STEP).await;
+    }
+}
+
+fn print_status(status: &Status, json: bool) -> Result<(), CommandError> {
+    if json {
+        print::line(&serde_json::to_string_pretty(status)?);
+        return Ok(());
+    }
+    let Status { version, in_force, hosts } = status;
+    print::line(&format!("version {version} is in force on {in_force} of {} hosts", hosts.len()));
+    let mut lines = vec![head(&["HOST", "CONTROL", "ENTRY"])];
+    let text = |version: Option<Version>| version.map_or("?".to_owned(), |v| v.to_string());
+    for host in hosts {
+        lines.push(vec![host.host.to_string(), text(host.control), text(host.entry)]);
+    }
+    print::table(&lines);
+    Ok(())
+}
+
+fn head(names: &[&str]) -> Vec<String> {
+    names.iter().map(|&name| name.to_owned()).collect()
+}
--- /dev/null
+++ b/reachhead_admin/src/process.rs
@@ -0,0 +1,66 @@
+//! The process: the API on the main thread, the ops listener and the asking thread beside it.
+
+use std::{io, sync::Arc};
+
+use futures::future::{BoxFuture, FutureExt};
+use prometheus_client::registry::Registry;
+use reachhead_config::admin::AdminSettings;
+use reachhead_ops::{
+    event::{Event, emit},
+    http,
+    listener::{self, Observed},
+    runtime,
+};
+use reachhead_store::{Store, guarded::GuardedStore, http::HttpStore};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::{api::Api, auth::Auth, metrics::Metrics, status::StatusReader};
+
+struct AdminObserved {
+    api: Arc<Api>,
+    store: Arc<GuardedStore<HttpStore>>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Observed for AdminObserved {
+    fn not_ready(&self) -> Option<String> {
+        if *self.stopping.borrow() {
+            return Some("shutting down".to_owned());
+        }
+        self.store.is_down().then(|| "the store does not answer".to_owned())
+    }
+
+    fn state(&self) -> BoxFuture<'_, Value> {
+        async move {
+            json!({ "version": self.api.version().await, "store_down": self.store.is_down() })
+        }
+        .boxed()
+    }
+}
+
+/// Runs the admin process until a shutdown is asked for.
+pub fn run(settings: AdminSettings) -> io::Result<()> {
+    let mut registry = Registry::default();
+    let metrics = Metrics::new(&mut registry);
+    let http = HttpStore::new(settings.store.address, settings.store.deadline.duration());
+    let store = Arc::new(GuardedStore::new(http, settings.store.rate.get()));
+    let shared: Arc<dyn Store> = Arc::<GuardedStore<HttpStore>>::clone(&store);
+    let api = Api::new(shared, Auth::new(&settings.api), metrics, StatusReader::start()?);
+    let api = Arc::new(api);
+    let (stop, stopping) = watch::channel(false);
+    let observed = AdminObserved { api: Arc::clone(&api), store, stopping: stopping.clone() };
+    listener::start(settings.ops.address, Arc::new(observed), registry)?;
+    runtime::single()?.block_on(async move {
+        let listener = http::listen(settings.api.address).await?;
+        emit(Event::Started, format_args!("admin on {}", settings.api.address));
+        let limit = settings.api.body.0 as usize;
+        let serving = tokio::spawn(http::serve(listener, api, limit, stopping));
+        runtime::shutdown_signal().await?;
+        emit(Event::ShutdownBegun, "admin");
+        stop.send_replace(true);
+        serving.await.map_err(io::Error::other)?;
+        emit(Event::ShutdownDone, "admin");
+        Ok(())
+    })
+}
--- /dev/null
+++ b/reachhead_config/src/control.rs
@@ -0,0 +1,60 @@
+//! Settings of `reachhead-control`.
+
+use std::{
+    net::SocketAddr,
+    num::{NonZeroU32, NonZeroU64},
+};
+
+use reachhead_types::id::{HostId, ZoneName};
+
+use crate::section::{OpsSettings, StoreSettings, count, millis, section};
+
+section! {
+    /// Messages with the other processes of the system, over `nng`.
+    ControlLinkSettings {
+        /// Where this process answers its own host and its peers.
+        address: SocketAddr;
+        /// Where the entry process of this host answers other entry hosts.
+        entry: SocketAddr;
+        /// Controls of other entry hosts to start from while the store is down.
+        seeds: Vec<SocketAddr> = Vec::new();
+        /// Milliseconds between two rounds of gossip with a few peers.
+        gossip: NonZeroU64 = millis(1000);
+    }
+}
+
+section! {
+    /// Following the configuration and the list of entry hosts in the store.
+    FollowSettings {
+        /// Milliseconds between two reads of the version by the whole fleet of entry hosts; each
+        /// host reads once in this many times the number of hosts.
+        version: NonZeroU64 = millis(250);
+        /// Milliseconds between two reads of the member rows by one host, and between its writes
+        /// of its own row, for each host of the fleet.
+        members: NonZeroU64 = millis(250);
+        /// Heartbeat rounds without progress after which a member is taken for gone.
+        missed: NonZeroU32 = count(4);
+    }
+}
+
+section! {
+    /// Settings of `reachhead-control`.
+    ControlSettings {
+        /// Always "control".
+        program: String;
+        /// Name of this host.
+        host: HostId;
+        /// Availability zone of this host.
+        zone: ZoneName;
+    }
+    sections {
+        /// The listener for operators.
+        ops: OpsSettings;
+        /// The platform's table service.
+        store: StoreSettings;
+        /// Messages with the system's other processes.
+        link: ControlLinkSettings;
+        /// What is followed in the store.
+        follow: FollowSettings;
+    }
+}
--- /dev/null
+++ b/reachhead_config/src/fleet.rs
@@ -0,0 +1,72 @@
+//! The fleet file that `reachhead apply` turns into configuration rows.
+
+use std::collections::BTreeMap;
+
+use reachhead_types::{
+    fleet::{Fleet, RowKey},
+    size::Version,
+};
+use serde_json::Value;
+
+use crate::{
+    ObjectReader, Section,
+    reader::{Member, Place},
+    section::Field,
+};
+
+/// The sections of a fleet file and the row kind of each.
+const KINDS: [(&str, &str); 5] = [
+    ("groups", "group"),
+    ("pools", "pool"),
+    ("services", "service"),
+    ("minions", "minion"),
+    ("routes", "route"),
+];
+
+/// Configuration rows, checked together.
+#[derive(Debug, Clone, Default)]
+pub struct FleetFile {
+    /// The rows by key.
+    pub rows: BTreeMap<RowKey, Value>,
+}
+
+impl Section for FleetFile {
+    const FIELDS: &'static [Field] = &[
+        field("groups", "Groups by name: `parent` and `settings`."),
+        field("pools", "Pools by name: `group`."),
+        field("services", "Services by name: `group` and `pool`."),
+        field(
+            "minions",
+            "Minions by SERVICE/NAME: `address`, `zone`, `slots`, `connections`, `state`.",
+        ),
+        field("routes", "Routes by name: `path`, `group`, `service`, `key`, `class`, `deadline`."),
+    ];
+
+    fn read(reader: &mut ObjectReader<'_, '_>) -> Option<Self> {
+        reader.field::<String>("program", None)?;
+        let mut file = Self::default();
+        let mut places: BTreeMap<RowKey, Place> = BTreeMap::new();
+        for (section, kind) in KINDS {
+            for Member { name, value, place } in reader.members(section) {
+                match format!("{kind}/{name}").parse::<RowKey>() {
+                    Ok(key) => {
+                        places.insert(key.clone(), place);
+                        file.rows.insert(key, value);
+                    }
+                    Err(error) => reader.fault_at(place, format!("{section}.{name}: {error}")),
+                }
+            }
+        }
+        if let Err(faults) = Fleet::from_rows(Version::default(), &file.rows) {
+            for fault in faults {
+                reader.fault_at(places[&fault.key], fault.to_string());
+            }
+        }
+        reader.finish();
+        Some(file)
+    }
+}
+
+const fn field(name: &'static str, doc: &'static str) -> Field {
+    Field { name, doc, default: "{}", fields: &[] }
+}
--- /dev/null
+++ b/reachhead_control/src/process.rs
@@ -0,0 +1,97 @@
+//! The process: one thread for each duty around one view.
+//!
+//! - `follow`: reads the store and writes this host's row.
+//! - `gossip`: asks peers.
+//! - `link`: answers this host's entry process and peers.
+//! - `ops`: answers operators.
+
+use std::{io, sync::Arc, thread, time::Duration};
+
+use futures::future::{BoxFuture, FutureExt};
+use prometheus_client::registry::Registry;
+use reachhead_config::control::ControlSettings;
+use reachhead_link::server::{self, LinkError};
+use reachhead_ops::{
+    event::{Event, emit},
+    listener::{self, Observed},
+    runtime,
+};
+use reachhead_store::{Store, guarded::GuardedStore, http::HttpStore};
+use reachhead_types::{id::Incarnation, member::Member};
+use serde_json::Value;
+use tokio::sync::watch;
+
+use crate::{
+    answer::ControlResponder, follow::Follower, gossip::Gossiper, members::MemberBook,
+    metrics::Metrics, view::View,
+};
+
+struct ControlObserved {
+    view: Arc<View>,
+    metrics: Metrics,
+    responder: ControlResponder,
+}
+
+impl Observed for ControlObserved {
+    fn not_ready(&self) -> Option<String> {
+        if self.view.version().0 == 0 {
+            return Some("no configuration yet".to_owned());
+        }
+        let is_connected = self.view.is_connected(self.responder.cut_term());
+        (!is_connected).then(|| "cut off from the store and from all peers".to_owned())
+    }
+
+    fn state(&self) -> BoxFuture<'_, Value> {
+        async move { serde_json::to_value(self.view.report()).unwrap_or_default() }.boxed()
+    }
+
+    fn refresh(&self) {
+        self.metrics.refresh(&self.view);
+    }
+}
+
+/// Runs the control process until a shutdown is asked for.
+pub fn run(settings: ControlSettings) -> Result<(), LinkError> {
+    let follow = settings.follow;
+    let view = View::new(settings.host.clone(), MemberBook::new(follow.missed.get()));
+    let responder = || ControlResponder::new(Arc::clone(&view), follow.clone());
+
+    let mut registry = Registry::default();
+    let metrics = Metrics::new(&mut registry);
+    let observed = ControlObserved { view: Arc::clone(&view), metrics, responder: responder() };
+    listener::start(settings.ops.address, Arc::new(observed), registry)?;
+    server::serve(settings.link.address, responder())?;
+
+    let period = Duration::from_millis(settings.link.gossip.get());
+    let gossiper = Gossiper::new(Arc::clone(&view), settings.link.seeds, period);
+    thread::Builder::new().name("gossip".to_owned()).spawn(move || gossiper.run())?;
+
+    let http = HttpStore::new(settings.store.address, settings.store.deadline.duration());
+    let store: Arc<dyn Store> = Arc::new(GuardedStore::new(http, settings.store.rate.get()));
+    let own = Member {
+        host: settings.host.clone(),
+        zone: settings.zone,
+        incarnation: Incarnation(rand::random()),
+        counter: 0,
+        control: settings.link.address,
+        entry: settings.link.entry,
+    };
+    let follower = Follower::new(view, store, follow, own);
+    emit(Event::Started, format_args!("control of {}", settings.host));
+    run_follower(follower)?;
+    Ok(())
+}
+
+/// Follows the store on this thread until a shutdown is asked for.
+fn run_follower(follower: Follower) -> io::Result<()> {
+    runtime::single()?.block_on(async move {
+        let (stop, stopped) = watch::channel(false);
+        let following = tokio::spawn(follower.run(stopped));
+        runtime::shutdown_signal().await?;
+        emit(Event::ShutdownBegun, "leaving the list of entry hosts");
+        stop.send_replace(true);
+        following.await.map_err(io::Error::other)?;
+        emit(Event::ShutdownDone, "control");
+        Ok(())
+    })
+}
--- /dev/null
+++ b/reachhead_entry/src/connection/accept.rs
@@ -0,0 +1,118 @@
+//! Callers' connections: accepting them, limits on heads, graceful end.
+
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::debug;
+use reachhead_ops::{
+    event::{Event, emit},
+    runtime,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Notify, watch},
+    task::spawn_local,
+    time,
+};
+
+use crate::{process::core::Core, request};
+
+/// Pause after a failed accept, so that a lack of descriptors is not met by a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Counts open connections and tells when one ends.
+#[derive(Default)]
+struct Open {
+    count: Cell<u32>,
+    ended: Notify,
+}
+
+/// One open connection in the count.
+struct OpenGuard(Rc<Open>);
+
+impl OpenGuard {
+    fn new(open: &Rc<Open>) -> Self {
+        open.count.set(open.count.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.ended.notify_waiters();
+    }
+}
+
+/// Accepts callers until `stop` turns true, then waits until the last connection is finished.
+pub async fn run(core: Rc<Core>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    let open = Rc::new(Open::default());
+    let limit = core.settings.callers.connections.get();
+    loop {
+        let has_room = open.count.get() < limit;
+        tokio::select! {
+            () = runtime::stopped(&mut stop) => break,
+            accepted = listener.accept(), if has_room => match accepted {
+                Ok((stream, _)) => {
+                    let guard = OpenGuard::new(&open);
+                    spawn_local(serve(Rc::clone(&core), stream, stop.clone(), guard));
+                }
+                Err(error) => {
+                    emit(Event::AcceptFailed, error);
+                    time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            () = open.ended.notified(), if !has_room => {}
+        }
+    }
+    drop(listener);
+    loop {
+        let ended = open.ended.notified();
+        if open.count.get() == 0 {
+            return;
+        }
+        ended.await;
+    }
+}
+
+async fn serve(
+    core: Rc<Core>,
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+    _open: OpenGuard,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let callers = &core.settings.callers;
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(callers.head_time.get()))
+        .max_headers(callers.fields.get() as usize)
+        .max_buf_size(callers.head.0 as usize);
+    let service = {
+        let core = Rc::clone(&core);
+        service_fn(move |request| {
+            let core = Rc::clone(&core);
+            async move { Ok::<_, Infallible>(request::handle(core, request).await) }
+        })
+    };
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        () = runtime::stopped(&mut stop) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!("a caller's connection ended: {error}");
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/connection/mod.rs
@@ -0,0 +1,4 @@
+//! What lives as long as a connection: callers' connections and connections to minions.
+
+pub mod accept;
+pub mod out;
--- /dev/null
+++ b/reachhead_entry/src/process/asks.rs
@@ -0,0 +1,72 @@
+//! Asks other entry hosts what became of their attempts, on a thread of its own.
+
+use std::{io, net::SocketAddr, thread, time::Duration};
+
+use log::debug;
+use reachhead_config::entry::EntrySettings;
+use reachhead_link::{
+    client::Asker,
+    message::{EntryReply, EntryRequest},
+};
+use reachhead_types::id::{AttemptId, Incarnation};
+use tokio::sync::{mpsc, oneshot};
+
+/// Questions that may wait; each may take the whole ask time, so more would only be late.
+const RING_SIZE: usize = 16;
+
+struct Job {
+    owner: Owner,
+    reply: oneshot::Sender<Option<EntryReply>>,
+}
+
+/// Who made an attempt.
+#[derive(Debug, Clone, Copy)]
+pub struct Owner {
+    /// Where its process answers.
+    pub address: SocketAddr,
+    /// The start of its process.
+    pub incarnation: Incarnation,
+    /// The attempt.
+    pub attempt: AttemptId,
+}
+
+/// The path thread's end of the ring.
+pub struct Asks {
+    jobs: mpsc::Sender<Job>,
+}
+
+impl Asks {
+    /// Asks `owner` what became of its attempt; `None` if it can't be asked.
+    pub async fn ask(&self, owner: Owner) -> Option<EntryReply> {
+        let (reply, answer) = oneshot::channel();
+        self.jobs.try_send(Job { owner, reply }).ok()?;
+        answer.await.ok()?
+    }
+}
+
+/// Starts the ask thread.
+///
+/// # Errors
+///
+/// Fails if the system gives no thread.
+pub fn start(settings: &EntrySettings) -> io::Result<Asks> {
+    let (jobs, ring) = mpsc::channel(RING_SIZE);
+    let timeout = Duration::from_millis(settings.claims.ask_time.get());
+    thread::Builder::new().name("asks".to_owned()).spawn(move || run(ring, timeout))?;
+    Ok(Asks { jobs })
+}
+
+fn run(mut ring: mpsc::Receiver<Job>, timeout: Duration) {
+    let mut asker = Asker::new(timeout);
+    while let Some(Job { owner, reply }) = ring.blocking_recv() {
+        if reply.is_closed() {
+            continue;
+        }
+        let Owner { address, incarnation, attempt } = owner;
+        let answer = asker.ask(address, &EntryRequest::Claim { incarnation, attempt });
+        if let Err(error) = &answer {
+            debug!("asking {address}: {error}");
+        }
+        let _ = reply.send(answer.ok());
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/process/core.rs
@@ -0,0 +1,149 @@
+//! What the path thread's tasks share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Instant,
+};
+
+use reachhead_config::entry::EntrySettings;
+use reachhead_ops::event::{Event, emit};
+use reachhead_path::claim::ClaimTable;
+use reachhead_types::{id::Incarnation, size::Version};
+use serde::Serialize;
+
+use crate::{
+    process::{
+        asks::Asks,
+        claims::Claims,
+        follow::Update,
+        metrics::Metrics,
+        observed::Ready,
+        service::{ServiceState, Services},
+    },
+    version::Table,
+};
+
+/// The path thread's state; only that thread touches it.
+pub struct Core {
+    /// The settings that the process was started with.
+    pub settings: EntrySettings,
+    /// This start of the process.
+    pub incarnation: Incarnation,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The way to the store for claims.
+    pub claims: Claims,
+    /// The way to other entry hosts.
+    pub asks: Asks,
+    /// This process's attempts.
+    pub attempts: RefCell<ClaimTable>,
+    services: Services,
+    table: RefCell<Rc<Table>>,
+    /// Until when the view of configuration and members counts as fresh.
+    fresh_until: Cell<Option<Instant>>,
+    is_stopping: Cell<bool>,
+    ready: Ready,
+}
+
+/// The state of the process as `/state` shows it.
+#[derive(Debug, Serialize)]
+pub struct CoreState {
+    host: String,
+    incarnation: Incarnation,
+    version: Version,
+    not_ready: Option<&'static str>,
+    attempts: usize,
+    services: Vec<ServiceState>,
+}
+
+impl Core {
+    /// Returns the state of a process that knows no configuration yet.
+    pub fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        metrics: Metrics,
+        claims: Claims,
+        asks: Asks,
+        ready: Ready,
+    ) -> Self {
+        Self {
+            settings,
+            incarnation,
+            metrics,
+            claims,
+            asks,
+            attempts: RefCell::new(ClaimTable::new()),
+            services: Services::default(),
+            table: RefCell::default(),
+            fresh_until: Cell::new(None),
+            is_stopping: Cell::new(false),
+            ready,
+        }
+    }
+
+    /// Returns the routes in force; a request keeps the ones that it started with.
+    pub fn table(&self) -> Rc<Table> {
+        Rc::clone(&self.table.borrow())
+    }
+
+    /// Takes what the follow thread learned.
+    pub fn take_update(&self, update: Update) {
+        self.fresh_until.set(update.fresh_until.or(self.fresh_until.get()));
+        if let Some(fleet) = &update.fleet {
+            self.services.update(fleet, &self.settings.zone);
+            let table = Table::new(fleet, &self.services, &self.metrics);
+            *self.table.borrow_mut() = Rc::new(table);
+            emit(Event::ConfigInForce, format_args!("version {}", fleet.version));
+        }
+        if let Some(limits) = &update.limits {
+            self.services.set_limits(limits);
+        }
+        self.attempts.borrow_mut().forget(self.settings.claims.keep.duration(), Instant::now());
+        self.ready.set(self.not_ready());
+    }
+
+    /// Tells whether a request may be dispatched now by what this host knows.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh_until.get().is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Tells whether a shutdown was asked for.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Is not ready from now on.
+    pub fn begin_shutdown(&self) {
+        self.is_stopping.set(true);
+        self.ready.set(self.not_ready());
+    }
+
+    fn not_ready(&self) -> Option<&'static str> {
+        if self.is_stopping.get() {
+            return Some("shutting down");
+        }
+        if !self.is_fresh() {
+            return Some("no fresh view from the control of this host");
+        }
+        if self.table.borrow().version().0 == 0 {
+            return Some("no configuration yet");
+        }
+        if !self.services.has_share() {
+            return Some("no share of any minion yet");
+        }
+        None
+    }
+
+    /// Returns the state for operators.
+    pub fn state(&self) -> CoreState {
+        CoreState {
+            host: self.settings.host.to_string(),
+            incarnation: self.incarnation,
+            version: self.table.borrow().version(),
+            not_ready: self.not_ready(),
+            attempts: self.attempts.borrow().len(),
+            services: self.services.state(),
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/process/follow.rs
@@ -0,0 +1,167 @@
+//! Follows the control of this host, on a thread of its own: configuration, members, shares.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use reachhead_config::entry::EntrySettings;
+use reachhead_link::{
+    client::Asker,
+    message::{ControlReply, ControlRequest, FollowReply},
+};
+use reachhead_ops::event::{Event, emit};
+use reachhead_path::share::ShareHistory;
+use reachhead_types::{
+    book::Book,
+    fleet::Fleet,
+    id::{MinionId, ServiceName},
+    size::Millis,
+};
+use tokio::sync::mpsc;
+
+/// Updates that may wait for the path thread; the newest says all, so few are enough.
+const RING_SIZE: usize = 4;
+
+/// How many requests this host may run at each minion.
+pub type Limits = BTreeMap<ServiceName, BTreeMap<MinionId, u32>>;
+
+/// The path thread's end of the ring.
+pub type Updates = mpsc::Receiver<Update>;
+
+/// What the follow thread learned.
+pub struct Update {
+    /// A new version, if there is one.
+    pub fleet: Option<Arc<Fleet>>,
+    /// New limits, if they changed.
+    pub limits: Option<Limits>,
+    /// Until when this view counts as fresh; `None` if the control hears nobody.
+    pub fresh_until: Option<Instant>,
+}
+
+struct Follower {
+    asker: Asker<ControlRequest, ControlReply>,
+    control: SocketAddr,
+    cut_time: Duration,
+    book: Book,
+    fleet: Arc<Fleet>,
+    shares: ShareHistory,
+    is_lost: bool,
+}
+
+/// Starts the follow thread.
+///
+/// # Errors
+///
+/// Fails if the system gives no thread.
+pub fn start(settings: &EntrySettings) -> io::Result<Updates> {
+    let (updates, ring) = mpsc::channel(RING_SIZE);
+    let period = Duration::from_millis(settings.link.period.get());
+    let cut_time = Duration::from_millis(settings.link.cut_time.get());
+    let follower = Follower {
+        asker: Asker::new(cut_time / 4),
+        control: settings.link.control,
+        cut_time,
+        book: Book::new(),
+        fleet: Arc::default(),
+        shares: ShareHistory::new(settings.host.clone()),
+        is_lost: false,
+    };
+    thread::Builder::new()
+        .name("follow".to_owned())
+        .spawn(move || follower.run(&updates, period))?;
+    Ok(ring)
+}
+
+impl Follower {
+    fn run(mut self, updates: &mpsc::Sender<Update>, period: Duration) {
+        loop {
+            if let Some(update) = self.ask()
+                && updates.blocking_send(update).is_err()
+            {
+                return;
+            }
+            thread::sleep(period);
+        }
+    }
+
+    fn ask(&mut self) -> Option<Update> {
+        // Freshness counts from before the question: the answer may be as old as that.
+        let asked = Instant::now();
+        let question = ControlRequest::Follow { have: self.book.version() };
+        let reply = match self.asker.ask(self.control, &question) {
+            Ok(ControlReply::Follow(reply)) => Some(reply),
+            _ => None,
+        };
+        if self.is_lost != reply.is_none() {
+            self.is_lost = reply.is_none();
+            let what = if self.is_lost { "no answer" } else { "answers again" };
+            emit(Event::ControlLost, format_args!("{}: {what}", self.control));
+        }
+        reply.map(|reply| self.learn(*reply, asked))
+    }
+
+    fn learn(&mut self, reply: FollowReply, asked: Instant) -> Update {
+        let fleet = self.apply(&reply);
+        let hosts = reply.members.iter().map(|member| member.host.clone()).collect();
+        let now = Instant::now();
+        let is_new_list = self.shares.note(hosts, now);
+        let is_expired = self.shares.expire(self.hold(reply.notice), now);
+        let is_changed = fleet.is_some() || is_new_list || is_expired;
+        Update {
+            fleet,
+            limits: is_changed.then(|| self.limits()),
+            fresh_until: reply.connected.then(|| asked + self.cut_time),
+        }
+    }
+
+    fn apply(&mut self, reply: &FollowReply) -> Option<Arc<Fleet>> {
+        let delta = reply.delta.as_ref()?;
+        match self.book.apply(delta) {
+            Ok(true) => {}
+            Ok(false) => return None,
+            Err(gap) => {
+                emit(Event::ConfigGap, gap);
+                return None;
+            }
+        }
+        match Fleet::from_rows(self.book.version(), self.book.rows()) {
+            Ok(fleet) => {
+                self.fleet = Arc::new(fleet);
+                Some(Arc::clone(&self.fleet))
+            }
+            Err(faults) => {
+                let version = self.book.version();
+                let first = faults.first().map(ToString::to_string).unwrap_or_default();
+                emit(Event::ConfigRefused, format_args!("version {version}: {first}"));
+                None
+            }
+        }
+    }
+
+    /// How long a slot that was gained stays unused: until the one that lost it has noticed, and
+    /// the last request that it sent there is over.
+    fn hold(&self, notice: Millis) -> Duration {
+        let deadlines = self.fleet.routes.values().map(|route| {
+            let group = self.fleet.tree.get(&route.group);
+            let inherited = group.map(|group| group.effective.deadline);
+            route.deadline.or(inherited).unwrap_or_default()
+        });
+        notice.duration() + deadlines.max().unwrap_or_default().duration()
+    }
+
+    fn limits(&self) -> Limits {
+        let services = self.fleet.services.iter().map(|(name, service)| {
+            let minions = service.minions.iter().map(|(id, row)| {
+                let minion = format!("{name}/{id}");
+                (id.clone(), self.shares.usable(&minion, row.slots.0))
+            });
+            (name.clone(), minions.collect())
+        });
+        services.collect()
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/process/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters of the entry process.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use reachhead_types::{error::ErrorKind, id::RouteName};
+
+/// Smallest latency bucket, in seconds.
+const FIRST_BUCKET: f64 = 0.0005;
+
+/// Factor between two latency buckets.
+const BUCKET_FACTOR: f64 = 2.0;
+
+/// Number of latency buckets; the largest is about 16 s.
+const BUCKETS: u16 = 16;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteLabels {
+    route: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ErrorLabels {
+    kind: &'static str,
+}
+
+/// All counters.
+#[derive(Clone)]
+pub struct Metrics {
+    ran: Family<RouteLabels, Counter>,
+    latency: Family<RouteLabels, Histogram>,
+    errors: Family<ErrorLabels, Counter>,
+    /// Requests sent to minions, retries included.
+    pub sends: Counter,
+    /// Answers replayed for a key.
+    pub replays: Counter,
+}
+
+/// The counters of one route, looked up once a version.
+#[derive(Clone)]
+pub struct RouteMetrics {
+    /// Requests that a minion answered.
+    pub ran: Counter,
+    /// Seconds from the head's arrival to the answer's head.
+    pub latency: Histogram,
+}
+
+impl Metrics {
+    /// Returns the counters, registered in `registry`.
+    pub fn new(registry: &mut Registry) -> Self {
+        let buckets = || Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS));
+        let metrics = Self {
+            ran: Family::default(),
+            latency: Family::new_with_constructor(buckets),
+            errors: Family::default(),
+            sends: Counter::default(),
+            replays: Counter::default(),
+        };
+        registry.register(
+            "reachhead_entry_ran",
+            "Requests that a minion answered",
+            metrics.ran.clone(),
+        );
+        registry.register(
+            "reachhead_entry_latency_seconds",
+            "Time from request head to answer head",
+            metrics.latency.clone(),
+        );
+        registry.register(
+            "reachhead_entry_errors",
+            "Answers that the system made itself, by error kind",
+            metrics.errors.clone(),
+        );
+        registry.register(
+            "reachhead_entry_sends",
+            "Requests sent to minions, retries included",
+            metrics.sends.clone(),
+        );
+        registry.register(
+            "reachhead_entry_replays",
+            "Answers replayed for an idempotency key",
+            metrics.replays.clone(),
+        );
+        metrics
+    }
+
+    /// Returns the counters of the route `name`.
+    pub fn route(&self, name: &RouteName) -> RouteMetrics {
+        let labels = RouteLabels { route: name.to_string() };
+        RouteMetrics {
+            ran: self.ran.get_or_create(&labels).clone(),
+            latency: self.latency.get_or_create(&labels).clone(),
+        }
+    }
+
+    /// Counts an answer that the system made itself.
+    pub fn error(&self, kind: ErrorKind) {
+        self.errors.get_or_create(&ErrorLabels { kind: kind.as_str() }).inc();
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/process/minion.rs
@@ -0,0 +1,184 @@
+//! A minion as this entry host uses it: its share, its connections, its failures.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use reachhead_ops::event::{Event, emit};
+use reachhead_path::{
+    eject::{Ejection, Step},
+    pick::Candidate,
+};
+use reachhead_types::{
+    fleet::{MinionRow, MinionState},
+    id::{MinionId, ServiceName, ZoneName},
+};
+use serde::Serialize;
+
+use crate::connection::out::Sender;
+
+/// How long a minion that said it is going away gets nothing new.
+const LEAVING_TERM: Duration = Duration::from_secs(5);
+
+/// A connection that waits for its next request.
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// A minion of one service.
+pub struct Minion {
+    /// Its name, unique in the service.
+    pub id: MinionId,
+    /// The service.
+    pub service: ServiceName,
+    /// Its row when this value was made; another address makes another value.
+    pub row: MinionRow,
+    is_local: bool,
+    limit: Cell<u32>,
+    running: Cell<u32>,
+    state: Cell<MinionState>,
+    leaving_until: Cell<Option<Instant>>,
+    ejection: RefCell<Ejection>,
+    idle: RefCell<Vec<Idle>>,
+}
+
+/// A minion as `/state` shows it.
+#[derive(Debug, Serialize)]
+pub struct MinionReport {
+    id: MinionId,
+    limit: u32,
+    running: u32,
+    idle: usize,
+    state: MinionState,
+    is_ejected: bool,
+}
+
+impl Minion {
+    /// Returns a minion without a share, as seen from `zone`.
+    pub fn new(id: MinionId, service: ServiceName, row: MinionRow, zone: &ZoneName) -> Rc<Self> {
+        Rc::new(Self {
+            id,
+            service,
+            is_local: row.zone == *zone,
+            state: Cell::new(row.state),
+            row,
+            limit: Cell::new(0),
+            running: Cell::new(0),
+            leaving_until: Cell::new(None),
+            ejection: RefCell::new(Ejection::new()),
+            idle: RefCell::default(),
+        })
+    }
+
+    /// Returns how many requests this host may run here.
+    pub fn limit(&self) -> u32 {
+        self.limit.get()
+    }
+
+    /// Sets how many requests this host may run here; connections beyond that are closed.
+    pub fn set_limit(&self, limit: u32) {
+        self.limit.set(limit);
+        self.idle.borrow_mut().truncate(limit as usize);
+    }
+
+    /// Sets whether the configuration lets it take new work.
+    pub fn set_state(&self, state: MinionState) {
+        self.state.set(state);
+    }
+
+    /// Tells whether it takes new work as far as it and the configuration say.
+    pub fn is_serving(&self, now: Instant) -> bool {
+        let said_leaving = self.leaving_until.get().is_some_and(|until| now < until);
+        self.state.get() == MinionState::Serving && !said_leaving
+    }
+
+    /// Tells whether it failed so often that it is left alone.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejection.borrow().is_ejected(now)
+    }
+
+    /// Returns the minion as the choice sees it.
+    pub fn candidate(&self, is_open: bool, was_tried: bool) -> Candidate {
+        Candidate {
+            running: self.running.get(),
+            limit: self.limit.get(),
+            is_local: self.is_local,
+            is_open,
+            was_tried,
+        }
+    }
+
+    /// Counts a request that starts here.
+    pub fn start(&self) {
+        self.running.set(self.running.get() + 1);
+    }
+
+    /// Counts a request that is over.
+    pub fn end(&self) {
+        self.running.set(self.running.get().saturating_sub(1));
+    }
+
+    /// Notes an answer.
+    pub fn succeed(&self) {
+        let step = self.ejection.borrow_mut().succeed();
+        self.tell(step);
+    }
+
+    /// Notes a failure.
+    pub fn fail(&self) {
+        let step = self.ejection.borrow_mut().fail(Instant::now());
+        self.tell(step);
+    }
+
+    fn tell(&self, step: Step) {
+        let event = match step {
+            Step::Same => return,
+            Step::Ejected => Event::MinionEjected,
+            Step::Restored => Event::MinionRestored,
+        };
+        emit(event, format_args!("{}/{}", self.service, self.id));
+    }
+
+    /// Notes that the minion said it is going away.
+    pub fn note_leaving(&self) {
+        let now = Instant::now();
+        if self.is_serving(now) {
+            emit(Event::MinionLeaving, format_args!("{}/{}", self.service, self.id));
+        }
+        self.leaving_until.set(Some(now + LEAVING_TERM));
+    }
+
+    /// Takes a connection that is still open and was not idle for longer than `idle_time`.
+    pub fn take_idle(&self, idle_time: Duration) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(Idle { sender, since }) = idle.pop() {
+            if !sender.is_closed() && since.elapsed() < idle_time {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer is whole.
+    pub fn put_idle(&self, sender: Sender) {
+        let mut idle = self.idle.borrow_mut();
+        if !sender.is_closed() && idle.len() < self.limit.get() as usize {
+            idle.push(Idle { sender, since: Instant::now() });
+        }
+    }
+
+    /// Returns the minion for operators.
+    pub fn report(&self) -> MinionReport {
+        MinionReport {
+            id: self.id.clone(),
+            limit: self.limit.get(),
+            running: self.running.get(),
+            idle: self.idle.borrow().len(),
+            state: self.state.get(),
+            is_ejected: self.is_ejected(Instant::now()),
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/process/observed.rs
@@ -0,0 +1,67 @@
+//! The process as its operators see it, from the ops thread.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::future::{BoxFuture, FutureExt};
+use reachhead_ops::listener::Observed;
+use serde_json::{Value, json};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::process::link::Question;
+
+/// Longest wait for the path thread's state.
+const STATE_TIME: Duration = Duration::from_secs(2);
+
+/// Why the process is not ready, written by the path thread and read by the ops thread.
+#[derive(Clone)]
+pub struct Ready(Arc<Mutex<Option<&'static str>>>);
+
+impl Ready {
+    /// Sets why the process is not ready; `None` if it is.
+    pub fn set(&self, reason: Option<&'static str>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = reason;
+    }
+
+    fn get(&self) -> Option<&'static str> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Answers operators by asking the path thread.
+pub struct EntryObserved {
+    ready: Ready,
+    questions: mpsc::Sender<Question>,
+}
+
+impl EntryObserved {
+    /// Returns the two ends: one for the path thread, one for the ops listener.
+    pub fn new(questions: mpsc::Sender<Question>) -> (Ready, Self) {
+        let ready = Ready(Arc::new(Mutex::new(Some("starting"))));
+        (ready.clone(), Self { ready, questions })
+    }
+}
+
+impl Observed for EntryObserved {
+    fn not_ready(&self) -> Option<String> {
+        self.ready.get().map(str::to_owned)
+    }
+
+    fn state(&self) -> BoxFuture<'_, Value> {
+        async move {
+            let (reply, state) = oneshot::channel();
+            let asked = self.questions.try_send(Question::State { reply });
+            let state = async { state.await.ok() };
+            match (asked, time::timeout(STATE_TIME, state).await) {
+                (Ok(()), Ok(Some(state))) => state,
+                _ => json!({ "error": "the path thread does not answer" }),
+            }
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/process/service.rs
@@ -0,0 +1,302 @@
+//! The services: each with its minions, its fair queue and its retry budget.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Instant};
+
+use reachhead_path::{
+    fair::{Ask, Charge, FairQueue, QueueError, Turn, Waiting},
+    pick,
+    retry::RetryBudget,
+};
+use reachhead_types::{
+    error::ErrorKind,
+    fleet::Fleet,
+    id::{MinionId, ServiceName, ZoneName},
+};
+use serde::Serialize;
+use tokio::{sync::oneshot, time};
+
+use crate::process::{
+    follow::Limits,
+    minion::{Minion, MinionReport},
+};
+
+/// All services of the configuration in force.
+#[derive(Default)]
+pub struct Services {
+    services: RefCell<BTreeMap<ServiceName, Rc<Service>>>,
+}
+
+/// One service.
+pub struct Service {
+    name: ServiceName,
+    inner: RefCell<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    minions: Vec<Rc<Minion>>,
+    queue: FairQueue<Waiter>,
+    retries: RetryBudget,
+}
+
+/// A service as `/state` shows it.
+#[derive(Debug, Serialize)]
+pub struct ServiceState {
+    name: ServiceName,
+    waiting: usize,
+    minions: Vec<MinionReport>,
+}
+
+/// Someone who waits for a permit.
+struct Waiter {
+    tried: Vec<MinionId>,
+    reply: oneshot::Sender<Result<Permit, ErrorKind>>,
+}
+
+impl Waiting for Waiter {
+    fn is_wanted(&self) -> bool {
+        !self.reply.is_closed()
+    }
+}
+
+/// The right to run one request at a minion; dropping it gives the slot to the next.
+pub struct Permit {
+    service: Rc<Service>,
+    /// The minion.
+    pub minion: Rc<Minion>,
+    charge: Charge,
+    started: Instant,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.minion.end();
+        let took = self.started.elapsed();
+        self.service.inner.borrow_mut().queue.settle(&self.charge, took);
+        self.service.pump();
+    }
+}
+
+impl Services {
+    /// Returns the service of `name`.
+    pub fn get(&self, name: &ServiceName) -> Option<Rc<Service>> {
+        self.services.borrow().get(name).cloned()
+    }
+
+    /// Brings the services in line with `fleet`; requests under way keep what they hold.
+    pub fn update(&self, fleet: &Fleet, zone: &ZoneName) {
+        let mut services = self.services.borrow_mut();
+        services.retain(|name, _| fleet.services.contains_key(name));
+        for name in fleet.services.keys() {
+            let service =
+                services.entry(name.clone()).or_insert_with(|| Service::new(name.clone()));
+            service.update(fleet, zone);
+        }
+    }
+
+    /// Sets the limits of all minions.
+    pub fn set_limits(&self, limits: &Limits) {
+        for (name, service) in &*self.services.borrow() {
+            if let Some(limits) = limits.get(name) {
+                service.set_limits(limits);
+            }
+        }
+    }
+
+    /// Tells whether this host may run anything anywhere, or there is nothing to run.
+    pub fn has_share(&self) -> bool {
+        let services = self.services.borrow();
+        services.is_empty() || services.values().any(|service| service.slots() > 0)
+    }
+
+    /// Returns the services for operators.
+    pub fn state(&self) -> Vec<ServiceState> {
+        self.services.borrow().values().map(|service| service.state()).collect()
+    }
+}
+
+impl Service {
+    fn new(name: ServiceName) -> Rc<Self> {
+        Rc::new(Self { name, inner: RefCell::default() })
+    }
+
+    fn update(&self, fleet: &Fleet, zone: &ZoneName) {
+        let Some(service) = fleet.services.get(&self.name) else {
+            return;
+        };
+        let mut inner = self.inner.borrow_mut();
+        let mut minions = Vec::with_capacity(service.minions.len());
+        for (id, row) in &service.minions {
+            let known = inner
+                .minions
+                .iter()
+                .find(|minion| minion.id == *id && minion.row.address == row.address);
+            let minion = match known {
+                Some(minion) => Rc::clone(minion),
+                None => Minion::new(id.clone(), self.name.clone(), row.clone(), zone),
+            };
+            minion.set_state(row.state);
+            minions.push(minion);
+        }
+        inner.minions = minions;
+        for route in fleet.routes.values().filter(|route| route.service == self.name) {
+            if let Some(group) = fleet.tree.get(&route.group) {
+                let limit = group.effective.queue as usize;
+                inner.queue.set_group(&route.group, group.effective.weight, limit);
+            }
+        }
+    }
+
+    fn set_limits(self: &Rc<Self>, limits: &BTreeMap<MinionId, u32>) {
+        for minion in &self.inner.borrow().minions {
+            minion.set_limit(limits.get(&minion.id).copied().unwrap_or_default());
+        }
+        self.pump();
+    }
+
+    fn slots(&self) -> u32 {
+        self.inner.borrow().slots(Instant::now())
+    }
+
+    fn state(&self) -> ServiceState {
+        let inner = self.inner.borrow();
+        ServiceState {
+            name: self.name.clone(),
+            waiting: inner.queue.len(),
+            minions: inner.minions.iter().map(|minion| minion.report()).collect(),
+        }
+    }
+
+    /// Waits for a minion that may run a request, a `tried` one only if there is no other.
+    ///
+    /// # Errors
+    ///
+    /// `NoMinion`, `Overloaded` or `DeadlineInQueue`, each as soon as it is known.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        ask: &Ask,
+        tried: &[MinionId],
+    ) -> Result<Permit, ErrorKind> {
+        let granted = match self.try_acquire(ask, tried)? {
+            Acquired::Now(permit) => return Ok(permit),
+            Acquired::Later(granted) => granted,
+        };
+        match time::timeout_at(ask.deadline.into(), granted).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(ErrorKind::NoMinion),
+            Err(_) => Err(ErrorKind::DeadlineInQueue),
+        }
+    }
+
+    fn try_acquire(self: &Rc<Self>, ask: &Ask, tried: &[MinionId]) -> Result<Acquired, ErrorKind> {
+        let now = Instant::now();
+        let mut inner = self.inner.borrow_mut();
+        if inner.queue.is_empty()
+            && let Some(minion) = inner.choose(tried, now)
+        {
+            let charge = inner.queue.charge(&ask.group);
+            return Ok(Acquired::Now(self.permit(minion, charge, now)));
+        }
+        let slots = inner.slots(now);
+        if slots == 0 {
+            return Err(ErrorKind::NoMinion);
+        }
+        let (reply, granted) = oneshot::channel();
+        let waiter = Waiter { tried: tried.to_vec(), reply };
+        match inner.queue.push(ask, waiter, slots, now) {
+            Ok(()) => Ok(Acquired::Later(granted)),
+            Err(QueueError::Full | QueueError::Late) => Err(ErrorKind::Overloaded),
+        }
+    }
+
+    fn permit(self: &Rc<Self>, minion: Rc<Minion>, charge: Charge, now: Instant) -> Permit {
+        minion.start();
+        Permit { service: Rc::clone(self), minion, charge, started: now }
+    }
+
+    /// Hands free slots to those who wait, by their groups' shares.
+    fn pump(self: &Rc<Self>) {
+        // Nothing is sent while the state is borrowed: a receiver that is gone drops its permit
+        // here, which ends in another pump.
+        while let Some(next) = self.next_turn() {
+            for waiter in next.late {
+                let _ = waiter.reply.send(Err(ErrorKind::DeadlineInQueue));
+            }
+            let Some((waiter, permit)) = next.granted else {
+                return;
+            };
+            let _ = waiter.reply.send(Ok(permit));
+        }
+    }
+
+    fn next_turn(self: &Rc<Self>) -> Option<NextTurn> {
+        let now = Instant::now();
+        let mut inner = self.inner.borrow_mut();
+        if inner.queue.is_empty() || inner.choose(&[], now).is_none() {
+            return None;
+        }
+        let popped = inner.queue.pop(now);
+        let granted = popped.next.and_then(|Turn { item, charge }| {
+            let minion = inner.choose(&item.tried, now)?;
+            Some((item, self.permit(minion, charge, now)))
+        });
+        Some(NextTurn { granted, late: popped.late })
+    }
+
+    /// Notes a success, which earns a part of a retry.
+    pub fn succeed(&self) {
+        self.inner.borrow_mut().retries.succeed();
+    }
+
+    /// Takes a retry off the budget, if there is one.
+    pub fn take_retry(&self) -> bool {
+        self.inner.borrow_mut().retries.take()
+    }
+}
+
+enum Acquired {
+    Now(Permit),
+    Later(oneshot::Receiver<Result<Permit, ErrorKind>>),
+}
+
+struct NextTurn {
+    granted: Option<(Waiter, Permit)>,
+    late: Vec<Waiter>,
+}
+
+impl Inner {
+    /// Returns the slots at minions that take new work.
+    fn slots(&self, now: Instant) -> u32 {
+        let serving = self.minions.iter().filter(|minion| minion.is_serving(now));
+        let slots: u32 = serving.map(|minion| minion.limit()).sum();
+        match slots {
+            // Everyone is leaving: better a leaving minion than none.
+            0 => self.minions.iter().map(|minion| minion.limit()).sum(),
+            slots => slots,
+        }
+    }
+
+    fn choose(&self, tried: &[MinionId], now: Instant) -> Option<Rc<Minion>> {
+        let is_good = |minion: &Minion| minion.is_serving(now) && !minion.is_ejected(now);
+        let is_any = |good: &dyn Fn(&Minion) -> bool| {
+            self.minions.iter().any(|minion| minion.limit() > 0 && good(minion))
+        };
+        // Neither ejection nor leaving may empty a service.
+        let has_good = is_any(&is_good);
+        let has_serving = is_any(&|minion| minion.is_serving(now));
+        let candidates: Vec<_> = self
+            .minions
+            .iter()
+            .map(|minion| {
+                let is_open = match (has_good, has_serving) {
+                    (true, _) => is_good(minion),
+                    (false, true) => minion.is_serving(now),
+                    (false, false) => true,
+                };
+                minion.candidate(is_open, tried.contains(&minion.id))
+            })
+            .collect();
+        let index = pick::choose(&candidates, &mut rand::rng())?;
+        Some(Rc::clone(&self.minions[index]))
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/request/dispatch.rs
@@ -0,0 +1,103 @@
+//! Runs a request: waits for a slot, sends it, and retries where that is safe and worth it.
+
+use std::{rc::Rc, time::Instant};
+
+use reachhead_types::{
+    error::ErrorKind,
+    id::{AttemptId, MinionId},
+};
+
+use crate::{
+    process::core::Core,
+    request::{
+        Arrived,
+        send::{self, SendError, SentAnswer},
+    },
+};
+
+/// Sends in vain to connections that had just closed, beside the counted ones.
+const UNSENT_LIMIT: u32 = 8;
+
+/// Runs a request and returns its answer; one with an `attempt` is sent at most once.
+///
+/// # Errors
+///
+/// The kind that tells the caller what became of it.
+pub async fn run(
+    core: &Rc<Core>,
+    arrived: &Arrived,
+    attempt: Option<AttemptId>,
+) -> Result<SentAnswer, ErrorKind> {
+    let ask = arrived.ask();
+    let service = &arrived.route.service;
+    let mut tried: Vec<MinionId> = Vec::new();
+    let mut sends = 0;
+    loop {
+        let permit = service.acquire(&ask, &tried).await?;
+        tried.push(permit.minion.id.clone());
+        let error = match send_once(core, arrived, permit, attempt).await {
+            Ok(answer) => {
+                service.succeed();
+                return Ok(answer);
+            }
+            Err(error) => error,
+        };
+        sends += 1;
+        if !may_retry(core, arrived, attempt, &error, sends) {
+            return Err(match error {
+                SendError::NotSent(kind) | SendError::Unknown(kind) => kind,
+            });
+        }
+    }
+}
+
+async fn send_once(
+    core: &Rc<Core>,
+    arrived: &Arrived,
+    permit: crate::process::service::Permit,
+    attempt: Option<AttemptId>,
+) -> Result<SentAnswer, SendError> {
+    let outgoing = send::prepare(core, arrived, permit).await?;
+    // The last look before the first byte: a process that was paused finds its view too old here.
+    if !core.is_fresh() {
+        return Err(SendError::NotSent(ErrorKind::NotReady));
+    }
+    if Instant::now() >= arrived.deadline {
+        return Err(SendError::NotSent(ErrorKind::DeadlineInQueue));
+    }
+    if let Some(attempt) = attempt
+        && !core.attempts.borrow_mut().send(attempt)
+    {
+        return Err(SendError::NotSent(ErrorKind::DeadlineInQueue));
+    }
+    let result = outgoing.send(core).await;
+    if let (Some(attempt), Err(SendError::NotSent(_))) = (attempt, &result) {
+        core.attempts.borrow_mut().take_back(attempt);
+    }
+    result
+}
+
+fn may_retry(
+    core: &Core,
+    arrived: &Arrived,
+    attempt: Option<AttemptId>,
+    error: &SendError,
+    sends: u32,
+) -> bool {
+    if Instant::now() >= arrived.deadline {
+        return false;
+    }
+    let limit = core.settings.minions.sends.get();
+    match error {
+        SendError::NotSent(ErrorKind::NotReady | ErrorKind::DeadlineInQueue) => false,
+        // Provably unsent, so no minion was loaded by it: the budget is for real sends.
+        SendError::NotSent(ErrorKind::ConnectFailed) => sends < limit + UNSENT_LIMIT,
+        SendError::NotSent(_) => sends < limit && arrived.route.service.take_retry(),
+        SendError::Unknown(_) => {
+            attempt.is_none()
+                && arrived.is_repeatable()
+                && sends < limit
+                && arrived.route.service.take_retry()
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_entry/src/request/keyed.rs
@@ -0,0 +1,223 @@
+//! A request with an idempotency key: claimed in the store, then run at most once.
+//!
+//! docs/AT-MOST-ONCE.md gives the argument; each step here is one of its paragraphs.
+
+use std::{rc::Rc, time::Instant};
+
+use bytes::Bytes;
+use hyper::Response;
+use reachhead_link::message::EntryReply;
+use reachhead_path::claim::{Attempt, Meeting};
+use reachhead_store::{
+    claim::{ClaimRow, ClaimState},
+    keys,
+    row::Key,
+};
+use reachhead_types::{
+    answer::KeptAnswer,
+    error::{ErrorKind, Outcome},
+    id::{AttemptId, Fingerprint, IdempotencyKey},
+    size::Revision,
+};
+use sha2::{Digest, Sha256};
+use tokio::{sync::oneshot, task::spawn_local};
+
+use crate::{
+    process::{asks::Owner, claims::ClaimReply, core::Core},
+    request::{
+        Arrived,
+        body::ReplyBody,
+        dispatch, reply,
+        send::{SentAnswer, SentBody},
+    },
+};
+
+/// Times that a claim is tried against others that come and go.
+const CLAIM_TRIES: u32 = 3;
+
+/// How a request with a key is answered without running it.
+enum Settled {
+    /// With an answer of the system.
+    Error(ErrorKind),
+    /// With the answer that was kept.
+    Replay(Rc<KeptAnswer>),
+}
+
+/// A claim that this process holds.
+struct Claim {
+    key: Key,
+    row: ClaimRow,
+    revision: Revision,
+}
+
+/// Runs `arrived` at most once under `key`.
+///
+/// It goes on when the caller leaves, so that what became of it is recorded all the same.
+pub async fn run(core: &Rc<Core>, arrived: Arrived, key: IdempotencyKey) -> Response<ReplyBody> {
+    let store_key =
+        keys::claim(&arrived.route.row.group, &arrived.route.row.service, &digest(&key));
+    let fingerprint = fingerprint(&arrived);
+    let meeting = core.attempts.borrow().meet(&store_key.0, fingerprint);
+    match meeting {
+        Meeting::Reused => return reply::error(core, ErrorKind::KeyReused),
+        Meeting::Same(attempt) => return settled(core, own_end(attempt)),
+        Meeting::New => {}
+    }
+    let attempt = AttemptId(rand::random());
+    core.attempts.borrow_mut().start(&store_key.0, fingerprint, attempt, Instant::now());
+    let row = ClaimRow {
+        attempt,
+        fingerprint,
+        host: core.settings.host.clone(),
+        incarnation: core.incarnation,
+        entry: core.settings.link.ask,
+        state: ClaimState::Claimed,
+    };
+    let (reply, response) = oneshot::channel();
+    let task_core = Rc::clone(core);
+    spawn_local(async move {
+        let response = claim_and_run(&task_core, arrived, store_key, row).await;
+        let _ = reply.send(response);
+    });
+    response.await.unwrap_or_else(|_| reply::error(core, ErrorKind::KeyOutcomeLost))
+}
+
+async fn claim_and_run(
+    core: &Rc<Core>,
+    arrived: Arrived,
+    key: Key,
+    row: ClaimRow,
+) -> Response<ReplyBody> {
+    let attempt = row.attempt;
+    match claim(core, key, row).await {
+        Ok(claim) => run_claimed(core, arrived, claim).await,
+        Err(end) => {
+            // It was not sent and is now never sent, whatever the store makes of the claim.
+            core.attempts.borrow_mut().abandon(attempt);
+            settled(core, end)
+        }
+    }
+}
+
+async fn run_claimed(core: &Rc<Core>, arrived: Arrived, claim: Claim) -> Response<ReplyBody> {
+    let attempt = claim.row.attempt;
+    match dispatch::run(core, &arrived, Some(attempt)).await {
+        Ok(answer) => {
+            record_answer(core, claim, &answer);
+            reply::answer(&arrived.route, answer)
+        }
+        Err(kind) if kind.answer().outcome == Outcome::NotRun => {
+            core.attempts.borrow_mut().abandon(attempt);
+            core.claims.record(claim.key, None, claim.revision);
+            reply::error(core, kind)
+        }
+        Err(kind) => {
+            end(core, claim, Attempt::Lost, ClaimState::Lost);
+            reply::error(core, kind)
+        }
+    }
+}
+
+fn record_answer(core: &Core, claim: Claim, answer: &SentAnswer) {
+    match &answer.body {
+        SentBody::Whole(body) => {
+            let kept = reply::keep(&answer.head, body);
+            end(core, claim, Attempt::Done(Rc::new(kept.clone())), ClaimState::Done(kept));
+        }
+        SentBody::Streaming { .. } => end(core, claim, Attempt::Unkept, ClaimState::Unkept),
+    }
+}
+
+fn end(core: &Core, claim: Claim, attempt: Attempt, state: ClaimState) {
+    core.attempts.borrow_mut().finish(claim.row.attempt, attempt);
+    let row = ClaimRow { state, ..claim.row };
+    core.claims.record(claim.key, Some(row), claim.revision);
+}
+
+/// Claims the key, taking over a claim that its owner has abandoned.
+async fn claim(core: &Core, key: Key, row: ClaimRow) -> Result<Claim, Settled> {
+    let mut expected = None;
+    for _ in 0..CLAIM_TRIES {
+        match core.claims.claim(key.clone(), row.clone(), expected).await {
+            ClaimReply::Stored(revision) => return Ok(Claim { key, row, revision }),
+            ClaimReply::NotStored => return Err(Settled::Error(ErrorKind::StoreDown)),
+            // It went away; the next try finds the place free.
+            ClaimReply::Held { row: None, .. } => expected = None,
+            ClaimReply::Held { row: Some(held), revision } => {
+                meet_held(core, &held, row.fingerprint).await?;
+                expected = revision;
+            }
+        }
+    }
+    Err(Settled::Error(ErrorKind::KeyInProgress))
+}
+
+/// Returns `Ok` if the held claim may be taken over, because its attempt was and is never sent.
+async fn meet_held(core: &Core, held: &ClaimRow, fingerprint: Fingerprint) -> Result<(), Settled> {
+    if held.fingerprint != fingerprint {
+        return Err(Settled::Error(ErrorKind::KeyReused));
+    }
+    match &held.state {
+        ClaimState::Done(kept) => return Err(Settled::Replay(Rc::new(kept.clone()))),
+        ClaimState::Unkept => return Err(Settled::Error(ErrorKind::AnswerNotKept)),
+        ClaimState::Lost => return Err(Settled::Error(ErrorKind::KeyOutcomeLost)),
+        ClaimState::Claimed => {}
+    }
+    if held.incarnation == core.incarnation {
+        let state = core.attempts.borrow().state(held.attempt).cloned();
+        return match state {
+            Some(Attempt::Abandoned) => Ok(()),
+            Some(attempt) => Err(own_end(attempt)),
+            None => Err(Settled::Error(ErrorKind::KeyOutcomeLost)),
+        };
+    }
+    let owner = Owner { address: held.entry, incarnation: held.incarnation, attempt: held.attempt };
+    match core.asks.ask(owner).await {
+        Some(EntryReply::Abandoned) => Ok(()),
+        Some(EntryReply::InProgress) => Err(Settled::Error(ErrorKind::KeyInProgress)),
+        Some(EntryReply::Done(kept)) => Err(Settled::Replay(Rc::new(*kept))),
+        Some(EntryReply::Unkept) => Err(Settled::Error(ErrorKind::AnswerNotKept)),
+        Some(EntryReply::Lost) => Err(Settled::Error(ErrorKind::KeyOutcomeLost)),
+        Some(EntryReply::Stranger) | None => Err(Settled::Error(ErrorKind::OwnerUnreachable)),
+    }
+}
+
+/// Returns how a second request is answered while or after this process's own attempt.
+fn own_end(attempt: Attempt) -> Settled {
+    match attempt {
+        Attempt::Pending | Attempt::Sent | Attempt::Abandoned => {
+            Settled::Error(ErrorKind::KeyInProgress)
+        }
+        Attempt::Done(kept) => Settled::Replay(kept),
+        Attempt::Unkept => Settled::Error(ErrorKind::AnswerNotKept),
+        Attempt::Lost => Settled::Error(ErrorKind::KeyOutcomeLost),
+    }
+}
+
+fn settled(core: &Core, end: Settled) -> Response<ReplyBody> {
+    match end {
+        Settled::Error(kind) => reply::error(core, kind),
+        Settled::Replay(kept) => reply::replay(core, &kept),
+    }
+}
+
+/// Returns the key's digest, which keeps store keys short and free of any caller's characters.
+fn digest(key: &IdempotencyKey) -> String {
+    let digest = Sha256::digest(key.as_str().as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Returns what the request asks for: method, path, query and body.
+fn fingerprint(arrived: &Arrived) -> Fingerprint {
+    let path = arrived.head.uri.path_and_query().map(|path| path.as_str()).unwrap_or_default();
+    let parts: [&[u8]; 3] =
+        [arrived.head.method.as_str().as_bytes(), path.as_bytes(), arrived.body.as_ref()];
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let digest: Bytes = Bytes::copy_from_slice(&hasher.finalize());
+    let first = digest.first_chunk::<8>().copied().unwrap_or_default();
+    Fingerprint(u64::from_be_bytes(first))
+}
--- /dev/null
+++ b/reachhead_ops/src/cli.rs
@@ -0,0 +1,55 @@
+//! Command lines and exit codes, alike in all programs.
+
+use std::{env, process::ExitCode};
+
+use argh::FromArgs;
+use log::LevelFilter;
+use miette::{Diagnostic, GraphicalReportHandler};
+
+/// Exit code of a program that failed while it ran.
+pub const EXIT_RUNTIME: u8 = 1;
+
+/// Exit code of a command line that can't be understood.
+pub const EXIT_USAGE: u8 = 2;
+
+/// Exit code of settings with faults; nothing was started.
+pub const EXIT_SETTINGS: u8 = 3;
+
+/// Parses the command line of `program`, or prints what was asked for and returns the exit code.
+///
+/// # Errors
+///
+/// The exit code to end with: 0 after `--help` and `--version`, [`EXIT_USAGE`] for a bad line.
+pub fn parse_args<T: FromArgs>(program: &str) -> Result<T, ExitCode> {
+    let args: Vec<String> = env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == "--version" || arg == "-V") {
+        println!("{program} {}", env!("CARGO_PKG_VERSION"));
+        return Err(ExitCode::SUCCESS);
+    }
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    T::from_args(&[program], &args).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            ExitCode::from(EXIT_USAGE)
+        }
+    })
+}
+
+/// Prints `report` with its places and returns `code` to end with.
+pub fn fail(report: &dyn Diagnostic, code: u8) -> ExitCode {
+    let mut text = String::new();
+    match GraphicalReportHandler::new().render_report(&mut text, report) {
+        Ok(()) => eprint!("{text}"),
+        Err(_) => eprintln!("{report}"),
+    }
+    ExitCode::from(code)
+}
+
+/// Starts the logger: info and up, unless `RUST_LOG` says otherwise.
+pub fn start_logs() {
+    env_logger::Builder::new().filter_level(LevelFilter::Info).parse_default_env().init();
+}
--- /dev/null
+++ b/reachhead_ops/src/event.rs
@@ -0,0 +1,93 @@
+//! Numbered events; docs/EVENTS.md is their catalogue, and a test holds the two equal.
+
+use std::fmt::{Arguments, Display};
+
+use log::{Level, log};
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $event:ident $number:literal $level:ident;)*) => {
+        /// Everything that a process logs for operators.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[doc = $doc])* $event,)*
+        }
+
+        impl Event {
+            /// All events in the order of their numbers.
+            pub const ALL: &[Self] = &[$(Self::$event),*];
+
+            /// Returns the event's number; numbers are never used again for another event.
+            pub const fn number(self) -> u16 {
+                match self {
+                    $(Self::$event => $number,)*
+                }
+            }
+
+            /// Returns the event's level.
+            pub const fn level(self) -> Level {
+                match self {
+                    $(Self::$event => Level::$level,)*
+                }
+            }
+
+            /// Returns what the event means, as the catalogue has it.
+            pub const fn meaning(self) -> &'static str {
+                match self {
+                    $(Self::$event => concat!($($doc),*),)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process started and listens.
+    Started 100 Info;
+    /// A shutdown was asked for; the process is not ready any more.
+    ShutdownBegun 101 Info;
+    /// The process ends, everything in flight is finished.
+    ShutdownDone 102 Info;
+    /// The shutdown's limit passed with requests in flight.
+    ShutdownCut 103 Warn;
+    /// A listener could not accept a connection.
+    AcceptFailed 110 Warn;
+    /// A configuration version is in force in this process.
+    ConfigInForce 200 Info;
+    /// A configuration could not be used; the last one stays in force.
+    ConfigRefused 201 Error;
+    /// Versions are missing, so the whole configuration is fetched.
+    ConfigGap 202 Info;
+    /// A change was accepted.
+    ChangeAccepted 210 Info;
+    /// A change was refused.
+    ChangeRefused 211 Info;
+    /// A change's answer from the store was lost and looked up.
+    ChangeLookedUp 212 Warn;
+    /// The store does not answer.
+    StoreLost 300 Warn;
+    /// The store answers again.
+    StoreBack 301 Info;
+    /// The list of entry hosts changed.
+    MembersChanged 400 Info;
+    /// This host hears neither the store nor a peer.
+    Cut 401 Error;
+    /// This host hears the store or a peer again.
+    CutOver 402 Info;
+    /// This entry process does not hear its control.
+    ControlLost 403 Warn;
+    /// A minion failed so often that it is left alone for a while.
+    MinionEjected 500 Warn;
+    /// A minion that was left alone is tried again.
+    MinionRestored 501 Info;
+    /// A minion said that it is going away.
+    MinionLeaving 502 Info;
+}
+
+/// Logs `event` with `details`.
+pub fn emit(event: Event, details: impl Display) {
+    write(event, format_args!("{details}"));
+}
+
+fn write(event: Event, details: Arguments<'_>) {
+    log!(target: "reachhead", event.level(), "E{} {event:?}: {details}", event.number());
+}
--- /dev/null
+++ b/reachhead_ops/src/http.rs
@@ -0,0 +1,180 @@
+//! Small HTTP servers for operators: one handler, whole bodies, graceful shutdown.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderMap, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time,
+};
+
+use crate::{
+    event::{Event, emit},
+    runtime,
+};
+
+/// Longest time in which a head must arrive.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+
+/// Longest time in which a body must arrive.
+const BODY_TIME: Duration = Duration::from_secs(30);
+
+/// Pause after a failed accept, so that a lack of descriptors is not met by a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A request whose body has arrived whole.
+#[derive(Debug)]
+pub struct WholeRequest {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// The query, without its question mark.
+    pub query: String,
+    /// The header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// An answer with a whole body.
+pub type WholeResponse = Response<Full<Bytes>>;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Returns the answer to `request`.
+    fn handle(&self, request: WholeRequest) -> BoxFuture<'_, WholeResponse>;
+}
+
+/// Returns an answer with `value` as JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> WholeResponse {
+    match serde_json::to_vec(value) {
+        Ok(body) => typed(status, "application/json", body),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+/// Returns an answer with `body` as plain text.
+pub fn text(status: StatusCode, body: &str) -> WholeResponse {
+    typed(status, "text/plain; charset=utf-8", body.to_owned().into_bytes())
+}
+
+/// Returns an answer with `body` of the media type `kind`.
+pub fn typed(status: StatusCode, kind: &'static str, body: Vec<u8>) -> WholeResponse {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+/// Serves `handler` on `listener` until `stop` turns true, then finishes what is in flight.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    body_limit: usize,
+    mut stop: watch::Receiver<bool>,
+) {
+    // Connections hold a clone; the channel closes once the last of them is finished.
+    let (alive, all_done) = watch::channel(());
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = runtime::stopped(&mut stop) => break,
+        };
+        match stream {
+            Ok((stream, _)) => {
+                let connection = Connection {
+                    handler: Arc::clone(&handler),
+                    body_limit,
+                    stop: stop.clone(),
+                    _alive: all_done.clone(),
+                };
+                tokio::spawn(connection.run(stream));
+            }
+            Err(error) => {
+                emit(Event::AcceptFailed, error);
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(all_done);
+    alive.closed().await;
+}
+
+struct Connection {
+    handler: Arc<dyn Handler>,
+    body_limit: usize,
+    stop: watch::Receiver<bool>,
+    _alive: watch::Receiver<()>,
+}
+
+impl Connection {
+    async fn run(mut self, stream: TcpStream) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let handler = Arc::clone(&self.handler);
+        let limit = self.body_limit;
+        let service = service_fn(move |request| {
+            let handler = Arc::clone(&handler);
+            async move { Ok::<_, Infallible>(answer(&*handler, request, limit).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIME)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let stopped = tokio::select! {
+            // A connection that breaks is its caller's affair.
+            _ = connection.as_mut() => false,
+            () = runtime::stopped(&mut self.stop) => true,
+        };
+        if stopped {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+async fn answer(handler: &dyn Handler, request: Request<Incoming>, limit: usize) -> WholeResponse {
+    let (head, body) = request.into_parts();
+    let body = match time::timeout(BODY_TIME, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+        }
+        Ok(Err(error)) => return text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
+        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time\n"),
+    };
+    let request = WholeRequest {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        headers: head.headers,
+        body,
+    };
+    handler.handle(request).await
+}
+
+/// Listens on `address`.
+///
+/// # Errors
+///
+/// What the system said, with the address in the message.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|error| {
+        io::Error::new(error.kind(), format!("can't listen on {address}: {error}"))
+    })
+}
--- /dev/null
+++ b/reachhead_path/src/claim.rs
@@ -0,0 +1,181 @@
+//! The claims of this process on idempotency keys: what each attempt may still do.
+//!
+//! An attempt is sent to a minion at most once, and only after [`ClaimTable::send`] said so in the
+//! same step. Once it is abandoned it is never sent, so "abandoned" can be promised to others.
+//! docs/AT-MOST-ONCE.md gives the whole argument.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use reachhead_types::{
+    answer::KeptAnswer,
+    id::{AttemptId, Fingerprint},
+};
+
+/// What became of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Attempt {
+    /// It was not sent yet and may be.
+    Pending,
+    /// It was sent to a minion and has no answer yet.
+    Sent,
+    /// It was never sent and never will be.
+    Abandoned,
+    /// It ended with this answer.
+    Done(Rc<KeptAnswer>),
+    /// It ran, and its answer is too large to keep.
+    Unkept,
+    /// It was sent and its answer is lost.
+    Lost,
+}
+
+/// What a new request with a key meets in this process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Meeting {
+    /// Nothing stands against a new attempt.
+    New,
+    /// The key was used with another request.
+    Reused,
+    /// An attempt for the same request, `Pending`, `Sent` or ended.
+    Same(Attempt),
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    attempt: AttemptId,
+    fingerprint: Fingerprint,
+    state: Attempt,
+}
+
+/// The attempts of this process, by the store key of their claim.
+#[derive(Debug, Default)]
+pub struct ClaimTable {
+    by_key: HashMap<String, Record>,
+    keys: HashMap<AttemptId, String>,
+    /// Attempts in the order of their start, for forgetting.
+    order: VecDeque<Started>,
+}
+
+#[derive(Debug)]
+struct Started {
+    at: Instant,
+    attempt: AttemptId,
+}
+
+impl ClaimTable {
+    /// Returns an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of attempts that are remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Tells whether no attempt is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Tells what a request with the claim `key` and the body `fingerprint` meets.
+    pub fn meet(&self, key: &str, fingerprint: Fingerprint) -> Meeting {
+        match self.by_key.get(key) {
+            None => Meeting::New,
+            Some(record) if record.fingerprint != fingerprint => Meeting::Reused,
+            // Its row may still be in the store, where a takeover replaces it.
+            Some(Record { state: Attempt::Abandoned, .. }) => Meeting::New,
+            Some(record) => Meeting::Same(record.state.clone()),
+        }
+    }
+
+    /// Starts an attempt; only after [`Meeting::New`].
+    pub fn start(&mut self, key: &str, fingerprint: Fingerprint, attempt: AttemptId, now: Instant) {
+        let record = Record { attempt, fingerprint, state: Attempt::Pending };
+        self.by_key.insert(key.to_owned(), record);
+        self.keys.insert(attempt, key.to_owned());
+        self.order.push_back(Started { at: now, attempt });
+    }
+
+    /// Marks the attempt as sent and tells whether it may be; to be asked right before sending.
+    pub fn send(&mut self, attempt: AttemptId) -> bool {
+        match self.state_mut(attempt) {
+            Some(state @ Attempt::Pending) => {
+                *state = Attempt::Sent;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes that a sent attempt did not run after all, because the minion never got it or refused
+    /// it by contract; it may be sent again.
+    pub fn take_back(&mut self, attempt: AttemptId) {
+        if let Some(state @ Attempt::Sent) = self.state_mut(attempt) {
+            *state = Attempt::Pending;
+        }
+    }
+
+    /// Ends an attempt as `Done`, `Unkept` or `Lost` if it was sent; else nothing changes.
+    pub fn finish(&mut self, attempt: AttemptId, end: Attempt) {
+        if let Some(state @ Attempt::Sent) = self.state_mut(attempt) {
+            *state = end;
+        }
+    }
+
+    /// Gives an attempt up if it was not sent, and tells whether it is abandoned now.
+    pub fn abandon(&mut self, attempt: AttemptId) -> bool {
+        match self.state_mut(attempt) {
+            Some(state @ (Attempt::Pending | Attempt::Abandoned)) => {
+                *state = Attempt::Abandoned;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the state of `attempt`; `None` if it is not known, which says nothing about it.
+    pub fn state(&self, attempt: AttemptId) -> Option<&Attempt> {
+        let record = self.by_key.get(self.keys.get(&attempt)?)?;
+        // A later attempt of this process replaces an abandoned one under the same key.
+        match record.attempt == attempt {
+            true => Some(&record.state),
+            false => Some(&Attempt::Abandoned),
+        }
+    }
+
+    fn state_mut(&mut self, attempt: AttemptId) -> Option<&mut Attempt> {
+        let record = self.by_key.get_mut(self.keys.get(&attempt)?)?;
+        (record.attempt == attempt).then_some(&mut record.state)
+    }
+
+    /// Forgets the ended attempts that started longer than `keep` before `now`.
+    pub fn forget(&mut self, keep: Duration, now: Instant) {
+        while let Some(first) = self.order.front() {
+            if now.saturating_duration_since(first.at) < keep {
+                return;
+            }
+            let attempt = first.attempt;
+            self.order.pop_front();
+            match self.state(attempt) {
+                // Still under way: looked at again later.
+                Some(Attempt::Pending | Attempt::Sent) => {
+                    self.order.push_back(Started { at: now, attempt });
+                }
+                _ => self.remove(attempt),
+            }
+        }
+    }
+
+    fn remove(&mut self, attempt: AttemptId) {
+        let Some(key) = self.keys.remove(&attempt) else {
+            return;
+        };
+        if self.by_key.get(&key).is_some_and(|record| record.attempt == attempt) {
+            self.by_key.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_standin/src/main.rs
@@ -0,0 +1,122 @@
+//! Stand-ins of the platform and of minions, for tests and the demo only.
+
+mod caller;
+mod minion;
+mod store;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    process::ExitCode,
+};
+
+use argh::FromArgs;
+use reachhead_ops::{cli, runtime};
+
+use crate::caller::Plan;
+
+/// Stand-ins of the platform and of minions, for tests and the demo only.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    part: Part,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Part {
+    Store(StoreArgs),
+    Minion(MinionArgs),
+    Caller(CallerArgs),
+    Ports(PortsArgs),
+}
+
+/// The platform's table service, in memory.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "store")]
+struct StoreArgs {
+    /// address to listen on
+    #[argh(option)]
+    address: SocketAddr,
+}
+
+/// Minions, one for each address.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "minion")]
+struct MinionArgs {
+    /// address to listen on; may be given several times
+    #[argh(option)]
+    address: Vec<SocketAddr>,
+
+    /// milliseconds that a request takes, 0 by default
+    #[argh(option, default = "0")]
+    work: u64,
+
+    /// requests that a minion runs at once before it refuses, 8 by default
+    #[argh(option, default = "8")]
+    slots: usize,
+}
+
+/// Callers that check every answer; the last line tells how many were whole.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "caller")]
+struct CallerArgs {
+    /// address of an entry host; may be given several times
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+
+    /// path to call, posted with an idempotency key after a '!'; may be given several times
+    #[argh(option)]
+    path: Vec<String>,
+
+    /// requests to send
+    #[argh(option)]
+    count: usize,
+}
+
+/// Print free loopback ports, one a line.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "ports")]
+struct PortsArgs {
+    /// how many
+    #[argh(positional)]
+    count: usize,
+}
+
+fn main() -> ExitCode {
+    let args: Args = match cli::parse_args("reachhead-standin") {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    cli::start_logs();
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("reachhead-standin: {error}");
+            ExitCode::from(cli::EXIT_RUNTIME)
+        }
+    }
+}
+
+fn run(args: Args) -> io::Result<()> {
+    runtime::single()?.block_on(async {
+        match args.part {
+            Part::Store(args) => store::run(args.address).await,
+            Part::Minion(args) => minion::run(&args.address, args.work, args.slots).await,
+            Part::Caller(CallerArgs { entry, path, count }) => {
+                caller::run(Plan { entries: entry, paths: path, count }).await
+            }
+            Part::Ports(args) => print_ports(args.count),
+        }
+    })
+}
+
+fn print_ports(count: usize) -> io::Result<()> {
+    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    // All are held until all are known, so that none is given twice.
+    let held = (0..count).map(bind).collect::<io::Result<Vec<_>>>()?;
+    for listener in &held {
+        println!("{}", listener.local_addr()?.port());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/reachhead_standin/src/store.rs
@@ -0,0 +1,170 @@
+//! The table service over HTTP, with knobs for its faults.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures::future::{BoxFuture, FutureExt};
+use hyper::StatusCode;
+use reachhead_ops::{
+    http::{self, Handler, WholeRequest, WholeResponse},
+    runtime,
+};
+use reachhead_store::{
+    Store,
+    http::{COMMIT_PATH, READ_PATH, SCAN_PATH},
+    memory::MemoryStore,
+};
+use serde::{Deserialize, Serialize};
+use tokio::{sync::watch, time};
+
+/// Largest call, in bytes.
+const BODY_LIMIT: usize = 64 << 20;
+
+/// Longer than any deadline: an answer that never comes.
+const NEVER: Duration = Duration::from_secs(3600);
+
+/// What the store does wrong; posted to `/fault`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    /// Every call is answered with 503 and does nothing.
+    refuse: bool,
+    /// Every call hangs and does nothing.
+    hang: bool,
+    /// Each call takes this many milliseconds longer.
+    delay: u64,
+    /// This many transactions take effect and their answer never comes.
+    lose: u32,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    reads: AtomicU64,
+    scans: AtomicU64,
+    commits: AtomicU64,
+}
+
+/// The counts as `/count` gives them.
+#[derive(Debug, Serialize)]
+struct CountReport {
+    reads: u64,
+    scans: u64,
+    commits: u64,
+}
+
+#[derive(Default)]
+struct StoreStandin {
+    store: MemoryStore,
+    fault: Mutex<Fault>,
+    counts: Counts,
+}
+
+impl StoreStandin {
+    fn fault(&self) -> MutexGuard<'_, Fault> {
+        self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_fault(&self, body: &[u8]) -> WholeResponse {
+        match serde_json::from_slice::<Fault>(body) {
+            Ok(fault) => {
+                *self.fault() = fault;
+                http::text(StatusCode::OK, "set\n")
+            }
+            Err(error) => http::text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
+        }
+    }
+
+    fn report(&self) -> CountReport {
+        let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        CountReport {
+            reads: load(&self.counts.reads),
+            scans: load(&self.counts.scans),
+            commits: load(&self.counts.commits),
+        }
+    }
+
+    /// Takes one lost answer off the fault, if there is one.
+    fn take_loss(&self) -> bool {
+        let mut fault = self.fault();
+        let is_lost = fault.lose > 0;
+        fault.lose = fault.lose.saturating_sub(1);
+        is_lost
+    }
+
+    async fn call(&self, path: &str, body: &[u8]) -> WholeResponse {
+        let fault = self.fault().clone();
+        time::sleep(Duration::from_millis(fault.delay)).await;
+        if fault.hang {
+            time::sleep(NEVER).await;
+        }
+        if fault.refuse {
+            return http::text(StatusCode::SERVICE_UNAVAILABLE, "down\n");
+        }
+        let result = match path {
+            READ_PATH => self.read(body).await,
+            SCAN_PATH => self.scan(body).await,
+            _ => self.commit(body).await,
+        };
+        result.unwrap_or_else(|error| http::text(StatusCode::BAD_REQUEST, &error))
+    }
+
+    async fn read(&self, body: &[u8]) -> Result<WholeResponse, String> {
+        self.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let rows = self.store.read(parse(body)?).await.map_err(|error| error.to_string())?;
+        Ok(http::json(StatusCode::OK, &rows))
+    }
+
+    async fn scan(&self, body: &[u8]) -> Result<WholeResponse, String> {
+        self.counts.scans.fetch_add(1, Ordering::Relaxed);
+        let page = self.store.scan(parse(body)?).await.map_err(|error| error.to_string())?;
+        Ok(http::json(StatusCode::OK, &page))
+    }
+
+    async fn commit(&self, body: &[u8]) -> Result<WholeResponse, String> {
+        self.counts.commits.fetch_add(1, Ordering::Relaxed);
+        let commit = self.store.commit(parse(body)?).await.map_err(|error| error.to_string())?;
+        if self.take_loss() {
+            time::sleep(NEVER).await;
+        }
+        Ok(http::json(StatusCode::OK, &commit))
+    }
+}
+
+fn parse<T: for<'de> Deserialize<'de>>(body: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|error| error.to_string())
+}
+
+impl Handler for StoreStandin {
+    fn handle(&self, request: WholeRequest) -> BoxFuture<'_, WholeResponse> {
+        async move {
+            match request.path.as_str() {
+                "/fault" => self.set_fault(&request.body),
+                "/count" => http::json(StatusCode::OK, &self.report()),
+                path @ (READ_PATH | SCAN_PATH | COMMIT_PATH) => {
+                    self.call(path, &request.body).await
+                }
+                _ => http::text(StatusCode::NOT_FOUND, "no such call\n"),
+            }
+        }
+        .boxed()
+    }
+}
+
+/// Serves the table service on `address` until a shutdown is asked for.
+pub async fn run(address: SocketAddr) -> io::Result<()> {
+    let listener = http::listen(address).await?;
+    let (_stop, stopped) = watch::channel(false);
+    let standin = Arc::new(StoreStandin::default());
+    tokio::select! {
+        // Calls that hang would hold up a graceful end, so the stand-in just ends.
+        () = http::serve(listener, standin, BODY_LIMIT, stopped) => Ok(()),
+        signal = runtime::shutdown_signal() => signal,
+    }
+}
--- /dev/null
+++ b/reachhead_store/src/breaker.rs
@@ -0,0 +1,99 @@
+//! Decides whether a call to the store is worth making: a rate limit and a circuit breaker.
+//!
+//! Pure logic over a clock that the caller passes in.
+
+use std::time::{Duration, Instant};
+
+/// Failures in a row after which calls fail at once.
+pub const FAILURE_LIMIT: u32 = 3;
+
+/// First pause between two probes of a store that is down.
+pub const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between two probes.
+pub const LAST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest wait for the rate limit that is worth it to a caller.
+pub const PATIENCE: Duration = Duration::from_millis(250);
+
+/// Calls that may go at once after a quiet time, as a time's worth of the rate.
+const BURST: Duration = Duration::from_secs(1);
+
+/// What to do with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Gate {
+    /// Make it.
+    Go,
+    /// Make it after this wait, so that the rate holds.
+    Wait(Duration),
+    /// Fail it at once: it would have to wait longer than [`PATIENCE`].
+    Full,
+    /// Fail it at once: the store is down, and its next probe is not due.
+    Down,
+}
+
+/// Rate limit and circuit breaker of one process.
+#[derive(Debug, Clone)]
+pub struct Breaker {
+    interval: Duration,
+    next: Instant,
+    failures: u32,
+    pause: Duration,
+    probe: Instant,
+}
+
+impl Breaker {
+    /// Returns a breaker that lets `rate` calls a second through, with bursts of a second's worth.
+    pub fn new(rate: u32, now: Instant) -> Self {
+        Self {
+            interval: Duration::from_secs(1) / rate.max(1),
+            next: now.checked_sub(BURST).unwrap_or(now),
+            failures: 0,
+            pause: FIRST_PAUSE,
+            probe: now,
+        }
+    }
+
+    /// Decides on a call at `now`; only `Go` and `Wait` count against the rate.
+    pub fn gate(&mut self, now: Instant) -> Gate {
+        if self.is_down() {
+            if now < self.probe {
+                return Gate::Down;
+            }
+            // Only this call probes; the others fail until it comes back or the pause is over.
+            self.probe = now + self.pause;
+        }
+        // A virtual schedule, one interval a call: it may lag behind the clock by a burst.
+        let floor = now.checked_sub(BURST).unwrap_or(now);
+        let slot = self.next.max(floor) + self.interval;
+        let wait = slot.saturating_duration_since(now);
+        if wait > PATIENCE {
+            return Gate::Full;
+        }
+        self.next = slot;
+        match wait.is_zero() {
+            true => Gate::Go,
+            false => Gate::Wait(wait),
+        }
+    }
+
+    /// Notes that the store answered.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+        self.pause = FIRST_PAUSE;
+    }
+
+    /// Notes that the store did not answer; `jitter` in 0..1 spreads the probes of many hosts.
+    pub fn fail(&mut self, now: Instant, jitter: f64) {
+        self.failures = self.failures.saturating_add(1);
+        if self.is_down() {
+            self.probe = now + self.pause.mul_f64(0.5 + jitter.clamp(0.0, 1.0) / 2.0);
+            self.pause = (self.pause * 2).min(LAST_PAUSE);
+        }
+    }
+
+    /// Tells whether the store is taken for down.
+    pub fn is_down(&self) -> bool {
+        self.failures >= FAILURE_LIMIT
+    }
+}
--- /dev/null
+++ b/reachhead_store/src/http.rs
@@ -0,0 +1,115 @@
+//! The store over HTTP: one POST per call, bodies in JSON.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures::future::{BoxFuture, FutureExt};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time;
+
+use crate::{
+    Store, StoreError,
+    row::{Commit, Key, Page, Row, Scan, Txn},
+};
+
+/// Path of reads.
+pub const READ_PATH: &str = "/v1/read";
+
+/// Path of scans.
+pub const SCAN_PATH: &str = "/v1/scan";
+
+/// Path of transactions.
+pub const COMMIT_PATH: &str = "/v1/commit";
+
+/// Idle connections are dropped after this long.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// The table service at an address.
+pub struct HttpStore {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    deadline: Duration,
+}
+
+impl HttpStore {
+    /// Returns a client of the store at `address` that waits at most `deadline` for an answer.
+    pub fn new(address: SocketAddr, deadline: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(deadline));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            // A retry in the library would hide whether a transaction was sent.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client, address, deadline }
+    }
+
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        query: &Q,
+    ) -> Result<A, StoreError> {
+        let body =
+            serde_json::to_vec(query).map_err(|error| StoreError::Refused(error.to_string()))?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| StoreError::Refused(error.to_string()))?;
+        match time::timeout(self.deadline, self.exchange(request)).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::Lost("no answer before the deadline".to_owned())),
+        }
+    }
+
+    async fn exchange<A: DeserializeOwned>(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<A, StoreError> {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => {
+                return Err(StoreError::NotDone(error.to_string()));
+            }
+            Err(error) => return Err(StoreError::Lost(error.to_string())),
+        };
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| StoreError::Lost(error.to_string()))?.to_bytes();
+        match status {
+            StatusCode::OK => serde_json::from_slice(&body)
+                .map_err(|error| StoreError::Lost(format!("unreadable answer: {error}"))),
+            // By its protocol the store answers these only when it did nothing.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(StoreError::NotDone(status.to_string()))
+            }
+            status if status.is_client_error() => {
+                Err(StoreError::Refused(String::from_utf8_lossy(&body).into_owned()))
+            }
+            status => Err(StoreError::Lost(status.to_string())),
+        }
+    }
+}
+
+impl Store for HttpStore {
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
+        async move { self.call(READ_PATH, &keys).await }.boxed()
+    }
+
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
+        async move { self.call(SCAN_PATH, &scan).await }.boxed()
+    }
+
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
+        async move { self.call(COMMIT_PATH, &txn).await }.boxed()
+    }
+}
--- /dev/null
+++ b/reachhead_store/src/keys.rs
@@ -0,0 +1,48 @@
+//! Every key that the system keeps in the store, in one place; docs/STORE.md explains them.
+
+use reachhead_types::{
+    fleet::RowKey,
+    id::{ChangeId, GroupName, HostId, ServiceName},
+    size::Version,
+};
+
+use crate::row::Key;
+
+/// What the keys of configuration rows start with.
+pub const CONFIG_PREFIX: &str = "config/row/";
+
+/// What the keys of the configuration's log start with.
+pub const LOG_PREFIX: &str = "config/log/";
+
+/// What the keys of member rows start with.
+pub const MEMBER_PREFIX: &str = "member/";
+
+/// The row that holds the configuration's version.
+pub fn head() -> Key {
+    Key("config/head".to_owned())
+}
+
+/// The row of a configuration row.
+pub fn config(row: &RowKey) -> Key {
+    Key(format!("{CONFIG_PREFIX}{row}"))
+}
+
+/// The row that holds what a version changed; padded, so that versions sort as numbers.
+pub fn log(version: Version) -> Key {
+    Key(format!("{LOG_PREFIX}{:020}", version.0))
+}
+
+/// The row that tells which version a change became.
+pub fn change(id: ChangeId) -> Key {
+    Key(format!("config/change/{id}"))
+}
+
+/// The row of an entry host.
+pub fn member(host: &HostId) -> Key {
+    Key(format!("{MEMBER_PREFIX}{host}"))
+}
+
+/// The row of the claim on an idempotency key, which goes in by its digest.
+pub fn claim(group: &GroupName, service: &ServiceName, digest: &str) -> Key {
+    Key(format!("claim/{service}/{group}/{digest}"))
+}
--- /dev/null
+++ b/reachhead_store/src/lib.rs
@@ -0,0 +1,55 @@
+//! The platform's table service as the programs see it: rows, transactions, and what can go wrong.
+//!
+//! docs/STORE.md gives the protocol and every key that the system keeps.
+
+pub mod breaker;
+pub mod claim;
+pub mod config;
+pub mod guarded;
+pub mod http;
+pub mod keys;
+pub mod memory;
+pub mod row;
+
+use futures::future::BoxFuture;
+use thiserror::Error;
+
+use crate::row::{Commit, Key, Page, Row, Scan, Txn};
+
+/// Why a call to the store gave no result.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// The call never reached the store, or the store said that it did nothing.
+    #[error("the store did not take the call: {0}")]
+    NotDone(String),
+    /// The call was sent and its answer is lost, so it may have taken effect, or still may.
+    #[error("the store's answer is lost: {0}")]
+    Lost(String),
+    /// The store did not understand the call; a retry can't help.
+    #[error("the store refused the call: {0}")]
+    Refused(String),
+}
+
+/// The table service.
+pub trait Store: Send + Sync {
+    /// Returns the row of each key, in the order of the keys.
+    ///
+    /// # Errors
+    ///
+    /// Any [`StoreError`]; a read has no effect, so each may be retried but `Refused`.
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>>;
+
+    /// Returns the rows of a prefix in the order of their keys, all as of one revision.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::read`].
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>>;
+
+    /// Writes all of a transaction's rows if all of its checks hold, else none.
+    ///
+    /// # Errors
+    ///
+    /// After [`StoreError::Lost`] the caller has to read back what became of it.
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>>;
+}
--- /dev/null
+++ b/reachhead_types/src/lib.rs
@@ -0,0 +1,10 @@
+//! Domain types that every program shares: ids, sizes, the fleet's rows and the error kinds.
+
+pub mod answer;
+pub mod book;
+pub mod error;
+pub mod fleet;
+pub mod id;
+pub mod member;
+pub mod size;
+pub mod tree;
--- /dev/null
+++ b/reachhead_types/src/size.rs
@@ -0,0 +1,79 @@
+//! Sizes, counts and rates with their units in the type.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    num::ParseIntError,
+    str::FromStr,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! count_type {
+    ($(#[$doc:meta])* $name:ident, $number:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $number);
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIntError> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+count_type! {
+    /// Requests that a minion runs at once.
+    Slots, u32
+}
+count_type! {
+    /// Connections that a minion accepts.
+    Connections, u32
+}
+count_type! {
+    /// A group's weight in a fair share; shares are proportional to weights.
+    Weight, u32
+}
+count_type! {
+    /// A length in bytes.
+    Bytes, u64
+}
+count_type! {
+    /// A duration in milliseconds, as settings and messages write it.
+    Millis, u64
+}
+count_type! {
+    /// A version of the configuration; it only goes up.
+    Version, u64
+}
+count_type! {
+    /// The revision that the store gave to a row when it was last written.
+    Revision, u64
+}
+
+impl Millis {
+    /// Returns the duration that the clock functions take.
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl Version {
+    /// Returns the version that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
