--- a/reachhead/tests/system/harness/cluster.rs
+++ b/reachhead/tests/system/harness/cluster.rs
@@ -1,16 +1,23 @@
 //! A whole system on one loopback address: store, minions, entry hosts, admin.
 
 use std::{
+    collections::BTreeSet,
     env, fs,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process,
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use serde_json::{Value, json};
 
-use super::{Call, Reply, call, caller, eventually, process::Process};
+use super::{
+    Call, Reply, call, caller, eventually,
+    process::{Process, SPAWN},
+};
 
 /// The operators' token of every test.
 const TOKEN: &str = "test-token";
@@ -184,7 +191,7 @@
             "program": "entry", "host": name, "zone": zone,
             "ops": { "address": entry_ops }, "store": { "address": self.store, "deadline": 500 },
             "callers": { "address": callers },
-            "link": { "control": control_link, "ask": entry_link, "period": 50, "cut_time": 3000 },
+            "link": { "control": control_link, "ask": entry_link, "period": 50 },
             "shutdown": { "lag": 300, "limit": 20000 },
         });
         for (section, values) in self.plan.entry.as_object().unwrap() {
@@ -262,6 +269,12 @@
         self.admin_call(Call::post("/v1/changes", &body)).await
     }
 
+    /// Deletes a row.
+    pub async fn delete(&self, key: &str) -> Reply {
+        let body = json!({ "id": random_id(), "writes": [{ "key": key }] }).to_string();
+        self.admin_call(Call::post("/v1/changes", &body)).await
+    }
+
     /// Calls the admin as an operator.
     pub async fn admin_call(&self, request: Call) -> Reply {
         let request = request.with_field("authorization", format!("Bearer {TOKEN}"));
@@ -336,7 +349,15 @@
 
 /// Returns a free port of `ip`; only this test uses the address, so it stays free.
 pub fn free(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+    // The system may name a port again that nobody listens on yet, so the given ones are kept.
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    let _spawn = SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let address = TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap();
+        if GIVEN.lock().unwrap().insert(address) {
+            return address;
+        }
+    }
 }
 
 /// Waits until something listens on `address`.
--- a/reachhead/tests/system/harness/process.rs
+++ b/reachhead/tests/system/harness/process.rs
@@ -4,6 +4,7 @@
     fs::File,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    sync::{Mutex, PoisonError},
 };
 
 use nix::{
@@ -13,6 +14,10 @@
 
 use super::eventually;
 
+/// Held while a process is started and while a port is tried: a process that is just being started
+/// holds every socket of its parent for a moment, and so would keep a tried port taken.
+pub static SPAWN: Mutex<()> = Mutex::new(());
+
 /// A process that ends with its test.
 pub struct Process {
     name: String,
@@ -30,6 +35,7 @@
 impl Process {
     /// Starts `program` with `args`; what it prints goes to a file in `folder`.
     pub fn start(folder: &Path, name: &str, program_name: &str, args: &[String]) -> Self {
+        let _spawn = SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
         let log = File::create(folder.join(format!("{name}.log"))).unwrap();
         let child = Command::new(program(program_name))
             .args(args)
--- /dev/null
+++ b/reachhead/tests/system/limits.rs
@@ -0,0 +1,168 @@
+//! Slots and connections of a minion, in sum over entry hosts that come, go, freeze and are cut.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use tokio::{task::JoinHandle, time};
+
+use crate::harness::{
+    Call, Cluster, call,
+    cluster::{Plan, ready, state},
+    eventually,
+};
+
+/// Slots of a minion.
+const SLOTS: u64 = 8;
+
+/// Connections of a minion.
+const CONNECTIONS: u64 = 64;
+
+/// Callers that keep every host busy until they are told to stop.
+struct Flood {
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    fn start(cluster: &Cluster, hosts: &[usize], callers: usize) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = hosts.iter().flat_map(|&host| (0..callers).map(move |_| host)).map(|host| {
+            let (stop, address) = (Arc::clone(&stop), cluster.hosts[host].callers);
+            tokio::spawn(async move {
+                while !stop.load(Ordering::Relaxed) {
+                    let reply = call(address, &Call::get("/red/alpha")).await;
+                    if reply.status != 200 {
+                        time::sleep(Duration::from_millis(20)).await;
+                    }
+                }
+            })
+        });
+        let callers = callers.collect();
+        Self { stop, callers }
+    }
+
+    async fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.await.unwrap();
+        }
+    }
+}
+
+async fn limits(cluster: &Cluster, hosts: &[usize]) -> Vec<u64> {
+    let mut sums: Vec<u64> = Vec::new();
+    for &host in hosts {
+        let state = state(cluster.hosts[host].entry_ops).await;
+        let limits = minions(&state);
+        sums.resize(limits.len(), 0);
+        for (sum, limit) in sums.iter_mut().zip(limits) {
+            *sum += limit;
+        }
+    }
+    sums
+}
+
+fn minions(state: &Value) -> Vec<u64> {
+    let services = state["services"].as_array().unwrap();
+    let minions = services.iter().flat_map(|service| service["minions"].as_array().unwrap());
+    minions.map(|minion| minion["limit"].as_u64().unwrap()).collect()
+}
+
+async fn assert_limits_held(cluster: &Cluster) {
+    for index in 0..cluster.minions.len() {
+        let counts = cluster.minion_counts(index).await;
+        assert!(counts["most_running"].as_u64().unwrap() <= SLOTS, "{counts}");
+        assert!(counts["most_connections"].as_u64().unwrap() <= CONNECTIONS, "{counts}");
+        assert_eq!(counts["refused"], 0, "a minion had to refuse: {counts}");
+    }
+}
+
+#[tokio::test]
+async fn the_shares_of_all_hosts_make_up_each_minions_slots() {
+    let cluster = Plan::new(3, 3).start().await;
+    eventually("all shares are in use", async || {
+        let sums = limits(&cluster, &[0, 1, 2]).await;
+        (sums == [SLOTS; 6]).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn limits_hold_while_hosts_are_killed_added_and_stopped_under_a_flood() {
+    let mut cluster = Plan::new(3, 1).with_work(15).with_deadline(1000).start().await;
+    let flood = Flood::start(&cluster, &[0, 1, 2], 12);
+    time::sleep(Duration::from_secs(1)).await;
+    cluster.hosts[0].entry.kill();
+    cluster.hosts[0].control.kill();
+    cluster.add_host();
+    ready(cluster.hosts[3].entry_ops).await;
+    let more = Flood::start(&cluster, &[3], 12);
+    eventually("the killed host's slots are in use again", async || {
+        let sums = limits(&cluster, &[1, 2, 3]).await;
+        (sums[0] == SLOTS).then_some(())
+    })
+    .await;
+    assert!(cluster.hosts[1].entry.stop().await.success());
+    assert!(cluster.hosts[1].control.stop().await.success());
+    eventually("the stopped host's slots are in use again", async || {
+        let sums = limits(&cluster, &[2, 3]).await;
+        (sums[0] == SLOTS).then_some(())
+    })
+    .await;
+    time::sleep(Duration::from_secs(1)).await;
+    flood.stop().await;
+    more.stop().await;
+    assert_limits_held(&cluster).await;
+}
+
+#[tokio::test]
+async fn a_frozen_host_that_thaws_finds_its_slots_gone() {
+    let cluster = Plan::new(2, 1).with_work(15).with_deadline(800).start().await;
+    let flood = Flood::start(&cluster, &[0, 1], 12);
+    cluster.hosts[0].control.signal(Signal::SIGSTOP);
+    cluster.hosts[0].entry.signal(Signal::SIGSTOP);
+    eventually("the other host has all slots", async || {
+        let sums = limits(&cluster, &[1]).await;
+        (sums[0] == SLOTS).then_some(())
+    })
+    .await;
+    // The entry process thaws first and knows nothing new; requests wait at its door.
+    cluster.hosts[0].entry.signal(Signal::SIGCONT);
+    time::sleep(Duration::from_millis(1500)).await;
+    cluster.hosts[0].control.signal(Signal::SIGCONT);
+    eventually("both hosts share again", async || {
+        let sums = limits(&cluster, &[0, 1]).await;
+        let own = limits(&cluster, &[0]).await;
+        (sums[0] == SLOTS && own[0] > 0).then_some(())
+    })
+    .await;
+    time::sleep(Duration::from_millis(500)).await;
+    flood.stop().await;
+    assert_limits_held(&cluster).await;
+}
+
+#[tokio::test]
+async fn a_store_outage_changes_no_share_and_no_answer() {
+    let cluster = Plan::new(3, 1).with_work(5).start().await;
+    cluster.store_fault(json!({ "hang": true })).await;
+    // Longer than any term after which a host would be taken for gone.
+    for _ in 0..60 {
+        for host in 0..3 {
+            let reply = cluster.call(host, &Call::get("/red/alpha")).await;
+            assert_eq!(reply.status, 200, "{reply:?}");
+        }
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(limits(&cluster, &[0, 1, 2]).await, [SLOTS; 2]);
+    cluster.store_fault(json!({})).await;
+    time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(limits(&cluster, &[0, 1, 2]).await, [SLOTS; 2]);
+    assert_limits_held(&cluster).await;
+}
--- a/reachhead/tests/system/main.rs
+++ b/reachhead/tests/system/main.rs
@@ -3,7 +3,12 @@
 //! `extra/test.sh` builds the programs first. Each test has a loopback address of its own, so that
 //! tests run side by side and no port of one is taken by another.
 
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+mod claims;
 mod harness;
+mod limits;
 mod outcomes;
 mod path;
+mod replacement;
 mod settings;
--- /dev/null
+++ b/reachhead/tests/system/replacement.rs
@@ -0,0 +1,193 @@
+//! Planned stops cut nothing off: every entry host and every minion is replaced under load.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use serde_json::json;
+use tokio::{task::JoinHandle, time};
+
+use crate::harness::{
+    Call, Cluster, Reply, call,
+    cluster::{Plan, ready, state},
+    eventually,
+};
+
+/// How often the balancer looks which hosts are ready; entry hosts wait out more than this.
+const BALANCER_LAG: Duration = Duration::from_millis(100);
+
+/// Callers behind the balancer.
+const CALLERS: usize = 8;
+
+/// The platform's balancer, and callers that send steadily through it.
+struct Load {
+    hosts: Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>,
+    stop: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    failed: Arc<Mutex<Vec<Reply>>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(cluster: &Cluster) -> Self {
+        let known = cluster.hosts.iter().map(|host| (host.entry_ops, host.callers)).collect();
+        let mut load = Self {
+            hosts: Arc::new(Mutex::new(known)),
+            stop: Arc::default(),
+            served: Arc::default(),
+            failed: Arc::default(),
+            tasks: Vec::new(),
+        };
+        let ready =
+            Arc::new(Mutex::new(cluster.hosts.iter().map(|host| host.callers).collect::<Vec<_>>()));
+        load.tasks.push(tokio::spawn(balance(
+            Arc::clone(&load.hosts),
+            Arc::clone(&ready),
+            Arc::clone(&load.stop),
+        )));
+        for caller in 0..CALLERS {
+            let (ready, stop) = (Arc::clone(&ready), Arc::clone(&load.stop));
+            let (served, failed) = (Arc::clone(&load.served), Arc::clone(&load.failed));
+            load.tasks.push(tokio::spawn(async move {
+                let mut number = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    number += 1;
+                    let host = {
+                        let ready = ready.lock().unwrap();
+                        ready[(caller + number) % ready.len()]
+                    };
+                    let request = match number % 3 {
+                        0 => Call::post("/red/pay", "1").with_key(&format!("{caller}-{number}")),
+                        1 => Call::post("/red/alpha", "once"),
+                        _ => Call::get("/blue/alpha"),
+                    };
+                    let reply = call(host, &request).await;
+                    if reply.status == 200 && reply.is_whole {
+                        served.fetch_add(1, Ordering::Relaxed);
+                    } else {
+                        failed.lock().unwrap().push(reply);
+                    }
+                }
+            }));
+        }
+        load
+    }
+
+    fn add(&self, cluster: &Cluster) {
+        let host = cluster.hosts.last().unwrap();
+        self.hosts.lock().unwrap().insert(host.entry_ops, host.callers);
+    }
+
+    async fn stop(self) -> usize {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            task.await.unwrap();
+        }
+        let failed = self.failed.lock().unwrap();
+        let served = self.served.load(Ordering::Relaxed);
+        assert!(failed.is_empty(), "{} of {served} failed: {:?}", failed.len(), failed.first());
+        served
+    }
+}
+
+async fn balance(
+    hosts: Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>,
+    ready: Arc<Mutex<Vec<SocketAddr>>>,
+    stop: Arc<AtomicBool>,
+) {
+    while !stop.load(Ordering::Relaxed) {
+        let known = hosts.lock().unwrap().clone();
+        let mut next = Vec::new();
+        for (ops, callers) in known {
+            if call(ops, &Call::get("/ready")).await.status == 200 {
+                next.push(callers);
+            }
+        }
+        if !next.is_empty() {
+            *ready.lock().unwrap() = next;
+        }
+        time::sleep(BALANCER_LAG).await;
+    }
+}
+
+#[tokio::test]
+async fn every_entry_host_is_replaced_under_load_without_a_failed_request() {
+    let mut cluster = Plan::new(3, 2).with_work(5).start().await;
+    let load = Load::start(&cluster);
+    for old in 0..3 {
+        cluster.add_host();
+        ready(cluster.hosts[3 + old].entry_ops).await;
+        load.add(&cluster);
+        time::sleep(BALANCER_LAG * 4).await;
+        assert!(cluster.hosts[old].entry.stop().await.success());
+        assert!(cluster.hosts[old].control.stop().await.success());
+    }
+    time::sleep(Duration::from_millis(500)).await;
+    let served = load.stop().await;
+    assert!(served > 300, "only {served} requests were served meanwhile");
+}
+
+#[tokio::test]
+async fn every_minion_is_replaced_under_load_without_a_failed_request() {
+    let mut cluster = Plan::new(3, 2).with_work(5).start().await;
+    let load = Load::start(&cluster);
+    let old = cluster.minions.len();
+    for index in 0..old {
+        let service = cluster.minions[index].service.clone();
+        cluster.add_minion(&service, &format!("m{}", 10 + index)).await;
+        let new = cluster.minion_row(cluster.minions.last().unwrap(), "serving");
+        let leaving = cluster.minion_row(&cluster.minions[index], "leaving");
+        let version = cluster.change(vec![new, leaving.clone()]).await;
+        cluster.in_force(version).await;
+        let id = cluster.minions[index].id.clone();
+        eventually("nothing runs there any more", async || {
+            let mut running = 0;
+            for host in &cluster.hosts {
+                running += running_at(&state(host.entry_ops).await, &service, &id);
+            }
+            (running == 0).then_some(())
+        })
+        .await;
+        let ran = cluster.minion_counts(index).await["ran"].clone();
+        time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(cluster.minion_counts(index).await["ran"], ran, "it still gets new work");
+        assert!(cluster.minions[index].process.stop().await.success());
+        let reply = cluster.delete(&leaving.0).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    let served = load.stop().await;
+    assert!(served > 300, "only {served} requests were served meanwhile");
+}
+
+fn running_at(state: &serde_json::Value, service: &str, minion: &str) -> u64 {
+    let services = state["services"].as_array().unwrap();
+    let service = services.iter().find(|one| one["name"] == json!(service)).unwrap();
+    let minions = service["minions"].as_array().unwrap();
+    let found = minions.iter().find(|one| one["id"] == json!(minion));
+    found.map_or(0, |minion| minion["running"].as_u64().unwrap())
+}
+
+#[tokio::test]
+async fn a_shutdown_finishes_long_and_streaming_answers() {
+    let mut cluster = Plan::new(1, 1).with_deadline(5000).start().await;
+    let address = cluster.hosts[0].callers;
+    let long = Call::get("/red/alpha").with_field("standin-work", 1500);
+    let large = Call::get("/red/alpha").with_field("standin-work", 500);
+    let large = large.with_field("standin-size", 3_000_000);
+    let calls =
+        [long, large].map(|request| tokio::spawn(async move { call(address, &request).await }));
+    eventually("both run", async || (cluster.minion_counts(0).await["running"] == 2).then_some(()))
+        .await;
+    assert!(cluster.hosts[0].entry.stop().await.success());
+    for finished in calls {
+        let reply = finished.await.unwrap();
+        assert_eq!((reply.status, reply.is_whole), (200, true));
+        assert_eq!(reply.field("connection"), "close");
+    }
+}
--- a/reachhead_config/src/entry.rs
+++ b/reachhead_config/src/entry.rs
@@ -71,8 +71,6 @@
         ask: SocketAddr;
         /// Milliseconds between two looks for a newer configuration.
         period: NonZeroU64 = millis(250);
-        /// Milliseconds without control after which this process is not ready.
-        cut_time: NonZeroU64 = millis(10_000);
     }
 }
 
--- a/reachhead_control/src/answer.rs
+++ b/reachhead_control/src/answer.rs
@@ -2,9 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use reachhead_config::control::FollowSettings;
 use reachhead_link::{
-    message::{ControlReply, ControlRequest, FollowReply, StatusReply},
+    message::{ControlReply, ControlRequest, FollowReply, GossipReply, ListStamp, StatusReply},
     server::Responder,
 };
 use reachhead_types::{
@@ -14,53 +13,39 @@
 
 use crate::view::View;
 
-/// A host is cut off once neither store nor peer was heard for this many of its periods.
-const CUT_PERIODS: u32 = 6;
-
-/// Periods in which every host has noticed a change of the members: it may have read just before.
-const NOTICE_PERIODS: u64 = 2;
-
 /// Answers questions from this host's view.
 pub struct ControlResponder {
     view: Arc<View>,
-    settings: FollowSettings,
 }
 
 impl ControlResponder {
     /// Returns a responder over `view`.
-    pub fn new(view: Arc<View>, settings: FollowSettings) -> Self {
-        Self { view, settings }
-    }
-
-    fn period(&self) -> Duration {
-        let hosts = self.view.members().len().max(1) as u64;
-        Duration::from_millis(self.settings.members.get() * hosts)
+    pub fn new(view: Arc<View>) -> Self {
+        Self { view }
     }
 
     fn follow(&self, have: Version) -> ControlReply {
         self.view.note_entry(have);
-        let notice = NOTICE_PERIODS * self.period().as_millis() as u64;
         ControlReply::Follow(Box::new(FollowReply {
             delta: self.view.since(have),
             members: self.view.members(),
-            notice: Millis(notice),
-            connected: self.view.is_connected(self.cut_term()),
+            own: self.view.own_member(),
+            notice: millis(self.view.notice()),
+            age: self.view.list_age().map(millis),
         }))
     }
 
-    /// Returns how long a host goes on without hearing the store or a peer.
-    pub fn cut_term(&self) -> Duration {
-        self.period() * CUT_PERIODS
-    }
-
-    fn gossip(&self, have: Version, delta: Option<&Delta>, wants_members: bool) -> ControlReply {
-        self.view.note_peer();
+    fn gossip(&self, have: Version, delta: Option<&Delta>, list: ListStamp) -> ControlReply {
         if let Some(delta) = delta {
             // A gap is filled by this host's own rounds, which fetch the whole of it.
             let _ = self.view.apply(delta);
         }
-        let members = if wants_members { self.view.members() } else { Vec::new() };
-        ControlReply::Gossip { have: self.view.version(), delta: self.view.since(have), members }
+        ControlReply::Gossip(Box::new(GossipReply {
+            delta: self.view.since(have),
+            list: self.view.members_since(list),
+            is_blind: self.view.is_blind(),
+            age: self.view.list_age().map(millis),
+        }))
     }
 
     fn status(&self) -> ControlReply {
@@ -76,10 +61,13 @@
     fn respond(&mut self, request: ControlRequest) -> ControlReply {
         match request {
             ControlRequest::Follow { have } => self.follow(have),
-            ControlRequest::Gossip { have, delta, wants_members, .. } => {
-                self.gossip(have, delta.as_ref(), wants_members)
-            }
+            ControlRequest::Gossip { have, delta, list } => self.gossip(have, delta.as_ref(), list),
             ControlRequest::Status => self.status(),
         }
     }
 }
+
+/// Ages are rounded up, so that nothing looks newer than it is.
+fn millis(duration: Duration) -> Millis {
+    Millis(duration.as_millis() as u64 + 1)
+}
--- a/reachhead_control/src/follow.rs
+++ b/reachhead_control/src/follow.rs
@@ -2,17 +2,23 @@
 //!
 //! The whole fleet reads at a fixed rate, so each host's period grows with the number of hosts.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use log::debug;
 use rand::Rng;
 use reachhead_config::control::FollowSettings;
-use reachhead_ops::runtime;
+use reachhead_ops::{
+    event::{Event, emit},
+    runtime,
+};
 use reachhead_store::{
     Store, StoreError, config, keys,
-    row::{Commit, Scan, Txn},
+    row::{Scan, Txn},
 };
-use reachhead_types::{member::Member, size::Revision};
+use reachhead_types::{id::Incarnation, member::Member, size::Revision};
 use serde::Deserialize;
 use tokio::{sync::watch, time};
 
@@ -93,35 +99,54 @@
         self.view.note_store(result.is_ok());
     }
 
+    /// Counts this host's row up, or puts it on the list again if it was taken off.
     async fn write_own(&mut self) -> Result<(), StoreError> {
-        self.own.counter += 1;
         let key = keys::member(&self.own.host);
+        let mut txn = Txn::new();
+        match self.own_revision {
+            Some(_) => txn = txn.with_check(key.clone(), self.own_revision),
+            // Whatever row is there belongs to an earlier stay, which this write ends.
+            None => self.own.incarnation = Incarnation(rand::random()),
+        }
+        self.own.counter += 1;
         let value = serde_json::to_value(&self.own)
             .map_err(|error| StoreError::Refused(error.to_string()))?;
-        // The row is this host's own: no check, the newest incarnation simply writes over it.
-        match self.store.commit(Txn::new().with_write(key, value)).await? {
-            Commit::Done(revision) => self.own_revision = Some(revision),
-            Commit::Conflict(_) => {}
-        }
+        // A conflict needs no answer here: the read that follows shows what the row has become.
+        self.store.commit(txn.with_write(key, value)).await?;
+        self.view.set_own(self.own.incarnation);
         Ok(())
     }
 
     async fn read_members(&mut self) -> Result<(), StoreError> {
         let scan =
             Scan { prefix: keys::MEMBER_PREFIX.to_owned(), after: None, limit: MEMBER_LIMIT };
+        let begun = Instant::now();
         let page = self.store.scan(scan).await?;
-        // A row that can't be read belongs to another release; its host is not counted.
-        let members = page.rows.iter().filter_map(|row| Member::deserialize(&row.value).ok());
-        let dead = self.view.observe(members.collect());
-        for host in dead {
+        let mut members = Vec::new();
+        let before = self.own_revision.take();
+        for row in &page.rows {
+            // A row that can't be read belongs to another release; its host is not counted.
+            let Ok(member) = Member::deserialize(&row.value) else {
+                continue;
+            };
+            if member.id() == self.own.id() {
+                self.own_revision = Some(row.revision);
+            }
+            members.push(member);
+        }
+        if before.is_some() && self.own_revision.is_none() {
+            emit(Event::TakenOff, &self.own.host);
+        }
+        for host in self.view.observe(members, page.revision, begun) {
             let key = keys::member(&host);
             let seen = page.rows.iter().find(|row| row.key == key).map(|row| row.revision);
+            emit(Event::MemberGone, &host);
             self.store.commit(Txn::new().with_check(key.clone(), seen).with_delete(key)).await?;
         }
         Ok(())
     }
 
-    /// Takes this host off the list, unless a newer incarnation has written the row since.
+    /// Takes this host off the list, unless a newer stay has written the row since.
     async fn leave(&mut self) {
         let key = keys::member(&self.own.host);
         let txn = Txn::new().with_check(key.clone(), self.own_revision).with_delete(key);
--- a/reachhead_control/src/gossip.rs
+++ b/reachhead_control/src/gossip.rs
@@ -1,15 +1,20 @@
 //! Hands versions on to a few peers: each round, and at once when there is news.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use log::debug;
 use rand::seq::IndexedRandom;
 use reachhead_link::{
     client::Asker,
-    message::{ControlReply, ControlRequest},
+    message::{ControlReply, ControlRequest, GossipReply},
 };
+use reachhead_types::size::Millis;
 
-use crate::view::{Round, View};
+use crate::view::{Round, View, Witness};
 
 /// Peers that a round of news goes to.
 const NEWS_PEERS: usize = 3;
@@ -44,29 +49,31 @@
 
     fn speak(&mut self, round: &Round) {
         let known: Vec<SocketAddr> = round.peers.iter().map(|peer| peer.control).collect();
-        let wants_members = known.is_empty();
-        let from = if wants_members { self.seeds.clone() } else { known };
-        let count = if round.delta.is_some() { NEWS_PEERS } else { QUIET_PEERS };
-        let chosen: Vec<SocketAddr> =
-            from.choose_multiple(&mut rand::rng(), count).copied().collect();
-        for peer in chosen {
+        let from = if known.is_empty() { self.seeds.clone() } else { known };
+        // Without the store peers are the only witnesses, and some may be gone.
+        let is_urgent = round.delta.is_some() || self.view.is_blind();
+        let count = if is_urgent { NEWS_PEERS } else { QUIET_PEERS };
+        for &peer in from.choose_multiple(&mut rand::rng(), count) {
             let request = ControlRequest::Gossip {
-                host: self.view.host().clone(),
                 have: round.have,
                 delta: round.delta.clone(),
-                wants_members,
+                list: round.list,
             };
+            let asked = Instant::now();
             match self.asker.ask(peer, &request) {
-                Ok(ControlReply::Gossip { delta, members, .. }) => {
-                    self.view.note_peer();
-                    self.view.start_members(members);
-                    if let Some(Err(gap)) = delta.map(|delta| self.view.apply(&delta)) {
-                        debug!("gossip from {peer}: {gap}");
-                    }
-                }
+                Ok(ControlReply::Gossip(reply)) => self.learn(peer, *reply, asked),
                 Ok(_) => debug!("gossip with {peer}: an answer to another question"),
                 Err(error) => debug!("gossip with {peer}: {error}"),
             }
         }
     }
+
+    fn learn(&self, peer: SocketAddr, reply: GossipReply, asked: Instant) {
+        let age = reply.age.map(Millis::duration);
+        let witness = Witness { is_blind: reply.is_blind, age };
+        self.view.learn_list(reply.list, witness, asked);
+        if let Some(Err(gap)) = reply.delta.map(|delta| self.view.apply(&delta)) {
+            debug!("gossip with {peer}: {gap}");
+        }
+    }
 }
--- a/reachhead_control/src/main.rs
+++ b/reachhead_control/src/main.rs
@@ -6,6 +6,7 @@
 mod members;
 mod metrics;
 mod process;
+mod terms;
 mod view;
 
 use std::{path::PathBuf, process::ExitCode};
--- a/reachhead_control/src/members.rs
+++ b/reachhead_control/src/members.rs
@@ -1,82 +1,102 @@
-//! Who is alive among the entry hosts, judged by counters that move and by nobody's wall clock.
+//! The list of entry hosts, as the store has it, and who on it seems to be gone.
+//!
+//! The list is the set of rows, so all hosts see the same lists in the same order. Nobody is left
+//! out by one host's own judgement: a row that stands still is deleted, by a write that fails if
+//! the row moved after all. docs/LIMITS.md tells what depends on that.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+};
 
+use reachhead_link::message::{ListStamp, MemberList};
 use reachhead_types::{
-    id::{HostId, Incarnation},
-    member::Member,
+    id::HostId,
+    member::{Member, MemberId},
+    size::Revision,
 };
 
-/// How often a row may be read without progress before its host may delete it, in rounds for each
-/// round after which the host is taken for gone.
-const DELETE_FACTOR: u32 = 5;
-
 #[derive(Debug, Clone)]
 struct Watched {
-    member: Member,
+    id: MemberId,
+    counter: u64,
     /// Reads in a row in which the counter stood still.
     still: u32,
 }
 
-/// The member rows as this host has seen them move.
+/// The rows of the list as this host has seen them move.
 ///
 /// Time is counted in successful reads: during a store outage no read succeeds, so nobody is taken
 /// for gone because nobody could write.
 #[derive(Debug, Clone)]
 pub struct MemberBook {
-    rows: BTreeMap<HostId, Watched>,
+    list: Vec<Member>,
+    revision: Revision,
+    watched: BTreeMap<HostId, Watched>,
     missed: u32,
 }
 
 impl MemberBook {
     /// Returns an empty book that takes a host for gone after `missed` reads without progress.
     pub fn new(missed: u32) -> Self {
-        Self { rows: BTreeMap::new(), missed }
+        Self { list: Vec::new(), revision: Revision(0), watched: BTreeMap::new(), missed }
     }
 
-    /// Notes the rows of one read and tells whether the list of live hosts changed.
-    pub fn observe(&mut self, rows: Vec<Member>) -> bool {
-        let before = self.identities();
-        let mut next = BTreeMap::new();
-        for member in rows {
-            let still = match self.rows.get(&member.host) {
-                Some(seen) if is_still(&seen.member, &member) => seen.still + 1,
+    /// Notes the rows of one read of the store, as of `revision`, and tells whether the list is
+    /// another one than before.
+    pub fn observe(&mut self, rows: Vec<Member>, revision: Revision) -> bool {
+        let mut watched = BTreeMap::new();
+        for member in &rows {
+            let id = member.id();
+            let still = match self.watched.get(&member.host) {
+                Some(seen) if seen.id == id && seen.counter == member.counter => seen.still + 1,
                 _ => 0,
             };
-            next.insert(member.host.clone(), Watched { member, still });
+            let seen = Watched { id, counter: member.counter, still };
+            watched.insert(member.host.clone(), seen);
         }
-        self.rows = next;
-        before != self.identities()
+        self.watched = watched;
+        self.replace(MemberList { members: rows, revision })
     }
 
-    /// Takes over a list that a peer gave, for a host that can't read the store yet.
-    pub fn start_from(&mut self, members: Vec<Member>) {
-        if self.rows.is_empty() {
-            self.observe(members);
-        }
+    /// Takes over a peer's list if it is newer, as a host must that can't read the store itself.
+    pub fn adopt(&mut self, list: MemberList) -> bool {
+        list.revision > self.revision && self.replace(list)
     }
 
-    /// Returns the hosts that are taken for alive, in the order of their names.
-    pub fn live(&self) -> Vec<Member> {
-        self.live_rows().cloned().collect()
+    fn replace(&mut self, list: MemberList) -> bool {
+        let before = self.ids();
+        self.list = list.members;
+        self.revision = self.revision.max(list.revision);
+        before != self.ids()
     }
 
-    /// Returns the hosts whose rows stood still so long that they may be deleted.
-    pub fn dead(&self) -> Vec<HostId> {
-        let limit = self.missed * DELETE_FACTOR;
-        let dead = self.rows.values().filter(|row| row.still >= limit);
-        dead.map(|row| row.member.host.clone()).collect()
+    /// Returns the entry hosts on the list.
+    pub fn members(&self) -> &[Member] {
+        &self.list
     }
 
-    fn live_rows(&self) -> impl Iterator<Item = &Member> {
-        self.rows.values().filter(|row| row.still < self.missed).map(|row| &row.member)
+    /// Returns the hosts whose rows stood still so long that they should be deleted.
+    pub fn gone(&self) -> Vec<HostId> {
+        let gone = self.watched.iter().filter(|(_, seen)| seen.still >= self.missed);
+        gone.map(|(host, _)| host.clone()).collect()
     }
 
-    fn identities(&self) -> Vec<(HostId, Incarnation)> {
-        self.live_rows().map(|member| (member.host.clone(), member.incarnation)).collect()
+    /// Returns what a peer needs to tell whether its list is another one.
+    pub fn stamp(&self) -> ListStamp {
+        let mut hasher = DefaultHasher::new();
+        self.ids().hash(&mut hasher);
+        ListStamp { revision: self.revision, digest: hasher.finish() }
     }
-}
 
-fn is_still(before: &Member, now: &Member) -> bool {
-    before.incarnation == now.incarnation && before.counter == now.counter
+    /// Returns the list for a peer with `stamp`, if it lacks it.
+    pub fn newer_than(&self, stamp: ListStamp) -> Option<MemberList> {
+        let own = self.stamp();
+        let is_newer = own.revision > stamp.revision && own.digest != stamp.digest;
+        is_newer.then(|| MemberList { members: self.list.clone(), revision: self.revision })
+    }
+
+    fn ids(&self) -> Vec<MemberId> {
+        self.list.iter().map(Member::id).collect()
+    }
 }
--- a/reachhead_control/src/process.rs
+++ b/reachhead_control/src/process.rs
@@ -23,13 +23,12 @@
 
 use crate::{
     answer::ControlResponder, follow::Follower, gossip::Gossiper, members::MemberBook,
-    metrics::Metrics, view::View,
+    metrics::Metrics, terms::Terms, view::View,
 };
 
 struct ControlObserved {
     view: Arc<View>,
     metrics: Metrics,
-    responder: ControlResponder,
 }
 
 impl Observed for ControlObserved {
@@ -37,8 +36,8 @@
         if self.view.version().0 == 0 {
             return Some("no configuration yet".to_owned());
         }
-        let is_connected = self.view.is_connected(self.responder.cut_term());
-        (!is_connected).then(|| "cut off from the store and from all peers".to_owned())
+        let is_old = self.view.list_age().is_none_or(|age| age > self.view.notice());
+        is_old.then(|| "cut off from the store and from all peers".to_owned())
     }
 
     fn state(&self) -> BoxFuture<'_, Value> {
@@ -52,15 +51,15 @@
 
 /// Runs the control process until a shutdown is asked for.
 pub fn run(settings: ControlSettings) -> Result<(), LinkError> {
-    let follow = settings.follow;
-    let view = View::new(settings.host.clone(), MemberBook::new(follow.missed.get()));
-    let responder = || ControlResponder::new(Arc::clone(&view), follow.clone());
+    let follow = settings.follow.clone();
+    let members = MemberBook::new(follow.missed.get());
+    let view = View::new(settings.host.clone(), members, Terms::new(&settings));
 
     let mut registry = Registry::default();
     let metrics = Metrics::new(&mut registry);
-    let observed = ControlObserved { view: Arc::clone(&view), metrics, responder: responder() };
+    let observed = ControlObserved { view: Arc::clone(&view), metrics };
     listener::start(settings.ops.address, Arc::new(observed), registry)?;
-    server::serve(settings.link.address, responder())?;
+    server::serve(settings.link.address, ControlResponder::new(Arc::clone(&view)))?;
 
     let period = Duration::from_millis(settings.link.gossip.get());
     let gossiper = Gossiper::new(Arc::clone(&view), settings.link.seeds, period);
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -5,16 +5,17 @@
     time::{Duration, Instant},
 };
 
+use reachhead_link::message::{ListStamp, MemberList};
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     book::{Book, Delta, GapError},
-    id::HostId,
-    member::Member,
-    size::{Millis, Version},
+    id::{HostId, Incarnation},
+    member::{Member, MemberId},
+    size::{Millis, Revision, Version},
 };
 use serde::Serialize;
 
-use crate::members::MemberBook;
+use crate::{members::MemberBook, terms::Terms};
 
 /// What the threads of this process share.
 pub struct View {
@@ -22,14 +23,27 @@
     /// Signalled when a new version is in force, so that gossip does not wait for its round.
     news: Condvar,
     host: HostId,
+    terms: Terms,
+}
+
+/// What a peer says of its list.
+pub struct Witness {
+    /// Whether the store has not answered it for long.
+    pub is_blind: bool,
+    /// How old its list is at most.
+    pub age: Option<Duration>,
 }
 
 struct State {
     book: Book,
     members: MemberBook,
+    /// This host's stay on the list, once it has written its row.
+    own: Option<Incarnation>,
     entry_version: Version,
+    /// When the store last answered.
     store_heard: Option<Instant>,
-    peer_heard: Option<Instant>,
+    /// The newest moment at which the list of entry hosts was still the newest one.
+    confirmed: Option<Instant>,
     store_lost: bool,
     /// The version that gossip has handed on last.
     told: Version,
@@ -44,7 +58,7 @@
     members: Vec<Member>,
     rows: usize,
     store_heard: Option<Millis>,
-    peer_heard: Option<Millis>,
+    list_age: Option<Millis>,
 }
 
 /// What a gossip round starts from.
@@ -53,23 +67,26 @@
     pub have: Version,
     /// What peers may not know yet.
     pub delta: Option<Delta>,
-    /// Other hosts' controls.
+    /// The list of entry hosts here.
+    pub list: ListStamp,
+    /// Other hosts.
     pub peers: Vec<Member>,
 }
 
 impl View {
     /// Returns an empty view of `host`.
-    pub fn new(host: HostId, members: MemberBook) -> Arc<Self> {
+    pub fn new(host: HostId, members: MemberBook, terms: Terms) -> Arc<Self> {
         let state = State {
             book: Book::new(),
             members,
+            own: None,
             entry_version: Version(0),
             store_heard: None,
-            peer_heard: None,
+            confirmed: None,
             store_lost: false,
             told: Version(0),
         };
-        Arc::new(Self { state: Mutex::new(state), news: Condvar::new(), host })
+        Arc::new(Self { state: Mutex::new(state), news: Condvar::new(), host, terms })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -137,11 +154,6 @@
         }
     }
 
-    /// Notes that a peer was heard.
-    pub fn note_peer(&self) {
-        self.state().peer_heard = Some(Instant::now());
-    }
-
     /// Notes the version that the entry process of this host has.
     pub fn note_entry(&self, have: Version) {
         self.state().entry_version = have;
@@ -152,34 +164,82 @@
         self.state().entry_version
     }
 
-    /// Notes the member rows of one read and returns the hosts whose rows may be deleted.
-    pub fn observe(&self, rows: Vec<Member>) -> Vec<HostId> {
+    /// Notes this host's stay on the list.
+    pub fn set_own(&self, own: Incarnation) {
+        self.state().own = Some(own);
+    }
+
+    /// Returns this host's place on the list.
+    pub fn own_member(&self) -> Option<MemberId> {
+        let state = self.state();
+        let own = MemberId { host: self.host.clone(), incarnation: state.own? };
+        state.members.members().iter().any(|member| member.id() == own).then_some(own)
+    }
+
+    /// Notes the member rows of one read, begun at `begun`, and returns the hosts whose rows should
+    /// be deleted.
+    pub fn observe(&self, rows: Vec<Member>, revision: Revision, begun: Instant) -> Vec<HostId> {
+        let mut state = self.state();
+        state.confirmed = state.confirmed.max(Some(begun));
+        if state.members.observe(rows, revision) {
+            tell_members(&state);
+        }
+        state.members.gone()
+    }
+
+    /// Learns from a peer's answer to a question that was asked at `asked`.
+    ///
+    /// A peer that reads the store vouches for the list as of its own last read. Where neither can,
+    /// the store is taken for down, and a store that is down changes no list.
+    pub fn learn_list(&self, list: Option<MemberList>, peer: Witness, asked: Instant) {
         let mut state = self.state();
-        if state.members.observe(rows) {
-            let live = state.members.live();
-            let names: Vec<&str> = live.iter().map(|member| member.host.as_str()).collect();
-            emit(Event::MembersChanged, names.join(" "));
+        if list.is_some_and(|list| state.members.adopt(list)) {
+            tell_members(&state);
         }
-        state.members.dead()
+        let is_blind = self.is_blind_in(&state);
+        let confirmed = match (peer.is_blind, is_blind) {
+            (true, true) => Some(asked),
+            (true, false) => None,
+            (false, _) => peer.age.and_then(|age| asked.checked_sub(age)),
+        };
+        state.confirmed = state.confirmed.max(confirmed);
     }
 
-    /// Takes over a peer's list of members, if there is none yet.
-    pub fn start_members(&self, members: Vec<Member>) {
-        self.state().members.start_from(members);
+    /// Returns the list for a peer with `stamp`, if it lacks it.
+    pub fn members_since(&self, stamp: ListStamp) -> Option<MemberList> {
+        self.state().members.newer_than(stamp)
     }
 
-    /// Returns the entry hosts that are taken for alive.
+    /// Returns the entry hosts on the list.
     pub fn members(&self) -> Vec<Member> {
-        self.state().members.live()
+        self.state().members.members().to_vec()
     }
 
-    /// Tells whether the store or a peer was heard within `term`; a sole host needs only itself.
-    pub fn is_connected(&self, term: Duration) -> bool {
+    /// Returns how old the list is at most; `None` if it was never confirmed.
+    pub fn list_age(&self) -> Option<Duration> {
         let state = self.state();
-        let is_recent = |heard: Option<Instant>| heard.is_some_and(|at| at.elapsed() < term);
-        let live = state.members.live();
-        let is_sole = !live.is_empty() && live.iter().all(|member| member.host == self.host);
-        is_recent(state.store_heard) || is_recent(state.peer_heard) || is_sole
+        let list = state.members.members();
+        let is_sole = !list.is_empty() && list.iter().all(|member| member.host == self.host);
+        if is_sole && self.is_blind_in(&state) {
+            // Nobody is there who could change the list.
+            return Some(Duration::ZERO);
+        }
+        state.confirmed.map(|at| at.elapsed())
+    }
+
+    /// Tells whether the store has not answered for long.
+    pub fn is_blind(&self) -> bool {
+        self.is_blind_in(&self.state())
+    }
+
+    fn is_blind_in(&self, state: &State) -> bool {
+        let notice = self.terms.notice(state.members.members().len());
+        state.store_heard.is_none_or(|at| at.elapsed() > notice)
+    }
+
+    /// Returns the longest time in which every entry host notices a new list.
+    pub fn notice(&self) -> Duration {
+        self.terms.notice(self.state().members.members().len())
     }
 
     /// Waits for the next round of gossip: after `period`, or at once when there is news.
@@ -193,9 +253,9 @@
         let have = state.book.version();
         let delta = (have > state.told).then(|| state.book.since(state.told));
         state.told = have;
-        let mut peers = state.members.live();
+        let mut peers = state.members.members().to_vec();
         peers.retain(|member| member.host != self.host);
-        Round { have, delta, peers }
+        Round { have, delta, list: state.members.stamp(), peers }
     }
 
     /// Returns the view for operators.
@@ -206,10 +266,16 @@
             host: self.host.clone(),
             version: state.book.version(),
             entry_version: state.entry_version,
-            members: state.members.live(),
+            members: state.members.members().to_vec(),
             rows: state.book.rows().count(),
             store_heard: ago(state.store_heard),
-            peer_heard: ago(state.peer_heard),
+            list_age: ago(state.confirmed),
         }
     }
 }
+
+fn tell_members(state: &State) {
+    let names: Vec<&str> =
+        state.members.members().iter().map(|member| member.host.as_str()).collect();
+    emit(Event::MembersChanged, names.join(" "));
+}
--- a/reachhead_entry/src/process/core.rs
+++ b/reachhead_entry/src/process/core.rs
@@ -89,7 +89,7 @@
 
     /// Takes what the follow thread learned.
     pub fn take_update(&self, update: Update) {
-        self.fresh_until.set(update.fresh_until.or(self.fresh_until.get()));
+        self.fresh_until.set(self.fresh_until.get().max(update.fresh_until));
         if let Some(fleet) = &update.fleet {
             self.services.update(fleet, &self.settings.zone);
             let table = Table::new(fleet, &self.services, &self.metrics);
--- a/reachhead_entry/src/process/follow.rs
+++ b/reachhead_entry/src/process/follow.rs
@@ -20,13 +20,20 @@
     book::Book,
     fleet::Fleet,
     id::{MinionId, ServiceName},
+    member::Member,
     size::Millis,
 };
 use tokio::sync::mpsc;
 
+/// Longest wait for the control's answer; it is on the same host.
+const ASK_TIME: Duration = Duration::from_millis(500);
+
 /// Updates that may wait for the path thread; the newest says all, so few are enough.
 const RING_SIZE: usize = 4;
 
+/// Times that the longest time to notice a list counts in the hold; docs/LIMITS.md says why two.
+const NOTICES: u32 = 2;
+
 /// How many requests this host may run at each minion.
 pub type Limits = BTreeMap<ServiceName, BTreeMap<MinionId, u32>>;
 
@@ -39,14 +46,13 @@
     pub fleet: Option<Arc<Fleet>>,
     /// New limits, if they changed.
     pub limits: Option<Limits>,
-    /// Until when this view counts as fresh; `None` if the control hears nobody.
+    /// Until when this view counts as fresh; `None` if the control's list was never confirmed.
     pub fresh_until: Option<Instant>,
 }
 
 struct Follower {
     asker: Asker<ControlRequest, ControlReply>,
     control: SocketAddr,
-    cut_time: Duration,
     book: Book,
     fleet: Arc<Fleet>,
     shares: ShareHistory,
@@ -61,14 +67,12 @@
 pub fn start(settings: &EntrySettings) -> io::Result<Updates> {
     let (updates, ring) = mpsc::channel(RING_SIZE);
     let period = Duration::from_millis(settings.link.period.get());
-    let cut_time = Duration::from_millis(settings.link.cut_time.get());
     let follower = Follower {
-        asker: Asker::new(cut_time / 4),
+        asker: Asker::new(ASK_TIME),
         control: settings.link.control,
-        cut_time,
         book: Book::new(),
         fleet: Arc::default(),
-        shares: ShareHistory::new(settings.host.clone()),
+        shares: ShareHistory::new(),
         is_lost: false,
     };
     thread::Builder::new()
@@ -107,15 +111,19 @@
 
     fn learn(&mut self, reply: FollowReply, asked: Instant) -> Update {
         let fleet = self.apply(&reply);
-        let hosts = reply.members.iter().map(|member| member.host.clone()).collect();
+        let hosts = reply.members.iter().map(Member::id).collect();
         let now = Instant::now();
-        let is_new_list = self.shares.note(hosts, now);
+        let is_new_list = self.shares.note(hosts, reply.own, now);
         let is_expired = self.shares.expire(self.hold(reply.notice), now);
         let is_changed = fleet.is_some() || is_new_list || is_expired;
         Update {
             fleet,
             limits: is_changed.then(|| self.limits()),
-            fresh_until: reply.connected.then(|| asked + self.cut_time),
+            fresh_until: reply.age.and_then(|age| {
+                // By then every host that takes over a slot counts on this one having noticed.
+                let until = asked + reply.notice.duration();
+                until.checked_sub(age.duration())
+            }),
         }
     }
 
@@ -143,15 +151,15 @@
         }
     }
 
-    /// How long a slot that was gained stays unused: until the one that lost it has noticed, and
-    /// the last request that it sent there is over.
+    /// How long a slot that was gained stays unused: until the one that lost it has noticed, also if
+    /// this host's own list was replaced meanwhile, and until the last request there is over.
     fn hold(&self, notice: Millis) -> Duration {
         let deadlines = self.fleet.routes.values().map(|route| {
             let group = self.fleet.tree.get(&route.group);
             let inherited = group.map(|group| group.effective.deadline);
             route.deadline.or(inherited).unwrap_or_default()
         });
-        notice.duration() + deadlines.max().unwrap_or_default().duration()
+        NOTICES * notice.duration() + deadlines.max().unwrap_or_default().duration()
     }
 
     fn limits(&self) -> Limits {
--- a/reachhead_entry/src/request/dispatch.rs
+++ b/reachhead_entry/src/request/dispatch.rs
@@ -8,10 +8,10 @@
 };
 
 use crate::{
-    process::core::Core,
+    process::{core::Core, service::Permit},
     request::{
         Arrived,
-        send::{self, SendError, SentAnswer},
+        send::{self, SendError, SendResult},
     },
 };
 
@@ -22,18 +22,14 @@
 ///
 /// # Errors
 ///
-/// The kind that tells the caller what became of it.
-pub async fn run(
-    core: &Rc<Core>,
-    arrived: &Arrived,
-    attempt: Option<AttemptId>,
-) -> Result<SentAnswer, ErrorKind> {
+/// What tells the caller what became of it; `NotSent` also for what was never given to a minion.
+pub async fn run(core: &Rc<Core>, arrived: &Arrived, attempt: Option<AttemptId>) -> SendResult {
     let ask = arrived.ask();
     let service = &arrived.route.service;
     let mut tried: Vec<MinionId> = Vec::new();
     let mut sends = 0;
     loop {
-        let permit = service.acquire(&ask, &tried).await?;
+        let permit = service.acquire(&ask, &tried).await.map_err(SendError::NotSent)?;
         tried.push(permit.minion.id.clone());
         let error = match send_once(core, arrived, permit, attempt).await {
             Ok(answer) => {
@@ -44,9 +40,7 @@
         };
         sends += 1;
         if !may_retry(core, arrived, attempt, &error, sends) {
-            return Err(match error {
-                SendError::NotSent(kind) | SendError::Unknown(kind) => kind,
-            });
+            return Err(error);
         }
     }
 }
@@ -54,9 +48,9 @@
 async fn send_once(
     core: &Rc<Core>,
     arrived: &Arrived,
-    permit: crate::process::service::Permit,
+    permit: Permit,
     attempt: Option<AttemptId>,
-) -> Result<SentAnswer, SendError> {
+) -> SendResult {
     let outgoing = send::prepare(core, arrived, permit).await?;
     // The last look before the first byte: a process that was paused finds its view too old here.
     if !core.is_fresh() {
@@ -93,7 +87,7 @@
         // Provably unsent, so no minion was loaded by it: the budget is for real sends.
         SendError::NotSent(ErrorKind::ConnectFailed) => sends < limit + UNSENT_LIMIT,
         SendError::NotSent(_) => sends < limit && arrived.route.service.take_retry(),
-        SendError::Unknown(_) => {
+        SendError::Unknown(_) | SendError::Late(_) => {
             attempt.is_none()
                 && arrived.is_repeatable()
                 && sends < limit
--- a/reachhead_entry/src/request/keyed.rs
+++ b/reachhead_entry/src/request/keyed.rs
@@ -15,7 +15,7 @@
 };
 use reachhead_types::{
     answer::KeptAnswer,
-    error::{ErrorKind, Outcome},
+    error::ErrorKind,
     id::{AttemptId, Fingerprint, IdempotencyKey},
     size::Revision,
 };
@@ -28,7 +28,7 @@
         Arrived,
         body::ReplyBody,
         dispatch, reply,
-        send::{SentAnswer, SentBody},
+        send::{SendError, SendResult, SentAnswer, SentBody},
     },
 };
 
@@ -74,46 +74,53 @@
         state: ClaimState::Claimed,
     };
     let (reply, response) = oneshot::channel();
-    let task_core = Rc::clone(core);
-    spawn_local(async move {
-        let response = claim_and_run(&task_core, arrived, store_key, row).await;
-        let _ = reply.send(response);
-    });
+    spawn_local(claim_and_run(Rc::clone(core), arrived, store_key, row, reply));
     response.await.unwrap_or_else(|_| reply::error(core, ErrorKind::KeyOutcomeLost))
 }
 
-async fn claim_and_run(
-    core: &Rc<Core>,
-    arrived: Arrived,
-    key: Key,
-    row: ClaimRow,
-) -> Response<ReplyBody> {
+/// Where the caller waits, if it still does.
+type Caller = oneshot::Sender<Response<ReplyBody>>;
+
+async fn claim_and_run(core: Rc<Core>, arrived: Arrived, key: Key, row: ClaimRow, caller: Caller) {
     let attempt = row.attempt;
-    match claim(core, key, row).await {
-        Ok(claim) => run_claimed(core, arrived, claim).await,
+    match claim(&core, key, row).await {
+        Ok(claim) => run_claimed(&core, arrived, claim, caller).await,
         Err(end) => {
             // It was not sent and is now never sent, whatever the store makes of the claim.
             core.attempts.borrow_mut().abandon(attempt);
-            settled(core, end)
+            let _ = caller.send(settled(&core, end));
         }
     }
 }
 
-async fn run_claimed(core: &Rc<Core>, arrived: Arrived, claim: Claim) -> Response<ReplyBody> {
-    let attempt = claim.row.attempt;
-    match dispatch::run(core, &arrived, Some(attempt)).await {
-        Ok(answer) => {
-            record_answer(core, claim, &answer);
-            reply::answer(&arrived.route, answer)
-        }
-        Err(kind) if kind.answer().outcome == Outcome::NotRun => {
-            core.attempts.borrow_mut().abandon(attempt);
+async fn run_claimed(core: &Rc<Core>, arrived: Arrived, claim: Claim, caller: Caller) {
+    let result = dispatch::run(core, &arrived, Some(claim.row.attempt)).await;
+    if let Err(SendError::Late(answer)) = result {
+        let _ = caller.send(reply::error(core, ErrorKind::MinionTimeout));
+        let lost = SendError::Unknown(ErrorKind::MinionTimeout);
+        let result = answer.await.unwrap_or(Err(lost));
+        record(core, claim, &result);
+        return;
+    }
+    record(core, claim, &result);
+    let _ = caller.send(match result {
+        Ok(answer) => reply::answer(&arrived.route, answer),
+        Err(error) => reply::error(core, error.kind()),
+    });
+}
+
+/// Records what became of a claimed request.
+fn record(core: &Core, claim: Claim, result: &SendResult) {
+    match result {
+        Ok(answer) => record_answer(core, claim, answer),
+        Err(SendError::NotSent(_)) => {
+            let mut attempts = core.attempts.borrow_mut();
+            attempts.take_back(claim.row.attempt);
+            attempts.abandon(claim.row.attempt);
             core.claims.record(claim.key, None, claim.revision);
-            reply::error(core, kind)
         }
-        Err(kind) => {
+        Err(SendError::Unknown(_) | SendError::Late(_)) => {
             end(core, claim, Attempt::Lost, ClaimState::Lost);
-            reply::error(core, kind)
         }
     }
 }
--- a/reachhead_entry/src/request/mod.rs
+++ b/reachhead_entry/src/request/mod.rs
@@ -102,7 +102,7 @@
         Some(key) => keyed::run(core, arrived, key).await,
         None => match dispatch::run(core, &arrived, None).await {
             Ok(answer) => reply::answer(&arrived.route, answer),
-            Err(kind) => reply::error(core, kind),
+            Err(error) => reply::error(core, error.kind()),
         },
     }
 }
--- a/reachhead_entry/src/request/send.rs
+++ b/reachhead_entry/src/request/send.rs
@@ -59,12 +59,27 @@
     }
 }
 
+/// How a send ends.
+pub type SendResult = Result<SentAnswer, SendError>;
+
 /// Why a send gave no answer.
 pub enum SendError {
     /// The minion did not get it; another one may.
     NotSent(ErrorKind),
     /// The minion may have run it.
     Unknown(ErrorKind),
+    /// The deadline passed; the answer may still come here.
+    Late(oneshot::Receiver<SendResult>),
+}
+
+impl SendError {
+    /// Returns what the caller is told.
+    pub fn kind(&self) -> ErrorKind {
+        match self {
+            Self::NotSent(kind) | Self::Unknown(kind) => *kind,
+            Self::Late(_) => ErrorKind::MinionTimeout,
+        }
+    }
 }
 
 /// A send that is ready to go, with its connection.
@@ -124,14 +139,14 @@
     /// # Errors
     ///
     /// `Unknown` once a byte was handed to the connection, unless the minion refused by contract.
-    pub async fn send(self, core: &Rc<Core>) -> Result<SentAnswer, SendError> {
+    pub async fn send(self, core: &Rc<Core>) -> SendResult {
         core.metrics.sends.inc();
         let started = Instant::now();
         let deadline = self.deadline;
         let minion = Rc::clone(&self.permit.minion);
-        let (reply, answer) = oneshot::channel();
+        let (reply, mut answer) = oneshot::channel();
         spawn_local(self.run(reply));
-        match time::timeout_at(deadline.into(), answer).await {
+        match time::timeout_at(deadline.into(), &mut answer).await {
             Ok(Ok(result)) => result,
             // The task always replies; without it nothing is known.
             Ok(Err(_)) => Err(SendError::Unknown(ErrorKind::MinionBroke)),
@@ -139,12 +154,12 @@
                 if started.elapsed() >= BLAME_TIME {
                     minion.fail();
                 }
-                Err(SendError::Unknown(ErrorKind::MinionTimeout))
+                Err(SendError::Late(answer))
             }
         }
     }
 
-    async fn run(self, reply: oneshot::Sender<Result<SentAnswer, SendError>>) {
+    async fn run(self, reply: oneshot::Sender<SendResult>) {
         let Self { permit, mut sender, request, deadline, whole } = self;
         // Twice the time that the caller gave: then the connection is cut and the slot given back.
         let limit = deadline + deadline.saturating_duration_since(Instant::now());
@@ -157,11 +172,7 @@
 }
 
 /// Notes what the exchange says of the minion, and keeps the connection if it may be used again.
-fn settle(
-    result: Result<Answer, ExchangeError>,
-    permit: Permit,
-    sender: Sender,
-) -> Result<SentAnswer, SendError> {
+fn settle(result: Result<Answer, ExchangeError>, permit: Permit, sender: Sender) -> SendResult {
     let minion = &permit.minion;
     match result {
         Ok(Answer { head, body }) => {
--- a/reachhead_link/src/message.rs
+++ b/reachhead_link/src/message.rs
@@ -4,11 +4,29 @@
     answer::KeptAnswer,
     book::Delta,
     id::{AttemptId, HostId, Incarnation},
-    member::Member,
-    size::{Millis, Version},
+    member::{Member, MemberId},
+    size::{Millis, Revision, Version},
 };
 use serde::{Deserialize, Serialize};
 
+/// Tells lists of entry hosts apart without sending them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListStamp {
+    /// The store's revision when the list was read.
+    pub revision: Revision,
+    /// Digest of the hosts on it.
+    pub digest: u64,
+}
+
+/// A list of entry hosts.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MemberList {
+    /// The hosts in the order of their names.
+    pub members: Vec<Member>,
+    /// The store's revision when it was read.
+    pub revision: Revision,
+}
+
 /// A question to a control process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -20,14 +38,12 @@
     },
     /// A peer tells its version and hands on what it just learned.
     Gossip {
-        /// The peer.
-        host: HostId,
         /// The version that it has.
         have: Version,
         /// What it learned since its last round; empty in a quiet one.
         delta: Option<Delta>,
-        /// Whether the peer knows no entry hosts yet.
-        wants_members: bool,
+        /// The list of entry hosts that it has.
+        list: ListStamp,
     },
     /// An operator's tool asks which version is in force here.
     Status,
@@ -40,29 +56,38 @@
     /// What the entry process should know.
     Follow(Box<FollowReply>),
     /// What the peer lacks.
-    Gossip {
-        /// The version here.
-        have: Version,
-        /// What the peer lacks, if anything.
-        delta: Option<Delta>,
-        /// The entry hosts, where the peer knows none.
-        members: Vec<Member>,
-    },
+    Gossip(Box<GossipReply>),
     /// The state of this host.
     Status(StatusReply),
 }
 
+/// What a peer lacks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GossipReply {
+    /// Configuration changes after the peer's version.
+    pub delta: Option<Delta>,
+    /// A newer list of entry hosts.
+    pub list: Option<MemberList>,
+    /// Whether the store has not answered the peer for long.
+    pub is_blind: bool,
+    /// How old the peer's list is at most.
+    pub age: Option<Millis>,
+}
+
 /// What the entry process should know.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct FollowReply {
     /// The configuration since the version that was named; `None` where that is the newest.
     pub delta: Option<Delta>,
-    /// The entry hosts that are taken for alive, this one included.
+    /// The entry hosts on the list, in the order of their names.
     pub members: Vec<Member>,
-    /// The longest time in which every entry host notices a change of the members.
+    /// This host's place on the list; `None` while it has none.
+    pub own: Option<MemberId>,
+    /// The longest time in which every entry host notices a new list.
     pub notice: Millis,
-    /// Whether this host hears the store or a peer; if not, its view may be old.
-    pub connected: bool,
+    /// How old the list is at most: the age of the last look that found it the newest; `None` if
+    /// there was none.
+    pub age: Option<Millis>,
 }
 
 /// The state of one host's control.
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -73,8 +73,12 @@
     Cut 401 Error;
     /// This host hears the store or a peer again.
     CutOver 402 Info;
-    /// This entry process does not hear its control.
+    /// This entry process does not hear its control, or hears it again.
     ControlLost 403 Warn;
+    /// The row of an entry host stood still for so long that it is taken off the list.
+    MemberGone 404 Warn;
+    /// This host was taken off the list of entry hosts and comes back as a new stay.
+    TakenOff 405 Warn;
     /// A minion failed so often that it is left alone for a while.
     MinionEjected 500 Warn;
     /// A minion that was left alone is tried again.
--- a/reachhead_path/src/share.rs
+++ b/reachhead_path/src/share.rs
@@ -10,61 +10,81 @@
     time::{Duration, Instant},
 };
 
-use reachhead_types::id::HostId;
+use reachhead_types::member::MemberId;
 use siphasher::sip::SipHasher13;
 
 /// Keys of the hash; part of the agreement between entry hosts, so never changed.
 const HASH_KEYS: [u64; 2] = [0x7265_6163_6868_6561, 0x6473_6c6f_7473_3031];
 
-/// Returns the host that owns slot number `slot` of `minion`; `None` if there are no hosts.
-pub fn owner<'h>(hosts: &'h [HostId], minion: &str, slot: u32) -> Option<&'h HostId> {
-    hosts.iter().max_by_key(|host| (score(host, minion, slot), *host))
+/// Returns the owner of each of the `slots` of `minion`, as an index into `hosts`; empty if there
+/// are no hosts.
+///
+/// Each slot goes to the host with the highest score that has not its even part yet, so nobody is
+/// left without a slot while there are enough. The score is by name alone, so a host that comes
+/// back gets its slots back.
+pub fn owners(hosts: &[MemberId], minion: &str, slots: u32) -> Vec<usize> {
+    if hosts.is_empty() {
+        return Vec::new();
+    }
+    let even = slots.div_ceil(hosts.len() as u32);
+    let mut owned = vec![0; hosts.len()];
+    let assign = |slot| {
+        let open = (0..hosts.len()).filter(|&index| owned[index] < even);
+        let best = open.max_by_key(|&index| (score(&hosts[index], minion, slot), &hosts[index]));
+        let index = best.unwrap_or_default();
+        owned[index] += 1;
+        index
+    };
+    (0..slots).map(assign).collect()
 }
 
-fn score(host: &HostId, minion: &str, slot: u32) -> u64 {
+/// Returns how strongly a host draws a slot; the same on every host.
+pub fn score(member: &MemberId, minion: &str, slot: u32) -> u64 {
     let mut hasher = SipHasher13::new_with_keys(HASH_KEYS[0], HASH_KEYS[1]);
-    (host.as_str(), minion, slot).hash(&mut hasher);
+    (member.host.as_str(), minion, slot).hash(&mut hasher);
     hasher.finish()
 }
 
 /// The lists of entry hosts that this host has seen lately.
 ///
 /// A slot may be used only while every list in force during the last `hold` gives it to this host.
-/// A host that loses a slot stops at once; the one that gains it waits until the loser must have
-/// noticed and its last request is over.
-#[derive(Debug, Clone)]
+/// A host that loses a slot stops at once; the one that gains it waits out the hold, which must be
+/// twice the time in which every host notices a new list, plus the longest request.
+#[derive(Debug, Clone, Default)]
 pub struct ShareHistory {
-    own: HostId,
     lists: VecDeque<Seen>,
 }
 
 #[derive(Debug, Clone)]
 struct Seen {
-    hosts: Vec<HostId>,
+    /// This host's place on the list, if it has one.
+    own: Option<MemberId>,
+    hosts: Vec<MemberId>,
     /// When this list was replaced; `None` for the list in force.
     until: Option<Instant>,
 }
 
 impl ShareHistory {
-    /// Returns the history of a process that just started, at `now`.
+    /// Returns the history of a process that just started.
     ///
     /// It has seen no list, which counts as a list that gives it nothing: the others may not have
     /// noticed this host yet.
-    pub fn new(own: HostId) -> Self {
-        let none = Seen { hosts: Vec::new(), until: None };
-        Self { own, lists: VecDeque::from([none]) }
+    pub fn new() -> Self {
+        let none = Seen { own: None, hosts: Vec::new(), until: None };
+        Self { lists: VecDeque::from([none]) }
     }
 
-    /// Notes the list that is in force from `now` on and tells whether it is a new one.
-    pub fn note(&mut self, hosts: Vec<HostId>, now: Instant) -> bool {
+    /// Notes the list that is in force from `now` on, and this host's place on it, and tells
+    /// whether it is a new one.
+    pub fn note(&mut self, hosts: Vec<MemberId>, own: Option<MemberId>, now: Instant) -> bool {
         let Some(last) = self.lists.back_mut() else {
             return false;
         };
-        if last.hosts == hosts {
+        if last.hosts == hosts && last.own == own {
             return false;
         }
         last.until = Some(now);
-        self.lists.push_back(Seen { hosts, until: None });
+        self.lists.push_back(Seen { own, hosts, until: None });
         true
     }
 
@@ -82,10 +102,20 @@
 
     /// Returns how many of `slots` of `minion` this host may use.
     pub fn usable(&self, minion: &str, slots: u32) -> u32 {
-        let is_own = |slot: u32| {
-            self.lists.iter().all(|seen| owner(&seen.hosts, minion, slot) == Some(&self.own))
+        let Some(own) = self.lists.back().and_then(|last| last.own.as_ref()) else {
+            return 0;
         };
-        (0..slots).filter(|&slot| is_own(slot)).count() as u32
+        // An earlier stay of this host is another owner: others may have used its slots since.
+        let owned: Vec<Vec<bool>> = self
+            .lists
+            .iter()
+            .map(|seen| {
+                let owners = owners(&seen.hosts, minion, slots);
+                owners.into_iter().map(|index| seen.hosts[index] == *own).collect()
+            })
+            .collect();
+        let is_own = |slot: &usize| owned.iter().all(|list| list.get(*slot) == Some(&true));
+        (0..slots as usize).filter(is_own).count() as u32
     }
 
     /// Tells whether a list other than the one in force still counts.
--- /dev/null
+++ b/reachhead_store/tests/breaker.rs
@@ -0,0 +1,50 @@
+//! The breaker: rate, bursts, an outage and its end.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::time::{Duration, Instant};
+
+use quickcheck::quickcheck;
+use reachhead_store::breaker::{Breaker, FAILURE_LIMIT, Gate, LAST_PAUSE};
+
+quickcheck! {
+    /// Over any pattern of calls no more get through than the rate and one burst allow.
+    fn the_rate_holds(gaps: Vec<u8>, rate: u8) -> bool {
+        let rate = u32::from(rate) + 1;
+        let start = Instant::now();
+        let mut breaker = Breaker::new(rate, start);
+        let mut now = start;
+        let mut passed = 0;
+        for gap in gaps {
+            now += Duration::from_millis(u64::from(gap) / 8);
+            passed += u32::from(matches!(breaker.gate(now), Gate::Go | Gate::Wait(_)));
+        }
+        let seconds = now.duration_since(start).as_secs_f64() + 0.25;
+        f64::from(passed) <= f64::from(rate) * (seconds + 1.0) + 1.0
+    }
+}
+
+#[test]
+fn an_outage_fails_calls_at_once_but_for_a_probe_now_and_then() {
+    let start = Instant::now();
+    let mut breaker = Breaker::new(100, start);
+    for _ in 0..FAILURE_LIMIT {
+        assert!(matches!(breaker.gate(start), Gate::Go));
+        breaker.fail(start, 1.0);
+    }
+    assert!(breaker.is_down());
+    let mut probes = 0;
+    for step in 0..60_000 {
+        let now = start + Duration::from_millis(step);
+        if breaker.gate(now) != Gate::Down {
+            probes += 1;
+            breaker.fail(now, 1.0);
+        }
+    }
+    assert!((28..=40).contains(&probes), "{probes} probes in a minute");
+    let later = start + Duration::from_secs(60) + LAST_PAUSE;
+    assert_eq!(breaker.gate(later), Gate::Go);
+    breaker.succeed();
+    assert!(!breaker.is_down());
+    assert_eq!(breaker.gate(later), Gate::Go);
+}
--- /dev/null
+++ b/reachhead_store/tests/config.rs
@@ -0,0 +1,184 @@
+//! Operators race each other while the store loses answers: no accepted change is lost or undone.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+};
+
+use futures::future::{BoxFuture, FutureExt};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use reachhead_store::{
+    Store, StoreError,
+    config::{self, ChangeError, ChangeRequest, Changer, ConfigWrite},
+    memory::MemoryStore,
+    row::{Commit, Key, Page, Row, Scan, Txn},
+};
+use reachhead_types::{
+    book::Book,
+    fleet::RowKey,
+    id::ChangeId,
+    size::{Millis, Version},
+};
+use serde_json::json;
+
+/// A store that fails calls at random, before or after they take effect.
+struct Flaky {
+    inner: MemoryStore,
+    rng: Mutex<SmallRng>,
+    rate: f64,
+}
+
+impl Flaky {
+    fn new(seed: u64, rate: f64) -> Arc<Self> {
+        let rng = Mutex::new(SmallRng::seed_from_u64(seed));
+        Arc::new(Self { inner: MemoryStore::new(), rng, rate })
+    }
+
+    fn draw(&self) -> bool {
+        let mut rng = self.rng.lock().unwrap();
+        rng.random_bool(self.rate)
+    }
+}
+
+impl Store for Flaky {
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
+        async move {
+            tokio::task::yield_now().await;
+            self.inner.read(keys).await
+        }
+        .boxed()
+    }
+
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
+        async move {
+            tokio::task::yield_now().await;
+            self.inner.scan(scan).await
+        }
+        .boxed()
+    }
+
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
+        async move {
+            tokio::task::yield_now().await;
+            if self.draw() {
+                return Err(StoreError::Lost("before".to_owned()));
+            }
+            let commit = self.inner.commit(txn).await;
+            if self.draw() {
+                return Err(StoreError::Lost("after".to_owned()));
+            }
+            commit
+        }
+        .boxed()
+    }
+}
+
+fn request(id: u128, row: &str, value: u32, expected: Option<Version>) -> ChangeRequest {
+    let value = Some(json!({ "settings": { "queue": value } }));
+    let write = ConfigWrite { key: row.parse().unwrap(), value, expected };
+    ChangeRequest { id: ChangeId(id), writes: vec![write] }
+}
+
+fn changer(store: &dyn Store) -> Changer<'_> {
+    Changer::new(store, "tester".parse().unwrap(), Millis(0))
+}
+
+/// Several operators make changes one after the other, repeating each until it is settled.
+async fn race(seed: u64, rate: f64) {
+    let store = Flaky::new(seed, rate);
+    let operators = (0..4_u128).map(|operator| {
+        let store = Arc::clone(&store);
+        tokio::spawn(async move {
+            let mut book = Book::new();
+            let mut accepted = Vec::new();
+            for number in 0..10_u128 {
+                let id = operator * 100 + number;
+                let row = format!("group/o{}", (operator + number) % 3);
+                let request = request(id, &row, id as u32 + 1, None);
+                loop {
+                    match changer(&*store).change(&mut book, &request).await {
+                        Ok(version) => {
+                            accepted.push((id, version));
+                            break;
+                        }
+                        Err(ChangeError::Unknown(_) | ChangeError::NotDone(_)) => {}
+                        Err(error) => panic!("{error}"),
+                    }
+                }
+            }
+            accepted
+        })
+    });
+    let mut accepted = BTreeMap::new();
+    for operator in futures::future::join_all(operators).await {
+        for (id, version) in operator.unwrap() {
+            assert!(accepted.insert(version, id).is_none(), "two changes are version {version}");
+        }
+    }
+    // Every change is there once, and the versions have no hole.
+    let versions: Vec<u64> = accepted.keys().map(|version| version.0).collect();
+    assert_eq!(versions, (1..=40).collect::<Vec<u64>>());
+    // Rows hold the last change in the order of versions, whoever follows from wherever.
+    let mut expected = BTreeMap::new();
+    for id in accepted.values() {
+        let row = format!("group/o{}", (id / 100 + id % 100) % 3);
+        expected.insert(row, json!({ "settings": { "queue": *id as u32 + 1 } }));
+    }
+    let mut book = Book::new();
+    assert!(config::follow(&store.inner, &mut book).await.unwrap());
+    let rows: BTreeMap<String, _> =
+        book.rows().map(|(key, value)| (key.to_string(), value.clone())).collect();
+    assert_eq!(rows, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn racing_operators_and_lost_answers_lose_and_undo_nothing() {
+    for seed in 0..20 {
+        race(seed, 0.0).await;
+        race(seed, 0.2).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_of_a_row_that_moved_is_refused_and_others_do_not_collide() {
+    let store = MemoryStore::new();
+    let mut book = Book::new();
+    let first = changer(&store).change(&mut book, &request(1, "group/a", 1, None)).await.unwrap();
+    let second =
+        changer(&store).change(&mut book, &request(2, "group/b", 2, Some(Version(0)))).await;
+    assert_eq!(second.unwrap(), Version(2));
+    // Someone else changed group b meanwhile; group a is still as it was seen.
+    let stale = changer(&store).change(&mut book, &request(3, "group/b", 3, Some(first))).await;
+    let key: RowKey = "group/b".parse().unwrap();
+    assert!(matches!(stale, Err(ChangeError::Raced(rows)) if rows == [key]));
+    let fine = changer(&store).change(&mut book, &request(4, "group/a", 4, Some(first))).await;
+    assert_eq!(fine.unwrap(), Version(3));
+    // The same change again is the same version and changes nothing more.
+    let again = changer(&store).change(&mut book, &request(4, "group/a", 4, Some(first))).await;
+    assert_eq!(again.unwrap(), Version(3));
+    assert_eq!(book.version(), Version(3));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_follower_far_behind_reads_all_rows_and_comes_to_the_same() {
+    let store = MemoryStore::new();
+    let mut writer = Book::new();
+    let mut near = Book::new();
+    for number in 0..200_u128 {
+        let row = format!("group/g{}", number % 70);
+        let request = request(number, &row, number as u32 + 1, None);
+        changer(&store).change(&mut writer, &request).await.unwrap();
+        if number % 7 == 0 {
+            config::follow(&store, &mut near).await.unwrap();
+        }
+    }
+    let mut far = Book::new();
+    config::follow(&store, &mut near).await.unwrap();
+    config::follow(&store, &mut far).await.unwrap();
+    let rows = |book: &Book| book.rows().map(|(k, v)| (k.clone(), v.clone())).collect::<Vec<_>>();
+    assert_eq!(rows(&near), rows(&writer));
+    assert_eq!(rows(&far), rows(&writer));
+    assert_eq!(far.version(), Version(200));
+}
--- /dev/null
+++ b/reachhead_types/tests/book.rs
@@ -0,0 +1,88 @@
+//! The book of configuration rows against a plain map, with deltas in any order.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::collections::BTreeMap;
+
+use quickcheck::quickcheck;
+use reachhead_types::{
+    book::{Book, Change, Delta},
+    fleet::RowKey,
+    size::Version,
+};
+use serde_json::{Value, json};
+
+fn key(number: u8) -> RowKey {
+    format!("pool/p{}", number % 8).parse().unwrap()
+}
+
+/// One change a version; `None` deletes.
+fn history(changes: &[(u8, Option<u8>)]) -> Vec<Delta> {
+    let delta = |(index, &(row, value)): (usize, &(u8, Option<u8>))| {
+        let (from, to) = (Version(index as u64), Version(index as u64 + 1));
+        let change = Change { key: key(row), value: value.map(|v| json!(v)), version: to };
+        Delta { from, to, changes: vec![change] }
+    };
+    changes.iter().enumerate().map(delta).collect()
+}
+
+fn naive(history: &[Delta], version: usize) -> BTreeMap<RowKey, Value> {
+    let mut rows = BTreeMap::new();
+    for change in history[..version].iter().flat_map(|delta| &delta.changes) {
+        match &change.value {
+            Some(value) => drop(rows.insert(change.key.clone(), value.clone())),
+            None => drop(rows.remove(&change.key)),
+        }
+    }
+    rows
+}
+
+fn rows(book: &Book) -> BTreeMap<RowKey, Value> {
+    book.rows().map(|(key, value)| (key.clone(), value.clone())).collect()
+}
+
+quickcheck! {
+    fn any_order_of_deltas_leads_only_up_and_to_the_same_rows(
+        changes: Vec<(u8, Option<u8>)>,
+        order: Vec<(u8, u8)>
+    ) -> bool {
+        let history = history(&changes);
+        let books: Vec<Book> = (0..=history.len())
+            .map(|version| {
+                let mut book = Book::new();
+                for delta in &history[..version] {
+                    book.apply(delta).unwrap();
+                }
+                book
+            })
+            .collect();
+        let mut book = Book::new();
+        order.into_iter().all(|(from, to)| {
+            // A delta as any process may hand it on: between any two versions, early, late, twice.
+            let to = usize::from(to) % books.len();
+            let from = usize::from(from) % (to + 1);
+            let delta = books[to].since(Version(from as u64));
+            let before = book.version();
+            let applied = book.apply(&delta);
+            let version = book.version().0 as usize;
+            (applied.is_ok() == (delta.from <= before || delta.to <= before))
+                && book.version() == if applied == Ok(true) { delta.to } else { before }
+                && rows(&book) == naive(&history, version)
+        })
+    }
+}
+
+#[test]
+fn a_whole_configuration_takes_the_place_of_everything() {
+    let history = history(&[(1, Some(1)), (2, Some(2)), (1, None)]);
+    let mut newest = Book::new();
+    for delta in &history {
+        newest.apply(delta).unwrap();
+    }
+    let mut book = Book::new();
+    book.apply(&history[0]).unwrap();
+    assert!(book.apply(&newest.since(Version(0))).unwrap());
+    assert_eq!(rows(&book), rows(&newest));
+    assert_eq!(book.row_version(&key(1)), Version(0));
+    assert_eq!(book.row_version(&key(2)), Version(2));
+}
