--- a/reachhead/tests/system/claims.rs
+++ b/reachhead/tests/system/claims.rs
@@ -10,7 +10,7 @@
     time::{self, Instant},
 };
 
-use crate::harness::{
+use reachhead_harness::{
     Call, Cluster, Reply, call,
     cluster::{Plan, state},
     eventually,
@@ -42,7 +42,7 @@
     let long = Call::post("/red/alpha", "long").with_field("standin-work", work);
     let sent = (0..slots).map(|_| send(cluster, host, long.clone())).collect();
     eventually("the slots are full", async || {
-        let state = crate::harness::cluster::state(cluster.hosts[host].entry_ops).await;
+        let state = reachhead_harness::cluster::state(cluster.hosts[host].entry_ops).await;
         let minions = state["services"][0]["minions"].as_array()?.clone();
         let running: u64 = minions.iter().filter_map(|minion| minion["running"].as_u64()).sum();
         (running == slots).then_some(())
--- a/reachhead/tests/system/limits.rs
+++ b/reachhead/tests/system/limits.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tokio::{task::JoinHandle, time};
 
-use crate::harness::{
+use reachhead_harness::{
     Call, Cluster, call,
     cluster::{Plan, ready, state},
     eventually,
--- a/reachhead/tests/system/outcomes.rs
+++ b/reachhead/tests/system/outcomes.rs
@@ -10,7 +10,7 @@
     time::{self, Instant},
 };
 
-use crate::harness::{
+use reachhead_harness::{
     Call, Cluster,
     cluster::{Plan, state},
     eventually,
--- a/reachhead/tests/system/path.rs
+++ b/reachhead/tests/system/path.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 
-use crate::harness::{
+use reachhead_harness::{
     Call,
     cluster::{Plan, state},
 };
@@ -71,7 +71,7 @@
         Call::get("/v1/rows").with_field("authorization", "Bearer wrong"),
         Call::post("/v1/changes", "{}"),
     ] {
-        let reply = crate::harness::call(cluster.admin, &request).await;
+        let reply = reachhead_harness::call(cluster.admin, &request).await;
         assert_eq!(reply.status, 401, "{reply:?}");
     }
     assert_eq!(cluster.admin_call(Call::get("/v1/rows")).await.status, 200);
--- a/reachhead/tests/system/replacement.rs
+++ b/reachhead/tests/system/replacement.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use tokio::{task::JoinHandle, time};
 
-use crate::harness::{
+use reachhead_harness::{
     Call, Cluster, Reply, call,
     cluster::{Plan, ready, state},
     eventually,
--- a/reachhead/tests/system/settings.rs
+++ b/reachhead/tests/system/settings.rs
@@ -7,7 +7,7 @@
     process::{Command, Output},
 };
 
-use crate::harness::process::program;
+use reachhead_harness::process::program;
 
 /// Exit code of settings with faults.
 const EXIT_SETTINGS: i32 = 3;
--- a/reachhead/tests/system/harness/cluster.rs
+++ b/reachhead_harness/src/cluster.rs
@@ -14,7 +14,7 @@
 
 use serde_json::{Value, json};
 
-use super::{
+use crate::{
     Call, Reply, call, caller, eventually,
     process::{Process, SPAWN},
 };
@@ -35,21 +35,26 @@
 
 /// An entry host: its two processes and their addresses.
 pub struct Host {
-    pub name: String,
+    /// `reachhead-control`.
     pub control: Process,
+    /// `reachhead-entry`.
     pub entry: Process,
+    /// Where callers connect.
     pub callers: SocketAddr,
+    /// The ops listener of the entry process.
     pub entry_ops: SocketAddr,
-    pub control_ops: SocketAddr,
-    pub control_link: SocketAddr,
-    pub entry_link: SocketAddr,
+    control_link: SocketAddr,
 }
 
 /// A minion process.
 pub struct Minion {
+    /// Its name in the service.
     pub id: String,
+    /// Its service.
     pub service: String,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The process.
     pub process: Process,
 }
 
@@ -64,13 +69,17 @@
 
 /// A running system.
 pub struct Cluster {
-    pub folder: PathBuf,
+    folder: PathBuf,
     ip: IpAddr,
     plan: Plan,
+    /// Where the store listens.
     pub store: SocketAddr,
-    pub store_process: Process,
+    _store_process: Process,
+    /// The minions in the order in which they were started.
     pub minions: Vec<Minion>,
+    /// The entry hosts in the order in which they were started.
     pub hosts: Vec<Host>,
+    /// Where the admin listens.
     pub admin: SocketAddr,
     _admin_process: Process,
 }
@@ -122,7 +131,7 @@
     async fn start_bare(plan: Plan) -> Self {
         let ip = own_ip();
         let folder = env::temp_dir().join(format!("reachhead-test-{}-{ip}", process::id()));
-        fs::create_dir_all(&folder).unwrap();
+        fs::create_dir_all(&folder).expect("the test system works");
         let store = free(ip);
         let store_process = Process::start(
             &folder,
@@ -145,7 +154,7 @@
             ip,
             plan,
             store,
-            store_process,
+            _store_process: store_process,
             minions: Vec::new(),
             hosts: Vec::new(),
             admin,
@@ -194,8 +203,8 @@
             "link": { "control": control_link, "ask": entry_link, "period": 50 },
             "shutdown": { "lag": 300, "limit": 20000 },
         });
-        for (section, values) in self.plan.entry.as_object().unwrap() {
-            for (key, value) in values.as_object().unwrap() {
+        for (section, values) in self.plan.entry.as_object().expect("the test system works") {
+            for (key, value) in values.as_object().expect("the test system works") {
                 entry[section][key] = value.clone();
             }
         }
@@ -205,16 +214,7 @@
         let args = write_settings(&self.folder, &format!("entry-{name}"), &entry);
         let entry =
             Process::start(&self.folder, &format!("entry-{name}"), "reachhead-entry", &args);
-        self.hosts.push(Host {
-            name,
-            control,
-            entry,
-            callers,
-            entry_ops,
-            control_ops,
-            control_link,
-            entry_link,
-        });
+        self.hosts.push(Host { control, entry, callers, entry_ops, control_link });
     }
 
     /// Writes the groups, services and routes of every test.
@@ -257,8 +257,8 @@
     pub async fn change(&self, rows: Vec<(String, Value)>) -> u64 {
         let reply = self.try_change(&random_id(), rows).await;
         assert_eq!(reply.status, 200, "{reply:?}");
-        let accepted: Value = serde_json::from_str(&reply.body).unwrap();
-        accepted["version"].as_u64().unwrap()
+        let accepted: Value = serde_json::from_str(&reply.body).expect("the test system works");
+        accepted["version"].as_u64().expect("the test system works")
     }
 
     /// Asks the admin for one change.
@@ -308,7 +308,7 @@
     /// Returns the store's counts.
     pub async fn store_counts(&self) -> Value {
         let reply = call(self.store, &Call::get("/count")).await;
-        serde_json::from_str(&reply.body).unwrap()
+        serde_json::from_str(&reply.body).expect("the test system works")
     }
 
     /// Sets what a minion does wrong.
@@ -321,7 +321,7 @@
     /// Returns what a minion counted.
     pub async fn minion_counts(&self, index: usize) -> Value {
         let reply = call(self.minions[index].address, &Call::get("/standin/count")).await;
-        serde_json::from_str(&reply.body).unwrap()
+        serde_json::from_str(&reply.body).expect("the test system works")
     }
 
     /// Returns how often requests with `key` ran, over all minions that answer.
@@ -353,8 +353,11 @@
     static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
     let _spawn = SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        let address = TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap();
-        if GIVEN.lock().unwrap().insert(address) {
+        let address = TcpListener::bind((ip, 0))
+            .expect("the test system works")
+            .local_addr()
+            .expect("the test system works");
+        if GIVEN.lock().expect("the test system works").insert(address) {
             return address;
         }
     }
@@ -389,6 +392,6 @@
 
 fn write_settings(folder: &std::path::Path, name: &str, settings: &Value) -> Vec<String> {
     let path = folder.join(format!("{name}.jsonc"));
-    fs::write(&path, settings.to_string()).unwrap();
+    fs::write(&path, settings.to_string()).expect("the test system works");
     vec!["--settings".to_owned(), path.display().to_string()]
 }
--- a/reachhead/tests/system/harness/mod.rs
+++ b/reachhead_harness/src/lib.rs
@@ -1,10 +1,12 @@
-//! Starts the programs, sends requests, and does harm to processes by their id.
+//! Starts whole systems as processes on loopback, sends requests, and harms processes by their id.
+//!
+//! For tests and measurements only, so it panics where it can't go on.
 
 pub mod caller;
 pub mod cluster;
 pub mod process;
 
-pub use self::{
+pub use crate::{
     caller::{Call, Reply, call},
     cluster::Cluster,
 };
