reachhead-bench path: the request path measured beside its naive versions

Cause: no figure stood yet. Change: open-loop load that counts from the due time, a bare forwarder of the same library as baseline, five measurements on real processes, one JSON line.

--- /dev/null
+++ b/reachhead_bench/src/main.rs
@@ -0,0 +1,82 @@
+//! Measurements of the system; each ends with one JSON line.
+
+mod forwarder;
+mod load;
+mod path;
+
+use std::{net::SocketAddr, process::ExitCode};
+
+use argh::FromArgs;
+use reachhead_ops::{cli, runtime};
+use serde_json::Value;
+
+/// Threads that make load; the processes under test get the other cores.
+const LOAD_THREADS: usize = 3;
+
+/// Measurements of the system; each ends with one JSON line.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    part: Part,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Part {
+    Path(PathArgs),
+    Forwarder(ForwarderArgs),
+}
+
+/// The request path on real processes, each figure beside its naive version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "path")]
+struct PathArgs {
+    /// one of overhead, fairness, claims, overload, retries; all by default
+    #[argh(option)]
+    only: Option<String>,
+}
+
+/// The baseline: a bare forwarder, one connection out per connection in, no decisions.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "forwarder")]
+struct ForwarderArgs {
+    /// address to listen on
+    #[argh(option)]
+    address: SocketAddr,
+
+    /// address to forward to; may be given several times, taken in turn
+    #[argh(option)]
+    to: Vec<SocketAddr>,
+}
+
+fn main() -> ExitCode {
+    let args: Args = match cli::parse_args("reachhead-bench") {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    match run(args) {
+        Ok(Some(figures)) => {
+            println!("{figures}");
+            ExitCode::SUCCESS
+        }
+        Ok(None) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("reachhead-bench: {error}");
+            ExitCode::from(cli::EXIT_RUNTIME)
+        }
+    }
+}
+
+fn run(args: Args) -> std::io::Result<Option<Value>> {
+    match args.part {
+        Part::Forwarder(ForwarderArgs { address, to }) => {
+            runtime::single()?.block_on(forwarder::run(address, to)).map(|()| None)
+        }
+        Part::Path(PathArgs { only }) => tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(LOAD_THREADS)
+            .enable_all()
+            .build()?
+            .block_on(path::run(only.as_deref()))
+            .map(Some),
+    }
+}
--- /dev/null
+++ b/reachhead_bench/src/path/claims.rs
@@ -0,0 +1,71 @@
+//! Store writes and added latency of requests that run at most once.
+
+use std::time::Duration;
+
+use reachhead_harness::cluster::{Cluster, Plan};
+use serde_json::{Value, json};
+
+use crate::load::{self, Outcome, Stream};
+
+/// Requests a second.
+const RATE: f64 = 500.0;
+
+/// Length of a run.
+const LENGTH: Duration = Duration::from_secs(8);
+
+/// Milliseconds that the store takes for a call.
+const STORE_DELAY: u64 = 5;
+
+/// Measures with batches as set by default, and with one transaction for each claim and record.
+pub async fn run() -> Value {
+    let unkeyed = measure(Plan::new(1, 4), false).await;
+    let batched = measure(Plan::new(1, 4), true).await;
+    let single = json!({ "claims": { "linger": 0, "batch": 1 }, "store": { "rate": 100_000 } });
+    let naive = measure(Plan::new(1, 4).with_entry(single), true).await;
+    let added = |measured: &Measured| {
+        let store = STORE_DELAY as f64;
+        (measured.outcome.quantile(0.5) - unkeyed.outcome.quantile(0.5) - store).max(0.0)
+    };
+    json!({
+        "rate_per_s": RATE,
+        "store_delay_ms": STORE_DELAY,
+        "unkeyed": unkeyed.json(),
+        "batched": batched.json(),
+        "one_by_one": naive.json(),
+        "batched_added_p50_ms": added(&batched),
+        "one_by_one_added_p50_ms": added(&naive),
+    })
+}
+
+struct Measured {
+    outcome: Outcome,
+    writes: f64,
+}
+
+impl Measured {
+    fn json(&self) -> Value {
+        let writes = (self.writes * 1000.0).round() / 1000.0;
+        json!({ "load": self.outcome.json(), "writes_per_request": writes })
+    }
+}
+
+async fn measure(plan: Plan, is_keyed: bool) -> Measured {
+    let cluster = plan.start().await;
+    cluster.store_fault(json!({ "delay": STORE_DELAY })).await;
+    let quiet = commits(&cluster).await;
+    tokio::time::sleep(LENGTH).await;
+    // What the members' rows cost meanwhile is no part of the requests.
+    let background = commits(&cluster).await - quiet;
+    let before = commits(&cluster).await;
+    let path = if is_keyed { "/red/pay" } else { "/red/alpha" };
+    let stream =
+        Stream { to: vec![cluster.hosts[0].callers], method: "POST", path, is_keyed, sends: 1 };
+    let outcome = load::open_loop(&stream, RATE, LENGTH).await;
+    let writes = commits(&cluster).await - before - background;
+    let sent: u64 = outcome.statuses.values().sum();
+    Measured { outcome, writes: writes / sent as f64 }
+}
+
+async fn commits(cluster: &Cluster) -> f64 {
+    cluster.store_counts().await["commits"].as_f64().unwrap_or_default()
+}
--- /dev/null
+++ b/reachhead_bench/src/path/mod.rs
@@ -0,0 +1,37 @@
+//! Measurements of the request path.
+
+mod claims;
+mod fairness;
+mod overhead;
+mod overload;
+mod retries;
+
+use std::{future::Future, io, pin::Pin};
+
+use serde_json::{Map, Value};
+
+type Measurement = fn() -> Pin<Box<dyn Future<Output = Value>>>;
+
+/// The measurements by name, in the order in which they run.
+const MEASUREMENTS: [(&str, Measurement); 5] = [
+    ("overhead", || Box::pin(overhead::run())),
+    ("fairness", || Box::pin(fairness::run())),
+    ("claims", || Box::pin(claims::run())),
+    ("overload", || Box::pin(overload::run())),
+    ("retries", || Box::pin(retries::run())),
+];
+
+/// Runs one measurement, or all.
+pub async fn run(only: Option<&str>) -> io::Result<Value> {
+    let mut figures = Map::new();
+    for (name, measure) in MEASUREMENTS {
+        if only.is_none_or(|only| only == name) {
+            eprintln!("measuring {name}");
+            figures.insert(name.to_owned(), measure().await);
+        }
+    }
+    if figures.is_empty() {
+        return Err(io::Error::other("there is no such measurement"));
+    }
+    Ok(Value::Object(figures))
+}
