Old claims are deleted by marks that no clock is compared for

Cause: claims stayed in the store for ever. Change: a row of marks, each a store revision written a step after the one before; claims older than 24 steps are deleted in pages. Figures: with 6 s to keep, an old claim goes after 6 s or more and a younger one stays (test).

--- a/reachhead/tests/system/claims.rs
+++ b/reachhead/tests/system/claims.rs
@@ -264,3 +264,24 @@
     assert_eq!((retried.status, retried.outcome()), (200, "ran"));
     assert_eq!((cluster.runs("a").await, cluster.runs("b").await), (1, 1));
 }
+
+#[tokio::test]
+async fn old_claims_are_cleaned_up_and_younger_ones_kept() {
+    // Kept for 6 s, in 24 steps of 250 ms.
+    let plan = Plan::new(2, 1).with_control(json!({ "clean": { "keep": 6000 } }));
+    let cluster = plan.start().await;
+    assert_eq!(cluster.call(0, &pay("old")).await.status, 200);
+    let sent = Instant::now();
+    eventually("the old claim is gone", async || {
+        // A younger claim is there all the time.
+        let young = format!("young-{}", sent.elapsed().as_secs());
+        assert_eq!(cluster.call(1, &pay(&young)).await.status, 200);
+        let rows = claims(&cluster).await;
+        assert!(!rows.is_empty(), "a young claim was deleted");
+        let digest = "cba06b5736faf67e54b07b561eae94395e774c517a7d910a54369e1263ccfbd4";
+        let key = format!("claim/alpha/red/{digest}");
+        (!rows.iter().any(|row| row["key"] == key)).then_some(())
+    })
+    .await;
+    assert!(sent.elapsed() >= Duration::from_secs(6), "gone after {:?}", sent.elapsed());
+}
--- a/reachhead_config/src/control.rs
+++ b/reachhead_config/src/control.rs
@@ -37,6 +37,14 @@
     }
 }
 
+section! {
+    /// Cleaning up after requests that run at most once.
+    CleanSettings {
+        /// Milliseconds for which a key is remembered at least; a day by default.
+        keep: NonZeroU64 = millis(86_400_000);
+    }
+}
+
 section! {
     /// Settings of `reachhead-control`.
     ControlSettings {
@@ -56,5 +64,7 @@
         link: ControlLinkSettings;
         /// What is followed in the store.
         follow: FollowSettings;
+        /// Cleaning up old claims.
+        clean: CleanSettings;
     }
 }
--- a/reachhead_control/src/main.rs
+++ b/reachhead_control/src/main.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration and the entry hosts' membership and feeds both to its host.
 
 mod answer;
+mod clean;
 mod follow;
 mod gossip;
 mod members;
--- a/reachhead_control/src/process.rs
+++ b/reachhead_control/src/process.rs
@@ -1,6 +1,6 @@
 //! The process: one thread for each duty around one view.
 //!
-//! - `follow`: reads the store and writes this host's row.
+//! - the main thread: reads the store, writes this host's row, cleans up old claims.
 //! - `gossip`: asks peers.
 //! - `link`: answers this host's entry process and peers.
 //! - `ops`: answers operators.
@@ -22,8 +22,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    answer::ControlResponder, follow::Follower, gossip::Gossiper, metrics::Metrics, terms::Terms,
-    view::View,
+    answer::ControlResponder, clean::Cleaner, follow::Follower, gossip::Gossiper, metrics::Metrics,
+    terms::Terms, view::View,
 };
 
 struct ControlObserved {
@@ -74,17 +74,19 @@
         control: settings.link.address,
         entry: settings.link.entry,
     };
+    let cleaner = Cleaner::new(Arc::clone(&store), &settings.clean);
     let follower = Follower::new(view, store, follow, own);
     emit(Event::Started, format_args!("control of {}", settings.host));
-    run_follower(follower)?;
+    run_on_store(follower, cleaner)?;
     Ok(())
 }
 
-/// Follows the store on this thread until a shutdown is asked for.
-fn run_follower(follower: Follower) -> io::Result<()> {
+/// Works on the store on this thread until a shutdown is asked for.
+fn run_on_store(follower: Follower, cleaner: Cleaner) -> io::Result<()> {
     runtime::single()?.block_on(async move {
         let (stop, stopped) = watch::channel(false);
-        let following = tokio::spawn(follower.run(stopped));
+        let following = tokio::spawn(follower.run(stopped.clone()));
+        tokio::spawn(cleaner.run(stopped));
         runtime::shutdown_signal().await?;
         emit(Event::ShutdownBegun, "leaving the list of entry hosts");
         stop.send_replace(true);
--- a/reachhead_harness/src/cluster.rs
+++ b/reachhead_harness/src/cluster.rs
@@ -65,6 +65,7 @@
     work: u64,
     deadline: u64,
     entry: Value,
+    control: Value,
 }
 
 /// A running system.
@@ -87,7 +88,7 @@
 impl Plan {
     /// Returns a plan of `hosts` entry hosts and `minions` minions for each of two services.
     pub fn new(hosts: usize, minions: usize) -> Self {
-        Self { hosts, minions, work: 0, deadline: 1500, entry: json!({}) }
+        Self { hosts, minions, work: 0, deadline: 1500, entry: json!({}), control: json!({}) }
     }
 
     /// Sets the milliseconds that a minion works on a request.
@@ -108,6 +109,12 @@
         self
     }
 
+    /// Sets sections of the control processes' settings.
+    pub fn with_control(mut self, control: Value) -> Self {
+        self.control = control;
+        self
+    }
+
     /// Starts everything and waits until every entry host is ready.
     pub async fn start(self) -> Cluster {
         let mut cluster = Cluster::start_bare(self).await;
@@ -187,7 +194,7 @@
         let zone = ZONES[self.hosts.len() % ZONES.len()];
         let [control_ops, control_link, entry_ops, entry_link, callers] =
             [(); 5].map(|()| free(self.ip));
-        let control = json!({
+        let mut control = json!({
             "program": "control", "host": name, "zone": zone,
             "ops": { "address": control_ops }, "store": { "address": self.store, "deadline": 500 },
             "link": {
@@ -203,11 +210,8 @@
             "link": { "control": control_link, "ask": entry_link, "period": 50 },
             "shutdown": { "lag": 300, "limit": 20000 },
         });
-        for (section, values) in self.plan.entry.as_object().expect("the test system works") {
-            for (key, value) in values.as_object().expect("the test system works") {
-                entry[section][key] = value.clone();
-            }
-        }
+        merge(&mut control, &self.plan.control);
+        merge(&mut entry, &self.plan.entry);
         let args = write_settings(&self.folder, &format!("control-{name}"), &control);
         let control =
             Process::start(&self.folder, &format!("control-{name}"), "reachhead-control", &args);
@@ -395,3 +399,12 @@
     fs::write(&path, settings.to_string()).expect("the test system works");
     vec!["--settings".to_owned(), path.display().to_string()]
 }
+
+/// Writes the sections of `changes` over those of `settings`.
+fn merge(settings: &mut Value, changes: &Value) {
+    for (section, values) in changes.as_object().into_iter().flatten() {
+        for (key, value) in values.as_object().into_iter().flatten() {
+            settings[section][key] = value.clone();
+        }
+    }
+}
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -67,6 +67,8 @@
     StoreLost 300 Warn;
     /// The store answers again.
     StoreBack 301 Info;
+    /// Claims older than they are kept for were deleted.
+    ClaimsCleaned 310 Info;
     /// The list of entry hosts changed.
     MembersChanged 400 Info;
     /// This host hears neither the store nor a peer.
--- a/reachhead_store/src/keys.rs
+++ b/reachhead_store/src/keys.rs
@@ -17,6 +17,14 @@
 /// What the keys of member rows start with.
 pub const MEMBER_PREFIX: &str = "member/";
 
+/// What the keys of claims start with.
+pub const CLAIM_PREFIX: &str = "claim/";
+
+/// The row of the marks by which the age of claims is told.
+pub fn claim_marks() -> Key {
+    Key("claim-marks".to_owned())
+}
+
 /// The row that holds the configuration's version.
 pub fn head() -> Key {
     Key("config/head".to_owned())
@@ -44,5 +52,5 @@
 
 /// The row of the claim on an idempotency key, which goes in by its digest.
 pub fn claim(group: &GroupName, service: &ServiceName, digest: &str) -> Key {
-    Key(format!("claim/{service}/{group}/{digest}"))
+    Key(format!("{CLAIM_PREFIX}{service}/{group}/{digest}"))
 }
