--- a/reachhead/tests/system/replacement.rs
+++ b/reachhead/tests/system/replacement.rs
@@ -165,6 +165,48 @@
     assert!(served > 300, "only {served} requests were served meanwhile");
 }
 
+/// Posts a host list with two hosts, the first of which is live or leaving.
+async fn set_hosts(cluster: &Cluster, revision: u64, first: &str) {
+    let hosts = json!([
+        { "host": "w0", "state": first },
+        { "host": "w1", "state": "live" },
+    ]);
+    let list = json!({ "revision": revision, "hosts": hosts }).to_string();
+    let reply = call(cluster.store, &Call::post("/hosts", &list)).await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+}
+
+#[tokio::test]
+async fn a_leaving_host_on_a_stale_list_gets_no_new_work() {
+    let cluster = Plan::new(2, 2).start().await;
+    let mut rows = Vec::new();
+    for (index, minion) in cluster.minions.iter().enumerate() {
+        let (key, mut row) = cluster.minion_row(minion, "serving");
+        row["host"] = json!(format!("w{}", index % 2));
+        rows.push((key, row));
+    }
+    set_hosts(&cluster, 1, "live").await;
+    let version = cluster.change(rows).await;
+    cluster.in_force(version).await;
+    let load = Load::start(&cluster);
+    eventually("the first host has work", async || {
+        (cluster.minion_counts(0).await["ran"].as_u64()? > 10).then_some(())
+    })
+    .await;
+    // From here on every other read of the list is an old one that says "live".
+    cluster.store_fault(json!({ "stale": true })).await;
+    set_hosts(&cluster, 2, "leaving").await;
+    time::sleep(Duration::from_secs(3)).await;
+    let ran = [0, 2].map(|index| cluster.minion_counts(index));
+    let ran = futures::future::join_all(ran).await;
+    time::sleep(Duration::from_secs(2)).await;
+    for (index, before) in [0, 2].into_iter().zip(ran) {
+        let now = cluster.minion_counts(index).await;
+        assert_eq!(now["ran"], before["ran"], "minion {index} still gets new work");
+    }
+    load.stop().await;
+}
+
 fn running_at(state: &serde_json::Value, service: &str, minion: &str) -> u64 {
     let services = state["services"].as_array().unwrap();
     let service = services.iter().find(|one| one["name"] == json!(service)).unwrap();
--- /dev/null
+++ b/reachhead_bench/src/capacity/rows.rs
@@ -0,0 +1,130 @@
+//! Memory and processor time of control and entry over the number of configuration rows.
+
+use std::time::{Duration, Instant};
+
+use reachhead_harness::{
+    cluster::{Cluster, Plan},
+    process::{Process, Usage},
+};
+use serde_json::{Value, json};
+
+use crate::capacity::fit::{self, Point};
+
+/// Minions in the configuration; each ten are a service with a group, a pool and a route.
+const MINIONS: [usize; 5] = [50, 200, 800, 2000, 4500];
+
+/// Changes of which the cost is measured.
+const CHANGES: u32 = 10;
+
+/// How long a process settles before it is measured.
+const SETTLE: Duration = Duration::from_secs(2);
+
+struct Measured {
+    rows: usize,
+    control: Usage,
+    entry: Usage,
+    control_ms: f64,
+    entry_ms: f64,
+    spread_ms: f64,
+}
+
+/// Measures one host with configurations of growing size.
+pub async fn run() -> Value {
+    let mut all = Vec::new();
+    for minions in MINIONS {
+        eprintln!("measuring {minions} minions");
+        all.push(measure(minions).await);
+    }
+    let points = |value: fn(&Measured) -> f64| -> Vec<Point> {
+        let point = |one: &Measured| Point { size: one.rows as f64, value: value(one) };
+        all.iter().map(point).collect()
+    };
+    let figure = |value: fn(&Measured) -> f64| {
+        let points = points(value);
+        let values: Vec<f64> = points.iter().map(|point| fit::short(point.value)).collect();
+        json!({ "values": values, "line": fit::line(&points) })
+    };
+    json!({
+        "rows": all.iter().map(|one| one.rows).collect::<Vec<_>>(),
+        "control_mb": figure(|one| megabytes(&one.control)),
+        "entry_mb": figure(|one| megabytes(&one.entry)),
+        "control_cpu_ms_per_change": figure(|one| one.control_ms),
+        "entry_cpu_ms_per_change": figure(|one| one.entry_ms),
+        "change_in_force_ms": figure(|one| one.spread_ms),
+        "control_threads": all[0].control.threads,
+        "entry_threads": all[0].entry.threads,
+    })
+}
+
+async fn measure(minions: usize) -> Measured {
+    let mut cluster = Plan::new(0, 0).with_control(production()).start_bare().await;
+    cluster.configure().await;
+    let rows = rows(minions);
+    let count = rows.len() + cluster_rows();
+    let version = cluster.change(rows).await;
+    cluster.add_host();
+    cluster.in_force(version).await;
+    tokio::time::sleep(SETTLE).await;
+    let host = &cluster.hosts[0];
+    let (control, entry) = (host.control.usage(), host.entry.usage());
+    let spread_ms = change_repeatedly(&cluster).await;
+    let per_change = |process: &Process, before: &Usage| {
+        (process.usage().cpu - before.cpu).as_secs_f64() * 1000.0 / f64::from(CHANGES)
+    };
+    let control_ms = per_change(&host.control, &control);
+    let entry_ms = per_change(&host.entry, &entry);
+    Measured {
+        rows: count,
+        control: host.control.usage(),
+        entry: host.entry.usage(),
+        control_ms,
+        entry_ms,
+        spread_ms,
+    }
+}
+
+/// Makes changes one after the other and returns the mean time until each is in force.
+async fn change_repeatedly(cluster: &Cluster) -> f64 {
+    let started = Instant::now();
+    for number in 1..=CHANGES {
+        let row = json!({ "parent": "top", "settings": { "weight": number } });
+        let version = cluster.change(vec![("group/red".to_owned(), row)]).await;
+        cluster.in_force(version).await;
+    }
+    started.elapsed().as_secs_f64() * 1000.0 / f64::from(CHANGES)
+}
+
+/// The periods that the programs have by default.
+pub fn production() -> Value {
+    json!({ "follow": { "version": 250, "members": 250 }, "link": { "gossip": 1000 } })
+}
+
+fn cluster_rows() -> usize {
+    // Three groups, a pool, two services and four routes of the harness.
+    10
+}
+
+fn rows(minions: usize) -> Vec<(String, Value)> {
+    let mut rows = Vec::new();
+    for service in 0..minions / 10 {
+        let group = format!("g{service}");
+        rows.push((format!("group/{group}"), json!({ "parent": "top" })));
+        rows.push((format!("pool/p{service}"), json!({ "group": group })));
+        let pool = format!("p{service}");
+        rows.push((format!("service/s{service}"), json!({ "group": group, "pool": pool })));
+        let route = json!({
+            "path": format!("/g{service}"), "group": group, "service": format!("s{service}"),
+        });
+        rows.push((format!("route/r{service}"), route));
+        for minion in 0..10 {
+            let address = format!("127.0.0.1:{}", 1024 + minion);
+            let row = json!({ "address": address, "zone": "z1" });
+            rows.push((format!("minion/s{service}/m{minion}"), row));
+        }
+    }
+    rows
+}
+
+fn megabytes(usage: &Usage) -> f64 {
+    usage.memory as f64 / f64::from(1 << 20)
+}
--- a/reachhead_bench/src/main.rs
+++ b/reachhead_bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of the system; each ends with one JSON line.
 
+mod capacity;
 mod forwarder;
 mod load;
 mod path;
@@ -24,6 +25,7 @@
 #[argh(subcommand)]
 enum Part {
     Path(PathArgs),
+    Capacity(CapacityArgs),
     Forwarder(ForwarderArgs),
 }
 
@@ -36,6 +38,15 @@
     only: Option<String>,
 }
 
+/// Slopes of state, messages, processor time and memory, for docs/CAPACITY.md.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct CapacityArgs {
+    /// one of hosts, rows, shares; all by default
+    #[argh(option)]
+    only: Option<String>,
+}
+
 /// The baseline: a bare forwarder, one connection out per connection in, no decisions.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "forwarder")]
@@ -72,11 +83,18 @@
         Part::Forwarder(ForwarderArgs { address, to }) => {
             runtime::single()?.block_on(forwarder::run(address, to)).map(|()| None)
         }
-        Part::Path(PathArgs { only }) => tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(LOAD_THREADS)
-            .enable_all()
-            .build()?
-            .block_on(path::run(only.as_deref()))
-            .map(Some),
+        Part::Path(PathArgs { only }) => measure(path::run(only.as_deref())),
+        Part::Capacity(CapacityArgs { only }) => measure(capacity::run(only.as_deref())),
     }
 }
+
+fn measure(
+    figures: impl Future<Output = std::io::Result<Value>>,
+) -> std::io::Result<Option<Value>> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(LOAD_THREADS)
+        .enable_all()
+        .build()?
+        .block_on(figures)
+        .map(Some)
+}
--- a/reachhead_config/src/control.rs
+++ b/reachhead_config/src/control.rs
@@ -32,6 +32,8 @@
         /// Milliseconds between two reads of the member rows by one host, and between its writes
         /// of its own row, for each host of the fleet.
         members: NonZeroU64 = millis(250);
+        /// Milliseconds between two reads of the platform's host list by the whole fleet.
+        hosts: NonZeroU64 = millis(250);
         /// Heartbeat rounds without progress after which a member is taken for gone.
         missed: NonZeroU32 = count(4);
     }
--- a/reachhead_control/src/answer.rs
+++ b/reachhead_control/src/answer.rs
@@ -8,7 +8,7 @@
 };
 use reachhead_types::{
     book::Delta,
-    size::{Millis, Version},
+    size::{Millis, Revision, Version},
 };
 
 use crate::view::View;
@@ -24,10 +24,11 @@
         Self { view }
     }
 
-    fn follow(&self, have: Version) -> ControlReply {
+    fn follow(&self, have: Version, hosts: Revision) -> ControlReply {
         self.view.note_entry(have);
         ControlReply::Follow(Box::new(FollowReply {
             delta: self.view.since(have),
+            leaving: self.view.leaving_since(hosts),
             members: self.view.members(),
             own: self.view.own_member(),
             notice: millis(self.view.notice()),
@@ -35,7 +36,13 @@
         }))
     }
 
-    fn gossip(&self, have: Version, delta: Option<&Delta>, list: ListStamp) -> ControlReply {
+    fn gossip(
+        &self,
+        have: Version,
+        delta: Option<&Delta>,
+        list: ListStamp,
+        hosts: Revision,
+    ) -> ControlReply {
         if let Some(delta) = delta {
             // A gap is filled by this host's own rounds, which fetch the whole of it.
             let _ = self.view.apply(delta);
@@ -43,6 +50,7 @@
         ControlReply::Gossip(Box::new(GossipReply {
             delta: self.view.since(have),
             list: self.view.members_since(list),
+            leaving: self.view.leaving_since(hosts),
             is_blind: self.view.is_blind(),
             age: self.view.list_age().map(millis),
         }))
@@ -60,8 +68,10 @@
 impl Responder<ControlRequest, ControlReply> for ControlResponder {
     fn respond(&mut self, request: ControlRequest) -> ControlReply {
         match request {
-            ControlRequest::Follow { have } => self.follow(have),
-            ControlRequest::Gossip { have, delta, list } => self.gossip(have, delta.as_ref(), list),
+            ControlRequest::Follow { have, hosts } => self.follow(have, hosts),
+            ControlRequest::Gossip { have, delta, list, hosts } => {
+                self.gossip(have, delta.as_ref(), list, hosts)
+            }
             ControlRequest::Status => self.status(),
         }
     }
--- a/reachhead_control/src/follow.rs
+++ b/reachhead_control/src/follow.rs
@@ -15,10 +15,12 @@
     runtime,
 };
 use reachhead_store::{
-    Store, StoreError, config, keys,
+    HostLister, Store, StoreError,
+    config::{self, News},
+    keys,
     row::{Scan, Txn},
 };
-use reachhead_types::{id::Incarnation, member::Member, size::Revision};
+use reachhead_types::{hosts::LeavingHosts, id::Incarnation, member::Member, size::Revision};
 use serde::Deserialize;
 use tokio::{sync::watch, time};
 
@@ -34,6 +36,7 @@
 pub struct Follower {
     view: Arc<View>,
     store: Arc<dyn Store>,
+    hosts: Arc<dyn HostLister>,
     settings: FollowSettings,
     own: Member,
     own_revision: Option<Revision>,
@@ -44,16 +47,18 @@
     pub fn new(
         view: Arc<View>,
         store: Arc<dyn Store>,
+        hosts: Arc<dyn HostLister>,
         settings: FollowSettings,
         own: Member,
     ) -> Self {
-        Self { view, store, settings, own, own_revision: None }
+        Self { view, store, hosts, settings, own, own_revision: None }
     }
 
     /// Follows until `stop` turns true, then takes this host off the list.
     pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
         let mut version_due = time::Instant::now();
         let mut members_due = time::Instant::now();
+        let mut hosts_due = time::Instant::now();
         loop {
             tokio::select! {
                 () = runtime::stopped(&mut stop) => break,
@@ -65,6 +70,10 @@
                     self.follow_version().await;
                     version_due = time::Instant::now() + self.period(self.settings.version.get());
                 }
+                () = time::sleep_until(hosts_due) => {
+                    self.follow_hosts().await;
+                    hosts_due = time::Instant::now() + self.period(self.settings.hosts.get());
+                }
             }
         }
         self.leave().await;
@@ -77,12 +86,29 @@
     }
 
     async fn follow_version(&mut self) {
-        let mut book = self.view.book();
-        let followed = config::follow(&*self.store, &mut book).await;
-        if let Ok(true) = followed {
-            self.view.adopt(book);
+        let fetched = config::fetch(&*self.store, self.view.version()).await;
+        self.note(match fetched {
+            Ok(None) => Ok(()),
+            Ok(Some(News::Whole(book))) => {
+                self.view.adopt(book);
+                Ok(())
+            }
+            Ok(Some(News::Delta(delta))) => {
+                // A gap means that the log was cut meanwhile; the next round reads everything.
+                let _ = self.view.apply(&delta);
+                Ok(())
+            }
+            Err(error) => Err(error),
+        });
+    }
+
+    /// Reads the platform's host list; it is another service, which says nothing of the store.
+    async fn follow_hosts(&mut self) {
+        match self.hosts.list(self.view.hosts_revision()).await {
+            Ok(Some(list)) => self.view.adopt_leaving(LeavingHosts::from(&list)),
+            Ok(None) => {}
+            Err(error) => debug!("following the host list: {error}"),
         }
-        self.note(followed.map(drop));
     }
 
     async fn exchange_members(&mut self) {
--- a/reachhead_control/src/gossip.rs
+++ b/reachhead_control/src/gossip.rs
@@ -58,6 +58,7 @@
                 have: round.have,
                 delta: round.delta.clone(),
                 list: round.list,
+                hosts: self.view.hosts_revision(),
             };
             let asked = Instant::now();
             match self.asker.ask(peer, &request) {
@@ -72,6 +73,9 @@
         let age = reply.age.map(Millis::duration);
         let witness = Witness { is_blind: reply.is_blind, age };
         self.view.learn_list(reply.list, witness, asked);
+        if let Some(leaving) = reply.leaving {
+            self.view.adopt_leaving(leaving);
+        }
         if let Some(Err(gap)) = reply.delta.map(|delta| self.view.apply(&delta)) {
             debug!("gossip with {peer}: {gap}");
         }
--- a/reachhead_control/src/process.rs
+++ b/reachhead_control/src/process.rs
@@ -16,7 +16,7 @@
     listener::{self, Observed},
     runtime,
 };
-use reachhead_store::{Store, guarded::GuardedStore, http::HttpStore};
+use reachhead_store::{HostLister, Store, guarded::GuardedStore, http::HttpStore};
 use reachhead_types::{id::Incarnation, member::Member};
 use serde_json::Value;
 use tokio::sync::watch;
@@ -64,8 +64,9 @@
     let gossiper = Gossiper::new(Arc::clone(&view), settings.link.seeds, period);
     thread::Builder::new().name("gossip".to_owned()).spawn(move || gossiper.run())?;
 
-    let http = HttpStore::new(settings.store.address, settings.store.deadline.duration());
-    let store: Arc<dyn Store> = Arc::new(GuardedStore::new(http, settings.store.rate.get()));
+    let connect = || HttpStore::new(settings.store.address, settings.store.deadline.duration());
+    let hosts: Arc<dyn HostLister> = Arc::new(connect());
+    let store: Arc<dyn Store> = Arc::new(GuardedStore::new(connect(), settings.store.rate.get()));
     let own = Member {
         host: settings.host.clone(),
         zone: settings.zone,
@@ -75,7 +76,7 @@
         entry: settings.link.entry,
     };
     let cleaner = Cleaner::new(Arc::clone(&store), &settings.clean);
-    let follower = Follower::new(view, store, follow, own);
+    let follower = Follower::new(view, store, hosts, follow, own);
     emit(Event::Started, format_args!("control of {}", settings.host));
     run_on_store(follower, cleaner)?;
     Ok(())
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -9,6 +9,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     book::{Book, Delta, GapError},
+    hosts::LeavingHosts,
     id::{HostId, Incarnation},
     member::{Member, MemberId},
     size::{Millis, Revision, Version},
@@ -37,6 +38,7 @@
 struct State {
     book: Book,
     members: MemberBook,
+    leaving: LeavingHosts,
     /// This host's stay on the list, once it has written its row.
     own: Option<Incarnation>,
     entry_version: Version,
@@ -56,6 +58,7 @@
     version: Version,
     entry_version: Version,
     members: Vec<Member>,
+    leaving: LeavingHosts,
     rows: usize,
     store_heard: Option<Millis>,
     list_age: Option<Millis>,
@@ -79,6 +82,7 @@
         let state = State {
             book: Book::new(),
             members: MemberBook::new(),
+            leaving: LeavingHosts::default(),
             own: None,
             entry_version: Version(0),
             store_heard: None,
@@ -98,11 +102,6 @@
         &self.host
     }
 
-    /// Returns a copy of the configuration.
-    pub fn book(&self) -> Book {
-        self.state().book.clone()
-    }
-
     /// Returns the version of the configuration.
     pub fn version(&self) -> Version {
         self.state().book.version()
@@ -244,6 +243,26 @@
         self.terms.notice(self.state().members.members().len())
     }
 
+    /// Takes over a newer list of leaving hosts.
+    pub fn adopt_leaving(&self, leaving: LeavingHosts) {
+        let mut state = self.state();
+        if state.leaving.adopt(leaving) {
+            let names: Vec<&str> = state.leaving.hosts.iter().map(HostId::as_str).collect();
+            let revision = state.leaving.revision;
+            emit(Event::HostsLeaving, format_args!("revision {revision}: {}", names.join(" ")));
+        }
+    }
+
+    /// Returns the leaving hosts of a list newer than `revision`.
+    pub fn leaving_since(&self, revision: Revision) -> Option<LeavingHosts> {
+        self.state().leaving.newer_than(revision)
+    }
+
+    /// Returns the revision of the newest host list.
+    pub fn hosts_revision(&self) -> Revision {
+        self.state().leaving.revision
+    }
+
     /// Waits for the next round of gossip: after `period`, or at once when there is news.
     pub fn next_round(&self, period: Duration) -> Round {
         let state = self.state();
@@ -271,6 +290,7 @@
             version: state.book.version(),
             entry_version: state.entry_version,
             members: state.members.members().to_vec(),
+            leaving: state.leaving.clone(),
             rows: state.book.rows().count(),
             store_heard: ago(state.store_heard),
             list_age: ago(state.confirmed),
--- a/reachhead_entry/src/process/core.rs
+++ b/reachhead_entry/src/process/core.rs
@@ -9,7 +9,7 @@
 use reachhead_config::entry::EntrySettings;
 use reachhead_ops::event::{Event, emit};
 use reachhead_path::claim::ClaimTable;
-use reachhead_types::{id::Incarnation, size::Version};
+use reachhead_types::{hosts::LeavingHosts, id::Incarnation, size::Version};
 use serde::Serialize;
 
 use crate::{
@@ -40,6 +40,8 @@
     pub attempts: RefCell<ClaimTable>,
     services: Services,
     table: RefCell<Rc<Table>>,
+    /// The hosts that are leaving by the platform's list.
+    leaving: RefCell<LeavingHosts>,
     /// Until when the view of configuration and members counts as fresh.
     fresh_until: Cell<Option<Instant>>,
     is_stopping: Cell<bool>,
@@ -76,6 +78,7 @@
             attempts: RefCell::new(ClaimTable::new()),
             services: Services::default(),
             table: RefCell::default(),
+            leaving: RefCell::default(),
             fresh_until: Cell::new(None),
             is_stopping: Cell::new(false),
             ready,
@@ -96,6 +99,10 @@
             *self.table.borrow_mut() = Rc::new(table);
             emit(Event::ConfigInForce, format_args!("version {}", fleet.version));
         }
+        if let Some(leaving) = update.leaving {
+            *self.leaving.borrow_mut() = leaving;
+        }
+        self.services.set_leaving(&self.leaving.borrow().hosts);
         if let Some(limits) = &update.limits {
             self.services.set_limits(limits);
         }
--- a/reachhead_entry/src/process/follow.rs
+++ b/reachhead_entry/src/process/follow.rs
@@ -19,9 +19,10 @@
 use reachhead_types::{
     book::Book,
     fleet::Fleet,
+    hosts::LeavingHosts,
     id::{MinionId, ServiceName},
     member::Member,
-    size::Millis,
+    size::{Millis, Revision},
 };
 use tokio::sync::mpsc;
 
@@ -44,6 +45,8 @@
 pub struct Update {
     /// A new version, if there is one.
     pub fleet: Option<Arc<Fleet>>,
+    /// The leaving hosts, if the platform's list is a newer one.
+    pub leaving: Option<LeavingHosts>,
     /// New limits, if they changed.
     pub limits: Option<Limits>,
     /// Until when this view counts as fresh; `None` if the control's list was never confirmed.
@@ -56,6 +59,7 @@
     book: Book,
     fleet: Arc<Fleet>,
     shares: ShareHistory,
+    hosts_revision: Revision,
     is_lost: bool,
 }
 
@@ -73,6 +77,7 @@
         book: Book::new(),
         fleet: Arc::default(),
         shares: ShareHistory::new(),
+        hosts_revision: Revision(0),
         is_lost: false,
     };
     thread::Builder::new()
@@ -96,7 +101,8 @@
     fn ask(&mut self) -> Option<Update> {
         // Freshness counts from before the question: the answer may be as old as that.
         let asked = Instant::now();
-        let question = ControlRequest::Follow { have: self.book.version() };
+        let question =
+            ControlRequest::Follow { have: self.book.version(), hosts: self.hosts_revision };
         let reply = match self.asker.ask(self.control, &question) {
             Ok(ControlReply::Follow(reply)) => Some(reply),
             _ => None,
@@ -116,8 +122,12 @@
         let is_new_list = self.shares.note(hosts, reply.own, now);
         let is_expired = self.shares.expire(self.hold(reply.notice), now);
         let is_changed = fleet.is_some() || is_new_list || is_expired;
+        if let Some(leaving) = &reply.leaving {
+            self.hosts_revision = leaving.revision;
+        }
         Update {
             fleet,
+            leaving: reply.leaving,
             limits: is_changed.then(|| self.limits()),
             fresh_until: reply.age.and_then(|age| {
                 // By then every host that takes over a slot counts on this one having noticed.
--- a/reachhead_entry/src/process/minion.rs
+++ b/reachhead_entry/src/process/minion.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -13,7 +14,7 @@
 };
 use reachhead_types::{
     fleet::{MinionRow, MinionState},
-    id::{MinionId, ServiceName, ZoneName},
+    id::{HostId, MinionId, ServiceName, ZoneName},
 };
 use serde::Serialize;
 
@@ -40,6 +41,8 @@
     limit: Cell<u32>,
     running: Cell<u32>,
     state: Cell<MinionState>,
+    /// Whether its host is leaving by the platform's list.
+    is_host_leaving: Cell<bool>,
     leaving_until: Cell<Option<Instant>>,
     ejection: RefCell<Ejection>,
     idle: RefCell<Vec<Idle>>,
@@ -53,6 +56,7 @@
     running: u32,
     idle: usize,
     state: MinionState,
+    is_serving: bool,
     is_ejected: bool,
 }
 
@@ -67,12 +71,19 @@
             row,
             limit: Cell::new(0),
             running: Cell::new(0),
+            is_host_leaving: Cell::new(false),
             leaving_until: Cell::new(None),
             ejection: RefCell::new(Ejection::new()),
             idle: RefCell::default(),
         })
     }
 
+    /// Tells whether `row` describes the same process, which may have another state by now.
+    pub fn is_at(&self, row: &MinionRow) -> bool {
+        let own = &self.row;
+        own.address == row.address && own.zone == row.zone && own.host == row.host
+    }
+
     /// Returns how many requests this host may run here.
     pub fn limit(&self) -> u32 {
         self.limit.get()
@@ -89,10 +100,17 @@
         self.state.set(state);
     }
 
+    /// Sets whether its host is among the leaving `hosts`.
+    pub fn set_host_leaving(&self, hosts: &BTreeSet<HostId>) {
+        let is_leaving = self.row.host.as_ref().is_some_and(|host| hosts.contains(host));
+        self.is_host_leaving.set(is_leaving);
+    }
+
     /// Tells whether it takes new work as far as it and the configuration say.
     pub fn is_serving(&self, now: Instant) -> bool {
         let said_leaving = self.leaving_until.get().is_some_and(|until| now < until);
-        self.state.get() == MinionState::Serving && !said_leaving
+        let is_leaving = said_leaving || self.is_host_leaving.get();
+        self.state.get() == MinionState::Serving && !is_leaving
     }
 
     /// Tells whether it failed so often that it is left alone.
@@ -178,6 +196,7 @@
             running: self.running.get(),
             idle: self.idle.borrow().len(),
             state: self.state.get(),
+            is_serving: self.is_serving(Instant::now()),
             is_ejected: self.is_ejected(Instant::now()),
         }
     }
--- a/reachhead_entry/src/process/service.rs
+++ b/reachhead_entry/src/process/service.rs
@@ -1,6 +1,11 @@
 //! The services: each with its minions, its fair queue and its retry budget.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Instant,
+};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use reachhead_path::{
@@ -10,8 +15,9 @@
 };
 use reachhead_types::{
     error::ErrorKind,
-    fleet::Fleet,
-    id::{MinionId, ServiceName, ZoneName},
+    fleet::{self, Fleet},
+    id::{GroupName, HostId, MinionId, ServiceName, ZoneName},
+    tree::Effective,
 };
 use serde::Serialize;
 use tokio::{sync::oneshot, time};
@@ -88,10 +94,17 @@
     pub fn update(&self, fleet: &Fleet, zone: &ZoneName) {
         let mut services = self.services.borrow_mut();
         services.retain(|name, _| fleet.services.contains_key(name));
-        for name in fleet.services.keys() {
+        for (name, described) in &fleet.services {
             let service =
                 services.entry(name.clone()).or_insert_with(|| Service::new(name.clone()));
-            service.update(fleet, zone);
+            service.update(described, zone);
+        }
+        for route in fleet.routes.values() {
+            if let (Some(service), Some(group)) =
+                (services.get(&route.service), fleet.tree.get(&route.group))
+            {
+                service.set_group(&route.group, &group.effective);
+            }
         }
     }
 
@@ -104,6 +117,15 @@
         }
     }
 
+    /// Sets the hosts whose minions get nothing new.
+    pub fn set_leaving(&self, hosts: &BTreeSet<HostId>) {
+        for service in self.services.borrow().values() {
+            for minion in &service.inner.borrow().minions {
+                minion.set_host_leaving(hosts);
+            }
+        }
+    }
+
     /// Tells whether this host may run anything anywhere, or there is nothing to run.
     pub fn has_share(&self) -> bool {
         let services = self.services.borrow();
@@ -128,18 +150,12 @@
         Rc::new(Self { name, inner: RefCell::new(inner) })
     }
 
-    fn update(&self, fleet: &Fleet, zone: &ZoneName) {
-        let Some(service) = fleet.services.get(&self.name) else {
-            return;
-        };
+    fn update(&self, described: &fleet::Service, zone: &ZoneName) {
         let mut inner = self.inner.borrow_mut();
-        let mut minions = Vec::with_capacity(service.minions.len());
-        for (id, row) in &service.minions {
-            let known = inner
-                .minions
-                .iter()
-                .find(|minion| minion.id == *id && minion.row.address == row.address);
-            let minion = match known {
+        let mut minions = Vec::with_capacity(described.minions.len());
+        for (id, row) in &described.minions {
+            let is_same = |minion: &&Rc<Minion>| minion.id == *id && minion.is_at(row);
+            let minion = match inner.minions.iter().find(is_same) {
                 Some(minion) => Rc::clone(minion),
                 None => Minion::new(id.clone(), self.name.clone(), row.clone(), zone),
             };
@@ -147,12 +163,11 @@
             minions.push(minion);
         }
         inner.minions = minions;
-        for route in fleet.routes.values().filter(|route| route.service == self.name) {
-            if let Some(group) = fleet.tree.get(&route.group) {
-                let limit = group.effective.queue as usize;
-                inner.queue.set_group(&route.group, group.effective.weight, limit);
-            }
-        }
+    }
+
+    fn set_group(&self, group: &GroupName, settings: &Effective) {
+        let limit = settings.queue as usize;
+        self.inner.borrow_mut().queue.set_group(group, settings.weight, limit);
     }
 
     fn set_limits(self: &Rc<Self>, limits: &BTreeMap<MinionId, u32>) {
--- a/reachhead_harness/src/cluster.rs
+++ b/reachhead_harness/src/cluster.rs
@@ -115,6 +115,11 @@
         self
     }
 
+    /// Starts the store, the minions and the admin, without configuration and entry hosts.
+    pub async fn start_bare(self) -> Cluster {
+        Cluster::start_bare(self).await
+    }
+
     /// Starts everything and waits until every entry host is ready.
     pub async fn start(self) -> Cluster {
         let mut cluster = Cluster::start_bare(self).await;
@@ -194,15 +199,7 @@
         let zone = ZONES[self.hosts.len() % ZONES.len()];
         let [control_ops, control_link, entry_ops, entry_link, callers] =
             [(); 5].map(|()| free(self.ip));
-        let mut control = json!({
-            "program": "control", "host": name, "zone": zone,
-            "ops": { "address": control_ops }, "store": { "address": self.store, "deadline": 500 },
-            "link": {
-                "address": control_link, "entry": entry_link, "gossip": 100,
-                "seeds": self.hosts.iter().map(|host| host.control_link).collect::<Vec<_>>(),
-            },
-            "follow": { "version": 50, "members": 50 },
-        });
+        let control = self.control_settings(&name, zone, control_ops, control_link, entry_link);
         let mut entry = json!({
             "program": "entry", "host": name, "zone": zone,
             "ops": { "address": entry_ops }, "store": { "address": self.store, "deadline": 500 },
@@ -210,7 +207,6 @@
             "link": { "control": control_link, "ask": entry_link, "period": 50 },
             "shutdown": { "lag": 300, "limit": 20000 },
         });
-        merge(&mut control, &self.plan.control);
         merge(&mut entry, &self.plan.entry);
         let args = write_settings(&self.folder, &format!("control-{name}"), &control);
         let control =
@@ -221,8 +217,38 @@
         self.hosts.push(Host { control, entry, callers, entry_ops, control_link });
     }
 
+    /// Starts the control process of an entry host without an entry process.
+    pub fn add_control(&mut self) -> Process {
+        let name = format!("c{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let [ops, link, entry] = [(); 3].map(|()| free(self.ip));
+        let settings = self.control_settings(&name, "z1", ops, link, entry);
+        let args = write_settings(&self.folder, &format!("control-{name}"), &settings);
+        Process::start(&self.folder, &format!("control-{name}"), "reachhead-control", &args)
+    }
+
+    fn control_settings(
+        &self,
+        name: &str,
+        zone: &str,
+        ops: SocketAddr,
+        link: SocketAddr,
+        entry: SocketAddr,
+    ) -> Value {
+        let mut settings = json!({
+            "program": "control", "host": name, "zone": zone,
+            "ops": { "address": ops }, "store": { "address": self.store, "deadline": 500 },
+            "link": {
+                "address": link, "entry": entry, "gossip": 100,
+                "seeds": self.hosts.iter().map(|host| host.control_link).collect::<Vec<_>>(),
+            },
+            "follow": { "version": 50, "members": 50 },
+        });
+        merge(&mut settings, &self.plan.control);
+        settings
+    }
+
     /// Writes the groups, services and routes of every test.
-    async fn configure(&self) {
+    pub async fn configure(&self) {
         let deadline = self.plan.deadline;
         let mut rows = vec![
             ("group/top".to_owned(), json!({ "settings": { "deadline": deadline } })),
--- a/reachhead_link/src/message.rs
+++ b/reachhead_link/src/message.rs
@@ -3,6 +3,7 @@
 use reachhead_types::{
     answer::KeptAnswer,
     book::Delta,
+    hosts::LeavingHosts,
     id::{AttemptId, HostId, Incarnation},
     member::{Member, MemberId},
     size::{Millis, Revision, Version},
@@ -35,6 +36,8 @@
     Follow {
         /// The version that it has.
         have: Version,
+        /// The revision of the platform's host list that it has.
+        hosts: Revision,
     },
     /// A peer tells its version and hands on what it just learned.
     Gossip {
@@ -44,6 +47,8 @@
         delta: Option<Delta>,
         /// The list of entry hosts that it has.
         list: ListStamp,
+        /// The revision of the platform's host list that it has.
+        hosts: Revision,
     },
     /// An operator's tool asks which version is in force here.
     Status,
@@ -68,6 +73,8 @@
     pub delta: Option<Delta>,
     /// A newer list of entry hosts.
     pub list: Option<MemberList>,
+    /// The leaving hosts of a newer host list.
+    pub leaving: Option<LeavingHosts>,
     /// Whether the store did not answer the peer's last call.
     pub is_blind: bool,
     /// How old the peer's list is at most.
@@ -79,6 +86,8 @@
 pub struct FollowReply {
     /// The configuration since the version that was named; `None` where that is the newest.
     pub delta: Option<Delta>,
+    /// The leaving hosts of a newer host list.
+    pub leaving: Option<LeavingHosts>,
     /// The entry hosts on the list, in the order of their names.
     pub members: Vec<Member>,
     /// This host's place on the list; `None` while it has none.
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -81,6 +81,8 @@
     MemberGone 404 Warn;
     /// This host was taken off the list of entry hosts and comes back as a new stay.
     TakenOff 405 Warn;
+    /// The platform's host list changed; these hosts are leaving.
+    HostsLeaving 406 Info;
     /// A minion failed so often that it is left alone for a while.
     MinionEjected 500 Warn;
     /// A minion that was left alone is tried again.
--- a/reachhead_standin/src/store.rs
+++ b/reachhead_standin/src/store.rs
@@ -1,4 +1,4 @@
-//! The table service over HTTP, with knobs for its faults.
+//! The table service and the host list over HTTP, with knobs for their faults.
 
 use std::{
     io,
@@ -18,9 +18,10 @@
 };
 use reachhead_store::{
     Store,
-    http::{COMMIT_PATH, READ_PATH, SCAN_PATH},
+    http::{COMMIT_PATH, HOSTS_PATH, READ_PATH, SCAN_PATH},
     memory::MemoryStore,
 };
+use reachhead_types::{hosts::HostList, size::Revision};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time};
 
@@ -42,6 +43,8 @@
     delay: u64,
     /// This many transactions take effect and their answer never comes.
     lose: u32,
+    /// Reads of the host list give older lists in turn with the newest.
+    stale: bool,
 }
 
 #[derive(Debug, Default)]
@@ -49,6 +52,7 @@
     reads: AtomicU64,
     scans: AtomicU64,
     commits: AtomicU64,
+    lists: AtomicU64,
 }
 
 /// The counts as `/count` gives them.
@@ -64,6 +68,8 @@
     store: MemoryStore,
     fault: Mutex<Fault>,
     counts: Counts,
+    /// Every host list that was posted, the newest last.
+    lists: Mutex<Vec<HostList>>,
 }
 
 impl StoreStandin {
@@ -81,6 +87,28 @@
         }
     }
 
+    fn add_list(&self, body: &[u8]) -> WholeResponse {
+        match serde_json::from_slice::<HostList>(body) {
+            Ok(list) => {
+                self.lists.lock().unwrap_or_else(PoisonError::into_inner).push(list);
+                http::text(StatusCode::OK, "set\n")
+            }
+            Err(error) => http::text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
+        }
+    }
+
+    fn hosts(&self, body: &[u8]) -> Result<WholeResponse, String> {
+        let after: Revision = parse(body)?;
+        let reads = self.counts.lists.fetch_add(1, Ordering::Relaxed) as usize;
+        let lists = self.lists.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = match self.fault().stale {
+            // A stale read knows nothing of what the reader has.
+            true => lists.get(reads % lists.len().max(1)),
+            false => lists.last().filter(|list| list.revision > after),
+        };
+        Ok(http::json(StatusCode::OK, &list))
+    }
+
     fn report(&self) -> CountReport {
         let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
         CountReport {
@@ -110,6 +138,7 @@
         let result = match path {
             READ_PATH => self.read(body).await,
             SCAN_PATH => self.scan(body).await,
+            HOSTS_PATH => self.hosts(body),
             _ => self.commit(body).await,
         };
         result.unwrap_or_else(|error| http::text(StatusCode::BAD_REQUEST, &error))
@@ -146,8 +175,9 @@
         async move {
             match request.path.as_str() {
                 "/fault" => self.set_fault(&request.body),
+                "/hosts" => self.add_list(&request.body),
                 "/count" => http::json(StatusCode::OK, &self.report()),
-                path @ (READ_PATH | SCAN_PATH | COMMIT_PATH) => {
+                path @ (READ_PATH | SCAN_PATH | COMMIT_PATH | HOSTS_PATH) => {
                     self.call(path, &request.body).await
                 }
                 _ => http::text(StatusCode::NOT_FOUND, "no such call\n"),
--- a/reachhead_store/src/config.rs
+++ b/reachhead_store/src/config.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 use reachhead_types::{
-    book::{Book, Change, Delta},
+    book::{Book, Change, Delta, GapError},
     fleet::{Fleet, RowFault, RowKey},
     id::{ChangeId, OperatorName},
     size::{Millis, Revision, Version},
@@ -116,28 +116,53 @@
     Unknown(StoreError),
 }
 
-/// Brings `book` up to the newest version and tells whether it went up.
+/// What a follower lacks.
+#[derive(Debug)]
+pub enum News {
+    /// The changes after its version.
+    Delta(Delta),
+    /// Everything, since the log does not reach back so far.
+    Whole(Book),
+}
+
+/// Returns what a follower at version `have` lacks, or `None` if that is the newest.
 ///
 /// # Errors
 ///
-/// Any [`StoreError`]; the book is then as it was.
-pub async fn follow(store: &dyn Store, book: &mut Book) -> Result<bool, StoreError> {
+/// Any [`StoreError`].
+pub async fn fetch(store: &dyn Store, have: Version) -> Result<Option<News>, StoreError> {
     let head = read_head(store).await?.row;
-    if head.version <= book.version() {
-        return Ok(false);
+    if head.version <= have {
+        return Ok(None);
     }
-    let delta = match head.version.0 - book.version().0 <= u64::from(LOG_LIMIT) {
-        true => read_log(store, book.version()).await?,
+    let delta = match head.version.0 - have.0 <= u64::from(LOG_LIMIT) {
+        true => read_log(store, have).await?,
         false => None,
     };
-    if let Some(delta) = delta
-        && let Ok(went_up) = book.apply(&delta)
-    {
-        return Ok(went_up);
+    match delta {
+        Some(delta) => Ok(Some(News::Delta(delta))),
+        None => read_whole(store, head.version).await.map(|book| Some(News::Whole(book))),
     }
-    let whole = read_whole(store, head.version).await?;
-    *book = whole;
-    Ok(true)
+}
+
+/// Brings `book` up to the newest version and tells whether it went up.
+///
+/// # Errors
+///
+/// Any [`StoreError`]; the book is then as it was.
+pub async fn follow(store: &dyn Store, book: &mut Book) -> Result<bool, StoreError> {
+    match fetch(store, book.version()).await? {
+        None => Ok(false),
+        Some(News::Delta(delta)) => book.apply(&delta).map_err(|gap| gap_error(&gap)),
+        Some(News::Whole(whole)) => {
+            *book = whole;
+            Ok(true)
+        }
+    }
+}
+
+fn gap_error(gap: &GapError) -> StoreError {
+    StoreError::NotDone(format!("the log has a gap: {gap}"))
 }
 
 struct Head {
@@ -209,10 +234,9 @@
     // apply the log from `before` on over them.
     let mut book = Book::new();
     let whole = Delta { from: Version(0), to: before, changes };
-    let gap = |error| StoreError::NotDone(format!("the log has a gap: {error}"));
-    book.apply(&whole).map_err(gap)?;
+    book.apply(&whole).map_err(|gap| gap_error(&gap))?;
     match read_log(store, before).await? {
-        Some(delta) => book.apply(&delta).map_err(gap)?,
+        Some(delta) => book.apply(&delta).map_err(|gap| gap_error(&gap))?,
         None => return Err(StoreError::NotDone("the log has a gap".to_owned())),
     };
     Ok(book)
--- a/reachhead_store/src/http.rs
+++ b/reachhead_store/src/http.rs
@@ -10,11 +10,12 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use reachhead_types::{hosts::HostList, size::Revision};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
 
 use crate::{
-    Store, StoreError,
+    HostLister, Store, StoreError,
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 
@@ -27,10 +28,13 @@
 /// Path of transactions.
 pub const COMMIT_PATH: &str = "/v1/commit";
 
+/// Path of the host list.
+pub const HOSTS_PATH: &str = "/v1/hosts";
+
 /// Idle connections are dropped after this long.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
-/// The table service at an address.
+/// The platform's services at an address.
 pub struct HttpStore {
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
@@ -100,6 +104,12 @@
     }
 }
 
+impl HostLister for HttpStore {
+    fn list(&self, after: Revision) -> BoxFuture<'_, Result<Option<HostList>, StoreError>> {
+        async move { self.call(HOSTS_PATH, &after).await }.boxed()
+    }
+}
+
 impl Store for HttpStore {
     fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
         async move { self.call(READ_PATH, &keys).await }.boxed()
--- a/reachhead_store/src/lib.rs
+++ b/reachhead_store/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform's table service as the programs see it: rows, transactions, and what can go wrong.
+//! The platform as the programs see it: rows, transactions, the host list, and what can go wrong.
 //!
 //! docs/STORE.md gives the protocol and every key that the system keeps.
 
@@ -12,6 +12,7 @@
 pub mod row;
 
 use futures::future::BoxFuture;
+use reachhead_types::{hosts::HostList, size::Revision};
 use thiserror::Error;
 
 use crate::row::{Commit, Key, Page, Row, Scan, Txn};
@@ -53,3 +54,13 @@
     /// After [`StoreError::Lost`] the caller has to read back what became of it.
     fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>>;
 }
+
+/// The platform's list of hosts.
+pub trait HostLister: Send + Sync {
+    /// Returns the list if it is newer than `after`; it may all the same be stale.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::read`].
+    fn list(&self, after: Revision) -> BoxFuture<'_, Result<Option<HostList>, StoreError>>;
+}
--- a/reachhead_types/src/fleet.rs
+++ b/reachhead_types/src/fleet.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 use crate::{
-    id::{GroupName, IdError, MinionId, PoolName, RouteName, ServiceName, ZoneName},
+    id::{GroupName, HostId, IdError, MinionId, PoolName, RouteName, ServiceName, ZoneName},
     size::{Connections, Millis, Slots, Version},
     tree::{Overrides, Tree, TreeError},
 };
@@ -72,6 +72,9 @@
     pub address: SocketAddr,
     /// The availability zone it runs in.
     pub zone: ZoneName,
+    /// The host it runs on, by the platform's list; `None` if the list does not tell of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<HostId>,
     /// Requests that it runs at once.
     #[serde(default = "default_slots")]
     pub slots: Slots,
@@ -344,44 +347,53 @@
         }
     }
 
-    fn check_group(&mut self, key: RowKey, group: &GroupName) {
+    /// Returns the fault of a row that names a group which is not there.
+    fn missing_group(&self, group: &GroupName) -> Option<String> {
         // A tree with faults is empty; its own faults are enough to tell.
-        if !self.fleet.tree.is_empty() && !self.fleet.tree.contains(group) {
-            self.fault(key, format!("there is no group {group}"));
-        }
+        let is_missing = !self.fleet.tree.is_empty() && !self.fleet.tree.contains(group);
+        is_missing.then(|| format!("there is no group {group}"))
     }
 
     fn check_pools(&mut self) {
-        for (name, row) in self.fleet.pools.clone() {
-            self.check_group(RowKey::Pool(name), &row.group);
+        let mut faults = Vec::new();
+        for (name, row) in &self.fleet.pools {
+            let texts = self.missing_group(&row.group);
+            faults.extend(texts.map(|text| RowFault { key: RowKey::Pool(name.clone()), text }));
         }
+        self.faults.extend(faults);
     }
 
     fn check_services(&mut self) {
-        for (name, service) in self.fleet.services.clone() {
-            let key = RowKey::Service(name);
-            if !self.fleet.pools.contains_key(&service.row.pool) {
-                self.fault(key.clone(), format!("there is no pool {}", service.row.pool));
-            }
-            self.check_group(key, &service.row.group);
+        let mut faults = Vec::new();
+        for (name, service) in &self.fleet.services {
+            let pool = &service.row.pool;
+            let is_missing = !self.fleet.pools.contains_key(pool);
+            let texts = is_missing.then(|| format!("there is no pool {pool}"));
+            let texts = texts.into_iter().chain(self.missing_group(&service.row.group));
+            faults.extend(texts.map(|text| RowFault { key: RowKey::Service(name.clone()), text }));
         }
+        self.faults.extend(faults);
     }
 
     fn check_routes(&mut self) {
-        let mut paths = BTreeMap::new();
-        for (name, row) in self.fleet.routes.clone() {
-            let key = RowKey::Route(name.clone());
+        let mut faults = Vec::new();
+        let mut paths: BTreeMap<&str, &RouteName> = BTreeMap::new();
+        for (name, row) in &self.fleet.routes {
+            let mut texts = Vec::new();
             if !row.path.starts_with('/') || (row.path.len() > 1 && row.path.ends_with('/')) {
-                self.fault(key.clone(), "path must start with '/' and not end with one");
+                texts.push("path must start with '/' and not end with one".to_owned());
             }
             if !self.fleet.services.contains_key(&row.service) {
-                self.fault(key.clone(), format!("there is no service {}", row.service));
+                texts.push(format!("there is no service {}", row.service));
             }
-            if let Some(other) = paths.insert(row.path.clone(), name) {
-                self.fault(key.clone(), format!("route {other} has the same path"));
+            if let Some(other) = paths.insert(&row.path, name) {
+                texts.push(format!("route {other} has the same path"));
             }
-            self.check_group(key, &row.group);
+            texts.extend(self.missing_group(&row.group));
+            let fault = |text| RowFault { key: RowKey::Route(name.clone()), text };
+            faults.extend(texts.into_iter().map(fault));
         }
+        self.faults.extend(faults);
     }
 }
 
--- a/reachhead_types/src/lib.rs
+++ b/reachhead_types/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod book;
 pub mod error;
 pub mod fleet;
+pub mod hosts;
 pub mod id;
 pub mod member;
 pub mod size;
