--- a/reachhead_bench/src/capacity/rows.rs
+++ b/reachhead_bench/src/capacity/rows.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use reachhead_harness::{
+    Call,
     cluster::{Cluster, Plan},
+    eventually,
     process::{Process, Usage},
 };
 use serde_json::{Value, json};
@@ -89,11 +91,22 @@
     for number in 1..=CHANGES {
         let row = json!({ "parent": "top", "settings": { "weight": number } });
         let version = cluster.change(vec![("group/red".to_owned(), row)]).await;
-        cluster.in_force(version).await;
+        entry_has(cluster, version).await;
     }
     started.elapsed().as_secs_f64() * 1000.0 / f64::from(CHANGES)
 }
 
+/// Waits until the entry process has told its control that it has `version`; a look at its state
+/// would cost more than the change.
+async fn entry_has(cluster: &Cluster, version: u64) {
+    eventually("the change is in force", async || {
+        let reply = cluster.admin_call(Call::get("/v1/status")).await;
+        let status: Value = serde_json::from_str(&reply.body).ok()?;
+        (status["in_force"] == 1 && status["version"].as_u64()? >= version).then_some(())
+    })
+    .await;
+}
+
 /// The periods that the programs have by default.
 pub fn production() -> Value {
     json!({ "follow": { "version": 250, "members": 250 }, "link": { "gossip": 1000 } })
--- a/reachhead_store/src/config.rs
+++ b/reachhead_store/src/config.rs
@@ -2,7 +2,7 @@
 //!
 //! docs/CONFIGURATION.md gives the rows and why a change with a lost answer is safe to repeat.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::Rng;
 use reachhead_types::{
@@ -25,7 +25,7 @@
 const LOG_LIMIT: u32 = 64;
 
 /// Rows that one scan returns.
-const PAGE_SIZE: u32 = 1000;
+const PAGE_SIZE: u32 = 250;
 
 /// Times that a change is tried against racing changes and lost answers.
 const TRY_LIMIT: u32 = 12;
@@ -203,6 +203,7 @@
         }
         to = log.version;
         for ConfigWrite { key, value, .. } in log.writes {
+            let value = value.map(Arc::new);
             changes.insert(key.clone(), Change { key, value, version: to });
         }
     }
@@ -223,7 +224,8 @@
             let key = name
                 .parse()
                 .map_err(|error| StoreError::Refused(format!("key {}: {error}", row.key)))?;
-            changes.push(Change { key, value: Some(config.value), version: config.version });
+            let value = Some(Arc::new(config.value));
+            changes.push(Change { key, value, version: config.version });
         }
         after = page.rows.last().map(|row| row.key.clone());
         if !page.more {
@@ -313,7 +315,11 @@
             changes: request
                 .writes
                 .iter()
-                .map(|write| Change { key: write.key.clone(), value: write.value.clone(), version })
+                .map(|ConfigWrite { key, value, .. }| Change {
+                    key: key.clone(),
+                    value: value.clone().map(Arc::new),
+                    version,
+                })
                 .collect(),
         };
         let mut next = book.clone();
--- a/reachhead_types/src/book.rs
+++ b/reachhead_types/src/book.rs
@@ -3,7 +3,7 @@
 //! Every process that follows the configuration keeps a [`Book`]. Versions only go up in it, from
 //! whichever side a delta comes; docs/CONFIGURATION.md tells how it spreads.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -19,8 +19,9 @@
 pub struct Change {
     /// The row's key.
     pub key: RowKey,
-    /// The row's value; `None` is a deletion.
-    pub value: Option<Value>,
+    /// The row's value; `None` is a deletion. It is shared, since deltas are made and handed on all
+    /// the time.
+    pub value: Option<Arc<Value>>,
     /// The version that wrote it.
     pub version: Version,
 }
@@ -48,7 +49,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Entry {
-    value: Option<Value>,
+    value: Option<Arc<Value>>,
     version: Version,
 }
 
@@ -75,12 +76,12 @@
 
     /// Returns the rows in the order of their keys.
     pub fn rows(&self) -> impl Iterator<Item = (&RowKey, &Value)> {
-        self.entries.iter().filter_map(|(key, entry)| Some((key, entry.value.as_ref()?)))
+        self.entries.iter().filter_map(|(key, entry)| Some((key, entry.value.as_deref()?)))
     }
 
     /// Returns the value of the row of `key`.
     pub fn get(&self, key: &RowKey) -> Option<&Value> {
-        self.entries.get(key)?.value.as_ref()
+        self.entries.get(key)?.value.as_deref()
     }
 
     /// Returns the version that wrote the row of `key`; 0 where there is no such row.
--- a/reachhead_types/tests/book.rs
+++ b/reachhead_types/tests/book.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use quickcheck::quickcheck;
 use reachhead_types::{
@@ -20,7 +20,8 @@
 fn history(changes: &[(u8, Option<u8>)]) -> Vec<Delta> {
     let delta = |(index, &(row, value)): (usize, &(u8, Option<u8>))| {
         let (from, to) = (Version(index as u64), Version(index as u64 + 1));
-        let change = Change { key: key(row), value: value.map(|v| json!(v)), version: to };
+        let change =
+            Change { key: key(row), value: value.map(|v| Arc::new(json!(v))), version: to };
         Delta { from, to, changes: vec![change] }
     };
     changes.iter().enumerate().map(delta).collect()
@@ -30,7 +31,7 @@
     let mut rows = BTreeMap::new();
     for change in history[..version].iter().flat_map(|delta| &delta.changes) {
         match &change.value {
-            Some(value) => drop(rows.insert(change.key.clone(), value.clone())),
+            Some(value) => drop(rows.insert(change.key.clone(), Value::clone(value))),
             None => drop(rows.remove(&change.key)),
         }
     }
