Loans of slots between entry hosts; a host without its control says that it is not ready

Causes: (1) a balancer that prefers one host leaves the others' shares idle. (2) The readiness of an entry process was only looked at when its control answered, so one whose control was frozen refused every request and still called itself ready (the new test waited in vain).

Change: where requests wait, a host borrows free slots of another for a second; the borrower stops first by both clocks, returns when nothing runs on them, else the lender waits out a grace. The hold counts twice the deadline, since an exchange goes on that long. Readiness knows when the view ends.

Ruled out: forwarding requests to other entry hosts (a hop and a failure domain more).

--- a/reachhead/tests/system/limits.rs
+++ b/reachhead/tests/system/limits.rs
@@ -16,6 +16,7 @@
     Call, Cluster, call,
     cluster::{Plan, ready, state},
     eventually,
+    wire::Wire,
 };
 
 /// Slots of a minion.
@@ -166,3 +167,72 @@
     assert_eq!(limits(&cluster, &[0, 1, 2]).await, [SLOTS; 2]);
     assert_limits_held(&cluster).await;
 }
+
+#[tokio::test]
+async fn a_host_cut_from_the_store_alone_stops_when_the_others_take_it_off() {
+    let mut cluster = Plan::new(2, 1).with_work(10).with_deadline(800).start().await;
+    let wire = Wire::new(cluster.store.ip(), cluster.store).await;
+    cluster.add_host_with_store(wire.address);
+    ready(cluster.hosts[2].entry_ops).await;
+    let flood = Flood::start(&cluster, &[0, 1, 2], 6);
+    wire.cut(true);
+    eventually("the others have all slots", async || {
+        let sums = limits(&cluster, &[0, 1]).await;
+        let own = limits(&cluster, &[2]).await;
+        (sums[0] == SLOTS && own == [0, 0]).then_some(())
+    })
+    .await;
+    let reply = cluster.call(2, &Call::get("/red/alpha")).await;
+    assert_eq!((reply.status, reply.outcome()), (503, "not-run"), "{reply:?}");
+    wire.cut(false);
+    eventually("all three share again", async || {
+        let sums = limits(&cluster, &[0, 1, 2]).await;
+        let own = limits(&cluster, &[2]).await;
+        (sums[0] == SLOTS && own[0] > 0).then_some(())
+    })
+    .await;
+    flood.stop().await;
+    assert_limits_held(&cluster).await;
+}
+
+#[tokio::test]
+async fn an_entry_without_its_control_stops_and_goes_on_with_it() {
+    let cluster = Plan::new(2, 1).start().await;
+    cluster.hosts[0].control.signal(Signal::SIGSTOP);
+    eventually("the host is not ready", async || {
+        (call(cluster.hosts[0].entry_ops, &Call::get("/ready")).await.status == 503).then_some(())
+    })
+    .await;
+    let reply = cluster.call(0, &Call::get("/red/alpha")).await;
+    assert_eq!((reply.error(), reply.outcome()), ("not-ready", "not-run"));
+    assert_eq!(cluster.call(1, &Call::get("/red/alpha")).await.status, 200);
+    cluster.hosts[0].control.signal(Signal::SIGCONT);
+    ready(cluster.hosts[0].entry_ops).await;
+}
+
+#[tokio::test]
+async fn a_skewed_balancer_is_served_by_loans_within_the_limits() {
+    let cluster = Plan::new(3, 1).with_work(20).with_deadline(1000).start().await;
+    eventually("all shares are in use", async || {
+        let sums = limits(&cluster, &[0, 1, 2]).await;
+        (sums == [SLOTS; 2]).then_some(())
+    })
+    .await;
+    let own = limits(&cluster, &[0]).await[0];
+    let flood = Flood::start(&cluster, &[0], 12);
+    eventually("the busy host has borrowed", async || {
+        (limits(&cluster, &[0]).await[0] > own).then_some(())
+    })
+    .await;
+    // The lenders get callers too and want their slots back.
+    let more = Flood::start(&cluster, &[1, 2], 6);
+    time::sleep(Duration::from_secs(3)).await;
+    flood.stop().await;
+    more.stop().await;
+    assert_limits_held(&cluster).await;
+    eventually("everything is returned", async || {
+        let sums = limits(&cluster, &[0, 1, 2]).await;
+        (sums == [SLOTS; 2] && limits(&cluster, &[0]).await[0] == own).then_some(())
+    })
+    .await;
+}
--- a/reachhead_bench/src/capacity/rows.rs
+++ b/reachhead_bench/src/capacity/rows.rs
@@ -21,10 +21,15 @@
 /// How long a process settles before it is measured.
 const SETTLE: Duration = Duration::from_secs(2);
 
+/// How long processes at rest are measured.
+const REST: Duration = Duration::from_secs(10);
+
 struct Measured {
     rows: usize,
     control: Usage,
     entry: Usage,
+    control_rest: f64,
+    entry_rest: f64,
     control_ms: f64,
     entry_ms: f64,
     spread_ms: f64,
@@ -50,6 +55,8 @@
         "rows": all.iter().map(|one| one.rows).collect::<Vec<_>>(),
         "control_mb": figure(|one| megabytes(&one.control)),
         "entry_mb": figure(|one| megabytes(&one.entry)),
+        "control_rest_cpu_percent": figure(|one| one.control_rest),
+        "entry_rest_cpu_percent": figure(|one| one.entry_rest),
         "control_cpu_ms_per_change": figure(|one| one.control_ms),
         "entry_cpu_ms_per_change": figure(|one| one.entry_ms),
         "change_in_force_ms": figure(|one| one.spread_ms),
@@ -68,6 +75,7 @@
     cluster.in_force(version).await;
     tokio::time::sleep(SETTLE).await;
     let host = &cluster.hosts[0];
+    let (control_rest, entry_rest) = rest(&host.control, &host.entry).await;
     let (control, entry) = (host.control.usage(), host.entry.usage());
     let spread_ms = change_repeatedly(&cluster).await;
     let per_change = |process: &Process, before: &Usage| {
@@ -79,12 +87,23 @@
         rows: count,
         control: host.control.usage(),
         entry: host.entry.usage(),
+        control_rest,
+        entry_rest,
         control_ms,
         entry_ms,
         spread_ms,
     }
 }
 
+/// Returns the share of a core, in percent, that each process uses while nothing happens.
+async fn rest(control: &Process, entry: &Process) -> (f64, f64) {
+    let before = (control.usage().cpu, entry.usage().cpu);
+    tokio::time::sleep(REST).await;
+    let after = (control.usage().cpu, entry.usage().cpu);
+    let percent = |used: Duration| used.as_secs_f64() / REST.as_secs_f64() * 100.0;
+    (percent(after.0 - before.0), percent(after.1 - before.1))
+}
+
 /// Makes changes one after the other and returns the mean time until each is in force.
 async fn change_repeatedly(cluster: &Cluster) -> f64 {
     let started = Instant::now();
--- a/reachhead_bench/src/main.rs
+++ b/reachhead_bench/src/main.rs
@@ -33,7 +33,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "path")]
 struct PathArgs {
-    /// one of overhead, fairness, claims, overload, retries; all by default
+    /// one of overhead, fairness, claims, overload, retries, skew; all by default
     #[argh(option)]
     only: Option<String>,
 }
--- a/reachhead_config/src/entry.rs
+++ b/reachhead_config/src/entry.rs
@@ -43,6 +43,8 @@
         idle_time: Millis = Millis(30_000);
         /// Sends of one request at most, the first included.
         sends: NonZeroU32 = count(3);
+        /// Whether slots are borrowed from other entry hosts when requests wait here.
+        loans: bool = true;
     }
 }
 
--- a/reachhead_entry/src/process/asks.rs
+++ b/reachhead_entry/src/process/asks.rs
@@ -1,4 +1,4 @@
-//! Asks other entry hosts what became of their attempts, on a thread of its own.
+//! Asks other entry hosts about attempts and for loans, on a thread of its own.
 
 use std::{io, net::SocketAddr, thread, time::Duration};
 
@@ -8,38 +8,27 @@
     client::Asker,
     message::{EntryReply, EntryRequest},
 };
-use reachhead_types::id::{AttemptId, Incarnation};
 use tokio::sync::{mpsc, oneshot};
 
 /// Questions that may wait; each may take the whole ask time, so more would only be late.
 const RING_SIZE: usize = 16;
 
 struct Job {
-    owner: Owner,
+    address: SocketAddr,
+    question: EntryRequest,
     reply: oneshot::Sender<Option<EntryReply>>,
 }
 
-/// Who made an attempt.
-#[derive(Debug, Clone, Copy)]
-pub struct Owner {
-    /// Where its process answers.
-    pub address: SocketAddr,
-    /// The start of its process.
-    pub incarnation: Incarnation,
-    /// The attempt.
-    pub attempt: AttemptId,
-}
-
 /// The path thread's end of the ring.
 pub struct Asks {
     jobs: mpsc::Sender<Job>,
 }
 
 impl Asks {
-    /// Asks `owner` what became of its attempt; `None` if it can't be asked.
-    pub async fn ask(&self, owner: Owner) -> Option<EntryReply> {
+    /// Asks the entry process at `address`; `None` if it can't be asked.
+    pub async fn ask(&self, address: SocketAddr, question: EntryRequest) -> Option<EntryReply> {
         let (reply, answer) = oneshot::channel();
-        self.jobs.try_send(Job { owner, reply }).ok()?;
+        self.jobs.try_send(Job { address, question, reply }).ok()?;
         answer.await.ok()?
     }
 }
@@ -58,12 +47,11 @@
 
 fn run(mut ring: mpsc::Receiver<Job>, timeout: Duration) {
     let mut asker = Asker::new(timeout);
-    while let Some(Job { owner, reply }) = ring.blocking_recv() {
+    while let Some(Job { address, question, reply }) = ring.blocking_recv() {
         if reply.is_closed() {
             continue;
         }
-        let Owner { address, incarnation, attempt } = owner;
-        let answer = asker.ask(address, &EntryRequest::Claim { incarnation, attempt });
+        let answer = asker.ask(address, &question);
         if let Err(error) = &answer {
             debug!("asking {address}: {error}");
         }
--- a/reachhead_entry/src/process/core.rs
+++ b/reachhead_entry/src/process/core.rs
@@ -7,9 +7,14 @@
 };
 
 use reachhead_config::entry::EntrySettings;
+use reachhead_link::message::EntryReply;
 use reachhead_ops::event::{Event, emit};
 use reachhead_path::claim::ClaimTable;
-use reachhead_types::{hosts::LeavingHosts, id::Incarnation, size::Version};
+use reachhead_types::{
+    hosts::LeavingHosts,
+    id::{Incarnation, LoanId, ServiceName},
+    size::Version,
+};
 use serde::Serialize;
 
 use crate::{
@@ -17,8 +22,9 @@
         asks::Asks,
         claims::Claims,
         follow::Update,
+        loans::Loans,
         metrics::Metrics,
-        observed::Ready,
+        observed::{NO_VIEW, Ready},
         service::{ServiceState, Services},
     },
     version::Table,
@@ -35,7 +41,9 @@
     /// The way to the store for claims.
     pub claims: Claims,
     /// The way to other entry hosts.
-    pub asks: Asks,
+    pub asks: Rc<Asks>,
+    /// Loans of slots from them.
+    pub loans: Rc<Loans>,
     /// This process's attempts.
     pub attempts: RefCell<ClaimTable>,
     services: Services,
@@ -68,13 +76,16 @@
         claims: Claims,
         asks: Asks,
         ready: Ready,
-    ) -> Self {
-        Self {
+    ) -> Rc<Self> {
+        let asks = Rc::new(asks);
+        let loans = Loans::new(Rc::clone(&asks), settings.minions.loans);
+        Rc::new(Self {
             settings,
             incarnation,
             metrics,
             claims,
             asks,
+            loans,
             attempts: RefCell::new(ClaimTable::new()),
             services: Services::default(),
             table: RefCell::default(),
@@ -82,7 +93,7 @@
             fresh_until: Cell::new(None),
             is_stopping: Cell::new(false),
             ready,
-        }
+        })
     }
 
     /// Returns the routes in force; a request keeps the ones that it started with.
@@ -94,7 +105,7 @@
     pub fn take_update(&self, update: Update) {
         self.fresh_until.set(self.fresh_until.get().max(update.fresh_until));
         if let Some(fleet) = &update.fleet {
-            self.services.update(fleet, &self.settings.zone);
+            self.services.update(fleet, &self.settings.zone, &self.loans);
             let table = Table::new(fleet, &self.services, &self.metrics);
             *self.table.borrow_mut() = Rc::new(table);
             emit(Event::ConfigInForce, format_args!("version {}", fleet.version));
@@ -106,8 +117,23 @@
         if let Some(limits) = &update.limits {
             self.services.set_limits(limits);
         }
+        self.loans.update(update.peers, update.longest);
         self.attempts.borrow_mut().forget(self.settings.claims.keep.duration(), Instant::now());
-        self.ready.set(self.not_ready());
+        self.ready.set(self.not_ready(), self.fresh_until.get());
+    }
+
+    /// Lends up to `want` slots of `service` to another entry host.
+    pub fn lend(&self, service: &ServiceName, want: u32) -> EntryReply {
+        let loan = LoanId(rand::random());
+        // Whoever can't be sure of its own slots has none to lend.
+        let service = self.services.get(service).filter(|_| self.is_fresh());
+        let slots = service.map(|service| service.lend(loan, want, self.loans.grace()));
+        EntryReply::Lent { loan, slots: slots.unwrap_or_default() }
+    }
+
+    /// Takes back what was lent as `loan`.
+    pub fn take_back(&self, loan: LoanId) {
+        self.services.take_back(loan);
     }
 
     /// Tells whether a request may be dispatched now by what this host knows.
@@ -123,7 +149,7 @@
     /// Is not ready from now on.
     pub fn begin_shutdown(&self) {
         self.is_stopping.set(true);
-        self.ready.set(self.not_ready());
+        self.ready.set(self.not_ready(), self.fresh_until.get());
     }
 
     fn not_ready(&self) -> Option<&'static str> {
@@ -131,7 +157,7 @@
             return Some("shutting down");
         }
         if !self.is_fresh() {
-            return Some("no fresh view from the control of this host");
+            return Some(NO_VIEW);
         }
         if self.table.borrow().version().0 == 0 {
             return Some("no configuration yet");
--- a/reachhead_entry/src/process/follow.rs
+++ b/reachhead_entry/src/process/follow.rs
@@ -49,6 +49,10 @@
     pub leaving: Option<LeavingHosts>,
     /// New limits, if they changed.
     pub limits: Option<Limits>,
+    /// Where the entry processes of the other hosts answer.
+    pub peers: Vec<SocketAddr>,
+    /// The longest time for which a request may run on a slot.
+    pub longest: Duration,
     /// Until when this view counts as fresh; `None` if the control's list was never confirmed.
     pub fresh_until: Option<Instant>,
 }
@@ -117,6 +121,9 @@
 
     fn learn(&mut self, reply: FollowReply, asked: Instant) -> Update {
         let fleet = self.apply(&reply);
+        let own_host = reply.own.as_ref().map(|own| own.host.clone());
+        let others = reply.members.iter().filter(|member| Some(&member.host) != own_host.as_ref());
+        let peers = others.map(|member| member.entry).collect();
         let hosts = reply.members.iter().map(Member::id).collect();
         let now = Instant::now();
         let is_new_list = self.shares.note(hosts, reply.own, now);
@@ -129,6 +136,8 @@
             fleet,
             leaving: reply.leaving,
             limits: is_changed.then(|| self.limits()),
+            peers,
+            longest: self.longest(),
             fresh_until: reply.age.and_then(|age| {
                 // By then every host that takes over a slot counts on this one having noticed.
                 let until = asked + reply.notice.duration();
@@ -164,12 +173,18 @@
     /// How long a slot that was gained stays unused: until the one that lost it has noticed, also if
     /// this host's own list was replaced meanwhile, and until the last request there is over.
     fn hold(&self, notice: Millis) -> Duration {
+        NOTICES * notice.duration() + self.longest()
+    }
+
+    /// The longest time for which a request may run on a slot: its deadline, and as long again that
+    /// is left to a minion which is late.
+    fn longest(&self) -> Duration {
         let deadlines = self.fleet.routes.values().map(|route| {
             let group = self.fleet.tree.get(&route.group);
             let inherited = group.map(|group| group.effective.deadline);
             route.deadline.or(inherited).unwrap_or_default()
         });
-        NOTICES * notice.duration() + deadlines.max().unwrap_or_default().duration()
+        2 * deadlines.max().unwrap_or_default().duration()
     }
 
     fn limits(&self) -> Limits {
--- a/reachhead_entry/src/process/link.rs
+++ b/reachhead_entry/src/process/link.rs
@@ -7,7 +7,7 @@
     server::Responder,
 };
 use reachhead_path::claim::Attempt;
-use reachhead_types::id::{AttemptId, Incarnation};
+use reachhead_types::id::AttemptId;
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
@@ -23,10 +23,10 @@
         /// Where the answer goes.
         reply: oneshot::Sender<Value>,
     },
-    /// What became of an attempt.
-    Attempt {
-        /// The attempt.
-        attempt: AttemptId,
+    /// What another entry host asks.
+    Peer {
+        /// Its question.
+        request: EntryRequest,
         /// Where the answer goes.
         reply: blocking::SyncSender<EntryReply>,
     },
@@ -40,13 +40,27 @@
                 let state = serde_json::to_value(core.state()).unwrap_or_default();
                 let _ = reply.send(state);
             }
-            Self::Attempt { attempt, reply } => {
-                let _ = reply.try_send(attempt_reply(core, attempt));
+            Self::Peer { request, reply } => {
+                let _ = reply.try_send(peer_reply(core, request));
             }
         }
     }
 }
 
+fn peer_reply(core: &Core, request: EntryRequest) -> EntryReply {
+    match request {
+        EntryRequest::Claim { incarnation, attempt } if incarnation == core.incarnation => {
+            attempt_reply(core, attempt)
+        }
+        EntryRequest::Claim { .. } => EntryReply::Stranger,
+        EntryRequest::Borrow { service, want } => core.lend(&service, want),
+        EntryRequest::Return { loan } => {
+            core.take_back(loan);
+            EntryReply::Returned
+        }
+    }
+}
+
 fn attempt_reply(core: &Core, attempt: AttemptId) -> EntryReply {
     match core.attempts.borrow().state(attempt) {
         None => EntryReply::Stranger,
@@ -60,25 +74,20 @@
 
 /// Answers other entry hosts, on the link thread.
 pub struct EntryResponder {
-    incarnation: Incarnation,
     questions: mpsc::Sender<Question>,
 }
 
 impl EntryResponder {
-    /// Returns a responder for this start of the process.
-    pub fn new(incarnation: Incarnation, questions: mpsc::Sender<Question>) -> Self {
-        Self { incarnation, questions }
+    /// Returns a responder that hands questions to the path thread.
+    pub fn new(questions: mpsc::Sender<Question>) -> Self {
+        Self { questions }
     }
 }
 
 impl Responder<EntryRequest, EntryReply> for EntryResponder {
     fn respond(&mut self, request: EntryRequest) -> EntryReply {
-        let EntryRequest::Claim { incarnation, attempt } = request;
-        if incarnation != self.incarnation {
-            return EntryReply::Stranger;
-        }
         let (reply, answer) = blocking::sync_channel(1);
-        if self.questions.try_send(Question::Attempt { attempt, reply }).is_err() {
+        if self.questions.try_send(Question::Peer { request, reply }).is_err() {
             return EntryReply::Stranger;
         }
         answer.recv_timeout(ANSWER_TIME).unwrap_or(EntryReply::Stranger)
--- a/reachhead_entry/src/process/minion.rs
+++ b/reachhead_entry/src/process/minion.rs
@@ -10,11 +10,12 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_path::{
     eject::{Ejection, Step},
+    loan::{LoanBook, Share},
     pick::Candidate,
 };
 use reachhead_types::{
     fleet::{MinionRow, MinionState},
-    id::{HostId, MinionId, ServiceName, ZoneName},
+    id::{HostId, LoanId, MinionId, ServiceName, ZoneName},
 };
 use serde::Serialize;
 
@@ -38,7 +39,9 @@
     /// Its row when this value was made; another address makes another value.
     pub row: MinionRow,
     is_local: bool,
-    limit: Cell<u32>,
+    /// Slots of this host's own.
+    share: Cell<u32>,
+    loans: RefCell<LoanBook>,
     running: Cell<u32>,
     state: Cell<MinionState>,
     /// Whether its host is leaving by the platform's list.
@@ -69,7 +72,8 @@
             is_local: row.zone == *zone,
             state: Cell::new(row.state),
             row,
-            limit: Cell::new(0),
+            share: Cell::new(0),
+            loans: RefCell::default(),
             running: Cell::new(0),
             is_host_leaving: Cell::new(false),
             leaving_until: Cell::new(None),
@@ -85,14 +89,39 @@
     }
 
     /// Returns how many requests this host may run here.
-    pub fn limit(&self) -> u32 {
-        self.limit.get()
+    pub fn limit(&self, now: Instant) -> u32 {
+        let loans = self.loans.borrow();
+        match loans.is_empty() {
+            true => self.share.get(),
+            false => loans.limit(self.share.get(), now),
+        }
+    }
+
+    /// Tells whether more requests run here than may be started now.
+    pub fn is_over_limit(&self, now: Instant) -> bool {
+        self.running.get() > self.limit(now)
+    }
+
+    /// Lends up to `want` slots and returns how many.
+    pub fn lend(&self, loan: LoanId, want: u32, grace: Duration, now: Instant) -> u32 {
+        let share = Share { slots: self.share.get(), running: self.running.get() };
+        self.loans.borrow_mut().lend(loan, share, want, grace, now)
+    }
+
+    /// Takes back what was lent as `loan`.
+    pub fn take_back(&self, loan: LoanId) {
+        self.loans.borrow_mut().take_back(loan);
+    }
+
+    /// Uses slots that were borrowed by a question asked at `asked`.
+    pub fn borrow(&self, loan: LoanId, slots: u32, asked: Instant) {
+        self.loans.borrow_mut().borrow(loan, slots, asked, Instant::now());
     }
 
-    /// Sets how many requests this host may run here; connections beyond that are closed.
-    pub fn set_limit(&self, limit: u32) {
-        self.limit.set(limit);
-        self.idle.borrow_mut().truncate(limit as usize);
+    /// Sets this host's own slots here; connections beyond them are closed.
+    pub fn set_share(&self, share: u32) {
+        self.share.set(share);
+        self.idle.borrow_mut().truncate(share as usize);
     }
 
     /// Sets whether the configuration lets it take new work.
@@ -119,10 +148,10 @@
     }
 
     /// Returns the minion as the choice sees it.
-    pub fn candidate(&self, is_open: bool, was_tried: bool) -> Candidate {
+    pub fn candidate(&self, now: Instant, is_open: bool, was_tried: bool) -> Candidate {
         Candidate {
             running: self.running.get(),
-            limit: self.limit.get(),
+            limit: self.limit(now),
             is_local: self.is_local,
             is_open,
             was_tried,
@@ -183,7 +212,7 @@
     /// Keeps a connection whose last answer is whole.
     pub fn put_idle(&self, sender: Sender) {
         let mut idle = self.idle.borrow_mut();
-        if !sender.is_closed() && idle.len() < self.limit.get() as usize {
+        if !sender.is_closed() && idle.len() < self.share.get() as usize {
             idle.push(Idle { sender, since: Instant::now() });
         }
     }
@@ -192,7 +221,7 @@
     pub fn report(&self) -> MinionReport {
         MinionReport {
             id: self.id.clone(),
-            limit: self.limit.get(),
+            limit: self.limit(Instant::now()),
             running: self.running.get(),
             idle: self.idle.borrow().len(),
             state: self.state.get(),
--- a/reachhead_entry/src/process/mod.rs
+++ b/reachhead_entry/src/process/mod.rs
@@ -6,7 +6,7 @@
 //!   here without a lock.
 //! - `follow`: asks the control of this host for what is new.
 //! - `claims`: writes claims to the store in batches.
-//! - `asks`: asks other entry hosts about their claims.
+//! - `asks`: asks other entry hosts about their claims and for loans of slots.
 //! - `link`: answers other entry hosts.
 //! - `ops`: answers operators.
 
@@ -15,6 +15,7 @@
 pub mod core;
 mod follow;
 mod link;
+pub mod loans;
 pub mod metrics;
 pub mod minion;
 mod observed;
@@ -55,14 +56,14 @@
     let (questions, asked) = mpsc::channel(RING_SIZE);
     let (ready, observed) = EntryObserved::new(questions.clone());
     listener::start(settings.ops.address, Arc::new(observed), registry)?;
-    server::serve(settings.link.ask, link::EntryResponder::new(incarnation, questions))?;
+    server::serve(settings.link.ask, link::EntryResponder::new(questions))?;
     let updates = follow::start(&settings)?;
     let claims = claims::start(&settings)?;
     let asks = asks::start(&settings)?;
 
     let runtime = runtime::single()?;
     let core = Core::new(settings, incarnation, metrics, claims, asks, ready);
-    LocalSet::new().block_on(&runtime, path(Rc::new(core), updates, asked))?;
+    LocalSet::new().block_on(&runtime, path(core, updates, asked))?;
     Ok(())
 }
 
--- a/reachhead_entry/src/process/observed.rs
+++ b/reachhead_entry/src/process/observed.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures::future::{BoxFuture, FutureExt};
@@ -15,21 +15,34 @@
 
 use crate::process::link::Question;
 
+/// What is said when the control of this host gives no fresh view.
+pub const NO_VIEW: &str = "no fresh view from the control of this host";
+
 /// Longest wait for the path thread's state.
 const STATE_TIME: Duration = Duration::from_secs(2);
 
 /// Why the process is not ready, written by the path thread and read by the ops thread.
 #[derive(Clone)]
-pub struct Ready(Arc<Mutex<Option<&'static str>>>);
+pub struct Ready(Arc<Mutex<Reason>>);
+
+#[derive(Clone, Copy)]
+struct Reason {
+    text: Option<&'static str>,
+    /// When the view gets too old; nobody may be there to say so then.
+    fresh_until: Option<Instant>,
+}
 
 impl Ready {
-    /// Sets why the process is not ready; `None` if it is.
-    pub fn set(&self, reason: Option<&'static str>) {
+    /// Sets why the process is not ready, `None` if it is, and until when its view is fresh.
+    pub fn set(&self, text: Option<&'static str>, fresh_until: Option<Instant>) {
+        let reason = Reason { text, fresh_until };
         *self.0.lock().unwrap_or_else(PoisonError::into_inner) = reason;
     }
 
     fn get(&self) -> Option<&'static str> {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        let reason = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_fresh = reason.fresh_until.is_some_and(|until| Instant::now() < until);
+        reason.text.or((!is_fresh).then_some(NO_VIEW))
     }
 }
 
@@ -42,7 +55,8 @@
 impl EntryObserved {
     /// Returns the two ends: one for the path thread, one for the ops listener.
     pub fn new(questions: mpsc::Sender<Question>) -> (Ready, Self) {
-        let ready = Ready(Arc::new(Mutex::new(Some("starting"))));
+        let reason = Reason { text: Some("starting"), fresh_until: None };
+        let ready = Ready(Arc::new(Mutex::new(reason)));
         (ready.clone(), Self { ready, questions })
     }
 }
--- a/reachhead_entry/src/process/service.rs
+++ b/reachhead_entry/src/process/service.rs
@@ -1,13 +1,14 @@
 //! The services: each with its minions, its fair queue and its retry budget.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use rand::{SeedableRng, rngs::SmallRng};
+use reachhead_link::message::LentSlots;
 use reachhead_path::{
     fair::{Ask, Charge, FairQueue, QueueError, Turn, Waiting},
     pick,
@@ -16,7 +17,7 @@
 use reachhead_types::{
     error::ErrorKind,
     fleet::{self, Fleet},
-    id::{GroupName, HostId, MinionId, ServiceName, ZoneName},
+    id::{GroupName, HostId, LoanId, MinionId, ServiceName, ZoneName},
     tree::Effective,
 };
 use serde::Serialize;
@@ -24,6 +25,7 @@
 
 use crate::process::{
     follow::Limits,
+    loans::Loans,
     minion::{Minion, MinionReport},
 };
 
@@ -37,6 +39,8 @@
 pub struct Service {
     name: ServiceName,
     inner: RefCell<Inner>,
+    loans: Rc<Loans>,
+    is_borrowing: Cell<bool>,
 }
 
 struct Inner {
@@ -91,12 +95,12 @@
     }
 
     /// Brings the services in line with `fleet`; requests under way keep what they hold.
-    pub fn update(&self, fleet: &Fleet, zone: &ZoneName) {
+    pub fn update(&self, fleet: &Fleet, zone: &ZoneName, loans: &Rc<Loans>) {
         let mut services = self.services.borrow_mut();
         services.retain(|name, _| fleet.services.contains_key(name));
         for (name, described) in &fleet.services {
             let service =
-                services.entry(name.clone()).or_insert_with(|| Service::new(name.clone()));
+                services.entry(name.clone()).or_insert_with(|| Service::new(name.clone(), loans));
             service.update(described, zone);
         }
         for route in fleet.routes.values() {
@@ -126,6 +130,13 @@
         }
     }
 
+    /// Takes back what was lent as `loan`.
+    pub fn take_back(&self, loan: LoanId) {
+        for service in self.services.borrow().values() {
+            service.take_back(loan);
+        }
+    }
+
     /// Tells whether this host may run anything anywhere, or there is nothing to run.
     pub fn has_share(&self) -> bool {
         let services = self.services.borrow();
@@ -140,14 +151,19 @@
 }
 
 impl Service {
-    fn new(name: ServiceName) -> Rc<Self> {
+    fn new(name: ServiceName, loans: &Rc<Loans>) -> Rc<Self> {
         let inner = Inner {
             minions: Vec::new(),
             queue: FairQueue::new(),
             retries: RetryBudget::new(),
             rng: SmallRng::from_os_rng(),
         };
-        Rc::new(Self { name, inner: RefCell::new(inner) })
+        Rc::new(Self {
+            name,
+            inner: RefCell::new(inner),
+            loans: Rc::clone(loans),
+            is_borrowing: Cell::new(false),
+        })
     }
 
     fn update(&self, described: &fleet::Service, zone: &ZoneName) {
@@ -172,7 +188,7 @@
 
     fn set_limits(self: &Rc<Self>, limits: &BTreeMap<MinionId, u32>) {
         for minion in &self.inner.borrow().minions {
-            minion.set_limit(limits.get(&minion.id).copied().unwrap_or_default());
+            minion.set_share(limits.get(&minion.id).copied().unwrap_or_default());
         }
         self.pump();
     }
@@ -231,7 +247,11 @@
         let (reply, granted) = oneshot::channel();
         let waiter = Waiter { tried: tried.to_vec(), reply };
         match inner.queue.push(ask, waiter, slots, now) {
-            Ok(()) => Ok(Acquired::Later(granted)),
+            Ok(()) => {
+                drop(inner);
+                self.loans.need(self);
+                Ok(Acquired::Later(granted))
+            }
             Err(QueueError::Full | QueueError::Late) => Err(ErrorKind::Overloaded),
         }
     }
@@ -270,6 +290,71 @@
         Some(NextTurn { granted, late: popped.late })
     }
 
+    /// Returns the service's name.
+    pub fn name(&self) -> &ServiceName {
+        &self.name
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> u32 {
+        self.inner.borrow().queue.len() as u32
+    }
+
+    /// Tells whether nobody borrows for this service yet, and marks that someone does.
+    pub fn begin_borrowing(&self) -> bool {
+        !self.is_borrowing.replace(true)
+    }
+
+    /// Marks that nobody borrows for this service any more.
+    pub fn end_borrowing(&self) {
+        self.is_borrowing.set(false);
+    }
+
+    /// Lends up to `want` slots, if no request waits here.
+    pub fn lend(&self, loan: LoanId, want: u32, grace: Duration) -> Vec<LentSlots> {
+        let inner = self.inner.borrow();
+        let now = Instant::now();
+        let mut left = if inner.queue.is_empty() { want } else { 0 };
+        let mut lent = Vec::new();
+        for minion in inner.minions.iter().filter(|minion| minion.is_serving(now)) {
+            let slots = minion.lend(loan, left, grace, now);
+            left -= slots;
+            if slots > 0 {
+                lent.push(LentSlots { minion: minion.id.clone(), slots });
+            }
+        }
+        lent
+    }
+
+    /// Takes back what was lent as `loan`.
+    fn take_back(self: &Rc<Self>, loan: LoanId) {
+        for minion in &self.inner.borrow().minions {
+            minion.take_back(loan);
+        }
+        self.pump();
+    }
+
+    /// Uses slots that were borrowed by a question asked at `asked`.
+    pub fn borrow(self: &Rc<Self>, loan: LoanId, lent: &[LentSlots], asked: Instant) {
+        for LentSlots { minion, slots } in lent {
+            if let Some(minion) = self.minion(minion) {
+                minion.borrow(loan, *slots, asked);
+            }
+        }
+        self.pump();
+    }
+
+    /// Tells whether more requests run at one of the minions of `lent` than this host may run now.
+    pub fn is_over_limit(&self, lent: &[LentSlots]) -> bool {
+        let now = Instant::now();
+        let minions = lent.iter().filter_map(|lent| self.minion(&lent.minion));
+        minions.into_iter().any(|minion| minion.is_over_limit(now))
+    }
+
+    fn minion(&self, id: &MinionId) -> Option<Rc<Minion>> {
+        self.inner.borrow().minions.iter().find(|minion| minion.id == *id).cloned()
+    }
+
     /// Notes a success, which earns a part of a retry.
     pub fn succeed(&self) {
         self.inner.borrow_mut().retries.succeed();
@@ -295,10 +380,10 @@
     /// Returns the slots at minions that take new work.
     fn slots(&self, now: Instant) -> u32 {
         let serving = self.minions.iter().filter(|minion| minion.is_serving(now));
-        let slots: u32 = serving.map(|minion| minion.limit()).sum();
+        let slots: u32 = serving.map(|minion| minion.limit(now)).sum();
         match slots {
             // Everyone is leaving: better a leaving minion than none.
-            0 => self.minions.iter().map(|minion| minion.limit()).sum(),
+            0 => self.minions.iter().map(|minion| minion.limit(now)).sum(),
             slots => slots,
         }
     }
@@ -306,7 +391,7 @@
     fn choose(&mut self, tried: &[MinionId], now: Instant) -> Option<Rc<Minion>> {
         let openness = self.openness(now);
         let candidates = self.minions.iter().map(|minion| {
-            minion.candidate(openness.takes(minion, now), tried.contains(&minion.id))
+            minion.candidate(now, openness.takes(minion, now), tried.contains(&minion.id))
         });
         let index = pick::choose(candidates, &mut self.rng)?;
         Some(Rc::clone(&self.minions[index]))
@@ -316,7 +401,7 @@
     fn openness(&self, now: Instant) -> Openness {
         let levels = [Openness::Good, Openness::Serving];
         let has = |level: &Openness| {
-            self.minions.iter().any(|minion| minion.limit() > 0 && level.takes(minion, now))
+            self.minions.iter().any(|minion| minion.limit(now) > 0 && level.takes(minion, now))
         };
         levels.into_iter().find(has).unwrap_or(Openness::Any)
     }
--- a/reachhead_entry/src/request/keyed.rs
+++ b/reachhead_entry/src/request/keyed.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use reachhead_link::message::EntryReply;
+use reachhead_link::message::{EntryReply, EntryRequest};
 use reachhead_path::claim::{Attempt, Meeting};
 use reachhead_store::{
     claim::{ClaimRow, ClaimState},
@@ -23,7 +23,7 @@
 use tokio::{sync::oneshot, task::spawn_local};
 
 use crate::{
-    process::{asks::Owner, claims::ClaimReply, core::Core},
+    process::{claims::ClaimReply, core::Core},
     request::{
         Arrived,
         body::ReplyBody,
@@ -176,14 +176,16 @@
             None => Err(Settled::Error(ErrorKind::KeyOutcomeLost)),
         };
     }
-    let owner = Owner { address: held.entry, incarnation: held.incarnation, attempt: held.attempt };
-    match core.asks.ask(owner).await {
+    let question = EntryRequest::Claim { incarnation: held.incarnation, attempt: held.attempt };
+    match core.asks.ask(held.entry, question).await {
         Some(EntryReply::Abandoned) => Ok(()),
         Some(EntryReply::InProgress) => Err(Settled::Error(ErrorKind::KeyInProgress)),
         Some(EntryReply::Done(kept)) => Err(Settled::Replay(Rc::new(*kept))),
         Some(EntryReply::Unkept) => Err(Settled::Error(ErrorKind::AnswerNotKept)),
         Some(EntryReply::Lost) => Err(Settled::Error(ErrorKind::KeyOutcomeLost)),
-        Some(EntryReply::Stranger) | None => Err(Settled::Error(ErrorKind::OwnerUnreachable)),
+        Some(EntryReply::Stranger | EntryReply::Lent { .. } | EntryReply::Returned) | None => {
+            Err(Settled::Error(ErrorKind::OwnerUnreachable))
+        }
     }
 }
 
--- a/reachhead_harness/src/cluster.rs
+++ b/reachhead_harness/src/cluster.rs
@@ -195,14 +195,20 @@
 
     /// Starts an entry host.
     pub fn add_host(&mut self) {
+        self.add_host_with_store(self.store);
+    }
+
+    /// Starts an entry host that reaches the store at another address.
+    pub fn add_host_with_store(&mut self, store: SocketAddr) {
         let name = format!("e{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let zone = ZONES[self.hosts.len() % ZONES.len()];
         let [control_ops, control_link, entry_ops, entry_link, callers] =
             [(); 5].map(|()| free(self.ip));
-        let control = self.control_settings(&name, zone, control_ops, control_link, entry_link);
+        let control =
+            self.control_settings(&name, zone, store, control_ops, control_link, entry_link);
         let mut entry = json!({
             "program": "entry", "host": name, "zone": zone,
-            "ops": { "address": entry_ops }, "store": { "address": self.store, "deadline": 500 },
+            "ops": { "address": entry_ops }, "store": { "address": store, "deadline": 500 },
             "callers": { "address": callers },
             "link": { "control": control_link, "ask": entry_link, "period": 50 },
             "shutdown": { "lag": 300, "limit": 20000 },
@@ -221,7 +227,7 @@
     pub fn add_control(&mut self) -> Process {
         let name = format!("c{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let [ops, link, entry] = [(); 3].map(|()| free(self.ip));
-        let settings = self.control_settings(&name, "z1", ops, link, entry);
+        let settings = self.control_settings(&name, "z1", self.store, ops, link, entry);
         let args = write_settings(&self.folder, &format!("control-{name}"), &settings);
         Process::start(&self.folder, &format!("control-{name}"), "reachhead-control", &args)
     }
@@ -230,13 +236,14 @@
         &self,
         name: &str,
         zone: &str,
+        store: SocketAddr,
         ops: SocketAddr,
         link: SocketAddr,
         entry: SocketAddr,
     ) -> Value {
         let mut settings = json!({
             "program": "control", "host": name, "zone": zone,
-            "ops": { "address": ops }, "store": { "address": self.store, "deadline": 500 },
+            "ops": { "address": ops }, "store": { "address": store, "deadline": 500 },
             "link": {
                 "address": link, "entry": entry, "gossip": 100,
                 "seeds": self.hosts.iter().map(|host| host.control_link).collect::<Vec<_>>(),
--- a/reachhead_harness/src/lib.rs
+++ b/reachhead_harness/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod process;
+pub mod wire;
 
 pub use crate::{
     caller::{Call, Reply, call},
--- a/reachhead_link/src/message.rs
+++ b/reachhead_link/src/message.rs
@@ -4,7 +4,7 @@
     answer::KeptAnswer,
     book::Delta,
     hosts::LeavingHosts,
-    id::{AttemptId, HostId, Incarnation},
+    id::{AttemptId, HostId, Incarnation, LoanId, MinionId, ServiceName},
     member::{Member, MemberId},
     size::{Millis, Revision, Version},
 };
@@ -121,6 +121,27 @@
         /// The attempt that the claim names.
         attempt: AttemptId,
     },
+    /// Another entry host has more to do than its slots allow.
+    Borrow {
+        /// The service.
+        service: ServiceName,
+        /// Slots that it could use.
+        want: u32,
+    },
+    /// Another entry host has no request left on what it borrowed.
+    Return {
+        /// The loan.
+        loan: LoanId,
+    },
+}
+
+/// Slots of one minion that are lent.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LentSlots {
+    /// The minion.
+    pub minion: MinionId,
+    /// How many.
+    pub slots: u32,
 }
 
 /// An entry process's answer.
@@ -133,6 +154,15 @@
     Abandoned,
     /// The attempt ended with this answer.
     Done(Box<KeptAnswer>),
+    /// Slots for the term of a loan; empty if there are none to spare.
+    Lent {
+        /// The loan.
+        loan: LoanId,
+        /// What is lent.
+        slots: Vec<LentSlots>,
+    },
+    /// What was lent is taken back.
+    Returned,
     /// The attempt was sent to a minion and its answer is lost.
     Lost,
     /// The attempt ended, and its answer is too large to keep.
--- a/reachhead_path/src/lib.rs
+++ b/reachhead_path/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod eject;
 pub mod fair;
+pub mod loan;
 pub mod pick;
 pub mod retry;
 pub mod share;
--- /dev/null
+++ b/reachhead_path/src/loan.rs
@@ -0,0 +1,96 @@
+//! Short loans of slots between entry hosts, for when the balancer gives one host more than others.
+//!
+//! A loan has a term that both sides count on their own clocks: the borrower from before it asked,
+//! the lender from when it answered, so the borrower stops first. Requests may still run then, so
+//! the lender waits for the return, or for a grace after which none can be left. docs/LIMITS.md has
+//! the argument together with that of the shares.
+
+use std::time::{Duration, Instant};
+
+use reachhead_types::id::LoanId;
+
+/// For how long a borrower may start requests on borrowed slots; shorter than any time to notice a
+/// new list of entry hosts.
+pub const LOAN_TERM: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Clone)]
+struct Loan {
+    id: LoanId,
+    slots: u32,
+    until: Instant,
+}
+
+/// The loans of one minion's slots that one entry host has given and taken.
+#[derive(Debug, Clone, Default)]
+pub struct LoanBook {
+    lent: Vec<Loan>,
+    borrowed: Vec<Loan>,
+}
+
+impl LoanBook {
+    /// Returns a book without loans.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Tells whether there is no loan, which is the usual case.
+    pub fn is_empty(&self) -> bool {
+        self.lent.is_empty() && self.borrowed.is_empty()
+    }
+
+    /// Returns how many requests may run with `share` slots of this host's own.
+    pub fn limit(&self, share: u32, now: Instant) -> u32 {
+        share.saturating_sub(running(&self.lent, now)) + running(&self.borrowed, now)
+    }
+
+    /// Lends up to `want` of the free ones of `share` slots and returns how many.
+    ///
+    /// Half of what is free stays here, and borrowed slots are not lent on. They come back when the
+    /// borrower returns them, or after the term and `grace`.
+    pub fn lend(
+        &mut self,
+        id: LoanId,
+        share: Share,
+        want: u32,
+        grace: Duration,
+        now: Instant,
+    ) -> u32 {
+        self.expire(now);
+        let own = share.slots.saturating_sub(running(&self.lent, now));
+        let free = own.saturating_sub(share.running);
+        let slots = want.min(free / 2);
+        if slots > 0 {
+            self.lent.push(Loan { id, slots, until: now + LOAN_TERM + grace });
+        }
+        slots
+    }
+
+    /// Notes slots that were borrowed by a question asked at `asked`.
+    pub fn borrow(&mut self, id: LoanId, slots: u32, asked: Instant, now: Instant) {
+        self.expire(now);
+        self.borrowed.push(Loan { id, slots, until: asked + LOAN_TERM });
+    }
+
+    /// Takes back what was lent as `id`.
+    pub fn take_back(&mut self, id: LoanId) {
+        self.lent.retain(|loan| loan.id != id);
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.lent.retain(|loan| loan.until > now);
+        self.borrowed.retain(|loan| loan.until > now);
+    }
+}
+
+/// What a lender has of a minion.
+#[derive(Debug, Clone, Copy)]
+pub struct Share {
+    /// Its own slots.
+    pub slots: u32,
+    /// Requests that run there for it.
+    pub running: u32,
+}
+
+fn running(loans: &[Loan], now: Instant) -> u32 {
+    loans.iter().filter(|loan| loan.until > now).map(|loan| loan.slots).sum()
+}
--- /dev/null
+++ b/reachhead_path/tests/loan.rs
@@ -0,0 +1,87 @@
+//! Loans of slots: the sum over all hosts never passes the minion's limit.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::quickcheck;
+use reachhead_path::loan::{LOAN_TERM, LoanBook, Share};
+use reachhead_types::id::LoanId;
+
+const GRACE: Duration = Duration::from_millis(500);
+
+/// A host with its share, and the ends of the requests that run for it.
+struct Host {
+    book: LoanBook,
+    share: u32,
+    ends: Vec<Instant>,
+}
+
+impl Host {
+    fn running(&self, now: Instant) -> u32 {
+        self.ends.iter().filter(|&&end| end > now).count() as u32
+    }
+
+    fn try_start(&mut self, now: Instant, length: Duration) {
+        if self.running(now) < self.book.limit(self.share, now) {
+            self.ends.push(now + length);
+        }
+    }
+}
+
+quickcheck! {
+    /// Hosts start requests whenever they may, ask each other for loans, answers take their time,
+    /// and some borrowers return early; no request is longer than the grace.
+    fn the_sum_never_passes_the_limit(steps: Vec<(u8, u8, u16)>) -> bool {
+        let start = Instant::now();
+        let mut hosts: Vec<Host> = [3, 3, 2]
+            .into_iter()
+            .map(|share| Host { book: LoanBook::new(), share, ends: Vec::new() })
+            .collect();
+        let mut now = start;
+        let mut next = 0;
+        steps.into_iter().all(|(who, what, time)| {
+            now += Duration::from_millis(u64::from(time) % 300);
+            let host = usize::from(who) % 3;
+            let other = (host + 1 + usize::from(who / 3) % 2) % 3;
+            match what % 4 {
+                0 | 1 => {
+                    let length = Duration::from_millis(u64::from(time) % 500);
+                    for _ in 0..4 {
+                        hosts[host].try_start(now, length);
+                    }
+                }
+                2 => {
+                    next += 1;
+                    let lender = &mut hosts[other];
+                    let share = Share { slots: lender.share, running: lender.running(now) };
+                    let lent = lender.book.lend(LoanId(next), share, 4, GRACE, now);
+                    // The question was on its way for a while; the answer is noted later.
+                    let asked = now.checked_sub(Duration::from_millis(50)).unwrap_or(now);
+                    let later = now + Duration::from_millis(u64::from(time) % 200);
+                    hosts[host].book.borrow(LoanId(next), lent, asked, later);
+                }
+                _ => now += LOAN_TERM / 4,
+            }
+            let running: u32 = hosts.iter().map(|host| host.running(now)).sum();
+            running <= 8
+        })
+    }
+}
+
+#[test]
+fn a_loan_ends_by_the_return_or_by_the_term_and_the_grace() {
+    let now = Instant::now();
+    let mut lender = LoanBook::new();
+    let share = Share { slots: 8, running: 2 };
+    assert_eq!(lender.lend(LoanId(1), share, 10, GRACE, now), 3);
+    assert_eq!(lender.limit(8, now), 5);
+    lender.take_back(LoanId(1));
+    assert_eq!(lender.limit(8, now), 8);
+    assert_eq!(lender.lend(LoanId(2), share, 1, GRACE, now), 1);
+    let end = now + LOAN_TERM + GRACE;
+    assert_eq!(lender.limit(8, end - Duration::from_millis(1)), 7);
+    assert_eq!(lender.limit(8, end), 8);
+    let mut borrower = LoanBook::new();
+    borrower.borrow(LoanId(2), 1, now, now);
+    assert_eq!(borrower.limit(2, now), 3);
+    assert_eq!(borrower.limit(2, now + LOAN_TERM), 2);
+}
--- a/reachhead_types/src/id.rs
+++ b/reachhead_types/src/id.rs
@@ -145,6 +145,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ChangeId(pub u128);
 
+/// A loan of slots between two entry hosts; the lender draws it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LoanId(pub u64);
+
 /// What a request asked for, as a digest; a key stands for one request only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u64);
@@ -171,6 +175,7 @@
 
 hex_type!(Incarnation, u64, "16");
 hex_type!(Fingerprint, u64, "16");
+hex_type!(LoanId, u64, "16");
 hex_type!(AttemptId, u128, "32");
 hex_type!(ChangeId, u128, "32");
 
