One main function for all long-lived processes; a host without a slot borrows

A host whose part of a small service is nothing answered no-minion although others had slots. Change: cli::daemon reads command line and settings and calls the program; requests wait for a loan where there is anyone to borrow from.

--- a/reachhead_entry/src/process/loans.rs
+++ b/reachhead_entry/src/process/loans.rs
@@ -48,9 +48,14 @@
         self.longest.get()
     }
 
+    /// Tells whether there is anyone to borrow from.
+    pub fn is_possible(&self) -> bool {
+        self.is_on && !self.peers.borrow().is_empty()
+    }
+
     /// Borrows for `service` as long as requests wait there; one task a service does.
     pub fn need(self: &Rc<Self>, service: &Rc<Service>) {
-        if !self.is_on || self.peers.borrow().is_empty() || !service.begin_borrowing() {
+        if !self.is_possible() || !service.begin_borrowing() {
             return;
         }
         let loans = Rc::clone(self);
--- a/reachhead_entry/src/process/service.rs
+++ b/reachhead_entry/src/process/service.rs
@@ -241,7 +241,8 @@
             return Ok(Acquired::Now(self.permit(minion, charge, now)));
         }
         let slots = inner.slots(now);
-        if slots == 0 {
+        // Without a slot of its own this host can still borrow some.
+        if slots == 0 && (inner.minions.is_empty() || !self.loans.is_possible()) {
             return Err(ErrorKind::NoMinion);
         }
         let (reply, granted) = oneshot::channel();
--- a/reachhead_ops/src/cli.rs
+++ b/reachhead_ops/src/cli.rs
@@ -1,10 +1,11 @@
 //! Command lines and exit codes, alike in all programs.
 
-use std::{env, process::ExitCode};
+use std::{env, fmt::Display, path::PathBuf, process::ExitCode};
 
 use argh::FromArgs;
 use log::LevelFilter;
 use miette::{Diagnostic, GraphicalReportHandler};
+use reachhead_config::Section;
 
 /// Exit code of a program that failed while it ran.
 pub const EXIT_RUNTIME: u8 = 1;
@@ -39,6 +40,39 @@
     })
 }
 
+/// One of the system's processes; it runs until SIGTERM. `/state` of its ops listener tells the rest.
+#[derive(FromArgs)]
+struct DaemonArgs {
+    /// settings file, JSON with comments; "reachhead check" tells whether it has faults
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// The main function of a long-lived process: reads the command line and the settings of
+/// `reachhead-PROGRAM`, starts the logger, and calls `run`.
+pub fn daemon<S: Section, E: Display>(
+    program: &str,
+    run: impl FnOnce(S) -> Result<(), E>,
+) -> ExitCode {
+    let name = format!("reachhead-{program}");
+    let args: DaemonArgs = match parse_args(&name) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    let settings = match reachhead_config::load(program, &args.settings) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error, EXIT_SETTINGS),
+    };
+    start_logs();
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            ExitCode::from(EXIT_RUNTIME)
+        }
+    }
+}
+
 /// Prints `report` with its places and returns `code` to end with.
 pub fn fail(report: &dyn Diagnostic, code: u8) -> ExitCode {
     let mut text = String::new();
