--- a/reachhead_bench/src/capacity/rows.rs
+++ b/reachhead_bench/src/capacity/rows.rs
@@ -66,7 +66,9 @@
 }
 
 async fn measure(minions: usize) -> Measured {
-    let mut cluster = Plan::new(0, 0).with_control(production()).start_bare().await;
+    let entry = json!({ "link": { "period": 250 } });
+    let plan = Plan::new(0, 0).with_control(production()).with_entry(entry);
+    let mut cluster = plan.start_bare().await;
     cluster.configure().await;
     let rows = rows(minions);
     let count = rows.len() + cluster_rows();
--- a/reachhead_bench/src/load.rs
+++ b/reachhead_bench/src/load.rs
@@ -25,6 +25,9 @@
 /// How late the runtime's timers may be.
 const TIMER_STEP: Duration = Duration::from_millis(2);
 
+/// For how long a caller waits for one answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 /// A connection of a caller.
 type Sender = http1::SendRequest<Full<Bytes>>;
 
@@ -145,7 +148,9 @@
         wait_until(due).await;
         let (idle, outcome, stream) = (Arc::clone(&idle), Arc::clone(&outcome), stream.clone());
         sent.push(tokio::spawn(async move {
-            let status = send(&idle, &stream, number).await;
+            // A caller that waited this long has gone; its connection goes with it.
+            let sending = send(&idle, &stream, number);
+            let status = time::timeout(PATIENCE, sending).await.unwrap_or_default();
             let mut outcome = outcome.lock().unwrap_or_else(PoisonError::into_inner);
             outcome.note(status, due.elapsed());
         }));
