Tests of a waiting claim keep loans out

Cause: since hosts borrow slots, a claimed request at a full host may run on a borrowed one, so the moment between claim and dispatch that two tests need did not come (the request had run and the caller was answered before the kill). Ruled out: a fault of the claims; what was asserted is unchanged. Change: the two tests start their hosts with minions.loans off. Conclusion: the promise is tested at the same moment as before.

--- a/reachhead/tests/system/claims.rs
+++ b/reachhead/tests/system/claims.rs
@@ -26,6 +26,11 @@
     tokio::spawn(async move { call(address, &request).await })
 }
 
+/// Settings with which a claimed request waits at a full host: it can't run on borrowed slots.
+fn without_loans() -> Value {
+    json!({ "minions": { "loans": false } })
+}
+
 /// Returns the claim rows in the store.
 async fn claims(cluster: &Cluster) -> Vec<Value> {
     let scan = json!({ "prefix": "claim/", "after": null, "limit": 1000 }).to_string();
@@ -92,7 +97,8 @@
 
 #[tokio::test]
 async fn an_entry_killed_between_claim_and_dispatch_leaves_an_unknown_that_never_runs() {
-    let mut cluster = Plan::new(2, 1).with_deadline(3000).start().await;
+    let plan = Plan::new(2, 1).with_deadline(3000).with_entry(without_loans());
+    let mut cluster = plan.start().await;
     let _filled = fill(&cluster, 0, 2000).await;
     let waiting = send(&cluster, 0, pay("a"));
     eventually("the claim is stored", async || (!claims(&cluster).await.is_empty()).then_some(()))
@@ -123,7 +129,8 @@
 
 #[tokio::test]
 async fn a_paused_owner_and_the_retries_elsewhere_run_it_at_most_once() {
-    let cluster = Plan::new(3, 1).with_deadline(2000).start().await;
+    let plan = Plan::new(3, 1).with_deadline(2000).with_entry(without_loans());
+    let cluster = plan.start().await;
     let _filled = fill(&cluster, 0, 1500).await;
     let waiting = send(&cluster, 0, pay("a"));
     eventually("the claim is stored", async || (!claims(&cluster).await.is_empty()).then_some(()))
