The stand-in loses the answers of claims alone when asked to

The fault 'lose the next answer' was taken by whichever transaction came next, now and then a host's own member row, and the claim went through (ran instead of store-down). Ruled out: a fault of the claims: the request had run once and was told so. Change: the fault names a key prefix; the test's store deadline leaves 1.5 s for cutting the store off. What is asserted is unchanged. Conclusion: the faults of both tests meet what they are meant for.

--- a/reachhead/tests/system/claims.rs
+++ b/reachhead/tests/system/claims.rs
@@ -163,7 +163,7 @@
 #[tokio::test]
 async fn a_claim_whose_answer_the_store_loses_is_read_back() {
     let cluster = Plan::new(2, 1).with_deadline(4000).start().await;
-    cluster.store_fault(json!({ "lose": 1 })).await;
+    cluster.store_fault(json!({ "lose": 1, "lose_prefix": "claim/" })).await;
     let reply = cluster.call(0, &pay("a")).await;
     assert_eq!((reply.status, reply.outcome()), (200, "ran"), "{reply:?}");
     let again = cluster.call(1, &pay("a")).await;
@@ -173,9 +173,11 @@
 
 #[tokio::test]
 async fn a_claim_that_landed_unseen_is_not_run_and_then_taken_over() {
-    let cluster = Plan::new(2, 1).with_deadline(4000).start().await;
+    // The store must be cut off between the write and the read back, however busy the machine is.
+    let patient = json!({ "store": { "deadline": 1500 } });
+    let cluster = Plan::new(2, 1).with_deadline(4000).with_entry(patient).start().await;
     // The transaction takes effect, its answer is lost, and so is the read that would find it.
-    cluster.store_fault(json!({ "lose": 1 })).await;
+    cluster.store_fault(json!({ "lose": 1, "lose_prefix": "claim/" })).await;
     let waiting = send(&cluster, 0, pay("a"));
     eventually("the claim has landed", async || (!claims(&cluster).await.is_empty()).then_some(()))
         .await;
--- a/reachhead_standin/src/store.rs
+++ b/reachhead_standin/src/store.rs
@@ -20,6 +20,7 @@
     Store,
     http::{COMMIT_PATH, HOSTS_PATH, READ_PATH, SCAN_PATH},
     memory::MemoryStore,
+    row::Txn,
 };
 use reachhead_types::{hosts::HostList, size::Revision};
 use serde::{Deserialize, Serialize};
@@ -43,6 +44,8 @@
     delay: u64,
     /// This many transactions take effect and their answer never comes.
     lose: u32,
+    /// Only transactions that write a key with this prefix lose their answer.
+    lose_prefix: String,
     /// Reads of the host list give older lists in turn with the newest.
     stale: bool,
 }
@@ -119,10 +122,11 @@
     }
 
     /// Takes one lost answer off the fault, if there is one.
-    fn take_loss(&self) -> bool {
+    fn take_loss(&self, txn: &Txn) -> bool {
         let mut fault = self.fault();
-        let is_lost = fault.lose > 0;
-        fault.lose = fault.lose.saturating_sub(1);
+        let is_meant = txn.writes.iter().any(|write| write.key.0.starts_with(&fault.lose_prefix));
+        let is_lost = fault.lose > 0 && is_meant;
+        fault.lose -= u32::from(is_lost);
         is_lost
     }
 
@@ -158,8 +162,10 @@
 
     async fn commit(&self, body: &[u8]) -> Result<WholeResponse, String> {
         self.counts.commits.fetch_add(1, Ordering::Relaxed);
-        let commit = self.store.commit(parse(body)?).await.map_err(|error| error.to_string())?;
-        if self.take_loss() {
+        let txn: Txn = parse(body)?;
+        let is_lost = self.take_loss(&txn);
+        let commit = self.store.commit(txn).await.map_err(|error| error.to_string())?;
+        if is_lost {
             time::sleep(NEVER).await;
         }
         Ok(http::json(StatusCode::OK, &commit))
