A host off the list borrows nothing

Cause: a host that is cut from the store and taken off the list still heard of its peers through gossip and borrowed slots of them, so it answered 200 where it should have stopped. Change: without a place on the list there are no peers to borrow from, and a loan that was on its way meanwhile is returned unused. Before: a_host_off_the_list_borrows_nothing failed at its first request (200, ran).

--- a/reachhead/tests/system/limits.rs
+++ b/reachhead/tests/system/limits.rs
@@ -195,6 +195,27 @@
     assert_limits_held(&cluster).await;
 }
 
+#[tokio::test]
+async fn a_host_off_the_list_borrows_nothing() {
+    let mut cluster = Plan::new(2, 1).with_deadline(800).start().await;
+    let wire = Wire::new(cluster.store.ip(), cluster.store).await;
+    cluster.add_host_with_store(wire.address);
+    ready(cluster.hosts[2].entry_ops).await;
+    wire.cut(true);
+    eventually("the others have all slots", async || {
+        let sums = limits(&cluster, &[0, 1]).await;
+        let own = limits(&cluster, &[2]).await;
+        (sums[0] == SLOTS && own == [0, 0]).then_some(())
+    })
+    .await;
+    // The others are idle and would lend; this host can be asked about claims by nobody.
+    for _ in 0..20 {
+        let reply = cluster.call(2, &Call::get("/red/alpha")).await;
+        assert_eq!((reply.status, reply.outcome()), (503, "not-run"), "{reply:?}");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test]
 async fn an_entry_without_its_control_stops_and_goes_on_with_it() {
     let cluster = Plan::new(2, 1).start().await;
--- a/reachhead_entry/src/process/follow.rs
+++ b/reachhead_entry/src/process/follow.rs
@@ -123,7 +123,11 @@
         let fleet = self.apply(&reply);
         let own_host = reply.own.as_ref().map(|own| own.host.clone());
         let others = reply.members.iter().filter(|member| Some(&member.host) != own_host.as_ref());
-        let peers = others.map(|member| member.entry).collect();
+        // A host that is off the list can be asked by nobody, so it must not run on loans either.
+        let peers = match own_host {
+            Some(_) => others.map(|member| member.entry).collect(),
+            None => Vec::new(),
+        };
         let hosts = reply.members.iter().map(Member::id).collect();
         let now = Instant::now();
         let is_new_list = self.shares.note(hosts, reply.own, now);
--- a/reachhead_entry/src/process/loans.rs
+++ b/reachhead_entry/src/process/loans.rs
@@ -72,7 +72,10 @@
             }
             let asked = Instant::now();
             if let Some((loan, peer, slots)) = self.ask(&service, want).await {
-                service.borrow(loan, &slots, asked);
+                // This host may have been taken off the list while it asked.
+                if self.is_possible() {
+                    service.borrow(loan, &slots, asked);
+                }
                 spawn_local(Rc::clone(&self).give_back(service, loan, peer, slots));
             }
             time::sleep(ASK_PAUSE).await;
