A caller that stops reading gives its slot back

Cause: an answer that is streamed holds its minion's slot until the last byte is taken; a caller that reads nothing more left its connection's write waiting for ever, and the slot with it. Ruled out: the limit on a minion's silence, which runs only while the body is asked for. Change: a write that gets nowhere for callers.stall_time (15 s) ends the caller's connection; the timer is made only for writes that wait. Before: a_caller_that_stops_reading_gives_its_slot_back waited 60 s in vain.

--- a/reachhead/tests/system/outcomes.rs
+++ b/reachhead/tests/system/outcomes.rs
@@ -208,6 +208,26 @@
     }
 }
 
+#[tokio::test]
+async fn a_caller_that_stops_reading_gives_its_slot_back() {
+    // More than the buffers of all sockets on the way hold.
+    let size = 50_000_000;
+    let stalled = json!({ "callers": { "stall_time": 500 } });
+    let cluster = Plan::new(1, 1).with_entry(stalled).with_deadline(5000).start().await;
+    let mut stream = TcpStream::connect(cluster.hosts[0].callers).await.unwrap();
+    let head = format!("GET /red/alpha HTTP/1.1\r\nHost: a\r\nstandin-size: {size}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let running = async || {
+        let state = state(cluster.hosts[0].entry_ops).await;
+        state["services"][0]["minions"][0]["running"].as_u64().unwrap()
+    };
+    eventually("the answer is on its way", async || (running().await == 1).then_some(())).await;
+    eventually("the slot is free", async || (running().await == 0).then_some(())).await;
+    let mut got = Vec::new();
+    let ended = stream.read_to_end(&mut got).await;
+    assert!(ended.is_err() || got.len() < size, "a cut answer must not look whole");
+}
+
 #[tokio::test]
 async fn frozen_and_killed_minions_are_left_alone_and_come_back() {
     let mut cluster = Plan::new(1, 3).with_deadline(1000).start().await;
--- a/reachhead_config/src/entry.rs
+++ b/reachhead_config/src/entry.rs
@@ -29,6 +29,8 @@
         body: Bytes = Bytes(1_048_576);
         /// Longest time that a body may take to arrive, in milliseconds.
         body_time: NonZeroU64 = millis(15_000);
+        /// Longest time for which a caller may take nothing of its answer, in milliseconds.
+        stall_time: NonZeroU64 = millis(15_000);
     }
 }
 
--- a/reachhead_entry/src/connection/accept.rs
+++ b/reachhead_entry/src/connection/accept.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     connection::{
+        stall::Stall,
         stop::Stop,
         watch::{Watch, WatchedStream},
     },
@@ -114,7 +115,8 @@
             async move { Ok::<_, Infallible>(request::handle(core, request, &watch).await) }
         })
     };
-    let stream = TokioIo::new(WatchedStream::new(stream, watch));
+    let stall = Stall::new(Duration::from_millis(callers.stall_time.get()));
+    let stream = TokioIo::new(WatchedStream::new(stream, watch, stall));
     let mut connection = builder.serve_connection(stream, service);
     let mut listens = open.0.stop.listen();
     let ended = future::poll_fn(|context| {
--- a/reachhead_entry/src/connection/mod.rs
+++ b/reachhead_entry/src/connection/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod accept;
 pub mod out;
-pub mod stop;
+pub mod stall;
+mod stop;
 pub mod watch;
--- a/reachhead_entry/src/connection/watch.rs
+++ b/reachhead_entry/src/connection/watch.rs
@@ -18,6 +18,8 @@
     net::TcpStream,
 };
 
+use crate::connection::stall::Stall;
+
 /// Start of the field that gives a body's length.
 const LENGTH: &[u8] = b"content-length:";
 
@@ -93,16 +95,17 @@
     }
 }
 
-/// A caller's stream whose incoming bytes pass the watch.
+/// A caller's stream whose incoming bytes pass the watch and whose outgoing ones must get on.
 pub struct WatchedStream {
     stream: TcpStream,
     watch: Rc<Watch>,
+    stall: Stall,
 }
 
 impl WatchedStream {
-    /// Returns `stream` under `watch`.
-    pub fn new(stream: TcpStream, watch: Rc<Watch>) -> Self {
-        Self { stream, watch }
+    /// Returns `stream` under `watch`; its writes end with an error when they `stall`.
+    pub fn new(stream: TcpStream, watch: Rc<Watch>, stall: Stall) -> Self {
+        Self { stream, watch, stall }
     }
 }
 
@@ -127,7 +130,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.stall.check(context, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -143,7 +147,8 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.stall.check(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
