Settings can be compared, traced and undone; operators have scopes

Cause: left of the settings tree were diff, undo and a row's history; one token ruled everything, so a rival's operator could read and change another group's rows. Change: the log keeps the value before each write and whose operators may read it, an index leads from a row to its versions, an undo is a change bound to the version that it undoes. Operators are rows with a salted hash and a group; each change is checked on the rows before and after, inside the attempt, so that what another operator moved meanwhile counts. Ruled out: a scope check before the attempt (a group that is moved in between would slip through); pages of the log filtered by today's owner (a row that changed hands would show its past). Before: with the check switched off the two tests of scopes failed at once; with the look-up of change ids switched off the race test found changes twice in the log.

--- a/reachhead/src/args.rs
+++ b/reachhead/src/args.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use reachhead_types::{
     fleet::RowKey,
-    id::{ChangeId, GroupName},
+    id::{ChangeId, GroupName, OperatorName},
     size::Version,
 };
 
@@ -23,6 +23,7 @@
     Dump(DumpArgs),
     Apply(ApplyArgs),
     Settings(SettingsArgs),
+    Operator(OperatorArgs),
 }
 
 /// Check a settings file without starting anything, or explain the settings of a program.
@@ -96,6 +97,8 @@
     Delete(DeleteArgs),
     Effective(EffectiveArgs),
     Log(LogArgs),
+    Diff(DiffArgs),
+    Undo(UndoArgs),
     Status(StatusArgs),
 }
 
@@ -162,6 +165,36 @@
     /// start after this version
     #[argh(option, default = "Version(0)")]
     pub after: Version,
+
+    /// only the writes of this row, with their values
+    #[argh(option)]
+    pub key: Option<RowKey>,
+}
+
+/// Print the rows that differ between two versions.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArgs {
+    /// earlier version
+    #[argh(positional)]
+    pub from: Version,
+
+    /// later version; the newest by default
+    #[argh(positional)]
+    pub to: Option<Version>,
+}
+
+/// Undo a version by a new change; refused if one of its rows was written since.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "undo")]
+pub struct UndoArgs {
+    /// version to undo
+    #[argh(positional)]
+    pub version: Version,
+
+    /// id of the change; give the same one again after a lost answer
+    #[argh(option)]
+    pub id: Option<ChangeId>,
 }
 
 /// Print on how many entry hosts the newest version is in force.
@@ -172,3 +205,50 @@
     #[argh(option, default = "0")]
     pub wait: u64,
 }
+
+/// Operators and their tokens.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "operator")]
+pub struct OperatorArgs {
+    #[argh(subcommand)]
+    pub command: OperatorCommand,
+
+    /// address of an admin; REACHHEAD_ADMIN by default
+    #[argh(option)]
+    pub admin: Option<SocketAddr>,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum OperatorCommand {
+    Add(AddOperatorArgs),
+    List(ListOperatorArgs),
+    Remove(RemoveOperatorArgs),
+}
+
+/// Make an operator, or a new token for one, and print the token; it is shown only this once.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "add")]
+pub struct AddOperatorArgs {
+    /// name of the operator
+    #[argh(positional)]
+    pub name: OperatorName,
+
+    /// group whose subtree the operator works in; the whole tree by default
+    #[argh(option)]
+    pub group: Option<GroupName>,
+}
+
+/// Print the operators.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListOperatorArgs {}
+
+/// Remove an operator; its token is worth nothing from then on.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "remove")]
+pub struct RemoveOperatorArgs {
+    /// name of the operator
+    #[argh(positional)]
+    pub name: OperatorName,
+}
--- a/reachhead/src/command/mod.rs
+++ b/reachhead/src/command/mod.rs
@@ -3,6 +3,8 @@
 pub mod apply;
 pub mod check;
 pub mod dump;
+pub mod history;
+pub mod operator;
 pub mod settings;
 
 use reachhead_config::SettingsError;
--- a/reachhead/src/command/settings.rs
+++ b/reachhead/src/command/settings.rs
@@ -2,10 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use reachhead_types::{
-    id::{ChangeId, HostId, OperatorName},
-    size::{Millis, Version},
-};
+use reachhead_types::{id::HostId, size::Version};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::time;
@@ -13,7 +10,7 @@
 use crate::{
     args::{DeleteArgs, SetArgs, SettingsArgs, SettingsCommand, StatusArgs},
     client::Client,
-    command::{self, CommandError, RowWrite},
+    command::{self, CommandError, RowWrite, history},
     print,
 };
 
@@ -32,10 +29,9 @@
                 client.get(&format!("/v1/effective/{}", effective.group)).await?;
             print_effective(&report, args.json)
         }
-        SettingsCommand::Log(log) => {
-            let rows = client.get(&format!("/v1/log?after={}", log.after)).await?;
-            print_log(rows, args.json)
-        }
+        SettingsCommand::Log(log) => history::log(&client, log, args.json).await,
+        SettingsCommand::Diff(diff) => history::diff(&client, diff, args.json).await,
+        SettingsCommand::Undo(undo) => history::undo(&client, undo).await,
         SettingsCommand::Status(status) => wait_status(&client, status, args.json).await,
     }
 }
@@ -43,10 +39,9 @@
 async fn print_rows(client: &Client, prefix: &str, json: bool) -> Result<(), CommandError> {
     let rows = command::rows(client, prefix).await?;
     if json {
-        print::line(&serde_json::to_string_pretty(&rows)?);
-        return Ok(());
+        return print::json(&rows);
     }
-    let mut lines = vec![head(&["KEY", "VERSION", "VALUE"])];
+    let mut lines = vec![print::head(&["KEY", "VERSION", "VALUE"])];
     for row in rows {
         lines.push(vec![row.key.to_string(), row.version.to_string(), row.value.to_string()]);
     }
@@ -77,10 +72,9 @@
 
 fn print_effective(report: &Effective, json: bool) -> Result<(), CommandError> {
     if json {
-        print::line(&serde_json::to_string_pretty(report)?);
-        return Ok(());
+        return print::json(report);
     }
-    let mut lines = vec![head(&["SETTING", "VALUE", "FROM"])];
+    let mut lines = vec![print::head(&["SETTING", "VALUE", "FROM"])];
     for (name, value) in &report.settings {
         let origin = report.origins.get(name).and_then(Value::as_str).unwrap_or("(default)");
         lines.push(vec![name.clone(), value.to_string(), origin.to_owned()]);
@@ -89,35 +83,6 @@
     Ok(())
 }
 
-#[derive(Deserialize, Serialize)]
-struct LogRow {
-    version: Version,
-    id: ChangeId,
-    operator: OperatorName,
-    at: Millis,
-    writes: Vec<Value>,
-}
-
-fn print_log(rows: Vec<LogRow>, json: bool) -> Result<(), CommandError> {
-    if json {
-        print::line(&serde_json::to_string_pretty(&rows)?);
-        return Ok(());
-    }
-    let mut lines = vec![head(&["VERSION", "CHANGE", "BY", "AT (ms)", "ROWS"])];
-    for row in rows {
-        let keys = row.writes.iter().filter_map(|write| write["key"].as_str());
-        lines.push(vec![
-            row.version.to_string(),
-            row.id.to_string(),
-            row.operator.to_string(),
-            row.at.to_string(),
-            keys.collect::<Vec<_>>().join(" "),
-        ]);
-    }
-    print::table(&lines);
-    Ok(())
-}
-
 #[derive(Deserialize, Serialize)]
 struct HostStatus {
     host: HostId,
@@ -148,12 +113,11 @@
 
 fn print_status(status: &Status, json: bool) -> Result<(), CommandError> {
     if json {
-        print::line(&serde_json::to_string_pretty(status)?);
-        return Ok(());
+        return print::json(status);
     }
     let Status { version, in_force, hosts } = status;
     print::line(&format!("version {version} is in force on {in_force} of {} hosts", hosts.len()));
-    let mut lines = vec![head(&["HOST", "CONTROL", "ENTRY"])];
+    let mut lines = vec![print::head(&["HOST", "CONTROL", "ENTRY"])];
     let text = |version: Option<Version>| version.map_or("?".to_owned(), |v| v.to_string());
     for host in hosts {
         lines.push(vec![host.host.to_string(), text(host.control), text(host.entry)]);
@@ -161,7 +125,3 @@
     print::table(&lines);
     Ok(())
 }
-
-fn head(names: &[&str]) -> Vec<String> {
-    names.iter().map(|&name| name.to_owned()).collect()
-}
--- a/reachhead/src/main.rs
+++ b/reachhead/src/main.rs
@@ -42,5 +42,6 @@
         Command::Dump(dump) => command::dump::run(&dump).await,
         Command::Apply(apply) => command::apply::run(&apply).await,
         Command::Settings(settings) => command::settings::run(&settings).await,
+        Command::Operator(operator) => command::operator::run(&operator).await,
     }
 }
--- a/reachhead/src/print.rs
+++ b/reachhead/src/print.rs
@@ -5,6 +5,10 @@
     process,
 };
 
+use serde::Serialize;
+
+use crate::command::CommandError;
+
 /// Prints a line; a reader that has gone, as in `reachhead … | head`, ends the program quietly.
 pub fn line(text: &str) {
     if writeln!(io::stdout(), "{text}").is_err() {
@@ -24,3 +28,18 @@
         line(cells.collect::<Vec<_>>().join("  ").trim_end());
     }
 }
+
+/// Prints a value as JSON.
+///
+/// # Errors
+///
+/// Fails if the value has a map that JSON can't write.
+pub fn json(value: &impl Serialize) -> Result<(), CommandError> {
+    line(&serde_json::to_string_pretty(value)?);
+    Ok(())
+}
+
+/// Returns the head of a table.
+pub fn head(names: &[&str]) -> Vec<String> {
+    names.iter().map(|&name| name.to_owned()).collect()
+}
--- a/reachhead/tests/system/main.rs
+++ b/reachhead/tests/system/main.rs
@@ -7,6 +7,7 @@
 
 mod claims;
 mod limits;
+mod operators;
 mod outcomes;
 mod path;
 mod replacement;
--- /dev/null
+++ b/reachhead/tests/system/operators.rs
@@ -0,0 +1,199 @@
+//! Operators of rival groups, and operators that race each other on the same rows.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    process::{Command, Output},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::time;
+
+use reachhead_harness::{
+    Call, Cluster, Reply, call,
+    cluster::{Plan, TOKEN, random_id, state},
+    eventually,
+    process::program,
+};
+
+/// Runs the operators' command line with `token`.
+fn command(cluster: &Cluster, token: &str, args: &[&str]) -> Output {
+    Command::new(program("reachhead"))
+        .args(args)
+        .env("REACHHEAD_ADMIN", cluster.admin.to_string())
+        .env("REACHHEAD_TOKEN", token)
+        .output()
+        .unwrap()
+}
+
+/// Makes an operator of `group` through the command line and returns its token.
+fn add_operator(cluster: &Cluster, name: &str, group: &str) -> String {
+    let output = command(cluster, TOKEN, &["operator", "add", name, "--group", group]);
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).unwrap().trim().to_owned()
+}
+
+async fn call_as(admin: SocketAddr, token: &str, request: Call) -> Reply {
+    call(admin, &request.with_field("authorization", format!("Bearer {token}"))).await
+}
+
+fn change(id: &str, key: &str, value: &Value, expected: Option<u64>) -> Call {
+    let mut write = json!({ "key": key, "value": value });
+    if let Some(expected) = expected {
+        write["expected"] = json!(expected);
+    }
+    Call::post("/v1/changes", &json!({ "id": id, "writes": [write] }).to_string())
+}
+
+#[tokio::test]
+async fn a_rivals_operator_neither_reads_nor_changes_another_groups_rows() {
+    let cluster = Plan::new(0, 1).start().await;
+    let red = add_operator(&cluster, "o-red", "red");
+    let blue = add_operator(&cluster, "o-blue", "blue");
+    let version = cluster.change(vec![("group/blue".to_owned(), json!({ "parent": "top" }))]).await;
+
+    let get = async |token: &str, path: &str| call_as(cluster.admin, token, Call::get(path)).await;
+    for path in ["/v1/rows", "/v1/log", "/v1/diff", "/v1/history?key=group/blue"] {
+        let own = get(&red, path).await;
+        assert_eq!(own.status, 200, "{path}: {own:?}");
+        assert!(!own.body.contains("blue"), "{path}: {own:?}");
+        assert!(get(&blue, path).await.body.contains("blue"), "{path}");
+    }
+    assert!(get(&red, "/v1/rows").await.body.contains("minion/alpha/m0"));
+    assert_eq!(get(&red, "/v1/effective/red").await.status, 200);
+    for hidden in ["blue", "top", "nobody"] {
+        assert_eq!(get(&red, &format!("/v1/effective/{hidden}")).await.status, 403, "{hidden}");
+    }
+
+    let denied = [
+        ("group/blue", json!({ "parent": "top", "settings": { "queue": 1 } })),
+        ("group/red", json!({ "parent": "top", "settings": { "weight": 9 } })),
+        ("group/red", json!({})),
+        ("group/red-2", json!({ "parent": "red" })),
+        ("service/beta", json!({ "group": "red", "pool": "main" })),
+        ("route/red-beta", json!({ "path": "/red/beta", "group": "red", "service": "beta" })),
+        ("route/blue-alpha", Value::Null),
+        ("minion/beta/m0", Value::Null),
+        ("operator/o-blue", Value::Null),
+        ("operator/o-new", json!({ "group": "blue", "salt": "s", "hash": "h" })),
+        ("operator/o-new", json!({ "salt": "s", "hash": "h" })),
+    ];
+    for (key, value) in denied {
+        let reply = call_as(cluster.admin, &red, change(&random_id(), key, &value, None)).await;
+        assert_eq!(reply.status, 403, "{key} {value}: {reply:?}");
+    }
+    let undo = json!({ "id": random_id(), "version": version }).to_string();
+    assert_eq!(call_as(cluster.admin, &red, Call::post("/v1/undo", &undo)).await.status, 403);
+
+    let own = json!({ "parent": "top", "settings": { "queue": 9 } });
+    let reply = call_as(cluster.admin, &red, change(&random_id(), "group/red", &own, None)).await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert!(command(&cluster, TOKEN, &["operator", "remove", "o-red"]).status.success());
+    assert_eq!(get(&red, "/v1/rows").await.status, 401);
+    assert_eq!(get(&blue, "/v1/rows").await.status, 200);
+}
+
+/// Makes `count` changes that each add one to a row, reading it again after each refusal.
+async fn count_up(admin: SocketAddr, row: &str, count: u64) -> Vec<String> {
+    let mut accepted = Vec::new();
+    while accepted.len() < count as usize {
+        let id = random_id();
+        let rows = call_as(admin, TOKEN, Call::get(&format!("/v1/rows?prefix=group/{row}"))).await;
+        let Ok(rows) = serde_json::from_str::<Value>(&rows.body) else {
+            continue;
+        };
+        let seen = rows[0]["value"]["settings"]["queue"].as_u64().unwrap_or_default();
+        let expected = rows[0]["version"].as_u64().unwrap_or_default();
+        let value = json!({ "settings": { "queue": seen + 1 } });
+        let request = change(&id, &format!("group/{row}"), &value, Some(expected));
+        loop {
+            let reply = call_as(admin, TOKEN, request.clone()).await;
+            match reply.status {
+                200 => accepted.push(id),
+                // Nothing changed, for certain: start again from what is there now.
+                409 => {}
+                503 | 504 => {
+                    time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+                _ => panic!("{reply:?}"),
+            }
+            break;
+        }
+    }
+    accepted
+}
+
+#[tokio::test]
+async fn operators_that_race_with_lost_answers_lose_and_double_no_change() {
+    let mut cluster = Plan::new(0, 0).start_bare().await;
+    let other = cluster.add_admin().await;
+    cluster.store_fault(json!({ "lose": 4, "lose_prefix": "config/" })).await;
+    // Two on the same row and two on rows of their own, through two admins.
+    let counts = tokio::join!(
+        count_up(cluster.admin, "same", 8),
+        count_up(other, "same", 8),
+        count_up(cluster.admin, "one", 8),
+        count_up(other, "two", 8),
+    );
+    let accepted: Vec<String> = [counts.0, counts.1, counts.2, counts.3].concat();
+    let log = cluster.admin_call(Call::get("/v1/log")).await;
+    let log: Vec<Value> = serde_json::from_str(&log.body).unwrap();
+    let mut logged: Vec<String> =
+        log.iter().map(|row| row["id"].as_str().unwrap().to_owned()).collect();
+    let mut expected = accepted.clone();
+    logged.sort();
+    expected.sort();
+    assert_eq!(logged, expected, "each accepted change is in the log once, and no other");
+    let rows = cluster.admin_call(Call::get("/v1/rows")).await;
+    let rows: Vec<Value> = serde_json::from_str(&rows.body).unwrap();
+    let queues: BTreeMap<&str, u64> = rows
+        .iter()
+        .map(|row| {
+            (row["key"].as_str().unwrap(), row["value"]["settings"]["queue"].as_u64().unwrap())
+        })
+        .collect();
+    assert_eq!(queues, BTreeMap::from([("group/same", 16), ("group/one", 8), ("group/two", 8)]));
+}
+
+#[tokio::test]
+async fn settings_are_compared_undone_and_traced_by_the_command_line() {
+    let cluster = Plan::new(0, 0).start_bare().await;
+    let row = |queue: u64| json!({ "settings": { "queue": queue } });
+    for queue in [5, 6] {
+        cluster.change(vec![("group/top".to_owned(), row(queue))]).await;
+    }
+    let run = |args: &[&str]| {
+        let output = command(&cluster, TOKEN, args);
+        (output.status.success(), String::from_utf8(output.stdout).unwrap())
+    };
+    let (is_fine, diff) = run(&["settings", "diff", "1", "2"]);
+    assert!(is_fine && diff.contains(r#"{"settings":{"queue":5}}"#), "{diff}");
+    let (is_fine, _) = run(&["settings", "undo", "2"]);
+    assert!(is_fine);
+    assert_eq!(run(&["settings", "diff", "1"]).1.lines().count(), 1, "only the table's head");
+    let (is_fine, _) = run(&["settings", "undo", "2"]);
+    assert!(!is_fine, "the row was written since");
+    let (_, history) = run(&["settings", "log", "--key", "group/top"]);
+    assert_eq!(history.lines().count(), 4, "{history}");
+}
+
+#[tokio::test]
+async fn a_fresh_host_takes_the_newest_version_from_its_peers_while_the_store_is_down() {
+    let mut cluster = Plan::new(2, 1).start().await;
+    let row = json!({ "parent": "top", "settings": { "queue": 77 } });
+    let version = cluster.change(vec![("group/red".to_owned(), row)]).await;
+    cluster.in_force(version).await;
+    cluster.store_fault(json!({ "hang": true })).await;
+    cluster.add_host();
+    let ops = cluster.hosts[2].entry_ops;
+    let mut seen = 0;
+    eventually("the fresh host has the newest version", async || {
+        let now = state(ops).await["version"].as_u64().unwrap_or_default();
+        assert!(now >= seen, "the version went back from {seen} to {now}");
+        seen = now;
+        (now == version).then_some(())
+    })
+    .await;
+}
--- /dev/null
+++ b/reachhead_admin/src/api/change.rs
@@ -0,0 +1,128 @@
+//! Changes, and changes that undo others.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use hyper::StatusCode;
+use reachhead_ops::{
+    event::{Event, emit},
+    http::{self, WholeResponse},
+};
+use reachhead_store::config::{ChangeError, ChangeRequest, Changer, history};
+use reachhead_types::{
+    book::Book,
+    id::ChangeId,
+    size::{Millis, Version},
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::MutexGuard;
+
+use crate::{
+    api::{self, Api, Problem},
+    auth::Caller,
+};
+
+/// The answer to an accepted change.
+#[derive(Serialize)]
+struct Accepted {
+    version: Version,
+}
+
+/// A request to undo a version.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct UndoRequest {
+    /// The id of the change that undoes it.
+    id: ChangeId,
+    /// The version to undo.
+    version: Version,
+}
+
+impl Api {
+    pub(super) async fn change(
+        &self,
+        body: &[u8],
+        caller: Caller,
+        book: MutexGuard<'_, Book>,
+    ) -> WholeResponse {
+        match serde_json::from_slice(body) {
+            Ok(request) => self.make(&request, caller, book).await,
+            Err(error) => api::problem(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    pub(super) async fn undo(
+        &self,
+        body: &[u8],
+        caller: Caller,
+        book: MutexGuard<'_, Book>,
+    ) -> WholeResponse {
+        let UndoRequest { id, version } = match serde_json::from_slice(body) {
+            Ok(request) => request,
+            Err(error) => return api::problem(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        let log = match history::find(&*self.store, version).await {
+            Ok(Some(log)) => log,
+            Ok(None) => return api::problem(StatusCode::NOT_FOUND, "there is no such version"),
+            Err(error) => return api::store_problem(&error),
+        };
+        let Some(fleet) = api::fleet(&book) else {
+            return api::faulty();
+        };
+        let is_hidden =
+            log.writes.iter().any(|write| !caller.scope.covers(&fleet.tree, &write.reader));
+        if is_hidden {
+            return api::forbidden();
+        }
+        self.make(&history::undo(id, log), caller, book).await
+    }
+
+    async fn make(
+        &self,
+        request: &ChangeRequest,
+        caller: Caller,
+        mut book: MutexGuard<'_, Book>,
+    ) -> WholeResponse {
+        let Caller { operator, scope } = caller;
+        let changer = Changer::new(&*self.store, operator.clone(), now()).with_scope(scope);
+        match changer.change(&mut book, request).await {
+            Ok(version) => {
+                self.metrics.change("accepted");
+                let id = request.id;
+                emit(Event::ChangeAccepted, format_args!("{id} by {operator}: {version}"));
+                http::json(StatusCode::OK, &Accepted { version })
+            }
+            Err(error) => self.refuse(request, error),
+        }
+    }
+
+    fn refuse(&self, request: &ChangeRequest, error: ChangeError) -> WholeResponse {
+        let text = error.to_string();
+        emit(Event::ChangeRefused, format_args!("{}: {text}", request.id));
+        let problem = Problem { error: text, nothing_changed: true, ..Problem::default() };
+        let (result, status, problem) = match error {
+            ChangeError::Faulty(faults) => {
+                ("faulty", StatusCode::UNPROCESSABLE_ENTITY, Problem { faults, ..problem })
+            }
+            ChangeError::Raced(raced) => {
+                ("raced", StatusCode::CONFLICT, Problem { raced, ..problem })
+            }
+            ChangeError::Forbidden(forbidden) => {
+                ("forbidden", StatusCode::FORBIDDEN, Problem { forbidden, ..problem })
+            }
+            ChangeError::NotDone(_) => ("not-done", StatusCode::SERVICE_UNAVAILABLE, problem),
+            ChangeError::Unknown(_) => (
+                "unknown",
+                StatusCode::GATEWAY_TIMEOUT,
+                Problem { nothing_changed: false, ..problem },
+            ),
+        };
+        self.metrics.change(result);
+        http::json(status, &problem)
+    }
+}
+
+/// Returns the wall clock; it goes into the log for people and nothing is decided by it.
+fn now() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Millis(since.as_millis() as u64)
+}
--- /dev/null
+++ b/reachhead_admin/src/api/mod.rs
@@ -0,0 +1,148 @@
+//! The calls of the API; docs/API.md lists them.
+
+mod change;
+mod read;
+
+use std::sync::Arc;
+
+use futures::future::{BoxFuture, FutureExt};
+use hyper::{Method, StatusCode};
+use reachhead_ops::http::{self, Handler, WholeRequest, WholeResponse};
+use reachhead_store::{Store, StoreError, config};
+use reachhead_types::{
+    book::Book,
+    fleet::{Fleet, RowFault, RowKey},
+    size::Version,
+};
+use serde::Serialize;
+use tokio::sync::{Mutex, MutexGuard};
+
+use crate::{
+    api::read::Reader,
+    auth::{Auth, Caller},
+    metrics::Metrics,
+    status::StatusReader,
+};
+
+/// The API over one store.
+pub struct Api {
+    store: Arc<dyn Store>,
+    auth: Auth,
+    metrics: Metrics,
+    status: StatusReader,
+    /// The rows as this process has read them; changes are checked against them in turn.
+    book: Mutex<Book>,
+}
+
+/// The answer to a call that was not carried out.
+#[derive(Serialize, Default)]
+struct Problem {
+    /// What happened, for people.
+    error: String,
+    /// Whether it is certain that nothing changed.
+    nothing_changed: bool,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    faults: Vec<RowFault>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    raced: Vec<RowKey>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    forbidden: Vec<RowKey>,
+}
+
+impl Api {
+    /// Returns the API over `store`.
+    pub fn new(store: Arc<dyn Store>, auth: Auth, metrics: Metrics, status: StatusReader) -> Self {
+        Self { store, auth, metrics, status, book: Mutex::new(Book::new()) }
+    }
+
+    /// Returns the version of the rows that this process has read.
+    pub async fn version(&self) -> Version {
+        self.book.lock().await.version()
+    }
+
+    /// Returns the newest rows.
+    async fn follow(&self) -> Result<MutexGuard<'_, Book>, StoreError> {
+        let mut book = self.book.lock().await;
+        config::follow(&*self.store, &mut book).await?;
+        Ok(book)
+    }
+
+    async fn answer(&self, request: WholeRequest) -> WholeResponse {
+        let book = match self.follow().await {
+            Ok(book) => book,
+            // The one token of the settings is known without the store; it then says what is down.
+            Err(error) if self.auth.is_root(&request.headers) => return store_problem(&error),
+            Err(_) => return problem(StatusCode::UNAUTHORIZED, "the token can't be checked now"),
+        };
+        match self.auth.caller(&request.headers, &book) {
+            Some(caller) => self.route(request, caller, book).await,
+            None => problem(StatusCode::UNAUTHORIZED, "a bearer token is needed"),
+        }
+    }
+
+    async fn route(
+        &self,
+        request: WholeRequest,
+        caller: Caller,
+        book: MutexGuard<'_, Book>,
+    ) -> WholeResponse {
+        let path: Vec<&str> = request.path.trim_matches('/').split('/').collect();
+        match (&request.method, path.as_slice()) {
+            (&Method::POST, ["v1", "changes"]) => self.change(&request.body, caller, book).await,
+            (&Method::POST, ["v1", "undo"]) => self.undo(&request.body, caller, book).await,
+            (&Method::GET, ["v1", "rows"]) => read::rows(&book, &request.query, &caller),
+            (&Method::GET, ["v1", page @ ..]) => {
+                let Some(fleet) = fleet(&book) else {
+                    return faulty();
+                };
+                // The store is read without the rows, so that nobody else is kept waiting.
+                drop(book);
+                self.read(page, &request.query, &Reader { caller, fleet }).await
+            }
+            _ => problem(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+}
+
+impl Handler for Api {
+    fn handle(&self, request: WholeRequest) -> BoxFuture<'_, WholeResponse> {
+        self.answer(request).boxed()
+    }
+}
+
+/// Returns the fleet of `book`; `None` if its rows have faults, which the check of changes rules out.
+fn fleet(book: &Book) -> Option<Fleet> {
+    Fleet::from_rows(book.version(), book.rows()).ok()
+}
+
+fn faulty() -> WholeResponse {
+    problem(StatusCode::INTERNAL_SERVER_ERROR, "the rows in force have faults")
+}
+
+fn problem(status: StatusCode, error: &str) -> WholeResponse {
+    let problem = Problem { error: error.to_owned(), nothing_changed: true, ..Problem::default() };
+    http::json(status, &problem)
+}
+
+/// Returns what an operator is told who may not read something, be it there or not.
+fn forbidden() -> WholeResponse {
+    problem(StatusCode::FORBIDDEN, "outside the operator's scope")
+}
+
+fn store_problem(error: &StoreError) -> WholeResponse {
+    let status = match error {
+        StoreError::Refused(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        StoreError::NotDone(_) | StoreError::Lost(_) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    problem(status, &error.to_string())
+}
+
+/// Returns the value of a query parameter; names and numbers need no decoding.
+fn parameter<'q>(query: &'q str, name: &str) -> Option<&'q str> {
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
+/// Returns the version that a query names, or `default` where it names none.
+fn version_parameter(query: &str, name: &str, default: Version) -> Version {
+    parameter(query, name).and_then(|text| text.parse().ok()).unwrap_or(default)
+}
--- a/reachhead_admin/src/auth.rs
+++ b/reachhead_admin/src/auth.rs
@@ -1,21 +1,36 @@
-//! Who may use the API.
+//! Who may use the API, and how far their word goes.
 
 use hyper::{HeaderMap, header};
 use reachhead_config::admin::ApiSettings;
-use reachhead_types::id::OperatorName;
-use sha2::{Digest, Sha256};
+use reachhead_types::{
+    book::Book,
+    fleet::{OperatorRow, RowKey},
+    id::OperatorName,
+    scope::Scope,
+    token,
+};
+use serde::Deserialize;
 
 /// What stands before the token in the `Authorization` field.
 const SCHEME: &str = "Bearer ";
 
-/// The name under which changes are logged while there is one token for all operators.
-const OPERATOR: &str = "operator";
+/// The name under which changes with the token of the settings are logged.
+const ROOT: &str = "root";
 
-/// Checks bearer tokens against a salted hash, so that the settings don't hold the token.
+/// Who calls.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// The operator, for the log.
+    pub operator: OperatorName,
+    /// How far the operator's word goes.
+    pub scope: Scope,
+}
+
+/// Checks bearer tokens against salted hashes, so that neither settings nor rows hold a token.
 pub struct Auth {
     salt: String,
     hash: String,
-    operator: OperatorName,
+    root: OperatorName,
 }
 
 impl Auth {
@@ -28,19 +43,32 @@
         Self {
             salt: settings.token_salt.clone(),
             hash: settings.token_hash.to_ascii_lowercase(),
-            operator: OPERATOR.parse().expect("the operator's name is a name"),
+            root: ROOT.parse().expect("the operator's name is a name"),
         }
     }
 
-    /// Returns who sent a request with `headers`, or `None` if the token is missing or wrong.
-    pub fn operator(&self, headers: &HeaderMap) -> Option<OperatorName> {
-        let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-        let token = value.strip_prefix(SCHEME)?;
-        let mut hasher = Sha256::new();
-        hasher.update(self.salt.as_bytes());
-        hasher.update(token.as_bytes());
-        let hash: String = hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
+    /// Tells whether `headers` have the token of the settings, which needs no row.
+    pub fn is_root(&self, headers: &HeaderMap) -> bool {
+        bearer(headers).is_some_and(|text| token::digest(&self.salt, text) == self.hash)
+    }
+
+    /// Returns who sent a request with `headers` by the operators of `book`, or `None` if the token is
+    /// missing or wrong.
+    pub fn caller(&self, headers: &HeaderMap, book: &Book) -> Option<Caller> {
+        if self.is_root(headers) {
+            return Some(Caller { operator: self.root.clone(), scope: Scope::Tree });
+        }
+        let text = bearer(headers)?;
+        let operator = token::operator(text)?;
+        let value = book.get(&RowKey::Operator(operator.clone()))?;
+        let row = OperatorRow::deserialize(value).ok()?;
         // Comparing digests tells an attacker nothing about the token, however long it takes.
-        (hash == self.hash).then(|| self.operator.clone())
+        let is_right = token::digest(&row.salt, text) == row.hash;
+        let scope = row.group.map_or(Scope::Tree, Scope::Group);
+        is_right.then_some(Caller { operator, scope })
     }
 }
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers.get(header::AUTHORIZATION)?.to_str().ok()?.strip_prefix(SCHEME)
+}
--- a/reachhead_config/src/fleet.rs
+++ b/reachhead_config/src/fleet.rs
@@ -15,12 +15,13 @@
 };
 
 /// The sections of a fleet file and the row kind of each.
-const KINDS: [(&str, &str); 5] = [
+const KINDS: [(&str, &str); 6] = [
     ("groups", "group"),
     ("pools", "pool"),
     ("services", "service"),
     ("minions", "minion"),
     ("routes", "route"),
+    ("operators", "operator"),
 ];
 
 /// Configuration rows, checked together.
@@ -40,6 +41,7 @@
             "Minions by SERVICE/NAME: `address`, `zone`, `slots`, `connections`, `state`.",
         ),
         field("routes", "Routes by name: `path`, `group`, `service`, `key`, `class`, `deadline`."),
+        field("operators", "Operators by name: `group`, `salt`, `hash`."),
     ];
 
     fn read(reader: &mut ObjectReader<'_, '_>) -> Option<Self> {
--- a/reachhead_harness/src/cluster.rs
+++ b/reachhead_harness/src/cluster.rs
@@ -4,7 +4,7 @@
     collections::BTreeSet,
     env, fs,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process,
     sync::{
         Mutex, PoisonError,
@@ -20,7 +20,7 @@
 };
 
 /// The operators' token of every test.
-const TOKEN: &str = "test-token";
+pub const TOKEN: &str = "test-token";
 
 /// Salt of the token's hash.
 const SALT: &str = "salt";
@@ -82,7 +82,13 @@
     pub hosts: Vec<Host>,
     /// Where the admin listens.
     pub admin: SocketAddr,
-    _admin_process: Process,
+    admins: Vec<Admin>,
+}
+
+/// An admin process.
+struct Admin {
+    address: SocketAddr,
+    _process: Process,
 }
 
 impl Plan {
@@ -132,6 +138,20 @@
     }
 }
 
+async fn start_admin(folder: &Path, ip: IpAddr, store: SocketAddr) -> Admin {
+    let address = free(ip);
+    let settings = json!({
+        "program": "admin", "host": "admin", "zone": "z1",
+        "ops": { "address": free(ip) }, "store": { "address": store },
+        "api": { "address": address, "token_salt": SALT, "token_hash": TOKEN_HASH },
+    });
+    let name = format!("admin-{}", address.port());
+    let args = write_settings(folder, &name, &settings);
+    let process = Process::start(folder, &name, "reachhead-admin", &args);
+    listening(address).await;
+    Admin { address, _process: process }
+}
+
 /// Returns a loopback address that no other test uses.
 fn own_ip() -> IpAddr {
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -152,15 +172,7 @@
             &["store".to_owned(), "--address".to_owned(), store.to_string()],
         );
         listening(store).await;
-        let admin = free(ip);
-        let settings = json!({
-            "program": "admin", "host": "admin", "zone": "z1",
-            "ops": { "address": free(ip) }, "store": { "address": store },
-            "api": { "address": admin, "token_salt": SALT, "token_hash": TOKEN_HASH },
-        });
-        let args = write_settings(&folder, "admin", &settings);
-        let admin_process = Process::start(&folder, "admin", "reachhead-admin", &args);
-        listening(admin).await;
+        let admin = start_admin(&folder, ip, store).await;
         let mut cluster = Self {
             folder,
             ip,
@@ -169,8 +181,8 @@
             _store_process: store_process,
             minions: Vec::new(),
             hosts: Vec::new(),
-            admin,
-            _admin_process: admin_process,
+            admin: admin.address,
+            admins: vec![admin],
         };
         for service in ["alpha", "beta"] {
             for number in 0..cluster.plan.minions {
@@ -223,6 +235,14 @@
         self.hosts.push(Host { control, entry, callers, entry_ops, control_link });
     }
 
+    /// Starts another admin process and returns its address.
+    pub async fn add_admin(&mut self) -> SocketAddr {
+        let admin = start_admin(&self.folder, self.ip, self.store).await;
+        let address = admin.address;
+        self.admins.push(admin);
+        address
+    }
+
     /// Starts the control process of an entry host without an entry process.
     pub fn add_control(&mut self) -> Process {
         let name = format!("c{}", NEXT.fetch_add(1, Ordering::Relaxed));
@@ -427,7 +447,7 @@
     format!("{:032x}", rand::random::<u128>())
 }
 
-fn write_settings(folder: &std::path::Path, name: &str, settings: &Value) -> Vec<String> {
+fn write_settings(folder: &Path, name: &str, settings: &Value) -> Vec<String> {
     let path = folder.join(format!("{name}.jsonc"));
     fs::write(&path, settings.to_string()).expect("the test system works");
     vec!["--settings".to_owned(), path.display().to_string()]
--- a/reachhead_store/src/keys.rs
+++ b/reachhead_store/src/keys.rs
@@ -40,6 +40,16 @@
     Key(format!("{LOG_PREFIX}{:020}", version.0))
 }
 
+/// What the keys of the index of one configuration row's history start with.
+pub fn history_prefix(row: &RowKey) -> String {
+    format!("config/history/{row}/")
+}
+
+/// The row that tells that `version` wrote a configuration row.
+pub fn history(row: &RowKey, version: Version) -> Key {
+    Key(format!("{}{:020}", history_prefix(row), version.0))
+}
+
 /// The row that tells which version a change became.
 pub fn change(id: ChangeId) -> Key {
     Key(format!("config/change/{id}"))
--- a/reachhead_types/src/lib.rs
+++ b/reachhead_types/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod hosts;
 pub mod id;
 pub mod member;
+pub mod scope;
 pub mod size;
+pub mod token;
 pub mod tree;
