Hosts move between pools under leases, and are in exactly one

Cause: nothing of pools was built; the promise that a host belongs to exactly one pool had no mechanism. Change: reachhead_pool decides who is in charge of a pool (rendezvous and a lease row that is written only when it changes hands; liveness by the list of entry hosts) and the next step of a host (drain, empty, hand over by one transaction, arrive). reachhead-control runs it, the admin and reachhead add, list, move and remove hosts, the stand-in serves the platform's drains. A pool with hosts can't be deleted. Found by the property: a lease that was taken by a write whose answer was lost belonged to an owner that did not know it, for ever; the preferred host now takes it after pools.hand_over. Before: with the host's revision, the emptiness or the index taken out of the move the property fails; with the lease's revision taken out it does not, since the host's revision fences moves too.

--- a/reachhead/src/args.rs
+++ b/reachhead/src/args.rs
@@ -5,8 +5,8 @@
 use argh::FromArgs;
 use reachhead_types::{
     fleet::RowKey,
-    id::{ChangeId, GroupName, OperatorName},
-    size::Version,
+    id::{ChangeId, GroupName, HostId, OperatorName, PoolName, RackName, ZoneName},
+    size::{Accelerators, Cores, Gibibytes, Version},
 };
 
 /// Operators' command line of reachhead. Exit codes: 1 failed, 2 usage, 3 faults in settings.
@@ -24,6 +24,8 @@
     Apply(ApplyArgs),
     Settings(SettingsArgs),
     Operator(OperatorArgs),
+    Host(HostArgs),
+    Pool(PoolArgs),
 }
 
 /// Check a settings file without starting anything, or explain the settings of a program.
@@ -252,3 +254,127 @@
     #[argh(positional)]
     pub name: OperatorName,
 }
+
+/// Hosts and the pools that they are in.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "host")]
+pub struct HostArgs {
+    #[argh(subcommand)]
+    pub command: HostCommand,
+
+    /// address of an admin; REACHHEAD_ADMIN by default
+    #[argh(option)]
+    pub admin: Option<SocketAddr>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum HostCommand {
+    Add(AddHostArgs),
+    List(ListHostArgs),
+    Move(MoveHostArgs),
+    Remove(RemoveHostArgs),
+}
+
+/// Add a host to a pool; the same again changes nothing.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "add")]
+pub struct AddHostArgs {
+    /// name of the host
+    #[argh(positional)]
+    pub host: HostId,
+
+    /// pool
+    #[argh(option)]
+    pub pool: PoolName,
+
+    /// availability zone
+    #[argh(option)]
+    pub zone: ZoneName,
+
+    /// rack
+    #[argh(option)]
+    pub rack: RackName,
+
+    /// processor cores
+    #[argh(option, default = "Cores(0)")]
+    pub cores: Cores,
+
+    /// memory in GiB
+    #[argh(option, default = "Gibibytes(0)")]
+    pub memory: Gibibytes,
+
+    /// accelerators
+    #[argh(option, default = "Accelerators(0)")]
+    pub accelerators: Accelerators,
+}
+
+/// Print hosts.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListHostArgs {
+    /// only those of this pool
+    #[argh(option)]
+    pub pool: Option<PoolName>,
+}
+
+/// Move a host: it is drained, waited for until it is empty, and handed over.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "move")]
+pub struct MoveHostArgs {
+    /// host
+    #[argh(positional)]
+    pub host: HostId,
+
+    /// pool to move it to
+    #[argh(option)]
+    pub to: Option<PoolName>,
+
+    /// take a move back, as far as it was not done
+    #[argh(switch)]
+    pub cancel: bool,
+
+    /// wait until it serves there, at most this many seconds
+    #[argh(option, default = "0")]
+    pub wait: u64,
+}
+
+/// Forget a host that is not on its way.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "remove")]
+pub struct RemoveHostArgs {
+    /// host
+    #[argh(positional)]
+    pub host: HostId,
+}
+
+/// Pools and who is in charge of them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "pool")]
+pub struct PoolArgs {
+    #[argh(subcommand)]
+    pub command: PoolCommand,
+
+    /// address of an admin; REACHHEAD_ADMIN by default
+    #[argh(option)]
+    pub admin: Option<SocketAddr>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum PoolCommand {
+    List(ListPoolArgs),
+}
+
+/// Print pools.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListPoolArgs {}
--- a/reachhead/src/client.rs
+++ b/reachhead/src/client.rs
@@ -104,6 +104,16 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
+    /// Deletes `path` and reads the JSON of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`].
+    pub async fn delete<A: DeserializeOwned>(&self, path: &str) -> Result<A, CallError> {
+        let body = self.call(Method::DELETE, path, Bytes::new()).await?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+
     async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, CallError> {
         let unreachable = |text: String| CallError::Unreachable { address: self.address, text };
         match time::timeout(CALL_TIME, self.exchange(method, path, body)).await {
--- a/reachhead/src/command/mod.rs
+++ b/reachhead/src/command/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod dump;
 pub mod history;
+pub mod host;
 pub mod operator;
 pub mod settings;
 
@@ -34,7 +35,7 @@
     #[error("{0}")]
     Kind(String),
     /// What was waited for did not come in time.
-    #[error("not in force everywhere in time")]
+    #[error("not done in time")]
     Late,
     /// A change may have been made.
     #[error("{source}; if in doubt, repeat it with --id {id}")]
--- a/reachhead/src/main.rs
+++ b/reachhead/src/main.rs
@@ -43,5 +43,7 @@
         Command::Apply(apply) => command::apply::run(&apply).await,
         Command::Settings(settings) => command::settings::run(&settings).await,
         Command::Operator(operator) => command::operator::run(&operator).await,
+        Command::Host(host) => command::host::run(&host).await,
+        Command::Pool(pool) => command::host::pools(&pool).await,
     }
 }
--- a/reachhead/tests/system/main.rs
+++ b/reachhead/tests/system/main.rs
@@ -10,5 +10,6 @@
 mod operators;
 mod outcomes;
 mod path;
+mod pools;
 mod replacement;
 mod settings;
--- a/reachhead/tests/system/replacement.rs
+++ b/reachhead/tests/system/replacement.rs
@@ -176,18 +176,50 @@
     assert_eq!(reply.status, 200, "{reply:?}");
 }
 
-#[tokio::test]
-async fn a_leaving_host_on_a_stale_list_gets_no_new_work() {
-    let cluster = Plan::new(2, 2).start().await;
+/// Puts the minions on the hosts w0 and w1 in turn.
+async fn place_minions(cluster: &Cluster) {
     let mut rows = Vec::new();
     for (index, minion) in cluster.minions.iter().enumerate() {
         let (key, mut row) = cluster.minion_row(minion, "serving");
         row["host"] = json!(format!("w{}", index % 2));
         rows.push((key, row));
     }
-    set_hosts(&cluster, 1, "live").await;
     let version = cluster.change(rows).await;
     cluster.in_force(version).await;
+}
+
+#[tokio::test]
+async fn a_host_changes_its_pool_under_load_without_a_failed_request() {
+    let cluster = Plan::new(2, 2).with_work(5).start().await;
+    place_minions(&cluster).await;
+    cluster.change(vec![("pool/spare".to_owned(), json!({ "group": "top" }))]).await;
+    cluster.add_worker("w0", "main").await;
+    cluster.set_host(json!({ "host": "w0", "running": 1 })).await;
+    let load = Load::start(&cluster);
+    cluster.move_worker("w0", "spare").await;
+    let ran = async || cluster.minion_counts(0).await["ran"].as_u64().unwrap();
+    eventually("the drained host gets no new work", async || {
+        let before = ran().await;
+        time::sleep(Duration::from_millis(300)).await;
+        (before > 0 && ran().await == before).then_some(())
+    })
+    .await;
+    let drained = ran().await;
+    cluster.set_host(json!({ "host": "w0", "running": 0 })).await;
+    eventually("the host is in the other pool", async || {
+        (cluster.read("/v1/hosts/w0").await["row"]["pool"] == "spare").then_some(())
+    })
+    .await;
+    assert_eq!(ran().await, drained, "it was handed over while it had work");
+    eventually("the host has work again", async || (ran().await > drained).then_some(())).await;
+    load.stop().await;
+}
+
+#[tokio::test]
+async fn a_leaving_host_on_a_stale_list_gets_no_new_work() {
+    let cluster = Plan::new(2, 2).start().await;
+    place_minions(&cluster).await;
+    set_hosts(&cluster, 1, "live").await;
     let load = Load::start(&cluster);
     eventually("the first host has work", async || {
         (cluster.minion_counts(0).await["ran"].as_u64()? > 10).then_some(())
--- a/reachhead_admin/src/api/mod.rs
+++ b/reachhead_admin/src/api/mod.rs
@@ -1,6 +1,7 @@
 //! The calls of the API; docs/API.md lists them.
 
 mod change;
+mod hosts;
 mod read;
 
 use std::sync::Arc;
@@ -91,13 +92,20 @@
             (&Method::POST, ["v1", "changes"]) => self.change(&request.body, caller, book).await,
             (&Method::POST, ["v1", "undo"]) => self.undo(&request.body, caller, book).await,
             (&Method::GET, ["v1", "rows"]) => read::rows(&book, &request.query, &caller),
-            (&Method::GET, ["v1", page @ ..]) => {
+            (method, ["v1", page @ ..]) => {
                 let Some(fleet) = fleet(&book) else {
                     return faulty();
                 };
-                // The store is read without the rows, so that nobody else is kept waiting.
+                // The store is used without the rows, so that nobody else is kept waiting.
                 drop(book);
-                self.read(page, &request.query, &Reader { caller, fleet }).await
+                let reader = Reader { caller, fleet };
+                match page {
+                    ["hosts", host @ ..] => {
+                        self.hosts(method, host, &request.query, &request.body, &reader).await
+                    }
+                    page if method == Method::GET => self.read(page, &request.query, &reader).await,
+                    _ => problem(StatusCode::NOT_FOUND, "no such call"),
+                }
             }
             _ => problem(StatusCode::NOT_FOUND, "no such call"),
         }
--- a/reachhead_admin/src/api/read.rs
+++ b/reachhead_admin/src/api/read.rs
@@ -43,7 +43,8 @@
 }
 
 impl Reader {
-    fn covers(&self, owner: &Owner) -> bool {
+    /// Tells whether the operator's word is enough for what `owner` owns.
+    pub fn covers(&self, owner: &Owner) -> bool {
         self.caller.scope.covers(&self.fleet.tree, owner)
     }
 }
@@ -85,6 +86,7 @@
             ["log"] => self.log(query, reader).await,
             ["history"] => self.history(query, reader).await,
             ["diff"] => self.diff(query, reader).await,
+            ["pools"] => self.pools(reader).await,
             ["status"] => self.status(reader.fleet.version).await,
             _ => api::problem(StatusCode::NOT_FOUND, "no such call"),
         }
--- a/reachhead_config/src/control.rs
+++ b/reachhead_config/src/control.rs
@@ -5,7 +5,10 @@
     num::{NonZeroU32, NonZeroU64},
 };
 
-use reachhead_types::id::{HostId, ZoneName};
+use reachhead_types::{
+    id::{HostId, ZoneName},
+    size::Millis,
+};
 
 use crate::section::{OpsSettings, StoreSettings, count, millis, section};
 
@@ -47,6 +50,21 @@
     }
 }
 
+section! {
+    /// Looking after pools and the hosts that move between them.
+    PoolSettings {
+        /// Milliseconds between two rounds.
+        round: NonZeroU64 = millis(1000);
+        /// Milliseconds for which a host must be seen drained before it counts as empty: the time in
+        /// which entry hosts hear of it, and twice the longest deadline.
+        drain: Millis = Millis(25_000);
+        /// Milliseconds that an entry host may take to hand a pool over to another.
+        hand_over: Millis = Millis(10_000);
+        /// Heartbeat rounds without progress after which another entry host takes a pool over.
+        missed: NonZeroU32 = count(2);
+    }
+}
+
 section! {
     /// Settings of `reachhead-control`.
     ControlSettings {
@@ -68,5 +86,7 @@
         follow: FollowSettings;
         /// Cleaning up old claims.
         clean: CleanSettings;
+        /// Looking after pools.
+        pools: PoolSettings;
     }
 }
--- a/reachhead_control/src/main.rs
+++ b/reachhead_control/src/main.rs
@@ -6,6 +6,7 @@
 mod gossip;
 mod members;
 mod metrics;
+mod pools;
 mod process;
 mod terms;
 mod view;
--- a/reachhead_control/src/metrics.rs
+++ b/reachhead_control/src/metrics.rs
@@ -12,6 +12,7 @@
     version: Gauge,
     entry_version: Gauge,
     members: Gauge,
+    pools: Gauge,
 }
 
 impl Metrics {
@@ -24,6 +25,7 @@
         register("version", "Configuration version here", &metrics.version);
         register("entry_version", "Version in the entry process", &metrics.entry_version);
         register("members", "Entry hosts taken for alive", &metrics.members);
+        register("pools", "Pools that this host is in charge of", &metrics.pools);
         metrics
     }
 
@@ -32,5 +34,6 @@
         self.version.set(view.version().0 as i64);
         self.entry_version.set(view.entry_version().0 as i64);
         self.members.set(view.members().len() as i64);
+        self.pools.set(view.pool_count() as i64);
     }
 }
--- /dev/null
+++ b/reachhead_control/src/pools.rs
@@ -0,0 +1,78 @@
+//! Looks after the pools that fall to this host, round by round.
+
+use std::{sync::Arc, time::Duration};
+
+use log::debug;
+use rand::Rng;
+use reachhead_config::control::PoolSettings;
+use reachhead_ops::{
+    event::{Event, emit},
+    runtime,
+};
+use reachhead_pool::controller::{Controller, Happening, Terms};
+use reachhead_store::{Store, platform::Platform};
+use tokio::{sync::watch, time};
+
+use crate::view::View;
+
+/// How far a round is varied, as a share of it, so that hosts don't work in step.
+const JITTER: f64 = 0.1;
+
+/// Rounds over the pools of this host.
+pub struct PoolRounds {
+    view: Arc<View>,
+    controller: Controller,
+    round: Duration,
+}
+
+impl PoolRounds {
+    /// Returns rounds by `settings`.
+    pub fn new(
+        view: Arc<View>,
+        store: Arc<dyn Store>,
+        platform: Arc<dyn Platform>,
+        settings: &PoolSettings,
+    ) -> Self {
+        let terms =
+            Terms { drain: settings.drain.duration(), hand_over: settings.hand_over.duration() };
+        let controller = Controller::new(store, platform, terms);
+        Self { view, controller, round: Duration::from_millis(settings.round.get()) }
+    }
+
+    /// Works until `stop` turns true, then hands every pool over.
+    pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        loop {
+            let jitter = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
+            tokio::select! {
+                () = runtime::stopped(&mut stop) => break,
+                () = time::sleep(self.round.mul_f64(jitter)) => {}
+            }
+            self.work().await;
+        }
+        self.controller.leave().await;
+    }
+
+    async fn work(&mut self) {
+        match self.controller.round(&self.view.outlook()).await {
+            Ok(happenings) => happenings.iter().for_each(tell),
+            // Nothing planned goes on while the store is away; hosts stay as they are.
+            Err(error) => debug!("looking after pools: {error}"),
+        }
+        self.view.note_pools(self.controller.state());
+    }
+}
+
+fn tell(happening: &Happening) {
+    match happening {
+        Happening::LeaseTaken(pool, epoch) => {
+            emit(Event::LeaseTaken, format_args!("{pool}, epoch {epoch}"));
+        }
+        Happening::LeaseEnded(pool) => emit(Event::LeaseEnded, pool),
+        Happening::HostEntered(host, phase) => {
+            emit(Event::HostEntered, format_args!("{host}: {phase}"));
+        }
+        Happening::HostMoved(host, pool) => {
+            emit(Event::HostMoved, format_args!("{host} to {pool}"));
+        }
+    }
+}
--- a/reachhead_control/src/process.rs
+++ b/reachhead_control/src/process.rs
@@ -1,6 +1,6 @@
 //! The process: one thread for each duty around one view.
 //!
-//! - the main thread: reads the store, writes this host's row, cleans up old claims.
+//! - the main thread: reads the store, writes this host's row, cleans up old claims, looks after pools.
 //! - `gossip`: asks peers.
 //! - `link`: answers this host's entry process and peers.
 //! - `ops`: answers operators.
@@ -16,14 +16,16 @@
     listener::{self, Observed},
     runtime,
 };
-use reachhead_store::{HostLister, Store, guarded::GuardedStore, http::HttpStore};
+use reachhead_store::{
+    HostLister, Store, guarded::GuardedStore, http::HttpStore, platform::Platform,
+};
 use reachhead_types::{id::Incarnation, member::Member};
 use serde_json::Value;
 use tokio::sync::watch;
 
 use crate::{
     answer::ControlResponder, clean::Cleaner, follow::Follower, gossip::Gossiper, metrics::Metrics,
-    terms::Terms, view::View,
+    pools::PoolRounds, terms::Terms, view::View,
 };
 
 struct ControlObserved {
@@ -76,21 +78,25 @@
         entry: settings.link.entry,
     };
     let cleaner = Cleaner::new(Arc::clone(&store), &settings.clean);
+    let platform: Arc<dyn Platform> = Arc::new(connect());
+    let pools = PoolRounds::new(Arc::clone(&view), Arc::clone(&store), platform, &settings.pools);
     let follower = Follower::new(view, store, hosts, follow, own);
     emit(Event::Started, format_args!("control of {}", settings.host));
-    run_on_store(follower, cleaner)?;
+    run_on_store(follower, cleaner, pools)?;
     Ok(())
 }
 
 /// Works on the store on this thread until a shutdown is asked for.
-fn run_on_store(follower: Follower, cleaner: Cleaner) -> io::Result<()> {
+fn run_on_store(follower: Follower, cleaner: Cleaner, pools: PoolRounds) -> io::Result<()> {
     runtime::single()?.block_on(async move {
         let (stop, stopped) = watch::channel(false);
         let following = tokio::spawn(follower.run(stopped.clone()));
-        tokio::spawn(cleaner.run(stopped));
+        tokio::spawn(cleaner.run(stopped.clone()));
+        let looking_after = tokio::spawn(pools.run(stopped));
         runtime::shutdown_signal().await?;
         emit(Event::ShutdownBegun, "leaving the list of entry hosts");
         stop.send_replace(true);
+        looking_after.await.map_err(io::Error::other)?;
         following.await.map_err(io::Error::other)?;
         emit(Event::ShutdownDone, "control");
         Ok(())
--- a/reachhead_control/src/terms.rs
+++ b/reachhead_control/src/terms.rs
@@ -16,6 +16,7 @@
 pub struct Terms {
     member_step: Duration,
     missed: u32,
+    lease_missed: u32,
     store_deadline: Duration,
 }
 
@@ -25,6 +26,7 @@
         Self {
             member_step: Duration::from_millis(settings.follow.members.get()),
             missed: settings.follow.missed.get(),
+            lease_missed: settings.pools.missed.get(),
             store_deadline: settings.store.deadline.duration(),
         }
     }
@@ -46,4 +48,10 @@
         // After an outage a host may find out late that the store is back.
         self.member_period(hosts) * self.missed + LAST_PAUSE + self.store_deadline
     }
+
+    /// Returns the silence after which one of `hosts` hosts is taken for gone from its pools. It may be
+    /// short: a wrong guess costs a hand-over and harms nothing.
+    pub fn lease_silence(&self, hosts: usize) -> Duration {
+        self.member_period(hosts).mul_f64(NOTICE_PERIODS) * self.lease_missed + self.store_deadline
+    }
 }
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -7,8 +7,13 @@
 
 use reachhead_link::message::{ListStamp, MemberList};
 use reachhead_ops::event::{Event, emit};
+use reachhead_pool::{
+    controller::{Outlook, PoolState},
+    lease::Candidate,
+};
 use reachhead_types::{
     book::{Book, Delta, GapError},
+    fleet::RowKey,
     hosts::LeavingHosts,
     id::{HostId, Incarnation},
     member::{Member, MemberId},
@@ -49,6 +54,8 @@
     store_lost: bool,
     /// The version that gossip has handed on last.
     told: Version,
+    /// The pools that this host is in charge of.
+    pools: Vec<PoolState>,
 }
 
 /// The view as `/state` shows it.
@@ -62,6 +69,7 @@
     rows: usize,
     store_heard: Option<Millis>,
     list_age: Option<Millis>,
+    pools: Vec<PoolState>,
 }
 
 /// What a gossip round starts from.
@@ -89,6 +97,7 @@
             confirmed: None,
             store_lost: false,
             told: Version(0),
+            pools: Vec::new(),
         };
         Arc::new(Self { state: Mutex::new(state), news: Condvar::new(), host, terms })
     }
@@ -281,6 +290,38 @@
         Round { have, delta, list: state.members.stamp(), peers }
     }
 
+    /// Returns what looking after pools starts from.
+    pub fn outlook(&self) -> Outlook {
+        let own = self.own_member();
+        let state = self.state();
+        let list = state.members.members();
+        let silent = state.members.gone(self.terms.lease_silence(list.len()), Instant::now());
+        let candidate = |member: &Member| Candidate {
+            id: member.id(),
+            is_silent: silent.contains(&member.host),
+        };
+        let pools = state.book.rows().filter_map(|(key, _)| match key {
+            RowKey::Pool(name) => Some(name.clone()),
+            _ => None,
+        });
+        Outlook {
+            own,
+            candidates: list.iter().map(candidate).collect(),
+            pools: pools.collect(),
+            leaving: state.leaving.hosts.clone(),
+        }
+    }
+
+    /// Notes the pools that this host is in charge of.
+    pub fn note_pools(&self, pools: Vec<PoolState>) {
+        self.state().pools = pools;
+    }
+
+    /// Returns how many pools this host is in charge of.
+    pub fn pool_count(&self) -> usize {
+        self.state().pools.len()
+    }
+
     /// Returns the view for operators.
     pub fn report(&self) -> ViewState {
         let state = self.state();
@@ -294,6 +335,7 @@
             rows: state.book.rows().count(),
             store_heard: ago(state.store_heard),
             list_age: ago(state.confirmed),
+            pools: state.pools.clone(),
         }
     }
 }
--- a/reachhead_harness/src/cluster.rs
+++ b/reachhead_harness/src/cluster.rs
@@ -35,6 +35,8 @@
 
 /// An entry host: its two processes and their addresses.
 pub struct Host {
+    /// Its name.
+    pub name: String,
     /// `reachhead-control`.
     pub control: Process,
     /// `reachhead-entry`.
@@ -232,7 +234,7 @@
         let args = write_settings(&self.folder, &format!("entry-{name}"), &entry);
         let entry =
             Process::start(&self.folder, &format!("entry-{name}"), "reachhead-entry", &args);
-        self.hosts.push(Host { control, entry, callers, entry_ops, control_link });
+        self.hosts.push(Host { name, control, entry, callers, entry_ops, control_link });
     }
 
     /// Starts another admin process and returns its address.
@@ -269,6 +271,7 @@
                 "seeds": self.hosts.iter().map(|host| host.control_link).collect::<Vec<_>>(),
             },
             "follow": { "version": 50, "members": 50 },
+            "pools": { "round": 100, "drain": 1000, "hand_over": 2000 },
         });
         merge(&mut settings, &self.plan.control);
         settings
@@ -362,6 +365,33 @@
         assert_eq!(reply.status, 200, "{reply:?}");
     }
 
+    /// Sets how the platform finds a host.
+    pub async fn set_host(&self, knob: Value) {
+        let reply = call(self.store, &Call::post("/platform", &knob.to_string())).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+
+    /// Adds a host to a pool.
+    pub async fn add_worker(&self, host: &str, pool: &str) {
+        let new = json!({ "host": host, "pool": pool, "zone": "z1", "rack": "r1" });
+        let reply = self.admin_call(Call::post("/v1/hosts", &new.to_string())).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+
+    /// Asks for a host to be moved to a pool.
+    pub async fn move_worker(&self, host: &str, pool: &str) {
+        let want = json!({ "pool": pool }).to_string();
+        let reply = self.admin_call(Call::post(&format!("/v1/hosts/{host}/want"), &want)).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+
+    /// Returns what an admin's read of `path` gives.
+    pub async fn read(&self, path: &str) -> Value {
+        let reply = self.admin_call(Call::get(path)).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        serde_json::from_str(&reply.body).expect("the test system works")
+    }
+
     /// Returns the store's counts.
     pub async fn store_counts(&self) -> Value {
         let reply = call(self.store, &Call::get("/count")).await;
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -89,6 +89,14 @@
     MinionRestored 501 Info;
     /// A minion said that it is going away.
     MinionLeaving 502 Info;
+    /// This host is in charge of a pool from now on.
+    LeaseTaken 600 Info;
+    /// This host is not in charge of a pool any more.
+    LeaseEnded 601 Info;
+    /// A host of a pool changed its phase.
+    HostEntered 610 Info;
+    /// A host changed its pool.
+    HostMoved 611 Info;
 }
 
 /// Logs `event` with `details`.
--- a/reachhead_standin/src/main.rs
+++ b/reachhead_standin/src/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod minion;
+mod platform;
 mod store;
 
 use std::{
--- a/reachhead_standin/src/store.rs
+++ b/reachhead_standin/src/store.rs
@@ -1,4 +1,4 @@
-//! The table service and the host list over HTTP, with knobs for their faults.
+//! The table service and the platform's hosts over HTTP, with knobs for their faults.
 
 use std::{
     io,
@@ -18,20 +18,37 @@
 };
 use reachhead_store::{
     Store,
-    http::{COMMIT_PATH, HOSTS_PATH, READ_PATH, SCAN_PATH},
+    http::{
+        COMMIT_PATH, DRAIN_PATH, HOSTS_PATH, HostCall, READ_PATH, REBOOT_PATH, SCAN_PATH,
+        STATUS_PATH, UNDRAIN_PATH,
+    },
     memory::MemoryStore,
     row::Txn,
 };
-use reachhead_types::{hosts::HostList, size::Revision};
+use reachhead_types::{id::HostId, size::Revision};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time};
 
+use crate::platform::PlatformStandin;
+
 /// Largest call, in bytes.
 const BODY_LIMIT: usize = 64 << 20;
 
 /// Longer than any deadline: an answer that never comes.
 const NEVER: Duration = Duration::from_secs(3600);
 
+/// The paths of the platform's own protocol.
+const PATHS: [&str; 8] = [
+    READ_PATH,
+    SCAN_PATH,
+    COMMIT_PATH,
+    HOSTS_PATH,
+    STATUS_PATH,
+    DRAIN_PATH,
+    UNDRAIN_PATH,
+    REBOOT_PATH,
+];
+
 /// What the store does wrong; posted to `/fault`.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -48,6 +65,8 @@
     lose_prefix: String,
     /// Reads of the host list give older lists in turn with the newest.
     stale: bool,
+    /// Hosts are neither drained nor undrained nor rebooted: these calls are answered with 503.
+    refuse_hosts: bool,
 }
 
 #[derive(Debug, Default)]
@@ -71,8 +90,7 @@
     store: MemoryStore,
     fault: Mutex<Fault>,
     counts: Counts,
-    /// Every host list that was posted, the newest last.
-    lists: Mutex<Vec<HostList>>,
+    platform: PlatformStandin,
 }
 
 impl StoreStandin {
@@ -81,37 +99,41 @@
     }
 
     fn set_fault(&self, body: &[u8]) -> WholeResponse {
-        match serde_json::from_slice::<Fault>(body) {
-            Ok(fault) => {
-                *self.fault() = fault;
-                http::text(StatusCode::OK, "set\n")
-            }
-            Err(error) => http::text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
-        }
+        knob(body, |fault| *self.fault() = fault)
     }
 
     fn add_list(&self, body: &[u8]) -> WholeResponse {
-        match serde_json::from_slice::<HostList>(body) {
-            Ok(list) => {
-                self.lists.lock().unwrap_or_else(PoisonError::into_inner).push(list);
-                http::text(StatusCode::OK, "set\n")
-            }
-            Err(error) => http::text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
-        }
+        knob(body, |list| self.platform.add_list(list))
     }
 
     fn hosts(&self, body: &[u8]) -> Result<WholeResponse, String> {
         let after: Revision = parse(body)?;
         let reads = self.counts.lists.fetch_add(1, Ordering::Relaxed) as usize;
-        let lists = self.lists.lock().unwrap_or_else(PoisonError::into_inner);
         let list = match self.fault().stale {
-            // A stale read knows nothing of what the reader has.
-            true => lists.get(reads % lists.len().max(1)),
-            false => lists.last().filter(|list| list.revision > after),
+            true => self.platform.stale_list(reads),
+            false => self.platform.list(after),
         };
         Ok(http::json(StatusCode::OK, &list))
     }
 
+    fn call_host(&self, path: &str, body: &[u8]) -> Result<WholeResponse, String> {
+        if self.fault().refuse_hosts {
+            return Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "down\n"));
+        }
+        let call: HostCall = parse(body)?;
+        match path {
+            DRAIN_PATH => self.platform.drain(call),
+            UNDRAIN_PATH => self.platform.undrain(&call),
+            _ => self.platform.reboot(&call)?,
+        }
+        Ok(http::json(StatusCode::OK, &()))
+    }
+
+    fn status(&self, body: &[u8]) -> Result<WholeResponse, String> {
+        let hosts: Vec<HostId> = parse(body)?;
+        Ok(http::json(StatusCode::OK, &self.platform.status(&hosts)))
+    }
+
     fn report(&self) -> CountReport {
         let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
         CountReport {
@@ -143,6 +165,8 @@
             READ_PATH => self.read(body).await,
             SCAN_PATH => self.scan(body).await,
             HOSTS_PATH => self.hosts(body),
+            STATUS_PATH => self.status(body),
+            DRAIN_PATH | UNDRAIN_PATH | REBOOT_PATH => self.call_host(path, body),
             _ => self.commit(body).await,
         };
         result.unwrap_or_else(|error| http::text(StatusCode::BAD_REQUEST, &error))
@@ -172,6 +196,17 @@
     }
 }
 
+/// Sets what a test posted.
+fn knob<T: for<'de> Deserialize<'de>>(body: &[u8], set: impl FnOnce(T)) -> WholeResponse {
+    match parse(body) {
+        Ok(value) => {
+            set(value);
+            http::text(StatusCode::OK, "set\n")
+        }
+        Err(error) => http::text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
+    }
+}
+
 fn parse<T: for<'de> Deserialize<'de>>(body: &[u8]) -> Result<T, String> {
     serde_json::from_slice(body).map_err(|error| error.to_string())
 }
@@ -183,9 +218,8 @@
                 "/fault" => self.set_fault(&request.body),
                 "/hosts" => self.add_list(&request.body),
                 "/count" => http::json(StatusCode::OK, &self.report()),
-                path @ (READ_PATH | SCAN_PATH | COMMIT_PATH | HOSTS_PATH) => {
-                    self.call(path, &request.body).await
-                }
+                "/platform" => knob(&request.body, |host| self.platform.set(host)),
+                path if PATHS.contains(&path) => self.call(path, &request.body).await,
                 _ => http::text(StatusCode::NOT_FOUND, "no such call\n"),
             }
         }
--- a/reachhead_store/src/config/change.rs
+++ b/reachhead_store/src/config/change.rs
@@ -23,7 +23,7 @@
         parse,
     },
     keys,
-    row::{Commit, Txn},
+    row::{Check, Commit, Scan, Txn},
 };
 
 /// Times that a change is tried against racing changes and lost answers.
@@ -115,7 +115,8 @@
         }
         check_distinct(request)?;
         let step = self.step(book, request)?;
-        let txn = self.txn(book, &step, request, head.revision);
+        let mut txn = self.txn(book, &step, request, head.revision);
+        txn.checks.extend(self.empty_pools(request).await?);
         match self.store.commit(txn).await {
             Ok(Commit::Done(_)) => {
                 *book = step.next;
@@ -127,6 +128,27 @@
         }
     }
 
+    /// Makes sure that each pool that is deleted has no hosts; adding one moves the pool's head.
+    async fn empty_pools(&self, request: &ChangeRequest) -> Result<Vec<Check>, ChangeError> {
+        let mut checks = Vec::new();
+        for ConfigWrite { key, value, .. } in &request.writes {
+            let (RowKey::Pool(pool), None) = (key, value) else {
+                continue;
+            };
+            let head = keys::pool_head(pool);
+            let rows = self.store.read(vec![head.clone()]).await.map_err(ChangeError::NotDone)?;
+            let revision = rows.into_iter().next().flatten().map(|row| row.revision);
+            checks.push(Check { key: head, revision });
+            let scan = Scan { prefix: keys::pool_hosts(pool), after: None, limit: 1 };
+            let page = self.store.scan(scan).await.map_err(ChangeError::NotDone)?;
+            if !page.rows.is_empty() {
+                let fault = RowFault { key: key.clone(), text: "still has hosts".to_owned() };
+                return Err(ChangeError::Faulty(vec![fault]));
+            }
+        }
+        Ok(checks)
+    }
+
     /// Works the change out and checks it; what the operator may not touch comes first, so that no
     /// other fault tells of it.
     fn step(&self, book: &Book, request: &ChangeRequest) -> Result<Step, ChangeError> {
--- a/reachhead_store/src/http.rs
+++ b/reachhead_store/src/http.rs
@@ -10,12 +10,13 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use reachhead_types::{hosts::HostList, size::Revision};
-use serde::{Serialize, de::DeserializeOwned};
+use reachhead_types::{hosts::HostList, id::HostId, size::Revision};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time;
 
 use crate::{
     HostLister, Store, StoreError,
+    platform::{DrainTag, HostStatus, Platform},
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 
@@ -31,6 +32,18 @@
 /// Path of the host list.
 pub const HOSTS_PATH: &str = "/v1/hosts";
 
+/// Path of how hosts are.
+pub const STATUS_PATH: &str = "/v1/hosts/status";
+
+/// Path of drains.
+pub const DRAIN_PATH: &str = "/v1/hosts/drain";
+
+/// Path on which drains are taken back.
+pub const UNDRAIN_PATH: &str = "/v1/hosts/undrain";
+
+/// Path of reboots.
+pub const REBOOT_PATH: &str = "/v1/hosts/reboot";
+
 /// Idle connections are dropped after this long.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
@@ -110,6 +123,42 @@
     }
 }
 
+/// A call on one host.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct HostCall {
+    /// The host.
+    pub host: HostId,
+    /// The drain that it is about.
+    pub tag: DrainTag,
+}
+
+impl HttpStore {
+    async fn call_host(&self, path: &str, host: HostId, tag: DrainTag) -> Result<(), StoreError> {
+        self.call(path, &HostCall { host, tag }).await
+    }
+}
+
+impl Platform for HttpStore {
+    fn status(
+        &self,
+        hosts: Vec<HostId>,
+    ) -> BoxFuture<'_, Result<Vec<Option<HostStatus>>, StoreError>> {
+        async move { self.call(STATUS_PATH, &hosts).await }.boxed()
+    }
+
+    fn drain(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.call_host(DRAIN_PATH, host, tag).boxed()
+    }
+
+    fn undrain(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.call_host(UNDRAIN_PATH, host, tag).boxed()
+    }
+
+    fn reboot(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.call_host(REBOOT_PATH, host, tag).boxed()
+    }
+}
+
 impl Store for HttpStore {
     fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
         async move { self.call(READ_PATH, &keys).await }.boxed()
--- a/reachhead_store/src/keys.rs
+++ b/reachhead_store/src/keys.rs
@@ -2,7 +2,7 @@
 
 use reachhead_types::{
     fleet::RowKey,
-    id::{ChangeId, GroupName, HostId, ServiceName},
+    id::{ChangeId, GroupName, HostId, PoolName, ServiceName},
     size::Version,
 };
 
@@ -17,6 +17,12 @@
 /// What the keys of member rows start with.
 pub const MEMBER_PREFIX: &str = "member/";
 
+/// What the keys of hosts start with.
+pub const HOST_PREFIX: &str = "host/";
+
+/// What the keys of leases start with.
+pub const LEASE_PREFIX: &str = "lease/";
+
 /// What the keys of claims start with.
 pub const CLAIM_PREFIX: &str = "claim/";
 
@@ -55,6 +61,31 @@
     Key(format!("config/change/{id}"))
 }
 
+/// The row of a host.
+pub fn host(host: &HostId) -> Key {
+    Key(format!("{HOST_PREFIX}{host}"))
+}
+
+/// What the keys of the index of a pool's hosts start with.
+pub fn pool_hosts(pool: &PoolName) -> String {
+    format!("pool-host/{pool}/")
+}
+
+/// The row that tells that a host is in a pool; it stands and falls with the host's row.
+pub fn pool_host(pool: &PoolName, host: &HostId) -> Key {
+    Key(format!("{}{host}", pool_hosts(pool)))
+}
+
+/// The row that moves whenever anyone but the pool's owner changes something of the pool.
+pub fn pool_head(pool: &PoolName) -> Key {
+    Key(format!("pool-head/{pool}"))
+}
+
+/// The row of the lease of a pool.
+pub fn lease(pool: &PoolName) -> Key {
+    Key(format!("{LEASE_PREFIX}{pool}"))
+}
+
 /// The row of an entry host.
 pub fn member(host: &HostId) -> Key {
     Key(format!("{MEMBER_PREFIX}{host}"))
--- a/reachhead_store/src/lib.rs
+++ b/reachhead_store/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod claim;
 pub mod config;
 pub mod guarded;
+pub mod hosts;
 pub mod http;
 pub mod keys;
 pub mod memory;
+pub mod platform;
 pub mod row;
 
 use futures::future::BoxFuture;
--- a/reachhead_types/src/id.rs
+++ b/reachhead_types/src/id.rs
@@ -120,6 +120,10 @@
     /// An availability zone.
     ZoneName
 }
+name_type! {
+    /// A rack: hosts that fail together with its switch.
+    RackName
+}
 name_type! {
     /// A minion: a backend server process of one service.
     MinionId
--- a/reachhead_types/src/size.rs
+++ b/reachhead_types/src/size.rs
@@ -58,6 +58,22 @@
     /// A version of the configuration; it only goes up.
     Version, u64
 }
+count_type! {
+    /// How often something has changed hands; whoever acts by an older epoch acts too late.
+    Epoch, u64
+}
+count_type! {
+    /// Processor cores.
+    Cores, u32
+}
+count_type! {
+    /// Memory in GiB.
+    Gibibytes, u32
+}
+count_type! {
+    /// Accelerators.
+    Accelerators, u32
+}
 count_type! {
     /// The revision that the store gave to a row when it was last written.
     Revision, u64
@@ -70,6 +86,14 @@
     }
 }
 
+impl Epoch {
+    /// Returns the epoch that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 impl Version {
     /// Returns the version that follows this one.
     #[must_use]
