Placement as decisions: owed before lent, with a bench

Cause: nothing decided who runs where; the promise of the capacity owed had no logic for workers. Change: reachhead_plan has shares down the tree (exact water filling), estimates from reports, health by attribution, and a planner for one pool; reachhead-bench plan measures it on generated fleets. Found by the property that makes plans until nothing changes, and mended: room called back for one group was lent to a third (turns for owed and for lent work); urgent tasks paid for their group's batch work (usage by class); a group was lent and owed the same task (both sides of the share are compared); tasks of lost workers counted as had; two tasks of a spread job met in a rack while one was stopping; room of workers that had shrunk was counted; a spread job called nothing back; one larger victim was missed for two smaller. Ruled out: a limit on the number of calls back (it hides endless turns and does not end them).

--- a/reachhead_bench/src/main.rs
+++ b/reachhead_bench/src/main.rs
@@ -4,6 +4,7 @@
 mod forwarder;
 mod load;
 mod path;
+mod plan;
 
 use std::{net::SocketAddr, process::ExitCode};
 
@@ -26,6 +27,7 @@
 enum Part {
     Path(PathArgs),
     Capacity(CapacityArgs),
+    Plan(PlanArgs),
     Forwarder(ForwarderArgs),
 }
 
@@ -47,6 +49,11 @@
     only: Option<String>,
 }
 
+/// Placement on generated fleets with fixed seeds, beside first fit.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+struct PlanArgs {}
+
 /// The baseline: a bare forwarder, one connection out per connection in, no decisions.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "forwarder")]
@@ -85,6 +92,7 @@
         }
         Part::Path(PathArgs { only }) => measure(path::run(only.as_deref())),
         Part::Capacity(CapacityArgs { only }) => measure(capacity::run(only.as_deref())),
+        Part::Plan(PlanArgs {}) => measure(async { Ok(plan::run()) }),
     }
 }
 
--- /dev/null
+++ b/reachhead_plan/tests/facts.rs
@@ -0,0 +1,90 @@
+//! Estimates and health against naive versions.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::collections::BTreeSet;
+
+use reachhead_plan::{
+    amount::Amount,
+    estimate::{Estimator, SAMPLE_LIMIT},
+    health::{Health, JOB_LIMIT, WORKER_LIMIT},
+};
+use reachhead_property::properties;
+use reachhead_types::id::{HostId, JobName};
+
+fn worker(number: u8) -> HostId {
+    format!("w{}", number % 5).parse().unwrap()
+}
+
+fn job(number: u8) -> JobName {
+    format!("j{}", number % 5).parse().unwrap()
+}
+
+properties! {
+    fn an_estimate_is_the_upper_quantile_with_caution(reports: Vec<u16>, declared: u16) -> bool {
+        let declared = Amount::new(u64::from(declared), 0, 3);
+        let mut estimator = Estimator::new();
+        for report in &reports {
+            estimator.report(Amount::new(u64::from(*report), 0, 9));
+        }
+        let mut latest: Vec<u64> =
+            reports.iter().rev().take(SAMPLE_LIMIT).map(|report| u64::from(*report)).collect();
+        latest.sort_unstable();
+        let estimate = estimator.estimate(declared);
+        let count = latest.len();
+        if count == 0 {
+            return estimate == declared;
+        }
+        // The smallest report that at least 95% of them don't pass.
+        let upper = latest.iter().find(|value| {
+            latest.iter().filter(|other| other <= value).count() * 100 >= count * 95
+        });
+        let cautious = (*upper.unwrap() as f64 * (1.0 + 0.5 / (count as f64).sqrt())).ceil() as u64;
+        let expected = if count < 8 { cautious.max(declared.cores) } else { cautious };
+        estimate.cores == expected && estimate.accelerators == 3
+    }
+
+    fn a_worker_is_quarantined_for_several_jobs_that_run_elsewhere(results: Vec<(u8, u8, bool)>) -> bool {
+        let results = &results[..results.len().min(30)];
+        let mut health = Health::new();
+        for &(at, of, is_good) in results {
+            match is_good {
+                true => health.succeed(&worker(at), &job(of)),
+                false => health.fail(&worker(at), &job(of)),
+            }
+        }
+        // The naive version walks back through all results.
+        let since = |is_own: &dyn Fn(&(u8, u8, bool)) -> bool| -> Vec<(u8, u8)> {
+            let own = results.iter().rev().filter(|result| is_own(result));
+            own.take_while(|result| !result.2).map(|result| (result.0 % 5, result.1 % 5)).collect()
+        };
+        (0..5).all(|number| {
+            let failed = since(&|result| result.0 % 5 == number);
+            let everywhere = |of: u8| {
+                let workers = since(&|result| result.1 % 5 == of);
+                workers.iter().map(|pair| pair.0).collect::<BTreeSet<_>>().len() >= JOB_LIMIT
+            };
+            let jobs: BTreeSet<u8> =
+                failed.iter().map(|pair| pair.1).filter(|&of| !everywhere(of)).collect();
+            health.is_quarantined(&worker(number)) == (jobs.len() >= WORKER_LIMIT)
+        })
+    }
+}
+
+#[test]
+fn a_job_that_fails_everywhere_is_to_blame_and_not_its_workers() {
+    let mut health = Health::new();
+    for number in 0..4 {
+        health.fail(&worker(number), &job(0));
+    }
+    assert!(health.is_failing(&job(0)));
+    for number in 1..4 {
+        health.fail(&worker(0), &job(number));
+    }
+    assert!(health.is_quarantined(&worker(0)));
+    assert!(!health.is_failing(&job(1)), "one worker is no proof");
+    health.forget(&worker(0));
+    assert!(!health.is_quarantined(&worker(0)));
+    health.succeed(&worker(1), &job(0));
+    assert!(!health.is_failing(&job(0)));
+}
--- a/reachhead_types/src/id.rs
+++ b/reachhead_types/src/id.rs
@@ -116,6 +116,10 @@
     /// A route from a caller's path to a service.
     RouteName
 }
+name_type! {
+    /// A job: tasks of one kind that a group runs on the workers of a pool.
+    JobName
+}
 name_type! {
     /// An availability zone.
     ZoneName
