Maintenance waves inside availability budgets

Cause: nothing of waves and budgets was built; a host that was moved between pools took its minions away whatever their service could bear. Change: each planned drain spends a unit of the budget of every service on the host, in the transaction that lets it be drained; failures on the host list count; drains are taken back when failures eat a budget. A wave drains, reboots and takes back each host of its pools; operators start, pause, resume and cancel it, and see the budget, the tasks or the host that holds each. Reboots name the drain and the number of boots. Found by the property and mended: an owner did not see a write of its own that landed after it had read again (each write moves the pool's head now); a drain and a reboot that both came very late rebooted a host that served (the number of boots); with the rows of budgets unchecked two owners spent one unit, which showed only once rounds ran call by call in turn and the rows of hosts were compared.

--- a/reachhead/src/args.rs
+++ b/reachhead/src/args.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use reachhead_types::{
     fleet::RowKey,
-    id::{ChangeId, GroupName, HostId, OperatorName, PoolName, RackName, ZoneName},
+    id::{ChangeId, GroupName, HostId, OperatorName, PoolName, RackName, WaveName, ZoneName},
     size::{Accelerators, Cores, Gibibytes, Version},
 };
 
@@ -26,6 +26,7 @@
     Operator(OperatorArgs),
     Host(HostArgs),
     Pool(PoolArgs),
+    Wave(WaveArgs),
 }
 
 /// Check a settings file without starting anything, or explain the settings of a program.
@@ -378,3 +379,92 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "list")]
 pub struct ListPoolArgs {}
+
+/// Maintenance waves.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "wave")]
+pub struct WaveArgs {
+    #[argh(subcommand)]
+    pub command: WaveCommand,
+
+    /// address of an admin; REACHHEAD_ADMIN by default
+    #[argh(option)]
+    pub admin: Option<SocketAddr>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum WaveCommand {
+    Start(StartWaveArgs),
+    Pause(PauseWaveArgs),
+    Resume(ResumeWaveArgs),
+    Cancel(CancelWaveArgs),
+    List(ListWaveArgs),
+    Show(ShowWaveArgs),
+}
+
+/// Drain and reboot every host of one or more pools, inside every availability budget.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "start")]
+pub struct StartWaveArgs {
+    /// name of the wave
+    #[argh(positional)]
+    pub name: WaveName,
+
+    /// pool; may be given several times
+    #[argh(option)]
+    pub pool: Vec<PoolName>,
+
+    /// wait and show progress, at most this many seconds
+    #[argh(option, default = "0")]
+    pub wait: u64,
+}
+
+/// Begin nothing new; what is under way is finished.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "pause")]
+pub struct PauseWaveArgs {
+    /// name of the wave
+    #[argh(positional)]
+    pub name: WaveName,
+}
+
+/// Go on with a wave that was paused.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "resume")]
+pub struct ResumeWaveArgs {
+    /// name of the wave
+    #[argh(positional)]
+    pub name: WaveName,
+}
+
+/// Begin nothing new and take back the drains that are not done.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cancel")]
+pub struct CancelWaveArgs {
+    /// name of the wave
+    #[argh(positional)]
+    pub name: WaveName,
+}
+
+/// Print each host of a wave and what holds it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowWaveArgs {
+    /// name of the wave
+    #[argh(positional)]
+    pub name: WaveName,
+
+    /// wait and show progress, at most this many seconds
+    #[argh(option, default = "0")]
+    pub wait: u64,
+}
+
+/// Print the wave of each pool.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListWaveArgs {}
--- a/reachhead/src/command/host.rs
+++ b/reachhead/src/command/host.rs
@@ -37,6 +37,7 @@
     epoch: u64,
     serving: usize,
     draining: usize,
+    rebooting: usize,
     arriving: usize,
 }
 
@@ -65,7 +66,8 @@
     if args.json {
         return print::json(&pools);
     }
-    let head = ["POOL", "GROUP", "IN CHARGE", "EPOCH", "SERVING", "DRAINING", "ARRIVING"];
+    let head =
+        ["POOL", "GROUP", "IN CHARGE", "EPOCH", "SERVING", "DRAINING", "REBOOTING", "ARRIVING"];
     let mut lines = vec![print::head(&head)];
     for pool in pools {
         lines.push(vec![
@@ -75,6 +77,7 @@
             pool.epoch.to_string(),
             pool.serving.to_string(),
             pool.draining.to_string(),
+            pool.rebooting.to_string(),
             pool.arriving.to_string(),
         ]);
     }
--- a/reachhead/src/command/mod.rs
+++ b/reachhead/src/command/mod.rs
@@ -7,6 +7,7 @@
 pub mod host;
 pub mod operator;
 pub mod settings;
+pub mod wave;
 
 use reachhead_config::SettingsError;
 use reachhead_types::{fleet::RowKey, id::ChangeId, size::Version};
--- a/reachhead/src/main.rs
+++ b/reachhead/src/main.rs
@@ -45,5 +45,6 @@
         Command::Operator(operator) => command::operator::run(&operator).await,
         Command::Host(host) => command::host::run(&host).await,
         Command::Pool(pool) => command::host::pools(&pool).await,
+        Command::Wave(wave) => command::wave::run(&wave).await,
     }
 }
--- a/reachhead/tests/system/main.rs
+++ b/reachhead/tests/system/main.rs
@@ -7,9 +7,11 @@
 
 mod claims;
 mod limits;
+mod load;
 mod operators;
 mod outcomes;
 mod path;
 mod pools;
 mod replacement;
 mod settings;
+mod waves;
--- a/reachhead/tests/system/replacement.rs
+++ b/reachhead/tests/system/replacement.rs
@@ -1,120 +1,17 @@
 //! Planned stops cut nothing off: every entry host and every minion is replaced under load.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::time::Duration;
 
 use serde_json::json;
-use tokio::{task::JoinHandle, time};
+use tokio::time;
 
 use reachhead_harness::{
-    Call, Cluster, Reply, call,
+    Call, Cluster, call,
     cluster::{Plan, ready, state},
     eventually,
 };
 
-/// How often the balancer looks which hosts are ready; entry hosts wait out more than this.
-const BALANCER_LAG: Duration = Duration::from_millis(100);
-
-/// Callers behind the balancer.
-const CALLERS: usize = 8;
-
-/// The platform's balancer, and callers that send steadily through it.
-struct Load {
-    hosts: Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>,
-    stop: Arc<AtomicBool>,
-    served: Arc<AtomicUsize>,
-    failed: Arc<Mutex<Vec<Reply>>>,
-    tasks: Vec<JoinHandle<()>>,
-}
-
-impl Load {
-    fn start(cluster: &Cluster) -> Self {
-        let known = cluster.hosts.iter().map(|host| (host.entry_ops, host.callers)).collect();
-        let mut load = Self {
-            hosts: Arc::new(Mutex::new(known)),
-            stop: Arc::default(),
-            served: Arc::default(),
-            failed: Arc::default(),
-            tasks: Vec::new(),
-        };
-        let ready =
-            Arc::new(Mutex::new(cluster.hosts.iter().map(|host| host.callers).collect::<Vec<_>>()));
-        load.tasks.push(tokio::spawn(balance(
-            Arc::clone(&load.hosts),
-            Arc::clone(&ready),
-            Arc::clone(&load.stop),
-        )));
-        for caller in 0..CALLERS {
-            let (ready, stop) = (Arc::clone(&ready), Arc::clone(&load.stop));
-            let (served, failed) = (Arc::clone(&load.served), Arc::clone(&load.failed));
-            load.tasks.push(tokio::spawn(async move {
-                let mut number = 0;
-                while !stop.load(Ordering::Relaxed) {
-                    number += 1;
-                    let host = {
-                        let ready = ready.lock().unwrap();
-                        ready[(caller + number) % ready.len()]
-                    };
-                    let request = match number % 3 {
-                        0 => Call::post("/red/pay", "1").with_key(&format!("{caller}-{number}")),
-                        1 => Call::post("/red/alpha", "once"),
-                        _ => Call::get("/blue/alpha"),
-                    };
-                    let reply = call(host, &request).await;
-                    if reply.status == 200 && reply.is_whole {
-                        served.fetch_add(1, Ordering::Relaxed);
-                    } else {
-                        failed.lock().unwrap().push(reply);
-                    }
-                }
-            }));
-        }
-        load
-    }
-
-    fn add(&self, cluster: &Cluster) {
-        let host = cluster.hosts.last().unwrap();
-        self.hosts.lock().unwrap().insert(host.entry_ops, host.callers);
-    }
-
-    async fn stop(self) -> usize {
-        self.stop.store(true, Ordering::Relaxed);
-        for task in self.tasks {
-            task.await.unwrap();
-        }
-        let failed = self.failed.lock().unwrap();
-        let served = self.served.load(Ordering::Relaxed);
-        assert!(failed.is_empty(), "{} of {served} failed: {:?}", failed.len(), failed.first());
-        served
-    }
-}
-
-async fn balance(
-    hosts: Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>,
-    ready: Arc<Mutex<Vec<SocketAddr>>>,
-    stop: Arc<AtomicBool>,
-) {
-    while !stop.load(Ordering::Relaxed) {
-        let known = hosts.lock().unwrap().clone();
-        let mut next = Vec::new();
-        for (ops, callers) in known {
-            if call(ops, &Call::get("/ready")).await.status == 200 {
-                next.push(callers);
-            }
-        }
-        if !next.is_empty() {
-            *ready.lock().unwrap() = next;
-        }
-        time::sleep(BALANCER_LAG).await;
-    }
-}
+use crate::load::{BALANCER_LAG, Load};
 
 #[tokio::test]
 async fn every_entry_host_is_replaced_under_load_without_a_failed_request() {
@@ -176,22 +73,10 @@
     assert_eq!(reply.status, 200, "{reply:?}");
 }
 
-/// Puts the minions on the hosts w0 and w1 in turn.
-async fn place_minions(cluster: &Cluster) {
-    let mut rows = Vec::new();
-    for (index, minion) in cluster.minions.iter().enumerate() {
-        let (key, mut row) = cluster.minion_row(minion, "serving");
-        row["host"] = json!(format!("w{}", index % 2));
-        rows.push((key, row));
-    }
-    let version = cluster.change(rows).await;
-    cluster.in_force(version).await;
-}
-
 #[tokio::test]
 async fn a_host_changes_its_pool_under_load_without_a_failed_request() {
     let cluster = Plan::new(2, 2).with_work(5).start().await;
-    place_minions(&cluster).await;
+    cluster.place_minions(2).await;
     cluster.change(vec![("pool/spare".to_owned(), json!({ "group": "top" }))]).await;
     cluster.add_worker("w0", "main").await;
     cluster.set_host(json!({ "host": "w0", "running": 1 })).await;
@@ -218,7 +103,7 @@
 #[tokio::test]
 async fn a_leaving_host_on_a_stale_list_gets_no_new_work() {
     let cluster = Plan::new(2, 2).start().await;
-    place_minions(&cluster).await;
+    cluster.place_minions(2).await;
     set_hosts(&cluster, 1, "live").await;
     let load = Load::start(&cluster);
     eventually("the first host has work", async || {
--- a/reachhead_admin/src/api/hosts.rs
+++ b/reachhead_admin/src/api/hosts.rs
@@ -48,11 +48,18 @@
     epoch: Epoch,
     serving: usize,
     draining: usize,
+    rebooting: usize,
     arriving: usize,
 }
 
 impl Reader {
-    fn covers_pool(&self, pool: &PoolName) -> bool {
+    /// Returns the pools that the operator may see.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.fleet.pools.keys().filter(|pool| self.covers_pool(pool))
+    }
+
+    /// Tells whether the operator's word is enough for a pool.
+    pub fn covers_pool(&self, pool: &PoolName) -> bool {
         match self.fleet.pools.get(pool) {
             Some(row) => self.covers(&Owner::Group(row.group.clone())),
             None => self.covers(&Owner::Tree),
@@ -103,8 +110,7 @@
         if !reader.covers_pool(&pool) {
             return Ok(api::forbidden());
         }
-        let phase = HostPhase::Serving;
-        let row = HostRow { zone, rack, resources, pool, epoch: Epoch(0), phase, want: None };
+        let row = HostRow::new(zone, rack, resources, pool);
         hosts::add(&*self.store, &host, &row).await?;
         Ok(http::json(StatusCode::OK, &row))
     }
@@ -162,8 +168,7 @@
         &self,
         reader: &'f Reader,
     ) -> Result<Vec<PoolReport<'f>>, StoreError> {
-        let pools: Vec<&PoolName> =
-            reader.fleet.pools.keys().filter(|pool| reader.covers_pool(pool)).collect();
+        let pools: Vec<&PoolName> = reader.pools().collect();
         let leases = self.store.read(pools.iter().map(|pool| keys::lease(pool)).collect()).await?;
         let mut phases: BTreeMap<PoolName, Vec<HostPhase>> = BTreeMap::new();
         for host in hosts::all(&*self.store).await? {
@@ -180,6 +185,7 @@
                 epoch: lease.epoch,
                 serving: count(HostPhase::Serving),
                 draining: count(HostPhase::Draining),
+                rebooting: count(HostPhase::Rebooting),
                 arriving: count(HostPhase::Arriving),
             }
         };
--- a/reachhead_admin/src/api/mod.rs
+++ b/reachhead_admin/src/api/mod.rs
@@ -3,13 +3,14 @@
 mod change;
 mod hosts;
 mod read;
+mod waves;
 
 use std::sync::Arc;
 
 use futures::future::{BoxFuture, FutureExt};
 use hyper::{Method, StatusCode};
 use reachhead_ops::http::{self, Handler, WholeRequest, WholeResponse};
-use reachhead_store::{Store, StoreError, config};
+use reachhead_store::{HostLister, Store, StoreError, config, platform::Platform};
 use reachhead_types::{
     book::Book,
     fleet::{Fleet, RowFault, RowKey},
@@ -25,9 +26,21 @@
     status::StatusReader,
 };
 
+/// What the platform offers.
+pub struct Services {
+    /// Its table service.
+    pub store: Arc<dyn Store>,
+    /// Its hosts.
+    pub platform: Arc<dyn Platform>,
+    /// Its host list.
+    pub lister: Arc<dyn HostLister>,
+}
+
 /// The API over one store.
 pub struct Api {
     store: Arc<dyn Store>,
+    platform: Arc<dyn Platform>,
+    lister: Arc<dyn HostLister>,
     auth: Auth,
     metrics: Metrics,
     status: StatusReader,
@@ -51,9 +64,10 @@
 }
 
 impl Api {
-    /// Returns the API over `store`.
-    pub fn new(store: Arc<dyn Store>, auth: Auth, metrics: Metrics, status: StatusReader) -> Self {
-        Self { store, auth, metrics, status, book: Mutex::new(Book::new()) }
+    /// Returns the API over the platform's services.
+    pub fn new(services: Services, auth: Auth, metrics: Metrics, status: StatusReader) -> Self {
+        let Services { store, platform, lister } = services;
+        Self { store, platform, lister, auth, metrics, status, book: Mutex::new(Book::new()) }
     }
 
     /// Returns the version of the rows that this process has read.
@@ -100,6 +114,7 @@
                 drop(book);
                 let reader = Reader { caller, fleet };
                 match page {
+                    ["waves", wave @ ..] => self.waves(method, wave, &request.body, &reader).await,
                     ["hosts", host @ ..] => {
                         self.hosts(method, host, &request.query, &request.body, &reader).await
                     }
--- a/reachhead_admin/src/process.rs
+++ b/reachhead_admin/src/process.rs
@@ -15,7 +15,12 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
-use crate::{api::Api, auth::Auth, metrics::Metrics, status::StatusReader};
+use crate::{
+    api::{Api, Services},
+    auth::Auth,
+    metrics::Metrics,
+    status::StatusReader,
+};
 
 struct AdminObserved {
     api: Arc<Api>,
@@ -46,7 +51,10 @@
     let http = HttpStore::new(settings.store.address, settings.store.deadline.duration());
     let store = Arc::new(GuardedStore::new(http, settings.store.rate.get()));
     let shared: Arc<dyn Store> = Arc::<GuardedStore<HttpStore>>::clone(&store);
-    let api = Api::new(shared, Auth::new(&settings.api), metrics, StatusReader::start()?);
+    let connect = || HttpStore::new(settings.store.address, settings.store.deadline.duration());
+    let services =
+        Services { store: shared, platform: Arc::new(connect()), lister: Arc::new(connect()) };
+    let api = Api::new(services, Auth::new(&settings.api), metrics, StatusReader::start()?);
     let api = Arc::new(api);
     let (stop, stopping) = watch::channel(false);
     let observed = AdminObserved { api: Arc::clone(&api), store, stopping: stopping.clone() };
--- a/reachhead_config/src/control.rs
+++ b/reachhead_config/src/control.rs
@@ -62,6 +62,10 @@
         hand_over: Millis = Millis(10_000);
         /// Heartbeat rounds without progress after which another entry host takes a pool over.
         missed: NonZeroU32 = count(2);
+        /// Milliseconds for which a budget must be seen overspent before a drain is taken back.
+        confirm: Millis = Millis(5000);
+        /// Hosts of a pool that a wave has on their way at once, whatever the budgets allow.
+        batch: NonZeroU32 = count(8);
     }
 }
 
--- a/reachhead_config/src/fleet.rs
+++ b/reachhead_config/src/fleet.rs
@@ -35,7 +35,7 @@
     const FIELDS: &'static [Field] = &[
         field("groups", "Groups by name: `parent` and `settings`."),
         field("pools", "Pools by name: `group`."),
-        field("services", "Services by name: `group` and `pool`."),
+        field("services", "Services by name: `group`, `pool`, `max_unavailable`."),
         field(
             "minions",
             "Minions by SERVICE/NAME: `address`, `zone`, `slots`, `connections`, `state`.",
--- a/reachhead_control/src/pools.rs
+++ b/reachhead_control/src/pools.rs
@@ -9,8 +9,12 @@
     event::{Event, emit},
     runtime,
 };
-use reachhead_pool::controller::{Controller, Happening, Terms};
+use reachhead_pool::{
+    budget::Loads,
+    controller::{Controller, Happening, Terms},
+};
 use reachhead_store::{Store, platform::Platform};
+use reachhead_types::size::Version;
 use tokio::{sync::watch, time};
 
 use crate::view::View;
@@ -23,6 +27,9 @@
     view: Arc<View>,
     controller: Controller,
     round: Duration,
+    /// The version that `loads` belongs to.
+    version: Version,
+    loads: Arc<Loads>,
 }
 
 impl PoolRounds {
@@ -33,10 +40,15 @@
         platform: Arc<dyn Platform>,
         settings: &PoolSettings,
     ) -> Self {
-        let terms =
-            Terms { drain: settings.drain.duration(), hand_over: settings.hand_over.duration() };
+        let terms = Terms {
+            drain: settings.drain.duration(),
+            hand_over: settings.hand_over.duration(),
+            confirm: settings.confirm.duration(),
+            batch: settings.batch.get() as usize,
+        };
         let controller = Controller::new(store, platform, terms);
-        Self { view, controller, round: Duration::from_millis(settings.round.get()) }
+        let round = Duration::from_millis(settings.round.get());
+        Self { view, controller, round, version: Version(0), loads: Arc::default() }
     }
 
     /// Works until `stop` turns true, then hands every pool over.
@@ -53,7 +65,12 @@
     }
 
     async fn work(&mut self) {
-        match self.controller.round(&self.view.outlook()).await {
+        if let Some(fleet) = self.view.fleet_after(self.version) {
+            self.version = fleet.version;
+            self.loads = Arc::new(Loads::new(&fleet));
+        }
+        let outlook = self.view.outlook(Arc::clone(&self.loads));
+        match self.controller.round(&outlook).await {
             Ok(happenings) => happenings.iter().for_each(tell),
             // Nothing planned goes on while the store is away; hosts stay as they are.
             Err(error) => debug!("looking after pools: {error}"),
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -8,12 +8,13 @@
 use reachhead_link::message::{ListStamp, MemberList};
 use reachhead_ops::event::{Event, emit};
 use reachhead_pool::{
+    budget::Loads,
     controller::{Outlook, PoolState},
     lease::Candidate,
 };
 use reachhead_types::{
     book::{Book, Delta, GapError},
-    fleet::RowKey,
+    fleet::{Fleet, RowKey},
     hosts::LeavingHosts,
     id::{HostId, Incarnation},
     member::{Member, MemberId},
@@ -290,8 +291,9 @@
         Round { have, delta, list: state.members.stamp(), peers }
     }
 
-    /// Returns what looking after pools starts from.
-    pub fn outlook(&self) -> Outlook {
+    /// Returns what looking after pools starts from; `loads` belong to the newest version that the
+    /// caller has.
+    pub fn outlook(&self, loads: Arc<Loads>) -> Outlook {
         let own = self.own_member();
         let state = self.state();
         let list = state.members.members();
@@ -309,9 +311,20 @@
             candidates: list.iter().map(candidate).collect(),
             pools: pools.collect(),
             leaving: state.leaving.hosts.clone(),
+            loads,
         }
     }
 
+    /// Returns the fleet, if it is of a newer version than `have`.
+    pub fn fleet_after(&self, have: Version) -> Option<Fleet> {
+        // Reading all rows takes a while, so nobody is kept waiting for it.
+        let book = {
+            let state = self.state();
+            (state.book.version() > have).then(|| state.book.clone())
+        }?;
+        Fleet::from_rows(book.version(), book.rows()).ok()
+    }
+
     /// Notes the pools that this host is in charge of.
     pub fn note_pools(&self, pools: Vec<PoolState>) {
         self.state().pools = pools;
--- a/reachhead_harness/src/cluster.rs
+++ b/reachhead_harness/src/cluster.rs
@@ -271,7 +271,7 @@
                 "seeds": self.hosts.iter().map(|host| host.control_link).collect::<Vec<_>>(),
             },
             "follow": { "version": 50, "members": 50 },
-            "pools": { "round": 100, "drain": 1000, "hand_over": 2000 },
+            "pools": { "round": 100, "drain": 1000, "hand_over": 2000, "confirm": 500 },
         });
         merge(&mut settings, &self.plan.control);
         settings
@@ -378,6 +378,19 @@
         assert_eq!(reply.status, 200, "{reply:?}");
     }
 
+    /// Puts the minions on `count` workers in turn, w0 first.
+    pub async fn place_minions(&self, count: usize) {
+        let mut rows = Vec::new();
+        for minion in &self.minions {
+            let number: usize = minion.id.trim_start_matches('m').parse().unwrap_or_default();
+            let (key, mut row) = self.minion_row(minion, "serving");
+            row["host"] = json!(format!("w{}", number % count));
+            rows.push((key, row));
+        }
+        let version = self.change(rows).await;
+        self.in_force(version).await;
+    }
+
     /// Asks for a host to be moved to a pool.
     pub async fn move_worker(&self, host: &str, pool: &str) {
         let want = json!({ "pool": pool }).to_string();
--- a/reachhead_standin/src/platform.rs
+++ b/reachhead_standin/src/platform.rs
@@ -5,7 +5,10 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use reachhead_store::{http::HostCall, platform::HostStatus};
+use reachhead_store::{
+    http::{HostCall, RebootCall},
+    platform::HostStatus,
+};
 use reachhead_types::{
     hosts::{HostEntry, HostList, HostState},
     id::HostId,
@@ -82,14 +85,14 @@
         });
     }
 
-    /// Reboots a host that is under the drain that is meant.
-    pub fn reboot(&self, call: &HostCall) -> Result<(), String> {
+    /// Reboots a host that is under the drain that is meant and was not rebooted yet.
+    pub fn reboot(&self, call: &RebootCall) -> Result<(), String> {
         let mut result = Ok(());
         self.change(&call.host, |status| {
-            if status.drain.as_ref() == Some(&call.tag) {
+            if status.drain.as_ref() == Some(&call.tag) && status.boots == call.boots {
                 status.boots += 1;
             } else {
-                result = Err(format!("host {} is not under this drain", call.host));
+                result = Err(format!("host {} is not as the call says", call.host));
             }
         });
         result
--- a/reachhead_standin/src/store.rs
+++ b/reachhead_standin/src/store.rs
@@ -19,8 +19,8 @@
 use reachhead_store::{
     Store,
     http::{
-        COMMIT_PATH, DRAIN_PATH, HOSTS_PATH, HostCall, READ_PATH, REBOOT_PATH, SCAN_PATH,
-        STATUS_PATH, UNDRAIN_PATH,
+        COMMIT_PATH, DRAIN_PATH, HOSTS_PATH, READ_PATH, REBOOT_PATH, SCAN_PATH, STATUS_PATH,
+        UNDRAIN_PATH,
     },
     memory::MemoryStore,
     row::Txn,
@@ -57,6 +57,8 @@
     refuse: bool,
     /// Every call hangs and does nothing.
     hang: bool,
+    /// Calls of the table service hang; the platform's hosts still answer.
+    hang_rows: bool,
     /// Each call takes this many milliseconds longer.
     delay: u64,
     /// This many transactions take effect and their answer never comes.
@@ -120,11 +122,10 @@
         if self.fault().refuse_hosts {
             return Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "down\n"));
         }
-        let call: HostCall = parse(body)?;
         match path {
-            DRAIN_PATH => self.platform.drain(call),
-            UNDRAIN_PATH => self.platform.undrain(&call),
-            _ => self.platform.reboot(&call)?,
+            DRAIN_PATH => self.platform.drain(parse(body)?),
+            UNDRAIN_PATH => self.platform.undrain(&parse(body)?),
+            _ => self.platform.reboot(&parse(body)?)?,
         }
         Ok(http::json(StatusCode::OK, &()))
     }
@@ -155,7 +156,8 @@
     async fn call(&self, path: &str, body: &[u8]) -> WholeResponse {
         let fault = self.fault().clone();
         time::sleep(Duration::from_millis(fault.delay)).await;
-        if fault.hang {
+        let is_row_call = [READ_PATH, SCAN_PATH, COMMIT_PATH].contains(&path);
+        if fault.hang || (fault.hang_rows && is_row_call) {
             time::sleep(NEVER).await;
         }
         if fault.refuse {
--- a/reachhead_store/src/hosts.rs
+++ b/reachhead_store/src/hosts.rs
@@ -5,8 +5,8 @@
 
 use reachhead_types::{
     fleet::RowKey,
-    id::{HostId, PoolName},
-    pool::{HostPhase, HostRow},
+    id::{HostId, PoolName, ServiceName},
+    pool::{BudgetRow, HostPhase, HostRow},
     size::Revision,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -236,31 +236,86 @@
         .with_write(keys::host(&host.id), json(&row))
         .with_delete(keys::pool_host(from, &host.id))
         .with_write(keys::pool_host(to, &host.id), json!({}))
+        .with_write(keys::pool_head(from), json!({ "moved": host.id }))
         .with_write(keys::pool_head(to), json!({ "moved": host.id, "epoch": row.epoch }));
     Ok(matches!(store.commit(txn).await?, Commit::Done(_)))
 }
 
-/// Writes a host's row within its pool, on the word of the pool's owner; `None` if it is too late.
+/// Writes a host's row within its pool, on the word of the pool's owner, with the rows of `budgets`
+/// that change with it; `None` if it is too late. The pool's head moves from `head` with it, so that the
+/// owner sees a write of its own whose answer was lost.
 ///
 /// # Errors
 ///
-/// Any [`StoreError`]; after a lost answer the row must be read again.
+/// Any [`StoreError`]; after a lost answer the rows must be read again.
 pub async fn put(
     store: &dyn Store,
     host: &Host,
     row: &HostRow,
-    lease: Revision,
+    word: Word,
+    budgets: &[BudgetWrite],
 ) -> Result<Option<Revision>, StoreError> {
-    let txn = Txn::new()
-        .with_check(keys::lease(&host.row.pool), Some(lease))
+    let head = keys::pool_head(&host.row.pool);
+    let mut txn = Txn::new()
+        .with_check(keys::lease(&host.row.pool), Some(word.lease))
+        .with_check(head.clone(), word.head)
         .with_check(keys::host(&host.id), Some(host.revision))
+        .with_write(head, json!({ "written": host.id }))
         .with_write(keys::host(&host.id), json(row));
+    for BudgetWrite { service, revision, row } in budgets {
+        let key = keys::budget(service);
+        let value = serde_json::to_value(row).unwrap_or(Value::Null);
+        txn = txn.with_check(key.clone(), *revision).with_write(key, value);
+    }
     match store.commit(txn).await? {
         Commit::Done(revision) => Ok(Some(revision)),
         Commit::Conflict(_) => Ok(None),
     }
 }
 
+/// What makes an owner's word count: the rows must be as it has read them.
+#[derive(Debug, Clone, Copy)]
+pub struct Word {
+    /// The revision of the pool's lease.
+    pub lease: Revision,
+    /// The revision of the pool's head; `None` where there is no row.
+    pub head: Option<Revision>,
+}
+
+/// A budget's row as it should become, with the revision that it was read at.
+#[derive(Debug, Clone)]
+pub struct BudgetWrite {
+    /// The service.
+    pub service: ServiceName,
+    /// The revision; `None` where there was no row.
+    pub revision: Option<Revision>,
+    /// The row.
+    pub row: BudgetRow,
+}
+
+/// Returns the budgets of `services`, as they are spent.
+///
+/// # Errors
+///
+/// Any [`StoreError`].
+pub async fn budgets(
+    store: &dyn Store,
+    services: Vec<ServiceName>,
+) -> Result<Vec<BudgetWrite>, StoreError> {
+    if services.is_empty() {
+        return Ok(Vec::new());
+    }
+    let rows = store.read(services.iter().map(keys::budget).collect()).await?;
+    let budget = |(service, row): (ServiceName, Option<Row>)| {
+        let (revision, row) = match row {
+            Some(row) => (Some(row.revision), parse(&row)?),
+            None => (None, BudgetRow::default()),
+        };
+        Ok(BudgetWrite { service, revision, row })
+    };
+    services.into_iter().zip(rows).map(budget).collect()
+}
+
 async fn read_pool(store: &dyn Store, pool: &PoolName) -> Result<Revision, HostError> {
     let rows = store.read(vec![keys::config(&RowKey::Pool(pool.clone()))]).await?;
     let row = rows.into_iter().next().flatten();
--- a/reachhead_store/src/http.rs
+++ b/reachhead_store/src/http.rs
@@ -123,6 +123,17 @@
     }
 }
 
+/// A call to reboot a host.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RebootCall {
+    /// The host.
+    pub host: HostId,
+    /// The drain that it must be under.
+    pub tag: DrainTag,
+    /// How often it must have been booted so far.
+    pub boots: u64,
+}
+
 /// A call on one host.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct HostCall {
@@ -154,8 +165,13 @@
         self.call_host(UNDRAIN_PATH, host, tag).boxed()
     }
 
-    fn reboot(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>> {
-        self.call_host(REBOOT_PATH, host, tag).boxed()
+    fn reboot(
+        &self,
+        host: HostId,
+        tag: DrainTag,
+        boots: u64,
+    ) -> BoxFuture<'_, Result<(), StoreError>> {
+        async move { self.call(REBOOT_PATH, &RebootCall { host, tag, boots }).await }.boxed()
     }
 }
 
--- a/reachhead_store/src/keys.rs
+++ b/reachhead_store/src/keys.rs
@@ -86,6 +86,16 @@
     Key(format!("{LEASE_PREFIX}{pool}"))
 }
 
+/// The row of the wave of a pool.
+pub fn wave(pool: &PoolName) -> Key {
+    Key(format!("wave/{pool}"))
+}
+
+/// The row of what is spent of a service's availability budget.
+pub fn budget(service: &ServiceName) -> Key {
+    Key(format!("budget/{service}"))
+}
+
 /// The row of an entry host.
 pub fn member(host: &HostId) -> Key {
     Key(format!("{MEMBER_PREFIX}{host}"))
--- a/reachhead_store/src/lib.rs
+++ b/reachhead_store/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod memory;
 pub mod platform;
 pub mod row;
+pub mod waves;
 
 use futures::future::BoxFuture;
 use reachhead_types::{hosts::HostList, size::Revision};
--- a/reachhead_store/src/platform.rs
+++ b/reachhead_store/src/platform.rs
@@ -85,10 +85,16 @@
     /// Any [`StoreError`].
     fn undrain(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>>;
 
-    /// Reboots `host` if it is under the drain `tag`; the platform refuses to otherwise.
+    /// Reboots `host` if it is under the drain `tag` and was booted `boots` times so far; the platform
+    /// refuses to otherwise, so a call that comes late reboots nothing a second time.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`].
-    fn reboot(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>>;
+    fn reboot(
+        &self,
+        host: HostId,
+        tag: DrainTag,
+        boots: u64,
+    ) -> BoxFuture<'_, Result<(), StoreError>>;
 }
--- /dev/null
+++ b/reachhead_store/src/waves.rs
@@ -0,0 +1,146 @@
+//! What operators do with maintenance waves: starting, pausing, resuming, cancelling.
+
+use reachhead_types::{
+    id::{PoolName, WaveName},
+    pool::{WaveRow, WaveState},
+    size::Revision,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use thiserror::Error;
+
+use crate::{
+    Store, StoreError, hosts, keys,
+    row::{Commit, Txn},
+};
+
+/// Times that a call is tried against racing writes of the same wave.
+const TRY_LIMIT: u32 = 8;
+
+/// Why a call on a wave was not carried out.
+#[derive(Debug, Error)]
+pub enum WaveError {
+    /// Another wave of the pool is under way.
+    #[error("wave {0} of pool {1} is not over")]
+    Busy(WaveName, PoolName),
+    /// The pool has no such wave.
+    #[error("pool {1} has no wave {0}")]
+    Missing(WaveName, PoolName),
+    /// A wave that was cancelled stays so.
+    #[error("wave {0} was cancelled; start another one")]
+    Cancelled(WaveName),
+    /// Others kept changing the same wave.
+    #[error("too many changes of this wave at once; nothing changed")]
+    Raced,
+    /// The store failed; the call may be repeated.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+}
+
+/// A pool's wave with the revision of its row.
+struct Found {
+    row: WaveRow,
+    revision: Revision,
+}
+
+/// Returns the wave of a pool.
+///
+/// # Errors
+///
+/// Any [`StoreError`].
+pub async fn of_pool(store: &dyn Store, pool: &PoolName) -> Result<Option<WaveRow>, StoreError> {
+    Ok(find(store, pool).await?.map(|found| found.row))
+}
+
+/// Starts the wave `name` in a pool; the same again changes nothing.
+///
+/// # Errors
+///
+/// Any [`WaveError`].
+pub async fn start(store: &dyn Store, pool: &PoolName, name: &WaveName) -> Result<(), WaveError> {
+    for _ in 0..TRY_LIMIT {
+        let found = find(store, pool).await?;
+        if let Some(Found { row, .. }) = &found {
+            if row.name == *name {
+                return match row.state {
+                    WaveState::Cancelled => Err(WaveError::Cancelled(name.clone())),
+                    _ => Ok(()),
+                };
+            }
+            if !is_over(store, pool, row).await? {
+                return Err(WaveError::Busy(row.name.clone(), pool.clone()));
+            }
+        }
+        let row = WaveRow { name: name.clone(), state: WaveState::Running };
+        let before = found.map(|found| found.revision);
+        if write(store, pool, &row, before).await? {
+            return Ok(());
+        }
+    }
+    Err(WaveError::Raced)
+}
+
+/// Pauses, resumes or cancels the wave `name` of a pool.
+///
+/// # Errors
+///
+/// Any [`WaveError`].
+pub async fn set_state(
+    store: &dyn Store,
+    pool: &PoolName,
+    name: &WaveName,
+    state: WaveState,
+) -> Result<(), WaveError> {
+    for _ in 0..TRY_LIMIT {
+        let Some(Found { row, revision }) = find(store, pool).await? else {
+            return Err(WaveError::Missing(name.clone(), pool.clone()));
+        };
+        if row.name != *name {
+            return Err(WaveError::Missing(name.clone(), pool.clone()));
+        }
+        if row.state == state {
+            return Ok(());
+        }
+        if row.state == WaveState::Cancelled {
+            return Err(WaveError::Cancelled(name.clone()));
+        }
+        if write(store, pool, &WaveRow { state, ..row }, Some(revision)).await? {
+            return Ok(());
+        }
+    }
+    Err(WaveError::Raced)
+}
+
+/// Tells whether nothing of a wave is left to do.
+async fn is_over(store: &dyn Store, pool: &PoolName, row: &WaveRow) -> Result<bool, StoreError> {
+    let hosts = hosts::in_pool(store, pool).await?;
+    let is_left = |host: &hosts::Host| match row.state {
+        WaveState::Cancelled => host.row.wave.is_some(),
+        _ => host.row.done.as_ref() != Some(&row.name),
+    };
+    Ok(!hosts.iter().any(is_left))
+}
+
+async fn find(store: &dyn Store, pool: &PoolName) -> Result<Option<Found>, StoreError> {
+    let rows = store.read(vec![keys::wave(pool)]).await?;
+    let Some(row) = rows.into_iter().next().flatten() else {
+        return Ok(None);
+    };
+    let wave = WaveRow::deserialize(&row.value)
+        .map_err(|error| StoreError::Refused(format!("row {}: {error}", row.key)))?;
+    Ok(Some(Found { row: wave, revision: row.revision }))
+}
+
+async fn write(
+    store: &dyn Store,
+    pool: &PoolName,
+    row: &WaveRow,
+    before: Option<Revision>,
+) -> Result<bool, StoreError> {
+    let value = serde_json::to_value(row).unwrap_or(Value::Null);
+    let txn = Txn::new()
+        .with_check(keys::wave(pool), before)
+        .with_write(keys::wave(pool), value)
+        .with_write(keys::pool_head(pool), json!({ "wave": row.name }));
+    Ok(matches!(store.commit(txn).await?, Commit::Done(_)))
+}
--- a/reachhead_types/src/fleet/mod.rs
+++ b/reachhead_types/src/fleet/mod.rs
@@ -24,6 +24,9 @@
 /// Connections of a minion that names none.
 pub const DEFAULT_CONNECTIONS: Connections = Connections(64);
 
+/// Minions of a service that may be away at once, where the service does not say.
+pub const DEFAULT_UNAVAILABLE: u32 = 1;
+
 /// A group's row.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -52,6 +55,13 @@
     pub group: GroupName,
     /// The pool whose hosts carry its minions.
     pub pool: PoolName,
+    /// Its availability budget: minions that may be away at once, planned and unplanned together.
+    #[serde(default = "default_unavailable")]
+    pub max_unavailable: u32,
+}
+
+const fn default_unavailable() -> u32 {
+    DEFAULT_UNAVAILABLE
 }
 
 /// Whether a minion takes new work.
--- a/reachhead_types/src/id.rs
+++ b/reachhead_types/src/id.rs
@@ -124,6 +124,10 @@
     /// An availability zone.
     ZoneName
 }
+name_type! {
+    /// A maintenance wave.
+    WaveName
+}
 name_type! {
     /// A rack: hosts that fail together with its switch.
     RackName
--- a/reachhead_types/src/pool.rs
+++ b/reachhead_types/src/pool.rs
@@ -2,12 +2,15 @@
 //!
 //! docs/POOLS.md tells how a host changes its pool and why it is always in exactly one.
 
-use std::fmt::{self, Display, Formatter};
+use std::{
+    collections::BTreeSet,
+    fmt::{self, Display, Formatter},
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{PoolName, RackName, ZoneName},
+    id::{HostId, PoolName, RackName, ServiceName, WaveName, ZoneName},
     member::MemberId,
     size::{Accelerators, Cores, Epoch, Gibibytes},
 };
@@ -33,6 +36,8 @@
     Serving,
     /// It takes no new work and finishes what it has.
     Draining,
+    /// It is empty and is being rebooted.
+    Rebooting,
     /// It is in its pool and takes no work yet.
     Arriving,
 }
@@ -42,6 +47,7 @@
         f.write_str(match self {
             Self::Serving => "serving",
             Self::Draining => "draining",
+            Self::Rebooting => "rebooting",
             Self::Arriving => "arriving",
         })
     }
@@ -67,6 +73,75 @@
     /// The pool that operators want it in; `None` leaves it where it is.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub want: Option<PoolName>,
+    /// The wave that it is drained for; `None` while it is not, or is drained to be moved.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wave: Option<WaveName>,
+    /// The last wave that it has been through.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<WaveName>,
+    /// The services whose budgets its drain spends.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub spent: BTreeSet<ServiceName>,
+    /// How often it had been booted when its reboot was due.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub boots: Option<u64>,
+}
+
+impl HostRow {
+    /// Returns the row of a host that serves in `pool`.
+    pub fn new(zone: ZoneName, rack: RackName, resources: Resources, pool: PoolName) -> Self {
+        Self {
+            zone,
+            rack,
+            resources,
+            pool,
+            epoch: Epoch(0),
+            phase: HostPhase::Serving,
+            want: None,
+            wave: None,
+            done: None,
+            spent: BTreeSet::new(),
+            boots: None,
+        }
+    }
+}
+
+/// Whether a wave goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WaveState {
+    /// It goes on.
+    Running,
+    /// Nothing new is begun; what is under way is finished.
+    Paused,
+    /// Nothing new is begun, and drains that are not done are taken back.
+    Cancelled,
+}
+
+impl Display for WaveState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Running => "running",
+            Self::Paused => "paused",
+            Self::Cancelled => "cancelled",
+        })
+    }
+}
+
+/// The wave of a pool; there is one at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRow {
+    /// Its name; waves of several pools may share one.
+    pub name: WaveName,
+    /// Whether it goes on.
+    pub state: WaveState,
+}
+
+/// What of a service's availability budget is spent on planned work.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct BudgetRow {
+    /// The hosts that may be unavailable.
+    pub held: BTreeSet<HostId>,
 }
 
 /// Who is in charge of a pool.
