--- a/extra/demo.sh
+++ b/extra/demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Starts three entry hosts, a stand-in of the platform and six minions as processes on loopback,
-# configures two services through the command line, sends 1,200 requests through all entry hosts,
-# shows state and a change that reaches every host, and stops everything gracefully.
+# configures two services through the command line, shows a change that reaches every host, sends 1,200
+# requests through all entry hosts while a maintenance wave reboots every host of the minions, shows
+# state, and stops everything gracefully.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -56,7 +57,7 @@
 for service in check-in desk; do
     for zone in "${zones[@]}"; do
         take address
-        minions+=("\"$service/$zone-1\": { \"address\": \"$address\", \"zone\": \"$zone\" }")
+        minions+=("\"$service/$zone-1\": { \"address\": \"$address\", \"zone\": \"$zone\", \"host\": \"$zone-a\" }")
         start "minion-$service-$zone" "$bin/reachhead-standin" minion --address "$address" --work 2
     done
 done
@@ -80,7 +81,8 @@
     common="$host, \"store\": { \"address\": \"$store\" }"
     cat >"$work/control-$i.jsonc" <<JSON
 { "program": "control", $common, "ops": { "address": "$control_ops" },
-  "link": { "address": "$control_link", "entry": "$entry_link" } }
+  "link": { "address": "$control_link", "entry": "$entry_link" },
+  "pools": { "round": 200, "drain": 1500 } }
 JSON
     cat >"$work/entry-$i.jsonc" <<JSON
 { "program": "entry", $common, "ops": { "address": "$entry_ops_address" },
@@ -138,10 +140,21 @@
 "$bin/reachhead" settings status --wait 10
 "$bin/reachhead" settings effective chain-b
 
-echo "== 1,200 requests for two services through three entry hosts"
-"$bin/reachhead-standin" caller "${entries[@]}" --count 1200 \
+echo "== the hosts of the minions join their pool"
+for zone in "${zones[@]}"; do
+    "$bin/reachhead" host add "$zone-a" --pool front --zone "$zone" --rack "$zone-1" --cores 16 --memory 32
+done
+
+echo "== 1,200 requests for two services through three entry hosts, during a maintenance wave"
+"$bin/reachhead-standin" caller "${entries[@]}" --count 1200 --pause 80 \
     --path /chain-a/check-in/gate-1 --path /chain-a/desk --path '!/chain-b/renewal' \
-    | tee "$work/served"
+    >"$work/served" 2>&1 &
+load=$!
+pids+=("$load")
+"$bin/reachhead" wave start round-1 --pool front --wait 40
+wait "$load" || { cat "$work/served" >&2; exit 1; }
+unset 'pids[-1]'
+cat "$work/served"
 
 echo "== the state of the first entry host, in part"
 "$bin/reachhead" dump "${entry_ops[0]}" | head -n 20
--- a/reachhead_bench/src/capacity/hosts.rs
+++ b/reachhead_bench/src/capacity/hosts.rs
@@ -143,7 +143,7 @@
 }
 
 /// Returns the bytes that went over loopback, headers included; nothing else should use it now.
-fn loopback_bytes() -> f64 {
+pub fn loopback_bytes() -> f64 {
     let text = fs::read_to_string("/proc/net/dev").unwrap_or_default();
     let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:"));
     let sent = line.and_then(|line| line.split_whitespace().nth(8));
--- a/reachhead_bench/src/capacity/mod.rs
+++ b/reachhead_bench/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 
 mod fit;
 mod hosts;
+mod pools;
 mod rows;
 mod shares;
 
@@ -22,6 +23,9 @@
     if is_asked("hosts") {
         figures.insert("hosts".to_owned(), hosts::run().await);
     }
+    if is_asked("pools") {
+        figures.insert("pools".to_owned(), pools::run().await);
+    }
     match figures.is_empty() {
         true => Err(io::Error::other("there is no such part")),
         false => Ok(Value::Object(figures)),
--- a/reachhead_bench/src/main.rs
+++ b/reachhead_bench/src/main.rs
@@ -5,6 +5,7 @@
 mod load;
 mod path;
 mod plan;
+mod waves;
 
 use std::{net::SocketAddr, process::ExitCode};
 
@@ -28,6 +29,7 @@
     Path(PathArgs),
     Capacity(CapacityArgs),
     Plan(PlanArgs),
+    Waves(WavesArgs),
     Forwarder(ForwarderArgs),
 }
 
@@ -44,7 +46,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
 struct CapacityArgs {
-    /// one of hosts, rows, shares; all by default
+    /// one of hosts, pools, rows, shares; all by default
     #[argh(option)]
     only: Option<String>,
 }
@@ -54,6 +56,11 @@
 #[argh(subcommand, name = "plan")]
 struct PlanArgs {}
 
+/// Maintenance rounds on generated fleets with fixed seeds, beside naive ways and lower bounds.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "waves")]
+struct WavesArgs {}
+
 /// The baseline: a bare forwarder, one connection out per connection in, no decisions.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "forwarder")]
@@ -92,6 +99,7 @@
         }
         Part::Path(PathArgs { only }) => measure(path::run(only.as_deref())),
         Part::Capacity(CapacityArgs { only }) => measure(capacity::run(only.as_deref())),
+        Part::Waves(WavesArgs {}) => measure(async { Ok(waves::run()) }),
         Part::Plan(PlanArgs {}) => measure(async { Ok(plan::run()) }),
     }
 }
--- a/reachhead_plan/src/planner.rs
+++ b/reachhead_plan/src/planner.rs
@@ -37,7 +37,8 @@
 struct Planner<'p> {
     pool: &'p Pool,
     rooms: Rooms<'p>,
-    /// All that open workers have.
+    /// All that the pool's workers have, those that take nothing for now included: nobody is owed less
+    /// because a wave is under way.
     capacity: Amount,
     /// What each group has by class, with what this plan gives it now or later.
     used: BTreeMap<&'p GroupName, Usage>,
@@ -118,8 +119,8 @@
 
 impl<'p> Planner<'p> {
     fn new(pool: &'p Pool, tree: &Tree) -> Self {
-        let open = pool.workers.values().filter(|worker| worker.is_open);
-        let capacity = open.fold(Amount::default(), |sum, worker| sum.plus(worker.capacity));
+        let capacity =
+            pool.workers.values().fold(Amount::default(), |sum, worker| sum.plus(worker.capacity));
         let mut planner = Self {
             pool,
             rooms: Rooms::new(pool),
--- a/reachhead_plan/src/pool.rs
+++ b/reachhead_plan/src/pool.rs
@@ -24,6 +24,8 @@
     pub capacity: Amount,
     /// Whether it takes new tasks: it serves and is not quarantined.
     pub is_open: bool,
+    /// Whether a wave has yet to come to it, so that what is placed there is soon displaced again.
+    pub is_due: bool,
 }
 
 /// How the tasks of a job are kept apart.
--- a/reachhead_plan/src/room.rs
+++ b/reachhead_plan/src/room.rs
@@ -116,8 +116,8 @@
         self.racks.entry(name).or_insert_with(|| vec![0; count])[rack] += 1;
     }
 
-    /// Returns the best spot for a task of `job`: now before later, few of its own kind in the rack
-    /// before many, accelerators left to those who need them, the fullest worker that has room.
+    /// Returns the best spot for a task of `job`: now before later, workers that a wave has done before
+    /// those that it has yet to come to, few of its own kind in the rack before many, accelerators left to those who need them, the fullest worker that has room.
     ///
     /// # Errors
     ///
@@ -139,6 +139,7 @@
             is_apart_anywhere = true;
             let rank = Rank {
                 is_later: !is_now,
+                is_due: room.worker.is_due,
                 wastes: job.size.accelerators == 0 && room.worker.capacity.accelerators > 0,
                 in_rack,
                 left: room.free_later().minus(job.size).dominant(room.worker.capacity),
@@ -185,6 +186,7 @@
 /// How good a worker is for a task.
 struct Rank {
     is_later: bool,
+    is_due: bool,
     wastes: bool,
     in_rack: u32,
     left: f64,
@@ -193,7 +195,7 @@
 
 impl Rank {
     fn is_before(&self, other: &Self) -> bool {
-        let key = |rank: &Self| (rank.is_later, rank.wastes, rank.in_rack);
+        let key = |rank: &Self| (rank.is_later, rank.is_due, rank.wastes, rank.in_rack);
         match key(self).cmp(&key(other)) {
             std::cmp::Ordering::Equal => self.left < other.left,
             order => order.is_lt(),
--- a/reachhead_pool/src/budget.rs
+++ b/reachhead_pool/src/budget.rs
@@ -50,6 +50,15 @@
     }
 }
 
+/// How urgent it is to begin with a host; the larger comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Pressure {
+    /// Batches that the service with the most left to do needs.
+    most: usize,
+    /// Batches that all services on the host need.
+    sum: usize,
+}
+
 impl Loads {
     /// Returns the loads of `fleet`.
     pub fn new(fleet: &Fleet) -> Self {
@@ -107,6 +116,25 @@
         })
     }
 
+    /// Returns how urgent it is for a wave to begin with `host`, when the hosts in `left` are still to
+    /// be done: the batches that its services need at least. The service with the most left decides
+    /// how long the wave takes, so its hosts must never be the ones that wait.
+    pub fn pressure(&self, host: &HostId, left: &BTreeSet<HostId>) -> Pressure {
+        let batches = |service: &ServiceName| {
+            let load = self.services.get(service);
+            let undone = load.map_or(0, |load| {
+                let hosts = load.hosts.iter().filter(|(host, _)| left.contains(*host));
+                hosts.map(|(_, count)| count).sum()
+            });
+            undone.div_ceil(self.limit(service).max(1))
+        };
+        let batches: Vec<usize> = self.services_on(host).map(batches).collect();
+        Pressure {
+            most: batches.iter().copied().max().unwrap_or_default(),
+            sum: batches.iter().sum(),
+        }
+    }
+
     /// Returns by how many minions the budget of a service is overspent, those aside that come back
     /// with the `returning` hosts.
     pub fn overspent(
--- a/reachhead_pool/src/controller/steps.rs
+++ b/reachhead_pool/src/controller/steps.rs
@@ -1,6 +1,6 @@
 //! A step for each host on its way, and the hosts that set out.
 
-use std::collections::BTreeSet;
+use std::{cmp::Reverse, collections::BTreeSet};
 
 use log::debug;
 use reachhead_store::{
@@ -72,7 +72,7 @@
             held.head = Some(head);
         }
         let on_way = held.on_way(&outlook.leaving);
-        let due = held.due(wave, &outlook.leaving);
+        let due = held.due(wave, &outlook.leaving, &outlook.loads);
         if on_way.is_empty() && due.is_empty() {
             return Ok(());
         }
@@ -283,9 +283,14 @@
         self.hosts.iter().filter(is_on_way).map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns the hosts that should set out: moves first, then those of a wave along racks, the racks
-    /// that it has begun with first.
-    fn due(&self, wave: Option<&WaveRow>, leaving: &BTreeSet<HostId>) -> Vec<HostId> {
+    /// Returns the hosts that should set out: moves first, then those of a wave whose services have the
+    /// most left to do, along racks.
+    fn due(
+        &self,
+        wave: Option<&WaveRow>,
+        leaving: &BTreeSet<HostId>,
+        loads: &Loads,
+    ) -> Vec<HostId> {
         let is_begun = |tracked: &&Tracked| {
             let row = &tracked.host.row;
             row.wave.is_some() || wave.is_some_and(|wave| row.done.as_ref() == Some(&wave.name))
@@ -299,9 +304,11 @@
             .filter(|tracked| !leaving.contains(&tracked.host.id))
             .filter(|tracked| host::begin(&tracked.host.row, wave) != HostStep::Wait)
             .collect();
-        due.sort_by_key(|tracked| {
-            let row = &tracked.host.row;
-            (row.want.is_none(), !begun.contains(&row.rack), &row.rack, &tracked.host.id)
+        let left: BTreeSet<HostId> = due.iter().map(|tracked| tracked.host.id.clone()).collect();
+        due.sort_by_cached_key(|tracked| {
+            let Host { id, row, .. } = &tracked.host;
+            let pressure = Reverse(loads.pressure(id, &left));
+            (row.want.is_none(), pressure, !begun.contains(&row.rack), &row.rack, id)
         });
         due.into_iter().map(|tracked| tracked.host.id.clone()).collect()
     }
--- a/reachhead_standin/src/caller.rs
+++ b/reachhead_standin/src/caller.rs
@@ -29,6 +29,8 @@
     pub paths: Vec<String>,
     /// Requests in all.
     pub count: usize,
+    /// Pause of a caller between two requests.
+    pub pause: Duration,
 }
 
 struct Served {
@@ -57,6 +59,7 @@
     let mut served = Served { count: 0, first_fault: None };
     let mut sender = None;
     for number in (caller..plan.count).step_by(CALLERS) {
+        time::sleep(plan.pause).await;
         let entry = plan.entries[number % plan.entries.len()];
         let path = &plan.paths[(number / plan.entries.len()) % plan.paths.len()];
         match time::timeout(ANSWER_TIME, exchange(&mut sender, entry, path, number)).await {
--- a/reachhead_standin/src/main.rs
+++ b/reachhead_standin/src/main.rs
@@ -9,6 +9,7 @@
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     process::ExitCode,
+    time::Duration,
 };
 
 use argh::FromArgs;
@@ -73,6 +74,10 @@
     /// requests to send
     #[argh(option)]
     count: usize,
+
+    /// milliseconds that each caller waits before each request
+    #[argh(option, default = "0")]
+    pause: u64,
 }
 
 /// Print free loopback ports, one a line.
@@ -104,8 +109,9 @@
         match args.part {
             Part::Store(args) => store::run(args.address).await,
             Part::Minion(args) => minion::run(&args.address, args.work, args.slots).await,
-            Part::Caller(CallerArgs { entry, path, count }) => {
-                caller::run(Plan { entries: entry, paths: path, count }).await
+            Part::Caller(CallerArgs { entry, path, count, pause }) => {
+                let pause = Duration::from_millis(pause);
+                caller::run(Plan { entries: entry, paths: path, count, pause }).await
             }
             Part::Ports(args) => print_ports(args.count),
         }
