The longest files are folders

Change: the test has its world and its entry hosts in files of their own and asks the world instead of taking its lock; what tests ask of a running system stands beside how it is started; words of settings and operators stand apart from those of hosts, pools and waves. Conclusion: nothing changed but places.

--- /dev/null
+++ b/reachhead_pool/tests/moves/world.rs
@@ -0,0 +1,307 @@
+//! The platform as the controllers meet it: rows, hosts, and calls that are lost or come late.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+    task::Poll,
+};
+
+use futures::future::{self, BoxFuture, FutureExt};
+use reachhead_pool::budget::Budgets;
+use reachhead_store::{
+    Store, StoreError,
+    memory::MemoryStore,
+    platform::{DrainTag, HostStatus, Platform},
+    row::{Commit, Key, Page, Row, Scan, Txn},
+};
+use reachhead_types::{
+    id::HostId,
+    pool::{BudgetRow, HostRow},
+};
+use serde::Deserialize;
+
+use crate::{HOSTS, LIMIT, host_id, loads};
+
+/// What becomes of the next writes, of the store and of the platform alike.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    None,
+    LostBefore,
+    LostAfter,
+    /// It is carried out much later, when its caller has long given up: a pause in the middle.
+    Late,
+}
+
+enum Call {
+    Txn(Txn),
+    Drain(HostId, DrainTag),
+    Undrain(HostId, DrainTag),
+    Reboot(HostId, DrainTag, u64),
+}
+
+struct Inner {
+    fault: Fault,
+    late: Vec<Call>,
+    statuses: BTreeMap<HostId, HostStatus>,
+    /// What a check of a transaction found wrong.
+    wrong: Vec<String>,
+}
+
+/// The platform: its store and its hosts.
+pub struct World {
+    store: MemoryStore,
+    inner: Mutex<Inner>,
+}
+
+impl World {
+    pub fn new() -> Arc<Self> {
+        let status = HostStatus { is_up: true, drain: None, running: 0, boots: 0 };
+        let statuses = (0..HOSTS).map(|number| (host_id(number), status.clone())).collect();
+        let inner = Inner { fault: Fault::None, late: Vec::new(), statuses, wrong: Vec::new() };
+        Arc::new(Self { store: MemoryStore::new(), inner: Mutex::new(inner) })
+    }
+
+    /// Sets what becomes of the next writes.
+    pub fn set_fault(&self, fault: Fault) {
+        self.inner.lock().unwrap().fault = fault;
+    }
+
+    /// Returns how a host is.
+    pub fn status_of(&self, host: &HostId) -> HostStatus {
+        self.inner.lock().unwrap().statuses[host].clone()
+    }
+
+    /// Returns the hosts that are drained or down.
+    pub fn leaving(&self) -> BTreeSet<HostId> {
+        let inner = self.inner.lock().unwrap();
+        let leaving =
+            inner.statuses.iter().filter(|(_, status)| status.is_drained() || !status.is_up);
+        leaving.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns what the checks of transactions and reboots found wrong.
+    pub fn wrong(&self) -> Vec<String> {
+        self.inner.lock().unwrap().wrong.clone()
+    }
+
+    /// Writes a row as it is, without any fault.
+    pub fn write(&self, key: Key, value: serde_json::Value) {
+        let txn = Txn::new().with_write(key, value);
+        self.store.commit(txn).now_or_never().unwrap().unwrap();
+    }
+
+    fn carry_out(&self, call: Call) -> Commit {
+        match call {
+            Call::Txn(txn) => {
+                let before = self.rows();
+                let commit = self.store.commit(txn).now_or_never().unwrap().unwrap();
+                self.check(&before, &self.rows());
+                self.check_budgets();
+                commit
+            }
+            Call::Drain(host, tag) => {
+                self.inner.lock().unwrap().statuses.get_mut(&host).unwrap().drain = Some(tag);
+                Commit::Conflict(Vec::new())
+            }
+            Call::Reboot(host, tag, boots) => {
+                self.reboot_now(&host, &tag, boots);
+                Commit::Conflict(Vec::new())
+            }
+            Call::Undrain(host, tag) => {
+                let mut inner = self.inner.lock().unwrap();
+                let status = inner.statuses.get_mut(&host).unwrap();
+                status.drain = status.drain.take().filter(|drain| *drain != tag);
+                Commit::Conflict(Vec::new())
+            }
+        }
+    }
+
+    /// Reboots a host under its drain, and notes if it had work or was outside its budgets.
+    fn reboot_now(&self, host: &HostId, tag: &DrainTag, boots: u64) {
+        let budgets = self.budgets();
+        let mut inner = self.inner.lock().unwrap();
+        let status = inner.statuses.get_mut(host).unwrap();
+        if status.drain.as_ref() != Some(tag) || status.boots != boots {
+            return;
+        }
+        status.boots += 1;
+        let is_empty = status.running == 0;
+        let is_permitted = loads()
+            .services_on(host)
+            .all(|service| budgets.get(service).is_some_and(|budget| budget.held.contains(host)));
+        if !is_empty || !is_permitted {
+            inner
+                .wrong
+                .push(format!("{host} was rebooted: empty {is_empty}, permitted {is_permitted}"));
+        }
+    }
+
+    pub fn budgets(&self) -> Budgets {
+        let row = |row: &Row| {
+            let service = row.key.0.strip_prefix("budget/").unwrap().parse().unwrap();
+            (service, BudgetRow::deserialize(&row.value).unwrap())
+        };
+        self.scan_all("budget/").iter().map(row).collect()
+    }
+
+    fn call(&self, call: Call) -> Result<Commit, StoreError> {
+        let fault = self.inner.lock().unwrap().fault;
+        match fault {
+            Fault::None => Ok(self.carry_out(call)),
+            Fault::LostBefore => Err(StoreError::Lost("before".to_owned())),
+            Fault::LostAfter => {
+                self.carry_out(call);
+                Err(StoreError::Lost("after".to_owned()))
+            }
+            Fault::Late => {
+                self.inner.lock().unwrap().late.push(call);
+                Err(StoreError::Lost("late".to_owned()))
+            }
+        }
+    }
+
+    pub fn deliver(&self, number: u8) {
+        let call = {
+            let late = &mut self.inner.lock().unwrap().late;
+            (!late.is_empty()).then(|| late.remove(usize::from(number) % late.len()))
+        };
+        if let Some(call) = call {
+            self.carry_out(call);
+        }
+    }
+
+    pub fn rows(&self) -> BTreeMap<HostId, HostRow> {
+        let page = self.scan_all("host/");
+        let row = |row: &Row| {
+            let id = row.key.0.strip_prefix("host/").unwrap().parse().unwrap();
+            (id, HostRow::deserialize(&row.value).unwrap())
+        };
+        page.iter().map(row).collect()
+    }
+
+    fn scan_all(&self, prefix: &str) -> Vec<Row> {
+        let scan = Scan { prefix: prefix.to_owned(), after: None, limit: 1000 };
+        self.store.scan(scan).now_or_never().unwrap().unwrap().rows
+    }
+
+    /// Notes a budget that planned work alone overspends, by the rows of the hosts, or that says
+    /// something else than they.
+    fn check_budgets(&self) {
+        let (loads, rows) = (loads(), self.rows());
+        for (service, budget) in self.budgets() {
+            let spenders = rows.iter().filter(|(_, row)| row.spent.contains(&service));
+            let spenders: BTreeSet<HostId> = spenders.map(|(id, _)| id.clone()).collect();
+            let away = loads.away(&service, &spenders, &BTreeSet::new());
+            if away > LIMIT || budget.held != spenders {
+                let held = budget.held;
+                let text = format!("{service}: {away} away by {spenders:?}, held by {held:?}");
+                self.inner.lock().unwrap().wrong.push(text);
+            }
+        }
+    }
+
+    /// Notes a host that changed its pool without being empty, or its epoch without changing its pool.
+    fn check(&self, before: &BTreeMap<HostId, HostRow>, after: &BTreeMap<HostId, HostRow>) {
+        let mut inner = self.inner.lock().unwrap();
+        for (id, row) in after {
+            let Some(old) = before.get(id) else { continue };
+            let has_moved = old.pool != row.pool;
+            let status = &inner.statuses[id];
+            if has_moved && (status.running > 0 || !status.is_drained()) {
+                let text = format!("{id} moved while {status:?}");
+                inner.wrong.push(text);
+            }
+            if row.epoch.0 != old.epoch.0 + u64::from(has_moved) {
+                inner.wrong.push(format!("{id} went from {old:?} to {row:?}"));
+            }
+        }
+        let indexed: Vec<String> = {
+            let page = self.scan_all("pool-host/");
+            page.into_iter().map(|row| row.key.0).collect()
+        };
+        let expected: BTreeSet<String> =
+            after.iter().map(|(id, row)| format!("pool-host/{}/{id}", row.pool)).collect();
+        if indexed.len() != expected.len() || !indexed.iter().all(|key| expected.contains(key)) {
+            inner.wrong.push(format!("the index has {indexed:?}, the rows {expected:?}"));
+        }
+    }
+
+    pub fn set_up(&self, host: &HostId, is_up: bool) {
+        self.inner.lock().unwrap().statuses.get_mut(host).unwrap().is_up = is_up;
+    }
+
+    pub fn set_running(&self, host: &HostId, running: u32) {
+        let mut inner = self.inner.lock().unwrap();
+        let status = inner.statuses.get_mut(host).unwrap();
+        // A drained host takes no new work, but finishes what it has.
+        status.running = if status.is_drained() { status.running.min(running) } else { running };
+    }
+}
+
+/// Lets another controller go on first.
+async fn pause() {
+    let mut is_over = false;
+    future::poll_fn(|context| {
+        if is_over {
+            return Poll::Ready(());
+        }
+        is_over = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
+impl Store for World {
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
+        async move {
+            pause().await;
+            self.store.read(keys).await
+        }
+        .boxed()
+    }
+
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
+        async move {
+            pause().await;
+            self.store.scan(scan).await
+        }
+        .boxed()
+    }
+
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
+        async move {
+            pause().await;
+            self.call(Call::Txn(txn))
+        }
+        .boxed()
+    }
+}
+
+impl Platform for World {
+    fn status(
+        &self,
+        hosts: Vec<HostId>,
+    ) -> BoxFuture<'_, Result<Vec<Option<HostStatus>>, StoreError>> {
+        let inner = self.inner.lock().unwrap();
+        let statuses = hosts.iter().map(|host| inner.statuses.get(host).cloned()).collect();
+        future::ready(Ok(statuses)).boxed()
+    }
+
+    fn drain(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>> {
+        future::ready(self.call(Call::Drain(host, tag)).map(drop)).boxed()
+    }
+
+    fn undrain(&self, host: HostId, tag: DrainTag) -> BoxFuture<'_, Result<(), StoreError>> {
+        future::ready(self.call(Call::Undrain(host, tag)).map(drop)).boxed()
+    }
+
+    fn reboot(
+        &self,
+        host: HostId,
+        tag: DrainTag,
+        boots: u64,
+    ) -> BoxFuture<'_, Result<(), StoreError>> {
+        future::ready(self.call(Call::Reboot(host, tag, boots)).map(drop)).boxed()
+    }
+}
