Quiet pools are looked at less often

Change: a host whose pools have nothing on the way waits three rounds. The harness lets its admin make 1,000 calls a second, so that hosts are added faster.

--- a/reachhead_config/src/control.rs
+++ b/reachhead_config/src/control.rs
@@ -53,7 +53,7 @@
 section! {
     /// Looking after pools and the hosts that move between them.
     PoolSettings {
-        /// Milliseconds between two rounds.
+        /// Milliseconds between two rounds while hosts are on their way; three times that at rest.
         round: NonZeroU64 = millis(1000);
         /// Milliseconds for which a host must be seen drained before it counts as empty: the time in
         /// which entry hosts hear of it, and twice the longest deadline.
--- a/reachhead_control/src/pools.rs
+++ b/reachhead_control/src/pools.rs
@@ -22,6 +22,10 @@
 /// How far a round is varied, as a share of it, so that hosts don't work in step.
 const JITTER: f64 = 0.1;
 
+/// Rounds for which a host pauses whose pools have nothing on the way: at rest they are most of what
+/// a control sends.
+const QUIET_ROUNDS: u32 = 3;
+
 /// Rounds over the pools of this host.
 pub struct PoolRounds {
     view: Arc<View>,
@@ -57,13 +61,20 @@
             let jitter = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
             tokio::select! {
                 () = runtime::stopped(&mut stop) => break,
-                () = time::sleep(self.round.mul_f64(jitter)) => {}
+                () = time::sleep(self.pause().mul_f64(jitter)) => {}
             }
             self.work().await;
         }
         self.controller.leave().await;
     }
 
+    fn pause(&self) -> Duration {
+        match self.controller.is_quiet() {
+            true => self.round * QUIET_ROUNDS,
+            false => self.round,
+        }
+    }
+
     async fn work(&mut self) {
         if let Some(fleet) = self.view.fleet_after(self.version) {
             self.version = fleet.version;
--- a/reachhead_harness/src/cluster/mod.rs
+++ b/reachhead_harness/src/cluster/mod.rs
@@ -146,7 +146,7 @@
     let address = free(ip);
     let settings = json!({
         "program": "admin", "host": "admin", "zone": "z1",
-        "ops": { "address": free(ip) }, "store": { "address": store },
+        "ops": { "address": free(ip) }, "store": { "address": store, "rate": 1000 },
         "api": { "address": address, "token_salt": SALT, "token_hash": TOKEN_HASH },
     });
     let name = format!("admin-{}", address.port());
--- a/reachhead_pool/src/controller/mod.rs
+++ b/reachhead_pool/src/controller/mod.rs
@@ -145,6 +145,11 @@
         self.held.iter().map(state).collect()
     }
 
+    /// Tells whether no host of this host's pools is on its way.
+    pub fn is_quiet(&self) -> bool {
+        self.held.values().all(|held| held.moving().next().is_none())
+    }
+
     /// Does one round and returns what happened.
     ///
     /// # Errors
