Pools, budgets and waves are named in the field's terms

Cause: outlook, sight, pressure, spending, charge and word needed explaining. Change: RoundInput, Observation, Priority, BudgetCache, leases.rs, Fence; start_drains and in_transition; a match in place of the same question asked twice. Conclusion: names only.

--- a/reachhead_admin/src/api/waves.rs
+++ b/reachhead_admin/src/api/waves.rs
@@ -59,7 +59,7 @@
 }
 
 /// What is known of the hosts beside their rows.
-struct Circumstances {
+struct Context {
     loads: Loads,
     budgets: Budgets,
     gone: BTreeSet<HostId>,
@@ -135,24 +135,24 @@
         name: Option<&WaveName>,
         reader: &Reader,
     ) -> Result<WholeResponse, WaveError> {
-        let circumstances = self.circumstances(reader).await?;
+        let context = self.context(reader).await?;
         let mut reports = Vec::new();
         for pool in reader.pools() {
             let Some(wave) = waves::of_pool(&*self.store, pool).await? else {
                 continue;
             };
             if name.is_none_or(|name| *name == wave.name) {
-                reports.push(self.report(pool, wave, &circumstances).await?);
+                reports.push(self.report(pool, wave, &context).await?);
             }
         }
         Ok(http::json(StatusCode::OK, &reports))
     }
 
-    async fn circumstances(&self, reader: &Reader) -> Result<Circumstances, StoreError> {
+    async fn context(&self, reader: &Reader) -> Result<Context, StoreError> {
         let services: Vec<ServiceName> = reader.fleet.services.keys().cloned().collect();
         let budgets = hosts::budgets(&*self.store, services).await?;
         let list = self.lister.list(Revision(0)).await?;
-        Ok(Circumstances {
+        Ok(Context {
             loads: Loads::new(&reader.fleet),
             budgets: budgets.into_iter().map(|budget| (budget.service, budget.row)).collect(),
             gone: list.map(|list| LeavingHosts::from(&list).hosts).unwrap_or_default(),
@@ -163,7 +163,7 @@
         &self,
         pool: &PoolName,
         wave: WaveRow,
-        circumstances: &Circumstances,
+        context: &Context,
     ) -> Result<WaveReport, StoreError> {
         let found = hosts::in_pool(&*self.store, pool).await?;
         let ids = found.iter().map(|host| host.id.clone()).collect();
@@ -171,7 +171,7 @@
         let report = |(host, status): (Host, Option<HostStatus>)| HostReport {
             phase: host.row.phase,
             is_done: host.row.done.as_ref() == Some(&wave.name),
-            hold: circumstances.hold(&host, &wave, status.as_ref()),
+            hold: context.hold(&host, &wave, status.as_ref()),
             host: host.id,
         };
         let hosts = found.into_iter().zip(statuses).map(report).collect();
@@ -179,7 +179,7 @@
     }
 }
 
-impl Circumstances {
+impl Context {
     /// Returns what keeps a host from going on in a wave.
     fn hold(&self, host: &Host, wave: &WaveRow, status: Option<&HostStatus>) -> Option<String> {
         let Some(status) = status else {
--- a/reachhead_bench/src/waves.rs
+++ b/reachhead_bench/src/waves.rs
@@ -113,7 +113,7 @@
         let empty = |service: &ServiceName| (service.clone(), BudgetRow::default());
         let mut budgets: Budgets = site.services.iter().map(empty).collect();
         let undone: BTreeSet<HostId> = left.iter().cloned().collect();
-        left.sort_by_cached_key(|host| Reverse(site.loads.pressure(host, &undone)));
+        left.sort_by_cached_key(|host| Reverse(site.loads.priority(host, &undone)));
         left.retain(|host| {
             let is_held = site.loads.hold(host, &budgets, &BTreeSet::new()).is_some();
             if !is_held {
--- a/reachhead_control/src/pools.rs
+++ b/reachhead_control/src/pools.rs
@@ -11,7 +11,7 @@
 };
 use reachhead_pool::{
     budget::Loads,
-    controller::{Controller, Happening, Terms},
+    controller::{Controller, PoolEvent, Terms},
 };
 use reachhead_store::{Store, platform::Platform};
 use reachhead_types::size::Version;
@@ -80,9 +80,9 @@
             self.version = fleet.version;
             self.loads = Arc::new(Loads::new(&fleet));
         }
-        let outlook = self.view.outlook(Arc::clone(&self.loads));
-        match self.controller.round(&outlook).await {
-            Ok(happenings) => happenings.iter().for_each(tell),
+        let input = self.view.input(Arc::clone(&self.loads));
+        match self.controller.round(&input).await {
+            Ok(events) => events.iter().for_each(tell),
             // Nothing planned goes on while the store is away; hosts stay as they are.
             Err(error) => debug!("looking after pools: {error}"),
         }
@@ -90,16 +90,16 @@
     }
 }
 
-fn tell(happening: &Happening) {
-    match happening {
-        Happening::LeaseTaken(pool, epoch) => {
+fn tell(event: &PoolEvent) {
+    match event {
+        PoolEvent::LeaseTaken(pool, epoch) => {
             emit(Event::LeaseTaken, format_args!("{pool}, epoch {epoch}"));
         }
-        Happening::LeaseEnded(pool) => emit(Event::LeaseEnded, pool),
-        Happening::HostEntered(host, phase) => {
+        PoolEvent::LeaseEnded(pool) => emit(Event::LeaseEnded, pool),
+        PoolEvent::HostEntered(host, phase) => {
             emit(Event::HostEntered, format_args!("{host}: {phase}"));
         }
-        Happening::HostMoved(host, pool) => {
+        PoolEvent::HostMoved(host, pool) => {
             emit(Event::HostMoved, format_args!("{host} to {pool}"));
         }
     }
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -9,7 +9,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_pool::{
     budget::Loads,
-    controller::{Outlook, PoolState},
+    controller::{PoolState, RoundInput},
     lease::Candidate,
 };
 use reachhead_types::{
@@ -293,7 +293,7 @@
 
     /// Returns what looking after pools starts from; `loads` belong to the newest version that the
     /// caller has.
-    pub fn outlook(&self, loads: Arc<Loads>) -> Outlook {
+    pub fn input(&self, loads: Arc<Loads>) -> RoundInput {
         let own = self.own_member();
         let state = self.state();
         let list = state.members.members();
@@ -306,7 +306,7 @@
             RowKey::Pool(name) => Some(name.clone()),
             _ => None,
         });
-        Outlook {
+        RoundInput {
             own,
             candidates: list.iter().map(candidate).collect(),
             pools: pools.collect(),
--- a/reachhead_pool/src/budget.rs
+++ b/reachhead_pool/src/budget.rs
@@ -52,7 +52,7 @@
 
 /// How urgent it is to begin with a host; the larger comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Pressure {
+pub struct Priority {
     /// Batches that the service with the most left to do needs.
     most: usize,
     /// Batches that all services on the host need.
@@ -119,7 +119,7 @@
     /// Returns how urgent it is for a wave to begin with `host`, when the hosts in `left` are still to
     /// be done: the batches that its services need at least. The service with the most left decides
     /// how long the wave takes, so its hosts must never be the ones that wait.
-    pub fn pressure(&self, host: &HostId, left: &BTreeSet<HostId>) -> Pressure {
+    pub fn priority(&self, host: &HostId, left: &BTreeSet<HostId>) -> Priority {
         let batches = |service: &ServiceName| {
             let load = self.services.get(service);
             let undone = load.map_or(0, |load| {
@@ -129,7 +129,7 @@
             undone.div_ceil(self.limit(service).max(1))
         };
         let batches: Vec<usize> = self.services_on(host).map(batches).collect();
-        Pressure {
+        Priority {
             most: batches.iter().copied().max().unwrap_or_default(),
             sum: batches.iter().sum(),
         }
--- a/reachhead_pool/src/controller/charge.rs
+++ b/reachhead_pool/src/controller/leases.rs
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 
 use crate::{
-    controller::{Controller, Happening, Held, Outlook},
+    controller::{Controller, Held, PoolEvent, RoundInput},
     lease::{self, LeaseStep},
 };
 
@@ -23,14 +23,14 @@
     /// Brings the lease of `pool` to where it should be and tells whether this host is in charge.
     pub(super) async fn keep_lease(
         &mut self,
-        outlook: &Outlook,
+        input: &RoundInput,
         own: &MemberId,
         pool: &PoolName,
         row: Option<&Row>,
     ) -> Result<bool, StoreError> {
         let lease = row.and_then(|row| LeaseRow::deserialize(&row.value).ok());
         let is_overdue = self.is_overdue(pool);
-        let step = lease::step(own, pool, &outlook.candidates, lease.as_ref(), is_overdue);
+        let step = lease::step(own, pool, &input.candidates, lease.as_ref(), is_overdue);
         if step != LeaseStep::Wait {
             self.awaited.remove(pool);
         }
@@ -62,7 +62,7 @@
 
     fn note_ended(&mut self, pool: &PoolName) {
         if self.held.remove(pool).is_some() {
-            self.happenings.push(Happening::LeaseEnded(pool.clone()));
+            self.events.push(PoolEvent::LeaseEnded(pool.clone()));
         }
     }
 
@@ -72,7 +72,7 @@
         }
         let held = Held { lease, epoch, head: None, hosts: BTreeMap::new() };
         self.held.insert(pool.clone(), held);
-        self.happenings.push(Happening::LeaseTaken(pool.clone(), epoch));
+        self.events.push(PoolEvent::LeaseTaken(pool.clone(), epoch));
     }
 
     async fn take(
--- a/reachhead_pool/src/controller/mod.rs
+++ b/reachhead_pool/src/controller/mod.rs
@@ -3,7 +3,7 @@
 //! A round reads the lease and the head of the pools that concern this host in one call; hosts are
 //! read again only when the head moved. Nothing is kept that a round could not find out again.
 
-mod charge;
+mod leases;
 mod steps;
 
 use std::{
@@ -29,7 +29,7 @@
 
 use crate::{
     budget::Loads,
-    host::Sight,
+    host::Observation,
     lease::{self, Candidate},
 };
 
@@ -38,7 +38,7 @@
 
 /// What this entry host knows when a round begins.
 #[derive(Debug, Clone, Default)]
-pub struct Outlook {
+pub struct RoundInput {
     /// This host's stay on the list; `None` while it has none, when it is in charge of nothing.
     pub own: Option<MemberId>,
     /// The entry hosts on the list.
@@ -53,7 +53,7 @@
 
 /// Something that operators should hear of.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Happening {
+pub enum PoolEvent {
     /// This host is in charge of a pool from now on.
     LeaseTaken(PoolName, Epoch),
     /// This host is not in charge of a pool any more.
@@ -118,7 +118,7 @@
     held: BTreeMap<PoolName, Held>,
     /// Since when pools that should be this host's have been others'.
     awaited: BTreeMap<PoolName, Instant>,
-    happenings: Vec<Happening>,
+    events: Vec<PoolEvent>,
 }
 
 impl Controller {
@@ -130,7 +130,7 @@
             terms,
             held: BTreeMap::new(),
             awaited: BTreeMap::new(),
-            happenings: Vec::new(),
+            events: Vec::new(),
         }
     }
 
@@ -155,10 +155,10 @@
     /// # Errors
     ///
     /// Any [`StoreError`]; the next round finds out how far this one came.
-    pub async fn round(&mut self, outlook: &Outlook) -> Result<Vec<Happening>, StoreError> {
-        let result = self.try_round(outlook).await;
-        let happenings = std::mem::take(&mut self.happenings);
-        result.map(|()| happenings)
+    pub async fn round(&mut self, input: &RoundInput) -> Result<Vec<PoolEvent>, StoreError> {
+        let result = self.try_round(input).await;
+        let events = std::mem::take(&mut self.events);
+        result.map(|()| events)
     }
 
     /// Hands over every pool, as a host does that is about to end.
@@ -170,18 +170,18 @@
         }
     }
 
-    async fn try_round(&mut self, outlook: &Outlook) -> Result<(), StoreError> {
-        let Some(own) = &outlook.own else {
+    async fn try_round(&mut self, input: &RoundInput) -> Result<(), StoreError> {
+        let Some(own) = &input.own else {
             for pool in std::mem::take(&mut self.held).into_keys() {
-                self.happenings.push(Happening::LeaseEnded(pool));
+                self.events.push(PoolEvent::LeaseEnded(pool));
             }
             return Ok(());
         };
         let concerns = |pool: &&PoolName| {
-            let is_preferred = lease::preferred(pool, &outlook.candidates) == Some(own);
+            let is_preferred = lease::preferred(pool, &input.candidates) == Some(own);
             is_preferred || self.held.contains_key(*pool)
         };
-        let pools: Vec<PoolName> = outlook.pools.iter().filter(concerns).cloned().collect();
+        let pools: Vec<PoolName> = input.pools.iter().filter(concerns).cloned().collect();
         // A pool that was deleted had no hosts left.
         self.held.retain(|pool, _| pools.contains(pool));
         self.awaited.retain(|pool, _| pools.contains(pool));
@@ -196,8 +196,8 @@
             let [lease, head, wave] = rows else { continue };
             let head = Head(head.as_ref().map(|row| row.revision));
             let wave = wave.as_ref().and_then(|row| WaveRow::deserialize(&row.value).ok());
-            if self.keep_lease(outlook, own, pool, lease.as_ref()).await? {
-                self.look_after(outlook, pool, head, wave.as_ref()).await?;
+            if self.keep_lease(input, own, pool, lease.as_ref()).await? {
+                self.look_after(input, pool, head, wave.as_ref()).await?;
             }
         }
         Ok(())
@@ -230,13 +230,18 @@
     }
 
     /// Notes what is seen of the host now; `confirm` is how long a budget must be overspent.
-    fn see(&mut self, status: Option<HostStatus>, is_overspent: bool, confirm: Duration) -> Sight {
+    fn observe(
+        &mut self,
+        status: Option<HostStatus>,
+        is_overspent: bool,
+        confirm: Duration,
+    ) -> Observation {
         let now = Instant::now();
         let is_drained = status.as_ref().is_some_and(HostStatus::is_drained);
         self.drained_since = is_drained.then(|| self.drained_since.unwrap_or(now));
         self.overspent_since = is_overspent.then(|| self.overspent_since.unwrap_or(now));
         let drained_for = self.drained_since.map_or(Duration::ZERO, |since| now - since);
         let is_overspent = self.overspent_since.is_some_and(|since| now - since >= confirm);
-        Sight { status, drained_for, is_overspent }
+        Observation { status, drained_for, is_overspent }
     }
 }
--- a/reachhead_pool/src/controller/steps.rs
+++ b/reachhead_pool/src/controller/steps.rs
@@ -5,7 +5,7 @@
 use log::debug;
 use reachhead_store::{
     StoreError,
-    hosts::{self, BudgetWrite, Host, HostError, Word},
+    hosts::{self, BudgetWrite, Fence, Host, HostError},
     platform::{DrainTag, HostStatus},
 };
 use reachhead_types::{
@@ -16,12 +16,12 @@
 
 use crate::{
     budget::{Budgets, Loads},
-    controller::{Controller, Happening, Head, Held, Outlook, Tracked},
+    controller::{Controller, Head, Held, PoolEvent, RoundInput, Tracked},
     host::{self, HostStep},
 };
 
 /// The budgets that the steps of a round look at, as they were read and written since.
-struct Spending {
+struct BudgetCache {
     rows: Vec<BudgetWrite>,
 }
 
@@ -34,10 +34,10 @@
     gone: BTreeSet<HostId>,
     /// Hosts that will be back without further ado.
     returning: BTreeSet<HostId>,
-    spending: Spending,
+    cache: BudgetCache,
 }
 
-impl Spending {
+impl BudgetCache {
     fn budgets(&self) -> Budgets {
         self.rows.iter().map(|budget| (budget.service.clone(), budget.row.clone())).collect()
     }
@@ -59,7 +59,7 @@
     /// Does a step for each host of `pool` that is on its way, then lets others set out.
     pub(super) async fn look_after(
         &mut self,
-        outlook: &Outlook,
+        input: &RoundInput,
         pool: &PoolName,
         head: Head,
         wave: Option<&WaveRow>,
@@ -71,39 +71,39 @@
             held.read(hosts::in_pool(&*self.store, pool).await?);
             held.head = Some(head);
         }
-        let on_way = held.on_way(&outlook.leaving);
-        let due = held.due(wave, &outlook.leaving, &outlook.loads);
-        if on_way.is_empty() && due.is_empty() {
+        let in_transition = held.in_transition(&input.leaving);
+        let due = held.due(wave, &input.leaving, &input.loads);
+        if in_transition.is_empty() && due.is_empty() {
             return Ok(());
         }
-        let services = held.services(&on_way, &due, &outlook.loads);
+        let services = held.services(&in_transition, &due, &input.loads);
         let rows = hosts::budgets(&*self.store, services).await?;
-        let statuses = match on_way.is_empty() {
+        let statuses = match in_transition.is_empty() {
             true => Vec::new(),
-            false => self.platform.status(on_way.clone()).await?,
+            false => self.platform.status(in_transition.clone()).await?,
         };
         let mut round = Round {
             pool,
             wave,
-            loads: &outlook.loads,
-            gone: outlook.leaving.clone(),
+            loads: &input.loads,
+            gone: input.leaving.clone(),
             returning: held.in_phase(HostPhase::Arriving),
-            spending: Spending { rows },
+            cache: BudgetCache { rows },
         };
         // The list lags: a host that the platform says is back is not gone.
-        for (id, status) in on_way.iter().zip(&statuses) {
+        for (id, status) in in_transition.iter().zip(&statuses) {
             if status.as_ref().is_some_and(|status| status.is_up && !status.is_drained()) {
                 round.gone.remove(id);
             }
         }
-        for (id, status) in on_way.iter().zip(statuses) {
+        for (id, status) in in_transition.iter().zip(statuses) {
             if let Err(error) = self.step(&mut round, id, status).await {
                 debug!("host {id}: {error}");
                 // Whatever came of it is read before the next step.
                 self.forget_head(pool);
             }
         }
-        self.set_out(&mut round, due).await
+        self.start_drains(&mut round, due).await
     }
 
     fn forget_head(&mut self, pool: &PoolName) {
@@ -126,9 +126,9 @@
             return Ok(());
         };
         let is_overspent = round.is_overspent(&tracked.host.row);
-        let sight = tracked.see(status, is_overspent, self.terms.confirm);
+        let seen = tracked.observe(status, is_overspent, self.terms.confirm);
         let host = tracked.host.clone();
-        match host::step(&host.row, round.wave, &sight, self.terms.drain) {
+        match host::step(&host.row, round.wave, &seen, self.terms.drain) {
             HostStep::Wait | HostStep::Begin(_) => {}
             HostStep::Drain => {
                 self.platform.drain(id.clone(), DrainTag::new(host.revision)).await?;
@@ -151,13 +151,13 @@
                     ..host.row.clone()
                 };
                 let written = self.put(round.pool, &host, row, budgets).await?;
-                round.spending.note(&services, written);
+                round.cache.note(&services, written);
             }
             HostStep::HandOver(to) => {
                 let has_moved = hosts::hand_over(&*self.store, &host, &to, lease).await?;
                 self.forget_head(round.pool);
                 if has_moved {
-                    self.happenings.push(Happening::HostMoved(id.clone(), to));
+                    self.events.push(PoolEvent::HostMoved(id.clone(), to));
                 }
             }
         }
@@ -165,7 +165,11 @@
     }
 
     /// Lets as many of the `due` hosts set out as every budget allows, along racks.
-    async fn set_out(&mut self, round: &mut Round<'_>, due: Vec<HostId>) -> Result<(), StoreError> {
+    async fn start_drains(
+        &mut self,
+        round: &mut Round<'_>,
+        due: Vec<HostId>,
+    ) -> Result<(), StoreError> {
         for id in due {
             let Some(held) = self.held.get(round.pool) else {
                 return Ok(());
@@ -173,17 +177,19 @@
             let Some(host) = held.hosts.get(&id).map(|tracked| tracked.host.clone()) else {
                 continue;
             };
-            let HostStep::Begin(wave) = host::begin(&host.row, round.wave) else {
+            let wave = match host::begin(&host.row, round.wave) {
+                HostStep::Begin(wave) => wave,
                 // It is where operators want it already.
-                if let HostStep::Enter(row) = host::begin(&host.row, round.wave) {
+                HostStep::Enter(row) => {
                     self.put(round.pool, &host, *row, Vec::new()).await?;
+                    continue;
                 }
-                continue;
+                _ => continue,
             };
             if wave.is_some() && held.wave_count() >= self.terms.batch {
                 continue;
             }
-            if round.loads.hold(&id, &round.spending.budgets(), &round.gone).is_none()
+            if round.loads.hold(&id, &round.cache.budgets(), &round.gone).is_none()
                 && !self.begin(round, &host, wave).await?
             {
                 // Someone else spent of the same budget; the next round reads it again.
@@ -204,7 +210,7 @@
         let phase = HostPhase::Draining;
         let row = HostRow { phase, wave, spent: spent.clone(), ..host.row.clone() };
         let written = self.put(round.pool, host, row, budgets).await?;
-        round.spending.note(&spent, written);
+        round.cache.note(&spent, written);
         Ok(written.is_some())
     }
 
@@ -220,15 +226,15 @@
         let Some(Held { lease, head: Some(Head(head)), .. }) = self.held.get(pool) else {
             return Ok(None);
         };
-        let word = Word { lease: *lease, head: *head };
-        let written = hosts::put(&*self.store, host, &row, word, &budgets).await;
+        let fence = Fence { lease: *lease, head: *head };
+        let written = hosts::put(&*self.store, host, &row, fence, &budgets).await;
         let (Some(held), Ok(Some(revision))) = (self.held.get_mut(pool), &written) else {
             self.forget_head(pool);
             return written;
         };
         held.head = Some(Head(Some(*revision)));
         if row.phase != host.row.phase {
-            self.happenings.push(Happening::HostEntered(host.id.clone(), row.phase));
+            self.events.push(PoolEvent::HostEntered(host.id.clone(), row.phase));
         }
         if let Some(tracked) = held.hosts.get_mut(&host.id) {
             tracked.host = Host { id: host.id.clone(), row, revision: *revision };
@@ -245,14 +251,14 @@
                 && self.loads.overspent(&budget.service, &budget.row, &self.gone, &self.returning)
                     > 0
         };
-        row.phase == HostPhase::Draining && self.spending.rows.iter().any(is_overspent)
+        row.phase == HostPhase::Draining && self.cache.rows.iter().any(is_overspent)
     }
 
     /// Returns the budgets of `services` with `host` on them.
     fn spend(&mut self, host: &HostId, services: &BTreeSet<ServiceName>) -> Vec<BudgetWrite> {
         let mut writes = Vec::new();
         for service in services {
-            if let Some(budget) = self.spending.find(service) {
+            if let Some(budget) = self.cache.find(service) {
                 budget.row.held.insert(host.clone());
                 writes.push(budget.clone());
             }
@@ -264,7 +270,7 @@
     fn give_back(&mut self, host: &Host) -> Vec<BudgetWrite> {
         let mut writes = Vec::new();
         for service in &host.row.spent {
-            if let Some(budget) = self.spending.find(service) {
+            if let Some(budget) = self.cache.find(service) {
                 budget.row.held.remove(&host.id);
                 writes.push(budget.clone());
             }
@@ -276,7 +282,7 @@
 impl Held {
     /// Returns the hosts whose status is asked for: those on their way, and those that are said to
     /// leave though nobody here wants them to.
-    fn on_way(&self, leaving: &BTreeSet<HostId>) -> Vec<HostId> {
+    fn in_transition(&self, leaving: &BTreeSet<HostId>) -> Vec<HostId> {
         let is_on_way = |(id, tracked): &(&HostId, &Tracked)| {
             tracked.host.row.phase != HostPhase::Serving || leaving.contains(*id)
         };
@@ -307,8 +313,8 @@
         let left: BTreeSet<HostId> = due.iter().map(|tracked| tracked.host.id.clone()).collect();
         due.sort_by_cached_key(|tracked| {
             let Host { id, row, .. } = &tracked.host;
-            let pressure = Reverse(loads.pressure(id, &left));
-            (row.want.is_none(), pressure, !begun.contains(&row.rack), &row.rack, id)
+            let priority = Reverse(loads.priority(id, &left));
+            (row.want.is_none(), priority, !begun.contains(&row.rack), &row.rack, id)
         });
         due.into_iter().map(|tracked| tracked.host.id.clone()).collect()
     }
@@ -324,8 +330,13 @@
     }
 
     /// Returns the services whose budgets matter for these hosts.
-    fn services(&self, on_way: &[HostId], due: &[HostId], loads: &Loads) -> Vec<ServiceName> {
-        let spent = on_way.iter().filter_map(|id| self.hosts.get(id));
+    fn services(
+        &self,
+        in_transition: &[HostId],
+        due: &[HostId],
+        loads: &Loads,
+    ) -> Vec<ServiceName> {
+        let spent = in_transition.iter().filter_map(|id| self.hosts.get(id));
         let spent = spent.flat_map(|tracked| tracked.host.row.spent.iter());
         let of_due = due.iter().flat_map(|id| loads.services_on(id));
         let services: BTreeSet<ServiceName> = spent.chain(of_due).cloned().collect();
--- a/reachhead_pool/src/host.rs
+++ b/reachhead_pool/src/host.rs
@@ -34,7 +34,7 @@
 
 /// What its pool's owner sees of a host.
 #[derive(Debug, Clone)]
-pub struct Sight {
+pub struct Observation {
     /// The platform's word; `None` if it has none.
     pub status: Option<HostStatus>,
     /// For how long it has been seen drained without a break.
@@ -49,20 +49,20 @@
 pub fn step(
     row: &HostRow,
     wave: Option<&WaveRow>,
-    sight: &Sight,
+    seen: &Observation,
     drain_time: Duration,
 ) -> HostStep {
-    let Some(status) = &sight.status else {
+    let Some(status) = &seen.status else {
         return HostStep::Wait;
     };
     let own_drain = status.own_drain().cloned();
     match row.phase {
         // Serving under a drain: a former owner asked for it too late.
         HostPhase::Serving => own_drain.map_or_else(|| begin(row, wave), HostStep::Undrain),
-        HostPhase::Draining if is_taken_back(row, wave, sight) => {
+        HostPhase::Draining if is_taken_back(row, wave, seen) => {
             enter(HostRow { phase: HostPhase::Arriving, wave: None, ..row.clone() })
         }
-        HostPhase::Draining => drain(row, status, sight, drain_time),
+        HostPhase::Draining => drain(row, status, seen, drain_time),
         HostPhase::Rebooting => reboot(row, status, own_drain),
         HostPhase::Arriving if !status.is_up => HostStep::Wait,
         HostPhase::Arriving => own_drain.map_or(HostStep::Finish, HostStep::Undrain),
@@ -94,21 +94,21 @@
 }
 
 /// Tells whether a drain has lost its reason, or its budget.
-fn is_taken_back(row: &HostRow, wave: Option<&WaveRow>, sight: &Sight) -> bool {
+fn is_taken_back(row: &HostRow, wave: Option<&WaveRow>, seen: &Observation) -> bool {
     let has_reason = match &row.wave {
         Some(name) => {
             wave.is_some_and(|wave| wave.name == *name && wave.state != WaveState::Cancelled)
         }
         None => target(row).is_some(),
     };
-    !has_reason || sight.is_overspent
+    !has_reason || seen.is_overspent
 }
 
-fn drain(row: &HostRow, status: &HostStatus, sight: &Sight, drain_time: Duration) -> HostStep {
+fn drain(row: &HostRow, status: &HostStatus, seen: &Observation, drain_time: Duration) -> HostStep {
     if !status.is_drained() {
         return HostStep::Drain;
     }
-    if status.running > 0 || sight.drained_for < drain_time {
+    if status.running > 0 || seen.drained_for < drain_time {
         return HostStep::Wait;
     }
     match (&row.wave, target(row)) {
--- a/reachhead_pool/tests/moves/site.rs
+++ b/reachhead_pool/tests/moves/site.rs
@@ -4,7 +4,7 @@
 
 use futures::{executor::block_on, future};
 use reachhead_pool::{
-    controller::{Controller, Outlook, Terms},
+    controller::{Controller, RoundInput, Terms},
     host,
     lease::Candidate,
 };
@@ -35,7 +35,7 @@
 struct Host {
     id: MemberId,
     controller: Controller,
-    outlook: Outlook,
+    input: RoundInput,
 }
 
 pub struct Site {
@@ -84,7 +84,7 @@
             batch: 3,
         };
         let controller = Controller::new(store, platform, terms);
-        Host { id, controller, outlook: Outlook::default() }
+        Host { id, controller, input: RoundInput::default() }
     }
 
     /// Lets a host look at the list; the bits of `silent` are those that it takes for gone.
@@ -96,7 +96,7 @@
         let candidates = self.hosts.iter().enumerate().map(candidate).collect();
         let leaving = self.world.leaving();
         let host = &mut self.hosts[usize::from(number % CONTROLLERS)];
-        host.outlook = Outlook {
+        host.input = RoundInput {
             own: Some(host.id.clone()),
             candidates,
             pools: (0..POOLS).map(pool).collect(),
@@ -108,7 +108,7 @@
     fn round(&mut self, number: u8, fault: Fault) {
         self.world.set_fault(fault);
         let host = &mut self.hosts[usize::from(number % CONTROLLERS)];
-        let _ = block_on(host.controller.round(&host.outlook));
+        let _ = block_on(host.controller.round(&host.input));
         self.world.set_fault(Fault::None);
     }
 
@@ -122,8 +122,8 @@
         let (left, right) = self.hosts.split_at_mut(usize::from(second));
         let (first, second) = (&mut left[usize::from(first)], &mut right[0]);
         let _ = block_on(future::join(
-            first.controller.round(&first.outlook),
-            second.controller.round(&second.outlook),
+            first.controller.round(&first.input),
+            second.controller.round(&second.input),
         ));
     }
 
--- a/reachhead_store/src/hosts.rs
+++ b/reachhead_store/src/hosts.rs
@@ -252,13 +252,13 @@
     store: &dyn Store,
     host: &Host,
     row: &HostRow,
-    word: Word,
+    fence: Fence,
     budgets: &[BudgetWrite],
 ) -> Result<Option<Revision>, StoreError> {
     let head = keys::pool_head(&host.row.pool);
     let mut txn = Txn::new()
-        .with_check(keys::lease(&host.row.pool), Some(word.lease))
-        .with_check(head.clone(), word.head)
+        .with_check(keys::lease(&host.row.pool), Some(fence.lease))
+        .with_check(head.clone(), fence.head)
         .with_check(keys::host(&host.id), Some(host.revision))
         .with_write(head, json!({ "written": host.id }))
         .with_write(keys::host(&host.id), json(row));
@@ -273,9 +273,9 @@
     }
 }
 
-/// What makes an owner's word count: the rows must be as it has read them.
+/// What fences an owner's writes: the rows must be as it has read them.
 #[derive(Debug, Clone, Copy)]
-pub struct Word {
+pub struct Fence {
     /// The revision of the pool's lease.
     pub lease: Revision,
     /// The revision of the pool's head; `None` where there is no row.
