A host that its peers can't reach is tested

Cause: one-way cuts between entry hosts were listed as not proved; the address at which a control answers and the one that it tells could not differ, so no test could cut one way alone. Change: link.advertise of control (the entry's was apart already); the harness starts a host behind two wires; the test cuts them, makes a change, and sends to all three hosts for nine seconds, three of them with the store away. It checks that the cut host is not reached. Ruled out: a mechanism that is missing (the list is rows in the store, so nobody's reach decides on it). Before: not run. Conclusion: one-way cuts between two hosts' links harm neither; cuts of several hosts at once are not tried.

--- a/reachhead/tests/system/limits.rs
+++ b/reachhead/tests/system/limits.rs
@@ -216,6 +216,44 @@
     }
 }
 
+#[tokio::test]
+async fn a_host_that_its_peers_cannot_reach_goes_on_and_so_do_they() {
+    let mut cluster = Plan::new(2, 1).with_work(5).start().await;
+    let wires = cluster.add_host_behind_wires().await;
+    ready(cluster.hosts[2].entry_ops).await;
+    eventually("all shares are in use", async || {
+        (limits(&cluster, &[0, 1, 2]).await == [SLOTS; 2]).then_some(())
+    })
+    .await;
+    // It still reaches its peers and the store; nobody reaches it.
+    let is_reached = async || {
+        let status = cluster.read("/v1/status").await;
+        let mut hosts = status["hosts"].as_array().unwrap().iter();
+        let host = hosts.find(|host| host["host"] == cluster.hosts[2].name.as_str()).unwrap();
+        !host["control"].is_null()
+    };
+    assert!(is_reached().await);
+    for wire in &wires {
+        wire.cut(true);
+    }
+    assert!(!is_reached().await, "the cut cuts nothing");
+    let row = json!({ "parent": "top", "settings": { "queue": 99 } });
+    let version = cluster.change(vec![("group/red".to_owned(), row)]).await;
+    cluster.in_force(version).await;
+    // Longer than the silence after which a host would be taken for gone, the store at times away.
+    for round in 0..60 {
+        let is_down = (20..40).contains(&round);
+        cluster.store_fault(json!({ "hang": is_down })).await;
+        for host in 0..3 {
+            let reply = cluster.call(host, &Call::get("/red/alpha")).await;
+            assert_eq!(reply.status, 200, "host {host}, round {round}: {reply:?}");
+        }
+        time::sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(limits(&cluster, &[0, 1, 2]).await, [SLOTS; 2]);
+    assert_limits_held(&cluster).await;
+}
+
 #[tokio::test]
 async fn an_entry_without_its_control_stops_and_goes_on_with_it() {
     let cluster = Plan::new(2, 1).start().await;
--- a/reachhead_config/src/control.rs
+++ b/reachhead_config/src/control.rs
@@ -17,6 +17,8 @@
     ControlLinkSettings {
         /// Where this process answers its own host and its peers.
         address: SocketAddr;
+        /// Where peers reach this process, if that is another address.
+        advertise: Option<SocketAddr> = None;
         /// Where the entry process of this host answers other entry hosts.
         entry: SocketAddr;
         /// Controls of other entry hosts to start from while the store is down.
--- a/reachhead_control/src/process.rs
+++ b/reachhead_control/src/process.rs
@@ -74,7 +74,7 @@
         zone: settings.zone,
         incarnation: Incarnation(rand::random()),
         counter: 0,
-        control: settings.link.address,
+        control: settings.link.advertise.unwrap_or(settings.link.address),
         entry: settings.link.entry,
     };
     let cleaner = Cleaner::new(Arc::clone(&store), &settings.clean);
--- a/reachhead_harness/src/cluster/mod.rs
+++ b/reachhead_harness/src/cluster/mod.rs
@@ -19,6 +19,7 @@
 use crate::{
     Call, call, caller, eventually,
     process::{Process, SPAWN},
+    wire::Wire,
 };
 
 /// The operators' token of every test.
@@ -216,12 +217,34 @@
 
     /// Starts an entry host that reaches the store at another address.
     pub fn add_host_with_store(&mut self, store: SocketAddr) {
+        let [control_link, entry_link] = [(); 2].map(|()| free(self.ip));
+        self.start_host(store, [control_link, entry_link], [control_link, entry_link]);
+    }
+
+    /// Starts an entry host that its peers reach over wires alone, its control and its entry process.
+    pub async fn add_host_behind_wires(&mut self) -> [Wire; 2] {
+        let links = [(); 2].map(|()| free(self.ip));
+        let control = Wire::new(self.ip, links[0]).await;
+        let entry = Wire::new(self.ip, links[1]).await;
+        self.start_host(self.store, links, [control.address, entry.address]);
+        [control, entry]
+    }
+
+    /// Starts an entry host whose control and entry process answer at `links` and say that they do at
+    /// `advertised`.
+    fn start_host(
+        &mut self,
+        store: SocketAddr,
+        links: [SocketAddr; 2],
+        advertised: [SocketAddr; 2],
+    ) {
+        let [control_link, entry_link] = links;
         let name = format!("e{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let zone = ZONES[self.hosts.len() % ZONES.len()];
-        let [control_ops, control_link, entry_ops, entry_link, callers] =
-            [(); 5].map(|()| free(self.ip));
-        let control =
-            self.control_settings(&name, zone, store, control_ops, control_link, entry_link);
+        let [control_ops, entry_ops, callers] = [(); 3].map(|()| free(self.ip));
+        let mut control =
+            self.control_settings(&name, zone, store, control_ops, control_link, advertised[1]);
+        control["link"]["advertise"] = json!(advertised[0]);
         let mut entry = json!({
             "program": "entry", "host": name, "zone": zone,
             "ops": { "address": entry_ops }, "store": { "address": store, "deadline": 500 },
