The log of the configuration is cut

Change: with every 32nd change an admin cuts up to 50 versions beyond api.keep (200,000) off, with their change ids and histories, in one transaction. Ruled out: cutting by time (hosts' clocks would have to be compared); a task of its own (changes are what makes the log grow). Found by the property: where nothing of the log was left, a follower took the empty page for a delta and stood still for ever; it reads all rows now unless the log reaches up to the newest version. Before: the property failed.

--- a/reachhead_admin/src/api/change.rs
+++ b/reachhead_admin/src/api/change.rs
@@ -3,6 +3,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use hyper::StatusCode;
+use log::debug;
 use reachhead_ops::{
     event::{Event, emit},
     http::{self, WholeResponse},
@@ -21,6 +22,9 @@
     auth::Caller,
 };
 
+/// Versions after which the log is cut; less than one cut takes off, so that it keeps up.
+const CUT_PERIOD: u64 = 32;
+
 /// The answer to an accepted change.
 #[derive(Serialize)]
 struct Accepted {
@@ -89,12 +93,24 @@
                 self.metrics.change("accepted");
                 let id = request.id;
                 emit(Event::ChangeAccepted, format_args!("{id} by {operator}: {version}"));
+                drop(book);
+                self.cut_log(version).await;
                 http::json(StatusCode::OK, &Accepted { version })
             }
             Err(error) => self.refuse(request, error),
         }
     }
 
+    /// Cuts the log now and then; what fails is cut by one of the next changes.
+    async fn cut_log(&self, version: Version) {
+        if version.0 % CUT_PERIOD != 0 {
+            return;
+        }
+        if let Err(error) = history::cut(&*self.store, version, self.keep).await {
+            debug!("cutting the log: {error}");
+        }
+    }
+
     fn refuse(&self, request: &ChangeRequest, error: ChangeError) -> WholeResponse {
         let text = error.to_string();
         emit(Event::ChangeRefused, format_args!("{}: {text}", request.id));
--- a/reachhead_admin/src/api/mod.rs
+++ b/reachhead_admin/src/api/mod.rs
@@ -9,6 +9,7 @@
 
 use futures::future::{BoxFuture, FutureExt};
 use hyper::{Method, StatusCode};
+use reachhead_config::admin::ApiSettings;
 use reachhead_ops::http::{self, Handler, WholeRequest, WholeResponse};
 use reachhead_store::{HostLister, Store, StoreError, config, platform::Platform};
 use reachhead_types::{
@@ -44,6 +45,8 @@
     auth: Auth,
     metrics: Metrics,
     status: StatusReader,
+    /// Versions that the log keeps.
+    keep: u64,
     /// The rows as this process has read them; changes are checked against them in turn.
     book: Mutex<Book>,
 }
@@ -65,9 +68,23 @@
 
 impl Api {
     /// Returns the API over the platform's services.
-    pub fn new(services: Services, auth: Auth, metrics: Metrics, status: StatusReader) -> Self {
+    pub fn new(
+        services: Services,
+        settings: &ApiSettings,
+        metrics: Metrics,
+        status: StatusReader,
+    ) -> Self {
         let Services { store, platform, lister } = services;
-        Self { store, platform, lister, auth, metrics, status, book: Mutex::new(Book::new()) }
+        Self {
+            store,
+            platform,
+            lister,
+            auth: Auth::new(settings),
+            metrics,
+            status,
+            keep: u64::from(settings.keep.get()),
+            book: Mutex::new(Book::new()),
+        }
     }
 
     /// Returns the version of the rows that this process has read.
--- a/reachhead_admin/src/process.rs
+++ b/reachhead_admin/src/process.rs
@@ -17,7 +17,6 @@
 
 use crate::{
     api::{Api, Services},
-    auth::Auth,
     metrics::Metrics,
     status::StatusReader,
 };
@@ -54,7 +53,7 @@
     let connect = || HttpStore::new(settings.store.address, settings.store.deadline.duration());
     let services =
         Services { store: shared, platform: Arc::new(connect()), lister: Arc::new(connect()) };
-    let api = Api::new(services, Auth::new(&settings.api), metrics, StatusReader::start()?);
+    let api = Api::new(services, &settings.api, metrics, StatusReader::start()?);
     let api = Arc::new(api);
     let (stop, stopping) = watch::channel(false);
     let observed = AdminObserved { api: Arc::clone(&api), store, stopping: stopping.clone() };
--- a/reachhead_config/src/admin.rs
+++ b/reachhead_config/src/admin.rs
@@ -1,13 +1,13 @@
 //! Settings of `reachhead-admin`.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, num::NonZeroU32};
 
 use reachhead_types::{
     id::{HostId, ZoneName},
     size::Bytes,
 };
 
-use crate::section::{OpsSettings, StoreSettings, section};
+use crate::section::{OpsSettings, StoreSettings, count, section};
 
 section! {
     /// The operators' API.
@@ -16,6 +16,8 @@
         address: SocketAddr;
         /// Largest request body, in bytes.
         body: Bytes = Bytes(8_388_608);
+        /// Versions that the log of the configuration keeps at least; about two weeks of 13,000 changes.
+        keep: NonZeroU32 = count(200_000);
         /// SHA-256 of the salt followed by the operators' bearer token, in base 16.
         token_hash: String;
         /// Salt of `token_hash`.
--- a/reachhead_store/src/config/follow.rs
+++ b/reachhead_store/src/config/follow.rs
@@ -44,8 +44,9 @@
         false => None,
     };
     match delta {
-        Some(delta) => Ok(Some(News::Delta(delta))),
-        None => read_whole(store, head.version).await.map(|book| Some(News::Whole(book))),
+        Some(delta) if delta.to >= head.version => Ok(Some(News::Delta(delta))),
+        // The log does not reach from here to there.
+        _ => read_whole(store, head.version).await.map(|book| Some(News::Whole(book))),
     }
 }
 
--- a/reachhead_store/src/config/history.rs
+++ b/reachhead_store/src/config/history.rs
@@ -18,7 +18,7 @@
     Store, StoreError,
     config::{ChangeRequest, ChangeRow, ConfigWrite, LogRow, LoggedWrite, parse},
     keys,
-    row::{Key, Scan},
+    row::{Key, Scan, Txn},
 };
 
 /// Versions that one call returns at most.
@@ -27,6 +27,9 @@
 /// Versions between which a difference is worked out at most; a day has about 13,000.
 pub const DIFF_LIMIT: u64 = 20_000;
 
+/// Versions that one transaction cuts off the log.
+const CUT_SIZE: u32 = 50;
+
 /// One write of one row, as its history tells it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowEvent {
@@ -167,3 +170,29 @@
     });
     ChangeRequest { id, writes: writes.collect() }
 }
+
+/// Cuts versions off the log so that `keep` are left, [`CUT_SIZE`] at most, and returns how many it
+/// was. Their change ids go with them: a change that is repeated after that many others is a new one.
+///
+/// # Errors
+///
+/// Any [`StoreError`]; what was cut stays cut, and the same again goes on.
+pub async fn cut(store: &dyn Store, newest: Version, keep: u64) -> Result<usize, StoreError> {
+    let bound = Version(newest.0.saturating_sub(keep));
+    let prefix = keys::LOG_PREFIX.to_owned();
+    let page = store.scan(Scan { prefix, after: None, limit: CUT_SIZE }).await?;
+    let logs: Result<Vec<LogRow>, StoreError> = page.rows.iter().map(parse).collect();
+    let old: Vec<LogRow> = logs?.into_iter().take_while(|log| log.version <= bound).collect();
+    if old.is_empty() {
+        return Ok(0);
+    }
+    let mut txn = Txn::new();
+    for log in &old {
+        txn = txn.with_delete(keys::log(log.version)).with_delete(keys::change(log.id));
+        for write in &log.writes {
+            txn = txn.with_delete(keys::history(&write.key, log.version));
+        }
+    }
+    store.commit(txn).await?;
+    Ok(old.len())
+}
--- a/reachhead_store/tests/history.rs
+++ b/reachhead_store/tests/history.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use futures::executor::block_on;
 use quickcheck::TestResult;
@@ -12,7 +12,7 @@
     memory::MemoryStore,
 };
 use reachhead_types::{
-    book::Book,
+    book::{Book, Change, Delta},
     fleet::RowKey,
     id::ChangeId,
     size::{Millis, Version},
@@ -172,3 +172,43 @@
     assert!(block_on(history::diff(&history.store, Version(0), Version(3), |_| true)).is_err());
     assert!(block_on(config::fetch(&history.store, Version(0))).unwrap().is_none());
 }
+
+properties! {
+    fn a_log_that_was_cut_keeps_the_newest_and_loses_no_row(changes: Vec<Vec<u8>>, keep: u8) -> bool {
+        let history = history(&changes);
+        let newest = history.copies.len() - 1;
+        let keep = usize::from(keep) % (newest + 1);
+        while block_on(history::cut(&history.store, Version(newest as u64), keep as u64)).unwrap() > 0 {}
+        let versions: Vec<u64> = block_on(history::log(&history.store, Version(0)))
+            .unwrap()
+            .iter()
+            .map(|log| log.version.0)
+            .collect();
+        let kept: Vec<u64> = (newest - keep + 1..=newest).map(|version| version as u64).collect();
+        // Histories name what the log still has, and no more.
+        let is_named = (0..ROWS).all(|number| {
+            let key: RowKey = format!("group/g{number}").parse().unwrap();
+            let events = block_on(history::row(&history.store, &key, Version(0))).unwrap();
+            let found: Vec<u64> = events.iter().map(|event| event.version.0).collect();
+            let written = |version: &&u64| history.written[**version as usize].contains(&key);
+            found == kept.iter().filter(written).copied().collect::<Vec<u64>>()
+        });
+        // Followers that were anywhere come to the same rows.
+        let is_followed = (0..=newest).all(|from| {
+            let mut book = Book::new();
+            for version in 1..=from {
+                let changes = history.copies[version].iter().map(|(key, value)| Change {
+                    key: key.clone(),
+                    value: Some(Arc::new(value.clone())),
+                    version: Version(version as u64),
+                });
+                let whole =
+                    Delta { from: Version(0), to: Version(version as u64), changes: changes.collect() };
+                book.apply(&whole).unwrap();
+            }
+            block_on(config::follow(&history.store, &mut book)).unwrap();
+            rows(&book) == history.copies[newest]
+        });
+        versions == kept.iter().take(100).copied().collect::<Vec<u64>>() && is_named && is_followed
+    }
+}
