A refusal reaches a caller that is still sending

Cause: a body that is too large was refused and the connection closed with bytes of it unread; the system then resets the connection, and the refusal is lost on its way to a caller that still sends. Change: after an answer to a body that was not read, the connection is read to its end for 2 s at most before it is closed.

--- a/reachhead/tests/system/outcomes.rs
+++ b/reachhead/tests/system/outcomes.rs
@@ -208,6 +208,16 @@
     }
 }
 
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let cluster = Plan::new(1, 1).start().await;
+    let large = Call::post("/red/alpha", &"x".repeat(16 << 20));
+    for round in 0..20 {
+        let reply = cluster.call(0, &large).await;
+        assert_eq!((reply.status, reply.error()), (413, "body-too-large"), "round {round}");
+    }
+}
+
 #[tokio::test]
 async fn a_caller_that_stops_reading_gives_its_slot_back() {
     // More than the buffers of all sockets on the way hold.
--- a/reachhead_entry/src/connection/accept.rs
+++ b/reachhead_entry/src/connection/accept.rs
@@ -11,7 +11,7 @@
     runtime,
 };
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
     task::{self, spawn_local},
@@ -31,6 +31,12 @@
 /// Pause after a failed accept, so that a lack of descriptors is not met by a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a caller whose request was refused may go on sending it.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
+/// Bytes that are read at a time of what nobody wants.
+const LINGER_SIZE: usize = 16 << 10;
+
 /// Header fields that the library accepts by itself.
 const LIBRARY_FIELDS: u32 = 100;
 
@@ -116,7 +122,7 @@
         })
     };
     let stall = Stall::new(Duration::from_millis(callers.stall_time.get()));
-    let stream = TokioIo::new(WatchedStream::new(stream, watch, stall));
+    let stream = TokioIo::new(WatchedStream::new(stream, Rc::clone(&watch), stall));
     let mut connection = builder.serve_connection(stream, service);
     let mut listens = open.0.stop.listen();
     let ended = future::poll_fn(|context| {
@@ -127,13 +133,26 @@
     })
     .await;
     drop(listens);
-    if ended.as_ref().is_err_and(hyper::Error::is_timeout) {
-        // The library ends a connection whose head is too slow without a word.
-        let mut stream = connection.into_parts().io.into_inner();
-        let _ = stream.write_all(reply::too_slow().as_bytes()).await;
-        let _ = stream.shutdown().await;
-    }
-    if let Err(error) = ended {
-        debug!("a caller's connection ended: {error}");
+    let stream = connection.into_parts().io.into_inner();
+    match ended {
+        Ok(()) if watch.is_unread() => linger(stream).await,
+        Ok(()) => {}
+        Err(error) if error.is_timeout() => refuse_slow(stream).await,
+        Err(error) => debug!("a caller's connection ended: {error}"),
     }
 }
+
+/// Answers a head that was too slow: the library ends its connection without a word.
+async fn refuse_slow(mut stream: WatchedStream) {
+    let _ = stream.write_all(reply::too_slow().as_bytes()).await;
+    let _ = stream.shutdown().await;
+}
+
+/// Reads what a caller still sends after its request was refused. Closing at once would reset the
+/// connection, and the refusal would be lost on its way.
+async fn linger(mut stream: WatchedStream) {
+    let mut buffer = vec![0; LINGER_SIZE];
+    let drained = async { while let Ok(1..) = stream.read(&mut buffer).await {} };
+    // Whoever still sends after that has had the answer for long.
+    let _ = time::timeout(LINGER_TIME, drained).await;
+}
--- a/reachhead_entry/src/connection/watch.rs
+++ b/reachhead_entry/src/connection/watch.rs
@@ -39,6 +39,7 @@
     after_head: Cell<u64>,
     line: RefCell<Vec<u8>>,
     line_len: Cell<usize>,
+    is_unread: Cell<bool>,
 }
 
 impl Watch {
@@ -54,6 +55,17 @@
         self.has_length.get() && self.has_coding.get()
     }
 
+    /// Notes that a request was answered before all of its body was read.
+    pub fn note_unread(&self) {
+        self.is_unread.set(true);
+    }
+
+    /// Tells whether a request was answered before all of its body was read, so that its caller may
+    /// still be sending.
+    pub fn is_unread(&self) -> bool {
+        self.is_unread.get()
+    }
+
     /// Starts on the next request and tells whether the watch can vouch for its head: it can't if
     /// bytes of it came along with the body, which has `length` bytes if that is known.
     pub fn next(&self, length: Option<u64>) -> bool {
--- a/reachhead_entry/src/request/mod.rs
+++ b/reachhead_entry/src/request/mod.rs
@@ -78,6 +78,9 @@
     // A body that was not read whole is still to come, and is no head.
     let is_read = arrived.is_ok() || length == Some(0);
     let is_clear = watch.next(length) && is_read;
+    if !is_read {
+        watch.note_unread();
+    }
     let mut response = match arrived {
         Ok(arrived) => {
             let route = Rc::clone(&arrived.route);
