Gossip leaves peers alone that do not answer

Cause: a question to a peer that can't be reached holds the round up for half a second, so a host that was blind heard the others late and said that it was not ready. Change: a peer that left a question without an answer is asked again after 5 s, and not in urgent rounds, unless no other is left. Conclusion: an unreachable peer no longer delays what the others say.

--- a/reachhead_control/src/gossip.rs
+++ b/reachhead_control/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Hands versions on to a few peers: each round, and at once when there is news.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -22,6 +23,10 @@
 /// Peers that a quiet round goes to.
 const QUIET_PEERS: usize = 1;
 
+/// How long a peer that did not answer is left alone while others are there: each question to it holds
+/// the round up for [`ASK_TIME`].
+const SILENT_TIME: Duration = Duration::from_secs(5);
+
 /// Longest wait for a peer's answer.
 const ASK_TIME: Duration = Duration::from_millis(500);
 
@@ -31,12 +36,14 @@
     asker: Asker<ControlRequest, ControlReply>,
     seeds: Vec<SocketAddr>,
     period: Duration,
+    /// When peers last left a question without an answer.
+    silent: BTreeMap<SocketAddr, Instant>,
 }
 
 impl Gossiper {
     /// Returns a gossiper with a round each `period`; `seeds` serve until peers are known.
     pub fn new(view: Arc<View>, seeds: Vec<SocketAddr>, period: Duration) -> Self {
-        Self { view, asker: Asker::new(ASK_TIME), seeds, period }
+        Self { view, asker: Asker::new(ASK_TIME), seeds, period, silent: BTreeMap::new() }
     }
 
     /// Speaks with peers for as long as the process lives.
@@ -53,6 +60,8 @@
         // Without the store peers are the only witnesses, and some may be gone.
         let is_urgent = round.delta.is_some() || self.view.is_blind();
         let count = if is_urgent { NEWS_PEERS } else { QUIET_PEERS };
+        self.silent.retain(|peer, _| from.contains(peer));
+        let from = self.answering(from, is_urgent);
         for &peer in from.choose_multiple(&mut rand::rng(), count) {
             let request = ControlRequest::Gossip {
                 have: round.have,
@@ -62,13 +71,30 @@
             };
             let asked = Instant::now();
             match self.asker.ask(peer, &request) {
-                Ok(ControlReply::Gossip(reply)) => self.learn(peer, *reply, asked),
+                Ok(ControlReply::Gossip(reply)) => {
+                    self.silent.remove(&peer);
+                    self.learn(peer, *reply, asked);
+                }
                 Ok(_) => debug!("gossip with {peer}: an answer to another question"),
-                Err(error) => debug!("gossip with {peer}: {error}"),
+                Err(error) => {
+                    debug!("gossip with {peer}: {error}");
+                    self.silent.insert(peer, Instant::now());
+                }
             }
         }
     }
 
+    /// Leaves out peers that did not answer lately, and in an urgent round all that did not answer
+    /// last, unless there are no others.
+    fn answering(&self, peers: Vec<SocketAddr>, is_urgent: bool) -> Vec<SocketAddr> {
+        let is_silent = |peer: &SocketAddr| {
+            self.silent.get(peer).is_some_and(|at| is_urgent || at.elapsed() < SILENT_TIME)
+        };
+        let answering: Vec<SocketAddr> =
+            peers.iter().filter(|peer| !is_silent(peer)).copied().collect();
+        if answering.is_empty() { peers } else { answering }
+    }
+
     fn learn(&self, peer: SocketAddr, reply: GossipReply, asked: Instant) {
         let age = reply.age.map(Millis::duration);
         let witness = Witness { is_blind: reply.is_blind, age };
