A row's value is read in one place, and a lease of another release is left alone

Cause: three places turned a row's value into a type; two more dropped the error, so a lease that could not be read was taken for none: any control took the pool and the epoch began again at 1. Ruled out: harm by two owners (each write checks the lease's revision); an epoch that goes back fences nothing. Change: Row::parse is the one place; a lease or wave that can't be read ends the round.

--- a/reachhead_pool/src/controller/leases.rs
+++ b/reachhead_pool/src/controller/leases.rs
@@ -12,7 +12,6 @@
     pool::LeaseRow,
     size::{Epoch, Revision},
 };
-use serde::Deserialize;
 
 use crate::{
     controller::{Controller, Held, PoolEvent, RoundInput},
@@ -28,7 +27,7 @@
         pool: &PoolName,
         row: Option<&Row>,
     ) -> Result<bool, StoreError> {
-        let lease = row.and_then(|row| LeaseRow::deserialize(&row.value).ok());
+        let lease: Option<LeaseRow> = row.map(Row::parse).transpose()?;
         let is_overdue = self.is_overdue(pool);
         let step = lease::step(own, pool, &input.candidates, lease.as_ref(), is_overdue);
         if step != LeaseStep::Wait {
--- a/reachhead_pool/src/controller/mod.rs
+++ b/reachhead_pool/src/controller/mod.rs
@@ -18,6 +18,7 @@
     hosts::Host,
     keys,
     platform::{HostStatus, Platform},
+    row::Row,
 };
 use reachhead_types::{
     id::{HostId, PoolName},
@@ -25,7 +26,7 @@
     pool::{HostPhase, WaveRow},
     size::{Epoch, Revision},
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::{
     budget::Loads,
@@ -195,7 +196,8 @@
         for (pool, rows) in pools.iter().zip(rows.chunks(ROWS_PER_POOL)) {
             let [lease, head, wave] = rows else { continue };
             let head = Head(head.as_ref().map(|row| row.revision));
-            let wave = wave.as_ref().and_then(|row| WaveRow::deserialize(&row.value).ok());
+            // A row of another release must neither be taken for a free lease nor for no wave.
+            let wave: Option<WaveRow> = wave.as_ref().map(Row::parse).transpose()?;
             if self.keep_lease(input, own, pool, lease.as_ref()).await? {
                 self.look_after(input, pool, head, wave.as_ref()).await?;
             }
--- a/reachhead_pool/tests/moves/main.rs
+++ b/reachhead_pool/tests/moves/main.rs
@@ -13,6 +13,7 @@
     lease::{Candidate, preferred, score},
 };
 use reachhead_property::{check, properties};
+use reachhead_store::keys;
 use reachhead_types::{
     fleet::{Fleet, RowKey},
     id::{HostId, Incarnation, PoolName},
@@ -80,6 +81,16 @@
     check("a_host_is_in_one_pool", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+#[test]
+fn a_lease_of_another_release_is_not_taken_for_a_free_one() {
+    let mut site = Site::new();
+    let lease = json!({ "owner": "in words that this release does not know", "epoch": 7 });
+    site.world.write(keys::lease(&pool(0)), lease.clone());
+    // Nobody waits for long here, so a lease that could be taken would be.
+    site.settle();
+    assert_eq!(site.world.value(&keys::lease(&pool(0))), Some(lease));
+}
+
 properties! {
     fn the_preferred_owner_is_the_naive_one_and_few_pools_change_hands(count: u8, gone: u8) -> bool {
         let count = count % 9 + 2;
--- a/reachhead_pool/tests/moves/world.rs
+++ b/reachhead_pool/tests/moves/world.rs
@@ -90,6 +90,12 @@
         self.store.commit(txn).now_or_never().unwrap().unwrap();
     }
 
+    /// Returns the value of a row.
+    pub fn value(&self, key: &Key) -> Option<serde_json::Value> {
+        let rows = self.store.read(vec![key.clone()]).now_or_never().unwrap().unwrap();
+        rows.into_iter().next().flatten().map(|row| row.value)
+    }
+
     fn carry_out(&self, call: Call) -> Commit {
         match call {
             Call::Txn(txn) => {
--- a/reachhead_store/src/config/change.rs
+++ b/reachhead_store/src/config/change.rs
@@ -20,7 +20,6 @@
         ChangeError, ChangeRequest, ChangeRow, ConfigRow, ConfigWrite, HeadRow, LogRow,
         LoggedWrite,
         follow::{follow, parse_head},
-        parse,
     },
     keys,
     row::{Check, Commit, Scan, Txn},
@@ -105,7 +104,7 @@
         let rows = self.store.read(keys).await.map_err(ChangeError::NotDone)?;
         if let Some(row) = rows.first().and_then(Option::as_ref) {
             // A repeat, or the first try's answer was lost: say what became of it.
-            let row: ChangeRow = parse(row).map_err(ChangeError::NotDone)?;
+            let row: ChangeRow = row.parse().map_err(ChangeError::NotDone)?;
             return Ok(Some(row.version));
         }
         let head = parse_head(rows.get(1)).map_err(ChangeError::NotDone)?;
--- a/reachhead_store/src/config/follow.rs
+++ b/reachhead_store/src/config/follow.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Store, StoreError,
-    config::{ConfigRow, HeadRow, LogRow, LoggedWrite, parse},
+    config::{ConfigRow, HeadRow, LogRow, LoggedWrite},
     keys,
     row::{Row, Scan},
 };
@@ -81,7 +81,7 @@
 
 pub(super) fn parse_head(row: Option<&Option<Row>>) -> Result<Head, StoreError> {
     match row.and_then(Option::as_ref) {
-        Some(row) => Ok(Head { row: parse(row)?, revision: Some(row.revision) }),
+        Some(row) => Ok(Head { row: row.parse()?, revision: Some(row.revision) }),
         None => Ok(Head { row: HeadRow::default(), revision: None }),
     }
 }
@@ -97,7 +97,7 @@
     let mut changes = BTreeMap::new();
     let mut to = have;
     for row in &page.rows {
-        let log: LogRow = parse(row)?;
+        let log: LogRow = row.parse()?;
         if log.version != to.next() {
             return Ok(None);
         }
@@ -119,7 +119,7 @@
             Scan { prefix: keys::CONFIG_PREFIX.to_owned(), after: after.take(), limit: PAGE_SIZE };
         let page = store.scan(scan).await?;
         for row in &page.rows {
-            let config: ConfigRow = parse(row)?;
+            let config: ConfigRow = row.parse()?;
             let name = row.key.0.trim_start_matches(keys::CONFIG_PREFIX);
             let key = name
                 .parse()
--- a/reachhead_store/src/config/history.rs
+++ b/reachhead_store/src/config/history.rs
@@ -16,9 +16,9 @@
 
 use crate::{
     Store, StoreError,
-    config::{ChangeRequest, ChangeRow, ConfigWrite, LogRow, LoggedWrite, parse},
+    config::{ChangeRequest, ChangeRow, ConfigWrite, LogRow, LoggedWrite},
     keys,
-    row::{Key, Scan, Txn},
+    row::{Key, Row, Scan, Txn},
 };
 
 /// Versions that one call returns at most.
@@ -71,7 +71,7 @@
         after: Some(keys::log(after)),
         limit: PAGE_LIMIT,
     };
-    store.scan(scan).await?.rows.iter().map(parse).collect()
+    store.scan(scan).await?.rows.iter().map(Row::parse).collect()
 }
 
 /// Returns the writes of the row of `key` after version `after`, [`PAGE_LIMIT`] at most.
@@ -90,10 +90,10 @@
         limit: PAGE_LIMIT,
     };
     let page = store.scan(scan).await?;
-    let versions: Result<Vec<ChangeRow>, StoreError> = page.rows.iter().map(parse).collect();
+    let versions: Result<Vec<ChangeRow>, StoreError> = page.rows.iter().map(Row::parse).collect();
     let logs: Vec<Key> = versions?.iter().map(|row| keys::log(row.version)).collect();
     let rows = store.read(logs).await?;
-    let logs: Result<Vec<LogRow>, StoreError> = rows.iter().flatten().map(parse).collect();
+    let logs: Result<Vec<LogRow>, StoreError> = rows.iter().flatten().map(Row::parse).collect();
     Ok(logs?.into_iter().filter_map(|log| event(log, key)).collect())
 }
 
@@ -155,7 +155,7 @@
 /// Any [`StoreError`].
 pub async fn find(store: &dyn Store, version: Version) -> Result<Option<LogRow>, StoreError> {
     let rows = store.read(vec![keys::log(version)]).await?;
-    rows.first().and_then(Option::as_ref).map(parse).transpose()
+    rows.first().and_then(Option::as_ref).map(Row::parse).transpose()
 }
 
 /// Returns the change `id` that undoes what `log` tells; it is refused, as any change is, if one of
@@ -181,7 +181,7 @@
     let bound = Version(newest.0.saturating_sub(keep));
     let prefix = keys::LOG_PREFIX.to_owned();
     let page = store.scan(Scan { prefix, after: None, limit: CUT_SIZE }).await?;
-    let logs: Result<Vec<LogRow>, StoreError> = page.rows.iter().map(parse).collect();
+    let logs: Result<Vec<LogRow>, StoreError> = page.rows.iter().map(Row::parse).collect();
     let old: Vec<LogRow> = logs?.into_iter().take_while(|log| log.version <= bound).collect();
     if old.is_empty() {
         return Ok(0);
--- a/reachhead_store/src/config/mod.rs
+++ b/reachhead_store/src/config/mod.rs
@@ -16,11 +16,11 @@
     scope::Owner,
     size::{Millis, Version},
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::{StoreError, row::Row};
+use crate::StoreError;
 
 /// The row of [`keys::head`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -123,8 +123,3 @@
     #[error("it may have been accepted, ask again with the same id: {0}")]
     Unknown(StoreError),
 }
-
-fn parse<T: DeserializeOwned>(row: &Row) -> Result<T, StoreError> {
-    T::deserialize(&row.value)
-        .map_err(|error| StoreError::Refused(format!("row {}: {error}", row.key)))
-}
--- a/reachhead_store/src/hosts.rs
+++ b/reachhead_store/src/hosts.rs
@@ -9,7 +9,7 @@
     pool::{BudgetRow, HostPhase, HostRow},
     size::Revision,
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use thiserror::Error;
 
@@ -151,7 +151,7 @@
 pub async fn find(store: &dyn Store, id: &HostId) -> Result<Host, HostError> {
     let rows = store.read(vec![keys::host(id)]).await?;
     let row = rows.into_iter().next().flatten().ok_or_else(|| HostError::Missing(id.clone()))?;
-    Ok(Host { id: id.clone(), row: parse(&row)?, revision: row.revision })
+    Ok(Host { id: id.clone(), row: row.parse()?, revision: row.revision })
 }
 
 /// Returns the hosts of `pool` in the order of their names.
@@ -172,7 +172,7 @@
         let rows = store.read(names.iter().map(keys::host).collect()).await?;
         for (id, row) in names.into_iter().zip(rows) {
             let Some(row) = row else { continue };
-            let host = Host { id, row: parse(&row)?, revision: row.revision };
+            let host = Host { id, row: row.parse()?, revision: row.revision };
             // Between the two reads it may have moved on; its new pool's owner looks after it.
             if host.row.pool == *pool {
                 hosts.push(host);
@@ -198,7 +198,7 @@
         let page = store.scan(Scan { prefix, after: after.take(), limit: PAGE_SIZE }).await?;
         for row in &page.rows {
             let id = name(&row.key, keys::HOST_PREFIX)?;
-            hosts.push(Host { id, row: parse(row)?, revision: row.revision });
+            hosts.push(Host { id, row: row.parse()?, revision: row.revision });
         }
         after = page.rows.last().map(|row| row.key.clone());
         if !page.more {
@@ -308,7 +308,7 @@
     let rows = store.read(services.iter().map(keys::budget).collect()).await?;
     let budget = |(service, row): (ServiceName, Option<Row>)| {
         let (revision, row) = match row {
-            Some(row) => (Some(row.revision), parse(&row)?),
+            Some(row) => (Some(row.revision), row.parse()?),
             None => (None, BudgetRow::default()),
         };
         Ok(BudgetWrite { service, revision, row })
@@ -332,11 +332,6 @@
     text.parse().map_err(|error| StoreError::Refused(format!("key {key}: {error}")))
 }
 
-fn parse<T: DeserializeOwned>(row: &Row) -> Result<T, StoreError> {
-    T::deserialize(&row.value)
-        .map_err(|error| StoreError::Refused(format!("row {}: {error}", row.key)))
-}
-
 fn json(row: &HostRow) -> Value {
     serde_json::to_value(row).unwrap_or(Value::Null)
 }
--- a/reachhead_store/src/row.rs
+++ b/reachhead_store/src/row.rs
@@ -3,9 +3,11 @@
 use std::fmt::{self, Display, Formatter};
 
 use reachhead_types::size::Revision;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
+use crate::StoreError;
+
 /// The key of a row; parts are joined by '/'.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -28,6 +30,18 @@
     pub revision: Revision,
 }
 
+impl Row {
+    /// Returns the row's value as a `T`.
+    ///
+    /// # Errors
+    ///
+    /// `Refused` if it is none: the row belongs to another release.
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
+        T::deserialize(&self.value)
+            .map_err(|error| StoreError::Refused(format!("row {}: {error}", self.key)))
+    }
+}
+
 /// A precondition of a transaction.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Check {
--- a/reachhead_store/src/waves.rs
+++ b/reachhead_store/src/waves.rs
@@ -5,7 +5,6 @@
     pool::{WaveRow, WaveState},
     size::Revision,
 };
-use serde::Deserialize;
 use serde_json::{Value, json};
 use thiserror::Error;
 
@@ -126,9 +125,7 @@
     let Some(row) = rows.into_iter().next().flatten() else {
         return Ok(None);
     };
-    let wave = WaveRow::deserialize(&row.value)
-        .map_err(|error| StoreError::Refused(format!("row {}: {error}", row.key)))?;
-    Ok(Some(Found { row: wave, revision: row.revision }))
+    Ok(Some(Found { row: row.parse()?, revision: row.revision }))
 }
 
 async fn write(
