--- /dev/null
+++ b/reachhead_jobs/src/lib.rs
@@ -0,0 +1,16 @@
+//! Jobs on the workers of a pool: their model, their life cycle and who runs where.
+//!
+//! Everything here is plain logic over explicit state and time; docs/PLATFORM.md tells how the
+//! programs use it.
+
+pub mod clock;
+pub mod job;
+pub mod model;
+pub mod order;
+pub mod place;
+pub mod pool;
+pub mod ports;
+pub mod record;
+pub mod task;
+pub mod wave;
+pub mod worker;
--- /dev/null
+++ b/reachhead_jobs/src/order.rs
@@ -0,0 +1,194 @@
+//! In which order jobs get room: by what their callers gain.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use reachhead_types::{
+    id::RouteName,
+    size::Millis,
+};
+
+use crate::{
+    clock::Tick,
+    job::Job,
+    model::{Plan, Queue, Step},
+};
+
+/// Weight of the newest observation in running means.
+const LEARNING_RATE: f64 = 0.05;
+
+/// Observations before a queue's own mean is used.
+const TRUST_COUNT: u32 = 8;
+
+/// How late a job may be, in multiples of its objective, before nobody waits for it any more.
+const LATE_FACTOR: u64 = 3;
+
+/// How long the tasks of a queue really take.
+///
+/// Clients' guesses are far off on some queues and good on others, so each queue's better predictor
+/// is used: the guess, corrected by a common factor, or the queue's mean.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Durations {
+    count: u32,
+    /// Mean of the logarithm of the real time in milliseconds.
+    log_mean: f64,
+    /// Mean of the logarithm of real time over guess.
+    log_ratio: f64,
+    /// Mean squared error of the queue's mean.
+    mean_error: f64,
+    /// Mean squared error of the corrected guess.
+    guess_error: f64,
+}
+
+impl Durations {
+    fn new() -> Self {
+        Self { count: 0, log_mean: 0.0, log_ratio: 0.0, mean_error: 0.0, guess_error: 0.0 }
+    }
+
+    fn learn(&mut self, guess: Millis, real: Millis) {
+        let real = (real.0.max(1) as f64).ln();
+        let ratio = real - (guess.0.max(1) as f64).ln();
+        self.count += 1;
+        let rate = LEARNING_RATE.max(1.0 / f64::from(self.count));
+        let blend = |old: &mut f64, new: f64| *old += rate * (new - *old);
+        blend(&mut self.mean_error, (real - self.log_mean).powi(2));
+        blend(&mut self.guess_error, (ratio - self.log_ratio).powi(2));
+        blend(&mut self.log_mean, real);
+        blend(&mut self.log_ratio, ratio);
+    }
+
+    fn predict(&self, guess: Millis) -> Millis {
+        if self.count < TRUST_COUNT {
+            return guess;
+        }
+        let log = if self.mean_error < self.guess_error {
+            self.log_mean
+        } else {
+            (guess.0.max(1) as f64).ln() + self.log_ratio
+        };
+        Millis(log.exp() as u64)
+    }
+}
+
+/// What was learned of the queues of a pool.
+#[derive(Debug, Clone, Default)]
+pub struct Experience {
+    durations: BTreeMap<RouteName, Durations>,
+    /// Mean work of a queue's jobs, in thousandths of a core times milliseconds.
+    work: BTreeMap<RouteName, f64>,
+}
+
+impl Experience {
+    /// Notes how long a task took.
+    pub fn learn(&mut self, queue: &RouteName, guess: Millis, real: Millis) {
+        let durations = self.durations.entry(queue.clone()).or_insert_with(Durations::new);
+        durations.learn(guess, real);
+    }
+
+    /// Notes a job that was accepted.
+    pub fn admit(&mut self, queue: &RouteName, plan: &Plan) {
+        let work: f64 = plan.steps.iter().map(|step| self.step_work(queue, step)).sum();
+        let mean = self.work.entry(queue.clone()).or_insert(work);
+        *mean += LEARNING_RATE * (work - *mean);
+    }
+
+    /// Returns how long a task of the step will take.
+    pub fn predict(&self, queue: &RouteName, step: &Step) -> Millis {
+        self.durations
+            .get(queue)
+            .map_or(step.estimate, |durations| durations.predict(step.estimate))
+    }
+
+    fn step_work(&self, queue: &RouteName, step: &Step) -> f64 {
+        f64::from(step.count) * step.need.cores as f64 * self.predict(queue, step).0 as f64
+    }
+
+    /// Returns the moment until which the job is in time.
+    pub fn objective(&self, queue: &Arc<Queue>, plan: &Plan) -> Millis {
+        let chain = plan.chain(|step| self.predict(&queue.name, step));
+        Millis(queue.target.0 + (chain.0 as f64 * queue.stretch) as u64)
+    }
+
+    /// Returns the job's place in the order; the smallest comes first.
+    pub fn rank(&self, job: &Job, now: Tick) -> Rank {
+        if job.plan.long_running() {
+            return Rank { class: Class::LongRunning, key: job.accepted.0 as f64 };
+        }
+        let objective = self.objective(&job.queue, &job.plan);
+        let left = self.left(job);
+        let ends = now + left.chain;
+        let class = if ends <= job.accepted + objective {
+            Class::InTime
+        } else if ends <= job.accepted + Millis(objective.0 * LATE_FACTOR) {
+            Class::Late
+        } else {
+            Class::Missed
+        };
+        let mean = self.work.get(&job.queue.name).copied().unwrap_or(1.0).max(1.0);
+        // A job earns a part by its number and a part by its work; what is left decides the price.
+        let worth = 0.3 + 0.7 * (left.whole / mean).min(4.0);
+        Rank { class, key: left.work.max(1.0) / worth }
+    }
+
+    fn left(&self, job: &Job) -> Left {
+        let mut left = Left { chain: Millis(0), work: 0.0, whole: 0.0 };
+        let mut ends: Vec<u64> = vec![0; job.plan.steps.len()];
+        for (id, state) in &job.steps {
+            let step = job.step(*id);
+            let time = self.predict(&job.queue.name, step);
+            let per_task = step.need.cores as f64 * time.0 as f64;
+            left.whole += per_task * f64::from(step.count);
+            if state.is_done() {
+                continue;
+            }
+            let waiting = state.tasks.iter().filter(|task| !task.done && task.runs.is_empty());
+            left.work += per_task * waiting.count() as f64;
+            let before = step.after.iter().filter_map(|&earlier| ends.get(earlier as usize));
+            let end = before.copied().max().unwrap_or(0) + time.0;
+            if let Some(slot) = ends.get_mut(id.step as usize) {
+                *slot = end;
+            }
+            left.chain = left.chain.max(Millis(end));
+        }
+        left
+    }
+}
+
+/// What is left of a job.
+#[derive(Debug, Clone, Copy)]
+struct Left {
+    /// The longest chain of steps that are not done.
+    chain: Millis,
+    /// The work of the tasks that wait.
+    work: f64,
+    /// The work of the whole job.
+    whole: f64,
+}
+
+/// What a job can still get.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Its tasks must be at work all the time.
+    LongRunning,
+    /// It can be done in time.
+    InTime,
+    /// It will be late, but not so late that nobody waits.
+    Late,
+    /// It is too late; it still runs when there is room.
+    Missed,
+}
+
+/// A job's place in the order.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rank {
+    /// What it can still get.
+    pub class: Class,
+    /// Work for each unit of worth.
+    pub key: f64,
+}
+
+impl Rank {
+    /// Compares two ranks; the smaller one comes first.
+    pub fn order(self, other: Self) -> std::cmp::Ordering {
+        self.class.cmp(&other.class).then(self.key.total_cmp(&other.key))
+    }
+}
--- /dev/null
+++ b/reachhead_jobs/src/place.rs
@@ -0,0 +1,82 @@
+//! Which worker gets a task.
+
+use std::cmp::Reverse;
+
+use reachhead_types::id::{Label, WorkerId};
+
+use crate::{
+    clock::Tick,
+    model::Step,
+    task::StepId,
+    worker::Worker,
+};
+
+/// A task that needs a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// Its step.
+    pub id: StepId,
+    /// The step's model.
+    pub step: &'a Step,
+    /// Workers on which it failed or stood still.
+    pub avoid: &'a [WorkerId],
+    /// The rack on which other tasks of the step are, where they are better together.
+    pub rack: Option<&'a Label>,
+}
+
+impl Wanted<'_> {
+    /// Tells whether the worker may run the task, room aside.
+    pub fn allowed(&self, worker: &Worker, now: Tick) -> bool {
+        let labelled =
+            self.step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
+        labelled && worker.accepts(now) && self.spread_allows(worker)
+    }
+
+    /// Tells whether the task fits on the worker now.
+    pub fn fits(&self, worker: &Worker, now: Tick) -> bool {
+        let kept = worker.reserved.is_some_and(|kept| kept.until > now && kept.step != self.id);
+        !kept && self.allowed(worker, now) && self.step.charge().fits(worker.free())
+    }
+
+    fn spread_allows(&self, worker: &Worker) -> bool {
+        self.step.spread == 0 || self.siblings(worker) < self.step.spread
+    }
+
+    fn siblings(&self, worker: &Worker) -> u32 {
+        let siblings = worker.runs.keys().filter(|task| task.step_id() == self.id);
+        siblings.count() as u32
+    }
+
+    /// Returns how well the worker suits the task; the smallest is best.
+    fn cost(&self, worker: &Worker) -> Cost {
+        let far = |rack: Option<&Label>| rack.is_some() && rack != worker.info.rack.as_ref();
+        Cost {
+            avoided: self.avoid.contains(&worker.info.id),
+            far: far(self.step.rack.as_ref()) || far(self.rack),
+            siblings: if self.step.long_running { self.siblings(worker) } else { 0 },
+            free: Reverse(worker.free().cores),
+        }
+    }
+}
+
+/// How little a worker suits a task, the weightiest part first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Cost {
+    /// The task failed there before.
+    avoided: bool,
+    /// It would be slower there than near its data or its siblings.
+    far: bool,
+    /// Tasks of the same step that would be lost with the worker.
+    siblings: u32,
+    /// Free processors; tasks on one worker disturb each other.
+    free: Reverse<u64>,
+}
+
+/// Returns the worker that suits the task best among those on which it fits.
+pub fn choose<'a>(
+    wanted: &Wanted<'_>,
+    workers: impl Iterator<Item = &'a Worker>,
+    now: Tick,
+) -> Option<&'a Worker> {
+    workers.filter(|worker| wanted.fits(worker, now)).min_by_key(|worker| wanted.cost(worker))
+}
--- /dev/null
+++ b/reachhead_jobs/src/pool/adopt.rs
@@ -0,0 +1,128 @@
+//! Taking charge of a pool that a predecessor left.
+
+use reachhead_plan::amount::Amount;
+use reachhead_types::{id::WorkerId, size::Millis};
+
+use crate::{
+    clock::Tick,
+    job::{Job, Phase, Run},
+    pool::{Action, NoteKind, Pool, StoredJob},
+    ports::{RunningEntry, WorkerInfo},
+    worker::Worker,
+};
+
+impl Pool {
+    pub(super) fn inherit_job(&mut self, stored: StoredJob, now: Tick, wall: Millis) {
+        let age = Millis(wall.0.saturating_sub(stored.record.accepted.0));
+        self.experience.admit(&stored.record.queue.name, &stored.record.plan);
+        let mut job = Job::new(stored.id, &stored.record, now - age);
+        job.row = Some(stored.row);
+        job.inherited = true;
+        job.unfold(wall);
+        if let Some(progress) = stored.progress {
+            job.restore(&progress.record);
+            job.revision = Some(progress.revision);
+        }
+        self.jobs.insert(job.id, job);
+        self.settle(stored.id);
+    }
+
+    /// Every worker that the predecessor may have used has to answer the new token, or its leases
+    /// have to lapse, before an inherited task that nobody reports is started again.
+    pub(super) fn inherit_workers(&mut self, contested: bool, now: Tick) {
+        let until = now + self.tuning.inheritance();
+        for entry in self.roster.stored.workers.clone() {
+            let info = WorkerInfo {
+                id: entry.worker.clone(),
+                pool: self.name.clone(),
+                address: entry.address,
+                zone: unknown_zone(),
+                capacity: Amount::default(),
+                labels: Vec::new(),
+                rack: None,
+                draining: true,
+            };
+            let mut worker = Worker::new(info, now);
+            worker.listed = false;
+            worker.rostered = true;
+            self.workers.insert(entry.worker.clone(), worker);
+            if contested {
+                self.pending.insert(entry.worker, until);
+            }
+        }
+    }
+
+    /// A worker reports a run that this owner did not order.
+    pub(super) fn adopt(&mut self, worker: &WorkerId, entry: &RunningEntry, now: Tick) {
+        let Some(job) = self.jobs.get_mut(&entry.task.job) else {
+            self.stop_stray(worker, entry);
+            return;
+        };
+        let over = job.ending.is_some();
+        let speculative =
+            job.plan.steps.get(entry.task.step as usize).is_some_and(|step| step.speculative);
+        let charge = job.plan.steps.get(entry.task.step as usize).map(|step| step.charge());
+        let (Some(task), Some(charge)) = (job.task(entry.task), charge) else {
+            self.stop_stray(worker, entry);
+            return;
+        };
+        let other = task.runs.iter().map(|run| run.number).max();
+        let stale = !speculative && other.is_some_and(|other| other > entry.run);
+        if task.done || over || stale {
+            self.stop_stray(worker, entry);
+            return;
+        }
+        task.last_run = task.last_run.max(entry.run);
+        if let Some(checkpoint) = &entry.checkpoint {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+        let known = self.workers.get_mut(worker);
+        let deadline = known.as_ref().map_or(crate::clock::WorkerTime(0), |known| known.granted);
+        task.runs.push(Run {
+            number: entry.run,
+            worker: worker.clone(),
+            phase: Phase::Working,
+            since: now,
+            settled: Some(now),
+            deadline,
+            doubtful: false,
+            asking: false,
+            retry: now,
+            percent: entry.percent,
+            moved: now,
+            figure: entry.figure,
+            pace: 100,
+            ticket: None,
+            adopted: true,
+        });
+        job.begun = true;
+        if let Some(known) = known {
+            known.charge(entry.task, entry.run, charge);
+        }
+        self.note(
+            NoteKind::RunAdopted,
+            format!("task {} run {} on {worker}", entry.task, entry.run),
+        );
+    }
+
+    /// Stops a run that belongs to no task that should run.
+    fn stop_stray(&mut self, worker: &WorkerId, entry: &RunningEntry) {
+        let Some(known) = self.workers.get(worker) else {
+            return;
+        };
+        let target = self.target(known);
+        self.actions.push(Action::Stop(target, entry.task, entry.run));
+        self.note(
+            NoteKind::RunStopped,
+            format!("task {} run {} on {worker}: nothing waits for it", entry.task, entry.run),
+        );
+    }
+}
+
+/// A worker that only the roster names is never placed on, so its zone does not matter.
+fn unknown_zone() -> reachhead_types::id::ZoneName {
+    match "unknown".parse() {
+        Ok(zone) => zone,
+        Err(error) => unreachable!("a constant name: {error}"),
+    }
+}
--- /dev/null
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -0,0 +1,406 @@
+//! A pool as its owner sees it: jobs, workers, and the next orders.
+//!
+//! The owner's event loop hands in what happened and carries out the [`Action`]s that come back.
+//! Nothing here reads a clock or waits.
+
+mod adopt;
+mod flush;
+mod pace;
+mod places;
+mod polls;
+mod reports;
+mod starts;
+mod vacate;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+pub use flush::Batch;
+pub use vacate::Vacancy;
+
+use reachhead_types::{
+    id::{JobId, PoolName, RouteName, WorkerId},
+    size::{FencingToken, Millis, Revision, RunNumber},
+};
+
+use crate::{
+    clock::{Tick, stretched},
+    job::Job,
+    order::Experience,
+    ports::{HoldOrder, StartOrder, WorkerInfo, WorkerTarget},
+    record::{Ending, FinalRecord, JobRecord, ProgressRecord, Roster},
+    task::{StepId, TaskId},
+    worker::Worker,
+};
+
+/// Numbers of runs that an owner has to itself; a successor's numbers are higher by this. A task
+/// that runs on and ends at once is started about twice a second, so it lasts for days of that.
+const RUNS_PER_TERM: u64 = 1_000_000;
+
+/// How long the state of a job that is over is told from memory; afterwards the store is asked.
+const CLOSED_TIME: Millis = Millis(120_000);
+
+/// Times that follow from the platform's contract.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tuning {
+    /// How long a worker may hold its runs without a renewal.
+    pub hold: Millis,
+    /// How long an owner goes on giving orders without a sign that it still is in charge.
+    pub trust: Millis,
+    /// How long a long poll waits.
+    pub wait: Millis,
+    /// How long a protected task counts as away after planned work ended it.
+    pub notice: Millis,
+    /// How long the members of a gang wait for each other.
+    pub gang: Millis,
+    /// How long a stop takes at most.
+    pub stop: Millis,
+}
+
+impl Tuning {
+    /// Returns how long after a change of hands an order of the predecessor may still have effect
+    /// on a worker that the successor can't reach.
+    pub fn inheritance(&self) -> Millis {
+        Millis(self.trust.0 + stretched(self.hold).0)
+    }
+}
+
+/// What the owner is to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Order a run.
+    Start(WorkerTarget, StartOrder),
+    /// Stop a run.
+    Stop(WorkerTarget, TaskId, RunNumber),
+    /// Let a run work at this share, in percent.
+    Pace(WorkerTarget, TaskId, RunNumber, u32),
+    /// Renew a worker's lease and wait for its report.
+    Hold(WorkerTarget, HoldOrder),
+    /// Ask which workers may run a step.
+    Advise(StepId, Vec<WorkerId>),
+    /// A worker has had orders with a higher token, so somebody else is in charge.
+    Fenced,
+}
+
+/// A decision that is worth a line in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// What happened.
+    pub kind: NoteKind,
+    /// What it happened to.
+    pub text: String,
+}
+
+/// Kinds of [`Note`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoteKind {
+    /// A job is over.
+    JobEnded,
+    /// A run failed or was lost.
+    RunLost,
+    /// A worker is suspected, lost or replaced.
+    WorkerDoubted,
+    /// A run was stopped by a decision of the owner.
+    RunStopped,
+    /// A predecessor's run was taken over.
+    RunAdopted,
+}
+
+/// Why a call to a job failed in the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cancelled {
+    /// The cancellation is decided and will be recorded.
+    Pending,
+    /// The job was over before.
+    Over,
+    /// This owner does not know the job.
+    Unknown,
+}
+
+/// A job's state, as a caller is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobState {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// It is over, and that is recorded.
+    Over(Ending),
+}
+
+/// A job of which the end is recorded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Closed {
+    ending: Ending,
+    at: Tick,
+}
+
+/// A job as the store has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredJob {
+    /// Its id.
+    pub id: JobId,
+    /// The job.
+    pub record: JobRecord,
+    /// The revision of its row.
+    pub row: Revision,
+    /// Its progress, if any is recorded.
+    pub progress: Option<StoredProgress>,
+}
+
+/// A job's progress as the store has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredProgress {
+    /// The progress.
+    pub record: ProgressRecord,
+    /// The revision of its row.
+    pub revision: Revision,
+}
+
+/// What an owner finds when it takes charge of a pool.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Inheritance {
+    /// The jobs that are not over.
+    pub jobs: Vec<StoredJob>,
+    /// The workers that a predecessor may have used.
+    pub roster: Roster,
+    /// The revision of the roster's row.
+    pub roster_revision: Option<Revision>,
+    /// A predecessor may still give orders; false where none ever was in charge.
+    pub contested: bool,
+}
+
+/// A pool and everything that its owner knows of it.
+pub struct Pool {
+    name: PoolName,
+    token: FencingToken,
+    term: u64,
+    tuning: Tuning,
+    jobs: BTreeMap<JobId, Job>,
+    closed: BTreeMap<JobId, Closed>,
+    workers: BTreeMap<WorkerId, Worker>,
+    /// Workers of the predecessor that have not answered yet, and until when they matter.
+    pending: BTreeMap<WorkerId, Tick>,
+    roster: RosterState,
+    dirty: BTreeSet<JobId>,
+    /// Lives of workers that are known to be over, whatever the platform's list still says.
+    over: BTreeSet<WorkerId>,
+    experience: Experience,
+    advice: places::AdviceBook,
+    verified: Tick,
+    actions: Vec<Action>,
+    notes: Vec<Note>,
+}
+
+/// The roster's row and what of it is known to be stored.
+#[derive(Debug, Clone, PartialEq, Default)]
+struct RosterState {
+    stored: Roster,
+    revision: Option<Revision>,
+}
+
+impl Pool {
+    /// Returns the pool `name` for the owner with this token.
+    pub fn new(
+        name: PoolName,
+        token: FencingToken,
+        term: u64,
+        tuning: Tuning,
+        found: Inheritance,
+        now: Tick,
+        wall: Millis,
+    ) -> Self {
+        let mut pool = Self {
+            name,
+            token,
+            term,
+            tuning,
+            jobs: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            roster: RosterState { stored: found.roster, revision: found.roster_revision },
+            dirty: BTreeSet::new(),
+            over: BTreeSet::new(),
+            experience: Experience::default(),
+            advice: places::AdviceBook::default(),
+            verified: now,
+            actions: Vec::new(),
+            notes: Vec::new(),
+        };
+        for stored in found.jobs {
+            pool.inherit_job(stored, now, wall);
+        }
+        pool.inherit_workers(found.contested, now);
+        pool
+    }
+
+    /// Returns the pool's name.
+    pub fn name(&self) -> &PoolName {
+        &self.name
+    }
+
+    /// Returns the owner's fencing token.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Returns the jobs that are not over.
+    pub fn jobs(&self) -> &BTreeMap<JobId, Job> {
+        &self.jobs
+    }
+
+    /// Returns the workers.
+    pub fn workers(&self) -> &BTreeMap<WorkerId, Worker> {
+        &self.workers
+    }
+
+    /// Returns how many workers of a predecessor have not answered yet.
+    pub fn unsettled(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Notes that this owner was still in charge at `at`.
+    pub fn verify(&mut self, at: Tick) {
+        self.verified = self.verified.max(at);
+    }
+
+    /// Takes in an accepted job; one that is known already changes nothing.
+    pub fn submit(
+        &mut self,
+        id: JobId,
+        record: &JobRecord,
+        row: Revision,
+        now: Tick,
+        wall: Millis,
+    ) {
+        if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
+            return;
+        }
+        self.experience.admit(&record.queue.name, &record.plan);
+        let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
+        let mut job = Job::new(id, record, accepted);
+        job.row = Some(row);
+        job.unfold(wall);
+        self.jobs.insert(id, job);
+    }
+
+    /// Decides that a job is cancelled.
+    pub fn cancel(&mut self, id: JobId) -> Cancelled {
+        if self.closed.contains_key(&id) {
+            return Cancelled::Over;
+        }
+        match self.jobs.get_mut(&id) {
+            None => Cancelled::Unknown,
+            Some(job) if job.ending.is_some() => Cancelled::Pending,
+            Some(job) => {
+                job.ending = Some(Ending::Cancelled);
+                self.mark(id);
+                Cancelled::Pending
+            }
+        }
+    }
+
+    /// Returns a job's state, if this owner knows it.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        if let Some(closed) = self.closed.get(&id) {
+            return Some(JobState::Over(closed.ending));
+        }
+        let job = self.jobs.get(&id)?;
+        Some(if job.begun { JobState::Running } else { JobState::Queued })
+    }
+
+    /// Returns how many jobs of a queue wait for their first task.
+    pub fn waiting(&self, queue: &RouteName) -> u32 {
+        let waits = |job: &&Job| job.queue.name == *queue && !job.begun && job.ending.is_none();
+        self.jobs.values().filter(waits).count() as u32
+    }
+
+    /// Takes in the platform's list of the pool's workers.
+    pub fn list(&mut self, listed: Vec<WorkerInfo>, now: Tick) {
+        let ids: BTreeSet<WorkerId> = listed.iter().map(|info| info.id.clone()).collect();
+        for worker in self.workers.values_mut() {
+            worker.listed = ids.contains(&worker.info.id);
+        }
+        self.over.retain(|id| ids.contains(id));
+        for info in listed.into_iter().filter(|info| !self.over.contains(&info.id)) {
+            match self.workers.get_mut(&info.id) {
+                Some(worker) => worker.info = info,
+                None => {
+                    let mut worker = Worker::new(info, now);
+                    worker.rostered = self.roster.has(&worker.info.id);
+                    self.workers.insert(worker.info.id.clone(), worker);
+                }
+            }
+        }
+    }
+
+    /// Returns the next orders. `wall` is the time of day in milliseconds since 1970.
+    pub fn poll(&mut self, now: Tick, wall: Millis) -> Vec<Action> {
+        self.unfold(wall);
+        self.expire(now);
+        self.drive_runs(now);
+        if self.trusted(now) {
+            self.place(now);
+        }
+        self.drive_polls(now);
+        self.drive_pace(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the decisions since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Tells whether this owner may still give orders.
+    fn trusted(&self, now: Tick) -> bool {
+        now.since(self.verified) <= self.tuning.trust
+    }
+
+    fn unfold(&mut self, wall: Millis) {
+        for job in self.jobs.values_mut() {
+            job.unfold(wall);
+        }
+    }
+
+    /// Forgets what no longer matters.
+    fn expire(&mut self, now: Tick) {
+        self.pending.retain(|_, until| *until > now);
+        self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_TIME);
+        self.expire_workers(now);
+        self.advice.expire(now);
+    }
+
+    /// Notes that a job has something new to be recorded.
+    fn mark(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.changed = true;
+            self.dirty.insert(id);
+        }
+    }
+
+    fn note(&mut self, kind: NoteKind, text: impl Into<String>) {
+        self.notes.push(Note { kind, text: text.into() });
+    }
+
+    fn target(&self, worker: &Worker) -> WorkerTarget {
+        WorkerTarget {
+            id: worker.info.id.clone(),
+            address: worker.info.address,
+            token: self.token,
+        }
+    }
+
+    /// Returns the row of how a job ended.
+    fn final_record(job: &Job, ending: Ending, wall: Millis) -> FinalRecord {
+        FinalRecord { queue: job.queue.name.clone(), ending, at: wall }
+    }
+}
+
+impl RosterState {
+    fn has(&self, worker: &WorkerId) -> bool {
+        self.stored.workers.iter().any(|entry| entry.worker == *worker)
+    }
+}
+
--- /dev/null
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -0,0 +1,258 @@
+//! Renewing the leases of workers, repeating orders, and noticing what stands still.
+
+use reachhead_types::{id::WorkerId, size::Millis};
+
+use crate::{
+    clock::{Tick, WorkerTime},
+    job::{Phase, Run},
+    model::Step,
+    pool::{Action, NoteKind, Pool},
+    ports::{HoldOrder, StartOrder},
+    task::TaskId,
+    worker::{Poll, Worker},
+};
+
+/// How long a task may show no progress, in multiples of the time that a hundredth of it takes,
+/// before it is taken to stand still; slow workers are several times slower than they should be.
+const STILL_FACTOR: u64 = 25;
+
+/// Shortest time without progress that is taken for standing still: several reports.
+const STILL_LEAST: Millis = Millis(2500);
+
+impl Pool {
+    /// Sends the long polls that are due.
+    pub(super) fn drive_polls(&mut self, now: Tick) {
+        let trusted = self.trusted(now);
+        let hold = self.tuning.hold;
+        let mut actions = Vec::new();
+        for worker in self.workers.values() {
+            let Poll::Due(due) = worker.poll else {
+                continue;
+            };
+            if due > now {
+                continue;
+            }
+            let deadline = worker.reading.filter(|_| trusted && !worker.silent).map(|reading| {
+                WorkerTime(reading.estimate(now).0 + hold.0)
+            });
+            let order = HoldOrder { deadline, seen: worker.seen, wait: self.wait_of(worker) };
+            actions.push(Action::Hold(self.target(worker), order));
+        }
+        for action in &actions {
+            if let Action::Hold(target, order) = action
+                && let Some(worker) = self.workers.get_mut(&target.id)
+            {
+                worker.poll = Poll::Out;
+                worker.granted = worker.granted.max(order.deadline.unwrap_or_default());
+            }
+        }
+        self.actions.append(&mut actions);
+    }
+
+    fn wait_of(&self, worker: &Worker) -> Millis {
+        if !worker.answered || worker.silent {
+            return Millis(0);
+        }
+        if self.has_fills(worker) { Millis(400) } else { self.tuning.wait }
+    }
+
+    /// Forgets workers that are gone for good.
+    pub(super) fn expire_workers(&mut self, now: Tick) {
+        let mut over: Vec<WorkerId> = Vec::new();
+        let mut lapsed: Vec<WorkerId> = Vec::new();
+        for worker in self.workers.values().filter(|worker| worker.silent) {
+            let past = match worker.lapses() {
+                Some(lapse) => lapse <= now,
+                None => !self.pending.contains_key(&worker.info.id),
+            };
+            let inherited = self.pending.contains_key(&worker.info.id);
+            if past && !inherited {
+                if !worker.runs.is_empty() {
+                    lapsed.push(worker.info.id.clone());
+                } else if !worker.listed {
+                    over.push(worker.info.id.clone());
+                }
+            }
+        }
+        for id in lapsed {
+            self.lapse(&id);
+        }
+        for id in over {
+            self.worker_over(&id, "it is off the list and everything there has lapsed");
+        }
+    }
+
+    /// Everything on a worker that does not answer has surely lapsed.
+    fn lapse(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let runs = worker.runs.clone();
+        self.note(NoteKind::RunLost, format!("{} leases on {id} have lapsed", runs.len()));
+        for (task, charge) in runs {
+            self.take_run(id, task, charge.run);
+        }
+    }
+
+    /// Repeats orders that were not answered, stops what is not wanted or stands still.
+    pub(super) fn drive_runs(&mut self, now: Tick) {
+        let mut decisions = Vec::new();
+        for job in self.jobs.values() {
+            for (id, state) in &job.steps {
+                let step = job.step(*id);
+                for (index, task) in state.tasks.iter().enumerate() {
+                    for run in &task.runs {
+                        let unwanted = task.done && !step.gang;
+                        if let Some(what) = self.decide(job, step, run, unwanted, now) {
+                            decisions.push(Decision {
+                                task: id.task(index as u32),
+                                run: run.clone(),
+                                what,
+                            });
+                        }
+                    }
+                }
+            }
+        }
+        for decision in decisions {
+            self.carry_out(&decision, now);
+        }
+        self.jobs.retain(|_, job| {
+            let runs = job.steps.values().flat_map(|step| &step.tasks);
+            !job.recorded || runs.flat_map(|task| &task.runs).next().is_some()
+        });
+    }
+
+    fn decide(
+        &self,
+        job: &crate::job::Job,
+        step: &Step,
+        run: &Run,
+        unwanted: bool,
+        now: Tick,
+    ) -> Option<What> {
+        match run.phase {
+            Phase::Ordered if run.asking || run.retry > now => None,
+            Phase::Ordered => {
+                let worker = self.workers.get(&run.worker)?;
+                let past = worker.reading.is_some_and(|reading| {
+                    reading.surely_past(run.deadline) <= now
+                });
+                Some(if past { What::Drop } else { What::Repeat })
+            }
+            Phase::Working if unwanted || job.recorded => Some(What::Stop("it is not needed")),
+            Phase::Working if self.stands_still(job, step, run, now) => {
+                Some(What::Stop("it stands still"))
+            }
+            Phase::Working => None,
+            Phase::Stopping if run.asking || run.retry > now => None,
+            Phase::Stopping => Some(What::Order),
+        }
+    }
+
+    fn stands_still(&self, job: &crate::job::Job, step: &Step, run: &Run, now: Tick) -> bool {
+        if step.gang || job.ending.is_some() || run.pace < 100 {
+            return false;
+        }
+        if step.long_running && run.percent >= 100 {
+            return false;
+        }
+        let whole = self.experience.predict(&job.queue.name, step);
+        let limit = (whole.0 * STILL_FACTOR / 100).max(STILL_LEAST.0);
+        let heard = self.workers.get(&run.worker).is_some_and(|worker| !worker.silent);
+        heard && now.since(run.moved) > Millis(limit)
+    }
+
+    fn carry_out(&mut self, decision: &Decision, now: Tick) {
+        let Decision { task, run, what } = decision;
+        match what {
+            What::Drop => {
+                let text = format!(
+                    "task {task} run {} was never confirmed by {}, and its time is over",
+                    run.number, run.worker
+                );
+                self.note(NoteKind::RunLost, text);
+                self.take_run(&run.worker, *task, run.number);
+            }
+            What::Repeat => self.repeat(*task, run),
+            What::Stop(why) => self.stop_run(*task, run, why, now),
+            What::Order => self.order_stop(*task, run),
+        }
+    }
+
+    fn repeat(&mut self, task: TaskId, run: &Run) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let payload = std::sync::Arc::clone(&job.plan.payload);
+        let Some(state) = job.task(task) else {
+            return;
+        };
+        let checkpoint = state.checkpoint.clone();
+        if let Some(run) = state.run(run.number) {
+            run.asking = true;
+        }
+        let Some(worker) = self.workers.get(&run.worker) else {
+            return;
+        };
+        let order = StartOrder {
+            task,
+            run: run.number,
+            payload,
+            deadline: run.deadline,
+            checkpoint,
+            ticket: run.ticket.clone(),
+        };
+        self.actions.push(Action::Start(self.target(worker), order));
+    }
+
+    /// Stops a run; its room is free once the worker lists the end.
+    pub(super) fn stop_run(&mut self, task: TaskId, run: &Run, why: &str, now: Tick) {
+        self.note(
+            NoteKind::RunStopped,
+            format!("task {task} run {} on {}: {why}", run.number, run.worker),
+        );
+        if why == "it stands still"
+            && let Some(worker) = self.workers.get_mut(&run.worker)
+        {
+            worker.conduct.suspend(now);
+        }
+        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
+        if let Some(state) = state {
+            state.avoid.push(run.worker.clone());
+            if let Some(run) = state.run(run.number) {
+                run.phase = Phase::Stopping;
+            }
+        }
+        self.order_stop(task, run);
+    }
+
+    fn order_stop(&mut self, task: TaskId, run: &Run) {
+        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
+        if let Some(run) = state.and_then(|state| state.run(run.number)) {
+            run.asking = true;
+            run.phase = Phase::Stopping;
+        }
+        if let Some(worker) = self.workers.get(&run.worker) {
+            self.actions.push(Action::Stop(self.target(worker), task, run.number));
+        }
+    }
+}
+
+/// What is decided of a run.
+struct Decision {
+    task: TaskId,
+    run: Run,
+    what: What,
+}
+
+enum What {
+    /// It can't come any more.
+    Drop,
+    /// The order to start is sent again.
+    Repeat,
+    /// It is stopped, for this reason.
+    Stop(&'static str),
+    /// The order to stop is sent.
+    Order,
+}
--- /dev/null
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -0,0 +1,407 @@
+//! What workers answer: reports, and the results of orders.
+
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::{Millis, RunNumber},
+};
+
+use crate::{
+    clock::{Reading, Tick, WorkerTime},
+    job::{Phase, Run},
+    pool::{Action, NoteKind, Pool},
+    ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
+    record::Ending,
+    task::TaskId,
+    worker::Poll,
+};
+
+/// First pause after a call to a worker that failed, doubled up to [`RETRY_MOST`].
+const RETRY_FIRST: Millis = Millis(100);
+
+/// Longest pause between calls to a worker that does not answer.
+const RETRY_MOST: Millis = Millis(800);
+
+/// Pause before an order that was not answered is sent again.
+const ORDER_PAUSE: Millis = Millis(150);
+
+/// Pause before a task that a worker turned away is tried again.
+const REJECTED_PAUSE: Millis = Millis(50);
+
+/// Pause before a long poll goes on while ends wait to be recorded; the worker would answer it at
+/// once with the same ends.
+const RECORD_PAUSE: Millis = Millis(250);
+
+impl Pool {
+    /// Takes in the result of a long poll that was sent at `sent`.
+    pub fn held(
+        &mut self,
+        id: &WorkerId,
+        sent: Tick,
+        result: Result<WorkerReport, WorkerError>,
+        now: Tick,
+    ) {
+        match result {
+            Ok(report) => self.report(id, sent, report, now),
+            Err(WorkerError::Replaced) => self.worker_over(id, "another life answers there"),
+            Err(error) => {
+                if error == WorkerError::Rejected(Rejection::Fenced) {
+                    self.actions.push(Action::Fenced);
+                }
+                self.missed(id, &error, now);
+            }
+        }
+    }
+
+    fn missed(&mut self, id: &WorkerId, error: &WorkerError, now: Tick) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let pause = RETRY_FIRST.0 << worker.misses.min(8);
+        worker.misses += 1;
+        worker.poll = Poll::Due(now + Millis(pause.min(RETRY_MOST.0)));
+        let first = !worker.silent;
+        worker.silent = true;
+        if first {
+            let text = format!("{id} does not answer: {error}; {} runs there", worker.runs.len());
+            self.note(NoteKind::WorkerDoubted, text);
+        }
+    }
+
+    fn report(&mut self, id: &WorkerId, sent: Tick, report: WorkerReport, now: Tick) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.reading = Some(Reading { shown: report.clock, at: now });
+        worker.silent = false;
+        worker.answered = true;
+        worker.misses = 0;
+        let noted = worker.noted;
+        self.pending.remove(id);
+        for entry in &report.ended {
+            if entry.number > noted {
+                self.end(id, entry, now);
+            }
+        }
+        for entry in &report.running {
+            self.see(id, entry, now);
+        }
+        self.drop_vanished(id, sent, &report);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let last = report.ended.iter().map(|entry| entry.number).max().unwrap_or(0);
+        worker.noted = worker.noted.max(last);
+        if self.dirty.is_empty() {
+            worker.seen = worker.noted;
+        }
+        let pause = if worker.seen < worker.noted { RECORD_PAUSE } else { Millis(0) };
+        worker.poll = Poll::Due(now + pause);
+    }
+
+    fn see(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
+        let job = self.jobs.get_mut(&entry.task.job);
+        let run = job.and_then(|job| job.task(entry.task)).and_then(|task| task.run(entry.run));
+        let Some(run) = run.filter(|run| run.worker == *id) else {
+            self.adopt(id, entry, now);
+            return;
+        };
+        if run.phase == Phase::Ordered {
+            run.phase = Phase::Working;
+            run.settled = Some(now);
+            run.moved = now;
+        }
+        if entry.percent != run.percent {
+            run.percent = entry.percent;
+            run.moved = now;
+        }
+        run.figure = entry.figure;
+        if let Some(checkpoint) = &entry.checkpoint {
+            self.keep_checkpoint(entry.task, checkpoint);
+        }
+    }
+
+    fn keep_checkpoint(&mut self, id: TaskId, checkpoint: &str) {
+        let task = self.jobs.get_mut(&id.job).and_then(|job| job.task(id));
+        if let Some(task) = task.filter(|task| task.checkpoint.as_deref() != Some(checkpoint)) {
+            task.checkpoint = Some(checkpoint.to_owned());
+        }
+    }
+
+    /// Drops runs that the worker had confirmed, or barred, before the report was asked for, and
+    /// that the report does not have.
+    fn drop_vanished(&mut self, id: &WorkerId, sent: Tick, report: &WorkerReport) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let absent = |task: &TaskId, run: RunNumber| {
+            !report.running.iter().any(|entry| entry.task == *task && entry.run == run)
+        };
+        let mut gone = Vec::new();
+        for (task, charge) in &worker.runs {
+            if absent(task, charge.run) {
+                gone.push(EndedEntry {
+                    number: 0,
+                    task: *task,
+                    run: charge.run,
+                    end: RunEnd::Lapsed,
+                    checkpoint: None,
+                });
+            }
+        }
+        for entry in gone {
+            let job = self.jobs.get_mut(&entry.task.job);
+            let run = job.and_then(|job| job.task(entry.task)).and_then(|task| task.run(entry.run));
+            let settled = run.is_none_or(|run| run.settled.is_some_and(|settled| settled < sent));
+            if settled {
+                self.note(
+                    NoteKind::RunLost,
+                    format!("task {} run {} is not on {id} any more", entry.task, entry.run),
+                );
+                self.take_run(id, entry.task, entry.run);
+            }
+        }
+    }
+
+    /// Takes in the end of a run.
+    fn end(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
+        if let Some(checkpoint) = &entry.checkpoint {
+            self.keep_checkpoint(entry.task, checkpoint);
+        }
+        let run = self.take_run(id, entry.task, entry.run);
+        let Some(job) = self.jobs.get_mut(&entry.task.job) else {
+            return;
+        };
+        let Some(step) = job.plan.steps.get(entry.task.step as usize).cloned() else {
+            return;
+        };
+        if let Some(task) = job.task(entry.task) {
+            task.last_run = task.last_run.max(entry.run);
+        }
+        if step.long_running {
+            if entry.end == RunEnd::Failed
+                && let Some(task) = job.task(entry.task)
+            {
+                task.avoid.push(id.clone());
+            }
+            return;
+        }
+        match entry.end {
+            RunEnd::Done => {
+                let queue = job.queue.name.clone();
+                if job.finish(entry.task) {
+                    job.begun = true;
+                    self.mark(entry.task.job);
+                }
+                if let Some(run) = run.filter(|run| !run.adopted && run.ticket.is_none()) {
+                    self.experience.learn(&queue, step.estimate, now.since(run.since));
+                }
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.conduct.succeed();
+                }
+            }
+            RunEnd::Failed => {
+                let counted =
+                    if step.gang { entry.task.step_id().task(0) } else { entry.task };
+                if let Some(task) = job.task(entry.task) {
+                    task.avoid.push(id.clone());
+                }
+                if job.fail(counted, entry.run) {
+                    job.begun = true;
+                    self.mark(entry.task.job);
+                }
+                self.blame(id, entry, now);
+            }
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
+                let text = format!(
+                    "task {} run {} on {id} ended {:?}",
+                    entry.task, entry.run, entry.end
+                );
+                self.note(NoteKind::RunLost, text);
+            }
+        }
+        self.settle(entry.task.job);
+    }
+
+    fn blame(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
+        self.note(
+            NoteKind::RunLost,
+            format!("task {} run {} failed on {id}", entry.task, entry.run),
+        );
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.conduct.fail(entry.task.job, now) {
+            self.note(NoteKind::WorkerDoubted, format!("{id} fails what it is given"));
+        }
+    }
+
+    /// Decides whether a job is over by what its tasks did.
+    pub(super) fn settle(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.ending.is_none()) else {
+            return;
+        };
+        if job.is_complete() {
+            job.ending = Some(Ending::Completed);
+        } else if job.has_failed() {
+            job.ending = Some(Ending::Failed);
+        } else {
+            return;
+        }
+        self.mark(id);
+    }
+
+    /// Removes a run from its task and its worker, and returns it.
+    pub(super) fn take_run(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+    ) -> Option<Run> {
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.runs.get(&task).is_some_and(|charge| charge.run == number)
+        {
+            worker.release(task);
+        }
+        let runs = &mut self.jobs.get_mut(&task.job)?.task(task)?.runs;
+        let place = runs.iter().position(|run| run.number == number && run.worker == *id)?;
+        Some(runs.remove(place))
+    }
+
+    fn run_of(&mut self, id: &WorkerId, task: TaskId, number: RunNumber) -> Option<&mut Run> {
+        let run = self.jobs.get_mut(&task.job)?.task(task)?.run(number)?;
+        (run.worker == *id).then_some(run)
+    }
+
+    fn hear(&mut self, id: &WorkerId, shown: WorkerTime, now: Tick) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            let newer = worker.reading.is_none_or(|reading| reading.shown < shown);
+            if newer {
+                worker.reading = Some(Reading { shown, at: now });
+            }
+        }
+    }
+
+    /// Takes in the result of an order to start a run.
+    pub fn started(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        result: Result<WorkerTime, WorkerError>,
+        now: Tick,
+    ) {
+        if let Ok(shown) = &result {
+            self.hear(id, *shown, now);
+        }
+        let Some(run) = self.run_of(id, task, number) else {
+            return;
+        };
+        run.asking = false;
+        match result {
+            Ok(_) => {
+                if run.phase == Phase::Ordered {
+                    run.phase = Phase::Working;
+                    run.moved = now;
+                }
+                run.settled = run.settled.or(Some(now));
+            }
+            Err(WorkerError::Replaced) => self.worker_over(id, "another life answers there"),
+            Err(WorkerError::Lost(_)) => {
+                run.doubtful = true;
+                run.retry = now + ORDER_PAUSE;
+            }
+            Err(WorkerError::Unreachable(_)) if run.doubtful => run.retry = now + ORDER_PAUSE,
+            Err(WorkerError::Rejected(Rejection::Fenced)) => {
+                run.retry = now + ORDER_PAUSE;
+                self.actions.push(Action::Fenced);
+            }
+            // The run is barred there, or it ended: the next report tells.
+            Err(WorkerError::Rejected(Rejection::Old)) => run.settled = Some(now),
+            Err(WorkerError::Rejected(_)) if run.doubtful => {
+                run.phase = Phase::Stopping;
+                run.retry = now;
+            }
+            Err(error) => self.turned_away(id, task, number, &error, now),
+        }
+    }
+
+    /// A worker certainly did not start the run.
+    fn turned_away(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        error: &WorkerError,
+        now: Tick,
+    ) {
+        self.note(NoteKind::RunLost, format!("task {task} run {number} on {id}: {error}"));
+        self.take_run(id, task, number);
+        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)) {
+            task.not_before = now + REJECTED_PAUSE;
+        }
+        match error {
+            WorkerError::Rejected(Rejection::Unhealthy) => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.conduct.suspend(now);
+                }
+            }
+            WorkerError::Rejected(Rejection::Ticket) => self.advice.refuse(task.step_id(), id),
+            WorkerError::Unreachable(_) => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.silent = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in the result of an order to stop a run.
+    pub fn stopped(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        result: Result<WorkerTime, WorkerError>,
+        now: Tick,
+    ) {
+        if let Ok(shown) = &result {
+            self.hear(id, *shown, now);
+        }
+        if result == Err(WorkerError::Replaced) {
+            self.worker_over(id, "another life answers there");
+            return;
+        }
+        if result == Err(WorkerError::Rejected(Rejection::Fenced)) {
+            self.actions.push(Action::Fenced);
+        }
+        let Some(run) = self.run_of(id, task, number) else {
+            return;
+        };
+        run.asking = false;
+        match result {
+            // Barred for good: once a later report lacks it, it is gone.
+            Ok(_) => {
+                run.settled = Some(now);
+                run.doubtful = false;
+                run.retry = now + Millis(1000);
+            }
+            Err(_) => run.retry = now + ORDER_PAUSE,
+        }
+    }
+
+    /// A life of a worker is over, and with it everything that ran there.
+    pub fn worker_over(&mut self, id: &WorkerId, why: &str) {
+        let Some(worker) = self.workers.remove(id) else {
+            return;
+        };
+        self.pending.remove(id);
+        self.over.insert(id.clone());
+        self.note(
+            NoteKind::WorkerDoubted,
+            format!("{id} is over: {why}; {} runs are lost", worker.runs.len()),
+        );
+        for (task, charge) in &worker.runs {
+            self.take_run(id, *task, charge.run);
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -0,0 +1,299 @@
+//! Placing tasks: which start now, and where.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use reachhead_types::{
+    id::{JobId, Label, WorkerId},
+    size::{Millis, RunNumber},
+};
+
+use crate::{
+    clock::{Tick, WorkerTime},
+    job::{Job, Phase, Run, Task},
+    model::Step,
+    order::{Class, Rank},
+    place::{self, Wanted},
+    pool::{Action, Pool, RUNS_PER_TERM},
+    ports::StartOrder,
+    task::{StepId, TaskId},
+    worker::{Reservation, Worker},
+};
+
+/// How long room is kept for a task that runs on while short tasks there are being stopped.
+const RESERVE_TIME: Millis = Millis(1500);
+
+/// Steps of jobs that are looked at without room for them before a round ends.
+const FAILED_STEPS: usize = 24;
+
+/// A job and its place in the order.
+struct Ranked {
+    id: JobId,
+    rank: Rank,
+}
+
+impl Pool {
+    /// Starts what can start, the worthiest first.
+    pub(super) fn place(&mut self, now: Tick) {
+        let mut ranked: Vec<Ranked> = self
+            .jobs
+            .values()
+            .filter(|job| job.ending.is_none() && has_waiting(job))
+            .filter(|job| !(job.inherited && !self.pending.is_empty()))
+            .map(|job| Ranked { id: job.id, rank: self.experience.rank(job, now) })
+            .collect();
+        ranked.sort_by(|a, b| a.rank.order(b.rank).then(a.id.cmp(&b.id)));
+        let mut failed = 0;
+        for job in ranked {
+            let steps: Vec<StepId> = self.jobs[&job.id].steps.keys().copied().collect();
+            for step in steps {
+                if !self.place_step(step, job.rank.class, now) {
+                    failed += 1;
+                }
+            }
+            if failed > FAILED_STEPS {
+                break;
+            }
+        }
+    }
+
+    /// Places what it can of a step; tells whether everything that may start has room.
+    fn place_step(&mut self, id: StepId, class: Class, now: Tick) -> bool {
+        let job = &self.jobs[&id.job];
+        let state = &job.steps[&id];
+        if state.is_done() || !job.is_ready(id) {
+            return true;
+        }
+        let advised = job.queue.advice.is_some();
+        let waiting: Vec<u32> = (0..).zip(&state.tasks).filter(|(_, task)| waits(task, now))
+            .map(|(index, _)| index).collect();
+        if waiting.is_empty() {
+            return true;
+        }
+        let step = job.step(id).clone();
+        let allowed = if advised { self.advice.approved(id, now) } else { None };
+        if advised && allowed.as_ref().is_none_or(BTreeSet::is_empty) {
+            self.ask_advice(id, now);
+            return true;
+        }
+        if step.gang {
+            return self.place_gang(id, &step, allowed.as_ref(), now);
+        }
+        for index in waiting {
+            let placed = self.find(id.task(index), &step, allowed.as_ref(), now);
+            let Some(worker) = placed else {
+                if class == Class::LongRunning {
+                    self.make_room(id, &step, now);
+                }
+                return false;
+            };
+            let number = self.next_run(id, index);
+            self.start(id.task(index), &step, worker, number, now);
+        }
+        true
+    }
+
+    /// All members of a gang start together or none does.
+    fn place_gang(
+        &mut self,
+        id: StepId,
+        step: &Step,
+        allowed: Option<&BTreeSet<WorkerId>>,
+        now: Tick,
+    ) -> bool {
+        let state = &self.jobs[&id.job].steps[&id];
+        let settled = state.tasks.iter().all(|task| waits(task, now));
+        if !settled {
+            return true;
+        }
+        let mut chosen: BTreeMap<u32, WorkerId> = BTreeMap::new();
+        for index in 0..step.count {
+            let Some(worker) = self.find(id.task(index), step, allowed, now) else {
+                break;
+            };
+            // The room is taken at once, so that the next member does not count on it.
+            if let Some(known) = self.workers.get_mut(&worker) {
+                known.charge(id.task(index), RunNumber(0), step.charge());
+            }
+            chosen.insert(index, worker);
+        }
+        for (index, worker) in &chosen {
+            if let Some(known) = self.workers.get_mut(worker) {
+                known.release(id.task(*index));
+            }
+        }
+        if chosen.len() < step.count as usize {
+            return false;
+        }
+        let number = (0..step.count).map(|index| self.next_run(id, index)).max();
+        let number = number.unwrap_or(RunNumber(1));
+        let checkpoint = self.jobs[&id.job].steps[&id]
+            .tasks
+            .iter()
+            .find_map(|task| task.checkpoint.clone());
+        for (index, worker) in chosen {
+            if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task(id.task(index)))
+            {
+                task.checkpoint.clone_from(&checkpoint);
+            }
+            self.start(id.task(index), step, worker, number, now);
+        }
+        true
+    }
+
+    fn find(
+        &self,
+        id: TaskId,
+        step: &Step,
+        allowed: Option<&BTreeSet<WorkerId>>,
+        now: Tick,
+    ) -> Option<WorkerId> {
+        let state = &self.jobs[&id.job].steps[&id.step_id()];
+        let rack = if step.same_rack { self.rack_of(&state.tasks) } else { None };
+        let wanted = Wanted {
+            id: id.step_id(),
+            step,
+            avoid: &state.tasks[id.index as usize].avoid,
+            rack: rack.as_ref(),
+        };
+        let workers = self
+            .workers
+            .values()
+            .filter(|worker| allowed.is_none_or(|allowed| allowed.contains(&worker.info.id)));
+        place::choose(&wanted, workers, now).map(|worker| worker.info.id.clone())
+    }
+
+    fn rack_of(&self, tasks: &[Task]) -> Option<Label> {
+        let run = tasks.iter().flat_map(|task| &task.runs).next()?;
+        self.workers.get(&run.worker)?.info.rack.clone()
+    }
+
+    fn next_run(&self, id: StepId, index: u32) -> RunNumber {
+        let task = &self.jobs[&id.job].steps[&id].tasks[index as usize];
+        RunNumber(task.last_run.0.max(self.term * RUNS_PER_TERM) + 1)
+    }
+
+    fn start(
+        &mut self,
+        id: TaskId,
+        step: &Step,
+        worker: WorkerId,
+        number: RunNumber,
+        now: Tick,
+    ) {
+        let hold = self.tuning.hold;
+        let Some(known) = self.workers.get_mut(&worker) else {
+            return;
+        };
+        let Some(reading) = known.reading else {
+            return;
+        };
+        let deadline = WorkerTime(reading.estimate(now).0 + hold.0);
+        known.granted = known.granted.max(deadline);
+        known.charge(id, number, step.charge());
+        let ticket = self.advice.ticket(id.step_id(), &worker, now).cloned();
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        job.begun = true;
+        let payload = Arc::clone(&job.plan.payload);
+        let Some(task) = job.task(id) else {
+            return;
+        };
+        task.last_run = number;
+        let checkpoint = task.checkpoint.clone();
+        task.runs.push(Run {
+            number,
+            worker: worker.clone(),
+            phase: Phase::Ordered,
+            since: now,
+            settled: None,
+            deadline,
+            doubtful: false,
+            asking: true,
+            retry: now,
+            percent: 0,
+            moved: now,
+            figure: 0,
+            pace: 100,
+            ticket: ticket.clone(),
+            adopted: checkpoint.is_some(),
+        });
+        let order = StartOrder { task: id, run: number, payload, deadline, checkpoint, ticket };
+        let target = self.target(&self.workers[&worker]);
+        self.actions.push(Action::Start(target, order));
+    }
+
+    /// Stops short tasks where that gives a task that runs on its room soonest.
+    fn make_room(&mut self, id: StepId, step: &Step, now: Tick) {
+        let reserved = |worker: &Worker| {
+            worker.reserved.is_some_and(|kept| kept.until > now && kept.step == id)
+        };
+        if self.workers.values().any(reserved) {
+            return;
+        }
+        let wanted = Wanted { id, step, avoid: &[], rack: None };
+        let usable = self.workers.values().filter(|worker| {
+            worker.reserved.is_none_or(|kept| kept.until <= now) && wanted.allowed(worker, now)
+        });
+        let best = usable
+            .filter_map(|worker| self.victims(worker, step).map(|tasks| (tasks.len(), worker, tasks)))
+            .min_by_key(|(count, _, _)| *count);
+        let Some((_, worker, tasks)) = best else {
+            return;
+        };
+        let worker = worker.info.id.clone();
+        if let Some(known) = self.workers.get_mut(&worker) {
+            known.reserved = Some(Reservation { step: id, until: now + RESERVE_TIME });
+        }
+        for task in tasks {
+            let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
+            let run = state.and_then(|state| state.runs.iter().find(|run| run.worker == worker));
+            if let Some(run) = run.cloned() {
+                self.stop_run(task, &run, "a task that must be at work needs the room", now);
+            }
+        }
+    }
+
+    /// Returns the short tasks to stop on a worker so that a task of the step fits, the youngest
+    /// first; `None` where that isn't enough.
+    fn victims(&self, worker: &Worker, step: &Step) -> Option<Vec<TaskId>> {
+        let mut short: Vec<(Tick, TaskId)> = Vec::new();
+        for task in worker.runs.keys() {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let own = &job.plan.steps[task.step as usize];
+            let state = &job.steps[&task.step_id()].tasks[task.index as usize];
+            let run = state.runs.iter().find(|run| run.worker == worker.info.id);
+            if let Some(run) = run.filter(|run| run.phase == Phase::Working)
+                && !own.long_running
+            {
+                short.push((run.since, *task));
+            }
+        }
+        short.sort_by(|a, b| b.cmp(a));
+        let mut free = worker.free();
+        let mut tasks = Vec::new();
+        for (_, task) in short {
+            if step.charge().fits(free) {
+                break;
+            }
+            free = free.plus(worker.runs[&task].amount);
+            tasks.push(task);
+        }
+        step.charge().fits(free).then_some(tasks)
+    }
+}
+
+fn has_waiting(job: &Job) -> bool {
+    job.steps.values().any(|step| {
+        !step.is_done() && step.tasks.iter().any(|task| !task.done && task.runs.is_empty())
+    })
+}
+
+fn waits(task: &Task, now: Tick) -> bool {
+    !task.done && task.runs.is_empty() && task.not_before <= now
+}
--- /dev/null
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -0,0 +1,75 @@
+//! Emptying a worker before planned work takes its host, inside what each step may miss.
+
+use reachhead_types::{id::WorkerId, size::Millis};
+
+use crate::{
+    clock::Tick,
+    job::{Phase, Run},
+    pool::Pool,
+    task::TaskId,
+};
+
+/// How long a worker gets nothing new after it was asked to be emptied. The asker asks again several
+/// times a second; if it is gone, the worker is used again.
+const CORDON_TIME: Millis = Millis(2500);
+
+/// How far a worker is emptied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Vacancy {
+    /// The pool does not have the worker.
+    Unknown,
+    /// Something protected is there, and may not be taken away yet.
+    Protected,
+    /// Only short tasks are there; ending them costs work and breaks no promise.
+    Short,
+    /// Nothing is there.
+    Empty,
+}
+
+impl Pool {
+    /// Gives a worker nothing new, moves away what may be moved, and tells how far that is.
+    pub fn vacate(&mut self, id: &WorkerId, now: Tick) -> Vacancy {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return Vacancy::Unknown;
+        };
+        worker.cordoned = now + CORDON_TIME;
+        let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
+        let mut vacancy = Vacancy::Empty;
+        for task in tasks {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let step = &job.plan.steps[task.step as usize];
+            if !step.long_running {
+                vacancy = vacancy.min_of(Vacancy::Short);
+                continue;
+            }
+            vacancy = vacancy.min_of(Vacancy::Protected);
+            let state = &job.steps[&task.step_id()].tasks[task.index as usize];
+            let run = state.runs.iter().find(|run| run.worker == *id);
+            if let Some(run) = run.filter(|run| run.phase == Phase::Working).cloned()
+                && self.may_take(task, &run)
+            {
+                self.stop_run(task, &run, "its host is due for planned work", now);
+            }
+        }
+        vacancy
+    }
+
+    /// Tells whether planned work may end a run now.
+    fn may_take(&self, task: TaskId, run: &Run) -> bool {
+        let job = &self.jobs[&task.job];
+        let step = &job.plan.steps[task.step as usize];
+        if step.may_miss == 0 || !run.at_work() {
+            return true;
+        }
+        job.steps[&task.step_id()].away() < step.may_miss
+    }
+}
+
+impl Vacancy {
+    fn min_of(self, other: Self) -> Self {
+        if (other as u8) < (self as u8) { other } else { self }
+    }
+}
--- /dev/null
+++ b/reachhead_jobs/src/record.rs
@@ -0,0 +1,149 @@
+//! What the store keeps of jobs and of who is in charge; docs/PLATFORM.md lists the tables.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use reachhead_store::row::Key;
+use reachhead_types::{
+    id::{JobId, NodeName, PoolName, RouteName, WorkerId},
+    size::{Millis, RunNumber},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::model::{Plan, Queue};
+
+/// Returns the key of an accepted job that is not over.
+pub fn job_key(pool: &PoolName, job: JobId) -> Key {
+    Key(format!("job/{pool}/{job}"))
+}
+
+/// Returns the key of a job's progress.
+pub fn progress_key(pool: &PoolName, job: JobId) -> Key {
+    Key(format!("progress/{pool}/{job}"))
+}
+
+/// Returns the key of how a job ended.
+pub fn final_key(pool: &PoolName, job: JobId) -> Key {
+    Key(format!("final/{pool}/{job}"))
+}
+
+/// Returns the key of the workers that a pool may have used.
+pub fn roster_key(pool: &PoolName) -> Key {
+    Key(format!("roster/{pool}/all"))
+}
+
+/// Returns the key of who is in charge of a pool.
+pub fn lease_key(pool: &PoolName) -> Key {
+    Key(format!("lease/{pool}/owner"))
+}
+
+/// Returns the key of a process on the list of processes.
+pub fn member_key(node: &NodeName) -> Key {
+    Key(format!("lease/{MEMBER_PART}/{node}"))
+}
+
+/// Returns a record as the store takes it.
+pub fn value<T: Serialize>(record: &T) -> Value {
+    match serde_json::to_value(record) {
+        Ok(value) => value,
+        Err(error) => unreachable!("records hold nothing that JSON lacks: {error}"),
+    }
+}
+
+/// The part of the lease table that holds the processes.
+pub const MEMBER_PART: &str = "members";
+
+/// An accepted job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Its queue, as it was when the job was accepted: the job outlives changes of the queue.
+    pub queue: Arc<Queue>,
+    /// What it is to do.
+    pub plan: Arc<Plan>,
+    /// When it was accepted, in milliseconds since 1970 by the clock of the entry host.
+    pub accepted: Millis,
+}
+
+/// A task that failed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// The task's place in the step.
+    pub index: u32,
+    /// The runs that failed; a run that is told twice counts once.
+    pub runs: Vec<RunNumber>,
+}
+
+/// What is known for good of a step in one occurrence.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepRecord {
+    /// Which repetition of the job.
+    pub occurrence: u32,
+    /// The step's place in the job.
+    pub step: u32,
+    /// The tasks that are done.
+    pub done: Vec<u32>,
+    /// The tasks that failed.
+    pub failed: Vec<Failure>,
+}
+
+/// A job's progress: everything that its workers may forget.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ProgressRecord {
+    /// The steps of which anything is known.
+    pub steps: Vec<StepRecord>,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ending {
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// The client cancelled it.
+    Cancelled,
+}
+
+/// How a job ended, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    /// The job's queue.
+    pub queue: RouteName,
+    /// How it ended.
+    pub ending: Ending,
+    /// When, in milliseconds since 1970; after a while the row is dropped.
+    pub at: Millis,
+}
+
+/// A worker that a pool may have used.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Where it answers.
+    pub address: SocketAddr,
+}
+
+/// All workers on which something of the pool may run.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Roster {
+    /// The workers in the order of their ids.
+    pub workers: Vec<RosterEntry>,
+}
+
+/// Who is in charge of a pool; the row's revision is the fencing token.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The process in charge; `None` after it gave the pool back.
+    pub owner: Option<NodeName>,
+    /// How often the pool has changed hands; it makes the numbers of runs rise over owners.
+    pub term: u64,
+}
+
+/// A process of the system.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+}
--- /dev/null
+++ b/reachhead_jobs/src/wave.rs
@@ -0,0 +1,172 @@
+//! Maintenance of hosts in waves: which host goes next.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use reachhead_types::{
+    id::{HostId, WaveName},
+    size::Millis,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Tick,
+    pool::Vacancy,
+    ports::{Machine, MachineState},
+};
+
+/// Share of a wave's time after which short tasks don't hold a host up any more, in percent. It
+/// leaves time for hosts whose orders are lost.
+const PATIENCE_PERCENT: u64 = 60;
+
+/// How long short tasks may hold a host up before it is taken all the same.
+const SHORT_PATIENCE: Millis = Millis(2500);
+
+/// Hosts that are being emptied beyond those that may be down, so that the next is ready in time.
+const AHEAD: usize = 1;
+
+/// A wave that operators ask for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveOrder {
+    /// Its name.
+    pub name: WaveName,
+    /// The hosts that are due.
+    pub hosts: Vec<HostId>,
+    /// In which time it should be done.
+    pub within: Millis,
+    /// Hosts that may be down for it at once.
+    pub most: u32,
+}
+
+/// What the store keeps of a wave.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct WaveRecord {
+    /// The hosts whose maintenance has begun.
+    pub begun: BTreeSet<HostId>,
+    /// All of them have begun, and operators were told.
+    pub completed: bool,
+}
+
+/// A wave in the hands of the process that carries it out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// What is asked for.
+    pub order: WaveOrder,
+    /// What is done.
+    pub record: WaveRecord,
+    /// When this process first saw it.
+    pub since: Tick,
+    /// When the emptying of a host began.
+    emptying: BTreeMap<HostId, Tick>,
+    /// Hosts that were ordered down and that the platform's list does not show as back yet.
+    down: BTreeMap<HostId, Tick>,
+}
+
+/// What a round of a wave asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct WaveStep {
+    /// Hosts to go on emptying.
+    pub vacate: Vec<HostId>,
+    /// Hosts that the platform no longer has.
+    pub gone: Vec<HostId>,
+}
+
+/// How long a host is counted as down after its order, whatever the list says: the list may be
+/// older than the order.
+const DOWN_LEAST: Millis = Millis(400);
+
+impl Wave {
+    /// Returns a wave that goes on from `record`.
+    pub fn new(order: WaveOrder, record: WaveRecord, now: Tick) -> Self {
+        Self { order, record, since: now, emptying: BTreeMap::new(), down: BTreeMap::new() }
+    }
+
+    /// Tells whether every host has begun.
+    pub fn is_done(&self) -> bool {
+        self.order.hosts.iter().all(|host| self.record.begun.contains(host))
+    }
+
+    /// Returns what to do next, by the platform's list of hosts.
+    pub fn next(&mut self, machines: &BTreeMap<HostId, Machine>, now: Tick) -> WaveStep {
+        let mut step = WaveStep::default();
+        self.down.retain(|host, since| {
+            let up = machines.get(host).is_none_or(|machine| machine.state == MachineState::Up);
+            !up || now.since(*since) < DOWN_LEAST
+        });
+        let left: Vec<HostId> = self
+            .order
+            .hosts
+            .iter()
+            .filter(|host| !self.record.begun.contains(*host))
+            .cloned()
+            .collect();
+        for host in &left {
+            if !machines.contains_key(host) {
+                step.gone.push(host.clone());
+            }
+        }
+        let under = self.under_maintenance(machines);
+        let room = (self.order.most as usize + AHEAD).saturating_sub(under);
+        let mut ready: Vec<&Machine> = left
+            .iter()
+            .filter_map(|host| machines.get(host))
+            .filter(|machine| machine.state == MachineState::Up)
+            .collect();
+        ready.sort_by_key(|machine| {
+            let begun = self.emptying.get(&machine.host).copied();
+            (begun.is_none(), begun, machine.worker.is_some())
+        });
+        for machine in ready.into_iter().take(room) {
+            self.emptying.entry(machine.host.clone()).or_insert(now);
+            step.vacate.push(machine.host.clone());
+        }
+        step
+    }
+
+    /// Returns how many hosts are or may be down for this wave.
+    fn under_maintenance(&self, machines: &BTreeMap<HostId, Machine>) -> usize {
+        let listed = self.order.hosts.iter().filter(|host| {
+            machines.get(*host).is_some_and(|machine| machine.state == MachineState::Maintenance)
+        });
+        let mut down: BTreeSet<&HostId> = listed.collect();
+        down.extend(self.down.keys());
+        down.len()
+    }
+
+    /// Tells whether the host may be taken now that its worker is this empty.
+    pub fn may_take(
+        &self,
+        host: &HostId,
+        vacancy: Vacancy,
+        machines: &BTreeMap<HostId, Machine>,
+        now: Tick,
+    ) -> bool {
+        if self.under_maintenance(machines) >= self.order.most as usize {
+            return false;
+        }
+        match vacancy {
+            Vacancy::Empty | Vacancy::Unknown => true,
+            Vacancy::Protected => false,
+            Vacancy::Short => {
+                let waited = self.emptying.get(host).map_or(Millis(0), |since| now.since(*since));
+                let late = now.since(self.since).0 * 100 > self.order.within.0 * PATIENCE_PERCENT;
+                late || waited >= SHORT_PATIENCE
+            }
+        }
+    }
+
+    /// Notes that an order for the host was sent, so it may be down from now on.
+    pub fn ordered(&mut self, host: &HostId, now: Tick) {
+        self.down.insert(host.clone(), now);
+    }
+
+    /// Notes that the order for the host surely had no effect.
+    pub fn not_taken(&mut self, host: &HostId) {
+        self.down.remove(host);
+    }
+
+    /// Notes that the maintenance of the host has begun, or that it is gone.
+    pub fn begun(&mut self, host: &HostId) {
+        self.emptying.remove(host);
+        self.record.begun.insert(host.clone());
+    }
+}
--- /dev/null
+++ b/reachhead_jobs/src/worker.rs
@@ -0,0 +1,185 @@
+//! What the owner of a pool knows of a worker.
+
+use std::collections::BTreeMap;
+
+use reachhead_plan::amount::Amount;
+use reachhead_types::{
+    id::JobId,
+    size::{Millis, RunNumber},
+};
+
+use crate::{
+    clock::{Reading, Tick, WorkerTime},
+    ports::WorkerInfo,
+    task::{StepId, TaskId},
+};
+
+/// Failures in a row, of more than one job, after which a worker is suspected.
+const SUSPECT_FAILURES: u32 = 3;
+
+/// How long a suspected worker gets nothing. It covers most of a grey spell of some seconds, and a
+/// wrong suspicion costs a pool little for that long.
+const SUSPECT_TIME: Millis = Millis(5000);
+
+/// What a run takes of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Charge {
+    /// The run.
+    pub run: RunNumber,
+    /// What it takes.
+    pub amount: Amount,
+}
+
+/// How a worker treats its tasks lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Conduct {
+    failures: u32,
+    last_failed: Option<JobId>,
+    several: bool,
+    /// Until when it gets nothing.
+    pub suspended: Tick,
+    /// It gets one task at a time until one succeeds.
+    pub probation: bool,
+}
+
+impl Conduct {
+    /// Notes a success.
+    pub fn succeed(&mut self) {
+        *self = Self { suspended: self.suspended, ..Self::default() };
+    }
+
+    /// Notes a failure of a task of `job`; tells whether the worker is suspected by it.
+    pub fn fail(&mut self, job: JobId, now: Tick) -> bool {
+        self.several |= self.last_failed.is_some_and(|last| last != job);
+        self.last_failed = Some(job);
+        self.failures += 1;
+        let suspected =
+            (self.several && self.failures >= SUSPECT_FAILURES) || (self.probation && self.several);
+        if suspected {
+            self.suspend(now);
+        }
+        suspected
+    }
+
+    /// Gives the worker nothing for a while, and then one task at a time.
+    pub fn suspend(&mut self, now: Tick) {
+        self.suspended = now + SUSPECT_TIME;
+        self.probation = true;
+    }
+}
+
+/// Where the long-polling call to a worker stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Poll {
+    /// The next one is due at this time.
+    Due(Tick),
+    /// One is under way.
+    Out,
+}
+
+/// A worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Worker {
+    /// How it registered itself.
+    pub info: WorkerInfo,
+    /// The platform's list has it now.
+    pub listed: bool,
+    /// The pool's roster in the store has it, so a successor will ask it.
+    pub rostered: bool,
+    /// The newest reading of its clock.
+    pub reading: Option<Reading>,
+    /// The highest deadline that any order gave it.
+    pub granted: WorkerTime,
+    /// Its last call failed.
+    pub silent: bool,
+    /// It has answered this owner, so no order of a predecessor counts there any more.
+    pub answered: bool,
+    /// Where the long poll stands.
+    pub poll: Poll,
+    /// Calls that failed in a row.
+    pub misses: u32,
+    /// Ends up to this number were taken in.
+    pub noted: u64,
+    /// Ends up to this number are recorded.
+    pub seen: u64,
+    /// What may run there.
+    pub runs: BTreeMap<TaskId, Charge>,
+    /// The sum of `runs`.
+    pub used: Amount,
+    /// Until when it gets nothing new, because planned work is about to take it.
+    pub cordoned: Tick,
+    /// A step for which room is being made there, and until when.
+    pub reserved: Option<Reservation>,
+    /// How it treats its tasks.
+    pub conduct: Conduct,
+}
+
+/// Room that is kept for a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reservation {
+    /// The step.
+    pub step: StepId,
+    /// When it ends.
+    pub until: Tick,
+}
+
+impl Worker {
+    /// Returns a worker of which only its registration is known.
+    pub fn new(info: WorkerInfo, now: Tick) -> Self {
+        Self {
+            info,
+            listed: true,
+            rostered: false,
+            reading: None,
+            granted: WorkerTime(0),
+            silent: false,
+            answered: false,
+            poll: Poll::Due(now),
+            misses: 0,
+            noted: 0,
+            seen: 0,
+            runs: BTreeMap::new(),
+            used: Amount::default(),
+            cordoned: Tick(0),
+            reserved: None,
+            conduct: Conduct::default(),
+        }
+    }
+
+    /// Returns what is free.
+    pub fn free(&self) -> Amount {
+        self.info.capacity.minus(self.used)
+    }
+
+    /// Notes that a run may be there from now on.
+    pub fn charge(&mut self, task: TaskId, run: RunNumber, amount: Amount) {
+        self.release(task);
+        self.runs.insert(task, Charge { run, amount });
+        self.used = self.used.plus(amount);
+    }
+
+    /// Notes that nothing of the task can be there any more.
+    pub fn release(&mut self, task: TaskId) {
+        if let Some(charge) = self.runs.remove(&task) {
+            self.used = self.used.minus(charge.amount);
+        }
+    }
+
+    /// Returns when every lease that was given here has surely lapsed; `None` before its clock was
+    /// ever read, when none was given.
+    pub fn lapses(&self) -> Option<Tick> {
+        self.reading.map(|reading| reading.surely_past(self.granted))
+    }
+
+    /// Tells whether it may get new tasks at all.
+    pub fn accepts(&self, now: Tick) -> bool {
+        self.listed
+            && self.rostered
+            && self.answered
+            && !self.silent
+            && !self.info.draining
+            && self.cordoned <= now
+            && self.conduct.suspended <= now
+            && !(self.conduct.probation && !self.runs.is_empty())
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/claims.rs
@@ -0,0 +1,373 @@
+//! Who is in charge of which pool: taking leases, and noticing that an owner is gone.
+
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+
+use reachhead_jobs::{
+    clock::Tick,
+    model::PoolPolicy,
+    pool::{Inheritance, Pool, StoredJob, StoredProgress, Tuning},
+    record::{
+        JobRecord, LeaseRecord, ProgressRecord, Roster, job_key, lease_key, progress_key,
+        roster_key, value,
+    },
+};
+use reachhead_ops::event::{Event, emit};
+use reachhead_store::{
+    StoreError,
+    row::{Commit, Row, Scan, Txn},
+};
+use reachhead_types::{
+    id::{JobId, NodeName, PoolName},
+    size::{FencingToken, Millis, Revision},
+};
+use siphasher::sip::SipHasher13;
+use tokio::time;
+
+use crate::{
+    fleet,
+    node::Node,
+    owner::{Owner, OwnerHandle, id_of, part_prefix},
+    peer::{Ask, Reply},
+    view::{Heard, LeaseView},
+};
+
+/// How often a process looks at the leases.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// How often a process asks the owners whether they live.
+const PING_PERIOD: Duration = Duration::from_millis(250);
+
+/// How long a process waits for the answer to that.
+const PING_TIME: Duration = Duration::from_millis(400);
+
+/// How long an owner must be silent before its pools are taken. Longer than a pause of a slow or
+/// frozen process that is usual, and short enough that workers' leases outlast the change of hands.
+const SILENT_TIME: Millis = Millis(1300);
+
+/// How long an owner must be without the store, while this process reaches it, before its pools are
+/// taken: it can't record anything.
+const BLIND_TIME: Millis = Millis(2500);
+
+/// How recently the store must have answered this process for it to take a pool.
+const FRESH_TIME: Millis = Millis(1000);
+
+/// Delay between one candidate and the next, so that mostly one of them writes.
+const RANK_DELAY: Millis = Millis(60);
+
+/// More delay for each pool that a process is in charge of already.
+const LOAD_DELAY: Millis = Millis(250);
+
+/// More delay for a process with a small part of a core, for each hundredth that it lacks.
+const SMALL_DELAY: Millis = Millis(8);
+
+/// Part of a core above which a process counts as large.
+const LARGE_CORES: f64 = 0.25;
+
+/// How long a process waits after its start before it takes pools, so that all know each other.
+const START_DELAY: Millis = Millis(300);
+
+/// How long an owner goes on giving orders without a sign that it is in charge. It has to last
+/// through an outage of the store, in which nobody can take charge.
+const TRUST_TIME: Millis = Millis(8000);
+
+/// Longest lease that workers are given, whatever they would grant: it is what a task is delayed by
+/// when its worker is lost, and it has to outlast a change of hands.
+const HOLD_MOST: Millis = Millis(4500);
+
+/// How long a long poll waits at a worker: well below half of the lease, and at most what the
+/// platform allows.
+const POLL_WAIT: Millis = Millis(1500);
+
+/// Takes pools for as long as the process lives.
+pub async fn run(node: Arc<Node>) {
+    let mut claims = Claims { started: node.now(), vacant: BTreeMap::new(), node };
+    loop {
+        time::sleep(LOOK_PERIOD).await;
+        if !claims.node.is_stopping() {
+            claims.look().await;
+        }
+    }
+}
+
+/// Asks the owners whether they live, for as long as the process lives.
+pub async fn ping(node: Arc<Node>) {
+    loop {
+        time::sleep(PING_PERIOD).await;
+        let owners: BTreeMap<NodeName, std::net::SocketAddr> = {
+            let view = node.view();
+            let owners = view.leases.keys().filter_map(|pool| view.owner(pool));
+            owners.filter(|(owner, _)| *owner != node.settings.node).collect()
+        };
+        for (owner, address) in owners {
+            let node = Arc::clone(&node);
+            tokio::spawn(async move {
+                if let Ok(Reply::Pong(owned, age)) =
+                    node.peers.ask(address, &Ask::Ping, PING_TIME).await
+                {
+                    let heard = Heard { at: node.now(), owned, store_age: age };
+                    node.view().heard.insert(owner, heard);
+                }
+            });
+        }
+    }
+}
+
+struct Claims {
+    node: Arc<Node>,
+    started: Tick,
+    /// Since when a pool has nobody in charge, as this process sees it.
+    vacant: BTreeMap<PoolName, Tick>,
+}
+
+impl Claims {
+    async fn look(&mut self) {
+        let now = self.node.now();
+        if now.since(self.started) < START_DELAY {
+            return;
+        }
+        let Some(config) = self.node.view().config.clone() else {
+            return;
+        };
+        let mut pools: Vec<PoolName> = config.pools.values().map(|pool| pool.name.clone()).collect();
+        if self.node.services.machines.is_some() {
+            pools.push(fleet::name());
+        }
+        for pool in pools {
+            if self.is_vacant(&pool, now) {
+                let since = *self.vacant.entry(pool.clone()).or_insert(now);
+                if now.since(since) >= self.delay(&pool) {
+                    self.vacant.remove(&pool);
+                    self.claim(&pool, config.pools.get(&pool)).await;
+                }
+            } else {
+                self.vacant.remove(&pool);
+            }
+        }
+    }
+
+    /// Tells whether nobody seems to be in charge of a pool.
+    fn is_vacant(&self, pool: &PoolName, now: Tick) -> bool {
+        let node = &self.node;
+        if node.owned().contains_key(pool) {
+            return false;
+        }
+        let view = node.view();
+        if now.since(view.store_seen) > FRESH_TIME {
+            return false;
+        }
+        let Some(lease) = view.leases.get(pool) else {
+            return now.since(view.leases_seen) < Millis(2 * TRUST_TIME.0);
+        };
+        let Some(owner) = &lease.record.owner else {
+            return true;
+        };
+        if *owner == node.settings.node {
+            return true;
+        }
+        let heard = view.heard.get(owner);
+        let last = heard.map_or(Tick(0), |heard| heard.at).max(lease.since).max(self.started);
+        if now.since(last) > SILENT_TIME {
+            return true;
+        }
+        let Some(heard) = heard.filter(|heard| heard.at > lease.since) else {
+            return false;
+        };
+        let absent = heard.owned.get(pool).is_none_or(|token| *token < lease.revision);
+        let unowned = absent && now.since(lease.since) > SILENT_TIME;
+        unowned || heard.store_age > BLIND_TIME.0
+    }
+
+    /// Returns how long this process lets others take a pool first.
+    fn delay(&self, pool: &PoolName) -> Millis {
+        let node = &self.node;
+        let view = node.view();
+        let own = weight(pool, &node.settings.node);
+        let before = view.members.keys().filter(|other| weight(pool, other) > own).count() as u64;
+        let owned = node.owned().len() as u64;
+        let lack = ((LARGE_CORES - node.settings.cores).max(0.0) * 100.0) as u64;
+        Millis(before * RANK_DELAY.0 + owned * LOAD_DELAY.0 + lack * SMALL_DELAY.0)
+    }
+
+    async fn claim(&self, pool: &PoolName, policy: Option<&PoolPolicy>) {
+        let node = &self.node;
+        let known = node.view().leases.get(pool).cloned();
+        let lease = match take(node, pool, known.as_ref()).await {
+            Ok(Some(lease)) => lease,
+            Ok(None) => return,
+            Err(error) => {
+                log::info!("pool={pool} can't be taken: {error}");
+                return;
+            }
+        };
+        node.metrics.taken.inc();
+        let (handle, inputs) = OwnerHandle::new(lease.revision);
+        if policy.is_none() {
+            node.owned().insert(pool.clone(), handle.clone());
+            tokio::spawn(fleet::run(Arc::clone(node), handle, inputs, lease));
+            return;
+        }
+        let found = match load(node, pool, known.is_some()).await {
+            Ok(found) => found,
+            Err(error) => {
+                // The lease names this process, so it tries again.
+                log::info!("pool={pool} its rows can't be read: {error}");
+                return;
+            }
+        };
+        emit(
+            Event::LeaseTaken,
+            format_args!(
+                "pool={pool} token={} term={} jobs={} workers={} before={:?}",
+                lease.revision,
+                lease.record.term,
+                found.jobs.len(),
+                found.roster.workers.len(),
+                known.and_then(|known| known.record.owner)
+            ),
+        );
+        let state = Pool::new(
+            pool.clone(),
+            FencingToken(lease.revision.0),
+            lease.record.term,
+            tuning(node),
+            found,
+            node.now(),
+            node.clock.wall(),
+        );
+        node.owned().insert(pool.clone(), handle.clone());
+        let owner =
+            Owner::new(Arc::clone(node), state, lease.record.term, handle.clone(), inputs);
+        tokio::spawn(lists(Arc::clone(node), pool.clone(), handle.clone()));
+        let (node, pool) = (Arc::clone(node), pool.clone());
+        tokio::spawn(async move {
+            owner.run().await;
+            release(&node, &pool, handle.token);
+        });
+    }
+}
+
+/// Forgets that this process is in charge of a pool.
+pub fn release(node: &Node, pool: &PoolName, token: Revision) {
+    let mut owned = node.owned();
+    if owned.get(pool).is_some_and(|handle| handle.token == token) {
+        owned.remove(pool);
+    }
+    emit(Event::LeaseEnded, format_args!("pool={pool} token={token}"));
+}
+
+/// Tells an owner of the pool's workers whenever the registered ones change.
+async fn lists(node: Arc<Node>, pool: PoolName, handle: OwnerHandle) {
+    let mut changed = node.workers_changed.subscribe();
+    loop {
+        if node.local(&pool).is_none_or(|owner| owner.token != handle.token) {
+            return;
+        }
+        let workers = {
+            let view = node.view();
+            view.workers.values().filter(|info| info.pool == pool).cloned().collect()
+        };
+        handle.send(crate::owner::Input::Listed(workers));
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn tuning(node: &Node) -> Tuning {
+    let settings = &node.settings;
+    Tuning {
+        hold: settings.hold.min(HOLD_MOST),
+        trust: TRUST_TIME,
+        wait: POLL_WAIT,
+        notice: settings.notice,
+        gang: settings.gang,
+        stop: settings.stop,
+    }
+}
+
+/// Returns a process's weight for a pool; the highest is the first candidate.
+fn weight(pool: &PoolName, node: &NodeName) -> u64 {
+    let mut hasher = SipHasher13::new();
+    (pool.as_str(), node.as_str()).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Writes the lease; `None` if somebody else did first.
+async fn take(
+    node: &Node,
+    pool: &PoolName,
+    known: Option<&LeaseView>,
+) -> Result<Option<LeaseView>, StoreError> {
+    let term = known.map_or(0, |known| known.record.term + 1);
+    let record = LeaseRecord { owner: Some(node.settings.node.clone()), term };
+    let key = lease_key(pool);
+    let txn = Txn::new()
+        .with_check(key.clone(), known.map(|known| known.revision))
+        .with_write(key.clone(), value(&record));
+    let result = node.services.store.commit(txn).await;
+    node.note_store(&result);
+    match result {
+        Ok(Commit::Done(revision)) => Ok(Some(adopt(node, pool, record, revision))),
+        Ok(Commit::Conflict(conflicts)) => {
+            let row = conflicts.into_iter().find_map(|conflict| conflict.row);
+            if let Some(row) = row {
+                adopt(node, pool, row.parse()?, row.revision);
+            }
+            Ok(None)
+        }
+        Err(StoreError::Lost(error)) => {
+            log::info!("pool={pool} the answer to the lease is lost, so it is read: {error}");
+            let rows = node.services.store.read(vec![key]).await?;
+            let Some(row) = rows.into_iter().flatten().next() else {
+                return Ok(None);
+            };
+            let found: LeaseRecord = row.parse()?;
+            let view = adopt(node, pool, found.clone(), row.revision);
+            Ok((found == record).then_some(view))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn adopt(node: &Node, pool: &PoolName, record: LeaseRecord, revision: Revision) -> LeaseView {
+    let now = node.now();
+    node.view().adopt_lease(pool.clone(), record.clone(), revision, now);
+    LeaseView { record, revision, since: now }
+}
+
+/// Reads what a predecessor left.
+async fn load(node: &Node, pool: &PoolName, contested: bool) -> Result<Inheritance, StoreError> {
+    let store = &node.services.store;
+    let part = |key| Scan { prefix: part_prefix(&key), after: None, limit: u32::MAX };
+    let jobs = store.scan(part(job_key(pool, JobId(0)))).await?;
+    let progress = store.scan(part(progress_key(pool, JobId(0)))).await?;
+    let roster = store.read(vec![roster_key(pool)]).await?.into_iter().flatten().next();
+    node.note_store(&Ok(()));
+    let mut found = Inheritance { contested, ..Inheritance::default() };
+    if let Some(row) = roster {
+        found.roster = row.parse::<Roster>()?;
+        found.roster_revision = Some(row.revision);
+    }
+    let progress: BTreeMap<JobId, &Row> =
+        progress.rows.iter().filter_map(|row| Some((id_of(&row.key)?, row))).collect();
+    for row in &jobs.rows {
+        let Some(id) = id_of(&row.key) else {
+            continue;
+        };
+        let record: JobRecord = row.parse()?;
+        let stored = match progress.get(&id) {
+            Some(row) => Some(StoredProgress {
+                record: row.parse::<ProgressRecord>()?,
+                revision: row.revision,
+            }),
+            None => None,
+        };
+        found.jobs.push(StoredJob { id, record, row: row.revision, progress: stored });
+    }
+    Ok(found)
+}
--- /dev/null
+++ b/reachhead_node/src/clock.rs
@@ -0,0 +1,40 @@
+//! The process's clocks.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use reachhead_jobs::clock::Tick;
+use reachhead_types::size::Millis;
+
+/// The tick of the process's start: far from zero, so that the ages of jobs that are older than the
+/// process can be told.
+const START: u64 = 1_000_000_000;
+
+/// A steady clock, and the time of day.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Returns a clock that starts now.
+    pub fn new() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Returns the time on the steady clock.
+    pub fn now(self) -> Tick {
+        Tick(START + self.start.elapsed().as_millis() as u64)
+    }
+
+    /// Returns the time of day, in milliseconds since 1970.
+    pub fn wall(self) -> Millis {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Millis(since.as_millis() as u64)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/fleet.rs
@@ -0,0 +1,355 @@
+//! Orders about hosts: maintenance in waves. One process at a time is in charge of all hosts.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration,
+};
+
+use reachhead_jobs::{
+    clock::Tick,
+    pool::Vacancy,
+    ports::{Machine, MachineError},
+    record::{LeaseRecord, lease_key, value},
+    wave::{Wave, WaveOrder, WaveRecord},
+};
+use reachhead_ops::event::{Event, emit};
+use reachhead_store::{
+    StoreError,
+    row::{Commit, Key, Txn},
+};
+use reachhead_types::{
+    id::{HostId, PoolName, WaveName},
+    size::{FencingToken, Millis, Revision},
+};
+use tokio::{sync::mpsc, time};
+
+use crate::{
+    claims,
+    frontend::ask_pool,
+    node::Node,
+    owner::{Input, OwnerHandle},
+    peer::{PoolAsk, Reply},
+    view::LeaseView,
+};
+
+/// How often a wave is looked at.
+const ROUND: Duration = Duration::from_millis(150);
+
+/// How often the process without a wave looks for one.
+const IDLE_ROUND: Duration = Duration::from_millis(300);
+
+/// How long the process gives no order after it took charge from another, so that no two act in
+/// turns.
+fn settle_time(node: &Node) -> Millis {
+    node.settings.duty
+}
+
+/// Returns the name under which the lease of all hosts is kept; no pool of the platform begins so.
+pub fn name() -> PoolName {
+    match ".hosts".parse() {
+        Ok(name) => name,
+        Err(error) => unreachable!("a constant name: {error}"),
+    }
+}
+
+fn wave_key(wave: &WaveName) -> Key {
+    Key(format!("wave/{}/{wave}", name()))
+}
+
+/// Carries out waves until the lease is lost or given back.
+pub async fn run(
+    node: Arc<Node>,
+    handle: OwnerHandle,
+    inputs: mpsc::UnboundedReceiver<Input>,
+    lease: LeaseView,
+) {
+    let token = handle.token;
+    emit(
+        Event::LeaseTaken,
+        format_args!("pool={} token={token} term={}", name(), lease.record.term),
+    );
+    let contested = lease.record.term > 0;
+    let quiet = if contested { settle_time(&node) } else { Millis(0) };
+    let mut fleet = Fleet {
+        begin: node.now() + quiet,
+        node: Arc::clone(&node),
+        token,
+        term: lease.record.term,
+        waves: BTreeMap::new(),
+        machines: BTreeMap::new(),
+        fenced: false,
+    };
+    fleet.run(inputs).await;
+    claims::release(&node, &name(), token);
+}
+
+struct Held {
+    wave: Wave,
+    revision: Option<Revision>,
+}
+
+struct Fleet {
+    node: Arc<Node>,
+    token: Revision,
+    term: u64,
+    begin: Tick,
+    waves: BTreeMap<WaveName, Held>,
+    machines: BTreeMap<HostId, Machine>,
+    fenced: bool,
+}
+
+impl Fleet {
+    async fn run(&mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        while !self.fenced && self.in_charge() {
+            let pause = if self.waves.is_empty() { IDLE_ROUND } else { ROUND };
+            match time::timeout(pause, inputs.recv()).await {
+                Ok(Some(Input::Release(done))) => {
+                    self.give_back().await;
+                    let _ = done.send(());
+                    return;
+                }
+                Ok(Some(Input::Lost) | None) => return,
+                Ok(Some(_)) => continue,
+                Err(_) => {}
+            }
+            if self.node.now() >= self.begin {
+                self.round().await;
+            }
+        }
+    }
+
+    fn in_charge(&self) -> bool {
+        let view = self.node.view();
+        view.leases.get(&name()).is_none_or(|lease| lease.revision <= self.token)
+    }
+
+    async fn round(&mut self) {
+        self.find_waves().await;
+        self.waves.retain(|_, held| !held.wave.record.completed);
+        if self.waves.is_empty() {
+            return;
+        }
+        if !self.read_machines().await {
+            return;
+        }
+        let names: Vec<WaveName> = self.waves.keys().cloned().collect();
+        for wave in names {
+            self.drive(&wave).await;
+        }
+    }
+
+    /// Takes over waves that operators asked for and that are not completed.
+    async fn find_waves(&mut self) {
+        let orders: Vec<WaveOrder> = self.node.view().waves.values().cloned().collect();
+        for order in orders {
+            if self.waves.contains_key(&order.name) || self.is_completed(&order.name) {
+                continue;
+            }
+            let rows = self.node.services.store.read(vec![wave_key(&order.name)]).await;
+            self.node.note_store(&rows);
+            let row = match rows {
+                Ok(rows) => rows.into_iter().flatten().next(),
+                Err(error) => {
+                    log::info!("wave={} its row can't be read: {error}", order.name);
+                    continue;
+                }
+            };
+            let record = match row.as_ref().map(|row| row.parse::<WaveRecord>()).transpose() {
+                Ok(record) => record.unwrap_or_default(),
+                Err(error) => {
+                    emit(Event::RowRefused, error);
+                    continue;
+                }
+            };
+            emit(
+                Event::WaveChanged,
+                format_args!(
+                    "wave={} hosts={} begun={} within={}ms most={}",
+                    order.name,
+                    order.hosts.len(),
+                    record.begun.len(),
+                    order.within,
+                    order.most
+                ),
+            );
+            if record.completed {
+                self.node.view().waves.remove(&order.name);
+                continue;
+            }
+            let wave = Wave::new(order.clone(), record, self.node.now());
+            let held = Held { wave, revision: row.map(|row| row.revision) };
+            self.waves.insert(order.name.clone(), held);
+            self.save(&order.name).await;
+        }
+    }
+
+    fn is_completed(&self, wave: &WaveName) -> bool {
+        self.waves.get(wave).is_some_and(|held| held.wave.record.completed)
+    }
+
+    async fn read_machines(&mut self) -> bool {
+        let Some(machines) = &self.node.services.machines else {
+            return false;
+        };
+        match machines.list().await {
+            Ok(list) => {
+                self.machines =
+                    list.into_iter().map(|machine| (machine.host.clone(), machine)).collect();
+                true
+            }
+            Err(error) => {
+                log::info!("the hosts can't be listed: {error}");
+                false
+            }
+        }
+    }
+
+    async fn drive(&mut self, name: &WaveName) {
+        let now = self.node.now();
+        let Some(held) = self.waves.get_mut(name) else {
+            return;
+        };
+        let step = held.wave.next(&self.machines, now);
+        let mut changed = !step.gone.is_empty();
+        for host in &step.gone {
+            held.wave.begun(host);
+        }
+        for host in step.vacate {
+            changed |= self.take_host(name, &host).await;
+        }
+        let done = self.waves.get(name).is_some_and(|held| held.wave.is_done());
+        if changed || done {
+            self.save(name).await;
+        }
+    }
+
+    /// Empties a host and orders it down once that may be; tells whether its maintenance has begun.
+    async fn take_host(&mut self, name: &WaveName, host: &HostId) -> bool {
+        let Some(machine) = self.machines.get(host).cloned() else {
+            return false;
+        };
+        let vacancy = self.vacancy(&machine).await;
+        let now = self.node.now();
+        let Some(held) = self.waves.get_mut(name) else {
+            return false;
+        };
+        if !held.wave.may_take(host, vacancy, &self.machines, now) {
+            return false;
+        }
+        let Some(machines) = &self.node.services.machines else {
+            return false;
+        };
+        held.wave.ordered(host, now);
+        let token = FencingToken(self.token.0);
+        let result = machines.maintain(token, host.clone(), name.clone()).await;
+        emit(
+            Event::HostOrdered,
+            format_args!("wave={name} host={host} vacancy={vacancy:?} token={token} {result:?}"),
+        );
+        match result {
+            Ok(()) | Err(MachineError::Unknown | MachineError::Foreign) => {
+                held.wave.begun(host);
+                if let Some(worker) = machine.worker {
+                    let over = PoolAsk::Over(worker);
+                    ask_pool(&self.node, &machine.pool, over).await;
+                }
+                true
+            }
+            Err(MachineError::Fenced) => {
+                self.fenced = true;
+                false
+            }
+            Err(MachineError::Busy | MachineError::NotDone(_)) => {
+                held.wave.not_taken(host);
+                false
+            }
+            // The order may have had effect; it is repeated, and then it says so.
+            Err(MachineError::Lost(_)) => false,
+        }
+    }
+
+    async fn vacancy(&self, machine: &Machine) -> Vacancy {
+        let Some(worker) = &machine.worker else {
+            return Vacancy::Empty;
+        };
+        let ask = PoolAsk::Vacate(worker.clone());
+        match ask_pool(&self.node, &machine.pool, ask).await {
+            Some(Reply::Vacancy(vacancy)) => vacancy,
+            // Without the pool's owner nobody knows what is there.
+            _ => Vacancy::Protected,
+        }
+    }
+
+    /// Records a wave and tells operators how far it is.
+    async fn save(&mut self, wave: &WaveName) {
+        let Some(held) = self.waves.get_mut(wave) else {
+            return;
+        };
+        let done = held.wave.is_done();
+        let record = WaveRecord { completed: done, ..held.wave.record.clone() };
+        let key = wave_key(wave);
+        let txn = Txn::new()
+            .with_check(lease_key(&name()), Some(self.token))
+            .with_check(key.clone(), held.revision)
+            .with_write(key.clone(), value(&record));
+        let result = self.node.services.store.commit(txn).await;
+        self.node.note_store(&result);
+        match result {
+            Ok(Commit::Done(revision)) => {
+                held.revision = Some(revision);
+                if self.tell(wave, done).await {
+                    self.finish(wave, done);
+                }
+            }
+            Ok(Commit::Conflict(conflicts)) => {
+                for conflict in conflicts {
+                    let found = conflict.row.map(|row| row.revision);
+                    if conflict.key == key {
+                        held.revision = found;
+                    } else {
+                        self.fenced = true;
+                    }
+                }
+            }
+            Err(error) => emit(Event::RecordFailed, format_args!("wave={wave} {error}")),
+        }
+    }
+
+    fn finish(&mut self, wave: &WaveName, done: bool) {
+        if !done {
+            return;
+        }
+        emit(Event::WaveChanged, format_args!("wave={wave} completed"));
+        if let Some(held) = self.waves.get_mut(wave) {
+            held.wave.record.completed = true;
+        }
+        self.node.view().waves.remove(wave);
+    }
+
+    async fn tell(&self, wave: &WaveName, done: bool) -> bool {
+        let write = self.node.services.dialect.wave_status(wave, done);
+        let mut txn = Txn::new();
+        txn.writes.push(write);
+        match self.node.services.store.commit(txn).await {
+            Ok(_) => true,
+            Err(error) => {
+                emit(Event::RecordFailed, format_args!("wave={wave} status: {error}"));
+                false
+            }
+        }
+    }
+
+    async fn give_back(&self) {
+        let record = LeaseRecord { owner: None, term: self.term };
+        let txn = Txn::new()
+            .with_check(lease_key(&name()), Some(self.token))
+            .with_write(lease_key(&name()), value(&record));
+        match self.node.services.store.commit(txn).await {
+            Ok(_) => {}
+            Err(StoreError::Lost(error) | StoreError::NotDone(error) | StoreError::Refused(error)) => {
+                emit(Event::RecordFailed, format_args!("pool={} {error}", name()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/follow.rs
@@ -0,0 +1,306 @@
+//! Following the platform's tables.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::BoxFuture;
+use rand::Rng;
+use reachhead_jobs::{
+    clock::Tick,
+    ports::{Change, FeedError, FeedPage, OperatorRow},
+    record::{LeaseRecord, MEMBER_PART, MemberRecord},
+};
+use reachhead_ops::event::{Event, emit};
+use reachhead_store::row::{Key, Row};
+use reachhead_types::{id::PoolName, size::Millis};
+use tokio::time;
+
+use crate::node::Node;
+
+/// How long a poll of the operators' table waits. The configuration in force is known to be at most
+/// this old, which has to be well below the time in which a version must be in force.
+const OPERATOR_WAIT: Millis = Millis(1000);
+
+/// How long a poll of the leases waits; each answer tells an owner that it still is in charge.
+const LEASE_WAIT: Millis = Millis(1500);
+
+/// How long a poll of the workers waits.
+const WORKER_WAIT: Millis = Millis(3000);
+
+/// First pause after a call that failed.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest pause after calls that failed.
+const PAUSE_MOST: Duration = Duration::from_millis(1000);
+
+/// The table of leases and processes.
+pub const LEASE_TABLE: &str = "lease";
+
+/// A table and what is done with its rows.
+pub trait Follower: Send + Sync {
+    /// Returns the table.
+    fn table(&self) -> &'static str;
+
+    /// Returns how long a poll waits.
+    fn wait(&self) -> Millis;
+
+    /// Tells whether the table is needed now.
+    fn wanted(&self) -> bool {
+        true
+    }
+
+    /// Takes in all rows of the table.
+    fn reset(&self, rows: &[Change]);
+
+    /// Takes in changes.
+    fn apply(&self, changes: &[Change]);
+
+    /// Notes that the table was as it is here at `at`.
+    fn seen(&self, at: Tick);
+}
+
+/// Follows a table for as long as the process lives.
+pub fn follow(node: Arc<Node>, follower: Arc<dyn Follower>) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let mut pause = PAUSE_FIRST;
+        loop {
+            if !follower.wanted() {
+                time::sleep(PAUSE_FIRST).await;
+                continue;
+            }
+            let sent = node.now();
+            let page = node.services.feed.table(follower.table()).await;
+            node.note_store(&page);
+            match page {
+                Ok(page) => {
+                    emit(
+                        Event::TableRead,
+                        format_args!(
+                            "table={} rows={} revision={}",
+                            follower.table(),
+                            page.changes.len(),
+                            page.revision
+                        ),
+                    );
+                    follower.reset(&page.changes);
+                    follower.seen(sent);
+                    pause = PAUSE_FIRST;
+                    poll(&node, &*follower, page).await;
+                }
+                Err(error) => {
+                    log::info!("table={} can't be read: {error}", follower.table());
+                    time::sleep(jittered(pause)).await;
+                    pause = (pause * 2).min(PAUSE_MOST);
+                }
+            }
+        }
+    })
+}
+
+/// Polls for changes until the table has to be read anew or is not needed any more.
+async fn poll(node: &Node, follower: &dyn Follower, start: FeedPage) {
+    let mut revision = start.revision;
+    let mut pause = PAUSE_FIRST;
+    while follower.wanted() {
+        let sent = node.now();
+        let page = node.services.feed.changes(follower.table(), revision, follower.wait()).await;
+        match page {
+            Ok(page) => {
+                node.note_store(&Ok(()));
+                revision = revision.max(page.revision);
+                if !page.changes.is_empty() {
+                    follower.apply(&page.changes);
+                }
+                follower.seen(sent);
+                pause = PAUSE_FIRST;
+            }
+            Err(FeedError::Forgotten) => return,
+            Err(FeedError::Store(error)) => {
+                log::info!("table={} can't be followed: {error}", follower.table());
+                time::sleep(jittered(pause)).await;
+                pause = (pause * 2).min(PAUSE_MOST);
+            }
+        }
+    }
+}
+
+/// Spreads retries of many processes.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
+/// The operators' table.
+pub struct Operators(pub Arc<Node>);
+
+impl Operators {
+    fn take(&self, change: &Change) {
+        let node = &self.0;
+        if change.deleted {
+            return;
+        }
+        match node.services.dialect.operator_row(&change.row) {
+            Ok(OperatorRow::Configuration(config)) => {
+                let version = config.version;
+                if node.view().adopt(config) {
+                    let revision = change.row.revision;
+                    emit(
+                        Event::ConfigInForce,
+                        format_args!("version={version} revision={revision}"),
+                    );
+                }
+            }
+            Ok(OperatorRow::Wave(order)) => {
+                node.view().waves.insert(order.name.clone(), order);
+            }
+            Ok(OperatorRow::Other) => {}
+            Err(error) => emit(Event::RowRefused, error),
+        }
+    }
+}
+
+impl Follower for Operators {
+    fn table(&self) -> &'static str {
+        self.0.services.dialect.operator_table()
+    }
+
+    fn wait(&self) -> Millis {
+        OPERATOR_WAIT
+    }
+
+    fn reset(&self, rows: &[Change]) {
+        self.apply(rows);
+    }
+
+    fn apply(&self, changes: &[Change]) {
+        for change in changes {
+            self.take(change);
+        }
+    }
+
+    fn seen(&self, at: Tick) {
+        let mut view = self.0.view();
+        view.config_seen = view.config_seen.max(at);
+    }
+}
+
+/// The table of leases and processes.
+pub struct Leases(pub Arc<Node>);
+
+impl Leases {
+    fn take(&self, change: &Change, now: Tick) {
+        match parse(&change.row.key) {
+            Some(LeaseKey::Member(node)) => self.member(node, change),
+            Some(LeaseKey::Pool(pool)) if !change.deleted => {
+                match change.row.parse::<LeaseRecord>() {
+                    Ok(record) => {
+                        self.0.view().adopt_lease(pool, record, change.row.revision, now);
+                    }
+                    Err(error) => emit(Event::RowRefused, error),
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn member(&self, node: reachhead_types::id::NodeName, change: &Change) {
+        if change.deleted {
+            self.0.view().members.remove(&node);
+            return;
+        }
+        match change.row.parse::<MemberRecord>() {
+            Ok(record) => {
+                self.0.view().members.insert(node, record.address);
+            }
+            Err(error) => emit(Event::RowRefused, error),
+        }
+    }
+}
+
+impl Follower for Leases {
+    fn table(&self) -> &'static str {
+        LEASE_TABLE
+    }
+
+    fn wait(&self) -> Millis {
+        LEASE_WAIT
+    }
+
+    fn reset(&self, rows: &[Change]) {
+        self.0.view().members.clear();
+        self.apply(rows);
+    }
+
+    fn apply(&self, changes: &[Change]) {
+        let now = self.0.now();
+        for change in changes {
+            self.take(change, now);
+        }
+    }
+
+    fn seen(&self, at: Tick) {
+        let mut view = self.0.view();
+        view.leases_seen = view.leases_seen.max(at);
+    }
+}
+
+enum LeaseKey {
+    Member(reachhead_types::id::NodeName),
+    Pool(PoolName),
+}
+
+fn parse(key: &Key) -> Option<LeaseKey> {
+    let mut parts = key.0.splitn(3, '/').skip(1);
+    let (part, rest) = (parts.next()?, parts.next()?);
+    if part == MEMBER_PART {
+        return rest.parse().ok().map(LeaseKey::Member);
+    }
+    part.parse().ok().map(LeaseKey::Pool)
+}
+
+/// The table in which workers register; only who is in charge of something needs it.
+pub struct Workers(pub Arc<Node>);
+
+impl Workers {
+    fn take(&self, row: &Row, deleted: bool) {
+        let node = &self.0;
+        if deleted {
+            if let Some(id) = node.services.dialect.worker_of(&row.key) {
+                node.view().workers.remove(&id);
+            }
+            return;
+        }
+        match node.services.dialect.worker_row(row) {
+            Ok(info) => {
+                node.view().workers.insert(info.id.clone(), info);
+            }
+            Err(error) => emit(Event::RowRefused, error),
+        }
+    }
+}
+
+impl Follower for Workers {
+    fn table(&self) -> &'static str {
+        self.0.services.dialect.worker_table()
+    }
+
+    fn wait(&self) -> Millis {
+        WORKER_WAIT
+    }
+
+    fn wanted(&self) -> bool {
+        !self.0.owned().is_empty()
+    }
+
+    fn reset(&self, rows: &[Change]) {
+        self.0.view().workers.clear();
+        self.apply(rows);
+    }
+
+    fn apply(&self, changes: &[Change]) {
+        for change in changes {
+            self.take(&change.row, change.deleted);
+        }
+        self.0.workers_changed.send_modify(|count| *count += 1);
+    }
+
+    fn seen(&self, _at: Tick) {}
+}
--- /dev/null
+++ b/reachhead_node/src/frontend.rs
@@ -0,0 +1,352 @@
+//! Answering callers: any process takes any call, and asks the owner of the queue's pool.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::{BoxFuture, FutureExt};
+use reachhead_jobs::{
+    model::Queue,
+    pool::JobState,
+    ports::{Answer, Call, CallKind, Frontend, OperatorRow},
+    record::{FinalRecord, JobRecord, final_key, job_key, progress_key, value},
+};
+use reachhead_ops::event::{Event, emit};
+use reachhead_store::{
+    StoreError,
+    row::{Commit, Scan, Txn},
+};
+use reachhead_types::{
+    error::ErrorKind,
+    id::{JobId, PoolName},
+    size::{Millis, Revision},
+};
+use tokio::time::{self, Instant};
+
+use crate::{
+    node::Node,
+    owner::{CancelReply, part_prefix},
+    peer::{Ask, PoolAsk, Reply, ask_owner},
+};
+
+/// Age above which the configuration is looked at before a call is decided by it. The followed table
+/// is confirmed every second, so this is only reached when its connection fails.
+const CONFIG_AGE: Millis = Millis(1400);
+
+/// Longest wait for an owner's answer about one job; the store can answer too.
+const OWNER_TIME: Duration = Duration::from_millis(700);
+
+/// Pause between tries to reach an owner.
+const OWNER_PAUSE: Duration = Duration::from_millis(150);
+
+/// Part of a caller's time that is left unused, so that the answer arrives in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
+/// Tries to tell an owner of a job; afterwards it finds the job in the store.
+const NOTIFY_TRIES: u32 = 4;
+
+/// How long ago the store must have answered for a process to be ready.
+const STORE_AGE: Millis = Millis(3000);
+
+/// The frontend of a process.
+pub struct NodeFrontend(pub Arc<Node>);
+
+impl NodeFrontend {
+    async fn submit(&self, queue: Arc<Queue>, id: JobId, call: Submission) -> Answer {
+        let node = &self.0;
+        let record = JobRecord { queue, plan: call.plan, accepted: node.clock.wall() };
+        let pool = record.queue.pool.clone();
+        let txn = Txn::new()
+            .with_check(job_key(&pool, id), None)
+            .with_check(final_key(&pool, id), None)
+            .with_write(job_key(&pool, id), value(&record));
+        let mut doubtful = false;
+        loop {
+            let result = node.services.store.commit(txn.clone()).await;
+            node.note_store(&result);
+            match result {
+                Ok(Commit::Done(revision)) => {
+                    emit(
+                        Event::JobAccepted,
+                        format_args!(
+                            "job={id} queue={} pool={pool} revision={revision}",
+                            record.queue.name
+                        ),
+                    );
+                    tokio::spawn(notify(Arc::clone(node), pool, id, record, revision));
+                    return Answer::Accepted;
+                }
+                // It is stored already: the caller asks again, or a lost answer was a success.
+                Ok(Commit::Conflict(_)) => return Answer::Accepted,
+                Err(StoreError::NotDone(_)) if !doubtful => {
+                    return Answer::Refused(ErrorKind::NotStored);
+                }
+                Err(StoreError::Refused(error)) => {
+                    log::warn!("job={id} the store refuses it: {error}");
+                    let kind =
+                        if doubtful { ErrorKind::SubmissionLost } else { ErrorKind::BodyTooLarge };
+                    return Answer::Refused(kind);
+                }
+                Err(_) => doubtful = true,
+            }
+            if Instant::now() + OWNER_PAUSE >= call.until {
+                return Answer::Refused(ErrorKind::SubmissionLost);
+            }
+            time::sleep(OWNER_PAUSE).await;
+        }
+    }
+
+    async fn state(&self, pool: &PoolName, id: JobId) -> Answer {
+        if let Some(Reply::State(Some(state))) = self.ask(pool, PoolAsk::State(id)).await {
+            return Answer::State(state);
+        }
+        match self.stored_state(pool, id).await {
+            Ok(Some(state)) => Answer::State(state),
+            Ok(None) => Answer::Gone,
+            Err(error) => {
+                log::info!("job={id} neither the owner nor the store can be asked: {error}");
+                Answer::Refused(ErrorKind::JobUnreachable)
+            }
+        }
+    }
+
+    /// Returns a job's state by the store alone, `None` if there is no such job.
+    async fn stored_state(
+        &self,
+        pool: &PoolName,
+        id: JobId,
+    ) -> Result<Option<JobState>, StoreError> {
+        // The job's row is read before the final one, which replaces it in one transaction.
+        let keys = vec![job_key(pool, id), final_key(pool, id), progress_key(pool, id)];
+        let rows = self.0.services.store.read(keys).await;
+        self.0.note_store(&rows);
+        let mut rows = rows?.into_iter();
+        let mut next = || rows.next().flatten();
+        let (job, ended, progress) = (next(), next(), next());
+        if let Some(row) = ended {
+            return Ok(Some(JobState::Over(row.parse::<FinalRecord>()?.ending)));
+        }
+        Ok(job.map(|_| if progress.is_some() { JobState::Running } else { JobState::Queued }))
+    }
+
+    async fn cancel(&self, pool: &PoolName, id: JobId, until: Instant) -> Answer {
+        loop {
+            match self.ask(pool, PoolAsk::Cancel(id)).await {
+                Some(Reply::Cancel(CancelReply::Over)) => return Answer::Cancelled,
+                Some(Reply::Cancel(CancelReply::Unknown)) => {
+                    if let Some(answer) = self.introduce(pool, id).await {
+                        return answer;
+                    }
+                }
+                _ => {}
+            }
+            if Instant::now() + OWNER_PAUSE >= until {
+                return Answer::Refused(ErrorKind::JobUnreachable);
+            }
+            time::sleep(OWNER_PAUSE).await;
+        }
+    }
+
+    /// Tells the owner of a stored job that it does not know; returns an answer if there is none.
+    async fn introduce(&self, pool: &PoolName, id: JobId) -> Option<Answer> {
+        let keys = vec![job_key(pool, id), final_key(pool, id)];
+        let rows = self.0.services.store.read(keys).await;
+        self.0.note_store(&rows);
+        match rows {
+            Ok(rows) => {
+                let mut rows = rows.into_iter();
+                let job = rows.next().flatten();
+                if rows.next().flatten().is_some() {
+                    return Some(Answer::Cancelled);
+                }
+                let Some(row) = job else {
+                    return Some(Answer::Gone);
+                };
+                match row.parse::<JobRecord>() {
+                    Ok(record) => {
+                        self.ask(pool, PoolAsk::Submit(id, record, row.revision)).await;
+                    }
+                    Err(error) => emit(Event::RowRefused, error),
+                }
+                None
+            }
+            Err(error) => {
+                log::info!("job={id} the store can't be asked: {error}");
+                None
+            }
+        }
+    }
+
+    async fn waiting(&self, queue: &Queue) -> Answer {
+        let ask = PoolAsk::Waiting(queue.name.clone());
+        if let Some(Reply::Waiting(count)) = self.ask(&queue.pool, ask).await {
+            return Answer::Waiting(count);
+        }
+        let prefix = part_prefix(&job_key(&queue.pool, JobId(0)));
+        let scan = Scan { prefix, after: None, limit: u32::MAX };
+        let page = self.0.services.store.scan(scan).await;
+        self.0.note_store(&page);
+        match page {
+            // Jobs that have begun count too: without the owner nobody knows which have.
+            Ok(page) => {
+                let jobs = page.rows.iter().filter_map(|row| row.parse::<JobRecord>().ok());
+                Answer::Waiting(jobs.filter(|job| job.queue.name == queue.name).count() as u32)
+            }
+            Err(error) => {
+                log::info!("queue={} can't be counted: {error}", queue.name);
+                Answer::Refused(ErrorKind::JobUnreachable)
+            }
+        }
+    }
+
+    async fn ask(&self, pool: &PoolName, ask: PoolAsk) -> Option<Reply> {
+        ask_pool(&self.0, pool, ask).await
+    }
+
+    /// Looks at the configuration in the store.
+    async fn refresh(&self) -> Result<(), StoreError> {
+        let node = &self.0;
+        let sent = node.now();
+        let rows = node.services.store.read(vec![node.services.dialect.config_key()]).await;
+        node.note_store(&rows);
+        let row = rows?.into_iter().flatten().next();
+        if let Some(row) = row {
+            match node.services.dialect.operator_row(&row) {
+                Ok(OperatorRow::Configuration(config)) => {
+                    node.view().adopt(config);
+                }
+                Ok(_) => {}
+                Err(error) => emit(Event::RowRefused, error),
+            }
+        }
+        let mut view = node.view();
+        view.config_seen = view.config_seen.max(sent);
+        Ok(())
+    }
+
+    fn find(&self, host: &str, path: &str) -> Option<Arc<Queue>> {
+        self.0.view().config.as_ref()?.route(host, path).cloned()
+    }
+
+    async fn answer(&self, call: Call) -> Answer {
+        let pool = call.queue.pool.clone();
+        let until = Instant::now() + call.remaining.duration().saturating_sub(ANSWER_MARGIN);
+        match call.kind {
+            CallKind::Submit(id, plan) => {
+                self.submit(call.queue, id, Submission { plan, until }).await
+            }
+            CallKind::State(id) => self.state(&pool, id).await,
+            CallKind::Cancel(id) => self.cancel(&pool, id, until).await,
+            CallKind::Waiting => self.waiting(&call.queue).await,
+        }
+    }
+}
+
+/// A job to be stored.
+struct Submission {
+    plan: Arc<reachhead_jobs::model::Plan>,
+    until: Instant,
+}
+
+/// Asks the owner of a pool, here or at a peer; `None` if it can't be asked.
+pub async fn ask_pool(node: &Node, pool: &PoolName, ask: PoolAsk) -> Option<Reply> {
+    if let Some(owner) = node.local(pool) {
+        return Some(ask_owner(&owner, ask).await).filter(|reply| !matches!(reply, Reply::NotOwner));
+    }
+    let (owner, address) = node.view().owner(pool)?;
+    if owner == node.settings.node {
+        return None;
+    }
+    match node.peers.ask(address, &Ask::Pool(pool.clone(), ask), OWNER_TIME).await {
+        Ok(Reply::NotOwner) => None,
+        Ok(reply) => Some(reply),
+        Err(error) => {
+            log::info!("pool={pool} owner={owner} does not answer: {error}");
+            None
+        }
+    }
+}
+
+/// Tells the owner of a pool of a job; if that fails, the owner finds it in the store.
+async fn notify(node: Arc<Node>, pool: PoolName, id: JobId, record: JobRecord, row: Revision) {
+    for _ in 0..NOTIFY_TRIES {
+        let ask = PoolAsk::Submit(id, record.clone(), row);
+        if ask_pool(&node, &pool, ask).await.is_some() {
+            return;
+        }
+        time::sleep(OWNER_PAUSE).await;
+    }
+    log::info!("job={id} pool={pool} nobody could be told; the owner will find it in the store");
+}
+
+fn name_of(kind: &CallKind) -> &'static str {
+    match kind {
+        CallKind::Submit(..) => "submit",
+        CallKind::State(_) => "state",
+        CallKind::Cancel(_) => "cancel",
+        CallKind::Waiting => "waiting",
+    }
+}
+
+impl Frontend for NodeFrontend {
+    fn route<'a>(
+        &'a self,
+        host: &'a str,
+        path: &'a str,
+    ) -> BoxFuture<'a, Result<Arc<Queue>, ErrorKind>> {
+        async move {
+            let age = self.0.now().since(self.0.view().config_seen);
+            if age <= CONFIG_AGE
+                && let Some(queue) = self.find(host, path)
+            {
+                return Ok(queue);
+            }
+            // Nothing may be decided by an old configuration, and a route may be new.
+            if let Err(error) = self.refresh().await {
+                let refused = ErrorKind::NotReady;
+                emit(
+                    Event::CallRefused,
+                    format_args!("path={path} kind={refused} configuration_age={age}ms: {error}"),
+                );
+                return Err(refused);
+            }
+            if self.0.view().config.is_none() {
+                return Err(ErrorKind::NotReady);
+            }
+            self.find(host, path).ok_or(ErrorKind::NoRoute)
+        }
+        .boxed()
+    }
+
+    fn call(&self, call: Call) -> BoxFuture<'_, Answer> {
+        async move {
+            let started = Instant::now();
+            let name = name_of(&call.kind);
+            let queue = call.queue.name.clone();
+            let id = match &call.kind {
+                CallKind::Submit(id, _) | CallKind::State(id) | CallKind::Cancel(id) => Some(*id),
+                CallKind::Waiting => None,
+            };
+            let answer = self.answer(call).await;
+            if let Answer::Refused(kind) = &answer {
+                let job = id.map(|id| id.to_string()).unwrap_or_default();
+                let ms = started.elapsed().as_millis();
+                emit(
+                    Event::CallRefused,
+                    format_args!("job={job} call={name} queue={queue} kind={kind} after={ms}ms"),
+                );
+            }
+            self.0.metrics.answer(name, &answer, started.elapsed().as_secs_f64());
+            answer
+        }
+        .boxed()
+    }
+
+    fn body_limit(&self) -> usize {
+        self.0.view().config.as_ref().map_or(usize::MAX, |config| config.limits.body)
+    }
+
+    fn is_ready(&self) -> bool {
+        let view = self.0.view();
+        let heard = self.0.now().since(view.store_seen) <= STORE_AGE;
+        view.config.is_some() && heard && !self.0.is_stopping()
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/main.rs
@@ -0,0 +1,55 @@
+//! `reachhead-node`: the process that runs on each entry host of the users' platform.
+
+mod claims;
+mod clock;
+mod fleet;
+mod follow;
+mod frontend;
+mod metrics;
+mod node;
+mod observe;
+mod owner;
+mod peer;
+mod process;
+mod view;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use reachhead_ops::cli::{EXIT_RUNTIME, EXIT_SETTINGS, parse_args, start_logs};
+use reachhead_platform::settings::Settings;
+
+/// Serves callers and schedules their jobs on the users' platform. The settings file is named by
+/// REACHHEAD_CONFIG; docs/PLATFORM.md tells what it holds.
+#[derive(FromArgs)]
+struct Args {
+    /// check the settings file and end
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Args = match parse_args("reachhead-node") {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    let settings = match Settings::load() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("reachhead-node: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("the settings of {} are good", settings.node);
+        return ExitCode::SUCCESS;
+    }
+    start_logs();
+    match process::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("reachhead-node: {error}");
+            ExitCode::from(EXIT_RUNTIME)
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/metrics.rs
@@ -0,0 +1,109 @@
+//! What a process counts.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use reachhead_jobs::ports::{Answer, WorkerError};
+
+/// Upper bound of the first bucket of latencies, in seconds; each next one is twice as large.
+const FIRST_BUCKET: f64 = 0.001;
+
+/// Buckets of latencies: the last holds what takes over four seconds.
+const BUCKETS: u16 = 13;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderLabels {
+    order: &'static str,
+    result: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    call: &'static str,
+    answer: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+}
+
+fn latencies() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
+}
+
+/// The counters and histograms of a process.
+pub struct Metrics {
+    orders: Family<OrderLabels, Counter>,
+    answers: Family<AnswerLabels, Counter>,
+    latency: Family<CallLabels, Histogram>,
+    /// How often this process took charge of a pool.
+    pub taken: Counter,
+}
+
+impl Metrics {
+    /// Returns metrics that are registered with `registry`.
+    pub fn new(registry: &mut Registry) -> Self {
+        let histogram: fn() -> Histogram = latencies;
+        let latency = Family::new_with_constructor(histogram);
+        let metrics = Self {
+            orders: Family::default(),
+            answers: Family::default(),
+            latency,
+            taken: Counter::default(),
+        };
+        registry.register(
+            "reachhead_worker_orders",
+            "Orders to workers by what came of them",
+            metrics.orders.clone(),
+        );
+        registry.register(
+            "reachhead_answers",
+            "Answers to callers",
+            metrics.answers.clone(),
+        );
+        registry.register(
+            "reachhead_answer_seconds",
+            "Time from a caller's request to its answer",
+            metrics.latency.clone(),
+        );
+        registry.register(
+            "reachhead_pools_taken",
+            "How often this process took charge of a pool",
+            metrics.taken.clone(),
+        );
+        metrics
+    }
+
+    /// Counts an order to a worker.
+    pub fn order<T>(&self, order: &'static str, result: &Result<T, WorkerError>) {
+        let result = match result {
+            Ok(_) => "done",
+            Err(WorkerError::Unreachable(_)) => "unreachable",
+            Err(WorkerError::Lost(_)) => "lost",
+            Err(WorkerError::Replaced) => "replaced",
+            Err(WorkerError::Rejected(_)) => "rejected",
+        };
+        self.orders.get_or_create(&OrderLabels { order, result }).inc();
+    }
+
+    /// Counts an answer to a caller that took this many seconds.
+    pub fn answer(&self, call: &'static str, answer: &Answer, seconds: f64) {
+        let told = match answer {
+            Answer::Accepted => "accepted",
+            Answer::State(_) => "state",
+            Answer::Cancelled => "cancelled",
+            Answer::Gone => "gone",
+            Answer::Waiting(_) => "waiting",
+            Answer::Refused(kind) => kind.as_str(),
+        };
+        self.answers.get_or_create(&AnswerLabels { call, answer: told }).inc();
+        self.latency.get_or_create(&CallLabels { call }).observe(seconds);
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/node.rs
@@ -0,0 +1,115 @@
+//! What the tasks of a process share.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use reachhead_jobs::{
+    clock::Tick,
+    ports::{Advisor, Dialect, MachineApi, TableFeed, WorkerAgent},
+};
+use reachhead_platform::settings::Settings;
+use reachhead_store::{Store, StoreError};
+use reachhead_types::id::PoolName;
+use tokio::sync::watch;
+
+use crate::{
+    clock::Clock,
+    metrics::Metrics,
+    owner::OwnerHandle,
+    peer::PeerClient,
+    view::View,
+};
+
+/// The services of the platform, as the product needs them.
+pub struct Services {
+    /// The store, behind a breaker.
+    pub store: Arc<dyn Store>,
+    /// The store's tables to follow.
+    pub feed: Arc<dyn TableFeed>,
+    /// The agents on workers.
+    pub workers: Arc<dyn WorkerAgent>,
+    /// The platform's hosts, if it has them.
+    pub machines: Option<Arc<dyn MachineApi>>,
+    /// Who knows which workers may run a step, if anybody decides that.
+    pub advisor: Option<Arc<dyn Advisor>>,
+    /// How operators and workers write their rows.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// A process of the system.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its clocks.
+    pub clock: Clock,
+    /// The platform.
+    pub services: Services,
+    /// Its peers.
+    pub peers: PeerClient,
+    /// What it counts.
+    pub metrics: Metrics,
+    /// True once it was asked to end.
+    pub stopping: watch::Receiver<bool>,
+    /// Told when the registered workers change.
+    pub workers_changed: watch::Sender<u64>,
+    view: Mutex<View>,
+    owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
+}
+
+impl Node {
+    /// Returns a process that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        services: Services,
+        peers: PeerClient,
+        metrics: Metrics,
+        stopping: watch::Receiver<bool>,
+    ) -> Self {
+        Self {
+            settings,
+            clock: Clock::new(),
+            services,
+            peers,
+            metrics,
+            stopping,
+            workers_changed: watch::Sender::new(0),
+            view: Mutex::new(View::default()),
+            owned: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// Returns the time on the steady clock.
+    pub fn now(&self) -> Tick {
+        self.clock.now()
+    }
+
+    /// Returns what is believed of the rest of the system. Nobody waits while holding it.
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the pools that this process is in charge of.
+    pub fn owned(&self) -> MutexGuard<'_, BTreeMap<PoolName, OwnerHandle>> {
+        self.owned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the owner of a pool, if that is this process.
+    pub fn local(&self, pool: &PoolName) -> Option<OwnerHandle> {
+        self.owned().get(pool).cloned()
+    }
+
+    /// Tells whether the process was asked to end.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Notes whether the store answered.
+    pub fn note_store<T>(&self, result: &Result<T, StoreError>) {
+        if matches!(result, Ok(_) | Err(StoreError::Refused(_))) {
+            let now = self.now();
+            self.view().store_seen = now;
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/observe.rs
@@ -0,0 +1,76 @@
+//! Metrics, and the state of the process as its operators see it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use futures::future::{BoxFuture, FutureExt};
+use hyper::StatusCode;
+use prometheus_client::{encoding::text::encode, registry::Registry};
+use reachhead_ops::http::{self, Handler, WholeRequest, WholeResponse};
+use serde_json::{Value, json};
+
+use crate::node::Node;
+
+/// Media type of the metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers operators.
+pub struct ObserveHandler {
+    node: Arc<Node>,
+    registry: Mutex<Registry>,
+}
+
+impl ObserveHandler {
+    /// Returns a handler for the process's state and the metrics of `registry`.
+    pub fn new(node: Arc<Node>, registry: Registry) -> Self {
+        Self { node, registry: Mutex::new(registry) }
+    }
+
+    fn metrics(&self) -> WholeResponse {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut body = String::new();
+        match encode(&mut body, &registry) {
+            Ok(()) => http::typed(StatusCode::OK, METRICS_TYPE, body.into_bytes()),
+            Err(error) => http::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        }
+    }
+
+    fn state(&self) -> Value {
+        let now = self.node.now();
+        let owned: Vec<String> = self.node.owned().keys().map(ToString::to_string).collect();
+        let view = self.node.view();
+        let leases: Vec<Value> = view
+            .leases
+            .iter()
+            .map(|(pool, lease)| {
+                json!({ "pool": pool, "owner": lease.record.owner, "term": lease.record.term,
+                    "token": lease.revision })
+            })
+            .collect();
+        json!({
+            "node": self.node.settings.node,
+            "configuration": view.config.as_ref().map(|config| config.version),
+            "configuration_age_ms": now.since(view.config_seen),
+            "leases_age_ms": now.since(view.leases_seen),
+            "store_age_ms": now.since(view.store_seen),
+            "owned": owned,
+            "leases": leases,
+            "members": view.members.len(),
+            "workers": view.workers.len(),
+            "waves": view.waves.len(),
+            "stopping": self.node.is_stopping(),
+        })
+    }
+}
+
+impl Handler for ObserveHandler {
+    fn handle(&self, request: WholeRequest) -> BoxFuture<'_, WholeResponse> {
+        async move {
+            match request.path.as_str() {
+                "/metrics" => self.metrics(),
+                "/state" => http::json(StatusCode::OK, &self.state()),
+                _ => http::text(StatusCode::NOT_FOUND, "/metrics /state\n"),
+            }
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/owner.rs
@@ -0,0 +1,441 @@
+//! The owner of a pool: its event loop.
+
+use std::{sync::Arc, time::Duration};
+
+use reachhead_jobs::{
+    clock::{Tick, WorkerTime},
+    pool::{Action, Batch, Cancelled, JobState, NoteKind, Pool, Vacancy},
+    ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
+    record::{JobRecord, LeaseRecord, job_key, lease_key, value},
+    task::{StepId, TaskId},
+};
+use reachhead_ops::event::{Event, emit};
+use reachhead_store::{
+    StoreError,
+    row::{Commit, Key, Scan, Txn},
+};
+use reachhead_types::{
+    id::{JobId, RouteName, WorkerId},
+    size::{Millis, Revision, RunNumber},
+};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::node::Node;
+
+/// How often an owner with jobs looks at its timers when nothing else happens.
+const BUSY_TICK: Duration = Duration::from_millis(50);
+
+/// How often an owner without jobs looks at its timers.
+const IDLE_TICK: Duration = Duration::from_millis(200);
+
+/// Least time between two transactions that no caller waits for; their number is priced, and
+/// workers keep what is not recorded yet.
+const RECORD_PERIOD: Millis = Millis(200);
+
+/// Pause after a transaction that failed.
+const RECORD_PAUSE: Millis = Millis(150);
+
+/// How often the stored jobs are read, for those of which the owner was not told.
+const SCAN_PERIOD: Millis = Millis(2500);
+
+/// How long an owner that gives its pool back waits for its last transaction.
+const RELEASE_TIME: Duration = Duration::from_millis(800);
+
+/// What became of a cancellation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CancelReply {
+    /// It is recorded that the job is over.
+    Over,
+    /// The owner does not know the job.
+    Unknown,
+}
+
+/// What an owner is told.
+pub enum Input {
+    /// A job was accepted and is stored.
+    Submit(JobId, Box<JobRecord>, Revision),
+    /// Somebody asks for a job's state.
+    State(JobId, oneshot::Sender<Option<JobState>>),
+    /// Somebody cancels a job.
+    Cancel(JobId, oneshot::Sender<CancelReply>),
+    /// Somebody asks how many jobs wait.
+    Waiting(RouteName, oneshot::Sender<u32>),
+    /// A worker's host is due for planned work.
+    Vacate(WorkerId, oneshot::Sender<Vacancy>),
+    /// A worker's life is over.
+    Over(WorkerId),
+    /// The registered workers changed.
+    Listed(Vec<WorkerInfo>),
+    /// A long poll ended.
+    Held(WorkerId, Tick, Result<WorkerReport, WorkerError>),
+    /// An order to start was answered.
+    Started(WorkerId, TaskId, RunNumber, Result<WorkerTime, WorkerError>),
+    /// An order to stop was answered.
+    Stopped(WorkerId, TaskId, RunNumber, Result<WorkerTime, WorkerError>),
+    /// A change of pace was not confirmed.
+    PaceFailed(TaskId, RunNumber),
+    /// Advice was given, or the call failed.
+    Advised(StepId, Option<Vec<Approval>>, Tick),
+    /// The store decided on a transaction.
+    Committed(Box<Batch>, Result<Commit, StoreError>),
+    /// The stored jobs were read.
+    Scanned(Vec<reachhead_store::row::Row>),
+    /// Give the pool back.
+    Release(oneshot::Sender<()>),
+    /// Somebody else is in charge.
+    Lost,
+}
+
+/// How to reach an owner in this process.
+#[derive(Clone)]
+pub struct OwnerHandle {
+    /// The revision of its lease, which is its fencing token.
+    pub token: Revision,
+    sender: mpsc::UnboundedSender<Input>,
+}
+
+impl OwnerHandle {
+    /// Returns a handle and where its inputs arrive.
+    pub fn new(token: Revision) -> (Self, mpsc::UnboundedReceiver<Input>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self { token, sender }, receiver)
+    }
+
+    /// Tells the owner something; one that has ended needs nothing any more.
+    pub fn send(&self, input: Input) {
+        let _ = self.sender.send(input);
+    }
+}
+
+struct Canceller {
+    job: JobId,
+    reply: oneshot::Sender<CancelReply>,
+}
+
+/// The owner of a pool.
+pub struct Owner {
+    node: Arc<Node>,
+    pool: Pool,
+    term: u64,
+    handle: OwnerHandle,
+    inputs: mpsc::UnboundedReceiver<Input>,
+    cancellers: Vec<Canceller>,
+    recording: bool,
+    record_next: Tick,
+    scan_next: Tick,
+    release: Option<oneshot::Sender<()>>,
+    lost: bool,
+}
+
+impl Owner {
+    /// Returns the owner of `pool`.
+    pub fn new(
+        node: Arc<Node>,
+        pool: Pool,
+        term: u64,
+        handle: OwnerHandle,
+        inputs: mpsc::UnboundedReceiver<Input>,
+    ) -> Self {
+        let now = node.now();
+        Self {
+            node,
+            pool,
+            term,
+            handle,
+            inputs,
+            cancellers: Vec::new(),
+            recording: false,
+            record_next: now,
+            scan_next: now + SCAN_PERIOD,
+            release: None,
+            lost: false,
+        }
+    }
+
+    /// Runs until the pool is lost or given back.
+    pub async fn run(mut self) {
+        while !self.lost && self.release.is_none() {
+            let tick = if self.pool.jobs().is_empty() { IDLE_TICK } else { BUSY_TICK };
+            if let Ok(Some(input)) = time::timeout(tick, self.inputs.recv()).await {
+                self.take(input);
+            }
+            while let Ok(input) = self.inputs.try_recv() {
+                self.take(input);
+            }
+            self.round();
+        }
+        if let Some(done) = self.release.take() {
+            self.give_back().await;
+            let _ = done.send(());
+        }
+    }
+
+    fn round(&mut self) {
+        let node = Arc::clone(&self.node);
+        let now = node.now();
+        self.check_lease();
+        if self.lost {
+            return;
+        }
+        for action in self.pool.poll(now, node.clock.wall()) {
+            self.carry_out(action);
+        }
+        for note in self.pool.take_notes() {
+            emit(event_of(note.kind), format_args!("pool={} {}", self.pool.name(), note.text));
+        }
+        self.record(now);
+        self.scan(now);
+        self.answer_cancellers();
+    }
+
+    /// Looks whether the leases that this process follows still name this owner.
+    fn check_lease(&mut self) {
+        let view = self.node.view();
+        if let Some(lease) = view.leases.get(self.pool.name()) {
+            if lease.revision > self.handle.token {
+                self.lost = true;
+            } else if lease.revision == self.handle.token {
+                self.pool.verify(view.leases_seen);
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.node.now();
+        match input {
+            Input::Submit(id, record, row) => {
+                self.pool.submit(id, &record, row, now, self.node.clock.wall());
+            }
+            Input::State(id, reply) => {
+                let _ = reply.send(self.pool.state(id));
+            }
+            Input::Cancel(id, reply) => self.cancel(id, reply),
+            Input::Waiting(queue, reply) => {
+                let _ = reply.send(self.pool.waiting(&queue));
+            }
+            Input::Vacate(worker, reply) => {
+                let _ = reply.send(self.pool.vacate(&worker, now));
+            }
+            Input::Over(worker) => self.pool.worker_over(&worker, "its host was taken"),
+            Input::Listed(workers) => self.pool.list(workers, now),
+            Input::Held(worker, sent, result) => self.pool.held(&worker, sent, result, now),
+            Input::Started(worker, task, run, result) => {
+                self.pool.started(&worker, task, run, result, now);
+            }
+            Input::Stopped(worker, task, run, result) => {
+                self.pool.stopped(&worker, task, run, result, now);
+            }
+            Input::PaceFailed(task, run) => self.pool.pace_failed(task, run),
+            Input::Advised(step, approvals, sent) => {
+                self.pool.advised(step, approvals, sent, now);
+            }
+            Input::Committed(batch, result) => self.recorded(&batch, result, now),
+            Input::Scanned(rows) => self.scanned(&rows, now),
+            Input::Release(done) => self.release = Some(done),
+            Input::Lost => self.lost = true,
+        }
+    }
+
+    fn cancel(&mut self, job: JobId, reply: oneshot::Sender<CancelReply>) {
+        match self.pool.cancel(job) {
+            Cancelled::Over => {
+                let _ = reply.send(CancelReply::Over);
+            }
+            Cancelled::Unknown => {
+                let _ = reply.send(CancelReply::Unknown);
+            }
+            Cancelled::Pending => self.cancellers.push(Canceller { job, reply }),
+        }
+    }
+
+    /// Tells those who cancel once it is recorded that their jobs are over.
+    fn answer_cancellers(&mut self) {
+        for place in (0..self.cancellers.len()).rev() {
+            let job = self.cancellers[place].job;
+            if matches!(self.pool.state(job), Some(JobState::Over(_))) {
+                let canceller = self.cancellers.swap_remove(place);
+                let _ = canceller.reply.send(CancelReply::Over);
+                emit(Event::JobCancelled, format_args!("pool={} job={job}", self.pool.name()));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        if action == Action::Fenced {
+            // Only a newer lease gives a higher token, so somebody else is in charge by now.
+            self.lost = true;
+            return;
+        }
+        let node = Arc::clone(&self.node);
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let sent = node.now();
+            if let Some(input) = perform(&node, action, sent).await {
+                handle.send(input);
+            }
+        });
+    }
+
+    /// Writes what is to be written, one transaction at a time.
+    fn record(&mut self, now: Tick) {
+        let due = self.record_next <= now;
+        if self.recording || !self.pool.is_dirty() || !(due || self.pool.is_urgent()) {
+            return;
+        }
+        let Some(batch) = self.pool.batch(self.node.clock.wall()) else {
+            return;
+        };
+        self.recording = true;
+        let node = Arc::clone(&self.node);
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let result = node.services.store.commit(batch.txn.clone()).await;
+            node.note_store(&result);
+            if let Err(error) = &result {
+                emit(Event::RecordFailed, format_args!("token={} {error}", handle.token));
+                // An urgent transaction must not be repeated in a tight loop.
+                time::sleep(RECORD_PAUSE.duration()).await;
+            }
+            handle.send(Input::Committed(Box::new(batch), result));
+        });
+    }
+
+    fn recorded(&mut self, batch: &Batch, result: Result<Commit, StoreError>, now: Tick) {
+        self.recording = false;
+        self.record_next = now + RECORD_PERIOD;
+        if let Ok(commit) = result
+            && !self.pool.decided(batch, &commit, now)
+        {
+            self.lost = true;
+        }
+    }
+
+    /// Reads the stored jobs now and then.
+    fn scan(&mut self, now: Tick) {
+        if self.scan_next > now {
+            return;
+        }
+        self.scan_next = now + SCAN_PERIOD;
+        let node = Arc::clone(&self.node);
+        let handle = self.handle.clone();
+        let prefix = part_prefix(&job_key(self.pool.name(), JobId(0)));
+        tokio::spawn(async move {
+            let scan = Scan { prefix, after: None, limit: u32::MAX };
+            let page = node.services.store.scan(scan).await;
+            node.note_store(&page);
+            match page {
+                Ok(page) => handle.send(Input::Scanned(page.rows)),
+                Err(error) => log::info!("the stored jobs can't be read: {error}"),
+            }
+        });
+    }
+
+    fn scanned(&mut self, rows: &[reachhead_store::row::Row], now: Tick) {
+        for row in rows {
+            let Some(id) = id_of(&row.key) else {
+                continue;
+            };
+            if self.pool.jobs().contains_key(&id) {
+                continue;
+            }
+            match row.parse::<JobRecord>() {
+                Ok(record) => {
+                    self.pool.submit(id, &record, row.revision, now, self.node.clock.wall());
+                }
+                Err(error) => emit(Event::RowRefused, error),
+            }
+        }
+    }
+
+    /// Records what is left and gives the lease back, so that a peer takes charge at once.
+    async fn give_back(&mut self) {
+        let name = self.pool.name().clone();
+        if let Some(batch) = self.pool.batch(self.node.clock.wall()) {
+            let commit = self.node.services.store.commit(batch.txn.clone());
+            match time::timeout(RELEASE_TIME, commit).await {
+                Ok(Ok(commit)) => {
+                    self.pool.decided(&batch, &commit, self.node.now());
+                    self.answer_cancellers();
+                }
+                Ok(Err(error)) => emit(Event::RecordFailed, format_args!("pool={name} {error}")),
+                Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
+            }
+        }
+        let record = LeaseRecord { owner: None, term: self.term };
+        let txn = Txn::new()
+            .with_check(lease_key(&name), Some(self.handle.token))
+            .with_write(lease_key(&name), value(&record));
+        match time::timeout(RELEASE_TIME, self.node.services.store.commit(txn)).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => emit(Event::RecordFailed, format_args!("pool={name} {error}")),
+            Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
+        }
+    }
+}
+
+/// Carries out an action and returns what the owner is to be told.
+async fn perform(node: &Node, action: Action, sent: Tick) -> Option<Input> {
+    let workers = &node.services.workers;
+    match action {
+        Action::Start(target, order) => {
+            let (id, task, run) = (target.id.clone(), order.task, order.run);
+            let result = workers.start(target, order).await;
+            node.metrics.order("start", &result);
+            Some(Input::Started(id, task, run, result))
+        }
+        Action::Stop(target, task, run) => {
+            let id = target.id.clone();
+            let result = workers.stop(target, task, run).await;
+            node.metrics.order("stop", &result);
+            Some(Input::Stopped(id, task, run, result))
+        }
+        Action::Pace(target, task, run, percent) => {
+            let result = workers.pace(target, task, run, percent).await;
+            node.metrics.order("pace", &result);
+            result.is_err().then_some(Input::PaceFailed(task, run))
+        }
+        Action::Hold(target, order) => {
+            let id = target.id.clone();
+            let result = workers.hold(target, order).await;
+            node.metrics.order("hold", &result);
+            Some(Input::Held(id, sent, result))
+        }
+        Action::Advise(step, ids) => {
+            let approvals = match &node.services.advisor {
+                Some(advisor) => advisor.advise(step, ids).await.map_err(|error| {
+                    log::info!("step={step} no advice: {error}");
+                }),
+                None => Err(()),
+            };
+            Some(Input::Advised(step, approvals.ok(), sent))
+        }
+        Action::Fenced => None,
+    }
+}
+
+fn event_of(kind: NoteKind) -> Event {
+    match kind {
+        NoteKind::JobEnded => Event::JobEnded,
+        NoteKind::RunLost => Event::RunLost,
+        NoteKind::WorkerDoubted => Event::WorkerDoubted,
+        NoteKind::RunStopped => Event::RunStopped,
+        NoteKind::RunAdopted => Event::RunAdopted,
+    }
+}
+
+/// Returns what the keys of a row's part begin with.
+pub fn part_prefix(key: &Key) -> String {
+    let mut parts = key.0.splitn(3, '/');
+    let (table, part) = (parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
+    format!("{table}/{part}/")
+}
+
+/// Returns the job that a row is about.
+pub fn id_of(key: &Key) -> Option<JobId> {
+    key.0.rsplit('/').next()?.parse().ok()
+}
--- /dev/null
+++ b/reachhead_node/src/peer.rs
@@ -0,0 +1,195 @@
+//! Messages between the processes of the system.
+//!
+//! They are HTTP calls over the same client as those to the platform: each needs its own deadline and
+//! a connection that can be dropped, and some are on the path of a caller's request. docs/PLATFORM.md
+//! has the measurements that decided against a second messaging library here.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::future::{BoxFuture, FutureExt};
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, header};
+use reachhead_jobs::{
+    pool::{JobState, Vacancy},
+    record::JobRecord,
+};
+use reachhead_ops::{
+    client::{CallError, HttpClient},
+    http::{self, Handler, WholeRequest, WholeResponse},
+};
+use reachhead_types::{
+    id::{JobId, PoolName, RouteName, WorkerId},
+    size::Revision,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use crate::{
+    node::Node,
+    owner::{CancelReply, Input, OwnerHandle},
+};
+
+/// The path of all messages.
+const PATH: &str = "/peer";
+
+/// A question to a process.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ask {
+    /// Which pools are you in charge of?
+    Ping,
+    /// Something for the owner of a pool.
+    Pool(PoolName, PoolAsk),
+}
+
+/// A question to the owner of a pool.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PoolAsk {
+    /// This job was accepted and is stored.
+    Submit(JobId, JobRecord, Revision),
+    /// What is the job's state?
+    State(JobId),
+    /// Cancel the job.
+    Cancel(JobId),
+    /// How many jobs of the queue wait?
+    Waiting(RouteName),
+    /// Empty this worker, whose host is due for planned work.
+    Vacate(WorkerId),
+    /// This life of a worker is over.
+    Over(WorkerId),
+}
+
+/// The answer to an [`Ask`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reply {
+    /// The pools that the process is in charge of, with its tokens, and how long ago it reached the
+    /// store, in milliseconds.
+    Pong(BTreeMap<PoolName, Revision>, u64),
+    /// The process is not in charge of the pool.
+    NotOwner,
+    /// Done.
+    Done,
+    /// The job's state, if the owner knows it.
+    State(Option<JobState>),
+    /// What became of a cancellation.
+    Cancel(CancelReply),
+    /// Jobs that wait.
+    Waiting(u32),
+    /// How empty the worker is.
+    Vacancy(Vacancy),
+}
+
+/// A client of peers.
+#[derive(Clone)]
+pub struct PeerClient {
+    client: Arc<HttpClient>,
+}
+
+impl PeerClient {
+    /// Returns a client over `client`.
+    pub fn new(client: Arc<HttpClient>) -> Self {
+        Self { client }
+    }
+
+    /// Asks a peer.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::call`].
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        ask: &Ask,
+        deadline: Duration,
+    ) -> Result<Reply, CallError> {
+        let body = serde_json::to_vec(ask).map_err(|error| CallError::NotSent(error.to_string()))?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(PATH)
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let answer = self.client.call(address, request, deadline).await?;
+        serde_json::from_slice(answer.body())
+            .map_err(|error| CallError::Lost(format!("unreadable answer: {error}")))
+    }
+}
+
+/// Answers peers.
+pub struct PeerHandler(pub Arc<Node>);
+
+impl PeerHandler {
+    async fn answer(&self, ask: Ask) -> Reply {
+        match ask {
+            Ask::Ping => self.pong(),
+            Ask::Pool(pool, ask) => match self.0.local(&pool) {
+                Some(owner) => ask_owner(&owner, ask).await,
+                None => Reply::NotOwner,
+            },
+        }
+    }
+
+    fn pong(&self) -> Reply {
+        let owned = self.0.owned();
+        let owned = owned.iter().map(|(pool, owner)| (pool.clone(), owner.token)).collect();
+        let age = self.0.now().since(self.0.view().store_seen);
+        Reply::Pong(owned, age.0)
+    }
+}
+
+/// Asks an owner in this process.
+pub async fn ask_owner(owner: &OwnerHandle, ask: PoolAsk) -> Reply {
+    match ask {
+        PoolAsk::Submit(id, record, row) => {
+            owner.send(Input::Submit(id, Box::new(record), row));
+            Reply::Done
+        }
+        PoolAsk::Over(worker) => {
+            owner.send(Input::Over(worker));
+            Reply::Done
+        }
+        PoolAsk::State(id) => {
+            answered(owner, |reply| Input::State(id, reply), Reply::State).await
+        }
+        PoolAsk::Cancel(id) => {
+            answered(owner, |reply| Input::Cancel(id, reply), Reply::Cancel).await
+        }
+        PoolAsk::Waiting(queue) => {
+            answered(owner, |reply| Input::Waiting(queue, reply), Reply::Waiting).await
+        }
+        PoolAsk::Vacate(worker) => {
+            answered(owner, |reply| Input::Vacate(worker, reply), Reply::Vacancy).await
+        }
+    }
+}
+
+async fn answered<T>(
+    owner: &OwnerHandle,
+    input: impl FnOnce(oneshot::Sender<T>) -> Input,
+    reply: impl FnOnce(T) -> Reply,
+) -> Reply {
+    let (sender, receiver) = oneshot::channel();
+    owner.send(input(sender));
+    // An owner that ends drops its questions.
+    receiver.await.map_or(Reply::NotOwner, reply)
+}
+
+impl Handler for PeerHandler {
+    fn handle(&self, request: WholeRequest) -> BoxFuture<'_, WholeResponse> {
+        async move {
+            match serde_json::from_slice::<Ask>(&request.body) {
+                Ok(ask) => http::json(StatusCode::OK, &self.answer(ask).await),
+                Err(error) => http::text(StatusCode::BAD_REQUEST, &error.to_string()),
+            }
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/reachhead_node/src/view.rs
@@ -0,0 +1,90 @@
+//! What a process believes of the rest of the system, and since when.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use reachhead_jobs::{
+    clock::Tick,
+    model::Configuration,
+    ports::WorkerInfo,
+    record::LeaseRecord,
+    wave::WaveOrder,
+};
+use reachhead_types::{
+    id::{NodeName, PoolName, WaveName, WorkerId},
+    size::Revision,
+};
+
+/// A lease as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseView {
+    /// Who is in charge.
+    pub record: LeaseRecord,
+    /// The row's revision, which is the owner's fencing token.
+    pub revision: Revision,
+    /// When this process first saw it so.
+    pub since: Tick,
+}
+
+/// What was heard of an owner of pools.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Heard {
+    /// When it last answered.
+    pub at: Tick,
+    /// The pools of which it says that it is in charge, with its token for each.
+    pub owned: BTreeMap<PoolName, Revision>,
+    /// How long before its answer it last reached the store, in milliseconds.
+    pub store_age: u64,
+}
+
+/// Everything that a process follows.
+#[derive(Debug, Default)]
+pub struct View {
+    /// The configuration in force.
+    pub config: Option<Arc<Configuration>>,
+    /// When the operators' table was last known to be as it is here.
+    pub config_seen: Tick,
+    /// Who is in charge of which pool.
+    pub leases: BTreeMap<PoolName, LeaseView>,
+    /// When the leases were last known to be as they are here.
+    pub leases_seen: Tick,
+    /// The processes of the system.
+    pub members: BTreeMap<NodeName, SocketAddr>,
+    /// The workers that are registered.
+    pub workers: BTreeMap<WorkerId, WorkerInfo>,
+    /// The waves that operators ask for.
+    pub waves: BTreeMap<WaveName, WaveOrder>,
+    /// What was heard of owners.
+    pub heard: BTreeMap<NodeName, Heard>,
+    /// When the store last answered this process.
+    pub store_seen: Tick,
+}
+
+impl View {
+    /// Returns where the owner of a pool answers, unless this process does not know it.
+    pub fn owner(&self, pool: &PoolName) -> Option<(NodeName, SocketAddr)> {
+        let owner = self.leases.get(pool)?.record.owner.clone()?;
+        let address = *self.members.get(&owner)?;
+        Some((owner, address))
+    }
+
+    /// Takes over a configuration if it is newer; versions never go back.
+    pub fn adopt(&mut self, config: Configuration) -> bool {
+        let newer = self.config.as_ref().is_none_or(|known| known.version < config.version);
+        if newer {
+            self.config = Some(Arc::new(config));
+        }
+        newer
+    }
+
+    /// Takes over a lease if its row is newer.
+    pub fn adopt_lease(&mut self, pool: PoolName, record: LeaseRecord, revision: Revision, now: Tick) {
+        let newer = self.leases.get(&pool).is_none_or(|known| known.revision < revision);
+        if newer {
+            self.leases.insert(pool, LeaseView { record, revision, since: now });
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_ops/src/client.rs
@@ -0,0 +1,157 @@
+//! Calls over HTTP with a deadline each, on connections that are kept and dropped by peer.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::{net::TcpStream, time};
+
+/// Idle connections that are kept to one peer; more are closed after use.
+const IDLE_LIMIT: usize = 4;
+
+/// Why a call gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// Nothing of the call was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The call was sent, and there is no whole answer.
+    #[error("{0}")]
+    Lost(String),
+}
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// A client that keeps connections open.
+///
+/// A connection on which a call timed out is closed, and with it the idle ones to the same peer:
+/// connections can fall silent for good without a reset, and only a new one shows whether the peer
+/// lives.
+#[derive(Default)]
+pub struct HttpClient {
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl HttpClient {
+    /// Returns a client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a request and returns its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CallError`]; `NotSent` only where no byte of the request was written.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let end = time::Instant::now() + deadline;
+        let mut request = request;
+        loop {
+            let (mut connection, kept) = match self.take(address) {
+                Some(connection) => (connection, true),
+                None => (connect(address, end).await?, false),
+            };
+            match time::timeout_at(end, exchange(&mut connection, request)).await {
+                Ok(Ok(answer)) => {
+                    self.keep(address, connection);
+                    return Ok(answer);
+                }
+                Ok(Err(Failure::Unsent(back))) if kept => request = *back,
+                Ok(Err(Failure::Unsent(_))) => {
+                    return Err(CallError::NotSent("the peer closed the connection".to_owned()));
+                }
+                Ok(Err(Failure::Broken(error))) => return Err(CallError::Lost(error)),
+                Err(_) => {
+                    self.forget(address);
+                    return Err(CallError::Lost("no answer before the deadline".to_owned()));
+                }
+            }
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        self.idle().get_mut(&address)?.pop()
+    }
+
+    fn keep(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.idle();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < IDLE_LIMIT && !connection.is_closed() {
+            kept.push(connection);
+        }
+    }
+
+    /// Closes the idle connections to a peer.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle().remove(&address);
+    }
+}
+
+enum Failure {
+    /// The request was not sent and is given back.
+    Unsent(Box<Request<Full<Bytes>>>),
+    /// The connection broke after the request was handed to it.
+    Broken(String),
+}
+
+async fn connect(address: SocketAddr, end: time::Instant) -> Result<Connection, CallError> {
+    let connecting = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok::<_, std::io::Error>(stream)
+    };
+    let stream = match time::timeout_at(end, connecting).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(CallError::NotSent(error.to_string())),
+        Err(_) => return Err(CallError::NotSent("no connection before the deadline".to_owned())),
+    };
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| CallError::NotSent(error.to_string()))?;
+    // What breaks the connection is told by the exchange that it breaks.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, Failure> {
+    if connection.ready().await.is_err() {
+        return Err(Failure::Unsent(Box::new(request)));
+    }
+    let response = match connection.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            return Err(match error.take_message() {
+                Some(request) => Failure::Unsent(Box::new(request)),
+                None => Failure::Broken(error.into_error().to_string()),
+            });
+        }
+    };
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map_err(|error| Failure::Broken(error.to_string()))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -97,6 +97,36 @@
     HostEntered 610 Info;
     /// A host changed its pool.
     HostMoved 611 Info;
+    /// A job was accepted and is stored.
+    JobAccepted 700 Info;
+    /// A caller's request was refused or failed.
+    CallRefused 701 Info;
+    /// A job is over, and that is recorded.
+    JobEnded 702 Info;
+    /// A run of a task failed, was lost or was turned away.
+    RunLost 703 Info;
+    /// The owner of a pool stopped a run.
+    RunStopped 704 Info;
+    /// The owner of a pool took over a run that a predecessor had started.
+    RunAdopted 705 Info;
+    /// A worker does not answer, fails what it is given, or is over.
+    WorkerDoubted 706 Warn;
+    /// The owner of a pool told a caller that a job is cancelled.
+    JobCancelled 707 Info;
+    /// A change of a pool's rows was not taken by the store.
+    RecordFailed 710 Warn;
+    /// A pool's owner does not answer its peers.
+    OwnerSilent 711 Warn;
+    /// A table of the platform is followed anew from its rows.
+    TableRead 712 Info;
+    /// A row of the platform can't be understood and is left out.
+    RowRefused 713 Warn;
+    /// A wave began, went on in other hands, or is completed.
+    WaveChanged 720 Info;
+    /// A host was ordered down for a wave, or the order was not taken.
+    HostOrdered 721 Info;
+    /// Lines of the log were left out, since there were too many.
+    LinesDropped 730 Warn;
 }
 
 /// Logs `event` with `details`.
--- a/reachhead_ops/src/lib.rs
+++ b/reachhead_ops/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every long-lived process shares: command line, events, ops listener, signals, threads.
 
 pub mod cli;
+pub mod client;
 pub mod event;
 pub mod http;
 pub mod listener;
--- a/reachhead_types/src/error.rs
+++ b/reachhead_types/src/error.rs
@@ -121,6 +121,12 @@
     OwnerUnreachable "owner-unreachable" 503 Unknown Some(5);
     /// The store can't be reached, so a request that must not be repeated was not started.
     StoreDown "store-down" 503 NotRun Some(5);
+    /// The store's answer to a submission is lost: the job may be stored, and then it will run.
+    SubmissionLost "submission-lost" 504 Unknown Some(1);
+    /// The store can't be asked, so a submission was not stored and will never run.
+    NotStored "not-stored" 503 NotRun Some(1);
+    /// Nobody who knows the job can be reached now.
+    JobUnreachable "job-unreachable" 503 Unknown Some(1);
     /// More requests wait than can be served; this one was not queued.
     Overloaded "overloaded" 503 NotRun Some(1);
     /// The deadline passed, or would have passed, before a minion was free.
--- a/reachhead_types/src/id.rs
+++ b/reachhead_types/src/id.rs
@@ -140,6 +140,18 @@
     /// A host; entry hosts and workers are named alike.
     HostId
 }
+name_type! {
+    /// A process of the system on an entry host, as its peers call it.
+    NodeName
+}
+name_type! {
+    /// One life of a worker: a host that runs tasks gets a new id with each start.
+    WorkerId
+}
+name_type! {
+    /// A label of a worker, as its kind or its rack.
+    Label
+}
 name_type! {
     /// An operator of the administration API.
     OperatorName
@@ -157,6 +169,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ChangeId(pub u128);
 
+/// A job that a client handed in; the client draws it, which makes the submission idempotent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
 /// A loan of slots between two entry hosts; the lender draws it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LoanId(pub u64);
@@ -188,6 +204,7 @@
 hex_type!(Incarnation, u64, "16");
 hex_type!(Fingerprint, u64, "16");
 hex_type!(LoanId, u64, "16");
+hex_type!(JobId, u64, "16");
 hex_type!(AttemptId, u128, "32");
 hex_type!(ChangeId, u128, "32");
 
--- a/reachhead_types/src/size.rs
+++ b/reachhead_types/src/size.rs
@@ -74,6 +74,14 @@
     /// Accelerators.
     Accelerators, u32
 }
+count_type! {
+    /// The number of a task's run; each start of the task has a higher one.
+    RunNumber, u64
+}
+count_type! {
+    /// A fencing token: who receives an order ignores it after one with a higher token.
+    FencingToken, u64
+}
 count_type! {
     /// The revision that the store gave to a row when it was last written.
     Revision, u64
