--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -85,6 +85,7 @@
         for entry in &report.running {
             self.see(id, entry, now);
         }
+        self.count_strays(id, &report);
         self.drop_vanished(id, sent, &report);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -98,6 +99,17 @@
         worker.poll = Poll::Due(now + pause);
     }
 
+    fn count_strays(&mut self, id: &WorkerId, report: &WorkerReport) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let known = |entry: &&RunningEntry| {
+            worker.runs.get(&entry.task).is_some_and(|charge| charge.run == entry.run)
+        };
+        let strays = report.running.iter().filter(|entry| !known(entry)).count();
+        worker.strays = strays as u32;
+    }
+
     fn see(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
         let job = self.jobs.get_mut(&entry.task.job);
         let run = job.and_then(|job| job.task(entry.task)).and_then(|task| task.run(entry.run));
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -106,6 +106,9 @@
     pub runs: BTreeMap<TaskId, Charge>,
     /// The sum of `runs`.
     pub used: Amount,
+    /// Runs there that belong to no task that this owner knows. What they take is not known, so the
+    /// worker gets nothing until they are gone.
+    pub strays: u32,
     /// Until when it gets nothing new, because planned work is about to take it.
     pub cordoned: Tick,
     /// A step for which room is being made there, and until when.
@@ -140,6 +143,7 @@
             seen: 0,
             runs: BTreeMap::new(),
             used: Amount::default(),
+            strays: 0,
             cordoned: Tick(0),
             reserved: None,
             conduct: Conduct::default(),
@@ -177,6 +181,7 @@
             && self.rostered
             && self.answered
             && !self.silent
+            && self.strays == 0
             && !self.info.draining
             && self.cordoned <= now
             && self.conduct.suspended <= now
