A successor waits for fewer workers, and an unsettled pool vacates nothing

Ruled out: the owner of hosts acting without asking (its log has each answer). Change: the roster says which workers are closed since they do not answer, and up to which job; spent ones leave it; an owner that gave back or that lives and does not own is waited for only as long as the leases; trust is 4 s.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -112,10 +112,11 @@
         self.done as usize >= self.tasks.len()
     }
 
-    /// Returns how many tasks are not at work; for steps that run on.
-    pub fn away(&self) -> u32 {
-        let away = |task: &&Task| !task.runs.iter().any(Run::at_work);
-        self.tasks.iter().filter(away).count() as u32
+    /// Returns how many tasks beside this one are not known to be at work; for steps that run on.
+    pub fn others_away(&self, index: u32) -> u32 {
+        let away = |task: &Task| !task.runs.iter().any(Run::at_work);
+        let others = (0..).zip(&self.tasks).filter(|(place, _)| *place != index);
+        others.filter(|(_, task)| away(task)).count() as u32
     }
 }
 
--- a/reachhead_jobs/src/pool/adopt.rs
+++ b/reachhead_jobs/src/pool/adopt.rs
@@ -6,7 +6,7 @@
 use crate::{
     clock::Tick,
     job::{Job, Phase, Run},
-    pool::{Action, NoteKind, Pool, StoredJob},
+    pool::{Action, NoteKind, Pending, Pool, StoredJob},
     ports::{RunningEntry, WorkerInfo},
     worker::Worker,
 };
@@ -29,8 +29,8 @@
 
     /// Every worker that the predecessor may have used has to answer the new token, or its leases
     /// have to lapse, before an inherited task that nobody reports is started again.
-    pub(super) fn inherit_workers(&mut self, contested: bool, now: Tick) {
-        let until = now + self.tuning.inheritance();
+    pub(super) fn inherit_workers(&mut self, effect: Millis, now: Tick) {
+        let until = now + effect;
         for entry in self.roster.stored.workers.clone() {
             let info = WorkerInfo {
                 id: entry.worker.clone(),
@@ -44,14 +44,21 @@
             };
             let mut worker = Worker::new(info, now);
             worker.listed = false;
-            worker.rostered = true;
+            worker.rostered = entry.closed.is_none();
             self.workers.insert(entry.worker.clone(), worker);
-            if contested {
-                self.pending.insert(entry.worker, until);
-            }
+            self.pending.insert(entry.worker, Pending { until, closed: entry.closed });
         }
     }
 
+    /// Tells whether a task of the job that nobody reports may all the same be at work somewhere.
+    pub(super) fn may_be_elsewhere(&self, job: &Job) -> bool {
+        job.inherited
+            && self.pending.values().any(|pending| match (pending.closed, job.row) {
+                (Some(closed), Some(row)) => row <= closed,
+                _ => true,
+            })
+    }
+
     /// A worker reports a run that this owner did not order.
     pub(super) fn adopt(&mut self, worker: &WorkerId, entry: &RunningEntry, now: Tick) {
         let Some(job) = self.jobs.get_mut(&entry.task.job) else {
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -18,6 +18,9 @@
 /// allows, and the lease and the roster take three.
 const BATCH_JOBS: usize = 20;
 
+/// How long a worker must be silent before the roster says that nothing new is started there.
+const CLOSE_TIME: Millis = Millis(500);
+
 /// What a transaction says of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Entry {
@@ -51,21 +54,21 @@
 
 impl Pool {
     /// Tells whether something is to be written that callers wait for.
-    pub fn is_urgent(&self) -> bool {
-        self.wanted_roster().is_some()
+    pub fn is_urgent(&self, now: Tick) -> bool {
+        self.wanted_roster(now).is_some()
             || self.dirty.iter().any(|id| {
                 self.jobs.get(id).is_some_and(|job| job.ending.is_some())
             })
     }
 
     /// Tells whether anything is to be written.
-    pub fn is_dirty(&self) -> bool {
-        !self.dirty.is_empty() || self.wanted_roster().is_some()
+    pub fn is_dirty(&self, now: Tick) -> bool {
+        !self.dirty.is_empty() || self.wanted_roster(now).is_some()
     }
 
     /// Returns what is to be written next, if anything is. All of it depends on the lease.
-    pub fn batch(&mut self, wall: Millis) -> Option<Batch> {
-        let roster = self.wanted_roster();
+    pub fn batch(&mut self, now: Tick, wall: Millis) -> Option<Batch> {
+        let roster = self.wanted_roster(now);
         if self.dirty.is_empty() && roster.is_none() {
             return None;
         }
@@ -128,18 +131,29 @@
     }
 
     /// Returns the roster as it should be, if that is not what is stored.
-    fn wanted_roster(&self) -> Option<Roster> {
-        let used = self.workers.values().filter(|worker| worker.listed || worker.rostered);
-        let mut workers: Vec<RosterEntry> = used
-            .map(|worker| RosterEntry {
-                worker: worker.info.id.clone(),
+    fn wanted_roster(&self, now: Tick) -> Option<Roster> {
+        let newest = self.jobs.values().filter_map(|job| job.row).max().unwrap_or_default();
+        let mut wanted = Roster::default();
+        for worker in self.workers.values() {
+            let id = &worker.info.id;
+            let stored = self.roster.stored.workers.iter().find(|entry| entry.worker == *id);
+            if worker.is_spent(now) && !self.pending.contains_key(id) {
+                continue;
+            }
+            let quiet = worker.silent && now.since(worker.silent_since) >= CLOSE_TIME;
+            let closed = match stored.map(|entry| entry.closed) {
+                // What was closed stays so until it answers.
+                Some(Some(closed)) if worker.silent || !worker.answered => Some(closed),
+                _ if quiet && worker.answered => Some(newest),
+                _ => None,
+            };
+            wanted.workers.push(RosterEntry {
+                worker: id.clone(),
                 address: worker.info.address,
-            })
-            .collect();
-        workers.sort_by(|a, b| a.worker.cmp(&b.worker));
-        let missing = workers.iter().any(|entry| !self.roster.has(&entry.worker));
-        // Workers that are over are dropped along with the next that joins: they do no harm.
-        missing.then_some(Roster { workers })
+                closed,
+            });
+        }
+        (wanted != self.roster.stored).then_some(wanted)
     }
 
     /// Takes in that a batch is in force.
@@ -149,7 +163,7 @@
             self.roster.stored = roster.clone();
             self.roster.revision = Some(revision);
             for worker in self.workers.values_mut() {
-                worker.rostered = self.roster.has(&worker.info.id);
+                worker.rostered = self.roster.is_open(&worker.info.id);
             }
         }
         for entry in &batch.jobs {
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -57,8 +57,8 @@
 }
 
 impl Tuning {
-    /// Returns how long after a change of hands an order of the predecessor may still have effect
-    /// on a worker that the successor can't reach.
+    /// Returns how long after a change of hands an order of a predecessor that may be alive can have
+    /// effect on a worker that the successor can't reach.
     pub fn inheritance(&self) -> Millis {
         Millis(self.trust.0 + stretched(self.hold).0)
     }
@@ -166,8 +166,8 @@
     pub roster: Roster,
     /// The revision of the roster's row.
     pub roster_revision: Option<Revision>,
-    /// A predecessor may still give orders; false where none ever was in charge.
-    pub contested: bool,
+    /// How long an order of the predecessor may still have effect on a worker that does not answer.
+    pub effect: Millis,
 }
 
 /// A pool and everything that its owner knows of it.
@@ -179,8 +179,10 @@
     jobs: BTreeMap<JobId, Job>,
     closed: BTreeMap<JobId, Closed>,
     workers: BTreeMap<WorkerId, Worker>,
-    /// Workers of the predecessor that have not answered yet, and until when they matter.
-    pending: BTreeMap<WorkerId, Tick>,
+    /// Workers of the predecessor that have not answered yet.
+    pending: BTreeMap<WorkerId, Pending>,
+    /// The platform's list of workers was taken in.
+    listed: bool,
     roster: RosterState,
     dirty: BTreeSet<JobId>,
     /// Lives of workers that are known to be over, whatever the platform's list still says.
@@ -192,6 +194,15 @@
     notes: Vec<Note>,
 }
 
+/// A worker of the predecessor that has not answered yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Pending {
+    /// Until when something that the predecessor started there may work.
+    until: Tick,
+    /// No job whose row is newer than this was started there.
+    closed: Option<Revision>,
+}
+
 /// The roster's row and what of it is known to be stored.
 #[derive(Debug, Clone, PartialEq, Default)]
 struct RosterState {
@@ -219,6 +230,7 @@
             closed: BTreeMap::new(),
             workers: BTreeMap::new(),
             pending: BTreeMap::new(),
+            listed: false,
             roster: RosterState { stored: found.roster, revision: found.roster_revision },
             dirty: BTreeSet::new(),
             over: BTreeSet::new(),
@@ -231,7 +243,7 @@
         for stored in found.jobs {
             pool.inherit_job(stored, now, wall);
         }
-        pool.inherit_workers(found.contested, now);
+        pool.inherit_workers(found.effect, now);
         pool
     }
 
@@ -318,6 +330,7 @@
 
     /// Takes in the platform's list of the pool's workers.
     pub fn list(&mut self, listed: Vec<WorkerInfo>, now: Tick) {
+        self.listed = true;
         let ids: BTreeSet<WorkerId> = listed.iter().map(|info| info.id.clone()).collect();
         for worker in self.workers.values_mut() {
             worker.listed = ids.contains(&worker.info.id);
@@ -328,7 +341,7 @@
                 Some(worker) => worker.info = info,
                 None => {
                     let mut worker = Worker::new(info, now);
-                    worker.rostered = self.roster.has(&worker.info.id);
+                    worker.rostered = self.roster.is_open(&worker.info.id);
                     self.workers.insert(worker.info.id.clone(), worker);
                 }
             }
@@ -366,7 +379,7 @@
 
     /// Forgets what no longer matters.
     fn expire(&mut self, now: Tick) {
-        self.pending.retain(|_, until| *until > now);
+        self.pending.retain(|_, pending| pending.until > now);
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_TIME);
         self.expire_workers(now);
         self.advice.expire(now);
@@ -399,8 +412,10 @@
 }
 
 impl RosterState {
-    fn has(&self, worker: &WorkerId) -> bool {
-        self.stored.workers.iter().any(|entry| entry.worker == *worker)
+    /// Tells whether the worker is stored as one on which tasks are started.
+    fn is_open(&self, worker: &WorkerId) -> bool {
+        let entry = self.stored.workers.iter().find(|entry| entry.worker == *worker);
+        entry.is_some_and(|entry| entry.closed.is_none())
     }
 }
 
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -60,6 +60,9 @@
         worker.misses += 1;
         worker.poll = Poll::Due(now + Millis(pause.min(RETRY_MOST.0)));
         let first = !worker.silent;
+        if first {
+            worker.silent_since = now;
+        }
         worker.silent = true;
         if first {
             let text = format!("{id} does not answer: {error}; {} runs there", worker.runs.len());
@@ -359,8 +362,9 @@
             }
             WorkerError::Rejected(Rejection::Ticket) => self.advice.refuse(task.step_id(), id),
             WorkerError::Unreachable(_) => {
-                if let Some(worker) = self.workers.get_mut(id) {
+                if let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.silent) {
                     worker.silent = true;
+                    worker.silent_since = now;
                 }
             }
             _ => {}
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -41,7 +41,7 @@
             .jobs
             .values()
             .filter(|job| job.ending.is_none() && has_waiting(job))
-            .filter(|job| !(job.inherited && !self.pending.is_empty()))
+            .filter(|job| !self.may_be_elsewhere(job))
             .map(|job| Ranked { id: job.id, rank: self.experience.rank(job, now) })
             .collect();
         ranked.sort_by(|a, b| a.rank.order(b.rank).then(a.id.cmp(&b.id)));
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::Tick,
-    job::{Phase, Run},
+    job::Phase,
     pool::Pool,
     task::TaskId,
 };
@@ -30,10 +30,15 @@
 impl Pool {
     /// Gives a worker nothing new, moves away what may be moved, and tells how far that is.
     pub fn vacate(&mut self, id: &WorkerId, now: Tick) -> Vacancy {
+        // Until all workers have answered a new owner it does not know what is where.
+        let settled = self.listed && self.pending.is_empty();
         let Some(worker) = self.workers.get_mut(id) else {
-            return Vacancy::Unknown;
+            return if settled { Vacancy::Unknown } else { Vacancy::Protected };
         };
         worker.cordoned = now + CORDON_TIME;
+        if !settled || !worker.answered {
+            return Vacancy::Protected;
+        }
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
         let mut vacancy = Vacancy::Empty;
         for task in tasks {
@@ -49,7 +54,7 @@
             let state = &job.steps[&task.step_id()].tasks[task.index as usize];
             let run = state.runs.iter().find(|run| run.worker == *id);
             if let Some(run) = run.filter(|run| run.phase == Phase::Working).cloned()
-                && self.may_take(task, &run)
+                && self.may_take(task)
             {
                 self.stop_run(task, &run, "its host is due for planned work", now);
             }
@@ -57,14 +62,12 @@
         vacancy
     }
 
-    /// Tells whether planned work may end a run now.
-    fn may_take(&self, task: TaskId, run: &Run) -> bool {
+    /// Tells whether planned work may end the task's run now. Whether it is at work does not matter:
+    /// the report that says so may be a second old.
+    fn may_take(&self, task: TaskId) -> bool {
         let job = &self.jobs[&task.job];
         let step = &job.plan.steps[task.step as usize];
-        if step.may_miss == 0 || !run.at_work() {
-            return true;
-        }
-        job.steps[&task.step_id()].away() < step.may_miss
+        step.may_miss == 0 || job.steps[&task.step_id()].others_away(task.index) < step.may_miss
     }
 }
 
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -5,7 +5,7 @@
 use reachhead_store::row::Key;
 use reachhead_types::{
     id::{JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{Millis, RunNumber},
+    size::{Millis, Revision, RunNumber},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -123,6 +123,10 @@
     pub worker: WorkerId,
     /// Where it answers.
     pub address: SocketAddr,
+    /// Set while nothing new is started there since it does not answer: no job whose row is newer
+    /// than this was ever started there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub closed: Option<Revision>,
 }
 
 /// All workers on which something of the pool may run.
@@ -139,6 +143,10 @@
     pub owner: Option<NodeName>,
     /// How often the pool has changed hands; it makes the numbers of runs rise over owners.
     pub term: u64,
+    /// Set when it was given back by an owner to which every worker of its own predecessor had
+    /// answered, so that no order of anybody is under way.
+    #[serde(default)]
+    pub settled: bool,
 }
 
 /// A process of the system.
--- a/reachhead_jobs/src/wave.rs
+++ b/reachhead_jobs/src/wave.rs
@@ -85,6 +85,11 @@
         self.order.hosts.iter().all(|host| self.record.begun.contains(host))
     }
 
+    /// Tells whether the host's maintenance has not begun.
+    pub fn is_due(&self, host: &HostId) -> bool {
+        self.order.hosts.contains(host) && !self.record.begun.contains(host)
+    }
+
     /// Returns what to do next, by the platform's list of hosts.
     pub fn next(&mut self, machines: &BTreeMap<HostId, Machine>, now: Tick) -> WaveStep {
         let mut step = WaveStep::default();
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -84,8 +84,10 @@
     pub info: WorkerInfo,
     /// The platform's list has it now.
     pub listed: bool,
-    /// The pool's roster in the store has it, so a successor will ask it.
+    /// The pool's roster in the store has it as open, so a successor will ask it.
     pub rostered: bool,
+    /// Since when its calls fail.
+    pub silent_since: Tick,
     /// The newest reading of its clock.
     pub reading: Option<Reading>,
     /// The highest deadline that any order gave it.
@@ -133,6 +135,7 @@
             info,
             listed: true,
             rostered: false,
+            silent_since: now,
             reading: None,
             granted: WorkerTime(0),
             silent: false,
@@ -175,6 +178,12 @@
         self.reading.map(|reading| reading.surely_past(self.granted))
     }
 
+    /// Tells whether nothing can run there any more: it does not answer, and every lease has lapsed.
+    pub fn is_spent(&self, now: Tick) -> bool {
+        let lapsed = self.lapses().is_none_or(|lapse| lapse <= now);
+        self.silent && lapsed && self.runs.is_empty()
+    }
+
     /// Tells whether it may get new tasks at all.
     pub fn accepts(&self, now: Tick) -> bool {
         self.listed
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -8,7 +8,7 @@
 };
 
 use reachhead_jobs::{
-    clock::Tick,
+    clock::{Tick, stretched},
     model::PoolPolicy,
     pool::{Inheritance, Pool, StoredJob, StoredProgress, Tuning},
     record::{
@@ -71,9 +71,10 @@
 /// How long a process waits after its start before it takes pools, so that all know each other.
 const START_DELAY: Millis = Millis(300);
 
-/// How long an owner goes on giving orders without a sign that it is in charge. It has to last
-/// through an outage of the store, in which nobody can take charge.
-const TRUST_TIME: Millis = Millis(8000);
+/// How long an owner goes on giving orders without a sign that it is in charge. With a worker's lease
+/// after it, runs outlast an outage of the store of about eight seconds; a successor that can't
+/// reach a worker has to wait for the same time.
+const TRUST_TIME: Millis = Millis(4000);
 
 /// Longest lease that workers are given, whatever they would grant: it is what a task is delayed by
 /// when its worker is lost, and it has to outlast a change of hands.
@@ -193,6 +194,30 @@
         Millis(before * RANK_DELAY.0 + owned * LOAD_DELAY.0 + lack * SMALL_DELAY.0)
     }
 
+    /// Returns how long an order of the predecessor may have effect on a worker that does not answer.
+    /// One that gave the pool back, or that lives and does not own it, gives no orders any more.
+    fn effect(&self, pool: &PoolName, known: Option<&LeaseView>) -> Millis {
+        let tuning = tuning(&self.node);
+        let Some(lease) = known else {
+            return Millis(0);
+        };
+        let Some(owner) = &lease.record.owner else {
+            let only_leases = stretched(tuning.hold);
+            return if lease.record.settled { only_leases } else { tuning.inheritance() };
+        };
+        let now = self.node.now();
+        let view = self.node.view();
+        let ended = view.heard.get(owner).is_some_and(|heard| {
+            let absent = heard.owned.get(pool).is_none_or(|token| *token < lease.revision);
+            absent && heard.at > lease.since
+        });
+        if ended && now.since(lease.since) >= tuning.inheritance() {
+            stretched(tuning.hold)
+        } else {
+            tuning.inheritance()
+        }
+    }
+
     async fn claim(&self, pool: &PoolName, policy: Option<&PoolPolicy>) {
         let node = &self.node;
         let known = node.view().leases.get(pool).cloned();
@@ -211,7 +236,7 @@
             tokio::spawn(fleet::run(Arc::clone(node), handle, inputs, lease));
             return;
         }
-        let found = match load(node, pool, known.is_some()).await {
+        let found = match load(node, pool, self.effect(pool, known.as_ref())).await {
             Ok(found) => found,
             Err(error) => {
                 // The lease names this process, so it tries again.
@@ -304,7 +329,7 @@
     known: Option<&LeaseView>,
 ) -> Result<Option<LeaseView>, StoreError> {
     let term = known.map_or(0, |known| known.record.term + 1);
-    let record = LeaseRecord { owner: Some(node.settings.node.clone()), term };
+    let record = LeaseRecord { owner: Some(node.settings.node.clone()), term, settled: false };
     let key = lease_key(pool);
     let txn = Txn::new()
         .with_check(key.clone(), known.map(|known| known.revision))
@@ -341,14 +366,14 @@
 }
 
 /// Reads what a predecessor left.
-async fn load(node: &Node, pool: &PoolName, contested: bool) -> Result<Inheritance, StoreError> {
+async fn load(node: &Node, pool: &PoolName, effect: Millis) -> Result<Inheritance, StoreError> {
     let store = &node.services.store;
     let part = |key| Scan { prefix: part_prefix(&key), after: None, limit: u32::MAX };
     let jobs = store.scan(part(job_key(pool, JobId(0)))).await?;
     let progress = store.scan(part(progress_key(pool, JobId(0)))).await?;
     let roster = store.read(vec![roster_key(pool)]).await?.into_iter().flatten().next();
     node.note_store(&Ok(()));
-    let mut found = Inheritance { contested, ..Inheritance::default() };
+    let mut found = Inheritance { effect, ..Inheritance::default() };
     if let Some(row) = roster {
         found.roster = row.parse::<Roster>()?;
         found.roster_revision = Some(row.revision);
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Orders about hosts: maintenance in waves. One process at a time is in charge of all hosts.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -9,7 +9,7 @@
 use reachhead_jobs::{
     clock::Tick,
     pool::Vacancy,
-    ports::{Machine, MachineError},
+    ports::{Machine, MachineError, MachineState},
     record::{LeaseRecord, lease_key, value},
     wave::{Wave, WaveOrder, WaveRecord},
 };
@@ -19,7 +19,7 @@
     row::{Commit, Key, Txn},
 };
 use reachhead_types::{
-    id::{HostId, PoolName, WaveName},
+    id::{HostId, PoolName, WaveName, WorkerId},
     size::{FencingToken, Millis, Revision},
 };
 use tokio::{sync::mpsc, time};
@@ -78,6 +78,8 @@
         term: lease.record.term,
         waves: BTreeMap::new(),
         machines: BTreeMap::new(),
+        victims: BTreeMap::new(),
+        reborn: BTreeSet::new(),
         fenced: false,
     };
     fleet.run(inputs).await;
@@ -96,9 +98,19 @@
     begin: Tick,
     waves: BTreeMap<WaveName, Held>,
     machines: BTreeMap<HostId, Machine>,
+    /// The lives of workers whose hosts were ordered down, until the platform's list lacks them.
+    victims: BTreeMap<HostId, Victim>,
+    /// Hosts whose worker ended after an order, though the order was not answered yet.
+    reborn: BTreeSet<HostId>,
     fenced: bool,
 }
 
+/// A life of a worker that an order about its host ends, if the order has effect.
+struct Victim {
+    pool: PoolName,
+    worker: WorkerId,
+}
+
 impl Fleet {
     async fn run(&mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         while !self.fenced && self.in_charge() {
@@ -133,6 +145,7 @@
         if !self.read_machines().await {
             return;
         }
+        self.bury().await;
         let names: Vec<WaveName> = self.waves.keys().cloned().collect();
         for wave in names {
             self.drive(&wave).await;
@@ -205,6 +218,31 @@
         }
     }
 
+    /// Tells the owners of pools which workers are over. Only the list proves it: an order is also
+    /// answered with success when it had been carried out before, and the host has a new life since.
+    async fn bury(&mut self) {
+        let over = |host: &HostId, victim: &Victim| {
+            self.machines.get(host).is_none_or(|machine| {
+                machine.state != MachineState::Up || machine.worker.as_ref() != Some(&victim.worker)
+            })
+        };
+        let hosts: Vec<HostId> = self
+            .victims
+            .iter()
+            .filter(|(host, victim)| over(host, victim))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in hosts {
+            if let Some(victim) = self.victims.remove(&host) {
+                ask_pool(&self.node, &victim.pool, PoolAsk::Over(victim.worker)).await;
+                let due = self.waves.values().any(|held| held.wave.is_due(&host));
+                if due {
+                    self.reborn.insert(host);
+                }
+            }
+        }
+    }
+
     async fn drive(&mut self, name: &WaveName) {
         let now = self.node.now();
         let Some(held) = self.waves.get_mut(name) else {
@@ -229,7 +267,13 @@
         let Some(machine) = self.machines.get(host).cloned() else {
             return false;
         };
-        let vacancy = self.vacancy(&machine).await;
+        // A host whose worker ended after an order was taken down by it, most likely: the order is
+        // repeated only for its answer.
+        let vacancy = if self.reborn.contains(host) {
+            Vacancy::Empty
+        } else {
+            self.vacancy(&machine).await
+        };
         let now = self.node.now();
         let Some(held) = self.waves.get_mut(name) else {
             return false;
@@ -241,6 +285,10 @@
             return false;
         };
         held.wave.ordered(host, now);
+        let first = !self.victims.contains_key(host);
+        if let Some(worker) = machine.worker.filter(|_| first) {
+            self.victims.insert(host.clone(), Victim { pool: machine.pool, worker });
+        }
         let token = FencingToken(self.token.0);
         let result = machines.maintain(token, host.clone(), name.clone()).await;
         emit(
@@ -250,10 +298,7 @@
         match result {
             Ok(()) | Err(MachineError::Unknown | MachineError::Foreign) => {
                 held.wave.begun(host);
-                if let Some(worker) = machine.worker {
-                    let over = PoolAsk::Over(worker);
-                    ask_pool(&self.node, &machine.pool, over).await;
-                }
+                self.reborn.remove(host);
                 true
             }
             Err(MachineError::Fenced) => {
@@ -262,6 +307,9 @@
             }
             Err(MachineError::Busy | MachineError::NotDone(_)) => {
                 held.wave.not_taken(host);
+                if first {
+                    self.victims.remove(host);
+                }
                 false
             }
             // The order may have had effect; it is repeated, and then it says so.
@@ -341,7 +389,7 @@
     }
 
     async fn give_back(&self) {
-        let record = LeaseRecord { owner: None, term: self.term };
+        let record = LeaseRecord { owner: None, term: self.term, settled: true };
         let txn = Txn::new()
             .with_check(lease_key(&name()), Some(self.token))
             .with_write(lease_key(&name()), value(&record));
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -284,10 +284,10 @@
     /// Writes what is to be written, one transaction at a time.
     fn record(&mut self, now: Tick) {
         let due = self.record_next <= now;
-        if self.recording || !self.pool.is_dirty() || !(due || self.pool.is_urgent()) {
+        if self.recording || !self.pool.is_dirty(now) || !(due || self.pool.is_urgent(now)) {
             return;
         }
-        let Some(batch) = self.pool.batch(self.node.clock.wall()) else {
+        let Some(batch) = self.pool.batch(now, self.node.clock.wall()) else {
             return;
         };
         self.recording = true;
@@ -355,7 +355,7 @@
     /// Records what is left and gives the lease back, so that a peer takes charge at once.
     async fn give_back(&mut self) {
         let name = self.pool.name().clone();
-        if let Some(batch) = self.pool.batch(self.node.clock.wall()) {
+        if let Some(batch) = self.pool.batch(self.node.now(), self.node.clock.wall()) {
             let commit = self.node.services.store.commit(batch.txn.clone());
             match time::timeout(RELEASE_TIME, commit).await {
                 Ok(Ok(commit)) => {
@@ -366,7 +366,7 @@
                 Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
             }
         }
-        let record = LeaseRecord { owner: None, term: self.term };
+        let record = LeaseRecord { owner: None, term: self.term, settled: self.pool.unsettled() == 0 };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
             .with_write(lease_key(&name), value(&record));
