--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -112,11 +112,12 @@
         self.done as usize >= self.tasks.len()
     }
 
-    /// Returns how many tasks beside this one are not known to be at work; for steps that run on.
-    pub fn others_away(&self, index: u32) -> u32 {
-        let away = |task: &Task| !task.runs.iter().any(Run::at_work);
+    /// Returns how many tasks beside this one are not known to be at work on a worker that `answers`;
+    /// for steps that run on.
+    pub fn others_away(&self, index: u32, answers: impl Fn(&WorkerId) -> bool) -> u32 {
+        let works = |run: &Run| run.at_work() && answers(&run.worker);
         let others = (0..).zip(&self.tasks).filter(|(place, _)| *place != index);
-        others.filter(|(_, task)| away(task)).count() as u32
+        others.filter(|(_, task)| !task.runs.iter().any(works)).count() as u32
     }
 }
 
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{Reading, Tick, WorkerTime},
     job::{Phase, Run},
-    pool::{Action, NoteKind, Pool},
+    pool::{Action, Note, NoteKind, Pool},
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
@@ -29,7 +29,7 @@
 
 /// Pause before a long poll goes on while ends wait to be recorded; the worker would answer it at
 /// once with the same ends.
-const RECORD_PAUSE: Millis = Millis(250);
+const RECORD_PAUSE: Millis = Millis(150);
 
 impl Pool {
     /// Takes in the result of a long poll that was sent at `sent`.
@@ -193,6 +193,10 @@
             task.last_run = task.last_run.max(entry.run);
         }
         if step.long_running {
+            self.notes.push(Note {
+                kind: NoteKind::RunLost,
+                text: format!("task {} run {} on {id} ended {:?}", entry.task, entry.run, entry.end),
+            });
             if entry.end == RunEnd::Failed
                 && let Some(task) = job.task(entry.task)
             {
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -67,7 +67,9 @@
     fn may_take(&self, task: TaskId) -> bool {
         let job = &self.jobs[&task.job];
         let step = &job.plan.steps[task.step as usize];
-        step.may_miss == 0 || job.steps[&task.step_id()].others_away(task.index) < step.may_miss
+        let answers = |id: &WorkerId| self.workers.get(id).is_some_and(|worker| !worker.silent);
+        let away = job.steps[&task.step_id()].others_away(task.index, answers);
+        step.may_miss == 0 || away < step.may_miss
     }
 }
 
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -34,7 +34,7 @@
 
 /// Least time between two transactions that no caller waits for; their number is priced, and
 /// workers keep what is not recorded yet.
-const RECORD_PERIOD: Millis = Millis(200);
+const RECORD_PERIOD: Millis = Millis(60);
 
 /// Pause after a transaction that failed.
 const RECORD_PAUSE: Millis = Millis(150);
