The list of workers of an earlier ownership is not used

Ruled out: a slow feed (the table was read anew 0.1 s after the change of hands). Change: the list counts only while the table is followed, confirmed each second; no planned stop until the stops of a predecessor are over.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -183,6 +183,8 @@
     pending: BTreeMap<WorkerId, Pending>,
     /// The platform's list of workers was taken in.
     listed: bool,
+    /// Since when no worker of the predecessor is pending.
+    settled_at: Option<Tick>,
     roster: RosterState,
     dirty: BTreeSet<JobId>,
     /// Lives of workers that are known to be over, whatever the platform's list still says.
@@ -231,6 +233,7 @@
             workers: BTreeMap::new(),
             pending: BTreeMap::new(),
             listed: false,
+            settled_at: None,
             roster: RosterState { stored: found.roster, revision: found.roster_revision },
             dirty: BTreeSet::new(),
             over: BTreeSet::new(),
@@ -380,6 +383,9 @@
     /// Forgets what no longer matters.
     fn expire(&mut self, now: Tick) {
         self.pending.retain(|_, pending| pending.until > now);
+        if self.pending.is_empty() {
+            self.settled_at.get_or_insert(now);
+        }
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_TIME);
         self.expire_workers(now);
         self.advice.expire(now);
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -13,6 +13,9 @@
 /// times a second; if it is gone, the worker is used again.
 const CORDON_TIME: Millis = Millis(2500);
 
+/// Slack for a predecessor's order to stop that is still under way.
+const STOP_SLACK: Millis = Millis(300);
+
 /// How far a worker is emptied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -30,8 +33,12 @@
 impl Pool {
     /// Gives a worker nothing new, moves away what may be moved, and tells how far that is.
     pub fn vacate(&mut self, id: &WorkerId, now: Tick) -> Vacancy {
-        // Until all workers have answered a new owner it does not know what is where.
-        let settled = self.listed && self.pending.is_empty();
+        // Until all workers have answered a new owner it does not know what is where, and what its
+        // predecessor stops may still be reported as at work for a while.
+        let quiet = self.settled_at.is_some_and(|at| {
+            now.since(at) >= Millis(self.tuning.stop.0 + STOP_SLACK.0)
+        });
+        let settled = quiet && self.listed && self.pending.is_empty();
         let Some(worker) = self.workers.get_mut(id) else {
             return if settled { Vacancy::Unknown } else { Vacancy::Protected };
         };
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -294,9 +294,12 @@
         }
         let workers = {
             let view = node.view();
-            view.workers.values().filter(|info| info.pool == pool).cloned().collect()
+            let own = view.workers.values().filter(|info| info.pool == pool);
+            view.workers_known.then(|| own.cloned().collect())
         };
-        handle.send(crate::owner::Input::Listed(workers));
+        if let Some(workers) = workers {
+            handle.send(crate::owner::Input::Listed(workers));
+        }
         if changed.changed().await.is_err() {
             return;
         }
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -23,8 +23,9 @@
 /// How long a poll of the leases waits; each answer tells an owner that it still is in charge.
 const LEASE_WAIT: Millis = Millis(1500);
 
-/// How long a poll of the workers waits.
-const WORKER_WAIT: Millis = Millis(3000);
+/// How long a poll of the workers waits. A worker that drains must get nothing soon after, also when
+/// the connection has gone silent.
+const WORKER_WAIT: Millis = Millis(1000);
 
 /// First pause after a call that failed.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
@@ -56,6 +57,9 @@
 
     /// Notes that the table was as it is here at `at`.
     fn seen(&self, at: Tick);
+
+    /// Notes that the table is not followed any more, so what is known of it is of no use.
+    fn ended(&self) {}
 }
 
 /// Follows a table for as long as the process lives.
@@ -85,6 +89,9 @@
                     follower.seen(sent);
                     pause = PAUSE_FIRST;
                     poll(&node, &*follower, page).await;
+                    if !follower.wanted() {
+                        follower.ended();
+                    }
                 }
                 Err(error) => {
                     log::info!("table={} can't be read: {error}", follower.table());
@@ -291,7 +298,11 @@
     }
 
     fn reset(&self, rows: &[Change]) {
-        self.0.view().workers.clear();
+        {
+            let mut view = self.0.view();
+            view.workers.clear();
+            view.workers_known = true;
+        }
         self.apply(rows);
     }
 
@@ -303,4 +314,8 @@
     }
 
     fn seen(&self, _at: Tick) {}
+
+    fn ended(&self) {
+        self.0.view().workers_known = false;
+    }
 }
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -55,6 +55,8 @@
     pub members: BTreeMap<NodeName, SocketAddr>,
     /// The workers that are registered.
     pub workers: BTreeMap<WorkerId, WorkerInfo>,
+    /// The table of workers is followed, so `workers` is not left over from an earlier time.
+    pub workers_known: bool,
     /// The waves that operators ask for.
     pub waves: BTreeMap<WaveName, WaveOrder>,
     /// What was heard of owners.
