--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -2,10 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use reachhead_types::{
-    id::RouteName,
-    size::Millis,
-};
+use reachhead_types::{id::RouteName, size::Millis};
 
 use crate::{
     clock::Tick,
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -4,12 +4,7 @@
 
 use reachhead_types::id::{Label, WorkerId};
 
-use crate::{
-    clock::Tick,
-    model::Step,
-    task::StepId,
-    worker::Worker,
-};
+use crate::{clock::Tick, model::Step, task::StepId, worker::Worker};
 
 /// A task that needs a worker.
 #[derive(Debug, Clone, Copy)]
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -56,9 +56,7 @@
     /// Tells whether something is to be written that callers wait for.
     pub fn is_urgent(&self, now: Tick) -> bool {
         self.wanted_roster(now).is_some()
-            || self.dirty.iter().any(|id| {
-                self.jobs.get(id).is_some_and(|job| job.ending.is_some())
-            })
+            || self.dirty.iter().any(|id| self.jobs.get(id).is_some_and(|job| job.ending.is_some()))
     }
 
     /// Tells whether anything is to be written.
@@ -125,9 +123,7 @@
 
     fn noted(&self) -> Vec<Seen> {
         let ahead = self.workers.values().filter(|worker| worker.noted > worker.seen);
-        ahead
-            .map(|worker| Seen { worker: worker.info.id.clone(), number: worker.noted })
-            .collect()
+        ahead.map(|worker| Seen { worker: worker.info.id.clone(), number: worker.noted }).collect()
     }
 
     /// Returns the roster as it should be, if that is not what is stored.
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -404,11 +404,7 @@
     }
 
     fn target(&self, worker: &Worker) -> WorkerTarget {
-        WorkerTarget {
-            id: worker.info.id.clone(),
-            address: worker.info.address,
-            token: self.token,
-        }
+        WorkerTarget { id: worker.info.id.clone(), address: worker.info.address, token: self.token }
     }
 
     /// Returns the row of how a job ended.
@@ -424,4 +420,3 @@
         entry.is_some_and(|entry| entry.closed.is_none())
     }
 }
-
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -32,9 +32,10 @@
             if due > now {
                 continue;
             }
-            let deadline = worker.reading.filter(|_| trusted && !worker.silent).map(|reading| {
-                WorkerTime(reading.estimate(now).0 + hold.0)
-            });
+            let deadline = worker
+                .reading
+                .filter(|_| trusted && !worker.silent)
+                .map(|reading| WorkerTime(reading.estimate(now).0 + hold.0));
             let order = HoldOrder { deadline, seen: worker.seen, wait: self.wait_of(worker) };
             actions.push(Action::Hold(self.target(worker), order));
         }
@@ -135,9 +136,8 @@
             Phase::Ordered if run.asking || run.retry > now => None,
             Phase::Ordered => {
                 let worker = self.workers.get(&run.worker)?;
-                let past = worker.reading.is_some_and(|reading| {
-                    reading.surely_past(run.deadline) <= now
-                });
+                let past =
+                    worker.reading.is_some_and(|reading| reading.surely_past(run.deadline) <= now);
                 Some(if past { What::Drop } else { What::Repeat })
             }
             Phase::Working if unwanted || job.recorded => Some(What::Stop("it is not needed")),
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -195,7 +195,10 @@
         if step.long_running {
             self.notes.push(Note {
                 kind: NoteKind::RunLost,
-                text: format!("task {} run {} on {id} ended {:?}", entry.task, entry.run, entry.end),
+                text: format!(
+                    "task {} run {} on {id} ended {:?}",
+                    entry.task, entry.run, entry.end
+                ),
             });
             if entry.end == RunEnd::Failed
                 && let Some(task) = job.task(entry.task)
@@ -219,8 +222,7 @@
                 }
             }
             RunEnd::Failed => {
-                let counted =
-                    if step.gang { entry.task.step_id().task(0) } else { entry.task };
+                let counted = if step.gang { entry.task.step_id().task(0) } else { entry.task };
                 if let Some(task) = job.task(entry.task) {
                     task.avoid.push(id.clone());
                 }
@@ -231,10 +233,8 @@
                 self.blame(id, entry, now);
             }
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
-                let text = format!(
-                    "task {} run {} on {id} ended {:?}",
-                    entry.task, entry.run, entry.end
-                );
+                let text =
+                    format!("task {} run {} on {id} ended {:?}", entry.task, entry.run, entry.end);
                 self.note(NoteKind::RunLost, text);
             }
         }
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -67,8 +67,11 @@
             return true;
         }
         let advised = job.queue.advice.is_some();
-        let waiting: Vec<u32> = (0..).zip(&state.tasks).filter(|(_, task)| waits(task, now))
-            .map(|(index, _)| index).collect();
+        let waiting: Vec<u32> = (0..)
+            .zip(&state.tasks)
+            .filter(|(_, task)| waits(task, now))
+            .map(|(index, _)| index)
+            .collect();
         if waiting.is_empty() {
             return true;
         }
@@ -129,10 +132,8 @@
         }
         let number = (0..step.count).map(|index| self.next_run(id, index)).max();
         let number = number.unwrap_or(RunNumber(1));
-        let checkpoint = self.jobs[&id.job].steps[&id]
-            .tasks
-            .iter()
-            .find_map(|task| task.checkpoint.clone());
+        let checkpoint =
+            self.jobs[&id.job].steps[&id].tasks.iter().find_map(|task| task.checkpoint.clone());
         for (index, worker) in chosen {
             if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task(id.task(index)))
             {
@@ -175,14 +176,7 @@
         RunNumber(task.last_run.0.max(self.term * RUNS_PER_TERM) + 1)
     }
 
-    fn start(
-        &mut self,
-        id: TaskId,
-        step: &Step,
-        worker: WorkerId,
-        number: RunNumber,
-        now: Tick,
-    ) {
+    fn start(&mut self, id: TaskId, step: &Step, worker: WorkerId, number: RunNumber, now: Tick) {
         let hold = self.tuning.hold;
         let Some(known) = self.workers.get_mut(&worker) else {
             return;
@@ -239,7 +233,9 @@
             worker.reserved.is_none_or(|kept| kept.until <= now) && wanted.allowed(worker, now)
         });
         let best = usable
-            .filter_map(|worker| self.victims(worker, step).map(|tasks| (tasks.len(), worker, tasks)))
+            .filter_map(|worker| {
+                self.victims(worker, step).map(|tasks| (tasks.len(), worker, tasks))
+            })
             .min_by_key(|(count, _, _)| *count);
         let Some((_, worker, tasks)) = best else {
             return;
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -2,12 +2,7 @@
 
 use reachhead_types::{id::WorkerId, size::Millis};
 
-use crate::{
-    clock::Tick,
-    job::Phase,
-    pool::Pool,
-    task::TaskId,
-};
+use crate::{clock::Tick, job::Phase, pool::Pool, task::TaskId};
 
 /// How long a worker gets nothing new after it was asked to be emptied. The asker asks again several
 /// times a second; if it is gone, the worker is used again.
@@ -35,9 +30,9 @@
     pub fn vacate(&mut self, id: &WorkerId, now: Tick) -> Vacancy {
         // Until all workers have answered a new owner it does not know what is where, and what its
         // predecessor stops may still be reported as at work for a while.
-        let quiet = self.settled_at.is_some_and(|at| {
-            now.since(at) >= Millis(self.tuning.stop.0 + STOP_SLACK.0)
-        });
+        let quiet = self
+            .settled_at
+            .is_some_and(|at| now.since(at) >= Millis(self.tuning.stop.0 + STOP_SLACK.0));
         let settled = quiet && self.listed && self.pending.is_empty();
         let Some(worker) = self.workers.get_mut(id) else {
             return if settled { Vacancy::Unknown } else { Vacancy::Protected };
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -53,8 +53,7 @@
         self.several |= self.last_failed.is_some_and(|last| last != job);
         self.last_failed = Some(job);
         self.failures += 1;
-        let suspected =
-            (self.several && self.failures >= SUSPECT_FAILURES) || (self.probation && self.several);
+        let suspected = self.several && (self.probation || self.failures >= SUSPECT_FAILURES);
         if suspected {
             self.suspend(now);
         }
@@ -194,6 +193,6 @@
             && !self.info.draining
             && self.cordoned <= now
             && self.conduct.suspended <= now
-            && !(self.conduct.probation && !self.runs.is_empty())
+            && (!self.conduct.probation || self.runs.is_empty())
     }
 }
--- /dev/null
+++ b/reachhead_jobs/tests/pool/desk.rs
@@ -0,0 +1,237 @@
+//! A pool with workers that answer what a test says.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use reachhead_jobs::{
+    clock::{Tick, WorkerTime},
+    model::{Plan, Queue, Step},
+    pool::{Action, Batch, Inheritance, Pool, StoredJob, Tuning},
+    ports::{EndedEntry, RunEnd, RunningEntry, StartOrder, WorkerError, WorkerInfo, WorkerReport},
+    record::{JobRecord, Roster, RosterEntry},
+    task::{StepId, TaskId},
+};
+use reachhead_plan::amount::Amount;
+use reachhead_store::row::Commit;
+use reachhead_types::{
+    id::{JobId, PoolName, WorkerId},
+    size::{FencingToken, Millis, Revision, RunNumber},
+};
+
+/// The clock of every worker at the start of a test.
+const WORKER_CLOCK: u64 = 500_000;
+
+pub fn pool_name() -> PoolName {
+    "p".parse().unwrap()
+}
+
+pub fn worker(name: &str) -> WorkerId {
+    name.parse().unwrap()
+}
+
+pub fn tuning() -> Tuning {
+    Tuning {
+        hold: Millis(4000),
+        trust: Millis(4000),
+        wait: Millis(1000),
+        notice: Millis(4500),
+        gang: Millis(3000),
+        stop: Millis(400),
+    }
+}
+
+pub fn queue() -> Arc<Queue> {
+    Arc::new(Queue {
+        name: "q".parse().unwrap(),
+        host: "h".to_owned(),
+        prefix: "/q/".to_owned(),
+        pool: pool_name(),
+        priority: 0,
+        attempts: 3,
+        stretch: 2.0,
+        target: Millis(600),
+        advice: None,
+    })
+}
+
+pub fn step(count: u32) -> Step {
+    Step { count, need: Amount::new(1000, 100, 0), estimate: Millis(1000), ..Step::default() }
+}
+
+pub fn record(steps: Vec<Step>, accepted: u64) -> JobRecord {
+    let plan = Arc::new(Plan { payload: "x".into(), steps, schedule: None });
+    JobRecord { queue: queue(), plan, accepted: Millis(accepted) }
+}
+
+pub fn task(job: u64, step: u32, index: u32) -> TaskId {
+    StepId { job: JobId(job), occurrence: 0, step }.task(index)
+}
+
+pub fn info(name: &str, cores: u64) -> WorkerInfo {
+    WorkerInfo {
+        id: worker(name),
+        pool: pool_name(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        capacity: Amount::new(cores * 1000, 10_000, 0),
+        labels: Vec::new(),
+        rack: None,
+        draining: false,
+    }
+}
+
+/// Returns what a predecessor left: jobs by the revisions of their rows, and its roster.
+pub fn left(jobs: Vec<(u64, Vec<Step>)>, roster: Vec<(&str, Option<u64>)>) -> Inheritance {
+    let stored = |(id, steps)| StoredJob {
+        id: JobId(id),
+        record: record(steps, 0),
+        row: Revision(id),
+        progress: None,
+    };
+    let entry = |(name, closed): (&str, Option<u64>)| RosterEntry {
+        worker: worker(name),
+        address: "127.0.0.1:1".parse().unwrap(),
+        closed: closed.map(Revision),
+    };
+    Inheritance {
+        jobs: jobs.into_iter().map(stored).collect(),
+        roster: Roster { workers: roster.into_iter().map(entry).collect() },
+        roster_revision: Some(Revision(1)),
+        effect: tuning().inheritance(),
+    }
+}
+
+/// A pool, the time, and what its workers run.
+pub struct Desk {
+    pub pool: Pool,
+    pub now: Tick,
+    pub infos: Vec<WorkerInfo>,
+    pub running: BTreeMap<WorkerId, Vec<RunningEntry>>,
+    pub ended: BTreeMap<WorkerId, Vec<EndedEntry>>,
+    revision: u64,
+}
+
+impl Desk {
+    pub fn new(found: Inheritance, infos: Vec<WorkerInfo>) -> Self {
+        let now = Tick(1_000_000);
+        let pool = Pool::new(pool_name(), FencingToken(7), 0, tuning(), found, now, Millis(now.0));
+        let mut desk = Self {
+            pool,
+            now,
+            infos,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            revision: 100,
+        };
+        desk.list();
+        desk
+    }
+
+    /// A pool whose workers have answered and are in the stored roster.
+    pub fn ready(infos: Vec<WorkerInfo>) -> Self {
+        let names: Vec<WorkerId> = infos.iter().map(|info| info.id.clone()).collect();
+        let mut desk = Self::new(Inheritance::default(), infos);
+        desk.pool.poll(desk.now, Millis(desk.now.0));
+        desk.flush();
+        for name in names {
+            desk.report(&name);
+        }
+        desk
+    }
+
+    pub fn list(&mut self) {
+        self.pool.list(self.infos.clone(), self.now);
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now = self.now + Millis(millis);
+        self.pool.verify(self.now);
+    }
+
+    pub fn poll(&mut self) -> Vec<Action> {
+        self.pool.verify(self.now);
+        self.pool.poll(self.now, Millis(self.now.0))
+    }
+
+    /// Returns the orders to start that the next round gives.
+    pub fn starts(&mut self) -> Vec<(WorkerId, StartOrder)> {
+        let start = |action| match action {
+            Action::Start(target, order) => Some((target.id, order)),
+            _ => None,
+        };
+        self.poll().into_iter().filter_map(start).collect()
+    }
+
+    /// Returns the runs that the next round stops.
+    pub fn stops(&mut self) -> Vec<(WorkerId, TaskId)> {
+        let stop = |action| match action {
+            Action::Stop(target, task, _) => Some((target.id, task)),
+            _ => None,
+        };
+        self.poll().into_iter().filter_map(stop).collect()
+    }
+
+    pub fn submit(&mut self, id: u64, steps: Vec<Step>) {
+        let record = record(steps, self.now.0);
+        self.pool.submit(JobId(id), &record, Revision(50 + id), self.now, Millis(self.now.0));
+    }
+
+    pub fn clock(&self) -> WorkerTime {
+        WorkerTime(WORKER_CLOCK + self.now.0 - 1_000_000)
+    }
+
+    /// The worker answers a long poll with what it runs.
+    pub fn report(&mut self, name: &WorkerId) {
+        let report = WorkerReport {
+            clock: self.clock(),
+            running: self.running.get(name).cloned().unwrap_or_default(),
+            ended: self.ended.get(name).cloned().unwrap_or_default(),
+        };
+        let sent = self.now;
+        self.now = self.now + Millis(1);
+        self.pool.held(name, sent, Ok(report), self.now);
+    }
+
+    /// A call to the worker fails.
+    pub fn miss(&mut self, name: &WorkerId) {
+        let error = WorkerError::Lost("no answer".to_owned());
+        self.pool.held(name, self.now, Err(error), self.now);
+    }
+
+    /// The worker has the run, and the owner is told.
+    pub fn accept(&mut self, name: &WorkerId, order: &StartOrder) {
+        self.runs(name, order.task, order.run.0, 0);
+        let clock = self.clock();
+        self.pool.started(name, order.task, order.run, Ok(clock), self.now);
+    }
+
+    /// The worker has a run, whoever ordered it.
+    pub fn runs(&mut self, name: &WorkerId, task: TaskId, run: u64, percent: u32) {
+        let entry =
+            RunningEntry { task, run: RunNumber(run), checkpoint: None, percent, figure: 0 };
+        let running = self.running.entry(name.clone()).or_default();
+        running.retain(|other| other.task != task);
+        running.push(entry);
+    }
+
+    /// A run ends on the worker.
+    pub fn end(&mut self, name: &WorkerId, task: TaskId, run: u64, end: RunEnd) {
+        self.running.entry(name.clone()).or_default().retain(|entry| entry.task != task);
+        let ended = self.ended.entry(name.clone()).or_default();
+        let number = ended.len() as u64 + 1;
+        ended.push(EndedEntry { number, task, run: RunNumber(run), end, checkpoint: None });
+    }
+
+    /// Returns what would be written next.
+    pub fn batch(&mut self) -> Option<Batch> {
+        self.pool.batch(self.now, Millis(self.now.0))
+    }
+
+    /// Writes what is to be written.
+    pub fn flush(&mut self) {
+        while let Some(batch) = self.batch() {
+            self.revision += 1;
+            let commit = Commit::Done(Revision(self.revision));
+            assert!(self.pool.decided(&batch, &commit, self.now));
+        }
+    }
+}
--- /dev/null
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -0,0 +1,271 @@
+//! Starts, ends and records.
+
+use reachhead_jobs::{
+    model::Step,
+    pool::{Action, Cancelled, JobState},
+    ports::{Rejection, RunEnd, WorkerError},
+    record::Ending,
+};
+use reachhead_store::row::{Commit, Conflict};
+use reachhead_types::{id::JobId, size::Revision};
+
+use crate::desk::{Desk, info, step, task, worker};
+
+#[test]
+fn a_job_runs_its_steps_in_order_and_is_told_as_completed_once_that_is_stored() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(1), Step { after: vec![0], ..step(1) }]);
+    let starts = desk.starts();
+    assert_eq!(starts.len(), 1);
+    desk.accept(&worker("w"), &starts[0].1);
+    assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Running));
+    desk.pass(1000);
+    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    let starts = desk.starts();
+    assert_eq!(starts[0].1.task, task(1, 1, 0));
+    desk.accept(&worker("w"), &starts[0].1);
+    desk.end(&worker("w"), task(1, 1, 0), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Running), "it is not stored yet");
+    desk.flush();
+    assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Over(Ending::Completed)));
+}
+
+#[test]
+fn an_end_is_acknowledged_only_after_it_is_recorded() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(2)]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+    }
+    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    assert_eq!(desk.pool.workers()[&worker("w")].seen, 0);
+    desk.flush();
+    assert_eq!(desk.pool.workers()[&worker("w")].seen, 1);
+}
+
+#[test]
+fn an_end_that_comes_while_a_record_is_under_way_is_not_acknowledged_by_it() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(3)]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+    }
+    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    let batch = desk.batch().unwrap();
+    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    desk.pool.decided(&batch, &Commit::Done(Revision(200)), desk.now);
+    assert_eq!(desk.pool.workers()[&worker("w")].seen, 1);
+    assert!(desk.pool.is_dirty(desk.now), "the second end is still to be written");
+}
+
+#[test]
+fn a_late_transaction_can_not_undo_a_later_one() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(3)]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+    }
+    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    let first = desk.batch().unwrap();
+    desk.pool.decided(&first, &Commit::Done(Revision(200)), desk.now);
+    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    let second = desk.batch().unwrap();
+    let checked = |batch: &reachhead_jobs::pool::Batch| {
+        let check = batch.txn.checks.iter().find(|check| check.key.0.starts_with("progress/"));
+        check.unwrap().revision
+    };
+    assert_eq!(checked(&first), None);
+    assert_eq!(checked(&second), Some(Revision(200)), "so the first one fails if it comes again");
+}
+
+#[test]
+fn a_conflict_on_an_own_row_is_corrected_and_one_on_the_lease_ends_the_ownership() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(2)]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+    }
+    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    let batch = desk.batch().unwrap();
+    let own = batch.txn.checks.iter().find(|check| check.key.0.starts_with("progress/")).unwrap();
+    let conflict = Conflict { key: own.key.clone(), row: None };
+    assert!(desk.pool.decided(&batch, &Commit::Conflict(vec![conflict]), desk.now));
+    let lease = batch.txn.checks.iter().find(|check| check.key.0.starts_with("lease/")).unwrap();
+    let conflict = Conflict { key: lease.key.clone(), row: None };
+    assert!(!desk.pool.decided(&batch, &Commit::Conflict(vec![conflict]), desk.now));
+    assert!(desk.poll().contains(&Action::Fenced));
+}
+
+#[test]
+fn a_start_without_an_answer_is_repeated_there_with_the_same_deadline() {
+    let mut desk = Desk::ready(vec![info("w", 4), info("v", 4)]);
+    desk.submit(1, vec![step(1)]);
+    let (id, order) = desk.starts().remove(0);
+    let lost = || Err(WorkerError::Lost("no answer".to_owned()));
+    desk.pool.started(&id, order.task, order.run, lost(), desk.now);
+    desk.pass(200);
+    let (again, repeated) = desk.starts().remove(0);
+    assert_eq!((again, &repeated), (id.clone(), &order));
+    // Turned away now, but the first copy may still come: it is barred before the task goes on.
+    let room = Err(WorkerError::Rejected(Rejection::Room));
+    desk.pool.started(&id, order.task, order.run, room, desk.now);
+    let actions = desk.poll();
+    assert!(actions.iter().any(|action| matches!(action, Action::Stop(..))), "{actions:?}");
+    assert!(!actions.iter().any(|action| matches!(action, Action::Start(..))), "{actions:?}");
+    let clock = desk.clock();
+    desk.pool.stopped(&id, order.task, order.run, Ok(clock), desk.now);
+    desk.pass(5);
+    desk.report(&id);
+    assert_eq!(desk.starts().len(), 1);
+}
+
+#[test]
+fn a_task_on_a_silent_worker_starts_again_only_after_its_lease_has_surely_lapsed() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(1)]);
+    let (id, order) = desk.starts().remove(0);
+    desk.accept(&id, &order);
+    desk.miss(&id);
+    desk.infos.push(info("v", 4));
+    desk.list();
+    desk.poll();
+    desk.flush();
+    desk.report(&worker("v"));
+    for _ in 0..39 {
+        desk.pass(100);
+        desk.miss(&id);
+        desk.report(&worker("v"));
+        assert!(desk.starts().is_empty(), "its lease may hold");
+    }
+    desk.pass(400);
+    let starts = desk.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, worker("v"));
+    assert!(starts[0].1.run > order.run);
+}
+
+#[test]
+fn a_failure_that_is_told_twice_counts_once() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(1)]);
+    for run in 1..=2 {
+        let (id, order) = desk.starts().remove(0);
+        desk.accept(&id, &order);
+        desk.end(&id, order.task, run, RunEnd::Failed);
+        desk.report(&id);
+        desk.report(&id);
+        desk.pass(6000);
+        desk.report(&id);
+    }
+    assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Running));
+    let job = &desk.pool.jobs()[&JobId(1)];
+    assert_eq!(job.steps.values().next().unwrap().tasks[0].failed.len(), 2);
+}
+
+#[test]
+fn runs_that_nobody_knows_are_stopped_and_keep_a_worker_from_new_tasks() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.runs(&worker("w"), task(99, 0, 0), 5, 40);
+    desk.report(&worker("w"));
+    assert_eq!(desk.stops(), vec![(worker("w"), task(99, 0, 0))]);
+    desk.submit(1, vec![step(1)]);
+    assert!(desk.starts().is_empty(), "what the unknown run takes is not known");
+    desk.end(&worker("w"), task(99, 0, 0), 5, RunEnd::Stopped);
+    desk.report(&worker("w"));
+    assert_eq!(desk.starts().len(), 1);
+}
+
+#[test]
+fn what_is_being_stopped_still_takes_room() {
+    let mut desk = Desk::ready(vec![info("w", 1)]);
+    desk.submit(1, vec![step(1)]);
+    let (id, order) = desk.starts().remove(0);
+    desk.accept(&id, &order);
+    assert_eq!(desk.pool.cancel(JobId(1)), Cancelled::Pending);
+    desk.flush();
+    assert_eq!(desk.stops().len(), 1);
+    desk.submit(2, vec![step(1)]);
+    desk.report(&id);
+    assert!(desk.starts().is_empty());
+    desk.end(&id, order.task, 1, RunEnd::Stopped);
+    desk.report(&id);
+    assert_eq!(desk.starts().len(), 1);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all_and_one_end_stands_for_all() {
+    let mut desk = Desk::ready(vec![info("w", 2), info("v", 1)]);
+    desk.submit(1, vec![step(1)]);
+    let (id, order) = desk.starts().remove(0);
+    desk.accept(&id, &order);
+    desk.submit(2, vec![Step { gang: true, ..step(3) }]);
+    assert!(desk.starts().is_empty(), "one of three has no room");
+    desk.end(&id, order.task, 1, RunEnd::Done);
+    desk.report(&id);
+    let starts = desk.starts();
+    assert_eq!(starts.len(), 3);
+    assert!(starts.iter().all(|(_, start)| start.run == starts[0].1.run));
+    for (id, order) in &starts {
+        desk.accept(id, order);
+    }
+    let (id, order) = &starts[0];
+    desk.end(id, order.task, order.run.0, RunEnd::Done);
+    desk.report(id);
+    desk.flush();
+    assert_eq!(desk.pool.state(JobId(2)), Some(JobState::Over(Ending::Completed)));
+}
+
+#[test]
+fn an_owner_that_nobody_confirms_gives_no_orders_and_prolongs_nothing() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.submit(1, vec![step(1)]);
+    desk.now = desk.now + reachhead_types::size::Millis(4500);
+    let actions = desk.pool.poll(desk.now, reachhead_types::size::Millis(desk.now.0));
+    for action in actions {
+        match action {
+            Action::Hold(_, order) => assert_eq!(order.deadline, None),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_task_that_must_be_at_work_takes_the_room_of_short_ones() {
+    let mut desk = Desk::ready(vec![info("w", 2)]);
+    desk.submit(1, vec![step(2)]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+    }
+    desk.report(&worker("w"));
+    desk.submit(2, vec![Step { long_running: true, ..step(1) }]);
+    let stopped = desk.stops();
+    assert_eq!(stopped.len(), 1);
+    desk.end(&worker("w"), stopped[0].1, 1, RunEnd::Stopped);
+    desk.report(&worker("w"));
+    let starts = desk.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.task.job, JobId(2));
+}
+
+#[test]
+fn labels_spread_and_draining_are_kept() {
+    let mut labelled = info("w", 8);
+    labelled.labels = vec!["ssd".parse().unwrap()];
+    let mut leaving = info("v", 8);
+    leaving.draining = true;
+    leaving.labels = labelled.labels.clone();
+    let mut desk = Desk::ready(vec![labelled, leaving, info("u", 8)]);
+    let label = Some("ssd".parse().unwrap());
+    desk.submit(1, vec![Step { label, spread: 2, ..step(4) }]);
+    let starts = desk.starts();
+    assert_eq!(starts.len(), 2);
+    assert!(starts.iter().all(|(id, _)| *id == worker("w")));
+}
--- /dev/null
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -0,0 +1,9 @@
+//! The owner of a pool in situations that once went wrong, one test each.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+mod desk;
+mod inherit;
+mod life;
+mod vacate;
+mod wave;
--- /dev/null
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -0,0 +1,85 @@
+//! Emptying workers for planned work.
+
+use reachhead_jobs::{model::Step, pool::Vacancy};
+use reachhead_types::id::WorkerId;
+
+use crate::desk::{Desk, info, left, step, task, worker};
+
+fn lasting(count: u32) -> Vec<Step> {
+    vec![Step { long_running: true, may_miss: 1, spread: 1, ..step(count) }]
+}
+
+/// A pool in which each of three tasks that last works on a worker of its own.
+fn at_work() -> (Desk, Vec<WorkerId>) {
+    let mut desk = Desk::ready(vec![info("a", 2), info("b", 2), info("c", 2), info("d", 2)]);
+    desk.submit(1, lasting(3));
+    let mut used = Vec::new();
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+        desk.runs(&id, order.task, order.run.0, 100);
+        desk.report(&id);
+        used.push(id);
+    }
+    desk.pass(2000);
+    (desk, used)
+}
+
+#[test]
+fn one_task_of_a_step_is_taken_away_at_a_time() {
+    let (mut desk, used) = at_work();
+    assert_eq!(desk.pool.vacate(&used[0], desk.now), Vacancy::Protected);
+    assert_eq!(desk.pool.vacate(&used[1], desk.now), Vacancy::Protected);
+    let stops = desk.stops();
+    assert_eq!(stops.len(), 1, "{stops:?}");
+    assert_eq!(stops[0].0, used[0]);
+}
+
+#[test]
+fn a_task_on_a_silent_worker_counts_as_away() {
+    let (mut desk, used) = at_work();
+    desk.miss(&used[1]);
+    desk.pool.vacate(&used[0], desk.now);
+    assert!(desk.stops().is_empty());
+}
+
+#[test]
+fn a_new_owner_says_that_a_worker_is_empty_only_after_all_have_answered() {
+    let found = left(vec![(1, lasting(1))], vec![("a", None), ("b", None)]);
+    let mut desk = Desk::new(found, vec![info("a", 2), info("b", 2)]);
+    desk.poll();
+    desk.flush();
+    assert_eq!(desk.pool.vacate(&worker("a"), desk.now), Vacancy::Protected);
+    assert_eq!(desk.pool.vacate(&worker("unknown"), desk.now), Vacancy::Protected);
+}
+
+#[test]
+fn a_new_owner_takes_nothing_away_while_its_predecessors_stops_may_be_under_way() {
+    let found = left(vec![(1, lasting(2))], vec![("a", None), ("b", None)]);
+    let mut desk = Desk::new(found, vec![info("a", 2), info("b", 2), info("c", 2)]);
+    desk.poll();
+    desk.flush();
+    for (name, index) in [("a", 0), ("b", 1)] {
+        desk.runs(&worker(name), task(1, 0, index), 1, 100);
+        desk.report(&worker(name));
+    }
+    desk.poll();
+    desk.pool.vacate(&worker("a"), desk.now);
+    assert!(desk.stops().is_empty(), "the other task may be stopping by the predecessor's order");
+    desk.pass(1000);
+    desk.pool.vacate(&worker("a"), desk.now);
+    assert_eq!(desk.stops().len(), 1);
+}
+
+#[test]
+fn a_worker_that_is_being_emptied_gets_nothing_new() {
+    let mut desk = Desk::ready(vec![info("a", 2)]);
+    desk.poll();
+    desk.pass(1000);
+    desk.poll();
+    assert_eq!(desk.pool.vacate(&worker("a"), desk.now), Vacancy::Empty);
+    desk.submit(1, vec![step(1)]);
+    assert!(desk.starts().is_empty());
+    desk.pass(3000);
+    desk.report(&worker("a"));
+    assert_eq!(desk.starts().len(), 1, "nobody asks for it any more");
+}
--- /dev/null
+++ b/reachhead_jobs/tests/pool/wave.rs
@@ -0,0 +1,84 @@
+//! Waves over hosts.
+
+use std::collections::BTreeMap;
+
+use reachhead_jobs::{
+    clock::Tick,
+    pool::Vacancy,
+    ports::{Machine, MachineState},
+    wave::{Wave, WaveOrder, WaveRecord},
+};
+use reachhead_types::{id::HostId, size::Millis};
+
+fn hosts(states: &[MachineState]) -> BTreeMap<HostId, Machine> {
+    let machine = |(number, state): (usize, &MachineState)| {
+        let host: HostId = format!("m-{number}").parse().unwrap();
+        let machine = Machine {
+            host: host.clone(),
+            pool: "p".parse().unwrap(),
+            state: *state,
+            worker: Some(format!("w-{number}").parse().unwrap()),
+        };
+        (host, machine)
+    };
+    states.iter().enumerate().map(machine).collect()
+}
+
+fn wave(machines: &BTreeMap<HostId, Machine>, most: u32) -> Wave {
+    let order = WaveOrder {
+        name: "1".parse().unwrap(),
+        hosts: machines.keys().cloned().collect(),
+        within: Millis(20_000),
+        most,
+    };
+    Wave::new(order, WaveRecord::default(), Tick(0))
+}
+
+#[test]
+fn no_more_hosts_are_down_than_the_wave_permits() {
+    let machines = hosts(&[MachineState::Up; 4]);
+    let mut wave = wave(&machines, 2);
+    let step = wave.next(&machines, Tick(0));
+    let mut taken = 0;
+    for host in &step.vacate {
+        if wave.may_take(host, Vacancy::Empty, &machines, Tick(0)) {
+            wave.ordered(host, Tick(0));
+            taken += 1;
+        }
+    }
+    assert_eq!(taken, 2, "the list still shows them as up, but they were ordered down");
+}
+
+#[test]
+fn a_host_that_the_list_shows_down_counts_whoever_ordered_it() {
+    let machines = hosts(&[MachineState::Maintenance, MachineState::Up]);
+    let wave = wave(&machines, 1);
+    let host = machines.keys().nth(1).unwrap();
+    assert!(!wave.may_take(host, Vacancy::Empty, &machines, Tick(0)));
+}
+
+#[test]
+fn short_tasks_hold_a_host_up_for_a_while_and_protected_ones_for_good() {
+    let machines = hosts(&[MachineState::Up]);
+    let mut wave = wave(&machines, 1);
+    let host = machines.keys().next().unwrap().clone();
+    wave.next(&machines, Tick(0));
+    assert!(!wave.may_take(&host, Vacancy::Short, &machines, Tick(100)));
+    assert!(wave.may_take(&host, Vacancy::Short, &machines, Tick(2600)));
+    assert!(!wave.may_take(&host, Vacancy::Protected, &machines, Tick(19_000)));
+}
+
+#[test]
+fn a_wave_is_done_once_every_host_that_stays_has_begun() {
+    let mut machines = hosts(&[MachineState::Up; 2]);
+    let mut wave = wave(&machines, 2);
+    let first = machines.keys().next().unwrap().clone();
+    let second = machines.keys().nth(1).unwrap().clone();
+    wave.begun(&first);
+    assert!(!wave.is_done());
+    machines.remove(&second);
+    let step = wave.next(&machines, Tick(0));
+    assert_eq!(step.gone, vec![second.clone()]);
+    wave.begun(&second);
+    assert!(wave.is_done());
+}
--- /dev/null
+++ b/reachhead_jobs/tests/walk/main.rs
@@ -0,0 +1,32 @@
+//! Random walks over the real owner of a pool: owners that are killed, frozen, blind or cut off from
+//! workers, workers that crash, orders and transactions that are lost or carried out much later.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+mod site;
+
+use reachhead_property::check;
+
+use crate::site::Site;
+
+/// Walks; a mistake that needs a late order and a change of hands is met in some tens of them.
+const WALKS: u64 = 300;
+
+/// Acts of one walk at most; a longer list only repeats.
+const ACTS: usize = 40;
+
+#[test]
+fn no_task_runs_twice_or_is_lost_whatever_happens_to_owners_and_workers() {
+    fn walk(acts: Vec<(u8, u8, u8)>) -> bool {
+        let mut site = Site::new();
+        for act in acts.into_iter().take(ACTS) {
+            site.act(act);
+        }
+        let settled = site.settle();
+        if !settled || !site.wrong.is_empty() {
+            eprintln!("settled: {settled}, wrong: {:?}", site.wrong);
+        }
+        settled && site.wrong.is_empty()
+    }
+    check("jobs", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- /dev/null
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -0,0 +1,671 @@
+//! Owners of one pool that are killed, paused, cut off and wrong about each other, workers that crash
+//! and drain, and a store that carries transactions out late.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use futures::FutureExt;
+use reachhead_jobs::{
+    clock::Tick,
+    model::{Plan, Queue, Step},
+    pool::{
+        Action, Batch, Inheritance, JobState, Pool, StoredJob, StoredProgress, Tuning, Vacancy,
+    },
+    ports::{RunEnd, WorkerError, WorkerInfo},
+    record::{Ending, JobRecord, LeaseRecord, Roster, job_key, lease_key, roster_key, value},
+    task::TaskId,
+};
+use reachhead_plan::amount::Amount;
+use reachhead_store::{
+    Store, StoreError,
+    memory::MemoryStore,
+    row::{Commit, Key, Row, Scan, Txn},
+};
+use reachhead_types::{
+    id::{JobId, PoolName, WorkerId},
+    size::{FencingToken, Millis, Revision, RunNumber},
+};
+
+use reachhead_site::life::{Deed, Life, Nature};
+
+/// Time between two steps of the world, in milliseconds.
+const STEP: u64 = 20;
+
+/// How long an order travels.
+const TRAVEL: u64 = 5;
+
+/// Workers that stand at any time.
+const WORKERS: u8 = 3;
+
+/// How long a task takes, in milliseconds.
+const TASK_TIME: u64 = 700;
+
+/// What every task needs, in thousandths of a core, of a worker's two cores.
+const NEED: u64 = 700;
+
+fn need() -> Amount {
+    Amount::new(NEED, 100, 0)
+}
+
+/// Something that arrives later.
+enum Event {
+    /// An action arrives at its worker; `answered` tells whether its answer gets back.
+    Order { owner: usize, action: Action, sent: Tick, answered: bool },
+    /// A transaction arrives at the store.
+    Commit { owner: usize, batch: Box<Batch>, answered: bool },
+    /// Something is told to an owner.
+    Answer { owner: usize, answer: Answer },
+}
+
+enum Answer {
+    Held(WorkerId, Tick, Result<reachhead_jobs::ports::WorkerReport, WorkerError>),
+    Started(WorkerId, TaskId, RunNumber, Result<reachhead_jobs::clock::WorkerTime, WorkerError>),
+    Stopped(WorkerId, TaskId, RunNumber, Result<reachhead_jobs::clock::WorkerTime, WorkerError>),
+    Committed(Box<Batch>, Result<Commit, StoreError>),
+}
+
+struct Owner {
+    pool: Pool,
+    token: Revision,
+    recording: bool,
+    /// It neither hears nor does anything until then.
+    frozen: u64,
+    alive: bool,
+    /// Workers that it can't reach, and until when.
+    cut: BTreeMap<WorkerId, u64>,
+    /// It can't reach the store until then.
+    blind: u64,
+}
+
+/// What was seen of a task.
+#[derive(Default)]
+struct Seen {
+    running: BTreeSet<WorkerId>,
+    /// A run ended as done, whether or not anybody took note.
+    done: bool,
+    /// That was taken note of.
+    noted: bool,
+    /// When it last began.
+    began: u64,
+}
+
+pub struct Site {
+    now: u64,
+    store: MemoryStore,
+    owners: Vec<Owner>,
+    workers: BTreeMap<WorkerId, Life>,
+    draining: BTreeSet<WorkerId>,
+    events: BTreeMap<(u64, u64), Event>,
+    count: u64,
+    lives: u64,
+    jobs: BTreeMap<JobId, Arc<Plan>>,
+    cancelled: BTreeSet<JobId>,
+    tasks: BTreeMap<TaskId, Seen>,
+    /// Faults that the next orders meet.
+    lose: u8,
+    late: u8,
+    pub wrong: Vec<String>,
+}
+
+fn pool_name() -> PoolName {
+    "p".parse().unwrap()
+}
+
+fn tuning() -> Tuning {
+    Tuning {
+        hold: Millis(2000),
+        trust: Millis(1500),
+        wait: Millis(0),
+        notice: Millis(4500),
+        gang: Millis(3000),
+        stop: Millis(300),
+    }
+}
+
+fn queue() -> Arc<Queue> {
+    Arc::new(Queue {
+        name: "q".parse().unwrap(),
+        host: "h".to_owned(),
+        prefix: "/q/".to_owned(),
+        pool: pool_name(),
+        priority: 0,
+        attempts: 3,
+        stretch: 2.0,
+        target: Millis(600),
+        advice: None,
+    })
+}
+
+fn plan(kind: u8) -> Arc<Plan> {
+    let step = |count, after| Step {
+        count,
+        need: need(),
+        estimate: Millis(700),
+        after,
+        ..Step::default()
+    };
+    let steps = match kind % 3 {
+        0 => vec![step(2, vec![])],
+        1 => vec![step(1, vec![]), step(2, vec![0])],
+        _ => vec![Step { long_running: true, may_miss: 1, ..step(2, vec![]) }],
+    };
+    Arc::new(Plan { payload: "x".into(), steps, schedule: None })
+}
+
+impl Site {
+    pub fn new() -> Self {
+        let mut site = Self {
+            now: 1_000_000,
+            store: MemoryStore::new(),
+            owners: Vec::new(),
+            workers: BTreeMap::new(),
+            draining: BTreeSet::new(),
+            events: BTreeMap::new(),
+            count: 0,
+            lives: 0,
+            jobs: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            tasks: BTreeMap::new(),
+            lose: 0,
+            late: 0,
+            wrong: Vec::new(),
+        };
+        for _ in 0..WORKERS {
+            site.add_worker();
+        }
+        site.take_over();
+        site.run(400);
+        site
+    }
+
+    fn add_worker(&mut self) {
+        self.lives += 1;
+        let id = format!("w{}", self.lives).parse().unwrap();
+        let life = Life::new(self.lives * 10_000, Amount::new(2000, 4000, 0));
+        self.workers.insert(id, life);
+        self.list();
+    }
+
+    fn infos(&self) -> Vec<WorkerInfo> {
+        let info = |(id, life): (&WorkerId, &Life)| WorkerInfo {
+            id: id.clone(),
+            pool: pool_name(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "z".parse().unwrap(),
+            capacity: life.capacity,
+            labels: Vec::new(),
+            rack: None,
+            draining: self.draining.contains(id),
+        };
+        self.workers.iter().map(info).collect()
+    }
+
+    fn list(&mut self) {
+        let infos = self.infos();
+        let now = Tick(self.now);
+        for owner in self.owners.iter_mut().filter(|owner| owner.alive) {
+            owner.pool.list(infos.clone(), now);
+        }
+    }
+
+    fn read(&self, key: Key) -> Option<Row> {
+        self.store.read(vec![key]).now_or_never().unwrap().unwrap().remove(0)
+    }
+
+    fn scan(&self, table: &str) -> Vec<Row> {
+        let scan = Scan { prefix: format!("{table}/p/"), after: None, limit: u32::MAX };
+        self.store.scan(scan).now_or_never().unwrap().unwrap().rows
+    }
+
+    fn commit(&self, txn: Txn) -> Commit {
+        self.store.commit(txn).now_or_never().unwrap().unwrap()
+    }
+
+    /// A new process takes the lease, whatever the owner before is doing.
+    fn take_over(&mut self) {
+        let key = lease_key(&pool_name());
+        let known = self.read(key.clone());
+        let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
+        let record = LeaseRecord { owner: None, term, settled: false };
+        let txn = Txn::new()
+            .with_check(key.clone(), known.as_ref().map(|row| row.revision))
+            .with_write(key, value(&record));
+        let Commit::Done(token) = self.commit(txn) else { unreachable!("nobody else writes now") };
+        let progress: BTreeMap<String, Row> = self
+            .scan("progress")
+            .into_iter()
+            .map(|row| (row.key.0.rsplit('/').next().unwrap().to_owned(), row))
+            .collect();
+        let stored = |row: Row| {
+            let id = row.key.0.rsplit('/').next().unwrap().to_owned();
+            let progress = progress
+                .get(&id)
+                .map(|row| StoredProgress { record: row.parse().unwrap(), revision: row.revision });
+            StoredJob {
+                id: id.parse().unwrap(),
+                record: row.parse::<JobRecord>().unwrap(),
+                row: row.revision,
+                progress,
+            }
+        };
+        let roster = self.read(roster_key(&pool_name()));
+        let found = Inheritance {
+            jobs: self.scan("job").into_iter().map(stored).collect(),
+            roster: roster.as_ref().map(|row| row.parse::<Roster>().unwrap()).unwrap_or_default(),
+            roster_revision: roster.map(|row| row.revision),
+            effect: tuning().inheritance(),
+        };
+        let pool = Pool::new(
+            pool_name(),
+            FencingToken(token.0),
+            term,
+            tuning(),
+            found,
+            Tick(self.now),
+            Millis(self.now),
+        );
+        self.owners.push(Owner {
+            pool,
+            token,
+            recording: false,
+            frozen: 0,
+            alive: true,
+            cut: BTreeMap::new(),
+            blind: 0,
+        });
+        self.list();
+    }
+
+    fn newest(&mut self) -> &mut Owner {
+        self.owners.last_mut().unwrap()
+    }
+
+    /// One random act.
+    pub fn act(&mut self, (kind, what, time): (u8, u8, u8)) {
+        let span = u64::from(time) * 20;
+        match kind % 14 {
+            0..=3 => self.submit(what),
+            4 => self.cancel(what),
+            5 => {
+                self.newest().alive = false;
+                self.run(span / 4);
+                self.take_over();
+            }
+            6 => {
+                let until = self.now + span;
+                self.newest().frozen = until;
+                self.run(span / 2);
+                self.take_over();
+            }
+            7 => {
+                let until = self.now + span;
+                self.newest().blind = until;
+                self.run(span / 2);
+                self.take_over();
+            }
+            8 => {
+                let until = self.now + span;
+                if let Some(id) = self.pick(what) {
+                    self.newest().cut.insert(id, until);
+                }
+            }
+            9 => {
+                if let Some(id) = self.pick(what) {
+                    self.crash(&id);
+                    self.add_worker();
+                }
+            }
+            10 => self.lose = what % 8,
+            11 => self.late = what % 8,
+            12 => self.vacate(what),
+            _ => {}
+        }
+        self.run(span % 700);
+    }
+
+    fn pick(&self, what: u8) -> Option<WorkerId> {
+        let ids: Vec<&WorkerId> = self.workers.keys().collect();
+        ids.get(what as usize % ids.len().max(1)).map(|id| (*id).clone())
+    }
+
+    fn crash(&mut self, id: &WorkerId) {
+        self.workers.remove(id);
+        for seen in self.tasks.values_mut() {
+            seen.running.remove(id);
+        }
+        self.list();
+    }
+
+    /// Planned work takes a worker if the owner says that nothing protected is there.
+    fn vacate(&mut self, what: u8) {
+        let Some(id) = self.pick(what) else { return };
+        let now = Tick(self.now);
+        let owner = self.newest();
+        if owner.alive && owner.frozen <= now.0 {
+            let vacancy = owner.pool.vacate(&id, now);
+            if matches!(vacancy, Vacancy::Empty | Vacancy::Unknown) {
+                if self.workers[&id].running.keys().any(|task| self.lasts(task)) {
+                    self.wrong
+                        .push(format!("{id} is said to be empty, and a protected task is there"));
+                }
+                self.crash(&id);
+                self.add_worker();
+            }
+        }
+    }
+
+    fn submit(&mut self, kind: u8) {
+        let id = JobId(self.jobs.len() as u64 + 1);
+        let long = self.jobs.values().filter(|plan| plan.long_running()).count();
+        // More tasks that run on than that would leave no room for anything else.
+        let plan = plan(if long >= 2 { kind % 2 } else { kind });
+        let record =
+            JobRecord { queue: queue(), plan: Arc::clone(&plan), accepted: Millis(self.now) };
+        let key = job_key(&pool_name(), id);
+        let txn = Txn::new().with_check(key.clone(), None).with_write(key, value(&record));
+        let Commit::Done(row) = self.commit(txn) else { unreachable!("the id is new") };
+        self.jobs.insert(id, plan);
+        let now = Tick(self.now);
+        let owner = self.newest();
+        if owner.alive && owner.frozen <= now.0 {
+            owner.pool.submit(id, &record, row, now, Millis(now.0));
+        }
+    }
+
+    fn cancel(&mut self, what: u8) {
+        let open: Vec<JobId> = self.jobs.keys().copied().collect();
+        if let Some(id) = open.get(what as usize % open.len().max(1)).copied() {
+            let now = self.now;
+            let owner = self.newest();
+            if owner.alive && owner.frozen <= now {
+                owner.pool.cancel(id);
+                self.cancelled.insert(id);
+            }
+        }
+    }
+
+    fn lasts(&self, task: &TaskId) -> bool {
+        self.jobs.get(&task.job).is_some_and(|plan| plan.steps[task.step as usize].long_running)
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            self.advance_workers();
+            self.poll_owners();
+        }
+    }
+
+    fn advance_workers(&mut self) {
+        let now = self.now;
+        for life in self.workers.values_mut() {
+            life.advance(now);
+        }
+        self.judge();
+    }
+
+    /// Looks at what the workers did since the last time.
+    fn judge(&mut self) {
+        for (id, life) in &mut self.workers {
+            for deed in std::mem::take(&mut life.deeds) {
+                match deed {
+                    Deed::Began(task) => {
+                        let seen = self.tasks.entry(task).or_default();
+                        if !seen.running.is_empty() {
+                            self.wrong
+                                .push(format!("{task} runs twice, on {:?} and {id}", seen.running));
+                        }
+                        if seen.noted {
+                            self.wrong.push(format!("{task} starts after it was noted as done"));
+                        }
+                        seen.began = self.now;
+                        seen.running.insert(id.clone());
+                        let plan = &self.jobs[&task.job];
+                        for &before in &plan.steps[task.step as usize].after {
+                            for index in 0..plan.steps[before as usize].count {
+                                let other = TaskId { step: before, index, ..task };
+                                if !self.tasks.get(&other).is_some_and(|seen| seen.done) {
+                                    self.wrong
+                                        .push(format!("{task} starts before {other} is done"));
+                                }
+                            }
+                        }
+                    }
+                    Deed::Noted(task, at) => {
+                        let seen = self.tasks.entry(task).or_default();
+                        seen.noted = true;
+                        if seen.began > at {
+                            self.wrong.push(format!("{task} was done and began again"));
+                        }
+                    }
+                    Deed::Ended(task, end) => {
+                        let seen = self.tasks.entry(task).or_default();
+                        seen.running.remove(id);
+                        seen.done |= end == RunEnd::Done;
+                    }
+                }
+            }
+            let used = life.running.len() as u64 * NEED;
+            if used > life.capacity.cores {
+                self.wrong.push(format!("{id} is over its capacity: {used}"));
+            }
+        }
+    }
+
+    fn poll_owners(&mut self) {
+        for place in 0..self.owners.len() {
+            let now = Tick(self.now);
+            let owner = &mut self.owners[place];
+            if !owner.alive || owner.frozen > self.now {
+                continue;
+            }
+            if owner.blind <= self.now {
+                let lease = self.read(lease_key(&pool_name())).map(|row| row.revision);
+                let owner = &mut self.owners[place];
+                if lease != Some(owner.token) {
+                    owner.alive = false;
+                    continue;
+                }
+                owner.pool.verify(now);
+            }
+            let owner = &mut self.owners[place];
+            let actions = owner.pool.poll(now, Millis(now.0));
+            owner.pool.take_notes();
+            if actions.contains(&Action::Fenced) {
+                owner.alive = false;
+                continue;
+            }
+            for action in actions {
+                self.send(place, action, now);
+            }
+            self.record(place, now);
+        }
+    }
+
+    fn record(&mut self, place: usize, now: Tick) {
+        let owner = &mut self.owners[place];
+        if owner.recording || owner.blind > now.0 || !owner.pool.is_dirty(now) {
+            return;
+        }
+        let Some(batch) = owner.pool.batch(now, Millis(now.0)) else { return };
+        owner.recording = true;
+        let (lost, delay) = self.fault();
+        let event = Event::Commit { owner: place, batch: Box::new(batch.clone()), answered: !lost };
+        self.push(TRAVEL + delay, event);
+        if lost {
+            let result = Err(StoreError::Lost("the walk loses it".to_owned()));
+            let answer = Answer::Committed(Box::new(batch), result);
+            self.push(200, Event::Answer { owner: place, answer });
+        }
+    }
+
+    /// Returns whether the next call's answer is lost, and how late it is carried out.
+    fn fault(&mut self) -> (bool, u64) {
+        if self.late > 0 {
+            self.late -= 1;
+            return (true, 700 + 400 * u64::from(self.late));
+        }
+        if self.lose > 0 {
+            self.lose -= 1;
+            return (true, 0);
+        }
+        (false, 0)
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.count += 1;
+        self.events.insert((self.now + delay, self.count), event);
+    }
+
+    fn send(&mut self, place: usize, action: Action, sent: Tick) {
+        let (lost, delay) = self.fault();
+        if lost {
+            let failure = || WorkerError::Lost("the walk loses it".to_owned());
+            let answer = match &action {
+                Action::Hold(target, _) => Answer::Held(target.id.clone(), sent, Err(failure())),
+                Action::Start(target, order) => {
+                    Answer::Started(target.id.clone(), order.task, order.run, Err(failure()))
+                }
+                Action::Stop(target, task, run) => {
+                    Answer::Stopped(target.id.clone(), *task, *run, Err(failure()))
+                }
+                _ => return,
+            };
+            self.push(200, Event::Answer { owner: place, answer });
+        }
+        self.push(TRAVEL + delay, Event::Order { owner: place, action, sent, answered: !lost });
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Event::Order { owner, action, sent, answered } => {
+                    let answer = self.carry_out(owner, &action, sent);
+                    if let Some(answer) = answer.filter(|_| answered) {
+                        self.push(TRAVEL, Event::Answer { owner, answer });
+                    }
+                }
+                Event::Commit { owner, batch, answered } => {
+                    let commit = self.commit(batch.txn.clone());
+                    if answered {
+                        let answer = Answer::Committed(batch, Ok(commit));
+                        self.push(TRAVEL, Event::Answer { owner, answer });
+                    }
+                }
+                Event::Answer { owner, answer } => self.hear(owner, answer),
+            }
+            self.judge();
+        }
+    }
+
+    fn carry_out(&mut self, owner: usize, action: &Action, sent: Tick) -> Option<Answer> {
+        let now = self.now;
+        let cut = self.owners[owner].cut.clone();
+        let reach = |id: &WorkerId| cut.get(id).is_none_or(|until| *until <= now);
+        let gone = || WorkerError::Unreachable("no such worker".to_owned());
+        match action {
+            Action::Hold(target, order) => {
+                let life = self.workers.get_mut(&target.id).filter(|_| reach(&target.id));
+                let result = life.map_or(Err(gone()), |life| life.hold(target.token, order, now));
+                Some(Answer::Held(target.id.clone(), sent, result))
+            }
+            Action::Start(target, order) => {
+                let time = (!self.lasts(&order.task)).then_some(TASK_TIME);
+                let nature = Nature { time, fails: false };
+                let life = self.workers.get_mut(&target.id).filter(|_| reach(&target.id));
+                let start = |life: &mut Life| life.start(target.token, order, nature, now);
+                let result = life.map_or(Err(gone()), start);
+                Some(Answer::Started(target.id.clone(), order.task, order.run, result))
+            }
+            Action::Stop(target, task, run) => {
+                let life = self.workers.get_mut(&target.id).filter(|_| reach(&target.id));
+                let result =
+                    life.map_or(Err(gone()), |life| life.stop(target.token, *task, *run, now));
+                Some(Answer::Stopped(target.id.clone(), *task, *run, result))
+            }
+            _ => None,
+        }
+    }
+
+    fn hear(&mut self, place: usize, answer: Answer) {
+        let now = Tick(self.now);
+        let owner = &mut self.owners[place];
+        if !owner.alive {
+            return;
+        }
+        if owner.frozen > self.now {
+            let thaw = owner.frozen - self.now + 1;
+            self.push(thaw, Event::Answer { owner: place, answer });
+            return;
+        }
+        match answer {
+            Answer::Held(id, sent, result) => owner.pool.held(&id, sent, result, now),
+            Answer::Started(id, task, run, result) => {
+                owner.pool.started(&id, task, run, result, now);
+            }
+            Answer::Stopped(id, task, run, result) => {
+                owner.pool.stopped(&id, task, run, result, now);
+            }
+            Answer::Committed(batch, result) => {
+                owner.recording = false;
+                if let Ok(commit) = result
+                    && !owner.pool.decided(&batch, &commit, now)
+                {
+                    owner.alive = false;
+                }
+            }
+        }
+    }
+
+    /// Lets everything come to rest with a new owner; tells whether every job is as it should be.
+    pub fn settle(&mut self) -> bool {
+        self.lose = 0;
+        self.late = 0;
+        for owner in &mut self.owners {
+            owner.alive = false;
+        }
+        self.take_over();
+        for _ in 0..60 {
+            self.run(1000);
+            if self.unsettled().is_empty() {
+                return true;
+            }
+        }
+        let left = self.unsettled();
+        self.wrong.push(format!("not settled: {left:?}"));
+        false
+    }
+
+    fn unsettled(&self) -> Vec<JobId> {
+        let owner = self.owners.last().unwrap();
+        let ended = |id: &JobId| {
+            let key = reachhead_jobs::record::final_key(&pool_name(), *id);
+            self.read(key)
+                .map(|row| row.parse::<reachhead_jobs::record::FinalRecord>().unwrap().ending)
+        };
+        let settled = |id: &JobId, plan: &Plan| match ended(id) {
+            Some(Ending::Completed) => !plan.long_running(),
+            Some(Ending::Cancelled) => self.cancelled.contains(id),
+            Some(Ending::Failed) => false,
+            None => {
+                let works = self
+                    .tasks
+                    .iter()
+                    .filter(|(task, seen)| task.job == *id && !seen.running.is_empty());
+                plan.long_running()
+                    && owner.pool.state(*id) == Some(JobState::Running)
+                    && works.count() == plan.steps[0].count as usize
+            }
+        };
+        let jobs = self.jobs.iter().filter(|(id, plan)| !settled(id, plan));
+        jobs.map(|(id, _)| *id).collect()
+    }
+}
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -134,7 +134,8 @@
         let Some(config) = self.node.view().config.clone() else {
             return;
         };
-        let mut pools: Vec<PoolName> = config.pools.values().map(|pool| pool.name.clone()).collect();
+        let mut pools: Vec<PoolName> =
+            config.pools.values().map(|pool| pool.name.clone()).collect();
         if self.node.services.machines.is_some() {
             pools.push(fleet::name());
         }
@@ -265,8 +266,7 @@
             node.clock.wall(),
         );
         node.owned().insert(pool.clone(), handle.clone());
-        let owner =
-            Owner::new(Arc::clone(node), state, lease.record.term, handle.clone(), inputs);
+        let owner = Owner::new(Arc::clone(node), state, lease.record.term, handle.clone(), inputs);
         tokio::spawn(lists(Arc::clone(node), pool.clone(), handle.clone()));
         let (node, pool) = (Arc::clone(node), pool.clone());
         tokio::spawn(async move {
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -121,7 +121,7 @@
                     let _ = done.send(());
                     return;
                 }
-                Ok(Some(Input::Lost) | None) => return,
+                Ok(None) => return,
                 Ok(Some(_)) => continue,
                 Err(_) => {}
             }
@@ -269,11 +269,8 @@
         };
         // A host whose worker ended after an order was taken down by it, most likely: the order is
         // repeated only for its answer.
-        let vacancy = if self.reborn.contains(host) {
-            Vacancy::Empty
-        } else {
-            self.vacancy(&machine).await
-        };
+        let vacancy =
+            if self.reborn.contains(host) { Vacancy::Empty } else { self.vacancy(&machine).await };
         let now = self.node.now();
         let Some(held) = self.waves.get_mut(name) else {
             return false;
@@ -395,7 +392,9 @@
             .with_write(lease_key(&name()), value(&record));
         match self.node.services.store.commit(txn).await {
             Ok(_) => {}
-            Err(StoreError::Lost(error) | StoreError::NotDone(error) | StoreError::Refused(error)) => {
+            Err(
+                StoreError::Lost(error) | StoreError::NotDone(error) | StoreError::Refused(error),
+            ) => {
                 emit(Event::RecordFailed, format_args!("pool={} {error}", name()));
             }
         }
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -249,7 +249,8 @@
 /// Asks the owner of a pool, here or at a peer; `None` if it can't be asked.
 pub async fn ask_pool(node: &Node, pool: &PoolName, ask: PoolAsk) -> Option<Reply> {
     if let Some(owner) = node.local(pool) {
-        return Some(ask_owner(&owner, ask).await).filter(|reply| !matches!(reply, Reply::NotOwner));
+        return Some(ask_owner(&owner, ask).await)
+            .filter(|reply| !matches!(reply, Reply::NotOwner));
     }
     let (owner, address) = node.view().owner(pool)?;
     if owner == node.settings.node {
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -63,11 +63,7 @@
             "Orders to workers by what came of them",
             metrics.orders.clone(),
         );
-        registry.register(
-            "reachhead_answers",
-            "Answers to callers",
-            metrics.answers.clone(),
-        );
+        registry.register("reachhead_answers", "Answers to callers", metrics.answers.clone());
         registry.register(
             "reachhead_answer_seconds",
             "Time from a caller's request to its answer",
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -14,13 +14,7 @@
 use reachhead_types::id::PoolName;
 use tokio::sync::watch;
 
-use crate::{
-    clock::Clock,
-    metrics::Metrics,
-    owner::OwnerHandle,
-    peer::PeerClient,
-    view::View,
-};
+use crate::{clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient, view::View};
 
 /// The services of the platform, as the product needs them.
 pub struct Services {
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -87,8 +87,6 @@
     Scanned(Vec<reachhead_store::row::Row>),
     /// Give the pool back.
     Release(oneshot::Sender<()>),
-    /// Somebody else is in charge.
-    Lost,
 }
 
 /// How to reach an owner in this process.
@@ -237,7 +235,6 @@
             Input::Committed(batch, result) => self.recorded(&batch, result, now),
             Input::Scanned(rows) => self.scanned(&rows, now),
             Input::Release(done) => self.release = Some(done),
-            Input::Lost => self.lost = true,
         }
     }
 
@@ -366,7 +363,8 @@
                 Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
             }
         }
-        let record = LeaseRecord { owner: None, term: self.term, settled: self.pool.unsettled() == 0 };
+        let record =
+            LeaseRecord { owner: None, term: self.term, settled: self.pool.unsettled() == 0 };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
             .with_write(lease_key(&name), value(&record));
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -4,12 +4,7 @@
 //! a connection that can be dropped, and some are on the path of a caller's request. docs/PLATFORM.md
 //! has the measurements that decided against a second messaging library here.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
@@ -110,7 +105,8 @@
         ask: &Ask,
         deadline: Duration,
     ) -> Result<Reply, CallError> {
-        let body = serde_json::to_vec(ask).map_err(|error| CallError::NotSent(error.to_string()))?;
+        let body =
+            serde_json::to_vec(ask).map_err(|error| CallError::NotSent(error.to_string()))?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(PATH)
@@ -156,9 +152,7 @@
             owner.send(Input::Over(worker));
             Reply::Done
         }
-        PoolAsk::State(id) => {
-            answered(owner, |reply| Input::State(id, reply), Reply::State).await
-        }
+        PoolAsk::State(id) => answered(owner, |reply| Input::State(id, reply), Reply::State).await,
         PoolAsk::Cancel(id) => {
             answered(owner, |reply| Input::Cancel(id, reply), Reply::Cancel).await
         }
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -104,10 +104,7 @@
     let node = Arc::new(Node::new(settings, services, peers, metrics, stopping));
     let mut listeners = listen(&node, registry, &closing).await?;
     start_tasks(&node);
-    emit(
-        Event::Started,
-        format_args!("node={} zone={}", node.settings.node, node.settings.zone),
-    );
+    emit(Event::Started, format_args!("node={} zone={}", node.settings.node, node.settings.zone));
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -121,9 +118,7 @@
     time::sleep_until(begun + DRAIN_TIME).await;
     let _ = close.send(true);
     let end = begun + node.settings.grace.duration().saturating_sub(END_MARGIN);
-    let drained = time::timeout_at(end, async {
-        while listeners.join_next().await.is_some() {}
-    });
+    let drained = time::timeout_at(end, async { while listeners.join_next().await.is_some() {} });
     match drained.await {
         Ok(()) => emit(Event::ShutdownDone, format_args!("node={}", node.settings.node)),
         Err(_) => emit(Event::ShutdownCut, format_args!("node={}", node.settings.node)),
@@ -184,10 +179,7 @@
 }
 
 fn start_tasks(node: &Arc<Node>) {
-    tokio::spawn(follow::follow(
-        Arc::clone(node),
-        Arc::new(follow::Operators(Arc::clone(node))),
-    ));
+    tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Operators(Arc::clone(node)))));
     tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Leases(Arc::clone(node)))));
     tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Workers(Arc::clone(node)))));
     tokio::spawn(enter(Arc::clone(node)));
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -1,17 +1,9 @@
 //! What a process believes of the rest of the system, and since when.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use reachhead_jobs::{
-    clock::Tick,
-    model::Configuration,
-    ports::WorkerInfo,
-    record::LeaseRecord,
-    wave::WaveOrder,
+    clock::Tick, model::Configuration, ports::WorkerInfo, record::LeaseRecord, wave::WaveOrder,
 };
 use reachhead_types::{
     id::{NodeName, PoolName, WaveName, WorkerId},
@@ -83,7 +75,13 @@
     }
 
     /// Takes over a lease if its row is newer.
-    pub fn adopt_lease(&mut self, pool: PoolName, record: LeaseRecord, revision: Revision, now: Tick) {
+    pub fn adopt_lease(
+        &mut self,
+        pool: PoolName,
+        record: LeaseRecord,
+        revision: Revision,
+        now: Tick,
+    ) {
         let newer = self.leases.get(&pool).is_none_or(|known| known.revision < revision);
         if newer {
             self.leases.insert(pool, LeaseView { record, revision, since: now });
