Hosts move between pools by need, and are switched off when idle

Change: owners tell their load (work that runs, waits and arrives); the owner of all hosts moves empty ones to where need is, and switches off what has been idle for 3 s; short tasks stand close, so that hosts get empty.

--- /dev/null
+++ b/reachhead_jobs/src/balance.rs
@@ -0,0 +1,243 @@
+//! Which hosts change their pool, so that room is where the work is and unused hosts cost nothing.
+//!
+//! A host that moves is away for a while and everything on it ends, so only empty ones move. Demand
+//! comes in bursts of some seconds, so a host is also worth moving that is needed only for a few.
+
+use std::collections::BTreeMap;
+
+use reachhead_types::{
+    id::{HostId, PoolName, WorkerId},
+    size::Millis,
+};
+
+use crate::{
+    clock::Tick,
+    pool::PoolLoad,
+    ports::{Machine, MachineState},
+};
+
+/// Room beyond the need, in percent: sizes of jobs vary, and tasks don't fill a host exactly.
+const MARGIN_PERCENT: u64 = 15;
+
+/// Hosts that each pool with queues keeps at least, so that its first jobs start at once.
+const LEAST_HOSTS: usize = 3;
+
+/// How long a host must have been more than its pool needs before it is switched off. Switching off
+/// and on costs as much as about two seconds of a host, and it is away for three.
+const IDLE_TIME: Millis = Millis(3000);
+
+/// How long a host stays in its pool after it came, so that none goes to and fro.
+const STAY_TIME: Millis = Millis(1500);
+
+/// Moves that are begun in one round at most; the platform limits their rate.
+const ROUND_MOVES: usize = 12;
+
+/// A pool as it is looked at.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolState {
+    /// Its load, as its owner told it.
+    pub load: PoolLoad,
+    /// Its hosts are off and cost nothing.
+    pub spare: bool,
+}
+
+/// A host that should change its pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The host.
+    pub host: HostId,
+    /// The life of its worker, which has to be empty; `None` for a host that is off.
+    pub worker: Option<WorkerId>,
+    /// Where it is.
+    pub from: PoolName,
+    /// Where it should be.
+    pub to: PoolName,
+}
+
+/// What is remembered from round to round.
+#[derive(Debug, Clone, Default)]
+pub struct Balance {
+    /// Since when a pool has had more hosts than it needs.
+    idle: BTreeMap<PoolName, Tick>,
+    /// When a host was last seen to be somewhere new.
+    arrived: BTreeMap<HostId, Tick>,
+    place: BTreeMap<HostId, PoolName>,
+}
+
+/// A pool's hosts and what it needs of them.
+struct Account {
+    pool: PoolName,
+    /// Hosts that it has or that are on their way to it.
+    have: usize,
+    want: usize,
+    /// Hosts that may leave, the emptiest first.
+    free: Vec<Move>,
+}
+
+impl Balance {
+    /// Returns a balance that remembers nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the moves to begin now. `held` are hosts that something else is done with.
+    pub fn next(
+        &mut self,
+        machines: &BTreeMap<HostId, Machine>,
+        pools: &BTreeMap<PoolName, PoolState>,
+        held: impl Fn(&HostId) -> bool,
+        now: Tick,
+    ) -> Vec<Move> {
+        self.remember(machines, now);
+        let spare = pools.iter().find(|(_, state)| state.spare).map(|(name, _)| name.clone());
+        let mut accounts: Vec<Account> = pools
+            .iter()
+            .filter(|(_, state)| !state.spare && !state.load.unsettled)
+            .map(|(name, state)| self.account(name, state, machines, &held, now))
+            .collect();
+        let mut off: Vec<Move> = match &spare {
+            Some(spare) => parked(spare, machines, &held),
+            None => Vec::new(),
+        };
+        let mut moves = Vec::new();
+        self.fill(&mut accounts, &mut off, &mut moves);
+        if let Some(spare) = spare {
+            self.park(&accounts, &spare, &mut moves, now);
+        }
+        moves.truncate(ROUND_MOVES);
+        moves
+    }
+
+    fn remember(&mut self, machines: &BTreeMap<HostId, Machine>, now: Tick) {
+        for machine in machines.values() {
+            let known = self.place.insert(machine.host.clone(), machine.pool.clone());
+            if known.is_some_and(|known| known != machine.pool) {
+                self.arrived.insert(machine.host.clone(), now);
+            }
+        }
+    }
+
+    fn account(
+        &self,
+        pool: &PoolName,
+        state: &PoolState,
+        machines: &BTreeMap<HostId, Machine>,
+        held: &impl Fn(&HostId) -> bool,
+        now: Tick,
+    ) -> Account {
+        let own = machines.values().filter(|machine| machine.pool == *pool);
+        let usable = own.filter(|machine| {
+            matches!(machine.state, MachineState::Up | MachineState::Moving)
+        });
+        let mut have = 0;
+        let mut free: Vec<(u64, Move)> = Vec::new();
+        for machine in usable {
+            have += 1;
+            let fresh = self
+                .arrived
+                .get(&machine.host)
+                .is_some_and(|since| now.since(*since) < STAY_TIME);
+            let load = state.load.workers.iter().find(|load| {
+                Some(&load.worker) == machine.worker.as_ref()
+            });
+            let Some(load) = load.filter(|load| !load.pinned) else {
+                continue;
+            };
+            if machine.state != MachineState::Up || fresh || held(&machine.host) {
+                continue;
+            }
+            let step = Move {
+                host: machine.host.clone(),
+                worker: machine.worker.clone(),
+                from: pool.clone(),
+                to: pool.clone(),
+            };
+            free.push((load.used, step));
+        }
+        free.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.host.cmp(&b.1.host)));
+        let want = wanted(&state.load);
+        // A host with work on it is only given away whole, so those in use count as needed.
+        let free = free.into_iter().filter(|(used, _)| *used == 0).map(|(_, step)| step).collect();
+        Account { pool: pool.clone(), have, want, free }
+    }
+
+    /// Gives hosts to pools that lack them: those that are off first, then those of pools that have
+    /// more than they need.
+    fn fill(&self, accounts: &mut [Account], off: &mut Vec<Move>, moves: &mut Vec<Move>) {
+        let mut order: Vec<usize> = (0..accounts.len()).collect();
+        order.sort_by_key(|&place| {
+            std::cmp::Reverse(accounts[place].want.saturating_sub(accounts[place].have))
+        });
+        for place in order {
+            while accounts[place].have < accounts[place].want {
+                let Some(mut step) = off.pop().or_else(|| surplus(accounts)) else {
+                    return;
+                };
+                step.to = accounts[place].pool.clone();
+                accounts[place].have += 1;
+                moves.push(step);
+            }
+        }
+    }
+
+    /// Switches hosts off that have not been needed for a while.
+    fn park(
+        &mut self,
+        accounts: &[Account],
+        spare: &PoolName,
+        moves: &mut Vec<Move>,
+        now: Tick,
+    ) {
+        for account in accounts {
+            let extra = account.have.saturating_sub(account.want);
+            if extra == 0 {
+                self.idle.remove(&account.pool);
+                continue;
+            }
+            let since = *self.idle.entry(account.pool.clone()).or_insert(now);
+            if now.since(since) < IDLE_TIME {
+                continue;
+            }
+            for step in account.free.iter().take(extra) {
+                moves.push(Move { to: spare.clone(), ..step.clone() });
+            }
+        }
+    }
+}
+
+/// Returns how many hosts a pool should have.
+fn wanted(load: &PoolLoad) -> usize {
+    let size = load.workers.iter().map(|load| load.cores).max().unwrap_or(0).max(1);
+    let pinned = load.workers.iter().filter(|load| load.pinned).count();
+    let need = load.need + load.need * MARGIN_PERCENT / 100;
+    (need.div_ceil(size) as usize).max(LEAST_HOSTS).max(pinned)
+}
+
+/// Takes an empty host from the pool that has most to spare.
+fn surplus(accounts: &mut [Account]) -> Option<Move> {
+    let donor = accounts
+        .iter_mut()
+        .filter(|account| account.have > account.want && !account.free.is_empty())
+        .max_by_key(|account| account.have - account.want)?;
+    donor.have -= 1;
+    Some(donor.free.remove(0))
+}
+
+/// Returns the hosts that are off.
+fn parked(
+    spare: &PoolName,
+    machines: &BTreeMap<HostId, Machine>,
+    held: &impl Fn(&HostId) -> bool,
+) -> Vec<Move> {
+    machines
+        .values()
+        .filter(|machine| machine.pool == *spare && machine.state == MachineState::Up)
+        .filter(|machine| !held(&machine.host))
+        .map(|machine| Move {
+            host: machine.host.clone(),
+            worker: None,
+            from: spare.clone(),
+            to: spare.clone(),
+        })
+        .collect()
+}
--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -81,11 +81,12 @@
         durations.learn(guess, real);
     }
 
-    /// Notes a job that was accepted.
-    pub fn admit(&mut self, queue: &RouteName, plan: &Plan) {
+    /// Notes a job that was accepted, and returns its work.
+    pub fn admit(&mut self, queue: &RouteName, plan: &Plan) -> f64 {
         let work: f64 = plan.steps.iter().map(|step| self.step_work(queue, step)).sum();
         let mean = self.work.entry(queue.clone()).or_insert(work);
         *mean += LEARNING_RATE * (work - *mean);
+        work
     }
 
     /// Returns how long a task of the step will take.
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -1,7 +1,5 @@
 //! Which worker gets a task.
 
-use std::cmp::Reverse;
-
 use reachhead_types::id::{Label, WorkerId};
 
 use crate::{clock::Tick, model::Step, task::StepId, worker::Worker};
@@ -49,7 +47,11 @@
             avoided: self.avoid.contains(&worker.info.id),
             far: far(self.step.rack.as_ref()) || far(self.rack),
             siblings: if self.step.long_running { self.siblings(worker) } else { 0 },
-            free: Reverse(worker.free().cores),
+            room: if self.step.serves() {
+                worker.used.cores
+            } else {
+                worker.free().cores
+            },
         }
     }
 }
@@ -63,8 +65,9 @@
     far: bool,
     /// Tasks of the same step that would be lost with the worker.
     siblings: u32,
-    /// Free processors; tasks on one worker disturb each other.
-    free: Reverse<u64>,
+    /// What is in use there for a task that serves, since others disturb it; else what is free, so
+    /// that the work stands close and other workers are left empty.
+    room: u64,
 }
 
 /// Returns the worker that suits the task best among those on which it fits.
--- /dev/null
+++ b/reachhead_jobs/src/pool/load.rs
@@ -0,0 +1,138 @@
+//! How much room a pool needs now, for whoever moves hosts between pools.
+
+use std::collections::VecDeque;
+
+use reachhead_types::{id::WorkerId, size::Millis};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Tick,
+    job::Phase,
+    order::Class,
+    pool::Pool,
+};
+
+/// Time over which the work that arrives is averaged: long enough for a few jobs of a queue of large
+/// ones, short enough to notice a burst within its first second.
+const RATE_WINDOW: Millis = Millis(800);
+
+/// Time in which the work that waits should have begun.
+const BACKLOG_TIME: u64 = 1000;
+
+/// A worker as whoever moves hosts sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerLoad {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Thousandths of a core.
+    pub cores: u64,
+    /// Thousandths of a core that are in use.
+    pub used: u64,
+    /// Something that must be at work all the time is there.
+    pub pinned: bool,
+}
+
+/// How much room a pool has and needs, in thousandths of a core.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// For work that runs, waits and arrives.
+    pub need: u64,
+    /// For tasks that run on.
+    pub lasting: u64,
+    /// Work that arrived in all, in thousandths of a core times milliseconds.
+    pub arrived: u64,
+    /// The workers that can be used.
+    pub workers: Vec<WorkerLoad>,
+    /// The owner is new and does not know yet what runs where.
+    pub unsettled: bool,
+}
+
+/// Work that arrived lately.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Arrivals {
+    recent: VecDeque<Arrival>,
+    total: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    at: Tick,
+    work: u64,
+}
+
+impl Arrivals {
+    /// Notes work, in thousandths of a core times milliseconds.
+    pub(super) fn note(&mut self, at: Tick, work: u64) {
+        self.total += work;
+        self.recent.push_back(Arrival { at, work });
+    }
+
+    fn rate(&mut self, now: Tick) -> u64 {
+        while self.recent.front().is_some_and(|first| now.since(first.at) > RATE_WINDOW) {
+            self.recent.pop_front();
+        }
+        self.recent.iter().map(|arrival| arrival.work).sum::<u64>() / RATE_WINDOW.0
+    }
+}
+
+impl Pool {
+    /// Returns how much room the pool has and needs.
+    pub fn load(&mut self, now: Tick) -> PoolLoad {
+        let mut lasting = 0;
+        let mut running = 0;
+        let mut waiting = 0;
+        for job in self.jobs.values().filter(|job| job.ending.is_none()) {
+            let missed = self.experience.rank(job, now).class == Class::Missed;
+            for (id, state) in &job.steps {
+                let step = job.step(*id);
+                let cores = step.charge().cores;
+                if step.long_running {
+                    lasting += cores * u64::from(step.count);
+                    continue;
+                }
+                let time = self.experience.predict(&job.queue.name, step).0;
+                for task in state.tasks.iter().filter(|task| !task.done) {
+                    if !task.runs.is_empty() {
+                        running += cores;
+                    } else if !missed && job.is_ready(*id) {
+                        waiting += cores * time;
+                    }
+                }
+            }
+        }
+        let busy = running + waiting / BACKLOG_TIME;
+        let rate = self.arrivals.rate(now);
+        PoolLoad {
+            need: lasting + busy.max(rate),
+            lasting,
+            arrived: self.arrivals.total,
+            workers: self.worker_loads(now),
+            unsettled: !self.listed || !self.pending.is_empty(),
+        }
+    }
+
+    fn worker_loads(&self, now: Tick) -> Vec<WorkerLoad> {
+        let usable = self.workers.values().filter(|worker| {
+            worker.listed && worker.answered && !worker.silent && worker.conduct.suspended <= now
+        });
+        usable
+            .map(|worker| WorkerLoad {
+                worker: worker.info.id.clone(),
+                cores: worker.info.capacity.cores,
+                used: worker.used.cores,
+                pinned: worker.runs.keys().any(|task| self.is_lasting(*task)),
+            })
+            .collect()
+    }
+
+    fn is_lasting(&self, task: crate::task::TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|job| {
+            job.plan.steps[task.step as usize].long_running
+                && job.steps[&task.step_id()].tasks[task.index as usize]
+                    .runs
+                    .iter()
+                    .any(|run| run.phase != Phase::Stopping)
+        })
+    }
+}
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -5,6 +5,7 @@
 
 mod adopt;
 mod flush;
+mod load;
 mod pace;
 mod places;
 mod polls;
@@ -15,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 pub use flush::Batch;
+pub use load::{PoolLoad, WorkerLoad};
 pub use vacate::Vacancy;
 
 use reachhead_types::{
@@ -191,6 +193,7 @@
     over: BTreeSet<WorkerId>,
     experience: Experience,
     advice: places::AdviceBook,
+    arrivals: load::Arrivals,
     verified: Tick,
     actions: Vec<Action>,
     notes: Vec<Note>,
@@ -239,6 +242,7 @@
             over: BTreeSet::new(),
             experience: Experience::default(),
             advice: places::AdviceBook::default(),
+            arrivals: load::Arrivals::default(),
             verified: now,
             actions: Vec::new(),
             notes: Vec::new(),
@@ -292,7 +296,10 @@
         if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
             return;
         }
-        self.experience.admit(&record.queue.name, &record.plan);
+        let work = self.experience.admit(&record.queue.name, &record.plan);
+        if !record.plan.long_running() {
+            self.arrivals.note(now, work as u64);
+        }
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
         let mut job = Job::new(id, record, accepted);
         job.row = Some(row);
--- a/reachhead_jobs/src/wave.rs
+++ b/reachhead_jobs/src/wave.rs
@@ -90,6 +90,11 @@
         self.order.hosts.contains(host) && !self.record.begun.contains(host)
     }
 
+    /// Tells whether the host is being emptied for its maintenance.
+    pub fn is_emptying(&self, host: &HostId) -> bool {
+        self.emptying.contains_key(host)
+    }
+
     /// Returns what to do next, by the platform's list of hosts.
     pub fn next(&mut self, machines: &BTreeMap<HostId, Machine>, now: Tick) -> WaveStep {
         let mut step = WaveStep::default();
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -27,18 +27,16 @@
 use crate::{
     claims,
     frontend::ask_pool,
+    moves::Moves,
     node::Node,
     owner::{Input, OwnerHandle},
     peer::{PoolAsk, Reply},
     view::LeaseView,
 };
 
-/// How often a wave is looked at.
+/// How often waves and pools are looked at.
 const ROUND: Duration = Duration::from_millis(150);
 
-/// How often the process without a wave looks for one.
-const IDLE_ROUND: Duration = Duration::from_millis(300);
-
 /// How long the process gives no order after it took charge from another, so that no two act in
 /// turns.
 fn settle_time(node: &Node) -> Millis {
@@ -80,6 +78,7 @@
         machines: BTreeMap::new(),
         victims: BTreeMap::new(),
         reborn: BTreeSet::new(),
+        moves: Moves::new(Arc::clone(&node), FencingToken(token.0)),
         fenced: false,
     };
     fleet.run(inputs).await;
@@ -102,6 +101,7 @@
     victims: BTreeMap<HostId, Victim>,
     /// Hosts whose worker ended after an order, though the order was not answered yet.
     reborn: BTreeSet<HostId>,
+    moves: Moves,
     fenced: bool,
 }
 
@@ -114,8 +114,7 @@
 impl Fleet {
     async fn run(&mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         while !self.fenced && self.in_charge() {
-            let pause = if self.waves.is_empty() { IDLE_ROUND } else { ROUND };
-            match time::timeout(pause, inputs.recv()).await {
+            match time::timeout(ROUND, inputs.recv()).await {
                 Ok(Some(Input::Release(done))) => {
                     self.give_back().await;
                     let _ = done.send(());
@@ -139,9 +138,6 @@
     async fn round(&mut self) {
         self.find_waves().await;
         self.waves.retain(|_, held| !held.wave.record.completed);
-        if self.waves.is_empty() {
-            return;
-        }
         if !self.read_machines().await {
             return;
         }
@@ -150,6 +146,22 @@
         for wave in names {
             self.drive(&wave).await;
         }
+        self.move_hosts().await;
+    }
+
+    async fn move_hosts(&mut self) {
+        let waves: Vec<&Wave> = self.waves.values().map(|held| &held.wave).collect();
+        let held = |host: &HostId| {
+            self.victims.contains_key(host) || waves.iter().any(|wave| wave.is_emptying(host))
+        };
+        let moved = self.moves.round(&self.machines, held).await;
+        for moved in moved {
+            self.fenced |= moved.fenced;
+            if let Some(worker) = moved.step.worker.filter(|_| moved.possible) {
+                let victim = Victim { pool: moved.step.from, worker };
+                self.victims.insert(moved.step.host, victim);
+            }
+        }
     }
 
     /// Takes over waves that operators asked for and that are not completed.
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod frontend;
 mod metrics;
+mod moves;
 mod node;
 mod observe;
 mod owner;
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -4,7 +4,7 @@
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
-    pool::{Action, Batch, Cancelled, JobState, NoteKind, Pool, Vacancy},
+    pool::{Action, Batch, Cancelled, JobState, NoteKind, Pool, PoolLoad, Vacancy},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     record::{JobRecord, LeaseRecord, job_key, lease_key, value},
     task::{StepId, TaskId},
@@ -67,6 +67,8 @@
     Waiting(RouteName, oneshot::Sender<u32>),
     /// A worker's host is due for planned work.
     Vacate(WorkerId, oneshot::Sender<Vacancy>),
+    /// Somebody asks how much room the pool needs.
+    Load(oneshot::Sender<PoolLoad>),
     /// A worker's life is over.
     Over(WorkerId),
     /// The registered workers changed.
@@ -219,6 +221,9 @@
             Input::Vacate(worker, reply) => {
                 let _ = reply.send(self.pool.vacate(&worker, now));
             }
+            Input::Load(reply) => {
+                let _ = reply.send(self.pool.load(now));
+            }
             Input::Over(worker) => self.pool.worker_over(&worker, "its host was taken"),
             Input::Listed(workers) => self.pool.list(workers, now),
             Input::Held(worker, sent, result) => self.pool.held(&worker, sent, result, now),
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use reachhead_jobs::{
-    pool::{JobState, Vacancy},
+    pool::{JobState, PoolLoad, Vacancy},
     record::JobRecord,
 };
 use reachhead_ops::{
@@ -59,6 +59,8 @@
     Vacate(WorkerId),
     /// This life of a worker is over.
     Over(WorkerId),
+    /// How much room does the pool need?
+    Load,
 }
 
 /// The answer to an [`Ask`].
@@ -80,6 +82,8 @@
     Waiting(u32),
     /// How empty the worker is.
     Vacancy(Vacancy),
+    /// How much room the pool needs.
+    Load(PoolLoad),
 }
 
 /// A client of peers.
@@ -159,6 +163,7 @@
         PoolAsk::Waiting(queue) => {
             answered(owner, |reply| Input::Waiting(queue, reply), Reply::Waiting).await
         }
+        PoolAsk::Load => answered(owner, Input::Load, Reply::Load).await,
         PoolAsk::Vacate(worker) => {
             answered(owner, |reply| Input::Vacate(worker, reply), Reply::Vacancy).await
         }
