Planned work leaves a pool room for the tasks that must be at work

Change: a task leaves only if it has a place; a worker is kept while no other accepts tasks or while others wait for a place, and one more host is asked for; only orders for maintenance make a host's new life count as maintained.

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -126,20 +126,19 @@
         now: Tick,
     ) -> Account {
         let own = machines.values().filter(|machine| machine.pool == *pool);
-        let usable = own.filter(|machine| {
-            matches!(machine.state, MachineState::Up | MachineState::Moving)
-        });
+        let usable =
+            own.filter(|machine| matches!(machine.state, MachineState::Up | MachineState::Moving));
         let mut have = 0;
         let mut free: Vec<(u64, Move)> = Vec::new();
         for machine in usable {
             have += 1;
-            let fresh = self
-                .arrived
-                .get(&machine.host)
-                .is_some_and(|since| now.since(*since) < STAY_TIME);
-            let load = state.load.workers.iter().find(|load| {
-                Some(&load.worker) == machine.worker.as_ref()
-            });
+            let fresh =
+                self.arrived.get(&machine.host).is_some_and(|since| now.since(*since) < STAY_TIME);
+            let load = state
+                .load
+                .workers
+                .iter()
+                .find(|load| Some(&load.worker) == machine.worker.as_ref());
             let Some(load) = load.filter(|load| !load.pinned) else {
                 continue;
             };
@@ -181,13 +180,7 @@
     }
 
     /// Switches hosts off that have not been needed for a while.
-    fn park(
-        &mut self,
-        accounts: &[Account],
-        spare: &PoolName,
-        moves: &mut Vec<Move>,
-        now: Tick,
-    ) {
+    fn park(&mut self, accounts: &[Account], spare: &PoolName, moves: &mut Vec<Move>, now: Tick) {
         for account in accounts {
             let extra = account.have.saturating_sub(account.want);
             if extra == 0 {
@@ -210,7 +203,8 @@
     let size = load.workers.iter().map(|load| load.cores).max().unwrap_or(0).max(1);
     let pinned = load.workers.iter().filter(|load| load.pinned).count();
     let need = load.need + load.need * MARGIN_PERCENT / 100;
-    (need.div_ceil(size) as usize).max(LEAST_HOSTS).max(pinned)
+    (need.div_ceil(size) as usize).max(LEAST_HOSTS).max(pinned).max(load.least as usize)
+        + load.extra as usize
 }
 
 /// Takes an empty host from the pool that has most to spare.
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -47,11 +47,7 @@
             avoided: self.avoid.contains(&worker.info.id),
             far: far(self.step.rack.as_ref()) || far(self.rack),
             siblings: if self.step.long_running { self.siblings(worker) } else { 0 },
-            room: if self.step.serves() {
-                worker.used.cores
-            } else {
-                worker.free().cores
-            },
+            room: if self.step.serves() { worker.used.cores } else { worker.free().cores },
         }
     }
 }
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -5,12 +5,7 @@
 use reachhead_types::{id::WorkerId, size::Millis};
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    clock::Tick,
-    job::Phase,
-    order::Class,
-    pool::Pool,
-};
+use crate::{clock::Tick, job::Phase, order::Class, pool::Pool};
 
 /// Time over which the work that arrives is averaged: long enough for a few jobs of a queue of large
 /// ones, short enough to notice a burst within its first second.
@@ -39,6 +34,10 @@
     pub need: u64,
     /// For tasks that run on.
     pub lasting: u64,
+    /// Workers that it needs at least, however large they are: tasks that run on keep apart.
+    pub least: u32,
+    /// Workers that it needs beyond that for a while, since tasks that have to leave find no place.
+    pub extra: u32,
     /// Work that arrived in all, in thousandths of a core times milliseconds.
     pub arrived: u64,
     /// The workers that can be used.
@@ -81,6 +80,7 @@
         let mut lasting = 0;
         let mut running = 0;
         let mut waiting = 0;
+        let mut least = 0;
         for job in self.jobs.values().filter(|job| job.ending.is_none()) {
             let missed = self.experience.rank(job, now).class == Class::Missed;
             for (id, state) in &job.steps {
@@ -88,6 +88,9 @@
                 let cores = step.charge().cores;
                 if step.long_running {
                     lasting += cores * u64::from(step.count);
+                    if step.spread > 0 {
+                        least = least.max(step.count.div_ceil(step.spread));
+                    }
                     continue;
                 }
                 let time = self.experience.predict(&job.queue.name, step).0;
@@ -105,6 +108,8 @@
         PoolLoad {
             need: lasting + busy.max(rate),
             lasting,
+            least,
+            extra: u32::from(self.cramped > now),
             arrived: self.arrivals.total,
             workers: self.worker_loads(now),
             unsettled: !self.listed || !self.pending.is_empty(),
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -185,6 +185,10 @@
     pending: BTreeMap<WorkerId, Pending>,
     /// The platform's list of workers was taken in.
     listed: bool,
+    /// Workers that are not listed yet and must get nothing, and until when.
+    cordons: BTreeMap<WorkerId, Tick>,
+    /// Until when one more host is asked for, since a task that has to leave finds no place.
+    cramped: Tick,
     /// Since when no worker of the predecessor is pending.
     settled_at: Option<Tick>,
     roster: RosterState,
@@ -236,6 +240,8 @@
             workers: BTreeMap::new(),
             pending: BTreeMap::new(),
             listed: false,
+            cordons: BTreeMap::new(),
+            cramped: Tick(0),
             settled_at: None,
             roster: RosterState { stored: found.roster, revision: found.roster_revision },
             dirty: BTreeSet::new(),
@@ -352,6 +358,8 @@
                 None => {
                     let mut worker = Worker::new(info, now);
                     worker.rostered = self.roster.is_open(&worker.info.id);
+                    worker.cordoned =
+                        self.cordons.get(&worker.info.id).copied().unwrap_or_default();
                     self.workers.insert(worker.info.id.clone(), worker);
                 }
             }
@@ -393,6 +401,7 @@
         if self.pending.is_empty() {
             self.settled_at.get_or_insert(now);
         }
+        self.cordons.retain(|_, until| *until > now);
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_TIME);
         self.expire_workers(now);
         self.advice.expire(now);
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -255,7 +255,7 @@
 
     /// Returns the short tasks to stop on a worker so that a task of the step fits, the youngest
     /// first; `None` where that isn't enough.
-    fn victims(&self, worker: &Worker, step: &Step) -> Option<Vec<TaskId>> {
+    pub(super) fn victims(&self, worker: &Worker, step: &Step) -> Option<Vec<TaskId>> {
         let mut short: Vec<(Tick, TaskId)> = Vec::new();
         for task in worker.runs.keys() {
             let Some(job) = self.jobs.get(&task.job) else {
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -2,7 +2,7 @@
 
 use reachhead_types::{id::WorkerId, size::Millis};
 
-use crate::{clock::Tick, job::Phase, pool::Pool, task::TaskId};
+use crate::{clock::Tick, job::Phase, place::Wanted, pool::Pool, task::TaskId};
 
 /// How long a worker gets nothing new after it was asked to be emptied. The asker asks again several
 /// times a second; if it is gone, the worker is used again.
@@ -11,6 +11,9 @@
 /// Slack for a predecessor's order to stop that is still under way.
 const STOP_SLACK: Millis = Millis(300);
 
+/// How long a pool asks for one more host after a task that has to leave found no place.
+const CRAMPED_TIME: Millis = Millis(2500);
+
 /// How far a worker is emptied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -34,10 +37,21 @@
             .settled_at
             .is_some_and(|at| now.since(at) >= Millis(self.tuning.stop.0 + STOP_SLACK.0));
         let settled = quiet && self.listed && self.pending.is_empty();
+        let until = now + CORDON_TIME;
+        if self.workers.contains_key(id) && self.is_needed(id, now) {
+            // One more host is asked for, and the worker is kept for tasks that must be at work.
+            self.cramped = now + CRAMPED_TIME;
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.cordoned = Tick(0);
+            }
+            return Vacancy::Protected;
+        }
         let Some(worker) = self.workers.get_mut(id) else {
+            // It may be listed any moment, and must get nothing then.
+            self.cordons.insert(id.clone(), until);
             return if settled { Vacancy::Unknown } else { Vacancy::Protected };
         };
-        worker.cordoned = now + CORDON_TIME;
+        worker.cordoned = until;
         if !settled || !worker.answered {
             return Vacancy::Protected;
         }
@@ -58,12 +72,54 @@
             if let Some(run) = run.filter(|run| run.phase == Phase::Working).cloned()
                 && self.may_take(task)
             {
-                self.stop_run(task, &run, "its host is due for planned work", now);
+                if self.has_place(task, now) {
+                    self.stop_run(task, &run, "its host is due for planned work", now);
+                } else {
+                    self.cramped = now + CRAMPED_TIME;
+                }
             }
         }
         vacancy
     }
 
+    /// Tells whether a worker can't be emptied now: no other takes tasks, or tasks that must be at work
+    /// wait for a place and this one has such tasks anyway.
+    fn is_needed(&self, id: &WorkerId, now: Tick) -> bool {
+        let others = self.workers.values().filter(|other| other.info.id != *id);
+        let alone = others.filter(|other| other.accepts(now)).count() == 0;
+        let has_lasting = self.jobs.values().any(|job| job.plan.long_running());
+        if alone && has_lasting {
+            return true;
+        }
+        let lasts = |task: &TaskId| {
+            self.jobs
+                .get(&task.job)
+                .is_some_and(|job| job.plan.steps[task.step as usize].long_running)
+        };
+        self.homeless() && self.workers[id].runs.keys().any(lasts)
+    }
+
+    /// Tells whether a task that must be at work waits for a place.
+    fn homeless(&self) -> bool {
+        self.jobs.values().filter(|job| job.ending.is_none()).any(|job| {
+            job.steps.iter().any(|(id, state)| {
+                job.step(*id).long_running && state.tasks.iter().any(|task| task.runs.is_empty())
+            })
+        })
+    }
+
+    /// Tells whether a task that has to leave its worker can go on elsewhere, be it in the place of
+    /// short tasks.
+    fn has_place(&self, task: TaskId, now: Tick) -> bool {
+        let job = &self.jobs[&task.job];
+        let step = &job.plan.steps[task.step as usize];
+        let wanted = Wanted { id: task.step_id(), step, avoid: &[], rack: None };
+        self.workers.values().any(|worker| {
+            wanted.fits(worker, now)
+                || (wanted.allowed(worker, now) && self.victims(worker, step).is_some())
+        })
+    }
+
     /// Tells whether planned work may end the task's run now. Whether it is at work does not matter:
     /// the report that says so may be a second old.
     fn may_take(&self, task: TaskId) -> bool {
--- a/reachhead_jobs/tests/pool/vacate.rs
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -62,6 +62,7 @@
         desk.runs(&worker(name), task(1, 0, index), 1, 100);
         desk.report(&worker(name));
     }
+    desk.report(&worker("c"));
     desk.poll();
     desk.pool.vacate(&worker("a"), desk.now);
     assert!(desk.stops().is_empty(), "the other task may be stopping by the predecessor's order");
@@ -70,6 +71,57 @@
     assert_eq!(desk.stops().len(), 1);
 }
 
+#[test]
+fn a_task_stays_where_it_is_while_it_could_go_nowhere_else() {
+    let mut desk = Desk::ready(vec![info("a", 2), info("b", 2)]);
+    desk.submit(1, lasting(2));
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+        desk.runs(&id, order.task, order.run.0, 100);
+        desk.report(&id);
+    }
+    desk.pass(2000);
+    assert_eq!(desk.pool.vacate(&worker("a"), desk.now), Vacancy::Protected);
+    assert!(desk.stops().is_empty());
+    assert_eq!(desk.pool.load(desk.now).extra, 1, "one more host is asked for");
+}
+
+#[test]
+fn a_pool_is_not_emptied_of_all_its_workers_at_once() {
+    let mut desk = Desk::ready(vec![info("a", 4), info("b", 4), info("c", 4)]);
+    desk.submit(1, vec![Step { long_running: true, may_miss: 1, ..step(2) }]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+        desk.runs(&id, order.task, order.run.0, 100);
+        desk.report(&id);
+    }
+    desk.pass(2000);
+    for name in ["a", "b", "c"] {
+        desk.pool.vacate(&worker(name), desk.now);
+    }
+    assert_eq!(desk.pool.load(desk.now).extra, 1);
+    let (id, task) = desk.stops().remove(0);
+    desk.end(&id, task, 1, reachhead_jobs::ports::RunEnd::Stopped);
+    desk.report(&id);
+    assert_eq!(desk.starts().len(), 1, "the task that had to leave finds a place");
+}
+
+#[test]
+fn a_worker_that_is_to_be_emptied_gets_nothing_when_it_is_listed_later() {
+    let mut desk = Desk::ready(vec![info("a", 2)]);
+    desk.poll();
+    desk.pass(1000);
+    desk.poll();
+    assert_eq!(desk.pool.vacate(&worker("b"), desk.now), Vacancy::Unknown);
+    desk.infos = vec![info("b", 8)];
+    desk.list();
+    desk.poll();
+    desk.flush();
+    desk.report(&worker("b"));
+    desk.submit(1, vec![step(1)]);
+    assert!(desk.starts().is_empty());
+}
+
 #[test]
 fn a_worker_that_is_being_emptied_gets_nothing_new() {
     let mut desk = Desk::ready(vec![info("a", 2)]);
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -109,6 +109,8 @@
 struct Victim {
     pool: PoolName,
     worker: WorkerId,
+    /// The order was for maintenance, not for a move.
+    maintenance: bool,
 }
 
 impl Fleet {
@@ -158,7 +160,7 @@
         for moved in moved {
             self.fenced |= moved.fenced;
             if let Some(worker) = moved.step.worker.filter(|_| moved.possible) {
-                let victim = Victim { pool: moved.step.from, worker };
+                let victim = Victim { pool: moved.step.from, worker, maintenance: false };
                 self.victims.insert(moved.step.host, victim);
             }
         }
@@ -246,9 +248,9 @@
             .collect();
         for host in hosts {
             if let Some(victim) = self.victims.remove(&host) {
-                ask_pool(&self.node, &victim.pool, PoolAsk::Over(victim.worker)).await;
+                ask_pool(&self.node, &victim.pool, PoolAsk::Over(victim.worker.clone())).await;
                 let due = self.waves.values().any(|held| held.wave.is_due(&host));
-                if due {
+                if due && victim.maintenance {
                     self.reborn.insert(host);
                 }
             }
@@ -296,7 +298,8 @@
         held.wave.ordered(host, now);
         let first = !self.victims.contains_key(host);
         if let Some(worker) = machine.worker.filter(|_| first) {
-            self.victims.insert(host.clone(), Victim { pool: machine.pool, worker });
+            self.victims
+                .insert(host.clone(), Victim { pool: machine.pool, worker, maintenance: true });
         }
         let token = FencingToken(self.token.0);
         let result = machines.maintain(token, host.clone(), name.clone()).await;
