Submissions are stored in batches, and a busy store is not taken for one that is away

Ruled out: a change of hands (the owners stayed); the store's limit of calls a second (a tenth was used). Change: one transaction a pool and process at a time, with all that waits; StoreError::Busy leaves the breaker alone; a call goes on by the known configuration if the store can't be asked; hosts of a wave are ordered beside each other.

--- a/reachhead_admin/src/api/mod.rs
+++ b/reachhead_admin/src/api/mod.rs
@@ -172,7 +172,9 @@
 fn store_problem(error: &StoreError) -> WholeResponse {
     let status = match error {
         StoreError::Refused(_) => StatusCode::UNPROCESSABLE_ENTITY,
-        StoreError::NotDone(_) | StoreError::Lost(_) => StatusCode::SERVICE_UNAVAILABLE,
+        StoreError::NotDone(_) | StoreError::Busy(_) | StoreError::Lost(_) => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
     problem(status, &error.to_string())
 }
--- a/reachhead_entry/src/process/claims.rs
+++ b/reachhead_entry/src/process/claims.rs
@@ -293,7 +293,7 @@
                 Ok(Commit::Done(revision)) => return self.batch.answer_stored(revision),
                 Ok(Commit::Conflict(conflicts)) => self.batch.resolve_conflicts(&conflicts),
                 Err(StoreError::Lost(_)) => return self.read_back().await,
-                Err(StoreError::NotDone(_) | StoreError::Refused(_)) => break,
+                Err(StoreError::NotDone(_) | StoreError::Busy(_) | StoreError::Refused(_)) => break,
             }
         }
         self.batch.answer_not_stored();
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use futures::future::join_all;
 use reachhead_jobs::{
     clock::Tick,
     pool::Vacancy,
@@ -90,6 +91,14 @@
     revision: Option<Revision>,
 }
 
+/// A host that is ordered down.
+struct Taken {
+    host: HostId,
+    vacancy: Vacancy,
+    /// No earlier order about it is open.
+    first: bool,
+}
+
 struct Fleet {
     node: Arc<Node>,
     token: Revision,
@@ -267,46 +276,79 @@
         for host in &step.gone {
             held.wave.begun(host);
         }
-        for host in step.vacate {
-            changed |= self.take_host(name, &host).await;
-        }
+        changed |= self.take_hosts(name, step.vacate).await;
         let done = self.waves.get(name).is_some_and(|held| held.wave.is_done());
         if changed || done {
             self.save(name).await;
         }
     }
 
-    /// Empties a host and orders it down once that may be; tells whether its maintenance has begun.
-    async fn take_host(&mut self, name: &WaveName, host: &HostId) -> bool {
-        let Some(machine) = self.machines.get(host).cloned() else {
-            return false;
-        };
+    /// Empties hosts and orders them down as far as that may be; tells whether the maintenance of any
+    /// has begun.
+    async fn take_hosts(&mut self, name: &WaveName, hosts: Vec<HostId>) -> bool {
+        let mut machines: Vec<Machine> = Vec::new();
+        for host in &hosts {
+            machines.extend(self.machines.get(host).cloned());
+        }
         // A host whose worker ended after an order was taken down by it, most likely: the order is
         // repeated only for its answer.
-        let vacancy =
-            if self.reborn.contains(host) { Vacancy::Empty } else { self.vacancy(&machine).await };
+        let vacancies = join_all(machines.iter().map(|machine| async {
+            if self.reborn.contains(&machine.host) {
+                Vacancy::Empty
+            } else {
+                self.vacancy(machine).await
+            }
+        }))
+        .await;
         let now = self.node.now();
-        let Some(held) = self.waves.get_mut(name) else {
-            return false;
-        };
-        if !held.wave.may_take(host, vacancy, &self.machines, now) {
-            return false;
+        let mut taken: Vec<Taken> = Vec::new();
+        for (machine, vacancy) in machines.into_iter().zip(vacancies) {
+            let Some(held) = self.waves.get_mut(name) else {
+                return false;
+            };
+            if !held.wave.may_take(&machine.host, vacancy, &self.machines, now) {
+                continue;
+            }
+            held.wave.ordered(&machine.host, now);
+            let first = !self.victims.contains_key(&machine.host);
+            if let Some(worker) = machine.worker.filter(|_| first) {
+                let victim = Victim { pool: machine.pool, worker, maintenance: true };
+                self.victims.insert(machine.host.clone(), victim);
+            }
+            taken.push(Taken { host: machine.host, vacancy, first });
         }
-        let Some(machines) = &self.node.services.machines else {
+        let Some(api) = self.node.services.machines.clone() else {
             return false;
         };
-        held.wave.ordered(host, now);
-        let first = !self.victims.contains_key(host);
-        if let Some(worker) = machine.worker.filter(|_| first) {
-            self.victims
-                .insert(host.clone(), Victim { pool: machine.pool, worker, maintenance: true });
-        }
         let token = FencingToken(self.token.0);
-        let result = machines.maintain(token, host.clone(), name.clone()).await;
+        let orders =
+            taken.iter().map(|taken| api.maintain(token, taken.host.clone(), name.clone()));
+        let results = join_all(orders).await;
+        let mut begun = false;
+        for (taken, result) in taken.iter().zip(results) {
+            begun |= self.ordered(name, taken, result);
+        }
+        begun
+    }
+
+    /// Takes in what came of an order; tells whether the host's maintenance has begun.
+    fn ordered(
+        &mut self,
+        name: &WaveName,
+        taken: &Taken,
+        result: Result<(), MachineError>,
+    ) -> bool {
+        let Taken { host, vacancy, first } = taken;
         emit(
             Event::HostOrdered,
-            format_args!("wave={name} host={host} vacancy={vacancy:?} token={token} {result:?}"),
+            format_args!(
+                "wave={name} host={host} vacancy={vacancy:?} token={} {result:?}",
+                self.token
+            ),
         );
+        let Some(held) = self.waves.get_mut(name) else {
+            return false;
+        };
         match result {
             Ok(()) | Err(MachineError::Unknown | MachineError::Foreign) => {
                 held.wave.begun(host);
@@ -319,7 +361,7 @@
             }
             Err(MachineError::Busy | MachineError::NotDone(_)) => {
                 held.wave.not_taken(host);
-                if first {
+                if *first {
                     self.victims.remove(host);
                 }
                 false
@@ -408,7 +450,10 @@
         match self.node.services.store.commit(txn).await {
             Ok(_) => {}
             Err(
-                StoreError::Lost(error) | StoreError::NotDone(error) | StoreError::Refused(error),
+                StoreError::Lost(error)
+                | StoreError::NotDone(error)
+                | StoreError::Busy(error)
+                | StoreError::Refused(error),
             ) => {
                 emit(Event::RecordFailed, format_args!("pool={} {error}", name()));
             }
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -7,30 +7,30 @@
     model::Queue,
     pool::JobState,
     ports::{Answer, Call, CallKind, Frontend, OperatorRow},
-    record::{FinalRecord, JobRecord, final_key, job_key, progress_key, value},
+    record::{FinalRecord, JobRecord, final_key, job_key, progress_key},
 };
 use reachhead_ops::event::{Event, emit};
-use reachhead_store::{
-    StoreError,
-    row::{Commit, Scan, Txn},
-};
+use reachhead_store::{StoreError, row::Scan};
 use reachhead_types::{
     error::ErrorKind,
     id::{JobId, PoolName},
-    size::{Millis, Revision},
+    size::Millis,
 };
 use tokio::time::{self, Instant};
 
 use crate::{
     node::Node,
     owner::{CancelReply, part_prefix},
-    peer::{Ask, PoolAsk, Reply, ask_owner},
+    peer::{Ask, PoolAsk, Reply, Submitted, ask_owner},
 };
 
 /// Age above which the configuration is looked at before a call is decided by it. The followed table
 /// is confirmed every second, so this is only reached when its connection fails.
 const CONFIG_AGE: Millis = Millis(1400);
 
+/// Longest wait for a look at the configuration.
+const REFRESH_TIME: Duration = Duration::from_millis(300);
+
 /// Longest wait for an owner's answer about one job; the store can answer too.
 const OWNER_TIME: Duration = Duration::from_millis(700);
 
@@ -40,9 +40,6 @@
 /// Part of a caller's time that is left unused, so that the answer arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
-/// Tries to tell an owner of a job; afterwards it finds the job in the store.
-const NOTIFY_TRIES: u32 = 4;
-
 /// How long ago the store must have answered for a process to be ready.
 const STORE_AGE: Millis = Millis(3000);
 
@@ -50,50 +47,6 @@
 pub struct NodeFrontend(pub Arc<Node>);
 
 impl NodeFrontend {
-    async fn submit(&self, queue: Arc<Queue>, id: JobId, call: Submission) -> Answer {
-        let node = &self.0;
-        let record = JobRecord { queue, plan: call.plan, accepted: node.clock.wall() };
-        let pool = record.queue.pool.clone();
-        let txn = Txn::new()
-            .with_check(job_key(&pool, id), None)
-            .with_check(final_key(&pool, id), None)
-            .with_write(job_key(&pool, id), value(&record));
-        let mut doubtful = false;
-        loop {
-            let result = node.services.store.commit(txn.clone()).await;
-            node.note_store(&result);
-            match result {
-                Ok(Commit::Done(revision)) => {
-                    emit(
-                        Event::JobAccepted,
-                        format_args!(
-                            "job={id} queue={} pool={pool} revision={revision}",
-                            record.queue.name
-                        ),
-                    );
-                    tokio::spawn(notify(Arc::clone(node), pool, id, record, revision));
-                    return Answer::Accepted;
-                }
-                // It is stored already: the caller asks again, or a lost answer was a success.
-                Ok(Commit::Conflict(_)) => return Answer::Accepted,
-                Err(StoreError::NotDone(_)) if !doubtful => {
-                    return Answer::Refused(ErrorKind::NotStored);
-                }
-                Err(StoreError::Refused(error)) => {
-                    log::warn!("job={id} the store refuses it: {error}");
-                    let kind =
-                        if doubtful { ErrorKind::SubmissionLost } else { ErrorKind::BodyTooLarge };
-                    return Answer::Refused(kind);
-                }
-                Err(_) => doubtful = true,
-            }
-            if Instant::now() + OWNER_PAUSE >= call.until {
-                return Answer::Refused(ErrorKind::SubmissionLost);
-            }
-            time::sleep(OWNER_PAUSE).await;
-        }
-    }
-
     async fn state(&self, pool: &PoolName, id: JobId) -> Answer {
         if let Some(Reply::State(Some(state))) = self.ask(pool, PoolAsk::State(id)).await {
             return Answer::State(state);
@@ -162,7 +115,8 @@
                 };
                 match row.parse::<JobRecord>() {
                     Ok(record) => {
-                        self.ask(pool, PoolAsk::Submit(id, record, row.revision)).await;
+                        let job = Submitted { id, record, row: row.revision };
+                        self.ask(pool, PoolAsk::Submit(vec![job])).await;
                     }
                     Err(error) => emit(Event::RowRefused, error),
                 }
@@ -231,7 +185,9 @@
         let until = Instant::now() + call.remaining.duration().saturating_sub(ANSWER_MARGIN);
         match call.kind {
             CallKind::Submit(id, plan) => {
-                self.submit(call.queue, id, Submission { plan, until }).await
+                let accepted = self.0.clock.wall();
+                let record = JobRecord { queue: call.queue, plan, accepted };
+                self.0.submitter.submit(&self.0, id, record, until).await
             }
             CallKind::State(id) => self.state(&pool, id).await,
             CallKind::Cancel(id) => self.cancel(&pool, id, until).await,
@@ -240,12 +196,6 @@
     }
 }
 
-/// A job to be stored.
-struct Submission {
-    plan: Arc<reachhead_jobs::model::Plan>,
-    until: Instant,
-}
-
 /// Asks the owner of a pool, here or at a peer; `None` if it can't be asked.
 pub async fn ask_pool(node: &Node, pool: &PoolName, ask: PoolAsk) -> Option<Reply> {
     if let Some(owner) = node.local(pool) {
@@ -266,18 +216,6 @@
     }
 }
 
-/// Tells the owner of a pool of a job; if that fails, the owner finds it in the store.
-async fn notify(node: Arc<Node>, pool: PoolName, id: JobId, record: JobRecord, row: Revision) {
-    for _ in 0..NOTIFY_TRIES {
-        let ask = PoolAsk::Submit(id, record.clone(), row);
-        if ask_pool(&node, &pool, ask).await.is_some() {
-            return;
-        }
-        time::sleep(OWNER_PAUSE).await;
-    }
-    log::info!("job={id} pool={pool} nobody could be told; the owner will find it in the store");
-}
-
 fn name_of(kind: &CallKind) -> &'static str {
     match kind {
         CallKind::Submit(..) => "submit",
@@ -300,8 +238,18 @@
             {
                 return Ok(queue);
             }
-            // Nothing may be decided by an old configuration, and a route may be new.
-            if let Err(error) = self.refresh().await {
+            // A route may be new, and an old configuration may name one that is gone. Without the store
+            // a submission can't be stored anyhow, and a state that an old route leads to is true.
+            let asked = time::timeout(REFRESH_TIME, self.refresh()).await;
+            let failed = match asked {
+                Ok(Ok(())) => None,
+                Ok(Err(error)) => Some(error.to_string()),
+                Err(_) => Some("no answer in time".to_owned()),
+            };
+            if let Some(error) = failed {
+                if let Some(queue) = self.find(host, path) {
+                    return Ok(queue);
+                }
                 let refused = ErrorKind::NotReady;
                 emit(
                     Event::CallRefused,
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod peer;
 mod process;
+mod submit;
 mod view;
 
 use std::process::ExitCode;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -14,7 +14,10 @@
 use reachhead_types::id::PoolName;
 use tokio::sync::watch;
 
-use crate::{clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient, view::View};
+use crate::{
+    clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient, submit::Submitter,
+    view::View,
+};
 
 /// The services of the platform, as the product needs them.
 pub struct Services {
@@ -42,6 +45,8 @@
     pub services: Services,
     /// Its peers.
     pub peers: PeerClient,
+    /// What stores accepted jobs.
+    pub submitter: Submitter,
     /// What it counts.
     pub metrics: Metrics,
     /// True once it was asked to end.
@@ -66,6 +71,7 @@
             clock: Clock::new(),
             services,
             peers,
+            submitter: Submitter::new(),
             metrics,
             stopping,
             workers_changed: watch::Sender::new(0),
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -24,7 +24,7 @@
     time,
 };
 
-use crate::node::Node;
+use crate::{node::Node, peer::Submitted};
 
 /// How often an owner with jobs looks at its timers when nothing else happens.
 const BUSY_TICK: Duration = Duration::from_millis(50);
@@ -57,8 +57,8 @@
 
 /// What an owner is told.
 pub enum Input {
-    /// A job was accepted and is stored.
-    Submit(JobId, Box<JobRecord>, Revision),
+    /// Jobs were accepted and are stored.
+    Submit(Vec<Submitted>),
     /// Somebody asks for a job's state.
     State(JobId, oneshot::Sender<Option<JobState>>),
     /// Somebody cancels a job.
@@ -208,8 +208,11 @@
     fn take(&mut self, input: Input) {
         let now = self.node.now();
         match input {
-            Input::Submit(id, record, row) => {
-                self.pool.submit(id, &record, row, now, self.node.clock.wall());
+            Input::Submit(jobs) => {
+                let wall = self.node.clock.wall();
+                for Submitted { id, record, row } in jobs {
+                    self.pool.submit(id, &record, row, now, wall);
+                }
             }
             Input::State(id, reply) => {
                 let _ = reply.send(self.pool.state(id));
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -43,12 +43,23 @@
     Pool(PoolName, PoolAsk),
 }
 
+/// A job that was accepted and is stored.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Submitted {
+    /// Its id.
+    pub id: JobId,
+    /// The job.
+    pub record: JobRecord,
+    /// The revision of its row.
+    pub row: Revision,
+}
+
 /// A question to the owner of a pool.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PoolAsk {
-    /// This job was accepted and is stored.
-    Submit(JobId, JobRecord, Revision),
+    /// These jobs were accepted and are stored.
+    Submit(Vec<Submitted>),
     /// What is the job's state?
     State(JobId),
     /// Cancel the job.
@@ -148,8 +159,8 @@
 /// Asks an owner in this process.
 pub async fn ask_owner(owner: &OwnerHandle, ask: PoolAsk) -> Reply {
     match ask {
-        PoolAsk::Submit(id, record, row) => {
-            owner.send(Input::Submit(id, Box::new(record), row));
+        PoolAsk::Submit(jobs) => {
+            owner.send(Input::Submit(jobs));
             Reply::Done
         }
         PoolAsk::Over(worker) => {
--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -52,6 +52,8 @@
         let mut breaker = self.breaker();
         match &result {
             Ok(_) | Err(StoreError::Refused(_)) => breaker.succeed(),
+            // It answers at once, so nobody is kept waiting by asking it.
+            Err(StoreError::Busy(_)) => {}
             Err(_) => breaker.fail(Instant::now(), rand::random()),
         }
         result
--- a/reachhead_store/src/lib.rs
+++ b/reachhead_store/src/lib.rs
@@ -26,6 +26,9 @@
     /// The call never reached the store, or the store said that it did nothing.
     #[error("the store did not take the call: {0}")]
     NotDone(String),
+    /// The store answered that it did nothing, since it has too much to do or serves others.
+    #[error("the store is busy: {0}")]
+    Busy(String),
     /// The call was sent and its answer is lost, so it may have taken effect, or still may.
     #[error("the store's answer is lost: {0}")]
     Lost(String),
