Logs of the process go to standard output, bounded, and name what decided

Cause: lines went to standard error, one write each, without a bound, and placements had no line at all; losing the store had none either. Change: a bounded queue and a thread, 400 lines a second at most, what is left out is counted (E730); key=value texts; a line a step that is placed (E708), with class, token and workers; E300 and E301 when the store is lost and regained. Ruled out: a line a start (some 160 a second in a burst). Conclusion: a job can be followed from its id to what ran where.

--- a/reachhead_jobs/src/pool/adopt.rs
+++ b/reachhead_jobs/src/pool/adopt.rs
@@ -108,7 +108,7 @@
         }
         self.note(
             NoteKind::RunAdopted,
-            format!("task {} run {} on {worker}", entry.task, entry.run),
+            format!("task={} run={} worker={worker}", entry.task, entry.run),
         );
     }
 
@@ -121,7 +121,10 @@
         self.actions.push(Action::Stop(target, entry.task, entry.run));
         self.note(
             NoteKind::RunStopped,
-            format!("task {} run {} on {worker}: nothing waits for it", entry.task, entry.run),
+            format!(
+                "task={} run={} worker={worker} why=\"nothing waits for it\"",
+                entry.task, entry.run
+            ),
         );
     }
 }
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -190,7 +190,7 @@
         self.dirty.remove(&entry.id);
         let age = now.since(job.accepted);
         self.closed.insert(entry.id, Closed { ending, at: now });
-        self.note(NoteKind::JobEnded, format!("job {} {ending:?} after {age} ms", entry.id));
+        self.note(NoteKind::JobEnded, format!("job={} ending={ending:?} after={age}ms", entry.id));
         self.dismiss(entry.id);
     }
 
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -105,6 +105,8 @@
     RunStopped,
     /// A predecessor's run was taken over.
     RunAdopted,
+    /// Tasks of a step were given to workers.
+    StepPlaced,
 }
 
 /// Why a call to a job failed in the owner.
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -89,7 +89,7 @@
             return;
         };
         let runs = worker.runs.clone();
-        self.note(NoteKind::RunLost, format!("{} leases on {id} have lapsed", runs.len()));
+        self.note(NoteKind::RunLost, format!("worker={id} lapsed={}", runs.len()));
         for (task, charge) in runs {
             self.take_run(id, task, charge.run);
         }
@@ -167,10 +167,8 @@
         let Decision { task, run, what } = decision;
         match what {
             What::Drop => {
-                let text = format!(
-                    "task {task} run {} was never confirmed by {}, and its time is over",
-                    run.number, run.worker
-                );
+                let text =
+                    format!("task={task} run={} worker={} end=unconfirmed", run.number, run.worker);
                 self.note(NoteKind::RunLost, text);
                 self.take_run(&run.worker, *task, run.number);
             }
@@ -210,7 +208,7 @@
     pub(super) fn stop_run(&mut self, task: TaskId, run: &Run, why: &str, now: Tick) {
         self.note(
             NoteKind::RunStopped,
-            format!("task {task} run {} on {}: {why}", run.number, run.worker),
+            format!("task={task} run={} worker={} why=\"{why}\"", run.number, run.worker),
         );
         if why == "it stands still"
             && let Some(worker) = self.workers.get_mut(&run.worker)
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -65,7 +65,7 @@
         }
         worker.silent = true;
         if first {
-            let text = format!("{id} does not answer: {error}; {} runs there", worker.runs.len());
+            let text = format!("worker={id} runs={} error=\"{error}\"", worker.runs.len());
             self.note(NoteKind::WorkerDoubted, text);
         }
     }
@@ -170,7 +170,7 @@
             if settled {
                 self.note(
                     NoteKind::RunLost,
-                    format!("task {} run {} is not on {id} any more", entry.task, entry.run),
+                    format!("task={} run={} worker={id} end=vanished", entry.task, entry.run),
                 );
                 self.take_run(id, entry.task, entry.run);
             }
@@ -196,7 +196,7 @@
             self.notes.push(Note {
                 kind: NoteKind::RunLost,
                 text: format!(
-                    "task {} run {} on {id} ended {:?}",
+                    "task={} run={} worker={id} end={:?}",
                     entry.task, entry.run, entry.end
                 ),
             });
@@ -233,8 +233,10 @@
                 self.blame(id, entry, now);
             }
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
-                let text =
-                    format!("task {} run {} on {id} ended {:?}", entry.task, entry.run, entry.end);
+                let text = format!(
+                    "task={} run={} worker={id} end={:?}",
+                    entry.task, entry.run, entry.end
+                );
                 self.note(NoteKind::RunLost, text);
             }
         }
@@ -244,13 +246,13 @@
     fn blame(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
         self.note(
             NoteKind::RunLost,
-            format!("task {} run {} failed on {id}", entry.task, entry.run),
+            format!("task={} run={} worker={id} end=Failed", entry.task, entry.run),
         );
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         if worker.conduct.fail(entry.task.job, now) {
-            self.note(NoteKind::WorkerDoubted, format!("{id} fails what it is given"));
+            self.note(NoteKind::WorkerDoubted, format!("worker={id} suspended=true"));
         }
     }
 
@@ -353,7 +355,10 @@
         error: &WorkerError,
         now: Tick,
     ) {
-        self.note(NoteKind::RunLost, format!("task {task} run {number} on {id}: {error}"));
+        self.note(
+            NoteKind::RunLost,
+            format!("task={task} run={number} worker={id} error=\"{error}\""),
+        );
         self.take_run(id, task, number);
         if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)) {
             task.not_before = now + REJECTED_PAUSE;
@@ -418,7 +423,7 @@
         self.over.insert(id.clone());
         self.note(
             NoteKind::WorkerDoubted,
-            format!("{id} is over: {why}; {} runs are lost", worker.runs.len()),
+            format!("worker={id} over=true why=\"{why}\" runs={}", worker.runs.len()),
         );
         for (task, charge) in &worker.runs {
             self.take_run(id, *task, charge.run);
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -16,7 +16,7 @@
     model::Step,
     order::{Class, Rank},
     place::{self, Wanted},
-    pool::{Action, Pool, RUNS_PER_TERM},
+    pool::{Action, NoteKind, Pool, RUNS_PER_TERM},
     ports::StartOrder,
     task::{StepId, TaskId},
     worker::{Reservation, Worker},
@@ -84,20 +84,39 @@
         if step.gang {
             return self.place_gang(id, &step, allowed.as_ref(), now);
         }
+        let rest = waiting.len();
+        let mut started = Vec::new();
         for index in waiting {
             let placed = self.find(id.task(index), &step, allowed.as_ref(), now);
             let Some(worker) = placed else {
                 if class == Class::LongRunning {
                     self.make_room(id, &step, now);
                 }
+                self.note_placed(id, class, &started, rest);
                 return false;
             };
             let number = self.next_run(id, index);
+            started.push(format!("{index}@{worker}"));
             self.start(id.task(index), &step, worker, number, now);
         }
+        self.note_placed(id, class, &started, rest);
         true
     }
 
+    fn note_placed(&mut self, id: StepId, class: Class, started: &[String], waited: usize) {
+        if !started.is_empty() {
+            let text = format!(
+                "job={} step={}.{} class={class:?} token={} tasks={} waited={waited}",
+                id.job,
+                id.occurrence,
+                id.step,
+                self.token,
+                started.join(",")
+            );
+            self.note(NoteKind::StepPlaced, text);
+        }
+    }
+
     /// All members of a gang start together or none does.
     fn place_gang(
         &mut self,
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -18,7 +18,10 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use reachhead_ops::cli::{EXIT_RUNTIME, EXIT_SETTINGS, parse_args, start_logs};
+use reachhead_ops::{
+    cli::{EXIT_RUNTIME, EXIT_SETTINGS, parse_args},
+    logs,
+};
 use reachhead_platform::settings::Settings;
 
 /// Serves callers and schedules their jobs on the users' platform. The settings file is named by
@@ -46,7 +49,10 @@
         println!("the settings of {} are good", settings.node);
         return ExitCode::SUCCESS;
     }
-    start_logs();
+    if let Err(error) = logs::start() {
+        eprintln!("reachhead-node: no log can be written: {error}");
+        return ExitCode::from(EXIT_RUNTIME);
+    }
     match process::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -9,9 +9,10 @@
     clock::Tick,
     ports::{Advisor, Dialect, MachineApi, TableFeed, WorkerAgent},
 };
+use reachhead_ops::event::{Event, emit};
 use reachhead_platform::settings::Settings;
 use reachhead_store::{Store, StoreError};
-use reachhead_types::id::PoolName;
+use reachhead_types::{id::PoolName, size::Millis};
 use tokio::sync::watch;
 
 use crate::{
@@ -19,6 +20,9 @@
     view::View,
 };
 
+/// How long the store must have been silent to be called lost: longer than a single failed call.
+const LOST_AGE: Millis = Millis(1000);
+
 /// The services of the platform, as the product needs them.
 pub struct Services {
     /// The store, behind a breaker.
@@ -105,11 +109,24 @@
         *self.stopping.borrow()
     }
 
-    /// Notes whether the store answered.
+    /// Notes whether the store answered; losing and regaining it is logged.
     pub fn note_store<T>(&self, result: &Result<T, StoreError>) {
-        if matches!(result, Ok(_) | Err(StoreError::Refused(_))) {
-            let now = self.now();
-            self.view().store_seen = now;
+        let now = self.now();
+        let mut view = self.view();
+        let age = now.since(view.store_seen);
+        match result {
+            Ok(_) | Err(StoreError::Refused(_)) => {
+                view.store_seen = now;
+                if std::mem::take(&mut view.store_lost) {
+                    emit(Event::StoreBack, format_args!("age={age}ms"));
+                }
+            }
+            Err(error) => {
+                if !view.store_lost && age >= LOST_AGE {
+                    view.store_lost = true;
+                    emit(Event::StoreLost, format_args!("age={age}ms error=\"{error}\""));
+                }
+            }
         }
     }
 }
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -431,6 +431,7 @@
         NoteKind::WorkerDoubted => Event::WorkerDoubted,
         NoteKind::RunStopped => Event::RunStopped,
         NoteKind::RunAdopted => Event::RunAdopted,
+        NoteKind::StepPlaced => Event::StepPlaced,
     }
 }
 
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -55,6 +55,8 @@
     pub heard: BTreeMap<NodeName, Heard>,
     /// When the store last answered this process.
     pub store_seen: Tick,
+    /// It was logged that the store is lost.
+    pub store_lost: bool,
 }
 
 impl View {
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -113,6 +113,8 @@
     WorkerDoubted 706 Warn;
     /// The owner of a pool told a caller that a job is cancelled.
     JobCancelled 707 Info;
+    /// Tasks of a step were given to workers.
+    StepPlaced 708 Info;
     /// A change of a pool's rows was not taken by the store.
     RecordFailed 710 Warn;
     /// A pool's owner does not answer its peers.
--- a/reachhead_ops/src/lib.rs
+++ b/reachhead_ops/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod event;
 pub mod http;
 pub mod listener;
+pub mod logs;
 pub mod runtime;
