The owner of a pool stores the jobs of all processes

Cause: with a slow store each process had a transaction on a pool's part under way, nine and the owner's own; the part carries out five or six a second then and refuses what waits over a second. Change: submissions are handed to the pool's owner, which has one transaction under way for them; a job that the owner can't answer for is stored from where it came (its id makes that safe). Ruled out: parts of their own for submissions (a job's row, its final row and the lease have to share a part).

--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -187,7 +187,7 @@
             CallKind::Submit(id, plan) => {
                 let accepted = self.0.clock.wall();
                 let record = JobRecord { queue: call.queue, plan, accepted };
-                self.0.submitter.submit(&self.0, id, record, until).await
+                self.0.submitter.submit(&self.0, id, record, until, false).await
             }
             CallKind::State(id) => self.state(&pool, id).await,
             CallKind::Cancel(id) => self.cancel(&pool, id, until).await,
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -28,6 +28,7 @@
 use crate::{
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
+    submit::{StoreOutcome, store_for_peer},
 };
 
 /// The path of all messages.
@@ -39,10 +40,21 @@
 pub enum Ask {
     /// Which pools are you in charge of?
     Ping,
+    /// Store these jobs of a pool that you own.
+    Store(PoolName, Vec<Unstored>),
     /// Something for the owner of a pool.
     Pool(PoolName, PoolAsk),
 }
 
+/// A job that is to be stored.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Unstored {
+    /// Its id.
+    pub id: JobId,
+    /// The job.
+    pub record: JobRecord,
+}
+
 /// A job that was accepted and is stored.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Submitted {
@@ -83,6 +95,8 @@
     Pong(BTreeMap<PoolName, Revision>, u64),
     /// The process is not in charge of the pool.
     NotOwner,
+    /// What became of each job that was to be stored, in their order.
+    Stored(Vec<StoreOutcome>),
     /// Done.
     Done,
     /// The job's state, if the owner knows it.
@@ -141,6 +155,7 @@
     async fn answer(&self, ask: Ask) -> Reply {
         match ask {
             Ask::Ping => self.pong(),
+            Ask::Store(_, jobs) => Reply::Stored(store_for_peer(&self.0, jobs).await),
             Ask::Pool(pool, ask) => match self.0.local(&pool) {
                 Some(owner) => ask_owner(&owner, ask).await,
                 None => Reply::NotOwner,
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -5,10 +5,12 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
+use futures::future::join_all;
 use reachhead_jobs::{
     ports::Answer,
     record::{JobRecord, final_key, job_key, value},
@@ -21,8 +23,9 @@
 use reachhead_types::{
     error::ErrorKind,
     id::{JobId, PoolName},
-    size::Revision,
+    size::{Millis, Revision},
 };
+use serde::{Deserialize, Serialize};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{self, Instant},
@@ -31,7 +34,7 @@
 use crate::{
     frontend::ask_pool,
     node::Node,
-    peer::{PoolAsk, Submitted},
+    peer::{Ask, PoolAsk, Reply, Submitted, Unstored},
 };
 
 /// Jobs in one transaction at most: each takes three of the hundred entries that the platform allows.
@@ -43,6 +46,12 @@
 /// Pause after a transaction whose answer was lost.
 const LOST_PAUSE: Duration = Duration::from_millis(150);
 
+/// Longest wait for an owner that stores jobs for this process.
+const HAND_ON_TIME: Duration = Duration::from_millis(900);
+
+/// How lately an owner must have been heard, and the store by it, for jobs to be handed to it.
+const HEARD_TIME: Millis = Millis(900);
+
 /// Pause between tries to tell an owner.
 const NOTIFY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -61,6 +70,44 @@
     pub reply: oneshot::Sender<Answer>,
     /// A transaction with it was sent whose answer was lost, so it may be stored.
     pub doubtful: bool,
+    /// It is stored from here, whoever owns the pool: a peer handed it on, or could not be reached.
+    pub direct: bool,
+}
+
+/// What became of a job that was handed to a peer to be stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoreOutcome {
+    /// It is stored.
+    Stored,
+    /// It is not stored and never will be.
+    NotStored,
+    /// The store refuses it.
+    Refused,
+    /// Nobody knows.
+    Unknown,
+}
+
+impl From<&Answer> for StoreOutcome {
+    fn from(answer: &Answer) -> Self {
+        match answer {
+            Answer::Accepted => Self::Stored,
+            Answer::Refused(ErrorKind::NotStored | ErrorKind::NotReady) => Self::NotStored,
+            Answer::Refused(ErrorKind::BodyTooLarge) => Self::Refused,
+            _ => Self::Unknown,
+        }
+    }
+}
+
+impl From<StoreOutcome> for Answer {
+    fn from(outcome: StoreOutcome) -> Self {
+        match outcome {
+            StoreOutcome::Stored => Self::Accepted,
+            StoreOutcome::NotStored => Self::Refused(ErrorKind::NotStored),
+            StoreOutcome::Refused => Self::Refused(ErrorKind::BodyTooLarge),
+            StoreOutcome::Unknown => Self::Refused(ErrorKind::SubmissionLost),
+        }
+    }
 }
 
 /// Stores jobs, pool by pool.
@@ -82,9 +129,10 @@
         id: JobId,
         record: JobRecord,
         until: Instant,
+        direct: bool,
     ) -> Answer {
         let (reply, answer) = oneshot::channel();
-        let submission = Submission { id, record, until, reply, doubtful: false };
+        let submission = Submission { id, record, until, reply, doubtful: false, direct };
         let pool = submission.record.queue.pool.clone();
         let sent = self.queue(node, &pool).send(submission);
         match sent {
@@ -122,10 +170,64 @@
             bytes += size(&next);
             batch.push(next);
         }
-        batch = store(&node, &pool, batch).await;
+        batch = match owner_of(&node, &pool) {
+            Some(owner) if !batch.iter().any(|submission| submission.direct) => {
+                hand_on(&node, &pool, owner, batch).await
+            }
+            _ => store(&node, &pool, batch).await,
+        };
     }
 }
 
+/// Returns where the owner of a pool answers, if it is a peer that was heard of lately.
+fn owner_of(node: &Node, pool: &PoolName) -> Option<SocketAddr> {
+    let view = node.view();
+    let (owner, address) = view.owner(pool)?;
+    let heard = view.heard.get(&owner)?;
+    let lately = node.now().since(heard.at) <= HEARD_TIME && heard.store_age <= HEARD_TIME.0;
+    (owner != node.settings.node && lately && heard.owned.contains_key(pool)).then_some(address)
+}
+
+/// Hands jobs to the owner of their pool, which stores those of all processes together. What it can't
+/// answer is stored from here: a job that is stored already is found by its id.
+async fn hand_on(
+    node: &Arc<Node>,
+    pool: &PoolName,
+    owner: SocketAddr,
+    batch: Vec<Submission>,
+) -> Vec<Submission> {
+    let jobs = batch
+        .iter()
+        .map(|submission| Unstored { id: submission.id, record: submission.record.clone() });
+    let ask = Ask::Store(pool.clone(), jobs.collect());
+    let outcomes = match node.peers.ask(owner, &ask, HAND_ON_TIME).await {
+        Ok(Reply::Stored(outcomes)) if outcomes.len() == batch.len() => outcomes,
+        Ok(_) => vec![StoreOutcome::Unknown; batch.len()],
+        Err(error) => {
+            log::info!("pool={pool} owner={owner} stores nothing: {error}");
+            vec![StoreOutcome::Unknown; batch.len()]
+        }
+    };
+    let mut left = Vec::new();
+    for (submission, outcome) in batch.into_iter().zip(outcomes) {
+        if outcome == StoreOutcome::Unknown && submission.until > Instant::now() {
+            left.push(Submission { doubtful: true, direct: true, ..submission });
+        } else {
+            // A caller that has left finds the job when it asks again.
+            let _ = submission.reply.send(outcome.into());
+        }
+    }
+    left
+}
+
+/// Stores jobs that a peer handed on; returns what became of each.
+pub async fn store_for_peer(node: &Arc<Node>, jobs: Vec<Unstored>) -> Vec<StoreOutcome> {
+    let until = Instant::now() + HAND_ON_TIME;
+    let answers =
+        jobs.into_iter().map(|job| node.submitter.submit(node, job.id, job.record, until, true));
+    join_all(answers).await.iter().map(StoreOutcome::from).collect()
+}
+
 fn size(submission: &Submission) -> usize {
     submission.record.plan.payload.len()
 }
