--- a/extra/demo.sh
+++ b/extra/demo.sh
@@ -166,3 +166,5 @@
 done
 pids=()
 tail -n 1 "$work/served"
+
+extra/platform-demo.sh
--- a/reachhead_bench/src/path/mod.rs
+++ b/reachhead_bench/src/path/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{future::Future, io, pin::Pin};
 
+use reachhead_harness::process;
 use serde_json::{Map, Value};
 
 type Measurement = fn() -> Pin<Box<dyn Future<Output = Value>>>;
@@ -23,8 +24,16 @@
     ("skew", || Box::pin(skew::run())),
 ];
 
+/// The programs that the measurements start.
+const PROGRAMS: [&str; 4] =
+    ["reachhead-entry", "reachhead-control", "reachhead-admin", "reachhead-standin"];
+
 /// Runs one measurement, or all.
 pub async fn run(only: Option<&str>) -> io::Result<Value> {
+    if let Some(missing) = PROGRAMS.iter().find(|name| process::built(name).is_none()) {
+        let command = "cargo build --release --workspace --bins";
+        return Err(io::Error::other(format!("{missing} is not built beside this: {command}")));
+    }
     let mut figures = Map::new();
     for (name, measure) in MEASUREMENTS {
         if only.is_none_or(|only| only == name) {
--- a/reachhead_harness/src/process.rs
+++ b/reachhead_harness/src/process.rs
@@ -43,17 +43,21 @@
     pub threads: u64,
 }
 
+/// Returns the path of a program that was built beside this one, if it was.
+pub fn built(name: &str) -> Option<PathBuf> {
+    let own = env::current_exe().ok()?;
+    let mut folders = own.ancestors().skip(1);
+    let folder = folders.find(|folder| folder.join(name).is_file())?;
+    Some(folder.join(name))
+}
+
 /// Returns the path of a program that was built beside this one.
 ///
 /// # Panics
 ///
 /// If it is not built.
 pub fn program(name: &str) -> PathBuf {
-    let own = env::current_exe().expect("this program has a path");
-    let mut folders = own.ancestors().skip(1);
-    let found = folders.find(|folder| folder.join(name).is_file());
-    let folder = found.unwrap_or_else(|| panic!("{name} is not built; run extra/test.sh"));
-    folder.join(name)
+    built(name).unwrap_or_else(|| panic!("{name} is not built; run extra/test.sh"))
 }
 
 impl Process {
--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -50,6 +50,8 @@
     pub percent: u32,
     /// When the percentage last rose.
     pub moved: Tick,
+    /// When the worker last reported it, or it was ordered.
+    pub seen_at: Tick,
     /// The worker's newest figure; see [`crate::ports::RunningEntry::figure`].
     pub figure: u64,
     /// The share at which it is let work, in percent.
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -41,10 +41,11 @@
     }
 
     /// Returns how well the worker suits the task; the smallest is best.
-    fn cost(&self, worker: &Worker) -> Cost {
+    fn cost(&self, worker: &Worker, now: Tick) -> Cost {
         let far = |rack: Option<&Label>| rack.is_some() && rack != worker.info.rack.as_ref();
         Cost {
             avoided: self.avoid.contains(&worker.info.id),
+            slow: worker.speed.is_slow(now),
             far: far(self.step.rack.as_ref()) || far(self.rack),
             siblings: if self.step.long_running { self.siblings(worker) } else { 0 },
             room: if self.step.serves() { worker.used.cores } else { worker.free().cores },
@@ -57,6 +58,8 @@
 struct Cost {
     /// The task failed there before.
     avoided: bool,
+    /// Tasks take several times as long there.
+    slow: bool,
     /// It would be slower there than near its data or its siblings.
     far: bool,
     /// Tasks of the same step that would be lost with the worker.
@@ -72,5 +75,5 @@
     workers: impl Iterator<Item = &'a Worker>,
     now: Tick,
 ) -> Option<&'a Worker> {
-    workers.filter(|worker| wanted.fits(worker, now)).min_by_key(|worker| wanted.cost(worker))
+    workers.filter(|worker| wanted.fits(worker, now)).min_by_key(|worker| wanted.cost(worker, now))
 }
--- a/reachhead_jobs/src/pool/adopt.rs
+++ b/reachhead_jobs/src/pool/adopt.rs
@@ -97,6 +97,7 @@
             retry: now,
             percent: entry.percent,
             moved: now,
+            seen_at: now,
             figure: entry.figure,
             pace: 100,
             ticket: None,
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -27,6 +27,9 @@
 /// Pause before a task that a worker turned away is tried again.
 const REJECTED_PAUSE: Millis = Millis(50);
 
+/// Shortest time between two reports from which a worker's speed is told; its percents are whole.
+const GAUGE_SPAN: Millis = Millis(150);
+
 /// Pause before a long poll goes on while ends wait to be recorded; the worker would answer it at
 /// once with the same ends.
 const RECORD_PAUSE: Millis = Millis(150);
@@ -113,7 +116,35 @@
         worker.strays = strays as u32;
     }
 
+    /// Learns from a run's progress how fast its worker is.
+    fn gauge(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
+        let Some(job) = self.jobs.get(&entry.task.job) else {
+            return;
+        };
+        let Some(step) = job.plan.steps.get(entry.task.step as usize) else {
+            return;
+        };
+        let Some(state) = job.steps.get(&entry.task.step_id()) else {
+            return;
+        };
+        let task = state.tasks.get(entry.task.index as usize);
+        let run = task.and_then(|task| task.runs.iter().find(|run| run.number == entry.run));
+        let Some(run) = run.filter(|run| run.phase == Phase::Working) else {
+            return;
+        };
+        let span = now.since(run.seen_at).0 as f64;
+        if step.long_running || step.gang || span < GAUGE_SPAN.0 as f64 {
+            return;
+        }
+        let usual = self.experience.predict(&job.queue.name, step).0 as f64 / 100.0;
+        let share = f64::from(entry.percent.saturating_sub(run.percent)) * usual / span;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.speed.observe(share, now);
+        }
+    }
+
     fn see(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
+        self.gauge(id, entry, now);
         let job = self.jobs.get_mut(&entry.task.job);
         let run = job.and_then(|job| job.task(entry.task)).and_then(|task| task.run(entry.run));
         let Some(run) = run.filter(|run| run.worker == *id) else {
@@ -129,6 +160,7 @@
             run.percent = entry.percent;
             run.moved = now;
         }
+        run.seen_at = now;
         run.figure = entry.figure;
         if let Some(checkpoint) = &entry.checkpoint {
             self.keep_checkpoint(entry.task, checkpoint);
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -229,6 +229,7 @@
             retry: now,
             percent: 0,
             moved: now,
+            seen_at: now,
             figure: 0,
             pace: 100,
             ticket: ticket.clone(),
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -21,6 +21,47 @@
 /// wrong suspicion costs a pool little for that long.
 const SUSPECT_TIME: Millis = Millis(5000);
 
+/// Weight of the newest observation of a worker's speed.
+const SPEED_RATE: f64 = 0.25;
+
+/// Speed, as a share of what is usual, below which a worker counts as slow. Tasks of a queue differ by a
+/// factor of two or three among themselves, and workers that turn slow are slower than that.
+const SLOW_SPEED: f64 = 0.35;
+
+/// How fast a slow worker is forgiven: its speed is taken to rise by this share a second.
+const SPEED_RECOVERY: f64 = 0.05;
+
+/// How fast tasks progress on a worker, as a share of what is usual for them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Speed {
+    share: f64,
+    at: Tick,
+}
+
+impl Speed {
+    /// Returns the usual speed.
+    pub const fn new(at: Tick) -> Self {
+        Self { share: 1.0, at }
+    }
+
+    /// Notes that a task progressed at this share of the usual speed.
+    pub fn observe(&mut self, share: f64, now: Tick) {
+        let known = self.now(now);
+        self.share = known + SPEED_RATE * (share.clamp(0.0, 2.0) - known);
+        self.at = now;
+    }
+
+    fn now(self, now: Tick) -> f64 {
+        let seconds = now.since(self.at).0 as f64 / 1000.0;
+        self.share.max((self.share + SPEED_RECOVERY * seconds).min(1.0))
+    }
+
+    /// Tells whether the worker is slow.
+    pub fn is_slow(self, now: Tick) -> bool {
+        self.now(now) < SLOW_SPEED
+    }
+}
+
 /// What a run takes of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Charge {
@@ -77,7 +118,7 @@
 }
 
 /// A worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Worker {
     /// How it registered itself.
     pub info: WorkerInfo,
@@ -116,6 +157,8 @@
     pub reserved: Option<Reservation>,
     /// How it treats its tasks.
     pub conduct: Conduct,
+    /// How fast its tasks progress.
+    pub speed: Speed,
 }
 
 /// Room that is kept for a step.
@@ -149,6 +192,7 @@
             cordoned: Tick(0),
             reserved: None,
             conduct: Conduct::default(),
+            speed: Speed::new(now),
         }
     }
 
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -269,3 +269,27 @@
     assert_eq!(starts.len(), 2);
     assert!(starts.iter().all(|(id, _)| *id == worker("w")));
 }
+
+#[test]
+fn a_worker_on_which_tasks_hardly_progress_is_chosen_last() {
+    let mut desk = Desk::ready(vec![info("w", 8), info("v", 4)]);
+    desk.submit(1, vec![step(4)]);
+    let starts = desk.starts();
+    assert!(starts.iter().all(|(id, _)| *id == worker("v")), "they stand close");
+    for (id, order) in &starts {
+        desk.accept(id, order);
+    }
+    for round in 1..=6 {
+        desk.pass(200);
+        for (_, order) in &starts {
+            desk.runs(&worker("v"), order.task, 1, round);
+        }
+        desk.report(&worker("v"));
+    }
+    for (_, order) in &starts[..2] {
+        desk.end(&worker("v"), order.task, 1, RunEnd::Done);
+    }
+    desk.report(&worker("v"));
+    desk.submit(2, vec![step(1)]);
+    assert_eq!(desk.starts()[0].0, worker("w"));
+}
