A slow store is waited for, so that nothing stands in line twice

Change: 1.8 s for calls to the store, 1.5 s for jobs handed on, to owners that reached the store in the last 2.5 s; the feed keeps 1.2 s, since silence of its connection has to be noticed.

--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -40,8 +40,13 @@
     peer::{PeerClient, PeerHandler},
 };
 
-/// Longest wait for an answer of the store.
-const STORE_TIME: Duration = Duration::from_millis(1200);
+/// Longest wait for an answer of the store. A slow store carries transactions of a part out one after
+/// the other, and one that is sent again too soon stands in line twice.
+const STORE_TIME: Duration = Duration::from_millis(1800);
+
+/// Longest wait for an answer of the feed beyond what it was asked to wait; a connection that has fallen
+/// silent is noticed by this.
+const FEED_TIME: Duration = Duration::from_millis(1200);
 
 /// Longest wait for an answer of a worker beyond what it was asked to wait.
 const WORKER_TIME: Duration = Duration::from_millis(700);
@@ -127,10 +132,10 @@
 }
 
 fn services(settings: &Settings, client: &Arc<HttpClient>) -> Services {
-    let table = || TableStore::new(Arc::clone(client), settings.store, STORE_TIME);
+    let table = |deadline| TableStore::new(Arc::clone(client), settings.store, deadline);
     Services {
-        store: Arc::new(GuardedStore::new(table(), STORE_CALLS)),
-        feed: Arc::new(table()),
+        store: Arc::new(GuardedStore::new(table(STORE_TIME), STORE_CALLS)),
+        feed: Arc::new(table(FEED_TIME)),
         workers: Arc::new(HttpWorkers::new(Arc::clone(client), WORKER_TIME)),
         machines: settings.machines.map(|address| {
             let node = settings.node.clone();
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -47,11 +47,15 @@
 const LOST_PAUSE: Duration = Duration::from_millis(150);
 
 /// Longest wait for an owner that stores jobs for this process.
-const HAND_ON_TIME: Duration = Duration::from_millis(900);
+const HAND_ON_TIME: Duration = Duration::from_millis(1500);
 
-/// How lately an owner must have been heard, and the store by it, for jobs to be handed to it.
+/// How lately an owner must have been heard for jobs to be handed to it: a few pings.
 const HEARD_TIME: Millis = Millis(900);
 
+/// How lately the store must have answered the owner. A slow store answers late, and that is when
+/// batches matter most.
+const STORE_AGE: Millis = Millis(2500);
+
 /// Pause between tries to tell an owner.
 const NOTIFY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -184,7 +188,7 @@
     let view = node.view();
     let (owner, address) = view.owner(pool)?;
     let heard = view.heard.get(&owner)?;
-    let lately = node.now().since(heard.at) <= HEARD_TIME && heard.store_age <= HEARD_TIME.0;
+    let lately = node.now().since(heard.at) <= HEARD_TIME && heard.store_age <= STORE_AGE.0;
     (owner != node.settings.node && lately && heard.owned.contains_key(pool)).then_some(address)
 }
 
