--- /dev/null
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -0,0 +1,144 @@
+//! Moves of hosts between pools.
+
+use std::collections::BTreeMap;
+
+use reachhead_jobs::{
+    balance::{Balance, Move, PoolState},
+    clock::Tick,
+    pool::{PoolLoad, WorkerLoad},
+    ports::{Machine, MachineState},
+};
+use reachhead_types::{
+    id::{HostId, PoolName},
+    size::Millis,
+};
+
+/// Thousandths of a core of each worker.
+const CORES: u64 = 16_000;
+
+#[derive(Default)]
+struct Fleet {
+    machines: BTreeMap<HostId, Machine>,
+    pools: BTreeMap<PoolName, PoolState>,
+    balance: Balance,
+    now: Tick,
+}
+
+impl Fleet {
+    fn with_pool(mut self, name: &str, hosts: usize, need: u64) -> Self {
+        let pool: PoolName = name.parse().unwrap();
+        let mut load = PoolLoad { need, ..PoolLoad::default() };
+        for number in 0..hosts {
+            let host: HostId = format!("{name}-{number}").parse().unwrap();
+            let worker = format!("w-{name}-{number}").parse().unwrap();
+            load.workers.push(WorkerLoad { worker, cores: CORES, used: 0, pinned: false });
+            let worker = Some(load.workers[number].worker.clone());
+            let state = MachineState::Up;
+            let machine = Machine { host: host.clone(), pool: pool.clone(), state, worker };
+            self.machines.insert(host, machine);
+        }
+        self.pools.insert(pool, PoolState { load, spare: name == "off" });
+        self
+    }
+
+    fn load(&mut self, name: &str) -> &mut PoolLoad {
+        &mut self.pools.get_mut(&name.parse().unwrap()).unwrap().load
+    }
+
+    fn round(&mut self, millis: u64) -> Vec<Move> {
+        self.now = self.now + Millis(millis);
+        self.balance.next(&self.machines, &self.pools, |_| false, self.now)
+    }
+
+    /// Carries moves out as the platform does.
+    fn apply(&mut self, moves: &[Move]) {
+        for step in moves {
+            let machine = self.machines.get_mut(&step.host).unwrap();
+            machine.pool = step.to.clone();
+            let from = self.pools.get_mut(&step.from).unwrap();
+            from.load.workers.retain(|load| Some(&load.worker) != machine.worker.as_ref());
+            let to = self.pools.get_mut(&step.to).unwrap();
+            to.load.workers.push(WorkerLoad {
+                worker: machine.worker.clone().unwrap(),
+                cores: CORES,
+                used: 0,
+                pinned: false,
+            });
+        }
+    }
+}
+
+#[test]
+fn a_pool_that_needs_more_gets_hosts_that_are_off_before_those_of_others() {
+    let mut fleet =
+        Fleet::default().with_pool("a", 3, 6 * CORES).with_pool("b", 8, 0).with_pool("off", 2, 0);
+    let moves = fleet.round(0);
+    assert!(moves.iter().all(|step| step.to.as_str() == "a"), "{moves:?}");
+    assert_eq!(moves.iter().filter(|step| step.from.as_str() == "off").count(), 2);
+    // Six and the margin make seven.
+    assert_eq!(moves.len(), 4);
+    fleet.apply(&moves);
+    assert!(fleet.round(150).is_empty());
+}
+
+#[test]
+fn hosts_with_work_or_with_tasks_that_last_stay() {
+    let mut fleet = Fleet::default().with_pool("a", 3, 9 * CORES).with_pool("b", 6, 0);
+    for load in &mut fleet.load("b").workers[..4] {
+        load.used = 1000;
+    }
+    fleet.load("b").workers[5].pinned = true;
+    let moves = fleet.round(0);
+    assert_eq!(moves.len(), 1, "{moves:?}");
+    assert_eq!(moves[0].host.as_str(), "b-4");
+}
+
+#[test]
+fn idle_hosts_are_switched_off_only_after_a_while_and_some_stay() {
+    let mut fleet = Fleet::default().with_pool("a", 8, 0).with_pool("off", 0, 0);
+    assert!(fleet.round(0).is_empty());
+    assert!(fleet.round(2900).is_empty());
+    let moves = fleet.round(200);
+    assert_eq!(moves.len(), 5, "three stay: {moves:?}");
+    assert!(moves.iter().all(|step| step.to.as_str() == "off"));
+}
+
+#[test]
+fn a_need_in_between_starts_the_wait_anew() {
+    let mut fleet = Fleet::default().with_pool("a", 8, 0).with_pool("off", 0, 0);
+    fleet.round(0);
+    fleet.load("a").need = 7 * CORES;
+    assert!(fleet.round(2000).is_empty());
+    fleet.load("a").need = 0;
+    assert!(fleet.round(1500).is_empty());
+    assert!(!fleet.round(3100).is_empty());
+}
+
+#[test]
+fn a_host_that_has_just_come_is_not_sent_on() {
+    let mut fleet = Fleet::default().with_pool("a", 3, 4 * CORES).with_pool("b", 5, 0);
+    let moves = fleet.round(0);
+    assert_eq!(moves.len(), 2);
+    fleet.apply(&moves);
+    fleet.round(150);
+    fleet.load("a").need = 0;
+    fleet.load("b").need = 5 * CORES;
+    let back = fleet.round(150);
+    let sent = |host: &HostId| back.iter().any(|step| step.host == *host);
+    assert!(moves.iter().all(|step| !sent(&step.host)), "{back:?}");
+}
+
+#[test]
+fn a_pool_whose_owner_is_new_is_left_alone() {
+    let mut fleet = Fleet::default().with_pool("a", 3, 9 * CORES).with_pool("b", 8, 0);
+    fleet.load("b").unsettled = true;
+    assert!(fleet.round(0).is_empty());
+}
+
+#[test]
+fn tasks_that_keep_apart_and_those_without_a_place_count_by_workers() {
+    let mut fleet = Fleet::default().with_pool("a", 3, 0).with_pool("b", 9, 0);
+    fleet.load("a").least = 5;
+    fleet.load("a").extra = 1;
+    assert_eq!(fleet.round(0).len(), 3);
+}
