Owners that can't reach the store are relieved sooner, and moves go on at once after a change of hands

Change: relieved after 1.8 s without the store or 1.1 s of silence; a candidate must have heard the store within 1.6 s; the owner of all hosts waits only for a predecessor that itself had just come; stored jobs are read each second; E711 says by what a pool is taken for vacant. Ruled out: silent peers (E711 has silent=6ms and store_age=2593).

--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -47,14 +47,16 @@
 
 /// How long an owner must be silent before its pools are taken. Longer than a pause of a slow or
 /// frozen process that is usual, and short enough that workers' leases outlast the change of hands.
-const SILENT_TIME: Millis = Millis(1300);
+const SILENT_TIME: Millis = Millis(1100);
 
 /// How long an owner must be without the store, while this process reaches it, before its pools are
-/// taken: it can't record anything.
-const BLIND_TIME: Millis = Millis(2500);
+/// taken: it can't record anything. The polls of an idle owner are answered every second, with a slow
+/// store half a second later.
+const BLIND_TIME: Millis = Millis(1800);
 
-/// How recently the store must have answered this process for it to take a pool.
-const FRESH_TIME: Millis = Millis(1000);
+/// How recently the store must have answered this process for it to take a pool: longer than the polls
+/// of a followed table, which are the only calls of an idle process.
+const FRESH_TIME: Millis = Millis(1600);
 
 /// Delay between one candidate and the next, so that mostly one of them writes.
 const RANK_DELAY: Millis = Millis(60);
@@ -141,7 +143,10 @@
         }
         for pool in pools {
             if self.is_vacant(&pool, now) {
-                let since = *self.vacant.entry(pool.clone()).or_insert(now);
+                let since = *self.vacant.entry(pool.clone()).or_insert_with(|| {
+                    self.node.note_vacant(&pool, now);
+                    now
+                });
                 if now.since(since) >= self.delay(&pool) {
                     self.vacant.remove(&pool);
                     self.claim(&pool, config.pools.get(&pool)).await;
@@ -234,7 +239,7 @@
         let (handle, inputs) = OwnerHandle::new(lease.revision);
         if policy.is_none() {
             node.owned().insert(pool.clone(), handle.clone());
-            tokio::spawn(fleet::run(Arc::clone(node), handle, inputs, lease));
+            tokio::spawn(fleet::run(Arc::clone(node), handle, inputs, lease, known));
             return;
         }
         let found = match load(node, pool, self.effect(pool, known.as_ref())).await {
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -38,10 +38,12 @@
 /// How often waves and pools are looked at.
 const ROUND: Duration = Duration::from_millis(150);
 
-/// How long the process gives no order after it took charge from another, so that no two act in
-/// turns.
-fn settle_time(node: &Node) -> Millis {
-    node.settings.duty
+/// How long the process gives no order after it took charge: two that take charge from each other in
+/// turns must not act within this time. One that gave up, was killed or is cut off acts no more, so a
+/// predecessor that was in charge for long is not waited for.
+fn settle_time(node: &Node, before: Option<&LeaseView>) -> Millis {
+    let held = before.map(|lease| node.now().since(lease.since));
+    held.map_or(Millis(0), |held| Millis(node.settings.duty.0.saturating_sub(held.0)))
 }
 
 /// Returns the name under which the lease of all hosts is kept; no pool of the platform begins so.
@@ -62,14 +64,14 @@
     handle: OwnerHandle,
     inputs: mpsc::UnboundedReceiver<Input>,
     lease: LeaseView,
+    before: Option<LeaseView>,
 ) {
     let token = handle.token;
     emit(
         Event::LeaseTaken,
         format_args!("pool={} token={token} term={}", name(), lease.record.term),
     );
-    let contested = lease.record.term > 0;
-    let quiet = if contested { settle_time(&node) } else { Millis(0) };
+    let quiet = settle_time(&node, before.as_ref());
     let mut fleet = Fleet {
         begin: node.now() + quiet,
         node: Arc::clone(&node),
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -104,6 +104,27 @@
         self.owned().get(pool).cloned()
     }
 
+    /// Logs that nobody seems to be in charge of a pool, and by what.
+    pub fn note_vacant(&self, pool: &PoolName, now: Tick) {
+        let view = self.view();
+        let Some(lease) = view.leases.get(pool) else {
+            return;
+        };
+        let Some(owner) = &lease.record.owner else {
+            return;
+        };
+        let heard = view.heard.get(owner);
+        let silent = heard.map(|heard| now.since(heard.at));
+        emit(
+            Event::OwnerSilent,
+            format_args!(
+                "pool={pool} owner={owner} token={} silent={silent:?} store_age={:?}",
+                lease.revision,
+                heard.map(|heard| heard.store_age)
+            ),
+        );
+    }
+
     /// Tells whether the process was asked to end.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -39,8 +39,9 @@
 /// Pause after a transaction that failed.
 const RECORD_PAUSE: Millis = Millis(150);
 
-/// How often the stored jobs are read, for those of which the owner was not told.
-const SCAN_PERIOD: Millis = Millis(2500);
+/// How often the stored jobs are read, for those of which the owner was not told: it may be cut off from
+/// its peers alone.
+const SCAN_PERIOD: Millis = Millis(1000);
 
 /// How long an owner that gives its pool back waits for its last transaction.
 const RELEASE_TIME: Duration = Duration::from_millis(800);
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -54,7 +54,7 @@
 
 /// How lately the store must have answered the owner. A slow store answers late, and that is when
 /// batches matter most.
-const STORE_AGE: Millis = Millis(2500);
+const STORE_AGE: Millis = Millis(1800);
 
 /// Pause between tries to tell an owner.
 const NOTIFY_PAUSE: Duration = Duration::from_millis(150);
