A worker is not empty before its ends are recorded, and an owner's rounds are 4 ms apart

Change: vacate counts a worker with unrecorded ends as protected; events that come close together share a round; the roster is compared every 40 ms and when the list changes. Before: a_worker_whose_ends_are_not_recorded_is_not_empty fails without the check.

--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -21,6 +21,9 @@
 /// How long a worker must be silent before the roster says that nothing new is started there.
 const CLOSE_TIME: Millis = Millis(500);
 
+/// How often the roster is compared with the workers; a worker that joins waits for it that much longer.
+const ROSTER_PERIOD: Millis = Millis(40);
+
 /// What a transaction says of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Entry {
@@ -54,19 +57,19 @@
 
 impl Pool {
     /// Tells whether something is to be written that callers wait for.
-    pub fn is_urgent(&self, now: Tick) -> bool {
-        self.wanted_roster(now).is_some()
+    pub fn is_urgent(&self) -> bool {
+        self.roster.wanted.is_some()
             || self.dirty.iter().any(|id| self.jobs.get(id).is_some_and(|job| job.ending.is_some()))
     }
 
     /// Tells whether anything is to be written.
-    pub fn is_dirty(&self, now: Tick) -> bool {
-        !self.dirty.is_empty() || self.wanted_roster(now).is_some()
+    pub fn is_dirty(&self) -> bool {
+        !self.dirty.is_empty() || self.roster.wanted.is_some()
     }
 
     /// Returns what is to be written next, if anything is. All of it depends on the lease.
-    pub fn batch(&mut self, now: Tick, wall: Millis) -> Option<Batch> {
-        let roster = self.wanted_roster(now);
+    pub fn batch(&mut self, wall: Millis) -> Option<Batch> {
+        let roster = self.roster.wanted.clone();
         if self.dirty.is_empty() && roster.is_none() {
             return None;
         }
@@ -126,6 +129,14 @@
         ahead.map(|worker| Seen { worker: worker.info.id.clone(), number: worker.noted }).collect()
     }
 
+    /// Looks now and then whether the roster has to be written.
+    pub(super) fn check_roster(&mut self, now: Tick) {
+        if self.roster.next <= now {
+            self.roster.next = now + ROSTER_PERIOD;
+            self.roster.wanted = self.wanted_roster(now);
+        }
+    }
+
     /// Returns the roster as it should be, if that is not what is stored.
     fn wanted_roster(&self, now: Tick) -> Option<Roster> {
         let newest = self.jobs.values().filter_map(|job| job.row).max().unwrap_or_default();
@@ -157,6 +168,7 @@
         self.verify(now);
         if let Some(roster) = &batch.roster {
             self.roster.stored = roster.clone();
+            self.roster.wanted = None;
             self.roster.revision = Some(revision);
             for worker in self.workers.values_mut() {
                 worker.rostered = self.roster.is_open(&worker.info.id);
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -219,6 +219,10 @@
 struct RosterState {
     stored: Roster,
     revision: Option<Revision>,
+    /// The roster as it should be, if that is not what is stored.
+    wanted: Option<Roster>,
+    /// When the two are compared again.
+    next: Tick,
 }
 
 impl Pool {
@@ -245,7 +249,11 @@
             cordons: BTreeMap::new(),
             cramped: Tick(0),
             settled_at: None,
-            roster: RosterState { stored: found.roster, revision: found.roster_revision },
+            roster: RosterState {
+                stored: found.roster,
+                revision: found.roster_revision,
+                ..RosterState::default()
+            },
             dirty: BTreeSet::new(),
             over: BTreeSet::new(),
             experience: Experience::default(),
@@ -349,6 +357,7 @@
     /// Takes in the platform's list of the pool's workers.
     pub fn list(&mut self, listed: Vec<WorkerInfo>, now: Tick) {
         self.listed = true;
+        self.roster.next = now;
         let ids: BTreeSet<WorkerId> = listed.iter().map(|info| info.id.clone()).collect();
         for worker in self.workers.values_mut() {
             worker.listed = ids.contains(&worker.info.id);
@@ -378,6 +387,7 @@
         }
         self.drive_polls(now);
         self.drive_pace(now);
+        self.check_roster(now);
         std::mem::take(&mut self.actions)
     }
 
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -55,8 +55,10 @@
         if !settled || !worker.answered {
             return Vacancy::Protected;
         }
+        // Ends that are not recorded are known to the worker alone if this owner is lost.
+        let recorded = worker.seen >= worker.noted;
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
-        let mut vacancy = Vacancy::Empty;
+        let mut vacancy = if recorded { Vacancy::Empty } else { Vacancy::Protected };
         for task in tasks {
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
--- a/reachhead_jobs/tests/pool/inherit.rs
+++ b/reachhead_jobs/tests/pool/inherit.rs
@@ -55,6 +55,7 @@
     desk.miss(&worker("v"));
     desk.pass(600);
     desk.miss(&worker("v"));
+    desk.poll();
     let batch = desk.batch().unwrap();
     let closes = |batch: &reachhead_jobs::pool::Batch| {
         let write = batch.txn.writes.iter().find(|write| write.key.0.starts_with("roster/"));
@@ -63,6 +64,8 @@
     assert_eq!(closes(&batch)["workers"].as_array().unwrap().len(), 1, "nothing was granted there");
     desk.flush();
     desk.report(&worker("v"));
+    desk.pass(50);
+    desk.poll();
     assert!(desk.batch().is_some(), "it is entered again before anything is started there");
 }
 
--- a/reachhead_jobs/tests/pool/vacate.rs
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -135,3 +135,29 @@
     desk.report(&worker("a"));
     assert_eq!(desk.starts().len(), 1, "nobody asks for it any more");
 }
+
+#[test]
+fn a_worker_whose_ends_are_not_recorded_is_not_empty() {
+    let mut desk = Desk::ready(vec![info("a", 4), info("b", 4)]);
+    desk.submit(1, vec![step(2)]);
+    let (id, order) = desk.starts().remove(0);
+    desk.accept(&id, &order);
+    desk.pass(1000);
+    desk.poll();
+    desk.runs(&id, reachhead_jobs::task::TaskId { index: 1, ..order.task }, 1, 50);
+    desk.end(&id, order.task, 1, reachhead_jobs::ports::RunEnd::Done);
+    desk.end(
+        &id,
+        reachhead_jobs::task::TaskId { index: 1, ..order.task },
+        1,
+        reachhead_jobs::ports::RunEnd::Stopped,
+    );
+    desk.report(&id);
+    assert_eq!(
+        desk.pool.vacate(&id, desk.now),
+        Vacancy::Protected,
+        "only the worker knows the end"
+    );
+    desk.flush();
+    assert_eq!(desk.pool.vacate(&id, desk.now), Vacancy::Empty);
+}
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -26,6 +26,9 @@
 
 use crate::{node::Node, peer::Submitted};
 
+/// Least time between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(4);
+
 /// How often an owner with jobs looks at its timers when nothing else happens.
 const BUSY_TICK: Duration = Duration::from_millis(50);
 
@@ -160,15 +163,22 @@
 
     /// Runs until the pool is lost or given back.
     pub async fn run(mut self) {
+        let mut last = time::Instant::now();
         while !self.lost && self.release.is_none() {
             let tick = if self.pool.jobs().is_empty() { IDLE_TICK } else { BUSY_TICK };
             if let Ok(Some(input)) = time::timeout(tick, self.inputs.recv()).await {
                 self.take(input);
             }
+            // A round looks at every job and worker, so what comes close together shares one.
+            let pause = ROUND_PAUSE.saturating_sub(last.elapsed());
+            if !pause.is_zero() {
+                time::sleep(pause).await;
+            }
             while let Ok(input) = self.inputs.try_recv() {
                 self.take(input);
             }
             self.round();
+            last = time::Instant::now();
         }
         if let Some(done) = self.release.take() {
             self.give_back().await;
@@ -290,10 +300,10 @@
     /// Writes what is to be written, one transaction at a time.
     fn record(&mut self, now: Tick) {
         let due = self.record_next <= now;
-        if self.recording || !self.pool.is_dirty(now) || !(due || self.pool.is_urgent(now)) {
+        if self.recording || !self.pool.is_dirty() || !(due || self.pool.is_urgent()) {
             return;
         }
-        let Some(batch) = self.pool.batch(now, self.node.clock.wall()) else {
+        let Some(batch) = self.pool.batch(self.node.clock.wall()) else {
             return;
         };
         self.recording = true;
@@ -361,7 +371,7 @@
     /// Records what is left and gives the lease back, so that a peer takes charge at once.
     async fn give_back(&mut self) {
         let name = self.pool.name().clone();
-        if let Some(batch) = self.pool.batch(self.node.now(), self.node.clock.wall()) {
+        if let Some(batch) = self.pool.batch(self.node.clock.wall()) {
             let commit = self.node.services.store.commit(batch.txn.clone());
             match time::timeout(RELEASE_TIME, commit).await {
                 Ok(Ok(commit)) => {
