Latencies have the same buckets everywhere, and results of orders a module of their own

Cause: two processes declared the same histograms with other buckets, so they could not be added up; pool/reports.rs held reports and results of orders. Change: reachhead_ops::latency; pool/orders.rs. Ruled out: a change of behaviour (both are moves). Conclusion: found by duplicates and by reading.

--- a/reachhead_entry/src/process/metrics.rs
+++ b/reachhead_entry/src/process/metrics.rs
@@ -2,24 +2,12 @@
 
 use prometheus_client::{
     encoding::EncodeLabelSet,
-    metrics::{
-        counter::Counter,
-        family::Family,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
     registry::Registry,
 };
+use reachhead_ops::latency::{Latencies, latencies};
 use reachhead_types::{error::ErrorKind, id::RouteName};
 
-/// Smallest latency bucket, in seconds.
-const FIRST_BUCKET: f64 = 0.0005;
-
-/// Factor between two latency buckets.
-const BUCKET_FACTOR: f64 = 2.0;
-
-/// Number of latency buckets; the largest is about 16 s.
-const BUCKETS: u16 = 16;
-
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
     route: String,
@@ -34,7 +22,7 @@
 #[derive(Clone)]
 pub struct Metrics {
     ran: Family<RouteLabels, Counter>,
-    latency: Family<RouteLabels, Histogram>,
+    latency: Latencies<RouteLabels>,
     errors: Family<ErrorLabels, Counter>,
     /// Requests sent to minions, retries included.
     pub sends: Counter,
@@ -54,10 +42,9 @@
 impl Metrics {
     /// Returns the counters, registered in `registry`.
     pub fn new(registry: &mut Registry) -> Self {
-        let buckets = || Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS));
         let metrics = Self {
             ran: Family::default(),
-            latency: Family::new_with_constructor(buckets),
+            latency: latencies(),
             errors: Family::default(),
             sends: Counter::default(),
             replays: Counter::default(),
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -6,6 +6,7 @@
 mod adopt;
 mod flush;
 mod load;
+mod orders;
 mod pace;
 mod places;
 mod polls;
--- /dev/null
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -0,0 +1,167 @@
+//! What came of orders to workers, and of workers whose life is over.
+
+use reachhead_types::{
+    id::WorkerId,
+    size::{Millis, RunNumber},
+};
+
+use crate::{
+    clock::{Reading, Tick, WorkerTime},
+    job::{Phase, Run},
+    pool::{Action, NoteKind, Pool},
+    ports::{Rejection, WorkerError},
+    task::TaskId,
+};
+
+/// Pause before an order that was not answered is sent again.
+const ORDER_PAUSE: Millis = Millis(150);
+
+/// Pause before a run that a worker was told to stop is looked at again.
+const STOP_PAUSE: Millis = Millis(1000);
+
+/// Pause before a task that a worker turned away is tried again.
+const REJECTED_PAUSE: Millis = Millis(50);
+
+impl Pool {
+    fn run_of(&mut self, id: &WorkerId, task: TaskId, number: RunNumber) -> Option<&mut Run> {
+        let run = self.jobs.get_mut(&task.job)?.task(task)?.run(number)?;
+        (run.worker == *id).then_some(run)
+    }
+
+    fn hear(&mut self, id: &WorkerId, shown: WorkerTime, now: Tick) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            let newer = worker.reading.is_none_or(|reading| reading.shown < shown);
+            if newer {
+                worker.reading = Some(Reading { shown, at: now });
+            }
+        }
+    }
+
+    /// Takes in the result of an order to start a run.
+    pub fn started(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        result: Result<WorkerTime, WorkerError>,
+        now: Tick,
+    ) {
+        if let Ok(shown) = &result {
+            self.hear(id, *shown, now);
+        }
+        let Some(run) = self.run_of(id, task, number) else {
+            return;
+        };
+        run.asking = false;
+        match result {
+            Ok(_) => {
+                if run.phase == Phase::Ordered {
+                    run.phase = Phase::Working;
+                    run.moved = now;
+                }
+                run.settled = run.settled.or(Some(now));
+            }
+            Err(WorkerError::Replaced) => self.worker_over(id, "another life answers there"),
+            Err(WorkerError::Lost(_)) => {
+                run.doubtful = true;
+                run.retry = now + ORDER_PAUSE;
+            }
+            Err(WorkerError::Unreachable(_)) if run.doubtful => run.retry = now + ORDER_PAUSE,
+            Err(WorkerError::Rejected(Rejection::Fenced)) => {
+                run.retry = now + ORDER_PAUSE;
+                self.actions.push(Action::Fenced);
+            }
+            // The run is barred there, or it ended: the next report tells.
+            Err(WorkerError::Rejected(Rejection::Old)) => run.settled = Some(now),
+            Err(WorkerError::Rejected(_)) if run.doubtful => {
+                run.phase = Phase::Stopping;
+                run.retry = now;
+            }
+            Err(error) => self.turned_away(id, task, number, &error, now),
+        }
+    }
+
+    /// A worker certainly did not start the run.
+    fn turned_away(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        error: &WorkerError,
+        now: Tick,
+    ) {
+        self.note(
+            NoteKind::RunLost,
+            format!("task={task} run={number} worker={id} error=\"{error}\""),
+        );
+        self.take_run(id, task, number);
+        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)) {
+            task.not_before = now + REJECTED_PAUSE;
+        }
+        match error {
+            WorkerError::Rejected(Rejection::Unhealthy) => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.conduct.suspend(now);
+                }
+            }
+            WorkerError::Rejected(Rejection::Ticket) => self.advice.refuse(task.step_id(), id),
+            WorkerError::Unreachable(_) => {
+                if let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.silent) {
+                    worker.silent = true;
+                    worker.silent_since = now;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in the result of an order to stop a run.
+    pub fn stopped(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        result: Result<WorkerTime, WorkerError>,
+        now: Tick,
+    ) {
+        if let Ok(shown) = &result {
+            self.hear(id, *shown, now);
+        }
+        if result == Err(WorkerError::Replaced) {
+            self.worker_over(id, "another life answers there");
+            return;
+        }
+        if result == Err(WorkerError::Rejected(Rejection::Fenced)) {
+            self.actions.push(Action::Fenced);
+        }
+        let Some(run) = self.run_of(id, task, number) else {
+            return;
+        };
+        run.asking = false;
+        match result {
+            // Barred for good: once a later report lacks it, it is gone.
+            Ok(_) => {
+                run.settled = Some(now);
+                run.doubtful = false;
+                run.retry = now + STOP_PAUSE;
+            }
+            Err(_) => run.retry = now + ORDER_PAUSE,
+        }
+    }
+
+    /// A life of a worker is over, and with it everything that ran there.
+    pub fn worker_over(&mut self, id: &WorkerId, why: &str) {
+        let Some(worker) = self.workers.remove(id) else {
+            return;
+        };
+        self.pending.remove(id);
+        self.over.insert(id.clone());
+        self.note(
+            NoteKind::WorkerDoubted,
+            format!("worker={id} over=true why=\"{why}\" runs={}", worker.runs.len()),
+        );
+        for (task, charge) in &worker.runs {
+            self.take_run(id, *task, charge.run);
+        }
+    }
+}
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -2,20 +2,11 @@
 
 use prometheus_client::{
     encoding::EncodeLabelSet,
-    metrics::{
-        counter::Counter,
-        family::Family,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{counter::Counter, family::Family},
     registry::Registry,
 };
 use reachhead_jobs::ports::{Answer, WorkerError};
-
-/// Upper bound of the first bucket of latencies, in seconds; each next one is twice as large.
-const FIRST_BUCKET: f64 = 0.001;
-
-/// Buckets of latencies: the last holds what takes over four seconds.
-const BUCKETS: u16 = 13;
+use reachhead_ops::latency::{Latencies, latencies};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
@@ -34,15 +25,11 @@
     call: &'static str,
 }
 
-fn latencies() -> Histogram {
-    Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
-}
-
 /// The counters and histograms of a process.
 pub struct Metrics {
     orders: Family<OrderLabels, Counter>,
     answers: Family<AnswerLabels, Counter>,
-    latency: Family<CallLabels, Histogram>,
+    latency: Latencies<CallLabels>,
     /// How often this process took charge of a pool.
     pub taken: Counter,
 }
@@ -50,12 +37,10 @@
 impl Metrics {
     /// Returns metrics that are registered with `registry`.
     pub fn new(registry: &mut Registry) -> Self {
-        let histogram: fn() -> Histogram = latencies;
-        let latency = Family::new_with_constructor(histogram);
         let metrics = Self {
             orders: Family::default(),
             answers: Family::default(),
-            latency,
+            latency: latencies(),
             taken: Counter::default(),
         };
         registry.register(
--- a/reachhead_ops/src/lib.rs
+++ b/reachhead_ops/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod event;
 pub mod http;
+pub mod latency;
 pub mod listener;
 pub mod logs;
 pub mod runtime;
