A process that reads a pool's rows is not taken for one that does not own it

Cause: on a grown site a new owner reads 654 jobs for over a second; its peers saw that it did not name the pool among its own, and some twenty of them took the pool for vacant (E711 with silent=176ms). Change: pools that are being read are told among the owned ones. Ruled out: silence of the owner.

--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -242,7 +242,10 @@
             tokio::spawn(fleet::run(Arc::clone(node), handle, inputs, lease, known));
             return;
         }
-        let found = match load(node, pool, self.effect(pool, known.as_ref())).await {
+        node.loading().insert(pool.clone(), lease.revision);
+        let found = load(node, pool, self.effect(pool, known.as_ref())).await;
+        node.loading().remove(pool);
+        let found = match found {
             Ok(found) => found,
             Err(error) => {
                 // The lease names this process, so it tries again.
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -12,7 +12,10 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_platform::settings::Settings;
 use reachhead_store::{Store, StoreError};
-use reachhead_types::{id::PoolName, size::Millis};
+use reachhead_types::{
+    id::PoolName,
+    size::{Millis, Revision},
+};
 use tokio::sync::watch;
 
 use crate::{
@@ -59,6 +62,7 @@
     pub workers_changed: watch::Sender<u64>,
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
+    loading: Mutex<BTreeMap<PoolName, Revision>>,
 }
 
 impl Node {
@@ -81,6 +85,7 @@
             workers_changed: watch::Sender::new(0),
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
+            loading: Mutex::new(BTreeMap::new()),
         }
     }
 
@@ -99,6 +104,12 @@
         self.owned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the pools that this process has taken and whose rows it is reading; peers must not take
+    /// it for one that does not own them.
+    pub fn loading(&self) -> MutexGuard<'_, BTreeMap<PoolName, Revision>> {
+        self.loading.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the owner of a pool, if that is this process.
     pub fn local(&self, pool: &PoolName) -> Option<OwnerHandle> {
         self.owned().get(pool).cloned()
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -164,8 +164,10 @@
     }
 
     fn pong(&self) -> Reply {
-        let owned = self.0.owned();
-        let owned = owned.iter().map(|(pool, owner)| (pool.clone(), owner.token)).collect();
+        let mut owned = self.0.loading().clone();
+        for (pool, owner) in self.0.owned().iter() {
+            owned.insert(pool.clone(), owner.token);
+        }
         let age = self.0.now().since(self.0.view().store_seen);
         Reply::Pong(owned, age.0)
     }
