What fills is paced after each report, whenever the round comes

Cause: the pace was looked at only if a report had the very millisecond of the round, which it hardly ever had; no site sends tasks that fill beside tasks that serve, so nothing showed it. Change: each report is looked at once; reasons to stop a run are a type and not a text; tuples got names; the module of advice has its name. Before: what_fills_is_slowed_down_near_the_target_stopped_above_it_and_let_go_below fails. Ruled out: the steps of the pace themselves.

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -71,7 +71,7 @@
     /// Hosts that it has or that are on their way to it.
     have: usize,
     want: usize,
-    /// Hosts that may leave, the emptiest first.
+    /// Hosts that may leave.
     free: Vec<Move>,
 }
 
@@ -130,7 +130,7 @@
         let usable =
             own.filter(|machine| matches!(machine.state, MachineState::Up | MachineState::Moving));
         let mut have = 0;
-        let mut free: Vec<(u64, Move)> = Vec::new();
+        let mut free: Vec<Move> = Vec::new();
         for machine in usable {
             have += 1;
             let fresh =
@@ -152,12 +152,13 @@
                 from: pool.clone(),
                 to: pool.clone(),
             };
-            free.push((load.used, step));
+            // A host with work on it is only given away whole, so those in use count as needed.
+            if load.used == 0 {
+                free.push(step);
+            }
         }
-        free.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.host.cmp(&b.1.host)));
+        free.sort_by(|a, b| a.host.cmp(&b.host));
         let want = wanted(&state.load);
-        // A host with work on it is only given away whole, so those in use count as needed.
-        let free = free.into_iter().filter(|(used, _)| *used == 0).map(|(_, step)| step).collect();
         Account { pool: pool.clone(), have, want, free }
     }
 
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -4,11 +4,11 @@
 //! Nothing here reads a clock or waits.
 
 mod adopt;
+mod advice;
 mod flush;
 mod load;
 mod orders;
 mod pace;
-mod places;
 mod polls;
 mod reports;
 mod starts;
@@ -84,6 +84,19 @@
     Fenced,
 }
 
+/// Why the owner stops a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// Its task is done or its job is over.
+    Unneeded,
+    /// It shows no progress.
+    Still,
+    /// A task that must be at work needs the room.
+    Displaced,
+    /// Its host is due for planned work.
+    Planned,
+}
+
 /// A decision that is worth a line in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Note {
@@ -199,7 +212,7 @@
     /// Lives of workers that are known to be over, whatever the platform's list still says.
     over: BTreeSet<WorkerId>,
     experience: Experience,
-    advice: places::AdviceBook,
+    advice: advice::AdviceBook,
     arrivals: load::Arrivals,
     verified: Tick,
     actions: Vec<Action>,
@@ -258,7 +271,7 @@
             dirty: BTreeSet::new(),
             over: BTreeSet::new(),
             experience: Experience::default(),
-            advice: places::AdviceBook::default(),
+            advice: advice::AdviceBook::default(),
             arrivals: load::Arrivals::default(),
             verified: now,
             actions: Vec::new(),
--- a/reachhead_jobs/src/pool/pace.rs
+++ b/reachhead_jobs/src/pool/pace.rs
@@ -61,26 +61,36 @@
     /// Adjusts the pace of what fills after each report.
     pub(super) fn drive_pace(&mut self, now: Tick) {
         let mut changes = Vec::new();
+        let mut looked = Vec::new();
         for worker in self.workers.values() {
-            let fresh = worker.reading.is_some_and(|reading| reading.at == now);
+            let fresh = worker.reading.is_some_and(|reading| reading.at > worker.paced);
             if !fresh || worker.silent || !self.has_fills(worker) {
                 continue;
             }
+            looked.push(worker.info.id.clone());
             let neighbours = self.neighbours(worker);
             let worst = neighbours.iter().filter_map(|one| one.tail).fold(0.0, f64::max);
             for one in neighbours.iter().filter(|one| one.fills) {
                 let pace = next_pace(one.run.pace, worst);
                 if pace != one.run.pace {
-                    changes.push((self.target(worker), one.task, one.run.number, pace));
+                    let number = one.run.number;
+                    changes.push(Action::Pace(self.target(worker), one.task, number, pace));
                 }
             }
         }
-        for (target, task, number, pace) in changes {
-            let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
-            if let Some(run) = state.and_then(|state| state.run(number)) {
-                run.pace = pace;
+        for id in looked {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.paced = now;
             }
-            self.actions.push(Action::Pace(target, task, number, pace));
+        }
+        for change in changes {
+            if let Action::Pace(_, task, number, pace) = &change {
+                let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(*task));
+                if let Some(run) = state.and_then(|state| state.run(*number)) {
+                    run.pace = *pace;
+                }
+            }
+            self.actions.push(change);
         }
     }
 
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -6,7 +6,7 @@
     clock::{Tick, WorkerTime},
     job::{Phase, Run},
     model::Step,
-    pool::{Action, NoteKind, Pool},
+    pool::{Action, NoteKind, Pool, StopReason},
     ports::{HoldOrder, StartOrder},
     task::TaskId,
     worker::{Poll, Worker},
@@ -19,6 +19,10 @@
 /// Shortest time without progress that is taken for standing still: several reports.
 const STILL_LEAST: Millis = Millis(2500);
 
+/// How long a poll waits at a worker on which tasks that fill run beside tasks that serve: a disturbance
+/// must be noticed and slowed down well within the seconds that a target may be missed for.
+const FILL_WAIT: Millis = Millis(400);
+
 impl Pool {
     /// Sends the long polls that are due.
     pub(super) fn drive_polls(&mut self, now: Tick) {
@@ -54,7 +58,7 @@
         if !worker.answered || worker.silent {
             return Millis(0);
         }
-        if self.has_fills(worker) { Millis(400) } else { self.tuning.wait }
+        if self.has_fills(worker) { FILL_WAIT } else { self.tuning.wait }
     }
 
     /// Forgets workers that are gone for good.
@@ -140,9 +144,9 @@
                     worker.reading.is_some_and(|reading| reading.surely_past(run.deadline) <= now);
                 Some(if past { What::Drop } else { What::Repeat })
             }
-            Phase::Working if unwanted || job.recorded => Some(What::Stop("it is not needed")),
+            Phase::Working if unwanted || job.recorded => Some(What::Stop(StopReason::Unneeded)),
             Phase::Working if self.stands_still(job, step, run, now) => {
-                Some(What::Stop("it stands still"))
+                Some(What::Stop(StopReason::Still))
             }
             Phase::Working => None,
             Phase::Stopping if run.asking || run.retry > now => None,
@@ -173,7 +177,7 @@
                 self.take_run(&run.worker, *task, run.number);
             }
             What::Repeat => self.repeat(*task, run),
-            What::Stop(why) => self.stop_run(*task, run, why, now),
+            What::Stop(why) => self.stop_run(*task, run, *why, now),
             What::Order => self.order_stop(*task, run),
         }
     }
@@ -205,12 +209,12 @@
     }
 
     /// Stops a run; its room is free once the worker lists the end.
-    pub(super) fn stop_run(&mut self, task: TaskId, run: &Run, why: &str, now: Tick) {
+    pub(super) fn stop_run(&mut self, task: TaskId, run: &Run, why: StopReason, now: Tick) {
         self.note(
             NoteKind::RunStopped,
-            format!("task={task} run={} worker={} why=\"{why}\"", run.number, run.worker),
+            format!("task={task} run={} worker={} why={why:?}", run.number, run.worker),
         );
-        if why == "it stands still"
+        if why == StopReason::Still
             && let Some(worker) = self.workers.get_mut(&run.worker)
         {
             worker.conduct.suspend(now);
@@ -250,7 +254,7 @@
     /// The order to start is sent again.
     Repeat,
     /// It is stopped, for this reason.
-    Stop(&'static str),
+    Stop(StopReason),
     /// The order to stop is sent.
     Order,
 }
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -1,6 +1,7 @@
 //! Placing tasks: which start now, and where.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
@@ -16,7 +17,7 @@
     model::Step,
     order::{Class, Rank},
     place::{self, Wanted},
-    pool::{Action, NoteKind, Pool, RUNS_PER_TERM},
+    pool::{Action, NoteKind, Pool, RUNS_PER_TERM, StopReason},
     ports::StartOrder,
     task::{StepId, TaskId},
     worker::{Reservation, Worker},
@@ -34,6 +35,18 @@
     rank: Rank,
 }
 
+/// Short tasks to be stopped on a worker.
+struct Eviction {
+    worker: WorkerId,
+    tasks: Vec<TaskId>,
+}
+
+/// A short task that works.
+struct Short {
+    since: Tick,
+    task: TaskId,
+}
+
 impl Pool {
     /// Starts what can start, the worthiest first.
     pub(super) fn place(&mut self, now: Tick) {
@@ -269,15 +282,13 @@
         let usable = self.workers.values().filter(|worker| {
             worker.reserved.is_none_or(|kept| kept.until <= now) && wanted.allowed(worker, now)
         });
-        let best = usable
-            .filter_map(|worker| {
-                self.victims(worker, step).map(|tasks| (tasks.len(), worker, tasks))
-            })
-            .min_by_key(|(count, _, _)| *count);
-        let Some((_, worker, tasks)) = best else {
+        let found = usable.filter_map(|worker| {
+            let tasks = self.victims(worker, step)?;
+            Some(Eviction { worker: worker.info.id.clone(), tasks })
+        });
+        let Some(Eviction { worker, tasks }) = found.min_by_key(|found| found.tasks.len()) else {
             return;
         };
-        let worker = worker.info.id.clone();
         if let Some(known) = self.workers.get_mut(&worker) {
             known.reserved = Some(Reservation { step: id, until: now + RESERVE_TIME });
         }
@@ -285,7 +296,7 @@
             let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
             let run = state.and_then(|state| state.runs.iter().find(|run| run.worker == worker));
             if let Some(run) = run.cloned() {
-                self.stop_run(task, &run, "a task that must be at work needs the room", now);
+                self.stop_run(task, &run, StopReason::Displaced, now);
             }
         }
     }
@@ -293,7 +304,7 @@
     /// Returns the short tasks to stop on a worker so that a task of the step fits, the youngest
     /// first; `None` where that isn't enough.
     pub(super) fn victims(&self, worker: &Worker, step: &Step) -> Option<Vec<TaskId>> {
-        let mut short: Vec<(Tick, TaskId)> = Vec::new();
+        let mut short: Vec<Short> = Vec::new();
         for task in worker.runs.keys() {
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
@@ -304,13 +315,13 @@
             if let Some(run) = run.filter(|run| run.phase == Phase::Working)
                 && !own.long_running
             {
-                short.push((run.since, *task));
+                short.push(Short { since: run.since, task: *task });
             }
         }
-        short.sort_by(|a, b| b.cmp(a));
+        short.sort_by_key(|short| Reverse((short.since, short.task)));
         let mut free = worker.free();
         let mut tasks = Vec::new();
-        for (_, task) in short {
+        for Short { task, .. } in short {
             if step.charge().fits(free) {
                 break;
             }
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -2,7 +2,13 @@
 
 use reachhead_types::{id::WorkerId, size::Millis};
 
-use crate::{clock::Tick, job::Phase, place::Wanted, pool::Pool, task::TaskId};
+use crate::{
+    clock::Tick,
+    job::Phase,
+    place::Wanted,
+    pool::{Pool, StopReason},
+    task::TaskId,
+};
 
 /// How long a worker gets nothing new after it was asked to be emptied. The asker asks again several
 /// times a second; if it is gone, the worker is used again.
@@ -75,7 +81,7 @@
                 && self.may_take(task)
             {
                 if self.has_place(task, now) {
-                    self.stop_run(task, &run, "its host is due for planned work", now);
+                    self.stop_run(task, &run, StopReason::Planned, now);
                 } else {
                     self.cramped = now + CRAMPED_TIME;
                 }
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -155,6 +155,8 @@
     pub cordoned: Tick,
     /// A step for which room is being made there, and until when.
     pub reserved: Option<Reservation>,
+    /// When what fills there was last compared with what it disturbs.
+    pub paced: Tick,
     /// How it treats its tasks.
     pub conduct: Conduct,
     /// How fast its tasks progress.
@@ -191,6 +193,7 @@
             strays: 0,
             cordoned: Tick(0),
             reserved: None,
+            paced: Tick(0),
             conduct: Conduct::default(),
             speed: Speed::new(now),
         }
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -6,5 +6,6 @@
 mod desk;
 mod inherit;
 mod life;
+mod pace;
 mod vacate;
 mod wave;
