--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -24,8 +24,8 @@
 };
 use reachhead_platform::settings::Settings;
 
-/// Serves callers and schedules their jobs on the users' platform. The settings file is named by
-/// REACHHEAD_CONFIG; docs/PLATFORM.md tells what it holds.
+/// Serves callers and schedules their jobs on the users' platform. The platform writes the settings file
+/// and names it in the environment; docs/OPERATIONS.md tells how.
 #[derive(FromArgs)]
 struct Args {
     /// check the settings file and end
