--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -1,13 +1,18 @@
 //! Starts, ends and records.
 
+use std::sync::Arc;
+
 use reachhead_jobs::{
-    model::Step,
+    model::{Plan, Schedule, Step},
     pool::{Action, Cancelled, JobState},
     ports::{Rejection, RunEnd, WorkerError},
     record::Ending,
 };
 use reachhead_store::row::{Commit, Conflict};
-use reachhead_types::{id::JobId, size::Revision};
+use reachhead_types::{
+    id::JobId,
+    size::{Millis, Revision},
+};
 
 use crate::desk::{Desk, info, step, task, worker};
 
@@ -327,3 +332,27 @@
         assert!(desk.starts().is_empty(), "it is slow there, and there is no other worker");
     }
 }
+
+#[test]
+fn each_occurrence_of_a_scheduled_job_starts_when_it_is_due_and_the_job_ends_with_the_last() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    let mut record = crate::desk::record(vec![step(1)], desk.now.0);
+    let schedule = Schedule { start: Millis(desk.now.0 + 1000), interval: Millis(500), count: 2 };
+    record.plan = Arc::new(Plan { schedule: Some(schedule), ..(*record.plan).clone() });
+    desk.pool.submit(JobId(1), &record, Revision(60), desk.now, Millis(desk.now.0));
+    desk.pass(900);
+    desk.report(&worker("w"));
+    assert!(desk.starts().is_empty(), "it is not due");
+    for occurrence in 0..2 {
+        desk.pass(if occurrence == 0 { 100 } else { 500 });
+        desk.report(&worker("w"));
+        let (id, order) = desk.starts().remove(0);
+        assert_eq!(order.task.occurrence, occurrence);
+        desk.accept(&id, &order);
+        assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Running));
+        desk.end(&id, order.task, 1, RunEnd::Done);
+        desk.report(&id);
+        desk.flush();
+    }
+    assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Over(Ending::Completed)));
+}
