A gang that lost a member is stopped at once

Cause: a member that a worker turned away, or that was lost with its worker, left the others waiting for it until they ended alone, which gangs must not; no site sends gangs, so only reading showed it. Change: runs of a gang that is not whole are stopped, and it starts whole again. Before: a_gang_that_lost_a_member_is_stopped_at_once_and_starts_whole_again fails. Ruled out: starting the missing member alone (its run has to have the same number as the others').

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -109,6 +109,11 @@
         Self { tasks: vec![Task::default(); count as usize], done: 0 }
     }
 
+    /// Tells whether every task is done or has a run.
+    pub fn is_whole(&self) -> bool {
+        self.tasks.iter().all(|task| task.done || !task.runs.is_empty())
+    }
+
     /// Tells whether all tasks are done.
     pub fn is_done(&self) -> bool {
         self.done as usize >= self.tasks.len()
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -95,6 +95,8 @@
     Displaced,
     /// Its host is due for planned work.
     Planned,
+    /// Another member of its gang is not there, so it could only wait in vain.
+    Incomplete,
 }
 
 /// A decision that is worth a line in the log.
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -105,9 +105,14 @@
         for job in self.jobs.values() {
             for (id, state) in &job.steps {
                 let step = job.step(*id);
+                let incomplete = step.gang && !state.is_whole();
                 for (index, task) in state.tasks.iter().enumerate() {
                     for run in &task.runs {
-                        let unwanted = task.done && !step.gang;
+                        let unwanted = if task.done && !step.gang {
+                            Some(StopReason::Unneeded)
+                        } else {
+                            incomplete.then_some(StopReason::Incomplete)
+                        };
                         if let Some(what) = self.decide(job, step, run, unwanted, now) {
                             decisions.push(Decision {
                                 task: id.task(index as u32),
@@ -133,7 +138,7 @@
         job: &crate::job::Job,
         step: &Step,
         run: &Run,
-        unwanted: bool,
+        unwanted: Option<StopReason>,
         now: Tick,
     ) -> Option<What> {
         match run.phase {
@@ -144,7 +149,8 @@
                     worker.reading.is_some_and(|reading| reading.surely_past(run.deadline) <= now);
                 Some(if past { What::Drop } else { What::Repeat })
             }
-            Phase::Working if unwanted || job.recorded => Some(What::Stop(StopReason::Unneeded)),
+            Phase::Working if job.recorded => Some(What::Stop(StopReason::Unneeded)),
+            Phase::Working if unwanted.is_some() => unwanted.map(What::Stop),
             Phase::Working if self.stands_still(job, step, run, now) => {
                 Some(What::Stop(StopReason::Still))
             }
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -356,3 +356,25 @@
     }
     assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Over(Ending::Completed)));
 }
+
+#[test]
+fn a_gang_that_lost_a_member_is_stopped_at_once_and_starts_whole_again() {
+    let mut desk = Desk::ready(vec![info("w", 1), info("v", 1)]);
+    desk.submit(1, vec![Step { gang: true, ..step(2) }]);
+    let starts = desk.starts();
+    assert_eq!(starts.len(), 2);
+    let ((kept, order), (lost, other)) = (&starts[0], &starts[1]);
+    desk.accept(kept, order);
+    let unhealthy = Err(WorkerError::Rejected(Rejection::Unhealthy));
+    desk.pool.started(lost, other.task, other.run, unhealthy, desk.now);
+    assert_eq!(desk.stops(), vec![(kept.clone(), order.task)], "it would wait in vain");
+    desk.end(kept, order.task, order.run.0, RunEnd::Stopped);
+    desk.report(kept);
+    assert!(desk.starts().is_empty(), "one worker is suspended");
+    desk.pass(6000);
+    desk.report(kept);
+    desk.report(lost);
+    let again = desk.starts();
+    assert_eq!(again.len(), 2);
+    assert!(again.iter().all(|(_, start)| start.run > order.run));
+}
