A predecessor's run counts as at work only by a report after its stops are over

Ruled out: a silent worker (the poll under way was not overdue yet). Change: an adopted run is certain only by a report after the stops of the predecessor are over.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -119,10 +119,10 @@
         self.done as usize >= self.tasks.len()
     }
 
-    /// Returns how many tasks beside this one are not known to be at work on a worker that `answers`;
-    /// for steps that run on.
-    pub fn others_away(&self, index: u32, answers: impl Fn(&WorkerId) -> bool) -> u32 {
-        let works = |run: &Run| run.at_work() && answers(&run.worker);
+    /// Returns how many tasks beside this one have no run at work that is `certain`; for steps that
+    /// run on.
+    pub fn others_away(&self, index: u32, certain: impl Fn(&Run) -> bool) -> u32 {
+        let works = |run: &Run| run.at_work() && certain(run);
         let others = (0..).zip(&self.tasks).filter(|(place, _)| *place != index);
         others.filter(|(_, task)| !task.runs.iter().any(works)).count() as u32
     }
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::Tick,
-    job::Phase,
+    job::{Phase, Run},
     place::Wanted,
     pool::{Pool, StopReason},
     task::TaskId,
@@ -39,9 +39,7 @@
     pub fn vacate(&mut self, id: &WorkerId, now: Tick) -> Vacancy {
         // Until all workers have answered a new owner it does not know what is where, and what its
         // predecessor stops may still be reported as at work for a while.
-        let quiet = self
-            .settled_at
-            .is_some_and(|at| now.since(at) >= Millis(self.tuning.stop.0 + STOP_SLACK.0));
+        let quiet = self.quiet_since().is_some_and(|since| since <= now);
         let settled = quiet && self.listed && self.pending.is_empty();
         let until = now + CORDON_TIME;
         if self.workers.contains_key(id) && self.is_needed(id, now) {
@@ -90,6 +88,11 @@
         vacancy
     }
 
+    /// Returns when every stop that a predecessor ordered is over.
+    fn quiet_since(&self) -> Option<Tick> {
+        self.settled_at.map(|at| at + Millis(self.tuning.stop.0 + STOP_SLACK.0))
+    }
+
     /// Tells whether a worker can't be emptied now: no other takes tasks, or tasks that must be at work
     /// wait for a place and this one has such tasks anyway.
     fn is_needed(&self, id: &WorkerId, now: Tick) -> bool {
@@ -133,8 +136,15 @@
     fn may_take(&self, task: TaskId) -> bool {
         let job = &self.jobs[&task.job];
         let step = &job.plan.steps[task.step as usize];
-        let answers = |id: &WorkerId| self.workers.get(id).is_some_and(|worker| !worker.silent);
-        let away = job.steps[&task.step_id()].others_away(task.index, answers);
+        let quiet = self.quiet_since();
+        // A report from before that may have a predecessor's run that the predecessor has stopped.
+        let certain = |run: &Run| {
+            let worker = self.workers.get(&run.worker).filter(|worker| !worker.silent);
+            let reading = worker.and_then(|worker| worker.reading);
+            let since = quiet.filter(|_| run.adopted).unwrap_or_default();
+            reading.is_some_and(|reading| reading.at >= since)
+        };
+        let away = job.steps[&task.step_id()].others_away(task.index, certain);
         step.may_miss == 0 || away < step.may_miss
     }
 }
--- a/reachhead_jobs/tests/pool/vacate.rs
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -68,6 +68,9 @@
     assert!(desk.stops().is_empty(), "the other task may be stopping by the predecessor's order");
     desk.pass(1000);
     desk.pool.vacate(&worker("a"), desk.now);
+    assert!(desk.stops().is_empty(), "the other was last heard of before the stops were over");
+    desk.report(&worker("b"));
+    desk.pool.vacate(&worker("a"), desk.now);
     assert_eq!(desk.stops().len(), 1);
 }
 
