An unanswered order of a copy is barred once its task is done

Ruled out: the copy itself, which the step permits; orders carried out late (this one was repeated by its owner). Change: an order that is not wanted any more is answered with a stop, which bars the run for good.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -143,6 +143,9 @@
     ) -> Option<What> {
         match run.phase {
             Phase::Ordered if run.asking || run.retry > now => None,
+            // The order may still be carried out: it is barred and not repeated.
+            Phase::Ordered if job.recorded => Some(What::Stop(StopReason::Unneeded)),
+            Phase::Ordered if unwanted.is_some() => unwanted.map(What::Stop),
             Phase::Ordered => {
                 let worker = self.workers.get(&run.worker)?;
                 let past =
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -378,3 +378,25 @@
     assert_eq!(again.len(), 2);
     assert!(again.iter().all(|(_, start)| start.run > order.run));
 }
+
+#[test]
+fn a_second_run_without_an_answer_is_barred_and_not_repeated_once_the_task_is_done() {
+    let mut desk = Desk::ready(vec![info("w", 4), info("v", 4)]);
+    desk.submit(1, vec![Step { speculative: true, ..step(1) }, step(1)]);
+    let first: Vec<_> = desk.starts().into_iter().filter(|(_, o)| o.task.step == 0).collect();
+    let (id, order) = first[0].clone();
+    desk.accept(&id, &order);
+    desk.miss(&id);
+    let (other, copy) =
+        desk.starts().into_iter().find(|(_, start)| start.task == order.task).unwrap();
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    desk.pool.started(&other, copy.task, copy.run, lost, desk.now);
+    desk.end(&id, order.task, order.run.0, RunEnd::Done);
+    desk.report(&id);
+    desk.pass(200);
+    let actions = desk.poll();
+    let again = |action: &Action| matches!(action, Action::Start(_, o) if o.task == order.task);
+    assert!(!actions.iter().any(again), "{actions:?}");
+    let barred = |action: &Action| matches!(action, Action::Stop(_, task, run) if *task == order.task && *run == copy.run);
+    assert!(actions.iter().any(barred), "{actions:?}");
+}
