Pools go to the processes that bear them best

Cause: grown sites have 31 hosts of 0.12 cores and 10 Mbit/s beside 6 of 0.5 and 200. Candidates were ordered by hash, with 104 ms more for a small host, so small ones took most pools first.

Change: each process tells its strength (starts a second by cores and link) in its row. Candidates are ordered by what they would bear for their strength, and only then by hash. An owner that bears more than twice as much as a peer would with its pool hands it over once that peer has answered.

Conclusion: the owner's link was the limit.

--- /dev/null
+++ b/reachhead_jobs/src/candidate.rs
@@ -0,0 +1,70 @@
+//! Which process should be in charge of a pool: the strongest for what it already bears.
+
+use std::{
+    cmp::Ordering,
+    hash::{Hash, Hasher},
+};
+
+use reachhead_types::{
+    id::{NodeName, PoolName},
+    size::Strength,
+};
+use siphasher::sip::SipHasher13;
+
+/// How many times as much an owner must bear as another process would with its pool, before it hands
+/// the pool over: a change of hands costs some tenths of a second in which the pool stands still.
+const RELIEF_FACTOR: u64 = 2;
+
+/// A process that may be in charge of pools.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// The process.
+    pub node: &'a NodeName,
+    /// What it bears.
+    pub strength: Strength,
+    /// The pools that it is in charge of already.
+    pub owned: usize,
+}
+
+impl Candidate<'_> {
+    /// Tells whether this process should take the pool rather than `other`: it would bear less for its
+    /// strength, or the same and the pool's hash decides.
+    pub fn precedes(&self, other: &Self, pool: &PoolName) -> bool {
+        let by_weight = || weight(pool, other.node).cmp(&weight(pool, self.node));
+        self.compare(other).then_with(by_weight).is_lt()
+    }
+
+    /// Compares what this process and `other` would bear for their strength with one more pool.
+    pub fn compare(&self, other: &Self) -> Ordering {
+        self.burden_after(other).cmp(&other.burden_after(self))
+    }
+
+    /// Tells whether `other` would bear so much less with one more pool that this process should hand one
+    /// over.
+    pub fn should_yield(&self, other: &Self) -> bool {
+        let own = self.owned as u64 * u64::from(other.strength.0);
+        own > RELIEF_FACTOR * other.burden_after(self)
+    }
+
+    /// Returns the burden with one more pool, on a scale that it shares with `other`'s.
+    fn burden_after(&self, other: &Self) -> u64 {
+        (self.owned as u64 + 1) * u64::from(other.strength.0)
+    }
+}
+
+/// Returns how many of `others` should take the pool rather than `own`.
+pub fn before<'a>(
+    pool: &PoolName,
+    own: &Candidate<'_>,
+    others: impl Iterator<Item = Candidate<'a>>,
+) -> usize {
+    others.filter(|other| other.precedes(own, pool)).count()
+}
+
+/// Returns a process's weight for a pool, the same on every host; it spreads pools over processes that
+/// are alike.
+fn weight(pool: &PoolName, node: &NodeName) -> u64 {
+    let mut hasher = SipHasher13::new();
+    (pool.as_str(), node.as_str()).hash(&mut hasher);
+    hasher.finish()
+}
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! programs use it.
 
 pub mod balance;
+pub mod candidate;
 pub mod clock;
 pub mod job;
 pub mod model;
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -5,7 +5,7 @@
 use reachhead_store::row::Key;
 use reachhead_types::{
     id::{JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{Millis, Revision, RunNumber},
+    size::{Millis, Revision, RunNumber, Strength},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -154,4 +154,7 @@
 pub struct MemberRecord {
     /// Where its peers reach it.
     pub address: SocketAddr,
+    /// What it bears; a release that did not say counts as weak.
+    #[serde(default)]
+    pub strength: Strength,
 }
--- /dev/null
+++ b/reachhead_jobs/tests/pool/candidate.rs
@@ -0,0 +1,80 @@
+//! Who takes a pool, and when one is handed over.
+
+use reachhead_jobs::candidate::{Candidate, before};
+use reachhead_types::{
+    id::{NodeName, PoolName},
+    size::Strength,
+};
+
+fn names(count: usize) -> Vec<NodeName> {
+    (0..count).map(|place| format!("n{place}").parse().unwrap()).collect()
+}
+
+fn candidate(node: &NodeName, strength: u32, owned: usize) -> Candidate<'_> {
+    Candidate { node, strength: Strength(strength), owned }
+}
+
+#[test]
+fn a_strong_process_takes_a_pool_before_weak_ones_without_any() {
+    let names = names(12);
+    let pool: PoolName = "p".parse().unwrap();
+    let weak = || names[1..].iter().map(|node| candidate(node, 800, 0));
+    let strong = candidate(&names[0], 3300, 2);
+    assert_eq!(before(&pool, &strong, weak()), 0);
+    for other in weak() {
+        assert!(strong.precedes(&other, &pool));
+        assert!(!other.precedes(&strong, &pool));
+    }
+}
+
+#[test]
+fn a_strong_process_with_many_pools_leaves_the_next_to_a_weak_one() {
+    let names = names(2);
+    let pool: PoolName = "p".parse().unwrap();
+    let strong = candidate(&names[0], 3300, 5);
+    let weak = candidate(&names[1], 800, 0);
+    assert!(weak.precedes(&strong, &pool));
+}
+
+#[test]
+fn among_equals_there_is_one_order_and_pools_are_spread() {
+    let names = names(9);
+    let all: Vec<Candidate<'_>> = names.iter().map(|node| candidate(node, 1600, 0)).collect();
+    let mut firsts = std::collections::BTreeSet::new();
+    for number in 0..20 {
+        let pool: PoolName = format!("p{number}").parse().unwrap();
+        let rank = |own: &Candidate<'_>| {
+            before(&pool, own, all.iter().filter(|other| *other != own).copied())
+        };
+        let mut ranks: Vec<usize> = all.iter().map(rank).collect();
+        firsts.insert(ranks.iter().position(|rank| *rank == 0));
+        ranks.sort_unstable();
+        assert_eq!(ranks, (0..9).collect::<Vec<_>>());
+    }
+    assert!(firsts.len() > 3, "{firsts:?}");
+}
+
+#[test]
+fn a_pool_is_handed_over_only_where_that_relieves_much() {
+    let names = names(2);
+    let small = |owned| candidate(&names[0], 800, owned);
+    let large = |owned| candidate(&names[1], 3300, owned);
+    assert!(small(1).should_yield(&large(0)));
+    assert!(!small(1).should_yield(&large(3)));
+    assert!(!small(0).should_yield(&large(0)));
+    assert!(!large(1).should_yield(&small(0)));
+    // Alike: two against none is not enough for a change of hands, three is.
+    let (own, other) = (candidate(&names[0], 1600, 2), candidate(&names[1], 1600, 0));
+    assert!(!own.should_yield(&other));
+    assert!(Candidate { owned: 3, ..own }.should_yield(&other));
+}
+
+#[test]
+fn a_process_of_a_release_that_told_no_strength_comes_last() {
+    let names = names(2);
+    let pool: PoolName = "p".parse().unwrap();
+    let unknown = candidate(&names[0], 0, 0);
+    let known = candidate(&names[1], 800, 3);
+    assert!(known.precedes(&unknown, &pool));
+    assert!(!unknown.precedes(&known, &pool));
+}
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
 
 mod balance;
+mod candidate;
 mod desk;
 mod inherit;
 mod life;
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -1,13 +1,9 @@
 //! Who is in charge of which pool: taking leases, and noticing that an owner is gone.
 
-use std::{
-    collections::BTreeMap,
-    hash::{Hash, Hasher},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use reachhead_jobs::{
+    candidate::{self, Candidate},
     clock::{Tick, stretched},
     model::PoolPolicy,
     pool::{Inheritance, Pool, StoredJob, StoredProgress, Tuning},
@@ -25,7 +21,6 @@
     id::{JobId, NodeName, PoolName},
     size::{FencingToken, Millis, Revision},
 };
-use siphasher::sip::SipHasher13;
 use tokio::time;
 
 use crate::{
@@ -61,15 +56,6 @@
 /// Delay between one candidate and the next, so that mostly one of them writes.
 const RANK_DELAY: Millis = Millis(60);
 
-/// More delay for each pool that a process is in charge of already.
-const LOAD_DELAY: Millis = Millis(250);
-
-/// More delay for a process with a small part of a core, for each hundredth that it lacks.
-const SMALL_DELAY: Millis = Millis(8);
-
-/// Part of a core above which a process counts as large.
-const LARGE_CORES: f64 = 0.25;
-
 /// How long a process waits after its start before it takes pools, so that all know each other.
 const START_DELAY: Millis = Millis(300);
 
@@ -192,12 +178,15 @@
     /// Returns how long this process lets others take a pool first.
     fn delay(&self, pool: &PoolName) -> Millis {
         let node = &self.node;
+        let owned = node.owned().len();
         let view = node.view();
-        let own = weight(pool, &node.settings.node);
-        let before = view.members.keys().filter(|other| weight(pool, other) > own).count() as u64;
-        let owned = node.owned().len() as u64;
-        let lack = ((LARGE_CORES - node.settings.cores).max(0.0) * 100.0) as u64;
-        Millis(before * RANK_DELAY.0 + owned * LOAD_DELAY.0 + lack * SMALL_DELAY.0)
+        let own = Candidate { node: &node.settings.node, strength: node.strength(), owned };
+        let others = view
+            .members
+            .iter()
+            .filter(|(other, _)| **other != node.settings.node)
+            .map(|(other, member)| view.candidate(other, member));
+        Millis(candidate::before(pool, &own, others) as u64 * RANK_DELAY.0)
     }
 
     /// Returns how long an order of the predecessor may have effect on a worker that does not answer.
@@ -326,13 +315,6 @@
     }
 }
 
-/// Returns a process's weight for a pool; the highest is the first candidate.
-fn weight(pool: &PoolName, node: &NodeName) -> u64 {
-    let mut hasher = SipHasher13::new();
-    (pool.as_str(), node.as_str()).hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Writes the lease; `None` if somebody else did first.
 async fn take(
     node: &Node,
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -215,7 +215,7 @@
         }
         match change.row.parse::<MemberRecord>() {
             Ok(record) => {
-                self.0.view().members.insert(node, record.address);
+                self.0.view().members.insert(node, record);
             }
             Err(error) => emit(Event::RowRefused, error),
         }
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod peer;
 mod process;
+mod relief;
 mod submit;
 mod view;
 
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -14,7 +14,7 @@
 use reachhead_store::{Store, StoreError};
 use reachhead_types::{
     id::PoolName,
-    size::{Millis, Revision},
+    size::{Millis, Revision, Strength},
 };
 use tokio::sync::watch;
 
@@ -42,6 +42,16 @@
     pub dialect: Arc<dyn Dialect>,
 }
 
+/// Time of a whole core that the start of a task takes with its reports, in seconds; measured on days of
+/// 20,000 starts.
+const START_CORES: f64 = 0.000_15;
+
+/// Bits on the link for it: the order with its specification, the answer, its share of reports.
+const START_BITS: f64 = 8_000.0;
+
+/// Bits in a second in a Mbit/s.
+const MEGABIT: f64 = 1_000_000.0;
+
 /// A process of the system.
 pub struct Node {
     /// Its settings.
@@ -94,6 +104,13 @@
         self.clock.now()
     }
 
+    /// Returns how many starts of tasks a second the process bears.
+    pub fn strength(&self) -> Strength {
+        let by_cores = self.settings.cores / START_CORES;
+        let by_link = self.settings.link * MEGABIT / START_BITS;
+        Strength(by_cores.min(by_link) as u32)
+    }
+
     /// Returns what is believed of the rest of the system. Nobody waits while holding it.
     pub fn view(&self) -> MutexGuard<'_, View> {
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -38,6 +38,7 @@
     node::{Node, Services},
     owner::Input,
     peer::{PeerClient, PeerHandler},
+    relief,
 };
 
 /// Longest wait for an answer of the store. A slow store carries transactions of a part out one after
@@ -190,11 +191,12 @@
     tokio::spawn(enter(Arc::clone(node)));
     tokio::spawn(claims::run(Arc::clone(node)));
     tokio::spawn(claims::ping(Arc::clone(node)));
+    tokio::spawn(relief::run(Arc::clone(node)));
 }
 
 /// Enters the list of processes.
 async fn enter(node: Arc<Node>) {
-    let record = MemberRecord { address: node.settings.peer };
+    let record = MemberRecord { address: node.settings.peer, strength: node.strength() };
     let txn = Txn::new().with_write(member_key(&node.settings.node), value(&record));
     loop {
         let result = node.services.store.commit(txn.clone()).await;
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -3,7 +3,12 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use reachhead_jobs::{
-    clock::Tick, model::Configuration, ports::WorkerInfo, record::LeaseRecord, wave::WaveOrder,
+    candidate::Candidate,
+    clock::Tick,
+    model::Configuration,
+    ports::WorkerInfo,
+    record::{LeaseRecord, MemberRecord},
+    wave::WaveOrder,
 };
 use reachhead_types::{
     id::{NodeName, PoolName, WaveName, WorkerId},
@@ -44,7 +49,7 @@
     /// When the leases were last known to be as they are here.
     pub leases_seen: Tick,
     /// The processes of the system.
-    pub members: BTreeMap<NodeName, SocketAddr>,
+    pub members: BTreeMap<NodeName, MemberRecord>,
     /// The workers that are registered.
     pub workers: BTreeMap<WorkerId, WorkerInfo>,
     /// The table of workers is followed, so `workers` is not left over from an earlier time.
@@ -63,10 +68,17 @@
     /// Returns where the owner of a pool answers, unless this process does not know it.
     pub fn owner(&self, pool: &PoolName) -> Option<(NodeName, SocketAddr)> {
         let owner = self.leases.get(pool)?.record.owner.clone()?;
-        let address = *self.members.get(&owner)?;
+        let address = self.members.get(&owner)?.address;
         Some((owner, address))
     }
 
+    /// Returns a process as a candidate for pools.
+    pub fn candidate<'a>(&self, node: &'a NodeName, member: &MemberRecord) -> Candidate<'a> {
+        let own = |lease: &&LeaseView| lease.record.owner.as_ref() == Some(node);
+        let owned = self.leases.values().filter(own).count();
+        Candidate { node, strength: member.strength, owned }
+    }
+
     /// Takes over a configuration if it is newer; versions never go back.
     pub fn adopt(&mut self, config: Configuration) -> bool {
         let newer = self.config.as_ref().is_none_or(|known| known.version < config.version);
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -93,6 +93,8 @@
     LeaseTaken 600 Info;
     /// This host is not in charge of a pool any more.
     LeaseEnded 601 Info;
+    /// This host hands a pool over to one that bears it better.
+    PoolYielded 602 Info;
     /// A host of a pool changed its phase.
     HostEntered 610 Info;
     /// A host changed its pool.
--- a/reachhead_types/src/size.rs
+++ b/reachhead_types/src/size.rs
@@ -82,6 +82,10 @@
     /// A fencing token: who receives an order ignores it after one with a higher token.
     FencingToken, u64
 }
+count_type! {
+    /// How much a process bears: the starts of tasks a second that its processor and its link allow.
+    Strength, u32
+}
 count_type! {
     /// The revision that the store gave to a row when it was last written.
     Revision, u64
