--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -18,7 +18,7 @@
 
 pub use flush::Batch;
 pub use load::{PoolLoad, WorkerLoad};
-pub use vacate::Vacancy;
+pub use vacate::{Haste, Vacancy};
 
 use reachhead_types::{
     id::{JobId, PoolName, RouteName, WorkerId},
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -69,6 +69,10 @@
 
     fn report(&mut self, id: &WorkerId, sent: Tick, report: WorkerReport, now: Tick) {
         let Some(worker) = self.workers.get_mut(id) else {
+            // Its life was over before the answer came; what it says of ends is true all the same.
+            for entry in &report.ended {
+                self.end(id, entry, now);
+            }
             return;
         };
         worker.reading = Some(Reading { shown: report.clock, at: now });
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -20,6 +20,16 @@
 /// How long a pool asks for one more host after a task that has to leave found no place.
 const CRAMPED_TIME: Millis = Millis(2500);
 
+/// What becomes of short tasks on a worker that is emptied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Haste {
+    /// They may finish.
+    Wait,
+    /// They are stopped, and go on elsewhere.
+    Stop,
+}
+
 /// How far a worker is emptied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -28,7 +38,7 @@
     Unknown,
     /// Something protected is there, and may not be taken away yet.
     Protected,
-    /// Only short tasks are there; ending them costs work and breaks no promise.
+    /// Only short tasks are there.
     Short,
     /// Nothing is there.
     Empty,
@@ -36,7 +46,7 @@
 
 impl Pool {
     /// Gives a worker nothing new, moves away what may be moved, and tells how far that is.
-    pub fn vacate(&mut self, id: &WorkerId, now: Tick) -> Vacancy {
+    pub fn vacate(&mut self, id: &WorkerId, haste: Haste, now: Tick) -> Vacancy {
         // Until all workers have answered a new owner it does not know what is where, and what its
         // predecessor stops may still be reported as at work for a while.
         let quiet = self.quiet_since().is_some_and(|since| since <= now);
@@ -68,21 +78,20 @@
                 continue;
             };
             let step = &job.plan.steps[task.step as usize];
-            if !step.long_running {
-                vacancy = vacancy.min_of(Vacancy::Short);
-                continue;
-            }
-            vacancy = vacancy.min_of(Vacancy::Protected);
+            let short = !step.long_running;
+            vacancy = vacancy.min_of(if short { Vacancy::Short } else { Vacancy::Protected });
             let state = &job.steps[&task.step_id()].tasks[task.index as usize];
             let run = state.runs.iter().find(|run| run.worker == *id);
-            if let Some(run) = run.filter(|run| run.phase == Phase::Working).cloned()
-                && self.may_take(task)
-            {
-                if self.has_place(task, now) {
-                    self.stop_run(task, &run, StopReason::Planned, now);
-                } else {
-                    self.cramped = now + CRAMPED_TIME;
-                }
+            let Some(run) = run.filter(|run| run.phase == Phase::Working).cloned() else {
+                continue;
+            };
+            if short && haste == Haste::Wait || !short && !self.may_take(task) {
+                continue;
+            }
+            if short || self.has_place(task, now) {
+                self.stop_run(task, &run, StopReason::Planned, now);
+            } else {
+                self.cramped = now + CRAMPED_TIME;
             }
         }
         vacancy
--- a/reachhead_jobs/src/wave.rs
+++ b/reachhead_jobs/src/wave.rs
@@ -10,15 +10,14 @@
 
 use crate::{
     clock::Tick,
-    pool::Vacancy,
+    pool::{Haste, Vacancy},
     ports::{Machine, MachineState},
 };
 
-/// Share of a wave's time after which short tasks don't hold a host up any more, in percent. It
-/// leaves time for hosts whose orders are lost.
+/// Share of a wave's time after which short tasks are stopped at once, in percent. It leaves time for hosts whose orders are lost.
 const PATIENCE_PERCENT: u64 = 60;
 
-/// How long short tasks may hold a host up before it is taken all the same.
+/// How long short tasks may hold a host up before they are stopped.
 const SHORT_PATIENCE: Millis = Millis(2500);
 
 /// Hosts that are being emptied beyond those that may be down, so that the next is ready in time.
@@ -142,26 +141,18 @@
         down.len()
     }
 
-    /// Tells whether the host may be taken now that its worker is this empty.
-    pub fn may_take(
-        &self,
-        host: &HostId,
-        vacancy: Vacancy,
-        machines: &BTreeMap<HostId, Machine>,
-        now: Tick,
-    ) -> bool {
-        if self.under_maintenance(machines) >= self.order.most as usize {
-            return false;
-        }
-        match vacancy {
-            Vacancy::Empty | Vacancy::Unknown => true,
-            Vacancy::Protected => false,
-            Vacancy::Short => {
-                let waited = self.emptying.get(host).map_or(Millis(0), |since| now.since(*since));
-                let late = now.since(self.since).0 * 100 > self.order.within.0 * PATIENCE_PERCENT;
-                late || waited >= SHORT_PATIENCE
-            }
-        }
+    /// Returns what becomes of short tasks on the host, which is being emptied.
+    pub fn haste(&self, host: &HostId, now: Tick) -> Haste {
+        let waited = self.emptying.get(host).map_or(Millis(0), |since| now.since(*since));
+        let late = now.since(self.since).0 * 100 > self.order.within.0 * PATIENCE_PERCENT;
+        if late || waited >= SHORT_PATIENCE { Haste::Stop } else { Haste::Wait }
+    }
+
+    /// Tells whether the host may be taken now that its worker is this empty. One with short tasks is not:
+    /// an end that the worker tells in the last moment would be lost with it.
+    pub fn may_take(&self, vacancy: Vacancy, machines: &BTreeMap<HostId, Machine>) -> bool {
+        let room = self.under_maintenance(machines) < self.order.most as usize;
+        room && matches!(vacancy, Vacancy::Empty | Vacancy::Unknown)
     }
 
     /// Notes that an order for the host was sent, so it may be down from now on.
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 use reachhead_jobs::{
     clock::Tick,
-    pool::Vacancy,
+    pool::{Haste, Vacancy},
     ports::{Machine, MachineError, MachineState},
     record::{LeaseRecord, lease_key, value},
     wave::{Wave, WaveOrder, WaveRecord},
@@ -294,11 +294,16 @@
         }
         // A host whose worker ended after an order was taken down by it, most likely: the order is
         // repeated only for its answer.
+        let now = self.node.now();
+        let haste = |host: &HostId| {
+            let held = self.waves.get(name);
+            held.map_or(Haste::Wait, |held| held.wave.haste(host, now))
+        };
         let vacancies = join_all(machines.iter().map(|machine| async {
             if self.reborn.contains(&machine.host) {
                 Vacancy::Empty
             } else {
-                self.vacancy(machine).await
+                self.vacancy(machine, haste(&machine.host)).await
             }
         }))
         .await;
@@ -308,7 +313,7 @@
             let Some(held) = self.waves.get_mut(name) else {
                 return false;
             };
-            if !held.wave.may_take(&machine.host, vacancy, &self.machines, now) {
+            if !held.wave.may_take(vacancy, &self.machines) {
                 continue;
             }
             held.wave.ordered(&machine.host, now);
@@ -373,11 +378,11 @@
         }
     }
 
-    async fn vacancy(&self, machine: &Machine) -> Vacancy {
+    async fn vacancy(&self, machine: &Machine, haste: Haste) -> Vacancy {
         let Some(worker) = &machine.worker else {
             return Vacancy::Empty;
         };
-        let ask = PoolAsk::Vacate(worker.clone());
+        let ask = PoolAsk::Vacate(worker.clone(), haste);
         match ask_pool(&self.node, &machine.pool, ask).await {
             Some(Reply::Vacancy(vacancy)) => vacancy,
             // Without the pool's owner nobody knows what is there.
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -6,7 +6,7 @@
 use reachhead_jobs::{
     balance::{Balance, Move, PoolState},
     clock::Tick,
-    pool::Vacancy,
+    pool::{Haste, Vacancy},
     ports::{Machine, MachineApi, MachineError, MachineState},
 };
 use reachhead_ops::event::{Event, emit};
@@ -110,7 +110,7 @@
 
     async fn carry_out(&self, step: Move) -> Option<Moved> {
         if let Some(worker) = &step.worker {
-            let ask = PoolAsk::Vacate(worker.clone());
+            let ask = PoolAsk::Vacate(worker.clone(), Haste::Wait);
             match ask_pool(&self.node, &step.from, ask).await {
                 Some(Reply::Vacancy(Vacancy::Empty)) => {}
                 _ => return None,
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -4,7 +4,7 @@
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
-    pool::{Action, Batch, Cancelled, JobState, NoteKind, Pool, PoolLoad, Vacancy},
+    pool::{Action, Batch, Cancelled, Haste, JobState, NoteKind, Pool, PoolLoad, Vacancy},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     record::{JobRecord, LeaseRecord, job_key, lease_key, value},
     task::{StepId, TaskId},
@@ -70,7 +70,7 @@
     /// Somebody asks how many jobs wait.
     Waiting(RouteName, oneshot::Sender<u32>),
     /// A worker's host is due for planned work.
-    Vacate(WorkerId, oneshot::Sender<Vacancy>),
+    Vacate(WorkerId, Haste, oneshot::Sender<Vacancy>),
     /// Somebody asks how much room the pool needs.
     Load(oneshot::Sender<PoolLoad>),
     /// A worker's life is over.
@@ -232,8 +232,8 @@
             Input::Waiting(queue, reply) => {
                 let _ = reply.send(self.pool.waiting(&queue));
             }
-            Input::Vacate(worker, reply) => {
-                let _ = reply.send(self.pool.vacate(&worker, now));
+            Input::Vacate(worker, haste, reply) => {
+                let _ = reply.send(self.pool.vacate(&worker, haste, now));
             }
             Input::Load(reply) => {
                 let _ = reply.send(self.pool.load(now));
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use reachhead_jobs::{
-    pool::{JobState, PoolLoad, Vacancy},
+    pool::{Haste, JobState, PoolLoad, Vacancy},
     record::JobRecord,
 };
 use reachhead_ops::{
@@ -79,7 +79,7 @@
     /// How many jobs of the queue wait?
     Waiting(RouteName),
     /// Empty this worker, whose host is due for planned work.
-    Vacate(WorkerId),
+    Vacate(WorkerId, Haste),
     /// This life of a worker is over.
     Over(WorkerId),
     /// How much room does the pool need?
@@ -192,8 +192,8 @@
             answered(owner, |reply| Input::Waiting(queue, reply), Reply::Waiting).await
         }
         PoolAsk::Load => answered(owner, Input::Load, Reply::Load).await,
-        PoolAsk::Vacate(worker) => {
-            answered(owner, |reply| Input::Vacate(worker, reply), Reply::Vacancy).await
+        PoolAsk::Vacate(worker, haste) => {
+            answered(owner, |reply| Input::Vacate(worker, haste, reply), Reply::Vacancy).await
         }
     }
 }
