After an outage of the store pools stay where they are

Each time the store came back, the process that reached it first took the others, heard of last before they did, for cut off from it, and took all their pools; each successor waits up to 8.6 s for workers that do not answer its new token.

Ruled out: lost rows; every job was in the successors' inheritance.

Change: an owner counts as cut off only to a process that itself has reached the store for two seconds. A pool is handed over only once all workers of the predecessor have answered. E711 is logged once a lease.

--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -49,6 +49,10 @@
 /// store half a second later.
 const BLIND_TIME: Millis = Millis(1800);
 
+/// How long this process must have reached the store without a gap before it takes the pools of owners that
+/// do not: after an outage for all, some reach it again a second or two before others.
+const SIGHT_TIME: Millis = Millis(2000);
+
 /// How recently the store must have answered this process for it to take a pool: longer than the polls
 /// of a followed table, which are the only calls of an idle process.
 const FRESH_TIME: Millis = Millis(1600);
@@ -74,7 +78,8 @@
 
 /// Takes pools for as long as the process lives.
 pub async fn run(node: Arc<Node>) {
-    let mut claims = Claims { started: node.now(), vacant: BTreeMap::new(), node };
+    let mut claims =
+        Claims { started: node.now(), vacant: BTreeMap::new(), told: BTreeMap::new(), node };
     loop {
         time::sleep(LOOK_PERIOD).await;
         if !claims.node.is_stopping() {
@@ -111,6 +116,8 @@
     started: Tick,
     /// Since when a pool has nobody in charge, as this process sees it.
     vacant: BTreeMap<PoolName, Tick>,
+    /// The lease of a pool whose loss was logged last, so that each is logged once.
+    told: BTreeMap<PoolName, Revision>,
 }
 
 impl Claims {
@@ -129,10 +136,8 @@
         }
         for pool in pools {
             if self.is_vacant(&pool, now) {
-                let since = *self.vacant.entry(pool.clone()).or_insert_with(|| {
-                    self.node.note_vacant(&pool, now);
-                    now
-                });
+                let since = *self.vacant.entry(pool.clone()).or_insert(now);
+                self.tell_vacant(&pool, now);
                 if now.since(since) >= self.delay(&pool) {
                     self.vacant.remove(&pool);
                     self.claim(&pool, config.pools.get(&pool)).await;
@@ -143,6 +148,16 @@
         }
     }
 
+    /// Logs that a pool's owner seems to be gone, once a lease.
+    fn tell_vacant(&mut self, pool: &PoolName, now: Tick) {
+        let revision = self.node.view().leases.get(pool).map(|lease| lease.revision);
+        if let Some(revision) = revision
+            && self.told.insert(pool.clone(), revision) != Some(revision)
+        {
+            self.node.note_vacant(pool, now);
+        }
+    }
+
     /// Tells whether nobody seems to be in charge of a pool.
     fn is_vacant(&self, pool: &PoolName, now: Tick) -> bool {
         let node = &self.node;
@@ -172,7 +187,8 @@
         };
         let absent = heard.owned.get(pool).is_none_or(|token| *token < lease.revision);
         let unowned = absent && now.since(lease.since) > SILENT_TIME;
-        unowned || heard.store_age > BLIND_TIME.0
+        let blind = heard.store_age > BLIND_TIME.0 && now.since(view.store_since) > SIGHT_TIME;
+        unowned || blind
     }
 
     /// Returns how long this process lets others take a pool first.
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -23,8 +23,9 @@
     view::View,
 };
 
-/// How long the store must have been silent to be called lost: longer than a single failed call.
-const LOST_AGE: Millis = Millis(1000);
+/// How long the store must have been silent to be called lost: longer than a single failed call, and than
+/// the polls of a process without pools are apart.
+const LOST_AGE: Millis = Millis(1700);
 
 /// The services of the platform, as the product needs them.
 pub struct Services {
@@ -166,6 +167,9 @@
         match result {
             Ok(_) | Err(StoreError::Refused(_)) => {
                 view.store_seen = now;
+                if age >= LOST_AGE {
+                    view.store_since = now;
+                }
                 if std::mem::take(&mut view.store_lost) {
                     emit(Event::StoreBack, format_args!("age={age}ms"));
                 }
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -93,6 +93,8 @@
     Scanned(Vec<reachhead_store::row::Row>),
     /// Give the pool back.
     Release(oneshot::Sender<()>),
+    /// Give the pool back for a better owner, unless that would cost its jobs time.
+    Yield(oneshot::Sender<()>),
 }
 
 /// How to reach an owner in this process.
@@ -254,6 +256,8 @@
             Input::Committed(batch, result) => self.recorded(&batch, result, now),
             Input::Scanned(rows) => self.scanned(&rows, now),
             Input::Release(done) => self.release = Some(done),
+            // A successor would wait anew for the workers that have not answered.
+            Input::Yield(done) => self.release = (self.pool.unsettled() == 0).then_some(done),
         }
     }
 
--- a/reachhead_node/src/relief.rs
+++ b/reachhead_node/src/relief.rs
@@ -103,12 +103,13 @@
 }
 
 async fn hand_over(pool: &PoolName, handle: &OwnerHandle, successor: &Successor) {
-    emit(
-        Event::PoolYielded,
-        format_args!("pool={pool} token={} to={}", handle.token, successor.node),
-    );
     let (sender, receiver) = oneshot::channel();
-    handle.send(Input::Release(sender));
-    // An owner that has ended on its own drops its side.
-    let _ = receiver.await;
+    handle.send(Input::Yield(sender));
+    // An owner that keeps its pool, or has ended on its own, drops its side.
+    if receiver.await.is_ok() {
+        emit(
+            Event::PoolYielded,
+            format_args!("pool={pool} token={} to={}", handle.token, successor.node),
+        );
+    }
 }
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -60,6 +60,8 @@
     pub heard: BTreeMap<NodeName, Heard>,
     /// When the store last answered this process.
     pub store_seen: Tick,
+    /// Since when it has answered without a gap.
+    pub store_since: Tick,
     /// It was logged that the store is lost.
     pub store_lost: bool,
 }
