--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -139,9 +139,10 @@
         };
         run.asking = false;
         match result {
-            // Barred for good: once a later report lacks it, it is gone.
+            // Barred for good: once a report lacks it that was asked for later, it is gone. The first time
+            // counts, since it is barred again while a poll waits.
             Ok(_) => {
-                run.settled = Some(now);
+                run.settled = run.settled.or(Some(now));
                 run.doubtful = false;
                 run.retry = now + STOP_PAUSE;
             }
--- a/reachhead_jobs/tests/pool/desk.rs
+++ b/reachhead_jobs/tests/pool/desk.rs
@@ -181,12 +181,16 @@
 
     /// The worker answers a long poll with what it runs.
     pub fn report(&mut self, name: &WorkerId) {
+        self.report_sent(name, self.now);
+    }
+
+    /// The worker answers a long poll that was sent at `sent` with what it runs.
+    pub fn report_sent(&mut self, name: &WorkerId, sent: Tick) {
         let report = WorkerReport {
             clock: self.clock(),
             running: self.running.get(name).cloned().unwrap_or_default(),
             ended: self.ended.get(name).cloned().unwrap_or_default(),
         };
-        let sent = self.now;
         self.now = self.now + Millis(1);
         self.pool.held(name, sent, Ok(report), self.now);
     }
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -14,7 +14,7 @@
     size::{Millis, Revision},
 };
 
-use crate::desk::{Desk, info, step, task, worker};
+use crate::desk::{Desk, info, record, step, task, worker};
 
 #[test]
 fn a_job_runs_its_steps_in_order_and_is_told_as_completed_once_that_is_stored() {
@@ -132,6 +132,33 @@
     assert_eq!(desk.starts().len(), 1);
 }
 
+#[test]
+fn a_run_that_was_barred_is_gone_though_it_is_barred_again_while_the_worker_is_polled() {
+    let mut desk = Desk::ready(vec![info("w", 4), info("v", 4)]);
+    desk.submit(1, vec![step(1)]);
+    let (id, order) = desk.starts().remove(0);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    desk.pool.started(&id, order.task, order.run, lost, desk.now);
+    desk.pass(200);
+    desk.starts();
+    let late = Err(WorkerError::Rejected(Rejection::Late));
+    desk.pool.started(&id, order.task, order.run, late, desk.now);
+    // A poll waits longer than it takes until the run is barred again.
+    let bar = |desk: &mut Desk| {
+        assert_eq!(desk.stops().len(), 1);
+        let clock = desk.clock();
+        desk.pool.stopped(&id, order.task, order.run, Ok(clock), desk.now);
+    };
+    bar(&mut desk);
+    desk.pass(500);
+    let sent = desk.now;
+    desk.pass(600);
+    bar(&mut desk);
+    desk.pass(400);
+    desk.report_sent(&id, sent);
+    assert_eq!(desk.starts().len(), 1);
+}
+
 #[test]
 fn a_task_on_a_silent_worker_starts_again_only_after_its_lease_has_surely_lapsed() {
     let mut desk = Desk::ready(vec![info("w", 4)]);
@@ -400,3 +427,28 @@
     let barred = |action: &Action| matches!(action, Action::Stop(_, task, run) if *task == order.task && *run == copy.run);
     assert!(actions.iter().any(barred), "{actions:?}");
 }
+
+#[test]
+fn a_queue_of_higher_priority_comes_first_and_a_job_that_is_too_late_last() {
+    let mut desk = Desk::ready(vec![info("a", 1)]);
+    let submit = |desk: &mut Desk, id: u64, priority: u32, accepted: u64| {
+        let mut record = record(vec![step(1)], accepted);
+        Arc::make_mut(&mut record.queue).priority = priority;
+        desk.pool.submit(JobId(id), &record, Revision(50 + id), desk.now, Millis(desk.now.0));
+    };
+    let now = desk.now.0;
+    submit(&mut desk, 1, 1, now);
+    submit(&mut desk, 2, 0, now);
+    submit(&mut desk, 3, 0, now - 60_000);
+    let mut order = Vec::new();
+    for number in 1..=3 {
+        let (id, start) = desk.starts().remove(0);
+        order.push(start.task.job.0);
+        desk.accept(&id, &start);
+        desk.end(&id, start.task, start.run.0, RunEnd::Done);
+        desk.report(&id);
+        desk.flush();
+        assert_eq!(order.len(), number);
+    }
+    assert_eq!(order, [2, 1, 3]);
+}
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod desk;
 mod inherit;
 mod life;
+mod load;
 mod pace;
 mod vacate;
 mod wave;
