Pools ask for hosts by where their work is heading, and priorities come first

Change: work that arrives is extrapolated by its rise over the last 1.6 s to the moment when a host that is asked for now has come, at most to three times what it is. Beside it: the priority of a queue counts before worth within a class (no site has two queues of short jobs in one pool), and a run on a worker that is forgotten is dropped.

--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -109,7 +109,8 @@
     /// Returns the job's place in the order; the smallest comes first.
     pub fn rank(&self, job: &Job, now: Tick) -> Rank {
         if job.plan.long_running() {
-            return Rank { class: Class::LongRunning, key: job.accepted.0 as f64 };
+            let key = job.accepted.0 as f64;
+            return Rank { class: Class::LongRunning, priority: job.queue.priority, key };
         }
         let objective = self.objective(&job.queue, &job.plan);
         let left = self.left(job);
@@ -124,7 +125,7 @@
         let mean = self.work.get(&job.queue.name).copied().unwrap_or(1.0).max(1.0);
         // A job earns a part by its number and a part by its work; what is left decides the price.
         let worth = 0.3 + 0.7 * (left.whole / mean).min(4.0);
-        Rank { class, key: left.work.max(1.0) / worth }
+        Rank { class, priority: job.queue.priority, key: left.work.max(1.0) / worth }
     }
 
     fn left(&self, job: &Job) -> Left {
@@ -180,6 +181,8 @@
 pub struct Rank {
     /// What it can still get.
     pub class: Class,
+    /// The priority of its queue; 0 comes first.
+    pub priority: u32,
     /// Work for each unit of worth.
     pub key: f64,
 }
@@ -187,6 +190,7 @@
 impl Rank {
     /// Compares two ranks; the smaller one comes first.
     pub fn order(self, other: Self) -> std::cmp::Ordering {
-        self.class.cmp(&other.class).then(self.key.total_cmp(&other.key))
+        let by_priority = self.priority.cmp(&other.priority);
+        self.class.cmp(&other.class).then(by_priority).then(self.key.total_cmp(&other.key))
     }
 }
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -11,6 +11,12 @@
 /// ones, short enough to notice a burst within its first second.
 const RATE_WINDOW: Millis = Millis(800);
 
+/// How far ahead a rate that rises is taken to go on rising: as long as a host takes to come.
+const TREND_TIME: u64 = 1500;
+
+/// The most that a rising rate is taken to become, in multiples of what it is.
+const TREND_MOST: u64 = 3;
+
 /// Time in which the work that waits should have begun.
 const BACKLOG_TIME: u64 = 1000;
 
@@ -66,11 +72,20 @@
         self.recent.push_back(Arrival { at, work });
     }
 
-    fn rate(&mut self, now: Tick) -> u64 {
-        while self.recent.front().is_some_and(|first| now.since(first.at) > RATE_WINDOW) {
+    /// Returns the work that will arrive in a millisecond when a host that is asked for now has come: what
+    /// arrives now, and more if it was less just before.
+    fn forecast(&mut self, now: Tick) -> u64 {
+        let age = |arrival: &Arrival| now.since(arrival.at);
+        while self.recent.front().is_some_and(|first| age(first) > Millis(2 * RATE_WINDOW.0)) {
             self.recent.pop_front();
         }
-        self.recent.iter().map(|arrival| arrival.work).sum::<u64>() / RATE_WINDOW.0
+        let (mut latest, mut before) = (0, 0);
+        for arrival in &self.recent {
+            let sum = if age(arrival) <= RATE_WINDOW { &mut latest } else { &mut before };
+            *sum += arrival.work;
+        }
+        let rise = latest.saturating_sub(before) * TREND_TIME / RATE_WINDOW.0;
+        (latest + rise).min(TREND_MOST * latest) / RATE_WINDOW.0
     }
 }
 
@@ -104,7 +119,7 @@
             }
         }
         let busy = running + waiting / BACKLOG_TIME;
-        let rate = self.arrivals.rate(now);
+        let rate = self.arrivals.forecast(now);
         PoolLoad {
             need: lasting + busy.max(rate),
             lasting,
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -141,6 +141,10 @@
         unwanted: Option<StopReason>,
         now: Tick,
     ) -> Option<What> {
+        if !self.workers.contains_key(&run.worker) {
+            // A worker is forgotten only once nothing can work there any more.
+            return Some(What::Drop);
+        }
         match run.phase {
             Phase::Ordered if run.asking || run.retry > now => None,
             // The order may still be carried out: it is barred and not repeated.
