The rows of a pool's jobs are dealt among four parts of the store, and no caller waits past its time

A pool's submissions, progress and roster shared one part; at 100 jobs a second hand-overs to the owner took longer than 1.5 s, and then each of 37 processes stored for itself, which filled the part's queue until it refused (E710 429).

Ruled out: room for the jobs (hosts came in the first second), the owner's processor.

Change: jobs, progress and ends are in four parts a pool, by the job's id; the lease is copied into each in the transaction that takes it, so that it has one revision. An owner writes in each part beside the others, ended jobs first, up to the platform's 100 entries. Which ends a worker may forget is told end by end. A process hands jobs on again to an owner that is late, and stores them itself only where the owner can't be reached or can't reach the store. A submission is answered when its caller's time is over: as not stored if it was not sent. The breaker takes a store for stalled after 0.9 s in which no call was answered.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod pool;
 pub mod ports;
 pub mod record;
+pub mod shard;
 pub mod task;
 pub mod wave;
 pub mod worker;
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -1,8 +1,10 @@
 //! What is written to the store, and what follows once it is.
 
-use reachhead_store::row::{Commit, Conflict, Txn};
+use std::collections::BTreeMap;
+
+use reachhead_store::row::{Commit, Conflict, Key, Txn};
 use reachhead_types::{
-    id::{JobId, WorkerId},
+    id::JobId,
     size::{Millis, Revision},
 };
 
@@ -10,13 +12,18 @@
     clock::Tick,
     pool::{Action, Closed, NoteKind, Pool},
     record::{
-        Ending, Roster, RosterEntry, final_key, job_key, lease_key, progress_key, roster_key, value,
+        Ending, Roster, RosterEntry, fence_key, final_key, job_key, lease_key, progress_key,
+        roster_key, value,
     },
+    shard::Shard,
+    worker::Poll,
 };
 
-/// Jobs in one transaction at most: each takes up to four of the hundred entries that the platform
-/// allows, and the lease and the roster take three.
-const BATCH_JOBS: usize = 20;
+/// Entries of a transaction at most, by the platform's contract.
+const ENTRIES_MOST: usize = 100;
+
+/// Entries that one job takes at most: a check, a row and two deletions.
+const JOB_ENTRIES: usize = 4;
 
 /// How long a worker must be silent before the roster says that nothing new is started there.
 const CLOSE_TIME: Millis = Millis(500);
@@ -31,11 +38,22 @@
     ending: Option<Ending>,
 }
 
-/// Ends that a worker may forget once the transaction is done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Seen {
-    worker: WorkerId,
-    number: u64,
+/// What an owner's transactions are about. Those of one lane follow each other, others go on beside them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lane {
+    /// The workers that the pool may have used.
+    Roster,
+    /// Jobs in one part of the store.
+    Jobs(Shard),
+}
+
+/// A lane in which something is to be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Due {
+    /// The lane.
+    pub lane: Lane,
+    /// Callers wait for it: it ends jobs, or lets new workers be used.
+    pub urgent: bool,
 }
 
 /// A transaction and what it stands for.
@@ -43,59 +61,80 @@
 pub struct Batch {
     /// The transaction.
     pub txn: Txn,
+    /// Its lane.
+    pub lane: Lane,
     jobs: Vec<Entry>,
-    seen: Vec<Seen>,
     roster: Option<Roster>,
 }
 
 impl Batch {
-    /// Tells whether callers wait for it: it ends jobs, or lets new workers be used.
-    pub fn is_urgent(&self) -> bool {
-        self.roster.is_some() || self.jobs.iter().any(|entry| entry.ending.is_some())
+    fn entries(&self) -> usize {
+        self.txn.checks.len() + self.txn.writes.len()
     }
 }
 
 impl Pool {
-    /// Tells whether something is to be written that callers wait for.
-    pub fn is_urgent(&self) -> bool {
-        self.roster.wanted.is_some()
-            || self.dirty.iter().any(|id| self.jobs.get(id).is_some_and(|job| job.ending.is_some()))
+    /// Returns the lanes in which something is to be written.
+    pub fn due(&self) -> Vec<Due> {
+        let mut lanes: BTreeMap<Lane, bool> = BTreeMap::new();
+        if self.roster.wanted.is_some() {
+            lanes.insert(Lane::Roster, true);
+        }
+        for id in &self.dirty {
+            let urgent = self.ends(*id);
+            *lanes.entry(Lane::Jobs(Shard::of(*id))).or_default() |= urgent;
+        }
+        lanes.into_iter().map(|(lane, urgent)| Due { lane, urgent }).collect()
     }
 
-    /// Tells whether anything is to be written.
-    pub fn is_dirty(&self) -> bool {
-        !self.dirty.is_empty() || self.roster.wanted.is_some()
+    /// Tells whether a job is over and that is not recorded.
+    fn ends(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.ending.is_some())
     }
 
-    /// Returns what is to be written next, if anything is. All of it depends on the lease.
-    pub fn batch(&mut self, wall: Millis) -> Option<Batch> {
-        let roster = self.roster.wanted.clone();
-        if self.dirty.is_empty() && roster.is_none() {
+    /// Returns what is to be written next in a lane, if anything is. All of it depends on the lease.
+    pub fn batch(&mut self, lane: Lane, wall: Millis) -> Option<Batch> {
+        match lane {
+            Lane::Roster => self.roster_batch(),
+            Lane::Jobs(shard) => self.job_batch(shard, wall),
+        }
+    }
+
+    fn roster_batch(&self) -> Option<Batch> {
+        let roster = self.roster.wanted.clone()?;
+        let txn = Txn::new()
+            .with_check(lease_key(&self.name), Some(Revision(self.token.0)))
+            .with_check(roster_key(&self.name), self.roster.revision)
+            .with_write(roster_key(&self.name), value(&roster));
+        Some(Batch { txn, lane: Lane::Roster, jobs: Vec::new(), roster: Some(roster) })
+    }
+
+    fn job_batch(&mut self, shard: Shard, wall: Millis) -> Option<Batch> {
+        let mut ids: Vec<JobId> =
+            self.dirty.iter().copied().filter(|id| Shard::of(*id) == shard).collect();
+        if ids.is_empty() {
             return None;
         }
-        let lease = Revision(self.token.0);
+        // Callers wait for the jobs that are over; workers keep what is not recorded of the others.
+        ids.sort_by_key(|id| !self.ends(*id));
+        let fence = fence_key(&self.name, shard);
         let mut batch = Batch {
-            txn: Txn::new().with_check(lease_key(&self.name), Some(lease)),
+            txn: Txn::new().with_check(fence, Some(Revision(self.token.0))),
+            lane: Lane::Jobs(shard),
             jobs: Vec::new(),
-            seen: Vec::new(),
             roster: None,
         };
-        if let Some(roster) = roster {
-            batch.txn = batch
-                .txn
-                .with_check(roster_key(&self.name), self.roster.revision)
-                .with_write(roster_key(&self.name), value(&roster));
-            batch.roster = Some(roster);
-        }
-        let ids: Vec<JobId> = self.dirty.iter().copied().take(BATCH_JOBS).collect();
         for id in ids {
+            if batch.entries() + JOB_ENTRIES > ENTRIES_MOST {
+                break;
+            }
             self.write_job(&mut batch, id, wall);
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.changed = false;
             }
-        }
-        if self.dirty.len() <= BATCH_JOBS {
-            batch.seen = self.noted();
+            for worker in self.workers.values_mut() {
+                worker.write(id);
+            }
         }
         Some(batch)
     }
@@ -124,11 +163,6 @@
         batch.jobs.push(Entry { id, ending: job.ending });
     }
 
-    fn noted(&self) -> Vec<Seen> {
-        let ahead = self.workers.values().filter(|worker| worker.noted > worker.seen);
-        ahead.map(|worker| Seen { worker: worker.info.id.clone(), number: worker.noted }).collect()
-    }
-
     /// Looks now and then whether the roster has to be written.
     pub(super) fn check_roster(&mut self, now: Tick) {
         if self.roster.next <= now {
@@ -177,12 +211,17 @@
         for entry in &batch.jobs {
             self.recorded(entry, revision, now);
         }
-        for seen in &batch.seen {
-            if let Some(worker) = self.workers.get_mut(&seen.worker) {
-                worker.seen = worker.seen.max(seen.number);
-                if let crate::worker::Poll::Due(due) = worker.poll {
-                    worker.poll = crate::worker::Poll::Due(due.min(now));
-                }
+    }
+
+    /// Lets the workers forget the ends of a job that are recorded.
+    fn forget(&mut self, id: JobId, now: Tick) {
+        for worker in self.workers.values_mut() {
+            let seen = worker.seen;
+            worker.record(id);
+            if worker.seen > seen
+                && let Poll::Due(due) = worker.poll
+            {
+                worker.poll = Poll::Due(due.min(now));
             }
         }
     }
@@ -197,10 +236,12 @@
             if !job.changed {
                 self.dirty.remove(&entry.id);
             }
+            self.forget(entry.id, now);
             return;
         };
-        self.dirty.remove(&entry.id);
         let age = now.since(job.accepted);
+        self.dirty.remove(&entry.id);
+        self.forget(entry.id, now);
         self.closed.insert(entry.id, Closed { ending, at: now });
         self.note(NoteKind::JobEnded, format!("job={} ending={ending:?} after={age}ms", entry.id));
         self.dismiss(entry.id);
@@ -223,10 +264,12 @@
     /// Takes in that a batch is not in force since rows are not what was thought. Returns whether
     /// this owner is still in charge.
     pub fn refused(&mut self, conflicts: &[Conflict]) -> bool {
-        let lease = lease_key(&self.name);
+        let leases: Vec<Key> = std::iter::once(lease_key(&self.name))
+            .chain(Shard::all().map(|shard| fence_key(&self.name, shard)))
+            .collect();
         for conflict in conflicts {
             let found = conflict.row.as_ref().map(|row| row.revision);
-            if conflict.key == lease {
+            if leases.contains(&conflict.key) {
                 if found != Some(Revision(self.token.0)) {
                     return false;
                 }
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -16,7 +16,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-pub use flush::Batch;
+pub use flush::{Batch, Due, Lane};
 pub use load::{PoolLoad, WorkerLoad};
 pub use vacate::{Haste, Vacancy};
 
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -12,7 +12,7 @@
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
-    worker::Poll,
+    worker::{Poll, Unrecorded},
 };
 
 /// First pause after a call to a worker that failed, doubled up to [`RETRY_MOST`].
@@ -96,9 +96,7 @@
         };
         let last = report.ended.iter().map(|entry| entry.number).max().unwrap_or(0);
         worker.noted = worker.noted.max(last);
-        if self.dirty.is_empty() {
-            worker.seen = worker.noted;
-        }
+        worker.settle_seen();
         let pause = if worker.seen < worker.noted { RECORD_PAUSE } else { Millis(0) };
         worker.poll = Poll::Due(now + pause);
     }
@@ -242,7 +240,7 @@
                 let queue = job.queue.name.clone();
                 if job.finish(entry.task) {
                     job.begun = true;
-                    self.mark(entry.task.job);
+                    self.mark_end(id, entry);
                 }
                 if let Some(run) = run.filter(|run| !run.adopted && run.ticket.is_none()) {
                     self.experience.learn(&queue, step.estimate, now.since(run.since));
@@ -258,7 +256,7 @@
                 }
                 if job.fail(counted, entry.run) {
                     job.begun = true;
-                    self.mark(entry.task.job);
+                    self.mark_end(id, entry);
                 }
                 self.blame(id, entry, now);
             }
@@ -273,6 +271,15 @@
         self.settle(entry.task.job);
     }
 
+    /// Notes that an end has to be recorded before the worker may forget it.
+    fn mark_end(&mut self, id: &WorkerId, entry: &EndedEntry) {
+        self.mark(entry.task.job);
+        if let Some(worker) = self.workers.get_mut(id) {
+            let end = Unrecorded { job: entry.task.job, written: false };
+            worker.unrecorded.insert(entry.number, end);
+        }
+    }
+
     fn blame(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
         self.note(
             NoteKind::RunLost,
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -10,21 +10,40 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::model::{Plan, Queue};
+use crate::{
+    model::{Plan, Queue},
+    shard::Shard,
+};
 
 /// Returns the key of an accepted job that is not over.
 pub fn job_key(pool: &PoolName, job: JobId) -> Key {
-    Key(format!("job/{pool}/{job}"))
+    Key(format!("job/{pool}.{}/{job}", Shard::of(job)))
 }
 
 /// Returns the key of a job's progress.
 pub fn progress_key(pool: &PoolName, job: JobId) -> Key {
-    Key(format!("progress/{pool}/{job}"))
+    Key(format!("progress/{pool}.{}/{job}", Shard::of(job)))
 }
 
 /// Returns the key of how a job ended.
 pub fn final_key(pool: &PoolName, job: JobId) -> Key {
-    Key(format!("final/{pool}/{job}"))
+    Key(format!("final/{pool}.{}/{job}", Shard::of(job)))
+}
+
+/// Returns what the keys of a pool's accepted jobs in one part begin with.
+pub fn job_prefix(pool: &PoolName, shard: Shard) -> String {
+    format!("job/{pool}.{shard}/")
+}
+
+/// Returns what the keys of their progress begin with.
+pub fn progress_prefix(pool: &PoolName, shard: Shard) -> String {
+    format!("progress/{pool}.{shard}/")
+}
+
+/// Returns the key of a copy of a pool's lease in one part: it is written in the transaction that takes the
+/// lease, has its revision, and is what the owner's transactions in that part depend on.
+pub fn fence_key(pool: &PoolName, shard: Shard) -> Key {
+    Key(format!("fence/{pool}.{shard}/owner"))
 }
 
 /// Returns the key of the workers that a pool may have used.
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -117,6 +117,15 @@
     Out,
 }
 
+/// An end that has to be recorded before the worker may forget it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unrecorded {
+    /// The job.
+    pub job: JobId,
+    /// The newest transaction about the job has it.
+    pub written: bool,
+}
+
 /// A worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Worker {
@@ -142,8 +151,10 @@
     pub misses: u32,
     /// Ends up to this number were taken in.
     pub noted: u64,
-    /// Ends up to this number are recorded.
+    /// Ends up to this number are recorded, or need no record.
     pub seen: u64,
+    /// The ends that are not recorded yet, by their numbers.
+    pub unrecorded: BTreeMap<u64, Unrecorded>,
     /// What may run there.
     pub runs: BTreeMap<TaskId, Charge>,
     /// The sum of `runs`.
@@ -188,6 +199,7 @@
             misses: 0,
             noted: 0,
             seen: 0,
+            unrecorded: BTreeMap::new(),
             runs: BTreeMap::new(),
             used: Amount::default(),
             strays: 0,
@@ -218,6 +230,26 @@
         }
     }
 
+    /// Notes that a transaction was made that has all ends of the job so far.
+    pub fn write(&mut self, job: JobId) {
+        for end in self.unrecorded.values_mut().filter(|end| end.job == job) {
+            end.written = true;
+        }
+    }
+
+    /// Notes that the newest transaction about the job is in force.
+    pub fn record(&mut self, job: JobId) {
+        self.unrecorded.retain(|_, end| end.job != job || !end.written);
+        self.settle_seen();
+    }
+
+    /// Looks up to which number the worker may forget its ends.
+    pub fn settle_seen(&mut self) {
+        let first = self.unrecorded.keys().next();
+        let seen = first.map_or(self.noted, |first| first.saturating_sub(1));
+        self.seen = self.seen.max(seen);
+    }
+
     /// Returns when every lease that was given here has surely lapsed; `None` before its clock was
     /// ever read, when none was given.
     pub fn lapses(&self) -> Option<Tick> {
--- a/reachhead_jobs/tests/pool/desk.rs
+++ b/reachhead_jobs/tests/pool/desk.rs
@@ -227,7 +227,8 @@
 
     /// Returns what would be written next.
     pub fn batch(&mut self) -> Option<Batch> {
-        self.pool.batch(Millis(self.now.0))
+        let due = self.pool.due();
+        self.pool.batch(due.first()?.lane, Millis(self.now.0))
     }
 
     /// Writes what is to be written.
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -65,7 +65,7 @@
     desk.report(&worker("w"));
     desk.pool.decided(&batch, &Commit::Done(Revision(200)), desk.now);
     assert_eq!(desk.pool.workers()[&worker("w")].seen, 1);
-    assert!(desk.pool.is_dirty(), "the second end is still to be written");
+    assert!(!desk.pool.due().is_empty(), "the second end is still to be written");
 }
 
 #[test]
@@ -103,7 +103,7 @@
     let own = batch.txn.checks.iter().find(|check| check.key.0.starts_with("progress/")).unwrap();
     let conflict = Conflict { key: own.key.clone(), row: None };
     assert!(desk.pool.decided(&batch, &Commit::Conflict(vec![conflict]), desk.now));
-    let lease = batch.txn.checks.iter().find(|check| check.key.0.starts_with("lease/")).unwrap();
+    let lease = batch.txn.checks.iter().find(|check| check.key.0.starts_with("fence/")).unwrap();
     let conflict = Conflict { key: lease.key.clone(), row: None };
     assert!(!desk.pool.decided(&batch, &Commit::Conflict(vec![conflict]), desk.now));
     assert!(desk.poll().contains(&Action::Fenced));
@@ -452,3 +452,33 @@
     }
     assert_eq!(order, [2, 1, 3]);
 }
+
+#[test]
+fn a_worker_forgets_its_first_ends_while_later_ones_wait_for_their_record() {
+    let mut desk = Desk::ready(vec![info("w", 8)]);
+    // Jobs of two parts of the store, whose transactions go on beside each other.
+    desk.submit(1, vec![step(2)]);
+    desk.submit(2, vec![step(2)]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+    }
+    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    desk.end(&worker("w"), task(2, 0, 0), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    let due = desk.pool.due();
+    assert_eq!(due.len(), 2);
+    let batches: Vec<_> =
+        due.iter().map(|due| desk.pool.batch(due.lane, Millis(desk.now.0)).unwrap()).collect();
+    let seen = |desk: &Desk| desk.pool.workers()[&worker("w")].seen;
+    desk.pool.decided(&batches[1], &Commit::Done(Revision(200)), desk.now);
+    assert_eq!(seen(&desk), 0, "the first end is not recorded");
+    desk.pool.decided(&batches[0], &Commit::Done(Revision(201)), desk.now);
+    assert_eq!(seen(&desk), 2);
+    desk.end(&worker("w"), task(2, 0, 1), 1, RunEnd::Done);
+    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Done);
+    desk.report(&worker("w"));
+    let lane = desk.pool.due().into_iter().find(|due| due.lane == batches[1].lane).unwrap().lane;
+    let batch = desk.pool.batch(lane, Millis(desk.now.0)).unwrap();
+    desk.pool.decided(&batch, &Commit::Done(Revision(202)), desk.now);
+    assert_eq!(seen(&desk), 3, "the one before the first that waits");
+}
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -11,11 +11,15 @@
     clock::Tick,
     model::{Plan, Queue, Step},
     pool::{
-        Action, Batch, Haste, Inheritance, JobState, Pool, StoredJob, StoredProgress, Tuning,
-        Vacancy,
+        Action, Batch, Due, Haste, Inheritance, JobState, Lane, Pool, StoredJob, StoredProgress,
+        Tuning, Vacancy,
     },
     ports::{RunEnd, WorkerError, WorkerInfo},
-    record::{Ending, JobRecord, LeaseRecord, Roster, job_key, lease_key, roster_key, value},
+    record::{
+        Ending, JobRecord, LeaseRecord, Roster, fence_key, job_key, job_prefix, lease_key,
+        progress_prefix, roster_key, value,
+    },
+    shard::Shard,
     task::TaskId,
 };
 use reachhead_plan::amount::Amount;
@@ -70,7 +74,7 @@
 struct Owner {
     pool: Pool,
     token: Revision,
-    recording: bool,
+    recording: BTreeSet<Lane>,
     /// It neither hears nor does anything until then.
     frozen: u64,
     alive: bool,
@@ -215,9 +219,12 @@
         self.store.read(vec![key]).now_or_never().unwrap().unwrap().remove(0)
     }
 
-    fn scan(&self, table: &str) -> Vec<Row> {
-        let scan = Scan { prefix: format!("{table}/p/"), after: None, limit: u32::MAX };
-        self.store.scan(scan).now_or_never().unwrap().unwrap().rows
+    fn scan(&self, prefix: impl Fn(&PoolName, Shard) -> String) -> Vec<Row> {
+        let part = |shard| {
+            let scan = Scan { prefix: prefix(&pool_name(), shard), after: None, limit: u32::MAX };
+            self.store.scan(scan).now_or_never().unwrap().unwrap().rows
+        };
+        Shard::all().flat_map(part).collect()
     }
 
     fn commit(&self, txn: Txn) -> Commit {
@@ -230,12 +237,15 @@
         let known = self.read(key.clone());
         let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
         let record = LeaseRecord { owner: None, term, settled: false };
-        let txn = Txn::new()
+        let mut txn = Txn::new()
             .with_check(key.clone(), known.as_ref().map(|row| row.revision))
             .with_write(key, value(&record));
+        for shard in Shard::all() {
+            txn = txn.with_write(fence_key(&pool_name(), shard), value(&record));
+        }
         let Commit::Done(token) = self.commit(txn) else { unreachable!("nobody else writes now") };
         let progress: BTreeMap<String, Row> = self
-            .scan("progress")
+            .scan(progress_prefix)
             .into_iter()
             .map(|row| (row.key.0.rsplit('/').next().unwrap().to_owned(), row))
             .collect();
@@ -253,7 +263,7 @@
         };
         let roster = self.read(roster_key(&pool_name()));
         let found = Inheritance {
-            jobs: self.scan("job").into_iter().map(stored).collect(),
+            jobs: self.scan(job_prefix).into_iter().map(stored).collect(),
             roster: roster.as_ref().map(|row| row.parse::<Roster>().unwrap()).unwrap_or_default(),
             roster_revision: roster.map(|row| row.revision),
             effect: tuning().inheritance(),
@@ -270,7 +280,7 @@
         self.owners.push(Owner {
             pool,
             token,
-            recording: false,
+            recording: BTreeSet::new(),
             frozen: 0,
             alive: true,
             cut: BTreeMap::new(),
@@ -489,19 +499,25 @@
     }
 
     fn record(&mut self, place: usize, now: Tick) {
-        let owner = &mut self.owners[place];
-        if owner.recording || owner.blind > now.0 || !owner.pool.is_dirty() {
+        if self.owners[place].blind > now.0 {
             return;
         }
-        let Some(batch) = owner.pool.batch(Millis(now.0)) else { return };
-        owner.recording = true;
-        let (lost, delay) = self.fault();
-        let event = Event::Commit { owner: place, batch: Box::new(batch.clone()), answered: !lost };
-        self.push(TRAVEL + delay, event);
-        if lost {
-            let result = Err(StoreError::Lost("the walk loses it".to_owned()));
-            let answer = Answer::Committed(Box::new(batch), result);
-            self.push(200, Event::Answer { owner: place, answer });
+        for Due { lane, .. } in self.owners[place].pool.due() {
+            let owner = &mut self.owners[place];
+            if owner.recording.contains(&lane) {
+                continue;
+            }
+            let Some(batch) = owner.pool.batch(lane, Millis(now.0)) else { continue };
+            owner.recording.insert(lane);
+            let (lost, delay) = self.fault();
+            let event =
+                Event::Commit { owner: place, batch: Box::new(batch.clone()), answered: !lost };
+            self.push(TRAVEL + delay, event);
+            if lost {
+                let result = Err(StoreError::Lost("the walk loses it".to_owned()));
+                let answer = Answer::Committed(Box::new(batch), result);
+                self.push(200, Event::Answer { owner: place, answer });
+            }
         }
     }
 
@@ -616,7 +632,7 @@
                 owner.pool.stopped(&id, task, run, result, now);
             }
             Answer::Committed(batch, result) => {
-                owner.recording = false;
+                owner.recording.remove(&batch.lane);
                 if let Ok(commit) = result
                     && !owner.pool.decided(&batch, &commit, now)
                 {
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -2,15 +2,17 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use futures::future::{try_join_all, try_join3};
 use reachhead_jobs::{
     candidate::{self, Candidate},
     clock::{Tick, stretched},
     model::PoolPolicy,
     pool::{Inheritance, Pool, StoredJob, StoredProgress, Tuning},
     record::{
-        JobRecord, LeaseRecord, ProgressRecord, Roster, job_key, lease_key, progress_key,
-        roster_key, value,
+        JobRecord, LeaseRecord, ProgressRecord, Roster, fence_key, job_prefix, lease_key,
+        progress_prefix, roster_key, value,
     },
+    shard::Shard,
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
@@ -26,7 +28,7 @@
 use crate::{
     fleet,
     node::Node,
-    owner::{Owner, OwnerHandle, id_of, part_prefix},
+    owner::{Owner, OwnerHandle, id_of},
     peer::{Ask, Reply},
     view::{Heard, LeaseView},
 };
@@ -232,7 +234,8 @@
     async fn claim(&self, pool: &PoolName, policy: Option<&PoolPolicy>) {
         let node = &self.node;
         let known = node.view().leases.get(pool).cloned();
-        let lease = match take(node, pool, known.as_ref()).await {
+        let shards: Vec<Shard> = if policy.is_some() { Shard::all().collect() } else { Vec::new() };
+        let lease = match take(node, pool, known.as_ref(), &shards).await {
             Ok(Some(lease)) => lease,
             Ok(None) => return,
             Err(error) => {
@@ -331,18 +334,22 @@
     }
 }
 
-/// Writes the lease; `None` if somebody else did first.
+/// Writes the lease, and its copies in the parts that hold the pool's jobs; `None` if somebody else did first.
 async fn take(
     node: &Node,
     pool: &PoolName,
     known: Option<&LeaseView>,
+    shards: &[Shard],
 ) -> Result<Option<LeaseView>, StoreError> {
     let term = known.map_or(0, |known| known.record.term + 1);
     let record = LeaseRecord { owner: Some(node.settings.node.clone()), term, settled: false };
     let key = lease_key(pool);
-    let txn = Txn::new()
+    let mut txn = Txn::new()
         .with_check(key.clone(), known.map(|known| known.revision))
         .with_write(key.clone(), value(&record));
+    for shard in shards {
+        txn = txn.with_write(fence_key(pool, *shard), value(&record));
+    }
     let result = node.services.store.commit(txn).await;
     node.note_store(&result);
     match result {
@@ -377,19 +384,23 @@
 /// Reads what a predecessor left.
 async fn load(node: &Node, pool: &PoolName, effect: Millis) -> Result<Inheritance, StoreError> {
     let store = &node.services.store;
-    let part = |key| Scan { prefix: part_prefix(&key), after: None, limit: u32::MAX };
-    let jobs = store.scan(part(job_key(pool, JobId(0)))).await?;
-    let progress = store.scan(part(progress_key(pool, JobId(0)))).await?;
-    let roster = store.read(vec![roster_key(pool)]).await?.into_iter().flatten().next();
+    let part = |prefix| store.scan(Scan { prefix, after: None, limit: u32::MAX });
+    let jobs = try_join_all(Shard::all().map(|shard| part(job_prefix(pool, shard))));
+    let progress = try_join_all(Shard::all().map(|shard| part(progress_prefix(pool, shard))));
+    let roster = store.read(vec![roster_key(pool)]);
+    let (jobs, progress, roster) = try_join3(jobs, progress, roster).await?;
     node.note_store(&Ok(()));
     let mut found = Inheritance { effect, ..Inheritance::default() };
-    if let Some(row) = roster {
+    if let Some(row) = roster.into_iter().flatten().next() {
         found.roster = row.parse::<Roster>()?;
         found.roster_revision = Some(row.revision);
     }
-    let progress: BTreeMap<JobId, &Row> =
-        progress.rows.iter().filter_map(|row| Some((id_of(&row.key)?, row))).collect();
-    for row in &jobs.rows {
+    let progress: BTreeMap<JobId, &Row> = progress
+        .iter()
+        .flat_map(|page| &page.rows)
+        .filter_map(|row| Some((id_of(&row.key)?, row)))
+        .collect();
+    for row in jobs.iter().flat_map(|page| &page.rows) {
         let Some(id) = id_of(&row.key) else {
             continue;
         };
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -2,12 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures::future::{BoxFuture, FutureExt};
+use futures::future::{BoxFuture, FutureExt, try_join_all};
 use reachhead_jobs::{
     model::Queue,
     pool::JobState,
     ports::{Answer, Call, CallKind, Frontend, OperatorRow},
-    record::{FinalRecord, JobRecord, final_key, job_key, progress_key},
+    record::{FinalRecord, JobRecord, final_key, job_key, job_prefix, progress_key},
+    shard::Shard,
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{StoreError, row::Scan};
@@ -20,7 +21,7 @@
 
 use crate::{
     node::Node,
-    owner::{CancelReply, part_prefix},
+    owner::CancelReply,
     peer::{Ask, PoolAsk, Reply, Submitted, ask_owner},
 };
 
@@ -134,14 +135,18 @@
         if let Some(Reply::Waiting(count)) = self.ask(&queue.pool, ask).await {
             return Answer::Waiting(count);
         }
-        let prefix = part_prefix(&job_key(&queue.pool, JobId(0)));
-        let scan = Scan { prefix, after: None, limit: u32::MAX };
-        let page = self.0.services.store.scan(scan).await;
-        self.0.note_store(&page);
-        match page {
+        let store = &self.0.services.store;
+        let part = |shard| {
+            let prefix = job_prefix(&queue.pool, shard);
+            store.scan(Scan { prefix, after: None, limit: u32::MAX })
+        };
+        let pages = try_join_all(Shard::all().map(part)).await;
+        self.0.note_store(&pages);
+        match pages {
             // Jobs that have begun count too: without the owner nobody knows which have.
-            Ok(page) => {
-                let jobs = page.rows.iter().filter_map(|row| row.parse::<JobRecord>().ok());
+            Ok(pages) => {
+                let rows = pages.iter().flat_map(|page| &page.rows);
+                let jobs = rows.filter_map(|row| row.parse::<JobRecord>().ok());
                 Answer::Waiting(jobs.filter(|job| job.queue.name == queue.name).count() as u32)
             }
             Err(error) => {
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -1,12 +1,20 @@
 //! The owner of a pool: its event loop.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
+use futures::future::join_all;
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
-    pool::{Action, Batch, Cancelled, Haste, JobState, NoteKind, Pool, PoolLoad, Vacancy},
+    pool::{
+        Action, Batch, Cancelled, Due, Haste, JobState, Lane, NoteKind, Pool, PoolLoad, Vacancy,
+    },
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
-    record::{JobRecord, LeaseRecord, job_key, lease_key, value},
+    record::{JobRecord, LeaseRecord, job_prefix, lease_key, value},
+    shard::Shard,
     task::{StepId, TaskId},
 };
 use reachhead_ops::event::{Event, emit};
@@ -42,9 +50,9 @@
 /// Pause after a transaction that failed.
 const RECORD_PAUSE: Millis = Millis(150);
 
-/// How often the stored jobs are read, for those of which the owner was not told: it may be cut off from
-/// its peers alone.
-const SCAN_PERIOD: Millis = Millis(1000);
+/// How often the stored jobs of one part are read, for those of which the owner was not told: it may be cut
+/// off from its peers alone. All parts are read within two seconds.
+const SCAN_PERIOD: Millis = Millis(450);
 
 /// How long an owner that gives its pool back waits for its last transaction.
 const RELEASE_TIME: Duration = Duration::from_millis(800);
@@ -131,9 +139,13 @@
     handle: OwnerHandle,
     inputs: mpsc::UnboundedReceiver<Input>,
     cancellers: Vec<Canceller>,
-    recording: bool,
-    record_next: Tick,
+    /// The lanes in which a transaction is under way.
+    recording: BTreeSet<Lane>,
+    /// When a lane's next transaction may begin that no caller waits for.
+    record_next: BTreeMap<Lane, Tick>,
     scan_next: Tick,
+    /// The parts in the order in which they are read.
+    scan_turn: VecDeque<Shard>,
     release: Option<oneshot::Sender<()>>,
     lost: bool,
 }
@@ -155,9 +167,10 @@
             handle,
             inputs,
             cancellers: Vec::new(),
-            recording: false,
-            record_next: now,
+            recording: BTreeSet::new(),
+            record_next: BTreeMap::new(),
             scan_next: now + SCAN_PERIOD,
+            scan_turn: Shard::all().collect(),
             release: None,
             lost: false,
         }
@@ -301,16 +314,21 @@
         });
     }
 
-    /// Writes what is to be written, one transaction at a time.
+    /// Writes what is to be written, one transaction at a time in each lane.
     fn record(&mut self, now: Tick) {
-        let due = self.record_next <= now;
-        if self.recording || !self.pool.is_dirty() || !(due || self.pool.is_urgent()) {
-            return;
+        for Due { lane, urgent } in self.pool.due() {
+            let next = self.record_next.get(&lane).copied().unwrap_or_default();
+            if self.recording.contains(&lane) || !(urgent || next <= now) {
+                continue;
+            }
+            if let Some(batch) = self.pool.batch(lane, self.node.clock.wall()) {
+                self.recording.insert(lane);
+                self.commit(batch);
+            }
         }
-        let Some(batch) = self.pool.batch(self.node.clock.wall()) else {
-            return;
-        };
-        self.recording = true;
+    }
+
+    fn commit(&self, batch: Batch) {
         let node = Arc::clone(&self.node);
         let handle = self.handle.clone();
         tokio::spawn(async move {
@@ -326,8 +344,8 @@
     }
 
     fn recorded(&mut self, batch: &Batch, result: Result<Commit, StoreError>, now: Tick) {
-        self.recording = false;
-        self.record_next = now + RECORD_PERIOD;
+        self.recording.remove(&batch.lane);
+        self.record_next.insert(batch.lane, now + RECORD_PERIOD);
         if let Ok(commit) = result
             && !self.pool.decided(batch, &commit, now)
         {
@@ -343,7 +361,11 @@
         self.scan_next = now + SCAN_PERIOD;
         let node = Arc::clone(&self.node);
         let handle = self.handle.clone();
-        let prefix = part_prefix(&job_key(self.pool.name(), JobId(0)));
+        let Some(shard) = self.scan_turn.pop_front() else {
+            return;
+        };
+        self.scan_turn.push_back(shard);
+        let prefix = job_prefix(self.pool.name(), shard);
         tokio::spawn(async move {
             let scan = Scan { prefix, after: None, limit: u32::MAX };
             let page = node.services.store.scan(scan).await;
@@ -372,20 +394,34 @@
         }
     }
 
-    /// Records what is left and gives the lease back, so that a peer takes charge at once.
-    async fn give_back(&mut self) {
-        let name = self.pool.name().clone();
-        if let Some(batch) = self.pool.batch(self.node.clock.wall()) {
+    /// Records what is left, as far as one transaction a lane does.
+    async fn record_all(&mut self) {
+        let wall = self.node.clock.wall();
+        let due = self.pool.due();
+        let batches: Vec<Batch> =
+            due.iter().filter_map(|due| self.pool.batch(due.lane, wall)).collect();
+        let commits = batches.iter().map(|batch| {
             let commit = self.node.services.store.commit(batch.txn.clone());
-            match time::timeout(RELEASE_TIME, commit).await {
+            time::timeout(RELEASE_TIME, commit)
+        });
+        let results = join_all(commits).await;
+        let name = self.pool.name().clone();
+        for (batch, result) in batches.iter().zip(results) {
+            match result {
                 Ok(Ok(commit)) => {
-                    self.pool.decided(&batch, &commit, self.node.now());
-                    self.answer_cancellers();
+                    self.pool.decided(batch, &commit, self.node.now());
                 }
                 Ok(Err(error)) => emit(Event::RecordFailed, format_args!("pool={name} {error}")),
                 Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
             }
         }
+        self.answer_cancellers();
+    }
+
+    /// Records what is left and gives the lease back, so that a peer takes charge at once.
+    async fn give_back(&mut self) {
+        let name = self.pool.name().clone();
+        self.record_all().await;
         let record =
             LeaseRecord { owner: None, term: self.term, settled: self.pool.unsettled() == 0 };
         let txn = Txn::new()
@@ -450,13 +486,6 @@
     }
 }
 
-/// Returns what the keys of a row's part begin with.
-pub fn part_prefix(key: &Key) -> String {
-    let mut parts = key.0.splitn(3, '/');
-    let (table, part) = (parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
-    format!("{table}/{part}/")
-}
-
 /// Returns the job that a row is about.
 pub fn id_of(key: &Key) -> Option<JobId> {
     key.0.rsplit('/').next()?.parse().ok()
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -1,4 +1,4 @@
-//! Storing accepted jobs: one transaction at a time for each pool, with all that wait for it.
+//! Storing accepted jobs: one transaction at a time for each part of the store, with all that wait for it.
 //!
 //! A part of the store carries transactions out one after the other. When it is slow, single ones pile
 //! up until it refuses them; batches do not.
@@ -6,7 +6,10 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -14,6 +17,7 @@
 use reachhead_jobs::{
     ports::Answer,
     record::{JobRecord, final_key, job_key, value},
+    shard::Shard,
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
@@ -27,7 +31,7 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{Semaphore, mpsc, oneshot},
     time::{self, Instant},
 };
 
@@ -46,8 +50,11 @@
 /// Pause after a transaction whose answer was lost.
 const LOST_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest wait for an owner that stores jobs for this process.
-const HAND_ON_TIME: Duration = Duration::from_millis(1500);
+/// Longest wait for an owner that stores jobs for this process; callers wait for three seconds.
+const HAND_ON_TIME: Duration = Duration::from_millis(2200);
+
+/// Messages to the owner of a pool that are under way at once, for each part of the store.
+const HAND_ONS: usize = 3;
 
 /// How lately an owner must have been heard for jobs to be handed to it: a few pings.
 const HEARD_TIME: Millis = Millis(900);
@@ -56,6 +63,9 @@
 /// batches matter most.
 const STORE_AGE: Millis = Millis(1800);
 
+/// How lately the store must have answered this process for it to store what the owner can't.
+const SIGHT_AGE: Millis = Millis(1200);
+
 /// Pause between tries to tell an owner.
 const NOTIFY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -76,6 +86,18 @@
     pub doubtful: bool,
     /// It is stored from here, whoever owns the pool: a peer handed it on, or could not be reached.
     pub direct: bool,
+    /// Set by whoever is first: what sends it, or the caller that waits no longer.
+    taken: Arc<AtomicBool>,
+    /// It was sent, so the caller can't withdraw it any more.
+    sent: bool,
+}
+
+impl Submission {
+    /// Tells whether it may be sent: its caller still waits, or it was sent before.
+    fn take(&mut self) -> bool {
+        self.sent = self.sent || !self.taken.swap(true, Ordering::Relaxed);
+        self.sent
+    }
 }
 
 /// What became of a job that was handed to a peer to be stored.
@@ -114,10 +136,17 @@
     }
 }
 
-/// Stores jobs, pool by pool.
+/// Jobs of a pool in one part of the store.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    pool: PoolName,
+    shard: Shard,
+}
+
+/// Stores jobs, place by place.
 #[derive(Default)]
 pub struct Submitter {
-    pools: Mutex<BTreeMap<PoolName, mpsc::UnboundedSender<Submission>>>,
+    places: Mutex<BTreeMap<Place, mpsc::UnboundedSender<Submission>>>,
 }
 
 impl Submitter {
@@ -136,28 +165,47 @@
         direct: bool,
     ) -> Answer {
         let (reply, answer) = oneshot::channel();
-        let submission = Submission { id, record, until, reply, doubtful: false, direct };
+        let taken = Arc::new(AtomicBool::new(false));
+        let withdrawn = Arc::clone(&taken);
+        let submission =
+            Submission { id, record, until, reply, doubtful: false, direct, taken, sent: false };
         let pool = submission.record.queue.pool.clone();
-        let sent = self.queue(node, &pool).send(submission);
-        match sent {
+        let sent = self.queue(node, Place { pool, shard: Shard::of(id) }).send(submission);
+        if sent.is_err() {
+            return Answer::Refused(ErrorKind::NotReady);
+        }
+        match time::timeout_at(until, answer).await {
+            Ok(Ok(answer)) => answer,
             // Its batch is dropped only if the process ends, and then it may have been sent.
-            Ok(()) => answer.await.unwrap_or(Answer::Refused(ErrorKind::SubmissionLost)),
-            Err(_) => Answer::Refused(ErrorKind::NotReady),
+            Ok(Err(_)) => Answer::Refused(ErrorKind::SubmissionLost),
+            Err(_) if withdrawn.swap(true, Ordering::Relaxed) => {
+                Answer::Refused(ErrorKind::SubmissionLost)
+            }
+            Err(_) => Answer::Refused(ErrorKind::NotStored),
+        }
+    }
+
+    /// Takes jobs of which nothing is decided yet once more.
+    fn again(&self, node: &Arc<Node>, place: &Place, left: Vec<Submission>) {
+        for submission in left {
+            // The other end lives as long as the process.
+            let _ = self.queue(node, place.clone()).send(submission);
         }
     }
 
-    fn queue(&self, node: &Arc<Node>, pool: &PoolName) -> mpsc::UnboundedSender<Submission> {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+    fn queue(&self, node: &Arc<Node>, place: Place) -> mpsc::UnboundedSender<Submission> {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
         let start = || {
             let (sender, receiver) = mpsc::unbounded_channel();
-            tokio::spawn(run(Arc::clone(node), pool.clone(), receiver));
+            tokio::spawn(run(Arc::clone(node), place.clone(), receiver));
             sender
         };
-        pools.entry(pool.clone()).or_insert_with(start).clone()
+        places.entry(place.clone()).or_insert_with(start).clone()
     }
 }
 
-async fn run(node: Arc<Node>, pool: PoolName, mut queue: mpsc::UnboundedReceiver<Submission>) {
+async fn run(node: Arc<Node>, place: Place, mut queue: mpsc::UnboundedReceiver<Submission>) {
+    let free = Arc::new(Semaphore::new(HAND_ONS));
     let mut batch: Vec<Submission> = Vec::new();
     loop {
         if batch.is_empty() {
@@ -166,20 +214,37 @@
                 None => return,
             }
         }
-        let mut bytes: usize = batch.iter().map(size).sum();
-        while batch.len() < BATCH_JOBS && bytes < BATCH_BYTES {
-            let Ok(next) = queue.try_recv() else {
-                break;
-            };
-            bytes += size(&next);
-            batch.push(next);
-        }
-        batch = match owner_of(&node, &pool) {
-            Some(owner) if !batch.iter().any(|submission| submission.direct) => {
-                hand_on(&node, &pool, owner, batch).await
+        // Jobs gather while all are busy, and share the next message.
+        let Ok(permit) = Arc::clone(&free).acquire_owned().await else {
+            return;
+        };
+        fill(&mut batch, &mut queue);
+        batch.retain_mut(Submission::take);
+        let direct = batch.iter().any(|submission| submission.direct);
+        match owner_of(&node, &place.pool).filter(|_| !direct) {
+            Some(owner) => {
+                let (node, place) = (Arc::clone(&node), place.clone());
+                let batch = std::mem::take(&mut batch);
+                tokio::spawn(async move {
+                    let left = hand_on(&node, &place.pool, owner, batch).await;
+                    drop(permit);
+                    node.submitter.again(&node, &place, left);
+                });
             }
-            _ => store(&node, &pool, batch).await,
+            None => batch = store(&node, &place.pool, batch).await,
+        }
+    }
+}
+
+/// Adds what waits, as far as one transaction takes it.
+fn fill(batch: &mut Vec<Submission>, queue: &mut mpsc::UnboundedReceiver<Submission>) {
+    let mut bytes: usize = batch.iter().map(size).sum();
+    while batch.len() < BATCH_JOBS && bytes < BATCH_BYTES {
+        let Ok(next) = queue.try_recv() else {
+            return;
         };
+        bytes += size(&next);
+        batch.push(next);
     }
 }
 
@@ -192,8 +257,10 @@
     (owner != node.settings.node && lately && heard.owned.contains_key(pool)).then_some(address)
 }
 
-/// Hands jobs to the owner of their pool, which stores those of all processes together. What it can't
-/// answer is stored from here: a job that is stored already is found by its id.
+/// Hands jobs to the owner of their pool, which stores those of all processes together; returns those of
+/// which nothing is decided. They are handed on again, as a job that is stored already is found by its id,
+/// and stored from here only if the owner can't be reached: many processes that store for themselves hold
+/// each other up, most of all while the store is slow.
 async fn hand_on(
     node: &Arc<Node>,
     pool: &PoolName,
@@ -204,6 +271,7 @@
         .iter()
         .map(|submission| Unstored { id: submission.id, record: submission.record.clone() });
     let ask = Ask::Store(pool.clone(), jobs.collect());
+    let begun = Instant::now();
     let outcomes = match node.peers.ask(owner, &ask, HAND_ON_TIME).await {
         Ok(Reply::Stored(outcomes)) if outcomes.len() == batch.len() => outcomes,
         Ok(_) => vec![StoreOutcome::Unknown; batch.len()],
@@ -212,10 +280,17 @@
             vec![StoreOutcome::Unknown; batch.len()]
         }
     };
+    // One that fails at once is gone; one that is late has much to do, and is not helped by others.
+    let gone = begun.elapsed() < HAND_ON_TIME;
+    // An owner that can't store may be cut off from the store alone.
+    let sighted = node.now().since(node.view().store_seen) <= SIGHT_AGE;
     let mut left = Vec::new();
     for (submission, outcome) in batch.into_iter().zip(outcomes) {
-        if outcome == StoreOutcome::Unknown && submission.until > Instant::now() {
-            left.push(Submission { doubtful: true, direct: true, ..submission });
+        let in_time = submission.until > Instant::now();
+        if outcome == StoreOutcome::Unknown && in_time {
+            left.push(Submission { doubtful: true, direct: gone, ..submission });
+        } else if outcome == StoreOutcome::NotStored && sighted && in_time {
+            left.push(Submission { direct: true, ..submission });
         } else {
             // A caller that has left finds the job when it asks again.
             let _ = submission.reply.send(outcome.into());
--- a/reachhead_store/src/breaker.rs
+++ b/reachhead_store/src/breaker.rs
@@ -2,7 +2,10 @@
 //!
 //! Pure logic over a clock that the caller passes in.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 /// Failures in a row after which calls fail at once.
 pub const FAILURE_LIMIT: u32 = 3;
@@ -13,6 +16,10 @@
 /// Longest pause between two probes.
 pub const LAST_PAUSE: Duration = Duration::from_secs(2);
 
+/// How long a call may go without an answer, and no other have one since it was made, before the store counts
+/// as stalled. One that is slow answers some call within this: it carries calls out in several parts.
+pub const STALL_TIME: Duration = Duration::from_millis(900);
+
 /// Longest wait for the rate limit that is worth it to a caller.
 pub const PATIENCE: Duration = Duration::from_millis(250);
 
@@ -28,7 +35,7 @@
     Wait(Duration),
     /// Fail it at once: it would have to wait longer than [`PATIENCE`].
     Full,
-    /// Fail it at once: the store is down, and its next probe is not due.
+    /// Fail it at once: the store is down or stalled, and its next probe is not due.
     Down,
 }
 
@@ -40,6 +47,12 @@
     failures: u32,
     pause: Duration,
     probe: Instant,
+    /// When the calls began that are under way, by their numbers.
+    open: BTreeMap<u64, Instant>,
+    count: u64,
+    /// When a call was last answered.
+    answered: Instant,
+    stalled: bool,
 }
 
 impl Breaker {
@@ -51,11 +64,37 @@
             failures: 0,
             pause: FIRST_PAUSE,
             probe: now,
+            open: BTreeMap::new(),
+            count: 0,
+            answered: now,
+            stalled: false,
         }
     }
 
+    /// Notes that a call begins, and returns its number.
+    pub fn begin(&mut self, now: Instant) -> u64 {
+        self.count += 1;
+        self.open.insert(self.count, now);
+        self.count
+    }
+
+    /// Notes that a call is over, whatever came of it.
+    pub fn end(&mut self, number: u64) {
+        self.open.remove(&number);
+    }
+
+    /// Tells whether calls wait in vain. A stalled store gets one call at a time until it answers.
+    fn is_stalled(&mut self, now: Instant) -> bool {
+        let since = self.open.values().next().map(|begun| (*begun).max(self.answered));
+        self.stalled |= since.is_some_and(|since| now > since + STALL_TIME);
+        self.stalled && !self.open.is_empty()
+    }
+
     /// Decides on a call at `now`; only `Go` and `Wait` count against the rate.
     pub fn gate(&mut self, now: Instant) -> Gate {
+        if self.is_stalled(now) {
+            return Gate::Down;
+        }
         if self.is_down() {
             if now < self.probe {
                 return Gate::Down;
@@ -78,7 +117,9 @@
     }
 
     /// Notes that the store answered.
-    pub fn succeed(&mut self) {
+    pub fn succeed(&mut self, now: Instant) {
+        self.answered = now;
+        self.stalled = false;
         self.failures = 0;
         self.pause = FIRST_PAUSE;
     }
--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -35,35 +35,49 @@
         self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn pass(&self) -> Result<(), StoreError> {
+    async fn pass(&self) -> Result<Open<'_, S>, StoreError> {
         let gate = self.breaker().gate(Instant::now());
         match gate {
-            Gate::Go => Ok(()),
-            Gate::Wait(wait) => {
-                time::sleep(wait).await;
-                Ok(())
+            Gate::Go => {}
+            Gate::Wait(wait) => time::sleep(wait).await,
+            Gate::Full => {
+                return Err(StoreError::NotDone("the rate limit is used up".to_owned()));
             }
-            Gate::Full => Err(StoreError::NotDone("the rate limit is used up".to_owned())),
-            Gate::Down => Err(StoreError::NotDone("the store is down".to_owned())),
+            Gate::Down => return Err(StoreError::NotDone("the store is down".to_owned())),
         }
+        let number = self.breaker().begin(Instant::now());
+        Ok(Open { store: self, number })
     }
 
     fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
+        let now = Instant::now();
         let mut breaker = self.breaker();
         match &result {
-            Ok(_) | Err(StoreError::Refused(_)) => breaker.succeed(),
+            Ok(_) | Err(StoreError::Refused(_)) => breaker.succeed(now),
             // It answers at once, so nobody is kept waiting by asking it.
             Err(StoreError::Busy(_)) => {}
-            Err(_) => breaker.fail(Instant::now(), rand::random()),
+            Err(_) => breaker.fail(now, rand::random()),
         }
         result
     }
 }
 
+/// A call that is under way; one that nobody waits for any more ends with it.
+struct Open<'a, S: Store> {
+    store: &'a GuardedStore<S>,
+    number: u64,
+}
+
+impl<S: Store> Drop for Open<'_, S> {
+    fn drop(&mut self) {
+        self.store.breaker().end(self.number);
+    }
+}
+
 impl<S: Store> Store for GuardedStore<S> {
     fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
         async move {
-            self.pass().await?;
+            let _open = self.pass().await?;
             self.note(self.inner.read(keys).await)
         }
         .boxed()
@@ -71,7 +85,7 @@
 
     fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
         async move {
-            self.pass().await?;
+            let _open = self.pass().await?;
             self.note(self.inner.scan(scan).await)
         }
         .boxed()
@@ -79,7 +93,7 @@
 
     fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
         async move {
-            self.pass().await?;
+            let _open = self.pass().await?;
             self.note(self.inner.commit(txn).await)
         }
         .boxed()
--- a/reachhead_store/tests/breaker.rs
+++ b/reachhead_store/tests/breaker.rs
@@ -44,7 +44,43 @@
     assert!((28..=40).contains(&probes), "{probes} probes in a minute");
     let later = start + Duration::from_secs(60) + LAST_PAUSE;
     assert_eq!(breaker.gate(later), Gate::Go);
-    breaker.succeed();
+    breaker.succeed(later);
     assert!(!breaker.is_down());
     assert_eq!(breaker.gate(later), Gate::Go);
 }
+
+#[test]
+fn a_store_that_answers_nothing_stalls_calls_before_they_time_out() {
+    let start = Instant::now();
+    let mut breaker = Breaker::new(100, start);
+    let at = |millis| start + Duration::from_millis(millis);
+    let first = breaker.begin(at(0));
+    assert_eq!(breaker.gate(at(800)), Gate::Go);
+    let second = breaker.begin(at(800));
+    assert_eq!(breaker.gate(at(1000)), Gate::Down);
+    // The first times out; the second still waits, and nobody else has to.
+    breaker.end(first);
+    breaker.fail(at(1800), 1.0);
+    assert_eq!(breaker.gate(at(1850)), Gate::Down);
+    // One call at a time looks whether the store is back.
+    breaker.end(second);
+    assert_eq!(breaker.gate(at(2600)), Gate::Go);
+    let probe = breaker.begin(at(2600));
+    assert_eq!(breaker.gate(at(2610)), Gate::Down);
+    breaker.end(probe);
+    breaker.succeed(at(2620));
+    assert_eq!(breaker.gate(at(2630)), Gate::Go);
+}
+
+#[test]
+fn a_store_that_answers_other_calls_is_slow_and_not_stalled() {
+    let start = Instant::now();
+    let mut breaker = Breaker::new(100, start);
+    let at = |millis| start + Duration::from_millis(millis);
+    breaker.begin(at(0));
+    for step in 1..8 {
+        breaker.begin(at(step * 400 - 200));
+        breaker.succeed(at(step * 400));
+        assert_eq!(breaker.gate(at(step * 400 + 300)), Gate::Go);
+    }
+}
