A pool with a new owner gets hosts, and hosts that are of no use are replaced

Its owner had been cut off from the store, and until every worker of the predecessor had answered or its leases had lapsed (8.6 s), the pool was left out when hosts were moved.

Ruled out: submissions (accepted from 18.3 s on), the platform's rate of moves.

Change: such a pool gives no hosts but gets them; workers are taken to be as large as elsewhere. A host that is up and whose worker has been of no use for 1.5 s no longer counts as had.

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -52,6 +52,10 @@
     pub to: PoolName,
 }
 
+/// How long a host may be up without its worker being of use, before its pool gets another for it. A
+/// worker joins within a second after its host is back, and short cuts are not worth a move.
+const ABSENT_TIME: Millis = Millis(1500);
+
 /// What is remembered from round to round.
 #[derive(Debug, Clone, Default)]
 pub struct Balance {
@@ -60,6 +64,8 @@
     /// When a host was last seen to be somewhere new.
     arrived: BTreeMap<HostId, Tick>,
     place: BTreeMap<HostId, PoolName>,
+    /// Since when a host is up and its worker is of no use to its pool.
+    absent: BTreeMap<HostId, Tick>,
 }
 
 /// A pool's hosts and what it needs of them.
@@ -89,10 +95,15 @@
     ) -> Vec<Move> {
         self.remember(machines, now);
         let spare = pools.iter().find(|(_, state)| state.spare).map(|(name, _)| name.clone());
+        let largest = pools.values().filter_map(|state| largest_worker(&state.load)).max();
         let mut accounts: Vec<Account> = pools
             .iter()
-            .filter(|(_, state)| !state.spare && !state.load.unsettled)
-            .map(|(name, state)| self.account(name, state, machines, &held, now))
+            .filter(|(_, state)| !state.spare)
+            .filter_map(|(name, state)| {
+                // A pool whose workers have not answered yet is taken to have such as the others have.
+                let size = largest_worker(&state.load).or(largest)?;
+                Some(self.account(name, state, size, machines, &held, now))
+            })
             .collect();
         let mut off: Vec<Move> = match &spare {
             Some(spare) => parked(spare, machines, &held),
@@ -116,9 +127,10 @@
     }
 
     fn account(
-        &self,
+        &mut self,
         pool: &PoolName,
         state: &PoolState,
+        size: u64,
         machines: &BTreeMap<HostId, Machine>,
         held: &impl Fn(&HostId) -> bool,
         now: Tick,
@@ -129,15 +141,22 @@
         let mut have = 0;
         let mut free: Vec<Move> = Vec::new();
         for machine in usable {
-            have += 1;
-            let fresh =
-                self.arrived.get(&machine.host).is_some_and(|since| now.since(*since) < STAY_TIME);
             let load = state
                 .load
                 .workers
                 .iter()
                 .find(|load| Some(&load.worker) == machine.worker.as_ref());
-            let Some(load) = load.filter(|load| !load.pinned) else {
+            let of_use = load.is_some() || machine.state != MachineState::Up;
+            if of_use || state.load.unsettled || self.is_awaited(&machine.host, now) {
+                have += 1;
+            }
+            if of_use {
+                self.absent.remove(&machine.host);
+            }
+            let fresh =
+                self.arrived.get(&machine.host).is_some_and(|since| now.since(*since) < STAY_TIME);
+            // A new owner does not know yet what runs where, so its pool gets hosts and gives none.
+            let Some(load) = load.filter(|load| !load.pinned && !state.load.unsettled) else {
                 continue;
             };
             if machine.state != MachineState::Up || fresh || held(&machine.host) {
@@ -155,10 +174,16 @@
             }
         }
         free.sort_by(|a, b| a.host.cmp(&b.host));
-        let want = wanted(&state.load);
+        let want = wanted(&state.load, size);
         Account { pool: pool.clone(), have, want, free }
     }
 
+    /// Tells whether a host whose worker is of no use may be waited for.
+    fn is_awaited(&mut self, host: &HostId, now: Tick) -> bool {
+        let since = *self.absent.entry(host.clone()).or_insert(now);
+        now.since(since) < ABSENT_TIME
+    }
+
     /// Gives hosts to pools that lack them: those that are off first, then those of pools that have
     /// more than they need.
     fn fill(&self, accounts: &mut [Account], off: &mut Vec<Move>, moves: &mut Vec<Move>) {
@@ -197,9 +222,13 @@
     }
 }
 
-/// Returns how many hosts a pool should have.
-fn wanted(load: &PoolLoad) -> usize {
-    let size = load.workers.iter().map(|load| load.cores).max().unwrap_or(0).max(1);
+/// Returns the size of a pool's largest worker, in thousandths of a core.
+fn largest_worker(load: &PoolLoad) -> Option<u64> {
+    load.workers.iter().map(|load| load.cores).max().filter(|cores| *cores > 0)
+}
+
+/// Returns how many hosts of this size a pool should have.
+fn wanted(load: &PoolLoad, size: u64) -> usize {
     let pinned = load.workers.iter().filter(|load| load.pinned).count();
     let need = load.need + load.need * MARGIN_PERCENT / 100;
     (need.div_ceil(size) as usize).max(LEAST_HOSTS).max(pinned).max(load.least as usize)
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -142,3 +142,27 @@
     fleet.load("a").extra = 1;
     assert_eq!(fleet.round(0).len(), 3);
 }
+
+#[test]
+fn a_pool_with_a_new_owner_gets_hosts_and_gives_none() {
+    let mut fleet = Fleet::default().with_pool("a", 6, 0).with_pool("b", 4, 16 * CORES);
+    fleet.load("a").unsettled = true;
+    fleet.load("b").unsettled = true;
+    // Nobody has answered the new owner of b; the size of its workers is not known.
+    fleet.load("b").workers.clear();
+    let mut fleet = fleet.with_pool("off", 20, 0);
+    let moves = fleet.round(100);
+    assert!(moves.iter().all(|step| step.from.as_str() == "off"), "{moves:?}");
+    assert!((10..=20).contains(&moves.len()), "{}", moves.len());
+}
+
+#[test]
+fn a_host_whose_worker_is_of_no_use_is_replaced_after_a_while() {
+    let mut fleet = Fleet::default().with_pool("a", 5, 4 * CORES).with_pool("off", 5, 0);
+    assert!(fleet.round(100).is_empty());
+    fleet.load("a").workers.truncate(3);
+    assert!(fleet.round(100).is_empty(), "it may come back");
+    assert!(fleet.round(1400).is_empty());
+    let moves = fleet.round(200);
+    assert_eq!(moves.len(), 2, "{moves:?}");
+}
