--- a/reachhead_bench/src/main.rs
+++ b/reachhead_bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod forwarder;
+mod jobs;
 mod load;
 mod path;
 mod plan;
@@ -28,6 +29,7 @@
 enum Part {
     Path(PathArgs),
     Capacity(CapacityArgs),
+    Jobs(JobsArgs),
     Plan(PlanArgs),
     Waves(WavesArgs),
     Forwarder(ForwarderArgs),
@@ -51,6 +53,11 @@
     only: Option<String>,
 }
 
+/// The owner of a pool in a burst, in virtual time: the cost of its decisions and jobs in time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "jobs")]
+struct JobsArgs {}
+
 /// Placement on generated fleets with fixed seeds, beside first fit.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "plan")]
@@ -100,6 +107,7 @@
         Part::Path(PathArgs { only }) => measure(path::run(only.as_deref())),
         Part::Capacity(CapacityArgs { only }) => measure(capacity::run(only.as_deref())),
         Part::Waves(WavesArgs {}) => measure(async { Ok(waves::run()) }),
+        Part::Jobs(JobsArgs {}) => measure(async { Ok(jobs::run()) }),
         Part::Plan(PlanArgs {}) => measure(async { Ok(plan::run()) }),
     }
 }
