Orders to one worker share four connections

A new connection costs the owner more than a call.

Change: short calls to one peer wait for one of four; a wait that ends at the deadline is a call that was surely not sent. Long polls have connections of their own.

--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -15,11 +15,18 @@
 };
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, sync::Semaphore, time};
 
 /// Idle connections that are kept to one peer; more are closed after use.
 const IDLE_LIMIT: usize = 4;
 
+/// Short calls to one peer that are under way at once; more wait, since a new connection costs more than the
+/// moment until one is free.
+const SHORT_LIMIT: usize = 4;
+
+/// Peers with short calls that are remembered before those without any under way are dropped.
+const PEERS_KEPT: usize = 512;
+
 /// Why a call gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum CallError {
@@ -41,6 +48,7 @@
 #[derive(Default)]
 pub struct HttpClient {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    short: Mutex<HashMap<SocketAddr, Arc<Semaphore>>>,
 }
 
 impl HttpClient {
@@ -85,6 +93,36 @@
         }
     }
 
+    /// Sends a request that is answered at once, as [`HttpClient::call`], beside few others to the same peer.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::call`]; the wait for the others counts against the deadline.
+    pub async fn call_short(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let end = time::Instant::now() + deadline;
+        let lane = self.lane(address);
+        let Ok(Ok(_permit)) = time::timeout_at(end, lane.acquire()).await else {
+            return Err(CallError::NotSent("earlier calls to the peer have no answer".to_owned()));
+        };
+        let left = end.saturating_duration_since(time::Instant::now());
+        self.call(address, request, left).await
+    }
+
+    /// Returns what short calls to a peer wait for.
+    fn lane(&self, address: SocketAddr) -> Arc<Semaphore> {
+        let mut short = self.short.lock().unwrap_or_else(PoisonError::into_inner);
+        if short.len() > PEERS_KEPT {
+            short.retain(|_, lane| Arc::strong_count(lane) > 1);
+        }
+        let lane = short.entry(address).or_insert_with(|| Arc::new(Semaphore::new(SHORT_LIMIT)));
+        Arc::clone(lane)
+    }
+
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
