A new owner lets workers go that run nothing, and the log tells what holds a wave up

A pool of 170 hosts that had changed hands at 19.5 kept all of them, idle, until a dead worker of its predecessor had lapsed 8.6 s later: until then nothing of it counted as empty.

Change: a worker that has answered the new owner that it runs nothing is empty. Whether one with tasks may go is decided as before. E722 names each host that can't be taken, its pool, worker and vacancy, every three seconds.

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -155,8 +155,7 @@
             }
             let fresh =
                 self.arrived.get(&machine.host).is_some_and(|since| now.since(*since) < STAY_TIME);
-            // A new owner does not know yet what runs where, so its pool gets hosts and gives none.
-            let Some(load) = load.filter(|load| !load.pinned && !state.load.unsettled) else {
+            let Some(load) = load.filter(|load| !load.pinned) else {
                 continue;
             };
             if machine.state != MachineState::Up || fresh || held(&machine.host) {
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -48,7 +48,8 @@
     /// Gives a worker nothing new, moves away what may be moved, and tells how far that is.
     pub fn vacate(&mut self, id: &WorkerId, haste: Haste, now: Tick) -> Vacancy {
         // Until all workers have answered a new owner it does not know what is where, and what its
-        // predecessor stops may still be reported as at work for a while.
+        // predecessor stops may still be reported as at work for a while. A worker that has answered that
+        // it runs nothing may go all the same.
         let quiet = self.quiet_since().is_some_and(|since| since <= now);
         let settled = quiet && self.listed && self.pending.is_empty();
         let until = now + CORDON_TIME;
@@ -66,11 +67,14 @@
             return if settled { Vacancy::Unknown } else { Vacancy::Protected };
         };
         worker.cordoned = until;
+        // Ends that are not recorded are known to the worker alone if this owner is lost.
+        let recorded = worker.seen >= worker.noted;
+        if worker.is_bare() && recorded {
+            return Vacancy::Empty;
+        }
         if !settled || !worker.answered {
             return Vacancy::Protected;
         }
-        // Ends that are not recorded are known to the worker alone if this owner is lost.
-        let recorded = worker.seen >= worker.noted;
         let tasks: Vec<TaskId> = worker.runs.keys().copied().collect();
         let mut vacancy = if recorded { Vacancy::Empty } else { Vacancy::Protected };
         for task in tasks {
--- a/reachhead_jobs/src/wave.rs
+++ b/reachhead_jobs/src/wave.rs
@@ -20,6 +20,9 @@
 /// How long short tasks may hold a host up before they are stopped.
 const SHORT_PATIENCE: Millis = Millis(2500);
 
+/// How often it is logged that a host holds its wave up.
+const TELL_PERIOD: Millis = Millis(3000);
+
 /// Hosts that are being emptied beyond those that may be down, so that the next is ready in time.
 const AHEAD: usize = 1;
 
@@ -56,6 +59,8 @@
     pub since: Tick,
     /// When the emptying of a host began.
     emptying: BTreeMap<HostId, Tick>,
+    /// When it was last logged, or begun to be noted, that a host holds the wave up.
+    told: BTreeMap<HostId, Tick>,
     /// Hosts that were ordered down and that the platform's list does not show as back yet.
     down: BTreeMap<HostId, Tick>,
 }
@@ -76,7 +81,14 @@
 impl Wave {
     /// Returns a wave that goes on from `record`.
     pub fn new(order: WaveOrder, record: WaveRecord, now: Tick) -> Self {
-        Self { order, record, since: now, emptying: BTreeMap::new(), down: BTreeMap::new() }
+        Self {
+            order,
+            record,
+            since: now,
+            emptying: BTreeMap::new(),
+            told: BTreeMap::new(),
+            down: BTreeMap::new(),
+        }
     }
 
     /// Tells whether every host has begun.
@@ -148,6 +160,18 @@
         if late || waited >= SHORT_PATIENCE { Haste::Stop } else { Haste::Wait }
     }
 
+    /// Notes that a host that is being emptied can't be taken yet; tells for how long, if that is worth a line
+    /// in the log again.
+    pub fn note_held(&mut self, host: &HostId, now: Tick) -> Option<Millis> {
+        let since = *self.emptying.get(host)?;
+        let told = self.told.insert(host.clone(), now).unwrap_or(since);
+        if now.since(told) < TELL_PERIOD {
+            self.told.insert(host.clone(), told);
+            return None;
+        }
+        Some(now.since(since))
+    }
+
     /// Tells whether the host may be taken now that its worker is this empty. One with short tasks is not:
     /// an end that the worker tells in the last moment would be lost with it.
     pub fn may_take(&self, vacancy: Vacancy, machines: &BTreeMap<HostId, Machine>) -> bool {
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -262,6 +262,11 @@
         self.silent && lapsed && self.runs.is_empty()
     }
 
+    /// Tells whether it has answered this owner that nothing runs there, and was given nothing since.
+    pub fn is_bare(&self) -> bool {
+        self.answered && !self.silent && self.runs.is_empty() && self.strays == 0
+    }
+
     /// Tells whether it may get new tasks at all.
     pub fn accepts(&self, now: Tick) -> bool {
         self.listed
--- a/reachhead_jobs/tests/pool/vacate.rs
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -202,3 +202,17 @@
     desk.poll();
     assert!(desk.pool.jobs().is_empty());
 }
+
+#[test]
+fn a_worker_that_has_answered_a_new_owner_with_nothing_is_empty_before_all_have_answered() {
+    let found = left(vec![(1, lasting(1))], vec![("a", None), ("b", None), ("c", None)]);
+    let mut desk = Desk::new(found, vec![info("a", 2), info("b", 2), info("c", 2)]);
+    desk.poll();
+    desk.flush();
+    desk.runs(&worker("b"), task(1, 0, 0), 1, 100);
+    desk.report(&worker("a"));
+    desk.report(&worker("b"));
+    assert_eq!(desk.pool.vacate(&worker("a"), Haste::Wait, desk.now), Vacancy::Empty);
+    assert_eq!(desk.pool.vacate(&worker("b"), Haste::Wait, desk.now), Vacancy::Protected);
+    assert_eq!(desk.pool.vacate(&worker("c"), Haste::Wait, desk.now), Vacancy::Protected);
+}
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -314,6 +314,15 @@
                 return false;
             };
             if !held.wave.may_take(vacancy, &self.machines) {
+                if let Some(waited) = held.wave.note_held(&machine.host, now) {
+                    emit(
+                        Event::HostHeld,
+                        format_args!(
+                            "wave={name} host={} pool={} worker={:?} vacancy={vacancy:?} for={waited}ms",
+                            machine.host, machine.pool, machine.worker
+                        ),
+                    );
+                }
                 continue;
             }
             held.wave.ordered(&machine.host, now);
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -129,6 +129,8 @@
     WaveChanged 720 Info;
     /// A host was ordered down for a wave, or the order was not taken.
     HostOrdered 721 Info;
+    /// A host that is due for maintenance can't be taken yet.
+    HostHeld 722 Info;
     /// Lines of the log were left out, since there were too many.
     LinesDropped 730 Warn;
 }
