An end of a job that is over holds nobody

An end that came after the end of its job was recorded, or while that was under way, was to be recorded with a job that no longer was there: the worker never counted as recorded, and the owner wrote a transaction about nothing every 60 ms for the rest of its life.

Change: an end of a job that is over needs no record, and a job's end takes its open ends with it. Two tests, seen failing first.

--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -240,7 +240,11 @@
             return;
         };
         let age = now.since(job.accepted);
+        // Ends that came in meanwhile change nothing any more.
         self.dirty.remove(&entry.id);
+        for worker in self.workers.values_mut() {
+            worker.write(entry.id);
+        }
         self.forget(entry.id, now);
         self.closed.insert(entry.id, Closed { ending, at: now });
         self.note(NoteKind::JobEnded, format!("job={} ending={ending:?} after={age}ms", entry.id));
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -273,6 +273,9 @@
 
     /// Notes that an end has to be recorded before the worker may forget it.
     fn mark_end(&mut self, id: &WorkerId, entry: &EndedEntry) {
+        if self.jobs.get(&entry.task.job).is_none_or(|job| job.recorded) {
+            return;
+        }
         self.mark(entry.task.job);
         if let Some(worker) = self.workers.get_mut(id) {
             let end = Unrecorded { job: entry.task.job, written: false };
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -482,3 +482,40 @@
     desk.pool.decided(&batch, &Commit::Done(Revision(202)), desk.now);
     assert_eq!(seen(&desk), 3, "the one before the first that waits");
 }
+
+#[test]
+fn an_end_of_a_job_that_is_over_needs_no_record_and_holds_no_worker() {
+    let mut desk = Desk::ready(vec![info("w", 8)]);
+    desk.submit(1, vec![step(2)]);
+    for (id, order) in desk.starts() {
+        desk.accept(&id, &order);
+    }
+    assert_eq!(desk.pool.cancel(JobId(1)), Cancelled::Pending);
+    desk.flush();
+    // The runs of the cancelled job are being stopped, and one is done before that.
+    desk.poll();
+    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Failed);
+    desk.report(&worker("w"));
+    desk.poll();
+    assert!(desk.pool.due().is_empty(), "{:?}", desk.pool.due());
+    assert_eq!(desk.pool.workers()[&worker("w")].seen, 2);
+}
+
+#[test]
+fn an_end_that_is_told_while_its_job_is_being_ended_is_forgotten_with_the_job() {
+    let mut desk = Desk::ready(vec![info("w", 8)]);
+    desk.submit(1, vec![step(1)]);
+    let (id, order) = desk.starts().remove(0);
+    desk.accept(&id, &order);
+    desk.pool.cancel(JobId(1));
+    let batch = desk.batch().unwrap();
+    desk.end(&id, order.task, 1, RunEnd::Done);
+    desk.report(&id);
+    desk.pool.decided(&batch, &Commit::Done(Revision(200)), desk.now);
+    desk.poll();
+    desk.flush();
+    assert!(desk.pool.due().is_empty());
+    assert_eq!(desk.pool.workers()[&id].seen, 1);
+    assert!(desk.pool.jobs().is_empty());
+}
