An unknown route no longer costs a read of the whole configuration

Ruled out: the processor of the host, the feed of the configuration itself (a version each ten seconds).

Change: such a call asks the feed for what changed since the revision that is known; the row is read only if the feed has forgotten it.

No test counts the bytes; that a new route is served at once is tested as before.

--- a/reachhead_jobs/src/ports.rs
+++ b/reachhead_jobs/src/ports.rs
@@ -414,9 +414,6 @@
     /// Returns the table in which workers register.
     fn worker_table(&self) -> &'static str;
 
-    /// Returns the key of the newest configuration.
-    fn config_key(&self) -> Key;
-
     /// Returns what a row of operators says.
     ///
     /// # Errors
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -11,7 +11,10 @@
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::row::{Key, Row};
-use reachhead_types::{id::PoolName, size::Millis};
+use reachhead_types::{
+    id::PoolName,
+    size::{Millis, Revision},
+};
 use tokio::time;
 
 use crate::node::Node;
@@ -64,8 +67,8 @@
     /// Takes in changes.
     fn apply(&self, changes: &[Change]);
 
-    /// Notes that the table was as it is here at `at`.
-    fn seen(&self, at: Tick);
+    /// Notes that the table was as it is here at `at`, and at this revision.
+    fn seen(&self, at: Tick, revision: Revision);
 
     /// Notes that the table is not followed any more, so what is known of it is of no use.
     fn ended(&self) {}
@@ -95,7 +98,7 @@
                         ),
                     );
                     follower.reset(&page.changes);
-                    follower.seen(sent);
+                    follower.seen(sent, page.revision);
                     pause = PAUSE_FIRST;
                     poll(&node, &*follower, page).await;
                     if !follower.wanted() {
@@ -127,7 +130,7 @@
                 if changed {
                     follower.apply(&page.changes);
                 }
-                follower.seen(sent);
+                follower.seen(sent, revision);
                 pause = PAUSE_FIRST;
                 if changed {
                     time::sleep(follower.gap().duration()).await;
@@ -196,9 +199,10 @@
         }
     }
 
-    fn seen(&self, at: Tick) {
+    fn seen(&self, at: Tick, revision: Revision) {
         let mut view = self.0.view();
         view.config_seen = view.config_seen.max(at);
+        view.config_revision = view.config_revision.max(revision);
     }
 }
 
@@ -256,7 +260,7 @@
         }
     }
 
-    fn seen(&self, at: Tick) {
+    fn seen(&self, at: Tick, _revision: Revision) {
         let mut view = self.0.view();
         view.leases_seen = view.leases_seen.max(at);
     }
@@ -330,7 +334,7 @@
         self.0.workers_changed.send_modify(|count| *count += 1);
     }
 
-    fn seen(&self, _at: Tick) {}
+    fn seen(&self, _at: Tick, _revision: Revision) {}
 
     fn ended(&self) {
         self.0.view().workers_known = false;
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -6,7 +6,7 @@
 use reachhead_jobs::{
     model::Queue,
     pool::JobState,
-    ports::{Answer, Call, CallKind, Frontend, OperatorRow},
+    ports::{Answer, Call, CallKind, FeedError, Frontend},
     record::{FinalRecord, JobRecord, final_key, job_key, job_prefix, progress_key},
     shard::Shard,
 };
@@ -20,6 +20,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    follow::{Follower, Operators},
     node::Node,
     owner::CancelReply,
     peer::{Ask, PoolAsk, Reply, Submitted, ask_owner},
@@ -160,24 +161,24 @@
         ask_pool(&self.0, pool, ask).await
     }
 
-    /// Looks at the configuration in the store.
+    /// Takes in what operators have written since the table was last seen. A configuration can be large and
+    /// the link of a host small, so it is not read anew for a call that asks for an unknown route.
     async fn refresh(&self) -> Result<(), StoreError> {
         let node = &self.0;
+        let operators = Operators(Arc::clone(node));
         let sent = node.now();
-        let rows = node.services.store.read(vec![node.services.dialect.config_key()]).await;
-        node.note_store(&rows);
-        let row = rows?.into_iter().flatten().next();
-        if let Some(row) = row {
-            match node.services.dialect.operator_row(&row) {
-                Ok(OperatorRow::Configuration(config)) => {
-                    node.view().adopt(config);
-                }
-                Ok(_) => {}
-                Err(error) => emit(Event::RowRefused, error),
+        let known = node.view().config_revision;
+        let page = match node.services.feed.changes(operators.table(), known, Millis(0)).await {
+            Ok(page) => page,
+            Err(FeedError::Forgotten) => node.services.feed.table(operators.table()).await?,
+            Err(FeedError::Store(error)) => {
+                node.note_store::<()>(&Err(error.clone()));
+                return Err(error);
             }
-        }
-        let mut view = node.view();
-        view.config_seen = view.config_seen.max(sent);
+        };
+        node.note_store(&Ok(()));
+        operators.apply(&page.changes);
+        operators.seen(sent, page.revision);
         Ok(())
     }
 
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -44,6 +44,8 @@
     pub config: Option<Arc<Configuration>>,
     /// When the operators' table was last known to be as it is here.
     pub config_seen: Tick,
+    /// The store's revision at that time.
+    pub config_revision: Revision,
     /// Who is in charge of which pool.
     pub leases: BTreeMap<PoolName, LeaseView>,
     /// When the leases were last known to be as they are here.
