A start without an answer is given up by a report, not by its deadline

The owner's host was five times as slow from 12 to 17.5 s. A start that it had sent at 12.58 began on the worker at 16.96, just inside its deadline, and its answer came too late; the worker's lease was prolonged by polls meanwhile, and with it the run. At 17.68 the owner took the start for impossible, as its deadline was over, and started the task elsewhere. A deadline says until when an order may begin, not until when it works.

Change: after its deadline the run counts as told, and a report that is asked for later has it or ends it. Test seen failing first.

--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -14,7 +14,7 @@
 };
 
 /// Pause before an order that was not answered is sent again.
-const ORDER_PAUSE: Millis = Millis(150);
+const ORDER_PAUSE: Millis = Millis(50);
 
 /// Pause before a run that a worker was told to stop is looked at again.
 const STOP_PAUSE: Millis = Millis(1000);
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -150,11 +150,14 @@
             // The order may still be carried out: it is barred and not repeated.
             Phase::Ordered if job.recorded => Some(What::Stop(StopReason::Unneeded)),
             Phase::Ordered if unwanted.is_some() => unwanted.map(What::Stop),
+            // The worker has it, has barred it, or it is too late for it: the next report tells.
+            Phase::Ordered if run.settled.is_some() => None,
             Phase::Ordered => {
                 let worker = self.workers.get(&run.worker)?;
                 let past =
                     worker.reading.is_some_and(|reading| reading.surely_past(run.deadline) <= now);
-                Some(if past { What::Drop } else { What::Repeat })
+                // After its deadline it can't begin any more, but it may have begun before.
+                Some(if past { What::Settle } else { What::Repeat })
             }
             Phase::Working if job.recorded => Some(What::Stop(StopReason::Unneeded)),
             Phase::Working if unwanted.is_some() => unwanted.map(What::Stop),
@@ -185,10 +188,16 @@
         match what {
             What::Drop => {
                 let text =
-                    format!("task={task} run={} worker={} end=unconfirmed", run.number, run.worker);
+                    format!("task={task} run={} worker={} end=forgotten", run.number, run.worker);
                 self.note(NoteKind::RunLost, text);
                 self.take_run(&run.worker, *task, run.number);
             }
+            What::Settle => {
+                let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(*task));
+                if let Some(run) = state.and_then(|state| state.run(run.number)) {
+                    run.settled = Some(now);
+                }
+            }
             What::Repeat => self.repeat(*task, run),
             What::Stop(why) => self.stop_run(*task, run, *why, now),
             What::Order => self.order_stop(*task, run),
@@ -262,8 +271,10 @@
 }
 
 enum What {
-    /// It can't come any more.
+    /// Its worker is forgotten, so nothing can work there.
     Drop,
+    /// It is there or never will be; the next report tells.
+    Settle,
     /// The order to start is sent again.
     Repeat,
     /// It is stopped, for this reason.
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -519,3 +519,28 @@
     assert_eq!(desk.pool.workers()[&id].seen, 1);
     assert!(desk.pool.jobs().is_empty());
 }
+
+#[test]
+fn a_start_that_was_never_answered_is_given_up_only_by_a_report_from_after_its_deadline() {
+    let mut desk = Desk::ready(vec![info("w", 4), info("v", 4)]);
+    desk.submit(1, vec![step(2)]);
+    let starts = desk.starts();
+    for (id, order) in &starts {
+        let lost = Err(WorkerError::Lost("no answer".to_owned()));
+        desk.pool.started(id, order.task, order.run, lost, desk.now);
+    }
+    let id = starts[0].0.clone();
+    // The owner is slow: no answer and no report is taken in for longer than the orders are valid. One of
+    // them has begun just before that, and the worker's lease is prolonged by other calls.
+    let early = desk.now;
+    desk.pass(5000);
+    assert!(desk.starts().is_empty(), "either may have begun");
+    desk.report_sent(&id, early);
+    assert!(desk.starts().is_empty(), "the report was asked for too early to tell");
+    desk.runs(&id, task(1, 0, 0), 1, 30);
+    desk.pass(10);
+    desk.report(&id);
+    let again = desk.starts();
+    assert_eq!(again.len(), 1, "{again:?}");
+    assert_eq!(again[0].1.task, task(1, 0, 1));
+}
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -49,8 +49,12 @@
 /// silent is noticed by this.
 const FEED_TIME: Duration = Duration::from_millis(1200);
 
-/// Longest wait for an answer of a worker beyond what it was asked to wait.
-const WORKER_TIME: Duration = Duration::from_millis(700);
+/// Longest wait for a worker's answer to an order. An order without an answer is sent again, and a task
+/// waits for that; answers usually come within some milliseconds.
+const ORDER_TIME: Duration = Duration::from_millis(350);
+
+/// Longest wait for a worker's answer to a poll beyond what it was asked to wait.
+const POLL_TIME: Duration = Duration::from_millis(700);
 
 /// Longest wait for an answer about hosts.
 const MACHINE_TIME: Duration = Duration::from_millis(1500);
@@ -137,7 +141,7 @@
     Services {
         store: Arc::new(GuardedStore::new(table(STORE_TIME), STORE_CALLS)),
         feed: Arc::new(table(FEED_TIME)),
-        workers: Arc::new(HttpWorkers::new(Arc::clone(client), WORKER_TIME)),
+        workers: Arc::new(HttpWorkers::new(Arc::clone(client), ORDER_TIME, POLL_TIME)),
         machines: settings.machines.map(|machines| {
             let node = settings.node.clone();
             Arc::new(HttpMachines::new(Arc::clone(client), machines.address, node, MACHINE_TIME))
