Successors are told which workers are over

In a roll-out the pool changed hands around that time, and the word that the worker's life was over went to nobody, or to an owner that was just leaving; its successors waited until the leases of a worker that did not exist any more had lapsed, each anew.

Ruled out: room (the bench counts it), the budget of the step (both had no other task away).

Change: whoever is in charge of the hosts keeps lives that are over for twelve seconds, and tells them to each owner of the pool that it has not told, in one message a pool.

--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -38,6 +38,10 @@
 /// How often waves and pools are looked at.
 const ROUND: Duration = Duration::from_millis(100);
 
+/// How long successors of a pool's owner are told that a life of a worker is over: longer than they would wait
+/// for its leases to lapse.
+const BURIED_TIME: Millis = Millis(12_000);
+
 /// How long the process gives no order after it took charge: two that take charge from each other in
 /// turns must not act within this time. One that gave up, was killed or is cut off acts no more, so a
 /// predecessor that was in charge for long is not waited for.
@@ -80,6 +84,7 @@
         waves: BTreeMap::new(),
         machines: BTreeMap::new(),
         victims: BTreeMap::new(),
+        buried: Vec::new(),
         reborn: BTreeSet::new(),
         moves: Moves::new(Arc::clone(&node), FencingToken(token.0)),
         fenced: false,
@@ -110,12 +115,23 @@
     machines: BTreeMap<HostId, Machine>,
     /// The lives of workers whose hosts were ordered down, until the platform's list lacks them.
     victims: BTreeMap<HostId, Victim>,
+    /// Lives that are over, until no owner can wait for them any more.
+    buried: Vec<Buried>,
     /// Hosts whose worker ended after an order, though the order was not answered yet.
     reborn: BTreeSet<HostId>,
     moves: Moves,
     fenced: bool,
 }
 
+/// A life of a worker that is over by an order about its host.
+struct Buried {
+    pool: PoolName,
+    worker: WorkerId,
+    at: Tick,
+    /// The lease of the owner that was told.
+    told: Option<Revision>,
+}
+
 /// A life of a worker that an order about its host ends, if the order has effect.
 struct Victim {
     pool: PoolName,
@@ -257,13 +273,42 @@
             .filter(|(host, victim)| over(host, victim))
             .map(|(host, _)| host.clone())
             .collect();
+        let now = self.node.now();
         for host in hosts {
             if let Some(victim) = self.victims.remove(&host) {
-                ask_pool(&self.node, &victim.pool, PoolAsk::Over(victim.worker.clone())).await;
                 let due = self.waves.values().any(|held| held.wave.is_due(&host));
                 if due && victim.maintenance {
                     self.reborn.insert(host);
                 }
+                let Victim { pool, worker, .. } = victim;
+                self.buried.push(Buried { pool, worker, at: now, told: None });
+            }
+        }
+        self.tell_owners(now).await;
+    }
+
+    /// Tells the owners of pools of the lives that are over, and their successors once more: who takes a pool
+    /// over would wait for a worker's answer until its leases have lapsed.
+    async fn tell_owners(&mut self, now: Tick) {
+        self.buried.retain(|buried| now.since(buried.at) < BURIED_TIME);
+        let node = Arc::clone(&self.node);
+        let lease = |pool: &PoolName| node.view().leases.get(pool).map(|lease| lease.revision);
+        let mut news: BTreeMap<PoolName, Vec<WorkerId>> = BTreeMap::new();
+        for buried in &self.buried {
+            if buried.told != lease(&buried.pool) {
+                news.entry(buried.pool.clone()).or_default().push(buried.worker.clone());
+            }
+        }
+        let asks = news.into_iter().map(|(pool, workers)| async {
+            let current = lease(&pool)?;
+            ask_pool(&node, &pool, PoolAsk::Over(workers)).await?;
+            Some((pool, current))
+        });
+        let told: BTreeMap<PoolName, Revision> =
+            join_all(asks).await.into_iter().flatten().collect();
+        for buried in &mut self.buried {
+            if let Some(revision) = told.get(&buried.pool) {
+                buried.told = Some(*revision);
             }
         }
     }
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -81,8 +81,8 @@
     Vacate(WorkerId, Haste, oneshot::Sender<Vacancy>),
     /// Somebody asks how much room the pool needs.
     Load(oneshot::Sender<PoolLoad>),
-    /// A worker's life is over.
-    Over(WorkerId),
+    /// Lives of workers are over.
+    Over(Vec<WorkerId>),
     /// The registered workers changed.
     Listed(Vec<WorkerInfo>),
     /// A long poll ended.
@@ -253,7 +253,11 @@
             Input::Load(reply) => {
                 let _ = reply.send(self.pool.load(now));
             }
-            Input::Over(worker) => self.pool.worker_over(&worker, "its host was taken"),
+            Input::Over(workers) => {
+                for worker in workers {
+                    self.pool.worker_over(&worker, "its host was taken");
+                }
+            }
             Input::Listed(workers) => self.pool.list(workers, now),
             Input::Held(worker, sent, result) => self.pool.held(&worker, sent, result, now),
             Input::Started(worker, task, run, result) => {
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -80,8 +80,8 @@
     Waiting(RouteName),
     /// Empty this worker, whose host is due for planned work.
     Vacate(WorkerId, Haste),
-    /// This life of a worker is over.
-    Over(WorkerId),
+    /// These lives of workers are over.
+    Over(Vec<WorkerId>),
     /// How much room does the pool need?
     Load,
 }
@@ -180,8 +180,8 @@
             owner.send(Input::Submit(jobs));
             Reply::Done
         }
-        PoolAsk::Over(worker) => {
-            owner.send(Input::Over(worker));
+        PoolAsk::Over(workers) => {
+            owner.send(Input::Over(workers));
             Reply::Done
         }
         PoolAsk::State(id) => answered(owner, |reply| Input::State(id, reply), Reply::State).await,
