A second try that is not stored says nothing about the first

A job whose earlier try may have been stored is answered as unknown now, and a batch of which every caller has left is not sent.

--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -125,13 +125,17 @@
     }
 }
 
-impl From<StoreOutcome> for Answer {
-    fn from(outcome: StoreOutcome) -> Self {
-        match outcome {
-            StoreOutcome::Stored => Self::Accepted,
-            StoreOutcome::NotStored => Self::Refused(ErrorKind::NotStored),
-            StoreOutcome::Refused => Self::Refused(ErrorKind::BodyTooLarge),
-            StoreOutcome::Unknown => Self::Refused(ErrorKind::SubmissionLost),
+impl StoreOutcome {
+    /// Returns what the caller is told. A try before this one may have stored the job though this one did not.
+    fn answer(self, doubtful: bool) -> Answer {
+        match self {
+            Self::Stored => Answer::Accepted,
+            Self::NotStored | Self::Refused if doubtful => {
+                Answer::Refused(ErrorKind::SubmissionLost)
+            }
+            Self::NotStored => Answer::Refused(ErrorKind::NotStored),
+            Self::Refused => Answer::Refused(ErrorKind::BodyTooLarge),
+            Self::Unknown => Answer::Refused(ErrorKind::SubmissionLost),
         }
     }
 }
@@ -220,6 +224,9 @@
         };
         fill(&mut batch, &mut queue);
         batch.retain_mut(Submission::take);
+        if batch.is_empty() {
+            continue;
+        }
         let direct = batch.iter().any(|submission| submission.direct);
         match owner_of(&node, &place.pool).filter(|_| !direct) {
             Some(owner) => {
@@ -293,7 +300,7 @@
             left.push(Submission { direct: true, ..submission });
         } else {
             // A caller that has left finds the job when it asks again.
-            let _ = submission.reply.send(outcome.into());
+            let _ = submission.reply.send(outcome.answer(submission.doubtful));
         }
     }
     left
