A successor neither runs a job again that was over, nor forgets ends of jobs that it is told of later

Change: a job whose row is older than the owner's token, and that was not among the rows that it read after it took the lease, was over then, and is not taken in. An end of a job that is not known is kept, and its worker keeps it too, for five seconds, in which all stored jobs are read twice. Three tests, seen failing first.

--- a/reachhead_bench/src/jobs/site.rs
+++ b/reachhead_bench/src/jobs/site.rs
@@ -201,7 +201,8 @@
     fn submit(&mut self, id: JobId, steps: Vec<Step>) {
         let plan = Arc::new(Plan { payload: "x".repeat(300).into(), steps, schedule: None });
         let record = JobRecord { queue: queue(), plan, accepted: Millis(self.now.0) };
-        self.pool.submit(id, &record, Revision(id.0), self.now, Millis(self.now.0));
+        let row = Revision(START.0 + self.count);
+        self.pool.submit(id, &record, row, self.now, Millis(self.now.0));
     }
 
     /// A job of one to three steps of some tasks each, as on the grown sites.
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -29,7 +29,7 @@
     clock::{Tick, stretched},
     job::Job,
     order::Experience,
-    ports::{HoldOrder, StartOrder, WorkerInfo, WorkerTarget},
+    ports::{EndedEntry, HoldOrder, StartOrder, WorkerInfo, WorkerTarget},
     record::{Ending, FinalRecord, JobRecord, ProgressRecord, Roster},
     task::{StepId, TaskId},
     worker::Worker,
@@ -201,6 +201,8 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// Workers of the predecessor that have not answered yet.
     pending: BTreeMap<WorkerId, Pending>,
+    /// Ends of jobs that this owner was not told of.
+    orphans: Vec<Orphan>,
     /// The platform's list of workers was taken in.
     listed: bool,
     /// Workers that are not listed yet and must get nothing, and until when.
@@ -221,6 +223,15 @@
     notes: Vec<Note>,
 }
 
+/// An end of a job that this owner does not know: it is over, or will be told of. A predecessor that had lost
+/// its lease may have started its tasks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Orphan {
+    worker: WorkerId,
+    entry: EndedEntry,
+    since: Tick,
+}
+
 /// A worker of the predecessor that has not answered yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Pending {
@@ -261,6 +272,7 @@
             closed: BTreeMap::new(),
             workers: BTreeMap::new(),
             pending: BTreeMap::new(),
+            orphans: Vec::new(),
             listed: false,
             cordons: BTreeMap::new(),
             cramped: Tick(0),
@@ -316,7 +328,8 @@
         self.verified = self.verified.max(at);
     }
 
-    /// Takes in an accepted job; one that is known already changes nothing.
+    /// Takes in an accepted job; one that is known already changes nothing. One that was stored before this
+    /// owner came, and whose row it did not find, was over by then: whoever tells of it is late.
     pub fn submit(
         &mut self,
         id: JobId,
@@ -325,7 +338,8 @@
         now: Tick,
         wall: Millis,
     ) {
-        if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
+        let over = row < Revision(self.token.0);
+        if over || self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
             return;
         }
         let work = self.experience.admit(&record.queue.name, &record.plan);
@@ -337,6 +351,7 @@
         job.row = Some(row);
         job.unfold(wall);
         self.jobs.insert(id, job);
+        self.claim_orphans(id, now);
     }
 
     /// Decides that a job is cancelled.
@@ -430,6 +445,7 @@
             self.settled_at.get_or_insert(now);
         }
         self.cordons.retain(|_, until| *until > now);
+        self.expire_orphans(now);
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_TIME);
         self.expire_workers(now);
         self.advice.expire(now);
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{Reading, Tick},
     job::{Phase, Run},
-    pool::{Action, Note, NoteKind, Pool},
+    pool::{Action, Note, NoteKind, Orphan, Pool},
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
@@ -28,6 +28,9 @@
 /// once with the same ends.
 const RECORD_PAUSE: Millis = Millis(150);
 
+/// How long an end of a job that is not known is kept: all stored jobs are read twice in that time.
+const ORPHAN_TIME: Millis = Millis(5000);
+
 impl Pool {
     /// Takes in the result of a long poll that was sent at `sent`.
     pub fn held(
@@ -211,6 +214,9 @@
             self.keep_checkpoint(entry.task, checkpoint);
         }
         let run = self.take_run(id, entry.task, entry.run);
+        if !self.jobs.contains_key(&entry.task.job) {
+            self.keep_orphan(id, entry, now);
+        }
         let Some(job) = self.jobs.get_mut(&entry.task.job) else {
             return;
         };
@@ -271,6 +277,48 @@
         self.settle(entry.task.job);
     }
 
+    /// Keeps an end of a job that is not known, and lets its worker not forget it.
+    fn keep_orphan(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
+        let counts = matches!(entry.end, RunEnd::Done | RunEnd::Failed);
+        if !counts || self.closed.contains_key(&entry.task.job) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            let end = Unrecorded { job: entry.task.job, written: false };
+            worker.unrecorded.insert(entry.number, end);
+        }
+        self.orphans.push(Orphan { worker: id.clone(), entry: entry.clone(), since: now });
+    }
+
+    /// Takes in the ends of a job that came before the job.
+    pub(super) fn claim_orphans(&mut self, id: JobId, now: Tick) {
+        let (own, others) = self.orphans.drain(..).partition(|orphan| orphan.entry.task.job == id);
+        self.orphans = others;
+        let own: Vec<Orphan> = own;
+        for orphan in own {
+            self.end(&orphan.worker, &orphan.entry, now);
+        }
+    }
+
+    /// Forgets ends of jobs of which nobody has told meanwhile.
+    pub(super) fn expire_orphans(&mut self, now: Tick) {
+        let old = |orphan: &Orphan| now.since(orphan.since) >= ORPHAN_TIME;
+        let (over, left) = self.orphans.drain(..).partition(old);
+        self.orphans = left;
+        let over: Vec<Orphan> = over;
+        for orphan in over {
+            let job = orphan.entry.task.job;
+            self.note(
+                NoteKind::RunLost,
+                format!("task={} worker={} end=unknown-job", orphan.entry.task, orphan.worker),
+            );
+            if let Some(worker) = self.workers.get_mut(&orphan.worker) {
+                worker.write(job);
+                worker.record(job);
+            }
+        }
+    }
+
     /// Notes that an end has to be recorded before the worker may forget it.
     fn mark_end(&mut self, id: &WorkerId, entry: &EndedEntry) {
         if self.jobs.get(&entry.task.job).is_none_or(|job| job.recorded) {
--- a/reachhead_jobs/tests/pool/inherit.rs
+++ b/reachhead_jobs/tests/pool/inherit.rs
@@ -1,7 +1,10 @@
 //! Taking charge of a pool.
 
 use reachhead_jobs::{model::Step, ports::RunEnd};
-use reachhead_types::id::JobId;
+use reachhead_types::{
+    id::JobId,
+    size::{Millis, Revision},
+};
 
 use crate::desk::{Desk, info, left, step, task, worker};
 
@@ -107,3 +110,46 @@
     desk.report(&worker("v"));
     assert_eq!(desk.stops(), vec![(worker("v"), task(1, 0, 0))]);
 }
+
+#[test]
+fn a_job_that_is_told_of_late_and_was_over_before_this_owner_came_does_not_run_again() {
+    // The owner's token is 7: whatever was stored before that and is still open was read by it.
+    let mut desk = Desk::ready(vec![info("a", 4)]);
+    let early = crate::desk::record(vec![step(1)], desk.now.0);
+    desk.pool.submit(JobId(3), &early, Revision(6), desk.now, Millis(desk.now.0));
+    assert!(desk.starts().is_empty(), "its row was gone when the rows were read");
+    desk.pool.submit(JobId(4), &early, Revision(8), desk.now, Millis(desk.now.0));
+    assert_eq!(desk.starts().len(), 1);
+}
+
+#[test]
+fn an_end_of_a_job_that_is_not_known_yet_counts_once_the_job_is() {
+    let mut desk = Desk::ready(vec![info("a", 4)]);
+    let id = worker("a");
+    // A predecessor that had lost its lease started the task before the worker saw the new token.
+    desk.end(&id, task(9, 0, 0), 1, RunEnd::Done);
+    desk.report(&id);
+    desk.flush();
+    assert_eq!(desk.pool.workers()[&id].seen, 0, "the job may be told of yet");
+    desk.pass(1000);
+    desk.submit(9, vec![step(1)]);
+    assert!(desk.starts().is_empty(), "its task is done");
+    desk.flush();
+    desk.poll();
+    assert_eq!(desk.pool.workers()[&id].seen, 1);
+    assert!(desk.pool.jobs().is_empty());
+}
+
+#[test]
+fn an_end_of_a_job_that_nobody_tells_of_is_forgotten_after_a_while() {
+    let mut desk = Desk::ready(vec![info("a", 4)]);
+    let id = worker("a");
+    desk.end(&id, task(9, 0, 0), 1, RunEnd::Done);
+    desk.report(&id);
+    for _ in 0..7 {
+        desk.pass(1000);
+        desk.report(&id);
+        desk.poll();
+    }
+    assert_eq!(desk.pool.workers()[&id].seen, 1);
+}
