--- a/reachhead_jobs/tests/pool/desk.rs
+++ b/reachhead_jobs/tests/pool/desk.rs
@@ -175,6 +175,14 @@
         self.pool.submit(JobId(id), &record, Revision(50 + id), self.now, Millis(self.now.0));
     }
 
+    /// Submits a job, and its workers take all tasks that start at once.
+    pub fn begin(&mut self, id: u64, steps: Vec<Step>) {
+        self.submit(id, steps);
+        for (id, order) in self.starts() {
+            self.accept(&id, &order);
+        }
+    }
+
     pub fn clock(&self) -> WorkerTime {
         WorkerTime(WORKER_CLOCK + self.now.0 - 1_000_000)
     }
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -1,4 +1,4 @@
-//! Starts, ends and records.
+//! Starts, runs and ends.
 
 use std::sync::Arc;
 
@@ -8,7 +8,6 @@
     ports::{Rejection, RunEnd, WorkerError},
     record::Ending,
 };
-use reachhead_store::row::{Commit, Conflict};
 use reachhead_types::{
     id::JobId,
     size::{Millis, Revision},
@@ -37,78 +36,6 @@
     assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Over(Ending::Completed)));
 }
 
-#[test]
-fn an_end_is_acknowledged_only_after_it_is_recorded() {
-    let mut desk = Desk::ready(vec![info("w", 4)]);
-    desk.submit(1, vec![step(2)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
-    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    assert_eq!(desk.pool.workers()[&worker("w")].seen, 0);
-    desk.flush();
-    assert_eq!(desk.pool.workers()[&worker("w")].seen, 1);
-}
-
-#[test]
-fn an_end_that_comes_while_a_record_is_under_way_is_not_acknowledged_by_it() {
-    let mut desk = Desk::ready(vec![info("w", 4)]);
-    desk.submit(1, vec![step(3)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
-    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    let batch = desk.batch().unwrap();
-    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    desk.pool.decided(&batch, &Commit::Done(Revision(200)), desk.now);
-    assert_eq!(desk.pool.workers()[&worker("w")].seen, 1);
-    assert!(!desk.pool.due().is_empty(), "the second end is still to be written");
-}
-
-#[test]
-fn a_late_transaction_can_not_undo_a_later_one() {
-    let mut desk = Desk::ready(vec![info("w", 4)]);
-    desk.submit(1, vec![step(3)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
-    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    let first = desk.batch().unwrap();
-    desk.pool.decided(&first, &Commit::Done(Revision(200)), desk.now);
-    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    let second = desk.batch().unwrap();
-    let checked = |batch: &reachhead_jobs::pool::Batch| {
-        let check = batch.txn.checks.iter().find(|check| check.key.0.starts_with("progress/"));
-        check.unwrap().revision
-    };
-    assert_eq!(checked(&first), None);
-    assert_eq!(checked(&second), Some(Revision(200)), "so the first one fails if it comes again");
-}
-
-#[test]
-fn a_conflict_on_an_own_row_is_corrected_and_one_on_the_lease_ends_the_ownership() {
-    let mut desk = Desk::ready(vec![info("w", 4)]);
-    desk.submit(1, vec![step(2)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
-    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    let batch = desk.batch().unwrap();
-    let own = batch.txn.checks.iter().find(|check| check.key.0.starts_with("progress/")).unwrap();
-    let conflict = Conflict { key: own.key.clone(), row: None };
-    assert!(desk.pool.decided(&batch, &Commit::Conflict(vec![conflict]), desk.now));
-    let lease = batch.txn.checks.iter().find(|check| check.key.0.starts_with("fence/")).unwrap();
-    let conflict = Conflict { key: lease.key.clone(), row: None };
-    assert!(!desk.pool.decided(&batch, &Commit::Conflict(vec![conflict]), desk.now));
-    assert!(desk.poll().contains(&Action::Fenced));
-}
-
 #[test]
 fn a_start_without_an_answer_is_repeated_there_with_the_same_deadline() {
     let mut desk = Desk::ready(vec![info("w", 4), info("v", 4)]);
@@ -184,24 +111,6 @@
     assert!(starts[0].1.run > order.run);
 }
 
-#[test]
-fn a_failure_that_is_told_twice_counts_once() {
-    let mut desk = Desk::ready(vec![info("w", 4)]);
-    desk.submit(1, vec![step(1)]);
-    for run in 1..=2 {
-        let (id, order) = desk.starts().remove(0);
-        desk.accept(&id, &order);
-        desk.end(&id, order.task, run, RunEnd::Failed);
-        desk.report(&id);
-        desk.report(&id);
-        desk.pass(6000);
-        desk.report(&id);
-    }
-    assert_eq!(desk.pool.state(JobId(1)), Some(JobState::Running));
-    let job = &desk.pool.jobs()[&JobId(1)];
-    assert_eq!(job.steps.values().next().unwrap().tasks[0].failed.len(), 2);
-}
-
 #[test]
 fn runs_that_nobody_knows_are_stopped_and_keep_a_worker_from_new_tasks() {
     let mut desk = Desk::ready(vec![info("w", 4)]);
@@ -272,10 +181,7 @@
 #[test]
 fn a_task_that_must_be_at_work_takes_the_room_of_short_ones() {
     let mut desk = Desk::ready(vec![info("w", 2)]);
-    desk.submit(1, vec![step(2)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
+    desk.begin(1, vec![step(2)]);
     desk.report(&worker("w"));
     desk.submit(2, vec![Step { long_running: true, ..step(1) }]);
     let stopped = desk.stops();
@@ -453,73 +359,6 @@
     assert_eq!(order, [2, 1, 3]);
 }
 
-#[test]
-fn a_worker_forgets_its_first_ends_while_later_ones_wait_for_their_record() {
-    let mut desk = Desk::ready(vec![info("w", 8)]);
-    // Jobs of two parts of the store, whose transactions go on beside each other.
-    desk.submit(1, vec![step(2)]);
-    desk.submit(2, vec![step(2)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
-    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
-    desk.end(&worker("w"), task(2, 0, 0), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    let due = desk.pool.due();
-    assert_eq!(due.len(), 2);
-    let batches: Vec<_> =
-        due.iter().map(|due| desk.pool.batch(due.lane, Millis(desk.now.0)).unwrap()).collect();
-    let seen = |desk: &Desk| desk.pool.workers()[&worker("w")].seen;
-    desk.pool.decided(&batches[1], &Commit::Done(Revision(200)), desk.now);
-    assert_eq!(seen(&desk), 0, "the first end is not recorded");
-    desk.pool.decided(&batches[0], &Commit::Done(Revision(201)), desk.now);
-    assert_eq!(seen(&desk), 2);
-    desk.end(&worker("w"), task(2, 0, 1), 1, RunEnd::Done);
-    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Done);
-    desk.report(&worker("w"));
-    let lane = desk.pool.due().into_iter().find(|due| due.lane == batches[1].lane).unwrap().lane;
-    let batch = desk.pool.batch(lane, Millis(desk.now.0)).unwrap();
-    desk.pool.decided(&batch, &Commit::Done(Revision(202)), desk.now);
-    assert_eq!(seen(&desk), 3, "the one before the first that waits");
-}
-
-#[test]
-fn an_end_of_a_job_that_is_over_needs_no_record_and_holds_no_worker() {
-    let mut desk = Desk::ready(vec![info("w", 8)]);
-    desk.submit(1, vec![step(2)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
-    assert_eq!(desk.pool.cancel(JobId(1)), Cancelled::Pending);
-    desk.flush();
-    // The runs of the cancelled job are being stopped, and one is done before that.
-    desk.poll();
-    desk.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
-    desk.end(&worker("w"), task(1, 0, 1), 1, RunEnd::Failed);
-    desk.report(&worker("w"));
-    desk.poll();
-    assert!(desk.pool.due().is_empty(), "{:?}", desk.pool.due());
-    assert_eq!(desk.pool.workers()[&worker("w")].seen, 2);
-}
-
-#[test]
-fn an_end_that_is_told_while_its_job_is_being_ended_is_forgotten_with_the_job() {
-    let mut desk = Desk::ready(vec![info("w", 8)]);
-    desk.submit(1, vec![step(1)]);
-    let (id, order) = desk.starts().remove(0);
-    desk.accept(&id, &order);
-    desk.pool.cancel(JobId(1));
-    let batch = desk.batch().unwrap();
-    desk.end(&id, order.task, 1, RunEnd::Done);
-    desk.report(&id);
-    desk.pool.decided(&batch, &Commit::Done(Revision(200)), desk.now);
-    desk.poll();
-    desk.flush();
-    assert!(desk.pool.due().is_empty());
-    assert_eq!(desk.pool.workers()[&id].seen, 1);
-    assert!(desk.pool.jobs().is_empty());
-}
-
 #[test]
 fn a_start_that_was_never_answered_is_given_up_only_by_a_report_from_after_its_deadline() {
     let mut desk = Desk::ready(vec![info("w", 4), info("v", 4)]);
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -9,5 +9,6 @@
 mod life;
 mod load;
 mod pace;
+mod records;
 mod vacate;
 mod wave;
--- a/reachhead_jobs/tests/pool/vacate.rs
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -167,10 +167,7 @@
 #[test]
 fn short_tasks_are_stopped_in_haste_and_the_worker_is_empty_once_their_ends_are_recorded() {
     let mut desk = Desk::ready(vec![info("a", 4)]);
-    desk.submit(1, vec![step(2)]);
-    for (id, order) in desk.starts() {
-        desk.accept(&id, &order);
-    }
+    desk.begin(1, vec![step(2)]);
     let id = worker("a");
     desk.pass(1000);
     desk.poll();
--- /dev/null
+++ b/reachhead_jobs/tests/walk/site/judge.rs
@@ -0,0 +1,105 @@
+//! What must hold at every moment of a walk, and at its end.
+
+use reachhead_jobs::{
+    model::Plan,
+    pool::JobState,
+    ports::RunEnd,
+    record::{Ending, FinalRecord, final_key},
+    task::TaskId,
+};
+use reachhead_types::id::JobId;
+
+use super::{Deed, NEED, Site, pool_name};
+
+impl Site {
+    /// Looks at what the workers did since the last time.
+    pub(super) fn judge(&mut self) {
+        for (id, life) in &mut self.workers {
+            for deed in std::mem::take(&mut life.deeds) {
+                match deed {
+                    Deed::Began(task) => {
+                        let seen = self.tasks.entry(task).or_default();
+                        if !seen.running.is_empty() {
+                            self.wrong
+                                .push(format!("{task} runs twice, on {:?} and {id}", seen.running));
+                        }
+                        if seen.noted {
+                            self.wrong.push(format!("{task} starts after it was noted as done"));
+                        }
+                        seen.began = self.now;
+                        seen.running.insert(id.clone());
+                        let plan = &self.jobs[&task.job];
+                        for &before in &plan.steps[task.step as usize].after {
+                            for index in 0..plan.steps[before as usize].count {
+                                let other = TaskId { step: before, index, ..task };
+                                if !self.tasks.get(&other).is_some_and(|seen| seen.done) {
+                                    self.wrong
+                                        .push(format!("{task} starts before {other} is done"));
+                                }
+                            }
+                        }
+                    }
+                    Deed::Noted(task, at) => {
+                        let seen = self.tasks.entry(task).or_default();
+                        seen.noted = true;
+                        if seen.began > at {
+                            self.wrong.push(format!("{task} was done and began again"));
+                        }
+                    }
+                    Deed::Ended(task, end) => {
+                        let seen = self.tasks.entry(task).or_default();
+                        seen.running.remove(id);
+                        seen.done |= end == RunEnd::Done;
+                    }
+                }
+            }
+            let used = life.running.len() as u64 * NEED;
+            if used > life.capacity.cores {
+                self.wrong.push(format!("{id} is over its capacity: {used}"));
+            }
+        }
+    }
+
+    /// Lets everything come to rest with a new owner; tells whether every job is as it should be.
+    pub fn settle(&mut self) -> bool {
+        self.lose = 0;
+        self.late = 0;
+        for owner in &mut self.owners {
+            owner.alive = false;
+        }
+        self.take_over();
+        for _ in 0..60 {
+            self.run(1000);
+            if self.unsettled().is_empty() {
+                return true;
+            }
+        }
+        let left = self.unsettled();
+        self.wrong.push(format!("not settled: {left:?}"));
+        false
+    }
+
+    fn unsettled(&self) -> Vec<JobId> {
+        let owner = self.owners.last().unwrap();
+        let ended = |id: &JobId| {
+            let key = final_key(&pool_name(), *id);
+            self.read(key).map(|row| row.parse::<FinalRecord>().unwrap().ending)
+        };
+        let settled = |id: &JobId, plan: &Plan| match ended(id) {
+            Some(Ending::Completed) => !plan.long_running(),
+            Some(Ending::Cancelled) => self.cancelled.contains(id),
+            Some(Ending::Failed) => false,
+            None => {
+                let works = self
+                    .tasks
+                    .iter()
+                    .filter(|(task, seen)| task.job == *id && !seen.running.is_empty());
+                plan.long_running()
+                    && owner.pool.state(*id) == Some(JobState::Running)
+                    && works.count() == plan.steps[0].count as usize
+            }
+        };
+        let jobs = self.jobs.iter().filter(|(id, plan)| !settled(id, plan));
+        jobs.map(|(id, _)| *id).collect()
+    }
+}
