Parts of a pool are fenced one by one, so a store without transactions over parts is enough

Cause: a pool's lease and the copies in its four parts were taken in one transaction, which the new customer's store refuses ("rows of several parts"); no pool ever had an owner and no request was served.

Now the lease is taken alone, each part has a fence that carries the lease's token, raised by compare-and-set and only upwards, and a part is read only after its fence is up. An owner's writes depend on the revision that its own raise gave the fence. The walk has a half takeover whose last raise arrives late.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod balance;
 pub mod candidate;
 pub mod clock;
+pub mod fence;
 pub mod job;
 pub mod model;
 pub mod order;
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -117,9 +117,9 @@
         }
         // Callers wait for the jobs that are over; workers keep what is not recorded of the others.
         ids.sort_by_key(|id| !self.ends(*id));
-        let fence = fence_key(&self.name, shard);
+        let fence = self.fences.get(&shard).copied();
         let mut batch = Batch {
-            txn: Txn::new().with_check(fence, Some(Revision(self.token.0))),
+            txn: Txn::new().with_check(fence_key(&self.name, shard), fence),
             lane: Lane::Jobs(shard),
             jobs: Vec::new(),
             roster: None,
@@ -268,13 +268,16 @@
     /// Takes in that a batch is not in force since rows are not what was thought. Returns whether
     /// this owner is still in charge.
     pub fn refused(&mut self, conflicts: &[Conflict]) -> bool {
-        let leases: Vec<Key> = std::iter::once(lease_key(&self.name))
-            .chain(Shard::all().map(|shard| fence_key(&self.name, shard)))
+        let mut holds: BTreeMap<Key, Revision> = self
+            .fences
+            .iter()
+            .map(|(shard, revision)| (fence_key(&self.name, *shard), *revision))
             .collect();
+        holds.insert(lease_key(&self.name), Revision(self.token.0));
         for conflict in conflicts {
             let found = conflict.row.as_ref().map(|row| row.revision);
-            if leases.contains(&conflict.key) {
-                if found != Some(Revision(self.token.0)) {
+            if let Some(held) = holds.get(&conflict.key) {
+                if found != Some(*held) {
                     return false;
                 }
             } else if conflict.key == roster_key(&self.name) {
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -31,6 +31,7 @@
     order::Experience,
     ports::{EndedEntry, HoldOrder, StartOrder, WorkerInfo, WorkerTarget},
     record::{Ending, FinalRecord, JobRecord, ProgressRecord, Roster},
+    shard::Shard,
     task::{StepId, TaskId},
     worker::Worker,
 };
@@ -186,6 +187,8 @@
     pub roster: Roster,
     /// The revision of the roster's row.
     pub roster_revision: Option<Revision>,
+    /// The revisions that this owner's raises gave the fences of its parts.
+    pub fences: BTreeMap<Shard, Revision>,
     /// How long an order of the predecessor may still have effect on a worker that does not answer.
     pub effect: Millis,
 }
@@ -194,6 +197,7 @@
 pub struct Pool {
     name: PoolName,
     token: FencingToken,
+    fences: BTreeMap<Shard, Revision>,
     term: u64,
     tuning: Tuning,
     jobs: BTreeMap<JobId, Job>,
@@ -266,6 +270,7 @@
         let mut pool = Self {
             name,
             token,
+            fences: found.fences,
             term,
             tuning,
             jobs: BTreeMap::new(),
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -5,7 +5,7 @@
 use reachhead_store::row::Key;
 use reachhead_types::{
     id::{JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{Millis, Revision, RunNumber, Strength},
+    size::{FencingToken, Millis, Revision, RunNumber, Strength},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -40,8 +40,7 @@
     format!("progress/{pool}.{shard}/")
 }
 
-/// Returns the key of a copy of a pool's lease in one part: it is written in the transaction that takes the
-/// lease, has its revision, and is what the owner's transactions in that part depend on.
+/// Returns the key of a pool's fence in one part, on which the owner's transactions there depend.
 pub fn fence_key(pool: &PoolName, shard: Shard) -> Key {
     Key(format!("fence/{pool}.{shard}/owner"))
 }
@@ -168,6 +167,16 @@
     pub settled: bool,
 }
 
+/// The newest owner that has fenced a part of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FenceRecord {
+    /// The token of its lease; a release that fenced all parts in one transaction wrote none.
+    #[serde(default)]
+    pub token: FencingToken,
+    /// The owner, for whoever reads the store.
+    pub owner: NodeName,
+}
+
 /// A process of the system.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
--- a/reachhead_jobs/tests/pool/desk.rs
+++ b/reachhead_jobs/tests/pool/desk.rs
@@ -8,6 +8,7 @@
     pool::{Action, Batch, Inheritance, Pool, StoredJob, Tuning},
     ports::{EndedEntry, RunEnd, RunningEntry, StartOrder, WorkerError, WorkerInfo, WorkerReport},
     record::{JobRecord, Roster, RosterEntry},
+    shard::Shard,
     task::{StepId, TaskId},
 };
 use reachhead_plan::amount::Amount;
@@ -96,10 +97,16 @@
         jobs: jobs.into_iter().map(stored).collect(),
         roster: Roster { workers: roster.into_iter().map(entry).collect() },
         roster_revision: Some(Revision(1)),
+        fences: fences(),
         effect: tuning().inheritance(),
     }
 }
 
+/// The fences as this owner has raised them.
+pub fn fences() -> BTreeMap<Shard, Revision> {
+    Shard::all().map(|shard| (shard, Revision(7))).collect()
+}
+
 /// A pool, the time, and what its workers run.
 pub struct Desk {
     pub pool: Pool,
@@ -129,7 +136,7 @@
     /// A pool whose workers have answered and are in the stored roster.
     pub fn ready(infos: Vec<WorkerInfo>) -> Self {
         let names: Vec<WorkerId> = infos.iter().map(|info| info.id.clone()).collect();
-        let mut desk = Self::new(Inheritance::default(), infos);
+        let mut desk = Self::new(Inheritance { fences: fences(), ..Inheritance::default() }, infos);
         desk.pool.poll(desk.now, Millis(desk.now.0));
         desk.flush();
         for name in names {
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -9,6 +9,7 @@
 use futures::FutureExt;
 use reachhead_jobs::{
     clock::Tick,
+    fence::{Fence, FenceStep},
     model::{Plan, Queue, Step},
     pool::{
         Action, Batch, Due, Haste, Inheritance, Lane, Pool, StoredJob, StoredProgress, Tuning,
@@ -61,6 +62,8 @@
 enum Event {
     /// An action arrives at its worker; `answered` tells whether its answer gets back.
     Order { owner: usize, action: Action, sent: Tick, answered: bool },
+    /// The raise of a fence by a process that is gone arrives at the store.
+    Raise(Txn),
     /// A transaction arrives at the store.
     Commit { owner: usize, batch: Box<Batch>, answered: bool },
     /// Something is told to an owner.
@@ -121,6 +124,10 @@
     "p".parse().unwrap()
 }
 
+fn fence(token: FencingToken, shard: Shard) -> Fence {
+    Fence::new(pool_name(), shard, token, "n".parse().unwrap())
+}
+
 fn tuning() -> Tuning {
     Tuning {
         hold: Millis(2000),
@@ -222,74 +229,103 @@
         self.store.read(vec![key]).now_or_never().unwrap().unwrap().remove(0)
     }
 
-    fn scan(&self, prefix: impl Fn(&PoolName, Shard) -> String) -> Vec<Row> {
-        let part = |shard| {
-            let scan = Scan { prefix: prefix(&pool_name(), shard), after: None, limit: u32::MAX };
-            self.store.scan(scan).now_or_never().unwrap().unwrap().rows
-        };
-        Shard::all().flat_map(part).collect()
-    }
-
     fn commit(&self, txn: Txn) -> Commit {
         self.store.commit(txn).now_or_never().unwrap().unwrap()
     }
 
     /// A new process takes the lease, whatever the owner before is doing.
     fn take_over(&mut self) {
+        let (token, term) = self.take_lease();
+        let mut found = Inheritance { effect: tuning().inheritance(), ..Inheritance::default() };
+        for shard in Shard::all() {
+            let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
+            found.fences.insert(shard, fence);
+            found.jobs.append(&mut self.stored_jobs(shard));
+        }
+        let roster = self.read(roster_key(&pool_name()));
+        found.roster =
+            roster.as_ref().map(|row| row.parse::<Roster>().unwrap()).unwrap_or_default();
+        found.roster_revision = roster.map(|row| row.revision);
+        let pool =
+            Pool::new(pool_name(), token, term, tuning(), found, Tick(self.now), Millis(self.now));
+        self.owners.push(Owner {
+            pool,
+            token: Revision(token.0),
+            recording: BTreeSet::new(),
+            frozen: 0,
+            alive: true,
+            cut: BTreeMap::new(),
+            blind: 0,
+        });
+        self.list();
+    }
+
+    fn take_lease(&mut self) -> (FencingToken, u64) {
         let key = lease_key(&pool_name());
         let known = self.read(key.clone());
         let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
         let record = LeaseRecord { owner: None, term, settled: false };
-        let mut txn = Txn::new()
+        let txn = Txn::new()
             .with_check(key.clone(), known.as_ref().map(|row| row.revision))
             .with_write(key, value(&record));
-        for shard in Shard::all() {
-            txn = txn.with_write(fence_key(&pool_name(), shard), value(&record));
-        }
         let Commit::Done(token) = self.commit(txn) else { unreachable!("nobody else writes now") };
-        let progress: BTreeMap<String, Row> = self
-            .scan(progress_prefix)
+        (FencingToken(token.0), term)
+    }
+
+    /// Raises the fence of a part; time passes before each transaction arrives.
+    fn raise(&mut self, token: FencingToken, shard: Shard) -> Option<Revision> {
+        let fence = fence(token, shard);
+        let mut found = self.read(fence_key(&pool_name(), shard));
+        loop {
+            let txn = match fence.next(found.as_ref()).unwrap() {
+                FenceStep::Raised(revision) => return Some(revision),
+                FenceStep::Superseded => return None,
+                FenceStep::Write(txn) => txn,
+            };
+            self.run(STEP);
+            match self.commit(txn) {
+                Commit::Done(revision) => return Some(revision),
+                Commit::Conflict(conflicts) => found = conflicts.into_iter().find_map(|c| c.row),
+            }
+        }
+    }
+
+    /// A process begins to take over and is killed between two parts; the transaction that it had just sent arrives
+    /// much later. Another one takes over meanwhile.
+    fn half_take_over(&mut self, parts: usize, delay: u64) {
+        let (token, _) = self.take_lease();
+        let mut shards = Shard::all();
+        for shard in shards.by_ref().take(parts) {
+            self.raise(token, shard);
+        }
+        if let Some(shard) = shards.next() {
+            let found = self.read(fence_key(&pool_name(), shard));
+            if let Ok(FenceStep::Write(txn)) = fence(token, shard).next(found.as_ref()) {
+                self.push(delay, Event::Raise(txn));
+            }
+        }
+        self.run(delay / 2);
+        self.take_over();
+    }
+
+    fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
+        let scan = |prefix| {
+            let scan = Scan { prefix, after: None, limit: u32::MAX };
+            self.store.scan(scan).now_or_never().unwrap().unwrap().rows
+        };
+        let id_of = |row: &Row| row.key.0.rsplit('/').next().unwrap().parse::<JobId>().unwrap();
+        let progress: BTreeMap<JobId, Row> = scan(progress_prefix(&pool_name(), shard))
             .into_iter()
-            .map(|row| (row.key.0.rsplit('/').next().unwrap().to_owned(), row))
+            .map(|row| (id_of(&row), row))
             .collect();
         let stored = |row: Row| {
-            let id = row.key.0.rsplit('/').next().unwrap().to_owned();
+            let id = id_of(&row);
             let progress = progress
                 .get(&id)
                 .map(|row| StoredProgress { record: row.parse().unwrap(), revision: row.revision });
-            StoredJob {
-                id: id.parse().unwrap(),
-                record: row.parse::<JobRecord>().unwrap(),
-                row: row.revision,
-                progress,
-            }
+            StoredJob { id, record: row.parse::<JobRecord>().unwrap(), row: row.revision, progress }
         };
-        let roster = self.read(roster_key(&pool_name()));
-        let found = Inheritance {
-            jobs: self.scan(job_prefix).into_iter().map(stored).collect(),
-            roster: roster.as_ref().map(|row| row.parse::<Roster>().unwrap()).unwrap_or_default(),
-            roster_revision: roster.map(|row| row.revision),
-            effect: tuning().inheritance(),
-        };
-        let pool = Pool::new(
-            pool_name(),
-            FencingToken(token.0),
-            term,
-            tuning(),
-            found,
-            Tick(self.now),
-            Millis(self.now),
-        );
-        self.owners.push(Owner {
-            pool,
-            token,
-            recording: BTreeSet::new(),
-            frozen: 0,
-            alive: true,
-            cut: BTreeMap::new(),
-            blind: 0,
-        });
-        self.list();
+        scan(job_prefix(&pool_name(), shard)).into_iter().map(stored).collect()
     }
 
     fn newest(&mut self) -> &mut Owner {
@@ -334,7 +370,7 @@
             10 => self.lose = what % 8,
             11 => self.late = what % 8,
             12 => self.vacate(what),
-            _ => {}
+            _ => self.half_take_over(usize::from(what % 4), 40 + span / 4),
         }
         self.run(span % 700);
     }
--- a/reachhead_jobs/tests/walk/site/messages.rs
+++ b/reachhead_jobs/tests/walk/site/messages.rs
@@ -55,6 +55,8 @@
                         self.push(TRAVEL, Event::Answer { owner, answer });
                     }
                 }
+                // Nobody waits for its answer.
+                Event::Raise(txn) => drop(self.commit(txn)),
                 Event::Commit { owner, batch, answered } => {
                     let commit = self.commit(batch.txn.clone());
                     if answered {
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -2,25 +2,15 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use futures::future::{try_join_all, try_join3};
 use reachhead_jobs::{
     candidate::{self, Candidate},
     clock::{Tick, stretched},
     model::PoolPolicy,
-    pool::{Inheritance, Pool, StoredJob, StoredProgress, Tuning},
-    record::{
-        JobRecord, LeaseRecord, ProgressRecord, Roster, fence_key, job_prefix, lease_key,
-        progress_prefix, roster_key, value,
-    },
-    shard::Shard,
+    pool::{Pool, Tuning},
 };
 use reachhead_ops::event::{Event, emit};
-use reachhead_store::{
-    StoreError,
-    row::{Commit, Row, Scan, Txn},
-};
 use reachhead_types::{
-    id::{JobId, NodeName, PoolName},
+    id::{NodeName, PoolName},
     size::{FencingToken, Millis, Revision},
 };
 use tokio::time;
@@ -28,8 +18,9 @@
 use crate::{
     fleet,
     node::Node,
-    owner::{Owner, OwnerHandle, id_of},
+    owner::{Owner, OwnerHandle},
     peer::{Ask, Reply},
+    takeover,
     view::{Heard, LeaseView},
 };
 
@@ -234,8 +225,7 @@
     async fn claim(&self, pool: &PoolName, policy: Option<&PoolPolicy>) {
         let node = &self.node;
         let known = node.view().leases.get(pool).cloned();
-        let shards: Vec<Shard> = if policy.is_some() { Shard::all().collect() } else { Vec::new() };
-        let lease = match take(node, pool, known.as_ref(), &shards).await {
+        let lease = match takeover::take(node, pool, known.as_ref()).await {
             Ok(Some(lease)) => lease,
             Ok(None) => return,
             Err(error) => {
@@ -251,10 +241,15 @@
             return;
         }
         node.loading().insert(pool.clone(), lease.revision);
-        let found = load(node, pool, self.effect(pool, known.as_ref())).await;
+        let effect = self.effect(pool, known.as_ref());
+        let found = takeover::load(node, pool, lease.revision, effect).await;
         node.loading().remove(pool);
         let found = match found {
-            Ok(found) => found,
+            Ok(Some(found)) => found,
+            Ok(None) => {
+                log::info!("pool={pool} token={} a later owner has fenced it", lease.revision);
+                return;
+            }
             Err(error) => {
                 // The lease names this process, so it tries again.
                 log::info!("pool={pool} its rows can't be read: {error}");
@@ -333,86 +328,3 @@
         stop: settings.stop,
     }
 }
-
-/// Writes the lease, and its copies in the parts that hold the pool's jobs; `None` if somebody else did first.
-async fn take(
-    node: &Node,
-    pool: &PoolName,
-    known: Option<&LeaseView>,
-    shards: &[Shard],
-) -> Result<Option<LeaseView>, StoreError> {
-    let term = known.map_or(0, |known| known.record.term + 1);
-    let record = LeaseRecord { owner: Some(node.settings.node.clone()), term, settled: false };
-    let key = lease_key(pool);
-    let mut txn = Txn::new()
-        .with_check(key.clone(), known.map(|known| known.revision))
-        .with_write(key.clone(), value(&record));
-    for shard in shards {
-        txn = txn.with_write(fence_key(pool, *shard), value(&record));
-    }
-    let result = node.services.store.commit(txn).await;
-    node.note_store(&result);
-    match result {
-        Ok(Commit::Done(revision)) => Ok(Some(adopt(node, pool, record, revision))),
-        Ok(Commit::Conflict(conflicts)) => {
-            let row = conflicts.into_iter().find_map(|conflict| conflict.row);
-            if let Some(row) = row {
-                adopt(node, pool, row.parse()?, row.revision);
-            }
-            Ok(None)
-        }
-        Err(StoreError::Lost(error)) => {
-            log::info!("pool={pool} the answer to the lease is lost, so it is read: {error}");
-            let rows = node.services.store.read(vec![key]).await?;
-            let Some(row) = rows.into_iter().flatten().next() else {
-                return Ok(None);
-            };
-            let found: LeaseRecord = row.parse()?;
-            let view = adopt(node, pool, found.clone(), row.revision);
-            Ok((found == record).then_some(view))
-        }
-        Err(error) => Err(error),
-    }
-}
-
-fn adopt(node: &Node, pool: &PoolName, record: LeaseRecord, revision: Revision) -> LeaseView {
-    let now = node.now();
-    node.view().adopt_lease(pool.clone(), record.clone(), revision, now);
-    LeaseView { record, revision, since: now }
-}
-
-/// Reads what a predecessor left.
-async fn load(node: &Node, pool: &PoolName, effect: Millis) -> Result<Inheritance, StoreError> {
-    let store = &node.services.store;
-    let part = |prefix| store.scan(Scan { prefix, after: None, limit: u32::MAX });
-    let jobs = try_join_all(Shard::all().map(|shard| part(job_prefix(pool, shard))));
-    let progress = try_join_all(Shard::all().map(|shard| part(progress_prefix(pool, shard))));
-    let roster = store.read(vec![roster_key(pool)]);
-    let (jobs, progress, roster) = try_join3(jobs, progress, roster).await?;
-    node.note_store(&Ok(()));
-    let mut found = Inheritance { effect, ..Inheritance::default() };
-    if let Some(row) = roster.into_iter().flatten().next() {
-        found.roster = row.parse::<Roster>()?;
-        found.roster_revision = Some(row.revision);
-    }
-    let progress: BTreeMap<JobId, &Row> = progress
-        .iter()
-        .flat_map(|page| &page.rows)
-        .filter_map(|row| Some((id_of(&row.key)?, row)))
-        .collect();
-    for row in jobs.iter().flat_map(|page| &page.rows) {
-        let Some(id) = id_of(&row.key) else {
-            continue;
-        };
-        let record: JobRecord = row.parse()?;
-        let stored = match progress.get(&id) {
-            Some(row) => Some(StoredProgress {
-                record: row.parse::<ProgressRecord>()?,
-                revision: row.revision,
-            }),
-            None => None,
-        };
-        found.jobs.push(StoredJob { id, record, row: row.revision, progress: stored });
-    }
-    Ok(found)
-}
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -14,6 +14,7 @@
 mod process;
 mod relief;
 mod submit;
+mod takeover;
 mod view;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/reachhead_node/src/takeover.rs
@@ -0,0 +1,197 @@
+//! Taking a pool over: its lease, the fences of its parts, and what the predecessor left.
+//!
+//! A takeover that ends half-way, since the process is killed or the store fails, leaves a lease that names this
+//! process and some fences at its token. The next one, by whomever, takes the lease again with a higher token and
+//! raises every fence over it.
+
+use std::collections::BTreeMap;
+
+use futures::future::{try_join, try_join_all};
+use reachhead_jobs::{
+    fence::{Fence, FenceStep},
+    pool::{Inheritance, StoredJob, StoredProgress},
+    record::{
+        JobRecord, LeaseRecord, ProgressRecord, Roster, fence_key, job_prefix, lease_key,
+        progress_prefix, roster_key, value,
+    },
+    shard::Shard,
+};
+use reachhead_store::{
+    StoreError,
+    row::{Commit, Key, Row, Scan, Txn},
+};
+use reachhead_types::{
+    id::{JobId, PoolName},
+    size::{FencingToken, Millis, Revision},
+};
+
+use crate::{node::Node, owner::id_of, view::LeaseView};
+
+/// Tries to raise the fence of one part; each needs a lost answer or another candidate's raise to follow.
+const RAISE_TRIES: usize = 6;
+
+/// Writes the lease; `None` if somebody else did first.
+///
+/// # Errors
+///
+/// What the store said; after any but `Lost` the lease is not this process's.
+pub async fn take(
+    node: &Node,
+    pool: &PoolName,
+    known: Option<&LeaseView>,
+) -> Result<Option<LeaseView>, StoreError> {
+    let term = known.map_or(0, |known| known.record.term + 1);
+    let record = LeaseRecord { owner: Some(node.settings.node.clone()), term, settled: false };
+    let key = lease_key(pool);
+    let txn = Txn::new()
+        .with_check(key.clone(), known.map(|known| known.revision))
+        .with_write(key.clone(), value(&record));
+    let result = node.services.store.commit(txn).await;
+    node.note_store(&result);
+    match result {
+        Ok(Commit::Done(revision)) => Ok(Some(adopt(node, pool, record, revision))),
+        Ok(Commit::Conflict(conflicts)) => {
+            let row = conflicts.into_iter().find_map(|conflict| conflict.row);
+            if let Some(row) = row {
+                adopt(node, pool, row.parse()?, row.revision);
+            }
+            Ok(None)
+        }
+        Err(StoreError::Lost(error)) => {
+            log::info!("pool={pool} the answer to the lease is lost, so it is read: {error}");
+            let rows = node.services.store.read(vec![key]).await?;
+            let Some(row) = rows.into_iter().flatten().next() else {
+                return Ok(None);
+            };
+            let found: LeaseRecord = row.parse()?;
+            let view = adopt(node, pool, found.clone(), row.revision);
+            Ok((found == record).then_some(view))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn adopt(node: &Node, pool: &PoolName, record: LeaseRecord, revision: Revision) -> LeaseView {
+    let now = node.now();
+    node.view().adopt_lease(pool.clone(), record.clone(), revision, now);
+    LeaseView { record, revision, since: now }
+}
+
+/// The rows of one part.
+struct PartRows {
+    shard: Shard,
+    fence: Revision,
+    jobs: Vec<Row>,
+    progress: Vec<Row>,
+}
+
+/// Fences all parts and reads what a predecessor left; `None` if a later owner has fenced one of them.
+///
+/// # Errors
+///
+/// What the store said; the lease still names this process.
+pub async fn load(
+    node: &Node,
+    pool: &PoolName,
+    token: Revision,
+    effect: Millis,
+) -> Result<Option<Inheritance>, StoreError> {
+    let parts = try_join_all(Shard::all().map(|shard| load_part(node, pool, token, shard)));
+    // The roster is in the lease's own part, so the lease alone fences it.
+    let (parts, roster) = try_join(parts, read_row(node, roster_key(pool))).await?;
+    node.note_store(&Ok(()));
+    let mut found = Inheritance { effect, ..Inheritance::default() };
+    if let Some(row) = roster {
+        found.roster = row.parse::<Roster>()?;
+        found.roster_revision = Some(row.revision);
+    }
+    for part in parts {
+        let Some(part) = part else {
+            return Ok(None);
+        };
+        found.fences.insert(part.shard, part.fence);
+        found.jobs.append(&mut stored_jobs(&part)?);
+    }
+    Ok(Some(found))
+}
+
+/// Fences a part and then reads it: what is read before the fence is up may still change.
+async fn load_part(
+    node: &Node,
+    pool: &PoolName,
+    token: Revision,
+    shard: Shard,
+) -> Result<Option<PartRows>, StoreError> {
+    let Some(fence) = raise(node, pool, token, shard).await? else {
+        return Ok(None);
+    };
+    let store = &node.services.store;
+    let part = |prefix| store.scan(Scan { prefix, after: None, limit: u32::MAX });
+    let (jobs, progress) =
+        try_join(part(job_prefix(pool, shard)), part(progress_prefix(pool, shard))).await?;
+    Ok(Some(PartRows { shard, fence, jobs: jobs.rows, progress: progress.rows }))
+}
+
+/// Raises the fence of a part; `None` if a later owner has done so.
+async fn raise(
+    node: &Node,
+    pool: &PoolName,
+    token: Revision,
+    shard: Shard,
+) -> Result<Option<Revision>, StoreError> {
+    let owner = node.settings.node.clone();
+    let fence = Fence::new(pool.clone(), shard, FencingToken(token.0), owner);
+    let key = fence_key(pool, shard);
+    let mut found = read_row(node, key.clone()).await?;
+    for _ in 0..RAISE_TRIES {
+        let txn = match fence.next(found.as_ref())? {
+            FenceStep::Raised(revision) => return Ok(Some(revision)),
+            FenceStep::Superseded => return Ok(None),
+            FenceStep::Write(txn) => txn,
+        };
+        let result = node.services.store.commit(txn).await;
+        node.note_store(&result);
+        found = match result {
+            Ok(Commit::Done(revision)) => return Ok(Some(revision)),
+            Ok(Commit::Conflict(conflicts)) => {
+                conflicts.into_iter().find_map(|conflict| conflict.row)
+            }
+            Err(StoreError::Lost(error)) => {
+                log::info!("pool={pool} part={shard} the answer to the fence is lost: {error}");
+                read_row(node, key.clone()).await?
+            }
+            Err(error) => return Err(error),
+        };
+    }
+    Err(StoreError::Busy(format!("the fence of part {shard} changes all the time")))
+}
+
+async fn read_row(node: &Node, key: Key) -> Result<Option<Row>, StoreError> {
+    let rows = node.services.store.read(vec![key]).await?;
+    Ok(rows.into_iter().flatten().next())
+}
+
+fn stored_jobs(part: &PartRows) -> Result<Vec<StoredJob>, StoreError> {
+    let progress: BTreeMap<JobId, &Row> =
+        part.progress.iter().filter_map(|row| Some((id_of(&row.key)?, row))).collect();
+    let mut stored = Vec::with_capacity(part.jobs.len());
+    for row in &part.jobs {
+        let Some(id) = id_of(&row.key) else {
+            continue;
+        };
+        let progress = match progress.get(&id) {
+            Some(row) => Some(StoredProgress {
+                record: row.parse::<ProgressRecord>()?,
+                revision: row.revision,
+            }),
+            None => None,
+        };
+        stored.push(StoredJob {
+            id,
+            record: row.parse::<JobRecord>()?,
+            row: row.revision,
+            progress,
+        });
+    }
+    Ok(stored)
+}
