Orders about hosts leave only on a lease that the store has just confirmed, where nobody checks tokens

The holder asks the store before it orders and may go on for 0.7 s from then; the clock is read in the write itself, on a connection that is reset when the time is over; the successor waits for as long. Ruled out: leases by the followed table (its polls take 1.5 s, so a successor would wait for more than two). Seen failing: the bounded call without the look in the write (a frozen process sends late). The walk finds all four mistakes of a takeover put back in; two of them it only found after owners heard late of a change of hands and fences were judged.

--- /dev/null
+++ b/reachhead_jobs/src/authority.rs
@@ -0,0 +1,83 @@
+//! For how long the holder of a lease may give orders that nobody checks a fencing token of.
+//!
+//! Where the platform refuses lower tokens, an order of a holder that was paused does no harm. Where it does not, two
+//! processes must never order at the same time: the holder orders only for [`ORDER_TERM`] after it asked the store
+//! and found its lease in force, and its successor waits for as long after it took the lease.
+
+use std::time::Instant;
+
+use reachhead_types::size::{FencingToken, Millis, Revision};
+
+use crate::{
+    clock::{Tick, stretched},
+    record::LeaseRecord,
+};
+
+/// How long the holder may give orders after it asked the store. It takes a question to the store and an order, each
+/// 0.3 s while the store is sixty times slower than usual, and it is what the hosts stand still for when their owner
+/// is killed.
+pub const ORDER_TERM: Millis = Millis(700);
+
+/// How lately an answer must have been given for orders to go out on it; the rest of the term is the orders' own.
+const FRESH_TERM: Millis = Millis(300);
+
+/// How long a process that answers without the lease must have had it to be taken for over: it answers so for a
+/// moment, too, between the store's answer and the start of its work.
+const SETTLED_TIME: Millis = Millis(1000);
+
+/// What an order is given on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mandate {
+    /// The holder's fencing token.
+    pub token: FencingToken,
+    /// No byte of the order leaves the process after this; `None` where tokens are checked.
+    pub until: Option<Instant>,
+}
+
+/// The store's last word that the lease is in force.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Confirmation {
+    /// When the question was sent: the lease may have been taken right after the store answered it.
+    asked: Option<Instant>,
+}
+
+impl Confirmation {
+    /// Notes the store's answer to a question that was sent at `asked`; tells whether the lease is in force.
+    pub fn note(&mut self, asked: Instant, found: Option<Revision>, token: FencingToken) -> bool {
+        let held = found == Some(Revision(token.0));
+        self.asked = held.then_some(asked);
+        held
+    }
+
+    /// Returns until when orders may go out, or `None` if the store has to be asked first.
+    pub fn until(&self, now: Instant) -> Option<Instant> {
+        let asked = self.asked?;
+        let fresh = now.duration_since(asked) <= FRESH_TERM.duration();
+        fresh.then(|| asked + ORDER_TERM.duration())
+    }
+}
+
+/// What a successor knows of the holder before it.
+#[derive(Debug, Clone, Copy)]
+pub struct Predecessor<'a> {
+    /// The lease as it was.
+    pub record: &'a LeaseRecord,
+    /// When this process first saw it so.
+    pub since: Tick,
+    /// When the holder last said that it does not hold the lease, if it did.
+    pub denied: Option<Tick>,
+}
+
+impl Predecessor<'_> {
+    /// Returns how long after the store's answer the successor gives no order.
+    ///
+    /// A holder that gave the lease back has no order under way. One that answers without the lease, long after it
+    /// took it, has ended or was started again.
+    pub fn wait(&self) -> Millis {
+        let ended = self.denied.is_some_and(|denied| denied.since(self.since) >= SETTLED_TIME);
+        if self.record.owner.is_none() || ended {
+            return Millis(0);
+        }
+        stretched(ORDER_TERM)
+    }
+}
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is plain logic over explicit state and time; docs/PLATFORM.md tells how the
 //! programs use it.
 
+pub mod authority;
 pub mod balance;
 pub mod candidate;
 pub mod clock;
--- a/reachhead_jobs/src/ports.rs
+++ b/reachhead_jobs/src/ports.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::{
+    authority::Mandate,
     clock::WorkerTime,
     model::{Configuration, Plan, Queue},
     pool::JobState,
@@ -344,7 +345,7 @@
     /// Any [`MachineError`].
     fn maintain(
         &self,
-        token: FencingToken,
+        mandate: Mandate,
         host: HostId,
         wave: WaveName,
     ) -> BoxFuture<'_, Result<(), MachineError>>;
@@ -356,7 +357,7 @@
     /// Any [`MachineError`].
     fn relocate(
         &self,
-        token: FencingToken,
+        mandate: Mandate,
         host: HostId,
         pool: PoolName,
     ) -> BoxFuture<'_, Result<(), MachineError>>;
--- a/reachhead_jobs/src/shard.rs
+++ b/reachhead_jobs/src/shard.rs
@@ -21,7 +21,7 @@
     }
 
     /// Returns all of them.
-    pub fn all() -> impl Iterator<Item = Self> {
+    pub fn all() -> impl Iterator<Item = Self> + Clone {
         (0..COUNT).map(Self)
     }
 }
--- /dev/null
+++ b/reachhead_jobs/tests/authority.rs
@@ -0,0 +1,75 @@
+//! The leases of duties whose tokens nobody checks.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::time::{Duration, Instant};
+
+use reachhead_jobs::{
+    authority::{Confirmation, ORDER_TERM, Predecessor},
+    clock::{Tick, stretched},
+    record::LeaseRecord,
+};
+use reachhead_property::check;
+use reachhead_types::size::{FencingToken, Millis, Revision};
+
+const TOKEN: FencingToken = FencingToken(16);
+
+fn lease(owner: Option<&str>) -> LeaseRecord {
+    LeaseRecord { owner: owner.map(|name| name.parse().unwrap()), term: 3, settled: false }
+}
+
+fn wait(record: &LeaseRecord, denied: Option<u64>) -> Millis {
+    Predecessor { record, since: Tick(10_000), denied: denied.map(Tick) }.wait()
+}
+
+#[test]
+fn orders_go_out_only_on_an_answer_that_names_the_own_token() {
+    let asked = Instant::now();
+    let mut confirmation = Confirmation::default();
+    assert_eq!(confirmation.until(asked), None);
+    assert!(confirmation.note(asked, Some(Revision(16)), TOKEN));
+    assert_eq!(confirmation.until(asked), Some(asked + ORDER_TERM.duration()));
+    assert!(!confirmation.note(asked, Some(Revision(502)), TOKEN));
+    assert_eq!(confirmation.until(asked), None);
+    assert!(!confirmation.note(asked, None, TOKEN));
+}
+
+#[test]
+fn a_holder_that_was_frozen_after_an_answer_has_to_ask_again() {
+    let asked = Instant::now();
+    let mut confirmation = Confirmation::default();
+    confirmation.note(asked, Some(Revision(16)), TOKEN);
+    assert_eq!(confirmation.until(asked + Duration::from_secs(3)), None);
+}
+
+#[test]
+fn a_successor_waits_unless_the_holder_has_surely_ended() {
+    let whole = stretched(ORDER_TERM);
+    assert_eq!(wait(&lease(Some("n")), None), whole);
+    assert_eq!(wait(&lease(None), None), Millis(0), "it gave the lease back");
+    assert_eq!(wait(&lease(Some("n")), Some(15_000)), Millis(0), "it answers and holds nothing");
+    assert_eq!(wait(&lease(Some("n")), Some(10_040)), whole, "it may not have begun yet");
+}
+
+/// A holder that asks at any moments and a successor whose lease is stored at any moment: as the store answers in
+/// order, the holder's last good answer comes before that.
+#[test]
+fn no_order_of_a_holder_leaves_after_the_first_one_of_its_successor() {
+    fn holds((asked, travel, taken, answer): (u16, u8, u16, u8)) -> bool {
+        let start = Instant::now();
+        let at = |millis: u64| start + Duration::from_millis(millis);
+        let (asked, taken) = (u64::from(asked), u64::from(taken));
+        let read = asked + u64::from(travel);
+        if read > taken {
+            return true;
+        }
+        let mut confirmation = Confirmation::default();
+        confirmation.note(at(asked), Some(Revision(16)), TOKEN);
+        let begins = taken + u64::from(answer) + wait(&lease(Some("n")), None).0;
+        (asked..asked + 3000).all(|now| {
+            let until = confirmation.until(at(now)).filter(|until| *until > at(now));
+            until.is_none_or(|until| until <= at(begins))
+        })
+    }
+    check("authority", 200, holds as fn((u16, u8, u16, u8)) -> bool);
+}
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -45,6 +45,9 @@
 /// How long an order travels.
 const TRAVEL: u64 = 5;
 
+/// How long an owner goes on before it hears that the lease has changed hands.
+const FOLLOW_LAG: u64 = 120;
+
 /// Workers that stand at any time.
 const WORKERS: u8 = 3;
 
@@ -113,6 +116,10 @@
     lives: u64,
     jobs: BTreeMap<JobId, Arc<Plan>>,
     cancelled: BTreeSet<JobId>,
+    /// When the lease last changed hands.
+    lease_changed: u64,
+    /// The highest token of each part's fence.
+    fenced: BTreeMap<Shard, FencingToken>,
     tasks: BTreeMap<TaskId, Seen>,
     /// Faults that the next orders meet.
     lose: u8,
@@ -182,6 +189,8 @@
             lives: 0,
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            lease_changed: 0,
+            fenced: BTreeMap::new(),
             tasks: BTreeMap::new(),
             lose: 0,
             late: 0,
@@ -269,6 +278,7 @@
             .with_check(key.clone(), known.as_ref().map(|row| row.revision))
             .with_write(key, value(&record));
         let Commit::Done(token) = self.commit(txn) else { unreachable!("nobody else writes now") };
+        self.lease_changed = self.now;
         (FencingToken(token.0), term)
     }
 
@@ -290,14 +300,15 @@
         }
     }
 
-    /// A process begins to take over and is killed between two parts; the transaction that it had just sent arrives
-    /// much later. Another one takes over meanwhile.
+    /// A process begins to take over and is killed or paused between two parts; the transaction that it had just
+    /// sent arrives much later. Another one takes over meanwhile, and the paused one goes on after it.
     fn half_take_over(&mut self, parts: usize, delay: u64) {
         let (token, _) = self.take_lease();
         let mut shards = Shard::all();
         for shard in shards.by_ref().take(parts) {
             self.raise(token, shard);
         }
+        let paused = shards.clone();
         if let Some(shard) = shards.next() {
             let found = self.read(fence_key(&pool_name(), shard));
             if let Ok(FenceStep::Write(txn)) = fence(token, shard).next(found.as_ref()) {
@@ -306,6 +317,9 @@
         }
         self.run(delay / 2);
         self.take_over();
+        for shard in paused {
+            self.raise(token, shard);
+        }
     }
 
     fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
@@ -469,11 +483,12 @@
             if owner.blind <= self.now {
                 let lease = self.read(lease_key(&pool_name())).map(|row| row.revision);
                 let owner = &mut self.owners[place];
-                if lease != Some(owner.token) {
+                if lease == Some(owner.token) {
+                    owner.pool.verify(now);
+                } else if self.now >= self.lease_changed + FOLLOW_LAG {
                     owner.alive = false;
                     continue;
                 }
-                owner.pool.verify(now);
             }
             let owner = &mut self.owners[place];
             let actions = owner.pool.poll(now, Millis(now.0));
--- a/reachhead_jobs/tests/walk/site/judge.rs
+++ b/reachhead_jobs/tests/walk/site/judge.rs
@@ -4,7 +4,8 @@
     model::Plan,
     pool::JobState,
     ports::RunEnd,
-    record::{Ending, FinalRecord, final_key},
+    record::{Ending, FenceRecord, FinalRecord, fence_key, final_key},
+    shard::Shard,
     task::TaskId,
 };
 use reachhead_types::id::JobId;
@@ -12,8 +13,24 @@
 use super::{Deed, NEED, Site, pool_name};
 
 impl Site {
+    /// Looks whether a part's fence was lowered.
+    fn judge_fences(&mut self) {
+        for shard in Shard::all() {
+            let row = self.read(fence_key(&pool_name(), shard));
+            let token =
+                row.map(|row| row.parse::<FenceRecord>().unwrap().token).unwrap_or_default();
+            let highest = self.fenced.entry(shard).or_default();
+            if token < *highest {
+                self.wrong
+                    .push(format!("the fence of part {shard} went from {highest} to {token}"));
+            }
+            *highest = token.max(*highest);
+        }
+    }
+
     /// Looks at what the workers did since the last time.
     pub(super) fn judge(&mut self) {
+        self.judge_fences();
         for (id, life) in &mut self.workers {
             for deed in std::mem::take(&mut life.deeds) {
                 match deed {
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use futures::future::join_all;
 use reachhead_jobs::{
+    authority::Predecessor,
     clock::Tick,
     pool::{Haste, Vacancy},
     ports::{Machine, MachineError, MachineState},
@@ -28,11 +29,12 @@
 use crate::{
     claims,
     frontend::ask_pool,
+    mandate::Authority,
     moves::Moves,
     node::Node,
     owner::{Input, OwnerHandle},
     peer::{PoolAsk, Reply},
-    view::LeaseView,
+    view::{Heard, LeaseView},
 };
 
 /// How often waves and pools are looked at.
@@ -50,6 +52,25 @@
     held.map_or(Millis(0), |held| Millis(node.settings.duty.0.saturating_sub(held.0)))
 }
 
+/// How long the process gives no order since the holder before it may still give some that nobody would refuse.
+fn yield_time(node: &Node, before: Option<&LeaseView>) -> Millis {
+    let checked = node.settings.machines.is_none_or(|machines| machines.fenced);
+    let Some(lease) = before.filter(|_| !checked) else {
+        return Millis(0);
+    };
+    let own = lease.record.owner.as_ref() == Some(&node.settings.node);
+    if own {
+        // It was this process before its start, or an owner of its own that has ended.
+        return Millis(0);
+    }
+    let view = node.view();
+    let heard = lease.record.owner.as_ref().and_then(|owner| view.heard.get(owner));
+    let denies =
+        |heard: &&Heard| heard.owned.get(&name()).is_none_or(|token| *token < lease.revision);
+    let denied = heard.filter(denies).map(|heard| heard.at);
+    Predecessor { record: &lease.record, since: lease.since, denied }.wait()
+}
+
 /// Returns the name under which the lease of all hosts is kept; no pool of the platform begins so.
 pub fn name() -> PoolName {
     match ".hosts".parse() {
@@ -75,7 +96,8 @@
         Event::LeaseTaken,
         format_args!("pool={} token={token} term={}", name(), lease.record.term),
     );
-    let quiet = settle_time(&node, before.as_ref());
+    let quiet = settle_time(&node, before.as_ref()).max(yield_time(&node, before.as_ref()));
+    let authority = Arc::new(Authority::new(Arc::clone(&node), name(), FencingToken(token.0)));
     let mut fleet = Fleet {
         begin: node.now() + quiet,
         node: Arc::clone(&node),
@@ -86,7 +108,8 @@
         victims: BTreeMap::new(),
         buried: Vec::new(),
         reborn: BTreeSet::new(),
-        moves: Moves::new(Arc::clone(&node), FencingToken(token.0)),
+        moves: Moves::new(Arc::clone(&node), Arc::clone(&authority)),
+        authority,
         fenced: false,
     };
     fleet.run(inputs).await;
@@ -120,6 +143,7 @@
     /// Hosts whose worker ended after an order, though the order was not answered yet.
     reborn: BTreeSet<HostId>,
     moves: Moves,
+    authority: Arc<Authority>,
     fenced: bool,
 }
 
@@ -161,7 +185,8 @@
 
     fn in_charge(&self) -> bool {
         let view = self.node.view();
-        view.leases.get(&name()).is_none_or(|lease| lease.revision <= self.token)
+        let named = view.leases.get(&name()).is_none_or(|lease| lease.revision <= self.token);
+        named && !self.authority.is_lost()
     }
 
     async fn round(&mut self) {
@@ -381,9 +406,13 @@
         let Some(api) = self.node.services.machines.clone() else {
             return false;
         };
-        let token = FencingToken(self.token.0);
-        let orders =
-            taken.iter().map(|taken| api.maintain(token, taken.host.clone(), name.clone()));
+        let authority = &self.authority;
+        let orders = taken.iter().map(|taken| async {
+            match authority.mandate().await {
+                Some(mandate) => api.maintain(mandate, taken.host.clone(), name.clone()).await,
+                None => Err(MachineError::NotDone("the lease is not confirmed".to_owned())),
+            }
+        });
         let results = join_all(orders).await;
         let mut begun = false;
         for (taken, result) in taken.iter().zip(results) {
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod follow;
 mod frontend;
+mod mandate;
 mod metrics;
 mod moves;
 mod node;
--- /dev/null
+++ b/reachhead_node/src/mandate.rs
@@ -0,0 +1,76 @@
+//! Whether the owner of all hosts may give an order now.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
+};
+
+use reachhead_jobs::{
+    authority::{Confirmation, Mandate, ORDER_TERM},
+    record::lease_key,
+};
+use reachhead_types::{id::PoolName, size::FencingToken};
+use tokio::{sync::Mutex, time};
+
+use crate::node::Node;
+
+/// The lease of a duty, as far as orders need it.
+pub struct Authority {
+    node: Arc<Node>,
+    duty: PoolName,
+    token: FencingToken,
+    confirmation: Mutex<Confirmation>,
+    lost: AtomicBool,
+}
+
+impl Authority {
+    /// Returns the authority of the holder of a duty's lease.
+    pub fn new(node: Arc<Node>, duty: PoolName, token: FencingToken) -> Self {
+        let lost = AtomicBool::new(false);
+        Self { node, duty, token, confirmation: Mutex::default(), lost }
+    }
+
+    /// Returns what an order may be given on, or `None` if the store does not confirm the lease now. Nothing may be
+    /// waited for between this and the order.
+    pub async fn mandate(&self) -> Option<Mandate> {
+        let checked = self.node.settings.machines.is_none_or(|machines| machines.fenced);
+        if checked {
+            return Some(Mandate { token: self.token, until: None });
+        }
+        let mut confirmation = self.confirmation.lock().await;
+        if let Some(until) = confirmation.until(Instant::now()) {
+            return Some(Mandate { token: self.token, until: Some(until) });
+        }
+        let asked = Instant::now();
+        let read = self.node.services.store.read(vec![lease_key(&self.duty)]);
+        let rows = match time::timeout(ORDER_TERM.duration(), read).await {
+            Ok(rows) => rows,
+            Err(_) => {
+                log::info!("duty={} the store does not confirm the lease in time", self.duty);
+                return None;
+            }
+        };
+        self.node.note_store(&rows);
+        let found = match rows {
+            Ok(rows) => rows.into_iter().flatten().next().map(|row| row.revision),
+            Err(error) => {
+                log::info!("duty={} the store does not confirm the lease: {error}", self.duty);
+                return None;
+            }
+        };
+        if !confirmation.note(asked, found, self.token) {
+            self.lost.store(true, Ordering::Relaxed);
+            return None;
+        }
+        let until = confirmation.until(Instant::now())?;
+        Some(Mandate { token: self.token, until: Some(until) })
+    }
+
+    /// Tells whether the store said that somebody else holds the lease.
+    pub fn is_lost(&self) -> bool {
+        self.lost.load(Ordering::Relaxed)
+    }
+}
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -12,12 +12,13 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     id::{HostId, PoolName},
-    size::{FencingToken, Millis},
+    size::Millis,
 };
 use tokio::time;
 
 use crate::{
     frontend::ask_pool,
+    mandate::Authority,
     node::Node,
     peer::{PoolAsk, Reply},
 };
@@ -54,7 +55,7 @@
 /// The moves of hosts that are under way.
 pub struct Moves {
     node: Arc<Node>,
-    token: FencingToken,
+    authority: Arc<Authority>,
     balance: Balance,
     ordered: BTreeMap<HostId, Ordered>,
     /// When the last round looked at the pools.
@@ -62,10 +63,10 @@
 }
 
 impl Moves {
-    /// Returns no moves, for the holder of this token.
-    pub fn new(node: Arc<Node>, token: FencingToken) -> Self {
+    /// Returns no moves, which will be ordered on this authority.
+    pub fn new(node: Arc<Node>, authority: Arc<Authority>) -> Self {
         let last = node.now();
-        Self { node, token, balance: Balance::new(), ordered: BTreeMap::new(), last }
+        Self { node, authority, balance: Balance::new(), ordered: BTreeMap::new(), last }
     }
 
     /// Looks at all pools and moves what should be elsewhere. `held` are hosts that something else is
@@ -140,12 +141,13 @@
             }
         }
         let api: &Arc<dyn MachineApi> = self.node.services.machines.as_ref()?;
-        let result = api.relocate(self.token, step.host.clone(), step.to.clone()).await;
+        let mandate = self.authority.mandate().await?;
+        let result = api.relocate(mandate, step.host.clone(), step.to.clone()).await;
         emit(
             Event::HostOrdered,
             format_args!(
                 "host={} from={} to={} token={} {result:?}",
-                step.host, step.from, step.to, self.token
+                step.host, step.from, step.to, mandate.token
             ),
         );
         Some(Moved {
--- a/reachhead_ops/src/lib.rs
+++ b/reachhead_ops/src/lib.rs
@@ -1,5 +1,6 @@
 //! What every long-lived process shares: command line, events, ops listener, signals, threads.
 
+pub mod bounded;
 pub mod cli;
 pub mod client;
 pub mod event;
--- /dev/null
+++ b/reachhead_ops/tests/bounded.rs
@@ -0,0 +1,94 @@
+//! Calls that must not leave the process after a moment, on real sockets.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use reachhead_ops::{bounded::call_until, client::CallError};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    sync::oneshot,
+    time,
+};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn order(address: SocketAddr) -> Request<Full<Bytes>> {
+    let request = Request::post("/machine-move").header("host", address.to_string());
+    request.body(Full::new(Bytes::from_static(b"{}"))).unwrap()
+}
+
+/// Accepts one connection, answers if it should, and tells what it read until the connection ended.
+async fn server(answers: bool) -> (SocketAddr, oneshot::Receiver<(usize, bool)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (told, seen) = oneshot::channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4096];
+        let mut count = 0;
+        let reset = loop {
+            match stream.read(&mut buffer).await {
+                Ok(0) => break false,
+                Ok(read) => count += read,
+                Err(_) => break true,
+            }
+            if answers {
+                stream.write_all(ANSWER).await.unwrap();
+            }
+        };
+        let _ = told.send((count, reset));
+    });
+    (address, seen)
+}
+
+/// Stands still for the whole process, as a frozen one does, once the call has begun.
+async fn freeze(span: Duration) {
+    tokio::task::yield_now().await;
+    std::thread::sleep(span);
+}
+
+#[tokio::test]
+async fn an_order_in_time_is_answered() {
+    let (address, _seen) = server(true).await;
+    let until = Instant::now() + Duration::from_secs(5);
+    let answer = call_until(address, order(address), until).await.unwrap();
+    assert_eq!((answer.status().as_u16(), answer.body().as_ref()), (200, b"ok".as_ref()));
+}
+
+#[tokio::test]
+async fn a_process_that_is_frozen_between_the_check_and_the_send_sends_nothing() {
+    let (address, seen) = server(true).await;
+    let until = Instant::now() + Duration::from_millis(30);
+    let call = call_until(address, order(address), until);
+    let (result, ()) = tokio::join!(call, freeze(Duration::from_millis(120)));
+    assert!(matches!(result, Err(CallError::NotSent(_))), "{result:?}");
+    assert_eq!(time::timeout(Duration::from_secs(5), seen).await.unwrap().unwrap().0, 0);
+}
+
+#[tokio::test]
+async fn an_order_without_an_answer_is_lost_and_its_connection_reset() {
+    let (address, seen) = server(false).await;
+    let until = Instant::now() + Duration::from_millis(60);
+    let result = call_until(address, order(address), until).await;
+    assert!(matches!(result, Err(CallError::Lost(_))), "{result:?}");
+    let (count, reset) = time::timeout(Duration::from_secs(5), seen).await.unwrap().unwrap();
+    assert!(count > 0 && reset, "what the network still holds is lost with a reset");
+}
+
+#[tokio::test]
+async fn an_order_to_nobody_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let until = Instant::now() + Duration::from_secs(1);
+    let result = call_until(address, order(address), until).await;
+    assert!(matches!(result, Err(CallError::NotSent(_))), "{result:?}");
+}
