After a restart of all processes hosts move at once, and an outage during a takeover changes no owner

A process that has just started can't have held it before, so it need not wait. Ruled out: START_DELAY and the reading of rows (0.4 s in all), leases of workers (runs outlast the outage).

It goes on reading while the lease is its own. Pools are taken side by side now; the trust in the lease counts from when it was asked for, so a late reading extends no trust.

--- a/reachhead_bench/src/jobs/site.rs
+++ b/reachhead_bench/src/jobs/site.rs
@@ -126,7 +126,7 @@
             token,
             0,
             tuning,
-            Inheritance::default(),
+            Inheritance { verified: START, ..Inheritance::default() },
             START,
             Millis(START.0),
         );
--- a/reachhead_jobs/src/authority.rs
+++ b/reachhead_jobs/src/authority.rs
@@ -64,18 +64,37 @@
     pub record: &'a LeaseRecord,
     /// When this process first saw it so.
     pub since: Tick,
+    /// This process saw it change to that, and did not find it so when it started.
+    pub observed: bool,
+    /// The holder was this process, now or before a restart.
+    pub own: bool,
     /// When the holder last said that it does not hold the lease, if it did.
     pub denied: Option<Tick>,
 }
 
 impl Predecessor<'_> {
-    /// Returns how long after the store's answer the successor gives no order.
-    ///
-    /// A holder that gave the lease back has no order under way. One that answers without the lease, long after it
-    /// took it, has ended or was started again.
-    pub fn wait(&self) -> Millis {
+    /// Returns how long after its lease is stored the successor gives no order, where tokens are checked or not.
+    pub fn quiet_time(&self, now: Tick, duty: Millis, checked: bool) -> Millis {
+        let overlap = if checked { Millis(0) } else { self.overlap_time() };
+        self.turn_time(now, duty).max(overlap)
+    }
+
+    /// Two that take charge from each other in turns must not act within the time of the duty. A holder that gave up,
+    /// was killed or is cut off acts no more, so one that was in charge for long is not waited for. Nor is one whose
+    /// lease this process found when it started, since it can't have been in charge shortly before that one: hosts
+    /// would stand still for three seconds after each restart of all processes.
+    fn turn_time(&self, now: Tick, duty: Millis) -> Millis {
+        if !self.observed {
+            return Millis(0);
+        }
+        Millis(duty.0.saturating_sub(now.since(self.since).0))
+    }
+
+    /// Orders of the holder may leave until its last answer of the store is too old. One that gave the lease back has
+    /// no order under way; one that answers without the lease, long after it took it, has ended or was started again.
+    fn overlap_time(&self) -> Millis {
         let ended = self.denied.is_some_and(|denied| denied.since(self.since) >= SETTLED_TIME);
-        if self.record.owner.is_none() || ended {
+        if self.record.owner.is_none() || self.own || ended {
             return Millis(0);
         }
         stretched(ORDER_TERM)
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -189,6 +189,8 @@
     pub roster_revision: Option<Revision>,
     /// The revisions that this owner's raises gave the fences of its parts.
     pub fences: BTreeMap<Shard, Revision>,
+    /// When the lease was last known to be in force; reading the rest may have taken long.
+    pub verified: Tick,
     /// How long an order of the predecessor may still have effect on a worker that does not answer.
     pub effect: Millis,
 }
@@ -292,7 +294,7 @@
             experience: Experience::default(),
             advice: advice::AdviceBook::default(),
             arrivals: load::Arrivals::default(),
-            verified: now,
+            verified: found.verified,
             actions: Vec::new(),
             notes: Vec::new(),
         };
--- a/reachhead_jobs/tests/authority.rs
+++ b/reachhead_jobs/tests/authority.rs
@@ -18,8 +18,15 @@
     LeaseRecord { owner: owner.map(|name| name.parse().unwrap()), term: 3, settled: false }
 }
 
-fn wait(record: &LeaseRecord, denied: Option<u64>) -> Millis {
-    Predecessor { record, since: Tick(10_000), denied: denied.map(Tick) }.wait()
+const DUTY: Millis = Millis(3000);
+
+/// A holder that this process found when it started.
+fn found(record: &LeaseRecord) -> Predecessor<'_> {
+    Predecessor { record, since: Tick(10_000), observed: false, own: false, denied: None }
+}
+
+fn overlap(predecessor: Predecessor<'_>) -> Millis {
+    predecessor.quiet_time(Tick(50_000), DUTY, false)
 }
 
 #[test]
@@ -44,11 +51,25 @@
 
 #[test]
 fn a_successor_waits_unless_the_holder_has_surely_ended() {
+    let (held, returned) = (lease(Some("n")), lease(None));
     let whole = stretched(ORDER_TERM);
-    assert_eq!(wait(&lease(Some("n")), None), whole);
-    assert_eq!(wait(&lease(None), None), Millis(0), "it gave the lease back");
-    assert_eq!(wait(&lease(Some("n")), Some(15_000)), Millis(0), "it answers and holds nothing");
-    assert_eq!(wait(&lease(Some("n")), Some(10_040)), whole, "it may not have begun yet");
+    let denied = |at| Predecessor { denied: Some(Tick(at)), ..found(&held) };
+    assert_eq!(overlap(found(&held)), whole);
+    assert_eq!(overlap(found(&returned)), Millis(0), "it gave the lease back");
+    assert_eq!(overlap(denied(15_000)), Millis(0), "it answers and holds nothing");
+    assert_eq!(overlap(denied(10_040)), whole, "it may not have begun yet");
+    assert_eq!(overlap(Predecessor { own: true, ..found(&held) }), Millis(0), "it was restarted");
+    assert_eq!(found(&held).quiet_time(Tick(50_000), DUTY, true), Millis(0), "tokens are checked");
+}
+
+/// All processes lose power and come back: moves of hosts must not stand still while jobs wait.
+#[test]
+fn a_restarted_process_does_not_wait_for_a_lease_of_unknown_age() {
+    let held = lease(Some("n"));
+    let soon = Tick(10_300);
+    assert_eq!(found(&held).quiet_time(soon, DUTY, true), Millis(0));
+    let observed = Predecessor { observed: true, ..found(&held) };
+    assert_eq!(observed.quiet_time(soon, DUTY, true), Millis(2700), "holders must not take turns");
 }
 
 /// A holder that asks at any moments and a successor whose lease is stored at any moment: as the store answers in
@@ -65,7 +86,7 @@
         }
         let mut confirmation = Confirmation::default();
         confirmation.note(at(asked), Some(Revision(16)), TOKEN);
-        let begins = taken + u64::from(answer) + wait(&lease(Some("n")), None).0;
+        let begins = taken + u64::from(answer) + overlap(found(&lease(Some("n")))).0;
         (asked..asked + 3000).all(|now| {
             let until = confirmation.until(at(now)).filter(|until| *until > at(now));
             until.is_none_or(|until| until <= at(begins))
--- a/reachhead_jobs/tests/pool/desk.rs
+++ b/reachhead_jobs/tests/pool/desk.rs
@@ -21,6 +21,9 @@
 /// The clock of every worker at the start of a test.
 const WORKER_CLOCK: u64 = 500_000;
 
+/// When every test begins.
+const START: Tick = Tick(1_000_000);
+
 pub fn pool_name() -> PoolName {
     "p".parse().unwrap()
 }
@@ -98,6 +101,7 @@
         roster: Roster { workers: roster.into_iter().map(entry).collect() },
         roster_revision: Some(Revision(1)),
         fences: fences(),
+        verified: START,
         effect: tuning().inheritance(),
     }
 }
@@ -119,7 +123,7 @@
 
 impl Desk {
     pub fn new(found: Inheritance, infos: Vec<WorkerInfo>) -> Self {
-        let now = Tick(1_000_000);
+        let now = START;
         let pool = Pool::new(pool_name(), FencingToken(7), 0, tuning(), found, now, Millis(now.0));
         let mut desk = Self {
             pool,
@@ -136,7 +140,10 @@
     /// A pool whose workers have answered and are in the stored roster.
     pub fn ready(infos: Vec<WorkerInfo>) -> Self {
         let names: Vec<WorkerId> = infos.iter().map(|info| info.id.clone()).collect();
-        let mut desk = Self::new(Inheritance { fences: fences(), ..Inheritance::default() }, infos);
+        let mut desk = Self::new(
+            Inheritance { fences: fences(), verified: START, ..Inheritance::default() },
+            infos,
+        );
         desk.pool.poll(desk.now, Millis(desk.now.0));
         desk.flush();
         for name in names {
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -244,8 +244,10 @@
 
     /// A new process takes the lease, whatever the owner before is doing.
     fn take_over(&mut self) {
+        let verified = Tick(self.now);
+        let mut found =
+            Inheritance { verified, effect: tuning().inheritance(), ..Inheritance::default() };
         let (token, term) = self.take_lease();
-        let mut found = Inheritance { effect: tuning().inheritance(), ..Inheritance::default() };
         for shard in Shard::all() {
             let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
             found.fences.insert(shard, fence);
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -6,14 +6,14 @@
     candidate::{self, Candidate},
     clock::{Tick, stretched},
     model::PoolPolicy,
-    pool::{Pool, Tuning},
+    pool::{Inheritance, Pool, Tuning},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     id::{NodeName, PoolName},
     size::{FencingToken, Millis, Revision},
 };
-use tokio::time;
+use tokio::{task::JoinHandle, time};
 
 use crate::{
     fleet,
@@ -65,18 +65,26 @@
 /// when its worker is lost, and it has to outlast a change of hands.
 const HOLD_MOST: Millis = Millis(4500);
 
+/// Pause after rows of a pool that is being taken could not be read.
+const LOAD_PAUSE: Duration = Duration::from_millis(100);
+
 /// How long a long poll waits at a worker: well below half of the lease, and at most what the
 /// platform allows.
 const POLL_WAIT: Millis = Millis(1500);
 
 /// Takes pools for as long as the process lives.
 pub async fn run(node: Arc<Node>) {
-    let mut claims =
-        Claims { started: node.now(), vacant: BTreeMap::new(), told: BTreeMap::new(), node };
+    let mut claims = Claims {
+        started: node.now(),
+        vacant: BTreeMap::new(),
+        claiming: BTreeMap::new(),
+        told: BTreeMap::new(),
+        node,
+    };
     loop {
         time::sleep(LOOK_PERIOD).await;
         if !claims.node.is_stopping() {
-            claims.look().await;
+            claims.look();
         }
     }
 }
@@ -109,13 +117,17 @@
     started: Tick,
     /// Since when a pool has nobody in charge, as this process sees it.
     vacant: BTreeMap<PoolName, Tick>,
+    /// Pools that are being taken, side by side: after a restart of all processes each takes several, and one
+    /// after the other costs some 40 ms a pool.
+    claiming: BTreeMap<PoolName, JoinHandle<()>>,
     /// The lease of a pool whose loss was logged last, so that each is logged once.
     told: BTreeMap<PoolName, Revision>,
 }
 
 impl Claims {
-    async fn look(&mut self) {
+    fn look(&mut self) {
         let now = self.node.now();
+        self.claiming.retain(|_, claim| !claim.is_finished());
         if now.since(self.started) < START_DELAY {
             return;
         }
@@ -128,12 +140,18 @@
             pools.push(fleet::name());
         }
         for pool in pools {
+            if self.claiming.contains_key(&pool) {
+                continue;
+            }
             if self.is_vacant(&pool, now) {
                 let since = *self.vacant.entry(pool.clone()).or_insert(now);
                 self.tell_vacant(&pool, now);
                 if now.since(since) >= self.delay(&pool) {
                     self.vacant.remove(&pool);
-                    self.claim(&pool, config.pools.get(&pool)).await;
+                    let known = self.node.view().leases.get(&pool).cloned();
+                    let policy = config.pools.get(&pool).cloned();
+                    let task = claim(Arc::clone(&self.node), pool.clone(), policy, known);
+                    self.claiming.insert(pool, tokio::spawn(task));
                 }
             } else {
                 self.vacant.remove(&pool);
@@ -187,7 +205,7 @@
     /// Returns how long this process lets others take a pool first.
     fn delay(&self, pool: &PoolName) -> Millis {
         let node = &self.node;
-        let owned = node.owned().len();
+        let owned = node.owned().len() + node.loading().len();
         let view = node.view();
         let own = Candidate { node: &node.settings.node, strength: node.strength(), owned };
         let others = view
@@ -197,93 +215,111 @@
             .map(|(other, member)| view.candidate(other, member));
         Millis(candidate::before(pool, &own, others) as u64 * RANK_DELAY.0)
     }
+}
 
-    /// Returns how long an order of the predecessor may have effect on a worker that does not answer.
-    /// One that gave the pool back, or that lives and does not own it, gives no orders any more.
-    fn effect(&self, pool: &PoolName, known: Option<&LeaseView>) -> Millis {
-        let tuning = tuning(&self.node);
-        let Some(lease) = known else {
-            return Millis(0);
-        };
-        let Some(owner) = &lease.record.owner else {
-            let only_leases = stretched(tuning.hold);
-            return if lease.record.settled { only_leases } else { tuning.inheritance() };
-        };
-        let now = self.node.now();
-        let view = self.node.view();
-        let ended = view.heard.get(owner).is_some_and(|heard| {
-            let absent = heard.owned.get(pool).is_none_or(|token| *token < lease.revision);
-            absent && heard.at > lease.since
-        });
-        if ended && now.since(lease.since) >= tuning.inheritance() {
-            stretched(tuning.hold)
-        } else {
-            tuning.inheritance()
-        }
+/// Returns how long an order of the predecessor may have effect on a worker that does not answer.
+/// One that gave the pool back, or that lives and does not own it, gives no orders any more.
+fn effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> Millis {
+    let tuning = tuning(node);
+    let Some(lease) = known else {
+        return Millis(0);
+    };
+    let Some(owner) = &lease.record.owner else {
+        let only_leases = stretched(tuning.hold);
+        return if lease.record.settled { only_leases } else { tuning.inheritance() };
+    };
+    let now = node.now();
+    let view = node.view();
+    let ended = view.heard.get(owner).is_some_and(|heard| {
+        let absent = heard.owned.get(pool).is_none_or(|token| *token < lease.revision);
+        absent && heard.at > lease.since
+    });
+    if ended && now.since(lease.since) >= tuning.inheritance() {
+        stretched(tuning.hold)
+    } else {
+        tuning.inheritance()
     }
+}
 
-    async fn claim(&self, pool: &PoolName, policy: Option<&PoolPolicy>) {
-        let node = &self.node;
-        let known = node.view().leases.get(pool).cloned();
-        let lease = match takeover::take(node, pool, known.as_ref()).await {
-            Ok(Some(lease)) => lease,
-            Ok(None) => return,
-            Err(error) => {
-                log::info!("pool={pool} can't be taken: {error}");
-                return;
-            }
-        };
-        node.metrics.taken.inc();
-        let (handle, inputs) = OwnerHandle::new(lease.revision);
-        if policy.is_none() {
-            node.owned().insert(pool.clone(), handle.clone());
-            tokio::spawn(fleet::run(Arc::clone(node), handle, inputs, lease, known));
+/// Takes a pool and starts its owner.
+async fn claim(
+    node: Arc<Node>,
+    pool: PoolName,
+    policy: Option<PoolPolicy>,
+    known: Option<LeaseView>,
+) {
+    let asked = node.now();
+    let lease = match takeover::take(&node, &pool, known.as_ref()).await {
+        Ok(Some(lease)) => lease,
+        Ok(None) => return,
+        Err(error) => {
+            log::info!("pool={pool} can't be taken: {error}");
             return;
         }
-        node.loading().insert(pool.clone(), lease.revision);
-        let effect = self.effect(pool, known.as_ref());
-        let found = takeover::load(node, pool, lease.revision, effect).await;
-        node.loading().remove(pool);
-        let found = match found {
-            Ok(Some(found)) => found,
-            Ok(None) => {
-                log::info!("pool={pool} token={} a later owner has fenced it", lease.revision);
-                return;
-            }
-            Err(error) => {
-                // The lease names this process, so it tries again.
-                log::info!("pool={pool} its rows can't be read: {error}");
-                return;
-            }
-        };
-        emit(
-            Event::LeaseTaken,
-            format_args!(
-                "pool={pool} token={} term={} jobs={} workers={} before={:?}",
-                lease.revision,
-                lease.record.term,
-                found.jobs.len(),
-                found.roster.workers.len(),
-                known.and_then(|known| known.record.owner)
-            ),
-        );
-        let state = Pool::new(
-            pool.clone(),
-            FencingToken(lease.revision.0),
-            lease.record.term,
-            tuning(node),
-            found,
-            node.now(),
-            node.clock.wall(),
-        );
+    };
+    node.metrics.taken.inc();
+    let (handle, inputs) = OwnerHandle::new(lease.revision);
+    if policy.is_none() {
         node.owned().insert(pool.clone(), handle.clone());
-        let owner = Owner::new(Arc::clone(node), state, lease.record.term, handle.clone(), inputs);
-        tokio::spawn(lists(Arc::clone(node), pool.clone(), handle.clone()));
-        let (node, pool) = (Arc::clone(node), pool.clone());
-        tokio::spawn(async move {
-            owner.run().await;
-            release(&node, &pool, handle.token);
-        });
+        fleet::run(node, handle, inputs, lease, known).await;
+        return;
+    }
+    node.loading().insert(pool.clone(), lease.revision);
+    let effect = effect(&node, &pool, known.as_ref());
+    let found = load(&node, &pool, lease.revision, effect).await;
+    node.loading().remove(&pool);
+    let Some(mut found) = found else {
+        log::info!("pool={pool} token={} a later owner has taken it", lease.revision);
+        return;
+    };
+    found.verified = asked;
+    emit(
+        Event::LeaseTaken,
+        format_args!(
+            "pool={pool} token={} term={} jobs={} workers={} before={:?}",
+            lease.revision,
+            lease.record.term,
+            found.jobs.len(),
+            found.roster.workers.len(),
+            known.and_then(|known| known.record.owner)
+        ),
+    );
+    let state = Pool::new(
+        pool.clone(),
+        FencingToken(lease.revision.0),
+        lease.record.term,
+        tuning(&node),
+        found,
+        node.now(),
+        node.clock.wall(),
+    );
+    node.owned().insert(pool.clone(), handle.clone());
+    let owner = Owner::new(Arc::clone(&node), state, lease.record.term, handle.clone(), inputs);
+    tokio::spawn(lists(Arc::clone(&node), pool.clone(), handle.clone()));
+    tokio::spawn(async move {
+        owner.run().await;
+        release(&node, &pool, handle.token);
+    });
+}
+
+/// Reads what the predecessor left, again and again while the lease names this process: an outage that begins
+/// meanwhile must not cost a change of hands.
+async fn load(
+    node: &Node,
+    pool: &PoolName,
+    token: Revision,
+    effect: Millis,
+) -> Option<Inheritance> {
+    loop {
+        match takeover::load(node, pool, token, effect).await {
+            Ok(found) => return found,
+            Err(error) => log::info!("pool={pool} its rows can't be read: {error}"),
+        }
+        time::sleep(LOAD_PAUSE).await;
+        let held = node.view().leases.get(pool).is_some_and(|lease| lease.revision == token);
+        if !held || node.is_stopping() {
+            return None;
+        }
     }
 }
 
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -44,31 +44,25 @@
 /// for its leases to lapse.
 const BURIED_TIME: Millis = Millis(12_000);
 
-/// How long the process gives no order after it took charge: two that take charge from each other in
-/// turns must not act within this time. One that gave up, was killed or is cut off acts no more, so a
-/// predecessor that was in charge for long is not waited for.
-fn settle_time(node: &Node, before: Option<&LeaseView>) -> Millis {
-    let held = before.map(|lease| node.now().since(lease.since));
-    held.map_or(Millis(0), |held| Millis(node.settings.duty.0.saturating_sub(held.0)))
-}
-
-/// How long the process gives no order since the holder before it may still give some that nobody would refuse.
-fn yield_time(node: &Node, before: Option<&LeaseView>) -> Millis {
-    let checked = node.settings.machines.is_none_or(|machines| machines.fenced);
-    let Some(lease) = before.filter(|_| !checked) else {
+/// Returns how long the process gives no order after it took charge.
+fn quiet_time(node: &Node, before: Option<&LeaseView>) -> Millis {
+    let Some(lease) = before else {
         return Millis(0);
     };
-    let own = lease.record.owner.as_ref() == Some(&node.settings.node);
-    if own {
-        // It was this process before its start, or an owner of its own that has ended.
-        return Millis(0);
-    }
     let view = node.view();
-    let heard = lease.record.owner.as_ref().and_then(|owner| view.heard.get(owner));
+    let owner = lease.record.owner.as_ref();
+    let heard = owner.and_then(|owner| view.heard.get(owner));
     let denies =
         |heard: &&Heard| heard.owned.get(&name()).is_none_or(|token| *token < lease.revision);
-    let denied = heard.filter(denies).map(|heard| heard.at);
-    Predecessor { record: &lease.record, since: lease.since, denied }.wait()
+    let predecessor = Predecessor {
+        record: &lease.record,
+        since: lease.since,
+        observed: view.leases_read.is_some_and(|first| lease.since > first),
+        own: owner == Some(&node.settings.node),
+        denied: heard.filter(denies).map(|heard| heard.at),
+    };
+    let checked = node.settings.machines.is_none_or(|machines| machines.fenced);
+    predecessor.quiet_time(node.now(), node.settings.duty, checked)
 }
 
 /// Returns the name under which the lease of all hosts is kept; no pool of the platform begins so.
@@ -96,7 +90,7 @@
         Event::LeaseTaken,
         format_args!("pool={} token={token} term={}", name(), lease.record.term),
     );
-    let quiet = settle_time(&node, before.as_ref()).max(yield_time(&node, before.as_ref()));
+    let quiet = quiet_time(&node, before.as_ref());
     let authority = Arc::new(Authority::new(Arc::clone(&node), name(), FencingToken(token.0)));
     let mut fleet = Fleet {
         begin: node.now() + quiet,
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -225,6 +225,12 @@
         }
     }
 
+    fn apply_at(&self, changes: &[Change], now: Tick) {
+        for change in changes {
+            self.take(change, now);
+        }
+    }
+
     fn member(&self, node: reachhead_types::id::NodeName, change: &Change) {
         if change.deleted {
             self.0.view().members.remove(&node);
@@ -249,15 +255,17 @@
     }
 
     fn reset(&self, rows: &[Change]) {
-        self.0.view().members.clear();
-        self.apply(rows);
+        let now = self.0.now();
+        {
+            let mut view = self.0.view();
+            view.members.clear();
+            view.leases_read.get_or_insert(now);
+        }
+        self.apply_at(rows, now);
     }
 
     fn apply(&self, changes: &[Change]) {
-        let now = self.0.now();
-        for change in changes {
-            self.take(change, now);
-        }
+        self.apply_at(changes, self.0.now());
     }
 
     fn seen(&self, at: Tick, _revision: Revision) {
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -48,6 +48,8 @@
     pub config_revision: Revision,
     /// Who is in charge of which pool.
     pub leases: BTreeMap<PoolName, LeaseView>,
+    /// When the leases were first read: for how long they had been so before is not known.
+    pub leases_read: Option<Tick>,
     /// When the leases were last known to be as they are here.
     pub leases_seen: Tick,
     /// The processes of the system.
