A restarted process takes the pools that still name it at once

Cause: after all lost power 0.65 s passed between the start of the processes and their pools: 0.3 s so that all know each other, the ranks of candidates, tables read part by part, up to 0.1 s until the workers are read, 0.1 s until the hosts are looked at. Nobody else takes a pool before its owner has been silent, so none of it is needed where the lease names the process that looks.

Also: pools that are being taken count as owned.

--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -128,9 +128,7 @@
     fn look(&mut self) {
         let now = self.node.now();
         self.claiming.retain(|_, claim| !claim.is_finished());
-        if now.since(self.started) < START_DELAY {
-            return;
-        }
+        let early = now.since(self.started) < START_DELAY;
         let Some(config) = self.node.view().config.clone() else {
             return;
         };
@@ -143,10 +141,14 @@
             if self.claiming.contains_key(&pool) {
                 continue;
             }
+            let own = self.is_own(&pool);
+            if early && !own {
+                continue;
+            }
             if self.is_vacant(&pool, now) {
                 let since = *self.vacant.entry(pool.clone()).or_insert(now);
                 self.tell_vacant(&pool, now);
-                if now.since(since) >= self.delay(&pool) {
+                if own || now.since(since) >= self.delay(&pool) {
                     self.vacant.remove(&pool);
                     let known = self.node.view().leases.get(&pool).cloned();
                     let policy = config.pools.get(&pool).cloned();
@@ -159,6 +161,14 @@
         }
     }
 
+    /// Tells whether a pool's lease names this process. Nobody else takes such a pool before its owner has been
+    /// silent, so a restarted process takes its own without any delay: jobs wait 0.35 s less when all lose power.
+    fn is_own(&self, pool: &PoolName) -> bool {
+        let view = self.node.view();
+        let owner = view.leases.get(pool).and_then(|lease| lease.record.owner.as_ref());
+        owner == Some(&self.node.settings.node)
+    }
+
     /// Logs that a pool's owner seems to be gone, once a lease.
     fn tell_vacant(&mut self, pool: &PoolName, now: Tick) {
         let revision = self.node.view().leases.get(pool).map(|lease| lease.revision);
@@ -205,7 +215,7 @@
     /// Returns how long this process lets others take a pool first.
     fn delay(&self, pool: &PoolName) -> Millis {
         let node = &self.node;
-        let owned = node.owned().len() + node.loading().len();
+        let owned = node.owned().len() + self.claiming.len();
         let view = node.view();
         let own = Candidate { node: &node.settings.node, strength: node.strength(), owned };
         let others = view
@@ -261,10 +271,12 @@
     let (handle, inputs) = OwnerHandle::new(lease.revision);
     if policy.is_none() {
         node.owned().insert(pool.clone(), handle.clone());
-        fleet::run(node, handle, inputs, lease, known).await;
+        node.duty_taken.notify_one();
+        tokio::spawn(fleet::run(node, handle, inputs, lease, known));
         return;
     }
     node.loading().insert(pool.clone(), lease.revision);
+    node.duty_taken.notify_one();
     let effect = effect(&node, &pool, known.as_ref());
     let found = load(&node, &pool, lease.revision, effect).await;
     node.loading().remove(&pool);
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -160,8 +160,9 @@
 
 impl Fleet {
     async fn run(&mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        let mut pause = Duration::ZERO;
         while !self.fenced && self.in_charge() {
-            match time::timeout(ROUND, inputs.recv()).await {
+            match time::timeout(std::mem::replace(&mut pause, ROUND), inputs.recv()).await {
                 Ok(Some(Input::Release(done))) => {
                     self.give_back().await;
                     let _ = done.send(());
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -80,7 +80,8 @@
         let mut pause = PAUSE_FIRST;
         loop {
             if !follower.wanted() {
-                time::sleep(PAUSE_FIRST).await;
+                // Either end of the wait leads to another look.
+                let _ = time::timeout(PAUSE_FIRST, node.duty_taken.notified()).await;
                 continue;
             }
             let sent = node.now();
@@ -323,7 +324,7 @@
     }
 
     fn wanted(&self) -> bool {
-        !self.0.owned().is_empty()
+        !self.0.owned().is_empty() || !self.0.loading().is_empty()
     }
 
     fn reset(&self, rows: &[Change]) {
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -16,7 +16,7 @@
     id::PoolName,
     size::{Millis, Revision, Strength},
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient, submit::Submitter,
@@ -69,6 +69,8 @@
     pub metrics: Metrics,
     /// True once it was asked to end.
     pub stopping: watch::Receiver<bool>,
+    /// Told when this process takes charge of something.
+    pub duty_taken: Notify,
     /// Told when the registered workers change.
     pub workers_changed: watch::Sender<u64>,
     view: Mutex<View>,
@@ -93,6 +95,7 @@
             submitter: Submitter::new(),
             metrics,
             stopping,
+            duty_taken: Notify::new(),
             workers_changed: watch::Sender::new(0),
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
