A worker that nobody answers for and that no host has is over

Now a worker whose host answers that nobody listens there is told to the owner of the hosts, which looks for that life in a list that it reads after that. Silence or a missing entry alone still prove nothing.

--- /dev/null
+++ b/reachhead_jobs/src/lives.rs
@@ -0,0 +1,31 @@
+//! Which lives of workers are over.
+//!
+//! A worker that is cut off runs on, so silence proves nothing, nor does a missing registration. Two words together
+//! do: its host answered that nobody listens there, and the platform's list of hosts, read after that, has no host
+//! with that life. A worker that an owner lost by a crash of its own, a move or maintenance is known as over by that
+//! within a round, where its leases would be waited out for 8.6 s and no host of the pool be given away meanwhile.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use reachhead_types::id::{HostId, PoolName, WorkerId};
+
+use crate::ports::Machine;
+
+/// A worker of a pool that nobody answers for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Deserted {
+    /// The pool that may have used it.
+    pub pool: PoolName,
+    /// The life.
+    pub worker: WorkerId,
+}
+
+/// Returns those that no host has; `machines` is a list that was read after their owners told of them.
+pub fn ended<'a>(
+    deserted: &'a [Deserted],
+    machines: &BTreeMap<HostId, Machine>,
+) -> impl Iterator<Item = &'a Deserted> {
+    let alive: BTreeSet<WorkerId> =
+        machines.values().filter_map(|machine| machine.worker.clone()).collect();
+    deserted.iter().filter(move |deserted| !alive.contains(&deserted.worker))
+}
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -48,6 +48,10 @@
     pub arrived: u64,
     /// The workers that can be used.
     pub workers: Vec<WorkerLoad>,
+    /// Workers whose hosts answer that nobody listens there. The platform's list of hosts tells whether their lives are
+    /// over, which ends the wait for what may run on them.
+    #[serde(default)]
+    pub deserted: Vec<WorkerId>,
     /// The owner is new and does not know yet what runs where.
     pub unsettled: bool,
 }
@@ -127,6 +131,7 @@
             extra: u32::from(self.cramped > now),
             arrived: self.arrivals.total,
             workers: self.worker_loads(now),
+            deserted: self.deserted(),
             unsettled: !self.listed || !self.pending.is_empty(),
         }
     }
@@ -145,6 +150,11 @@
             .collect()
     }
 
+    fn deserted(&self) -> Vec<WorkerId> {
+        let workers = self.workers.values().filter(|worker| worker.deserted);
+        workers.map(|worker| worker.info.id.clone()).collect()
+    }
+
     fn is_lasting(&self, task: crate::task::TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         job.is_some_and(|job| {
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -66,7 +66,9 @@
                 run.doubtful = true;
                 run.retry = now + ORDER_PAUSE;
             }
-            Err(WorkerError::Unreachable(_)) if run.doubtful => run.retry = now + ORDER_PAUSE,
+            Err(WorkerError::Unreachable(_) | WorkerError::Deserted(_)) if run.doubtful => {
+                run.retry = now + ORDER_PAUSE
+            }
             Err(WorkerError::Rejected(Rejection::Fenced)) => {
                 run.retry = now + ORDER_PAUSE;
                 self.actions.push(Action::Fenced);
@@ -105,7 +107,7 @@
                 }
             }
             WorkerError::Rejected(Rejection::Ticket) => self.advice.refuse(task.step_id(), id),
-            WorkerError::Unreachable(_) => {
+            WorkerError::Unreachable(_) | WorkerError::Deserted(_) => {
                 if let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.silent) {
                     worker.silent = true;
                     worker.silent_since = now;
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -64,6 +64,7 @@
             worker.silent_since = now;
         }
         worker.silent = true;
+        worker.deserted = matches!(error, WorkerError::Deserted(_));
         if first {
             let text = format!("worker={id} runs={} error=\"{error}\"", worker.runs.len());
             self.note(NoteKind::WorkerDoubted, text);
@@ -80,6 +81,7 @@
         };
         worker.reading = Some(Reading { shown: report.clock, at: now });
         worker.silent = false;
+        worker.deserted = false;
         worker.answered = true;
         worker.misses = 0;
         let noted = worker.noted;
--- a/reachhead_jobs/src/ports.rs
+++ b/reachhead_jobs/src/ports.rs
@@ -70,6 +70,9 @@
     /// No connection could be made, so nothing was done.
     #[error("no connection: {0}")]
     Unreachable(String),
+    /// The worker's host answers that nobody listens there, so nothing was done.
+    #[error("nobody there: {0}")]
+    Deserted(String),
     /// There is no answer; the call may have been carried out, or still may be.
     #[error("no answer: {0}")]
     Lost(String),
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -143,6 +143,8 @@
     pub granted: WorkerTime,
     /// Its last call failed.
     pub silent: bool,
+    /// It is silent, and its host answered last that nobody listens there.
+    pub deserted: bool,
     /// It has answered this owner, so no order of a predecessor counts there any more.
     pub answered: bool,
     /// Where the long poll stands.
@@ -194,6 +196,7 @@
             reading: None,
             granted: WorkerTime(0),
             silent: false,
+            deserted: false,
             answered: false,
             poll: Poll::Due(now),
             misses: 0,
--- a/reachhead_jobs/tests/pool/desk.rs
+++ b/reachhead_jobs/tests/pool/desk.rs
@@ -223,6 +223,12 @@
         self.pool.held(name, self.now, Err(error), self.now);
     }
 
+    /// The worker's host answers that nobody listens there.
+    pub fn desert(&mut self, name: &WorkerId) {
+        let error = WorkerError::Deserted("connection refused".to_owned());
+        self.pool.held(name, self.now, Err(error), self.now);
+    }
+
     /// The worker has the run, and the owner is told.
     pub fn accept(&mut self, name: &WorkerId, order: &StartOrder) {
         self.runs(name, order.task, order.run.0, 0);
--- a/reachhead_jobs/tests/pool/inherit.rs
+++ b/reachhead_jobs/tests/pool/inherit.rs
@@ -1,12 +1,18 @@
 //! Taking charge of a pool.
 
-use reachhead_jobs::{model::Step, ports::RunEnd};
+use std::collections::BTreeMap;
+
+use reachhead_jobs::{
+    lives::{self, Deserted},
+    model::Step,
+    ports::{Machine, MachineState, RunEnd},
+};
 use reachhead_types::{
     id::JobId,
     size::{Millis, Revision},
 };
 
-use crate::desk::{Desk, info, left, step, task, worker};
+use crate::desk::{Desk, info, left, pool_name, step, task, worker};
 
 #[test]
 fn a_run_that_a_worker_reports_is_taken_over_and_not_started_again() {
@@ -153,3 +159,48 @@
     }
     assert_eq!(desk.pool.workers()[&id].seen, 1);
 }
+
+/// Hosts moved and all processes lost power before the roster said so: the successor asks workers that are gone.
+#[test]
+fn a_worker_that_nobody_answers_for_holds_the_pool_up_only_until_the_platform_lacks_it() {
+    let found = left(vec![(1, vec![step(1)])], vec![("w", None), ("v", None)]);
+    let mut desk = Desk::new(found, vec![info("w", 4)]);
+    desk.poll();
+    desk.flush();
+    desk.report(&worker("w"));
+    desk.miss(&worker("v"));
+    assert!(desk.pool.load(desk.now).deserted.is_empty(), "silence alone proves nothing");
+    desk.desert(&worker("v"));
+    assert!(desk.starts().is_empty(), "it may run there until the platform says otherwise");
+    let told: Vec<Deserted> = desk
+        .pool
+        .load(desk.now)
+        .deserted
+        .into_iter()
+        .map(|worker| Deserted { pool: pool_name(), worker })
+        .collect();
+    let host = |id: &str| Machine {
+        host: "m".parse().unwrap(),
+        pool: pool_name(),
+        state: MachineState::Up,
+        worker: Some(worker(id)),
+    };
+    let machines = |id: &str| BTreeMap::from([("m".parse().unwrap(), host(id))]);
+    assert_eq!(lives::ended(&told, &machines("v")).count(), 0, "its host still has it");
+    let over: Vec<&Deserted> = lives::ended(&told, &machines("another")).collect();
+    assert_eq!(over.len(), 1);
+    desk.pool.worker_over(&over[0].worker, "the platform has no host with it");
+    assert_eq!(desk.starts().len(), 1);
+}
+
+#[test]
+fn a_worker_that_answers_again_is_not_deserted() {
+    let mut desk = Desk::ready(vec![info("w", 4)]);
+    desk.desert(&worker("w"));
+    assert_eq!(desk.pool.load(desk.now).deserted, [worker("w")]);
+    desk.miss(&worker("w"));
+    assert!(desk.pool.load(desk.now).deserted.is_empty(), "it may be there and not answer");
+    desk.desert(&worker("w"));
+    desk.report(&worker("w"));
+    assert!(desk.pool.load(desk.now).deserted.is_empty());
+}
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -10,6 +10,7 @@
 use reachhead_jobs::{
     authority::Predecessor,
     clock::Tick,
+    lives::{self, Deserted},
     pool::{Haste, Vacancy},
     ports::{Machine, MachineError, MachineState},
     record::{LeaseRecord, lease_key, value},
@@ -294,6 +295,7 @@
             .map(|(host, _)| host.clone())
             .collect();
         let now = self.node.now();
+        self.bury_deserted(now);
         for host in hosts {
             if let Some(victim) = self.victims.remove(&host) {
                 let due = self.waves.values().any(|held| held.wave.is_due(&host));
@@ -307,6 +309,17 @@
         self.tell_owners(now).await;
     }
 
+    /// Notes which workers that nobody answers for are over; the list was read after the last round of moves.
+    fn bury_deserted(&mut self, now: Tick) {
+        for ended in lives::ended(self.moves.deserted(), &self.machines) {
+            if self.buried.iter().any(|buried| buried.worker == ended.worker) {
+                continue;
+            }
+            let Deserted { pool, worker } = ended.clone();
+            self.buried.push(Buried { pool, worker, at: now, told: None });
+        }
+    }
+
     /// Tells the owners of pools of the lives that are over, and their successors once more: who takes a pool
     /// over would wait for a worker's answer until its leases have lapsed.
     async fn tell_owners(&mut self, now: Tick) {
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -67,6 +67,7 @@
         let result = match result {
             Ok(_) => "done",
             Err(WorkerError::Unreachable(_)) => "unreachable",
+            Err(WorkerError::Deserted(_)) => "deserted",
             Err(WorkerError::Lost(_)) => "lost",
             Err(WorkerError::Replaced) => "replaced",
             Err(WorkerError::Rejected(_)) => "rejected",
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -6,12 +6,13 @@
 use reachhead_jobs::{
     balance::{Balance, Move, PoolState},
     clock::Tick,
+    lives::Deserted,
     pool::{Haste, Vacancy},
     ports::{Machine, MachineApi, MachineError, MachineState},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
-    id::{HostId, PoolName},
+    id::{HostId, PoolName, WorkerId},
     size::Millis,
 };
 use tokio::time;
@@ -60,13 +61,22 @@
     ordered: BTreeMap<HostId, Ordered>,
     /// When the last round looked at the pools.
     last: Tick,
+    /// Workers that nobody answers for, with their pools, as of the last round.
+    deserted: Vec<Deserted>,
 }
 
 impl Moves {
     /// Returns no moves, which will be ordered on this authority.
     pub fn new(node: Arc<Node>, authority: Arc<Authority>) -> Self {
         let last = node.now();
-        Self { node, authority, balance: Balance::new(), ordered: BTreeMap::new(), last }
+        Self {
+            node,
+            authority,
+            balance: Balance::new(),
+            ordered: BTreeMap::new(),
+            last,
+            deserted: Vec::new(),
+        }
     }
 
     /// Looks at all pools and moves what should be elsewhere. `held` are hosts that something else is
@@ -77,6 +87,7 @@
         held: impl Fn(&HostId) -> bool,
     ) -> Vec<Moved> {
         let pools = self.pools().await;
+        self.deserted = deserted(&pools);
         let now = self.node.now();
         let machines = self.corrected(machines, now);
         let mut steps = self.balance.next(&machines, &pools, held, now);
@@ -90,6 +101,11 @@
         moved.into_iter().flatten().collect()
     }
 
+    /// Returns the workers that nobody answers for, as their pools' owners said in the last round.
+    pub fn deserted(&self) -> &[Deserted] {
+        &self.deserted
+    }
+
     /// Returns how many moves may be begun now by the platform's rate.
     fn allowance(&mut self, now: Tick) -> usize {
         let since = now.since(std::mem::replace(&mut self.last, now));
@@ -157,3 +173,12 @@
         })
     }
 }
+
+fn deserted(pools: &BTreeMap<PoolName, PoolState>) -> Vec<Deserted> {
+    let mut found = Vec::new();
+    for (pool, state) in pools {
+        let of_pool = |worker: &WorkerId| Deserted { pool: pool.clone(), worker: worker.clone() };
+        found.extend(state.load.deserted.iter().map(of_pool));
+    }
+    found
+}
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner.rs
@@ -255,7 +255,7 @@
             }
             Input::Over(workers) => {
                 for worker in workers {
-                    self.pool.worker_over(&worker, "its host was taken");
+                    self.pool.worker_over(&worker, "the platform has no host with it");
                 }
             }
             Input::Listed(workers) => self.pool.list(workers, now),
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -33,6 +34,9 @@
     /// Nothing of the call was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing of the call was sent: the peer's host answers that nobody listens at the address.
+    #[error("nobody listens there: {0}")]
+    NoListener(String),
     /// The call was sent, and there is no whole answer.
     #[error("{0}")]
     Lost(String),
@@ -61,7 +65,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`CallError`]; `NotSent` only where no byte of the request was written.
+    /// Any [`CallError`]; `Lost` unless no byte of the request was written.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -156,10 +160,13 @@
     let connecting = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok::<_, std::io::Error>(stream)
+        Ok::<_, io::Error>(stream)
     };
     let stream = match time::timeout_at(end, connecting).await {
         Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(CallError::NoListener(error.to_string()));
+        }
         Ok(Err(error)) => return Err(CallError::NotSent(error.to_string())),
         Err(_) => return Err(CallError::NotSent("no connection before the deadline".to_owned())),
     };
