Jobs that arrive are counted, one large job is no burst, and what pools have and need is logged

Now arrivals are counted by queue, a job is taken for as large as those of its queue are on average, and a rise counts only beyond what chance explains (the root of the count).

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -56,9 +56,24 @@
 /// worker joins within a second after its host is back, and short cuts are not worth a move.
 const ABSENT_TIME: Millis = Millis(1500);
 
+/// What a pool has and needs, as a round found it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Room {
+    /// The pool.
+    pub pool: PoolName,
+    /// Hosts that it has or that are on their way to it.
+    pub have: usize,
+    /// Hosts that it should have.
+    pub want: usize,
+    /// Hosts of it that may leave now.
+    pub free: usize,
+}
+
 /// What is remembered from round to round.
 #[derive(Debug, Clone, Default)]
 pub struct Balance {
+    /// What the last round found.
+    rooms: Vec<Room>,
     /// Since when a pool has had more hosts than it needs.
     idle: BTreeMap<PoolName, Tick>,
     /// When a host was last seen to be somewhere new.
@@ -78,6 +93,13 @@
     free: Vec<Move>,
 }
 
+impl Account {
+    fn room(&self) -> Room {
+        let free = self.free.len();
+        Room { pool: self.pool.clone(), have: self.have, want: self.want, free }
+    }
+}
+
 impl Balance {
     /// Returns a balance that remembers nothing.
     pub fn new() -> Self {
@@ -105,6 +127,7 @@
                 Some(self.account(name, state, size, machines, &held, now))
             })
             .collect();
+        self.rooms = accounts.iter().map(Account::room).collect();
         let mut off: Vec<Move> = match &spare {
             Some(spare) => parked(spare, machines, &held),
             None => Vec::new(),
@@ -117,6 +140,11 @@
         moves
     }
 
+    /// Returns what the last round found, before its moves.
+    pub fn rooms(&self) -> &[Room] {
+        &self.rooms
+    }
+
     fn remember(&mut self, machines: &BTreeMap<HostId, Machine>, now: Tick) {
         for machine in machines.values() {
             let known = self.place.insert(machine.host.clone(), machine.pool.clone());
--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -70,8 +70,14 @@
 #[derive(Debug, Clone, Default)]
 pub struct Experience {
     durations: BTreeMap<RouteName, Durations>,
-    /// Mean work of a queue's jobs, in thousandths of a core times milliseconds.
-    work: BTreeMap<RouteName, f64>,
+    work: BTreeMap<RouteName, Work>,
+}
+
+/// The work of a queue's jobs, in thousandths of a core times milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Work {
+    count: u32,
+    mean: f64,
 }
 
 impl Experience {
@@ -81,12 +87,18 @@
         durations.learn(guess, real);
     }
 
-    /// Notes a job that was accepted, and returns its work.
-    pub fn admit(&mut self, queue: &RouteName, plan: &Plan) -> f64 {
+    /// Notes a job that was accepted.
+    pub fn admit(&mut self, queue: &RouteName, plan: &Plan) {
         let work: f64 = plan.steps.iter().map(|step| self.step_work(queue, step)).sum();
-        let mean = self.work.entry(queue.clone()).or_insert(work);
-        *mean += LEARNING_RATE * (work - *mean);
-        work
+        let seen = self.work.entry(queue.clone()).or_default();
+        seen.count += 1;
+        let rate = LEARNING_RATE.max(1.0 / f64::from(seen.count));
+        seen.mean += rate * (work - seen.mean);
+    }
+
+    /// Returns the mean work of a queue's jobs, in thousandths of a core times milliseconds.
+    pub fn mean_work(&self, queue: &RouteName) -> f64 {
+        self.work.get(queue).map_or(0.0, |seen| seen.mean)
     }
 
     /// Returns how long a task of the step will take.
@@ -122,7 +134,7 @@
         } else {
             Class::Missed
         };
-        let mean = self.work.get(&job.queue.name).copied().unwrap_or(1.0).max(1.0);
+        let mean = self.mean_work(&job.queue.name).max(1.0);
         // A job earns a part by its number and a part by its work; what is left decides the price.
         let worth = 0.3 + 0.7 * (left.whole / mean).min(4.0);
         Rank { class, priority: job.queue.priority, key: left.work.max(1.0) / worth }
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -1,8 +1,11 @@
 //! How much room a pool needs now, for whoever moves hosts between pools.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_types::{
+    id::{RouteName, WorkerId},
+    size::Millis,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{clock::Tick, job::Phase, order::Class, pool::Pool};
@@ -15,7 +18,7 @@
 const TREND_TIME: u64 = 1500;
 
 /// The most that a rising rate is taken to become, in multiples of what it is.
-const TREND_MOST: u64 = 3;
+const TREND_MOST: f64 = 3.0;
 
 /// Time in which the work that waits should have begun.
 const BACKLOG_TIME: u64 = 1000;
@@ -44,8 +47,6 @@
     pub least: u32,
     /// Workers that it needs beyond that for a while, since tasks that have to leave find no place.
     pub extra: u32,
-    /// Work that arrived in all, in thousandths of a core times milliseconds.
-    pub arrived: u64,
     /// The workers that can be used.
     pub workers: Vec<WorkerLoad>,
     /// Workers whose hosts answer that nobody listens there. The platform's list of hosts tells whether their lives are
@@ -56,41 +57,42 @@
     pub unsettled: bool,
 }
 
-/// Work that arrived lately.
+/// When the jobs of each queue arrived lately.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Arrivals {
-    recent: VecDeque<Arrival>,
-    total: u64,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Arrival {
-    at: Tick,
-    work: u64,
+    queues: BTreeMap<RouteName, VecDeque<Tick>>,
 }
 
 impl Arrivals {
-    /// Notes work, in thousandths of a core times milliseconds.
-    pub(super) fn note(&mut self, at: Tick, work: u64) {
-        self.total += work;
-        self.recent.push_back(Arrival { at, work });
+    /// Notes a job.
+    pub(super) fn note(&mut self, queue: &RouteName, at: Tick) {
+        self.queues.entry(queue.clone()).or_default().push_back(at);
     }
 
-    /// Returns the work that will arrive in a millisecond when a host that is asked for now has come: what
-    /// arrives now, and more if it was less just before.
-    fn forecast(&mut self, now: Tick) -> u64 {
-        let age = |arrival: &Arrival| now.since(arrival.at);
-        while self.recent.front().is_some_and(|first| age(first) > Millis(2 * RATE_WINDOW.0)) {
-            self.recent.pop_front();
-        }
-        let (mut latest, mut before) = (0, 0);
-        for arrival in &self.recent {
-            let sum = if age(arrival) <= RATE_WINDOW { &mut latest } else { &mut before };
-            *sum += arrival.work;
-        }
-        let rise = latest.saturating_sub(before) * TREND_TIME / RATE_WINDOW.0;
-        (latest + rise).min(TREND_MOST * latest) / RATE_WINDOW.0
+    /// Returns the work that will arrive in a millisecond when a host that is asked for now has come. Jobs are counted
+    /// and taken for as large as those of their queue are on average: one large job is no burst.
+    fn forecast(&mut self, now: Tick, mean: impl Fn(&RouteName) -> f64) -> u64 {
+        let sum: f64 = self
+            .queues
+            .iter_mut()
+            .map(|(queue, arrived)| expected_jobs(arrived, now) * mean(queue))
+            .sum();
+        (sum / RATE_WINDOW.0 as f64) as u64
+    }
+}
+
+/// Returns how many jobs will arrive in a window when a host that is asked for now has come: as many as in the
+/// latest, and more if they were fewer just before by more than chance explains.
+fn expected_jobs(arrived: &mut VecDeque<Tick>, now: Tick) -> f64 {
+    while arrived.front().is_some_and(|at| now.since(*at) > Millis(2 * RATE_WINDOW.0)) {
+        arrived.pop_front();
     }
+    let latest = arrived.iter().filter(|at| now.since(**at) <= RATE_WINDOW).count() as f64;
+    let before = arrived.len() as f64 - latest;
+    let chance = (latest + before).sqrt();
+    let rise = (latest - before - chance).max(0.0);
+    let ahead = TREND_TIME as f64 / RATE_WINDOW.0 as f64;
+    (latest + rise * ahead).min(TREND_MOST * latest)
 }
 
 impl Pool {
@@ -123,13 +125,12 @@
             }
         }
         let busy = running + waiting / BACKLOG_TIME;
-        let rate = self.arrivals.forecast(now);
+        let rate = self.arrivals.forecast(now, |queue| self.experience.mean_work(queue));
         PoolLoad {
             need: lasting + busy.max(rate),
             lasting,
             least,
             extra: u32::from(self.cramped > now),
-            arrived: self.arrivals.total,
             workers: self.worker_loads(now),
             deserted: self.deserted(),
             unsettled: !self.listed || !self.pending.is_empty(),
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -349,9 +349,9 @@
         if over || self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
             return;
         }
-        let work = self.experience.admit(&record.queue.name, &record.plan);
+        self.experience.admit(&record.queue.name, &record.plan);
         if !record.plan.long_running() {
-            self.arrivals.note(now, work as u64);
+            self.arrivals.note(&record.queue.name, now);
         }
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
         let mut job = Job::new(id, record, accepted);
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -4,7 +4,7 @@
 
 use futures::future::join_all;
 use reachhead_jobs::{
-    balance::{Balance, Move, PoolState},
+    balance::{Balance, Move, PoolState, Room},
     clock::Tick,
     lives::Deserted,
     pool::{Haste, Vacancy},
@@ -34,6 +34,9 @@
 /// Part of the platform's rate of orders that moves use; the rest is for maintenance.
 const RATE_PART: f64 = 0.8;
 
+/// Least time between two logs of what the pools have and need.
+const ROOMS_PERIOD: Millis = Millis(400);
+
 /// Moves that are begun in one round at least.
 const ROUND_LEAST: usize = 4;
 
@@ -63,6 +66,9 @@
     last: Tick,
     /// Workers that nobody answers for, with their pools, as of the last round.
     deserted: Vec<Deserted>,
+    /// The rooms that were logged last, and when.
+    told: Vec<Room>,
+    told_at: Tick,
 }
 
 impl Moves {
@@ -76,6 +82,8 @@
             ordered: BTreeMap::new(),
             last,
             deserted: Vec::new(),
+            told: Vec::new(),
+            told_at: last,
         }
     }
 
@@ -91,6 +99,7 @@
         let now = self.node.now();
         let machines = self.corrected(machines, now);
         let mut steps = self.balance.next(&machines, &pools, held, now);
+        self.tell_rooms(now);
         steps.truncate(self.allowance(now));
         let moved = join_all(steps.into_iter().map(|step| self.carry_out(step))).await;
         let now = self.node.now();
@@ -106,6 +115,21 @@
         &self.deserted
     }
 
+    /// Logs what each pool has and needs, now and then, if that has changed.
+    fn tell_rooms(&mut self, now: Tick) {
+        if now.since(self.told_at) < ROOMS_PERIOD || self.balance.rooms() == self.told {
+            return;
+        }
+        self.told_at = now;
+        self.told = self.balance.rooms().to_vec();
+        for Room { pool, have, want, free } in &self.told {
+            emit(
+                Event::RoomPlanned,
+                format_args!("pool={pool} have={have} want={want} free={free}"),
+            );
+        }
+    }
+
     /// Returns how many moves may be begun now by the platform's rate.
     fn allowance(&mut self, now: Tick) -> usize {
         let since = now.since(std::mem::replace(&mut self.last, now));
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -131,6 +131,8 @@
     HostOrdered 721 Info;
     /// A host that is due for maintenance can't be taken yet.
     HostHeld 722 Info;
+    /// What a pool has and needs of hosts has changed.
+    RoomPlanned 723 Info;
     /// Lines of the log were left out, since there were too many.
     LinesDropped 730 Warn;
 }
