--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -1,6 +1,6 @@
 //! Who is in charge of which pool: taking leases, and noticing that an owner is gone.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use reachhead_jobs::{
     candidate::{self, Candidate},
@@ -93,12 +93,7 @@
 pub async fn ping(node: Arc<Node>) {
     loop {
         time::sleep(PING_PERIOD).await;
-        let owners: BTreeMap<NodeName, std::net::SocketAddr> = {
-            let view = node.view();
-            let owners = view.leases.keys().filter_map(|pool| view.owner(pool));
-            owners.filter(|(owner, _)| *owner != node.settings.node).collect()
-        };
-        for (owner, address) in owners {
+        for (owner, address) in asked(&node) {
             let node = Arc::clone(&node);
             tokio::spawn(async move {
                 if let Ok(Reply::Pong(owned, age)) =
@@ -112,6 +107,20 @@
     }
 }
 
+/// Returns whom to ask: the owners, and all peers while the store fails for this process, which then has only their word
+/// of who owns what and who can store a job.
+fn asked(node: &Node) -> BTreeMap<NodeName, SocketAddr> {
+    let view = node.view();
+    let owners = view.leases.keys().filter_map(|pool| view.owner(pool));
+    let mut asked: BTreeMap<NodeName, SocketAddr> = owners.collect();
+    if view.store_failing {
+        let members = view.members.iter();
+        asked.extend(members.map(|(peer, member)| (peer.clone(), member.address)));
+    }
+    asked.remove(&node.settings.node);
+    asked
+}
+
 struct Claims {
     node: Arc<Node>,
     started: Tick,
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -139,6 +139,7 @@
             }
             Err(FeedError::Forgotten) => return,
             Err(FeedError::Store(error)) => {
+                node.note_store::<()>(&Err(error.clone()));
                 log::info!("table={} can't be followed: {error}", follower.table());
                 time::sleep(jittered(pause)).await;
                 pause = (pause * 2).min(PAUSE_MOST);
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -170,6 +170,7 @@
         match result {
             Ok(_) | Err(StoreError::Refused(_)) => {
                 view.store_seen = now;
+                view.store_failing = false;
                 if age >= LOST_AGE {
                     view.store_since = now;
                 }
@@ -178,6 +179,7 @@
                 }
             }
             Err(error) => {
+                view.store_failing = true;
                 if !view.store_lost && age >= LOST_AGE {
                     view.store_lost = true;
                     emit(Event::StoreLost, format_args!("age={age}ms error=\"{error}\""));
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -19,7 +19,10 @@
     record::{JobRecord, final_key, job_key, value},
     shard::Shard,
 };
-use reachhead_ops::event::{Event, emit};
+use reachhead_ops::{
+    client::CallError,
+    event::{Event, emit},
+};
 use reachhead_store::{
     StoreError,
     row::{Commit, Conflict, Txn},
@@ -86,6 +89,8 @@
     pub doubtful: bool,
     /// It is stored from here, whoever owns the pool: a peer handed it on, or could not be reached.
     pub direct: bool,
+    /// A caller of this process handed it in, so a peer may be asked to store it.
+    pub own: bool,
     /// Set by whoever is first: what sends it, or the caller that waits no longer.
     taken: Arc<AtomicBool>,
     /// It was sent, so the caller can't withdraw it any more.
@@ -171,8 +176,17 @@
         let (reply, answer) = oneshot::channel();
         let taken = Arc::new(AtomicBool::new(false));
         let withdrawn = Arc::clone(&taken);
-        let submission =
-            Submission { id, record, until, reply, doubtful: false, direct, taken, sent: false };
+        let submission = Submission {
+            id,
+            record,
+            until,
+            reply,
+            doubtful: false,
+            direct,
+            own: !direct,
+            taken,
+            sent: false,
+        };
         let pool = submission.record.queue.pool.clone();
         let sent = self.queue(node, Place { pool, shard: Shard::of(id) }).send(submission);
         if sent.is_err() {
@@ -282,6 +296,11 @@
     let outcomes = match node.peers.ask(owner, &ask, HAND_ON_TIME).await {
         Ok(Reply::Stored(outcomes)) if outcomes.len() == batch.len() => outcomes,
         Ok(_) => vec![StoreOutcome::Unknown; batch.len()],
+        Err(CallError::NotSent(error) | CallError::NoListener(error)) => {
+            log::info!("pool={pool} owner={owner} was not asked: {error}");
+            let again = batch.into_iter().filter(|submission| submission.until > Instant::now());
+            return again.map(|submission| Submission { direct: true, ..submission }).collect();
+        }
         Err(error) => {
             log::info!("pool={pool} owner={owner} stores nothing: {error}");
             vec![StoreOutcome::Unknown; batch.len()]
@@ -351,12 +370,30 @@
             Vec::new()
         }
         Err(StoreError::NotDone(_) | StoreError::Busy(_)) => {
-            refuse(batch, ErrorKind::NotStored);
-            Vec::new()
+            let (own, others): (Vec<Submission>, Vec<Submission>) =
+                batch.into_iter().partition(|submission| submission.own);
+            refuse(others, ErrorKind::NotStored);
+            relay(node, pool, own).await
         }
     }
 }
 
+/// Hands jobs that the store did not take from this process to a peer that reaches it; returns those of which nothing is
+/// decided. The store may turn away single processes, and the callers of these have few tries.
+async fn relay(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>) -> Vec<Submission> {
+    if batch.is_empty() {
+        return batch;
+    }
+    let peer = node.view().sighted_peer(node.now(), HEARD_TIME, SIGHT_AGE);
+    let Some(peer) = peer else {
+        refuse(batch, ErrorKind::NotStored);
+        return Vec::new();
+    };
+    // Whatever comes of it, it is the last try but for those that may be stored.
+    let batch = batch.into_iter().map(|submission| Submission { own: false, ..submission });
+    hand_on(node, pool, peer, batch.collect()).await
+}
+
 fn accept(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>, revision: Revision) {
     let mut jobs = Vec::with_capacity(batch.len());
     for submission in batch {
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -12,7 +12,7 @@
 };
 use reachhead_types::{
     id::{NodeName, PoolName, WaveName, WorkerId},
-    size::Revision,
+    size::{Millis, Revision},
 };
 
 /// A lease as the store has it.
@@ -66,18 +66,48 @@
     pub store_seen: Tick,
     /// Since when it has answered without a gap.
     pub store_since: Tick,
+    /// The last call to the store failed.
+    pub store_failing: bool,
     /// It was logged that the store is lost.
     pub store_lost: bool,
 }
 
 impl View {
-    /// Returns where the owner of a pool answers, unless this process does not know it.
+    /// Returns where the owner of a pool answers, unless this process does not know it. A peer that says that it
+    /// holds a newer lease is believed: a process that the store turns away does not see leases change.
     pub fn owner(&self, pool: &PoolName) -> Option<(NodeName, SocketAddr)> {
-        let owner = self.leases.get(pool)?.record.owner.clone()?;
+        let lease = self.leases.get(pool);
+        let revision = lease.map(|lease| lease.revision).unwrap_or_default();
+        let claimed = self
+            .heard
+            .iter()
+            .filter_map(|(peer, heard)| Some((*heard.owned.get(pool)?, peer)))
+            .filter(|(token, _)| *token > revision)
+            .max();
+        let owner = match claimed {
+            Some((_, peer)) => peer.clone(),
+            None => lease?.record.owner.clone()?,
+        };
         let address = self.members.get(&owner)?.address;
         Some((owner, address))
     }
 
+    /// Returns where a peer answers that has reached the store lately, the one that did so last.
+    pub fn sighted_peer(
+        &self,
+        now: Tick,
+        heard_time: Millis,
+        store_age: Millis,
+    ) -> Option<SocketAddr> {
+        let lately =
+            |heard: &Heard| now.since(heard.at) <= heard_time && heard.store_age <= store_age.0;
+        self.heard
+            .iter()
+            .filter(|(_, heard)| lately(heard))
+            .min_by_key(|(_, heard)| heard.store_age)
+            .and_then(|(peer, _)| Some(self.members.get(peer)?.address))
+    }
+
     /// Returns a process as a candidate for pools.
     pub fn candidate<'a>(&self, node: &'a NodeName, member: &MemberRecord) -> Candidate<'a> {
         let own = |lease: &&LeaseView| lease.record.owner.as_ref() == Some(node);
