--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod fence;
 pub mod job;
+pub mod liveness;
 pub mod lives;
 pub mod model;
 pub mod order;
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -5,6 +5,7 @@
 use reachhead_jobs::{
     candidate::{self, Candidate},
     clock::{Tick, stretched},
+    liveness::StoreSight,
     model::PoolPolicy,
     pool::{Inheritance, Pool, Tuning},
 };
@@ -37,15 +38,6 @@
 /// frozen process that is usual, and short enough that workers' leases outlast the change of hands.
 const SILENT_TIME: Millis = Millis(1100);
 
-/// How long an owner must be without the store, while this process reaches it, before its pools are
-/// taken: it can't record anything. The polls of an idle owner are answered every second, with a slow
-/// store half a second later.
-const BLIND_TIME: Millis = Millis(1800);
-
-/// How long this process must have reached the store without a gap before it takes the pools of owners that
-/// do not: after an outage for all, some reach it again a second or two before others.
-const SIGHT_TIME: Millis = Millis(2000);
-
 /// How recently the store must have answered this process for it to take a pool: longer than the polls
 /// of a followed table, which are the only calls of an idle process.
 const FRESH_TIME: Millis = Millis(1600);
@@ -96,10 +88,9 @@
         for (owner, address) in asked(&node) {
             let node = Arc::clone(&node);
             tokio::spawn(async move {
-                if let Ok(Reply::Pong(owned, age)) =
-                    node.peers.ask(address, &Ask::Ping, PING_TIME).await
+                if let Ok(Reply::Pong(pong)) = node.peers.ask(address, &Ask::Ping, PING_TIME).await
                 {
-                    let heard = Heard { at: node.now(), owned, store_age: age };
+                    let heard = Heard { at: node.now(), pong };
                     node.view().heard.insert(owner, heard);
                 }
             });
@@ -215,9 +206,10 @@
         let Some(heard) = heard.filter(|heard| heard.at > lease.since) else {
             return false;
         };
-        let absent = heard.owned.get(pool).is_none_or(|token| *token < lease.revision);
+        let absent = heard.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
         let unowned = absent && now.since(lease.since) > SILENT_TIME;
-        let blind = heard.store_age > BLIND_TIME.0 && now.since(view.store_since) > SIGHT_TIME;
+        let sight = StoreSight { age: Millis(heard.pong.store_age), failing: heard.pong.failing };
+        let blind = sight.is_blind(now.since(view.store_since));
         unowned || blind
     }
 
@@ -250,7 +242,7 @@
     let now = node.now();
     let view = node.view();
     let ended = view.heard.get(owner).is_some_and(|heard| {
-        let absent = heard.owned.get(pool).is_none_or(|token| *token < lease.revision);
+        let absent = heard.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
         absent && heard.at > lease.since
     });
     if ended && now.since(lease.since) >= tuning.inheritance() {
--- a/reachhead_node/src/fleet.rs
+++ b/reachhead_node/src/fleet.rs
@@ -54,7 +54,7 @@
     let owner = lease.record.owner.as_ref();
     let heard = owner.and_then(|owner| view.heard.get(owner));
     let denies =
-        |heard: &&Heard| heard.owned.get(&name()).is_none_or(|token| *token < lease.revision);
+        |heard: &&Heard| heard.pong.owned.get(&name()).is_none_or(|token| *token < lease.revision);
     let predecessor = Predecessor {
         record: &lease.record,
         since: lease.since,
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -152,7 +152,7 @@
             format_args!(
                 "pool={pool} owner={owner} token={} silent={silent:?} store_age={:?}",
                 lease.revision,
-                heard.map(|heard| heard.store_age)
+                heard.map(|heard| heard.pong.store_age)
             ),
         );
     }
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -90,9 +90,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reply {
-    /// The pools that the process is in charge of, with its tokens, and how long ago it reached the
-    /// store, in milliseconds.
-    Pong(BTreeMap<PoolName, Revision>, u64),
+    /// What the process is in charge of, and how it reaches the store.
+    Pong(Pong),
     /// The process is not in charge of the pool.
     NotOwner,
     /// What became of each job that was to be stored, in their order.
@@ -111,6 +110,18 @@
     Load(PoolLoad),
 }
 
+/// What a process says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pong {
+    /// The pools that it is in charge of, with its tokens.
+    pub owned: BTreeMap<PoolName, Revision>,
+    /// How long ago the store answered it, in milliseconds.
+    pub store_age: u64,
+    /// Its last call to the store failed.
+    #[serde(default)]
+    pub failing: bool,
+}
+
 /// A client of peers.
 #[derive(Clone)]
 pub struct PeerClient {
@@ -168,8 +179,10 @@
         for (pool, owner) in self.0.owned().iter() {
             owned.insert(pool.clone(), owner.token);
         }
-        let age = self.0.now().since(self.0.view().store_seen);
-        Reply::Pong(owned, age.0)
+        let now = self.0.now();
+        let view = self.0.view();
+        let store_age = now.since(view.store_seen).0;
+        Reply::Pong(Pong { owned, store_age, failing: view.store_failing })
     }
 }
 
--- a/reachhead_node/src/relief.rs
+++ b/reachhead_node/src/relief.rs
@@ -99,7 +99,7 @@
 /// Tells whether the process lives, is quick and reaches the store.
 async fn answers(node: &Node, successor: &Successor) -> bool {
     let pong = node.peers.ask(successor.address, &Ask::Ping, ANSWER_TIME).await;
-    matches!(pong, Ok(Reply::Pong(_, age)) if age <= STORE_AGE)
+    matches!(pong, Ok(Reply::Pong(pong)) if pong.store_age <= STORE_AGE)
 }
 
 async fn hand_over(pool: &PoolName, handle: &OwnerHandle, successor: &Successor) {
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -274,8 +274,9 @@
     let view = node.view();
     let (owner, address) = view.owner(pool)?;
     let heard = view.heard.get(&owner)?;
-    let lately = node.now().since(heard.at) <= HEARD_TIME && heard.store_age <= STORE_AGE.0;
-    (owner != node.settings.node && lately && heard.owned.contains_key(pool)).then_some(address)
+    let lately = node.now().since(heard.at) <= HEARD_TIME && heard.pong.store_age <= STORE_AGE.0;
+    (owner != node.settings.node && lately && heard.pong.owned.contains_key(pool))
+        .then_some(address)
 }
 
 /// Hands jobs to the owner of their pool, which stores those of all processes together; returns those of
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -15,6 +15,8 @@
     size::{Millis, Revision},
 };
 
+use crate::peer::Pong;
+
 /// A lease as the store has it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseView {
@@ -26,15 +28,13 @@
     pub since: Tick,
 }
 
-/// What was heard of an owner of pools.
+/// What was heard of a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Heard {
     /// When it last answered.
     pub at: Tick,
-    /// The pools of which it says that it is in charge, with its token for each.
-    pub owned: BTreeMap<PoolName, Revision>,
-    /// How long before its answer it last reached the store, in milliseconds.
-    pub store_age: u64,
+    /// What it said of itself.
+    pub pong: Pong,
 }
 
 /// Everything that a process follows.
@@ -81,7 +81,7 @@
         let claimed = self
             .heard
             .iter()
-            .filter_map(|(peer, heard)| Some((*heard.owned.get(pool)?, peer)))
+            .filter_map(|(peer, heard)| Some((*heard.pong.owned.get(pool)?, peer)))
             .filter(|(token, _)| *token > revision)
             .max();
         let owner = match claimed {
@@ -99,12 +99,13 @@
         heard_time: Millis,
         store_age: Millis,
     ) -> Option<SocketAddr> {
-        let lately =
-            |heard: &Heard| now.since(heard.at) <= heard_time && heard.store_age <= store_age.0;
+        let lately = |heard: &Heard| {
+            now.since(heard.at) <= heard_time && heard.pong.store_age <= store_age.0
+        };
         self.heard
             .iter()
             .filter(|(_, heard)| lately(heard))
-            .min_by_key(|(_, heard)| heard.store_age)
+            .min_by_key(|(_, heard)| heard.pong.store_age)
             .and_then(|(peer, _)| Some(self.members.get(peer)?.address))
     }
 
