--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -89,6 +89,10 @@
     /// Hosts that it has or that are on their way to it.
     have: usize,
     want: usize,
+    /// Its owner has seen work arrive. Before that its hosts stay on: a lull is no news then, and the first burst of a
+    /// day meets them. The first four seconds of days with bursts at once earned 0.1 to 0.2 more, means of 30 played
+    /// days 0.01 and on ten with 350 hosts 0.02; quiet days the same.
+    begun: bool,
     /// Hosts that may leave.
     free: Vec<Move>,
 }
@@ -202,7 +206,7 @@
         }
         free.sort_by(|a, b| a.host.cmp(&b.host));
         let want = wanted(&state.load, size);
-        Account { pool: pool.clone(), have, want, free }
+        Account { pool: pool.clone(), have, want, begun: state.load.begun, free }
     }
 
     /// Tells whether a host whose worker is of no use may be waited for.
@@ -234,7 +238,7 @@
     fn park(&mut self, accounts: &[Account], spare: &PoolName, moves: &mut Vec<Move>, now: Tick) {
         for account in accounts {
             let extra = account.have.saturating_sub(account.want);
-            if extra == 0 {
+            if extra == 0 || !account.begun {
                 self.idle.remove(&account.pool);
                 continue;
             }
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -51,6 +51,9 @@
     pub extra: u32,
     /// The workers that can be used.
     pub workers: Vec<WorkerLoad>,
+    /// The owner has seen short jobs arrive, so a lull tells something.
+    #[serde(default)]
+    pub begun: bool,
     /// Workers whose hosts answer that nobody listens there. The platform's list of hosts tells whether their lives are
     /// over, which ends the wait for what may run on them.
     #[serde(default)]
@@ -71,6 +74,11 @@
         self.queues.entry(queue.clone()).or_default().push_back(at);
     }
 
+    /// Tells whether any job has arrived.
+    fn begun(&self) -> bool {
+        !self.queues.is_empty()
+    }
+
     /// Returns the work that will arrive in a millisecond when a host that is asked for now has come. Jobs are counted
     /// and taken for as large as those of their queue are on average: one large job is no burst.
     fn forecast(&mut self, now: Tick, mean: impl Fn(&RouteName) -> f64) -> u64 {
@@ -134,6 +142,7 @@
             least,
             extra: u32::from(self.cramped > now),
             workers: self.worker_loads(now),
+            begun: self.arrivals.begun(),
             deserted: self.deserted(),
             unsettled: !self.listed || !self.pending.is_empty(),
         }
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -27,7 +27,7 @@
 impl Fleet {
     fn with_pool(mut self, name: &str, hosts: usize, need: u64) -> Self {
         let pool: PoolName = name.parse().unwrap();
-        let mut load = PoolLoad { need, ..PoolLoad::default() };
+        let mut load = PoolLoad { need, begun: true, ..PoolLoad::default() };
         for number in 0..hosts {
             let host: HostId = format!("{name}-{number}").parse().unwrap();
             let worker = format!("w-{name}-{number}").parse().unwrap();
@@ -170,3 +170,20 @@
     let moves = fleet.round(200);
     assert_eq!(moves.len(), 2, "{moves:?}");
 }
+
+/// The start of a day: all is quiet until callers come, and then one pool needs all it has at once.
+#[test]
+fn hosts_of_a_pool_that_has_had_no_work_yet_stay_on() {
+    let mut fleet =
+        Fleet::default().with_pool("a", 8, 0).with_pool("b", 8, 0).with_pool("off", 0, 0);
+    fleet.load("a").begun = false;
+    fleet.round(0);
+    let moves = fleet.round(4000);
+    assert!(moves.iter().all(|step| step.from.as_str() == "b"), "{moves:?}");
+    assert_eq!(moves.len(), 5, "three stay in each pool");
+    fleet.apply(&moves);
+    // They may go where they are needed all the same.
+    fleet.load("b").need = 12 * CORES;
+    let moves = fleet.round(2000);
+    assert!(moves.iter().any(|step| step.from.as_str() == "a" && step.to.as_str() == "b"));
+}
