An outage of the store is answered at once, and callers are told to come back later the longer it lasts

Now the caller's time counts from its arrival; once the store is known to be away (a failed call, no answer for 1.2 s) nothing is sent: a peer that reaches the store takes the job, or it is refused as not run; Retry-After is the age of the outage, 1 to 4 s; and polls of tables after a failure ask for a word at once, so the return is seen sooner.

The system test was seen failing on the code before (504 where the outage was known).

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! programs use it.
 
 pub mod authority;
+pub mod backoff;
 pub mod balance;
 pub mod candidate;
 pub mod clock;
--- a/reachhead_jobs/src/ports.rs
+++ b/reachhead_jobs/src/ports.rs
@@ -1,6 +1,6 @@
 //! What the product needs of the platform that it runs on, as traits.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use futures::future::BoxFuture;
 use reachhead_plan::amount::Amount;
@@ -459,8 +459,8 @@
     pub queue: Arc<Queue>,
     /// What is asked for.
     pub kind: CallKind,
-    /// How long the caller waits.
-    pub remaining: Millis,
+    /// Until when the caller waits.
+    pub until: Instant,
 }
 
 /// What a caller is told.
@@ -492,6 +492,11 @@
     /// Returns the answer to a call.
     fn call(&self, call: Call) -> BoxFuture<'_, Answer>;
 
+    /// Returns after how many seconds a caller should come back that is refused for this reason, if that helps.
+    fn retry_after(&self, kind: ErrorKind) -> Option<u32> {
+        kind.answer().retry_after
+    }
+
     /// Returns the longest body that is accepted, in bytes.
     fn body_limit(&self) -> usize;
 
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -120,9 +120,12 @@
 async fn poll(node: &Node, follower: &dyn Follower, start: FeedPage) {
     let mut revision = start.revision;
     let mut pause = PAUSE_FIRST;
+    let mut wait = follower.wait();
     while follower.wanted() {
         let sent = node.now();
-        let page = node.services.feed.changes(follower.table(), revision, follower.wait()).await;
+        let page = node.services.feed.changes(follower.table(), revision, wait).await;
+        // After a failure the store is asked for a word at once: a poll that hangs tells of its return 1.5 s later.
+        wait = if page.is_ok() { follower.wait() } else { Millis(0) };
         match page {
             Ok(page) => {
                 node.note_store(&Ok(()));
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -4,6 +4,7 @@
 
 use futures::future::{BoxFuture, FutureExt, try_join_all};
 use reachhead_jobs::{
+    backoff,
     model::Queue,
     pool::JobState,
     ports::{Answer, Call, CallKind, FeedError, Frontend},
@@ -188,7 +189,7 @@
 
     async fn answer(&self, call: Call) -> Answer {
         let pool = call.queue.pool.clone();
-        let until = Instant::now() + call.remaining.duration().saturating_sub(ANSWER_MARGIN);
+        let until = Instant::from_std(call.until) - ANSWER_MARGIN;
         match call.kind {
             CallKind::Submit(id, plan) => {
                 let accepted = self.0.clock.wall();
@@ -246,6 +247,12 @@
             }
             // A route may be new, and an old configuration may name one that is gone. Without the store
             // a submission can't be stored anyhow, and a state that an old route leads to is true.
+            let lost = self.0.outage();
+            if lost.is_some()
+                && let Some(queue) = self.find(host, path)
+            {
+                return Ok(queue);
+            }
             let asked = time::timeout(REFRESH_TIME, self.refresh()).await;
             let failed = match asked {
                 Ok(Ok(())) => None,
@@ -295,6 +302,11 @@
         .boxed()
     }
 
+    fn retry_after(&self, kind: ErrorKind) -> Option<u32> {
+        let base = kind.answer().retry_after?;
+        Some(backoff::retry_after(base, self.0.outage().unwrap_or_default()))
+    }
+
     fn body_limit(&self) -> usize {
         self.0.view().config.as_ref().map_or(usize::MAX, |config| config.limits.body)
     }
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -27,6 +27,10 @@
 /// the polls of a process without pools are apart.
 const LOST_AGE: Millis = Millis(1700);
 
+/// How long the store must have been silent, with a failed call, for it to be taken for away: callers are refused at once
+/// then and not held up. A single failed call after a poll's pause is no outage yet.
+const AWAY_AGE: Millis = Millis(1200);
+
 /// The services of the platform, as the product needs them.
 pub struct Services {
     /// The store, behind a breaker.
@@ -162,6 +166,14 @@
         *self.stopping.borrow()
     }
 
+    /// Returns for how long the store has been away for this process, if it is: its last call failed, and the answer
+    /// before is older than an idle process's polls explain.
+    pub fn outage(&self) -> Option<Millis> {
+        let view = self.view();
+        let age = self.now().since(view.store_seen);
+        (view.store_failing && age >= AWAY_AGE).then_some(age)
+    }
+
     /// Notes whether the store answered; losing and regaining it is logged.
     pub fn note_store<T>(&self, result: &Result<T, StoreError>) {
         let now = self.now();
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit.rs
@@ -340,6 +340,10 @@
 
 /// Sends one transaction; returns the jobs of which nothing is decided yet.
 async fn store(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>) -> Vec<Submission> {
+    if node.outage().is_some() && batch.iter().all(|submission| !submission.doubtful) {
+        // Nothing is sent, so that none of them is in doubt; polls of tables tell when the store is back.
+        return not_taken(node, pool, batch).await;
+    }
     let mut ids = BTreeSet::new();
     let mut txn = Txn::new();
     for submission in &batch {
@@ -370,15 +374,18 @@
             refuse(batch, ErrorKind::BodyTooLarge);
             Vec::new()
         }
-        Err(StoreError::NotDone(_) | StoreError::Busy(_)) => {
-            let (own, others): (Vec<Submission>, Vec<Submission>) =
-                batch.into_iter().partition(|submission| submission.own);
-            refuse(others, ErrorKind::NotStored);
-            relay(node, pool, own).await
-        }
+        Err(StoreError::NotDone(_) | StoreError::Busy(_)) => not_taken(node, pool, batch).await,
     }
 }
 
+/// Has a peer store what the store did not take from this process, or refuses it.
+async fn not_taken(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>) -> Vec<Submission> {
+    let (own, others): (Vec<Submission>, Vec<Submission>) =
+        batch.into_iter().partition(|submission| submission.own);
+    refuse(others, ErrorKind::NotStored);
+    relay(node, pool, own).await
+}
+
 /// Hands jobs that the store did not take from this process to a peer that reaches it; returns those of which nothing is
 /// decided. The store may turn away single processes, and the callers of these have few tries.
 async fn relay(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>) -> Vec<Submission> {
