--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -140,7 +140,7 @@
             need: lasting + busy.max(rate),
             lasting,
             least,
-            extra: u32::from(self.cramped > now),
+            extra: u32::from(self.surge_until > now),
             workers: self.worker_loads(now),
             begun: self.arrivals.begun(),
             deserted: self.deserted(),
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -18,7 +18,7 @@
 
 pub use flush::{Batch, Due, Lane};
 pub use load::{PoolLoad, WorkerLoad};
-pub use vacate::{Haste, Vacancy};
+pub use vacate::{DrainMode, Vacancy};
 
 use reachhead_types::{
     id::{JobId, PoolName, RouteName, WorkerId},
@@ -214,7 +214,7 @@
     /// Workers that are not listed yet and must get nothing, and until when.
     cordons: BTreeMap<WorkerId, Tick>,
     /// Until when one more host is asked for, since a task that has to leave finds no place.
-    cramped: Tick,
+    surge_until: Tick,
     /// Since when no worker of the predecessor is pending.
     settled_at: Option<Tick>,
     roster: RosterState,
@@ -282,7 +282,7 @@
             orphans: Vec::new(),
             listed: false,
             cordons: BTreeMap::new(),
-            cramped: Tick(0),
+            surge_until: Tick(0),
             settled_at: None,
             roster: RosterState {
                 stored: found.roster,
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -18,16 +18,16 @@
 const STOP_SLACK: Millis = Millis(300);
 
 /// How long a pool asks for one more host after a task that has to leave found no place.
-const CRAMPED_TIME: Millis = Millis(2500);
+const SURGE_TIME: Millis = Millis(2500);
 
 /// What becomes of short tasks on a worker that is emptied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Haste {
+pub enum DrainMode {
     /// They may finish.
-    Wait,
+    Graceful,
     /// They are stopped, and go on elsewhere.
-    Stop,
+    Forced,
 }
 
 /// How far a worker is emptied.
@@ -46,7 +46,7 @@
 
 impl Pool {
     /// Gives a worker nothing new, moves away what may be moved, and tells how far that is.
-    pub fn vacate(&mut self, id: &WorkerId, haste: Haste, now: Tick) -> Vacancy {
+    pub fn vacate(&mut self, id: &WorkerId, mode: DrainMode, now: Tick) -> Vacancy {
         // Until all workers have answered a new owner it does not know what is where, and what its
         // predecessor stops may still be reported as at work for a while. A worker that has answered that
         // it runs nothing may go all the same.
@@ -55,7 +55,7 @@
         let until = now + CORDON_TIME;
         if self.workers.contains_key(id) && self.is_needed(id, now) {
             // One more host is asked for, and the worker is kept for tasks that must be at work.
-            self.cramped = now + CRAMPED_TIME;
+            self.surge_until = now + SURGE_TIME;
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.cordoned = Tick(0);
             }
@@ -89,13 +89,13 @@
             let Some(run) = run.filter(|run| run.phase == Phase::Working).cloned() else {
                 continue;
             };
-            if short && haste == Haste::Wait || !short && !self.may_take(task) {
+            if short && mode == DrainMode::Graceful || !short && !self.may_take(task) {
                 continue;
             }
             if short || self.has_place(task, now) {
                 self.stop_run(task, &run, StopReason::Planned, now);
             } else {
-                self.cramped = now + CRAMPED_TIME;
+                self.surge_until = now + SURGE_TIME;
             }
         }
         vacancy
--- /dev/null
+++ b/reachhead_jobs/src/ports/hosts.rs
@@ -0,0 +1,90 @@
+//! The platform's hosts: their list, and orders about them.
+
+use futures::future::BoxFuture;
+use reachhead_types::id::{HostId, PoolName, WaveName, WorkerId};
+use thiserror::Error;
+
+use crate::authority::Mandate;
+
+/// What a host is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineState {
+    /// It is up.
+    Up,
+    /// It is moving to another pool.
+    Moving,
+    /// It is under maintenance.
+    Maintenance,
+    /// It is down.
+    Down,
+}
+
+/// A host on the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Machine {
+    /// The host.
+    pub host: HostId,
+    /// Its pool.
+    pub pool: PoolName,
+    /// What it is doing.
+    pub state: MachineState,
+    /// The life of its worker, if it has one.
+    pub worker: Option<WorkerId>,
+}
+
+/// Why an order for a host was not taken.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum MachineError {
+    /// Somebody else has given orders for it with a higher token.
+    #[error("fenced")]
+    Fenced,
+    /// It is not up, or it is leaving.
+    #[error("busy")]
+    Busy,
+    /// It does not belong to the wave.
+    #[error("not of that wave")]
+    Foreign,
+    /// There is no such host, or it can't be in that pool.
+    #[error("no such host or pool")]
+    Unknown,
+    /// Nothing was done; a retry may help.
+    #[error("not taken: {0}")]
+    NotDone(String),
+    /// There is no answer; it may have been done.
+    #[error("no answer: {0}")]
+    Lost(String),
+}
+
+/// The platform's hosts.
+pub trait MachineApi: Send + Sync {
+    /// Returns all hosts.
+    ///
+    /// # Errors
+    ///
+    /// Any [`MachineError`].
+    fn list(&self) -> BoxFuture<'_, Result<Vec<Machine>, MachineError>>;
+
+    /// Puts a host under the maintenance of a wave; everything on it ends at once.
+    ///
+    /// # Errors
+    ///
+    /// Any [`MachineError`].
+    fn maintain(
+        &self,
+        mandate: Mandate,
+        host: HostId,
+        wave: WaveName,
+    ) -> BoxFuture<'_, Result<(), MachineError>>;
+
+    /// Moves a host to another pool; everything on it ends at once.
+    ///
+    /// # Errors
+    ///
+    /// Any [`MachineError`].
+    fn relocate(
+        &self,
+        mandate: Mandate,
+        host: HostId,
+        pool: PoolName,
+    ) -> BoxFuture<'_, Result<(), MachineError>>;
+}
--- /dev/null
+++ b/reachhead_jobs/src/ports/mod.rs
@@ -0,0 +1,20 @@
+//! What the product needs of the platform that it runs on, as traits: one file a port.
+
+mod advice;
+mod caller;
+mod feed;
+mod hosts;
+mod operators;
+mod worker;
+
+pub use self::{
+    advice::{Advisor, Approval},
+    caller::{Answer, Call, CallKind, Frontend},
+    feed::{Change, FeedError, FeedPage, TableFeed},
+    hosts::{Machine, MachineApi, MachineError, MachineState},
+    operators::{Dialect, OperatorRow, RowError},
+    worker::{
+        EndedEntry, HoldOrder, Rejection, RunEnd, RunningEntry, StartOrder, WorkerAgent,
+        WorkerError, WorkerInfo, WorkerReport, WorkerTarget,
+    },
+};
--- a/reachhead_jobs/src/wave.rs
+++ b/reachhead_jobs/src/wave.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     clock::Tick,
-    pool::{Haste, Vacancy},
+    pool::{DrainMode, Vacancy},
     ports::{Machine, MachineState},
 };
 
@@ -154,10 +154,10 @@
     }
 
     /// Returns what becomes of short tasks on the host, which is being emptied.
-    pub fn haste(&self, host: &HostId, now: Tick) -> Haste {
+    pub fn mode(&self, host: &HostId, now: Tick) -> DrainMode {
         let waited = self.emptying.get(host).map_or(Millis(0), |since| now.since(*since));
         let late = now.since(self.since).0 * 100 > self.order.within.0 * PATIENCE_PERCENT;
-        if late || waited >= SHORT_PATIENCE { Haste::Stop } else { Haste::Wait }
+        if late || waited >= SHORT_PATIENCE { DrainMode::Forced } else { DrainMode::Graceful }
     }
 
     /// Notes that a host that is being emptied can't be taken yet; tells for how long, if that is worth a line
--- a/reachhead_jobs/tests/pool/desk.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -112,7 +112,7 @@
 }
 
 /// A pool, the time, and what its workers run.
-pub struct Desk {
+pub struct Fixture {
     pub pool: Pool,
     pub now: Tick,
     pub infos: Vec<WorkerInfo>,
@@ -121,11 +121,11 @@
     revision: u64,
 }
 
-impl Desk {
+impl Fixture {
     pub fn new(found: Inheritance, infos: Vec<WorkerInfo>) -> Self {
         let now = START;
         let pool = Pool::new(pool_name(), FencingToken(7), 0, tuning(), found, now, Millis(now.0));
-        let mut desk = Self {
+        let mut fixture = Self {
             pool,
             now,
             infos,
@@ -133,23 +133,23 @@
             ended: BTreeMap::new(),
             revision: 100,
         };
-        desk.list();
-        desk
+        fixture.list();
+        fixture
     }
 
     /// A pool whose workers have answered and are in the stored roster.
     pub fn ready(infos: Vec<WorkerInfo>) -> Self {
         let names: Vec<WorkerId> = infos.iter().map(|info| info.id.clone()).collect();
-        let mut desk = Self::new(
+        let mut fixture = Self::new(
             Inheritance { fences: fences(), verified: START, ..Inheritance::default() },
             infos,
         );
-        desk.pool.poll(desk.now, Millis(desk.now.0));
-        desk.flush();
+        fixture.pool.poll(fixture.now, Millis(fixture.now.0));
+        fixture.flush();
         for name in names {
-            desk.report(&name);
+            fixture.report(&name);
         }
-        desk
+        fixture
     }
 
     pub fn list(&mut self) {
--- a/reachhead_jobs/tests/pool/load.rs
+++ b/reachhead_jobs/tests/pool/load.rs
@@ -2,21 +2,21 @@
 
 use reachhead_jobs::ports::RunEnd;
 
-use crate::desk::{Desk, info, step, task, worker};
+use crate::fixture::{Fixture, info, step, task, worker};
 
 /// Submits jobs of one core-second each, `counts` of them in each tenth of a second, and returns the need
 /// for work that arrives. Nothing runs, since no worker has answered.
 fn need_after(counts: &[u64]) -> u64 {
-    let mut desk = Desk::new(Default::default(), vec![info("a", 16)]);
+    let mut fixture = Fixture::new(Default::default(), vec![info("a", 16)]);
     let mut id = 0;
     for &count in counts {
         for _ in 0..count {
             id += 1;
-            desk.submit(id, vec![step(1)]);
+            fixture.submit(id, vec![step(1)]);
         }
-        desk.pass(100);
+        fixture.pass(100);
     }
-    desk.pool.load(desk.now).need
+    fixture.pool.load(fixture.now).need
 }
 
 #[test]
@@ -40,18 +40,18 @@
 /// A queue of small jobs, two seconds apart, and then one of 50 core-seconds that is done at once.
 #[test]
 fn one_large_job_is_no_burst() {
-    let mut desk = Desk::ready(vec![info("a", 64)]);
+    let mut fixture = Fixture::ready(vec![info("a", 64)]);
     for id in 1..=20 {
-        desk.pass(2000);
+        fixture.pass(2000);
         let tasks = if id == 20 { 50 } else { 2 };
-        desk.begin(id, vec![step(tasks)]);
+        fixture.begin(id, vec![step(tasks)]);
         for index in 0..tasks {
-            desk.end(&worker("a"), task(id, 0, index), 1, RunEnd::Done);
+            fixture.end(&worker("a"), task(id, 0, index), 1, RunEnd::Done);
         }
-        desk.report(&worker("a"));
-        desk.flush();
+        fixture.report(&worker("a"));
+        fixture.flush();
     }
-    let need = desk.pool.load(desk.now).need;
+    let need = fixture.pool.load(fixture.now).need;
     // One job of 4.4 core-seconds, the mean, in 0.8 s; the one by itself, extrapolated, would be 180 cores.
     assert!((1..=5_500).contains(&need), "{need}");
 }
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -4,7 +4,7 @@
 
 mod balance;
 mod candidate;
-mod desk;
+mod fixture;
 mod inherit;
 mod life;
 mod load;
--- a/reachhead_jobs/tests/pool/wave.rs
+++ b/reachhead_jobs/tests/pool/wave.rs
@@ -4,7 +4,7 @@
 
 use reachhead_jobs::{
     clock::Tick,
-    pool::{Haste, Vacancy},
+    pool::{DrainMode, Vacancy},
     ports::{Machine, MachineState},
     wave::{Wave, WaveOrder, WaveRecord},
 };
@@ -62,8 +62,8 @@
     let mut wave = wave(&machines, 1);
     let host = machines.keys().next().unwrap().clone();
     wave.next(&machines, Tick(0));
-    assert_eq!(wave.haste(&host, Tick(100)), Haste::Wait);
-    assert_eq!(wave.haste(&host, Tick(2600)), Haste::Stop);
+    assert_eq!(wave.mode(&host, Tick(100)), DrainMode::Graceful);
+    assert_eq!(wave.mode(&host, Tick(2600)), DrainMode::Forced);
     assert!(!wave.may_take(Vacancy::Short, &machines));
     assert!(!wave.may_take(Vacancy::Protected, &machines));
     assert!(wave.may_take(Vacancy::Empty, &machines));
@@ -75,7 +75,7 @@
     let mut wave = wave(&machines, 1);
     wave.next(&machines, Tick(13_000));
     for host in machines.keys() {
-        assert_eq!(wave.haste(host, Tick(13_000)), Haste::Stop);
+        assert_eq!(wave.mode(host, Tick(13_000)), DrainMode::Forced);
     }
 }
 
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -12,7 +12,7 @@
     fence::{Fence, FenceStep},
     model::{Plan, Queue, Step},
     pool::{
-        Action, Batch, Due, Haste, Inheritance, Lane, Pool, StoredJob, StoredProgress, Tuning,
+        Action, Batch, DrainMode, Due, Inheritance, Lane, Pool, StoredJob, StoredProgress, Tuning,
         Vacancy,
     },
     ports::{WorkerError, WorkerInfo},
@@ -410,7 +410,7 @@
         let now = Tick(self.now);
         let owner = self.newest();
         if owner.alive && owner.frozen <= now.0 {
-            let vacancy = owner.pool.vacate(&id, Haste::Wait, now);
+            let vacancy = owner.pool.vacate(&id, DrainMode::Graceful, now);
             if matches!(vacancy, Vacancy::Empty | Vacancy::Unknown) {
                 if self.workers[&id].running.keys().any(|task| self.lasts(task)) {
                     self.wrong
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -7,7 +7,7 @@
     balance::{Balance, Move, PoolState, Room},
     clock::Tick,
     lives::Deserted,
-    pool::{Haste, Vacancy},
+    pool::{DrainMode, Vacancy},
     ports::{Machine, MachineApi, MachineError, MachineState},
 };
 use reachhead_ops::event::{Event, emit};
@@ -179,7 +179,7 @@
 
     async fn carry_out(&self, step: Move) -> Option<Moved> {
         if let Some(worker) = &step.worker {
-            let ask = PoolAsk::Vacate(worker.clone(), Haste::Wait);
+            let ask = PoolAsk::Vacate(worker.clone(), DrainMode::Graceful);
             match ask_pool(&self.node, &step.from, ask).await {
                 Some(Reply::Vacancy(Vacancy::Empty)) => {}
                 _ => return None,
--- /dev/null
+++ b/reachhead_node/src/owner/actions.rs
@@ -0,0 +1,61 @@
+//! Carrying out what the owner of a pool decides, and logging it.
+
+use reachhead_jobs::{
+    clock::Tick,
+    pool::{Action, NoteKind},
+};
+use reachhead_ops::event::Event;
+
+use super::Input;
+use crate::node::Node;
+
+/// Carries out an action and returns what the owner is to be told.
+pub(super) async fn perform(node: &Node, action: Action, sent: Tick) -> Option<Input> {
+    let workers = &node.services.workers;
+    match action {
+        Action::Start(target, order) => {
+            let (id, task, run) = (target.id.clone(), order.task, order.run);
+            let result = workers.start(target, order).await;
+            node.metrics.order("start", &result);
+            Some(Input::Started(id, task, run, result))
+        }
+        Action::Stop(target, task, run) => {
+            let id = target.id.clone();
+            let result = workers.stop(target, task, run).await;
+            node.metrics.order("stop", &result);
+            Some(Input::Stopped(id, task, run, result))
+        }
+        Action::Pace(target, task, run, percent) => {
+            let result = workers.pace(target, task, run, percent).await;
+            node.metrics.order("pace", &result);
+            result.is_err().then_some(Input::PaceFailed(task, run))
+        }
+        Action::Hold(target, order) => {
+            let id = target.id.clone();
+            let result = workers.hold(target, order).await;
+            node.metrics.order("hold", &result);
+            Some(Input::Held(id, sent, result))
+        }
+        Action::Advise(step, ids) => {
+            let approvals = match &node.services.advisor {
+                Some(advisor) => advisor.advise(step, ids).await.map_err(|error| {
+                    log::info!("step={step} no advice: {error}");
+                }),
+                None => Err(()),
+            };
+            Some(Input::Advised(step, approvals.ok(), sent))
+        }
+        Action::Fenced => None,
+    }
+}
+
+pub(super) fn event_of(kind: NoteKind) -> Event {
+    match kind {
+        NoteKind::JobEnded => Event::JobEnded,
+        NoteKind::RunLost => Event::RunLost,
+        NoteKind::WorkerDoubted => Event::WorkerDoubted,
+        NoteKind::RunStopped => Event::RunStopped,
+        NoteKind::RunAdopted => Event::RunAdopted,
+        NoteKind::StepPlaced => Event::StepPlaced,
+    }
+}
--- a/reachhead_node/src/owner.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -1,5 +1,8 @@
 //! The owner of a pool: its event loop.
 
+mod actions;
+mod input;
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
@@ -8,30 +11,24 @@
 
 use futures::future::join_all;
 use reachhead_jobs::{
-    clock::{Tick, WorkerTime},
-    pool::{
-        Action, Batch, Cancelled, Due, Haste, JobState, Lane, NoteKind, Pool, PoolLoad, Vacancy,
-    },
-    ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
+    clock::Tick,
+    pool::{Action, Batch, Cancelled, Due, JobState, Lane, Pool},
     record::{JobRecord, LeaseRecord, job_prefix, lease_key, value},
     shard::Shard,
-    task::{StepId, TaskId},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
     row::{Commit, Key, Scan, Txn},
 };
-use reachhead_types::{
-    id::{JobId, RouteName, WorkerId},
-    size::{Millis, Revision, RunNumber},
-};
-use serde::{Deserialize, Serialize};
+use reachhead_types::{id::JobId, size::Millis};
 use tokio::{
     sync::{mpsc, oneshot},
     time,
 };
 
+use self::actions::{event_of, perform};
+pub use self::input::{CancelReply, Input, OwnerHandle};
 use crate::{node::Node, peer::Submitted};
 
 /// Least time between two rounds.
@@ -57,75 +54,6 @@
 /// How long an owner that gives its pool back waits for its last transaction.
 const RELEASE_TIME: Duration = Duration::from_millis(800);
 
-/// What became of a cancellation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum CancelReply {
-    /// It is recorded that the job is over.
-    Over,
-    /// The owner does not know the job.
-    Unknown,
-}
-
-/// What an owner is told.
-pub enum Input {
-    /// Jobs were accepted and are stored.
-    Submit(Vec<Submitted>),
-    /// Somebody asks for a job's state.
-    State(JobId, oneshot::Sender<Option<JobState>>),
-    /// Somebody cancels a job.
-    Cancel(JobId, oneshot::Sender<CancelReply>),
-    /// Somebody asks how many jobs wait.
-    Waiting(RouteName, oneshot::Sender<u32>),
-    /// A worker's host is due for planned work.
-    Vacate(WorkerId, Haste, oneshot::Sender<Vacancy>),
-    /// Somebody asks how much room the pool needs.
-    Load(oneshot::Sender<PoolLoad>),
-    /// Lives of workers are over.
-    Over(Vec<WorkerId>),
-    /// The registered workers changed.
-    Listed(Vec<WorkerInfo>),
-    /// A long poll ended.
-    Held(WorkerId, Tick, Result<WorkerReport, WorkerError>),
-    /// An order to start was answered.
-    Started(WorkerId, TaskId, RunNumber, Result<WorkerTime, WorkerError>),
-    /// An order to stop was answered.
-    Stopped(WorkerId, TaskId, RunNumber, Result<WorkerTime, WorkerError>),
-    /// A change of pace was not confirmed.
-    PaceFailed(TaskId, RunNumber),
-    /// Advice was given, or the call failed.
-    Advised(StepId, Option<Vec<Approval>>, Tick),
-    /// The store decided on a transaction.
-    Committed(Box<Batch>, Result<Commit, StoreError>),
-    /// The stored jobs were read.
-    Scanned(Vec<reachhead_store::row::Row>),
-    /// Give the pool back.
-    Release(oneshot::Sender<()>),
-    /// Give the pool back for a better owner, unless that would cost its jobs time.
-    Yield(oneshot::Sender<()>),
-}
-
-/// How to reach an owner in this process.
-#[derive(Clone)]
-pub struct OwnerHandle {
-    /// The revision of its lease, which is its fencing token.
-    pub token: Revision,
-    sender: mpsc::UnboundedSender<Input>,
-}
-
-impl OwnerHandle {
-    /// Returns a handle and where its inputs arrive.
-    pub fn new(token: Revision) -> (Self, mpsc::UnboundedReceiver<Input>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { token, sender }, receiver)
-    }
-
-    /// Tells the owner something; one that has ended needs nothing any more.
-    pub fn send(&self, input: Input) {
-        let _ = self.sender.send(input);
-    }
-}
-
 struct Canceller {
     job: JobId,
     reply: oneshot::Sender<CancelReply>,
@@ -247,8 +175,8 @@
             Input::Waiting(queue, reply) => {
                 let _ = reply.send(self.pool.waiting(&queue));
             }
-            Input::Vacate(worker, haste, reply) => {
-                let _ = reply.send(self.pool.vacate(&worker, haste, now));
+            Input::Vacate(worker, mode, reply) => {
+                let _ = reply.send(self.pool.vacate(&worker, mode, now));
             }
             Input::Load(reply) => {
                 let _ = reply.send(self.pool.load(now));
@@ -439,57 +367,6 @@
     }
 }
 
-/// Carries out an action and returns what the owner is to be told.
-async fn perform(node: &Node, action: Action, sent: Tick) -> Option<Input> {
-    let workers = &node.services.workers;
-    match action {
-        Action::Start(target, order) => {
-            let (id, task, run) = (target.id.clone(), order.task, order.run);
-            let result = workers.start(target, order).await;
-            node.metrics.order("start", &result);
-            Some(Input::Started(id, task, run, result))
-        }
-        Action::Stop(target, task, run) => {
-            let id = target.id.clone();
-            let result = workers.stop(target, task, run).await;
-            node.metrics.order("stop", &result);
-            Some(Input::Stopped(id, task, run, result))
-        }
-        Action::Pace(target, task, run, percent) => {
-            let result = workers.pace(target, task, run, percent).await;
-            node.metrics.order("pace", &result);
-            result.is_err().then_some(Input::PaceFailed(task, run))
-        }
-        Action::Hold(target, order) => {
-            let id = target.id.clone();
-            let result = workers.hold(target, order).await;
-            node.metrics.order("hold", &result);
-            Some(Input::Held(id, sent, result))
-        }
-        Action::Advise(step, ids) => {
-            let approvals = match &node.services.advisor {
-                Some(advisor) => advisor.advise(step, ids).await.map_err(|error| {
-                    log::info!("step={step} no advice: {error}");
-                }),
-                None => Err(()),
-            };
-            Some(Input::Advised(step, approvals.ok(), sent))
-        }
-        Action::Fenced => None,
-    }
-}
-
-fn event_of(kind: NoteKind) -> Event {
-    match kind {
-        NoteKind::JobEnded => Event::JobEnded,
-        NoteKind::RunLost => Event::RunLost,
-        NoteKind::WorkerDoubted => Event::WorkerDoubted,
-        NoteKind::RunStopped => Event::RunStopped,
-        NoteKind::RunAdopted => Event::RunAdopted,
-        NoteKind::StepPlaced => Event::StepPlaced,
-    }
-}
-
 /// Returns the job that a row is about.
 pub fn id_of(key: &Key) -> Option<JobId> {
     key.0.rsplit('/').next()?.parse().ok()
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use reachhead_jobs::{
-    pool::{Haste, JobState, PoolLoad, Vacancy},
+    pool::{DrainMode, JobState, PoolLoad, Vacancy},
     record::JobRecord,
 };
 use reachhead_ops::{
@@ -79,7 +79,7 @@
     /// How many jobs of the queue wait?
     Waiting(RouteName),
     /// Empty this worker, whose host is due for planned work.
-    Vacate(WorkerId, Haste),
+    Vacate(WorkerId, DrainMode),
     /// These lives of workers are over.
     Over(Vec<WorkerId>),
     /// How much room does the pool need?
@@ -205,8 +205,8 @@
             answered(owner, |reply| Input::Waiting(queue, reply), Reply::Waiting).await
         }
         PoolAsk::Load => answered(owner, Input::Load, Reply::Load).await,
-        PoolAsk::Vacate(worker, haste) => {
-            answered(owner, |reply| Input::Vacate(worker, haste, reply), Reply::Vacancy).await
+        PoolAsk::Vacate(worker, mode) => {
+            answered(owner, |reply| Input::Vacate(worker, mode, reply), Reply::Vacancy).await
         }
     }
 }
--- a/reachhead_node/src/submit.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -3,9 +3,10 @@
 //! A part of the store carries transactions out one after the other. When it is slow, single ones pile
 //! up until it refuses them; batches do not.
 
+mod peers;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -13,16 +14,12 @@
     time::Duration,
 };
 
-use futures::future::join_all;
 use reachhead_jobs::{
     ports::Answer,
     record::{JobRecord, final_key, job_key, value},
     shard::Shard,
 };
-use reachhead_ops::{
-    client::CallError,
-    event::{Event, emit},
-};
+use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
     row::{Commit, Conflict, Txn},
@@ -30,18 +27,19 @@
 use reachhead_types::{
     error::ErrorKind,
     id::{JobId, PoolName},
-    size::{Millis, Revision},
+    size::Revision,
 };
-use serde::{Deserialize, Serialize};
 use tokio::{
     sync::{Semaphore, mpsc, oneshot},
     time::{self, Instant},
 };
 
+pub use self::peers::{StoreOutcome, store_for_peer};
+use self::peers::{hand_on, not_taken, owner_of};
 use crate::{
     frontend::ask_pool,
     node::Node,
-    peer::{Ask, PoolAsk, Reply, Submitted, Unstored},
+    peer::{PoolAsk, Submitted},
 };
 
 /// Jobs in one transaction at most: each takes three of the hundred entries that the platform allows.
@@ -53,22 +51,9 @@
 /// Pause after a transaction whose answer was lost.
 const LOST_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest wait for an owner that stores jobs for this process; callers wait for three seconds.
-const HAND_ON_TIME: Duration = Duration::from_millis(2200);
-
 /// Messages to the owner of a pool that are under way at once, for each part of the store.
 const HAND_ONS: usize = 3;
 
-/// How lately an owner must have been heard for jobs to be handed to it: a few pings.
-const HEARD_TIME: Millis = Millis(900);
-
-/// How lately the store must have answered the owner. A slow store answers late, and that is when
-/// batches matter most.
-const STORE_AGE: Millis = Millis(1800);
-
-/// How lately the store must have answered this process for it to store what the owner can't.
-const SIGHT_AGE: Millis = Millis(1200);
-
 /// Pause between tries to tell an owner.
 const NOTIFY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -105,46 +90,6 @@
     }
 }
 
-/// What became of a job that was handed to a peer to be stored.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum StoreOutcome {
-    /// It is stored.
-    Stored,
-    /// It is not stored and never will be.
-    NotStored,
-    /// The store refuses it.
-    Refused,
-    /// Nobody knows.
-    Unknown,
-}
-
-impl From<&Answer> for StoreOutcome {
-    fn from(answer: &Answer) -> Self {
-        match answer {
-            Answer::Accepted => Self::Stored,
-            Answer::Refused(ErrorKind::NotStored | ErrorKind::NotReady) => Self::NotStored,
-            Answer::Refused(ErrorKind::BodyTooLarge) => Self::Refused,
-            _ => Self::Unknown,
-        }
-    }
-}
-
-impl StoreOutcome {
-    /// Returns what the caller is told. A try before this one may have stored the job though this one did not.
-    fn answer(self, doubtful: bool) -> Answer {
-        match self {
-            Self::Stored => Answer::Accepted,
-            Self::NotStored | Self::Refused if doubtful => {
-                Answer::Refused(ErrorKind::SubmissionLost)
-            }
-            Self::NotStored => Answer::Refused(ErrorKind::NotStored),
-            Self::Refused => Answer::Refused(ErrorKind::BodyTooLarge),
-            Self::Unknown => Answer::Refused(ErrorKind::SubmissionLost),
-        }
-    }
-}
-
 /// Jobs of a pool in one part of the store.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
@@ -269,71 +214,6 @@
     }
 }
 
-/// Returns where the owner of a pool answers, if it is a peer that was heard of lately.
-fn owner_of(node: &Node, pool: &PoolName) -> Option<SocketAddr> {
-    let view = node.view();
-    let (owner, address) = view.owner(pool)?;
-    let heard = view.heard.get(&owner)?;
-    let lately = node.now().since(heard.at) <= HEARD_TIME && heard.pong.store_age <= STORE_AGE.0;
-    (owner != node.settings.node && lately && heard.pong.owned.contains_key(pool))
-        .then_some(address)
-}
-
-/// Hands jobs to the owner of their pool, which stores those of all processes together; returns those of
-/// which nothing is decided. They are handed on again, as a job that is stored already is found by its id,
-/// and stored from here only if the owner can't be reached: many processes that store for themselves hold
-/// each other up, most of all while the store is slow.
-async fn hand_on(
-    node: &Arc<Node>,
-    pool: &PoolName,
-    owner: SocketAddr,
-    batch: Vec<Submission>,
-) -> Vec<Submission> {
-    let jobs = batch
-        .iter()
-        .map(|submission| Unstored { id: submission.id, record: submission.record.clone() });
-    let ask = Ask::Store(pool.clone(), jobs.collect());
-    let begun = Instant::now();
-    let outcomes = match node.peers.ask(owner, &ask, HAND_ON_TIME).await {
-        Ok(Reply::Stored(outcomes)) if outcomes.len() == batch.len() => outcomes,
-        Ok(_) => vec![StoreOutcome::Unknown; batch.len()],
-        Err(CallError::NotSent(error) | CallError::NoListener(error)) => {
-            log::info!("pool={pool} owner={owner} was not asked: {error}");
-            let again = batch.into_iter().filter(|submission| submission.until > Instant::now());
-            return again.map(|submission| Submission { direct: true, ..submission }).collect();
-        }
-        Err(error) => {
-            log::info!("pool={pool} owner={owner} stores nothing: {error}");
-            vec![StoreOutcome::Unknown; batch.len()]
-        }
-    };
-    // One that fails at once is gone; one that is late has much to do, and is not helped by others.
-    let gone = begun.elapsed() < HAND_ON_TIME;
-    // An owner that can't store may be cut off from the store alone.
-    let sighted = node.now().since(node.view().store_seen) <= SIGHT_AGE;
-    let mut left = Vec::new();
-    for (submission, outcome) in batch.into_iter().zip(outcomes) {
-        let in_time = submission.until > Instant::now();
-        if outcome == StoreOutcome::Unknown && in_time {
-            left.push(Submission { doubtful: true, direct: gone, ..submission });
-        } else if outcome == StoreOutcome::NotStored && sighted && in_time {
-            left.push(Submission { direct: true, ..submission });
-        } else {
-            // A caller that has left finds the job when it asks again.
-            let _ = submission.reply.send(outcome.answer(submission.doubtful));
-        }
-    }
-    left
-}
-
-/// Stores jobs that a peer handed on; returns what became of each.
-pub async fn store_for_peer(node: &Arc<Node>, jobs: Vec<Unstored>) -> Vec<StoreOutcome> {
-    let until = Instant::now() + HAND_ON_TIME;
-    let answers =
-        jobs.into_iter().map(|job| node.submitter.submit(node, job.id, job.record, until, true));
-    join_all(answers).await.iter().map(StoreOutcome::from).collect()
-}
-
 fn size(submission: &Submission) -> usize {
     submission.record.plan.payload.len()
 }
@@ -378,30 +258,6 @@
     }
 }
 
-/// Has a peer store what the store did not take from this process, or refuses it.
-async fn not_taken(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>) -> Vec<Submission> {
-    let (own, others): (Vec<Submission>, Vec<Submission>) =
-        batch.into_iter().partition(|submission| submission.own);
-    refuse(others, ErrorKind::NotStored);
-    relay(node, pool, own).await
-}
-
-/// Hands jobs that the store did not take from this process to a peer that reaches it; returns those of which nothing is
-/// decided. The store may turn away single processes, and the callers of these have few tries.
-async fn relay(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>) -> Vec<Submission> {
-    if batch.is_empty() {
-        return batch;
-    }
-    let peer = node.view().sighted_peer(node.now(), HEARD_TIME, SIGHT_AGE);
-    let Some(peer) = peer else {
-        refuse(batch, ErrorKind::NotStored);
-        return Vec::new();
-    };
-    // Whatever comes of it, it is the last try but for those that may be stored.
-    let batch = batch.into_iter().map(|submission| Submission { own: false, ..submission });
-    hand_on(node, pool, peer, batch.collect()).await
-}
-
 fn accept(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>, revision: Revision) {
     let mut jobs = Vec::with_capacity(batch.len());
     for submission in batch {
