--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -158,6 +158,22 @@
         }
     }
 
+    /// Returns what this process knows that a refusal rests on, for the log.
+    fn grounds(&self, pool: &PoolName) -> String {
+        let now = self.0.now();
+        let view = self.0.view();
+        let owner = view.owner(pool).map(|(owner, _)| owner);
+        let heard = owner.as_ref().and_then(|owner| view.heard.get(owner));
+        format!(
+            "store_age={}ms store_failing={} owner={} owner_heard={:?} owner_store_age={:?}",
+            now.since(view.store_seen),
+            view.store_failing,
+            owner.as_ref().map_or("-", |owner| owner.as_str()),
+            heard.map(|heard| now.since(heard.at).0),
+            heard.map(|heard| heard.pong.store_age)
+        )
+    }
+
     async fn ask(&self, pool: &PoolName, ask: PoolAsk) -> Option<Reply> {
         ask_pool(&self.0, pool, ask).await
     }
@@ -282,7 +298,7 @@
         async move {
             let started = Instant::now();
             let name = name_of(&call.kind);
-            let queue = call.queue.name.clone();
+            let (queue, pool) = (call.queue.name.clone(), call.queue.pool.clone());
             let id = match &call.kind {
                 CallKind::Submit(id, _) | CallKind::State(id) | CallKind::Cancel(id) => Some(*id),
                 CallKind::Waiting => None,
@@ -293,7 +309,10 @@
                 let ms = started.elapsed().as_millis();
                 emit(
                     Event::CallRefused,
-                    format_args!("job={job} call={name} queue={queue} kind={kind} after={ms}ms"),
+                    format_args!(
+                        "job={job} call={name} queue={queue} kind={kind} after={ms}ms {}",
+                        self.grounds(&pool)
+                    ),
                 );
             }
             self.0.metrics.answer(name, &answer, started.elapsed().as_secs_f64());
