Orders go out on an answer of the store up to 0.45 s old

With 0.3 s no host would move while the store is more than 75 times slower than usual, though the term that a successor waits for leaves room.

--- a/reachhead_jobs/src/authority.rs
+++ b/reachhead_jobs/src/authority.rs
@@ -18,8 +18,9 @@
 /// is killed.
 pub const ORDER_TERM: Millis = Millis(700);
 
-/// How lately an answer must have been given for orders to go out on it; the rest of the term is the orders' own.
-const FRESH_TERM: Millis = Millis(300);
+/// How lately the question must have been sent for orders to go out on its answer; the rest of the term is the orders'
+/// own. A store a hundred times slower than usual answers within it.
+const FRESH_TERM: Millis = Millis(450);
 
 /// How long a process that answers without the lease must have had it to be taken for over: it answers so for a
 /// moment, too, between the store's answer and the start of its work.
