--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -92,15 +92,14 @@
 }
 
 /// Returns how many jobs will arrive in a window when a host that is asked for now has come: as many as in the
-/// latest, and more if they were fewer just before by more than chance explains.
+/// latest, and more if they were fewer just before.
 fn expected_jobs(arrived: &mut VecDeque<Tick>, now: Tick) -> f64 {
     while arrived.front().is_some_and(|at| now.since(*at) > Millis(2 * RATE_WINDOW.0)) {
         arrived.pop_front();
     }
     let latest = arrived.iter().filter(|at| now.since(**at) <= RATE_WINDOW).count() as f64;
     let before = arrived.len() as f64 - latest;
-    let chance = (latest + before).sqrt();
-    let rise = (latest - before - chance).max(0.0);
+    let rise = (latest - before).max(0.0);
     let ahead = TREND_TIME as f64 / RATE_WINDOW.0 as f64;
     (latest + rise * ahead).min(TREND_MOST * latest)
 }
