--- a/reachhead_jobs/src/shard.rs
+++ b/reachhead_jobs/src/shard.rs
@@ -1,4 +1,4 @@
-//! The parts of the store among which the rows of a pool's jobs are dealt.
+//! The parts of the store among which the rows of a pool's jobs are partitioned.
 //!
 //! A part of the store carries out one transaction after the other. When it is slow that is a few a second, and
 //! one part for each pool would hold up a burst; docs/PLATFORM.md has the figures.
--- a/reachhead_jobs/tests/pool/vacate.rs
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -180,7 +180,8 @@
 }
 
 #[test]
-fn short_tasks_are_stopped_in_haste_and_the_worker_is_empty_once_their_ends_are_recorded() {
+fn short_tasks_are_stopped_when_the_drain_is_forced_and_the_worker_is_empty_once_their_ends_are_recorded()
+ {
     let mut fixture = Fixture::ready(vec![info("a", 4)]);
     fixture.begin(1, vec![step(2)]);
     let id = worker("a");
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -9,17 +9,10 @@
 use futures::FutureExt;
 use reachhead_jobs::{
     clock::Tick,
-    fence::{Fence, FenceStep},
     model::{Plan, Queue, Step},
-    pool::{
-        Action, Batch, DrainMode, Due, Inheritance, Lane, Pool, StoredJob, StoredProgress, Tuning,
-        Vacancy,
-    },
+    pool::{Action, Batch, DrainMode, Due, Lane, Pool, Tuning, Vacancy},
     ports::{WorkerError, WorkerInfo},
-    record::{
-        JobRecord, LeaseRecord, Roster, fence_key, job_key, job_prefix, lease_key, progress_prefix,
-        roster_key, value,
-    },
+    record::{JobRecord, job_key, lease_key, value},
     shard::Shard,
     task::TaskId,
 };
@@ -27,7 +20,7 @@
 use reachhead_store::{
     Store, StoreError,
     memory::MemoryStore,
-    row::{Commit, Key, Row, Scan, Txn},
+    row::{Commit, Key, Row, Txn},
 };
 use reachhead_types::{
     id::{JobId, PoolName, WorkerId},
@@ -38,6 +31,7 @@
 
 mod judge;
 mod messages;
+mod takeover;
 
 /// Time between two steps of the world, in milliseconds.
 const STEP: u64 = 20;
@@ -131,10 +125,6 @@
     "p".parse().unwrap()
 }
 
-fn fence(token: FencingToken, shard: Shard) -> Fence {
-    Fence::new(pool_name(), shard, token, "n".parse().unwrap())
-}
-
 fn tuning() -> Tuning {
     Tuning {
         hold: Millis(2000),
@@ -242,108 +232,6 @@
         self.store.commit(txn).now_or_never().unwrap().unwrap()
     }
 
-    /// A new process takes the lease, whatever the owner before is doing.
-    fn take_over(&mut self) {
-        let verified = Tick(self.now);
-        let mut found =
-            Inheritance { verified, effect: tuning().inheritance(), ..Inheritance::default() };
-        let (token, term) = self.take_lease();
-        for shard in Shard::all() {
-            let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
-            found.fences.insert(shard, fence);
-            found.jobs.append(&mut self.stored_jobs(shard));
-        }
-        let roster = self.read(roster_key(&pool_name()));
-        found.roster =
-            roster.as_ref().map(|row| row.parse::<Roster>().unwrap()).unwrap_or_default();
-        found.roster_revision = roster.map(|row| row.revision);
-        let pool =
-            Pool::new(pool_name(), token, term, tuning(), found, Tick(self.now), Millis(self.now));
-        self.owners.push(Owner {
-            pool,
-            token: Revision(token.0),
-            recording: BTreeSet::new(),
-            frozen: 0,
-            alive: true,
-            cut: BTreeMap::new(),
-            blind: 0,
-        });
-        self.list();
-    }
-
-    fn take_lease(&mut self) -> (FencingToken, u64) {
-        let key = lease_key(&pool_name());
-        let known = self.read(key.clone());
-        let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
-        let record = LeaseRecord { owner: None, term, settled: false };
-        let txn = Txn::new()
-            .with_check(key.clone(), known.as_ref().map(|row| row.revision))
-            .with_write(key, value(&record));
-        let Commit::Done(token) = self.commit(txn) else { unreachable!("nobody else writes now") };
-        self.lease_changed = self.now;
-        (FencingToken(token.0), term)
-    }
-
-    /// Raises the fence of a part; time passes before each transaction arrives.
-    fn raise(&mut self, token: FencingToken, shard: Shard) -> Option<Revision> {
-        let fence = fence(token, shard);
-        let mut found = self.read(fence_key(&pool_name(), shard));
-        loop {
-            let txn = match fence.next(found.as_ref()).unwrap() {
-                FenceStep::Raised(revision) => return Some(revision),
-                FenceStep::Superseded => return None,
-                FenceStep::Write(txn) => txn,
-            };
-            self.run(STEP);
-            match self.commit(txn) {
-                Commit::Done(revision) => return Some(revision),
-                Commit::Conflict(conflicts) => found = conflicts.into_iter().find_map(|c| c.row),
-            }
-        }
-    }
-
-    /// A process begins to take over and is killed or paused between two parts; the transaction that it had just
-    /// sent arrives much later. Another one takes over meanwhile, and the paused one goes on after it.
-    fn half_take_over(&mut self, parts: usize, delay: u64) {
-        let (token, _) = self.take_lease();
-        let mut shards = Shard::all();
-        for shard in shards.by_ref().take(parts) {
-            self.raise(token, shard);
-        }
-        let paused = shards.clone();
-        if let Some(shard) = shards.next() {
-            let found = self.read(fence_key(&pool_name(), shard));
-            if let Ok(FenceStep::Write(txn)) = fence(token, shard).next(found.as_ref()) {
-                self.push(delay, Event::Raise(txn));
-            }
-        }
-        self.run(delay / 2);
-        self.take_over();
-        for shard in paused {
-            self.raise(token, shard);
-        }
-    }
-
-    fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
-        let scan = |prefix| {
-            let scan = Scan { prefix, after: None, limit: u32::MAX };
-            self.store.scan(scan).now_or_never().unwrap().unwrap().rows
-        };
-        let id_of = |row: &Row| row.key.0.rsplit('/').next().unwrap().parse::<JobId>().unwrap();
-        let progress: BTreeMap<JobId, Row> = scan(progress_prefix(&pool_name(), shard))
-            .into_iter()
-            .map(|row| (id_of(&row), row))
-            .collect();
-        let stored = |row: Row| {
-            let id = id_of(&row);
-            let progress = progress
-                .get(&id)
-                .map(|row| StoredProgress { record: row.parse().unwrap(), revision: row.revision });
-            StoredJob { id, record: row.parse::<JobRecord>().unwrap(), row: row.revision, progress }
-        };
-        scan(job_prefix(&pool_name(), shard)).into_iter().map(stored).collect()
-    }
-
     fn newest(&mut self) -> &mut Owner {
         self.owners.last_mut().unwrap()
     }
--- /dev/null
+++ b/reachhead_jobs/tests/walk/site/takeover.rs
@@ -0,0 +1,133 @@
+//! Processes that take the pool over, as a whole or up to a point.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use futures::FutureExt;
+use reachhead_jobs::{
+    clock::Tick,
+    fence::{Fence, FenceStep},
+    pool::{Inheritance, Pool, StoredJob, StoredProgress},
+    record::{
+        JobRecord, LeaseRecord, Roster, fence_key, job_prefix, lease_key, progress_prefix,
+        roster_key, value,
+    },
+    shard::Shard,
+};
+use reachhead_store::{
+    Store,
+    row::{Commit, Row, Scan, Txn},
+};
+use reachhead_types::{
+    id::JobId,
+    size::{FencingToken, Millis, Revision},
+};
+
+use super::{Event, Owner, STEP, Site, pool_name, tuning};
+
+fn fence(token: FencingToken, shard: Shard) -> Fence {
+    Fence::new(pool_name(), shard, token, "n".parse().unwrap())
+}
+
+impl Site {
+    /// A new process takes the lease, whatever the owner before is doing.
+    pub(super) fn take_over(&mut self) {
+        let verified = Tick(self.now);
+        let mut found =
+            Inheritance { verified, effect: tuning().inheritance(), ..Inheritance::default() };
+        let (token, term) = self.take_lease();
+        for shard in Shard::all() {
+            let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
+            found.fences.insert(shard, fence);
+            found.jobs.append(&mut self.stored_jobs(shard));
+        }
+        let roster = self.read(roster_key(&pool_name()));
+        found.roster =
+            roster.as_ref().map(|row| row.parse::<Roster>().unwrap()).unwrap_or_default();
+        found.roster_revision = roster.map(|row| row.revision);
+        let pool =
+            Pool::new(pool_name(), token, term, tuning(), found, Tick(self.now), Millis(self.now));
+        self.owners.push(Owner {
+            pool,
+            token: Revision(token.0),
+            recording: BTreeSet::new(),
+            frozen: 0,
+            alive: true,
+            cut: BTreeMap::new(),
+            blind: 0,
+        });
+        self.list();
+    }
+
+    fn take_lease(&mut self) -> (FencingToken, u64) {
+        let key = lease_key(&pool_name());
+        let known = self.read(key.clone());
+        let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
+        let record = LeaseRecord { owner: None, term, settled: false };
+        let txn = Txn::new()
+            .with_check(key.clone(), known.as_ref().map(|row| row.revision))
+            .with_write(key, value(&record));
+        let Commit::Done(token) = self.commit(txn) else { unreachable!("nobody else writes now") };
+        self.lease_changed = self.now;
+        (FencingToken(token.0), term)
+    }
+
+    /// Raises the fence of a part; time passes before each transaction arrives.
+    fn raise(&mut self, token: FencingToken, shard: Shard) -> Option<Revision> {
+        let fence = fence(token, shard);
+        let mut found = self.read(fence_key(&pool_name(), shard));
+        loop {
+            let txn = match fence.next(found.as_ref()).unwrap() {
+                FenceStep::Raised(revision) => return Some(revision),
+                FenceStep::Superseded => return None,
+                FenceStep::Write(txn) => txn,
+            };
+            self.run(STEP);
+            match self.commit(txn) {
+                Commit::Done(revision) => return Some(revision),
+                Commit::Conflict(conflicts) => found = conflicts.into_iter().find_map(|c| c.row),
+            }
+        }
+    }
+
+    /// A process begins to take over and is killed or paused between two parts; the transaction that it had just
+    /// sent arrives much later. Another one takes over meanwhile, and the paused one goes on after it.
+    pub(super) fn half_take_over(&mut self, parts: usize, delay: u64) {
+        let (token, _) = self.take_lease();
+        let mut shards = Shard::all();
+        for shard in shards.by_ref().take(parts) {
+            self.raise(token, shard);
+        }
+        let paused = shards.clone();
+        if let Some(shard) = shards.next() {
+            let found = self.read(fence_key(&pool_name(), shard));
+            if let Ok(FenceStep::Write(txn)) = fence(token, shard).next(found.as_ref()) {
+                self.push(delay, Event::Raise(txn));
+            }
+        }
+        self.run(delay / 2);
+        self.take_over();
+        for shard in paused {
+            self.raise(token, shard);
+        }
+    }
+
+    fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
+        let scan = |prefix| {
+            let scan = Scan { prefix, after: None, limit: u32::MAX };
+            self.store.scan(scan).now_or_never().unwrap().unwrap().rows
+        };
+        let id_of = |row: &Row| row.key.0.rsplit('/').next().unwrap().parse::<JobId>().unwrap();
+        let progress: BTreeMap<JobId, Row> = scan(progress_prefix(&pool_name(), shard))
+            .into_iter()
+            .map(|row| (id_of(&row), row))
+            .collect();
+        let stored = |row: Row| {
+            let id = id_of(&row);
+            let progress = progress
+                .get(&id)
+                .map(|row| StoredProgress { record: row.parse().unwrap(), revision: row.revision });
+            StoredJob { id, record: row.parse::<JobRecord>().unwrap(), row: row.revision, progress }
+        };
+        scan(job_prefix(&pool_name(), shard)).into_iter().map(stored).collect()
+    }
+}
--- a/reachhead_ops/tests/bounded.rs
+++ b/reachhead_ops/tests/bounded.rs
@@ -21,7 +21,7 @@
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 fn order(address: SocketAddr) -> Request<Full<Bytes>> {
-    let request = Request::post("/machine-move").header("host", address.to_string());
+    let request = Request::post("/order").header("host", address.to_string());
     request.body(Full::new(Bytes::from_static(b"{}"))).unwrap()
 }
 
