Late jobs that nobody will wait for much longer go first, in a quarter of the room

Hypothesis: what counts at this size is not how many jobs are late but how many are never done; those are the first of a burst, which become late before hosts have come and then wait behind all that can be in time for as long as the burst lasts. Change: class Expiring (order), ahead of InTime inside a quarter of the pool's room (rescue). Tests: the first jobs of a burst beside a stream that fills the room (seen failing with a share of nothing), and a backlog that does not make what comes after it late.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pool;
 pub mod ports;
 pub mod record;
+pub mod rescue;
 pub mod shard;
 pub mod task;
 pub mod wave;
--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -19,6 +19,11 @@
 /// How late a job may be, in multiples of its objective, before nobody waits for it any more.
 const LATE_FACTOR: u64 = 3;
 
+/// How long before nobody waits for it any more a late job counts as expiring, in multiples of its objective. A job
+/// that becomes late has waited for one objective, so it has another behind all that can be in time, and then one more in
+/// which the share of the room that expiring jobs get has to suffice.
+const EXPIRING_FACTOR: u64 = 1;
+
 /// How long the tasks of a queue really take.
 ///
 /// Clients' guesses are far off on some queues and good on others, so each queue's better predictor
@@ -127,10 +132,13 @@
         let objective = self.objective(&job.queue, &job.plan);
         let left = self.left(job);
         let ends = now + left.chain;
+        let expiring = LATE_FACTOR - EXPIRING_FACTOR;
         let class = if ends <= job.accepted + objective {
             Class::InTime
-        } else if ends <= job.accepted + Millis(objective.0 * LATE_FACTOR) {
+        } else if ends <= job.accepted + Millis(objective.0 * expiring) {
             Class::Late
+        } else if ends <= job.accepted + Millis(objective.0 * LATE_FACTOR) {
+            Class::Expiring
         } else {
             Class::Missed
         };
@@ -180,6 +188,9 @@
 pub enum Class {
     /// Its tasks must be at work all the time.
     LongRunning,
+    /// It is late, and unless it starts soon nobody waits for it any more. It goes first inside a share of the pool's
+    /// room, see [`crate::rescue`].
+    Expiring,
     /// It can be done in time.
     InTime,
     /// It will be late, but not so late that nobody waits.
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -10,5 +10,6 @@
 mod load;
 mod pace;
 mod records;
+mod rescue;
 mod vacate;
 mod wave;
--- /dev/null
+++ b/reachhead_jobs/tests/pool/rescue.rs
@@ -0,0 +1,128 @@
+//! Late jobs beside a stream of jobs that can be in time.
+
+use std::collections::BTreeMap;
+
+use reachhead_jobs::{clock::Tick, pool::JobState, ports::RunEnd, rescue::Share, task::TaskId};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::{Millis, RunNumber},
+};
+
+use crate::fixture::{Fixture, info, step};
+
+/// How long each task takes.
+const TASK_TIME: Millis = Millis(1000);
+
+/// How long a round of the test takes, in milliseconds.
+const ROUND: u64 = 50;
+
+/// A run at work.
+struct Running {
+    worker: WorkerId,
+    run: RunNumber,
+    ends: Tick,
+}
+
+/// A pool whose workers carry out what they are told.
+struct Site {
+    fixture: Fixture,
+    running: BTreeMap<TaskId, Running>,
+    submitted: BTreeMap<u64, Tick>,
+    /// How long each job took from its submission to its end.
+    took: BTreeMap<u64, Millis>,
+}
+
+impl Site {
+    fn new(cores: u64) -> Self {
+        let fixture = Fixture::ready(vec![info("a", cores)]);
+        Self {
+            fixture,
+            running: BTreeMap::new(),
+            submitted: BTreeMap::new(),
+            took: BTreeMap::new(),
+        }
+    }
+
+    fn submit(&mut self, id: u64) {
+        self.fixture.submit(id, vec![step(1)]);
+        self.submitted.insert(id, self.fixture.now);
+    }
+
+    fn round(&mut self) {
+        self.fixture.pass(ROUND);
+        let now = self.fixture.now;
+        let ended: Vec<TaskId> =
+            self.running.iter().filter(|(_, run)| run.ends <= now).map(|(task, _)| *task).collect();
+        for task in ended {
+            let run = self.running.remove(&task).unwrap();
+            self.fixture.end(&run.worker, task, run.run.0, RunEnd::Done);
+        }
+        self.fixture.report(&"a".parse().unwrap());
+        self.fixture.flush();
+        for (worker, order) in self.fixture.starts() {
+            self.fixture.accept(&worker, &order);
+            let run = Running { worker, run: order.run, ends: self.fixture.now + TASK_TIME };
+            self.running.insert(order.task, run);
+        }
+        let pool = &self.fixture.pool;
+        for (id, at) in &self.submitted {
+            if matches!(pool.state(JobId(*id)), Some(JobState::Over(_))) {
+                self.took.entry(*id).or_insert(now.since(*at));
+            }
+        }
+    }
+}
+
+/// A burst of twenty jobs meets eight cores, and then as many jobs come as the cores can do: all of them could be
+/// in time, so the four that were late first would wait for good. Their objective is 2.6 s.
+#[test]
+fn the_first_jobs_of_a_burst_are_done_before_nobody_waits_for_them() {
+    let mut site = Site::new(8);
+    for id in 1..=20 {
+        site.submit(id);
+    }
+    let mut next = 21;
+    for round in 0..200 {
+        site.round();
+        if round % 5 < 2 {
+            site.submit(next);
+            next += 1;
+        }
+    }
+    let bound = Millis(3 * 2600 + ROUND);
+    for id in 1..=20 {
+        let took = site.took.get(&id);
+        assert!(took.is_some_and(|took| *took <= bound), "job {id} took {took:?}");
+    }
+    let others: Vec<u64> = (21..next - 24).collect();
+    let in_time = others.iter().filter(|id| site.took.get(id).is_some_and(|t| *t <= Millis(2700)));
+    let count = in_time.count();
+    assert!(count * 10 >= others.len() * 8, "{count} of {} in time", others.len());
+}
+
+/// With more work than room for good, late jobs get a share and no more: most jobs that come are in time.
+#[test]
+fn late_jobs_do_not_make_those_that_come_after_them_late() {
+    let mut site = Site::new(8);
+    for id in 1..=80 {
+        site.submit(id);
+    }
+    for id in 1000..1200 {
+        site.round();
+        if id < 1060 {
+            site.submit(id);
+        }
+    }
+    let in_time = (1000..1060).filter(|id| site.took.get(id).is_some_and(|t| *t <= Millis(2700)));
+    let count = in_time.count();
+    assert!(count >= 18, "{count} of 60 in time; three quarters of the room are 18 jobs in 3 s");
+}
+
+#[test]
+fn the_share_of_late_jobs_ends_with_the_job_that_uses_it_up() {
+    let mut share = Share::new(16_000, 1000);
+    assert!(share.take(2500));
+    assert!(share.take(9000), "a job wider than what is left is not left out");
+    assert!(!share.take(100));
+    assert!(!Share::new(16_000, 4000).take(100));
+}
