--- a/reachhead_bench/src/jobs/mod.rs
+++ b/reachhead_bench/src/jobs/mod.rs
@@ -30,11 +30,13 @@
     pub lasting: u32,
 }
 
-/// A pool of the smaller sites, one of the grown ones in its burst, and one that has more than it holds.
-const SHAPES: [Shape; 3] = [
+/// A pool of a small site, one of a grown site in its burst, one that has more than it holds, and one of a fleet of hundreds
+/// of hosts in its burst.
+const SHAPES: [Shape; 4] = [
     Shape { name: "small", workers: 20, rate: 25.0, lasting: 5 },
     Shape { name: "grown", workers: 150, rate: 100.0, lasting: 24 },
     Shape { name: "over", workers: 80, rate: 100.0, lasting: 24 },
+    Shape { name: "large", workers: 300, rate: 230.0, lasting: 24 },
 ];
 
 /// What a day came to.
--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -213,6 +213,11 @@
         })
     }
 
+    /// Tells whether any run of it may be at work.
+    pub fn has_runs(&self) -> bool {
+        self.steps.values().flat_map(|step| &step.tasks).any(|task| !task.runs.is_empty())
+    }
+
     /// Returns the task, if it is one of the job's and due.
     pub fn task(&mut self, id: TaskId) -> Option<&mut Task> {
         self.steps.get_mut(&id.step_id())?.tasks.get_mut(id.index as usize)
--- a/reachhead_jobs/src/model.rs
+++ b/reachhead_jobs/src/model.rs
@@ -92,6 +92,11 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Tells whether tasks of it use what others leave.
+    pub fn has_fills(&self) -> bool {
+        self.steps.iter().any(|step| step.fills)
+    }
+
     /// Returns the longest chain of the steps' times, as `time` gives them.
     pub fn chain(&self, time: impl Fn(&Step) -> Millis) -> Millis {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -4,7 +4,7 @@
 
 use reachhead_store::row::{Commit, Conflict, Key, Txn};
 use reachhead_types::{
-    id::JobId,
+    id::{JobId, WorkerId},
     size::{Millis, Revision},
 };
 
@@ -174,15 +174,17 @@
     /// Returns the roster as it should be, if that is not what is stored.
     fn wanted_roster(&self, now: Tick) -> Option<Roster> {
         let newest = self.jobs.values().filter_map(|job| job.row).max().unwrap_or_default();
+        let entries = self.roster.stored.workers.iter();
+        let stored: BTreeMap<&WorkerId, &RosterEntry> =
+            entries.map(|entry| (&entry.worker, entry)).collect();
         let mut wanted = Roster::default();
         for worker in self.workers.values() {
             let id = &worker.info.id;
-            let stored = self.roster.stored.workers.iter().find(|entry| entry.worker == *id);
             if worker.is_spent(now) && !self.pending.contains_key(id) {
                 continue;
             }
             let quiet = worker.silent && now.since(worker.silent_since) >= CLOSE_TIME;
-            let closed = match stored.map(|entry| entry.closed) {
+            let closed = match stored.get(id).map(|entry| entry.closed) {
                 // What was closed stays so until it answers.
                 Some(Some(closed)) if worker.silent || !worker.answered => Some(closed),
                 _ if quiet && worker.answered => Some(newest),
@@ -204,8 +206,9 @@
             self.roster.stored = roster.clone();
             self.roster.wanted = None;
             self.roster.revision = Some(revision);
+            let open = self.roster.open();
             for worker in self.workers.values_mut() {
-                worker.rostered = self.roster.is_open(&worker.info.id);
+                worker.rostered = open.contains(&worker.info.id);
             }
         }
         for entry in &batch.jobs {
@@ -256,6 +259,11 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        if !job.has_runs() {
+            self.jobs.remove(&id);
+            return;
+        }
+        self.review = true;
         job.recorded = true;
         for step in job.steps.values_mut() {
             for run in step.tasks.iter_mut().flat_map(|task| &mut task.runs) {
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -36,6 +36,10 @@
     worker::Worker,
 };
 
+/// How often runs are looked at for orders that are due by time alone. Orders are repeated after 50 ms, so they are sent
+/// at most half as late again; a look at each round took a third of the time of an owner with hundreds of jobs.
+const REVIEW_PERIOD: Millis = Millis(20);
+
 /// Numbers of runs that an owner has to itself; a successor's numbers are higher by this. A task
 /// that runs on and ends at once is started about twice a second, so it lasts for days of that.
 const RUNS_PER_TERM: u64 = 1_000_000;
@@ -224,6 +228,12 @@
     experience: Experience,
     advice: advice::AdviceBook,
     arrivals: load::Arrivals,
+    /// A job with tasks that fill was seen, so paces have to be looked at.
+    fills: bool,
+    /// Something happened that may ask for an order about a run that exists.
+    review: bool,
+    /// When runs are looked at again though nothing happened.
+    review_next: Tick,
     verified: Tick,
     actions: Vec<Action>,
     notes: Vec<Note>,
@@ -294,6 +304,9 @@
             experience: Experience::default(),
             advice: advice::AdviceBook::default(),
             arrivals: load::Arrivals::default(),
+            fills: false,
+            review: true,
+            review_next: now,
             verified: found.verified,
             actions: Vec::new(),
             notes: Vec::new(),
@@ -350,6 +363,7 @@
             return;
         }
         self.experience.admit(&record.queue.name, &record.plan);
+        self.fills |= record.plan.has_fills();
         if !record.plan.long_running() {
             self.arrivals.note(&record.queue.name, now);
         }
@@ -401,12 +415,13 @@
             worker.listed = ids.contains(&worker.info.id);
         }
         self.over.retain(|id| ids.contains(id));
+        let open = self.roster.open();
         for info in listed.into_iter().filter(|info| !self.over.contains(&info.id)) {
             match self.workers.get_mut(&info.id) {
                 Some(worker) => worker.info = info,
                 None => {
                     let mut worker = Worker::new(info, now);
-                    worker.rostered = self.roster.is_open(&worker.info.id);
+                    worker.rostered = open.contains(&worker.info.id);
                     worker.cordoned =
                         self.cordons.get(&worker.info.id).copied().unwrap_or_default();
                     self.workers.insert(worker.info.id.clone(), worker);
@@ -419,12 +434,18 @@
     pub fn poll(&mut self, now: Tick, wall: Millis) -> Vec<Action> {
         self.unfold(wall);
         self.expire(now);
-        self.drive_runs(now);
+        if self.review || self.review_next <= now {
+            self.review = false;
+            self.review_next = now + REVIEW_PERIOD;
+            self.drive_runs(now);
+        }
         if self.trusted(now) {
             self.place(now);
         }
         self.drive_polls(now);
-        self.drive_pace(now);
+        if self.fills {
+            self.drive_pace(now);
+        }
         self.check_roster(now);
         std::mem::take(&mut self.actions)
     }
@@ -481,9 +502,9 @@
 }
 
 impl RosterState {
-    /// Tells whether the worker is stored as one on which tasks are started.
-    fn is_open(&self, worker: &WorkerId) -> bool {
-        let entry = self.stored.workers.iter().find(|entry| entry.worker == *worker);
-        entry.is_some_and(|entry| entry.closed.is_none())
+    /// Returns the workers that are stored as ones on which tasks are started.
+    fn open(&self) -> BTreeSet<WorkerId> {
+        let open = self.stored.workers.iter().filter(|entry| entry.closed.is_none());
+        open.map(|entry| entry.worker.clone()).collect()
     }
 }
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -53,6 +53,7 @@
             return;
         };
         run.asking = false;
+        let odd = result.is_err() || run.phase != Phase::Ordered;
         match result {
             Ok(_) => {
                 if run.phase == Phase::Ordered {
@@ -81,6 +82,7 @@
             }
             Err(error) => self.turned_away(id, task, number, &error, now),
         }
+        self.review |= odd;
     }
 
     /// A worker certainly did not start the run.
@@ -129,6 +131,7 @@
         if let Ok(shown) = &result {
             self.hear(id, *shown, now);
         }
+        self.review = true;
         if result == Err(WorkerError::Replaced) {
             self.worker_over(id, "another life answers there");
             return;
@@ -158,6 +161,7 @@
             return;
         };
         self.pending.remove(id);
+        self.review = true;
         self.over.insert(id.clone());
         self.note(
             NoteKind::WorkerDoubted,
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -58,7 +58,7 @@
         if !worker.answered || worker.silent {
             return Millis(0);
         }
-        if self.has_fills(worker) { FILL_WAIT } else { self.tuning.wait }
+        if self.fills && self.has_fills(worker) { FILL_WAIT } else { self.tuning.wait }
     }
 
     /// Forgets workers that are gone for good.
@@ -127,10 +127,7 @@
         for decision in decisions {
             self.carry_out(&decision, now);
         }
-        self.jobs.retain(|_, job| {
-            let runs = job.steps.values().flat_map(|step| &step.tasks);
-            !job.recorded || runs.flat_map(|task| &task.runs).next().is_some()
-        });
+        self.jobs.retain(|_, job| !job.recorded || job.has_runs());
     }
 
     fn decide(
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -149,6 +149,7 @@
         let job = self.jobs.get_mut(&entry.task.job);
         let run = job.and_then(|job| job.task(entry.task)).and_then(|task| task.run(entry.run));
         let Some(run) = run.filter(|run| run.worker == *id) else {
+            self.review = true;
             self.adopt(id, entry, now);
             return;
         };
@@ -227,6 +228,8 @@
         };
         if let Some(task) = job.task(entry.task) {
             task.last_run = task.last_run.max(entry.run);
+            // Copies of a task that is done, or members of a gang that lost one, have to be stopped.
+            self.review |= step.gang || entry.end != RunEnd::Done || !task.runs.is_empty();
         }
         if step.long_running {
             self.notes.push(Note {
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -6,6 +6,7 @@
     sync::Arc,
 };
 
+use reachhead_plan::amount::Amount;
 use reachhead_types::{
     id::{JobId, Label, WorkerId},
     size::{Millis, RunNumber},
@@ -61,10 +62,11 @@
         ranked.sort_by(|a, b| a.rank.order(b.rank).then(a.id.cmp(&b.id)));
         let ranked = self.bound_expiring(ranked, now);
         let mut failed = 0;
+        let mut room = self.largest_room(now);
         for job in ranked {
             let steps: Vec<StepId> = self.jobs[&job.id].steps.keys().copied().collect();
             for step in steps {
-                if !self.place_step(step, job.rank.class, now) {
+                if !self.place_step(step, job.rank.class, &mut room, now) {
                     failed += 1;
                 }
             }
@@ -89,6 +91,12 @@
         first
     }
 
+    /// Returns the most of each resource that is free on any worker.
+    fn largest_room(&self, now: Tick) -> Amount {
+        let usable = self.workers.values().filter(|worker| worker.accepts(now));
+        usable.fold(Amount::default(), |most, worker| most.max(worker.free()))
+    }
+
     fn usable_cores(&self, now: Tick) -> u64 {
         let usable = self.workers.values().filter(|worker| worker.accepts(now));
         usable.map(|worker| worker.info.capacity.cores).sum()
@@ -122,7 +130,9 @@
     }
 
     /// Places what it can of a step; tells whether everything that may start has room.
-    fn place_step(&mut self, id: StepId, class: Class, now: Tick) -> bool {
+    ///
+    /// `room` is the largest room on any worker, or more: what needs more than that is not looked for.
+    fn place_step(&mut self, id: StepId, class: Class, room: &mut Amount, now: Tick) -> bool {
         let job = &self.jobs[&id.job];
         let state = &job.steps[&id];
         if state.is_done() || !job.is_ready(id) {
@@ -150,8 +160,12 @@
         let rest = waiting.len();
         let mut started = Vec::new();
         for index in waiting {
-            let placed = self.find(id.task(index), &step, allowed.as_ref(), now);
-            let Some(worker) = placed else {
+            let possible = step.charge().fits(*room);
+            let placed = possible.then(|| self.find(id.task(index), &step, allowed.as_ref(), now));
+            let Some(worker) = placed.flatten() else {
+                if possible {
+                    *room = self.largest_room(now);
+                }
                 if class == Class::LongRunning {
                     self.make_room(id, &step, now);
                 }
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -36,6 +36,23 @@
     assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Over(Ending::Completed)));
 }
 
+/// Runs are looked at by what happens and now and then, not in each of the rounds that are 4 ms apart in a burst.
+#[test]
+fn an_order_that_is_due_again_is_sent_soon_though_nothing_happens() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
+    assert!(fixture.starts().is_empty(), "it is not due yet");
+    let mut waited = 0;
+    while fixture.starts().is_empty() {
+        fixture.pass(4);
+        waited += 4;
+    }
+    assert!((50..=75).contains(&waited), "{waited} ms");
+}
+
 #[test]
 fn a_start_without_an_answer_is_repeated_there_with_the_same_deadline() {
     let mut fixture = Fixture::ready(vec![info("w", 4), info("v", 4)]);
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -34,6 +34,13 @@
 /// Least time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(4);
 
+/// How long an owner does other things after a round, in multiples of the round: it looks at all jobs and workers, and on a
+/// small host in a burst rounds would leave no time for the orders and reports that they are about.
+const ROUND_SPACING: u32 = 3;
+
+/// Longest pause between two rounds while inputs wait.
+const ROUND_PAUSE_MOST: Duration = Duration::from_millis(25);
+
 /// How often an owner with jobs looks at its timers when nothing else happens.
 const BUSY_TICK: Duration = Duration::from_millis(50);
 
@@ -107,21 +114,24 @@
     /// Runs until the pool is lost or given back.
     pub async fn run(mut self) {
         let mut last = time::Instant::now();
+        let mut pause = ROUND_PAUSE;
         while !self.lost && self.release.is_none() {
             let tick = if self.pool.jobs().is_empty() { IDLE_TICK } else { BUSY_TICK };
             if let Ok(Some(input)) = time::timeout(tick, self.inputs.recv()).await {
                 self.take(input);
             }
             // A round looks at every job and worker, so what comes close together shares one.
-            let pause = ROUND_PAUSE.saturating_sub(last.elapsed());
-            if !pause.is_zero() {
-                time::sleep(pause).await;
+            let left = pause.saturating_sub(last.elapsed());
+            if !left.is_zero() {
+                time::sleep(left).await;
             }
             while let Ok(input) = self.inputs.try_recv() {
                 self.take(input);
             }
+            let begun = time::Instant::now();
             self.round();
             last = time::Instant::now();
+            pause = (ROUND_SPACING * (last - begun)).clamp(ROUND_PAUSE, ROUND_PAUSE_MOST);
         }
         if let Some(done) = self.release.take() {
             self.give_back().await;
