Hosts are divided where pools together could use more than there are

Cause: Balance::fill takes hosts only from pools with more than they ask for, and what they ask for knew no bound. Tests: shares against a naive version (properties), late work holds no host, two pools in turn with a backlog (both seen failing on the code before: no move), two pools that both lack.

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     clock::Tick,
+    division::{Claim, divide},
     pool::PoolLoad,
     ports::{Machine, MachineState},
 };
@@ -63,7 +64,9 @@
     pub pool: PoolName,
     /// Hosts that it has or that are on their way to it.
     pub have: usize,
-    /// Hosts that it should have.
+    /// Hosts that it could use.
+    pub claim: usize,
+    /// Hosts that it should have, which are fewer if the fleet has less than all pools could use.
     pub want: usize,
     /// Hosts of it that may leave now.
     pub free: usize,
@@ -88,6 +91,7 @@
     pool: PoolName,
     /// Hosts that it has or that are on their way to it.
     have: usize,
+    claim: Claim,
     want: usize,
     /// Its owner has seen work arrive. Before that its hosts stay on: a lull is no news then, and the first burst of a
     /// day meets them. The first four seconds of days with bursts at once earned 0.1 to 0.2 more, means of 30 played
@@ -100,7 +104,13 @@
 impl Account {
     fn room(&self) -> Room {
         let free = self.free.len();
-        Room { pool: self.pool.clone(), have: self.have, want: self.want, free }
+        Room {
+            pool: self.pool.clone(),
+            have: self.have,
+            claim: self.claim.whole,
+            want: self.want,
+            free,
+        }
     }
 }
 
@@ -131,11 +141,12 @@
                 Some(self.account(name, state, size, machines, &held, now))
             })
             .collect();
-        self.rooms = accounts.iter().map(Account::room).collect();
         let mut off: Vec<Move> = match &spare {
             Some(spare) => parked(spare, machines, &held),
             None => Vec::new(),
         };
+        share_out(&mut accounts, off.len());
+        self.rooms = accounts.iter().map(Account::room).collect();
         let mut moves = Vec::new();
         self.fill(&mut accounts, &mut off, &mut moves);
         if let Some(spare) = spare {
@@ -205,8 +216,9 @@
             }
         }
         free.sort_by(|a, b| a.host.cmp(&b.host));
-        let want = wanted(&state.load, size);
-        Account { pool: pool.clone(), have, want, begun: state.load.begun, free }
+        let claim = claimed(&state.load, size);
+        let want = claim.whole;
+        Account { pool: pool.clone(), have, claim, want, begun: state.load.begun, free }
     }
 
     /// Tells whether a host whose worker is of no use may be waited for.
@@ -258,12 +270,23 @@
     load.workers.iter().map(|load| load.cores).max().filter(|cores| *cores > 0)
 }
 
-/// Returns how many hosts of this size a pool should have.
-fn wanted(load: &PoolLoad, size: u64) -> usize {
+/// Returns how many hosts of this size a pool could use.
+fn claimed(load: &PoolLoad, size: u64) -> Claim {
     let pinned = load.workers.iter().filter(|load| load.pinned).count();
-    let need = load.need + load.need * MARGIN_PERCENT / 100;
-    (need.div_ceil(size) as usize).max(LEAST_HOSTS).max(pinned).max(load.least as usize)
-        + load.extra as usize
+    let extra = load.extra as usize;
+    let base = LEAST_HOSTS.max(pinned).max(load.least as usize);
+    let whole = load.need + load.need * MARGIN_PERCENT / 100;
+    let hosts = |cores: u64| (cores.div_ceil(size) as usize).max(base) + extra;
+    Claim { base: base + extra, timely: hosts(load.timely.min(whole)), whole: hosts(whole) }
+}
+
+/// Cuts what the pools should have to the hosts that there are.
+fn share_out(accounts: &mut [Account], off: usize) {
+    let claims: Vec<Claim> = accounts.iter().map(|account| account.claim).collect();
+    let hosts = accounts.iter().map(|account| account.have).sum::<usize>() + off;
+    for (account, share) in accounts.iter_mut().zip(divide(hosts, &claims)) {
+        account.want = share;
+    }
 }
 
 /// Takes an empty host from the pool that has most to spare.
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -43,6 +43,9 @@
 pub struct PoolLoad {
     /// For work that runs, waits and arrives.
     pub need: u64,
+    /// The part of `need` that is not for late work which waits.
+    #[serde(default)]
+    pub timely: u64,
     /// For tasks that run on.
     pub lasting: u64,
     /// Workers that it needs at least, however large they are: tasks that run on keep apart.
@@ -110,9 +113,10 @@
         let mut lasting = 0;
         let mut running = 0;
         let mut waiting = 0;
+        let mut late = 0;
         let mut least = 0;
         for job in self.jobs.values().filter(|job| job.ending.is_none()) {
-            let missed = self.experience.rank(job, now).class == Class::Missed;
+            let class = self.experience.rank(job, now).class;
             for (id, state) in &job.steps {
                 let step = job.step(*id);
                 let cores = step.charge().cores;
@@ -127,16 +131,22 @@
                 for task in state.tasks.iter().filter(|task| !task.done) {
                     if !task.runs.is_empty() {
                         running += cores;
-                    } else if !missed && job.is_ready(*id) {
-                        waiting += cores * time;
+                    } else if job.is_ready(*id) {
+                        match class {
+                            Class::Missed => {}
+                            Class::Late | Class::Expiring => late += cores * time,
+                            Class::LongRunning | Class::InTime => waiting += cores * time,
+                        }
                     }
                 }
             }
         }
-        let busy = running + waiting / BACKLOG_TIME;
+        let timely = running + waiting / BACKLOG_TIME;
+        let whole = running + (waiting + late) / BACKLOG_TIME;
         let rate = self.arrivals.forecast(now, |queue| self.experience.mean_work(queue));
         PoolLoad {
-            need: lasting + busy.max(rate),
+            need: lasting + whole.max(rate),
+            timely: lasting + timely.max(rate),
             lasting,
             least,
             extra: u32::from(self.surge_until > now),
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -187,3 +187,25 @@
     let moves = fleet.round(2000);
     assert!(moves.iter().any(|step| step.from.as_str() == "a" && step.to.as_str() == "b"));
 }
+
+/// One pool's turn is over but for a backlog that it could use the whole fleet for, and the next one's turn begins.
+#[test]
+fn a_pool_that_is_behind_does_not_keep_the_hosts_of_the_next() {
+    let mut fleet = Fleet::default().with_pool("a", 20, 30 * CORES).with_pool("b", 3, 10 * CORES);
+    fleet.load("a").timely = 12 * CORES;
+    fleet.load("b").timely = 10 * CORES;
+    let moves = fleet.round(0);
+    assert!(moves.iter().all(|step| step.to.as_str() == "b"), "{moves:?}");
+    assert_eq!(moves.len(), 8, "23 hosts: 12 and 10 for work in time, and one more");
+    fleet.apply(&moves);
+    assert!(fleet.round(150).is_empty(), "what was divided stays so");
+}
+
+/// Both pools lack hosts for work in time: neither keeps what it happens to have.
+#[test]
+fn pools_that_both_lack_hosts_are_levelled() {
+    let mut fleet = Fleet::default().with_pool("a", 17, 40 * CORES).with_pool("b", 3, 25 * CORES);
+    fleet.load("a").timely = 40 * CORES;
+    fleet.load("b").timely = 25 * CORES;
+    assert_eq!(fleet.round(0).len(), 7);
+}
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -4,6 +4,7 @@
 
 mod balance;
 mod candidate;
+mod division;
 mod fixture;
 mod inherit;
 mod life;
