Two orders at once to a worker instead of four

Hypothesis: the 1,900 to 2,100 descriptors of the busiest process are four short calls and a poll for each of 400 workers, and each connection costs buffers and a handshake. Cause: SHORT_LIMIT; a burst fills it once, and what is idle is kept. Ruled out: one call at a time (one without an answer would hold the others up for its whole deadline). Tests: those of the client as before.

--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -19,11 +19,12 @@
 use tokio::{net::TcpStream, sync::Semaphore, time};
 
 /// Idle connections that are kept to one peer; more are closed after use.
-const IDLE_LIMIT: usize = 4;
+const IDLE_LIMIT: usize = 3;
 
 /// Short calls to one peer that are under way at once; more wait, since a new connection costs more than the
-/// moment until one is free.
-const SHORT_LIMIT: usize = 4;
+/// moment until one is free. Two, so that one call without an answer does not hold all others up; each further one costs
+/// an owner of hundreds of workers as many connections, with some 20 KB of buffers each.
+const SHORT_LIMIT: usize = 2;
 
 /// Peers with short calls that are remembered before those without any under way are dropped.
 const PEERS_KEPT: usize = 512;
