--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -11,6 +11,7 @@
 mod load;
 mod pace;
 mod records;
+mod release;
 mod rescue;
 mod vacate;
 mod wave;
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -4,10 +4,10 @@
 
 use futures::future::join_all;
 use reachhead_jobs::{
-    balance::{Balance, Move, PoolState, Room},
+    balance::{Balance, Move, Plan, PoolState, Room},
     clock::Tick,
     lives::Deserted,
-    pool::{DrainMode, Vacancy},
+    pool::{Allotment, DrainMode, Vacancy},
     ports::{Machine, MachineApi, MachineError, MachineState},
 };
 use reachhead_ops::event::{Event, emit};
@@ -61,6 +61,8 @@
     node: Arc<Node>,
     authority: Arc<Authority>,
     balance: Balance,
+    /// What was decided about the hosts of each pool in the last round.
+    allotments: BTreeMap<PoolName, Allotment>,
     ordered: BTreeMap<HostId, Ordered>,
     /// When the last round looked at the pools.
     last: Tick,
@@ -81,6 +83,7 @@
             node,
             authority,
             balance: Balance::new(),
+            allotments: BTreeMap::new(),
             ordered: BTreeMap::new(),
             last,
             deserted: Vec::new(),
@@ -101,7 +104,8 @@
         self.deserted = deserted(&pools);
         let now = self.node.now();
         let machines = self.corrected(machines, now);
-        let mut steps = self.balance.next(&machines, &pools, held, now);
+        let Plan { moves: mut steps, allotments } = self.balance.next(&machines, &pools, held, now);
+        self.allotments = allotments;
         self.tell_rooms(now);
         steps.truncate(self.allowance(now));
         self.saved = (self.saved - steps.len() as f64).max(0.0);
@@ -168,7 +172,8 @@
             return BTreeMap::new();
         };
         let asks = config.pools.values().map(|policy| async {
-            let ask = ask_pool(&self.node, &policy.name, PoolAsk::Load);
+            let allotment = self.allotments.get(&policy.name).copied();
+            let ask = ask_pool(&self.node, &policy.name, PoolAsk::Load(allotment));
             match time::timeout(LOAD_TIME, ask).await {
                 Ok(Some(Reply::Load(load))) => {
                     Some((policy.name.clone(), PoolState { load, spare: policy.spare }))
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -188,7 +188,10 @@
             Input::Vacate(worker, mode, reply) => {
                 let _ = reply.send(self.pool.vacate(&worker, mode, now));
             }
-            Input::Load(reply) => {
+            Input::Load(allotment, reply) => {
+                if let Some(allotment) = allotment {
+                    self.pool.release(allotment, now);
+                }
                 let _ = reply.send(self.pool.load(now));
             }
             Input::Over(workers) => {
