--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::Tick,
     division::{Claim, divide},
-    pool::{Allotment, PoolLoad},
+    pool::PoolLoad,
     ports::{Machine, MachineState},
 };
 
@@ -74,15 +74,6 @@
     pub busy: usize,
 }
 
-/// What a round decides.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct Plan {
-    /// The moves to begin now, the most urgent first.
-    pub moves: Vec<Move>,
-    /// What each pool is to be told about its hosts.
-    pub allotments: BTreeMap<PoolName, Allotment>,
-}
-
 /// What is remembered from round to round.
 #[derive(Debug, Clone, Default)]
 pub struct Balance {
@@ -132,14 +123,15 @@
         Self::default()
     }
 
-    /// Returns what to do now. `held` are hosts that something else is done with.
+    /// Returns the moves to begin now, the most urgent first. `held` are hosts that something else is done
+    /// with.
     pub fn next(
         &mut self,
         machines: &BTreeMap<HostId, Machine>,
         pools: &BTreeMap<PoolName, PoolState>,
         held: impl Fn(&HostId) -> bool,
         now: Tick,
-    ) -> Plan {
+    ) -> Vec<Move> {
         self.remember(machines, now);
         let spare = pools.iter().find(|(_, state)| state.spare).map(|(name, _)| name.clone());
         let largest = pools.values().filter_map(|state| largest_worker(&state.load)).max();
@@ -160,11 +152,10 @@
         self.rooms = accounts.iter().map(Account::room).collect();
         let mut moves = Vec::new();
         self.fill(&mut accounts, &mut off, &mut moves);
-        let allotments = allotments(&accounts);
         if let Some(spare) = spare {
             self.park(&accounts, &spare, &mut moves, now);
         }
-        Plan { moves, allotments }
+        moves
     }
 
     /// Returns what the last round found, before its moves.
@@ -303,13 +294,6 @@
     }
 }
 
-/// Returns what the pools are to be told, with the moves of this round counted.
-fn allotments(accounts: &[Account]) -> BTreeMap<PoolName, Allotment> {
-    let urgent = accounts.iter().any(|account| account.have < account.want);
-    let of = |account: &Account| Allotment { hosts: account.want as u32, urgent };
-    accounts.iter().map(|account| (account.pool.clone(), of(account))).collect()
-}
-
 /// Takes an empty host from the pool that has most to spare.
 fn surplus(accounts: &mut [Account]) -> Option<Move> {
     let donor = accounts
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -61,7 +61,6 @@
             slow: worker.speed.is_slow(now),
             far: far(self.step.rack.as_ref()) || far(self.rack),
             siblings: if self.step.long_running { self.siblings(worker) } else { 0 },
-            leaving: worker.is_leaving(now),
             unsettled: self.settled.is_some_and(|settled| !settled.contains(&worker.info.id)),
             room: if self.step.serves() { worker.used.cores } else { worker.free().cores },
         }
@@ -79,8 +78,6 @@
     far: bool,
     /// Tasks of the same step that would be lost with the worker.
     siblings: u32,
-    /// Its host is to leave the pool once it is empty.
-    leaving: bool,
     /// It would be the first task there that runs on.
     unsettled: bool,
     /// What is in use there for a task that serves, since others disturb it; else what is free, so
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -157,7 +157,7 @@
         }
     }
 
-    pub(super) fn worker_loads(&self, now: Tick) -> Vec<WorkerLoad> {
+    fn worker_loads(&self, now: Tick) -> Vec<WorkerLoad> {
         let usable = self.workers.values().filter(|worker| {
             worker.listed && worker.answered && !worker.silent && worker.conduct.suspended <= now
         });
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -10,7 +10,6 @@
 mod orders;
 mod pace;
 mod polls;
-mod release;
 mod reports;
 mod starts;
 mod vacate;
@@ -19,7 +18,6 @@
 
 pub use flush::{Batch, Due, Lane};
 pub use load::{PoolLoad, WorkerLoad};
-pub use release::{Allotment, Leaving};
 pub use vacate::{DrainMode, Vacancy};
 
 use reachhead_types::{
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     clock::{Reading, Tick, WorkerTime},
-    pool::Leaving,
     ports::WorkerInfo,
     task::{StepId, TaskId},
 };
@@ -167,8 +166,6 @@
     pub strays: u32,
     /// Until when it gets nothing new, because planned work is about to take it.
     pub cordoned: Tick,
-    /// Its host is to leave the pool.
-    pub leaving: Leaving,
     /// A step for which room is being made there, and until when.
     pub reserved: Option<Reservation>,
     /// When what fills there was last compared with what it disturbs.
@@ -210,7 +207,6 @@
             used: Amount::default(),
             strays: 0,
             cordoned: Tick(0),
-            leaving: Leaving::default(),
             reserved: None,
             paced: Tick(0),
             conduct: Conduct::default(),
@@ -274,11 +270,6 @@
         self.answered && !self.silent && self.runs.is_empty() && self.strays == 0
     }
 
-    /// Tells whether its host is to leave the pool.
-    pub fn is_leaving(&self, now: Tick) -> bool {
-        self.leaving.until > now
-    }
-
     /// Tells whether it may get new tasks at all.
     pub fn accepts(&self, now: Tick) -> bool {
         self.listed
@@ -288,7 +279,6 @@
             && self.strays == 0
             && !self.info.draining
             && self.cordoned <= now
-            && !(self.leaving.urgent && self.is_leaving(now))
             && self.conduct.suspended <= now
             && (!self.conduct.probation || self.runs.is_empty())
     }
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -47,7 +47,7 @@
 
     fn round(&mut self, millis: u64) -> Vec<Move> {
         self.now = self.now + Millis(millis);
-        self.balance.next(&self.machines, &self.pools, |_| false, self.now).moves
+        self.balance.next(&self.machines, &self.pools, |_| false, self.now)
     }
 
     /// Carries moves out as the platform does.
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -11,7 +11,6 @@
 mod load;
 mod pace;
 mod records;
-mod release;
 mod rescue;
 mod vacate;
 mod wave;
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -4,10 +4,10 @@
 
 use futures::future::join_all;
 use reachhead_jobs::{
-    balance::{Balance, Move, Plan, PoolState, Room},
+    balance::{Balance, Move, PoolState, Room},
     clock::Tick,
     lives::Deserted,
-    pool::{Allotment, DrainMode, Vacancy},
+    pool::{DrainMode, Vacancy},
     ports::{Machine, MachineApi, MachineError, MachineState},
 };
 use reachhead_ops::event::{Event, emit};
@@ -61,8 +61,6 @@
     node: Arc<Node>,
     authority: Arc<Authority>,
     balance: Balance,
-    /// What was decided about the hosts of each pool in the last round.
-    allotments: BTreeMap<PoolName, Allotment>,
     ordered: BTreeMap<HostId, Ordered>,
     /// When the last round looked at the pools.
     last: Tick,
@@ -83,7 +81,6 @@
             node,
             authority,
             balance: Balance::new(),
-            allotments: BTreeMap::new(),
             ordered: BTreeMap::new(),
             last,
             deserted: Vec::new(),
@@ -104,8 +101,7 @@
         self.deserted = deserted(&pools);
         let now = self.node.now();
         let machines = self.corrected(machines, now);
-        let Plan { moves: mut steps, allotments } = self.balance.next(&machines, &pools, held, now);
-        self.allotments = allotments;
+        let mut steps = self.balance.next(&machines, &pools, held, now);
         self.tell_rooms(now);
         steps.truncate(self.allowance(now));
         self.saved = (self.saved - steps.len() as f64).max(0.0);
@@ -172,8 +168,7 @@
             return BTreeMap::new();
         };
         let asks = config.pools.values().map(|policy| async {
-            let allotment = self.allotments.get(&policy.name).copied();
-            let ask = ask_pool(&self.node, &policy.name, PoolAsk::Load(allotment));
+            let ask = ask_pool(&self.node, &policy.name, PoolAsk::Load);
             match time::timeout(LOAD_TIME, ask).await {
                 Ok(Some(Reply::Load(load))) => {
                     Some((policy.name.clone(), PoolState { load, spare: policy.spare }))
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -2,7 +2,7 @@
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
-    pool::{Allotment, Batch, DrainMode, JobState, PoolLoad, Vacancy},
+    pool::{Batch, DrainMode, JobState, PoolLoad, Vacancy},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     task::{StepId, TaskId},
 };
@@ -41,8 +41,8 @@
     Waiting(RouteName, oneshot::Sender<u32>),
     /// A worker's host is due for planned work.
     Vacate(WorkerId, DrainMode, oneshot::Sender<Vacancy>),
-    /// Somebody asks how much room the pool needs, and tells what was decided about its hosts.
-    Load(Option<Allotment>, oneshot::Sender<PoolLoad>),
+    /// Somebody asks how much room the pool needs.
+    Load(oneshot::Sender<PoolLoad>),
     /// Lives of workers are over.
     Over(Vec<WorkerId>),
     /// The registered workers changed.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -188,10 +188,7 @@
             Input::Vacate(worker, mode, reply) => {
                 let _ = reply.send(self.pool.vacate(&worker, mode, now));
             }
-            Input::Load(allotment, reply) => {
-                if let Some(allotment) = allotment {
-                    self.pool.release(allotment, now);
-                }
+            Input::Load(reply) => {
                 let _ = reply.send(self.pool.load(now));
             }
             Input::Over(workers) => {
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use reachhead_jobs::{
-    pool::{Allotment, DrainMode, JobState, PoolLoad, Vacancy},
+    pool::{DrainMode, JobState, PoolLoad, Vacancy},
     record::JobRecord,
 };
 use reachhead_ops::{
@@ -82,8 +82,8 @@
     Vacate(WorkerId, DrainMode),
     /// These lives of workers are over.
     Over(Vec<WorkerId>),
-    /// How much room does the pool need? With what was decided about its hosts before, if anything was.
-    Load(Option<Allotment>),
+    /// How much room does the pool need?
+    Load,
 }
 
 /// The answer to an [`Ask`].
@@ -204,9 +204,7 @@
         PoolAsk::Waiting(queue) => {
             answered(owner, |reply| Input::Waiting(queue, reply), Reply::Waiting).await
         }
-        PoolAsk::Load(allotment) => {
-            answered(owner, |reply| Input::Load(allotment, reply), Reply::Load).await
-        }
+        PoolAsk::Load => answered(owner, Input::Load, Reply::Load).await,
         PoolAsk::Vacate(worker, mode) => {
             answered(owner, |reply| Input::Vacate(worker, mode, reply), Reply::Vacancy).await
         }
