--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -24,8 +24,8 @@
 const LEAST_HOSTS: usize = 3;
 
 /// How long a host must have been more than its pool needs before it is switched off. Switching off
-/// and on costs as much as about two seconds of a host, and it is away for three. In trials
-/// 1.5 s lost worth on days with trouble, 6 s on quiet days.
+/// and on costs as much as about two seconds of a host, and it is away for three: sooner, callers of the next burst
+/// wait for hosts that were just given up; later, the group pays for hosts that nobody uses.
 const IDLE_TIME: Millis = Millis(3000);
 
 /// How long a host stays in its pool after it came, so that none goes to and fro.
@@ -96,9 +96,8 @@
     claim: Claim,
     want: usize,
     busy: usize,
-    /// Its owner has seen work arrive. Before that its hosts stay on: a lull is no news then, and the first burst of a
-    /// day meets them. The first four seconds of days with bursts at once earned 0.1 to 0.2 more, means of 30 played
-    /// days 0.01 and on ten with 350 hosts 0.02; quiet days the same.
+    /// Its owner has seen work arrive. Before that its hosts stay on: a lull is no news then, and the first callers of a
+    /// burst meet them instead of waiting two seconds for a host.
     begun: bool,
     /// Hosts that may leave.
     free: Vec<Move>,
--- a/reachhead_jobs/src/liveness.rs
+++ b/reachhead_jobs/src/liveness.rs
@@ -9,8 +9,8 @@
 /// an idle owner are answered every second, with a slow store half a second later.
 const BLIND_TIME: Millis = Millis(1800);
 
-/// The same for one whose last call failed, so that an idle owner's pauses are no explanation. With [`BLIND_TIME`] for
-/// all, days on which the store turns hosts away earned 0.011 less (means of 44 played days each).
+/// The same for one whose last call failed, so that an idle owner's pauses are no explanation. Its pool's callers are
+/// refused for as long as it keeps the pool.
 const FAILING_TIME: Millis = Millis(900);
 
 /// How long this process must have reached the store without a gap before it takes the pools of owners that do not: after
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -15,8 +15,8 @@
 const RATE_WINDOW: Millis = Millis(800);
 
 /// How far ahead a rate that rises is taken to go on rising: until a host that is asked for now takes work, 1.5 s for
-/// its move and up to 0.7 s for the order, its registration and its first answer. With 1.5 s the worst seconds of
-/// bursts earned 0.02 less, with 3 s quiet days 0.01 less (means of 30 and 6 played days).
+/// its move and up to 0.7 s for the order, its registration and its first answer. With less, the callers of a rise wait for
+/// hosts; with more, hosts are fetched for a rise that has ended.
 const TREND_TIME: u64 = 2200;
 
 /// The most that a rising rate is taken to become, in multiples of what it is.
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -3,9 +3,11 @@
 //! The owner's event loop hands in what happened and carries out the [`Action`]s that come back.
 //! Nothing here reads a clock or waits.
 
+mod action;
 mod adopt;
 mod advice;
 mod flush;
+mod inheritance;
 mod load;
 mod orders;
 mod pace;
@@ -16,28 +18,29 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+pub use action::{Action, Note, NoteKind, StopReason};
 pub use flush::{Batch, Due, Lane};
+pub use inheritance::{Inheritance, StoredJob, StoredProgress};
 pub use load::{PoolLoad, WorkerLoad};
 pub use vacate::{DrainMode, Vacancy};
 
 use reachhead_types::{
     id::{JobId, PoolName, RouteName, WorkerId},
-    size::{FencingToken, Millis, Revision, RunNumber},
+    size::{FencingToken, Millis, Revision},
 };
 
 use crate::{
     clock::{Tick, stretched},
     job::Job,
     order::Experience,
-    ports::{EndedEntry, HoldOrder, StartOrder, WorkerInfo, WorkerTarget},
-    record::{Ending, FinalRecord, JobRecord, ProgressRecord, Roster},
+    ports::{EndedEntry, WorkerInfo, WorkerTarget},
+    record::{Ending, FinalRecord, JobRecord, Roster},
     shard::Shard,
-    task::{StepId, TaskId},
     worker::Worker,
 };
 
 /// How often runs are looked at for orders that are due by time alone. Orders are repeated after 50 ms, so they are sent
-/// at most half as late again; a look at each round took a third of the time of an owner with hundreds of jobs.
+/// at most half as late again. A look takes time for each run of the pool, and rounds are 4 ms apart.
 const REVIEW_PERIOD: Millis = Millis(20);
 
 /// Numbers of runs that an owner has to itself; a successor's numbers are higher by this. A task
@@ -72,64 +75,6 @@
     }
 }
 
-/// What the owner is to do next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Order a run.
-    Start(WorkerTarget, StartOrder),
-    /// Stop a run.
-    Stop(WorkerTarget, TaskId, RunNumber),
-    /// Let a run work at this share, in percent.
-    Pace(WorkerTarget, TaskId, RunNumber, u32),
-    /// Renew a worker's lease and wait for its report.
-    Hold(WorkerTarget, HoldOrder),
-    /// Ask which workers may run a step.
-    Advise(StepId, Vec<WorkerId>),
-    /// A worker has had orders with a higher token, so somebody else is in charge.
-    Fenced,
-}
-
-/// Why the owner stops a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StopReason {
-    /// Its task is done or its job is over.
-    Unneeded,
-    /// It shows no progress.
-    Still,
-    /// A task that must be at work needs the room.
-    Displaced,
-    /// Its host is due for planned work.
-    Planned,
-    /// Another member of its gang is not there, so it could only wait in vain.
-    Incomplete,
-}
-
-/// A decision that is worth a line in the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Note {
-    /// What happened.
-    pub kind: NoteKind,
-    /// What it happened to.
-    pub text: String,
-}
-
-/// Kinds of [`Note`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoteKind {
-    /// A job is over.
-    JobEnded,
-    /// A run failed or was lost.
-    RunLost,
-    /// A worker is suspected, lost or replaced.
-    WorkerDoubted,
-    /// A run was stopped by a decision of the owner.
-    RunStopped,
-    /// A predecessor's run was taken over.
-    RunAdopted,
-    /// Tasks of a step were given to workers.
-    StepPlaced,
-}
-
 /// Why a call to a job failed in the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cancelled {
@@ -160,45 +105,6 @@
     at: Tick,
 }
 
-/// A job as the store has it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StoredJob {
-    /// Its id.
-    pub id: JobId,
-    /// The job.
-    pub record: JobRecord,
-    /// The revision of its row.
-    pub row: Revision,
-    /// Its progress, if any is recorded.
-    pub progress: Option<StoredProgress>,
-}
-
-/// A job's progress as the store has it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StoredProgress {
-    /// The progress.
-    pub record: ProgressRecord,
-    /// The revision of its row.
-    pub revision: Revision,
-}
-
-/// What an owner finds when it takes charge of a pool.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct Inheritance {
-    /// The jobs that are not over.
-    pub jobs: Vec<StoredJob>,
-    /// The workers that a predecessor may have used.
-    pub roster: Roster,
-    /// The revision of the roster's row.
-    pub roster_revision: Option<Revision>,
-    /// The revisions that this owner's raises gave the fences of its parts.
-    pub fences: BTreeMap<Shard, Revision>,
-    /// When the lease was last known to be in force; reading the rest may have taken long.
-    pub verified: Tick,
-    /// How long an order of the predecessor may still have effect on a worker that does not answer.
-    pub effect: Millis,
-}
-
 /// A pool and everything that its owner knows of it.
 pub struct Pool {
     name: PoolName,
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -28,8 +28,8 @@
 use reachhead_platform::settings::Settings;
 use tikv_jemallocator::Jemalloc;
 
-/// A burst makes and drops thousands of small requests and rows a second, which took a sixth of an owner's processor time with
-/// the C library's allocator. This one needs no more memory.
+/// A burst makes and drops thousands of small requests and rows a second, which took a sixth of the processes' time with the C
+/// library's allocator (by a profile of bursts on 300 workers). This one needs no more memory.
 #[global_allocator]
 static ALLOCATOR: Jemalloc = Jemalloc;
 
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -47,8 +47,8 @@
     pub dialect: Arc<dyn Dialect>,
 }
 
-/// Time of a whole core that the start of a task takes with its reports, in seconds; measured on days of
-/// 20,000 starts.
+/// Time of a whole core that the start of a task takes with its reports, in seconds: the
+/// processor time of all owners over their starts.
 const START_CORES: f64 = 0.000_15;
 
 /// Bits on the link for it: the order with its specification, the answer, its share of reports.
