--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -93,8 +93,11 @@
     pool: PoolName,
     /// Hosts that it has or that are on their way to it.
     have: usize,
+    /// Hosts that it could use, by urgency.
     claim: Claim,
+    /// Hosts that it should have.
     want: usize,
+    /// Hosts that what is in use of all of them would fill.
     busy: usize,
     /// Its owner has seen work arrive. Before that its hosts stay on: a lull is no news then, and the first callers of a
     /// burst meet them instead of waiting two seconds for a host.
