--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -26,7 +26,7 @@
     pub rack: Option<&'a Label>,
     /// Workers with tasks that run on, where the task is one too: their hosts can't leave the pool anyway, and each
     /// further one is a host that idles with its pool for as long as the task lasts.
-    pub settled: Option<&'a BTreeSet<WorkerId>>,
+    pub lasting: Option<&'a BTreeSet<WorkerId>>,
 }
 
 impl Wanted<'_> {
@@ -61,7 +61,7 @@
             slow: worker.speed.is_slow(now),
             far: far(self.step.rack.as_ref()) || far(self.rack),
             siblings: if self.step.long_running { self.siblings(worker) } else { 0 },
-            unsettled: self.settled.is_some_and(|settled| !settled.contains(&worker.info.id)),
+            first_lasting: self.lasting.is_some_and(|lasting| !lasting.contains(&worker.info.id)),
             room: if self.step.serves() { worker.used.cores } else { worker.free().cores },
         }
     }
@@ -79,7 +79,7 @@
     /// Tasks of the same step that would be lost with the worker.
     siblings: u32,
     /// It would be the first task there that runs on.
-    unsettled: bool,
+    first_lasting: bool,
     /// What is in use there for a task that serves, since others disturb it; else what is free, so
     /// that the work stands close and other workers are left empty.
     room: u64,
--- /dev/null
+++ b/reachhead_jobs/src/pool/expiring.rs
@@ -0,0 +1,62 @@
+//! Where expiring jobs stand in a round: first, inside their share of the pool's room.
+
+use reachhead_types::id::JobId;
+
+use super::starts::Ranked;
+use crate::{
+    clock::Tick,
+    job::{Job, StepState},
+    order::Class,
+    pool::Pool,
+    rescue::Share,
+    task::StepId,
+};
+
+impl Pool {
+    /// Puts expiring jobs that are beyond their share of the room behind those that can be in time.
+    pub(super) fn bound_expiring(&self, ranked: Vec<Ranked>, now: Tick) -> Vec<Ranked> {
+        if !ranked.iter().any(|job| job.rank.class == Class::Expiring) {
+            return ranked;
+        }
+        let mut share = Share::new(self.usable_cores(now), self.late_cores());
+        let fits = |job: &Ranked| {
+            job.rank.class != Class::Expiring || share.take(self.waiting_cores(job.id))
+        };
+        let (mut first, after): (Vec<Ranked>, Vec<Ranked>) = ranked.into_iter().partition(fits);
+        let place = first.partition_point(|job| job.rank.class <= Class::InTime);
+        first.splice(place..place, after);
+        first
+    }
+
+    fn usable_cores(&self, now: Tick) -> u64 {
+        let usable = self.workers.values().filter(|worker| worker.accepts(now));
+        usable.map(|worker| worker.info.capacity.cores).sum()
+    }
+
+    /// Returns what runs have of the workers that were begun too late for their jobs to be in time.
+    fn late_cores(&self) -> u64 {
+        let short = self.jobs.values().filter(|job| !job.plan.long_running());
+        short.map(|job| self.late_cores_of(job)).sum()
+    }
+
+    fn late_cores_of(&self, job: &Job) -> u64 {
+        let limit = job.accepted + self.experience.objective(&job.queue, &job.plan);
+        let of_step = |(id, state): (&StepId, &StepState)| {
+            let step = job.step(*id);
+            let time = self.experience.predict(&job.queue.name, step);
+            let runs = state.tasks.iter().flat_map(|task| &task.runs);
+            step.charge().cores * runs.filter(|run| run.since + time > limit).count() as u64
+        };
+        job.steps.iter().map(of_step).sum()
+    }
+
+    /// Returns what the tasks of a job that may start now would take.
+    fn waiting_cores(&self, id: JobId) -> u64 {
+        let job = &self.jobs[&id];
+        let of_step = |(id, state): (&StepId, &StepState)| {
+            let waiting = state.tasks.iter().filter(|task| !task.done && task.runs.is_empty());
+            job.step(*id).charge().cores * waiting.count() as u64
+        };
+        job.steps.iter().filter(|(id, _)| job.is_ready(**id)).map(of_step).sum()
+    }
+}
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -6,6 +6,7 @@
 mod action;
 mod adopt;
 mod advice;
+mod expiring;
 mod flush;
 mod inheritance;
 mod load;
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -53,7 +53,8 @@
             return;
         };
         run.asking = false;
-        let odd = result.is_err() || run.phase != Phase::Ordered;
+        // A run that was confirmed as ordered needs no other order; anything else may.
+        let unexpected = result.is_err() || run.phase != Phase::Ordered;
         match result {
             Ok(_) => {
                 if run.phase == Phase::Ordered {
@@ -82,7 +83,7 @@
             }
             Err(error) => self.turned_away(id, task, number, &error, now),
         }
-        self.review |= odd;
+        self.review |= unexpected;
     }
 
     /// A worker certainly did not start the run.
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -14,13 +14,12 @@
 
 use crate::{
     clock::{Tick, WorkerTime},
-    job::{Job, Phase, Run, StepState, Task},
+    job::{Job, Phase, Run, Task},
     model::Step,
     order::{Class, Rank},
     place::{self, Wanted},
     pool::{Action, NoteKind, Pool, RUNS_PER_TERM, StopReason},
     ports::StartOrder,
-    rescue::Share,
     task::{StepId, TaskId},
     worker::{Reservation, Worker},
 };
@@ -32,9 +31,9 @@
 const FAILED_STEPS: usize = 24;
 
 /// A job and its place in the order.
-struct Ranked {
-    id: JobId,
-    rank: Rank,
+pub(super) struct Ranked {
+    pub(super) id: JobId,
+    pub(super) rank: Rank,
 }
 
 /// Short tasks to be stopped on a worker.
@@ -76,59 +75,12 @@
         }
     }
 
-    /// Puts expiring jobs that are beyond their share of the room behind those that can be in time.
-    fn bound_expiring(&self, ranked: Vec<Ranked>, now: Tick) -> Vec<Ranked> {
-        if !ranked.iter().any(|job| job.rank.class == Class::Expiring) {
-            return ranked;
-        }
-        let mut share = Share::new(self.usable_cores(now), self.late_cores());
-        let fits = |job: &Ranked| {
-            job.rank.class != Class::Expiring || share.take(self.waiting_cores(job.id))
-        };
-        let (mut first, after): (Vec<Ranked>, Vec<Ranked>) = ranked.into_iter().partition(fits);
-        let place = first.partition_point(|job| job.rank.class <= Class::InTime);
-        first.splice(place..place, after);
-        first
-    }
-
     /// Returns the most of each resource that is free on any worker.
     fn largest_room(&self, now: Tick) -> Amount {
         let usable = self.workers.values().filter(|worker| worker.accepts(now));
         usable.fold(Amount::default(), |most, worker| most.max(worker.free()))
     }
 
-    fn usable_cores(&self, now: Tick) -> u64 {
-        let usable = self.workers.values().filter(|worker| worker.accepts(now));
-        usable.map(|worker| worker.info.capacity.cores).sum()
-    }
-
-    /// Returns what runs have of the workers that were begun too late for their jobs to be in time.
-    fn late_cores(&self) -> u64 {
-        let short = self.jobs.values().filter(|job| !job.plan.long_running());
-        short.map(|job| self.late_cores_of(job)).sum()
-    }
-
-    fn late_cores_of(&self, job: &Job) -> u64 {
-        let limit = job.accepted + self.experience.objective(&job.queue, &job.plan);
-        let of_step = |(id, state): (&StepId, &StepState)| {
-            let step = job.step(*id);
-            let time = self.experience.predict(&job.queue.name, step);
-            let runs = state.tasks.iter().flat_map(|task| &task.runs);
-            step.charge().cores * runs.filter(|run| run.since + time > limit).count() as u64
-        };
-        job.steps.iter().map(of_step).sum()
-    }
-
-    /// Returns what the tasks of a job that may start now would take.
-    fn waiting_cores(&self, id: JobId) -> u64 {
-        let job = &self.jobs[&id];
-        let of_step = |(id, state): (&StepId, &StepState)| {
-            let waiting = state.tasks.iter().filter(|task| !task.done && task.runs.is_empty());
-            job.step(*id).charge().cores * waiting.count() as u64
-        };
-        job.steps.iter().filter(|(id, _)| job.is_ready(**id)).map(of_step).sum()
-    }
-
     /// Places what it can of a step; tells whether everything that may start has room.
     ///
     /// `room` is the largest room on any worker, or more: what needs more than that is not looked for.
@@ -264,14 +216,14 @@
     ) -> Option<WorkerId> {
         let state = &self.jobs[&id.job].steps[&id.step_id()];
         let rack = if step.same_rack { self.rack_of(&state.tasks) } else { None };
-        let settled = step.long_running.then(|| self.settled_workers());
+        let lasting = step.long_running.then(|| self.lasting_workers());
         let wanted = Wanted {
             id: id.step_id(),
             task: Some(id),
             step,
             avoid: &state.tasks[id.index as usize].avoid,
             rack: rack.as_ref(),
-            settled: settled.as_ref(),
+            lasting: lasting.as_ref(),
         };
         let workers = self
             .workers
@@ -281,7 +233,7 @@
     }
 
     /// Returns the workers with tasks that run on.
-    fn settled_workers(&self) -> BTreeSet<WorkerId> {
+    fn lasting_workers(&self) -> BTreeSet<WorkerId> {
         let lasting = self.jobs.values().filter(|job| job.plan.long_running());
         let tasks = lasting.flat_map(|job| job.steps.values()).flat_map(|step| &step.tasks);
         tasks.flat_map(|task| &task.runs).map(|run| run.worker.clone()).collect()
@@ -350,7 +302,7 @@
         if self.workers.values().any(reserved) {
             return;
         }
-        let wanted = Wanted { id, task: None, step, avoid: &[], rack: None, settled: None };
+        let wanted = Wanted { id, task: None, step, avoid: &[], rack: None, lasting: None };
         let usable = self.workers.values().filter(|worker| {
             worker.reserved.is_none_or(|kept| kept.until <= now) && wanted.allowed(worker, now)
         });
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -143,7 +143,7 @@
             step,
             avoid: &[],
             rack: None,
-            settled: None,
+            lasting: None,
         };
         self.workers.values().any(|worker| {
             wanted.fits(worker, now)
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -22,8 +22,8 @@
 const IDLE_LIMIT: usize = 3;
 
 /// Short calls to one peer that are under way at once; more wait, since a new connection costs more than the
-/// moment until one is free. Two, so that one call without an answer does not hold all others up; each further one costs
-/// an owner of hundreds of workers as many connections, with some 20 KB of buffers each.
+/// moment until one is free. Two, so that one call without an answer does not hold all others up; with four, the owner
+/// of 400 workers had 1,800 to 2,200 connections open in a burst, with two 1,500 to 1,700 (its descriptors at the peak).
 const SHORT_LIMIT: usize = 2;
 
 /// Peers with short calls that are remembered before those without any under way are dropped.
