A probe of a store that was down is not lost with its caller, and each part of the store has a breaker of its own

Cause: a takeover makes five calls side by side and gives up with the first that fails. Ruled out: the store (peers reach it), the pause between probes (the loop asks ten times a second). Change: a call that is let through while the breaker is open runs to its answer whoever drops it; failures of one part close that part alone; rate stays shared.

--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -15,6 +15,12 @@
     shard::Shard,
 };
 
+/// Returns the part of the store in which a key, or what begins with the prefix `key`, lies. The rows of one part share what
+/// happens to it: they are written in one transaction, and can be away together while others are there.
+pub fn part_of(key: &str) -> &str {
+    key.split('/').nth(1).unwrap_or_default()
+}
+
 /// Returns the key of an accepted job that is not over.
 pub fn job_key(pool: &PoolName, job: JobId) -> Key {
     Key(format!("job/{pool}.{}/{job}", Shard::of(job)))
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -5,7 +5,7 @@
 
 use reachhead_jobs::{
     ports::Frontend,
-    record::{MemberRecord, member_key, value},
+    record::{MemberRecord, member_key, part_of, value},
 };
 use reachhead_ops::{
     client::HttpClient,
@@ -139,7 +139,7 @@
 fn services(settings: &Settings, client: &Arc<HttpClient>) -> Services {
     let table = |deadline| TableStore::new(Arc::clone(client), settings.store, deadline);
     Services {
-        store: Arc::new(GuardedStore::new(table(STORE_TIME), STORE_CALLS)),
+        store: Arc::new(GuardedStore::new(table(STORE_TIME), STORE_CALLS).with_parts(part_of)),
         feed: Arc::new(table(FEED_TIME)),
         workers: Arc::new(HttpWorkers::new(Arc::clone(client), ORDER_TIME, POLL_TIME)),
         machines: settings.machines.map(|machines| {
--- a/reachhead_store/src/breaker.rs
+++ b/reachhead_store/src/breaker.rs
@@ -39,11 +39,40 @@
     Down,
 }
 
-/// Rate limit and circuit breaker of one process.
+/// How many calls a second go out, as a virtual schedule of one interval a call.
 #[derive(Debug, Clone)]
-pub struct Breaker {
+pub struct RateLimit {
     interval: Duration,
     next: Instant,
+}
+
+impl RateLimit {
+    /// Returns a limit of `rate` calls a second, with bursts of a second's worth.
+    pub fn new(rate: u32, now: Instant) -> Self {
+        Self {
+            interval: Duration::from_secs(1) / rate.max(1),
+            next: now.checked_sub(BURST).unwrap_or(now),
+        }
+    }
+
+    /// Decides on a call at `now`; one that is `Full` does not count.
+    pub fn gate(&mut self, now: Instant) -> Gate {
+        // The schedule may lag behind the clock by a burst.
+        let floor = now.checked_sub(BURST).unwrap_or(now);
+        let slot = self.next.max(floor) + self.interval;
+        let wait = slot.saturating_duration_since(now);
+        if wait > PATIENCE {
+            return Gate::Full;
+        }
+        self.next = slot;
+        if wait.is_zero() { Gate::Go } else { Gate::Wait(wait) }
+    }
+}
+
+/// Rate limit and circuit breaker of one process, or the circuit breaker of one part of the store.
+#[derive(Debug, Clone)]
+pub struct Breaker {
+    limit: Option<RateLimit>,
     failures: u32,
     pause: Duration,
     probe: Instant,
@@ -58,9 +87,13 @@
 impl Breaker {
     /// Returns a breaker that lets `rate` calls a second through, with bursts of a second's worth.
     pub fn new(rate: u32, now: Instant) -> Self {
+        Self { limit: Some(RateLimit::new(rate, now)), ..Self::unlimited(now) }
+    }
+
+    /// Returns a breaker that limits no rate.
+    pub fn unlimited(now: Instant) -> Self {
         Self {
-            interval: Duration::from_secs(1) / rate.max(1),
-            next: now.checked_sub(BURST).unwrap_or(now),
+            limit: None,
             failures: 0,
             pause: FIRST_PAUSE,
             probe: now,
@@ -102,18 +135,7 @@
             // Only this call probes; the others fail until it comes back or the pause is over.
             self.probe = now + self.pause;
         }
-        // A virtual schedule, one interval a call: it may lag behind the clock by a burst.
-        let floor = now.checked_sub(BURST).unwrap_or(now);
-        let slot = self.next.max(floor) + self.interval;
-        let wait = slot.saturating_duration_since(now);
-        if wait > PATIENCE {
-            return Gate::Full;
-        }
-        self.next = slot;
-        match wait.is_zero() {
-            true => Gate::Go,
-            false => Gate::Wait(wait),
-        }
+        self.limit.as_mut().map_or(Gate::Go, |limit| limit.gate(now))
     }
 
     /// Notes that the store answered.
@@ -137,4 +159,10 @@
     pub fn is_down(&self) -> bool {
         self.failures >= FAILURE_LIMIT
     }
+
+    /// Tells whether a call that is let through now looks whether the store is back. The breaker closes by its answer alone,
+    /// so it has to be waited for, whoever asked.
+    pub fn is_probing(&self) -> bool {
+        self.stalled || self.is_down()
+    }
 }
--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -1,7 +1,8 @@
-//! A store behind a [`Breaker`], so that an outage fails calls at once and no process floods it.
+//! A store behind [`Breaker`]s, so that an outage fails calls at once and no process floods it.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 
@@ -10,33 +11,77 @@
 
 use crate::{
     Store, StoreError,
-    breaker::{Breaker, Gate},
+    breaker::{Breaker, Gate, RateLimit},
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 
+/// Returns the part of the store that a key, or the beginning of one, lies in.
+pub type PartOf = fn(&str) -> &str;
+
 /// A store whose calls are limited in rate and fail at once while it is down.
 pub struct GuardedStore<S> {
-    inner: S,
-    breaker: Mutex<Breaker>,
+    inner: Arc<S>,
+    gates: Arc<Mutex<Gates>>,
+    part_of: PartOf,
+}
+
+/// The rate of all calls, and a breaker for each part.
+struct Gates {
+    limit: RateLimit,
+    parts: BTreeMap<String, Breaker>,
+}
+
+impl Gates {
+    fn part(&mut self, part: &str) -> &mut Breaker {
+        if !self.parts.contains_key(part) {
+            self.parts.insert(part.to_owned(), Breaker::unlimited(now()));
+        }
+        self.parts.get_mut(part).unwrap_or_else(|| unreachable!("it was just put there"))
+    }
+
+    fn gate(&mut self, part: &str, now: Instant) -> Gate {
+        match self.part(part).gate(now) {
+            Gate::Down => Gate::Down,
+            _ => self.limit.gate(now),
+        }
+    }
+}
+
+fn now() -> Instant {
+    time::Instant::now().into_std()
+}
+
+fn locked(gates: &Mutex<Gates>) -> MutexGuard<'_, Gates> {
+    gates.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl<S: Store> GuardedStore<S> {
+impl<S: Store + 'static> GuardedStore<S> {
     /// Returns `inner` limited to `rate` calls a second.
     pub fn new(inner: S, rate: u32) -> Self {
-        Self { inner, breaker: Mutex::new(Breaker::new(rate, Instant::now())) }
+        let gates = Gates { limit: RateLimit::new(rate, now()), parts: BTreeMap::new() };
+        Self { inner: Arc::new(inner), gates: Arc::new(Mutex::new(gates)), part_of: |_| "" }
     }
 
-    /// Tells whether the store is taken for down.
-    pub fn is_down(&self) -> bool {
-        self.breaker().is_down()
+    /// Gives each part of the store a breaker of its own: a part that is away must not close the others, of which the pools
+    /// that lie there know nothing.
+    #[must_use]
+    pub fn with_parts(self, part_of: PartOf) -> Self {
+        Self { part_of, ..self }
     }
 
-    fn breaker(&self) -> MutexGuard<'_, Breaker> {
-        self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Tells whether a part of the store is taken for down.
+    pub fn is_down(&self) -> bool {
+        locked(&self.gates).parts.values().any(Breaker::is_down)
     }
 
-    async fn pass(&self) -> Result<Open<'_, S>, StoreError> {
-        let gate = self.breaker().gate(Instant::now());
+    /// Makes a call in the part of `key`, unless the store is down or has too much to do.
+    async fn call<T: Send + 'static>(
+        &self,
+        key: &str,
+        call: impl FnOnce(Arc<S>) -> BoxFuture<'static, Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let part = (self.part_of)(key);
+        let gate = locked(&self.gates).gate(part, now());
         match gate {
             Gate::Go => {}
             Gate::Wait(wait) => time::sleep(wait).await,
@@ -45,56 +90,78 @@
             }
             Gate::Down => return Err(StoreError::NotDone("the store is down".to_owned())),
         }
-        let number = self.breaker().begin(Instant::now());
-        Ok(Open { store: self, number })
+        let open = Open::new(Arc::clone(&self.gates), part);
+        let probing = locked(&self.gates).part(part).is_probing();
+        let call = call(Arc::clone(&self.inner));
+        let noted = async move {
+            let result = call.await;
+            open.note(&result);
+            result
+        };
+        if !probing {
+            return noted.await;
+        }
+        // A caller that gives up, since another of its calls failed, must not take the probe with it: the breaker would
+        // stay open for good, and turn away all others.
+        tokio::spawn(noted).await.map_err(|error| StoreError::Lost(error.to_string()))?
+    }
+}
+
+/// A call that is under way; one that nobody waits for any more ends with it.
+struct Open {
+    gates: Arc<Mutex<Gates>>,
+    part: String,
+    number: u64,
+}
+
+impl Open {
+    fn new(gates: Arc<Mutex<Gates>>, part: &str) -> Self {
+        let number = locked(&gates).part(part).begin(now());
+        Self { gates, part: part.to_owned(), number }
     }
 
-    fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
-        let now = Instant::now();
-        let mut breaker = self.breaker();
-        match &result {
+    fn note<T>(&self, result: &Result<T, StoreError>) {
+        let now = now();
+        let mut gates = locked(&self.gates);
+        let breaker = gates.part(&self.part);
+        match result {
             Ok(_) | Err(StoreError::Refused(_)) => breaker.succeed(now),
             // It answers at once, so nobody is kept waiting by asking it.
             Err(StoreError::Busy(_)) => {}
             Err(_) => breaker.fail(now, rand::random()),
         }
-        result
     }
 }
 
-/// A call that is under way; one that nobody waits for any more ends with it.
-struct Open<'a, S: Store> {
-    store: &'a GuardedStore<S>,
-    number: u64,
-}
-
-impl<S: Store> Drop for Open<'_, S> {
+impl Drop for Open {
     fn drop(&mut self) {
-        self.store.breaker().end(self.number);
+        locked(&self.gates).part(&self.part).end(self.number);
     }
 }
 
-impl<S: Store> Store for GuardedStore<S> {
+impl<S: Store + 'static> Store for GuardedStore<S> {
     fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
         async move {
-            let _open = self.pass().await?;
-            self.note(self.inner.read(keys).await)
+            let first = keys.first().cloned().unwrap_or_else(|| Key(String::new()));
+            self.call(&first.0, |inner| async move { inner.read(keys).await }.boxed()).await
         }
         .boxed()
     }
 
     fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
         async move {
-            let _open = self.pass().await?;
-            self.note(self.inner.scan(scan).await)
+            let prefix = scan.prefix.clone();
+            self.call(&prefix, |inner| async move { inner.scan(scan).await }.boxed()).await
         }
         .boxed()
     }
 
     fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
         async move {
-            let _open = self.pass().await?;
-            self.note(self.inner.commit(txn).await)
+            let check = txn.checks.first().map(|check| &check.key);
+            let first = check.or_else(|| txn.writes.first().map(|write| &write.key)).cloned();
+            let first = first.unwrap_or_else(|| Key(String::new()));
+            self.call(&first.0, |inner| async move { inner.commit(txn).await }.boxed()).await
         }
         .boxed()
     }
