Callers' keys: who is let in, whose a job is, and what a process may believe that the store turns away

Cause: the configuration's customers were not known. Change: `customer` and `admission` (the door): known key or open queue, else 401 `unknown-key`, not run. A process that the store turns away asks a peer that reaches it. Keys are kept and compared as digests. A job's row names its customer; another customer's key neither reads nor cancels it. Ruled out: refusing calls whenever the configuration is old (an outage of the store would refuse what can be told from memory).

--- a/reachhead_bench/src/jobs/site.rs
+++ b/reachhead_bench/src/jobs/site.rs
@@ -92,6 +92,7 @@
         stretch: 1.6,
         target: Millis(600),
         advice: None,
+        open: true,
     })
 }
 
@@ -200,7 +201,8 @@
 
     fn submit(&mut self, id: JobId, steps: Vec<Step>) {
         let plan = Arc::new(Plan { payload: "x".repeat(300).into(), steps, schedule: None });
-        let record = JobRecord { queue: queue(), plan, accepted: Millis(self.now.0) };
+        let record =
+            JobRecord { queue: queue(), plan, accepted: Millis(self.now.0), customer: None };
         let row = Revision(START.0 + self.count);
         self.pool.submit(id, &record, row, self.now, Millis(self.now.0));
     }
--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use reachhead_types::{
-    id::{JobId, WorkerId},
+    id::{CustomerName, JobId, WorkerId},
     size::{Millis, Revision, RunNumber},
 };
 
@@ -137,6 +137,8 @@
     pub queue: Arc<Queue>,
     /// What it is to do.
     pub plan: Arc<Plan>,
+    /// Whose it is, if it came with a key.
+    pub customer: Option<CustomerName>,
     /// When it was accepted, on this process's clock.
     pub accepted: Tick,
     /// The revision of its row of progress, if it has one.
@@ -166,6 +168,7 @@
             id,
             queue: Arc::clone(&record.queue),
             plan: Arc::clone(&record.plan),
+            customer: record.customer.clone(),
             accepted,
             revision: None,
             row: None,
--- a/reachhead_jobs/src/model.rs
+++ b/reachhead_jobs/src/model.rs
@@ -9,6 +9,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::customer::Customers;
+
 /// A step of a job: a number of equal tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -141,6 +143,9 @@
     pub target: Millis,
     /// Set where only some workers may run a step.
     pub advice: Option<AdvicePolicy>,
+    /// Anybody may call it, without a key.
+    #[serde(default)]
+    pub open: bool,
 }
 
 /// What the configuration says of a pool.
@@ -178,6 +183,8 @@
     pub pools: BTreeMap<PoolName, PoolPolicy>,
     /// Limits of calls.
     pub limits: CallLimits,
+    /// Whose keys callers have.
+    pub customers: Customers,
 }
 
 impl Configuration {
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -243,13 +243,14 @@
             return;
         };
         let age = now.since(job.accepted);
+        let customer = job.customer.clone();
         // Ends that came in meanwhile change nothing any more.
         self.dirty.remove(&entry.id);
         for worker in self.workers.values_mut() {
             worker.write(entry.id);
         }
         self.forget(entry.id, now);
-        self.closed.insert(entry.id, Closed { ending, at: now });
+        self.closed.insert(entry.id, Closed { ending, customer, at: now });
         self.note(NoteKind::JobEnded, format!("job={} ending={ending:?} after={age}ms", entry.id));
         self.dismiss(entry.id);
     }
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -26,7 +26,7 @@
 pub use vacate::{DrainMode, Vacancy};
 
 use reachhead_types::{
-    id::{JobId, PoolName, RouteName, WorkerId},
+    id::{CustomerName, JobId, PoolName, RouteName, WorkerId},
     size::{FencingToken, Millis, Revision},
 };
 
@@ -85,6 +85,20 @@
     Over,
     /// This owner does not know the job.
     Unknown,
+    /// It is another customer's.
+    Foreign,
+}
+
+/// What an owner says of a job's state to a customer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StateReply {
+    /// This is its state.
+    Known(JobState),
+    /// This owner does not know the job.
+    Unknown,
+    /// It is another customer's.
+    Foreign,
 }
 
 /// A job's state, as a caller is told.
@@ -103,6 +117,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Closed {
     ending: Ending,
+    customer: Option<CustomerName>,
     at: Tick,
 }
 
@@ -282,6 +297,11 @@
         self.claim_orphans(id, now);
     }
 
+    /// Decides that a job is cancelled, as customer `by` asks.
+    pub fn cancel_for(&mut self, id: JobId, by: Option<&CustomerName>) -> Cancelled {
+        if self.is_foreign(id, by) { Cancelled::Foreign } else { self.cancel(id) }
+    }
+
     /// Decides that a job is cancelled.
     pub fn cancel(&mut self, id: JobId) -> Cancelled {
         if self.closed.contains_key(&id) {
@@ -298,6 +318,22 @@
         }
     }
 
+    /// Tells whether a job is another customer's. One that came without a key is everybody's, as is what a caller without
+    /// a key asks for: only a queue that is open to all lets it in.
+    fn is_foreign(&self, id: JobId, by: Option<&CustomerName>) -> bool {
+        let closed = self.closed.get(&id).map(|closed| &closed.customer);
+        let customer = closed.or_else(|| self.jobs.get(&id).map(|job| &job.customer));
+        customer.is_some_and(|customer| is_foreign(customer.as_ref(), by))
+    }
+
+    /// Returns what customer `by` is told of a job's state.
+    pub fn state_for(&self, id: JobId, by: Option<&CustomerName>) -> StateReply {
+        if self.is_foreign(id, by) {
+            return StateReply::Foreign;
+        }
+        self.state(id).map_or(StateReply::Unknown, StateReply::Known)
+    }
+
     /// Returns a job's state, if this owner knows it.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         if let Some(closed) = self.closed.get(&id) {
@@ -404,10 +440,16 @@
 
     /// Returns the row of how a job ended.
     fn final_record(job: &Job, ending: Ending, wall: Millis) -> FinalRecord {
-        FinalRecord { queue: job.queue.name.clone(), ending, at: wall }
+        let customer = job.customer.clone();
+        FinalRecord { queue: job.queue.name.clone(), ending, at: wall, customer }
     }
 }
 
+/// Tells whether a job of `customer` is to be hidden from a caller of customer `by`.
+pub fn is_foreign(customer: Option<&CustomerName>, by: Option<&CustomerName>) -> bool {
+    matches!((customer, by), (Some(customer), Some(by)) if customer != by)
+}
+
 impl RosterState {
     /// Returns the workers that are stored as ones on which tasks are started.
     fn open(&self) -> BTreeSet<WorkerId> {
--- a/reachhead_jobs/src/ports/caller.rs
+++ b/reachhead_jobs/src/ports/caller.rs
@@ -3,7 +3,11 @@
 use std::{sync::Arc, time::Instant};
 
 use futures::future::BoxFuture;
-use reachhead_types::{error::ErrorKind, id::JobId};
+use reachhead_types::{
+    error::ErrorKind,
+    id::{CustomerName, JobId},
+    token::KeyDigest,
+};
 
 use crate::{
     model::{Plan, Queue},
@@ -23,11 +27,20 @@
     Waiting,
 }
 
+/// A call that was let in.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Admission {
+    /// The queue that it asks for.
+    pub queue: Arc<Queue>,
+    /// Whose key it has; `None` for a call without a known key to a queue that is open to all.
+    pub customer: Option<CustomerName>,
+}
+
 /// A caller's request to a queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Call {
-    /// The queue.
-    pub queue: Arc<Queue>,
+    /// The queue and the caller.
+    pub admission: Admission,
     /// What is asked for.
     pub kind: CallKind,
     /// Until when the caller waits.
@@ -53,12 +66,13 @@
 
 /// Answers callers.
 pub trait Frontend: Send + Sync {
-    /// Returns the queue of a call, or why there is none.
-    fn route<'a>(
+    /// Returns the queue of a call and whose call it is, or why it is not let in.
+    fn admit<'a>(
         &'a self,
         host: &'a str,
         path: &'a str,
-    ) -> BoxFuture<'a, Result<Arc<Queue>, ErrorKind>>;
+        key: Option<&'a KeyDigest>,
+    ) -> BoxFuture<'a, Result<Admission, ErrorKind>>;
 
     /// Returns the answer to a call.
     fn call(&self, call: Call) -> BoxFuture<'_, Answer>;
--- a/reachhead_jobs/src/ports/feed.rs
+++ b/reachhead_jobs/src/ports/feed.rs
@@ -3,10 +3,11 @@
 use futures::future::BoxFuture;
 use reachhead_store::{StoreError, row::Row};
 use reachhead_types::size::{Millis, Revision};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// A row that changed, or is gone.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// The row; of one that is gone, the value means nothing.
     pub row: Row,
@@ -15,7 +16,7 @@
 }
 
 /// What a feed told.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedPage {
     /// The changes in their order.
     pub changes: Vec<Change>,
--- a/reachhead_jobs/src/ports/mod.rs
+++ b/reachhead_jobs/src/ports/mod.rs
@@ -9,7 +9,7 @@
 
 pub use self::{
     advice::{Advisor, Approval},
-    caller::{Answer, Call, CallKind, Frontend},
+    caller::{Admission, Answer, Call, CallKind, Frontend},
     feed::{Change, FeedError, FeedPage, TableFeed},
     hosts::{Machine, MachineApi, MachineError, MachineState},
     operators::{Dialect, OperatorRow, RowError},
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -4,7 +4,7 @@
 
 use reachhead_store::row::Key;
 use reachhead_types::{
-    id::{JobId, NodeName, PoolName, RouteName, WorkerId},
+    id::{CustomerName, JobId, NodeName, PoolName, RouteName, WorkerId},
     size::{FencingToken, Millis, Revision, RunNumber, Strength},
 };
 use serde::{Deserialize, Serialize};
@@ -86,6 +86,9 @@
     pub plan: Arc<Plan>,
     /// When it was accepted, in milliseconds since 1970 by the clock of the entry host.
     pub accepted: Millis,
+    /// Whose it is; `None` if it came without a key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerName>,
 }
 
 /// A task that failed.
@@ -138,6 +141,9 @@
     pub ending: Ending,
     /// When, in milliseconds since 1970; after a while the row is dropped.
     pub at: Millis,
+    /// Whose the job was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerName>,
 }
 
 /// A worker that a pool may have used.
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -54,6 +54,7 @@
         stretch: 2.0,
         target: Millis(600),
         advice: None,
+        open: true,
     })
 }
 
@@ -63,7 +64,7 @@
 
 pub fn record(steps: Vec<Step>, accepted: u64) -> JobRecord {
     let plan = Arc::new(Plan { payload: "x".into(), steps, schedule: None });
-    JobRecord { queue: queue(), plan, accepted: Millis(accepted) }
+    JobRecord { queue: queue(), plan, accepted: Millis(accepted), customer: None }
 }
 
 pub fn task(job: u64, step: u32, index: u32) -> TaskId {
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -147,6 +147,7 @@
         stretch: 2.0,
         target: Millis(600),
         advice: None,
+        open: true,
     })
 }
 
@@ -315,8 +316,12 @@
         let long = self.jobs.values().filter(|plan| plan.long_running()).count();
         // More tasks that run on than that would leave no room for anything else.
         let plan = plan(if long >= 2 { kind % 2 } else { kind });
-        let record =
-            JobRecord { queue: queue(), plan: Arc::clone(&plan), accepted: Millis(self.now) };
+        let record = JobRecord {
+            queue: queue(),
+            plan: Arc::clone(&plan),
+            accepted: Millis(self.now),
+            customer: None,
+        };
         let key = job_key(&pool_name(), id);
         let txn = Txn::new().with_check(key.clone(), None).with_write(key, value(&record));
         let Commit::Done(row) = self.commit(txn) else { unreachable!("the id is new") };
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -6,8 +6,8 @@
 use reachhead_jobs::{
     backoff,
     model::Queue,
-    pool::JobState,
-    ports::{Answer, Call, CallKind, FeedError, Frontend},
+    pool::{JobState, StateReply, is_foreign},
+    ports::{Admission, Answer, Call, CallKind, Frontend},
     record::{FinalRecord, JobRecord, final_key, job_key, job_prefix, progress_key},
     shard::Shard,
 };
@@ -15,25 +15,18 @@
 use reachhead_store::{StoreError, row::Scan};
 use reachhead_types::{
     error::ErrorKind,
-    id::{JobId, PoolName},
+    id::{CustomerName, JobId, PoolName},
     size::Millis,
+    token::KeyDigest,
 };
 use tokio::time::{self, Instant};
 
 use crate::{
-    follow::{Follower, Operators},
     node::Node,
     owner::CancelReply,
     peer::{Ask, PoolAsk, Reply, Submitted, ask_owner},
 };
 
-/// Age above which the configuration is looked at before a call is decided by it. The followed table
-/// is confirmed every second, so this is only reached when its connection fails.
-const CONFIG_AGE: Millis = Millis(1400);
-
-/// Longest wait for a look at the configuration.
-const REFRESH_TIME: Duration = Duration::from_millis(300);
-
 /// Longest wait for an owner's answer about one job; the store can answer too.
 const OWNER_TIME: Duration = Duration::from_millis(700);
 
@@ -50,13 +43,15 @@
 pub struct NodeFrontend(pub Arc<Node>);
 
 impl NodeFrontend {
-    async fn state(&self, pool: &PoolName, id: JobId) -> Answer {
-        if let Some(Reply::State(Some(state))) = self.ask(pool, PoolAsk::State(id)).await {
-            return Answer::State(state);
+    async fn state(&self, pool: &PoolName, id: JobId, by: Option<CustomerName>) -> Answer {
+        match self.ask(pool, PoolAsk::State(id, by.clone())).await {
+            Some(Reply::State(StateReply::Known(state))) => return Answer::State(state),
+            Some(Reply::State(StateReply::Foreign)) => return Answer::Gone,
+            _ => {}
         }
-        match self.stored_state(pool, id).await {
-            Ok(Some(state)) => Answer::State(state),
-            Ok(None) => Answer::Gone,
+        match self.stored_state(pool, id, by.as_ref()).await {
+            Ok(StateReply::Known(state)) => Answer::State(state),
+            Ok(StateReply::Unknown | StateReply::Foreign) => Answer::Gone,
             Err(error) => {
                 log::info!("job={id} neither the owner nor the store can be asked: {error}");
                 Answer::Refused(ErrorKind::JobUnreachable)
@@ -64,12 +59,13 @@
         }
     }
 
-    /// Returns a job's state by the store alone, `None` if there is no such job.
+    /// Returns a job's state by the store alone.
     async fn stored_state(
         &self,
         pool: &PoolName,
         id: JobId,
-    ) -> Result<Option<JobState>, StoreError> {
+        by: Option<&CustomerName>,
+    ) -> Result<StateReply, StoreError> {
         // The job's row is read before the final one, which replaces it in one transaction.
         let keys = vec![job_key(pool, id), final_key(pool, id), progress_key(pool, id)];
         let rows = self.0.services.store.read(keys).await;
@@ -78,17 +74,30 @@
         let mut next = || rows.next().flatten();
         let (job, ended, progress) = (next(), next(), next());
         if let Some(row) = ended {
-            return Ok(Some(JobState::Over(row.parse::<FinalRecord>()?.ending)));
+            let record = row.parse::<FinalRecord>()?;
+            let state = JobState::Over(record.ending);
+            return Ok(shown(state, record.customer.as_ref(), by));
         }
-        Ok(job.map(|_| if progress.is_some() { JobState::Running } else { JobState::Queued }))
+        let Some(row) = job else {
+            return Ok(StateReply::Unknown);
+        };
+        let state = if progress.is_some() { JobState::Running } else { JobState::Queued };
+        Ok(shown(state, row.parse::<JobRecord>()?.customer.as_ref(), by))
     }
 
-    async fn cancel(&self, pool: &PoolName, id: JobId, until: Instant) -> Answer {
+    async fn cancel(
+        &self,
+        pool: &PoolName,
+        id: JobId,
+        by: Option<CustomerName>,
+        until: Instant,
+    ) -> Answer {
         loop {
-            match self.ask(pool, PoolAsk::Cancel(id)).await {
+            match self.ask(pool, PoolAsk::Cancel(id, by.clone())).await {
                 Some(Reply::Cancel(CancelReply::Over)) => return Answer::Cancelled,
+                Some(Reply::Cancel(CancelReply::Foreign)) => return Answer::Gone,
                 Some(Reply::Cancel(CancelReply::Unknown)) => {
-                    if let Some(answer) = self.introduce(pool, id).await {
+                    if let Some(answer) = self.introduce(pool, id, by.as_ref()).await {
                         return answer;
                     }
                 }
@@ -102,7 +111,12 @@
     }
 
     /// Tells the owner of a stored job that it does not know; returns an answer if there is none.
-    async fn introduce(&self, pool: &PoolName, id: JobId) -> Option<Answer> {
+    async fn introduce(
+        &self,
+        pool: &PoolName,
+        id: JobId,
+        by: Option<&CustomerName>,
+    ) -> Option<Answer> {
         let keys = vec![job_key(pool, id), final_key(pool, id)];
         let rows = self.0.services.store.read(keys).await;
         self.0.note_store(&rows);
@@ -110,8 +124,11 @@
             Ok(rows) => {
                 let mut rows = rows.into_iter();
                 let job = rows.next().flatten();
-                if rows.next().flatten().is_some() {
-                    return Some(Answer::Cancelled);
+                if let Some(row) = rows.next().flatten() {
+                    let record = row.parse::<FinalRecord>().ok();
+                    let foreign =
+                        record.is_some_and(|record| is_foreign(record.customer.as_ref(), by));
+                    return Some(if foreign { Answer::Gone } else { Answer::Cancelled });
                 }
                 let Some(row) = job else {
                     return Some(Answer::Gone);
@@ -178,47 +195,32 @@
         ask_pool(&self.0, pool, ask).await
     }
 
-    /// Takes in what operators have written since the table was last seen. A configuration can be large and
-    /// the link of a host small, so it is not read anew for a call that asks for an unknown route.
-    async fn refresh(&self) -> Result<(), StoreError> {
-        let node = &self.0;
-        let operators = Operators(Arc::clone(node));
-        let sent = node.now();
-        let known = node.view().config_revision;
-        let page = match node.services.feed.changes(operators.table(), known, Millis(0)).await {
-            Ok(page) => page,
-            Err(FeedError::Forgotten) => node.services.feed.table(operators.table()).await?,
-            Err(FeedError::Store(error)) => {
-                node.note_store::<()>(&Err(error.clone()));
-                return Err(error);
-            }
-        };
-        node.note_store(&Ok(()));
-        operators.apply(&page.changes);
-        operators.seen(sent, page.revision);
-        Ok(())
-    }
-
-    fn find(&self, host: &str, path: &str) -> Option<Arc<Queue>> {
-        self.0.view().config.as_ref()?.route(host, path).cloned()
-    }
-
     async fn answer(&self, call: Call) -> Answer {
-        let pool = call.queue.pool.clone();
+        let Admission { queue, customer } = call.admission;
+        let pool = queue.pool.clone();
         let until = Instant::from_std(call.until) - ANSWER_MARGIN;
         match call.kind {
             CallKind::Submit(id, plan) => {
                 let accepted = self.0.clock.wall();
-                let record = JobRecord { queue: call.queue, plan, accepted };
+                let record = JobRecord { queue, plan, accepted, customer };
                 self.0.submitter.submit(&self.0, id, record, until, false).await
             }
-            CallKind::State(id) => self.state(&pool, id).await,
-            CallKind::Cancel(id) => self.cancel(&pool, id, until).await,
-            CallKind::Waiting => self.waiting(&call.queue).await,
+            CallKind::State(id) => self.state(&pool, id, customer).await,
+            CallKind::Cancel(id) => self.cancel(&pool, id, customer, until).await,
+            CallKind::Waiting => self.waiting(&queue).await,
         }
     }
 }
 
+/// Returns what customer `by` is told of a job of `customer`.
+fn shown(
+    state: JobState,
+    customer: Option<&CustomerName>,
+    by: Option<&CustomerName>,
+) -> StateReply {
+    if is_foreign(customer, by) { StateReply::Foreign } else { StateReply::Known(state) }
+}
+
 /// Asks the owner of a pool, here or at a peer; `None` if it can't be asked.
 pub async fn ask_pool(node: &Node, pool: &PoolName, ask: PoolAsk) -> Option<Reply> {
     if let Some(owner) = node.local(pool) {
@@ -249,56 +251,21 @@
 }
 
 impl Frontend for NodeFrontend {
-    fn route<'a>(
+    fn admit<'a>(
         &'a self,
         host: &'a str,
         path: &'a str,
-    ) -> BoxFuture<'a, Result<Arc<Queue>, ErrorKind>> {
-        async move {
-            let age = self.0.now().since(self.0.view().config_seen);
-            if age <= CONFIG_AGE
-                && let Some(queue) = self.find(host, path)
-            {
-                return Ok(queue);
-            }
-            // A route may be new, and an old configuration may name one that is gone. Without the store
-            // a submission can't be stored anyhow, and a state that an old route leads to is true.
-            let lost = self.0.outage();
-            if lost.is_some()
-                && let Some(queue) = self.find(host, path)
-            {
-                return Ok(queue);
-            }
-            let asked = time::timeout(REFRESH_TIME, self.refresh()).await;
-            let failed = match asked {
-                Ok(Ok(())) => None,
-                Ok(Err(error)) => Some(error.to_string()),
-                Err(_) => Some("no answer in time".to_owned()),
-            };
-            if let Some(error) = failed {
-                if let Some(queue) = self.find(host, path) {
-                    return Ok(queue);
-                }
-                let refused = ErrorKind::NotReady;
-                emit(
-                    Event::CallRefused,
-                    format_args!("path={path} kind={refused} configuration_age={age}ms: {error}"),
-                );
-                return Err(refused);
-            }
-            if self.0.view().config.is_none() {
-                return Err(ErrorKind::NotReady);
-            }
-            self.find(host, path).ok_or(ErrorKind::NoRoute)
-        }
-        .boxed()
+        key: Option<&'a KeyDigest>,
+    ) -> BoxFuture<'a, Result<Admission, ErrorKind>> {
+        self.0.door.admit(&self.0, host, path, key).boxed()
     }
 
     fn call(&self, call: Call) -> BoxFuture<'_, Answer> {
         async move {
             let started = Instant::now();
             let name = name_of(&call.kind);
-            let (queue, pool) = (call.queue.name.clone(), call.queue.pool.clone());
+            let queue = &call.admission.queue;
+            let (queue, pool) = (queue.name.clone(), queue.pool.clone());
             let id = match &call.kind {
                 CallKind::Submit(id, _) | CallKind::State(id) | CallKind::Cancel(id) => Some(*id),
                 CallKind::Waiting => None,
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -1,5 +1,6 @@
 //! `reachhead-node`: the process that runs on each entry host of the users' platform.
 
+mod admission;
 mod claims;
 mod clock;
 mod fleet;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -19,8 +19,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient, submit::Submitter,
-    view::View,
+    admission::Door, clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient,
+    submit::Submitter, view::View,
 };
 
 /// How long the store must have been silent to be called lost: longer than a single failed call, and than
@@ -67,6 +67,8 @@
     pub services: Services,
     /// Its peers.
     pub peers: PeerClient,
+    /// What lets callers in.
+    pub door: Door,
     /// What stores accepted jobs.
     pub submitter: Submitter,
     /// What it counts.
@@ -96,6 +98,7 @@
             clock: Clock::new(),
             services,
             peers,
+            door: Door::new(),
             submitter: Submitter::new(),
             metrics,
             stopping,
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -2,7 +2,7 @@
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
-    pool::{Batch, DrainMode, JobState, PoolLoad, Vacancy},
+    pool::{Batch, DrainMode, PoolLoad, StateReply, Vacancy},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     task::{StepId, TaskId},
 };
@@ -11,7 +11,7 @@
     row::{Commit, Row},
 };
 use reachhead_types::{
-    id::{JobId, RouteName, WorkerId},
+    id::{CustomerName, JobId, RouteName, WorkerId},
     size::{Revision, RunNumber},
 };
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,8 @@
     Over,
     /// The owner does not know the job.
     Unknown,
+    /// It is another customer's.
+    Foreign,
 }
 
 /// What an owner is told.
@@ -34,9 +36,9 @@
     /// Jobs were accepted and are stored.
     Submit(Vec<Submitted>),
     /// Somebody asks for a job's state.
-    State(JobId, oneshot::Sender<Option<JobState>>),
+    State(JobId, Option<CustomerName>, oneshot::Sender<StateReply>),
     /// Somebody cancels a job.
-    Cancel(JobId, oneshot::Sender<CancelReply>),
+    Cancel(JobId, Option<CustomerName>, oneshot::Sender<CancelReply>),
     /// Somebody asks how many jobs wait.
     Waiting(RouteName, oneshot::Sender<u32>),
     /// A worker's host is due for planned work.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -21,7 +21,10 @@
     StoreError,
     row::{Commit, Key, Scan, Txn},
 };
-use reachhead_types::{id::JobId, size::Millis};
+use reachhead_types::{
+    id::{CustomerName, JobId},
+    size::Millis,
+};
 use tokio::{
     sync::{mpsc, oneshot},
     time,
@@ -178,10 +181,10 @@
                     self.pool.submit(id, &record, row, now, wall);
                 }
             }
-            Input::State(id, reply) => {
-                let _ = reply.send(self.pool.state(id));
+            Input::State(id, by, reply) => {
+                let _ = reply.send(self.pool.state_for(id, by.as_ref()));
             }
-            Input::Cancel(id, reply) => self.cancel(id, reply),
+            Input::Cancel(id, by, reply) => self.cancel(id, by.as_ref(), reply),
             Input::Waiting(queue, reply) => {
                 let _ = reply.send(self.pool.waiting(&queue));
             }
@@ -216,8 +219,16 @@
         }
     }
 
-    fn cancel(&mut self, job: JobId, reply: oneshot::Sender<CancelReply>) {
-        match self.pool.cancel(job) {
+    fn cancel(
+        &mut self,
+        job: JobId,
+        by: Option<&CustomerName>,
+        reply: oneshot::Sender<CancelReply>,
+    ) {
+        match self.pool.cancel_for(job, by) {
+            Cancelled::Foreign => {
+                let _ = reply.send(CancelReply::Foreign);
+            }
             Cancelled::Over => {
                 let _ = reply.send(CancelReply::Over);
             }
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -11,7 +11,8 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use reachhead_jobs::{
-    pool::{DrainMode, JobState, PoolLoad, Vacancy},
+    pool::{DrainMode, PoolLoad, StateReply, Vacancy},
+    ports::FeedPage,
     record::JobRecord,
 };
 use reachhead_ops::{
@@ -19,13 +20,14 @@
     http::{self, Handler, WholeRequest, WholeResponse},
 };
 use reachhead_types::{
-    id::{JobId, PoolName, RouteName, WorkerId},
+    id::{CustomerName, JobId, PoolName, RouteName, WorkerId},
     size::Revision,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::{
+    admission::operator_changes,
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
     submit::{StoreOutcome, store_for_peer},
@@ -42,6 +44,8 @@
     Ping,
     /// Store these jobs of a pool that you own.
     Store(PoolName, Vec<Unstored>),
+    /// What have operators written since?
+    Operators(Revision),
     /// Something for the owner of a pool.
     Pool(PoolName, PoolAsk),
 }
@@ -72,10 +76,10 @@
 pub enum PoolAsk {
     /// These jobs were accepted and are stored.
     Submit(Vec<Submitted>),
-    /// What is the job's state?
-    State(JobId),
-    /// Cancel the job.
-    Cancel(JobId),
+    /// What is the job's state, for this customer?
+    State(JobId, Option<CustomerName>),
+    /// Cancel the job, as this customer asks.
+    Cancel(JobId, Option<CustomerName>),
     /// How many jobs of the queue wait?
     Waiting(RouteName),
     /// Empty this worker, whose host is due for planned work.
@@ -98,8 +102,10 @@
     Stored(Vec<StoreOutcome>),
     /// Done.
     Done,
-    /// The job's state, if the owner knows it.
-    State(Option<JobState>),
+    /// What operators have written, if the store says so.
+    Operators(Option<FeedPage>),
+    /// The job's state.
+    State(StateReply),
     /// What became of a cancellation.
     Cancel(CancelReply),
     /// Jobs that wait.
@@ -166,6 +172,7 @@
     async fn answer(&self, ask: Ask) -> Reply {
         match ask {
             Ask::Ping => self.pong(),
+            Ask::Operators(revision) => Reply::Operators(self.operators(revision).await),
             Ask::Store(_, jobs) => Reply::Stored(store_for_peer(&self.0, jobs).await),
             Ask::Pool(pool, ask) => match self.0.local(&pool) {
                 Some(owner) => ask_owner(&owner, ask).await,
@@ -174,6 +181,14 @@
         }
     }
 
+    /// Asks the store what operators have written, for a peer that it turns away.
+    async fn operators(&self, revision: Revision) -> Option<FeedPage> {
+        let table = self.0.services.dialect.operator_table();
+        let page = operator_changes(&self.0, table, revision).await;
+        self.0.note_store(&page);
+        page.inspect_err(|error| log::info!("nothing can be told to a peer: {error}")).ok()
+    }
+
     fn pong(&self) -> Reply {
         let mut owned = self.0.loading().clone();
         for (pool, owner) in self.0.owned().iter() {
@@ -197,9 +212,11 @@
             owner.send(Input::Over(workers));
             Reply::Done
         }
-        PoolAsk::State(id) => answered(owner, |reply| Input::State(id, reply), Reply::State).await,
-        PoolAsk::Cancel(id) => {
-            answered(owner, |reply| Input::Cancel(id, reply), Reply::Cancel).await
+        PoolAsk::State(id, by) => {
+            answered(owner, |reply| Input::State(id, by, reply), Reply::State).await
+        }
+        PoolAsk::Cancel(id, by) => {
+            answered(owner, |reply| Input::Cancel(id, by, reply), Reply::Cancel).await
         }
         PoolAsk::Waiting(queue) => {
             answered(owner, |reply| Input::Waiting(queue, reply), Reply::Waiting).await
--- a/reachhead_types/src/error.rs
+++ b/reachhead_types/src/error.rs
@@ -99,6 +99,8 @@
 error_kinds! {
     /// No route matches the path.
     NoRoute "no-route" 404 NotRun None;
+    /// The caller's key belongs to no customer, and the route is not open to all.
+    UnknownKey "unknown-key" 401 NotRun None;
     /// The request can't be understood: framing, headers or key.
     Malformed "malformed" 400 NotRun None;
     /// The head is larger than the limit or has too many fields.
--- a/reachhead_types/src/id.rs
+++ b/reachhead_types/src/id.rs
@@ -156,6 +156,10 @@
     /// An operator of the administration API.
     OperatorName
 }
+name_type! {
+    /// A customer: whoever callers' keys stand for, and whom capacity is owed.
+    CustomerName
+}
 
 /// One start of a process, drawn at random, so that a restarted process is not taken for the old.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
