Quotas of customers across pools: a ledger allots, owners start nothing beyond it

Cause: a customer's jobs come to several pools, each with an owner of its own, and nothing counted what they have together. Change: `quota` (ledger and allowances, no input or output), `pool::quota` (what counts as running, what is held back), kept by the process in charge of all hosts (`fleet::quotas`). An allotment rises only by what no pool holds; a lower one counts once its owner has confirmed it. A new owner counts what its predecessor may have started on workers that have not answered, at most what these can bear. A new ledger raises nothing before every owner has answered it. Of an owner and a ledger that take charge at once, one sees the other's lease. Work that a quota holds back asks for no hosts; E709 tells who is held back. Ruled out: fixed parts of a quota a pool (a customer whose jobs come by turns would have a fourth of what it is owed); no messages (two owners can't know of each other's starts).

--- a/reachhead_jobs/src/customer.rs
+++ b/reachhead_jobs/src/customer.rs
@@ -58,6 +58,11 @@
         self
     }
 
+    /// Tells whether any customer has a quota.
+    pub fn any_limited(&self) -> bool {
+        self.by_name.values().any(|customer| customer.quota.is_limited())
+    }
+
     /// Returns whose key this is.
     pub fn holder(&self, key: &KeyDigest) -> Option<&CustomerName> {
         self.by_key.get(key)
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod place;
 pub mod pool;
 pub mod ports;
+pub mod quota;
 pub mod record;
 pub mod rescue;
 pub mod shard;
--- a/reachhead_jobs/src/model.rs
+++ b/reachhead_jobs/src/model.rs
@@ -184,7 +184,7 @@
     /// Limits of calls.
     pub limits: CallLimits,
     /// Whose keys callers have.
-    pub customers: Customers,
+    pub customers: Arc<Customers>,
 }
 
 impl Configuration {
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -63,4 +63,6 @@
     RunAdopted,
     /// Tasks of a step were given to workers.
     StepPlaced,
+    /// Tasks wait since their customer's quota is used up here.
+    QuotaReached,
 }
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -3,12 +3,17 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use reachhead_types::{
-    id::{RouteName, WorkerId},
+    id::{CustomerName, RouteName, WorkerId},
     size::Millis,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Tick, job::Phase, order::Class, pool::Pool};
+use crate::{
+    clock::Tick,
+    job::{Job, Phase},
+    order::Class,
+    pool::Pool,
+};
 
 /// Time over which the work that arrives is averaged: long enough for a few jobs of a queue of large
 /// ones, short enough to notice a burst within its first second.
@@ -107,6 +112,18 @@
     (latest + rise * ahead).min(TREND_MOST * latest)
 }
 
+/// Takes room for a task from what its customer may still start; tells whether there was enough.
+fn take_room(rooms: &mut BTreeMap<CustomerName, u64>, job: &Job, cores: u64) -> bool {
+    let Some(room) = job.customer.as_ref().and_then(|customer| rooms.get_mut(customer)) else {
+        return true;
+    };
+    let enough = *room >= cores;
+    if enough {
+        *room -= cores;
+    }
+    enough
+}
+
 impl Pool {
     /// Returns how much room the pool has and needs.
     pub fn load(&mut self, now: Tick) -> PoolLoad {
@@ -115,6 +132,7 @@
         let mut waiting = 0;
         let mut late = 0;
         let mut least = 0;
+        let mut rooms = self.headrooms();
         for job in self.jobs.values().filter(|job| job.ending.is_none()) {
             let class = self.experience.rank(job, now).class;
             for (id, state) in &job.steps {
@@ -131,7 +149,7 @@
                 for task in state.tasks.iter().filter(|task| !task.done) {
                     if !task.runs.is_empty() {
                         running += cores;
-                    } else if job.is_ready(*id) {
+                    } else if job.is_ready(*id) && take_room(&mut rooms, job, cores) {
                         match class {
                             Class::Missed => {}
                             Class::Late | Class::Expiring => late += cores * time,
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod pace;
 mod polls;
+mod quota;
 mod reports;
 mod starts;
 mod vacate;
@@ -149,6 +150,7 @@
     over: BTreeSet<WorkerId>,
     experience: Experience,
     advice: advice::AdviceBook,
+    quotas: quota::Quotas,
     arrivals: load::Arrivals,
     /// A job with tasks that fill was seen, so paces have to be looked at.
     fills: bool,
@@ -225,6 +227,7 @@
             over: BTreeSet::new(),
             experience: Experience::default(),
             advice: advice::AdviceBook::default(),
+            quotas: quota::Quotas::default(),
             arrivals: load::Arrivals::default(),
             fills: false,
             review: true,
@@ -286,7 +289,7 @@
         }
         self.experience.admit(&record.queue.name, &record.plan);
         self.fills |= record.plan.has_fills();
-        if !record.plan.long_running() {
+        if !record.plan.long_running() && self.may_use_hosts(record.customer.as_ref()) {
             self.arrivals.note(&record.queue.name, now);
         }
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -51,6 +51,7 @@
 impl Pool {
     /// Starts what can start, the worthiest first.
     pub(super) fn place(&mut self, now: Tick) {
+        self.begin_quotas(now);
         let mut ranked: Vec<Ranked> = self
             .jobs
             .values()
@@ -73,6 +74,7 @@
                 break;
             }
         }
+        self.tell_quotas(now);
     }
 
     /// Returns the most of each resource that is free on any worker.
@@ -113,6 +115,10 @@
         let mut started = Vec::new();
         for index in waiting {
             let possible = step.charge().fits(*room);
+            if possible && !self.within_quota(id.job, step.need) {
+                self.hold_back(id.job, step.need, (rest - started.len()) as u32);
+                break;
+            }
             let placed = possible.then(|| self.find(id.task(index), &step, allowed.as_ref(), now));
             let Some(worker) = placed.flatten() else {
                 if possible {
@@ -159,6 +165,11 @@
         if !settled {
             return true;
         }
+        let whole = step.need.times(step.count);
+        if !self.within_quota(id.job, whole) {
+            self.hold_back(id.job, whole, 1);
+            return true;
+        }
         let mut chosen: BTreeMap<u32, WorkerId> = BTreeMap::new();
         for index in 0..step.count {
             let Some(worker) = self.find(id.task(index), step, allowed, now) else {
@@ -260,6 +271,7 @@
         let deadline = WorkerTime(reading.estimate(now).0 + hold.0);
         known.granted = known.granted.max(deadline);
         known.charge(id, number, step.charge());
+        self.charge_quota(id.job, step.need);
         let ticket = self.advice.ticket(id.step_id(), &worker, now).cloned();
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
--- /dev/null
+++ b/reachhead_jobs/src/quota/allowance.rs
@@ -0,0 +1,144 @@
+//! What the owner of a pool may start for each customer.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use reachhead_plan::amount::Amount;
+use reachhead_types::{
+    id::CustomerName,
+    size::{FencingToken, Millis},
+};
+
+use super::{Allotment, Standing, Statement};
+use crate::{
+    clock::Tick,
+    customer::{Customers, Quota},
+};
+
+/// How long limits count after the ledger that gave them was replaced. The new one asks every owner within some
+/// milliseconds; an owner that it can't reach must not start anything for long on what others may have been given since.
+pub const VOID_TIME: Millis = Millis(2000);
+
+/// What a customer has and could use in a pool, as its owner counts it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Demand {
+    /// What its tasks have or may have.
+    pub used: Amount,
+    /// What tasks would have that could start now.
+    pub wanted: Amount,
+    /// What the next of these needs.
+    pub next: Amount,
+}
+
+/// The limits of a pool's customers.
+#[derive(Debug, Clone, Default)]
+pub struct Allowances {
+    customers: Arc<Customers>,
+    ledger: FencingToken,
+    round: u64,
+    limits: BTreeMap<CustomerName, Amount>,
+    /// A later ledger that has not been heard.
+    heir: Option<Heir>,
+}
+
+/// A ledger that replaces the one whose limits are known.
+#[derive(Debug, Clone, Copy)]
+struct Heir {
+    ledger: FencingToken,
+    since: Tick,
+}
+
+impl Allowances {
+    /// Returns limits by which no customer with a quota may start anything: a predecessor may have used all of it.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over the customers of a configuration.
+    pub fn configure(&mut self, customers: &Arc<Customers>) {
+        self.customers = Arc::clone(customers);
+    }
+
+    /// Tells whether any customer has a quota.
+    pub fn any_limited(&self) -> bool {
+        self.customers.any_limited()
+    }
+
+    /// Takes in limits, unless they are for another owner or older than what is known.
+    pub fn take(&mut self, allotment: &Allotment, owner: FencingToken) {
+        let newer = (allotment.ledger, allotment.round) > (self.ledger, self.round);
+        let replaced = self.heir.is_some_and(|heir| heir.ledger > allotment.ledger);
+        if !newer || replaced {
+            return;
+        }
+        (self.ledger, self.round) = (allotment.ledger, allotment.round);
+        if self.heir.is_some_and(|heir| heir.ledger <= self.ledger) {
+            self.heir = None;
+        }
+        if allotment.owner == Some(owner) {
+            let limits = allotment.limits.iter().map(|(name, limit)| (name.clone(), *limit));
+            self.limits.extend(limits);
+        }
+    }
+
+    /// Notes whose ledger counts by the store's word. Limits of an earlier one are kept for a while, as the new ledger asks
+    /// for them; one that can't reach this owner has to know when they are void.
+    pub fn follow(&mut self, ledger: FencingToken, now: Tick) {
+        if ledger > self.ledger {
+            let heir = self.heir.get_or_insert(Heir { ledger, since: now });
+            heir.ledger = heir.ledger.max(ledger);
+        }
+    }
+
+    /// Drops the limits if the ledger that gave them has long been replaced.
+    pub fn expire(&mut self, now: Tick) {
+        if self.heir.is_some_and(|heir| now.since(heir.since) > VOID_TIME) {
+            self.limits.clear();
+        }
+    }
+
+    /// Tells whether a customer that has `used` here may start a task that takes `need`.
+    pub fn allows(&self, customer: &CustomerName, used: Amount, need: Amount) -> bool {
+        let Some(quota) = self.customers.quota(customer) else {
+            return true;
+        };
+        let limit = self.limits.get(customer).copied().unwrap_or_default();
+        let after = used.plus(need);
+        // A lowered quota counts at once, before the ledger has divided it. A task larger than the whole quota may run alone.
+        let lowered = quota.allows(after) || used == Amount::default();
+        within(quota, after, limit) && lowered
+    }
+
+    /// Returns what a customer may still start, in thousandths of a core.
+    pub fn headroom(&self, customer: &CustomerName, used: Amount) -> u64 {
+        match self.customers.quota(customer) {
+            Some(quota) if quota.0.cores > 0 => {
+                let limit = self.limits.get(customer).map_or(0, |limit| limit.cores);
+                limit.saturating_sub(used.cores)
+            }
+            _ => u64::MAX,
+        }
+    }
+
+    /// Returns what the ledger is told.
+    pub fn statement(
+        &self,
+        owner: FencingToken,
+        demand: &BTreeMap<CustomerName, Demand>,
+    ) -> Statement {
+        let limited =
+            self.customers.by_name.keys().filter(|name| self.customers.quota(name).is_some());
+        let standing = |name: &CustomerName| {
+            let Demand { used, wanted, next } = demand.get(name).copied().unwrap_or_default();
+            let limit = self.limits.get(name).copied().unwrap_or_default();
+            Standing { limit, used, wanted, next }
+        };
+        let customers = limited.map(|name| (name.clone(), standing(name)));
+        let customers = customers.filter(|(_, standing)| *standing != Standing::default());
+        Statement { owner, customers: customers.collect() }
+    }
+}
+
+/// Tells whether `amount` is within `limit` in every resource that the quota limits.
+fn within(quota: Quota, amount: Amount, limit: Amount) -> bool {
+    amount.only(quota.0).fits(limit)
+}
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -10,6 +10,7 @@
 mod life;
 mod load;
 mod pace;
+mod quota;
 mod records;
 mod rescue;
 mod vacate;
--- /dev/null
+++ b/reachhead_jobs/tests/pool/quota.rs
@@ -0,0 +1,185 @@
+//! Customers' quotas in a pool.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use reachhead_jobs::{
+    customer::{Customer, Customers, Quota},
+    model::Step,
+    ports::RunEnd,
+    quota::{Allotment, Statement},
+    record::JobRecord,
+    task::TaskId,
+};
+use reachhead_plan::amount::Amount;
+use reachhead_types::{
+    id::{CustomerName, JobId, WorkerId},
+    size::{FencingToken, Millis, Revision, Weight},
+};
+
+use crate::fixture::{Fixture, info, left, record, step, task, worker};
+
+fn one() -> CustomerName {
+    "one".parse().unwrap()
+}
+
+fn customers(cores: u64) -> Arc<Customers> {
+    let quota = Quota(Amount::new(cores * 1000, 0, 0));
+    Arc::new(Customers::new().with_customer(Customer { name: one(), weight: Weight(9), quota }, []))
+}
+
+/// What the fixture's owner has as its token.
+const OWNER: FencingToken = FencingToken(7);
+
+fn allot(fixture: &mut Fixture, round: u64, cores: u64) -> Statement {
+    let limits = BTreeMap::from([(one(), Amount::new(cores * 1000, 0, 0))]);
+    let message = Allotment { ledger: FencingToken(1), round, owner: Some(OWNER), limits };
+    fixture.pool.allot(&message)
+}
+
+fn submit(fixture: &mut Fixture, id: u64, customer: Option<CustomerName>, steps: Vec<Step>) {
+    let record = JobRecord { customer, ..record(steps, fixture.now.0) };
+    let now = fixture.now;
+    fixture.pool.submit(JobId(id), &record, Revision(50 + id), now, Millis(now.0));
+}
+
+fn limited(cores: u64) -> Fixture {
+    let mut fixture = Fixture::ready(vec![info("w1", 16), info("w2", 16)]);
+    fixture.pool.configure(&customers(cores));
+    fixture
+}
+
+/// Lets the next round start what it may, and returns how many tasks that were.
+fn start_all(fixture: &mut Fixture) -> Vec<(WorkerId, TaskId)> {
+    let starts = fixture.starts();
+    for (worker, order) in &starts {
+        fixture.accept(worker, order);
+    }
+    starts.into_iter().map(|(worker, order)| (worker, order.task)).collect()
+}
+
+#[test]
+fn a_customer_with_a_quota_starts_nothing_before_the_ledger_has_said_how_much() {
+    let mut fixture = limited(8);
+    submit(&mut fixture, 1, Some(one()), vec![step(4)]);
+    submit(&mut fixture, 2, None, vec![step(2)]);
+    let started = start_all(&mut fixture);
+    assert!(started.iter().all(|(_, task)| task.job == JobId(2)), "{started:?}");
+    assert_eq!(started.len(), 2, "who has no quota waits for nobody");
+    allot(&mut fixture, 1, 4);
+    assert_eq!(start_all(&mut fixture).len(), 4);
+}
+
+#[test]
+fn a_step_wider_than_the_limit_goes_in_waves() {
+    let mut fixture = limited(8);
+    submit(&mut fixture, 1, Some(one()), vec![step(7)]);
+    allot(&mut fixture, 1, 3);
+    let mut left = 7;
+    while left > 0 {
+        let wave = start_all(&mut fixture);
+        assert!(!wave.is_empty() && wave.len() <= 3, "{wave:?}");
+        assert_eq!(start_all(&mut fixture), [], "the limit is reached");
+        left -= wave.len();
+        for (name, task) in &wave {
+            fixture.end(name, *task, 1, RunEnd::Done);
+        }
+        for name in ["w1", "w2"] {
+            fixture.report(&worker(name));
+        }
+    }
+}
+
+#[test]
+fn a_lower_limit_stops_starts_at_once_and_what_runs_counts_on() {
+    let mut fixture = limited(8);
+    allot(&mut fixture, 1, 8);
+    submit(&mut fixture, 1, Some(one()), vec![step(4)]);
+    assert_eq!(start_all(&mut fixture).len(), 4);
+    let statement = allot(&mut fixture, 2, 2);
+    assert_eq!(statement.customers[&one()].held().cores, 4000, "what runs is held");
+    submit(&mut fixture, 2, Some(one()), vec![step(4)]);
+    assert_eq!(start_all(&mut fixture), []);
+    let statement = allot(&mut fixture, 3, 2);
+    assert_eq!(statement.customers[&one()].next.cores, 1000, "the ledger is told what waits");
+}
+
+#[test]
+fn a_lowered_quota_counts_before_the_ledger_has_divided_it() {
+    let mut fixture = limited(8);
+    allot(&mut fixture, 1, 8);
+    submit(&mut fixture, 1, Some(one()), vec![step(2)]);
+    assert_eq!(start_all(&mut fixture).len(), 2);
+    fixture.pool.configure(&customers(3));
+    submit(&mut fixture, 2, Some(one()), vec![step(4)]);
+    assert_eq!(start_all(&mut fixture).len(), 1);
+}
+
+#[test]
+fn a_limit_for_another_owner_or_from_an_earlier_ledger_changes_nothing() {
+    let mut fixture = limited(8);
+    submit(&mut fixture, 1, Some(one()), vec![step(4)]);
+    let limits = BTreeMap::from([(one(), Amount::new(8000, 0, 0))]);
+    let message = Allotment {
+        ledger: FencingToken(5),
+        round: 3,
+        owner: Some(FencingToken(6)),
+        limits: limits.clone(),
+    };
+    fixture.pool.allot(&message);
+    assert_eq!(start_all(&mut fixture), [], "it was for the predecessor");
+    let late = Allotment { ledger: FencingToken(4), owner: Some(OWNER), ..message };
+    fixture.pool.allot(&late);
+    assert_eq!(start_all(&mut fixture), [], "a later ledger was heard");
+}
+
+#[test]
+fn limits_are_void_some_seconds_after_another_process_keeps_the_ledger() {
+    let mut fixture = limited(8);
+    allot(&mut fixture, 1, 8);
+    fixture.pool.follow_ledger(FencingToken(2), fixture.now);
+    submit(&mut fixture, 1, Some(one()), vec![step(1)]);
+    assert_eq!(start_all(&mut fixture).len(), 1, "the new one asks first");
+    fixture.pass(2100);
+    submit(&mut fixture, 2, Some(one()), vec![step(1)]);
+    assert_eq!(start_all(&mut fixture), []);
+    assert_eq!(
+        allot(&mut fixture, 9, 8).customers[&one()].limit.cores,
+        0,
+        "nor does the old one count"
+    );
+}
+
+#[test]
+fn what_a_predecessor_may_have_started_on_workers_that_do_not_answer_is_held() {
+    let mut found = left(vec![(1, vec![step(5)])], vec![("w1", None), ("w2", None)]);
+    for job in &mut found.jobs {
+        job.record.customer = Some(one());
+    }
+    let mut fixture = Fixture::new(found, vec![info("w1", 2), info("w2", 2)]);
+    fixture.pool.configure(&customers(8));
+    fixture.poll();
+    let statement = allot(&mut fixture, 1, 0);
+    assert_eq!(statement.customers[&one()].held().cores, 4000, "no more than the two can bear");
+    fixture.runs(&worker("w1"), task(1, 0, 0), 1, 10);
+    fixture.report(&worker("w1"));
+    let statement = allot(&mut fixture, 2, 0);
+    assert_eq!(statement.customers[&one()].held().cores, 3000, "one runs, two may on the other");
+    fixture.report(&worker("w2"));
+    let statement = allot(&mut fixture, 3, 0);
+    assert_eq!(statement.customers[&one()].held().cores, 1000);
+}
+
+#[test]
+fn work_that_a_quota_holds_back_asks_for_no_hosts() {
+    let mut fixture = limited(8);
+    allot(&mut fixture, 1, 2);
+    submit(&mut fixture, 1, Some(one()), vec![Step { estimate: Millis(4000), ..step(2) }]);
+    assert_eq!(start_all(&mut fixture).len(), 2);
+    fixture.pass(2000);
+    let before = fixture.pool.load(fixture.now);
+    fixture.poll();
+    submit(&mut fixture, 2, Some(one()), vec![Step { estimate: Millis(4000), ..step(30) }]);
+    assert_eq!(start_all(&mut fixture), []);
+    let load = fixture.pool.load(fixture.now);
+    assert_eq!((load.need, load.timely), (before.need, before.timely), "{load:?}");
+}
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -51,11 +51,11 @@
 /// How long an owner goes on giving orders without a sign that it is in charge. With a worker's lease
 /// after it, runs outlast an outage of the store of about eight seconds; a successor that can't
 /// reach a worker has to wait for the same time.
-const TRUST_TIME: Millis = Millis(4000);
+pub const TRUST_TIME: Millis = Millis(4000);
 
 /// Longest lease that workers are given, whatever they would grant: it is what a task is delayed by
 /// when its worker is lost, and it has to outlast a change of hands.
-const HOLD_MOST: Millis = Millis(4500);
+pub const HOLD_MOST: Millis = Millis(4500);
 
 /// Pause after rows of a pool that is being taken could not be read.
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
@@ -134,7 +134,7 @@
         };
         let mut pools: Vec<PoolName> =
             config.pools.values().map(|pool| pool.name.clone()).collect();
-        if self.node.services.machines.is_some() {
+        if self.node.services.machines.is_some() || config.customers.any_limited() {
             pools.push(fleet::name());
         }
         for pool in pools {
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Orders about hosts: their maintenance in waves and their moves. One process at a time is in charge of all hosts.
 
 mod lives;
+mod quotas;
 mod waves;
 
 use std::{
@@ -97,6 +98,7 @@
         authority,
         fenced: false,
     };
+    tokio::spawn(quotas::run(Arc::clone(&fleet.node), token));
     fleet.run(inputs).await;
     claims::release(&node, &name(), token);
 }
--- /dev/null
+++ b/reachhead_node/src/fleet/quotas.rs
@@ -0,0 +1,79 @@
+//! Keeping the ledger of customers' quotas: what each pool may have running, told to the pools' owners.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::join_all;
+use reachhead_jobs::{
+    clock::stretched,
+    quota::{Allotment, Ledger, Statement, VOID_TIME},
+};
+use reachhead_types::{
+    id::PoolName,
+    size::{FencingToken, Millis, Revision},
+};
+use tokio::time;
+
+use super::name;
+use crate::{
+    claims::{HOLD_MOST, TRUST_TIME},
+    frontend::ask_pool,
+    node::Node,
+    peer::{PoolAsk, Reply},
+};
+
+/// Pause between two rounds while no customer waits for more: what pools have changes, and is to be known when one does.
+const CALM_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause between two rounds while a customer's tasks wait for room in its quota.
+const SHORT_PAUSE: Duration = Duration::from_millis(25);
+
+/// How long an owner may take to answer; the others are not kept waiting for one that is gone.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
+/// Keeps the ledger for as long as this process is in charge of all hosts with this token.
+pub async fn run(node: Arc<Node>, token: Revision) {
+    // An owner sees a new ledger within the time for which it trusts its own lease; what it started until its limits are
+    // void ends with its lease at the latest where nobody prolongs that.
+    let effect = Millis(TRUST_TIME.0 + VOID_TIME.0 + stretched(HOLD_MOST).0);
+    let mut ledger = Ledger::new(FencingToken(token.0), effect, node.now());
+    while node.local(&name()).is_some_and(|handle| handle.token == token) {
+        // An owner whose lease is older than this one's has to be known as the owner, see `Owner::allot`.
+        let sees = node.view().leases_revision >= token;
+        let again = sees && round(&node, &mut ledger).await;
+        let pause = if again || ledger.is_short() { SHORT_PAUSE } else { CALM_PAUSE };
+        time::sleep(pause).await;
+    }
+}
+
+/// Tells all owners what their pools are allotted; tells whether any of them is new and has nothing yet.
+async fn round(node: &Arc<Node>, ledger: &mut Ledger) -> bool {
+    let Some(config) = node.view().config.clone() else {
+        return false;
+    };
+    if !config.customers.any_limited() {
+        return false;
+    }
+    let messages = ledger.round(config.pools.keys(), &config.customers, node.now());
+    let asks = messages.into_iter().map(|(pool, allotment)| async move {
+        let statement = ask(node, &pool, &allotment).await;
+        (pool, allotment, statement)
+    });
+    let mut news = false;
+    for (pool, allotment, statement) in join_all(asks).await {
+        let lease = node.view().leases.get(&pool).map(|lease| FencingToken(lease.revision.0));
+        // What an owner says that has been replaced does not bind its successor.
+        let current = |statement: &Statement| Some(statement.owner) >= lease;
+        if let Some(statement) = statement.filter(current) {
+            news |= ledger.stated(&pool, &allotment, statement, node.now());
+        }
+    }
+    news
+}
+
+async fn ask(node: &Node, pool: &PoolName, allotment: &Allotment) -> Option<Statement> {
+    let ask = ask_pool(node, pool, PoolAsk::Allot(allotment.clone()));
+    match time::timeout(ANSWER_TIME, ask).await {
+        Ok(Some(Reply::Statement(statement))) => Some(statement),
+        _ => None,
+    }
+}
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -273,8 +273,9 @@
         self.apply_at(changes, self.0.now());
     }
 
-    fn seen(&self, at: Tick, _revision: Revision) {
+    fn seen(&self, at: Tick, revision: Revision) {
         let mut view = self.0.view();
+        view.leases_revision = view.leases_revision.max(revision);
         view.leases_seen = view.leases_seen.max(at);
     }
 }
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -57,5 +57,6 @@
         NoteKind::RunStopped => Event::RunStopped,
         NoteKind::RunAdopted => Event::RunAdopted,
         NoteKind::StepPlaced => Event::StepPlaced,
+        NoteKind::QuotaReached => Event::QuotaReached,
     }
 }
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -4,6 +4,7 @@
     clock::{Tick, WorkerTime},
     pool::{Batch, DrainMode, PoolLoad, StateReply, Vacancy},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
+    quota::{Allotment, Statement},
     task::{StepId, TaskId},
 };
 use reachhead_store::{
@@ -45,6 +46,8 @@
     Vacate(WorkerId, DrainMode, oneshot::Sender<Vacancy>),
     /// Somebody asks how much room the pool needs.
     Load(oneshot::Sender<PoolLoad>),
+    /// What the pool may have running for customers.
+    Allot(Allotment, oneshot::Sender<Statement>),
     /// Lives of workers are over.
     Over(Vec<WorkerId>),
     /// The registered workers changed.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -13,6 +13,7 @@
 use reachhead_jobs::{
     clock::Tick,
     pool::{Action, Batch, Cancelled, Due, JobState, Lane, Pool},
+    quota::{Allotment, Statement},
     record::{JobRecord, LeaseRecord, job_prefix, lease_key, value},
     shard::Shard,
 };
@@ -23,7 +24,7 @@
 };
 use reachhead_types::{
     id::{CustomerName, JobId},
-    size::Millis,
+    size::{FencingToken, Millis, Version},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -32,7 +33,7 @@
 
 use self::actions::{event_of, perform};
 pub use self::input::{CancelReply, Input, OwnerHandle};
-use crate::{node::Node, peer::Submitted};
+use crate::{fleet, node::Node, peer::Submitted};
 
 /// Least time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(4);
@@ -86,6 +87,8 @@
     scan_turn: VecDeque<Shard>,
     release: Option<oneshot::Sender<()>>,
     lost: bool,
+    /// The version of the configuration that the pool knows.
+    configured: Option<Version>,
 }
 
 impl Owner {
@@ -111,6 +114,7 @@
             scan_turn: Shard::all().collect(),
             release: None,
             lost: false,
+            configured: None,
         }
     }
 
@@ -146,6 +150,7 @@
         let node = Arc::clone(&self.node);
         let now = node.now();
         self.check_lease();
+        self.configure(now);
         if self.lost {
             return;
         }
@@ -172,6 +177,20 @@
         }
     }
 
+    /// Takes over what the configuration and the leases say of customers and their quotas.
+    fn configure(&mut self, now: Tick) {
+        let view = self.node.view();
+        if let Some(config) = &view.config
+            && self.configured != Some(config.version)
+        {
+            self.configured = Some(config.version);
+            self.pool.configure(&config.customers);
+        }
+        if let Some(lease) = view.leases.get(&fleet::name()) {
+            self.pool.follow_ledger(FencingToken(lease.revision.0), now);
+        }
+    }
+
     fn take(&mut self, input: Input) {
         let now = self.node.now();
         match input {
@@ -194,6 +213,7 @@
             Input::Load(reply) => {
                 let _ = reply.send(self.pool.load(now));
             }
+            Input::Allot(allotment, reply) => self.allot(&allotment, reply, now),
             Input::Over(workers) => {
                 for worker in workers {
                     self.pool.worker_over(&worker, "the platform has no host with it");
@@ -219,6 +239,16 @@
         }
     }
 
+    /// Takes in limits, once every lease is known that is older than the owner's own. Of an owner and a ledger that take
+    /// charge at the same time one sees the other's lease: otherwise a ledger that has been replaced could give a new owner
+    /// what its successor, which has asked the old owner, gives to others.
+    fn allot(&mut self, allotment: &Allotment, reply: oneshot::Sender<Statement>, now: Tick) {
+        if self.node.view().leases_revision >= self.handle.token {
+            self.configure(now);
+            let _ = reply.send(self.pool.allot(allotment));
+        }
+    }
+
     fn cancel(
         &mut self,
         job: JobId,
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -13,6 +13,7 @@
 use reachhead_jobs::{
     pool::{DrainMode, PoolLoad, StateReply, Vacancy},
     ports::FeedPage,
+    quota::{Allotment, Statement},
     record::JobRecord,
 };
 use reachhead_ops::{
@@ -88,6 +89,8 @@
     Over(Vec<WorkerId>),
     /// How much room does the pool need?
     Load,
+    /// What the pool may have running for customers.
+    Allot(Allotment),
 }
 
 /// The answer to an [`Ask`].
@@ -114,6 +117,8 @@
     Vacancy(Vacancy),
     /// How much room the pool needs.
     Load(PoolLoad),
+    /// What customers have in the pool, and could use.
+    Statement(Statement),
 }
 
 /// What a process says of itself.
@@ -221,6 +226,9 @@
         PoolAsk::Waiting(queue) => {
             answered(owner, |reply| Input::Waiting(queue, reply), Reply::Waiting).await
         }
+        PoolAsk::Allot(allotment) => {
+            answered(owner, |reply| Input::Allot(allotment, reply), Reply::Statement).await
+        }
         PoolAsk::Load => answered(owner, Input::Load, Reply::Load).await,
         PoolAsk::Vacate(worker, mode) => {
             answered(owner, |reply| Input::Vacate(worker, mode, reply), Reply::Vacancy).await
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -52,6 +52,8 @@
     pub leases_read: Option<Tick>,
     /// When the leases were last known to be as they are here.
     pub leases_seen: Tick,
+    /// The store's revision up to which every lease is known.
+    pub leases_revision: Revision,
     /// The processes of the system.
     pub members: BTreeMap<NodeName, MemberRecord>,
     /// The workers that are registered.
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -117,6 +117,8 @@
     JobCancelled 707 Info;
     /// Tasks of a step were given to workers.
     StepPlaced 708 Info;
+    /// Tasks wait since their customer's quota is used up in a pool: how many, what they need, what is left.
+    QuotaReached 709 Info;
     /// A change of a pool's rows was not taken by the store.
     RecordFailed 710 Warn;
     /// A pool's owner does not answer its peers.
--- a/reachhead_plan/src/amount.rs
+++ b/reachhead_plan/src/amount.rs
@@ -46,6 +46,12 @@
         self.each(other, u64::max)
     }
 
+    /// Returns the smaller of each resource.
+    #[must_use]
+    pub fn least(self, other: Self) -> Self {
+        self.each(other, u64::min)
+    }
+
     /// Returns this amount `count` times.
     #[must_use]
     pub fn times(self, count: u32) -> Self {
