--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -310,7 +310,13 @@
             Ok(info) => {
                 node.view().workers.insert(info.id.clone(), info);
             }
-            Err(error) => emit(Event::RowRefused, error),
+            Err(error) => {
+                // What the entry said before counts no more: it names no worker to use.
+                if let Some(id) = node.services.dialect.worker_of(&row.key) {
+                    node.view().workers.remove(&id);
+                }
+                emit(Event::RowRefused, error);
+            }
         }
     }
 }
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -16,6 +16,7 @@
     },
     shard::Shard,
 };
+use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
     row::{Commit, Key, Row, Scan, Txn},
@@ -110,7 +111,7 @@
             return Ok(None);
         };
         found.fences.insert(part.shard, part.fence);
-        found.jobs.append(&mut stored_jobs(&part)?);
+        found.jobs.append(&mut stored_jobs(&part));
     }
     Ok(Some(found))
 }
@@ -171,7 +172,7 @@
     Ok(rows.into_iter().flatten().next())
 }
 
-fn stored_jobs(part: &PartRows) -> Result<Vec<StoredJob>, StoreError> {
+fn stored_jobs(part: &PartRows) -> Vec<StoredJob> {
     let progress: BTreeMap<JobId, &Row> =
         part.progress.iter().filter_map(|row| Some((id_of(&row.key)?, row))).collect();
     let mut stored = Vec::with_capacity(part.jobs.len());
@@ -179,19 +180,22 @@
         let Some(id) = id_of(&row.key) else {
             continue;
         };
-        let progress = match progress.get(&id) {
-            Some(row) => Some(StoredProgress {
-                record: row.parse::<ProgressRecord>()?,
-                revision: row.revision,
-            }),
-            None => None,
-        };
-        stored.push(StoredJob {
-            id,
-            record: row.parse::<JobRecord>()?,
-            row: row.revision,
-            progress,
-        });
+        match stored_job(id, row, progress.get(&id).copied()) {
+            Ok(job) => stored.push(job),
+            // Without its progress a job would run again what is done, so it is left alone; the others go on.
+            Err(error) => emit(Event::RowRefused, error),
+        }
     }
-    Ok(stored)
+    stored
+}
+
+fn stored_job(id: JobId, row: &Row, progress: Option<&Row>) -> Result<StoredJob, StoreError> {
+    let progress = match progress {
+        Some(row) => {
+            let record = row.parse::<ProgressRecord>()?;
+            Some(StoredProgress { record, revision: row.revision })
+        }
+        None => None,
+    };
+    Ok(StoredJob { id, record: row.parse::<JobRecord>()?, row: row.revision, progress })
 }
