The ledger divides when a customer is short, and owners tell it what changed

Change: a quota that is divided stays so until a task waits for room, the quota changes or an owner does; statements are told as changes since the one that the ledger has, in sixteenths of a quota; rounds come 25 ms apart only while limits move.

--- a/reachhead_jobs/src/pool/quota.rs
+++ b/reachhead_jobs/src/pool/quota.rs
@@ -64,7 +64,7 @@
             let entry = demand.entry(customer.clone()).or_default();
             (entry.wanted, entry.next) = (held.wanted, held.next);
         }
-        self.quotas.allowances.statement(self.token, &demand)
+        self.quotas.allowances.answer(allotment, self.token, &demand)
     }
 
     /// Counts what customers have running, before a round starts anything.
--- a/reachhead_jobs/src/quota/allowance.rs
+++ b/reachhead_jobs/src/quota/allowance.rs
@@ -18,6 +18,9 @@
 /// milliseconds; an owner that it can't reach must not start anything for long on what others may have been given since.
 pub const VOID_TIME: Millis = Millis(2000);
 
+/// Steps of a quota in which what runs and waits is told.
+const STEPS: u64 = 16;
+
 /// What a customer has and could use in a pool, as its owner counts it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Demand {
@@ -29,6 +32,17 @@
     pub next: Amount,
 }
 
+impl Demand {
+    /// Returns what the ledger is told. What runs and waits changes with each task, so it is told in steps, rounded up: a
+    /// customer's standing is told some times a second and not at each start.
+    fn standing(self, limit: Amount, quota: Quota) -> Standing {
+        let rounded = self.used.stepped(quota.0, STEPS);
+        let used = if self.used.fits(limit) { rounded.least(limit) } else { rounded };
+        let wanted = self.wanted.stepped(quota.0, STEPS);
+        Standing { limit, used: used.max(self.used.least(limit)), wanted, next: self.next }
+    }
+}
+
 /// The limits of a pool's customers.
 #[derive(Debug, Clone, Default)]
 pub struct Allowances {
@@ -38,6 +52,9 @@
     limits: BTreeMap<CustomerName, Amount>,
     /// A later ledger that has not been heard.
     heir: Option<Heir>,
+    /// The last statement, and the ledger and round that it answered.
+    told: BTreeMap<CustomerName, Standing>,
+    answered: (FencingToken, u64),
 }
 
 /// A ledger that replaces the one whose limits are known.
@@ -119,7 +136,31 @@
         }
     }
 
-    /// Returns what the ledger is told.
+    /// Returns what the ledger is told in answer to a message: all, or what changed if it has the last statement.
+    pub fn answer(
+        &mut self,
+        allotment: &Allotment,
+        owner: FencingToken,
+        demand: &BTreeMap<CustomerName, Demand>,
+    ) -> Statement {
+        let mut statement = self.statement(owner, demand);
+        let message = (allotment.ledger, allotment.round);
+        if message != (self.ledger, self.round) || message == self.answered {
+            // It is late, or came twice: nobody waits for this answer, and what the ledger has is another one.
+            return statement;
+        }
+        let told = std::mem::replace(&mut self.told, statement.customers.clone());
+        let answered = std::mem::replace(&mut self.answered, message);
+        if allotment.owner == Some(owner) && answered == (allotment.ledger, allotment.heard) {
+            statement.whole = false;
+            statement.customers.retain(|name, standing| told.get(name) != Some(standing));
+            let gone = told.into_keys().filter(|name| !self.told.contains_key(name));
+            statement.customers.extend(gone.map(|name| (name, Standing::default())));
+        }
+        statement
+    }
+
+    /// Returns where all customers stand.
     pub fn statement(
         &self,
         owner: FencingToken,
@@ -128,13 +169,14 @@
         let limited =
             self.customers.by_name.keys().filter(|name| self.customers.quota(name).is_some());
         let standing = |name: &CustomerName| {
-            let Demand { used, wanted, next } = demand.get(name).copied().unwrap_or_default();
+            let demand = demand.get(name).copied().unwrap_or_default();
             let limit = self.limits.get(name).copied().unwrap_or_default();
-            Standing { limit, used, wanted, next }
+            let quota = self.customers.quota(name).unwrap_or_default();
+            demand.standing(limit, quota)
         };
         let customers = limited.map(|name| (name.clone(), standing(name)));
         let customers = customers.filter(|(_, standing)| *standing != Standing::default());
-        Statement { owner, customers: customers.collect() }
+        Statement { owner, whole: true, customers: customers.collect() }
     }
 }
 
--- a/reachhead_jobs/src/quota/ledger.rs
+++ b/reachhead_jobs/src/quota/ledger.rs
@@ -21,8 +21,9 @@
     owner: Option<FencingToken>,
     /// What the pool may have running, however the messages that are under way are delivered.
     held: BTreeMap<CustomerName, Amount>,
-    /// What its owner stated last.
+    /// What its owner stated last, and in answer to which round.
     stated: BTreeMap<CustomerName, Standing>,
+    heard: u64,
     /// Since when a customer's next task there has found no room in the limit.
     short: BTreeMap<CustomerName, Tick>,
 }
@@ -36,18 +37,35 @@
     effect: Millis,
     round: u64,
     books: BTreeMap<PoolName, Book>,
+    /// The quotas that are divided as they should be for as long as no customer's task waits for room.
+    divided: BTreeMap<CustomerName, Quota>,
+    /// The last round changed a limit.
+    changed: bool,
 }
 
 impl Ledger {
     /// Returns a ledger that knows of no allotments yet. What a pool has running whose owner does not answer has
     /// surely ended `effect` after that owner was lost.
     pub fn new(token: FencingToken, effect: Millis, now: Tick) -> Self {
-        Self { token, begun: now, effect, round: 0, books: BTreeMap::new() }
+        Self {
+            token,
+            begun: now,
+            effect,
+            round: 0,
+            books: BTreeMap::new(),
+            divided: BTreeMap::new(),
+            changed: false,
+        }
+    }
+
+    /// Tells whether the next round should come soon: limits are on their way up or down, or an owner has not answered yet.
+    pub fn is_moving(&self) -> bool {
+        self.changed || self.books.values().any(|book| book.owner.is_none())
     }
 
-    /// Tells whether a customer waits for a limit to be raised, so that the next round should come soon.
+    /// Tells whether a customer's tasks wait for room in its quota.
     pub fn is_short(&self) -> bool {
-        self.books.values().any(|book| book.owner.is_none() || !book.short.is_empty())
+        self.books.values().any(|book| !book.short.is_empty())
     }
 
     /// Returns the messages of a round, one for each pool.
@@ -67,12 +85,14 @@
                 limits.entry(pool).or_default().insert(customer.name.clone(), limit);
             }
         }
+        self.changed = !limits.is_empty();
         self.round += 1;
         let message = |pool: &PoolName| Allotment {
             ledger: self.token,
             round: self.round,
             owner: self.books[pool].owner,
             limits: limits.get(pool).cloned().unwrap_or_default(),
+            heard: self.books[pool].heard,
         };
         pools.into_iter().map(|pool| (pool.clone(), message(pool))).collect()
     }
@@ -93,17 +113,26 @@
             // It may be from before a later message was delivered.
             return false;
         }
+        if news && !statement.whole {
+            return false;
+        }
         book.owner = Some(statement.owner);
-        book.held = statement
-            .customers
-            .iter()
-            .map(|(name, standing)| (name.clone(), standing.held()))
-            .collect();
-        book.short.retain(|name, _| statement.customers.get(name).is_some_and(Standing::is_short));
-        for (name, _) in statement.customers.iter().filter(|(_, standing)| standing.is_short()) {
+        book.heard = sent.round;
+        if statement.whole {
+            book.stated = statement.customers;
+        } else {
+            book.stated.extend(statement.customers);
+        }
+        book.stated.retain(|_, standing| *standing != Standing::default());
+        let held = book.stated.iter().map(|(name, standing)| (name.clone(), standing.held()));
+        book.held = held.collect();
+        book.short.retain(|name, _| book.stated.get(name).is_some_and(Standing::is_short));
+        for (name, _) in book.stated.iter().filter(|(_, standing)| standing.is_short()) {
             book.short.entry(name.clone()).or_insert(now);
         }
-        book.stated = statement.customers;
+        if news {
+            self.divided.clear();
+        }
         news
     }
 
@@ -122,6 +151,10 @@
             .collect();
         // What a pool has whose owner has not answered is not known: until it has surely ended, nothing is raised.
         let complete = known.len() == self.books.len() || now.since(self.begun) >= self.effect;
+        let short = self.books.values().any(|book| book.short.contains_key(customer));
+        if self.divided.get(customer) == Some(&quota) && !short {
+            return Vec::new();
+        }
         let wanted = self.wanted(customer, quota, &known);
         let held_of =
             |book: &Book| book.held.get(customer).copied().unwrap_or_default().only(quota.0);
@@ -151,6 +184,9 @@
                 changed.push((pool, limit));
             }
         }
+        if complete && changed.is_empty() {
+            self.divided.insert(customer.clone(), quota);
+        }
         changed
     }
 
--- a/reachhead_jobs/src/quota/mod.rs
+++ b/reachhead_jobs/src/quota/mod.rs
@@ -33,6 +33,8 @@
     pub owner: Option<FencingToken>,
     /// The limits that change.
     pub limits: BTreeMap<CustomerName, Amount>,
+    /// The round of the newest statement of this owner that the ledger has; only what changed since has to be told.
+    pub heard: u64,
 }
 
 /// What the owner of a pool answers to an [`Allotment`].
@@ -40,7 +42,9 @@
 pub struct Statement {
     /// Its token.
     pub owner: FencingToken,
-    /// The customers with a quota of which the pool has anything.
+    /// It is all that there is to say, and not only what changed since the statement that the ledger has.
+    pub whole: bool,
+    /// The customers with a quota of which the pool has anything, or had when it was last said.
     pub customers: BTreeMap<CustomerName, Standing>,
 }
 
--- a/reachhead_jobs/tests/quota/main.rs
+++ b/reachhead_jobs/tests/quota/main.rs
@@ -62,7 +62,7 @@
             *limit = message.limits.get(&customer()).map_or(*limit, |limit| limit.cores);
         }
         let customers = BTreeMap::from([(customer(), stated(*limit, 0, next))]);
-        let statement = Statement { owner: FencingToken(9), customers };
+        let statement = Statement { owner: FencingToken(9), whole: true, customers };
         ledger.stated(&name, &message, statement, Tick(1));
     }
 }
@@ -109,7 +109,7 @@
             assert!(message.limits.is_empty(), "raised at {time} ms: {message:?}");
             if name != pool(0) {
                 let customers = BTreeMap::from([(customer(), stated(0, 0, 1000))]);
-                let statement = Statement { owner: FencingToken(9), customers };
+                let statement = Statement { owner: FencingToken(9), whole: true, customers };
                 ledger.stated(&name, &message, statement, Tick(time));
             }
         }
--- a/reachhead_jobs/tests/quota/site.rs
+++ b/reachhead_jobs/tests/quota/site.rs
@@ -226,8 +226,9 @@
         let used = cores(self.used(letter.pool));
         let owner = &mut self.owners[letter.pool];
         owner.allowances.take(&letter.allotment, owner.token);
+        let token = owner.token;
         let demand = Demand { used, wanted: cores(owner.denied), next: cores(owner.denied) };
-        owner.allowances.statement(owner.token, &BTreeMap::from([(customer(), demand)]))
+        owner.allowances.answer(&letter.allotment, token, &BTreeMap::from([(customer(), demand)]))
     }
 
     fn round(&mut self, ledger: usize) {
--- a/reachhead_node/src/fleet/quotas.rs
+++ b/reachhead_node/src/fleet/quotas.rs
@@ -24,8 +24,13 @@
 /// Pause between two rounds while no customer waits for more: what pools have changes, and is to be known when one does.
 const CALM_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause between two rounds while a customer's tasks wait for room in its quota.
-const SHORT_PAUSE: Duration = Duration::from_millis(25);
+/// Pause between two rounds while a customer's tasks wait for room in its quota, all of which is in use: when a task ends,
+/// the room is given to whoever waits within this.
+const SHORT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause between two rounds while limits change: a limit can be raised only after another one was lowered, and tasks wait
+/// for both.
+const MOVING_PAUSE: Duration = Duration::from_millis(25);
 
 /// How long an owner may take to answer; the others are not kept waiting for one that is gone.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
@@ -40,7 +45,13 @@
         // An owner whose lease is older than this one's has to be known as the owner, see `Owner::allot`.
         let sees = node.view().leases_revision >= token;
         let again = sees && round(&node, &mut ledger).await;
-        let pause = if again || ledger.is_short() { SHORT_PAUSE } else { CALM_PAUSE };
+        let pause = if again || ledger.is_moving() {
+            MOVING_PAUSE
+        } else if ledger.is_short() {
+            SHORT_PAUSE
+        } else {
+            CALM_PAUSE
+        };
         time::sleep(pause).await;
     }
 }
--- a/reachhead_plan/src/amount.rs
+++ b/reachhead_plan/src/amount.rs
@@ -59,6 +59,15 @@
         Self::new(self.cores * count, self.memory * count, self.accelerators * count)
     }
 
+    /// Returns this amount rounded up, each resource to a multiple of the `count`th part of `whole`, where it has any.
+    #[must_use]
+    pub fn stepped(self, whole: Self, count: u64) -> Self {
+        self.each(whole, |own, whole| match whole / count.max(1) {
+            0 => own,
+            step => own.div_ceil(step) * step,
+        })
+    }
+
     /// Returns this amount without the resources of which `wanted` has nothing.
     #[must_use]
     pub fn only(self, wanted: Self) -> Self {
