A weak process leaves a vacant pool to strong ones even if it notices first, and one that is late judges nobody

Processes notice that up to 0.25 s after each other, ranks are 60 ms apart, so a host of 0.12 cores took the pool with 181 jobs at 3.7 s. It was late for 20 s (E708 of a few tasks a second), heard no answers of peers in time, took them for gone and took three more pools at 19 to 24 s. It could not hand over: its question to the stronger peer ran out after 150 ms, by its own lateness. Change: who is outmatched by a candidate that precedes it waits 0.4 s longer; silence of others does not count from around a time at which this process was late itself; the peer that is to take a pool over has 0.5 s to answer. Test first: a_weak_process_that_notices_first_still_lets_all_strong_ones_be_first.

--- a/reachhead_jobs/src/candidate.rs
+++ b/reachhead_jobs/src/candidate.rs
@@ -7,7 +7,7 @@
 
 use reachhead_types::{
     id::{NodeName, PoolName},
-    size::Strength,
+    size::{Millis, Strength},
 };
 use siphasher::sip::SipHasher13;
 
@@ -15,6 +15,14 @@
 /// the pool over: a change of hands costs some tenths of a second in which the pool stands still.
 const RELIEF_FACTOR: u64 = 2;
 
+/// Delay between one candidate and the next, so that mostly one of them writes.
+const RANK_DELAY: Millis = Millis(60);
+
+/// How much longer a process waits while there is one of at least twice its strength. Processes notice that an owner is gone
+/// up to a quarter of a second after each other, so the delays between ranks alone let a weak one be first; a pool in its
+/// burst that it can't bear is late for as long as it keeps it.
+const WEAK_DELAY: Millis = Millis(400);
+
 /// A process that may be in charge of pools.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate<'a> {
@@ -46,6 +54,11 @@
         own > RELIEF_FACTOR * other.burden_after(self)
     }
 
+    /// Tells whether this process is so much stronger than `other` that `other` should not be in charge in its stead.
+    fn outmatches(&self, other: &Self) -> bool {
+        u64::from(self.strength.0) >= 2 * u64::from(other.strength.0)
+    }
+
     /// Returns the burden with one more pool, on a scale that it shares with `other`'s.
     fn burden_after(&self, other: &Self) -> u64 {
         (self.owned as u64 + 1) * u64::from(other.strength.0)
@@ -61,6 +74,18 @@
     others.filter(|other| other.precedes(own, pool)).count()
 }
 
+/// Returns for how long `own` lets others take a vacant pool first.
+pub fn delay<'a>(
+    pool: &PoolName,
+    own: &Candidate<'_>,
+    others: impl Iterator<Item = Candidate<'a>>,
+) -> Millis {
+    let others: Vec<Candidate<'a>> = others.collect();
+    let outmatched = others.iter().any(|other| other.precedes(own, pool) && other.outmatches(own));
+    let weak = if outmatched { WEAK_DELAY } else { Millis(0) };
+    Millis(before(pool, own, others.into_iter()) as u64 * RANK_DELAY.0 + weak.0)
+}
+
 /// Returns a process's weight for a pool, the same on every host; it spreads pools over processes that
 /// are alike.
 fn weight(pool: &PoolName, node: &NodeName) -> u64 {
--- a/reachhead_jobs/tests/pool/candidate.rs
+++ b/reachhead_jobs/tests/pool/candidate.rs
@@ -1,9 +1,9 @@
 //! Who takes a pool, and when one is handed over.
 
-use reachhead_jobs::candidate::{Candidate, before};
+use reachhead_jobs::candidate::{Candidate, before, delay};
 use reachhead_types::{
     id::{NodeName, PoolName},
-    size::Strength,
+    size::{Millis, Strength},
 };
 
 fn names(count: usize) -> Vec<NodeName> {
@@ -27,6 +27,24 @@
     }
 }
 
+/// How much later than others a process may notice that an owner is gone: it asks four times a second.
+const NOTICE_SPREAD: Millis = Millis(250);
+
+#[test]
+fn a_weak_process_that_notices_first_still_lets_all_strong_ones_be_first() {
+    let names = names(12);
+    let pool: PoolName = "p".parse().unwrap();
+    // Two strong ones are there, one of which has two pools; the others are weak.
+    let all: Vec<Candidate<'_>> = (0..12)
+        .map(|place| candidate(&names[place], if place < 2 { 3300 } else { 800 }, place % 2 * 2))
+        .collect();
+    let wait =
+        |own: &Candidate<'_>| delay(&pool, own, all.iter().filter(|other| *other != own).copied());
+    let strong = all[..2].iter().map(wait).max().unwrap();
+    let weak = all[2..].iter().map(wait).min().unwrap();
+    assert!(weak.0 > strong.0 + NOTICE_SPREAD.0, "{weak} ms and {strong} ms");
+}
+
 #[test]
 fn a_strong_process_with_many_pools_leaves_the_next_to_a_weak_one() {
     let names = names(2);
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -42,8 +42,8 @@
 /// of a followed table, which are the only calls of an idle process.
 const FRESH_TIME: Millis = Millis(1600);
 
-/// Delay between one candidate and the next, so that mostly one of them writes.
-const RANK_DELAY: Millis = Millis(60);
+/// Gap between two looks from which this process counts as late itself.
+const LATE_GAP: Millis = Millis(250);
 
 /// How long a process waits after its start before it takes pools, so that all know each other.
 const START_DELAY: Millis = Millis(300);
@@ -71,6 +71,8 @@
         vacant: BTreeMap::new(),
         claiming: BTreeMap::new(),
         told: BTreeMap::new(),
+        last: node.now(),
+        late: Tick(0),
         node,
     };
     loop {
@@ -122,11 +124,19 @@
     claiming: BTreeMap<PoolName, JoinHandle<()>>,
     /// The lease of a pool whose loss was logged last, so that each is logged once.
     told: BTreeMap<PoolName, Revision>,
+    /// When this process looked last.
+    last: Tick,
+    /// When it was last late itself. What it did not hear around then tells nothing of others: a process with too much to
+    /// do would take the pools of those that have not.
+    late: Tick,
 }
 
 impl Claims {
     fn look(&mut self) {
         let now = self.node.now();
+        if now.since(std::mem::replace(&mut self.last, now)) >= LATE_GAP {
+            self.late = now;
+        }
         self.claiming.retain(|_, claim| !claim.is_finished());
         let early = now.since(self.started) < START_DELAY;
         let Some(config) = self.node.view().config.clone() else {
@@ -200,6 +210,7 @@
         }
         let heard = view.heard.get(owner);
         let last = heard.map_or(Tick(0), |heard| heard.at).max(lease.since).max(self.started);
+        let last = last.max(self.late);
         if now.since(last) > SILENT_TIME {
             return true;
         }
@@ -224,7 +235,7 @@
             .iter()
             .filter(|(other, _)| **other != node.settings.node)
             .map(|(other, member)| view.candidate(other, member));
-        Millis(candidate::before(pool, &own, others) as u64 * RANK_DELAY.0)
+        candidate::delay(pool, &own, others)
     }
 }
 
--- a/reachhead_node/src/relief.rs
+++ b/reachhead_node/src/relief.rs
@@ -25,8 +25,9 @@
 /// How long an owner keeps a pool at least: a successor has to be settled before the next change.
 const KEEP_TIME: Millis = Millis(3000);
 
-/// How long the process that would take the pool has to answer; one that is slow is no better owner.
-const ANSWER_TIME: Duration = Duration::from_millis(150);
+/// How long the process that would take the pool has to answer; one that is slow is no better owner. It includes how late
+/// this process is itself, which is the more the sooner it should hand over.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
 
 /// How lately that process must have reached the store.
 const STORE_AGE: u64 = 1800;
