Polls of workers with short tasks wait 0.3 s instead of 1.5 s

A poll whose answer is lost runs out after its wait and 0.7 s, 2.2 s; a busy worker answers some seven polls a second, so of one in twenty lost each worker is unheard of for a good part of the time, and the next steps of all jobs with a task there wait. Change: wait 0.3 s where a task ends by itself. Test: a_poll_of_a_worker_with_short_tasks_waits_so_briefly_that_a_lost_answer_holds_nobody_up.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -23,6 +23,10 @@
 /// must be noticed and slowed down well within the seconds that a target may be missed for.
 const FILL_WAIT: Millis = Millis(400);
 
+/// How long a poll waits at a worker with short tasks. Such a worker answers several times a second, at each end; if an answer is
+/// lost, all ends there are unknown until the poll runs out, and the next steps of their jobs wait for that.
+const BUSY_WAIT: Millis = Millis(300);
+
 impl Pool {
     /// Sends the long polls that are due.
     pub(super) fn drive_polls(&mut self, now: Tick) {
@@ -58,7 +62,19 @@
         if !worker.answered || worker.silent {
             return Millis(0);
         }
-        if self.fills && self.has_fills(worker) { FILL_WAIT } else { self.tuning.wait }
+        if self.fills && self.has_fills(worker) {
+            return FILL_WAIT;
+        }
+        if self.has_short(worker) { BUSY_WAIT.min(self.tuning.wait) } else { self.tuning.wait }
+    }
+
+    /// Tells whether a task is on the worker that ends by itself.
+    fn has_short(&self, worker: &Worker) -> bool {
+        let ends = |task: &TaskId| {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|job| !job.plan.long_running())
+        };
+        worker.runs.keys().any(ends)
     }
 
     /// Forgets workers that are gone for good.
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -13,7 +13,7 @@
     size::{Millis, Revision},
 };
 
-use crate::fixture::{Fixture, info, record, step, task, worker};
+use crate::fixture::{Fixture, info, record, step, task, tuning, worker};
 
 #[test]
 fn a_job_runs_its_steps_in_order_and_is_told_as_completed_once_that_is_stored() {
@@ -425,3 +425,23 @@
     let starts = fixture.starts();
     assert_eq!(starts[0].0, worker("a"), "there is more room than on b, and a task that runs on");
 }
+
+/// Returns how long the next poll of a worker waits.
+fn poll_wait(fixture: &mut Fixture) -> Option<Millis> {
+    fixture.poll().into_iter().find_map(|action| match action {
+        Action::Hold(_, order) => Some(order.wait),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_poll_of_a_worker_with_short_tasks_waits_so_briefly_that_a_lost_answer_holds_nobody_up() {
+    let mut fixture = Fixture::ready(vec![info("w1", 4)]);
+    assert_eq!(poll_wait(&mut fixture), Some(tuning().wait));
+    fixture.begin(1, vec![Step { long_running: true, ..step(1) }]);
+    fixture.report(&worker("w1"));
+    assert_eq!(poll_wait(&mut fixture), Some(tuning().wait), "what runs on ends seldom");
+    fixture.begin(2, vec![step(1)]);
+    fixture.report(&worker("w1"));
+    assert!(poll_wait(&mut fixture) <= Some(Millis(300)), "its job's next step waits for its end");
+}
