A lost answer of a worker is noticed after 0.6 s, of an order after 0.2 s

Hypothesis: with polls of 0.3 s the time until a poll runs out (1.0 s) is still most of what a lost answer costs. Change: polls of workers with short tasks wait 0.2 s and run out 0.4 s later (0.3 and 0.7 before); orders are repeated after 0.2 s (0.35), which changes nothing where they were carried out.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -25,7 +25,7 @@
 
 /// How long a poll waits at a worker with short tasks. Such a worker answers several times a second, at each end; if an answer is
 /// lost, all ends there are unknown until the poll runs out, and the next steps of their jobs wait for that.
-const BUSY_WAIT: Millis = Millis(300);
+const BUSY_WAIT: Millis = Millis(200);
 
 impl Pool {
     /// Sends the long polls that are due.
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -443,5 +443,5 @@
     assert_eq!(poll_wait(&mut fixture), Some(tuning().wait), "what runs on ends seldom");
     fixture.begin(2, vec![step(1)]);
     fixture.report(&worker("w1"));
-    assert!(poll_wait(&mut fixture) <= Some(Millis(300)), "its job's next step waits for its end");
+    assert!(poll_wait(&mut fixture) <= Some(Millis(200)), "its job's next step waits for its end");
 }
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -49,12 +49,14 @@
 /// silent is noticed by this.
 const FEED_TIME: Duration = Duration::from_millis(1200);
 
-/// Longest wait for a worker's answer to an order. An order without an answer is sent again, and a task
-/// waits for that; answers usually come within some milliseconds.
-const ORDER_TIME: Duration = Duration::from_millis(350);
-
-/// Longest wait for a worker's answer to a poll beyond what it was asked to wait.
-const POLL_TIME: Duration = Duration::from_millis(700);
+/// Longest wait for a worker's answer to an order. An order without an answer is sent again, which changes nothing if it was
+/// carried out, and a task waits for that; answers usually come within some milliseconds.
+const ORDER_TIME: Duration = Duration::from_millis(200);
+
+/// Longest wait for a worker's answer to a poll beyond what it was asked to wait. Workers answer within milliseconds; until a
+/// lost answer is noticed, the next steps of all jobs with a task there wait. It is more than an owner with much to do is
+/// late itself, since it would take all its workers for silent.
+const POLL_TIME: Duration = Duration::from_millis(400);
 
 /// Longest wait for an answer about hosts.
 const MACHINE_TIME: Duration = Duration::from_millis(1500);
