--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -4,7 +4,7 @@
 mod input;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -55,6 +55,10 @@
 /// workers keep what is not recorded yet.
 const RECORD_PERIOD: Millis = Millis(60);
 
+/// How long after a transaction the next may begin that no caller waits for, in multiples of what the last one took. A slow
+/// store carries out one at a time in each part, and those for which callers wait would stand behind progress.
+const RECORD_SPACING: u64 = 4;
+
 /// Pause after a transaction that failed.
 const RECORD_PAUSE: Millis = Millis(150);
 
@@ -78,8 +82,8 @@
     handle: OwnerHandle,
     inputs: mpsc::UnboundedReceiver<Input>,
     cancellers: Vec<Canceller>,
-    /// The lanes in which a transaction is under way.
-    recording: BTreeSet<Lane>,
+    /// The lanes in which a transaction is under way, and since when.
+    recording: BTreeMap<Lane, Tick>,
     /// When a lane's next transaction may begin that no caller waits for.
     record_next: BTreeMap<Lane, Tick>,
     scan_next: Tick,
@@ -108,7 +112,7 @@
             handle,
             inputs,
             cancellers: Vec::new(),
-            recording: BTreeSet::new(),
+            recording: BTreeMap::new(),
             record_next: BTreeMap::new(),
             scan_next: now + SCAN_PERIOD,
             scan_turn: Shard::all().collect(),
@@ -301,11 +305,11 @@
     fn record(&mut self, now: Tick) {
         for Due { lane, urgent } in self.pool.due() {
             let next = self.record_next.get(&lane).copied().unwrap_or_default();
-            if self.recording.contains(&lane) || !(urgent || next <= now) {
+            if self.recording.contains_key(&lane) || !(urgent || next <= now) {
                 continue;
             }
             if let Some(batch) = self.pool.batch(lane, self.node.clock.wall()) {
-                self.recording.insert(lane);
+                self.recording.insert(lane, now);
                 self.commit(batch);
             }
         }
@@ -327,8 +331,9 @@
     }
 
     fn recorded(&mut self, batch: &Batch, result: Result<Commit, StoreError>, now: Tick) {
-        self.recording.remove(&batch.lane);
-        self.record_next.insert(batch.lane, now + RECORD_PERIOD);
+        let begun = self.recording.remove(&batch.lane).unwrap_or(now);
+        let spacing = Millis(now.since(begun).0 * RECORD_SPACING).max(RECORD_PERIOD);
+        self.record_next.insert(batch.lane, now + spacing);
         if let Ok(commit) = result
             && !self.pool.decided(batch, &commit, now)
         {
