What a customer sends beyond its weight comes after what the others are owed

Cause: in the order by worth one customer's flood stands among all others' jobs, which are late then though their customers sent no more than usual. Change: a job that comes when its customer has sent more than its weight within a second is ranked after all that are owed, and asks for hosts like late work. Weights count for all pools together; what is beyond the whole weight in one pool is so for certain, what is beyond it only over several pools is not seen (open). Test: the_flood_of_one_customer_comes_after_what_the_others_are_owed.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -139,6 +139,8 @@
     pub plan: Arc<Plan>,
     /// Whose it is, if it came with a key.
     pub customer: Option<CustomerName>,
+    /// Its customer had sent more than its weight when it came, so it waits for what others are owed.
+    pub beyond: bool,
     /// When it was accepted, on this process's clock.
     pub accepted: Tick,
     /// The revision of its row of progress, if it has one.
@@ -169,6 +171,7 @@
             queue: Arc::clone(&record.queue),
             plan: Arc::clone(&record.plan),
             customer: record.customer.clone(),
+            beyond: false,
             accepted,
             revision: None,
             row: None,
--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -127,7 +127,8 @@
     pub fn rank(&self, job: &Job, now: Tick) -> Rank {
         if job.plan.long_running() {
             let key = job.accepted.0 as f64;
-            return Rank { class: Class::LongRunning, priority: job.queue.priority, key };
+            let priority = job.queue.priority;
+            return Rank { class: Class::LongRunning, beyond: false, priority, key };
         }
         let objective = self.objective(&job.queue, &job.plan);
         let left = self.left(job);
@@ -145,7 +146,8 @@
         let mean = self.mean_work(&job.queue.name).max(1.0);
         // A job earns a part by its number and a part by its work; what is left decides the price.
         let worth = 0.3 + 0.7 * (left.whole / mean).min(4.0);
-        Rank { class, priority: job.queue.priority, key: left.work.max(1.0) / worth }
+        let key = left.work.max(1.0) / worth;
+        Rank { class, beyond: job.beyond, priority: job.queue.priority, key }
     }
 
     fn left(&self, job: &Job) -> Left {
@@ -204,6 +206,8 @@
 pub struct Rank {
     /// What it can still get.
     pub class: Class,
+    /// It is more than its customer is owed.
+    pub beyond: bool,
     /// The priority of its queue; 0 comes first.
     pub priority: u32,
     /// Work for each unit of worth.
@@ -213,7 +217,12 @@
 impl Rank {
     /// Compares two ranks; the smaller one comes first.
     pub fn order(self, other: Self) -> std::cmp::Ordering {
+        let lasts = |rank: Self| rank.class != Class::LongRunning;
+        let by_owed = lasts(self).cmp(&lasts(other)).then(self.beyond.cmp(&other.beyond));
         let by_priority = self.priority.cmp(&other.priority);
-        self.class.cmp(&other.class).then(by_priority).then(self.key.total_cmp(&other.key))
+        by_owed
+            .then(self.class.cmp(&other.class))
+            .then(by_priority)
+            .then(self.key.total_cmp(&other.key))
     }
 }
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -152,6 +152,8 @@
                     } else if job.is_ready(*id) && take_room(&mut rooms, job, cores) {
                         match class {
                             Class::Missed => {}
+                            // It asks for hosts like late work: after what others are owed.
+                            _ if job.beyond => late += cores * time,
                             Class::Late | Class::Expiring => late += cores * time,
                             Class::LongRunning | Class::InTime => waiting += cores * time,
                         }
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -17,6 +17,7 @@
 mod reports;
 mod starts;
 mod vacate;
+mod weights;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -151,6 +152,7 @@
     experience: Experience,
     advice: advice::AdviceBook,
     quotas: quota::Quotas,
+    arrived: weights::Arrived,
     arrivals: load::Arrivals,
     /// A job with tasks that fill was seen, so paces have to be looked at.
     fills: bool,
@@ -228,6 +230,7 @@
             experience: Experience::default(),
             advice: advice::AdviceBook::default(),
             quotas: quota::Quotas::default(),
+            arrived: weights::Arrived::default(),
             arrivals: load::Arrivals::default(),
             fills: false,
             review: true,
@@ -295,6 +298,7 @@
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
         let mut job = Job::new(id, record, accepted);
         job.row = Some(row);
+        job.beyond = self.is_beyond_weight(record.customer.as_ref(), now);
         job.unfold(wall);
         self.jobs.insert(id, job);
         self.claim_orphans(id, now);
--- a/reachhead_jobs/src/pool/quota.rs
+++ b/reachhead_jobs/src/pool/quota.rs
@@ -5,7 +5,7 @@
 use reachhead_plan::amount::Amount;
 use reachhead_types::{
     id::{CustomerName, JobId},
-    size::{FencingToken, Millis},
+    size::{FencingToken, Millis, Weight},
 };
 
 use crate::{
@@ -33,6 +33,13 @@
     told: BTreeMap<CustomerName, Tick>,
 }
 
+impl Quotas {
+    /// Returns the jobs a second that a customer is owed, if it is owed a number of them.
+    pub(super) fn weight(&self, customer: &CustomerName) -> Option<Weight> {
+        self.allowances.weight(customer)
+    }
+}
+
 /// Tasks of a customer that could start but for its quota.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct HeldBack {
--- a/reachhead_jobs/src/quota/allowance.rs
+++ b/reachhead_jobs/src/quota/allowance.rs
@@ -5,7 +5,7 @@
 use reachhead_plan::amount::Amount;
 use reachhead_types::{
     id::CustomerName,
-    size::{FencingToken, Millis},
+    size::{FencingToken, Millis, Weight},
 };
 
 use super::{Allotment, Standing, Statement};
@@ -75,6 +75,11 @@
         self.customers = Arc::clone(customers);
     }
 
+    /// Returns the jobs a second that a customer is owed; `None` where that is not said.
+    pub fn weight(&self, customer: &CustomerName) -> Option<Weight> {
+        self.customers.by_name.get(customer).map(|known| known.weight).filter(|weight| weight.0 > 0)
+    }
+
     /// Tells whether any customer has a quota.
     pub fn any_limited(&self) -> bool {
         self.customers.any_limited()
--- a/reachhead_jobs/tests/pool/quota.rs
+++ b/reachhead_jobs/tests/pool/quota.rs
@@ -185,3 +185,36 @@
     let load = fixture.pool.load(fixture.now);
     assert_eq!((load.need, load.timely), (before.need, before.timely), "{load:?}");
 }
+
+#[test]
+fn the_flood_of_one_customer_comes_after_what_the_others_are_owed() {
+    let two: CustomerName = "two".parse().unwrap();
+    let customer = |name: &CustomerName, weight| Customer {
+        name: name.clone(),
+        weight: Weight(weight),
+        quota: Quota::default(),
+    };
+    let customers = Customers::new()
+        .with_customer(customer(&one(), 3), [])
+        .with_customer(customer(&two, 3), []);
+    let mut fixture = Fixture::ready(vec![info("w1", 4)]);
+    fixture.pool.configure(&Arc::new(customers));
+    for id in 1..=40 {
+        submit(&mut fixture, id, Some(one()), vec![step(1)]);
+    }
+    for id in 41..=43 {
+        submit(&mut fixture, id, Some(two.clone()), vec![step(1)]);
+    }
+    let started: Vec<u64> = start_all(&mut fixture).iter().map(|(_, task)| task.job.0).collect();
+    assert_eq!(started.len(), 4, "as many as the worker bears");
+    let owed = |id: &u64| *id <= 3 || *id > 40;
+    assert!(started.iter().all(owed), "{started:?}");
+    // What is owed is served to the end before the rest, whatever the rest would be worth.
+    for id in &started {
+        fixture.end(&worker("w1"), task(*id, 0, 0), 1, RunEnd::Done);
+    }
+    fixture.report(&worker("w1"));
+    let next: Vec<u64> = start_all(&mut fixture).iter().map(|(_, task)| task.job.0).collect();
+    assert_eq!(next.iter().filter(|id| owed(id)).count(), 2, "{next:?}");
+    assert_eq!(next.len(), 4, "and the flood takes what is left");
+}
