--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -87,7 +87,15 @@
             return known;
         }
         let Some(error) = self.look(node).await else {
-            return find();
+            return find().inspect_err(|refused| {
+                let version = node.view().config.as_ref().map(|config| config.version);
+                emit(
+                    Event::CallRefused,
+                    format_args!(
+                        "path={path} kind={refused} key={key:?} configuration={version:?}"
+                    ),
+                );
+            });
         };
         // Nobody can say what operators wrote since. Without the store a submission can't be stored anyhow, and a state
         // that an old route leads to is true.
