Lost answers of the store are given up after six times the usual time, and known outages hold no caller up

Change: a stall is judged over all parts, failures by part; an answer is waited for six times as long as usual, 0.35 s at least, twice as long after each that did not come. Calls that are given up one after the other show a stall like one that is waited for. Tests: patience, calls_that_are_given_up_one_after_the_other_show_a_stall_as_one_that_is_waited_for_does.

--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -36,7 +36,10 @@
 const LOOK_TIME: Duration = Duration::from_millis(300);
 
 /// How long a look that failed is believed to fail again. Callers of an outage are not held up, each for a look of its own.
-const FAILED_TIME: Millis = Millis(1000);
+const FAILED_TIME: Millis = Millis(3000);
+
+/// How long after a look that failed the next one is made, without anybody waiting for it.
+const RETRY_TIME: Millis = Millis(800);
 
 /// Least time from one look to the next: five a second tell a caller of a new key soon enough, and are next to nothing for
 /// the store, whatever is tried here.
@@ -118,6 +121,11 @@
         let mut last = self.last.lock().await;
         let passed = node.now().since(last.begun);
         let fails = last.failed.is_some() && passed < FAILED_TIME;
+        if fails && passed >= RETRY_TIME {
+            // Callers during it share what came of the last one.
+            last.begun = node.now();
+            tokio::spawn(Self::retry(Arc::clone(node)));
+        }
         if last.begun >= arrived || fails {
             return last.failed.clone();
         }
@@ -128,6 +136,18 @@
     }
 }
 
+impl Door {
+    /// Looks once more after a look that failed.
+    async fn retry(node: Arc<Node>) {
+        let begun = node.now();
+        let failed = refresh(&node).await.err();
+        let mut last = node.door.last.lock().await;
+        if last.begun <= begun || failed.is_none() {
+            *last = Look { begun, failed };
+        }
+    }
+}
+
 /// Returns the queue and the customer of a call as a configuration has them.
 fn find(
     config: &Configuration,
--- a/reachhead_store/src/breaker.rs
+++ b/reachhead_store/src/breaker.rs
@@ -82,6 +82,8 @@
     count: u64,
     /// When a call was last answered.
     answered: Instant,
+    /// When the first call began after that, though it may have been given up meanwhile.
+    waiting: Option<Instant>,
     stalled: bool,
 }
 
@@ -102,6 +104,7 @@
             open: BTreeMap::new(),
             count: 0,
             answered: now,
+            waiting: None,
             stalled: false,
         }
     }
@@ -115,6 +118,7 @@
     /// Notes that a call begins, and returns its number.
     pub fn begin(&mut self, now: Instant) -> u64 {
         self.count += 1;
+        self.waiting.get_or_insert(now);
         self.open.insert(self.count, now);
         self.count
     }
@@ -126,7 +130,8 @@
 
     /// Tells whether calls wait in vain. A stalled store gets one call at a time until it answers.
     fn is_stalled(&mut self, now: Instant) -> bool {
-        let since = self.open.values().next().map(|begun| (*begun).max(self.answered));
+        let oldest = self.open.values().next().copied().into_iter().chain(self.waiting).min();
+        let since = oldest.map(|begun| begun.max(self.answered));
         self.stalled |= since.is_some_and(|since| now > since + STALL_TIME);
         self.stalled && !self.open.is_empty()
     }
@@ -149,6 +154,7 @@
     /// Notes that the store answered.
     pub fn succeed(&mut self, now: Instant) {
         self.answered = now;
+        self.waiting = None;
         self.stalled = false;
         self.failures = 0;
         self.pause = FIRST_PAUSE;
--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     Store, StoreError,
-    breaker::{Breaker, Gate, LAST_PAUSE, RateLimit},
+    breaker::{Breaker, Gate, LAST_PAUSE},
+    patience::Patience,
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 
@@ -25,9 +26,11 @@
     part_of: PartOf,
 }
 
-/// The rate of all calls, and a breaker for each part.
+/// A breaker for the whole store, which limits the rate and notices when nothing is answered any more, and one for each
+/// part, which notices failures. A part has few calls at once: one of them without an answer does not tell that it stalls.
 struct Gates {
-    limit: RateLimit,
+    whole: Breaker,
+    patience: Patience,
     longest: Duration,
     parts: BTreeMap<String, Breaker>,
 }
@@ -44,7 +47,7 @@
     fn gate(&mut self, part: &str, now: Instant) -> Gate {
         match self.part(part).gate(now) {
             Gate::Down => Gate::Down,
-            _ => self.limit.gate(now),
+            _ => self.whole.gate(now),
         }
     }
 }
@@ -60,8 +63,12 @@
 impl<S: Store + 'static> GuardedStore<S> {
     /// Returns `inner` limited to `rate` calls a second.
     pub fn new(inner: S, rate: u32) -> Self {
-        let limit = RateLimit::new(rate, now());
-        let gates = Gates { limit, longest: LAST_PAUSE, parts: BTreeMap::new() };
+        let gates = Gates {
+            whole: Breaker::new(rate, now()),
+            patience: Patience::default(),
+            longest: LAST_PAUSE,
+            parts: BTreeMap::new(),
+        };
         Self { inner: Arc::new(inner), gates: Arc::new(Mutex::new(gates)), part_of: |_| "" }
     }
 
@@ -101,10 +108,17 @@
             Gate::Down => return Err(StoreError::NotDone("the store is down".to_owned())),
         }
         let open = Open::new(Arc::clone(&self.gates), part);
-        let probing = locked(&self.gates).part(part).is_probing();
+        let (probing, patience) = {
+            let mut gates = locked(&self.gates);
+            let probing = gates.part(part).is_probing() || gates.whole.is_probing();
+            (probing, gates.patience.limit())
+        };
         let call = call(Arc::clone(&self.inner));
         let noted = async move {
-            let result = call.await;
+            let Ok(result) = time::timeout(patience, call).await else {
+                locked(&open.gates).patience.lengthen();
+                return Err(StoreError::Lost("no answer in the usual time".to_owned()));
+            };
             open.note(&result);
             result
         };
@@ -121,18 +135,24 @@
 struct Open {
     gates: Arc<Mutex<Gates>>,
     part: String,
+    begun: Instant,
     number: u64,
 }
 
 impl Open {
     fn new(gates: Arc<Mutex<Gates>>, part: &str) -> Self {
-        let number = locked(&gates).part(part).begin(now());
-        Self { gates, part: part.to_owned(), number }
+        let begun = now();
+        let number = locked(&gates).whole.begin(begun);
+        Self { gates, part: part.to_owned(), begun, number }
     }
 
     fn note<T>(&self, result: &Result<T, StoreError>) {
         let now = now();
         let mut gates = locked(&self.gates);
+        if matches!(result, Ok(_) | Err(StoreError::Refused(_) | StoreError::Busy(_))) {
+            gates.whole.succeed(now);
+            gates.patience.learn(now.saturating_duration_since(self.begun));
+        }
         let breaker = gates.part(&self.part);
         match result {
             Ok(_) | Err(StoreError::Refused(_)) => breaker.succeed(now),
@@ -145,7 +165,7 @@
 
 impl Drop for Open {
     fn drop(&mut self) {
-        locked(&self.gates).part(&self.part).end(self.number);
+        locked(&self.gates).whole.end(self.number);
     }
 }
 
--- a/reachhead_store/src/lib.rs
+++ b/reachhead_store/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod keys;
 pub mod memory;
+pub mod patience;
 pub mod platform;
 pub mod row;
 pub mod waves;
--- a/reachhead_store/tests/breaker.rs
+++ b/reachhead_store/tests/breaker.rs
@@ -84,3 +84,17 @@
         assert_eq!(breaker.gate(at(step * 400 + 300)), Gate::Go);
     }
 }
+
+#[test]
+fn calls_that_are_given_up_one_after_the_other_show_a_stall_as_one_that_is_waited_for_does() {
+    let start = Instant::now();
+    let mut breaker = Breaker::new(100, start);
+    let at = |millis| start + Duration::from_millis(millis);
+    for step in 0..3 {
+        let call = breaker.begin(at(step * 350));
+        assert_eq!(breaker.gate(at(step * 350 + 1)), Gate::Go);
+        breaker.end(call);
+    }
+    breaker.begin(at(1050));
+    assert_eq!(breaker.gate(at(1060)), Gate::Down, "nothing was answered for a second");
+}
