--- a/reachhead_jobs/src/quota/ledger.rs
+++ b/reachhead_jobs/src/quota/ledger.rs
@@ -8,7 +8,10 @@
     size::{FencingToken, Millis},
 };
 
-use super::{Allotment, Standing, Statement};
+use super::{
+    Allotment, Standing, Statement,
+    share::{Claim, shares},
+};
 use crate::{
     clock::Tick,
     customer::{Customers, Quota},
@@ -28,6 +31,31 @@
     short: BTreeMap<CustomerName, Tick>,
 }
 
+impl Book {
+    fn held(&self, customer: &CustomerName, quota: Quota) -> Amount {
+        self.held.get(customer).copied().unwrap_or_default().only(quota.0)
+    }
+
+    /// Takes in what the owner stated in answer to this round.
+    fn take(&mut self, round: u64, statement: Statement, now: Tick) {
+        self.owner = Some(statement.owner);
+        self.heard = round;
+        if statement.whole {
+            self.stated = statement.customers;
+        } else {
+            self.stated.extend(statement.customers);
+        }
+        self.stated.retain(|_, standing| *standing != Standing::default());
+        let held = self.stated.iter().map(|(name, standing)| (name.clone(), standing.held()));
+        self.held = held.collect();
+        let is_short = |name: &CustomerName| self.stated.get(name).is_some_and(Standing::is_short);
+        self.short.retain(|name, _| is_short(name));
+        for name in self.stated.keys().filter(|name| is_short(name)) {
+            self.short.entry(name.clone()).or_insert(now);
+        }
+    }
+}
+
 /// The allotments of all pools, as the one process keeps them that is in charge of that.
 #[derive(Debug, Clone)]
 pub struct Ledger {
@@ -109,27 +137,12 @@
             return false;
         };
         let news = book.owner != Some(statement.owner);
-        if sent.round != self.round && !news {
-            // It may be from before a later message was delivered.
-            return false;
-        }
-        if news && !statement.whole {
+        // What answers an earlier round may be from before a later message was delivered; of a new owner everything is news.
+        let usable = if news { statement.whole } else { sent.round == self.round };
+        if !usable {
             return false;
         }
-        book.owner = Some(statement.owner);
-        book.heard = sent.round;
-        if statement.whole {
-            book.stated = statement.customers;
-        } else {
-            book.stated.extend(statement.customers);
-        }
-        book.stated.retain(|_, standing| *standing != Standing::default());
-        let held = book.stated.iter().map(|(name, standing)| (name.clone(), standing.held()));
-        book.held = held.collect();
-        book.short.retain(|name, _| book.stated.get(name).is_some_and(Standing::is_short));
-        for (name, _) in book.stated.iter().filter(|(_, standing)| standing.is_short()) {
-            book.short.entry(name.clone()).or_insert(now);
-        }
+        book.take(sent.round, statement, now);
         if news {
             self.divided.clear();
         }
@@ -143,32 +156,23 @@
         quota: Quota,
         now: Tick,
     ) -> Vec<(PoolName, Amount)> {
-        let known: Vec<PoolName> = self
-            .books
-            .iter()
-            .filter(|(_, book)| book.owner.is_some())
-            .map(|(pool, _)| pool.clone())
-            .collect();
-        // What a pool has whose owner has not answered is not known: until it has surely ended, nothing is raised.
-        let complete = known.len() == self.books.len() || now.since(self.begun) >= self.effect;
         let short = self.books.values().any(|book| book.short.contains_key(customer));
         if self.divided.get(customer) == Some(&quota) && !short {
             return Vec::new();
         }
-        let wanted = self.wanted(customer, quota, &known);
-        let held_of =
-            |book: &Book| book.held.get(customer).copied().unwrap_or_default().only(quota.0);
-        let sum = |books: &BTreeMap<PoolName, Book>| {
-            books.values().map(held_of).fold(Amount::default(), Amount::plus)
-        };
-        let mut free = if complete { quota.0.minus(sum(&self.books)) } else { Amount::default() };
+        let known = self.known();
+        // What a pool has whose owner has not answered is not known: until it has surely ended, nothing is raised.
+        let complete = known.len() == self.books.len() || now.since(self.begun) >= self.effect;
+        let wanted = self.shares(customer, quota, &known);
+        let all = self.held(customer, quota);
+        let mut free = if complete { quota.0.minus(all) } else { Amount::default() };
         let mut changed = Vec::new();
         for (pool, wanted) in known.into_iter().zip(wanted) {
-            let all = sum(&self.books);
+            let all = self.held(customer, quota);
             let Some(book) = self.books.get_mut(&pool) else {
                 continue;
             };
-            let held = held_of(book);
+            let held = book.held(customer, quota);
             // Only a pool beside which no other holds anything may have more than the quota, for one large task.
             let alone = all == held && complete;
             let wanted = if alone { wanted } else { wanted.least(quota.0) };
@@ -190,82 +194,31 @@
         changed
     }
 
-    /// Returns what each of the pools should be allotted, which together is the quota at most.
-    fn wanted(&self, customer: &CustomerName, quota: Quota, pools: &[PoolName]) -> Vec<Amount> {
-        let standing =
-            |pool: &PoolName| self.books[pool].stated.get(customer).copied().unwrap_or_default();
-        let standings: Vec<Standing> = pools.iter().map(standing).collect();
-        let used = |place: usize| standings[place].used.only(quota.0);
-        let in_use: Vec<Amount> = (0..pools.len()).map(used).collect();
-        let sum = in_use.iter().copied().fold(Amount::default(), Amount::plus);
-        // Where more is in use than a lowered quota has, nothing that ends is replaced anywhere until that has passed.
-        let kept = quota.0.plus(Amount::new(1, 1, 1)).minus(sum);
-        let mut shares: Vec<Amount> = in_use.iter().map(|used| used.only(kept)).collect();
-        let mut left = quota.0.minus(sum);
-        // Whole tasks first: a quota of which each pool has a part too small for a task would be of use to nobody.
-        let mut order: Vec<usize> = (0..pools.len()).collect();
-        order.sort_by_key(|&place| self.books[&pools[place]].short.get(customer).copied());
-        let mut empty = in_use.iter().all(|used| *used == Amount::default());
-        for place in order {
-            let next = standings[place].next.only(quota.0);
-            if next == Amount::default() {
-                continue;
-            }
-            // A task larger than the whole quota may run alone.
-            if next.fits(left) || empty {
-                shares[place] = shares[place].plus(next);
-                left = left.minus(next);
-                empty = false;
-            }
-        }
-        // Then what waits, to a common level where that is more than there is; what is left is spread over all, so that a
-        // pool in which the customer's jobs arrive next need not ask first.
-        let asked = |place: usize| used(place).plus(standings[place].wanted.only(quota.0));
-        let asked: Vec<Amount> = (0..pools.len()).map(asked).collect();
-        left = raise(&mut shares, &asked, left);
-        spread(&mut shares, left);
-        shares
+    /// Returns the pools whose owners have answered.
+    fn known(&self) -> Vec<PoolName> {
+        let known = self.books.iter().filter(|(_, book)| book.owner.is_some());
+        known.map(|(pool, _)| pool.clone()).collect()
     }
-}
 
-/// Raises shares towards `most` by `left` altogether, each resource to a common level; returns what is left.
-fn raise(shares: &mut [Amount], most: &[Amount], left: Amount) -> Amount {
-    let level =
-        |of: fn(&Amount) -> u64, left: u64, set: fn(&mut Amount, u64), shares: &mut [Amount]| {
-            let mut low = 0;
-            let mut high = most.iter().map(of).max().unwrap_or(0);
-            let given = |level: u64, shares: &[Amount]| -> u64 {
-                let each = shares.iter().zip(most);
-                each.map(|(share, most)| of(most).min(level).saturating_sub(of(share))).sum()
-            };
-            while low < high {
-                let middle = low + (high - low).div_ceil(2);
-                if given(middle, shares) <= left { low = middle } else { high = middle - 1 }
-            }
-            let spent = given(low, shares);
-            for (share, most) in shares.iter_mut().zip(most) {
-                let raised = of(most).min(low).max(of(share));
-                set(share, raised);
-            }
-            left - spent
-        };
-    Amount {
-        cores: level(|a| a.cores, left.cores, |a, to| a.cores = to, shares),
-        memory: level(|a| a.memory, left.memory, |a, to| a.memory = to, shares),
-        accelerators: level(
-            |a| a.accelerators,
-            left.accelerators,
-            |a, to| a.accelerators = to,
-            shares,
-        ),
+    /// Returns what all pools together may have running for a customer.
+    fn held(&self, customer: &CustomerName, quota: Quota) -> Amount {
+        let held = self.books.values().map(|book| book.held(customer, quota));
+        held.fold(Amount::default(), Amount::plus)
     }
-}
 
-/// Gives each share an equal part of what is left.
-fn spread(shares: &mut [Amount], left: Amount) {
-    let count = shares.len().max(1) as u64;
-    let part = Amount::new(left.cores / count, left.memory / count, left.accelerators / count);
-    for share in shares {
-        *share = share.plus(part);
+    /// Returns how a customer's quota should be divided over these pools.
+    fn shares(&self, customer: &CustomerName, quota: Quota, pools: &[PoolName]) -> Vec<Amount> {
+        let claim = |pool: &PoolName| {
+            let book = &self.books[pool];
+            let standing = book.stated.get(customer).copied().unwrap_or_default();
+            Claim {
+                used: standing.used.only(quota.0),
+                wanted: standing.wanted.only(quota.0),
+                next: standing.next.only(quota.0),
+                short: book.short.get(customer).copied(),
+            }
+        };
+        let claims: Vec<Claim> = pools.iter().map(claim).collect();
+        shares(quota, &claims)
     }
 }
--- a/reachhead_jobs/src/quota/mod.rs
+++ b/reachhead_jobs/src/quota/mod.rs
@@ -10,6 +10,7 @@
 
 mod allowance;
 mod ledger;
+mod share;
 
 use std::collections::BTreeMap;
 
--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -134,9 +134,7 @@
         last.failed = refresh(node).await.err();
         last.failed.clone()
     }
-}
 
-impl Door {
     /// Looks once more after a look that failed.
     async fn retry(node: Arc<Node>) {
         let begun = node.now();
