--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -100,13 +100,14 @@
     }
 }
 
-/// Returns whom to ask: the owners, and all peers while the store fails for this process, which then has only their word
+/// Returns whom to ask: the owners, and all peers while the store is away for this process, which then has only their word
 /// of who owns what and who can store a job.
 fn asked(node: &Node) -> BTreeMap<NodeName, SocketAddr> {
+    let away = node.outage().is_some();
     let view = node.view();
     let owners = view.leases.keys().filter_map(|pool| view.owner(pool));
     let mut asked: BTreeMap<NodeName, SocketAddr> = owners.collect();
-    if view.store_failing {
+    if away {
         let members = view.members.iter();
         asked.extend(members.map(|(peer, member)| (peer.clone(), member.address)));
     }
