--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -56,7 +56,7 @@
 /// Longest wait for a worker's answer to a poll beyond what it was asked to wait. Workers answer within milliseconds; until a
 /// lost answer is noticed, the next steps of all jobs with a task there wait. It is more than an owner with much to do is
 /// late itself, since it would take all its workers for silent.
-const POLL_TIME: Duration = Duration::from_millis(400);
+const POLL_TIME: Duration = Duration::from_millis(700);
 
 /// Longest wait for an answer about hosts.
 const MACHINE_TIME: Duration = Duration::from_millis(1500);
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -21,6 +21,12 @@
 /// Idle connections that are kept to one peer; more are closed after use.
 const IDLE_LIMIT: usize = 3;
 
+/// How late a timer has to fire for this process to count as late itself; timers of an idle one fire within a few.
+const LATENESS_LEAST: Duration = Duration::from_millis(20);
+
+/// The longest that lateness prolongs the wait for an answer. Leases of workers outlast it.
+const LATENESS_MOST: Duration = Duration::from_millis(2000);
+
 /// Short calls to one peer that are under way at once; more wait, since a new connection costs more than the
 /// moment until one is free. Two, so that one call without an answer does not hold all others up; with four, the owner
 /// of 400 workers had 1,800 to 2,200 connections open in a burst, with two 1,500 to 1,700 (its descriptors at the peak).
@@ -80,17 +86,17 @@
                 Some(connection) => (connection, true),
                 None => (connect(address, end).await?, false),
             };
-            match time::timeout_at(end, exchange(&mut connection, request)).await {
-                Ok(Ok(answer)) => {
+            match in_time(end, exchange(&mut connection, request)).await {
+                Some(Ok(answer)) => {
                     self.keep(address, connection);
                     return Ok(answer);
                 }
-                Ok(Err(Failure::Unsent(back))) if kept => request = *back,
-                Ok(Err(Failure::Unsent(_))) => {
+                Some(Err(Failure::Unsent(back))) if kept => request = *back,
+                Some(Err(Failure::Unsent(_))) => {
                     return Err(CallError::NotSent("the peer closed the connection".to_owned()));
                 }
-                Ok(Err(Failure::Broken(error))) => return Err(CallError::Lost(error)),
-                Err(_) => {
+                Some(Err(Failure::Broken(error))) => return Err(CallError::Lost(error)),
+                None => {
                     self.forget(address);
                     return Err(CallError::Lost("no answer before the deadline".to_owned()));
                 }
@@ -157,6 +163,25 @@
     Broken(String),
 }
 
+/// Waits for an answer until `end`, and longer by as much as this process is late itself: an answer that came in time and
+/// could not be read in time is no lost one. An owner with much to do would else take all its workers for silent at once.
+/// `None` if there is no answer.
+async fn in_time<T>(end: time::Instant, answer: impl Future<Output = T>) -> Option<T> {
+    tokio::pin!(answer);
+    let mut end = end;
+    let last = end + LATENESS_MOST;
+    loop {
+        if let Ok(answer) = time::timeout_at(end, &mut answer).await {
+            return Some(answer);
+        }
+        let late = end.elapsed();
+        if late < LATENESS_LEAST || end >= last {
+            return None;
+        }
+        end = (time::Instant::now() + late).min(last);
+    }
+}
+
 async fn connect(address: SocketAddr, end: time::Instant) -> Result<Connection, CallError> {
     let connecting = async {
         let stream = TcpStream::connect(address).await?;
