--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -30,7 +30,7 @@
 /// part, which notices failures. A part has few calls at once: one of them without an answer does not tell that it stalls.
 struct Gates {
     whole: Breaker,
-    patience: Patience,
+    patience: Option<Patience>,
     longest: Duration,
     parts: BTreeMap<String, Breaker>,
 }
@@ -65,7 +65,7 @@
     pub fn new(inner: S, rate: u32) -> Self {
         let gates = Gates {
             whole: Breaker::new(rate, now()),
-            patience: Patience::default(),
+            patience: None,
             longest: LAST_PAUSE,
             parts: BTreeMap::new(),
         };
@@ -79,6 +79,13 @@
         Self { part_of, ..self }
     }
 
+    /// Gives calls up whose answers take much longer than usual: callers that may ask again are told sooner.
+    #[must_use]
+    pub fn with_patience(self) -> Self {
+        locked(&self.gates).patience = Some(Patience::default());
+        self
+    }
+
     /// Sets the longest pause between two probes of a part that is away.
     #[must_use]
     pub fn with_longest_pause(self, longest: Duration) -> Self {
@@ -111,12 +118,13 @@
         let (probing, patience) = {
             let mut gates = locked(&self.gates);
             let probing = gates.part(part).is_probing() || gates.whole.is_probing();
-            (probing, gates.patience.limit())
+            (probing, gates.patience.map_or(Duration::MAX, Patience::limit))
         };
         let call = call(Arc::clone(&self.inner));
         let noted = async move {
             let Ok(result) = time::timeout(patience, call).await else {
-                locked(&open.gates).patience.lengthen();
+                let mut gates = locked(&open.gates);
+                gates.patience.iter_mut().for_each(Patience::lengthen);
                 return Err(StoreError::Lost("no answer in the usual time".to_owned()));
             };
             open.note(&result);
@@ -151,7 +159,8 @@
         let mut gates = locked(&self.gates);
         if matches!(result, Ok(_) | Err(StoreError::Refused(_) | StoreError::Busy(_))) {
             gates.whole.succeed(now);
-            gates.patience.learn(now.saturating_duration_since(self.begun));
+            let took = now.saturating_duration_since(self.begun);
+            gates.patience.iter_mut().for_each(|patience| patience.learn(took));
         }
         let breaker = gates.part(&self.part);
         match result {
