E714 names what a crashed worker had just been given

Ruled out as enough: E706 (how many runs, not which), E708 (which starts, not whether they had begun to work). Change: the end of a life with runs writes how many there were, when the worker last answered, and the tasks that no report had shown at work, each with its age then; on whose word a life is over is a type of its own. No decision changes.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -63,6 +63,11 @@
 }
 
 impl Run {
+    /// Tells whether a report has shown progress, so that starting it has done no harm.
+    pub fn has_worked(&self) -> bool {
+        self.percent > 0
+    }
+
     /// Tells whether a task that runs on is at work.
     pub fn at_work(&self) -> bool {
         self.phase == Phase::Working && self.percent >= 100
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -57,6 +57,8 @@
     RunLost,
     /// A worker is suspected, lost or replaced.
     WorkerDoubted,
+    /// A worker's life ended while runs were there.
+    WorkerCrashed,
     /// A run was stopped by a decision of the owner.
     RunStopped,
     /// A predecessor's run was taken over.
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -7,6 +7,7 @@
 mod adopt;
 mod advice;
 mod callers;
+mod crash;
 mod expiring;
 mod flush;
 mod inheritance;
@@ -24,6 +25,7 @@
 
 pub use action::{Action, Note, NoteKind, StopReason};
 pub use callers::{Cancelled, JobState, StateReply, is_foreign};
+pub use crash::WorkerEnd;
 pub use flush::{Batch, Due, Lane};
 pub use inheritance::{Inheritance, StoredJob, StoredProgress};
 pub use load::{PoolLoad, WorkerLoad};
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -1,4 +1,4 @@
-//! What came of orders to workers, and of workers whose life is over.
+//! What came of orders to workers.
 
 use reachhead_types::{
     id::WorkerId,
@@ -8,7 +8,7 @@
 use crate::{
     clock::{Reading, Tick, WorkerTime},
     job::{Phase, Run},
-    pool::{Action, NoteKind, Pool},
+    pool::{Action, NoteKind, Pool, WorkerEnd},
     ports::{Rejection, WorkerError},
     task::TaskId,
 };
@@ -30,6 +30,7 @@
 
     fn hear(&mut self, id: &WorkerId, shown: WorkerTime, now: Tick) {
         if let Some(worker) = self.workers.get_mut(id) {
+            worker.heard = now;
             let newer = worker.reading.is_none_or(|reading| reading.shown < shown);
             if newer {
                 worker.reading = Some(Reading { shown, at: now });
@@ -63,7 +64,7 @@
                 }
                 run.settled = run.settled.or(Some(now));
             }
-            Err(WorkerError::Replaced) => self.worker_over(id, "another life answers there"),
+            Err(WorkerError::Replaced) => self.worker_over(id, WorkerEnd::Replaced, now),
             Err(WorkerError::Lost(_)) => {
                 run.doubtful = true;
                 run.retry = now + ORDER_PAUSE;
@@ -134,7 +135,7 @@
         }
         self.review = true;
         if result == Err(WorkerError::Replaced) {
-            self.worker_over(id, "another life answers there");
+            self.worker_over(id, WorkerEnd::Replaced, now);
             return;
         }
         if result == Err(WorkerError::Rejected(Rejection::Fenced)) {
@@ -155,21 +156,4 @@
             Err(_) => run.retry = now + ORDER_PAUSE,
         }
     }
-
-    /// A life of a worker is over, and with it everything that ran there.
-    pub fn worker_over(&mut self, id: &WorkerId, why: &str) {
-        let Some(worker) = self.workers.remove(id) else {
-            return;
-        };
-        self.pending.remove(id);
-        self.review = true;
-        self.over.insert(id.clone());
-        self.note(
-            NoteKind::WorkerDoubted,
-            format!("worker={id} over=true why=\"{why}\" runs={}", worker.runs.len()),
-        );
-        for (task, charge) in &worker.runs {
-            self.take_run(id, *task, charge.run);
-        }
-    }
 }
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -6,7 +6,7 @@
     clock::{Tick, WorkerTime},
     job::{Phase, Run},
     model::Step,
-    pool::{Action, NoteKind, Pool, StopReason},
+    pool::{Action, NoteKind, Pool, StopReason, WorkerEnd},
     ports::{HoldOrder, StartOrder},
     task::TaskId,
     worker::{Poll, Worker},
@@ -99,7 +99,7 @@
             self.lapse(&id);
         }
         for id in over {
-            self.worker_over(&id, "it is off the list and everything there has lapsed");
+            self.worker_over(&id, WorkerEnd::OffList, now);
         }
     }
 
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{Reading, Tick},
     job::{Phase, Run},
-    pool::{Action, Note, NoteKind, Orphan, Pool},
+    pool::{Action, Note, NoteKind, Orphan, Pool, WorkerEnd},
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
@@ -42,7 +42,7 @@
     ) {
         match result {
             Ok(report) => self.report(id, sent, report, now),
-            Err(WorkerError::Replaced) => self.worker_over(id, "another life answers there"),
+            Err(WorkerError::Replaced) => self.worker_over(id, WorkerEnd::Replaced, now),
             Err(error) => {
                 if error == WorkerError::Rejected(Rejection::Fenced) {
                     self.actions.push(Action::Fenced);
@@ -83,6 +83,7 @@
         worker.silent = false;
         worker.deserted = false;
         worker.answered = true;
+        worker.heard = now;
         worker.misses = 0;
         let noted = worker.noted;
         self.pending.remove(id);
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -137,6 +137,8 @@
     pub rostered: bool,
     /// Since when its calls fail.
     pub silent_since: Tick,
+    /// When it last answered a call.
+    pub heard: Tick,
     /// The newest reading of its clock.
     pub reading: Option<Reading>,
     /// The highest deadline that any order gave it.
@@ -193,6 +195,7 @@
             listed: true,
             rostered: false,
             silent_since: now,
+            heard: now,
             reading: None,
             granted: WorkerTime(0),
             silent: false,
--- a/reachhead_jobs/tests/pool/inherit.rs
+++ b/reachhead_jobs/tests/pool/inherit.rs
@@ -5,6 +5,7 @@
 use reachhead_jobs::{
     lives::{self, Deserted},
     model::Step,
+    pool::WorkerEnd,
     ports::{Machine, MachineState, RunEnd},
 };
 use reachhead_types::{
@@ -192,7 +193,7 @@
     assert_eq!(lives::ended(&told, &machines("v")).count(), 0, "its host still has it");
     let over: Vec<&Deserted> = lives::ended(&told, &machines("another")).collect();
     assert_eq!(over.len(), 1);
-    fixture.pool.worker_over(&over[0].worker, "the platform has no host with it");
+    fixture.pool.worker_over(&over[0].worker, WorkerEnd::Unhosted, fixture.now);
     assert_eq!(fixture.starts().len(), 1);
 }
 
--- a/reachhead_jobs/tests/pool/vacate.rs
+++ b/reachhead_jobs/tests/pool/vacate.rs
@@ -2,7 +2,7 @@
 
 use reachhead_jobs::{
     model::Step,
-    pool::{DrainMode, Vacancy},
+    pool::{DrainMode, Vacancy, WorkerEnd},
     ports::RunEnd,
 };
 use reachhead_types::id::WorkerId;
@@ -208,7 +208,7 @@
     fixture.accept(&id, &order);
     fixture.end(&id, order.task, 1, RunEnd::Done);
     // The worker told the end in an answer that is still under way.
-    fixture.pool.worker_over(&id, "its host was taken");
+    fixture.pool.worker_over(&id, WorkerEnd::Unhosted, fixture.now);
     fixture.report(&id);
     assert!(fixture.starts().is_empty(), "the task is done");
     fixture.flush();
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -54,6 +54,7 @@
         NoteKind::JobEnded => Event::JobEnded,
         NoteKind::RunLost => Event::RunLost,
         NoteKind::WorkerDoubted => Event::WorkerDoubted,
+        NoteKind::WorkerCrashed => Event::WorkerCrashed,
         NoteKind::RunStopped => Event::RunStopped,
         NoteKind::RunAdopted => Event::RunAdopted,
         NoteKind::StepPlaced => Event::StepPlaced,
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -12,7 +12,7 @@
 use futures::future::join_all;
 use reachhead_jobs::{
     clock::Tick,
-    pool::{Action, Batch, Cancelled, Due, JobState, Lane, Pool},
+    pool::{Action, Batch, Cancelled, Due, JobState, Lane, Pool, WorkerEnd},
     quota::{Allotment, Statement},
     record::{JobRecord, LeaseRecord, job_prefix, lease_key, value},
     shard::Shard,
@@ -220,7 +220,7 @@
             Input::Allot(allotment, reply) => self.allot(&allotment, reply, now),
             Input::Over(workers) => {
                 for worker in workers {
-                    self.pool.worker_over(&worker, "the platform has no host with it");
+                    self.pool.worker_over(&worker, WorkerEnd::Unhosted, now);
                 }
             }
             Input::Listed(workers) => self.pool.list(workers, now),
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -127,6 +127,8 @@
     TableRead 712 Info;
     /// A row of the platform can't be understood and is left out.
     RowRefused 713 Warn;
+    /// A worker's life ended while runs were there: how many, and which of them had not begun to work.
+    WorkerCrashed 714 Warn;
     /// A wave began, went on in other hands, or is completed.
     WaveChanged 720 Info;
     /// A host was ordered down for a wave, or the order was not taken.
