Tests for tasks that crash the workers that start them; they fail and are listed

Ruled out: a count lost at a change of hands (the tests on the state machine have one owner). The stand-in's workers crash by a task now, and a life that is over answers nothing more on open connections either: before, a poll that was under way at its end was still answered, and told ends that a crash would have taken away.

--- a/reachhead_jobs/tests/walk/site/messages.rs
+++ b/reachhead_jobs/tests/walk/site/messages.rs
@@ -83,7 +83,7 @@
             }
             Action::Start(target, order) => {
                 let time = (!self.lasts(&order.task)).then_some(TASK_TIME);
-                let nature = Nature { time, fails: false };
+                let nature = Nature { time, fails: false, crashes: false };
                 let life = self.workers.get_mut(&target.id).filter(|_| reach(&target.id));
                 let start = |life: &mut Life| life.start(target.token, order, nature, now);
                 let result = life.map_or(Err(gone()), start);
