Crashes of workers are counted under their tasks, and a task that crashes whoever starts it is given up

Cause: attempts are counted by ends that a worker reports, and a worker that crashed reports none; its tasks went back to the queue as new. Its class: an outcome that only an absent party could have reported was taken for no outcome. Ruled out: a bare count of crashes (in a walk with one worker that has room, a job beside five culprits had five crashes and would have failed); starting again before the count is recorded (a walk with an owner that can't reach the store: six crashes); blame for tasks at work beside a fresh one, and for tasks that run on and are at work (a test with workers that live for five seconds each failed both).

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     clock::{Tick, WorkerTime},
+    crashes::Crashes,
     model::{Plan, Queue, Step},
-    record::{Ending, Failure, JobRecord, ProgressRecord, StepRecord},
+    record::{CrashRecord, Ending, Failure, JobRecord, ProgressRecord, StepRecord},
     task::{StepId, TaskId},
 };
 
@@ -83,6 +84,8 @@
     pub runs: Vec<Run>,
     /// The runs that failed.
     pub failed: Vec<RunNumber>,
+    /// The workers that crashed under it.
+    pub crashes: Crashes,
     /// The highest number that a run of it had.
     pub last_run: RunNumber,
     /// Its newest checkpoint.
@@ -224,6 +227,12 @@
         })
     }
 
+    /// Tells whether a task that may crash its worker waits to be started.
+    pub fn has_suspects(&self) -> bool {
+        let waits = |task: &Task| !task.done && task.runs.is_empty() && task.crashes.is_suspect();
+        self.steps.values().flat_map(|step| &step.tasks).any(waits)
+    }
+
     /// Tells whether any run of it may be at work.
     pub fn has_runs(&self) -> bool {
         self.steps.values().flat_map(|step| &step.tasks).any(|task| !task.runs.is_empty())
@@ -267,12 +276,13 @@
         self.due == self.plan.occurrences() && self.steps.values().all(StepState::is_done)
     }
 
-    /// Tells whether a task has failed so often that the job has.
+    /// Tells whether a task has failed so often that the job has, or is given up for what it does to workers.
     pub fn has_failed(&self) -> bool {
         let limit = self.queue.attempts as usize;
         self.steps.iter().any(|(&id, step)| {
-            let spent = |task: &Task| !task.done && task.failed.len() >= limit;
-            !self.step(id).long_running && step.tasks.iter().any(spent)
+            let spent = |task: &Task| task.failed.len() >= limit && !self.step(id).long_running;
+            let hopeless = |task: &Task| spent(task) || task.crashes.is_conclusive();
+            step.tasks.iter().any(|task| !task.done && hopeless(task))
         })
     }
 
@@ -281,7 +291,7 @@
         let mut steps = Vec::new();
         for (id, step) in &self.steps {
             let record = record_step(*id, step);
-            if !record.done.is_empty() || !record.failed.is_empty() {
+            if !record.is_empty() {
                 steps.push(record);
             }
         }
@@ -306,6 +316,11 @@
                     task.failed.clone_from(&failure.runs);
                 }
             }
+            for crashed in &known.crashed {
+                if let Some(task) = step.tasks.get_mut(crashed.index as usize) {
+                    task.crashes = crashed.crashes;
+                }
+            }
             self.begun = true;
         }
     }
@@ -317,14 +332,20 @@
         step: id.step,
         done: Vec::new(),
         failed: Vec::new(),
+        crashed: Vec::new(),
     };
     for (index, task) in step.tasks.iter().enumerate() {
         let index = index as u32;
         if task.done {
             record.done.push(index);
-        } else if !task.failed.is_empty() {
+            continue;
+        }
+        if !task.failed.is_empty() {
             record.failed.push(Failure { index, runs: task.failed.clone() });
         }
+        if !task.crashes.is_empty() {
+            record.crashed.push(CrashRecord { index, crashes: task.crashes });
+        }
     }
     record
 }
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod candidate;
 pub mod clock;
+pub mod crashes;
 pub mod customer;
 pub mod division;
 pub mod fence;
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use reachhead_types::id::{Label, WorkerId};
+use reachhead_types::{
+    id::{Label, WorkerId},
+    size::Millis,
+};
 
 use crate::{
     clock::Tick,
@@ -11,6 +14,9 @@
     worker::Worker,
 };
 
+/// How long a worker counts as one that has just joined.
+const YOUNG_TIME: Millis = Millis(10_000);
+
 /// A task that needs a worker.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -27,6 +33,8 @@
     /// Workers with tasks that run on, where the task is one too: their hosts can't leave the pool anyway, and each
     /// further one is a host that idles with its pool for as long as the task lasts.
     pub lasting: Option<&'a BTreeSet<WorkerId>>,
+    /// The task may crash its worker, so it is tried where that does the least harm.
+    pub trial: bool,
 }
 
 impl Wanted<'_> {
@@ -61,8 +69,13 @@
             slow: worker.speed.is_slow(now),
             far: far(self.step.rack.as_ref()) || far(self.rack),
             siblings: if self.step.long_running { self.siblings(worker) } else { 0 },
+            young: self.trial && now.since(worker.joined) < YOUNG_TIME,
             first_lasting: self.lasting.is_some_and(|lasting| !lasting.contains(&worker.info.id)),
-            room: if self.step.serves() { worker.used.cores } else { worker.free().cores },
+            room: if self.trial || self.step.serves() {
+                worker.used.cores
+            } else {
+                worker.free().cores
+            },
         }
     }
 }
@@ -78,9 +91,12 @@
     far: bool,
     /// Tasks of the same step that would be lost with the worker.
     siblings: u32,
+    /// It has just joined, and would try a task that may crash it: a worker that goes down and up by turns must not be taken
+    /// for the task's victim.
+    young: bool,
     /// It would be the first task there that runs on.
     first_lasting: bool,
-    /// What is in use there for a task that serves, since others disturb it; else what is free, so
+    /// What is in use there for a task that serves, since others disturb it, or that may crash the worker; else what is free, so
     /// that the work stands close and other workers are left empty.
     room: u64,
 }
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -59,6 +59,8 @@
     WorkerDoubted,
     /// A worker's life ended while runs were there.
     WorkerCrashed,
+    /// A task is given up, since workers crash under it.
+    TaskGivenUp,
     /// A run was stopped by a decision of the owner.
     RunStopped,
     /// A predecessor's run was taken over.
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -6,10 +6,12 @@
 
 use crate::{
     clock::Tick,
+    crashes::{Crashes, Part},
     job::Run,
     pool::{NoteKind, Pool},
+    ports::RunningEntry,
     task::TaskId,
-    worker::Worker,
+    worker::{Involved, Worker},
 };
 
 /// Tasks that a line of the log names at most; one worker may have dozens.
@@ -52,19 +54,79 @@
         if !worker.runs.is_empty() {
             self.note_crash(&worker, now);
         }
+        let involved = self.involved(&worker);
         for (task, charge) in &worker.runs {
             self.take_run(id, *task, charge.run);
         }
+        // A worker that crashed reports no ends, so its tasks would start again as if they had never been there. What planned work
+        // ends, or a worker that only is out of reach, has not crashed by its tasks.
+        let planned = worker.info.draining || worker.cordoned > now;
+        if end != WorkerEnd::OffList && !planned {
+            for involved in involved.into_iter().chain(worker.lapsed) {
+                self.blame_task(involved);
+            }
+        }
+    }
+
+    /// Returns the tasks that may be what a worker crashes by if it does so now.
+    pub(super) fn involved(&self, worker: &Worker) -> Vec<Involved> {
+        let fresh = self.fresh_on(worker);
+        if let [task] = fresh.as_slice() {
+            return vec![Involved { task: *task, part: Part::Own }];
+        }
+        if !fresh.is_empty() {
+            let part = Part::Fresh;
+            return fresh.into_iter().map(|task| Involved { task, part }).collect();
+        }
+        // A task that runs on and is at work serves its users best by another start, however often hosts go down.
+        let ends = |task: &&TaskId| !self.is_lasting(**task);
+        let part = Part::Bystander;
+        worker.runs.keys().filter(ends).map(|task| Involved { task: *task, part }).collect()
+    }
+
+    /// Notes that a worker crashed under a task, and gives the task up if it is the cause.
+    fn blame_task(&mut self, Involved { task: id, part }: Involved) {
+        let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.ending.is_none()) else {
+            return;
+        };
+        let Some(task) = job.task(id).filter(|task| !task.done) else {
+            return;
+        };
+        task.crashes.note(part);
+        let Crashes { total, own, .. } = task.crashes;
+        if task.crashes.is_conclusive() {
+            self.note(NoteKind::TaskGivenUp, format!("task={id} crashes={total} own={own}"));
+            self.settle(id.job);
+        } else if task.crashes.is_suspect() {
+            self.mark(id.job);
+        }
+    }
+
+    /// Ends the trial of a task that has begun to work, unless it is one that crashes workers later. One that runs on is
+    /// tried until it is at work.
+    pub(super) fn clear_trial(&mut self, id: &WorkerId, entry: &RunningEntry) {
+        let job = self.jobs.get_mut(&entry.task.job);
+        let late =
+            job.and_then(|job| job.task(entry.task)).is_some_and(|task| task.crashes.is_late());
+        if (!late || entry.percent >= 100)
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.clear(entry.task);
+        }
+    }
+
+    /// Forgets the crashes under a task that has been at work for long.
+    pub(super) fn forgive(&mut self, id: TaskId) {
+        let task = self.jobs.get_mut(&id.job).and_then(|job| job.task(id));
+        if let Some(task) = task.filter(|task| !task.crashes.is_empty()) {
+            task.crashes = Crashes::default();
+            self.mark(id.job);
+        }
     }
 
     /// Names the runs that had not begun to work: starting one of them may be what the worker crashed by.
     fn note_crash(&mut self, worker: &Worker, now: Tick) {
-        let fresh: Vec<TaskId> = worker
-            .runs
-            .keys()
-            .copied()
-            .filter(|task| self.run_on(worker, *task).is_some_and(|run| !run.has_worked()))
-            .collect();
+        let fresh = self.fresh_on(worker);
         let named: Vec<String> =
             fresh.iter().take(NAMED_TASKS).map(|task| self.describe(worker, *task)).collect();
         let text = format!(
@@ -78,6 +140,13 @@
         self.note(NoteKind::WorkerCrashed, text);
     }
 
+    /// Returns the tasks on a worker that no report has shown at work.
+    pub(super) fn fresh_on(&self, worker: &Worker) -> Vec<TaskId> {
+        let is_fresh =
+            |task: &TaskId| self.run_on(worker, *task).is_some_and(|run| !run.has_worked());
+        worker.runs.keys().copied().filter(is_fresh).collect()
+    }
+
     fn describe(&self, worker: &Worker, task: TaskId) -> String {
         let age = self.run_on(worker, task).map(|run| worker.heard.since(run.since));
         format!("{task}@{}ms", age.unwrap_or_default())
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -52,7 +52,7 @@
 pub struct Due {
     /// The lane.
     pub lane: Lane,
-    /// Callers wait for it: it ends jobs, or lets new workers be used.
+    /// Callers wait for it: it ends jobs, or lets new workers be used, or tasks start that may crash them.
     pub urgent: bool,
 }
 
@@ -81,15 +81,15 @@
             lanes.insert(Lane::Roster, true);
         }
         for id in &self.dirty {
-            let urgent = self.ends(*id);
+            let urgent = self.is_awaited(*id);
             *lanes.entry(Lane::Jobs(Shard::of(*id))).or_default() |= urgent;
         }
         lanes.into_iter().map(|(lane, urgent)| Due { lane, urgent }).collect()
     }
 
-    /// Tells whether a job is over and that is not recorded.
-    fn ends(&self, id: JobId) -> bool {
-        self.jobs.get(&id).is_some_and(|job| job.ending.is_some())
+    /// Tells whether a job is over and that is not recorded, or whether a task waits until crashes under it are.
+    fn is_awaited(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.ending.is_some() || job.has_suspects())
     }
 
     /// Returns what is to be written next in a lane, if anything is. All of it depends on the lease.
@@ -116,7 +116,7 @@
             return None;
         }
         // Callers wait for the jobs that are over; workers keep what is not recorded of the others.
-        ids.sort_by_key(|id| !self.ends(*id));
+        ids.sort_by_key(|id| !self.is_awaited(*id));
         let fence = self.fences.get(&shard).copied();
         let mut batch = Batch {
             txn: Txn::new().with_check(fence_key(&self.name, shard), fence),
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -196,7 +196,7 @@
         workers.map(|worker| worker.info.id.clone()).collect()
     }
 
-    fn is_lasting(&self, task: crate::task::TaskId) -> bool {
+    pub(super) fn is_lasting(&self, task: crate::task::TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         job.is_some_and(|job| {
             job.plan.steps[task.step as usize].long_running
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -27,6 +27,9 @@
 /// lost, all ends there are unknown until the poll runs out, and the next steps of their jobs wait for that.
 const BUSY_WAIT: Millis = Millis(200);
 
+/// How long a poll waits at a worker that gets nothing else until a task there has begun to work.
+const TRIAL_WAIT: Millis = Millis(50);
+
 impl Pool {
     /// Sends the long polls that are due.
     pub(super) fn drive_polls(&mut self, now: Tick) {
@@ -62,6 +65,9 @@
         if !worker.answered || worker.silent {
             return Millis(0);
         }
+        if worker.trial.is_some() {
+            return TRIAL_WAIT;
+        }
         if self.fills && self.has_fills(worker) {
             return FILL_WAIT;
         }
@@ -109,6 +115,10 @@
             return;
         };
         let runs = worker.runs.clone();
+        let lapsed = self.involved(worker);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lapsed = lapsed;
+        }
         self.note(NoteKind::RunLost, format!("worker={id} lapsed={}", runs.len()));
         for (task, charge) in runs {
             self.take_run(id, task, charge.run);
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -28,6 +28,10 @@
 /// once with the same ends.
 const RECORD_PAUSE: Millis = Millis(150);
 
+/// How long a task that runs on is at work until crashes before that say nothing of it any more: otherwise hosts that go
+/// down now and then would add up against it over its life of weeks.
+const FORGIVE_TIME: Millis = Millis(60_000);
+
 /// How long an end of a job that is not known is kept: all stored jobs are read twice in that time.
 const ORPHAN_TIME: Millis = Millis(5000);
 
@@ -85,6 +89,7 @@
         worker.answered = true;
         worker.heard = now;
         worker.misses = 0;
+        worker.lapsed.clear();
         let noted = worker.noted;
         self.pending.remove(id);
         for entry in &report.ended {
@@ -165,6 +170,14 @@
         }
         run.seen_at = now;
         run.figure = entry.figure;
+        let worked = run.has_worked();
+        let settled = run.at_work() && now.since(run.moved) >= FORGIVE_TIME;
+        if worked {
+            self.clear_trial(id, entry);
+        }
+        if settled {
+            self.forgive(entry.task);
+        }
         if let Some(checkpoint) = &entry.checkpoint {
             self.keep_checkpoint(entry.task, checkpoint);
         }
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -94,9 +94,12 @@
         }
         let advised = job.queue.advice.is_some();
         let speculative = job.step(id).speculative;
+        let unrecorded = self.dirty.contains(&id.job);
         let waiting: Vec<u32> = (0..)
             .zip(&state.tasks)
             .filter(|(_, task)| waits(task, now) || (speculative && self.wants_copy(id, task, now)))
+            // A successor must know of the crashes before the task can cause another.
+            .filter(|(_, task)| !(unrecorded && task.crashes.is_suspect()))
             .map(|(index, _)| index)
             .collect();
         if waiting.is_empty() {
@@ -120,7 +123,11 @@
                 break;
             }
             let placed = possible.then(|| self.find(id.task(index), &step, allowed.as_ref(), now));
-            let Some(worker) = placed.flatten() else {
+            let placed = placed.flatten();
+            if placed.is_none() && self.waits_for_trial(id.task(index), &step, now) {
+                continue;
+            }
+            let Some(worker) = placed else {
                 if possible {
                     *room = self.largest_room(now);
                 }
@@ -215,7 +222,10 @@
         let job = &self.jobs[&id.job];
         let usual = self.experience.predict(&job.queue.name, job.step(id));
         let overdue = now.since(run.since) > usual;
-        !task.done && (worker.silent || (overdue && worker.speed.is_slow(now)))
+        // A second worker must not crash before it is known whether the first one has.
+        !task.done
+            && task.crashes.is_empty()
+            && (worker.silent || (overdue && worker.speed.is_slow(now)))
     }
 
     fn find(
@@ -228,6 +238,7 @@
         let state = &self.jobs[&id.job].steps[&id.step_id()];
         let rack = if step.same_rack { self.rack_of(&state.tasks) } else { None };
         let lasting = step.long_running.then(|| self.lasting_workers());
+        let trial = state.tasks[id.index as usize].crashes.is_suspect();
         let wanted = Wanted {
             id: id.step_id(),
             task: Some(id),
@@ -235,14 +246,33 @@
             avoid: &state.tasks[id.index as usize].avoid,
             rack: rack.as_ref(),
             lasting: lasting.as_ref(),
+            trial,
         };
         let workers = self
             .workers
             .values()
-            .filter(|worker| allowed.is_none_or(|allowed| allowed.contains(&worker.info.id)));
+            .filter(|worker| allowed.is_none_or(|allowed| allowed.contains(&worker.info.id)))
+            .filter(|worker| !trial || self.fresh_on(worker).is_empty());
         place::choose(&wanted, workers, now).map(|worker| worker.info.id.clone())
     }
 
+    /// Tells whether a task that may crash its worker has room, and only waits for a worker on which nothing else is just
+    /// being started.
+    fn waits_for_trial(&self, id: TaskId, step: &Step, now: Tick) -> bool {
+        let state = &self.jobs[&id.job].steps[&id.step_id()];
+        let wanted = Wanted {
+            id: id.step_id(),
+            task: Some(id),
+            step,
+            avoid: &[],
+            rack: None,
+            lasting: None,
+            trial: false,
+        };
+        let suspect = state.tasks[id.index as usize].crashes.is_suspect();
+        suspect && self.workers.values().any(|worker| wanted.fits(worker, now))
+    }
+
     /// Returns the workers with tasks that run on.
     fn lasting_workers(&self) -> BTreeSet<WorkerId> {
         let lasting = self.jobs.values().filter(|job| job.plan.long_running());
@@ -282,6 +312,7 @@
             return;
         };
         task.last_run = number;
+        let suspect = task.crashes.is_suspect();
         let checkpoint = task.checkpoint.clone();
         task.runs.push(Run {
             number,
@@ -302,6 +333,11 @@
             adopted: checkpoint.is_some(),
         });
         let order = StartOrder { task: id, run: number, payload, deadline, checkpoint, ticket };
+        if let Some(known) = self.workers.get_mut(&worker)
+            && suspect
+        {
+            known.trial = Some(id);
+        }
         let target = self.target(&self.workers[&worker]);
         self.actions.push(Action::Start(target, order));
     }
@@ -314,7 +350,8 @@
         if self.workers.values().any(reserved) {
             return;
         }
-        let wanted = Wanted { id, task: None, step, avoid: &[], rack: None, lasting: None };
+        let wanted =
+            Wanted { id, task: None, step, avoid: &[], rack: None, lasting: None, trial: false };
         let usable = self.workers.values().filter(|worker| {
             worker.reserved.is_none_or(|kept| kept.until <= now) && wanted.allowed(worker, now)
         });
--- a/reachhead_jobs/src/pool/vacate.rs
+++ b/reachhead_jobs/src/pool/vacate.rs
@@ -144,6 +144,7 @@
             avoid: &[],
             rack: None,
             lasting: None,
+            trial: false,
         };
         self.workers.values().any(|worker| {
             wanted.fits(worker, now)
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 
 use crate::{
+    crashes::Crashes,
     model::{Plan, Queue},
     shard::Shard,
 };
@@ -100,6 +101,15 @@
     pub runs: Vec<RunNumber>,
 }
 
+/// A task under which workers crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// The task's place in the step.
+    pub index: u32,
+    /// What the crashes say of it: a successor must not begin to count anew, and lose as many workers again.
+    pub crashes: Crashes,
+}
+
 /// What is known for good of a step in one occurrence.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepRecord {
@@ -111,6 +121,16 @@
     pub done: Vec<u32>,
     /// The tasks that failed.
     pub failed: Vec<Failure>,
+    /// The tasks under which workers crashed; a release that did not count them wrote none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<CrashRecord>,
+}
+
+impl StepRecord {
+    /// Tells whether nothing is known of the step.
+    pub fn is_empty(&self) -> bool {
+        self.done.is_empty() && self.failed.is_empty() && self.crashed.is_empty()
+    }
 }
 
 /// A job's progress: everything that its workers may forget.
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     clock::{Reading, Tick, WorkerTime},
+    crashes::Part,
     ports::WorkerInfo,
     task::{StepId, TaskId},
 };
@@ -139,6 +140,8 @@
     pub silent_since: Tick,
     /// When it last answered a call.
     pub heard: Tick,
+    /// Since when it is known.
+    pub joined: Tick,
     /// The newest reading of its clock.
     pub reading: Option<Reading>,
     /// The highest deadline that any order gave it.
@@ -172,12 +175,26 @@
     pub reserved: Option<Reservation>,
     /// When what fills there was last compared with what it disturbs.
     pub paced: Tick,
+    /// A task that may crash it and has not begun to work. Nothing else is started meanwhile, so that a crash is the
+    /// task's own.
+    pub trial: Option<TaskId>,
+    /// What it ran when its leases lapsed without an answer; if its life is over, it may be what it crashed by.
+    pub lapsed: Vec<Involved>,
     /// How it treats its tasks.
     pub conduct: Conduct,
     /// How fast its tasks progress.
     pub speed: Speed,
 }
 
+/// A task on a worker that may have crashed, and its part in that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Involved {
+    /// The task.
+    pub task: TaskId,
+    /// Its part.
+    pub part: Part,
+}
+
 /// Room that is kept for a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reservation {
@@ -196,6 +213,7 @@
             rostered: false,
             silent_since: now,
             heard: now,
+            joined: now,
             reading: None,
             granted: WorkerTime(0),
             silent: false,
@@ -212,6 +230,8 @@
             cordoned: Tick(0),
             reserved: None,
             paced: Tick(0),
+            trial: None,
+            lapsed: Vec::new(),
             conduct: Conduct::default(),
             speed: Speed::new(now),
         }
@@ -234,6 +254,14 @@
         if let Some(charge) = self.runs.remove(&task) {
             self.used = self.used.minus(charge.amount);
         }
+        self.clear(task);
+    }
+
+    /// Ends the trial of a task: it has begun to work, or is gone.
+    pub fn clear(&mut self, task: TaskId) {
+        if self.trial == Some(task) {
+            self.trial = None;
+        }
     }
 
     /// Notes that a transaction was made that has all ends of the job so far.
@@ -280,6 +308,7 @@
             && self.answered
             && !self.silent
             && self.strays == 0
+            && self.trial.is_none()
             && !self.info.draining
             && self.cordoned <= now
             && self.conduct.suspended <= now
--- a/reachhead_jobs/tests/walk/main.rs
+++ b/reachhead_jobs/tests/walk/main.rs
@@ -30,3 +30,21 @@
     }
     check("jobs", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+/// Walks with tasks that crash whoever starts them: they are given up soon, though owners come and go and know nothing of what their
+/// predecessors had not stored, and no job beside them is.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up_and_no_other_whatever_happens_to_owners() {
+    fn walk(acts: Vec<(u8, u8, u8)>) -> bool {
+        let mut site = Site::new().with_crashes();
+        for act in acts.into_iter().take(ACTS) {
+            site.act(act);
+        }
+        let settled = site.settle();
+        if !settled || !site.wrong.is_empty() {
+            eprintln!("settled: {settled}, wrong: {:?}", site.wrong);
+        }
+        settled && site.wrong.is_empty()
+    }
+    check("crashes", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -14,7 +14,7 @@
     ports::{WorkerError, WorkerInfo},
     record::{JobRecord, job_key, lease_key, value},
     shard::Shard,
-    task::TaskId,
+    task::{StepId, TaskId},
 };
 use reachhead_plan::amount::Amount;
 use reachhead_store::{
@@ -42,6 +42,18 @@
 /// How long an owner goes on before it hears that the lease has changed hands.
 const FOLLOW_LAG: u64 = 120;
 
+/// How long after a worker crashed its owner is told that the platform has no host with it.
+const OVER_LAG: u64 = 200;
+
+/// How long a worker that a task crashed takes to come back.
+const REBOOT_TIME: u64 = 1000;
+
+/// Jobs of kinds from here on have a task that crashes its workers, in walks with such tasks.
+const CULPRIT_KIND: u8 = 200;
+
+/// How long nothing must have disturbed an owner for its starts to be counted.
+const TOUCH_TIME: u64 = 3000;
+
 /// Workers that stand at any time.
 const WORKERS: u8 = 3;
 
@@ -63,6 +75,10 @@
     Raise(Txn),
     /// A transaction arrives at the store.
     Commit { owner: usize, batch: Box<Batch>, answered: bool },
+    /// Owners are told that a worker's life is over.
+    Over(WorkerId),
+    /// A worker joins.
+    Join,
     /// Something is told to an owner.
     Answer { owner: usize, answer: Answer },
 }
@@ -85,6 +101,8 @@
     cut: BTreeMap<WorkerId, u64>,
     /// It can't reach the store until then.
     blind: u64,
+    /// Since when it is in charge.
+    since: u64,
 }
 
 /// What was seen of a task.
@@ -118,9 +136,20 @@
     /// Faults that the next orders meet.
     lose: u8,
     late: u8,
+    /// Some jobs have a task that crashes whoever starts it.
+    crashing: bool,
+    culprits: BTreeMap<TaskId, Culprit>,
     pub wrong: Vec<String>,
 }
 
+/// What a task that crashes its workers has done.
+#[derive(Default)]
+struct Culprit {
+    crashes: u32,
+    /// Starts after the third crash, by owners that nothing has disturbed for a while.
+    late_starts: u32,
+}
+
 fn pool_name() -> PoolName {
     "p".parse().unwrap()
 }
@@ -167,6 +196,15 @@
     Arc::new(Plan { payload: "x".into(), steps, schedule: None })
 }
 
+impl Owner {
+    /// Tells whether nothing has disturbed it for a while.
+    fn is_in_touch(&self, now: u64) -> bool {
+        let cut = self.cut.values().copied().max().unwrap_or_default();
+        let disturbed = self.since.max(self.frozen).max(self.blind).max(cut);
+        now >= disturbed + TOUCH_TIME
+    }
+}
+
 impl Site {
     pub fn new() -> Self {
         let mut site = Self {
@@ -185,6 +223,8 @@
             tasks: BTreeMap::new(),
             lose: 0,
             late: 0,
+            crashing: false,
+            culprits: BTreeMap::new(),
             wrong: Vec::new(),
         };
         for _ in 0..WORKERS {
@@ -195,6 +235,12 @@
         site
     }
 
+    /// Lets some jobs have a task that crashes whoever starts it.
+    pub fn with_crashes(mut self) -> Self {
+        self.crashing = true;
+        self
+    }
+
     fn add_worker(&mut self) {
         self.lives += 1;
         let id = format!("w{}", self.lives).parse().unwrap();
@@ -287,6 +333,9 @@
 
     fn crash(&mut self, id: &WorkerId) {
         self.workers.remove(id);
+        if self.crashing {
+            self.push(OVER_LAG, Event::Over(id.clone()));
+        }
         for seen in self.tasks.values_mut() {
             seen.running.remove(id);
         }
@@ -322,6 +371,10 @@
             accepted: Millis(self.now),
             customer: None,
         };
+        if self.crashing && kind >= CULPRIT_KIND {
+            let first = StepId { job: id, occurrence: 0, step: 0 }.task(0);
+            self.culprits.insert(first, Culprit::default());
+        }
         let key = job_key(&pool_name(), id);
         let txn = Txn::new().with_check(key.clone(), None).with_write(key, value(&record));
         let Commit::Done(row) = self.commit(txn) else { unreachable!("the id is new") };
--- a/reachhead_jobs/tests/walk/site/messages.rs
+++ b/reachhead_jobs/tests/walk/site/messages.rs
@@ -1,9 +1,14 @@
 //! What travels between owners, workers and the store, and what becomes of it on the way.
 
-use reachhead_jobs::{clock::Tick, pool::Action, ports::WorkerError};
+use reachhead_jobs::{
+    clock::Tick,
+    pool::{Action, WorkerEnd},
+    ports::WorkerError,
+    task::TaskId,
+};
 use reachhead_types::id::WorkerId;
 
-use super::{Answer, Event, Life, Nature, Site, TASK_TIME, TRAVEL};
+use super::{Answer, Event, Life, Nature, REBOOT_TIME, Site, TASK_TIME, TRAVEL};
 
 impl Site {
     /// Returns whether the next call's answer is lost, and how late it is carried out.
@@ -64,6 +69,8 @@
                         self.push(TRAVEL, Event::Answer { owner, answer });
                     }
                 }
+                Event::Over(id) => self.tell_over(&id),
+                Event::Join => self.add_worker(),
                 Event::Answer { owner, answer } => self.hear(owner, answer),
             }
             self.judge();
@@ -87,6 +94,9 @@
                 let life = self.workers.get_mut(&target.id).filter(|_| reach(&target.id));
                 let start = |life: &mut Life| life.start(target.token, order, nature, now);
                 let result = life.map_or(Err(gone()), start);
+                if result.is_ok() {
+                    self.meet_culprit(owner, &target.id, order.task);
+                }
                 Some(Answer::Started(target.id.clone(), order.task, order.run, result))
             }
             Action::Stop(target, task, run) => {
@@ -99,6 +109,31 @@
         }
     }
 
+    /// A task that crashes its workers does so as soon as it is started.
+    fn meet_culprit(&mut self, owner: usize, id: &WorkerId, task: TaskId) {
+        let now = self.now;
+        let counts = self.owners[owner].is_in_touch(now);
+        let Some(culprit) = self.culprits.get_mut(&task) else {
+            return;
+        };
+        culprit.late_starts += u32::from(culprit.crashes >= 3 && counts);
+        culprit.crashes += 1;
+        self.judge();
+        self.crash(id);
+        self.push(REBOOT_TIME, Event::Join);
+    }
+
+    fn tell_over(&mut self, id: &WorkerId) {
+        let now = self.now;
+        for owner in self.owners.iter_mut().filter(|owner| owner.alive && owner.frozen <= now) {
+            owner.pool.worker_over(id, WorkerEnd::Unhosted, Tick(now));
+        }
+        let thaw = self.owners.iter().filter(|owner| owner.alive).map(|owner| owner.frozen).max();
+        if let Some(thaw) = thaw.filter(|thaw| *thaw > now) {
+            self.push(thaw - now + 1, Event::Over(id.clone()));
+        }
+    }
+
     fn hear(&mut self, place: usize, answer: Answer) {
         let now = Tick(self.now);
         let owner = &mut self.owners[place];
--- a/reachhead_jobs/tests/walk/site/takeover.rs
+++ b/reachhead_jobs/tests/walk/site/takeover.rs
@@ -54,6 +54,7 @@
             alive: true,
             cut: BTreeMap::new(),
             blind: 0,
+            since: self.now,
         });
         self.list();
     }
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -55,6 +55,7 @@
         NoteKind::RunLost => Event::RunLost,
         NoteKind::WorkerDoubted => Event::WorkerDoubted,
         NoteKind::WorkerCrashed => Event::WorkerCrashed,
+        NoteKind::TaskGivenUp => Event::TaskGivenUp,
         NoteKind::RunStopped => Event::RunStopped,
         NoteKind::RunAdopted => Event::RunAdopted,
         NoteKind::StepPlaced => Event::StepPlaced,
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -129,6 +129,8 @@
     RowRefused 713 Warn;
     /// A worker's life ended while runs were there: how many, and which of them had not begun to work.
     WorkerCrashed 714 Warn;
+    /// A task is given up and its job fails, since workers crash under it.
+    TaskGivenUp 715 Warn;
     /// A wave began, went on in other hands, or is completed.
     WaveChanged 720 Info;
     /// A host was ordered down for a wave, or the order was not taken.
