Workers whose capacity shrinks: enough is made free, a full one is not asked again, lost room is replaced

A worker's capacity may shrink and grow while it runs. Held already: it gets nothing beyond what its entry says, and again once it has grown (test). Ruled out: stopping what runs beyond a capacity that shrank; nobody asks for it, and the work would be lost.

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -283,10 +283,27 @@
     let extra = load.extra as usize;
     let base = LEAST_HOSTS.max(pinned).max(load.least as usize);
     let whole = load.need + load.need * MARGIN_PERCENT / 100;
-    let hosts = |cores: u64| (cores.div_ceil(size) as usize).max(base) + extra;
+    let hosts = |cores: u64| hosts_for(cores, load, size).max(base) + extra;
     Claim { base: base + extra, timely: hosts(load.timely.min(whole)), whole: hosts(whole) }
 }
 
+/// Returns how many hosts bear this many thousandths of a core, the largest of the pool's own first: those that have shrunk bear
+/// less than others.
+fn hosts_for(cores: u64, load: &PoolLoad, size: u64) -> usize {
+    let mut own: Vec<u64> = load.workers.iter().map(|load| load.cores).collect();
+    own.sort_unstable_by_key(|cores| std::cmp::Reverse(*cores));
+    let mut left = cores;
+    let mut hosts = 0;
+    for cores in own {
+        if left == 0 {
+            return hosts;
+        }
+        left = left.saturating_sub(cores);
+        hosts += 1;
+    }
+    hosts + left.div_ceil(size) as usize
+}
+
 /// Cuts what the pools should have to the hosts that there are.
 fn share_out(accounts: &mut [Account], off: usize) {
     let claims: Vec<Claim> = accounts.iter().map(|account| account.claim).collect();
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -283,7 +283,12 @@
         let open = self.roster.open();
         for info in listed.into_iter().filter(|info| !self.over.contains(&info.id)) {
             match self.workers.get_mut(&info.id) {
-                Some(worker) => worker.info = info,
+                Some(worker) => {
+                    if worker.info.capacity != info.capacity {
+                        worker.full = Tick(0);
+                    }
+                    worker.info = info;
+                }
                 None => {
                     let mut worker = Worker::new(info, now);
                     worker.rostered = open.contains(&worker.info.id);
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -22,6 +22,10 @@
 /// Pause before a task that a worker turned away is tried again.
 const REJECTED_PAUSE: Millis = Millis(50);
 
+/// How long a worker that had no room is not asked for it again if nothing ends there: it has shrunk, and by then its entry says
+/// how much is left.
+const FULL_TIME: Millis = Millis(1000);
+
 impl Pool {
     fn run_of(&mut self, id: &WorkerId, task: TaskId, number: RunNumber) -> Option<&mut Run> {
         let run = self.jobs.get_mut(&task.job)?.task(task)?.run(number)?;
@@ -110,6 +114,11 @@
                     worker.conduct.suspend(now);
                 }
             }
+            WorkerError::Rejected(Rejection::Room) => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.full = now + FULL_TIME;
+                }
+            }
             WorkerError::Rejected(Rejection::Ticket) => self.advice.refuse(task.step_id(), id),
             WorkerError::Unreachable(_) | WorkerError::Deserted(_) => {
                 if let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.silent) {
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -392,16 +392,18 @@
             }
         }
         short.sort_by_key(|short| Reverse((short.since, short.task)));
-        let mut free = worker.free();
+        // What is in use is counted and not what is free: a worker that has shrunk may have more in use than it bears.
+        let capacity = worker.info.capacity;
+        let mut used = worker.used.plus(step.charge());
         let mut tasks = Vec::new();
         for Short { task, .. } in short {
-            if step.charge().fits(free) {
+            if used.fits(capacity) {
                 break;
             }
-            free = free.plus(worker.runs[&task].amount);
+            used = used.minus(worker.runs[&task].amount);
             tasks.push(task);
         }
-        step.charge().fits(free).then_some(tasks)
+        used.fits(capacity).then_some(tasks)
     }
 }
 
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -171,6 +171,8 @@
     pub strays: u32,
     /// Until when it gets nothing new, because planned work is about to take it.
     pub cordoned: Tick,
+    /// Until when it gets nothing new unless a run ends there, since it has turned one away for want of room.
+    pub full: Tick,
     /// A step for which room is being made there, and until when.
     pub reserved: Option<Reservation>,
     /// When what fills there was last compared with what it disturbs.
@@ -228,6 +230,7 @@
             used: Amount::default(),
             strays: 0,
             cordoned: Tick(0),
+            full: Tick(0),
             reserved: None,
             paced: Tick(0),
             trial: None,
@@ -253,6 +256,7 @@
     pub fn release(&mut self, task: TaskId) {
         if let Some(charge) = self.runs.remove(&task) {
             self.used = self.used.minus(charge.amount);
+            self.full = Tick(0);
         }
         self.clear(task);
     }
@@ -311,6 +315,7 @@
             && self.trial.is_none()
             && !self.info.draining
             && self.cordoned <= now
+            && self.full <= now
             && self.conduct.suspended <= now
             && (!self.conduct.probation || self.runs.is_empty())
     }
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -209,3 +209,16 @@
     fleet.load("b").timely = 25 * CORES;
     assert_eq!(fleet.round(0).len(), 7);
 }
+
+/// Room was asked for in hosts of the size of the largest, so a pool of which half had shrunk got too few.
+#[test]
+fn a_pool_whose_workers_shrank_gets_hosts_for_the_room_that_it_lost() {
+    let mut fleet = Fleet::default().with_pool("a", 6, 6 * CORES).with_pool("off", 10, 0);
+    let whole = fleet.round(500).len();
+    fleet = Fleet::default().with_pool("a", 6, 6 * CORES).with_pool("off", 10, 0);
+    for load in fleet.load("a").workers.iter_mut().take(4) {
+        load.cores = CORES / 2;
+    }
+    let shrunk = fleet.round(500).len();
+    assert_eq!(shrunk, whole + 2, "four halves are missing");
+}
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -4,6 +4,7 @@
 
 mod balance;
 mod candidate;
+mod capacity;
 mod crash;
 mod division;
 mod fixture;
