Leases are counted by the clock that goes on while a host is suspended

Cause: the steady clock of the standard library does not count the time in which a host is suspended, so a process that wakes up took leases for valid, orders for in time, lists for fresh and slots for its own that others had long taken over. Ruled out: timers by that clock (tokio has none); a call under way looks at the clock every 50 ms instead. A worker whose own host is suspended can't be guarded against: its contract bounds its clock to 2%. No process can be suspended here, so real processes are not tested for it.

--- a/reachhead_control/src/clean.rs
+++ b/reachhead_control/src/clean.rs
@@ -4,10 +4,7 @@
 //! clock of whoever writes. What was last written before the oldest of them is older than all the
 //! steps together, also when every host is replaced meanwhile. docs/AT-MOST-ONCE.md says more.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use log::debug;
 use reachhead_config::control::CleanSettings;
@@ -19,7 +16,7 @@
     Store, StoreError, keys,
     row::{Commit, Key, Scan, Txn},
 };
-use reachhead_types::size::Revision;
+use reachhead_types::{moment::Moment, size::Revision};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time};
 
@@ -45,7 +42,7 @@
 /// The marks' row as it was last seen, and since when it has been so.
 struct Seen {
     revision: Option<Revision>,
-    since: Instant,
+    since: Moment,
 }
 
 /// Deletes old claims on behalf of all hosts; whoever writes a mark cleans once.
@@ -79,13 +76,13 @@
         let rows = self.store.read(vec![keys::claim_marks()]).await?;
         let row = rows.into_iter().next().flatten();
         let revision = row.as_ref().map(|row| row.revision);
-        let now = Instant::now();
+        let now = Moment::now();
         let since = match &self.seen {
             Some(seen) if seen.revision == revision => seen.since,
             _ => now,
         };
         self.seen = Some(Seen { revision, since });
-        if now - since < self.step {
+        if now.duration_since(since) < self.step {
             return Ok(());
         }
         let marks = row.and_then(|row| Marks::deserialize(&row.value).ok()).unwrap_or_default();
--- a/reachhead_control/src/follow.rs
+++ b/reachhead_control/src/follow.rs
@@ -2,10 +2,7 @@
 //!
 //! The whole fleet reads at a fixed rate, so each host's period grows with the number of hosts.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use log::debug;
 use rand::Rng;
@@ -20,7 +17,9 @@
     keys,
     row::{Scan, Txn},
 };
-use reachhead_types::{hosts::LeavingHosts, id::Incarnation, member::Member, size::Revision};
+use reachhead_types::{
+    hosts::LeavingHosts, id::Incarnation, member::Member, moment::Moment, size::Revision,
+};
 use serde::Deserialize;
 use tokio::{sync::watch, time};
 
@@ -146,7 +145,7 @@
     async fn read_members(&mut self) -> Result<(), StoreError> {
         let scan =
             Scan { prefix: keys::MEMBER_PREFIX.to_owned(), after: None, limit: MEMBER_LIMIT };
-        let begun = Instant::now();
+        let begun = Moment::now();
         let page = self.store.scan(scan).await?;
         let mut members = Vec::new();
         let before = self.own_revision.take();
--- a/reachhead_control/src/gossip.rs
+++ b/reachhead_control/src/gossip.rs
@@ -1,11 +1,6 @@
 //! Hands versions on to a few peers: each round, and at once when there is news.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use log::debug;
 use rand::seq::IndexedRandom;
@@ -13,7 +8,7 @@
     client::Asker,
     message::{ControlReply, ControlRequest, GossipReply},
 };
-use reachhead_types::size::Millis;
+use reachhead_types::{moment::Moment, size::Millis};
 
 use crate::view::{Round, View, Witness};
 
@@ -37,7 +32,7 @@
     seeds: Vec<SocketAddr>,
     period: Duration,
     /// When peers last left a question without an answer.
-    silent: BTreeMap<SocketAddr, Instant>,
+    silent: BTreeMap<SocketAddr, Moment>,
 }
 
 impl Gossiper {
@@ -69,7 +64,7 @@
                 list: round.list,
                 hosts: self.view.hosts_revision(),
             };
-            let asked = Instant::now();
+            let asked = Moment::now();
             match self.asker.ask(peer, &request) {
                 Ok(ControlReply::Gossip(reply)) => {
                     self.silent.remove(&peer);
@@ -78,7 +73,7 @@
                 Ok(_) => debug!("gossip with {peer}: an answer to another question"),
                 Err(error) => {
                     debug!("gossip with {peer}: {error}");
-                    self.silent.insert(peer, Instant::now());
+                    self.silent.insert(peer, Moment::now());
                 }
             }
         }
@@ -95,7 +90,7 @@
         if answering.is_empty() { peers } else { answering }
     }
 
-    fn learn(&self, peer: SocketAddr, reply: GossipReply, asked: Instant) {
+    fn learn(&self, peer: SocketAddr, reply: GossipReply, asked: Moment) {
         let age = reply.age.map(Millis::duration);
         let witness = Witness { is_blind: reply.is_blind, age };
         self.view.learn_list(reply.list, witness, asked);
--- a/reachhead_control/src/members.rs
+++ b/reachhead_control/src/members.rs
@@ -7,13 +7,14 @@
 use std::{
     collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use reachhead_link::message::{ListStamp, MemberList};
 use reachhead_types::{
     id::HostId,
     member::{Member, MemberId},
+    moment::Moment,
     size::Revision,
 };
 
@@ -22,7 +23,7 @@
     id: MemberId,
     counter: u64,
     /// When this host last saw the counter move, or the store come back.
-    moved: Instant,
+    moved: Moment,
 }
 
 /// The rows of the list as this host has seen them move, by its own clock.
@@ -43,7 +44,7 @@
     }
 
     /// Notes that the store answers again after an outage.
-    pub fn note_back(&mut self, now: Instant) {
+    pub fn note_back(&mut self, now: Moment) {
         for seen in self.watched.values_mut() {
             seen.moved = now;
         }
@@ -51,7 +52,7 @@
 
     /// Notes the rows of one read of the store, as of `revision`, and tells whether the list is
     /// another one than before.
-    pub fn observe(&mut self, rows: Vec<Member>, revision: Revision, now: Instant) -> bool {
+    pub fn observe(&mut self, rows: Vec<Member>, revision: Revision, now: Moment) -> bool {
         let mut watched = BTreeMap::new();
         for member in &rows {
             let id = member.id();
@@ -84,8 +85,8 @@
     }
 
     /// Returns the hosts whose rows stood still for `term` at `now` and should be deleted.
-    pub fn gone(&self, term: Duration, now: Instant) -> Vec<HostId> {
-        let is_gone = |seen: &Watched| now.saturating_duration_since(seen.moved) >= term;
+    pub fn gone(&self, term: Duration, now: Moment) -> Vec<HostId> {
+        let is_gone = |seen: &Watched| now.duration_since(seen.moved) >= term;
         let gone = self.watched.iter().filter(|(_, seen)| is_gone(seen));
         gone.map(|(host, _)| host.clone()).collect()
     }
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use reachhead_link::message::{ListStamp, MemberList};
@@ -18,6 +18,7 @@
     hosts::LeavingHosts,
     id::{HostId, Incarnation},
     member::{Member, MemberId},
+    moment::Moment,
     size::{Millis, Revision, Version},
 };
 use serde::Serialize;
@@ -49,9 +50,9 @@
     own: Option<Incarnation>,
     entry_version: Version,
     /// When the store last answered.
-    store_heard: Option<Instant>,
+    store_heard: Option<Moment>,
     /// The newest moment at which the list of entry hosts was still the newest one.
-    confirmed: Option<Instant>,
+    confirmed: Option<Moment>,
     store_lost: bool,
     /// The version that gossip has handed on last.
     told: Version,
@@ -154,14 +155,14 @@
     pub fn note_store(&self, answered: bool) {
         let mut state = self.state();
         if answered {
-            state.store_heard = Some(Instant::now());
+            state.store_heard = Some(Moment::now());
         }
         if state.store_lost == answered {
             state.store_lost = !answered;
             let event = if answered { Event::StoreBack } else { Event::StoreLost };
             emit(event, "the platform's table service");
             if answered {
-                state.members.note_back(Instant::now());
+                state.members.note_back(Moment::now());
             }
             // Peers are asked at once, before this host's list counts as old.
             self.news.notify_all();
@@ -192,10 +193,10 @@
 
     /// Notes the member rows of one read, begun at `begun`, and returns the hosts whose rows should
     /// be deleted.
-    pub fn observe(&self, rows: Vec<Member>, revision: Revision, begun: Instant) -> Vec<HostId> {
+    pub fn observe(&self, rows: Vec<Member>, revision: Revision, begun: Moment) -> Vec<HostId> {
         let mut state = self.state();
         state.confirmed = state.confirmed.max(Some(begun));
-        let now = Instant::now();
+        let now = Moment::now();
         if state.members.observe(rows, revision, now) {
             tell_members(&state);
         }
@@ -207,7 +208,7 @@
     ///
     /// A peer that reads the store vouches for the list as of its own last read. Where neither can,
     /// the store is taken for down, and a store that is down changes no list.
-    pub fn learn_list(&self, list: Option<MemberList>, peer: Witness, asked: Instant) {
+    pub fn learn_list(&self, list: Option<MemberList>, peer: Witness, asked: Moment) {
         let mut state = self.state();
         if list.is_some_and(|list| state.members.adopt(list)) {
             tell_members(&state);
@@ -216,7 +217,7 @@
         let confirmed = match (peer.is_blind, is_blind) {
             (true, true) => Some(asked),
             (true, false) => None,
-            (false, _) => peer.age.and_then(|age| asked.checked_sub(age)),
+            (false, _) => peer.age.map(|age| asked - age),
         };
         state.confirmed = state.confirmed.max(confirmed);
     }
@@ -297,7 +298,7 @@
         let own = self.own_member();
         let state = self.state();
         let list = state.members.members();
-        let silent = state.members.gone(self.terms.lease_silence(list.len()), Instant::now());
+        let silent = state.members.gone(self.terms.lease_silence(list.len()), Moment::now());
         let candidate = |member: &Member| Candidate {
             id: member.id(),
             is_silent: silent.contains(&member.host),
@@ -338,7 +339,7 @@
     /// Returns the view for operators.
     pub fn report(&self) -> ViewState {
         let state = self.state();
-        let ago = |heard: Option<Instant>| heard.map(|at| Millis(at.elapsed().as_millis() as u64));
+        let ago = |heard: Option<Moment>| heard.map(|at| Millis(at.elapsed().as_millis() as u64));
         ViewState {
             host: self.host.clone(),
             version: state.book.version(),
--- a/reachhead_entry/src/process/follow.rs
+++ b/reachhead_entry/src/process/follow.rs
@@ -1,13 +1,6 @@
 //! Follows the control of this host, on a thread of its own: configuration, members, shares.
 
-use std::{
-    collections::BTreeMap,
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use reachhead_config::entry::EntrySettings;
 use reachhead_link::{
@@ -22,6 +15,7 @@
     hosts::LeavingHosts,
     id::{MinionId, ServiceName},
     member::Member,
+    moment::Moment,
     size::{Millis, Revision},
 };
 use tokio::sync::mpsc;
@@ -54,7 +48,7 @@
     /// The longest time for which a request may run on a slot.
     pub longest: Duration,
     /// Until when this view counts as fresh; `None` if the control's list was never confirmed.
-    pub fresh_until: Option<Instant>,
+    pub fresh_until: Option<Moment>,
 }
 
 struct Follower {
@@ -104,7 +98,7 @@
 
     fn ask(&mut self) -> Option<Update> {
         // Freshness counts from before the question: the answer may be as old as that.
-        let asked = Instant::now();
+        let asked = Moment::now();
         let question =
             ControlRequest::Follow { have: self.book.version(), hosts: self.hosts_revision };
         let reply = match self.asker.ask(self.control, &question) {
@@ -119,7 +113,7 @@
         reply.map(|reply| self.learn(*reply, asked))
     }
 
-    fn learn(&mut self, reply: FollowReply, asked: Instant) -> Update {
+    fn learn(&mut self, reply: FollowReply, asked: Moment) -> Update {
         let fleet = self.apply(&reply);
         let own_host = reply.own.as_ref().map(|own| own.host.clone());
         let others = reply.members.iter().filter(|member| Some(&member.host) != own_host.as_ref());
@@ -129,7 +123,7 @@
             None => Vec::new(),
         };
         let hosts = reply.members.iter().map(Member::id).collect();
-        let now = Instant::now();
+        let now = Moment::now();
         let is_new_list = self.shares.note(hosts, reply.own, now);
         let is_expired = self.shares.expire(self.hold(reply.notice), now);
         let is_changed = fleet.is_some() || is_new_list || is_expired;
@@ -142,11 +136,8 @@
             limits: is_changed.then(|| self.limits()),
             peers,
             longest: self.longest(),
-            fresh_until: reply.age.and_then(|age| {
-                // By then every host that takes over a slot counts on this one having noticed.
-                let until = asked + reply.notice.duration();
-                until.checked_sub(age.duration())
-            }),
+            // By then every host that takes over a slot counts on this one having noticed.
+            fresh_until: reply.age.map(|age| asked + reply.notice.duration() - age.duration()),
         }
     }
 
--- a/reachhead_entry/src/process/service.rs
+++ b/reachhead_entry/src/process/service.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use rand::{SeedableRng, rngs::SmallRng};
@@ -18,6 +18,7 @@
     error::ErrorKind,
     fleet::{self, Fleet},
     id::{GroupName, HostId, LoanId, MinionId, ServiceName, ZoneName},
+    moment::Moment,
     tree::Effective,
 };
 use serde::Serialize;
@@ -76,7 +77,7 @@
     /// The minion.
     pub minion: Rc<Minion>,
     charge: Charge,
-    started: Instant,
+    started: Moment,
 }
 
 impl Drop for Permit {
@@ -198,7 +199,7 @@
     }
 
     fn slots(&self) -> u32 {
-        self.inner.borrow().slots(Instant::now())
+        self.inner.borrow().slots(Moment::now())
     }
 
     fn state(&self) -> ServiceState {
@@ -224,7 +225,7 @@
             Acquired::Now(permit) => return Ok(permit),
             Acquired::Later(granted) => granted,
         };
-        match time::timeout_at(ask.deadline.into(), granted).await {
+        match time::timeout(ask.deadline.left(), granted).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) => Err(ErrorKind::NoMinion),
             Err(_) => Err(ErrorKind::DeadlineInQueue),
@@ -232,7 +233,7 @@
     }
 
     fn try_acquire(self: &Rc<Self>, ask: &Ask, tried: &[MinionId]) -> Result<Acquired, ErrorKind> {
-        let now = Instant::now();
+        let now = Moment::now();
         let mut inner = self.inner.borrow_mut();
         if inner.queue.is_empty()
             && let Some(minion) = inner.choose(tried, now)
@@ -257,7 +258,7 @@
         }
     }
 
-    fn permit(self: &Rc<Self>, minion: Rc<Minion>, charge: Charge, now: Instant) -> Permit {
+    fn permit(self: &Rc<Self>, minion: Rc<Minion>, charge: Charge, now: Moment) -> Permit {
         minion.start();
         Permit { service: Rc::clone(self), minion, charge, started: now }
     }
@@ -278,7 +279,7 @@
     }
 
     fn next_turn(self: &Rc<Self>) -> Option<NextTurn> {
-        let now = Instant::now();
+        let now = Moment::now();
         let mut inner = self.inner.borrow_mut();
         if inner.queue.is_empty() || inner.choose(&[], now).is_none() {
             return None;
@@ -314,7 +315,7 @@
     /// Lends up to `want` slots, if no request waits here.
     pub fn lend(&self, loan: LoanId, want: u32, grace: Duration) -> Vec<LentSlots> {
         let inner = self.inner.borrow();
-        let now = Instant::now();
+        let now = Moment::now();
         let mut left = if inner.queue.is_empty() { want } else { 0 };
         let mut lent = Vec::new();
         for minion in inner.minions.iter().filter(|minion| minion.is_serving(now)) {
@@ -336,7 +337,7 @@
     }
 
     /// Uses slots that were borrowed by a question asked at `asked`.
-    pub fn borrow(self: &Rc<Self>, loan: LoanId, lent: &[LentSlots], asked: Instant) {
+    pub fn borrow(self: &Rc<Self>, loan: LoanId, lent: &[LentSlots], asked: Moment) {
         for LentSlots { minion, slots } in lent {
             if let Some(minion) = self.minion(minion) {
                 minion.borrow(loan, *slots, asked);
@@ -347,7 +348,7 @@
 
     /// Tells whether more requests run at one of the minions of `lent` than this host may run now.
     pub fn is_over_limit(&self, lent: &[LentSlots]) -> bool {
-        let now = Instant::now();
+        let now = Moment::now();
         let minions = lent.iter().filter_map(|lent| self.minion(&lent.minion));
         minions.into_iter().any(|minion| minion.is_over_limit(now))
     }
@@ -379,7 +380,7 @@
 
 impl Inner {
     /// Returns the slots at minions that take new work.
-    fn slots(&self, now: Instant) -> u32 {
+    fn slots(&self, now: Moment) -> u32 {
         let serving = self.minions.iter().filter(|minion| minion.is_serving(now));
         let slots: u32 = serving.map(|minion| minion.limit(now)).sum();
         match slots {
@@ -389,7 +390,7 @@
         }
     }
 
-    fn choose(&mut self, tried: &[MinionId], now: Instant) -> Option<Rc<Minion>> {
+    fn choose(&mut self, tried: &[MinionId], now: Moment) -> Option<Rc<Minion>> {
         let openness = self.openness(now);
         let candidates = self.minions.iter().map(|minion| {
             minion.candidate(now, openness.takes(minion, now), tried.contains(&minion.id))
@@ -399,7 +400,7 @@
     }
 
     /// Neither ejection nor leaving may empty a service: the best that there is counts as open.
-    fn openness(&self, now: Instant) -> Openness {
+    fn openness(&self, now: Moment) -> Openness {
         let levels = [Openness::Good, Openness::Serving];
         let has = |level: &Openness| {
             self.minions.iter().any(|minion| minion.limit(now) > 0 && level.takes(minion, now))
@@ -420,7 +421,7 @@
 }
 
 impl Openness {
-    fn takes(self, minion: &Minion, now: Instant) -> bool {
+    fn takes(self, minion: &Minion, now: Moment) -> bool {
         match self {
             Self::Good => minion.is_serving(now) && !minion.is_ejected(now),
             Self::Serving => minion.is_serving(now),
--- a/reachhead_entry/src/request/dispatch.rs
+++ b/reachhead_entry/src/request/dispatch.rs
@@ -1,10 +1,11 @@
 //! Runs a request: waits for a slot, sends it, and retries where that is safe and worth it.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
 use reachhead_types::{
     error::ErrorKind,
     id::{AttemptId, MinionId},
+    moment::Moment,
 };
 
 use crate::{
@@ -56,7 +57,7 @@
     if !core.is_fresh() {
         return Err(SendError::NotSent(ErrorKind::NotReady));
     }
-    if Instant::now() >= arrived.deadline {
+    if Moment::now() >= arrived.deadline {
         return Err(SendError::NotSent(ErrorKind::DeadlineInQueue));
     }
     if let Some(attempt) = attempt
@@ -78,7 +79,7 @@
     error: &SendError,
     sends: u32,
 ) -> bool {
-    if Instant::now() >= arrived.deadline {
+    if Moment::now() >= arrived.deadline {
         return false;
     }
     let limit = core.settings.minions.sends.get();
--- a/reachhead_entry/src/request/head.rs
+++ b/reachhead_entry/src/request/head.rs
@@ -1,12 +1,12 @@
 //! Header fields on their way: those of one connection stay behind.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hyper::{
     HeaderMap,
     header::{self, HeaderName, HeaderValue},
 };
-use reachhead_types::error::DEADLINE_HEADER;
+use reachhead_types::{error::DEADLINE_HEADER, moment::Moment};
 
 /// Fields that belong to one connection, by HTTP's rules.
 const CONNECTION_FIELDS: [HeaderName; 8] = [
@@ -42,13 +42,13 @@
 }
 
 /// Returns the fields of a request for a minion, with what is left of its time.
-pub fn for_minion(headers: &HeaderMap, deadline: Instant) -> HeaderMap {
+pub fn for_minion(headers: &HeaderMap, deadline: Moment) -> HeaderMap {
     let mut headers = headers.clone();
     strip(&mut headers);
     // The body is sent whole, so the library writes its length itself.
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
-    let left = deadline.saturating_duration_since(Instant::now());
+    let left = deadline.left();
     headers.insert(DEADLINE_HEADER, HeaderValue::from(millis(left)));
     headers
 }
--- a/reachhead_entry/src/request/keyed.rs
+++ b/reachhead_entry/src/request/keyed.rs
@@ -2,7 +2,7 @@
 //!
 //! docs/AT-MOST-ONCE.md gives the argument; each step here is one of its paragraphs.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use hyper::Response;
@@ -17,6 +17,7 @@
     answer::KeptAnswer,
     error::ErrorKind,
     id::{AttemptId, Fingerprint, IdempotencyKey},
+    moment::Moment,
     size::Revision,
 };
 use sha2::{Digest, Sha256};
@@ -64,7 +65,7 @@
         Meeting::New => {}
     }
     let attempt = AttemptId(rand::random());
-    core.attempts.borrow_mut().start(&store_key.0, fingerprint, attempt, Instant::now());
+    core.attempts.borrow_mut().start(&store_key.0, fingerprint, attempt, Moment::now());
     let row = ClaimRow {
         attempt,
         fingerprint,
--- a/reachhead_entry/src/request/mod.rs
+++ b/reachhead_entry/src/request/mod.rs
@@ -7,10 +7,7 @@
 pub mod reply;
 mod send;
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -24,6 +21,7 @@
     error::{DEADLINE_HEADER, ErrorKind, KEY_HEADER},
     fleet::KeyUse,
     id::IdempotencyKey,
+    moment::Moment,
 };
 use tokio::time;
 
@@ -40,7 +38,7 @@
     /// Its route; a later version does not change it.
     pub route: Rc<Route>,
     /// When the caller gives up.
-    pub deadline: Instant,
+    pub deadline: Moment,
 }
 
 impl Arrived {
@@ -68,7 +66,7 @@
     request: Request<Incoming>,
     watch: &Watch,
 ) -> Response<ReplyBody> {
-    let started = Instant::now();
+    let started = Moment::now();
     // A length of `None` is that of a body in chunks: where it ends is the library's secret.
     let length = request.body().size_hint().exact();
     let arrived = match watch.is_ambiguous() {
@@ -129,7 +127,7 @@
 async fn arrive(
     core: &Core,
     request: Request<Incoming>,
-    started: Instant,
+    started: Moment,
 ) -> Result<Arrived, ErrorKind> {
     let (head, body) = request.into_parts();
     if !core.is_fresh() {
--- a/reachhead_entry/src/request/send.rs
+++ b/reachhead_entry/src/request/send.rs
@@ -8,13 +8,13 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Version, body::Incoming, http::response::Parts};
-use reachhead_types::error::ErrorKind;
+use reachhead_types::{error::ErrorKind, moment::Moment};
 use tokio::{task::spawn_local, time};
 
 use crate::{
@@ -90,7 +90,7 @@
     permit: Permit,
     sender: Sender,
     request: Request<Full<Bytes>>,
-    deadline: Instant,
+    deadline: Moment,
     whole: usize,
 }
 
@@ -108,7 +108,7 @@
     let sender = match permit.minion.take_idle(minions.idle_time.duration()) {
         Some(sender) => sender,
         None => {
-            let left = arrived.deadline.saturating_duration_since(Instant::now());
+            let left = arrived.deadline.left();
             let limit = Duration::from_millis(minions.connect_time.get()).min(left);
             match out::connect(permit.minion.row.address, limit).await {
                 Some(sender) => sender,
@@ -144,13 +144,13 @@
     /// `Unknown` once a byte was handed to the connection, unless the minion refused by contract.
     pub async fn send(self, core: &Rc<Core>) -> SendResult {
         core.metrics.sends.inc();
-        let started = Instant::now();
+        let started = Moment::now();
         let deadline = self.deadline;
         let minion = Rc::clone(&self.permit.minion);
         // Twice the time that the caller gave: then the connection is cut and the slot given back.
-        let limit = deadline + deadline.saturating_duration_since(started);
+        let limit = deadline + deadline.duration_since(started);
         let mut exchange = Exchange::new(Box::pin(self.run()), limit);
-        match time::timeout_at(deadline.into(), &mut exchange).await {
+        match time::timeout(deadline.left(), &mut exchange).await {
             Ok(result) => result,
             Err(_) => {
                 if started.elapsed() >= BLAME_TIME {
@@ -173,20 +173,20 @@
 /// An exchange under way; dropped before its end, it goes on in a task of its own.
 pub struct Exchange {
     running: Option<Running>,
-    limit: Instant,
+    limit: Moment,
     /// Whether it has a task of its own, which ends it when the process ends.
     is_detached: bool,
 }
 
 impl Exchange {
-    fn new(running: Running, limit: Instant) -> Self {
+    fn new(running: Running, limit: Moment) -> Self {
         Self { running: Some(running), limit, is_detached: false }
     }
 
     /// Waits for the end as long as the slot is kept for it.
     pub async fn late(mut self) -> SendResult {
-        let limit = self.limit.into();
-        let result = time::timeout_at(limit, &mut self).await;
+        let left = self.limit.left();
+        let result = time::timeout(left, &mut self).await;
         if result.is_err() {
             self.running = None;
         }
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -201,7 +201,6 @@
 
     /// Takes in that a batch is in force.
     pub fn committed(&mut self, batch: &Batch, revision: Revision, now: Tick) {
-        self.verify(now);
         if let Some(roster) = &batch.roster {
             self.roster.stored = roster.clone();
             self.roster.wanted = None;
--- a/reachhead_jobs/tests/pool/records.rs
+++ b/reachhead_jobs/tests/pool/records.rs
@@ -12,6 +12,23 @@
 
 use crate::fixture::{Fixture, info, step, task, worker};
 
+/// An owner's host was suspended between the store's answer to a transaction and the moment in which the owner read it. It took the
+/// lease for confirmed when it read, and gave orders for as long as a fresh owner, though a successor may have been in charge.
+#[test]
+fn an_answer_of_the_store_that_is_read_late_confirms_no_lease() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.begin(1, vec![step(1)]);
+    fixture.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    fixture.report(&worker("w"));
+    let batch = fixture.batch().unwrap();
+    let late = fixture.now + Millis(5000);
+    fixture.submit(2, vec![step(1)]);
+    fixture.pool.decided(&batch, &Commit::Done(Revision(200)), late);
+    let actions = fixture.pool.poll(late, Millis(late.0));
+    let starts = actions.iter().filter(|action| matches!(action, Action::Start(..))).count();
+    assert_eq!(starts, 0, "the lease was last confirmed five seconds ago");
+}
+
 #[test]
 fn an_end_is_acknowledged_only_after_it_is_recorded() {
     let mut fixture = Fixture::ready(vec![info("w", 4)]);
--- a/reachhead_node/src/mandate.rs
+++ b/reachhead_node/src/mandate.rs
@@ -1,18 +1,15 @@
 //! Whether the owner of all hosts may give an order now.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Instant,
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
 use reachhead_jobs::{
     authority::{Confirmation, Mandate, ORDER_TERM},
     record::lease_key,
 };
-use reachhead_types::{id::PoolName, size::FencingToken};
+use reachhead_types::{id::PoolName, moment::Moment, size::FencingToken};
 use tokio::{sync::Mutex, time};
 
 use crate::node::Node;
@@ -41,10 +38,10 @@
             return Some(Mandate { token: self.token, until: None });
         }
         let mut confirmation = self.confirmation.lock().await;
-        if let Some(until) = confirmation.until(Instant::now()) {
+        if let Some(until) = confirmation.until(Moment::now()) {
             return Some(Mandate { token: self.token, until: Some(until) });
         }
-        let asked = Instant::now();
+        let asked = Moment::now();
         let read = self.node.services.store.read(vec![lease_key(&self.duty)]);
         let rows = match time::timeout(ORDER_TERM.duration(), read).await {
             Ok(rows) => rows,
@@ -65,7 +62,7 @@
             self.lost.store(true, Ordering::Relaxed);
             return None;
         }
-        let until = confirmation.until(Instant::now())?;
+        let until = confirmation.until(Moment::now())?;
         Some(Mandate { token: self.token, until: Some(until) })
     }
 
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -334,10 +334,14 @@
         let begun = self.recording.remove(&batch.lane).unwrap_or(now);
         let spacing = Millis(now.since(begun).0 * RECORD_SPACING).max(RECORD_PERIOD);
         self.record_next.insert(batch.lane, now + spacing);
-        if let Ok(commit) = result
-            && !self.pool.decided(batch, &commit, now)
-        {
+        let Ok(commit) = result else {
+            return;
+        };
+        if !self.pool.decided(batch, &commit, now) {
             self.lost = true;
+        } else if matches!(commit, Commit::Done(_)) {
+            // The host may have been suspended between the store's answer and now.
+            self.pool.verify(begun);
         }
     }
 
--- a/reachhead_ops/src/bounded.rs
+++ b/reachhead_ops/src/bounded.rs
@@ -13,13 +13,14 @@
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
-    time::Instant,
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use reachhead_types::moment::Moment;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -28,10 +29,49 @@
 
 use crate::client::CallError;
 
+/// Longest sleep before the clock is looked at again. Timers stand still while the host is suspended, so one sleep until the end
+/// would go on for as long as that after it.
+const LOOK_TIME: Duration = Duration::from_millis(50);
+
+/// Until when a call may write, and the clock that tells the time.
+#[derive(Debug, Clone, Copy)]
+pub struct Deadline {
+    until: Moment,
+    clock: fn() -> Moment,
+}
+
+impl Deadline {
+    /// Returns the deadline at `until`.
+    pub fn new(until: Moment) -> Self {
+        Self { until, clock: Moment::now }
+    }
+
+    /// Sets the clock; a test's own, which can jump as the host's does after it was suspended.
+    #[must_use]
+    pub fn with_clock(self, clock: fn() -> Moment) -> Self {
+        Self { clock, ..self }
+    }
+
+    fn left(self) -> Duration {
+        self.until.duration_since((self.clock)())
+    }
+
+    fn is_over(self) -> bool {
+        self.left().is_zero()
+    }
+
+    /// Waits until it is over.
+    async fn passed(self) {
+        while !self.is_over() {
+            time::sleep(self.left().min(LOOK_TIME)).await;
+        }
+    }
+}
+
 /// A connection that writes nothing after a moment.
 struct BoundedStream {
     stream: TcpStream,
-    until: Instant,
+    deadline: Deadline,
     written: Arc<AtomicBool>,
 }
 
@@ -51,7 +91,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if Instant::now() >= self.until {
+        if self.deadline.is_over() {
             return Poll::Ready(Err(io::Error::new(
                 io::ErrorKind::TimedOut,
                 "too late to be sent",
@@ -73,7 +113,7 @@
     }
 }
 
-/// Sends a request on a connection of its own and returns its whole answer. Nothing is sent after `until`, and the
+/// Sends a request on a connection of its own and returns its whole answer. Nothing is sent after the deadline, and the
 /// connection is reset then.
 ///
 /// # Errors
@@ -82,13 +122,13 @@
 pub async fn call_until(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    until: Instant,
+    deadline: Deadline,
 ) -> Result<Response<Bytes>, CallError> {
     let written = Arc::new(AtomicBool::new(false));
-    let call = exchange(address, request, until, Arc::clone(&written));
-    let result = match time::timeout_at(until.into(), call).await {
-        Ok(result) => result,
-        Err(_) => Err("no answer in time".to_owned()),
+    let call = exchange(address, request, deadline, Arc::clone(&written));
+    let result = tokio::select! {
+        result = call => result,
+        () = deadline.passed() => Err("no answer in time".to_owned()),
     };
     result.map_err(|error| {
         if written.load(Ordering::Relaxed) {
@@ -102,14 +142,14 @@
 async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    until: Instant,
+    deadline: Deadline,
     written: Arc<AtomicBool>,
 ) -> Result<Response<Bytes>, String> {
     let text = |error: &dyn std::error::Error| error.to_string();
     let stream = TcpStream::connect(address).await.map_err(|error| text(&error))?;
     stream.set_nodelay(true).map_err(|error| text(&error))?;
     stream.set_zero_linger().map_err(|error| text(&error))?;
-    let stream = BoundedStream { stream, until, written };
+    let stream = BoundedStream { stream, deadline, written };
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| text(&error))?;
     let answer = async {
--- a/reachhead_path/src/claim.rs
+++ b/reachhead_path/src/claim.rs
@@ -7,12 +7,13 @@
 use std::{
     collections::{HashMap, VecDeque},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use reachhead_types::{
     answer::KeptAnswer,
     id::{AttemptId, Fingerprint},
+    moment::Moment,
 };
 
 /// What became of an attempt.
@@ -61,7 +62,7 @@
 
 #[derive(Debug)]
 struct Started {
-    at: Instant,
+    at: Moment,
     attempt: AttemptId,
 }
 
@@ -93,7 +94,7 @@
     }
 
     /// Starts an attempt; only after [`Meeting::New`].
-    pub fn start(&mut self, key: &str, fingerprint: Fingerprint, attempt: AttemptId, now: Instant) {
+    pub fn start(&mut self, key: &str, fingerprint: Fingerprint, attempt: AttemptId, now: Moment) {
         let record = Record { attempt, fingerprint, state: Attempt::Pending };
         self.by_key.insert(key.to_owned(), record);
         self.keys.insert(attempt, key.to_owned());
@@ -153,9 +154,9 @@
     }
 
     /// Forgets the ended attempts that started longer than `keep` before `now`.
-    pub fn forget(&mut self, keep: Duration, now: Instant) {
+    pub fn forget(&mut self, keep: Duration, now: Moment) {
         while let Some(first) = self.order.front() {
-            if now.saturating_duration_since(first.at) < keep {
+            if now.duration_since(first.at) < keep {
                 return;
             }
             let attempt = first.attempt;
--- a/reachhead_path/src/share.rs
+++ b/reachhead_path/src/share.rs
@@ -7,10 +7,10 @@
 use std::{
     collections::VecDeque,
     hash::{Hash, Hasher},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use reachhead_types::member::MemberId;
+use reachhead_types::{member::MemberId, moment::Moment};
 use siphasher::sip::SipHasher13;
 
 /// Keys of the hash; part of the agreement between entry hosts, so never changed.
@@ -61,7 +61,7 @@
     own: Option<MemberId>,
     hosts: Vec<MemberId>,
     /// When this list was replaced; `None` for the list in force.
-    until: Option<Instant>,
+    until: Option<Moment>,
 }
 
 impl ShareHistory {
@@ -76,7 +76,7 @@
 
     /// Notes the list that is in force from `now` on, and this host's place on it, and tells
     /// whether it is a new one.
-    pub fn note(&mut self, hosts: Vec<MemberId>, own: Option<MemberId>, now: Instant) -> bool {
+    pub fn note(&mut self, hosts: Vec<MemberId>, own: Option<MemberId>, now: Moment) -> bool {
         let Some(last) = self.lists.back_mut() else {
             return false;
         };
@@ -89,11 +89,10 @@
     }
 
     /// Forgets the lists that ended longer than `hold` before `now` and tells whether any did.
-    pub fn expire(&mut self, hold: Duration, now: Instant) -> bool {
+    pub fn expire(&mut self, hold: Duration, now: Moment) -> bool {
         let before = self.lists.len();
-        let is_over = |seen: &Seen| {
-            seen.until.is_some_and(|until| now.saturating_duration_since(until) >= hold)
-        };
+        let is_over =
+            |seen: &Seen| seen.until.is_some_and(|until| now.duration_since(until) >= hold);
         while self.lists.front().is_some_and(is_over) {
             self.lists.pop_front();
         }
--- a/reachhead_pool/src/controller/leases.rs
+++ b/reachhead_pool/src/controller/leases.rs
@@ -1,6 +1,6 @@
 //! Taking, keeping and handing over the charge of a pool.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::collections::BTreeMap;
 
 use reachhead_store::{
     StoreError, keys,
@@ -9,6 +9,7 @@
 use reachhead_types::{
     id::PoolName,
     member::MemberId,
+    moment::Moment,
     pool::LeaseRow,
     size::{Epoch, Revision},
 };
@@ -55,7 +56,7 @@
 
     /// Tells whether another host has had for too long what should be this host's.
     fn is_overdue(&mut self, pool: &PoolName) -> bool {
-        let since = self.awaited.entry(pool.clone()).or_insert_with(Instant::now);
+        let since = self.awaited.entry(pool.clone()).or_insert_with(Moment::now);
         since.elapsed() >= self.terms.hand_over
     }
 
--- a/reachhead_pool/src/controller/mod.rs
+++ b/reachhead_pool/src/controller/mod.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use log::debug;
@@ -23,6 +23,7 @@
 use reachhead_types::{
     id::{HostId, PoolName},
     member::MemberId,
+    moment::Moment,
     pool::{HostPhase, WaveRow},
     size::{Epoch, Revision},
 };
@@ -80,9 +81,9 @@
 struct Tracked {
     host: Host,
     /// Since when it has been seen drained, by this process's clock.
-    drained_since: Option<Instant>,
+    drained_since: Option<Moment>,
     /// Since when a budget that it spends has been seen overspent.
-    overspent_since: Option<Instant>,
+    overspent_since: Option<Moment>,
 }
 
 /// A pool in charge, for operators.
@@ -118,7 +119,7 @@
     terms: Terms,
     held: BTreeMap<PoolName, Held>,
     /// Since when pools that should be this host's have been others'.
-    awaited: BTreeMap<PoolName, Instant>,
+    awaited: BTreeMap<PoolName, Moment>,
     events: Vec<PoolEvent>,
 }
 
@@ -238,12 +239,14 @@
         is_overspent: bool,
         confirm: Duration,
     ) -> Observation {
-        let now = Instant::now();
+        let now = Moment::now();
         let is_drained = status.as_ref().is_some_and(HostStatus::is_drained);
         self.drained_since = is_drained.then(|| self.drained_since.unwrap_or(now));
         self.overspent_since = is_overspent.then(|| self.overspent_since.unwrap_or(now));
-        let drained_for = self.drained_since.map_or(Duration::ZERO, |since| now - since);
-        let is_overspent = self.overspent_since.is_some_and(|since| now - since >= confirm);
+        let drained_for =
+            self.drained_since.map_or(Duration::ZERO, |since| now.duration_since(since));
+        let is_overspent =
+            self.overspent_since.is_some_and(|since| now.duration_since(since) >= confirm);
         Observation { status, drained_for, is_overspent }
     }
 }
--- a/reachhead_types/src/lib.rs
+++ b/reachhead_types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod hosts;
 pub mod id;
 pub mod member;
+pub mod moment;
 pub mod pool;
 pub mod scope;
 pub mod size;
--- /dev/null
+++ b/reachhead_types/tests/moment.rs
@@ -0,0 +1,33 @@
+//! The clock by which leases are counted.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::{fs, thread, time::Duration};
+
+use reachhead_types::moment::Moment;
+
+/// The system's uptime has the time in which the host was suspended, and so must the clock.
+#[test]
+fn the_clock_counts_what_the_system_counts_as_its_uptime() {
+    let uptime = || -> Duration {
+        let text = fs::read_to_string("/proc/uptime").unwrap();
+        let seconds = text.split(' ').next().unwrap().parse().unwrap();
+        Duration::from_secs_f64(seconds)
+    };
+    let before = uptime();
+    let shown = Moment::now().duration_since(Moment::default());
+    let after = uptime();
+    // The file is cut to hundredths of a second.
+    let slack = Duration::from_millis(10);
+    assert!(before <= shown + slack && shown <= after + slack, "{before:?} {shown:?} {after:?}");
+}
+
+#[test]
+fn spans_are_never_negative() {
+    let now = Moment::now();
+    thread::sleep(Duration::from_millis(2));
+    assert!(now.elapsed() >= Duration::from_millis(2));
+    assert_eq!(now.left(), Duration::ZERO);
+    assert_eq!(now.duration_since(now + Duration::from_secs(1)), Duration::ZERO);
+    assert_eq!((now + Duration::from_secs(1)).duration_since(now), Duration::from_secs(1));
+}
