--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -282,7 +282,7 @@
     let pinned = load.workers.iter().filter(|load| load.pinned).count();
     let extra = load.extra as usize;
     let base = LEAST_HOSTS.max(pinned).max(load.least as usize);
-    let whole = load.need + load.need * MARGIN_PERCENT / 100;
+    let whole = load.need.saturating_add(load.need.saturating_mul(MARGIN_PERCENT) / 100);
     let hosts = |cores: u64| hosts_for(cores, load, size).max(base) + extra;
     Claim { base: base + extra, timely: hosts(load.timely.min(whole)), whole: hosts(whole) }
 }
--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -204,7 +204,8 @@
         let total = self.plan.occurrences();
         while self.due < total {
             if let Some(schedule) = self.plan.schedule {
-                let due = Millis(schedule.start.0 + u64::from(self.due) * schedule.interval.0);
+                let after = schedule.interval.0.saturating_mul(u64::from(self.due));
+                let due = Millis(schedule.start.0.saturating_add(after));
                 if due > wall {
                     return Some(due);
                 }
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -139,34 +139,38 @@
                 let step = job.step(*id);
                 let cores = step.charge().cores;
                 if step.long_running {
-                    lasting += cores * u64::from(step.count);
+                    lasting = cores.saturating_mul(u64::from(step.count)).saturating_add(lasting);
                     if step.spread > 0 {
                         least = least.max(step.count.div_ceil(step.spread));
                     }
                     continue;
                 }
                 let time = self.experience.predict(&job.queue.name, step).0;
+                // What callers ask for has no bound, so sums stop at the largest number.
+                let work = cores.saturating_mul(time);
                 for task in state.tasks.iter().filter(|task| !task.done) {
                     if !task.runs.is_empty() {
-                        running += cores;
+                        running = cores.saturating_add(running);
                     } else if job.is_ready(*id) && take_room(&mut rooms, job, cores) {
                         match class {
                             Class::Missed => {}
                             // It asks for hosts like late work: after what others are owed.
-                            _ if job.beyond => late += cores * time,
-                            Class::Late | Class::Expiring => late += cores * time,
-                            Class::LongRunning | Class::InTime => waiting += cores * time,
+                            _ if job.beyond => late = work.saturating_add(late),
+                            Class::Late | Class::Expiring => late = work.saturating_add(late),
+                            Class::LongRunning | Class::InTime => {
+                                waiting = work.saturating_add(waiting)
+                            }
                         }
                     }
                 }
             }
         }
-        let timely = running + waiting / BACKLOG_TIME;
-        let whole = running + (waiting + late) / BACKLOG_TIME;
+        let timely = running.saturating_add(waiting / BACKLOG_TIME);
+        let whole = running.saturating_add(waiting.saturating_add(late) / BACKLOG_TIME);
         let rate = self.arrivals.forecast(now, |queue| self.experience.mean_work(queue));
         PoolLoad {
-            need: lasting + whole.max(rate),
-            timely: lasting + timely.max(rate),
+            need: whole.max(rate).saturating_add(lasting),
+            timely: timely.max(rate).saturating_add(lasting),
             lasting,
             least,
             extra: u32::from(self.surge_until > now),
--- a/reachhead_plan/src/amount.rs
+++ b/reachhead_plan/src/amount.rs
@@ -28,10 +28,10 @@
         Self { cores, memory, accelerators }
     }
 
-    /// Returns the sum.
+    /// Returns the sum; what callers ask for has no bound, and a sum that wrapped round would fit anywhere.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
-        self.each(other, |a, b| a + b)
+        self.each(other, u64::saturating_add)
     }
 
     /// Returns what is left after `other` is taken, nothing where that is more.
@@ -56,7 +56,7 @@
     #[must_use]
     pub fn times(self, count: u32) -> Self {
         let count = u64::from(count);
-        Self::new(self.cores * count, self.memory * count, self.accelerators * count)
+        self.each(Self::new(count, count, count), u64::saturating_mul)
     }
 
     /// Returns this amount rounded up, each resource to a multiple of the `count`th part of `whole`, where it has any.
