A task that stands still everywhere takes no worker after the other out of use

A task without progress was stopped after 2.5 s, its worker got nothing for 5 s, and so on without end: two such tasks kept four workers out of use for 906 of 1,600 tenths of a second (test failed first), now at most 100. Change: only the worker on which a task stood still first is suspected, and after three stops the task is left where it is. Ruled out: failing its job, since no worker says that it failed.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -86,6 +86,8 @@
     pub failed: Vec<RunNumber>,
     /// The workers that crashed under it.
     pub crashes: Crashes,
+    /// How often it was stopped since it stood still.
+    pub stills: u32,
     /// The highest number that a run of it had.
     pub last_run: RunNumber,
     /// Its newest checkpoint.
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -19,6 +19,9 @@
 /// Shortest time without progress that is taken for standing still: several reports.
 const STILL_LEAST: Millis = Millis(2500);
 
+/// How often a task is stopped for standing still; after that it is left where it is.
+const STILLS_MOST: u32 = 3;
+
 /// How long a poll waits at a worker on which tasks that fill run beside tasks that serve: a disturbance
 /// must be noticed and slowed down well within the seconds that a target may be missed for.
 const FILL_WAIT: Millis = Millis(400);
@@ -139,7 +142,12 @@
                         } else {
                             incomplete.then_some(StopReason::Incomplete)
                         };
-                        if let Some(what) = self.decide(job, step, run, unwanted, now) {
+                        // One that stood still everywhere is no worker's fault, and no other place helps it.
+                        let left_alone = task.stills >= STILLS_MOST;
+                        let decided = self.decide(job, step, run, unwanted, now).filter(|what| {
+                            !(left_alone && matches!(what, What::Stop(StopReason::Still)))
+                        });
+                        if let Some(what) = decided {
                             decisions.push(Decision {
                                 task: id.task(index as u32),
                                 run: run.clone(),
@@ -259,13 +267,16 @@
             NoteKind::RunStopped,
             format!("task={task} run={} worker={} why={why:?}", run.number, run.worker),
         );
-        if why == StopReason::Still
-            && let Some(worker) = self.workers.get_mut(&run.worker)
-        {
-            worker.conduct.suspend(now);
-        }
         let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
         if let Some(state) = state {
+            // A task that stood still elsewhere before says nothing of this worker.
+            if why == StopReason::Still
+                && state.stills == 0
+                && let Some(worker) = self.workers.get_mut(&run.worker)
+            {
+                worker.conduct.suspend(now);
+            }
+            state.stills += u32::from(why == StopReason::Still);
             state.avoid.push(run.worker.clone());
             if let Some(run) = state.run(run.number) {
                 run.phase = Phase::Stopping;
--- a/reachhead_jobs/tests/pool/life.rs
+++ b/reachhead_jobs/tests/pool/life.rs
@@ -7,6 +7,7 @@
     pool::{Action, Cancelled, JobState},
     ports::{Rejection, RunEnd, WorkerError},
     record::Ending,
+    worker::Worker,
 };
 use reachhead_types::{
     id::JobId,
@@ -445,3 +446,39 @@
     fixture.report(&worker("w1"));
     assert!(poll_wait(&mut fixture) <= Some(Millis(200)), "its job's next step waits for its end");
 }
+
+/// A task that stands still wherever it runs was stopped after 2.5 s on one worker after the other, and each was taken for faulty and
+/// got nothing for five seconds: two such tasks kept a pool of four without a usable worker for most of the time.
+#[test]
+fn a_task_that_stands_still_everywhere_does_not_take_one_worker_after_the_other_out_of_use() {
+    let names = ["w", "v", "u", "t"];
+    let mut fixture = Fixture::ready(names.iter().map(|name| info(name, 4)).collect());
+    fixture.submit(1, vec![step(2)]);
+    let mut suspended = 0;
+    let mut starts = 0;
+    for _ in 0..400 {
+        fixture.pass(100);
+        for action in fixture.poll() {
+            match action {
+                Action::Start(target, order) => {
+                    starts += 1;
+                    fixture.accept(&target.id, &order);
+                }
+                Action::Stop(target, task, run) => {
+                    let clock = fixture.clock();
+                    fixture.pool.stopped(&target.id, task, run, Ok(clock), fixture.now);
+                    fixture.end(&target.id, task, run.0, RunEnd::Stopped);
+                }
+                _ => {}
+            }
+        }
+        for name in names {
+            fixture.report(&worker(name));
+        }
+        let now = fixture.now;
+        let out = |worker: &&Worker| worker.conduct.suspended > now;
+        suspended += fixture.pool.workers().values().filter(out).count();
+    }
+    assert!(suspended <= 2 * 50, "{suspended} tenths of a second without use");
+    assert!(starts <= 2 * 4, "started {starts} times");
+}
