Each duty of the control has a loop of its own, so that a slow store makes no list too old to serve by

Cause: heartbeat, list of entry hosts, configuration and the platform's hosts were read one after the other; with answers of 0.45 s the list was read every 1.9 s, while the terms count a read a period and one answer. Change: four loops, counted from beginning to beginning; the store's return is noted before what a read says of others, since a read may now come before the first heartbeat (without that, a_host_that_its_peers_cannot_reach_goes_on_and_so_do_they was red once: hosts were taken off the list after an outage). Ruled out: longer terms; slots would be held longer on each change.

--- a/reachhead_control/src/follow.rs
+++ b/reachhead_control/src/follow.rs
@@ -2,7 +2,10 @@
 //!
 //! The whole fleet reads at a fixed rate, so each host's period grows with the number of hosts.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use log::debug;
 use rand::Rng;
@@ -15,7 +18,7 @@
     HostLister, Store, StoreError,
     config::{self, News},
     keys,
-    row::{Scan, Txn},
+    row::{Commit, Row, Scan, Txn},
 };
 use reachhead_types::{
     hosts::LeavingHosts, id::Incarnation, member::Member, moment::Moment, size::Revision,
@@ -31,14 +34,33 @@
 /// How far a period is varied, as a share of it, so that hosts don't read in step.
 const JITTER: f64 = 0.1;
 
+/// What is done again and again.
+#[derive(Debug, Clone, Copy)]
+enum Duty {
+    /// Keeping this host's row alive.
+    Heartbeat,
+    /// Reading the list of entry hosts.
+    Members,
+    /// Reading the configuration.
+    Version,
+    /// Reading the platform's list of hosts.
+    Hosts,
+}
+
+/// This host's row on the list.
+struct OwnRow {
+    member: Member,
+    /// Its revision, as long as it is on the list.
+    revision: Option<Revision>,
+}
+
 /// Follows the store on behalf of one host.
 pub struct Follower {
     view: Arc<View>,
     store: Arc<dyn Store>,
     hosts: Arc<dyn HostLister>,
     settings: FollowSettings,
-    own: Member,
-    own_revision: Option<Revision>,
+    own: Mutex<OwnRow>,
 }
 
 impl Follower {
@@ -50,41 +72,58 @@
         settings: FollowSettings,
         own: Member,
     ) -> Self {
-        Self { view, store, hosts, settings, own, own_revision: None }
+        let own = Mutex::new(OwnRow { member: own, revision: None });
+        Self { view, store, hosts, settings, own }
     }
 
     /// Follows until `stop` turns true, then takes this host off the list.
-    pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
-        let mut version_due = time::Instant::now();
-        let mut members_due = time::Instant::now();
-        let mut hosts_due = time::Instant::now();
+    ///
+    /// Each duty has a loop of its own: one after the other, with a slow store, the list would be read so rarely that hosts stopped
+    /// serving for its age.
+    pub async fn run(self, stop: watch::Receiver<bool>) {
+        tokio::join!(
+            self.repeat(Duty::Heartbeat, stop.clone()),
+            self.repeat(Duty::Members, stop.clone()),
+            self.repeat(Duty::Version, stop.clone()),
+            self.repeat(Duty::Hosts, stop),
+        );
+        self.leave().await;
+    }
+
+    /// Does a duty at once and then once a period, counted from beginning to beginning.
+    async fn repeat(&self, duty: Duty, mut stop: watch::Receiver<bool>) {
+        let mut due = time::Instant::now();
         loop {
             tokio::select! {
                 () = runtime::stopped(&mut stop) => break,
-                () = time::sleep_until(members_due) => {
-                    self.exchange_members().await;
-                    members_due = time::Instant::now() + self.period(self.settings.members.get());
-                }
-                () = time::sleep_until(version_due) => {
-                    self.follow_version().await;
-                    version_due = time::Instant::now() + self.period(self.settings.version.get());
-                }
-                () = time::sleep_until(hosts_due) => {
-                    self.follow_hosts().await;
-                    hosts_due = time::Instant::now() + self.period(self.settings.hosts.get());
-                }
+                () = time::sleep_until(due) => {}
+            }
+            due = time::Instant::now() + self.period(duty);
+            match duty {
+                Duty::Heartbeat => self.write_own().await,
+                Duty::Members => self.read_members().await,
+                Duty::Version => self.follow_version().await,
+                Duty::Hosts => self.follow_hosts().await,
             }
         }
-        self.leave().await;
     }
 
-    fn period(&self, base: u64) -> Duration {
+    fn own(&self) -> MutexGuard<'_, OwnRow> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn period(&self, duty: Duty) -> Duration {
+        let base = match duty {
+            Duty::Heartbeat | Duty::Members => self.settings.members,
+            Duty::Version => self.settings.version,
+            Duty::Hosts => self.settings.hosts,
+        };
         let hosts = self.view.members().len().max(1) as u64;
         let jitter = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
-        Duration::from_millis(base * hosts).mul_f64(jitter)
+        Duration::from_millis(base.get() * hosts).mul_f64(jitter)
     }
 
-    async fn follow_version(&mut self) {
+    async fn follow_version(&self) {
         let fetched = config::fetch(&*self.store, self.view.version()).await;
         self.note(match fetched {
             Ok(None) => Ok(()),
@@ -102,7 +141,7 @@
     }
 
     /// Reads the platform's host list; it is another service, which says nothing of the store.
-    async fn follow_hosts(&mut self) {
+    async fn follow_hosts(&self) {
         match self.hosts.list(self.view.hosts_revision()).await {
             Ok(Some(list)) => self.view.adopt_leaving(LeavingHosts::from(&list)),
             Ok(None) => {}
@@ -110,13 +149,6 @@
         }
     }
 
-    async fn exchange_members(&mut self) {
-        let written = self.write_own().await;
-        self.note(written);
-        let read = self.read_members().await;
-        self.note(read);
-    }
-
     fn note(&self, result: Result<(), StoreError>) {
         if let Err(error) = &result {
             debug!("following the store: {error}");
@@ -125,43 +157,52 @@
     }
 
     /// Counts this host's row up, or puts it on the list again if it was taken off.
-    async fn write_own(&mut self) -> Result<(), StoreError> {
-        let key = keys::member(&self.own.host);
-        let mut txn = Txn::new();
-        match self.own_revision {
-            Some(_) => txn = txn.with_check(key.clone(), self.own_revision),
-            // Whatever row is there belongs to an earlier stay, which this write ends.
-            None => self.own.incarnation = Incarnation(rand::random()),
+    async fn write_own(&self) {
+        let result = self.count_up().await;
+        self.note(result);
+    }
+
+    async fn count_up(&self) -> Result<(), StoreError> {
+        let (txn, incarnation) = {
+            let mut own = self.own();
+            let key = keys::member(&own.member.host);
+            let mut txn = Txn::new();
+            match own.revision {
+                Some(_) => txn = txn.with_check(key.clone(), own.revision),
+                // Whatever row is there belongs to an earlier stay, which this write ends.
+                None => own.member.incarnation = Incarnation(rand::random()),
+            }
+            own.member.counter += 1;
+            let value = serde_json::to_value(&own.member)
+                .map_err(|error| StoreError::Refused(error.to_string()))?;
+            (txn.with_write(key, value), own.member.incarnation)
+        };
+        // A conflict needs no answer here: the next read shows what the row has become.
+        if let Commit::Done(revision) = self.store.commit(txn).await? {
+            let mut own = self.own();
+            own.revision = own.revision.max(Some(revision));
         }
-        self.own.counter += 1;
-        let value = serde_json::to_value(&self.own)
-            .map_err(|error| StoreError::Refused(error.to_string()))?;
-        // A conflict needs no answer here: the read that follows shows what the row has become.
-        self.store.commit(txn.with_write(key, value)).await?;
-        self.view.set_own(self.own.incarnation);
+        self.view.set_own(incarnation);
         Ok(())
     }
 
-    async fn read_members(&mut self) -> Result<(), StoreError> {
+    async fn read_members(&self) {
+        let result = self.take_members().await;
+        self.note(result);
+    }
+
+    async fn take_members(&self) -> Result<(), StoreError> {
         let scan =
             Scan { prefix: keys::MEMBER_PREFIX.to_owned(), after: None, limit: MEMBER_LIMIT };
         let begun = Moment::now();
         let page = self.store.scan(scan).await?;
-        let mut members = Vec::new();
-        let before = self.own_revision.take();
-        for row in &page.rows {
-            // A row that can't be read belongs to another release; its host is not counted.
-            let Ok(member) = Member::deserialize(&row.value) else {
-                continue;
-            };
-            if member.id() == self.own.id() {
-                self.own_revision = Some(row.revision);
-            }
-            members.push(member);
-        }
-        if before.is_some() && self.own_revision.is_none() {
-            emit(Event::TakenOff, &self.own.host);
-        }
+        // First that the store is back, if it was away: during an outage no host's row moved, which tells nothing of the host.
+        self.note(Ok(()));
+        // A row that can't be read belongs to another release; its host is not counted.
+        let known = |row: &Row| Some((Member::deserialize(&row.value).ok()?, row.revision));
+        let rows: Vec<(Member, Revision)> = page.rows.iter().filter_map(known).collect();
+        self.find_own(&rows, page.revision);
+        let members = rows.into_iter().map(|(member, _)| member).collect();
         for host in self.view.observe(members, page.revision, begun) {
             let key = keys::member(&host);
             let seen = page.rows.iter().find(|row| row.key == key).map(|row| row.revision);
@@ -171,10 +212,28 @@
         Ok(())
     }
 
+    /// Learns from the list as it was at `seen` whether this host is on it, and at which revision.
+    fn find_own(&self, rows: &[(Member, Revision)], seen: Revision) {
+        let mut own = self.own();
+        if own.revision.is_some_and(|known| known > seen) {
+            // The read was carried out before this host's newest write.
+            return;
+        }
+        let mine = rows.iter().find(|(member, _)| member.id() == own.member.id());
+        let found = mine.map(|(_, revision)| *revision);
+        if own.revision.is_some() && found.is_none() {
+            emit(Event::TakenOff, &own.member.host);
+        }
+        own.revision = found;
+    }
+
     /// Takes this host off the list, unless a newer stay has written the row since.
-    async fn leave(&mut self) {
-        let key = keys::member(&self.own.host);
-        let txn = Txn::new().with_check(key.clone(), self.own_revision).with_delete(key);
+    async fn leave(&self) {
+        let (key, revision) = {
+            let own = self.own();
+            (keys::member(&own.member.host), own.revision)
+        };
+        let txn = Txn::new().with_check(key.clone(), revision).with_delete(key);
         if let Err(error) = self.store.commit(txn).await {
             debug!("leaving: {error}");
         }
