The trial of a task ends once it has been on its worker for three seconds

Cause, by reading: a trial ended with the first percent of progress, and a task of hours shows that after minutes; its worker would have got nothing else for as long. Test failed first (nothing was started beside it after three seconds).

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -15,6 +15,10 @@
     task::{StepId, TaskId},
 };
 
+/// How long a task takes to start up at most. The percents of tasks that take hours say nothing for minutes, and workers on which
+/// one is tried get nothing else until it has started.
+const STARTUP_TIME: Millis = Millis(3000);
+
 /// How far an order to run a task has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -64,9 +68,9 @@
 }
 
 impl Run {
-    /// Tells whether a report has shown progress, so that starting it has done no harm.
+    /// Tells whether reports have shown that starting it has done no harm: it has progressed, or has been there for a while.
     pub fn has_worked(&self) -> bool {
-        self.percent > 0
+        self.percent > 0 || self.seen_at.since(self.since) >= STARTUP_TIME
     }
 
     /// Tells whether a task that runs on is at work.
--- a/reachhead_jobs/tests/pool/crash.rs
+++ b/reachhead_jobs/tests/pool/crash.rs
@@ -317,3 +317,25 @@
     assert_eq!(started.len(), 1);
     assert_eq!(fixture.pool.workers()[&started[0].0].trial, None);
 }
+
+/// The first percent of a task of hours comes after minutes, for which its worker would get nothing else.
+#[test]
+fn the_trial_of_a_long_task_ends_once_it_has_been_there_for_a_while() {
+    let mut fixture = Fixture::ready(vec![info("w", 4), info("v", 4)]);
+    fixture.begin(1, vec![Step { estimate: Millis(36_000_000), ..step(1) }]);
+    let first = fixture.running.keys().next().unwrap().clone();
+    fixture.pool.worker_over(&first, WorkerEnd::Unhosted, fixture.now);
+    fixture.running.remove(&first);
+    fixture.flush();
+    for (id, order) in fixture.starts() {
+        fixture.accept(&id, &order);
+    }
+    let second = fixture.running.keys().next().unwrap().clone();
+    fixture.submit(2, vec![step(1)]);
+    assert!(fixture.starts().is_empty(), "nothing is started beside it");
+    for _ in 0..32 {
+        fixture.pass(100);
+        fixture.report(&second);
+    }
+    assert_eq!(fixture.starts().len(), 1, "it has done no harm for three seconds");
+}
