Gangs wait for the record of their crashes too, and a late trial ends after 20 s

By reading the change as a whole: a gang's suspect could start again before its crash was recorded, and a task of hours that was twice on workers that crashed would have had a worker to itself for as long.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Display, Formatter};
 
-use reachhead_types::id::WorkerId;
+use reachhead_types::{id::WorkerId, size::Millis};
 
 use crate::{
     clock::Tick,
@@ -17,6 +17,10 @@
 /// Tasks that a line of the log names at most; one worker may have dozens.
 const NAMED_TASKS: usize = 8;
 
+/// How long nothing is started beside a task that may crash its worker late in its run; one that takes hours must not have a worker
+/// to itself for them.
+const LATE_TIME: Millis = Millis(20_000);
+
 /// On whose word a worker's life is over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkerEnd {
@@ -102,15 +106,14 @@
         }
     }
 
-    /// Ends the trial of a task that has begun to work, unless it is one that crashes workers later. One that runs on is
-    /// tried until it is at work.
-    pub(super) fn clear_trial(&mut self, id: &WorkerId, entry: &RunningEntry) {
+    /// Ends the trial of a task that has begun to work, unless it may be one that crashes workers later: that is tried until it
+    /// is at work, or has worked for a while.
+    pub(super) fn clear_trial(&mut self, id: &WorkerId, entry: &RunningEntry, age: Millis) {
         let job = self.jobs.get_mut(&entry.task.job);
         let late =
             job.and_then(|job| job.task(entry.task)).is_some_and(|task| task.crashes.is_late());
-        if (!late || entry.percent >= 100)
-            && let Some(worker) = self.workers.get_mut(id)
-        {
+        let over = !late || entry.percent >= 100 || age >= LATE_TIME;
+        if over && let Some(worker) = self.workers.get_mut(id) {
             worker.clear(entry.task);
         }
     }
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -171,9 +171,10 @@
         run.seen_at = now;
         run.figure = entry.figure;
         let worked = run.has_worked();
+        let age = now.since(run.since);
         let settled = run.at_work() && now.since(run.moved) >= FORGIVE_TIME;
         if worked {
-            self.clear_trial(id, entry);
+            self.clear_trial(id, entry, age);
         }
         if settled {
             self.forgive(entry.task);
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -169,7 +169,8 @@
     ) -> bool {
         let state = &self.jobs[&id.job].steps[&id];
         let settled = state.tasks.iter().all(|task| waits(task, now));
-        if !settled {
+        let suspect = state.tasks.iter().any(|task| task.crashes.is_suspect());
+        if !settled || (suspect && self.dirty.contains(&id.job)) {
             return true;
         }
         let whole = step.need.times(step.count);
--- a/reachhead_jobs/tests/pool/crash.rs
+++ b/reachhead_jobs/tests/pool/crash.rs
@@ -339,3 +339,17 @@
     }
     assert_eq!(fixture.starts().len(), 1, "it has done no harm for three seconds");
 }
+
+#[test]
+fn a_gang_whose_workers_crashed_starts_again_once_that_is_recorded() {
+    let names = ["w", "v", "u", "t"];
+    let mut fixture = Fixture::ready(names.iter().map(|name| info(name, 1)).collect());
+    fixture.begin(1, vec![Step { gang: true, ..step(2) }]);
+    let used: Vec<WorkerId> = fixture.running.keys().cloned().collect();
+    for id in used {
+        fixture.pool.worker_over(&id, WorkerEnd::Unhosted, fixture.now);
+    }
+    assert!(fixture.starts().is_empty(), "its crashes are not recorded");
+    fixture.flush();
+    assert_eq!(fixture.starts().len(), 2);
+}
