--- a/reachhead_jobs/tests/pool/capacity.rs
+++ b/reachhead_jobs/tests/pool/capacity.rs
@@ -7,12 +7,18 @@
 
 use crate::fixture::{Fixture, info, step, task, worker};
 
-#[test]
-fn a_worker_whose_capacity_shrank_gets_nothing_beyond_it_until_it_has_grown_again() {
+/// A worker of four cores with three in use that has shrunk to two.
+fn shrunk() -> Fixture {
     let mut fixture = Fixture::ready(vec![info("w", 4)]);
     fixture.begin(1, vec![step(3)]);
     fixture.infos = vec![info("w", 2)];
     fixture.list();
+    fixture
+}
+
+#[test]
+fn a_worker_whose_capacity_shrank_gets_nothing_beyond_it_until_it_has_grown_again() {
+    let mut fixture = shrunk();
     fixture.submit(2, vec![step(4)]);
     assert!(fixture.starts().is_empty(), "three cores of two are in use");
     fixture.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
@@ -30,10 +36,7 @@
 /// had three cores in use of the two that were left of its four, and the task was started nowhere until others had ended.
 #[test]
 fn enough_is_stopped_for_a_task_that_runs_on_where_the_capacity_shrank() {
-    let mut fixture = Fixture::ready(vec![info("w", 4)]);
-    fixture.begin(1, vec![step(3)]);
-    fixture.infos = vec![info("w", 2)];
-    fixture.list();
+    let mut fixture = shrunk();
     fixture.submit(2, vec![Step { long_running: true, ..step(1) }]);
     assert_eq!(fixture.stops().len(), 2);
 }
--- a/reachhead_jobs/tests/walk/main.rs
+++ b/reachhead_jobs/tests/walk/main.rs
@@ -15,18 +15,22 @@
 /// Acts of one walk at most; a longer list only repeats.
 const ACTS: usize = 40;
 
+/// Lets a site go through the acts; tells whether it came to rest with every promise kept.
+fn holds(mut site: Site, acts: Vec<(u8, u8, u8)>) -> bool {
+    for act in acts.into_iter().take(ACTS) {
+        site.act(act);
+    }
+    let settled = site.settle();
+    if !settled || !site.wrong.is_empty() {
+        eprintln!("settled: {settled}, wrong: {:?}", site.wrong);
+    }
+    settled && site.wrong.is_empty()
+}
+
 #[test]
 fn no_task_runs_twice_or_is_lost_whatever_happens_to_owners_and_workers() {
     fn walk(acts: Vec<(u8, u8, u8)>) -> bool {
-        let mut site = Site::new();
-        for act in acts.into_iter().take(ACTS) {
-            site.act(act);
-        }
-        let settled = site.settle();
-        if !settled || !site.wrong.is_empty() {
-            eprintln!("settled: {settled}, wrong: {:?}", site.wrong);
-        }
-        settled && site.wrong.is_empty()
+        holds(Site::new(), acts)
     }
     check("jobs", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
 }
@@ -36,15 +40,7 @@
 #[test]
 fn a_task_that_crashes_its_workers_is_given_up_and_no_other_whatever_happens_to_owners() {
     fn walk(acts: Vec<(u8, u8, u8)>) -> bool {
-        let mut site = Site::new().with_crashes();
-        for act in acts.into_iter().take(ACTS) {
-            site.act(act);
-        }
-        let settled = site.settle();
-        if !settled || !site.wrong.is_empty() {
-            eprintln!("settled: {settled}, wrong: {:?}", site.wrong);
-        }
-        settled && site.wrong.is_empty()
+        holds(Site::new().with_crashes(), acts)
     }
     check("crashes", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
 }
