--- a/reachhead_jobs/src/crashes.rs
+++ b/reachhead_jobs/src/crashes.rs
@@ -1,9 +1,10 @@
 //! What crashes of workers say of a task that was there.
 //!
-//! A worker that crashes reports no end, so whether one of its tasks did it has to be told by who was there. Most tasks on it are
-//! innocent and run to their ends elsewhere; one that crashes whoever starts it would take a pool down worker by worker. A task
-//! that may be guilty is started where nothing else is just being started, and nothing is started beside it until it has begun to
-//! work: a crash until then is its own and nobody else's, and innocent ones are cleared within one report. docs/PLATFORM.md tells the whole.
+//! A worker that crashes reports no end, so whether one of its tasks is the cause has to be told by which were there. Most of them
+//! run to their ends elsewhere; one that crashes whoever starts it would take a pool down worker by worker. A task that may be the
+//! cause is started where nothing else is just being started, and nothing is started beside it until it has begun to work: a crash
+//! until then is its own and no other's, and one report clears those that are not the cause. docs/PLATFORM.md, "Tasks that crash their
+//! workers", has the rules.
 
 use serde::{Deserialize, Serialize};
 
@@ -65,7 +66,7 @@
         self.total.saturating_sub(self.fresh) > 1
     }
 
-    /// Tells whether the task is the cause beyond reasonable doubt, so that it is given up.
+    /// Tells whether the task is most certainly the cause, so that it is given up.
     pub fn is_conclusive(&self) -> bool {
         let own = self.total >= CRASHES_LEAST && self.own >= OWN_LEAST;
         own || self.total >= CRASHES_MOST
