A wave over several pools is shown as of one moment

Cause: the administration API read the hosts of a wave's pools one pool after the other. A host of the first pool that came back, and one of the second that set out in its place, were both away in the answer, though the budget of one was kept: the test a_wave_over_two_pools_under_load_keeps_the_budget_and_fails_no_request saw two, once of five runs. Ruled out: the budget itself. Owners write a host's row and the budget's row in one transaction that checks both. Change: the names of all pools' hosts are scanned first, then all rows are read at one moment (hosts::in_pools). Test: hosts_of_several_pools_are_of_one_moment, with a store that swaps two hosts between reads: 2 away with one read a pool, 1 now.

--- a/reachhead_admin/src/api/waves.rs
+++ b/reachhead_admin/src/api/waves.rs
@@ -1,6 +1,6 @@
 //! Maintenance waves: starting, steering, and telling what holds them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hyper::{Method, StatusCode};
 use reachhead_ops::http::{self, WholeResponse};
@@ -136,15 +136,20 @@
         reader: &Reader,
     ) -> Result<WholeResponse, WaveError> {
         let context = self.context(reader).await?;
-        let mut reports = Vec::new();
+        let mut shown: BTreeMap<PoolName, WaveRow> = BTreeMap::new();
         for pool in reader.pools() {
-            let Some(wave) = waves::of_pool(&*self.store, pool).await? else {
-                continue;
-            };
-            if name.is_none_or(|name| *name == wave.name) {
-                reports.push(self.report(pool, wave, &context).await?);
+            let wave = waves::of_pool(&*self.store, pool).await?;
+            if let Some(wave) = wave.filter(|wave| name.is_none_or(|name| *name == wave.name)) {
+                shown.insert(pool.clone(), wave);
             }
         }
+        let pools: Vec<PoolName> = shown.keys().cloned().collect();
+        let mut hosts = hosts::in_pools(&*self.store, &pools).await?;
+        let mut reports = Vec::new();
+        for (pool, wave) in shown {
+            let hosts = hosts.remove(&pool).unwrap_or_default();
+            reports.push(self.report(pool, wave, hosts, &context).await?);
+        }
         Ok(http::json(StatusCode::OK, &reports))
     }
 
@@ -161,11 +166,11 @@
 
     async fn report(
         &self,
-        pool: &PoolName,
+        pool: PoolName,
         wave: WaveRow,
+        found: Vec<Host>,
         context: &Context,
     ) -> Result<WaveReport, StoreError> {
-        let found = hosts::in_pool(&*self.store, pool).await?;
         let ids = found.iter().map(|host| host.id.clone()).collect();
         let statuses = self.platform.status(ids).await?;
         let report = |(host, status): (Host, Option<HostStatus>)| HostReport {
@@ -175,7 +180,7 @@
             host: host.id,
         };
         let hosts = found.into_iter().zip(statuses).map(report).collect();
-        Ok(WaveReport { pool: pool.clone(), name: wave.name.clone(), state: wave.state, hosts })
+        Ok(WaveReport { pool, name: wave.name.clone(), state: wave.state, hosts })
     }
 }
 
--- a/reachhead_store/src/hosts.rs
+++ b/reachhead_store/src/hosts.rs
@@ -3,6 +3,8 @@
 //! Each is one transaction that also moves the head of the pools it touches, so that their owner
 //! looks again; docs/POOLS.md has the rows.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use reachhead_types::{
     fleet::RowKey,
     id::{HostId, PoolName, ServiceName},
@@ -160,27 +162,52 @@
 ///
 /// Any [`StoreError`].
 pub async fn in_pool(store: &dyn Store, pool: &PoolName) -> Result<Vec<Host>, StoreError> {
+    let pools = in_pools(store, std::slice::from_ref(pool)).await?;
+    Ok(pools.into_values().next().unwrap_or_default())
+}
+
+/// Returns the hosts of each of `pools`, in the order of their names. All rows are of one moment: hosts of several pools share
+/// budgets, and read one pool after the other they could look more spent than they ever were.
+///
+/// # Errors
+///
+/// Any [`StoreError`].
+pub async fn in_pools(
+    store: &dyn Store,
+    pools: &[PoolName],
+) -> Result<BTreeMap<PoolName, Vec<Host>>, StoreError> {
+    let mut names = BTreeSet::new();
+    for pool in pools {
+        names.append(&mut names_in(store, pool).await?);
+    }
+    let names: Vec<HostId> = names.into_iter().collect();
+    let rows = store.read(names.iter().map(keys::host).collect()).await?;
+    let mut found: BTreeMap<PoolName, Vec<Host>> =
+        pools.iter().map(|pool| (pool.clone(), Vec::new())).collect();
+    for (id, row) in names.into_iter().zip(rows) {
+        let Some(row) = row else { continue };
+        let host = Host { id, row: row.parse()?, revision: row.revision };
+        // Since the names were read it may have moved on; its new pool's owner looks after it.
+        if let Some(hosts) = found.get_mut(&host.row.pool) {
+            hosts.push(host);
+        }
+    }
+    Ok(found)
+}
+
+async fn names_in(store: &dyn Store, pool: &PoolName) -> Result<BTreeSet<HostId>, StoreError> {
     let prefix = keys::pool_hosts(pool);
-    let mut hosts = Vec::new();
+    let mut names = BTreeSet::new();
     let mut after = None;
     loop {
         let scan = Scan { prefix: prefix.clone(), after: after.take(), limit: PAGE_SIZE };
         let page = store.scan(scan).await?;
-        let names: Result<Vec<HostId>, StoreError> =
-            page.rows.iter().map(|row| name(&row.key, &prefix)).collect();
-        let names = names?;
-        let rows = store.read(names.iter().map(keys::host).collect()).await?;
-        for (id, row) in names.into_iter().zip(rows) {
-            let Some(row) = row else { continue };
-            let host = Host { id, row: row.parse()?, revision: row.revision };
-            // Between the two reads it may have moved on; its new pool's owner looks after it.
-            if host.row.pool == *pool {
-                hosts.push(host);
-            }
+        for row in &page.rows {
+            names.insert(name(&row.key, &prefix)?);
         }
         after = page.rows.last().map(|row| row.key.clone());
         if !page.more {
-            return Ok(hosts);
+            return Ok(names);
         }
     }
 }
