Zones that operators drain, and workers that start again under their id

Change: the operators' row is followed like the configuration (E724). Nothing new starts in the zone, orders without an answer are barred there instead of repeated, its hosts are no room, idle ones are switched off and none is fetched. An owner that can't know what operators want asks a peer, and starts nothing once its knowledge is older than the bound less a second. Ruled out: moving tasks that run on out of the zone. The request is that nothing more be sent there; waves move tasks within what steps may miss, and an operator can ask for one.

Cause, lives: a life of a worker was told by its id alone. A worker that came back under its id was told to forget ends by the numbers of the old life, and its first ends counted as known. Change: a life is told by id and birth. The old life's confirmed runs are over as after a crash and count for the crash record, counts and clock begin anew, unanswered orders are barred at the new life first, and late reports change nothing. What the walk found beside it, each in turn: a lease by the old clock is as long as any worker grants; a successor that meets a young life does not know of such a lease; an order whose repetition was confirmed by the old life may still come to the new one; so may a call that tells it to forget. Connections that end are told from calls without an answer, since nothing comes after them.

--- a/reachhead_bench/src/jobs/site.rs
+++ b/reachhead_bench/src/jobs/site.rs
@@ -120,6 +120,8 @@
             notice: Millis(4500),
             gang: Millis(3000),
             stop: Millis(400),
+            grant: Millis(6000),
+            drain: Millis(4000),
         };
         let token = FencingToken(7);
         let pool = Pool::new(
@@ -169,6 +171,7 @@
         };
         let info = |id: &WorkerId| WorkerInfo {
             id: id.clone(),
+            born: None,
             pool: pool_name(),
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
             zone: reachhead_types::id::ZoneName::clone(&zone),
@@ -307,6 +310,7 @@
             figure: 0,
         });
         let report = WorkerReport {
+            born: None,
             clock: WorkerTime(self.now.0),
             running: running.collect(),
             ended: worker.ended.clone(),
--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -3,17 +3,17 @@
 //! A host that moves is away for a while and everything on it ends, so only empty ones move. Demand
 //! comes in bursts of some seconds, so a host is also worth moving that is needed only for a few.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use reachhead_types::{
-    id::{HostId, PoolName, WorkerId},
+    id::{HostId, PoolName, WorkerId, ZoneName},
     size::Millis,
 };
 
 use crate::{
     clock::Tick,
     division::{Claim, divide},
-    pool::PoolLoad,
+    pool::{PoolLoad, WorkerLoad},
     ports::{Machine, MachineState},
 };
 
@@ -104,6 +104,8 @@
     begun: bool,
     /// Hosts that may leave.
     free: Vec<Move>,
+    /// Hosts that do, since they are of no use where they stand.
+    idle: Vec<Move>,
 }
 
 impl Account {
@@ -131,6 +133,7 @@
         &mut self,
         machines: &BTreeMap<HostId, Machine>,
         pools: &BTreeMap<PoolName, PoolState>,
+        drained: &BTreeSet<ZoneName>,
         held: impl Fn(&HostId) -> bool,
         now: Tick,
     ) -> Vec<Move> {
@@ -147,7 +150,7 @@
             })
             .collect();
         let mut off: Vec<Move> = match &spare {
-            Some(spare) => parked(spare, machines, &held),
+            Some(spare) => parked(spare, machines, drained, &held),
             None => Vec::new(),
         };
         share_out(&mut accounts, off.len());
@@ -186,14 +189,19 @@
         let own = machines.values().filter(|machine| machine.pool == *pool);
         let usable =
             own.filter(|machine| matches!(machine.state, MachineState::Up | MachineState::Moving));
+        let loads: BTreeMap<&WorkerId, &WorkerLoad> =
+            state.load.workers.iter().map(|load| (&load.worker, load)).collect();
         let mut have = 0;
         let mut free: Vec<Move> = Vec::new();
+        let mut idle: Vec<Move> = Vec::new();
         for machine in usable {
-            let load = state
-                .load
-                .workers
-                .iter()
-                .find(|load| Some(&load.worker) == machine.worker.as_ref());
+            let load = machine.worker.as_ref().and_then(|worker| loads.get(worker).copied());
+            if let Some(load) = load.filter(|load| load.drained) {
+                if load.used == 0 && !load.pinned && !held(&machine.host) {
+                    idle.push(leave(machine, pool));
+                }
+                continue;
+            }
             let of_use = load.is_some() || machine.state != MachineState::Up;
             if of_use || state.load.unsettled || self.is_awaited(&machine.host, now) {
                 have += 1;
@@ -209,15 +217,9 @@
             if machine.state != MachineState::Up || fresh || held(&machine.host) {
                 continue;
             }
-            let step = Move {
-                host: machine.host.clone(),
-                worker: machine.worker.clone(),
-                from: pool.clone(),
-                to: pool.clone(),
-            };
             // A host with work on it is only given away whole, so those in use count as needed.
             if load.used == 0 {
-                free.push(step);
+                free.push(leave(machine, pool));
             }
         }
         free.sort_by(|a, b| a.host.cmp(&b.host));
@@ -225,7 +227,8 @@
         let want = claim.whole;
         let used: u64 = state.load.workers.iter().map(|load| load.used).sum();
         let busy = used.div_ceil(size.max(1)) as usize;
-        Account { pool: pool.clone(), have, claim, want, busy, begun: state.load.begun, free }
+        let begun = state.load.begun;
+        Account { pool: pool.clone(), have, claim, want, busy, begun, free, idle }
     }
 
     /// Tells whether a host whose worker is of no use may be waited for.
@@ -256,6 +259,8 @@
     /// Switches hosts off that have not been needed for a while.
     fn park(&mut self, accounts: &[Account], spare: &PoolName, moves: &mut Vec<Move>, now: Tick) {
         for account in accounts {
+            let idle = account.idle.iter();
+            moves.extend(idle.map(|step| Move { to: spare.clone(), ..step.clone() }));
             let extra = account.have.saturating_sub(account.want);
             if extra == 0 || !account.begun {
                 self.idle.remove(&account.pool);
@@ -272,14 +277,29 @@
     }
 }
 
+/// Returns the step by which a host leaves its pool, whose end is not known yet.
+fn leave(machine: &Machine, pool: &PoolName) -> Move {
+    Move {
+        host: machine.host.clone(),
+        worker: machine.worker.clone(),
+        from: pool.clone(),
+        to: pool.clone(),
+    }
+}
+
+/// Returns a pool's workers that are room.
+fn usable(load: &PoolLoad) -> impl Iterator<Item = &WorkerLoad> {
+    load.workers.iter().filter(|load| !load.drained)
+}
+
 /// Returns the size of a pool's largest worker, in thousandths of a core.
 fn largest_worker(load: &PoolLoad) -> Option<u64> {
-    load.workers.iter().map(|load| load.cores).max().filter(|cores| *cores > 0)
+    usable(load).map(|load| load.cores).max().filter(|cores| *cores > 0)
 }
 
 /// Returns how many hosts of this size a pool could use.
 fn claimed(load: &PoolLoad, size: u64) -> Claim {
-    let pinned = load.workers.iter().filter(|load| load.pinned).count();
+    let pinned = usable(load).filter(|load| load.pinned).count();
     let extra = load.extra as usize;
     let base = LEAST_HOSTS.max(pinned).max(load.least as usize);
     let whole = load.need.saturating_add(load.need.saturating_mul(MARGIN_PERCENT) / 100);
@@ -290,7 +310,7 @@
 /// Returns how many hosts bear this many thousandths of a core, the largest of the pool's own first: those that have shrunk bear
 /// less than others.
 fn hosts_for(cores: u64, load: &PoolLoad, size: u64) -> usize {
-    let mut own: Vec<u64> = load.workers.iter().map(|load| load.cores).collect();
+    let mut own: Vec<u64> = usable(load).map(|load| load.cores).collect();
     own.sort_unstable_by_key(|cores| std::cmp::Reverse(*cores));
     let mut left = cores;
     let mut hosts = 0;
@@ -323,16 +343,19 @@
     Some(donor.free.remove(0))
 }
 
-/// Returns the hosts that are off.
+/// Returns the hosts that are off and would be of use.
 fn parked(
     spare: &PoolName,
     machines: &BTreeMap<HostId, Machine>,
+    drained: &BTreeSet<ZoneName>,
     held: &impl Fn(&HostId) -> bool,
 ) -> Vec<Move> {
+    let is_drained =
+        |machine: &Machine| machine.zone.as_ref().is_some_and(|zone| drained.contains(zone));
     machines
         .values()
         .filter(|machine| machine.pool == *spare && machine.state == MachineState::Up)
-        .filter(|machine| !held(&machine.host))
+        .filter(|machine| !is_drained(machine) && !held(&machine.host))
         .map(|machine| Move {
             host: machine.host.clone(),
             worker: None,
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -35,6 +35,8 @@
     Displaced,
     /// Its host is due for planned work.
     Planned,
+    /// Its zone is drained, and it has not begun.
+    Drained,
     /// Another member of its gang is not there, so it could only wait in vain.
     Incomplete,
 }
--- a/reachhead_jobs/src/pool/adopt.rs
+++ b/reachhead_jobs/src/pool/adopt.rs
@@ -35,6 +35,7 @@
         for entry in self.roster.stored.workers.clone() {
             let info = WorkerInfo {
                 id: entry.worker.clone(),
+                born: None,
                 pool: self.name.clone(),
                 address: entry.address,
                 zone: unknown_zone(),
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -50,7 +50,7 @@
         };
         self.pending.remove(id);
         self.review = true;
-        self.over.insert(id.clone());
+        self.over.insert(id.clone(), worker.born);
         self.note(
             NoteKind::WorkerDoubted,
             format!("worker={id} over=true why=\"{end}\" runs={}", worker.runs.len()),
@@ -89,7 +89,7 @@
     }
 
     /// Notes that a worker crashed under a task, and gives the task up if it is the cause.
-    fn blame_task(&mut self, Involved { task: id, part }: Involved) {
+    pub(super) fn blame_task(&mut self, Involved { task: id, part }: Involved) {
         let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.ending.is_none()) else {
             return;
         };
@@ -128,7 +128,7 @@
     }
 
     /// Names the runs that had not begun to work: starting one of them may be what the worker crashed by.
-    fn note_crash(&mut self, worker: &Worker, now: Tick) {
+    pub(super) fn note_crash(&mut self, worker: &Worker, now: Tick) {
         let fresh = self.fresh_on(worker);
         let named: Vec<String> =
             fresh.iter().take(NAMED_TASKS).map(|task| self.describe(worker, *task)).collect();
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -41,6 +41,9 @@
     pub used: u64,
     /// Something that must be at work all the time is there.
     pub pinned: bool,
+    /// Its zone is drained, so it is no room.
+    #[serde(default)]
+    pub drained: bool,
 }
 
 /// How much room a pool has and needs, in thousandths of a core.
@@ -191,6 +194,7 @@
                 cores: worker.info.capacity.cores,
                 used: worker.used.cores,
                 pinned: worker.runs.keys().any(|task| self.is_lasting(*task)),
+                drained: worker.drained,
             })
             .collect()
     }
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -8,6 +8,7 @@
 mod advice;
 mod callers;
 mod crash;
+mod drain;
 mod expiring;
 mod flush;
 mod inheritance;
@@ -16,6 +17,7 @@
 mod pace;
 mod polls;
 mod quota;
+mod rebirth;
 mod reports;
 mod starts;
 mod vacate;
@@ -36,6 +38,7 @@
     size::{FencingToken, Millis, Revision},
 };
 
+use self::rebirth::is_newer;
 use crate::{
     clock::{Tick, stretched},
     job::Job,
@@ -72,6 +75,10 @@
     pub gang: Millis,
     /// How long a stop takes at most.
     pub stop: Millis,
+    /// The longest lease that a worker grants, whatever an order says.
+    pub grant: Millis,
+    /// How long a process may go on starting tasks without knowing which zones are drained.
+    pub drain: Millis,
 }
 
 impl Tuning {
@@ -106,6 +113,8 @@
     orphans: Vec<Orphan>,
     /// The platform's list of workers was taken in.
     listed: bool,
+    /// The zones that operators drain.
+    drained: drain::DrainedZones,
     /// Workers that are not listed yet and must get nothing, and until when.
     cordons: BTreeMap<WorkerId, Tick>,
     /// Until when one more host is asked for, since a task that has to leave finds no place.
@@ -114,8 +123,8 @@
     settled_at: Option<Tick>,
     roster: RosterState,
     dirty: BTreeSet<JobId>,
-    /// Lives of workers that are known to be over, whatever the platform's list still says.
-    over: BTreeSet<WorkerId>,
+    /// Lives of workers that are known to be over, whatever the platform's list still says, and when they began.
+    over: BTreeMap<WorkerId, Option<Millis>>,
     experience: Experience,
     advice: advice::AdviceBook,
     quotas: quota::Quotas,
@@ -128,6 +137,8 @@
     /// When runs are looked at again though nothing happened.
     review_next: Tick,
     verified: Tick,
+    /// The time of day at the start of the steady clock.
+    epoch: Millis,
     actions: Vec<Action>,
     notes: Vec<Note>,
 }
@@ -184,6 +195,7 @@
             pending: BTreeMap::new(),
             orphans: Vec::new(),
             listed: false,
+            drained: drain::DrainedZones::default(),
             cordons: BTreeMap::new(),
             surge_until: Tick(0),
             settled_at: None,
@@ -193,7 +205,7 @@
                 ..RosterState::default()
             },
             dirty: BTreeSet::new(),
-            over: BTreeSet::new(),
+            over: BTreeMap::new(),
             experience: Experience::default(),
             advice: advice::AdviceBook::default(),
             quotas: quota::Quotas::default(),
@@ -203,6 +215,7 @@
             review: true,
             review_next: now,
             verified: found.verified,
+            epoch: Millis(wall.0.saturating_sub(now.0)),
             actions: Vec::new(),
             notes: Vec::new(),
         };
@@ -279,19 +292,30 @@
         for worker in self.workers.values_mut() {
             worker.listed = ids.contains(&worker.info.id);
         }
-        self.over.retain(|id| ids.contains(id));
+        self.over.retain(|id, _| ids.contains(id));
         let open = self.roster.open();
-        for info in listed.into_iter().filter(|info| !self.over.contains(&info.id)) {
+        for info in listed {
+            if self.over.get(&info.id).is_some_and(|over| !is_newer(info.born, *over)) {
+                continue;
+            }
+            self.over.remove(&info.id);
             match self.workers.get_mut(&info.id) {
+                // The list is behind the worker.
+                Some(worker) if is_newer(worker.born, info.born) => {}
                 Some(worker) => {
+                    if is_newer(info.born, worker.born) {
+                        worker.doubt(now);
+                    }
                     if worker.info.capacity != info.capacity {
                         worker.full = Tick(0);
                     }
+                    worker.drained = self.drained.contains(&info.zone);
                     worker.info = info;
                 }
                 None => {
                     let mut worker = Worker::new(info, now);
                     worker.rostered = open.contains(&worker.info.id);
+                    worker.drained = self.drained.contains(&worker.info.zone);
                     worker.cordoned =
                         self.cordons.get(&worker.info.id).copied().unwrap_or_default();
                     self.workers.insert(worker.info.id.clone(), worker);
@@ -302,6 +326,7 @@
 
     /// Returns the next orders. `wall` is the time of day in milliseconds since 1970.
     pub fn poll(&mut self, now: Tick, wall: Millis) -> Vec<Action> {
+        self.epoch = Millis(wall.0.saturating_sub(now.0));
         self.unfold(wall);
         self.expire(now);
         if self.review || self.review_next <= now {
@@ -309,7 +334,7 @@
             self.review_next = now + REVIEW_PERIOD;
             self.drive_runs(now);
         }
-        if self.trusted(now) {
+        if self.trusted(now) && self.drained.known(now) {
             self.place(now);
         }
         self.drive_polls(now);
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -36,7 +36,8 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.heard = now;
             let newer = worker.reading.is_none_or(|reading| reading.shown < shown);
-            if newer {
+            // An answer to an order does not tell of which life it is, and another's clock shows another time.
+            if newer && worker.born.is_none() {
                 worker.reading = Some(Reading { shown, at: now });
             }
         }
@@ -69,9 +70,16 @@
                 run.settled = run.settled.or(Some(now));
             }
             Err(WorkerError::Replaced) => self.worker_over(id, WorkerEnd::Replaced, now),
+            Err(WorkerError::Broken(_)) => {
+                run.doubtful = true;
+                run.retry = now + ORDER_PAUSE;
+            }
             Err(WorkerError::Lost(_)) => {
                 run.doubtful = true;
                 run.retry = now + ORDER_PAUSE;
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.lose(task, number, now);
+                }
             }
             Err(WorkerError::Unreachable(_) | WorkerError::Deserted(_)) if run.doubtful => {
                 run.retry = now + ORDER_PAUSE
@@ -142,6 +150,11 @@
         if let Ok(shown) = &result {
             self.hear(id, *shown, now);
         }
+        if matches!(result, Err(WorkerError::Lost(_)))
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.miss_answer(now);
+        }
         self.review = true;
         if result == Err(WorkerError::Replaced) {
             self.worker_over(id, WorkerEnd::Replaced, now);
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -50,7 +50,9 @@
                 .reading
                 .filter(|_| trusted && !worker.silent)
                 .map(|reading| WorkerTime(reading.estimate(now).0 + hold.0));
-            let order = HoldOrder { deadline, seen: worker.seen, wait: self.wait_of(worker) };
+            // One that has started again since must not forget ends that have the numbers of earlier ones.
+            let seen = if worker.silent { 0 } else { worker.seen };
+            let order = HoldOrder { deadline, seen, wait: self.wait_of(worker) };
             actions.push(Action::Hold(self.target(worker), order));
         }
         for action in &actions {
@@ -183,6 +185,10 @@
             Phase::Ordered if unwanted.is_some() => unwanted.map(What::Stop),
             // The worker has it, has barred it, or it is too late for it: the next report tells.
             Phase::Ordered if run.settled.is_some() => None,
+            // Repeated, the order could begin there long after the drain.
+            Phase::Ordered if self.workers.get(&run.worker).is_some_and(|at| at.drained) => {
+                Some(What::Stop(StopReason::Drained))
+            }
             Phase::Ordered => {
                 let worker = self.workers.get(&run.worker)?;
                 let past =
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{Reading, Tick},
     job::{Phase, Run},
-    pool::{Action, Note, NoteKind, Orphan, Pool, WorkerEnd},
+    pool::{Action, Note, NoteKind, Orphan, Pool, WorkerEnd, rebirth::is_newer},
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
@@ -69,6 +69,9 @@
         }
         worker.silent = true;
         worker.deserted = matches!(error, WorkerError::Deserted(_));
+        if matches!(error, WorkerError::Lost(_)) {
+            worker.miss_answer(now);
+        }
         if first {
             let text = format!("worker={id} runs={} error=\"{error}\"", worker.runs.len());
             self.note(NoteKind::WorkerDoubted, text);
@@ -83,6 +86,20 @@
             }
             return;
         };
+        if is_newer(worker.born, report.born) {
+            // The answer of a life that is over came late. What it lists was never acknowledged, and counts as lost with it.
+            worker.poll = Poll::Due(now);
+            return;
+        }
+        if is_newer(report.born, worker.born) {
+            self.begin_life(id, &report, now);
+        } else {
+            worker.born = report.born.or(worker.born);
+            self.meet(id, &report, now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         worker.reading = Some(Reading { shown: report.clock, at: now });
         worker.silent = false;
         worker.deserted = false;
--- a/reachhead_jobs/src/ports/hosts.rs
+++ b/reachhead_jobs/src/ports/hosts.rs
@@ -1,7 +1,7 @@
 //! The platform's hosts: their list, and orders about them.
 
 use futures::future::BoxFuture;
-use reachhead_types::id::{HostId, PoolName, WaveName, WorkerId};
+use reachhead_types::id::{HostId, PoolName, WaveName, WorkerId, ZoneName};
 use thiserror::Error;
 
 use crate::authority::Mandate;
@@ -26,6 +26,8 @@
     pub host: HostId,
     /// Its pool.
     pub pool: PoolName,
+    /// The availability zone where it stands, if the list says so.
+    pub zone: Option<ZoneName>,
     /// What it is doing.
     pub state: MachineState,
     /// The life of its worker, if it has one.
--- a/reachhead_jobs/src/ports/operators.rs
+++ b/reachhead_jobs/src/ports/operators.rs
@@ -1,7 +1,7 @@
 //! What operators and workers write to the store.
 
 use reachhead_store::row::{Key, Row, Write};
-use reachhead_types::id::{WaveName, WorkerId};
+use reachhead_types::id::{WaveName, WorkerId, ZoneName};
 use thiserror::Error;
 
 use super::WorkerInfo;
@@ -14,6 +14,8 @@
     Configuration(Configuration),
     /// A wave.
     Wave(WaveOrder),
+    /// Nothing is to be started in this zone for as long as the row is there.
+    ZoneDrain(ZoneName),
     /// Something that is not for this system.
     Other,
 }
@@ -43,6 +45,9 @@
     /// A [`RowError`] if it can't be understood.
     fn operator_row(&self, row: &Row) -> Result<OperatorRow, RowError>;
 
+    /// Returns the zone that the row with this key drains, whatever the row says.
+    fn drained_zone(&self, key: &Key) -> Option<ZoneName>;
+
     /// Returns the worker that a row registers.
     ///
     /// # Errors
--- a/reachhead_jobs/src/ports/worker.rs
+++ b/reachhead_jobs/src/ports/worker.rs
@@ -15,8 +15,10 @@
 /// A worker, as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerInfo {
-    /// This life of the worker.
+    /// The worker; it may start again under the id that it had.
     pub id: WorkerId,
+    /// When this life of it began, in milliseconds since 1970, if it says so.
+    pub born: Option<Millis>,
     /// The pool that it belongs to.
     pub pool: PoolName,
     /// Where it answers.
@@ -64,6 +66,9 @@
     /// There is no answer; the call may have been carried out, or still may be.
     #[error("no answer: {0}")]
     Lost(String),
+    /// The connection ended without an answer: the call was carried out before that or never.
+    #[error("no answer, the connection ended: {0}")]
+    Broken(String),
     /// Another life of a worker answers at the address: the one that was meant is over.
     #[error("another worker answers there")]
     Replaced,
@@ -140,6 +145,8 @@
 /// What a worker says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerReport {
+    /// When this life of it began, in milliseconds since 1970, if it says so.
+    pub born: Option<Millis>,
     /// What its clock showed.
     pub clock: WorkerTime,
     /// What works there.
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -22,6 +22,9 @@
 /// wrong suspicion costs a pool little for that long.
 const SUSPECT_TIME: Millis = Millis(5000);
 
+/// How late an order without an answer may be carried out.
+const LATE_TIME: Millis = Millis(15_000);
+
 /// Weight of the newest observation of a worker's speed.
 const SPEED_RATE: f64 = 0.25;
 
@@ -132,6 +135,9 @@
 pub struct Worker {
     /// How it registered itself.
     pub info: WorkerInfo,
+    /// When the life that answers this owner began, if that was told: counts and clocks of two lives have nothing to do with
+    /// each other.
+    pub born: Option<Millis>,
     /// The platform's list has it now.
     pub listed: bool,
     /// The pool's roster in the store has it as open, so a successor will ask it.
@@ -169,6 +175,8 @@
     /// Runs there that belong to no task that this owner knows. What they take is not known, so the
     /// worker gets nothing until they are gone.
     pub strays: u32,
+    /// Operators drain its zone: it gets nothing new.
+    pub drained: bool,
     /// Until when it gets nothing new, because planned work is about to take it.
     pub cordoned: Tick,
     /// Until when it gets nothing new unless a run ends there, since it has turned one away for want of room.
@@ -177,6 +185,12 @@
     pub reserved: Option<Reservation>,
     /// When what fills there was last compared with what it disturbs.
     pub paced: Tick,
+    /// Orders to start there whose answers were lost lately; they may still come, to whatever life is there then.
+    pub lost: Vec<LostOrder>,
+    /// When the last call to it ended without an answer.
+    pub unanswered: Option<Tick>,
+    /// When it was noticed that it has started again.
+    pub reborn: Option<Tick>,
     /// A task that may crash it and has not begun to work. Nothing else is started meanwhile, so that a crash is the
     /// task's own.
     pub trial: Option<TaskId>,
@@ -197,6 +211,17 @@
     pub part: Part,
 }
 
+/// An order to start a run whose answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostOrder {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: RunNumber,
+    /// When that was known.
+    pub at: Tick,
+}
+
 /// Room that is kept for a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reservation {
@@ -210,6 +235,7 @@
     /// Returns a worker of which only its registration is known.
     pub fn new(info: WorkerInfo, now: Tick) -> Self {
         Self {
+            born: info.born,
             info,
             listed: true,
             rostered: false,
@@ -229,10 +255,14 @@
             runs: BTreeMap::new(),
             used: Amount::default(),
             strays: 0,
+            drained: false,
             cordoned: Tick(0),
             full: Tick(0),
             reserved: None,
             paced: Tick(0),
+            lost: Vec::new(),
+            unanswered: None,
+            reborn: None,
             trial: None,
             lapsed: Vec::new(),
             conduct: Conduct::default(),
@@ -240,6 +270,34 @@
         }
     }
 
+    /// Notes that the answer to an order to start was lost.
+    pub fn lose(&mut self, task: TaskId, run: RunNumber, at: Tick) {
+        self.lost.retain(|lost| at.since(lost.at) < LATE_TIME);
+        self.lost.push(LostOrder { task, run, at });
+        self.miss_answer(at);
+    }
+
+    /// Notes that a call ended without an answer: it may still be carried out, by whatever life is there then.
+    pub fn miss_answer(&mut self, at: Tick) {
+        self.unanswered = Some(at);
+        if self.reborn.is_some_and(|reborn| at.since(reborn) < LATE_TIME) {
+            self.hold_back();
+        }
+    }
+
+    /// Notes that another life answers. A call to the old one that comes late would tell it to forget ends that nobody has read,
+    /// so it gets nothing until none can come any more.
+    pub fn begin_life(&mut self, at: Tick) {
+        self.reborn = Some(at);
+        self.hold_back();
+    }
+
+    fn hold_back(&mut self) {
+        if let Some(unanswered) = self.unanswered {
+            self.conduct.suspended = self.conduct.suspended.max(unanswered + LATE_TIME);
+        }
+    }
+
     /// Returns what is free.
     pub fn free(&self) -> Amount {
         self.info.capacity.minus(self.used)
@@ -294,6 +352,17 @@
         self.reading.map(|reading| reading.surely_past(self.granted))
     }
 
+    /// Notes that it may not be there any more: it gets nothing until it answers.
+    pub fn doubt(&mut self, now: Tick) {
+        if !self.silent {
+            self.silent_since = now;
+        }
+        self.silent = true;
+        if let Poll::Due(due) = self.poll {
+            self.poll = Poll::Due(due.min(now));
+        }
+    }
+
     /// Tells whether nothing can run there any more: it does not answer, and every lease has lapsed.
     pub fn is_spent(&self, now: Tick) -> bool {
         let lapsed = self.lapses().is_none_or(|lapse| lapse <= now);
@@ -314,6 +383,7 @@
             && self.strays == 0
             && self.trial.is_none()
             && !self.info.draining
+            && !self.drained
             && self.cordoned <= now
             && self.full <= now
             && self.conduct.suspended <= now
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -1,6 +1,6 @@
 //! Moves of hosts between pools.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use reachhead_jobs::{
     balance::{Balance, Move, PoolState},
@@ -9,18 +9,28 @@
     ports::{Machine, MachineState},
 };
 use reachhead_types::{
-    id::{HostId, PoolName},
+    id::{HostId, PoolName, WorkerId, ZoneName},
     size::Millis,
 };
 
 /// Thousandths of a core of each worker.
 const CORES: u64 = 16_000;
 
+fn idle_worker(worker: WorkerId) -> WorkerLoad {
+    WorkerLoad { worker, cores: CORES, used: 0, pinned: false, drained: false }
+}
+
+/// Hosts stand in two zones by turns.
+fn zone(number: usize) -> ZoneName {
+    format!("z{}", number % 2).parse().unwrap()
+}
+
 #[derive(Default)]
 struct Fleet {
     machines: BTreeMap<HostId, Machine>,
     pools: BTreeMap<PoolName, PoolState>,
     balance: Balance,
+    drained: BTreeSet<ZoneName>,
     now: Tick,
 }
 
@@ -31,10 +41,11 @@
         for number in 0..hosts {
             let host: HostId = format!("{name}-{number}").parse().unwrap();
             let worker = format!("w-{name}-{number}").parse().unwrap();
-            load.workers.push(WorkerLoad { worker, cores: CORES, used: 0, pinned: false });
+            load.workers.push(idle_worker(worker));
             let worker = Some(load.workers[number].worker.clone());
             let state = MachineState::Up;
-            let machine = Machine { host: host.clone(), pool: pool.clone(), state, worker };
+            let zone = Some(zone(number));
+            let machine = Machine { host: host.clone(), pool: pool.clone(), zone, state, worker };
             self.machines.insert(host, machine);
         }
         self.pools.insert(pool, PoolState { load, spare: name == "off" });
@@ -45,9 +56,27 @@
         &mut self.pools.get_mut(&name.parse().unwrap()).unwrap().load
     }
 
+    /// Operators drain a zone, and all owners know it.
+    fn drain(&mut self, name: &str) {
+        let drained: ZoneName = name.parse().unwrap();
+        let of_zone = |machine: &&Machine| machine.zone.as_ref() == Some(&drained);
+        let workers: BTreeSet<_> = self
+            .machines
+            .values()
+            .filter(of_zone)
+            .filter_map(|machine| machine.worker.clone())
+            .collect();
+        for state in self.pools.values_mut() {
+            for load in &mut state.load.workers {
+                load.drained = workers.contains(&load.worker);
+            }
+        }
+        self.drained.insert(drained);
+    }
+
     fn round(&mut self, millis: u64) -> Vec<Move> {
         self.now = self.now + Millis(millis);
-        self.balance.next(&self.machines, &self.pools, |_| false, self.now)
+        self.balance.next(&self.machines, &self.pools, &self.drained, |_| false, self.now)
     }
 
     /// Carries moves out as the platform does.
@@ -58,12 +87,7 @@
             let from = self.pools.get_mut(&step.from).unwrap();
             from.load.workers.retain(|load| Some(&load.worker) != machine.worker.as_ref());
             let to = self.pools.get_mut(&step.to).unwrap();
-            to.load.workers.push(WorkerLoad {
-                worker: machine.worker.clone().unwrap(),
-                cores: CORES,
-                used: 0,
-                pinned: false,
-            });
+            to.load.workers.push(idle_worker(machine.worker.clone().unwrap()));
         }
     }
 }
@@ -222,3 +246,23 @@
     let shrunk = fleet.round(500).len();
     assert_eq!(shrunk, whole + 2, "four halves are missing");
 }
+
+/// Hosts of a drained zone counted as room, so a pool asked for no others and its jobs waited until the drain was over.
+#[test]
+fn hosts_of_a_drained_zone_are_no_room_and_are_not_fetched() {
+    let mut fleet = Fleet::default().with_pool("a", 8, 6 * CORES).with_pool("off", 8, 0);
+    assert!(fleet.round(0).is_empty());
+    fleet.load("a").workers[0].used = 1000;
+    fleet.drain("z0");
+    let moves = fleet.round(0);
+    let (to, from): (Vec<&Move>, Vec<&Move>) =
+        moves.iter().partition(|step| step.to.as_str() == "a");
+    let names: Vec<&str> = to.iter().map(|step| step.host.as_str()).collect();
+    assert_eq!(
+        names,
+        ["off-7", "off-5", "off-3"],
+        "seven are needed, four of its own stand elsewhere"
+    );
+    let names: Vec<&str> = from.iter().map(|step| step.host.as_str()).collect();
+    assert_eq!(names, ["a-2", "a-4", "a-6"], "those that nothing uses are switched off");
+}
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -40,6 +40,8 @@
         notice: Millis(4500),
         gang: Millis(3000),
         stop: Millis(400),
+        grant: Millis(6000),
+        drain: Millis(4000),
     }
 }
 
@@ -74,6 +76,7 @@
 pub fn info(name: &str, cores: u64) -> WorkerInfo {
     WorkerInfo {
         id: worker(name),
+        born: None,
         pool: pool_name(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "z".parse().unwrap(),
@@ -210,6 +213,7 @@
     /// The worker answers a long poll that was sent at `sent` with what it runs.
     pub fn report_sent(&mut self, name: &WorkerId, sent: Tick) {
         let report = WorkerReport {
+            born: self.infos.iter().find(|info| info.id == *name).and_then(|info| info.born),
             clock: self.clock(),
             running: self.running.get(name).cloned().unwrap_or_default(),
             ended: self.ended.get(name).cloned().unwrap_or_default(),
--- a/reachhead_jobs/tests/pool/inherit.rs
+++ b/reachhead_jobs/tests/pool/inherit.rs
@@ -186,6 +186,7 @@
     let host = |id: &str| Machine {
         host: "m".parse().unwrap(),
         pool: pool_name(),
+        zone: None,
         state: MachineState::Up,
         worker: Some(worker(id)),
     };
--- a/reachhead_jobs/tests/pool/wave.rs
+++ b/reachhead_jobs/tests/pool/wave.rs
@@ -16,6 +16,7 @@
         let machine = Machine {
             host: host.clone(),
             pool: "p".parse().unwrap(),
+            zone: None,
             state: *state,
             worker: Some(format!("w-{number}").parse().unwrap()),
         };
--- a/reachhead_jobs/tests/walk/main.rs
+++ b/reachhead_jobs/tests/walk/main.rs
@@ -44,3 +44,13 @@
     }
     check("crashes", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+/// Workers that crash start again under the ids that they had, and orders that were sent to the old life come to the new one. A
+/// new life was taken for the old one: it was told to forget ends that nobody had read, and its first ends counted as known.
+#[test]
+fn nothing_runs_twice_or_is_lost_though_workers_start_again_under_their_ids() {
+    fn walk(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Site::new().with_restarts(), acts)
+    }
+    check("restarts", WALKS, walk as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -138,6 +138,8 @@
     late: u8,
     /// Some jobs have a task that crashes whoever starts it.
     crashing: bool,
+    /// Workers that crash start again under the ids that they had.
+    restarting: bool,
     culprits: BTreeMap<TaskId, Culprit>,
     pub wrong: Vec<String>,
 }
@@ -162,6 +164,8 @@
         notice: Millis(4500),
         gang: Millis(3000),
         stop: Millis(300),
+        grant: Millis(6000),
+        drain: Millis(4000),
     }
 }
 
@@ -224,6 +228,7 @@
             lose: 0,
             late: 0,
             crashing: false,
+            restarting: false,
             culprits: BTreeMap::new(),
             wrong: Vec::new(),
         };
@@ -241,10 +246,30 @@
         self
     }
 
+    /// Lets workers that crash start again under the ids that they had.
+    pub fn with_restarts(mut self) -> Self {
+        self.restarting = true;
+        for (number, life) in self.workers.values_mut().enumerate() {
+            life.born = Some(Millis(number as u64 + 1));
+        }
+        self.list();
+        self
+    }
+
     fn add_worker(&mut self) {
         self.lives += 1;
         let id = format!("w{}", self.lives).parse().unwrap();
-        let life = Life::new(self.lives * 10_000, Amount::new(2000, 4000, 0));
+        let mut life = Life::new(self.lives * 10_000, Amount::new(2000, 4000, 0));
+        life.born = self.restarting.then_some(Millis(self.now + self.lives));
+        self.workers.insert(id, life);
+        self.list();
+    }
+
+    /// A worker starts again under the id that it had, with a clock that shows less.
+    fn restart(&mut self, id: WorkerId) {
+        self.lives += 1;
+        let born = Millis(self.now + self.lives);
+        let life = Life::new(self.lives, Amount::new(2000, 4000, 0)).with_birth(born);
         self.workers.insert(id, life);
         self.list();
     }
@@ -252,6 +277,7 @@
     fn infos(&self) -> Vec<WorkerInfo> {
         let info = |(id, life): (&WorkerId, &Life)| WorkerInfo {
             id: id.clone(),
+            born: life.born,
             pool: pool_name(),
             address: "127.0.0.1:1".parse().unwrap(),
             zone: "z".parse().unwrap(),
@@ -315,7 +341,7 @@
             9 => {
                 if let Some(id) = self.pick(what) {
                     self.crash(&id);
-                    self.add_worker();
+                    if self.restarting { self.restart(id) } else { self.add_worker() }
                 }
             }
             10 => self.lose = what % 8,
--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -45,6 +45,9 @@
 /// the store, whatever is tried here.
 const LOOK_SPACING: Millis = Millis(200);
 
+/// How often an owner looks whether it is behind what operators wrote.
+const CURRENT_PERIOD: Duration = Duration::from_millis(400);
+
 /// How lately a peer must have been heard, and the store have answered it, to be asked for the configuration.
 const PEER_TIME: Millis = Millis(1500);
 
@@ -146,6 +149,21 @@
     }
 }
 
+/// Keeps an owner of pools from being behind what operators wrote, for as long as the process lives: where the store turns it
+/// away a peer is asked, since it starts nothing by knowledge that is too old.
+pub async fn keep_current(node: Arc<Node>) {
+    loop {
+        time::sleep(CURRENT_PERIOD).await;
+        let age = node.now().since(node.view().config_seen);
+        if age > CONFIG_AGE
+            && !node.owned().is_empty()
+            && let Some(error) = node.door.look(&node).await
+        {
+            log::info!("what operators wrote is known as of {age} ms ago: {error}");
+        }
+    }
+}
+
 /// Returns the queue and the customer of a call as a configuration has them.
 fn find(
     config: &Configuration,
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -387,5 +387,7 @@
         notice: settings.notice,
         gang: settings.gang,
         stop: settings.stop,
+        grant: settings.hold,
+        drain: settings.zone_drain,
     }
 }
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -1,6 +1,6 @@
 //! Following the platform's tables.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
 use rand::Rng;
@@ -12,7 +12,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::row::{Key, Row};
 use reachhead_types::{
-    id::PoolName,
+    id::{PoolName, ZoneName},
     size::{Millis, Revision},
 };
 use tokio::time;
@@ -163,6 +163,9 @@
     fn take(&self, change: &Change) {
         let node = &self.0;
         if change.deleted {
+            if let Some(zone) = node.services.dialect.drained_zone(&change.row.key) {
+                self.drain(zone, false);
+            }
             return;
         }
         match node.services.dialect.operator_row(&change.row) {
@@ -179,12 +182,27 @@
             Ok(OperatorRow::Wave(order)) => {
                 node.view().waves.insert(order.name.clone(), order);
             }
+            Ok(OperatorRow::ZoneDrain(zone)) => self.drain(zone, true),
             Ok(OperatorRow::Other) => {}
             Err(error) => emit(Event::RowRefused, error),
         }
     }
 }
 
+impl Operators {
+    /// Notes whether a zone is drained.
+    fn drain(&self, zone: ZoneName, drained: bool) {
+        let mut view = self.0.view();
+        let changed = match drained {
+            true => view.drained.insert(zone.clone()),
+            false => view.drained.remove(&zone),
+        };
+        if changed {
+            emit(Event::ZoneDrained, format_args!("zone={zone} drained={drained}"));
+        }
+    }
+}
+
 impl Follower for Operators {
     fn table(&self) -> &'static str {
         self.0.services.dialect.operator_table()
@@ -195,6 +213,14 @@
     }
 
     fn reset(&self, rows: &[Change]) {
+        // Of a drain that has ended there is no row.
+        let dialect = &self.0.services.dialect;
+        let there: BTreeSet<ZoneName> =
+            rows.iter().filter_map(|change| dialect.drained_zone(&change.row.key)).collect();
+        let ended: Vec<ZoneName> = self.0.view().drained.difference(&there).cloned().collect();
+        for zone in ended {
+            self.drain(zone, false);
+        }
         self.apply(rows);
     }
 
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -68,7 +68,7 @@
             Ok(_) => "done",
             Err(WorkerError::Unreachable(_)) => "unreachable",
             Err(WorkerError::Deserted(_)) => "deserted",
-            Err(WorkerError::Lost(_)) => "lost",
+            Err(WorkerError::Lost(_) | WorkerError::Broken(_)) => "lost",
             Err(WorkerError::Replaced) => "replaced",
             Err(WorkerError::Rejected(_)) => "rejected",
         };
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -101,7 +101,8 @@
         self.deserted = deserted(&pools);
         let now = self.node.now();
         let machines = self.corrected(machines, now);
-        let mut steps = self.balance.next(&machines, &pools, held, now);
+        let drained = self.node.view().drained.clone();
+        let mut steps = self.balance.next(&machines, &pools, &drained, held, now);
         self.tell_rooms(now);
         steps.truncate(self.allowance(now));
         self.saved = (self.saved - steps.len() as f64).max(0.0);
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -190,6 +190,7 @@
             self.configured = Some(config.version);
             self.pool.configure(&config.customers);
         }
+        self.pool.drain_zones(&view.drained, view.config_seen);
         if let Some(lease) = view.leases.get(&fleet::name()) {
             self.pool.follow_ledger(FencingToken(lease.revision.0), now);
         }
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -32,7 +32,7 @@
 };
 
 use crate::{
-    claims, follow,
+    admission, claims, follow,
     frontend::NodeFrontend,
     metrics::Metrics,
     node::{Node, Services},
@@ -208,6 +208,7 @@
     tokio::spawn(claims::run(Arc::clone(node)));
     tokio::spawn(claims::ping(Arc::clone(node)));
     tokio::spawn(relief::run(Arc::clone(node)));
+    tokio::spawn(admission::keep_current(Arc::clone(node)));
 }
 
 /// Enters the list of processes.
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -1,6 +1,10 @@
 //! What a process believes of the rest of the system, and since when.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use reachhead_jobs::{
     candidate::Candidate,
@@ -11,7 +15,7 @@
     wave::WaveOrder,
 };
 use reachhead_types::{
-    id::{NodeName, PoolName, WaveName, WorkerId},
+    id::{NodeName, PoolName, WaveName, WorkerId, ZoneName},
     size::{Millis, Revision},
 };
 
@@ -62,6 +66,8 @@
     pub workers_known: bool,
     /// The waves that operators ask for.
     pub waves: BTreeMap<WaveName, WaveOrder>,
+    /// The zones in which nothing is to be started.
+    pub drained: BTreeSet<ZoneName>,
     /// What was heard of owners.
     pub heard: BTreeMap<NodeName, Heard>,
     /// When the store last answered this process.
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -47,6 +47,9 @@
     /// The call was sent, and there is no whole answer.
     #[error("{0}")]
     Lost(String),
+    /// The call was sent, and its connection ended without a whole answer: it was carried out before that or never.
+    #[error("the connection broke: {0}")]
+    Broken(String),
 }
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -72,7 +75,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`CallError`]; `Lost` unless no byte of the request was written.
+    /// Any [`CallError`]; `Lost` or `Broken` unless no byte of the request was written.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -95,7 +98,7 @@
                 Some(Err(Failure::Unsent(_))) => {
                     return Err(CallError::NotSent("the peer closed the connection".to_owned()));
                 }
-                Some(Err(Failure::Broken(error))) => return Err(CallError::Lost(error)),
+                Some(Err(Failure::Broken(error))) => return Err(CallError::Broken(error)),
                 None => {
                     self.forget(address);
                     return Err(CallError::Lost("no answer before the deadline".to_owned()));
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -139,6 +139,8 @@
     HostHeld 722 Info;
     /// What a pool has and needs of hosts has changed.
     RoomPlanned 723 Info;
+    /// Operators drain a zone, or take that back; this process knows it from now on.
+    ZoneDrained 724 Info;
     /// Lines of the log were left out, since there were too many.
     LinesDropped 730 Warn;
 }
--- a/reachhead_store/tests/hosts.rs
+++ b/reachhead_store/tests/hosts.rs
@@ -1,5 +1,7 @@
 //! Hosts of several pools as one picture.
 
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use futures::{
