The roster of a pool is a row for each worker, so no row grows with the pool

Cause: the roster was one row. Change: a row a worker, written and deleted as workers change, 48 in a transaction, each row checked so that a transaction whose answer was lost does not undo a later one. Ruled out: buckets of workers a row. Each would be written whole for any change in it.

--- a/reachhead_jobs/src/pool/adopt.rs
+++ b/reachhead_jobs/src/pool/adopt.rs
@@ -32,7 +32,12 @@
     /// have to lapse, before an inherited task that nobody reports is started again.
     pub(super) fn inherit_workers(&mut self, effect: Millis, now: Tick) {
         let until = now + effect;
-        for entry in self.roster.stored.workers.clone() {
+        for (id, stored) in self.roster.stored.workers.clone() {
+            let Some(entry) = stored.entry else {
+                // Where it answers is not known, so nobody can be asked what runs there before it registers again.
+                self.pending.insert(id, Pending { until, closed: None });
+                continue;
+            };
             let info = WorkerInfo {
                 id: entry.worker.clone(),
                 born: None,
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -4,17 +4,14 @@
 
 use reachhead_store::row::{Commit, Conflict, Key, Txn};
 use reachhead_types::{
-    id::{JobId, WorkerId},
+    id::JobId,
     size::{Millis, Revision},
 };
 
 use crate::{
     clock::Tick,
-    pool::{Action, Closed, NoteKind, Pool},
-    record::{
-        Ending, Roster, RosterEntry, fence_key, final_key, job_key, lease_key, progress_key,
-        roster_key, value,
-    },
+    pool::{Action, Closed, NoteKind, Pool, roster::RosterUpdate},
+    record::{Ending, fence_key, final_key, job_key, lease_key, progress_key, value},
     shard::Shard,
     worker::Poll,
 };
@@ -25,15 +22,9 @@
 /// Entries that one job takes at most: a check, a row and two deletions.
 const JOB_ENTRIES: usize = 4;
 
-/// How long a worker must be silent before the roster says that nothing new is started there.
-const CLOSE_TIME: Millis = Millis(500);
-
-/// How often the roster is compared with the workers; a worker that joins waits for it that much longer.
-const ROSTER_PERIOD: Millis = Millis(40);
-
 /// What a transaction says of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Entry {
+pub(super) struct Entry {
     id: JobId,
     ending: Option<Ending>,
 }
@@ -63,8 +54,8 @@
     pub txn: Txn,
     /// Its lane.
     pub lane: Lane,
-    jobs: Vec<Entry>,
-    roster: Option<Roster>,
+    pub(super) jobs: Vec<Entry>,
+    pub(super) roster: Option<RosterUpdate>,
 }
 
 impl Batch {
@@ -77,7 +68,7 @@
     /// Returns the lanes in which something is to be written.
     pub fn due(&self) -> Vec<Due> {
         let mut lanes: BTreeMap<Lane, bool> = BTreeMap::new();
-        if self.roster.wanted.is_some() {
+        if self.roster.is_due() {
             lanes.insert(Lane::Roster, true);
         }
         for id in &self.dirty {
@@ -100,15 +91,6 @@
         }
     }
 
-    fn roster_batch(&self) -> Option<Batch> {
-        let roster = self.roster.wanted.clone()?;
-        let txn = Txn::new()
-            .with_check(lease_key(&self.name), Some(Revision(self.token.0)))
-            .with_check(roster_key(&self.name), self.roster.revision)
-            .with_write(roster_key(&self.name), value(&roster));
-        Some(Batch { txn, lane: Lane::Roster, jobs: Vec::new(), roster: Some(roster) })
-    }
-
     fn job_batch(&mut self, shard: Shard, wall: Millis) -> Option<Batch> {
         let mut ids: Vec<JobId> =
             self.dirty.iter().copied().filter(|id| Shard::of(*id) == shard).collect();
@@ -163,52 +145,10 @@
         batch.jobs.push(Entry { id, ending: job.ending });
     }
 
-    /// Looks now and then whether the roster has to be written.
-    pub(super) fn check_roster(&mut self, now: Tick) {
-        if self.roster.next <= now {
-            self.roster.next = now + ROSTER_PERIOD;
-            self.roster.wanted = self.wanted_roster(now);
-        }
-    }
-
-    /// Returns the roster as it should be, if that is not what is stored.
-    fn wanted_roster(&self, now: Tick) -> Option<Roster> {
-        let newest = self.jobs.values().filter_map(|job| job.row).max().unwrap_or_default();
-        let entries = self.roster.stored.workers.iter();
-        let stored: BTreeMap<&WorkerId, &RosterEntry> =
-            entries.map(|entry| (&entry.worker, entry)).collect();
-        let mut wanted = Roster::default();
-        for worker in self.workers.values() {
-            let id = &worker.info.id;
-            if worker.is_spent(now) && !self.pending.contains_key(id) {
-                continue;
-            }
-            let quiet = worker.silent && now.since(worker.silent_since) >= CLOSE_TIME;
-            let closed = match stored.get(id).map(|entry| entry.closed) {
-                // What was closed stays so until it answers.
-                Some(Some(closed)) if worker.silent || !worker.answered => Some(closed),
-                _ if quiet && worker.answered => Some(newest),
-                _ => None,
-            };
-            wanted.workers.push(RosterEntry {
-                worker: id.clone(),
-                address: worker.info.address,
-                closed,
-            });
-        }
-        (wanted != self.roster.stored).then_some(wanted)
-    }
-
     /// Takes in that a batch is in force.
     pub fn committed(&mut self, batch: &Batch, revision: Revision, now: Tick) {
-        if let Some(roster) = &batch.roster {
-            self.roster.stored = roster.clone();
-            self.roster.wanted = None;
-            self.roster.revision = Some(revision);
-            let open = self.roster.open();
-            for worker in self.workers.values_mut() {
-                worker.rostered = open.contains(&worker.info.id);
-            }
+        if let Some(update) = &batch.roster {
+            self.rostered(update, revision);
         }
         for entry in &batch.jobs {
             self.recorded(entry, revision, now);
@@ -288,9 +228,7 @@
                 if found != Some(*held) {
                     return false;
                 }
-            } else if conflict.key == roster_key(&self.name) {
-                self.roster.revision = found;
-            } else {
+            } else if !self.correct_roster(conflict) {
                 self.correct(conflict, found);
             }
         }
--- a/reachhead_jobs/src/pool/inheritance.rs
+++ b/reachhead_jobs/src/pool/inheritance.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     clock::Tick,
-    record::{JobRecord, ProgressRecord, Roster},
+    pool::StoredRoster,
+    record::{JobRecord, ProgressRecord},
     shard::Shard,
 };
 
@@ -41,9 +42,7 @@
     /// The jobs that are not over.
     pub jobs: Vec<StoredJob>,
     /// The workers that a predecessor may have used.
-    pub roster: Roster,
-    /// The revision of the roster's row.
-    pub roster_revision: Option<Revision>,
+    pub roster: StoredRoster,
     /// The revisions that this owner's raises gave the fences of its parts.
     pub fences: BTreeMap<Shard, Revision>,
     /// When the lease was last known to be in force; reading the rest may have taken long.
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -19,6 +19,7 @@
 mod quota;
 mod rebirth;
 mod reports;
+mod roster;
 mod starts;
 mod vacate;
 mod weights;
@@ -31,6 +32,7 @@
 pub use flush::{Batch, Due, Lane};
 pub use inheritance::{Inheritance, StoredJob, StoredProgress};
 pub use load::{PoolLoad, WorkerLoad};
+pub use roster::{StoredRoster, StoredWorker};
 pub use vacate::{DrainMode, Vacancy};
 
 use reachhead_types::{
@@ -44,7 +46,7 @@
     job::Job,
     order::Experience,
     ports::{EndedEntry, WorkerInfo, WorkerTarget},
-    record::{Ending, FinalRecord, JobRecord, Roster},
+    record::{Ending, FinalRecord, JobRecord},
     shard::Shard,
     worker::Worker,
 };
@@ -121,7 +123,7 @@
     surge_until: Tick,
     /// Since when no worker of the predecessor is pending.
     settled_at: Option<Tick>,
-    roster: RosterState,
+    roster: roster::RosterState,
     dirty: BTreeSet<JobId>,
     /// Lives of workers that are known to be over, whatever the platform's list still says, and when they began.
     over: BTreeMap<WorkerId, Option<Millis>>,
@@ -161,17 +163,6 @@
     closed: Option<Revision>,
 }
 
-/// The roster's row and what of it is known to be stored.
-#[derive(Debug, Clone, PartialEq, Default)]
-struct RosterState {
-    stored: Roster,
-    revision: Option<Revision>,
-    /// The roster as it should be, if that is not what is stored.
-    wanted: Option<Roster>,
-    /// When the two are compared again.
-    next: Tick,
-}
-
 impl Pool {
     /// Returns the pool `name` for the owner with this token.
     pub fn new(
@@ -199,11 +190,7 @@
             cordons: BTreeMap::new(),
             surge_until: Tick(0),
             settled_at: None,
-            roster: RosterState {
-                stored: found.roster,
-                revision: found.roster_revision,
-                ..RosterState::default()
-            },
+            roster: roster::RosterState::new(found.roster),
             dirty: BTreeSet::new(),
             over: BTreeMap::new(),
             experience: Experience::default(),
@@ -293,7 +280,6 @@
             worker.listed = ids.contains(&worker.info.id);
         }
         self.over.retain(|id, _| ids.contains(id));
-        let open = self.roster.open();
         for info in listed {
             if self.over.get(&info.id).is_some_and(|over| !is_newer(info.born, *over)) {
                 continue;
@@ -314,7 +300,7 @@
                 }
                 None => {
                     let mut worker = Worker::new(info, now);
-                    worker.rostered = open.contains(&worker.info.id);
+                    worker.rostered = self.roster.is_open(&worker.info.id);
                     worker.drained = self.drained.contains(&worker.info.zone);
                     worker.cordoned =
                         self.cordons.get(&worker.info.id).copied().unwrap_or_default();
@@ -396,11 +382,3 @@
         FinalRecord { queue: job.queue.name.clone(), ending, at: wall, customer }
     }
 }
-
-impl RosterState {
-    /// Returns the workers that are stored as ones on which tasks are started.
-    fn open(&self) -> BTreeSet<WorkerId> {
-        let open = self.stored.workers.iter().filter(|entry| entry.closed.is_none());
-        open.map(|entry| entry.worker.clone()).collect()
-    }
-}
--- /dev/null
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -0,0 +1,272 @@
+//! The workers that a pool may have used, as the store keeps them: a row for each.
+//!
+//! Load: pools of thousands of workers, of which some join and leave every second. What is written and read follows what
+//! changes, and no row grows with the pool.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use reachhead_store::row::{Conflict, Key, Row, Txn};
+use reachhead_types::{
+    id::WorkerId,
+    size::{Millis, Revision},
+};
+
+use crate::{
+    clock::Tick,
+    pool::{Batch, Lane, Pool},
+    record::{Roster, RosterEntry, lease_key, roster_key, roster_worker, value, whole_roster_key},
+};
+
+/// How long a worker must be silent before the roster says that nothing new is started there.
+const CLOSE_TIME: Millis = Millis(500);
+
+/// How often the roster is compared with the workers; a worker that joins waits for it that much longer.
+const ROSTER_PERIOD: Millis = Millis(40);
+
+/// Workers in a transaction at most: each takes a check and a write of the hundred that the platform's contract permits.
+const CHANGES_MOST: usize = 48;
+
+/// A worker of the roster as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct StoredWorker {
+    /// What the roster says of it; `None` if that can't be read.
+    pub entry: Option<RosterEntry>,
+    /// The revision of its row; `None` if it is only in a row of the whole roster.
+    pub revision: Option<Revision>,
+}
+
+impl StoredWorker {
+    /// Tells whether tasks are started there.
+    pub(super) fn is_open(&self) -> bool {
+        self.entry.as_ref().is_some_and(|entry| entry.closed.is_none())
+    }
+}
+
+/// The roster as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct StoredRoster {
+    /// The workers.
+    pub workers: BTreeMap<WorkerId, StoredWorker>,
+    /// The revision of the row in which an earlier release kept all of them.
+    pub whole: Option<Revision>,
+}
+
+impl StoredRoster {
+    /// Returns the roster that these rows make up, and what is wrong with those that can't be read. Such a row still
+    /// says that its worker may have been used.
+    pub fn read(rows: &[Row]) -> (Self, Vec<String>) {
+        let mut roster = Self::default();
+        let mut errors = Vec::new();
+        // Rows of single workers are newer than the row of them all.
+        for row in rows.iter().filter(|row| roster_worker(&row.key).is_none()) {
+            roster.whole = Some(row.revision);
+            match row.parse::<Roster>() {
+                Ok(whole) => roster.include(whole),
+                Err(error) => errors.push(error.to_string()),
+            }
+        }
+        for row in rows {
+            let Some(worker) = roster_worker(&row.key) else {
+                continue;
+            };
+            let entry = row.parse::<RosterEntry>();
+            let entry = entry.map_err(|error| errors.push(error.to_string())).ok();
+            let stored = StoredWorker { entry, revision: Some(row.revision) };
+            roster.workers.insert(worker, stored);
+        }
+        (roster, errors)
+    }
+
+    fn include(&mut self, whole: Roster) {
+        for entry in whole.workers {
+            let stored = StoredWorker { entry: Some(entry.clone()), revision: None };
+            self.workers.insert(entry.worker, stored);
+        }
+    }
+}
+
+/// A worker whose row is to be written, or deleted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Change {
+    worker: WorkerId,
+    entry: Option<RosterEntry>,
+}
+
+/// What a transaction says of the roster.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(super) struct RosterUpdate {
+    changes: Vec<Change>,
+    /// The row of the whole roster is deleted.
+    whole: bool,
+}
+
+/// The roster and what of it is known to be stored.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub(super) struct RosterState {
+    pub(super) stored: StoredRoster,
+    /// What has to be written for the store to have the roster as it should be.
+    wanted: RosterUpdate,
+    /// When the two are compared again.
+    pub(super) next: Tick,
+}
+
+impl RosterState {
+    pub(super) fn new(stored: StoredRoster) -> Self {
+        Self { stored, ..Self::default() }
+    }
+
+    /// Tells whether the store has a worker as one on which tasks are started.
+    pub(super) fn is_open(&self, worker: &WorkerId) -> bool {
+        self.stored.workers.get(worker).is_some_and(StoredWorker::is_open)
+    }
+
+    /// Tells whether something is to be written.
+    pub(super) fn is_due(&self) -> bool {
+        !self.wanted.changes.is_empty() || self.wanted.whole
+    }
+}
+
+impl Pool {
+    /// Returns the next transaction about the roster. Each row is checked, so that a transaction whose answer was lost
+    /// does not undo a later one.
+    pub(super) fn roster_batch(&self) -> Option<Batch> {
+        if !self.roster.is_due() {
+            return None;
+        }
+        let mut txn = Txn::new().with_check(lease_key(&self.name), Some(Revision(self.token.0)));
+        let mut update = RosterUpdate::default();
+        for change in self.roster.wanted.changes.iter().take(CHANGES_MOST) {
+            let key = roster_key(&self.name, &change.worker);
+            let stored = self.roster.stored.workers.get(&change.worker);
+            txn = txn.with_check(key.clone(), stored.and_then(|stored| stored.revision));
+            txn = match &change.entry {
+                Some(entry) => txn.with_write(key, value(entry)),
+                None => txn.with_delete(key),
+            };
+            update.changes.push(change.clone());
+        }
+        if update.changes.is_empty() {
+            let key = whole_roster_key(&self.name);
+            txn = txn.with_check(key.clone(), self.roster.stored.whole).with_delete(key);
+            update.whole = true;
+        }
+        Some(Batch { txn, lane: Lane::Roster, jobs: Vec::new(), roster: Some(update) })
+    }
+
+    /// Looks now and then whether the roster has to be written.
+    pub(super) fn check_roster(&mut self, now: Tick) {
+        if self.roster.next <= now {
+            self.roster.next = now + ROSTER_PERIOD;
+            self.roster.wanted = self.wanted_roster(now);
+        }
+    }
+
+    /// Returns what has to be written for the roster to be as it should be.
+    fn wanted_roster(&self, now: Tick) -> RosterUpdate {
+        let stored = &self.roster.stored;
+        let mut changes = Vec::new();
+        let mut kept = BTreeSet::new();
+        for worker in self.workers.values() {
+            let id = &worker.info.id;
+            if worker.is_spent(now) && !self.pending.contains_key(id) {
+                continue;
+            }
+            kept.insert(id);
+            let known = stored.workers.get(id);
+            let entry = self.roster_entry(worker, known, now);
+            let written = known.is_some_and(|known| {
+                known.revision.is_some() && known.entry.as_ref() == Some(&entry)
+            });
+            if !written {
+                changes.push(Change { worker: id.clone(), entry: Some(entry) });
+            }
+        }
+        for (id, known) in &stored.workers {
+            let unread = self.pending.contains_key(id);
+            if !kept.contains(id) && !unread && known.revision.is_some() {
+                changes.push(Change { worker: id.clone(), entry: None });
+            }
+        }
+        let whole = changes.is_empty() && stored.whole.is_some();
+        RosterUpdate { changes, whole }
+    }
+
+    fn roster_entry(
+        &self,
+        worker: &crate::worker::Worker,
+        known: Option<&StoredWorker>,
+        now: Tick,
+    ) -> RosterEntry {
+        let quiet = worker.silent && now.since(worker.silent_since) >= CLOSE_TIME;
+        let closed = known.and_then(|known| known.entry.as_ref()).and_then(|entry| entry.closed);
+        let closed = match closed {
+            // What was closed stays so until it answers.
+            Some(closed) if worker.silent || !worker.answered => Some(closed),
+            _ if quiet && worker.answered => Some(self.newest_row()),
+            _ => None,
+        };
+        RosterEntry { worker: worker.info.id.clone(), address: worker.info.address, closed }
+    }
+
+    fn newest_row(&self) -> Revision {
+        self.jobs.values().filter_map(|job| job.row).max().unwrap_or_default()
+    }
+
+    /// Takes in that an update of the roster is in force.
+    pub(super) fn rostered(&mut self, update: &RosterUpdate, revision: Revision) {
+        if update.whole {
+            self.roster.stored.whole = None;
+        }
+        for Change { worker, entry } in &update.changes {
+            match entry {
+                Some(entry) => {
+                    let stored =
+                        StoredWorker { entry: Some(entry.clone()), revision: Some(revision) };
+                    self.roster.stored.workers.insert(worker.clone(), stored);
+                }
+                None => {
+                    self.roster.stored.workers.remove(worker);
+                }
+            }
+            let open = self.roster.is_open(worker);
+            if let Some(known) = self.workers.get_mut(worker) {
+                known.rostered = open;
+            }
+        }
+        self.roster.wanted = RosterUpdate::default();
+        self.roster.next = Tick(0);
+    }
+
+    /// Takes in that a row of the roster is not what was thought; tells whether the key is one of them.
+    pub(super) fn correct_roster(&mut self, conflict: &Conflict) -> bool {
+        if conflict.key == whole_roster_key(&self.name) {
+            self.roster.stored.whole = conflict.row.as_ref().map(|row| row.revision);
+            return true;
+        }
+        let Some(worker) = self.rostered_worker(&conflict.key) else {
+            return false;
+        };
+        match &conflict.row {
+            Some(row) => {
+                let entry = row.parse::<RosterEntry>().ok();
+                let stored = StoredWorker { entry, revision: Some(row.revision) };
+                self.roster.stored.workers.insert(worker.clone(), stored);
+            }
+            None => {
+                self.roster.stored.workers.remove(&worker);
+            }
+        }
+        let open = self.roster.is_open(&worker);
+        if let Some(known) = self.workers.get_mut(&worker) {
+            known.rostered = open;
+        }
+        self.roster.wanted = RosterUpdate::default();
+        self.roster.next = Tick(0);
+        true
+    }
+
+    fn rostered_worker(&self, key: &Key) -> Option<WorkerId> {
+        let worker = roster_worker(key)?;
+        (roster_key(&self.name, &worker) == *key).then_some(worker)
+    }
+}
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -52,11 +52,27 @@
     Key(format!("fence/{pool}.{shard}/owner"))
 }
 
-/// Returns the key of the workers that a pool may have used.
-pub fn roster_key(pool: &PoolName) -> Key {
+/// Returns the key of a worker that a pool may have used.
+pub fn roster_key(pool: &PoolName, worker: &WorkerId) -> Key {
+    Key(format!("roster/{pool}/{ROSTER_WORKER}{worker}"))
+}
+
+/// Returns the key of the row in which an earlier release kept all workers of a pool.
+pub fn whole_roster_key(pool: &PoolName) -> Key {
     Key(format!("roster/{pool}/all"))
 }
 
+/// Returns what the keys of a pool's roster begin with.
+pub fn roster_prefix(pool: &PoolName) -> String {
+    format!("roster/{pool}/")
+}
+
+/// Returns the worker that a row of a roster is about, if it is about one.
+pub fn roster_worker(key: &Key) -> Option<WorkerId> {
+    let rest = key.0.strip_prefix("roster/")?.split_once('/')?.1;
+    rest.strip_prefix(ROSTER_WORKER)?.parse().ok()
+}
+
 /// Returns the key of who is in charge of a pool.
 pub fn lease_key(pool: &PoolName) -> Key {
     Key(format!("lease/{pool}/owner"))
@@ -75,6 +91,9 @@
     }
 }
 
+/// What comes before a worker's id in the key of its row in a roster.
+const ROSTER_WORKER: &str = "worker/";
+
 /// The part of the lease table that holds the processes.
 pub const MEMBER_PART: &str = "members";
 
@@ -179,7 +198,7 @@
     pub closed: Option<Revision>,
 }
 
-/// All workers on which something of the pool may run.
+/// All workers on which something of the pool may run, as an earlier release kept them in one row.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Roster {
     /// The workers in the order of their ids.
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -5,9 +5,9 @@
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
     model::{Plan, Queue, Step},
-    pool::{Action, Batch, Inheritance, Pool, StoredJob, Tuning},
+    pool::{Action, Batch, Inheritance, Pool, StoredJob, StoredRoster, StoredWorker, Tuning},
     ports::{EndedEntry, RunEnd, RunningEntry, StartOrder, WorkerError, WorkerInfo, WorkerReport},
-    record::{JobRecord, Roster, RosterEntry},
+    record::{JobRecord, RosterEntry},
     shard::Shard,
     task::{StepId, TaskId},
 };
@@ -95,15 +95,20 @@
         row: Revision(id),
         progress: None,
     };
-    let entry = |(name, closed): (&str, Option<u64>)| RosterEntry {
-        worker: worker(name),
-        address: "127.0.0.1:1".parse().unwrap(),
-        closed: closed.map(Revision),
+    let stored_worker = |(name, closed): (&str, Option<u64>)| {
+        let entry = RosterEntry {
+            worker: worker(name),
+            address: "127.0.0.1:1".parse().unwrap(),
+            closed: closed.map(Revision),
+        };
+        (worker(name), StoredWorker { entry: Some(entry), revision: Some(Revision(1)) })
     };
     Inheritance {
         jobs: jobs.into_iter().map(stored).collect(),
-        roster: Roster { workers: roster.into_iter().map(entry).collect() },
-        roster_revision: Some(Revision(1)),
+        roster: StoredRoster {
+            workers: roster.into_iter().map(stored_worker).collect(),
+            whole: None,
+        },
         fences: fences(),
         verified: START,
         effect: tuning().inheritance(),
--- a/reachhead_jobs/tests/pool/inherit.rs
+++ b/reachhead_jobs/tests/pool/inherit.rs
@@ -7,6 +7,7 @@
     model::Step,
     pool::WorkerEnd,
     ports::{Machine, MachineState, RunEnd},
+    record::roster_key,
 };
 use reachhead_types::{
     id::JobId,
@@ -70,11 +71,11 @@
     fixture.miss(&worker("v"));
     fixture.poll();
     let batch = fixture.batch().unwrap();
-    let closes = |batch: &reachhead_jobs::pool::Batch| {
-        let write = batch.txn.writes.iter().find(|write| write.key.0.starts_with("roster/"));
-        write.unwrap().value.clone().unwrap()
-    };
-    assert_eq!(closes(&batch)["workers"].as_array().unwrap().len(), 1, "nothing was granted there");
+    let writes: Vec<_> =
+        batch.txn.writes.iter().filter(|write| write.key.0.starts_with("roster/")).collect();
+    assert_eq!(writes.len(), 1, "{writes:?}");
+    assert_eq!(writes[0].key, roster_key(&pool_name(), &worker("v")));
+    assert_eq!(writes[0].value, None, "nothing was granted there");
     fixture.flush();
     fixture.report(&worker("v"));
     fixture.pass(50);
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -17,5 +17,6 @@
 mod rebirth;
 mod records;
 mod rescue;
+mod roster;
 mod vacate;
 mod wave;
--- a/reachhead_jobs/tests/walk/site/takeover.rs
+++ b/reachhead_jobs/tests/walk/site/takeover.rs
@@ -6,10 +6,10 @@
 use reachhead_jobs::{
     clock::Tick,
     fence::{Fence, FenceStep},
-    pool::{Inheritance, Pool, StoredJob, StoredProgress},
+    pool::{Inheritance, Pool, StoredJob, StoredProgress, StoredRoster},
     record::{
-        JobRecord, LeaseRecord, Roster, fence_key, job_prefix, lease_key, progress_prefix,
-        roster_key, value,
+        JobRecord, LeaseRecord, fence_key, job_prefix, lease_key, progress_prefix, roster_prefix,
+        value,
     },
     shard::Shard,
 };
@@ -40,10 +40,9 @@
             found.fences.insert(shard, fence);
             found.jobs.append(&mut self.stored_jobs(shard));
         }
-        let roster = self.read(roster_key(&pool_name()));
-        found.roster =
-            roster.as_ref().map(|row| row.parse::<Roster>().unwrap()).unwrap_or_default();
-        found.roster_revision = roster.map(|row| row.revision);
+        let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
+        assert!(errors.is_empty(), "{errors:?}");
+        found.roster = roster;
         let pool =
             Pool::new(pool_name(), token, term, tuning(), found, Tick(self.now), Millis(self.now));
         self.owners.push(Owner {
@@ -112,13 +111,15 @@
         }
     }
 
+    fn scan(&self, prefix: String) -> Vec<Row> {
+        let scan = Scan { prefix, after: None, limit: u32::MAX };
+        self.store.scan(scan).now_or_never().unwrap().unwrap().rows
+    }
+
     fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
-        let scan = |prefix| {
-            let scan = Scan { prefix, after: None, limit: u32::MAX };
-            self.store.scan(scan).now_or_never().unwrap().unwrap().rows
-        };
         let id_of = |row: &Row| row.key.0.rsplit('/').next().unwrap().parse::<JobId>().unwrap();
-        let progress: BTreeMap<JobId, Row> = scan(progress_prefix(&pool_name(), shard))
+        let progress: BTreeMap<JobId, Row> = self
+            .scan(progress_prefix(&pool_name(), shard))
             .into_iter()
             .map(|row| (id_of(&row), row))
             .collect();
@@ -129,6 +130,6 @@
                 .map(|row| StoredProgress { record: row.parse().unwrap(), revision: row.revision });
             StoredJob { id, record: row.parse::<JobRecord>().unwrap(), row: row.revision, progress }
         };
-        scan(job_prefix(&pool_name(), shard)).into_iter().map(stored).collect()
+        self.scan(job_prefix(&pool_name(), shard)).into_iter().map(stored).collect()
     }
 }
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -9,10 +9,10 @@
 use futures::future::{try_join, try_join_all};
 use reachhead_jobs::{
     fence::{Fence, FenceStep},
-    pool::{Inheritance, StoredJob, StoredProgress},
+    pool::{Inheritance, StoredJob, StoredProgress, StoredRoster},
     record::{
-        JobRecord, LeaseRecord, ProgressRecord, Roster, fence_key, job_prefix, lease_key,
-        progress_prefix, roster_key, value,
+        JobRecord, LeaseRecord, ProgressRecord, fence_key, job_prefix, lease_key, progress_prefix,
+        roster_prefix, value,
     },
     shard::Shard,
 };
@@ -99,13 +99,14 @@
 ) -> Result<Option<Inheritance>, StoreError> {
     let parts = try_join_all(Shard::all().map(|shard| load_part(node, pool, token, shard)));
     // The roster is in the lease's own part, so the lease alone fences it.
-    let (parts, roster) = try_join(parts, read_row(node, roster_key(pool))).await?;
+    let scan = Scan { prefix: roster_prefix(pool), after: None, limit: u32::MAX };
+    let (parts, roster) = try_join(parts, node.services.store.scan(scan)).await?;
     node.note_store(&Ok(()));
-    let mut found = Inheritance { effect, ..Inheritance::default() };
-    if let Some(row) = roster {
-        found.roster = row.parse::<Roster>()?;
-        found.roster_revision = Some(row.revision);
+    let (roster, errors) = StoredRoster::read(&roster.rows);
+    for error in errors {
+        emit(Event::RowRefused, error);
     }
+    let mut found = Inheritance { effect, roster, ..Inheritance::default() };
     for part in parts {
         let Some(part) = part else {
             return Ok(None);
