Some strong processes watch the owners, instead of all

Cause: each process entered one table that each process follows. A start of 585 was 6,846 writes turned away by the part's rate (429) and up to 342,000 rows read, each entry woke all long polls, and each process asked each owner four times a second. Ruled out: the roster (3 MB of 587); reading all stored jobs now and then (8 MB); longer polls, since each change ends them. Change: processes enter a list of members by strength and in turns that double, until its seats are taken: sixteen, or two a pool (reachhead_jobs::membership). Members watch the owners. Any other process asks one member a second, and watches the owners itself only when several do not answer. The lease names its owner's address. Candidates behind the first ten, and processes that are no members, come within a second after these, however many are gone. Owners take members that do not answer off the list (E407). A process that the store turns away asks three members at a time instead of all peers. At a first start pools are taken once the list is there; a process is ready once it knows a member.

--- a/reachhead_jobs/src/candidate.rs
+++ b/reachhead_jobs/src/candidate.rs
@@ -18,6 +18,13 @@
 /// Delay between one candidate and the next, so that mostly one of them writes.
 const RANK_DELAY: Millis = Millis(60);
 
+/// Candidates that wait for each other one by one. Those behind them, and processes that are no members, come after all of these
+/// and within [`SPREAD`]: however many hosts are lost together, the next owner comes within the same time.
+const RANKS_MOST: usize = 10;
+
+/// The time over which all others are spread.
+const SPREAD: Millis = Millis(1000);
+
 /// How much longer a process waits while there is one of at least twice its strength. Processes notice that an owner is gone
 /// up to a quarter of a second after each other, so the delays between ranks alone let a weak one be first; a pool in its
 /// burst that it can't bear is late for as long as it keeps it.
@@ -74,16 +81,23 @@
     others.filter(|other| other.precedes(own, pool)).count()
 }
 
-/// Returns for how long `own` lets others take a vacant pool first.
+/// Returns for how long `own` lets others take a vacant pool first; `member` tells whether others count on it as a candidate.
 pub fn delay<'a>(
     pool: &PoolName,
     own: &Candidate<'_>,
+    member: bool,
     others: impl Iterator<Item = Candidate<'a>>,
 ) -> Millis {
     let others: Vec<Candidate<'a>> = others.collect();
     let outmatched = others.iter().any(|other| other.precedes(own, pool) && other.outmatches(own));
     let weak = if outmatched { WEAK_DELAY } else { Millis(0) };
-    Millis(before(pool, own, others.into_iter()) as u64 * RANK_DELAY.0 + weak.0)
+    let rank = before(pool, own, others.into_iter());
+    let ranked = RANK_DELAY.0 * rank.min(RANKS_MOST) as u64;
+    if member && rank < RANKS_MOST {
+        return Millis(ranked + weak.0);
+    }
+    let last = RANK_DELAY.0 * RANKS_MOST as u64;
+    Millis(last + weight(pool, own.node) % SPREAD.0 + weak.0)
 }
 
 /// Returns a process's weight for a pool, the same on every host; it spreads pools over processes that
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod liveness;
 pub mod lives;
+pub mod membership;
 pub mod model;
 pub mod order;
 pub mod place;
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -210,6 +210,9 @@
 pub struct LeaseRecord {
     /// The process in charge; `None` after it gave the pool back.
     pub owner: Option<NodeName>,
+    /// Where that process answers its peers; a release that did not say is on the list of members.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
     /// How often the pool has changed hands; it makes the numbers of runs rise over owners.
     pub term: u64,
     /// Set when it was given back by an owner to which every worker of its own predecessor had
--- a/reachhead_jobs/tests/authority.rs
+++ b/reachhead_jobs/tests/authority.rs
@@ -18,7 +18,12 @@
 const TOKEN: FencingToken = FencingToken(16);
 
 fn lease(owner: Option<&str>) -> LeaseRecord {
-    LeaseRecord { owner: owner.map(|name| name.parse().unwrap()), term: 3, settled: false }
+    LeaseRecord {
+        owner: owner.map(|name| name.parse().unwrap()),
+        address: None,
+        term: 3,
+        settled: false,
+    }
 }
 
 const DUTY: Millis = Millis(3000);
--- /dev/null
+++ b/reachhead_jobs/tests/membership.rs
@@ -0,0 +1,106 @@
+//! How many processes enter the list of members.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use reachhead_jobs::membership::{Entrant, entry_delay, seats, should_enter, should_leave};
+use reachhead_types::{
+    id::NodeName,
+    size::{Millis, Strength},
+};
+
+const STRONG: Strength = Strength(6666);
+const WEAK: Strength = Strength(800);
+
+/// How long after a write all others know of it.
+const LAG: Millis = Millis(50);
+
+/// Pools of the fleet.
+const POOLS: usize = 6;
+
+/// Writes a second that one part of the platform's store carries out.
+const PART_RATE: usize = 300;
+
+fn names(count: usize) -> Vec<NodeName> {
+    (0..count).map(|number| format!("n{number}").parse().unwrap()).collect()
+}
+
+/// Starts all processes at once and returns when each entered that did.
+fn start(nodes: &[(NodeName, Strength)], seed: u64) -> Vec<Duration> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut turns: Vec<(Duration, &NodeName, Strength)> = nodes
+        .iter()
+        .map(|(node, strength)| (entry_delay(*strength, rng.random()), node, *strength))
+        .collect();
+    turns.sort();
+    let mut entered: Vec<(Duration, Entrant<'_>)> = Vec::new();
+    for (at, node, strength) in turns {
+        let own = Entrant { node, strength };
+        let known = entered.iter().filter(|(since, _)| *since + LAG.duration() <= at);
+        if should_enter(own, known.map(|(_, entrant)| *entrant), seats(POOLS)) {
+            entered.push((at, own));
+        }
+    }
+    entered.into_iter().map(|(at, _)| at).collect()
+}
+
+fn fleet(strong: usize, weak: usize) -> Vec<(NodeName, Strength)> {
+    let strengths = std::iter::repeat_n(STRONG, strong).chain(std::iter::repeat_n(WEAK, weak));
+    names(strong + weak).into_iter().zip(strengths).collect()
+}
+
+/// All processes entered a list that all follow: 585 joins were 342,000 rows read, and all were written to one part of the store,
+/// which took 8 s and 9,080 tries at a start.
+#[test]
+fn the_list_of_members_does_not_grow_with_the_fleet() {
+    for (strong, weak) in [(60, 525), (120, 1050), (460, 4071), (0, 585), (0, 1170), (0, 4531)] {
+        let nodes = fleet(strong, weak);
+        for seed in 0..5 {
+            let entered = start(&nodes, seed);
+            let most = 4 * seats(POOLS);
+            assert!(entered.len() >= seats(POOLS), "{} of {}", entered.len(), nodes.len());
+            assert!(entered.len() <= most, "{} of {}", entered.len(), nodes.len());
+            let second = Duration::from_secs(1);
+            let rate = entered
+                .iter()
+                .map(|end| entered.iter().filter(|at| **at <= *end && **at + second > *end).count())
+                .max()
+                .unwrap();
+            assert!(rate <= PART_RATE, "{rate} writes in a second");
+        }
+    }
+}
+
+#[test]
+fn of_a_small_fleet_all_are_members() {
+    assert_eq!(start(&fleet(0, 9), 1).len(), 9);
+    assert_eq!(start(&fleet(3, 9), 1).len(), 12);
+}
+
+#[test]
+fn a_stronger_process_enters_though_all_seats_are_taken_by_weaker_ones() {
+    let names = names(40);
+    let weak = || names[1..].iter().map(|node| Entrant { node, strength: WEAK });
+    let strong = Entrant { node: &names[0], strength: STRONG };
+    assert!(should_enter(strong, weak(), seats(POOLS)));
+    let weak_one = Entrant { node: &names[0], strength: WEAK };
+    assert!(!should_enter(weak_one, weak(), seats(POOLS)));
+}
+
+/// Those that are too many leave one after the other, and enough stay.
+#[test]
+fn a_list_that_is_far_too_long_shrinks_and_stays() {
+    let names = names(300);
+    let mut members: BTreeMap<&NodeName, Strength> =
+        names.iter().map(|node| (node, WEAK)).collect();
+    for node in &names {
+        let others = members.iter().filter(|(other, _)| **other != node);
+        let others = others.map(|(node, strength)| Entrant { node, strength: *strength });
+        if should_leave(Entrant { node, strength: WEAK }, others, seats(POOLS)) {
+            members.remove(node);
+        }
+    }
+    assert_eq!(members.len(), 4 * seats(POOLS));
+}
--- a/reachhead_jobs/tests/pool/candidate.rs
+++ b/reachhead_jobs/tests/pool/candidate.rs
@@ -38,8 +38,9 @@
     let all: Vec<Candidate<'_>> = (0..12)
         .map(|place| candidate(&names[place], if place < 2 { 3300 } else { 800 }, place % 2 * 2))
         .collect();
-    let wait =
-        |own: &Candidate<'_>| delay(&pool, own, all.iter().filter(|other| *other != own).copied());
+    let wait = |own: &Candidate<'_>| {
+        delay(&pool, own, true, all.iter().filter(|other| *other != own).copied())
+    };
     let strong = all[..2].iter().map(wait).max().unwrap();
     let weak = all[2..].iter().map(wait).min().unwrap();
     assert!(weak.0 > strong.0 + NOTICE_SPREAD.0, "{weak} ms and {strong} ms");
@@ -96,3 +97,41 @@
     assert!(known.precedes(&unknown, &pool));
     assert!(!unknown.precedes(&known, &pool));
 }
+
+/// The time in which a pool has to have its next owner, whatever is lost: what is left of a worker's lease of 4.5 s after an owner
+/// was silent for 1.1 s.
+const NEXT_TIME: Millis = Millis(3400);
+
+/// Candidates waited for each other one by one, 60 ms each: with the best sixty hosts gone the next owner came after 3.6 s, and with
+/// three hundred gone after 18 s.
+#[test]
+fn the_next_owner_comes_within_a_bound_however_many_candidates_are_gone() {
+    let pool: PoolName = "p".parse().unwrap();
+    for count in [9, 60, 585, 1200, 4531] {
+        let names = names(count);
+        let all: Vec<Candidate<'_>> = names.iter().map(|node| candidate(node, 6666, 0)).collect();
+        let last = &all[count - 1];
+        let others = || all.iter().filter(|other| *other != last).copied();
+        // A weak process that is no member waits longest, since all of them go before it.
+        let weak: NodeName = "weak".parse().unwrap();
+        for (own, member) in [(*last, true), (candidate(&weak, 800, 0), false)] {
+            let wait = delay(&pool, &own, member, others());
+            assert!(wait <= NEXT_TIME, "{wait} ms with {count} processes");
+        }
+    }
+}
+
+/// Whoever comes after the first candidates is spread, so that hundreds do not write the same row at the same moment.
+#[test]
+fn processes_that_are_no_members_do_not_come_together() {
+    let (pool, names) = ("p".parse::<PoolName>().unwrap(), names(585));
+    let strong: Vec<NodeName> = (0..16).map(|place| format!("s{place}").parse().unwrap()).collect();
+    let members = || strong.iter().map(|node| candidate(node, 6666, 0));
+    let mut waits: Vec<u64> = names
+        .iter()
+        .map(|node| delay(&pool, &candidate(node, 800, 0), false, members()).0)
+        .collect();
+    waits.sort_unstable();
+    let most = waits.windows(20).map(|near| near[19] - near[0]).min().unwrap();
+    assert!(most >= 10, "twenty within {most} ms");
+}
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -1,6 +1,6 @@
 //! Who is in charge of which pool: taking leases, and noticing that an owner is gone.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use reachhead_jobs::{
     candidate::{self, Candidate},
@@ -11,7 +11,7 @@
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
-    id::{NodeName, PoolName},
+    id::PoolName,
     size::{FencingToken, Millis, Revision},
 };
 use tokio::{task::JoinHandle, time};
@@ -20,20 +20,13 @@
     fleet,
     node::Node,
     owner::{Owner, OwnerHandle},
-    peer::{Ask, Reply},
     takeover,
-    view::{Heard, LeaseView},
+    view::LeaseView,
 };
 
 /// How often a process looks at the leases.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 
-/// How often a process asks the owners whether they live.
-const PING_PERIOD: Duration = Duration::from_millis(250);
-
-/// How long a process waits for the answer to that.
-const PING_TIME: Duration = Duration::from_millis(400);
-
 /// How long an owner must be silent before its pools are taken. Longer than a pause of a slow or
 /// frozen process that is usual, and short enough that workers' leases outlast the change of hands.
 const SILENT_TIME: Millis = Millis(1100);
@@ -48,6 +41,10 @@
 /// How long a process waits after its start before it takes pools, so that all know each other.
 const START_DELAY: Millis = Millis(300);
 
+/// The same where nobody had been on the list of members: the first that enters would take all pools, and hand them over to the
+/// others one by one.
+const FIRST_DELAY: Millis = Millis(1700);
+
 /// How long an owner goes on giving orders without a sign that it is in charge. With a worker's lease
 /// after it, runs outlast an outage of the store of about eight seconds; a successor that can't
 /// reach a worker has to wait for the same time.
@@ -68,6 +65,7 @@
 pub async fn run(node: Arc<Node>) {
     let mut claims = Claims {
         started: node.now(),
+        watching: node.now(),
         vacant: BTreeMap::new(),
         claiming: BTreeMap::new(),
         told: BTreeMap::new(),
@@ -83,41 +81,11 @@
     }
 }
 
-/// Asks the owners whether they live, for as long as the process lives.
-pub async fn ping(node: Arc<Node>) {
-    loop {
-        time::sleep(PING_PERIOD).await;
-        for (owner, address) in asked(&node) {
-            let node = Arc::clone(&node);
-            tokio::spawn(async move {
-                if let Ok(Reply::Pong(pong)) = node.peers.ask(address, &Ask::Ping, PING_TIME).await
-                {
-                    let heard = Heard { at: node.now(), pong };
-                    node.view().heard.insert(owner, heard);
-                }
-            });
-        }
-    }
-}
-
-/// Returns whom to ask: the owners, and all peers while the store is away for this process, which then has only their word
-/// of who owns what and who can store a job.
-fn asked(node: &Node) -> BTreeMap<NodeName, SocketAddr> {
-    let away = node.outage().is_some();
-    let view = node.view();
-    let owners = view.leases.keys().filter_map(|pool| view.owner(pool));
-    let mut asked: BTreeMap<NodeName, SocketAddr> = owners.collect();
-    if away {
-        let members = view.members.iter();
-        asked.extend(members.map(|(peer, member)| (peer.clone(), member.address)));
-    }
-    asked.remove(&node.settings.node);
-    asked
-}
-
 struct Claims {
     node: Arc<Node>,
     started: Tick,
+    /// Since when this process watches the owners; what it did not hear before tells nothing of them.
+    watching: Tick,
     /// Since when a pool has nobody in charge, as this process sees it.
     vacant: BTreeMap<PoolName, Tick>,
     /// Pools that are being taken, side by side: after a restart of all processes each takes several, and one
@@ -138,8 +106,12 @@
         if now.since(std::mem::replace(&mut self.last, now)) >= LATE_GAP {
             self.late = now;
         }
+        if !self.node.view().watches(&self.node.settings.node, now) {
+            self.watching = now;
+        }
         self.claiming.retain(|_, claim| !claim.is_finished());
-        let early = now.since(self.started) < START_DELAY;
+        let delay = if self.node.view().is_first { FIRST_DELAY } else { START_DELAY };
+        let early = now.since(self.started) < delay;
         let Some(config) = self.node.view().config.clone() else {
             return;
         };
@@ -211,7 +183,7 @@
         }
         let heard = view.heard.get(owner);
         let last = heard.map_or(Tick(0), |heard| heard.at).max(lease.since).max(self.started);
-        let last = last.max(self.late);
+        let last = last.max(self.late).max(self.watching);
         if now.since(last) > SILENT_TIME {
             return true;
         }
@@ -235,8 +207,9 @@
             .members
             .iter()
             .filter(|(other, _)| **other != node.settings.node)
-            .map(|(other, member)| view.candidate(other, member));
-        candidate::delay(pool, &own, others)
+            .map(|(other, member)| view.candidate(other, &member.record));
+        let member = view.members.contains_key(&node.settings.node);
+        candidate::delay(pool, &own, member, others)
     }
 }
 
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -17,7 +17,7 @@
 };
 use tokio::time;
 
-use crate::node::Node;
+use crate::{node::Node, view::MemberView};
 
 /// How long a poll of the operators' table waits. The configuration in force is known to be at most
 /// this old, which has to be well below the time in which a version must be in force.
@@ -26,6 +26,12 @@
 /// How long a poll of the leases waits; each answer tells an owner that it still is in charge.
 const LEASE_WAIT: Millis = Millis(1500);
 
+/// How long it waits in a process that owns nothing and watches nobody, which needs the leases only to know where owners are.
+const IDLE_LEASE_WAIT: Millis = Millis(6000);
+
+/// Pause of such a process after changes of the leases: many change together, and each poll would be answered by one.
+const IDLE_LEASE_GAP: Millis = Millis(60);
+
 /// How long a poll of the workers waits. A worker that drains must get nothing soon after, also when
 /// the connection has gone silent.
 const WORKER_WAIT: Millis = Millis(1000);
@@ -241,6 +247,13 @@
 pub struct Leases(pub Arc<Node>);
 
 impl Leases {
+    /// Tells whether this process owns nothing and leaves it to others to watch the owners.
+    fn is_idle(&self) -> bool {
+        let node = &self.0;
+        let idle = node.owned().is_empty() && node.loading().is_empty();
+        idle && !node.view().watches(&node.settings.node, node.now())
+    }
+
     fn take(&self, change: &Change, now: Tick) {
         match parse(&change.row.key) {
             Some(LeaseKey::Member(node)) => self.member(node, change),
@@ -269,7 +282,8 @@
         }
         match change.row.parse::<MemberRecord>() {
             Ok(record) => {
-                self.0.view().members.insert(node, record);
+                let revision = change.row.revision;
+                self.0.view().members.insert(node, MemberView { record, revision });
             }
             Err(error) => emit(Event::RowRefused, error),
         }
@@ -282,7 +296,11 @@
     }
 
     fn wait(&self) -> Millis {
-        LEASE_WAIT
+        if self.is_idle() { IDLE_LEASE_WAIT } else { LEASE_WAIT }
+    }
+
+    fn gap(&self) -> Millis {
+        if self.is_idle() { IDLE_LEASE_GAP } else { Millis(0) }
     }
 
     fn reset(&self, rows: &[Change]) {
@@ -290,6 +308,11 @@
         {
             let mut view = self.0.view();
             view.members.clear();
+            let listed =
+                |change: &Change| matches!(parse(&change.row.key), Some(LeaseKey::Member(_)));
+            if view.leases_read.is_none() {
+                view.is_first = !rows.iter().any(listed);
+            }
             view.leases_read.get_or_insert(now);
         }
         self.apply_at(rows, now);
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -300,6 +300,8 @@
     fn is_ready(&self) -> bool {
         let view = self.0.view();
         let heard = self.0.now().since(view.store_seen) <= STORE_AGE;
-        view.config.is_some() && heard && !self.0.is_stopping()
+        // Without a peer it could serve nobody once the store turns it away.
+        let accompanied = !view.members.is_empty();
+        view.config.is_some() && heard && accompanied && !self.0.is_stopping()
     }
 }
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -415,8 +415,12 @@
     async fn give_back(&mut self) {
         let name = self.pool.name().clone();
         self.record_all().await;
-        let record =
-            LeaseRecord { owner: None, term: self.term, settled: self.pool.unsettled() == 0 };
+        let record = LeaseRecord {
+            owner: None,
+            address: None,
+            term: self.term,
+            settled: self.pool.unsettled() == 0,
+        };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
             .with_write(lease_key(&name), value(&record));
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -21,7 +21,7 @@
     http::{self, Handler, WholeRequest, WholeResponse},
 };
 use reachhead_types::{
-    id::{CustomerName, JobId, PoolName, RouteName, WorkerId},
+    id::{CustomerName, JobId, NodeName, PoolName, RouteName, WorkerId},
     size::Revision,
 };
 use serde::{Deserialize, Serialize};
@@ -131,6 +131,19 @@
     /// Its last call to the store failed.
     #[serde(default)]
     pub failing: bool,
+    /// It was asked to end, and takes nothing any more.
+    #[serde(default)]
+    pub stopping: bool,
+    /// Its name; a release that did not say is taken for whom was asked.
+    #[serde(default)]
+    pub node: Option<NodeName>,
+}
+
+impl Pong {
+    /// Tells whether it is the answer of this process.
+    pub fn is_of(&self, node: &NodeName) -> bool {
+        self.node.as_ref().is_none_or(|own| own == node)
+    }
 }
 
 /// A client of peers.
@@ -202,7 +215,13 @@
         let now = self.0.now();
         let view = self.0.view();
         let store_age = now.since(view.store_seen).0;
-        Reply::Pong(Pong { owned, store_age, failing: view.store_failing })
+        Reply::Pong(Pong {
+            owned,
+            store_age,
+            failing: view.store_failing,
+            stopping: self.0.is_stopping(),
+            node: Some(self.0.settings.node.clone()),
+        })
     }
 }
 
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -3,10 +3,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use reachhead_jobs::{
-    ports::Frontend,
-    record::{MemberRecord, member_key, part_of, value},
-};
+use reachhead_jobs::{ports::Frontend, record::part_of};
 use reachhead_ops::{
     client::HttpClient,
     event::{Event, emit},
@@ -22,7 +19,7 @@
     store::TableStore,
     workers::HttpWorkers,
 };
-use reachhead_store::{guarded::GuardedStore, row::Txn};
+use reachhead_store::guarded::GuardedStore;
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -34,11 +31,12 @@
 use crate::{
     admission, claims, follow,
     frontend::NodeFrontend,
+    membership,
     metrics::Metrics,
     node::{Node, Services},
     owner::Input,
     peer::{PeerClient, PeerHandler},
-    relief,
+    relief, sight,
 };
 
 /// Longest wait for an answer of the store. A slow store carries transactions of a part out one after
@@ -84,9 +82,6 @@
 /// Part of the platform's patience that is left unused at the end.
 const END_MARGIN: Duration = Duration::from_millis(700);
 
-/// Pause between tries to enter the list of processes.
-const ENTER_PAUSE: Duration = Duration::from_millis(200);
-
 /// Why the process can't run.
 #[derive(Debug, Error)]
 pub enum ProcessError {
@@ -204,28 +199,14 @@
     tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Operators(Arc::clone(node)))));
     tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Leases(Arc::clone(node)))));
     tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Workers(Arc::clone(node)))));
-    tokio::spawn(enter(Arc::clone(node)));
+    tokio::spawn(membership::run(Arc::clone(node)));
+    tokio::spawn(membership::check(Arc::clone(node)));
     tokio::spawn(claims::run(Arc::clone(node)));
-    tokio::spawn(claims::ping(Arc::clone(node)));
+    tokio::spawn(sight::run(Arc::clone(node)));
     tokio::spawn(relief::run(Arc::clone(node)));
     tokio::spawn(admission::keep_current(Arc::clone(node)));
 }
 
-/// Enters the list of processes.
-async fn enter(node: Arc<Node>) {
-    let record = MemberRecord { address: node.settings.peer, strength: node.strength() };
-    let txn = Txn::new().with_write(member_key(&node.settings.node), value(&record));
-    loop {
-        let result = node.services.store.commit(txn.clone()).await;
-        node.note_store(&result);
-        match result {
-            Ok(_) => return,
-            Err(error) => log::info!("can't enter the list of processes: {error}"),
-        }
-        time::sleep(ENTER_PAUSE).await;
-    }
-}
-
 /// Reads the settings file again. What a running process can't change needs a restart.
 fn reload(node: &Node) {
     match Settings::load() {
--- a/reachhead_node/src/relief.rs
+++ b/reachhead_node/src/relief.rs
@@ -86,7 +86,7 @@
     let own = Candidate { node: &node.settings.node, strength: node.strength(), owned };
     let others = view.members.iter().filter(|(other, _)| **other != node.settings.node);
     let mut found: Vec<(Candidate<'_>, SocketAddr)> = others
-        .map(|(other, member)| (view.candidate(other, member), member.address))
+        .map(|(other, member)| (view.candidate(other, &member.record), member.record.address))
         .filter(|(candidate, _)| own.should_yield(candidate))
         .collect();
     found.sort_by(|(a, _), (b, _)| a.compare(b));
--- a/reachhead_node/src/submit/mod.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -187,7 +187,7 @@
             continue;
         }
         let direct = batch.iter().any(|submission| submission.direct);
-        match owner_of(&node, &place.pool).filter(|_| !direct) {
+        match owner_of(&node, &place.pool).await.filter(|_| !direct) {
             Some(owner) => {
                 let (node, place) = (Arc::clone(&node), place.clone());
                 let batch = std::mem::take(&mut batch);
--- a/reachhead_node/src/submit/peers.rs
+++ b/reachhead_node/src/submit/peers.rs
@@ -13,6 +13,7 @@
 use crate::{
     node::Node,
     peer::{Ask, Reply, Unstored},
+    sight,
 };
 
 /// Longest wait for an owner that stores jobs for this process; callers wait for three seconds.
@@ -68,8 +69,17 @@
     }
 }
 
-/// Returns where the owner of a pool answers, if it is a peer that was heard of lately.
-pub(super) fn owner_of(node: &Node, pool: &PoolName) -> Option<SocketAddr> {
+/// Returns where the owner of a pool answers, if it is a peer that answers or was heard of lately.
+pub(super) async fn owner_of(node: &Node, pool: &PoolName) -> Option<SocketAddr> {
+    let known = heard_owner(node, pool);
+    if known.is_some() {
+        return known;
+    }
+    sight::look(node, pool).await;
+    heard_owner(node, pool)
+}
+
+fn heard_owner(node: &Node, pool: &PoolName) -> Option<SocketAddr> {
     let view = node.view();
     let (owner, address) = view.owner(pool)?;
     let heard = view.heard.get(&owner)?;
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -42,7 +42,9 @@
     known: Option<&LeaseView>,
 ) -> Result<Option<LeaseView>, StoreError> {
     let term = known.map_or(0, |known| known.record.term + 1);
-    let record = LeaseRecord { owner: Some(node.settings.node.clone()), term, settled: false };
+    let owner = Some(node.settings.node.clone());
+    let address = Some(node.settings.peer);
+    let record = LeaseRecord { owner, address, term, settled: false };
     let key = lease_key(pool);
     let txn = Txn::new()
         .with_check(key.clone(), known.map(|known| known.revision))
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -32,11 +32,22 @@
     pub since: Tick,
 }
 
+/// A process on the list of members.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberView {
+    /// What it says of itself.
+    pub record: MemberRecord,
+    /// The row's revision.
+    pub revision: Revision,
+}
+
 /// What was heard of a peer.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heard {
     /// When it last answered.
     pub at: Tick,
+    /// Where it answered.
+    pub address: SocketAddr,
     /// What it said of itself.
     pub pong: Pong,
 }
@@ -54,12 +65,14 @@
     pub leases: BTreeMap<PoolName, LeaseView>,
     /// When the leases were first read: for how long they had been so before is not known.
     pub leases_read: Option<Tick>,
+    /// Nobody was on the list of members when it was first read.
+    pub is_first: bool,
     /// When the leases were last known to be as they are here.
     pub leases_seen: Tick,
     /// The store's revision up to which every lease is known.
     pub leases_revision: Revision,
-    /// The processes of the system.
-    pub members: BTreeMap<NodeName, MemberRecord>,
+    /// The processes that watch the owners of pools and take what is vacant.
+    pub members: BTreeMap<NodeName, MemberView>,
     /// The workers that are registered.
     pub workers: BTreeMap<WorkerId, WorkerInfo>,
     /// The table of workers is followed, so `workers` is not left over from an earlier time.
@@ -89,14 +102,16 @@
         let claimed = self
             .heard
             .iter()
-            .filter_map(|(peer, heard)| Some((*heard.pong.owned.get(pool)?, peer)))
-            .filter(|(token, _)| *token > revision)
+            .filter_map(|(peer, heard)| Some((*heard.pong.owned.get(pool)?, peer, heard.address)))
+            .filter(|(token, ..)| *token > revision)
             .max();
-        let owner = match claimed {
-            Some((_, peer)) => peer.clone(),
-            None => lease?.record.owner.clone()?,
-        };
-        let address = self.members.get(&owner)?.address;
+        if let Some((_, peer, address)) = claimed {
+            return Some((peer.clone(), address));
+        }
+        let record = &lease?.record;
+        let owner = record.owner.clone()?;
+        let listed = || Some(self.members.get(&owner)?.record.address);
+        let address = record.address.or_else(listed)?;
         Some((owner, address))
     }
 
@@ -114,7 +129,7 @@
             .iter()
             .filter(|(_, heard)| lately(heard))
             .min_by_key(|(_, heard)| heard.pong.store_age)
-            .and_then(|(peer, _)| Some(self.members.get(peer)?.address))
+            .map(|(_, heard)| heard.address)
     }
 
     /// Returns a process as a candidate for pools.
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -83,6 +83,8 @@
     TakenOff 405 Warn;
     /// The platform's host list changed; these hosts are leaving.
     HostsLeaving 406 Info;
+    /// A process entered or left the list of members, or was taken off it since it does not answer.
+    MemberChanged 407 Info;
     /// A minion failed so often that it is left alone for a while.
     MinionEjected 500 Warn;
     /// A minion that was left alone is tried again.
