Processes that are no members follow tables by way of members

Change: a process that owns nothing and is no member asks a member, which passes on what it follows itself (reachhead_jobs::relay keeps the table and its last changes; relay.rs asks and answers). What is told counts as old as the member's knowledge was, by when the question was sent and how long it was held. A member that does not know, or does not answer, is left for the store and another one. It is done only where a configuration has five seconds or so to be in force; the age by which a call is decided without a look follows that time. Elsewhere each process asks the store as before. Ruled out: only longer polls. Each change ends them, and knowledge would be older. Tests: tests/relay.rs (a walk: who asks a process ends with the table), members.rs, a process that the store turns away for 40 s and that serves by the newest configuration while members are killed.

--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -28,10 +28,13 @@
     peer::{Ask, Reply},
 };
 
-/// Age above which the configuration is looked at before a call is decided by it. The followed table
+/// Age above which the configuration is looked at before a call is decided by it, at least. The followed table
 /// is confirmed every second, so this is only reached when its connection fails.
 const CONFIG_AGE: Millis = Millis(1400);
 
+/// The part of the time in which a configuration has to be in force that may pass before that.
+const AGE_PERCENT: u64 = 45;
+
 /// Longest wait for a look at the configuration, at the store and again at a peer.
 const LOOK_TIME: Duration = Duration::from_millis(300);
 
@@ -89,7 +92,7 @@
         let now = node.now();
         let age = now.since(node.view().config_seen);
         let known = find();
-        if age <= CONFIG_AGE && known.is_ok() {
+        if age <= config_age(node) && known.is_ok() {
             return known;
         }
         let Some(error) = self.look(node).await else {
@@ -149,13 +152,18 @@
     }
 }
 
+/// Returns the age above which the configuration is looked at before anything is decided by it.
+pub fn config_age(node: &Node) -> Millis {
+    Millis(node.settings.apply.0 * AGE_PERCENT / 100).max(CONFIG_AGE)
+}
+
 /// Keeps an owner of pools from being behind what operators wrote, for as long as the process lives: where the store turns it
 /// away a peer is asked, since it starts nothing by knowledge that is too old.
 pub async fn keep_current(node: Arc<Node>) {
     loop {
         time::sleep(CURRENT_PERIOD).await;
         let age = node.now().since(node.view().config_seen);
-        if age > CONFIG_AGE
+        if age > config_age(&node)
             && !node.owned().is_empty()
             && let Some(error) = node.door.look(&node).await
         {
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -17,7 +17,11 @@
 };
 use tokio::time;
 
-use crate::{node::Node, view::MemberView};
+use crate::{
+    node::Node,
+    relay::{self, Followed},
+    view::MemberView,
+};
 
 /// How long a poll of the operators' table waits. The configuration in force is known to be at most
 /// this old, which has to be well below the time in which a version must be in force.
@@ -90,11 +94,10 @@
                 let _ = time::timeout(PAUSE_FIRST, node.duty_taken.notified()).await;
                 continue;
             }
-            let sent = node.now();
-            let page = node.services.feed.table(follower.table()).await;
-            node.note_store(&page);
-            match page {
-                Ok(page) => {
+            let told = relay::table(&node, follower.table()).await;
+            node.note_store(&told);
+            match told {
+                Ok(Followed { page, at }) => {
                     emit(
                         Event::TableRead,
                         format_args!(
@@ -105,7 +108,7 @@
                         ),
                     );
                     follower.reset(&page.changes);
-                    follower.seen(sent, page.revision);
+                    follower.seen(at, page.revision);
                     pause = PAUSE_FIRST;
                     poll(&node, &*follower, page).await;
                     if !follower.wanted() {
@@ -128,19 +131,18 @@
     let mut pause = PAUSE_FIRST;
     let mut wait = follower.wait();
     while follower.wanted() {
-        let sent = node.now();
-        let page = node.services.feed.changes(follower.table(), revision, wait).await;
+        let told = relay::changes(node, follower.table(), revision, wait).await;
         // After a failure the store is asked for a word at once: a poll that hangs tells of its return 1.5 s later.
-        wait = if page.is_ok() { follower.wait() } else { Millis(0) };
-        match page {
-            Ok(page) => {
+        wait = if told.is_ok() { follower.wait() } else { Millis(0) };
+        match told {
+            Ok(Followed { page, at }) => {
                 node.note_store(&Ok(()));
                 revision = revision.max(page.revision);
                 let changed = !page.changes.is_empty();
                 if changed {
                     follower.apply(&page.changes);
                 }
-                follower.seen(sent, revision);
+                follower.seen(at, revision);
                 pause = PAUSE_FIRST;
                 if changed {
                     time::sleep(follower.gap().duration()).await;
@@ -247,13 +249,6 @@
 pub struct Leases(pub Arc<Node>);
 
 impl Leases {
-    /// Tells whether this process owns nothing and leaves it to others to watch the owners.
-    fn is_idle(&self) -> bool {
-        let node = &self.0;
-        let idle = node.owned().is_empty() && node.loading().is_empty();
-        idle && !node.view().watches(&node.settings.node, node.now())
-    }
-
     fn take(&self, change: &Change, now: Tick) {
         match parse(&change.row.key) {
             Some(LeaseKey::Member(node)) => self.member(node, change),
@@ -296,11 +291,11 @@
     }
 
     fn wait(&self) -> Millis {
-        if self.is_idle() { IDLE_LEASE_WAIT } else { LEASE_WAIT }
+        if self.0.is_idle() { IDLE_LEASE_WAIT } else { LEASE_WAIT }
     }
 
     fn gap(&self) -> Millis {
-        if self.is_idle() { IDLE_LEASE_GAP } else { Millis(0) }
+        if self.0.is_idle() { IDLE_LEASE_GAP } else { Millis(0) }
     }
 
     fn reset(&self, rows: &[Change]) {
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     admission::Door, clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient,
-    submit::Submitter, view::View,
+    relay::Relay, submit::Submitter, view::View,
 };
 
 /// How long the store must have been silent to be called lost: longer than a single failed call, and than
@@ -71,6 +71,8 @@
     pub door: Door,
     /// What stores accepted jobs.
     pub submitter: Submitter,
+    /// What passes tables on.
+    pub relay: Relay,
     /// What it counts.
     pub metrics: Metrics,
     /// True once it was asked to end.
@@ -100,6 +102,7 @@
             peers,
             door: Door::new(),
             submitter: Submitter::new(),
+            relay: Relay::new(),
             metrics,
             stopping,
             duty_taken: Notify::new(),
@@ -164,6 +167,12 @@
         );
     }
 
+    /// Tells whether this process owns nothing and leaves it to others to watch the owners.
+    pub fn is_idle(&self) -> bool {
+        let owns = !self.owned().is_empty() || !self.loading().is_empty();
+        !owns && !self.view().watches(&self.settings.node, self.now())
+    }
+
     /// Tells whether the process was asked to end.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -31,6 +31,7 @@
     admission::operator_changes,
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
+    relay::{self, TableAsk, TableReply},
     submit::{StoreOutcome, store_for_peer},
 };
 
@@ -47,6 +48,8 @@
     Store(PoolName, Vec<Unstored>),
     /// What have operators written since?
     Operators(Revision),
+    /// What do you know of a table?
+    Table(TableAsk),
     /// Something for the owner of a pool.
     Pool(PoolName, PoolAsk),
 }
@@ -107,6 +110,8 @@
     Done,
     /// What operators have written, if the store says so.
     Operators(Option<FeedPage>),
+    /// What is known of a table.
+    Table(TableReply),
     /// The job's state.
     State(StateReply),
     /// What became of a cancellation.
@@ -192,6 +197,7 @@
             Ask::Ping => self.pong(),
             Ask::Operators(revision) => Reply::Operators(self.operators(revision).await),
             Ask::Store(_, jobs) => Reply::Stored(store_for_peer(&self.0, jobs).await),
+            Ask::Table(ask) => Reply::Table(relay::answer(&self.0, ask).await),
             Ask::Pool(pool, ask) => match self.0.local(&pool) {
                 Some(owner) => ask_owner(&owner, ask).await,
                 None => Reply::NotOwner,
