Hosts that are to move are asked for in one question a pool, and switched off by and by where moves are scarce

Cause: each host that was to move was a question of its own to its pool's owner and an order of its own, all of a round at once. Change: one question a pool (VacateAll), 32 orders at a time. Test: where_moves_are_scarce_idle_hosts_of_all_pools_are_switched_off_by_and_by.

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance.rs
@@ -28,6 +28,9 @@
 /// wait for hosts that were just given up; later, the group pays for hosts that nobody uses.
 const IDLE_TIME: Millis = Millis(3000);
 
+/// Milliseconds in a second.
+const SECOND: f64 = 1000.0;
+
 /// How long a host stays in its pool after it came, so that none goes to and fro.
 const STAY_TIME: Millis = Millis(1500);
 
@@ -86,6 +89,8 @@
     place: BTreeMap<HostId, PoolName>,
     /// Since when a host is up and its worker is of no use to its pool.
     absent: BTreeMap<HostId, Tick>,
+    /// When hosts were last looked at to be switched off.
+    parked: Tick,
 }
 
 /// A pool's hosts and what it needs of them.
@@ -127,13 +132,14 @@
         Self::default()
     }
 
-    /// Returns the moves to begin now, the most urgent first. `held` are hosts that something else is done
-    /// with.
+    /// Returns the moves to begin now, the most urgent first. `rate` is how many orders a second the platform takes; `held` are
+    /// hosts that something else is done with.
     pub fn next(
         &mut self,
         machines: &BTreeMap<HostId, Machine>,
         pools: &BTreeMap<PoolName, PoolState>,
         drained: &BTreeSet<ZoneName>,
+        rate: f64,
         held: impl Fn(&HostId) -> bool,
         now: Tick,
     ) -> Vec<Move> {
@@ -158,7 +164,8 @@
         let mut moves = Vec::new();
         self.fill(&mut accounts, &mut off, &mut moves);
         if let Some(spare) = spare {
-            self.park(&accounts, &spare, &mut moves, now);
+            let spread = spread_time(machines.len(), rate);
+            self.park(&accounts, &spare, spread, &mut moves, now);
         }
         moves
     }
@@ -256,11 +263,19 @@
         }
     }
 
-    /// Switches hosts off that have not been needed for a while.
-    fn park(&mut self, accounts: &[Account], spare: &PoolName, moves: &mut Vec<Move>, now: Tick) {
+    /// Switches hosts off that have not been needed for a while, of all pools by turns.
+    fn park(
+        &mut self,
+        accounts: &[Account],
+        spare: &PoolName,
+        spread: Millis,
+        moves: &mut Vec<Move>,
+        now: Tick,
+    ) {
+        let passed = now.since(std::mem::replace(&mut self.parked, now));
+        let mut parks: Vec<Vec<&Move>> = Vec::new();
         for account in accounts {
-            let idle = account.idle.iter();
-            moves.extend(idle.map(|step| Move { to: spare.clone(), ..step.clone() }));
+            parks.push(account.idle.iter().collect());
             let extra = account.have.saturating_sub(account.want);
             if extra == 0 || !account.begun {
                 self.idle.remove(&account.pool);
@@ -270,9 +285,12 @@
             if now.since(since) < IDLE_TIME {
                 continue;
             }
-            for step in account.free.iter().take(extra) {
-                moves.push(Move { to: spare.clone(), ..step.clone() });
-            }
+            parks.push(account.free.iter().take(share_of(extra, passed, spread)).collect());
+        }
+        let longest = parks.iter().map(Vec::len).max().unwrap_or_default();
+        for place in 0..longest {
+            let steps = parks.iter().filter_map(|steps| steps.get(place));
+            moves.extend(steps.map(|step| Move { to: spare.clone(), ..(*step).clone() }));
         }
     }
 }
@@ -292,6 +310,22 @@
     load.workers.iter().filter(|load| !load.drained)
 }
 
+/// Returns over which time hosts that nobody needs are switched off. Where the platform takes long to move all hosts, each move
+/// is one that others wait for, and a host that has been switched off comes back late: there a host idles as long on average as
+/// that takes.
+fn spread_time(hosts: usize, rate: f64) -> Millis {
+    let whole = if rate > 0.0 { (hosts as f64 / rate * SECOND) as u64 } else { 0 };
+    Millis(whole.saturating_sub(IDLE_TIME.0))
+}
+
+/// Returns how many of `extra` hosts are switched off when `passed` of the time has gone by over which they are.
+fn share_of(extra: usize, passed: Millis, spread: Millis) -> usize {
+    if passed >= spread {
+        return extra;
+    }
+    (extra as u64 * passed.0).div_ceil(spread.0) as usize
+}
+
 /// Returns the size of a pool's largest worker, in thousandths of a core.
 fn largest_worker(load: &PoolLoad) -> Option<u64> {
     usable(load).map(|load| load.cores).max().filter(|cores| *cores > 0)
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -31,6 +31,8 @@
     pools: BTreeMap<PoolName, PoolState>,
     balance: Balance,
     drained: BTreeSet<ZoneName>,
+    /// Orders a second that the platform takes; 0 for no bound.
+    rate: f64,
     now: Tick,
 }
 
@@ -76,7 +78,14 @@
 
     fn round(&mut self, millis: u64) -> Vec<Move> {
         self.now = self.now + Millis(millis);
-        self.balance.next(&self.machines, &self.pools, &self.drained, |_| false, self.now)
+        self.balance.next(
+            &self.machines,
+            &self.pools,
+            &self.drained,
+            self.rate,
+            |_| false,
+            self.now,
+        )
     }
 
     /// Carries moves out as the platform does.
@@ -266,3 +275,22 @@
     let names: Vec<&str> = from.iter().map(|step| step.host.as_str()).collect();
     assert_eq!(names, ["a-2", "a-4", "a-6"], "those that nothing uses are switched off");
 }
+
+/// The platform takes ten seconds to move all hosts of a fleet. Idle ones of each pool in turn were switched off as fast as it took
+/// orders, the first pool's to the last: a burst met the pools that came first without hosts, and those that came last idled.
+#[test]
+fn where_moves_are_scarce_idle_hosts_of_all_pools_are_switched_off_by_and_by() {
+    let mut fleet =
+        Fleet::default().with_pool("a", 500, 0).with_pool("b", 500, 0).with_pool("off", 0, 0);
+    fleet.rate = 100.0;
+    assert!(fleet.round(1000).is_empty());
+    let moves = fleet.round(3000);
+    // Seven seconds are left of the ten, and three have passed since hosts were looked at.
+    let of = |name: &str| moves.iter().filter(|step| step.from.as_str() == name).count();
+    assert_eq!((of("a"), of("b")), (213, 213));
+    fleet.apply(&moves);
+    let moves = fleet.round(1000);
+    let names: BTreeSet<&str> = moves[..2].iter().map(|step| step.from.as_str()).collect();
+    assert_eq!(names.len(), 2, "by turns, so that a cut by the platform's rate meets all");
+    assert_eq!(moves.len(), 2 * 41);
+}
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -1,8 +1,15 @@
 //! Moving hosts between pools, as `reachhead_jobs::balance` decides.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use futures::future::join_all;
+use futures::{
+    future::join_all,
+    stream::{self, StreamExt},
+};
 use reachhead_jobs::{
     balance::{Balance, Move, PoolState, Room},
     clock::Tick,
@@ -37,6 +44,10 @@
 /// Least time between two logs of what the pools have and need.
 const ROOMS_PERIOD: Millis = Millis(400);
 
+/// Orders that are under way at once. Each takes some milliseconds, and with a connection for each of hundreds the platform's
+/// queue of new connections would be full.
+const ORDERS_MOST: usize = 32;
+
 /// Moves that are begun in one round at least.
 const ROUND_LEAST: usize = 4;
 
@@ -102,17 +113,46 @@
         let now = self.node.now();
         let machines = self.corrected(machines, now);
         let drained = self.node.view().drained.clone();
-        let mut steps = self.balance.next(&machines, &pools, &drained, held, now);
+        let rate = self.node.settings.machines.map_or(0.0, |machines| machines.rate);
+        let mut steps = self.balance.next(&machines, &pools, &drained, rate, held, now);
         self.tell_rooms(now);
         steps.truncate(self.allowance(now));
         self.saved = (self.saved - steps.len() as f64).max(0.0);
-        let moved = join_all(steps.into_iter().map(|step| self.carry_out(step))).await;
+        let empty = self.vacate(&steps).await;
+        let may_go = |step: &Move| step.worker.as_ref().is_none_or(|worker| empty.contains(worker));
+        let steps = steps.into_iter().filter(may_go);
+        let orders = stream::iter(steps).map(|step| self.carry_out(step));
+        let moved: Vec<Moved> =
+            orders.buffer_unordered(ORDERS_MOST).filter_map(async |moved| moved).collect().await;
         let now = self.node.now();
-        for moved in moved.iter().flatten().filter(|moved| moved.possible) {
+        for moved in moved.iter().filter(|moved| moved.possible) {
             let ordered = Ordered { to: moved.step.to.clone(), at: now };
             self.ordered.insert(moved.step.host.clone(), ordered);
         }
-        moved.into_iter().flatten().collect()
+        moved
+    }
+
+    /// Asks the owners to empty the workers of hosts that are to leave, one question a pool; returns those that are empty.
+    async fn vacate(&self, steps: &[Move]) -> BTreeSet<WorkerId> {
+        let mut workers: BTreeMap<&PoolName, Vec<WorkerId>> = BTreeMap::new();
+        for step in steps {
+            workers.entry(&step.from).or_default().extend(step.worker.clone());
+        }
+        let asks = workers.into_iter().filter(|(_, workers)| !workers.is_empty()).map(
+            |(pool, workers)| async move {
+                let ask = PoolAsk::VacateAll(workers.clone(), DrainMode::Graceful);
+                match ask_pool(&self.node, pool, ask).await {
+                    Some(Reply::Vacancies(told)) => workers
+                        .into_iter()
+                        .zip(told)
+                        .filter(|(_, vacancy)| *vacancy == Vacancy::Empty)
+                        .map(|(worker, _)| worker)
+                        .collect(),
+                    _ => Vec::new(),
+                }
+            },
+        );
+        join_all(asks).await.into_iter().flatten().collect()
     }
 
     /// Returns the workers that nobody answers for, as their pools' owners said in the last round.
@@ -181,13 +221,6 @@
     }
 
     async fn carry_out(&self, step: Move) -> Option<Moved> {
-        if let Some(worker) = &step.worker {
-            let ask = PoolAsk::Vacate(worker.clone(), DrainMode::Graceful);
-            match ask_pool(&self.node, &step.from, ask).await {
-                Some(Reply::Vacancy(Vacancy::Empty)) => {}
-                _ => return None,
-            }
-        }
         let api: &Arc<dyn MachineApi> = self.node.services.machines.as_ref()?;
         let mandate = self.authority.mandate().await?;
         let result = api.relocate(mandate, step.host.clone(), step.to.clone()).await;
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -44,6 +44,8 @@
     Waiting(RouteName, oneshot::Sender<u32>),
     /// A worker's host is due for planned work.
     Vacate(WorkerId, DrainMode, oneshot::Sender<Vacancy>),
+    /// Hosts of these workers are to be moved.
+    VacateAll(Vec<WorkerId>, DrainMode, oneshot::Sender<Vec<Vacancy>>),
     /// Somebody asks how much room the pool needs.
     Load(oneshot::Sender<PoolLoad>),
     /// What the pool may have running for customers.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -215,6 +215,10 @@
             Input::Vacate(worker, mode, reply) => {
                 let _ = reply.send(self.pool.vacate(&worker, mode, now));
             }
+            Input::VacateAll(workers, mode, reply) => {
+                let vacancy = |worker| self.pool.vacate(worker, mode, now);
+                let _ = reply.send(workers.iter().map(vacancy).collect());
+            }
             Input::Load(reply) => {
                 let _ = reply.send(self.pool.load(now));
             }
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -88,6 +88,8 @@
     Waiting(RouteName),
     /// Empty this worker, whose host is due for planned work.
     Vacate(WorkerId, DrainMode),
+    /// Empty these workers, whose hosts are to be moved.
+    VacateAll(Vec<WorkerId>, DrainMode),
     /// These lives of workers are over.
     Over(Vec<WorkerId>),
     /// How much room does the pool need?
@@ -120,6 +122,8 @@
     Waiting(u32),
     /// How empty the worker is.
     Vacancy(Vacancy),
+    /// How empty each worker is, in the order in which they were asked for.
+    Vacancies(Vec<Vacancy>),
     /// How much room the pool needs.
     Load(PoolLoad),
     /// What customers have in the pool, and could use.
@@ -255,6 +259,10 @@
             answered(owner, |reply| Input::Allot(allotment, reply), Reply::Statement).await
         }
         PoolAsk::Load => answered(owner, Input::Load, Reply::Load).await,
+        PoolAsk::VacateAll(workers, mode) => {
+            let input = |reply| Input::VacateAll(workers, mode, reply);
+            answered(owner, input, Reply::Vacancies).await
+        }
         PoolAsk::Vacate(worker, mode) => {
             answered(owner, |reply| Input::Vacate(worker, mode, reply), Reply::Vacancy).await
         }
