Idle connections of short calls are bounded over all peers

Change: connections of short calls stay open for the 512 peers that were called last. Test: connections_of_short_calls_are_bounded_over_all_peers, 1,000 peers: all open before, 512 now.

--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -1,7 +1,7 @@
 //! Calls over HTTP with a deadline each, on connections that are kept and dropped by peer.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -21,6 +21,10 @@
 /// Idle connections that are kept to one peer; more are closed after use.
 const IDLE_LIMIT: usize = 3;
 
+/// Peers to which connections of short calls are kept idle; those to the peer that was called longest ago are closed first. A
+/// process with thousands of peers would run out of descriptors and memory after a burst.
+const SHORT_PEERS: usize = 512;
+
 /// How late a timer has to fire for this process to count as late itself; timers of an idle one fire within a few.
 const LATENESS_LEAST: Duration = Duration::from_millis(20);
 
@@ -63,6 +67,8 @@
 pub struct HttpClient {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     short: Mutex<HashMap<SocketAddr, Arc<Semaphore>>>,
+    /// Peers to which connections of short calls are idle, the one used longest ago first.
+    short_idle: Mutex<VecDeque<SocketAddr>>,
 }
 
 impl HttpClient {
@@ -124,7 +130,24 @@
             return Err(CallError::NotSent("earlier calls to the peer have no answer".to_owned()));
         };
         let left = end.saturating_duration_since(time::Instant::now());
-        self.call(address, request, left).await
+        let answer = self.call(address, request, left).await;
+        if answer.is_ok() {
+            self.bound_short(address);
+        }
+        answer
+    }
+
+    /// Notes that a connection of a short call is idle, and closes another if there are too many.
+    fn bound_short(&self, address: SocketAddr) {
+        let oldest = {
+            let mut idle = self.short_idle.lock().unwrap_or_else(PoisonError::into_inner);
+            idle.retain(|other| *other != address);
+            idle.push_back(address);
+            if idle.len() > SHORT_PEERS { idle.pop_front() } else { None }
+        };
+        if let Some(oldest) = oldest {
+            self.forget(oldest);
+        }
     }
 
     /// Returns what short calls to a peer wait for.
