Pools are taken at a first start once all members are on the list

Change: 3 s at a first start only. Turns of entering are 150 ms, and guests pause 60 ms after a change of the leases, so that not each entry answers the polls of all. A pause of 200 ms was tried and is wrong: it is longer than a turn, so 219 entered and left again.

--- a/reachhead_jobs/src/membership.rs
+++ b/reachhead_jobs/src/membership.rs
@@ -28,7 +28,7 @@
 const STRENGTH_TIME_MOST: Millis = Millis(2000);
 
 /// Time from one turn of entering to the next, in which all learn who has entered.
-const TURN_TIME: Millis = Millis(100);
+const TURN_TIME: Millis = Millis(150);
 
 /// Turns of entering. In each about twice as many processes enter as in the one before, so that of any number up to some
 /// thousand times the seats only a few more enter than there are seats.
--- a/reachhead_jobs/tests/membership.rs
+++ b/reachhead_jobs/tests/membership.rs
@@ -15,7 +15,7 @@
 const WEAK: Strength = Strength(800);
 
 /// How long after a write all others know of it.
-const LAG: Millis = Millis(50);
+const LAG: Millis = Millis(90);
 
 /// Pools of the fleet.
 const POOLS: usize = 6;
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -43,7 +43,7 @@
 
 /// The same where nobody had been on the list of members: the first that enters would take all pools, and hand them over to the
 /// others one by one.
-const FIRST_DELAY: Millis = Millis(1700);
+const FIRST_DELAY: Millis = Millis(3000);
 
 /// How long an owner goes on giving orders without a sign that it is in charge. With a worker's lease
 /// after it, runs outlast an outage of the store of about eight seconds; a successor that can't
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -33,8 +33,10 @@
 /// How long it waits in a process that owns nothing and watches nobody, which needs the leases only to know where owners are.
 const IDLE_LEASE_WAIT: Millis = Millis(6000);
 
-/// Pause of such a process after changes of the leases: many change together, and each poll would be answered by one.
-const IDLE_LEASE_GAP: Millis = Millis(60);
+/// Pause after changes of the leases in a process that is no member and owns nothing: at a first start dozens change one after the
+/// other, and each would answer the polls of all processes. It is well below a turn of entering the list, in which all have to
+/// learn who has entered.
+const GUEST_LEASE_GAP: Millis = Millis(60);
 
 /// How long a poll of the workers waits. A worker that drains must get nothing soon after, also when
 /// the connection has gone silent.
@@ -295,7 +297,10 @@
     }
 
     fn gap(&self) -> Millis {
-        if self.0.is_idle() { IDLE_LEASE_GAP } else { Millis(0) }
+        let node = &self.0;
+        let owns = !node.owned().is_empty() || !node.loading().is_empty();
+        let member = node.view().members.contains_key(&node.settings.node);
+        if owns || member { Millis(0) } else { GUEST_LEASE_GAP }
     }
 
     fn reset(&self, rows: &[Change]) {
