--- a/reachhead_jobs/src/pool/roster.rs
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -15,6 +15,7 @@
     clock::Tick,
     pool::{Batch, Lane, Pool},
     record::{Roster, RosterEntry, lease_key, roster_key, roster_worker, value, whole_roster_key},
+    worker::Worker,
 };
 
 /// How long a worker must be silent before the roster says that nothing new is started there.
@@ -193,7 +194,7 @@
 
     fn roster_entry(
         &self,
-        worker: &crate::worker::Worker,
+        worker: &Worker,
         known: Option<&StoredWorker>,
         now: Tick,
     ) -> RosterEntry {
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -299,18 +299,19 @@
     }
 
     fn wait(&self) -> Millis {
-        match relay::may_be_late(&self.0) {
-            _ if self.0.is_idle() => IDLE_LEASE_WAIT,
-            true => RELAY_WAIT,
-            false => LEASE_WAIT,
+        if self.0.is_idle() {
+            IDLE_LEASE_WAIT
+        } else if relay::may_be_late(&self.0) {
+            RELAY_WAIT
+        } else {
+            LEASE_WAIT
         }
     }
 
     fn gap(&self) -> Millis {
         let node = &self.0;
-        let owns = !node.owned().is_empty() || !node.loading().is_empty();
         let member = node.view().members.contains_key(&node.settings.node);
-        if owns || member { Millis(0) } else { GUEST_LEASE_GAP }
+        if node.owns_any() || member { Millis(0) } else { GUEST_LEASE_GAP }
     }
 
     fn reset(&self, rows: &[Change]) {
@@ -407,8 +408,7 @@
     }
 
     fn wanted(&self) -> bool {
-        let owns = !self.0.owned().is_empty() || !self.0.loading().is_empty();
-        owns && registry::is_direct(&self.0)
+        self.0.owns_any() && registry::is_direct(&self.0)
     }
 
     fn reset(&self, rows: &[Change]) {
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod follow;
 mod frontend;
+mod lock;
 mod mandate;
 mod membership;
 mod metrics;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use reachhead_jobs::{
@@ -19,8 +19,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    admission::Door, clock::Clock, metrics::Metrics, owner::OwnerHandle, peer::PeerClient,
-    registry::Registry, relay::Relay, submit::Submitter, view::View,
+    admission::Door, clock::Clock, lock::locked, metrics::Metrics, owner::OwnerHandle,
+    peer::PeerClient, registry::Registry, relay::Relay, submit::Submitter, view::View,
 };
 
 /// How long the store must have been silent to be called lost: longer than a single failed call, and than
@@ -130,18 +130,18 @@
 
     /// Returns what is believed of the rest of the system. Nobody waits while holding it.
     pub fn view(&self) -> MutexGuard<'_, View> {
-        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+        locked(&self.view)
     }
 
     /// Returns the pools that this process is in charge of.
     pub fn owned(&self) -> MutexGuard<'_, BTreeMap<PoolName, OwnerHandle>> {
-        self.owned.lock().unwrap_or_else(PoisonError::into_inner)
+        locked(&self.owned)
     }
 
     /// Returns the pools that this process has taken and whose rows it is reading; peers must not take
     /// it for one that does not own them.
     pub fn loading(&self) -> MutexGuard<'_, BTreeMap<PoolName, Revision>> {
-        self.loading.lock().unwrap_or_else(PoisonError::into_inner)
+        locked(&self.loading)
     }
 
     /// Returns the owner of a pool, if that is this process.
@@ -172,8 +172,12 @@
 
     /// Tells whether this process owns nothing and leaves it to others to watch the owners.
     pub fn is_idle(&self) -> bool {
-        let owns = !self.owned().is_empty() || !self.loading().is_empty();
-        !owns && !self.view().watches(&self.settings.node, self.now())
+        !self.owns_any() && !self.view().watches(&self.settings.node, self.now())
+    }
+
+    /// Tells whether this process is in charge of anything, or is taking it.
+    pub fn owns_any(&self) -> bool {
+        !self.owned().is_empty() || !self.loading().is_empty()
     }
 
     /// Tells whether the process was asked to end.
--- a/reachhead_node/src/registry.rs
+++ b/reachhead_node/src/registry.rs
@@ -5,7 +5,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -19,6 +19,7 @@
 
 use crate::{
     fleet,
+    lock::locked,
     node::Node,
     peer::{Ask, Reply},
     relay,
@@ -82,10 +83,6 @@
     direct: Mutex<Tick>,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Registry {
     /// Returns a registry without workers.
     pub fn new() -> Self {
--- a/reachhead_node/src/relay.rs
+++ b/reachhead_node/src/relay.rs
@@ -7,7 +7,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -24,6 +24,8 @@
 
 use crate::{
     admission::config_age,
+    follow::LEASE_TABLE,
+    lock::locked,
     node::Node,
     peer::{Ask, Reply},
 };
@@ -92,10 +94,6 @@
     source: Mutex<Option<SocketAddr>>,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Relay {
     /// Returns a relay that passes nothing on yet.
     pub fn new() -> Self {
@@ -237,7 +235,7 @@
 /// Answers a process that asks for a table.
 pub async fn answer(node: &Arc<Node>, ask: TableAsk) -> TableReply {
     let dialect = &node.services.dialect;
-    let tables = [dialect.operator_table(), crate::follow::LEASE_TABLE];
+    let tables = [dialect.operator_table(), LEASE_TABLE];
     let Some(table) = tables.into_iter().find(|table| *table == ask.table) else {
         return TableReply::Unknown;
     };
