A process that is turned away early learns from a member who owns what, and owners wait for the owner of all hosts

Cause: in a whole run of the tests a process that the store turned away in its first seconds knew one member and no owner, and refused the state of a job for 30 s (a_process_that_the_store_turns_away_hands_jobs_to_one_that_reaches_it). Before there were members it read the list of all and asked each of them. In the same run three of four processes read the table of workers, where the owner of all hosts should have been the only one: whoever took a pool before anybody had the hosts followed the workers at once. Change: a process that owns nothing and is turned away asks a member for the leases and takes over those that are newer, and nothing else. An owner of a pool waits 1.5 s for the owner of all hosts like for one that does not answer. Ruled out: to count such an answer as the store's. The process would stay ready though it can't read what only the store knows.

--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -117,7 +117,7 @@
         };
         let mut pools: Vec<PoolName> =
             config.pools.values().map(|pool| pool.name.clone()).collect();
-        if self.node.services.machines.is_some() || config.customers.any_limited() {
+        if fleet::is_wanted(&self.node) {
             pools.push(fleet::name());
         }
         for pool in pools {
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 use reachhead_jobs::{
     authority::Predecessor,
     clock::Tick,
+    model::Configuration,
     ports::Machine,
     record::{LeaseRecord, lease_key, value},
     wave::Wave,
@@ -70,6 +71,12 @@
     }
 }
 
+/// Tells whether there is anything for an owner of all hosts to do.
+pub fn is_wanted(node: &Node) -> bool {
+    let limited = |config: &Arc<Configuration>| config.customers.any_limited();
+    node.services.machines.is_some() || node.view().config.as_ref().is_some_and(limited)
+}
+
 /// Carries out waves until the lease is lost or given back.
 pub async fn run(
     node: Arc<Node>,
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -160,6 +160,11 @@
             Err(FeedError::Store(error)) => {
                 node.note_store::<()>(&Err(error.clone()));
                 log::info!("table={} can't be followed: {error}", follower.table());
+                if follower.table() == LEASE_TABLE
+                    && let Some(page) = relay::leases_of_member(node).await
+                {
+                    follower.apply(&page.changes);
+                }
                 time::sleep(jittered(pause)).await;
                 pause = (pause * 2).min(PAUSE_MOST);
             }
--- a/reachhead_node/src/registry.rs
+++ b/reachhead_node/src/registry.rs
@@ -114,7 +114,7 @@
     let owns_hosts = node.owned().contains_key(&hosts) || node.loading().contains_key(&hosts);
     owns_hosts
         || !relay::may_be_late(node)
-        || node.view().owner(&hosts).is_none()
+        || !fleet::is_wanted(node)
         || node.now() < *locked(&node.registry.direct)
 }
 
--- a/reachhead_node/src/relay.rs
+++ b/reachhead_node/src/relay.rs
@@ -283,6 +283,19 @@
     }
 }
 
+/// Returns what a member knows of the leases, if the store turns this process away and it owns nothing: it may have been turned
+/// away before it knew who owns what. Nothing else is believed on that word.
+pub async fn leases_of_member(node: &Node) -> Option<FeedPage> {
+    if node.owns_any() {
+        return None;
+    }
+    node.outage()?;
+    match ask(node, LEASE_TABLE, None, Millis(0)).await {
+        Some(TableReply::Page { page, .. }) => Some(page),
+        _ => None,
+    }
+}
+
 /// Reads a table for those that ask for it; from then on what the followers hear is passed on.
 async fn begin(node: &Node, table: &'static str) {
     let at = node.now();
