--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -46,7 +46,7 @@
     job::Job,
     order::Experience,
     ports::{EndedEntry, WorkerInfo, WorkerTarget},
-    record::{Ending, FinalRecord, JobRecord},
+    record::{Ending, FinalRecord, JobRecord, LeaseRecord},
     shard::Shard,
     worker::Worker,
 };
@@ -89,6 +89,17 @@
     pub fn inheritance(&self) -> Millis {
         Millis(self.trust.0 + stretched(self.hold).0)
     }
+
+    /// Returns the same for a predecessor that gave the pool back: what it ordered itself outlasts that by a lease, and what it had
+    /// not heard of its own predecessors by as long as it says.
+    pub fn after_release(&self, record: &LeaseRecord) -> Millis {
+        let leases = stretched(self.hold);
+        match record.open {
+            _ if record.settled => leases,
+            Some(open) => leases.max(open),
+            None => self.inheritance(),
+        }
+    }
 }
 
 /// A job of which the end is recorded.
@@ -238,6 +249,12 @@
         self.pending.len()
     }
 
+    /// Returns for how long something that a predecessor started may still be at work on a worker that has not answered.
+    pub fn open_time(&self, now: Tick) -> Millis {
+        let last = self.pending.values().map(|pending| pending.until).max();
+        last.map_or(Millis(0), |until| until.since(now))
+    }
+
     /// Notes that this owner was still in charge at `at`.
     pub fn verify(&mut self, at: Tick) {
         self.verified = self.verified.max(at);
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -219,6 +219,10 @@
     /// answered, so that no order of anybody is under way.
     #[serde(default)]
     pub settled: bool,
+    /// Where it was given back otherwise: for how long what an earlier owner started may still be at work on a worker that has not
+    /// answered. A successor of one that did not say waits for as long as for an owner that may be alive.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub open: Option<Millis>,
 }
 
 /// The newest owner that has fenced a part of the store.
--- a/reachhead_jobs/tests/authority.rs
+++ b/reachhead_jobs/tests/authority.rs
@@ -23,6 +23,7 @@
         address: None,
         term: 3,
         settled: false,
+        open: None,
     }
 }
 
--- a/reachhead_jobs/tests/pool/inherit.rs
+++ b/reachhead_jobs/tests/pool/inherit.rs
@@ -7,14 +7,14 @@
     model::Step,
     pool::WorkerEnd,
     ports::{Machine, MachineState, RunEnd},
-    record::roster_key,
+    record::{LeaseRecord, roster_key},
 };
 use reachhead_types::{
     id::JobId,
     size::{Millis, Revision},
 };
 
-use crate::fixture::{Fixture, info, left, pool_name, step, task, worker};
+use crate::fixture::{Fixture, info, left, pool_name, step, task, tuning, worker};
 
 #[test]
 fn a_run_that_a_worker_reports_is_taken_over_and_not_started_again() {
@@ -210,3 +210,35 @@
     fixture.report(&worker("w"));
     assert!(fixture.pool.load(fixture.now).deserted.is_empty());
 }
+
+/// Processes were stopped in turn, three seconds apart, and each that took a pool over waited anew for a worker that was gone: for as
+/// long as an owner that may be alive could order it. A task that runs on stood still for 12.7 s, though none of them was alive.
+#[test]
+fn a_successor_of_one_that_gave_the_pool_back_waits_no_longer_than_that_one_had_to() {
+    let found = left(vec![(1, vec![step(1)])], vec![("gone", None)]);
+    let whole = found.effect;
+    let mut fixture = Fixture::new(found, vec![info("w", 4)]);
+    fixture.poll();
+    assert_eq!(fixture.pool.open_time(fixture.now), whole);
+    fixture.pass(3000);
+    fixture.poll();
+    let open = fixture.pool.open_time(fixture.now);
+    assert_eq!(open, Millis(whole.0 - 3000));
+    let record = |settled, open| LeaseRecord { owner: None, address: None, term: 1, settled, open };
+    assert_eq!(tuning().after_release(&record(false, Some(open))), open);
+    let leases = tuning().after_release(&record(true, Some(Millis(0))));
+    assert!(leases < open);
+    assert_eq!(
+        tuning().after_release(&record(false, Some(Millis(10)))),
+        leases,
+        "its own orders count"
+    );
+    assert_eq!(
+        tuning().after_release(&record(false, None)),
+        whole,
+        "an earlier release does not say"
+    );
+    fixture.pass(whole.0);
+    fixture.poll();
+    assert_eq!(fixture.pool.open_time(fixture.now), Millis(0));
+}
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -221,8 +221,7 @@
         return Millis(0);
     };
     let Some(owner) = &lease.record.owner else {
-        let only_leases = stretched(tuning.hold);
-        return if lease.record.settled { only_leases } else { tuning.inheritance() };
+        return tuning.after_release(&lease.record);
     };
     let now = node.now();
     let view = node.view();
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -209,7 +209,8 @@
     }
 
     async fn give_back(&self) {
-        let record = LeaseRecord { owner: None, address: None, term: self.term, settled: true };
+        let record =
+            LeaseRecord { owner: None, address: None, term: self.term, settled: true, open: None };
         let txn = Txn::new()
             .with_check(lease_key(&name()), Some(self.token))
             .with_write(lease_key(&name()), value(&record));
