--- a/reachhead_jobs/src/membership.rs
+++ b/reachhead_jobs/src/membership.rs
@@ -86,7 +86,7 @@
     others.filter(|other| other.precedes(&own)).take(most).count() == most
 }
 
-/// Returns how long a process of this strength waits before it enters; `share` is drawn evenly from 0 to 1 and spreads those that
+/// Returns how long a process of this strength waits before it enters; `share`, evenly random from 0 to 1, spreads those that
 /// are alike.
 pub fn entry_delay(strength: Strength, share: f64) -> Duration {
     let usual = STRENGTH_TIME.0 * USUAL_STRENGTH / u64::from(strength.0).max(1);
--- a/reachhead_jobs/tests/walk/site.rs
+++ b/reachhead_jobs/tests/walk/site.rs
@@ -9,7 +9,7 @@
 use futures::FutureExt;
 use reachhead_jobs::{
     clock::Tick,
-    model::{Plan, Queue, Step},
+    model::Plan,
     pool::{Action, Batch, DrainMode, Due, Lane, Pool, Tuning, Vacancy},
     ports::{WorkerError, WorkerInfo},
     record::{JobRecord, job_key, lease_key, value},
@@ -31,8 +31,11 @@
 
 mod judge;
 mod messages;
+mod plans;
 mod takeover;
 
+use self::plans::{plan, queue};
+
 /// Time between two steps of the world, in milliseconds.
 const STEP: u64 = 20;
 
@@ -169,37 +172,6 @@
     }
 }
 
-fn queue() -> Arc<Queue> {
-    Arc::new(Queue {
-        name: "q".parse().unwrap(),
-        host: "h".to_owned(),
-        prefix: "/q/".to_owned(),
-        pool: pool_name(),
-        priority: 0,
-        attempts: 3,
-        stretch: 2.0,
-        target: Millis(600),
-        advice: None,
-        open: true,
-    })
-}
-
-fn plan(kind: u8) -> Arc<Plan> {
-    let step = |count, after| Step {
-        count,
-        need: need(),
-        estimate: Millis(700),
-        after,
-        ..Step::default()
-    };
-    let steps = match kind % 3 {
-        0 => vec![step(2, vec![])],
-        1 => vec![step(1, vec![]), step(2, vec![0])],
-        _ => vec![Step { long_running: true, may_miss: 1, ..step(2, vec![]) }],
-    };
-    Arc::new(Plan { payload: "x".into(), steps, schedule: None })
-}
-
 impl Owner {
     /// Tells whether nothing has disturbed it for a while.
     fn is_in_touch(&self, now: u64) -> bool {
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -49,7 +49,7 @@
 const WORKER_WAIT: Millis = Millis(1000);
 
 /// Pause between two polls of the workers. On large deployments some worker changes all the time, and
-/// each change would cost each owner a call: 31,000 of 43,000 calls of a day with 350 workers.
+/// each change would cost each owner a call.
 const WORKER_GAP: Millis = Millis(80);
 
 /// First pause after a call that failed.
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -32,8 +32,8 @@
 const LATENESS_MOST: Duration = Duration::from_millis(2000);
 
 /// Short calls to one peer that are under way at once; more wait, since a new connection costs more than the
-/// moment until one is free. Two, so that one call without an answer does not hold all others up; with four, the owner
-/// of 400 workers had 1,800 to 2,200 connections open in a burst, with two 1,500 to 1,700 (its descriptors at the peak).
+/// moment until one is free. Two, so that one call without an answer does not hold all others up; more cost an owner
+/// of many workers descriptors in a burst.
 const SHORT_LIMIT: usize = 2;
 
 /// Peers with short calls that are remembered before those without any under way are dropped.
