Where moves are scarce a pool keeps what its work filled lately, and at first a reserve, instead of all until work begins

What holds only while the fleet is small: moving all hosts takes no time, so it did not matter when. Change: the moves of a fleet cost what moving all of it takes, shared by its hosts; within twice that (ten seconds each way on 6,001 hosts at 590 a second) a pool keeps what its work filled at most, with the usual margin. Until work tells, it keeps half of its hosts, and less the longer it has had work. Tests fail on the code before (balance, where_moves_are_scarce_*).

--- a/reachhead_jobs/src/balance.rs
+++ b/reachhead_jobs/src/balance/mod.rs
@@ -3,6 +3,8 @@
 //! A host that moves is away for a while and everything on it ends, so only empty ones move. Demand
 //! comes in bursts of some seconds, so a host is also worth moving that is needed only for a few.
 
+mod parking;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use reachhead_types::{
@@ -10,6 +12,7 @@
     size::Millis,
 };
 
+use self::parking::Parking;
 use crate::{
     clock::Tick,
     division::{Claim, divide},
@@ -23,14 +26,6 @@
 /// Hosts that each pool with queues keeps at least, so that its first jobs start at once.
 const LEAST_HOSTS: usize = 3;
 
-/// How long a host must have been more than its pool needs before it is switched off. Switching off
-/// and on costs as much as about two seconds of a host, and it is away for three: sooner, callers of the next burst
-/// wait for hosts that were just given up; later, the group pays for hosts that nobody uses.
-const IDLE_TIME: Millis = Millis(3000);
-
-/// Milliseconds in a second.
-const SECOND: f64 = 1000.0;
-
 /// How long a host stays in its pool after it came, so that none goes to and fro.
 const STAY_TIME: Millis = Millis(1500);
 
@@ -82,15 +77,12 @@
 pub struct Balance {
     /// What the last round found.
     rooms: Vec<Room>,
-    /// Since when a pool has had more hosts than it needs.
-    idle: BTreeMap<PoolName, Tick>,
     /// When a host was last seen to be somewhere new.
     arrived: BTreeMap<HostId, Tick>,
     place: BTreeMap<HostId, PoolName>,
     /// Since when a host is up and its worker is of no use to its pool.
     absent: BTreeMap<HostId, Tick>,
-    /// When hosts were last looked at to be switched off.
-    parked: Tick,
+    parking: Parking,
 }
 
 /// A pool's hosts and what it needs of them.
@@ -164,8 +156,8 @@
         let mut moves = Vec::new();
         self.fill(&mut accounts, &mut off, &mut moves);
         if let Some(spare) = spare {
-            let spread = spread_time(machines.len(), rate);
-            self.park(&accounts, &spare, spread, &mut moves, now);
+            let memory = parking::memory_time(machines.len(), rate);
+            moves.extend(self.parking.next(&accounts, &spare, memory, now));
         }
         moves
     }
@@ -262,37 +254,6 @@
             }
         }
     }
-
-    /// Switches hosts off that have not been needed for a while, of all pools by turns.
-    fn park(
-        &mut self,
-        accounts: &[Account],
-        spare: &PoolName,
-        spread: Millis,
-        moves: &mut Vec<Move>,
-        now: Tick,
-    ) {
-        let passed = now.since(std::mem::replace(&mut self.parked, now));
-        let mut parks: Vec<Vec<&Move>> = Vec::new();
-        for account in accounts {
-            parks.push(account.idle.iter().collect());
-            let extra = account.have.saturating_sub(account.want);
-            if extra == 0 || !account.begun {
-                self.idle.remove(&account.pool);
-                continue;
-            }
-            let since = *self.idle.entry(account.pool.clone()).or_insert(now);
-            if now.since(since) < IDLE_TIME {
-                continue;
-            }
-            parks.push(account.free.iter().take(share_of(extra, passed, spread)).collect());
-        }
-        let longest = parks.iter().map(Vec::len).max().unwrap_or_default();
-        for place in 0..longest {
-            let steps = parks.iter().filter_map(|steps| steps.get(place));
-            moves.extend(steps.map(|step| Move { to: spare.clone(), ..(*step).clone() }));
-        }
-    }
 }
 
 /// Returns the step by which a host leaves its pool, whose end is not known yet.
@@ -310,33 +271,22 @@
     load.workers.iter().filter(|load| !load.drained)
 }
 
-/// Returns over which time hosts that nobody needs are switched off. Where the platform takes long to move all hosts, each move
-/// is one that others wait for, and a host that has been switched off comes back late: there a host idles as long on average as
-/// that takes.
-fn spread_time(hosts: usize, rate: f64) -> Millis {
-    let whole = if rate > 0.0 { (hosts as f64 / rate * SECOND) as u64 } else { 0 };
-    Millis(whole.saturating_sub(IDLE_TIME.0))
-}
-
-/// Returns how many of `extra` hosts are switched off when `passed` of the time has gone by over which they are.
-fn share_of(extra: usize, passed: Millis, spread: Millis) -> usize {
-    if passed >= spread {
-        return extra;
-    }
-    (extra as u64 * passed.0).div_ceil(spread.0) as usize
-}
-
 /// Returns the size of a pool's largest worker, in thousandths of a core.
 fn largest_worker(load: &PoolLoad) -> Option<u64> {
     usable(load).map(|load| load.cores).max().filter(|cores| *cores > 0)
 }
 
+/// Returns an amount with the room that goes with it.
+fn with_margin(amount: u64) -> u64 {
+    amount.saturating_add(amount.saturating_mul(MARGIN_PERCENT) / 100)
+}
+
 /// Returns how many hosts of this size a pool could use.
 fn claimed(load: &PoolLoad, size: u64) -> Claim {
     let pinned = usable(load).filter(|load| load.pinned).count();
     let extra = load.extra as usize;
     let base = LEAST_HOSTS.max(pinned).max(load.least as usize);
-    let whole = load.need.saturating_add(load.need.saturating_mul(MARGIN_PERCENT) / 100);
+    let whole = with_margin(load.need);
     let hosts = |cores: u64| hosts_for(cores, load, size).max(base) + extra;
     Claim { base: base + extra, timely: hosts(load.timely.min(whole)), whole: hosts(whole) }
 }
--- /dev/null
+++ b/reachhead_jobs/src/balance/parking.rs
@@ -0,0 +1,118 @@
+//! Which hosts are switched off, and when: those that their pools have not needed for a while.
+//!
+//! Load: pools that burst by turns, every ten or twenty seconds, on thousands of hosts of which the platform moves some hundreds a
+//! second. A host that is switched off between two bursts of its pool is two moves that buy little, and its pool meets the next
+//! burst without it; hosts that no burst uses are most of the fleet, and are paid for until they are off. So a pool keeps what its
+//! work filled at most within the time in which a move pays, and at first a reserve: half of what it has, which shrinks as its
+//! work tells what it needs. See docs/DIVISION.md.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use reachhead_types::{id::PoolName, size::Millis};
+
+use super::{Account, Move, with_margin};
+use crate::clock::Tick;
+
+/// How long a host must have been more than its pool needs before it is switched off. Where moves are not scarce, switching off
+/// and on costs as much as about two seconds of a host, and it is away for three: sooner, callers of the next burst
+/// wait for hosts that were just given up; later, the group pays for hosts that nobody uses.
+const IDLE_TIME: Millis = Millis(3000);
+
+/// Milliseconds in a second.
+const SECOND: f64 = 1000.0;
+
+/// Part of its hosts that a pool without any work keeps: one in so many.
+const RESERVE_PART: u64 = 2;
+
+/// What is remembered of the pools' use of their hosts.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Parking {
+    pools: BTreeMap<PoolName, Use>,
+    /// Since when a pool has had more hosts than it keeps.
+    idle: BTreeMap<PoolName, Tick>,
+}
+
+/// How many of its hosts a pool has used lately.
+#[derive(Debug, Clone, Default)]
+struct Use {
+    /// The most hosts that it had until it was seen to have work.
+    first: usize,
+    /// Since when it has had work.
+    begun: Option<Tick>,
+    /// Hosts that its work filled, with the times of that; each number is more than all later ones.
+    highest: VecDeque<(Tick, usize)>,
+}
+
+impl Parking {
+    /// Returns the moves that switch hosts off, of all pools by turns: the platform's rate may cut them.
+    pub(super) fn next(
+        &mut self,
+        accounts: &[Account],
+        spare: &PoolName,
+        memory: Millis,
+        now: Tick,
+    ) -> Vec<Move> {
+        let mut parks: Vec<Vec<&Move>> = Vec::new();
+        for account in accounts {
+            parks.push(account.idle.iter().collect());
+            let used = self.pools.entry(account.pool.clone()).or_default();
+            used.note(account, memory, now);
+            let extra = account.have.saturating_sub(used.kept(account, memory, now));
+            if extra == 0 {
+                self.idle.remove(&account.pool);
+                continue;
+            }
+            let since = *self.idle.entry(account.pool.clone()).or_insert(now);
+            if now.since(since) >= IDLE_TIME {
+                parks.push(account.free.iter().take(extra).collect());
+            }
+        }
+        let longest = parks.iter().map(Vec::len).max().unwrap_or_default();
+        let turns = (0..longest).flat_map(|place| parks.iter().filter_map(move |of| of.get(place)));
+        turns.map(|step| Move { to: spare.clone(), ..(*step).clone() }).collect()
+    }
+}
+
+impl Use {
+    fn note(&mut self, account: &Account, memory: Millis, now: Tick) {
+        if self.begun.is_none() {
+            self.first = self.first.max(account.have);
+        }
+        if account.begun {
+            self.begun.get_or_insert(now);
+        }
+        while self.highest.back().is_some_and(|(_, busy)| *busy <= account.busy) {
+            self.highest.pop_back();
+        }
+        self.highest.push_back((now, account.busy));
+        while self.highest.front().is_some_and(|(at, _)| now.since(*at) > memory) {
+            self.highest.pop_front();
+        }
+    }
+
+    /// Returns how many hosts the pool keeps.
+    fn kept(&self, account: &Account, memory: Millis, now: Tick) -> usize {
+        if memory == Millis(0) {
+            // Before its owner has seen work a lull is no news, and callers of the first burst meet what there is.
+            return if account.begun { account.want } else { account.have };
+        }
+        let highest = self.highest.front().map_or(0, |(_, busy)| *busy);
+        let highest = with_margin(highest as u64) as usize;
+        account.want.max(highest).max(self.reserve(memory, now))
+    }
+
+    /// Returns how many hosts the pool keeps for work of which nothing is known yet. The longer it has had work, the more that tells.
+    fn reserve(&self, memory: Millis, now: Tick) -> usize {
+        let age = self.begun.map_or(Millis(0), |begun| now.since(begun));
+        let left = memory.0.saturating_sub(age.0);
+        (self.first as u64 * left).div_ceil(memory.0 * RESERVE_PART) as usize
+    }
+}
+
+/// Returns how long the use of hosts is remembered: a host that is kept so long idle has cost as much as switching it off and on. A move of
+/// an idle host keeps another waiting that some burst needs, so it costs the fleet what the platform needs to move all
+/// hosts, shared by them. Where that is less than hosts are left idle anyway, nothing need be remembered.
+pub(super) fn memory_time(hosts: usize, rate: f64) -> Millis {
+    let whole = if rate > 0.0 { Millis((hosts as f64 / rate * SECOND) as u64) } else { Millis(0) };
+    if whole <= IDLE_TIME { Millis(0) } else { Millis(2 * whole.0) }
+}
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -276,21 +276,50 @@
     assert_eq!(names, ["a-2", "a-4", "a-6"], "those that nothing uses are switched off");
 }
 
-/// The platform takes ten seconds to move all hosts of a fleet. Idle ones of each pool in turn were switched off as fast as it took
-/// orders, the first pool's to the last: a burst met the pools that came first without hosts, and those that came last idled.
+/// The platform takes ten seconds to move all hosts of a fleet. Pools that had no work yet kept all their hosts, however long; once
+/// work began idle ones of each pool in turn were switched off as fast as it took orders, and bursts met pools without hosts.
 #[test]
-fn where_moves_are_scarce_idle_hosts_of_all_pools_are_switched_off_by_and_by() {
+fn where_moves_are_scarce_a_pool_keeps_a_reserve_until_its_bursts_are_known() {
     let mut fleet =
         Fleet::default().with_pool("a", 500, 0).with_pool("b", 500, 0).with_pool("off", 0, 0);
     fleet.rate = 100.0;
+    fleet.load("a").begun = false;
+    fleet.load("b").begun = false;
     assert!(fleet.round(1000).is_empty());
     let moves = fleet.round(3000);
-    // Seven seconds are left of the ten, and three have passed since hosts were looked at.
-    let of = |name: &str| moves.iter().filter(|step| step.from.as_str() == name).count();
-    assert_eq!((of("a"), of("b")), (213, 213));
-    fleet.apply(&moves);
-    let moves = fleet.round(1000);
+    let of =
+        |moves: &[Move], name: &str| moves.iter().filter(|step| step.from.as_str() == name).count();
+    assert_eq!((of(&moves, "a"), of(&moves, "b")), (250, 250), "half of each stays");
     let names: BTreeSet<&str> = moves[..2].iter().map(|step| step.from.as_str()).collect();
     assert_eq!(names.len(), 2, "by turns, so that a cut by the platform's rate meets all");
-    assert_eq!(moves.len(), 2 * 41);
+    fleet.apply(&moves);
+    assert!(fleet.round(60_000).is_empty(), "however long it has no work");
+    fleet.load("a").begun = true;
+    fleet.round(0);
+    fleet.round(5000);
+    let moves = fleet.round(5000);
+    assert_eq!((of(&moves, "a"), of(&moves, "b")), (125, 0), "ten of twenty seconds told nothing");
+}
+
+/// A pool's hosts were switched off three seconds after its burst and asked for again by the next one, some ten seconds later: two
+/// moves each, and a burst that began without them.
+#[test]
+fn where_moves_are_scarce_hosts_stay_on_from_one_burst_to_the_next() {
+    let mut fleet = Fleet::default().with_pool("a", 500, 0).with_pool("off", 500, 0);
+    fleet.rate = 100.0;
+    let mut burst = |fleet: &mut Fleet, hosts: usize| {
+        let load = fleet.load("a");
+        load.need = hosts as u64 * CORES;
+        for (place, worker) in load.workers.iter_mut().enumerate() {
+            worker.used = if place < hosts { CORES } else { 0 };
+        }
+        let moves = fleet.round(1000);
+        fleet.apply(&moves);
+        moves.len()
+    };
+    let bursts = (0..120).map(|second| if second % 16 < 4 { 200 } else { 10 });
+    let moved: usize = bursts.map(|hosts| burst(&mut fleet, hosts)).sum();
+    assert_eq!(moved, 500 - 230, "what no burst has used is switched off once");
+    let moved: usize = (0..30).map(|_| burst(&mut fleet, 10)).sum();
+    assert_eq!(moved, 230 - 12, "bursts that come no more are forgotten");
 }
