What a queue's jobs need follows from how long tasks take, not from what was predicted as each job came

Cause: the mean of a queue's work was taken over predictions as they were when each job was accepted. Eight ends suffice to correct a wrong guess, but a mean over some twenty jobs carries the first ones' guesses on for dozens. The test has ten jobs guessed at ten seconds that take one: 187,500 thousandths of a core were asked for, where 30,000 to 42,000 are right. Change: cores and guessed work are averaged apart, and the predictor of now is applied to them.

--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -59,18 +59,35 @@
     }
 
     fn predict(&self, guess: Millis) -> Millis {
-        if self.count < TRUST_COUNT {
-            return guess;
+        match self.predictor() {
+            Predictor::Guess => guess,
+            Predictor::Mean(time) => Millis(time as u64),
+            Predictor::Corrected(factor) => Millis((guess.0.max(1) as f64 * factor) as u64),
         }
-        let log = if self.mean_error < self.guess_error {
-            self.log_mean
+    }
+
+    fn predictor(&self) -> Predictor {
+        if self.count < TRUST_COUNT {
+            Predictor::Guess
+        } else if self.mean_error < self.guess_error {
+            Predictor::Mean(self.log_mean.exp())
         } else {
-            (guess.0.max(1) as f64).ln() + self.log_ratio
-        };
-        Millis(log.exp() as u64)
+            Predictor::Corrected(self.log_ratio.exp())
+        }
     }
 }
 
+/// By what the time of a queue's tasks is predicted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Predictor {
+    /// The client's guess: too little was seen.
+    Guess,
+    /// The queue's mean, in milliseconds.
+    Mean(f64),
+    /// The guess times this.
+    Corrected(f64),
+}
+
 /// What was learned of the queues of a pool.
 #[derive(Debug, Clone, Default)]
 pub struct Experience {
@@ -78,11 +95,26 @@
     work: BTreeMap<RouteName, Work>,
 }
 
-/// The work of a queue's jobs, in thousandths of a core times milliseconds.
+/// What a queue's jobs ask for, on average. Their work follows from this and from how long tasks really take, so that a guess which
+/// proves wrong is not carried on.
 #[derive(Debug, Clone, Copy, Default)]
 struct Work {
     count: u32,
-    mean: f64,
+    /// Thousandths of a core of all tasks of a job.
+    cores: f64,
+    /// The same, each times the guessed milliseconds of the task.
+    guessed: f64,
+}
+
+impl Work {
+    fn learn(&mut self, plan: &Plan) {
+        let cores = |step: &Step| f64::from(step.count) * step.need.cores as f64;
+        let guessed = |step: &Step| cores(step) * step.estimate.0 as f64;
+        self.count += 1;
+        let rate = LEARNING_RATE.max(1.0 / f64::from(self.count));
+        self.cores += rate * (plan.steps.iter().map(cores).sum::<f64>() - self.cores);
+        self.guessed += rate * (plan.steps.iter().map(guessed).sum::<f64>() - self.guessed);
+    }
 }
 
 impl Experience {
@@ -94,16 +126,19 @@
 
     /// Notes a job that was accepted.
     pub fn admit(&mut self, queue: &RouteName, plan: &Plan) {
-        let work: f64 = plan.steps.iter().map(|step| self.step_work(queue, step)).sum();
-        let seen = self.work.entry(queue.clone()).or_default();
-        seen.count += 1;
-        let rate = LEARNING_RATE.max(1.0 / f64::from(seen.count));
-        seen.mean += rate * (work - seen.mean);
+        self.work.entry(queue.clone()).or_default().learn(plan);
     }
 
     /// Returns the mean work of a queue's jobs, in thousandths of a core times milliseconds.
     pub fn mean_work(&self, queue: &RouteName) -> f64 {
-        self.work.get(queue).map_or(0.0, |seen| seen.mean)
+        let Some(work) = self.work.get(queue) else {
+            return 0.0;
+        };
+        match self.durations.get(queue).map_or(Predictor::Guess, Durations::predictor) {
+            Predictor::Guess => work.guessed,
+            Predictor::Mean(time) => work.cores * time,
+            Predictor::Corrected(factor) => work.guessed * factor,
+        }
     }
 
     /// Returns how long a task of the step will take.
@@ -113,10 +148,6 @@
             .map_or(step.estimate, |durations| durations.predict(step.estimate))
     }
 
-    fn step_work(&self, queue: &RouteName, step: &Step) -> f64 {
-        f64::from(step.count) * step.need.cores as f64 * self.predict(queue, step).0 as f64
-    }
-
     /// Returns the moment until which the job is in time.
     pub fn objective(&self, queue: &Arc<Queue>, plan: &Plan) -> Millis {
         let chain = plan.chain(|step| self.predict(&queue.name, step));
--- a/reachhead_jobs/tests/pool/load.rs
+++ b/reachhead_jobs/tests/pool/load.rs
@@ -1,6 +1,7 @@
 //! How much room a pool asks for.
 
-use reachhead_jobs::ports::RunEnd;
+use reachhead_jobs::{model::Step, ports::RunEnd};
+use reachhead_types::size::Millis;
 
 use crate::fixture::{Fixture, info, step, task, worker};
 
@@ -55,3 +56,26 @@
     // One job of 4.4 core-seconds, the mean, in 0.8 s and 3.75 times that ahead; the large one would be 234 cores.
     assert!((1..=21_000).contains(&need), "{need}");
 }
+
+/// Callers guess ten seconds for tasks that take one. What a queue's jobs need was averaged over what had been predicted as each came,
+/// so the first ones' wrong guesses counted for dozens of later jobs: a new owner fetched several times the hosts that it needed.
+#[test]
+fn a_wrong_guess_is_not_carried_on_once_tasks_have_ended() {
+    let mut fixture = Fixture::ready(vec![info("a", 64)]);
+    let guessed = || vec![Step { estimate: Millis(10_000), ..step(1) }];
+    for id in 1..=10 {
+        fixture.begin(id, guessed());
+        fixture.pass(1000);
+        fixture.end(&worker("a"), task(id, 0, 0), 1, RunEnd::Done);
+        fixture.report(&worker("a"));
+        fixture.flush();
+    }
+    fixture.pass(4000);
+    for id in 11..=18 {
+        fixture.begin(id, guessed());
+        fixture.pass(90);
+    }
+    let need = fixture.pool.load(fixture.now).need;
+    // Eight core-seconds in 0.8 s, and 2.75 times as much again by the rise.
+    assert!((30_000..=42_000).contains(&need), "{need}");
+}
