A row that the store refuses is set aside, and holds up nothing else

Cause, by reading and by tests: the store refuses a transaction as a whole for one row that is too long, or a key. Up to thirty jobs are stored in one, and all of them were answered 413 for the one that was too large (rows.rs: red on the code before, 413 for a job of fifty bytes). An owner tried the refused transaction again without end, so nothing else of that part was ever recorded, and one worker whose row was refused kept all others of the pool from being entered. Change: a job that no row can hold is refused before it waits with others, by the limit that the settings name; what the store refuses all the same is halved until the row is alone. An owner's row that is refused alone is set aside (E716, reachhead_store_refusals): a job's for a second and then twice as long each time, up to a minute, since it may have become shorter; a worker's for a minute, in which nothing is started there. Ruled out: to take refused jobs out of a batch by their sizes alone; the store may refuse for a key as well, and says only that it does. Tests: rows.rs, seen red; pool/refusal.rs has no counterpart on the code before (an owner did not take a refusal in at all).

--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -71,4 +71,6 @@
     StepPlaced,
     /// Tasks wait since their customer's quota is used up here.
     QuotaReached,
+    /// A row that the store refuses is set aside.
+    RowHeld,
 }
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -25,7 +25,7 @@
 /// What a transaction says of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Entry {
-    id: JobId,
+    pub(super) id: JobId,
     ending: Option<Ending>,
 }
 
@@ -71,7 +71,7 @@
         if self.roster.is_due() {
             lanes.insert(Lane::Roster, true);
         }
-        for id in &self.dirty {
+        for id in self.dirty.iter().filter(|id| self.is_writable(**id)) {
             let urgent = self.is_awaited(*id);
             *lanes.entry(Lane::Jobs(Shard::of(*id))).or_default() |= urgent;
         }
@@ -83,6 +83,12 @@
         self.jobs.get(&id).is_some_and(|job| job.ending.is_some() || job.has_suspects())
     }
 
+    /// Tells whether a job's row may be written: the store has not just refused it. That it is over makes it short.
+    fn is_writable(&self, id: JobId) -> bool {
+        let over = self.jobs.get(&id).is_some_and(|job| job.ending.is_some());
+        over || !self.refusals.holds_job(id)
+    }
+
     /// Returns what is to be written next in a lane, if anything is. All of it depends on the lease.
     pub fn batch(&mut self, lane: Lane, wall: Millis) -> Option<Batch> {
         match lane {
@@ -92,8 +98,8 @@
     }
 
     fn job_batch(&mut self, shard: Shard, wall: Millis) -> Option<Batch> {
-        let mut ids: Vec<JobId> =
-            self.dirty.iter().copied().filter(|id| Shard::of(*id) == shard).collect();
+        let due = |id: &JobId| Shard::of(*id) == shard && self.is_writable(*id);
+        let mut ids: Vec<JobId> = self.dirty.iter().copied().filter(due).collect();
         if ids.is_empty() {
             return None;
         }
@@ -106,7 +112,7 @@
             jobs: Vec::new(),
             roster: None,
         };
-        for id in ids {
+        for id in ids.into_iter().take(self.refusals.most(Lane::Jobs(shard))) {
             if batch.entries() + JOB_ENTRIES > ENTRIES_MOST {
                 break;
             }
@@ -147,6 +153,7 @@
 
     /// Takes in that a batch is in force.
     pub fn committed(&mut self, batch: &Batch, revision: Revision, now: Tick) {
+        self.refusals.taken(batch.lane);
         if let Some(update) = &batch.roster {
             self.rostered(update, revision);
         }
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -18,6 +18,7 @@
 mod polls;
 mod quota;
 mod rebirth;
+mod refusal;
 mod reports;
 mod roster;
 mod starts;
@@ -136,6 +137,7 @@
     settled_at: Option<Tick>,
     roster: roster::RosterState,
     dirty: BTreeSet<JobId>,
+    refusals: refusal::Refusals,
     /// Lives of workers that are known to be over, whatever the platform's list still says, and when they began.
     over: BTreeMap<WorkerId, Option<Millis>>,
     experience: Experience,
@@ -203,6 +205,7 @@
             settled_at: None,
             roster: roster::RosterState::new(found.roster),
             dirty: BTreeSet::new(),
+            refusals: refusal::Refusals::default(),
             over: BTreeMap::new(),
             experience: Experience::default(),
             advice: advice::AdviceBook::default(),
@@ -374,6 +377,7 @@
         self.expire_orphans(now);
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_TIME);
         self.expire_workers(now);
+        self.refusals.expire(now, |id| self.jobs.contains_key(&id));
         self.advice.expire(now);
     }
 
--- a/reachhead_jobs/src/pool/roster.rs
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -101,6 +101,13 @@
     whole: bool,
 }
 
+impl RosterUpdate {
+    /// Returns the workers that it is about.
+    pub(super) fn workers(&self) -> Vec<WorkerId> {
+        self.changes.iter().map(|change| change.worker.clone()).collect()
+    }
+}
+
 /// The roster and what of it is known to be stored.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub(super) struct RosterState {
@@ -136,7 +143,8 @@
         }
         let mut txn = Txn::new().with_check(lease_key(&self.name), Some(Revision(self.token.0)));
         let mut update = RosterUpdate::default();
-        for change in self.roster.wanted.changes.iter().take(CHANGES_MOST) {
+        let most = CHANGES_MOST.min(self.refusals.most(Lane::Roster));
+        for change in self.roster.wanted.changes.iter().take(most) {
             let key = roster_key(&self.name, &change.worker);
             let stored = self.roster.stored.workers.get(&change.worker);
             txn = txn.with_check(key.clone(), stored.and_then(|stored| stored.revision));
@@ -173,6 +181,9 @@
                 continue;
             }
             kept.insert(id);
+            if self.refusals.holds_worker(id) {
+                continue;
+            }
             let known = stored.workers.get(id);
             let entry = self.roster_entry(worker, known, now);
             let written = known.is_some_and(|known| {
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -16,6 +16,7 @@
 mod quota;
 mod rebirth;
 mod records;
+mod refusal;
 mod rescue;
 mod roster;
 mod vacate;
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -32,6 +32,8 @@
     latency: Latencies<CallLabels>,
     /// How often this process took charge of a pool.
     pub taken: Counter,
+    /// Transactions that the store refused for what they are, such as a row that is too long.
+    pub refused: Counter,
 }
 
 impl Metrics {
@@ -42,6 +44,7 @@
             answers: Family::default(),
             latency: latencies(),
             taken: Counter::default(),
+            refused: Counter::default(),
         };
         registry.register(
             "reachhead_worker_orders",
@@ -59,6 +62,11 @@
             "How often this process took charge of a pool",
             metrics.taken.clone(),
         );
+        registry.register(
+            "reachhead_store_refusals",
+            "Transactions that the store refused for what they are",
+            metrics.refused.clone(),
+        );
         metrics
     }
 
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -60,5 +60,6 @@
         NoteKind::RunAdopted => Event::RunAdopted,
         NoteKind::StepPlaced => Event::StepPlaced,
         NoteKind::QuotaReached => Event::QuotaReached,
+        NoteKind::RowHeld => Event::RowHeld,
     }
 }
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -339,8 +339,14 @@
         let begun = self.recording.remove(&batch.lane).unwrap_or(now);
         let spacing = Millis(now.since(begun).0 * RECORD_SPACING).max(RECORD_PERIOD);
         self.record_next.insert(batch.lane, now + spacing);
-        let Ok(commit) = result else {
-            return;
+        let commit = match result {
+            Ok(commit) => commit,
+            Err(StoreError::Refused(_)) => {
+                self.node.metrics.refused.inc();
+                self.pool.rejected(batch, now);
+                return;
+            }
+            Err(_) => return,
         };
         if !self.pool.decided(batch, &commit, now) {
             self.lost = true;
--- a/reachhead_node/src/submit/mod.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -109,7 +109,8 @@
         Self::default()
     }
 
-    /// Stores a job and returns what its caller is told.
+    /// Stores a job and returns what its caller is told. One that no row of the store could hold is refused before it waits with
+    /// others, which would be refused with it.
     pub async fn submit(
         &self,
         node: &Arc<Node>,
@@ -118,6 +119,9 @@
         until: Instant,
         direct: bool,
     ) -> Answer {
+        if value(&record).to_string().len() > node.settings.row_limit {
+            return Answer::Refused(ErrorKind::BodyTooLarge);
+        }
         let (reply, answer) = oneshot::channel();
         let taken = Arc::new(AtomicBool::new(false));
         let withdrawn = Arc::clone(&taken);
@@ -251,13 +255,30 @@
         }
         Err(StoreError::Refused(error)) => {
             log::warn!("pool={pool} the store refuses {} jobs: {error}", batch.len());
-            refuse(batch, ErrorKind::BodyTooLarge);
-            Vec::new()
+            node.metrics.refused.inc();
+            refused(node, pool, batch).await
         }
         Err(StoreError::NotDone(_) | StoreError::Busy(_)) => not_taken(node, pool, batch).await,
     }
 }
 
+/// Refuses the job that the store refuses, and stores those that were in one transaction with it: halves are tried until it is
+/// alone. Returns the jobs of which nothing is decided yet.
+async fn refused(
+    node: &Arc<Node>,
+    pool: &PoolName,
+    mut batch: Vec<Submission>,
+) -> Vec<Submission> {
+    if batch.len() == 1 {
+        refuse(batch, ErrorKind::BodyTooLarge);
+        return Vec::new();
+    }
+    let second = batch.split_off(batch.len() / 2);
+    let mut left = Box::pin(store(node, pool, batch)).await;
+    left.extend(Box::pin(store(node, pool, second)).await);
+    left
+}
+
 fn accept(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>, revision: Revision) {
     let mut jobs = Vec::with_capacity(batch.len());
     for submission in batch {
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -133,6 +133,8 @@
     WorkerCrashed 714 Warn;
     /// A task is given up and its job fails, since workers crash under it.
     TaskGivenUp 715 Warn;
+    /// A row that the store refuses for its size is set aside, so that what else is to be written goes on.
+    RowHeld 716 Warn;
     /// A wave began, went on in other hands, or is completed.
     WaveChanged 720 Info;
     /// A host was ordered down for a wave, or the order was not taken.
