The progress of the largest jobs fits into a row of the store

Cause: the largest job has 20,000 tasks, and its progress listed those that are done in some six bytes each, and each repetition of a step in sixty more: 108,948 bytes for one step, where a row has 65,536 (progress.rs: red on the code before). From some 10,000 tasks or 1,000 repetitions on nothing of such a job was recorded any more, and a successor would have started it again. Change: tasks that are done are a bit each, and steps that are done a range of repetitions. Rows of the earlier release are read; it can't read these, as it can't take pools from this one anyway (docs/PLATFORM.md, Members). Ruled out: ranges of tasks: pairs with gaps need more than the list. Not bounded: tasks that have failed without being done, some forty bytes each; such a row is set aside as any that is refused. Figures: 20,000 tasks in any of four patterns, in one step or over 20,000 repetitions, stay below 65,536 bytes.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -11,7 +11,8 @@
     clock::{Tick, WorkerTime},
     crashes::Crashes,
     model::{Plan, Queue, Step},
-    record::{CrashRecord, Ending, Failure, JobRecord, ProgressRecord, StepRecord},
+    progress::{CrashRecord, Failure, ProgressRecord, StepRecord, TaskSet},
+    record::{Ending, JobRecord},
     task::{StepId, TaskId},
 };
 
@@ -295,24 +296,35 @@
 
     /// Returns everything that the workers may forget.
     pub fn progress(&self) -> ProgressRecord {
-        let mut steps = Vec::new();
+        let mut progress = ProgressRecord::default();
         for (id, step) in &self.steps {
+            if step.is_done() {
+                progress.complete(id.step, id.occurrence);
+                continue;
+            }
             let record = record_step(*id, step);
             if !record.is_empty() {
-                steps.push(record);
+                progress.steps.push(record);
             }
         }
-        ProgressRecord { steps }
+        progress
     }
 
     /// Takes over what a predecessor recorded.
     pub fn restore(&mut self, record: &ProgressRecord) {
+        for (id, step) in &mut self.steps {
+            if record.has_completed(id.step, id.occurrence) {
+                step.tasks.iter_mut().for_each(|task| task.done = true);
+                step.done = step.tasks.len() as u32;
+                self.begun = true;
+            }
+        }
         for known in &record.steps {
             let id = StepId { job: self.id, occurrence: known.occurrence, step: known.step };
             let Some(step) = self.steps.get_mut(&id) else {
                 continue;
             };
-            for &index in &known.done {
+            for index in known.done.iter() {
                 if let Some(task) = step.tasks.get_mut(index as usize).filter(|task| !task.done) {
                     task.done = true;
                     step.done += 1;
@@ -337,14 +349,14 @@
     let mut record = StepRecord {
         occurrence: id.occurrence,
         step: id.step,
-        done: Vec::new(),
+        done: TaskSet::default(),
         failed: Vec::new(),
         crashed: Vec::new(),
     };
     for (index, task) in step.tasks.iter().enumerate() {
         let index = index as u32;
         if task.done {
-            record.done.push(index);
+            record.done.insert(index);
             continue;
         }
         if !task.failed.is_empty() {
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod place;
 pub mod pool;
 pub mod ports;
+pub mod progress;
 pub mod quota;
 pub mod record;
 pub mod registry;
--- a/reachhead_jobs/src/pool/inheritance.rs
+++ b/reachhead_jobs/src/pool/inheritance.rs
@@ -8,10 +8,7 @@
 };
 
 use crate::{
-    clock::Tick,
-    pool::StoredRoster,
-    record::{JobRecord, ProgressRecord},
-    shard::Shard,
+    clock::Tick, pool::StoredRoster, progress::ProgressRecord, record::JobRecord, shard::Shard,
 };
 
 /// A job as the store has it.
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -5,13 +5,12 @@
 use reachhead_store::row::Key;
 use reachhead_types::{
     id::{CustomerName, JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{FencingToken, Millis, Revision, RunNumber, Strength},
+    size::{FencingToken, Millis, Revision, Strength},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::{
-    crashes::Crashes,
     model::{Plan, Queue},
     shard::Shard,
 };
@@ -116,54 +115,6 @@
     pub customer: Option<CustomerName>,
 }
 
-/// A task that failed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Failure {
-    /// The task's place in the step.
-    pub index: u32,
-    /// The runs that failed; a run that is told twice counts once.
-    pub runs: Vec<RunNumber>,
-}
-
-/// A task under which workers crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRecord {
-    /// The task's place in the step.
-    pub index: u32,
-    /// What the crashes say of it: a successor must not begin to count anew, and lose as many workers again.
-    pub crashes: Crashes,
-}
-
-/// What is known for good of a step in one occurrence.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StepRecord {
-    /// Which repetition of the job.
-    pub occurrence: u32,
-    /// The step's place in the job.
-    pub step: u32,
-    /// The tasks that are done.
-    pub done: Vec<u32>,
-    /// The tasks that failed.
-    pub failed: Vec<Failure>,
-    /// The tasks under which workers crashed; a release that did not count them wrote none.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub crashed: Vec<CrashRecord>,
-}
-
-impl StepRecord {
-    /// Tells whether nothing is known of the step.
-    pub fn is_empty(&self) -> bool {
-        self.done.is_empty() && self.failed.is_empty() && self.crashed.is_empty()
-    }
-}
-
-/// A job's progress: everything that its workers may forget.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct ProgressRecord {
-    /// The steps of which anything is known.
-    pub steps: Vec<StepRecord>,
-}
-
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/reachhead_node/src/submit/mod.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -264,11 +264,7 @@
 
 /// Refuses the job that the store refuses, and stores those that were in one transaction with it: halves are tried until it is
 /// alone. Returns the jobs of which nothing is decided yet.
-async fn refused(
-    node: &Arc<Node>,
-    pool: &PoolName,
-    mut batch: Vec<Submission>,
-) -> Vec<Submission> {
+async fn refused(node: &Arc<Node>, pool: &PoolName, mut batch: Vec<Submission>) -> Vec<Submission> {
     if batch.len() == 1 {
         refuse(batch, ErrorKind::BodyTooLarge);
         return Vec::new();
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -10,9 +10,10 @@
 use reachhead_jobs::{
     fence::{Fence, FenceStep},
     pool::{Inheritance, StoredJob, StoredProgress, StoredRoster},
+    progress::ProgressRecord,
     record::{
-        JobRecord, LeaseRecord, ProgressRecord, fence_key, job_prefix, lease_key, progress_prefix,
-        roster_prefix, value,
+        JobRecord, LeaseRecord, fence_key, job_prefix, lease_key, progress_prefix, roster_prefix,
+        value,
     },
     shard::Shard,
 };
