--- a/reachhead_jobs/src/authority.rs
+++ b/reachhead_jobs/src/authority.rs
@@ -14,13 +14,12 @@
     record::LeaseRecord,
 };
 
-/// How long the holder may give orders after it asked the store. It takes a question to the store and an order, each
-/// 0.3 s while the store is sixty times slower than usual, and it is what the hosts stand still for when their owner
-/// is killed.
+/// How long the holder may give orders after it asked the store. It takes a question to the store and an order, also
+/// while the store is slow, and it is what the hosts stand still for when their owner is killed.
 pub const ORDER_TERM: Millis = Millis(700);
 
 /// How lately the question must have been sent for orders to go out on its answer; the rest of the term is the orders'
-/// own. A store a hundred times slower than usual answers within it.
+/// own. A slow store answers within it.
 const FRESH_TERM: Millis = Millis(450);
 
 /// How long a process that answers without the lease must have had it to be taken for over: it answers so for a
--- a/reachhead_jobs/src/lives.rs
+++ b/reachhead_jobs/src/lives.rs
@@ -3,7 +3,7 @@
 //! A worker that is cut off runs on, so silence proves nothing, nor does a missing registration. Two words together
 //! do: its host answered that nobody listens there, and the platform's list of hosts, read after that, has no host
 //! with that life. A worker that an owner lost by a crash of its own, a move or maintenance is known as over by that
-//! within a round, where its leases would be waited out for 8.6 s and no host of the pool be given away meanwhile.
+//! within a round, where else its leases would be waited out and no host of the pool be given away meanwhile.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/reachhead_node/src/claims.rs
+++ b/reachhead_node/src/claims.rs
@@ -88,8 +88,8 @@
     watching: Tick,
     /// Since when a pool has nobody in charge, as this process sees it.
     vacant: BTreeMap<PoolName, Tick>,
-    /// Pools that are being taken, side by side: after a restart of all processes each takes several, and one
-    /// after the other costs some 40 ms a pool.
+    /// Pools that are being taken, side by side: after a restart of all processes each takes several, and jobs of the last one
+    /// would wait for all others.
     claiming: BTreeMap<PoolName, JoinHandle<()>>,
     /// The lease of a pool whose loss was logged last, so that each is logged once.
     told: BTreeMap<PoolName, Revision>,
@@ -145,7 +145,7 @@
     }
 
     /// Tells whether a pool's lease names this process. Nobody else takes such a pool before its owner has been
-    /// silent, so a restarted process takes its own without any delay: jobs wait 0.35 s less when all lose power.
+    /// silent, so a restarted process takes its own without any delay, and jobs wait less when all lose power.
     fn is_own(&self, pool: &PoolName) -> bool {
         let view = self.node.view();
         let owner = view.leases.get(pool).and_then(|lease| lease.record.owner.as_ref());
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -13,7 +13,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::row::{Key, Row};
 use reachhead_types::{
-    id::{PoolName, ZoneName},
+    id::{NodeName, PoolName, ZoneName},
     size::{Millis, Revision},
 };
 use tokio::time;
@@ -140,7 +140,7 @@
     let mut wait = follower.wait();
     while follower.wanted() {
         let told = relay::changes(node, follower.table(), revision, wait).await;
-        // After a failure the store is asked for a word at once: a poll that hangs tells of its return 1.5 s later.
+        // After a failure the store is asked for a word at once: a poll that hangs tells of its return only when its wait is over.
         wait = if told.is_ok() { follower.wait() } else { Millis(0) };
         match told {
             Ok(Followed { page, at }) => {
@@ -267,9 +267,7 @@
             Some(LeaseKey::Member(node)) => self.member(node, change),
             Some(LeaseKey::Pool(pool)) if !change.deleted => {
                 match change.row.parse::<LeaseRecord>() {
-                    Ok(record) => {
-                        self.0.view().adopt_lease(pool, record, change.row.revision, now);
-                    }
+                    Ok(record) => self.adopt(pool, record, change.row.revision, now),
                     Err(error) => emit(Event::RowRefused, error),
                 }
             }
@@ -277,13 +275,23 @@
         }
     }
 
+    /// Takes over a lease. Who is in charge by it is logged, so that the logs of all processes tell how long a change of hands took to
+    /// reach them.
+    fn adopt(&self, pool: PoolName, record: LeaseRecord, revision: Revision, now: Tick) {
+        let owner = record.owner.clone();
+        if self.0.view().adopt_lease(pool.clone(), record, revision, now) {
+            let owner = owner.as_ref().map_or("nobody", NodeName::as_str);
+            emit(Event::OwnerKnown, format_args!("pool={pool} owner={owner} token={revision}"));
+        }
+    }
+
     fn apply_at(&self, changes: &[Change], now: Tick) {
         for change in changes {
             self.take(change, now);
         }
     }
 
-    fn member(&self, node: reachhead_types::id::NodeName, change: &Change) {
+    fn member(&self, node: NodeName, change: &Change) {
         if change.deleted {
             self.0.view().members.remove(&node);
             return;
@@ -346,7 +354,7 @@
 }
 
 enum LeaseKey {
-    Member(reachhead_types::id::NodeName),
+    Member(NodeName),
     Pool(PoolName),
 }
 
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -152,17 +152,20 @@
         newer
     }
 
-    /// Takes over a lease if its row is newer.
+    /// Takes over a lease if its row is newer; tells whether somebody else is in charge by it.
     pub fn adopt_lease(
         &mut self,
         pool: PoolName,
         record: LeaseRecord,
         revision: Revision,
         now: Tick,
-    ) {
-        let newer = self.leases.get(&pool).is_none_or(|known| known.revision < revision);
-        if newer {
-            self.leases.insert(pool, LeaseView { record, revision, since: now });
+    ) -> bool {
+        let known = self.leases.get(&pool);
+        if known.is_some_and(|known| known.revision >= revision) {
+            return false;
         }
+        let news = known.is_none_or(|known| known.record.owner != record.owner);
+        self.leases.insert(pool, LeaseView { record, revision, since: now });
+        news
     }
 }
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -97,6 +97,8 @@
     LeaseEnded 601 Info;
     /// This host hands a pool over to one that bears it better.
     PoolYielded 602 Info;
+    /// Somebody else is in charge of a pool, and this process knows it from now on.
+    OwnerKnown 603 Info;
     /// A host of a pool changed its phase.
     HostEntered 610 Info;
     /// A host changed its pool.
