--- a/reachhead_jobs/tests/pool/refusal.rs
+++ b/reachhead_jobs/tests/pool/refusal.rs
@@ -4,7 +4,10 @@
 
 use reachhead_jobs::{pool::Batch, ports::RunEnd};
 use reachhead_store::row::{Commit, Write};
-use reachhead_types::{id::WorkerId, size::Revision};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::Revision,
+};
 
 use crate::fixture::{Fixture, info, step, worker};
 
@@ -77,5 +80,5 @@
     }
     fixture.report(&worker("a"));
     write(&mut fixture, |write| write.key.0.starts_with("progress/") && write.value.is_some());
-    assert!(!fixture.pool.jobs().contains_key(&reachhead_types::id::JobId(5)));
+    assert!(!fixture.pool.jobs().contains_key(&JobId(5)));
 }
--- a/reachhead_jobs/tests/progress.rs
+++ b/reachhead_jobs/tests/progress.rs
@@ -1,10 +1,12 @@
 //! What is recorded of a job's progress, and what a successor reads of it.
 
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
 use std::sync::Arc;
 
 use reachhead_jobs::{
     clock::Tick,
-    job::Job,
+    job::{Job, StepState},
     model::{Plan, Queue, Schedule, Step},
     progress::ProgressRecord,
     record::{JobRecord, value},
@@ -58,7 +60,7 @@
 }
 
 fn done(job: &Job) -> Vec<(StepId, Vec<bool>)> {
-    let tasks = |(id, step): (&StepId, &reachhead_jobs::job::StepState)| {
+    let tasks = |(id, step): (&StepId, &StepState)| {
         (*id, step.tasks.iter().map(|task| task.done).collect())
     };
     job.steps.iter().map(tasks).collect()
