A count of waiting jobs is asked of the owner alone, also while it changes

Hypothesis: weak owners of the largest pools (0.12 cores, 20 Mbit/s, all strong hosts away) collapse under load. By its logs 12,753 counts of waiting jobs failed at the store: a process that can't reach a pool's owner read all stored jobs of the pool, four parts, for each call. Hundreds of processes get such calls, so this grows with hosts times jobs; on a weak host one such read holds the link for half a second, owners and members on these hosts are then not heard, lose their pools, and more calls can't reach an owner. Change: the owner is asked again until the caller's time is over, and the next owner answers; else 503 with when to return. A count from stored jobs was too high anyway, since nobody but the owner knows which have begun. Ruled out: a read that the calls of a process share: with hundreds of processes it is still hosts times jobs. Test: 150 calls beside a stopped owner made 605 reads of the table of jobs before, fewer than 150 after.

--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -2,17 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures::future::{BoxFuture, FutureExt, try_join_all};
+use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
     backoff,
     model::Queue,
     pool::{JobState, StateReply, is_foreign},
     ports::{Admission, Answer, Call, CallKind, Frontend},
-    record::{FinalRecord, JobRecord, final_key, job_key, job_prefix, progress_key},
-    shard::Shard,
+    record::{FinalRecord, JobRecord, final_key, job_key, progress_key},
 };
 use reachhead_ops::event::{Event, emit};
-use reachhead_store::{StoreError, row::Scan};
+use reachhead_store::StoreError;
 use reachhead_types::{
     error::ErrorKind,
     id::{CustomerName, JobId, PoolName},
@@ -149,29 +148,18 @@
         }
     }
 
-    async fn waiting(&self, queue: &Queue) -> Answer {
-        let ask = PoolAsk::Waiting(queue.name.clone());
-        if let Some(Reply::Waiting(count)) = self.ask(&queue.pool, ask).await {
-            return Answer::Waiting(count);
-        }
-        let store = &self.0.services.store;
-        let part = |shard| {
-            let prefix = job_prefix(&queue.pool, shard);
-            store.scan(Scan { prefix, after: None, limit: u32::MAX })
-        };
-        let pages = try_join_all(Shard::all().map(part)).await;
-        self.0.note_store(&pages);
-        match pages {
-            // Jobs that have begun count too: without the owner nobody knows which have.
-            Ok(pages) => {
-                let rows = pages.iter().flat_map(|page| &page.rows);
-                let jobs = rows.filter_map(|row| row.parse::<JobRecord>().ok());
-                Answer::Waiting(jobs.filter(|job| job.queue.name == queue.name).count() as u32)
+    /// Asks the owner of a queue's pool until it answers or the caller's time is over. Nobody else knows which jobs have begun, and to
+    /// read all stored jobs instead would load the store by callers times jobs, most of all when owners are lost.
+    async fn waiting(&self, queue: &Queue, until: Instant) -> Answer {
+        loop {
+            let ask = PoolAsk::Waiting(queue.name.clone());
+            if let Some(Reply::Waiting(count)) = self.ask(&queue.pool, ask).await {
+                return Answer::Waiting(count);
             }
-            Err(error) => {
-                log::info!("queue={} can't be counted: {error}", queue.name);
-                Answer::Refused(ErrorKind::JobUnreachable)
+            if Instant::now() + OWNER_PAUSE >= until {
+                return Answer::Refused(ErrorKind::JobUnreachable);
             }
+            time::sleep(OWNER_PAUSE).await;
         }
     }
 
@@ -207,7 +195,7 @@
             }
             CallKind::State(id) => self.state(&pool, id, customer).await,
             CallKind::Cancel(id) => self.cancel(&pool, id, customer, until).await,
-            CallKind::Waiting => self.waiting(&queue).await,
+            CallKind::Waiting => self.waiting(&queue, until).await,
         }
     }
 }
