Reads of whole parts of the store have a patience of their own, so that weak hosts can take large pools over

Hypothesis: on weak hosts nobody can take a pool with hundreds of jobs. Answers are given up after six times the usual time, 350 ms at least, and what is usual was learned from calls of some milliseconds; the rows of 600 jobs need longer than that on 20 Mbit/s. Each quick answer in between took back what a failed read had taught. It holds only while a pool's rows are few, or its owner's link is wide. Change: reads of whole parts learn and double their patience apart from other calls. A lost answer of the first read is still given up after 350 ms. Ruled out: to wait for such reads without patience: in an outage that loses answers a takeover would begin 1.8 s later. Limit: a page of at most a megabyte has to come within 1.8 s (STORE_TIME), and all of a pool's rows share the link. Test: reads of a second between quick calls succeeded in none of 20 tries before, within four after.

--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -12,7 +12,7 @@
 use crate::{
     Store, StoreError,
     breaker::{Breaker, Gate, LAST_PAUSE},
-    patience::Patience,
+    patience::{CallKind, Patience, Patiences},
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 
@@ -30,7 +30,7 @@
 /// part, which notices failures. A part has few calls at once: one of them without an answer does not tell that it stalls.
 struct Gates {
     whole: Breaker,
-    patience: Option<Patience>,
+    patience: Option<Patiences>,
     longest: Duration,
     parts: BTreeMap<String, Breaker>,
 }
@@ -44,6 +44,10 @@
         self.parts.get_mut(part).unwrap_or_else(|| unreachable!("it was just put there"))
     }
 
+    fn patience(&mut self, kind: CallKind) -> Option<&mut Patience> {
+        self.patience.as_mut().map(|patiences| patiences.of(kind))
+    }
+
     fn gate(&mut self, part: &str, now: Instant) -> Gate {
         match self.part(part).gate(now) {
             Gate::Down => Gate::Down,
@@ -82,7 +86,7 @@
     /// Gives calls up whose answers take much longer than usual: callers that may ask again are told sooner.
     #[must_use]
     pub fn with_patience(self) -> Self {
-        locked(&self.gates).patience = Some(Patience::default());
+        locked(&self.gates).patience = Some(Patiences::default());
         self
     }
 
@@ -102,6 +106,7 @@
     async fn call<T: Send + 'static>(
         &self,
         key: &str,
+        kind: CallKind,
         call: impl FnOnce(Arc<S>) -> BoxFuture<'static, Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         let part = (self.part_of)(key);
@@ -114,17 +119,18 @@
             }
             Gate::Down => return Err(StoreError::NotDone("the store is down".to_owned())),
         }
-        let open = Open::new(Arc::clone(&self.gates), part);
+        let open = Open::new(Arc::clone(&self.gates), part, kind);
         let (probing, patience) = {
             let mut gates = locked(&self.gates);
             let probing = gates.part(part).is_probing() || gates.whole.is_probing();
-            (probing, gates.patience.map_or(Duration::MAX, Patience::limit))
+            (probing, gates.patience(kind).map_or(Duration::MAX, |patience| patience.limit()))
         };
         let call = call(Arc::clone(&self.inner));
         let noted = async move {
             let Ok(result) = time::timeout(patience, call).await else {
-                let mut gates = locked(&open.gates);
-                gates.patience.iter_mut().for_each(Patience::lengthen);
+                if let Some(patience) = locked(&open.gates).patience(kind) {
+                    patience.lengthen();
+                }
                 return Err(StoreError::Lost("no answer in the usual time".to_owned()));
             };
             open.note(&result);
@@ -143,15 +149,16 @@
 struct Open {
     gates: Arc<Mutex<Gates>>,
     part: String,
+    kind: CallKind,
     begun: Instant,
     number: u64,
 }
 
 impl Open {
-    fn new(gates: Arc<Mutex<Gates>>, part: &str) -> Self {
+    fn new(gates: Arc<Mutex<Gates>>, part: &str, kind: CallKind) -> Self {
         let begun = now();
         let number = locked(&gates).whole.begin(begun);
-        Self { gates, part: part.to_owned(), begun, number }
+        Self { gates, part: part.to_owned(), kind, begun, number }
     }
 
     fn note<T>(&self, result: &Result<T, StoreError>) {
@@ -160,7 +167,9 @@
         if matches!(result, Ok(_) | Err(StoreError::Refused(_) | StoreError::Busy(_))) {
             gates.whole.succeed(now);
             let took = now.saturating_duration_since(self.begun);
-            gates.patience.iter_mut().for_each(|patience| patience.learn(took));
+            if let Some(patience) = gates.patience(self.kind) {
+                patience.learn(took);
+            }
         }
         let breaker = gates.part(&self.part);
         match result {
@@ -182,7 +191,10 @@
     fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
         async move {
             let first = keys.first().cloned().unwrap_or_else(|| Key(String::new()));
-            self.call(&first.0, |inner| async move { inner.read(keys).await }.boxed()).await
+            self.call(&first.0, CallKind::Short, |inner| {
+                async move { inner.read(keys).await }.boxed()
+            })
+            .await
         }
         .boxed()
     }
@@ -190,7 +202,10 @@
     fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
         async move {
             let prefix = scan.prefix.clone();
-            self.call(&prefix, |inner| async move { inner.scan(scan).await }.boxed()).await
+            self.call(&prefix, CallKind::Scan, |inner| {
+                async move { inner.scan(scan).await }.boxed()
+            })
+            .await
         }
         .boxed()
     }
@@ -200,7 +215,10 @@
             let check = txn.checks.first().map(|check| &check.key);
             let first = check.or_else(|| txn.writes.first().map(|write| &write.key)).cloned();
             let first = first.unwrap_or_else(|| Key(String::new()));
-            self.call(&first.0, |inner| async move { inner.commit(txn).await }.boxed()).await
+            self.call(&first.0, CallKind::Short, |inner| {
+                async move { inner.commit(txn).await }.boxed()
+            })
+            .await
         }
         .boxed()
     }
--- a/reachhead_store/src/patience.rs
+++ b/reachhead_store/src/patience.rs
@@ -19,6 +19,33 @@
 /// Weight of the newest answer in the usual time, as a part of eight.
 const LEARNING_PART: u32 = 1;
 
+/// What a call asks for. Reads of all rows of a part take longer than other calls by as much as there is to read, and say nothing of how
+/// long those take, nor those of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallKind {
+    /// Some rows, or a transaction.
+    Short,
+    /// All rows of a part.
+    Scan,
+}
+
+/// How long answers are waited for, apart for each kind of call.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Patiences {
+    short: Patience,
+    scan: Patience,
+}
+
+impl Patiences {
+    /// Returns the patience with calls of this kind.
+    pub fn of(&mut self, kind: CallKind) -> &mut Patience {
+        match kind {
+            CallKind::Short => &mut self.short,
+            CallKind::Scan => &mut self.scan,
+        }
+    }
+}
+
 /// How long answers are waited for, by how long they took lately.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Patience {
--- a/reachhead_store/tests/guarded.rs
+++ b/reachhead_store/tests/guarded.rs
@@ -27,6 +27,8 @@
 struct FailingStore {
     inner: MemoryStore,
     down: Arc<AtomicBool>,
+    /// How long reads of all rows of a part take beyond that.
+    scan_time: Duration,
 }
 
 impl FailingStore {
@@ -51,6 +53,7 @@
     fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
         async move {
             self.answer(&scan.prefix).await?;
+            time::sleep(self.scan_time).await;
             self.inner.scan(scan).await
         }
         .boxed()
@@ -125,3 +128,26 @@
         time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// A process on a weak link reads the hundreds of jobs of a pool that it takes over, which takes a second, while its other calls take some
+/// milliseconds. Each read was given up after six times what those took and begun anew, for ever: nobody of such a fleet could
+/// take the pool, its jobs stood still, and the reads filled the link.
+#[tokio::test(start_paused = true)]
+async fn reads_of_whole_parts_are_waited_for_though_other_calls_are_quick() {
+    let slow = FailingStore { scan_time: Duration::from_millis(1000), ..FailingStore::default() };
+    let store = GuardedStore::new(slow, 1000).with_patience();
+    let scan = || Scan { prefix: "job/p.0/".to_owned(), after: None, limit: u32::MAX };
+    let mut tries = 0;
+    for _ in 0..20 {
+        for _ in 0..20 {
+            let read = store.read(vec![Key("lease/p/owner".to_owned())]).await;
+            assert!(read.is_ok() || tries > 0, "{read:?}");
+        }
+        tries += 1;
+        if store.scan(scan()).await.is_ok() {
+            break;
+        }
+        time::sleep(Duration::from_millis(1100)).await;
+    }
+    assert!(tries <= 4, "{tries} tries");
+}
