--- a/reachhead_jobs/src/balance/mod.rs
+++ b/reachhead_jobs/src/balance/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use self::parking::Parking;
-pub use self::parking::{PoolUse, Today, UseRecord, round_trip};
+pub use self::parking::{ClockReading, PoolUse, UseRecord, round_trip};
 use crate::{
     clock::Tick,
     division::{Claim, divide},
@@ -164,13 +164,13 @@
     }
 
     /// Returns what a successor has to know of the pools' use of their hosts.
-    pub fn record(&self, today: Today) -> UseRecord {
-        self.parking.record(today)
+    pub fn record(&self, clock: ClockReading) -> UseRecord {
+        self.parking.record(clock)
     }
 
     /// Takes over what a predecessor knew of it.
-    pub fn restore(&mut self, record: &UseRecord, today: Today) {
-        self.parking.restore(record, today);
+    pub fn restore(&mut self, record: &UseRecord, clock: ClockReading) {
+        self.parking.restore(record, clock);
     }
 
     /// Returns what the last round found, before its moves.
--- a/reachhead_jobs/src/balance/parking.rs
+++ b/reachhead_jobs/src/balance/parking.rs
@@ -46,16 +46,16 @@
     pub at: Millis,
 }
 
-/// The time of day at a moment of the steady clock.
+/// Both clocks of a process at one moment: ticks mean nothing to another process.
 #[derive(Debug, Clone, Copy)]
-pub struct Today {
+pub struct ClockReading {
     /// The moment.
     pub now: Tick,
     /// The time of day, in milliseconds since 1970.
     pub wall: Millis,
 }
 
-impl Today {
+impl ClockReading {
     fn wall_at(self, at: Tick) -> Millis {
         Millis(self.wall.0.saturating_sub(self.now.since(at).0))
     }
@@ -86,28 +86,28 @@
 
 impl Parking {
     /// Returns what a successor has to know.
-    pub(super) fn record(&self, today: Today) -> UseRecord {
+    pub(super) fn record(&self, clock: ClockReading) -> UseRecord {
         let pools = self.pools.iter().filter_map(|(pool, used)| {
             let &(at, most) = used.highest.front()?;
-            let begun = used.begun.map(|begun| today.wall_at(begun));
-            Some((pool.clone(), PoolUse { first: used.first, begun, most, at: today.wall_at(at) }))
+            let begun = used.begun.map(|begun| clock.wall_at(begun));
+            Some((pool.clone(), PoolUse { first: used.first, begun, most, at: clock.wall_at(at) }))
         });
         UseRecord { pools: pools.collect() }
     }
 
     /// Takes over what a predecessor knew.
-    pub(super) fn restore(&mut self, record: &UseRecord, today: Today) {
+    pub(super) fn restore(&mut self, record: &UseRecord, clock: ClockReading) {
         for (pool, known) in &record.pools {
             let used = self.pools.entry(pool.clone()).or_default();
             used.first = used.first.max(known.first);
-            used.begun = known.begun.map(|begun| today.tick_at(begun)).or(used.begun);
+            used.begun = known.begun.map(|begun| clock.tick_at(begun)).or(used.begun);
             if used.highest.front().is_none_or(|(_, most)| *most < known.most) {
-                used.highest.push_front((today.tick_at(known.at), known.most));
+                used.highest.push_front((clock.tick_at(known.at), known.most));
             }
         }
     }
 
-    /// Forgets pools that are gone: they do not tell what they need, and what they used was long ago.
+    /// Forgets pools that are gone: no owner tells of them, and what they used was long ago.
     fn forget(&mut self, accounts: &[Account], trip: Millis, now: Tick) {
         let is_there = |pool: &PoolName| accounts.iter().any(|account| account.pool == *pool);
         let is_recent = |used: &Use| {
--- a/reachhead_jobs/tests/pool/balance.rs
+++ b/reachhead_jobs/tests/pool/balance.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use reachhead_jobs::{
-    balance::{Balance, Move, PoolState, Today},
+    balance::{Balance, ClockReading, Move, PoolState},
     clock::Tick,
     pool::{PoolLoad, WorkerLoad},
     ports::{Machine, MachineState},
@@ -334,12 +334,12 @@
         worker.used = CORES;
     }
     fleet.round(1000);
-    let before = Today { now: fleet.now, wall: Millis(50_000_000) };
+    let before = ClockReading { now: fleet.now, wall: Millis(50_000_000) };
     let record = serde_json::to_string(&fleet.balance.record(before)).unwrap();
     fleet.balance = Balance::new();
     // The successor's clock is another one, and four seconds have passed.
     fleet.now = Tick(7_000_000);
-    let after = Today { now: fleet.now, wall: Millis(50_004_000) };
+    let after = ClockReading { now: fleet.now, wall: Millis(50_004_000) };
     fleet.balance.restore(&serde_json::from_str(&record).unwrap(), after);
     fleet.load("a").need = 0;
     fleet.load("a").begun = false;
--- a/reachhead_node/src/fleet/memory.rs
+++ b/reachhead_node/src/fleet/memory.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use reachhead_jobs::{
-    balance::{Today, UseRecord},
+    balance::{ClockReading, UseRecord},
     clock::Tick,
     record::{lease_key, use_key, value},
 };
@@ -34,8 +34,8 @@
 
 impl Fleet {
     /// Returns the time of day at this moment.
-    fn today(&self) -> Today {
-        Today { now: self.node.now(), wall: self.node.clock.wall() }
+    fn clock_reading(&self) -> ClockReading {
+        ClockReading { now: self.node.now(), wall: self.node.clock.wall() }
     }
 
     /// Takes over what a predecessor left, unless that is done.
@@ -59,8 +59,8 @@
         self.memory.revision = Some(row.revision);
         match row.parse::<UseRecord>() {
             Ok(record) => {
-                let today = self.today();
-                self.moves.balance().restore(&record, today);
+                let clock = self.clock_reading();
+                self.moves.balance().restore(&record, clock);
                 self.memory.stored = record;
             }
             Err(error) => emit(Event::RowRefused, error),
@@ -74,8 +74,8 @@
         if self.memory.saving.is_some() || now < self.memory.next {
             return;
         }
-        let today = self.today();
-        let record = self.moves.balance().record(today);
+        let clock = self.clock_reading();
+        let record = self.moves.balance().record(clock);
         if record == self.memory.stored {
             return;
         }
