E701 says what the pool's owner answered, what it claims, and how old the lease is

A refused cancellation named the owner and not what came of the calls to it, so a process that answers and does not serve the pool, one that is silent, and a stale lease looked alike. The line now has the number of calls, the outcome of the last one (a typed error), the token that the owner claimed in its last heartbeat, and token, age and age of the table of the lease as this process knows it. No decision changes. Calls to the owner have a module of their own.

--- a/reachhead_node/src/fleet/ended_workers.rs
+++ b/reachhead_node/src/fleet/ended_workers.rs
@@ -14,7 +14,7 @@
     size::{Millis, Revision},
 };
 
-use crate::{frontend::call_pool_owner, node::Node, peer::PoolRequest};
+use crate::{node::Node, owner_call::call_pool_owner, peer::PoolRequest};
 
 /// How long owners of a pool, including successors, are notified of an ended worker: longer than
 /// they would wait for its leases to expire.
@@ -123,7 +123,7 @@
         }
         let requests = unnotified.into_iter().map(|(pool, workers)| async {
             let current = lease(&pool)?;
-            call_pool_owner(&node, &pool, PoolRequest::WorkersDied(workers)).await?;
+            call_pool_owner(&node, &pool, PoolRequest::WorkersDied(workers)).await.ok()?;
             Some((pool, current))
         });
         let notified: BTreeMap<PoolName, Revision> =
--- a/reachhead_node/src/fleet/quotas.rs
+++ b/reachhead_node/src/fleet/quotas.rs
@@ -17,8 +17,8 @@
 use super::name;
 use crate::{
     election::{LEASE_TRUST_TIME, MAX_WORKER_LEASE},
-    frontend::call_pool_owner,
     node::Node,
+    owner_call::call_pool_owner,
     peer::{PeerReply, PoolRequest},
 };
 
@@ -92,7 +92,7 @@
 ) -> Option<UsageReport> {
     let request = call_pool_owner(node, pool, PoolRequest::Allot(allotment.clone()));
     match time::timeout(ANSWER_TIMEOUT, request).await {
-        Ok(Some(PeerReply::Usage(report))) => Some(report),
+        Ok(Ok(PeerReply::Usage(report))) => Some(report),
         _ => None,
     }
 }
--- a/reachhead_node/src/fleet/waves.rs
+++ b/reachhead_node/src/fleet/waves.rs
@@ -17,7 +17,7 @@
 
 use super::{Fleet, ended_workers::OpenOrder, name};
 use crate::{
-    frontend::call_pool_owner,
+    owner_call::call_pool_owner,
     peer::{PeerReply, PoolRequest},
 };
 
@@ -221,7 +221,7 @@
         };
         let request = PoolRequest::DrainWorker(worker.clone(), mode);
         match call_pool_owner(&self.node, &platform_host.pool, request).await {
-            Some(PeerReply::DrainStatus(progress)) => progress,
+            Ok(PeerReply::DrainStatus(progress)) => progress,
             // Without the pool's owner it is unknown what runs there.
             _ => DrainProgress::Protected,
         }
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -1,7 +1,11 @@
 //! Answers the calls of customers: any process takes any call, and asks the owner of the queue's
 //! pool.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    fmt::{self, Display, Formatter},
+    sync::Arc,
+    time::Duration,
+};
 
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
@@ -24,12 +28,10 @@
 use crate::{
     node::Node,
     owner::CancelReply,
-    peer::{AcceptedJob, PeerReply, PeerRequest, PoolRequest, call_local_owner},
+    owner_call::{OwnerError, call_pool_owner},
+    peer::{AcceptedJob, PeerReply, PoolRequest},
 };
 
-/// Timeout of an owner's answer about one job; the store can answer too.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Pause between attempts to reach an owner.
 const OWNER_RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -39,12 +41,35 @@
 /// Maximum age of the last contact with the store for the process to be ready.
 const MAX_STORE_AGE: Millis = Millis(3000);
 
+/// The calls to the owner of a pool that were made for one call of a customer, for the log.
+#[derive(Debug, Default)]
+struct OwnerCalls {
+    attempts: u32,
+    last_failure: Option<OwnerError>,
+}
+
+impl Display for OwnerCalls {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "attempts={} owner_answer=", self.attempts)?;
+        match &self.last_failure {
+            Some(failure) => write!(f, "\"{failure}\""),
+            None => f.write_str("-"),
+        }
+    }
+}
+
 /// The frontend of the process.
 pub struct NodeFrontend(pub Arc<Node>);
 
 impl NodeFrontend {
-    async fn state(&self, pool: &PoolName, id: JobId, requester: Option<CustomerName>) -> Answer {
-        match self.call_owner(pool, PoolRequest::State(id, requester.clone())).await {
+    async fn state(
+        &self,
+        pool: &PoolName,
+        id: JobId,
+        requester: Option<CustomerName>,
+        calls: &mut OwnerCalls,
+    ) -> Answer {
+        match self.call_owner(pool, PoolRequest::State(id, requester.clone()), calls).await {
             Some(PeerReply::State(StateReply::Known(state))) => return Answer::State(state),
             Some(PeerReply::State(StateReply::Foreign)) => return Answer::Gone,
             _ => {}
@@ -91,14 +116,16 @@
         id: JobId,
         requester: Option<CustomerName>,
         until: Instant,
+        calls: &mut OwnerCalls,
     ) -> Answer {
         loop {
-            match self.call_owner(pool, PoolRequest::Cancel(id, requester.clone())).await {
+            match self.call_owner(pool, PoolRequest::Cancel(id, requester.clone()), calls).await {
                 Some(PeerReply::Cancel(CancelReply::Ended)) => return Answer::Cancelled,
                 Some(PeerReply::Cancel(CancelReply::Foreign)) => return Answer::Gone,
                 Some(PeerReply::Cancel(CancelReply::Unknown)) => {
-                    if let Some(answer) = self.submit_stored_job(pool, id, requester.as_ref()).await
-                    {
+                    calls.last_failure = Some(OwnerError::UnknownJob);
+                    let stored = self.submit_stored_job(pool, id, requester.as_ref(), calls).await;
+                    if let Some(answer) = stored {
                         return answer;
                     }
                 }
@@ -118,6 +145,7 @@
         pool: &PoolName,
         id: JobId,
         requester: Option<&CustomerName>,
+        calls: &mut OwnerCalls,
     ) -> Option<Answer> {
         let keys = vec![job_key(pool, id), final_key(pool, id)];
         let rows = self.0.services.store.read(keys).await;
@@ -138,7 +166,7 @@
                 match row.parse::<JobRecord>() {
                     Ok(record) => {
                         let job = AcceptedJob { id, record, row: row.revision };
-                        self.call_owner(pool, PoolRequest::Submit(vec![job])).await;
+                        self.call_owner(pool, PoolRequest::Submit(vec![job]), calls).await;
                     }
                     Err(error) => emit(Event::RowRefused, error),
                 }
@@ -154,10 +182,11 @@
     /// Asks the owner of a queue's pool until it answers or the caller's time is over. Only the
     /// owner knows which jobs have started; reading all stored jobs instead would load the store by
     /// callers times jobs, most of all when owners are lost.
-    async fn waiting(&self, queue: &Queue, until: Instant) -> Answer {
+    async fn waiting(&self, queue: &Queue, until: Instant, calls: &mut OwnerCalls) -> Answer {
         loop {
             let request = PoolRequest::Waiting(queue.name.clone());
-            if let Some(PeerReply::Waiting(count)) = self.call_owner(&queue.pool, request).await {
+            let reply = self.call_owner(&queue.pool, request, calls).await;
+            if let Some(PeerReply::Waiting(count)) = reply {
                 return Answer::Waiting(count);
             }
             if Instant::now() + OWNER_RETRY_PAUSE >= until {
@@ -173,21 +202,34 @@
         let view = self.0.view();
         let owner = view.owner(pool).map(|(owner, _)| owner);
         let status = owner.as_ref().and_then(|owner| view.peers.get(owner));
+        let lease = view.leases.get(pool);
         format!(
-            "store_age={}ms store_failing={} owner={} owner_heard={:?} owner_store_age={:?}",
+            "store_age={}ms store_failing={} owner={} owner_heard={:?} owner_claim={:?} \
+             owner_store_age={:?} token={:?} token_age={:?} leases_age={}ms",
             now.since(view.store_answered_at),
             view.store_failing,
             owner.as_ref().map_or("-", |owner| owner.as_str()),
             status.map(|status| now.since(status.at).0),
-            status.map(|status| status.pong.store_age)
+            status.and_then(|status| status.pong.owned.get(pool)).map(|token| token.0),
+            status.map(|status| status.pong.store_age),
+            lease.map(|lease| lease.revision.0),
+            lease.map(|lease| now.since(lease.since).0),
+            now.since(view.leases_current_at)
         )
     }
 
-    async fn call_owner(&self, pool: &PoolName, request: PoolRequest) -> Option<PeerReply> {
-        call_pool_owner(&self.0, pool, request).await
+    async fn call_owner(
+        &self,
+        pool: &PoolName,
+        request: PoolRequest,
+        calls: &mut OwnerCalls,
+    ) -> Option<PeerReply> {
+        calls.attempts += 1;
+        let reply = call_pool_owner(&self.0, pool, request).await;
+        reply.map_err(|failure| calls.last_failure = Some(failure)).ok()
     }
 
-    async fn answer(&self, call: Call) -> Answer {
+    async fn answer(&self, call: Call, calls: &mut OwnerCalls) -> Answer {
         let Admission { queue, customer } = call.admission;
         let pool = queue.pool.clone();
         let until = Instant::from_std(call.until) - ANSWER_MARGIN;
@@ -197,9 +239,9 @@
                 let record = JobRecord { queue, plan, accepted, customer };
                 self.0.submitter.submit(&self.0, id, record, until, false).await
             }
-            CallKind::State(id) => self.state(&pool, id, customer).await,
-            CallKind::Cancel(id) => self.cancel(&pool, id, customer, until).await,
-            CallKind::Waiting => self.waiting(&queue, until).await,
+            CallKind::State(id) => self.state(&pool, id, customer, calls).await,
+            CallKind::Cancel(id) => self.cancel(&pool, id, customer, until, calls).await,
+            CallKind::Waiting => self.waiting(&queue, until, calls).await,
         }
     }
 }
@@ -213,31 +255,6 @@
     if is_foreign(customer, requester) { StateReply::Foreign } else { StateReply::Known(state) }
 }
 
-/// Sends a request to the owner of a pool, in this process or at a peer; returns `None` if the
-/// owner can't be reached.
-pub async fn call_pool_owner(
-    node: &Node,
-    pool: &PoolName,
-    request: PoolRequest,
-) -> Option<PeerReply> {
-    if let Some(owner) = node.local_owner(pool) {
-        return Some(call_local_owner(&owner, request).await)
-            .filter(|reply| !matches!(reply, PeerReply::NotOwner));
-    }
-    let (owner, address) = node.view().owner(pool)?;
-    if owner == node.settings.node {
-        return None;
-    }
-    match node.peers.call(address, &PeerRequest::Pool(pool.clone(), request), OWNER_TIMEOUT).await {
-        Ok(PeerReply::NotOwner) => None,
-        Ok(reply) => Some(reply),
-        Err(error) => {
-            log::info!("pool={pool} owner={owner} did not answer: {error}");
-            None
-        }
-    }
-}
-
 fn call_name(kind: &CallKind) -> &'static str {
     match kind {
         CallKind::Submit(..) => "submit",
@@ -267,14 +284,15 @@
                 CallKind::Submit(id, _) | CallKind::State(id) | CallKind::Cancel(id) => Some(*id),
                 CallKind::Waiting => None,
             };
-            let answer = self.answer(call).await;
+            let mut calls = OwnerCalls::default();
+            let answer = self.answer(call, &mut calls).await;
             if let Answer::Refused(kind) = &answer {
                 let job = id.map(|id| id.to_string()).unwrap_or_default();
                 let ms = started.elapsed().as_millis();
                 emit(
                     Event::CallRefused,
                     format_args!(
-                        "job={job} call={name} queue={queue} kind={kind} after={ms}ms {}",
+                        "job={job} call={name} queue={queue} kind={kind} after={ms}ms {calls} {}",
                         self.refusal_context(&pool)
                     ),
                 );
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -16,6 +16,7 @@
 mod observe;
 mod order_permit;
 mod owner;
+mod owner_call;
 mod peer;
 mod process;
 mod registry;
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -25,9 +25,9 @@
 use tokio::time;
 
 use crate::{
-    frontend::call_pool_owner,
     node::Node,
     order_permit::PermitIssuer,
+    owner_call::call_pool_owner,
     peer::{PeerReply, PoolRequest},
 };
 
@@ -164,7 +164,7 @@
             |(pool, workers)| async move {
                 let request = PoolRequest::DrainWorkers(workers.clone(), DrainMode::Graceful);
                 match call_pool_owner(&self.node, pool, request).await {
-                    Some(PeerReply::DrainStatuses(progress)) => workers
+                    Ok(PeerReply::DrainStatuses(progress)) => workers
                         .into_iter()
                         .zip(progress)
                         .filter(|(_, progress)| *progress == DrainProgress::Empty)
@@ -235,7 +235,7 @@
         let requests = config.pools.values().map(|policy| async {
             let request = call_pool_owner(&self.node, &policy.name, PoolRequest::Load);
             match time::timeout(LOAD_TIMEOUT, request).await {
-                Ok(Some(PeerReply::Load(load))) => {
+                Ok(Ok(PeerReply::Load(load))) => {
                     Some((policy.name.clone(), PoolState { load, spare: policy.spare }))
                 }
                 _ => None,
--- a/reachhead_node/src/submit/mod.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -37,8 +37,8 @@
 pub use self::forwarding::{StoreOutcome, store_for_peer};
 use self::forwarding::{forward, forward_or_refuse, reachable_owner};
 use crate::{
-    frontend::call_pool_owner,
     node::Node,
+    owner_call::call_pool_owner,
     peer::{AcceptedJob, PoolRequest},
 };
 
@@ -346,7 +346,7 @@
 /// Notifies the owner of a pool of stored jobs; if that fails, its scan finds them.
 async fn notify_owner(node: Arc<Node>, pool: PoolName, jobs: Vec<AcceptedJob>) {
     for _ in 0..MAX_NOTIFY_ATTEMPTS {
-        if call_pool_owner(&node, &pool, PoolRequest::Submit(jobs.clone())).await.is_some() {
+        if call_pool_owner(&node, &pool, PoolRequest::Submit(jobs.clone())).await.is_ok() {
             return;
         }
         time::sleep(NOTIFY_RETRY_PAUSE).await;
