E604 and /state show a takeover that lasts long and an owner that stands still

A process that holds a pool's lease and reads its rows counts as the owner for its peers, and no line said how long that has been so. E604 TakeoverSlow names the takeover's age, the time since rows last arrived, what has been read of shards and roster, and the last error; one line a second at most, for the oldest takeover. /state lists the takeovers under way with the same, and for each owned pool when its owner's loop last turned and when the store last accepted a transaction of it.

--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -18,6 +18,7 @@
 use tokio::{task::JoinHandle, time};
 
 use crate::{
+    claim::{self, Takeover},
     fleet,
     node::Node,
     owner::{Owner, OwnerHandle},
@@ -267,7 +268,7 @@
         tokio::spawn(fleet::run(node, handle, inputs, lease, known));
         return;
     }
-    node.loading().insert(pool.clone(), lease.revision);
+    node.loading().insert(pool.clone(), Takeover::new(lease.revision, node.now()));
     node.pool_acquired.notify_one();
     let order_effect = order_effect(&node, &pool, known.as_ref());
     let recovered = load(&node, &pool, lease.revision, order_effect).await;
@@ -322,7 +323,10 @@
     loop {
         match loader.load().await {
             Ok(recovered) => return recovered,
-            Err(error) => log::info!("pool={pool} rows can't be read, retrying: {error}"),
+            Err(error) => {
+                log::info!("pool={pool} rows can't be read, retrying: {error}");
+                claim::update(node, pool, |takeover| takeover.error = Some(error));
+            }
         }
         time::sleep(LOAD_RETRY_PAUSE).await;
         let held = node.view().leases.get(pool).is_some_and(|lease| lease.revision == token);
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -34,6 +34,7 @@
     waves::ActiveWave,
 };
 use crate::{
+    claim::Pulse,
     election,
     moves::Moves,
     node::Node,
@@ -109,6 +110,7 @@
         ended_hosts: BTreeSet::new(),
         moves: Moves::new(Arc::clone(&node), Arc::clone(&permit_issuer)),
         permit_issuer,
+        pulse: Arc::clone(&handle.pulse),
         fenced: false,
     };
     tokio::spawn(quotas::run(Arc::clone(&fleet.node), token));
@@ -129,6 +131,7 @@
     ended_hosts: BTreeSet<HostId>,
     moves: Moves,
     permit_issuer: Arc<PermitIssuer>,
+    pulse: Arc<Pulse>,
     fenced: bool,
 }
 
@@ -136,6 +139,7 @@
     async fn run(&mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut pause = Duration::ZERO;
         while !self.fenced && self.holds_lease() {
+            self.pulse.record_turn(self.node.now());
             match time::timeout(std::mem::replace(&mut pause, ROUND_PERIOD), inputs.recv()).await {
                 Ok(Some(Input::Release(done))) => {
                     self.release_lease().await;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -14,13 +14,14 @@
 use reachhead_store::{Store, StoreError};
 use reachhead_types::{
     id::PoolName,
-    size::{Millis, Revision, Strength},
+    size::{Millis, Strength},
 };
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    admission::AdmissionControl, clock::Clock, lock::locked, metrics::Metrics, owner::OwnerHandle,
-    peer::PeerClient, registry::Registry, relay::Relay, submit::Submitter, view::View,
+    admission::AdmissionControl, claim::Takeover, clock::Clock, lock::locked, metrics::Metrics,
+    owner::OwnerHandle, peer::PeerClient, registry::Registry, relay::Relay, submit::Submitter,
+    view::View,
 };
 
 /// Silence of the store after which it is logged as lost: longer than one failed call, and longer
@@ -87,7 +88,7 @@
     pub workers_changed: watch::Sender<u64>,
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
-    loading: Mutex<BTreeMap<PoolName, Revision>>,
+    loading: Mutex<BTreeMap<PoolName, Takeover>>,
 }
 
 impl Node {
@@ -142,7 +143,7 @@
 
     /// Locks the pools whose lease this process holds and whose rows it still reads. Peers must
     /// count them as owned by it.
-    pub fn loading(&self) -> MutexGuard<'_, BTreeMap<PoolName, Revision>> {
+    pub fn loading(&self) -> MutexGuard<'_, BTreeMap<PoolName, Takeover>> {
         locked(&self.loading)
     }
 
--- a/reachhead_node/src/observe.rs
+++ b/reachhead_node/src/observe.rs
@@ -5,10 +5,11 @@
 use futures::future::{BoxFuture, FutureExt};
 use hyper::StatusCode;
 use prometheus_client::{encoding::text::encode, registry::Registry};
+use reachhead_jobs::clock::Tick;
 use reachhead_ops::http::{self, BufferedRequest, BufferedResponse, Handler};
 use serde_json::{Value, json};
 
-use crate::node::Node;
+use crate::{claim::Takeover, node::Node};
 
 /// Media type of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -36,7 +37,29 @@
 
     fn state(&self) -> Value {
         let now = self.node.now();
+        let age = |at: Tick| now.since(at);
         let owned: Vec<String> = self.node.owned().keys().map(ToString::to_string).collect();
+        let owners: Vec<Value> = self
+            .node
+            .owned()
+            .iter()
+            .map(|(pool, owner)| {
+                json!({ "pool": pool, "token": owner.token,
+                    "turned_age_ms": age(owner.pulse.turned()),
+                    "recorded_age_ms": owner.pulse.recorded().map(age) })
+            })
+            .collect();
+        let loading: Vec<Value> = self
+            .node
+            .loading()
+            .iter()
+            .map(|(pool, takeover)| {
+                json!({ "pool": pool, "token": takeover.token, "age_ms": age(takeover.started),
+                    "progress_age_ms": age(takeover.progressed), "shards": takeover.shards,
+                    "shard_count": Takeover::shard_count(), "roster": takeover.has_roster,
+                    "error": takeover.error.as_ref().map(ToString::to_string) })
+            })
+            .collect();
         let view = self.node.view();
         let leases: Vec<Value> = view
             .leases
@@ -53,6 +76,8 @@
             "leases_age_ms": now.since(view.leases_current_at),
             "store_age_ms": now.since(view.store_answered_at),
             "owned": owned,
+            "owners": owners,
+            "loading": loading,
             "leases": leases,
             "members": view.members.len(),
             "workers": view.workers.len(),
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -1,5 +1,7 @@
 //! The inputs of an owner's event loop, and the handle to send them.
 
+use std::sync::Arc;
+
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
     pool::{Batch, DrainMode, DrainProgress, PoolLoad, StateReply},
@@ -18,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::peer::AcceptedJob;
+use crate::{claim::Pulse, peer::AcceptedJob};
 
 /// The outcome of a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,6 +82,8 @@
 pub struct OwnerHandle {
     /// The revision of the owner's lease, which is its fencing token.
     pub token: Revision,
+    /// Signs of life of the owner.
+    pub pulse: Arc<Pulse>,
     sender: mpsc::UnboundedSender<Input>,
 }
 
@@ -87,7 +91,7 @@
     /// Returns a handle and the receiver of its inputs.
     pub fn new(token: Revision) -> (Self, mpsc::UnboundedReceiver<Input>) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { token, sender }, receiver)
+        (Self { token, pulse: Arc::default(), sender }, receiver)
     }
 
     /// Sends an input to the owner. An owner that has ended needs no more inputs.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -107,6 +107,7 @@
         inputs: mpsc::UnboundedReceiver<Input>,
     ) -> Self {
         let now = node.now();
+        handle.pulse.record_turn(now);
         Self {
             node,
             pool,
@@ -156,6 +157,7 @@
     fn round(&mut self) {
         let node = Arc::clone(&self.node);
         let now = node.now();
+        self.handle.pulse.record_turn(now);
         self.check_lease();
         self.configure(now);
         if self.lease_lost {
@@ -358,6 +360,7 @@
         } else if matches!(commit, Commit::Done(_)) {
             // The host may have been suspended between the store's answer and now.
             self.pool.verify(begun);
+            self.handle.pulse.record_commit(now);
         }
     }
 
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -240,7 +240,10 @@
     }
 
     fn pong(&self) -> PeerReply {
-        let mut owned = self.0.loading().clone();
+        let mut owned: BTreeMap<PoolName, Revision> = BTreeMap::new();
+        for (pool, takeover) in self.0.loading().iter() {
+            owned.insert(pool.clone(), takeover.token);
+        }
         for (pool, owner) in self.0.owned().iter() {
             owned.insert(pool.clone(), owner.token);
         }
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -29,7 +29,7 @@
 };
 
 use crate::{
-    admission, election, failure_detector, follow,
+    admission, claim, election, failure_detector, follow,
     frontend::NodeFrontend,
     handover, membership,
     metrics::Metrics,
@@ -205,6 +205,7 @@
     tokio::spawn(membership::run(Arc::clone(node)));
     tokio::spawn(membership::remove_dead_members(Arc::clone(node)));
     tokio::spawn(election::run(Arc::clone(node)));
+    tokio::spawn(claim::run(Arc::clone(node)));
     tokio::spawn(failure_detector::run(Arc::clone(node)));
     tokio::spawn(registry::run(Arc::clone(node)));
     tokio::spawn(handover::run(Arc::clone(node)));
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -31,7 +31,7 @@
     size::{FencingToken, Millis, Revision},
 };
 
-use crate::{node::Node, owner::id_of, view::LeaseView};
+use crate::{claim, node::Node, owner::id_of, view::LeaseView};
 
 /// Maximum attempts to raise the fence of one shard; each further one needs a lost answer or
 /// another candidate's raise before it.
@@ -184,8 +184,22 @@
             Ok(rows) => self.roster = Some(rows),
             Err(error) => failed = Some(error),
         }
+        self.report();
         failed.map_or(Ok(true), Err)
     }
+
+    /// Reports what has been read.
+    fn report(&self) {
+        let now = self.node.now();
+        claim::update(self.node, self.pool, |takeover| {
+            if takeover.shards != self.shards.len() || takeover.has_roster != self.roster.is_some()
+            {
+                takeover.progressed = now;
+            }
+            takeover.shards = self.shards.len();
+            takeover.has_roster = self.roster.is_some();
+        });
+    }
 }
 
 /// Fences a shard and then reads it: rows that are read before the fence is raised may still
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -99,6 +99,8 @@
     PoolYielded 602 Info;
     /// This process learned that another process owns a pool.
     OwnerKnown 603 Info;
+    /// The takeover of a pool has not ended for long: its age, what it has read, and the last error.
+    TakeoverSlow 604 Warn;
     /// A host of a pool entered another phase.
     HostEntered 610 Info;
     /// A host moved to another pool.
