A takeover that reads nothing is given up, and a pool that is not served is not claimed

What callers saw: after the loss of an owner the strongest candidate took its pools over, could not read their jobs, and kept the leases. Jobs stood still, and cancellations were answered with 503 job-unreachable, while other processes could have served the pools.

Cause: `load` retried for as long as the lease named the process, and pools being loaded were reported to peers as owned, so no rule of the election ever found a fault. A claim depended on the process being alive, not on its serving the pool.

Why it works: a process reports a pool as its own only while its owner's event loop turns, or while its takeover makes progress; peers take over what is not reported, by the rule that was there. A takeover without progress for 3 s, or of 10 s, while the store answers the process, releases the lease, and orders of earlier owners keep their remaining effect in it. The process then comes after all others, gets no handovers of the pool, and probes the rows until it can read them. An outage of the whole store is not counted.

--- a/reachhead_jobs/src/candidate.rs
+++ b/reachhead_jobs/src/candidate.rs
@@ -33,6 +33,10 @@
 /// for as long as it stays there.
 const WEAK_DELAY: Millis = Millis(400);
 
+/// Additional delay of a process that could not read the pool's rows: all others come before it, and
+/// if none of them takes the pool, it tries again.
+pub const UNABLE_DELAY: Millis = Millis(2500);
+
 /// A process that may own pools.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate<'a> {
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod candidate;
+pub mod claim;
 pub mod clock;
 pub mod crashes;
 pub mod customer;
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -183,6 +183,13 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "open")]
     pub unsettled_for: Option<Millis>,
+    /// Number of takeovers in a row that were abandoned because the pool's rows could not be read.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub abandoned: u32,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// Fence of a shard: the newest owner that has fenced it.
--- a/reachhead_jobs/tests/authority.rs
+++ b/reachhead_jobs/tests/authority.rs
@@ -24,6 +24,7 @@
         term: 3,
         settled: false,
         unsettled_for: None,
+        abandoned: 0,
     }
 }
 
--- a/reachhead_jobs/tests/pool/recover.rs
+++ b/reachhead_jobs/tests/pool/recover.rs
@@ -252,6 +252,7 @@
         term: 1,
         settled,
         unsettled_for,
+        abandoned: 0,
     };
     assert_eq!(timeouts().after_release(&record(false, Some(remaining))), remaining);
     let leases = timeouts().after_release(&record(true, Some(Millis(0))));
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -72,8 +72,14 @@
         let key = lease_key(&pool_name());
         let known = self.read(key.clone());
         let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
-        let record =
-            LeaseRecord { owner: None, address: None, term, settled: false, unsettled_for: None };
+        let record = LeaseRecord {
+            owner: None,
+            address: None,
+            term,
+            settled: false,
+            unsettled_for: None,
+            abandoned: 0,
+        };
         let txn = Txn::new()
             .with_check(key.clone(), known.as_ref().map(|row| row.revision))
             .with_write(key, value(&record));
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -1,7 +1,8 @@
-//! The claims of this process to pools: what its takeovers have read so far, and whether its owners
-//! run.
+//! The claims of this process to pools: what its takeovers have read so far, whether its owners run,
+//! and which pools it gave up because it can't read their rows.
 
 use std::{
+    collections::{BTreeMap, BTreeSet},
     fmt::{self, Display, Formatter},
     sync::{
         Arc,
@@ -10,20 +11,32 @@
     time::Duration,
 };
 
-use reachhead_jobs::{clock::Tick, shard::Shard};
+use reachhead_jobs::{
+    claim::{StoreContact, TakeoverProgress, is_serving, probe_pause},
+    clock::Tick,
+    pool::RecoveredState,
+    record::{job_prefix, progress_prefix},
+    shard::Shard,
+};
 use reachhead_ops::event::{Event, emit};
-use reachhead_store::StoreError;
+use reachhead_store::{StoreError, row::Scan};
 use reachhead_types::{
     id::PoolName,
     size::{Millis, Revision},
 };
 use tokio::time;
 
-use crate::node::Node;
+use crate::{election, fleet, node::Node, takeover, view::LeaseView};
 
 /// Interval between two checks of the takeovers.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Gap between two checks from which the process counts as having paused.
+const DELAYED_CHECK_GAP: Millis = Millis(350);
+
+/// Number of rows that a probe reads of each table in each shard.
+const PROBE_ROWS: u32 = 20;
+
 /// Age from which a takeover is logged as slow.
 const SLOW_TAKEOVER_AGE: Millis = Millis(2000);
 
@@ -47,22 +60,30 @@
     pub has_roster: bool,
     /// The last error.
     pub error: Option<StoreError>,
+    /// Number of takeovers in a row that were abandoned before this one.
+    pub abandoned: u32,
 }
 
 impl Takeover {
     /// Returns a takeover that has read nothing yet.
-    pub fn new(token: Revision, now: Tick) -> Self {
+    pub fn new(lease: &LeaseView, now: Tick) -> Self {
         Self {
-            token,
+            token: lease.revision,
             started: now,
             progressed: now,
             rows: 0,
             shards: 0,
             has_roster: false,
             error: None,
+            abandoned: lease.record.abandoned,
         }
     }
 
+    fn is_stuck(&self, contact: StoreContact, now: Tick) -> bool {
+        let Self { started, progressed, abandoned, .. } = *self;
+        TakeoverProgress { started, progressed, abandoned }.is_stuck(contact, now)
+    }
+
     /// Returns the number of shards of a pool.
     pub fn shard_count() -> usize {
         Shard::all().count()
@@ -111,6 +132,59 @@
     }
 }
 
+/// A pool whose rows this process could not read.
+#[derive(Debug, Clone, Copy)]
+struct Unreadable {
+    /// Failures in a row.
+    failures: u32,
+    next_probe: Tick,
+}
+
+/// What this process knows about its own ability to serve pools.
+#[derive(Debug, Default)]
+pub struct Ability {
+    /// Since when the process has run without a pause.
+    running_since: Tick,
+    /// The pools whose rows it could not read; they are probed until it can.
+    unreadable: BTreeMap<PoolName, Unreadable>,
+}
+
+impl Ability {
+    /// Returns the pools whose rows this process could not read.
+    pub fn unreadable(&self) -> BTreeSet<PoolName> {
+        self.unreadable.keys().cloned().collect()
+    }
+
+    /// Returns whether this process could not read the rows of a pool.
+    pub fn is_unreadable(&self, pool: &PoolName) -> bool {
+        self.unreadable.contains_key(pool)
+    }
+
+    /// Records that the pool's rows can be read.
+    fn record_readable(&mut self, pool: &PoolName) {
+        self.unreadable.remove(pool);
+    }
+
+    /// Records that the pool's rows can't be read.
+    fn record_unreadable(&mut self, pool: &PoolName, now: Tick) {
+        let failures = self.unreadable.get(pool).map_or(0, |known| known.failures + 1);
+        let next_probe = now + probe_pause(failures);
+        self.unreadable.insert(pool.clone(), Unreadable { failures, next_probe });
+    }
+
+    /// Returns the pools to probe now, none of them again before its pause is over.
+    fn take_due_probes(&mut self, now: Tick) -> Vec<PoolName> {
+        let mut due = Vec::new();
+        for (pool, unreadable) in &mut self.unreadable {
+            if unreadable.next_probe <= now {
+                unreadable.next_probe = now + probe_pause(unreadable.failures);
+                due.push(pool.clone());
+            }
+        }
+        due
+    }
+}
+
 /// Applies a change to a takeover that is under way.
 pub fn update(node: &Node, pool: &PoolName, change: impl FnOnce(&mut Takeover)) {
     if let Some(takeover) = node.loading().get_mut(pool) {
@@ -118,12 +192,123 @@
     }
 }
 
-/// Logs slow takeovers, for as long as the process runs.
+/// Returns the pools that this process claims as its own, with its fencing tokens: those whose owner
+/// serves them, and those whose takeover makes progress. The fleet owner has no takeover, and its
+/// rounds wait for the platform, so it is not judged by its event loop.
+pub fn claimed(node: &Node) -> BTreeMap<PoolName, Revision> {
+    let now = node.now();
+    let contact = store_contact(node);
+    let running_since = node.ability().running_since;
+    let mut claimed = BTreeMap::new();
+    for (pool, takeover) in node.loading().iter() {
+        if !takeover.is_stuck(contact, now) {
+            claimed.insert(pool.clone(), takeover.token);
+        }
+    }
+    for (pool, owner) in node.owned().iter() {
+        if *pool == fleet::name() || is_serving(owner.pulse.turned(), running_since, now) {
+            claimed.insert(pool.clone(), owner.token);
+        }
+    }
+    claimed
+}
+
+fn store_contact(node: &Node) -> StoreContact {
+    let view = node.view();
+    StoreContact { answered: view.store_answered_at, stable_since: view.store_stable_since }
+}
+
+/// Waits until the takeover of a pool should be given up.
+pub async fn wait_until_stuck(node: &Node, pool: &PoolName) {
+    loop {
+        time::sleep(CHECK_PERIOD).await;
+        let contact = store_contact(node);
+        let now = node.now();
+        if node.loading().get(pool).is_some_and(|takeover| takeover.is_stuck(contact, now)) {
+            return;
+        }
+    }
+}
+
+/// Ends a takeover, and returns whether it succeeded. `result` is `None` if it has been given up; then
+/// the lease is released.
+pub async fn end_takeover(
+    node: &Node,
+    pool: &PoolName,
+    lease: &LeaseView,
+    order_effect: Millis,
+    result: Option<Option<RecoveredState>>,
+) -> Option<RecoveredState> {
+    let takeover = node.loading().remove(pool);
+    let Some(recovered) = result else {
+        let now = node.now();
+        node.ability().record_unreadable(pool, now);
+        if let Some(takeover) = takeover {
+            let age = now.since(takeover.started);
+            emit(Event::TakeoverSlow, format_args!("pool={pool} {takeover} age={age}ms given up"));
+        }
+        takeover::abandon(node, pool, lease, order_effect).await;
+        return None;
+    };
+    if recovered.is_some() {
+        node.ability().record_readable(pool);
+    } else {
+        log::info!(
+            "pool={pool} token={} takeover abandoned, the lease is lost or the process is stopping",
+            lease.revision
+        );
+    }
+    recovered
+}
+
+/// Reads some rows of each shard of a pool that this process could not read.
+async fn probe(node: Arc<Node>, pool: PoolName) {
+    for shard in Shard::all() {
+        for prefix in [job_prefix(&pool, shard), progress_prefix(&pool, shard)] {
+            let scan = Scan { prefix, after: None, limit: PROBE_ROWS };
+            let page = node.services.store.scan(scan).await;
+            if let Err(error) = page {
+                log::info!("pool={pool} rows still can't be read: {error}");
+                let now = node.now();
+                node.ability().record_unreadable(&pool, now);
+                return;
+            }
+        }
+    }
+    log::info!("pool={pool} rows can be read again");
+    node.ability().record_readable(&pool);
+}
+
+/// Drops owners whose event loop stands still and whose lease another process has taken, so that
+/// requests go to that process.
+fn drop_replaced_owners(node: &Node, now: Tick) {
+    let running_since = node.ability().running_since;
+    let owned: Vec<_> =
+        node.owned().iter().map(|(pool, owner)| (pool.clone(), owner.clone())).collect();
+    for (pool, owner) in owned {
+        let replaced =
+            node.view().leases.get(&pool).is_some_and(|lease| lease.revision > owner.token);
+        if replaced && !is_serving(owner.pulse.turned(), running_since, now) {
+            election::release(node, &pool, owner.token);
+        }
+    }
+}
+
+/// Watches the claims of this process and logs slow takeovers, for as long as the process runs.
 pub async fn run(node: Arc<Node>) {
     let mut next_log = Tick(0);
+    let mut last = node.now();
     loop {
         time::sleep(CHECK_PERIOD).await;
         let now = node.now();
+        if now.since(std::mem::replace(&mut last, now)) >= DELAYED_CHECK_GAP {
+            node.ability().running_since = now;
+        }
+        drop_replaced_owners(&node, now);
+        let due = node.ability().take_due_probes(now);
+        for pool in due {
+            tokio::spawn(probe(Arc::clone(&node), pool));
+        }
         if next_log <= now && log_slow(&node, now) {
             next_log = now + LOG_PERIOD;
         }
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -136,7 +136,8 @@
             if self.is_vacant(&pool, now) {
                 let since = *self.vacant_since.entry(pool.clone()).or_insert(now);
                 self.log_vacant_once(&pool, now);
-                if own || now.since(since) >= self.candidate_delay(&pool) {
+                let retakes = own && !self.node.ability().is_unreadable(&pool);
+                if retakes || now.since(since) >= self.candidate_delay(&pool) {
                     self.vacant_since.remove(&pool);
                     let known = self.node.view().leases.get(&pool).cloned();
                     let policy = config.pools.get(&pool).cloned();
@@ -216,7 +217,9 @@
             .filter(|(other, _)| **other != node.settings.node)
             .map(|(other, member)| view.candidate(other, &member.record));
         let member = view.members.contains_key(&node.settings.node);
-        candidate::delay(pool, &own, member, others)
+        let delay = candidate::delay(pool, &own, member, others);
+        let unable = node.ability().is_unreadable(pool);
+        if unable { Millis(delay.0 + candidate::UNABLE_DELAY.0) } else { delay }
     }
 }
 
@@ -268,16 +271,15 @@
         tokio::spawn(fleet::run(node, handle, inputs, lease, known));
         return;
     }
-    node.loading().insert(pool.clone(), Takeover::new(lease.revision, node.now()));
+    node.loading().insert(pool.clone(), Takeover::new(&lease, node.now()));
     node.pool_acquired.notify_one();
     let order_effect = order_effect(&node, &pool, known.as_ref());
-    let recovered = load(&node, &pool, lease.revision, order_effect).await;
-    node.loading().remove(&pool);
+    let loaded = tokio::select! {
+        loaded = load(&node, &pool, lease.revision, order_effect) => Some(loaded),
+        () = claim::wait_until_stuck(&node, &pool) => None,
+    };
+    let recovered = claim::end_takeover(&node, &pool, &lease, order_effect, loaded).await;
     let Some(mut recovered) = recovered else {
-        log::info!(
-            "pool={pool} token={} takeover abandoned, the lease is lost or the process is stopping",
-            lease.revision
-        );
         return;
     };
     recovered.verified = lease_sent_at;
@@ -311,8 +313,8 @@
 }
 
 /// Reads the state that the previous owner left, with retries for as long as the lease names this
-/// process, so that an outage of the store that begins during the takeover does not cause another
-/// ownership change.
+/// process, so that an outage of the whole store that begins during the takeover does not cause
+/// another ownership change.
 async fn load(
     node: &Node,
     pool: &PoolName,
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -236,6 +236,7 @@
             term: self.term,
             settled: true,
             unsettled_for: None,
+            abandoned: 0,
         };
         let txn = Txn::new()
             .with_check(lease_key(&name()), Some(self.token))
--- a/reachhead_node/src/handover.rs
+++ b/reachhead_node/src/handover.rs
@@ -55,7 +55,7 @@
             continue;
         };
         for successor in successors(&node) {
-            if is_healthy(&node, &successor).await {
+            if can_serve(&node, &pool, &successor).await {
                 hand_over(&pool, &handle, &successor).await;
                 break;
             }
@@ -101,10 +101,13 @@
     candidates.into_iter().take(MAX_CANDIDATES).map(successor).collect()
 }
 
-/// Returns whether the process is alive, answers quickly and reaches the store.
-async fn is_healthy(node: &Node, successor: &Successor) -> bool {
+/// Returns whether the process is alive, answers quickly, and reaches the store and the pool's rows.
+async fn can_serve(node: &Node, pool: &PoolName, successor: &Successor) -> bool {
     let pong = node.peers.call(successor.address, &PeerRequest::Ping, PING_TIMEOUT).await;
-    matches!(pong, Ok(PeerReply::Pong(pong)) if pong.store_age <= MAX_STORE_AGE_MS)
+    let Ok(PeerReply::Pong(pong)) = pong else {
+        return false;
+    };
+    pong.store_age <= MAX_STORE_AGE_MS && !pong.unreadable.contains(pool)
 }
 
 async fn hand_over(pool: &PoolName, handle: &OwnerHandle, successor: &Successor) {
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -19,8 +19,16 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    admission::AdmissionControl, claim::Takeover, clock::Clock, lock::locked, metrics::Metrics,
-    owner::OwnerHandle, peer::PeerClient, registry::Registry, relay::Relay, submit::Submitter,
+    admission::AdmissionControl,
+    claim::{Ability, Takeover},
+    clock::Clock,
+    lock::locked,
+    metrics::Metrics,
+    owner::OwnerHandle,
+    peer::PeerClient,
+    registry::Registry,
+    relay::Relay,
+    submit::Submitter,
     view::View,
 };
 
@@ -89,6 +97,7 @@
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
     loading: Mutex<BTreeMap<PoolName, Takeover>>,
+    ability: Mutex<Ability>,
 }
 
 impl Node {
@@ -116,6 +125,7 @@
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
             loading: Mutex::new(BTreeMap::new()),
+            ability: Mutex::default(),
         }
     }
 
@@ -141,12 +151,17 @@
         locked(&self.owned)
     }
 
-    /// Locks the pools whose lease this process holds and whose rows it still reads. Peers must
-    /// count them as owned by it.
+    /// Locks the pools whose lease this process holds and whose rows it still reads. Peers count them
+    /// as owned by it while rows arrive.
     pub fn loading(&self) -> MutexGuard<'_, BTreeMap<PoolName, Takeover>> {
         locked(&self.loading)
     }
 
+    /// Locks what this process knows about its ability to serve pools.
+    pub fn ability(&self) -> MutexGuard<'_, Ability> {
+        locked(&self.ability)
+    }
+
     /// Returns the owner of a pool, if it runs in this process.
     pub fn local_owner(&self, pool: &PoolName) -> Option<OwnerHandle> {
         self.owned().get(pool).cloned()
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -439,6 +439,7 @@
             term: self.term,
             settled: self.pool.unsettled() == 0,
             unsettled_for: Some(self.pool.remaining_takeover_delay(self.node.now())),
+            abandoned: 0,
         };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -4,7 +4,12 @@
 //! and a connection that can be dropped, and some are on the path of a caller's request.
 //! docs/PLATFORM.md has the measurements that decided against a second messaging library.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
@@ -29,6 +34,7 @@
 
 use crate::{
     admission::operator_changes,
+    claim,
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
     registry::{self, WorkersPage, WorkersRequest},
@@ -146,8 +152,11 @@
 /// The status that a process reports of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pong {
-    /// The pools that it owns, with its fencing tokens.
+    /// The pools that it owns and serves or is taking over, with its fencing tokens.
     pub owned: BTreeMap<PoolName, Revision>,
+    /// The pools whose rows it could not read lately, so that it is no owner for them.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub unreadable: BTreeSet<PoolName>,
     /// The time since the store last answered it, in milliseconds.
     pub store_age: u64,
     /// The last call to the store failed.
@@ -240,18 +249,14 @@
     }
 
     fn pong(&self) -> PeerReply {
-        let mut owned: BTreeMap<PoolName, Revision> = BTreeMap::new();
-        for (pool, takeover) in self.0.loading().iter() {
-            owned.insert(pool.clone(), takeover.token);
-        }
-        for (pool, owner) in self.0.owned().iter() {
-            owned.insert(pool.clone(), owner.token);
-        }
+        let owned = claim::claimed(&self.0);
+        let unreadable = self.0.ability().unreadable();
         let now = self.0.now();
         let view = self.0.view();
         let store_age = now.since(view.store_answered_at).0;
         PeerReply::Pong(Pong {
             owned,
+            unreadable,
             store_age,
             failing: view.store_failing,
             stopping: self.0.is_stopping(),
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -5,7 +5,7 @@
 //! that names this process and some fences at its token. The next takeover, by any process, takes
 //! the lease with a higher token and raises every fence above it.
 
-use std::{collections::BTreeMap, sync::Mutex};
+use std::{collections::BTreeMap, sync::Mutex, time::Duration};
 
 use futures::future::{join, join_all, try_join};
 use reachhead_jobs::{
@@ -36,6 +36,12 @@
 /// another candidate's raise before it.
 const MAX_FENCE_ATTEMPTS: usize = 6;
 
+/// Maximum attempts to release the lease of an abandoned takeover.
+const MAX_RELEASE_ATTEMPTS: usize = 5;
+
+/// Pause between two of these attempts.
+const RELEASE_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Writes the lease of a pool; returns `None` if another process wrote it first.
 ///
 /// # Errors
@@ -47,9 +53,11 @@
     known: Option<&LeaseView>,
 ) -> Result<Option<LeaseView>, StoreError> {
     let term = known.map_or(0, |known| known.record.term + 1);
+    let abandoned = known.map_or(0, |known| abandoned_before(node, pool, known));
     let owner = Some(node.settings.node.clone());
     let address = Some(node.settings.peer);
-    let record = LeaseRecord { owner, address, term, settled: false, unsettled_for: None };
+    let record =
+        LeaseRecord { owner, address, term, settled: false, unsettled_for: None, abandoned };
     let key = lease_key(pool);
     let txn = Txn::new()
         .with_check(key.clone(), known.map(|known| known.revision))
@@ -81,6 +89,53 @@
     }
 }
 
+/// Returns how many takeovers in a row were abandoned up to this lease. An owner that did not release
+/// it has abandoned its takeover if it says that it can't read the rows.
+fn abandoned_before(node: &Node, pool: &PoolName, known: &LeaseView) -> u32 {
+    let Some(owner) = &known.record.owner else {
+        return known.record.abandoned;
+    };
+    let has_abandoned = if *owner == node.settings.node {
+        node.ability().is_unreadable(pool)
+    } else {
+        let view = node.view();
+        view.peers.get(owner).is_some_and(|status| status.pong.unreadable.contains(pool))
+    };
+    if has_abandoned { known.record.abandoned + 1 } else { 0 }
+}
+
+/// Releases the lease of a takeover that was abandoned, so that another process takes the pool at
+/// once. `order_effect` is how long orders of an earlier owner could have effect when the lease was
+/// taken.
+pub async fn abandon(node: &Node, pool: &PoolName, lease: &LeaseView, order_effect: Millis) {
+    let elapsed = node.now().since(lease.since);
+    let record = LeaseRecord {
+        owner: None,
+        address: None,
+        term: lease.record.term,
+        settled: false,
+        unsettled_for: Some(Millis(order_effect.0.saturating_sub(elapsed.0))),
+        abandoned: lease.record.abandoned + 1,
+    };
+    let key = lease_key(pool);
+    let txn =
+        Txn::new().with_check(key.clone(), Some(lease.revision)).with_write(key, value(&record));
+    // If no attempt succeeds, peers take the pool over, since it is no longer reported as owned.
+    for _ in 0..MAX_RELEASE_ATTEMPTS {
+        let result = node.services.store.commit(txn.clone()).await;
+        node.record_store_result(&result);
+        match result {
+            Ok(Commit::Done(revision)) => {
+                record_lease(node, pool, record, revision);
+                return;
+            }
+            Ok(Commit::Conflict(_)) => return,
+            Err(error) => log::info!("pool={pool} the lease can't be released: {error}"),
+        }
+        time::sleep(RELEASE_RETRY_PAUSE).await;
+    }
+}
+
 fn record_lease(
     node: &Node,
     pool: &PoolName,
