The owner of all hosts gives its lease up when it can't list them and a member can

What operators saw: a maintenance wave stood still. The owner of all hosts could not reach the platform's calls for hosts, and kept the lease and tried again ten times a second, while other processes could have given the orders.

Cause: as with pools, the lease was held by being alive. No rule looked at whether the owner could do its work.

Why it works: after failures for 5 s the owner asks up to three members whether they can list the hosts, and releases the lease if one can. It is marked as unable then, comes after all others, and probes the call. If no member can, the lease stays, since a change of this owner interrupts the division of quotas: the second test has the API away for all for 12 s, and the lease's row does not change.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -165,8 +165,8 @@
         self.unreadable.remove(pool);
     }
 
-    /// Records that the pool's rows can't be read.
-    fn record_unreadable(&mut self, pool: &PoolName, now: Tick) {
+    /// Records that the pool's rows can't be read, or for the fleet owner the platform's hosts.
+    pub fn record_unreadable(&mut self, pool: &PoolName, now: Tick) {
         let failures = self.unreadable.get(pool).map_or(0, |known| known.failures + 1);
         let next_probe = now + probe_pause(failures);
         self.unreadable.insert(pool.clone(), Unreadable { failures, next_probe });
@@ -261,22 +261,49 @@
     recovered
 }
 
-/// Reads some rows of each shard of a pool that this process could not read.
+/// Returns whether this process can list the platform's hosts.
+pub async fn can_list_hosts(node: &Node) -> bool {
+    let Some(api) = &node.services.hosts else {
+        return false;
+    };
+    match api.list().await {
+        Ok(_) => true,
+        Err(error) => {
+            log::info!("the platform's hosts can't be listed: {error}");
+            false
+        }
+    }
+}
+
+/// Tests whether this process can serve a pool that it gave up.
 async fn probe(node: Arc<Node>, pool: PoolName) {
+    let can_serve = if pool == fleet::name() {
+        can_list_hosts(&node).await
+    } else {
+        can_read(&node, &pool).await
+    };
+    if can_serve {
+        log::info!("pool={pool} can be served by this process again");
+        node.ability().record_readable(&pool);
+    } else {
+        let now = node.now();
+        node.ability().record_unreadable(&pool, now);
+    }
+}
+
+/// Returns whether some rows of each shard of a pool can be read.
+async fn can_read(node: &Node, pool: &PoolName) -> bool {
     for shard in Shard::all() {
-        for prefix in [job_prefix(&pool, shard), progress_prefix(&pool, shard)] {
+        for prefix in [job_prefix(pool, shard), progress_prefix(pool, shard)] {
             let scan = Scan { prefix, after: None, limit: PROBE_ROWS };
             let page = node.services.store.scan(scan).await;
             if let Err(error) = page {
                 log::info!("pool={pool} rows still can't be read: {error}");
-                let now = node.now();
-                node.ability().record_unreadable(&pool, now);
-                return;
+                return false;
             }
         }
     }
-    log::info!("pool={pool} rows can be read again");
-    node.ability().record_readable(&pool);
+    true
 }
 
 /// Drops owners whose event loop stands still and whose lease another process has taken, so that
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -8,10 +8,13 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
+use futures::future::join_all;
+use rand::seq::IteratorRandom;
 use reachhead_jobs::{
     authority::PreviousHolder,
     clock::Tick,
@@ -40,12 +43,26 @@
     node::Node,
     order_permit::PermitIssuer,
     owner::{Input, OwnerHandle},
+    peer::{PeerReply, PeerRequest},
     view::{LeaseView, PeerStatus},
 };
 
 /// Interval between two rounds over waves and pools.
 const ROUND_PERIOD: Duration = Duration::from_millis(100);
 
+/// Time of failures to list the hosts after which the fleet owner asks peers whether they can.
+const MAX_LIST_OUTAGE: Millis = Millis(5000);
+
+/// Interval at which it asks.
+const PEER_CHECK_PERIOD: Millis = Millis(3000);
+
+/// Maximum number of peers that it asks at a time: in an outage of the platform's calls for hosts each
+/// of them makes such a call.
+const MAX_CHECKED_PEERS: usize = 3;
+
+/// Timeout of an answer, in which the peer lists the hosts.
+const PEER_CHECK_TIMEOUT: Duration = Duration::from_millis(1800);
+
 /// Returns how long a new fleet owner gives no orders after taking the lease.
 fn takeover_wait(node: &Node, before: Option<&LeaseView>) -> Millis {
     let Some(lease) = before else {
@@ -110,6 +127,8 @@
         ended_hosts: BTreeSet::new(),
         moves: Moves::new(Arc::clone(&node), Arc::clone(&permit_issuer)),
         permit_issuer,
+        unlisted_since: None,
+        next_check: Tick(0),
         pulse: Arc::clone(&handle.pulse),
         fenced: false,
     };
@@ -131,6 +150,10 @@
     ended_hosts: BTreeSet<HostId>,
     moves: Moves,
     permit_issuer: Arc<PermitIssuer>,
+    /// Since when the platform's hosts could not be listed, if the last attempt failed.
+    unlisted_since: Option<Tick>,
+    /// When peers are asked next whether they can list them.
+    next_check: Tick,
     pulse: Arc<Pulse>,
     fenced: bool,
 }
@@ -153,9 +176,44 @@
             if self.node.now() >= self.orders_start_at {
                 self.round().await;
             }
+            if self.should_give_up().await {
+                log::warn!(
+                    "token={} a peer can list the platform's hosts, this process can't",
+                    self.token
+                );
+                let now = self.node.now();
+                self.node.ability().record_unreadable(&name(), now);
+                self.release_lease().await;
+                return;
+            }
         }
     }
 
+    /// Returns whether a member can list the platform's hosts, while this process has not for long.
+    /// A change of the owner interrupts the division of quotas, so the lease stays while nobody is
+    /// known to do better.
+    async fn should_give_up(&mut self) -> bool {
+        let now = self.node.now();
+        let is_cut_off =
+            self.unlisted_since.is_some_and(|since| now.since(since) > MAX_LIST_OUTAGE);
+        if !is_cut_off || now < self.next_check {
+            return false;
+        }
+        self.next_check = now + PEER_CHECK_PERIOD;
+        let members: Vec<SocketAddr> = {
+            let view = self.node.view();
+            let others = view.members.iter().filter(|(node, _)| **node != self.node.settings.node);
+            let addresses = others.map(|(_, member)| member.record.address);
+            addresses.choose_multiple(&mut rand::rng(), MAX_CHECKED_PEERS)
+        };
+        let peers = &self.node.peers;
+        let probes = members
+            .into_iter()
+            .map(|member| peers.call(member, &PeerRequest::ProbeHosts, PEER_CHECK_TIMEOUT));
+        let answers = join_all(probes).await;
+        answers.iter().any(|answer| matches!(answer, Ok(PeerReply::HostsListed(true))))
+    }
+
     fn holds_lease(&self) -> bool {
         let view = self.node.view();
         let not_replaced =
@@ -216,6 +274,7 @@
         };
         match api.list().await {
             Ok(list) => {
+                self.unlisted_since = None;
                 self.platform_hosts = list
                     .into_iter()
                     .map(|platform_host| (platform_host.host.clone(), platform_host))
@@ -224,6 +283,7 @@
             }
             Err(error) => {
                 log::info!("the platform's hosts can't be listed: {error}");
+                self.unlisted_since.get_or_insert(self.node.now());
                 false
             }
         }
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -51,6 +51,8 @@
 pub enum PeerRequest {
     /// Requests the process's status and the pools that it owns.
     Ping,
+    /// Requests whether the process can list the platform's hosts.
+    ProbeHosts,
     /// Stores jobs of a pool that the process owns, or that the sender can't store.
     Store(PoolName, Vec<UnstoredJob>),
     /// Requests the operators' changes after a revision.
@@ -117,6 +119,8 @@
 pub enum PeerReply {
     /// The status of the process.
     Pong(Pong),
+    /// Whether the process can list the platform's hosts.
+    HostsListed(bool),
     /// The process does not own the pool.
     NotOwner,
     /// The outcome of each job to store, in their order.
@@ -222,6 +226,7 @@
     async fn answer(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Ping => self.pong(),
+            PeerRequest::ProbeHosts => PeerReply::HostsListed(claim::can_list_hosts(&self.0).await),
             PeerRequest::OperatorChanges(revision) => {
                 PeerReply::OperatorChanges(self.operator_page(revision).await)
             }
