--- /dev/null
+++ b/reachhead_node/src/claim.rs
@@ -0,0 +1,363 @@
+//! The claims of this process to pools: what its takeovers have read so far, whether its owners run,
+//! and which pools it gave up because it can't read their rows.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::{self, Display, Formatter},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use reachhead_jobs::{
+    claim::{StoreContact, TakeoverProgress, is_serving, probe_pause},
+    clock::Tick,
+    pool::RecoveredState,
+    record::{job_prefix, progress_prefix},
+    shard::Shard,
+};
+use reachhead_ops::event::{Event, emit};
+use reachhead_store::{StoreError, row::Scan};
+use reachhead_types::{
+    id::PoolName,
+    size::{Millis, Revision},
+};
+use tokio::time;
+
+use crate::{election, fleet, node::Node, takeover, view::LeaseView};
+
+/// Interval between two checks of the takeovers.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Gap between two checks from which the process counts as having paused.
+const DELAYED_CHECK_GAP: Millis = Millis(350);
+
+/// Number of rows that a probe reads of each table in each shard.
+const PROBE_ROWS: u32 = 20;
+
+/// Age from which a takeover is logged as slow.
+const SLOW_TAKEOVER_AGE: Millis = Millis(2000);
+
+/// Minimum time between two lines about slow takeovers.
+const LOG_PERIOD: Millis = Millis(1000);
+
+/// A takeover under way: this process holds the pool's lease and reads its rows.
+#[derive(Debug, Clone)]
+pub struct Takeover {
+    /// The revision of the lease, which is this process's fencing token.
+    pub token: Revision,
+    /// When the lease was taken.
+    pub started: Tick,
+    /// When a read or a fence was last answered.
+    pub progressed: Tick,
+    /// Number of rows that have been read.
+    pub rows: usize,
+    /// Number of shards that have been read.
+    pub shards: usize,
+    /// The roster has been read.
+    pub has_roster: bool,
+    /// The last error.
+    pub error: Option<StoreError>,
+    /// Number of takeovers in a row that were abandoned before this one.
+    pub abandoned: u32,
+}
+
+impl Takeover {
+    /// Returns a takeover that has read nothing yet.
+    pub fn new(lease: &LeaseView, now: Tick) -> Self {
+        Self {
+            token: lease.revision,
+            started: now,
+            progressed: now,
+            rows: 0,
+            shards: 0,
+            has_roster: false,
+            error: None,
+            abandoned: lease.record.abandoned,
+        }
+    }
+
+    fn is_stuck(&self, contact: StoreContact, now: Tick) -> bool {
+        let Self { started, progressed, abandoned, .. } = *self;
+        TakeoverProgress { started, progressed, abandoned }.is_stuck(contact, now)
+    }
+
+    /// Returns the number of shards of a pool.
+    pub fn shard_count() -> usize {
+        Shard::all().count()
+    }
+}
+
+impl Display for Takeover {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let (token, shards, all) = (self.token, self.shards, Self::shard_count());
+        let (rows, roster) = (self.rows, self.has_roster);
+        write!(f, "token={token} rows={rows} shards={shards}/{all} roster={roster}")?;
+        match &self.error {
+            Some(error) => write!(f, " error=\"{error}\""),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Signs of life of an owner's event loop, shared with the tasks that report them.
+#[derive(Debug, Default)]
+pub struct Pulse {
+    turned: AtomicU64,
+    recorded: AtomicU64,
+}
+
+impl Pulse {
+    /// Records that the loop turned.
+    pub fn record_turn(&self, now: Tick) {
+        self.turned.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Records that the store accepted a transaction.
+    pub fn record_commit(&self, now: Tick) {
+        self.recorded.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Returns when the loop last turned.
+    pub fn turned(&self) -> Tick {
+        Tick(self.turned.load(Ordering::Relaxed))
+    }
+
+    /// Returns when the store last accepted a transaction, if it ever did.
+    pub fn recorded(&self) -> Option<Tick> {
+        let recorded = Tick(self.recorded.load(Ordering::Relaxed));
+        (recorded > Tick(0)).then_some(recorded)
+    }
+}
+
+/// A pool whose rows this process could not read.
+#[derive(Debug, Clone, Copy)]
+struct Unreadable {
+    /// Failures in a row.
+    failures: u32,
+    next_probe: Tick,
+}
+
+/// What this process knows about its own ability to serve pools.
+#[derive(Debug, Default)]
+pub struct Ability {
+    /// Since when the process has run without a pause.
+    running_since: Tick,
+    /// The pools whose rows it could not read; they are probed until it can.
+    unreadable: BTreeMap<PoolName, Unreadable>,
+}
+
+impl Ability {
+    /// Returns the pools whose rows this process could not read.
+    pub fn unreadable(&self) -> BTreeSet<PoolName> {
+        self.unreadable.keys().cloned().collect()
+    }
+
+    /// Returns whether this process could not read the rows of a pool.
+    pub fn is_unreadable(&self, pool: &PoolName) -> bool {
+        self.unreadable.contains_key(pool)
+    }
+
+    /// Records that the pool's rows can be read.
+    fn record_readable(&mut self, pool: &PoolName) {
+        self.unreadable.remove(pool);
+    }
+
+    /// Records that the pool's rows can't be read, or for the fleet owner the platform's hosts.
+    pub fn record_unreadable(&mut self, pool: &PoolName, now: Tick) {
+        let failures = self.unreadable.get(pool).map_or(0, |known| known.failures + 1);
+        let next_probe = now + probe_pause(failures);
+        self.unreadable.insert(pool.clone(), Unreadable { failures, next_probe });
+    }
+
+    /// Returns the pools to probe now, none of them again before its pause is over.
+    fn take_due_probes(&mut self, now: Tick) -> Vec<PoolName> {
+        let mut due = Vec::new();
+        for (pool, unreadable) in &mut self.unreadable {
+            if unreadable.next_probe <= now {
+                unreadable.next_probe = now + probe_pause(unreadable.failures);
+                due.push(pool.clone());
+            }
+        }
+        due
+    }
+}
+
+/// Applies a change to a takeover that is under way.
+pub fn update(node: &Node, pool: &PoolName, change: impl FnOnce(&mut Takeover)) {
+    if let Some(takeover) = node.loading().get_mut(pool) {
+        change(takeover);
+    }
+}
+
+/// Returns the pools that this process claims as its own, with its fencing tokens: those whose owner
+/// serves them, and those whose takeover makes progress. The fleet owner has no takeover, and its
+/// rounds wait for the platform, so it is not judged by its event loop.
+pub fn claimed(node: &Node) -> BTreeMap<PoolName, Revision> {
+    let now = node.now();
+    let contact = store_contact(node);
+    let running_since = node.ability().running_since;
+    let mut claimed = BTreeMap::new();
+    for (pool, takeover) in node.loading().iter() {
+        if !takeover.is_stuck(contact, now) {
+            claimed.insert(pool.clone(), takeover.token);
+        }
+    }
+    for (pool, owner) in node.owned().iter() {
+        if *pool == fleet::name() || is_serving(owner.pulse.turned(), running_since, now) {
+            claimed.insert(pool.clone(), owner.token);
+        }
+    }
+    claimed
+}
+
+fn store_contact(node: &Node) -> StoreContact {
+    let view = node.view();
+    StoreContact { answered: view.store_answered_at, stable_since: view.store_stable_since }
+}
+
+/// Waits until the takeover of a pool should be given up.
+pub async fn wait_until_stuck(node: &Node, pool: &PoolName) {
+    loop {
+        time::sleep(CHECK_PERIOD).await;
+        let contact = store_contact(node);
+        let now = node.now();
+        if node.loading().get(pool).is_some_and(|takeover| takeover.is_stuck(contact, now)) {
+            return;
+        }
+    }
+}
+
+/// Ends a takeover, and returns whether it succeeded. `result` is `None` if it has been given up; then
+/// the lease is released.
+pub async fn end_takeover(
+    node: &Node,
+    pool: &PoolName,
+    lease: &LeaseView,
+    order_effect: Millis,
+    result: Option<Option<RecoveredState>>,
+) -> Option<RecoveredState> {
+    let takeover = node.loading().remove(pool);
+    let Some(recovered) = result else {
+        let now = node.now();
+        node.ability().record_unreadable(pool, now);
+        if let Some(takeover) = takeover {
+            let age = now.since(takeover.started);
+            emit(Event::TakeoverSlow, format_args!("pool={pool} {takeover} age={age}ms given up"));
+        }
+        takeover::abandon(node, pool, lease, order_effect).await;
+        return None;
+    };
+    if recovered.is_some() {
+        node.ability().record_readable(pool);
+    } else {
+        log::info!(
+            "pool={pool} token={} takeover abandoned, the lease is lost or the process is stopping",
+            lease.revision
+        );
+    }
+    recovered
+}
+
+/// Returns whether this process can list the platform's hosts.
+pub async fn can_list_hosts(node: &Node) -> bool {
+    let Some(api) = &node.services.hosts else {
+        return false;
+    };
+    match api.list().await {
+        Ok(_) => true,
+        Err(error) => {
+            log::info!("the platform's hosts can't be listed: {error}");
+            false
+        }
+    }
+}
+
+/// Tests whether this process can serve a pool that it gave up.
+async fn probe(node: Arc<Node>, pool: PoolName) {
+    let can_serve = if pool == fleet::name() {
+        can_list_hosts(&node).await
+    } else {
+        can_read(&node, &pool).await
+    };
+    if can_serve {
+        log::info!("pool={pool} can be served by this process again");
+        node.ability().record_readable(&pool);
+    } else {
+        let now = node.now();
+        node.ability().record_unreadable(&pool, now);
+    }
+}
+
+/// Returns whether some rows of each shard of a pool can be read.
+async fn can_read(node: &Node, pool: &PoolName) -> bool {
+    for shard in Shard::all() {
+        for prefix in [job_prefix(pool, shard), progress_prefix(pool, shard)] {
+            let scan = Scan { prefix, after: None, limit: PROBE_ROWS };
+            let page = node.services.store.scan(scan).await;
+            if let Err(error) = page {
+                log::info!("pool={pool} rows still can't be read: {error}");
+                return false;
+            }
+        }
+    }
+    true
+}
+
+/// Drops owners whose event loop stands still and whose lease another process has taken, so that
+/// requests go to that process.
+fn drop_replaced_owners(node: &Node, now: Tick) {
+    let running_since = node.ability().running_since;
+    let owned: Vec<_> =
+        node.owned().iter().map(|(pool, owner)| (pool.clone(), owner.clone())).collect();
+    for (pool, owner) in owned {
+        let replaced =
+            node.view().leases.get(&pool).is_some_and(|lease| lease.revision > owner.token);
+        if replaced && !is_serving(owner.pulse.turned(), running_since, now) {
+            election::release(node, &pool, owner.token);
+        }
+    }
+}
+
+/// Watches the claims of this process and logs slow takeovers, for as long as the process runs.
+pub async fn run(node: Arc<Node>) {
+    let mut next_log = Tick(0);
+    let mut last = node.now();
+    loop {
+        time::sleep(CHECK_PERIOD).await;
+        let now = node.now();
+        if now.since(std::mem::replace(&mut last, now)) >= DELAYED_CHECK_GAP {
+            node.ability().running_since = now;
+        }
+        drop_replaced_owners(&node, now);
+        let due = node.ability().take_due_probes(now);
+        for pool in due {
+            tokio::spawn(probe(Arc::clone(&node), pool));
+        }
+        if next_log <= now && log_slow(&node, now) {
+            next_log = now + LOG_PERIOD;
+        }
+    }
+}
+
+/// Logs the oldest takeover if it is slow, and returns whether it is.
+fn log_slow(node: &Node, now: Tick) -> bool {
+    let loading = node.loading().clone();
+    let is_slow = |takeover: &Takeover| now.since(takeover.started) >= SLOW_TAKEOVER_AGE;
+    let slow = loading.iter().filter(|(_, takeover)| is_slow(takeover));
+    let Some((pool, takeover)) = slow.min_by_key(|(_, takeover)| takeover.started) else {
+        return false;
+    };
+    emit(
+        Event::TakeoverSlow,
+        format_args!(
+            "pool={pool} {takeover} age={}ms idle={}ms takeovers={}",
+            now.since(takeover.started),
+            now.since(takeover.progressed),
+            loading.len()
+        ),
+    );
+    true
+}
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -14,13 +14,22 @@
 use reachhead_store::{Store, StoreError};
 use reachhead_types::{
     id::PoolName,
-    size::{Millis, Revision, Strength},
+    size::{Millis, Strength},
 };
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    admission::AdmissionControl, clock::Clock, lock::locked, metrics::Metrics, owner::OwnerHandle,
-    peer::PeerClient, registry::Registry, relay::Relay, submit::Submitter, view::View,
+    admission::AdmissionControl,
+    claim::{Ability, Takeover},
+    clock::Clock,
+    lock::locked,
+    metrics::Metrics,
+    owner::OwnerHandle,
+    peer::PeerClient,
+    registry::Registry,
+    relay::Relay,
+    submit::Submitter,
+    view::View,
 };
 
 /// Silence of the store after which it is logged as lost: longer than one failed call, and longer
@@ -87,7 +96,8 @@
     pub workers_changed: watch::Sender<u64>,
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
-    loading: Mutex<BTreeMap<PoolName, Revision>>,
+    loading: Mutex<BTreeMap<PoolName, Takeover>>,
+    ability: Mutex<Ability>,
 }
 
 impl Node {
@@ -115,6 +125,7 @@
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
             loading: Mutex::new(BTreeMap::new()),
+            ability: Mutex::default(),
         }
     }
 
@@ -140,12 +151,17 @@
         locked(&self.owned)
     }
 
-    /// Locks the pools whose lease this process holds and whose rows it still reads. Peers must
-    /// count them as owned by it.
-    pub fn loading(&self) -> MutexGuard<'_, BTreeMap<PoolName, Revision>> {
+    /// Locks the pools whose lease this process holds and whose rows it still reads. Peers count them
+    /// as owned by it while rows arrive.
+    pub fn loading(&self) -> MutexGuard<'_, BTreeMap<PoolName, Takeover>> {
         locked(&self.loading)
     }
 
+    /// Locks what this process knows about its ability to serve pools.
+    pub fn ability(&self) -> MutexGuard<'_, Ability> {
+        locked(&self.ability)
+    }
+
     /// Returns the owner of a pool, if it runs in this process.
     pub fn local_owner(&self, pool: &PoolName) -> Option<OwnerHandle> {
         self.owned().get(pool).cloned()
