A pool whose owner has panicked is taken over

Callers saw cancellations refused with job-unreachable after the whole time of the call, and nothing of the pool ran, with no end. A panic in an owner's event loop ended only its task: the line after it, which gives up the claim, never ran. The process answered heartbeats and listed the pool, so peers left the lease alone, and each request to the owner found its channel closed. The same held for the fleet owner, for its ledger of quotas, which ran beside it, for the task that tells an owner of its workers, and for a takeover that panics while it reads the rows.

The claim now ends with the task that fulfils it, in whatever way that ends (reachhead_ops::supervise). The fleet owner and its ledger, and an owner and its list of workers, share a task. E605 names the task, the message and the place of each panic.

The tests in election_tests.rs fail without the supervision: "peers would wait for the owner for ever", "peers would wait for the takeover for ever". No panic was found that input can reach in the release build.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod model;
 pub mod order;
+pub mod owner_failures;
 pub mod place;
 pub mod pool;
 pub mod ports;
--- a/reachhead_jobs/tests/pool/arbitrary_inputs.rs
+++ b/reachhead_jobs/tests/pool/arbitrary_inputs.rs
@@ -89,7 +89,7 @@
             }
             2 => self.fixture.advance(u64::from(pick(a, 0, 6000))),
             3..=5 => {
-                if !a.is_multiple_of(7) {
+                if a % 7 != 0 {
                     pool.verify(now);
                 }
                 // The time of day may be set back.
@@ -195,7 +195,7 @@
             });
         }
         if b & 4 != 0 {
-            running.retain(|entry| entry.task.index.is_multiple_of(2));
+            running.retain(|entry| entry.task.index % 2 == 0);
         }
         let mut ended = self.fixture.ended.get(&name).cloned().unwrap_or_default();
         if b & 8 != 0 {
@@ -278,7 +278,7 @@
 
 /// Returns a task that mostly exists, in one of a few jobs.
 fn task_of(number: u32) -> TaskId {
-    let far = number.is_multiple_of(11);
+    let far = number % 11 == 0;
     let job = JobId(u64::from(pick(number, 3, 6)));
     let (occurrence, step) = (pick(number, 6, 3), pick(number, 8, 3));
     let index = if far { u32::MAX } else { pick(number, 10, 4) };
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -10,7 +10,10 @@
     model::PoolPolicy,
     pool::{Pool, PoolTimeouts, RecoveredState},
 };
-use reachhead_ops::event::{Event, emit};
+use reachhead_ops::{
+    event::{Event, emit},
+    supervise,
+};
 use reachhead_types::{
     id::PoolName,
     size::{FencingToken, Millis, Revision},
@@ -125,7 +128,7 @@
             pools.push(fleet::name());
         }
         for pool in pools {
-            if self.takeovers.contains_key(&pool) {
+            if self.takeovers.contains_key(&pool) || self.node.leaves_to_others(&pool, now) {
                 continue;
             }
             let own = self.is_own(&pool);
@@ -139,7 +142,7 @@
                     self.vacant_since.remove(&pool);
                     let known = self.node.view().leases.get(&pool).cloned();
                     let policy = config.pools.get(&pool).cloned();
-                    let task = take_over(Arc::clone(&self.node), pool.clone(), policy, known);
+                    let task = run_takeover(Arc::clone(&self.node), pool.clone(), policy, known);
                     self.takeovers.insert(pool, tokio::spawn(task));
                 }
             } else {
@@ -243,6 +246,20 @@
     }
 }
 
+/// Takes over a pool, and gives up the claim to it if that panics.
+async fn run_takeover(
+    node: Arc<Node>,
+    pool: PoolName,
+    policy: Option<PoolPolicy>,
+    known: Option<LeaseView>,
+) {
+    let takeover = take_over(Arc::clone(&node), pool.clone(), policy, known);
+    if supervise::run(format!("takeover of pool {pool}"), takeover).await.is_err() {
+        node.loading().remove(&pool);
+        node.record_owner_failure(&pool);
+    }
+}
+
 /// Takes the lease of a pool, recovers the pool's state and starts its owner.
 async fn take_over(
     node: Arc<Node>,
@@ -262,9 +279,9 @@
     node.metrics.pools_taken.inc();
     let (handle, inputs) = OwnerHandle::new(lease.revision);
     if policy.is_none() {
-        node.owned().insert(pool.clone(), handle.clone());
         node.pool_acquired.notify_one();
-        tokio::spawn(fleet::run(node, handle, inputs, lease, known));
+        let owner = fleet::run(Arc::clone(&node), handle.clone(), inputs, lease, known);
+        start_owner(&node, pool, handle, owner);
         return;
     }
     node.loading().insert(pool.clone(), lease.revision);
@@ -300,12 +317,34 @@
         node.now(),
         node.clock.wall(),
     );
-    node.owned().insert(pool.clone(), handle.clone());
     let owner = Owner::new(Arc::clone(&node), state, lease.record.term, handle.clone(), inputs);
-    tokio::spawn(send_workers(Arc::clone(&node), pool.clone(), handle.clone()));
+    let listing = send_workers(Arc::clone(&node), pool.clone(), handle.clone());
+    start_owner(&node, pool, handle, async move {
+        // They share a task, since an owner without the list of workers is of no use.
+        tokio::select! {
+            () = owner.run() => {}
+            () = listing => {}
+        }
+    });
+}
+
+/// Claims a pool and runs its owner. The claim ends with the owner, also if it panics: peers leave
+/// a pool alone for as long as a process claims it.
+fn start_owner(
+    node: &Arc<Node>,
+    pool: PoolName,
+    handle: OwnerHandle,
+    owner: impl Future<Output = ()> + Send + 'static,
+) {
+    let token = handle.token;
+    node.owned().insert(pool.clone(), handle);
+    let node = Arc::clone(node);
     tokio::spawn(async move {
-        owner.run().await;
-        release(&node, &pool, handle.token);
+        let ended = supervise::run(format!("owner of pool {pool}"), owner).await;
+        release(&node, &pool, token);
+        if ended.is_err() {
+            node.record_owner_failure(&pool);
+        }
     });
 }
 
@@ -333,7 +372,7 @@
 }
 
 /// Removes a pool from those that this process owns.
-pub fn release(node: &Node, pool: &PoolName, token: Revision) {
+fn release(node: &Node, pool: &PoolName, token: Revision) {
     let mut owned = node.owned();
     if owned.get(pool).is_some_and(|handle| handle.token == token) {
         owned.remove(pool);
@@ -375,3 +414,7 @@
         drain: settings.drain_lag,
     }
 }
+
+#[cfg(test)]
+#[path = "election_tests.rs"]
+mod tests;
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -34,7 +34,6 @@
     waves::ActiveWave,
 };
 use crate::{
-    election,
     moves::Moves,
     node::Node,
     order_permit::PermitIssuer,
@@ -111,9 +110,11 @@
         permit_issuer,
         fenced: false,
     };
-    tokio::spawn(quotas::run(Arc::clone(&fleet.node), token));
-    fleet.run(inputs).await;
-    election::release(&node, &name(), token);
+    // They share a task, so that neither goes on without the other.
+    tokio::select! {
+        () = fleet.run(inputs) => {}
+        () = quotas::run(node, token) => {}
+    }
 }
 
 struct Fleet {
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -7,6 +7,7 @@
 
 use reachhead_jobs::{
     clock::Tick,
+    owner_failures::OwnerFailures,
     ports::{Advisor, HostApi, RowFormat, TableFeed, WorkerAgent},
 };
 use reachhead_ops::event::{Event, emit};
@@ -88,6 +89,7 @@
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
     loading: Mutex<BTreeMap<PoolName, Revision>>,
+    owner_failures: Mutex<OwnerFailures>,
 }
 
 impl Node {
@@ -115,6 +117,7 @@
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
             loading: Mutex::new(BTreeMap::new()),
+            owner_failures: Mutex::new(OwnerFailures::new()),
         }
     }
 
@@ -151,6 +154,17 @@
         self.owned().get(pool).cloned()
     }
 
+    /// Records that the owner of a pool failed in this process.
+    pub fn record_owner_failure(&self, pool: &PoolName) {
+        let pause = locked(&self.owner_failures).record(pool, self.now());
+        log::warn!("pool={pool} its owner failed, it may be taken again after {pause} ms");
+    }
+
+    /// Returns whether this process leaves a pool to others after failures of its owner.
+    pub fn leaves_to_others(&self, pool: &PoolName, now: Tick) -> bool {
+        locked(&self.owner_failures).is_paused(pool, now)
+    }
+
     /// Logs that a pool seems to have no live owner, with the evidence.
     pub fn log_vacant_pool(&self, pool: &PoolName, now: Tick) {
         let view = self.view();
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -99,6 +99,8 @@
     PoolYielded 602 Info;
     /// This process learned that another process owns a pool.
     OwnerKnown 603 Info;
+    /// A task of this process panicked, or ended although the process needs it: which, where and why.
+    TaskFailed 605 Error;
     /// A host of a pool entered another phase.
     HostEntered 610 Info;
     /// A host moved to another pool.
--- a/reachhead_ops/src/lib.rs
+++ b/reachhead_ops/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod listener;
 pub mod logs;
 pub mod runtime;
+pub mod supervise;
--- a/reachhead_ops/src/logs.rs
+++ b/reachhead_ops/src/logs.rs
@@ -11,7 +11,7 @@
 use env_logger::Target;
 use log::LevelFilter;
 
-use crate::event::Event;
+use crate::{event::Event, supervise};
 
 /// Maximum number of lines in the queue.
 const QUEUE_LINES: usize = 2048;
@@ -95,7 +95,8 @@
     }
 }
 
-/// Starts the logger on standard output at level info, unless `RUST_LOG` sets another.
+/// Starts the logger on standard output at level info, unless `RUST_LOG` sets another, and logs
+/// panics too.
 ///
 /// # Errors
 ///
@@ -109,6 +110,7 @@
         .format_timestamp_millis()
         .target(Target::Pipe(Box::new(LogQueue::new(sender))))
         .init();
+    supervise::log_panics();
     Ok(())
 }
 
