A process that has lost a task that it needs ends itself

A panic in a long-lived task ended that task alone. A process without its follower of the leases, of the operators' table or of the workers goes on deciding by a table that nothing updates, while its store counts as fresh, since other calls succeed: callers are sent to owners that are gone, a confirmed configuration is never in force there. Without the election, the failure detector or a listener it answers its peers and does none of its work. Nothing noticed.

These tasks now are RequiredTasks: when one panics, or ends although it should not, E605 names it and the process exits 1. A restart is the one state that is known to be complete, and peers replace a process that is gone within 1.1 s.

One real process, debug build, with configApplyMs = 10^18 (a product that overflows there, and wraps in the release build). Before: the followers of both tables and the admission task panic within 0.7 s of the start, and the process was alive when it was killed 5 s later. With this change it logs "E605 TaskFailed: task "follower of table op" failed: attempt to multiply with overflow" and exits 1 within 0.3 s. No panic in one of these tasks was found that input can reach in the release build.

--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -9,6 +9,7 @@
     event::{Event, emit},
     http::{self, Handler},
     runtime,
+    supervise::{RequiredTasks, TaskFailure},
 };
 use reachhead_platform::{
     advice::HttpAdvisor,
@@ -24,12 +25,12 @@
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::{oneshot, watch},
-    task::JoinSet,
     time,
 };
 
 use crate::{
-    admission, election, failure_detector, follow,
+    admission, election, failure_detector,
+    follow::{self, Follower},
     frontend::NodeFrontend,
     handover, membership,
     metrics::Metrics,
@@ -94,6 +95,9 @@
     /// The system refused a listener, a signal or a thread.
     #[error(transparent)]
     System(#[from] io::Error),
+    /// A task that the process needs has ended.
+    #[error(transparent)]
+    Task(#[from] TaskFailure),
 }
 
 /// Runs the process until shutdown is requested.
@@ -116,13 +120,16 @@
     let services = services(&settings, &client);
     let peers = PeerClient::new(client);
     let node = Arc::new(Node::new(settings, services, peers, metrics, stopping));
-    let mut listeners = listen(&node, registry, &closing).await?;
-    start_tasks(&node);
+    let mut tasks = RequiredTasks::new();
+    let mut listeners = listen(&node, registry, &closing, &mut tasks).await?;
+    start_tasks(&node, &mut tasks);
     emit(Event::Started, format_args!("node={} zone={}", node.settings.node, node.settings.zone));
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = hangup.recv() => reload(&node),
+            failure = tasks.failure() => return Err(failure.into()),
+            failure = listeners.failure() => return Err(failure.into()),
         }
     }
     emit(Event::ShutdownBegun, format_args!("node={}", node.settings.node));
@@ -132,7 +139,7 @@
     time::sleep_until(begun + DRAIN_PERIOD).await;
     let _ = close.send(true);
     let end = begun + node.settings.grace_period.duration().saturating_sub(SHUTDOWN_MARGIN);
-    let drained = time::timeout_at(end, async { while listeners.join_next().await.is_some() {} });
+    let drained = time::timeout_at(end, listeners.finish());
     match drained.await {
         Ok(()) => emit(Event::ShutdownDone, format_args!("node={}", node.settings.node)),
         Err(_) => emit(Event::ShutdownCut, format_args!("node={}", node.settings.node)),
@@ -167,9 +174,10 @@
     node: &Arc<Node>,
     registry: prometheus_client::registry::Registry,
     closing: &watch::Receiver<bool>,
-) -> Result<JoinSet<()>, ProcessError> {
+    tasks: &mut RequiredTasks,
+) -> Result<RequiredTasks, ProcessError> {
     let frontend: Arc<dyn Frontend> = Arc::new(NodeFrontend(Arc::clone(node)));
-    let mut listeners = JoinSet::new();
+    let mut listeners = RequiredTasks::new();
     let mut handlers: Vec<(SocketAddr, Arc<dyn Handler>)> = Vec::new();
     if let Some(address) = node.settings.front {
         handlers.push((address, Arc::new(FrontHandler::new(Arc::clone(&frontend)))));
@@ -179,7 +187,8 @@
     }
     for (address, handler) in handlers {
         let listener = http::listen(address).await?;
-        listeners.spawn(http::serve(listener, handler, MAX_BODY_BYTES, closing.clone()));
+        let serving = http::serve(listener, handler, MAX_BODY_BYTES, closing.clone());
+        listeners.spawn(format!("listener {address}"), serving);
     }
     // Peers and operators are served until the process ends.
     let metrics = SocketAddr::new(node.settings.peer.ip(), METRICS_PORT);
@@ -190,7 +199,7 @@
     for (address, handler) in internal {
         let listener = http::listen(address).await?;
         let never_closing = watch::channel(false);
-        tokio::spawn(async move {
+        tasks.spawn(format!("listener {address}"), async move {
             let _keep = never_closing.0;
             http::serve(listener, handler, MAX_BODY_BYTES, never_closing.1).await;
         });
@@ -198,17 +207,23 @@
     Ok(listeners)
 }
 
-fn start_tasks(node: &Arc<Node>) {
-    tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Operators(Arc::clone(node)))));
-    tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Leases(Arc::clone(node)))));
-    tokio::spawn(follow::follow(Arc::clone(node), Arc::new(follow::Workers(Arc::clone(node)))));
-    tokio::spawn(membership::run(Arc::clone(node)));
-    tokio::spawn(membership::remove_dead_members(Arc::clone(node)));
-    tokio::spawn(election::run(Arc::clone(node)));
-    tokio::spawn(failure_detector::run(Arc::clone(node)));
-    tokio::spawn(registry::run(Arc::clone(node)));
-    tokio::spawn(handover::run(Arc::clone(node)));
-    tokio::spawn(admission::keep_config_current(Arc::clone(node)));
+fn start_tasks(node: &Arc<Node>, tasks: &mut RequiredTasks) {
+    let followers: [Arc<dyn Follower>; 3] = [
+        Arc::new(follow::Operators(Arc::clone(node))),
+        Arc::new(follow::Leases(Arc::clone(node))),
+        Arc::new(follow::Workers(Arc::clone(node))),
+    ];
+    for follower in followers {
+        let name = format!("follower of table {}", follower.table());
+        tasks.spawn(name, follow::follow(Arc::clone(node), follower));
+    }
+    tasks.spawn("membership", membership::run(Arc::clone(node)));
+    tasks.spawn("removal of dead members", membership::remove_dead_members(Arc::clone(node)));
+    tasks.spawn("election", election::run(Arc::clone(node)));
+    tasks.spawn("failure detector", failure_detector::run(Arc::clone(node)));
+    tasks.spawn("registry", registry::run(Arc::clone(node)));
+    tasks.spawn("handover", handover::run(Arc::clone(node)));
+    tasks.spawn("admission", admission::keep_config_current(Arc::clone(node)));
 }
 
 /// Reads the settings file again and logs whether it changed. A running process can't apply
