Submissions go on after the task that stores them has panicked

The jobs of a pool's shard are stored by one task. If it panicked, its channel was closed for ever, and each later submission of that shard to this process was refused with not-ready, while the process counted as ready. A closed queue is now replaced; the callers of the batch that was lost with it are told that their jobs may be stored.

The test lets one commit of the store panic. It fails without the replacement: the next submission is "Refused(NotReady)". No panic was found there that input can reach: the store's own calls run in a task whose panic counts as a lost answer (GuardedStore::call).

--- /dev/null
+++ b/reachhead_node/src/fixture.rs
@@ -0,0 +1,163 @@
+//! A process on a platform that answers nothing, whose store panics where a test says so.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
+
+use futures::future::{BoxFuture, FutureExt};
+use reachhead_jobs::{
+    clock::WorkerTime,
+    ports::{
+        FeedError, FeedPage, HoldOrder, StartOrder, TableFeed, WorkerAgent, WorkerError,
+        WorkerReport, WorkerTarget,
+    },
+    task::TaskId,
+};
+use reachhead_ops::client::HttpClient;
+use reachhead_platform::{row_format::PlatformRowFormat, settings::Settings};
+use reachhead_store::{
+    Store, StoreError,
+    memory::MemoryStore,
+    row::{Commit, Key, Page, Row, Scan, Txn},
+};
+use reachhead_types::size::{Millis, Revision, RunNumber};
+use tokio::sync::watch;
+
+use crate::{
+    metrics::Metrics,
+    node::{Node, Services},
+    peer::PeerClient,
+};
+
+const SETTINGS: &str = r#"
+nodeName = "front-a-1"
+zone = "a"
+ipAddress = "127.0.0.1"
+internalPortRange = [7060, 7075]
+[listenAddresses]
+[limits]
+cpuShare = 0.25
+memoryMb = 260
+[bounds]
+maxHoldMs = 10000
+gracePeriodS = 6
+pacingMs = 100
+[platform]
+address = "127.0.0.1:1"
+writesPerS = 600
+"#;
+
+/// A store whose next calls of a kind panic.
+pub struct BrokenStore {
+    rows: MemoryStore,
+    /// Number of scans that panic.
+    pub scans: AtomicU32,
+    /// Number of commits that panic.
+    pub commits: AtomicU32,
+}
+
+/// Panics if any panic is left.
+fn panic_once(left: &AtomicU32) {
+    let take = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
+    assert!(take.is_err(), "this call panics");
+}
+
+impl Store for BrokenStore {
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
+        self.rows.read(keys)
+    }
+
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
+        async move {
+            panic_once(&self.scans);
+            self.rows.scan(scan).await
+        }
+        .boxed()
+    }
+
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
+        async move {
+            panic_once(&self.commits);
+            self.rows.commit(txn).await
+        }
+        .boxed()
+    }
+}
+
+/// A platform that answers nothing.
+struct Silent;
+
+impl TableFeed for Silent {
+    fn table(&self, _: &'static str) -> BoxFuture<'_, Result<FeedPage, StoreError>> {
+        std::future::pending().boxed()
+    }
+
+    fn changes(
+        &self,
+        _: &'static str,
+        _: Revision,
+        _: Millis,
+    ) -> BoxFuture<'_, Result<FeedPage, FeedError>> {
+        std::future::pending().boxed()
+    }
+}
+
+impl WorkerAgent for Silent {
+    fn start(
+        &self,
+        _: WorkerTarget,
+        _: StartOrder,
+    ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
+        std::future::pending().boxed()
+    }
+
+    fn stop(
+        &self,
+        _: WorkerTarget,
+        _: TaskId,
+        _: RunNumber,
+    ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
+        std::future::pending().boxed()
+    }
+
+    fn hold(
+        &self,
+        _: WorkerTarget,
+        _: HoldOrder,
+    ) -> BoxFuture<'_, Result<WorkerReport, WorkerError>> {
+        std::future::pending().boxed()
+    }
+
+    fn pace(
+        &self,
+        _: WorkerTarget,
+        _: TaskId,
+        _: RunNumber,
+        _: u32,
+    ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
+        std::future::pending().boxed()
+    }
+}
+
+/// Returns a process and its store.
+pub fn node() -> (Arc<Node>, Arc<BrokenStore>) {
+    let store = Arc::new(BrokenStore {
+        rows: MemoryStore::new(),
+        scans: AtomicU32::new(0),
+        commits: AtomicU32::new(0),
+    });
+    let services = Services {
+        store: Arc::<BrokenStore>::clone(&store),
+        feed: Arc::new(Silent),
+        workers: Arc::new(Silent),
+        hosts: None,
+        advisor: None,
+        row_format: Arc::new(PlatformRowFormat::new()),
+    };
+    let metrics = Metrics::new(&mut prometheus_client::registry::Registry::default());
+    let peers = PeerClient::new(Arc::new(HttpClient::new()));
+    let settings = Settings::parse(SETTINGS).unwrap();
+    let stopping = watch::channel(false).1;
+    (Arc::new(Node::new(settings, services, peers, metrics, stopping)), store)
+}
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -4,6 +4,8 @@
 mod clock;
 mod election;
 mod failure_detector;
+#[cfg(test)]
+mod fixture;
 mod fleet;
 mod follow;
 mod frontend;
--- a/reachhead_node/src/submit/mod.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -19,7 +19,10 @@
     record::{JobRecord, final_key, job_key, value},
     shard::Shard,
 };
-use reachhead_ops::event::{Event, emit};
+use reachhead_ops::{
+    event::{Event, emit},
+    supervise,
+};
 use reachhead_store::{
     StoreError,
     row::{Commit, Conflict, Txn},
@@ -148,7 +151,8 @@
         }
         match time::timeout_at(until, answer).await {
             Ok(Ok(answer)) => answer,
-            // A batch is dropped only if the process ends, and then it may have been sent.
+            // A batch is dropped only if its queue or the process ends, and then it may have been
+            // sent.
             Ok(Err(_)) => Answer::Refused(ErrorKind::SubmissionLost),
             Err(_) if caller_claim.swap(true, Ordering::Relaxed) => {
                 Answer::Refused(ErrorKind::SubmissionLost)
@@ -167,12 +171,16 @@
 
     fn queue(&self, node: &Arc<Node>, key: QueueKey) -> mpsc::UnboundedSender<Submission> {
         let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
-        let start = || {
-            let (sender, receiver) = mpsc::unbounded_channel();
-            tokio::spawn(run_queue(Arc::clone(node), key.clone(), receiver));
-            sender
-        };
-        queues.entry(key.clone()).or_insert_with(start).clone()
+        // A queue whose task panicked is replaced. Its jobs are lost with it, and their callers
+        // are told that they may be stored.
+        if let Some(sender) = queues.get(&key).filter(|sender| !sender.is_closed()) {
+            return sender.clone();
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let name = format!("submissions of pool {} shard {}", key.pool, key.shard);
+        supervise::spawn(name, run_queue(Arc::clone(node), key.clone(), receiver));
+        queues.insert(key, sender.clone());
+        sender
     }
 }
 
@@ -356,3 +364,7 @@
         "pool={pool} the owner could not be notified of {count} jobs, its scan will find them"
     );
 }
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
