An owner whose call in the background has panicked gives its pool up

An owner makes its calls to workers, the advisor and the store in tasks of their own, and waits for their results as inputs. If such a task panicked, the result never came: a worker with a poll in flight was never called again and its runs lapsed, an order in flight was never resent, a shard with a transaction in flight was never written. The owner now learns of the panic and ends, so that the pool is taken over like after a panic of its own.

The test lets a call to a worker panic. It fails without the guard: the owner still runs after 2 s ("left: Err(Elapsed(()))"). No panic was found there that input can reach in the release build.

--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -23,7 +23,7 @@
 use crate::{
     fleet,
     node::Node,
-    owner::{Owner, OwnerHandle},
+    owner::{Outcome, Owner, OwnerHandle},
     takeover::{self, Loader},
     view::LeaseView,
 };
@@ -322,8 +322,8 @@
     start_owner(&node, pool, handle, async move {
         // They share a task, since an owner without the list of workers is of no use.
         tokio::select! {
-            () = owner.run() => {}
-            () = listing => {}
+            outcome = owner.run() => outcome,
+            () = listing => Outcome::GivenUp,
         }
     });
 }
@@ -334,7 +334,7 @@
     node: &Arc<Node>,
     pool: PoolName,
     handle: OwnerHandle,
-    owner: impl Future<Output = ()> + Send + 'static,
+    owner: impl Future<Output = Outcome> + Send + 'static,
 ) {
     let token = handle.token;
     node.owned().insert(pool.clone(), handle);
@@ -342,7 +342,7 @@
     tokio::spawn(async move {
         let ended = supervise::run(format!("owner of pool {pool}"), owner).await;
         release(&node, &pool, token);
-        if ended.is_err() {
+        if ended != Ok(Outcome::GivenUp) {
             node.record_owner_failure(&pool);
         }
     });
--- a/reachhead_node/src/fixture.rs
+++ b/reachhead_node/src/fixture.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// A platform that answers nothing.
+/// A platform that answers nothing, and whose workers' reports make the call panic.
 struct Silent;
 
 impl TableFeed for Silent {
@@ -126,7 +126,7 @@
         _: WorkerTarget,
         _: HoldOrder,
     ) -> BoxFuture<'_, Result<WorkerReport, WorkerError>> {
-        std::future::pending().boxed()
+        async { panic!("this call panics") }.boxed()
     }
 
     fn pace(
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -37,7 +37,7 @@
     moves::Moves,
     node::Node,
     order_permit::PermitIssuer,
-    owner::{Input, OwnerHandle},
+    owner::{Input, Outcome, OwnerHandle},
     view::{LeaseView, PeerStatus},
 };
 
@@ -87,7 +87,7 @@
     inputs: mpsc::UnboundedReceiver<Input>,
     lease: LeaseView,
     before: Option<LeaseView>,
-) {
+) -> Outcome {
     let token = handle.token;
     emit(
         Event::LeaseTaken,
@@ -115,6 +115,7 @@
         () = fleet.run(inputs) => {}
         () = quotas::run(node, token) => {}
     }
+    Outcome::GivenUp
 }
 
 struct Fleet {
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -69,6 +69,8 @@
     Committed(Box<Batch>, Result<Commit, StoreError>),
     /// Stored jobs were read.
     JobsScanned(Vec<Row>),
+    /// A call in the background panicked, so its result never comes.
+    CallFailed,
     /// Releases the pool.
     Release(oneshot::Sender<()>),
     /// Releases the pool to a better owner, unless that would delay its jobs.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::Arc,
+    thread,
     time::Duration,
 };
 
@@ -71,6 +72,27 @@
 /// How long an owner that releases its pool waits for its last transactions.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How an owner ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The pool was released, or its lease is lost.
+    GivenUp,
+    /// A call in the background panicked.
+    CallFailed,
+}
+
+/// Reports a panic of a call in the background. The owner would wait for the result for ever: the
+/// worker is not called again, or the shard not written.
+struct CallGuard(OwnerHandle);
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.0.send(Input::CallFailed);
+        }
+    }
+}
+
 struct PendingCancel {
     job: JobId,
     reply: oneshot::Sender<CancelReply>,
@@ -93,6 +115,7 @@
     scan_order: VecDeque<Shard>,
     release: Option<oneshot::Sender<()>>,
     lease_lost: bool,
+    call_failed: bool,
     /// The version of the configuration that the pool uses.
     config_version: Option<Version>,
 }
@@ -120,15 +143,16 @@
             scan_order: Shard::all().collect(),
             release: None,
             lease_lost: false,
+            call_failed: false,
             config_version: None,
         }
     }
 
-    /// Runs until the pool is lost or released.
-    pub async fn run(mut self) {
+    /// Runs until the pool is lost or released, or can't be served any more.
+    pub async fn run(mut self) -> Outcome {
         let mut last = time::Instant::now();
         let mut pause = MIN_ROUND_PAUSE;
-        while !self.lease_lost && self.release.is_none() {
+        while !self.lease_lost && !self.call_failed && self.release.is_none() {
             let tick = if self.pool.jobs().is_empty() { IDLE_TICK } else { BUSY_TICK };
             if let Ok(Some(input)) = time::timeout(tick, self.inputs.recv()).await {
                 self.take(input);
@@ -151,6 +175,7 @@
             self.release_lease().await;
             let _ = done.send(());
         }
+        if self.call_failed { Outcome::CallFailed } else { Outcome::GivenUp }
     }
 
     fn round(&mut self) {
@@ -246,6 +271,7 @@
             }
             Input::Committed(batch, result) => self.handle_commit(&batch, result, now),
             Input::JobsScanned(rows) => self.handle_scan(&rows, now),
+            Input::CallFailed => self.call_failed = true,
             Input::Release(done) => self.release = Some(done),
             // A successor would have to wait again for the workers that have not answered.
             Input::Yield(done) => self.release = (self.pool.unsettled() == 0).then_some(done),
@@ -295,6 +321,17 @@
         }
     }
 
+    /// Spawns a call whose result is an input for this owner.
+    fn spawn_call(&self, call: impl Future<Output = Option<Input>> + Send + 'static) {
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let guard = CallGuard(handle);
+            if let Some(input) = call.await {
+                guard.0.send(input);
+            }
+        });
+    }
+
     fn execute(&mut self, action: Action) {
         if action == Action::Fenced {
             // Only a newer lease gives a higher token, so another process owns the pool by now.
@@ -302,12 +339,9 @@
             return;
         }
         let node = Arc::clone(&self.node);
-        let handle = self.handle.clone();
-        tokio::spawn(async move {
+        self.spawn_call(async move {
             let sent = node.now();
-            if let Some(input) = perform(&node, action, sent).await {
-                handle.send(input);
-            }
+            perform(&node, action, sent).await
         });
     }
 
@@ -327,16 +361,16 @@
 
     fn commit(&self, batch: Batch) {
         let node = Arc::clone(&self.node);
-        let handle = self.handle.clone();
-        tokio::spawn(async move {
+        let token = self.handle.token;
+        self.spawn_call(async move {
             let result = node.services.store.commit(batch.txn.clone()).await;
             node.record_store_result(&result);
             if let Err(error) = &result {
-                emit(Event::RecordFailed, format_args!("token={} {error}", handle.token));
+                emit(Event::RecordFailed, format_args!("token={token} {error}"));
                 // An urgent transaction must not be repeated in a tight loop.
                 time::sleep(RECORD_RETRY_PAUSE.duration()).await;
             }
-            handle.send(Input::Committed(Box::new(batch), result));
+            Some(Input::Committed(Box::new(batch), result))
         });
     }
 
@@ -368,19 +402,21 @@
         }
         self.next_scan = now + SCAN_PERIOD;
         let node = Arc::clone(&self.node);
-        let handle = self.handle.clone();
         let Some(shard) = self.scan_order.pop_front() else {
             return;
         };
         self.scan_order.push_back(shard);
         let prefix = job_prefix(self.pool.name(), shard);
-        tokio::spawn(async move {
+        self.spawn_call(async move {
             let scan = Scan { prefix, after: None, limit: u32::MAX };
             let page = node.services.store.scan(scan).await;
             node.record_store_result(&page);
             match page {
-                Ok(page) => handle.send(Input::JobsScanned(page.rows)),
-                Err(error) => log::info!("stored jobs can't be read: {error}"),
+                Ok(page) => Some(Input::JobsScanned(page.rows)),
+                Err(error) => {
+                    log::info!("stored jobs can't be read: {error}");
+                    None
+                }
             }
         });
     }
@@ -452,3 +488,7 @@
 pub fn id_of(key: &Key) -> Option<JobId> {
     key.0.rsplit('/').next()?.parse().ok()
 }
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- /dev/null
+++ b/reachhead_node/src/owner/tests.rs
@@ -0,0 +1,53 @@
+//! An owner that waits for a result that never comes gives its pool up.
+
+use reachhead_jobs::{
+    pool::{PoolTimeouts, RecoveredState},
+    ports::WorkerInfo,
+};
+use reachhead_ops::runtime;
+
+use super::*;
+use crate::{fixture, takeover};
+
+fn worker() -> WorkerInfo {
+    WorkerInfo {
+        id: "w".parse().unwrap(),
+        started_at: None,
+        pool: "a".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        capacity: Default::default(),
+        labels: Vec::new(),
+        rack: None,
+        draining: false,
+    }
+}
+
+async fn owner() -> Owner {
+    let (node, _) = fixture::node();
+    let name = "a".parse().unwrap();
+    let token = takeover::take(&node, &name, None).await.unwrap().unwrap().revision;
+    let timeouts = PoolTimeouts {
+        hold: Millis(4000),
+        trust: Millis(4000),
+        wait: Millis(1000),
+        notice: Millis(4500),
+        gang: Millis(3000),
+        stop: Millis(400),
+        grant: Millis(6000),
+        drain: Millis(4000),
+    };
+    let (handle, inputs) = OwnerHandle::new(token);
+    handle.send(Input::WorkersListed(vec![worker()]));
+    let (found, now, wall) = (RecoveredState::default(), node.now(), node.clock.wall());
+    let pool = Pool::new(name, FencingToken(token.0), 0, timeouts, found, now, wall);
+    Owner::new(node, pool, 0, handle, inputs)
+}
+
+#[test]
+fn an_owner_whose_call_to_a_worker_panicked_gives_its_pool_up() {
+    runtime::current_thread().unwrap().block_on(async {
+        let outcome = time::timeout(Duration::from_secs(2), owner().await.run()).await;
+        assert_eq!(outcome, Ok(Outcome::CallFailed), "the worker is never called again");
+    });
+}
