--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -141,7 +141,10 @@
     let end = begun + node.settings.grace_period.duration().saturating_sub(SHUTDOWN_MARGIN);
     let drained = time::timeout_at(end, listeners.finish());
     match drained.await {
-        Ok(()) => emit(Event::ShutdownDone, format_args!("node={}", node.settings.node)),
+        Ok(result) => {
+            result?;
+            emit(Event::ShutdownDone, format_args!("node={}", node.settings.node));
+        }
         Err(_) => emit(Event::ShutdownCut, format_args!("node={}", node.settings.node)),
     }
     Ok(())
--- a/reachhead_ops/src/supervise.rs
+++ b/reachhead_ops/src/supervise.rs
@@ -87,7 +87,8 @@
 /// a restart is the only way back to a state that is known to be complete.
 #[derive(Debug, Default)]
 pub struct RequiredTasks {
-    tasks: JoinSet<TaskFailure>,
+    /// Each returns its name when it ends without a panic.
+    tasks: JoinSet<Result<String, TaskFailure>>,
 }
 
 impl RequiredTasks {
@@ -104,20 +105,16 @@
     ) {
         let task = name.into();
         self.tasks.spawn(async move {
-            match run(task.clone(), work).await {
-                Ok(()) => TaskFailure { task, cause: "it has ended".to_owned() },
-                Err(failure) => failure,
-            }
+            run(task.clone(), work).await?;
+            Ok(task)
         });
     }
 
     /// Waits until a task ends, by a panic or not, and logs it.
     pub async fn failure(&mut self) -> TaskFailure {
-        let failure = match self.tasks.join_next().await {
-            Some(Ok(failure)) => failure,
-            Some(Err(error)) => {
-                TaskFailure { task: "unknown".to_owned(), cause: error.to_string() }
-            }
+        let failure = match self.next().await {
+            Some(Ok(task)) => TaskFailure { task, cause: "it has ended".to_owned() },
+            Some(Err(failure)) => failure,
             None => std::future::pending().await,
         };
         emit(Event::TaskFailed, &failure);
@@ -125,7 +122,23 @@
     }
 
     /// Waits until all tasks have ended, after they were told to.
-    pub async fn finish(&mut self) {
-        while self.tasks.join_next().await.is_some() {}
+    ///
+    /// # Errors
+    ///
+    /// The [`TaskFailure`] of the first one that panicked.
+    pub async fn finish(&mut self) -> Result<(), TaskFailure> {
+        let mut result = Ok(());
+        while let Some(ended) = self.next().await {
+            result = result.and(ended.map(drop));
+        }
+        result
+    }
+
+    /// Returns the outcome of the next task that ends.
+    async fn next(&mut self) -> Option<Result<String, TaskFailure>> {
+        let ended = self.tasks.join_next().await?;
+        Some(ended.unwrap_or_else(|error| {
+            Err(TaskFailure { task: "unknown".to_owned(), cause: error.to_string() })
+        }))
     }
 }
--- a/reachhead_ops/tests/supervise.rs
+++ b/reachhead_ops/tests/supervise.rs
@@ -37,3 +37,18 @@
         assert!(failure.starts_with("task \"panics\" failed: index out of bounds"), "{failure}");
     });
 }
+
+#[test]
+fn tasks_that_end_when_they_are_told_to_are_no_failure() {
+    async fn ending() {}
+    runtime::current_thread().unwrap().block_on(async {
+        let mut tasks = RequiredTasks::new();
+        tasks.spawn("one", ending());
+        tasks.spawn("two", ending());
+        assert_eq!(tasks.finish().await, Ok(()));
+        tasks.spawn("panics", panicking());
+        tasks.spawn("three", ending());
+        let failure = tasks.finish().await.unwrap_err().to_string();
+        assert!(failure.starts_with("task \"panics\" failed"), "{failure}");
+    });
+}
