The control and admin processes end when a task that they need has ended

A panic in the follower, the claim cleaner or the pool reconciler of a control process went unnoticed until its shutdown: it went on to answer with tables that nothing updated, and its pools with a lease that nothing served until it ran out. An admin process without its listener went on as well. They use RequiredTasks like reachhead-node.

Found by reading, as the same class as in reachhead-node; no input was found that makes one of these tasks panic, so there is no failing run of these programs. The tests of RequiredTasks cover the mechanism.

--- a/reachhead_admin/src/process.rs
+++ b/reachhead_admin/src/process.rs
@@ -11,6 +11,7 @@
     http,
     listener::{self, ProcessStatus},
     runtime,
+    supervise::RequiredTasks,
 };
 use reachhead_store::{Store, guarded::GuardedStore, http::HttpStore};
 use serde_json::{Value, json};
@@ -63,11 +64,15 @@
         let listener = http::listen(settings.api.address).await?;
         emit(Event::Started, format_args!("admin on {}", settings.api.address));
         let limit = settings.api.body.0 as usize;
-        let serving = tokio::spawn(http::serve(listener, api, limit, stopping));
-        runtime::shutdown_signal().await?;
+        let mut tasks = RequiredTasks::new();
+        tasks.spawn("listener", http::serve(listener, api, limit, stopping));
+        tokio::select! {
+            signal = runtime::shutdown_signal() => signal?,
+            failure = tasks.failure() => return Err(io::Error::other(failure)),
+        }
         emit(Event::ShutdownBegun, "admin");
         stop.send_replace(true);
-        serving.await.map_err(io::Error::other)?;
+        tasks.finish().await.map_err(io::Error::other)?;
         emit(Event::ShutdownDone, "admin");
         Ok(())
     })
--- a/reachhead_control/src/process.rs
+++ b/reachhead_control/src/process.rs
@@ -16,6 +16,7 @@
     event::{Event, emit},
     listener::{self, ProcessStatus},
     runtime,
+    supervise::RequiredTasks,
 };
 use reachhead_store::{
     HostLister, Store, guarded::GuardedStore, http::HttpStore, platform::Platform,
@@ -97,14 +98,17 @@
 ) -> io::Result<()> {
     runtime::current_thread()?.block_on(async move {
         let (stop, stopped) = watch::channel(false);
-        let following = tokio::spawn(follower.run(stopped.clone()));
-        tokio::spawn(cleaner.run(stopped.clone()));
-        let reconciling = tokio::spawn(reconciler.run(stopped));
-        runtime::shutdown_signal().await?;
+        let mut tasks = RequiredTasks::new();
+        tasks.spawn("follower", follower.run(stopped.clone()));
+        tasks.spawn("claim cleaner", cleaner.run(stopped.clone()));
+        tasks.spawn("pool reconciler", reconciler.run(stopped));
+        tokio::select! {
+            signal = runtime::shutdown_signal() => signal?,
+            failure = tasks.failure() => return Err(io::Error::other(failure)),
+        }
         emit(Event::ShutdownBegun, "control: leaving the membership list");
         stop.send_replace(true);
-        reconciling.await.map_err(io::Error::other)?;
-        following.await.map_err(io::Error::other)?;
+        tasks.finish().await.map_err(io::Error::other)?;
         emit(Event::ShutdownDone, "control");
         Ok(())
     })
