The log line of a panic stays on one line

The log has one line an event, and messages of failed assertions have several lines. The test fails without the escaping: the message of assert_eq has line breaks.

--- a/reachhead_ops/src/supervise.rs
+++ b/reachhead_ops/src/supervise.rs
@@ -5,6 +5,7 @@
 use std::{
     any::Any,
     panic::{self, PanicHookInfo},
+    str::EscapeDebug,
     thread,
 };
 
@@ -50,10 +51,11 @@
     );
 }
 
-/// Returns the message of a panic.
-fn message(payload: &(dyn Any + Send)) -> &str {
+/// Returns the message of a panic, without line breaks, since the log has one line an event.
+fn message(payload: &(dyn Any + Send)) -> EscapeDebug<'_> {
     let text = payload.downcast_ref::<String>().map(String::as_str);
-    text.or_else(|| payload.downcast_ref::<&str>().copied()).unwrap_or("no message")
+    let text = text.or_else(|| payload.downcast_ref::<&str>().copied());
+    text.unwrap_or("no message").escape_debug()
 }
 
 /// Spawns a task with a name for the log.
@@ -76,7 +78,7 @@
     let task = name.into();
     spawn(task.clone(), work).await.map_err(|error| {
         let cause = match error.try_into_panic() {
-            Ok(payload) => message(&*payload).to_owned(),
+            Ok(payload) => message(&*payload).to_string(),
             Err(error) => error.to_string(),
         };
         TaskFailure { task, cause }
--- a/reachhead_ops/tests/supervise.rs
+++ b/reachhead_ops/tests/supervise.rs
@@ -22,6 +22,15 @@
     assert!(text.starts_with("task \"sum\" failed: index out of bounds"), "{text}");
 }
 
+#[test]
+fn the_message_of_a_panic_stays_on_one_line() {
+    async fn failing() {
+        assert_eq!(1, 2, "of several lines");
+    }
+    let failure = runtime::current_thread().unwrap().block_on(supervise::run("sum", failing()));
+    assert!(!failure.unwrap_err().to_string().contains('\n'));
+}
+
 #[test]
 fn a_required_task_that_panics_or_ends_is_a_failure() {
     async fn ending() {}
