--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -38,11 +38,10 @@
 };
 use crate::{
     claim::Pulse,
-    election,
     moves::Moves,
     node::Node,
     order_permit::PermitIssuer,
-    owner::{Input, OwnerHandle},
+    owner::{Input, Outcome, OwnerHandle},
     peer::{PeerReply, PeerRequest},
     view::{LeaseView, PeerStatus},
 };
@@ -106,7 +105,7 @@
     inputs: mpsc::UnboundedReceiver<Input>,
     lease: LeaseView,
     before: Option<LeaseView>,
-) {
+) -> Outcome {
     let token = handle.token;
     emit(
         Event::LeaseTaken,
@@ -132,9 +131,12 @@
         pulse: Arc::clone(&handle.pulse),
         fenced: false,
     };
-    tokio::spawn(quotas::run(Arc::clone(&fleet.node), token));
-    fleet.run(inputs).await;
-    election::release(&node, &name(), token);
+    // They share a task, so that neither goes on without the other.
+    tokio::select! {
+        () = fleet.run(inputs) => {}
+        () = quotas::run(node, token) => {}
+    }
+    Outcome::GivenUp
 }
 
 struct Fleet {
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -5,6 +5,8 @@
 mod clock;
 mod election;
 mod failure_detector;
+#[cfg(test)]
+mod fixture;
 mod fleet;
 mod follow;
 mod frontend;
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -101,6 +101,8 @@
     OwnerKnown 603 Info;
     /// The takeover of a pool has not ended for long: its age, what it has read, and the last error.
     TakeoverSlow 604 Warn;
+    /// A task of this process panicked, or ended although the process needs it: which, where and why.
+    TaskFailed 605 Error;
     /// A host of a pool entered another phase.
     HostEntered 610 Info;
     /// A host moved to another pool.
