Delays of a process are logged and counted, and E711 says why an owner counts as lost

A process that was late itself starts counting the silence of owners anew, and said so nowhere: a pool that nobody takes because all watching processes are late looked like one with a healthy owner. E731 names the gap, at most once a second, and reachhead_process_delays counts them. E711 names the reason (silent, not claimed, cut off), what the owner last claimed, the age of the lease, and how long ago this process itself reached the store and was last late. No decision changes.

--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -39,6 +39,9 @@
 /// Gap between two checks from which this process counts as delayed itself.
 const DELAYED_CHECK_GAP: Millis = Millis(250);
 
+/// Minimum time between two log lines about delays of this process.
+const DELAY_LOG_PERIOD: Millis = Millis(1000);
+
 /// How long a process waits after its start before it takes pools, so that the processes learn of
 /// each other.
 const START_DELAY: Millis = Millis(300);
@@ -73,6 +76,7 @@
         logged: BTreeMap::new(),
         last: node.now(),
         last_delayed: Tick(0),
+        delay_logged: Tick(0),
         node,
     };
     loop {
@@ -101,13 +105,34 @@
     /// When this process was last delayed itself. Silence of others around that time is no
     /// evidence: an overloaded process would otherwise take the pools of healthy ones.
     last_delayed: Tick,
+    /// When a delay of this process was last logged.
+    delay_logged: Tick,
+}
+
+/// Why a pool counts as having no live owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Vacancy {
+    /// The pool has no lease.
+    NoLease,
+    /// The owner gave the lease back.
+    Released,
+    /// The lease names this process, which does not own the pool.
+    Own,
+    /// The owner does not answer.
+    Silent,
+    /// The owner answers and does not claim the pool.
+    NotClaimed,
+    /// The owner answers and can't reach the store.
+    CutOff,
 }
 
 impl Election {
     fn check_pools(&mut self) {
         let now = self.node.now();
-        if now.since(std::mem::replace(&mut self.last, now)) >= DELAYED_CHECK_GAP {
+        let gap = now.since(std::mem::replace(&mut self.last, now));
+        if gap >= DELAYED_CHECK_GAP {
             self.last_delayed = now;
+            self.log_delay(gap, now);
         }
         if !self.node.view().is_watching_owners(&self.node.settings.node, now) {
             self.watching_since = now;
@@ -132,9 +157,9 @@
             if early && !own {
                 continue;
             }
-            if self.is_vacant(&pool, now) {
+            if let Some(why) = self.vacancy(&pool, now) {
                 let since = *self.vacant_since.entry(pool.clone()).or_insert(now);
-                self.log_vacant_once(&pool, now);
+                self.log_vacant_once(&pool, why, now);
                 if own || now.since(since) >= self.candidate_delay(&pool) {
                     self.vacant_since.remove(&pool);
                     let known = self.node.view().leases.get(&pool).cloned();
@@ -157,50 +182,60 @@
         owner == Some(&self.node.settings.node)
     }
 
+    /// Logs a delay of this process.
+    fn log_delay(&mut self, gap: Millis, now: Tick) {
+        self.node.metrics.delays.inc();
+        if now.since(self.delay_logged) >= DELAY_LOG_PERIOD {
+            self.delay_logged = now;
+            emit(Event::ProcessDelayed, format_args!("gap={gap}ms"));
+        }
+    }
+
     /// Logs that a pool's owner seems to be lost, once for each lease.
-    fn log_vacant_once(&mut self, pool: &PoolName, now: Tick) {
+    fn log_vacant_once(&mut self, pool: &PoolName, why: Vacancy, now: Tick) {
         let revision = self.node.view().leases.get(pool).map(|lease| lease.revision);
         if let Some(revision) = revision
             && self.logged.insert(pool.clone(), revision) != Some(revision)
         {
-            self.node.log_vacant_pool(pool, now);
+            self.node.log_vacant_pool(pool, now, why, now.since(self.last_delayed));
         }
     }
 
-    /// Returns whether a pool seems to have no live owner.
-    fn is_vacant(&self, pool: &PoolName, now: Tick) -> bool {
+    /// Returns why a pool seems to have no live owner, if it does.
+    fn vacancy(&self, pool: &PoolName, now: Tick) -> Option<Vacancy> {
         let node = &self.node;
         if node.owned().contains_key(pool) {
-            return false;
+            return None;
         }
         let view = node.view();
         if now.since(view.store_answered_at) > MAX_STORE_AGE {
-            return false;
+            return None;
         }
         let Some(lease) = view.leases.get(pool) else {
-            return now.since(view.leases_current_at) < Millis(2 * LEASE_TRUST_TIME.0);
+            let is_current = now.since(view.leases_current_at) < Millis(2 * LEASE_TRUST_TIME.0);
+            return is_current.then_some(Vacancy::NoLease);
         };
         let Some(owner) = &lease.record.owner else {
-            return true;
+            return Some(Vacancy::Released);
         };
         if *owner == node.settings.node {
-            return true;
+            return Some(Vacancy::Own);
         }
         let status = view.peers.get(owner);
         let last = status.map_or(Tick(0), |status| status.at).max(lease.since).max(self.started);
         let last = last.max(self.last_delayed).max(self.watching_since);
         if now.since(last) > OWNER_TIMEOUT {
-            return true;
+            return Some(Vacancy::Silent);
         }
-        let Some(status) = status.filter(|status| status.at > lease.since) else {
-            return false;
-        };
+        let status = status.filter(|status| status.at > lease.since)?;
         let absent = status.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
-        let not_claimed = absent && now.since(lease.since) > OWNER_TIMEOUT;
+        if absent && now.since(lease.since) > OWNER_TIMEOUT {
+            return Some(Vacancy::NotClaimed);
+        }
         let reachability =
             StoreReachability { age: Millis(status.pong.store_age), failing: status.pong.failing };
         let cut_off = reachability.is_cut_off(now.since(view.store_stable_since));
-        not_claimed || cut_off
+        cut_off.then_some(Vacancy::CutOff)
     }
 
     /// Returns how long this process lets better candidates take a pool first.
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -34,6 +34,8 @@
     pub pools_taken: Counter,
     /// Transactions that the store refused as invalid, such as a row that is too long.
     pub store_refusals: Counter,
+    /// Number of times that this process was late itself.
+    pub delays: Counter,
 }
 
 impl Metrics {
@@ -45,6 +47,7 @@
             latency: latency_histograms(),
             pools_taken: Counter::default(),
             store_refusals: Counter::default(),
+            delays: Counter::default(),
         };
         registry.register(
             "reachhead_worker_orders",
@@ -67,6 +70,11 @@
             "Transactions that the store refused for what they are",
             metrics.store_refusals.clone(),
         );
+        registry.register(
+            "reachhead_process_delays",
+            "How often this process checked the pools long after it was due",
+            metrics.delays.clone(),
+        );
         metrics
     }
 
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -19,8 +19,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    admission::AdmissionControl, clock::Clock, lock::locked, metrics::Metrics, owner::OwnerHandle,
-    peer::PeerClient, registry::Registry, relay::Relay, submit::Submitter, view::View,
+    admission::AdmissionControl, clock::Clock, election::Vacancy, lock::locked, metrics::Metrics,
+    owner::OwnerHandle, peer::PeerClient, registry::Registry, relay::Relay, submit::Submitter,
+    view::View,
 };
 
 /// Silence of the store after which it is logged as lost: longer than one failed call, and longer
@@ -151,8 +152,9 @@
         self.owned().get(pool).cloned()
     }
 
-    /// Logs that a pool seems to have no live owner, with the evidence.
-    pub fn log_vacant_pool(&self, pool: &PoolName, now: Tick) {
+    /// Logs that a pool seems to have no live owner, with the evidence. `delay` is the time since
+    /// this process was last late itself.
+    pub fn log_vacant_pool(&self, pool: &PoolName, now: Tick, why: Vacancy, delay: Millis) {
         let view = self.view();
         let Some(lease) = view.leases.get(pool) else {
             return;
@@ -161,13 +163,17 @@
             return;
         };
         let status = view.peers.get(owner);
-        let silent = status.map(|status| now.since(status.at));
         emit(
             Event::OwnerSilent,
             format_args!(
-                "pool={pool} owner={owner} token={} silent={silent:?} store_age={:?}",
+                "pool={pool} owner={owner} token={} why={why:?} silent={:?} store_age={:?} \
+                 claim={:?} token_age={}ms own_store_age={}ms own_delay_age={delay}ms",
                 lease.revision,
-                status.map(|status| status.pong.store_age)
+                status.map(|status| now.since(status.at)),
+                status.map(|status| status.pong.store_age),
+                status.and_then(|status| status.pong.owned.get(pool)).map(|token| token.0),
+                now.since(lease.since),
+                now.since(view.store_answered_at)
             ),
         );
     }
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -125,7 +125,7 @@
     QuotaReached 709 Info;
     /// The store did not accept a write to a pool's rows.
     RecordFailed 710 Warn;
-    /// A pool's owner does not answer its peers.
+    /// A pool's owner does not answer its peers, does not claim the pool or is cut off from the store: why, and the evidence.
     OwnerSilent 711 Warn;
     /// A table of the platform was read in full, and its change feed is followed from there.
     TableRead 712 Info;
@@ -149,6 +149,8 @@
     ZoneDrained 724 Info;
     /// Log lines were dropped because there were too many.
     LinesDropped 730 Warn;
+    /// This process was late itself: its check of the pools ran long after it was due.
+    ProcessDelayed 731 Info;
 }
 
 /// Logs `event` with `details`.
