A process that is late now and then still finds a dead owner

What callers saw: every cancellation of a pool's jobs was refused with job-unreachable after its whole time, with no end: "E701 CallRefused: call=cancel kind=job-unreachable after=2767ms attempts=15 owner_answer="node-5 did not answer: nothing listens on the port" store_age=365ms store_failing=false owner_heard=Some(2962)". Nothing of the pool ran, and no other process took it over.

Cause: a process that was late by 250 ms started counting the silence of all owners anew, since an overloaded process must not take the pools of healthy ones. A process that is late once within 1.1 s so never found any owner silent, and if all members are, the veto has no bound.

Fix: only the delayed stretch itself is no evidence, and each delay counts like one regular check, so that the time until a dead owner is found is bounded by what the process itself ran. In turn, time alone is no proof: at least two heartbeats sent after the owner was last known to be alive must have been missed, where an answer that arrived in time and was read late is no miss (HttpClient extends the time by its own lateness). So a late process judges a healthy owner more strictly than before. The decision is a plain function over explicit times, reachhead_jobs::silence, with properties: an owner that answers is never found silent however late the process is, and one that never answers is found after bounded running time.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod registry;
 pub mod relay;
 pub mod shard;
+pub mod silence;
 pub mod task;
 pub mod wave;
 pub mod worker;
--- /dev/null
+++ b/reachhead_jobs/tests/silence.rs
@@ -0,0 +1,224 @@
+//! Tests of the detection of silent owners by processes that are late themselves.
+
+use reachhead_jobs::{
+    clock::Tick,
+    silence::{MissedHeartbeats, OWNER_TIMEOUT, RunningTime, is_silent},
+};
+use reachhead_property::properties;
+use reachhead_types::size::Millis;
+
+const START: Tick = Tick(1_000_000);
+
+/// Interval between two checks of a process that is not late.
+const CHECK_PERIOD: u64 = 50;
+
+const HEARTBEAT_PERIOD: Millis = Millis(250);
+
+const HEARTBEAT_TIMEOUT: Millis = Millis(400);
+
+/// Running time after which an owner that never answers is found silent: the timeout, and what the
+/// process takes to send two heartbeats and wait for their answers.
+const DETECTION_LIMIT: Millis = Millis(2000);
+
+/// A heartbeat that the process waits for.
+struct Heartbeat {
+    sent: Tick,
+    /// When the answer arrives.
+    arrival: Option<Tick>,
+}
+
+/// A process that watches one owner, and does all that is due at each step.
+struct Judge {
+    running: RunningTime,
+    missed: MissedHeartbeats,
+    heard: Tick,
+    next_heartbeat: Tick,
+    pending: Vec<Heartbeat>,
+    now: Tick,
+}
+
+impl Judge {
+    fn new() -> Self {
+        Self {
+            running: RunningTime::new(START),
+            missed: MissedHeartbeats::default(),
+            heard: START,
+            next_heartbeat: START + HEARTBEAT_PERIOD,
+            pending: Vec::new(),
+            now: START,
+        }
+    }
+
+    /// Runs again after `gap`; the owner answers a heartbeat of this step after `latency`, if at
+    /// all. Returns whether the owner was silent at a check, which may come before the answers that
+    /// have arrived are read.
+    fn step(&mut self, gap: Millis, latency: Option<Millis>) -> bool {
+        self.check(gap) || {
+            self.read();
+            self.send(latency);
+            self.finds_silence()
+        }
+    }
+
+    fn check(&mut self, gap: Millis) -> bool {
+        self.now = self.now + gap;
+        self.running.check(self.now);
+        self.finds_silence()
+    }
+
+    /// Reads the answers that have arrived.
+    fn read(&mut self) {
+        for heartbeat in std::mem::take(&mut self.pending) {
+            if heartbeat.arrival.is_some_and(|arrival| arrival <= self.now) {
+                self.heard = self.now;
+            } else if self.now.since(heartbeat.sent) >= HEARTBEAT_TIMEOUT {
+                self.missed.record(heartbeat.sent);
+            } else {
+                self.pending.push(heartbeat);
+            }
+        }
+    }
+
+    /// Sends a heartbeat if it is due.
+    fn send(&mut self, latency: Option<Millis>) {
+        if self.now >= self.next_heartbeat {
+            self.next_heartbeat = self.now + HEARTBEAT_PERIOD;
+            let arrival = latency.map(|latency| self.now + latency);
+            self.pending.push(Heartbeat { sent: self.now, arrival });
+        }
+    }
+
+    fn finds_silence(&self) -> bool {
+        is_silent(&self.running, Some(self.missed), self.heard, self.now)
+    }
+}
+
+/// Returns a gap between two checks: mostly regular, and up to three seconds.
+fn gap_of(step: u16) -> Millis {
+    let delay = if step % 4 == 0 { u64::from(step) % 3000 } else { 0 };
+    Millis(CHECK_PERIOD + delay)
+}
+
+#[test]
+fn a_delay_is_no_evidence_but_the_time_before_it_is() {
+    let mut running = RunningTime::new(START);
+    let mut now = START;
+    for gap in [50, 50, 5000, 50] {
+        now = now + Millis(gap);
+        running.check(now);
+    }
+    assert_eq!(running.between(START, now), Millis(200));
+    assert_eq!(running.between(START + Millis(50), now), Millis(150));
+    assert_eq!(running.between(now, now), Millis(0));
+}
+
+#[test]
+fn a_slow_check_counts_in_full() {
+    let mut running = RunningTime::new(START);
+    assert_eq!(running.check(START + Millis(200)), None);
+    assert_eq!(running.check(START + Millis(500)), Some(Millis(300)));
+    assert_eq!(running.between(START, START + Millis(500)), Millis(250));
+}
+
+#[test]
+fn an_owner_is_alive_until_two_heartbeats_are_missed() {
+    let running = RunningTime::new(START);
+    let now = START + OWNER_TIMEOUT + Millis(1);
+    let mut missed = MissedHeartbeats::default();
+    for sent in [START, START + Millis(250)] {
+        missed.record(sent);
+        assert!(!is_silent(&running, Some(missed), START, now));
+    }
+    missed.record(START + Millis(500));
+    assert!(is_silent(&running, Some(missed), START, now));
+    assert!(!is_silent(&running, Some(missed), START, START + OWNER_TIMEOUT));
+    assert!(!is_silent(&running, Some(missed), START + Millis(400), now + Millis(400)));
+}
+
+#[test]
+fn heartbeats_that_time_out_in_another_order_count_alike() {
+    let mut missed = MissedHeartbeats::default();
+    missed.record(START + Millis(500));
+    missed.record(START + Millis(250));
+    let now = START + OWNER_TIMEOUT + Millis(1);
+    assert!(is_silent(&RunningTime::new(START), Some(missed), START, now));
+}
+
+#[test]
+fn an_owner_without_a_known_address_is_judged_by_time() {
+    let running = RunningTime::new(START);
+    assert!(!is_silent(&running, None, START, START + OWNER_TIMEOUT));
+    assert!(is_silent(&running, None, START, START + OWNER_TIMEOUT + Millis(1)));
+}
+
+#[test]
+fn a_silent_owner_is_found_by_a_process_that_is_late_once_a_second() {
+    let mut judge = Judge::new();
+    let mut steps = (1..=15).map(|number| if number == 15 { 300 } else { CHECK_PERIOD }).cycle();
+    while !judge.step(Millis(steps.next().unwrap_or_default()), None) {
+        assert!(judge.now.since(START) < Millis(3000), "the owner is never found silent");
+    }
+}
+
+#[test]
+fn a_silent_owner_is_found_by_a_process_that_is_late_at_every_check() {
+    let mut judge = Judge::new();
+    let checks = (1..100).find(|_| judge.step(Millis(400), None));
+    assert!(checks.is_some_and(|checks| checks <= 30), "{checks:?}");
+}
+
+properties! {
+    fn an_owner_that_answers_is_never_silent_however_late_the_process_is(
+        steps: Vec<(u16, u16)>
+    ) -> bool {
+        let mut judge = Judge::new();
+        !steps.into_iter().any(|(step, latency)| {
+            let latency = Millis(u64::from(latency) % HEARTBEAT_TIMEOUT.0);
+            judge.step(gap_of(step), Some(latency))
+        })
+    }
+
+    fn an_owner_that_answers_is_never_silent_though_only_checks_are_in_time(
+        phases: Vec<(u16, u8, bool, bool)>
+    ) -> bool {
+        let mut judge = Judge::new();
+        !phases.into_iter().any(|(step, checks, reads, sends)| {
+            (0..checks % 64).any(|_| {
+                let is_silent = judge.check(gap_of(step));
+                if reads {
+                    judge.read();
+                }
+                if sends {
+                    judge.send(Some(Millis(1)));
+                }
+                is_silent
+            })
+        })
+    }
+
+    fn an_owner_that_loses_single_heartbeats_is_never_silent(steps: Vec<(u16, bool)>) -> bool {
+        let mut judge = Judge::new();
+        let mut answers = true;
+        !steps.into_iter().any(|(step, lost)| {
+            // Each heartbeat after a lost one is answered.
+            let sent = judge.now + gap_of(step) >= judge.next_heartbeat;
+            if sent {
+                answers = !(answers && lost);
+            }
+            judge.step(gap_of(step), answers.then_some(Millis(1)))
+        })
+    }
+
+    fn an_owner_that_never_answers_is_silent_after_bounded_running_time(steps: Vec<u16>) -> bool {
+        let mut judge = Judge::new();
+        let mut ran = Millis(0);
+        for step in steps.into_iter().cycle().take(1000) {
+            let gap = gap_of(step);
+            ran = Millis(ran.0 + if gap < Millis(250) { gap.0 } else { CHECK_PERIOD });
+            if judge.step(gap, None) {
+                break;
+            }
+        }
+        ran <= DETECTION_LIMIT
+    }
+}
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -9,6 +9,7 @@
     liveness::StoreReachability,
     model::PoolPolicy,
     pool::{Pool, PoolTimeouts, RecoveredState},
+    silence::{OWNER_TIMEOUT, RunningTime, is_silent},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
@@ -28,17 +29,10 @@
 /// Interval between two checks of the leases.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Silence of an owner after which its pools are taken over: longer than a usual pause of a slow or
-/// frozen process, and short enough that workers' leases outlast the ownership change.
-const OWNER_TIMEOUT: Millis = Millis(1100);
-
 /// Maximum age of the store's last answer to this process for it to take a pool: longer than the
 /// polls of a followed table, which are the only calls of an idle process.
 const MAX_STORE_AGE: Millis = Millis(1600);
 
-/// Gap between two checks from which this process counts as delayed itself.
-const DELAYED_CHECK_GAP: Millis = Millis(250);
-
 /// Minimum time between two log lines about delays of this process.
 const DELAY_LOG_PERIOD: Millis = Millis(1000);
 
@@ -74,8 +68,7 @@
         vacant_since: BTreeMap::new(),
         takeovers: BTreeMap::new(),
         logged: BTreeMap::new(),
-        last: node.now(),
-        last_delayed: Tick(0),
+        running: RunningTime::new(node.now()),
         delay_logged: Tick(0),
         node,
     };
@@ -100,11 +93,8 @@
     /// The lease of each pool whose owner was last logged as lost, so that each loss is logged
     /// once.
     logged: BTreeMap<PoolName, Revision>,
-    /// When this process last checked the leases.
-    last: Tick,
-    /// When this process was last delayed itself. Silence of others around that time is no
-    /// evidence: an overloaded process would otherwise take the pools of healthy ones.
-    last_delayed: Tick,
+    /// The time in which this process was not delayed itself.
+    running: RunningTime,
     /// When a delay of this process was last logged.
     delay_logged: Tick,
 }
@@ -129,9 +119,7 @@
 impl Election {
     fn check_pools(&mut self) {
         let now = self.node.now();
-        let gap = now.since(std::mem::replace(&mut self.last, now));
-        if gap >= DELAYED_CHECK_GAP {
-            self.last_delayed = now;
+        if let Some(gap) = self.running.check(now) {
             self.log_delay(gap, now);
         }
         if !self.node.view().is_watching_owners(&self.node.settings.node, now) {
@@ -197,7 +185,8 @@
         if let Some(revision) = revision
             && self.logged.insert(pool.clone(), revision) != Some(revision)
         {
-            self.node.log_vacant_pool(pool, now, why, now.since(self.last_delayed));
+            let delay = self.running.last_delay().map(|at| now.since(at));
+            self.node.log_vacant_pool(pool, now, why, delay);
         }
     }
 
@@ -223,8 +212,10 @@
         }
         let status = view.peers.get(owner);
         let last = status.map_or(Tick(0), |status| status.at).max(lease.since).max(self.started);
-        let last = last.max(self.last_delayed).max(self.watching_since);
-        if now.since(last) > OWNER_TIMEOUT {
+        let last = last.max(self.watching_since);
+        let is_asked = view.owner(pool).is_some_and(|(asked, _)| asked == *owner);
+        let missed = is_asked.then(|| view.missed.get(owner).copied().unwrap_or_default());
+        if is_silent(&self.running, missed, last, now) {
             return Some(Vacancy::Silent);
         }
         let status = status.filter(|status| status.at > lease.since)?;
--- a/reachhead_node/src/failure_detector.rs
+++ b/reachhead_node/src/failure_detector.rs
@@ -55,21 +55,33 @@
         let now = node.now();
         for (peer, address) in ping_targets(&node, &mut next_member_ping, now) {
             let node = Arc::clone(&node);
-            tokio::spawn(async move { ping(&node, peer, address, HEARTBEAT_TIMEOUT).await });
+            tokio::spawn(async move { send_heartbeat(&node, peer, address).await });
         }
-        node.view().peers.retain(|_, status| now.since(status.at) < STATUS_RETENTION);
+        let mut view = node.view();
+        view.peers.retain(|_, status| now.since(status.at) < STATUS_RETENTION);
+        view.missed.retain(|_, missed| now.since(missed.last_sent()) < STATUS_RETENTION);
     }
 }
 
-/// Pings a peer and stores the status that it reports.
-async fn ping(node: &Node, peer: NodeName, address: SocketAddr, deadline: Duration) {
-    if let Ok(PeerReply::Pong(pong)) = node.peers.call(address, &PeerRequest::Ping, deadline).await
-    {
-        let status = PeerStatus { at: node.now(), address, pong };
-        node.view().peers.insert(peer, status);
+/// Sends a heartbeat to a peer, and records whether it is answered.
+async fn send_heartbeat(node: &Node, peer: NodeName, address: SocketAddr) {
+    let sent = node.now();
+    if !ping(node, &peer, address, HEARTBEAT_TIMEOUT).await {
+        node.view().missed.entry(peer).or_default().record(sent);
     }
 }
 
+/// Pings a peer and stores the status that it reports; returns whether it answered.
+async fn ping(node: &Node, peer: &NodeName, address: SocketAddr, deadline: Duration) -> bool {
+    let reply = node.peers.call(address, &PeerRequest::Ping, deadline).await;
+    let Ok(PeerReply::Pong(pong)) = reply else {
+        return false;
+    };
+    let status = PeerStatus { at: node.now(), address, pong };
+    node.view().peers.insert(peer.clone(), status);
+    true
+}
+
 /// Returns the peers to ping in this round.
 fn ping_targets(
     node: &Node,
@@ -137,6 +149,6 @@
         view.owner(pool)
     };
     if let Some((owner, address)) = owner.filter(|(owner, _)| *owner != node.settings.node) {
-        ping(node, owner, address, OWNER_PING_TIMEOUT).await;
+        ping(node, &owner, address, OWNER_PING_TIMEOUT).await;
     }
 }
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -154,7 +154,7 @@
 
     /// Logs that a pool seems to have no live owner, with the evidence. `delay` is the time since
     /// this process was last late itself.
-    pub fn log_vacant_pool(&self, pool: &PoolName, now: Tick, why: Vacancy, delay: Millis) {
+    pub fn log_vacant_pool(&self, pool: &PoolName, now: Tick, why: Vacancy, delay: Option<Millis>) {
         let view = self.view();
         let Some(lease) = view.leases.get(pool) else {
             return;
@@ -167,7 +167,7 @@
             Event::OwnerSilent,
             format_args!(
                 "pool={pool} owner={owner} token={} why={why:?} silent={:?} store_age={:?} \
-                 claim={:?} token_age={}ms own_store_age={}ms own_delay_age={delay}ms",
+                 claim={:?} token_age={}ms own_store_age={}ms own_delay_age={delay:?}",
                 lease.revision,
                 status.map(|status| now.since(status.at)),
                 status.map(|status| status.pong.store_age),
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -13,6 +13,7 @@
     model::Configuration,
     ports::WorkerInfo,
     record::{LeaseRecord, MemberRecord},
+    silence::MissedHeartbeats,
     wave::WaveOrder,
 };
 use reachhead_types::{
@@ -89,6 +90,8 @@
     pub drained: BTreeSet<ZoneName>,
     /// The last status of each peer.
     pub peers: BTreeMap<NodeName, PeerStatus>,
+    /// The heartbeats that each peer did not answer.
+    pub missed: BTreeMap<NodeName, MissedHeartbeats>,
     /// When the store last answered this process.
     pub store_answered_at: Tick,
     /// Since when the store has answered without a gap.
