An owner without the store is replaced although its peers lose the store now and then

What callers saw: a process that can't reach the store keeps its pool, stores nothing and accepts no jobs, and no peer replaces it.

Cause: a process takes over the pools of such an owner after it has reached the store itself for two seconds without a gap, and each gap of 1.7 s started that time anew. A store that is away from all for a moment every few seconds so protects an owner that is cut off for good: the same class of fault as the silence that each delay discarded.

Evidence: a system test. The owner's link to the store is closed for good, those of the three others are closed for 1.8 s and open for 2 s in turns.

Fix: what counts against an owner is also the time in which this process reached the store since the owner last did, in all stretches together. Right after an outage for all that is no more than before, so the first process to be back still takes nothing (store_outage_for_all_processes_changes_no_owner). The decision is a plain function over explicit times in reachhead_jobs::liveness.

--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -197,7 +197,7 @@
             return None;
         }
         let view = node.view();
-        if now.since(view.store_answered_at) > MAX_STORE_AGE {
+        if now.since(view.store_answers.last()) > MAX_STORE_AGE {
             return None;
         }
         let Some(lease) = view.leases.get(pool) else {
@@ -225,7 +225,8 @@
         }
         let reachability =
             StoreReachability { age: Millis(status.pong.store_age), failing: status.pong.failing };
-        let cut_off = reachability.is_cut_off(now.since(view.store_stable_since));
+        let own = view.store_answers.reachability(status.at - reachability.age, now);
+        let cut_off = reachability.is_cut_off(own);
         cut_off.then_some(Vacancy::CutOff)
     }
 
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -206,7 +206,7 @@
         format!(
             "store_age={}ms store_failing={} owner={} owner_heard={:?} owner_claim={:?} \
              owner_store_age={:?} token={:?} token_age={:?} leases_age={}ms",
-            now.since(view.store_answered_at),
+            now.since(view.store_answers.last()),
             view.store_failing,
             owner.as_ref().map_or("-", |owner| owner.as_str()),
             status.map(|status| now.since(status.at).0),
@@ -314,7 +314,7 @@
 
     fn is_ready(&self) -> bool {
         let view = self.0.view();
-        let store_reachable = self.0.now().since(view.store_answered_at) <= MAX_STORE_AGE;
+        let store_reachable = self.0.now().since(view.store_answers.last()) <= MAX_STORE_AGE;
         // Without a member it could serve no caller once the store rejects it.
         let has_members = !view.members.is_empty();
         view.config.is_some() && store_reachable && has_members && !self.0.is_stopping()
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -7,6 +7,7 @@
 
 use reachhead_jobs::{
     clock::Tick,
+    liveness::MIN_OUTAGE,
     ports::{Advisor, HostApi, RowFormat, TableFeed, WorkerAgent},
 };
 use reachhead_ops::event::{Event, emit};
@@ -24,10 +25,6 @@
     view::View,
 };
 
-/// Silence of the store after which it is logged as lost: longer than one failed call, and longer
-/// than the interval between the polls of a process without pools.
-const STORE_LOST_AGE: Millis = Millis(1700);
-
 /// Silence of the store, with a failed call, from which it counts as unavailable, so that callers
 /// are refused at once instead of being held. A single failed call after a poll's pause is no
 /// outage yet.
@@ -173,7 +170,7 @@
                 status.map(|status| status.pong.store_age),
                 status.and_then(|status| status.pong.owned.get(pool)).map(|token| token.0),
                 now.since(lease.since),
-                now.since(view.store_answered_at)
+                now.since(view.store_answers.last())
             ),
         );
     }
@@ -197,7 +194,7 @@
     /// failed, and the last answer is older than an idle process's polls explain.
     pub fn store_outage(&self) -> Option<Millis> {
         let view = self.view();
-        let age = self.now().since(view.store_answered_at);
+        let age = self.now().since(view.store_answers.last());
         (view.store_failing && age >= STORE_OUTAGE_AGE).then_some(age)
     }
 
@@ -206,21 +203,18 @@
     pub fn record_store_result<T>(&self, result: &Result<T, StoreError>) {
         let now = self.now();
         let mut view = self.view();
-        let age = now.since(view.store_answered_at);
+        let age = now.since(view.store_answers.last());
         match result {
             Ok(_) | Err(StoreError::Refused(_)) => {
-                view.store_answered_at = now;
+                view.store_answers.record(now);
                 view.store_failing = false;
-                if age >= STORE_LOST_AGE {
-                    view.store_stable_since = now;
-                }
                 if std::mem::take(&mut view.store_loss_logged) {
                     emit(Event::StoreBack, format_args!("age={age}ms"));
                 }
             }
             Err(error) => {
                 view.store_failing = true;
-                if !view.store_loss_logged && age >= STORE_LOST_AGE {
+                if !view.store_loss_logged && age >= MIN_OUTAGE {
                     view.store_loss_logged = true;
                     emit(Event::StoreLost, format_args!("age={age}ms error=\"{error}\""));
                 }
--- a/reachhead_node/src/observe.rs
+++ b/reachhead_node/src/observe.rs
@@ -51,7 +51,7 @@
             "configuration": view.config.as_ref().map(|config| config.version),
             "configuration_age_ms": now.since(view.config_current_at),
             "leases_age_ms": now.since(view.leases_current_at),
-            "store_age_ms": now.since(view.store_answered_at),
+            "store_age_ms": now.since(view.store_answers.last()),
             "owned": owned,
             "leases": leases,
             "members": view.members.len(),
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -246,7 +246,7 @@
         }
         let now = self.0.now();
         let view = self.0.view();
-        let store_age = now.since(view.store_answered_at).0;
+        let store_age = now.since(view.store_answers.last()).0;
         PeerReply::Pong(Pong {
             owned,
             store_age,
--- a/reachhead_node/src/submit/forwarding.rs
+++ b/reachhead_node/src/submit/forwarding.rs
@@ -130,7 +130,7 @@
     // elsewhere would not help it.
     let failed_fast = begun.elapsed() < FORWARD_TIMEOUT;
     // The owner may be partitioned from the store while this process reaches it.
-    let reaches_store = node.now().since(node.view().store_answered_at) <= MAX_OWN_STORE_AGE;
+    let reaches_store = node.now().since(node.view().store_answers.last()) <= MAX_OWN_STORE_AGE;
     let mut undecided = Vec::new();
     for (submission, outcome) in batch.into_iter().zip(outcomes) {
         let in_time = submission.until > Instant::now();
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -10,6 +10,7 @@
 use reachhead_jobs::{
     candidate::Candidate,
     clock::Tick,
+    liveness::StoreAnswers,
     model::Configuration,
     ports::WorkerInfo,
     record::{LeaseRecord, MemberRecord},
@@ -92,10 +93,8 @@
     pub peers: BTreeMap<NodeName, PeerStatus>,
     /// The heartbeats that each peer did not answer.
     pub missed: BTreeMap<NodeName, MissedHeartbeats>,
-    /// When the store last answered this process.
-    pub store_answered_at: Tick,
-    /// Since when the store has answered without a gap.
-    pub store_stable_since: Tick,
+    /// When the store answered this process.
+    pub store_answers: StoreAnswers,
     /// The last call to the store failed.
     pub store_failing: bool,
     /// The loss of the store has been logged.
