A dead entry host leaves the list although the store fails now and then

What callers saw: none did yet; found by reading for the same class of fault. A host whose heartbeat has stopped stays on the membership list, and its pools keep their owner, for as long as each other host loses one call to the store now and then.

Cause: after each failed call that was followed by an answer, all heartbeat timeouts began anew, although a dead host is as dead after it.

Evidence: a_dead_member_is_removed_although_the_store_fails_now_and_then failed before: not removed within 5 s with one failed call in 0.2 s, removed without failures. It passes now.

Fix: after an outage a row gets its full timeout again once, as before, since hosts notice at different times that the store is back. Until its counter changes, further outages only extend the timeout by their own length. So a dead host is removed after at most twice the timeout, outages not counted, and a healthy one, which makes progress between outages, is treated as before.

--- a/reachhead_control/src/member_table.rs
+++ b/reachhead_control/src/member_table.rs
@@ -26,12 +26,16 @@
     counter: u64,
     /// When this host last saw the counter change, or the store come back.
     last_progress: BootInstant,
+    /// The store came back since the counter changed.
+    had_outage: bool,
 }
 
 /// Members and their heartbeat progress, timed by this host's clock.
 ///
 /// A store outage doesn't count against any member: after it every row gets its full timeout again,
-/// since hosts notice at different times that the store is back.
+/// since hosts notice at different times that the store is back. A row without progress gets it
+/// once, and after further outages only their own time: the rows of dead hosts would otherwise stay
+/// for as long as the store fails now and then.
 #[derive(Debug, Clone, Default)]
 pub struct MemberTable {
     members: Vec<Member>,
@@ -45,10 +49,13 @@
         Self { members: Vec::new(), revision: Revision(0), heartbeats: BTreeMap::new() }
     }
 
-    /// Restarts all heartbeat timeouts at `now`, after a store outage.
-    pub fn reset_timeouts(&mut self, now: BootInstant) {
+    /// Extends all heartbeat timeouts after a store outage.
+    pub fn excuse_outage(&mut self, start: BootInstant, end: BootInstant) {
+        let outage = end.duration_since(start);
         for record in self.heartbeats.values_mut() {
-            record.last_progress = now;
+            let is_first = !std::mem::replace(&mut record.had_outage, true);
+            record.last_progress =
+                if is_first { end } else { end.min(record.last_progress + outage) };
         }
     }
 
@@ -63,13 +70,13 @@
         let mut heartbeats = BTreeMap::new();
         for member in &rows {
             let id = member.id();
-            let last_progress = match self.heartbeats.get(&member.host) {
-                Some(record) if record.id == id && record.counter == member.counter => {
-                    record.last_progress
+            let record = match self.heartbeats.remove(&member.host) {
+                Some(record) if record.id == id && record.counter == member.counter => record,
+                _ => {
+                    let counter = member.counter;
+                    HeartbeatRecord { id, counter, last_progress: now, had_outage: false }
                 }
-                _ => now,
             };
-            let record = HeartbeatRecord { id, counter: member.counter, last_progress };
             heartbeats.insert(member.host.clone(), record);
         }
         self.heartbeats = heartbeats;
--- a/reachhead_control/src/timeouts.rs
+++ b/reachhead_control/src/timeouts.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Returns the longest duration of a call to the store.
+    pub fn store_deadline(&self) -> Duration {
+        self.store_deadline
+    }
+
     /// Returns the period of membership reads by each of `hosts` hosts.
     pub fn member_period(&self, hosts: usize) -> Duration {
         self.period_per_host * hosts.max(1) as u32
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -55,6 +55,8 @@
     /// Latest instant at which the membership list is known to have been current.
     list_confirmed_at: Option<BootInstant>,
     store_lost: bool,
+    /// Start of the current or last store outage.
+    outage_start: BootInstant,
     /// The configuration version last sent by gossip.
     gossiped_version: Version,
     /// Pools owned by this host.
@@ -99,6 +101,7 @@
             last_store_contact: None,
             list_confirmed_at: None,
             store_lost: false,
+            outage_start: BootInstant::now(),
             gossiped_version: Version(0),
             pools: Vec::new(),
         };
@@ -155,15 +158,22 @@
     /// Records whether a call to the store was answered.
     pub fn record_store_result(&self, answered: bool) {
         let mut state = self.state();
+        let now = BootInstant::now();
+        if !answered && !state.store_lost {
+            // The failed call may have begun with the outage, and ended with its deadline.
+            let earliest = now - self.timeouts.store_deadline();
+            state.outage_start = state.last_store_contact.map_or(earliest, |at| at.max(earliest));
+        }
         if answered {
-            state.last_store_contact = Some(BootInstant::now());
+            state.last_store_contact = Some(now);
         }
         if state.store_lost == answered {
             state.store_lost = !answered;
             let event = if answered { Event::StoreBack } else { Event::StoreLost };
             emit(event, "the platform's table service");
             if answered {
-                state.members.reset_timeouts(BootInstant::now());
+                let start = state.outage_start;
+                state.members.excuse_outage(start, now);
             }
             // Wakes gossip: peers are queried at once, before this host's list expires.
             self.changed.notify_all();
@@ -377,3 +387,7 @@
         state.members.members().iter().map(|member| member.host.as_str()).collect();
     emit(Event::MembersChanged, names.join(" "));
 }
+
+#[cfg(test)]
+#[path = "view_tests.rs"]
+mod tests;
