A process without links to its peers does not take their pools again and again

What callers saw: none yet; found by a reproduction for an owner that reaches the store and not its peers. All pools change hands about once a second for as long as the links are cut; a new owner that needs longer than that to read a pool's rows never serves it.

Cause: the process takes all owners that it does not hear for dead and takes their pools, since it reaches the store; they take it for dead and take the pools back.

Fix: a lease that another process takes while this one hears nobody shows that others are alive and only the links are cut. Silent owners are then left alone for four times as long as nobody had been heard by then, at most 30 s. Without such a lease, as where all others have died, nothing changes. A process that hears nobody pings a random member, so that an owner of all pools knows whether it is isolated.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod division;
 pub mod expiring_budget;
 pub mod fence;
+pub mod isolation;
 pub mod job;
 pub mod liveness;
 pub mod membership;
--- /dev/null
+++ b/reachhead_jobs/tests/isolation.rs
@@ -0,0 +1,39 @@
+//! Tests of processes without links to their peers.
+
+use reachhead_jobs::{clock::Tick, isolation::is_held, silence::RunningTime};
+use reachhead_property::properties;
+use reachhead_types::size::Millis;
+
+const HEARD: Tick = Tick(1_000_000);
+
+fn held(taken: u64, now: u64) -> bool {
+    is_held(&RunningTime::new(HEARD), HEARD, HEARD + Millis(taken), HEARD + Millis(now))
+}
+
+#[test]
+fn a_process_that_hears_a_peer_is_not_held_back() {
+    assert!(!held(0, 100));
+    assert!(!held(1000, 2000));
+}
+
+#[test]
+fn a_lease_taken_by_another_process_holds_an_isolated_one_back_for_longer_each_time() {
+    assert!(held(1500, 7000));
+    assert!(!held(1500, 7500));
+    assert!(held(7000, 34_000));
+    assert!(!held(7000, 35_000));
+}
+
+#[test]
+fn a_lease_taken_while_this_process_was_paused_does_not_hold_it_back() {
+    let mut running = RunningTime::new(HEARD);
+    let resumed = HEARD + Millis(5000);
+    running.check(resumed);
+    assert!(!is_held(&running, HEARD, resumed, resumed + Millis(100)));
+}
+
+properties! {
+    fn no_process_is_held_back_for_long(taken: u32, later: u16) -> bool {
+        !held(u64::from(taken), u64::from(taken) + 30_000 + u64::from(later))
+    }
+}
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -6,6 +6,7 @@
 use reachhead_jobs::{
     candidate::{self, Candidate},
     clock::{Tick, with_drift},
+    isolation,
     liveness::StoreReachability,
     model::PoolPolicy,
     pool::{Pool, PoolTimeouts, RecoveredState},
@@ -69,6 +70,7 @@
         takeovers: BTreeMap::new(),
         logged: BTreeMap::new(),
         running: RunningTime::new(node.now()),
+        heard: node.now(),
         delay_logged: Tick(0),
         node,
     };
@@ -95,6 +97,8 @@
     logged: BTreeMap<PoolName, Revision>,
     /// The time in which this process was not delayed itself.
     running: RunningTime,
+    /// When a peer last answered.
+    heard: Tick,
     /// When a delay of this process was last logged.
     delay_logged: Tick,
 }
@@ -122,6 +126,7 @@
         if let Some(gap) = self.running.check(now) {
             self.log_delay(gap, now);
         }
+        self.heard = self.heard.max(self.node.view().last_heard());
         if !self.node.view().is_watching_owners(&self.node.settings.node, now) {
             self.watching_since = now;
         }
@@ -216,7 +221,9 @@
         let is_asked = view.owner(pool).is_some_and(|(asked, _)| asked == *owner);
         let missed = is_asked.then(|| view.missed.get(owner).copied().unwrap_or_default());
         if is_silent(&self.running, missed, last, now) {
-            return Some(Vacancy::Silent);
+            let taken = view.last_taken(&node.settings.node);
+            let held = isolation::is_held(&self.running, self.heard, taken, now);
+            return (!held).then_some(Vacancy::Silent);
         }
         let status = status.filter(|status| status.at > lease.since)?;
         let absent = status.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
--- a/reachhead_node/src/failure_detector.rs
+++ b/reachhead_node/src/failure_detector.rs
@@ -105,6 +105,10 @@
     if store_outage {
         targets.extend(random_members(&view, own, MAX_OUTAGE_PINGS));
     }
+    // An owner of all pools has no owner to ping, and still has to know whether it is isolated.
+    if now.since(view.last_heard()) >= MEMBER_PING_PERIOD {
+        targets.extend(random_members(&view, own, 1));
+    }
     targets.remove(own);
     targets
 }
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -125,6 +125,22 @@
         Some((owner, address))
     }
 
+    /// Returns when a peer last answered, if it is known, or zero.
+    pub fn last_heard(&self) -> Tick {
+        self.peers.values().map(|status| status.at).max().unwrap_or_default()
+    }
+
+    /// Returns when another process than `own` was last seen to take a lease that it still holds,
+    /// or zero.
+    pub fn last_taken(&self, own: &NodeName) -> Tick {
+        let is_taken = |lease: &&LeaseView| {
+            let is_other = lease.record.owner.as_ref().is_some_and(|owner| owner != own);
+            is_other && self.leases_first_read_at.is_some_and(|first| lease.since > first)
+        };
+        let taken = self.leases.values().filter(is_taken).map(|lease| lease.since);
+        taken.max().unwrap_or_default()
+    }
+
     /// Returns the address of the peer with the most recent contact with the store, among those
     /// that answered within `max_status_age` and reached the store within `max_store_age`.
     pub fn peer_reaching_store(
