--- a/reachhead_jobs/src/claim.rs
+++ b/reachhead_jobs/src/claim.rs
@@ -7,7 +7,7 @@
 
 use reachhead_types::size::Millis;
 
-use crate::clock::Tick;
+use crate::{clock::Tick, liveness::StoreAnswers};
 
 /// Time without progress after which the first takeover of a pool is given up. Several reads, each
 /// with a longer timeout than the one before, end within it.
@@ -52,22 +52,13 @@
     pub abandoned: u32,
 }
 
-/// The contact of a process with the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StoreContact {
-    /// When the store last answered.
-    pub answered: Tick,
-    /// Since when it has answered without a gap.
-    pub stable_since: Tick,
-}
-
 impl TakeoverProgress {
-    /// Returns whether this takeover should be given up, so that another process can try. An outage
-    /// of the whole store does not count.
-    pub fn is_stuck(&self, contact: StoreContact, now: Tick) -> bool {
-        let idle = now.since(self.progressed.max(contact.stable_since));
-        let age = now.since(self.started.max(contact.stable_since));
-        let reaches_store = now.since(contact.answered) <= MAX_STORE_AGE;
+    /// Returns whether this takeover should be given up, so that another process can try. Outages of
+    /// the whole store do not count.
+    pub fn is_stuck(&self, answers: &StoreAnswers, now: Tick) -> bool {
+        let idle = answers.reached_since(self.progressed);
+        let age = answers.reached_since(self.started);
+        let reaches_store = now.since(answers.last()) <= MAX_STORE_AGE;
         reaches_store && (idle > patience(self.abandoned) || age > age_limit(self.abandoned))
     }
 }
--- a/reachhead_jobs/tests/claim.rs
+++ b/reachhead_jobs/tests/claim.rs
@@ -5,8 +5,9 @@
 use quickcheck::{Arbitrary, Gen};
 use reachhead_jobs::{
     candidate::UNABLE_DELAY,
-    claim::{StoreContact, TakeoverProgress, is_serving, patience, probe_pause},
+    claim::{TakeoverProgress, is_serving, patience, probe_pause},
     clock::Tick,
+    liveness::StoreAnswers,
 };
 use reachhead_property::properties;
 use reachhead_types::size::Millis;
@@ -17,9 +18,21 @@
 /// Delay between consecutive candidates.
 const RANK_DELAY: u64 = 60;
 
-/// Contact of a process that the store answers all the time.
-fn steady(now: Tick) -> StoreContact {
-    StoreContact { answered: now, stable_since: Tick(0) }
+/// Interval between two answers of the store.
+const ANSWER_PERIOD: u64 = 500;
+
+/// Answers of a store that is away in the given stretches of time.
+fn answers(now: Tick, outages: &[(u64, u64)]) -> StoreAnswers {
+    let mut answers = StoreAnswers::default();
+    let times = (0..now.0 / ANSWER_PERIOD).map(|number| number * ANSWER_PERIOD).chain([now.0]);
+    let is_away = |time: &u64| outages.iter().any(|(start, end)| (start..end).contains(&time));
+    times.filter(|time| !is_away(time)).for_each(|time| answers.record(Tick(time)));
+    answers
+}
+
+/// Answers of a store that is there all the time.
+fn steady(now: Tick) -> StoreAnswers {
+    answers(now, &[])
 }
 
 const fn takeover(started: u64, progressed: u64, abandoned: u32) -> TakeoverProgress {
@@ -29,25 +42,33 @@
 #[test]
 fn takeover_without_progress_is_given_up_and_one_with_progress_is_not() {
     let now = Tick(10_000);
-    assert!(takeover(5000, 5000, 0).is_stuck(steady(now), now));
-    assert!(!takeover(5000, 9000, 0).is_stuck(steady(now), now));
-    assert!(!takeover(5000, 5000, 1).is_stuck(steady(now), now), "the second waits longer");
+    assert!(takeover(5000, 5000, 0).is_stuck(&steady(now), now));
+    assert!(!takeover(5000, 9000, 0).is_stuck(&steady(now), now));
+    assert!(!takeover(5000, 5000, 1).is_stuck(&steady(now), now), "the second waits longer");
 }
 
 #[test]
 fn takeover_that_reads_for_very_long_is_given_up() {
     let now = Tick(60_000);
-    assert!(takeover(45_000, 59_900, 0).is_stuck(steady(now), now));
-    assert!(!takeover(45_000, 59_900, 1).is_stuck(steady(now), now), "the second has longer");
+    assert!(takeover(45_000, 59_900, 0).is_stuck(&steady(now), now));
+    assert!(!takeover(45_000, 59_900, 1).is_stuck(&steady(now), now), "the second has longer");
 }
 
 #[test]
 fn outage_of_the_whole_store_changes_no_owner() {
     let now = Tick(20_000);
-    let away = StoreContact { answered: Tick(12_000), stable_since: Tick(0) };
-    assert!(!takeover(10_000, 10_000, 0).is_stuck(away, now), "the store does not answer");
-    let back = StoreContact { answered: now, stable_since: Tick(19_000) };
-    assert!(!takeover(10_000, 10_000, 0).is_stuck(back, now), "it has only just come back");
+    let away = answers(now, &[(12_500, 20_001)]);
+    assert!(!takeover(10_000, 10_000, 0).is_stuck(&away, now), "the store does not answer");
+    let back = answers(now, &[(10_500, 19_000)]);
+    assert!(!takeover(10_000, 10_000, 0).is_stuck(&back, now), "it has only just come back");
+}
+
+#[test]
+fn takeover_without_progress_is_given_up_although_the_store_is_away_now_and_then() {
+    let now = Tick(40_000);
+    let outages: Vec<(u64, u64)> =
+        (0..20).map(|number| (number * 4000 + 500, number * 4000 + 3000)).collect();
+    assert!(takeover(20_000, 20_000, 0).is_stuck(&answers(now, &outages), now));
 }
 
 #[test]
@@ -116,7 +137,7 @@
         now = now + Millis(delay(&taker));
         ownership_changes += 1;
         let progress = takeover(now.0, now.0, abandoned);
-        while !progress.is_stuck(steady(now), now) {
+        while !progress.is_stuck(&steady(now), now) {
             if readers[taker].is_some_and(|from| from <= now.0) {
                 return Outcome { served_at: Some(now.0), ownership_changes };
             }
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -12,8 +12,9 @@
 };
 
 use reachhead_jobs::{
-    claim::{StoreContact, TakeoverProgress, is_serving, probe_pause},
+    claim::{TakeoverProgress, is_serving, probe_pause},
     clock::Tick,
+    liveness::StoreAnswers,
     pool::RecoveredState,
     record::{job_prefix, progress_prefix},
     shard::Shard,
@@ -79,9 +80,9 @@
         }
     }
 
-    fn is_stuck(&self, contact: StoreContact, now: Tick) -> bool {
+    fn is_stuck(&self, answers: &StoreAnswers, now: Tick) -> bool {
         let Self { started, progressed, abandoned, .. } = *self;
-        TakeoverProgress { started, progressed, abandoned }.is_stuck(contact, now)
+        TakeoverProgress { started, progressed, abandoned }.is_stuck(answers, now)
     }
 
     /// Returns the number of shards of a pool.
@@ -197,11 +198,11 @@
 /// rounds wait for the platform, so it is not judged by its event loop.
 pub fn claimed(node: &Node) -> BTreeMap<PoolName, Revision> {
     let now = node.now();
-    let contact = store_contact(node);
+    let answers = node.view().store_answers.clone();
     let running_since = node.ability().running_since;
     let mut claimed = BTreeMap::new();
     for (pool, takeover) in node.loading().iter() {
-        if !takeover.is_stuck(contact, now) {
+        if !takeover.is_stuck(&answers, now) {
             claimed.insert(pool.clone(), takeover.token);
         }
     }
@@ -213,18 +214,13 @@
     claimed
 }
 
-fn store_contact(node: &Node) -> StoreContact {
-    let view = node.view();
-    StoreContact { answered: view.store_answered_at, stable_since: view.store_stable_since }
-}
-
 /// Waits until the takeover of a pool should be given up.
 pub async fn wait_until_stuck(node: &Node, pool: &PoolName) {
     loop {
         time::sleep(CHECK_PERIOD).await;
-        let contact = store_contact(node);
+        let answers = node.view().store_answers.clone();
         let now = node.now();
-        if node.loading().get(pool).is_some_and(|takeover| takeover.is_stuck(contact, now)) {
+        if node.loading().get(pool).is_some_and(|takeover| takeover.is_stuck(&answers, now)) {
             return;
         }
     }
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -6,9 +6,11 @@
 use reachhead_jobs::{
     candidate::{self, Candidate},
     clock::{Tick, with_drift},
+    isolation,
     liveness::StoreReachability,
     model::PoolPolicy,
     pool::{Pool, PoolTimeouts, RecoveredState},
+    silence::{OWNER_TIMEOUT, RunningTime, is_silent},
 };
 use reachhead_ops::{
     event::{Event, emit},
@@ -32,16 +34,12 @@
 /// Interval between two checks of the leases.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Silence of an owner after which its pools are taken over: longer than a usual pause of a slow or
-/// frozen process, and short enough that workers' leases outlast the ownership change.
-const OWNER_TIMEOUT: Millis = Millis(1100);
-
 /// Maximum age of the store's last answer to this process for it to take a pool: longer than the
 /// polls of a followed table, which are the only calls of an idle process.
 const MAX_STORE_AGE: Millis = Millis(1600);
 
-/// Gap between two checks from which this process counts as delayed itself.
-const DELAYED_CHECK_GAP: Millis = Millis(250);
+/// Minimum time between two log lines about delays of this process.
+const DELAY_LOG_PERIOD: Millis = Millis(1000);
 
 /// How long a process waits after its start before it takes pools, so that the processes learn of
 /// each other.
@@ -75,8 +73,9 @@
         vacant_since: BTreeMap::new(),
         takeovers: BTreeMap::new(),
         logged: BTreeMap::new(),
-        last: node.now(),
-        last_delayed: Tick(0),
+        running: RunningTime::new(node.now()),
+        heard: node.now(),
+        delay_logged: Tick(0),
         node,
     };
     loop {
@@ -100,19 +99,38 @@
     /// The lease of each pool whose owner was last logged as lost, so that each loss is logged
     /// once.
     logged: BTreeMap<PoolName, Revision>,
-    /// When this process last checked the leases.
-    last: Tick,
-    /// When this process was last delayed itself. Silence of others around that time is no
-    /// evidence: an overloaded process would otherwise take the pools of healthy ones.
-    last_delayed: Tick,
+    /// The time in which this process was not delayed itself.
+    running: RunningTime,
+    /// When a peer last answered.
+    heard: Tick,
+    /// When a delay of this process was last logged.
+    delay_logged: Tick,
+}
+
+/// Why a pool counts as having no live owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Vacancy {
+    /// The pool has no lease.
+    NoLease,
+    /// The owner gave the lease back.
+    Released,
+    /// The lease names this process, which does not own the pool.
+    Own,
+    /// The owner does not answer.
+    Silent,
+    /// The owner answers and does not claim the pool.
+    NotClaimed,
+    /// The owner answers and can't reach the store.
+    CutOff,
 }
 
 impl Election {
     fn check_pools(&mut self) {
         let now = self.node.now();
-        if now.since(std::mem::replace(&mut self.last, now)) >= DELAYED_CHECK_GAP {
-            self.last_delayed = now;
+        if let Some(gap) = self.running.check(now) {
+            self.log_delay(gap, now);
         }
+        self.heard = self.heard.max(self.node.view().last_heard());
         if !self.node.view().is_watching_owners(&self.node.settings.node, now) {
             self.watching_since = now;
         }
@@ -136,9 +154,9 @@
             if early && !own {
                 continue;
             }
-            if self.is_vacant(&pool, now) {
+            if let Some(why) = self.vacancy(&pool, now) {
                 let since = *self.vacant_since.entry(pool.clone()).or_insert(now);
-                self.log_vacant_once(&pool, now);
+                self.log_vacant_once(&pool, why, now);
                 let retakes = own && !self.node.ability().is_unreadable(&pool);
                 if retakes || now.since(since) >= self.candidate_delay(&pool) {
                     self.vacant_since.remove(&pool);
@@ -162,50 +180,66 @@
         owner == Some(&self.node.settings.node)
     }
 
+    /// Logs a delay of this process.
+    fn log_delay(&mut self, gap: Millis, now: Tick) {
+        self.node.metrics.delays.inc();
+        if now.since(self.delay_logged) >= DELAY_LOG_PERIOD {
+            self.delay_logged = now;
+            emit(Event::ProcessDelayed, format_args!("gap={gap}ms"));
+        }
+    }
+
     /// Logs that a pool's owner seems to be lost, once for each lease.
-    fn log_vacant_once(&mut self, pool: &PoolName, now: Tick) {
+    fn log_vacant_once(&mut self, pool: &PoolName, why: Vacancy, now: Tick) {
         let revision = self.node.view().leases.get(pool).map(|lease| lease.revision);
         if let Some(revision) = revision
             && self.logged.insert(pool.clone(), revision) != Some(revision)
         {
-            self.node.log_vacant_pool(pool, now);
+            let delay = self.running.last_delay().map(|at| now.since(at));
+            self.node.log_vacant_pool(pool, now, why, delay);
         }
     }
 
-    /// Returns whether a pool seems to have no live owner.
-    fn is_vacant(&self, pool: &PoolName, now: Tick) -> bool {
+    /// Returns why a pool seems to have no live owner, if it does.
+    fn vacancy(&self, pool: &PoolName, now: Tick) -> Option<Vacancy> {
         let node = &self.node;
         if node.owned().contains_key(pool) {
-            return false;
+            return None;
         }
         let view = node.view();
-        if now.since(view.store_answered_at) > MAX_STORE_AGE {
-            return false;
+        if now.since(view.store_answers.last()) > MAX_STORE_AGE {
+            return None;
         }
         let Some(lease) = view.leases.get(pool) else {
-            return now.since(view.leases_current_at) < Millis(2 * LEASE_TRUST_TIME.0);
+            let is_current = now.since(view.leases_current_at) < Millis(2 * LEASE_TRUST_TIME.0);
+            return is_current.then_some(Vacancy::NoLease);
         };
         let Some(owner) = &lease.record.owner else {
-            return true;
+            return Some(Vacancy::Released);
         };
         if *owner == node.settings.node {
-            return true;
+            return Some(Vacancy::Own);
         }
         let status = view.peers.get(owner);
         let last = status.map_or(Tick(0), |status| status.at).max(lease.since).max(self.started);
-        let last = last.max(self.last_delayed).max(self.watching_since);
-        if now.since(last) > OWNER_TIMEOUT {
-            return true;
+        let last = last.max(self.watching_since);
+        let is_asked = view.owner(pool).is_some_and(|(asked, _)| asked == *owner);
+        let missed = is_asked.then(|| view.missed.get(owner).copied().unwrap_or_default());
+        if is_silent(&self.running, missed, last, now) {
+            let taken = view.last_taken(&node.settings.node);
+            let held = isolation::is_held(&self.running, self.heard, taken, now);
+            return (!held).then_some(Vacancy::Silent);
         }
-        let Some(status) = status.filter(|status| status.at > lease.since) else {
-            return false;
-        };
+        let status = status.filter(|status| status.at > lease.since)?;
         let absent = status.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
-        let not_claimed = absent && now.since(lease.since) > OWNER_TIMEOUT;
+        if absent && now.since(lease.since) > OWNER_TIMEOUT {
+            return Some(Vacancy::NotClaimed);
+        }
         let reachability =
             StoreReachability { age: Millis(status.pong.store_age), failing: status.pong.failing };
-        let cut_off = reachability.is_cut_off(now.since(view.store_stable_since));
-        not_claimed || cut_off
+        let own = view.store_answers.reachability(status.at - reachability.age, now);
+        let cut_off = reachability.is_cut_off(own);
+        cut_off.then_some(Vacancy::CutOff)
     }
 
     /// Returns how long this process lets better candidates take a pool first.
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -7,6 +7,7 @@
 
 use reachhead_jobs::{
     clock::Tick,
+    liveness::MIN_OUTAGE,
     owner_failures::OwnerFailures,
     ports::{Advisor, HostApi, RowFormat, TableFeed, WorkerAgent},
 };
@@ -23,6 +24,7 @@
     admission::AdmissionControl,
     claim::{Ability, Takeover},
     clock::Clock,
+    election::Vacancy,
     lock::locked,
     metrics::Metrics,
     owner::OwnerHandle,
@@ -33,10 +35,6 @@
     view::View,
 };
 
-/// Silence of the store after which it is logged as lost: longer than one failed call, and longer
-/// than the interval between the polls of a process without pools.
-const STORE_LOST_AGE: Millis = Millis(1700);
-
 /// Silence of the store, with a failed call, from which it counts as unavailable, so that callers
 /// are refused at once instead of being held. A single failed call after a poll's pause is no
 /// outage yet.
@@ -181,8 +179,9 @@
         locked(&self.owner_failures).is_paused(pool, now)
     }
 
-    /// Logs that a pool seems to have no live owner, with the evidence.
-    pub fn log_vacant_pool(&self, pool: &PoolName, now: Tick) {
+    /// Logs that a pool seems to have no live owner, with the evidence. `delay` is the time since
+    /// this process was last late itself.
+    pub fn log_vacant_pool(&self, pool: &PoolName, now: Tick, why: Vacancy, delay: Option<Millis>) {
         let view = self.view();
         let Some(lease) = view.leases.get(pool) else {
             return;
@@ -191,13 +190,17 @@
             return;
         };
         let status = view.peers.get(owner);
-        let silent = status.map(|status| now.since(status.at));
         emit(
             Event::OwnerSilent,
             format_args!(
-                "pool={pool} owner={owner} token={} silent={silent:?} store_age={:?}",
+                "pool={pool} owner={owner} token={} why={why:?} silent={:?} store_age={:?} \
+                 claim={:?} token_age={}ms own_store_age={}ms own_delay_age={delay:?}",
                 lease.revision,
-                status.map(|status| status.pong.store_age)
+                status.map(|status| now.since(status.at)),
+                status.map(|status| status.pong.store_age),
+                status.and_then(|status| status.pong.owned.get(pool)).map(|token| token.0),
+                now.since(lease.since),
+                now.since(view.store_answers.last())
             ),
         );
     }
@@ -221,7 +224,7 @@
     /// failed, and the last answer is older than an idle process's polls explain.
     pub fn store_outage(&self) -> Option<Millis> {
         let view = self.view();
-        let age = self.now().since(view.store_answered_at);
+        let age = self.now().since(view.store_answers.last());
         (view.store_failing && age >= STORE_OUTAGE_AGE).then_some(age)
     }
 
@@ -230,21 +233,18 @@
     pub fn record_store_result<T>(&self, result: &Result<T, StoreError>) {
         let now = self.now();
         let mut view = self.view();
-        let age = now.since(view.store_answered_at);
+        let age = now.since(view.store_answers.last());
         match result {
             Ok(_) | Err(StoreError::Refused(_)) => {
-                view.store_answered_at = now;
+                view.store_answers.record(now);
                 view.store_failing = false;
-                if age >= STORE_LOST_AGE {
-                    view.store_stable_since = now;
-                }
                 if std::mem::take(&mut view.store_loss_logged) {
                     emit(Event::StoreBack, format_args!("age={age}ms"));
                 }
             }
             Err(error) => {
                 view.store_failing = true;
-                if !view.store_loss_logged && age >= STORE_LOST_AGE {
+                if !view.store_loss_logged && age >= MIN_OUTAGE {
                     view.store_loss_logged = true;
                     emit(Event::StoreLost, format_args!("age={age}ms error=\"{error}\""));
                 }
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -10,9 +10,11 @@
 use reachhead_jobs::{
     candidate::Candidate,
     clock::Tick,
+    liveness::StoreAnswers,
     model::Configuration,
     ports::WorkerInfo,
     record::{LeaseRecord, MemberRecord},
+    silence::MissedHeartbeats,
     wave::WaveOrder,
 };
 use reachhead_types::{
@@ -89,10 +91,10 @@
     pub drained: BTreeSet<ZoneName>,
     /// The last status of each peer.
     pub peers: BTreeMap<NodeName, PeerStatus>,
-    /// When the store last answered this process.
-    pub store_answered_at: Tick,
-    /// Since when the store has answered without a gap.
-    pub store_stable_since: Tick,
+    /// The heartbeats that each peer did not answer.
+    pub missed: BTreeMap<NodeName, MissedHeartbeats>,
+    /// When the store answered this process.
+    pub store_answers: StoreAnswers,
     /// The last call to the store failed.
     pub store_failing: bool,
     /// The loss of the store has been logged.
@@ -123,6 +125,22 @@
         Some((owner, address))
     }
 
+    /// Returns when a peer last answered, if it is known, or zero.
+    pub fn last_heard(&self) -> Tick {
+        self.peers.values().map(|status| status.at).max().unwrap_or_default()
+    }
+
+    /// Returns when another process than `own` was last seen to take a lease that it still holds,
+    /// or zero.
+    pub fn last_taken(&self, own: &NodeName) -> Tick {
+        let is_taken = |lease: &&LeaseView| {
+            let is_other = lease.record.owner.as_ref().is_some_and(|owner| owner != own);
+            is_other && self.leases_first_read_at.is_some_and(|first| lease.since > first)
+        };
+        let taken = self.leases.values().filter(is_taken).map(|lease| lease.since);
+        taken.max().unwrap_or_default()
+    }
+
     /// Returns the address of the peer with the most recent contact with the store, among those
     /// that answered within `max_status_age` and reached the store within `max_store_age`.
     pub fn peer_reaching_store(
