A call that a stalled store rejects is no probe of its partition

Callers saw a part of the store stay unavailable for up to two more seconds after it was back. Each call asked the breaker of its partition first, which counts an admitted call as its probe and moves the next one by a pause, and then the breaker of the whole store, which may reject the same call because the store is stalled or its rate is used up. So while the store was stalled the probes of a partition were spent on calls that were never made.

The whole store is asked first now, once it is known that the partition would admit the call, and only a call that is made is a probe. Without the change the test fails with "a probe is due: Err(NotDone("the store is down"))".

--- a/reachhead_store/src/breaker.rs
+++ b/reachhead_store/src/breaker.rs
@@ -141,15 +141,20 @@
         self.is_stalled && !self.in_flight.is_empty()
     }
 
+    /// Returns whether the breaker is closed or its next probe is due.
+    pub fn admits(&self, now: Instant) -> bool {
+        !self.is_down() || now >= self.next_probe
+    }
+
     /// Decides on a call at `now`; only `Proceed` and `Wait` count against the rate limit.
     pub fn admit(&mut self, now: Instant) -> Admission {
         if self.check_stall(now) {
             return Admission::Down;
         }
+        if !self.admits(now) {
+            return Admission::Down;
+        }
         if self.is_down() {
-            if now < self.next_probe {
-                return Admission::Down;
-            }
             // Only this call is the probe; other calls fail until it ends or the pause is over.
             self.next_probe = now + self.probe_pause;
         }
--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -54,10 +54,15 @@
     }
 
     fn admit(&mut self, partition: &str, now: Instant) -> Admission {
-        match self.partition(partition).admit(now) {
-            Admission::Down => Admission::Down,
-            _ => self.whole.admit(now),
+        // A call that the breaker of the whole store rejects is no probe of its partition.
+        if !self.partition(partition).admits(now) {
+            return Admission::Down;
         }
+        let admission = self.whole.admit(now);
+        if matches!(admission, Admission::Proceed | Admission::Wait(_)) {
+            self.partition(partition).admit(now);
+        }
+        admission
     }
 }
 
--- a/reachhead_store/tests/guarded.rs
+++ b/reachhead_store/tests/guarded.rs
@@ -22,11 +22,13 @@
 /// Latency of the store, so that calls made together are in flight together.
 const LATENCY: Duration = Duration::from_millis(4);
 
-/// A store whose partitions with names starting with `away` fail while `down` is set.
+/// A store whose partitions with names starting with `away` fail while `down` is set, and whose partitions with names starting
+/// with `silent` do not answer while `silent` is set.
 #[derive(Default)]
 struct FailingStore {
     inner: MemoryStore,
     down: Arc<AtomicBool>,
+    silent: Arc<AtomicBool>,
     /// Additional latency of scans.
     scan_latency: Duration,
 }
@@ -34,6 +36,9 @@
 impl FailingStore {
     async fn answer(&self, key: &str) -> Result<(), StoreError> {
         time::sleep(LATENCY).await;
+        while self.silent.load(Ordering::Relaxed) && key.contains("/silent") {
+            time::sleep(LATENCY).await;
+        }
         if self.down.load(Ordering::Relaxed) && key.contains("/away") {
             return Err(StoreError::NotDone("reset".to_owned()));
         }
@@ -157,3 +162,27 @@
     }
     assert!(tries <= 4, "{tries} tries");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_a_stalled_store_rejects_is_no_probe_of_its_partition() {
+    let (down, silent) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
+    let failing = FailingStore {
+        down: Arc::clone(&down),
+        silent: Arc::clone(&silent),
+        ..FailingStore::default()
+    };
+    let store = Arc::new(GuardedStore::new(failing, 1000).with_partitions(partition_of));
+    fail_for_a_while(&*store, "away").await;
+    silent.store(true, Ordering::Relaxed);
+    let unanswered = Arc::clone(&store);
+    let key = Key("table/silent/1".to_owned());
+    let unanswered = tokio::spawn(async move { unanswered.read(vec![key]).await });
+    // The store is stalled from the first second on, and the next probe of the partition is due after two.
+    fail_for_a_while(&*store, "away").await;
+    fail_for_a_while(&*store, "away").await;
+    silent.store(false, Ordering::Relaxed);
+    down.store(false, Ordering::Relaxed);
+    assert!(unanswered.await.unwrap().is_ok());
+    let read = store.read(vec![Key("table/away/1".to_owned())]).await;
+    assert!(read.is_ok(), "a probe is due: {read:?}");
+}
