A partition of the store that only times out opens its breaker

Every call to a part of the store that never answered waited for its time-out, 350 ms to 4 s, instead of failing at once, and was sent over the caller's link again and again. The adaptive timeout returned before the partition's breaker heard of the failure, and it is shorter than the deadline of the call itself, so a silent partition counted no failures at all.

A timeout of a read or a transaction is now a failure of its partition. One of a scan is not: it may only have more rows than before, and transactions of its partition need not fail for that. Without the change the test fails with "40 of 40 calls waited for an answer"; if scans count too, the second test fails with "the store is down".

--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -150,11 +150,7 @@
         let call = call(Arc::clone(&self.inner));
         let recorded_call = async move {
             let Ok(result) = time::timeout(call_timeout, call).await else {
-                if let Some(adaptive_timeout) =
-                    lock_breakers(&in_flight.breakers).adaptive_timeout(kind)
-                {
-                    adaptive_timeout.record_timeout();
-                }
+                in_flight.record_timeout();
                 return Err(StoreError::Lost("no answer in the usual time".to_owned()));
             };
             in_flight.record(&result);
@@ -203,6 +199,17 @@
             Err(_) => breaker.record_failure(now, rand::random()),
         }
     }
+
+    fn record_timeout(&self) {
+        let mut breakers = lock_breakers(&self.breakers);
+        if let Some(adaptive_timeout) = breakers.adaptive_timeout(self.kind) {
+            adaptive_timeout.record_timeout();
+        }
+        // A scan that times out may only have more rows than before, and other calls need not fail for that.
+        if self.kind == CallKind::Short {
+            breakers.partition(&self.partition).record_failure(now(), rand::random());
+        }
+    }
 }
 
 impl Drop for CallInFlight {
--- a/reachhead_store/tests/guarded.rs
+++ b/reachhead_store/tests/guarded.rs
@@ -163,6 +163,31 @@
     assert!(tries <= 4, "{tries} tries");
 }
 
+#[tokio::test(start_paused = true)]
+async fn calls_to_a_partition_that_only_times_out_fail_at_once() {
+    let silent = Arc::new(AtomicBool::new(true));
+    let failing = FailingStore { silent: Arc::clone(&silent), ..FailingStore::default() };
+    let store = GuardedStore::new(failing, 1000)
+        .with_partitions(partition_of)
+        .with_adaptive_timeouts()
+        .with_max_probe_pause(Duration::from_millis(400));
+    let mut waited = 0;
+    for _ in 0..40 {
+        let begun = time::Instant::now();
+        assert!(store.read(vec![Key("table/silent/1".to_owned())]).await.is_err());
+        waited += u32::from(begun.elapsed() > LATENCY);
+        assert!(read_keys(&store, "here").await.is_ok(), "an available partition is blocked");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(waited <= 20, "{waited} of 40 calls waited for an answer");
+    silent.store(false, Ordering::Relaxed);
+    let begun = time::Instant::now();
+    while read_keys(&store, "silent").await.is_err() {
+        assert!(begun.elapsed() < Duration::from_millis(700), "{:?}", begun.elapsed());
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_call_that_a_stalled_store_rejects_is_no_probe_of_its_partition() {
     let (down, silent) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
@@ -186,3 +211,18 @@
     let read = store.read(vec![Key("table/away/1".to_owned())]).await;
     assert!(read.is_ok(), "a probe is due: {read:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn scans_that_time_out_do_not_block_other_calls_of_their_partition() {
+    let slow = FailingStore { scan_latency: Duration::from_secs(60), ..FailingStore::default() };
+    let store =
+        GuardedStore::new(slow, 1000).with_partitions(partition_of).with_adaptive_timeouts();
+    let scan = || Scan { prefix: "job/p.0/".to_owned(), after: None, limit: u32::MAX };
+    for _ in 0..10 {
+        let (first, second, third) =
+            tokio::join!(store.scan(scan()), store.scan(scan()), store.scan(scan()));
+        assert!(first.is_err() && second.is_err() && third.is_err());
+        let read = store.read(vec![Key("job/p.0/1".to_owned())]).await;
+        assert!(read.is_ok(), "{read:?}");
+    }
+}
