An owner's reads of its stored jobs don't overlap, and leave most of its link to other calls

Callers saw cancellations refused as job-unreachable after the whole time of their call, and processes that could not refresh their configuration for seconds, for as long as a thousand jobs waited in a pool whose owner has a link of 10 Mbit/s. The owner started a read of all stored jobs of a shard every 450 ms whether or not the last one had ended. On that link one read of 375 rows takes longer, so reads overlapped and shared the link; each then took longer than its timeout, was dropped and started again. The link was full and no read ever ended, so also jobs that the owner had not been notified of were not found. Only fewer waiting jobs end it, and the transactions and orders by which they become fewer wait behind the reads.

--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -67,8 +67,8 @@
     AdviceReceived(StepId, Option<Vec<Approval>>, Tick),
     /// The store decided on a transaction, or the call failed.
     Committed(Box<Batch>, Result<Commit, StoreError>),
-    /// Stored jobs were read.
-    JobsScanned(Vec<Row>),
+    /// Stored jobs were read, or the call failed.
+    JobsScanned(Result<Vec<Row>, StoreError>),
     /// Releases the pool.
     Release(oneshot::Sender<()>),
     /// Releases the pool to a better owner, unless that would delay its jobs.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -20,7 +20,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
-    row::{Commit, Key, Scan, Txn},
+    row::{Commit, Key, Row, Scan, Txn},
 };
 use reachhead_types::{
     id::{CustomerName, JobId},
@@ -64,9 +64,14 @@
 /// Pause after a failed transaction.
 const RECORD_RETRY_PAUSE: Millis = Millis(150);
 
-/// Interval at which the stored jobs of one shard are read, to find jobs that the owner was not
-/// notified of: it may be partitioned from its peers only. All shards are read within two seconds.
-const SCAN_PERIOD: Millis = Millis(450);
+/// Minimum pause between two reads of the stored jobs of a shard, which find jobs that the owner was
+/// not notified of: it may be partitioned from its peers only.
+const MIN_SCAN_PAUSE: Millis = Millis(450);
+
+/// Pause after a read of the stored jobs in multiples of its duration. On a narrow link a read of a
+/// thousand waiting jobs takes longer than the pause; reads that overlap fill the link, time out one
+/// after the other, and leave nothing of it to transactions, heartbeats and the configuration.
+const SCAN_PAUSE_FACTOR: u64 = 4;
 
 /// How long an owner that releases its pool waits for its last transactions.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -89,6 +94,8 @@
     /// When each lane may start its next transaction that no caller waits for.
     next_record: BTreeMap<Lane, Tick>,
     next_scan: Tick,
+    /// When the read of stored jobs in progress started.
+    scan_begun: Option<Tick>,
     /// The shards in the order in which they are read next.
     scan_order: VecDeque<Shard>,
     release: Option<oneshot::Sender<()>>,
@@ -116,7 +123,8 @@
             pending_cancels: Vec::new(),
             recording: BTreeMap::new(),
             next_record: BTreeMap::new(),
-            next_scan: now + SCAN_PERIOD,
+            next_scan: now + MIN_SCAN_PAUSE,
+            scan_begun: None,
             scan_order: Shard::all().collect(),
             release: None,
             lease_lost: false,
@@ -245,7 +253,7 @@
                 self.pool.advised(step, approvals, sent, now);
             }
             Input::Committed(batch, result) => self.handle_commit(&batch, result, now),
-            Input::JobsScanned(rows) => self.handle_scan(&rows, now),
+            Input::JobsScanned(result) => self.handle_scan(result, now),
             Input::Release(done) => self.release = Some(done),
             // A successor would have to wait again for the workers that have not answered.
             Input::Yield(done) => self.release = (self.pool.unsettled() == 0).then_some(done),
@@ -361,32 +369,38 @@
         }
     }
 
-    /// Reads the stored jobs of the next shard when its scan is due.
+    /// Reads the stored jobs of the next shard when its scan is due and the last one has ended.
     fn scan(&mut self, now: Tick) {
-        if self.next_scan > now {
+        if self.scan_begun.is_some() || self.next_scan > now {
             return;
         }
-        self.next_scan = now + SCAN_PERIOD;
         let node = Arc::clone(&self.node);
         let handle = self.handle.clone();
         let Some(shard) = self.scan_order.pop_front() else {
             return;
         };
         self.scan_order.push_back(shard);
+        self.scan_begun = Some(now);
         let prefix = job_prefix(self.pool.name(), shard);
         tokio::spawn(async move {
             let scan = Scan { prefix, after: None, limit: u32::MAX };
             let page = node.services.store.scan(scan).await;
             node.record_store_result(&page);
-            match page {
-                Ok(page) => handle.send(Input::JobsScanned(page.rows)),
-                Err(error) => log::info!("stored jobs can't be read: {error}"),
-            }
+            handle.send(Input::JobsScanned(page.map(|page| page.rows)));
         });
     }
 
-    fn handle_scan(&mut self, rows: &[reachhead_store::row::Row], now: Tick) {
-        for row in rows {
+    fn handle_scan(&mut self, result: Result<Vec<Row>, StoreError>, now: Tick) {
+        let duration = now.since(self.scan_begun.take().unwrap_or(now));
+        self.next_scan = now + Millis(duration.0 * SCAN_PAUSE_FACTOR).max(MIN_SCAN_PAUSE);
+        let rows = match result {
+            Ok(rows) => rows,
+            Err(error) => {
+                log::info!("stored jobs can't be read: {error}");
+                return;
+            }
+        };
+        for row in &rows {
             let Some(id) = id_of(&row.key) else {
                 continue;
             };
