--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -69,8 +69,8 @@
     AdviceReceived(StepId, Option<Vec<Approval>>, Tick),
     /// The store decided on a transaction, or the call failed.
     Committed(Box<Batch>, Result<Commit, StoreError>),
-    /// Stored jobs were read.
-    JobsScanned(Vec<Row>),
+    /// Stored jobs were read, or the call failed.
+    JobsScanned(Result<Vec<Row>, StoreError>),
     /// A call in the background panicked, so its result never comes.
     CallFailed,
     /// Releases the pool.
