A relayed table has no gaps for its readers

A member relays the operators' table and the leases to processes that don't follow the store. Its log of a table recorded whatever its own follower got from the store. A process that stopped being a member followed the table by way of another member for a while, and its log got none of those changes; when it was a member again, the log went on from the follower's revision. Readers then missed the changes in between for good, while their copy counted as current: a route refused, a key still accepted, an owner that has moved. After the store had forgotten its history, the log also kept the rows that were deleted in the gap.

The log now takes the revision from which a page continues. One that does not reach up to it is discarded, so that the next reader starts it from a new read of the table, and a read of the whole table replaces it.

--- a/reachhead_jobs/src/relay.rs
+++ b/reachhead_jobs/src/relay.rs
@@ -8,12 +8,24 @@
 
 use reachhead_store::row::Key;
 use reachhead_types::size::Revision;
+use thiserror::Error;
 
 use crate::ports::{Change, FeedPage};
 
 /// Changes kept in the log; a reader that is further behind gets the whole table.
 const MAX_CHANGES: usize = 64;
 
+/// A page that does not continue a log, because the log's process followed the table elsewhere in
+/// between.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("changes between revisions {known} and {after} are missing")]
+pub struct MissingChanges {
+    /// The revision up to which the log knows the table.
+    pub known: Revision,
+    /// The revision from which the page continues.
+    pub after: Revision,
+}
+
 /// A table with its recent changes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TableChangeLog {
@@ -41,9 +53,17 @@
         self.revision
     }
 
-    /// Applies the next changes of the feed.
-    pub fn record(&mut self, changes: &[Change], revision: Revision) {
-        for change in changes.iter().filter(|change| change.row.revision > self.revision) {
+    /// Applies the next page of the feed, which has all changes after `after`.
+    ///
+    /// # Errors
+    ///
+    /// [`MissingChanges`] if the log does not reach up to `after`. It has to be discarded then:
+    /// readers would never get the changes in between.
+    pub fn record(&mut self, after: Revision, page: &FeedPage) -> Result<(), MissingChanges> {
+        if after > self.revision {
+            return Err(MissingChanges { known: self.revision, after });
+        }
+        for change in page.changes.iter().filter(|change| change.row.revision > self.revision) {
             if change.deleted {
                 self.rows.remove(&change.row.key);
             } else {
@@ -56,7 +76,8 @@
                 self.base = self.base.max(oldest.row.revision);
             }
         }
-        self.revision = self.revision.max(revision);
+        self.revision = self.revision.max(page.revision);
+        Ok(())
     }
 
     /// Returns the changes after a revision; `None` if the log does not reach back that far.
--- a/reachhead_jobs/tests/relay.rs
+++ b/reachhead_jobs/tests/relay.rs
@@ -6,7 +6,7 @@
 
 use reachhead_jobs::{
     ports::{Change, FeedPage},
-    relay::TableChangeLog,
+    relay::{MissingChanges, TableChangeLog},
 };
 use reachhead_property::check;
 use reachhead_store::row::{Key, Row};
@@ -68,7 +68,8 @@
             delivered.push(change);
             // Some changes are delivered twice.
             let from = delivered.len().saturating_sub(1 + usize::from(act % 2));
-            log.record(&delivered[from..], Revision(number));
+            let page = FeedPage { changes: delivered[from..].to_vec(), revision: Revision(number) };
+            log.record(Revision(number - 1), &page).unwrap();
             if act % 3 == 0 {
                 near.update(&log);
             }
@@ -86,9 +87,26 @@
         TableChangeLog::new(FeedPage { changes: vec![change(1, 5, false)], revision: Revision(9) });
     assert_eq!(log.since(Revision(8)), None, "what came before the log is not known");
     for revision in 10..200 {
-        log.record(&[change(2, revision, false)], Revision(revision));
+        let page =
+            FeedPage { changes: vec![change(2, revision, false)], revision: Revision(revision) };
+        log.record(Revision(revision - 1), &page).unwrap();
     }
     assert_eq!(log.since(Revision(9)), None);
     assert_eq!(log.since(Revision(198)).unwrap().changes.len(), 1);
     assert_eq!(log.snapshot().changes.len(), 2);
 }
+
+/// A process that follows the table by way of another one for a while does not record the changes
+/// of that time.
+#[test]
+fn a_log_with_missing_changes_is_not_continued() {
+    let start = FeedPage { changes: vec![change(1, 5, false)], revision: Revision(9) };
+    let mut log = TableChangeLog::new(start);
+    let unchanged = log.clone();
+    let page = FeedPage { changes: vec![change(2, 20, false)], revision: Revision(20) };
+    let missing = MissingChanges { known: Revision(9), after: Revision(18) };
+    assert_eq!(log.record(Revision(18), &page), Err(missing));
+    assert_eq!(log, unchanged, "its readers don't take the table for current");
+    assert_eq!(log.record(Revision(9), &page), Ok(()));
+    assert_eq!(log.since(Revision(9)).unwrap().changes.len(), 1);
+}
--- a/reachhead_node/src/relay.rs
+++ b/reachhead_node/src/relay.rs
@@ -106,18 +106,39 @@
         }
     }
 
-    /// Records rows that the store returned, valid as of `at`.
-    fn record(&self, table: &'static str, page: &FeedPage, at: Tick) {
-        if let Some(newest) = page.changes.iter().map(|change| change.row.revision).max() {
-            locked(&self.newest_changes).insert(table, newest);
-        }
+    /// Records a whole table that the store returned, valid as of `at`. Rows that were deleted while
+    /// no changes were recorded are not in it.
+    fn record_table(&self, table: &'static str, page: &FeedPage, at: Tick) {
+        self.record_newest(table, page);
         if let Some(relayed) = locked(&self.tables).get_mut(table) {
-            relayed.log.record(&page.changes, page.revision);
-            relayed.current_at = relayed.current_at.max(at);
+            *relayed = RelayedTable { log: TableChangeLog::new(page.clone()), current_at: at };
+        }
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Records the changes after a revision that the store returned, valid as of `at`.
+    fn record_changes(&self, table: &'static str, after: Revision, page: &FeedPage, at: Tick) {
+        self.record_newest(table, page);
+        let mut tables = locked(&self.tables);
+        if let Some(relayed) = tables.get_mut(table) {
+            match relayed.log.record(after, page) {
+                Ok(()) => relayed.current_at = relayed.current_at.max(at),
+                Err(missing) => {
+                    log::info!("table={table} is relayed from a new read: {missing}");
+                    tables.remove(table);
+                }
+            }
         }
+        drop(tables);
         self.changed.send_modify(|count| *count += 1);
     }
 
+    fn record_newest(&self, table: &'static str, page: &FeedPage) {
+        if let Some(newest) = page.changes.iter().map(|change| change.row.revision).max() {
+            locked(&self.newest_changes).insert(table, newest);
+        }
+    }
+
     /// Starts to relay a table.
     fn start_relaying(&self, table: &'static str, page: FeedPage, at: Tick) {
         let newest = locked(&self.newest_changes).get(table).copied().unwrap_or_default();
@@ -172,7 +193,7 @@
     }
     let at = node.now();
     let page = node.services.feed.table(table).await?;
-    node.relay.record(table, &page, at);
+    node.relay.record_table(table, &page, at);
     Ok(DatedPage { page, at })
 }
 
@@ -197,7 +218,7 @@
     }
     let at = node.now();
     let page = node.services.feed.changes(table, revision, wait).await?;
-    node.relay.record(table, &page, at);
+    node.relay.record_changes(table, revision, &page, at);
     Ok(DatedPage { page, at })
 }
 
@@ -320,3 +341,7 @@
         Err(error) => log::info!("table={table} can't be relayed: {error}"),
     }
 }
+
+#[cfg(test)]
+#[path = "relay_tests.rs"]
+mod tests;
