A process shows which configuration it serves and how old its tables are

No line and no page of a process told which row of the configuration it served, or how long ago it had known that there was no newer one: a refusal named the version at most, and the age of the store that it named is that of any call. Now each refusal of a call (E701) has the configuration's version, the revision of its row and its age, /state has the revisions of the configuration's row and of the followed tables and the age of each, and the metrics have the same as gauges.

--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -103,26 +103,25 @@
         }
         let Some(error) = self.refresh_shared(node).await else {
             return find().inspect_err(|refused| {
-                let version = node.view().config.as_ref().map(|config| config.version);
+                let config = node.view().config_state(node.now());
                 emit(
                     Event::CallRefused,
-                    format_args!(
-                        "path={path} kind={refused} key={key:?} configuration={version:?}"
-                    ),
+                    format_args!("path={path} kind={refused} key={key:?} {config}"),
                 );
             });
         };
         // The newest configuration can't be read. Without the store a submission can't be stored
         // anyway, and a job's state is true even if it was found by an old route.
         if let Ok(admission) = find() {
-            log::info!("path={path} admitted by a configuration confirmed {age} ms ago: {error}");
+            let config = node.view().config_state(node.now());
+            log::info!(
+                "path={path} admitted by a configuration that is not current: {config} {error}"
+            );
             return Ok(admission);
         }
         let refused = ErrorKind::NotReady;
-        emit(
-            Event::CallRefused,
-            format_args!("path={path} kind={refused} configuration_age={age}ms: {error}"),
-        );
+        let config = node.view().config_state(node.now());
+        emit(Event::CallRefused, format_args!("path={path} kind={refused} {config} {error}"));
         Err(refused)
     }
 
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -196,9 +196,8 @@
         }
         match node.services.row_format.operator_row(&change.row) {
             Ok(OperatorRow::Configuration(config)) => {
-                let version = config.version;
-                if node.view().update_config(config) {
-                    let revision = change.row.revision;
+                let (version, revision) = (config.version, change.row.revision);
+                if node.view().update_config(config, revision) {
                     emit(
                         Event::ConfigInForce,
                         format_args!("version={version} revision={revision}"),
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -205,7 +205,7 @@
         let lease = view.leases.get(pool);
         format!(
             "store_age={}ms store_failing={} owner={} owner_heard={:?} owner_claim={:?} \
-             owner_store_age={:?} token={:?} token_age={:?} leases_age={}ms",
+             owner_store_age={:?} token={:?} token_age={:?} leases_age={}ms {}",
             now.since(view.store_answered_at),
             view.store_failing,
             owner.as_ref().map_or("-", |owner| owner.as_str()),
@@ -214,7 +214,8 @@
             status.map(|status| status.pong.store_age),
             lease.map(|lease| lease.revision.0),
             lease.map(|lease| now.since(lease.since).0),
-            now.since(view.leases_current_at)
+            now.since(view.leases_current_at),
+            view.config_state(now)
         )
     }
 
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -2,12 +2,17 @@
 
 use prometheus_client::{
     encoding::EncodeLabelSet,
-    metrics::{counter::Counter, family::Family},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
-use reachhead_jobs::ports::{Answer, WorkerError};
+use reachhead_jobs::{
+    clock::Tick,
+    ports::{Answer, WorkerError},
+};
 use reachhead_ops::latency::{LatencyHistograms, latency_histograms};
 
+use crate::view::View;
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
     order: &'static str,
@@ -25,11 +30,19 @@
     call: &'static str,
 }
 
-/// The counters and histograms of the process.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TableLabels {
+    table: &'static str,
+}
+
+/// The counters, gauges and histograms of the process.
 pub struct Metrics {
     orders: Family<OrderLabels, Counter>,
     answers: Family<AnswerLabels, Counter>,
     latency: LatencyHistograms<CallLabels>,
+    config_version: Gauge,
+    config_row: Gauge,
+    table_age: Family<TableLabels, Gauge>,
     /// Number of times that this process took over a pool.
     pub pools_taken: Counter,
     /// Transactions that the store refused as invalid, such as a row that is too long.
@@ -43,6 +56,9 @@
             orders: Family::default(),
             answers: Family::default(),
             latency: latency_histograms(),
+            config_version: Gauge::default(),
+            config_row: Gauge::default(),
+            table_age: Family::default(),
             pools_taken: Counter::default(),
             store_refusals: Counter::default(),
         };
@@ -67,9 +83,43 @@
             "Transactions that the store refused for what they are",
             metrics.store_refusals.clone(),
         );
+        registry.register(
+            "reachhead_configuration_version",
+            "Version of the configuration in force",
+            metrics.config_version.clone(),
+        );
+        registry.register(
+            "reachhead_configuration_row",
+            "Revision of the row of the configuration in force",
+            metrics.config_row.clone(),
+        );
+        registry.register(
+            "reachhead_table_age_milliseconds",
+            "Time since a followed table was last confirmed to be current",
+            metrics.table_age.clone(),
+        );
         metrics
     }
 
+    /// Sets the gauges from `view`.
+    pub fn record_view(&self, view: &View, now: Tick) {
+        let version = view.config.as_ref().map(|config| config.version).unwrap_or_default();
+        self.config_version.set(version.0 as i64);
+        self.config_row.set(view.config_row.0 as i64);
+        let set_age = |table, current_at| {
+            let age = now.since(current_at).0 as i64;
+            self.table_age.get_or_create(&TableLabels { table }).set(age);
+        };
+        set_age("operators", view.config_current_at);
+        set_age("leases", view.leases_current_at);
+        let workers = TableLabels { table: "workers" };
+        if view.follows_workers {
+            set_age(workers.table, view.workers_current_at);
+        } else {
+            self.table_age.remove(&workers);
+        }
+    }
+
     /// Counts an order to a worker by its result.
     pub fn order<T>(&self, order: &'static str, result: &Result<T, WorkerError>) {
         let result = match result {
--- a/reachhead_node/src/observe.rs
+++ b/reachhead_node/src/observe.rs
@@ -26,6 +26,7 @@
     }
 
     fn metrics(&self) -> BufferedResponse {
+        self.node.metrics.record_view(&self.node.view(), self.node.now());
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let mut body = String::new();
         match encode(&mut body, &registry) {
@@ -49,8 +50,13 @@
         json!({
             "node": self.node.settings.node,
             "configuration": view.config.as_ref().map(|config| config.version),
+            "configuration_row": view.config_row,
             "configuration_age_ms": now.since(view.config_current_at),
+            "configuration_revision": view.config_revision,
             "leases_age_ms": now.since(view.leases_current_at),
+            "leases_revision": view.leases_revision,
+            "workers_age_ms":
+                view.follows_workers.then(|| now.since(view.workers_current_at)),
             "store_age_ms": now.since(view.store_answered_at),
             "owned": owned,
             "leases": leases,
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt::{self, Display, Formatter},
     net::SocketAddr,
     sync::Arc,
 };
@@ -17,7 +18,7 @@
 };
 use reachhead_types::{
     id::{NodeName, PoolName, WaveName, WorkerId, ZoneName},
-    size::{Millis, Revision},
+    size::{Millis, Revision, Version},
 };
 
 use crate::peer::Pong;
@@ -53,11 +54,29 @@
     pub pong: Pong,
 }
 
+/// The configuration in force, and when it was last confirmed to be current.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfigState {
+    version: Option<Version>,
+    row: Revision,
+    age: Millis,
+}
+
+impl Display for ConfigState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self { version, row, age } = self;
+        let version = version.unwrap_or_default();
+        write!(f, "configuration={version} configuration_row={row} configuration_age={age}ms")
+    }
+}
+
 /// The state that this process follows.
 #[derive(Debug, Default)]
 pub struct View {
     /// The configuration in force.
     pub config: Option<Arc<Configuration>>,
+    /// The revision of the row of `config`.
+    pub config_row: Revision,
     /// When `config` was last confirmed to be current.
     pub config_current_at: Tick,
     /// The store's revision up to which `config` is current.
@@ -150,14 +169,24 @@
 
     /// Replaces the configuration if `config` is newer, and returns whether it was; versions never
     /// go back.
-    pub fn update_config(&mut self, config: Configuration) -> bool {
+    pub fn update_config(&mut self, config: Configuration, revision: Revision) -> bool {
         let newer = self.config.as_ref().is_none_or(|known| known.version < config.version);
         if newer {
             self.config = Some(Arc::new(config));
+            self.config_row = revision;
         }
         newer
     }
 
+    /// Returns the configuration in force, for the log.
+    pub fn config_state(&self, now: Tick) -> ConfigState {
+        ConfigState {
+            version: self.config.as_ref().map(|config| config.version),
+            row: self.config_row,
+            age: now.since(self.config_current_at),
+        }
+    }
+
     /// Replaces a lease if the row is newer; returns whether the owner changed.
     pub fn update_lease(
         &mut self,
