An older read of a followed table never undoes a newer change

Reads of the operators' table and of the leases overlap: the feed, a refresh before a call is refused, a read of the whole table, and a member's leases while the store rejects this process. Leases and the configuration were compared by revision or version, members and drained zones were not. An answer that arrived late put a member back to an earlier address, brought back one that had left, or drained a zone again whose drain had ended. No later page of the feed repeats the change, so it stayed so until the row changed again or the table was read in full.

The revision of the last applied change of each row is now kept in one place for both tables, of deletions too, and only newer changes are applied. A read of the whole table deletes what it doesn't list, but nothing that was written after it. The table of workers has one reader at a time and its feed repeats every change of a row in order, so it is left as it is.

--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's tables through change feeds and keeps the local view current.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
 use rand::Rng;
@@ -83,7 +83,7 @@
     }
 
     /// Replaces the state by all rows of the table.
-    fn reset(&self, rows: &[Change]);
+    fn reset(&self, page: &FeedPage);
 
     /// Applies changes.
     fn apply(&self, changes: &[Change]);
@@ -118,7 +118,7 @@
                             page.revision
                         ),
                     );
-                    follower.reset(&page.changes);
+                    follower.reset(&page);
                     follower.confirm_current(at, page.revision);
                     pause = MIN_RETRY_PAUSE;
                     poll(&node, &*follower, page).await;
@@ -215,6 +215,12 @@
 }
 
 impl Operators {
+    fn take_all(&self, changes: &[Change]) {
+        for change in changes {
+            self.take(change);
+        }
+    }
+
     /// Records whether a zone is drained.
     fn drain(&self, zone: ZoneName, drained: bool) {
         let mut view = self.0.view();
@@ -237,23 +243,14 @@
         if relay::allows_relayed_age(&self.0) { RELAY_POLL_WAIT } else { OPERATOR_POLL_WAIT }
     }
 
-    fn reset(&self, rows: &[Change]) {
-        // A drain that has ended has no row.
-        let row_format = &self.0.services.row_format;
-        let drained_zones: BTreeSet<ZoneName> =
-            rows.iter().filter_map(|change| row_format.drained_zone(&change.row.key)).collect();
-        let reopened: Vec<ZoneName> =
-            self.0.view().drained.difference(&drained_zones).cloned().collect();
-        for zone in reopened {
-            self.drain(zone, false);
-        }
-        self.apply(rows);
+    fn reset(&self, page: &FeedPage) {
+        let changes = self.0.view().operator_rows.take_table(page);
+        self.take_all(&changes);
     }
 
     fn apply(&self, changes: &[Change]) {
-        for change in changes {
-            self.take(change);
-        }
+        let newer = self.0.view().operator_rows.take_newer(changes);
+        self.take_all(&newer);
     }
 
     fn confirm_current(&self, at: Tick, revision: Revision) {
@@ -291,7 +288,7 @@
         }
     }
 
-    fn apply_at(&self, changes: &[Change], now: Tick) {
+    fn take_all(&self, changes: &[Change], now: Tick) {
         for change in changes {
             self.take(change, now);
         }
@@ -333,24 +330,25 @@
         if node.owns_any() || member { Millis(0) } else { NON_MEMBER_LEASE_PAUSE }
     }
 
-    fn reset(&self, rows: &[Change]) {
+    fn reset(&self, page: &FeedPage) {
         let now = self.0.now();
-        {
+        let changes = {
             let mut view = self.0.view();
-            view.members.clear();
             let listed = |change: &Change| {
                 matches!(parse_lease_key(&change.row.key), Some(LeaseKey::Member(_)))
             };
             if view.leases_first_read_at.is_none() {
-                view.started_without_members = !rows.iter().any(listed);
+                view.started_without_members = !page.changes.iter().any(listed);
             }
             view.leases_first_read_at.get_or_insert(now);
-        }
-        self.apply_at(rows, now);
+            view.lease_rows.take_table(page)
+        };
+        self.take_all(&changes, now);
     }
 
     fn apply(&self, changes: &[Change]) {
-        self.apply_at(changes, self.0.now());
+        let newer = self.0.view().lease_rows.take_newer(changes);
+        self.take_all(&newer, self.0.now());
     }
 
     fn confirm_current(&self, at: Tick, revision: Revision) {
@@ -432,14 +430,14 @@
         self.0.owns_any() && registry::follows_store(&self.0)
     }
 
-    fn reset(&self, rows: &[Change]) {
+    fn reset(&self, page: &FeedPage) {
         {
             let mut view = self.0.view();
             view.workers.clear();
             view.workers_loaded = true;
             view.follows_workers = true;
         }
-        self.apply(rows);
+        self.apply(&page.changes);
         // Workers that were registered before may be gone.
         self.0.registry.reset();
         self.0.workers_changed.send_modify(|count| *count += 1);
@@ -466,3 +464,7 @@
         view.follows_workers = false;
     }
 }
+
+#[cfg(test)]
+#[path = "follow_tests.rs"]
+mod tests;
--- /dev/null
+++ b/reachhead_node/src/follow_tests.rs
@@ -0,0 +1,138 @@
+//! Several reads of a followed table can be under way at once, so an older one may be applied after
+//! a newer one.
+
+use std::sync::Arc;
+
+use reachhead_jobs::{
+    clock::Tick,
+    ports::{Change, FeedPage},
+    record::{MemberRecord, member_key, value},
+};
+use reachhead_ops::client::HttpClient;
+use reachhead_platform::settings::Settings;
+use reachhead_store::row::{Key, Row};
+use reachhead_types::{
+    id::NodeName,
+    size::{Revision, Strength},
+};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use super::{Follower, Leases, Operators};
+use crate::{metrics::Metrics, node::Node, peer::PeerClient, process};
+
+const SETTINGS: &str = r#"
+nodeName = "node-1"
+zone = "z"
+ipAddress = "127.0.0.1"
+internalPortRange = [7060, 7060]
+[listenAddresses]
+[limits]
+cpuShare = 1.0
+[bounds]
+[platform]
+address = "127.0.0.1:7061"
+"#;
+
+fn node() -> Arc<Node> {
+    let settings = Settings::parse(SETTINGS).unwrap();
+    let client = Arc::new(HttpClient::new());
+    let services = process::services(&settings, &client);
+    let metrics = Metrics::new(&mut prometheus_client::registry::Registry::default());
+    let (_, stopping) = watch::channel(false);
+    Arc::new(Node::new(settings, services, PeerClient::new(client), metrics, stopping))
+}
+
+fn written(key: Key, value: Value, revision: u64) -> Change {
+    Change { row: Row { key, value, revision: Revision(revision) }, deleted: false }
+}
+
+fn deleted(key: Key, revision: u64) -> Change {
+    Change { row: Row { key, value: Value::Null, revision: Revision(revision) }, deleted: true }
+}
+
+fn member(port: u16, revision: u64) -> Change {
+    let record = MemberRecord {
+        address: format!("127.0.0.1:{port}").parse().unwrap(),
+        strength: Strength(10),
+    };
+    written(member_key(&other()), value(&record), revision)
+}
+
+fn other() -> NodeName {
+    "node-2".parse().unwrap()
+}
+
+fn member_port(node: &Node) -> Option<u16> {
+    node.view().members.get(&other()).map(|member| member.record.address.port())
+}
+
+fn drain(revision: u64) -> Change {
+    written(Key("op//evacuate/z1".to_owned()), json!({}), revision)
+}
+
+fn configuration(version: u64, revision: u64) -> Change {
+    let config = json!({ "version": version, "routes": [], "services": [],
+        "limits": { "maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1,
+            "idleTimeoutMs": 1 } });
+    written(Key("op//config".to_owned()), config, revision)
+}
+
+#[tokio::test]
+async fn older_read_of_a_member_does_not_replace_a_newer_one() {
+    let node = node();
+    let leases = Leases(Arc::clone(&node));
+    leases.apply(&[member(1, 15)]);
+    leases.apply(&[member(2, 20)]);
+    leases.apply(&[member(1, 15)]);
+    assert_eq!(member_port(&node), Some(2));
+    leases.apply(&[deleted(member_key(&other()), 25)]);
+    leases.apply(&[member(2, 20)]);
+    assert_eq!(member_port(&node), None, "it left at a later revision");
+    leases.apply(&[member(3, 30)]);
+    assert_eq!(member_port(&node), Some(3));
+}
+
+#[tokio::test]
+async fn older_read_of_the_whole_table_does_not_undo_later_changes() {
+    let node = node();
+    let leases = Leases(Arc::clone(&node));
+    leases.apply(&[member(2, 20)]);
+    leases.reset(&FeedPage { changes: vec![member(1, 15)], revision: Revision(18) });
+    assert_eq!(member_port(&node), Some(2));
+    leases.reset(&FeedPage { changes: Vec::new(), revision: Revision(18) });
+    assert_eq!(member_port(&node), Some(2), "it was written after that read");
+    leases.reset(&FeedPage { changes: Vec::new(), revision: Revision(21) });
+    assert_eq!(member_port(&node), None);
+}
+
+#[tokio::test]
+async fn older_read_of_the_operators_table_does_not_restore_an_ended_drain() {
+    let node = node();
+    let operators = Operators(Arc::clone(&node));
+    let drained = || !node.view().drained.is_empty();
+    operators.apply(&[drain(6)]);
+    assert!(drained());
+    operators.apply(&[deleted(drain(7).row.key, 7)]);
+    operators.apply(&[drain(6)]);
+    assert!(!drained(), "no later page of the feed would end it");
+    operators.apply(&[drain(9)]);
+    operators.reset(&FeedPage { changes: vec![drain(6)], revision: Revision(6) });
+    operators.reset(&FeedPage { changes: Vec::new(), revision: Revision(8) });
+    assert!(drained(), "it began after these reads");
+    operators.reset(&FeedPage { changes: Vec::new(), revision: Revision(10) });
+    assert!(!drained());
+}
+
+#[tokio::test]
+async fn configuration_never_goes_back_whatever_the_order_of_reads() {
+    let node = node();
+    let operators = Operators(Arc::clone(&node));
+    let version = || node.view().config.as_ref().map(|config| config.version.0);
+    operators.apply(&[configuration(9, 20)]);
+    operators.apply(&[configuration(4, 10)]);
+    operators.reset(&FeedPage { changes: vec![configuration(4, 10)], revision: Revision(12) });
+    operators.confirm_current(Tick(5), Revision(12));
+    assert_eq!(version(), Some(9));
+    assert_eq!(node.view().config_row, Revision(20));
+}
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -140,7 +140,7 @@
     Ok(())
 }
 
-fn services(settings: &Settings, client: &Arc<HttpClient>) -> Services {
+pub(crate) fn services(settings: &Settings, client: &Arc<HttpClient>) -> Services {
     let table = |deadline| TableStore::new(Arc::clone(client), settings.store, deadline);
     Services {
         store: Arc::new(
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -9,6 +9,7 @@
 };
 
 use reachhead_jobs::{
+    applied_rows::AppliedRows,
     candidate::Candidate,
     clock::Tick,
     model::Configuration,
@@ -81,6 +82,8 @@
     pub config_current_at: Tick,
     /// The store's revision up to which `config` is current.
     pub config_revision: Revision,
+    /// The rows of the operators' table that were applied.
+    pub operator_rows: AppliedRows,
     /// The leases, by pool.
     pub leases: BTreeMap<PoolName, LeaseView>,
     /// When the leases were first read. Their age before that is unknown.
@@ -91,6 +94,8 @@
     pub leases_current_at: Tick,
     /// The store's revision up to which the leases are current.
     pub leases_revision: Revision,
+    /// The rows of the table of leases and members that were applied.
+    pub lease_rows: AppliedRows,
     /// The members: processes that watch the owners of pools and take over vacant pools.
     pub members: BTreeMap<NodeName, MemberView>,
     /// The registered workers.
