A refresh of the configuration survives a pause of the process

Before a call is refused, or decided by a configuration that was not confirmed lately, the configuration is refreshed within 300 ms from the store and then from a peer. That limit was a plain timer: a process that was paused, or on a host with a share of a core, found the timer expired before it had read the answer that had long arrived. The failure is remembered for up to three seconds, in which callers with a new route or key got 503 and the others were admitted by the configuration as it was, however old.

The refresh now uses the deadline of the HTTP client, which is extended by the lateness of the process itself.

Evidence: answer_that_arrived_while_the_process_was_paused_confirms_the_configuration blocks the process for 500 ms while the store answers within 10 ms; before, the configuration was not confirmed and the call was admitted by the one of 3.5 s ago. The two tests beside it hold what has to stay: a configuration within its bound, and an outage for all.

--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -14,14 +14,20 @@
     model::Configuration,
     ports::{Admission, FeedError, FeedPage},
 };
-use reachhead_ops::event::{Event, emit};
+use reachhead_ops::{
+    client::within_deadline,
+    event::{Event, emit},
+};
 use reachhead_store::StoreError;
 use reachhead_types::{
     error::ErrorKind,
     size::{Millis, Revision},
     token::KeyDigest,
 };
-use tokio::{sync::Mutex, time};
+use tokio::{
+    sync::Mutex,
+    time::{self, Instant},
+};
 
 use crate::{
     follow::{Follower, Operators},
@@ -226,10 +232,12 @@
     Ok(())
 }
 
+/// Waits for an answer of the store or a peer. An answer that arrived in time counts, also if this
+/// process was paused meanwhile and reads it late.
 async fn with_timeout<T>(call: impl Future<Output = Result<T, String>>) -> Result<T, String> {
-    match time::timeout(REFRESH_TIMEOUT, call).await {
-        Ok(result) => result,
-        Err(_) => Err("no answer in time".to_owned()),
+    match within_deadline(Instant::now() + REFRESH_TIMEOUT, call).await {
+        Some(result) => result,
+        None => Err("no answer in time".to_owned()),
     }
 }
 
@@ -266,3 +274,7 @@
         Err(error) => Err(format!("peer={peer} {error}")),
     }
 }
+
+#[cfg(test)]
+#[path = "admission_tests.rs"]
+mod tests;
--- /dev/null
+++ b/reachhead_node/src/admission_tests.rs
@@ -0,0 +1,115 @@
+//! Calls that arrive while the newest configuration is unknown or slow to come.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use reachhead_jobs::{
+    clock::Tick,
+    ports::{Admission, Change},
+};
+use reachhead_store::row::{Key, Row};
+use reachhead_types::{
+    error::ErrorKind,
+    id::NodeName,
+    size::{Millis, Revision},
+};
+use serde_json::json;
+
+use crate::{
+    follow::{Follower, Operators},
+    node::Node,
+    peer::Pong,
+    test_node,
+    view::PeerStatus,
+};
+
+/// What a server answers, after a delay; `None` never answers.
+type Reply = Option<(Duration, &'static str)>;
+
+/// Starts a server on a thread of its own, which goes on while the test's thread is blocked.
+fn serve(reply: Reply) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept() {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request);
+            if let Some((delay, body)) = reply {
+                thread::sleep(delay);
+                let _ = write!(
+                    stream,
+                    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+            }
+            open.push(stream);
+        }
+    });
+    address
+}
+
+/// Returns a process with a route under `/a/` that was confirmed `age` ago.
+fn node_with_config(store: SocketAddr, age: Millis) -> Arc<Node> {
+    let node = test_node::new(&store.to_string());
+    let value = json!({ "version": 3, "routes": [{ "name": "a", "host": "site.example",
+            "pathPrefix": "/a/", "kind": "non_idempotent", "timeoutMs": 3000,
+            "targetLatencyMs": 600, "priority": 0, "service": "a", "maxAttempts": 3,
+            "stretch": 2.0, "allowAnonymous": true }],
+        "services": [{ "name": "a", "rejectsOverload": false, "spare": false }],
+        "limits": { "maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1,
+            "idleTimeoutMs": 1 } });
+    let row = Row { key: Key("op//config".to_owned()), value, revision: Revision(5) };
+    let operators = Operators(Arc::clone(&node));
+    operators.apply(&[Change { row, deleted: false }]);
+    operators.confirm_current(node.now() - age, Revision(5));
+    node
+}
+
+/// Adds a peer whose last contact with the store was `store_age` before now.
+fn add_peer(node: &Node, address: SocketAddr, store_age: u64) {
+    let name: NodeName = "node-2".parse().unwrap();
+    let pong = Pong { store_age, ..Pong::default() };
+    let status = PeerStatus { at: node.now(), address, pong };
+    node.view().peers.insert(name, status);
+}
+
+async fn admit(node: &Arc<Node>) -> Result<Admission, ErrorKind> {
+    node.admission.admit(node, "site.example", "/a/0000000000000001", None).await
+}
+
+#[tokio::test]
+async fn call_is_admitted_by_a_configuration_that_may_still_be_used() {
+    let silent = serve(None);
+    let node = node_with_config(silent, Millis(1600));
+    add_peer(&node, silent, 20);
+    assert!(admit(&node).await.is_ok(), "a version takes effect within three seconds");
+}
+
+#[tokio::test]
+async fn call_is_admitted_in_an_outage_of_the_store_for_all_processes() {
+    let silent = serve(None);
+    let node = node_with_config(silent, Millis(9000));
+    add_peer(&node, silent, 9000);
+    assert!(admit(&node).await.is_ok(), "states of jobs are answered without the store");
+}
+
+#[tokio::test]
+async fn answer_that_arrived_while_the_process_was_paused_confirms_the_configuration() {
+    let store = serve(Some((Duration::from_millis(10), "{\"rows\":[],\"versionNumber\":9}")));
+    let node = node_with_config(store, Millis(3500));
+    let before = node.now();
+    let paused = async {
+        tokio::time::sleep(Duration::from_millis(3)).await;
+        thread::sleep(Duration::from_millis(500));
+    };
+    let (admitted, ()) = tokio::join!(admit(&node), paused);
+    assert!(admitted.is_ok());
+    let confirmed: Tick = node.view().config_current_at;
+    assert!(confirmed >= before, "the store's answer was there in time");
+}
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -23,6 +23,8 @@
 mod relay;
 mod submit;
 mod takeover;
+#[cfg(test)]
+mod test_node;
 mod view;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/reachhead_node/src/test_node.rs
@@ -0,0 +1,34 @@
+//! Processes for tests, without listeners and tasks.
+
+use std::sync::Arc;
+
+use reachhead_ops::client::HttpClient;
+use reachhead_platform::settings::Settings;
+use tokio::sync::watch;
+
+use crate::{metrics::Metrics, node::Node, peer::PeerClient, process};
+
+/// Returns a process that has read nothing yet, with a store at this address.
+pub(crate) fn new(store: &str) -> Arc<Node> {
+    let settings = format!(
+        r#"
+nodeName = "node-1"
+zone = "z"
+ipAddress = "127.0.0.1"
+internalPortRange = [7060, 7060]
+[listenAddresses]
+[limits]
+cpuShare = 1.0
+[bounds]
+configApplyMs = 3000
+[platform]
+address = "{store}"
+"#
+    );
+    let settings = Settings::parse(&settings).unwrap();
+    let client = Arc::new(HttpClient::new());
+    let services = process::services(&settings, &client);
+    let metrics = Metrics::new(&mut prometheus_client::registry::Registry::default());
+    let (_, stopping) = watch::channel(false);
+    Arc::new(Node::new(settings, services, PeerClient::new(client), metrics, stopping))
+}
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -207,7 +207,10 @@
 ///
 /// A response that arrived in time but was read late is not lost; otherwise a busy owner would take
 /// all its workers for unreachable at once.
-async fn within_deadline<T>(end: time::Instant, response: impl Future<Output = T>) -> Option<T> {
+pub async fn within_deadline<T>(
+    end: time::Instant,
+    response: impl Future<Output = T>,
+) -> Option<T> {
     tokio::pin!(response);
     let mut end = end;
     let last = end + MAX_LATENESS;
