A process that alone lacks the newest configuration refuses calls

A call that the followed configuration allows was admitted by it, however old it was, whenever the refresh failed: from the store and from a peer, 300 ms each. That is meant for an outage of the store, in which no newer version can come. But the refresh also fails in a process that is slow itself or has a slow link, while the store serves all others; then callers were served by a dropped route or key later than a new version has to be in force, and for as long as that went on. The store's age does not show it, since other calls may be answered.

Such a process now answers 503 (not-ready), so that the caller tries another one: if its configuration is older than the time in which a version has to be in force and a peer reaches the store. A peer whose own read of the operators' table fails or is late says so in time; then the table is away for others too and calls are admitted as before.

Evidence: call_is_refused_under_an_outdated_configuration_if_a_newer_one_may_be_in_force failed before (the call was admitted by a configuration of 3.5 s ago). Calls in an outage for all, with an unreadable table, or by a configuration within its bound are admitted as before (three tests).

--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -6,7 +6,13 @@
 //! waiting calls share one refresh, so a caller that tries many keys costs the store no more than
 //! one.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use futures::future::{BoxFuture, FutureExt, select_ok};
 use reachhead_jobs::{
@@ -24,6 +30,7 @@
     size::{Millis, Revision},
     token::KeyDigest,
 };
+use thiserror::Error;
 use tokio::{
     sync::Mutex,
     time::{self, Instant},
@@ -47,6 +54,9 @@
 /// Timeout of a refresh from the store, and again from a peer.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Timeout of the read that a peer makes for a refresh, so that it can still tell that it failed.
+const PEER_READ_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// How long after a failed refresh calls get its result instead of a refresh of their own, so that
 /// an outage does not delay them.
 const FAILURE_CACHE_PERIOD: Millis = Millis(3000);
@@ -65,11 +75,20 @@
 /// configuration to be requested from it.
 const MAX_PEER_AGE: Millis = Millis(1500);
 
+/// Why the configuration could not be refreshed.
+#[derive(Debug, Clone, Error)]
+#[error("{reason}")]
+struct RefreshFailure {
+    reason: String,
+    /// A peer that reaches the store can't read the operators' table either.
+    table_unavailable: bool,
+}
+
 /// The last refresh of the configuration.
 #[derive(Debug, Clone, Default)]
 struct Refresh {
     started: Tick,
-    failure: Option<String>,
+    failure: Option<RefreshFailure>,
 }
 
 /// Admits or refuses calls.
@@ -107,7 +126,7 @@
         if age <= max_config_age(node) && known.is_ok() {
             return known;
         }
-        let Some(error) = self.refresh_shared(node).await else {
+        let Some(failure) = self.refresh_shared(node).await else {
             return find().inspect_err(|refused| {
                 let config = node.view().config_state(node.now());
                 emit(
@@ -116,24 +135,27 @@
                 );
             });
         };
-        // The newest configuration can't be read. Without the store a submission can't be stored
-        // anyway, and a job's state is true even if it was found by an old route.
-        if let Ok(admission) = find() {
+        // The newest configuration can't be read. In an outage a submission can't be stored anyway,
+        // and a job's state is true even if it was found by an old route. Otherwise only this
+        // process lacks a version that may have to be in force by now.
+        if !is_outdated(node, &failure)
+            && let Ok(admission) = find()
+        {
             let config = node.view().config_state(node.now());
             log::info!(
-                "path={path} admitted by a configuration that is not current: {config} {error}"
+                "path={path} admitted by a configuration that is not current: {config} {failure}"
             );
             return Ok(admission);
         }
         let refused = ErrorKind::NotReady;
         let config = node.view().config_state(node.now());
-        emit(Event::CallRefused, format_args!("path={path} kind={refused} {config} {error}"));
+        emit(Event::CallRefused, format_args!("path={path} kind={refused} {config} {failure}"));
         Err(refused)
     }
 
     /// Applies the operators' changes up to now; returns the error if that failed. Calls that
     /// arrive during a refresh share the next one.
-    async fn refresh_shared(&self, node: &Arc<Node>) -> Option<String> {
+    async fn refresh_shared(&self, node: &Arc<Node>) -> Option<RefreshFailure> {
         let arrived = node.now();
         let mut last = self.last.lock().await;
         let elapsed = node.now().since(last.started);
@@ -186,6 +208,16 @@
     }
 }
 
+/// Returns whether a newer configuration than that of this process may have to be in force: its own
+/// was confirmed too long ago, and the store serves others.
+fn is_outdated(node: &Node, failure: &RefreshFailure) -> bool {
+    let now = node.now();
+    let view = node.view();
+    now.since(view.config_current_at) > node.settings.apply_timeout
+        && !failure.table_unavailable
+        && view.peer_reaching_store(now, MAX_PEER_AGE, MAX_PEER_AGE).is_some()
+}
+
 /// Returns the queue and the customer of a call under a configuration.
 fn find(
     config: &Configuration,
@@ -203,7 +235,7 @@
 
 /// Applies the operators' changes since the last confirmation, from the store or, if that rejects
 /// this process, from a peer: a revoked key must not stay valid here.
-async fn refresh(node: &Arc<Node>) -> Result<(), String> {
+async fn refresh(node: &Arc<Node>) -> Result<(), RefreshFailure> {
     let operators = Operators(Arc::clone(node));
     let known = node.view().config_revision;
     if let Some(dated) = relay::latest_from_member(node, operators.table(), known).await {
@@ -212,26 +244,38 @@
         return Ok(());
     }
     let sent = node.now();
-    // A process that was paused finds its calls failed although the store is available, so the
-    // store is always asked.
-    let store = with_timeout(read_from_store(node, &operators));
-    let page = if node.view().store_failing {
-        let peer = with_timeout(read_from_peer(node));
-        let both: [BoxFuture<'_, Result<FeedPage, String>>; 2] = [store.boxed(), peer.boxed()];
-        select_ok(both).await?.0
-    } else {
-        match store.await {
-            Ok(page) => page,
-            Err(error) => with_timeout(read_from_peer(node))
-                .await
-                .map_err(|peer| format!("{error}, {peer}"))?,
-        }
-    };
+    let table_unavailable = AtomicBool::new(false);
+    let page = read_newest(node, &operators, &table_unavailable).await.map_err(|reason| {
+        RefreshFailure { reason, table_unavailable: table_unavailable.load(Ordering::Relaxed) }
+    })?;
     operators.apply(&page.changes);
     operators.confirm_current(sent, page.revision);
     Ok(())
 }
 
+/// Reads the operators' changes from the store or a peer. Sets `table_unavailable` if a peer that
+/// reaches the store can't read them.
+async fn read_newest(
+    node: &Node,
+    operators: &Operators,
+    table_unavailable: &AtomicBool,
+) -> Result<FeedPage, String> {
+    // A process that was paused finds its calls failed although the store is available, so the
+    // store is always asked.
+    let store = with_timeout(read_from_store(node, operators));
+    if node.view().store_failing {
+        let peer = with_timeout(read_from_peer(node, table_unavailable));
+        let both: [BoxFuture<'_, Result<FeedPage, String>>; 2] = [store.boxed(), peer.boxed()];
+        return Ok(select_ok(both).await?.0);
+    }
+    match store.await {
+        Ok(page) => Ok(page),
+        Err(error) => with_timeout(read_from_peer(node, table_unavailable))
+            .await
+            .map_err(|peer| format!("{error}, {peer}")),
+    }
+}
+
 /// Waits for an answer of the store or a peer. An answer that arrived in time counts, also if this
 /// process was paused meanwhile and reads it late.
 async fn with_timeout<T>(call: impl Future<Output = Result<T, String>>) -> Result<T, String> {
@@ -252,7 +296,7 @@
 
 /// Returns the operators' changes after `revision`, or the whole table if the store no longer keeps
 /// the changes.
-pub async fn operator_changes(
+async fn operator_changes(
     node: &Node,
     table: &'static str,
     revision: Revision,
@@ -264,13 +308,37 @@
     }
 }
 
-async fn read_from_peer(node: &Node) -> Result<FeedPage, String> {
+/// Reads the operators' changes for a peer; returns `None` if the store does not return them soon.
+pub async fn read_for_peer(node: &Node, revision: Revision) -> Option<FeedPage> {
+    let table = node.services.row_format.operator_table();
+    let read = async {
+        let page = operator_changes(node, table, revision).await;
+        node.record_store_result(&page);
+        page
+    };
+    match within_deadline(Instant::now() + PEER_READ_TIMEOUT, read).await {
+        Some(Ok(page)) => Some(page),
+        Some(Err(error)) => {
+            log::info!("the operators' changes can't be read for a peer: {error}");
+            None
+        }
+        None => {
+            log::info!("the operators' changes are not read for a peer in time");
+            None
+        }
+    }
+}
+
+async fn read_from_peer(node: &Node, table_unavailable: &AtomicBool) -> Result<FeedPage, String> {
     let peer = node.view().peer_reaching_store(node.now(), MAX_PEER_AGE, MAX_PEER_AGE);
     let peer = peer.ok_or("no peer reaches the store")?;
     let request = PeerRequest::OperatorChanges(node.view().config_revision);
     match node.peers.call(peer, &request, REFRESH_TIMEOUT).await {
         Ok(PeerReply::OperatorChanges(Some(page))) => Ok(page),
-        Ok(_) => Err(format!("peer={peer} can't read the operators' changes")),
+        Ok(_) => {
+            table_unavailable.store(true, Ordering::Relaxed);
+            Err(format!("peer={peer} can't read the operators' changes"))
+        }
         Err(error) => Err(format!("peer={peer} {error}")),
     }
 }
--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -83,6 +83,25 @@
     node.admission.admit(node, "site.example", "/a/0000000000000001", None).await
 }
 
+#[tokio::test]
+async fn call_is_refused_under_an_outdated_configuration_if_a_newer_one_may_be_in_force() {
+    let silent = serve(None);
+    let node = node_with_config(silent, Millis(3500));
+    add_peer(&node, silent, 20);
+    assert_eq!(admit(&node).await.unwrap_err(), ErrorKind::NotReady);
+    let refused = admit(&node).await;
+    assert_eq!(refused.unwrap_err(), ErrorKind::NotReady, "the failed refresh is remembered");
+}
+
+#[tokio::test]
+async fn call_is_admitted_if_no_process_can_read_the_table() {
+    let silent = serve(None);
+    let node = node_with_config(silent, Millis(3500));
+    let peer = serve(Some((Duration::from_millis(10), "{\"operators\":null}")));
+    add_peer(&node, peer, 20);
+    assert!(admit(&node).await.is_ok(), "nobody can write it either");
+}
+
 #[tokio::test]
 async fn call_is_admitted_by_a_configuration_that_may_still_be_used() {
     let silent = serve(None);
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -28,7 +28,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    admission::operator_changes,
+    admission::read_for_peer,
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
     registry::{self, WorkersPage, WorkersRequest},
@@ -214,7 +214,7 @@
         match request {
             PeerRequest::Ping => self.pong(),
             PeerRequest::OperatorChanges(revision) => {
-                PeerReply::OperatorChanges(self.operator_page(revision).await)
+                PeerReply::OperatorChanges(read_for_peer(&self.0, revision).await)
             }
             PeerRequest::Store(_, jobs) => PeerReply::Stored(store_for_peer(&self.0, jobs).await),
             PeerRequest::Workers(request) => {
@@ -228,17 +228,6 @@
         }
     }
 
-    /// Reads the operators' changes from the store, for a peer that the store rejects.
-    async fn operator_page(&self, revision: Revision) -> Option<FeedPage> {
-        let table = self.0.services.row_format.operator_table();
-        let page = operator_changes(&self.0, table, revision).await;
-        self.0.record_store_result(&page);
-        page.inspect_err(|error| {
-            log::info!("the operators' changes can't be read for a peer: {error}")
-        })
-        .ok()
-    }
-
     fn pong(&self) -> PeerReply {
         let mut owned = self.0.loading().clone();
         for (pool, owner) in self.0.owned().iter() {
