A process stops counting as a follower of the workers also after a failed read

A process that follows the table of workers itself for a while marked its state as stale when that ended, but only after a poll. If the store had forgotten its history and the read of the whole table failed until the process no longer needed the table, the old workers went on counting as followed and current. As an owner of a pool it then never requested its workers from the fleet owner: it knew no new ones and went on with those that were gone. Only deployments whose limits allow relays are affected.

The mark is now set whenever the need has ended, whether or not the last read succeeded; workers that the fleet owner sent in the meantime are left alone.

Evidence: process_that_fails_to_read_the_table_does_not_count_as_following_it_for_ever failed before (after 5 s: its state counts as current without being followed).

--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -122,9 +122,6 @@
                     follower.confirm_current(at, page.revision);
                     pause = MIN_RETRY_PAUSE;
                     poll(&node, &*follower, page).await;
-                    if !follower.is_needed() {
-                        follower.mark_stale();
-                    }
                 }
                 Err(error) => {
                     log::info!("table={} read failed, retrying: {error}", follower.table());
@@ -132,6 +129,10 @@
                     pause = (pause * 2).min(MAX_RETRY_PAUSE);
                 }
             }
+            // Also after a failed read: the state before it is not followed either.
+            if !follower.is_needed() {
+                follower.mark_stale();
+            }
         }
     })
 }
@@ -460,8 +461,11 @@
 
     fn mark_stale(&self) {
         let mut view = self.0.view();
-        view.workers_loaded = false;
-        view.follows_workers = false;
+        // Otherwise the workers are those that the fleet owner sends.
+        if view.follows_workers {
+            view.workers_loaded = false;
+            view.follows_workers = false;
+        }
     }
 }
 
--- a/reachhead_node/src/registry.rs
+++ b/reachhead_node/src/registry.rs
@@ -261,3 +261,7 @@
     let changes = all.map(|info| WorkerChange { id: info.id.clone(), info: Some(info.clone()) });
     WorkersPage { position, whole: true, changes: changes.collect() }
 }
+
+#[cfg(test)]
+#[path = "registry_tests.rs"]
+mod tests;
--- a/reachhead_node/src/test_node.rs
+++ b/reachhead_node/src/test_node.rs
@@ -8,8 +8,18 @@
 
 use crate::{metrics::Metrics, node::Node, peer::PeerClient, process};
 
-/// Returns a process that has read nothing yet, with a store at this address.
+/// Returns a process that has read nothing yet, with a store at this address. Its limits allow no
+/// state as old as relayed state gets.
 pub(crate) fn new(store: &str) -> Arc<Node> {
+    with_apply_time(store, 3000)
+}
+
+/// Returns a process whose limits allow relayed state, and which has a fleet owner.
+pub(crate) fn relaying(store: &str) -> Arc<Node> {
+    with_apply_time(store, 5000)
+}
+
+fn with_apply_time(store: &str, apply_ms: u64) -> Arc<Node> {
     let settings = format!(
         r#"
 nodeName = "node-1"
@@ -20,9 +30,11 @@
 [limits]
 cpuShare = 1.0
 [bounds]
-configApplyMs = 3000
+configApplyMs = {apply_ms}
 [platform]
 address = "{store}"
+[cloudApi]
+address = "127.0.0.1:1"
 "#
     );
     let settings = Settings::parse(&settings).unwrap();
