The fleet owner relays the workers of all pools only while it follows them itself

A process that took over the hosts answered owners of pools from the workers that it had, if it had followed the table within the last 1.9 s. It may have stopped since and got the workers of its own pools from the previous fleet owner: then it told the owners of other pools, as a list of all, that they had none, until its own read of the table was done.

It now answers only while it follows the table at the store.

Evidence: workers_of_some_pools_are_not_relayed_as_those_of_all failed before (left: Some(0), right: None).

--- a/reachhead_node/src/registry.rs
+++ b/reachhead_node/src/registry.rs
@@ -224,8 +224,12 @@
     let received_at = node.now();
     loop {
         let now = node.now();
-        let fresh = now.since(node.view().workers_current_at) <= MAX_AGE;
-        if !node.owned().contains_key(&fleet::name()) || !node.view().workers_loaded || !fresh {
+        // Workers that this process has from another fleet owner are those of some pools only.
+        let follows_all = {
+            let view = node.view();
+            view.follows_workers && now.since(view.workers_current_at) <= MAX_AGE
+        };
+        if !follows_all || !node.owned().contains_key(&fleet::name()) {
             return None;
         }
         let page = build_page(node, &request);
--- a/reachhead_node/src/registry_tests.rs
+++ b/reachhead_node/src/registry_tests.rs
@@ -53,6 +53,20 @@
     WorkersPage { position, whole: true, changes: Vec::new() }
 }
 
+#[tokio::test]
+async fn workers_of_some_pools_are_not_relayed_as_those_of_all() {
+    let (node, workers) = fleet_owner();
+    assert_eq!(served_workers(&node).await, Some(2));
+    workers.mark_stale();
+    assert_eq!(served_workers(&node).await, None);
+    apply_page(&node, page_of_another_pool());
+    assert_eq!(served_workers(&node).await, None, "the workers of pool a are not known here");
+    let changes: Vec<Change> = vec![worker_row("i-1")];
+    workers.reset(&FeedPage { changes, revision: Revision(9) });
+    workers.confirm_current(node.now(), Revision(9));
+    assert_eq!(served_workers(&node).await, Some(1));
+}
+
 /// A process that no longer follows the table has to request its workers from the fleet owner.
 #[tokio::test]
 async fn process_that_fails_to_read_the_table_does_not_count_as_following_it_for_ever() {
