A late read of the members does not replace a newer list of a peer

A control process reads the list of entry hosts from the store and adopts a newer one from a peer. A read of the store that was under way meanwhile replaced the adopted list by its older rows, and kept the newer revision: a host that had left was back, under a revision at which peers took this list for the current one.

A read older than the known list is ignored.

Evidence: late_read_of_the_store_does_not_replace_a_newer_list_of_a_peer failed before (two has left at a later revision).

--- a/reachhead_control/src/member_table.rs
+++ b/reachhead_control/src/member_table.rs
@@ -53,13 +53,16 @@
     }
 
     /// Applies the rows of one read of the store at `revision`, and returns whether membership
-    /// changed.
+    /// changed. A read older than the list, which a peer sent in the meantime, is ignored.
     pub fn process_rows(
         &mut self,
         rows: Vec<Member>,
         revision: Revision,
         now: BootInstant,
     ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
         let mut heartbeats = BTreeMap::new();
         for member in &rows {
             let id = member.id();
@@ -120,3 +123,7 @@
         self.members.iter().map(Member::id).collect()
     }
 }
+
+#[cfg(test)]
+#[path = "member_table_tests.rs"]
+mod tests;
