--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -1,12 +1,6 @@
 //! Calls that arrive while the newest configuration is unknown or slow to come.
 
-use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener},
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use reachhead_jobs::{
     clock::Tick,
@@ -24,35 +18,12 @@
     follow::{Follower, Operators},
     node::Node,
     peer::Pong,
-    test_node,
+    test_node::{self, serve},
     view::PeerStatus,
 };
 
-/// What a server answers, after a delay; `None` never answers.
-type Reply = Option<(Duration, &'static str)>;
-
-/// Starts a server on a thread of its own, which goes on while the test's thread is blocked.
-fn serve(reply: Reply) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        let mut open = Vec::new();
-        while let Ok((mut stream, _)) = listener.accept() {
-            let mut request = [0; 4096];
-            let _ = stream.read(&mut request);
-            if let Some((delay, body)) = reply {
-                thread::sleep(delay);
-                let _ = write!(
-                    stream,
-                    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-                    body.len()
-                );
-            }
-            open.push(stream);
-        }
-    });
-    address
-}
+/// Time that a server takes to answer.
+const DELAY: Duration = Duration::from_millis(10);
 
 /// Returns a process with a route under `/a/` that was confirmed `age` ago.
 fn node_with_config(store: SocketAddr, age: Millis) -> Arc<Node> {
@@ -97,7 +68,7 @@
 async fn call_is_admitted_if_no_process_can_read_the_table() {
     let silent = serve(None);
     let node = node_with_config(silent, Millis(3500));
-    let peer = serve(Some((Duration::from_millis(10), "{\"operators\":null}")));
+    let peer = serve(Some((DELAY, "{\"operators\":null}")));
     add_peer(&node, peer, 20);
     assert!(admit(&node).await.is_ok(), "nobody can write it either");
 }
@@ -120,7 +91,7 @@
 
 #[tokio::test]
 async fn answer_that_arrived_while_the_process_was_paused_confirms_the_configuration() {
-    let store = serve(Some((Duration::from_millis(10), "{\"rows\":[],\"versionNumber\":9}")));
+    let store = serve(Some((DELAY, "{\"rows\":[],\"versionNumber\":9}")));
     let node = node_with_config(store, Millis(3500));
     let before = node.now();
     let paused = async {
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -262,6 +262,22 @@
     }
 }
 
+/// Stores a lease if it is newer, and logs a change of its owner, so that the logs of all processes
+/// show how long an ownership change took to reach them.
+pub fn update_lease(
+    node: &Node,
+    pool: PoolName,
+    record: LeaseRecord,
+    revision: Revision,
+    now: Tick,
+) {
+    let owner = record.owner.clone();
+    if node.view().update_lease(pool.clone(), record, revision, now) {
+        let owner = owner.as_ref().map_or("nobody", NodeName::as_str);
+        emit(Event::OwnerKnown, format_args!("pool={pool} owner={owner} token={revision}"));
+    }
+}
+
 /// Follows the table of leases and members.
 pub struct Leases(pub Arc<Node>);
 
@@ -272,7 +288,7 @@
             Some(LeaseKey::Member(node)) => self.update_member(node, change),
             Some(LeaseKey::Pool(pool)) if !change.deleted => {
                 match change.row.parse::<LeaseRecord>() {
-                    Ok(record) => self.update_lease(pool, record, change.row.revision, now),
+                    Ok(record) => update_lease(&self.0, pool, record, change.row.revision, now),
                     Err(error) => emit(Event::RowRefused, error),
                 }
             }
@@ -280,16 +296,6 @@
         }
     }
 
-    /// Stores a lease and logs a change of its owner, so that the logs of all processes show how
-    /// long an ownership change took to reach them.
-    fn update_lease(&self, pool: PoolName, record: LeaseRecord, revision: Revision, now: Tick) {
-        let owner = record.owner.clone();
-        if self.0.view().update_lease(pool.clone(), record, revision, now) {
-            let owner = owner.as_ref().map_or("nobody", NodeName::as_str);
-            emit(Event::OwnerKnown, format_args!("pool={pool} owner={owner} token={revision}"));
-        }
-    }
-
     fn take_all(&self, changes: &[Change], now: Tick) {
         for change in changes {
             self.take(change, now);
--- a/reachhead_node/src/test_node.rs
+++ b/reachhead_node/src/test_node.rs
@@ -1,6 +1,12 @@
-//! Processes for tests, without listeners and tasks.
+//! Processes for tests, without listeners and tasks, and servers that they call.
 
-use std::sync::Arc;
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
 use reachhead_ops::client::HttpClient;
 use reachhead_platform::settings::Settings;
@@ -44,3 +50,29 @@
     let (_, stopping) = watch::channel(false);
     Arc::new(Node::new(settings, services, PeerClient::new(client), metrics, stopping))
 }
+
+/// What a server answers, after a delay; `None` never answers.
+pub(crate) type Reply = Option<(Duration, &'static str)>;
+
+/// Starts a server on a thread of its own, which goes on while the test's thread is blocked.
+pub(crate) fn serve(reply: Reply) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept() {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request);
+            if let Some((delay, body)) = reply {
+                thread::sleep(delay);
+                let _ = write!(
+                    stream,
+                    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+            }
+            open.push(stream);
+        }
+    });
+    address
+}
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -96,6 +96,8 @@
     pub leases_current_at: Tick,
     /// The store's revision up to which the leases are current.
     pub leases_revision: Revision,
+    /// When the leases of pools without a reachable owner were last read on their own.
+    pub lease_reads: BTreeMap<PoolName, Tick>,
     /// The rows of the table of leases and members that were applied.
     pub lease_rows: AppliedRows,
     /// The members: processes that watch the owners of pools and take over vacant pools.
