A wave that a lost owner recorded as completed is reported to operators

Operators saw a wave as running for ever although all of its hosts had been maintained. The owner of all hosts records that a wave is completed and then writes its status; one that was lost in between, or whose record's answer was lost (E710) before it was replaced, left a record that its successor took for both.

A successor that finds a wave recorded as completed writes its status before it drops the wave, which repeats nothing but one write. The test stores such a record; it failed before with "timed out waiting until the wave is reported as completed".

--- a/reachhead_node/src/fleet/waves.rs
+++ b/reachhead_node/src/fleet/waves.rs
@@ -76,7 +76,10 @@
                 ),
             );
             if record.completed {
-                self.node.view().waves.remove(&order.name);
+                // The owner that recorded this may have been lost before it wrote the status.
+                if self.write_status(&order.name, true).await {
+                    self.node.view().waves.remove(&order.name);
+                }
                 continue;
             }
             let wave = Wave::new(order.clone(), record, self.node.now());
