The lease of an abandoned takeover keeps the whole time for which earlier orders may have effect

What would have been seen: a task that runs twice, or starts again after its end was acknowledged, after a takeover that was given up. Found by the new random schedules before any landing, not by callers.

Cause: the released lease gave the time that was left since the lease was taken. But an owner that does not see its lease change counts each commit as a confirmation, and its commits succeed until the shard is fenced. An abandoned takeover may not have fenced all shards, so none of that time has surely passed.

Why it works: the successor counts the whole time from its own takeover, when all shards are fenced, as after an owner that died.

--- a/reachhead_jobs/tests/pool/recover.rs
+++ b/reachhead_jobs/tests/pool/recover.rs
@@ -255,6 +255,8 @@
         abandoned: 0,
     };
     assert_eq!(timeouts().after_release(&record(false, Some(remaining))), remaining);
+    let abandoned = record(true, Some(Millis(0))).abandoned(remaining);
+    assert_eq!(timeouts().after_release(&abandoned), remaining, "an earlier owner may be alive");
     let leases = timeouts().after_release(&record(true, Some(Millis(0))));
     assert!(leases < remaining);
     assert_eq!(
--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -57,3 +57,14 @@
     }
     check("restarts", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+/// Processes take the lease, raise some fences, and release it, since they can't read the pool's
+/// rows. Their successor must wait as long for the orders of the owner before them as they would
+/// have.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_takeovers_are_abandoned() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_abandoned_takeovers(), acts)
+    }
+    check("abandoned", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -134,6 +134,8 @@
     cancelled: BTreeSet<JobId>,
     /// When the lease was last taken.
     lease_changed: u64,
+    /// Some takeovers are abandoned.
+    abandoning: bool,
     /// Highest token seen in each shard's fence.
     fenced: BTreeMap<Shard, FencingToken>,
     tasks: BTreeMap<TaskId, Observed>,
@@ -197,6 +199,7 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             lease_changed: 0,
+            abandoning: false,
             fenced: BTreeMap::new(),
             tasks: BTreeMap::new(),
             lose_next: 0,
@@ -220,6 +223,12 @@
         self
     }
 
+    /// Lets processes give takeovers up, and release the lease, after they have raised some fences.
+    pub fn with_abandoned_takeovers(mut self) -> Self {
+        self.abandoning = true;
+        self
+    }
+
     /// Lets workers that crash restart under their ids.
     pub fn with_restarts(mut self) -> Self {
         self.restarting = true;
@@ -288,7 +297,8 @@
     /// Performs one random act.
     pub fn act(&mut self, (kind, choice, time): (u8, u8, u8)) {
         let span = u64::from(time) * 20;
-        match kind % 14 {
+        let kind = if self.abandoning && choice % 4 == 0 { 13 } else { kind % 14 };
+        match kind {
             0..=3 => self.submit(choice),
             4 => self.cancel(choice),
             5 => {
@@ -323,6 +333,7 @@
             10 => self.lose_next = choice % 8,
             11 => self.delay_next = choice % 8,
             12 => self.drain_and_take(choice),
+            _ if self.abandoning => self.abandon_takeovers(choice, span),
             _ => self.take_over_partially(usize::from(choice % 4), 40 + span / 4),
         }
         self.run(span % 700);
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -31,12 +31,13 @@
 impl Simulation {
     /// Lets a new process take the lease, whatever the previous owner is doing.
     pub(super) fn take_over(&mut self) {
+        self.take_over_with(timeouts().takeover_delay());
+    }
+
+    /// The same, with the time for which orders of earlier owners may have effect.
+    fn take_over_with(&mut self, effect: Millis) {
         let verified = Tick(self.now);
-        let mut found = RecoveredState {
-            verified,
-            effect: timeouts().takeover_delay(),
-            ..RecoveredState::default()
-        };
+        let mut found = RecoveredState { verified, effect, ..RecoveredState::default() };
         let (token, term) = self.take_lease();
         for shard in Shard::all() {
             let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
@@ -129,6 +130,35 @@
         }
     }
 
+    /// Lets processes take the lease and release it again after they have raised some fences, while the
+    /// previous owner does not notice; then another process takes over and does not reach one worker.
+    pub(super) fn abandon_takeovers(&mut self, choice: u8, span: u64) {
+        let until = self.now + 2 * span;
+        self.newest().store_cut_until = until;
+        let mut effect = timeouts().takeover_delay();
+        for raised_shards in 0..usize::from(choice % 3) {
+            let (token, term) = self.take_lease();
+            for shard in Shard::all().take(raised_shards) {
+                self.raise(token, shard);
+            }
+            self.run(span / 2);
+            let key = lease_key(&pool_name());
+            let lease: LeaseRecord = self.read(key.clone()).unwrap().parse().unwrap();
+            assert_eq!(lease.term, term);
+            let record = lease.abandoned(effect);
+            effect = timeouts().after_release(&record);
+            let txn = Txn::new()
+                .with_check(key.clone(), Some(Revision(token.0)))
+                .with_write(key, value(&record));
+            assert!(matches!(self.commit(txn), Commit::Done(_)));
+        }
+        self.take_over_with(effect);
+        // The successor does not learn from this worker what the owner before has started there.
+        if let Some(id) = self.pick(choice) {
+            self.newest().workers_cut.insert(id, until);
+        }
+    }
+
     fn scan(&self, prefix: String) -> Vec<Row> {
         let scan = Scan { prefix, after: None, limit: u32::MAX };
         self.store.scan(scan).now_or_never().unwrap().unwrap().rows
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -108,15 +108,7 @@
 /// once. `order_effect` is how long orders of an earlier owner could have effect when the lease was
 /// taken.
 pub async fn abandon(node: &Node, pool: &PoolName, lease: &LeaseView, order_effect: Millis) {
-    let elapsed = node.now().since(lease.since);
-    let record = LeaseRecord {
-        owner: None,
-        address: None,
-        term: lease.record.term,
-        settled: false,
-        unsettled_for: Some(Millis(order_effect.0.saturating_sub(elapsed.0))),
-        abandoned: lease.record.abandoned + 1,
-    };
+    let record = lease.record.abandoned(order_effect);
     let key = lease_key(pool);
     let txn =
         Txn::new().with_check(key.clone(), Some(lease.revision)).with_write(key, value(&record));
