A takeover is not given up because the whole store goes away

What was seen: an outage of the store for all processes changed the owner of a pool. Found by ownership::store_outage_for_all_processes_changes_no_owner, once in four runs of all system tests, in which the outage began right after the lease was taken.

Cause: whether the store answers was judged by the age of its last answer. A poll that was open before the outage is still answered up to 1.5 s into it, so at the end of the 3 s without progress the store seemed to be there.

Why it works: a takeover without progress asks the store for something else twice a second, past the circuit breaker that the unanswered reads may have opened. Each test call without an answer starts the time anew, so only a store that answers all the while shows that the process can't read the pool's rows.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -15,6 +15,7 @@
     claim::{StoreContact, TakeoverProgress, is_serving, probe_pause},
     clock::Tick,
     pool::RecoveredState,
+    ports::FeedError,
     record::{job_prefix, progress_prefix},
     shard::Shard,
 };
@@ -26,7 +27,7 @@
 };
 use tokio::time;
 
-use crate::{election, fleet, node::Node, takeover, view::LeaseView};
+use crate::{election, fleet, follow::LEASE_TABLE, node::Node, takeover, view::LeaseView};
 
 /// Interval between two checks of the takeovers.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -37,6 +38,12 @@
 /// Number of rows that a probe reads of each table in each shard.
 const PROBE_ROWS: u32 = 20;
 
+/// Time without progress from which a takeover tests whether the store answers.
+const MIN_IDLE_TIME: Millis = Millis(800);
+
+/// Interval of these tests.
+const STORE_TEST_PERIOD: Millis = Millis(500);
+
 /// Age from which a takeover is logged as slow.
 const SLOW_TAKEOVER_AGE: Millis = Millis(2000);
 
@@ -62,6 +69,8 @@
     pub error: Option<StoreError>,
     /// Number of takeovers in a row that were abandoned before this one.
     pub abandoned: u32,
+    /// When the store last did not answer a test call.
+    unanswered: Tick,
 }
 
 impl Takeover {
@@ -76,6 +85,7 @@
             has_roster: false,
             error: None,
             abandoned: lease.record.abandoned,
+            unanswered: Tick(0),
         }
     }
 
@@ -193,17 +203,14 @@
 }
 
 /// Returns the pools that this process claims as its own, with its fencing tokens: those whose owner
-/// serves them, and those whose takeover makes progress. The fleet owner has no takeover, and its
+/// serves them, and those whose takeover was not given up. The fleet owner has no takeover, and its
 /// rounds wait for the platform, so it is not judged by its event loop.
 pub fn claimed(node: &Node) -> BTreeMap<PoolName, Revision> {
     let now = node.now();
-    let contact = store_contact(node);
     let running_since = node.ability().running_since;
     let mut claimed = BTreeMap::new();
     for (pool, takeover) in node.loading().iter() {
-        if !takeover.is_stuck(contact, now) {
-            claimed.insert(pool.clone(), takeover.token);
-        }
+        claimed.insert(pool.clone(), takeover.token);
     }
     for (pool, owner) in node.owned().iter() {
         if *pool == fleet::name() || is_serving(owner.pulse.turned(), running_since, now) {
@@ -218,18 +225,47 @@
     StoreContact { answered: view.store_answered_at, stable_since: view.store_stable_since }
 }
 
-/// Waits until the takeover of a pool should be given up.
+/// Waits until the takeover of a pool should be given up. While it makes no progress, the store is
+/// asked for something else: the last answer may be to a poll from before an outage of the store, and
+/// only a store that answers throughout shows that this process can't read the pool's rows.
 pub async fn wait_until_stuck(node: &Node, pool: &PoolName) {
+    let mut next_test = Tick(0);
     loop {
         time::sleep(CHECK_PERIOD).await;
-        let contact = store_contact(node);
         let now = node.now();
-        if node.loading().get(pool).is_some_and(|takeover| takeover.is_stuck(contact, now)) {
+        let mut contact = store_contact(node);
+        let Some(takeover) = node.loading().get(pool).cloned() else {
+            continue;
+        };
+        let is_idle = now.since(takeover.progressed) > MIN_IDLE_TIME;
+        contact.stable_since = contact.stable_since.max(takeover.unanswered);
+        let is_stuck = takeover.is_stuck(contact, now);
+        if !is_stuck && (!is_idle || now < next_test) {
+            continue;
+        }
+        next_test = now + STORE_TEST_PERIOD;
+        if !store_answers(node).await {
+            let now = node.now();
+            update(node, pool, |takeover| takeover.unanswered = now);
+        } else if is_stuck {
             return;
         }
     }
 }
 
+/// Returns whether the store answers a call that reads no rows of a pool. The call goes past the
+/// circuit breaker, which the unanswered reads of the pool's rows may have opened.
+async fn store_answers(node: &Node) -> bool {
+    let revision = node.view().leases_revision;
+    match node.services.feed.changes(LEASE_TABLE, revision, Millis(0)).await {
+        Ok(_) | Err(FeedError::Forgotten) => true,
+        Err(FeedError::Store(error)) => {
+            log::info!("the store does not answer during a takeover: {error}");
+            false
+        }
+    }
+}
+
 /// Ends a takeover, and returns whether it succeeded. `result` is `None` if it has been given up; then
 /// the lease is released.
 pub async fn end_takeover(
