--- a/reachhead_jobs/src/claim.rs
+++ b/reachhead_jobs/src/claim.rs
@@ -48,6 +48,8 @@
     pub started: Tick,
     /// When a read or a fence was last answered.
     pub progressed: Tick,
+    /// Time since then in which the store did not answer test calls.
+    pub unanswered: Millis,
     /// Number of takeovers of the pool in a row that were abandoned before this one.
     pub abandoned: u32,
 }
@@ -56,7 +58,8 @@
     /// Returns whether this takeover should be given up, so that another process can try. Outages of
     /// the whole store do not count.
     pub fn is_stuck(&self, answers: &StoreAnswers, now: Tick) -> bool {
-        let idle = answers.reached_since(self.progressed);
+        let answered = now.since(self.progressed + self.unanswered);
+        let idle = answers.reached_since(self.progressed).min(answered);
         let age = answers.reached_since(self.started);
         let reaches_store = now.since(answers.last()) <= MAX_STORE_AGE;
         reaches_store && (idle > patience(self.abandoned) || age > age_limit(self.abandoned))
--- a/reachhead_jobs/tests/claim.rs
+++ b/reachhead_jobs/tests/claim.rs
@@ -36,7 +36,8 @@
 }
 
 const fn takeover(started: u64, progressed: u64, abandoned: u32) -> TakeoverProgress {
-    TakeoverProgress { started: Tick(started), progressed: Tick(progressed), abandoned }
+    let (started, progressed) = (Tick(started), Tick(progressed));
+    TakeoverProgress { started, progressed, unanswered: Millis(0), abandoned }
 }
 
 #[test]
@@ -63,6 +64,15 @@
     assert!(!takeover(10_000, 10_000, 0).is_stuck(&back, now), "it has only just come back");
 }
 
+#[test]
+fn time_in_which_the_store_does_not_answer_tests_does_not_count() {
+    let now = Tick(20_000);
+    let progress = takeover(16_500, 16_500, 0);
+    assert!(progress.is_stuck(&steady(now), now));
+    let excused = TakeoverProgress { unanswered: Millis(1000), ..progress };
+    assert!(!excused.is_stuck(&steady(now), now), "a poll from before the outage was answered");
+}
+
 #[test]
 fn takeover_without_progress_is_given_up_although_the_store_is_away_now_and_then() {
     let now = Tick(40_000);
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -16,6 +16,7 @@
     clock::Tick,
     liveness::StoreAnswers,
     pool::RecoveredState,
+    ports::FeedError,
     record::{job_prefix, progress_prefix},
     shard::Shard,
 };
@@ -27,7 +28,7 @@
 };
 use tokio::time;
 
-use crate::{election, fleet, node::Node, takeover, view::LeaseView};
+use crate::{election, fleet, follow::LEASE_TABLE, node::Node, takeover, view::LeaseView};
 
 /// Interval between two checks of the takeovers.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -38,6 +39,12 @@
 /// Number of rows that a probe reads of each table in each shard.
 const PROBE_ROWS: u32 = 20;
 
+/// Time without progress from which a takeover tests whether the store answers.
+const MIN_IDLE_TIME: Millis = Millis(800);
+
+/// Interval of these tests.
+const STORE_TEST_PERIOD: Millis = Millis(500);
+
 /// Age from which a takeover is logged as slow.
 const SLOW_TAKEOVER_AGE: Millis = Millis(2000);
 
@@ -63,6 +70,8 @@
     pub error: Option<StoreError>,
     /// Number of takeovers in a row that were abandoned before this one.
     pub abandoned: u32,
+    /// Time since the last progress in which the store did not answer test calls.
+    unanswered: Millis,
 }
 
 impl Takeover {
@@ -77,12 +86,26 @@
             has_roster: false,
             error: None,
             abandoned: lease.record.abandoned,
+            unanswered: Millis(0),
         }
     }
 
+    /// Records that the store answered, with this number of rows.
+    pub fn record_progress(&mut self, rows: usize, now: Tick) {
+        self.progressed = now;
+        self.unanswered = Millis(0);
+        self.rows += rows;
+    }
+
+    /// Records that the store did not answer a test call after the one that ended at `tested`.
+    fn record_unanswered(&mut self, tested: Tick, now: Tick) {
+        let time = now.since(tested.max(self.progressed));
+        self.unanswered = Millis(self.unanswered.0 + time.0);
+    }
+
     fn is_stuck(&self, answers: &StoreAnswers, now: Tick) -> bool {
-        let Self { started, progressed, abandoned, .. } = *self;
-        TakeoverProgress { started, progressed, abandoned }.is_stuck(answers, now)
+        let Self { started, progressed, abandoned, unanswered, .. } = *self;
+        TakeoverProgress { started, progressed, unanswered, abandoned }.is_stuck(answers, now)
     }
 
     /// Returns the number of shards of a pool.
@@ -194,17 +217,14 @@
 }
 
 /// Returns the pools that this process claims as its own, with its fencing tokens: those whose owner
-/// serves them, and those whose takeover makes progress. The fleet owner has no takeover, and its
+/// serves them, and those whose takeover was not given up. The fleet owner has no takeover, and its
 /// rounds wait for the platform, so it is not judged by its event loop.
 pub fn claimed(node: &Node) -> BTreeMap<PoolName, Revision> {
     let now = node.now();
-    let answers = node.view().store_answers.clone();
     let running_since = node.ability().running_since;
     let mut claimed = BTreeMap::new();
     for (pool, takeover) in node.loading().iter() {
-        if !takeover.is_stuck(&answers, now) {
-            claimed.insert(pool.clone(), takeover.token);
-        }
+        claimed.insert(pool.clone(), takeover.token);
     }
     for (pool, owner) in node.owned().iter() {
         if *pool == fleet::name() || is_serving(owner.pulse.turned(), running_since, now) {
@@ -214,14 +234,46 @@
     claimed
 }
 
-/// Waits until the takeover of a pool should be given up.
+/// Waits until the takeover of a pool should be given up. While it makes no progress, the store is
+/// asked for something else: the last answer may be to a poll from before an outage of the store, and
+/// only a store that answers meanwhile shows that this process can't read the pool's rows.
 pub async fn wait_until_stuck(node: &Node, pool: &PoolName) {
+    let mut next_test = Tick(0);
+    let mut tested_at = node.now();
     loop {
         time::sleep(CHECK_PERIOD).await;
-        let answers = node.view().store_answers.clone();
         let now = node.now();
-        if node.loading().get(pool).is_some_and(|takeover| takeover.is_stuck(&answers, now)) {
+        let Some(takeover) = node.loading().get(pool).cloned() else {
+            continue;
+        };
+        let answers = node.view().store_answers.clone();
+        let is_idle = now.since(takeover.progressed) > MIN_IDLE_TIME;
+        let is_stuck = takeover.is_stuck(&answers, now);
+        if !is_stuck && (!is_idle || now < next_test) {
+            continue;
+        }
+        next_test = now + STORE_TEST_PERIOD;
+        if !store_answers(node).await {
+            let now = node.now();
+            update(node, pool, |takeover| takeover.record_unanswered(tested_at, now));
+            tested_at = now;
+        } else if is_stuck {
             return;
+        } else {
+            tested_at = node.now();
+        }
+    }
+}
+
+/// Returns whether the store answers a call that reads no rows of a pool. The call goes past the
+/// circuit breaker, which the unanswered reads of the pool's rows may have opened.
+async fn store_answers(node: &Node) -> bool {
+    let revision = node.view().leases_revision;
+    match node.services.feed.changes(LEASE_TABLE, revision, Millis(0)).await {
+        Ok(_) | Err(FeedError::Forgotten) => true,
+        Err(FeedError::Store(error)) => {
+            log::info!("the store does not answer during a takeover: {error}");
+            false
         }
     }
 }
