An owner reads its stored jobs page by page, and finds those that it was not notified of on a narrow link too

A job that was accepted, and of which its owner could not be notified, was never found while a thousand jobs waited: the owner read all jobs of a shard in one call, whose timeout started from its minimum of 350 ms again after each quick read of another pool's shard, and everything that had arrived was dropped. It is the fault of the takeover, in the reads that go on after it.

Each read asks for one page and continues where the last one ended. Pages adapt their size as in a takeover; only a full page says that a larger one would arrive in time, since an empty one made it grow again after each failure (the page_size test).

--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -11,7 +11,7 @@
 };
 use reachhead_store::{
     StoreError,
-    row::{Commit, Row},
+    row::{Commit, Page},
 };
 use reachhead_types::{
     id::{CustomerName, JobId, RouteName, WorkerId},
@@ -69,8 +69,8 @@
     AdviceReceived(StepId, Option<Vec<Approval>>, Tick),
     /// The store decided on a transaction, or the call failed.
     Committed(Box<Batch>, Result<Commit, StoreError>),
-    /// Stored jobs were read, or the call failed.
-    JobsScanned(Result<Vec<Row>, StoreError>),
+    /// A page of stored jobs was read, or the call failed.
+    JobsScanned(Result<Page, StoreError>),
     /// A call in the background panicked, so its result never comes.
     CallFailed,
     /// Releases the pool.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -21,7 +21,8 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
-    row::{Commit, Key, Row, Scan, Txn},
+    page_size::PageSize,
+    row::{Commit, Key, Page, Scan, Txn},
 };
 use reachhead_types::{
     id::{CustomerName, JobId},
@@ -120,6 +121,9 @@
     scan_begun: Option<Tick>,
     /// The shards in the order in which they are read next.
     scan_order: VecDeque<Shard>,
+    /// The last key that was read of the first of them, if its next page is due.
+    scan_position: Option<Key>,
+    page_size: PageSize,
     release: Option<oneshot::Sender<()>>,
     lease_lost: bool,
     call_failed: bool,
@@ -150,6 +154,8 @@
             next_scan: now + MIN_SCAN_PAUSE,
             scan_begun: None,
             scan_order: Shard::all().collect(),
+            scan_position: None,
+            page_size: PageSize::default(),
             release: None,
             lease_lost: false,
             call_failed: false,
@@ -406,36 +412,48 @@
         }
     }
 
-    /// Reads the stored jobs of the next shard when its scan is due and the last one has ended.
+    /// Reads the next page of stored jobs when it is due and the last one has ended.
     fn scan(&mut self, now: Tick) {
         if self.scan_begun.is_some() || self.next_scan > now {
             return;
         }
-        let node = Arc::clone(&self.node);
-        let Some(shard) = self.scan_order.pop_front() else {
+        let Some(shard) = self.scan_order.front() else {
             return;
         };
-        self.scan_order.push_back(shard);
         self.scan_begun = Some(now);
-        let prefix = job_prefix(self.pool.name(), shard);
+        let scan = Scan {
+            prefix: job_prefix(self.pool.name(), *shard),
+            after: self.scan_position.clone(),
+            limit: self.page_size.rows(),
+        };
+        let node = Arc::clone(&self.node);
         self.spawn_call(async move {
-            let scan = Scan { prefix, after: None, limit: u32::MAX };
             let page = node.services.store.scan(scan).await;
             node.record_store_result(&page);
-            Some(Input::JobsScanned(page.map(|page| page.rows)))
+            Some(Input::JobsScanned(page))
         });
     }
 
-    fn handle_scan(&mut self, result: Result<Vec<Row>, StoreError>, now: Tick) {
+    fn handle_scan(&mut self, result: Result<Page, StoreError>, now: Tick) {
         let duration = now.since(self.scan_begun.take().unwrap_or(now));
-        self.next_scan = now + Millis(duration.0 * SCAN_PAUSE_FACTOR).max(MIN_SCAN_PAUSE);
-        let rows = match result {
-            Ok(rows) => rows,
+        let pause = Millis(duration.0 * SCAN_PAUSE_FACTOR);
+        let limit = self.page_size.rows();
+        let page = match result {
+            Ok(page) => page,
             Err(error) => {
+                self.page_size.record_failure(limit);
+                self.next_scan = now + pause.max(MIN_SCAN_PAUSE);
                 log::info!("stored jobs can't be read: {error}");
                 return;
             }
         };
+        self.page_size.record_answer(page.rows.len(), duration.duration());
+        self.scan_position = page.rows.last().filter(|_| page.more).map(|row| row.key.clone());
+        self.next_scan = now + if page.more { pause } else { pause.max(MIN_SCAN_PAUSE) };
+        if !page.more {
+            self.scan_order.rotate_left(1);
+        }
+        let rows = page.rows;
         for row in &rows {
             let Some(id) = id_of(&row.key) else {
                 continue;
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -294,7 +294,7 @@
                     return Err(error);
                 }
             };
-            locked(&self.page_size).record_answer(limit, started.elapsed());
+            locked(&self.page_size).record_answer(page.rows.len(), started.elapsed());
             self.node.record_store_result(&Ok(()));
             self.record_progress(page.rows.len());
             pages.rows.extend(page.rows);
--- a/reachhead_store/src/page_size.rs
+++ b/reachhead_store/src/page_size.rs
@@ -35,9 +35,10 @@
         self.0
     }
 
-    /// Records that a page of at most `rows` rows arrived after `latency`.
-    pub fn record_answer(&mut self, rows: u32, latency: Duration) {
-        if rows == self.0 && latency <= QUICK_ANSWER {
+    /// Records that a page of `rows` rows arrived after `latency`. One with fewer rows than were asked
+    /// for says nothing about larger ones.
+    pub fn record_answer(&mut self, rows: usize, latency: Duration) {
+        if rows == self.0 as usize && latency <= QUICK_ANSWER {
             self.0 = (self.0 * GROWTH_FACTOR).min(MAX_ROWS);
         }
     }
--- a/reachhead_store/tests/page_size.rs
+++ b/reachhead_store/tests/page_size.rs
@@ -29,11 +29,21 @@
     }
     assert_eq!(size.rows(), 1);
     for _ in 0..10 {
-        size.record_answer(size.rows(), MILLIS(5));
+        size.record_answer(size.rows() as usize, MILLIS(5));
     }
     assert_eq!(size.rows(), full);
 }
 
+#[test]
+fn pages_that_are_not_full_do_not_restore_the_size() {
+    let mut size = PageSize::default();
+    size.record_failure(size.rows());
+    let rows = size.rows();
+    size.record_answer(0, MILLIS(5));
+    size.record_answer(rows as usize - 1, MILLIS(5));
+    assert_eq!(size.rows(), rows);
+}
+
 properties! {
     fn no_page_fails_after_the_first_that_arrived(row: u16) -> bool {
         let latency_of = |rows: u32| (5 + u64::from(row) % 300) * u64::from(rows);
@@ -45,7 +55,7 @@
         }
         let rest = (0..100).all(|_| {
             let latency = latency_of(size.rows());
-            size.record_answer(size.rows(), MILLIS(latency));
+            size.record_answer(size.rows() as usize, MILLIS(latency));
             latency <= TIMEOUT_MS
         });
         calls <= 5 && rest
