A paused owner is neither reported as lost nor counted as one that gives no more orders

Found by a review, not by callers. A process that was paused for longer than an owner's event loop may stand still answered the first ping after the pause before it noticed the pause, so that its pools were missing from the answer. Peers then took them over, and since the process was alive and did not claim them, they counted its orders as yielded and waited a shorter time for workers that did not answer, although such an owner goes on and trusts its lease for up to four seconds: a task might have run twice.

A pause is now noticed when the claims are asked for, and pools whose owner stands still are named apart, so that a successor waits the whole time for them. the_first_answer_after_a_pause_claims_the_pool fails without the first of the two.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -167,13 +167,28 @@
 /// What this process knows about its own ability to serve pools.
 #[derive(Debug, Default)]
 pub struct Ability {
-    /// Since when the process has run without a pause.
+    /// Since when the process has run without a pause, as of the last check.
     running_since: Tick,
+    /// When this was last checked.
+    checked_at: Tick,
     /// The pools whose rows it could not read; they are probed until it can.
     unreadable: BTreeMap<PoolName, Unreadable>,
 }
 
 impl Ability {
+    /// Returns since when the process has run without a pause. The first message after a pause may be
+    /// answered before the next check.
+    fn running_since(&self, now: Tick) -> Tick {
+        let paused = now.since(self.checked_at) >= DELAYED_CHECK_GAP;
+        if paused { now } else { self.running_since }
+    }
+
+    /// Records a check.
+    fn check(&mut self, now: Tick) {
+        self.running_since = self.running_since(now);
+        self.checked_at = now;
+    }
+
     /// Returns the pools whose rows this process could not read.
     pub fn unreadable(&self) -> BTreeSet<PoolName> {
         self.unreadable.keys().cloned().collect()
@@ -216,22 +231,33 @@
     }
 }
 
-/// Returns the pools that this process claims as its own, with its fencing tokens: those whose owner
-/// serves them, and those whose takeover was not given up. The fleet owner has no takeover, and its
-/// rounds wait for the platform, so it is not judged by its event loop.
-pub fn claimed(node: &Node) -> BTreeMap<PoolName, Revision> {
+/// The pools whose leases this process holds.
+#[derive(Debug, Default)]
+pub struct Claims {
+    /// Those that it claims, with its fencing tokens: their owners serve them, or their takeovers were
+    /// not given up.
+    pub claimed: BTreeMap<PoolName, Revision>,
+    /// Those whose owner stands still. It may go on and give orders.
+    pub stalled: BTreeSet<PoolName>,
+}
+
+/// Returns the pools whose leases this process holds. The fleet owner has no takeover, and its rounds
+/// wait for the platform, so it is not judged by its event loop.
+pub fn claims(node: &Node) -> Claims {
     let now = node.now();
-    let running_since = node.ability().running_since;
-    let mut claimed = BTreeMap::new();
+    let running_since = node.ability().running_since(now);
+    let mut claims = Claims::default();
     for (pool, takeover) in node.loading().iter() {
-        claimed.insert(pool.clone(), takeover.token);
+        claims.claimed.insert(pool.clone(), takeover.token);
     }
     for (pool, owner) in node.owned().iter() {
         if *pool == fleet::name() || is_serving(owner.pulse.turned(), running_since, now) {
-            claimed.insert(pool.clone(), owner.token);
+            claims.claimed.insert(pool.clone(), owner.token);
+        } else {
+            claims.stalled.insert(pool.clone());
         }
     }
-    claimed
+    claims
 }
 
 /// Waits until the takeover of a pool should be given up. While it makes no progress, the store is
@@ -357,7 +383,7 @@
 /// Drops owners whose event loop stands still and whose lease another process has taken, so that
 /// requests go to that process.
 fn drop_replaced_owners(node: &Node, now: Tick) {
-    let running_since = node.ability().running_since;
+    let running_since = node.ability().running_since(now);
     let owned: Vec<_> =
         node.owned().iter().map(|(pool, owner)| (pool.clone(), owner.clone())).collect();
     for (pool, owner) in owned {
@@ -372,13 +398,10 @@
 /// Watches the claims of this process and logs slow takeovers, for as long as the process runs.
 pub async fn run(node: Arc<Node>) {
     let mut next_log = Tick(0);
-    let mut last = node.now();
     loop {
         time::sleep(CHECK_PERIOD).await;
         let now = node.now();
-        if now.since(std::mem::replace(&mut last, now)) >= DELAYED_CHECK_GAP {
-            node.ability().running_since = now;
-        }
+        node.ability().check(now);
         drop_replaced_owners(&node, now);
         let due = node.ability().take_due_probes(now);
         for pool in due {
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -275,7 +275,7 @@
     let view = node.view();
     let has_yielded = view.peers.get(owner).is_some_and(|status| {
         let absent = status.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
-        absent && status.at > lease.since
+        absent && !status.pong.stalled.contains(pool) && status.at > lease.since
     });
     if has_yielded && now.since(lease.since) >= timeouts.takeover_delay() {
         with_drift(timeouts.hold)
--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -1,11 +1,20 @@
 //! A process does not go on claiming a pool whose owner or takeover has panicked.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::atomic::Ordering,
+    thread,
+    time::Duration,
+};
 
-use reachhead_ops::runtime;
+use reachhead_ops::{http, runtime};
 
 use super::*;
-use crate::fixture;
+use crate::{fixture, peer::PeerHandler};
+
+/// How long a process is paused: longer than the event loop of an owner may stand still.
+const PAUSE: Duration = Duration::from_millis(3000);
 
 fn pool() -> PoolName {
     "a".parse().unwrap()
@@ -52,3 +61,64 @@
         assert_eq!(node.metrics.pools_taken.get(), 2, "both takeovers got the lease");
     });
 }
+
+/// Sends a ping to a process over an open connection and returns its answer.
+fn ping(stream: &mut TcpStream) -> String {
+    let request = "POST /peer HTTP/1.1\r\nhost: x\r\ncontent-length: 6\r\n\r\n\"ping\"";
+    write!(stream, "{request}").unwrap();
+    let mut answer = [0; 4096];
+    let count = stream.read(&mut answer).unwrap();
+    String::from_utf8_lossy(&answer[..count]).into_owned()
+}
+
+/// Pings a process now, and again while it is paused.
+fn ping_before_and_during_pause(address: SocketAddr) -> (String, String) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let before = ping(&mut stream);
+    thread::sleep(PAUSE);
+    (before, ping(&mut stream))
+}
+
+#[test]
+fn the_first_answer_after_a_pause_claims_the_pool() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, _) = fixture::node();
+        let (handle, inputs) = OwnerHandle::new(Revision(7));
+        let (pulse, clock) = (Arc::clone(&handle.pulse), Arc::clone(&node));
+        tokio::spawn(claim::run(Arc::clone(&node)));
+        start_owner(&node, pool(), handle, async move {
+            let _inputs = inputs;
+            loop {
+                pulse.record_turn(clock.now());
+                time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+        let listener = http::listen("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (_keep, stop) = tokio::sync::watch::channel(false);
+        let handler = Arc::new(PeerHandler(Arc::clone(&node)));
+        tokio::spawn(http::serve(listener, handler, 1 << 20, stop));
+        let pings = tokio::task::spawn_blocking(move || ping_before_and_during_pause(address));
+        time::sleep(Duration::from_millis(300)).await;
+        thread::sleep(PAUSE);
+        let (before, after) = pings.await.unwrap();
+        assert!(before.contains("\"owned\":{\"a\""), "{before}");
+        assert!(after.contains("\"owned\":{\"a\""), "{after}");
+    });
+}
+
+#[test]
+fn an_owner_that_stands_still_is_not_claimed_and_may_go_on() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, _) = fixture::node();
+        let (handle, inputs) = OwnerHandle::new(Revision(7));
+        tokio::spawn(claim::run(Arc::clone(&node)));
+        start_owner(&node, pool(), handle, async move {
+            let _inputs = inputs;
+            std::future::pending().await
+        });
+        time::sleep(PAUSE).await;
+        let claims = claim::claims(&node);
+        assert!(claims.claimed.is_empty() && claims.stalled.contains(&pool()), "{claims:?}");
+    });
+}
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -37,7 +37,7 @@
 
 use crate::{
     admission::read_for_peer,
-    claim,
+    claim::{self, Claims},
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
     registry::{self, WorkersPage, WorkersRequest},
@@ -165,6 +165,9 @@
 pub struct Pong {
     /// The pools that it owns and serves or is taking over, with its fencing tokens.
     pub owned: BTreeMap<PoolName, Revision>,
+    /// The pools whose owner stands still in it, and may go on.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub stalled: BTreeSet<PoolName>,
     /// The pools whose rows it could not read lately, so that it is no owner for them.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub unreadable: BTreeSet<PoolName>,
@@ -258,13 +261,14 @@
     }
 
     fn pong(&self) -> PeerReply {
-        let owned = claim::claimed(&self.0);
+        let Claims { claimed, stalled } = claim::claims(&self.0);
         let unreadable = self.0.ability().unreadable();
         let now = self.0.now();
         let view = self.0.view();
         let store_age = now.since(view.store_answers.last()).0;
         PeerReply::Pong(Pong {
-            owned,
+            owned: claimed,
+            stalled,
             unreadable,
             store_age,
             failing: view.store_failing,
