A takeover that makes progress is given up for its age only if a much stronger process could take the pool

Where all links are narrow a takeover of a large pool was given up after ten seconds, and its successor read the same rows again.

The strength of the members says whether another link may be faster; without one only a standstill ends a takeover. The unit test has both cases.

--- a/reachhead_jobs/src/candidate.rs
+++ b/reachhead_jobs/src/candidate.rs
@@ -70,7 +70,7 @@
 
     /// Returns whether this process is so much stronger than `other` that `other` should not become
     /// owner instead.
-    fn is_much_stronger(&self, other: &Self) -> bool {
+    pub fn is_much_stronger(&self, other: &Self) -> bool {
         u64::from(self.strength.0) >= 2 * u64::from(other.strength.0)
     }
 
--- a/reachhead_jobs/src/claim.rs
+++ b/reachhead_jobs/src/claim.rs
@@ -13,8 +13,9 @@
 /// with a longer timeout than the one before, end within it.
 const MIN_PATIENCE: Millis = Millis(3000);
 
-/// Age at which the first takeover of a pool is given up although rows still arrive: another process
-/// may have a faster link.
+/// Age at which the first takeover of a pool is given up although rows still arrive, if a much
+/// stronger process could take the pool. Where all links are narrow the next process would only read
+/// the same rows again.
 const MIN_AGE_LIMIT: Millis = Millis(10_000);
 
 /// Number of abandoned takeovers up to which the time without progress doubles. If no process can
@@ -52,6 +53,8 @@
     pub unanswered: Millis,
     /// Number of takeovers of the pool in a row that were abandoned before this one.
     pub abandoned: u32,
+    /// A much stronger process could take the pool.
+    pub outmatched: bool,
 }
 
 impl TakeoverProgress {
@@ -62,7 +65,9 @@
         let idle = answers.reached_since(self.progressed).min(answered);
         let age = answers.reached_since(self.started);
         let reaches_store = now.since(answers.last()) <= MAX_STORE_AGE;
-        reaches_store && (idle > patience(self.abandoned) || age > age_limit(self.abandoned))
+        let is_idle = idle > patience(self.abandoned);
+        let is_slow = self.outmatched && age > age_limit(self.abandoned);
+        reaches_store && (is_idle || is_slow)
     }
 }
 
--- a/reachhead_jobs/tests/claim.rs
+++ b/reachhead_jobs/tests/claim.rs
@@ -37,7 +37,7 @@
 
 const fn takeover(started: u64, progressed: u64, abandoned: u32) -> TakeoverProgress {
     let (started, progressed) = (Tick(started), Tick(progressed));
-    TakeoverProgress { started, progressed, unanswered: Millis(0), abandoned }
+    TakeoverProgress { started, progressed, unanswered: Millis(0), abandoned, outmatched: true }
 }
 
 #[test]
@@ -53,6 +53,8 @@
     let now = Tick(60_000);
     assert!(takeover(45_000, 59_900, 0).is_stuck(&steady(now), now));
     assert!(!takeover(45_000, 59_900, 1).is_stuck(&steady(now), now), "the second has longer");
+    let unmatched = TakeoverProgress { outmatched: false, ..takeover(45_000, 59_900, 0) };
+    assert!(!unmatched.is_stuck(&steady(now), now), "no other process would be faster");
 }
 
 #[test]
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -12,6 +12,7 @@
 };
 
 use reachhead_jobs::{
+    candidate::Candidate,
     claim::{TakeoverProgress, is_serving, probe_pause},
     clock::Tick,
     liveness::StoreAnswers,
@@ -103,9 +104,10 @@
         self.unanswered = Millis(self.unanswered.0 + time.0);
     }
 
-    fn is_stuck(&self, answers: &StoreAnswers, now: Tick) -> bool {
+    fn is_stuck(&self, answers: &StoreAnswers, outmatched: bool, now: Tick) -> bool {
         let Self { started, progressed, abandoned, unanswered, .. } = *self;
-        TakeoverProgress { started, progressed, unanswered, abandoned }.is_stuck(answers, now)
+        let progress = TakeoverProgress { started, progressed, unanswered, abandoned, outmatched };
+        progress.is_stuck(answers, now)
     }
 
     /// Returns the number of shards of a pool.
@@ -274,7 +276,7 @@
         };
         let answers = node.view().store_answers.clone();
         let is_idle = now.since(takeover.progressed) > MIN_IDLE_TIME;
-        let is_stuck = takeover.is_stuck(&answers, now);
+        let is_stuck = takeover.is_stuck(&answers, is_outmatched(node), now);
         if !is_stuck && (!is_idle || now < next_test) {
             continue;
         }
@@ -291,6 +293,14 @@
     }
 }
 
+/// Returns whether a member is much stronger than this process.
+fn is_outmatched(node: &Node) -> bool {
+    let view = node.view();
+    let own = Candidate { node: &node.settings.node, strength: node.strength(), owned: 0 };
+    let mut members = view.members.iter();
+    members.any(|(other, member)| view.candidate(other, &member.record).is_much_stronger(&own))
+}
+
 /// Returns whether the store answers a call that reads no rows of a pool. The call goes past the
 /// circuit breaker, which the unanswered reads of the pool's rows may have opened.
 async fn store_answers(node: &Node) -> bool {
