--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -103,3 +103,15 @@
     let confirmed: Tick = node.view().config_current_at;
     assert!(confirmed >= before, "the store's answer was there in time");
 }
+
+#[tokio::test]
+async fn one_silent_peer_does_not_keep_the_configuration_of_another_from_being_read() {
+    let silent = serve(None);
+    let node = node_with_config(silent, Millis(3500));
+    add_peer(&node, silent, 20);
+    let good = serve(Some((DELAY, "{\"operators\":{\"changes\":[],\"revision\":9}}")));
+    let pong = Pong { store_age: 60, ..Pong::default() };
+    let status = PeerStatus { at: node.now(), address: good, pong };
+    node.view().peers.insert("node-3".parse().unwrap(), status);
+    assert!(admit(&node).await.is_ok(), "a second peer has the newest configuration");
+}
--- a/reachhead_store/tests/guarded.rs
+++ b/reachhead_store/tests/guarded.rs
@@ -226,3 +226,40 @@
         assert!(read.is_ok(), "{read:?}");
     }
 }
+
+/// A store with a partition whose transactions are slow and another one that is quick.
+struct SlowPartition;
+
+impl Store for SlowPartition {
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
+        async move { Ok(vec![None; keys.len()]) }.boxed()
+    }
+
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
+        async move { MemoryStore::new().scan(scan).await }.boxed()
+    }
+
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
+        async move {
+            time::sleep(Duration::from_millis(600)).await;
+            MemoryStore::new().commit(txn).await
+        }
+        .boxed()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn slow_commit_beside_quick_reads_of_another_partition_succeeds_in_the_end() {
+    let store = GuardedStore::new(SlowPartition, 1000)
+        .with_partitions(partition_of)
+        .with_adaptive_timeouts();
+    let mut committed = false;
+    for _ in 0..60 {
+        store.read(vec![Key("table/small/1".to_owned())]).await.unwrap();
+        let key = Key("table/large/1".to_owned());
+        let txn = Txn::new().with_write(key, serde_json::Value::Null);
+        committed |= store.commit(txn).await.is_ok();
+        time::sleep(Duration::from_millis(150)).await;
+    }
+    assert!(committed, "the transaction never succeeds");
+}
