A call to an owner in the same process that does not answer ends like one to a peer

A cancellation that reached the very process that owns the pool waited for the owner without a limit: if the end of the job could not be recorded, its caller got no answer at all, where callers of all other processes were refused after their time.

Requests to the owner have the same timeout wherever it runs. Its waiting cancellations no longer keep those whose callers gave up, which were walked in each round and grew with each attempt.

--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -327,6 +327,8 @@
 
     /// Answers callers of cancellations whose job is recorded as ended.
     fn answer_cancels(&mut self) {
+        // Callers that gave up ask again.
+        self.pending_cancels.retain(|pending| !pending.reply.is_closed());
         for index in (0..self.pending_cancels.len()).rev() {
             let job = self.pending_cancels[index].job;
             if matches!(self.pool.state(job), Some(JobState::Over(_))) {
--- a/reachhead_node/src/owner_call.rs
+++ b/reachhead_node/src/owner_call.rs
@@ -12,7 +12,7 @@
     size::Millis,
 };
 use thiserror::Error;
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use crate::{
     follow,
@@ -43,6 +43,9 @@
     /// The lease names this process, which does not serve the pool.
     #[error("this process holds the lease and does not serve the pool")]
     NotServing,
+    /// The owner is in this process and did not answer in time.
+    #[error("the owner in this process did not answer in time")]
+    TooSlow,
     /// The process that the lease names says that it does not serve the pool.
     #[error("{0} does not serve the pool")]
     NotOwner(NodeName),
@@ -116,9 +119,10 @@
     request: PoolRequest,
 ) -> Result<PeerReply, OwnerError> {
     if let Some(owner) = node.local_owner(pool) {
-        return match call_local_owner(&owner, request).await {
-            PeerReply::NotOwner => Err(OwnerError::NotServing),
-            reply => Ok(reply),
+        return match time::timeout(OWNER_TIMEOUT, call_local_owner(&owner, request)).await {
+            Ok(PeerReply::NotOwner) => Err(OwnerError::NotServing),
+            Ok(reply) => Ok(reply),
+            Err(_) => Err(OwnerError::TooSlow),
         };
     }
     let (owner, address) = node.view().owner(pool).ok_or(OwnerError::NoOwner)?;
--- a/reachhead_node/src/owner_call_tests.rs
+++ b/reachhead_node/src/owner_call_tests.rs
@@ -1,4 +1,4 @@
-//! Calls to an owner that has moved while the process did not hear of it.
+//! Calls to an owner that has moved while the process did not hear of it, or that does not answer.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -13,11 +13,13 @@
     size::{Millis, Revision},
 };
 use serde_json::{Value, json};
+use tokio::time;
 
 use super::{OwnerError, call_pool_owner};
 use crate::{
     follow::{Follower, Leases},
     node::Node,
+    owner::OwnerHandle,
     peer::{PeerReply, PoolRequest},
     test_node::{self, serve},
 };
@@ -67,3 +69,14 @@
     }
     assert_eq!(node.view().leases[&pool()].revision, Revision(7));
 }
+
+#[tokio::test]
+async fn a_call_to_an_owner_in_this_process_that_does_not_answer_ends() {
+    let node = test_node::new("127.0.0.1:1");
+    let (handle, _inputs) = OwnerHandle::new(Revision(7));
+    node.owned().insert(pool(), handle);
+    let pool = pool();
+    let call = call_pool_owner(&node, &pool, PoolRequest::Load);
+    let ended = time::timeout(Duration::from_secs(3), call).await;
+    assert!(matches!(ended, Ok(Err(OwnerError::TooSlow))), "{ended:?}");
+}
