Split three long files, and test processes and rows of the platform lie in test files

Change: the schedule of an owner's reads of stored jobs is job_scan.rs, what operators write is site/operators.rs, the size of a run is size.rs; the processes for unit tests are tests/broken_node.rs and tests/idle_node.rs; the row lies in platform/tests/rows. No decision, check or figure of a test changes.

--- a/reachhead_jobs/src/claim.rs
+++ b/reachhead_jobs/src/claim.rs
@@ -1,8 +1,8 @@
 //! Bounds how long a process may claim a pool that it does not serve.
 //!
 //! A process answers heartbeats for as long as it runs, also while a takeover reads nothing or the
-//! event loop of an owner stands still. So a claim is kept by progress: a takeover that makes none
-//! is given up, and an owner that stands still is no longer reported to peers, which take over the
+//! event loop of an owner is stalled. So a claim is kept by progress: a takeover that makes none
+//! is given up, and an owner that is stalled is no longer reported to peers, which take over the
 //! pool as they do from a process that has lost it.
 
 use reachhead_types::size::Millis;
--- a/reachhead_jobs/src/silence.rs
+++ b/reachhead_jobs/src/silence.rs
@@ -3,7 +3,7 @@
 //! A process that is late reads the answers of its peers late, so their silence in that time is no
 //! evidence; an overloaded process would otherwise take the pools of healthy owners. What it found
 //! before stays evidence: processes on small hosts are late again and again, and if each delay
-//! discarded it, nobody would replace a dead owner.
+//! discarded it, no process would replace a dead owner.
 
 use std::collections::VecDeque;
 
--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -189,7 +189,7 @@
 }
 
 /// Returns whether the configuration has to be refreshed before it decides anything: it was not
-/// confirmed lately, or a peer has a newer one.
+/// confirmed recently, or a peer has a newer one.
 fn needs_refresh(node: &Node) -> bool {
     let now = node.now();
     let max_age = max_config_age(node);
--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -18,7 +18,7 @@
     follow::{Follower, Operators},
     node::Node,
     peer::Pong,
-    test_node::{self, serve},
+    tests::idle_node::{self, serve},
     view::PeerStatus,
 };
 
@@ -27,7 +27,7 @@
 
 /// Returns a process with a route under `/a/` that was confirmed `age` ago.
 fn node_with_config(store: SocketAddr, age: Millis) -> Arc<Node> {
-    let node = test_node::new(&store.to_string());
+    let node = idle_node::new(&store.to_string());
     let value = json!({ "version": 3, "routes": [{ "name": "a", "host": "site.example",
             "pathPrefix": "/a/", "kind": "non_idempotent", "timeoutMs": 3000,
             "targetLatencyMs": 600, "priority": 0, "service": "a", "maxAttempts": 3,
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -239,7 +239,7 @@
     /// Those that it claims, with its fencing tokens: their owners serve them, or their takeovers were
     /// not given up.
     pub claimed: BTreeMap<PoolName, Revision>,
-    /// Those whose owner stands still. It may go on and give orders.
+    /// Those whose owner is stalled. It may go on and give orders.
     pub stalled: BTreeSet<PoolName>,
 }
 
@@ -390,7 +390,7 @@
     true
 }
 
-/// Drops owners whose event loop stands still and whose lease another process has taken, so that
+/// Drops owners whose event loop is stalled and whose lease another process has taken, so that
 /// requests go to that process.
 fn drop_replaced_owners(node: &Node, now: Tick) {
     let running_since = node.ability().running_since(now);
--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -11,7 +11,7 @@
 use reachhead_ops::{http, runtime};
 
 use super::*;
-use crate::{fixture, peer::PeerHandler};
+use crate::{peer::PeerHandler, tests::broken_node};
 
 /// How long a process is paused: longer than the event loop of an owner may stand still.
 const PAUSE: Duration = Duration::from_millis(3000);
@@ -29,7 +29,7 @@
 #[test]
 fn a_process_does_not_claim_a_pool_whose_owner_has_panicked() {
     runtime::current_thread().unwrap().block_on(async {
-        let (node, _) = fixture::node();
+        let (node, _) = broken_node::node();
         for failure in 0..2 {
             assert!(!node.leaves_to_others(&pool(), node.now()), "after {failure} failures");
             let (handle, inputs) = OwnerHandle::new(Revision(7));
@@ -48,7 +48,7 @@
 #[test]
 fn a_process_does_not_claim_a_pool_whose_takeover_has_panicked() {
     runtime::current_thread().unwrap().block_on(async {
-        let (node, store) = fixture::node();
+        let (node, store) = broken_node::node();
         store.scans.store(u32::MAX, Ordering::Relaxed);
         let policy = PoolPolicy { name: pool(), rejects_overload: false, spare: false };
         for failure in 0..2 {
@@ -82,7 +82,7 @@
 #[test]
 fn the_first_answer_after_a_pause_claims_the_pool() {
     runtime::current_thread().unwrap().block_on(async {
-        let (node, _) = fixture::node();
+        let (node, _) = broken_node::node();
         let (handle, inputs) = OwnerHandle::new(Revision(7));
         let (pulse, clock) = (Arc::clone(&handle.pulse), Arc::clone(&node));
         tokio::spawn(claim::run(Arc::clone(&node)));
@@ -110,7 +110,7 @@
 #[test]
 fn an_owner_that_stands_still_is_not_claimed_and_may_go_on() {
     runtime::current_thread().unwrap().block_on(async {
-        let (node, _) = fixture::node();
+        let (node, _) = broken_node::node();
         let (handle, inputs) = OwnerHandle::new(Revision(7));
         tokio::spawn(claim::run(Arc::clone(&node)));
         start_owner(&node, pool(), handle, async move {
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -192,7 +192,7 @@
     }
 
     /// Returns whether a member can list the platform's hosts, while this process has not for long.
-    /// A change of the owner interrupts the division of quotas, so the lease stays while nobody is
+    /// A change of the owner interrupts the division of quotas, so the lease stays while no process is
     /// known to do better.
     async fn should_give_up(&mut self) -> bool {
         let now = self.node.now();
--- a/reachhead_node/src/follow_tests.rs
+++ b/reachhead_node/src/follow_tests.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 use super::{Follower, Leases, Operators};
-use crate::{node::Node, test_node};
+use crate::{node::Node, tests::idle_node};
 
 /// Nothing is read from the store.
 const UNUSED_STORE: &str = "127.0.0.1:1";
@@ -58,7 +58,7 @@
 
 #[tokio::test]
 async fn older_read_of_a_member_does_not_replace_a_newer_one() {
-    let node = test_node::new(UNUSED_STORE);
+    let node = idle_node::new(UNUSED_STORE);
     let leases = Leases(Arc::clone(&node));
     leases.apply(&[member(1, 15)]);
     leases.apply(&[member(2, 20)]);
@@ -73,7 +73,7 @@
 
 #[tokio::test]
 async fn older_read_of_the_whole_table_does_not_undo_later_changes() {
-    let node = test_node::new(UNUSED_STORE);
+    let node = idle_node::new(UNUSED_STORE);
     let leases = Leases(Arc::clone(&node));
     leases.apply(&[member(2, 20)]);
     leases.reset(&FeedPage { changes: vec![member(1, 15)], revision: Revision(18) });
@@ -86,7 +86,7 @@
 
 #[tokio::test]
 async fn older_read_of_the_operators_table_does_not_restore_an_ended_drain() {
-    let node = test_node::new(UNUSED_STORE);
+    let node = idle_node::new(UNUSED_STORE);
     let operators = Operators(Arc::clone(&node));
     let drained = || !node.view().drained.is_empty();
     operators.apply(&[drain(6)]);
@@ -104,7 +104,7 @@
 
 #[tokio::test]
 async fn configuration_never_goes_back_whatever_the_order_of_reads() {
-    let node = test_node::new(UNUSED_STORE);
+    let node = idle_node::new(UNUSED_STORE);
     let operators = Operators(Arc::clone(&node));
     let version = || node.view().config.as_ref().map(|config| config.version.0);
     operators.apply(&[configuration(9, 20)]);
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -5,8 +5,6 @@
 mod clock;
 mod election;
 mod failure_detector;
-#[cfg(test)]
-mod fixture;
 mod fleet;
 mod follow;
 mod frontend;
@@ -27,7 +25,7 @@
 mod submit;
 mod takeover;
 #[cfg(test)]
-mod test_node;
+mod tests;
 mod view;
 
 use std::process::ExitCode;
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -2,27 +2,21 @@
 
 mod actions;
 mod input;
+mod job_scan;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
 
 use futures::future::join_all;
 use reachhead_jobs::{
     clock::Tick,
     pool::{Action, Batch, Cancelled, DeathEvidence, Due, JobState, Lane, Pool},
     quota::{Allotment, UsageReport},
-    record::{JobRecord, LeaseRecord, job_prefix, lease_key, value},
-    shard::Shard,
+    record::{JobRecord, LeaseRecord, lease_key, value},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
-    page_size::PageSize,
-    row::{Commit, Key, Page, Scan, Txn},
+    row::{Commit, Key, Page, Txn},
 };
 use reachhead_types::{
     id::{CustomerName, JobId},
@@ -33,8 +27,11 @@
     time,
 };
 
-use self::actions::{event_of, perform};
 pub use self::input::{CancelReply, Input, OwnerHandle};
+use self::{
+    actions::{event_of, perform},
+    job_scan::JobScan,
+};
 use crate::{fleet, node::Node, peer::AcceptedJob};
 
 /// Minimum pause between two rounds.
@@ -66,15 +63,6 @@
 /// Pause after a failed transaction.
 const RECORD_RETRY_PAUSE: Millis = Millis(150);
 
-/// Minimum pause between two reads of the stored jobs of a shard, which find jobs that the owner was
-/// not notified of: it may be partitioned from its peers only.
-const MIN_SCAN_PAUSE: Millis = Millis(450);
-
-/// Pause after a read of the stored jobs in multiples of its duration. On a narrow link a read of a
-/// thousand waiting jobs takes longer than the pause; reads that overlap fill the link, time out one
-/// after the other, and leave nothing of it to transactions, heartbeats and the configuration.
-const SCAN_PAUSE_FACTOR: u64 = 4;
-
 /// How long an owner that releases its pool waits for its last transactions.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -116,14 +104,7 @@
     recording: BTreeMap<Lane, Tick>,
     /// When each lane may start its next transaction that no caller waits for.
     next_record: BTreeMap<Lane, Tick>,
-    next_scan: Tick,
-    /// When the read of stored jobs in progress started.
-    scan_begun: Option<Tick>,
-    /// The shards in the order in which they are read next.
-    scan_order: VecDeque<Shard>,
-    /// The last key that was read of the first of them, if its next page is due.
-    scan_position: Option<Key>,
-    page_size: PageSize,
+    job_scan: JobScan,
     release: Option<oneshot::Sender<()>>,
     lease_lost: bool,
     call_failed: bool,
@@ -151,11 +132,7 @@
             pending_cancels: Vec::new(),
             recording: BTreeMap::new(),
             next_record: BTreeMap::new(),
-            next_scan: now + MIN_SCAN_PAUSE,
-            scan_begun: None,
-            scan_order: Shard::all().collect(),
-            scan_position: None,
-            page_size: PageSize::default(),
+            job_scan: JobScan::new(now),
             release: None,
             lease_lost: false,
             call_failed: false,
@@ -414,20 +391,11 @@
         }
     }
 
-    /// Reads the next page of stored jobs when it is due and the last one has ended.
+    /// Reads the next page of stored jobs when it is due.
     fn scan(&mut self, now: Tick) {
-        if self.scan_begun.is_some() || self.next_scan > now {
-            return;
-        }
-        let Some(shard) = self.scan_order.front() else {
+        let Some(scan) = self.job_scan.next(self.pool.name(), now) else {
             return;
         };
-        self.scan_begun = Some(now);
-        let scan = Scan {
-            prefix: job_prefix(self.pool.name(), *shard),
-            after: self.scan_position.clone(),
-            limit: self.page_size.rows(),
-        };
         let node = Arc::clone(&self.node);
         self.spawn_call(async move {
             let page = node.services.store.scan(scan).await;
@@ -437,25 +405,14 @@
     }
 
     fn handle_scan(&mut self, result: Result<Page, StoreError>, now: Tick) {
-        let duration = now.since(self.scan_begun.take().unwrap_or(now));
-        let pause = Millis(duration.0 * SCAN_PAUSE_FACTOR);
-        let limit = self.page_size.rows();
-        let page = match result {
-            Ok(page) => page,
+        self.job_scan.record(&result, now);
+        let rows = match result {
+            Ok(page) => page.rows,
             Err(error) => {
-                self.page_size.record_failure(limit);
-                self.next_scan = now + pause.max(MIN_SCAN_PAUSE);
                 log::info!("stored jobs can't be read: {error}");
                 return;
             }
         };
-        self.page_size.record_answer(page.rows.len(), duration.duration());
-        self.scan_position = page.rows.last().filter(|_| page.more).map(|row| row.key.clone());
-        self.next_scan = now + if page.more { pause } else { pause.max(MIN_SCAN_PAUSE) };
-        if !page.more {
-            self.scan_order.rotate_left(1);
-        }
-        let rows = page.rows;
         for row in &rows {
             let Some(id) = id_of(&row.key) else {
                 continue;
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -7,7 +7,7 @@
 use reachhead_ops::runtime;
 
 use super::*;
-use crate::{fixture, takeover};
+use crate::{takeover, tests::broken_node};
 
 fn worker() -> WorkerInfo {
     WorkerInfo {
@@ -24,7 +24,7 @@
 }
 
 async fn owner() -> Owner {
-    let (node, _) = fixture::node();
+    let (node, _) = broken_node::node();
     let name = "a".parse().unwrap();
     let token = takeover::take(&node, &name, None).await.unwrap().unwrap().revision;
     let timeouts = PoolTimeouts {
--- a/reachhead_node/src/owner_call.rs
+++ b/reachhead_node/src/owner_call.rs
@@ -37,7 +37,7 @@
 /// Why the owner of a pool did not do what was requested.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum OwnerError {
-    /// The lease of the pool names nobody, or a process without a known address.
+    /// The lease of the pool names no owner, or a process without a known address.
     #[error("no owner is known")]
     NoOwner,
     /// The lease names this process, which does not serve the pool.
--- a/reachhead_node/src/owner_call_tests.rs
+++ b/reachhead_node/src/owner_call_tests.rs
@@ -21,7 +21,7 @@
     node::Node,
     owner::OwnerHandle,
     peer::{PeerReply, PoolRequest},
-    test_node::{self, serve},
+    tests::idle_node::{self, serve},
 };
 
 const DELAY: Duration = Duration::from_millis(1);
@@ -41,7 +41,7 @@
     let row = json!({ "table": "lease", "part": "a", "key": "owner", "versionNumber": 40,
         "value": BASE64_STANDARD.encode(record.to_string()) });
     let stored = json!({ "rows": [row], "versionNumber": 50 }).to_string();
-    let node = test_node::new(&serve(Some((DELAY, stored.leak()))).to_string());
+    let node = idle_node::new(&serve(Some((DELAY, stored.leak()))).to_string());
     let gone = "127.0.0.1:1".parse().unwrap();
     let row = Row { key: lease_key(&pool()), value: lease("node-2", gone), revision: Revision(7) };
     let leases = Leases(Arc::clone(&node));
@@ -72,7 +72,7 @@
 
 #[tokio::test]
 async fn a_call_to_an_owner_in_this_process_that_does_not_answer_ends() {
-    let node = test_node::new("127.0.0.1:1");
+    let node = idle_node::new("127.0.0.1:1");
     let (handle, _inputs) = OwnerHandle::new(Revision(7));
     node.owned().insert(pool(), handle);
     let pool = pool();
--- a/reachhead_node/src/registry_tests.rs
+++ b/reachhead_node/src/registry_tests.rs
@@ -2,10 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use reachhead_jobs::ports::{Change, FeedPage};
+use reachhead_jobs::ports::{Change, FeedPage, RowFormat};
+use reachhead_platform::row_format::PlatformRowFormat;
 use reachhead_store::row::{Key, Row};
 use reachhead_types::size::{Millis, Revision};
-use serde_json::json;
 use tokio::time::{self, Instant};
 
 use super::{Position, WorkersPage, WorkersRequest, apply_page, serve};
@@ -15,23 +15,25 @@
     lock::locked,
     node::Node,
     owner::OwnerHandle,
-    test_node,
+    tests::idle_node,
 };
 
 /// Nothing is read from the store.
 const UNUSED_STORE: &str = "127.0.0.1:1";
 
+/// A worker's row, as the platform stores it.
+const WORKER_ROW: &str = include_str!("../../platform/tests/rows/worker.json");
+
 fn worker_row(id: &str) -> Change {
-    let value = json!({ "service": "a", "address": "127.0.0.1:1", "zone": "z", "version": "v1",
-        "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-        "capacity": { "cpu": 1, "requestedMemoryMb": 1, "gpus": 0 }, "labels": ["a", "r"] });
-    let row = Row { key: Key(format!("servers//{id}")), value, revision: Revision(4) };
+    let value = serde_json::from_str(WORKER_ROW).unwrap();
+    let table = PlatformRowFormat::new().worker_table();
+    let row = Row { key: Key(format!("{table}//{id}")), value, revision: Revision(4) };
     Change { row, deleted: false }
 }
 
 /// Returns a process that owns the hosts and has just followed two workers.
 fn fleet_owner() -> (Arc<Node>, Workers) {
-    let node = test_node::new(UNUSED_STORE);
+    let node = idle_node::new(UNUSED_STORE);
     let (handle, _) = OwnerHandle::new(Revision(1));
     node.owned().insert(fleet::name(), handle);
     let workers = Workers(Arc::clone(&node));
@@ -70,7 +72,7 @@
 /// A process that no longer follows the table has to request its workers from the fleet owner.
 #[tokio::test]
 async fn process_that_fails_to_read_the_table_does_not_count_as_following_it_for_ever() {
-    let node = test_node::relaying(UNUSED_STORE);
+    let node = idle_node::relaying(UNUSED_STORE);
     let (handle, _) = OwnerHandle::new(Revision(1));
     node.owned().insert("a".parse().unwrap(), handle);
     let workers = Workers(Arc::clone(&node));
--- a/reachhead_node/src/submit/tests.rs
+++ b/reachhead_node/src/submit/tests.rs
@@ -7,7 +7,7 @@
 use reachhead_types::size::Millis;
 
 use super::*;
-use crate::fixture;
+use crate::tests::broken_node;
 
 fn record() -> JobRecord {
     let queue = Queue {
@@ -29,7 +29,7 @@
 #[test]
 fn a_panic_while_jobs_are_stored_loses_one_batch_and_not_all_submissions_of_the_pool() {
     runtime::current_thread().unwrap().block_on(async {
-        let (node, store) = fixture::node();
+        let (node, store) = broken_node::node();
         store.commits.store(1, Ordering::Relaxed);
         let submit = async |id| {
             let until = Instant::now() + Duration::from_secs(5);
--- /dev/null
+++ b/reachhead_node/src/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Processes for the tests of single modules.
+
+pub mod broken_node;
+pub mod idle_node;
--- a/reachhead_ops/tests/supervise.rs
+++ b/reachhead_ops/tests/supervise.rs
@@ -1,4 +1,4 @@
-//! Supervised tasks: a panic is reported to whoever depends on the task.
+//! Supervised tasks: a panic is reported to the code that depends on the task.
 
 #![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
 
