An adopted run counts as leased by the predecessor although this owner has renewed no lease

What callers would see: a task that runs twice at the same time.

Cause: the time for which runs of a silent worker may go on came from the deadlines of this owner's own orders alone.

Evidence: the new test fails on the code before ("it runs on the silent worker"): the task is started on another worker at once. With the change it starts once the lease of full length, from the worker's clock in its first report, has passed. The token in our poll has barred the predecessor at that moment, so none of its deadlines is later.

--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock::{Tick, WorkerTime},
     job::Phase,
-    pool::{Action, NoteKind, Pool},
+    pool::{Action, NoteKind, Pool, PoolTimeouts},
     ports::WorkerReport,
     task::TaskId,
     worker::{LostOrder, Speed},
@@ -76,13 +76,18 @@
         }
     }
 
-    /// Processes a worker's first report. A predecessor may have mistaken a young incarnation for
-    /// the previous one, and have extended its lease by the old clock.
+    /// Processes a worker's first report. What runs there has a lease of a predecessor. A
+    /// predecessor may also have mistaken a young incarnation for the previous one, and have extended
+    /// its lease by the old clock.
     pub(super) fn apply_first_report(&mut self, id: &WorkerId, report: &WorkerReport, now: Tick) {
-        let (wall_offset, grant) = (self.wall_offset, self.timeouts.grant);
+        let PoolTimeouts { hold, grant, .. } = self.timeouts;
+        let wall_offset = self.wall_offset;
         let Some(worker) = self.workers.get_mut(id).filter(|worker| !worker.answered) else {
             return;
         };
+        if !report.running.is_empty() {
+            worker.max_deadline = worker.max_deadline.max(WorkerTime(report.clock.0 + hold.0));
+        }
         let age = report
             .started_at
             .map(|started| Millis((wall_offset.0 + now.0).saturating_sub(started.0)));
--- a/reachhead_jobs/tests/pool/recover.rs
+++ b/reachhead_jobs/tests/pool/recover.rs
@@ -273,3 +273,27 @@
     fixture.poll();
     assert_eq!(fixture.pool.remaining_takeover_delay(fixture.now), Millis(0));
 }
+
+/// An owner that can't confirm its own lease renews none, so its orders don't show how long a run of
+/// its predecessor may go on.
+#[test]
+fn a_run_of_a_worker_that_is_silent_after_its_first_report_lasts_for_the_predecessors_lease() {
+    let found = recovered(vec![(1, vec![step(1)])], vec![("w", None), ("v", None)]);
+    let mut fixture = Fixture::new(found, vec![info("w", 4), info("v", 4)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.now = fixture.now + Millis(timeouts().trust.0 + 100);
+    fixture.set_running(&worker("w"), task(1, 0, 0), 3, 10);
+    fixture.report(&worker("w"));
+    fixture.report(&worker("v"));
+    fixture.pool.poll(fixture.now, Millis(fixture.now.0));
+    for _ in 0..timeouts().hold.0 / 500 {
+        fixture.fail_poll(&worker("w"));
+        assert!(fixture.starts().is_empty(), "it runs on the silent worker");
+        fixture.advance(500);
+        fixture.report(&worker("v"));
+    }
+    fixture.advance(500);
+    fixture.report(&worker("v"));
+    assert_eq!(fixture.starts().len(), 1);
+}
