A task does not run twice when a predecessor starts a job that was stored after its successor's read

Cause: an owner took the jobs read at its takeover for all that a predecessor can have started. One that has not noticed the takeover may start a job that is stored after that read. The successor stopped the reported run, forgot it, and started the task elsewhere as soon as it found the job; and such a job did not wait for workers that had not answered.

Why the fix works: a run of an unknown job is kept while its job is read from the store by its key, and adopted if it is there. A run that is stopped is remembered with its worker until the end is reported, and its task waits for that. A job stored before the last order that a predecessor can give waits for silent workers. A stop that is in flight or confirmed is not repeated with each report.

--- a/reachhead_bench/src/jobs/simulation.rs
+++ b/reachhead_bench/src/jobs/simulation.rs
@@ -362,7 +362,7 @@
                 self.push(Millis(2 * MESSAGE_DELAY.0), Event::StopConfirmed(target.id, task, run));
             }
             Action::Hold(target, order) => self.hold(target.id, &order),
-            Action::Pace(..) | Action::Advise(..) | Action::Fenced => {}
+            Action::Pace(..) | Action::FindJobs(_) | Action::Advise(..) | Action::Fenced => {}
         }
     }
 
--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -165,8 +165,8 @@
     pub revision: Option<Revision>,
     /// Revision of its job row, if known.
     pub row: Option<Revision>,
-    /// It was accepted before this owner took over, so a predecessor may have started tasks.
-    pub recovered: bool,
+    /// It was stored before the predecessors' last order, so one of them may have started tasks.
+    pub maybe_started: bool,
     /// A task of it has been started.
     pub started: bool,
     /// How it ended; the job is kept until that is recorded.
@@ -193,7 +193,7 @@
             accepted,
             revision: None,
             row: None,
-            recovered: false,
+            maybe_started: false,
             started: false,
             ending: None,
             recorded: false,
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod membership;
 pub mod model;
 pub mod order;
+pub mod orphan;
 pub mod owner_failures;
 pub mod place;
 pub mod pool;
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -1,6 +1,9 @@
 //! Decisions of a pool's owner: orders to carry out, and events to log.
 
-use reachhead_types::{id::WorkerId, size::RunNumber};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::RunNumber,
+};
 
 use crate::{
     ports::{HoldOrder, StartOrder, WorkerTarget},
@@ -18,6 +21,8 @@
     Pace(WorkerTarget, TaskId, RunNumber, u32),
     /// Renew a worker's lease and wait for its report.
     Hold(WorkerTarget, HoldOrder),
+    /// Read these jobs, which workers report runs of and this owner does not know.
+    FindJobs(Vec<JobId>),
     /// Request approval of workers for a step.
     Advise(StepId, Vec<WorkerId>),
     /// A worker rejected this owner's fencing token because it has seen a higher one, so there is a
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -13,6 +13,7 @@
 mod flush;
 mod load;
 mod orders;
+mod orphans;
 mod pace;
 mod polls;
 mod quota;
@@ -129,6 +130,8 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// The predecessor's workers that have not answered this owner yet.
     pending: BTreeMap<WorkerId, PendingWorker>,
+    /// What predecessors may have ordered without this owner's knowledge.
+    predecessor: orphans::PredecessorOrders,
     /// Reported ends of runs whose jobs this owner does not know.
     unclaimed_ends: Vec<UnclaimedEnd>,
     /// The platform's list of workers has been applied at least once.
@@ -207,6 +210,11 @@
             closed: BTreeMap::new(),
             workers: BTreeMap::new(),
             pending: BTreeMap::new(),
+            predecessor: orphans::PredecessorOrders::new(
+                found.effect,
+                with_drift(timeouts.hold),
+                now,
+            ),
             unclaimed_ends: Vec::new(),
             workers_listed: false,
             drained: drain::DrainedZones::default(),
@@ -297,10 +305,12 @@
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
         let mut job = Job::new(id, record, accepted);
         job.row = Some(row);
+        job.maybe_started = self.predecessor.may_be_given(now);
         job.over_share = self.is_beyond_weight(record.customer.as_ref(), now);
         job.add_due_occurrences(wall);
         self.jobs.insert(id, job);
         self.claim_ends(id, now);
+        self.claim_runs(id, now);
     }
 
     /// Applies the platform's list of the pool's workers.
@@ -360,6 +370,7 @@
             self.place_tasks(now);
         }
         self.send_polls(now);
+        self.look_up_jobs(now);
         if self.has_best_effort {
             self.adjust_pace(now);
         }
@@ -391,6 +402,7 @@
         }
         self.cordons.retain(|_, until| *until > now);
         self.expire_unclaimed_ends(now);
+        self.predecessor.expire(now);
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_JOB_RETENTION);
         self.expire_workers(now);
         self.refusals.expire(now, |id| self.jobs.contains_key(&id));
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -14,10 +14,10 @@
 };
 
 /// Pause before an unanswered order is resent.
-const ORDER_RETRY_PAUSE: Millis = Millis(50);
+pub(super) const ORDER_RETRY_PAUSE: Millis = Millis(50);
 
 /// Pause before a stopped run is checked again.
-const STOP_RECHECK_PAUSE: Millis = Millis(1000);
+pub(super) const STOP_RECHECK_PAUSE: Millis = Millis(1000);
 
 /// Pause before a task whose start was rejected is placed again.
 const REJECTION_PAUSE: Millis = Millis(50);
@@ -164,6 +164,7 @@
             self.actions.push(Action::Fenced);
         }
         let Some(run) = self.run_of(id, task, number) else {
+            self.orphan_stopped(id, task, number, result.is_ok(), now);
             return;
         };
         run.order_in_flight = false;
--- /dev/null
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -0,0 +1,279 @@
+//! Runs of a predecessor whose job this owner does not know.
+//!
+//! A job may be stored after a takeover has read its shard, and be started by a predecessor that has
+//! not noticed the takeover. Such a run is kept until the store tells whether its job is stored. A
+//! run that was ordered to stop is remembered until its worker reports the end, so that its task
+//! does not start elsewhere before that. See [Platform](../../../docs/PLATFORM.md).
+
+use std::collections::BTreeMap;
+
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::{Millis, RunNumber},
+};
+
+use crate::{
+    clock::Tick,
+    job::Phase,
+    orphan::{Orphan, StopOrder},
+    pool::{
+        Action, NoteKind, Pool,
+        orders::{ORDER_RETRY_PAUSE, STOP_RECHECK_PAUSE},
+    },
+    ports::{RunningEntry, WorkerReport},
+    task::TaskId,
+};
+
+/// How long a run whose job can't be looked up is kept: a cancelled job has to be stopped soon.
+const LOOKUP_TIMEOUT: Millis = Millis(1000);
+
+/// Pause before a failed lookup is repeated.
+const LOOKUP_RETRY_PAUSE: Millis = Millis(150);
+
+/// Maximum number of jobs in one lookup: that many keys are read in one call.
+const MAX_LOOKUP_JOBS: usize = 50;
+
+/// State of a lookup.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LookupState {
+    /// The lookup is due at this time.
+    Due(Tick),
+    /// The store is being read.
+    InFlight,
+    /// The job is not stored, or could not be looked up in time.
+    Absent,
+}
+
+/// The lookup of a job of which a worker reports a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lookup {
+    since: Tick,
+    state: LookupState,
+}
+
+/// What an owner can't know about the orders of its predecessors, and the lookups of unknown jobs.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(super) struct PredecessorOrders {
+    /// When the last order of a predecessor may be given.
+    given_until: Tick,
+    /// When the last order of a predecessor has lost its effect.
+    effective_until: Tick,
+    lookups: BTreeMap<JobId, Lookup>,
+}
+
+impl PredecessorOrders {
+    /// Returns the state of a new owner. Orders of predecessors have effect for `effect`, and each
+    /// of them for at most `lease`.
+    pub(super) fn new(effect: Millis, lease: Millis, now: Tick) -> Self {
+        Self {
+            given_until: now + Millis(effect.0.saturating_sub(lease.0)),
+            effective_until: now + effect,
+            lookups: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether a predecessor may start tasks of a job that is stored now.
+    pub(super) fn may_be_given(&self, now: Tick) -> bool {
+        now < self.given_until
+    }
+
+    /// Returns whether a run of the job is to be kept while the job is looked up.
+    fn keeps_runs(&self, job: JobId, now: Tick) -> bool {
+        now < self.effective_until
+            && self.lookups.get(&job).is_none_or(|lookup| lookup.state != LookupState::Absent)
+    }
+
+    fn request(&mut self, job: JobId, now: Tick) {
+        self.lookups.entry(job).or_insert(Lookup { since: now, state: LookupState::Due(now) });
+    }
+
+    /// Returns the jobs to look up now.
+    fn take_due(&mut self, now: Tick) -> Vec<JobId> {
+        let is_due = |lookup: &Lookup| matches!(lookup.state, LookupState::Due(at) if at <= now);
+        let due = self.lookups.iter_mut().filter(|(_, lookup)| is_due(lookup));
+        let taken = due.take(MAX_LOOKUP_JOBS).map(|(job, lookup)| {
+            lookup.state = LookupState::InFlight;
+            *job
+        });
+        taken.collect()
+    }
+
+    /// Records that a job is not known after a lookup, and returns whether it counts as over.
+    fn record(&mut self, job: JobId, answered: bool, now: Tick) -> bool {
+        let Some(lookup) = self.lookups.get_mut(&job) else {
+            return false;
+        };
+        let is_over = answered || now.since(lookup.since) >= LOOKUP_TIMEOUT;
+        lookup.state =
+            if is_over { LookupState::Absent } else { LookupState::Due(now + LOOKUP_RETRY_PAUSE) };
+        is_over
+    }
+
+    /// Drops the lookups that no run needs any more.
+    pub(super) fn expire(&mut self, now: Tick) {
+        if self.effective_until <= now {
+            self.lookups.clear();
+        }
+    }
+}
+
+impl Pool {
+    /// Keeps a reported run of an unknown job and looks the job up, or stops the run if a job that
+    /// is unknown by now has ended.
+    pub(super) fn keep_or_stop(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
+        let job = entry.task.job;
+        if self.closed.contains_key(&job) || !self.predecessor.keeps_runs(job, now) {
+            self.stop_orphan(id, entry, now);
+            return;
+        }
+        self.predecessor.request(job, now);
+        self.note_orphan(id, entry);
+    }
+
+    /// Requests the lookups that are due.
+    pub(super) fn look_up_jobs(&mut self, now: Tick) {
+        let jobs = self.predecessor.take_due(now);
+        if !jobs.is_empty() {
+            self.actions.push(Action::FindJobs(jobs));
+        }
+    }
+
+    /// Processes the end of a lookup, after the stored jobs were submitted. Runs of the others are
+    /// stopped if the store `answered`, or has not for a while.
+    pub fn jobs_found(&mut self, jobs: &[JobId], answered: bool, now: Tick) {
+        for job in jobs {
+            if self.jobs.contains_key(job) || !self.predecessor.record(*job, answered, now) {
+                continue;
+            }
+            for (worker, orphan) in self.orphans_of(*job) {
+                self.stop_orphan(&worker, &orphan.entry, now);
+            }
+        }
+    }
+
+    /// Applies the reported runs of a job that has just become known.
+    pub(super) fn claim_runs(&mut self, job: JobId, now: Tick) {
+        for (worker, orphan) in self.orphans_of(job) {
+            match orphan.stop {
+                StopOrder::None => self.adopt(&worker, &orphan.entry, now),
+                _ => self.await_end(&worker, &orphan, now),
+            }
+        }
+    }
+
+    fn orphans_of(&self, job: JobId) -> Vec<(WorkerId, Orphan)> {
+        let of_worker = |(id, orphans): (&WorkerId, &[Orphan])| {
+            let own = orphans.iter().filter(|orphan| orphan.entry.task.job == job);
+            own.map(|orphan| (id.clone(), orphan.clone())).collect::<Vec<_>>()
+        };
+        let workers = self.workers.values();
+        workers
+            .map(|worker| (&worker.info.id, worker.orphans.as_slice()))
+            .flat_map(of_worker)
+            .collect()
+    }
+
+    /// Makes an orphan that was ordered to stop a run of its task, which does not start again before
+    /// that run has ended.
+    fn await_end(&mut self, id: &WorkerId, orphan: &Orphan, now: Tick) {
+        if !self.add_run(id, &orphan.entry, now) {
+            return;
+        }
+        let task = orphan.entry.task;
+        let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
+        let Some(run) = state.and_then(|state| state.run(orphan.entry.run)) else {
+            return;
+        };
+        run.phase = Phase::Stopping;
+        run.settled_at = None;
+        match orphan.stop {
+            StopOrder::None => {}
+            StopOrder::InFlight => run.order_in_flight = true,
+            StopOrder::Confirmed { at } => {
+                run.settled_at = Some(at);
+                run.retry_at = at + STOP_RECHECK_PAUSE;
+            }
+            StopOrder::Failed { retry_at } => run.retry_at = retry_at,
+        }
+    }
+
+    fn note_orphan(&mut self, id: &WorkerId, entry: &RunningEntry) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match worker.orphans.iter_mut().find(|orphan| orphan.is(entry)) {
+            Some(orphan) => orphan.entry = entry.clone(),
+            None => worker.orphans.push(Orphan::new(entry.clone())),
+        }
+    }
+
+    /// Stops a reported run that belongs to no task that should run, unless that was ordered.
+    pub(super) fn stop_orphan(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
+        self.note_orphan(id, entry);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(orphan) = worker.orphans.iter_mut().find(|orphan| orphan.is(entry)) else {
+            return;
+        };
+        let is_due = match orphan.stop {
+            StopOrder::None => true,
+            StopOrder::InFlight => false,
+            StopOrder::Confirmed { at } => at + STOP_RECHECK_PAUSE <= now,
+            StopOrder::Failed { retry_at } => retry_at <= now,
+        };
+        if !is_due {
+            return;
+        }
+        orphan.stop = StopOrder::InFlight;
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let target = self.target(worker);
+        self.actions.push(Action::Stop(target, entry.task, entry.run));
+        self.note(
+            NoteKind::RunStopped,
+            format!(
+                "task={} run={} worker={id} why=\"nothing waits for it\"",
+                entry.task, entry.run
+            ),
+        );
+    }
+
+    /// Applies the result of the order to stop an orphan.
+    pub(super) fn orphan_stopped(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        confirmed: bool,
+        now: Tick,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let is_stopped =
+            |orphan: &&mut Orphan| orphan.entry.task == task && orphan.entry.run == number;
+        if let Some(orphan) = worker.orphans.iter_mut().find(is_stopped) {
+            orphan.stop = if confirmed {
+                StopOrder::Confirmed { at: now }
+            } else {
+                StopOrder::Failed { retry_at: now + ORDER_RETRY_PAUSE }
+            };
+        }
+    }
+
+    /// Drops the orphans that a report does not list any more, and those that have become runs of
+    /// their tasks.
+    pub(super) fn drop_ended_orphans(&mut self, id: &WorkerId, report: &WorkerReport) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let runs = &worker.runs;
+        worker.orphans.retain(|orphan| {
+            let RunningEntry { task, run, .. } = &orphan.entry;
+            let is_charged = runs.get(task).is_some_and(|charge| charge.run == *run);
+            !is_charged && report.running.iter().any(|entry| orphan.is(entry))
+        });
+    }
+}
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -6,7 +6,7 @@
 use crate::{
     clock::Tick,
     job::{Job, Phase, Run},
-    pool::{Action, NoteKind, PendingWorker, Pool, StoredJob},
+    pool::{NoteKind, PendingWorker, Pool, StoredJob},
     ports::{RunningEntry, WorkerInfo},
     worker::Worker,
 };
@@ -19,7 +19,7 @@
         self.has_best_effort |= stored.record.plan.has_best_effort();
         let mut job = Job::new(stored.id, &stored.record, now - age);
         job.row = Some(stored.row);
-        job.recovered = true;
+        job.maybe_started = true;
         job.add_due_occurrences(wall);
         if let Some(progress) = stored.progress {
             job.restore(&progress.record);
@@ -61,7 +61,7 @@
 
     /// Returns whether a task of the job that no worker reports may still run on a pending worker.
     pub(super) fn may_run_elsewhere(&self, job: &Job) -> bool {
-        job.recovered
+        job.maybe_started
             && self.pending.values().any(|pending| match (pending.closed, job.row) {
                 (Some(closed), Some(row)) => row <= closed,
                 _ => true,
@@ -71,23 +71,34 @@
     /// Adopts a run that a worker reports and that this owner did not order, or stops it as an
     /// orphan.
     pub(super) fn adopt(&mut self, worker: &WorkerId, entry: &RunningEntry, now: Tick) {
+        if !self.jobs.contains_key(&entry.task.job) {
+            self.keep_or_stop(worker, entry, now);
+        } else if self.add_run(worker, entry, now) {
+            self.note(
+                NoteKind::RunAdopted,
+                format!("task={} run={} worker={worker}", entry.task, entry.run),
+            );
+        } else {
+            self.stop_orphan(worker, entry, now);
+        }
+    }
+
+    /// Adds a reported run to its task, and returns whether the task can use it.
+    pub(super) fn add_run(&mut self, worker: &WorkerId, entry: &RunningEntry, now: Tick) -> bool {
         let Some(job) = self.jobs.get_mut(&entry.task.job) else {
-            self.stop_orphan(worker, entry);
-            return;
+            return false;
         };
         let over = job.ending.is_some();
         let speculative =
             job.plan.steps.get(entry.task.step as usize).is_some_and(|step| step.speculative);
         let charge = job.plan.steps.get(entry.task.step as usize).map(|step| step.charge());
         let (Some(task), Some(charge)) = (job.task(entry.task), charge) else {
-            self.stop_orphan(worker, entry);
-            return;
+            return false;
         };
         let other = task.runs.iter().map(|run| run.number).max();
         let stale = !speculative && other.is_some_and(|other| other > entry.run);
         if task.done || over || stale {
-            self.stop_orphan(worker, entry);
-            return;
+            return false;
         }
         task.last_run = task.last_run.max(entry.run);
         if let Some(checkpoint) = &entry.checkpoint {
@@ -117,27 +128,9 @@
         job.started = true;
         if let Some(known) = known {
             known.charge(entry.task, entry.run, charge);
+            known.orphans.retain(|orphan| !orphan.is(entry));
         }
-        self.note(
-            NoteKind::RunAdopted,
-            format!("task={} run={} worker={worker}", entry.task, entry.run),
-        );
-    }
-
-    /// Stops a reported run that belongs to no task that should run.
-    fn stop_orphan(&mut self, worker: &WorkerId, entry: &RunningEntry) {
-        let Some(known) = self.workers.get(worker) else {
-            return;
-        };
-        let target = self.target(known);
-        self.actions.push(Action::Stop(target, entry.task, entry.run));
-        self.note(
-            NoteKind::RunStopped,
-            format!(
-                "task={} run={} worker={worker} why=\"nothing waits for it\"",
-                entry.task, entry.run
-            ),
-        );
+        true
     }
 }
 
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -120,7 +120,7 @@
         for entry in &report.running {
             self.apply_running(id, entry, now);
         }
-        self.count_orphans(id, &report);
+        self.drop_ended_orphans(id, &report);
         self.drop_missing_runs(id, sent, &report);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -133,17 +133,6 @@
         worker.poll = Poll::Due(now + pause);
     }
 
-    fn count_orphans(&mut self, id: &WorkerId, report: &WorkerReport) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let known = |entry: &&RunningEntry| {
-            worker.runs.get(&entry.task).is_some_and(|charge| charge.run == entry.run)
-        };
-        let orphans = report.running.iter().filter(|entry| !known(entry)).count();
-        worker.orphan_runs = orphans as u32;
-    }
-
     /// Updates the worker's speed estimate from a run's progress.
     fn observe_speed(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
         let Some(job) = self.jobs.get(&entry.task.job) else {
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::{
     clock::{ClockSample, Tick, WorkerTime},
     crashes::CrashRole,
+    orphan::Orphan,
     ports::WorkerInfo,
     task::{StepId, TaskId},
 };
@@ -175,7 +176,7 @@
     pub used: Amount,
     /// Orphaned runs, of tasks that this owner does not know. Their resources are unknown, so the
     /// worker gets nothing until they are gone.
-    pub orphan_runs: u32,
+    pub orphans: Vec<Orphan>,
     /// Operators drain its zone, so it gets nothing new.
     pub drained: bool,
     /// It gets nothing new until then, because planned work is about to take it.
@@ -258,7 +259,7 @@
             unrecorded: BTreeMap::new(),
             runs: BTreeMap::new(),
             used: Amount::default(),
-            orphan_runs: 0,
+            orphans: Vec::new(),
             drained: false,
             cordoned_until: Tick(0),
             full_until: Tick(0),
@@ -378,7 +379,7 @@
 
     /// Returns whether the worker has reported that it runs nothing and was given nothing since.
     pub fn is_idle(&self) -> bool {
-        self.answered && !self.silent && self.runs.is_empty() && self.orphan_runs == 0
+        self.answered && !self.silent && self.runs.is_empty() && self.orphans.is_empty()
     }
 
     /// Returns whether the worker may get new tasks at all.
@@ -387,7 +388,7 @@
             && self.rostered
             && self.answered
             && !self.silent
-            && self.orphan_runs == 0
+            && self.orphans.is_empty()
             && self.trial.is_none()
             && !self.info.draining
             && !self.drained
--- a/reachhead_jobs/tests/pool/arbitrary_inputs.rs
+++ b/reachhead_jobs/tests/pool/arbitrary_inputs.rs
@@ -170,6 +170,9 @@
             Action::Hold(target, _) => {
                 self.fixture.pool.held(&target.id, now, Err(error_of(b >> 2)), now);
             }
+            Action::FindJobs(jobs) => {
+                self.fixture.pool.jobs_found(&jobs, result.is_ok(), self.fixture.now)
+            }
             Action::Pace(_, task, run, _) => self.fixture.pool.pace_failed(task, run),
             Action::Advise(step, workers) => {
                 let approval = |worker| Approval { worker, ticket: "t".to_owned() };
--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -58,6 +58,16 @@
     check("restarts", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+/// Jobs are handed to a predecessor that does not notice its successor, which finds them later.
+/// Guards against starting a task beside the run that the predecessor has just ordered.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_a_predecessor_gets_new_jobs() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_late_notices(), acts)
+    }
+    check("late notices", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
 /// Processes take the lease, raise some fences, and release it, since they can't read the pool's
 /// rows. Their successor must wait as long for the orders of the owner before them as they would
 /// have.
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -12,9 +12,9 @@
     model::Plan,
     pool::{Action, Batch, DrainMode, DrainProgress, Due, Lane, Pool, PoolTimeouts},
     ports::{WorkerError, WorkerInfo},
-    record::{JobRecord, job_key, lease_key, value},
+    record::{JobRecord, lease_key},
     shard::Shard,
-    task::{StepId, TaskId},
+    task::TaskId,
 };
 use reachhead_plan::amount::Amount;
 use reachhead_store::{
@@ -32,10 +32,9 @@
 mod invariants;
 mod messages;
 mod plans;
+mod submissions;
 mod takeover;
 
-use self::plans::{plan, queue};
-
 /// Time between two steps of the simulation, in milliseconds.
 const STEP: u64 = 20;
 
@@ -58,6 +57,9 @@
 /// Time without disturbance after which the starts of an owner are counted, in milliseconds.
 const MIN_UNDISTURBED_TIME: u64 = 3000;
 
+/// Longest time until an owner that was not notified of a job finds it, in milliseconds.
+const MAX_SCAN_DELAY: u64 = 600;
+
 /// Number of workers at any time.
 const WORKERS: u8 = 3;
 
@@ -92,6 +94,15 @@
     Started(WorkerId, TaskId, RunNumber, Result<reachhead_jobs::clock::WorkerTime, WorkerError>),
     Stopped(WorkerId, TaskId, RunNumber, Result<reachhead_jobs::clock::WorkerTime, WorkerError>),
     Committed(Box<Batch>, Result<Commit, StoreError>),
+    /// Jobs that were looked up, and those that are stored; `None` if the store did not answer.
+    Found(Vec<JobId>, Option<Vec<StoredRow>>),
+}
+
+/// A stored job.
+struct StoredRow {
+    id: JobId,
+    record: JobRecord,
+    row: Revision,
 }
 
 struct Owner {
@@ -146,6 +157,8 @@
     crashing: bool,
     /// Workers that crash restart under their ids.
     restarting: bool,
+    /// Jobs are handed to a predecessor that has not noticed its successor.
+    late_notices: bool,
     culprits: BTreeMap<TaskId, Culprit>,
     pub violations: Vec<String>,
 }
@@ -206,6 +219,7 @@
             delay_next: 0,
             crashing: false,
             restarting: false,
+            late_notices: false,
             culprits: BTreeMap::new(),
             violations: Vec::new(),
         };
@@ -239,6 +253,12 @@
         self
     }
 
+    /// Lets jobs reach a predecessor that has not noticed its successor, which finds them later.
+    pub fn with_late_notices(mut self) -> Self {
+        self.late_notices = true;
+        self
+    }
+
     fn add_worker(&mut self) {
         self.incarnations += 1;
         let id = format!("w{}", self.incarnations).parse().unwrap();
@@ -317,13 +337,11 @@
                 self.newest().store_cut_until = until;
                 self.run(span / 2);
                 self.take_over();
-            }
-            8 => {
-                let until = self.now + span;
-                if let Some(id) = self.pick(choice) {
-                    self.newest().workers_cut.insert(id, until);
+                if self.late_notices {
+                    self.cut_worker(choice, until);
                 }
             }
+            8 => self.cut_worker(choice, self.now + span),
             9 => {
                 if let Some(id) = self.pick(choice) {
                     self.crash(&id);
@@ -344,6 +362,12 @@
         ids.get(choice as usize % ids.len().max(1)).map(|id| (*id).clone())
     }
 
+    fn cut_worker(&mut self, choice: u8, until: u64) {
+        if let Some(id) = self.pick(choice) {
+            self.newest().workers_cut.insert(id, until);
+        }
+    }
+
     fn crash(&mut self, id: &WorkerId) {
         self.workers.remove(id);
         if self.crashing {
@@ -373,44 +397,6 @@
         }
     }
 
-    fn submit(&mut self, kind: u8) {
-        let id = JobId(self.jobs.len() as u64 + 1);
-        let long = self.jobs.values().filter(|plan| plan.is_long_running()).count();
-        // More long-running tasks would leave no capacity for anything else.
-        let plan = plan(if long >= 2 { kind % 2 } else { kind });
-        let record = JobRecord {
-            queue: queue(),
-            plan: Arc::clone(&plan),
-            accepted: Millis(self.now),
-            customer: None,
-        };
-        if self.crashing && kind >= FIRST_CULPRIT_KIND {
-            let first = StepId { job: id, occurrence: 0, step: 0 }.task(0);
-            self.culprits.insert(first, Culprit::default());
-        }
-        let key = job_key(&pool_name(), id);
-        let txn = Txn::new().with_check(key.clone(), None).with_write(key, value(&record));
-        let Commit::Done(row) = self.commit(txn) else { unreachable!("the id is new") };
-        self.jobs.insert(id, plan);
-        let now = Tick(self.now);
-        let owner = self.newest();
-        if owner.alive && owner.paused_until <= now.0 {
-            owner.pool.submit(id, &record, row, now, Millis(now.0));
-        }
-    }
-
-    fn cancel(&mut self, choice: u8) {
-        let open: Vec<JobId> = self.jobs.keys().copied().collect();
-        if let Some(id) = open.get(choice as usize % open.len().max(1)).copied() {
-            let now = self.now;
-            let owner = self.newest();
-            if owner.alive && owner.paused_until <= now {
-                owner.pool.cancel(id);
-                self.cancelled.insert(id);
-            }
-        }
-    }
-
     fn is_long_running(&self, task: &TaskId) -> bool {
         self.jobs.get(&task.job).is_some_and(|plan| plan.steps[task.step as usize].long_running)
     }
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -6,11 +6,11 @@
     ports::WorkerError,
     task::TaskId,
 };
-use reachhead_types::id::WorkerId;
+use reachhead_types::{id::WorkerId, size::Millis};
 
 use super::{
-    Answer, Event, NETWORK_DELAY, REPLACEMENT_DELAY, Simulation, TASK_TIME, TaskBehavior,
-    WorkerIncarnation,
+    Answer, Event, NETWORK_DELAY, REPLACEMENT_DELAY, Simulation, StoredRow, TASK_TIME,
+    TaskBehavior, WorkerIncarnation,
 };
 
 impl Simulation {
@@ -44,6 +44,7 @@
                 Action::Stop(target, task, run) => {
                     Answer::Stopped(target.id.clone(), *task, *run, Err(failure()))
                 }
+                Action::FindJobs(jobs) => Answer::Found(jobs.clone(), None),
                 _ => return,
             };
             self.push(200, Event::Answer { owner: index, answer });
@@ -115,6 +116,10 @@
                 });
                 Some(Answer::Stopped(target.id.clone(), *task, *run, result))
             }
+            Action::FindJobs(jobs) => {
+                let reaches_store = self.owners[owner].store_cut_until <= now;
+                Some(Answer::Found(jobs.clone(), reaches_store.then(|| self.find(jobs))))
+            }
             _ => None,
         }
     }
@@ -165,6 +170,12 @@
             Answer::Stopped(id, task, run, result) => {
                 owner.pool.stopped(&id, task, run, result, now);
             }
+            Answer::Found(jobs, stored) => {
+                for StoredRow { id, record, row } in stored.iter().flatten() {
+                    owner.pool.submit(*id, record, *row, now, Millis(now.0));
+                }
+                owner.pool.jobs_found(&jobs, stored.is_some(), now);
+            }
             Answer::Committed(batch, result) => {
                 owner.recording.remove(&batch.lane);
                 if let Ok(commit) = result
--- /dev/null
+++ b/reachhead_jobs/tests/random_schedules/simulation/submissions.rs
@@ -0,0 +1,82 @@
+//! Submission and cancellation of jobs, which may reach a predecessor first.
+
+use std::sync::Arc;
+
+use reachhead_jobs::{
+    clock::Tick,
+    record::{JobRecord, job_key, value},
+    task::StepId,
+};
+use reachhead_store::row::{Commit, Txn};
+use reachhead_types::{
+    id::JobId,
+    size::{Millis, Revision},
+};
+
+use super::{
+    Answer, Culprit, Event, FIRST_CULPRIT_KIND, MAX_SCAN_DELAY, Simulation, StoredRow,
+    plans::{plan, queue},
+    pool_name,
+};
+
+impl Simulation {
+    pub(super) fn submit(&mut self, kind: u8) {
+        let id = JobId(self.jobs.len() as u64 + 1);
+        let long = self.jobs.values().filter(|plan| plan.is_long_running()).count();
+        // More long-running tasks would leave no capacity for anything else.
+        let plan = plan(if long >= 2 { kind % 2 } else { kind });
+        let record = JobRecord {
+            queue: queue(),
+            plan: Arc::clone(&plan),
+            accepted: Millis(self.now),
+            customer: None,
+        };
+        if self.crashing && kind >= FIRST_CULPRIT_KIND {
+            let first = StepId { job: id, occurrence: 0, step: 0 }.task(0);
+            self.culprits.insert(first, Culprit::default());
+        }
+        let key = job_key(&pool_name(), id);
+        let txn = Txn::new().with_check(key.clone(), None).with_write(key, value(&record));
+        let Commit::Done(row) = self.commit(txn) else { unreachable!("the id is new") };
+        self.jobs.insert(id, plan);
+        if self.late_notices && self.owners.len() > 1 {
+            self.notify(self.owners.len() - 2, id, &record, row);
+            let newest = self.owners.len() - 1;
+            let answer = Answer::Found(vec![id], Some(vec![StoredRow { id, record, row }]));
+            let delay = u64::from(kind) * MAX_SCAN_DELAY / u64::from(u8::MAX);
+            self.push(delay, Event::Answer { owner: newest, answer });
+        } else {
+            self.notify(self.owners.len() - 1, id, &record, row);
+        }
+    }
+
+    /// Submits a stored job to an owner.
+    fn notify(&mut self, index: usize, id: JobId, record: &JobRecord, row: Revision) {
+        let now = Tick(self.now);
+        let owner = &mut self.owners[index];
+        if owner.alive && owner.paused_until <= now.0 {
+            owner.pool.submit(id, record, row, now, Millis(now.0));
+        }
+    }
+
+    /// Returns the stored jobs among those that an owner looks up.
+    pub(super) fn find(&self, jobs: &[JobId]) -> Vec<StoredRow> {
+        let find = |id: &JobId| {
+            let row = self.read(job_key(&pool_name(), *id))?;
+            Some(StoredRow { id: *id, record: row.parse().unwrap(), row: row.revision })
+        };
+        jobs.iter().filter_map(find).collect()
+    }
+
+    pub(super) fn cancel(&mut self, choice: u8) {
+        let open: Vec<JobId> = self.jobs.keys().copied().collect();
+        if let Some(id) = open.get(choice as usize % open.len().max(1)).copied() {
+            let now = self.now;
+            let owner = self.newest();
+            if owner.alive && owner.paused_until <= now {
+                owner.pool.cancel(id);
+                self.cancelled.insert(id);
+            }
+        }
+    }
+}
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -3,14 +3,21 @@
 use reachhead_jobs::{
     clock::Tick,
     pool::{Action, NoteKind},
+    record::job_key,
 };
 use reachhead_ops::event::Event;
+use reachhead_types::id::PoolName;
 
 use super::Input;
 use crate::node::Node;
 
 /// Executes an action and returns the input for the owner that results from it.
-pub(super) async fn perform(node: &Node, action: Action, sent: Tick) -> Option<Input> {
+pub(super) async fn perform(
+    node: &Node,
+    pool: &PoolName,
+    action: Action,
+    sent: Tick,
+) -> Option<Input> {
     let workers = &node.services.workers;
     match action {
         Action::Start(target, order) => {
@@ -36,6 +43,12 @@
             node.metrics.order("hold", &result);
             Some(Input::PollAnswered(id, sent, result))
         }
+        Action::FindJobs(ids) => {
+            let keys = ids.iter().map(|id| job_key(pool, *id)).collect();
+            let rows = node.services.store.read(keys).await;
+            node.record_store_result(&rows);
+            Some(Input::JobsFound(ids, rows))
+        }
         Action::Advise(step, ids) => {
             let approvals = match &node.services.advisor {
                 Some(advisor) => advisor.advise(step, ids).await.map_err(|error| {
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -11,7 +11,7 @@
 };
 use reachhead_store::{
     StoreError,
-    row::{Commit, Page},
+    row::{Commit, Page, Row},
 };
 use reachhead_types::{
     id::{CustomerName, JobId, RouteName, WorkerId},
@@ -71,6 +71,8 @@
     Committed(Box<Batch>, Result<Commit, StoreError>),
     /// A page of stored jobs was read, or the call failed.
     JobsScanned(Result<Page, StoreError>),
+    /// The rows of jobs of which workers report runs were read, or the call failed.
+    JobsFound(Vec<JobId>, Result<Vec<Option<Row>>, StoreError>),
     /// A call in the background panicked, so its result never comes.
     CallFailed,
     /// Releases the pool.
--- /dev/null
+++ b/reachhead_node/src/owner/job_reads.rs
@@ -0,0 +1,75 @@
+//! Reads of stored jobs that the owner was not notified of.
+
+use std::sync::Arc;
+
+use reachhead_jobs::{clock::Tick, record::JobRecord};
+use reachhead_ops::event::{Event, emit};
+use reachhead_store::{
+    StoreError,
+    row::{Page, Row},
+};
+use reachhead_types::id::JobId;
+
+use super::{Input, Owner, id_of};
+
+impl Owner {
+    /// Reads the next page of stored jobs when it is due.
+    pub(super) fn scan(&mut self, now: Tick) {
+        let Some(scan) = self.job_scan.next(self.pool.name(), now) else {
+            return;
+        };
+        let node = Arc::clone(&self.node);
+        self.spawn_call(async move {
+            let page = node.services.store.scan(scan).await;
+            node.record_store_result(&page);
+            Some(Input::JobsScanned(page))
+        });
+    }
+
+    pub(super) fn handle_scan(&mut self, result: Result<Page, StoreError>, now: Tick) {
+        self.job_scan.record(&result, now);
+        let rows = match result {
+            Ok(page) => page.rows,
+            Err(error) => {
+                log::info!("stored jobs can't be read: {error}");
+                return;
+            }
+        };
+        self.submit_rows(&rows, now);
+    }
+
+    /// Processes the rows of jobs of which workers report runs.
+    pub(super) fn handle_lookup(
+        &mut self,
+        jobs: &[JobId],
+        result: Result<Vec<Option<Row>>, StoreError>,
+        now: Tick,
+    ) {
+        match &result {
+            Ok(rows) => {
+                let stored: Vec<Row> = rows.iter().flatten().cloned().collect();
+                self.submit_rows(&stored, now);
+            }
+            Err(error) => log::info!("jobs of reported runs can't be read: {error}"),
+        }
+        self.pool.jobs_found(jobs, result.is_ok(), now);
+    }
+
+    /// Submits the stored jobs that the pool does not know.
+    fn submit_rows(&mut self, rows: &[Row], now: Tick) {
+        for row in rows {
+            let Some(id) = id_of(&row.key) else {
+                continue;
+            };
+            if self.pool.jobs().contains_key(&id) {
+                continue;
+            }
+            match row.parse::<JobRecord>() {
+                Ok(record) => {
+                    self.pool.submit(id, &record, row.revision, now, self.node.clock.wall());
+                }
+                Err(error) => emit(Event::RowRefused, error),
+            }
+        }
+    }
+}
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod input;
+mod job_reads;
 mod job_scan;
 
 use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
@@ -11,12 +12,12 @@
     clock::Tick,
     pool::{Action, Batch, Cancelled, DeathEvidence, Due, JobState, Lane, Pool},
     quota::{Allotment, UsageReport},
-    record::{JobRecord, LeaseRecord, lease_key, value},
+    record::{LeaseRecord, lease_key, value},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
-    row::{Commit, Key, Page, Txn},
+    row::{Commit, Key, Txn},
 };
 use reachhead_types::{
     id::{CustomerName, JobId},
@@ -264,6 +265,7 @@
             }
             Input::Committed(batch, result) => self.handle_commit(&batch, result, now),
             Input::JobsScanned(result) => self.handle_scan(result, now),
+            Input::JobsFound(jobs, result) => self.handle_lookup(&jobs, result, now),
             Input::CallFailed => self.call_failed = true,
             Input::Release(done) => self.release = Some(done),
             // A successor would have to wait again for the workers that have not answered.
@@ -334,9 +336,10 @@
             return;
         }
         let node = Arc::clone(&self.node);
+        let pool = self.pool.name().clone();
         self.spawn_call(async move {
             let sent = node.now();
-            perform(&node, action, sent).await
+            perform(&node, &pool, action, sent).await
         });
     }
 
@@ -391,44 +394,6 @@
         }
     }
 
-    /// Reads the next page of stored jobs when it is due.
-    fn scan(&mut self, now: Tick) {
-        let Some(scan) = self.job_scan.next(self.pool.name(), now) else {
-            return;
-        };
-        let node = Arc::clone(&self.node);
-        self.spawn_call(async move {
-            let page = node.services.store.scan(scan).await;
-            node.record_store_result(&page);
-            Some(Input::JobsScanned(page))
-        });
-    }
-
-    fn handle_scan(&mut self, result: Result<Page, StoreError>, now: Tick) {
-        self.job_scan.record(&result, now);
-        let rows = match result {
-            Ok(page) => page.rows,
-            Err(error) => {
-                log::info!("stored jobs can't be read: {error}");
-                return;
-            }
-        };
-        for row in &rows {
-            let Some(id) = id_of(&row.key) else {
-                continue;
-            };
-            if self.pool.jobs().contains_key(&id) {
-                continue;
-            }
-            match row.parse::<JobRecord>() {
-                Ok(record) => {
-                    self.pool.submit(id, &record, row.revision, now, self.node.clock.wall());
-                }
-                Err(error) => emit(Event::RowRefused, error),
-            }
-        }
-    }
-
     /// Records the remaining changes, as far as one transaction for each lane can.
     async fn record_remaining(&mut self) {
         let wall = self.node.clock.wall();
