Start orders are paced by the link, so that those of a burst do not time out behind each other

Cause: an owner ordered all tasks of a burst at once. 32 orders of 2.8 KB take 0.36 s on such a link, and an order 0.2 s: the later ones failed before they had left, counted as lost runs and went to other workers over new connections. What followed on the link, transactions and heartbeats, was late as well, and peers took the pool.

Why it works: starts take from a token bucket of half of the link that all pools of a process share, so the orders in flight occupy the link for less than the timeout of one. Tasks wait in the pool, where their order can still change.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod relay;
 pub mod shard;
 pub mod silence;
+pub mod start_pace;
 pub mod task;
 pub mod wave;
 pub mod worker;
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -50,6 +50,7 @@
     ports::{EndedEntry, WorkerInfo, WorkerTarget},
     record::{Ending, FinalRecord, JobRecord, LeaseRecord},
     shard::Shard,
+    start_pace::StartBudget,
     worker::Worker,
 };
 
@@ -144,6 +145,8 @@
     surge_until: Tick,
     /// When the last of the predecessor's workers answered or expired.
     all_answered_at: Option<Tick>,
+    /// Start orders that may be sent in this round.
+    start_budget: StartBudget,
     roster: roster::RosterState,
     /// Jobs with changes to write to the store.
     dirty: BTreeSet<JobId>,
@@ -221,6 +224,7 @@
             cordons: BTreeMap::new(),
             surge_until: Tick(0),
             all_answered_at: None,
+            start_budget: StartBudget::unlimited(),
             roster: roster::RosterState::new(found.roster),
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
@@ -356,6 +360,16 @@
         }
     }
 
+    /// Sets what the next round may send in start orders.
+    pub fn set_start_budget(&mut self, budget: StartBudget) {
+        self.start_budget = budget;
+    }
+
+    /// Returns what the last round has left of its start orders.
+    pub fn start_budget(&self) -> StartBudget {
+        self.start_budget
+    }
+
     /// Returns the next orders. `wall` is the time of day in milliseconds since 1970.
     pub fn poll(&mut self, now: Tick, wall: Millis) -> Vec<Action> {
         self.wall_offset = Millis(wall.0.saturating_sub(now.0));
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -255,6 +255,7 @@
             return;
         };
         let payload = std::sync::Arc::clone(&job.plan.payload);
+        self.start_budget.take(&payload);
         let Some(state) = job.task(task) else {
             return;
         };
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -64,6 +64,9 @@
         let mut unplaced = 0;
         let mut free = self.largest_free(now);
         for job in ranked {
+            if !self.start_budget.has_room() {
+                break;
+            }
             let steps: Vec<StepId> = self.jobs[&job.id].steps.keys().copied().collect();
             for step in steps {
                 if !self.place_step(step, job.rank.class, &mut free, now) {
@@ -120,6 +123,10 @@
         let remaining = waiting.len();
         let mut started = Vec::new();
         for index in waiting {
+            if !self.start_budget.has_room() {
+                self.log_placed(id, class, &started, remaining);
+                return true;
+            }
             let possible = step.charge().fits(*free);
             if possible && !self.within_quota(id.job, step.need) {
                 self.hold_back(id.job, step.need, (remaining - started.len()) as u32);
@@ -319,6 +326,7 @@
         };
         job.started = true;
         let payload = Arc::clone(&job.plan.payload);
+        self.start_budget.take(&payload);
         let Some(task) = job.task(id) else {
             return;
         };
--- a/reachhead_jobs/tests/pool/load.rs
+++ b/reachhead_jobs/tests/pool/load.rs
@@ -1,7 +1,7 @@
 //! Tests of a pool's capacity demand.
 
-use reachhead_jobs::{model::Step, ports::RunEnd};
-use reachhead_types::size::Millis;
+use reachhead_jobs::{model::Step, ports::RunEnd, start_pace::StartPacer};
+use reachhead_types::size::{ByteRate, Millis};
 
 use crate::fixture::{Fixture, info, step, task, worker};
 
@@ -81,3 +81,27 @@
     // Eight core-seconds in 0.8 s, and 2.75 times as much again by extrapolation.
     assert!((30_000..=42_000).contains(&need), "{need}");
 }
+
+/// All tasks of a burst were started at once; on a narrow link most of the orders timed out behind
+/// the first ones and were sent again elsewhere.
+#[test]
+fn a_burst_starts_no_more_tasks_in_a_round_than_the_link_carries() {
+    let mut fixture = Fixture::ready(vec![info("w", 100), info("v", 100)]);
+    let bandwidth = ByteRate(250_000);
+    let mut pacer = StartPacer::new(bandwidth, fixture.now);
+    fixture.submit(1, vec![step(40)]);
+    fixture.submit(2, vec![step(40)]);
+    let mut rounds = Vec::new();
+    for _ in 0..40 {
+        fixture.pool.set_start_budget(pacer.budget(fixture.now));
+        let starts = fixture.starts();
+        pacer.record(fixture.pool.start_budget());
+        for (id, order) in &starts {
+            fixture.accept(id, order);
+        }
+        rounds.push(starts.len());
+        fixture.advance(20);
+    }
+    assert_eq!(rounds.iter().sum::<usize>(), 80, "{rounds:?}");
+    assert!(rounds.iter().all(|starts| *starts < 20), "{rounds:?}");
+}
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -10,13 +10,14 @@
     liveness::MIN_OUTAGE,
     owner_failures::OwnerFailures,
     ports::{Advisor, HostApi, RowFormat, TableFeed, WorkerAgent},
+    start_pace::StartPacer,
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_platform::settings::Settings;
 use reachhead_store::{Store, StoreError};
 use reachhead_types::{
     id::PoolName,
-    size::{Millis, Strength},
+    size::{ByteRate, Millis, Strength},
 };
 use tokio::sync::{Notify, watch};
 
@@ -67,6 +68,9 @@
 /// Bits per second in one Mbit/s.
 const BITS_PER_MEGABIT: f64 = 1_000_000.0;
 
+/// Bits in one byte.
+const BITS_PER_BYTE: f64 = 8.0;
+
 /// A process of the system.
 pub struct Node {
     /// The settings.
@@ -98,6 +102,7 @@
     loading: Mutex<BTreeMap<PoolName, Takeover>>,
     ability: Mutex<Ability>,
     owner_failures: Mutex<OwnerFailures>,
+    start_pacer: Mutex<StartPacer>,
 }
 
 impl Node {
@@ -109,9 +114,12 @@
         metrics: Metrics,
         stopping: watch::Receiver<bool>,
     ) -> Self {
+        let clock = Clock::new();
+        let bandwidth = ByteRate((settings.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64);
+        let start_pacer = Mutex::new(StartPacer::new(bandwidth, clock.now()));
         Self {
             settings,
-            clock: Clock::new(),
+            clock,
             services,
             peers,
             admission: AdmissionControl::new(),
@@ -127,6 +135,7 @@
             loading: Mutex::new(BTreeMap::new()),
             ability: Mutex::default(),
             owner_failures: Mutex::new(OwnerFailures::new()),
+            start_pacer,
         }
     }
 
@@ -158,6 +167,11 @@
         locked(&self.loading)
     }
 
+    /// Locks the pacer of the start orders of all pools that this process owns.
+    pub fn start_pacer(&self) -> MutexGuard<'_, StartPacer> {
+        locked(&self.start_pacer)
+    }
+
     /// Locks what this process knows about its ability to serve pools.
     pub fn ability(&self) -> MutexGuard<'_, Ability> {
         locked(&self.ability)
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -180,7 +180,7 @@
         if self.lease_lost {
             return;
         }
-        for action in self.pool.poll(now, node.clock.wall()) {
+        for action in self.poll(now) {
             self.execute(action);
         }
         for note in self.pool.take_notes() {
@@ -191,6 +191,15 @@
         self.answer_cancels();
     }
 
+    /// Returns the next orders, as many as the process's link has room for.
+    fn poll(&mut self, now: Tick) -> Vec<Action> {
+        let mut pacer = self.node.start_pacer();
+        self.pool.set_start_budget(pacer.budget(now));
+        let actions = self.pool.poll(now, self.node.clock.wall());
+        pacer.record(self.pool.start_budget());
+        actions
+    }
+
     /// Checks whether the followed leases still name this owner.
     fn check_lease(&mut self) {
         let view = self.node.view();
--- a/reachhead_types/src/size.rs
+++ b/reachhead_types/src/size.rs
@@ -50,6 +50,10 @@
     /// A length in bytes.
     Bytes, u64
 }
+count_type! {
+    /// Bytes per second.
+    ByteRate, u64
+}
 count_type! {
     /// A duration in milliseconds, as settings and messages write it.
     Millis, u64
