Rows in flight are limited by the link, so that takeovers do not fill it for seconds

Cause: a takeover asked for the jobs and the progress of four shards and for the roster at once, 500 rows each. On a link of 2 Mbit/s a page took seconds and timed out; heartbeats behind it were late, peers took the pool, and read all its rows over a link of their own. An owner's own reads of stored jobs began with such a page too.

Why it works: the rows in flight of all reads of a process together are what its link carries in 100 ms (two at least), so no heartbeat waits for longer, and first pages have that size; they grow while they arrive quickly. Jobs, progress and roster have page sizes of their own, since rows of the roster are small and those of jobs are not. A fast link reads all shards at once, as before.

--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -1,6 +1,7 @@
 //! `reachhead-node`: the process that runs on each entry host of the users' platform.
 
 mod admission;
+mod bulk_reads;
 mod claim;
 mod clock;
 mod election;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     admission::AdmissionControl,
+    bulk_reads::BulkReads,
     claim::{Ability, Takeover},
     clock::Clock,
     election::Vacancy,
@@ -89,6 +90,8 @@
     pub relay: Relay,
     /// Relays registered workers to owners of pools.
     pub registry: Registry,
+    /// Limits the rows that are read at the same time.
+    pub bulk_reads: BulkReads,
     /// The metrics.
     pub metrics: Metrics,
     /// True once shutdown was requested.
@@ -126,6 +129,7 @@
             submitter: Submitter::new(),
             relay: Relay::new(),
             registry: Registry::new(),
+            bulk_reads: BulkReads::new(bandwidth),
             metrics,
             stopping,
             pool_acquired: Notify::new(),
--- a/reachhead_node/src/owner/job_reads.rs
+++ b/reachhead_node/src/owner/job_reads.rs
@@ -20,6 +20,7 @@
         };
         let node = Arc::clone(&self.node);
         self.spawn_call(async move {
+            let _permit = node.bulk_reads.acquire(scan.limit).await;
             let page = node.services.store.scan(scan).await;
             node.record_store_result(&page);
             Some(Input::JobsScanned(page))
--- a/reachhead_node/src/owner/job_scan.rs
+++ b/reachhead_node/src/owner/job_scan.rs
@@ -32,14 +32,14 @@
 }
 
 impl JobScan {
-    /// Returns a schedule that begins after a pause.
-    pub(super) fn new(now: Tick) -> Self {
+    /// Returns a schedule that begins after a pause, with a first page of `rows` rows.
+    pub(super) fn new(rows: u32, now: Tick) -> Self {
         Self {
             next: now + MIN_PAUSE,
             begun: None,
             order: Shard::all().collect(),
             position: None,
-            page_size: PageSize::default(),
+            page_size: PageSize::starting_at(rows),
         }
     }
 
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -124,6 +124,7 @@
     ) -> Self {
         let now = node.now();
         handle.pulse.record_turn(now);
+        let rows = node.bulk_reads.capacity();
         Self {
             node,
             pool,
@@ -133,7 +134,7 @@
             pending_cancels: Vec::new(),
             recording: BTreeMap::new(),
             next_record: BTreeMap::new(),
-            job_scan: JobScan::new(now),
+            job_scan: JobScan::new(rows, now),
             release: None,
             lease_lost: false,
             call_failed: false,
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -5,7 +5,7 @@
 //! that names this process and some fences at its token. The next takeover, by any process, takes
 //! the lease with a higher token and raises every fence above it.
 
-use std::{collections::BTreeMap, sync::Mutex, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use futures::future::{join, join_all, try_join};
 use reachhead_jobs::{
@@ -30,7 +30,7 @@
 };
 use tokio::time;
 
-use crate::{claim, lock::locked, node::Node, owner::id_of, view::LeaseView};
+use crate::{claim, node::Node, owner::id_of, view::LeaseView};
 
 /// Maximum attempts to raise the fence of one shard; each further one needs a lost answer or
 /// another candidate's raise before it.
@@ -140,14 +140,21 @@
 }
 
 /// Rows with a key prefix, as far as they have been read.
-#[derive(Default)]
 struct Pages {
     rows: Vec<Row>,
     complete: bool,
+    /// Rows of jobs are larger than others.
+    page_size: PageSize,
+}
+
+impl Pages {
+    fn new(node: &Node) -> Self {
+        let page_size = PageSize::starting_at(node.bulk_reads.capacity());
+        Self { rows: Vec::new(), complete: false, page_size }
+    }
 }
 
 /// The rows of one shard, as far as they have been read.
-#[derive(Default)]
 struct ShardRows {
     fence: Option<Revision>,
     jobs: Pages,
@@ -155,6 +162,10 @@
 }
 
 impl ShardRows {
+    fn new(node: &Node) -> Self {
+        Self { fence: None, jobs: Pages::new(node), progress: Pages::new(node) }
+    }
+
     fn is_complete(&self) -> bool {
         self.jobs.complete && self.progress.complete
     }
@@ -179,7 +190,6 @@
     node: &'a Node,
     pool: &'a PoolName,
     token: Revision,
-    page_size: Mutex<PageSize>,
     /// A read has failed, so shards are read one at a time.
     sequential: bool,
 }
@@ -187,12 +197,11 @@
 impl<'a> Loader<'a> {
     /// Returns a loader that has read nothing yet.
     pub fn new(node: &'a Node, pool: &'a PoolName, token: Revision, effect: Millis) -> Self {
-        let page_size = Mutex::default();
         Self {
-            reader: Reader { node, pool, token, page_size, sequential: false },
+            reader: Reader { node, pool, token, sequential: false },
             effect,
-            shards: Shard::all().map(|shard| (shard, ShardRows::default())).collect(),
-            roster: Pages::default(),
+            shards: Shard::all().map(|shard| (shard, ShardRows::new(node))).collect(),
+            roster: Pages::new(node),
         }
     }
 
@@ -284,17 +293,18 @@
     async fn read_rows(&self, prefix: String, pages: &mut Pages) -> Result<(), StoreError> {
         while !pages.complete {
             let after = pages.rows.last().map(|row| row.key.clone());
-            let limit = locked(&self.page_size).rows();
+            let limit = pages.page_size.rows();
+            let _permit = self.node.bulk_reads.acquire(limit).await;
             let started = time::Instant::now();
             let scan = Scan { prefix: prefix.clone(), after, limit };
             let page = match self.node.services.store.scan(scan).await {
                 Ok(page) => page,
                 Err(error) => {
-                    locked(&self.page_size).record_failure(limit);
+                    pages.page_size.record_failure(limit);
                     return Err(error);
                 }
             };
-            locked(&self.page_size).record_answer(page.rows.len(), started.elapsed());
+            pages.page_size.record_answer(page.rows.len(), started.elapsed());
             self.node.record_store_result(&Ok(()));
             self.record_progress(page.rows.len());
             pages.rows.extend(page.rows);
--- a/reachhead_store/src/page_size.rs
+++ b/reachhead_store/src/page_size.rs
@@ -30,6 +30,12 @@
 }
 
 impl PageSize {
+    /// Returns the size of the first page on a link that carries this number of rows in a moment. A
+    /// first page that is too large delays everything else on the link until it times out.
+    pub fn starting_at(rows: u32) -> Self {
+        Self(rows.clamp(1, MAX_ROWS))
+    }
+
     /// Returns the number of rows of the next page, at least one.
     pub const fn rows(self) -> u32 {
         self.0
