A process does not find owners silent by a link that it fills itself

What callers saw: after the power loss of all processes on the small fleet, pools of live owners were taken over by a process that was reading rows; their jobs made no progress meanwhile.

Cause: silence was judged by missed heartbeats alone.

Why it works: missed heartbeats count only if another call, sent after the first of them, was answered within 150 ms: the link delivered then. A refused connection is such an answer. After four times the usual silence the owner counts as dead in any case, for networks on which no answer is quick.

--- a/reachhead_jobs/src/silence.rs
+++ b/reachhead_jobs/src/silence.rs
@@ -105,6 +105,24 @@
     }
 }
 
+/// Silence of an owner after which its pools are taken over although nothing shows that this
+/// process's own link is not the cause: on some networks no answer is quick.
+const UNPROVEN_OWNER_TIMEOUT: Millis = Millis(4 * OWNER_TIMEOUT.0);
+
+/// Returns whether the heartbeats that an owner missed since `since` are evidence against it, and not
+/// against this process's own link, on which all answers are late while the process fills it itself.
+/// `quick` is when the latest call was sent that any peer answered quickly.
+pub fn is_owners_fault(
+    running: &RunningTime,
+    missed: Option<MissedHeartbeats>,
+    since: Tick,
+    quick: Option<Tick>,
+    now: Tick,
+) -> bool {
+    let shown = missed.is_none_or(|missed| quick.is_some_and(|sent| sent >= missed.before));
+    shown || running.between(since, now) > UNPROVEN_OWNER_TIMEOUT
+}
+
 /// Returns whether an owner that was last known to be alive at `since` counts as dead. `missed` is
 /// `None` if it can't be sent heartbeats, because its address is unknown.
 pub fn is_silent(
--- a/reachhead_jobs/tests/silence.rs
+++ b/reachhead_jobs/tests/silence.rs
@@ -2,7 +2,7 @@
 
 use reachhead_jobs::{
     clock::Tick,
-    silence::{MissedHeartbeats, OWNER_TIMEOUT, RunningTime, is_silent},
+    silence::{MissedHeartbeats, OWNER_TIMEOUT, RunningTime, is_owners_fault, is_silent},
 };
 use reachhead_property::properties;
 use reachhead_types::size::Millis;
@@ -222,3 +222,39 @@
         ran <= DETECTION_LIMIT
     }
 }
+
+fn missed_at(first: u64, second: u64) -> Option<MissedHeartbeats> {
+    let mut missed = MissedHeartbeats::default();
+    missed.record(START + Millis(first));
+    missed.record(START + Millis(second));
+    Some(missed)
+}
+
+/// A process that read a pool's rows over a narrow link found all owners silent at the same moment,
+/// and took their pools.
+#[test]
+fn a_process_whose_own_link_delays_all_answers_does_not_find_owners_silent() {
+    let running = RunningTime::new(START);
+    let missed = missed_at(300, 550);
+    let now = START + Millis(OWNER_TIMEOUT.0 + 100);
+    assert!(is_silent(&running, missed, START, now));
+    let is_fault = |quick| is_owners_fault(&running, missed, START, quick, now);
+    assert!(!is_fault(None));
+    assert!(!is_fault(Some(START + Millis(200))), "the link may have filled up since");
+    assert!(is_fault(Some(START + Millis(400))), "the link delivered while heartbeats were missed");
+}
+
+#[test]
+fn a_dead_owner_is_found_in_the_end_where_no_answer_is_quick() {
+    let running = RunningTime::new(START);
+    let missed = missed_at(300, 550);
+    let late = START + Millis(5 * OWNER_TIMEOUT.0);
+    assert!(is_owners_fault(&running, missed, START, None, late));
+}
+
+#[test]
+fn an_owner_without_an_address_is_not_excused_by_this_processs_link() {
+    let running = RunningTime::new(START);
+    let now = START + Millis(OWNER_TIMEOUT.0 + 100);
+    assert!(is_owners_fault(&running, None, START, None, now));
+}
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -10,7 +10,7 @@
     liveness::StoreReachability,
     model::PoolPolicy,
     pool::{Pool, PoolTimeouts, RecoveredState},
-    silence::{OWNER_TIMEOUT, RunningTime, is_silent},
+    silence::{OWNER_TIMEOUT, RunningTime, is_owners_fault, is_silent},
 };
 use reachhead_ops::{
     event::{Event, emit},
@@ -226,6 +226,10 @@
         let is_asked = view.owner(pool).is_some_and(|(asked, _)| asked == *owner);
         let missed = is_asked.then(|| view.missed.get(owner).copied().unwrap_or_default());
         if is_silent(&self.running, missed, last, now) {
+            let quick = node.peers.quick_answer_age().map(|age| now - age);
+            if !is_owners_fault(&self.running, missed, last, quick, now) {
+                return None;
+            }
             let taken = view.last_taken(&node.settings.node);
             let held = isolation::is_held(&self.running, self.heard, taken, now);
             return (!held).then_some(Vacancy::Silent);
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -30,7 +30,7 @@
 };
 use reachhead_types::{
     id::{CustomerName, JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{Revision, Version},
+    size::{Millis, Revision, Version},
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -206,6 +206,12 @@
         Self { client, config_version: Arc::default() }
     }
 
+    /// Returns how long ago the latest call was sent that a peer or a service of the platform answered
+    /// quickly.
+    pub fn quick_answer_age(&self) -> Option<Millis> {
+        self.client.quick_answer_age().map(|age| Millis(age.as_millis() as u64))
+    }
+
     /// Sets the version of the configuration in force, which messages name from now on.
     pub fn set_config_version(&self, version: Version) {
         self.config_version.store(version.0, Ordering::Relaxed);
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -39,6 +39,10 @@
 /// others; more would cost an owner of many workers too many file descriptors in a burst.
 const MAX_SHORT_CALLS: usize = 2;
 
+/// Latency up to which an answer shows that this process's own link is not congested: well below the
+/// timeout of a heartbeat, so that one that is missed at the same time was not lost on that link.
+const QUICK_ANSWER: Duration = Duration::from_millis(150);
+
 /// Number of peers with a semaphore for short calls above which those without calls in flight are
 /// dropped.
 const MAX_SHORT_PEERS: usize = 512;
@@ -76,6 +80,8 @@
     short_calls: Mutex<HashMap<SocketAddr, Arc<Semaphore>>>,
     /// Peers with idle connections of short calls, the least recently used first.
     short_idle: Mutex<VecDeque<SocketAddr>>,
+    /// When the latest call with a quick answer was sent.
+    quick_sent: Mutex<Option<time::Instant>>,
 }
 
 impl HttpClient {
@@ -95,15 +101,17 @@
         request: Request<Full<Bytes>>,
         deadline: Duration,
     ) -> Result<Response<Bytes>, CallError> {
-        let end = time::Instant::now() + deadline;
+        let sent = time::Instant::now();
+        let end = sent + deadline;
         let mut request = request;
         loop {
             let (mut connection, is_reused) = match self.take(address) {
                 Some(connection) => (connection, true),
-                None => (connect(address, end).await?, false),
+                None => (self.connect(address, end).await?, false),
             };
             match within_deadline(end, exchange(&mut connection, request)).await {
                 Some(Ok(response)) => {
+                    self.record_latency(sent);
                     self.put_idle(address, connection);
                     return Ok(response);
                 }
@@ -172,6 +180,32 @@
         Arc::clone(semaphore)
     }
 
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        end: time::Instant,
+    ) -> Result<Connection, CallError> {
+        let begun = time::Instant::now();
+        let result = connect(address, end).await;
+        if matches!(result, Err(CallError::PortClosed(_))) {
+            self.record_latency(begun);
+        }
+        result
+    }
+
+    fn record_latency(&self, sent: time::Instant) {
+        if sent.elapsed() <= QUICK_ANSWER {
+            let mut last = self.quick_sent.lock().unwrap_or_else(PoisonError::into_inner);
+            *last = (*last).max(Some(sent));
+        }
+    }
+
+    /// Returns how long ago the latest call was sent that any peer answered quickly.
+    pub fn quick_answer_age(&self) -> Option<Duration> {
+        let last = *self.quick_sent.lock().unwrap_or_else(PoisonError::into_inner);
+        last.map(|sent| sent.elapsed())
+    }
+
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
