The newest configuration is requested from a second peer if the first one is silent

Cause: it asked one peer only, the one with the most recent contact with the store, which may be one that has just died.

Why it works: up to three peers are asked, each 100 ms after the one before it if none has answered; all of it within the time that a refresh had before.

--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -7,6 +7,7 @@
 //! one.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -54,6 +55,13 @@
 /// Timeout of a refresh from the store, and again from a peer.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Pause before a further peer is asked for a refresh: a peer answers within some milliseconds, and
+/// one that is gone or frozen counts as alive for about a second.
+const HEDGE_DELAY: Duration = Duration::from_millis(100);
+
+/// Maximum number of peers that are asked for one refresh.
+const MAX_REFRESH_PEERS: usize = 3;
+
 /// Timeout of the read that a peer makes for a refresh, so that it can still tell that it failed.
 const PEER_READ_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -272,13 +280,13 @@
     // store is always asked.
     let store = with_timeout(read_from_store(node, operators));
     if node.view().store_failing {
-        let peer = with_timeout(read_from_peer(node, table_unavailable));
+        let peer = with_timeout(read_from_peers(node, table_unavailable));
         let both: [BoxFuture<'_, Result<FeedPage, String>>; 2] = [store.boxed(), peer.boxed()];
         return Ok(select_ok(both).await?.0);
     }
     match store.await {
         Ok(page) => Ok(page),
-        Err(error) => with_timeout(read_from_peer(node, table_unavailable))
+        Err(error) => with_timeout(read_from_peers(node, table_unavailable))
             .await
             .map_err(|peer| format!("{error}, {peer}")),
     }
@@ -337,9 +345,29 @@
     }
 }
 
-async fn read_from_peer(node: &Node, table_unavailable: &AtomicBool) -> Result<FeedPage, String> {
-    let peer = node.view().peer_reaching_store(node.now(), MAX_PEER_AGE, MAX_PEER_AGE);
-    let peer = peer.ok_or("no peer reaches the store")?;
+/// Reads the operators' changes from peers that reach the store. Each further one is asked if those
+/// before it have not answered for [`HEDGE_DELAY`].
+async fn read_from_peers(node: &Node, table_unavailable: &AtomicBool) -> Result<FeedPage, String> {
+    let peers = node.view().peers_reaching_store(node.now(), MAX_PEER_AGE, MAX_PEER_AGE);
+    let reads = peers.into_iter().take(MAX_REFRESH_PEERS).zip(0..).map(|(peer, rank)| {
+        async move {
+            time::sleep(HEDGE_DELAY * rank).await;
+            read_from_peer(node, peer, table_unavailable).await
+        }
+        .boxed()
+    });
+    let reads: Vec<BoxFuture<'_, Result<FeedPage, String>>> = reads.collect();
+    if reads.is_empty() {
+        return Err("no peer reaches the store".to_owned());
+    }
+    Ok(select_ok(reads).await?.0)
+}
+
+async fn read_from_peer(
+    node: &Node,
+    peer: SocketAddr,
+    table_unavailable: &AtomicBool,
+) -> Result<FeedPage, String> {
     let request = PeerRequest::OperatorChanges(node.view().config_revision);
     match node.peers.call(peer, &request, REFRESH_TIMEOUT).await {
         Ok(PeerReply::OperatorChanges(Some(page))) => Ok(page),
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -169,22 +169,31 @@
         taken.max().unwrap_or_default()
     }
 
-    /// Returns the address of the peer with the most recent contact with the store, among those
-    /// that answered within `max_status_age` and reached the store within `max_store_age`.
-    pub fn peer_reaching_store(
+    /// Returns the addresses of the peers that answered within `max_status_age` and reached the store
+    /// within `max_store_age`, the one with the most recent contact with the store first.
+    pub fn peers_reaching_store(
         &self,
         now: Tick,
         max_status_age: Millis,
         max_store_age: Millis,
-    ) -> Option<SocketAddr> {
-        let is_recent = |status: &PeerStatus| {
+    ) -> Vec<SocketAddr> {
+        let is_recent = |status: &&PeerStatus| {
             now.since(status.at) <= max_status_age && status.pong.store_age <= max_store_age.0
         };
-        self.peers
-            .iter()
-            .filter(|(_, status)| is_recent(status))
-            .min_by_key(|(_, status)| status.pong.store_age)
-            .map(|(_, status)| status.address)
+        let mut recent: Vec<&PeerStatus> =
+            self.peers.values().filter(|status| is_recent(status)).collect();
+        recent.sort_by_key(|status| status.pong.store_age);
+        recent.into_iter().map(|status| status.address).collect()
+    }
+
+    /// Returns the first of [`View::peers_reaching_store`].
+    pub fn peer_reaching_store(
+        &self,
+        now: Tick,
+        max_status_age: Millis,
+        max_store_age: Millis,
+    ) -> Option<SocketAddr> {
+        self.peers_reaching_store(now, max_status_age, max_store_age).into_iter().next()
     }
 
     /// Returns a process as a candidate for owning pools.
