The timeout of a slow partition is not set back by quick answers of others

Cause: one adaptive timeout for reads and transactions of all partitions. Quick answers set its backoff back each time, and the latency of a call that timed out was never learned.

A backoff for each partition was tried first: a silent partition then blocked the available ones, by the existing test of that.

Why it works: partitions have timeouts of their own, apart for reads and transactions, that can only be longer than the shared one, and a call that has timed out is observed until its deadline. An answer that arrives late lengthens the next timeout; a partition that gives no answer changes nothing.

--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Store, StoreError,
-    adaptive_timeout::{AdaptiveTimeout, AdaptiveTimeouts, CallKind},
+    adaptive_timeout::{AdaptiveTimeouts, CallKind},
     breaker::{Admission, Breaker, MAX_PROBE_PAUSE},
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
@@ -49,10 +49,6 @@
         self.partitions.get_mut(partition).unwrap_or_else(|| unreachable!("inserted above"))
     }
 
-    fn adaptive_timeout(&mut self, kind: CallKind) -> Option<&mut AdaptiveTimeout> {
-        self.adaptive_timeouts.as_mut().map(|adaptive_timeouts| adaptive_timeouts.for_kind(kind))
-    }
-
     fn admit(&mut self, partition: &str, now: Instant) -> Admission {
         // A call that the breaker of the whole store rejects is no probe of its partition.
         if !self.partition(partition).admits(now) {
@@ -143,14 +139,16 @@
             (
                 is_probe,
                 breakers
-                    .adaptive_timeout(kind)
-                    .map_or(Duration::MAX, |adaptive_timeout| adaptive_timeout.current()),
+                    .adaptive_timeouts
+                    .as_mut()
+                    .map_or(Duration::MAX, |timeouts| timeouts.current(partition, kind)),
             )
         };
-        let call = call(Arc::clone(&self.inner));
+        let mut call = call(Arc::clone(&self.inner));
         let recorded_call = async move {
-            let Ok(result) = time::timeout(call_timeout, call).await else {
+            let Ok(result) = time::timeout(call_timeout, &mut call).await else {
                 in_flight.record_timeout();
+                tokio::spawn(in_flight.into_late_call().observe(call));
                 return Err(StoreError::Lost("no answer in the usual time".to_owned()));
             };
             in_flight.record(&result);
@@ -187,8 +185,8 @@
         if matches!(result, Ok(_) | Err(StoreError::Refused(_) | StoreError::Busy(_))) {
             breakers.whole.record_success(now);
             let latency = now.saturating_duration_since(self.started);
-            if let Some(adaptive_timeout) = breakers.adaptive_timeout(self.kind) {
-                adaptive_timeout.record_answer(latency);
+            if let Some(timeouts) = &mut breakers.adaptive_timeouts {
+                timeouts.record_answer(&self.partition, self.kind, latency);
             }
         }
         let breaker = breakers.partition(&self.partition);
@@ -202,16 +200,49 @@
 
     fn record_timeout(&self) {
         let mut breakers = lock_breakers(&self.breakers);
-        if let Some(adaptive_timeout) = breakers.adaptive_timeout(self.kind) {
-            adaptive_timeout.record_timeout();
+        if let Some(timeouts) = &mut breakers.adaptive_timeouts {
+            timeouts.record_timeout(self.kind);
         }
         // A scan that times out may only have more rows than before, and other calls need not fail for that.
-        if self.kind == CallKind::Short {
+        if self.kind.is_short() {
             breakers.partition(&self.partition).record_failure(now(), rand::random());
         }
     }
 }
 
+impl CallInFlight {
+    /// Ends the call for the breaker of the whole store; its answer may still arrive.
+    fn into_late_call(self) -> LateCall {
+        LateCall {
+            breakers: Arc::clone(&self.breakers),
+            partition: self.partition.clone(),
+            kind: self.kind,
+            started: self.started,
+        }
+    }
+}
+
+/// A call that has timed out.
+struct LateCall {
+    breakers: Arc<Mutex<Breakers>>,
+    partition: String,
+    kind: CallKind,
+    started: Instant,
+}
+
+impl LateCall {
+    /// Waits for the answer, which shows how long the next call may take. Without it a partition
+    /// whose calls all take longer than the timeout would never be used again.
+    async fn observe<T>(self, call: BoxFuture<'static, Result<T, StoreError>>) {
+        if call.await.is_ok() {
+            let latency = now().saturating_duration_since(self.started);
+            if let Some(timeouts) = &mut lock_breakers(&self.breakers).adaptive_timeouts {
+                timeouts.record_late_answer(&self.partition, self.kind, latency);
+            }
+        }
+    }
+}
+
 impl Drop for CallInFlight {
     fn drop(&mut self) {
         lock_breakers(&self.breakers).whole.end_call(self.number);
@@ -222,7 +253,7 @@
     fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
         async move {
             let first = keys.first().cloned().unwrap_or_else(|| Key(String::new()));
-            self.call(&first.0, CallKind::Short, |inner| {
+            self.call(&first.0, CallKind::Read, |inner| {
                 async move { inner.read(keys).await }.boxed()
             })
             .await
@@ -244,7 +275,7 @@
             let check = txn.checks.first().map(|check| &check.key);
             let first = check.or_else(|| txn.writes.first().map(|write| &write.key)).cloned();
             let first = first.unwrap_or_else(|| Key(String::new()));
-            self.call(&first.0, CallKind::Short, |inner| {
+            self.call(&first.0, CallKind::Commit, |inner| {
                 async move { inner.commit(txn).await }.boxed()
             })
             .await
