An owner whose transactions get no answer is replaced

What callers saw: in the listed test, cancellations got 503 job-unreachable without end while the owner of their pool read the store and answered heartbeats.

Cause: a claim was kept by turns of the event loop, and contact with the store by any answered call.

Until a probe shows that the store decides on its transactions, the process lets others come first. Outages of the whole store do not count, and if nobody can write, nobody can take the lease.

--- a/reachhead_jobs/src/claim.rs
+++ b/reachhead_jobs/src/claim.rs
@@ -2,8 +2,8 @@
 //!
 //! A process answers heartbeats for as long as it runs, also while a takeover reads nothing or the
 //! event loop of an owner is stalled. So a claim is kept by progress: a takeover that makes none
-//! is given up, and an owner that is stalled is no longer reported to peers, which take over the
-//! pool as they do from a process that has lost it.
+//! is given up, and an owner that is stalled, or whose transactions get no answer, is no longer
+//! reported to peers, which take over the pool as they do from a process that has lost it.
 
 use reachhead_types::size::Millis;
 
@@ -36,6 +36,10 @@
 /// the pool in less than this time.
 const MAX_STANDSTILL: Millis = Millis(2500);
 
+/// Time in which the store answers an owner's other calls and none of its transactions, after which
+/// the owner is of no use to callers.
+const MAX_UNRECORDED_TIME: Millis = MIN_PATIENCE;
+
 /// Pause before a process tries again whether it can read a pool that it gave up.
 const MIN_PROBE_PAUSE: Millis = Millis(2000);
 
@@ -87,6 +91,14 @@
     now.since(turned.max(running_since)) <= MAX_STANDSTILL
 }
 
+/// Returns whether an owner can record nothing: no transaction that it has sent since `unanswered` got
+/// an answer, while the store answers its other calls. Outages of the whole store do not count.
+pub fn is_mute(unanswered: Option<Tick>, answers: &StoreAnswers, now: Tick) -> bool {
+    let reaches_store = now.since(answers.last()) <= MAX_STORE_AGE;
+    let is_long = |since| answers.reached_since(since) > MAX_UNRECORDED_TIME;
+    reaches_store && unanswered.is_some_and(is_long)
+}
+
 /// Returns the pause before the next attempt to read a pool that this process gave up, after this
 /// many failures in a row.
 pub fn probe_pause(failures: u32) -> Millis {
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -13,23 +13,28 @@
 
 use reachhead_jobs::{
     candidate::Candidate,
-    claim::{TakeoverProgress, is_serving, probe_pause},
+    claim::{TakeoverProgress, is_mute, is_serving, probe_pause},
     clock::Tick,
     liveness::StoreAnswers,
     pool::RecoveredState,
     ports::FeedError,
-    record::{job_prefix, progress_prefix},
+    record::{fence_key, job_prefix, progress_prefix},
     shard::Shard,
 };
 use reachhead_ops::event::{Event, emit};
-use reachhead_store::{StoreError, row::Scan};
+use reachhead_store::{
+    StoreError,
+    row::{Scan, Txn},
+};
 use reachhead_types::{
     id::PoolName,
     size::{Millis, Revision},
 };
 use tokio::time;
 
-use crate::{election, fleet, follow::LEASE_TABLE, node::Node, takeover, view::LeaseView};
+use crate::{
+    election, fleet, follow::LEASE_TABLE, node::Node, owner::OwnerHandle, takeover, view::LeaseView,
+};
 
 /// Interval between two checks of the takeovers.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -40,6 +45,9 @@
 /// Number of rows that a probe reads of each table in each shard.
 const PROBE_ROWS: u32 = 20;
 
+/// A revision that no row has: the largest integer that every JSON parser keeps.
+const UNUSED_REVISION: Revision = Revision((1 << 53) - 1);
+
 /// Time without progress from which a takeover tests whether the store answers.
 const MIN_IDLE_TIME: Millis = Millis(800);
 
@@ -133,6 +141,8 @@
 pub struct Pulse {
     turned: AtomicU64,
     recorded: AtomicU64,
+    /// When the first transaction after the last answer was sent; zero if there is none.
+    unanswered: AtomicU64,
 }
 
 impl Pulse {
@@ -141,6 +151,24 @@
         self.turned.store(now.0, Ordering::Relaxed);
     }
 
+    /// Records that a transaction is sent.
+    pub fn record_sent(&self, now: Tick) {
+        // Another transaction may be waiting for its answer already.
+        let _ = self.unanswered.compare_exchange(0, now.0, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Records that the store decided on a transaction.
+    pub fn record_answer(&self) {
+        self.unanswered.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns when the first transaction was sent of those that have got no answer since the last
+    /// one that did.
+    pub fn unanswered(&self) -> Option<Tick> {
+        let sent = Tick(self.unanswered.load(Ordering::Relaxed));
+        (sent > Tick(0)).then_some(sent)
+    }
+
     /// Records that the store accepted a transaction.
     pub fn record_commit(&self, now: Tick) {
         self.recorded.store(now.0, Ordering::Relaxed);
@@ -239,7 +267,7 @@
     /// Those that it claims, with its fencing tokens: their owners serve them, or their takeovers were
     /// not given up.
     pub claimed: BTreeMap<PoolName, Revision>,
-    /// Those whose owner is stalled. It may go on and give orders.
+    /// Those whose owner is stalled or can record nothing. It may go on and give orders.
     pub stalled: BTreeSet<PoolName>,
 }
 
@@ -252,8 +280,11 @@
     for (pool, takeover) in node.loading().iter() {
         claims.claimed.insert(pool.clone(), takeover.token);
     }
+    let answers = node.view().store_answers.clone();
     for (pool, owner) in node.owned().iter() {
-        if *pool == fleet::name() || is_serving(owner.pulse.turned(), running_since, now) {
+        let serves = is_serving(owner.pulse.turned(), running_since, now)
+            && !is_mute(owner.pulse.unanswered(), &answers, now);
+        if *pool == fleet::name() || serves {
             claims.claimed.insert(pool.clone(), owner.token);
         } else {
             claims.stalled.insert(pool.clone());
@@ -364,7 +395,7 @@
     let can_serve = if pool == fleet::name() {
         can_list_hosts(&node).await
     } else {
-        can_read(&node, &pool).await
+        can_read(&node, &pool).await && can_write(&node, &pool).await
     };
     if can_serve {
         log::info!("pool={pool} can be served by this process again");
@@ -390,6 +421,37 @@
     true
 }
 
+/// Returns whether the store decides on transactions in each shard of a pool. Their condition never
+/// holds, so they write nothing.
+async fn can_write(node: &Node, pool: &PoolName) -> bool {
+    for shard in Shard::all() {
+        let key = fence_key(pool, shard);
+        let txn = Txn::new().with_check(key.clone(), Some(UNUSED_REVISION)).with_delete(key);
+        if let Err(error) = node.services.store.commit(txn).await {
+            log::info!("pool={pool} transactions still get no answer: {error}");
+            return false;
+        }
+    }
+    true
+}
+
+/// Records the owners of this process that can record nothing, so that other processes come first
+/// until a probe succeeds.
+fn check_mute_owners(node: &Node, now: Tick) {
+    let answers = node.view().store_answers.clone();
+    let is_mute = |owner: &OwnerHandle| is_mute(owner.pulse.unanswered(), &answers, now);
+    let owned = node.owned().clone();
+    let mut ability = node.ability();
+    for (pool, _) in owned.into_iter().filter(|(_, owner)| is_mute(owner)) {
+        if !ability.is_unreadable(&pool) {
+            log::warn!(
+                "pool={pool} transactions get no answer, leaving the pool to other processes"
+            );
+            ability.record_unreadable(&pool, now);
+        }
+    }
+}
+
 /// Drops owners whose event loop is stalled and whose lease another process has taken, so that
 /// requests go to that process.
 fn drop_replaced_owners(node: &Node, now: Tick) {
@@ -413,6 +475,7 @@
         let now = node.now();
         node.ability().check(now);
         drop_replaced_owners(&node, now);
+        check_mute_owners(&node, now);
         let due = node.ability().take_due_probes(now);
         for pool in due {
             tokio::spawn(probe(Arc::clone(&node), pool));
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -370,9 +370,14 @@
     fn commit(&self, batch: Batch) {
         let node = Arc::clone(&self.node);
         let token = self.handle.token;
+        let pulse = Arc::clone(&self.handle.pulse);
+        pulse.record_sent(node.now());
         self.spawn_call(async move {
             let result = node.services.store.commit(batch.txn.clone()).await;
             node.record_store_result(&result);
+            if matches!(result, Ok(_) | Err(StoreError::Refused(_))) {
+                pulse.record_answer();
+            }
             if let Err(error) = &result {
                 emit(Event::RecordFailed, format_args!("token={token} {error}"));
                 // An urgent transaction must not be repeated in a tight loop.
