Pools do not change hands between two groups of processes without links to each other

Cause: each group took the silent owners of the other for dead. The rule that holds a process back applied only to one that hears nobody.

Why it works: a lease taken from an owner who is heard, by one who is not, shows that the links are cut and not that the owner is dead. Members then learn by pings which of them they hear, and of two groups exactly one goes on to take pools from silent owners (property of_two_groups_exactly_one_is_preferred). The other waits for 30 s, since the owner may have died in the meantime. A real loss of many members is no such evidence, so it delays nobody.

--- a/reachhead_jobs/src/isolation.rs
+++ b/reachhead_jobs/src/isolation.rs
@@ -1,11 +1,12 @@
-//! Limits how often a process without links to its peers takes pools from owners that it does not
+//! Limits how often processes without links to each other take pools from owners that they do not
 //! hear.
 //!
-//! It takes the owners for dead, and they take it for dead; as all of them reach the store, their
-//! pools would change hands about once a second. A lease that another process takes meanwhile shows
-//! that others are alive and only the links are cut.
+//! They take each other for dead; as all of them reach the store, their pools would change hands about
+//! once a second. A process that hears nobody learns from a lease that another one takes meanwhile
+//! that only the links are cut. Of two groups, each learns it from a lease that was taken from an owner
+//! whom it hears.
 
-use reachhead_types::size::Millis;
+use reachhead_types::{id::NodeName, size::Millis};
 
 use crate::{
     clock::Tick,
@@ -29,3 +30,22 @@
     }
     now.since(taken) < Millis(HOLD_FACTOR * taken.since(heard).0).min(MAX_HOLD)
 }
+
+/// Returns whether the pools that two groups of members take from each other should be left to the
+/// group that this process is in: the larger one, or of two equal ones that with the first name. `hears`
+/// tells whether a member is in it.
+pub fn is_preferred_group<'a>(
+    members: impl Iterator<Item = &'a NodeName>,
+    hears: impl Fn(&NodeName) -> bool,
+) -> bool {
+    let members: Vec<&NodeName> = members.collect();
+    let heard = members.iter().filter(|member| hears(member)).count();
+    let first_is_heard = members.iter().min().is_none_or(|first| hears(first));
+    2 * heard > members.len() || (2 * heard == members.len() && first_is_heard)
+}
+
+/// Returns whether a process leaves a silent owner alone that took the pool at `taken` from one that
+/// lives.
+pub fn is_left_to_other_group(is_preferred: bool, taken: Tick, now: Tick) -> bool {
+    !is_preferred && now.since(taken) < MAX_HOLD
+}
--- a/reachhead_jobs/tests/isolation.rs
+++ b/reachhead_jobs/tests/isolation.rs
@@ -1,8 +1,12 @@
 //! Tests of processes without links to their peers.
 
-use reachhead_jobs::{clock::Tick, isolation::is_held, silence::RunningTime};
+use reachhead_jobs::{
+    clock::Tick,
+    isolation::{is_held, is_left_to_other_group, is_preferred_group},
+    silence::RunningTime,
+};
 use reachhead_property::properties;
-use reachhead_types::size::Millis;
+use reachhead_types::{id::NodeName, size::Millis};
 
 const HEARD: Tick = Tick(1_000_000);
 
@@ -37,3 +41,27 @@
         !held(u64::from(taken), u64::from(taken) + 30_000 + u64::from(later))
     }
 }
+
+fn names(count: usize) -> Vec<NodeName> {
+    (0..count).map(|number| format!("node-{number}").parse().unwrap()).collect()
+}
+
+properties! {
+    /// Two availability zones without links to each other took their pools from each other.
+    fn of_two_groups_exactly_one_is_preferred(sides: Vec<bool>) -> bool {
+        let members = names(sides.len());
+        let side_of = |name: &NodeName| sides[members.iter().position(|it| it == name).unwrap()];
+        let is_preferred = |side| is_preferred_group(members.iter(), |name| side_of(name) == side);
+        sides.is_empty() || is_preferred(true) != is_preferred(false)
+    }
+}
+
+#[test]
+fn a_silent_owner_is_left_to_a_larger_group_for_a_while_only() {
+    assert!(is_left_to_other_group(false, HEARD, HEARD + Millis(29_000)));
+    assert!(
+        !is_left_to_other_group(false, HEARD, HEARD + Millis(31_000)),
+        "it may have died since"
+    );
+    assert!(!is_left_to_other_group(true, HEARD, HEARD + Millis(2000)));
+}
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -230,9 +230,13 @@
             if !is_owners_fault(&self.running, missed, last, quick, now) {
                 return None;
             }
-            let taken = view.last_taken(&node.settings.node);
+            let own = &node.settings.node;
+            let taken = view.last_taken(own);
             let held = isolation::is_held(&self.running, self.heard, taken, now);
-            return (!held).then_some(Vacancy::Silent);
+            let is_preferred =
+                !view.is_taken_by_unheard(own, lease) || view.is_in_preferred_group(own, now);
+            let left = isolation::is_left_to_other_group(is_preferred, lease.since, now);
+            return (!held && !left).then_some(Vacancy::Silent);
         }
         let status = status.filter(|status| status.at > lease.since)?;
         let absent = status.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
--- a/reachhead_node/src/failure_detector.rs
+++ b/reachhead_node/src/failure_detector.rs
@@ -109,6 +109,11 @@
     if now.since(view.last_heard()) >= MEMBER_PING_PERIOD {
         targets.extend(random_members(&view, own, 1));
     }
+    // If links are cut, this process has to know which group of members it is in.
+    if view.leases.values().any(|lease| view.is_taken_by_unheard(own, lease)) {
+        let members = view.members.iter();
+        targets.extend(members.map(|(name, member)| (name.clone(), member.record.address)));
+    }
     targets.remove(own);
     targets
 }
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -136,7 +136,7 @@
 ) -> LeaseView {
     let now = node.now();
     node.view().update_lease(pool.clone(), record.clone(), revision, now);
-    LeaseView { record, revision, since: now }
+    LeaseView { record, revision, since: now, taken_from: None }
 }
 
 /// Rows with a key prefix, as far as they have been read.
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -12,11 +12,12 @@
     applied_rows::AppliedRows,
     candidate::Candidate,
     clock::Tick,
+    isolation,
     liveness::StoreAnswers,
     model::Configuration,
     ports::WorkerInfo,
     record::{LeaseRecord, MemberRecord},
-    silence::MissedHeartbeats,
+    silence::{MissedHeartbeats, OWNER_TIMEOUT},
     wave::WaveOrder,
 };
 use reachhead_types::{
@@ -35,6 +36,8 @@
     pub revision: Revision,
     /// When this process first saw this revision of the lease.
     pub since: Tick,
+    /// The owner from which the present one took the pool, if it did not give it back.
+    pub taken_from: Option<NodeName>,
 }
 
 /// A member of the cluster as last read from the store.
@@ -169,6 +172,26 @@
         taken.max().unwrap_or_default()
     }
 
+    /// Returns whether a lease was taken from an owner that lives, as seen by process `own`, by one that
+    /// this process has not heard since: the links between them are cut.
+    pub fn is_taken_by_unheard(&self, own: &NodeName, lease: &LeaseView) -> bool {
+        let heard_since = |node: &NodeName| {
+            node == own || self.peers.get(node).is_some_and(|status| status.at > lease.since)
+        };
+        let lives = lease.taken_from.as_ref().is_some_and(heard_since);
+        lives && lease.record.owner.as_ref().is_some_and(|owner| !heard_since(owner))
+    }
+
+    /// Returns whether this process is in the group of members that should own the pools which two
+    /// groups without links take from each other.
+    pub fn is_in_preferred_group(&self, own: &NodeName, now: Tick) -> bool {
+        let hears = |member: &NodeName| {
+            let status = self.peers.get(member);
+            member == own || status.is_some_and(|status| now.since(status.at) <= OWNER_TIMEOUT)
+        };
+        isolation::is_preferred_group(self.members.keys(), hears)
+    }
+
     /// Returns the addresses of the peers that answered within `max_status_age` and reached the store
     /// within `max_store_age`, the one with the most recent contact with the store first.
     pub fn peers_reaching_store(
@@ -247,7 +270,9 @@
             return false;
         }
         let owner_changed = known.is_none_or(|known| known.record.owner != record.owner);
-        self.leases.insert(pool, LeaseView { record, revision, since: now });
+        let before = known.and_then(|known| known.record.owner.clone());
+        let taken_from = before.filter(|before| record.owner.as_ref() != Some(before));
+        self.leases.insert(pool, LeaseView { record, revision, since: now, taken_from });
         owner_changed
     }
 }
