An owner counts as unable to write only if no shard of its pool decides on a transaction

Change: before an owner stops claiming a pool, a transaction whose condition never holds is sent to each shard. One that is decided anywhere keeps the pool.

Evidence: owner_whose_transactions_get_no_answer_is_replaced and the tests of a shard that is away pass, twice in a row.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -6,11 +6,12 @@
     fmt::{self, Display, Formatter},
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
+use futures::future::join_all;
 use reachhead_jobs::{
     candidate::Candidate,
     claim::{TakeoverProgress, is_mute, is_serving, probe_pause},
@@ -143,6 +144,10 @@
     recorded: AtomicU64,
     /// When the first transaction after the last answer was sent; zero if there is none.
     unanswered: AtomicU64,
+    /// The store decides on no transaction of this process in any shard of the pool.
+    mute: AtomicBool,
+    /// A test of that is under way.
+    testing: AtomicBool,
 }
 
 impl Pulse {
@@ -160,6 +165,12 @@
     /// Records that the store decided on a transaction.
     pub fn record_answer(&self) {
         self.unanswered.store(0, Ordering::Relaxed);
+        self.mute.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether the store decides on no transaction of the owner.
+    pub fn is_mute(&self) -> bool {
+        self.mute.load(Ordering::Relaxed)
     }
 
     /// Returns when the first transaction was sent of those that have got no answer since the last
@@ -280,10 +291,8 @@
     for (pool, takeover) in node.loading().iter() {
         claims.claimed.insert(pool.clone(), takeover.token);
     }
-    let answers = node.view().store_answers.clone();
     for (pool, owner) in node.owned().iter() {
-        let serves = is_serving(owner.pulse.turned(), running_since, now)
-            && !is_mute(owner.pulse.unanswered(), &answers, now);
+        let serves = is_serving(owner.pulse.turned(), running_since, now) && !owner.pulse.is_mute();
         if *pool == fleet::name() || serves {
             claims.claimed.insert(pool.clone(), owner.token);
         } else {
@@ -395,7 +404,7 @@
     let can_serve = if pool == fleet::name() {
         can_list_hosts(&node).await
     } else {
-        can_read(&node, &pool).await && can_write(&node, &pool).await
+        can_read(&node, &pool).await && !test_writes(&node, &pool).await.contains(&false)
     };
     if can_serve {
         log::info!("pool={pool} can be served by this process again");
@@ -421,33 +430,49 @@
     true
 }
 
-/// Returns whether the store decides on transactions in each shard of a pool. Their condition never
-/// holds, so they write nothing.
-async fn can_write(node: &Node, pool: &PoolName) -> bool {
-    for shard in Shard::all() {
+/// Returns for each shard of a pool whether the store decides on transactions there. Their condition
+/// never holds, so they write nothing.
+async fn test_writes(node: &Node, pool: &PoolName) -> Vec<bool> {
+    let tests = Shard::all().map(|shard| async move {
         let key = fence_key(pool, shard);
         let txn = Txn::new().with_check(key.clone(), Some(UNUSED_REVISION)).with_delete(key);
-        if let Err(error) = node.services.store.commit(txn).await {
-            log::info!("pool={pool} transactions still get no answer: {error}");
-            return false;
-        }
+        let result = node.services.store.commit(txn).await;
+        result
+            .inspect_err(|error| {
+                log::info!("pool={pool} shard={shard} a transaction gets no answer: {error}");
+            })
+            .is_ok()
+    });
+    join_all(tests).await
+}
+
+/// Tests an owner whose transactions get no answer. One shard that is away alone is no reason to
+/// change the owner: the next one could not take that shard over.
+async fn test_owner(node: Arc<Node>, pool: PoolName, owner: OwnerHandle) {
+    let pulse = &owner.pulse;
+    if test_writes(&node, &pool).await.contains(&true) {
+        pulse.record_answer();
+    } else if pulse.unanswered().is_some() {
+        log::warn!("pool={pool} no transaction gets an answer, others may take the pool");
+        pulse.mute.store(true, Ordering::Relaxed);
+        let now = node.now();
+        node.ability().record_unreadable(&pool, now);
     }
-    true
+    pulse.testing.store(false, Ordering::Relaxed);
 }
 
-/// Records the owners of this process that can record nothing, so that other processes come first
-/// until a probe succeeds.
-fn check_mute_owners(node: &Node, now: Tick) {
+/// Tests the owners of this process that seem to be able to record nothing.
+fn test_owners(node: &Arc<Node>, now: Tick) {
     let answers = node.view().store_answers.clone();
-    let is_mute = |owner: &OwnerHandle| is_mute(owner.pulse.unanswered(), &answers, now);
     let owned = node.owned().clone();
-    let mut ability = node.ability();
-    for (pool, _) in owned.into_iter().filter(|(_, owner)| is_mute(owner)) {
-        if !ability.is_unreadable(&pool) {
-            log::warn!(
-                "pool={pool} transactions get no answer, leaving the pool to other processes"
-            );
-            ability.record_unreadable(&pool, now);
+    let suspects = owned.into_iter().filter(|(pool, owner)| {
+        *pool != fleet::name()
+            && !owner.pulse.is_mute()
+            && is_mute(owner.pulse.unanswered(), &answers, now)
+    });
+    for (pool, owner) in suspects {
+        if !owner.pulse.testing.swap(true, Ordering::Relaxed) {
+            tokio::spawn(test_owner(Arc::clone(node), pool, owner));
         }
     }
 }
@@ -475,7 +500,7 @@
         let now = node.now();
         node.ability().check(now);
         drop_replaced_owners(&node, now);
-        check_mute_owners(&node, now);
+        test_owners(&node, now);
         let due = node.ability().take_due_probes(now);
         for pool in due {
             tokio::spawn(probe(Arc::clone(&node), pool));
