Names of the field for stalled writes, probes and orders to stop

A newcomer's reading: mute and test are write-stalled and probe, the state without an order is NotOrdered, limits of rows are two constants.

No behaviour changes; the workspace's checks pass.

--- a/reachhead_jobs/src/claim.rs
+++ b/reachhead_jobs/src/claim.rs
@@ -93,7 +93,7 @@
 
 /// Returns whether an owner can record nothing: no transaction that it has sent since `unanswered` got
 /// an answer, while the store answers its other calls. Outages of the whole store do not count.
-pub fn is_mute(unanswered: Option<Tick>, answers: &StoreAnswers, now: Tick) -> bool {
+pub fn is_write_stalled(unanswered: Option<Tick>, answers: &StoreAnswers, now: Tick) -> bool {
     let reaches_store = now.since(answers.last()) <= MAX_STORE_AGE;
     let is_long = |since| answers.reached_since(since) > MAX_UNRECORDED_TIME;
     reaches_store && unanswered.is_some_and(is_long)
--- a/reachhead_jobs/src/orphan.rs
+++ b/reachhead_jobs/src/orphan.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopOrder {
     /// Not ordered: the job may become known, and then the run is adopted.
-    None,
+    NotOrdered,
     /// The order is in flight.
     InFlight,
     /// The order was answered at `at`, which bars the run for good.
@@ -33,11 +33,11 @@
 impl Orphan {
     /// Returns an orphan that was just reported.
     pub fn new(entry: RunningEntry) -> Self {
-        Self { entry, stop: StopOrder::None }
+        Self { entry, stop: StopOrder::NotOrdered }
     }
 
     /// Returns whether it is the reported run.
-    pub fn is(&self, entry: &RunningEntry) -> bool {
+    pub fn matches(&self, entry: &RunningEntry) -> bool {
         self.entry.task == entry.task && self.entry.run == entry.run
     }
 }
--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -155,7 +155,7 @@
     pub(super) fn claim_runs(&mut self, job: JobId, now: Tick) {
         for (worker, orphan) in self.orphans_of(job) {
             match orphan.stop {
-                StopOrder::None => self.adopt(&worker, &orphan.entry, now),
+                StopOrder::NotOrdered => self.adopt(&worker, &orphan.entry, now),
                 _ => self.await_end(&worker, &orphan, now),
             }
         }
@@ -187,7 +187,7 @@
         run.phase = Phase::Stopping;
         run.settled_at = None;
         match orphan.stop {
-            StopOrder::None => {}
+            StopOrder::NotOrdered => {}
             StopOrder::InFlight => run.order_in_flight = true,
             StopOrder::Confirmed { at } => {
                 run.settled_at = Some(at);
@@ -201,7 +201,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        match worker.orphans.iter_mut().find(|orphan| orphan.is(entry)) {
+        match worker.orphans.iter_mut().find(|orphan| orphan.matches(entry)) {
             Some(orphan) => orphan.entry = entry.clone(),
             None => worker.orphans.push(Orphan::new(entry.clone())),
         }
@@ -213,11 +213,11 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some(orphan) = worker.orphans.iter_mut().find(|orphan| orphan.is(entry)) else {
+        let Some(orphan) = worker.orphans.iter_mut().find(|orphan| orphan.matches(entry)) else {
             return;
         };
         let is_due = match orphan.stop {
-            StopOrder::None => true,
+            StopOrder::NotOrdered => true,
             StopOrder::InFlight => false,
             StopOrder::Confirmed { at } => at + STOP_RECHECK_PAUSE <= now,
             StopOrder::Failed { retry_at } => retry_at <= now,
@@ -273,7 +273,7 @@
         worker.orphans.retain(|orphan| {
             let RunningEntry { task, run, .. } = &orphan.entry;
             let is_charged = runs.get(task).is_some_and(|charge| charge.run == *run);
-            !is_charged && report.running.iter().any(|entry| orphan.is(entry))
+            !is_charged && report.running.iter().any(|entry| orphan.matches(entry))
         });
     }
 }
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -128,7 +128,7 @@
         job.started = true;
         if let Some(known) = known {
             known.charge(entry.task, entry.run, charge);
-            known.orphans.retain(|orphan| !orphan.is(entry));
+            known.orphans.retain(|orphan| !orphan.matches(entry));
         }
         true
     }
--- a/reachhead_jobs/src/start_pace.rs
+++ b/reachhead_jobs/src/start_pace.rs
@@ -11,8 +11,8 @@
 /// heartbeats and calls of callers.
 const LINK_SHARE: f64 = 0.5;
 
-/// Time of the paced rate that may be sent at once: above the interval between two rounds of an
-/// owner, and well below the timeout of an order.
+/// Longest burst, as the time that it takes at the paced rate: above the interval between two rounds
+/// of an owner, and well below the timeout of an order.
 const MAX_BURST: Millis = Millis(60);
 
 /// Bytes of an order besides its payload, with its share of setting up the connection and its answer.
--- a/reachhead_jobs/tests/claim.rs
+++ b/reachhead_jobs/tests/claim.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen};
 use reachhead_jobs::{
     candidate::UNABLE_DELAY,
-    claim::{TakeoverProgress, is_mute, is_serving, patience, probe_pause},
+    claim::{TakeoverProgress, is_serving, is_write_stalled, patience, probe_pause},
     clock::Tick,
     liveness::StoreAnswers,
 };
@@ -190,28 +190,31 @@
 /// An owner answered heartbeats and read the store while none of its transactions got an answer, and
 /// kept its pools without end.
 #[test]
-fn an_owner_whose_transactions_alone_get_no_answer_is_mute() {
+fn an_owner_whose_transactions_alone_get_no_answer_is_write_stalled() {
     let start = Tick(1_000_000);
     let mut answers = StoreAnswers::default();
-    let mut mute_at = None;
+    let mut stalled_at = None;
     for time in 0..60 {
         let now = start + Millis(time * 100);
         answers.record(now);
-        if is_mute(Some(start), &answers, now) {
-            mute_at.get_or_insert(now.since(start));
+        if is_write_stalled(Some(start), &answers, now) {
+            stalled_at.get_or_insert(now.since(start));
         }
-        assert!(!is_mute(None, &answers, now));
+        assert!(!is_write_stalled(None, &answers, now));
     }
-    assert_eq!(mute_at, Some(Millis(3100)));
+    assert_eq!(stalled_at, Some(Millis(3100)));
 }
 
 #[test]
-fn an_outage_of_the_whole_store_makes_no_owner_mute() {
+fn an_outage_of_the_whole_store_makes_no_owner_write_stalled() {
     let start = Tick(1_000_000);
     let mut answers = StoreAnswers::default();
     answers.record(start);
     let end = start + Millis(20_000);
-    assert!(!is_mute(Some(start), &answers, end), "the store answers nothing");
+    assert!(!is_write_stalled(Some(start), &answers, end), "the store answers nothing");
     answers.record(end);
-    assert!(!is_mute(Some(start), &answers, end + Millis(500)), "it has only just come back");
+    assert!(
+        !is_write_stalled(Some(start), &answers, end + Millis(500)),
+        "it has only just come back"
+    );
 }
--- a/reachhead_node/src/bulk_reads.rs
+++ b/reachhead_node/src/bulk_reads.rs
@@ -14,8 +14,11 @@
 /// Assumed size of a row. Rows of jobs have some kilobytes, other rows are smaller.
 const ROW_BYTES: u64 = 4_000;
 
-/// Limits of the rows in flight.
-const ROWS: std::ops::RangeInclusive<u64> = 2..=4_000;
+/// Lower bound of the limit, so that rows arrive on any link.
+const MIN_ROWS: u64 = 2;
+
+/// Upper bound of the limit: all shards of a pool in pages of full size.
+const MAX_ROWS: u64 = 4_000;
 
 /// The limit on rows in flight, shared by all reads of a process.
 pub struct BulkReads {
@@ -27,7 +30,7 @@
     /// Returns the limit for a link with this bandwidth.
     pub fn new(bandwidth: ByteRate) -> Self {
         let rows = bandwidth.0 * MAX_OCCUPATION_MS / 1000 / ROW_BYTES;
-        let capacity = rows.clamp(*ROWS.start(), *ROWS.end()) as u32;
+        let capacity = rows.clamp(MIN_ROWS, MAX_ROWS) as u32;
         Self { rows: Semaphore::new(capacity as usize), capacity }
     }
 
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -14,7 +14,7 @@
 use futures::future::join_all;
 use reachhead_jobs::{
     candidate::Candidate,
-    claim::{TakeoverProgress, is_mute, is_serving, probe_pause},
+    claim::{TakeoverProgress, is_serving, is_write_stalled, probe_pause},
     clock::Tick,
     liveness::StoreAnswers,
     pool::RecoveredState,
@@ -145,9 +145,9 @@
     /// When the first transaction after the last answer was sent; zero if there is none.
     unanswered: AtomicU64,
     /// The store decides on no transaction of this process in any shard of the pool.
-    mute: AtomicBool,
-    /// A test of that is under way.
-    testing: AtomicBool,
+    write_stalled: AtomicBool,
+    /// A probe of that is under way.
+    probing: AtomicBool,
 }
 
 impl Pulse {
@@ -165,12 +165,12 @@
     /// Records that the store decided on a transaction.
     pub fn record_answer(&self) {
         self.unanswered.store(0, Ordering::Relaxed);
-        self.mute.store(false, Ordering::Relaxed);
+        self.write_stalled.store(false, Ordering::Relaxed);
     }
 
     /// Returns whether the store decides on no transaction of the owner.
-    pub fn is_mute(&self) -> bool {
-        self.mute.load(Ordering::Relaxed)
+    pub fn is_write_stalled(&self) -> bool {
+        self.write_stalled.load(Ordering::Relaxed)
     }
 
     /// Returns when the first transaction was sent of those that have got no answer since the last
@@ -292,7 +292,8 @@
         claims.claimed.insert(pool.clone(), takeover.token);
     }
     for (pool, owner) in node.owned().iter() {
-        let serves = is_serving(owner.pulse.turned(), running_since, now) && !owner.pulse.is_mute();
+        let serves =
+            is_serving(owner.pulse.turned(), running_since, now) && !owner.pulse.is_write_stalled();
         if *pool == fleet::name() || serves {
             claims.claimed.insert(pool.clone(), owner.token);
         } else {
@@ -404,7 +405,7 @@
     let can_serve = if pool == fleet::name() {
         can_list_hosts(&node).await
     } else {
-        can_read(&node, &pool).await && !test_writes(&node, &pool).await.contains(&false)
+        can_read(&node, &pool).await && !probe_writes(&node, &pool).await.contains(&false)
     };
     if can_serve {
         log::info!("pool={pool} can be served by this process again");
@@ -432,8 +433,8 @@
 
 /// Returns for each shard of a pool whether the store decides on transactions there. Their condition
 /// never holds, so they write nothing.
-async fn test_writes(node: &Node, pool: &PoolName) -> Vec<bool> {
-    let tests = Shard::all().map(|shard| async move {
+async fn probe_writes(node: &Node, pool: &PoolName) -> Vec<bool> {
+    let probes = Shard::all().map(|shard| async move {
         let key = fence_key(pool, shard);
         let txn = Txn::new().with_check(key.clone(), Some(UNUSED_REVISION)).with_delete(key);
         let result = node.services.store.commit(txn).await;
@@ -443,36 +444,36 @@
             })
             .is_ok()
     });
-    join_all(tests).await
+    join_all(probes).await
 }
 
-/// Tests an owner whose transactions get no answer. One shard that is away alone is no reason to
+/// Probes whether an owner whose transactions get no answer can write at all. One shard that is away alone is no reason to
 /// change the owner: the next one could not take that shard over.
-async fn test_owner(node: Arc<Node>, pool: PoolName, owner: OwnerHandle) {
+async fn probe_owner(node: Arc<Node>, pool: PoolName, owner: OwnerHandle) {
     let pulse = &owner.pulse;
-    if test_writes(&node, &pool).await.contains(&true) {
+    if probe_writes(&node, &pool).await.contains(&true) {
         pulse.record_answer();
     } else if pulse.unanswered().is_some() {
         log::warn!("pool={pool} no transaction gets an answer, others may take the pool");
-        pulse.mute.store(true, Ordering::Relaxed);
+        pulse.write_stalled.store(true, Ordering::Relaxed);
         let now = node.now();
         node.ability().record_unreadable(&pool, now);
     }
-    pulse.testing.store(false, Ordering::Relaxed);
+    pulse.probing.store(false, Ordering::Relaxed);
 }
 
-/// Tests the owners of this process that seem to be able to record nothing.
-fn test_owners(node: &Arc<Node>, now: Tick) {
+/// Probes the owners of this process whose transactions have got no answer for long.
+fn probe_stalled_owners(node: &Arc<Node>, now: Tick) {
     let answers = node.view().store_answers.clone();
     let owned = node.owned().clone();
     let suspects = owned.into_iter().filter(|(pool, owner)| {
         *pool != fleet::name()
-            && !owner.pulse.is_mute()
-            && is_mute(owner.pulse.unanswered(), &answers, now)
+            && !owner.pulse.is_write_stalled()
+            && is_write_stalled(owner.pulse.unanswered(), &answers, now)
     });
     for (pool, owner) in suspects {
-        if !owner.pulse.testing.swap(true, Ordering::Relaxed) {
-            tokio::spawn(test_owner(Arc::clone(node), pool, owner));
+        if !owner.pulse.probing.swap(true, Ordering::Relaxed) {
+            tokio::spawn(probe_owner(Arc::clone(node), pool, owner));
         }
     }
 }
@@ -500,7 +501,7 @@
         let now = node.now();
         node.ability().check(now);
         drop_replaced_owners(&node, now);
-        test_owners(&node, now);
+        probe_stalled_owners(&node, now);
         let due = node.ability().take_due_probes(now);
         for pool in due {
             tokio::spawn(probe(Arc::clone(&node), pool));
