A worker gets no tasks while a transaction that closes it in the roster is not decided

What callers would see: a task that runs on two workers.

Cause: the owner closes a silent worker in the roster, with the newest job of that time, so that a successor need not wait for it for younger jobs. A worker that answered while that transaction was under way was used at once, since memory showed it as open until the decision.

Why it works: building a transaction that closes or deletes a worker's row takes the worker out of use. Only a decision that shows its row as open brings it back, and after a lost answer that row is written again.

--- a/reachhead_jobs/src/pool/roster.rs
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -116,6 +116,9 @@
     pub(super) stored: StoredRoster,
     /// Changes that bring the stored roster up to date.
     wanted: RosterUpdate,
+    /// Workers of which a transaction was sent that lets a successor disregard them, and that the
+    /// store has not decided on. Nothing may be started there until a later one shows them as open.
+    withdrawn: BTreeSet<WorkerId>,
     /// When the roster is compared with the workers next.
     pub(super) next: Tick,
 }
@@ -127,7 +130,8 @@
 
     /// Returns whether a worker is stored as open to new tasks.
     pub(super) fn is_open(&self, worker: &WorkerId) -> bool {
-        self.stored.workers.get(worker).is_some_and(StoredWorker::is_open)
+        !self.withdrawn.contains(worker)
+            && self.stored.workers.get(worker).is_some_and(StoredWorker::is_open)
     }
 
     /// Returns whether there are changes to write.
@@ -139,7 +143,7 @@
 impl Pool {
     /// Returns the next transaction on the roster. Each row is checked, so that a transaction whose
     /// answer was lost does not undo a later one.
-    pub(super) fn roster_batch(&self) -> Option<Batch> {
+    pub(super) fn roster_batch(&mut self) -> Option<Batch> {
         if !self.roster.is_due() {
             return None;
         }
@@ -161,9 +165,23 @@
             txn = txn.with_check(key.clone(), self.roster.stored.whole).with_delete(key);
             update.whole = true;
         }
+        self.withdraw(&update);
         Some(Batch { txn, lane: Lane::Roster, jobs: Vec::new(), roster: Some(update) })
     }
 
+    /// Takes the workers out of use that a successor will disregard once the store performs an update.
+    fn withdraw(&mut self, update: &RosterUpdate) {
+        for Change { worker, entry } in &update.changes {
+            if entry.as_ref().is_some_and(|entry| entry.closed.is_none()) {
+                continue;
+            }
+            self.roster.withdrawn.insert(worker.clone());
+            if let Some(known) = self.workers.get_mut(worker) {
+                known.rostered = false;
+            }
+        }
+    }
+
     /// Compares the roster with the workers, once per [`ROSTER_CHECK_PERIOD`].
     pub(super) fn check_roster(&mut self, now: Tick) {
         if self.roster.next <= now {
@@ -188,8 +206,9 @@
             }
             let known = stored.workers.get(id);
             let entry = self.roster_entry(worker, known, now);
+            let is_decided = !self.roster.withdrawn.contains(id);
             let written = known.is_some_and(|known| {
-                known.revision.is_some() && known.entry.as_ref() == Some(&entry)
+                is_decided && known.revision.is_some() && known.entry.as_ref() == Some(&entry)
             });
             if !written {
                 changes.push(Change { worker: id.clone(), entry: Some(entry) });
@@ -232,6 +251,7 @@
             self.roster.stored.whole = None;
         }
         for Change { worker, entry } in &update.changes {
+            self.roster.withdrawn.remove(worker);
             match entry {
                 Some(entry) => {
                     let stored =
@@ -260,6 +280,7 @@
         let Some(worker) = self.rostered_worker(&conflict.key) else {
             return false;
         };
+        self.roster.withdrawn.remove(&worker);
         match &conflict.row {
             Some(row) => {
                 let entry = row.parse::<RosterEntry>().ok();
--- a/reachhead_jobs/tests/pool/roster.rs
+++ b/reachhead_jobs/tests/pool/roster.rs
@@ -154,3 +154,27 @@
     let rostered = |id: &WorkerId| fixture.pool.workers()[id].rostered;
     assert!(rostered(&worker("a")) && rostered(&worker("b")));
 }
+
+/// The worker answered again while the transaction that closed it in the roster was under way, and
+/// got tasks: a successor did not wait for it, and started them elsewhere at the same time.
+#[test]
+fn a_worker_gets_no_tasks_while_its_closing_in_the_roster_is_not_decided() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.submit_and_start(1, vec![step(1)]);
+    fixture.fail_poll(&worker("w"));
+    fixture.advance(600);
+    fixture.fail_poll(&worker("w"));
+    fixture.poll();
+    let closing = fixture.batch().unwrap();
+    fixture.report(&worker("w"));
+    fixture.submit(2, vec![step(1)]);
+    assert!(fixture.starts().is_empty(), "a successor may not contact the worker");
+    // The answer is lost, so the row may name the worker as closed or not.
+    fixture.advance(50);
+    fixture.poll();
+    let opening = fixture.batch().unwrap();
+    assert_ne!(opening.txn.writes, closing.txn.writes);
+    assert!(fixture.starts().is_empty());
+    assert!(fixture.pool.decided(&opening, &Commit::Done(Revision(500)), fixture.now));
+    assert_eq!(fixture.starts().len(), 1);
+}
