Decisions of dispatch as types, and starts are paced by processor as well as by link

Cause: an owner on a small host sends all starts of its pool itself, paced by the link alone. With a wider link its processor is overloaded, orders time out and are sent again.

Change: `reachhead_jobs::dispatch` has the need for dispatchers, their assignment, their exclusion and the age of orders, without I/O. `StartPacer` has a bucket of processor time beside that of bytes, and with dispatchers one of their orders. The pool returns the outcome of a round (`limited` is not set yet).

Result: the crate's tests pass; those of the pacer keep their cases, with a processor that doesn't limit.

--- a/reachhead_jobs/src/candidate.rs
+++ b/reachhead_jobs/src/candidate.rs
@@ -112,7 +112,7 @@
 
 /// Returns the rendezvous hash of a process and a pool, equal on all hosts; it spreads pools over
 /// equal processes.
-fn hash_of(pool: &PoolName, node: &NodeName) -> u64 {
+pub(crate) fn hash_of(pool: &PoolName, node: &NodeName) -> u64 {
     let mut hasher = SipHasher13::new();
     (pool.as_str(), node.as_str()).hash(&mut hasher);
     hasher.finish()
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod crashes;
 pub mod customer;
 pub mod dead_workers;
+pub mod dispatch;
 pub mod division;
 pub mod expiring_budget;
 pub mod fence;
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -23,6 +23,7 @@
 mod reports;
 mod restarted_worker;
 mod roster;
+mod round_outcome;
 mod starts;
 mod weights;
 
@@ -36,6 +37,7 @@
 pub use load::{PoolLoad, WorkerLoad};
 pub use recovered_state::{RecoveredState, StoredJob, StoredProgress};
 pub use roster::{StoredRoster, StoredWorker};
+pub use round_outcome::RoundOutcome;
 
 use reachhead_types::{
     id::{CustomerName, JobId, PoolName, WorkerId},
@@ -147,6 +149,8 @@
     all_answered_at: Option<Tick>,
     /// Start orders that may be sent in this round.
     start_budget: StartBudget,
+    /// What the last round ordered.
+    round: RoundOutcome,
     roster: roster::RosterState,
     /// Jobs with changes to write to the store.
     dirty: BTreeSet<JobId>,
@@ -225,6 +229,7 @@
             surge_until: Tick(0),
             all_answered_at: None,
             start_budget: StartBudget::unlimited(),
+            round: RoundOutcome::default(),
             roster: roster::RosterState::new(found.roster),
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
@@ -370,9 +375,15 @@
         self.start_budget
     }
 
+    /// Returns how many starts the last round ordered, and whether only its budget limited them.
+    pub fn round_outcome(&self) -> RoundOutcome {
+        self.round
+    }
+
     /// Returns the next orders. `wall` is the time of day in milliseconds since 1970.
     pub fn poll(&mut self, now: Tick, wall: Millis) -> Vec<Action> {
         self.wall_offset = Millis(wall.0.saturating_sub(now.0));
+        self.round = RoundOutcome::default();
         self.add_due_occurrences(wall);
         self.expire(now);
         if self.review || self.next_review <= now {
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -255,7 +255,6 @@
             return;
         };
         let payload = std::sync::Arc::clone(&job.plan.payload);
-        self.start_budget.take(&payload);
         let Some(state) = job.task(task) else {
             return;
         };
@@ -266,6 +265,8 @@
         let Some(worker) = self.workers.get(&run.worker) else {
             return;
         };
+        let target = self.target(worker);
+        self.charge_start(&payload);
         let order = StartOrder {
             task,
             run: run.number,
@@ -274,7 +275,7 @@
             checkpoint,
             ticket: run.ticket.clone(),
         };
-        self.actions.push(Action::Start(self.target(worker), order));
+        self.actions.push(Action::Start(target, order));
     }
 
     /// Stops a run. Its capacity is free once the worker reports the end.
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -326,7 +326,6 @@
         };
         job.started = true;
         let payload = Arc::clone(&job.plan.payload);
-        self.start_budget.take(&payload);
         let Some(task) = job.task(id) else {
             return;
         };
@@ -351,6 +350,7 @@
             ticket: ticket.clone(),
             adopted: checkpoint.is_some(),
         });
+        self.charge_start(&payload);
         let order = StartOrder { task: id, run: number, payload, deadline, checkpoint, ticket };
         if let Some(known) = self.workers.get_mut(&worker)
             && suspect
--- a/reachhead_jobs/tests/pool/load.rs
+++ b/reachhead_jobs/tests/pool/load.rs
@@ -88,7 +88,7 @@
 fn a_burst_starts_no_more_tasks_in_a_round_than_the_link_carries() {
     let mut fixture = Fixture::ready(vec![info("w", 100), info("v", 100)]);
     let bandwidth = ByteRate(250_000);
-    let mut pacer = StartPacer::new(bandwidth, fixture.now);
+    let mut pacer = StartPacer::new(bandwidth, 1.0, fixture.now);
     fixture.submit(1, vec![step(40)]);
     fixture.submit(2, vec![step(40)]);
     let mut rounds = Vec::new();
--- a/reachhead_jobs/tests/start_pace.rs
+++ b/reachhead_jobs/tests/start_pace.rs
@@ -6,6 +6,9 @@
 
 const START: Tick = Tick(1_000_000);
 
+/// So many cores that only the link limits.
+const CORES: f64 = 1000.0;
+
 /// Interval between two rounds, in milliseconds.
 const ROUND: u64 = 10;
 
@@ -15,7 +18,7 @@
 
 /// Sends orders for as long as there is room in each round, and returns the bytes of each round.
 fn send_all(bandwidth: ByteRate, payload: &str, rounds: u64) -> Vec<u64> {
-    let mut pacer = StartPacer::new(bandwidth, START);
+    let mut pacer = StartPacer::new(bandwidth, CORES, START);
     let round = |number| {
         let mut budget = pacer.budget(START + Millis(number * ROUND));
         let mut sent = 0;
@@ -53,7 +56,7 @@
 
 #[test]
 fn an_idle_link_does_not_save_up_for_a_longer_burst() {
-    let mut pacer = StartPacer::new(ByteRate(250_000), START);
+    let mut pacer = StartPacer::new(ByteRate(250_000), CORES, START);
     let first = pacer.budget(START);
     assert_eq!(pacer.budget(START + Millis(60_000)), first);
 }
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -119,7 +119,7 @@
     ) -> Self {
         let clock = Clock::new();
         let bandwidth = ByteRate((settings.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64);
-        let start_pacer = Mutex::new(StartPacer::new(bandwidth, clock.now()));
+        let start_pacer = Mutex::new(StartPacer::new(bandwidth, settings.cores, clock.now()));
         Self {
             settings,
             clock,
