Other processes send the orders of an owner that can't send them all itself

Cause: the owner of a pool sends each start as a call of its own and keeps a long poll open to each worker, while most processes of a fleet are idle.

Change: `reachhead_node::dispatch` has the messages between an owner and its dispatchers, the owner's side (`DispatchedWorkers`, a `WorkerAgent`) and the dispatcher's (`DispatchServer`). An order for which a dispatcher gives no result is sent directly; a dispatcher whose batch fails has all its orders sent directly at once. E717 and E718, `/state` and metrics show what is dispatched.

--- /dev/null
+++ b/reachhead_node/src/dispatch/agent_tests.rs
@@ -0,0 +1,162 @@
+//! An owner whose dispatchers fail: each order still has one result, that of a worker.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::join_all;
+use reachhead_jobs::{
+    clock::WorkerTime,
+    ports::{Rejection, WorkerAgent, WorkerError},
+};
+use reachhead_ops::client::HttpClient;
+use reachhead_types::size::Millis;
+use tokio::time::{self, Instant};
+
+use super::{
+    PeerLink,
+    fakes::{
+        Delivery, FakeWorkers, Fixture, TOKEN, assign_to, hold_order, owner, start_order, target,
+    },
+};
+use crate::{peer::PeerClient, tests::idle_node::serve};
+
+const DONE: Result<WorkerTime, WorkerError> = Ok(WorkerTime(5));
+
+/// Guards against orders or results that dispatch changes, and against calls by the owner itself while
+/// its dispatchers work.
+#[tokio::test]
+async fn dispatcher_sends_orders_unchanged_and_owner_sends_none() {
+    let fixture = Fixture::new(1, Some(Ok(())));
+    let results = join_all((0..3).map(|worker| fixture.start(worker))).await;
+    assert_eq!(results, vec![DONE; 3]);
+    assert!(fixture.owner().hold(target(0), hold_order(Millis(100))).await.is_ok());
+    assert_eq!((fixture.direct.count(), fixture.dispatched.count()), (0, 4));
+    let calls = fixture.dispatched.calls.lock().unwrap();
+    assert_eq!(calls[1], (target(1), Some(start_order(1))));
+    let batches = fixture.link.batches.lock().unwrap();
+    assert_eq!(batches[0].orders.len(), 3, "orders of a round share a batch");
+    assert_eq!(batches[0].payloads.len(), 1, "a payload is sent once");
+}
+
+/// Guards against orders of a killed dispatcher that wait for their own time-outs one after the other.
+#[tokio::test]
+async fn orders_of_a_killed_dispatcher_are_sent_directly_at_once() {
+    let fixture = Fixture::new(1, None);
+    let begun = Instant::now();
+    let polls = (0..6).map(|worker| fixture.owner().hold(target(worker), hold_order(Millis(5000))));
+    let later = async {
+        time::sleep(Duration::from_millis(60)).await;
+        *fixture.link.orders.lock().unwrap() = Delivery::Refused;
+        fixture.start(7).await
+    };
+    let (polls, start) = tokio::join!(join_all(polls), later);
+    assert!(begun.elapsed() < Duration::from_millis(300), "{:?}", begun.elapsed());
+    assert!(polls.iter().all(Result::is_ok), "{polls:?}");
+    assert_eq!(start, DONE);
+    assert_eq!(fixture.direct.count(), 7);
+    assert_eq!(fixture.served(), 8, "the other dispatcher serves all workers");
+    assert!(fixture.owner().status().iter().all(|status| status.node.as_str() != "node-0"));
+}
+
+/// Guards against orders that are lost with a batch, and against a direct order that differs.
+#[tokio::test]
+async fn batch_lost_on_the_way_is_sent_directly() {
+    let fixture = Fixture::new(1, Some(Ok(())));
+    *fixture.link.orders.lock().unwrap() = Delivery::Lost;
+    assert_eq!(fixture.start(0).await, DONE);
+    assert_eq!(fixture.dispatched.count(), 0);
+    assert_eq!(*fixture.direct.calls.lock().unwrap(), [(target(0), Some(start_order(0)))]);
+}
+
+/// Guards against a wait for results that can't arrive, and against results that count after their
+/// session has ended.
+#[tokio::test]
+async fn dispatcher_cut_off_from_the_owner_is_replaced_and_its_results_are_ignored() {
+    let fixture = Fixture::new(1, Some(Ok(())));
+    *fixture.link.orders.lock().unwrap() = Delivery::AnswerLost;
+    *fixture.link.results.lock().unwrap() = Delivery::Lost;
+    let begun = Instant::now();
+    assert_eq!(fixture.start(0).await, DONE);
+    assert!(begun.elapsed() < Duration::from_millis(600), "{:?}", begun.elapsed());
+    assert_eq!((fixture.direct.count(), fixture.dispatched.count()), (1, 1));
+    let late = fixture.link.lost.lock().unwrap().remove(0);
+    *fixture.link.orders.lock().unwrap() = Delivery::Works;
+    *fixture.dispatched.answer.lock().unwrap() = None;
+    assert_eq!(fixture.served(), 8);
+    let mut next = Box::pin(fixture.start(0));
+    assert!(time::timeout(Duration::from_millis(40), &mut next).await.is_err());
+    fixture.owner().receive(late.session, late.results);
+    let early = time::timeout(Duration::from_millis(40), &mut next).await;
+    assert!(early.is_err(), "a result of an ended session was taken: {early:?}");
+}
+
+/// Guards against the exclusion of a dispatcher that works because one result of it was lost.
+#[tokio::test]
+async fn lost_result_costs_one_direct_order_and_not_the_dispatcher() {
+    let fixture = Fixture::new(1, Some(Ok(())));
+    *fixture.dispatched.answer.lock().unwrap() = None;
+    let answered = async {
+        time::sleep(Duration::from_millis(200)).await;
+        *fixture.dispatched.answer.lock().unwrap() = Some(Ok(()));
+        fixture.start(1).await
+    };
+    let (lost, answered) = tokio::join!(fixture.start(0), answered);
+    assert_eq!((lost, answered), (DONE, DONE));
+    assert_eq!((fixture.direct.count(), fixture.dispatched.count()), (1, 2));
+    assert!(fixture.owner().status().iter().any(|status| status.node.as_str() == "node-0"));
+}
+
+/// Guards against a dispatcher that makes the owner believe for long that its workers are unreachable.
+#[tokio::test]
+async fn dispatcher_cut_off_from_workers_is_excluded() {
+    let unreachable = WorkerError::Unreachable("no route".to_owned());
+    let fixture = Fixture::new(1, Some(Err(unreachable.clone())));
+    let results = join_all((0..3).map(|worker| fixture.start(worker))).await;
+    assert_eq!(
+        results,
+        vec![Err(unreachable); 3],
+        "results of a dispatcher are returned as they are"
+    );
+    assert_eq!(fixture.start(3).await, DONE);
+    assert_eq!((fixture.direct.count(), fixture.dispatched.count()), (1, 3));
+}
+
+/// Guards against a replaced owner that has its orders carried out by a dispatcher, or does not learn
+/// that it was replaced.
+#[tokio::test]
+async fn workers_see_the_token_and_the_owner_sees_their_rejection() {
+    let fenced = Err(WorkerError::Rejected(Rejection::Fenced));
+    let fixture = Fixture::new(1, Some(fenced));
+    let result = fixture.start(0).await;
+    assert_eq!(result, Err(WorkerError::Rejected(Rejection::Fenced)));
+    assert_eq!(fixture.dispatched.calls.lock().unwrap()[0].0.token, TOKEN);
+    assert_eq!(fixture.direct.count(), 0);
+}
+
+/// Guards against an owner that depends on dispatchers when all of them are gone.
+#[tokio::test]
+async fn owner_without_dispatchers_sends_everything_itself() {
+    let fixture = Fixture::new(2, Some(Ok(())));
+    *fixture.link.orders.lock().unwrap() = Delivery::Refused;
+    let results = join_all((0..8).map(|worker| fixture.start(worker))).await;
+    assert_eq!(results, vec![DONE; 8]);
+    assert_eq!(fixture.served(), 0);
+    let batches = fixture.link.batches.lock().unwrap().len();
+    assert_eq!(fixture.start(0).await, DONE);
+    assert_eq!(fixture.direct.count(), 9);
+    assert_eq!(fixture.link.batches.lock().unwrap().len(), batches, "excluded ones were tried");
+}
+
+/// Guards against orders that are lost with a process of an earlier release, which does not know the
+/// message.
+#[tokio::test]
+async fn process_of_an_earlier_release_is_excluded() {
+    let peer = serve(Some((Duration::from_millis(1), "unknown variant `dispatch`")));
+    let link = PeerLink(PeerClient::new(Arc::new(HttpClient::new())));
+    let direct = FakeWorkers::answering(Some(Ok(())));
+    let owner = owner(Arc::clone(&direct), Arc::new(link));
+    assign_to(&owner, &[peer]);
+    assert_eq!(owner.start(target(0), start_order(0)).await, DONE);
+    assert_eq!(direct.count(), 1);
+    assign_to(&owner, &[peer]);
+    assert!(owner.status().is_empty(), "{:?}", owner.status());
+}
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -11,7 +11,7 @@
 };
 use reachhead_ops::latency::{LatencyHistograms, latency_histograms};
 
-use crate::view::View;
+use crate::{dispatch::DispatchMetrics, view::View};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
@@ -49,6 +49,8 @@
     pub store_refusals: Counter,
     /// Number of times that this process was late itself.
     pub delays: Counter,
+    /// The metrics of dispatch.
+    pub dispatch: DispatchMetrics,
 }
 
 impl Metrics {
@@ -64,6 +66,7 @@
             pools_taken: Counter::default(),
             store_refusals: Counter::default(),
             delays: Counter::default(),
+            dispatch: DispatchMetrics::new(),
         };
         registry.register(
             "reachhead_worker_orders",
@@ -106,6 +109,7 @@
             "Time since a followed table was last confirmed to be current",
             metrics.table_age.clone(),
         );
+        metrics.dispatch.register(registry);
         metrics
     }
 
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, Weak},
 };
 
 use reachhead_jobs::{
@@ -17,7 +17,7 @@
 use reachhead_store::{Store, StoreError};
 use reachhead_types::{
     id::PoolName,
-    size::{ByteRate, Millis, Strength},
+    size::{ByteRate, FencingToken, Millis, Strength},
 };
 use tokio::sync::{Notify, watch};
 
@@ -26,6 +26,7 @@
     bulk_reads::BulkReads,
     claim::{Ability, Takeover},
     clock::Clock,
+    dispatch::{DispatchServer, DispatchedWorkers, PeerLink},
     election::Vacancy,
     lock::locked,
     metrics::Metrics,
@@ -92,6 +93,8 @@
     pub registry: Registry,
     /// Limits the rows that are read at the same time.
     pub bulk_reads: BulkReads,
+    /// Carries out orders for owners in other processes.
+    pub dispatch_server: DispatchServer,
     /// The metrics.
     pub metrics: Metrics,
     /// True once shutdown was requested.
@@ -103,11 +106,17 @@
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
     loading: Mutex<BTreeMap<PoolName, Takeover>>,
+    dispatched: Mutex<BTreeMap<PoolName, Weak<DispatchedWorkers>>>,
     ability: Mutex<Ability>,
     owner_failures: Mutex<OwnerFailures>,
     start_pacer: Mutex<StartPacer>,
 }
 
+/// Returns the bandwidth of the process's link.
+fn bandwidth(settings: &Settings) -> ByteRate {
+    ByteRate((settings.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64)
+}
+
 impl Node {
     /// Returns a process that has read nothing yet.
     pub fn new(
@@ -118,8 +127,11 @@
         stopping: watch::Receiver<bool>,
     ) -> Self {
         let clock = Clock::new();
-        let bandwidth = ByteRate((settings.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64);
+        let bandwidth = bandwidth(&settings);
         let start_pacer = Mutex::new(StartPacer::new(bandwidth, settings.cores, clock.now()));
+        let link = Arc::new(PeerLink(peers.clone()));
+        let dispatch_server = DispatchServer::new(Arc::clone(&services.workers), link)
+            .with_metrics(metrics.dispatch.clone());
         Self {
             settings,
             clock,
@@ -130,6 +142,7 @@
             relay: Relay::new(),
             registry: Registry::new(),
             bulk_reads: BulkReads::new(bandwidth),
+            dispatch_server,
             metrics,
             stopping,
             pool_acquired: Notify::new(),
@@ -137,6 +150,7 @@
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
             loading: Mutex::new(BTreeMap::new()),
+            dispatched: Mutex::new(BTreeMap::new()),
             ability: Mutex::default(),
             owner_failures: Mutex::new(OwnerFailures::new()),
             start_pacer,
@@ -186,6 +200,23 @@
         self.owned().get(pool).cloned()
     }
 
+    /// Returns the workers of a pool as its owner in this process calls them, if it runs.
+    pub fn dispatched(&self, pool: &PoolName) -> Option<Arc<DispatchedWorkers>> {
+        locked(&self.dispatched).get(pool)?.upgrade()
+    }
+
+    /// Returns the workers of a pool for a new owner, which has no dispatchers yet.
+    pub fn dispatch_workers(&self, pool: &PoolName, token: FencingToken) -> Arc<DispatchedWorkers> {
+        let direct = Arc::clone(&self.services.workers);
+        let link = Arc::new(PeerLink(self.peers.clone()));
+        let workers = DispatchedWorkers::new(pool.clone(), token, self.settings.peer, direct, link)
+            .with_bandwidth(bandwidth(&self.settings))
+            .with_metrics(self.metrics.dispatch.clone());
+        let workers = Arc::new(workers);
+        locked(&self.dispatched).insert(pool.clone(), Arc::downgrade(&workers));
+        workers
+    }
+
     /// Records that the owner of a pool failed in this process.
     pub fn record_owner_failure(&self, pool: &PoolName) {
         let pause = locked(&self.owner_failures).record(pool, self.now());
--- a/reachhead_node/src/observe.rs
+++ b/reachhead_node/src/observe.rs
@@ -7,9 +7,14 @@
 use prometheus_client::{encoding::text::encode, registry::Registry};
 use reachhead_jobs::clock::Tick;
 use reachhead_ops::http::{self, BufferedRequest, BufferedResponse, Handler};
+use reachhead_types::id::PoolName;
 use serde_json::{Value, json};
 
-use crate::{claim::Takeover, node::Node};
+use crate::{
+    claim::Takeover,
+    dispatch::{ServedStatus, SessionStatus},
+    node::Node,
+};
 
 /// Media type of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -36,6 +41,25 @@
         }
     }
 
+    /// Returns which processes send the orders of a pool's owner, to how many workers.
+    fn dispatchers(&self, pool: &PoolName) -> Vec<Value> {
+        let status = self.node.dispatched(pool).map(|workers| workers.status());
+        let value = |status: SessionStatus| {
+            json!({ "node": status.node, "workers": status.workers,
+                "outstanding": status.outstanding, "oldest_ms": status.oldest })
+        };
+        status.into_iter().flatten().map(value).collect()
+    }
+
+    /// Returns for which owners this process sends orders.
+    fn dispatching(&self) -> Vec<Value> {
+        let value = |status: ServedStatus| {
+            json!({ "pool": status.pool, "owner": status.owner,
+                "outstanding": status.outstanding, "age_ms": status.age })
+        };
+        self.node.dispatch_server.status().into_iter().map(value).collect()
+    }
+
     fn state(&self) -> Value {
         let now = self.node.now();
         let age = |at: Tick| now.since(at);
@@ -47,7 +71,8 @@
             .map(|(pool, owner)| {
                 json!({ "pool": pool, "token": owner.token,
                     "turned_age_ms": age(owner.pulse.turned()),
-                    "recorded_age_ms": owner.pulse.recorded().map(age) })
+                    "recorded_age_ms": owner.pulse.recorded().map(age),
+                    "dispatchers": self.dispatchers(pool) })
             })
             .collect();
         let loading: Vec<Value> = self
@@ -84,6 +109,7 @@
             "owned": owned,
             "owners": owners,
             "loading": loading,
+            "dispatching": self.dispatching(),
             "leases": leases,
             "members": view.members.len(),
             "workers": view.workers.len(),
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -3,6 +3,7 @@
 use reachhead_jobs::{
     clock::Tick,
     pool::{Action, NoteKind},
+    ports::WorkerAgent,
     record::job_key,
 };
 use reachhead_ops::event::Event;
@@ -14,11 +15,11 @@
 /// Executes an action and returns the input for the owner that results from it.
 pub(super) async fn perform(
     node: &Node,
+    workers: &dyn WorkerAgent,
     pool: &PoolName,
     action: Action,
     sent: Tick,
 ) -> Option<Input> {
-    let workers = &node.services.workers;
     match action {
         Action::Start(target, order) => {
             let (id, task, run) = (target.id.clone(), order.task, order.run);
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of a pool: the event loop that feeds inputs to the scheduler and executes its actions.
 
 mod actions;
+mod dispatching;
 mod input;
 mod job_reads;
 mod job_scan;
@@ -31,9 +32,10 @@
 pub use self::input::{CancelReply, Input, OwnerHandle};
 use self::{
     actions::{event_of, perform},
+    dispatching::Dispatching,
     job_scan::JobScan,
 };
-use crate::{fleet, node::Node, peer::AcceptedJob};
+use crate::{dispatch::DispatchedWorkers, fleet, node::Node, peer::AcceptedJob};
 
 /// Minimum pause between two rounds.
 const MIN_ROUND_PAUSE: Duration = Duration::from_millis(4);
@@ -96,6 +98,8 @@
 /// The owner of a pool.
 pub struct Owner {
     node: Arc<Node>,
+    workers: Arc<DispatchedWorkers>,
+    dispatching: Dispatching,
     pool: Pool,
     term: u64,
     handle: OwnerHandle,
@@ -125,8 +129,12 @@
         let now = node.now();
         handle.pulse.record_turn(now);
         let rows = node.bulk_reads.capacity();
+        let workers = node.dispatch_workers(pool.name(), FencingToken(handle.token.0));
+        let dispatching = Dispatching::new(node.strength());
         Self {
             node,
+            workers,
+            dispatching,
             pool,
             term,
             handle,
@@ -194,10 +202,14 @@
 
     /// Returns the next orders, as many as the process's link has room for.
     fn poll(&mut self, now: Tick) -> Vec<Action> {
+        self.dispatching.update(&self.node, &self.pool, &self.workers, now);
         let mut pacer = self.node.start_pacer();
+        pacer.record_payload(self.workers.take_payload_bytes());
+        pacer.set_dispatchers(self.workers.strength());
         self.pool.set_start_budget(pacer.budget(now));
         let actions = self.pool.poll(now, self.node.clock.wall());
         pacer.record(self.pool.start_budget());
+        self.dispatching.record(self.pool.round_outcome(), now);
         actions
     }
 
@@ -346,10 +358,11 @@
             return;
         }
         let node = Arc::clone(&self.node);
+        let workers = Arc::clone(&self.workers);
         let pool = self.pool.name().clone();
         self.spawn_call(async move {
             let sent = node.now();
-            perform(&node, &pool, action, sent).await
+            perform(&node, &*workers, &pool, action, sent).await
         });
     }
 
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -38,6 +38,7 @@
 use crate::{
     admission::read_for_peer,
     claim::{self, Claims},
+    dispatch::{DispatchBatch, OrderResult, ResultBatch},
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
     registry::{self, WorkersPage, WorkersRequest},
@@ -71,6 +72,10 @@
     Workers(WorkersRequest),
     /// Forwards a request to the owner of a pool.
     Pool(PoolName, PoolRequest),
+    /// Orders of the owner of a pool to its workers, which the process is to send.
+    Dispatch(DispatchBatch),
+    /// Results of such orders, for the owner of the pool.
+    DispatchResults(Arc<ResultBatch>),
 }
 
 /// A job to store.
@@ -158,6 +163,8 @@
     /// The usage and the demand of customers in the pool.
     #[serde(rename = "statement")]
     Usage(UsageReport),
+    /// The results that are ready of orders that the process sends for an owner.
+    Dispatched(Vec<OrderResult>),
 }
 
 /// The status that a process reports of itself.
@@ -263,6 +270,17 @@
                 Some(owner) => call_local_owner(&owner, request).await,
                 None => PeerReply::NotOwner,
             },
+            PeerRequest::Dispatch(batch) => {
+                PeerReply::Dispatched(self.0.dispatch_server.handle(batch))
+            }
+            PeerRequest::DispatchResults(batch) => match self.0.dispatched(&batch.pool) {
+                Some(workers) => {
+                    let ResultBatch { session, results, .. } = Arc::unwrap_or_clone(batch);
+                    workers.receive(session, results);
+                    PeerReply::Done
+                }
+                None => PeerReply::NotOwner,
+            },
         }
     }
 
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -141,6 +141,10 @@
     TaskGivenUp 715 Warn;
     /// A row that the store rejects for its size is set aside so that other writes go on.
     RowHeld 716 Warn;
+    /// The owner of a pool began or ended to have other processes send its orders: the demand, its own capacity, and which processes.
+    DispatchChanged 717 Info;
+    /// A process that sends orders for the owner of a pool is excluded for a while: why, and how many orders it had.
+    DispatcherExcluded 718 Warn;
     /// A maintenance wave started, continued under another owner, or completed.
     WaveChanged 720 Info;
     /// A host was ordered down for a maintenance wave or into another pool, or the order was not accepted.
