A round says whether only its start budget kept tasks from starting

Cause: the need for dispatchers has to be told from a pool whose workers are full, whose quotas hold tasks back or in which nothing waits. The placement of tasks stops at an empty budget, so it does not know.

Change: after a round that used up its budget, the owner searches from the job where the budget ended for one task that could start, for as many steps as a round goes on with unplaced tasks. Gangs are placed in a module of their own, unchanged.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -11,6 +11,7 @@
 mod drain_worker;
 mod expiring;
 mod flush;
+mod gang;
 mod load;
 mod orders;
 mod orphans;
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -1,10 +1,6 @@
 //! Task placement: which tasks start now, and where.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{cmp::Reverse, collections::BTreeSet, sync::Arc};
 
 use reachhead_plan::amount::Amount;
 use reachhead_types::{
@@ -28,7 +24,7 @@
 const RESERVATION_DURATION: Millis = Millis(1500);
 
 /// Number of steps with an unplaced task beyond which a scheduling round ends.
-const MAX_UNPLACED_STEPS: usize = 24;
+pub(super) const MAX_UNPLACED_STEPS: usize = 24;
 
 /// A job and its rank in the scheduling order.
 pub(super) struct Ranked {
@@ -63,10 +59,13 @@
         let ranked = self.cap_expiring(ranked, now);
         let mut unplaced = 0;
         let mut free = self.largest_free(now);
-        for job in ranked {
+        // The first job of which the budget may have left tasks behind.
+        let mut left = 0;
+        for (position, job) in ranked.iter().enumerate() {
             if !self.start_budget.has_room() {
                 break;
             }
+            left = position;
             let steps: Vec<StepId> = self.jobs[&job.id].steps.keys().copied().collect();
             for step in steps {
                 if !self.place_step(step, job.rank.class, &mut free, now) {
@@ -77,6 +76,9 @@
                 break;
             }
         }
+        if !self.start_budget.has_room() && unplaced <= MAX_UNPLACED_STEPS {
+            self.round.limited = self.waits_for_budget(&ranked[left..], free, now);
+        }
         self.log_quotas(now);
     }
 
@@ -91,26 +93,12 @@
     /// `free` bounds the free capacity of every worker from above: tasks that need more are not
     /// searched for.
     fn place_step(&mut self, id: StepId, class: Class, free: &mut Amount, now: Tick) -> bool {
-        let job = &self.jobs[&id.job];
-        let state = &job.steps[&id];
-        if state.is_done() || !job.is_ready(id) {
-            return true;
-        }
-        let advised = job.queue.advice.is_some();
-        let speculative = job.step(id).speculative;
-        let unrecorded = self.dirty.contains(&id.job);
-        let waiting: Vec<u32> = (0..)
-            .zip(&state.tasks)
-            .filter(|(_, task)| {
-                is_waiting(task, now) || (speculative && self.needs_copy(id, task, now))
-            })
-            // A successor must know about the crashes before the task can cause another.
-            .filter(|(_, task)| !(unrecorded && task.crashes.is_suspect()))
-            .map(|(index, _)| index)
-            .collect();
+        let waiting = self.startable_tasks(id, now);
         if waiting.is_empty() {
             return true;
         }
+        let job = &self.jobs[&id.job];
+        let advised = job.queue.advice.is_some();
         let step = job.step(id).clone();
         let allowed = if advised { self.advice.approved(id, now) } else { None };
         if advised && allowed.as_ref().is_none_or(BTreeSet::is_empty) {
@@ -155,6 +143,26 @@
         true
     }
 
+    /// Returns the tasks of a step that may start now, if they find a place.
+    pub(super) fn startable_tasks(&self, id: StepId, now: Tick) -> Vec<u32> {
+        let job = &self.jobs[&id.job];
+        let state = &job.steps[&id];
+        if state.is_done() || !job.is_ready(id) {
+            return Vec::new();
+        }
+        let speculative = job.step(id).speculative;
+        let unrecorded = self.dirty.contains(&id.job);
+        (0..)
+            .zip(&state.tasks)
+            .filter(|(_, task)| {
+                is_waiting(task, now) || (speculative && self.needs_copy(id, task, now))
+            })
+            // A successor must know about the crashes before the task can cause another.
+            .filter(|(_, task)| !(unrecorded && task.crashes.is_suspect()))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     fn log_placed(&mut self, id: StepId, class: Class, started: &[String], waited: usize) {
         if !started.is_empty() {
             let text = format!(
@@ -169,58 +177,6 @@
         }
     }
 
-    /// Starts all members of a gang together, or none.
-    fn place_gang(
-        &mut self,
-        id: StepId,
-        step: &Step,
-        allowed: Option<&BTreeSet<WorkerId>>,
-        now: Tick,
-    ) -> bool {
-        let state = &self.jobs[&id.job].steps[&id];
-        let settled = state.tasks.iter().all(|task| is_waiting(task, now));
-        let suspect = state.tasks.iter().any(|task| task.crashes.is_suspect());
-        if !settled || (suspect && self.dirty.contains(&id.job)) {
-            return true;
-        }
-        let whole = step.need.times(step.count);
-        if !self.within_quota(id.job, whole) {
-            self.hold_back(id.job, whole, 1);
-            return true;
-        }
-        let mut chosen: BTreeMap<u32, WorkerId> = BTreeMap::new();
-        for index in 0..step.count {
-            let Some(worker) = self.find(id.task(index), step, allowed, now) else {
-                break;
-            };
-            // The capacity is taken at once, so that the next member does not count on it.
-            if let Some(known) = self.workers.get_mut(&worker) {
-                known.charge(id.task(index), RunNumber(0), step.charge());
-            }
-            chosen.insert(index, worker);
-        }
-        for (index, worker) in &chosen {
-            if let Some(known) = self.workers.get_mut(worker) {
-                known.release(id.task(*index));
-            }
-        }
-        if chosen.len() < step.count as usize {
-            return false;
-        }
-        let number = (0..step.count).map(|index| self.next_run(id, index)).max();
-        let number = number.unwrap_or(RunNumber(1));
-        let checkpoint =
-            self.jobs[&id.job].steps[&id].tasks.iter().find_map(|task| task.checkpoint.clone());
-        for (index, worker) in chosen {
-            if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task(id.task(index)))
-            {
-                task.checkpoint.clone_from(&checkpoint);
-            }
-            self.start_run(id.task(index), step, worker, number, now);
-        }
-        true
-    }
-
     /// Returns whether a task should get a speculative copy of its only run: the worker does not
     /// answer, or is slow and the task is overdue.
     fn needs_copy(&self, id: StepId, task: &Task, now: Tick) -> bool {
@@ -239,7 +195,7 @@
             && (worker.silent || (overdue && worker.speed.is_slow(now)))
     }
 
-    fn find(
+    pub(super) fn find(
         &self,
         id: TaskId,
         step: &Step,
@@ -296,12 +252,12 @@
         self.workers.get(&run.worker)?.info.rack.clone()
     }
 
-    fn next_run(&self, id: StepId, index: u32) -> RunNumber {
+    pub(super) fn next_run(&self, id: StepId, index: u32) -> RunNumber {
         let task = &self.jobs[&id.job].steps[&id].tasks[index as usize];
         RunNumber(task.last_run.0.max(self.term * RUNS_PER_TERM) + 1)
     }
 
-    fn start_run(
+    pub(super) fn start_run(
         &mut self,
         id: TaskId,
         step: &Step,
@@ -443,6 +399,6 @@
     })
 }
 
-fn is_waiting(task: &Task, now: Tick) -> bool {
+pub(super) fn is_waiting(task: &Task, now: Tick) -> bool {
     !task.done && task.runs.is_empty() && task.not_before <= now
 }
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -21,5 +21,6 @@
 mod refusal;
 mod restarted_worker;
 mod roster;
+mod round_outcome;
 mod runs;
 mod wave;
