--- a/reachhead_node/src/dispatch/agent.rs
+++ b/reachhead_node/src/dispatch/agent.rs
@@ -2,72 +2,31 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
+    sync::{Arc, Mutex, atomic::AtomicU64},
 };
 
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
-    clock::{Tick, WorkerTime},
+    clock::WorkerTime,
     ports::{HoldOrder, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget},
     task::TaskId,
 };
-use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     id::{NodeName, PoolName, WorkerId},
     size::{ByteRate, Bytes, FencingToken, Millis, RunNumber, Strength},
 };
-use tokio::{sync::oneshot, time};
 
 use super::{
     link::DispatchLink,
-    messages::{DispatchBatch, OrderCall, OrderResult, Outcome, SessionId},
+    messages::{OrderCall, OrderResult, Outcome, SessionId},
     metrics::DispatchMetrics,
-    session::RESULT_TIMEOUT,
-    sessions::{Candidate, Exclusion, Flush, SessionStatus, Sessions},
+    sender::{OrderSender, Pending, State},
+    sessions::{Candidate, SessionStatus, Sessions},
 };
 use crate::{clock::Clock, lock::locked};
 
-/// How long orders for a dispatcher are collected.
-pub const BATCH_TIME: Duration = Duration::from_millis(15);
-
-/// Interval between two checks for orders without a result in time.
-const CHECK_PERIOD: Duration = Duration::from_millis(50);
-
-/// How late a check may be before the time for all results is extended: while this process did not
-/// run, their results could not be read.
-const MAX_CHECK_DELAY: Millis = Millis(50);
-
-/// Longest payload that is sent to dispatchers. A longer one would delay the whole batch beyond the
-/// time for its answer.
-const MAX_PAYLOAD: usize = 64 << 10;
-
-/// Part of the link's bandwidth that payloads are assumed to get at least, as a divisor.
-const MIN_LINK_SHARE: u64 = 4;
-
 /// The workers of a pool for its owner: some are called by dispatchers, the others directly.
-pub struct DispatchedWorkers(Arc<Shared>);
-
-struct Shared {
-    pool: PoolName,
-    token: FencingToken,
-    reply_to: SocketAddr,
-    direct: Arc<dyn WorkerAgent>,
-    link: Arc<dyn DispatchLink>,
-    clock: Clock,
-    bandwidth: Option<ByteRate>,
-    metrics: DispatchMetrics,
-    payload_bytes: AtomicU64,
-    state: Mutex<State>,
-}
-
-struct State {
-    sessions: Sessions,
-    is_checking: bool,
-}
+pub struct DispatchedWorkers(Arc<OrderSender>);
 
 impl DispatchedWorkers {
     /// Returns the workers of a pool, without dispatchers. `reply_to` is the owner's address for peers.
@@ -79,7 +38,7 @@
         link: Arc<dyn DispatchLink>,
     ) -> Self {
         let sessions = Sessions::new(pool.clone());
-        Self(Arc::new(Shared {
+        Self(Arc::new(OrderSender {
             pool,
             token,
             reply_to,
@@ -88,7 +47,7 @@
             clock: Clock::new(),
             bandwidth: None,
             metrics: DispatchMetrics::new(),
-            payload_bytes: AtomicU64::default(),
+            link_bytes: AtomicU64::default(),
             state: Mutex::new(State { sessions, is_checking: false }),
         }))
     }
@@ -105,7 +64,7 @@
         self.with(|shared| shared.metrics = metrics)
     }
 
-    fn with(mut self, change: impl FnOnce(&mut Shared)) -> Self {
+    fn with(mut self, change: impl FnOnce(&mut OrderSender)) -> Self {
         if let Some(shared) = Arc::get_mut(&mut self.0) {
             change(shared);
         }
@@ -119,7 +78,7 @@
         candidates: Vec<Candidate>,
         demand: Option<Strength>,
     ) {
-        let Shared { pool, metrics, clock, .. } = &*self.0;
+        let OrderSender { pool, metrics, clock, .. } = &*self.0;
         let now = clock.now();
         let mut state = locked(&self.0.state);
         let gone = match demand {
@@ -144,9 +103,10 @@
         locked(&self.0.state).sessions.strength(self.0.clock.now())
     }
 
-    /// Returns the bytes of payloads that were sent to dispatchers since the last call.
-    pub fn take_payload_bytes(&self) -> Bytes {
-        Bytes(self.0.payload_bytes.swap(0, Ordering::Relaxed))
+    /// Returns the bytes that were sent since the last call and were not part of a start budget:
+    /// payloads to dispatchers, and start orders for which a dispatcher gave no result.
+    pub fn take_link_bytes(&self) -> Bytes {
+        self.0.take_link_bytes()
     }
 
     /// Takes results that a dispatcher sent. Those of a session that has ended are ignored.
@@ -155,8 +115,8 @@
     }
 
     /// Waits for the outcome of an order; `None` means that the owner has to send it itself.
-    async fn outcome(&self, outcome: oneshot::Receiver<Outcome>) -> Option<Outcome> {
-        match outcome.await {
+    async fn outcome(&self, pending: Pending) -> Option<Outcome> {
+        match pending.outcome.await {
             Ok(Outcome::Expired) | Err(_) => {
                 self.0.metrics.direct.inc();
                 None
@@ -166,140 +126,30 @@
     }
 
     /// Waits for the outcome of an order whose answer is the worker's clock.
-    async fn clock_outcome(
-        &self,
-        outcome: oneshot::Receiver<Outcome>,
-    ) -> Option<Result<WorkerTime, WorkerError>> {
-        match self.outcome(outcome).await? {
+    async fn clock_outcome(&self, pending: Pending) -> Option<Result<WorkerTime, WorkerError>> {
+        match self.outcome(pending).await? {
             Outcome::Clock(clock) => Some(Ok(clock)),
             Outcome::Failed(error) => Some(Err(error)),
             _ => None,
         }
     }
-}
 
-impl Shared {
-    /// Queues an order, if the worker has a dispatcher.
-    fn queue(
-        self: &Arc<Self>,
-        target: &WorkerTarget,
-        call: impl FnOnce() -> OrderCall,
-        payload: Option<&Arc<str>>,
-    ) -> Option<oneshot::Receiver<Outcome>> {
-        let is_long = payload.is_some_and(|payload| payload.len() > MAX_PAYLOAD);
-        if is_long || target.token != self.token {
-            return None;
-        }
-        let now = self.clock.now();
-        let mut state = locked(&self.state);
-        let queued = state.sessions.queue(&target.id, target.address, call, payload, now)?;
-        if !state.is_checking {
-            state.is_checking = true;
-            tokio::spawn(Arc::clone(self).check(now));
-        }
-        drop(state);
-        match queued.flush {
-            Flush::Scheduled => {}
-            Flush::Now => {
-                tokio::spawn(Arc::clone(self).flush(queued.node, queued.session));
-            }
-            Flush::Later => {
-                let shared = Arc::clone(self);
-                tokio::spawn(async move {
-                    time::sleep(BATCH_TIME).await;
-                    if let Some(session) =
-                        locked(&shared.state).sessions.session(&queued.node, queued.session)
-                    {
-                        session.has_timer = false;
-                    }
-                    shared.flush(queued.node, queued.session).await;
-                });
-            }
-        }
-        Some(queued.outcome)
-    }
-
-    /// Sends the queue of a session.
-    async fn flush(self: Arc<Self>, node: NodeName, id: SessionId) {
-        let transfer_time = |size: Bytes| {
-            let share = self.bandwidth.map_or(u64::MAX, |rate| rate.0 / MIN_LINK_SHARE);
-            Millis(1000 * size.0 / share.max(1))
-        };
-        let content = locked(&self.state).sessions.session(&node, id).and_then(|session| {
-            let content = session.take_batch(transfer_time)?;
-            Some((session.address, content))
-        });
-        let Some((address, content)) = content else {
-            return;
-        };
-        self.payload_bytes.fetch_add(content.size.0, Ordering::Relaxed);
-        self.metrics.payload_bytes.inc_by(content.size.0);
-        for order in &content.orders {
-            self.metrics.record_order(order.call.kind());
-        }
-        self.metrics.batch_orders.observe(content.orders.len() as f64);
-        let deadline = RESULT_TIMEOUT.duration() + transfer_time(content.size).duration();
-        let batch = DispatchBatch {
-            pool: self.pool.clone(),
-            token: self.token,
-            session: id,
-            reply_to: self.reply_to,
-            sent_at: Millis(self.clock.now().0),
-            payloads: content.payloads,
-            orders: content.orders,
-        };
-        match self.link.send(address, batch, deadline).await {
-            Ok(results) => self.receive(id, results),
-            Err(error) => {
-                let now = self.clock.now();
-                let failed = locked(&self.state).sessions.fail(&node, id, error.to_string(), now);
-                self.report(failed);
-            }
-        }
-    }
-
-    fn receive(&self, session: SessionId, results: Vec<OrderResult>) {
-        let now = self.clock.now();
-        let excluded = locked(&self.state).sessions.receive(session, results, now);
-        self.report(excluded);
-    }
-
-    /// Logs exclusions of dispatchers.
-    fn report(&self, excluded: impl IntoIterator<Item = Exclusion>) {
-        let pool = &self.pool;
-        for Exclusion { node, reason, time, orders } in excluded {
-            self.metrics.remove_session(pool, &node);
-            emit(
-                Event::DispatcherExcluded,
-                format_args!(
-                    "pool={pool} dispatcher={node} orders={orders} time={time}ms why=\"{reason}\""
-                ),
-            );
-        }
-    }
-
-    /// Drops orders without a result in time, for as long as there are orders without a result.
-    async fn check(self: Arc<Self>, begun: Tick) {
-        let mut last = begun;
-        loop {
-            time::sleep(CHECK_PERIOD).await;
-            let now = self.clock.now();
-            let period = Millis(CHECK_PERIOD.as_millis() as u64);
-            let delay = Millis(now.since(last).0.saturating_sub(period.0));
-            last = now;
-            let mut state = locked(&self.state);
-            if delay > MAX_CHECK_DELAY {
-                state.sessions.extend(delay);
-            }
-            let excluded = state.sessions.drop_overdue(now);
-            let is_done = !state.sessions.is_waiting();
-            state.is_checking = !is_done;
-            drop(state);
-            self.report(excluded);
-            if is_done {
-                return;
-            }
-        }
+    /// Sends a start order to the worker, for which the dispatcher gave no result.
+    async fn start_directly(
+        &self,
+        target: WorkerTarget,
+        order: StartOrder,
+        dispatcher: &NodeName,
+    ) -> Result<WorkerTime, WorkerError> {
+        log::info!(
+            "pool={} task={} run={} worker={} dispatcher={dispatcher} no result, sent directly",
+            self.0.pool,
+            order.task,
+            order.run,
+            target.id
+        );
+        self.0.charge(order.payload.len());
+        self.0.direct.start(target, order).await
     }
 }
 
@@ -312,11 +162,12 @@
         let queue = |order: &StartOrder, target: &WorkerTarget| {
             self.0.queue(target, || OrderCall::start(order), Some(&order.payload))
         };
-        let Some(outcome) = queue(&order, &target) else {
+        let Some(pending) = queue(&order, &target) else {
             return self.0.direct.start(target, order);
         };
         async move {
-            let mut outcome = self.outcome(outcome).await;
+            let node = pending.node.clone();
+            let mut outcome = self.outcome(pending).await;
             if outcome == Some(Outcome::NoPayload) {
                 // It is sent again with the payload, which the session now counts as not sent.
                 outcome = match queue(&order, &target) {
@@ -327,7 +178,7 @@
             match outcome {
                 Some(Outcome::Clock(clock)) => Ok(clock),
                 Some(Outcome::Failed(error)) => Err(error),
-                _ => self.0.direct.start(target, order).await,
+                _ => self.start_directly(target, order, &node).await,
             }
         }
         .boxed()
@@ -339,11 +190,11 @@
         task: TaskId,
         run: RunNumber,
     ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
-        let Some(outcome) = self.0.queue(&target, || OrderCall::Stop(task, run), None) else {
+        let Some(pending) = self.0.queue(&target, || OrderCall::Stop(task, run), None) else {
             return self.0.direct.stop(target, task, run);
         };
         async move {
-            match self.clock_outcome(outcome).await {
+            match self.clock_outcome(pending).await {
                 Some(result) => result,
                 None => self.0.direct.stop(target, task, run).await,
             }
@@ -357,11 +208,11 @@
         order: HoldOrder,
     ) -> BoxFuture<'_, Result<WorkerReport, WorkerError>> {
         let sent = self.0.clock.now();
-        let Some(outcome) = self.0.queue(&target, || OrderCall::hold(order), None) else {
+        let Some(pending) = self.0.queue(&target, || OrderCall::hold(order), None) else {
             return self.0.direct.hold(target, order);
         };
         async move {
-            match self.outcome(outcome).await {
+            match self.outcome(pending).await {
                 Some(Outcome::Report(report)) => Ok(report),
                 Some(Outcome::Failed(error)) => Err(error),
                 _ => {
@@ -382,12 +233,12 @@
         run: RunNumber,
         percent: u32,
     ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
-        let Some(outcome) = self.0.queue(&target, || OrderCall::Pace(task, run, percent), None)
+        let Some(pending) = self.0.queue(&target, || OrderCall::Pace(task, run, percent), None)
         else {
             return self.0.direct.pace(target, task, run, percent);
         };
         async move {
-            match self.clock_outcome(outcome).await {
+            match self.clock_outcome(pending).await {
                 Some(result) => result,
                 None => self.0.direct.pace(target, task, run, percent).await,
             }
--- a/reachhead_node/src/dispatch/mod.rs
+++ b/reachhead_node/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod messages;
 mod metrics;
 mod payloads;
+mod sender;
 mod server;
 mod session;
 mod sessions;
--- a/reachhead_node/src/dispatch/server.rs
+++ b/reachhead_node/src/dispatch/server.rs
@@ -20,13 +20,13 @@
 use tokio::time;
 
 use super::{
-    agent::BATCH_TIME,
     link::DispatchLink,
     messages::{
         DispatchBatch, JobPayload, Order, OrderCall, OrderResult, Outcome, ResultBatch, SessionId,
     },
     metrics::DispatchMetrics,
     payloads::PayloadCache,
+    sender::BATCH_TIME,
     session::RESULT_TIMEOUT,
 };
 use crate::{clock::Clock, lock::locked};
--- a/reachhead_node/src/dispatch/session.rs
+++ b/reachhead_node/src/dispatch/session.rs
@@ -57,6 +57,7 @@
     queue: Vec<Order>,
     outstanding: HashMap<OrderId, Outstanding>,
     sent_payloads: HashMap<JobId, Tick>,
+    forgot_at: Tick,
     heard_at: Tick,
 }
 
@@ -73,6 +74,7 @@
             queue: Vec::new(),
             outstanding: HashMap::new(),
             sent_payloads: HashMap::new(),
+            forgot_at: now,
             heard_at: now,
         }
     }
@@ -93,6 +95,7 @@
         if let (Some(job), Some(payload)) = (job, payload) {
             let sent = self.sent_payloads.get(&job);
             if sent.is_none_or(|sent| now.since(*sent) >= PAYLOAD_RESEND_AGE) {
+                self.forget_payloads(now);
                 self.sent_payloads.insert(job, now);
                 self.payload_bytes += payload.len() as u64;
                 self.payloads.push(JobPayload(job, Arc::clone(payload)));
@@ -106,6 +109,14 @@
         receiver
     }
 
+    /// Forgets payloads that would be sent again anyway.
+    fn forget_payloads(&mut self, now: Tick) {
+        if now.since(self.forgot_at) >= PAYLOAD_RESEND_AGE {
+            self.forgot_at = now;
+            self.sent_payloads.retain(|_, sent| now.since(*sent) < PAYLOAD_RESEND_AGE);
+        }
+    }
+
     /// Returns whether the queue should be sent without further wait.
     pub fn is_full(&self) -> bool {
         self.queue.len() >= MAX_BATCH_ORDERS || self.payload_bytes >= MAX_BATCH_PAYLOADS.0
--- a/reachhead_node/src/owner/dispatching.rs
+++ b/reachhead_node/src/owner/dispatching.rs
@@ -25,6 +25,8 @@
     need: NeedDetector,
     capacity: Strength,
     is_active: bool,
+    /// Dispatchers still have orders.
+    has_orders: bool,
     updated_at: Tick,
 }
 
@@ -32,7 +34,7 @@
     /// Returns the state of an owner in a process of this capacity, without dispatchers.
     pub(super) fn new(capacity: Strength) -> Self {
         let need = NeedDetector::new(capacity);
-        Self { need, capacity, is_active: false, updated_at: Tick::default() }
+        Self { need, capacity, is_active: false, has_orders: false, updated_at: Tick::default() }
     }
 
     /// Records what a round ordered.
@@ -53,7 +55,7 @@
         }
         self.updated_at = now;
         let is_needed = self.need.is_needed(now);
-        if !is_needed && !self.is_active {
+        if !is_needed && !self.is_active && !self.has_orders {
             return;
         }
         let demand = self.need.demand(now);
@@ -64,10 +66,11 @@
         } else {
             workers.assign(&[], Vec::new(), None);
         }
+        let status = workers.status();
+        self.has_orders = status.iter().any(|status| status.outstanding > 0);
         if is_needed != self.is_active {
             self.is_active = is_needed;
-            let nodes: Vec<String> = workers
-                .status()
+            let nodes: Vec<String> = status
                 .into_iter()
                 .filter(|status| status.workers > 0)
                 .map(|status| status.node.to_string())
