Dispatch: a broken connection to a worker is no cut, and a start without a result stays unknown

Cause: in trials with all hosts small every dispatcher was excluded within seconds (E718, reaches no workers): workers that change their pool break their connections, and three of them counted as a cut. Change: only lost answers and connections that can't be made count; errors of the direct start that say nothing about the first one are reported as lost, so that the same run is confirmed or barred. Four times the demand is assigned instead of twice.

--- a/reachhead_jobs/src/dispatch/assignment.rs
+++ b/reachhead_jobs/src/dispatch/assignment.rs
@@ -11,7 +11,7 @@
 
 /// How many times the demand the dispatchers have to be able to serve together: the rate of starts
 /// is still rising when dispatch begins, and their links and processors have other work.
-const STRENGTH_FACTOR: f64 = 2.0;
+const STRENGTH_FACTOR: f64 = 4.0;
 
 /// Least number of dispatchers, so that the loss of one does not leave the owner alone.
 const MIN_DISPATCHERS: usize = 2;
--- a/reachhead_node/src/dispatch/agent.rs
+++ b/reachhead_node/src/dispatch/agent.rs
@@ -8,7 +8,9 @@
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
     clock::WorkerTime,
-    ports::{HoldOrder, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget},
+    ports::{
+        HoldOrder, Rejection, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
+    },
     task::TaskId,
 };
 use reachhead_types::{
@@ -114,20 +116,20 @@
         self.0.receive(session, results);
     }
 
-    /// Waits for the outcome of an order; `None` means that the owner has to send it itself.
-    async fn outcome(&self, pending: Pending) -> Option<Outcome> {
-        match pending.outcome.await {
-            Ok(Outcome::Expired) | Err(_) => {
-                self.0.metrics.direct.inc();
-                None
-            }
-            Ok(outcome) => Some(outcome),
-        }
+    /// Waits for the outcome of an order.
+    async fn outcome(&self, pending: Pending) -> Result<Outcome, NoOutcome> {
+        let missing = match pending.outcome.await {
+            Ok(Outcome::Expired) => NoOutcome::Unsent,
+            Ok(outcome) => return Ok(outcome),
+            Err(_) => NoOutcome::Unknown,
+        };
+        self.0.metrics.direct.inc();
+        Err(missing)
     }
 
     /// Waits for the outcome of an order whose answer is the worker's clock.
     async fn clock_outcome(&self, pending: Pending) -> Option<Result<WorkerTime, WorkerError>> {
-        match self.outcome(pending).await? {
+        match self.outcome(pending).await.ok()? {
             Outcome::Clock(clock) => Some(Ok(clock)),
             Outcome::Failed(error) => Some(Err(error)),
             _ => None,
@@ -153,6 +155,26 @@
     }
 }
 
+/// Why the owner sends an order itself that it had given to a dispatcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NoOutcome {
+    /// The dispatcher did not send it.
+    Unsent,
+    /// The dispatcher gave no result, so it may have sent the order, or still may.
+    Unknown,
+}
+
+/// Returns the result of a direct start after one whose outcome is unknown. An error that shows only
+/// that the direct call had no effect says nothing about the other call, whose run may be active.
+fn after_unknown(result: Result<WorkerTime, WorkerError>) -> Result<WorkerTime, WorkerError> {
+    result.map_err(|error| match error {
+        WorkerError::Replaced
+        | WorkerError::Rejected(Rejection::Fenced | Rejection::Old)
+        | WorkerError::Lost(_) => error,
+        other => WorkerError::Lost(format!("no result of the dispatcher, directly: {other}")),
+    })
+}
+
 impl WorkerAgent for DispatchedWorkers {
     fn start(
         &self,
@@ -168,16 +190,19 @@
         async move {
             let node = pending.node.clone();
             let mut outcome = self.outcome(pending).await;
-            if outcome == Some(Outcome::NoPayload) {
+            if outcome == Ok(Outcome::NoPayload) {
                 // It is sent again with the payload, which the session now counts as not sent.
                 outcome = match queue(&order, &target) {
                     Some(repeated) => self.outcome(repeated).await,
-                    None => None,
+                    None => Err(NoOutcome::Unsent),
                 };
             }
             match outcome {
-                Some(Outcome::Clock(clock)) => Ok(clock),
-                Some(Outcome::Failed(error)) => Err(error),
+                Ok(Outcome::Clock(clock)) => Ok(clock),
+                Ok(Outcome::Failed(error)) => Err(error),
+                Err(NoOutcome::Unknown) => {
+                    after_unknown(self.start_directly(target, order, &node).await)
+                }
                 _ => self.start_directly(target, order, &node).await,
             }
         }
@@ -213,8 +238,8 @@
         };
         async move {
             match self.outcome(pending).await {
-                Some(Outcome::Report(report)) => Ok(report),
-                Some(Outcome::Failed(error)) => Err(error),
+                Ok(Outcome::Report(report)) => Ok(report),
+                Ok(Outcome::Failed(error)) => Err(error),
                 _ => {
                     // The poll ends when it would have, so that a dead worker is found as soon.
                     let passed = self.0.clock.now().since(sent);
--- a/reachhead_node/src/dispatch/agent_tests.rs
+++ b/reachhead_node/src/dispatch/agent_tests.rs
@@ -67,6 +67,27 @@
     assert_eq!(*fixture.direct.calls.lock().unwrap(), [(target(0), Some(start_order(0)))]);
 }
 
+/// Guards against a task that starts on a second worker, because the direct order had no effect, while
+/// the run that the dispatcher has started is active.
+#[tokio::test]
+async fn direct_start_without_effect_leaves_a_start_without_result_unknown() {
+    for error in [
+        WorkerError::Unreachable(String::new()),
+        WorkerError::PortClosed(String::new()),
+        WorkerError::Broken(String::new()),
+        WorkerError::Rejected(Rejection::Room),
+        WorkerError::Rejected(Rejection::Late),
+    ] {
+        let fixture = Fixture::new(1, Some(Ok(())));
+        *fixture.link.orders.lock().unwrap() = Delivery::AnswerLost;
+        *fixture.link.results.lock().unwrap() = Delivery::Lost;
+        *fixture.direct.answer.lock().unwrap() = Some(Err(error));
+        let result = fixture.start(0).await;
+        assert!(matches!(result, Err(WorkerError::Lost(_))), "{result:?}");
+        assert_eq!((fixture.direct.count(), fixture.dispatched.count()), (1, 1));
+    }
+}
+
 /// Guards against a wait for results that can't arrive, and against results that count after their
 /// session has ended.
 #[tokio::test]
--- a/reachhead_node/src/dispatch/sessions.rs
+++ b/reachhead_node/src/dispatch/sessions.rs
@@ -311,11 +311,10 @@
         Outcome::Clock(_) | Outcome::Report(_) => Some(Evidence::Answer),
         Outcome::Failed(error) => match error {
             WorkerError::Replaced | WorkerError::Rejected(_) => Some(Evidence::Answer),
-            WorkerError::Unreachable(_) | WorkerError::Lost(_) | WorkerError::Broken(_) => {
-                Some(Evidence::Silence)
-            }
-            // The worker's host answered, so the link to it is not cut.
-            WorkerError::PortClosed(_) => None,
+            WorkerError::Unreachable(_) | WorkerError::Lost(_) => Some(Evidence::Silence),
+            // The worker's host closed the connection or refused a new one, so the link to it is not
+            // cut. A host that changes its pool does so to all its connections.
+            WorkerError::Broken(_) | WorkerError::PortClosed(_) => None,
         },
         Outcome::Expired | Outcome::NoPayload => None,
     }
