The test of a lost result also fails if the dispatcher is excluded or the result is awaited for ever

Cause: with a mutation that excludes a dispatcher at each lost result the test still passed, since it looked at the assignment before the next update; with one that never gives up an order it hung.

Change: the test updates the assignment first, and has a time limit.

Result: fails with both mutations, passes without.

--- a/reachhead_node/src/dispatch/agent_tests.rs
+++ b/reachhead_node/src/dispatch/agent_tests.rs
@@ -99,9 +99,11 @@
         *fixture.dispatched.answer.lock().unwrap() = Some(Ok(()));
         fixture.start(1).await
     };
-    let (lost, answered) = tokio::join!(fixture.start(0), answered);
+    let both = async { tokio::join!(fixture.start(0), answered) };
+    let (lost, answered) = time::timeout(Duration::from_secs(2), both).await.unwrap();
     assert_eq!((lost, answered), (DONE, DONE));
     assert_eq!((fixture.direct.count(), fixture.dispatched.count()), (1, 2));
+    assert_eq!(fixture.served(), 8);
     assert!(fixture.owner().status().iter().any(|status| status.node.as_str() == "node-0"));
 }
 
