--- a/reachhead_jobs/src/dispatch/assignment.rs
+++ b/reachhead_jobs/src/dispatch/assignment.rs
@@ -1,6 +1,9 @@
 //! Assigns the workers of a pool to its dispatchers.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::{Ordering, Reverse},
+    collections::BTreeMap,
+};
 
 use reachhead_types::{
     id::{NodeName, PoolName, WorkerId},
@@ -11,13 +14,13 @@
 
 /// How many times the demand the dispatchers have to be able to serve together: the rate of starts
 /// is still rising when dispatch begins, and their links and processors have other work.
-const STRENGTH_FACTOR: f64 = 2.0;
+const STRENGTH_FACTOR: u64 = 2;
 
 /// Least number of dispatchers, so that the loss of one does not leave the owner alone.
 const MIN_DISPATCHERS: usize = 2;
 
-/// How many times its fair share a dispatcher may serve before workers move to others.
-const MAX_SHARE_FACTOR: f64 = 1.25;
+/// How much of its fair share a dispatcher may serve before workers move to others, in percent.
+const MAX_SHARE_PERCENT: u64 = 125;
 
 /// A process that may dispatch for the pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,8 +35,14 @@
 
 impl Dispatcher {
     /// Returns the part of the process's capacity that is left for other owners.
-    pub fn effective_strength(&self) -> f64 {
-        f64::from(self.strength.0) / (1 + self.owned) as f64
+    pub fn effective_strength(&self) -> Strength {
+        let parts = u32::try_from(self.owned).unwrap_or(u32::MAX).saturating_add(1);
+        Strength(self.strength.0 / parts)
+    }
+
+    /// Returns that part as a number whose sums and products don't overflow.
+    fn weight(&self) -> u64 {
+        u64::from(self.effective_strength().0)
     }
 }
 
@@ -41,6 +50,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Assignment {
     pool: Option<PoolName>,
+    /// The chosen processes, the most preferred first.
+    dispatchers: Vec<Dispatcher>,
     workers: BTreeMap<WorkerId, NodeName>,
 }
 
@@ -52,9 +63,13 @@
 }
 
 impl Chosen<'_> {
-    /// Returns the load that the process would have with one more worker.
-    fn next_load(&self) -> f64 {
-        (self.count + 1) as f64 / self.dispatcher.effective_strength()
+    /// Compares the load that the processes would have with one more worker. One that has reached its
+    /// limit comes last, since a worker beyond it would move again in the next round.
+    fn compare(&self, other: &Self) -> Ordering {
+        let is_full = |known: &Self| known.count >= known.limit;
+        // The quotients are compared by cross-multiplication.
+        let load = |known: &Self, by: &Self| (known.count as u64 + 1) * by.dispatcher.weight();
+        is_full(self).cmp(&is_full(other)).then(load(self, other).cmp(&load(other, self)))
     }
 }
 
@@ -96,13 +111,15 @@
             }
         }
         for id in open {
-            let least = chosen.iter_mut().min_by(|a, b| a.next_load().total_cmp(&b.next_load()));
+            let least = chosen.iter_mut().min_by(|a, b| a.compare(b));
             if let Some(least) = least {
                 least.count += 1;
                 assigned.insert(id.clone(), least.dispatcher.node.clone());
             }
         }
         let changed = ids.iter().filter(|id| assigned.get(**id) != self.workers.get(**id)).count();
+        let processes = chosen.iter().map(|known| known.dispatcher.clone());
+        self.dispatchers = processes.collect();
         self.workers = assigned;
         changed
     }
@@ -112,8 +129,20 @@
         self.workers.get(worker)
     }
 
+    /// Returns the chosen processes, the most preferred first.
+    pub fn dispatchers(&self) -> &[Dispatcher] {
+        &self.dispatchers
+    }
+
+    /// Returns the total effective strength of the dispatchers, by which starts are paced.
+    pub fn strength(&self) -> Strength {
+        let total: u64 = self.dispatchers.iter().map(Dispatcher::weight).sum();
+        Strength(u32::try_from(total).unwrap_or(u32::MAX))
+    }
+
     /// Leaves all workers to the owner.
     pub fn clear(&mut self) {
+        self.dispatchers.clear();
         self.workers.clear();
     }
 
@@ -125,26 +154,24 @@
         workers: usize,
     ) -> Vec<Chosen<'a>> {
         let mut ranked: Vec<&Dispatcher> =
-            dispatchers.iter().filter(|process| process.strength.0 > 0).collect();
+            dispatchers.iter().filter(|process| process.weight() > 0).collect();
         ranked.sort_by_cached_key(|process| {
             let hash = self.pool.as_ref().map(|pool| hash_of(pool, &process.node));
-            // Positive numbers are ordered like their bits.
-            let strength = Reverse(process.effective_strength().to_bits());
-            (process.owned > 0, strength, hash, process.node.clone())
+            (process.owned > 0, Reverse(process.weight()), hash, process.node.clone())
         });
-        let wanted = STRENGTH_FACTOR * f64::from(demand.0);
-        let (mut total, mut count) = (0.0, 0);
+        let wanted = STRENGTH_FACTOR * u64::from(demand.0);
+        let (mut total, mut count) = (0, 0);
         for process in &ranked {
             if total >= wanted && count >= MIN_DISPATCHERS {
                 break;
             }
-            total += process.effective_strength();
+            total += process.weight();
             count += 1;
         }
         let limit = |process: &Dispatcher| {
-            let share = workers as f64 * process.effective_strength() / total;
+            let share = workers as u64 * process.weight();
             // Whole workers: a share of less than one is served too.
-            (MAX_SHARE_FACTOR * share).floor().max(share.ceil()) as usize
+            (MAX_SHARE_PERCENT * share / (100 * total)).max(share.div_ceil(total)) as usize
         };
         let chosen = ranked.into_iter().take(count);
         chosen.map(|dispatcher| Chosen { dispatcher, limit: limit(dispatcher), count: 0 }).collect()
