Tests of the pace by processor and by dispatchers

Cause: the budget has three limits now, and pools with and without dispatchers share it. Change: rates of each limit, payloads that are charged when they are sent, and a pool without dispatchers beside one with them.

--- a/reachhead_jobs/tests/start_pace.rs
+++ b/reachhead_jobs/tests/start_pace.rs
@@ -1,8 +1,8 @@
-//! Tests of the pacing of start orders by the link.
+//! Tests of the pacing of start orders.
 
 use reachhead_jobs::{clock::Tick, start_pace::StartPacer};
 use reachhead_property::properties;
-use reachhead_types::size::{ByteRate, Millis};
+use reachhead_types::size::{ByteRate, Bytes, Millis, Strength};
 
 const START: Tick = Tick(1_000_000);
 
@@ -60,3 +60,52 @@
     let first = pacer.budget(START);
     assert_eq!(pacer.budget(START + Millis(60_000)), first);
 }
+
+/// Returns the orders a second, with payloads of 500 bytes, that a process sends in ten seconds.
+fn orders(cores: f64, dispatchers: Option<Strength>, bandwidth: ByteRate) -> u64 {
+    let mut pacer = StartPacer::new(bandwidth, cores, START);
+    pacer.set_dispatchers(dispatchers);
+    let mut sent = 0;
+    for millis in (0..=10_000).step_by(10) {
+        let mut budget = pacer.budget(START + Millis(millis));
+        while budget.has_room() {
+            budget.take(&"x".repeat(500));
+            sent += 1;
+        }
+        pacer.record(budget);
+    }
+    sent / 10
+}
+
+/// With a wide link, an owner on a small host sent more than its processor could: orders timed out
+/// and were sent again.
+#[test]
+fn processor_link_and_dispatchers_each_limit_the_orders() {
+    let (wide, narrow) = (ByteRate(25_000_000), ByteRate(250_000));
+    let around = |found: u64, expected: u64| {
+        assert!((expected..=expected * 102 / 100).contains(&found), "{found} of {expected}");
+    };
+    around(orders(0.12, None, wide), 840);
+    around(orders(0.12, None, narrow), 104);
+    around(orders(0.12, Some(Strength(100_000)), wide), 4200);
+    around(orders(0.12, Some(Strength(100_000)), narrow), 1041);
+    around(orders(0.12, Some(Strength(2000)), wide), 1200);
+    around(orders(0.12, Some(Strength(0)), wide), 840);
+}
+
+/// Payloads that were sent to dispatchers would otherwise fill the link beside the orders. A pool
+/// without dispatchers that shares the pacer must not get their cheaper budget, nor refill it.
+#[test]
+fn payloads_and_the_orders_of_other_pools_use_the_same_link() {
+    let mut pacer = StartPacer::new(ByteRate(250_000), CORES, START);
+    pacer.set_dispatchers(Some(Strength(5000)));
+    assert!(pacer.budget(START).has_room());
+    pacer.record_payload(Bytes(7400));
+    let mut budget = pacer.budget(START);
+    budget.take("");
+    pacer.record(budget);
+    assert!(!pacer.budget(START).has_room());
+    pacer.set_dispatchers(None);
+    assert!(!pacer.budget(START).has_room());
+    assert!(pacer.budget(START + Millis(1)).has_room());
+}
