--- a/reachhead_node/src/dispatch/sessions.rs
+++ b/reachhead_node/src/dispatch/sessions.rs
@@ -86,7 +86,7 @@
     /// The chosen candidates by name.
     addresses: BTreeMap<NodeName, SocketAddr>,
     /// What each of them has left for this owner.
-    strengths: BTreeMap<NodeName, f64>,
+    strengths: BTreeMap<NodeName, Strength>,
     sessions: BTreeMap<NodeName, Session>,
     /// The number of workers of each dispatcher.
     workers: BTreeMap<NodeName, usize>,
@@ -144,8 +144,8 @@
     /// Returns the capacity of the dispatchers that serve workers, if there are any.
     pub fn strength(&self, now: Tick) -> Option<Strength> {
         let usable = self.workers.keys().filter(|node| self.health.is_usable(node, now));
-        let total: f64 = usable.filter_map(|node| self.strengths.get(node)).sum();
-        (total >= 1.0).then_some(Strength(total as u32))
+        let total = usable.filter_map(|node| self.strengths.get(node)).map(|known| known.0).sum();
+        (total > 0).then_some(Strength(total))
     }
 
     fn drop_unused(&mut self) -> Vec<NodeName> {
