The bench of jobs has an owner on a small host, alone and with dispatchers

Cause: the load pattern of four queues with bursts in turn was not played where the owner is the limit.

Arrivals of the other scenarios are drawn as before.

--- a/reachhead_bench/src/jobs/mod.rs
+++ b/reachhead_bench/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! Pool owner under a burst of jobs, in virtual time: cost of its decisions and share of jobs in time.
 
+mod dispatch;
 mod simulation;
 
 use std::time::Duration;
@@ -7,7 +8,10 @@
 use reachhead_types::size::Millis;
 use serde_json::{Value, json};
 
-use crate::{jobs::simulation::Simulation, plan::round};
+use crate::{
+    jobs::{dispatch::LimitedOwner, simulation::Simulation},
+    plan::round,
+};
 
 /// Number of simulations per scenario; the seeds count up from 0, so that results can be compared.
 const SEEDS: u64 = 3;
@@ -29,15 +33,33 @@
     pub rate: f64,
     /// Long-running tasks, which run until the end on different workers.
     pub long_running: u32,
+    /// Limits of the owner, if it is on a small host.
+    pub owner: Option<OwnerHost>,
 }
 
+/// Small host of the owner, whose queue is one of four that have bursts in turn.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnerHost {
+    /// Other processes may dispatch for the owner.
+    pub dispatches: bool,
+    /// Place of the queue's burst among those of the four queues.
+    pub turn: u64,
+}
+
+/// Pool with a queue of short jobs, and capacity for its burst.
+const BURSTS: Scenario =
+    Scenario { name: "", workers: 150, rate: 25.0, long_running: 5, owner: None };
+
 /// Measured scenarios: a pool of a small site, of a grown site under a burst, one with more work than
-/// capacity, and one of a fleet of hundreds of hosts under a burst.
-const SCENARIOS: [Scenario; 4] = [
-    Scenario { name: "small", workers: 20, rate: 25.0, long_running: 5 },
-    Scenario { name: "grown", workers: 150, rate: 100.0, long_running: 24 },
-    Scenario { name: "over", workers: 80, rate: 100.0, long_running: 24 },
-    Scenario { name: "large", workers: 300, rate: 230.0, long_running: 24 },
+/// capacity, one of a fleet of hundreds of hosts under a burst, and one whose owner is on a small host,
+/// without and with dispatchers.
+const SCENARIOS: [Scenario; 6] = [
+    Scenario { name: "small", workers: 20, rate: 25.0, long_running: 5, owner: None },
+    Scenario { name: "grown", workers: 150, rate: 100.0, long_running: 24, owner: None },
+    Scenario { name: "over", workers: 80, rate: 100.0, long_running: 24, owner: None },
+    Scenario { name: "large", workers: 300, rate: 230.0, long_running: 24, owner: None },
+    Scenario { name: "alone", owner: Some(OwnerHost { dispatches: false, turn: 0 }), ..BURSTS },
+    Scenario { name: "dispatched", owner: Some(OwnerHost { dispatches: true, turn: 0 }), ..BURSTS },
 ];
 
 /// Results of a simulation.
@@ -68,9 +90,20 @@
 }
 
 fn measure(scenario: &Scenario) -> Value {
-    let outcomes: Vec<Outcome> = (0..SEEDS)
-        .map(|seed| Simulation::new(*scenario, seed).run(ARRIVAL_PERIOD, COMPLETION_TIME))
+    let simulate = |scenario: Scenario, seed| {
+        let owner = scenario.owner.map(|host| LimitedOwner::new(host.dispatches));
+        Simulation::new(scenario, seed).with_owner(owner).run(ARRIVAL_PERIOD, COMPLETION_TIME)
+    };
+    let turns = if scenario.owner.is_some() { dispatch::QUEUES } else { 1 };
+    let scenario_of = |turn| {
+        let owner = scenario.owner.map(|host| OwnerHost { turn, ..host });
+        Scenario { owner, ..*scenario }
+    };
+    let outcomes: Vec<Outcome> = (0..turns)
+        .flat_map(|turn| (0..SEEDS).map(move |seed| (turn, seed)))
+        .map(|(turn, seed)| simulate(scenario_of(turn), seed))
         .collect();
+    let simulations = outcomes.len() as f64;
     let sum = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).sum::<f64>();
     let starts = sum(|outcome| outcome.starts as f64);
     let micros = |value: fn(&Outcome) -> Duration| {
@@ -79,10 +112,10 @@
     };
     let jobs = sum(|outcome| outcome.jobs as f64);
     json!({
-        "starts_a_second": round(starts / SEEDS as f64 / ARRIVAL_PERIOD.duration().as_secs_f64()),
+        "starts_a_second": round(starts / simulations / ARRIVAL_PERIOD.duration().as_secs_f64()),
         "in_time": round(sum(|outcome| outcome.in_time as f64) / jobs),
         "completed": round(sum(|outcome| outcome.completed as f64) / jobs),
-        "rounds": round(sum(|outcome| outcome.rounds as f64) / SEEDS as f64),
+        "rounds": round(sum(|outcome| outcome.rounds as f64) / simulations),
         "us_a_start": {
             "rounds": micros(|outcome| outcome.round_time),
             "answers": micros(|outcome| outcome.report_time),
--- a/reachhead_bench/src/jobs/simulation.rs
+++ b/reachhead_bench/src/jobs/simulation.rs
@@ -18,7 +18,10 @@
     size::{FencingToken, Millis, Revision, RunNumber},
 };
 
-use crate::jobs::{Outcome, Scenario};
+use crate::jobs::{
+    Outcome, Scenario,
+    dispatch::{self, LimitedOwner},
+};
 
 /// Time between two rounds of the pool owner, as in its process.
 const ROUND_PERIOD: Millis = Millis(4);
@@ -82,6 +85,7 @@
     committing: Vec<Lane>,
     deadlines: BTreeMap<JobId, Tick>,
     outcome: Outcome,
+    owner: Option<LimitedOwner>,
 }
 
 fn queue() -> Arc<Queue> {
@@ -152,9 +156,16 @@
             committing: Vec::new(),
             deadlines: BTreeMap::new(),
             outcome: Outcome::default(),
+            owner: None,
         }
     }
 
+    /// Sets the limits of the owner's host.
+    pub fn with_owner(mut self, owner: Option<LimitedOwner>) -> Self {
+        self.owner = owner;
+        self
+    }
+
     /// Runs the simulation: jobs arrive for `arrival_period` and have `completion_time` more to complete.
     pub fn run(mut self, arrival_period: Millis, completion_time: Millis) -> Outcome {
         self.register_workers();
@@ -252,8 +263,11 @@
         let clock = WorkerTime(self.now.0);
         match event {
             Event::JobArrival => {
-                self.submit_random_job();
-                let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1000.0 / self.scenario.rate;
+                let (rate, share) = self.arrival_rate();
+                if share >= 1.0 || self.rng.random_bool(share) {
+                    self.submit_random_job();
+                }
+                let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1000.0 / rate;
                 if self.now < last {
                     self.push(Millis(gap as u64), Event::JobArrival);
                 }
@@ -286,6 +300,18 @@
         }
     }
 
+    /// Returns the highest rate of arrivals, and the present one as a share of it.
+    fn arrival_rate(&self) -> (f64, f64) {
+        match self.scenario.owner {
+            Some(host) => {
+                let factor = dispatch::rate_factor(host.turn, self.now.since(START));
+                let rate = dispatch::BURST_FACTOR * self.scenario.rate;
+                (rate, factor / dispatch::BURST_FACTOR)
+            }
+            None => (self.scenario.rate, 1.0),
+        }
+    }
+
     /// Passes a message of a worker to the pool and measures its processing time.
     fn process_message(&mut self, message: impl FnOnce(&mut Pool, Tick)) {
         let timer = Instant::now();
@@ -333,10 +359,16 @@
 
     /// Runs a round of the pool owner, and counts the jobs that completed.
     fn round(&mut self) {
+        if let Some(owner) = &mut self.owner {
+            owner.begin_round(&mut self.pool, self.now);
+        }
         let timer = Instant::now();
         let actions = self.pool.poll(self.now, Millis(self.now.0));
         self.outcome.round_time += timer.elapsed();
         self.outcome.rounds += 1;
+        if let Some(owner) = &mut self.owner {
+            owner.end_round(&self.pool, self.now);
+        }
         self.pool.take_notes();
         for action in actions {
             self.execute(action);
@@ -368,15 +400,17 @@
 
     fn start(&mut self, id: WorkerId, order: &StartOrder) {
         self.outcome.starts += 1;
+        let delay = self.owner.as_mut().map_or(0, |owner| owner.send(&id, order).0);
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.running.insert(order.task, order.run);
         }
         let time = MEAN_TASK_MS * self.rng.random_range(0.5..1.5);
         if order.task.job != JobId(1) {
             let done = Event::RunDone(id.clone(), order.task, order.run);
-            self.push(Millis(MESSAGE_DELAY.0 + time as u64), done);
+            self.push(Millis(delay + MESSAGE_DELAY.0 + time as u64), done);
         }
-        self.push(Millis(2 * MESSAGE_DELAY.0), Event::StartConfirmed(id, order.task, order.run));
+        let confirmed = Event::StartConfirmed(id, order.task, order.run);
+        self.push(Millis(2 * (delay + MESSAGE_DELAY.0)), confirmed);
     }
 
     /// Answers a poll at once if runs have ended or it must not wait; waits otherwise.
