The test of the need for dispatchers plays rounds near the limits

Cause: with one limited round fewer, or another share at which dispatch ends, the tests still passed: the rates of most cases were far above all shares. Change: most rounds have few starts, and a queue at a quarter of the capacity keeps dispatch.

--- a/reachhead_jobs/tests/dispatch/need.rs
+++ b/reachhead_jobs/tests/dispatch/need.rs
@@ -54,9 +54,11 @@
             // Rounds are some milliseconds apart, and now and then some seconds.
             let gap = if gap % 16 == 0 { gap / 16 } else { gap % 40 };
             now = now + Millis(u64::from(gap));
-            let limited = limited && started % 3 == 0;
-            past.push(Round { at: now, started: u64::from(started % 32), limited });
-            detector.record(u32::from(started % 32), limited, now);
+            let limited = limited && started % 5 == 0;
+            // Most rounds keep below all shares of the capacity, so that the others decide.
+            let started = if started >= 232 { started % 64 } else { started % 4 };
+            past.push(Round { at: now, started: u64::from(started), limited });
+            detector.record(u32::from(started), limited, now);
             (detector.is_needed(now), detector.demand(now)) == naive(&past)
         })
     }
@@ -85,7 +87,9 @@
     now = run(&mut detector, 100, 9000, now);
     assert!(detector.is_needed(now), "another pause");
     assert_eq!(detector.demand(now), Strength(700));
-    now = run(&mut detector, 100, 1500, now);
+    now = run(&mut detector, 200, 11_000, now);
+    assert!(detector.is_needed(now), "a quarter of the capacity");
+    now = run(&mut detector, 100, 10_500, now);
     assert!(!detector.is_needed(now));
     assert_eq!(detector.demand(now), Strength(100));
 }
