Rounds of an owner are up to 50 ms apart

Cause: of the processor time of a busy owner on a small host some two fifths are rounds (samples of owners at the load of a site, own stand-ins): a round takes longer than the 8 ms up to which the pause keeps rounds to a quarter of the time. Change: the pause is up to 50 ms, and the start budget holds 80 ms.

--- a/reachhead_jobs/src/start_pace.rs
+++ b/reachhead_jobs/src/start_pace.rs
@@ -21,7 +21,7 @@
 
 /// Longest burst, as the time that it takes at the paced rate: above the interval between two rounds
 /// of an owner, and well below the timeout of an order.
-const MAX_BURST: Millis = Millis(60);
+const MAX_BURST: Millis = Millis(80);
 
 /// Bytes of an order besides its payload, with its share of setting up the connection and its answer.
 const ORDER_OVERHEAD: Bytes = Bytes(700);
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -46,7 +46,7 @@
 const ROUND_PAUSE_FACTOR: u32 = 3;
 
 /// Maximum pause between two rounds while inputs wait.
-const MAX_ROUND_PAUSE: Duration = Duration::from_millis(25);
+const MAX_ROUND_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest wait for an input of an owner with jobs, after which it checks its timers.
 const BUSY_TICK: Duration = Duration::from_millis(50);
