Unanswered start orders are not sent again without current drains

Cause: an owner starts nothing once its knowledge of the drained zones is older than the time within which a drain has to be in force, but an order whose answer was lost was sent again until its run's lease ended, up to 4.5 s later. An owner whose reads of the operators' table fail or which was suspended could so start a run in a zone that was drained meanwhile.

The order now waits until the drains are known again, and is settled by its deadline as before.

Tests of the pool: the one of the order failed before (it was sent again); two zones drained at once, an order that waits past its deadline, and slow workers of a restored zone showed no fault.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -202,8 +202,13 @@
                 let worker = self.workers.get(&run.worker)?;
                 let expired_now =
                     worker.clock.is_some_and(|sample| sample.surely_past(run.deadline) <= now);
-                // It can't start after its deadline, but it may have started before.
-                Some(if expired_now { RunAction::Settle } else { RunAction::ResendStart })
+                if expired_now {
+                    // It can't start after its deadline, but it may have started before.
+                    Some(RunAction::Settle)
+                } else {
+                    // Without the current drains the run could start in a zone that is drained.
+                    self.drained.is_current(now).then_some(RunAction::ResendStart)
+                }
             }
             Phase::Working if job.recorded => Some(RunAction::Stop(StopReason::Unneeded)),
             Phase::Working if unwanted.is_some() => unwanted.map(RunAction::Stop),
--- a/reachhead_jobs/tests/pool/drain.rs
+++ b/reachhead_jobs/tests/pool/drain.rs
@@ -7,7 +7,7 @@
     pool::RecoveredState,
     ports::{RunEnd, WorkerError, WorkerInfo},
 };
-use reachhead_types::id::ZoneName;
+use reachhead_types::id::{WorkerId, ZoneName};
 
 use crate::fixture::{Fixture, fences, info, step, task, timeouts, worker};
 
@@ -137,6 +137,108 @@
     assert_eq!(fixture.starts()[0].0, worker("b1"));
 }
 
+/// Guards against a drain that replaces another instead of being added to it, and against jobs that wait although one zone is
+/// left. A second zone is drained while the first one is.
+#[test]
+fn two_zones_are_drained_at_once_and_restored_one_by_one() {
+    let infos = vec![info_in("a1", "a"), info_in("b1", "b"), info_in("c1", "c")];
+    let mut fixture = Fixture::ready(infos);
+    for drained in [&["a"][..], &["a", "b"]] {
+        drain(&mut fixture, drained);
+        fixture.poll();
+    }
+    fixture.submit(1, vec![step(12)]);
+    let workers_of = |fixture: &mut Fixture| {
+        let starts = fixture.starts();
+        for (id, order) in &starts {
+            fixture.accept(id, order);
+        }
+        starts.into_iter().map(|(id, _)| id).collect::<Vec<WorkerId>>()
+    };
+    assert_eq!(workers_of(&mut fixture), vec![worker("c1"); 4]);
+    drain(&mut fixture, &["b"]);
+    assert_eq!(workers_of(&mut fixture), vec![worker("a1"); 4]);
+    drain(&mut fixture, &[]);
+    assert_eq!(workers_of(&mut fixture), vec![worker("b1"); 4]);
+}
+
+/// Guards against a start in a zone whose drain the owner does not know: after a lost answer, an order was sent again for
+/// the whole lease of its run, also by an owner that no longer knew which zones are drained.
+#[test]
+fn an_unanswered_order_is_not_resent_without_current_drains() {
+    let mut fixture = three_workers();
+    drain(&mut fixture, &[]);
+    fixture.advance(timeouts().drain.0 - 100);
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = || Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost(), fixture.now);
+    fixture.advance(60);
+    assert_eq!(fixture.starts().len(), 1, "the drains are still current");
+    fixture.pool.started(&id, order.task, order.run, lost(), fixture.now);
+    fixture.advance(60);
+    assert!(fixture.starts().is_empty(), "the order is sent again without current drains");
+    drain(&mut fixture, &[]);
+    fixture.advance(60);
+    assert_eq!(fixture.starts().len(), 1, "the order is sent again once they are known");
+}
+
+/// Guards against a job that waits for good: an order that may not be sent again is over with its lease, also if the drains
+/// stay unknown.
+#[test]
+fn an_order_that_is_not_resent_is_settled_by_its_deadline() {
+    let mut fixture = three_workers();
+    drain(&mut fixture, &[]);
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
+    fixture.advance(2 * timeouts().drain.0);
+    assert!(fixture.starts().is_empty());
+    fixture.advance(1);
+    fixture.report(&id);
+    drain(&mut fixture, &[]);
+    let (_, again) = fixture.starts().remove(0);
+    assert!(again.task == order.task && again.run > order.run, "{again:?}");
+}
+
+/// Guards against a restored zone that stays unused because its workers are slow at first, and against its use before
+/// workers of the usual speed.
+#[test]
+fn slow_workers_of_a_restored_zone_get_what_others_have_no_room_for() {
+    let mut fixture = Fixture::ready(vec![info_in("a1", "a"), info_in("b1", "b")]);
+    drain(&mut fixture, &["b"]);
+    fixture.submit_and_start(1, vec![step(4)]);
+    drain(&mut fixture, &["a"]);
+    report_slow_progress(&mut fixture, "a1", 6);
+    drain(&mut fixture, &[]);
+    for index in 0..4 {
+        fixture.end(&worker("a1"), task(1, 0, index), 1, RunEnd::Done);
+    }
+    fixture.report(&worker("a1"));
+    fixture.submit_and_start(2, vec![step(3)]);
+    assert_eq!(fixture.running[&worker("b1")].len(), 3, "the usual speed comes first");
+    fixture.submit_and_start(3, vec![step(3)]);
+    assert_eq!(fixture.running[&worker("b1")].len(), 4);
+    assert_eq!(fixture.running[&worker("a1")].len(), 2, "slow workers get the rest");
+    for entry in fixture.running.get_mut(&worker("a1")).unwrap() {
+        entry.percent = 0;
+    }
+    report_slow_progress(&mut fixture, "a1", 6);
+    assert!(fixture.stops().is_empty(), "runs that progress slowly go on");
+}
+
+/// Reports the runs of a worker at a tenth of the usual speed for this number of reports.
+fn report_slow_progress(fixture: &mut Fixture, name: &str, reports: u32) {
+    for _ in 0..reports {
+        fixture.advance(200);
+        for entry in fixture.running.get_mut(&worker(name)).unwrap() {
+            entry.percent += 2;
+        }
+        fixture.report(&worker(name));
+    }
+}
+
 /// A worker of the predecessor whose zone is still unknown gets no tasks before the platform lists
 /// it.
 #[test]
