Jobs that a new owner has stored itself wait for no lost worker

Cause: after a takeover, a job that is stored within the 4 s for which the predecessor may trust its lease waits for every worker of the roster that has not answered, since the predecessor may have started it there. If a zone is lost with the owner and one of its workers, each new job of the pool so waits until 4 s after the takeover. If the workers answer (a loss of processes alone), or if the owner is in another zone, nothing waits: the delay depends on which hosts own pools, and not on the number of hosts.

Change: the row of a job names the token of the owner whose process stored it. An owner with a lower token that learns of such a job, by a notice, a scan, a lookup or a takeover, starts nothing of it and gives the pool up. So a job with the owner's own token can't have been started by a predecessor, and starts at once. This counts only if all who may still give orders know of it, which the lease row says: not for a predecessor of an earlier release, unless it gave the pool back with nothing open.

Ruled out: that owners read their lease before they start a job which they did not store. This takes a call for each, and owners that the store rejects would start nothing of what their peers store for them.

Random schedules now have jobs that the newest owner stored and that also reach its predecessor; without the check of the token tasks ran twice there.

--- a/reachhead_bench/src/jobs/simulation.rs
+++ b/reachhead_bench/src/jobs/simulation.rs
@@ -213,8 +213,13 @@
 
     fn submit(&mut self, id: JobId, steps: Vec<Step>) {
         let plan = Arc::new(Plan { payload: "x".repeat(300).into(), steps, schedule: None });
-        let record =
-            JobRecord { queue: queue(), plan, accepted: Millis(self.now.0), customer: None };
+        let record = JobRecord {
+            queue: queue(),
+            plan,
+            accepted: Millis(self.now.0),
+            customer: None,
+            stored_by: None,
+        };
         let row = Revision(START.0 + self.count);
         self.pool.submit(id, &record, row, self.now, Millis(self.now.0));
     }
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -133,6 +133,8 @@
     pending: BTreeMap<WorkerId, PendingWorker>,
     /// What predecessors may have ordered without this owner's knowledge.
     predecessor: orphans::PredecessorOrders,
+    /// No predecessor starts tasks of a job that this owner stored.
+    predecessors_know_storer: bool,
     /// Reported ends of runs whose jobs this owner does not know.
     unclaimed_ends: Vec<UnclaimedEnd>,
     /// The platform's list of workers has been applied at least once.
@@ -218,6 +220,7 @@
                 with_drift(timeouts.hold),
                 now,
             ),
+            predecessors_know_storer: found.knows_storer,
             unclaimed_ends: Vec::new(),
             workers_listed: false,
             drained: drain::DrainedZones::default(),
@@ -298,7 +301,11 @@
         wall: Millis,
     ) {
         let ended = row < Revision(self.token.0);
-        if ended || self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
+        if self.is_replaced(record)
+            || ended
+            || self.jobs.contains_key(&id)
+            || self.closed.contains_key(&id)
+        {
             return;
         }
         self.estimator.observe_job(&record.queue.name, &record.plan);
@@ -309,7 +316,7 @@
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
         let mut job = Job::new(id, record, accepted);
         job.row = Some(row);
-        job.maybe_started = self.predecessor.may_be_given(now);
+        job.maybe_started = self.predecessor.may_be_given(now) && !self.is_own_job(record);
         job.over_share = self.is_beyond_weight(record.customer.as_ref(), now);
         job.add_due_occurrences(wall);
         self.jobs.insert(id, job);
--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -21,6 +21,7 @@
         orders::{ORDER_RETRY_PAUSE, STOP_RECHECK_PAUSE},
     },
     ports::{RunningEntry, WorkerReport},
+    record::JobRecord,
     task::TaskId,
 };
 
@@ -118,6 +119,22 @@
 }
 
 impl Pool {
+    /// Returns whether a job was stored by a later owner, and gives the pool up if so. That owner
+    /// counts on it that no earlier one starts the job.
+    pub(super) fn is_replaced(&mut self, record: &JobRecord) -> bool {
+        let replaced = record.stored_by.is_some_and(|storer| storer > self.token);
+        if replaced {
+            self.actions.push(Action::Fenced);
+        }
+        replaced
+    }
+
+    /// Returns whether this owner stored a job, so that no predecessor starts its tasks, however it
+    /// learns of the job.
+    pub(super) fn is_own_job(&self, record: &JobRecord) -> bool {
+        self.predecessors_know_storer && record.stored_by == Some(self.token)
+    }
+
     /// Keeps a reported run of an unknown job and looks the job up, or stops the run if a job that
     /// is unknown by now has ended.
     pub(super) fn keep_or_stop(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -14,6 +14,9 @@
 impl Pool {
     /// Adds a stored job with its stored progress, and ends it if that shows it as complete or failed.
     pub(super) fn recover_job(&mut self, stored: StoredJob, now: Tick, wall: Millis) {
+        if self.is_replaced(&stored.record) {
+            return;
+        }
         let age = Millis(wall.0.saturating_sub(stored.record.accepted.0));
         self.estimator.observe_job(&stored.record.queue.name, &stored.record.plan);
         self.has_best_effort |= stored.record.plan.has_best_effort();
--- a/reachhead_jobs/src/pool/recovered_state.rs
+++ b/reachhead_jobs/src/pool/recovered_state.rs
@@ -47,4 +47,6 @@
     /// How long orders of the predecessor may still take effect on workers that do not answer; see
     /// [`PoolTimeouts::takeover_delay`](crate::pool::PoolTimeouts::takeover_delay).
     pub effect: Millis,
+    /// See [`LeaseRecord::knows_storer`](crate::record::LeaseRecord::knows_storer) of this owner's lease.
+    pub knows_storer: bool,
 }
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -114,6 +114,10 @@
     /// Customer whose key the call had; `None` if it had none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub customer: Option<CustomerName>,
+    /// Token of the owner that stored the job; `None` if another process stored it. An owner with a
+    /// lower token has been replaced and starts nothing of the job.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stored_by: Option<FencingToken>,
 }
 
 /// How a job ended.
@@ -186,9 +190,18 @@
     /// Number of takeovers in a row that were abandoned because the pool's rows could not be read.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub abandoned: u32,
+    /// The owner, and every earlier one that may still give orders, starts nothing of jobs that were
+    /// stored by an owner with a higher token. Earlier releases do not know who stored a job.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub knows_storer: bool,
 }
 
 impl LeaseRecord {
+    /// Returns [`LeaseRecord::knows_storer`] of the lease after this one.
+    pub const fn successor_knows_storer(&self) -> bool {
+        self.knows_storer || (self.owner.is_none() && self.settled)
+    }
+
     /// Returns the record with which a process releases this lease because it could not read the
     /// pool's rows. It has given no orders; those of earlier owners could have effect for
     /// `order_effect` when it took the lease. None of that time counts as passed: as long as a shard
@@ -202,6 +215,7 @@
             settled: false,
             unsettled_for: Some(order_effect),
             abandoned: self.abandoned + 1,
+            knows_storer: self.knows_storer,
         }
     }
 }
--- a/reachhead_jobs/tests/authority.rs
+++ b/reachhead_jobs/tests/authority.rs
@@ -25,6 +25,7 @@
         settled: false,
         unsettled_for: None,
         abandoned: 0,
+        knows_storer: false,
     }
 }
 
@@ -128,3 +129,16 @@
     }
     check("authority", 200, holds as fn((u16, u8, u16, u8)) -> bool);
 }
+
+/// Guards against two runs of a task during a roll-out: an owner of an earlier release may start jobs of its successors, until
+/// it has given the pool back with nothing open.
+#[test]
+fn successors_of_an_earlier_release_do_not_count_on_it() {
+    let of_earlier_release = lease(Some("a"));
+    assert!(!of_earlier_release.successor_knows_storer());
+    let released = LeaseRecord { settled: false, ..lease(None) };
+    assert!(!released.successor_knows_storer());
+    let settled = LeaseRecord { settled: true, ..lease(None) };
+    assert!(settled.successor_knows_storer());
+    assert!(!of_earlier_release.abandoned(Millis(0)).successor_knows_storer());
+}
--- a/reachhead_jobs/tests/pool/arbitrary_inputs.rs
+++ b/reachhead_jobs/tests/pool/arbitrary_inputs.rs
@@ -349,7 +349,7 @@
     let customer =
         [None, Some(customer_of(0)), Some(customer_of(1))][pick(b, 20, 3) as usize].clone();
     let plan = Arc::new(Plan { payload: "x".into(), steps: steps.collect(), schedule });
-    JobRecord { queue, plan, accepted: Millis(now.0), customer }
+    JobRecord { queue, plan, accepted: Millis(now.0), customer, stored_by: None }
 }
 
 properties! {
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -68,7 +68,7 @@
 
 pub fn record(steps: Vec<Step>, accepted: u64) -> JobRecord {
     let plan = Arc::new(Plan { payload: "x".into(), steps, schedule: None });
-    JobRecord { queue: queue(), plan, accepted: Millis(accepted), customer: None }
+    JobRecord { queue: queue(), plan, accepted: Millis(accepted), customer: None, stored_by: None }
 }
 
 pub fn task(job: u64, step: u32, index: u32) -> TaskId {
@@ -115,6 +115,7 @@
         fences: fences(),
         verified: START,
         effect: timeouts().takeover_delay(),
+        knows_storer: false,
     }
 }
 
--- a/reachhead_jobs/tests/pool/orphans.rs
+++ b/reachhead_jobs/tests/pool/orphans.rs
@@ -1,14 +1,21 @@
 //! Tests of runs that a predecessor ordered after its successor had read the stored jobs.
 
 use reachhead_jobs::{
-    pool::Action,
+    pool::{Action, RecoveredState},
     ports::{RunEnd, WorkerError},
+    record::JobRecord,
     task::TaskId,
 };
-use reachhead_types::{id::JobId, size::RunNumber};
+use reachhead_types::{
+    id::JobId,
+    size::{FencingToken, Millis, Revision, RunNumber},
+};
 
 use crate::fixture::{Fixture, info, recovered, step, task, timeouts, worker};
 
+/// Token of the owner in the fixture.
+const OWN_TOKEN: u64 = 7;
+
 /// Returns the pool of a successor that has read no job, while its predecessor may still order.
 fn successor() -> Fixture {
     let found = recovered(vec![], vec![("w", None), ("v", None)]);
@@ -59,6 +66,55 @@
     assert!(fixture.starts().is_empty(), "it runs there");
 }
 
+fn submit_stored_by(fixture: &mut Fixture, token: u64) {
+    let record = JobRecord {
+        stored_by: Some(FencingToken(token)),
+        ..crate::fixture::record(vec![step(1)], fixture.now.0)
+    };
+    let (now, wall) = (fixture.now, Millis(fixture.now.0));
+    fixture.pool.submit(JobId(1), &record, Revision(60), now, wall);
+}
+
+/// Returns the pool of a successor, one of whose workers does not answer.
+fn successor_with_silent_worker(knows_storer: bool) -> Fixture {
+    let found = recovered(vec![], vec![("w", None), ("v", None)]);
+    let found = RecoveredState { knows_storer, ..found };
+    let mut fixture = Fixture::new(found, vec![info("w", 4), info("v", 4)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.report(&worker("w"));
+    fixture
+}
+
+/// After the loss of a zone with the owner and some workers, each new job waited for four seconds: for as long as the lost
+/// owner could have started it. It can't if the successor has stored the job itself.
+#[test]
+fn a_job_that_the_successor_stored_waits_for_no_worker() {
+    let mut fixture = successor_with_silent_worker(true);
+    submit_stored_by(&mut fixture, OWN_TOKEN);
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// Guards against two runs of a task: another owner may have stored the job, or a predecessor may not look at who did.
+#[test]
+fn a_job_that_a_predecessor_may_start_waits_for_workers_that_have_not_answered() {
+    for (knows_storer, token) in [(true, OWN_TOKEN - 1), (false, OWN_TOKEN)] {
+        let mut fixture = successor_with_silent_worker(knows_storer);
+        submit_stored_by(&mut fixture, token);
+        assert!(fixture.starts().is_empty(), "{knows_storer} {token}");
+    }
+}
+
+/// Guards against a start by an owner that has not noticed its successor, and finds a job of that one in the store.
+#[test]
+fn an_owner_starts_no_job_of_a_later_owner_and_gives_the_pool_up() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    submit_stored_by(&mut fixture, OWN_TOKEN + 1);
+    let actions = fixture.poll();
+    assert!(actions.contains(&Action::Fenced));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Start(..))));
+}
+
 #[test]
 fn a_job_stored_after_the_predecessors_last_order_waits_for_no_worker() {
     let mut fixture = successor();
--- a/reachhead_jobs/tests/progress.rs
+++ b/reachhead_jobs/tests/progress.rs
@@ -41,7 +41,7 @@
         count: occurrences,
     });
     let plan = Arc::new(Plan { payload: "x".into(), steps, schedule });
-    let record = JobRecord { queue, plan, accepted: Millis(0), customer: None };
+    let record = JobRecord { queue, plan, accepted: Millis(0), customer: None, stored_by: None };
     let mut job = Job::new(JobId(1), &record, Tick(0));
     job.add_due_occurrences(Millis(u64::from(occurrences)));
     job
--- a/reachhead_jobs/tests/random_schedules/simulation/submissions.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/submissions.rs
@@ -10,7 +10,7 @@
 use reachhead_store::row::{Commit, Txn};
 use reachhead_types::{
     id::JobId,
-    size::{Millis, Revision},
+    size::{FencingToken, Millis, Revision},
 };
 
 use super::{
@@ -30,6 +30,7 @@
             plan: Arc::clone(&plan),
             accepted: Millis(self.now),
             customer: None,
+            stored_by: (kind % 2 == 0).then(|| self.newest_token()).flatten(),
         };
         if self.crashing && kind >= FIRST_CULPRIT_KIND {
             let first = StepId { job: id, occurrence: 0, step: 0 }.task(0);
@@ -42,6 +43,10 @@
         if self.late_notices && self.owners.len() > 1 {
             self.notify(self.owners.len() - 2, id, &record, row);
             let newest = self.owners.len() - 1;
+            if record.stored_by.is_some() {
+                self.notify(newest, id, &record, row);
+                return;
+            }
             let answer = Answer::Found(vec![id], Some(vec![StoredRow { id, record, row }]));
             let delay = u64::from(kind) * MAX_SCAN_DELAY / u64::from(u8::MAX);
             self.push(delay, Event::Answer { owner: newest, answer });
@@ -50,6 +55,13 @@
         }
     }
 
+    /// Returns the token of the newest owner, if its process can store jobs.
+    fn newest_token(&self) -> Option<FencingToken> {
+        let owner =
+            self.owners.last().filter(|owner| owner.alive && owner.paused_until <= self.now);
+        owner.map(|owner| FencingToken(owner.token.0))
+    }
+
     /// Submits a stored job to an owner.
     fn notify(&mut self, index: usize, id: JobId, record: &JobRecord, row: Revision) {
         let now = Tick(self.now);
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -37,7 +37,8 @@
     /// The same, with the time for which orders of earlier owners may have effect.
     fn take_over_with(&mut self, effect: Millis) {
         let verified = Tick(self.now);
-        let mut found = RecoveredState { verified, effect, ..RecoveredState::default() };
+        let mut found =
+            RecoveredState { verified, effect, knows_storer: true, ..RecoveredState::default() };
         let (token, term) = self.take_lease();
         for shard in Shard::all() {
             let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
@@ -80,6 +81,7 @@
             settled: false,
             unsettled_for: None,
             abandoned: 0,
+            knows_storer: true,
         };
         let txn = Txn::new()
             .with_check(key.clone(), known.as_ref().map(|row| row.revision))
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -342,6 +342,7 @@
         return;
     };
     recovered.verified = lease_sent_at;
+    recovered.knows_storer = lease.record.knows_storer;
     emit(
         Event::LeaseTaken,
         format_args!(
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -299,6 +299,7 @@
             settled: true,
             unsettled_for: None,
             abandoned: 0,
+            knows_storer: false,
         };
         let txn = Txn::new()
             .with_check(lease_key(&name()), Some(self.token))
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -237,7 +237,7 @@
         match call.kind {
             CallKind::Submit(id, plan) => {
                 let accepted = self.0.clock.wall();
-                let record = JobRecord { queue, plan, accepted, customer };
+                let record = JobRecord { queue, plan, accepted, customer, stored_by: None };
                 self.0.submitter.submit(&self.0, id, record, until, false).await
             }
             CallKind::State(id) => self.state(&pool, id, customer, calls).await,
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -444,6 +444,7 @@
             settled: self.pool.unsettled() == 0,
             unsettled_for: Some(self.pool.remaining_takeover_delay(self.node.now())),
             abandoned: 0,
+            knows_storer: false,
         };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
--- a/reachhead_node/src/submit/mod.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -30,7 +30,7 @@
 use reachhead_types::{
     error::ErrorKind,
     id::{JobId, PoolName},
-    size::Revision,
+    size::{FencingToken, Revision},
 };
 use tokio::{
     sync::{Semaphore, mpsc, oneshot},
@@ -236,7 +236,7 @@
 }
 
 /// Commits one transaction; returns the undecided jobs.
-async fn store(node: &Arc<Node>, pool: &PoolName, batch: Vec<Submission>) -> Vec<Submission> {
+async fn store(node: &Arc<Node>, pool: &PoolName, mut batch: Vec<Submission>) -> Vec<Submission> {
     if node.store_outage().is_some() && batch.iter().all(|submission| !submission.maybe_stored) {
         // Nothing is sent, so that no job is in doubt; polls of tables detect that the store is
         // back.
@@ -244,7 +244,9 @@
     }
     let mut ids = BTreeSet::new();
     let mut txn = Txn::new();
-    for submission in &batch {
+    let stored_by = node.local_owner(pool).map(|owner| FencingToken(owner.token.0));
+    for submission in &mut batch {
+        submission.record.stored_by = stored_by;
         if ids.insert(submission.id) {
             txn = txn
                 .with_check(job_key(pool, submission.id), None)
--- a/reachhead_node/src/submit/tests.rs
+++ b/reachhead_node/src/submit/tests.rs
@@ -23,7 +23,13 @@
         allows_anonymous: true,
     };
     let plan = Plan { payload: "x".into(), steps: Vec::new(), schedule: None };
-    JobRecord { queue: Arc::new(queue), plan: Arc::new(plan), accepted: Millis(0), customer: None }
+    JobRecord {
+        queue: Arc::new(queue),
+        plan: Arc::new(plan),
+        accepted: Millis(0),
+        customer: None,
+        stored_by: None,
+    }
 }
 
 #[test]
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -56,8 +56,15 @@
     let abandoned = known.map_or(0, |known| abandoned_before(node, pool, known));
     let owner = Some(node.settings.node.clone());
     let address = Some(node.settings.peer);
-    let record =
-        LeaseRecord { owner, address, term, settled: false, unsettled_for: None, abandoned };
+    let record = LeaseRecord {
+        owner,
+        address,
+        term,
+        settled: false,
+        unsettled_for: None,
+        abandoned,
+        knows_storer: known.is_none_or(|known| known.record.successor_knows_storer()),
+    };
     let key = lease_key(pool);
     let txn = Txn::new()
         .with_check(key.clone(), known.map(|known| known.revision))
