Candidates that are themselves lost don't delay a takeover

Cause: a process waits 60 ms for each better candidate of a vacant pool, and 400 ms if one of them has twice its capacity weight. Members that were lost with the owner are on the list for some 20 s more, and count as such candidates. If a zone takes all owners, which are the strongest processes, all others wait for them.

Change: candidates that have missed heartbeats, and were not heard, for as long as an owner that counts as dead don't count. Members ping all owners, so they know of these; a lost member without pools still counts until it is off the list.

--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -17,7 +17,7 @@
     supervise,
 };
 use reachhead_types::{
-    id::PoolName,
+    id::{NodeName, PoolName},
     size::{FencingToken, Millis, Revision},
 };
 use tokio::{task::JoinHandle, time};
@@ -28,7 +28,7 @@
     node::Node,
     owner::{Outcome, Owner, OwnerHandle},
     takeover::{self, Loader},
-    view::LeaseView,
+    view::{LeaseView, View},
 };
 
 /// Interval between two checks of the leases.
@@ -158,7 +158,7 @@
                 let since = *self.vacant_since.entry(pool.clone()).or_insert(now);
                 self.log_vacant_once(&pool, why, now);
                 let retakes = own && !self.node.ability().is_unreadable(&pool);
-                if retakes || now.since(since) >= self.candidate_delay(&pool) {
+                if retakes || now.since(since) >= self.candidate_delay(&pool, now) {
                     self.vacant_since.remove(&pool);
                     let known = self.node.view().leases.get(&pool).cloned();
                     let policy = config.pools.get(&pool).cloned();
@@ -250,8 +250,18 @@
         cut_off.then_some(Vacancy::CutOff)
     }
 
+    /// Returns whether a candidate has missed heartbeats for as long as an owner that counts as dead.
+    /// Owners of other pools may be lost together with that of this pool.
+    fn is_lost(&self, candidate: &NodeName, view: &View, now: Tick) -> bool {
+        let Some(missed) = view.missed.get(candidate) else {
+            return false;
+        };
+        let heard = view.peers.get(candidate).map_or(Tick(0), |status| status.at);
+        is_silent(&self.running, Some(*missed), heard.max(self.watching_since), now)
+    }
+
     /// Returns how long this process lets better candidates take a pool first.
-    fn candidate_delay(&self, pool: &PoolName) -> Millis {
+    fn candidate_delay(&self, pool: &PoolName, now: Tick) -> Millis {
         let node = &self.node;
         let owned = node.owned().len() + self.takeovers.len();
         let view = node.view();
@@ -260,6 +270,7 @@
             .members
             .iter()
             .filter(|(other, _)| **other != node.settings.node)
+            .filter(|(other, _)| !self.is_lost(other, &view, now))
             .map(|(other, member)| view.candidate(other, &member.record));
         let member = view.members.contains_key(&node.settings.node);
         let delay = candidate::delay(pool, &own, member, others);
