Large answers of the store are bounded by their progress, not by one deadline

Cause: the timeout of a call bounded its whole answer, so a row that a link carries in more than 1.2 s was never read: each attempt began at the first byte. Scans and pages had the same fault with their adaptive timeouts, 4 s at most.

HttpClient::call_large has a deadline for the head, a longest pause of 1.5 s between two parts and 30 s in total. GuardedStore is told of each part: its adaptive timeout bounds the time until the first one, and a store that sends a long answer doesn't count as stalled. Reads of single rows and transactions are bounded as before.

--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -8,11 +8,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response,
+    body::Incoming,
     client::conn::http1::{self, SendRequest},
+    http::response::Parts,
 };
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -47,6 +49,14 @@
 /// dropped.
 const MAX_SHORT_PEERS: usize = 512;
 
+/// Longest pause between two parts of a large answer, after which its connection counts as silent.
+/// On a link that several large answers fill, each still gets a part several times a second.
+pub const MAX_PART_PAUSE: Duration = Duration::from_millis(1500);
+
+/// Longest time that a large answer may take from its head to its end, whatever arrives: a peer
+/// that sends a byte a second must not occupy its caller for ever.
+const MAX_LARGE_TIME: Duration = Duration::from_secs(30);
+
 /// Why a call returned no response.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum CallError {
@@ -103,6 +113,66 @@
     ) -> Result<Response<Bytes>, CallError> {
         let sent = time::Instant::now();
         let end = sent + deadline;
+        let (connection, head, body) = self.send(address, request, end).await?;
+        let body = match within_deadline(end, body.collect()).await {
+            Some(Ok(body)) => body.to_bytes(),
+            Some(Err(error)) => return Err(CallError::Broken(error.to_string())),
+            None => return Err(self.timed_out(address, "no response before the deadline")),
+        };
+        self.record_latency(sent);
+        self.put_idle(address, connection);
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Sends a request whose answer may be large, and returns the buffered response.
+    ///
+    /// `deadline` bounds the time until the answer begins. From then on the call is bounded by its
+    /// progress: a deadline for the whole answer would fail on any link that is slow enough, and
+    /// each further attempt would begin at the first byte again (docs/design/large-reads.md).
+    /// `on_part` is called for the head and for each part of the body.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::call`]; `Lost` if no byte arrived for [`MAX_PART_PAUSE`], or after 30 s in
+    /// total.
+    pub async fn call_large(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Duration,
+        on_part: &(dyn Fn() + Send + Sync),
+    ) -> Result<Response<Bytes>, CallError> {
+        let sent = time::Instant::now();
+        let (connection, head, mut body) = self.send(address, request, sent + deadline).await?;
+        on_part();
+        let last_end = time::Instant::now() + MAX_LARGE_TIME;
+        let mut parts = BytesMut::new();
+        loop {
+            let end = (time::Instant::now() + MAX_PART_PAUSE).min(last_end);
+            match within_deadline(end, body.frame()).await {
+                Some(Some(Ok(frame))) => parts.extend(frame.into_data().ok()),
+                Some(Some(Err(error))) => return Err(CallError::Broken(error.to_string())),
+                Some(None) => break,
+                None => return Err(self.timed_out(address, "the answer stopped arriving")),
+            }
+            if time::Instant::now() >= last_end {
+                return Err(self.timed_out(address, "the answer takes too long"));
+            }
+            on_part();
+        }
+        self.record_latency(sent);
+        self.put_idle(address, connection);
+        Ok(Response::from_parts(head, parts.freeze()))
+    }
+
+    /// Sends a request and returns its connection with the head and the body of the response, unless
+    /// the head does not arrive until `end`.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        end: time::Instant,
+    ) -> Result<(Connection, Parts, Incoming), CallError> {
         let mut request = request;
         loop {
             let (mut connection, is_reused) = match self.take(address) {
@@ -111,23 +181,25 @@
             };
             match within_deadline(end, exchange(&mut connection, request)).await {
                 Some(Ok(response)) => {
-                    self.record_latency(sent);
-                    self.put_idle(address, connection);
-                    return Ok(response);
+                    let (head, body) = response.into_parts();
+                    return Ok((connection, head, body));
                 }
                 Some(Err(Failure::Unsent(unsent))) if is_reused => request = *unsent,
                 Some(Err(Failure::Unsent(_))) => {
                     return Err(CallError::NotSent("the peer closed the connection".to_owned()));
                 }
                 Some(Err(Failure::Broken(error))) => return Err(CallError::Broken(error)),
-                None => {
-                    self.close_idle(address);
-                    return Err(CallError::Lost("no response before the deadline".to_owned()));
-                }
+                None => return Err(self.timed_out(address, "no response before the deadline")),
             }
         }
     }
 
+    /// Closes the idle connections to a peer after a timeout.
+    fn timed_out(&self, address: SocketAddr, reason: &str) -> CallError {
+        self.close_idle(address);
+        CallError::Lost(reason.to_owned())
+    }
+
     /// Sends a request that the peer answers at once, with a limit on concurrent short calls to
     /// that peer.
     ///
@@ -287,20 +359,12 @@
 async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-) -> Result<Response<Bytes>, Failure> {
+) -> Result<Response<Incoming>, Failure> {
     if connection.ready().await.is_err() {
         return Err(Failure::Unsent(Box::new(request)));
     }
-    let response = match connection.try_send_request(request).await {
-        Ok(response) => response,
-        Err(mut error) => {
-            return Err(match error.take_message() {
-                Some(request) => Failure::Unsent(Box::new(request)),
-                None => Failure::Broken(error.into_error().to_string()),
-            });
-        }
-    };
-    let (head, body) = response.into_parts();
-    let body = body.collect().await.map_err(|error| Failure::Broken(error.to_string()))?;
-    Ok(Response::from_parts(head, body.to_bytes()))
+    connection.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+        Some(request) => Failure::Unsent(Box::new(request)),
+        None => Failure::Broken(error.into_error().to_string()),
+    })
 }
--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -4,20 +4,26 @@
 
 use std::{
     collections::BTreeMap,
+    pin::pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use futures::future::{BoxFuture, FutureExt};
-use tokio::time;
+use futures::future::{self, BoxFuture, Either, FutureExt};
+use tokio::{sync::watch, time};
 
 use crate::{
     Store, StoreError,
     adaptive_timeout::{AdaptiveTimeouts, CallKind},
     breaker::{Admission, Breaker, MAX_PROBE_PAUSE},
+    progress::Progress,
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 
+/// Longest pause between two parts of an answer, or between two pages of a scan. The client gives up
+/// a silent connection earlier and reports why; this bounds a store that does not.
+const MAX_PART_PAUSE: Duration = Duration::from_millis(2000);
+
 /// Returns the partition of the store that a key or key prefix belongs to.
 pub type PartitionOf = fn(&str) -> &str;
 
@@ -115,11 +121,15 @@
 
     /// Makes a call to the partition of `key`, unless the store is down or the rate limit is
     /// exceeded.
+    ///
+    /// The adaptive timeout bounds the time until the answer begins to arrive. From then on the
+    /// call itself gives up an answer that stops arriving, and [`MAX_PART_PAUSE`] bounds its pauses: a scan
+    /// takes as long as its rows take on this process's link, of which its timeout knows nothing.
     async fn call<T: Send + 'static>(
         &self,
         key: &str,
         kind: CallKind,
-        call: impl FnOnce(Arc<S>) -> BoxFuture<'static, Result<T, StoreError>>,
+        call: impl FnOnce(Arc<S>, Progress) -> BoxFuture<'static, Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         let partition = (self.partition_of)(key);
         let admission = lock_breakers(&self.breakers).admit(partition, now());
@@ -131,7 +141,7 @@
             }
             Admission::Down => return Err(StoreError::NotDone("the store is down".to_owned())),
         }
-        let in_flight = CallInFlight::new(Arc::clone(&self.breakers), partition, kind);
+        let mut in_flight = CallInFlight::new(Arc::clone(&self.breakers), partition, kind);
         let (is_probe, call_timeout) = {
             let mut breakers = lock_breakers(&self.breakers);
             let is_probe =
@@ -144,15 +154,35 @@
                     .map_or(Duration::MAX, |timeouts| timeouts.current(partition, kind)),
             )
         };
-        let mut call = call(Arc::clone(&self.inner));
+        let progress = Progress::new();
+        let mut parts = progress.parts();
+        let mut call = call(Arc::clone(&self.inner), progress);
         let recorded_call = async move {
-            let Ok(result) = time::timeout(call_timeout, &mut call).await else {
-                in_flight.record_timeout();
-                tokio::spawn(in_flight.into_late_call().observe(call));
-                return Err(StoreError::Lost("no answer in the usual time".to_owned()));
-            };
-            in_flight.record(&result);
-            result
+            let mut timeout = call_timeout;
+            loop {
+                let step = async {
+                    let part = pin!(next_part(&mut parts));
+                    match future::select(&mut call, part).await {
+                        Either::Left((result, _)) => Some(result),
+                        Either::Right(_) => None,
+                    }
+                };
+                match time::timeout(timeout, step).await {
+                    Ok(Some(result)) => {
+                        in_flight.record(&result);
+                        return result;
+                    }
+                    Ok(None) => {
+                        in_flight.record_part();
+                        timeout = call_timeout.max(MAX_PART_PAUSE);
+                    }
+                    Err(_) => {
+                        in_flight.record_timeout();
+                        tokio::spawn(in_flight.into_late_call().observe(call, parts));
+                        return Err(StoreError::Lost("no answer in the usual time".to_owned()));
+                    }
+                }
+            }
         };
         if !is_probe {
             return recorded_call.await;
@@ -163,12 +193,22 @@
     }
 }
 
+/// Waits for the next part of an answer, for ever if there is none.
+async fn next_part(parts: &mut watch::Receiver<u64>) {
+    // The call that would send parts may drop its sender and still answer.
+    if parts.changed().await.is_err() {
+        future::pending().await
+    }
+}
+
 /// A call in flight; dropping it ends the call in the breaker, also when the caller stops waiting.
 struct CallInFlight {
     breakers: Arc<Mutex<Breakers>>,
     partition: String,
     kind: CallKind,
     started: Instant,
+    /// When the first part of the answer arrived.
+    answered: Option<Instant>,
     number: u64,
 }
 
@@ -176,7 +216,15 @@
     fn new(breakers: Arc<Mutex<Breakers>>, partition: &str, kind: CallKind) -> Self {
         let started = now();
         let number = lock_breakers(&breakers).whole.start_call(started);
-        Self { breakers, partition: partition.to_owned(), kind, started, number }
+        let partition = partition.to_owned();
+        Self { breakers, partition, kind, started, answered: None, number }
+    }
+
+    /// Records that a part of the answer arrived, which shows that the store is not stalled.
+    fn record_part(&mut self) {
+        let now = now();
+        self.answered.get_or_insert(now);
+        lock_breakers(&self.breakers).whole.record_success(now);
     }
 
     fn record<T>(&self, result: &Result<T, StoreError>) {
@@ -184,7 +232,8 @@
         let mut breakers = lock_breakers(&self.breakers);
         if matches!(result, Ok(_) | Err(StoreError::Refused(_) | StoreError::Busy(_))) {
             breakers.whole.record_success(now);
-            let latency = now.saturating_duration_since(self.started);
+            let answered = self.answered.unwrap_or(now);
+            let latency = answered.saturating_duration_since(self.started);
             if let Some(timeouts) = &mut breakers.adaptive_timeouts {
                 timeouts.record_answer(&self.partition, self.kind, latency);
             }
@@ -231,10 +280,19 @@
 }
 
 impl LateCall {
-    /// Waits for the answer, which shows how long the next call may take. Without it a partition
-    /// whose calls all take longer than the timeout would never be used again.
-    async fn observe<T>(self, call: BoxFuture<'static, Result<T, StoreError>>) {
-        if call.await.is_ok() {
+    /// Waits until the answer begins, which shows how long the next call may take. Without it a
+    /// partition whose calls all take longer than the timeout would never be used again. The rest
+    /// of the answer is dropped, since it would only delay others on the link.
+    async fn observe<T>(
+        self,
+        call: BoxFuture<'static, Result<T, StoreError>>,
+        mut parts: watch::Receiver<u64>,
+    ) {
+        let is_answered = match future::select(call, pin!(next_part(&mut parts))).await {
+            Either::Left((result, _)) => result.is_ok(),
+            Either::Right(_) => true,
+        };
+        if is_answered {
             let latency = now().saturating_duration_since(self.started);
             if let Some(timeouts) = &mut lock_breakers(&self.breakers).adaptive_timeouts {
                 timeouts.record_late_answer(&self.partition, self.kind, latency);
@@ -253,7 +311,7 @@
     fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
         async move {
             let first = keys.first().cloned().unwrap_or_else(|| Key(String::new()));
-            self.call(&first.0, CallKind::Read, |inner| {
+            self.call(&first.0, CallKind::Read, |inner, _| {
                 async move { inner.read(keys).await }.boxed()
             })
             .await
@@ -265,7 +323,10 @@
         async move {
             let prefix = scan.prefix.clone();
             let kind = if scan.limit == u32::MAX { CallKind::Scan } else { CallKind::Page };
-            self.call(&prefix, kind, |inner| async move { inner.scan(scan).await }.boxed()).await
+            self.call(&prefix, kind, |inner, progress| {
+                async move { inner.scan_with_progress(scan, progress).await }.boxed()
+            })
+            .await
         }
         .boxed()
     }
@@ -275,7 +336,7 @@
             let check = txn.checks.first().map(|check| &check.key);
             let first = check.or_else(|| txn.writes.first().map(|write| &write.key)).cloned();
             let first = first.unwrap_or_else(|| Key(String::new()));
-            self.call(&first.0, CallKind::Commit, |inner| {
+            self.call(&first.0, CallKind::Commit, |inner, _| {
                 async move { inner.commit(txn).await }.boxed()
             })
             .await
--- a/reachhead_store/src/lib.rs
+++ b/reachhead_store/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod memory;
 pub mod page_size;
 pub mod platform;
+pub mod progress;
 pub mod row;
 pub mod waves;
 
@@ -20,7 +21,10 @@
 use reachhead_types::{hosts::HostList, size::Revision};
 use thiserror::Error;
 
-use crate::row::{Commit, Key, Page, Row, Scan, Txn};
+use crate::{
+    progress::Progress,
+    row::{Commit, Key, Page, Row, Scan, Txn},
+};
 
 /// An error of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -56,6 +60,20 @@
     /// As [`Store::read`].
     fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>>;
 
+    /// As [`Store::scan`], and records each part of the answer that arrives. A store whose answers
+    /// arrive as a whole records none.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::read`].
+    fn scan_with_progress(
+        &self,
+        scan: Scan,
+        _progress: Progress,
+    ) -> BoxFuture<'_, Result<Page, StoreError>> {
+        self.scan(scan)
+    }
+
     /// Applies all writes of a transaction if all of its checks hold, otherwise none.
     ///
     /// # Errors
--- a/reachhead_store/tests/guarded.rs
+++ b/reachhead_store/tests/guarded.rs
@@ -15,6 +15,7 @@
     Store, StoreError,
     guarded::GuardedStore,
     memory::MemoryStore,
+    progress::Progress,
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 use tokio::time;
@@ -227,6 +228,64 @@
     }
 }
 
+/// A store whose scans arrive in parts, each of which takes longer than the shortest adaptive timeout.
+struct SlowLink {
+    parts: u32,
+    part_time: Duration,
+}
+
+impl Store for SlowLink {
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
+        async move { Ok(vec![None; keys.len()]) }.boxed()
+    }
+
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
+        self.scan_with_progress(scan, Progress::new())
+    }
+
+    fn scan_with_progress(
+        &self,
+        scan: Scan,
+        progress: Progress,
+    ) -> BoxFuture<'_, Result<Page, StoreError>> {
+        async move {
+            for _ in 0..self.parts {
+                progress.record_part();
+                time::sleep(self.part_time).await;
+            }
+            MemoryStore::new().scan(scan).await
+        }
+        .boxed()
+    }
+
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
+        async move { MemoryStore::new().commit(txn).await }.boxed()
+    }
+}
+
+/// Guards against scans that are given up while their rows arrive. On a link of 2 Mbit/s a shard takes longer than the longest
+/// adaptive timeout, each attempt began at the first row, and other calls failed since the store counted as stalled.
+#[tokio::test(start_paused = true)]
+async fn scan_whose_answer_is_arriving_is_not_given_up_and_blocks_no_call() {
+    let inner = SlowLink { parts: 12, part_time: Duration::from_millis(700) };
+    let store = GuardedStore::new(inner, 1000).with_adaptive_timeouts();
+    let scan = || Scan { prefix: "job/p.0/".to_owned(), after: None, limit: u32::MAX };
+    let reads = async {
+        for _ in 0..8 {
+            time::sleep(Duration::from_millis(950)).await;
+            assert!(store.read(vec![Key("job/p.0/1".to_owned())]).await.is_ok());
+        }
+    };
+    let (scanned, ()) = tokio::join!(store.scan(scan()), reads);
+    assert!(scanned.is_ok(), "{scanned:?}");
+    // An answer that stops arriving is given up all the same.
+    let inner = SlowLink { parts: 1, part_time: Duration::from_secs(60) };
+    let store = GuardedStore::new(inner, 1000).with_adaptive_timeouts();
+    let begun = time::Instant::now();
+    assert!(store.scan(scan()).await.is_err());
+    assert!(begun.elapsed() < Duration::from_secs(5), "{:?}", begun.elapsed());
+}
+
 /// A store with a partition whose transactions are slow and another one that is quick.
 struct SlowPartition;
 
