Refreshes of the configuration go on without their callers, and members limit what they send

Cause: each refresh ended after 300 ms with the callers that waited for it, and the next call began another one, so on a narrow link none ended.

A refresh runs in a task of its own and its result is kept; one read of the operators' table runs at a time, the follower's included. Reads from members use the limits of large answers.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fence;
 pub mod isolation;
 pub mod job;
+pub mod large_answers;
 pub mod liveness;
 pub mod membership;
 pub mod model;
--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -19,13 +19,12 @@
 use reachhead_jobs::{
     clock::Tick,
     model::Configuration,
-    ports::{Admission, FeedError, FeedPage},
+    ports::{Admission, FeedPage},
 };
 use reachhead_ops::{
     client::within_deadline,
     event::{Event, emit},
 };
-use reachhead_store::StoreError;
 use reachhead_types::{
     error::ErrorKind,
     size::{Millis, Revision},
@@ -38,6 +37,7 @@
 };
 
 use crate::{
+    config_reads::{operator_changes, read_from_member, read_from_store, run_to_end},
     follow::{Follower, Operators},
     node::Node,
     peer::{PeerReply, PeerRequest},
@@ -180,6 +180,12 @@
         last.failure.clone()
     }
 
+    /// Records a refresh that was started at `started` and succeeded after its caller had stopped
+    /// waiting.
+    pub async fn record_success(&self, started: Tick) {
+        *self.last.lock().await = Refresh { started, failure: None };
+    }
+
     /// Refreshes the configuration in the background after a failure.
     async fn refresh_in_background(node: Arc<Node>) {
         let started = node.now();
@@ -250,42 +256,31 @@
 /// Applies the operators' changes since the last confirmation, from the store or, if that rejects
 /// this process, from a peer: a revoked key must not stay valid here.
 async fn refresh(node: &Arc<Node>) -> Result<(), RefreshFailure> {
-    let operators = Operators(Arc::clone(node));
-    let known = node.view().config_revision;
-    if let Some(dated) = relay::latest_from_member(node, operators.table(), known).await {
-        operators.apply(&dated.page.changes);
-        operators.confirm_current(dated.at, dated.page.revision);
-        if !node.view().is_config_behind() {
-            return Ok(());
-        }
+    let member = relay::uses_relay(node)
+        && with_timeout(run_to_end(node, |node| read_from_member(node).boxed())).await.is_ok();
+    if member && !node.view().is_config_behind() {
+        return Ok(());
     }
-    let sent = node.now();
     let table_unavailable = AtomicBool::new(false);
-    let page = read_newest(node, &operators, &table_unavailable).await.map_err(|reason| {
-        RefreshFailure { reason, table_unavailable: table_unavailable.load(Ordering::Relaxed) }
-    })?;
-    operators.apply(&page.changes);
-    operators.confirm_current(sent, page.revision);
-    Ok(())
+    read_newest(node, &table_unavailable).await.map_err(|reason| RefreshFailure {
+        reason,
+        table_unavailable: table_unavailable.load(Ordering::Relaxed),
+    })
 }
 
-/// Reads the operators' changes from the store or a peer. Sets `table_unavailable` if a peer that
+/// Applies the operators' changes from the store or a peer. Sets `table_unavailable` if a peer that
 /// reaches the store can't read them.
-async fn read_newest(
-    node: &Node,
-    operators: &Operators,
-    table_unavailable: &AtomicBool,
-) -> Result<FeedPage, String> {
+async fn read_newest(node: &Arc<Node>, table_unavailable: &AtomicBool) -> Result<(), String> {
     // A process that was paused finds its calls failed although the store is available, so the
     // store is always asked.
-    let store = with_timeout(read_from_store(node, operators));
+    let store = with_timeout(run_to_end(node, |node| read_from_store(node).boxed()));
     if node.view().store_failing {
         let peer = with_timeout(read_from_peers(node, table_unavailable));
-        let both: [BoxFuture<'_, Result<FeedPage, String>>; 2] = [store.boxed(), peer.boxed()];
-        return Ok(select_ok(both).await?.0);
+        let both: [BoxFuture<'_, Result<(), String>>; 2] = [store.boxed(), peer.boxed()];
+        return select_ok(both).await.map(|((), _)| ());
     }
     match store.await {
-        Ok(page) => Ok(page),
+        Ok(()) => Ok(()),
         Err(error) => with_timeout(read_from_peers(node, table_unavailable))
             .await
             .map_err(|peer| format!("{error}, {peer}")),
@@ -301,29 +296,6 @@
     }
 }
 
-/// Reads changes from the feed. The whole configuration can be large and a host's link small, so it
-/// is not read in full for each call with an unknown route.
-async fn read_from_store(node: &Node, operators: &Operators) -> Result<FeedPage, String> {
-    let known = node.view().config_revision;
-    let page = operator_changes(node, operators.table(), known).await;
-    node.record_store_result(&page);
-    page.map_err(|error| error.to_string())
-}
-
-/// Returns the operators' changes after `revision`, or the whole table if the store no longer keeps
-/// the changes.
-async fn operator_changes(
-    node: &Node,
-    table: &'static str,
-    revision: Revision,
-) -> Result<FeedPage, StoreError> {
-    match node.services.feed.changes(table, revision, Millis(0)).await {
-        Ok(page) => Ok(page),
-        Err(FeedError::Forgotten) => node.services.feed.table(table).await,
-        Err(FeedError::Store(error)) => Err(error),
-    }
-}
-
 /// Reads the operators' changes for a peer; returns `None` if the store does not return them soon.
 pub async fn read_for_peer(node: &Node, revision: Revision) -> Option<FeedPage> {
     let table = node.services.row_format.operator_table();
@@ -345,9 +317,10 @@
     }
 }
 
-/// Reads the operators' changes from peers that reach the store. Each further one is asked if those
-/// before it have not answered for [`HEDGE_DELAY`].
-async fn read_from_peers(node: &Node, table_unavailable: &AtomicBool) -> Result<FeedPage, String> {
+/// Applies the operators' changes from peers that reach the store. Each further one is asked if
+/// those before it have not answered for [`HEDGE_DELAY`].
+async fn read_from_peers(node: &Arc<Node>, table_unavailable: &AtomicBool) -> Result<(), String> {
+    let sent = node.now();
     let peers = node.view().peers_reaching_store(node.now(), MAX_PEER_AGE, MAX_PEER_AGE);
     let reads = peers.into_iter().take(MAX_REFRESH_PEERS).zip(0..).map(|(peer, rank)| {
         async move {
@@ -360,7 +333,11 @@
     if reads.is_empty() {
         return Err("no peer reaches the store".to_owned());
     }
-    Ok(select_ok(reads).await?.0)
+    let (page, _) = select_ok(reads).await?;
+    let operators = Operators(Arc::clone(node));
+    operators.apply(&page.changes);
+    operators.confirm_current(sent, page.revision);
+    Ok(())
 }
 
 async fn read_from_peer(
@@ -371,6 +348,7 @@
     let request = PeerRequest::OperatorChanges(node.view().config_revision);
     match node.peers.call(peer, &request, REFRESH_TIMEOUT).await {
         Ok(PeerReply::OperatorChanges(Some(page))) => Ok(page),
+        Ok(PeerReply::Table(_)) => Err(format!("peer={peer} sends the table to others")),
         Ok(_) => {
             table_unavailable.store(true, Ordering::Relaxed);
             Err(format!("peer={peer} can't read the operators' changes"))
--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -115,3 +115,17 @@
     node.view().peers.insert("node-3".parse().unwrap(), status);
     assert!(admit(&node).await.is_ok(), "a second peer has the newest configuration");
 }
+
+/// Guards against reads that end with the callers that wait for them: on a narrow link the configuration takes longer than any
+/// caller waits, so that none of them ever ended and all calls were refused.
+#[tokio::test]
+async fn read_that_outlasts_its_callers_is_kept() {
+    let store = serve(Some((Duration::from_millis(700), "{\"rows\":[],\"versionNumber\":9}")));
+    let node = node_with_config(store, Millis(3500));
+    add_peer(&node, serve(None), 20);
+    let before = node.now();
+    assert_eq!(admit(&node).await.unwrap_err(), ErrorKind::NotReady, "not read in time");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(admit(&node).await.is_ok(), "the first read has ended");
+    assert!(node.view().config_current_at >= before);
+}
--- /dev/null
+++ b/reachhead_node/src/config_reads.rs
@@ -0,0 +1,107 @@
+//! Reads of the operators' table, one at a time, each of which goes on until it has ended.
+//!
+//! On a narrow link the table takes seconds, and callers that wait for the newest configuration
+//! give up after 300 ms. If each read ended with its caller, and each call began another one, they
+//! would fill the link and none would ever end (docs/design/large-reads.md).
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use reachhead_jobs::ports::{FeedError, FeedPage};
+use reachhead_store::StoreError;
+use reachhead_types::size::{Millis, Revision};
+use tokio::sync::{Mutex, OwnedMutexGuard, oneshot};
+
+use crate::{
+    follow::{Follower, Operators},
+    node::Node,
+    relay,
+};
+
+/// The reads of the operators' table.
+#[derive(Debug, Default)]
+pub struct ConfigReads {
+    running: Arc<Mutex<()>>,
+}
+
+impl ConfigReads {
+    /// Waits until no read runs; the next one begins when the permit is dropped.
+    pub async fn begin(&self) -> OwnedMutexGuard<()> {
+        Arc::clone(&self.running).lock_owned().await
+    }
+}
+
+/// Waits until no other read runs, then runs `read` to its end, also if the caller stops waiting.
+/// Successes that come too late for the caller count for the calls after it.
+///
+/// # Errors
+///
+/// Those of `read`.
+pub async fn run_to_end<T: Send + 'static>(
+    node: &Arc<Node>,
+    read: impl FnOnce(Arc<Node>) -> BoxFuture<'static, Result<T, String>>,
+) -> Result<T, String> {
+    let permit = node.config_reads.begin().await;
+    let (sender, receiver) = oneshot::channel();
+    let read = read(Arc::clone(node));
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let started = node.now();
+        let result = read.await;
+        drop(permit);
+        if let Err(Ok(_)) = sender.send(result) {
+            node.admission.record_success(started).await;
+        }
+    });
+    receiver.await.map_err(|error| error.to_string())?
+}
+
+/// Applies the changes that a member knows of, if this process reads tables from members.
+///
+/// # Errors
+///
+/// If no member knows the configuration.
+pub async fn read_from_member(node: Arc<Node>) -> Result<(), String> {
+    let operators = Operators(Arc::clone(&node));
+    let known = node.view().config_revision;
+    let dated = relay::latest_from_member(&node, operators.table(), known).await;
+    let dated = dated.ok_or_else(|| "no member knows the configuration".to_owned())?;
+    operators.apply(&dated.page.changes);
+    operators.confirm_current(dated.at, dated.page.revision);
+    Ok(())
+}
+
+/// Applies changes from the feed. The whole configuration can be large and a host's link small, so
+/// it is not read in full for each call with an unknown route.
+///
+/// # Errors
+///
+/// The text of any [`StoreError`].
+pub async fn read_from_store(node: Arc<Node>) -> Result<(), String> {
+    let operators = Operators(Arc::clone(&node));
+    let (known, sent) = (node.view().config_revision, node.now());
+    let page = operator_changes(&node, operators.table(), known).await;
+    node.record_store_result(&page);
+    let page = page.map_err(|error| error.to_string())?;
+    operators.apply(&page.changes);
+    operators.confirm_current(sent, page.revision);
+    Ok(())
+}
+
+/// Returns the operators' changes after `revision`, or the whole table if the store no longer keeps
+/// the changes.
+///
+/// # Errors
+///
+/// Any [`StoreError`].
+pub async fn operator_changes(
+    node: &Node,
+    table: &'static str,
+    revision: Revision,
+) -> Result<FeedPage, StoreError> {
+    match node.services.feed.changes(table, revision, Millis(0)).await {
+        Ok(page) => Ok(page),
+        Err(FeedError::Forgotten) => node.services.feed.table(table).await,
+        Err(FeedError::Store(error)) => Err(error),
+    }
+}
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -4,6 +4,7 @@
 mod bulk_reads;
 mod claim;
 mod clock;
+mod config_reads;
 mod election;
 mod failure_detector;
 mod fleet;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -26,6 +26,7 @@
     bulk_reads::BulkReads,
     claim::{Ability, Takeover},
     clock::Clock,
+    config_reads::ConfigReads,
     election::Vacancy,
     lock::locked,
     metrics::Metrics,
@@ -82,6 +83,8 @@
     pub services: Services,
     /// The client for peers.
     pub peers: PeerClient,
+    /// Reads of the operators' table.
+    pub config_reads: ConfigReads,
     /// Admission control of calls.
     pub admission: AdmissionControl,
     /// Stores accepted jobs.
@@ -125,9 +128,10 @@
             clock,
             services,
             peers,
+            config_reads: ConfigReads::default(),
             admission: AdmissionControl::new(),
             submitter: Submitter::new(),
-            relay: Relay::new(),
+            relay: Relay::new(bandwidth),
             registry: Registry::new(),
             bulk_reads: BulkReads::new(bandwidth),
             metrics,
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
 use http_body_util::Full;
-use hyper::{Method, Request, StatusCode, header};
+use hyper::{Method, Request, Response, StatusCode, body::Body, header};
 use reachhead_jobs::{
     pool::{DrainMode, DrainProgress, PoolLoad, StateReply},
     ports::FeedPage,
@@ -228,21 +228,47 @@
         request: &PeerRequest,
         deadline: Duration,
     ) -> Result<PeerReply, CallError> {
+        let http_request = self.http_request(address, request)?;
+        parse(&self.client.call(address, http_request, deadline).await?)
+    }
+
+    /// Sends a request whose answer may be large; `deadline` bounds the time until it begins.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::call_large`].
+    pub async fn call_large(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        deadline: Duration,
+    ) -> Result<PeerReply, CallError> {
+        let http_request = self.http_request(address, request)?;
+        parse(&self.client.call_large(address, http_request, deadline, &|| {}).await?)
+    }
+
+    fn http_request(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
         let body =
             serde_json::to_vec(request).map_err(|error| CallError::NotSent(error.to_string()))?;
-        let http_request = Request::builder()
+        Request::builder()
             .method(Method::POST)
             .uri(PATH)
             .header(header::HOST, address.to_string())
             .header(CONFIG_HEADER, self.config_version.load(Ordering::Relaxed))
             .body(Full::new(Bytes::from(body)))
-            .map_err(|error| CallError::NotSent(error.to_string()))?;
-        let answer = self.client.call(address, http_request, deadline).await?;
-        serde_json::from_slice(answer.body())
-            .map_err(|error| CallError::Lost(format!("unreadable answer: {error}")))
+            .map_err(|error| CallError::NotSent(error.to_string()))
     }
 }
 
+fn parse(answer: &Response<Bytes>) -> Result<PeerReply, CallError> {
+    serde_json::from_slice(answer.body())
+        .map_err(|error| CallError::Lost(format!("unreadable answer: {error}")))
+}
+
 /// Handler of the messages of peers.
 pub struct PeerHandler(pub Arc<Node>);
 
@@ -266,6 +292,15 @@
         }
     }
 
+    /// Replaces a large answer by the advice to ask the store, if the link is occupied by others.
+    fn limited(&self, response: BufferedResponse) -> BufferedResponse {
+        let bytes = response.body().size_hint().lower() as usize;
+        match self.0.relay.admits_answer(bytes, self.0.now()) {
+            true => response,
+            false => http::json(StatusCode::OK, &PeerReply::Table(TableReply::Unknown)),
+        }
+    }
+
     fn pong(&self) -> PeerReply {
         let Claims { claimed, stalled } = claim::claims(&self.0);
         let unreadable = self.0.ability().unreadable();
@@ -343,7 +378,16 @@
                 self.0.view().hear_of_config(version);
             }
             match serde_json::from_slice::<PeerRequest>(&request.body) {
-                Ok(request) => http::json(StatusCode::OK, &self.answer(request).await),
+                Ok(request) => {
+                    let answer = self.answer(request).await;
+                    let response = http::json(StatusCode::OK, &answer);
+                    match answer {
+                        PeerReply::Table(_) | PeerReply::OperatorChanges(_) => {
+                            self.limited(response)
+                        }
+                        _ => response,
+                    }
+                }
                 Err(error) => http::text(StatusCode::BAD_REQUEST, &error.to_string()),
             }
         }
--- a/reachhead_node/src/relay.rs
+++ b/reachhead_node/src/relay.rs
@@ -14,11 +14,12 @@
 use rand::seq::IteratorRandom;
 use reachhead_jobs::{
     clock::Tick,
+    large_answers::LargeAnswers,
     ports::{FeedError, FeedPage},
     relay::TableChangeLog,
 };
 use reachhead_store::StoreError;
-use reachhead_types::size::{Millis, Revision};
+use reachhead_types::size::{ByteRate, Millis, Revision};
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time};
 
@@ -93,12 +94,17 @@
     newest_changes: Mutex<BTreeMap<&'static str, Revision>>,
     changed: watch::Sender<u64>,
     source: Mutex<Option<SocketAddr>>,
+    sent: Mutex<LargeAnswers>,
+    /// Held while a table is read for others, so that it is read once for all of them.
+    starting: tokio::sync::Mutex<()>,
 }
 
 impl Relay {
-    /// Returns a relay without tables.
-    pub fn new() -> Self {
+    /// Returns a relay without tables, whose answers pass a link of this bandwidth.
+    pub fn new(bandwidth: ByteRate) -> Self {
         Self {
+            sent: Mutex::new(LargeAnswers::new(bandwidth)),
+            starting: tokio::sync::Mutex::default(),
             tables: Mutex::default(),
             newest_changes: Mutex::default(),
             changed: watch::Sender::new(0),
@@ -106,6 +112,11 @@
         }
     }
 
+    /// Returns whether an answer of so many bytes may be sent now.
+    pub fn admits_answer(&self, bytes: usize, now: Tick) -> bool {
+        locked(&self.sent).admit(bytes, now)
+    }
+
     /// Records a whole table that the store returned, valid as of `at`. Rows that were deleted while
     /// no changes were recorded are not in it.
     fn record_table(&self, table: &'static str, page: &FeedPage, at: Tick) {
@@ -184,6 +195,10 @@
 ///
 /// Any [`StoreError`].
 pub async fn read_table(node: &Node, table: &'static str) -> Result<DatedPage, StoreError> {
+    let _permit = match table == node.services.row_format.operator_table() {
+        true => Some(node.config_reads.begin().await),
+        false => None,
+    };
     let at = node.now();
     if uses_relay(node)
         && let Some(TableReply::Page { page, held, age }) =
@@ -194,6 +209,10 @@
     let at = node.now();
     let page = node.services.feed.table(table).await?;
     node.relay.record_table(table, &page, at);
+    if allows_relayed_age(node) && relayed_tables(node).contains(&table) {
+        // Who has the table passes it on; a second read for others would fill the link again.
+        node.relay.start_relaying(table, page.clone(), at);
+    }
     Ok(DatedPage { page, at })
 }
 
@@ -239,7 +258,7 @@
     let source = choose_member(node)?;
     let message = PeerRequest::Table(TableRequest { table: table.to_owned(), after, wait });
     let deadline = wait.duration() + ANSWER_TIMEOUT;
-    let reply = match node.peers.call(source, &message, deadline).await {
+    let reply = match node.peers.call_large(source, &message, deadline).await {
         Ok(PeerReply::Table(reply)) => Some(reply),
         Ok(_) => None,
         Err(error) => {
@@ -264,11 +283,14 @@
     *source
 }
 
+/// Returns the tables that are relayed.
+fn relayed_tables(node: &Node) -> [&'static str; 2] {
+    [node.services.row_format.operator_table(), LEASE_TABLE]
+}
+
 /// Answers a process that requests a table.
 pub async fn serve(node: &Arc<Node>, request: TableRequest) -> TableReply {
-    let row_format = &node.services.row_format;
-    let tables = [row_format.operator_table(), LEASE_TABLE];
-    let Some(table) = tables.into_iter().find(|table| *table == request.table) else {
+    let Some(table) = relayed_tables(node).into_iter().find(|table| *table == request.table) else {
         return TableReply::Unknown;
     };
     if uses_relay(node) {
@@ -276,8 +298,12 @@
     }
     let wait = request.wait.min(MAX_HOLD);
     let mut changed = node.relay.changed.subscribe();
+    let is_full = || locked(&node.relay.sent).is_full(node.now());
+    if request.after.is_none() && table != LEASE_TABLE && is_full() {
+        return TableReply::Unknown;
+    }
     if node.relay.changes_after(&request, table).is_none() {
-        start_relaying(node, table).await;
+        start_relaying(node, table, &request).await;
     }
     let received_at = node.now();
     loop {
@@ -334,7 +360,11 @@
 
 /// Reads a table that others request; from then on the changes that the followers receive are
 /// relayed.
-async fn start_relaying(node: &Node, table: &'static str) {
+async fn start_relaying(node: &Node, table: &'static str, request: &TableRequest) {
+    let _starting = node.relay.starting.lock().await;
+    if node.relay.changes_after(request, table).is_some() {
+        return;
+    }
     let at = node.now();
     match node.services.feed.table(table).await {
         Ok(page) => node.relay.start_relaying(table, page, at),
--- a/reachhead_node/src/relay_tests.rs
+++ b/reachhead_node/src/relay_tests.rs
@@ -5,7 +5,7 @@
     ports::{Change, FeedPage},
 };
 use reachhead_store::row::{Key, Row};
-use reachhead_types::size::{Millis, Revision};
+use reachhead_types::size::{ByteRate, Millis, Revision};
 use serde_json::json;
 
 use super::{Relay, TableRequest};
@@ -27,7 +27,7 @@
 
 #[test]
 fn changes_that_were_followed_elsewhere_are_not_missing_for_readers() {
-    let relay = Relay::new();
+    let relay = Relay::new(ByteRate(1_000_000));
     relay.start_relaying(TABLE, page(&[("op//a", 3)], 5), Tick(10));
     relay.record_changes(TABLE, Revision(5), &page(&[("op//a", 7)], 7), Tick(20));
     let (newer, at) = relay.changes_after(&request(Some(5)), TABLE).unwrap();
@@ -44,7 +44,7 @@
 
 #[test]
 fn rows_deleted_before_a_new_read_are_not_relayed() {
-    let relay = Relay::new();
+    let relay = Relay::new(ByteRate(1_000_000));
     relay.start_relaying(TABLE, page(&[("op//a", 3), ("op//b", 4)], 5), Tick(10));
     let read = page(&[("op//b", 4)], 30);
     relay.record_table(TABLE, &read, Tick(20));
