Starts without a result of a dispatcher are lost, and reports are paced by the link

The reports of a pool's workers exceed the owner's link (up to six polls a second and worker, with all runs of the worker each); batches get no answer within 350 ms, all dispatchers are excluded (E718), and all their orders are sent again directly, with their payloads. A direct start that succeeded hid that the dispatcher might still send the order: to the next incarnation of a worker under the same id, where the pool guards only against starts that it knows to be lost. Change: the time for a batch and its results grows with their size over the link. A start without a result is reported as lost; the pool repeats the run and keeps its guard.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod orphan;
 pub mod owner_failures;
 pub mod place;
+pub mod poll_pace;
 pub mod pool;
 pub mod ports;
 pub mod progress;
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -50,6 +50,7 @@
     clock::{Tick, with_drift},
     job::Job,
     order::DurationEstimator,
+    poll_pace::PollBudget,
     ports::{EndedEntry, WorkerInfo, WorkerTarget},
     record::{Ending, FinalRecord, JobRecord, LeaseRecord},
     shard::Shard,
@@ -152,6 +153,8 @@
     all_answered_at: Option<Tick>,
     /// Start orders that may be sent in this round.
     start_budget: StartBudget,
+    /// Reports that may be requested in this round.
+    poll_budget: PollBudget,
     /// What the last round ordered.
     round: RoundOutcome,
     roster: roster::RosterState,
@@ -233,6 +236,7 @@
             surge_until: Tick(0),
             all_answered_at: None,
             start_budget: StartBudget::unlimited(),
+            poll_budget: PollBudget::unlimited(),
             round: RoundOutcome::default(),
             roster: roster::RosterState::new(found.roster),
             dirty: BTreeSet::new(),
@@ -383,6 +387,16 @@
         self.start_budget
     }
 
+    /// Sets the reports that the next round may request.
+    pub fn set_poll_budget(&mut self, budget: PollBudget) {
+        self.poll_budget = budget;
+    }
+
+    /// Returns what the last round has left of the reports that it may request.
+    pub fn poll_budget(&self) -> PollBudget {
+        self.poll_budget
+    }
+
     /// Returns how many starts the last round ordered, and whether only its budget limited them.
     pub fn round_outcome(&self) -> RoundOutcome {
         self.round
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -6,6 +6,7 @@
     clock::{Tick, WorkerTime},
     job::{Phase, Run},
     model::Step,
+    poll_pace::MAX_POLL_DELAY,
     pool::{Action, DeathEvidence, NoteKind, Pool, StopReason},
     ports::{HoldOrder, StartOrder},
     task::TaskId,
@@ -40,13 +41,18 @@
         let can_order = self.can_order(now);
         let hold = self.timeouts.hold;
         let mut actions = Vec::new();
-        for worker in self.workers.values() {
-            let Poll::Due(due) = worker.poll else {
-                continue;
-            };
-            if due > now {
+        let due_at = |worker: &Worker| match worker.poll {
+            Poll::Due(due) if due <= now => Some(due),
+            _ => None,
+        };
+        let mut due: Vec<(Tick, &Worker)> =
+            self.workers.values().filter_map(|worker| Some((due_at(worker)?, worker))).collect();
+        due.sort_by_key(|(due, _)| *due);
+        for (due, worker) in due {
+            if !self.poll_budget.has_room() && now.since(due) < MAX_POLL_DELAY {
                 continue;
             }
+            self.poll_budget.take(worker.runs.len());
             let deadline = worker
                 .clock
                 .filter(|_| can_order && !worker.silent)
--- a/reachhead_node/src/dispatch/agent.rs
+++ b/reachhead_node/src/dispatch/agent.rs
@@ -8,9 +8,7 @@
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
     clock::WorkerTime,
-    ports::{
-        HoldOrder, Rejection, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
-    },
+    ports::{HoldOrder, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget},
     task::TaskId,
 };
 use reachhead_types::{
@@ -136,7 +134,7 @@
         }
     }
 
-    /// Sends a start order to the worker, for which the dispatcher gave no result.
+    /// Sends a start order to the worker, which the dispatcher has not sent.
     async fn start_directly(
         &self,
         target: WorkerTarget,
@@ -144,7 +142,7 @@
         dispatcher: &NodeName,
     ) -> Result<WorkerTime, WorkerError> {
         log::info!(
-            "pool={} task={} run={} worker={} dispatcher={dispatcher} no result, sent directly",
+            "pool={} task={} run={} worker={} dispatcher={dispatcher} not sent, sent directly",
             self.0.pool,
             order.task,
             order.run,
@@ -155,7 +153,7 @@
     }
 }
 
-/// Why the owner sends an order itself that it had given to a dispatcher.
+/// Why an order that was given to a dispatcher has no outcome.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NoOutcome {
     /// The dispatcher did not send it.
@@ -164,17 +162,6 @@
     Unknown,
 }
 
-/// Returns the result of a direct start after one whose outcome is unknown. An error that shows only
-/// that the direct call had no effect says nothing about the other call, whose run may be active.
-fn after_unknown(result: Result<WorkerTime, WorkerError>) -> Result<WorkerTime, WorkerError> {
-    result.map_err(|error| match error {
-        WorkerError::Replaced
-        | WorkerError::Rejected(Rejection::Fenced | Rejection::Old)
-        | WorkerError::Lost(_) => error,
-        other => WorkerError::Lost(format!("no result of the dispatcher, directly: {other}")),
-    })
-}
-
 impl WorkerAgent for DispatchedWorkers {
     fn start(
         &self,
@@ -200,8 +187,11 @@
             match outcome {
                 Ok(Outcome::Clock(clock)) => Ok(clock),
                 Ok(Outcome::Failed(error)) => Err(error),
+                // The dispatcher may have sent it, or still may: also to the worker's next incarnation,
+                // which has seen no stop of the run. The pool guards against that once it knows, and
+                // repeats the order.
                 Err(NoOutcome::Unknown) => {
-                    after_unknown(self.start_directly(target, order, &node).await)
+                    Err(WorkerError::Lost(format!("no result of dispatcher {node}")))
                 }
                 _ => self.start_directly(target, order, &node).await,
             }
--- a/reachhead_node/src/dispatch/sender.rs
+++ b/reachhead_node/src/dispatch/sender.rs
@@ -43,7 +43,7 @@
 /// time for its answer.
 const MAX_PAYLOAD: usize = 64 << 10;
 
-/// Part of the link's bandwidth that payloads are assumed to get at least, as a divisor.
+/// Part of the link's bandwidth that a batch is assumed to get at least, as a divisor.
 const MIN_LINK_SHARE: u64 = 4;
 
 /// Sends the orders of an owner to its dispatchers.
@@ -144,7 +144,7 @@
             self.metrics.record_order(order.call.kind());
         }
         self.metrics.batch_orders.observe(content.orders.len() as f64);
-        let deadline = RESULT_TIMEOUT.duration() + transfer_time(content.size).duration();
+        let deadline = RESULT_TIMEOUT.duration() + content.transfer.duration();
         let batch = DispatchBatch {
             pool: self.pool.clone(),
             token: self.token,
--- a/reachhead_node/src/dispatch/session.rs
+++ b/reachhead_node/src/dispatch/session.rs
@@ -33,6 +33,12 @@
     due: Tick,
 }
 
+/// Bytes of an order, with its answer unless that is a report.
+const ORDER_SIZE: u64 = 200;
+
+/// Bytes of a report with a dozen runs.
+const REPORT_SIZE: u64 = 800;
+
 /// What a batch carries.
 pub struct BatchContent {
     /// The payloads.
@@ -41,6 +47,8 @@
     pub orders: Vec<Order>,
     /// The length of the payloads.
     pub size: Bytes,
+    /// How long the batch and its results may take on the owner's link.
+    pub transfer: Millis,
 }
 
 /// The orders that an owner has given to one dispatcher, and those that it is about to send.
@@ -122,8 +130,9 @@
         self.queue.len() >= MAX_BATCH_ORDERS || self.payload_bytes >= MAX_BATCH_PAYLOADS.0
     }
 
-    /// Takes the queued orders, if there are any. Their results may take longer by `transfer_time` of
-    /// the payloads.
+    /// Takes the queued orders, if there are any. Their results may take longer by the time that they and
+    /// the orders need on the owner's link: otherwise the dispatchers would be excluded for a narrow
+    /// link, and their orders be repeated on it.
     pub fn take_batch(
         &mut self,
         transfer_time: impl FnOnce(Bytes) -> Millis,
@@ -133,15 +142,15 @@
         }
         let size = Bytes(std::mem::take(&mut self.payload_bytes));
         let orders = std::mem::take(&mut self.queue);
-        if size > Bytes(0) {
-            let extra = transfer_time(size);
-            for order in &orders {
-                if let Some(outstanding) = self.outstanding.get_mut(&order.id) {
-                    outstanding.due = outstanding.due + extra;
-                }
+        let reports = orders.iter().filter(|order| matches!(order.call, OrderCall::Hold(..)));
+        let results = REPORT_SIZE * reports.count() as u64;
+        let transfer = transfer_time(Bytes(size.0 + ORDER_SIZE * orders.len() as u64 + results));
+        for order in &orders {
+            if let Some(outstanding) = self.outstanding.get_mut(&order.id) {
+                outstanding.due = outstanding.due + transfer;
             }
         }
-        Some(BatchContent { payloads: std::mem::take(&mut self.payloads), orders, size })
+        Some(BatchContent { payloads: std::mem::take(&mut self.payloads), orders, size, transfer })
     }
 
     /// Records that the dispatcher answered or sent a message.
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -9,6 +9,7 @@
     clock::Tick,
     liveness::MIN_OUTAGE,
     owner_failures::OwnerFailures,
+    poll_pace::PollPacer,
     ports::{Advisor, HostApi, RowFormat, TableFeed, WorkerAgent},
     start_pace::StartPacer,
 };
@@ -113,6 +114,7 @@
     ability: Mutex<Ability>,
     owner_failures: Mutex<OwnerFailures>,
     start_pacer: Mutex<StartPacer>,
+    poll_pacer: Mutex<PollPacer>,
 }
 
 /// Returns the bandwidth of the process's link.
@@ -132,6 +134,7 @@
         let clock = Clock::new();
         let bandwidth = bandwidth(&settings);
         let start_pacer = Mutex::new(StartPacer::new(bandwidth, settings.cores, clock.now()));
+        let poll_pacer = Mutex::new(PollPacer::new(bandwidth, clock.now()));
         let link = Arc::new(PeerLink(peers.clone()));
         let dispatch_server = DispatchServer::new(Arc::clone(&services.workers), link)
             .with_metrics(metrics.dispatch.clone());
@@ -158,6 +161,7 @@
             ability: Mutex::default(),
             owner_failures: Mutex::new(OwnerFailures::new()),
             start_pacer,
+            poll_pacer,
         }
     }
 
@@ -194,6 +198,11 @@
         locked(&self.start_pacer)
     }
 
+    /// Locks the pacer of the polls of all pools that this process owns.
+    pub fn poll_pacer(&self) -> MutexGuard<'_, PollPacer> {
+        locked(&self.poll_pacer)
+    }
+
     /// Locks what this process knows about its ability to serve pools.
     pub fn ability(&self) -> MutexGuard<'_, Ability> {
         locked(&self.ability)
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -207,8 +207,11 @@
         pacer.record_payload(self.workers.take_link_bytes());
         pacer.set_dispatchers(self.workers.strength());
         self.pool.set_start_budget(pacer.budget(now));
+        let mut poll_pacer = self.node.poll_pacer();
+        self.pool.set_poll_budget(poll_pacer.budget(now));
         let actions = self.pool.poll(now, self.node.clock.wall());
         pacer.record(self.pool.start_budget());
+        poll_pacer.record(self.pool.poll_budget());
         self.dispatching.record(self.pool.round_outcome(), now);
         actions
     }
