Owners keep their pools while a large answer fills their link or those of their peers

Cause: a new version of the configuration fills the links of all processes at once. Heartbeats and small calls then wait behind it: owners counted as silent or cut off from the store, and takeovers read more over the same links.

Time in which a large answer fills the own link is no evidence of silence; late answers to heartbeats show that an owner is alive; an owner that reads tells the members so; parts of an answer count as contact with the store.

--- a/reachhead_jobs/src/ports/feed.rs
+++ b/reachhead_jobs/src/ports/feed.rs
@@ -1,7 +1,7 @@
 //! Change feeds of store tables.
 
 use futures::future::BoxFuture;
-use reachhead_store::{StoreError, row::Row};
+use reachhead_store::{StoreError, progress::Progress, row::Row};
 use reachhead_types::size::{Millis, Revision};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -55,4 +55,20 @@
         revision: Revision,
         wait: Millis,
     ) -> BoxFuture<'_, Result<FeedPage, FeedError>>;
+
+    /// As [`TableFeed::changes`], and records each part of the answer that arrives. A feed whose
+    /// answers arrive as a whole records none.
+    ///
+    /// # Errors
+    ///
+    /// Any [`FeedError`].
+    fn changes_with_progress(
+        &self,
+        table: &'static str,
+        revision: Revision,
+        wait: Millis,
+        _progress: Progress,
+    ) -> BoxFuture<'_, Result<FeedPage, FeedError>> {
+        self.changes(table, revision, wait)
+    }
 }
--- a/reachhead_jobs/src/silence.rs
+++ b/reachhead_jobs/src/silence.rs
@@ -54,11 +54,29 @@
         if gap < DELAYED_GAP {
             return None;
         }
-        self.delays.push_back(Delay { start, end: now });
+        let is_recorded = self.delays.back().is_some_and(|delay| delay.end >= now);
+        if !is_recorded {
+            self.record_delay(Delay { start, end: now });
+        }
+        Some(gap)
+    }
+
+    /// Records that since the last check a large answer has filled this process's own link, so that
+    /// the answers of peers were late. It has to be called before that check; such a stretch counts
+    /// like a delay of this process.
+    pub fn record_filled_link(&mut self, now: Tick) {
+        let start = self.last;
+        match self.delays.back_mut() {
+            Some(delay) if delay.end >= start => delay.end = delay.end.max(now),
+            _ => self.record_delay(Delay { start, end: now }),
+        }
+    }
+
+    fn record_delay(&mut self, delay: Delay) {
+        self.delays.push_back(delay);
         if self.delays.len() > MAX_DELAYS {
             self.delays.pop_front();
         }
-        Some(gap)
     }
 
     /// Returns how long this process ran from `since` to `now`, at least up to [`OWNER_TIMEOUT`].
--- a/reachhead_jobs/tests/silence.rs
+++ b/reachhead_jobs/tests/silence.rs
@@ -258,3 +258,25 @@
     let now = START + Millis(OWNER_TIMEOUT.0 + 100);
     assert!(is_owners_fault(&running, None, START, None, now));
 }
+
+/// Guards against owners that are found silent by a process whose own link is filled by a large answer, and against an owner that
+/// is never found dead because such answers came before and after it died.
+#[test]
+fn time_in_which_a_large_answer_fills_the_link_is_no_evidence() {
+    let mut running = RunningTime::new(START);
+    let checks = |running: &mut RunningTime, from: u64, to: u64, filled: bool| {
+        for at in (from..=to).step_by(CHECK_PERIOD as usize).map(|at| START + Millis(at)) {
+            if filled {
+                running.record_filled_link(at);
+            }
+            // A check that is late within such a stretch doesn't count twice.
+            assert_eq!(running.check(at), None);
+        }
+    };
+    checks(&mut running, 50, 200, false);
+    checks(&mut running, 250, 6000, true);
+    let missed = missed_at(300, 550);
+    assert!(!is_silent(&running, missed, START, START + Millis(6000)));
+    checks(&mut running, 6050, 7200, false);
+    assert!(is_silent(&running, missed, START, START + Millis(7200)));
+}
--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -37,7 +37,7 @@
 };
 
 use crate::{
-    config_reads::{operator_changes, read_from_member, read_from_store, run_to_end},
+    config_reads::{read_changes, read_from_member, read_from_store, run_to_end, run_with},
     follow::{Follower, Operators},
     node::Node,
     peer::{PeerReply, PeerRequest},
@@ -281,6 +281,10 @@
     }
     match store.await {
         Ok(()) => Ok(()),
+        // What peers know would arrive behind it, over the same link.
+        Err(error) if node.peers.is_link_filled() => {
+            Err(format!("{error}, a large answer is arriving"))
+        }
         Err(error) => with_timeout(read_from_peers(node, table_unavailable))
             .await
             .map_err(|peer| format!("{error}, {peer}")),
@@ -297,13 +301,16 @@
 }
 
 /// Reads the operators' changes for a peer; returns `None` if the store does not return them soon.
-pub async fn read_for_peer(node: &Node, revision: Revision) -> Option<FeedPage> {
-    let table = node.services.row_format.operator_table();
-    let read = async {
-        let page = operator_changes(node, table, revision).await;
-        node.record_store_result(&page);
-        page
+///
+/// A process that is reading them for itself does not read them again for others. It answers when
+/// the peer has stopped waiting, since `None` would tell that the store does not return them.
+pub async fn read_for_peer(node: &Arc<Node>, revision: Revision) -> Option<FeedPage> {
+    let Some(permit) = node.config_reads.try_begin() else {
+        time::sleep(REFRESH_TIMEOUT + PEER_READ_TIMEOUT).await;
+        return None;
     };
+    let known = revision.min(node.view().config_revision);
+    let read = run_with(node, permit, |node| read_changes(node, known).boxed());
     match within_deadline(Instant::now() + PEER_READ_TIMEOUT, read).await {
         Some(Ok(page)) => Some(page),
         Some(Err(error)) => {
@@ -348,7 +355,6 @@
     let request = PeerRequest::OperatorChanges(node.view().config_revision);
     match node.peers.call(peer, &request, REFRESH_TIMEOUT).await {
         Ok(PeerReply::OperatorChanges(Some(page))) => Ok(page),
-        Ok(PeerReply::Table(_)) => Err(format!("peer={peer} sends the table to others")),
         Ok(_) => {
             table_unavailable.store(true, Ordering::Relaxed);
             Err(format!("peer={peer} can't read the operators' changes"))
--- a/reachhead_node/src/config_reads.rs
+++ b/reachhead_node/src/config_reads.rs
@@ -4,11 +4,11 @@
 //! give up after 300 ms. If each read ended with its caller, and each call began another one, they
 //! would fill the link and none would ever end (docs/design/large-reads.md).
 
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc};
 
-use futures::future::BoxFuture;
+use futures::future::{self, BoxFuture, Either};
 use reachhead_jobs::ports::{FeedError, FeedPage};
-use reachhead_store::StoreError;
+use reachhead_store::{StoreError, progress::Progress};
 use reachhead_types::size::{Millis, Revision};
 use tokio::sync::{Mutex, OwnedMutexGuard, oneshot};
 
@@ -29,6 +29,11 @@
     pub async fn begin(&self) -> OwnedMutexGuard<()> {
         Arc::clone(&self.running).lock_owned().await
     }
+
+    /// Returns a permit if no read runs.
+    pub fn try_begin(&self) -> Option<OwnedMutexGuard<()>> {
+        Arc::clone(&self.running).try_lock_owned().ok()
+    }
 }
 
 /// Waits until no other read runs, then runs `read` to its end, also if the caller stops waiting.
@@ -42,6 +47,19 @@
     read: impl FnOnce(Arc<Node>) -> BoxFuture<'static, Result<T, String>>,
 ) -> Result<T, String> {
     let permit = node.config_reads.begin().await;
+    run_with(node, permit, read).await
+}
+
+/// As [`run_to_end`], with a permit.
+///
+/// # Errors
+///
+/// Those of `read`.
+pub async fn run_with<T: Send + 'static>(
+    node: &Arc<Node>,
+    permit: OwnedMutexGuard<()>,
+    read: impl FnOnce(Arc<Node>) -> BoxFuture<'static, Result<T, String>>,
+) -> Result<T, String> {
     let (sender, receiver) = oneshot::channel();
     let read = read(Arc::clone(node));
     let node = Arc::clone(node);
@@ -78,14 +96,24 @@
 ///
 /// The text of any [`StoreError`].
 pub async fn read_from_store(node: Arc<Node>) -> Result<(), String> {
+    let known = node.view().config_revision;
+    read_changes(node, known).await.map(drop)
+}
+
+/// Applies and returns the operators' changes after `known`, which this process knows at least.
+///
+/// # Errors
+///
+/// The text of any [`StoreError`].
+pub async fn read_changes(node: Arc<Node>, known: Revision) -> Result<FeedPage, String> {
     let operators = Operators(Arc::clone(&node));
-    let (known, sent) = (node.view().config_revision, node.now());
+    let sent = node.now();
     let page = operator_changes(&node, operators.table(), known).await;
     node.record_store_result(&page);
     let page = page.map_err(|error| error.to_string())?;
     operators.apply(&page.changes);
     operators.confirm_current(sent, page.revision);
-    Ok(())
+    Ok(page)
 }
 
 /// Returns the operators' changes after `revision`, or the whole table if the store no longer keeps
@@ -94,7 +122,7 @@
 /// # Errors
 ///
 /// Any [`StoreError`].
-pub async fn operator_changes(
+async fn operator_changes(
     node: &Node,
     table: &'static str,
     revision: Revision,
@@ -105,3 +133,28 @@
         Err(FeedError::Store(error)) => Err(error),
     }
 }
+
+/// Waits for changes of the operators' table. As soon as an answer begins to arrive, no other read
+/// begins, since it would carry the same changes over the same link.
+///
+/// # Errors
+///
+/// Any [`FeedError`].
+pub async fn poll_operators(
+    node: &Node,
+    table: &'static str,
+    revision: Revision,
+    wait: Millis,
+) -> Result<FeedPage, FeedError> {
+    let progress = Progress::new();
+    let mut parts = progress.parts();
+    let mut poll = node.services.feed.changes_with_progress(table, revision, wait, progress);
+    let first_part = pin!(parts.changed());
+    let has_begun = match future::select(&mut poll, first_part).await {
+        Either::Left((result, _)) => return result,
+        Either::Right((part, _)) => part.is_ok(),
+    };
+    // A read that runs already goes on beside it.
+    let _permit = has_begun.then(|| node.config_reads.try_begin()).flatten();
+    poll.await
+}
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -127,6 +127,10 @@
 impl Election {
     fn check_pools(&mut self) {
         let now = self.node.now();
+        self.node.record_store_progress();
+        if self.node.peers.is_link_filled() {
+            self.running.record_filled_link(now);
+        }
         if let Some(gap) = self.running.check(now) {
             self.log_delay(gap, now);
         }
@@ -222,7 +226,8 @@
         }
         let status = view.peers.get(owner);
         let last = status.map_or(Tick(0), |status| status.at).max(lease.since).max(self.started);
-        let last = last.max(self.watching_since);
+        let late = view.late_answers.get(owner).copied().unwrap_or_default();
+        let last = last.max(self.watching_since).max(late);
         let is_asked = view.owner(pool).is_some_and(|(asked, _)| asked == *owner);
         let missed = is_asked.then(|| view.missed.get(owner).copied().unwrap_or_default());
         if is_silent(&self.running, missed, last, now) {
@@ -243,8 +248,10 @@
         if absent && now.since(lease.since) > OWNER_TIMEOUT {
             return Some(Vacancy::NotClaimed);
         }
-        let reachability =
-            StoreReachability { age: Millis(status.pong.store_age), failing: status.pong.failing };
+        // A new version of the configuration fills the links of many processes at once, and their
+        // other calls to the store time out behind it.
+        let failing = status.pong.failing && !node.peers.is_link_filled();
+        let reachability = StoreReachability { age: Millis(status.pong.store_age), failing };
         let own = view.store_answers.reachability(status.at - reachability.age, now);
         let cut_off = reachability.is_cut_off(own);
         cut_off.then_some(Vacancy::CutOff)
--- a/reachhead_node/src/failure_detector.rs
+++ b/reachhead_node/src/failure_detector.rs
@@ -4,10 +4,11 @@
 //! check that the members are alive, so the load on an owner does not grow with the number of
 //! hosts. Such a process watches the owners itself only when none of several members answers.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use rand::seq::IteratorRandom;
 use reachhead_jobs::clock::Tick;
+use reachhead_ops::client::{CallError, within_deadline};
 use reachhead_types::{
     id::{NodeName, PoolName},
     size::Millis,
@@ -26,6 +27,14 @@
 /// Timeout of one heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time after which the answer to a missed heartbeat is not waited for any more: below the silence
+/// after which an owner is replaced, so that an answer never extends it by more than that.
+const LATE_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Interval at which a process checks whether a large answer is arriving, and time from which one
+/// that arrives counts: on a wide link none takes as long.
+const READ_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
 /// Interval at which a process that is no member pings a member.
 const MEMBER_PING_PERIOD: Millis = Millis(1000);
 
@@ -59,21 +68,77 @@
         }
         let mut view = node.view();
         view.peers.retain(|_, status| now.since(status.at) < STATUS_RETENTION);
+        view.late_answers.retain(|_, at| now.since(*at) < STATUS_RETENTION);
         view.missed.retain(|_, missed| now.since(missed.last_sent()) < STATUS_RETENTION);
     }
 }
 
+/// Tells the members that this process is alive while a large answer arrives, for as long as the
+/// process runs. An owner's own link is filled then, so heartbeats reach it late, and its pools would
+/// be taken over; what it sends itself is not delayed. Only a process whose event loop runs does so.
+pub async fn report_reads(node: Arc<Node>) {
+    let mut reported = node.now();
+    loop {
+        time::sleep(READ_CHECK_PERIOD).await;
+        let now = node.now();
+        let is_slow = |time| time >= READ_CHECK_PERIOD;
+        let is_reading = node.peers.large_answers_arriving_for().is_some_and(is_slow);
+        if !is_reading || !node.owns_any() || now.since(reported).duration() < HEARTBEAT_PERIOD {
+            continue;
+        }
+        reported = now;
+        let own = &node.settings.node;
+        let members = node.view().members.clone();
+        for (_, member) in members.into_iter().filter(|(name, _)| name != own) {
+            let node = Arc::clone(&node);
+            tokio::spawn(async move {
+                let (address, own) = (member.record.address, &node.settings.node);
+                // The message is lost like a heartbeat, and another one follows.
+                let _ = node.peers.report_reading(address, own, LATE_HEARTBEAT_TIMEOUT).await;
+            });
+        }
+    }
+}
+
 /// Sends a heartbeat to a peer, and records whether it is answered.
+///
+/// A heartbeat counts as missed after [`HEARTBEAT_TIMEOUT`], but an answer that comes later still
+/// shows that the peer is alive: heartbeats wait behind a large answer that the peer is reading on a
+/// narrow link (docs/design/large-reads.md). What such an answer reports is too old to be used.
 async fn send_heartbeat(node: &Node, peer: NodeName, address: SocketAddr) {
     let sent = node.now();
-    if !ping(node, &peer, address, HEARTBEAT_TIMEOUT).await {
-        node.view().missed.entry(peer).or_default().record(sent);
+    let end = time::Instant::now() + HEARTBEAT_TIMEOUT;
+    let mut call = pin!(node.peers.call(address, &PeerRequest::Ping, LATE_HEARTBEAT_TIMEOUT));
+    if let Some(reply) = within_deadline(end, &mut call).await {
+        if !record_reply(node, &peer, address, reply) {
+            node.view().missed.entry(peer).or_default().record(sent);
+        }
+        return;
+    }
+    // The connection may have stopped delivering, and so may those that are idle.
+    node.peers.close_idle(address);
+    node.view().missed.entry(peer.clone()).or_default().record(sent);
+    if let Ok(PeerReply::Pong(pong)) = call.await
+        && pong.is_of(&peer)
+    {
+        let now = node.now();
+        node.view().late_answers.insert(peer, now);
     }
 }
 
 /// Pings a peer and stores the status that it reports; returns whether it answered.
 async fn ping(node: &Node, peer: &NodeName, address: SocketAddr, deadline: Duration) -> bool {
     let reply = node.peers.call(address, &PeerRequest::Ping, deadline).await;
+    record_reply(node, peer, address, reply)
+}
+
+/// Stores the status that a peer reports; returns whether it answered.
+fn record_reply(
+    node: &Node,
+    peer: &NodeName,
+    address: SocketAddr,
+    reply: Result<PeerReply, CallError>,
+) -> bool {
     let Ok(PeerReply::Pong(pong)) = reply else {
         return false;
     };
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -250,6 +250,20 @@
         (view.store_failing && age >= STORE_OUTAGE_AGE).then_some(age)
     }
 
+    /// Records that the store is reached if a part of an answer has arrived since its last answer: a
+    /// large answer may take seconds, and the store's other answers wait behind it.
+    pub fn record_store_progress(&self) {
+        let Some(age) = self.peers.part_age(self.settings.store) else {
+            return;
+        };
+        let at = self.now() - age;
+        let mut view = self.view();
+        if at > view.store_answers.last() {
+            view.store_answers.record(at);
+            view.store_failing = false;
+        }
+    }
+
     /// Records whether a call to the store was answered; logs when the store is lost and when it is
     /// back.
     pub fn record_store_result<T>(&self, result: &Result<T, StoreError>) {
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -1,40 +1,34 @@
-//! Messages between the processes of the system.
+//! Messages between the processes of the system, and what answers them.
 //!
 //! They are HTTP calls over the same client as those to the platform: each needs its own deadline
 //! and a connection that can be dropped, and some are on the path of a caller's request.
 //! docs/PLATFORM.md has the measurements that decided against a second messaging library.
 
+mod client;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
+    sync::Arc,
 };
 
-use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
-use http_body_util::Full;
-use hyper::{Method, Request, Response, StatusCode, body::Body, header};
+use hyper::{StatusCode, body::Body};
 use reachhead_jobs::{
     pool::{DrainMode, DrainProgress, PoolLoad, StateReply},
     ports::FeedPage,
     quota::{Allotment, UsageReport},
     record::JobRecord,
 };
-use reachhead_ops::{
-    client::{CallError, HttpClient},
-    http::{self, BufferedRequest, BufferedResponse, Handler},
-};
+use reachhead_ops::http::{self, BufferedRequest, BufferedResponse, Handler};
 use reachhead_types::{
     id::{CustomerName, JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{Millis, Revision, Version},
+    size::{Revision, Version},
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+pub use self::client::PeerClient;
+use self::client::{CONFIG_HEADER, READER_HEADER};
 use crate::{
     admission::read_for_peer,
     claim::{self, Claims},
@@ -45,13 +39,6 @@
     submit::{StoreOutcome, store_for_peer},
 };
 
-/// Path of all messages.
-const PATH: &str = "/peer";
-
-/// Header with the version of the configuration in force in the process that sends a message. What
-/// it requests may be an effect of that version, after which the receiver must not use an older one.
-const CONFIG_HEADER: &str = "reachhead-configuration";
-
 /// A request to a process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -192,83 +179,6 @@
     }
 }
 
-/// Client for messages to peers.
-#[derive(Clone)]
-pub struct PeerClient {
-    client: Arc<HttpClient>,
-    /// The version of the configuration in force here, or zero.
-    config_version: Arc<AtomicU64>,
-}
-
-impl PeerClient {
-    /// Returns a client over `client`.
-    pub fn new(client: Arc<HttpClient>) -> Self {
-        Self { client, config_version: Arc::default() }
-    }
-
-    /// Returns how long ago the latest call was sent that a peer or a service of the platform answered
-    /// quickly.
-    pub fn quick_answer_age(&self) -> Option<Millis> {
-        self.client.quick_answer_age().map(|age| Millis(age.as_millis() as u64))
-    }
-
-    /// Sets the version of the configuration in force, which messages name from now on.
-    pub fn set_config_version(&self, version: Version) {
-        self.config_version.store(version.0, Ordering::Relaxed);
-    }
-
-    /// Sends a request to a peer and returns its answer.
-    ///
-    /// # Errors
-    ///
-    /// As [`HttpClient::call`].
-    pub async fn call(
-        &self,
-        address: SocketAddr,
-        request: &PeerRequest,
-        deadline: Duration,
-    ) -> Result<PeerReply, CallError> {
-        let http_request = self.http_request(address, request)?;
-        parse(&self.client.call(address, http_request, deadline).await?)
-    }
-
-    /// Sends a request whose answer may be large; `deadline` bounds the time until it begins.
-    ///
-    /// # Errors
-    ///
-    /// As [`HttpClient::call_large`].
-    pub async fn call_large(
-        &self,
-        address: SocketAddr,
-        request: &PeerRequest,
-        deadline: Duration,
-    ) -> Result<PeerReply, CallError> {
-        let http_request = self.http_request(address, request)?;
-        parse(&self.client.call_large(address, http_request, deadline, &|| {}).await?)
-    }
-
-    fn http_request(
-        &self,
-        address: SocketAddr,
-        request: &PeerRequest,
-    ) -> Result<Request<Full<Bytes>>, CallError> {
-        let body =
-            serde_json::to_vec(request).map_err(|error| CallError::NotSent(error.to_string()))?;
-        Request::builder()
-            .method(Method::POST)
-            .uri(PATH)
-            .header(header::HOST, address.to_string())
-            .header(CONFIG_HEADER, self.config_version.load(Ordering::Relaxed))
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|error| CallError::NotSent(error.to_string()))
-    }
-}
-
-fn parse(answer: &Response<Bytes>) -> Result<PeerReply, CallError> {
-    serde_json::from_slice(answer.body())
-        .map_err(|error| CallError::Lost(format!("unreadable answer: {error}")))
-}
-
 /// Handler of the messages of peers.
 pub struct PeerHandler(pub Arc<Node>);
 
@@ -304,7 +214,9 @@
     fn pong(&self) -> PeerReply {
         let Claims { claimed, stalled } = claim::claims(&self.0);
         let unreadable = self.0.ability().unreadable();
+        self.0.record_store_progress();
         let now = self.0.now();
+        let is_arriving = self.0.peers.is_large_answer_arriving();
         let view = self.0.view();
         let store_age = now.since(view.store_answers.last()).0;
         PeerReply::Pong(Pong {
@@ -312,7 +224,8 @@
             stalled,
             unreadable,
             store_age,
-            failing: view.store_failing,
+            // Calls that time out behind a large answer of the store show no fault of the store.
+            failing: view.store_failing && !is_arriving,
             stopping: self.0.is_stopping(),
             node: Some(self.0.settings.node.clone()),
         })
@@ -371,20 +284,27 @@
     text.parse().ok().map(Version)
 }
 
+/// Returns the process that sent a message because it is reading a large answer.
+fn reader(request: &BufferedRequest) -> Option<NodeName> {
+    request.headers.get(READER_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 impl Handler for PeerHandler {
     fn handle(&self, request: BufferedRequest) -> BoxFuture<'_, BufferedResponse> {
         async move {
             if let Some(version) = config_version(&request) {
                 self.0.view().hear_of_config(version);
             }
+            if let Some(reader) = reader(&request) {
+                let now = self.0.now();
+                self.0.view().late_answers.insert(reader, now);
+            }
             match serde_json::from_slice::<PeerRequest>(&request.body) {
                 Ok(request) => {
                     let answer = self.answer(request).await;
                     let response = http::json(StatusCode::OK, &answer);
                     match answer {
-                        PeerReply::Table(_) | PeerReply::OperatorChanges(_) => {
-                            self.limited(response)
-                        }
+                        PeerReply::Table(_) => self.limited(response),
                         _ => response,
                     }
                 }
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -225,6 +225,7 @@
     tasks.spawn("election", election::run(Arc::clone(node)));
     tasks.spawn("claims", claim::run(Arc::clone(node)));
     tasks.spawn("failure detector", failure_detector::run(Arc::clone(node)));
+    tasks.spawn("reports of reads", failure_detector::report_reads(Arc::clone(node)));
     tasks.spawn("registry", registry::run(Arc::clone(node)));
     tasks.spawn("handover", handover::run(Arc::clone(node)));
     tasks.spawn("admission", admission::keep_config_current(Arc::clone(node)));
--- a/reachhead_node/src/relay.rs
+++ b/reachhead_node/src/relay.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     admission::max_config_age,
+    config_reads::poll_operators,
     follow::LEASE_TABLE,
     lock::locked,
     node::Node,
@@ -236,7 +237,10 @@
         }
     }
     let at = node.now();
-    let page = node.services.feed.changes(table, revision, wait).await?;
+    let page = match table == node.services.row_format.operator_table() {
+        true => poll_operators(node, table, revision, wait).await?,
+        false => node.services.feed.changes(table, revision, wait).await?,
+    };
     node.relay.record_changes(table, revision, &page, at);
     Ok(DatedPage { page, at })
 }
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -124,6 +124,9 @@
     pub peers: BTreeMap<NodeName, PeerStatus>,
     /// The heartbeats that each peer did not answer.
     pub missed: BTreeMap<NodeName, MissedHeartbeats>,
+    /// When each peer last answered a heartbeat that counted as missed, or told that it is alive and
+    /// reads a large answer.
+    pub late_answers: BTreeMap<NodeName, Tick>,
     /// When the store answered this process.
     pub store_answers: StoreAnswers,
     /// The last call to the store failed.
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
     http::response::Parts,
 };
@@ -20,6 +20,8 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, sync::Semaphore, time};
 
+use crate::arrivals::Arrivals;
+
 /// Maximum number of idle connections per peer; further ones are closed after use.
 const MAX_IDLE_PER_PEER: usize = 3;
 
@@ -90,6 +92,7 @@
     short_calls: Mutex<HashMap<SocketAddr, Arc<Semaphore>>>,
     /// Peers with idle connections of short calls, the least recently used first.
     short_idle: Mutex<VecDeque<SocketAddr>>,
+    arrivals: Arrivals,
     /// When the latest call with a quick answer was sent.
     quick_sent: Mutex<Option<time::Instant>>,
 }
@@ -145,6 +148,11 @@
         let sent = time::Instant::now();
         let (connection, head, mut body) = self.send(address, request, sent + deadline).await?;
         on_part();
+        let mut arrival = head.status.is_success().then(|| self.arrivals.watch(address));
+        let announced = body.size_hint().lower();
+        if let Some(arrival) = &mut arrival {
+            arrival.record_part(announced);
+        }
         let last_end = time::Instant::now() + MAX_LARGE_TIME;
         let mut parts = BytesMut::new();
         loop {
@@ -159,6 +167,9 @@
                 return Err(self.timed_out(address, "the answer takes too long"));
             }
             on_part();
+            if let Some(arrival) = &mut arrival {
+                arrival.record_part(announced.max(parts.len() as u64));
+            }
         }
         self.record_latency(sent);
         self.put_idle(address, connection);
@@ -278,6 +289,11 @@
         last.map(|sent| sent.elapsed())
     }
 
+    /// Returns the large answers that are arriving.
+    pub fn arrivals(&self) -> &Arrivals {
+        &self.arrivals
+    }
+
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/reachhead_ops/src/lib.rs
+++ b/reachhead_ops/src/lib.rs
@@ -1,6 +1,7 @@
 //! Infrastructure shared by all processes: command line, HTTP, log events, ops listener, runtime
 //! and signals.
 
+pub mod arrivals;
 pub mod cli;
 pub mod client;
 pub mod deadline;
