A full link of the owner excludes no dispatcher, and repeated starts wait for the start budget

All starts without a result were repeated after 50 ms, whatever the budget. Change: while no call is answered quickly, the orders of a batch without an answer are lost and the session goes on. A start is repeated when the budget has room. Result: its test failed before (14 of 14 pass).

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -255,6 +255,8 @@
                     run.settled_at = Some(now);
                 }
             }
+            // Orders that are lost on a full link would fill it if they were all sent again at once.
+            RunAction::ResendStart if !self.start_budget.has_room() => {}
             RunAction::ResendStart => self.resend_start(*task, run),
             RunAction::Stop(why) => self.stop_run(*task, run, *why, now),
             RunAction::ResendStop => self.send_stop(*task, run),
--- a/reachhead_node/src/dispatch/agent_tests.rs
+++ b/reachhead_node/src/dispatch/agent_tests.rs
@@ -1,6 +1,9 @@
 //! An owner whose dispatchers fail: each order still has one result, that of a worker.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use futures::future::join_all;
 use reachhead_jobs::{
@@ -144,6 +147,24 @@
     assert_eq!(fixture.direct.count(), 0);
 }
 
+/// Guards against an owner that excludes one dispatcher after the other because its own link is full, and sends
+/// each of them the payloads again.
+#[tokio::test]
+async fn full_link_of_the_owner_excludes_no_dispatcher() {
+    let fixture = Fixture::new(1, Some(Ok(())));
+    fixture.link.filled.store(true, Ordering::Relaxed);
+    *fixture.link.orders.lock().unwrap() = Delivery::AnswerLost;
+    *fixture.link.results.lock().unwrap() = Delivery::Lost;
+    let first = fixture.start(0).await;
+    assert!(is_lost(&first), "{first:?}");
+    *fixture.link.orders.lock().unwrap() = Delivery::Works;
+    *fixture.link.results.lock().unwrap() = Delivery::Works;
+    assert_eq!(fixture.start(0).await, DONE);
+    assert_eq!((fixture.direct.count(), fixture.dispatched.count()), (0, 2));
+    let batches = fixture.link.batches.lock().unwrap();
+    assert_eq!(batches.iter().map(|batch| batch.payloads.len()).sum::<usize>(), 1);
+}
+
 /// Guards against an owner that depends on dispatchers when all of them are gone.
 #[tokio::test]
 async fn owner_without_dispatchers_sends_everything_itself() {
--- a/reachhead_node/src/dispatch/fakes_tests.rs
+++ b/reachhead_node/src/dispatch/fakes_tests.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, OnceLock},
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -147,6 +150,8 @@
 /// Links between an owner and one dispatcher, on which each message is encoded and decoded.
 #[derive(Default)]
 pub struct FakeLink {
+    /// The owner's own link is filled.
+    pub filled: AtomicBool,
     pub orders: Mutex<Delivery>,
     pub results: Mutex<Delivery>,
     pub batches: Mutex<Vec<DispatchBatch>>,
@@ -157,6 +162,10 @@
 }
 
 impl DispatchLink for FakeLink {
+    fn is_free(&self) -> bool {
+        !self.filled.load(Ordering::Relaxed)
+    }
+
     fn send(
         &self,
         _: SocketAddr,
--- a/reachhead_node/src/dispatch/link.rs
+++ b/reachhead_node/src/dispatch/link.rs
@@ -4,6 +4,7 @@
 
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_ops::client::CallError;
+use reachhead_types::size::Millis;
 
 use super::messages::{DispatchBatch, OrderResult, ResultBatch};
 use crate::peer::{PeerClient, PeerReply, PeerRequest};
@@ -22,6 +23,10 @@
         deadline: Duration,
     ) -> BoxFuture<'_, Result<Vec<OrderResult>, CallError>>;
 
+    /// Returns whether a call was answered quickly of late, so that this process's own link does not delay
+    /// the answers of others.
+    fn is_free(&self) -> bool;
+
     /// Sends results to an owner.
     ///
     /// # Errors
@@ -38,7 +43,15 @@
 /// Messages between processes, over [`PeerClient`].
 pub struct PeerLink(pub PeerClient);
 
+/// Age of the latest call with a quick answer up to which the own link counts as free. Owners call the
+/// store and workers several times in that time.
+const MAX_QUICK_AGE: Millis = Millis(400);
+
 impl DispatchLink for PeerLink {
+    fn is_free(&self) -> bool {
+        self.0.quick_answer_age().is_some_and(|age| age <= MAX_QUICK_AGE)
+    }
+
     fn send(
         &self,
         address: SocketAddr,
--- a/reachhead_node/src/dispatch/sender.rs
+++ b/reachhead_node/src/dispatch/sender.rs
@@ -22,7 +22,7 @@
 
 use super::{
     link::DispatchLink,
-    messages::{DispatchBatch, OrderCall, OrderResult, Outcome, SessionId},
+    messages::{DispatchBatch, OrderCall, OrderId, OrderResult, Outcome, SessionId},
     metrics::DispatchMetrics,
     session::RESULT_TIMEOUT,
     sessions::{Exclusion, Flush, Sessions},
@@ -144,6 +144,7 @@
             self.metrics.record_order(order.call.kind());
         }
         self.metrics.batch_orders.observe(content.orders.len() as f64);
+        let sent: Vec<OrderId> = content.orders.iter().map(|order| order.id).collect();
         let deadline = RESULT_TIMEOUT.duration() + content.transfer.duration();
         let batch = DispatchBatch {
             pool: self.pool.clone(),
@@ -158,7 +159,15 @@
             Ok(results) => self.receive(id, results),
             Err(error) => {
                 let now = self.clock.now();
-                let failed = locked(&self.state).sessions.fail(&node, id, error.to_string(), now);
+                let sessions = &mut locked(&self.state).sessions;
+                if !self.link.is_free() {
+                    // Another dispatcher would need the payloads again, over the same link.
+                    if let Some(session) = sessions.session(&node, id) {
+                        session.drop_orders(&sent);
+                    }
+                    return;
+                }
+                let failed = sessions.fail(&node, id, error.to_string(), now);
                 self.report(failed);
             }
         }
@@ -198,7 +207,7 @@
             if delay > MAX_CHECK_DELAY {
                 state.sessions.extend(delay);
             }
-            let excluded = state.sessions.drop_overdue(now);
+            let excluded = state.sessions.drop_overdue(self.link.is_free(), now);
             let is_done = !state.sessions.is_waiting();
             state.is_checking = !is_done;
             drop(state);
--- a/reachhead_node/src/dispatch/session.rs
+++ b/reachhead_node/src/dispatch/session.rs
@@ -188,6 +188,13 @@
         overdue
     }
 
+    /// Drops orders that will have no result.
+    pub fn drop_orders(&mut self, orders: &[OrderId]) {
+        for order in orders {
+            self.outstanding.remove(order);
+        }
+    }
+
     /// Extends the time for all results by the time for which this process did not run.
     pub fn extend(&mut self, time: Millis) {
         for order in self.outstanding.values_mut() {
--- a/reachhead_node/src/dispatch/sessions.rs
+++ b/reachhead_node/src/dispatch/sessions.rs
@@ -254,11 +254,11 @@
     }
 
     /// Drops the orders without a result in time, and excludes dispatchers that have been silent
-    /// meanwhile.
-    pub fn drop_overdue(&mut self, now: Tick) -> Vec<Exclusion> {
+    /// meanwhile, unless the owner's own link may be the cause.
+    pub fn drop_overdue(&mut self, is_own_link_free: bool, now: Tick) -> Vec<Exclusion> {
         let mut silent = Vec::new();
         for (node, session) in &mut self.sessions {
-            if session.drop_overdue(now).is_silent {
+            if session.drop_overdue(now).is_silent && is_own_link_free {
                 silent.push((node.clone(), session.id));
             }
         }
