Dispatch only where it relieves the processor, and polls of workers without an answer are not paced

Cause: on links of 2 Mbit/s dispatch made things worse: the reports cross the owner's link with dispatchers as without, and dispatchers have the same links. Workers without an answer waited for the poll budget while their leases expired. Change: an owner whose link carries fewer starts than its processor sends has no dispatchers. Polls of silent workers and of those that have never answered go first, and none waits longer than 600 ms.

--- a/reachhead_jobs/src/poll_pace.rs
+++ b/reachhead_jobs/src/poll_pace.rs
@@ -21,7 +21,7 @@
 const RUN_SIZE: f64 = 60.0;
 
 /// Longest delay of a poll: well below the lease of a worker, less the longest wait of a poll.
-pub const MAX_POLL_DELAY: Millis = Millis(1000);
+pub const MAX_POLL_DELAY: Millis = Millis(600);
 
 /// Bytes of reports that may be requested now. The last poll may exceed what is left.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -49,7 +49,9 @@
             self.workers.values().filter_map(|worker| Some((due_at(worker)?, worker))).collect();
         due.sort_by_key(|(due, _)| *due);
         for (due, worker) in due {
-            if !self.poll_budget.has_room() && now.since(due) < MAX_POLL_DELAY {
+            // The lease of a worker that has not answered expires soon.
+            let is_urgent = worker.silent || !worker.answered || now.since(due) >= MAX_POLL_DELAY;
+            if !self.poll_budget.has_room() && !is_urgent {
                 continue;
             }
             self.poll_budget.take(worker.runs.len());
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -172,9 +172,21 @@
 
     /// Returns the process's capacity, in starts of tasks per second.
     pub fn strength(&self) -> Strength {
-        let by_cores = self.settings.cores / CORE_SECONDS_PER_START;
-        let by_link = self.settings.link_mbps * BITS_PER_MEGABIT / LINK_BITS_PER_START;
-        Strength(by_cores.min(by_link) as u32)
+        Strength(self.processor_strength().min(self.link_strength()) as u32)
+    }
+
+    /// Returns whether dispatchers can relieve this process as an owner. They save processor time above all:
+    /// the reports of the workers cross the owner's link with them as without.
+    pub fn gains_by_dispatch(&self) -> bool {
+        self.link_strength() >= self.processor_strength()
+    }
+
+    fn processor_strength(&self) -> f64 {
+        self.settings.cores / CORE_SECONDS_PER_START
+    }
+
+    fn link_strength(&self) -> f64 {
+        self.settings.link_mbps * BITS_PER_MEGABIT / LINK_BITS_PER_START
     }
 
     /// Locks the local view of the system. The guard must not be held across an await.
--- a/reachhead_node/src/owner/dispatching.rs
+++ b/reachhead_node/src/owner/dispatching.rs
@@ -54,7 +54,7 @@
             return;
         }
         self.updated_at = now;
-        let is_needed = self.need.is_needed(now);
+        let is_needed = node.gains_by_dispatch() && self.need.is_needed(now);
         if !is_needed && !self.is_active && !self.has_orders {
             return;
         }
