Dispatch begins after 0.6 s at the limit, and an order is 0.08 ms of the processor

Cause: on deployments with strong hosts dispatch began in bursts of half a second after a loss of power (E717), which the owner serves alone, and lasted ten seconds. Change: the need has to last for 0.6 s.

--- a/reachhead_jobs/src/dispatch/need.rs
+++ b/reachhead_jobs/src/dispatch/need.rs
@@ -28,6 +28,20 @@
 /// the next rounds serve.
 const MIN_LIMITED: usize = 3;
 
+/// Time for which the owner has to be at its limit until dispatchers are needed. All hosts of a pool get
+/// tasks at once after a loss of power, which an owner serves sooner than dispatchers are of use.
+const MIN_PRESSURE_TIME: Millis = Millis(600);
+
+/// Longest time below the limit that does not end such a time.
+const MAX_PRESSURE_GAP: Millis = Millis(100);
+
+/// A time in which the owner is at its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Pressure {
+    since: Tick,
+    last: Tick,
+}
+
 /// Starts that were ordered in a round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct RoundStarts {
@@ -52,6 +66,7 @@
     peaks: VecDeque<MeasuredRate>,
     /// Whether the latest rounds were limited, the oldest first.
     limited: VecDeque<bool>,
+    pressure: Option<Pressure>,
     /// When dispatchers were last needed, or starts last too many to end their use.
     busy_at: Option<Tick>,
 }
@@ -64,6 +79,7 @@
             starts: VecDeque::new(),
             peaks: VecDeque::new(),
             limited: VecDeque::with_capacity(ROUNDS),
+            pressure: None,
             busy_at: None,
         }
     }
@@ -86,12 +102,21 @@
         self.limited.push_back(limited);
 
         let limited_rounds = self.limited.iter().filter(|limited| **limited).count();
-        let begins = limited_rounds >= MIN_LIMITED || self.reaches(BEGIN_PERCENT, rate);
+        let is_pressed = limited_rounds >= MIN_LIMITED || self.reaches(BEGIN_PERCENT, rate);
+        let begins = is_pressed && self.record_pressure(now) >= MIN_PRESSURE_TIME;
         if begins || (self.is_needed(now) && self.reaches(END_PERCENT, rate)) {
             self.busy_at = Some(now);
         }
     }
 
+    /// Records that the owner is at its limit, and returns for how long it has been.
+    fn record_pressure(&mut self, now: Tick) -> Millis {
+        let ongoing = self.pressure.filter(|known| now.since(known.last) < MAX_PRESSURE_GAP);
+        let since = ongoing.map_or(now, |known| known.since);
+        self.pressure = Some(Pressure { since, last: now });
+        now.since(since)
+    }
+
     /// Returns whether the owner needs dispatchers.
     pub fn is_needed(&self, now: Tick) -> bool {
         self.busy_at.is_some_and(|at| now.since(at) < QUIET_TIME)
--- a/reachhead_jobs/src/start_pace.rs
+++ b/reachhead_jobs/src/start_pace.rs
@@ -30,7 +30,7 @@
 const DISPATCHED_SIZE: Bytes = Bytes(120);
 
 /// Processor time of an order that this process sends itself, in milliseconds of a core.
-const ORDER_TIME: f64 = 0.1;
+const ORDER_TIME: f64 = 0.08;
 
 /// Processor time of an order to a dispatcher, in milliseconds of a core.
 const DISPATCHED_TIME: f64 = 0.02;
