--- a/reachhead_bench/src/main.rs
+++ b/reachhead_bench/src/main.rs
@@ -56,7 +56,11 @@
 /// Pool owner under a burst of jobs, in virtual time: CPU cost of its decisions, share of jobs in time.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "jobs")]
-struct JobsArgs {}
+struct JobsArgs {
+    /// one of burst, overload; all by default
+    #[argh(option)]
+    only: Option<String>,
+}
 
 /// Placement on generated fleets with fixed seeds, compared with first fit.
 #[derive(FromArgs)]
@@ -107,7 +111,7 @@
         Command::Path(PathArgs { only }) => measure(path::run(only.as_deref())),
         Command::Capacity(CapacityArgs { only }) => measure(capacity::run(only.as_deref())),
         Command::Waves(WavesArgs {}) => measure(async { Ok(waves::run()) }),
-        Command::Jobs(JobsArgs {}) => measure(async { Ok(jobs::run()) }),
+        Command::Jobs(JobsArgs { only }) => measure(async move { jobs::run(only.as_deref()) }),
         Command::Plan(PlanArgs {}) => measure(async { Ok(plan::run()) }),
     }
 }
