Jobs beyond a customer's share come before what is late of others

Cause: all jobs of a customer beyond its weight came after all jobs of others, also after late ones and those for which nobody waits any more. In a flood, capacity went to answers that are worth a fifteenth while jobs beyond a share became late in turn.

Change: the turn is by share among what can be in time, then what is late, then what nobody waits for. What is owed and can be in time still comes before all that is beyond a share.

--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -251,14 +251,42 @@
 impl Rank {
     /// Compares two ranks; the smaller one comes first.
     pub fn compare(self, other: Self) -> std::cmp::Ordering {
-        let is_transient = |rank: Self| rank.class != Class::LongRunning;
-        let by_share = is_transient(self)
-            .cmp(&is_transient(other))
-            .then(self.over_share.cmp(&other.over_share));
         let by_priority = self.priority.cmp(&other.priority);
-        by_share
-            .then(self.class.cmp(&other.class))
-            .then(by_priority)
-            .then(self.key.total_cmp(&other.key))
+        self.turn().cmp(&other.turn()).then(by_priority).then(self.key.total_cmp(&other.key))
     }
+
+    /// Returns whether the job can be in time, or is started as if it could.
+    pub fn is_urgent(self) -> bool {
+        self.turn() <= Turn::BeyondShareInTime
+    }
+
+    fn turn(self) -> Turn {
+        match (self.class, self.over_share) {
+            (Class::LongRunning, _) => Turn::LongRunning,
+            (Class::Expiring, false) => Turn::Expiring,
+            (Class::InTime, false) => Turn::InTime,
+            (Class::Expiring, true) => Turn::BeyondShareExpiring,
+            (Class::InTime, true) => Turn::BeyondShareInTime,
+            (Class::Late, false) => Turn::Late,
+            (Class::Late, true) => Turn::BeyondShareLate,
+            (Class::Missed, false) => Turn::Missed,
+            (Class::Missed, true) => Turn::BeyondShareMissed,
+        }
+    }
+}
+
+/// The turns in which jobs are placed. Jobs beyond their customers' weights come after all that is
+/// owed to others and can be in time, but before what is late: a late answer is worth little, to
+/// whomever it is owed. docs/design/overload.md has the orders that were compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    LongRunning,
+    Expiring,
+    InTime,
+    BeyondShareExpiring,
+    BeyondShareInTime,
+    Late,
+    BeyondShareLate,
+    Missed,
+    BeyondShareMissed,
 }
