A job is in time only if the slowest task of its last step is

Cause: the chain of a job was predicted from the mean time of a task, but a step ends with its slowest one. Jobs were started as in time, before others, of which many ended shortly after their objective.

Change: what remains of the chain is multiplied by one standard deviation of the queue's prediction errors, at most 1.15, for the decision whether the job can still be in time. When it expires, and whether anybody waits for it, is decided as before.

--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -26,6 +26,10 @@
 /// expiring, and the budget of expiring jobs has to suffice in that time.
 const EXPIRING_FACTOR: u64 = 1;
 
+/// Largest allowance for the time until the last task of a step ends, as a factor of the predicted time
+/// of one.
+const MAX_SPREAD: f64 = 1.15;
+
 /// Observed durations of a queue's tasks.
 ///
 /// Client estimates are far off on some queues and good on others, so each queue uses the predictor
@@ -68,6 +72,15 @@
         }
     }
 
+    /// Returns the factor by which the slowest tasks of a step exceed the prediction, which is of
+    /// their mean: one standard deviation of the errors of the better predictor, within a limit.
+    fn spread(&self) -> f64 {
+        if self.count < MIN_OBSERVATIONS {
+            return 1.0;
+        }
+        self.mean_error.min(self.estimate_error).sqrt().exp().min(MAX_SPREAD)
+    }
+
     fn predictor(&self) -> Predictor {
         if self.count < MIN_OBSERVATIONS {
             Predictor::Estimate
@@ -166,8 +179,12 @@
         let objective = self.objective(&job.queue, &job.plan);
         let remaining = self.remaining(job);
         let ends = now + remaining.chain;
+        // A step ends with its slowest task. Without an allowance for that, jobs are started as in time
+        // of which most end shortly after their objective.
+        let spread = self.durations.get(&job.queue.name).map_or(1.0, QueueDurations::spread);
+        let likely_end = now + Millis((remaining.chain.0 as f64 * spread) as u64);
         let expiring = ABANDON_FACTOR - EXPIRING_FACTOR;
-        let class = if ends <= job.accepted + objective {
+        let class = if likely_end <= job.accepted + objective {
             Class::InTime
         } else if ends <= job.accepted + Millis(objective.0 * expiring) {
             Class::Late
