--- a/reachhead_bench/src/jobs/overload/callers.rs
+++ b/reachhead_bench/src/jobs/overload/callers.rs
@@ -172,6 +172,7 @@
             plan: Arc::clone(&caller.plan),
             accepted: Millis(self.site.now.0),
             customer: Some(caller.customer.clone()),
+            stored_by: None,
         };
         self.site.set_task_times(id, caller.times.clone());
         let row = self.site.next_row();
--- a/reachhead_bench/src/jobs/simulation.rs
+++ b/reachhead_bench/src/jobs/simulation.rs
@@ -13,6 +13,7 @@
 
 use crate::jobs::{
     Outcome, Scenario,
+    dispatch::{self, LimitedOwner},
     site::{LONG_RUNNING, MEAN_TASK_MS, START, Site, queue},
 };
 
@@ -37,6 +38,12 @@
         }
     }
 
+    /// Sets the limits of the owner's host.
+    pub fn with_owner(mut self, owner: Option<LimitedOwner>) -> Self {
+        self.site.owner = owner;
+        self
+    }
+
     /// Runs the simulation: jobs arrive for `arrival_period` and have `completion_time` more to complete.
     pub fn run(mut self, arrival_period: Millis, completion_time: Millis) -> Outcome {
         self.site.grow(self.scenario.workers);
@@ -46,9 +53,12 @@
         while self.site.now < end {
             self.site.step();
             while self.next_arrival <= self.site.now && self.next_arrival < last {
-                self.submit_random_job();
+                let (rate, share) = self.arrival_rate();
+                if share >= 1.0 || self.site.rng.random_bool(share) {
+                    self.submit_random_job();
+                }
                 let draw = self.site.rng.random::<f64>().max(1e-9);
-                let gap = -draw.ln() * 1000.0 / self.scenario.rate;
+                let gap = -draw.ln() * 1000.0 / rate;
                 self.next_arrival = self.site.now + Millis(gap as u64);
             }
             self.count_completed();
@@ -57,6 +67,18 @@
         self.outcome
     }
 
+    /// Returns the highest rate of arrivals, and the present one as a share of it.
+    fn arrival_rate(&self) -> (f64, f64) {
+        match self.scenario.owner {
+            Some(host) => {
+                let factor = dispatch::rate_factor(host.turn, self.site.now.since(START));
+                let rate = dispatch::BURST_FACTOR * self.scenario.rate;
+                (rate, factor / dispatch::BURST_FACTOR)
+            }
+            None => (self.scenario.rate, 1.0),
+        }
+    }
+
     fn submit_long_running(&mut self) {
         let step = Step {
             count: self.scenario.long_running,
@@ -73,7 +95,8 @@
     fn submit(&mut self, id: JobId, steps: Vec<Step>) {
         let plan = Arc::new(Plan { payload: "x".repeat(300).into(), steps, schedule: None });
         let accepted = Millis(self.site.now.0);
-        let record = JobRecord { queue: queue("q"), plan, accepted, customer: None };
+        let record =
+            JobRecord { queue: queue("q"), plan, accepted, customer: None, stored_by: None };
         let row = self.site.next_row();
         self.site.submit(id, &record, row);
     }
--- a/reachhead_bench/src/jobs/site.rs
+++ b/reachhead_bench/src/jobs/site.rs
@@ -25,6 +25,8 @@
     size::{FencingToken, Millis, Revision, RunNumber},
 };
 
+use crate::jobs::dispatch::LimitedOwner;
+
 /// Time between two rounds of the pool owner, as in its process.
 pub const ROUND_PERIOD: Millis = Millis(4);
 
@@ -101,6 +103,8 @@
     pub now: Tick,
     /// Cost so far.
     pub costs: Costs,
+    /// Limits of the owner, if it is on a small host.
+    pub owner: Option<LimitedOwner>,
     workers: BTreeMap<WorkerId, Worker>,
     events: BTreeMap<(Tick, u64), Event>,
     count: u64,
@@ -166,6 +170,7 @@
             pool: new_pool(Vec::new(), START),
             now: START,
             costs: Costs::default(),
+            owner: None,
             workers: BTreeMap::new(),
             events: BTreeMap::new(),
             count: 0,
@@ -309,10 +314,16 @@
 
     /// Runs a round of the pool owner.
     fn round(&mut self) {
+        if let Some(owner) = &mut self.owner {
+            owner.begin_round(&mut self.pool, self.now);
+        }
         let timer = Instant::now();
         let actions = self.pool.poll(self.now, Millis(self.now.0));
         self.costs.round_time += timer.elapsed();
         self.costs.rounds += 1;
+        if let Some(owner) = &mut self.owner {
+            owner.end_round(&self.pool, self.now);
+        }
         self.pool.take_notes();
         for action in actions {
             self.execute(action);
--- a/reachhead_bench/src/jobs/site/workers.rs
+++ b/reachhead_bench/src/jobs/site/workers.rs
@@ -71,15 +71,17 @@
 
     fn start(&mut self, id: WorkerId, order: &StartOrder) {
         self.costs.starts += 1;
+        let delay = self.owner.as_mut().map_or(0, |owner| owner.send(&id, order).0);
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.running.insert(order.task, order.run);
         }
         let time = self.task_time(order.task);
         if let Some(time) = time {
             let done = Event::RunDone(id.clone(), order.task, order.run);
-            self.push(Millis(MESSAGE_DELAY.0 + time.0), done);
+            self.push(Millis(delay + MESSAGE_DELAY.0 + time.0), done);
         }
-        self.push(Millis(2 * MESSAGE_DELAY.0), Event::StartConfirmed(id, order.task, order.run));
+        let confirmed = Event::StartConfirmed(id, order.task, order.run);
+        self.push(Millis(2 * (delay + MESSAGE_DELAY.0)), confirmed);
     }
 
     /// Returns how long a run of the task takes; `None` if it is long-running. A job with task times of
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -11,6 +11,7 @@
 mod drain_worker;
 mod expiring;
 mod flush;
+mod gang;
 mod load;
 mod orders;
 mod orphans;
@@ -23,6 +24,7 @@
 mod reports;
 mod restarted_worker;
 mod roster;
+mod round_outcome;
 mod starts;
 mod weights;
 
@@ -36,6 +38,7 @@
 pub use load::{PoolLoad, WorkerLoad};
 pub use recovered_state::{RecoveredState, StoredJob, StoredProgress};
 pub use roster::{StoredRoster, StoredWorker};
+pub use round_outcome::RoundOutcome;
 
 use reachhead_types::{
     id::{CustomerName, JobId, PoolName, WorkerId},
@@ -47,6 +50,7 @@
     clock::{Tick, with_drift},
     job::Job,
     order::DurationEstimator,
+    poll_pace::PollBudget,
     ports::{EndedEntry, WorkerInfo, WorkerTarget},
     record::{Ending, FinalRecord, JobRecord, LeaseRecord},
     shard::Shard,
@@ -133,6 +137,8 @@
     pending: BTreeMap<WorkerId, PendingWorker>,
     /// What predecessors may have ordered without this owner's knowledge.
     predecessor: orphans::PredecessorOrders,
+    /// No predecessor starts tasks of a job that this owner stored.
+    predecessors_know_storer: bool,
     /// Reported ends of runs whose jobs this owner does not know.
     unclaimed_ends: Vec<UnclaimedEnd>,
     /// The platform's list of workers has been applied at least once.
@@ -147,6 +153,10 @@
     all_answered_at: Option<Tick>,
     /// Start orders that may be sent in this round.
     start_budget: StartBudget,
+    /// Reports that may be requested in this round.
+    poll_budget: PollBudget,
+    /// What the last round ordered.
+    round: RoundOutcome,
     roster: roster::RosterState,
     /// Jobs with changes to write to the store.
     dirty: BTreeSet<JobId>,
@@ -218,6 +228,7 @@
                 with_drift(timeouts.hold),
                 now,
             ),
+            predecessors_know_storer: found.knows_storer,
             unclaimed_ends: Vec::new(),
             workers_listed: false,
             drained: drain::DrainedZones::default(),
@@ -225,6 +236,8 @@
             surge_until: Tick(0),
             all_answered_at: None,
             start_budget: StartBudget::unlimited(),
+            poll_budget: PollBudget::unlimited(),
+            round: RoundOutcome::default(),
             roster: roster::RosterState::new(found.roster),
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
@@ -298,7 +311,11 @@
         wall: Millis,
     ) {
         let ended = row < Revision(self.token.0);
-        if ended || self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
+        if self.is_replaced(record)
+            || ended
+            || self.jobs.contains_key(&id)
+            || self.closed.contains_key(&id)
+        {
             return;
         }
         self.estimator.observe_job(&record.queue.name, &record.plan);
@@ -309,7 +326,7 @@
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
         let mut job = Job::new(id, record, accepted);
         job.row = Some(row);
-        job.maybe_started = self.predecessor.may_be_given(now);
+        job.maybe_started = self.predecessor.may_be_given(now) && !self.is_own_job(record);
         job.over_share = self.is_beyond_weight(record.customer.as_ref(), now);
         job.add_due_occurrences(wall);
         self.jobs.insert(id, job);
@@ -370,9 +387,25 @@
         self.start_budget
     }
 
+    /// Sets the reports that the next round may request.
+    pub fn set_poll_budget(&mut self, budget: PollBudget) {
+        self.poll_budget = budget;
+    }
+
+    /// Returns what the last round has left of the reports that it may request.
+    pub fn poll_budget(&self) -> PollBudget {
+        self.poll_budget
+    }
+
+    /// Returns how many starts the last round ordered, and whether only its budget limited them.
+    pub fn round_outcome(&self) -> RoundOutcome {
+        self.round
+    }
+
     /// Returns the next orders. `wall` is the time of day in milliseconds since 1970.
     pub fn poll(&mut self, now: Tick, wall: Millis) -> Vec<Action> {
         self.wall_offset = Millis(wall.0.saturating_sub(now.0));
+        self.round = RoundOutcome::default();
         self.add_due_occurrences(wall);
         self.expire(now);
         if self.review || self.next_review <= now {
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -6,6 +6,7 @@
     clock::{Tick, WorkerTime},
     job::{Phase, Run},
     model::Step,
+    poll_pace::MAX_POLL_DELAY,
     pool::{Action, DeathEvidence, NoteKind, Pool, StopReason},
     ports::{HoldOrder, StartOrder},
     task::TaskId,
@@ -40,13 +41,18 @@
         let can_order = self.can_order(now);
         let hold = self.timeouts.hold;
         let mut actions = Vec::new();
-        for worker in self.workers.values() {
-            let Poll::Due(due) = worker.poll else {
-                continue;
-            };
-            if due > now {
+        let due_at = |worker: &Worker| match worker.poll {
+            Poll::Due(due) if due <= now => Some(due),
+            _ => None,
+        };
+        let mut due: Vec<(Tick, &Worker)> =
+            self.workers.values().filter_map(|worker| Some((due_at(worker)?, worker))).collect();
+        due.sort_by_key(|(due, _)| *due);
+        for (due, worker) in due {
+            if !self.poll_budget.has_room() && now.since(due) < MAX_POLL_DELAY {
                 continue;
             }
+            self.poll_budget.take(worker.runs.len());
             let deadline = worker
                 .clock
                 .filter(|_| can_order && !worker.silent)
@@ -202,8 +208,13 @@
                 let worker = self.workers.get(&run.worker)?;
                 let expired_now =
                     worker.clock.is_some_and(|sample| sample.surely_past(run.deadline) <= now);
-                // It can't start after its deadline, but it may have started before.
-                Some(if expired_now { RunAction::Settle } else { RunAction::ResendStart })
+                if expired_now {
+                    // It can't start after its deadline, but it may have started before.
+                    Some(RunAction::Settle)
+                } else {
+                    // Without the current drains the run could start in a zone that is drained.
+                    self.drained.is_current(now).then_some(RunAction::ResendStart)
+                }
             }
             Phase::Working if job.recorded => Some(RunAction::Stop(StopReason::Unneeded)),
             Phase::Working if unwanted.is_some() => unwanted.map(RunAction::Stop),
@@ -255,7 +266,6 @@
             return;
         };
         let payload = std::sync::Arc::clone(&job.plan.payload);
-        self.start_budget.take(&payload);
         let Some(state) = job.task(task) else {
             return;
         };
@@ -266,6 +276,8 @@
         let Some(worker) = self.workers.get(&run.worker) else {
             return;
         };
+        let target = self.target(worker);
+        self.charge_start(&payload);
         let order = StartOrder {
             task,
             run: run.number,
@@ -274,7 +286,7 @@
             checkpoint,
             ticket: run.ticket.clone(),
         };
-        self.actions.push(Action::Start(self.target(worker), order));
+        self.actions.push(Action::Start(target, order));
     }
 
     /// Stops a run. Its capacity is free once the worker reports the end.
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -22,5 +22,6 @@
 mod refusal;
 mod restarted_worker;
 mod roster;
+mod round_outcome;
 mod runs;
 mod wave;
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -17,7 +17,7 @@
     supervise,
 };
 use reachhead_types::{
-    id::PoolName,
+    id::{NodeName, PoolName},
     size::{FencingToken, Millis, Revision},
 };
 use tokio::{task::JoinHandle, time};
@@ -28,7 +28,7 @@
     node::Node,
     owner::{Outcome, Owner, OwnerHandle},
     takeover::{self, Loader},
-    view::LeaseView,
+    view::{LeaseView, View},
 };
 
 /// Interval between two checks of the leases.
@@ -127,6 +127,10 @@
 impl Election {
     fn check_pools(&mut self) {
         let now = self.node.now();
+        self.node.record_store_progress();
+        if self.node.peers.is_link_filled() {
+            self.running.record_filled_link(now);
+        }
         if let Some(gap) = self.running.check(now) {
             self.log_delay(gap, now);
         }
@@ -158,7 +162,7 @@
                 let since = *self.vacant_since.entry(pool.clone()).or_insert(now);
                 self.log_vacant_once(&pool, why, now);
                 let retakes = own && !self.node.ability().is_unreadable(&pool);
-                if retakes || now.since(since) >= self.candidate_delay(&pool) {
+                if retakes || now.since(since) >= self.candidate_delay(&pool, now) {
                     self.vacant_since.remove(&pool);
                     let known = self.node.view().leases.get(&pool).cloned();
                     let policy = config.pools.get(&pool).cloned();
@@ -222,7 +226,8 @@
         }
         let status = view.peers.get(owner);
         let last = status.map_or(Tick(0), |status| status.at).max(lease.since).max(self.started);
-        let last = last.max(self.watching_since);
+        let late = view.late_answers.get(owner).copied().unwrap_or_default();
+        let last = last.max(self.watching_since).max(late);
         let is_asked = view.owner(pool).is_some_and(|(asked, _)| asked == *owner);
         let missed = is_asked.then(|| view.missed.get(owner).copied().unwrap_or_default());
         if is_silent(&self.running, missed, last, now) {
@@ -243,15 +248,27 @@
         if absent && now.since(lease.since) > OWNER_TIMEOUT {
             return Some(Vacancy::NotClaimed);
         }
-        let reachability =
-            StoreReachability { age: Millis(status.pong.store_age), failing: status.pong.failing };
+        // A new version of the configuration fills the links of many processes at once, and their
+        // other calls to the store time out behind it.
+        let failing = status.pong.failing && !node.peers.is_link_filled();
+        let reachability = StoreReachability { age: Millis(status.pong.store_age), failing };
         let own = view.store_answers.reachability(status.at - reachability.age, now);
         let cut_off = reachability.is_cut_off(own);
         cut_off.then_some(Vacancy::CutOff)
     }
 
+    /// Returns whether a candidate has missed heartbeats for as long as an owner that counts as dead.
+    /// Owners of other pools may be lost together with that of this pool.
+    fn is_lost(&self, candidate: &NodeName, view: &View, now: Tick) -> bool {
+        let Some(missed) = view.missed.get(candidate) else {
+            return false;
+        };
+        let heard = view.peers.get(candidate).map_or(Tick(0), |status| status.at);
+        is_silent(&self.running, Some(*missed), heard.max(self.watching_since), now)
+    }
+
     /// Returns how long this process lets better candidates take a pool first.
-    fn candidate_delay(&self, pool: &PoolName) -> Millis {
+    fn candidate_delay(&self, pool: &PoolName, now: Tick) -> Millis {
         let node = &self.node;
         let owned = node.owned().len() + self.takeovers.len();
         let view = node.view();
@@ -260,6 +277,7 @@
             .members
             .iter()
             .filter(|(other, _)| **other != node.settings.node)
+            .filter(|(other, _)| !self.is_lost(other, &view, now))
             .map(|(other, member)| view.candidate(other, &member.record));
         let member = view.members.contains_key(&node.settings.node);
         let delay = candidate::delay(pool, &own, member, others);
@@ -342,6 +360,7 @@
         return;
     };
     recovered.verified = lease_sent_at;
+    recovered.knows_storer = lease.record.knows_storer;
     emit(
         Event::LeaseTaken,
         format_args!(
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -4,6 +4,8 @@
 mod bulk_reads;
 mod claim;
 mod clock;
+mod config_reads;
+mod dispatch;
 mod election;
 mod failure_detector;
 mod fleet;
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -1,43 +1,38 @@
-//! Messages between the processes of the system.
+//! Messages between the processes of the system, and what answers them.
 //!
 //! They are HTTP calls over the same client as those to the platform: each needs its own deadline
 //! and a connection that can be dropped, and some are on the path of a caller's request.
 //! docs/PLATFORM.md has the measurements that decided against a second messaging library.
 
+mod client;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
+    sync::Arc,
 };
 
-use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
-use http_body_util::Full;
-use hyper::{Method, Request, StatusCode, header};
+use hyper::{StatusCode, body::Body};
 use reachhead_jobs::{
     pool::{DrainMode, DrainProgress, PoolLoad, StateReply},
     ports::FeedPage,
     quota::{Allotment, UsageReport},
     record::JobRecord,
 };
-use reachhead_ops::{
-    client::{CallError, HttpClient},
-    http::{self, BufferedRequest, BufferedResponse, Handler},
-};
+use reachhead_ops::http::{self, BufferedRequest, BufferedResponse, Handler};
 use reachhead_types::{
     id::{CustomerName, JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{Millis, Revision, Version},
+    size::{Revision, Version},
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+pub use self::client::PeerClient;
+use self::client::{CONFIG_HEADER, READER_HEADER};
 use crate::{
     admission::read_for_peer,
     claim::{self, Claims},
+    dispatch::{DispatchBatch, OrderResult, ResultBatch},
     node::Node,
     owner::{CancelReply, Input, OwnerHandle},
     registry::{self, WorkersPage, WorkersRequest},
@@ -45,13 +40,6 @@
     submit::{StoreOutcome, store_for_peer},
 };
 
-/// Path of all messages.
-const PATH: &str = "/peer";
-
-/// Header with the version of the configuration in force in the process that sends a message. What
-/// it requests may be an effect of that version, after which the receiver must not use an older one.
-const CONFIG_HEADER: &str = "reachhead-configuration";
-
 /// A request to a process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -71,6 +59,10 @@
     Workers(WorkersRequest),
     /// Forwards a request to the owner of a pool.
     Pool(PoolName, PoolRequest),
+    /// Orders of the owner of a pool to its workers, which the process is to send.
+    Dispatch(DispatchBatch),
+    /// Results of such orders, for the owner of the pool.
+    DispatchResults(Arc<ResultBatch>),
 }
 
 /// A job to store.
@@ -158,6 +150,8 @@
     /// The usage and the demand of customers in the pool.
     #[serde(rename = "statement")]
     Usage(UsageReport),
+    /// The results that are ready of orders that the process sends for an owner.
+    Dispatched(Vec<OrderResult>),
 }
 
 /// The status that a process reports of itself.
@@ -192,57 +186,6 @@
     }
 }
 
-/// Client for messages to peers.
-#[derive(Clone)]
-pub struct PeerClient {
-    client: Arc<HttpClient>,
-    /// The version of the configuration in force here, or zero.
-    config_version: Arc<AtomicU64>,
-}
-
-impl PeerClient {
-    /// Returns a client over `client`.
-    pub fn new(client: Arc<HttpClient>) -> Self {
-        Self { client, config_version: Arc::default() }
-    }
-
-    /// Returns how long ago the latest call was sent that a peer or a service of the platform answered
-    /// quickly.
-    pub fn quick_answer_age(&self) -> Option<Millis> {
-        self.client.quick_answer_age().map(|age| Millis(age.as_millis() as u64))
-    }
-
-    /// Sets the version of the configuration in force, which messages name from now on.
-    pub fn set_config_version(&self, version: Version) {
-        self.config_version.store(version.0, Ordering::Relaxed);
-    }
-
-    /// Sends a request to a peer and returns its answer.
-    ///
-    /// # Errors
-    ///
-    /// As [`HttpClient::call`].
-    pub async fn call(
-        &self,
-        address: SocketAddr,
-        request: &PeerRequest,
-        deadline: Duration,
-    ) -> Result<PeerReply, CallError> {
-        let body =
-            serde_json::to_vec(request).map_err(|error| CallError::NotSent(error.to_string()))?;
-        let http_request = Request::builder()
-            .method(Method::POST)
-            .uri(PATH)
-            .header(header::HOST, address.to_string())
-            .header(CONFIG_HEADER, self.config_version.load(Ordering::Relaxed))
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|error| CallError::NotSent(error.to_string()))?;
-        let answer = self.client.call(address, http_request, deadline).await?;
-        serde_json::from_slice(answer.body())
-            .map_err(|error| CallError::Lost(format!("unreadable answer: {error}")))
-    }
-}
-
 /// Handler of the messages of peers.
 pub struct PeerHandler(pub Arc<Node>);
 
@@ -263,13 +206,35 @@
                 Some(owner) => call_local_owner(&owner, request).await,
                 None => PeerReply::NotOwner,
             },
+            PeerRequest::Dispatch(batch) => {
+                PeerReply::Dispatched(self.0.dispatch_server.handle(batch))
+            }
+            PeerRequest::DispatchResults(batch) => match self.0.dispatched(&batch.pool) {
+                Some(workers) => {
+                    let ResultBatch { session, results, .. } = Arc::unwrap_or_clone(batch);
+                    workers.receive(session, results);
+                    PeerReply::Done
+                }
+                None => PeerReply::NotOwner,
+            },
+        }
+    }
+
+    /// Replaces a large answer by the advice to ask the store, if the link is occupied by others.
+    fn limited(&self, response: BufferedResponse) -> BufferedResponse {
+        let bytes = response.body().size_hint().lower() as usize;
+        match self.0.relay.admits_answer(bytes, self.0.now()) {
+            true => response,
+            false => http::json(StatusCode::OK, &PeerReply::Table(TableReply::Unknown)),
         }
     }
 
     fn pong(&self) -> PeerReply {
         let Claims { claimed, stalled } = claim::claims(&self.0);
         let unreadable = self.0.ability().unreadable();
+        self.0.record_store_progress();
         let now = self.0.now();
+        let is_arriving = self.0.peers.is_large_answer_arriving();
         let view = self.0.view();
         let store_age = now.since(view.store_answers.last()).0;
         PeerReply::Pong(Pong {
@@ -277,7 +242,8 @@
             stalled,
             unreadable,
             store_age,
-            failing: view.store_failing,
+            // Calls that time out behind a large answer of the store show no fault of the store.
+            failing: view.store_failing && !is_arriving,
             stopping: self.0.is_stopping(),
             node: Some(self.0.settings.node.clone()),
         })
@@ -336,14 +302,30 @@
     text.parse().ok().map(Version)
 }
 
+/// Returns the process that sent a message because it is reading a large answer.
+fn reader(request: &BufferedRequest) -> Option<NodeName> {
+    request.headers.get(READER_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 impl Handler for PeerHandler {
     fn handle(&self, request: BufferedRequest) -> BoxFuture<'_, BufferedResponse> {
         async move {
             if let Some(version) = config_version(&request) {
                 self.0.view().hear_of_config(version);
             }
+            if let Some(reader) = reader(&request) {
+                let now = self.0.now();
+                self.0.view().late_answers.insert(reader, now);
+            }
             match serde_json::from_slice::<PeerRequest>(&request.body) {
-                Ok(request) => http::json(StatusCode::OK, &self.answer(request).await),
+                Ok(request) => {
+                    let answer = self.answer(request).await;
+                    let response = http::json(StatusCode::OK, &answer);
+                    match answer {
+                        PeerReply::Table(_) => self.limited(response),
+                        _ => response,
+                    }
+                }
                 Err(error) => http::text(StatusCode::BAD_REQUEST, &error.to_string()),
             }
         }
