--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -49,7 +49,9 @@
             self.workers.values().filter_map(|worker| Some((due_at(worker)?, worker))).collect();
         due.sort_by_key(|(due, _)| *due);
         for (due, worker) in due {
-            if !self.poll_budget.has_room() && now.since(due) < MAX_POLL_DELAY {
+            // The lease of a worker that has not answered expires soon.
+            let is_urgent = worker.silent || !worker.answered || now.since(due) >= MAX_POLL_DELAY;
+            if !self.poll_budget.has_room() && !is_urgent {
                 continue;
             }
             self.poll_budget.take(worker.runs.len());
@@ -255,6 +257,8 @@
                     run.settled_at = Some(now);
                 }
             }
+            // Orders that are lost on a full link would fill it if they were all sent again at once.
+            RunAction::ResendStart if !self.start_budget.has_room() => {}
             RunAction::ResendStart => self.resend_start(*task, run),
             RunAction::Stop(why) => self.stop_run(*task, run, *why, now),
             RunAction::ResendStop => self.send_stop(*task, run),
