--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -26,10 +26,6 @@
 /// expiring, and the budget of expiring jobs has to suffice in that time.
 const EXPIRING_FACTOR: u64 = 1;
 
-/// Largest allowance for the time until the last task of a step ends, as a factor of the predicted time
-/// of one.
-const MAX_SPREAD: f64 = 1.15;
-
 /// Observed durations of a queue's tasks.
 ///
 /// Client estimates are far off on some queues and good on others, so each queue uses the predictor
@@ -72,15 +68,6 @@
         }
     }
 
-    /// Returns the factor by which the slowest tasks of a step exceed the prediction, which is of
-    /// their mean: one standard deviation of the errors of the better predictor, within a limit.
-    fn spread(&self) -> f64 {
-        if self.count < MIN_OBSERVATIONS {
-            return 1.0;
-        }
-        self.mean_error.min(self.estimate_error).sqrt().exp().min(MAX_SPREAD)
-    }
-
     fn predictor(&self) -> Predictor {
         if self.count < MIN_OBSERVATIONS {
             Predictor::Estimate
@@ -179,12 +166,8 @@
         let objective = self.objective(&job.queue, &job.plan);
         let remaining = self.remaining(job);
         let ends = now + remaining.chain;
-        // A step ends with its slowest task. Without an allowance for that, jobs are started as in time
-        // of which most end shortly after their objective.
-        let spread = self.durations.get(&job.queue.name).map_or(1.0, QueueDurations::spread);
-        let likely_end = now + Millis((remaining.chain.0 as f64 * spread) as u64);
         let expiring = ABANDON_FACTOR - EXPIRING_FACTOR;
-        let class = if likely_end <= job.accepted + objective {
+        let class = if ends <= job.accepted + objective {
             Class::InTime
         } else if ends <= job.accepted + Millis(objective.0 * expiring) {
             Class::Late
@@ -268,42 +251,14 @@
 impl Rank {
     /// Compares two ranks; the smaller one comes first.
     pub fn compare(self, other: Self) -> std::cmp::Ordering {
+        let is_transient = |rank: Self| rank.class != Class::LongRunning;
+        let by_share = is_transient(self)
+            .cmp(&is_transient(other))
+            .then(self.over_share.cmp(&other.over_share));
         let by_priority = self.priority.cmp(&other.priority);
-        self.turn().cmp(&other.turn()).then(by_priority).then(self.key.total_cmp(&other.key))
-    }
-
-    /// Returns whether the job can be in time, or is started as if it could.
-    pub fn is_urgent(self) -> bool {
-        self.turn() <= Turn::BeyondShareInTime
-    }
-
-    fn turn(self) -> Turn {
-        match (self.class, self.over_share) {
-            (Class::LongRunning, _) => Turn::LongRunning,
-            (Class::Expiring, false) => Turn::Expiring,
-            (Class::InTime, false) => Turn::InTime,
-            (Class::Expiring, true) => Turn::BeyondShareExpiring,
-            (Class::InTime, true) => Turn::BeyondShareInTime,
-            (Class::Late, false) => Turn::Late,
-            (Class::Late, true) => Turn::BeyondShareLate,
-            (Class::Missed, false) => Turn::Missed,
-            (Class::Missed, true) => Turn::BeyondShareMissed,
-        }
+        by_share
+            .then(self.class.cmp(&other.class))
+            .then(by_priority)
+            .then(self.key.total_cmp(&other.key))
     }
 }
-
-/// The turns in which jobs are placed. Jobs beyond their customers' weights come after all that is
-/// owed to others and can be in time, but before what is late: a late answer is worth little, to
-/// whomever it is owed. docs/design/overload.md has the orders that were compared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Turn {
-    LongRunning,
-    Expiring,
-    InTime,
-    BeyondShareExpiring,
-    BeyondShareInTime,
-    Late,
-    BeyondShareLate,
-    Missed,
-    BeyondShareMissed,
-}
--- a/reachhead_jobs/src/pool/expiring.rs
+++ b/reachhead_jobs/src/pool/expiring.rs
@@ -24,7 +24,8 @@
             job.rank.class != Class::Expiring || budget.take(self.waiting_cores(job.id))
         };
         let (mut first, after): (Vec<Ranked>, Vec<Ranked>) = ranked.into_iter().partition(fits);
-        let place = first.partition_point(|job| job.rank.is_urgent());
+        let before = |job: &Ranked| !job.rank.over_share && job.rank.class <= Class::InTime;
+        let place = first.partition_point(before);
         first.splice(place..place, after);
         first
     }
