--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -2,13 +2,14 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, Weak},
 };
 
 use reachhead_jobs::{
     clock::Tick,
     liveness::MIN_OUTAGE,
     owner_failures::OwnerFailures,
+    poll_pace::PollPacer,
     ports::{Advisor, HostApi, RowFormat, TableFeed, WorkerAgent},
     start_pace::StartPacer,
 };
@@ -17,7 +18,7 @@
 use reachhead_store::{Store, StoreError};
 use reachhead_types::{
     id::PoolName,
-    size::{ByteRate, Millis, Strength},
+    size::{ByteRate, FencingToken, Millis, Strength},
 };
 use tokio::sync::{Notify, watch};
 
@@ -26,6 +27,8 @@
     bulk_reads::BulkReads,
     claim::{Ability, Takeover},
     clock::Clock,
+    config_reads::ConfigReads,
+    dispatch::{DispatchServer, DispatchedWorkers, PeerLink},
     election::Vacancy,
     lock::locked,
     metrics::Metrics,
@@ -82,6 +85,8 @@
     pub services: Services,
     /// The client for peers.
     pub peers: PeerClient,
+    /// Reads of the operators' table.
+    pub config_reads: ConfigReads,
     /// Admission control of calls.
     pub admission: AdmissionControl,
     /// Stores accepted jobs.
@@ -92,6 +97,8 @@
     pub registry: Registry,
     /// Limits the rows that are read at the same time.
     pub bulk_reads: BulkReads,
+    /// Carries out orders for owners in other processes.
+    pub dispatch_server: DispatchServer,
     /// The metrics.
     pub metrics: Metrics,
     /// True once shutdown was requested.
@@ -103,9 +110,16 @@
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
     loading: Mutex<BTreeMap<PoolName, Takeover>>,
+    dispatched: Mutex<BTreeMap<PoolName, Weak<DispatchedWorkers>>>,
     ability: Mutex<Ability>,
     owner_failures: Mutex<OwnerFailures>,
     start_pacer: Mutex<StartPacer>,
+    poll_pacer: Mutex<PollPacer>,
+}
+
+/// Returns the bandwidth of the process's link.
+fn bandwidth(settings: &Settings) -> ByteRate {
+    ByteRate((settings.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64)
 }
 
 impl Node {
@@ -118,18 +132,24 @@
         stopping: watch::Receiver<bool>,
     ) -> Self {
         let clock = Clock::new();
-        let bandwidth = ByteRate((settings.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64);
-        let start_pacer = Mutex::new(StartPacer::new(bandwidth, clock.now()));
+        let bandwidth = bandwidth(&settings);
+        let start_pacer = Mutex::new(StartPacer::new(bandwidth, settings.cores, clock.now()));
+        let poll_pacer = Mutex::new(PollPacer::new(bandwidth, clock.now()));
+        let link = Arc::new(PeerLink(peers.clone()));
+        let dispatch_server = DispatchServer::new(Arc::clone(&services.workers), link)
+            .with_metrics(metrics.dispatch.clone());
         Self {
             settings,
             clock,
             services,
             peers,
+            config_reads: ConfigReads::default(),
             admission: AdmissionControl::new(),
             submitter: Submitter::new(),
-            relay: Relay::new(),
+            relay: Relay::new(bandwidth),
             registry: Registry::new(),
             bulk_reads: BulkReads::new(bandwidth),
+            dispatch_server,
             metrics,
             stopping,
             pool_acquired: Notify::new(),
@@ -137,9 +157,11 @@
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
             loading: Mutex::new(BTreeMap::new()),
+            dispatched: Mutex::new(BTreeMap::new()),
             ability: Mutex::default(),
             owner_failures: Mutex::new(OwnerFailures::new()),
             start_pacer,
+            poll_pacer,
         }
     }
 
@@ -150,9 +172,21 @@
 
     /// Returns the process's capacity, in starts of tasks per second.
     pub fn strength(&self) -> Strength {
-        let by_cores = self.settings.cores / CORE_SECONDS_PER_START;
-        let by_link = self.settings.link_mbps * BITS_PER_MEGABIT / LINK_BITS_PER_START;
-        Strength(by_cores.min(by_link) as u32)
+        Strength(self.processor_strength().min(self.link_strength()) as u32)
+    }
+
+    /// Returns whether dispatchers can relieve this process as an owner. They save processor time above all:
+    /// the reports of the workers cross the owner's link with them as without.
+    pub fn gains_by_dispatch(&self) -> bool {
+        self.link_strength() >= self.processor_strength()
+    }
+
+    fn processor_strength(&self) -> f64 {
+        self.settings.cores / CORE_SECONDS_PER_START
+    }
+
+    fn link_strength(&self) -> f64 {
+        self.settings.link_mbps * BITS_PER_MEGABIT / LINK_BITS_PER_START
     }
 
     /// Locks the local view of the system. The guard must not be held across an await.
@@ -176,6 +210,11 @@
         locked(&self.start_pacer)
     }
 
+    /// Locks the pacer of the polls of all pools that this process owns.
+    pub fn poll_pacer(&self) -> MutexGuard<'_, PollPacer> {
+        locked(&self.poll_pacer)
+    }
+
     /// Locks what this process knows about its ability to serve pools.
     pub fn ability(&self) -> MutexGuard<'_, Ability> {
         locked(&self.ability)
@@ -186,6 +225,23 @@
         self.owned().get(pool).cloned()
     }
 
+    /// Returns the workers of a pool as its owner in this process calls them, if it runs.
+    pub fn dispatched(&self, pool: &PoolName) -> Option<Arc<DispatchedWorkers>> {
+        locked(&self.dispatched).get(pool)?.upgrade()
+    }
+
+    /// Returns the workers of a pool for a new owner, which has no dispatchers yet.
+    pub fn dispatch_workers(&self, pool: &PoolName, token: FencingToken) -> Arc<DispatchedWorkers> {
+        let direct = Arc::clone(&self.services.workers);
+        let link = Arc::new(PeerLink(self.peers.clone()));
+        let workers = DispatchedWorkers::new(pool.clone(), token, self.settings.peer, direct, link)
+            .with_bandwidth(bandwidth(&self.settings))
+            .with_metrics(self.metrics.dispatch.clone());
+        let workers = Arc::new(workers);
+        locked(&self.dispatched).insert(pool.clone(), Arc::downgrade(&workers));
+        workers
+    }
+
     /// Records that the owner of a pool failed in this process.
     pub fn record_owner_failure(&self, pool: &PoolName) {
         let pause = locked(&self.owner_failures).record(pool, self.now());
@@ -246,6 +302,20 @@
         (view.store_failing && age >= STORE_OUTAGE_AGE).then_some(age)
     }
 
+    /// Records that the store is reached if a part of an answer has arrived since its last answer: a
+    /// large answer may take seconds, and the store's other answers wait behind it.
+    pub fn record_store_progress(&self) {
+        let Some(age) = self.peers.part_age(self.settings.store) else {
+            return;
+        };
+        let at = self.now() - age;
+        let mut view = self.view();
+        if at > view.store_answers.last() {
+            view.store_answers.record(at);
+            view.store_failing = false;
+        }
+    }
+
     /// Records whether a call to the store was answered; logs when the store is lost and when it is
     /// back.
     pub fn record_store_result<T>(&self, result: &Result<T, StoreError>) {
