--- a/reachhead_node/src/dispatch/agent.rs
+++ b/reachhead_node/src/dispatch/agent.rs
@@ -121,7 +121,7 @@
             Ok(outcome) => return Ok(outcome),
             Err(_) => NoOutcome::Unknown,
         };
-        self.0.metrics.direct.inc();
+        self.0.metrics.unanswered.inc();
         Err(missing)
     }
 
@@ -191,6 +191,13 @@
                 // which has seen no stop of the run. The pool guards against that once it knows, and
                 // repeats the order.
                 Err(NoOutcome::Unknown) => {
+                    log::info!(
+                        "pool={} task={} run={} worker={} dispatcher={node} no result, to be repeated",
+                        self.0.pool,
+                        order.task,
+                        order.run,
+                        target.id
+                    );
                     Err(WorkerError::Lost(format!("no result of dispatcher {node}")))
                 }
                 _ => self.start_directly(target, order, &node).await,
--- a/reachhead_node/src/dispatch/metrics.rs
+++ b/reachhead_node/src/dispatch/metrics.rs
@@ -39,8 +39,8 @@
     pub batch_orders: Histogram,
     /// Bytes of payloads that were sent to dispatchers.
     pub payload_bytes: Counter,
-    /// Orders that the owner sent itself because a dispatcher gave no result.
-    pub direct: Counter,
+    /// Orders for which a dispatcher gave no result.
+    pub unanswered: Counter,
     /// Orders that this process dropped as a dispatcher.
     pub dropped: Counter,
 }
@@ -54,7 +54,7 @@
             orders: Family::default(),
             batch_orders: Histogram::new(exponential_buckets(1.0, 2.0, BATCH_BUCKETS)),
             payload_bytes: Counter::default(),
-            direct: Counter::default(),
+            unanswered: Counter::default(),
             dropped: Counter::default(),
         }
     }
@@ -87,9 +87,9 @@
             self.batch_orders.clone(),
         );
         registry.register(
-            "reachhead_dispatch_direct",
-            "Orders that the owner sent itself because a dispatcher gave no result",
-            self.direct.clone(),
+            "reachhead_dispatch_unanswered",
+            "Orders for which a dispatcher gave no result",
+            self.unanswered.clone(),
         );
         registry.register(
             "reachhead_dispatch_dropped",
