--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -15,6 +15,7 @@
 mod load;
 mod orphans;
 mod pace;
+mod poll_budget;
 mod quota;
 mod records;
 mod recover;
--- a/reachhead_node/src/dispatch/link.rs
+++ b/reachhead_node/src/dispatch/link.rs
@@ -23,8 +23,8 @@
         deadline: Duration,
     ) -> BoxFuture<'_, Result<Vec<OrderResult>, CallError>>;
 
-    /// Returns whether a call was answered quickly of late, so that this process's own link does not delay
-    /// the answers of others.
+    /// Returns whether a call was answered quickly within the last [`MAX_QUICK_AGE`], so that this process's
+    /// own link does not delay the answers of others.
     fn is_free(&self) -> bool;
 
     /// Sends results to an owner.
