Placement names the first check that a worker fails

Callers saw a long-running task wait beside free workers, and nothing told which check of placement had excluded them. The checks are now one list that returns the obstacle; accepts and fits are the absence of one, so a log of the obstacle can't differ from the decision. No decision changes.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod liveness;
 pub mod membership;
 pub mod model;
+pub mod obstacle;
 pub mod order;
 pub mod orphan;
 pub mod owner_failures;
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -10,6 +10,7 @@
 use crate::{
     clock::Tick,
     model::Step,
+    obstacle::Obstacle,
     task::{StepId, TaskId},
     worker::Worker,
 };
@@ -41,21 +42,34 @@
 impl PlacementRequest<'_> {
     /// Returns whether the worker may run the task, apart from its free capacity.
     pub fn is_allowed(&self, worker: &Worker, now: Tick) -> bool {
-        let has_label =
-            self.step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
-        has_label && worker.accepts(now) && self.is_within_spread(worker)
+        self.ban(worker, now).is_none()
     }
 
     /// Returns whether the worker may run the task and has the capacity for it.
     pub fn fits(&self, worker: &Worker, now: Tick) -> bool {
+        self.obstacle(worker, now).is_none()
+    }
+
+    /// Returns why the worker can't run the task now; `None` if it can.
+    pub fn obstacle(&self, worker: &Worker, now: Tick) -> Option<Obstacle> {
         let reserved = worker
             .reserved
             .is_some_and(|reservation| reservation.until > now && reservation.step != self.step_id);
         let duplicate = self.task.is_some_and(|task| worker.runs.contains_key(&task));
-        !reserved
-            && !duplicate
-            && self.is_allowed(worker, now)
-            && self.step.charge().fits(worker.free())
+        self.ban(worker, now)
+            .or_else(|| reserved.then_some(Obstacle::Reserved))
+            .or_else(|| duplicate.then_some(Obstacle::Duplicate))
+            .or_else(|| (!self.step.charge().fits(worker.free())).then_some(Obstacle::Capacity))
+    }
+
+    /// Returns why the worker may not run the task, whatever capacity it has free.
+    fn ban(&self, worker: &Worker, now: Tick) -> Option<Obstacle> {
+        let has_label =
+            self.step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
+        worker
+            .obstacle(now)
+            .or_else(|| (!has_label).then_some(Obstacle::Label))
+            .or_else(|| (!self.is_within_spread(worker)).then_some(Obstacle::Spread))
     }
 
     fn is_within_spread(&self, worker: &Worker) -> bool {
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::{
     clock::{ClockSample, Tick, WorkerTime},
     crashes::CrashRole,
+    obstacle::Obstacle,
     orphan::Orphan,
     ports::WorkerInfo,
     task::{StepId, TaskId},
@@ -384,17 +385,26 @@
 
     /// Returns whether the worker may get new tasks at all.
     pub fn accepts(&self, now: Tick) -> bool {
-        self.listed
-            && self.rostered
-            && self.answered
-            && !self.silent
-            && self.orphans.is_empty()
-            && self.trial.is_none()
-            && !self.info.draining
-            && !self.drained
-            && self.cordoned_until <= now
-            && self.full_until <= now
-            && self.failure_history.suspended_until <= now
-            && (!self.failure_history.probation || self.runs.is_empty())
+        self.obstacle(now).is_none()
+    }
+
+    /// Returns why the worker gets no new tasks at all; `None` if it may get some.
+    pub fn obstacle(&self, now: Tick) -> Option<Obstacle> {
+        let FailureHistory { suspended_until, probation, .. } = self.failure_history;
+        let checks = [
+            (!self.listed, Obstacle::Unlisted),
+            (!self.answered, Obstacle::Unanswered),
+            (self.silent, Obstacle::Silent),
+            (!self.rostered, Obstacle::Unrostered),
+            (!self.orphans.is_empty(), Obstacle::Orphans),
+            (self.trial.is_some(), Obstacle::Trial),
+            (self.info.draining, Obstacle::Draining),
+            (self.drained, Obstacle::ZoneDrained),
+            (self.cordoned_until > now, Obstacle::Cordoned),
+            (self.full_until > now, Obstacle::Full),
+            (suspended_until > now, Obstacle::Suspended),
+            (probation && !self.runs.is_empty(), Obstacle::Probation),
+        ];
+        checks.into_iter().find_map(|(fails, obstacle)| fails.then_some(obstacle))
     }
 }
