Failing tests of workers on probation that take no further long-running task

Callers saw a task of a long-running job without a run beside free workers. Two workers of 16 cores reject a start, get one long-running task each, and take nothing else for as long as these run; workers that had long-running tasks when they were suspended take nothing at all.

--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -24,4 +24,5 @@
 mod roster;
 mod round_outcome;
 mod runs;
+mod unplaced;
 mod wave;
--- /dev/null
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -0,0 +1,80 @@
+//! Tests of long-running tasks that waited although workers had room for them.
+
+use std::collections::BTreeSet;
+
+use reachhead_jobs::{
+    model::Step,
+    ports::{Rejection, WorkerError, WorkerInfo},
+    task::TaskId,
+};
+
+use crate::fixture::{Fixture, info, step, task};
+
+/// Returns a step of long-running tasks that keep apart.
+fn lasting(count: u32) -> Step {
+    Step { long_running: true, spread: 1, ..step(count) }
+}
+
+fn names(count: u32) -> Vec<String> {
+    (0..count).map(|number| format!("w{number:03}")).collect()
+}
+
+fn infos(count: u32, cores: u64) -> Vec<WorkerInfo> {
+    names(count).iter().map(|name| info(name, cores)).collect()
+}
+
+fn unhealthy() -> WorkerError {
+    WorkerError::Rejected(Rejection::Unhealthy)
+}
+
+/// Submits a job whose starts are all rejected because the workers are unhealthy.
+fn submit_and_reject(fixture: &mut Fixture, id: u64, steps: Vec<Step>) {
+    fixture.submit(id, steps);
+    for (id, order) in fixture.starts() {
+        fixture.pool.started(&id, order.task, order.run, Err(unhealthy()), fixture.now);
+    }
+}
+
+/// Lets the time pass while workers confirm starts and report all their runs as up; returns the
+/// tasks that were started.
+fn run(fixture: &mut Fixture, millis: u64) -> BTreeSet<TaskId> {
+    let mut started = BTreeSet::new();
+    for _ in 0..millis / 100 {
+        fixture.advance(100);
+        for (id, order) in fixture.starts() {
+            started.insert(order.task);
+            fixture.accept(&id, &order);
+            fixture.set_running(&id, order.task, order.run.0, 100);
+        }
+        for info in fixture.infos.clone() {
+            fixture.report(&info.id);
+        }
+    }
+    started
+}
+
+fn tasks(job: u64, count: u32) -> BTreeSet<TaskId> {
+    (0..count).map(|index| task(job, 0, index)).collect()
+}
+
+/// A worker on probation took one task at a time until a task ended in success. Its first task was a
+/// long-running one, which does not end, so it took nothing else while that ran.
+#[test]
+fn a_long_running_task_that_is_up_ends_its_workers_probation() {
+    let mut fixture = Fixture::ready(infos(2, 16));
+    submit_and_reject(&mut fixture, 1, vec![lasting(2)]);
+    assert_eq!(run(&mut fixture, 7000), tasks(1, 2));
+    fixture.submit(2, vec![lasting(2)]);
+    assert_eq!(run(&mut fixture, 3000), tasks(2, 2), "both workers have fifteen cores free");
+}
+
+/// A worker that was suspended while long-running tasks were up on it took no task at all as long
+/// as one of them was there.
+#[test]
+fn a_suspended_worker_with_long_running_tasks_is_used_again() {
+    let mut fixture = Fixture::ready(infos(2, 16));
+    fixture.submit(1, vec![lasting(2)]);
+    run(&mut fixture, 1000);
+    submit_and_reject(&mut fixture, 2, vec![lasting(2)]);
+    assert_eq!(run(&mut fixture, 7000), tasks(2, 2));
+}
