A worker's probation ends with a long-running task that is up, and in time

Callers saw tasks of long-running jobs wait beside free workers.

Cause: after a suspension (a rejected start, a stuck run, failures of several jobs) a worker took one task at a time until a task ended in success, and none while it had any run. Long-running tasks are placed first and do not end, so such a worker took nothing else for as long as one was there; the pool's load counted its cores, and no other hosts were fetched. The class: a state of a worker that only an event ends which may never come.

A worker on probation now has one task whose success is awaited, the probe; runs from before do not count. A long-running probe succeeds when it reports that it is up. Probation ends after ten seconds in any case: a task that hangs is found to be stuck before, and suspends the worker again.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -181,14 +181,21 @@
         run.last_reported = now;
         run.metric = entry.metric;
         let worked = run.has_worked();
+        let up = run.at_work();
         let age = now.since(run.ordered_at);
-        let settled = run.at_work() && now.since(run.progressed_at) >= CRASH_RESET_TIME;
+        let settled = up && now.since(run.progressed_at) >= CRASH_RESET_TIME;
         if worked {
             self.clear_trial(id, entry, age);
         }
         if settled {
             self.clear_crashes(entry.task);
         }
+        if up
+            && self.is_long_running(entry.task)
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.failure_history.record_up(entry.task);
+        }
         if let Some(checkpoint) = &entry.checkpoint {
             self.keep_checkpoint(entry.task, checkpoint);
         }
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -24,6 +24,11 @@
 /// seconds, and a wrong suspicion costs a pool little for that long.
 const SUSPENSION: Millis = Millis(5000);
 
+/// How long a worker is on probation after a suspension, unless a task succeeds before. A task that
+/// hangs is found to be stuck within that time, and a wrong suspicion must not depend on how long
+/// tasks run.
+const PROBATION: Millis = Millis(10_000);
+
 /// How late an unanswered order may still be carried out.
 const MAX_ORDER_DELAY: Millis = Millis(15_000);
 
@@ -85,8 +90,11 @@
     multiple_jobs: bool,
     /// The worker gets no tasks until then.
     pub suspended_until: Tick,
-    /// The worker gets one task at a time until one succeeds.
-    pub probation: bool,
+    /// The worker gets one task at a time until then, or until one succeeds; `None` if it is not on
+    /// probation.
+    probation_until: Option<Tick>,
+    /// The task that it got on probation, if that is still there.
+    probe: Option<TaskId>,
 }
 
 impl FailureHistory {
@@ -95,13 +103,20 @@
         *self = Self { suspended_until: self.suspended_until, ..Self::default() };
     }
 
+    /// Records that a long-running task is up, which is a success if it was started on probation.
+    pub fn record_up(&mut self, task: TaskId) {
+        if self.probe == Some(task) {
+            self.record_success();
+        }
+    }
+
     /// Records a failed task of `job` and returns whether the worker is suspected because of it.
     pub fn record_failure(&mut self, job: JobId, now: Tick) -> bool {
         self.multiple_jobs |= self.last_failed.is_some_and(|last| last != job);
         self.last_failed = Some(job);
         self.failures += 1;
-        let suspected =
-            self.multiple_jobs && (self.probation || self.failures >= MIN_SUSPECT_FAILURES);
+        let suspected = self.multiple_jobs
+            && (self.is_on_probation(now) || self.failures >= MIN_SUSPECT_FAILURES);
         if suspected {
             self.suspend(now);
         }
@@ -111,7 +126,31 @@
     /// Suspends the worker for a while, and then puts it on probation.
     pub fn suspend(&mut self, now: Tick) {
         self.suspended_until = now + SUSPENSION;
-        self.probation = true;
+        self.probation_until = Some(self.suspended_until + PROBATION);
+        self.probe = None;
+    }
+
+    /// Returns whether the worker waits for its task on probation to succeed.
+    pub fn is_probing(&self, now: Tick) -> bool {
+        self.is_on_probation(now) && self.probe.is_some()
+    }
+
+    fn is_on_probation(&self, now: Tick) -> bool {
+        self.probation_until.is_some_and(|until| now < until)
+    }
+
+    /// Records that the worker got a task.
+    fn record_start(&mut self, task: TaskId) {
+        if self.probation_until.is_some() {
+            self.probe.get_or_insert(task);
+        }
+    }
+
+    /// Records that a task is gone.
+    fn record_end(&mut self, task: TaskId) {
+        if self.probe == Some(task) {
+            self.probe = None;
+        }
     }
 }
 
@@ -316,6 +355,7 @@
         self.release(task);
         self.runs.insert(task, Charge { run, amount });
         self.used = self.used.plus(amount);
+        self.failure_history.record_start(task);
     }
 
     /// Releases the resources of a task that can't be active there any more.
@@ -324,6 +364,7 @@
             self.used = self.used.minus(charge.amount);
             self.full_until = Tick(0);
         }
+        self.failure_history.record_end(task);
         self.end_trial(task);
     }
 
@@ -390,7 +431,6 @@
 
     /// Returns why the worker gets no new tasks at all; `None` if it may get some.
     pub fn obstacle(&self, now: Tick) -> Option<Obstacle> {
-        let FailureHistory { suspended_until, probation, .. } = self.failure_history;
         let checks = [
             (!self.listed, Obstacle::Unlisted),
             (!self.answered, Obstacle::Unanswered),
@@ -402,8 +442,8 @@
             (self.drained, Obstacle::ZoneDrained),
             (self.cordoned_until > now, Obstacle::Cordoned),
             (self.full_until > now, Obstacle::Full),
-            (suspended_until > now, Obstacle::Suspended),
-            (probation && !self.runs.is_empty(), Obstacle::Probation),
+            (self.failure_history.suspended_until > now, Obstacle::Suspended),
+            (self.failure_history.is_probing(now), Obstacle::Probation),
         ];
         checks.into_iter().find_map(|(fails, obstacle)| fails.then_some(obstacle))
     }
