A long-running task that does not come up is moved again after a while

Callers would see a long-running task that never runs: after three workers on which it made no progress it was left on the fourth, whatever became of it there, as the count of such moves has no end. Long-running tasks now move once more for each ten seconds without progress; short ones stay as before, since a deadline or their end settles them.

The new test saw four workers in 60 s on the code before and sees six now. That the users saw this is not shown.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -20,9 +20,14 @@
 /// Shortest time without progress after which a run is stuck: several reports.
 const MIN_STUCK_TIME: Millis = Millis(2500);
 
-/// How often a task is stopped for being stuck; after that it is left where it is.
+/// How often a task is stopped for being stuck; after that it is left where it is, or for
+/// [`LONG_RUNNING_RETRY`] if it is long-running.
 const MAX_STUCK_STOPS: u32 = 3;
 
+/// Time without progress after which a long-running task is moved once more. It has no other end, so
+/// left on a worker that hangs it would never run.
+const LONG_RUNNING_RETRY: Millis = Millis(10_000);
+
 /// Poll wait at a worker where best-effort tasks run beside latency-sensitive tasks. Interference
 /// has to be noticed and reduced well within the few seconds for which a target may be missed.
 const BEST_EFFORT_POLL_WAIT: Millis = Millis(400);
@@ -160,7 +165,9 @@
                         };
                         // A task that was stuck on several workers is not their fault, and moving
                         // it again does not help.
-                        let is_exempt = task.stalls >= MAX_STUCK_STOPS;
+                        let is_due =
+                            step.long_running && now.since(run.progressed_at) >= LONG_RUNNING_RETRY;
+                        let is_exempt = task.stalls >= MAX_STUCK_STOPS && !is_due;
                         let decided =
                             self.decide_run(job, step, run, unwanted, now).filter(|action| {
                                 !(is_exempt && matches!(action, RunAction::Stop(StopReason::Still)))
--- a/reachhead_jobs/tests/pool/unplaced.rs
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -4,7 +4,8 @@
 
 use reachhead_jobs::{
     model::Step,
-    ports::{Rejection, WorkerError, WorkerInfo},
+    pool::Action,
+    ports::{Rejection, RunEnd, WorkerError, WorkerInfo},
     task::TaskId,
 };
 
@@ -78,3 +79,33 @@
     submit_and_reject(&mut fixture, 2, vec![lasting(2)]);
     assert_eq!(run(&mut fixture, 7000), tasks(2, 2));
 }
+
+/// A long-running task that hung on three workers was left on the fourth, where it hung as well:
+/// its starts after that were never reviewed, however long it did not come up.
+#[test]
+fn a_long_running_task_that_does_not_come_up_is_moved_again() {
+    let mut fixture = Fixture::ready(infos(6, 16));
+    fixture.submit(1, vec![lasting(1)]);
+    let mut used = BTreeSet::new();
+    for _ in 0..600 {
+        fixture.advance(100);
+        for action in fixture.poll() {
+            match action {
+                Action::Start(target, order) => {
+                    fixture.accept(&target.id, &order);
+                    used.insert(target.id);
+                }
+                Action::Stop(target, task, run) => {
+                    let clock = fixture.clock();
+                    fixture.pool.stopped(&target.id, task, run, Ok(clock), fixture.now);
+                    fixture.end(&target.id, task, run.0, RunEnd::Stopped);
+                }
+                _ => {}
+            }
+        }
+        for info in fixture.infos.clone() {
+            fixture.report(&info.id);
+        }
+    }
+    assert!(used.len() > 4, "it hung on {used:?}");
+}
