Long-running jobs that have no place do not hold back those behind them

Callers would see tasks wait beside free workers, in every pool in which some caller has two dozen long-running steps that can't be placed (a label that no worker has, more cores than any worker, spread).

Cause: a round ended after 24 steps without a place, and long-running jobs come first in the order, always the same ones. The class: a bound on the cost of a search that always cuts off the same part.

The first twelve long-running jobs are searched in each round as before; the others take turns, and a bound of their own ends their part of the round. Short jobs have a bound of their own too, and are searched in any case.

That the users saw this is not shown.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -157,6 +157,8 @@
     poll_budget: PollBudget,
     /// What the last round ordered.
     round: RoundOutcome,
+    /// Where the next round begins to search the long-running jobs that take turns.
+    search_from: usize,
     roster: roster::RosterState,
     /// Jobs with changes to write to the store.
     dirty: BTreeSet<JobId>,
@@ -238,6 +240,7 @@
             start_budget: StartBudget::unlimited(),
             poll_budget: PollBudget::unlimited(),
             round: RoundOutcome::default(),
+            search_from: 0,
             roster: roster::RosterState::new(found.roster),
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -23,15 +23,29 @@
 /// How long capacity is reserved for a long-running task while short tasks are stopped there.
 const RESERVATION_DURATION: Millis = Millis(1500);
 
-/// Number of steps with an unplaced task beyond which a scheduling round ends.
+/// Number of short jobs' steps with an unplaced task beyond which a scheduling round ends.
 pub(super) const MAX_UNPLACED_STEPS: usize = 24;
 
+/// The same for long-running jobs: for those searched first, and for those that take turns.
+const MAX_UNPLACED_HEAD: usize = 12;
+
+/// Long-running jobs that each scheduling round searches first, by rank. The others take turns, so
+/// that those that can't be placed at present do not keep the ones behind them from being searched.
+const SEARCH_HEAD: usize = 12;
+
 /// A job and its rank in the scheduling order.
 pub(super) struct Ranked {
     pub(super) id: JobId,
     pub(super) rank: Rank,
 }
 
+/// What a scheduling round searched.
+struct Searched {
+    jobs: usize,
+    /// Steps with a task that found no place.
+    unplaced: usize,
+}
+
 /// Short tasks to evict from a worker.
 struct Eviction {
     worker: WorkerId,
@@ -56,30 +70,54 @@
             .map(|job| Ranked { id: job.id, rank: self.estimator.rank(job, now) })
             .collect();
         ranked.sort_by(|a, b| a.rank.compare(b.rank).then(a.id.cmp(&b.id)));
-        let ranked = self.cap_expiring(ranked, now);
-        let mut unplaced = 0;
+        let mut ranked = self.cap_expiring(ranked, now);
+        let lasting = ranked.partition_point(|job| job.rank.class == Class::LongRunning);
+        let head = lasting.min(SEARCH_HEAD);
+        let turns = lasting - head;
+        if turns > 0 {
+            ranked[head..lasting].rotate_left(self.search_from % turns);
+        }
         let mut free = self.largest_free(now);
-        // The first job of which the budget may have left tasks behind.
-        let mut left = 0;
-        for (position, job) in ranked.iter().enumerate() {
-            if !self.start_budget.has_room() {
+        let first = self.place_jobs(&ranked[..head], MAX_UNPLACED_HEAD, &mut free, now);
+        let taken = self.place_jobs(&ranked[head..lasting], MAX_UNPLACED_HEAD, &mut free, now);
+        self.search_from = if taken.jobs < turns { self.search_from + taken.jobs } else { 0 };
+        let short = self.place_jobs(&ranked[lasting..], MAX_UNPLACED_STEPS, &mut free, now);
+        if !self.start_budget.has_room() && short.unplaced <= MAX_UNPLACED_STEPS {
+            // The last job searched is the first of which the budget may have left tasks behind.
+            let searched = match (first.jobs, taken.jobs, short.jobs) {
+                (first, 0, 0) => first,
+                (_, taken, 0) => head + taken,
+                (_, _, short) => lasting + short,
+            };
+            let left = searched.saturating_sub(1);
+            self.round.limited = self.waits_for_budget(&ranked[left..], free, now);
+        }
+        self.log_quotas(now);
+    }
+
+    /// Starts tasks of jobs in this order, until the budget is empty or more than `most` steps have
+    /// found no place.
+    fn place_jobs(
+        &mut self,
+        jobs: &[Ranked],
+        most: usize,
+        free: &mut Amount,
+        now: Tick,
+    ) -> Searched {
+        let mut searched = Searched { jobs: 0, unplaced: 0 };
+        for job in jobs {
+            if !self.start_budget.has_room() || searched.unplaced > most {
                 break;
             }
-            left = position;
+            searched.jobs += 1;
             let steps: Vec<StepId> = self.jobs[&job.id].steps.keys().copied().collect();
             for step in steps {
-                if !self.place_step(step, job.rank.class, &mut free, now) {
-                    unplaced += 1;
+                if !self.place_step(step, job.rank.class, free, now) {
+                    searched.unplaced += 1;
                 }
             }
-            if unplaced > MAX_UNPLACED_STEPS {
-                break;
-            }
-        }
-        if !self.start_budget.has_room() && unplaced <= MAX_UNPLACED_STEPS {
-            self.round.limited = self.waits_for_budget(&ranked[left..], free, now);
         }
-        self.log_quotas(now);
+        searched
     }
 
     /// Returns the largest free amount of each resource on any usable worker.
--- a/reachhead_jobs/tests/pool/unplaced.rs
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -8,6 +8,7 @@
     ports::{Rejection, RunEnd, WorkerError, WorkerInfo},
     task::TaskId,
 };
+use reachhead_plan::amount::Amount;
 
 use crate::fixture::{Fixture, info, step, task};
 
@@ -80,6 +81,28 @@
     assert_eq!(run(&mut fixture, 7000), tasks(2, 2));
 }
 
+/// Submits a hundred jobs of this step, which has no place, and returns what starts of others.
+fn started_behind(step_without_place: &Step) -> BTreeSet<TaskId> {
+    let mut fixture = Fixture::ready(infos(2, 16));
+    for id in 1..=100 {
+        fixture.submit(id, vec![step_without_place.clone()]);
+    }
+    fixture.submit(101, vec![lasting(1)]);
+    fixture.submit(102, vec![step(1)]);
+    run(&mut fixture, 1000)
+}
+
+/// The steps that come first in rank had no place, and each round ended after 24 of them: one
+/// caller's jobs that could never start kept all others from starting.
+#[test]
+fn steps_without_a_place_do_not_hold_back_others() {
+    let expected: BTreeSet<TaskId> = [task(101, 0, 0), task(102, 0, 0)].into();
+    let label = Some("missing".parse().unwrap());
+    assert_eq!(started_behind(&Step { label, ..lasting(1) }), expected);
+    let need = Amount::new(20_000, 100, 0);
+    assert_eq!(started_behind(&Step { need, ..lasting(1) }), expected);
+}
+
 /// A long-running task that hung on three workers was left on the fourth, where it hung as well:
 /// its starts after that were never reviewed, however long it did not come up.
 #[test]
