Workers with room that no verdict covers are proposed for approval

Callers of queues whose placement another service approves would see tasks wait beside free workers.

Cause: a call named the first hundred accepting workers by id, with room or without, and the next call named the same ones; an answer that approved anybody held the step to these for as long as it was valid. Short tasks were evicted for a long-running one on workers without approval.

Three new tests (the first hundred of 130 workers full, not approved; a worker that joins beside full ones): nothing started on the code before, all tasks start now. That the users saw this is not shown: the site's pools begin with 56 to 85 workers.

--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -39,7 +39,26 @@
     pub trial: bool,
 }
 
-impl PlacementRequest<'_> {
+impl<'a> PlacementRequest<'a> {
+    /// Returns a request for any task of a step.
+    pub fn new(step_id: StepId, step: &'a Step) -> Self {
+        Self {
+            step_id,
+            task: None,
+            step,
+            avoid: &[],
+            rack: None,
+            long_running_workers: None,
+            trial: false,
+        }
+    }
+
+    /// Sets the task that is to be placed.
+    pub fn with_task(mut self, task: TaskId) -> Self {
+        self.task = Some(task);
+        self
+    }
+
     /// Returns whether the worker may run the task, apart from its free capacity.
     pub fn is_allowed(&self, worker: &Worker, now: Tick) -> bool {
         self.ban(worker, now).is_none()
--- a/reachhead_jobs/src/pool/drain_worker.rs
+++ b/reachhead_jobs/src/pool/drain_worker.rs
@@ -143,15 +143,7 @@
     fn can_move(&self, task: TaskId, now: Tick) -> bool {
         let job = &self.jobs[&task.job];
         let step = &job.plan.steps[task.step as usize];
-        let wanted = PlacementRequest {
-            step_id: task.step_id(),
-            task: Some(task),
-            step,
-            avoid: &[],
-            rack: None,
-            long_running_workers: None,
-            trial: false,
-        };
+        let wanted = PlacementRequest::new(task.step_id(), step).with_task(task);
         self.workers.values().any(|worker| {
             wanted.fits(worker, now)
                 || (wanted.is_allowed(worker, now) && self.victims(worker, step).is_some())
--- a/reachhead_jobs/src/pool/round_outcome.rs
+++ b/reachhead_jobs/src/pool/round_outcome.rs
@@ -57,11 +57,7 @@
     fn can_place(&mut self, id: StepId, waiting: &[u32], now: Tick) -> bool {
         let job = &self.jobs[&id.job];
         let step = job.step(id).clone();
-        let advised = job.queue.advice.is_some();
-        let allowed = if advised { self.advice.approved(id, now) } else { None };
-        if advised && allowed.is_none() {
-            return false;
-        }
+        let allowed = job.queue.advice.is_some().then(|| self.advice.approved(id, now));
         if step.gang {
             return self.is_gang_settled(id, now)
                 && self.within_quota(id.job, step.need.times(step.count))
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -138,13 +138,17 @@
         let job = &self.jobs[&id.job];
         let advised = job.queue.advice.is_some();
         let step = job.step(id).clone();
-        let allowed = if advised { self.advice.approved(id, now) } else { None };
-        if advised && allowed.as_ref().is_none_or(BTreeSet::is_empty) {
+        let allowed = advised.then(|| self.advice.approved(id, now));
+        if allowed.as_ref().is_some_and(BTreeSet::is_empty) {
             self.request_advice(id, now);
             return true;
         }
         if step.gang {
-            return self.place_gang(id, &step, allowed.as_ref(), now);
+            let placed = self.place_gang(id, &step, allowed.as_ref(), now);
+            if advised && !placed {
+                self.extend_advice(id, now);
+            }
+            return placed;
         }
         let remaining = waiting.len();
         let mut started = Vec::new();
@@ -167,8 +171,11 @@
                 if possible {
                     *free = self.largest_free(now);
                 }
+                if advised {
+                    self.extend_advice(id, now);
+                }
                 if class == Class::LongRunning {
-                    self.preempt_short_tasks(id, &step, now);
+                    self.preempt_short_tasks(id, &step, allowed.as_ref(), now);
                 }
                 self.log_placed(id, class, &started, remaining);
                 return false;
@@ -265,15 +272,7 @@
     /// starting.
     fn waits_for_trial(&self, id: TaskId, step: &Step, now: Tick) -> bool {
         let state = &self.jobs[&id.job].steps[&id.step_id()];
-        let wanted = PlacementRequest {
-            step_id: id.step_id(),
-            task: Some(id),
-            step,
-            avoid: &[],
-            rack: None,
-            long_running_workers: None,
-            trial: false,
-        };
+        let wanted = PlacementRequest::new(id.step_id(), step).with_task(id);
         let suspect = state.tasks[id.index as usize].crashes.is_suspect();
         suspect && self.workers.values().any(|worker| wanted.fits(worker, now))
     }
@@ -357,24 +356,24 @@
 
     /// Frees capacity for a long-running task by evicting short tasks, on the worker where the
     /// fewest have to stop.
-    fn preempt_short_tasks(&mut self, id: StepId, step: &Step, now: Tick) {
+    fn preempt_short_tasks(
+        &mut self,
+        id: StepId,
+        step: &Step,
+        allowed: Option<&BTreeSet<WorkerId>>,
+        now: Tick,
+    ) {
         let reserved = |worker: &Worker| {
             worker.reserved.is_some_and(|kept| kept.until > now && kept.step == id)
         };
         if self.workers.values().any(reserved) {
             return;
         }
-        let wanted = PlacementRequest {
-            step_id: id,
-            task: None,
-            step,
-            avoid: &[],
-            rack: None,
-            long_running_workers: None,
-            trial: false,
-        };
+        let wanted = PlacementRequest::new(id, step);
         let usable = self.workers.values().filter(|worker| {
-            worker.reserved.is_none_or(|kept| kept.until <= now) && wanted.is_allowed(worker, now)
+            worker.reserved.is_none_or(|kept| kept.until <= now)
+                && wanted.is_allowed(worker, now)
+                && allowed.is_none_or(|allowed| allowed.contains(&worker.info.id))
         });
         let found = usable.filter_map(|worker| {
             let tasks = self.victims(worker, step)?;
--- a/reachhead_jobs/tests/pool/unplaced.rs
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -1,16 +1,21 @@
 //! Tests of long-running tasks that waited although workers had room for them.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use reachhead_jobs::{
-    model::Step,
+    model::{AdvicePolicy, Queue, Step},
     pool::Action,
-    ports::{Rejection, RunEnd, WorkerError, WorkerInfo},
+    ports::{Approval, Rejection, RunEnd, WorkerError, WorkerInfo},
+    record::JobRecord,
     task::TaskId,
 };
 use reachhead_plan::amount::Amount;
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::{Millis, Revision},
+};
 
-use crate::fixture::{Fixture, info, step, task};
+use crate::fixture::{Fixture, info, queue, record, step, task, worker};
 
 /// Returns a step of long-running tasks that keep apart.
 fn lasting(count: u32) -> Step {
@@ -25,6 +30,17 @@
     names(count).iter().map(|name| info(name, cores)).collect()
 }
 
+/// Returns a pool of so many workers that their roster takes several transactions.
+fn large_pool(count: u32, cores: u64) -> Fixture {
+    let mut fixture = Fixture::ready(infos(count, cores));
+    for _ in 0..4 {
+        fixture.advance(100);
+        fixture.poll();
+        fixture.flush();
+    }
+    fixture
+}
+
 fn unhealthy() -> WorkerError {
     WorkerError::Rejected(Rejection::Unhealthy)
 }
@@ -132,3 +148,88 @@
     }
     assert!(used.len() > 4, "it hung on {used:?}");
 }
+
+/// Submits a job of a queue whose placement another service approves.
+fn submit_advised(fixture: &mut Fixture, id: u64, steps: Vec<Step>) {
+    let policy =
+        AdvicePolicy { decision: Millis(10), per_worker: Millis(1), validity: Millis(2000) };
+    let job = JobRecord {
+        queue: Arc::new(Queue { advice: Some(policy), ..(*queue()).clone() }),
+        ..record(steps, fixture.now.0)
+    };
+    let wall = Millis(fixture.now.0);
+    fixture.pool.submit(JobId(id), &job, Revision(50 + id), fixture.now, wall);
+}
+
+/// Lets the time pass while a service approves the workers that `is_approved` names; returns the
+/// tasks that were started.
+fn run_advised(
+    fixture: &mut Fixture,
+    millis: u64,
+    is_approved: impl Fn(&WorkerId) -> bool,
+) -> BTreeSet<TaskId> {
+    let mut started = BTreeSet::new();
+    for _ in 0..millis / 100 {
+        fixture.advance(100);
+        for action in fixture.poll() {
+            match action {
+                Action::Start(target, order) => {
+                    started.insert(order.task);
+                    fixture.accept(&target.id, &order);
+                    fixture.set_running(&target.id, order.task, order.run.0, 100);
+                }
+                Action::Advise(step, asked) => {
+                    assert!(asked.len() <= 100, "more workers than a call may name");
+                    let approved = asked.into_iter().filter(&is_approved);
+                    let approval = |worker| Approval { worker, ticket: "t".to_owned() };
+                    let approvals = Some(approved.map(approval).collect());
+                    fixture.pool.advised(step, approvals, fixture.now, fixture.now);
+                }
+                _ => {}
+            }
+        }
+        for info in fixture.infos.clone() {
+            fixture.report(&info.id);
+        }
+    }
+    started
+}
+
+/// Approval was requested for the first hundred workers by id, whether or not they had room, so
+/// tasks waited although every other worker was free.
+#[test]
+fn workers_beyond_the_first_hundred_are_proposed_for_approval() {
+    let mut fixture = large_pool(130, 1);
+    for info in fixture.infos.iter_mut().take(100) {
+        info.labels = vec!["first".parse().unwrap()];
+    }
+    fixture.list();
+    fixture.submit(1, vec![Step { label: Some("first".parse().unwrap()), ..lasting(100) }]);
+    assert_eq!(run(&mut fixture, 1000).len(), 100);
+    submit_advised(&mut fixture, 2, vec![lasting(4)]);
+    assert_eq!(run_advised(&mut fixture, 3000, |_| true), tasks(2, 4));
+}
+
+/// Workers that the service does not approve were proposed in each call, and others in none.
+#[test]
+fn other_workers_are_proposed_after_those_that_were_not_approved() {
+    let mut fixture = large_pool(130, 16);
+    submit_advised(&mut fixture, 1, vec![lasting(4)]);
+    let last = worker("w110");
+    assert_eq!(run_advised(&mut fixture, 3000, |worker| *worker >= last), tasks(1, 4));
+}
+
+/// Approved workers without room held a step for as long as their approvals were valid, also after
+/// another worker had joined.
+#[test]
+fn a_worker_that_joined_is_proposed_while_approved_ones_are_full() {
+    let mut fixture = Fixture::ready(infos(2, 1));
+    submit_advised(&mut fixture, 1, vec![lasting(3)]);
+    assert_eq!(run_advised(&mut fixture, 500, |_| true).len(), 2);
+    fixture.infos.push(info("x", 1));
+    fixture.list();
+    fixture.report(&worker("x"));
+    fixture.poll();
+    fixture.flush();
+    assert_eq!(run_advised(&mut fixture, 600, |_| true), [task(1, 0, 2)].into());
+}
