A suspension does not shorten the wait for late calls to a restarted worker

Callers would see tasks run twice: after a worker restarts under its id it gets nothing until no unanswered call to the previous incarnation can arrive, 15 s, since such a call would make it drop ends that no owner has read. A suspension for a rejected start or a failing task replaced that time by five seconds.

Cause: one field holds the end of both waits, and suspending overwrote it. It now only moves forward. The new test failed on the code before (a start 5,051 ms after the unanswered call) and passes. Found by reading; not seen on a site.

--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -125,7 +125,7 @@
 
     /// Suspends the worker for a while, and then puts it on probation.
     pub fn suspend(&mut self, now: Tick) {
-        self.suspended_until = now + SUSPENSION;
+        self.suspended_until = self.suspended_until.max(now + SUSPENSION);
         self.probation_until = Some(self.suspended_until + PROBATION);
         self.probe = None;
     }
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -3,7 +3,7 @@
 use reachhead_jobs::{
     clock::WorkerTime,
     pool::Action,
-    ports::{HoldOrder, RunEnd, WorkerError, WorkerReport},
+    ports::{HoldOrder, Rejection, RunEnd, WorkerError, WorkerReport},
 };
 use reachhead_types::{id::WorkerId, size::Millis};
 
@@ -220,3 +220,27 @@
     assert!(fixture.pool.jobs().is_empty(), "the job is given up");
     assert!(starts <= 5, "{starts} starts");
 }
+
+/// A rejected start shortened the time in which late calls to the previous incarnation may arrive:
+/// the worker got tasks while such a call could still make it drop ends that no owner had read.
+#[test]
+fn a_suspension_does_not_shorten_the_wait_for_late_calls() {
+    let mut fixture = one_worker();
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    fixture.fail_poll(&id);
+    let unanswered = fixture.now;
+    restart(&mut fixture);
+    fixture.report(&id);
+    let rejected = Err(WorkerError::Rejected(Rejection::Unhealthy));
+    fixture.pool.started(&id, order.task, order.run, rejected, fixture.now);
+    while fixture.now.since(unanswered) < Millis(14_800) {
+        fixture.advance(100);
+        fixture.report(&id);
+        fixture.flush();
+        assert!(starts_on(&mut fixture).is_empty(), "after {}", fixture.now.since(unanswered));
+    }
+    fixture.advance(300);
+    fixture.report(&id);
+    assert_eq!(starts_on(&mut fixture), [id]);
+}
