Ends that a full report does not list are not taken for lost runs

Callers would see work done twice while the store takes no writes: a worker lists at most 500 ends that were not acknowledged, by the platform's contract. Beyond that a run is listed neither as running nor as ended. The owner took it for lost and started its task again, and so did a successor, which counted the worker as known after its first report; the end was acknowledged later.

A report with 500 ends is partial: no run is dropped for it, a recovered task goes on waiting for the worker, and the worker is not idle. A worker gets no task whose end a report could not list: unacknowledged ends and runs together stay below 500.

--- a/reachhead_jobs/src/obstacle.rs
+++ b/reachhead_jobs/src/obstacle.rs
@@ -28,6 +28,8 @@
     Cordoned,
     /// It rejected a run for lack of capacity.
     Full,
+    /// Its ends that are not recorded fill a report.
+    Unrecorded,
     /// It is suspended after failures.
     Suspended,
     /// It is on probation and has a task that has not succeeded yet.
@@ -60,6 +62,7 @@
             Self::ZoneDrained => "zone-drained",
             Self::Cordoned => "cordoned",
             Self::Full => "full",
+            Self::Unrecorded => "unrecorded",
             Self::Suspended => "suspended",
             Self::Probation => "probation",
             Self::Label => "label",
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -111,7 +111,14 @@
         worker.failed_calls = 0;
         worker.crash_suspects.clear();
         let processed = worker.last_processed;
-        self.pending.remove(id);
+        let is_complete = report.is_complete();
+        worker.partial = !is_complete;
+        if is_complete {
+            self.pending.remove(id);
+        } else if let Some(pending) = self.pending.get_mut(id) {
+            // An end that the report does not list may be one of a recovered task.
+            pending.until = pending.until.max(now + self.timeouts.hold);
+        }
         for entry in &report.ended {
             if entry.number > processed {
                 self.apply_end(id, entry, now);
@@ -121,7 +128,9 @@
             self.apply_running(id, entry, now);
         }
         self.drop_ended_orphans(id, &report);
-        self.drop_missing_runs(id, sent, &report);
+        if is_complete {
+            self.drop_missing_runs(id, sent, &report);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/reachhead_jobs/src/ports/mod.rs
+++ b/reachhead_jobs/src/ports/mod.rs
@@ -14,7 +14,7 @@
     hosts::{HostApi, HostOrderError, PlatformHost, PlatformHostState},
     operators::{OperatorRow, RowError, RowFormat},
     worker::{
-        EndedEntry, HoldOrder, Rejection, RunEnd, RunningEntry, StartOrder, WorkerAgent,
-        WorkerError, WorkerInfo, WorkerReport, WorkerTarget,
+        EndedEntry, HoldOrder, MAX_REPORTED_ENDS, Rejection, RunEnd, RunningEntry, StartOrder,
+        WorkerAgent, WorkerError, WorkerInfo, WorkerReport, WorkerTarget,
     },
 };
--- a/reachhead_jobs/src/ports/worker.rs
+++ b/reachhead_jobs/src/ports/worker.rs
@@ -146,6 +146,9 @@
     pub checkpoint: Option<String>,
 }
 
+/// Number of ends that a report lists at most, by the platform's contract.
+pub const MAX_REPORTED_ENDS: usize = 500;
+
 /// Report of a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerReport {
@@ -155,10 +158,18 @@
     pub clock: WorkerTime,
     /// Active runs.
     pub running: Vec<RunningEntry>,
-    /// Ends that were not acknowledged.
+    /// Ends that were not acknowledged, the first [`MAX_REPORTED_ENDS`] of them.
     pub ended: Vec<EndedEntry>,
 }
 
+impl WorkerReport {
+    /// Returns whether the report lists every end that was not acknowledged. Otherwise a run that it
+    /// does not list may have ended.
+    pub fn is_complete(&self) -> bool {
+        self.ended.len() < MAX_REPORTED_ENDS
+    }
+}
+
 /// Heartbeat: renews the lease of all runs of a worker and returns its report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HoldOrder {
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -13,7 +13,7 @@
     crashes::CrashRole,
     obstacle::Obstacle,
     orphan::Orphan,
-    ports::WorkerInfo,
+    ports::{MAX_REPORTED_ENDS, WorkerInfo},
     task::{StepId, TaskId},
 };
 
@@ -208,6 +208,8 @@
     pub last_processed: u64,
     /// Number up to which ends are stored or need not be, so that the worker may forget them.
     pub acknowledged: u64,
+    /// Its last report did not list all ends.
+    pub partial: bool,
     /// Ends that are not stored yet, by number.
     pub unrecorded: BTreeMap<u64, UnrecordedEnd>,
     /// Runs that may be active there, with their resources.
@@ -296,6 +298,7 @@
             failed_calls: 0,
             last_processed: 0,
             acknowledged: 0,
+            partial: false,
             unrecorded: BTreeMap::new(),
             runs: BTreeMap::new(),
             used: Amount::default(),
@@ -421,7 +424,8 @@
 
     /// Returns whether the worker has reported that it runs nothing and was given nothing since.
     pub fn is_idle(&self) -> bool {
-        self.answered && !self.silent && self.runs.is_empty() && self.orphans.is_empty()
+        let is_known = self.answered && !self.silent && !self.partial;
+        is_known && self.runs.is_empty() && self.orphans.is_empty()
     }
 
     /// Returns whether the worker may get new tasks at all.
@@ -429,6 +433,13 @@
         self.obstacle(now).is_none()
     }
 
+    /// Returns whether the next report might not list the end of one more run. A run that is neither
+    /// listed as running nor as ended would be taken for lost.
+    fn has_full_report(&self) -> bool {
+        let unacknowledged = self.last_processed.saturating_sub(self.acknowledged) as usize;
+        self.partial || unacknowledged.saturating_add(self.runs.len()) >= MAX_REPORTED_ENDS
+    }
+
     /// Returns why the worker gets no new tasks at all; `None` if it may get some.
     pub fn obstacle(&self, now: Tick) -> Option<Obstacle> {
         let checks = [
@@ -442,6 +453,7 @@
             (self.drained, Obstacle::ZoneDrained),
             (self.cordoned_until > now, Obstacle::Cordoned),
             (self.full_until > now, Obstacle::Full),
+            (self.has_full_report(), Obstacle::Unrecorded),
             (self.failure_history.suspended_until > now, Obstacle::Suspended),
             (self.failure_history.is_probing(now), Obstacle::Probation),
         ];
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod expiring_budget;
 mod fixture;
 mod load;
+mod long_reports;
 mod orphans;
 mod pace;
 mod poll_budget;
