A task that no worker can take does not hold up drains of other workers

Operators would see planned work and moves of hosts wait for as long as some caller's long-running task waits that no worker can take, for its label or its size: while a long-running task is without a run, no worker with long-running tasks is drained. Only tasks that some worker could take if it were empty count now.

The new test (a missing label, nine cores on workers of two) failed on the code before (no task was moved) and passes.

--- a/reachhead_jobs/src/pool/drain_worker.rs
+++ b/reachhead_jobs/src/pool/drain_worker.rs
@@ -6,9 +6,11 @@
 use crate::{
     clock::Tick,
     job::{Phase, Run},
+    model::Step,
     place::PlacementRequest,
     pool::{Pool, StopReason},
     task::TaskId,
+    worker::Worker,
 };
 
 /// How long a drain request cordons a worker. Requests are repeated several times a second; when
@@ -129,12 +131,17 @@
         self.has_unplaced_long_running() && self.workers[id].runs.keys().any(is_long_running)
     }
 
-    /// Returns whether a long-running task has no run.
+    /// Returns whether a long-running task has no run that some worker could take if it were empty.
     fn has_unplaced_long_running(&self) -> bool {
-        self.jobs.values().filter(|job| job.ending.is_none()).any(|job| {
-            job.steps.iter().any(|(id, state)| {
-                job.step(*id).long_running && state.tasks.iter().any(|task| task.runs.is_empty())
-            })
+        let mut steps = self
+            .jobs
+            .values()
+            .filter(|job| job.ending.is_none())
+            .flat_map(|job| job.steps.iter().map(move |(id, state)| (job.step(*id), state)));
+        steps.any(|(step, state)| {
+            step.long_running
+                && state.tasks.iter().any(|task| task.runs.is_empty())
+                && self.workers.values().any(|worker| worker.listed && is_suitable(worker, step))
         })
     }
 
@@ -168,6 +175,12 @@
     }
 }
 
+/// Returns whether the worker could run a task of the step if it were empty.
+fn is_suitable(worker: &Worker, step: &Step) -> bool {
+    let has_label = step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
+    has_label && step.charge().fits(worker.info.capacity)
+}
+
 impl DrainProgress {
     fn min_of(self, other: Self) -> Self {
         if (other as u8) < (self as u8) { other } else { self }
--- a/reachhead_jobs/tests/pool/drain_worker.rs
+++ b/reachhead_jobs/tests/pool/drain_worker.rs
@@ -5,6 +5,7 @@
     pool::{DeathEvidence, DrainMode, DrainProgress},
     ports::RunEnd,
 };
+use reachhead_plan::amount::Amount;
 use reachhead_types::id::WorkerId;
 
 use crate::fixture::{Fixture, info, recovered, step, task, worker};
@@ -265,3 +266,18 @@
         DrainProgress::Protected
     );
 }
+
+/// A long-running task that no worker can take, for its label or its size, kept every worker with
+/// long-running tasks from being drained, so that planned work never ended.
+#[test]
+fn a_task_that_no_worker_can_take_does_not_hold_up_a_drain() {
+    for (label, cores) in [(Some("missing"), 1000), (None, 9000)] {
+        let (mut fixture, used) = with_running_tasks();
+        let label = label.map(|label| label.parse().unwrap());
+        let need = Amount::new(cores, 100, 0);
+        fixture.submit(2, vec![Step { label, need, long_running: true, ..step(1) }]);
+        assert!(fixture.starts().is_empty());
+        fixture.pool.drain_worker(&used[0], DrainMode::Graceful, fixture.now);
+        assert_eq!(fixture.stops().len(), 1, "its task may move");
+    }
+}
