Ends of unknown jobs are kept until the store shows that the job is over

What callers saw: in virtual time only, a task that had ended done was started again by a new owner, so its work was done twice.

Cause: a job that is stored after a takeover has read its shard may be started by the predecessor. The successor reads its ends from the workers before it knows the job. It kept such ends for 5 s and then acknowledged them, counting on it that all stored jobs are read twice in that time. That does not hold on a narrow link, where reads pause for four times their duration, or while the store rejects the process. The worker then forgot the end, and once the job was found its tasks started again.

Evidence: the new random schedules, in which the store rejects an owner and its successor for 8 to 16 s and a job is found up to 9 s late, failed before the change with the acts (105, 187, 1), (189, 0, 0): "was done and started again".

Change: the job's row is read 5 s after the first end of the job was reported, and the end is acknowledged only when the store has answered that there is none. A failed lookup is repeated every 500 ms. A lookup that finds a job of a later owner acknowledges nothing. E703 end=unknown-job has the age of the end.

Measured: all tests of reachhead_jobs pass, 167 in tests/pool and six random schedules of 300 each.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -26,6 +26,7 @@
 mod roster;
 mod round_outcome;
 mod starts;
+mod unclaimed;
 mod weights;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,7 +52,7 @@
     job::Job,
     order::DurationEstimator,
     poll_pace::PollBudget,
-    ports::{EndedEntry, WorkerInfo, WorkerTarget},
+    ports::{WorkerInfo, WorkerTarget},
     record::{Ending, FinalRecord, JobRecord, LeaseRecord},
     shard::Shard,
     start_pace::StartBudget,
@@ -140,7 +141,7 @@
     /// No predecessor starts tasks of a job that this owner stored.
     predecessors_know_storer: bool,
     /// Reported ends of runs whose jobs this owner does not know.
-    unclaimed_ends: Vec<UnclaimedEnd>,
+    unclaimed_ends: unclaimed::UnclaimedEnds,
     /// The platform's list of workers has been applied at least once.
     workers_listed: bool,
     /// The zones that operators drain.
@@ -183,15 +184,6 @@
     notes: Vec<Note>,
 }
 
-/// A reported end of a run whose job this owner does not know. The job has ended, or is yet to be
-/// submitted to this owner: a predecessor that had lost its lease may have started its tasks.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct UnclaimedEnd {
-    worker: WorkerId,
-    entry: EndedEntry,
-    since: Tick,
-}
-
 /// A worker of the predecessor that has not answered this owner yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PendingWorker {
@@ -229,7 +221,7 @@
                 now,
             ),
             predecessors_know_storer: found.knows_storer,
-            unclaimed_ends: Vec::new(),
+            unclaimed_ends: unclaimed::UnclaimedEnds::default(),
             workers_listed: false,
             drained: drain::DrainedZones::default(),
             cordons: BTreeMap::new(),
@@ -448,7 +440,6 @@
             self.all_answered_at.get_or_insert(now);
         }
         self.cordons.retain(|_, until| *until > now);
-        self.expire_unclaimed_ends(now);
         self.predecessor.expire(now);
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_JOB_RETENTION);
         self.expire_workers(now);
--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -149,17 +149,28 @@
 
     /// Requests the lookups that are due.
     pub(super) fn look_up_jobs(&mut self, now: Tick) {
-        let jobs = self.predecessor.take_due(now);
+        let mut jobs = self.predecessor.take_due(now);
+        for job in self.unclaimed_ends.take_due(now) {
+            if !jobs.contains(&job) {
+                jobs.push(job);
+            }
+        }
         if !jobs.is_empty() {
             self.actions.push(Action::FindJobs(jobs));
         }
     }
 
     /// Processes the end of a lookup, after the stored jobs were submitted. Runs of the others are
-    /// stopped if the store `answered`, or has not for a while.
+    /// stopped if the store `answered`, or has not for a while. Their ends are kept until it has.
     pub fn jobs_found(&mut self, jobs: &[JobId], answered: bool, now: Tick) {
+        // A job that a later owner stored was not submitted; its ends are for that owner.
+        let is_replaced = self.actions.contains(&Action::Fenced);
         for job in jobs {
-            if self.jobs.contains_key(job) || !self.predecessor.record(*job, answered, now) {
+            if self.jobs.contains_key(job) {
+                continue;
+            }
+            self.resolve_unclaimed_ends(*job, answered && !is_replaced, now);
+            if !self.predecessor.record(*job, answered, now) {
                 continue;
             }
             for (worker, orphan) in self.orphans_of(*job) {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{ClockSample, Tick},
     job::{Phase, Run},
-    pool::{Action, DeathEvidence, Note, NoteKind, Pool, UnclaimedEnd, restarted_worker::is_newer},
+    pool::{Action, DeathEvidence, Note, NoteKind, Pool, restarted_worker::is_newer},
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
@@ -33,9 +33,6 @@
 /// host failures would add up against it over weeks.
 const CRASH_RESET_TIME: Millis = Millis(60_000);
 
-/// How long an end of an unknown job is kept; all stored jobs are read twice in that time.
-const UNCLAIMED_END_RETENTION: Millis = Millis(5000);
-
 impl Pool {
     /// Applies the result of a long poll that was sent at `sent`.
     pub fn held(
@@ -245,7 +242,7 @@
     }
 
     /// Applies the end of a run.
-    fn apply_end(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
+    pub(super) fn apply_end(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
         if let Some(checkpoint) = &entry.checkpoint {
             self.keep_checkpoint(entry.task, checkpoint);
         }
@@ -316,57 +313,6 @@
         self.decide_ending(entry.task.job);
     }
 
-    /// Keeps an end of an unknown job, and keeps its worker from dropping it.
-    fn keep_unclaimed_end(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
-        let counts = matches!(entry.end, RunEnd::Done | RunEnd::Failed);
-        if !counts || self.closed.contains_key(&entry.task.job) {
-            return;
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            let end = UnrecordedEnd { job: entry.task.job, written: false };
-            worker.unrecorded.insert(entry.number, end);
-        }
-        self.unclaimed_ends.push(UnclaimedEnd {
-            worker: id.clone(),
-            entry: entry.clone(),
-            since: now,
-        });
-    }
-
-    /// Applies the ends that were reported before the job became known.
-    pub(super) fn claim_ends(&mut self, id: JobId, now: Tick) {
-        let (own, others) =
-            self.unclaimed_ends.drain(..).partition(|unclaimed| unclaimed.entry.task.job == id);
-        self.unclaimed_ends = others;
-        let own: Vec<UnclaimedEnd> = own;
-        for unclaimed in own {
-            self.apply_end(&unclaimed.worker, &unclaimed.entry, now);
-        }
-    }
-
-    /// Drops kept ends whose jobs stayed unknown.
-    pub(super) fn expire_unclaimed_ends(&mut self, now: Tick) {
-        let is_expired =
-            |unclaimed: &UnclaimedEnd| now.since(unclaimed.since) >= UNCLAIMED_END_RETENTION;
-        let (expired, left) = self.unclaimed_ends.drain(..).partition(is_expired);
-        self.unclaimed_ends = left;
-        let expired: Vec<UnclaimedEnd> = expired;
-        for unclaimed in expired {
-            let job = unclaimed.entry.task.job;
-            self.note(
-                NoteKind::RunLost,
-                format!(
-                    "task={} worker={} end=unknown-job",
-                    unclaimed.entry.task, unclaimed.worker
-                ),
-            );
-            if let Some(worker) = self.workers.get_mut(&unclaimed.worker) {
-                worker.mark_written(job);
-                worker.mark_recorded(job);
-            }
-        }
-    }
-
     /// Marks an end as to be recorded before the worker may drop it.
     fn retain_end(&mut self, id: &WorkerId, entry: &EndedEntry) {
         if self.jobs.get(&entry.task.job).is_none_or(|job| job.recorded) {
--- /dev/null
+++ b/reachhead_jobs/src/pool/unclaimed.rs
@@ -0,0 +1,145 @@
+//! Ends of runs whose jobs this owner does not know.
+//!
+//! The job has ended, or it was stored after the takeover had read its shard and a predecessor that
+//! had lost its lease started its tasks. The worker may forget such an end only once the store has
+//! shown that the job is not stored: the owner may find the job much later, as reads of stored jobs
+//! are slow on a narrow link and fail while the store turns the process away. Its tasks would then
+//! start again. See [Ends that were not recorded before a
+//! takeover](../../../docs/incidents/ends-not-recorded-before-a-takeover.md).
+
+use std::collections::BTreeMap;
+
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::Millis,
+};
+
+use crate::{
+    clock::Tick,
+    pool::{NoteKind, Pool},
+    ports::{EndedEntry, RunEnd},
+    worker::UnrecordedEnd,
+};
+
+/// How long the owner waits for the job before it reads the job's row. Most of these jobs have
+/// ended, or arrive within this time by the regular reads of stored jobs.
+const LOOKUP_DELAY: Millis = Millis(5000);
+
+/// Pause before a failed lookup is repeated. Only the worker's memory waits for it.
+const LOOKUP_RETRY_PAUSE: Millis = Millis(500);
+
+/// Maximum number of jobs in one lookup; each takes a call of the store.
+const MAX_LOOKUP_JOBS: usize = 50;
+
+/// A reported end of a run whose job this owner does not know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct UnclaimedEnd {
+    worker: WorkerId,
+    entry: EndedEntry,
+    since: Tick,
+}
+
+/// State of the lookup of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lookup {
+    /// The lookup is due at this time.
+    Due(Tick),
+    /// The store is being read.
+    InFlight,
+}
+
+/// The ends of unknown jobs, and the lookups of these jobs.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(super) struct UnclaimedEnds {
+    ends: Vec<UnclaimedEnd>,
+    lookups: BTreeMap<JobId, Lookup>,
+}
+
+impl UnclaimedEnds {
+    fn push(&mut self, worker: &WorkerId, entry: &EndedEntry, now: Tick) {
+        let job = entry.task.job;
+        self.lookups.entry(job).or_insert(Lookup::Due(now + LOOKUP_DELAY));
+        // A worker that was removed and listed again reports its ends again.
+        let is_known = self.ends.iter().any(|end| {
+            end.worker == *worker && end.entry.task == entry.task && end.entry.run == entry.run
+        });
+        if !is_known {
+            self.ends.push(UnclaimedEnd {
+                worker: worker.clone(),
+                entry: entry.clone(),
+                since: now,
+            });
+        }
+    }
+
+    /// Removes and returns the ends of a job.
+    fn take(&mut self, job: JobId) -> Vec<UnclaimedEnd> {
+        if self.lookups.remove(&job).is_none() {
+            return Vec::new();
+        }
+        let is_own = |end: &UnclaimedEnd| end.entry.task.job == job;
+        let (own, others) = self.ends.drain(..).partition(is_own);
+        self.ends = others;
+        own
+    }
+
+    /// Returns the jobs to look up now.
+    pub(super) fn take_due(&mut self, now: Tick) -> Vec<JobId> {
+        let is_due = |lookup: &Lookup| matches!(lookup, Lookup::Due(at) if *at <= now);
+        let due = self.lookups.iter_mut().filter(|(_, lookup)| is_due(lookup));
+        let taken = due.take(MAX_LOOKUP_JOBS).map(|(job, lookup)| {
+            *lookup = Lookup::InFlight;
+            *job
+        });
+        taken.collect()
+    }
+
+    /// Records that the store did not answer a lookup.
+    fn retry(&mut self, job: JobId, now: Tick) {
+        if let Some(lookup) = self.lookups.get_mut(&job) {
+            *lookup = Lookup::Due(now + LOOKUP_RETRY_PAUSE);
+        }
+    }
+}
+
+impl Pool {
+    /// Keeps an end of an unknown job, and keeps its worker from dropping it.
+    pub(super) fn keep_unclaimed_end(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
+        let counts = matches!(entry.end, RunEnd::Done | RunEnd::Failed);
+        if !counts || self.closed.contains_key(&entry.task.job) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            let end = UnrecordedEnd { job: entry.task.job, written: false };
+            worker.unrecorded.insert(entry.number, end);
+        }
+        self.unclaimed_ends.push(id, entry, now);
+    }
+
+    /// Applies the ends that were reported before the job became known.
+    pub(super) fn claim_ends(&mut self, id: JobId, now: Tick) {
+        for unclaimed in self.unclaimed_ends.take(id) {
+            self.apply_end(&unclaimed.worker, &unclaimed.entry, now);
+        }
+    }
+
+    /// Processes the lookup of an unknown job: if the store `answered`, the job is not stored, so
+    /// its ends need no record.
+    pub(super) fn resolve_unclaimed_ends(&mut self, job: JobId, answered: bool, now: Tick) {
+        if !answered {
+            self.unclaimed_ends.retry(job, now);
+            return;
+        }
+        for UnclaimedEnd { worker: id, entry, since } in self.unclaimed_ends.take(job) {
+            let age = now.since(since);
+            self.note(
+                NoteKind::RunLost,
+                format!("task={} worker={id} end=unknown-job age={age}ms", entry.task),
+            );
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.mark_written(job);
+                worker.mark_recorded(job);
+            }
+        }
+    }
+}
--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -78,3 +78,14 @@
     }
     check("abandoned", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+/// The store rejects owners for 8 to 16 s, and a successor finds jobs late that its predecessor has
+/// started. Guards against acknowledging ends that no stored row holds: ends of jobs that the
+/// successor did not know were acknowledged after five seconds, and their tasks started again.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_the_store_rejects_owners() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_rejections(), acts)
+    }
+    check("rejections", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -60,6 +60,16 @@
 /// Longest time until an owner that was not notified of a job finds it, in milliseconds.
 const MAX_SCAN_DELAY: u64 = 600;
 
+/// Longest time until an owner that the store rejects finds a job that it was not notified of, in
+/// milliseconds.
+const MAX_REJECTED_SCAN_DELAY: u64 = 9000;
+
+/// Shortest time for which the store rejects an owner, in milliseconds.
+const MIN_REJECTION: u64 = 8000;
+
+/// Time until an owner repeats a rejected transaction, in milliseconds.
+const REJECTION_PAUSE: u64 = 150;
+
 /// Number of workers at any time.
 const WORKERS: u8 = 3;
 
@@ -116,6 +126,8 @@
     workers_cut: BTreeMap<WorkerId, u64>,
     /// Partitioned from the store until then.
     store_cut_until: u64,
+    /// The store rejects its transactions and reads of jobs until then, and confirms its lease.
+    rejected_until: u64,
     /// When it became owner.
     owner_since: u64,
 }
@@ -159,6 +171,8 @@
     restarting: bool,
     /// Jobs are handed to a predecessor that has not noticed its successor.
     late_notices: bool,
+    /// The store rejects some owners for seconds.
+    rejecting: bool,
     culprits: BTreeMap<TaskId, Culprit>,
     pub violations: Vec<String>,
 }
@@ -220,6 +234,7 @@
             crashing: false,
             restarting: false,
             late_notices: false,
+            rejecting: false,
             culprits: BTreeMap::new(),
             violations: Vec::new(),
         };
@@ -259,6 +274,14 @@
         self
     }
 
+    /// Lets the store reject owners for seconds, while their leases stay and their workers go on.
+    /// Jobs that other processes store meanwhile are found late.
+    pub fn with_rejections(mut self) -> Self {
+        self.late_notices = true;
+        self.rejecting = true;
+        self
+    }
+
     fn add_worker(&mut self) {
         self.incarnations += 1;
         let id = format!("w{}", self.incarnations).parse().unwrap();
@@ -332,6 +355,7 @@
                 self.run(span / 2);
                 self.take_over();
             }
+            7 if self.rejecting => self.reject_owners(choice, span),
             7 => {
                 let until = self.now + span;
                 self.newest().store_cut_until = until;
@@ -462,6 +486,12 @@
             }
             let Some(batch) = owner.pool.batch(lane, Millis(now.0)) else { continue };
             owner.recording.insert(lane);
+            if owner.rejected_until > now.0 {
+                let result = Err(StoreError::Busy("rejected by the simulation".to_owned()));
+                let answer = Answer::Committed(Box::new(batch), result);
+                self.push(REJECTION_PAUSE, Event::Answer { owner: index, answer });
+                continue;
+            }
             let (lost, delay) = self.fault();
             let event =
                 Event::Commit { owner: index, batch: Box::new(batch.clone()), answered: !lost };
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -22,7 +22,7 @@
     size::{FencingToken, Millis, Revision},
 };
 
-use super::{Event, Owner, STEP, Simulation, pool_name, timeouts};
+use super::{Event, MIN_REJECTION, Owner, STEP, Simulation, pool_name, timeouts};
 
 fn fence(token: FencingToken, shard: Shard) -> Fence {
     Fence::new(pool_name(), shard, token, "n".parse().unwrap())
@@ -65,6 +65,7 @@
             alive: true,
             workers_cut: BTreeMap::new(),
             store_cut_until: 0,
+            rejected_until: 0,
             owner_since: self.now,
         });
         self.list();
@@ -161,6 +162,20 @@
         }
     }
 
+    /// Lets the store reject the owner for 8 to 16 s. Then another process takes over, which the
+    /// store rejects as well, while the predecessor does not notice and gets a job.
+    pub(super) fn reject_owners(&mut self, choice: u8, span: u64) {
+        let rejection = MIN_REJECTION + span.min(MIN_REJECTION);
+        let until = self.now + rejection;
+        self.newest().rejected_until = until;
+        self.submit(choice);
+        self.run(rejection);
+        self.newest().store_cut_until = self.now + rejection;
+        self.take_over();
+        self.newest().rejected_until = self.now + rejection;
+        self.submit(choice);
+    }
+
     fn scan(&self, prefix: String) -> Vec<Row> {
         let scan = Scan { prefix, after: None, limit: u32::MAX };
         self.store.scan(scan).now_or_never().unwrap().unwrap().rows
