An end that changes nothing in its job waits for the job's record, too

What callers saw: found by reading. A task that ended done may be started again by a successor, so its work is done twice.

Cause: only an end that changed its job's state was kept until that state was stored. An end that the job had already, but no row yet, counted as recorded and was acknowledged at once: the end of a second member of a gang or of a copy, and each end that a worker reports again after it was removed and listed anew. While the store rejects the owner nothing is recorded for seconds, and a successor finds the end neither in the store nor at that worker.

Change: such an end is kept until the transaction that has the job's state is committed. It causes no further write.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -283,6 +283,8 @@
                 if job.mark_done(entry.task) {
                     job.started = true;
                     self.retain_end(id, entry);
+                } else {
+                    self.retain_known_end(id, entry);
                 }
                 if let Some(run) = run.filter(|run| !run.adopted && run.ticket.is_none()) {
                     self.estimator.observe_task(&queue, step.estimate, now.since(run.ordered_at));
@@ -299,6 +301,8 @@
                 if job.record_failure(counted, entry.run) {
                     job.started = true;
                     self.retain_end(id, entry);
+                } else {
+                    self.retain_known_end(id, entry);
                 }
                 self.count_failure(id, entry, now);
             }
@@ -325,6 +329,26 @@
         }
     }
 
+    /// Keeps an end that changes nothing in its job until the job's state, which has it already, is
+    /// stored: the end of another copy or member of a gang, or one that a worker reports again after
+    /// it was removed. A successor may not learn of the first one from its worker.
+    fn retain_known_end(&mut self, id: &WorkerId, entry: &EndedEntry) {
+        let job = entry.task.job;
+        let unsaved = self.jobs.get(&job).filter(|job| !job.recorded).map(|job| job.unsaved);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match unsaved {
+            // Without changes since then, the newest transaction contains the end.
+            Some(unsaved) if self.dirty.contains(&job) => {
+                worker.unrecorded.insert(entry.number, UnrecordedEnd { job, written: !unsaved });
+            }
+            _ => {
+                worker.unrecorded.remove(&entry.number);
+            }
+        }
+    }
+
     fn count_failure(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
         self.note(
             NoteKind::RunLost,
--- a/reachhead_jobs/tests/pool/records.rs
+++ b/reachhead_jobs/tests/pool/records.rs
@@ -1,7 +1,8 @@
 //! Tests of writing job progress, and of acknowledging ends to workers.
 
 use reachhead_jobs::{
-    pool::{Action, Cancelled, JobState},
+    model::Step,
+    pool::{Action, Cancelled, DeathEvidence, JobState},
     ports::RunEnd,
 };
 use reachhead_store::row::{Commit, Conflict};
@@ -170,3 +171,62 @@
     assert_eq!(fixture.pool.workers()[&id].acknowledged, 1);
     assert!(fixture.pool.jobs().is_empty());
 }
+
+/// Removes a worker and lists it again, as after its entry was missing for a while.
+fn list_again(fixture: &mut Fixture, name: &str) {
+    fixture.pool.worker_died(&worker(name), DeathEvidence::OffList, fixture.now);
+    let infos = std::mem::take(&mut fixture.infos);
+    fixture.list();
+    fixture.infos = infos;
+    fixture.list();
+}
+
+/// An owner that the store rejected removed a worker and listed it again. The worker's ends, which it
+/// had read before, changed nothing any more, so it acknowledged them although no row had them. A
+/// successor started their tasks again.
+#[test]
+fn an_end_that_is_reported_again_is_acknowledged_only_after_it_is_recorded() {
+    for end in [RunEnd::Done, RunEnd::Failed] {
+        let mut fixture = Fixture::ready(vec![info("w", 4)]);
+        fixture.submit_and_start(1, vec![step(2)]);
+        fixture.end(&worker("w"), task(1, 0, 0), 1, end);
+        fixture.report(&worker("w"));
+        list_again(&mut fixture, "w");
+        fixture.report(&worker("w"));
+        assert_eq!(fixture.pool.workers()[&worker("w")].acknowledged, 0, "{end:?}");
+        fixture.flush();
+        assert_eq!(fixture.pool.workers()[&worker("w")].acknowledged, 1, "{end:?}");
+    }
+}
+
+#[test]
+fn a_recorded_end_that_is_reported_again_needs_no_further_record() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.submit_and_start(1, vec![step(2)]);
+    fixture.end(&worker("w"), task(1, 0, 0), 1, RunEnd::Done);
+    fixture.report(&worker("w"));
+    fixture.flush();
+    list_again(&mut fixture, "w");
+    fixture.report(&worker("w"));
+    assert_eq!(fixture.pool.workers()[&worker("w")].acknowledged, 1);
+}
+
+/// The end of a second member changes nothing in its job, and was acknowledged before the first was
+/// recorded. If the first worker was lost, a successor started the gang again.
+#[test]
+fn ends_of_all_members_of_a_gang_are_acknowledged_only_after_one_is_recorded() {
+    let mut fixture = Fixture::ready(vec![info("v", 1), info("w", 1)]);
+    fixture.submit_and_start(1, vec![Step { gang: true, ..step(2) }]);
+    for name in ["v", "w"] {
+        let running = fixture.running[&worker(name)].clone();
+        let [entry] = running.as_slice() else { panic!("one member a worker") };
+        fixture.end(&worker(name), entry.task, entry.run.0, RunEnd::Done);
+        fixture.report(&worker(name));
+    }
+    let acknowledged = |fixture: &Fixture| {
+        ["v", "w"].map(|name| fixture.pool.workers()[&worker(name)].acknowledged)
+    };
+    assert_eq!(acknowledged(&fixture), [0, 0]);
+    fixture.flush();
+    assert_eq!(acknowledged(&fixture), [1, 1]);
+}
