--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -25,5 +25,6 @@
 mod roster;
 mod round_outcome;
 mod runs;
+mod unclaimed;
 mod unplaced;
 mod wave;
