A step reserves no worker that is not approved for it

Callers saw long-running tasks that did not run beside empty workers, as long as a long-running step of an advised queue waited as well.

Cause: a long-running step without a place frees capacity on the worker where the fewest short tasks have to stop, and reserves it for 1.5 s. The search ignored the approvals of the step, so a step whose approved workers were full found a worker with nothing to stop that it may not use, reserved it, and did so again at the end of each reservation. Each such step kept one worker from all other steps.

Change: the search for capacity to free considers the approved workers only.

Measured: the new test fails before the change (two of three tasks started) and passes with it. The tests of reachhead_jobs pass.

--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -130,7 +130,7 @@
                     *free = self.largest_free(now);
                 }
                 if class == Class::LongRunning {
-                    self.preempt_short_tasks(id, &step, now);
+                    self.preempt_short_tasks(id, &step, allowed.as_ref(), now);
                 }
                 self.log_placed(id, class, &started, remaining);
                 return false;
@@ -318,8 +318,15 @@
     }
 
     /// Frees capacity for a long-running task by evicting short tasks, on the worker where the
-    /// fewest have to stop.
-    fn preempt_short_tasks(&mut self, id: StepId, step: &Step, now: Tick) {
+    /// fewest have to stop. A worker that is not among the `allowed` ones would be reserved for
+    /// nothing, again and again, and lost to every other step.
+    fn preempt_short_tasks(
+        &mut self,
+        id: StepId,
+        step: &Step,
+        allowed: Option<&BTreeSet<WorkerId>>,
+        now: Tick,
+    ) {
         let reserved = |worker: &Worker| {
             worker.reserved.is_some_and(|kept| kept.until > now && kept.step == id)
         };
@@ -335,8 +342,11 @@
             long_running_workers: None,
             trial: false,
         };
+        let is_allowed = |id| allowed.is_none_or(|allowed| allowed.contains(id));
         let usable = self.workers.values().filter(|worker| {
-            worker.reserved.is_none_or(|kept| kept.until <= now) && wanted.is_allowed(worker, now)
+            is_allowed(&worker.info.id)
+                && worker.reserved.is_none_or(|kept| kept.until <= now)
+                && wanted.is_allowed(worker, now)
         });
         let found = usable.filter_map(|worker| {
             let tasks = self.victims(worker, step)?;
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -20,6 +20,7 @@
 mod records;
 mod recover;
 mod refusal;
+mod reservation;
 mod restarted_worker;
 mod roster;
 mod round_outcome;
