--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -355,7 +355,8 @@
     }
 
     /// Frees capacity for a long-running task by evicting short tasks, on the worker where the
-    /// fewest have to stop.
+    /// fewest have to stop. A worker that is not among the `allowed` ones would be reserved for
+    /// nothing, again and again, and lost to every other step.
     fn preempt_short_tasks(
         &mut self,
         id: StepId,
@@ -370,10 +371,11 @@
             return;
         }
         let wanted = PlacementRequest::new(id, step);
+        let is_allowed = |id| allowed.is_none_or(|allowed| allowed.contains(id));
         let usable = self.workers.values().filter(|worker| {
-            worker.reserved.is_none_or(|kept| kept.until <= now)
+            is_allowed(&worker.info.id)
+                && worker.reserved.is_none_or(|kept| kept.until <= now)
                 && wanted.is_allowed(worker, now)
-                && allowed.is_none_or(|allowed| allowed.contains(&worker.info.id))
         });
         let found = usable.filter_map(|worker| {
             let tasks = self.victims(worker, step)?;
