Every suspension of a worker is logged once, with its cause

Operators saw workers that get no tasks for five seconds without any line about them, and for runs that fail one after the other a line for each run.

Cause: E706 was written only where failed runs suspend a worker, whether or not it was suspended already. A rejected start (unhealthy) and a stuck run suspend it as well.

E706 now has `suspended=true why=rejected-start|stuck-run|failed-runs task=ID` in all three cases, once for each suspension. What suspends a worker, and for how long, is unchanged.

The new test gets no line for the rejected start on the code before, and passes now, as do the tests of reachhead_jobs, reachhead_ops and reachhead_node.

--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -118,9 +118,7 @@
         }
         match error {
             WorkerError::Rejected(Rejection::Unhealthy) => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.failure_history.suspend(now);
-                }
+                self.suspend_worker(id, "rejected-start", task, now);
             }
             WorkerError::Rejected(Rejection::Room) => {
                 if let Some(worker) = self.workers.get_mut(id) {
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -309,17 +309,15 @@
         let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
         if let Some(state) = state {
             // A task that was stuck elsewhere before says nothing about this worker.
-            if why == StopReason::Still
-                && state.stalls == 0
-                && let Some(worker) = self.workers.get_mut(&run.worker)
-            {
-                worker.failure_history.suspend(now);
-            }
+            let is_workers_fault = why == StopReason::Still && state.stalls == 0;
             state.stalls += u32::from(why == StopReason::Still);
             state.avoid.push(run.worker.clone());
             if let Some(run) = state.run(run.number) {
                 run.phase = Phase::Stopping;
             }
+            if is_workers_fault {
+                self.suspend_worker(&run.worker, "stuck-run", task, now);
+            }
         }
         self.send_stop(task, run);
     }
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -387,11 +387,29 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.failure_history.record_failure(entry.task.job, now) {
-            self.note(NoteKind::WorkerDoubted, format!("worker={id} suspended=true"));
+        let was_suspended = worker.failure_history.suspended_until > now;
+        if worker.failure_history.record_failure(entry.task.job, now) && !was_suspended {
+            self.log_suspension(id, "failed-runs", entry.task);
         }
     }
 
+    /// Suspends a worker because of a task there, and logs that unless it was suspended already.
+    pub(super) fn suspend_worker(&mut self, id: &WorkerId, why: &str, task: TaskId, now: Tick) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let was_suspended = worker.failure_history.suspended_until > now;
+        worker.failure_history.suspend(now);
+        if !was_suspended {
+            self.log_suspension(id, why, task);
+        }
+    }
+
+    fn log_suspension(&mut self, id: &WorkerId, why: &str, task: TaskId) {
+        let text = format!("worker={id} suspended=true why={why} task={task}");
+        self.note(NoteKind::WorkerDoubted, text);
+    }
+
     /// Ends a job that is complete or has failed, by the state of its tasks.
     pub(super) fn decide_ending(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.ending.is_none()) else {
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -24,5 +24,6 @@
 mod roster;
 mod round_outcome;
 mod runs;
+mod suspension;
 mod unplaced;
 mod wave;
