Long-running tasks without a run are logged with the reason (E719)

Callers of a job of long-running tasks saw a task that does not run although workers have room for it; no log line named a waiting task or a reason.

Cause: the log had only what was placed (E708). Seven hypotheses fit the report and the lines of an owner can't tell them apart.

The owner keeps for each step of long-running tasks since when its tasks have no run. A check each half second logs those that have waited for 1.5 s, every 3 s a step and four steps a check: what holds the whole step (`why`), and the number of workers by the check of placement that they fail, from the same function that placement calls. Pool::unplaced has the sums for the whole pool. Placement is unchanged.

--- a/reachhead_jobs/src/obstacle.rs
+++ b/reachhead_jobs/src/obstacle.rs
@@ -5,6 +5,8 @@
 
 use std::fmt::{self, Display, Formatter};
 
+use serde::{Serialize, Serializer};
+
 /// The first check of a placement that a worker fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Obstacle {
@@ -44,6 +46,8 @@
     Capacity,
     /// The service that decides on the placement has not approved it.
     Unapproved,
+    /// Other tasks are starting there, and the task may crash it.
+    Starting,
 }
 
 impl Obstacle {
@@ -68,6 +72,7 @@
             Self::Duplicate => "duplicate",
             Self::Capacity => "capacity",
             Self::Unapproved => "unapproved",
+            Self::Starting => "starting",
         }
     }
 }
@@ -77,3 +82,9 @@
         f.write_str(self.name())
     }
 }
+
+impl Serialize for Obstacle {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.name())
+    }
+}
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -77,6 +77,8 @@
     StepPlaced,
     /// Tasks wait because their customer's quota is used up in this pool.
     QuotaReached,
+    /// Long-running tasks of a step have had no run for a while.
+    TaskUnplaced,
     /// A row that the store rejects is held back.
     RowHeld,
 }
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -26,6 +26,7 @@
 mod roster;
 mod round_outcome;
 mod starts;
+mod unplaced;
 mod weights;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,6 +40,7 @@
 pub use recovered_state::{RecoveredState, StoredJob, StoredProgress};
 pub use roster::{StoredRoster, StoredWorker};
 pub use round_outcome::RoundOutcome;
+pub use unplaced::{UnplacedSummary, WaitReason};
 
 use reachhead_types::{
     id::{CustomerName, JobId, PoolName, WorkerId},
@@ -167,6 +169,7 @@
     estimator: DurationEstimator,
     advice: advice::AdviceCache,
     quotas: quota::Quotas,
+    unplaced: unplaced::UnplacedSteps,
     customer_arrivals: weights::CustomerArrivals,
     queue_arrivals: load::QueueArrivals,
     /// A job with best-effort tasks was seen, so their pace has to be adjusted.
@@ -245,6 +248,7 @@
             estimator: DurationEstimator::default(),
             advice: advice::AdviceCache::default(),
             quotas: quota::Quotas::default(),
+            unplaced: unplaced::UnplacedSteps::default(),
             customer_arrivals: weights::CustomerArrivals::default(),
             queue_arrivals: load::QueueArrivals::default(),
             has_best_effort: false,
@@ -416,6 +420,7 @@
         if self.can_order(now) && self.drained.is_current(now) {
             self.place_tasks(now);
         }
+        self.check_unplaced(now);
         self.send_polls(now);
         self.look_up_jobs(now);
         if self.has_best_effort {
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -26,4 +26,5 @@
 mod runs;
 mod suspension;
 mod unplaced;
+mod unplaced_notes;
 mod wave;
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -74,6 +74,7 @@
         NoteKind::RunAdopted => Event::RunAdopted,
         NoteKind::StepPlaced => Event::StepPlaced,
         NoteKind::QuotaReached => Event::QuotaReached,
+        NoteKind::TaskUnplaced => Event::TaskUnplaced,
         NoteKind::RowHeld => Event::RowHeld,
     }
 }
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -145,6 +145,8 @@
     DispatchChanged 717 Info;
     /// A process that sends orders for the owner of a pool is excluded for a while: why, and how many orders it had.
     DispatcherExcluded 718 Warn;
+    /// Long-running tasks of a step have had no run for a while: how many, for how long, why, and what keeps each worker from taking them.
+    TaskUnplaced 719 Warn;
     /// A maintenance wave started, continued under another owner, or completed.
     WaveChanged 720 Info;
     /// A host was ordered down for a maintenance wave or into another pool, or the order was not accepted.
