/state and /metrics show long-running tasks without a run, by reason

Operators had to find the pool's owner and read its log to learn whether tasks wait, and a task that has waited for less than 1.5 s is not logged.

The owner's loop publishes the pool's summary beside its pulse after each round. /state has it as `unplaced` of each owner, also while the loop is blocked, and /metrics as `reachhead_unplaced_tasks{pool,why}`, which is replaced as a whole from the owned pools, so a pool that is lost has no gauge.

--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics of the process.
 
+use std::collections::BTreeMap;
+
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{counter::Counter, family::Family, gauge::Gauge},
@@ -10,8 +12,9 @@
     ports::{Answer, WorkerError},
 };
 use reachhead_ops::latency::{LatencyHistograms, latency_histograms};
+use reachhead_types::id::PoolName;
 
-use crate::{dispatch::DispatchMetrics, view::View};
+use crate::{dispatch::DispatchMetrics, owner::OwnerHandle, view::View};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
@@ -35,6 +38,12 @@
     table: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnplacedLabels {
+    pool: String,
+    why: &'static str,
+}
+
 /// The counters, gauges and histograms of the process.
 pub struct Metrics {
     orders: Family<OrderLabels, Counter>,
@@ -43,6 +52,7 @@
     config_version: Gauge,
     config_row: Gauge,
     table_age: Family<TableLabels, Gauge>,
+    unplaced: Family<UnplacedLabels, Gauge>,
     /// Number of times that this process took over a pool.
     pub pools_taken: Counter,
     /// Transactions that the store refused as invalid, such as a row that is too long.
@@ -63,6 +73,7 @@
             config_version: Gauge::default(),
             config_row: Gauge::default(),
             table_age: Family::default(),
+            unplaced: Family::default(),
             pools_taken: Counter::default(),
             store_refusals: Counter::default(),
             delays: Counter::default(),
@@ -109,6 +120,11 @@
             "Time since a followed table was last confirmed to be current",
             metrics.table_age.clone(),
         );
+        registry.register(
+            "reachhead_unplaced_tasks",
+            "Long-running tasks without a run in the pools that this process owns, by the reason",
+            metrics.unplaced.clone(),
+        );
         metrics.dispatch.register(registry);
         metrics
     }
@@ -132,6 +148,18 @@
         }
     }
 
+    /// Sets the gauges of tasks without a run from the owners of pools in this process. Those of
+    /// other pools are removed: their owners count these tasks.
+    pub fn record_unplaced(&self, owners: &BTreeMap<PoolName, OwnerHandle>) {
+        self.unplaced.clear();
+        for (pool, owner) in owners {
+            for (why, tasks) in owner.unplaced().reasons {
+                let labels = UnplacedLabels { pool: pool.to_string(), why: why.name() };
+                self.unplaced.get_or_create(&labels).set(tasks.into());
+            }
+        }
+    }
+
     /// Counts an order to a worker by its result.
     pub fn order<T>(&self, order: &'static str, result: &Result<T, WorkerError>) {
         let result = match result {
@@ -159,3 +187,7 @@
         self.latency.get_or_create(&CallLabels { call }).observe(seconds);
     }
 }
+
+#[cfg(test)]
+#[path = "metrics_tests.rs"]
+mod tests;
--- a/reachhead_node/src/observe.rs
+++ b/reachhead_node/src/observe.rs
@@ -32,8 +32,10 @@
     }
 
     fn metrics(&self) -> BufferedResponse {
-        self.node.metrics.record_view(&self.node.view(), self.node.now());
+        // The gauges of waiting tasks are replaced as a whole, so no other request may be encoding.
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        self.node.metrics.record_view(&self.node.view(), self.node.now());
+        self.node.metrics.record_unplaced(&self.node.owned());
         let mut body = String::new();
         match encode(&mut body, &registry) {
             Ok(()) => http::with_content_type(StatusCode::OK, METRICS_TYPE, body.into_bytes()),
@@ -72,7 +74,7 @@
                 json!({ "pool": pool, "token": owner.token,
                     "turned_age_ms": age(owner.pulse.turned()),
                     "recorded_age_ms": owner.pulse.recorded().map(age),
-                    "dispatchers": self.dispatchers(pool) })
+                    "dispatchers": self.dispatchers(pool), "unplaced": owner.unplaced() })
             })
             .collect();
         let loading: Vec<Value> = self
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -1,10 +1,10 @@
 //! The inputs of an owner's event loop, and the handle to send them.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
-    pool::{Batch, DrainMode, DrainProgress, PoolLoad, StateReply},
+    pool::{Batch, DrainMode, DrainProgress, PoolLoad, StateReply, UnplacedSummary},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     quota::{Allotment, UsageReport},
     task::{StepId, TaskId},
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{claim::Pulse, peer::AcceptedJob};
+use crate::{claim::Pulse, lock::locked, peer::AcceptedJob};
 
 /// The outcome of a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,6 +88,7 @@
     pub token: Revision,
     /// Signs of life of the owner.
     pub pulse: Arc<Pulse>,
+    unplaced: Arc<Mutex<UnplacedSummary>>,
     sender: mpsc::UnboundedSender<Input>,
 }
 
@@ -95,11 +96,22 @@
     /// Returns a handle and the receiver of its inputs.
     pub fn new(token: Revision) -> (Self, mpsc::UnboundedReceiver<Input>) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { token, pulse: Arc::default(), sender }, receiver)
+        (Self { token, pulse: Arc::default(), unplaced: Arc::default(), sender }, receiver)
     }
 
     /// Sends an input to the owner. An owner that has ended needs no more inputs.
     pub fn send(&self, input: Input) {
         let _ = self.sender.send(input);
     }
+
+    /// Publishes the long-running tasks without a run, as of the owner's last round. Operators have
+    /// to see them while the owner is too busy to answer.
+    pub fn publish_unplaced(&self, summary: UnplacedSummary) {
+        *locked(&self.unplaced) = summary;
+    }
+
+    /// Returns the long-running tasks without a run, as of the owner's last round.
+    pub fn unplaced(&self) -> UnplacedSummary {
+        locked(&self.unplaced).clone()
+    }
 }
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -195,6 +195,7 @@
         for note in self.pool.take_notes() {
             emit(event_of(note.kind), format_args!("pool={} {}", self.pool.name(), note.text));
         }
+        self.handle.publish_unplaced(self.pool.unplaced(now));
         self.record(now);
         self.scan(now);
         self.answer_cancels();
