--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -26,6 +26,8 @@
 mod roster;
 mod round_outcome;
 mod runs;
+mod suspension;
 mod unclaimed;
 mod unplaced;
+mod unplaced_notes;
 mod wave;
