The time before the first part of a large answer is no evidence of silence

Seen: beside load a process with a link of 2 Mbit/s took the pool of a healthy owner 1.1 s after a large configuration had been published (E711 why=Silent), in 2 of 10 runs of `large_reads::pools_stay...`.

Cause: the answer fills the links of the owner and of the process that watches it up to 0.9 s before its first part can be read. The time before that part counted as silence of the owner, although no call was answered quickly in it. One call that was sent just before the part and passed right behind it, with an answer after less than 150 ms, counted as proof that the link was free: the missed heartbeats became the owner's fault, and for 400 ms no time counted as filled.

Evidence, with log lines of heartbeats and parts, in 2 of 8 runs: last answer of the owner at 0 ms, missed heartbeats sent at 249 and 502 ms, a call sent at 691 ms and answered after 117 ms, first part at 803 ms, found silent at 1118 ms; and the same with the call at 910 ms, the part at 916 ms and the finding at 1118 ms.

Change: `RunningTime` also records when calls are answered quickly. When a large answer is arriving, time of 400 ms or more without a quick answer counts as filled, up to 1.2 s before the first part; a quick answer to a call that was sent within 150 ms before that part ends this time but does not undo it. There is no new message, and the detection time is unchanged while no large answer arrives or while other calls are answered quickly.

--- a/reachhead_jobs/src/silence.rs
+++ b/reachhead_jobs/src/silence.rs
@@ -22,6 +22,17 @@
 /// [`OWNER_TIMEOUT`], so older ones do not matter.
 const MAX_DELAYS: usize = 32;
 
+/// Time without a quick answer from which this process's link may have been filled; heartbeats are
+/// sent every 250 ms, so that on a free link some call is answered quickly more often than that.
+const MIN_QUIET: Millis = Millis(400);
+
+/// Latency up to which an answer is quick.
+const QUICK_ANSWER: Millis = Millis(150);
+
+/// Longest time before the first part of a large answer that counts as filled by it: a call whose
+/// answer takes longer to begin is given up.
+const MAX_UNSEEN_FILL: Millis = Millis(1200);
+
 /// Silence of an owner after which its pools are taken over: longer than a usual pause of a slow or
 /// frozen process, and short enough that workers' leases outlast the ownership change.
 pub const OWNER_TIMEOUT: Millis = Millis(1100);
@@ -39,12 +50,16 @@
     last: Tick,
     /// The latest delays, the oldest first.
     delays: VecDeque<Delay>,
+    /// When the latest call was sent that was answered quickly.
+    quick: Option<Tick>,
+    /// The latest stretch without quick answers that has ended with one.
+    quiet: Option<Delay>,
 }
 
 impl RunningTime {
     /// Returns the running time of a process whose checks begin at `now`.
     pub fn new(now: Tick) -> Self {
-        Self { last: now, delays: VecDeque::new() }
+        Self { last: now, delays: VecDeque::new(), quick: None, quiet: None }
     }
 
     /// Records a check; returns the gap since the last one if this process was delayed.
@@ -72,8 +87,57 @@
         }
     }
 
+    /// Records when the latest call was sent that was answered quickly. It has to be called at each
+    /// check.
+    pub fn record_quick_answer(&mut self, sent: Tick) {
+        let Some(before) = self.quick else {
+            self.quick = Some(sent);
+            return;
+        };
+        if sent.since(before) >= MIN_QUIET {
+            self.quiet = Some(Delay { start: before, end: sent });
+        }
+        self.quick = Some(before.max(sent));
+    }
+
+    /// Records that a large answer is arriving whose first part arrived at `begun`.
+    ///
+    /// Its bytes fill the link before any of them can be read, so the time without quick answers
+    /// before the first part counts like a delay of this process (docs/design/large-reads.md). A
+    /// single quick answer does not end it if its call was sent just before that part: it passed
+    /// right behind it. An owner that died while other calls were answered quickly is found as
+    /// before.
+    pub fn record_large_answer(&mut self, begun: Tick, now: Tick) {
+        let earliest = begun - MAX_UNSEEN_FILL;
+        let current = self.quick.map(|start| Delay { start, end: now });
+        for quiet in [self.quiet, current].into_iter().flatten() {
+            let is_quiet = quiet.end.since(quiet.start) >= MIN_QUIET;
+            if is_quiet && quiet.end + QUICK_ANSWER >= begun {
+                self.record_stretch(Delay { start: quiet.start.max(earliest), ..quiet });
+            }
+        }
+    }
+
+    /// Records a delay that may overlap with known ones, which are merged with it.
+    fn record_stretch(&mut self, delay: Delay) {
+        let overlaps = |known: &Delay| known.end > delay.start && known.start < delay.end;
+        let known = self.delays.iter().filter(|known| overlaps(known));
+        let merged = known.fold(delay, |merged, known| Delay {
+            start: merged.start.min(known.start),
+            end: merged.end.max(known.end),
+        });
+        self.delays.retain(|known| !overlaps(known));
+        let index = self.delays.partition_point(|known| known.end <= merged.start);
+        self.delays.insert(index, merged);
+        self.drop_old_delays();
+    }
+
     fn record_delay(&mut self, delay: Delay) {
         self.delays.push_back(delay);
+        self.drop_old_delays();
+    }
+
+    fn drop_old_delays(&mut self) {
         if self.delays.len() > MAX_DELAYS {
             self.delays.pop_front();
         }
--- a/reachhead_jobs/tests/silence.rs
+++ b/reachhead_jobs/tests/silence.rs
@@ -280,3 +280,54 @@
     checks(&mut running, 6050, 7200, false);
     assert!(is_silent(&running, missed, START, START + Millis(7200)));
 }
+
+/// Returns a process that checks until `last` after the start, some of whose calls, sent at these times, are answered quickly. The
+/// first part of a large answer arrives at `begun`, and the other parts after the last check.
+fn reader(quick: &[u64], begun: u64, last: u64) -> RunningTime {
+    let mut running = RunningTime::new(START);
+    for at in (CHECK_PERIOD..=last).step_by(CHECK_PERIOD as usize) {
+        let now = START + Millis(at);
+        if let Some(sent) = quick.iter().filter(|sent| **sent < at).max() {
+            running.record_quick_answer(START + Millis(*sent));
+        }
+        if at >= begun {
+            running.record_large_answer(START + Millis(begun), now);
+        }
+        assert_eq!(running.check(now), None);
+    }
+    running
+}
+
+/// Guards against owners that are found silent at the beginning of a read: the first part of a large answer comes up to a second
+/// after it has begun to fill the link, and a call that is sent right before that part may be answered quickly.
+#[test]
+fn time_before_the_first_part_of_a_large_answer_is_no_evidence() {
+    let missed = missed_at(200, 450);
+    let now = START + Millis(1150);
+    for quick in [&[0][..], &[0, 880]] {
+        assert!(is_silent(&reader(quick, 2000, 1150), missed, START, now));
+        assert!(!is_silent(&reader(quick, 900, 1150), missed, START, now));
+    }
+}
+
+/// Guards against a dead owner that is left alone because an answer fills the link for a moment: calls that are answered quickly
+/// show that the link was free.
+#[test]
+fn owner_that_dies_before_a_large_answer_is_found_while_others_answer() {
+    let quick = [0, 250, 500, 750, 1000];
+    let now = START + Millis(1150);
+    assert!(is_silent(&reader(&quick, 900, 1150), missed_at(200, 450), START, now));
+}
+
+/// Guards against a process without other calls, none of which is answered quickly therefore, that does not find a dead owner for
+/// as long as it was idle before a large answer.
+#[test]
+fn quiet_time_counts_as_filled_only_shortly_before_a_large_answer() {
+    let running = |quick: &[u64], begun: u64| reader(quick, begun, 6000);
+    let now = START + Millis(6000);
+    assert!(running(&[0], 5900).between(START, now) >= Millis(4700));
+    assert_eq!(
+        running(&[0, 3000, 3300, 3600, 3900, 4200], 4400).between(START, START + Millis(4200)),
+        Millis(4200)
+    );
+}
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -128,9 +128,7 @@
     fn check_pools(&mut self) {
         let now = self.node.now();
         self.node.record_store_progress();
-        if self.node.peers.is_link_filled() {
-            self.running.record_filled_link(now);
-        }
+        self.record_link_use(now);
         if let Some(gap) = self.running.check(now) {
             self.log_delay(gap, now);
         }
@@ -175,6 +173,21 @@
         }
     }
 
+    /// Records when this process's own link was filled, from its calls and the large answers that
+    /// arrive.
+    fn record_link_use(&mut self, now: Tick) {
+        let peers = &self.node.peers;
+        if let Some(age) = peers.quick_answer_age() {
+            self.running.record_quick_answer(now - age);
+        }
+        if let Some(time) = peers.large_answers_arriving_for() {
+            self.running.record_large_answer(now - Millis(time.as_millis() as u64), now);
+        }
+        if peers.is_link_filled() {
+            self.running.record_filled_link(now);
+        }
+    }
+
     /// Returns whether a pool's lease names this process. No other process takes such a pool before
     /// its owner has been silent, so a restarted process takes its own pools without delay; that
     /// shortens the wait of jobs after a power loss of all processes.
