--- a/reachhead_jobs/tests/pool/unplaced_notes.rs
+++ b/reachhead_jobs/tests/pool/notes.rs
@@ -1,4 +1,4 @@
-//! Tests of what operators are told about long-running tasks without a run.
+//! Tests of what operators are told about long-running tasks without a run and suspended workers.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,7 +10,7 @@
     model::{AdvicePolicy, Queue, Step},
     obstacle::Obstacle,
     pool::{DeathEvidence, NoteKind, WaitReason},
-    ports::Approval,
+    ports::{Approval, Rejection, RunEnd, WorkerError},
     record::JobRecord,
     start_pace::StartPacer,
 };
@@ -144,9 +144,20 @@
     assert_told(&mut fixture, "why=crash-unrecorded compared=0 fitting=0 workers=none");
 
     let mut fixture = two_workers();
-    let customer = "one".parse().unwrap();
+    fixture.advance(470);
+    fixture.submit(1, vec![lasting(1)]);
+    for (id, order) in fixture.starts() {
+        let error = Err(WorkerError::Rejected(Rejection::Room));
+        fixture.pool.started(&id, order.task, order.run, error, fixture.now);
+    }
+    fixture.advance(30);
+    fixture.poll();
+    let reasons = fixture.pool.unplaced(fixture.now).reasons;
+    assert_eq!(reasons, BTreeMap::from([(WaitReason::RetryPause, 1)]));
+
+    let mut fixture = two_workers();
     let quota = Quota(Amount::new(1000, 0, 0));
-    let limited = Customer { name: customer, weight: Weight(1), quota };
+    let limited = Customer { name: "one".parse().unwrap(), weight: Weight(1), quota };
     let name = limited.name.clone();
     fixture.pool.configure(&Arc::new(Customers::new().with_customer(limited, [])));
     let held = JobRecord { customer: Some(name), ..record(vec![lasting(1)], 0) };
@@ -171,6 +182,17 @@
     assert_told(&mut fixture, "why=no-place compared=1 fitting=0 workers=spread:1,unapproved:1");
 }
 
+/// A task that may crash its worker waited for one that starts nothing else, which fits by all checks of
+/// workers.
+#[test]
+fn a_worker_that_starts_another_task_is_no_place_for_a_suspect() {
+    let mut fixture = two_workers();
+    fixture.submit_and_start(1, vec![Step { spread: 0, ..lasting(2) }]);
+    fixture.pool.worker_died(&worker("w1"), DeathEvidence::Replaced, fixture.now);
+    fixture.flush();
+    assert_told(&mut fixture, "fitting=0 workers=starting:1");
+}
+
 /// A task that the round did not get to, or for which it had no budget, looked like one without a
 /// place.
 #[test]
@@ -196,3 +218,37 @@
     assert_eq!(reasons.remove(&WaitReason::NoPlace), Some(30));
     assert!(is_started || reasons.remove(&WaitReason::NotReached) == Some(1), "{reasons:?}");
 }
+
+/// Workers were suspended for rejected starts and stuck runs without any line, and for failed runs with
+/// one a run.
+#[test]
+fn each_suspension_is_logged_once_with_its_cause() {
+    let mut fixture = Fixture::ready(vec![info("w1", 16)]);
+    fixture.submit(1, vec![step(2)]);
+    for (id, order) in fixture.starts() {
+        let error = Err(WorkerError::Rejected(Rejection::Unhealthy));
+        fixture.pool.started(&id, order.task, order.run, error, fixture.now);
+    }
+    let rejected = "worker=w1 suspended=true why=rejected-start task=0000000000000001.0.0.0";
+    assert_eq!(texts(&mut fixture, NoteKind::WorkerDoubted), [rejected]);
+
+    let mut fixture = Fixture::ready(vec![info("w1", 16)]);
+    let lasting = Step { long_running: true, ..step(1) };
+    fixture.submit_and_start(1, vec![lasting.clone(), lasting]);
+    for _ in 0..30 {
+        fixture.advance(100);
+        fixture.poll();
+        fixture.report(&worker("w1"));
+    }
+    let stuck = "worker=w1 suspended=true why=stuck-run task=0000000000000001.0.0.0";
+    assert_eq!(texts(&mut fixture, NoteKind::WorkerDoubted), [stuck]);
+
+    let mut fixture = Fixture::ready(vec![info("w1", 16)]);
+    (1..=6).for_each(|id| fixture.submit_and_start(id, vec![step(1)]));
+    for entry in fixture.running[&worker("w1")].clone() {
+        fixture.end(&worker("w1"), entry.task, entry.run.0, RunEnd::Failed);
+    }
+    fixture.report(&worker("w1"));
+    let failed = "worker=w1 suspended=true why=failed-runs task=0000000000000003.0.0.0";
+    assert_eq!(texts(&mut fixture, NoteKind::WorkerDoubted), [failed]);
+}
