Wide random schedules restart workers, drain zones, repeat drains and have long faults

The first version of these schedules ended every fault of a worker within six seconds, so that the rule for waiting tasks, which needs seven seconds of calm, never applied while some workers had a fault. Its drains were single requests, and workers that crashed always came back under another id.

Half of the faults now last up to 21 s, planned work repeats its requests until a worker is drained, operators drain one of four zones for a while, and in half of the schedules workers restart under their ids. A worker that restarts is not reported as dead.

--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -27,13 +27,19 @@
 #[derive(Debug, Clone)]
 struct WideSchedule {
     workers: u8,
+    /// Workers that crash restart under their ids.
+    restarting: bool,
     acts: Vec<(u8, u8, u8)>,
 }
 
 impl Arbitrary for WideSchedule {
     fn arbitrary(source: &mut Gen) -> Self {
         // Three workers are there already.
-        Self { workers: 5 + u8::arbitrary(source) % 17, acts: Vec::arbitrary(source) }
+        Self {
+            workers: 5 + u8::arbitrary(source) % 17,
+            restarting: bool::arbitrary(source),
+            acts: Vec::arbitrary(source),
+        }
     }
 }
 
@@ -105,8 +111,10 @@
 /// them: workers that had been suspended while long-running tasks were there took no further task.
 #[test]
 fn no_long_running_task_waits_while_workers_have_room_for_it() {
-    fn run(WideSchedule { workers, acts }: WideSchedule) -> bool {
-        holds(Simulation::new().with_wide_steps(workers), acts)
+    fn run(WideSchedule { workers, restarting, acts }: WideSchedule) -> bool {
+        let simulation = Simulation::new();
+        let simulation = if restarting { simulation.with_restarts() } else { simulation };
+        holds(simulation.with_wide_steps(workers), acts)
     }
     check("wide steps", WIDE_SCHEDULES, run as fn(WideSchedule) -> bool);
 }
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -285,8 +285,8 @@
     fn restart(&mut self, id: WorkerId) {
         self.incarnations += 1;
         let born = Millis(self.now + self.incarnations);
-        let incarnation = WorkerIncarnation::new(self.incarnations, Amount::new(2000, 4000, 0))
-            .with_start_time(born);
+        let incarnation =
+            WorkerIncarnation::new(self.incarnations, self.next_capacity()).with_start_time(born);
         self.workers.insert(id, incarnation);
         self.list();
     }
@@ -297,7 +297,7 @@
             started_at: incarnation.born,
             pool: pool_name(),
             address: "127.0.0.1:1".parse().unwrap(),
-            zone: "z".parse().unwrap(),
+            zone: self.zone(id),
             capacity: incarnation.capacity,
             labels: self.labels(id),
             rack: None,
@@ -390,7 +390,8 @@
     fn crash(&mut self, id: &WorkerId) {
         self.workers.remove(id);
         self.disturb();
-        if self.crashing || self.faults.is_some() {
+        // A worker that restarts under its id is not reported as dead.
+        if self.crashing || self.faults.is_some() && !self.restarting {
             self.push(DEATH_NOTICE_DELAY, Event::Dead(id.clone()));
         }
         for observed in self.tasks.values_mut() {
--- a/reachhead_jobs/tests/random_schedules/simulation/faults.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/faults.rs
@@ -4,17 +4,19 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use reachhead_jobs::{
+    clock::Tick,
+    pool::{DrainMode, DrainProgress},
     ports::{Approval, Rejection, StartOrder, WorkerReport},
     task::{StepId, TaskId},
 };
 use reachhead_plan::amount::Amount;
 use reachhead_types::{
-    id::{Label, WorkerId},
+    id::{Label, WorkerId, ZoneName},
     size::RunNumber,
 };
 
 use super::{
-    Simulation, TASK_TIME, TaskBehavior,
+    Owner, STEP, Simulation, TASK_TIME, TaskBehavior,
     plans::{LABEL, advised_queue, plan, queue, wide_plan},
 };
 
@@ -31,6 +33,20 @@
 /// for waiting tasks needs calm.
 const CALM_TIME: u64 = 7500;
 
+/// Period of drain requests for a worker that planned work is about to take, in milliseconds.
+const DRAIN_PERIOD: u64 = 300;
+
+/// Number of zones of the workers.
+const ZONES: u32 = 4;
+
+/// Choices from here on make the fault of a worker last several times as long.
+const FIRST_LONG_CHOICE: u8 = 128;
+
+/// Returns the sum of the bytes of a worker's id, which decides on its zone, label and approvals.
+fn digest(id: &WorkerId) -> u32 {
+    id.to_string().bytes().map(u32::from).sum()
+}
+
 /// What is wrong with a worker that still answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WorkerFault {
@@ -44,6 +60,8 @@
     Hanging,
     /// It is registered as draining, and is gone at the end.
     Leaving,
+    /// Planned work waits until it has no protected task, and takes it.
+    Planned,
 }
 
 /// Workers with faults.
@@ -53,6 +71,19 @@
     active: BTreeMap<WorkerId, (WorkerFault, u64)>,
     /// Runs that were started on a worker that hangs; they resume when that ends.
     hung: BTreeSet<(TaskId, RunNumber)>,
+    /// The zone that operators drain, and until when.
+    drained: Option<(ZoneName, u64)>,
+}
+
+fn zone(number: u32) -> ZoneName {
+    format!("z{}", number % ZONES).parse().unwrap()
+}
+
+impl Owner {
+    /// Returns whether the process runs and reaches the store.
+    fn is_up(&self, now: u64) -> bool {
+        self.alive && self.paused_until <= now && self.store_cut_until <= now
+    }
 }
 
 impl Simulation {
@@ -69,11 +100,13 @@
 
     /// Performs a random act of a schedule with wide steps.
     pub(super) fn act_with_faults(&mut self, kind: u8, choice: u8, span: u64) {
-        match kind % 25 {
+        match kind % 28 {
             kind @ 4..=13 => self.perform(kind, choice, span),
             14..=16 => self.begin_fault(choice, span),
             17 => self.begin_leaving(choice, span),
-            18..=19 => self.run(CALM_TIME + span),
+            25 => self.begin_planned_work(choice, span),
+            26 => self.drain_zone(choice, span),
+            18..=19 | 27 => self.run(CALM_TIME + span),
             _ => self.submit_wide(choice),
         }
         self.run(span % 700);
@@ -104,7 +137,8 @@
         let first = usize::from(choice) % self.workers.len().max(1);
         let ids = self.workers.keys().cycle().skip(first).take(count).cloned();
         let ids: Vec<WorkerId> = ids.collect();
-        let until = self.now + MIN_FAULT_TIME + span;
+        let length = if choice >= FIRST_LONG_CHOICE { 4 * span } else { span };
+        let until = self.now + MIN_FAULT_TIME + length;
         let Some(faults) = &mut self.faults else { return };
         for id in ids {
             faults.active.entry(id).or_insert((fault, until));
@@ -123,8 +157,65 @@
         self.list();
     }
 
+    fn begin_planned_work(&mut self, choice: u8, span: u64) {
+        let Some(id) = self.pick(choice) else { return };
+        let until = self.now + MIN_FAULT_TIME + 4 * span;
+        if let Some(faults) = &mut self.faults {
+            faults.active.entry(id).or_insert((WorkerFault::Planned, until));
+        }
+        self.disturb();
+    }
+
+    /// Repeats the drain requests, and takes the workers that are drained.
+    fn request_drains(&mut self) {
+        let now = self.now;
+        if now % DRAIN_PERIOD >= STEP || self.owners.last().is_none_or(|owner| !owner.is_up(now)) {
+            return;
+        }
+        let faults = self.faults.iter().flat_map(|faults| &faults.active);
+        let planned = faults.filter(|(_, (fault, _))| *fault == WorkerFault::Planned);
+        let planned: Vec<WorkerId> = planned.map(|(id, _)| id.clone()).collect();
+        for id in planned {
+            let progress = self.newest().pool.drain_worker(&id, DrainMode::Graceful, Tick(now));
+            if matches!(progress, DrainProgress::Empty | DrainProgress::Unknown) {
+                if let Some(faults) = &mut self.faults {
+                    faults.active.remove(&id);
+                }
+                if self.workers.contains_key(&id) {
+                    self.crash(&id);
+                    self.add_worker();
+                }
+            }
+        }
+    }
+
+    fn drain_zone(&mut self, choice: u8, span: u64) {
+        let zone = zone(u32::from(choice));
+        let until = self.now + MIN_FAULT_TIME + 2 * span;
+        if let Some(faults) = &mut self.faults {
+            faults.drained = Some((zone, until));
+        }
+        self.disturb();
+    }
+
+    /// Lets the newest owner read the drained zones.
+    fn read_zones(&mut self) {
+        let now = self.now;
+        let Some(faults) = &mut self.faults else { return };
+        let has_ended = faults.drained.take_if(|(_, until)| *until <= now).is_some();
+        let zones = faults.drained.iter().map(|(zone, _)| zone.clone()).collect();
+        if let Some(owner) = self.owners.last_mut().filter(|owner| owner.is_up(now)) {
+            owner.pool.drain_zones(&zones, Tick(now));
+        }
+        if has_ended {
+            self.disturb();
+        }
+    }
+
     /// Ends the faults whose time has passed.
     pub(super) fn expire_faults(&mut self) {
+        self.request_drains();
+        self.read_zones();
         let now = self.now;
         let Some(faults) = &mut self.faults else { return };
         let active = std::mem::take(&mut faults.active);
@@ -170,6 +261,7 @@
         let now = self.now;
         if let Some(faults) = &mut self.faults {
             faults.active.values_mut().for_each(|(_, until)| *until = now);
+            faults.drained = None;
         }
         self.expire_faults();
     }
@@ -178,9 +270,15 @@
         self.faults.as_ref()?.active.get(id).map(|(fault, _)| *fault)
     }
 
-    /// Returns whether the worker has a fault.
+    /// Returns whether the worker has a fault, or its zone is drained.
     pub(super) fn is_faulty(&self, id: &WorkerId) -> bool {
-        self.fault_of(id).is_some()
+        let drained = self.faults.as_ref().and_then(|faults| faults.drained.as_ref());
+        self.fault_of(id).is_some() || drained.is_some_and(|(zone, _)| *zone == self.zone(id))
+    }
+
+    /// Returns the zone of a worker.
+    pub(super) fn zone(&self, id: &WorkerId) -> ZoneName {
+        if self.faults.is_some() { zone(digest(id)) } else { "z".parse().unwrap() }
     }
 
     /// Returns why the worker rejects every start now.
@@ -222,8 +320,7 @@
 
     /// Returns whether the service that decides on placements approves the worker for the step.
     pub(super) fn is_approved(step: StepId, worker: &WorkerId) -> bool {
-        let sum: u64 = worker.to_string().bytes().map(u64::from).sum();
-        (sum + step.job.0) % 4 != 0
+        (u64::from(digest(worker)) + step.job.0) % 4 != 0
     }
 
     pub(super) fn approvals(&self, step: StepId, workers: &[WorkerId]) -> Vec<Approval> {
@@ -243,8 +340,7 @@
 
     /// Returns the labels of a worker: one in three has [`LABEL`].
     pub(super) fn labels(&self, id: &WorkerId) -> Vec<Label> {
-        let sum: u32 = id.to_string().bytes().map(u32::from).sum();
-        let is_labelled = self.faults.is_some() && sum % 3 == 0;
+        let is_labelled = self.faults.is_some() && digest(id) % 3 == 0;
         is_labelled.then(|| LABEL.parse().unwrap()).into_iter().collect()
     }
 }
--- a/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
@@ -65,7 +65,7 @@
 
 impl Simulation {
     /// Records a disturbance: a change of ownership, the begin or end of a worker's fault or of a
-    /// cut, a crash, a drain or a cancellation.
+    /// cut, a crash, a drain or a cancellation. A restart of a worker counts as a crash.
     pub(super) fn disturb(&mut self) {
         self.waiting.disturbed = self.now;
     }
