A late report that a worker has no host does not remove its new incarnation

Callers would see tasks run twice: the owner of all hosts reports workers whose hosts were taken down, to each new owner of the pool again for 12 s. The report names the worker and not its incarnation; a worker that had restarted under its id was removed with all its runs, which started elsewhere as well.

A worker that answers is now removed only if its next call fails; an answer refutes the report. A silent one is removed at once, as before.

A new test of the pool guards it; it uses the new function, so it has no run on the code before.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -43,6 +43,16 @@
 }
 
 impl Pool {
+    /// Processes a report that the platform has no host with a worker. The report names the worker
+    /// and not its incarnation, and a new one may run by now: a worker that answers is removed only
+    /// if its next call fails.
+    pub fn worker_unhosted(&mut self, id: &WorkerId, now: Tick) {
+        match self.workers.get_mut(id) {
+            Some(worker) if worker.answered && !worker.silent => worker.unhosted = true,
+            _ => self.worker_died(id, DeathEvidence::Unhosted, now),
+        }
+    }
+
     /// Removes a dead worker incarnation and all its runs.
     pub fn worker_died(&mut self, id: &WorkerId, evidence: DeathEvidence, now: Tick) {
         let Some(worker) = self.workers.remove(id) else {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -70,10 +70,14 @@
         if matches!(error, WorkerError::Lost(_)) {
             worker.record_unanswered(now);
         }
+        let unhosted = worker.unhosted;
         if first {
             let text = format!("worker={id} runs={} error=\"{error}\"", worker.runs.len());
             self.note(NoteKind::WorkerDoubted, text);
         }
+        if unhosted {
+            self.worker_died(id, DeathEvidence::Unhosted, now);
+        }
     }
 
     fn apply_report(&mut self, id: &WorkerId, sent: Tick, report: WorkerReport, now: Tick) {
@@ -103,6 +107,7 @@
         worker.clock = Some(ClockSample { worker_time: report.clock, at: now });
         worker.silent = false;
         worker.port_closed = false;
+        worker.unhosted = false;
         worker.answered = true;
         worker.last_contact = now;
         worker.failed_calls = 0;
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -198,6 +198,8 @@
     pub silent: bool,
     /// It is silent, and the last call found that nothing listens at its address.
     pub port_closed: bool,
+    /// The platform was reported to have no host with it, and no call has been answered since.
+    pub unhosted: bool,
     /// It has answered this owner, so orders of predecessors have no effect there any more.
     pub answered: bool,
     /// State of its long-polling call.
@@ -293,6 +295,7 @@
             max_deadline: WorkerTime(0),
             silent: false,
             port_closed: false,
+            unhosted: false,
             answered: false,
             poll: Poll::Due(now),
             failed_calls: 0,
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -244,3 +244,31 @@
     fixture.report(&id);
     assert_eq!(starts_on(&mut fixture), [id]);
 }
+
+/// The report that the platform has no host with a worker arrived after the worker had restarted
+/// under its id: the new incarnation was removed, and what ran there was started elsewhere as well.
+#[test]
+fn a_late_death_report_does_not_remove_the_new_incarnation() {
+    let mut fixture = one_worker();
+    restart(&mut fixture);
+    fixture.report(&worker("w"));
+    fixture.submit_and_start(1, vec![step(1)]);
+    fixture.pool.worker_unhosted(&worker("w"), fixture.now);
+    report_progress(&mut fixture);
+    assert_eq!(fixture.pool.workers()[&worker("w")].runs.len(), 1);
+    fixture.refuse_connection(&worker("w"));
+    assert!(fixture.pool.workers().contains_key(&worker("w")), "its answer refuted the report");
+    fixture.pool.worker_unhosted(&worker("w"), fixture.now);
+    assert!(!fixture.pool.workers().contains_key(&worker("w")));
+}
+
+/// A worker whose long poll is under way when its host is reported as gone is removed once that
+/// call fails, without a wait for its leases.
+#[test]
+fn a_worker_without_a_host_is_removed_when_its_call_fails() {
+    let mut fixture = one_worker();
+    fixture.submit_and_start(1, vec![step(1)]);
+    fixture.pool.worker_unhosted(&worker("w"), fixture.now);
+    fixture.fail_poll(&worker("w"));
+    assert!(!fixture.pool.workers().contains_key(&worker("w")));
+}
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -1,11 +1,6 @@
 //! Network between owners, workers and the store, with lost and late messages.
 
-use reachhead_jobs::{
-    clock::Tick,
-    pool::{Action, DeathEvidence},
-    ports::WorkerError,
-    task::TaskId,
-};
+use reachhead_jobs::{clock::Tick, pool::Action, ports::WorkerError, task::TaskId};
 use reachhead_types::{id::WorkerId, size::Millis};
 
 use super::{
@@ -150,7 +145,7 @@
         let now = self.now;
         for owner in self.owners.iter_mut().filter(|owner| owner.alive && owner.paused_until <= now)
         {
-            owner.pool.worker_died(id, DeathEvidence::Unhosted, Tick(now));
+            owner.pool.worker_unhosted(id, Tick(now));
         }
         let resume =
             self.owners.iter().filter(|owner| owner.alive).map(|owner| owner.paused_until).max();
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -11,7 +11,7 @@
 use futures::future::join_all;
 use reachhead_jobs::{
     clock::Tick,
-    pool::{Action, Batch, Cancelled, DeathEvidence, Due, JobState, Lane, Pool},
+    pool::{Action, Batch, Cancelled, Due, JobState, Lane, Pool},
     quota::{Allotment, UsageReport},
     record::{LeaseRecord, lease_key, value},
 };
@@ -274,7 +274,7 @@
             Input::Allot(allotment, reply) => self.allot(&allotment, reply, now),
             Input::WorkersDied(workers) => {
                 for worker in workers {
-                    self.pool.worker_died(&worker, DeathEvidence::Unhosted, now);
+                    self.pool.worker_unhosted(&worker, now);
                 }
             }
             Input::WorkersListed(workers) => self.pool.list(workers, now),
