A worker that leaves several polls unanswered gets the time of a long poll

What callers saw: in a system test with real processes, jobs of an owner on a narrow link that did not end for 30 s.

Cause: a long poll may take 700 ms beyond its wait, but the polls that follow an unanswered one, and all of a new owner, don't wait and had the 200 ms of an order. A worker lists every end that is not recorded. On a narrow link the reports of all workers together took longer than that, so each attempt sent them in vain, and all were sent again at the same time.

Change: from the third attempt on a poll has a wait of 1 ms, and so the timeout of a long poll. The first two stay short, since a message may just have been lost. Where nothing listens at the address nothing changes.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -37,6 +37,15 @@
 /// the next steps of their jobs wait for them.
 const SHORT_TASK_POLL_WAIT: Millis = Millis(200);
 
+/// Poll wait at a worker that has not answered several polls. Unlike a poll that does not wait, it
+/// has the timeout of a long poll: on a narrow link a report with many ends takes longer than the
+/// timeout of an order, and each attempt would send it in vain.
+const UNANSWERED_POLL_WAIT: Millis = Millis(1);
+
+/// Number of unanswered polls after which the next ones have a longer timeout. Until then a lost
+/// message costs little time.
+const MIN_UNANSWERED_POLLS: u32 = 2;
+
 /// Poll wait at a worker that gets no other task until a task on trial has made progress.
 const TRIAL_POLL_WAIT: Millis = Millis(50);
 
@@ -82,7 +91,8 @@
 
     fn poll_wait(&self, worker: &Worker) -> Millis {
         if !worker.answered || worker.silent {
-            return Millis(0);
+            let is_slow = worker.failed_calls >= MIN_UNANSWERED_POLLS && !worker.port_closed;
+            return if is_slow { UNANSWERED_POLL_WAIT } else { Millis(0) };
         }
         if worker.trial.is_some() {
             return TRIAL_POLL_WAIT;
