--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -24,6 +24,7 @@
 mod refusal;
 mod reservation;
 mod restarted_worker;
+mod review;
 mod roster;
 mod round_outcome;
 mod runs;
