Long-running jobs with many unplaced steps do not end the search for the others

The search now begins with the first long-running jobs, and goes on where that of the last round ended, so every job has its turn.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -160,7 +160,7 @@
     poll_budget: PollBudget,
     /// What the last round ordered.
     round: RoundOutcome,
-    /// Where the next round begins to search the long-running jobs that take turns.
+    /// Where the next round goes on to search the long-running jobs.
     search_from: usize,
     roster: roster::RosterState,
     /// Jobs with changes to write to the store.
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -26,12 +26,10 @@
 /// Number of short jobs' steps with an unplaced task beyond which a scheduling round ends.
 pub(super) const MAX_UNPLACED_STEPS: usize = 24;
 
-/// The same for long-running jobs: for those searched first, and for those that take turns.
-const MAX_UNPLACED_HEAD: usize = 12;
-
-/// Long-running jobs that each scheduling round searches first, by rank. The others take turns, so
-/// that those that can't be placed at present do not keep the ones behind them from being searched.
-const SEARCH_HEAD: usize = 12;
+/// The same for long-running jobs. The search begins with the first ones, and goes on where that of
+/// the last round ended: those that can't be placed at present must not keep the others from being
+/// searched.
+const MAX_UNPLACED_LONG_RUNNING: usize = 12;
 
 /// A job and its rank in the scheduling order.
 pub(super) struct Ranked {
@@ -70,27 +68,26 @@
             .map(|job| Ranked { id: job.id, rank: self.estimator.rank(job, now) })
             .collect();
         ranked.sort_by(|a, b| a.rank.compare(b.rank).then(a.id.cmp(&b.id)));
-        let mut ranked = self.cap_expiring(ranked, now);
+        let ranked = self.cap_expiring(ranked, now);
         let lasting = ranked.partition_point(|job| job.rank.class == Class::LongRunning);
-        let head = lasting.min(SEARCH_HEAD);
-        let turns = lasting - head;
-        if turns > 0 {
-            ranked[head..lasting].rotate_left(self.search_from % turns);
-        }
         let mut free = self.largest_free(now);
-        let first = self.place_jobs(&ranked[..head], MAX_UNPLACED_HEAD, &mut free, now);
-        let taken = self.place_jobs(&ranked[head..lasting], MAX_UNPLACED_HEAD, &mut free, now);
-        self.search_from = if taken.jobs < turns { self.search_from + taken.jobs } else { 0 };
+        let most = MAX_UNPLACED_LONG_RUNNING;
+        let first = self.place_jobs(&ranked[..lasting], most, &mut free, now);
+        // The last job searched, which is the first of which the budget may have left tasks behind.
+        let mut last = first.jobs.saturating_sub(1);
+        let from = if self.search_from < lasting { self.search_from } else { 0 };
+        let from = from.max(first.jobs);
+        let turn = self.place_jobs(&ranked[from..lasting], most, &mut free, now);
+        if turn.jobs > 0 {
+            last = from + turn.jobs - 1;
+            self.search_from = from + turn.jobs;
+        }
         let short = self.place_jobs(&ranked[lasting..], MAX_UNPLACED_STEPS, &mut free, now);
+        if short.jobs > 0 {
+            last = lasting + short.jobs - 1;
+        }
         if !self.start_budget.has_room() && short.unplaced <= MAX_UNPLACED_STEPS {
-            // The last job searched is the first of which the budget may have left tasks behind.
-            let searched = match (first.jobs, taken.jobs, short.jobs) {
-                (first, 0, 0) => first,
-                (_, taken, 0) => head + taken,
-                (_, _, short) => lasting + short,
-            };
-            let left = searched.saturating_sub(1);
-            self.round.limited = self.waits_for_budget(&ranked[left..], free, now);
+            self.round.limited = self.waits_for_budget(&ranked[last..], free, now);
         }
         self.log_quotas(now);
     }
