A successor does not remove a restarted worker on a late report either

Callers would see tasks run twice, and a worker that is never used again: the report that a worker has no host is sent to each successor for 12 s, and a successor has no answer of any worker at first. It removed the worker, started its tasks elsewhere, and remembered the new incarnation as dead.

A worker is now removed at once only if its last call has failed. If it was answered before, the next call has to find that nothing listens there or that no connection can be made; a lost call proves nothing.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -44,11 +44,11 @@
 
 impl Pool {
     /// Processes a report that the platform has no host with a worker. The report names the worker
-    /// and not its incarnation, and a new one may run by now: a worker that answers is removed only
-    /// if its next call fails.
+    /// and not its incarnation, and a new one may run by now: unless the last call has failed, the
+    /// worker is removed only if the next one does.
     pub fn worker_unhosted(&mut self, id: &WorkerId, now: Tick) {
         match self.workers.get_mut(id) {
-            Some(worker) if worker.answered && !worker.silent => worker.unhosted = true,
+            Some(worker) if !worker.silent => worker.unhosted = true,
             _ => self.worker_died(id, DeathEvidence::Unhosted, now),
         }
     }
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -70,7 +70,9 @@
         if matches!(error, WorkerError::Lost(_)) {
             worker.record_unanswered(now);
         }
-        let unhosted = worker.unhosted;
+        // A worker that has answered may have restarted, and a call to it may be lost.
+        let is_gone = worker.port_closed || matches!(error, WorkerError::Unreachable(_));
+        let unhosted = worker.unhosted && (is_gone || !worker.answered);
         if first {
             let text = format!("worker={id} runs={} error=\"{error}\"", worker.runs.len());
             self.note(NoteKind::WorkerDoubted, text);
