A transaction takes the jobs first that were written least recently

Callers would see work done twice after an ownership change, and workers that take nothing more: a transaction of a shard holds some 47 jobs and took the first ones by id. While that many change all the time, as behind a slow store, the ends of the others are never stored.

Jobs that callers wait for still come first; of the others those with the lowest revision of their row, and before them those without one.

--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -109,7 +109,8 @@
             return None;
         }
         // Callers wait for jobs that have ended; of the others, workers keep what is not recorded.
-        ids.sort_by_key(|id| !self.is_urgent(*id));
+        // Those written least recently come first, so that each has its turn.
+        ids.sort_by_key(|id| (!self.is_urgent(*id), self.jobs.get(id).map(|job| job.revision)));
         let fence = self.fences.get(&shard).copied();
         let mut batch = Batch {
             txn: Txn::new().with_check(fence_key(&self.name, shard), fence),
