Kept ends of a previous incarnation acknowledge nothing to the next one

Callers would see work done twice: ends of unknown jobs are kept by worker and number. A worker that restarts under its id counts its ends anew, and when the job became known, its old end was taken for one of the new incarnation: an end that no owner had read, or that was not stored yet, was acknowledged.

Such ends are dropped when a newer incarnation answers: the old one is over, and nothing is acknowledged to it any more.

--- a/reachhead_jobs/src/pool/unclaimed.rs
+++ b/reachhead_jobs/src/pool/unclaimed.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Drops the ends of a worker whose incarnation is over: nothing is acknowledged to it any more,
+    /// and the numbers of the next one begin anew.
+    pub(super) fn drop_worker(&mut self, worker: &WorkerId) {
+        self.ends.retain(|end| end.worker != *worker);
+    }
+
     /// Removes and returns the ends of a job.
     fn take(&mut self, job: JobId) -> Vec<UnclaimedEnd> {
         if self.lookups.remove(&job).is_none() {
