Best-effort tasks get their pace back when what they disturbed is gone

Callers would see a long-running best-effort task stand still for good: paused beside a latency-sensitive task, it was adjusted no more once that one had ended, since only workers with both kinds were looked at.

Workers with a slowed task are adjusted as well.

--- a/reachhead_jobs/src/pool/pace.rs
+++ b/reachhead_jobs/src/pool/pace.rs
@@ -70,11 +70,17 @@
         let mut checked = Vec::new();
         for worker in self.workers.values() {
             let fresh = worker.clock.is_some_and(|sample| sample.at > worker.paced_at);
-            if !fresh || worker.silent || !self.has_contention(worker) {
+            if !fresh || worker.silent {
                 continue;
             }
-            checked.push(worker.info.id.clone());
             let neighbours = self.neighbours(worker);
+            // A task that was slowed down beside one that is gone gets its pace back.
+            let is_slowed =
+                |neighbour: &Neighbour| neighbour.best_effort && neighbour.run.pace_percent < 100;
+            if !self.has_contention(worker) && !neighbours.iter().any(is_slowed) {
+                continue;
+            }
+            checked.push(worker.info.id.clone());
             let worst =
                 neighbours.iter().filter_map(|neighbour| neighbour.tail).fold(0.0, f64::max);
             for neighbour in neighbours.iter().filter(|neighbour| neighbour.best_effort) {
