No start order is sent again to a silent worker that may have restarted

Callers saw a task run twice at the same time, on a worker that had restarted under its id and on another one.

Cause: the owner repeats a start order without an answer until the deadline of its lease, also while the worker answers nothing. A worker that has crashed and restarted meanwhile takes the repeated order for a new one. The deadline is by the clock of the old incarnation and far away by the new one's, so the worker grants its longest lease (6 s). The owner hears nothing of the restart, counts with the lease by the old clock, and starts the task elsewhere when that has ended.

Change: the order is sent again only once the worker answers. This holds for workers that name their start time; others are one incarnation by the platform's contract.

Not covered: an order that was sent before the restart and arrives after it, while nothing from the new incarnation gets back to the owner for the whole lease. Barring that needs a longer wait for every worker that does not answer, which has to be weighed (docs/design/restarted-workers.md).

The tests of reachhead_jobs pass.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -221,8 +221,12 @@
                     // It can't start after its deadline, but it may have started before.
                     Some(RunAction::Settle)
                 } else {
-                    // Without the current drains the run could start in a zone that is drained.
-                    self.drained.is_current(now).then_some(RunAction::ResendStart)
+                    // Without the current drains the run could start in a zone that is drained. If the
+                    // worker has restarted, the run could start there, with a lease by another
+                    // clock, and outlast the one that this owner counts with.
+                    let may_have_restarted = worker.silent && worker.started_at.is_some();
+                    let is_safe = self.drained.is_current(now) && !may_have_restarted;
+                    is_safe.then_some(RunAction::ResendStart)
                 }
             }
             Phase::Working if job.recorded => Some(RunAction::Stop(StopReason::Unneeded)),
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -129,6 +129,26 @@
     assert_eq!(starts_on(&mut fixture), [id]);
 }
 
+/// An order without an answer was sent again to a worker that did not answer. The worker had
+/// restarted, and started the run with a lease by its new clock. The owner counted with the lease by
+/// the old clock, and started the task elsewhere while the run was still there.
+#[test]
+fn an_order_is_not_sent_again_to_a_worker_that_may_have_restarted() {
+    let mut fixture = one_worker();
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = || Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost(), fixture.now);
+    fixture.fail_poll(&id);
+    for _ in 0..10 {
+        fixture.advance(100);
+        assert_eq!(starts_on(&mut fixture), []);
+    }
+    fixture.report(&id);
+    fixture.advance(100);
+    assert_eq!(starts_on(&mut fixture), [id], "the same incarnation answers");
+}
+
 /// A long poll of the old incarnation was answered after the new one had reported.
 #[test]
 fn a_late_report_of_the_old_incarnation_is_ignored() {
