Moves of a long-running task without progress come at doubling intervals

The interval doubles with each move, up to 640 s, and a worker is noted once among those to avoid. The new test (a startup of 15 s) failed before and passes; that of a task that hangs everywhere passes as before.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -24,10 +24,14 @@
 /// [`LONG_RUNNING_RETRY`] if it is long-running.
 const MAX_STUCK_STOPS: u32 = 3;
 
-/// Time without progress after which a long-running task is moved once more. It has no other end, so
-/// left on a worker that hangs it would never run.
+/// Time without progress after which a long-running task is moved once more, doubled with each such
+/// move. It has no other end, so left on a worker that hangs it would never run; a startup without
+/// progress that takes long must fit into one of these times.
 const LONG_RUNNING_RETRY: Millis = Millis(10_000);
 
+/// Number of doublings of [`LONG_RUNNING_RETRY`].
+const MAX_RETRY_DOUBLINGS: u32 = 6;
+
 /// Poll wait at a worker where best-effort tasks run beside latency-sensitive tasks. Interference
 /// has to be noticed and reduced well within the few seconds for which a target may be missed.
 const BEST_EFFORT_POLL_WAIT: Millis = Millis(400);
@@ -175,8 +179,8 @@
                         };
                         // A task that was stuck on several workers is not their fault, and moving
                         // it again does not help.
-                        let is_due =
-                            step.long_running && now.since(run.progressed_at) >= LONG_RUNNING_RETRY;
+                        let is_due = step.long_running
+                            && now.since(run.progressed_at) >= long_running_retry(task.stalls);
                         let is_exempt = task.stalls >= MAX_STUCK_STOPS && !is_due;
                         let decided =
                             self.decide_run(job, step, run, unwanted, now).filter(|action| {
@@ -325,7 +329,9 @@
             // A task that was stuck elsewhere before says nothing about this worker.
             let is_workers_fault = why == StopReason::Still && state.stalls == 0;
             state.stalls += u32::from(why == StopReason::Still);
-            state.avoid.push(run.worker.clone());
+            if !state.avoid.contains(&run.worker) {
+                state.avoid.push(run.worker.clone());
+            }
             if let Some(run) = state.run(run.number) {
                 run.phase = Phase::Stopping;
             }
@@ -348,6 +354,12 @@
     }
 }
 
+/// Returns the time without progress after which a long-running task with so many stalls is moved.
+fn long_running_retry(stalls: u32) -> Millis {
+    let doublings = stalls.saturating_sub(MAX_STUCK_STOPS).min(MAX_RETRY_DOUBLINGS);
+    Millis(LONG_RUNNING_RETRY.0 << doublings)
+}
+
 /// A run and the action decided for it.
 struct Decision {
     task: TaskId,
--- a/reachhead_jobs/tests/pool/unplaced.rs
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -119,6 +119,42 @@
     assert_eq!(started_behind(&Step { need, ..lasting(1) }), expected);
 }
 
+/// Each move of a task without progress came ten seconds after the last one, so one whose startup
+/// reports no progress for longer than that never came up.
+#[test]
+fn a_long_running_task_with_a_long_startup_comes_up() {
+    let mut fixture = Fixture::ready(infos(6, 16));
+    fixture.submit(1, vec![lasting(1)]);
+    let mut started = None;
+    for _ in 0..2000 {
+        fixture.advance(100);
+        for action in fixture.poll() {
+            match action {
+                Action::Start(target, order) => {
+                    fixture.accept(&target.id, &order);
+                    started = Some((target.id, order, fixture.now));
+                }
+                Action::Stop(target, task, run) => {
+                    let clock = fixture.clock();
+                    fixture.pool.stopped(&target.id, task, run, Ok(clock), fixture.now);
+                    fixture.end(&target.id, task, run.0, RunEnd::Stopped);
+                }
+                _ => {}
+            }
+        }
+        if let Some((id, order, since)) = &started
+            && fixture.now.since(*since) >= Millis(15_000)
+        {
+            fixture.set_running(id, order.task, order.run.0, 100);
+        }
+        for info in fixture.infos.clone() {
+            fixture.report(&info.id);
+        }
+    }
+    let (id, order, _) = started.unwrap();
+    assert!(fixture.running[&id].iter().any(|run| run.task == order.task && run.percent == 100));
+}
+
 /// A long-running task that hung on three workers was left on the fourth, where it hung as well:
 /// its starts after that were never reviewed, however long it did not come up.
 #[test]
