Reports that list unrecorded ends again are paced by their size

What callers saw: with real processes, a successor on a narrow link completed no job within 30 s, or started tasks again that had ended (84 and 142 of 3,000).

Cause: a worker lists all ends that are not recorded in each report, and while it has such ends it was polled every 150 ms. The budget of polls counted the runs of a report and not these ends, and each poll went out 600 ms late at most. While the store decides on no transaction the reports grow; on a narrow link they then leave nothing to the transactions, which alone end that, so the owner seems to be refused by a store that works (E710, "the store is down"). Workers whose reports did not arrive meanwhile counted as lost, and their tasks started again.

Evidence: a_successor_on_a_narrow_link_starts_no_task_that_has_ended on 1 Mbit/s. Before the change the new test of the pool counted 27 reports where at most ten were to be requested.

Change: the budget counts ends that are listed again, up to the platform's 500 a report, and such a poll may wait for it for 2 s, as long as more than half of the worker's lease is left. Without that bound the test for it failed.

--- a/reachhead_jobs/src/poll_pace.rs
+++ b/reachhead_jobs/src/poll_pace.rs
@@ -17,12 +17,17 @@
 /// Bytes of a poll and its answer besides the runs.
 const POLL_OVERHEAD: f64 = 600.0;
 
-/// Bytes of a run in a report.
+/// Bytes of a run, or of an end, in a report.
 const RUN_SIZE: f64 = 60.0;
 
 /// Longest delay of a poll: well below the lease of a worker, less the longest wait of a poll.
 pub const MAX_POLL_DELAY: Millis = Millis(600);
 
+/// Longest delay of a poll of a worker that lists its ends again until they are recorded. Such
+/// reports are large, and while they fill the link no end is recorded. It holds only while more than
+/// half of the worker's lease is left, so that a lost poll still ends no run.
+pub const MAX_REPEATED_POLL_DELAY: Millis = Millis(2000);
+
 /// Bytes of reports that may be requested now. The last poll may exceed what is left.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PollBudget {
@@ -40,9 +45,9 @@
         self.left > 0.0
     }
 
-    /// Records a poll of a worker with this number of runs.
-    pub fn take(&mut self, runs: usize) {
-        self.left -= POLL_OVERHEAD + RUN_SIZE * runs as f64;
+    /// Records a poll of a worker whose report has this number of runs and ends.
+    pub fn take(&mut self, entries: usize) {
+        self.left -= POLL_OVERHEAD + RUN_SIZE * entries as f64;
     }
 }
 
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -6,7 +6,7 @@
     clock::{Tick, WorkerTime},
     job::{Phase, Run},
     model::Step,
-    poll_pace::MAX_POLL_DELAY,
+    poll_pace::{MAX_POLL_DELAY, MAX_REPEATED_POLL_DELAY},
     pool::{Action, DeathEvidence, NoteKind, Pool, StopReason},
     ports::{HoldOrder, StartOrder},
     task::TaskId,
@@ -63,12 +63,15 @@
             self.workers.values().filter_map(|worker| Some((due_at(worker)?, worker))).collect();
         due.sort_by_key(|(due, _)| *due);
         for (due, worker) in due {
+            let ends = worker.repeated_ends();
+            let may_wait = ends > 0 && worker.remaining_lease(now) >= Millis(hold.0 / 2);
+            let max_delay = if may_wait { MAX_REPEATED_POLL_DELAY } else { MAX_POLL_DELAY };
             // The lease of a worker that has not answered expires soon.
-            let is_urgent = worker.silent || !worker.answered || now.since(due) >= MAX_POLL_DELAY;
+            let is_urgent = worker.silent || !worker.answered || now.since(due) >= max_delay;
             if !self.poll_budget.has_room() && !is_urgent {
                 continue;
             }
-            self.poll_budget.take(worker.runs.len());
+            self.poll_budget.take(worker.runs.len() + ends);
             let deadline = worker
                 .clock
                 .filter(|_| can_order && !worker.silent)
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -32,6 +32,9 @@
 /// How late an unanswered order may still be carried out.
 const MAX_ORDER_DELAY: Millis = Millis(15_000);
 
+/// Maximum number of ends in a report, by the platform's contract.
+const MAX_LISTED_ENDS: u64 = 500;
+
 /// Weight of the newest observation of a worker's speed.
 const SPEED_WEIGHT: f64 = 0.25;
 
@@ -395,6 +398,18 @@
         self.acknowledged = self.acknowledged.max(acknowledged);
     }
 
+    /// Returns the number of known ends that its next report lists again, since they are not recorded.
+    pub fn repeated_ends(&self) -> usize {
+        let known = self.last_processed.saturating_sub(self.acknowledged);
+        known.min(MAX_LISTED_ENDS) as usize
+    }
+
+    /// Returns for how long the leases given to the worker last, if its clock runs true.
+    pub fn remaining_lease(&self, now: Tick) -> Millis {
+        let time = self.clock.map_or(0, |sample| sample.estimate(now).0);
+        Millis(self.max_deadline.0.saturating_sub(time))
+    }
+
     /// Returns when every lease given to the worker has certainly expired. `None` if no clock
     /// sample was ever received, when no lease was given.
     pub fn leases_expire_at(&self) -> Option<Tick> {
--- a/reachhead_jobs/tests/pool/poll_budget.rs
+++ b/reachhead_jobs/tests/pool/poll_budget.rs
@@ -1,9 +1,13 @@
 //! Polls of a pool's workers within the budget of a narrow link.
 
-use reachhead_jobs::{poll_pace::PollPacer, pool::Action, ports::HoldOrder};
+use reachhead_jobs::{
+    poll_pace::PollPacer,
+    pool::Action,
+    ports::{HoldOrder, RunEnd},
+};
 use reachhead_types::{id::WorkerId, size::ByteRate};
 
-use crate::fixture::{Fixture, info, worker};
+use crate::fixture::{Fixture, info, step, task, worker};
 
 /// Guards against polls that fill a narrow link, against workers that are never polled because others come
 /// first, and against workers without an answer whose leases expire while their polls wait.
@@ -44,6 +48,65 @@
     actions.into_iter().filter_map(poll).collect()
 }
 
+/// While the store recorded nothing, each worker listed all its ends again every 150 ms. On a narrow link
+/// these reports left nothing to the transactions, so nothing was recorded.
+#[test]
+fn reports_that_list_unrecorded_ends_again_are_paced_by_their_size() {
+    let mut fixture = Fixture::ready(vec![info("v", 20), info("w", 20)]);
+    fixture.submit_and_start(1, vec![step(40)]);
+    for name in ["v", "w"] {
+        let running = fixture.running[&worker(name)].clone();
+        assert_eq!(running.len(), 20);
+        for entry in running {
+            fixture.end(&worker(name), entry.task, entry.run.0, RunEnd::Done);
+        }
+        fixture.report(&worker(name));
+    }
+    let mut pacer = PollPacer::new(ByteRate(10_000), fixture.now);
+    let mut times = Vec::new();
+    for _ in 0..80 {
+        fixture.advance(50);
+        fixture.pool.set_poll_budget(pacer.budget(fixture.now));
+        for (name, _) in polls(fixture.poll()) {
+            fixture.report(&name);
+            times.push(fixture.now);
+        }
+        pacer.record(fixture.pool.poll_budget());
+    }
+    // 16,000 bytes in four seconds, and 1,800 a report; none waits for more than 2,150 ms.
+    assert!((4..=10).contains(&times.len()), "{} reports", times.len());
+}
+
+/// A worker's lease must not expire because its report is large.
+#[test]
+fn a_large_report_is_requested_in_time_for_the_workers_lease() {
+    let mut fixture = Fixture::ready(vec![info("w", 20)]);
+    fixture.submit_and_start(1, vec![step(20)]);
+    for index in 0..19 {
+        fixture.end(&worker("w"), task(1, 0, index), 1, RunEnd::Done);
+    }
+    fixture.poll();
+    fixture.advance(2100);
+    fixture.report(&worker("w"));
+    let mut pacer = PollPacer::new(ByteRate(1), fixture.now);
+    let mut waited = 0;
+    loop {
+        fixture.advance(50);
+        waited += 50;
+        let mut budget = pacer.budget(fixture.now);
+        budget.take(1);
+        fixture.pool.set_poll_budget(budget);
+        if !polls(fixture.poll()).is_empty() {
+            break;
+        }
+        assert!(
+            waited < 2000,
+            "the lease was given 2,100 ms before the report and lasts for 4,000"
+        );
+    }
+    assert!((700..=850).contains(&waited), "{waited} ms");
+}
+
 /// On a narrow link the reports of all workers together took longer than the 200 ms that a poll without
 /// a wait may take. Each attempt sent them in vain, until the leases counted as expired.
 #[test]
