Wide random schedules lose up to 255 messages in a row

The schedules lost at most seven messages in a row, which is less than one round of polls in their larger pools, so no worker was ever silent for the length of its lease without being cut off.

A loss of up to 255 messages in a row is now one of the acts. While at least eight more are to be lost, each loss counts as a cut of the network, and so as a disturbance; fewer still don't.

--- a/reachhead_jobs/tests/random_schedules/simulation/faults.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/faults.rs
@@ -101,6 +101,7 @@
     /// Performs a random act of a schedule with wide steps.
     pub(super) fn act_with_faults(&mut self, kind: u8, choice: u8, span: u64) {
         match kind % 28 {
+            10 => self.lose_next = choice,
             kind @ 4..=13 => self.perform(kind, choice, span),
             14..=16 => self.begin_fault(choice, span),
             17 => self.begin_leaving(choice, span),
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -12,6 +12,9 @@
     Answer, Event, NETWORK_DELAY, REPLACEMENT_DELAY, Simulation, StoredRow, WorkerIncarnation,
 };
 
+/// Number of messages that are lost in a row from which on a loss counts as a cut of the network.
+const MIN_BURST: u8 = 8;
+
 impl Simulation {
     /// Returns whether the answer of the next call is lost, and how late the call is carried out.
     pub(super) fn fault(&mut self) -> (bool, u64) {
@@ -21,6 +24,9 @@
         }
         if self.lose_next > 0 {
             self.lose_next -= 1;
+            if self.lose_next >= MIN_BURST {
+                self.disturb();
+            }
             return (true, 0);
         }
         (false, 0)
