Lookups of unknown jobs are read eight at a time

Callers would see a worker that is not used or drained: the ends of a job that an owner does not know wait for a lookup, which read up to fifty rows one after the other under one timeout. On a slow store such a list fails as a whole and is read again every half second. Found by a review, by reading; no test shows it.

--- a/reachhead_jobs/src/pool/unclaimed.rs
+++ b/reachhead_jobs/src/pool/unclaimed.rs
@@ -28,8 +28,9 @@
 /// Pause before a failed lookup is repeated. Only the worker's memory waits for it.
 const LOOKUP_RETRY_PAUSE: Millis = Millis(500);
 
-/// Maximum number of jobs in one lookup; each takes a call of the store.
-const MAX_LOOKUP_JOBS: usize = 50;
+/// Maximum number of jobs in one lookup. Each takes a call of the store, one after the other, and all
+/// share one timeout: on a slow store a long list would fail as a whole, again and again.
+const MAX_LOOKUP_JOBS: usize = 8;
 
 /// A reported end of a run whose job this owner does not know.
 #[derive(Debug, Clone, PartialEq, Eq)]
