--- a/reachhead_jobs/src/pool/unclaimed.rs
+++ b/reachhead_jobs/src/pool/unclaimed.rs
@@ -74,7 +74,7 @@
     }
 
     /// Drops the ends of a worker whose incarnation is over: nothing is acknowledged to it any more,
-    /// and the numbers of the next one begin anew.
+    /// and the next one numbers its ends from one.
     pub(super) fn drop_worker(&mut self, worker: &WorkerId) {
         self.ends.retain(|end| end.worker != *worker);
     }
--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -42,7 +42,7 @@
 /// Why the tasks of a step have no run, if the reason lies with the step and not with single workers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum WaitReason {
-    /// The owner's lease was not confirmed lately, so it gives no orders.
+    /// The owner's lease was not confirmed recently, so it gives no orders.
     LeaseUnconfirmed,
     /// The owner does not know which zones are drained at present.
     DrainsUnknown,
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -22,7 +22,6 @@
 mod records;
 mod recover;
 mod refusal;
-mod reservation;
 mod restarted_worker;
 mod review;
 mod roster;
--- a/reachhead_jobs/tests/pool/review.rs
+++ b/reachhead_jobs/tests/pool/review.rs
@@ -44,7 +44,7 @@
     assert_eq!(started(&mut fixture), [JobId(6)], "both workers are empty");
 }
 
-/// Ends of unknown jobs are kept by number. The numbers of a worker that has restarted begin anew, so
+/// Ends of unknown jobs are kept by number. A worker that has restarted numbers its ends from one, so
 /// an end of its previous incarnation must not be taken for one of the new one.
 #[test]
 fn an_unclaimed_end_of_a_previous_incarnation_does_not_acknowledge_ends_of_the_new_one() {
--- a/reachhead_jobs/tests/pool/unplaced.rs
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -119,20 +119,17 @@
     assert_eq!(started_behind(&Step { need, ..lasting(1) }), expected);
 }
 
-/// Each move of a task without progress came ten seconds after the last one, so one whose startup
-/// reports no progress for longer than that never came up.
-#[test]
-fn a_long_running_task_with_a_long_startup_comes_up() {
-    let mut fixture = Fixture::ready(infos(6, 16));
-    fixture.submit(1, vec![lasting(1)]);
-    let mut started = None;
-    for _ in 0..2000 {
+/// Lets the time pass while runs report no progress until `startup` has passed, and then that they
+/// are up; returns the workers that got a start.
+fn run_with_startup(fixture: &mut Fixture, millis: u64, startup: Millis) -> BTreeSet<WorkerId> {
+    let mut starts = Vec::new();
+    for _ in 0..millis / 100 {
         fixture.advance(100);
         for action in fixture.poll() {
             match action {
                 Action::Start(target, order) => {
                     fixture.accept(&target.id, &order);
-                    started = Some((target.id, order, fixture.now));
+                    starts.push((target.id, order, fixture.now));
                 }
                 Action::Stop(target, task, run) => {
                     let clock = fixture.clock();
@@ -142,8 +139,8 @@
                 _ => {}
             }
         }
-        if let Some((id, order, since)) = &started
-            && fixture.now.since(*since) >= Millis(15_000)
+        if let Some((id, order, since)) = starts.last()
+            && fixture.now.since(*since) >= startup
         {
             fixture.set_running(id, order.task, order.run.0, 100);
         }
@@ -151,8 +148,18 @@
             fixture.report(&info.id);
         }
     }
-    let (id, order, _) = started.unwrap();
-    assert!(fixture.running[&id].iter().any(|run| run.task == order.task && run.percent == 100));
+    starts.into_iter().map(|(id, ..)| id).collect()
+}
+
+/// Each move of a task without progress came ten seconds after the last one, so one whose startup
+/// reports no progress for longer than that never came up.
+#[test]
+fn a_long_running_task_with_a_long_startup_comes_up() {
+    let mut fixture = Fixture::ready(infos(6, 16));
+    fixture.submit(1, vec![lasting(1)]);
+    run_with_startup(&mut fixture, 200_000, Millis(15_000));
+    let mut running = fixture.running.values().flatten();
+    assert!(running.any(|run| run.task == task(1, 0, 0) && run.percent == 100));
 }
 
 /// A long-running task that hung on three workers was left on the fourth, where it hung as well:
@@ -161,34 +168,13 @@
 fn a_long_running_task_that_does_not_come_up_is_moved_again() {
     let mut fixture = Fixture::ready(infos(6, 16));
     fixture.submit(1, vec![lasting(1)]);
-    let mut used = BTreeSet::new();
-    for _ in 0..600 {
-        fixture.advance(100);
-        for action in fixture.poll() {
-            match action {
-                Action::Start(target, order) => {
-                    fixture.accept(&target.id, &order);
-                    used.insert(target.id);
-                }
-                Action::Stop(target, task, run) => {
-                    let clock = fixture.clock();
-                    fixture.pool.stopped(&target.id, task, run, Ok(clock), fixture.now);
-                    fixture.end(&target.id, task, run.0, RunEnd::Stopped);
-                }
-                _ => {}
-            }
-        }
-        for info in fixture.infos.clone() {
-            fixture.report(&info.id);
-        }
-    }
+    let used = run_with_startup(&mut fixture, 60_000, Millis(u64::MAX));
     assert!(used.len() > 4, "it hung on {used:?}");
 }
 
-/// Submits a job of a queue whose placement another service approves.
-fn submit_advised(fixture: &mut Fixture, id: u64, steps: Vec<Step>) {
-    let policy =
-        AdvicePolicy { decision: Millis(10), per_worker: Millis(1), validity: Millis(2000) };
+/// Submits a job of a queue whose placement another service approves, with this validity.
+fn submit_advised(fixture: &mut Fixture, id: u64, steps: Vec<Step>, validity: Millis) {
+    let policy = AdvicePolicy { decision: Millis(10), per_worker: Millis(1), validity };
     let job = JobRecord {
         queue: Arc::new(Queue { advice: Some(policy), ..(*queue()).clone() }),
         ..record(steps, fixture.now.0)
@@ -242,7 +228,7 @@
     fixture.list();
     fixture.submit(1, vec![Step { label: Some("first".parse().unwrap()), ..lasting(100) }]);
     assert_eq!(run(&mut fixture, 1000).len(), 100);
-    submit_advised(&mut fixture, 2, vec![lasting(4)]);
+    submit_advised(&mut fixture, 2, vec![lasting(4)], Millis(2000));
     assert_eq!(run_advised(&mut fixture, 3000, |_| true), tasks(2, 4));
 }
 
@@ -250,7 +236,7 @@
 #[test]
 fn other_workers_are_proposed_after_those_that_were_not_approved() {
     let mut fixture = large_pool(130, 16);
-    submit_advised(&mut fixture, 1, vec![lasting(4)]);
+    submit_advised(&mut fixture, 1, vec![lasting(4)], Millis(2000));
     let last = worker("w110");
     assert_eq!(run_advised(&mut fixture, 3000, |worker| *worker >= last), tasks(1, 4));
 }
@@ -260,7 +246,7 @@
 #[test]
 fn a_worker_that_joined_is_proposed_while_approved_ones_are_full() {
     let mut fixture = Fixture::ready(infos(2, 1));
-    submit_advised(&mut fixture, 1, vec![lasting(3)]);
+    submit_advised(&mut fixture, 1, vec![lasting(3)], Millis(2000));
     assert_eq!(run_advised(&mut fixture, 500, |_| true).len(), 2);
     fixture.infos.push(info("x", 1));
     fixture.list();
@@ -269,3 +255,16 @@
     fixture.flush();
     assert_eq!(run_advised(&mut fixture, 600, |_| true), [task(1, 0, 2)].into());
 }
+
+/// A step that waited for capacity on its approved worker reserved another one, which it could not
+/// use. It did so again whenever the reservation ended, and no other step got a place there.
+#[test]
+fn a_step_reserves_no_worker_that_is_not_approved_for_it() {
+    let mut fixture = Fixture::ready(infos(3, 16));
+    let is_approved = |id: &WorkerId| *id == worker("w000");
+    submit_advised(&mut fixture, 1, vec![lasting(2)], Millis(60_000));
+    assert_eq!(run_advised(&mut fixture, 1000, is_approved), tasks(1, 1));
+    fixture.submit(2, vec![lasting(3)]);
+    let started = run_advised(&mut fixture, 7000, is_approved);
+    assert_eq!(started, tasks(2, 3), "all workers have fifteen cores free");
+}
