--- a/reachhead_jobs/src/obstacle.rs
+++ b/reachhead_jobs/src/obstacle.rs
@@ -5,6 +5,8 @@
 
 use std::fmt::{self, Display, Formatter};
 
+use serde::{Serialize, Serializer};
+
 /// The first check of a placement that a worker fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Obstacle {
@@ -46,6 +48,8 @@
     Capacity,
     /// The service that decides on the placement has not approved it.
     Unapproved,
+    /// Other tasks are starting there, and the task may crash it.
+    Starting,
 }
 
 impl Obstacle {
@@ -71,6 +75,7 @@
             Self::Duplicate => "duplicate",
             Self::Capacity => "capacity",
             Self::Unapproved => "unapproved",
+            Self::Starting => "starting",
         }
     }
 }
@@ -80,3 +85,9 @@
         f.write_str(self.name())
     }
 }
+
+impl Serialize for Obstacle {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.name())
+    }
+}
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -27,6 +27,7 @@
 mod round_outcome;
 mod starts;
 mod unclaimed;
+mod unplaced;
 mod weights;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,6 +41,7 @@
 pub use recovered_state::{RecoveredState, StoredJob, StoredProgress};
 pub use roster::{StoredRoster, StoredWorker};
 pub use round_outcome::RoundOutcome;
+pub use unplaced::{UnplacedSummary, WaitReason};
 
 use reachhead_types::{
     id::{CustomerName, JobId, PoolName, WorkerId},
@@ -158,7 +160,7 @@
     poll_budget: PollBudget,
     /// What the last round ordered.
     round: RoundOutcome,
-    /// Where the next round begins to search the long-running jobs that take turns.
+    /// Where the next round goes on to search the long-running jobs.
     search_from: usize,
     roster: roster::RosterState,
     /// Jobs with changes to write to the store.
@@ -170,6 +172,7 @@
     estimator: DurationEstimator,
     advice: advice::AdviceCache,
     quotas: quota::Quotas,
+    unplaced: unplaced::UnplacedSteps,
     customer_arrivals: weights::CustomerArrivals,
     queue_arrivals: load::QueueArrivals,
     /// A job with best-effort tasks was seen, so their pace has to be adjusted.
@@ -240,6 +243,7 @@
             estimator: DurationEstimator::default(),
             advice: advice::AdviceCache::default(),
             quotas: quota::Quotas::default(),
+            unplaced: unplaced::UnplacedSteps::default(),
             customer_arrivals: weights::CustomerArrivals::default(),
             queue_arrivals: load::QueueArrivals::default(),
             has_best_effort: false,
@@ -411,6 +415,7 @@
         if self.can_order(now) && self.drained.is_current(now) {
             self.place_tasks(now);
         }
+        self.check_unplaced(now);
         self.send_polls(now);
         self.look_up_jobs(now);
         if self.has_best_effort {
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -6,7 +6,7 @@
     clock::{Tick, WorkerTime},
     job::{Phase, Run},
     model::Step,
-    poll_pace::MAX_POLL_DELAY,
+    poll_pace::{MAX_POLL_DELAY, MAX_REPEATED_POLL_DELAY},
     pool::{Action, DeathEvidence, NoteKind, Pool, StopReason},
     ports::{HoldOrder, StartOrder},
     task::TaskId,
@@ -24,10 +24,14 @@
 /// [`LONG_RUNNING_RETRY`] if it is long-running.
 const MAX_STUCK_STOPS: u32 = 3;
 
-/// Time without progress after which a long-running task is moved once more. It has no other end, so
-/// left on a worker that hangs it would never run.
+/// Time without progress after which a long-running task is moved once more, doubled with each such
+/// move. It has no other end, so left on a worker that hangs it would never run; a startup without
+/// progress that takes long must fit into one of these times.
 const LONG_RUNNING_RETRY: Millis = Millis(10_000);
 
+/// Number of doublings of [`LONG_RUNNING_RETRY`].
+const MAX_RETRY_DOUBLINGS: u32 = 6;
+
 /// Poll wait at a worker where best-effort tasks run beside latency-sensitive tasks. Interference
 /// has to be noticed and reduced well within the few seconds for which a target may be missed.
 const BEST_EFFORT_POLL_WAIT: Millis = Millis(400);
@@ -37,6 +41,15 @@
 /// the next steps of their jobs wait for them.
 const SHORT_TASK_POLL_WAIT: Millis = Millis(200);
 
+/// Poll wait at a worker that has not answered several polls. Unlike a poll that does not wait, it
+/// has the timeout of a long poll: on a narrow link a report with many ends takes longer than the
+/// timeout of an order, and each attempt would send it in vain.
+const UNANSWERED_POLL_WAIT: Millis = Millis(1);
+
+/// Number of unanswered polls after which the next ones have a longer timeout. Until then a lost
+/// message costs little time.
+const MIN_UNANSWERED_POLLS: u32 = 2;
+
 /// Poll wait at a worker that gets no other task until a task on trial has made progress.
 const TRIAL_POLL_WAIT: Millis = Millis(50);
 
@@ -54,12 +67,15 @@
             self.workers.values().filter_map(|worker| Some((due_at(worker)?, worker))).collect();
         due.sort_by_key(|(due, _)| *due);
         for (due, worker) in due {
+            let ends = worker.repeated_ends();
+            let may_wait = ends > 0 && worker.remaining_lease(now) >= Millis(hold.0 / 2);
+            let max_delay = if may_wait { MAX_REPEATED_POLL_DELAY } else { MAX_POLL_DELAY };
             // The lease of a worker that has not answered expires soon.
-            let is_urgent = worker.silent || !worker.answered || now.since(due) >= MAX_POLL_DELAY;
+            let is_urgent = worker.silent || !worker.answered || now.since(due) >= max_delay;
             if !self.poll_budget.has_room() && !is_urgent {
                 continue;
             }
-            self.poll_budget.take(worker.runs.len());
+            self.poll_budget.take(worker.runs.len() + ends);
             let deadline = worker
                 .clock
                 .filter(|_| can_order && !worker.silent)
@@ -82,7 +98,8 @@
 
     fn poll_wait(&self, worker: &Worker) -> Millis {
         if !worker.answered || worker.silent {
-            return Millis(0);
+            let is_slow = worker.failed_calls >= MIN_UNANSWERED_POLLS && !worker.port_closed;
+            return if is_slow { UNANSWERED_POLL_WAIT } else { Millis(0) };
         }
         if worker.trial.is_some() {
             return TRIAL_POLL_WAIT;
@@ -165,8 +182,8 @@
                         };
                         // A task that was stuck on several workers is not their fault, and moving
                         // it again does not help.
-                        let is_due =
-                            step.long_running && now.since(run.progressed_at) >= LONG_RUNNING_RETRY;
+                        let is_due = step.long_running
+                            && now.since(run.progressed_at) >= long_running_retry(task.stalls);
                         let is_exempt = task.stalls >= MAX_STUCK_STOPS && !is_due;
                         let decided =
                             self.decide_run(job, step, run, unwanted, now).filter(|action| {
@@ -221,8 +238,12 @@
                     // It can't start after its deadline, but it may have started before.
                     Some(RunAction::Settle)
                 } else {
-                    // Without the current drains the run could start in a zone that is drained.
-                    self.drained.is_current(now).then_some(RunAction::ResendStart)
+                    // Without the current drains the run could start in a zone that is drained. If the
+                    // worker has restarted, the run could start there, with a lease by another
+                    // clock, and outlast the one that this owner counts with.
+                    let may_have_restarted = worker.silent && worker.started_at.is_some();
+                    let is_safe = self.drained.is_current(now) && !may_have_restarted;
+                    is_safe.then_some(RunAction::ResendStart)
                 }
             }
             Phase::Working if job.recorded => Some(RunAction::Stop(StopReason::Unneeded)),
@@ -309,17 +330,17 @@
         let state = self.jobs.get_mut(&task.job).and_then(|job| job.task(task));
         if let Some(state) = state {
             // A task that was stuck elsewhere before says nothing about this worker.
-            if why == StopReason::Still
-                && state.stalls == 0
-                && let Some(worker) = self.workers.get_mut(&run.worker)
-            {
-                worker.failure_history.suspend(now);
-            }
+            let is_workers_fault = why == StopReason::Still && state.stalls == 0;
             state.stalls += u32::from(why == StopReason::Still);
-            state.avoid.push(run.worker.clone());
+            if !state.avoid.contains(&run.worker) {
+                state.avoid.push(run.worker.clone());
+            }
             if let Some(run) = state.run(run.number) {
                 run.phase = Phase::Stopping;
             }
+            if is_workers_fault {
+                self.suspend_worker(&run.worker, "stuck-run", task, now);
+            }
         }
         self.send_stop(task, run);
     }
@@ -336,6 +357,12 @@
     }
 }
 
+/// Returns the time without progress after which a long-running task with so many stalls is moved.
+fn long_running_retry(stalls: u32) -> Millis {
+    let doublings = stalls.saturating_sub(MAX_STUCK_STOPS).min(MAX_RETRY_DOUBLINGS);
+    Millis(LONG_RUNNING_RETRY.0 << doublings)
+}
+
 /// A run and the action decided for it.
 struct Decision {
     task: TaskId,
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -70,10 +70,16 @@
         if matches!(error, WorkerError::Lost(_)) {
             worker.record_unanswered(now);
         }
+        // A worker that has answered may have restarted, and a call to it may be lost.
+        let is_gone = worker.port_closed || matches!(error, WorkerError::Unreachable(_));
+        let unhosted = worker.unhosted && (is_gone || !worker.answered);
         if first {
             let text = format!("worker={id} runs={} error=\"{error}\"", worker.runs.len());
             self.note(NoteKind::WorkerDoubted, text);
         }
+        if unhosted {
+            self.worker_died(id, DeathEvidence::Unhosted, now);
+        }
     }
 
     fn apply_report(&mut self, id: &WorkerId, sent: Tick, report: WorkerReport, now: Tick) {
@@ -103,6 +109,7 @@
         worker.clock = Some(ClockSample { worker_time: report.clock, at: now });
         worker.silent = false;
         worker.port_closed = false;
+        worker.unhosted = false;
         worker.answered = true;
         worker.last_contact = now;
         worker.failed_calls = 0;
@@ -366,11 +373,29 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.failure_history.record_failure(entry.task.job, now) {
-            self.note(NoteKind::WorkerDoubted, format!("worker={id} suspended=true"));
+        let was_suspended = worker.failure_history.suspended_until > now;
+        if worker.failure_history.record_failure(entry.task.job, now) && !was_suspended {
+            self.log_suspension(id, "failed-runs", entry.task);
         }
     }
 
+    /// Suspends a worker because of a task there, and logs that unless it was suspended already.
+    pub(super) fn suspend_worker(&mut self, id: &WorkerId, why: &str, task: TaskId, now: Tick) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let was_suspended = worker.failure_history.suspended_until > now;
+        worker.failure_history.suspend(now);
+        if !was_suspended {
+            self.log_suspension(id, why, task);
+        }
+    }
+
+    fn log_suspension(&mut self, id: &WorkerId, why: &str, task: TaskId) {
+        let text = format!("worker={id} suspended=true why={why} task={task}");
+        self.note(NoteKind::WorkerDoubted, text);
+    }
+
     /// Ends a job that is complete or has failed, by the state of its tasks.
     pub(super) fn decide_ending(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.ending.is_none()) else {
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -198,6 +198,8 @@
     pub silent: bool,
     /// It is silent, and the last call found that nothing listens at its address.
     pub port_closed: bool,
+    /// The platform was reported to have no host with it, and no call has been answered since.
+    pub unhosted: bool,
     /// It has answered this owner, so orders of predecessors have no effect there any more.
     pub answered: bool,
     /// State of its long-polling call.
@@ -293,6 +295,7 @@
             max_deadline: WorkerTime(0),
             silent: false,
             port_closed: false,
+            unhosted: false,
             answered: false,
             poll: Poll::Due(now),
             failed_calls: 0,
@@ -398,6 +401,17 @@
         self.acknowledged = self.acknowledged.max(acknowledged);
     }
 
+    /// Returns the number of known ends that its next report lists again, since they are not recorded.
+    pub fn repeated_ends(&self) -> usize {
+        (self.unacknowledged() as usize).min(MAX_REPORTED_ENDS)
+    }
+
+    /// Returns for how long the leases given to the worker last, if its clock runs true.
+    pub fn remaining_lease(&self, now: Tick) -> Millis {
+        let time = self.clock.map_or(0, |sample| sample.estimate(now).0);
+        Millis(self.max_deadline.0.saturating_sub(time))
+    }
+
     /// Returns when every lease given to the worker has certainly expired. `None` if no clock
     /// sample was ever received, when no lease was given.
     pub fn leases_expire_at(&self) -> Option<Tick> {
@@ -436,10 +450,15 @@
     /// Returns whether the next report might not list the end of one more run. A run that is neither
     /// listed as running nor as ended would be taken for lost.
     fn has_full_report(&self) -> bool {
-        let unacknowledged = self.last_processed.saturating_sub(self.acknowledged) as usize;
+        let unacknowledged = self.unacknowledged() as usize;
         self.partial || unacknowledged.saturating_add(self.runs.len()) >= MAX_REPORTED_ENDS
     }
 
+    /// Returns the number of known ends that the worker may not forget yet.
+    fn unacknowledged(&self) -> u64 {
+        self.last_processed.saturating_sub(self.acknowledged)
+    }
+
     /// Returns why the worker gets no new tasks at all; `None` if it may get some.
     pub fn obstacle(&self, now: Tick) -> Option<Obstacle> {
         let checks = [
