A job counts as started only once a worker confirms a run

Cause: `Pool::start_run` set `Job::started` when it made the order. The state and the number of waiting jobs were derived from that. Orders that never left, or whose answers were lost, counted like runs.

Change: an answered start order, a report that lists the run, its end, or a stored end show that a run has begun. A stored crash does not, since a worker may crash before the order reaches it; the state that is read from the store follows the same rule.

a_job_counts_as_waiting_until_a_worker_confirms_one_of_its_runs failed before (left: Some(Running), right: Some(Queued)).

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -167,7 +167,8 @@
     pub row: Option<Revision>,
     /// It was stored before the predecessors' last order, so one of them may have started tasks.
     pub maybe_started: bool,
-    /// A task of it has been started.
+    /// A worker has confirmed a run of one of its tasks, or a stored record shows that one has ended.
+    /// An order without an answer may never have arrived, so it is no evidence.
     pub started: bool,
     /// How it ended; the job is kept until that is recorded.
     pub ending: Option<Ending>,
@@ -345,7 +346,7 @@
                     task.crashes = crashed.crashes;
                 }
             }
-            self.started = true;
+            self.started |= stored.has_ended_runs();
         }
     }
 }
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -1,7 +1,7 @@
 //! Results of start and stop orders to workers.
 
 use reachhead_types::{
-    id::WorkerId,
+    id::{JobId, WorkerId},
     size::{Millis, RunNumber},
 };
 
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Records that a worker has confirmed a run of the job.
+    pub(super) fn mark_started(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.started = true;
+        }
+    }
+
     /// Applies the result of a start order.
     pub fn started(
         &mut self,
@@ -68,6 +75,7 @@
                     run.progressed_at = now;
                 }
                 run.settled_at = run.settled_at.or(Some(now));
+                self.mark_started(task.job);
             }
             Err(WorkerError::Replaced) => self.worker_died(id, DeathEvidence::Replaced, now),
             Err(WorkerError::Broken(_)) => {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -182,7 +182,8 @@
             self.adopt(id, entry, now);
             return;
         };
-        if run.phase == Phase::Ordered {
+        let was_unconfirmed = run.phase == Phase::Ordered;
+        if was_unconfirmed {
             run.phase = Phase::Working;
             run.settled_at = Some(now);
             run.progressed_at = now;
@@ -197,6 +198,9 @@
         let up = run.at_work();
         let age = now.since(run.ordered_at);
         let settled = up && now.since(run.progressed_at) >= CRASH_RESET_TIME;
+        if was_unconfirmed {
+            self.mark_started(entry.task.job);
+        }
         if worked {
             self.clear_trial(id, entry, age);
         }
@@ -272,6 +276,7 @@
         let Some(step) = job.plan.steps.get(entry.task.step as usize).cloned() else {
             return;
         };
+        job.started = true;
         if let Some(task) = job.task(entry.task) {
             task.last_run = task.last_run.max(entry.run);
             // Remaining copies of a finished task, or of a gang that lost a member, have to be
@@ -297,7 +302,6 @@
             RunEnd::Done => {
                 let queue = job.queue.name.clone();
                 if job.mark_done(entry.task) {
-                    job.started = true;
                     self.retain_end(id, entry);
                 } else {
                     self.retain_known_end(id, entry);
@@ -315,7 +319,6 @@
                     task.avoid.push(id.clone());
                 }
                 if job.record_failure(counted, entry.run) {
-                    job.started = true;
                     self.retain_end(id, entry);
                 } else {
                     self.retain_known_end(id, entry);
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -314,7 +314,6 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        job.started = true;
         let payload = Arc::clone(&job.plan.payload);
         let Some(task) = job.task(id) else {
             return;
--- a/reachhead_jobs/src/progress.rs
+++ b/reachhead_jobs/src/progress.rs
@@ -112,6 +112,12 @@
 }
 
 impl StepRecord {
+    /// Returns whether a run of the step has ended by itself. A worker may have crashed before an
+    /// order reached it, so a crash is no evidence of a run.
+    pub fn has_ended_runs(&self) -> bool {
+        !self.done.is_empty() || !self.failed.is_empty()
+    }
+
     /// Returns whether the record holds nothing.
     pub fn is_empty(&self) -> bool {
         self.done.is_empty() && self.failed.is_empty() && self.crashed.is_empty()
@@ -140,6 +146,11 @@
 }
 
 impl ProgressRecord {
+    /// Returns whether a run of the job has ended by itself.
+    pub fn has_ended_runs(&self) -> bool {
+        !self.complete.is_empty() || self.steps.iter().any(StepRecord::has_ended_runs)
+    }
+
     /// Returns whether all tasks of a step are done in an occurrence.
     pub fn has_completed(&self, step: u32, occurrence: u32) -> bool {
         let covers = |complete: &CompletedSteps| {
--- a/reachhead_jobs/tests/pool/runs.rs
+++ b/reachhead_jobs/tests/pool/runs.rs
@@ -37,6 +37,44 @@
     assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Over(Ending::Completed)));
 }
 
+/// Guards against states that rest on orders without an answer: callers were told that their jobs ran
+/// while no worker had them.
+#[test]
+fn a_job_counts_as_waiting_until_a_worker_confirms_one_of_its_runs() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let expect = |fixture: &Fixture, state, waiting| {
+        assert_eq!(fixture.pool.state(JobId(1)), Some(state));
+        assert_eq!(fixture.pool.waiting(&"q".parse().unwrap()), waiting);
+    };
+    expect(&fixture, JobState::Queued, 1);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
+    expect(&fixture, JobState::Queued, 1);
+    fixture.advance(200);
+    let (id, order) = fixture.starts().remove(0);
+    let unreachable = Err(WorkerError::Unreachable("no connection".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, unreachable, fixture.now);
+    expect(&fixture, JobState::Queued, 1);
+    // The first order had arrived.
+    fixture.set_running(&id, order.task, order.run.0, 0);
+    fixture.report(&id);
+    expect(&fixture, JobState::Running, 0);
+}
+
+#[test]
+fn a_reported_end_confirms_a_run_whose_order_was_not_answered() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
+    fixture.end(&id, order.task, order.run.0, RunEnd::Lapsed);
+    fixture.report(&id);
+    assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Running));
+}
+
 /// Runs are reviewed after events and periodically, not in each of the rounds that are 4 ms apart
 /// in a burst.
 #[test]
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -13,6 +13,7 @@
     model::Queue,
     pool::{JobState, StateReply, is_foreign},
     ports::{Admission, Answer, Call, CallKind, Frontend},
+    progress::ProgressRecord,
     record::{FinalRecord, JobRecord, final_key, job_key, progress_key},
 };
 use reachhead_ops::event::{Event, emit};
@@ -106,7 +107,9 @@
         let Some(row) = job else {
             return Ok(StateReply::Unknown);
         };
-        let state = if progress.is_some() { JobState::Running } else { JobState::Queued };
+        let progress = progress.map(|row| row.parse::<ProgressRecord>()).transpose()?;
+        let has_run = progress.is_some_and(|progress| progress.has_ended_runs());
+        let state = if has_run { JobState::Running } else { JobState::Queued };
         Ok(visible_state(state, row.parse::<JobRecord>()?.customer.as_ref(), requester))
     }
 
