Owners log what fills their link while start orders wait

Jobs of the small twins were lost on links of 2 Mbit/s, and no log told orders that never left from demand above the link, nor which calls used it: connections, orders, reports, rows, or the pools of one process together.

E725 has, for a pool whose tasks wait for its owner's link or processor, the waiting tasks, the time that the link takes for their orders, the mean round trip of short calls, the pools of the process, and its traffic by kind of call since the last line.

The round trips and the end of a call that moves with them are the client's (`link_delay`).

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -5,6 +5,7 @@
 
 mod action;
 mod advice;
+mod backlog;
 mod callers;
 mod crash;
 mod drain;
@@ -33,6 +34,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 pub use action::{Action, Note, NoteKind, StopReason};
+pub use backlog::StartBacklog;
 pub use callers::{Cancelled, JobState, StateReply, is_foreign};
 pub use crash::DeathEvidence;
 pub use drain_worker::{DrainMode, DrainProgress};
--- a/reachhead_jobs/src/start_pace.rs
+++ b/reachhead_jobs/src/start_pace.rs
@@ -65,12 +65,17 @@
             self.bytes -= DISPATCHED_SIZE.0 as f64;
             self.core_time -= DISPATCHED_TIME;
         } else {
-            self.bytes -= (payload.len() as u64 + ORDER_OVERHEAD.0) as f64;
+            self.bytes -= order_size(payload).0 as f64;
             self.core_time -= ORDER_TIME;
         }
     }
 }
 
+/// Returns the size of an order with this payload that this process sends itself.
+pub(crate) fn order_size(payload: &str) -> Bytes {
+    Bytes(payload.len() as u64 + ORDER_OVERHEAD.0)
+}
+
 /// A token bucket.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Bucket {
@@ -150,6 +155,11 @@
         }
     }
 
+    /// Returns the time in which the link carries start orders of this size.
+    pub fn transfer_time(&self, size: Bytes) -> Millis {
+        Millis((size.0 as f64 / self.byte_rate.max(f64::MIN_POSITIVE)) as u64)
+    }
+
     /// Records a payload that was sent to a dispatcher.
     pub fn record_payload(&mut self, size: Bytes) {
         self.bytes.left -= size.0 as f64;
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of a pool: the event loop that feeds inputs to the scheduler and executes its actions.
 
 mod actions;
+mod backlog_log;
 mod dispatching;
 mod input;
 mod job_reads;
@@ -32,6 +33,7 @@
 pub use self::input::{CancelReply, Input, OwnerHandle};
 use self::{
     actions::{event_of, perform},
+    backlog_log::BacklogLog,
     dispatching::Dispatching,
     job_scan::JobScan,
 };
@@ -100,6 +102,7 @@
     node: Arc<Node>,
     workers: Arc<DispatchedWorkers>,
     dispatching: Dispatching,
+    backlog_log: BacklogLog,
     pool: Pool,
     term: u64,
     handle: OwnerHandle,
@@ -135,6 +138,7 @@
             node,
             workers,
             dispatching,
+            backlog_log: BacklogLog::default(),
             pool,
             term,
             handle,
@@ -195,6 +199,7 @@
         for note in self.pool.take_notes() {
             emit(event_of(note.kind), format_args!("pool={} {}", self.pool.name(), note.text));
         }
+        self.backlog_log.record(&node, &self.pool, now);
         self.handle.publish_unplaced(self.pool.unplaced(now));
         self.record(now);
         self.scan(now);
--- a/reachhead_node/src/peer/client.rs
+++ b/reachhead_node/src/peer/client.rs
@@ -15,7 +15,10 @@
     Method, Request, Response,
     header::{self, HeaderValue},
 };
-use reachhead_ops::client::{CallError, HttpClient};
+use reachhead_ops::{
+    client::{CallError, HttpClient},
+    traffic::Totals,
+};
 use reachhead_types::{
     id::NodeName,
     size::{Millis, Version},
@@ -57,6 +60,17 @@
         self.client.quick_answer_age().map(|age| Millis(age.as_millis() as u64))
     }
 
+    /// Returns the mean round trip of this process's latest short calls, which includes their wait on
+    /// its own link.
+    pub fn link_delay(&self) -> Option<Millis> {
+        self.client.link_delay().map(|delay| Millis(delay.as_millis() as u64))
+    }
+
+    /// Returns the traffic of this process's calls.
+    pub fn traffic(&self) -> Totals {
+        self.client.traffic().totals()
+    }
+
     /// Returns whether a large answer occupies this process's own link: one is arriving, and no call
     /// was answered quickly meanwhile.
     pub fn is_link_filled(&self) -> bool {
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -8,6 +8,7 @@
     client::HttpClient,
     event::{Event, emit},
     http::{self, Handler},
+    link_delay::CallLimit,
     runtime,
     supervise::{RequiredTasks, TaskFailure},
 };
@@ -160,7 +161,11 @@
                 .with_max_probe_pause(MAX_PROBE_PAUSE),
         ),
         feed: Arc::new(table(FEED_TIMEOUT)),
-        workers: Arc::new(HttpWorkers::new(Arc::clone(client), ORDER_TIMEOUT, POLL_TIMEOUT)),
+        workers: Arc::new(HttpWorkers::new(
+            Arc::clone(client),
+            CallLimit::new(ORDER_TIMEOUT),
+            POLL_TIMEOUT,
+        )),
         hosts: settings.host_api.map(|hosts| {
             let node = settings.node.clone();
             Arc::new(HttpHostApi::new(Arc::clone(client), hosts.address, node, HOST_API_TIMEOUT))
--- a/reachhead_ops/src/client.rs
+++ b/reachhead_ops/src/client.rs
@@ -20,7 +20,11 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, sync::Semaphore, time};
 
-use crate::arrivals::Arrivals;
+use crate::{
+    arrivals::Arrivals,
+    link_delay::{CallLimit, LinkDelay},
+    traffic::Traffic,
+};
 
 /// Maximum number of idle connections per peer; further ones are closed after use.
 const MAX_IDLE_PER_PEER: usize = 3;
@@ -95,6 +99,50 @@
     arrivals: Arrivals,
     /// When the latest call with a quick answer was sent.
     quick_sent: Mutex<Option<time::Instant>>,
+    /// Round trips of connections and short calls.
+    link_delay: Mutex<LinkDelay>,
+    traffic: Traffic,
+}
+
+/// End of a call, which moves with the delay of this process's own link.
+struct CallEnd<'a> {
+    client: &'a HttpClient,
+    sent: time::Instant,
+    limit: CallLimit,
+}
+
+impl CallEnd<'_> {
+    fn at(&self) -> time::Instant {
+        let delay = *self.client.link_delay.lock().unwrap_or_else(PoisonError::into_inner);
+        self.sent + self.limit.under(delay.mean(time::Instant::now()))
+    }
+
+    /// Waits for `response` until the end of the call, or returns `None`.
+    async fn wait<T>(&self, response: impl Future<Output = T>) -> Option<T> {
+        tokio::pin!(response);
+        loop {
+            let end = self.at();
+            if let Some(response) = within_deadline(end, &mut response).await {
+                return Some(response);
+            }
+            if self.at() <= time::Instant::now() {
+                return None;
+            }
+        }
+    }
+
+    /// As [`CallEnd::wait`], but the lateness of this process itself does not extend it.
+    async fn wait_strictly<T>(&self, response: impl Future<Output = T>) -> Option<T> {
+        tokio::pin!(response);
+        loop {
+            if let Ok(response) = time::timeout_at(self.at(), &mut response).await {
+                return Some(response);
+            }
+            if self.at() <= time::Instant::now() {
+                return None;
+            }
+        }
+    }
 }
 
 impl HttpClient {
@@ -113,15 +161,31 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let end = self.end(CallLimit::new(deadline));
+        self.call_until(address, request, &end).await
+    }
+
+    /// Returns the end of a call that begins now.
+    fn end(&self, limit: CallLimit) -> CallEnd<'_> {
+        CallEnd { client: self, sent: time::Instant::now(), limit }
+    }
+
+    async fn call_until(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        end: &CallEnd<'_>,
     ) -> Result<Response<Bytes>, CallError> {
         let sent = time::Instant::now();
-        let end = sent + deadline;
+        let path = request.uri().path().to_owned();
         let (connection, head, body) = self.send(address, request, end).await?;
-        let body = match within_deadline(end, body.collect()).await {
+        let body = match end.wait(body.collect()).await {
             Some(Ok(body)) => body.to_bytes(),
             Some(Err(error)) => return Err(CallError::Broken(error.to_string())),
             None => return Err(self.timed_out(address, "no response before the deadline")),
         };
+        self.traffic.record_answer(&path, body.len() as u64);
         self.record_latency(sent);
         self.put_idle(address, connection);
         Ok(Response::from_parts(head, body))
@@ -146,7 +210,9 @@
         on_part: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<Bytes>, CallError> {
         let sent = time::Instant::now();
-        let (connection, head, mut body) = self.send(address, request, sent + deadline).await?;
+        let path = request.uri().path().to_owned();
+        let end = self.end(CallLimit::new(deadline));
+        let (connection, head, mut body) = self.send(address, request, &end).await?;
         on_part();
         let mut arrival = head.status.is_success().then(|| self.arrivals.watch(address));
         let announced = body.size_hint().lower();
@@ -158,7 +224,11 @@
         loop {
             let end = (time::Instant::now() + MAX_PART_PAUSE).min(last_end);
             match within_deadline(end, body.frame()).await {
-                Some(Some(Ok(frame))) => parts.extend(frame.into_data().ok()),
+                Some(Some(Ok(frame))) => {
+                    let part = frame.into_data().unwrap_or_default();
+                    self.traffic.record_answer(&path, part.len() as u64);
+                    parts.extend_from_slice(&part);
+                }
                 Some(Some(Err(error))) => return Err(CallError::Broken(error.to_string())),
                 Some(None) => break,
                 None => return Err(self.timed_out(address, "the answer stopped arriving")),
@@ -182,15 +252,18 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        end: time::Instant,
+        end: &CallEnd<'_>,
     ) -> Result<(Connection, Parts, Incoming), CallError> {
         let mut request = request;
+        let size = request.body().size_hint().lower();
+        let path = request.uri().path().to_owned();
         loop {
             let (mut connection, is_reused) = match self.take(address) {
                 Some(connection) => (connection, true),
                 None => (self.connect(address, end).await?, false),
             };
-            match within_deadline(end, exchange(&mut connection, request)).await {
+            self.traffic.record_request(&path, size);
+            match end.wait(exchange(&mut connection, request)).await {
                 Some(Ok(response)) => {
                     let (head, body) = response.into_parts();
                     return Ok((connection, head, body));
@@ -216,23 +289,24 @@
     ///
     /// # Errors
     ///
-    /// As [`HttpClient::call`]; the wait for earlier calls counts against the deadline.
+    /// As [`HttpClient::call`]; the wait for earlier calls counts against the limit.
     pub async fn call_short(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        deadline: Duration,
+        limit: CallLimit,
     ) -> Result<Response<Bytes>, CallError> {
-        let end = time::Instant::now() + deadline;
+        let end = self.end(limit);
         let semaphore = self.semaphore(address);
-        let Ok(Ok(_permit)) = time::timeout_at(end, semaphore.acquire()).await else {
+        let Some(Ok(_permit)) = end.wait_strictly(semaphore.acquire()).await else {
             return Err(CallError::NotSent(
                 "earlier calls to the peer are still unanswered".to_owned(),
             ));
         };
-        let remaining = end.saturating_duration_since(time::Instant::now());
-        let response = self.call(address, request, remaining).await;
+        let begun = time::Instant::now();
+        let response = self.call_until(address, request, &end).await;
         if response.is_ok() {
+            self.record_round_trip(begun);
             self.record_short_idle(address);
         }
         response
@@ -266,16 +340,43 @@
     async fn connect(
         &self,
         address: SocketAddr,
-        end: time::Instant,
+        end: &CallEnd<'_>,
     ) -> Result<Connection, CallError> {
         let begun = time::Instant::now();
-        let result = connect(address, end).await;
+        self.traffic.record_connection();
+        let result = match end.wait_strictly(connect(address)).await {
+            Some(result) => result,
+            None => Err(CallError::NotSent("no connection before the deadline".to_owned())),
+        };
         if matches!(result, Err(CallError::PortClosed(_))) {
             self.record_latency(begun);
         }
+        if result.is_ok() {
+            self.record_round_trip(begun);
+        }
         result
     }
 
+    /// Records a round trip that ends now: the making of a connection, or a call that the peer
+    /// answers at once.
+    fn record_round_trip(&self, begun: time::Instant) {
+        let now = time::Instant::now();
+        let mut delay = self.link_delay.lock().unwrap_or_else(PoisonError::into_inner);
+        delay.record(now - begun, now);
+    }
+
+    /// Returns the mean round trip of the latest connections and short calls, if there were any
+    /// within a second.
+    pub fn link_delay(&self) -> Option<Duration> {
+        let delay = *self.link_delay.lock().unwrap_or_else(PoisonError::into_inner);
+        delay.mean(time::Instant::now())
+    }
+
+    /// Returns the traffic of this client's calls.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     fn record_latency(&self, sent: time::Instant) {
         if sent.elapsed() <= QUICK_ANSWER {
             let mut last = self.quick_sent.lock().unwrap_or_else(PoisonError::into_inner);
@@ -348,19 +449,18 @@
     }
 }
 
-async fn connect(address: SocketAddr, end: time::Instant) -> Result<Connection, CallError> {
+async fn connect(address: SocketAddr) -> Result<Connection, CallError> {
     let connecting = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         Ok::<_, io::Error>(stream)
     };
-    let stream = match time::timeout_at(end, connecting).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+    let stream = match connecting.await {
+        Ok(stream) => stream,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             return Err(CallError::PortClosed(error.to_string()));
         }
-        Ok(Err(error)) => return Err(CallError::NotSent(error.to_string())),
-        Err(_) => return Err(CallError::NotSent("no connection before the deadline".to_owned())),
+        Err(error) => return Err(CallError::NotSent(error.to_string())),
     };
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -157,6 +157,8 @@
     RoomPlanned 723 Info;
     /// This process learned that operators drain an availability zone or have cancelled the drain.
     ZoneDrained 724 Info;
+    /// Start orders of a pool wait for the link or the processor of its owner: how many, the time that the link takes for them, the mean round trip, and the traffic since the last such line (kind of call=calls/bytes sent/bytes received).
+    StartsLimited 725 Info;
     /// Log lines were dropped because there were too many.
     LinesDropped 730 Warn;
     /// This process was late itself: its check of the pools ran long after it was due.
--- a/reachhead_ops/tests/connections.rs
+++ b/reachhead_ops/tests/connections.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use reachhead_ops::client::HttpClient;
+use reachhead_ops::{client::HttpClient, link_delay::CallLimit};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -27,6 +27,8 @@
 /// Third octets of the peer addresses; `PEERS * ROUNDS` exceeds the limit on idle peers.
 const ROUNDS: u8 = 4;
 
+const LIMIT: CallLimit = CallLimit::new(Duration::from_secs(5));
+
 /// Answers every call and counts the open connections.
 async fn serve(open: Arc<AtomicUsize>) -> u16 {
     let listener = TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).await.unwrap();
@@ -63,7 +65,7 @@
         for peer in 1..=PEERS {
             let address = SocketAddr::from((Ipv4Addr::new(127, 9, round, peer), port));
             let request = Request::post("/").header("host", "peer").body(Full::new(Bytes::new()));
-            client.call_short(address, request.unwrap(), Duration::from_secs(5)).await.unwrap();
+            client.call_short(address, request.unwrap(), LIMIT).await.unwrap();
         }
     }
     time::sleep(Duration::from_millis(200)).await;
