Limits of orders follow the delay of the process's own link

Cause: an order had 200 ms from the moment it was made, whatever waited before it on the link of its own process. In a burst it timed out there: a lost run, another worker, another connection, and the same bytes again. On a link that is the limit, that is work taken from the jobs behind it.

--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -118,7 +118,7 @@
 }
 
 /// Returns the bandwidth of the process's link.
-fn bandwidth(settings: &Settings) -> ByteRate {
+pub fn bandwidth(settings: &Settings) -> ByteRate {
     ByteRate((settings.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64)
 }
 
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -22,6 +22,7 @@
     workers::HttpWorkers,
 };
 use reachhead_store::guarded::GuardedStore;
+use reachhead_types::size::{ByteRate, Millis};
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -35,7 +36,7 @@
     frontend::NodeFrontend,
     handover, membership,
     metrics::Metrics,
-    node::{Node, Services},
+    node::{Node, Services, bandwidth},
     owner::Input,
     peer::{PeerClient, PeerHandler},
     registry,
@@ -54,6 +55,10 @@
 /// milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Bytes that may queue on this process's own link before an order, which its timeout then allows
+/// for. On a link of 2 Mbit/s they take 0.4 s, and on one of 20 Mbit/s a tenth of that.
+const MAX_QUEUED_BYTES: u64 = 100_000;
+
 /// Timeout of a long poll of a worker beyond its wait. Workers answer within milliseconds, and
 /// until a lost answer is detected the next steps of all jobs with a task there wait. It is longer
 /// than the delay of a busy owner itself, which would otherwise count all its workers as silent.
@@ -151,6 +156,12 @@
     Ok(())
 }
 
+/// Returns the limit of an order on a link with this bandwidth.
+fn order_limit(bandwidth: ByteRate) -> CallLimit {
+    let queued = Millis(1000 * MAX_QUEUED_BYTES / bandwidth.0.max(1));
+    CallLimit::new(ORDER_TIMEOUT).with_longest(ORDER_TIMEOUT + queued.duration())
+}
+
 pub(crate) fn services(settings: &Settings, client: &Arc<HttpClient>) -> Services {
     let table = |deadline| TableStore::new(Arc::clone(client), settings.store, deadline);
     Services {
@@ -163,7 +174,7 @@
         feed: Arc::new(table(FEED_TIMEOUT)),
         workers: Arc::new(HttpWorkers::new(
             Arc::clone(client),
-            CallLimit::new(ORDER_TIMEOUT),
+            order_limit(bandwidth(settings)),
             POLL_TIMEOUT,
         )),
         hosts: settings.host_api.map(|hosts| {
@@ -262,3 +273,7 @@
         let _ = wait.await;
     }
 }
+
+#[cfg(test)]
+#[path = "process_tests.rs"]
+mod tests;
--- a/reachhead_node/src/tests/idle_node.rs
+++ b/reachhead_node/src/tests/idle_node.rs
@@ -17,15 +17,20 @@
 /// Returns a process that has read nothing yet, with a store at this address. Its limits allow no
 /// state as old as relayed state gets.
 pub(crate) fn new(store: &str) -> Arc<Node> {
-    with_apply_time(store, 3000)
+    with_limits(store, 3000, 1000.0)
 }
 
 /// Returns a process whose limits allow relayed state, and which has a fleet owner.
 pub(crate) fn relaying(store: &str) -> Arc<Node> {
-    with_apply_time(store, 5000)
+    with_limits(store, 5000, 1000.0)
 }
 
-fn with_apply_time(store: &str, apply_ms: u64) -> Arc<Node> {
+/// Returns a process that has read nothing yet, on a link with this bandwidth in Mbit/s.
+pub(crate) fn on_link(store: &str, bandwidth: f64) -> Arc<Node> {
+    with_limits(store, 3000, bandwidth)
+}
+
+fn with_limits(store: &str, apply_ms: u64, bandwidth: f64) -> Arc<Node> {
     let settings = format!(
         r#"
 nodeName = "node-1"
@@ -35,6 +40,7 @@
 [listenAddresses]
 [limits]
 cpuShare = 1.0
+linkBandwidthMbps = {bandwidth:.1}
 [bounds]
 configApplyMs = {apply_ms}
 [platform]
