Pools that share a narrow link are spread over idle processes

Jobs of the small twins were lost (LOST) and late behind the link of one process that owned two pools, while the links of ten others were idle.

Cause: when all processes start, pools become vacant before anyone is a member, and a process may take several of them. Nothing moves them later: a handover needs more than twice the load, and two pools against none are just twice. On a wide link that is cheaper than an ownership change. On a link that is narrower than the processor, where dispatchers don't help either, the pools halve each other's starts for good.

Both pools together got some 65 starts a second, which is what one link carries.

Change: a process whose own link is its limit hands a pool over if that halves its load.

--- a/reachhead_jobs/src/candidate.rs
+++ b/reachhead_jobs/src/candidate.rs
@@ -68,6 +68,14 @@
         own > HANDOVER_FACTOR * other.relative_load(self)
     }
 
+    /// Returns whether this process should hand one of its pools over to `other` if its own link is
+    /// what limits its pools. They share the link for as long as it owns them, and dispatchers don't
+    /// relieve it (docs/design/dispatch.md), so half of the load is worth an ownership change.
+    pub fn should_hand_over_for_link(&self, other: &Self) -> bool {
+        let own = self.owned as u64 * u64::from(other.strength.0);
+        own > 0 && own >= HANDOVER_FACTOR * other.relative_load(self)
+    }
+
     /// Returns whether this process is so much stronger than `other` that `other` should not become
     /// owner instead.
     pub fn is_much_stronger(&self, other: &Self) -> bool {
--- a/reachhead_jobs/tests/pool/candidate.rs
+++ b/reachhead_jobs/tests/pool/candidate.rs
@@ -93,6 +93,20 @@
     assert!(Candidate { owned: 3, ..own }.should_hand_over(&other));
 }
 
+/// Guards against pools that share a narrow link while the links of other processes are idle.
+#[test]
+fn pools_that_share_a_narrow_link_are_spread_over_idle_processes() {
+    let names = names(2);
+    let own = |owned| candidate(&names[0], 250, owned);
+    let other = |owned| candidate(&names[1], 250, owned);
+    assert!(own(2).should_hand_over_for_link(&other(0)));
+    assert!(!own(1).should_hand_over_for_link(&other(0)));
+    assert!(!own(3).should_hand_over_for_link(&other(1)), "two and two would be little better");
+    assert!(!own(0).should_hand_over_for_link(&other(0)));
+    // The successor does not hand the pool back.
+    assert!(!other(1).should_hand_over_for_link(&own(1)));
+}
+
 #[test]
 fn a_process_of_a_release_without_a_capacity_weight_comes_last() {
     let names = names(2);
--- a/reachhead_node/src/handover.rs
+++ b/reachhead_node/src/handover.rs
@@ -1,7 +1,7 @@
 //! Handover of a pool to a process with much more capacity.
 //!
 //! The first process that is up takes a vacant pool, and that may be a weak one while the strong
-//! ones restart.
+//! ones restart. One process may also take several pools before the others are members.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -88,10 +88,17 @@
     let owned = node.owned().len();
     let view = node.view();
     let own = Candidate { node: &node.settings.node, strength: node.strength(), owned };
+    let is_better = |other: &Candidate<'_>| {
+        if node.gains_by_dispatch() {
+            own.should_hand_over(other)
+        } else {
+            own.should_hand_over_for_link(other)
+        }
+    };
     let others = view.members.iter().filter(|(other, _)| **other != node.settings.node);
     let mut candidates: Vec<(Candidate<'_>, SocketAddr)> = others
         .map(|(other, member)| (view.candidate(other, &member.record), member.record.address))
-        .filter(|(candidate, _)| own.should_hand_over(candidate))
+        .filter(|(candidate, _)| is_better(candidate))
         .collect();
     candidates.sort_by(|(a, _), (b, _)| a.compare(b));
     let successor = |(candidate, address): (Candidate<'_>, SocketAddr)| Successor {
@@ -121,3 +128,7 @@
         );
     }
 }
+
+#[cfg(test)]
+#[path = "handover_tests.rs"]
+mod tests;
