The share of start orders follows the delay of the owner's link

On links of 2 Mbit/s, pools had half a minute of start orders waiting while a third of the link was idle, and at other times starts filled a link that transactions and rows needed. Either way accepted jobs were not started in the time that is left after the traffic (LOST).

Cause: starts had a fixed half of the link, whatever the other calls used.

Change: the share rises from a half by steps up to 0.85 while round trips are short and starts use their share up, and falls to 0.35 while they are long.

the_share_of_the_link_follows_its_delay needs more than the fixed share gives: 190 kB of 250 kB a second with short round trips.

--- a/reachhead_jobs/src/start_pace.rs
+++ b/reachhead_jobs/src/start_pace.rs
@@ -8,10 +8,31 @@
 
 use crate::clock::Tick;
 
-/// Share of the link that start orders may use. The rest is for reports of workers, transactions,
-/// heartbeats and calls of callers.
+/// Share of the link that start orders may use at first. The rest is for reports of workers,
+/// transactions, heartbeats and calls of callers.
 const LINK_SHARE: f64 = 0.5;
 
+/// Bounds of the share, which follows the measured delay of the link: what the other calls need
+/// varies, and a fixed share would leave the link idle while tasks wait, or fill it.
+const MIN_LINK_SHARE: f64 = 0.35;
+const MAX_LINK_SHARE: f64 = 0.85;
+
+/// Round trip up to which the link has room for more start orders.
+const SHORT_DELAY: Millis = Millis(50);
+
+/// Round trip from which start orders delay the other calls too much: well below the timeouts of
+/// heartbeats and orders.
+const LONG_DELAY: Millis = Millis(120);
+
+/// Interval at which the share changes: a few round trips of a link that is nearly full.
+const SHARE_PERIOD: Millis = Millis(200);
+
+/// Increase of the share after a period with short round trips.
+const SHARE_INCREASE: f64 = 0.02;
+
+/// Factor of the share after a period with long round trips.
+const SHARE_DECREASE: f64 = 0.85;
+
 /// Share of the cores that start orders may use, for the same reason.
 const CORE_SHARE: f64 = 0.7;
 
@@ -99,8 +120,12 @@
 /// Token buckets for the start orders of a process, shared by the pools that it owns.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StartPacer {
-    /// Bytes per millisecond.
-    byte_rate: f64,
+    /// Bytes per millisecond that the link carries.
+    bandwidth: f64,
+    /// Share of the link for start orders.
+    share: f64,
+    /// When the share last changed.
+    share_at: Tick,
     /// Milliseconds of a core per millisecond.
     core_rate: f64,
     /// Orders per millisecond that the dispatchers have capacity for, if there are any.
@@ -114,10 +139,13 @@
     /// Returns the pacer of a process without dispatchers, on a link with this bandwidth and with so
     /// many cores.
     pub fn new(bandwidth: ByteRate, cores: f64, now: Tick) -> Self {
-        let byte_rate = LINK_SHARE * bandwidth.0 as f64 / 1000.0;
+        let bandwidth = bandwidth.0 as f64 / 1000.0;
+        let byte_rate = LINK_SHARE * bandwidth;
         let core_rate = CORE_SHARE * cores;
         Self {
-            byte_rate,
+            bandwidth,
+            share: LINK_SHARE,
+            share_at: now,
             core_rate,
             dispatch_rate: None,
             bytes: Bucket::full(byte_rate, now),
@@ -135,9 +163,33 @@
             strength.map(|strength| DISPATCHER_SHARE * f64::from(strength.0) / 1000.0);
     }
 
+    fn byte_rate(&self) -> f64 {
+        self.share * self.bandwidth
+    }
+
+    /// Adapts the share of the link to the mean round trip of the latest calls, `None` if none was
+    /// answered lately.
+    pub fn adapt(&mut self, round_trip: Option<Millis>, now: Tick) {
+        if now.since(self.share_at) < SHARE_PERIOD {
+            return;
+        }
+        self.share_at = now;
+        self.share = match round_trip {
+            Some(delay) if delay >= LONG_DELAY => self.share * SHARE_DECREASE,
+            Some(delay) if delay <= SHORT_DELAY && !self.has_room() => self.share + SHARE_INCREASE,
+            _ => self.share,
+        };
+        self.share = self.share.clamp(MIN_LINK_SHARE, MAX_LINK_SHARE);
+    }
+
+    /// Returns whether start orders did not use up what the link has for them.
+    fn has_room(&self) -> bool {
+        self.bytes.left > 0.0
+    }
+
     /// Returns what may be sent at `now`.
     pub fn budget(&mut self, now: Tick) -> StartBudget {
-        self.bytes.refill(self.byte_rate, now);
+        self.bytes.refill(self.byte_rate(), now);
         self.core_time.refill(self.core_rate, now);
         let dispatched = self.dispatch_rate.map(|rate| {
             self.dispatched.refill(rate, now);
@@ -157,7 +209,7 @@
 
     /// Returns the time in which the link carries start orders of this size.
     pub fn transfer_time(&self, size: Bytes) -> Millis {
-        Millis((size.0 as f64 / self.byte_rate.max(f64::MIN_POSITIVE)) as u64)
+        Millis((size.0 as f64 / self.byte_rate().max(f64::MIN_POSITIVE)) as u64)
     }
 
     /// Records a payload that was sent to a dispatcher.
--- a/reachhead_jobs/tests/start_pace.rs
+++ b/reachhead_jobs/tests/start_pace.rs
@@ -109,3 +109,43 @@
     assert!(!pacer.budget(START).has_room());
     assert!(pacer.budget(START + Millis(1)).has_room());
 }
+
+/// Returns the bytes that a process on a link of 2 Mbit/s sends in the last second of `seconds`, if round trips take
+/// `round_trip` and tasks always wait.
+fn sent_under(round_trip: Option<Millis>, seconds: u64) -> u64 {
+    let mut pacer = StartPacer::new(ByteRate(250_000), CORES, START);
+    let payload = "x".repeat(500);
+    let mut sent = 0;
+    for millis in (0..seconds * 1000).step_by(10) {
+        let now = START + Millis(millis);
+        pacer.adapt(round_trip, now);
+        let mut budget = pacer.budget(now);
+        while budget.has_room() {
+            budget.take(&payload);
+            sent += if millis >= (seconds - 1) * 1000 { 1200 } else { 0 };
+        }
+        pacer.record(budget);
+    }
+    sent
+}
+
+/// A fixed share left a third of the link idle while tasks waited for half a minute, and filled it
+/// when transactions and rows needed more than the rest.
+#[test]
+fn the_share_of_the_link_follows_its_delay() {
+    let fixed = sent_under(Some(Millis(80)), 10);
+    assert!((120_000..=130_000).contains(&fixed), "half of the link: {fixed}");
+    assert!(sent_under(Some(Millis(10)), 10) >= 190_000, "the link has room");
+    assert!(sent_under(Some(Millis(300)), 3) <= 100_000, "the link is full");
+    assert_eq!(sent_under(None, 10), fixed, "nothing is known about the link");
+}
+
+#[test]
+fn the_share_does_not_grow_while_tasks_do_not_use_it() {
+    let mut pacer = StartPacer::new(ByteRate(250_000), CORES, START);
+    let first = pacer.transfer_time(Bytes(100_000));
+    for millis in (0..60_000).step_by(100) {
+        pacer.adapt(Some(Millis(1)), START + Millis(millis));
+    }
+    assert_eq!(pacer.transfer_time(Bytes(100_000)), first);
+}
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -210,6 +210,7 @@
     fn poll(&mut self, now: Tick) -> Vec<Action> {
         self.dispatching.update(&self.node, &self.pool, &self.workers, now);
         let mut pacer = self.node.start_pacer();
+        pacer.adapt(self.node.peers.link_delay(), now);
         pacer.record_payload(self.workers.take_link_bytes());
         pacer.set_dispatchers(self.workers.strength());
         self.pool.set_start_budget(pacer.budget(now));
