Calls that wait are decided again by the configuration in force

Cause: a call is admitted when it arrives, and the answer leaves when the pool's owner has answered. A call whose route is unknown waits for a refresh and gets the newer version, while a later call with a known route keeps the decision of its arrival, however long it waits. Jobs that wait to be stored keep theirs in the same way.

Change: a read is admitted again, without a refresh, before it is answered. A job that waits to be stored is refused if its route is gone (404) or leads to another pool (503, it has not run), unless it may be stored already, or a peer forwarded it, whose configuration may be newer.

--- a/reachhead_jobs/src/ports/caller.rs
+++ b/reachhead_jobs/src/ports/caller.rs
@@ -27,6 +27,13 @@
     Waiting,
 }
 
+impl CallKind {
+    /// Returns whether the request changes nothing.
+    pub fn is_read(&self) -> bool {
+        matches!(self, Self::State(_) | Self::Waiting)
+    }
+}
+
 /// An admitted call.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Admission {
@@ -75,6 +82,15 @@
         key: Option<&'a KeyDigest>,
     ) -> BoxFuture<'a, Result<Admission, ErrorKind>>;
 
+    /// Returns the queue and customer of a call under the configuration in force, which is not
+    /// refreshed, or why the call is not admitted under it.
+    fn admit_now(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&KeyDigest>,
+    ) -> Result<Admission, ErrorKind>;
+
     /// Returns the answer to a call.
     fn call(&self, call: Call) -> BoxFuture<'_, Answer>;
 
--- a/reachhead_node/src/admission.rs
+++ b/reachhead_node/src/admission.rs
@@ -124,10 +124,7 @@
         path: &str,
         key: Option<&KeyDigest>,
     ) -> Result<Admission, ErrorKind> {
-        let find = || match &node.view().config {
-            Some(config) => find(config, host, path, key),
-            None => Err(ErrorKind::NotReady),
-        };
+        let find = || admit_now(node, host, path, key);
         let known = find();
         if !needs_refresh(node) && known.is_ok() {
             return known;
@@ -238,6 +235,27 @@
         && view.peer_reaching_store(now, MAX_PEER_AGE, MAX_PEER_AGE).is_some()
 }
 
+/// Returns the queue and the customer of a call under the configuration in force, which is not
+/// refreshed.
+///
+/// A read that waited for an owner is decided again by this before it is answered. Otherwise it could
+/// be answered by an older version than a call that arrived before it and waited for a refresh.
+///
+/// # Errors
+///
+/// `NoRoute` or `UnknownKey` if that configuration says so, `NotReady` if there is none.
+pub fn admit_now(
+    node: &Node,
+    host: &str,
+    path: &str,
+    key: Option<&KeyDigest>,
+) -> Result<Admission, ErrorKind> {
+    match &node.view().config {
+        Some(config) => find(config, host, path, key),
+        None => Err(ErrorKind::NotReady),
+    }
+}
+
 /// Returns the queue and the customer of a call under a configuration.
 fn find(
     config: &Configuration,
--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -2,23 +2,13 @@
 
 use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
-use reachhead_jobs::{
-    clock::Tick,
-    ports::{Admission, Change},
-};
-use reachhead_store::row::{Key, Row};
-use reachhead_types::{
-    error::ErrorKind,
-    id::NodeName,
-    size::{Millis, Revision},
-};
-use serde_json::json;
+use reachhead_jobs::{clock::Tick, ports::Admission};
+use reachhead_types::{error::ErrorKind, id::NodeName, size::Millis};
 
 use crate::{
-    follow::{Follower, Operators},
     node::Node,
     peer::Pong,
-    tests::idle_node::{self, serve},
+    tests::idle_node::{self, apply_config, serve},
     view::PeerStatus,
 };
 
@@ -28,17 +18,7 @@
 /// Returns a process with a route under `/a/` that was confirmed `age` ago.
 fn node_with_config(store: SocketAddr, age: Millis) -> Arc<Node> {
     let node = idle_node::new(&store.to_string());
-    let value = json!({ "version": 3, "routes": [{ "name": "a", "host": "site.example",
-            "pathPrefix": "/a/", "kind": "non_idempotent", "timeoutMs": 3000,
-            "targetLatencyMs": 600, "priority": 0, "service": "a", "maxAttempts": 3,
-            "stretch": 2.0, "allowAnonymous": true }],
-        "services": [{ "name": "a", "rejectsOverload": false, "spare": false }],
-        "limits": { "maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1,
-            "idleTimeoutMs": 1 } });
-    let row = Row { key: Key("op//config".to_owned()), value, revision: Revision(5) };
-    let operators = Operators(Arc::clone(&node));
-    operators.apply(&[Change { row, deleted: false }]);
-    operators.confirm_current(node.now() - age, Revision(5));
+    apply_config(&node, 3, &["a"], age);
     node
 }
 
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -27,6 +27,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    admission::admit_now,
     node::Node,
     owner::CancelReply,
     owner_call::{OwnerError, call_pool_owner},
@@ -278,6 +279,15 @@
         self.0.admission.admit(&self.0, host, path, key).boxed()
     }
 
+    fn admit_now(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&KeyDigest>,
+    ) -> Result<Admission, ErrorKind> {
+        admit_now(&self.0, host, path, key)
+    }
+
     fn call(&self, call: Call) -> BoxFuture<'_, Answer> {
         async move {
             let started = Instant::now();
@@ -324,3 +334,7 @@
         view.config.is_some() && store_reachable && has_members && !self.0.is_stopping()
     }
 }
+
+#[cfg(test)]
+#[path = "frontend_tests.rs"]
+mod tests;
--- a/reachhead_node/src/submit/mod.rs
+++ b/reachhead_node/src/submit/mod.rs
@@ -200,6 +200,7 @@
         };
         fill_batch(&mut batch, &mut queue);
         batch.retain_mut(Submission::take);
+        batch = refuse_unrouted(&node, batch);
         if batch.is_empty() {
             continue;
         }
@@ -219,6 +220,29 @@
     }
 }
 
+/// Refuses jobs whose route was removed or leads to another pool since they were admitted, and
+/// returns the others. What a peer forwarded was admitted there, perhaps by a newer configuration.
+fn refuse_unrouted(node: &Node, batch: Vec<Submission>) -> Vec<Submission> {
+    let Some(config) = node.view().config.clone() else {
+        return batch;
+    };
+    let mut routed = Vec::with_capacity(batch.len());
+    for submission in batch {
+        let admitted = &submission.record.queue;
+        let queue = config.queue(&admitted.name);
+        if !submission.from_caller
+            || submission.maybe_stored
+            || queue.is_some_and(|queue| queue.pool == admitted.pool)
+        {
+            routed.push(submission);
+        } else {
+            let kind = if queue.is_some() { ErrorKind::NotReady } else { ErrorKind::NoRoute };
+            let _ = submission.reply.send(Answer::Refused(kind));
+        }
+    }
+    routed
+}
+
 /// Adds waiting jobs to the batch, up to the limits of one transaction.
 fn fill_batch(batch: &mut Vec<Submission>, queue: &mut mpsc::UnboundedReceiver<Submission>) {
     let mut bytes: usize = batch.iter().map(payload_size).sum();
--- a/reachhead_node/src/submit/tests.rs
+++ b/reachhead_node/src/submit/tests.rs
@@ -7,7 +7,7 @@
 use reachhead_types::size::Millis;
 
 use super::*;
-use crate::tests::broken_node;
+use crate::tests::{broken_node, idle_node::apply_config};
 
 fn record() -> JobRecord {
     let queue = Queue {
@@ -47,3 +47,23 @@
         assert!(matches!(second, Answer::Accepted), "{second:?}");
     });
 }
+
+/// Guards against jobs that are stored by a route which was removed while they waited for the store.
+#[test]
+fn job_is_refused_if_its_route_was_removed_or_moved_while_it_waited() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, _) = broken_node::node();
+        let submit = async |id| {
+            let until = Instant::now() + Duration::from_secs(5);
+            node.submitter.submit(&node, JobId(id), record(), until, false).await
+        };
+        apply_config(&node, 4, &["b"], Millis(0));
+        assert_eq!(submit(4).await, Answer::Refused(ErrorKind::NoRoute));
+        apply_config(&node, 5, &["b", "q"], Millis(0));
+        assert_eq!(
+            submit(4).await,
+            Answer::Refused(ErrorKind::NotReady),
+            "its pool is another one"
+        );
+    });
+}
--- a/reachhead_node/src/tests/idle_node.rs
+++ b/reachhead_node/src/tests/idle_node.rs
@@ -8,11 +8,21 @@
     time::Duration,
 };
 
+use reachhead_jobs::ports::Change;
 use reachhead_ops::client::HttpClient;
 use reachhead_platform::settings::Settings;
+use reachhead_store::row::{Key, Row};
+use reachhead_types::size::{Millis, Revision};
+use serde_json::json;
 use tokio::sync::watch;
 
-use crate::{metrics::Metrics, node::Node, peer::PeerClient, process};
+use crate::{
+    follow::{Follower, Operators},
+    metrics::Metrics,
+    node::Node,
+    peer::PeerClient,
+    process,
+};
 
 /// Returns a process that has read nothing yet, with a store at this address. Its limits allow no
 /// state as old as relayed state gets.
@@ -57,6 +67,27 @@
     Arc::new(Node::new(settings, services, PeerClient::new(client), metrics, stopping))
 }
 
+/// Applies a version of the configuration that was confirmed `age` ago, with a route and a pool for
+/// each name.
+pub(crate) fn apply_config(node: &Arc<Node>, version: u64, routes: &[&str], age: Millis) {
+    let route = |name: &&str| {
+        json!({ "name": name, "host": "site.example", "pathPrefix": format!("/{name}/"),
+            "kind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0,
+            "service": name, "maxAttempts": 3, "stretch": 2.0, "allowAnonymous": true })
+    };
+    let service = |name: &&str| json!({ "name": name, "rejectsOverload": false, "spare": false });
+    let value = json!({ "version": version,
+        "routes": routes.iter().map(route).collect::<Vec<_>>(),
+        "services": routes.iter().map(service).collect::<Vec<_>>(),
+        "limits": { "maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 1,
+            "idleTimeoutMs": 1 } });
+    let revision = Revision(version + 2);
+    let row = Row { key: Key("op//config".to_owned()), value, revision };
+    let operators = Operators(Arc::clone(node));
+    operators.apply(&[Change { row, deleted: false }]);
+    operators.confirm_current(node.now() - age, revision);
+}
+
 /// What a server answers, after a delay; `None` never answers.
 pub(crate) type Reply = Option<(Duration, &'static str)>;
 
