A report of a run that is being stopped shows that its job has begun

An unanswered start order may be followed by an order to stop the run. A report that lists the run then is the first sign that the order had arrived, and the job still counted as waiting.

a_report_confirms_a_run_that_is_being_stopped failed before (Queued).

Refusals of calls whose route was removed while they waited are logged like other refusals (E701), and E725 has the round trip in milliseconds.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -182,8 +182,9 @@
             self.adopt(id, entry, now);
             return;
         };
-        let was_unconfirmed = run.phase == Phase::Ordered;
-        if was_unconfirmed {
+        // An order to stop a run may be the answer to a lost order to start it.
+        let is_first_sign = run.phase != Phase::Working;
+        if run.phase == Phase::Ordered {
             run.phase = Phase::Working;
             run.settled_at = Some(now);
             run.progressed_at = now;
@@ -198,7 +199,7 @@
         let up = run.at_work();
         let age = now.since(run.ordered_at);
         let settled = up && now.since(run.progressed_at) >= CRASH_RESET_TIME;
-        if was_unconfirmed {
+        if is_first_sign {
             self.mark_started(entry.task.job);
         }
         if worked {
--- a/reachhead_jobs/tests/pool/runs.rs
+++ b/reachhead_jobs/tests/pool/runs.rs
@@ -63,6 +63,23 @@
     expect(&fixture, JobState::Running, 0);
 }
 
+/// The run is not wanted any more when the first sign of it comes, but the job has begun.
+#[test]
+fn a_report_confirms_a_run_that_is_being_stopped() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
+    let room = Err(WorkerError::Rejected(Rejection::Room));
+    fixture.pool.started(&id, order.task, order.run, room, fixture.now);
+    assert_eq!(fixture.stops().len(), 1);
+    assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Queued));
+    fixture.set_running(&id, order.task, order.run.0, 0);
+    fixture.report(&id);
+    assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Running));
+}
+
 #[test]
 fn a_reported_end_confirms_a_run_whose_order_was_not_answered() {
     let mut fixture = Fixture::ready(vec![info("w", 4)]);
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -285,7 +285,13 @@
         path: &str,
         key: Option<&KeyDigest>,
     ) -> Result<Admission, ErrorKind> {
-        admit_now(&self.0, host, path, key)
+        admit_now(&self.0, host, path, key).inspect_err(|refused| {
+            let config = self.0.view().config_state(self.0.now());
+            emit(
+                Event::CallRefused,
+                format_args!("path={path} kind={refused} changed while the call waited: {config}"),
+            );
+        })
     }
 
     fn call(&self, call: Call) -> BoxFuture<'_, Answer> {
--- a/reachhead_node/src/owner/backlog_log.rs
+++ b/reachhead_node/src/owner/backlog_log.rs
@@ -28,13 +28,14 @@
         self.logged_at = now;
         let backlog = pool.start_backlog();
         let time = node.start_pacer().transfer_time(backlog.size);
+        let round_trip = node.peers.link_delay();
+        let round_trip = round_trip.map_or("-".to_owned(), |delay| format!("{delay}ms"));
         let traffic = node.peers.traffic();
         emit(
             Event::StartsLimited,
             format_args!(
-                "pool={} {backlog} time={time}ms round_trip={:?} owned={} {}",
+                "pool={} {backlog} time={time}ms round_trip={round_trip} owned={} {}",
                 pool.name(),
-                node.peers.link_delay(),
                 node.owned().len(),
                 traffic.since(&self.traffic)
             ),
