Tests that fail: a task is given up for crashes of workers that never had it

The first hypothesis is that the death of a worker counts against every task that the owner's books put there, also one that was ordered after the worker's last sign of life. Two tests reproduce that with the pool alone: three orders refused by the successors at the workers' addresses, and three that dead workers leave unanswered, each end the job as failed.

--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod candidate;
 mod capacity;
 mod crash;
+mod crash_evidence;
 mod division;
 mod drain;
 mod drain_worker;
