A death counts only against tasks that the worker is known to have had

What callers saw: an accepted long-running job was shown as failed, though none of its tasks had failed and workers had room for them.

Cause: the death of a worker counted against every task that the owner's books put there. Workers that are back at their addresses within about a second are found to be replaced by the first call after that, often the very order that starts a task there. So the task was "alone in starting" on a worker that had been dead before it was ordered; three workers of one outage gave it up.

Now a run counts as having reached the worker if that confirmed or reported it, or had answered within 250 ms before the order. An order that the successor refuses never ran. Deaths after the end of the leases, and those in an outage (three within two seconds that no starting task explains), are unproven: they put the task on trial and never give it up. A trial waits for the end of an outage and for a worker that has just answered, so that a crash in it is evidence even if the start is never confirmed. A run that a predecessor had started has survived its start. E714 tells the sign of each age and whether the run was confirmed.

--- a/reachhead_jobs/src/crashes.rs
+++ b/reachhead_jobs/src/crashes.rs
@@ -29,6 +29,8 @@
     Fresh,
     /// It alone had not begun to work.
     Own,
+    /// The worker may have died before the task was there, or of a cause that other workers share.
+    Unproven,
 }
 
 /// Crash counters of a task.
@@ -40,11 +42,23 @@
     pub fresh: u32,
     /// Crashes that no other task can have caused.
     pub own: u32,
+    /// Crashes, not in `total`, that are no evidence against the task. They put it on trial, since one
+    /// that crashes workers before it is confirmed has no others.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unproven: u32,
+}
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 impl Crashes {
     /// Counts a crash.
     pub fn record(&mut self, role: CrashRole) {
+        if role == CrashRole::Unproven {
+            self.unproven += 1;
+            return;
+        }
         self.total += 1;
         self.fresh += u32::from(role != CrashRole::Bystander);
         self.own += u32::from(role == CrashRole::Own);
@@ -52,13 +66,13 @@
 
     /// Returns whether there were no crashes.
     pub fn is_empty(&self) -> bool {
-        self.total == 0
+        self.total == 0 && self.unproven == 0
     }
 
     /// Returns whether the task may be the cause, so that it is put on trial. Having been at work
     /// on one worker that crashed says next to nothing.
     pub fn is_suspect(&self) -> bool {
-        self.fresh > 0 || self.total > 1
+        self.fresh > 0 || self.total > 1 || self.unproven > 0
     }
 
     /// Returns whether the task may crash workers late in its runs. Nothing is started beside it
--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -67,13 +67,19 @@
     /// The run was ordered by a predecessor or resumes from a checkpoint, so the time since
     /// `ordered_at` is not the duration of the task.
     pub adopted: bool,
+    /// The worker has confirmed or reported the run.
+    pub confirmed: bool,
+    /// The run was reported when this owner first heard of it, so the worker had survived its start.
+    pub inherited: bool,
 }
 
 impl Run {
     /// Returns whether reports show that starting the run did no harm: it has progressed, or has
     /// been there for a while.
     pub fn has_worked(&self) -> bool {
-        self.percent > 0 || self.last_reported.since(self.ordered_at) >= MAX_STARTUP_TIME
+        self.percent > 0
+            || self.inherited
+            || self.last_reported.since(self.ordered_at) >= MAX_STARTUP_TIME
     }
 
     /// Returns whether a run of a long-running task has started up.
--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod obstacle;
 pub mod order;
 pub mod orphan;
+pub mod outage;
 pub mod owner_failures;
 pub mod place;
 pub mod poll_pace;
--- a/reachhead_jobs/src/obstacle.rs
+++ b/reachhead_jobs/src/obstacle.rs
@@ -50,6 +50,8 @@
     Unapproved,
     /// Other tasks are starting there, and the task may crash it.
     Starting,
+    /// It has not answered just before, and the task may crash it.
+    NotRecent,
 }
 
 impl Obstacle {
@@ -76,6 +78,7 @@
             Self::Capacity => "capacity",
             Self::Unapproved => "unapproved",
             Self::Starting => "starting",
+            Self::NotRecent => "not-recent",
         }
     }
 }
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -8,6 +8,7 @@
     clock::Tick,
     crashes::{CrashRole, Crashes},
     job::Run,
+    obstacle::Obstacle,
     pool::{NoteKind, Pool},
     ports::RunningEntry,
     task::TaskId,
@@ -21,6 +22,15 @@
 /// the worker during the trial, and a task that takes hours must not block a worker for that long.
 const MAX_LATE_TRIAL: Millis = Millis(20_000);
 
+/// Longest time since a worker's last answer for which it counts as alive. It limits the time in which
+/// the worker may have died of another cause before a task reached it.
+const MAX_CONTACT_AGE: Millis = Millis(250);
+
+/// Returns whether the worker had answered within [`MAX_CONTACT_AGE`] before `at`, or has since.
+fn is_recent(worker: &Worker, at: Tick) -> bool {
+    at.since(worker.last_contact) <= MAX_CONTACT_AGE
+}
+
 /// Evidence that a worker incarnation is dead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DeathEvidence {
@@ -68,30 +78,59 @@
         if !worker.runs.is_empty() {
             self.log_crash(&worker, now);
         }
-        let suspects = self.crash_suspects(&worker);
+        // A worker that is merely unreachable did not crash because of its tasks.
+        let suspects = match evidence {
+            DeathEvidence::OffList => Vec::new(),
+            DeathEvidence::Replaced | DeathEvidence::Unhosted => {
+                self.suspects_of_death(&worker, now)
+            }
+        };
         for (task, charge) in &worker.runs {
             self.remove_run(id, *task, charge.run);
         }
         // A crashed worker reports no ends, so its tasks would restart without any record of the
-        // crash. Workers that end by planned work, or that are merely unreachable, did not crash
-        // because of their tasks.
-        let planned = worker.info.draining || worker.cordoned_until > now;
-        if evidence != DeathEvidence::OffList && !planned {
-            for suspect in suspects.into_iter().chain(worker.crash_suspects) {
-                self.count_crash(suspect);
-            }
+        // crash.
+        for suspect in suspects {
+            self.count_crash(suspect);
         }
     }
 
-    /// Returns the tasks that may have caused a crash if the worker crashed now.
-    pub(super) fn crash_suspects(&self, worker: &Worker) -> Vec<CrashSuspect> {
-        let fresh = self.starting_tasks(worker);
-        if let [task] = fresh.as_slice() {
-            return vec![CrashSuspect { task: *task, role: CrashRole::Own }];
+    /// Returns the tasks that may have caused the death of a worker, and recognizes outages. A worker
+    /// that ends by planned work was not crashed by its tasks.
+    pub(super) fn suspects_of_death(&mut self, worker: &Worker, now: Tick) -> Vec<CrashSuspect> {
+        if worker.info.draining || worker.cordoned_until > now {
+            return Vec::new();
+        }
+        let mut suspects = self.crash_suspects(worker);
+        let is_explained =
+            |suspect: &CrashSuspect| matches!(suspect.role, CrashRole::Own | CrashRole::Fresh);
+        if !suspects.iter().any(is_explained) {
+            self.outage.record_death(now);
         }
+        if self.outage.is_active(now) {
+            suspects.retain(|suspect| suspect.role != CrashRole::Bystander);
+            suspects.iter_mut().for_each(|suspect| suspect.role = CrashRole::Unproven);
+        }
+        suspects.extend(worker.crash_suspects.iter().copied());
+        suspects
+    }
+
+    /// Returns the tasks that may have caused a crash if the worker crashed now. Those that it may
+    /// never have had are no proven cause, and don't exclude that another one is.
+    fn crash_suspects(&self, worker: &Worker) -> Vec<CrashSuspect> {
+        let fresh = self.starting_tasks(worker);
+        let (known, possible): (Vec<TaskId>, Vec<TaskId>) =
+            fresh.into_iter().partition(|task| self.has_reached(worker, *task));
+        let role = match (known.as_slice(), possible.as_slice()) {
+            ([_], []) => CrashRole::Own,
+            _ => CrashRole::Fresh,
+        };
+        let known = known.into_iter().map(|task| CrashSuspect { task, role });
+        let role = CrashRole::Unproven;
+        let possible = possible.into_iter().map(|task| CrashSuspect { task, role });
+        let fresh: Vec<CrashSuspect> = known.chain(possible).collect();
         if !fresh.is_empty() {
-            let role = CrashRole::Fresh;
-            return fresh.into_iter().map(|task| CrashSuspect { task, role }).collect();
+            return fresh;
         }
         // A long-running task that is up is best served by a restart, however often hosts fail.
         let is_short = |task: &&TaskId| !self.is_long_running(**task);
@@ -99,6 +138,32 @@
         worker.runs.keys().filter(is_short).map(|task| CrashSuspect { task: *task, role }).collect()
     }
 
+    /// Returns whether a run counts as having reached the worker before that died: the worker has
+    /// confirmed it, or was alive just before the order. A worker in a long poll may be dead for more
+    /// than a second before a call shows it.
+    fn has_reached(&self, worker: &Worker, task: TaskId) -> bool {
+        self.run_on(worker, task)
+            .is_some_and(|run| run.confirmed || is_recent(worker, run.ordered_at))
+    }
+
+    /// Returns why a task that may crash its worker is not started on this one now. On a worker that
+    /// has answered just before, a crash is evidence even if the start is never confirmed. The members
+    /// of a gang start together, and seldom have all their workers answered just before.
+    pub(super) fn trial_obstacle(
+        &self,
+        worker: &Worker,
+        gang: bool,
+        now: Tick,
+    ) -> Option<Obstacle> {
+        if !self.starting_tasks(worker).is_empty() {
+            Some(Obstacle::Starting)
+        } else if !gang && !is_recent(worker, now) {
+            Some(Obstacle::NotRecent)
+        } else {
+            None
+        }
+    }
+
     /// Counts a crash against a task, and gives the task up if the crashes prove it to be the
     /// cause.
     pub(super) fn count_crash(&mut self, CrashSuspect { task: id, role }: CrashSuspect) {
@@ -109,9 +174,12 @@
             return;
         };
         task.crashes.record(role);
-        let Crashes { total, own, .. } = task.crashes;
+        let Crashes { total, own, unproven, .. } = task.crashes;
         if task.crashes.is_conclusive() {
-            self.note(NoteKind::TaskGivenUp, format!("task={id} crashes={total} own={own}"));
+            self.note(
+                NoteKind::TaskGivenUp,
+                format!("task={id} crashes={total} own={own} unproven={unproven}"),
+            );
             self.decide_ending(id.job);
         } else if task.crashes.is_suspect() {
             self.mark_dirty(id.job);
@@ -167,9 +235,15 @@
         worker.runs.keys().copied().filter(is_fresh).collect()
     }
 
+    /// Returns a task with the time from its order to the worker's last answer, which is negative if
+    /// the worker has not answered since.
     fn describe_run(&self, worker: &Worker, task: TaskId) -> String {
-        let age = self.run_on(worker, task).map(|run| worker.last_contact.since(run.ordered_at));
-        format!("{task}@{}ms", age.unwrap_or_default())
+        let Some(run) = self.run_on(worker, task) else {
+            return format!("{task}@none");
+        };
+        let age = worker.last_contact.0 as i64 - run.ordered_at.0 as i64;
+        let state = if run.confirmed { "confirmed" } else { "unconfirmed" };
+        format!("{task}@{age}ms:{state}")
     }
 
     fn run_on(&self, worker: &Worker, id: TaskId) -> Option<&Run> {
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -55,6 +55,7 @@
     clock::{Tick, with_drift},
     job::Job,
     order::DurationEstimator,
+    outage::OutageDetector,
     poll_pace::PollBudget,
     ports::{WorkerInfo, WorkerTarget},
     record::{Ending, FinalRecord, JobRecord, LeaseRecord},
@@ -171,6 +172,8 @@
     /// Worker incarnations known to be dead even if the platform still lists them, with their start
     /// times.
     dead_incarnations: BTreeMap<WorkerId, Option<Millis>>,
+    /// Recent deaths of workers that nothing which ran there explains.
+    outage: OutageDetector,
     estimator: DurationEstimator,
     advice: advice::AdviceCache,
     quotas: quota::Quotas,
@@ -242,6 +245,7 @@
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
             dead_incarnations: BTreeMap::new(),
+            outage: OutageDetector::new(),
             estimator: DurationEstimator::default(),
             advice: advice::AdviceCache::default(),
             quotas: quota::Quotas::default(),
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Records that a worker has rejected an order, which shows that it is alive.
+    fn record_rejection(&mut self, id: &WorkerId, now: Tick) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.last_contact = now;
+        }
+    }
+
     /// Records that a worker has confirmed a run of the job.
     pub(super) fn mark_started(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -59,8 +66,10 @@
         result: Result<WorkerTime, WorkerError>,
         now: Tick,
     ) {
-        if let Ok(shown) = &result {
-            self.record_contact(id, *shown, now);
+        match &result {
+            Ok(shown) => self.record_contact(id, *shown, now),
+            Err(WorkerError::Rejected(_)) => self.record_rejection(id, now),
+            Err(_) => {}
         }
         let Some(run) = self.run_of(id, task, number) else {
             return;
@@ -70,6 +79,7 @@
         let unexpected = result.is_err() || run.phase != Phase::Ordered;
         match result {
             Ok(_) => {
+                run.confirmed = true;
                 if run.phase == Phase::Ordered {
                     run.phase = Phase::Working;
                     run.progressed_at = now;
@@ -77,7 +87,13 @@
                 run.settled_at = run.settled_at.or(Some(now));
                 self.mark_started(task.job);
             }
-            Err(WorkerError::Replaced) => self.worker_died(id, DeathEvidence::Replaced, now),
+            Err(error @ WorkerError::Replaced) => {
+                // The incarnation that died never had the run: its successor refused the only order.
+                if !run.unconfirmed {
+                    self.drop_unstarted(id, task, number, &error);
+                }
+                self.worker_died(id, DeathEvidence::Replaced, now);
+            }
             Err(WorkerError::Broken(_)) => {
                 run.unconfirmed = true;
                 run.retry_at = now + ORDER_RETRY_PAUSE;
@@ -107,20 +123,32 @@
         self.review |= unexpected;
     }
 
-    /// Removes a run that its worker certainly did not start.
-    fn start_rejected(
+    /// Removes a run that its worker certainly did not start, and logs why.
+    fn drop_unstarted(
         &mut self,
         id: &WorkerId,
         task: TaskId,
         number: RunNumber,
         error: &WorkerError,
-        now: Tick,
     ) {
         self.note(
             NoteKind::RunLost,
             format!("task={task} run={number} worker={id} error=\"{error}\""),
         );
         self.remove_run(id, task, number);
+    }
+
+    /// Removes a run whose start its worker rejected or did not receive, and lets the task wait for a
+    /// moment.
+    fn start_rejected(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        number: RunNumber,
+        error: &WorkerError,
+        now: Tick,
+    ) {
+        self.drop_unstarted(id, task, number, error);
         if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)) {
             task.not_before = now + REJECTION_PAUSE;
         }
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -4,13 +4,14 @@
 
 use crate::{
     clock::{Tick, WorkerTime},
+    crashes::CrashRole,
     job::{Phase, Run},
     model::Step,
     poll_pace::{MAX_POLL_DELAY, MAX_REPEATED_POLL_DELAY},
     pool::{Action, DeathEvidence, NoteKind, Pool, StopReason},
     ports::{HoldOrder, StartOrder},
     task::TaskId,
-    worker::{Poll, Worker},
+    worker::{CrashSuspect, Poll, Worker},
 };
 
 /// Time without progress after which a run is stuck, in multiples of the time that one percent of
@@ -156,7 +157,10 @@
             return;
         };
         let runs = worker.runs.clone();
-        let suspects = self.crash_suspects(worker);
+        // The runs ended with the leases, so a crash that is noticed later may have come after them.
+        let starting = self.starting_tasks(worker).into_iter();
+        let suspects =
+            starting.map(|task| CrashSuspect { task, role: CrashRole::Unproven }).collect();
         if let Some(worker) = self.workers.get_mut(id) {
             worker.crash_suspects = suspects;
         }
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -127,6 +127,8 @@
             pace_percent: 100,
             ticket: None,
             adopted: true,
+            confirmed: true,
+            inherited: true,
         });
         job.started = true;
         if let Some(known) = known {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -182,6 +182,7 @@
             self.adopt(id, entry, now);
             return;
         };
+        run.confirmed = true;
         // An order to stop a run may be the answer to a lost order to start it.
         let is_first_sign = run.phase != Phase::Working;
         if run.phase == Phase::Ordered {
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -4,7 +4,10 @@
 //! incarnation has no runs, and its clock and the numbers of its ends start over: mistaken for the
 //! old one, it would be allowed to drop ends that have not been read.
 
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_types::{
+    id::WorkerId,
+    size::{Millis, RunNumber},
+};
 
 use crate::{
     clock::{Tick, WorkerTime},
@@ -34,18 +37,27 @@
             return;
         };
         let known = worker.started_at;
-        let mut suspects = self.crash_suspects(worker);
-        suspects.extend(worker.crash_suspects.iter().copied());
-        let worker = worker.clone();
+        // What the new incarnation runs, from an order for the old one, did not crash that.
+        let is_running = |task: TaskId, run: RunNumber| {
+            report.running.iter().any(|entry| entry.task == task && entry.run == run)
+        };
+        let mut worker = worker.clone();
+        let kept: Vec<TaskId> = worker
+            .runs
+            .iter()
+            .filter(|(task, charge)| is_running(**task, charge.run))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in kept {
+            worker.release(task);
+        }
         if !worker.runs.is_empty() {
             self.log_crash(&worker, now);
         }
         let runs = worker.runs.clone();
-        let planned = worker.info.draining || worker.cordoned_until > now;
+        let suspects = self.suspects_of_death(&worker, now);
         for (task, charge) in runs {
-            let kept =
-                report.running.iter().any(|entry| entry.task == task && entry.run == charge.run);
-            if !kept && !self.bar_run(task, id) {
+            if !self.bar_run(task, id) {
                 self.remove_run(id, task, charge.run);
             }
         }
@@ -70,10 +82,8 @@
                 report.started_at
             ),
         );
-        if !planned {
-            for suspect in suspects {
-                self.count_crash(suspect);
-            }
+        for suspect in suspects {
+            self.count_crash(suspect);
         }
     }
 
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -194,13 +194,15 @@
         }
         let speculative = job.step(id).speculative;
         let unrecorded = self.dirty.contains(&id.job);
+        let in_outage = self.outage.is_active(now);
         (0..)
             .zip(&state.tasks)
             .filter(|(_, task)| {
                 is_waiting(task, now) || (speculative && self.needs_copy(id, task, now))
             })
-            // A successor must know about the crashes before the task can cause another.
-            .filter(|(_, task)| !(unrecorded && task.crashes.is_suspect()))
+            // A successor must know about the crashes before the task can cause another. During an
+            // outage another crash would prove nothing.
+            .filter(|(_, task)| !(task.crashes.is_suspect() && (unrecorded || in_outage)))
             .map(|(index, _)| index)
             .collect()
     }
@@ -261,7 +263,7 @@
             .workers
             .values()
             .filter(|worker| allowed.is_none_or(|allowed| allowed.contains(&worker.info.id)))
-            .filter(|worker| !trial || self.starting_tasks(worker).is_empty());
+            .filter(|worker| !trial || self.trial_obstacle(worker, step.gang, now).is_none());
         place::choose_worker(&wanted, workers, now).map(|worker| worker.info.id.clone())
     }
 
@@ -338,6 +340,8 @@
             pace_percent: 100,
             ticket: ticket.clone(),
             adopted: checkpoint.is_some(),
+            confirmed: false,
+            inherited: false,
         });
         self.charge_start(&payload);
         let order = StartOrder { task: id, run: number, payload, deadline, checkpoint, ticket };
--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -50,6 +50,8 @@
     PredecessorWorkers,
     /// The tasks may have crashed workers, and the store does not have the record of that yet.
     CrashUnrecorded,
+    /// The tasks may have crashed workers, and many workers are dying of another cause.
+    WorkerOutage,
     /// The last starts were rejected a moment ago.
     RetryPause,
     /// Members of the gang still have runs or can't start yet.
@@ -76,6 +78,7 @@
             Self::DrainsUnknown => "drains-unknown",
             Self::PredecessorWorkers => "predecessor-workers",
             Self::CrashUnrecorded => "crash-unrecorded",
+            Self::WorkerOutage => "worker-outage",
             Self::RetryPause => "retry-pause",
             Self::GangIncomplete => "gang-incomplete",
             Self::AwaitingApproval => "awaiting-approval",
@@ -294,6 +297,8 @@
             WaitReason::PredecessorWorkers
         } else if startable.is_empty() && unrecorded {
             WaitReason::CrashUnrecorded
+        } else if startable.is_empty() && is_suspect && self.outage.is_active(now) {
+            WaitReason::WorkerOutage
         } else if startable.is_empty() {
             WaitReason::RetryPause
         } else if approved.is_some_and(BTreeSet::is_empty) {
@@ -318,7 +323,8 @@
         let job = &self.jobs[&id.job];
         let state = &job.steps[&id.step_id()].tasks[id.index as usize];
         let trial = state.crashes.is_suspect();
-        let wanted = PlacementRequest::new(id.step_id(), job.step(id.step_id())).with_task(id);
+        let step = job.step(id.step_id());
+        let wanted = PlacementRequest::new(id.step_id(), step).with_task(id);
         let mut finding = Finding {
             why: WaitReason::NoPlace,
             index: id.index,
@@ -332,10 +338,7 @@
                     let lacks = approved.is_some_and(|ids| !ids.contains(&worker.info.id));
                     lacks.then_some(Obstacle::Unapproved)
                 })
-                .or_else(|| {
-                    let busy = trial && !self.starting_tasks(worker).is_empty();
-                    busy.then_some(Obstacle::Starting)
-                });
+                .or_else(|| trial.then(|| self.trial_obstacle(worker, step.gang, now)).flatten());
             match obstacle {
                 Some(obstacle) => *finding.obstacles.entry(obstacle).or_default() += 1,
                 None => finding.fitting += 1,
--- a/reachhead_jobs/tests/pool/crash.rs
+++ b/reachhead_jobs/tests/pool/crash.rs
@@ -183,7 +183,7 @@
     fixture.pool.worker_died(&worker("w"), DeathEvidence::Unhosted, fixture.now);
     let notes = fixture.pool.take_notes();
     let crash = notes.iter().find(|note| note.kind == NoteKind::WorkerCrashed).unwrap();
-    let fresh = format!("worker=w runs=2 heard=10ms fresh=1 tasks={}@0ms", task(2, 0, 0));
+    let fresh = format!("worker=w runs=2 heard=10ms fresh=1 tasks={}@0ms:confirmed", task(2, 0, 0));
     assert_eq!(crash.text, fresh);
 }
 
--- a/reachhead_jobs/tests/pool/crash_evidence.rs
+++ b/reachhead_jobs/tests/pool/crash_evidence.rs
@@ -1,9 +1,14 @@
 //! Tests of which crashes count against a task: those of workers that are known to have had it.
 
-use reachhead_jobs::{model::Step, pool::JobState, ports::WorkerError, record::Ending};
+use reachhead_jobs::{
+    model::Step,
+    pool::{DeathEvidence, JobState},
+    ports::WorkerError,
+    record::Ending,
+};
 use reachhead_types::id::{JobId, WorkerId};
 
-use crate::fixture::{Fixture, info, step};
+use crate::fixture::{Fixture, info, recovered, step, task, worker};
 
 /// Time since the last contact with a worker that is in a long poll.
 const POLL_AGE: u64 = 1400;
@@ -16,6 +21,11 @@
     Fixture::ready((0..count).map(|number| info(&format!("w{number}"), 4)).collect())
 }
 
+fn report_all(fixture: &mut Fixture) {
+    let living: Vec<WorkerId> = fixture.infos.iter().map(|info| info.id.clone()).collect();
+    living.iter().for_each(|id| fixture.report(id));
+}
+
 /// Answers each start order of the next round with `error`, and returns the workers.
 fn fail_starts(fixture: &mut Fixture, error: &WorkerError) -> Vec<WorkerId> {
     let starts = fixture.starts();
@@ -48,9 +58,7 @@
     let mut fixture = workers(6);
     fixture.submit(1, vec![long_running(1)]);
     for _ in 0..5 {
-        for id in fixture.infos.iter().map(|info| info.id.clone()).collect::<Vec<_>>() {
-            fixture.report(&id);
-        }
+        report_all(&mut fixture);
         fixture.advance(POLL_AGE);
         let tried = fail_starts(&mut fixture, &WorkerError::Lost("no answer".to_owned()));
         fixture.advance(900);
@@ -63,3 +71,112 @@
     }
     assert_ne!(fixture.pool.state(JobId(1)), Some(JobState::Over(Ending::Failed)));
 }
+
+/// Guards against the opposite fault: a worker that dies before it confirms the start shows nothing
+/// but the missing answer, and the task would take the pool down worker by worker.
+#[test]
+fn a_task_whose_workers_die_before_they_confirm_it_is_given_up() {
+    let mut fixture = workers(8);
+    fixture.advance(POLL_AGE);
+    fixture.submit(1, vec![long_running(1)]);
+    let mut tried = 0;
+    while fixture.pool.state(JobId(1)) != Some(JobState::Over(Ending::Failed)) {
+        let lost = fail_starts(&mut fixture, &WorkerError::Broken("connection reset".to_owned()));
+        tried += lost.len();
+        assert!(tried <= 4, "the task takes down one worker after the other");
+        for id in lost {
+            fixture.pool.held(&id, fixture.now, Err(WorkerError::Replaced), fixture.now);
+            fixture.infos.retain(|info| info.id != id);
+        }
+        fixture.list();
+        fixture.flush();
+        report_all(&mut fixture);
+    }
+}
+
+/// A task on trial is started only where a crash would be evidence.
+#[test]
+fn a_task_on_trial_waits_for_a_worker_that_has_just_answered() {
+    let mut fixture = workers(3);
+    fixture.submit_and_start(1, vec![long_running(1)]);
+    let first = fixture.running.keys().next().unwrap().clone();
+    fixture.pool.worker_died(&first, DeathEvidence::Unhosted, fixture.now);
+    fixture.infos.retain(|info| info.id != first);
+    fixture.flush();
+    fixture.advance(POLL_AGE);
+    assert!(fixture.starts().is_empty(), "all workers may have died since they answered");
+    let second = fixture.infos[0].id.clone();
+    fixture.report(&second);
+    let starts = fixture.starts();
+    assert_eq!(starts.iter().map(|(id, _)| id).collect::<Vec<_>>(), [&second]);
+}
+
+/// Racks that go down in turn take whatever is starting there with them. Guards against giving up a
+/// task that was starting on one worker of each.
+#[test]
+fn a_task_that_is_starting_in_racks_that_go_down_in_turn_is_not_given_up() {
+    let mut fixture = workers(40);
+    fixture.submit_and_start(1, vec![long_running(1)]);
+    for rack in 0..6 {
+        let id = fixture.running.keys().next().unwrap().clone();
+        fixture.running.remove(&id);
+        // The task's worker is found dead among the others of its rack.
+        let others = fixture.infos.iter().map(|info| &info.id).filter(|other| **other != id);
+        let mut dead: Vec<WorkerId> = others.take(5).cloned().collect();
+        dead.insert(3, id);
+        for id in &dead {
+            fixture.advance(10);
+            fixture.pool.worker_died(id, DeathEvidence::Unhosted, fixture.now);
+            fixture.infos.retain(|info| info.id != *id);
+        }
+        fixture.list();
+        fixture.flush();
+        assert!(fixture.starts().is_empty() || rack == 0, "a crash now would prove nothing");
+        for _ in 0..15 {
+            fixture.advance(200);
+            report_all(&mut fixture);
+            for (id, order) in fixture.starts() {
+                fixture.accept(&id, &order);
+            }
+        }
+    }
+    assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Running));
+}
+
+/// A worker in a cut network keeps its runs until their leases end, and may crash much later.
+#[test]
+fn a_worker_that_dies_after_its_leases_is_no_evidence() {
+    let mut fixture = workers(6);
+    fixture.submit(1, vec![long_running(1)]);
+    let mut starts = fixture.starts();
+    for _ in 0..4 {
+        let (id, order) = starts.remove(0);
+        fixture.accept(&id, &order);
+        fixture.running.clear();
+        while !fixture.pool.workers()[&id].runs.is_empty() {
+            fixture.fail_poll(&id);
+            fixture.advance(100);
+            starts = fixture.starts();
+        }
+        fixture.pool.worker_died(&id, DeathEvidence::Replaced, fixture.now);
+        fixture.infos.retain(|info| info.id != id);
+        fixture.list();
+        fixture.flush();
+        report_all(&mut fixture);
+        // Once it is on trial, the task waits for an answer of a worker.
+        starts.extend(fixture.starts());
+    }
+    assert_ne!(fixture.pool.state(JobId(1)), Some(JobState::Over(Ending::Failed)));
+}
+
+/// The run was there before this owner, so its worker has survived the start.
+#[test]
+fn a_run_of_a_predecessor_is_not_the_cause_of_a_crash() {
+    let found = recovered(vec![(1, vec![long_running(1)])], vec![("w0", None)]);
+    let mut fixture = Fixture::new(found, vec![info("w0", 4), info("w1", 4)]);
+    fixture.set_running(&worker("w0"), task(1, 0, 0), 3, 0);
+    fixture.report(&worker("w0"));
+    fixture.pool.worker_died(&worker("w0"), DeathEvidence::Unhosted, fixture.now);
+    let task = &fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0];
+    assert!(task.crashes.is_empty());
+}
