Outages of workers are logged (E726)

During an outage deaths count against no task and tasks on trial wait. Without a line of its own an operator sees E714 without consequence and E719 with worker-outage, and can't tell when the owner began to take the deaths for a common cause. The line comes once for each outage.

--- a/reachhead_jobs/src/outage.rs
+++ b/reachhead_jobs/src/outage.rs
@@ -36,17 +36,21 @@
         Self::default()
     }
 
-    /// Records the death of a worker on which no task was starting.
-    pub fn record_death(&mut self, now: Tick) {
+    /// Records the death of a worker that no starting task explains, and returns whether an outage
+    /// begins with it.
+    pub fn record_death(&mut self, now: Tick) -> bool {
         self.deaths.retain(|death| now.since(*death) < OUTAGE_WINDOW);
         if self.deaths.is_empty() {
             self.since = None;
         }
         self.deaths.push_back(now);
-        if self.deaths.len() >= MIN_DEATHS {
-            self.deaths.drain(..self.deaths.len() - MIN_DEATHS);
-            self.since.get_or_insert(now);
+        if self.deaths.len() < MIN_DEATHS {
+            return false;
         }
+        self.deaths.drain(..self.deaths.len() - MIN_DEATHS);
+        let begins = self.since.is_none();
+        self.since.get_or_insert(now);
+        begins
     }
 
     /// Returns whether an outage goes on.
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -67,6 +67,8 @@
     WorkerDoubted,
     /// A worker incarnation ended while runs were assigned to it.
     WorkerCrashed,
+    /// Many workers are dying for a cause that is not what they run.
+    WorkerOutage,
     /// A task is given up because workers crash while running it.
     TaskGivenUp,
     /// The owner stopped a run.
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -104,8 +104,8 @@
         let mut suspects = self.crash_suspects(worker);
         let is_explained =
             |suspect: &CrashSuspect| matches!(suspect.role, CrashRole::Own | CrashRole::Fresh);
-        if !suspects.iter().any(is_explained) {
-            self.outage.record_death(now);
+        if !suspects.iter().any(is_explained) && self.outage.record_death(now) {
+            self.note(NoteKind::WorkerOutage, format!("workers={}", self.workers.len()));
         }
         if self.outage.is_active(now) {
             suspects.retain(|suspect| suspect.role != CrashRole::Bystander);
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -69,6 +69,7 @@
         NoteKind::RunLost => Event::RunLost,
         NoteKind::WorkerDoubted => Event::WorkerDoubted,
         NoteKind::WorkerCrashed => Event::WorkerCrashed,
+        NoteKind::WorkerOutage => Event::WorkerOutage,
         NoteKind::TaskGivenUp => Event::TaskGivenUp,
         NoteKind::RunStopped => Event::RunStopped,
         NoteKind::RunAdopted => Event::RunAdopted,
