An outage does not hold back tasks that have lost one worker

A zone or a rack that goes down leaves an unproven crash on every task that was starting there, and all of them waited for two seconds after the last death before they were started again, though nothing speaks against them. Only a task that was on several crashed workers waits now: one that really crashes them costs one more worker in an outage, and all others start again at once, on trial as before.

--- a/reachhead_jobs/src/crashes.rs
+++ b/reachhead_jobs/src/crashes.rs
@@ -75,6 +75,12 @@
         self.fresh > 0 || self.total > 1 || self.unproven > 0
     }
 
+    /// Returns whether the task was on several workers that crashed. An outage leaves one crash on every
+    /// task that was starting, which must not wait for its end.
+    pub fn is_repeated(&self) -> bool {
+        self.total + self.unproven > 1
+    }
+
     /// Returns whether the task may crash workers late in its runs. Nothing is started beside it
     /// while it runs, so that fewer others are lost with it. This is no proof, since hosts may also
     /// go down in turn.
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -200,9 +200,10 @@
             .filter(|(_, task)| {
                 is_waiting(task, now) || (speculative && self.needs_copy(id, task, now))
             })
-            // A successor must know about the crashes before the task can cause another. During an
-            // outage another crash would prove nothing.
-            .filter(|(_, task)| !(task.crashes.is_suspect() && (unrecorded || in_outage)))
+            // A successor must know about the crashes before the task can cause another.
+            .filter(|(_, task)| !(unrecorded && task.crashes.is_suspect()))
+            // During an outage another crash would prove nothing.
+            .filter(|(_, task)| !(in_outage && task.crashes.is_repeated()))
             .map(|(index, _)| index)
             .collect()
     }
--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -287,6 +287,7 @@
         let tasks = &job.steps[&id].tasks;
         let waits = |task: &Task| !task.done && task.runs.is_empty();
         let is_suspect = tasks.iter().any(|task| waits(task) && task.crashes.is_suspect());
+        let is_repeated = tasks.iter().any(|task| waits(task) && task.crashes.is_repeated());
         let unrecorded = is_suspect && self.dirty.contains(&id.job);
         let need = if step.gang { step.need.times(step.count) } else { step.need };
         let reason = if !self.can_order(now) {
@@ -297,7 +298,7 @@
             WaitReason::PredecessorWorkers
         } else if startable.is_empty() && unrecorded {
             WaitReason::CrashUnrecorded
-        } else if startable.is_empty() && is_suspect && self.outage.is_active(now) {
+        } else if startable.is_empty() && is_repeated && self.outage.is_active(now) {
             WaitReason::WorkerOutage
         } else if startable.is_empty() {
             WaitReason::RetryPause
