A run counts for the crash of one incarnation only

Cause: when a worker restarts under its id, a run whose order was not answered stays with it until the new incarnation confirms that it is barred. At each further restart it was taken for a run that had just been started there, and since the worker had answered after the order, for one that had reached it.

Evidence: a_run_counts_for_the_crash_of_one_incarnation failed before with three crashes of one run in four restarts, which is what gives a task up.

Now a barred run is marked. It is no suspect of the new incarnation's death, since that never had it, and does not keep a task on trial from that worker.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -71,6 +71,9 @@
     pub confirmed: bool,
     /// The run was reported when this owner first heard of it, so the worker had survived its start.
     pub inherited: bool,
+    /// The incarnation that may have had the run is dead. Its late order is barred at the next one,
+    /// whose death says nothing about the run.
+    pub barred: bool,
 }
 
 impl Run {
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -133,9 +133,15 @@
             return fresh;
         }
         // A long-running task that is up is best served by a restart, however often hosts fail.
-        let is_short = |task: &&TaskId| !self.is_long_running(**task);
+        let is_counted =
+            |task: &&TaskId| !self.is_long_running(**task) && !self.is_barred(worker, **task);
         let role = CrashRole::Bystander;
-        worker.runs.keys().filter(is_short).map(|task| CrashSuspect { task: *task, role }).collect()
+        worker
+            .runs
+            .keys()
+            .filter(is_counted)
+            .map(|task| CrashSuspect { task: *task, role })
+            .collect()
     }
 
     /// Returns whether a run counts as having reached the worker before that died: the worker has
@@ -230,8 +236,9 @@
 
     /// Returns the worker's tasks that no report has shown as making progress.
     pub(super) fn starting_tasks(&self, worker: &Worker) -> Vec<TaskId> {
-        let is_fresh =
-            |task: &TaskId| self.run_on(worker, *task).is_some_and(|run| !run.has_worked());
+        let is_fresh = |task: &TaskId| {
+            self.run_on(worker, *task).is_some_and(|run| !run.has_worked() && !run.barred)
+        };
         worker.runs.keys().copied().filter(is_fresh).collect()
     }
 
@@ -246,6 +253,11 @@
         format!("{task}@{age}ms:{state}")
     }
 
+    /// Returns whether the worker's incarnation never had the run, which is only barred there.
+    fn is_barred(&self, worker: &Worker, task: TaskId) -> bool {
+        self.run_on(worker, task).is_some_and(|run| run.barred)
+    }
+
     fn run_on(&self, worker: &Worker, id: TaskId) -> Option<&Run> {
         let step = self.jobs.get(&id.job)?.steps.get(&id.step_id())?;
         let task = step.tasks.get(id.index as usize)?;
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -129,6 +129,7 @@
             adopted: true,
             confirmed: true,
             inherited: true,
+            barred: false,
         });
         job.started = true;
         if let Some(known) = known {
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -130,6 +130,7 @@
         let Some(run) = run.filter(|run| run.settled_at.is_none() || run.unconfirmed) else {
             return false;
         };
+        run.barred = true;
         run.settled_at = None;
         run.phase = Phase::Stopping;
         run.retry_at = Tick(0);
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -342,6 +342,7 @@
             adopted: checkpoint.is_some(),
             confirmed: false,
             inherited: false,
+            barred: false,
         });
         self.charge_start(&payload);
         let order = StartOrder { task: id, run: number, payload, deadline, checkpoint, ticket };
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -5,7 +5,10 @@
     pool::Action,
     ports::{HoldOrder, Rejection, RunEnd, WorkerError, WorkerReport},
 };
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::Millis,
+};
 
 use crate::fixture::{Fixture, info, step, task, worker};
 
@@ -294,3 +297,22 @@
     fixture.refuse_connection(&worker("w"));
     assert!(!fixture.pool.workers().contains_key(&worker("w")));
 }
+
+/// A run was counted against its task at each restart of its worker for as long as the order to bar it
+/// was unanswered: the job was given up after one start.
+#[test]
+fn a_run_counts_for_the_crash_of_one_incarnation() {
+    let mut fixture = one_worker();
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
+    for incarnation in 0..4 {
+        set_started_at(&mut fixture, SECOND_START + incarnation);
+        fixture.report(&id);
+        fixture.flush();
+        fixture.advance(500);
+    }
+    let state = &fixture.pool.jobs()[&JobId(1)].steps[&order.task.step_id()].tasks[0];
+    assert_eq!(state.crashes.total, 1);
+}
