A restarted worker is not suspended for failures of its last incarnation

Cause: failures, suspension and probation are kept by the worker's id. A restart reset the worker's speed, which is learned in the same way, but not these.

Evidence: a_new_incarnation_is_not_suspended_for_failures_of_the_old_one got no start before and gets all three now.

--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -15,7 +15,7 @@
     pool::{Action, NoteKind, Pool, PoolTimeouts},
     ports::WorkerReport,
     task::TaskId,
-    worker::{LostOrder, Speed},
+    worker::{FailureHistory, LostOrder, Speed},
 };
 
 /// Age up to which an incarnation may have received orders meant for the previous one, from a
@@ -72,6 +72,7 @@
             // longest lease.
             worker.max_deadline = WorkerTime(report.clock.0 + self.timeouts.grant.0);
             worker.speed = Speed::new(now);
+            worker.failure_history = FailureHistory::default();
             worker.begin_incarnation(now);
         }
         self.review = true;
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -316,3 +316,20 @@
     let state = &fixture.pool.jobs()[&JobId(1)].steps[&order.task.step_id()].tasks[0];
     assert_eq!(state.crashes.total, 1);
 }
+
+/// Tasks of several jobs failed on a worker, which then restarted. The new incarnation got nothing for
+/// five seconds, and one task at a time for ten more, for failures of the old one.
+#[test]
+fn a_new_incarnation_is_not_suspended_for_failures_of_the_old_one() {
+    let mut fixture = one_worker();
+    (1..=3).for_each(|job| fixture.submit_and_start(job, vec![step(1)]));
+    for entry in fixture.running[&worker("w")].clone() {
+        fixture.end(&worker("w"), entry.task, entry.run.0, RunEnd::Failed);
+    }
+    fixture.report(&worker("w"));
+    fixture.flush();
+    assert!(starts_on(&mut fixture).is_empty(), "the old incarnation is suspended");
+    restart(&mut fixture);
+    fixture.report(&worker("w"));
+    assert_eq!(starts_on(&mut fixture).len(), 3);
+}
