Time without reports does not count as time without progress

Cause: a run was stuck if the owner had learned of no progress for 2.5 s. A long poll fails 2.2 s after it is sent, and may be sent 0.6 s late, so a cut link looked like a task that hangs. A worker that was frozen for so long was blamed at its first report, when it was well again.

Evidence: a_run_without_a_report_is_not_taken_for_stuck and time_in_which_a_worker_does_not_answer_does_not_count_as_stuck failed before; the latter also holds that a run that then stands still for 2.5 s is stopped.

Now only the time between reports counts, without that in which calls to the worker failed.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -252,7 +252,7 @@
             }
             Phase::Working if job.recorded => Some(RunAction::Stop(StopReason::Unneeded)),
             Phase::Working if unwanted.is_some() => unwanted.map(RunAction::Stop),
-            Phase::Working if self.is_stuck(job, step, run, now) => {
+            Phase::Working if self.is_stuck(job, step, run) => {
                 Some(RunAction::Stop(StopReason::Still))
             }
             Phase::Working => None,
@@ -261,7 +261,7 @@
         }
     }
 
-    fn is_stuck(&self, job: &crate::job::Job, step: &Step, run: &Run, now: Tick) -> bool {
+    fn is_stuck(&self, job: &crate::job::Job, step: &Step, run: &Run) -> bool {
         if step.gang || job.ending.is_some() || run.pace_percent < 100 {
             return false;
         }
@@ -271,7 +271,8 @@
         let predicted = self.estimator.predict(&job.queue.name, step);
         let limit = (predicted.0 * STUCK_FACTOR / 100).max(MIN_STUCK_TIME.0);
         let is_reachable = self.workers.get(&run.worker).is_some_and(|worker| !worker.silent);
-        is_reachable && now.since(run.progressed_at) > Millis(limit)
+        // What a run does while its worker's report is under way is unknown.
+        is_reachable && run.last_reported.since(run.progressed_at) > Millis(limit)
     }
 
     fn apply_decision(&mut self, decision: &Decision, now: Tick) {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -103,6 +103,7 @@
             worker.started_at = report.started_at.or(worker.started_at);
             self.apply_first_report(id, &report, now);
         }
+        self.excuse_silence(id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -220,6 +221,21 @@
         }
     }
 
+    /// Excludes the time in which a worker did not answer from the time without progress of its runs:
+    /// its process may have been frozen, and is not at fault any more.
+    fn excuse_silence(&mut self, id: &WorkerId, now: Tick) {
+        let Some(worker) = self.workers.get(id).filter(|worker| worker.silent) else {
+            return;
+        };
+        let silence = now.since(worker.last_contact);
+        for (id, charge) in &worker.runs {
+            let task = self.jobs.get_mut(&id.job).and_then(|job| job.task(*id));
+            if let Some(run) = task.and_then(|task| task.run(charge.run)) {
+                run.progressed_at = run.progressed_at + silence;
+            }
+        }
+    }
+
     fn keep_checkpoint(&mut self, id: TaskId, checkpoint: &str) {
         let task = self.jobs.get_mut(&id.job).and_then(|job| job.task(id));
         if let Some(task) = task.filter(|task| task.checkpoint.as_deref() != Some(checkpoint)) {
