A planned end counts as planned however late it is noticed

Cause: the end of a worker counted as planned only while its cordon lasted, 2.5 s after the last request to drain it. It is noticed by a long poll that fails after 2.2 s, or by the platform's list, and the order to the host comes between.

Evidence: planned_ends_that_are_noticed_late_are_no_outage and a_planned_end_that_is_noticed_late_is_no_crash failed before.

Now the end is planned if the worker has not answered since its cordon ended. One that was used again after a drain that was given up has answered.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -98,7 +98,8 @@
     /// Returns the tasks that may have caused the death of a worker, and recognizes outages. A worker
     /// that ends by planned work was not crashed by its tasks.
     pub(super) fn suspects_of_death(&mut self, worker: &Worker, now: Tick) -> Vec<CrashSuspect> {
-        if worker.info.draining || worker.cordoned_until > now {
+        // A planned end may be noticed long after the cordon, but the worker has not answered since.
+        if worker.info.draining || worker.cordoned_until > worker.last_contact {
             return Vec::new();
         }
         let mut suspects = self.crash_suspects(worker);
--- a/reachhead_jobs/tests/pool/drain_worker.rs
+++ b/reachhead_jobs/tests/pool/drain_worker.rs
@@ -6,7 +6,7 @@
     ports::RunEnd,
 };
 use reachhead_plan::amount::Amount;
-use reachhead_types::id::WorkerId;
+use reachhead_types::id::{JobId, WorkerId};
 
 use crate::fixture::{Fixture, info, recovered, step, task, worker};
 
@@ -281,3 +281,42 @@
         assert_eq!(fixture.stops().len(), 1, "its task may move");
     }
 }
+
+/// Hosts that were switched off are found gone later than their cordons last. Guards against taking
+/// these ends for an outage, in which a task that may crash its worker does not start.
+#[test]
+fn planned_ends_that_are_noticed_late_are_no_outage() {
+    let mut fixture = Fixture::ready(["a", "b", "c", "d", "e"].map(|name| info(name, 2)).into());
+    fixture.submit_and_start(1, long_running(1));
+    let crashed = fixture.running.keys().next().unwrap().clone();
+    fixture.pool.worker_died(&crashed, DeathEvidence::Unhosted, fixture.now);
+    fixture.infos.retain(|info| info.id != crashed);
+    let leaving: Vec<WorkerId> = fixture.infos.iter().take(3).map(|info| info.id.clone()).collect();
+    for id in &leaving {
+        let progress = fixture.pool.drain_worker(id, DrainMode::Graceful, fixture.now);
+        assert_eq!(progress, DrainProgress::Empty);
+    }
+    fixture.infos.retain(|info| !leaving.contains(&info.id));
+    fixture.advance(2700);
+    for id in &leaving {
+        fixture.pool.worker_died(id, DeathEvidence::Unhosted, fixture.now);
+    }
+    fixture.list();
+    fixture.flush();
+    fixture.report(&fixture.infos[0].id.clone());
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// A host that was switched off was found gone after its worker's cordon, and a task had been ordered
+/// there meanwhile. Guards against counting the planned end against the task.
+#[test]
+fn a_planned_end_that_is_noticed_late_is_no_crash() {
+    let mut fixture = Fixture::ready(vec![info("a", 2)]);
+    fixture.pool.drain_worker(&worker("a"), DrainMode::Graceful, fixture.now);
+    fixture.advance(2700);
+    fixture.submit(1, long_running(1));
+    assert_eq!(fixture.starts().len(), 1, "the cordon is over");
+    fixture.pool.worker_died(&worker("a"), DeathEvidence::Unhosted, fixture.now);
+    let state = &fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0];
+    assert!(state.crashes.is_empty());
+}
