A task that has worked is cleared of unproven crashes

Cause: an unproven crash puts a task on trial, and nothing ever took that back for short tasks. After one outage each later start of such a task waited for a trial, and kept its worker for itself, and it got no copy, however often it had worked since.

Evidence: a_task_that_has_worked_is_cleared_of_unproven_crashes failed before.

An unproven crash is a doubt whether the task harms workers as it starts, and a report that shows it at work settles that. Crashes that are evidence stay.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -193,13 +193,15 @@
         }
     }
 
-    /// Ends the trial of a task that has begun to work. A task that may crash its worker late stays
-    /// on trial until it reports 100 percent (a long-running task is then up) or [`MAX_LATE_TRIAL`]
-    /// has passed.
+    /// Ends the trial of a task that has begun to work, and forgets its unproven crashes. A task that
+    /// may crash its worker late stays on trial until it reports 100 percent (a long-running task is
+    /// then up) or [`MAX_LATE_TRIAL`] has passed.
     pub(super) fn clear_trial(&mut self, id: &WorkerId, entry: &RunningEntry, age: Millis) {
-        let job = self.jobs.get_mut(&entry.task.job);
-        let is_late =
-            job.and_then(|job| job.task(entry.task)).is_some_and(|task| task.crashes.is_late());
+        let task = self.jobs.get_mut(&entry.task.job).and_then(|job| job.task(entry.task));
+        let is_late = task.is_some_and(|task| {
+            task.crashes.unproven = 0;
+            task.crashes.is_late()
+        });
         let is_over = !is_late || entry.percent >= 100 || age >= MAX_LATE_TRIAL;
         if is_over && let Some(worker) = self.workers.get_mut(id) {
             worker.end_trial(entry.task);
--- a/reachhead_jobs/tests/pool/crash_evidence.rs
+++ b/reachhead_jobs/tests/pool/crash_evidence.rs
@@ -180,3 +180,23 @@
     let task = &fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0];
     assert!(task.crashes.is_empty());
 }
+
+/// An order to a worker that had been replaced left a doubt about the task, which stayed for good: the
+/// task got no speculative copy, and each later start was a trial, although it had worked since.
+#[test]
+fn a_task_that_has_worked_is_cleared_of_unproven_crashes() {
+    let mut fixture = workers(4);
+    fixture.advance(POLL_AGE);
+    fixture.submit(1, vec![Step { speculative: true, ..step(1) }]);
+    let first = fail_starts(&mut fixture, &WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.worker_died(&first[0], DeathEvidence::Unhosted, fixture.now);
+    fixture.infos.retain(|info| info.id != first[0]);
+    fixture.flush();
+    report_all(&mut fixture);
+    let (second, order) = fixture.starts().remove(0);
+    fixture.accept(&second, &order);
+    fixture.set_running(&second, order.task, order.run.0, 10);
+    fixture.report(&second);
+    fixture.fail_poll(&second);
+    assert_eq!(fixture.starts().len(), 1, "a copy on another worker");
+}
