--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -98,7 +98,8 @@
     /// Returns the tasks that may have caused the death of a worker, and recognizes outages. A worker
     /// that ends by planned work was not crashed by its tasks.
     pub(super) fn suspects_of_death(&mut self, worker: &Worker, now: Tick) -> Vec<CrashSuspect> {
-        if worker.info.draining || worker.cordoned_until > now {
+        // A planned end may be noticed long after the cordon, but the worker has not answered since.
+        if worker.info.draining || worker.cordoned_until > worker.last_contact {
             return Vec::new();
         }
         let mut suspects = self.crash_suspects(worker);
@@ -133,9 +134,15 @@
             return fresh;
         }
         // A long-running task that is up is best served by a restart, however often hosts fail.
-        let is_short = |task: &&TaskId| !self.is_long_running(**task);
+        let is_counted =
+            |task: &&TaskId| !self.is_long_running(**task) && !self.is_barred(worker, **task);
         let role = CrashRole::Bystander;
-        worker.runs.keys().filter(is_short).map(|task| CrashSuspect { task: *task, role }).collect()
+        worker
+            .runs
+            .keys()
+            .filter(is_counted)
+            .map(|task| CrashSuspect { task: *task, role })
+            .collect()
     }
 
     /// Returns whether a run counts as having reached the worker before that died: the worker has
@@ -186,13 +193,15 @@
         }
     }
 
-    /// Ends the trial of a task that has begun to work. A task that may crash its worker late stays
-    /// on trial until it reports 100 percent (a long-running task is then up) or [`MAX_LATE_TRIAL`]
-    /// has passed.
+    /// Ends the trial of a task that has begun to work, and forgets its unproven crashes. A task that
+    /// may crash its worker late stays on trial until it reports 100 percent (a long-running task is
+    /// then up) or [`MAX_LATE_TRIAL`] has passed.
     pub(super) fn clear_trial(&mut self, id: &WorkerId, entry: &RunningEntry, age: Millis) {
-        let job = self.jobs.get_mut(&entry.task.job);
-        let is_late =
-            job.and_then(|job| job.task(entry.task)).is_some_and(|task| task.crashes.is_late());
+        let task = self.jobs.get_mut(&entry.task.job).and_then(|job| job.task(entry.task));
+        let is_late = task.is_some_and(|task| {
+            task.crashes.unproven = 0;
+            task.crashes.is_late()
+        });
         let is_over = !is_late || entry.percent >= 100 || age >= MAX_LATE_TRIAL;
         if is_over && let Some(worker) = self.workers.get_mut(id) {
             worker.end_trial(entry.task);
@@ -230,8 +239,9 @@
 
     /// Returns the worker's tasks that no report has shown as making progress.
     pub(super) fn starting_tasks(&self, worker: &Worker) -> Vec<TaskId> {
-        let is_fresh =
-            |task: &TaskId| self.run_on(worker, *task).is_some_and(|run| !run.has_worked());
+        let is_fresh = |task: &TaskId| {
+            self.run_on(worker, *task).is_some_and(|run| !run.has_worked() && !run.barred)
+        };
         worker.runs.keys().copied().filter(is_fresh).collect()
     }
 
@@ -246,6 +256,11 @@
         format!("{task}@{age}ms:{state}")
     }
 
+    /// Returns whether the worker's incarnation never had the run, which is only barred there.
+    fn is_barred(&self, worker: &Worker, task: TaskId) -> bool {
+        self.run_on(worker, task).is_some_and(|run| run.barred)
+    }
+
     fn run_on(&self, worker: &Worker, id: TaskId) -> Option<&Run> {
         let step = self.jobs.get(&id.job)?.steps.get(&id.step_id())?;
         let task = step.tasks.get(id.index as usize)?;
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -5,7 +5,10 @@
     pool::Action,
     ports::{HoldOrder, Rejection, RunEnd, WorkerError, WorkerReport},
 };
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::Millis,
+};
 
 use crate::fixture::{Fixture, info, step, task, worker};
 
@@ -294,3 +297,39 @@
     fixture.refuse_connection(&worker("w"));
     assert!(!fixture.pool.workers().contains_key(&worker("w")));
 }
+
+/// A run was counted against its task at each restart of its worker for as long as the order to bar it
+/// was unanswered: the job was given up after one start.
+#[test]
+fn a_run_counts_for_the_crash_of_one_incarnation() {
+    let mut fixture = one_worker();
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
+    for incarnation in 0..4 {
+        set_started_at(&mut fixture, SECOND_START + incarnation);
+        fixture.report(&id);
+        fixture.flush();
+        fixture.advance(500);
+    }
+    let state = &fixture.pool.jobs()[&JobId(1)].steps[&order.task.step_id()].tasks[0];
+    assert_eq!(state.crashes.total, 1);
+}
+
+/// Tasks of several jobs failed on a worker, which then restarted. The new incarnation got nothing for
+/// five seconds, and one task at a time for ten more, for failures of the old one.
+#[test]
+fn a_new_incarnation_is_not_suspended_for_failures_of_the_old_one() {
+    let mut fixture = one_worker();
+    (1..=3).for_each(|job| fixture.submit_and_start(job, vec![step(1)]));
+    for entry in fixture.running[&worker("w")].clone() {
+        fixture.end(&worker("w"), entry.task, entry.run.0, RunEnd::Failed);
+    }
+    fixture.report(&worker("w"));
+    fixture.flush();
+    assert!(starts_on(&mut fixture).is_empty(), "the old incarnation is suspended");
+    restart(&mut fixture);
+    fixture.report(&worker("w"));
+    assert_eq!(starts_on(&mut fixture).len(), 3);
+}
