Tests that fail: an expired lease counts as the end of a run that a successor holds

The owner in that zone, without the store, took the expiry of the leases that it had given for the end of the runs there, and started their tasks on workers of its own zone. A successor had adopted these runs and renewed their leases.

The tests of the pool show both conclusions: from a lease that this owner has given, and from the time after which orders of its predecessor have lost their effect. Both fail on this code.

The random schedules did not find it. No act cut the owner off from the store and from workers at once, and left a worker to it that the successor does not reach; and owners trusted their leases for 1.5 s, with a worker's lease of 2 s, while in production they trust them for longer than a worker's lease lasts.

--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -180,6 +180,15 @@
         self.pool.poll(self.now, Millis(self.now.0))
     }
 
+    /// Returns the workers of the start orders among actions.
+    pub fn started_on(actions: Vec<Action>) -> Vec<WorkerId> {
+        let started = |action| match action {
+            Action::Start(target, _) => Some(target.id),
+            _ => None,
+        };
+        actions.into_iter().filter_map(started).collect()
+    }
+
     /// Returns the start orders of the next round.
     pub fn starts(&mut self) -> Vec<(WorkerId, StartOrder)> {
         let start = |action| match action {
--- /dev/null
+++ b/reachhead_jobs/tests/pool/lease_confirmation.rs
@@ -0,0 +1,67 @@
+//! Tests of conclusions from expired leases while the owner's own lease is not confirmed: a
+//! successor may have renewed the workers' leases by then.
+
+use reachhead_jobs::pool::RecoveredState;
+use reachhead_types::{id::WorkerId, size::Millis};
+
+use crate::fixture::{Fixture, info, recovered, step, timeouts, worker};
+
+/// Returns a pool with a run on `w`, which stops answering, and a worker `v` without runs that goes
+/// on answering. The lease of the owner was confirmed a second after that of `w` was renewed.
+fn with_silent_worker() -> Fixture {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.submit(1, vec![step(1)]);
+    let (id, order) = fixture.starts().remove(0);
+    fixture.accept(&id, &order);
+    fixture.report(&id);
+    fixture.infos.push(info("v", 4));
+    fixture.list();
+    fixture.poll();
+    fixture.flush();
+    fixture.report(&worker("v"));
+    fixture.advance(1000);
+    fixture.fail_poll(&id);
+    fixture
+}
+
+/// Lets time pass in which the owner does not reach the store, and returns the workers on which it
+/// starts tasks at the end.
+fn starts_without_store(fixture: &mut Fixture, millis: u64) -> Vec<WorkerId> {
+    fixture.now = fixture.now + Millis(millis);
+    fixture.report(&worker("v"));
+    let actions = fixture.pool.poll(fixture.now, Millis(fixture.now.0));
+    Fixture::started_on(actions)
+}
+
+/// Guards against a second run: an owner that was cut off from the store and from a worker took the
+/// expiry of the leases that it had given for the end of the runs there, within the time for which
+/// it may give orders, while a successor had renewed the worker's lease.
+#[test]
+fn a_lease_that_expires_after_the_last_confirmation_ends_no_run() {
+    let mut fixture = with_silent_worker();
+    let expired = timeouts().hold.0 - 300;
+    assert!(expired < timeouts().trust.0, "the owner may still give orders");
+    let starts = starts_without_store(&mut fixture, expired);
+    assert!(starts.is_empty(), "a successor may have renewed the lease");
+    fixture.pool.verify(fixture.now);
+    let starts = starts_without_store(&mut fixture, 0);
+    assert_eq!(starts, vec![worker("v")], "no successor had come by then");
+}
+
+/// Guards against a second run after a takeover: orders of the predecessor have lost their effect,
+/// but a successor may have adopted a run on a worker that this owner never reached.
+#[test]
+fn a_predecessors_orders_that_expire_after_the_last_confirmation_end_no_run() {
+    let effect = Millis(timeouts().trust.0 - 500);
+    let recovered = recovered(vec![(1, vec![step(1)])], vec![("w", None), ("v", None)]);
+    let mut fixture =
+        Fixture::new(RecoveredState { effect, ..recovered }, vec![info("w", 4), info("v", 4)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.fail_poll(&worker("w"));
+    let starts = starts_without_store(&mut fixture, effect.0 + 100);
+    assert!(starts.is_empty(), "a successor may have adopted a run on the silent worker");
+    fixture.pool.verify(fixture.now);
+    let starts = starts_without_store(&mut fixture, 0);
+    assert_eq!(starts, vec![worker("v")], "no successor had come by then");
+}
--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -106,6 +106,17 @@
     check("abandoned", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+/// Zones with the owner and a worker are cut off from the store and the other workers, and a process
+/// on the other side takes over. Guards against taking the expiry of a lease for the end of a run
+/// that a successor may have adopted.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_zones_are_cut_off() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_zone_cuts(), acts)
+    }
+    check("zone cuts", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
 /// The store rejects owners for 8 to 16 s, and a successor finds jobs late that its predecessor has
 /// started. Guards against acknowledging ends that no stored row holds: ends of jobs that the
 /// successor did not know were acknowledged after five seconds, and their tasks started again.
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -180,6 +180,8 @@
     late_notices: bool,
     /// The store rejects some owners for seconds.
     rejecting: bool,
+    /// Zones with the owner and a worker are cut off from the store and all other workers.
+    cutting_zones: bool,
     culprits: BTreeMap<TaskId, Culprit>,
     /// Faults of workers, in schedules with wide steps.
     faults: Option<WorkerFaults>,
@@ -203,7 +205,7 @@
 fn timeouts() -> PoolTimeouts {
     PoolTimeouts {
         hold: Millis(2000),
-        trust: Millis(1500),
+        trust: Millis(2700),
         wait: Millis(0),
         notice: Millis(4500),
         gang: Millis(3000),
@@ -246,6 +248,7 @@
             restarting: false,
             late_notices: false,
             rejecting: false,
+            cutting_zones: false,
             culprits: BTreeMap::new(),
             faults: None,
             waiting: WaitingTasks::default(),
@@ -295,6 +298,12 @@
         self
     }
 
+    /// Lets zones with the owner and a worker be cut off from the store and all other workers.
+    pub fn with_zone_cuts(mut self) -> Self {
+        self.cutting_zones = true;
+        self
+    }
+
     fn add_worker(&mut self) {
         self.incarnations += 1;
         let id = format!("w{}", self.incarnations).parse().unwrap();
--- a/reachhead_jobs/tests/random_schedules/simulation/acts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/acts.rs
@@ -8,6 +8,9 @@
 
 use super::{DEATH_NOTICE_DELAY, Event, Simulation};
 
+/// Shortest time for which a zone is cut off, in milliseconds: longer than a worker's lease.
+const MIN_ZONE_CUT: u64 = 3000;
+
 impl Simulation {
     /// Performs one random act.
     pub fn act(&mut self, (kind, choice, time): (u8, u8, u8)) {
@@ -15,7 +18,8 @@
         if self.faults.is_some() {
             return self.act_with_faults(kind, choice, span);
         }
-        let kind = if self.abandoning && choice % 4 == 0 { 13 } else { kind % 14 };
+        let is_special = self.abandoning || self.cutting_zones;
+        let kind = if is_special && choice % 4 == 0 { 13 } else { kind % 14 };
         self.perform(kind, choice, span);
         self.run(span % 700);
     }
@@ -56,6 +60,7 @@
             11 => self.delay_next = choice % 8,
             12 => self.drain_and_take(choice),
             _ if self.abandoning => self.abandon_takeovers(choice, span),
+            _ if self.cutting_zones => self.cut_zone(choice, span),
             _ => self.take_over_partially(usize::from(choice % 4), 40 + span / 4),
         }
     }
@@ -71,6 +76,21 @@
         }
     }
 
+    /// Cuts the owner and one worker off from the store and from all other workers. A process on the
+    /// other side takes over, which does not reach this worker.
+    fn cut_zone(&mut self, choice: u8, span: u64) {
+        let until = self.now + MIN_ZONE_CUT + span;
+        let Some(inside) = self.pick(choice / 4) else { return };
+        let others = self.workers.keys().filter(|id| **id != inside);
+        let cut = others.map(|id| (id.clone(), until)).collect::<Vec<_>>();
+        let owner = self.newest();
+        owner.store_cut_until = until;
+        owner.workers_cut.extend(cut);
+        self.run(span / 2);
+        self.take_over();
+        self.newest().workers_cut.insert(inside, until);
+    }
+
     pub(super) fn crash(&mut self, id: &WorkerId) {
         self.workers.remove(id);
         self.disturb();
