An expired lease ends a run only if the owner's own lease was in force after it

An owner that is cut off from the store may give orders for 4 s, a worker's lease lasts 3 s. For a second it took an expired lease for the end of a run and started the task elsewhere, though a successor may have adopted the run and renewed the lease: two runs.

The time at which the owner's lease was last confirmed is one at which no successor had come. An expiry before it ended what the lease allowed; a later one proves nothing. The same holds for the time after which the orders of a predecessor have lost their effect: a successor may have adopted what runs on a worker that this owner never reached. Both now wait for a confirmation, whatever the lengths of the leases are.

The lease table confirms an owner 1.5 to 3 s late, as its polls wait for 1.5 s and count from when they were sent. Tasks must not wait for that, so the owner reads its lease row once something that has runs has expired, and 100 ms after an answer again if that is needed. Deletions of workers from the roster wait for nothing: their transactions check the lease row.

--- a/reachhead_bench/src/jobs/site/workers.rs
+++ b/reachhead_bench/src/jobs/site/workers.rs
@@ -65,7 +65,11 @@
                 self.push(Millis(2 * MESSAGE_DELAY.0), Event::StopConfirmed(target.id, task, run));
             }
             Action::Hold(target, order) => self.hold(target.id, &order),
-            Action::Pace(..) | Action::FindJobs(_) | Action::Advise(..) | Action::Fenced => {}
+            Action::Pace(..)
+            | Action::FindJobs(_)
+            | Action::Advise(..)
+            | Action::ConfirmLease
+            | Action::Fenced => {}
         }
     }
 
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -25,6 +25,8 @@
     FindJobs(Vec<JobId>),
     /// Request approval of workers for a step.
     Advise(StepId, Vec<WorkerId>),
+    /// Read this owner's lease, since leases of workers have expired after it was last confirmed.
+    ConfirmLease,
     /// A worker rejected this owner's fencing token because it has seen a higher one, so there is a
     /// newer owner.
     Fenced,
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod backlog;
 mod callers;
+mod confirmation;
 mod crash;
 mod drain;
 mod drain_worker;
@@ -188,6 +189,7 @@
     next_review: Tick,
     /// When this owner's lease was last confirmed.
     verified: Tick,
+    confirmation: confirmation::Confirmation,
     /// Time of day at which the monotonic clock read zero.
     wall_offset: Millis,
     actions: Vec<Action>,
@@ -256,6 +258,7 @@
             review: true,
             next_review: now,
             verified: found.verified,
+            confirmation: confirmation::Confirmation::Due(now),
             wall_offset: Millis(wall.0.saturating_sub(now.0)),
             actions: Vec::new(),
             notes: Vec::new(),
@@ -424,6 +427,7 @@
         self.check_unplaced(now);
         self.send_polls(now);
         self.look_up_jobs(now);
+        self.request_confirmation(now);
         if self.has_best_effort {
             self.adjust_pace(now);
         }
@@ -449,7 +453,8 @@
 
     /// Drops state whose retention time has passed.
     fn expire(&mut self, now: Tick) {
-        self.pending.retain(|_, pending| pending.until > now);
+        let verified = self.verified;
+        self.pending.retain(|_, pending| pending.until > verified);
         if self.pending.is_empty() {
             self.all_answered_at.get_or_insert(now);
         }
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -124,18 +124,15 @@
         worker.runs.keys().any(is_short)
     }
 
-    /// Expires the runs of unreachable workers whose leases have ended, and removes workers that
-    /// are gone.
+    /// Expires the runs of unreachable workers whose leases have certainly ended, and removes workers
+    /// that are gone.
     pub(super) fn expire_workers(&mut self, now: Tick) {
         let mut gone: Vec<WorkerId> = Vec::new();
         let mut expired: Vec<WorkerId> = Vec::new();
         for worker in self.workers.values().filter(|worker| worker.silent) {
-            let expired_now = match worker.leases_expire_at() {
-                Some(lapse) => lapse <= now,
-                None => !self.pending.contains_key(&worker.info.id),
-            };
+            let has_expired = worker.leases_expire_at().is_none_or(|expiry| self.has_ended(expiry));
             let is_pending = self.pending.contains_key(&worker.info.id);
-            if expired_now && !is_pending {
+            if has_expired && !is_pending {
                 if !worker.runs.is_empty() {
                     expired.push(worker.info.id.clone());
                 } else if !worker.listed {
--- a/reachhead_jobs/tests/pool/arbitrary_inputs.rs
+++ b/reachhead_jobs/tests/pool/arbitrary_inputs.rs
@@ -179,6 +179,9 @@
                 let approvals = workers.into_iter().map(approval).collect();
                 self.fixture.pool.advised(step, Some(approvals), now, now);
             }
+            Action::ConfirmLease => {
+                self.fixture.pool.lease_read(result.is_ok().then_some(now), now);
+            }
             Action::Fenced => {}
         }
     }
--- a/reachhead_jobs/tests/pool/lease_confirmation.rs
+++ b/reachhead_jobs/tests/pool/lease_confirmation.rs
@@ -1,7 +1,7 @@
 //! Tests of conclusions from expired leases while the owner's own lease is not confirmed: a
 //! successor may have renewed the workers' leases by then.
 
-use reachhead_jobs::pool::RecoveredState;
+use reachhead_jobs::pool::{Action, RecoveredState};
 use reachhead_types::{id::WorkerId, size::Millis};
 
 use crate::fixture::{Fixture, info, recovered, step, timeouts, worker};
@@ -48,6 +48,31 @@
     assert_eq!(starts, vec![worker("v")], "no successor had come by then");
 }
 
+/// Guards against tasks that wait for the next answer to a poll of the lease table, which is up to
+/// 3 s late: the lease is requested once the leases of a worker have expired, and again after a while
+/// if the store does not answer.
+#[test]
+fn the_owners_lease_is_requested_when_the_leases_of_a_worker_with_runs_have_expired() {
+    let mut fixture = with_silent_worker();
+    let mut request = |fixture: &mut Fixture, millis| {
+        fixture.now = fixture.now + Millis(millis);
+        fixture.report(&worker("v"));
+        let actions = fixture.pool.poll(fixture.now, Millis(fixture.now.0));
+        actions.contains(&Action::ConfirmLease)
+    };
+    assert!(!request(&mut fixture, 2900), "no lease has expired");
+    assert!(request(&mut fixture, 400));
+    let asked = fixture.now;
+    assert!(!request(&mut fixture, 20), "the store has not answered");
+    fixture.pool.lease_read(None, fixture.now);
+    assert!(!request(&mut fixture, 20), "a store that is away is not asked all the time");
+    assert!(request(&mut fixture, 200));
+    fixture.pool.lease_read(Some(asked), fixture.now);
+    let starts = starts_without_store(&mut fixture, 0);
+    assert_eq!(starts, vec![worker("v")], "the lease was in force after the expiry");
+    assert!(!request(&mut fixture, 200), "nothing waits for it any more");
+}
+
 /// Guards against a second run after a takeover: orders of the predecessor have lost their effect,
 /// but a successor may have adopted a run on a worker that this owner never reached.
 #[test]
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -50,6 +50,9 @@
 /// Delay until an owner notices that the lease was taken by another process, in milliseconds.
 const LEASE_NOTICE_DELAY: u64 = 120;
 
+/// Period at which the store confirms an owner's lease without a request, in milliseconds.
+const CONFIRMATION_PERIOD: u64 = 1000;
+
 /// Delay after a worker's crash until owners learn that the platform has no host with it, in
 /// milliseconds.
 const DEATH_NOTICE_DELAY: u64 = 200;
@@ -111,6 +114,8 @@
     Stopped(WorkerId, TaskId, RunNumber, Result<reachhead_jobs::clock::WorkerTime, WorkerError>),
     Committed(Box<Batch>, Result<Commit, StoreError>),
     Advised(StepId, Tick, Option<Vec<Approval>>),
+    /// When the lease was confirmed on request; `None` if the store did not answer.
+    LeaseRead(Option<Tick>),
     /// Jobs that were looked up, and those that are stored; `None` if the store did not answer.
     Found(Vec<JobId>, Option<Vec<StoredRow>>),
 }
@@ -394,7 +399,7 @@
                 let lease = self.read(lease_key(&pool_name())).map(|row| row.revision);
                 let owner = &mut self.owners[index];
                 if lease == Some(owner.token) {
-                    owner.pool.verify(now);
+                    owner.pool.verify(Tick(self.now - self.now % CONFIRMATION_PERIOD));
                 } else if self.now >= self.lease_changed + LEASE_NOTICE_DELAY {
                     owner.alive = false;
                     continue;
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -1,10 +1,13 @@
 //! Network between owners, workers and the store, with lost and late messages.
 
-use reachhead_jobs::{clock::Tick, pool::Action, ports::WorkerError, task::TaskId};
+use reachhead_jobs::{
+    clock::Tick, pool::Action, ports::WorkerError, record::lease_key, task::TaskId,
+};
 use reachhead_types::{id::WorkerId, size::Millis};
 
 use super::{
     Answer, Event, NETWORK_DELAY, REPLACEMENT_DELAY, Simulation, StoredRow, WorkerIncarnation,
+    pool_name,
 };
 
 /// Number of messages that are lost in a row from which on a loss counts as a cut of the network.
@@ -45,6 +48,7 @@
                     Answer::Stopped(target.id.clone(), *task, *run, Err(failure()))
                 }
                 Action::FindJobs(jobs) => Answer::Found(jobs.clone(), None),
+                Action::ConfirmLease => Answer::LeaseRead(None),
                 Action::Advise(step, _) => Answer::Advised(*step, sent, None),
                 _ => return,
             };
@@ -126,6 +130,12 @@
                 let reaches_store = owner.store_cut_until.max(owner.rejected_until) <= now;
                 Some(Answer::Found(jobs.clone(), reaches_store.then(|| self.find(jobs))))
             }
+            Action::ConfirmLease => {
+                let owner = &self.owners[owner];
+                let lease = self.read(lease_key(&pool_name())).map(|row| row.revision);
+                let is_own = owner.store_cut_until <= now && lease == Some(owner.token);
+                Some(Answer::LeaseRead(is_own.then_some(sent)))
+            }
             Action::Advise(step, workers) => {
                 Some(Answer::Advised(*step, sent, Some(self.approvals(*step, workers))))
             }
@@ -185,6 +195,7 @@
                 }
                 owner.pool.jobs_found(&jobs, stored.is_some(), now);
             }
+            Answer::LeaseRead(asked) => owner.pool.lease_read(asked, now),
             Answer::Advised(step, sent, approvals) => {
                 owner.pool.advised(step, approvals, sent, now);
             }
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -4,7 +4,7 @@
     clock::Tick,
     pool::{Action, NoteKind},
     ports::WorkerAgent,
-    record::job_key,
+    record::{job_key, lease_key},
 };
 use reachhead_ops::event::Event;
 use reachhead_types::id::PoolName;
@@ -59,6 +59,11 @@
             };
             Some(Input::AdviceReceived(step, approvals.ok(), sent))
         }
+        Action::ConfirmLease => {
+            let rows = node.services.store.read(vec![lease_key(pool)]).await;
+            node.record_store_result(&rows);
+            Some(Input::LeaseRead(sent, rows))
+        }
         Action::Fenced => None,
     }
 }
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -73,6 +73,8 @@
     JobsScanned(Result<Page, StoreError>),
     /// The rows of jobs of which workers report runs were read, or the call failed.
     JobsFound(Vec<JobId>, Result<Vec<Option<Row>>, StoreError>),
+    /// The owner's lease was read at the time given, or the call failed.
+    LeaseRead(Tick, Result<Vec<Option<Row>>, StoreError>),
     /// A call in the background panicked, so its result never comes.
     CallFailed,
     /// Releases the pool.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -19,7 +19,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
-    row::{Commit, Key, Txn},
+    row::{Commit, Key, Row, Txn},
 };
 use reachhead_types::{
     id::{CustomerName, JobId},
@@ -235,6 +235,23 @@
         }
     }
 
+    /// Processes the lease row as the store had it at `asked` or later.
+    fn handle_lease(
+        &mut self,
+        asked: Tick,
+        result: Result<Vec<Option<Row>>, StoreError>,
+        now: Tick,
+    ) {
+        let rows = result.unwrap_or_else(|error| {
+            log::info!("pool={} the lease can't be confirmed: {error}", self.pool.name());
+            Vec::new()
+        });
+        let found = rows.into_iter().flatten().next().map(|row| row.revision);
+        self.lease_lost |= found.is_some_and(|revision| revision > self.handle.token);
+        let is_own = found == Some(self.handle.token);
+        self.pool.lease_read(is_own.then_some(asked), now);
+    }
+
     /// Applies the configuration and the fleet lease to customers and their quotas.
     fn configure(&mut self, now: Tick) {
         let view = self.node.view();
@@ -298,6 +315,7 @@
             Input::Committed(batch, result) => self.handle_commit(&batch, result, now),
             Input::JobsScanned(result) => self.handle_scan(result, now),
             Input::JobsFound(jobs, result) => self.handle_lookup(&jobs, result, now),
+            Input::LeaseRead(asked, result) => self.handle_lease(asked, result, now),
             Input::CallFailed => self.call_failed = true,
             Input::Release(done) => self.release = Some(done),
             // A successor would have to wait again for the workers that have not answered.
