--- a/reachhead_jobs/tests/pool/lease_confirmation.rs
+++ b/reachhead_jobs/tests/pool/lease_confirmation.rs
@@ -54,7 +54,7 @@
 #[test]
 fn the_owners_lease_is_requested_when_the_leases_of_a_worker_with_runs_have_expired() {
     let mut fixture = with_silent_worker();
-    let mut request = |fixture: &mut Fixture, millis| {
+    let request = |fixture: &mut Fixture, millis| {
         fixture.now = fixture.now + Millis(millis);
         fixture.report(&worker("v"));
         let actions = fixture.pool.poll(fixture.now, Millis(fixture.now.0));
