--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -1,10 +1,11 @@
-//! An owner that waits for a result that never comes gives its pool up.
+//! An owner that waits for a result that never comes, or learns of a successor, gives its pool up.
 
 use reachhead_jobs::{
     pool::{PoolTimeouts, RecoveredState},
     ports::WorkerInfo,
 };
 use reachhead_ops::runtime;
+use reachhead_types::size::Revision;
 
 use super::*;
 use crate::{takeover, tests::broken_node};
@@ -51,3 +52,23 @@
         assert_eq!(outcome, Ok(Outcome::CallFailed), "the worker is never called again");
     });
 }
+
+/// Guards against orders beside a successor: the lease row that the owner reads may show it before
+/// the followed table does.
+#[test]
+fn an_owner_that_reads_the_lease_of_a_successor_gives_its_pool_up() {
+    runtime::current_thread().unwrap().block_on(async {
+        let mut owner = owner().await;
+        let key = lease_key(owner.pool.name());
+        let mut rows = owner.node.services.store.read(vec![key]).await.unwrap();
+        let now = owner.node.now();
+        owner.take(Input::LeaseRead(now, Ok(rows.clone())));
+        assert!(!owner.lease_lost, "the row names this owner");
+        owner.take(Input::LeaseRead(now, Err(StoreError::Busy("slow".to_owned()))));
+        assert!(!owner.lease_lost, "a store that does not answer shows nothing");
+        let row = rows[0].as_mut().unwrap();
+        row.revision = Revision(row.revision.0 + 1);
+        owner.take(Input::LeaseRead(now, Ok(rows)));
+        assert!(owner.lease_lost);
+    });
+}
