Workers that never answered the owner are no sign of an outage

Cause: a new owner finds workers on the list or in the roster that have left long before, since their hosts have moved to another pool. Ten such deaths 17 ms after it took the pool counted as an outage, and for two seconds crashes counted against no task.

Now only the death of a worker that has answered this owner counts towards an outage. The test failed before: the crash counted as unproven and not as own.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -104,7 +104,9 @@
         let mut suspects = self.crash_suspects(worker);
         let is_explained =
             |suspect: &CrashSuspect| matches!(suspect.role, CrashRole::Own | CrashRole::Fresh);
-        if !suspects.iter().any(is_explained) {
+        // A worker that never answered this owner may have left long before: its host has moved to
+        // another pool, and it is still listed or in the roster.
+        if worker.answered && !suspects.iter().any(is_explained) {
             self.outage.record_death(now);
         }
         if self.outage.is_active(now) {
--- a/reachhead_jobs/tests/pool/crash_evidence.rs
+++ b/reachhead_jobs/tests/pool/crash_evidence.rs
@@ -180,3 +180,22 @@
     let task = &fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0];
     assert!(task.crashes.is_empty());
 }
+
+/// A new owner finds workers on the list whose hosts left before it took over. Guards against taking
+/// them for an outage, during which crashes count against no task and tasks on trial wait.
+#[test]
+fn workers_that_never_answered_this_owner_are_no_outage() {
+    let mut fixture = workers(2);
+    let left: Vec<_> = (0..9).map(|number| info(&format!("left{number}"), 4)).collect();
+    fixture.infos.extend(left.clone());
+    fixture.list();
+    for info in left {
+        fixture.pool.worker_died(&info.id, DeathEvidence::Unhosted, fixture.now);
+        fixture.infos.retain(|listed| listed.id != info.id);
+    }
+    fixture.submit_and_start(1, vec![step(1)]);
+    let crashed = fixture.running.keys().next().unwrap().clone();
+    fixture.pool.worker_died(&crashed, DeathEvidence::Unhosted, fixture.now);
+    let crashes = fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0].crashes;
+    assert_eq!((crashes.own, crashes.unproven), (1, 0));
+}
