--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -105,7 +105,10 @@
         let mut suspects = self.crash_suspects(worker);
         let is_explained =
             |suspect: &CrashSuspect| matches!(suspect.role, CrashRole::Own | CrashRole::Fresh);
-        if !suspects.iter().any(is_explained) && self.outage.record_death(now) {
+        // A worker that never answered this owner may have left long before: its host has moved to
+        // another pool, and it is still listed or in the roster.
+        let is_unexplained = worker.answered && !suspects.iter().any(is_explained);
+        if is_unexplained && self.outage.record_death(now) {
             self.note(NoteKind::WorkerOutage, format!("workers={}", self.workers.len()));
         }
         if self.outage.is_active(now) {
