A task with an unproven crash is given up after two of its own

A crash in an outage did not count at all, so three more were needed after it.

Two crashes with the task alone are the evidence; the third may be chance, and may as well be an unproven one. Unproven crashes alone never give a task up. an_unproven_crash_counts_beside_two_of_the_task_alone failed before.

--- a/reachhead_jobs/src/crashes.rs
+++ b/reachhead_jobs/src/crashes.rs
@@ -88,9 +88,11 @@
         self.total.saturating_sub(self.fresh) > 1
     }
 
-    /// Returns whether the task is almost certainly the cause, so that it is given up.
+    /// Returns whether the task is almost certainly the cause, so that it is given up. An unproven
+    /// crash proves nothing, but beside enough crashes of its own it needs no further one.
     pub fn is_conclusive(&self) -> bool {
-        let own = self.total >= MIN_CRASHES && self.own >= MIN_OWN_CRASHES;
+        let all = self.total + self.unproven;
+        let own = all >= MIN_CRASHES && self.own >= MIN_OWN_CRASHES;
         own || self.total >= MAX_CRASHES
     }
 }
--- a/reachhead_jobs/tests/pool/crash_evidence.rs
+++ b/reachhead_jobs/tests/pool/crash_evidence.rs
@@ -1,6 +1,7 @@
 //! Tests of which crashes count against a task: those of workers that are known to have had it.
 
 use reachhead_jobs::{
+    crashes::{CrashRole, Crashes},
     model::Step,
     pool::{DeathEvidence, JobState},
     ports::WorkerError,
@@ -223,3 +224,19 @@
     let crashes = fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0].crashes;
     assert_eq!((crashes.own, crashes.unproven), (1, 0));
 }
+
+/// Guards against more lost workers than three by a task whose first crash fell into an outage.
+#[test]
+fn an_unproven_crash_counts_beside_two_of_the_task_alone() {
+    let mut crashes = Crashes::default();
+    for _ in 0..9 {
+        crashes.record(CrashRole::Unproven);
+        assert!(!crashes.is_conclusive(), "an outage proves nothing");
+    }
+    let mut crashes = Crashes::default();
+    crashes.record(CrashRole::Unproven);
+    crashes.record(CrashRole::Own);
+    assert!(!crashes.is_conclusive());
+    crashes.record(CrashRole::Own);
+    assert!(crashes.is_conclusive());
+}
