Random schedules in which workers go dark in groups and are replaced

Why the schedules missed that jobs were given up for crashes that their tasks had no part in: their workers end without a successor at the address, their long polls answer at once, so that every loss is noticed within 200 ms, and crashes come one at a time.

Now there are schedules with long polls of 1.5 s and outages: a share of the pool, a rack, or the racks in turn crash, answer no call for 0.3 to 1.6 s, and their addresses answer for new workers then, which the platform's list shows 0.4 s later. They run with jobs of all kinds, with tasks that crash their workers (half of them before the start is confirmed), and with wide long-running steps under the rule for waiting tasks.

A task that crashes its worker before the start is confirmed may have one more late start than others: its first crash is no evidence unless the worker had just answered. The limit of the others is unchanged, and so are the schedules without outages.

--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -18,6 +18,9 @@
 /// Maximum number of acts in a schedule; longer lists only repeat.
 const MAX_ACTS: usize = 40;
 
+/// Number of schedules with outages.
+const OUTAGE_SCHEDULES: u64 = 24;
+
 /// Number of schedules with wide steps. They take more time, since their pools are larger and calm
 /// for several seconds at a time.
 const WIDE_SCHEDULES: u64 = 16;
@@ -129,3 +132,34 @@
     }
     check("wide steps", WIDE_SCHEDULES, run as fn(WideSchedule) -> bool);
 }
+
+/// Workers crash in groups, answer no call for about a second, and others answer at their addresses
+/// then. Guards against counting a worker's death against tasks that were ordered after it: the
+/// order was the first call that found the worker replaced, and three of these ended a job as failed.
+#[test]
+fn no_job_fails_when_workers_go_dark_and_are_replaced() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_outages(), acts)
+    }
+    check("outages", OUTAGE_SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+/// The same with tasks that crash every worker, half of them before it confirms their start. Guards
+/// against taking their crashes for those of an outage, so that they are never given up.
+#[test]
+fn only_tasks_that_crash_workers_are_given_up_in_outages() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_crashes().with_outages(), acts)
+    }
+    check("crashes in outages", OUTAGE_SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+/// Wide long-running steps whose workers go dark. Guards against tasks that are given up, or wait
+/// although workers have room for them, after an outage.
+#[test]
+fn no_long_running_task_waits_or_fails_after_an_outage() {
+    fn run(WideSchedule { workers, acts, .. }: WideSchedule) -> bool {
+        holds(Simulation::new().with_wide_steps(workers).with_outages(), acts)
+    }
+    check("wide outages", WIDE_SCHEDULES, run as fn(WideSchedule) -> bool);
+}
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -33,12 +33,14 @@
 mod faults;
 mod invariants;
 mod messages;
+mod outages;
 mod plans;
 mod submissions;
 mod takeover;
 mod waiting;
 
 use faults::WorkerFaults;
+use outages::{LongPoll, Outages};
 use waiting::WaitingTasks;
 
 /// Time between two steps of the simulation, in milliseconds.
@@ -101,6 +103,12 @@
     Dead(WorkerId),
     /// A worker joins.
     Join,
+    /// The workers of a rack go dark for this time.
+    DarkenRack(u64, u64),
+    /// Owners learn that another worker has joined at the address of one that went dark.
+    Replace(WorkerId),
+    /// A worker looks for ends that answer a long poll.
+    LongPoll(LongPoll),
     /// An answer arrives at an owner.
     Answer { owner: usize, answer: Answer },
 }
@@ -183,6 +191,8 @@
     culprits: BTreeMap<TaskId, Culprit>,
     /// Faults of workers, in schedules with wide steps.
     faults: Option<WorkerFaults>,
+    /// Workers that have gone dark, in schedules with outages.
+    outages: Option<Outages>,
     /// Long-running tasks that wait, and what disturbed the pool.
     waiting: WaitingTasks,
     pub violations: Vec<String>,
@@ -248,6 +258,7 @@
             rejecting: false,
             culprits: BTreeMap::new(),
             faults: None,
+            outages: None,
             waiting: WaitingTasks::default(),
             violations: Vec::new(),
         };
@@ -327,7 +338,8 @@
             rack: None,
             draining: self.draining.contains(id),
         };
-        self.workers.iter().map(info).collect()
+        let dark = self.outages.iter().flat_map(Outages::infos);
+        self.workers.iter().map(info).chain(dark).collect()
     }
 
     fn list(&mut self) {
--- a/reachhead_jobs/tests/random_schedules/simulation/acts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/acts.rs
@@ -8,10 +8,17 @@
 
 use super::{DEATH_NOTICE_DELAY, Event, Simulation};
 
+/// In schedules with outages, one act in this number begins one.
+const OUTAGE_PERIOD: u8 = 5;
+
 impl Simulation {
     /// Performs one random act.
     pub fn act(&mut self, (kind, choice, time): (u8, u8, u8)) {
         let span = u64::from(time) * 20;
+        if self.outages.is_some() && kind % OUTAGE_PERIOD == 0 {
+            self.begin_outage(choice, span);
+            return self.run(span % 700);
+        }
         if self.faults.is_some() {
             return self.act_with_faults(kind, choice, span);
         }
@@ -72,16 +79,21 @@
     }
 
     pub(super) fn crash(&mut self, id: &WorkerId) {
-        self.workers.remove(id);
-        self.disturb();
+        self.remove_worker(id);
         // A worker that restarts under its id is not reported as dead.
         if self.crashing || self.faults.is_some() && !self.restarting {
             self.push(DEATH_NOTICE_DELAY, Event::Dead(id.clone()));
         }
+        self.list();
+    }
+
+    /// Removes a worker with its runs.
+    pub(super) fn remove_worker(&mut self, id: &WorkerId) {
+        self.workers.remove(id);
+        self.disturb();
         for observed in self.tasks.values_mut() {
             observed.running.remove(id);
         }
-        self.list();
     }
 
     /// Takes a worker for planned work if the owner reports that nothing protected is there.
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -4,7 +4,9 @@
 use reachhead_types::{id::WorkerId, size::Millis};
 
 use super::{
-    Answer, Event, NETWORK_DELAY, REPLACEMENT_DELAY, Simulation, StoredRow, WorkerIncarnation,
+    Answer, Event, LongPoll, MIN_UNDISTURBED_TIME, NETWORK_DELAY, REPLACEMENT_DELAY, Simulation,
+    StoredRow, WorkerIncarnation,
+    outages::{CALL_TIMEOUT, failure},
 };
 
 /// Number of messages that are lost in a row from which on a loss counts as a cut of the network.
@@ -35,20 +37,19 @@
     pub(super) fn send(&mut self, index: usize, action: Action, sent: Tick) {
         let (lost, delay) = self.fault();
         if lost {
-            let failure = || WorkerError::Lost("lost by the simulation".to_owned());
+            let error = WorkerError::Lost("lost by the simulation".to_owned());
             let answer = match &action {
-                Action::Hold(target, _) => Answer::Held(target.id.clone(), sent, Err(failure())),
-                Action::Start(target, order) => {
-                    Answer::Started(target.id.clone(), order.task, order.run, Err(failure()))
-                }
-                Action::Stop(target, task, run) => {
-                    Answer::Stopped(target.id.clone(), *task, *run, Err(failure()))
-                }
                 Action::FindJobs(jobs) => Answer::Found(jobs.clone(), None),
                 Action::Advise(step, _) => Answer::Advised(*step, sent, None),
-                _ => return,
+                action => match failure(action, sent, error) {
+                    Some(answer) => answer,
+                    None => return,
+                },
             };
-            self.push(200, Event::Answer { owner: index, answer });
+            self.push(
+                self.poll_wait(&action) + CALL_TIMEOUT,
+                Event::Answer { owner: index, answer },
+            );
         }
         self.push(
             NETWORK_DELAY + delay,
@@ -63,6 +64,13 @@
             }
             match entry.remove() {
                 Event::Order { owner, action, sent, answered } => {
+                    if self.fail_dark_call(owner, &action, sent, answered) {
+                        continue;
+                    }
+                    if let Some(poll) = self.long_poll(owner, &action, sent, answered) {
+                        self.continue_poll(poll);
+                        continue;
+                    }
                     let answer = self.carry_out(owner, &action, sent);
                     if let Some(answer) = answer.filter(|_| answered) {
                         self.push(NETWORK_DELAY, Event::Answer { owner, answer });
@@ -79,12 +87,34 @@
                 }
                 Event::Dead(id) => self.report_dead(&id),
                 Event::Join => self.add_worker(),
+                Event::DarkenRack(rack, dark_time) => self.darken_rack(rack, dark_time),
+                Event::Replace(id) => self.replace(&id),
+                Event::LongPoll(poll) => self.continue_poll(poll),
                 Event::Answer { owner, answer } => self.receive(owner, answer),
             }
             self.check_invariants();
         }
     }
 
+    /// Returns the long poll that a call is, if it reaches a worker and may wait there.
+    fn long_poll(
+        &self,
+        owner: usize,
+        action: &Action,
+        sent: Tick,
+        answered: bool,
+    ) -> Option<LongPoll> {
+        let Action::Hold(target, order) = action else { return None };
+        let cut = self.owners[owner].workers_cut.get(&target.id);
+        let is_cut = cut.is_some_and(|until| *until > self.now);
+        if is_cut || self.poll_wait(action) == 0 || !self.workers.contains_key(&target.id) {
+            return None;
+        }
+        let (target, order) = (target.clone(), *order);
+        let until = self.now + order.wait.0;
+        Some(LongPoll { owner, target, order, sent, answered, until })
+    }
+
     fn carry_out(&mut self, owner: usize, action: &Action, sent: Tick) -> Option<Answer> {
         let now = self.now;
         let workers_cut = self.owners[owner].workers_cut.clone();
@@ -111,6 +141,11 @@
                 let result = incarnation.map_or(Err(gone()), start);
                 if result.is_ok() {
                     self.crash_by_culprit(owner, &target.id, order.task);
+                    if let Some((error, delay)) = self.dark_result(&target.id, 0) {
+                        let answer = failure(action, sent, error)?;
+                        self.push(delay, Event::Answer { owner, answer });
+                        return None;
+                    }
                 }
                 Some(Answer::Started(target.id.clone(), order.task, order.run, result))
             }
@@ -136,13 +171,18 @@
     /// Lets a task that crashes its workers do so as soon as it is started.
     fn crash_by_culprit(&mut self, owner: usize, id: &WorkerId, task: TaskId) {
         let now = self.now;
-        let is_counted = self.owners[owner].is_undisturbed(now);
+        let quiet_since = now - MIN_UNDISTURBED_TIME;
+        let is_over = self.outages.as_ref().is_none_or(|at| at.is_over_since(quiet_since));
+        let is_counted = is_over && self.owners[owner].is_undisturbed(now);
         let Some(culprit) = self.culprits.get_mut(&task) else {
             return;
         };
         culprit.late_starts += u32::from(culprit.crashes >= 3 && is_counted);
         culprit.crashes += 1;
         self.check_invariants();
+        if self.is_silent_culprit(task) {
+            return self.darken_worker(id, REPLACEMENT_DELAY);
+        }
         self.crash(id);
         self.push(REPLACEMENT_DELAY, Event::Join);
     }
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -22,7 +22,7 @@
     size::{FencingToken, Millis, Revision},
 };
 
-use super::{Event, MIN_REJECTION, Owner, STEP, Simulation, pool_name, timeouts};
+use super::{Event, MIN_REJECTION, Owner, STEP, Simulation, pool_name};
 
 fn fence(token: FencingToken, shard: Shard) -> Fence {
     Fence::new(pool_name(), shard, token, "n".parse().unwrap())
@@ -31,7 +31,7 @@
 impl Simulation {
     /// Lets a new process take the lease, whatever the previous owner is doing.
     pub(super) fn take_over(&mut self) {
-        self.take_over_with(timeouts().takeover_delay());
+        self.take_over_with(self.timeouts().takeover_delay());
     }
 
     /// The same, with the time for which orders of earlier owners may have effect.
@@ -52,7 +52,7 @@
             pool_name(),
             token,
             term,
-            timeouts(),
+            self.timeouts(),
             found,
             Tick(self.now),
             Millis(self.now),
@@ -140,7 +140,7 @@
     pub(super) fn abandon_takeovers(&mut self, choice: u8, span: u64) {
         let until = self.now + 2 * span;
         self.newest().store_cut_until = until;
-        let mut effect = timeouts().takeover_delay();
+        let mut effect = self.timeouts().takeover_delay();
         for raised_shards in 0..usize::from(choice % 3) {
             let (token, term) = self.take_lease();
             for shard in Shard::all().take(raised_shards) {
@@ -151,7 +151,7 @@
             let lease: LeaseRecord = self.read(key.clone()).unwrap().parse().unwrap();
             assert_eq!(lease.term, term);
             let record = lease.abandoned(effect);
-            effect = timeouts().after_release(&record);
+            effect = self.timeouts().after_release(&record);
             let txn = Txn::new()
                 .with_check(key.clone(), Some(Revision(token.0)))
                 .with_write(key, value(&record));
