--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -19,7 +19,7 @@
 const MAX_ACTS: usize = 40;
 
 /// Number of schedules with outages.
-const OUTAGE_SCHEDULES: u64 = 24;
+const OUTAGE_SCHEDULES: u64 = 40;
 
 /// Number of schedules with wide steps. They take more time, since their pools are larger and calm
 /// for several seconds at a time.
