Tests of how long tasks on trial wait

They hold on this code, and guard against a loss that trials could bring: a long-running task without a run for six seconds. A suspect starts within 2 s on three workers whose polls take 1.5 s. The 16 tasks that wait after two outages, some of them suspects, start within 4 s on the four workers that are left, if they take 2 s to start up.

--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -28,6 +28,7 @@
 mod roster;
 mod round_outcome;
 mod runs;
+mod trials;
 mod unclaimed;
 mod unplaced;
 mod wave;
