Long-running tasks start on workers to which late calls may still arrive

In random schedules a long-running task waits for more than 6 s although workers have room for it.

Cause: a worker that restarts under its id after a call without an answer got nothing for 15 s after that call, since the call may arrive late and make the new incarnation forget ends that no owner has read. Calls that were sent to the new incarnation and failed prolonged this to 30 s. All workers of a zone may restart at once.

The exception is removed, so the rule for waiting tasks now has none for restarted workers.

A forgotten end does no harm to a task that is never done: it starts again. Other tasks wait as before. The wait also hid two effects of late calls, which now count wherever something runs meanwhile: a late call prolongs leases by the clock of the previous incarnation, so they may last until 15 s after the call and as much longer as a worker grants; and a late start order takes capacity, so what lost orders need is left free. Since a task waits longer there if the worker is lost, such workers are the last choice. A call that was sent after the restart was noticed has the new incarnation's numbers and clock, and does not prolong the wait.

--- a/reachhead_jobs/src/obstacle.rs
+++ b/reachhead_jobs/src/obstacle.rs
@@ -36,6 +36,8 @@
     Suspended,
     /// It is on probation and has a task that has not succeeded yet.
     Probation,
+    /// Calls to its previous incarnation may still make it forget ends.
+    LateCalls,
     /// It lacks the label.
     Label,
     /// It has as many tasks of the step as may share a worker.
@@ -71,6 +73,7 @@
             Self::Unrecorded => "unrecorded",
             Self::Suspended => "suspended",
             Self::Probation => "probation",
+            Self::LateCalls => "late-calls",
             Self::Label => "label",
             Self::Spread => "spread",
             Self::Reserved => "reserved",
--- a/reachhead_jobs/src/place.rs
+++ b/reachhead_jobs/src/place.rs
@@ -78,7 +78,11 @@
         self.ban(worker, now)
             .or_else(|| reserved.then_some(Obstacle::Reserved))
             .or_else(|| duplicate.then_some(Obstacle::Duplicate))
-            .or_else(|| (!self.step.charge().fits(worker.free())).then_some(Obstacle::Capacity))
+            .or_else(|| (!self.has_capacity(worker, now)).then_some(Obstacle::Capacity))
+    }
+
+    fn has_capacity(&self, worker: &Worker, now: Tick) -> bool {
+        self.step.charge().fits(worker.free().minus(worker.late_orders(now)))
     }
 
     /// Returns why the worker may not run the task, whatever capacity it has free.
@@ -87,10 +91,17 @@
             self.step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
         worker
             .obstacle(now)
+            .or_else(|| self.is_in_danger(worker, now).then_some(Obstacle::LateCalls))
             .or_else(|| (!has_label).then_some(Obstacle::Label))
             .or_else(|| (!self.is_within_spread(worker)).then_some(Obstacle::Spread))
     }
 
+    /// Returns whether a late call could make the worker forget that the task is done. A
+    /// long-running task is never done, and without its end it starts again.
+    fn is_in_danger(&self, worker: &Worker, now: Tick) -> bool {
+        !self.step.long_running && worker.expects_late_calls(now)
+    }
+
     fn is_within_spread(&self, worker: &Worker) -> bool {
         self.step.spread == 0 || self.siblings(worker) < self.step.spread
     }
@@ -104,6 +115,7 @@
     fn cost(&self, worker: &Worker, now: Tick) -> Cost {
         let is_far = |rack: Option<&Label>| rack.is_some() && rack != worker.info.rack.as_ref();
         Cost {
+            late_calls: worker.expects_late_calls(now),
             failed_before: self.avoid.contains(&worker.info.id),
             slow: worker.speed.is_slow(now),
             is_far: is_far(self.step.rack.as_ref()) || is_far(self.rack),
@@ -124,6 +136,9 @@
 /// Cost of a placement, compared field by field.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Cost {
+    /// Calls to a previous incarnation may prolong the leases there, so that the task would wait for
+    /// long if the worker were lost.
+    late_calls: bool,
     /// The task failed there before.
     failed_before: bool,
     /// Tasks take several times as long there.
--- a/reachhead_jobs/src/pool/drain_worker.rs
+++ b/reachhead_jobs/src/pool/drain_worker.rs
@@ -153,7 +153,7 @@
         let wanted = PlacementRequest::new(task.step_id(), step).with_task(task);
         self.workers.values().any(|worker| {
             wanted.fits(worker, now)
-                || (wanted.is_allowed(worker, now) && self.victims(worker, step).is_some())
+                || (wanted.is_allowed(worker, now) && self.victims(worker, step, now).is_some())
         })
     }
 
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -194,6 +194,7 @@
                 && worker.answered
                 && !worker.silent
                 && worker.failure_history.suspended_until <= now
+                && !worker.expects_late_calls(now)
         });
         usable
             .map(|worker| WorkerLoad {
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -101,8 +101,9 @@
             Err(WorkerError::Lost(_)) => {
                 run.unconfirmed = true;
                 run.retry_at = now + ORDER_RETRY_PAUSE;
+                let sent = run.ordered_at;
                 if let Some(worker) = self.workers.get_mut(id) {
-                    worker.record_lost_order(task, number, now);
+                    worker.record_lost_order(task, number, sent, now, self.timeouts.grant);
                 }
             }
             Err(WorkerError::Unreachable(_) | WorkerError::PortClosed(_)) if run.unconfirmed => {
@@ -187,7 +188,7 @@
         if matches!(result, Err(WorkerError::Lost(_)))
             && let Some(worker) = self.workers.get_mut(id)
         {
-            worker.record_unanswered(now);
+            worker.record_unanswered(Tick(0), now, self.timeouts.grant);
         }
         self.review = true;
         if result == Err(WorkerError::Replaced) {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -49,12 +49,12 @@
                 if error == WorkerError::Rejected(Rejection::Fenced) {
                     self.actions.push(Action::Fenced);
                 }
-                self.poll_failed(id, &error, now);
+                self.poll_failed(id, &error, sent, now);
             }
         }
     }
 
-    fn poll_failed(&mut self, id: &WorkerId, error: &WorkerError, now: Tick) {
+    fn poll_failed(&mut self, id: &WorkerId, error: &WorkerError, sent: Tick, now: Tick) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -68,7 +68,7 @@
         worker.silent = true;
         worker.port_closed = matches!(error, WorkerError::PortClosed(_));
         if matches!(error, WorkerError::Lost(_)) {
-            worker.record_unanswered(now);
+            worker.record_unanswered(sent, now, self.timeouts.grant);
         }
         // A worker that has answered may have restarted, and a call to it may be lost.
         let is_gone = worker.port_closed || matches!(error, WorkerError::Unreachable(_));
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -72,7 +72,7 @@
             // longest lease.
             worker.max_deadline = WorkerTime(report.clock.0 + self.timeouts.grant.0);
             worker.speed = Speed::new(now);
-            worker.begin_incarnation(now);
+            worker.begin_incarnation(now, self.timeouts.grant);
         }
         self.review = true;
         self.note(
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -119,7 +119,7 @@
 
     /// Returns the largest free amount of each resource on any usable worker.
     fn largest_free(&self, now: Tick) -> Amount {
-        let usable = self.workers.values().filter(|worker| worker.accepts(now));
+        let usable = self.workers.values().filter(|worker| worker.obstacle(now).is_none());
         usable.fold(Amount::default(), |most, worker| most.max(worker.free()))
     }
 
@@ -378,7 +378,7 @@
                 && wanted.is_allowed(worker, now)
         });
         let found = usable.filter_map(|worker| {
-            let tasks = self.victims(worker, step)?;
+            let tasks = self.victims(worker, step, now)?;
             Some(Eviction { worker: worker.info.id.clone(), tasks })
         });
         let Some(Eviction { worker, tasks }) = found.min_by_key(|found| found.tasks.len()) else {
@@ -398,7 +398,7 @@
 
     /// Returns the short tasks to evict from a worker so that a task of the step fits, the youngest
     /// first; `None` if that is not enough.
-    pub(super) fn victims(&self, worker: &Worker, step: &Step) -> Option<Vec<TaskId>> {
+    pub(super) fn victims(&self, worker: &Worker, step: &Step, now: Tick) -> Option<Vec<TaskId>> {
         let mut short: Vec<ShortRun> = Vec::new();
         for task in worker.runs.keys() {
             let Some(job) = self.jobs.get(&task.job) else {
@@ -417,7 +417,7 @@
         // The used amount is counted and not the free one: a worker whose capacity has shrunk may
         // use more than its capacity.
         let capacity = worker.info.capacity;
-        let mut used = worker.used.plus(step.charge());
+        let mut used = worker.used.plus(worker.late_orders(now)).plus(step.charge());
         let mut tasks = Vec::new();
         for ShortRun { task, .. } in short {
             if used.fits(capacity) {
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    clock::{ClockSample, Tick, WorkerTime},
+    clock::{ClockSample, Tick, WorkerTime, with_drift},
     crashes::CrashRole,
     obstacle::Obstacle,
     orphan::Orphan,
@@ -239,6 +239,12 @@
     pub unanswered_at: Option<Tick>,
     /// When its last restart was noticed.
     pub restarted_at: Option<Tick>,
+    /// Calls to its previous incarnation may arrive until then. Such a call may make it forget ends
+    /// that no owner has read, so it gets only long-running tasks, whose ends may be forgotten.
+    pub late_calls_until: Tick,
+    /// Such a call may also prolong the leases there, by the clock of the previous incarnation; until
+    /// then at most.
+    pub late_leases_until: Tick,
     /// Task on trial: it may crash the worker and has not started working. Nothing else is started
     /// meanwhile, so that a crash can be attributed to it.
     pub trial: Option<TaskId>,
@@ -267,6 +273,8 @@
     pub task: TaskId,
     /// Number of the run.
     pub run: RunNumber,
+    /// Resources that the run takes if it starts after all.
+    pub amount: Amount,
     /// When the answer was found to be lost.
     pub at: Tick,
 }
@@ -314,6 +322,8 @@
             lost_orders: Vec::new(),
             unanswered_at: None,
             restarted_at: None,
+            late_calls_until: Tick(0),
+            late_leases_until: Tick(0),
             trial: None,
             crash_suspects: Vec::new(),
             failure_history: FailureHistory::default(),
@@ -322,35 +332,61 @@
     }
 
     /// Records that the answer to a start order was lost.
-    pub fn record_lost_order(&mut self, task: TaskId, run: RunNumber, at: Tick) {
+    pub fn record_lost_order(
+        &mut self,
+        task: TaskId,
+        run: RunNumber,
+        sent: Tick,
+        at: Tick,
+        grant: Millis,
+    ) {
         self.lost_orders.retain(|lost| at.since(lost.at) < MAX_ORDER_DELAY);
-        self.lost_orders.push(LostOrder { task, run, at });
-        self.record_unanswered(at);
+        let amount = self.runs.get(&task).map_or_else(Amount::default, |charge| charge.amount);
+        self.lost_orders.push(LostOrder { task, run, amount, at });
+        self.record_unanswered(sent, at, grant);
     }
 
-    /// Records that a call ended without an answer. It may still be carried out, by whatever
-    /// incarnation is there by then.
-    pub fn record_unanswered(&mut self, at: Tick) {
+    /// Records that a call that was sent at `sent`, or later, ended without an answer. It may still
+    /// be carried out, by whatever incarnation is there by then. `grant` is the longest lease that a
+    /// worker grants.
+    pub fn record_unanswered(&mut self, sent: Tick, at: Tick, grant: Millis) {
         self.unanswered_at = Some(at);
-        if self.restarted_at.is_some_and(|restarted| at.since(restarted) < MAX_ORDER_DELAY) {
-            self.suspend_until_calls_expire();
+        let is_for_previous =
+            |restarted: Tick| sent <= restarted && at.since(restarted) < MAX_ORDER_DELAY;
+        if self.restarted_at.is_some_and(is_for_previous) {
+            self.expect_late_calls(grant);
         }
     }
 
-    /// Records that a new incarnation answers. A late call to the previous one would tell it to
-    /// forget ends that no owner has read, so the worker gets nothing until no such call can arrive.
-    pub fn begin_incarnation(&mut self, at: Tick) {
+    /// Records that a new incarnation answers. `grant` is the longest lease that a worker grants.
+    pub fn begin_incarnation(&mut self, at: Tick, grant: Millis) {
         self.restarted_at = Some(at);
-        self.suspend_until_calls_expire();
+        self.expect_late_calls(grant);
     }
 
-    fn suspend_until_calls_expire(&mut self) {
+    fn expect_late_calls(&mut self, grant: Millis) {
         if let Some(unanswered) = self.unanswered_at {
-            self.failure_history.suspended_until =
-                self.failure_history.suspended_until.max(unanswered + MAX_ORDER_DELAY);
+            self.late_calls_until = self.late_calls_until.max(unanswered + MAX_ORDER_DELAY);
+            self.late_leases_until = self.late_calls_until + with_drift(grant);
         }
     }
 
+    /// Returns whether calls to the worker's previous incarnation may still arrive.
+    pub fn expects_late_calls(&self, now: Tick) -> bool {
+        self.late_calls_until > now
+    }
+
+    /// Returns the resources that late orders to the worker's previous incarnation may take.
+    pub fn late_orders(&self, now: Tick) -> Amount {
+        let may_arrive = |lost: &&LostOrder| {
+            self.expects_late_calls(now)
+                && now.since(lost.at) < MAX_ORDER_DELAY
+                && self.runs.get(&lost.task).is_none_or(|charge| charge.run != lost.run)
+        };
+        let late = self.lost_orders.iter().filter(may_arrive);
+        late.map(|lost| lost.amount).fold(Amount::default(), Amount::plus)
+    }
+
     /// Returns the free capacity.
     pub fn free(&self) -> Amount {
         self.info.capacity.minus(self.used)
@@ -415,7 +451,7 @@
     /// Returns when every lease given to the worker has certainly expired. `None` if no clock
     /// sample was ever received, when no lease was given.
     pub fn leases_expire_at(&self) -> Option<Tick> {
-        self.clock.map(|sample| sample.surely_past(self.max_deadline))
+        self.clock.map(|sample| sample.surely_past(self.max_deadline).max(self.late_leases_until))
     }
 
     /// Records that the worker may be gone; it gets nothing until it answers.
@@ -442,9 +478,9 @@
         is_known && self.runs.is_empty() && self.orphans.is_empty()
     }
 
-    /// Returns whether the worker may get new tasks at all.
+    /// Returns whether the worker may get new tasks of every kind.
     pub fn accepts(&self, now: Tick) -> bool {
-        self.obstacle(now).is_none()
+        self.obstacle(now).is_none() && !self.expects_late_calls(now)
     }
 
     /// Returns whether the next report might not list the end of one more run. A run that is neither
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod drain_worker;
 mod expiring_budget;
 mod fixture;
+mod late_calls;
 mod load;
 mod long_reports;
 mod notes;
--- a/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
@@ -31,10 +31,6 @@
 /// Period of the check, in milliseconds. Checks at every step would take half of the test's time.
 const CHECK_PERIOD: u64 = 100;
 
-/// Time after a call without an answer for which a worker that has restarted gets nothing, in
-/// milliseconds: the call may still arrive. See docs/design/restarted-workers.md.
-const MAX_CALL_DELAY: u64 = 15_000;
-
 /// Number of workers that must have room for a task.
 const MIN_ROOMY_WORKERS: usize = 2;
 
@@ -160,7 +156,6 @@
             owner.pool.jobs().get(&task.job).is_some_and(|job| job.queue.advice.is_some());
         !is_cut
             && !self.is_faulty(id)
-            && !self.is_quarantined(id)
             && !self.draining.contains(id)
             && has_label
             && is_apart
@@ -168,17 +163,6 @@
             && (!is_advised || Self::is_approved(task.step_id(), id))
     }
 
-    /// Returns whether a worker may get nothing since a late call to its previous incarnation may
-    /// still arrive: for a while after a call that got no answer within the same time of its restart.
-    fn is_quarantined(&self, id: &WorkerId) -> bool {
-        let Some(owner) = self.owners.last() else { return false };
-        let worker = owner.pool.workers().get(id);
-        let times = worker.and_then(|worker| worker.restarted_at.zip(worker.unanswered_at));
-        times.is_some_and(|(restarted, unanswered)| {
-            self.now < (restarted.0 + 2 * MAX_CALL_DELAY).min(unanswered.0 + MAX_CALL_DELAY)
-        })
-    }
-
     fn specification(&self, task: TaskId) -> &Step {
         &self.jobs[&task.job].steps[task.step as usize]
     }
