--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -73,7 +73,7 @@
             worker.max_deadline = WorkerTime(report.clock.0 + self.timeouts.grant.0);
             worker.speed = Speed::new(now);
             worker.failure_history = FailureHistory::default();
-            worker.begin_incarnation(now);
+            worker.begin_incarnation(now, self.timeouts.grant);
         }
         self.review = true;
         self.note(
