Tasks with only unproven crashes share their workers

An outage leaves an unproven crash on every task that was starting, and each was then tried alone on a worker.

Such a task still starts only on a worker that has just answered, so that the next crash is evidence, but it shares that worker. After a crash that is evidence it is tried alone as before.

--- a/reachhead_jobs/src/crashes.rs
+++ b/reachhead_jobs/src/crashes.rs
@@ -42,8 +42,8 @@
     pub fresh: u32,
     /// Crashes that no other task can have caused.
     pub own: u32,
-    /// Crashes, not in `total`, that are no evidence against the task. They put it on trial, since one
-    /// that crashes workers before it is confirmed has no others.
+    /// Crashes, not in `total`, that are no evidence against the task. It then starts only where the next
+    /// one would be, since a task that crashes workers before it is confirmed has no others.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub unproven: u32,
 }
@@ -69,10 +69,16 @@
         self.total == 0 && self.unproven == 0
     }
 
-    /// Returns whether the task may be the cause, so that it is put on trial. Having been at work
-    /// on one worker that crashed says next to nothing.
+    /// Returns whether the task may be the cause. Having been at work on one worker that crashed says
+    /// next to nothing.
     pub fn is_suspect(&self) -> bool {
-        self.fresh > 0 || self.total > 1 || self.unproven > 0
+        self.needs_trial() || self.unproven > 0
+    }
+
+    /// Returns whether the task is put on trial. An outage leaves unproven crashes on dozens of tasks, and
+    /// trials of all of them, each with a worker for itself, would take too long.
+    pub fn needs_trial(&self) -> bool {
+        self.fresh > 0 || self.total > 1
     }
 
     /// Returns whether the task was on several workers that crashed. An outage leaves one crash on every
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -156,18 +156,19 @@
             .is_some_and(|run| run.confirmed || is_recent(worker, run.ordered_at))
     }
 
-    /// Returns why a task that may crash its worker is not started on this one now. On a worker that
-    /// has answered just before, a crash is evidence even if the start is never confirmed. The members
-    /// of a gang start together, and seldom have all their workers answered just before.
+    /// Returns why a task with these crashes is not started on this worker now. On a worker that has
+    /// answered just before, the next crash is evidence even if the start is never confirmed. The
+    /// members of a gang start together, and seldom have all their workers answered just before.
     pub(super) fn trial_obstacle(
         &self,
         worker: &Worker,
+        crashes: Crashes,
         gang: bool,
         now: Tick,
     ) -> Option<Obstacle> {
-        if !self.starting_tasks(worker).is_empty() {
+        if crashes.needs_trial() && !self.starting_tasks(worker).is_empty() {
             Some(Obstacle::Starting)
-        } else if !gang && !is_recent(worker, now) {
+        } else if crashes.is_suspect() && !gang && !is_recent(worker, now) {
             Some(Obstacle::NotRecent)
         } else {
             None
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -250,7 +250,7 @@
         let state = &self.jobs[&id.job].steps[&id.step_id()];
         let rack = if step.same_rack { self.rack_of(&state.tasks) } else { None };
         let long_running = step.long_running.then(|| self.long_running_workers());
-        let trial = state.tasks[id.index as usize].crashes.is_suspect();
+        let crashes = state.tasks[id.index as usize].crashes;
         let wanted = PlacementRequest {
             step_id: id.step_id(),
             task: Some(id),
@@ -258,13 +258,13 @@
             avoid: &state.tasks[id.index as usize].avoid,
             rack: rack.as_ref(),
             long_running_workers: long_running.as_ref(),
-            trial,
+            trial: crashes.needs_trial(),
         };
         let workers = self
             .workers
             .values()
             .filter(|worker| allowed.is_none_or(|allowed| allowed.contains(&worker.info.id)))
-            .filter(|worker| !trial || self.trial_obstacle(worker, step.gang, now).is_none());
+            .filter(|worker| self.trial_obstacle(worker, crashes, step.gang, now).is_none());
         place::choose_worker(&wanted, workers, now).map(|worker| worker.info.id.clone())
     }
 
@@ -322,7 +322,7 @@
             return;
         };
         task.last_run = number;
-        let suspect = task.crashes.is_suspect();
+        let trial = task.crashes.needs_trial();
         let checkpoint = task.checkpoint.clone();
         task.runs.push(Run {
             number,
@@ -348,7 +348,7 @@
         self.charge_start(&payload);
         let order = StartOrder { task: id, run: number, payload, deadline, checkpoint, ticket };
         if let Some(known) = self.workers.get_mut(&worker)
-            && suspect
+            && trial
         {
             known.trial = Some(id);
         }
--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -323,7 +323,6 @@
     ) -> Finding {
         let job = &self.jobs[&id.job];
         let state = &job.steps[&id.step_id()].tasks[id.index as usize];
-        let trial = state.crashes.is_suspect();
         let step = job.step(id.step_id());
         let wanted = PlacementRequest::new(id.step_id(), step).with_task(id);
         let mut finding = Finding {
@@ -339,7 +338,7 @@
                     let lacks = approved.is_some_and(|ids| !ids.contains(&worker.info.id));
                     lacks.then_some(Obstacle::Unapproved)
                 })
-                .or_else(|| trial.then(|| self.trial_obstacle(worker, step.gang, now)).flatten());
+                .or_else(|| self.trial_obstacle(worker, state.crashes, step.gang, now));
             match obstacle {
                 Some(obstacle) => *finding.obstacles.entry(obstacle).or_default() += 1,
                 None => finding.fitting += 1,
