--- a/reachhead_jobs/src/crashes.rs
+++ b/reachhead_jobs/src/crashes.rs
@@ -75,10 +75,10 @@
         self.needs_trial() || self.unproven > 0
     }
 
-    /// Returns whether the task is put on trial. An outage leaves unproven crashes on dozens of tasks, and
-    /// trials of all of them, each with a worker for itself, would take too long.
+    /// Returns whether the task is put on trial. An outage leaves an unproven crash on dozens of tasks,
+    /// and trials of all of them, each with a worker for itself, would take too long.
     pub fn needs_trial(&self) -> bool {
-        self.fresh > 0 || self.total > 1
+        self.fresh > 0 || self.is_repeated()
     }
 
     /// Returns whether the task was on several workers that crashed. An outage leaves one crash on every
