An outage takes back the crashes that were counted just before it

Evidence: a_task_whose_worker_is_found_dead_first_in_each_rack_is_not_given_up failed before (the job ended as failed).

Crashes counted within the two seconds before an outage is recognized become unproven. A test whose later rounds checked nothing now asserts what is tried in each round. An unanswered stop order no longer prolongs the wait for late calls: it acknowledges no end and prolongs no lease, and each repetition at a silent worker kept its runs for longer.

--- a/reachhead_jobs/src/crashes.rs
+++ b/reachhead_jobs/src/crashes.rs
@@ -42,7 +42,7 @@
     pub fresh: u32,
     /// Crashes that no other task can have caused.
     pub own: u32,
-    /// Crashes, not in `total`, that are no evidence against the task. It then starts only where the next
+    /// Crashes, not in `total`, that alone are no evidence against the task. It then starts only where the next
     /// one would be, since a task that crashes workers before it is confirmed has no others.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub unproven: u32,
@@ -64,6 +64,17 @@
         self.own += u32::from(role == CrashRole::Own);
     }
 
+    /// Takes back the evidence of a crash that turns out to have a cause that other workers share.
+    pub fn retract(&mut self, role: CrashRole) {
+        if matches!(role, CrashRole::Unproven) || self.total == 0 {
+            return;
+        }
+        self.total -= 1;
+        self.fresh -= u32::from(role != CrashRole::Bystander).min(self.fresh);
+        self.own -= u32::from(role == CrashRole::Own).min(self.own);
+        self.unproven += u32::from(role != CrashRole::Bystander);
+    }
+
     /// Returns whether there were no crashes.
     pub fn is_empty(&self) -> bool {
         self.total == 0 && self.unproven == 0
@@ -81,8 +92,8 @@
         self.fresh > 0 || self.is_repeated()
     }
 
-    /// Returns whether the task was on several workers that crashed. An outage leaves one crash on every
-    /// task that was starting, which must not wait for its end.
+    /// Returns whether the task was on several workers that crashed. A single crash is what an outage
+    /// leaves on every task that was starting.
     pub fn is_repeated(&self) -> bool {
         self.total + self.unproven > 1
     }
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -9,6 +9,7 @@
     crashes::{CrashRole, Crashes},
     job::Run,
     obstacle::Obstacle,
+    outage::OUTAGE_WINDOW,
     pool::{NoteKind, Pool},
     ports::RunningEntry,
     task::TaskId,
@@ -31,6 +32,13 @@
     at.since(worker.last_contact) <= MAX_CONTACT_AGE
 }
 
+/// A crash that was counted against a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CountedCrash {
+    at: Tick,
+    suspect: CrashSuspect,
+}
+
 /// Evidence that a worker incarnation is dead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DeathEvidence {
@@ -91,7 +99,7 @@
         // A crashed worker reports no ends, so its tasks would restart without any record of the
         // crash.
         for suspect in suspects {
-            self.count_crash(suspect);
+            self.count_crash(suspect, now);
         }
     }
 
@@ -108,8 +116,9 @@
         // A worker that never answered this owner may have left long before: its host has moved to
         // another pool, and it is still listed or in the roster.
         let is_unexplained = worker.answered && !suspects.iter().any(is_explained);
-        if is_unexplained && self.outage.record_death(now) {
+        if is_unexplained && self.outage.record_death(&worker.info.id, now) {
             self.note(NoteKind::WorkerOutage, format!("workers={}", self.workers.len()));
+            self.retract_crashes(now);
         }
         if self.outage.is_active(now) {
             suspects.retain(|suspect| suspect.role != CrashRole::Bystander);
@@ -175,9 +184,27 @@
         }
     }
 
+    /// Takes back the crashes that were counted just before an outage was recognized: their workers were
+    /// the first ones of it to be found dead.
+    fn retract_crashes(&mut self, now: Tick) {
+        for CountedCrash { at, suspect } in std::mem::take(&mut self.counted_crashes) {
+            let job = self.jobs.get_mut(&suspect.task.job).filter(|job| job.ending.is_none());
+            let task = job.and_then(|job| job.task(suspect.task)).filter(|task| !task.done);
+            if let Some(task) = task
+                && now.since(at) < OUTAGE_WINDOW
+            {
+                task.crashes.retract(suspect.role);
+                self.mark_dirty(suspect.task.job);
+            }
+        }
+    }
+
     /// Counts a crash against a task, and gives the task up if the crashes prove it to be the
     /// cause.
-    pub(super) fn count_crash(&mut self, CrashSuspect { task: id, role }: CrashSuspect) {
+    pub(super) fn count_crash(&mut self, suspect: CrashSuspect, now: Tick) {
+        self.counted_crashes.retain(|crash| now.since(crash.at) < OUTAGE_WINDOW);
+        self.counted_crashes.push(CountedCrash { at: now, suspect });
+        let CrashSuspect { task: id, role } = suspect;
         let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.ending.is_none()) else {
             return;
         };
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -175,6 +175,8 @@
     dead_incarnations: BTreeMap<WorkerId, Option<Millis>>,
     /// Recent deaths of workers that nothing which ran there explains.
     outage: OutageDetector,
+    /// Crashes counted within the last moments, which an outage takes back.
+    counted_crashes: Vec<crash::CountedCrash>,
     estimator: DurationEstimator,
     advice: advice::AdviceCache,
     quotas: quota::Quotas,
@@ -248,6 +250,7 @@
             refusals: refusal::Refusals::default(),
             dead_incarnations: BTreeMap::new(),
             outage: OutageDetector::new(),
+            counted_crashes: Vec::new(),
             estimator: DurationEstimator::default(),
             advice: advice::AdviceCache::default(),
             quotas: quota::Quotas::default(),
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -185,11 +185,7 @@
         if let Ok(shown) = &result {
             self.record_contact(id, *shown, now);
         }
-        if matches!(result, Err(WorkerError::Lost(_)))
-            && let Some(worker) = self.workers.get_mut(id)
-        {
-            worker.record_unanswered(Tick(0), now, self.timeouts.grant);
-        }
+        // A late stop order bars a run that is over; it prolongs no lease and acknowledges no end.
         self.review = true;
         if result == Err(WorkerError::Replaced) {
             self.worker_died(id, DeathEvidence::Replaced, now);
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -84,7 +84,7 @@
             ),
         );
         for suspect in suspects {
-            self.count_crash(suspect);
+            self.count_crash(suspect, now);
         }
     }
 
--- a/reachhead_jobs/tests/pool/crash_evidence.rs
+++ b/reachhead_jobs/tests/pool/crash_evidence.rs
@@ -22,6 +22,10 @@
     Fixture::ready((0..count).map(|number| info(&format!("w{number}"), 4)).collect())
 }
 
+fn crashes_of(fixture: &Fixture) -> Crashes {
+    fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0].crashes
+}
+
 fn report_all(fixture: &mut Fixture) {
     let living: Vec<WorkerId> = fixture.infos.iter().map(|info| info.id.clone()).collect();
     living.iter().for_each(|id| fixture.report(id));
@@ -53,15 +57,17 @@
     assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Queued));
 }
 
-/// The same for orders without an answer to workers that had crashed before they were sent.
+/// The same for orders without an answer to workers that had crashed before they were sent: they are
+/// no evidence, and the task is started again only where the next crash would be.
 #[test]
 fn a_task_whose_orders_are_unanswered_by_dead_workers_is_not_given_up() {
     let mut fixture = workers(6);
     fixture.submit(1, vec![long_running(1)]);
-    for _ in 0..5 {
+    for round in 0..5 {
         report_all(&mut fixture);
         fixture.advance(POLL_AGE);
         let tried = fail_starts(&mut fixture, &WorkerError::Lost("no answer".to_owned()));
+        assert_eq!(tried.len(), usize::from(round == 0));
         fixture.advance(900);
         for id in tried {
             fixture.pool.held(&id, fixture.now, Err(WorkerError::Replaced), fixture.now);
@@ -69,8 +75,9 @@
         }
         fixture.list();
         fixture.flush();
+        let crashes = crashes_of(&fixture);
+        assert_eq!((crashes.total, crashes.unproven), (0, 1));
     }
-    assert_ne!(fixture.pool.state(JobId(1)), Some(JobState::Over(Ending::Failed)));
 }
 
 /// Guards against the opposite fault: a worker that dies before it confirms the start shows nothing
@@ -112,19 +119,19 @@
     assert_eq!(starts.iter().map(|(id, _)| id).collect::<Vec<_>>(), [&second]);
 }
 
-/// Racks that go down in turn take whatever is starting there with them. Guards against giving up a
-/// task that was starting on one worker of each.
-#[test]
-fn a_task_that_is_starting_in_racks_that_go_down_in_turn_is_not_given_up() {
+/// Lets racks of six workers go down every 2.5 s, and returns the state of a job whose task is starting
+/// on a worker of each. The owner finds so many other workers of the rack dead before that one.
+fn state_after_racks_in_turn(found_before: usize) -> Option<JobState> {
     let mut fixture = workers(40);
     fixture.submit_and_start(1, vec![long_running(1)]);
-    for rack in 0..6 {
-        let id = fixture.running.keys().next().unwrap().clone();
+    for _ in 0..6 {
+        let Some(id) = fixture.running.keys().next().cloned() else {
+            break;
+        };
         fixture.running.remove(&id);
-        // The task's worker is found dead among the others of its rack.
         let others = fixture.infos.iter().map(|info| &info.id).filter(|other| **other != id);
         let mut dead: Vec<WorkerId> = others.take(5).cloned().collect();
-        dead.insert(3, id);
+        dead.insert(found_before, id);
         for id in &dead {
             fixture.advance(10);
             fixture.pool.worker_died(id, DeathEvidence::Unhosted, fixture.now);
@@ -132,20 +139,30 @@
         }
         fixture.list();
         fixture.flush();
-        let starts = fixture.starts();
-        assert!(starts.is_empty() || rack == 0, "a crash now would prove nothing");
-        for (id, order) in starts {
-            fixture.accept(&id, &order);
-        }
-        for _ in 0..12 {
-            fixture.advance(200);
-            report_all(&mut fixture);
+        for _ in 0..13 {
             for (id, order) in fixture.starts() {
                 fixture.accept(&id, &order);
             }
+            fixture.advance(200);
+            report_all(&mut fixture);
+            fixture.flush();
         }
     }
-    assert_eq!(fixture.pool.state(JobId(1)), Some(JobState::Running));
+    fixture.pool.state(JobId(1))
+}
+
+/// Racks that go down in turn take whatever is starting there with them. Guards against giving up a
+/// task that was starting on one worker of each.
+#[test]
+fn a_task_that_is_starting_in_racks_that_go_down_in_turn_is_not_given_up() {
+    assert_eq!(state_after_racks_in_turn(3), Some(JobState::Running));
+}
+
+/// The same if the owner finds that worker dead before the others of its rack, when nothing shows yet
+/// that they share a cause.
+#[test]
+fn a_task_whose_worker_is_found_dead_first_in_each_rack_is_not_given_up() {
+    assert_eq!(state_after_racks_in_turn(0), Some(JobState::Running));
 }
 
 /// A worker in a cut network keeps its runs until their leases end, and may crash much later.
@@ -182,8 +199,7 @@
     fixture.set_running(&worker("w0"), task(1, 0, 0), 3, 0);
     fixture.report(&worker("w0"));
     fixture.pool.worker_died(&worker("w0"), DeathEvidence::Unhosted, fixture.now);
-    let task = &fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0];
-    assert!(task.crashes.is_empty());
+    assert!(crashes_of(&fixture).is_empty());
 }
 
 /// An order to a worker that had been replaced left a doubt about the task, which stayed for good: the
@@ -221,7 +237,7 @@
     fixture.submit_and_start(1, vec![step(1)]);
     let crashed = fixture.running.keys().next().unwrap().clone();
     fixture.pool.worker_died(&crashed, DeathEvidence::Unhosted, fixture.now);
-    let crashes = fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks[0].crashes;
+    let crashes = crashes_of(&fixture);
     assert_eq!((crashes.own, crashes.unproven), (1, 0));
 }
 
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -159,7 +159,7 @@
     ZoneDrained 724 Info;
     /// Start orders of a pool wait for the link or the processor of its owner: how many, the time that the link takes for them, the mean round trip, and the traffic since the last such line (kind of call=calls/bytes sent/bytes received).
     StartsLimited 725 Info;
-    /// Workers of a pool die for a cause that is not what they run, so that these deaths count against no task: how many workers are left.
+    /// Workers of a pool die for a cause that is not what they run, so that these deaths are no evidence against a task: how many workers are left.
     WorkerOutage 726 Warn;
     /// Log lines were dropped because there were too many.
     LinesDropped 730 Warn;
