The limit for tasks that crash their workers has no allowance, and a test is red

Takes back: its allowance of one more late start came from schedules that failed and not from the stated target, by which such a task is held after three workers at most.

--- a/reachhead_jobs/tests/random_schedules/simulation/invariants.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/invariants.rs
@@ -124,11 +124,7 @@
 
     /// Checks that tasks that crash their workers are not started again and again.
     fn check_culprits(&mut self) {
-        // A crash before the start is confirmed is evidence only if the worker had just answered,
-        // which is ensured from the second start on.
-        let limit = |task: &TaskId| 2 + u32::from(self.is_silent_culprit(*task));
-        let often =
-            self.culprits.iter().filter(|(task, culprit)| culprit.late_starts > limit(task));
+        let often = self.culprits.iter().filter(|(_, culprit)| culprit.late_starts > 2);
         let violations: Vec<String> = often
             .map(|(task, culprit)| {
                 let (late, crashes) = (culprit.late_starts, culprit.crashes);
