The case of TWICE picks another owner of the pool where one process has both leases

Cause: the case needs the process that keeps the list of machines to go on; with both leases in the process that is stopped it would show nothing.

Done: the pool changes its owner before the case begins, if need be, and the stand-ins end their processes on SIGTERM.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,6 +30,13 @@
     await site.wait_ready()
     await site.wait_for("an owner of the pool", lambda: site.owner("desk"), 15)
     await asyncio.sleep(4)
+    while site.owner("desk") == site.owner(".hosts"):
+        # The process that keeps the list of machines goes on in this case; another one owns the pool.
+        name = site.owner("desk")
+        site.kill_node(name, signal.SIGTERM)
+        await site.wait_for("the end of the process", lambda: site.nodes[name]["process"].poll() is not None, 6)
+        site.start_node(name)
+        await asyncio.sleep(4)
     clients = standin.Clients(site)
     minion = site.minions["m1"]
     if trouble:
@@ -40,6 +47,7 @@
     for _ in range(8):
         await clients.submit("desk", job())
     await asyncio.sleep(0.6)
+    await site.wait_for("a task on the minion", lambda: minion.running, 3)
     site.record(f"{minion.id} runs {sorted(minion.running)}")
     if trouble:
         minion.cut = True
--- a/review/standin.py
+++ b/review/standin.py
@@ -729,6 +729,11 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    def terminate(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, terminate)
+
     async def main():
         site = Site(record)
         try:
