--- a/review/standin.py
+++ b/review/standin.py
@@ -268,6 +268,10 @@
             for task in list(self.running):
                 self.end(task, "lapsed")
 
+    def finish_stop(self, task, life):
+        if self.up and life == self.life:
+            self.end(task, "stopped")
+
     def end(self, task, how):
         run = self.running.pop(task, None)
         if run is None:
@@ -301,7 +305,7 @@
         if path == "/run-stop":
             self.barred[task] = max(self.barred.get(task, 0), run)
             if task in self.running and self.running[task]["run"] <= run:
-                asyncio.get_running_loop().call_later(0.1, self.end, task, "stopped")
+                asyncio.get_running_loop().call_later(0.1, self.finish_stop, task, self.life)
         return 200, {"clockMs": self.clock()}
 
     def run_start(self, task, run, order):
@@ -344,6 +348,11 @@
     beat_s = 1.5
     max_hold_ms = 6000
     maintenance_s = 2.0
+    # Those of armonia-sched.
+    contracts = ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"]
+    bounds = {"touchMs": 3000, "drainMs": 2000, "configApplyMs": 2000, "gangTimeoutMs": 3000, "cancel_ms": 3000,
+              "noticePeriodMs": 4500}
+    store_rates = (800, 2000)
 
     def __init__(self, record):
         self.record = record
@@ -494,7 +503,7 @@
 discovery = "platform"
 entryKind = "virtual_ip"
 heartbeatIntervalMs = {int(self.beat_s * 1000)}
-contracts = ["base","drain","config","cost","recover","sched","platform","upkeep"]
+contracts = {json.dumps(self.contracts)}
 orders = "request"
 [zones]
 {self.zone} = "region-1"
@@ -509,17 +518,12 @@
 linkBandwidthMbps = 1000.0
 diskMb = 0
 [bounds]
-touchMs = 3000
-drainMs = 2000
+{chr(10).join(f"{name} = {value}" for name, value in self.bounds.items())}
 gracePeriodS = 6
-configApplyMs = 2000
 maxHoldMs = {self.max_hold_ms}
 stopTimeoutMs = 900
-gangTimeoutMs = 3000
-cancel_ms = 3000
 visible_ms = 3000
 finish_s = 14
-noticePeriodMs = 4500
 migrationS = 1.5
 maintenanceS = {self.maintenance_s}
 fencingEnforced = true
@@ -527,8 +531,8 @@
 [platform]
 address = "{self.store.address}"
 form = "table"
-writesPerS = 800
-readsPerS = 2000
+writesPerS = {self.store_rates[0]}
+readsPerS = {self.store_rates[1]}
 transactionMs = 3.0
 partitionWritesS = 300
 rowBytes = 65536
