Log which incarnation of a worker is taken for dead, and who was notified

E612 has what the fleet owner finds and whom it notifies. E706 has a received notice (unhosted=true) and, for it and for a death, the start time of the incarnation that answered (born) and of the one that is registered (listed).

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -65,12 +65,24 @@
     /// and not its incarnation, and a new one may run by now: unless the last call has failed, the
     /// worker is removed only if the next one does.
     pub fn worker_unhosted(&mut self, id: &WorkerId, now: Tick) {
+        self.note_unhosted(id);
         match self.workers.get_mut(id) {
             Some(worker) if !worker.silent => worker.unhosted = true,
             _ => self.worker_died(id, DeathEvidence::Unhosted, now),
         }
     }
 
+    fn note_unhosted(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let text = format!(
+            "worker={id} unhosted=true silent={} answered={} born={:?} listed={:?}",
+            worker.silent, worker.answered, worker.started_at, worker.info.started_at
+        );
+        self.note(NoteKind::WorkerDoubted, text);
+    }
+
     /// Removes a dead worker incarnation and all its runs.
     pub fn worker_died(&mut self, id: &WorkerId, evidence: DeathEvidence, now: Tick) {
         let Some(worker) = self.workers.remove(id) else {
@@ -81,7 +93,12 @@
         self.dead_incarnations.insert(id.clone(), worker.started_at);
         self.note(
             NoteKind::WorkerDoubted,
-            format!("worker={id} over=true why=\"{evidence}\" runs={}", worker.runs.len()),
+            format!(
+                "worker={id} over=true why=\"{evidence}\" runs={} born={:?} listed={:?}",
+                worker.runs.len(),
+                worker.started_at,
+                worker.info.started_at
+            ),
         );
         if !worker.runs.is_empty() {
             self.log_crash(&worker, now);
--- a/reachhead_node/src/fleet/ended_workers.rs
+++ b/reachhead_node/src/fleet/ended_workers.rs
@@ -9,6 +9,7 @@
     dead_workers::{self, UnreachableWorker},
     ports::{PlatformHost, PlatformHostState},
 };
+use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     id::{HostId, PoolName, WorkerId},
     size::{Millis, Revision},
@@ -20,6 +21,9 @@
 /// they would wait for its leases to expire.
 const NOTIFY_PERIOD: Millis = Millis(12_000);
 
+/// Maximum number of workers named in one log line.
+const MAX_NAMED_WORKERS: usize = 8;
+
 /// An order about a host that ends a worker's incarnation, if it takes effect.
 pub struct OpenOrder {
     /// The worker's pool.
@@ -105,6 +109,7 @@
 
     fn record_ended(&mut self, pool: PoolName, worker: WorkerId, now: Tick) {
         if !self.ended.iter().any(|ended| ended.worker == worker) {
+            emit(Event::WorkerEnded, format_args!("pool={pool} worker={worker}"));
             self.ended.push(EndedWorker { pool, worker, at: now, notified: None });
         }
     }
@@ -123,7 +128,12 @@
         }
         let requests = unnotified.into_iter().map(|(pool, workers)| async {
             let current = lease(&pool)?;
+            let named = named(&workers);
             call_pool_owner(&node, &pool, PoolRequest::WorkersDied(workers)).await.ok()?;
+            emit(
+                Event::WorkerEnded,
+                format_args!("pool={pool} workers={named} notified={current}"),
+            );
             Some((pool, current))
         });
         let notified: BTreeMap<PoolName, Revision> =
@@ -135,3 +145,10 @@
         }
     }
 }
+
+/// Returns the first of the workers for a log line, and the number of the others.
+fn named(workers: &[WorkerId]) -> String {
+    let first = workers.iter().take(MAX_NAMED_WORKERS).map(ToString::to_string);
+    let others = workers.len().saturating_sub(MAX_NAMED_WORKERS);
+    format!("{} others={others}", first.collect::<Vec<_>>().join(","))
+}
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -107,6 +107,8 @@
     HostEntered 610 Info;
     /// A host moved to another pool.
     HostMoved 611 Info;
+    /// The platform's list of hosts shows that a worker has ended, or an owner of its pool was notified of that: which worker, and when it started.
+    WorkerEnded 612 Info;
     /// A job was accepted and stored.
     JobAccepted 700 Info;
     /// A caller's request was rejected or failed.
