Ended workers are named by their incarnations, not by their ids

Cause: the fleet owner repeats to each new owner of a pool for 12 s that a worker has ended, by the worker's id. A successor has no answer of the worker yet and took its first lost call for the second fact, so it removed the new incarnation with the wait for its leases.

Evidence: E612 finds the end of incarnation ...479667 once, notified=29; 3.3 s later it is sent to the successor, notified=86, whose E706 has listed=...488210 and 0.12 s later over=true; the second starts come 0.3 s after that.

An end now carries id and start time. The pool's owner reports the incarnation that it knows before the list of hosts is read, so the list proves the end of that one and of none that started later; an order about a host carries the one that is registered. The record of ended workers is plain state in reachhead_jobs now, where tests reach it; the fleet owner only sends.

Three tests that gave an id alone name the incarnation now; one of them checks more than before (a late report after a refused connection).

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod division;
 pub mod expiring_budget;
 pub mod fence;
+pub mod incarnation;
 pub mod isolation;
 pub mod job;
 pub mod large_answers;
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock::Tick,
     crashes::{CrashRole, Crashes},
+    incarnation::Incarnation,
     job::Run,
     obstacle::Obstacle,
     outage::OUTAGE_WINDOW,
@@ -61,26 +62,34 @@
 }
 
 impl Pool {
-    /// Processes a report that the platform has no host with a worker. The report names the worker
-    /// and not its incarnation, and a new one may run by now: unless the last call has failed, the
-    /// worker is removed only if the next one does.
-    pub fn worker_unhosted(&mut self, id: &WorkerId, now: Tick) {
-        self.note_unhosted(id);
-        match self.workers.get_mut(id) {
-            Some(worker) if !worker.silent => worker.unhosted = true,
-            _ => self.worker_died(id, DeathEvidence::Unhosted, now),
-        }
-    }
-
-    fn note_unhosted(&mut self, id: &WorkerId) {
-        let Some(worker) = self.workers.get(id) else {
+    /// Processes a report that the platform has no host with a worker's incarnation. The report may
+    /// be late, and says nothing about an incarnation that started after it. Unless the last call has
+    /// failed, the worker is removed only if the next one does.
+    pub fn worker_unhosted(&mut self, ended: &Incarnation, now: Tick) {
+        let id = &ended.worker;
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let latest = worker.unhosted.as_ref().and_then(|known| known.started_at);
+        worker.unhosted = Some(ended.clone().with_start(ended.started_at.max(latest)));
+        let is_unhosted = worker.is_unhosted();
+        let silent = worker.silent;
         let text = format!(
-            "worker={id} unhosted=true silent={} answered={} born={:?} listed={:?}",
-            worker.silent, worker.answered, worker.started_at, worker.info.started_at
+            "worker={id} unhosted={ended} applies={is_unhosted} silent={silent} answered={} born={:?} \
+             listed={:?}",
+            worker.answered, worker.started_at, worker.info.started_at
         );
         self.note(NoteKind::WorkerDoubted, text);
+        if is_unhosted && silent && self.is_listing_known(id) {
+            self.worker_died(id, DeathEvidence::Unhosted, now);
+        }
+    }
+
+    /// Returns whether a later incarnation of the worker would be known if it was used: its start is
+    /// known, or the platform's list of workers, which does not have it, is.
+    pub(super) fn is_listing_known(&self, id: &WorkerId) -> bool {
+        let is_known = self.workers.get(id).is_some_and(|worker| worker.newest_start().is_some());
+        is_known || self.workers_listed
     }
 
     /// Removes a dead worker incarnation and all its runs.
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -10,9 +10,11 @@
 
 use crate::{
     clock::Tick,
+    incarnation::Incarnation,
     job::{Job, Phase},
     order::Class,
     pool::Pool,
+    worker::Worker,
 };
 
 /// Window over which arriving work is averaged: long enough for a few jobs of a queue of large
@@ -71,10 +73,23 @@
     /// dead, which ends the wait for runs there.
     #[serde(default)]
     pub deserted: Vec<WorkerId>,
+    /// When the newest known incarnations of `deserted` started; earlier releases did not send it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub starts: BTreeMap<WorkerId, Millis>,
     /// The owner is new and does not know yet where tasks run.
     pub unsettled: bool,
 }
 
+impl PoolLoad {
+    /// Returns the incarnations at whose addresses nothing listens.
+    pub fn deserted_incarnations(&self) -> impl Iterator<Item = Incarnation> {
+        let incarnation = |worker: &WorkerId| {
+            Incarnation::new(worker.clone()).with_start(self.starts.get(worker).copied())
+        };
+        self.deserted.iter().map(incarnation)
+    }
+}
+
 /// Recent arrival times of jobs, by queue.
 #[derive(Debug, Clone, Default)]
 pub(super) struct QueueArrivals {
@@ -183,7 +198,11 @@
             extra: u32::from(self.surge_until > now),
             workers: self.worker_loads(now),
             begun: self.queue_arrivals.has_arrivals(),
-            deserted: self.deserted_workers(),
+            deserted: self.deserted_workers().map(|worker| worker.info.id.clone()).collect(),
+            starts: self
+                .deserted_workers()
+                .filter_map(|worker| Some((worker.info.id.clone(), worker.newest_start()?)))
+                .collect(),
             unsettled: !self.workers_listed || !self.pending.is_empty(),
         }
     }
@@ -207,9 +226,8 @@
             .collect()
     }
 
-    fn deserted_workers(&self) -> Vec<WorkerId> {
-        let workers = self.workers.values().filter(|worker| worker.port_closed);
-        workers.map(|worker| worker.info.id.clone()).collect()
+    fn deserted_workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values().filter(|worker| worker.port_closed)
     }
 
     /// Returns whether a task is long-running and has a run that is not being stopped.
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -51,9 +51,9 @@
     size::{FencingToken, Millis, Revision},
 };
 
-use self::restarted_worker::is_newer;
 use crate::{
     clock::{Tick, with_drift},
+    incarnation::is_newer,
     job::Job,
     order::DurationEstimator,
     outage::OutageDetector,
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -7,8 +7,9 @@
 
 use crate::{
     clock::{ClockSample, Tick},
+    incarnation::is_newer,
     job::{Phase, Run},
-    pool::{Action, DeathEvidence, Note, NoteKind, Pool, restarted_worker::is_newer},
+    pool::{Action, DeathEvidence, Note, NoteKind, Pool},
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
@@ -72,12 +73,12 @@
         }
         // A worker that has answered may have restarted, and a call to it may be lost.
         let is_gone = worker.port_closed || matches!(error, WorkerError::Unreachable(_));
-        let unhosted = worker.unhosted && (is_gone || !worker.answered);
+        let unhosted = worker.is_unhosted() && (is_gone || !worker.answered);
         if first {
             let text = format!("worker={id} runs={} error=\"{error}\"", worker.runs.len());
             self.note(NoteKind::WorkerDoubted, text);
         }
-        if unhosted {
+        if unhosted && self.is_listing_known(id) {
             self.worker_died(id, DeathEvidence::Unhosted, now);
         }
     }
@@ -110,7 +111,7 @@
         worker.clock = Some(ClockSample { worker_time: report.clock, at: now });
         worker.silent = false;
         worker.port_closed = false;
-        worker.unhosted = false;
+        worker.unhosted = None;
         worker.answered = true;
         worker.last_contact = now;
         worker.failed_calls = 0;
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -22,12 +22,6 @@
 /// process that had not noticed the restart.
 const YOUNG_INCARNATION_AGE: Millis = Millis(20_000);
 
-/// Returns whether the incarnation started at `started` is newer than the one started at `known`.
-/// Unknown start times count as the same incarnation.
-pub(super) fn is_newer(started: Option<Millis>, known: Option<Millis>) -> bool {
-    matches!((started, known), (Some(started), Some(known)) if started > known)
-}
-
 impl Pool {
     /// Replaces the known incarnation of a worker by the one that sent `report`. The runs of the
     /// old one have ended as in a crash. Unanswered orders may still reach the new one, so they are
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::{
     clock::{ClockSample, Tick, WorkerTime, with_drift},
     crashes::CrashRole,
+    incarnation::Incarnation,
     obstacle::Obstacle,
     orphan::Orphan,
     ports::{MAX_REPORTED_ENDS, WorkerInfo},
@@ -198,8 +199,9 @@
     pub silent: bool,
     /// It is silent, and the last call found that nothing listens at its address.
     pub port_closed: bool,
-    /// The platform was reported to have no host with it, and no call has been answered since.
-    pub unhosted: bool,
+    /// The incarnation that the platform was reported to have no host with, if no call has been
+    /// answered since.
+    pub unhosted: Option<Incarnation>,
     /// It has answered this owner, so orders of predecessors have no effect there any more.
     pub answered: bool,
     /// State of its long-polling call.
@@ -303,7 +305,7 @@
             max_deadline: WorkerTime(0),
             silent: false,
             port_closed: false,
-            unhosted: false,
+            unhosted: None,
             answered: false,
             poll: Poll::Due(now),
             failed_calls: 0,
@@ -331,6 +333,17 @@
         }
     }
 
+    /// Returns when its newest known incarnation started: the one that answered or the one that is
+    /// registered.
+    pub fn newest_start(&self) -> Option<Millis> {
+        self.started_at.max(self.info.started_at)
+    }
+
+    /// Returns whether the platform was reported to have no host with its newest known incarnation.
+    pub fn is_unhosted(&self) -> bool {
+        self.unhosted.as_ref().is_some_and(|ended| ended.covers(self.newest_start()))
+    }
+
     /// Records that the answer to a start order was lost.
     pub fn record_lost_order(
         &mut self,
--- /dev/null
+++ b/reachhead_jobs/tests/dead_workers.rs
@@ -0,0 +1,64 @@
+//! Tests of the fleet owner's record of ended workers.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
+
+use std::collections::BTreeMap;
+
+use reachhead_jobs::{
+    clock::Tick,
+    dead_workers::{EndedWorkers, UnreachableWorker},
+    incarnation::Incarnation,
+    ports::{PlatformHost, PlatformHostState},
+};
+use reachhead_types::{
+    id::{HostId, PoolName, WorkerId},
+    size::{Millis, Revision},
+};
+
+const FIRST_OWNER: Revision = Revision(10);
+const SECOND_OWNER: Revision = Revision(20);
+
+fn pool() -> PoolName {
+    "p".parse().unwrap()
+}
+
+fn incarnation(started_at: u64) -> Incarnation {
+    Incarnation::new("w".parse().unwrap()).with_start(Some(Millis(started_at)))
+}
+
+fn unreachable(started_at: u64) -> [UnreachableWorker; 1] {
+    [UnreachableWorker { pool: pool(), incarnation: incarnation(started_at) }]
+}
+
+/// Returns the platform's list of one host, with the worker that it has.
+fn hosts(worker: Option<&str>) -> BTreeMap<HostId, PlatformHost> {
+    let host: HostId = "h".parse().unwrap();
+    let listed = PlatformHost {
+        host: host.clone(),
+        pool: pool(),
+        zone: None,
+        state: if worker.is_some() { PlatformHostState::Up } else { PlatformHostState::Down },
+        worker: worker.map(|id| id.parse::<WorkerId>().unwrap()),
+    };
+    BTreeMap::from([(host, listed)])
+}
+
+/// Returns the incarnations of which the owner with this lease is notified.
+fn notified(workers: &mut EndedWorkers, lease: Revision, now: Tick) -> Vec<Incarnation> {
+    let found = workers.unnotified(|_| Some(lease), now).remove(&pool()).unwrap_or_default();
+    workers.record_notified(&pool(), lease);
+    found
+}
+
+/// A successor of a pool's owner does not wait for a worker that is gone: it is notified as well.
+#[test]
+fn each_owner_is_notified_once_of_a_worker_that_stays_gone() {
+    let mut workers = EndedWorkers::new();
+    let settled = workers.settle(&hosts(None), &unreachable(1), Tick(0));
+    assert_eq!(settled.ended, [(pool(), incarnation(1))]);
+    for (lease, now) in [(FIRST_OWNER, Tick(100)), (SECOND_OWNER, Tick(5000))] {
+        workers.settle(&hosts(None), &[], now);
+        assert_eq!(notified(&mut workers, lease, now), [incarnation(1)]);
+        assert_eq!(notified(&mut workers, lease, now), []);
+    }
+}
--- /dev/null
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -0,0 +1,81 @@
+//! Tests of late reports about incarnations of workers that have ended.
+
+use reachhead_jobs::{incarnation::Incarnation, pool::RecoveredState, ports::WorkerInfo};
+use reachhead_types::size::Millis;
+
+use crate::fixture::{Fixture, info, recovered, step, worker};
+
+const FIRST_START: u64 = 1000;
+const SECOND_START: u64 = 2000;
+
+fn ended(started_at: Option<u64>) -> Incarnation {
+    Incarnation::new(worker("w")).with_start(started_at.map(Millis))
+}
+
+fn listed(started_at: u64) -> WorkerInfo {
+    WorkerInfo { started_at: Some(Millis(started_at)), ..info("w", 4) }
+}
+
+/// A job that a predecessor may have started on a worker, and another worker.
+fn predecessors_job() -> RecoveredState {
+    recovered(vec![(1, vec![step(1)])], vec![("w", None), ("v", None)])
+}
+
+/// Returns how many tasks start while the other worker answers and this one does not.
+fn starts_while_silent(fixture: &mut Fixture) -> usize {
+    let mut starts = 0;
+    for _ in 0..10 {
+        fixture.fail_poll(&worker("w"));
+        fixture.report(&worker("v"));
+        fixture.advance(100);
+        starts += fixture.starts().len();
+        fixture.flush();
+    }
+    starts
+}
+
+/// A worker restarted under its id, got a task and was cut off. The successor of its pool's owner
+/// was notified of the end of the old incarnation, took that for the new one, and started the task
+/// elsewhere beside its run.
+#[test]
+fn a_successor_waits_for_a_silent_worker_whose_earlier_incarnation_has_ended() {
+    let mut fixture = Fixture::new(predecessors_job(), vec![listed(SECOND_START), info("v", 4)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.pool.worker_unhosted(&ended(Some(FIRST_START)), fixture.now);
+    assert_eq!(starts_while_silent(&mut fixture), 0);
+}
+
+/// As above, when the notification arrives before the list of workers, which has the new incarnation.
+#[test]
+fn a_successor_applies_the_end_of_a_worker_only_once_it_knows_the_list() {
+    let mut fixture = Fixture::new(predecessors_job(), Vec::new());
+    let mut unlisted = Fixture::unlisted(predecessors_job());
+    unlisted.pool.worker_unhosted(&ended(Some(FIRST_START)), unlisted.now);
+    unlisted.fail_poll(&worker("w"));
+    assert!(unlisted.pool.workers().contains_key(&worker("w")), "a later one may be listed");
+    fixture.pool.worker_unhosted(&ended(Some(FIRST_START)), fixture.now);
+    fixture.fail_poll(&worker("w"));
+    assert!(!fixture.pool.workers().contains_key(&worker("w")), "no later one is listed");
+}
+
+/// The notification spares a successor the wait for leases on workers that are gone, which answer
+/// nothing.
+#[test]
+fn a_successor_does_not_wait_for_an_incarnation_that_has_ended() {
+    let mut fixture = Fixture::new(predecessors_job(), vec![listed(FIRST_START), info("v", 4)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.pool.worker_unhosted(&ended(Some(FIRST_START)), fixture.now);
+    assert_eq!(starts_while_silent(&mut fixture), 1);
+}
+
+/// A notification that does not say which incarnation has ended may be older than one that is known.
+#[test]
+fn the_end_of_an_unknown_incarnation_says_nothing_about_a_known_one() {
+    let mut fixture = Fixture::new(predecessors_job(), vec![listed(SECOND_START), info("v", 4)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.pool.worker_unhosted(&ended(None), fixture.now);
+    assert_eq!(starts_while_silent(&mut fixture), 0);
+}
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -136,19 +136,25 @@
 
 impl Fixture {
     pub fn new(found: RecoveredState, infos: Vec<WorkerInfo>) -> Self {
+        let mut fixture = Self::unlisted(found);
+        fixture.infos = infos;
+        fixture.list();
+        fixture
+    }
+
+    /// Returns a pool that has not got the platform's list of workers yet.
+    pub fn unlisted(found: RecoveredState) -> Self {
         let now = START;
         let pool =
             Pool::new(pool_name(), FencingToken(7), 0, timeouts(), found, now, Millis(now.0));
-        let mut fixture = Self {
+        Self {
             pool,
             now,
-            infos,
+            infos: Vec::new(),
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
             revision: 100,
-        };
-        fixture.list();
-        fixture
+        }
     }
 
     /// Returns a pool whose workers have answered and are in the stored roster.
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -11,6 +11,7 @@
 mod division;
 mod drain;
 mod drain_worker;
+mod ended_incarnation;
 mod expiring_budget;
 mod fixture;
 mod late_calls;
--- a/reachhead_jobs/tests/pool/recover.rs
+++ b/reachhead_jobs/tests/pool/recover.rs
@@ -178,9 +178,8 @@
     let unreachable: Vec<UnreachableWorker> = fixture
         .pool
         .load(fixture.now)
-        .deserted
-        .into_iter()
-        .map(|worker| UnreachableWorker { pool: pool_name(), worker })
+        .deserted_incarnations()
+        .map(|incarnation| UnreachableWorker { pool: pool_name(), incarnation })
         .collect();
     let host = |id: &str| PlatformHost {
         host: "m".parse().unwrap(),
@@ -198,7 +197,7 @@
     let dead: Vec<&UnreachableWorker> =
         dead_workers::dead_workers(&unreachable, &hosts("another")).collect();
     assert_eq!(dead.len(), 1);
-    fixture.pool.worker_died(&dead[0].worker, DeathEvidence::Unhosted, fixture.now);
+    fixture.pool.worker_died(&dead[0].incarnation.worker, DeathEvidence::Unhosted, fixture.now);
     assert_eq!(fixture.starts().len(), 1);
 }
 
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -2,6 +2,7 @@
 
 use reachhead_jobs::{
     clock::WorkerTime,
+    incarnation::Incarnation,
     pool::Action,
     ports::{HoldOrder, Rejection, RunEnd, WorkerError, WorkerReport},
 };
@@ -28,6 +29,11 @@
     fixture.infos[0].started_at = Some(Millis(started_at));
 }
 
+/// Returns the incarnation of the worker that started then.
+fn ended(started_at: u64) -> Incarnation {
+    Incarnation::new(worker("w")).with_start(Some(Millis(started_at)))
+}
+
 /// Restarts the worker before its crash is noticed.
 fn restart(fixture: &mut Fixture) {
     set_started_at(fixture, SECOND_START);
@@ -276,12 +282,14 @@
     restart(&mut fixture);
     fixture.report(&worker("w"));
     fixture.submit_and_start(1, vec![step(1)]);
-    fixture.pool.worker_unhosted(&worker("w"), fixture.now);
+    fixture.pool.worker_unhosted(&ended(FIRST_START), fixture.now);
     report_progress(&mut fixture);
     assert_eq!(fixture.pool.workers()[&worker("w")].runs.len(), 1);
     fixture.refuse_connection(&worker("w"));
     assert!(fixture.pool.workers().contains_key(&worker("w")), "its answer refuted the report");
-    fixture.pool.worker_unhosted(&worker("w"), fixture.now);
+    fixture.pool.worker_unhosted(&ended(FIRST_START), fixture.now);
+    assert!(fixture.pool.workers().contains_key(&worker("w")), "the report is of the old one");
+    fixture.pool.worker_unhosted(&ended(SECOND_START), fixture.now);
     assert!(!fixture.pool.workers().contains_key(&worker("w")));
 }
 
@@ -291,7 +299,7 @@
 fn a_worker_without_a_host_is_removed_when_nothing_listens_there() {
     let mut fixture = one_worker();
     fixture.submit_and_start(1, vec![step(1)]);
-    fixture.pool.worker_unhosted(&worker("w"), fixture.now);
+    fixture.pool.worker_unhosted(&ended(FIRST_START), fixture.now);
     fixture.fail_poll(&worker("w"));
     assert!(fixture.pool.workers().contains_key(&worker("w")));
     fixture.refuse_connection(&worker("w"));
--- a/reachhead_jobs/tests/pool/review.rs
+++ b/reachhead_jobs/tests/pool/review.rs
@@ -1,6 +1,8 @@
 //! Tests of faults that a review of placement and of kept ends found.
 
-use reachhead_jobs::{model::Step, pool::Action, ports::RunEnd, shard::Shard};
+use reachhead_jobs::{
+    incarnation::Incarnation, model::Step, pool::Action, ports::RunEnd, shard::Shard,
+};
 use reachhead_store::row::Commit;
 use reachhead_types::{
     id::JobId,
@@ -101,7 +103,8 @@
     let mut fixture = Fixture::new(found, vec![restarted, info("b", 4)]);
     fixture.set_running(&name, task(1, 0, 0), 1, 50);
     fixture.poll();
-    fixture.pool.worker_unhosted(&name, fixture.now);
+    let ended = Incarnation::new(name.clone()).with_start(Some(Millis(500)));
+    fixture.pool.worker_unhosted(&ended, fixture.now);
     fixture.report(&other);
     fixture.list();
     let mut again = Vec::new();
@@ -124,7 +127,8 @@
     restarted.started_at = Some(Millis(1_000));
     let mut fixture = Fixture::new(recovered(Vec::new(), Vec::new()), vec![restarted]);
     fixture.poll();
-    fixture.pool.worker_unhosted(&name, fixture.now);
+    let ended = Incarnation::new(name.clone()).with_start(Some(Millis(500)));
+    fixture.pool.worker_unhosted(&ended, fixture.now);
     fixture.submit(1, vec![step(1)]);
     let mut started = Vec::new();
     for _ in 0..300 {
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -9,6 +9,7 @@
 use futures::FutureExt;
 use reachhead_jobs::{
     clock::Tick,
+    incarnation::Incarnation,
     model::Plan,
     pool::{Action, Batch, Due, Lane, Pool, PoolTimeouts},
     ports::{Approval, WorkerError, WorkerInfo},
@@ -103,7 +104,7 @@
     /// A transaction arrives at the store.
     Commit { owner: usize, batch: Box<Batch>, answered: bool },
     /// Owners learn that a worker is dead.
-    Dead(WorkerId),
+    Dead(Incarnation),
     /// A worker joins.
     Join,
     /// The workers of a rack go dark for this time.
--- a/reachhead_jobs/tests/random_schedules/simulation/acts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/acts.rs
@@ -2,6 +2,7 @@
 
 use reachhead_jobs::{
     clock::Tick,
+    incarnation::Incarnation,
     pool::{DrainMode, DrainProgress},
 };
 use reachhead_types::id::WorkerId;
@@ -99,10 +100,12 @@
     }
 
     pub(super) fn crash(&mut self, id: &WorkerId) {
+        let started_at = self.workers.get(id).and_then(|incarnation| incarnation.born);
         self.remove_worker(id);
         // A worker that restarts under its id is not reported as dead.
         if self.crashing || self.faults.is_some() && !self.restarting {
-            self.push(DEATH_NOTICE_DELAY, Event::Dead(id.clone()));
+            let ended = Incarnation::new(id.clone()).with_start(started_at);
+            self.push(DEATH_NOTICE_DELAY, Event::Dead(ended));
         }
         self.list();
     }
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -1,7 +1,8 @@
 //! Network between owners, workers and the store, with lost and late messages.
 
 use reachhead_jobs::{
-    clock::Tick, pool::Action, ports::WorkerError, record::lease_key, task::TaskId,
+    clock::Tick, incarnation::Incarnation, pool::Action, ports::WorkerError, record::lease_key,
+    task::TaskId,
 };
 use reachhead_types::{id::WorkerId, size::Millis};
 
@@ -89,7 +90,7 @@
                         self.push(NETWORK_DELAY, Event::Answer { owner, answer });
                     }
                 }
-                Event::Dead(id) => self.report_dead(&id),
+                Event::Dead(ended) => self.report_dead(&ended),
                 Event::Join => self.add_worker(),
                 Event::DarkenRack(rack, dark_time) => self.darken_rack(rack, dark_time),
                 Event::Replace(id) => self.replace(&id),
@@ -197,16 +198,16 @@
         self.push(REPLACEMENT_DELAY, Event::Join);
     }
 
-    fn report_dead(&mut self, id: &WorkerId) {
+    fn report_dead(&mut self, ended: &Incarnation) {
         let now = self.now;
         for owner in self.owners.iter_mut().filter(|owner| owner.alive && owner.paused_until <= now)
         {
-            owner.pool.worker_unhosted(id, Tick(now));
+            owner.pool.worker_unhosted(ended, Tick(now));
         }
         let resume =
             self.owners.iter().filter(|owner| owner.alive).map(|owner| owner.paused_until).max();
         if let Some(resume) = resume.filter(|resume| *resume > now) {
-            self.push(resume - now + 1, Event::Dead(id.clone()));
+            self.push(resume - now + 1, Event::Dead(ended.clone()));
         }
     }
 
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -18,6 +18,8 @@
 use reachhead_jobs::{
     authority::PreviousHolder,
     clock::Tick,
+    dead_workers::{EndedWorkers, OpenOrder},
+    incarnation::Incarnation,
     model::Configuration,
     ports::PlatformHost,
     record::{LeaseRecord, lease_key, value},
@@ -26,16 +28,12 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{StoreError, row::Txn};
 use reachhead_types::{
-    id::{HostId, PoolName, WaveName},
+    id::{HostId, PoolName, WaveName, WorkerId},
     size::{FencingToken, Millis, Revision},
 };
 use tokio::{sync::mpsc, time};
 
-use self::{
-    ended_workers::{EndedWorkers, OpenOrder},
-    usage::UsageStore,
-    waves::ActiveWave,
-};
+use self::{usage::UsageStore, waves::ActiveWave};
 use crate::{
     claim::Pulse,
     moves::Moves,
@@ -121,7 +119,7 @@
         term: lease.record.term,
         waves: BTreeMap::new(),
         platform_hosts: BTreeMap::new(),
-        ended_workers: EndedWorkers::new(Arc::clone(&node)),
+        ended_workers: EndedWorkers::new(),
         usage: UsageStore::default(),
         ended_hosts: BTreeSet::new(),
         moves: Moves::new(Arc::clone(&node), Arc::clone(&permit_issuer)),
@@ -247,12 +245,24 @@
     /// Determines which workers have been ended by orders, and notifies the owners of their pools.
     async fn settle_ended_workers(&mut self) {
         let now = self.node.now();
-        for host in self.ended_workers.settle(&self.platform_hosts, self.moves.unreachable(), now) {
+        let settled =
+            self.ended_workers.settle(&self.platform_hosts, self.moves.unreachable(), now);
+        for (pool, incarnation) in settled.ended {
+            emit(Event::WorkerEnded, format_args!("pool={pool} worker={incarnation}"));
+        }
+        for host in settled.maintained {
             if self.waves.values().any(|active| active.wave.is_due(&host)) {
                 self.ended_hosts.insert(host);
             }
         }
-        self.ended_workers.notify_owners(now).await;
+        ended_workers::notify_owners(&self.node, &mut self.ended_workers, now).await;
+    }
+
+    /// Returns the incarnation of a worker that is registered at present.
+    fn registered_incarnation(&self, worker: WorkerId) -> Incarnation {
+        let view = self.node.view();
+        let started_at = view.workers.get(&worker).and_then(|info| info.started_at);
+        Incarnation::new(worker).with_start(started_at)
     }
 
     async fn move_hosts(&mut self) {
@@ -264,7 +274,8 @@
         for moved in moved {
             self.fenced |= moved.fenced;
             if let Some(worker) = moved.step.worker.filter(|_| moved.may_have_effect) {
-                let order = OpenOrder { pool: moved.step.from, worker, maintenance: false };
+                let incarnation = self.registered_incarnation(worker);
+                let order = OpenOrder { pool: moved.step.from, incarnation, maintenance: false };
                 self.ended_workers.record_order(&moved.step.host, order);
             }
         }
--- a/reachhead_node/src/fleet/waves.rs
+++ b/reachhead_node/src/fleet/waves.rs
@@ -3,6 +3,7 @@
 
 use futures::future::join_all;
 use reachhead_jobs::{
+    dead_workers::OpenOrder,
     pool::{DrainMode, DrainProgress},
     ports::{HostOrderError, PlatformHost},
     record::{lease_key, value},
@@ -15,7 +16,7 @@
     size::Revision,
 };
 
-use super::{Fleet, ended_workers::OpenOrder, name};
+use super::{Fleet, name};
 use crate::{
     owner_call::call_pool_owner,
     peer::{PeerReply, PoolRequest},
@@ -154,7 +155,8 @@
             active.wave.record_ordered(&platform_host.host, now);
             let first = !self.ended_workers.is_open(&platform_host.host);
             if let Some(worker) = platform_host.worker.filter(|_| first) {
-                let order = OpenOrder { pool: platform_host.pool, worker, maintenance: true };
+                let incarnation = self.registered_incarnation(worker);
+                let order = OpenOrder { pool: platform_host.pool, incarnation, maintenance: true };
                 self.ended_workers.record_order(&platform_host.host, order);
             }
             ordered.push(OrderedHost { host: platform_host.host, progress, first });
--- a/reachhead_node/src/moves.rs
+++ b/reachhead_node/src/moves.rs
@@ -266,9 +266,8 @@
 fn unreachable_workers(pools: &BTreeMap<PoolName, PoolState>) -> Vec<UnreachableWorker> {
     let mut found = Vec::new();
     for (pool, state) in pools {
-        let of_pool =
-            |worker: &WorkerId| UnreachableWorker { pool: pool.clone(), worker: worker.clone() };
-        found.extend(state.load.deserted.iter().map(of_pool));
+        let of_pool = |incarnation| UnreachableWorker { pool: pool.clone(), incarnation };
+        found.extend(state.load.deserted_incarnations().map(of_pool));
     }
     found
 }
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -4,6 +4,7 @@
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
+    incarnation::Incarnation,
     pool::{Batch, DrainMode, DrainProgress, PoolLoad, StateReply, UnplacedSummary},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     quota::{Allotment, UsageReport},
@@ -54,7 +55,7 @@
     /// Sets the limits of what the pool may run for customers.
     Allot(Allotment, oneshot::Sender<UsageReport>),
     /// Incarnations of workers have ended.
-    WorkersDied(Vec<WorkerId>),
+    WorkersEnded(Vec<Incarnation>),
     /// The registered workers changed.
     WorkersListed(Vec<WorkerInfo>),
     /// A long poll of a worker ended.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -295,9 +295,9 @@
                 let _ = reply.send(self.pool.load(now));
             }
             Input::Allot(allotment, reply) => self.allot(&allotment, reply, now),
-            Input::WorkersDied(workers) => {
-                for worker in workers {
-                    self.pool.worker_unhosted(&worker, now);
+            Input::WorkersEnded(workers) => {
+                for ended in workers {
+                    self.pool.worker_unhosted(&ended, now);
                 }
             }
             Input::WorkersListed(workers) => self.pool.list(workers, now),
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -14,6 +14,7 @@
 use futures::future::{BoxFuture, FutureExt};
 use hyper::{StatusCode, body::Body};
 use reachhead_jobs::{
+    incarnation::Incarnation,
     pool::{DrainMode, DrainProgress, PoolLoad, StateReply},
     ports::FeedPage,
     quota::{Allotment, UsageReport},
@@ -104,8 +105,8 @@
     #[serde(rename = "vacate-all")]
     DrainWorkers(Vec<WorkerId>, DrainMode),
     /// Notifies the owner of worker incarnations that have ended.
-    #[serde(rename = "over")]
-    WorkersDied(Vec<WorkerId>),
+    #[serde(rename = "ended")]
+    WorkersEnded(Vec<Incarnation>),
     /// Requests the capacity that the pool needs.
     Load,
     /// Sets the limits of what the pool may run for customers.
@@ -257,8 +258,8 @@
             owner.send(Input::Submit(jobs));
             PeerReply::Done
         }
-        PoolRequest::WorkersDied(workers) => {
-            owner.send(Input::WorkersDied(workers));
+        PoolRequest::WorkersEnded(workers) => {
+            owner.send(Input::WorkersEnded(workers));
             PeerReply::Done
         }
         PoolRequest::State(id, requester) => {
