Count registered workers that are skipped as dead incarnations

On call there was nothing to tell that from workers that are not registered.

E719 and /state count such workers as ended, /state and reachhead_ended_workers{pool} also while no task waits.

--- a/reachhead_jobs/src/obstacle.rs
+++ b/reachhead_jobs/src/obstacle.rs
@@ -12,6 +12,8 @@
 pub enum Obstacle {
     /// It is not registered.
     Unlisted,
+    /// It is registered, and that incarnation is known to have ended.
+    Ended,
     /// It is not stored as open in the pool's roster.
     Unrostered,
     /// It has not answered this owner.
@@ -61,6 +63,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Unlisted => "unlisted",
+            Self::Ended => "ended",
             Self::Unrostered => "unrostered",
             Self::Unanswered => "unanswered",
             Self::Silent => "silent",
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -173,6 +173,8 @@
     /// Worker incarnations known to be dead even if the platform still lists them, with their start
     /// times.
     dead_incarnations: BTreeMap<WorkerId, Option<Millis>>,
+    /// Number of workers in the platform's last list that were skipped as dead incarnations.
+    skipped: u32,
     /// Recent deaths of workers that nothing which ran there explains.
     outage: OutageDetector,
     /// Crashes counted within the last moments, which an outage takes back.
@@ -249,6 +251,7 @@
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
             dead_incarnations: BTreeMap::new(),
+            skipped: 0,
             outage: OutageDetector::new(),
             counted_crashes: Vec::new(),
             estimator: DurationEstimator::default(),
@@ -354,12 +357,14 @@
             worker.listed = ids.contains(&worker.info.id);
         }
         self.dead_incarnations.retain(|id, _| ids.contains(id));
+        self.skipped = 0;
         for info in listed {
             if self
                 .dead_incarnations
                 .get(&info.id)
                 .is_some_and(|over| !is_newer(info.started_at, *over))
             {
+                self.skipped += 1;
                 continue;
             }
             self.dead_incarnations.remove(&info.id);
--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -115,6 +115,9 @@
     pub reasons: BTreeMap<WaitReason, u32>,
     /// Number of workers by obstacle, added up over the examined steps.
     pub obstacles: BTreeMap<Obstacle, u32>,
+    /// Number of registered workers that are not used since the registered incarnations are known to
+    /// have ended, whether or not a task waits.
+    pub ended: u32,
 }
 
 /// The steps with waiting long-running tasks, as of the last check.
@@ -207,7 +210,7 @@
     /// Returns the long-running tasks that had no run at the last check, which was up to
     /// [`CHECK_PERIOD`] ago.
     pub fn unplaced(&self, now: Tick) -> UnplacedSummary {
-        self.unplaced.summary(now)
+        UnplacedSummary { ended: self.skipped, ..self.unplaced.summary(now) }
     }
 
     /// Finds the long-running tasks that this round has left without a run, and logs the steps that
@@ -331,6 +334,9 @@
             fitting: 0,
             obstacles: BTreeMap::new(),
         };
+        if self.skipped > 0 {
+            finding.obstacles.insert(Obstacle::Ended, self.skipped);
+        }
         for worker in self.workers.values() {
             let obstacle = wanted
                 .obstacle(worker, now)
--- a/reachhead_jobs/tests/pool/notes.rs
+++ b/reachhead_jobs/tests/pool/notes.rs
@@ -252,3 +252,21 @@
     let failed = "worker=w1 suspended=true why=failed-runs task=0000000000000003.0.0.0";
     assert_eq!(texts(&mut fixture, NoteKind::WorkerDoubted), [failed]);
 }
+
+/// A worker that was not used, since the registered incarnation counted as dead, was no worker at all by
+/// the log of a task without a place.
+#[test]
+fn registered_workers_whose_incarnations_have_ended_are_counted() {
+    let mut fixture = two_workers();
+    fixture.pool.worker_died(&worker("w1"), DeathEvidence::Unhosted, fixture.now);
+    fixture.list();
+    fixture.pool.held(&worker("w2"), fixture.now, Err(WorkerError::Replaced), fixture.now);
+    assert_eq!(fixture.pool.unplaced(fixture.now).ended, 1);
+    fixture.list();
+    fixture.submit(1, vec![lasting(1)]);
+    assert_told(&mut fixture, "why=no-place compared=0 fitting=0 workers=ended:2");
+    assert_eq!(fixture.pool.unplaced(fixture.now).ended, 2);
+    fixture.infos.clear();
+    fixture.list();
+    assert_eq!(fixture.pool.unplaced(fixture.now).ended, 0);
+}
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -44,6 +44,11 @@
     why: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PoolLabels {
+    pool: String,
+}
+
 /// The counters, gauges and histograms of the process.
 pub struct Metrics {
     orders: Family<OrderLabels, Counter>,
@@ -53,6 +58,7 @@
     config_row: Gauge,
     table_age: Family<TableLabels, Gauge>,
     unplaced: Family<UnplacedLabels, Gauge>,
+    ended_workers: Family<PoolLabels, Gauge>,
     /// Number of times that this process took over a pool.
     pub pools_taken: Counter,
     /// Transactions that the store refused as invalid, such as a row that is too long.
@@ -74,6 +80,7 @@
             config_row: Gauge::default(),
             table_age: Family::default(),
             unplaced: Family::default(),
+            ended_workers: Family::default(),
             pools_taken: Counter::default(),
             store_refusals: Counter::default(),
             delays: Counter::default(),
@@ -125,6 +132,11 @@
             "Long-running tasks without a run in the pools that this process owns, by the reason",
             metrics.unplaced.clone(),
         );
+        registry.register(
+            "reachhead_ended_workers",
+            "Registered workers of the pools that this process owns that are not used, as their registered incarnations have ended",
+            metrics.ended_workers.clone(),
+        );
         metrics.dispatch.register(registry);
         metrics
     }
@@ -148,12 +160,16 @@
         }
     }
 
-    /// Sets the gauges of tasks without a run from the owners of pools in this process. Those of
-    /// other pools are removed: their owners count these tasks.
+    /// Sets the gauges of tasks without a run and of workers that are not used from the owners of pools
+    /// in this process. Those of other pools are removed: their owners count them.
     pub fn record_unplaced(&self, owners: &BTreeMap<PoolName, OwnerHandle>) {
         self.unplaced.clear();
+        self.ended_workers.clear();
         for (pool, owner) in owners {
-            for (why, tasks) in owner.unplaced().reasons {
+            let summary = owner.unplaced();
+            let labels = PoolLabels { pool: pool.to_string() };
+            self.ended_workers.get_or_create(&labels).set(summary.ended.into());
+            for (why, tasks) in summary.reasons {
                 let labels = UnplacedLabels { pool: pool.to_string(), why: why.name() };
                 self.unplaced.get_or_create(&labels).set(tasks.into());
             }
--- a/reachhead_node/src/metrics_tests.rs
+++ b/reachhead_node/src/metrics_tests.rs
@@ -18,10 +18,16 @@
     };
     let (owner, _inputs) = OwnerHandle::new(Revision(7));
     let reasons = BTreeMap::from([(WaitReason::NoPlace, 3)]);
-    owner.publish_unplaced(UnplacedSummary { tasks: 3, reasons, ..UnplacedSummary::default() });
+    owner.publish_unplaced(UnplacedSummary {
+        tasks: 3,
+        reasons,
+        ended: 2,
+        ..UnplacedSummary::default()
+    });
     metrics.record_unplaced(&BTreeMap::from([("a".parse().unwrap(), owner)]));
     let gauge = "reachhead_unplaced_tasks{pool=\"a\",why=\"no-place\"} 3";
     assert!(text().contains(gauge), "{}", text());
+    assert!(text().contains("reachhead_ended_workers{pool=\"a\"} 2"), "{}", text());
     metrics.record_unplaced(&BTreeMap::new());
     assert!(!text().contains("pool=\"a\""), "{}", text());
 }
