A dead worker is remembered with the latest start that has ended

Cause: a successor knows workers from the roster, without a start time. One that it found dead before any answer was remembered without one, and each later registration was taken for the dead one, since no start is later than an unknown one. The new incarnation renews that entry, so it stayed so.

A death is remembered with the latest start known to have ended, of the answer, the registration or the report of its end, and compared by Incarnation::covers: a mark without a start holds for entries without one only. A dead incarnation that was not listed yet may be listed once more; it gets nothing as it does not answer.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -99,7 +99,8 @@
         };
         self.pending.remove(id);
         self.review = true;
-        self.dead_incarnations.insert(id.clone(), worker.started_at);
+        let dead = worker.latest_ended();
+        self.dead_incarnations.insert(id.clone(), dead);
         self.note(
             NoteKind::WorkerDoubted,
             format!(
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -53,7 +53,7 @@
 
 use crate::{
     clock::{Tick, with_drift},
-    incarnation::is_newer,
+    incarnation::{Incarnation, is_newer},
     job::Job,
     order::DurationEstimator,
     outage::OutageDetector,
@@ -170,9 +170,8 @@
     /// Jobs with changes to write to the store.
     dirty: BTreeSet<JobId>,
     refusals: refusal::Refusals,
-    /// Worker incarnations known to be dead even if the platform still lists them, with their start
-    /// times.
-    dead_incarnations: BTreeMap<WorkerId, Option<Millis>>,
+    /// Worker incarnations known to be dead even if the platform still lists them.
+    dead_incarnations: BTreeMap<WorkerId, Incarnation>,
     /// Number of workers in the platform's last list that were skipped as dead incarnations.
     skipped: u32,
     /// Recent deaths of workers that nothing which ran there explains.
@@ -359,11 +358,8 @@
         self.dead_incarnations.retain(|id, _| ids.contains(id));
         self.skipped = 0;
         for info in listed {
-            if self
-                .dead_incarnations
-                .get(&info.id)
-                .is_some_and(|over| !is_newer(info.started_at, *over))
-            {
+            let dead = self.dead_incarnations.get(&info.id);
+            if dead.is_some_and(|dead| dead.covers(info.started_at)) {
                 self.skipped += 1;
                 continue;
             }
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -339,6 +339,13 @@
         self.started_at.max(self.info.started_at)
     }
 
+    /// Returns the latest incarnation known to have ended, if the worker is dead. Before its first
+    /// answer the start is known from its registration or from the report of its end alone.
+    pub fn latest_ended(&self) -> Incarnation {
+        let reported = self.unhosted.as_ref().and_then(|ended| ended.started_at);
+        Incarnation::new(self.info.id.clone()).with_start(self.newest_start().max(reported))
+    }
+
     /// Returns whether the platform was reported to have no host with its newest known incarnation.
     pub fn is_unhosted(&self) -> bool {
         self.unhosted.as_ref().is_some_and(|ended| ended.covers(self.newest_start()))
--- a/reachhead_jobs/tests/pool/ended_incarnation.rs
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -1,7 +1,7 @@
 //! Tests of late reports about incarnations of workers that have ended.
 
 use reachhead_jobs::{incarnation::Incarnation, pool::RecoveredState, ports::WorkerInfo};
-use reachhead_types::size::Millis;
+use reachhead_types::{id::WorkerId, size::Millis};
 
 use crate::fixture::{Fixture, info, recovered, step, worker};
 
@@ -79,3 +79,56 @@
     fixture.pool.worker_unhosted(&ended(None), fixture.now);
     assert_eq!(starts_while_silent(&mut fixture), 0);
 }
+
+/// Returns the workers of the start orders while all listed workers answer and the roster is stored.
+fn started_on(fixture: &mut Fixture) -> Vec<WorkerId> {
+    let mut started = Vec::new();
+    for _ in 0..5 {
+        fixture.advance(50);
+        started.extend(Fixture::started_on(fixture.poll()));
+        fixture.flush();
+        for info in fixture.infos.clone() {
+            fixture.report(&info.id);
+        }
+    }
+    started
+}
+
+/// Workers crashed together with the owner of their pool and came back under their ids. The successor
+/// had found the old incarnations dead before any answer, remembered no start time of them, and
+/// took the registrations of the new ones for theirs: they were never called again.
+#[test]
+fn a_worker_that_died_before_it_answered_a_successor_is_used_again_after_its_restart() {
+    let mut fixture = Fixture::new(predecessors_job(), vec![listed(FIRST_START)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.refuse_connection(&worker("w"));
+    fixture.pool.worker_unhosted(&ended(Some(FIRST_START)), fixture.now);
+    fixture.advance(100);
+    fixture.list();
+    assert!(!fixture.pool.workers().contains_key(&worker("w")), "the old one is still listed");
+    fixture.infos = vec![listed(SECOND_START)];
+    fixture.list();
+    fixture.refuse_connection(&worker("v"));
+    fixture.pool.worker_unhosted(&Incarnation::new(worker("v")), fixture.now);
+    assert_eq!(started_on(&mut fixture), [worker("w")]);
+}
+
+/// As above, when the list of workers arrives after the death. It may still have the old incarnation,
+/// which gets nothing since it does not answer.
+#[test]
+fn a_worker_that_died_before_it_was_listed_is_used_again_after_its_restart() {
+    let mut fixture = Fixture::new(predecessors_job(), Vec::new());
+    fixture.refuse_connection(&worker("w"));
+    fixture.refuse_connection(&worker("v"));
+    for id in ["w", "v"] {
+        fixture.pool.worker_unhosted(&Incarnation::new(worker(id)), fixture.now);
+    }
+    fixture.infos = vec![listed(FIRST_START)];
+    fixture.list();
+    fixture.refuse_connection(&worker("w"));
+    assert_eq!(fixture.starts().len(), 0, "the old incarnation is listed");
+    fixture.infos = vec![listed(SECOND_START)];
+    fixture.list();
+    assert_eq!(started_on(&mut fixture), [worker("w")]);
+}
