The record of ended workers follows their incarnations

A later incarnation's end replaces the entry and is sent to all owners; an entry is dropped when a host is up with the worker again, as the list that proved the end no longer says so.

The three new tests of the record failed on (two missing notifications, one too many).

--- a/reachhead_jobs/src/dead_workers.rs
+++ b/reachhead_jobs/src/dead_workers.rs
@@ -115,6 +115,7 @@
         now: Tick,
     ) -> Settled {
         let mut settled = Settled::default();
+        self.drop_returned(platform_hosts);
         for UnreachableWorker { pool, incarnation } in dead_workers(unreachable, platform_hosts) {
             self.record_ended(pool, incarnation, now, &mut settled);
         }
@@ -137,6 +138,17 @@
         settled
     }
 
+    /// Drops the ends of workers that a host has again: what is up there is a later incarnation.
+    fn drop_returned(&mut self, platform_hosts: &BTreeMap<HostId, PlatformHost>) {
+        if self.ended.is_empty() {
+            return;
+        }
+        let is_up = |host: &&PlatformHost| host.state == PlatformHostState::Up;
+        let up: BTreeSet<&WorkerId> =
+            platform_hosts.values().filter(is_up).filter_map(|host| host.worker.as_ref()).collect();
+        self.ended.retain(|ended| !up.contains(&ended.incarnation.worker));
+    }
+
     fn record_ended(
         &mut self,
         pool: &PoolName,
@@ -144,9 +156,12 @@
         now: Tick,
         settled: &mut Settled,
     ) {
-        if self.ended.iter().any(|ended| ended.incarnation.worker == incarnation.worker) {
+        let is_same = |ended: &EndedWorker| ended.incarnation.worker == incarnation.worker;
+        let known = self.ended.iter().find(|ended| is_same(ended));
+        if known.is_some_and(|known| known.incarnation.started_at >= incarnation.started_at) {
             return;
         }
+        self.ended.retain(|ended| !is_same(ended));
         settled.ended.push((pool.clone(), incarnation.clone()));
         let (pool, incarnation) = (pool.clone(), incarnation.clone());
         self.ended.push(EndedWorker { pool, incarnation, at: now, notified: None });
--- a/reachhead_jobs/tests/dead_workers.rs
+++ b/reachhead_jobs/tests/dead_workers.rs
@@ -62,3 +62,40 @@
         assert_eq!(notified(&mut workers, lease, now), []);
     }
 }
+
+/// A worker that crashed twice within twelve seconds was reported once. The owner of its pool took the
+/// second end for known and waited until the leases there had expired.
+#[test]
+fn a_worker_that_ends_again_soon_after_its_restart_is_reported_again() {
+    let mut workers = EndedWorkers::new();
+    workers.settle(&hosts(None), &unreachable(1), Tick(0));
+    assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(100)), [incarnation(1)]);
+    workers.settle(&hosts(Some("w")), &[], Tick(2000));
+    workers.settle(&hosts(None), &unreachable(2), Tick(4000));
+    assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(4100)), [incarnation(2)]);
+}
+
+/// The same if no list was read while the worker was up.
+#[test]
+fn a_later_end_replaces_an_earlier_one() {
+    let mut workers = EndedWorkers::new();
+    workers.settle(&hosts(None), &unreachable(1), Tick(0));
+    assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(100)), [incarnation(1)]);
+    workers.settle(&hosts(None), &unreachable(2), Tick(4000));
+    assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(4100)), [incarnation(2)]);
+    workers.settle(&hosts(None), &unreachable(1), Tick(4200));
+    assert_eq!(notified(&mut workers, SECOND_OWNER, Tick(4300)), [incarnation(2)]);
+}
+
+/// The end of a worker was repeated to successors although a host had the worker again. Where no start
+/// times are known, nothing told the successor that it was about an earlier incarnation.
+#[test]
+fn an_end_is_not_repeated_once_a_host_has_the_worker_again() {
+    let mut workers = EndedWorkers::new();
+    let unknown = Incarnation::new("w".parse().unwrap());
+    let unreachable = [UnreachableWorker { pool: pool(), incarnation: unknown.clone() }];
+    workers.settle(&hosts(None), &unreachable, Tick(0));
+    assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(100)), [unknown]);
+    workers.settle(&hosts(Some("w")), &[], Tick(2000));
+    assert_eq!(notified(&mut workers, SECOND_OWNER, Tick(2100)), []);
+}
