Orders about hosts are settled when their worker is back under its id

If no list was read before the worker was back under its id, the order stayed open for good, and the host was kept out of all moves.

An order names the incarnation that was registered when it was given, and is settled, too, once a later one is registered.

an_order_is_settled_when_the_worker_is_back_under_its_id failed before the change of the condition (nothing settled).

--- a/reachhead_jobs/src/dead_workers.rs
+++ b/reachhead_jobs/src/dead_workers.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     clock::Tick,
-    incarnation::Incarnation,
+    incarnation::{Incarnation, is_newer},
     ports::{PlatformHost, PlatformHostState},
 };
 
@@ -107,11 +107,13 @@
     }
 
     /// Resolves open orders by the platform's list. Only the list is proof: an order is also answered
-    /// with success if it had been carried out before, and the host has a new worker since.
+    /// with success if it had been carried out before, and the host has a new worker since. That worker
+    /// may have the same id: `registered` returns the start of the registered incarnation of a worker.
     pub fn settle(
         &mut self,
         platform_hosts: &BTreeMap<HostId, PlatformHost>,
         unreachable: &[UnreachableWorker],
+        registered: impl Fn(&WorkerId) -> Option<Millis>,
         now: Tick,
     ) -> Settled {
         let mut settled = Settled::default();
@@ -121,8 +123,10 @@
         }
         let has_ended = |host: &HostId, order: &OpenOrder| {
             platform_hosts.get(host).is_none_or(|platform_host| {
+                let Incarnation { worker, started_at } = &order.incarnation;
                 platform_host.state != PlatformHostState::Up
-                    || platform_host.worker.as_ref() != Some(&order.incarnation.worker)
+                    || platform_host.worker.as_ref() != Some(worker)
+                    || is_newer(registered(worker), *started_at)
             })
         };
         let hosts = self.open.iter().filter(|(host, order)| has_ended(host, order));
--- a/reachhead_jobs/tests/dead_workers.rs
+++ b/reachhead_jobs/tests/dead_workers.rs
@@ -6,7 +6,7 @@
 
 use reachhead_jobs::{
     clock::Tick,
-    dead_workers::{EndedWorkers, UnreachableWorker},
+    dead_workers::{EndedWorkers, OpenOrder, Settled, UnreachableWorker},
     incarnation::Incarnation,
     ports::{PlatformHost, PlatformHostState},
 };
@@ -43,6 +43,11 @@
     BTreeMap::from([(host, listed)])
 }
 
+/// Returns a list of workers that has one, with its start.
+fn registered(started_at: u64) -> impl Fn(&WorkerId) -> Option<Millis> {
+    move |id| (*id == incarnation(started_at).worker).then_some(Millis(started_at))
+}
+
 /// Returns the incarnations of which the owner with this lease is notified.
 fn notified(workers: &mut EndedWorkers, lease: Revision, now: Tick) -> Vec<Incarnation> {
     let found = workers.unnotified(|_| Some(lease), now).remove(&pool()).unwrap_or_default();
@@ -54,10 +59,10 @@
 #[test]
 fn each_owner_is_notified_once_of_a_worker_that_stays_gone() {
     let mut workers = EndedWorkers::new();
-    let settled = workers.settle(&hosts(None), &unreachable(1), Tick(0));
+    let settled = workers.settle(&hosts(None), &unreachable(1), registered(1), Tick(0));
     assert_eq!(settled.ended, [(pool(), incarnation(1))]);
     for (lease, now) in [(FIRST_OWNER, Tick(100)), (SECOND_OWNER, Tick(5000))] {
-        workers.settle(&hosts(None), &[], now);
+        workers.settle(&hosts(None), &[], registered(1), now);
         assert_eq!(notified(&mut workers, lease, now), [incarnation(1)]);
         assert_eq!(notified(&mut workers, lease, now), []);
     }
@@ -68,10 +73,10 @@
 #[test]
 fn a_worker_that_ends_again_soon_after_its_restart_is_reported_again() {
     let mut workers = EndedWorkers::new();
-    workers.settle(&hosts(None), &unreachable(1), Tick(0));
+    workers.settle(&hosts(None), &unreachable(1), registered(1), Tick(0));
     assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(100)), [incarnation(1)]);
-    workers.settle(&hosts(Some("w")), &[], Tick(2000));
-    workers.settle(&hosts(None), &unreachable(2), Tick(4000));
+    workers.settle(&hosts(Some("w")), &[], registered(1), Tick(2000));
+    workers.settle(&hosts(None), &unreachable(2), registered(1), Tick(4000));
     assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(4100)), [incarnation(2)]);
 }
 
@@ -79,11 +84,11 @@
 #[test]
 fn a_later_end_replaces_an_earlier_one() {
     let mut workers = EndedWorkers::new();
-    workers.settle(&hosts(None), &unreachable(1), Tick(0));
+    workers.settle(&hosts(None), &unreachable(1), registered(1), Tick(0));
     assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(100)), [incarnation(1)]);
-    workers.settle(&hosts(None), &unreachable(2), Tick(4000));
+    workers.settle(&hosts(None), &unreachable(2), registered(1), Tick(4000));
     assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(4100)), [incarnation(2)]);
-    workers.settle(&hosts(None), &unreachable(1), Tick(4200));
+    workers.settle(&hosts(None), &unreachable(1), registered(1), Tick(4200));
     assert_eq!(notified(&mut workers, SECOND_OWNER, Tick(4300)), [incarnation(2)]);
 }
 
@@ -94,8 +99,24 @@
     let mut workers = EndedWorkers::new();
     let unknown = Incarnation::new("w".parse().unwrap());
     let unreachable = [UnreachableWorker { pool: pool(), incarnation: unknown.clone() }];
-    workers.settle(&hosts(None), &unreachable, Tick(0));
+    workers.settle(&hosts(None), &unreachable, registered(1), Tick(0));
     assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(100)), [unknown]);
-    workers.settle(&hosts(Some("w")), &[], Tick(2000));
+    workers.settle(&hosts(Some("w")), &[], registered(1), Tick(2000));
     assert_eq!(notified(&mut workers, SECOND_OWNER, Tick(2100)), []);
 }
+
+/// An order ended a worker that was back under its id before the platform's hosts were listed again.
+/// The order stayed open, and its host was not moved any more.
+#[test]
+fn an_order_is_settled_when_the_worker_is_back_under_its_id() {
+    let host: HostId = "h".parse().unwrap();
+    let mut workers = EndedWorkers::new();
+    let order = OpenOrder { pool: pool(), incarnation: incarnation(1), maintenance: true };
+    workers.record_order(&host, order);
+    let settled = workers.settle(&hosts(Some("w")), &[], registered(1), Tick(0));
+    assert_eq!(settled, Settled::default(), "the order may have had no effect yet");
+    let settled = workers.settle(&hosts(Some("w")), &[], registered(2), Tick(2000));
+    assert_eq!(settled.maintained, [host.clone()]);
+    assert!(!workers.is_open(&host));
+    assert_eq!(notified(&mut workers, FIRST_OWNER, Tick(2100)), [incarnation(1)]);
+}
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -245,8 +245,12 @@
     /// Determines which workers have been ended by orders, and notifies the owners of their pools.
     async fn settle_ended_workers(&mut self) {
         let now = self.node.now();
-        let settled =
-            self.ended_workers.settle(&self.platform_hosts, self.moves.unreachable(), now);
+        let settled = {
+            let view = self.node.view();
+            let registered = |worker: &WorkerId| view.workers.get(worker)?.started_at;
+            let unreachable = self.moves.unreachable();
+            self.ended_workers.settle(&self.platform_hosts, unreachable, registered, now)
+        };
         for (pool, incarnation) in settled.ended {
             emit(Event::WorkerEnded, format_args!("pool={pool} worker={incarnation}"));
         }
