A restarted worker gets nothing by the registration of the incarnation before

Cause: the first report makes the new incarnation usable at once, by labels, rack and capacity of a registration that is still the old one's.

A worker whose answer is newer than its registration has the obstacle "unregistered" until it is listed. a_new_incarnation_gets_no_tasks_by_the_registration_of_the_old_one failed before (one start by the old label).

--- a/reachhead_jobs/src/obstacle.rs
+++ b/reachhead_jobs/src/obstacle.rs
@@ -14,6 +14,8 @@
     Unlisted,
     /// It is registered, and that incarnation is known to have ended.
     Ended,
+    /// An incarnation answers that has not registered yet, and may be of another kind.
+    Unregistered,
     /// It is not stored as open in the pool's roster.
     Unrostered,
     /// It has not answered this owner.
@@ -64,6 +66,7 @@
         match self {
             Self::Unlisted => "unlisted",
             Self::Ended => "ended",
+            Self::Unregistered => "unregistered",
             Self::Unrostered => "unrostered",
             Self::Unanswered => "unanswered",
             Self::Silent => "silent",
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::{ClockSample, Tick, WorkerTime, with_drift},
     crashes::CrashRole,
-    incarnation::Incarnation,
+    incarnation::{Incarnation, is_newer},
     obstacle::Obstacle,
     orphan::Orphan,
     ports::{MAX_REPORTED_ENDS, WorkerInfo},
@@ -519,6 +519,7 @@
     pub fn obstacle(&self, now: Tick) -> Option<Obstacle> {
         let checks = [
             (!self.listed, Obstacle::Unlisted),
+            (is_newer(self.started_at, self.info.started_at), Obstacle::Unregistered),
             (!self.answered, Obstacle::Unanswered),
             (self.silent, Obstacle::Silent),
             (!self.rostered, Obstacle::Unrostered),
--- a/reachhead_jobs/tests/pool/late_calls.rs
+++ b/reachhead_jobs/tests/pool/late_calls.rs
@@ -38,6 +38,7 @@
     fixture.running.remove(&id);
     fixture.ended.remove(&id);
     fixture.report(&id);
+    fixture.list();
 }
 
 /// Restarts a worker under its id after a call without an answer.
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -3,6 +3,7 @@
 use reachhead_jobs::{
     clock::WorkerTime,
     incarnation::Incarnation,
+    model::Step,
     pool::Action,
     ports::{HoldOrder, Rejection, RunEnd, WorkerError, WorkerReport},
 };
@@ -76,6 +77,7 @@
     }
     restart(&mut fixture);
     fixture.report(&worker("w"));
+    fixture.list();
     fixture.submit_and_start(4, vec![step(1)]);
     let run = fixture.running[&worker("w")][0].run.0;
     fixture.end(&worker("w"), task(4, 0, 0), run, RunEnd::Done);
@@ -108,6 +110,7 @@
     restart(&mut fixture);
     fixture.advance(50);
     fixture.report(&worker("w"));
+    fixture.list();
     assert_eq!(starts_on(&mut fixture).len(), 2);
 }
 
@@ -120,6 +123,7 @@
     let (id, order) = fixture.starts().remove(0);
     restart(&mut fixture);
     fixture.report(&id);
+    fixture.list();
     assert!(starts_on(&mut fixture).is_empty());
     let lost = Err(WorkerError::Lost("no answer".to_owned()));
     fixture.pool.started(&id, order.task, order.run, lost, fixture.now);
@@ -168,6 +172,7 @@
     restart(&mut fixture);
     fixture.advance(50);
     fixture.report(&worker("w"));
+    fixture.list();
     fixture.running.clear();
     let (id, order) = fixture.starts().remove(0);
     fixture.accept(&id, &order);
@@ -244,6 +249,7 @@
         fixture.flush();
         fixture.advance(300);
         fixture.report(&worker("w"));
+        fixture.list();
     }
     fixture.flush();
     assert!(fixture.pool.jobs().is_empty(), "the job is given up");
@@ -261,6 +267,7 @@
     let unanswered = fixture.now;
     restart(&mut fixture);
     fixture.report(&id);
+    fixture.list();
     let rejected = Err(WorkerError::Rejected(Rejection::Unhealthy));
     fixture.pool.started(&id, order.task, order.run, rejected, fixture.now);
     while fixture.now.since(unanswered) < Millis(14_800) {
@@ -281,6 +288,7 @@
     let mut fixture = one_worker();
     restart(&mut fixture);
     fixture.report(&worker("w"));
+    fixture.list();
     fixture.submit_and_start(1, vec![step(1)]);
     fixture.pool.worker_unhosted(&ended(FIRST_START), fixture.now);
     report_progress(&mut fixture);
@@ -339,5 +347,30 @@
     assert!(starts_on(&mut fixture).is_empty(), "the old incarnation is suspended");
     restart(&mut fixture);
     fixture.report(&worker("w"));
+    fixture.list();
     assert_eq!(starts_on(&mut fixture).len(), 3);
 }
+
+/// A worker was back under its id as one of another kind, and its new registration came later: it got
+/// tasks that require the old kind.
+#[test]
+fn a_new_incarnation_gets_no_tasks_by_the_registration_of_the_old_one() {
+    let mut fixture = one_worker();
+    fixture.infos[0].labels = vec!["old".parse().unwrap()];
+    fixture.list();
+    let old = fixture.infos.clone();
+    restart(&mut fixture);
+    fixture.infos[0].labels = vec!["new".parse().unwrap()];
+    fixture.report(&worker("w"));
+    for (id, label) in [(1, "old"), (2, "new")] {
+        let label = Some(label.parse().unwrap());
+        fixture.submit(id, vec![Step { label, ..step(1) }]);
+    }
+    assert_eq!(starts_on(&mut fixture), [], "the answer is newer than the registration");
+    fixture.pool.list(old, fixture.now);
+    assert_eq!(starts_on(&mut fixture), [], "the list is still the old one");
+    fixture.list();
+    fixture.report(&worker("w"));
+    let jobs: Vec<JobId> = fixture.starts().iter().map(|(_, order)| order.task.job).collect();
+    assert_eq!(jobs, [JobId(2)]);
+}
