An answer from a worker's old address is no proof of its death

An answer to a poll that was sent before the address changed, or to an order within 15 s after that, proves no death; the next call goes to the new address.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Processes an answer that another worker is at the address of a call, which was sent at `sent` or
+    /// later. If the worker may have restarted at another address since, only the next call tells
+    /// whether it is there.
+    pub(super) fn worker_replaced(&mut self, id: &WorkerId, sent: Tick, now: Tick) {
+        if self.workers.get(id).is_some_and(|worker| !worker.has_moved_since(sent)) {
+            self.worker_died(id, DeathEvidence::Replaced, now);
+        }
+    }
+
     /// Returns whether a later incarnation of the worker would be known if it was used: its start is
     /// known, or the platform's list of workers, which does not have it, is.
     pub(super) fn is_listing_known(&self, id: &WorkerId) -> bool {
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -371,6 +371,9 @@
                     if is_newer(info.started_at, worker.started_at) {
                         worker.mark_suspect(now);
                     }
+                    if worker.info.address != info.address {
+                        worker.moved_at = Some(now);
+                    }
                     if worker.info.capacity != info.capacity {
                         worker.full_until = Tick(0);
                     }
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -8,9 +8,10 @@
 use crate::{
     clock::{ClockSample, Tick, WorkerTime},
     job::{Phase, Run},
-    pool::{Action, DeathEvidence, NoteKind, Pool},
+    pool::{Action, NoteKind, Pool},
     ports::{Rejection, WorkerError},
     task::TaskId,
+    worker::MAX_ORDER_DELAY,
 };
 
 /// Pause before an unanswered order is resent.
@@ -89,10 +90,12 @@
             }
             Err(error @ WorkerError::Replaced) => {
                 // The incarnation that died never had the run: its successor refused the only order.
-                if !run.unconfirmed {
+                if run.unconfirmed {
+                    run.retry_at = now + ORDER_RETRY_PAUSE;
+                } else {
                     self.drop_unstarted(id, task, number, &error);
                 }
-                self.worker_died(id, DeathEvidence::Replaced, now);
+                self.worker_replaced(id, now - MAX_ORDER_DELAY, now);
             }
             Err(WorkerError::Broken(_)) => {
                 run.unconfirmed = true;
@@ -188,8 +191,7 @@
         // A late stop order bars a run that is over; it prolongs no lease and acknowledges no end.
         self.review = true;
         if result == Err(WorkerError::Replaced) {
-            self.worker_died(id, DeathEvidence::Replaced, now);
-            return;
+            self.worker_replaced(id, now - MAX_ORDER_DELAY, now);
         }
         if result == Err(WorkerError::Rejected(Rejection::Fenced)) {
             self.actions.push(Action::Fenced);
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -45,7 +45,12 @@
     ) {
         match result {
             Ok(report) => self.apply_report(id, sent, report, now),
-            Err(WorkerError::Replaced) => self.worker_died(id, DeathEvidence::Replaced, now),
+            Err(WorkerError::Replaced) => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.poll = Poll::Due(now);
+                }
+                self.worker_replaced(id, sent, now);
+            }
             Err(error) => {
                 if error == WorkerError::Rejected(Rejection::Fenced) {
                     self.actions.push(Action::Fenced);
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -31,7 +31,7 @@
 const PROBATION: Millis = Millis(10_000);
 
 /// How late an unanswered order may still be carried out.
-const MAX_ORDER_DELAY: Millis = Millis(15_000);
+pub(crate) const MAX_ORDER_DELAY: Millis = Millis(15_000);
 
 /// Weight of the newest observation of a worker's speed.
 const SPEED_WEIGHT: f64 = 0.25;
@@ -187,6 +187,8 @@
     pub rostered: bool,
     /// Since when its calls have been failing.
     pub silent_since: Tick,
+    /// When its address last changed, after a restart. Calls that were sent before went to the old one.
+    pub moved_at: Option<Tick>,
     /// When it last answered a call.
     pub last_contact: Tick,
     /// When it became known.
@@ -299,6 +301,7 @@
             listed: true,
             rostered: false,
             silent_since: now,
+            moved_at: None,
             last_contact: now,
             joined: now,
             clock: None,
@@ -333,6 +336,11 @@
         }
     }
 
+    /// Returns whether a call that was sent at `sent` went to an address that it had before.
+    pub fn has_moved_since(&self, sent: Tick) -> bool {
+        self.moved_at.is_some_and(|moved_at| sent <= moved_at)
+    }
+
     /// Returns when its newest known incarnation started: the one that answered or the one that is
     /// registered.
     pub fn newest_start(&self) -> Option<Millis> {
--- a/reachhead_jobs/tests/pool/ended_incarnation.rs
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -1,9 +1,16 @@
 //! Tests of late reports about incarnations of workers that have ended.
 
-use reachhead_jobs::{incarnation::Incarnation, pool::RecoveredState, ports::WorkerInfo};
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_jobs::{
+    incarnation::Incarnation,
+    pool::RecoveredState,
+    ports::{WorkerError, WorkerInfo},
+};
+use reachhead_types::{
+    id::WorkerId,
+    size::{Millis, RunNumber},
+};
 
-use crate::fixture::{Fixture, info, recovered, step, worker};
+use crate::fixture::{Fixture, info, recovered, step, task, worker};
 
 const FIRST_START: u64 = 1000;
 const SECOND_START: u64 = 2000;
@@ -132,3 +139,30 @@
     fixture.list();
     assert_eq!(started_on(&mut fixture), [worker("w")]);
 }
+
+/// A worker restarted at another address, and a call to the old address, where another worker answers
+/// now, was answered after it had registered: the new incarnation was taken for dead, its tasks were
+/// started elsewhere, and its registration was skipped from then on.
+#[test]
+fn an_answer_from_the_old_address_says_nothing_about_the_new_incarnation() {
+    let mut fixture = Fixture::ready(vec![listed(FIRST_START), info("v", 4)]);
+    fixture.submit(1, vec![step(1)]);
+    let sent = fixture.now;
+    fixture.advance(100);
+    let moved = "127.0.0.1:2".parse().unwrap();
+    fixture.infos[0] = WorkerInfo { address: moved, ..listed(SECOND_START) };
+    fixture.list();
+    fixture.pool.held(&worker("w"), sent, Err(WorkerError::Replaced), fixture.now);
+    assert!(fixture.pool.workers().contains_key(&worker("w")), "a poll");
+    for task in [task(1, 0, 0), task(2, 0, 0)] {
+        let (run, replaced) = (RunNumber(1), || Err(WorkerError::Replaced));
+        fixture.pool.started(&worker("w"), task, run, replaced(), fixture.now);
+        fixture.pool.stopped(&worker("w"), task, run, replaced(), fixture.now);
+    }
+    assert!(fixture.pool.workers().contains_key(&worker("w")), "orders");
+    fixture.report(&worker("w"));
+    fixture.list();
+    assert!(fixture.pool.workers()[&worker("w")].obstacle(fixture.now).is_none());
+    fixture.pool.held(&worker("w"), fixture.now, Err(WorkerError::Replaced), fixture.now);
+    assert!(!fixture.pool.workers().contains_key(&worker("w")), "an answer from its address");
+}
