Ends of unknown jobs belong to the incarnation that reported them

When the job is found, the end is applied under the worker's id, and its number is taken for one of the incarnation that answers there now. That one numbers its ends from one and was told to forget ends that no owner had read, whose tasks would start again (TWICE).

Such an end is kept under its incarnation. It still counts for its task; for another incarnation nothing is acknowledged. An end that is reported again by a worker that was removed and listed again takes the incarnation of the newest report.

ends_of_an_earlier_incarnation_are_not_acknowledged_to_the_next_one failed before: 3 ends acknowledged to an incarnation that has reported none.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -10,7 +10,7 @@
     incarnation::is_newer,
     job::{Phase, Run},
     pool::{Action, DeathEvidence, Note, NoteKind, Pool},
-    ports::{EndedEntry, Rejection, RunEnd, RunningEntry, WorkerError, WorkerReport},
+    ports::{EndedEntry, Rejection, RunEnd, RunningEntry, UNLISTED_END, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
     worker::{Poll, UnrecordedEnd},
@@ -262,7 +262,7 @@
         for (task, charge) in &worker.runs {
             if absent(task, charge.run) {
                 gone.push(EndedEntry {
-                    number: 0,
+                    number: UNLISTED_END,
                     task: *task,
                     run: charge.run,
                     end: RunEnd::Lapsed,
@@ -366,7 +366,9 @@
             return;
         }
         self.mark_dirty(entry.task.job);
-        if let Some(worker) = self.workers.get_mut(id) {
+        if entry.number != UNLISTED_END
+            && let Some(worker) = self.workers.get_mut(id)
+        {
             let end = UnrecordedEnd { job: entry.task.job, written: false };
             worker.unrecorded.insert(entry.number, end);
         }
@@ -378,7 +380,7 @@
     fn retain_known_end(&mut self, id: &WorkerId, entry: &EndedEntry) {
         let job = entry.task.job;
         let unsaved = self.jobs.get(&job).filter(|job| !job.recorded).map(|job| job.unsaved);
-        let Some(worker) = self.workers.get_mut(id) else {
+        let Some(worker) = self.workers.get_mut(id).filter(|_| entry.number != UNLISTED_END) else {
             return;
         };
         match unsaved {
--- a/reachhead_jobs/src/pool/unclaimed.rs
+++ b/reachhead_jobs/src/pool/unclaimed.rs
@@ -16,8 +16,9 @@
 
 use crate::{
     clock::Tick,
+    incarnation::Incarnation,
     pool::{NoteKind, Pool},
-    ports::{EndedEntry, RunEnd},
+    ports::{EndedEntry, RunEnd, UNLISTED_END},
     worker::UnrecordedEnd,
 };
 
@@ -35,7 +36,7 @@
 /// A reported end of a run whose job this owner does not know.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct UnclaimedEnd {
-    worker: WorkerId,
+    incarnation: Incarnation,
     entry: EndedEntry,
     since: Tick,
 }
@@ -57,26 +58,25 @@
 }
 
 impl UnclaimedEnds {
-    fn push(&mut self, worker: &WorkerId, entry: &EndedEntry, now: Tick) {
+    fn push(&mut self, incarnation: Incarnation, entry: &EndedEntry, now: Tick) {
         let job = entry.task.job;
         self.lookups.entry(job).or_insert(Lookup::Due(now + LOOKUP_DELAY));
         // A worker that was removed and listed again reports its ends again.
-        let is_known = self.ends.iter().any(|end| {
-            end.worker == *worker && end.entry.task == entry.task && end.entry.run == entry.run
+        let known = self.ends.iter_mut().find(|end| {
+            end.incarnation.worker == incarnation.worker
+                && end.entry.task == entry.task
+                && end.entry.run == entry.run
         });
-        if !is_known {
-            self.ends.push(UnclaimedEnd {
-                worker: worker.clone(),
-                entry: entry.clone(),
-                since: now,
-            });
+        match known {
+            Some(known) => known.incarnation = incarnation,
+            None => self.ends.push(UnclaimedEnd { incarnation, entry: entry.clone(), since: now }),
         }
     }
 
     /// Drops the ends of a worker whose incarnation is over: nothing is acknowledged to it any more,
     /// and the next one numbers its ends from one.
     pub(super) fn drop_worker(&mut self, worker: &WorkerId) {
-        self.ends.retain(|end| end.worker != *worker);
+        self.ends.retain(|end| end.incarnation.worker != *worker);
     }
 
     /// Removes and returns the ends of a job.
@@ -120,16 +120,28 @@
             let end = UnrecordedEnd { job: entry.task.job, written: false };
             worker.unrecorded.insert(entry.number, end);
         }
-        self.unclaimed_ends.push(id, entry, now);
+        let started_at = self.workers.get(id).and_then(|worker| worker.started_at);
+        let incarnation = Incarnation::new(id.clone()).with_start(started_at);
+        self.unclaimed_ends.push(incarnation, entry, now);
     }
 
-    /// Applies the ends that were reported before the job became known.
+    /// Applies the ends that were reported before the job became known. Those of an earlier incarnation
+    /// count as well, but the one that answers now numbers its ends anew.
     pub(super) fn claim_ends(&mut self, id: JobId, now: Tick) {
-        for unclaimed in self.unclaimed_ends.take(id) {
-            self.apply_end(&unclaimed.worker, &unclaimed.entry, now);
+        for UnclaimedEnd { incarnation, mut entry, .. } in self.unclaimed_ends.take(id) {
+            if !self.is_current(&incarnation) {
+                entry.number = UNLISTED_END;
+            }
+            self.apply_end(&incarnation.worker, &entry, now);
         }
     }
 
+    /// Returns whether the incarnation is the one that answers under its id.
+    fn is_current(&self, incarnation: &Incarnation) -> bool {
+        let worker = self.workers.get(&incarnation.worker);
+        worker.is_some_and(|worker| worker.started_at == incarnation.started_at)
+    }
+
     /// Processes the lookup of an unknown job: if the store `answered`, the job is not stored, so
     /// its ends need no record.
     pub(super) fn resolve_unclaimed_ends(&mut self, job: JobId, answered: bool, now: Tick) {
@@ -137,13 +149,16 @@
             self.unclaimed_ends.retry(job, now);
             return;
         }
-        for UnclaimedEnd { worker: id, entry, since } in self.unclaimed_ends.take(job) {
+        for UnclaimedEnd { incarnation, entry, since } in self.unclaimed_ends.take(job) {
             let age = now.since(since);
+            let id = &incarnation.worker;
             self.note(
                 NoteKind::RunLost,
                 format!("task={} worker={id} end=unknown-job age={age}ms", entry.task),
             );
-            if let Some(worker) = self.workers.get_mut(&id) {
+            if self.is_current(&incarnation)
+                && let Some(worker) = self.workers.get_mut(id)
+            {
                 worker.mark_written(job);
                 worker.mark_recorded(job);
             }
--- a/reachhead_jobs/src/ports/mod.rs
+++ b/reachhead_jobs/src/ports/mod.rs
@@ -15,6 +15,6 @@
     operators::{OperatorRow, RowError, RowFormat},
     worker::{
         EndedEntry, HoldOrder, MAX_REPORTED_ENDS, Rejection, RunEnd, RunningEntry, StartOrder,
-        WorkerAgent, WorkerError, WorkerInfo, WorkerReport, WorkerTarget,
+        UNLISTED_END, WorkerAgent, WorkerError, WorkerInfo, WorkerReport, WorkerTarget,
     },
 };
--- a/reachhead_jobs/src/ports/worker.rs
+++ b/reachhead_jobs/src/ports/worker.rs
@@ -131,10 +131,14 @@
     pub metric: u64,
 }
 
+/// Number of an end that the worker does not list, so that nothing is acknowledged for it. Listed ends
+/// are numbered from one.
+pub const UNLISTED_END: u64 = 0;
+
 /// A run that ended on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndedEntry {
-    /// Number of the end within this incarnation of the worker.
+    /// Number of the end within this incarnation of the worker, or [`UNLISTED_END`].
     pub number: u64,
     /// The task.
     pub task: TaskId,
--- a/reachhead_jobs/tests/pool/ended_incarnation.rs
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -2,8 +2,8 @@
 
 use reachhead_jobs::{
     incarnation::Incarnation,
-    pool::RecoveredState,
-    ports::{WorkerError, WorkerInfo},
+    pool::{DeathEvidence, RecoveredState},
+    ports::{RunEnd, WorkerError, WorkerInfo},
 };
 use reachhead_types::{
     id::WorkerId,
@@ -166,3 +166,32 @@
     fixture.pool.held(&worker("w"), fixture.now, Err(WorkerError::Replaced), fixture.now);
     assert!(!fixture.pool.workers().contains_key(&worker("w")), "an answer from its address");
 }
+
+/// An end of an unknown job was reported by an incarnation that has ended since. When the job was
+/// found, the number of that end was kept as one of the new incarnation, which was told to forget its
+/// own ends up to it before anyone had read them, and their tasks started again.
+#[test]
+fn ends_of_an_earlier_incarnation_are_not_acknowledged_to_the_next_one() {
+    let mut fixture = Fixture::ready(vec![listed(FIRST_START)]);
+    for job in 1..=3 {
+        fixture.submit_and_start(job, vec![step(1)]);
+        let run = fixture.running[&worker("w")][0].run.0;
+        fixture.end(&worker("w"), task(job, 0, 0), run, RunEnd::Done);
+        fixture.report(&worker("w"));
+        fixture.flush();
+    }
+    fixture.end(&worker("w"), task(9, 0, 0), 1, RunEnd::Done);
+    fixture.report(&worker("w"));
+    fixture.pool.worker_died(&worker("w"), DeathEvidence::Unhosted, fixture.now);
+    fixture.infos = vec![listed(SECOND_START)];
+    fixture.ended.clear();
+    fixture.list();
+    fixture.report(&worker("w"));
+    fixture.submit(9, vec![step(1)]);
+    assert_eq!(fixture.starts().len(), 0, "the task is done");
+    for _ in 0..2 {
+        fixture.report(&worker("w"));
+        assert_eq!(fixture.pool.workers()[&worker("w")].acknowledged, 0, "it has no ends");
+        fixture.flush();
+    }
+}
