Approvals of a worker end with its incarnation

They are dropped when a worker restarts or is found dead; what a call in flight says of it does not count. a_restarted_worker_is_approved_again_before_it_gets_tasks failed before (a start with the old ticket).

--- a/reachhead_jobs/src/pool/advice.rs
+++ b/reachhead_jobs/src/pool/advice.rs
@@ -42,6 +42,8 @@
 struct Advice {
     /// The workers proposed in the call that is in flight; empty if none is.
     proposed: Vec<WorkerId>,
+    /// Those of them that have restarted since that call, which may be answered for the old incarnation.
+    restarted: BTreeSet<WorkerId>,
     retry_at: Tick,
     verdicts: BTreeMap<WorkerId, Verdict>,
 }
@@ -78,6 +80,16 @@
         }
     }
 
+    /// Drops the verdicts on a worker that has restarted: a ticket is valid for one incarnation.
+    pub(super) fn drop_worker(&mut self, worker: &WorkerId) {
+        for advice in self.steps.values_mut() {
+            advice.verdicts.remove(worker);
+            if advice.proposed.contains(worker) {
+                advice.restarted.insert(worker.clone());
+            }
+        }
+    }
+
     /// Returns the worker's valid ticket for the step.
     pub(super) fn ticket(&self, step: StepId, worker: &WorkerId, now: Tick) -> Option<&String> {
         self.steps.get(&step)?.verdict(worker, now)?.ticket.as_ref()
@@ -156,6 +168,7 @@
             return;
         };
         let proposed = std::mem::take(&mut advice.proposed);
+        let restarted = std::mem::take(&mut advice.restarted);
         advice.retry_at = now + CALL_PAUSE;
         let Some(approvals) = approvals else {
             return;
@@ -163,7 +176,7 @@
         let expires_at = sent + Millis(validity.0.saturating_sub(TICKET_MARGIN.0));
         let mut tickets: BTreeMap<WorkerId, String> =
             approvals.into_iter().map(|approval| (approval.worker, approval.ticket)).collect();
-        for worker in proposed {
+        for worker in proposed.into_iter().filter(|worker| !restarted.contains(worker)) {
             let ticket = tickets.remove(&worker);
             advice.verdicts.insert(worker, Verdict { asked_at: now, expires_at, ticket });
         }
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -107,6 +107,7 @@
             return;
         };
         self.pending.remove(id);
+        self.advice.drop_worker(id);
         self.review = true;
         let dead = worker.latest_ended();
         self.dead_incarnations.insert(id.clone(), dead);
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -57,6 +57,7 @@
         }
         self.bar_lost_orders(id);
         self.unclaimed_ends.drop_worker(id);
+        self.advice.drop_worker(id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.started_at = report.started_at;
             worker.last_processed = 0;
--- a/reachhead_jobs/tests/pool/ended_incarnation.rs
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -1,16 +1,20 @@
 //! Tests of late reports about incarnations of workers that have ended.
 
+use std::sync::Arc;
+
 use reachhead_jobs::{
     incarnation::Incarnation,
-    pool::{DeathEvidence, RecoveredState},
-    ports::{RunEnd, WorkerError, WorkerInfo},
+    model::{AdvicePolicy, Queue},
+    pool::{Action, DeathEvidence, RecoveredState},
+    ports::{Approval, RunEnd, WorkerError, WorkerInfo},
+    record::JobRecord,
 };
 use reachhead_types::{
-    id::WorkerId,
-    size::{Millis, RunNumber},
+    id::{JobId, WorkerId},
+    size::{Millis, Revision, RunNumber},
 };
 
-use crate::fixture::{Fixture, info, recovered, step, task, worker};
+use crate::fixture::{Fixture, info, queue, record, recovered, step, task, worker};
 
 const FIRST_START: u64 = 1000;
 const SECOND_START: u64 = 2000;
@@ -195,3 +199,34 @@
         fixture.flush();
     }
 }
+
+/// Approvals hold for one incarnation: each start on a worker that had restarted was rejected for
+/// want of a ticket.
+#[test]
+fn a_restarted_worker_is_approved_again_before_it_gets_tasks() {
+    let policy =
+        AdvicePolicy { decision: Millis(0), per_worker: Millis(0), validity: Millis(9000) };
+    let advised = Arc::new(Queue { advice: Some(policy), ..Queue::clone(&queue()) });
+    let mut fixture = Fixture::ready(vec![listed(FIRST_START)]);
+    let plan = JobRecord { queue: advised, ..record(vec![step(1)], 0) };
+    fixture.pool.submit(JobId(1), &plan, Revision(51), fixture.now, Millis(fixture.now.0));
+    fixture.poll();
+    fixture.infos = vec![listed(SECOND_START)];
+    let approve = |fixture: &mut Fixture, sent| {
+        let ticket = Approval { worker: worker("w"), ticket: "t".to_owned() };
+        let step = task(1, 0, 0).step_id();
+        fixture.pool.advised(step, Some(vec![ticket]), sent, fixture.now);
+    };
+    let sent = fixture.now;
+    fixture.advance(10);
+    fixture.report(&worker("w"));
+    fixture.list();
+    approve(&mut fixture, sent);
+    assert_eq!(fixture.starts().len(), 0, "the ticket may be of the old incarnation");
+    fixture.advance(300);
+    let asks = fixture.poll().iter().any(|action| matches!(action, Action::Advise(..)));
+    assert!(asks, "the approval does not count");
+    let sent = fixture.now;
+    approve(&mut fixture, sent);
+    assert_eq!(fixture.starts().len(), 1);
+}
