Random schedules in which the ends of restarted workers are reported

The schedules told all owners of a death at once, only while the worker was dead, and never of one that came back under its id. Now a fleet owner, with the record of ended workers of the product, notifies the newest owner: late, again after a lost answer, and each successor. Workers are down for up to six seconds and listed meanwhile, refuse connections, crash together with the owner, and are cut off from a successor.

--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -88,6 +88,18 @@
     check("restarts", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+/// A fleet owner notifies the newest owner of workers that have ended, late and repeatedly, while they
+/// are down for a while, back under their ids, or cut off. Guards against taking the end of one
+/// incarnation for that of the next: its tasks were started elsewhere beside their runs, or it was
+/// never used again.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_the_ends_of_restarted_workers_are_reported() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_fleet_owner(), acts)
+    }
+    check("reported ends", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
 /// Jobs are handed to a predecessor that does not notice its successor, which finds them later.
 /// Guards against starting a task beside the run that the predecessor has just ordered.
 #[test]
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -32,6 +32,7 @@
 
 mod acts;
 mod faults;
+mod fleet;
 mod invariants;
 mod messages;
 mod outages;
@@ -41,6 +42,7 @@
 mod waiting;
 
 use faults::WorkerFaults;
+use fleet::FleetOwner;
 use outages::{LongPoll, Outages};
 use waiting::WaitingTasks;
 
@@ -105,6 +107,10 @@
     Commit { owner: usize, batch: Box<Batch>, answered: bool },
     /// Owners learn that a worker is dead.
     Dead(Incarnation),
+    /// The fleet owner notifies an owner of ended workers.
+    Notice { owner: usize, ended: Vec<Incarnation> },
+    /// A worker that is down starts again under its id.
+    Restart(WorkerId),
     /// A worker joins.
     Join,
     /// The workers of a rack go dark for this time.
@@ -201,6 +207,8 @@
     faults: Option<WorkerFaults>,
     /// Workers that have gone dark, in schedules with outages.
     outages: Option<Outages>,
+    /// The fleet owner, in schedules with one.
+    fleet: Option<FleetOwner>,
     /// Long-running tasks that wait, and what disturbed the pool.
     waiting: WaitingTasks,
     pub violations: Vec<String>,
@@ -268,6 +276,7 @@
             culprits: BTreeMap::new(),
             faults: None,
             outages: None,
+            fleet: None,
             waiting: WaitingTasks::default(),
             violations: Vec::new(),
         };
@@ -354,7 +363,8 @@
             draining: self.draining.contains(id),
         };
         let dark = self.outages.iter().flat_map(Outages::infos);
-        self.workers.iter().map(info).chain(dark).collect()
+        let down = self.fleet.iter().flat_map(|fleet| fleet.infos(self.now));
+        self.workers.iter().map(info).chain(dark).chain(down).collect()
     }
 
     fn list(&mut self) {
@@ -388,6 +398,7 @@
             self.now += STEP;
             self.deliver();
             self.advance_workers();
+            self.run_fleet();
             self.poll_owners();
             self.check_waiting_tasks();
         }
--- a/reachhead_jobs/tests/random_schedules/simulation/acts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/acts.rs
@@ -26,7 +26,7 @@
         if self.faults.is_some() {
             return self.act_with_faults(kind, choice, span);
         }
-        let is_special = self.abandoning || self.cutting_zones;
+        let is_special = self.abandoning || self.cutting_zones || self.fleet.is_some();
         let kind = if is_special && choice % 4 == 0 { 13 } else { kind % 14 };
         self.perform(kind, choice, span);
         self.run(span % 700);
@@ -58,6 +58,7 @@
                 }
             }
             8 => self.cut_worker(choice, self.now + span),
+            9 if self.fleet.is_some() => self.crash_for_a_while(choice, span),
             9 => {
                 if let Some(id) = self.pick(choice) {
                     self.crash(&id);
@@ -69,6 +70,7 @@
             12 => self.drain_and_take(choice),
             _ if self.abandoning => self.abandon_takeovers(choice, span),
             _ if self.cutting_zones => self.cut_zone(choice, span),
+            _ if self.fleet.is_some() => self.replace_owner(choice / 4, span),
             _ => self.take_over_partially(usize::from(choice % 4), 40 + span / 4),
         }
     }
@@ -101,6 +103,7 @@
 
     pub(super) fn crash(&mut self, id: &WorkerId) {
         let started_at = self.workers.get(id).and_then(|incarnation| incarnation.born);
+        self.keep_registration(id);
         self.remove_worker(id);
         // A worker that restarts under its id is not reported as dead.
         if self.crashing || self.faults.is_some() && !self.restarting {
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -91,6 +91,8 @@
                     }
                 }
                 Event::Dead(ended) => self.report_dead(&ended),
+                Event::Notice { owner, ended } => self.notify_of_ends(owner, ended),
+                Event::Restart(id) => self.restart_after_crash(id),
                 Event::Join => self.add_worker(),
                 Event::DarkenRack(rack, dark_time) => self.darken_rack(rack, dark_time),
                 Event::Replace(id) => self.replace(&id),
@@ -124,7 +126,15 @@
         let now = self.now;
         let workers_cut = self.owners[owner].workers_cut.clone();
         let reach = |id: &WorkerId| workers_cut.get(id).is_none_or(|until| *until <= now);
-        let gone = || WorkerError::Unreachable("no such worker".to_owned());
+        let is_down = |id: &WorkerId| self.fleet.as_ref().is_some_and(|fleet| fleet.is_down(id));
+        let gone = match action {
+            Action::Hold(target, _) | Action::Start(target, _) | Action::Stop(target, ..)
+                if is_down(&target.id) && reach(&target.id) =>
+            {
+                || WorkerError::PortClosed("the worker is down".to_owned())
+            }
+            _ => || WorkerError::Unreachable("no such worker".to_owned()),
+        };
         match action {
             Action::Hold(target, order) => {
                 let incarnation = self.workers.get_mut(&target.id).filter(|_| reach(&target.id));
