A refused connection counts for the incarnation that was known then

By reading: the owner of a pool reports workers that refuse connections with the newest start that it knows, and that may be of a registration which came after the refused call. The list of hosts would then prove the wrong incarnation dead.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -371,6 +371,10 @@
                     if is_newer(info.started_at, worker.started_at) {
                         worker.mark_suspect(now);
                     }
+                    if worker.info.started_at != info.started_at {
+                        // What refused the connection may have been an earlier incarnation.
+                        worker.port_closed = false;
+                    }
                     if worker.info.address != info.address {
                         worker.moved_at = Some(now);
                     }
--- a/reachhead_jobs/tests/pool/ended_incarnation.rs
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -70,6 +70,23 @@
     assert!(!fixture.pool.workers().contains_key(&worker("w")), "no later one is listed");
 }
 
+/// A worker that had refused a connection was reported with the start of the incarnation that
+/// registered after that, and the list of hosts could prove the wrong one dead.
+#[test]
+fn a_refused_connection_says_nothing_about_an_incarnation_that_registers_later() {
+    let mut fixture = Fixture::ready(vec![listed(FIRST_START)]);
+    fixture.refuse_connection(&worker("w"));
+    let deserted = |fixture: &mut Fixture| -> Vec<Incarnation> {
+        fixture.pool.load(fixture.now).deserted_incarnations().collect()
+    };
+    assert_eq!(deserted(&mut fixture), [ended(Some(FIRST_START))]);
+    fixture.infos = vec![listed(SECOND_START)];
+    fixture.list();
+    assert_eq!(deserted(&mut fixture), []);
+    fixture.refuse_connection(&worker("w"));
+    assert_eq!(deserted(&mut fixture), [ended(Some(SECOND_START))]);
+}
+
 /// The notification spares a successor the wait for leases on workers that are gone, which answer
 /// nothing.
 #[test]
