--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -22,6 +22,9 @@
     task::{StepId, TaskId},
 };
 
+/// Maximum number of workers named in one log line.
+const MAX_NAMED_WORKERS: usize = 4;
+
 /// Minimum time between two checks, since a check looks at every job.
 const CHECK_PERIOD: Millis = Millis(500);
 
@@ -223,13 +226,14 @@
         let waiting = self.waiting_long_running();
         self.unplaced.update(waiting, now);
         let mut logged = 0;
+        let awaited = self.describe_awaited(now);
         for id in self.unplaced.longest() {
             let finding = self.examine_step(id, now);
             let Some(step) = self.unplaced.steps.get_mut(&id) else {
                 continue;
             };
             let line = (logged < MAX_LOGGED_STEPS && step.is_log_due(now))
-                .then(|| describe(id, step, &finding, now));
+                .then(|| describe(id, step, &finding, now) + &awaited);
             step.finding = Some(finding);
             if let Some(line) = line {
                 step.logged_at = Some(now);
@@ -239,6 +243,19 @@
         }
     }
 
+    /// Returns the part of a log line that names the workers of predecessors that have not answered,
+    /// and the longest time until their runs are over; empty if all have.
+    fn describe_awaited(&self, now: Tick) -> String {
+        if self.pending.is_empty() {
+            return String::new();
+        }
+        let named: Vec<&str> =
+            self.pending.keys().take(MAX_NAMED_WORKERS).map(WorkerId::as_str).collect();
+        let others = self.pending.len().saturating_sub(MAX_NAMED_WORKERS);
+        let left = self.remaining_takeover_delay(now);
+        format!(" awaited={} others={others} left={left}ms", named.join(","))
+    }
+
     /// Returns the long-running tasks without a run whose steps are ready, by step.
     fn waiting_long_running(&self) -> BTreeMap<StepId, Vec<u32>> {
         let mut waiting = BTreeMap::new();
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -377,12 +377,13 @@
     emit(
         Event::LeaseTaken,
         format_args!(
-            "pool={pool} token={} term={} jobs={} workers={} before={:?}",
+            "pool={pool} token={} term={} jobs={} workers={} before={:?} took={}ms effect={order_effect}ms",
             lease.revision,
             lease.record.term,
             recovered.jobs.len(),
             recovered.roster.workers.len(),
-            known.and_then(|known| known.record.owner)
+            known.and_then(|known| known.record.owner),
+            node.now().since(lease_sent_at)
         ),
     );
     let state = Pool::new(
