--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -91,7 +91,7 @@
     MinionRestored 501 Info;
     /// A minion announced that it is shutting down.
     MinionLeaving 502 Info;
-    /// This host became the owner of a pool.
+    /// This host became the owner of a pool: the owner before, how long the takeover took, and for how long orders of earlier owners may have effect.
     LeaseTaken 600 Info;
     /// This host is no longer the owner of a pool.
     LeaseEnded 601 Info;
@@ -147,7 +147,7 @@
     DispatchChanged 717 Info;
     /// A process that sends orders for the owner of a pool is excluded for a while: why, and how many orders it had.
     DispatcherExcluded 718 Warn;
-    /// Long-running tasks of a step have had no run for a while: how many, for how long, why, and what keeps each worker from taking them.
+    /// Long-running tasks of a step have had no run for a while: how many, for how long, why, what keeps each worker from taking them, and the predecessors' workers that have not answered.
     TaskUnplaced 719 Warn;
     /// A maintenance wave started, continued under another owner, or completed.
     WaveChanged 720 Info;
