--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -1,4 +1,5 @@
-//! A process does not go on claiming a pool whose owner or takeover has panicked.
+//! A process does not go on claiming a pool whose owner or takeover has panicked, or that it took over
+//! while it was asked to end.
 
 use std::{
     io::{Read, Write},
@@ -8,10 +9,12 @@
     time::Duration,
 };
 
+use reachhead_jobs::record::{LeaseRecord, lease_key};
 use reachhead_ops::{http, runtime};
+use reachhead_store::Store;
 
 use super::*;
-use crate::{peer::PeerHandler, tests::broken_node};
+use crate::{peer::PeerHandler, process, tests::broken_node};
 
 /// How long a process is paused: longer than the event loop of an owner may stand still.
 const PAUSE: Duration = Duration::from_millis(3000);
@@ -62,6 +65,31 @@
     });
 }
 
+/// Guards against a takeover under way at SIGTERM: its owner started after the others had been
+/// released, and kept the pool until the process ended without giving it back.
+#[test]
+fn a_process_that_is_asked_to_end_gives_back_the_pool_that_it_is_taking_over() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store, stop) = broken_node::stoppable_node();
+        store.scan_time.store(500, Ordering::Relaxed);
+        let policy = PoolPolicy { name: pool(), rejects_overload: false, spare: false };
+        let takeover = run_takeover(Arc::clone(&node), pool(), Some(policy), None);
+        let takeover = tokio::spawn(takeover);
+        time::sleep(Duration::from_millis(100)).await;
+        assert!(node.loading().contains_key(&pool()));
+        stop.send(true).unwrap();
+        let released = time::timeout(Duration::from_millis(300), process::release_all(&node)).await;
+        assert!(released.is_ok(), "the next owner waits for the reads of this one");
+        takeover.await.unwrap();
+        let rows = store.read(vec![lease_key(&pool())]).await.unwrap();
+        let lease: LeaseRecord = rows[0].as_ref().unwrap().parse().unwrap();
+        assert_eq!(lease.owner, None, "the pool was not given back");
+        assert_eq!(lease.abandoned, 0, "the pool's rows can be read");
+        assert!(!claims_pool(&node).await, "an owner was started");
+        assert!(!node.ability().is_unreadable(&pool()));
+    });
+}
+
 /// Sends a ping to a process over an open connection and returns its answer.
 fn ping(stream: &mut TcpStream) -> String {
     let request = "POST /peer HTTP/1.1\r\nhost: x\r\ncontent-length: 6\r\n\r\n\"ping\"";
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -260,7 +260,7 @@
 }
 
 /// Releases all pools, so that peers can take them over.
-async fn release_all(node: &Node) {
+pub(crate) async fn release_all(node: &Node) {
     let handles: Vec<_> = node.owned().values().cloned().collect();
     let mut waits = Vec::new();
     for handle in handles {
--- a/reachhead_node/src/tests/broken_node.rs
+++ b/reachhead_node/src/tests/broken_node.rs
@@ -1,8 +1,11 @@
 //! A process on a platform that answers nothing, whose store panics where a test says so.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU32, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use futures::future::{BoxFuture, FutureExt};
@@ -22,7 +25,7 @@
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
 use reachhead_types::size::{Millis, Revision, RunNumber};
-use tokio::sync::watch;
+use tokio::{sync::watch, time};
 
 use crate::{
     metrics::Metrics,
@@ -53,6 +56,8 @@
     rows: MemoryStore,
     /// Number of scans that panic.
     pub scans: AtomicU32,
+    /// How long a scan takes, in milliseconds.
+    pub scan_time: AtomicU64,
     /// Number of commits that panic.
     pub commits: AtomicU32,
 }
@@ -71,6 +76,7 @@
     fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
         async move {
             panic_once(&self.scans);
+            time::sleep(Duration::from_millis(self.scan_time.load(Ordering::Relaxed))).await;
             self.rows.scan(scan).await
         }
         .boxed()
@@ -142,9 +148,16 @@
 
 /// Returns a process and its store.
 pub fn node() -> (Arc<Node>, Arc<BrokenStore>) {
+    let (node, store, _) = stoppable_node();
+    (node, store)
+}
+
+/// Returns a process, its store, and the sender that requests its shutdown.
+pub fn stoppable_node() -> (Arc<Node>, Arc<BrokenStore>, watch::Sender<bool>) {
     let store = Arc::new(BrokenStore {
         rows: MemoryStore::new(),
         scans: AtomicU32::new(0),
+        scan_time: AtomicU64::new(0),
         commits: AtomicU32::new(0),
     });
     let services = Services {
@@ -158,6 +171,6 @@
     let metrics = Metrics::new(&mut prometheus_client::registry::Registry::default());
     let peers = PeerClient::new(Arc::new(HttpClient::new()));
     let settings = Settings::parse(SETTINGS).unwrap();
-    let stopping = watch::channel(false).1;
-    (Arc::new(Node::new(settings, services, peers, metrics, stopping)), store)
+    let (stop, stopping) = watch::channel(false);
+    (Arc::new(Node::new(settings, services, peers, metrics, stopping)), store, stop)
 }
