Give back pools that are being taken over when shutdown is requested

Cause: release_all asked the owners that existed at SIGTERM. A takeover under way went on, started an owner, and nobody asked that one to release the pool. It served until the process ended and left a lease that names a dead process. The class: work that begins before a stop request and is completed after it.

Change: reads of a takeover end with the request, and its lease is released with the time for which orders of earlier owners count, not counted as an abandoned takeover, since its rows can be read. release_all waits for takeovers, and an owner that starts during shutdown, as after a lease write that was in flight, releases its pool at once.

--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -203,18 +203,25 @@
     }
 
     /// Returns the record with which a process releases this lease because it could not read the
-    /// pool's rows. It has given no orders; those of earlier owners could have effect for
-    /// `order_effect` when it took the lease. None of that time counts as passed: as long as a shard
-    /// is not fenced, an owner that does not see the lease takes its commits there as a confirmation.
+    /// pool's rows; see [`LeaseRecord::returned`].
     #[must_use]
-    pub const fn abandoned(&self, order_effect: Millis) -> Self {
+    pub fn abandoned(&self, order_effect: Millis) -> Self {
+        Self { abandoned: self.abandoned + 1, ..self.returned(order_effect) }
+    }
+
+    /// Returns the record with which a process releases this lease before it has read the pool's rows.
+    /// It has given no orders; those of earlier owners could have effect for `order_effect` when it
+    /// took the lease. None of that time counts as passed: as long as a shard is not fenced, an owner
+    /// that does not see the lease takes its commits there as a confirmation.
+    #[must_use]
+    pub const fn returned(&self, order_effect: Millis) -> Self {
         Self {
             owner: None,
             address: None,
             term: self.term,
             settled: false,
             unsettled_for: Some(order_effect),
-            abandoned: self.abandoned + 1,
+            abandoned: self.abandoned,
             knows_storer: self.knows_storer,
         }
     }
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -355,33 +355,56 @@
     }
 }
 
-/// Ends a takeover, and returns whether it succeeded. `result` is `None` if it has been given up; then
-/// the lease is released.
+/// How the reads of a takeover ended.
+#[derive(Debug)]
+pub enum Loaded {
+    /// The state was read; `None` if the lease is lost.
+    Ended(Option<RecoveredState>),
+    /// They were given up, since this process can't read the pool's rows.
+    Stuck,
+    /// They were given up, since shutdown was requested.
+    Stopping,
+}
+
+/// Ends a takeover, and returns the pool's state if it succeeded. The lease of one that was given up
+/// is released.
 pub async fn end_takeover(
     node: &Node,
     pool: &PoolName,
     lease: &LeaseView,
     order_effect: Millis,
-    result: Option<Option<RecoveredState>>,
+    loaded: Loaded,
 ) -> Option<RecoveredState> {
-    let takeover = node.loading().remove(pool);
-    let Some(recovered) = result else {
-        let now = node.now();
-        node.ability().record_unreadable(pool, now);
-        if let Some(takeover) = takeover {
-            let age = now.since(takeover.started);
-            emit(Event::TakeoverSlow, format_args!("pool={pool} {takeover} age={age}ms given up"));
+    // A process that is shutting down waits until no takeover is left here.
+    let takeover = node.loading().get(pool).cloned();
+    let recovered = match loaded {
+        Loaded::Ended(recovered) => recovered,
+        Loaded::Stuck => {
+            let now = node.now();
+            node.ability().record_unreadable(pool, now);
+            if let Some(takeover) = takeover {
+                let age = now.since(takeover.started);
+                emit(
+                    Event::TakeoverSlow,
+                    format_args!("pool={pool} {takeover} age={age}ms given up"),
+                );
+            }
+            node.loading().remove(pool);
+            takeover::release(node, pool, lease, lease.record.abandoned(order_effect)).await;
+            return None;
+        }
+        Loaded::Stopping => {
+            log::info!("pool={pool} token={} takeover ended by shutdown", lease.revision);
+            takeover::release(node, pool, lease, lease.record.returned(order_effect)).await;
+            node.loading().remove(pool);
+            return None;
         }
-        takeover::abandon(node, pool, lease, order_effect).await;
-        return None;
     };
+    node.loading().remove(pool);
     if recovered.is_some() {
         node.ability().record_readable(pool);
     } else {
-        log::info!(
-            "pool={pool} token={} takeover abandoned, the lease is lost or the process is stopping",
-            lease.revision
-        );
+        log::info!("pool={pool} token={} takeover abandoned, the lease is lost", lease.revision);
     }
     recovered
 }
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -20,13 +20,13 @@
     id::{NodeName, PoolName},
     size::{FencingToken, Millis, Revision},
 };
-use tokio::{task::JoinHandle, time};
+use tokio::{sync::oneshot, task::JoinHandle, time};
 
 use crate::{
-    claim::{self, Takeover},
+    claim::{self, Loaded, Takeover},
     fleet,
     node::Node,
-    owner::{Outcome, Owner, OwnerHandle},
+    owner::{Input, Outcome, Owner, OwnerHandle},
     takeover::{self, Loader},
     view::{LeaseView, View},
 };
@@ -365,8 +365,9 @@
     node.pool_acquired.notify_one();
     let order_effect = order_effect(&node, &pool, known.as_ref());
     let loaded = tokio::select! {
-        loaded = load(&node, &pool, lease.revision, order_effect) => Some(loaded),
-        () = claim::wait_until_stuck(&node, &pool) => None,
+        loaded = load(&node, &pool, lease.revision, order_effect) => Loaded::Ended(loaded),
+        () = claim::wait_until_stuck(&node, &pool) => Loaded::Stuck,
+        () = node.stopped() => Loaded::Stopping,
     };
     let recovered = claim::end_takeover(&node, &pool, &lease, order_effect, loaded).await;
     let Some(mut recovered) = recovered else {
@@ -415,6 +416,10 @@
     owner: impl Future<Output = Outcome> + Send + 'static,
 ) {
     let token = handle.token;
+    if node.is_stopping() {
+        // The lease was taken while shutdown began, and the other owners have been released.
+        handle.send(Input::Release(oneshot::channel().0));
+    }
     node.owned().insert(pool.clone(), handle);
     let node = Arc::clone(node);
     tokio::spawn(async move {
@@ -446,7 +451,7 @@
         }
         time::sleep(LOAD_RETRY_PAUSE).await;
         let held = node.view().leases.get(pool).is_some_and(|lease| lease.revision == token);
-        if !held || node.is_stopping() {
+        if !held {
             return None;
         }
     }
@@ -474,7 +479,7 @@
             view.workers_loaded.then(|| own.cloned().collect())
         };
         if let Some(workers) = workers {
-            handle.send(crate::owner::Input::WorkersListed(workers));
+            handle.send(Input::WorkersListed(workers));
         }
         if changed.changed().await.is_err() {
             return;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    future,
     sync::{Arc, Mutex, MutexGuard, Weak},
 };
 
@@ -294,6 +295,14 @@
         *self.stopping.borrow()
     }
 
+    /// Waits until shutdown is requested.
+    pub async fn stopped(&self) {
+        // The sender lives as long as the process; without one, shutdown is never requested.
+        if self.stopping.clone().wait_for(|stopping| *stopping).await.is_err() {
+            future::pending::<()>().await;
+        }
+    }
+
     /// Returns how long the store has been unavailable to this process, if it is: the last call
     /// failed, and the last answer is older than an idle process's polls explain.
     pub fn store_outage(&self) -> Option<Millis> {
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -89,6 +89,9 @@
 /// missed readiness checks, a second apart.
 const DRAIN_PERIOD: Duration = Duration::from_millis(2400);
 
+/// Interval between two checks whether all pools are released.
+const RELEASE_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
 /// Part of the platform's grace period that is left unused at its end.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
 
@@ -141,7 +144,7 @@
     emit(Event::ShutdownBegun, format_args!("node={}", node.settings.node));
     let begun = time::Instant::now();
     let _ = stop.send(true);
-    release_all(&node).await;
+    let _ = time::timeout_at(begun + DRAIN_PERIOD, release_all(&node)).await;
     time::sleep_until(begun + DRAIN_PERIOD).await;
     let _ = close.send(true);
     let end = begun + node.settings.grace_period.duration().saturating_sub(SHUTDOWN_MARGIN);
@@ -259,18 +262,22 @@
     }
 }
 
-/// Releases all pools, so that peers can take them over.
+/// Releases all pools, so that peers can take them over. Takeovers under way end by themselves, or with an
+/// owner that is released here.
 pub(crate) async fn release_all(node: &Node) {
-    let handles: Vec<_> = node.owned().values().cloned().collect();
-    let mut waits = Vec::new();
-    for handle in handles {
-        let (sender, receiver) = oneshot::channel();
-        handle.send(Input::Release(sender));
-        waits.push(receiver);
-    }
-    for wait in waits {
-        // An owner that has ended on its own drops its side of the channel.
-        let _ = wait.await;
+    while node.owns_any() {
+        let handles: Vec<_> = node.owned().values().cloned().collect();
+        let mut waits = Vec::new();
+        for handle in handles {
+            let (sender, receiver) = oneshot::channel();
+            handle.send(Input::Release(sender));
+            waits.push(receiver);
+        }
+        for wait in waits {
+            // An owner that has ended on its own drops its side of the channel.
+            let _ = wait.await;
+        }
+        time::sleep(RELEASE_CHECK_PERIOD).await;
     }
 }
 
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -111,11 +111,9 @@
     if has_abandoned { known.record.abandoned + 1 } else { 0 }
 }
 
-/// Releases the lease of a takeover that was abandoned, so that another process takes the pool at
-/// once. `order_effect` is how long orders of an earlier owner could have effect when the lease was
-/// taken.
-pub async fn abandon(node: &Node, pool: &PoolName, lease: &LeaseView, order_effect: Millis) {
-    let record = lease.record.abandoned(order_effect);
+/// Releases the lease of a takeover that was given up, so that another process takes the pool at once.
+/// `record` is the released lease.
+pub async fn release(node: &Node, pool: &PoolName, lease: &LeaseView, record: LeaseRecord) {
     let key = lease_key(pool);
     let txn =
         Txn::new().with_check(key.clone(), Some(lease.revision)).with_write(key, value(&record));
