--- a/reachhead_jobs/tests/pool/notes.rs
+++ b/reachhead_jobs/tests/pool/notes.rs
@@ -133,7 +133,8 @@
     let mut fixture = Fixture::new(found, vec![info("w1", 16)]);
     assert_told(
         &mut fixture,
-        "why=predecessor-workers compared=0 fitting=0 workers=unlisted:1,unrostered:1",
+        "why=predecessor-workers compared=0 fitting=0 workers=unlisted:1,unrostered:1 \
+         awaited=lost others=0 left=6466ms",
     );
 
     let mut fixture = two_workers();
