Tests of an owner that gives its pool back

On a platform that records calls: the owner is asked for its pool while the store leaves a record or the release undecided. Two of the three fail, and are listed: in the 0.8 s of the last records no lease is renewed, and a job that arrives with the request is started after the release was written. The third holds, that an owner without open records releases its pool at once.

--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -506,3 +506,7 @@
 #[cfg(test)]
 #[path = "tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "release_tests.rs"]
+mod release_tests;
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -1,8 +1,10 @@
 //! An owner that waits for a result that never comes, or learns of a successor, gives its pool up.
 
 use reachhead_jobs::{
+    model::{Plan, Queue, Step},
     pool::{PoolTimeouts, RecoveredState},
     ports::WorkerInfo,
+    record::JobRecord,
 };
 use reachhead_ops::runtime;
 use reachhead_types::size::Revision;
@@ -10,9 +12,13 @@
 use super::*;
 use crate::{takeover, tests::broken_node};
 
-fn worker() -> WorkerInfo {
+pub(super) fn worker() -> WorkerInfo {
+    worker_named("w")
+}
+
+pub(super) fn worker_named(id: &str) -> WorkerInfo {
     WorkerInfo {
-        id: "w".parse().unwrap(),
+        id: id.parse().unwrap(),
         started_at: None,
         pool: "a".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
@@ -25,13 +31,38 @@
 }
 
 async fn owner() -> Owner {
-    let (node, _) = broken_node::node();
+    owner_in(broken_node::node().0).await
+}
+
+/// Returns a job of one task that needs nothing.
+pub(super) fn job(id: u64) -> AcceptedJob {
+    let queue = Queue {
+        name: "q".parse().unwrap(),
+        host: "h".to_owned(),
+        prefix: "/q/".to_owned(),
+        pool: "a".parse().unwrap(),
+        priority: 0,
+        attempts: 3,
+        stretch: 2.0,
+        target: Millis(600),
+        advice: None,
+        allows_anonymous: true,
+    };
+    let step = Step { count: 1, estimate: Millis(1000), ..Step::default() };
+    let plan = Plan { payload: "x".into(), steps: vec![step], schedule: None };
+    let (queue, plan) = (Arc::new(queue), Arc::new(plan));
+    let record = JobRecord { queue, plan, accepted: Millis(0), customer: None, stored_by: None };
+    AcceptedJob { id: JobId(id), record, row: Revision(1000 + id) }
+}
+
+/// Returns the owner of pool "a" in this process.
+pub(super) async fn owner_in(node: Arc<Node>) -> Owner {
     let name = "a".parse().unwrap();
     let token = takeover::take(&node, &name, None).await.unwrap().unwrap().revision;
     let timeouts = PoolTimeouts {
         hold: Millis(4000),
         trust: Millis(4000),
-        wait: Millis(1000),
+        wait: Millis(100),
         notice: Millis(4500),
         gang: Millis(3000),
         stop: Millis(400),
--- a/reachhead_node/src/tests/broken_node.rs
+++ b/reachhead_node/src/tests/broken_node.rs
@@ -86,7 +86,7 @@
 }
 
 /// A platform that answers nothing, and whose workers' reports make the call panic.
-struct Silent;
+pub struct Silent;
 
 impl TableFeed for Silent {
     fn table(&self, _: &'static str) -> BoxFuture<'_, Result<FeedPage, StoreError>> {
@@ -147,10 +147,15 @@
         scans: AtomicU32::new(0),
         commits: AtomicU32::new(0),
     });
+    (with_services(Arc::<BrokenStore>::clone(&store) as _, Arc::new(Silent)), store)
+}
+
+/// Returns a process with this store and these workers, which learns of no change of a table.
+pub fn with_services(store: Arc<dyn Store>, workers: Arc<dyn WorkerAgent>) -> Arc<Node> {
     let services = Services {
-        store: Arc::<BrokenStore>::clone(&store),
+        store,
         feed: Arc::new(Silent),
-        workers: Arc::new(Silent),
+        workers,
         hosts: None,
         advisor: None,
         row_format: Arc::new(PlatformRowFormat::new()),
@@ -159,5 +164,5 @@
     let peers = PeerClient::new(Arc::new(HttpClient::new()));
     let settings = Settings::parse(SETTINGS).unwrap();
     let stopping = watch::channel(false).1;
-    (Arc::new(Node::new(settings, services, peers, metrics, stopping)), store)
+    Arc::new(Node::new(settings, services, peers, metrics, stopping))
 }
--- a/reachhead_node/src/tests/mod.rs
+++ b/reachhead_node/src/tests/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod broken_node;
 pub mod idle_node;
+pub mod recorded_node;
