An owner that gives its pool back goes on renewing leases

What callers saw: when the owner of a pool was stopped, long-running tasks on healthy workers stood still (E703 `Lapsed`), most of all behind a backlog on a narrow link.

Cause: the owner left its event loop at the request, then waited up to 0.8 s for its last records and up to 0.8 s for the release. In that time it polled no worker, so all leases were as much older when the successor called. A transaction that was under way at the request was not waited for; the last one of its lane was sent beside it and lost.

Now the loop goes on until the last transaction of each lane is decided, or 0.8 s are over. It polls and renews, and starts nothing: the round has no budget for starts, so none is resent either, jobs are not scanned, and dispatchers are not changed. Then the release is written, and nothing is ordered after it, whether it is answered or not. Orders decided on before it carry deadlines of that time, so what the release tells a successor stays true. If the lease is lost meanwhile nothing is written. E601 says how the owner ended, and how long a release took since the request.

Evidence: owner::release::tests.

--- a/reachhead_jobs/src/start_pace.rs
+++ b/reachhead_jobs/src/start_pace.rs
@@ -74,6 +74,11 @@
         Self { bytes: f64::INFINITY, core_time: f64::INFINITY, dispatched: None }
     }
 
+    /// Returns a budget that has no room for any order.
+    pub const fn empty() -> Self {
+        Self { bytes: 0.0, core_time: 0.0, dispatched: None }
+    }
+
     /// Returns whether another order may be sent.
     pub fn has_room(self) -> bool {
         self.bytes > 0.0 && self.core_time > 0.0 && self.dispatched.is_none_or(|left| left > 0.0)
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -34,7 +34,12 @@
 use tokio::time;
 
 use crate::{
-    election, fleet, follow::LEASE_TABLE, node::Node, owner::OwnerHandle, takeover, view::LeaseView,
+    election, fleet,
+    follow::LEASE_TABLE,
+    node::Node,
+    owner::{Outcome, OwnerHandle},
+    takeover,
+    view::LeaseView,
 };
 
 /// Interval between two checks of the takeovers.
@@ -488,7 +493,7 @@
         let replaced =
             node.view().leases.get(&pool).is_some_and(|lease| lease.revision > owner.token);
         if replaced && !is_serving(owner.pulse.turned(), running_since, now) {
-            election::release(node, &pool, owner.token);
+            election::release(node, &pool, owner.token, Outcome::GivenUp);
         }
     }
 }
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -418,8 +418,9 @@
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let ended = supervise::run(format!("owner of pool {pool}"), owner).await;
-        release(&node, &pool, token);
-        if ended != Ok(Outcome::GivenUp) {
+        let outcome = ended.unwrap_or(Outcome::Failed);
+        release(&node, &pool, token, outcome);
+        if outcome == Outcome::Failed {
             node.record_owner_failure(&pool);
         }
     });
@@ -452,12 +453,12 @@
 }
 
 /// Removes a pool from those that this process owns.
-pub fn release(node: &Node, pool: &PoolName, token: Revision) {
+pub fn release(node: &Node, pool: &PoolName, token: Revision, outcome: Outcome) {
     let mut owned = node.owned();
     if owned.get(pool).is_some_and(|handle| handle.token == token) {
         owned.remove(pool);
     }
-    emit(Event::LeaseEnded, format_args!("pool={pool} token={token}"));
+    emit(Event::LeaseEnded, format_args!("pool={pool} token={token} {outcome}"));
 }
 
 /// Sends the pool's workers to its owner whenever the registered workers change.
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -164,9 +164,9 @@
         while !self.fenced && self.holds_lease() {
             self.pulse.record_turn(self.node.now());
             match time::timeout(std::mem::replace(&mut pause, ROUND_PERIOD), inputs.recv()).await {
-                Ok(Some(Input::Release(done))) => {
+                Ok(Some(Input::Release(request))) => {
                     self.release_lease().await;
-                    let _ = done.send(());
+                    request.finish();
                     return;
                 }
                 Ok(None) => return,
--- a/reachhead_node/src/handover.rs
+++ b/reachhead_node/src/handover.rs
@@ -11,12 +11,12 @@
     id::{NodeName, PoolName},
     size::Millis,
 };
-use tokio::{sync::oneshot, time};
+use tokio::time;
 
 use crate::{
     fleet,
     node::Node,
-    owner::{Input, OwnerHandle},
+    owner::{Input, OwnerHandle, ReleaseRequest},
     peer::{PeerReply, PeerRequest},
 };
 
@@ -56,7 +56,7 @@
         };
         for successor in successors(&node) {
             if can_serve(&node, &pool, &successor).await {
-                hand_over(&pool, &handle, &successor).await;
+                hand_over(&node, &pool, &handle, &successor).await;
                 break;
             }
         }
@@ -117,9 +117,9 @@
     pong.store_age <= MAX_STORE_AGE_MS && !pong.unreadable.contains(pool)
 }
 
-async fn hand_over(pool: &PoolName, handle: &OwnerHandle, successor: &Successor) {
-    let (sender, receiver) = oneshot::channel();
-    handle.send(Input::Yield(sender));
+async fn hand_over(node: &Node, pool: &PoolName, handle: &OwnerHandle, successor: &Successor) {
+    let (request, receiver) = ReleaseRequest::new(node.now());
+    handle.send(Input::Yield(request));
     // An owner that keeps its pool, or has ended on its own, drops its side of the channel.
     if receiver.await.is_ok() {
         emit(
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
+use super::ReleaseRequest;
 use crate::{claim::Pulse, lock::locked, peer::AcceptedJob};
 
 /// The outcome of a cancellation.
@@ -79,9 +80,9 @@
     /// A call in the background panicked, so its result never comes.
     CallFailed,
     /// Releases the pool.
-    Release(oneshot::Sender<()>),
+    Release(ReleaseRequest),
     /// Releases the pool to a better owner, unless that would delay its jobs.
-    Yield(oneshot::Sender<()>),
+    Yield(ReleaseRequest),
 }
 
 /// Handle to an owner in this process.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -6,20 +6,21 @@
 mod input;
 mod job_reads;
 mod job_scan;
+mod outcome;
+mod release;
 
 use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
 
-use futures::future::join_all;
 use reachhead_jobs::{
     clock::Tick,
     pool::{Action, Batch, Cancelled, Due, JobState, Lane, Pool},
     quota::{Allotment, UsageReport},
-    record::{LeaseRecord, lease_key, value},
+    start_pace::StartBudget,
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
-    row::{Commit, Key, Row, Txn},
+    row::{Commit, Key, Row},
 };
 use reachhead_types::{
     id::{CustomerName, JobId},
@@ -30,12 +31,17 @@
     time,
 };
 
-pub use self::input::{CancelReply, Input, OwnerHandle};
 use self::{
     actions::{event_of, perform},
     backlog_log::BacklogLog,
     dispatching::Dispatching,
     job_scan::JobScan,
+    release::Release,
+};
+pub use self::{
+    input::{CancelReply, Input, OwnerHandle},
+    outcome::Outcome,
+    release::ReleaseRequest,
 };
 use crate::{dispatch::DispatchedWorkers, fleet, node::Node, peer::AcceptedJob};
 
@@ -68,18 +74,6 @@
 /// Pause after a failed transaction.
 const RECORD_RETRY_PAUSE: Millis = Millis(150);
 
-/// How long an owner that releases its pool waits for its last transactions.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// How an owner ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    /// The pool was released, or its lease is lost.
-    GivenUp,
-    /// A call in the background panicked.
-    CallFailed,
-}
-
 /// Reports a panic of a call in the background. The owner would wait for the result for ever: the
 /// worker is not called again, or the shard not written.
 struct CallGuard(OwnerHandle);
@@ -113,7 +107,7 @@
     /// When each lane may start its next transaction that no caller waits for.
     next_record: BTreeMap<Lane, Tick>,
     job_scan: JobScan,
-    release: Option<oneshot::Sender<()>>,
+    release: Option<Release>,
     lease_lost: bool,
     call_failed: bool,
     /// The version of the configuration that the pool uses.
@@ -158,8 +152,9 @@
     pub async fn run(mut self) -> Outcome {
         let mut last = time::Instant::now();
         let mut pause = MIN_ROUND_PAUSE;
-        while !self.lease_lost && !self.call_failed && self.release.is_none() {
-            let tick = if self.pool.jobs().is_empty() { IDLE_TICK } else { BUSY_TICK };
+        while !self.lease_lost && !self.call_failed {
+            let is_idle = self.pool.jobs().is_empty() && self.release.is_none();
+            let tick = if is_idle { IDLE_TICK } else { BUSY_TICK };
             if let Ok(Some(input)) = time::timeout(tick, self.inputs.recv()).await {
                 self.take(input);
             }
@@ -172,16 +167,19 @@
             while let Ok(input) = self.inputs.try_recv() {
                 self.take(input);
             }
+            if self.is_release_due(self.node.now()) {
+                break;
+            }
             let begun = time::Instant::now();
             self.round();
             last = time::Instant::now();
             pause = (ROUND_PAUSE_FACTOR * (last - begun)).clamp(MIN_ROUND_PAUSE, MAX_ROUND_PAUSE);
         }
-        if let Some(done) = self.release.take() {
-            self.release_lease().await;
-            let _ = done.send(());
+        match self.release.take() {
+            _ if self.call_failed => Outcome::Failed,
+            Some(release) if !self.lease_lost => self.finish_release(release).await,
+            _ => Outcome::GivenUp,
         }
-        if self.call_failed { Outcome::CallFailed } else { Outcome::GivenUp }
     }
 
     fn round(&mut self) {
@@ -202,24 +200,33 @@
         self.backlog_log.record(&node, &self.pool, now);
         self.handle.publish_unplaced(self.pool.unplaced(now));
         self.record(now);
-        self.scan(now);
+        if self.release.is_none() {
+            self.scan(now);
+        }
         self.answer_cancels();
     }
 
     /// Returns the next orders, as many as the process's link has room for.
     fn poll(&mut self, now: Tick) -> Vec<Action> {
-        self.dispatching.update(&self.node, &self.pool, &self.workers, now);
+        let starts = self.release.is_none();
+        if starts {
+            self.dispatching.update(&self.node, &self.pool, &self.workers, now);
+        }
         let mut pacer = self.node.start_pacer();
         pacer.adapt(self.node.peers.link_delay(), now);
         pacer.record_payload(self.workers.take_link_bytes());
         pacer.set_dispatchers(self.workers.strength());
-        self.pool.set_start_budget(pacer.budget(now));
+        // Starts would delay the release on the link.
+        let budget = if starts { pacer.budget(now) } else { StartBudget::empty() };
+        self.pool.set_start_budget(budget);
         let mut poll_pacer = self.node.poll_pacer();
         self.pool.set_poll_budget(poll_pacer.budget(now));
         let actions = self.pool.poll(now, self.node.clock.wall());
-        pacer.record(self.pool.start_budget());
         poll_pacer.record(self.pool.poll_budget());
-        self.dispatching.record(self.pool.round_outcome(), now);
+        if starts {
+            pacer.record(self.pool.start_budget());
+            self.dispatching.record(self.pool.round_outcome(), now);
+        }
         actions
     }
 
@@ -317,9 +324,10 @@
             Input::JobsFound(jobs, result) => self.handle_lookup(&jobs, result, now),
             Input::LeaseRead(asked, result) => self.handle_lease(asked, result, now),
             Input::CallFailed => self.call_failed = true,
-            Input::Release(done) => self.release = Some(done),
+            Input::Release(request) => self.begin_release(request, now),
             // A successor would have to wait again for the workers that have not answered.
-            Input::Yield(done) => self.release = (self.pool.unsettled() == 0).then_some(done),
+            Input::Yield(_) if self.pool.unsettled() > 0 => {}
+            Input::Yield(request) => self.begin_release(request, now),
         }
     }
 
@@ -398,10 +406,17 @@
     fn record(&mut self, now: Tick) {
         for Due { lane, urgent } in self.pool.due() {
             let next = self.next_record.get(&lane).copied().unwrap_or_default();
-            if self.recording.contains_key(&lane) || !(urgent || next <= now) {
+            let is_due = match &self.release {
+                Some(release) => release.has_to_record(lane),
+                None => urgent || next <= now,
+            };
+            if self.recording.contains_key(&lane) || !is_due {
                 continue;
             }
             if let Some(batch) = self.pool.batch(lane, self.node.clock.wall()) {
+                if let Some(release) = &mut self.release {
+                    release.record_started(lane);
+                }
                 self.recording.insert(lane, now);
                 self.commit(batch);
             }
@@ -432,6 +447,11 @@
         let begun = self.recording.remove(&batch.lane).unwrap_or(now);
         let min_interval = Millis(now.since(begun).0 * RECORD_PAUSE_FACTOR).max(MIN_RECORD_PERIOD);
         self.next_record.insert(batch.lane, now + min_interval);
+        if let Some(release) = &mut self.release
+            && !matches!(result, Ok(Commit::Done(_)))
+        {
+            release.record_failed(batch.lane);
+        }
         let commit = match result {
             Ok(commit) => commit,
             Err(StoreError::Refused(_)) => {
@@ -449,53 +469,6 @@
             self.handle.pulse.record_commit(now);
         }
     }
-
-    /// Records the remaining changes, as far as one transaction for each lane can.
-    async fn record_remaining(&mut self) {
-        let wall = self.node.clock.wall();
-        let due = self.pool.due();
-        let batches: Vec<Batch> =
-            due.iter().filter_map(|due| self.pool.batch(due.lane, wall)).collect();
-        let commits = batches.iter().map(|batch| {
-            let commit = self.node.services.store.commit(batch.txn.clone());
-            time::timeout(RELEASE_TIMEOUT, commit)
-        });
-        let results = join_all(commits).await;
-        let name = self.pool.name().clone();
-        for (batch, result) in batches.iter().zip(results) {
-            match result {
-                Ok(Ok(commit)) => {
-                    self.pool.decided(batch, &commit, self.node.now());
-                }
-                Ok(Err(error)) => emit(Event::RecordFailed, format_args!("pool={name} {error}")),
-                Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
-            }
-        }
-        self.answer_cancels();
-    }
-
-    /// Records the remaining changes and releases the lease, so that a peer takes over at once.
-    async fn release_lease(&mut self) {
-        let name = self.pool.name().clone();
-        self.record_remaining().await;
-        let record = LeaseRecord {
-            owner: None,
-            address: None,
-            term: self.term,
-            settled: self.pool.unsettled() == 0,
-            unsettled_for: Some(self.pool.remaining_takeover_delay(self.node.now())),
-            abandoned: 0,
-            knows_storer: false,
-        };
-        let txn = Txn::new()
-            .with_check(lease_key(&name), Some(self.handle.token))
-            .with_write(lease_key(&name), value(&record));
-        match time::timeout(RELEASE_TIMEOUT, self.node.services.store.commit(txn)).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(error)) => emit(Event::RecordFailed, format_args!("pool={name} {error}")),
-            Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
-        }
-    }
 }
 
 /// Returns the job that a row belongs to.
@@ -506,7 +479,3 @@
 #[cfg(test)]
 #[path = "tests.rs"]
 mod tests;
-
-#[cfg(test)]
-#[path = "release_tests.rs"]
-mod release_tests;
--- a/reachhead_node/src/owner/release_tests.rs
+++ b/reachhead_node/src/owner/release_tests.rs
@@ -1,13 +1,19 @@
 //! An owner that is asked to give its pool back renews leases until it writes the release, and orders
 //! nothing after that.
 
-use std::sync::atomic::Ordering;
+use std::sync::{Arc, atomic::Ordering};
 
 use reachhead_ops::runtime;
 use tokio::time::Instant;
 
-use super::{tests::owner_in, *};
-use crate::tests::recorded_node::{self, Call, Platform};
+use super::*;
+use crate::{
+    owner::{
+        Input,
+        tests::{self, owner_in},
+    },
+    tests::recorded_node::{self, Call, Platform},
+};
 
 /// Time in which an owner has its workers in the roster and polls them.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
@@ -48,8 +54,8 @@
     handle.send(Input::WorkersListed(vec![tests::worker(), tests::worker_named("v")]));
     time::sleep(SETTLE_TIME).await;
     let asked_at = Instant::now();
-    let (sender, receiver) = oneshot::channel();
-    handle.send(Input::Release(sender));
+    let (request, receiver) = ReleaseRequest::new(now);
+    handle.send(Input::Release(request));
     handle.send(Input::Submit(vec![tests::job(2)]));
     time::timeout(Duration::from_secs(5), receiver).await.unwrap().unwrap();
     let ended_at = Instant::now();
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -4,7 +4,7 @@
     model::{Plan, Queue, Step},
     pool::{PoolTimeouts, RecoveredState},
     ports::WorkerInfo,
-    record::JobRecord,
+    record::{JobRecord, lease_key},
 };
 use reachhead_ops::runtime;
 use reachhead_types::size::Revision;
@@ -80,7 +80,7 @@
 fn an_owner_whose_call_to_a_worker_panicked_gives_its_pool_up() {
     runtime::current_thread().unwrap().block_on(async {
         let outcome = time::timeout(Duration::from_secs(2), owner().await.run()).await;
-        assert_eq!(outcome, Ok(Outcome::CallFailed), "the worker is never called again");
+        assert_eq!(outcome, Ok(Outcome::Failed), "the worker is never called again");
     });
 }
 
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -26,7 +26,7 @@
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
-    sync::{oneshot, watch},
+    sync::watch,
     time,
 };
 
@@ -37,7 +37,7 @@
     handover, membership,
     metrics::Metrics,
     node::{Node, Services, bandwidth},
-    owner::Input,
+    owner::{Input, ReleaseRequest},
     peer::{PeerClient, PeerHandler},
     registry,
 };
@@ -264,8 +264,8 @@
     let handles: Vec<_> = node.owned().values().cloned().collect();
     let mut waits = Vec::new();
     for handle in handles {
-        let (sender, receiver) = oneshot::channel();
-        handle.send(Input::Release(sender));
+        let (request, receiver) = ReleaseRequest::new(node.now());
+        handle.send(Input::Release(request));
         waits.push(receiver);
     }
     for wait in waits {
