--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -131,10 +131,9 @@
     };
     // They share a task, so that neither goes on without the other.
     tokio::select! {
-        () = fleet.run(inputs) => {}
-        () = quotas::run(node, token) => {}
+        outcome = fleet.run(inputs) => outcome,
+        () = quotas::run(node, token) => Outcome::GivenUp,
     }
-    Outcome::GivenUp
 }
 
 struct Fleet {
@@ -159,17 +158,16 @@
 }
 
 impl Fleet {
-    async fn run(&mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+    async fn run(&mut self, mut inputs: mpsc::UnboundedReceiver<Input>) -> Outcome {
         let mut pause = Duration::ZERO;
         while !self.fenced && self.holds_lease() {
             self.pulse.record_turn(self.node.now());
             match time::timeout(std::mem::replace(&mut pause, ROUND_PERIOD), inputs.recv()).await {
                 Ok(Some(Input::Release(request))) => {
                     self.release_lease().await;
-                    request.finish();
-                    return;
+                    return request.finish(self.node.now());
                 }
-                Ok(None) => return,
+                Ok(None) => break,
                 Ok(Some(_)) => continue,
                 Err(_) => {}
             }
@@ -184,9 +182,10 @@
                 let now = self.node.now();
                 self.node.ability().record_unreadable(&name(), now);
                 self.release_lease().await;
-                return;
+                break;
             }
         }
+        Outcome::GivenUp
     }
 
     /// Returns whether a member can list the platform's hosts, while this process has not for long.
--- a/reachhead_node/src/owner/release.rs
+++ b/reachhead_node/src/owner/release.rs
@@ -40,15 +40,18 @@
         (Self { asked_at: now, done }, receiver)
     }
 
-    /// Tells whoever waits that the pool was released.
-    pub fn finish(self) {
+    /// Tells whoever waits that the pool was released, and returns how the owner has ended.
+    pub fn finish(self, now: Tick) -> Outcome {
         let _ = self.done.send(());
+        Outcome::Released(now.since(self.asked_at))
     }
 }
 
 /// A release in progress.
 pub(super) struct Release {
-    requests: Vec<ReleaseRequest>,
+    request: ReleaseRequest,
+    /// Later requests.
+    others: Vec<ReleaseRequest>,
     /// When the pool is released even if records are left.
     until: Tick,
     /// The lanes whose last transaction was started.
@@ -56,8 +59,9 @@
 }
 
 impl Release {
-    fn new(now: Tick) -> Self {
-        Self { requests: Vec::new(), until: now + RECORD_TIMEOUT, recorded: BTreeSet::new() }
+    fn new(request: ReleaseRequest, now: Tick) -> Self {
+        let until = now + RECORD_TIMEOUT;
+        Self { request, others: Vec::new(), until, recorded: BTreeSet::new() }
     }
 
     /// Returns whether a lane has not had its last transaction.
@@ -79,8 +83,10 @@
 impl Owner {
     /// Begins a release, or adds a request to the one in progress.
     pub(super) fn begin_release(&mut self, request: ReleaseRequest, now: Tick) {
-        let release = self.release.get_or_insert_with(|| Release::new(now));
-        release.requests.push(request);
+        match &mut self.release {
+            Some(release) => release.others.push(request),
+            None => self.release = Some(Release::new(request, now)),
+        }
     }
 
     /// Returns whether the pool is to be released now.
@@ -114,9 +120,10 @@
             Err(_) => emit(Event::RecordFailed, format_args!("pool={name} no answer in time")),
         }
         let now = self.node.now();
-        let asked_at = release.requests.iter().map(|request| request.asked_at).min();
-        release.requests.into_iter().for_each(ReleaseRequest::finish);
-        Outcome::Released(now.since(asked_at.unwrap_or(now)))
+        for request in release.others {
+            request.finish(now);
+        }
+        release.request.finish(now)
     }
 }
 
