Tests: waits for orders of earlier owners that can have no effect any more

After a restart of its owner a pool's tasks without a run wait for 8.6 s, the time for an owner that may be alive, although the process that checks has its address and so knows that it has ended; a takeover that gave no order adds the same again. After a release they wait for a whole lease, whatever the releasing owner knows of the workers that don't answer.

--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -26,6 +26,7 @@
 mod records;
 mod recover;
 mod refusal;
+mod released;
 mod restarted_worker;
 mod review;
 mod roster;
--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -1,4 +1,5 @@
-//! A process does not go on claiming a pool whose owner or takeover has panicked.
+//! A process does not go on claiming a pool whose owner or takeover has panicked, and counts on
+//! orders of earlier owners no longer than they can have effect.
 
 use std::{
     io::{Read, Write},
@@ -8,10 +9,17 @@
     time::Duration,
 };
 
+use reachhead_jobs::ports::Change;
 use reachhead_ops::{http, runtime};
+use reachhead_store::row::{Key, Row};
+use serde_json::{Value, json};
 
 use super::*;
-use crate::{peer::PeerHandler, tests::broken_node};
+use crate::{
+    follow::{Follower, Leases},
+    peer::PeerHandler,
+    tests::broken_node,
+};
 
 /// How long a process is paused: longer than the event loop of an owner may stand still.
 const PAUSE: Duration = Duration::from_millis(3000);
@@ -122,3 +130,53 @@
         assert!(claims.claimed.is_empty() && claims.stalled.contains(&pool()), "{claims:?}");
     });
 }
+
+/// Returns how long a process that takes the pool now counts on orders of the owners before it.
+fn effect(node: &Node) -> Millis {
+    let known = node.view().leases.get(&pool()).cloned();
+    order_effect(node, &pool(), known.as_ref())
+}
+
+/// Returns how long the leases of an owner last that gives no more orders.
+fn leases(node: &Node) -> Millis {
+    with_drift(timeouts(node).hold)
+}
+
+/// Lets a process learn of a row of the leases' table.
+fn learn(node: &Arc<Node>, key: &str, value: Value, revision: u64) {
+    let row = Row { key: Key(key.to_owned()), value, revision: Revision(revision) };
+    Leases(Arc::clone(node)).apply(&[Change { row, deleted: false }]);
+}
+
+/// Lets a process learn that an earlier process at its address has the pool's lease, and found that
+/// orders of the owners before it had effect for `effect`.
+fn learn_own_lease(node: &Arc<Node>, revision: u64, effect: Millis) {
+    let (owner, address) = (&node.settings.node, node.settings.peer);
+    let lease = json!({ "owner": owner, "address": address, "term": 3, "open": effect });
+    learn(node, "lease/a/owner", lease, revision);
+}
+
+/// Tasks without a run waited for 8.6 s after each restart of their owner, for orders of the process
+/// that had just ended.
+#[test]
+fn a_restarted_process_waits_only_for_the_leases_of_its_own_settled_pool() {
+    let (node, _) = broken_node::node();
+    learn_own_lease(&node, 7, timeouts(&node).takeover_delay());
+    learn(&node, "lease/a/settled", json!({ "token": 7 }), 8);
+    assert_eq!(effect(&node), leases(&node));
+    assert_eq!(node.view().leases[&pool()].revision, Revision(7), "it is no lease");
+    learn_own_lease(&node, 9, leases(&node));
+    assert_eq!(effect(&node), leases(&node), "the owners before had no effect by then");
+}
+
+/// Two restarts in a row let tasks wait twice: the process between them had not even read the rows.
+#[test]
+fn a_takeover_that_was_cut_off_does_not_lengthen_the_wait() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store) = broken_node::node();
+        store.scans.store(u32::MAX, Ordering::Relaxed);
+        let policy = PoolPolicy { name: pool(), rejects_overload: false, spare: false };
+        run_takeover(Arc::clone(&node), pool(), Some(policy), None).await;
+        assert_eq!(effect(&node), leases(&node), "there was no owner before it");
+    });
+}
