A successor counts on orders of owners that have ended only for their leases

Cause: the time for an owner that may be alive (trust 4 s and a lease) was counted anew at each takeover. The shorter time, a lease, needed an answer of that owner and a lease that was 8.6 s old. A process that restarted and took its own pool back got neither, although it listens at the address of the process before it.

Now a lease tells how long orders of the owners before it have effect, and its owner records once, in the row lease/POOL/settled, that none is left: all workers of the roster have answered or what was ordered there has expired, and all shards are fenced. A successor of an owner that has ended waits for its leases, and before it was settled for what it had found if that is longer; none of that time counts as passed. The decision is a function of these facts (reachhead_jobs::order_effect).

Two gaps of the old rule are closed on the way. What is known of the previous owner is looked up before the lease is taken: afterwards that process may drop an owner that goes on, and so not report it. And an answer counts only if it was asked for after the lease was seen; a process that is writing a lease reports the pool as one that may go on, since it may become the owner with a late answer of the store. The age of the lease counts no more: it says nothing about fences.

Rolling upgrade: an earlier release logs the new row as unreadable and skips it (it has no term), and writes no time into its leases, for which the full time counts. The fleet owner's lease has no such time and its waits are unchanged.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod model;
 pub mod obstacle;
 pub mod order;
+pub mod order_effect;
 pub mod orphan;
 pub mod outage;
 pub mod owner_failures;
--- a/reachhead_jobs/src/pool/flush.rs
+++ b/reachhead_jobs/src/pool/flush.rs
@@ -70,8 +70,8 @@
     /// Returns the lanes with pending writes.
     pub fn due(&self) -> Vec<Due> {
         let mut lanes: BTreeMap<Lane, bool> = BTreeMap::new();
-        if self.roster.is_due() {
-            lanes.insert(Lane::Roster, true);
+        if self.roster.is_due() || self.is_settlement_due() {
+            lanes.insert(Lane::Roster, self.roster.is_due());
         }
         for id in self.dirty.iter().filter(|id| self.is_writable(**id)) {
             let urgent = self.is_urgent(*id);
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -27,6 +27,7 @@
 mod restarted_worker;
 mod roster;
 mod round_outcome;
+mod settled;
 mod starts;
 mod unclaimed;
 mod unplaced;
@@ -167,6 +168,8 @@
     /// Where the next round goes on to search the long-running jobs.
     search_from: usize,
     roster: roster::RosterState,
+    /// Whether the store shows that no order of a predecessor can have effect any more.
+    settlement: settled::Settlement,
     /// Jobs with changes to write to the store.
     dirty: BTreeSet<JobId>,
     refusals: refusal::Refusals,
@@ -220,6 +223,7 @@
         now: Tick,
         wall: Millis,
     ) -> Self {
+        let longest_effect = found.longest_effect();
         let mut pool = Self {
             name,
             token,
@@ -231,7 +235,7 @@
             workers: BTreeMap::new(),
             pending: BTreeMap::new(),
             predecessor: orphans::PredecessorOrders::new(
-                found.effect,
+                longest_effect,
                 with_drift(timeouts.hold),
                 now,
             ),
@@ -247,6 +251,7 @@
             round: RoundOutcome::default(),
             search_from: 0,
             roster: roster::RosterState::new(found.roster),
+            settlement: settled::Settlement::Unrecorded,
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
             dead_incarnations: BTreeMap::new(),
@@ -271,7 +276,7 @@
         for stored in found.jobs {
             pool.recover_job(stored, now, wall);
         }
-        pool.recover_workers(found.effect, now);
+        pool.recover_workers(found.effect, &found.silent, now, now);
         pool
     }
 
@@ -300,13 +305,6 @@
         self.pending.len()
     }
 
-    /// Returns for how long runs of a predecessor may still be active on workers that have not
-    /// answered.
-    pub fn remaining_takeover_delay(&self, now: Tick) -> Millis {
-        let last = self.pending.values().map(|pending| pending.until).max();
-        last.map_or(Millis(0), |until| until.since(now))
-    }
-
     /// Records that this owner's lease was in force at `at`.
     pub fn verify(&mut self, at: Tick) {
         self.verified = self.verified.max(at);
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -1,5 +1,7 @@
 //! Recovery of a predecessor's jobs, workers and runs after an ownership change.
 
+use std::collections::BTreeMap;
+
 use reachhead_plan::amount::Amount;
 use reachhead_types::{id::WorkerId, size::Millis};
 
@@ -34,10 +36,16 @@
 
     /// Creates the workers that the predecessor may have used, as pending. Each has to answer the
     /// new token, or its leases have to expire, before a recovered task that no worker reports is
-    /// restarted.
-    pub(super) fn recover_workers(&mut self, effect: Millis, now: Tick) {
-        let until = now + effect;
+    /// restarted. These last for `effect` after `base`, or for the time in `silent`.
+    pub(super) fn recover_workers(
+        &mut self,
+        effect: Millis,
+        silent: &BTreeMap<WorkerId, Millis>,
+        base: Tick,
+        now: Tick,
+    ) {
         for (id, stored) in self.roster.stored.workers.clone() {
+            let until = base + silent.get(&id).copied().unwrap_or(effect);
             let Some(entry) = stored.entry else {
                 // Its address is unknown, so it can't be queried before it registers again.
                 self.pending.insert(id, PendingWorker { until, closed: None });
--- a/reachhead_jobs/src/pool/recovered_state.rs
+++ b/reachhead_jobs/src/pool/recovered_state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use reachhead_types::{
-    id::JobId,
+    id::{JobId, WorkerId},
     size::{Millis, Revision},
 };
 
@@ -44,9 +44,18 @@
     pub fences: BTreeMap<Shard, Revision>,
     /// When the lease was last confirmed; reading the rest may have taken long.
     pub verified: Tick,
-    /// How long orders of the predecessor may still take effect on workers that do not answer; see
-    /// [`PoolTimeouts::takeover_delay`](crate::pool::PoolTimeouts::takeover_delay).
+    /// How long orders of the predecessor may still take effect on workers that do not answer and are
+    /// not in `silent`; see [`OrderEffect`](crate::order_effect::OrderEffect).
     pub effect: Millis,
+    /// The same for workers that did not answer the predecessor either.
+    pub silent: BTreeMap<WorkerId, Millis>,
     /// See [`LeaseRecord::knows_storer`](crate::record::LeaseRecord::knows_storer) of this owner's lease.
     pub knows_storer: bool,
 }
+
+impl RecoveredState {
+    /// Returns how long orders of the predecessor may still take effect on any worker.
+    pub(super) fn longest_effect(&self) -> Millis {
+        self.silent.values().copied().fold(self.effect, Millis::max)
+    }
+}
--- a/reachhead_jobs/src/pool/refusal.rs
+++ b/reachhead_jobs/src/pool/refusal.rs
@@ -93,6 +93,9 @@
         if count > 1 {
             return;
         }
+        if count == 0 {
+            self.withhold_settlement();
+        }
         for id in batch.jobs.iter().map(|entry| entry.id) {
             let pause = self.refusals.hold_job(id, now);
             self.note(NoteKind::RowHeld, format!("job={id} pause={pause}ms"));
--- a/reachhead_jobs/src/pool/roster.rs
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -13,8 +13,11 @@
 
 use crate::{
     clock::Tick,
-    pool::{Batch, Lane, Pool},
-    record::{Roster, RosterEntry, lease_key, roster_key, roster_worker, value, whole_roster_key},
+    pool::{Batch, Lane, Pool, settled::Settlement},
+    record::{
+        Roster, RosterEntry, lease_key, roster_key, roster_worker, settled_key, value,
+        whole_roster_key,
+    },
     worker::Worker,
 };
 
@@ -101,6 +104,8 @@
     changes: Vec<Change>,
     /// The row of the whole roster is deleted.
     whole: bool,
+    /// The pool's [`SettledRecord`](crate::record::SettledRecord) is written.
+    pub(super) settled: bool,
 }
 
 impl RosterUpdate {
@@ -144,7 +149,7 @@
     /// Returns the next transaction on the roster. Each row is checked, so that a transaction whose
     /// answer was lost does not undo a later one.
     pub(super) fn roster_batch(&mut self) -> Option<Batch> {
-        if !self.roster.is_due() {
+        if !self.roster.is_due() && !self.is_settlement_due() {
             return None;
         }
         let mut txn = Txn::new().with_check(lease_key(&self.name), Some(Revision(self.token.0)));
@@ -160,7 +165,11 @@
             };
             update.changes.push(change.clone());
         }
-        if update.changes.is_empty() {
+        if self.is_settlement_due() {
+            txn = txn.with_write(settled_key(&self.name), value(&self.settled_record()));
+            update.settled = true;
+        }
+        if update.changes.is_empty() && self.roster.wanted.whole {
             let key = whole_roster_key(&self.name);
             txn = txn.with_check(key.clone(), self.roster.stored.whole).with_delete(key);
             update.whole = true;
@@ -221,7 +230,7 @@
             }
         }
         let whole = changes.is_empty() && stored.whole.is_some();
-        RosterUpdate { changes, whole }
+        RosterUpdate { changes, whole, settled: false }
     }
 
     fn roster_entry(
@@ -250,6 +259,9 @@
         if update.whole {
             self.roster.stored.whole = None;
         }
+        if update.settled {
+            self.settlement = Settlement::Recorded;
+        }
         for Change { worker, entry } in &update.changes {
             self.roster.withdrawn.remove(worker);
             match entry {
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -1,6 +1,6 @@
 //! Records that the store keeps for jobs, pools and leases; docs/PLATFORM.md lists the tables.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use reachhead_store::row::Key;
 use reachhead_types::{
@@ -78,6 +78,12 @@
     Key(format!("lease/{pool}/owner"))
 }
 
+/// Returns the key of a pool's [`SettledRecord`]. It is in the lease's partition, so that it can
+/// depend on the lease, and in its table, which all processes follow.
+pub fn settled_key(pool: &PoolName) -> Key {
+    Key(format!("lease/{pool}/{SETTLED_ROW}"))
+}
+
 /// Returns the key of the record of host usage that the owner of all hosts leaves to its successor.
 pub fn usage_key(hosts: &PoolName) -> Key {
     Key(format!("balance/{hosts}/use"))
@@ -99,6 +105,9 @@
 /// Prefix of a worker's id in the keys of a roster.
 const ROSTER_WORKER_PREFIX: &str = "worker/";
 
+/// Last part of the key of a pool's [`SettledRecord`].
+pub const SETTLED_ROW: &str = "settled";
+
 /// Partition of the lease table that holds the membership list.
 pub const MEMBER_PART: &str = "members";
 
@@ -181,8 +190,9 @@
     /// so no order of anyone is in flight.
     #[serde(default)]
     pub settled: bool,
-    /// For a lease that was released otherwise: how long a run that an earlier owner started may
-    /// still be active on a worker that has not answered. Earlier versions of the program did not
+    /// How long a run that an earlier owner started may still be active on a worker that has not
+    /// answered: for a lease that was released before it was settled, from the release; for one that
+    /// is held, from when its owner has raised all fences. Earlier versions of the program did not
     /// write it; then the successor waits as long as for an owner that may be alive.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "open")]
@@ -194,6 +204,11 @@
     /// stored by an owner with a higher token. Earlier releases do not know who stored a job.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub knows_storer: bool,
+    /// For a lease that was released: the workers that do not answer, and how long a run may still be
+    /// active there. Runs elsewhere have leases of the owner that released it. `None` if it did not
+    /// list them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silent: Option<BTreeMap<WorkerId, Millis>>,
 }
 
 impl LeaseRecord {
@@ -216,10 +231,19 @@
             unsettled_for: Some(order_effect),
             abandoned: self.abandoned + 1,
             knows_storer: self.knows_storer,
+            silent: None,
         }
     }
 }
 
+/// Shows that no order of the owners before the one with this token can have effect any more: each
+/// worker has answered that owner, or what was ordered there has expired, and all shards are fenced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledRecord {
+    /// Token of the owner's lease.
+    pub token: FencingToken,
+}
+
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
--- a/reachhead_jobs/tests/authority.rs
+++ b/reachhead_jobs/tests/authority.rs
@@ -26,6 +26,7 @@
         unsettled_for: None,
         abandoned: 0,
         knows_storer: false,
+        silent: None,
     }
 }
 
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -115,6 +115,7 @@
         fences: fences(),
         verified: START,
         effect: timeouts().takeover_delay(),
+        silent: BTreeMap::new(),
         knows_storer: false,
     }
 }
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -19,6 +19,7 @@
 mod load;
 mod long_reports;
 mod notes;
+mod order_effect;
 mod orphans;
 mod pace;
 mod poll_budget;
--- a/reachhead_jobs/tests/pool/recover.rs
+++ b/reachhead_jobs/tests/pool/recover.rs
@@ -239,6 +239,7 @@
         unsettled_for,
         abandoned: 0,
         knows_storer: false,
+        silent: None,
     };
     assert_eq!(timeouts().after_release(&record(false, Some(remaining))), remaining);
     let abandoned = record(true, Some(Millis(0))).abandoned(remaining);
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -84,6 +84,7 @@
             unsettled_for: None,
             abandoned: 0,
             knows_storer: true,
+            silent: None,
         };
         let txn = Txn::new()
             .with_check(key.clone(), known.as_ref().map(|row| row.revision))
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -278,7 +278,8 @@
     /// Those that it claims, with its fencing tokens: their owners serve them, or their takeovers were
     /// not given up.
     pub claimed: BTreeMap<PoolName, Revision>,
-    /// Those whose owner is stalled or can record nothing. It may go on and give orders.
+    /// Those whose owner is stalled or can record nothing, or whose lease is being written. The owner
+    /// may go on and give orders.
     pub stalled: BTreeSet<PoolName>,
 }
 
@@ -288,6 +289,7 @@
     let now = node.now();
     let running_since = node.ability().running_since(now);
     let mut claims = Claims::default();
+    claims.stalled.extend(node.taking().iter().cloned());
     for (pool, takeover) in node.loading().iter() {
         claims.claimed.insert(pool.clone(), takeover.token);
     }
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -5,10 +5,11 @@
 
 use reachhead_jobs::{
     candidate::{self, Candidate},
-    clock::{Tick, with_drift},
+    clock::Tick,
     isolation,
     liveness::StoreReachability,
     model::PoolPolicy,
+    order_effect::{self, OrderEffect},
     pool::{Pool, PoolTimeouts, RecoveredState},
     silence::{OWNER_TIMEOUT, RunningTime, is_owners_fault, is_silent},
 };
@@ -299,28 +300,12 @@
     }
 }
 
-/// Returns how long orders of the previous owner may still have effect on a worker that does not
-/// answer. A previous owner that gave the pool back, or that is alive and does not own it, gives no
-/// more orders.
-fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> Millis {
-    let timeouts = timeouts(node);
-    let Some(lease) = known else {
-        return Millis(0);
-    };
-    let Some(owner) = &lease.record.owner else {
-        return timeouts.after_release(&lease.record);
-    };
-    let now = node.now();
-    let view = node.view();
-    let has_yielded = view.peers.get(owner).is_some_and(|status| {
-        let absent = status.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
-        absent && !status.pong.stalled.contains(pool) && status.at > lease.since
-    });
-    if has_yielded && now.since(lease.since) >= timeouts.takeover_delay() {
-        with_drift(timeouts.hold)
-    } else {
-        timeouts.takeover_delay()
-    }
+/// Returns how long orders of the previous owners may still have effect on workers that do not
+/// answer. It has to be known before the lease is taken: afterwards a previous owner that goes on
+/// may no longer be reported.
+fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> OrderEffect {
+    let predecessor = known.map(|lease| node.view().predecessor(pool, lease, &node.settings));
+    order_effect::order_effect(&timeouts(node), predecessor)
 }
 
 /// Takes over a pool, and gives up the claim to it if that panics.
@@ -344,8 +329,10 @@
     policy: Option<PoolPolicy>,
     known: Option<LeaseView>,
 ) {
+    let order_effect = order_effect(&node, &pool, known.as_ref());
+    let counted = policy.is_some().then(|| order_effect.longest());
     let lease_sent_at = node.now();
-    let lease = match takeover::take(&node, &pool, known.as_ref()).await {
+    let lease = match takeover::take(&node, &pool, known.as_ref(), counted).await {
         Ok(Some(lease)) => lease,
         Ok(None) => return,
         Err(error) => {
@@ -363,15 +350,15 @@
     }
     node.loading().insert(pool.clone(), Takeover::new(&lease, node.now()));
     node.pool_acquired.notify_one();
-    let order_effect = order_effect(&node, &pool, known.as_ref());
     let loaded = tokio::select! {
-        loaded = load(&node, &pool, lease.revision, order_effect) => Some(loaded),
+        loaded = load(&node, &pool, lease.revision, order_effect.usual) => Some(loaded),
         () = claim::wait_until_stuck(&node, &pool) => None,
     };
-    let recovered = claim::end_takeover(&node, &pool, &lease, order_effect, loaded).await;
+    let recovered = claim::end_takeover(&node, &pool, &lease, order_effect.longest(), loaded).await;
     let Some(mut recovered) = recovered else {
         return;
     };
+    recovered.silent = order_effect.silent;
     recovered.verified = lease_sent_at;
     recovered.knows_storer = lease.record.knows_storer;
     emit(
--- a/reachhead_node/src/failure_detector.rs
+++ b/reachhead_node/src/failure_detector.rs
@@ -110,7 +110,7 @@
     let end = time::Instant::now() + HEARTBEAT_TIMEOUT;
     let mut call = pin!(node.peers.call(address, &PeerRequest::Ping, LATE_HEARTBEAT_TIMEOUT));
     if let Some(reply) = within_deadline(end, &mut call).await {
-        if !record_reply(node, &peer, address, reply) {
+        if !record_reply(node, &peer, address, sent, reply) {
             node.view().missed.entry(peer).or_default().record(sent);
         }
         return;
@@ -128,8 +128,9 @@
 
 /// Pings a peer and stores the status that it reports; returns whether it answered.
 async fn ping(node: &Node, peer: &NodeName, address: SocketAddr, deadline: Duration) -> bool {
+    let asked = node.now();
     let reply = node.peers.call(address, &PeerRequest::Ping, deadline).await;
-    record_reply(node, peer, address, reply)
+    record_reply(node, peer, address, asked, reply)
 }
 
 /// Stores the status that a peer reports; returns whether it answered.
@@ -137,12 +138,13 @@
     node: &Node,
     peer: &NodeName,
     address: SocketAddr,
+    asked: Tick,
     reply: Result<PeerReply, CallError>,
 ) -> bool {
     let Ok(PeerReply::Pong(pong)) = reply else {
         return false;
     };
-    let status = PeerStatus { at: node.now(), address, pong };
+    let status = PeerStatus { asked, at: node.now(), address, pong };
     node.view().peers.insert(peer.clone(), status);
     true
 }
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -315,6 +315,7 @@
             unsettled_for: None,
             abandoned: 0,
             knows_storer: false,
+            silent: None,
         };
         let txn = Txn::new()
             .with_check(lease_key(&name()), Some(self.token))
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -7,7 +7,7 @@
 use reachhead_jobs::{
     clock::Tick,
     ports::{Change, FeedError, FeedPage, OperatorRow},
-    record::{LeaseRecord, MEMBER_PART, MemberRecord},
+    record::{LeaseRecord, MEMBER_PART, MemberRecord, SETTLED_ROW, SettledRecord},
     registry::WorkerChange,
 };
 use reachhead_ops::event::{Event, emit};
@@ -292,6 +292,14 @@
                     Err(error) => emit(Event::RowRefused, error),
                 }
             }
+            Some(LeaseKey::Settled(pool)) if !change.deleted => {
+                match change.row.parse::<SettledRecord>() {
+                    Ok(SettledRecord { token }) => {
+                        self.0.view().settled.insert(pool, token);
+                    }
+                    Err(error) => emit(Event::RowRefused, error),
+                }
+            }
             _ => {}
         }
     }
@@ -369,6 +377,7 @@
 enum LeaseKey {
     Member(NodeName),
     Pool(PoolName),
+    Settled(PoolName),
 }
 
 fn parse_lease_key(key: &Key) -> Option<LeaseKey> {
@@ -377,7 +386,8 @@
     if part == MEMBER_PART {
         return rest.parse().ok().map(LeaseKey::Member);
     }
-    part.parse().ok().map(LeaseKey::Pool)
+    let kind = if rest == SETTLED_ROW { LeaseKey::Settled } else { LeaseKey::Pool };
+    part.parse().ok().map(kind)
 }
 
 /// Follows the table of registered workers, which only owners need.
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -22,6 +22,7 @@
 mod owner;
 mod owner_call;
 mod peer;
+mod predecessor;
 mod process;
 mod registry;
 mod relay;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -1,7 +1,7 @@
 //! State and services that the tasks of a process share.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, Weak},
 };
 
@@ -110,6 +110,8 @@
     view: Mutex<View>,
     owned: Mutex<BTreeMap<PoolName, OwnerHandle>>,
     loading: Mutex<BTreeMap<PoolName, Takeover>>,
+    /// The pools whose leases are being written.
+    taking: Mutex<BTreeSet<PoolName>>,
     dispatched: Mutex<BTreeMap<PoolName, Weak<DispatchedWorkers>>>,
     ability: Mutex<Ability>,
     owner_failures: Mutex<OwnerFailures>,
@@ -157,6 +159,7 @@
             view: Mutex::new(View::default()),
             owned: Mutex::new(BTreeMap::new()),
             loading: Mutex::new(BTreeMap::new()),
+            taking: Mutex::new(BTreeSet::new()),
             dispatched: Mutex::new(BTreeMap::new()),
             ability: Mutex::default(),
             owner_failures: Mutex::new(OwnerFailures::new()),
@@ -205,6 +208,11 @@
         locked(&self.loading)
     }
 
+    /// Returns the pools whose leases are being written by this process.
+    pub fn taking(&self) -> MutexGuard<'_, BTreeSet<PoolName>> {
+        locked(&self.taking)
+    }
+
     /// Locks the pacer of the start orders of all pools that this process owns.
     pub fn start_pacer(&self) -> MutexGuard<'_, StartPacer> {
         locked(&self.start_pacer)
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -319,7 +319,7 @@
             Input::CallFailed => self.call_failed = true,
             Input::Release(done) => self.release = Some(done),
             // A successor would have to wait again for the workers that have not answered.
-            Input::Yield(done) => self.release = (self.pool.unsettled() == 0).then_some(done),
+            Input::Yield(done) => self.release = self.pool.is_settled().then_some(done),
         }
     }
 
@@ -482,10 +482,11 @@
             owner: None,
             address: None,
             term: self.term,
-            settled: self.pool.unsettled() == 0,
+            settled: self.pool.is_settled(),
             unsettled_for: Some(self.pool.remaining_takeover_delay(self.node.now())),
             abandoned: 0,
             knows_storer: false,
+            silent: None,
         };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -27,7 +27,7 @@
 async fn owner() -> Owner {
     let (node, _) = broken_node::node();
     let name = "a".parse().unwrap();
-    let token = takeover::take(&node, &name, None).await.unwrap().unwrap().revision;
+    let token = takeover::take(&node, &name, None, None).await.unwrap().unwrap().revision;
     let timeouts = PoolTimeouts {
         hold: Millis(4000),
         trust: Millis(4000),
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -160,7 +160,7 @@
 pub struct Pong {
     /// The pools that it owns and serves or is taking over, with its fencing tokens.
     pub owned: BTreeMap<PoolName, Revision>,
-    /// The pools whose owner in it is stalled and may go on.
+    /// The pools whose owner in it is stalled and may go on, and those whose lease it is writing.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub stalled: BTreeSet<PoolName>,
     /// The pools whose rows it could not read in its last attempt, so that it is no owner for them.
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -42,7 +42,30 @@
 /// Pause between two of these attempts.
 const RELEASE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Writes the lease of a pool; returns `None` if another process wrote it first.
+/// The time in which this process writes the lease of a pool. It may become the owner without knowing
+/// so yet, while others see the lease.
+pub struct Taking<'a> {
+    node: &'a Node,
+    pool: &'a PoolName,
+}
+
+impl<'a> Taking<'a> {
+    /// Records that the lease of a pool is about to be written.
+    pub fn new(node: &'a Node, pool: &'a PoolName) -> Self {
+        node.taking().insert(pool.clone());
+        Self { node, pool }
+    }
+}
+
+impl Drop for Taking<'_> {
+    fn drop(&mut self) {
+        self.node.taking().remove(self.pool);
+    }
+}
+
+/// Writes the lease of a pool; returns `None` if another process wrote it first. `order_effect` is how
+/// long orders of earlier owners can have effect, for the case that this process ends before it is
+/// settled; the fleet owner has none.
 ///
 /// # Errors
 ///
@@ -51,6 +74,7 @@
     node: &Node,
     pool: &PoolName,
     known: Option<&LeaseView>,
+    order_effect: Option<Millis>,
 ) -> Result<Option<LeaseView>, StoreError> {
     let term = known.map_or(0, |known| known.record.term + 1);
     let abandoned = known.map_or(0, |known| abandoned_before(node, pool, known));
@@ -61,11 +85,13 @@
         address,
         term,
         settled: false,
-        unsettled_for: None,
+        unsettled_for: order_effect,
         abandoned,
         knows_storer: known.is_none_or(|known| known.record.successor_knows_storer()),
+        silent: None,
     };
     let key = lease_key(pool);
+    let _taking = Taking::new(node, pool);
     let txn = Txn::new()
         .with_check(key.clone(), known.map(|known| known.revision))
         .with_write(key.clone(), value(&record));
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -22,7 +22,7 @@
 };
 use reachhead_types::{
     id::{NodeName, PoolName, WaveName, WorkerId, ZoneName},
-    size::{Millis, Revision, Version},
+    size::{FencingToken, Millis, Revision, Version},
 };
 
 use crate::peer::Pong;
@@ -52,6 +52,8 @@
 /// The last status that a peer reported.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerStatus {
+    /// When the peer was asked, so that its status is not older.
+    pub asked: Tick,
     /// When the peer answered.
     pub at: Tick,
     /// The address at which it answered.
@@ -93,6 +95,8 @@
     pub operator_rows: AppliedRows,
     /// The leases, by pool.
     pub leases: BTreeMap<PoolName, LeaseView>,
+    /// The token of the owner that last recorded that its pool is settled, by pool.
+    pub settled: BTreeMap<PoolName, FencingToken>,
     /// When the leases were first read. Their age before that is unknown.
     pub leases_first_read_at: Option<Tick>,
     /// The membership list was empty when it was first read.
