The owner that gives a pool back tells how long silent workers count

Cause: the released lease had one time for all workers, and its successor waited at least a lease, also for workers that had got nothing for long.

Now the released lease lists the workers that do not answer, with the time that is left by its owner's knowledge: until predecessors' orders expire where the worker never answered; until the last lease ends where it did, with what late calls may prolong; none where the former has passed. A worker that was replaced under its id counts as long as an order to its earlier incarnation. The successor waits for these workers that long and for the others a lease, and passes the longest on until it is settled. Above 64 silent workers, or before all shards are fenced, there is no list and the waits are as before; an earlier release ignores it.

--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -55,6 +55,8 @@
 /// What an owner can't know about the orders of its predecessors, and the lookups of unknown jobs.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(super) struct PredecessorOrders {
+    /// When this owner took over.
+    since: Tick,
     /// When the last order of a predecessor may be given.
     given_until: Tick,
     /// When the last order of a predecessor has lost its effect.
@@ -67,6 +69,7 @@
     /// of them for at most `lease`.
     pub(super) fn new(effect: Millis, lease: Millis, now: Tick) -> Self {
         Self {
+            since: now,
             given_until: now + Millis(effect.0.saturating_sub(lease.0)),
             effective_until: now + effect,
             lookups: BTreeMap::new(),
@@ -78,6 +81,16 @@
         now < self.given_until
     }
 
+    /// Returns when this owner took over.
+    pub(super) fn since(&self) -> Tick {
+        self.since
+    }
+
+    /// Returns when the last order of a predecessor has lost its effect.
+    pub(super) fn effective_until(&self) -> Tick {
+        self.effective_until
+    }
+
     /// Returns whether a run of the job is to be kept while the job is looked up.
     fn keeps_runs(&self, job: JobId, now: Tick) -> bool {
         now < self.effective_until
--- a/reachhead_jobs/tests/pool/released.rs
+++ b/reachhead_jobs/tests/pool/released.rs
@@ -1,6 +1,10 @@
 //! What the owner that gives a pool back knows of its workers, and how long its successor waits.
 
-use reachhead_jobs::{pool::RecoveredState, record::LeaseRecord};
+use reachhead_jobs::{
+    order_effect::{OrderEffect, Predecessor, order_effect},
+    pool::{DeathEvidence, RecoveredState},
+    record::LeaseRecord,
+};
 use reachhead_types::size::Millis;
 
 use crate::fixture::{Fixture, info, recovered, step, timeouts, worker};
@@ -15,15 +19,16 @@
         unsettled_for: Some(fixture.pool.remaining_takeover_delay(fixture.now)),
         abandoned: 0,
         knows_storer: false,
-        silent: None,
+        silent: fixture.pool.silent_workers(fixture.now),
     }
 }
 
 /// Returns the state that the successor finds, with a long-running task that no worker reports and
 /// this roster.
 fn successor(record: &LeaseRecord, roster: Vec<(&str, Option<u64>)>) -> RecoveredState {
-    let effect = timeouts().after_release(record);
-    RecoveredState { effect, ..recovered(vec![(1, vec![step(1)])], roster) }
+    let predecessor = Predecessor { record, has_ended: true, is_settled: false };
+    let OrderEffect { usual, silent } = order_effect(&timeouts(), Some(predecessor));
+    RecoveredState { effect: usual, silent, ..recovered(vec![(1, vec![step(1)])], roster) }
 }
 
 /// Returns for how long the task waits, although a worker with room answers at once.
@@ -81,3 +86,75 @@
     assert!(waited <= Millis(lease.0 - 2500), "{waited}: the lease is three seconds old");
     assert!(waited >= Millis(lease.0 - 3100), "{waited}: the task may run there");
 }
+
+/// All processes read the row of a lease. A successor that gets no list waits for all workers alike.
+#[test]
+fn a_release_lists_the_silent_workers_of_the_roster_if_they_are_few() {
+    let roster = |count| (0..count).map(|number| format!("gone{number}")).collect::<Vec<_>>();
+    let list = |count| {
+        let names = roster(count);
+        let workers = names.iter().map(|name| (name.as_str(), None)).collect();
+        let mut fixture = Fixture::new(recovered(vec![], workers), vec![info("w", 4)]);
+        fixture.poll();
+        fixture.report(&worker("w"));
+        release(&fixture).silent
+    };
+    let silent = list(64).unwrap();
+    assert_eq!(silent.len(), 64, "a worker that answers is not among them");
+    assert!(silent.values().all(|left| left.0 + 10 > timeouts().takeover_delay().0));
+    assert_eq!(list(65), None);
+
+    let mut unfenced = recovered(vec![], vec![("gone", None)]);
+    unfenced.fences.pop_first();
+    let fixture = Fixture::new(unfenced, Vec::new());
+    assert_eq!(release(&fixture).silent, None, "predecessors may still give orders elsewhere");
+    assert!(!release(&fixture).settled);
+}
+
+/// An entry of the roster that can't be read, of a worker that may have been used.
+#[test]
+fn a_worker_with_an_unreadable_entry_is_waited_for_like_others() {
+    let mut found = recovered(vec![(1, vec![step(1)])], vec![("odd", None)]);
+    found.roster.workers.get_mut(&worker("odd")).unwrap().entry = None;
+    let fixture = Fixture::new(found.clone(), Vec::new());
+    let record = release(&fixture);
+    assert_eq!(record.silent, Some([(worker("odd"), timeouts().takeover_delay())].into()));
+    let predecessor = Predecessor { record: &record, has_ended: true, is_settled: false };
+    let OrderEffect { usual, silent } = order_effect(&timeouts(), Some(predecessor));
+    let waited = wait(RecoveredState { effect: usual, silent, ..found });
+    assert!(waited >= timeouts().takeover_delay(), "{waited}");
+}
+
+/// What a successor of the releasing owner finds lasts as long for the owner after it.
+#[test]
+fn a_successor_that_ends_before_it_is_settled_passes_on_the_longest_time() {
+    let found = recovered(vec![], vec![("gone", None), ("w", None)]);
+    let mut fixture = Fixture::new(found, vec![info("w", 4)]);
+    fixture.poll();
+    fixture.report(&worker("w"));
+    let record = release(&fixture);
+    let predecessor = Predecessor { record: &record, has_ended: true, is_settled: false };
+    let first = order_effect(&timeouts(), Some(predecessor));
+    assert!(first.usual < first.longest());
+    let held = LeaseRecord {
+        owner: Some("n".parse().unwrap()),
+        unsettled_for: Some(first.longest()),
+        silent: None,
+        ..record
+    };
+    let predecessor = Predecessor { record: &held, has_ended: true, is_settled: false };
+    assert_eq!(order_effect(&timeouts(), Some(predecessor)).usual, first.longest());
+}
+
+/// A worker that was lost and is back under its id may still get an order that the releasing owner
+/// sent to the earlier incarnation.
+#[test]
+fn a_worker_that_came_back_unseen_counts_for_a_lease() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.advance(20_000);
+    fixture.pool.worker_died(&worker("w"), DeathEvidence::Unhosted, fixture.now);
+    fixture.infos[0].started_at = Some(Millis(9));
+    fixture.list();
+    let silent = release(&fixture).silent.unwrap();
+    assert!(silent[&worker("w")] >= timeouts().hold, "{silent:?}");
+}
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -486,7 +486,7 @@
             unsettled_for: Some(self.pool.remaining_takeover_delay(self.node.now())),
             abandoned: 0,
             knows_storer: false,
-            silent: None,
+            silent: self.pool.silent_workers(self.node.now()),
         };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
