--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -326,7 +326,7 @@
             Input::CallFailed => self.call_failed = true,
             Input::Release(request) => self.begin_release(request, now),
             // A successor would have to wait again for the workers that have not answered.
-            Input::Yield(_) if self.pool.unsettled() > 0 => {}
+            Input::Yield(_) if !self.pool.is_settled() => {}
             Input::Yield(request) => self.begin_release(request, now),
         }
     }
--- a/reachhead_node/src/owner/release.rs
+++ b/reachhead_node/src/owner/release.rs
@@ -106,10 +106,11 @@
             owner: None,
             address: None,
             term: self.term,
-            settled: self.pool.unsettled() == 0,
+            settled: self.pool.is_settled(),
             unsettled_for: Some(self.pool.remaining_takeover_delay(self.node.now())),
             abandoned: 0,
             knows_storer: false,
+            silent: self.pool.silent_workers(self.node.now()),
         };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -58,7 +58,7 @@
 /// Returns the owner of pool "a" in this process.
 pub(super) async fn owner_in(node: Arc<Node>) -> Owner {
     let name = "a".parse().unwrap();
-    let token = takeover::take(&node, &name, None).await.unwrap().unwrap().revision;
+    let token = takeover::take(&node, &name, None, None).await.unwrap().unwrap().revision;
     let timeouts = PoolTimeouts {
         hold: Millis(4000),
         trust: Millis(4000),
