A failing test: a successor renews no lease while it reads the stored jobs

A successor calls its workers only after it has read all stored jobs, so runs of healthy workers lapse at each change of the owner where that takes longer than a lease. The process of the tests takes any store and workers.

--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -498,3 +498,7 @@
 #[cfg(test)]
 #[path = "election_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "renewal_tests.rs"]
+mod renewal_tests;
--- /dev/null
+++ b/reachhead_node/src/renewal_tests.rs
@@ -0,0 +1,225 @@
+//! A successor renews what runs on its workers while it still reads the stored jobs.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Instant,
+};
+
+use futures::future::{BoxFuture, FutureExt};
+use reachhead_jobs::{
+    clock::WorkerTime,
+    ports::{
+        HoldOrder, RunningEntry, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
+    },
+    record::{RosterEntry, job_prefix, roster_key, value},
+    shard::Shard,
+    task::{StepId, TaskId},
+};
+use reachhead_ops::runtime;
+use reachhead_store::{
+    Store, StoreError,
+    memory::MemoryStore,
+    row::{Commit, Key, Page, Row, Scan, Txn},
+};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::RunNumber,
+};
+
+use super::*;
+use crate::{lock::locked, tests::broken_node};
+
+/// How long a page of jobs takes.
+const READ_TIME: Duration = Duration::from_millis(1500);
+
+/// Time after the takeover began by which a worker's lease has to be renewed.
+const RENEWAL_LIMIT: Duration = Duration::from_millis(1000);
+
+/// A store that answers reads of jobs late.
+#[derive(Default)]
+struct SlowStore {
+    rows: MemoryStore,
+    /// Number of pages of jobs that were read.
+    pages: AtomicU32,
+}
+
+impl Store for SlowStore {
+    fn read(&self, keys: Vec<Key>) -> BoxFuture<'_, Result<Vec<Option<Row>>, StoreError>> {
+        self.rows.read(keys)
+    }
+
+    fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
+        let of_jobs = Shard::all().any(|shard| scan.prefix == job_prefix(&pool(), shard));
+        async move {
+            if of_jobs {
+                time::sleep(READ_TIME).await;
+                self.pages.fetch_add(1, Ordering::Relaxed);
+            }
+            self.rows.scan(scan).await
+        }
+        .boxed()
+    }
+
+    fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
+        self.rows.commit(txn)
+    }
+}
+
+/// Workers that report a run each, and the orders that they got.
+#[derive(Default)]
+struct Workers {
+    running: BTreeMap<WorkerId, TaskId>,
+    orders: Mutex<Orders>,
+}
+
+#[derive(Default)]
+struct Orders {
+    /// When each worker was first told a deadline.
+    renewed: BTreeMap<WorkerId, Instant>,
+    started: Vec<TaskId>,
+    stopped: Vec<TaskId>,
+    /// The highest number of an end that was acknowledged.
+    acknowledged: u64,
+}
+
+impl Workers {
+    fn clock() -> WorkerTime {
+        WorkerTime(500_000)
+    }
+
+    fn renewed(&self, worker: &WorkerId) -> Option<Instant> {
+        locked(&self.orders).renewed.get(worker).copied()
+    }
+}
+
+impl WorkerAgent for Workers {
+    fn start(
+        &self,
+        _: WorkerTarget,
+        order: StartOrder,
+    ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
+        locked(&self.orders).started.push(order.task);
+        async { Ok(Self::clock()) }.boxed()
+    }
+
+    fn stop(
+        &self,
+        _: WorkerTarget,
+        task: TaskId,
+        _: RunNumber,
+    ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
+        locked(&self.orders).stopped.push(task);
+        async { Ok(Self::clock()) }.boxed()
+    }
+
+    fn hold(
+        &self,
+        target: WorkerTarget,
+        order: HoldOrder,
+    ) -> BoxFuture<'_, Result<WorkerReport, WorkerError>> {
+        let mut orders = locked(&self.orders);
+        orders.acknowledged = orders.acknowledged.max(order.acknowledged);
+        if order.deadline.is_some() {
+            orders.renewed.entry(target.id.clone()).or_insert_with(Instant::now);
+        }
+        let running = self.running.get(&target.id).map(|task| RunningEntry {
+            task: *task,
+            run: RunNumber(1),
+            checkpoint: None,
+            percent: 50,
+            metric: 0,
+        });
+        let report = WorkerReport {
+            started_at: None,
+            clock: Self::clock(),
+            running: running.into_iter().collect(),
+            ended: Vec::new(),
+        };
+        async move {
+            time::sleep(Duration::from_millis(20)).await;
+            Ok(report)
+        }
+        .boxed()
+    }
+
+    fn pace(
+        &self,
+        _: WorkerTarget,
+        _: TaskId,
+        _: RunNumber,
+        _: u32,
+    ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
+        async { Ok(Self::clock()) }.boxed()
+    }
+}
+
+fn pool() -> PoolName {
+    "a".parse().unwrap()
+}
+
+fn worker() -> WorkerId {
+    "w".parse().unwrap()
+}
+
+fn task() -> TaskId {
+    StepId { job: JobId(1), occurrence: 0, step: 0 }.task(0)
+}
+
+/// Returns a process that may take over a pool with a worker in the roster, its store and its workers.
+async fn successor() -> (Arc<Node>, Arc<SlowStore>, Arc<Workers>) {
+    let store = Arc::new(SlowStore::default());
+    let workers =
+        Arc::new(Workers { running: BTreeMap::from([(worker(), task())]), ..Workers::default() });
+    let node = broken_node::node_with(
+        Arc::<SlowStore>::clone(&store),
+        Arc::<Workers>::clone(&workers) as Arc<dyn WorkerAgent>,
+    );
+    let address = "127.0.0.1:1".parse().unwrap();
+    let entry = RosterEntry { worker: worker(), address, closed: None };
+    let txn = Txn::new().with_write(roster_key(&pool(), &worker()), value(&entry));
+    assert!(matches!(store.commit(txn).await, Ok(Commit::Done(_))));
+    (node, store, workers)
+}
+
+fn policy() -> PoolPolicy {
+    PoolPolicy { name: pool(), rejects_overload: false, spare: false }
+}
+
+/// Waits until a condition holds, and returns whether it did in time.
+async fn holds_within(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let begun = Instant::now();
+    while begun.elapsed() < limit {
+        if condition() {
+            return true;
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+/// Guards against runs of healthy workers that lapse at each change of the owner while the successor
+/// reads its rows.
+#[test]
+fn a_worker_is_renewed_while_the_stored_jobs_are_read() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store, workers) = successor().await;
+        tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
+        let renewed = holds_within(RENEWAL_LIMIT, || workers.renewed(&worker()).is_some()).await;
+        assert_eq!(store.pages.load(Ordering::Relaxed), 0, "the jobs are still being read");
+        assert!(renewed, "the lease would end before the jobs are read");
+        assert!(node.loading().contains_key(&pool()), "the process claims the pool");
+        assert!(node.owned().is_empty(), "callers would not find their jobs");
+        assert_eq!(locked(&workers.orders).stopped, [], "the run's job may be stored");
+        assert!(
+            holds_within(3 * READ_TIME, || node.owned().contains_key(&pool())).await,
+            "the owner serves once its jobs are read"
+        );
+        assert!(node.loading().is_empty());
+        let stopped = || locked(&workers.orders).stopped.contains(&task());
+        assert!(holds_within(RENEWAL_LIMIT, stopped).await, "the run's job is not stored");
+    });
+}
--- a/reachhead_node/src/tests/broken_node.rs
+++ b/reachhead_node/src/tests/broken_node.rs
@@ -147,10 +147,15 @@
         scans: AtomicU32::new(0),
         commits: AtomicU32::new(0),
     });
+    (node_with(Arc::<BrokenStore>::clone(&store), Arc::new(Silent)), store)
+}
+
+/// Returns a process with this store and these workers, on a platform that answers nothing else.
+pub fn node_with(store: Arc<dyn Store>, workers: Arc<dyn WorkerAgent>) -> Arc<Node> {
     let services = Services {
-        store: Arc::<BrokenStore>::clone(&store),
+        store,
         feed: Arc::new(Silent),
-        workers: Arc::new(Silent),
+        workers,
         hosts: None,
         advisor: None,
         row_format: Arc::new(PlatformRowFormat::new()),
@@ -159,5 +164,5 @@
     let peers = PeerClient::new(Arc::new(HttpClient::new()));
     let settings = Settings::parse(SETTINGS).unwrap();
     let stopping = watch::channel(false).1;
-    (Arc::new(Node::new(settings, services, peers, metrics, stopping)), store)
+    Arc::new(Node::new(settings, services, peers, metrics, stopping))
 }
