--- a/reachhead_jobs/src/pool/drain_worker.rs
+++ b/reachhead_jobs/src/pool/drain_worker.rs
@@ -55,7 +55,8 @@
         // its predecessor stops may still be reported as active. A worker that has reported no runs
         // may be released all the same.
         let stops_done = self.predecessor_stops_end().is_some_and(|since| since <= now);
-        let settled = stops_done && self.workers_listed && self.pending.is_empty();
+        let is_known = !self.is_recovering() && self.workers_listed;
+        let settled = stops_done && is_known && self.pending.is_empty();
         let until = now + CORDON_DURATION;
         if self.workers.contains_key(id) && self.is_needed(id, now) {
             // Requests one extra host, and keeps this worker for its long-running tasks.
--- a/reachhead_jobs/src/pool/load.rs
+++ b/reachhead_jobs/src/pool/load.rs
@@ -203,7 +203,7 @@
                 .deserted_workers()
                 .filter_map(|worker| Some((worker.info.id.clone(), worker.newest_start()?)))
                 .collect(),
-            unsettled: !self.workers_listed || !self.pending.is_empty(),
+            unsettled: self.is_recovering() || !self.workers_listed || !self.pending.is_empty(),
         }
     }
 
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -41,7 +41,7 @@
 pub use drain_worker::{DrainMode, DrainProgress};
 pub use flush::{Batch, Due, Lane};
 pub use load::{PoolLoad, WorkerLoad};
-pub use recovered_state::{RecoveredState, StoredJob, StoredProgress};
+pub use recovered_state::{RecoveredJobs, RecoveredState, StoredJob, StoredProgress};
 pub use roster::{StoredRoster, StoredWorker};
 pub use round_outcome::RoundOutcome;
 pub use unplaced::{UnplacedSummary, WaitReason};
@@ -133,6 +133,8 @@
     token: FencingToken,
     /// Revisions of the shards' fences after this owner raised them.
     fences: BTreeMap<Shard, Revision>,
+    /// Set until the stored jobs are known.
+    recovery: Option<recover::Recovery>,
     /// Number of ownership changes before this owner; run numbers derive from it.
     term: u64,
     timeouts: PoolTimeouts,
@@ -209,72 +211,6 @@
 }
 
 impl Pool {
-    /// Creates the pool `name` for the owner that holds `token`, from the state found in the store.
-    /// `wall` is the time of day in milliseconds since 1970.
-    pub fn new(
-        name: PoolName,
-        token: FencingToken,
-        term: u64,
-        timeouts: PoolTimeouts,
-        found: RecoveredState,
-        now: Tick,
-        wall: Millis,
-    ) -> Self {
-        let mut pool = Self {
-            name,
-            token,
-            fences: found.fences,
-            term,
-            timeouts,
-            jobs: BTreeMap::new(),
-            closed: BTreeMap::new(),
-            workers: BTreeMap::new(),
-            pending: BTreeMap::new(),
-            predecessor: orphans::PredecessorOrders::new(
-                found.effect,
-                with_drift(timeouts.hold),
-                now,
-            ),
-            predecessors_know_storer: found.knows_storer,
-            unclaimed_ends: unclaimed::UnclaimedEnds::default(),
-            workers_listed: false,
-            drained: drain::DrainedZones::default(),
-            cordons: BTreeMap::new(),
-            surge_until: Tick(0),
-            all_answered_at: None,
-            start_budget: StartBudget::unlimited(),
-            poll_budget: PollBudget::unlimited(),
-            round: RoundOutcome::default(),
-            search_from: 0,
-            roster: roster::RosterState::new(found.roster),
-            dirty: BTreeSet::new(),
-            refusals: refusal::Refusals::default(),
-            dead_incarnations: BTreeMap::new(),
-            skipped: 0,
-            outage: OutageDetector::new(),
-            counted_crashes: Vec::new(),
-            estimator: DurationEstimator::default(),
-            advice: advice::AdviceCache::default(),
-            quotas: quota::Quotas::default(),
-            unplaced: unplaced::UnplacedSteps::default(),
-            customer_arrivals: weights::CustomerArrivals::default(),
-            queue_arrivals: load::QueueArrivals::default(),
-            has_best_effort: false,
-            review: true,
-            next_review: now,
-            verified: found.verified,
-            confirmation: confirmation::Confirmation::Due(now),
-            wall_offset: Millis(wall.0.saturating_sub(now.0)),
-            actions: Vec::new(),
-            notes: Vec::new(),
-        };
-        for stored in found.jobs {
-            pool.recover_job(stored, now, wall);
-        }
-        pool.recover_workers(found.effect, now);
-        pool
-    }
-
     /// Returns the pool's name.
     pub fn name(&self) -> &PoolName {
         &self.name
@@ -303,6 +239,9 @@
     /// Returns for how long runs of a predecessor may still be active on workers that have not
     /// answered.
     pub fn remaining_takeover_delay(&self, now: Tick) -> Millis {
+        if let Some(recovery) = &self.recovery {
+            return recovery.effect;
+        }
         let last = self.pending.values().map(|pending| pending.until).max();
         last.map_or(Millis(0), |until| until.since(now))
     }
@@ -314,7 +253,7 @@
 
     /// Adds an accepted job; a known job is left unchanged. A job that was stored before this owner
     /// took over, but whose row it did not find, had already ended: its submission is late and is
-    /// ignored.
+    /// ignored. While the pool is recovering no job is added; the owner finds it by its next reads.
     pub fn submit(
         &mut self,
         id: JobId,
@@ -324,7 +263,8 @@
         wall: Millis,
     ) {
         let ended = row < Revision(self.token.0);
-        if self.is_replaced(record)
+        if self.is_recovering()
+            || self.is_replaced(record)
             || ended
             || self.jobs.contains_key(&id)
             || self.closed.contains_key(&id)
@@ -432,7 +372,7 @@
             self.next_review = now + REVIEW_PERIOD;
             self.review_runs(now);
         }
-        if self.can_order(now) && self.drained.is_current(now) {
+        if self.can_order(now) && self.drained.is_current(now) && !self.is_recovering() {
             self.place_tasks(now);
         }
         self.check_unplaced(now);
@@ -464,8 +404,10 @@
 
     /// Drops state whose retention time has passed.
     fn expire(&mut self, now: Tick) {
-        let verified = self.verified;
-        self.pending.retain(|_, pending| pending.until > verified);
+        if !self.is_recovering() {
+            let verified = self.verified;
+            self.pending.retain(|_, pending| pending.until > verified);
+        }
         if self.pending.is_empty() {
             self.all_answered_at.get_or_insert(now);
         }
--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -3,9 +3,9 @@
 //! A job may be stored after a takeover has read its shard, and be started by a predecessor that has
 //! not noticed the takeover. Such a run is kept until the store tells whether its job is stored. A
 //! run that was ordered to stop is remembered until its worker reports the end, so that its task
-//! does not start elsewhere before that. See [Platform](../../../docs/PLATFORM.md).
+//! does not start elsewhere before that. While the stored jobs are still being read, all runs are kept. See [Platform](../../../docs/PLATFORM.md).
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use reachhead_types::{
     id::{JobId, WorkerId},
@@ -23,6 +23,7 @@
     ports::{RunningEntry, WorkerReport},
     record::JobRecord,
     task::TaskId,
+    worker::Worker,
 };
 
 /// How long a run whose job can't be looked up is kept: a cancelled job has to be stopped soon.
@@ -78,6 +79,11 @@
         now < self.given_until
     }
 
+    /// Keeps runs of unknown jobs at least until `until`, for the time of a lookup.
+    fn keep_runs_until(&mut self, until: Tick) {
+        self.effective_until = self.effective_until.max(until);
+    }
+
     /// Returns whether a run of the job is to be kept while the job is looked up.
     fn keeps_runs(&self, job: JobId, now: Tick) -> bool {
         now < self.effective_until
@@ -136,8 +142,12 @@
     }
 
     /// Keeps a reported run of an unknown job and looks the job up, or stops the run if a job that
-    /// is unknown by now has ended.
+    /// is unknown by now has ended. While the stored jobs are being read, it is only kept.
     pub(super) fn keep_or_stop(&mut self, id: &WorkerId, entry: &RunningEntry, now: Tick) {
+        if self.is_recovering() {
+            self.note_orphan(id, entry);
+            return;
+        }
         let job = entry.task.job;
         if self.closed.contains_key(&job) || !self.predecessor.keeps_runs(job, now) {
             self.stop_orphan(id, entry, now);
@@ -149,6 +159,9 @@
 
     /// Requests the lookups that are due.
     pub(super) fn look_up_jobs(&mut self, now: Tick) {
+        if self.is_recovering() {
+            return;
+        }
         let mut jobs = self.predecessor.take_due(now);
         for job in self.unclaimed_ends.take_due(now) {
             if !jobs.contains(&job) {
@@ -189,6 +202,27 @@
         }
     }
 
+    /// Applies all runs that were reported while the stored jobs were read. A job that was not read
+    /// has ended, or it was stored after its shard was read and a predecessor has started it. When a
+    /// page was read tells little: a run is known from its worker's first report, which comes while
+    /// the first pages are read. So these jobs are looked up, however long the reads took.
+    pub(super) fn claim_all_runs(&mut self, now: Tick) {
+        let of_worker = |worker: &Worker| {
+            let id = worker.info.id.clone();
+            worker.orphans.iter().map(move |orphan| (id.clone(), orphan.entry.clone())).collect()
+        };
+        let mut reported: Vec<(WorkerId, RunningEntry)> =
+            self.workers.values().flat_map::<Vec<_>, _>(of_worker).collect();
+        // Of several runs of a task the newest one is kept.
+        reported.sort_by_key(|(_, entry)| Reverse(entry.run));
+        if reported.iter().any(|(_, entry)| !self.jobs.contains_key(&entry.task.job)) {
+            self.predecessor.keep_runs_until(now + LOOKUP_TIMEOUT);
+        }
+        for (worker, entry) in reported {
+            self.adopt(&worker, &entry, now);
+        }
+    }
+
     fn orphans_of(&self, job: JobId) -> Vec<(WorkerId, Orphan)> {
         let of_worker = |(id, orphans): (&WorkerId, &[Orphan])| {
             let own = orphans.iter().filter(|orphan| orphan.entry.task.job == job);
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -76,7 +76,7 @@
             if !self.poll_budget.has_room() && !is_urgent {
                 continue;
             }
-            self.poll_budget.take(worker.runs.len() + ends);
+            self.poll_budget.take(worker.runs.len() + worker.orphans.len() + ends);
             let deadline = worker
                 .clock
                 .filter(|_| can_order && !worker.silent)
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -1,19 +1,155 @@
 //! Recovery of a predecessor's jobs, workers and runs after an ownership change.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use reachhead_plan::amount::Amount;
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_types::{
+    id::{PoolName, WorkerId},
+    size::{FencingToken, Millis},
+};
 
+use super::{
+    advice, confirmation, drain, load, orphans, quota, refusal, roster, unclaimed, unplaced,
+    weights,
+};
 use crate::{
-    clock::Tick,
+    clock::{Tick, with_drift},
     job::{Job, Phase, Run},
-    pool::{NoteKind, PendingWorker, Pool, StoredJob},
+    order::DurationEstimator,
+    outage::OutageDetector,
+    poll_pace::PollBudget,
+    pool::{
+        NoteKind, PendingWorker, Pool, PoolTimeouts, RecoveredJobs, RecoveredState, RoundOutcome,
+        StoredJob,
+    },
     ports::{RunningEntry, WorkerInfo},
+    start_pace::StartBudget,
     worker::Worker,
 };
 
+/// State of a pool whose stored jobs are still being read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Recovery {
+    /// For how long orders of predecessors have effect once the shards are fenced.
+    pub(super) effect: Millis,
+}
+
 impl Pool {
+    /// Creates the pool `name` for the owner that holds `token`, from the state found in the store.
+    /// `wall` is the time of day in milliseconds since 1970.
+    pub fn new(
+        name: PoolName,
+        token: FencingToken,
+        term: u64,
+        timeouts: PoolTimeouts,
+        mut found: RecoveredState,
+        now: Tick,
+        wall: Millis,
+    ) -> Self {
+        let jobs = RecoveredJobs {
+            jobs: std::mem::take(&mut found.jobs),
+            fences: std::mem::take(&mut found.fences),
+            fenced_at: now,
+        };
+        let mut pool = Self::recovering(name, token, term, timeouts, found, now, wall);
+        pool.recover_jobs(jobs, now, wall);
+        pool
+    }
+
+    /// Creates the pool with the workers that predecessors may have used, before its stored jobs are
+    /// known; jobs and fences in `found` are ignored. The pool renews what runs on its workers and
+    /// starts, stops and acknowledges nothing until [`Pool::recover_jobs`]: reading the jobs may take
+    /// longer than a worker's lease. See [Platform](../../../docs/PLATFORM.md), "How a pool changes its
+    /// owner".
+    pub fn recovering(
+        name: PoolName,
+        token: FencingToken,
+        term: u64,
+        timeouts: PoolTimeouts,
+        found: RecoveredState,
+        now: Tick,
+        wall: Millis,
+    ) -> Self {
+        let mut pool = Self {
+            name,
+            token,
+            fences: BTreeMap::new(),
+            recovery: Some(Recovery { effect: found.effect }),
+            term,
+            timeouts,
+            jobs: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            predecessor: orphans::PredecessorOrders::default(),
+            predecessors_know_storer: found.knows_storer,
+            unclaimed_ends: unclaimed::UnclaimedEnds::default(),
+            workers_listed: false,
+            drained: drain::DrainedZones::default(),
+            cordons: BTreeMap::new(),
+            surge_until: Tick(0),
+            all_answered_at: None,
+            start_budget: StartBudget::unlimited(),
+            poll_budget: PollBudget::unlimited(),
+            round: RoundOutcome::default(),
+            search_from: 0,
+            roster: roster::RosterState::new(found.roster),
+            dirty: BTreeSet::new(),
+            refusals: refusal::Refusals::default(),
+            dead_incarnations: BTreeMap::new(),
+            skipped: 0,
+            outage: OutageDetector::new(),
+            counted_crashes: Vec::new(),
+            estimator: DurationEstimator::default(),
+            advice: advice::AdviceCache::default(),
+            quotas: quota::Quotas::default(),
+            unplaced: unplaced::UnplacedSteps::default(),
+            customer_arrivals: weights::CustomerArrivals::default(),
+            queue_arrivals: load::QueueArrivals::default(),
+            has_best_effort: false,
+            review: true,
+            next_review: now,
+            verified: found.verified,
+            confirmation: confirmation::Confirmation::Due(now),
+            wall_offset: Millis(wall.0.saturating_sub(now.0)),
+            actions: Vec::new(),
+            notes: Vec::new(),
+        };
+        pool.recover_workers(now);
+        pool
+    }
+
+    /// Returns whether the stored jobs are not known yet.
+    pub fn is_recovering(&self) -> bool {
+        self.recovery.is_some()
+    }
+
+    /// Adds the stored jobs to a pool that is recovering, and applies what workers have reported of
+    /// them. Orders of predecessors count from the time at which all shards were fenced: until then a
+    /// predecessor's commits could confirm its trust in its lease, and the time that reading took has
+    /// passed for its orders too.
+    pub fn recover_jobs(&mut self, found: RecoveredJobs, now: Tick, wall: Millis) {
+        let Some(Recovery { effect }) = self.recovery.take() else {
+            return;
+        };
+        self.fences = found.fences;
+        let effective_until = found.fenced_at + effect;
+        for pending in self.pending.values_mut() {
+            pending.until = pending.until.max(effective_until);
+        }
+        let lease = with_drift(self.timeouts.hold);
+        self.predecessor = orphans::PredecessorOrders::new(effect, lease, found.fenced_at);
+        for stored in found.jobs {
+            self.recover_job(stored, now, wall);
+        }
+        self.claim_all_ends(now);
+        self.claim_all_runs(now);
+        self.roster.next = now;
+        self.review = true;
+    }
+
     /// Adds a stored job with its stored progress, and ends it if that shows it as complete or failed.
-    pub(super) fn recover_job(&mut self, stored: StoredJob, now: Tick, wall: Millis) {
+    fn recover_job(&mut self, stored: StoredJob, now: Tick, wall: Millis) {
         if self.is_replaced(&stored.record) {
             return;
         }
@@ -34,9 +170,9 @@
 
     /// Creates the workers that the predecessor may have used, as pending. Each has to answer the
     /// new token, or its leases have to expire, before a recovered task that no worker reports is
-    /// restarted.
-    pub(super) fn recover_workers(&mut self, effect: Millis, now: Tick) {
-        let until = now + effect;
+    /// restarted. How long that takes is known once the shards are fenced.
+    fn recover_workers(&mut self, now: Tick) {
+        let until = Tick(0);
         for (id, stored) in self.roster.stored.workers.clone() {
             let Some(entry) = stored.entry else {
                 // Its address is unknown, so it can't be queried before it registers again.
--- a/reachhead_jobs/src/pool/recovered_state.rs
+++ b/reachhead_jobs/src/pool/recovered_state.rs
@@ -45,8 +45,20 @@
     /// When the lease was last confirmed; reading the rest may have taken long.
     pub verified: Tick,
     /// How long orders of the predecessor may still take effect on workers that do not answer; see
-    /// [`PoolTimeouts::takeover_delay`](crate::pool::PoolTimeouts::takeover_delay).
+    /// [`PoolTimeouts::takeover_delay`](crate::pool::PoolTimeouts::takeover_delay). The time counts from
+    /// when all shards are fenced.
     pub effect: Millis,
     /// See [`LeaseRecord::knows_storer`](crate::record::LeaseRecord::knows_storer) of this owner's lease.
     pub knows_storer: bool,
 }
+
+/// What a new owner reads of a pool that is recovering.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct RecoveredJobs {
+    /// The jobs that have not ended.
+    pub jobs: Vec<StoredJob>,
+    /// The revisions of the shards' fences after this owner raised them.
+    pub fences: BTreeMap<Shard, Revision>,
+    /// When the last of the shards was fenced. No commit of a predecessor was accepted after that.
+    pub fenced_at: Tick,
+}
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -56,7 +56,10 @@
             }
         }
         self.bar_lost_orders(id);
-        self.unclaimed_ends.drop_worker(id);
+        // The stored jobs that are still being read may need the ends of the old one.
+        if !self.is_recovering() {
+            self.unclaimed_ends.drop_worker(id);
+        }
         self.advice.drop_worker(id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.started_at = report.started_at;
--- a/reachhead_jobs/src/pool/roster.rs
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -182,9 +182,10 @@
         }
     }
 
-    /// Compares the roster with the workers, once per [`ROSTER_CHECK_PERIOD`].
+    /// Compares the roster with the workers, once per [`ROSTER_CHECK_PERIOD`]. A worker can't be closed
+    /// before the newest job is known.
     pub(super) fn check_roster(&mut self, now: Tick) {
-        if self.roster.next <= now {
+        if self.roster.next <= now && !self.is_recovering() {
             self.roster.next = now + ROSTER_CHECK_PERIOD;
             self.roster.wanted = self.wanted_roster(now);
         }
--- a/reachhead_jobs/src/pool/unclaimed.rs
+++ b/reachhead_jobs/src/pool/unclaimed.rs
@@ -50,70 +50,86 @@
     InFlight,
 }
 
+/// The ends of an unknown job, and its lookup.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct JobEnds {
+    lookup: Lookup,
+    ends: Vec<UnclaimedEnd>,
+}
+
 /// The ends of unknown jobs, and the lookups of these jobs.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(super) struct UnclaimedEnds {
-    ends: Vec<UnclaimedEnd>,
-    lookups: BTreeMap<JobId, Lookup>,
+    jobs: BTreeMap<JobId, JobEnds>,
 }
 
 impl UnclaimedEnds {
     fn push(&mut self, incarnation: Incarnation, entry: &EndedEntry, now: Tick) {
-        let job = entry.task.job;
-        self.lookups.entry(job).or_insert(Lookup::Due(now + LOOKUP_DELAY));
+        let lookup = Lookup::Due(now + LOOKUP_DELAY);
+        let job =
+            self.jobs.entry(entry.task.job).or_insert_with(|| JobEnds { lookup, ends: Vec::new() });
         // A worker that was removed and listed again reports its ends again.
-        let known = self.ends.iter_mut().find(|end| {
+        let known = job.ends.iter_mut().find(|end| {
             end.incarnation.worker == incarnation.worker
                 && end.entry.task == entry.task
                 && end.entry.run == entry.run
         });
         match known {
             Some(known) => known.incarnation = incarnation,
-            None => self.ends.push(UnclaimedEnd { incarnation, entry: entry.clone(), since: now }),
+            None => job.ends.push(UnclaimedEnd { incarnation, entry: entry.clone(), since: now }),
         }
     }
 
     /// Drops the ends of a worker whose incarnation is over: nothing is acknowledged to it any more,
     /// and the next one numbers its ends from one.
     pub(super) fn drop_worker(&mut self, worker: &WorkerId) {
-        self.ends.retain(|end| end.incarnation.worker != *worker);
+        self.retain(|end| end.incarnation.worker != *worker);
+    }
+
+    /// Keeps the ends for which `is_kept` returns true.
+    fn retain(&mut self, mut is_kept: impl FnMut(&UnclaimedEnd) -> bool) {
+        self.jobs.retain(|_, job| {
+            job.ends.retain(&mut is_kept);
+            !job.ends.is_empty()
+        });
     }
 
     /// Removes and returns the ends of a job.
     fn take(&mut self, job: JobId) -> Vec<UnclaimedEnd> {
-        if self.lookups.remove(&job).is_none() {
-            return Vec::new();
-        }
-        let is_own = |end: &UnclaimedEnd| end.entry.task.job == job;
-        let (own, others) = self.ends.drain(..).partition(is_own);
-        self.ends = others;
-        own
+        self.jobs.remove(&job).map(|job| job.ends).unwrap_or_default()
     }
 
     /// Returns the jobs to look up now.
     pub(super) fn take_due(&mut self, now: Tick) -> Vec<JobId> {
         let is_due = |lookup: &Lookup| matches!(lookup, Lookup::Due(at) if *at <= now);
-        let due = self.lookups.iter_mut().filter(|(_, lookup)| is_due(lookup));
-        let taken = due.take(MAX_LOOKUP_JOBS).map(|(job, lookup)| {
-            *lookup = Lookup::InFlight;
-            *job
+        let due = self.jobs.iter_mut().filter(|(_, job)| is_due(&job.lookup));
+        let taken = due.take(MAX_LOOKUP_JOBS).map(|(id, job)| {
+            job.lookup = Lookup::InFlight;
+            *id
         });
         taken.collect()
     }
 
     /// Records that the store did not answer a lookup.
     fn retry(&mut self, job: JobId, now: Tick) {
-        if let Some(lookup) = self.lookups.get_mut(&job) {
-            *lookup = Lookup::Due(now + LOOKUP_RETRY_PAUSE);
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.lookup = Lookup::Due(now + LOOKUP_RETRY_PAUSE);
         }
     }
 }
 
+/// Returns whether a job's progress depends on such an end.
+fn counts(end: RunEnd) -> bool {
+    matches!(end, RunEnd::Done | RunEnd::Failed)
+}
+
 impl Pool {
-    /// Keeps an end of an unknown job, and keeps its worker from dropping it.
+    /// Keeps an end of an unknown job, and keeps its worker from dropping it. Once the stored jobs are
+    /// known, this is needed only of ends that count: other ends of jobs that were stored later change
+    /// nothing.
     pub(super) fn keep_unclaimed_end(&mut self, id: &WorkerId, entry: &EndedEntry, now: Tick) {
-        let counts = matches!(entry.end, RunEnd::Done | RunEnd::Failed);
-        if !counts || self.closed.contains_key(&entry.task.job) {
+        let is_needed = counts(entry.end) || self.is_recovering();
+        if !is_needed || self.closed.contains_key(&entry.task.job) {
             return;
         }
         if let Some(worker) = self.workers.get_mut(id) {
@@ -131,11 +147,40 @@
         for UnclaimedEnd { incarnation, mut entry, .. } in self.unclaimed_ends.take(id) {
             if !self.is_current(&incarnation) {
                 entry.number = UNLISTED_END;
+            } else if let Some(worker) = self.workers.get_mut(&incarnation.worker) {
+                // The job decides whether the end has to be recorded.
+                worker.unrecorded.remove(&entry.number);
             }
             self.apply_end(&incarnation.worker, &entry, now);
         }
     }
 
+    /// Applies the ends that were reported while the stored jobs were read, and drops those of other
+    /// jobs that don't count.
+    pub(super) fn claim_all_ends(&mut self, now: Tick) {
+        let reported: Vec<JobId> = self.unclaimed_ends.jobs.keys().copied().collect();
+        for job in reported {
+            if self.jobs.contains_key(&job) {
+                self.claim_ends(job, now);
+            }
+        }
+        let mut dropped = Vec::new();
+        self.unclaimed_ends.retain(|end| {
+            let is_kept = counts(end.entry.end);
+            if !is_kept {
+                dropped.push((end.incarnation.clone(), end.entry.number));
+            }
+            is_kept
+        });
+        for (incarnation, number) in dropped {
+            if self.is_current(&incarnation)
+                && let Some(worker) = self.workers.get_mut(&incarnation.worker)
+            {
+                worker.unrecorded.remove(&number);
+            }
+        }
+    }
+
     /// Returns whether the incarnation is the one that answers under its id.
     fn is_current(&self, incarnation: &Incarnation) -> bool {
         let worker = self.workers.get(&incarnation.worker);
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -203,9 +203,11 @@
     }
 
     /// Returns the record with which a process releases this lease because it could not read the
-    /// pool's rows. It has given no orders; those of earlier owners could have effect for
-    /// `order_effect` when it took the lease. None of that time counts as passed: as long as a shard
-    /// is not fenced, an owner that does not see the lease takes its commits there as a confirmation.
+    /// pool's rows. It has started nothing, but it may have renewed what runs on workers: orders have
+    /// effect for `order_effect`, which is at least a worker's lease then. Those of earlier owners
+    /// could have effect for that long when it took the lease. None of that time counts as passed: as
+    /// long as a shard is not fenced, an owner that does not see the lease takes its commits there as a
+    /// confirmation.
     #[must_use]
     pub const fn abandoned(&self, order_effect: Millis) -> Self {
         Self {
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -6,7 +6,8 @@
     clock::{Tick, WorkerTime},
     model::{Plan, Queue, Step},
     pool::{
-        Action, Batch, Pool, PoolTimeouts, RecoveredState, StoredJob, StoredRoster, StoredWorker,
+        Action, Batch, Pool, PoolTimeouts, RecoveredJobs, RecoveredState, StoredJob, StoredRoster,
+        StoredWorker,
     },
     ports::{EndedEntry, RunEnd, RunningEntry, StartOrder, WorkerError, WorkerInfo, WorkerReport},
     record::{JobRecord, RosterEntry},
@@ -157,6 +158,25 @@
         }
     }
 
+    /// Returns a pool that knows the roster and no jobs yet.
+    pub fn recovering(roster: Vec<(&str, Option<u64>)>, infos: Vec<WorkerInfo>) -> Self {
+        let mut fixture = Self::unlisted(RecoveredState::default());
+        let found = recovered(vec![], roster);
+        let (now, wall) = (fixture.now, Millis(fixture.now.0));
+        fixture.pool =
+            Pool::recovering(pool_name(), FencingToken(7), 0, timeouts(), found, now, wall);
+        fixture.infos = infos;
+        fixture.list();
+        fixture
+    }
+
+    /// Lets the pool know its jobs, as [`recovered`] returns them.
+    pub fn recover_jobs(&mut self, jobs: Vec<(u64, Vec<Step>)>, fenced_at: Tick) {
+        let jobs = recovered(jobs, vec![]).jobs;
+        let found = RecoveredJobs { jobs, fences: fences(), fenced_at };
+        self.pool.recover_jobs(found, self.now, Millis(self.now.0));
+    }
+
     /// Returns a pool whose workers have answered and are in the stored roster.
     pub fn ready(infos: Vec<WorkerInfo>) -> Self {
         let names: Vec<WorkerId> = infos.iter().map(|info| info.id.clone()).collect();
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -25,6 +25,7 @@
 mod quota;
 mod records;
 mod recover;
+mod recovering;
 mod refusal;
 mod restarted_worker;
 mod review;
--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -110,6 +110,17 @@
     check("late notices", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+/// Successors call their workers before they know the stored jobs, which takes longer than a worker's
+/// lease. Guards against orders for jobs that are not known yet, acknowledged ends that no row holds,
+/// and reported runs and ends that are lost or counted twice.
+#[test]
+fn no_task_runs_twice_or_is_lost_while_successors_read_slowly() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_slow_reads(), acts)
+    }
+    check("slow reads", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
 /// Processes take the lease, raise some fences, and release it, since they can't read the pool's
 /// rows. Their successor must wait as long for the orders of the owner before them as they would
 /// have.
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -202,6 +202,8 @@
     rejecting: bool,
     /// Zones with the owner and a worker are cut off from the store and all other workers.
     cutting_zones: bool,
+    /// Successors read stored jobs for longer than a worker's lease.
+    slow_reads: bool,
     culprits: BTreeMap<TaskId, Culprit>,
     /// Faults of workers, in schedules with wide steps.
     faults: Option<WorkerFaults>,
@@ -273,6 +275,7 @@
             late_notices: false,
             rejecting: false,
             cutting_zones: false,
+            slow_reads: false,
             culprits: BTreeMap::new(),
             faults: None,
             outages: None,
@@ -324,6 +327,14 @@
         self
     }
 
+    /// Lets successors read stored jobs for longer than a worker's lease. Jobs reach a predecessor that
+    /// has not noticed its successor.
+    pub fn with_slow_reads(mut self) -> Self {
+        self.late_notices = true;
+        self.slow_reads = true;
+        self
+    }
+
     /// Lets zones with the owner and a worker be cut off from the store and all other workers.
     pub fn with_zone_cuts(mut self) -> Self {
         self.cutting_zones = true;
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -7,8 +7,8 @@
 use reachhead_types::{id::WorkerId, size::Millis};
 
 use super::{
-    Answer, Event, LongPoll, MIN_UNDISTURBED_TIME, NETWORK_DELAY, REPLACEMENT_DELAY, Simulation,
-    StoredRow, WorkerIncarnation,
+    Answer, Event, LongPoll, MAX_SCAN_DELAY, MIN_UNDISTURBED_TIME, NETWORK_DELAY,
+    REPLACEMENT_DELAY, Simulation, StoredRow, WorkerIncarnation,
     outages::{CALL_TIMEOUT, failure},
     pool_name,
 };
@@ -240,6 +240,11 @@
             Answer::Stopped(id, task, run, result) => {
                 owner.pool.stopped(&id, task, run, result, now);
             }
+            // The owner finds the jobs by its regular reads, which begin once it has recovered.
+            Answer::Found(jobs, stored) if owner.pool.is_recovering() => {
+                let answer = Answer::Found(jobs, stored);
+                self.push(MAX_SCAN_DELAY, Event::Answer { owner: index, answer });
+            }
             Answer::Found(jobs, stored) => {
                 for StoredRow { id, record, row } in stored.iter().flatten() {
                     owner.pool.submit(*id, record, *row, now, Millis(now.0));
--- a/reachhead_jobs/tests/random_schedules/simulation/submissions.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/submissions.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    Answer, Culprit, Event, FIRST_CULPRIT_KIND, MAX_REJECTED_SCAN_DELAY, MAX_SCAN_DELAY,
+    Answer, Culprit, Event, FIRST_CULPRIT_KIND, MAX_REJECTED_SCAN_DELAY, MAX_SCAN_DELAY, Owner,
     Simulation, StoredRow,
     plans::{plan, queue},
     pool_name,
@@ -62,10 +62,12 @@
         }
     }
 
-    /// Returns the token of the newest owner, if its process can store jobs.
+    /// Returns the token of the newest owner, if its process can store jobs as the pool's owner.
     fn newest_token(&self) -> Option<FencingToken> {
-        let owner =
-            self.owners.last().filter(|owner| owner.alive && owner.paused_until <= self.now);
+        let can_store = |owner: &&Owner| {
+            owner.alive && owner.paused_until <= self.now && !owner.pool.is_recovering()
+        };
+        let owner = self.owners.last().filter(can_store);
         owner.map(|owner| FencingToken(owner.token.0))
     }
 
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -6,7 +6,7 @@
 use reachhead_jobs::{
     clock::Tick,
     fence::{Fence, FenceStep},
-    pool::{Pool, RecoveredState, StoredJob, StoredProgress, StoredRoster},
+    pool::{Pool, RecoveredJobs, RecoveredState, StoredJob, StoredProgress, StoredRoster},
     record::{
         JobRecord, LeaseRecord, fence_key, job_prefix, lease_key, progress_prefix, roster_prefix,
         value,
@@ -24,6 +24,10 @@
 
 use super::{Event, MIN_REJECTION, Owner, STEP, Simulation, pool_name};
 
+/// Longest time that the jobs of a shard take to be read, in milliseconds. Four shards take longer than a
+/// worker's lease.
+const MAX_READ_TIME: u64 = 1500;
+
 fn fence(token: FencingToken, shard: Shard) -> Fence {
     Fence::new(pool_name(), shard, token, "n".parse().unwrap())
 }
@@ -36,6 +40,9 @@
 
     /// The same, with the time for which orders of earlier owners may have effect.
     fn take_over_with(&mut self, effect: Millis) {
+        if self.slow_reads {
+            return self.take_over_slowly(effect);
+        }
         let verified = Tick(self.now);
         let mut found =
             RecoveredState { verified, effect, knows_storer: true, ..RecoveredState::default() };
@@ -57,9 +64,13 @@
             Tick(self.now),
             Millis(self.now),
         );
+        self.add_owner(pool);
+    }
+
+    fn add_owner(&mut self, pool: Pool) {
         self.owners.push(Owner {
+            token: Revision(pool.token().0),
             pool,
-            token: Revision(token.0),
             recording: BTreeSet::new(),
             paused_until: 0,
             alive: true,
@@ -72,6 +83,46 @@
         self.list();
     }
 
+    /// Lets a new process take the lease and read the roster, so that it calls the workers, and the jobs
+    /// of each shard late. Meanwhile jobs are stored, and a worker crashes or is cut off.
+    fn take_over_slowly(&mut self, effect: Millis) {
+        let verified = Tick(self.now);
+        let (token, term) = self.take_lease();
+        let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
+        assert!(errors.is_empty(), "{errors:?}");
+        let found = RecoveredState {
+            roster,
+            verified,
+            effect,
+            knows_storer: true,
+            ..RecoveredState::default()
+        };
+        let (now, wall) = (Tick(self.now), Millis(self.now));
+        let timeouts = self.timeouts();
+        self.add_owner(Pool::recovering(pool_name(), token, term, timeouts, found, now, wall));
+        let mut found = RecoveredJobs::default();
+        for shard in Shard::all() {
+            let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
+            found.fences.insert(shard, fence);
+        }
+        found.fenced_at = Tick(self.now);
+        let choice = self.owners.len() as u64 * 37;
+        for (turn, shard) in (0..).zip(Shard::all()) {
+            self.run((choice + turn) % 5 * MAX_READ_TIME / 4);
+            found.jobs.append(&mut self.stored_jobs(shard));
+            let choice = (choice + turn) as u8;
+            match (choice + turn as u8) % 7 {
+                0 => self.submit(choice),
+                1 => self.cut_worker(choice, self.now + MAX_READ_TIME),
+                2 => self.perform(9, choice, MAX_READ_TIME),
+                _ => {}
+            }
+        }
+        let (now, wall) = (Tick(self.now), Millis(self.now));
+        self.newest().pool.recover_jobs(found, now, wall);
+        self.disturb();
+    }
+
     fn take_lease(&mut self) -> (FencingToken, u64) {
         let key = lease_key(&pool_name());
         let known = self.read(key.clone());
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -15,9 +15,8 @@
 use reachhead_jobs::{
     candidate::Candidate,
     claim::{TakeoverProgress, is_serving, is_write_stalled, probe_pause},
-    clock::Tick,
+    clock::{Tick, with_drift},
     liveness::StoreAnswers,
-    pool::RecoveredState,
     ports::FeedError,
     record::{fence_key, job_prefix, progress_prefix},
     shard::Shard,
@@ -74,8 +73,8 @@
     pub rows: usize,
     /// Number of shards that have been read.
     pub shards: usize,
-    /// The roster has been read.
-    pub has_roster: bool,
+    /// Number of workers in the roster, once that has been read.
+    pub roster: Option<usize>,
     /// The last error.
     pub error: Option<StoreError>,
     /// Number of takeovers in a row that were abandoned before this one.
@@ -93,7 +92,7 @@
             progressed: now,
             rows: 0,
             shards: 0,
-            has_roster: false,
+            roster: None,
             error: None,
             abandoned: lease.record.abandoned,
             unanswered: Millis(0),
@@ -128,7 +127,7 @@
 impl Display for Takeover {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let (token, shards, all) = (self.token, self.shards, Self::shard_count());
-        let (rows, roster) = (self.rows, self.has_roster);
+        let (rows, roster) = (self.rows, self.roster.is_some());
         write!(f, "token={token} rows={rows} shards={shards}/{all} roster={roster}")?;
         match &self.error {
             Some(error) => write!(f, " error=\"{error}\""),
@@ -355,24 +354,27 @@
     }
 }
 
-/// Ends a takeover, and returns whether it succeeded. `result` is `None` if it has been given up; then
-/// the lease is released.
-pub async fn end_takeover(
+/// Ends a takeover, and returns what it has recovered. `result` is `None` if it has been given up;
+/// then the lease is released. If the roster had been read, workers' leases may have been renewed.
+pub async fn end_takeover<T>(
     node: &Node,
     pool: &PoolName,
     lease: &LeaseView,
     order_effect: Millis,
-    result: Option<Option<RecoveredState>>,
-) -> Option<RecoveredState> {
+    result: Option<Option<T>>,
+) -> Option<T> {
     let takeover = node.loading().remove(pool);
     let Some(recovered) = result else {
         let now = node.now();
         node.ability().record_unreadable(pool, now);
-        if let Some(takeover) = takeover {
+        if let Some(takeover) = &takeover {
             let age = now.since(takeover.started);
             emit(Event::TakeoverSlow, format_args!("pool={pool} {takeover} age={age}ms given up"));
         }
-        takeover::abandon(node, pool, lease, order_effect).await;
+        let renewal_effect = with_drift(election::timeouts(node).hold);
+        let has_renewed = takeover.is_some_and(|takeover| takeover.roster.is_some());
+        let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
+        takeover::abandon(node, pool, lease, effect).await;
         return None;
     };
     if recovered.is_some() {
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -9,7 +9,7 @@
     isolation,
     liveness::StoreReachability,
     model::PoolPolicy,
-    pool::{Pool, PoolTimeouts, RecoveredState},
+    pool::PoolTimeouts,
     silence::{OWNER_TIMEOUT, RunningTime, is_owners_fault, is_silent},
 };
 use reachhead_ops::{
@@ -18,16 +18,15 @@
 };
 use reachhead_types::{
     id::{NodeName, PoolName},
-    size::{FencingToken, Millis, Revision},
+    size::{Millis, Revision},
 };
 use tokio::{task::JoinHandle, time};
 
 use crate::{
-    claim::{self, Takeover},
     fleet,
     node::Node,
-    owner::{Outcome, Owner, OwnerHandle},
-    takeover::{self, Loader},
+    owner::{Outcome, OwnerHandle},
+    recovery,
     view::{LeaseView, View},
 };
 
@@ -58,9 +57,6 @@
 /// worker is lost, and the lease has to outlast an ownership change.
 pub const MAX_WORKER_LEASE: Millis = Millis(4500);
 
-/// Pause before the rows of a pool are read again after a failure.
-const LOAD_RETRY_PAUSE: Duration = Duration::from_millis(100);
-
 /// Duration of a long poll at a worker: well below half of the lease, and at most what the platform
 /// allows.
 const POLL_WAIT: Millis = Millis(1500);
@@ -302,7 +298,7 @@
 /// Returns how long orders of the previous owner may still have effect on a worker that does not
 /// answer. A previous owner that gave the pool back, or that is alive and does not own it, gives no
 /// more orders.
-fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> Millis {
+pub fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> Millis {
     let timeouts = timeouts(node);
     let Some(lease) = known else {
         return Millis(0);
@@ -330,84 +326,16 @@
     policy: Option<PoolPolicy>,
     known: Option<LeaseView>,
 ) {
-    let takeover = take_over(Arc::clone(&node), pool.clone(), policy, known);
+    let takeover = recovery::take_over(Arc::clone(&node), pool.clone(), policy, known);
     if supervise::run(format!("takeover of pool {pool}"), takeover).await.is_err() {
         node.loading().remove(&pool);
         node.record_owner_failure(&pool);
     }
 }
 
-/// Takes the lease of a pool, recovers the pool's state and starts its owner.
-async fn take_over(
-    node: Arc<Node>,
-    pool: PoolName,
-    policy: Option<PoolPolicy>,
-    known: Option<LeaseView>,
-) {
-    let lease_sent_at = node.now();
-    let lease = match takeover::take(&node, &pool, known.as_ref()).await {
-        Ok(Some(lease)) => lease,
-        Ok(None) => return,
-        Err(error) => {
-            log::info!("pool={pool} lease can't be taken: {error}");
-            return;
-        }
-    };
-    node.metrics.pools_taken.inc();
-    let (handle, inputs) = OwnerHandle::new(lease.revision);
-    if policy.is_none() {
-        node.pool_acquired.notify_one();
-        let owner = fleet::run(Arc::clone(&node), handle.clone(), inputs, lease, known);
-        start_owner(&node, pool, handle, owner);
-        return;
-    }
-    node.loading().insert(pool.clone(), Takeover::new(&lease, node.now()));
-    node.pool_acquired.notify_one();
-    let order_effect = order_effect(&node, &pool, known.as_ref());
-    let loaded = tokio::select! {
-        loaded = load(&node, &pool, lease.revision, order_effect) => Some(loaded),
-        () = claim::wait_until_stuck(&node, &pool) => None,
-    };
-    let recovered = claim::end_takeover(&node, &pool, &lease, order_effect, loaded).await;
-    let Some(mut recovered) = recovered else {
-        return;
-    };
-    recovered.verified = lease_sent_at;
-    recovered.knows_storer = lease.record.knows_storer;
-    emit(
-        Event::LeaseTaken,
-        format_args!(
-            "pool={pool} token={} term={} jobs={} workers={} before={:?}",
-            lease.revision,
-            lease.record.term,
-            recovered.jobs.len(),
-            recovered.roster.workers.len(),
-            known.and_then(|known| known.record.owner)
-        ),
-    );
-    let state = Pool::new(
-        pool.clone(),
-        FencingToken(lease.revision.0),
-        lease.record.term,
-        timeouts(&node),
-        recovered,
-        node.now(),
-        node.clock.wall(),
-    );
-    let owner = Owner::new(Arc::clone(&node), state, lease.record.term, handle.clone(), inputs);
-    let listing = send_workers(Arc::clone(&node), pool.clone(), handle.clone());
-    start_owner(&node, pool, handle, async move {
-        // They share a task, since an owner without the list of workers is of no use.
-        tokio::select! {
-            outcome = owner.run() => outcome,
-            () = listing => Outcome::GivenUp,
-        }
-    });
-}
-
 /// Claims a pool and runs its owner. The claim ends with the owner, also if it panics: peers leave
 /// a pool alone for as long as a process claims it.
-fn start_owner(
+pub fn start_owner(
     node: &Arc<Node>,
     pool: PoolName,
     handle: OwnerHandle,
@@ -425,32 +353,6 @@
     });
 }
 
-/// Reads the state that the previous owner left, with retries for as long as the lease names this
-/// process, so that an outage of the whole store that begins during the takeover does not cause
-/// another ownership change.
-async fn load(
-    node: &Node,
-    pool: &PoolName,
-    token: Revision,
-    order_effect: Millis,
-) -> Option<RecoveredState> {
-    let mut loader = Loader::new(node, pool, token, order_effect);
-    loop {
-        match loader.load().await {
-            Ok(recovered) => return recovered,
-            Err(error) => {
-                log::info!("pool={pool} rows can't be read, retrying: {error}");
-                claim::update(node, pool, |takeover| takeover.error = Some(error));
-            }
-        }
-        time::sleep(LOAD_RETRY_PAUSE).await;
-        let held = node.view().leases.get(pool).is_some_and(|lease| lease.revision == token);
-        if !held || node.is_stopping() {
-            return None;
-        }
-    }
-}
-
 /// Removes a pool from those that this process owns.
 pub fn release(node: &Node, pool: &PoolName, token: Revision) {
     let mut owned = node.owned();
@@ -460,28 +362,8 @@
     emit(Event::LeaseEnded, format_args!("pool={pool} token={token}"));
 }
 
-/// Sends the pool's workers to its owner whenever the registered workers change.
-async fn send_workers(node: Arc<Node>, pool: PoolName, handle: OwnerHandle) {
-    let mut changed = node.workers_changed.subscribe();
-    loop {
-        if node.local_owner(&pool).is_none_or(|owner| owner.token != handle.token) {
-            return;
-        }
-        let workers = {
-            let view = node.view();
-            let own = view.workers.values().filter(|info| info.pool == pool);
-            view.workers_loaded.then(|| own.cloned().collect())
-        };
-        if let Some(workers) = workers {
-            handle.send(crate::owner::Input::WorkersListed(workers));
-        }
-        if changed.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-fn timeouts(node: &Node) -> PoolTimeouts {
+/// Returns the timeouts of this process's pools.
+pub fn timeouts(node: &Node) -> PoolTimeouts {
     let settings = &node.settings;
     PoolTimeouts {
         hold: settings.max_lease.min(MAX_WORKER_LEASE),
--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -11,7 +11,7 @@
 use reachhead_ops::{http, runtime};
 
 use super::*;
-use crate::{peer::PeerHandler, tests::broken_node};
+use crate::{claim, peer::PeerHandler, tests::broken_node};
 
 /// How long a process is paused: longer than the event loop of an owner may stand still.
 const PAUSE: Duration = Duration::from_millis(3000);
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -23,6 +23,7 @@
 mod owner_call;
 mod peer;
 mod process;
+mod recovery;
 mod registry;
 mod relay;
 mod submit;
--- a/reachhead_node/src/observe.rs
+++ b/reachhead_node/src/observe.rs
@@ -84,7 +84,7 @@
             .map(|(pool, takeover)| {
                 json!({ "pool": pool, "token": takeover.token, "age_ms": age(takeover.started),
                     "progress_age_ms": age(takeover.progressed), "rows": takeover.rows, "shards": takeover.shards,
-                    "shard_count": Takeover::shard_count(), "roster": takeover.has_roster,
+                    "shard_count": Takeover::shard_count(), "roster": takeover.roster.is_some(),
                     "error": takeover.error.as_ref().map(ToString::to_string) })
             })
             .collect();
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -5,7 +5,7 @@
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
     incarnation::Incarnation,
-    pool::{Batch, DrainMode, DrainProgress, PoolLoad, StateReply, UnplacedSummary},
+    pool::{Batch, DrainMode, DrainProgress, PoolLoad, RecoveredJobs, StateReply, UnplacedSummary},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     quota::{Allotment, UsageReport},
     task::{StepId, TaskId},
@@ -70,6 +70,8 @@
     AdviceReceived(StepId, Option<Vec<Approval>>, Tick),
     /// The store decided on a transaction, or the call failed.
     Committed(Box<Batch>, Result<Commit, StoreError>),
+    /// The stored jobs were read that the previous owner left.
+    JobsRecovered(Box<RecoveredJobs>),
     /// A page of stored jobs was read, or the call failed.
     JobsScanned(Result<Page, StoreError>),
     /// The rows of jobs of which workers report runs were read, or the call failed.
--- a/reachhead_node/src/owner/job_reads.rs
+++ b/reachhead_node/src/owner/job_reads.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use reachhead_jobs::{clock::Tick, record::JobRecord};
+use reachhead_jobs::{clock::Tick, pool::RecoveredJobs, record::JobRecord};
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{
     StoreError,
@@ -10,11 +10,20 @@
 };
 use reachhead_types::id::JobId;
 
-use super::{Input, Owner, id_of};
+use super::{Input, Owner, id_of, job_scan::JobScan};
 
 impl Owner {
+    /// Adds the jobs that the previous owner left. From here on the owner serves the pool.
+    pub(super) fn recover_jobs(&mut self, found: RecoveredJobs, now: Tick) {
+        self.pool.recover_jobs(found, now, self.node.clock.wall());
+        self.job_scan = JobScan::new(self.node.bulk_reads.capacity(), now);
+    }
+
     /// Reads the next page of stored jobs when it is due.
     pub(super) fn scan(&mut self, now: Tick) {
+        if self.pool.is_recovering() {
+            return;
+        }
         let Some(scan) = self.job_scan.next(self.pool.name(), now) else {
             return;
         };
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -159,7 +159,8 @@
         let mut last = time::Instant::now();
         let mut pause = MIN_ROUND_PAUSE;
         while !self.lease_lost && !self.call_failed && self.release.is_none() {
-            let tick = if self.pool.jobs().is_empty() { IDLE_TICK } else { BUSY_TICK };
+            let is_idle = self.pool.jobs().is_empty() && !self.pool.is_recovering();
+            let tick = if is_idle { IDLE_TICK } else { BUSY_TICK };
             if let Ok(Some(input)) = time::timeout(tick, self.inputs.recv()).await {
                 self.take(input);
             }
@@ -313,6 +314,7 @@
                 self.pool.advised(step, approvals, sent, now);
             }
             Input::Committed(batch, result) => self.handle_commit(&batch, result, now),
+            Input::JobsRecovered(found) => self.recover_jobs(*found, now),
             Input::JobsScanned(result) => self.handle_scan(result, now),
             Input::JobsFound(jobs, result) => self.handle_lookup(&jobs, result, now),
             Input::LeaseRead(asked, result) => self.handle_lease(asked, result, now),
--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -15,7 +15,7 @@
     ports::{
         HoldOrder, RunningEntry, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
     },
-    record::{RosterEntry, job_prefix, roster_key, value},
+    record::{LeaseRecord, RosterEntry, job_prefix, lease_key, roster_key, value},
     shard::Shard,
     task::{StepId, TaskId},
 };
@@ -31,7 +31,12 @@
 };
 
 use super::*;
-use crate::{lock::locked, tests::broken_node};
+use crate::{
+    claim::{self, Takeover},
+    lock::locked,
+    takeover,
+    tests::broken_node,
+};
 
 /// How long a page of jobs takes.
 const READ_TIME: Duration = Duration::from_millis(1500);
@@ -73,6 +78,8 @@
 #[derive(Default)]
 struct Workers {
     running: BTreeMap<WorkerId, TaskId>,
+    /// A call of a worker panics.
+    panics: bool,
     orders: Mutex<Orders>,
 }
 
@@ -80,6 +87,8 @@
 struct Orders {
     /// When each worker was first told a deadline.
     renewed: BTreeMap<WorkerId, Instant>,
+    /// Number of polls.
+    polls: u32,
     started: Vec<TaskId>,
     stopped: Vec<TaskId>,
     /// The highest number of an end that was acknowledged.
@@ -121,7 +130,11 @@
         target: WorkerTarget,
         order: HoldOrder,
     ) -> BoxFuture<'_, Result<WorkerReport, WorkerError>> {
+        if self.panics {
+            return async { panic!("this call panics") }.boxed();
+        }
         let mut orders = locked(&self.orders);
+        orders.polls += 1;
         orders.acknowledged = orders.acknowledged.max(order.acknowledged);
         if order.deadline.is_some() {
             orders.renewed.entry(target.id.clone()).or_insert_with(Instant::now);
@@ -170,10 +183,10 @@
 }
 
 /// Returns a process that may take over a pool with a worker in the roster, its store and its workers.
-async fn successor() -> (Arc<Node>, Arc<SlowStore>, Arc<Workers>) {
+async fn successor(panics: bool) -> (Arc<Node>, Arc<SlowStore>, Arc<Workers>) {
     let store = Arc::new(SlowStore::default());
-    let workers =
-        Arc::new(Workers { running: BTreeMap::from([(worker(), task())]), ..Workers::default() });
+    let running = BTreeMap::from([(worker(), task())]);
+    let workers = Arc::new(Workers { running, panics, ..Workers::default() });
     let node = broken_node::node_with(
         Arc::<SlowStore>::clone(&store),
         Arc::<Workers>::clone(&workers) as Arc<dyn WorkerAgent>,
@@ -206,7 +219,7 @@
 #[test]
 fn a_worker_is_renewed_while_the_stored_jobs_are_read() {
     runtime::current_thread().unwrap().block_on(async {
-        let (node, store, workers) = successor().await;
+        let (node, store, workers) = successor(false).await;
         tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
         let renewed = holds_within(RENEWAL_LIMIT, || workers.renewed(&worker()).is_some()).await;
         assert_eq!(store.pages.load(Ordering::Relaxed), 0, "the jobs are still being read");
@@ -223,3 +236,60 @@
         assert!(holds_within(RENEWAL_LIMIT, stopped).await, "the run's job is not stored");
     });
 }
+
+/// Guards against a process that claims a pool which nobody renews and reads on.
+#[test]
+fn a_takeover_whose_call_to_a_worker_panicked_ends_with_its_claim() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store, _) = successor(true).await;
+        for failure in 0..2 {
+            assert!(!node.leaves_to_others(&pool(), node.now()), "after {failure} failures");
+            let known = node.view().leases.get(&pool()).cloned();
+            let takeover = run_takeover(Arc::clone(&node), pool(), Some(policy()), known);
+            assert_eq!(time::timeout(RENEWAL_LIMIT, takeover).await, Ok(()));
+            assert!(node.loading().is_empty() && node.owned().is_empty());
+        }
+        assert_eq!(store.pages.load(Ordering::Relaxed), 0);
+        assert!(node.leaves_to_others(&pool(), node.now()), "it would fail again and again");
+    });
+}
+
+/// Guards against renewals beside those of a successor.
+#[test]
+fn a_takeover_ends_when_another_process_has_taken_the_lease() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store, workers) = successor(false).await;
+        let takeover = tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
+        assert!(holds_within(RENEWAL_LIMIT, || workers.renewed(&worker()).is_some()).await);
+        let lease = node.view().leases[&pool()].clone();
+        let now = node.now();
+        node.view().update_lease(pool(), lease.record, Revision(lease.revision.0 + 1), now);
+        assert!(time::timeout(RENEWAL_LIMIT, takeover).await.is_ok());
+        assert_eq!(store.pages.load(Ordering::Relaxed), 0, "it waits for no page");
+        assert!(node.loading().is_empty() && node.owned().is_empty());
+        let polls = || locked(&workers.orders).polls;
+        let before = polls();
+        time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(polls(), before);
+    });
+}
+
+/// Guards against a successor that does not wait for the runs that an abandoned takeover has renewed.
+#[test]
+fn the_release_of_an_abandoned_takeover_tells_the_leases_that_it_may_have_renewed() {
+    runtime::current_thread().unwrap().block_on(async {
+        for (roster, expected) in [(None, Millis(0)), (Some(1), with_drift(MAX_WORKER_LEASE))] {
+            let (node, store, _) = successor(false).await;
+            let lease = takeover::take(&node, &pool(), None).await.unwrap().unwrap();
+            let mut takeover = Takeover::new(&lease, node.now());
+            takeover.roster = roster;
+            node.loading().insert(pool(), takeover);
+            let ended: Option<()> =
+                claim::end_takeover(&node, &pool(), &lease, Millis(0), None).await;
+            assert_eq!(ended, None);
+            let rows = store.read(vec![lease_key(&pool())]).await.unwrap();
+            let record: LeaseRecord = rows[0].as_ref().unwrap().parse().unwrap();
+            assert_eq!(record.unsettled_for, Some(expected));
+        }
+    });
+}
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -9,8 +9,9 @@
 
 use futures::future::{join, join_all, try_join};
 use reachhead_jobs::{
+    clock::Tick,
     fence::{Fence, FenceStep},
-    pool::{RecoveredState, StoredJob, StoredProgress, StoredRoster},
+    pool::{RecoveredJobs, StoredJob, StoredProgress, StoredRoster},
     progress::ProgressRecord,
     record::{
         JobRecord, LeaseRecord, fence_key, job_prefix, lease_key, progress_prefix, roster_prefix,
@@ -28,7 +29,10 @@
     id::{JobId, PoolName},
     size::{FencingToken, Millis, Revision},
 };
-use tokio::time;
+use tokio::{
+    sync::{oneshot, watch},
+    time,
+};
 
 use crate::{claim, node::Node, owner::id_of, view::LeaseView};
 
@@ -112,8 +116,8 @@
 }
 
 /// Releases the lease of a takeover that was abandoned, so that another process takes the pool at
-/// once. `order_effect` is how long orders of an earlier owner could have effect when the lease was
-/// taken.
+/// once. `order_effect` is how long orders could have effect: those of an earlier owner when the lease
+/// was taken, or those of this process now.
 pub async fn abandon(node: &Node, pool: &PoolName, lease: &LeaseView, order_effect: Millis) {
     let record = lease.record.abandoned(order_effect);
     let key = lease_key(pool);
@@ -161,9 +165,17 @@
     }
 }
 
+/// The fence of a shard that this process has raised.
+#[derive(Clone, Copy)]
+struct RaisedFence {
+    revision: Revision,
+    /// When that was known.
+    at: Tick,
+}
+
 /// The rows of one shard, as far as they have been read.
 struct ShardRows {
-    fence: Option<Revision>,
+    fence: Option<RaisedFence>,
     jobs: Pages,
     progress: Pages,
 }
@@ -178,7 +190,8 @@
     }
 }
 
-/// Reads the state that the previous owner of a pool left.
+/// Reads the state that the previous owner of a pool left: the roster first, since the owner's calls of
+/// the workers need nothing else, and the jobs behind it.
 ///
 /// On a weak link all shards at once, or all rows of one, may be more than arrives within the
 /// timeout of a read, and a loader that started over after each failure would never finish. So each
@@ -186,10 +199,10 @@
 /// fences, and after a failure shards are read one at a time and in smaller pages.
 pub struct Loader<'a> {
     reader: Reader<'a>,
-    /// How long an order of a previous owner may have effect.
-    effect: Millis,
     shards: BTreeMap<Shard, ShardRows>,
     roster: Pages,
+    /// Where the roster is sent once it has been read.
+    roster_sender: Option<oneshot::Sender<StoredRoster>>,
 }
 
 /// Reads pages of a pool's rows.
@@ -202,13 +215,18 @@
 }
 
 impl<'a> Loader<'a> {
-    /// Returns a loader that has read nothing yet.
-    pub fn new(node: &'a Node, pool: &'a PoolName, token: Revision, effect: Millis) -> Self {
+    /// Returns a loader that has read nothing yet. It sends the roster as soon as it has read it.
+    pub fn new(
+        node: &'a Node,
+        pool: &'a PoolName,
+        token: Revision,
+        roster_sender: oneshot::Sender<StoredRoster>,
+    ) -> Self {
         Self {
             reader: Reader { node, pool, token, sequential: false },
-            effect,
             shards: Shard::all().map(|shard| (shard, ShardRows::new(node))).collect(),
             roster: Pages::new(node),
+            roster_sender: Some(roster_sender),
         }
     }
 
@@ -218,21 +236,19 @@
     /// # Errors
     ///
     /// The error of the store for a read that failed; the lease still names this process.
-    pub async fn load(&mut self) -> Result<Option<RecoveredState>, StoreError> {
+    pub async fn load(&mut self) -> Result<Option<RecoveredJobs>, StoreError> {
         let result = self.read_missing().await;
         self.reader.sequential |= result.is_err();
         if !result? {
             return Ok(None);
         }
         self.reader.node.record_store_result(&Ok(()));
-        let (roster, errors) = StoredRoster::read(&self.roster.rows);
-        for error in errors {
-            emit(Event::RowRefused, error);
-        }
-        let mut recovered =
-            RecoveredState { effect: self.effect, roster, ..RecoveredState::default() };
+        let mut recovered = RecoveredJobs::default();
         for (shard, shard_rows) in std::mem::take(&mut self.shards) {
-            recovered.fences.extend(shard_rows.fence.map(|fence| (shard, fence)));
+            if let Some(fence) = shard_rows.fence {
+                recovered.fences.insert(shard, fence.revision);
+                recovered.fenced_at = recovered.fenced_at.max(fence.at);
+            }
             recovered.jobs.append(&mut stored_jobs(&shard_rows));
         }
         Ok(Some(recovered))
@@ -240,23 +256,26 @@
 
     /// Reads the missing rows; returns `false` if a later owner has fenced a shard.
     async fn read_missing(&mut self) -> Result<bool, StoreError> {
-        let reader = &self.reader;
-        let missing = self.shards.iter_mut().filter(|(_, rows)| !rows.is_complete());
-        let reads = missing.map(|(shard, rows)| reader.read_shard(*shard, rows));
+        let Self { reader, shards, roster, roster_sender } = self;
+        let (roster_ended, ended) = watch::channel(roster.complete);
+        let roster = async {
+            let result = reader.read_roster(roster, roster_sender).await;
+            roster_ended.send_replace(true);
+            result
+        };
+        let missing: Vec<(Shard, &mut ShardRows)> = shards
+            .iter_mut()
+            .filter(|(_, rows)| !rows.is_complete())
+            .map(|(shard, rows)| (*shard, rows))
+            .collect();
         let shards = async {
-            if !reader.sequential {
-                return join_all(reads).await;
+            if reader.sequential {
+                reader.read_in_turn(missing, ended).await
+            } else {
+                reader.read_together(missing, ended).await
             }
-            let mut results = Vec::new();
-            for read in reads {
-                results.push(read.await);
-            }
-            results
         };
-        // The roster is in the same partition of the store as the lease, so the lease alone fences it.
-        let roster = reader.read_rows(roster_prefix(reader.pool), &mut self.roster);
         let (shards, roster) = join(shards, roster).await;
-        claim::update(reader.node, reader.pool, |takeover| takeover.has_roster |= roster.is_ok());
         let mut failed = roster.err();
         for shard in shards {
             match shard {
@@ -270,22 +289,86 @@
 }
 
 impl Reader<'_> {
-    /// Fences a shard and then reads its missing rows: rows that are read before the fence is raised
-    /// may still change. Returns `false` if a later owner has fenced it.
-    async fn read_shard(
+    /// Reads the missing rows of the roster, and sends the roster once it is complete. It is in the
+    /// same partition of the store as the lease, so the lease alone fences it.
+    async fn read_roster(
         &self,
-        shard: Shard,
-        shard_rows: &mut ShardRows,
-    ) -> Result<bool, StoreError> {
-        if shard_rows.fence.is_none() {
-            shard_rows.fence = raise_fence(self.node, self.pool, self.token, shard).await?;
-            if shard_rows.fence.is_none() {
-                return Ok(false);
+        pages: &mut Pages,
+        sender: &mut Option<oneshot::Sender<StoredRoster>>,
+    ) -> Result<(), StoreError> {
+        self.read_rows(roster_prefix(self.pool), pages).await?;
+        if let Some(sender) = sender.take() {
+            let (roster, errors) = StoredRoster::read(&pages.rows);
+            let workers = roster.workers.len();
+            claim::update(self.node, self.pool, |takeover| takeover.roster = Some(workers));
+            for error in errors {
+                emit(Event::RowRefused, error);
             }
+            // The receiver is dropped only together with the takeover.
+            let _ = sender.send(roster);
+        }
+        Ok(())
+    }
+
+    /// Fences the shards and reads their missing rows side by side.
+    async fn read_together(
+        &self,
+        missing: Vec<(Shard, &mut ShardRows)>,
+        roster_ended: watch::Receiver<bool>,
+    ) -> Vec<Result<bool, StoreError>> {
+        let reads = missing.into_iter().map(|(shard, rows)| {
+            let roster_ended = roster_ended.clone();
+            async move {
+                let fenced = self.fence_shard(shard, rows).await;
+                wait_until_ended(roster_ended).await;
+                if matches!(fenced, Ok(true)) { self.read_shard(shard, rows).await } else { fenced }
+            }
+        });
+        join_all(reads).await
+    }
+
+    /// Fences the shards side by side, and reads their missing rows one shard after the other. Until
+    /// all of them are fenced, a previous owner that records something still trusts its lease.
+    async fn read_in_turn(
+        &self,
+        missing: Vec<(Shard, &mut ShardRows)>,
+        roster_ended: watch::Receiver<bool>,
+    ) -> Vec<Result<bool, StoreError>> {
+        let fences = missing.into_iter().map(|(shard, rows)| async move {
+            let fenced = self.fence_shard(shard, rows).await;
+            (shard, rows, fenced)
+        });
+        let fenced = join_all(fences).await;
+        wait_until_ended(roster_ended).await;
+        let mut results = Vec::new();
+        for (shard, rows, fenced) in fenced {
+            results.push(match fenced {
+                Ok(true) => self.read_shard(shard, rows).await,
+                fenced => fenced,
+            });
+        }
+        results
+    }
+
+    /// Raises the fence of a shard, unless that was done. Returns `false` if a later owner has raised
+    /// it.
+    async fn fence_shard(&self, shard: Shard, rows: &mut ShardRows) -> Result<bool, StoreError> {
+        if rows.fence.is_some() {
+            return Ok(true);
+        }
+        let fence = raise_fence(self.node, self.pool, self.token, shard).await?;
+        rows.fence = fence.map(|revision| RaisedFence { revision, at: self.node.now() });
+        if rows.fence.is_some() {
             self.record_progress(0);
         }
-        let jobs = self.read_rows(job_prefix(self.pool, shard), &mut shard_rows.jobs);
-        let progress = self.read_rows(progress_prefix(self.pool, shard), &mut shard_rows.progress);
+        Ok(rows.fence.is_some())
+    }
+
+    /// Reads the missing rows of a shard that is fenced: rows that are read before the fence is raised
+    /// may still change.
+    async fn read_shard(&self, shard: Shard, rows: &mut ShardRows) -> Result<bool, StoreError> {
+        let jobs = self.read_rows(job_prefix(self.pool, shard), &mut rows.jobs);
+        let progress = self.read_rows(progress_prefix(self.pool, shard), &mut rows.progress);
         if self.sequential {
             jobs.await?;
             progress.await?;
@@ -327,6 +410,13 @@
     }
 }
 
+/// Waits until the roster has been read, or could not be read. On a narrow link the workers' leases
+/// would end while the larger rows of jobs arrive before it.
+async fn wait_until_ended(mut roster_ended: watch::Receiver<bool>) {
+    // The sender is dropped only together with the takeover.
+    let _ = roster_ended.wait_for(|ended| *ended).await;
+}
+
 /// Raises the fence of a shard; returns `None` if a later owner has raised it.
 async fn raise_fence(
     node: &Node,
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -103,6 +103,8 @@
     TakeoverSlow 604 Warn;
     /// A task of this process panicked, or ended although the process needs it: which, where and why.
     TaskFailed 605 Error;
+    /// The next owner of a pool began to renew what runs on its workers, before it has read the stored jobs: how many workers it knows of, and for how long it has had the lease.
+    RenewalBegan 606 Info;
     /// A host of a pool entered another phase.
     HostEntered 610 Info;
     /// A host moved to another pool.
