--- a/reachhead_jobs/src/pool/recovered_state.rs
+++ b/reachhead_jobs/src/pool/recovered_state.rs
@@ -45,7 +45,8 @@
     /// When the lease was last confirmed; reading the rest may have taken long.
     pub verified: Tick,
     /// How long orders of the predecessor may still take effect on workers that do not answer and are
-    /// not in `silent`; see [`OrderEffect`](crate::order_effect::OrderEffect).
+    /// not in `silent`; see [`OrderEffect`](crate::order_effect::OrderEffect). The time counts from when
+    /// all shards are fenced.
     pub effect: Millis,
     /// The same for workers that did not answer the predecessor either.
     pub silent: BTreeMap<WorkerId, Millis>,
@@ -53,9 +54,13 @@
     pub knows_storer: bool,
 }
 
-impl RecoveredState {
-    /// Returns how long orders of the predecessor may still take effect on any worker.
-    pub(super) fn longest_effect(&self) -> Millis {
-        self.silent.values().copied().fold(self.effect, Millis::max)
-    }
+/// What a new owner reads of a pool that is recovering.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct RecoveredJobs {
+    /// The jobs that have not ended.
+    pub jobs: Vec<StoredJob>,
+    /// The revisions of the shards' fences after this owner raised them.
+    pub fences: BTreeMap<Shard, Revision>,
+    /// When the last of the shards was fenced. No commit of a predecessor was accepted after that.
+    pub fenced_at: Tick,
 }
--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -59,6 +59,9 @@
     /// Returns for how long runs of a predecessor may still be active on workers that have not
     /// answered.
     pub fn remaining_takeover_delay(&self, now: Tick) -> Millis {
+        if let Some(recovery) = &self.recovery {
+            return recovery.longest_effect();
+        }
         let last = self.pending.values().map(|pending| pending.until).max();
         last.map_or(Millis(0), |until| until.since(now))
     }
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -26,6 +26,7 @@
 mod quota;
 mod records;
 mod recover;
+mod recovering;
 mod refusal;
 mod released;
 mod restarted_worker;
--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -16,6 +16,7 @@
 
 use super::*;
 use crate::{
+    claim,
     follow::{Follower, Leases},
     peer::PeerHandler,
     tests::broken_node,
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -24,6 +24,7 @@
 mod peer;
 mod predecessor;
 mod process;
+mod recovery;
 mod registry;
 mod relay;
 mod submit;
--- a/reachhead_node/src/tests/broken_node.rs
+++ b/reachhead_node/src/tests/broken_node.rs
@@ -147,11 +147,11 @@
         scans: AtomicU32::new(0),
         commits: AtomicU32::new(0),
     });
-    (with_services(Arc::<BrokenStore>::clone(&store) as _, Arc::new(Silent)), store)
+    (node_with(Arc::<BrokenStore>::clone(&store), Arc::new(Silent)), store)
 }
 
-/// Returns a process with this store and these workers, which learns of no change of a table.
-pub fn with_services(store: Arc<dyn Store>, workers: Arc<dyn WorkerAgent>) -> Arc<Node> {
+/// Returns a process with this store and these workers, on a platform that answers nothing else.
+pub fn node_with(store: Arc<dyn Store>, workers: Arc<dyn WorkerAgent>) -> Arc<Node> {
     let services = Services {
         store,
         feed: Arc::new(Silent),
--- a/reachhead_node/src/tests/recorded_node.rs
+++ b/reachhead_node/src/tests/recorded_node.rs
@@ -141,5 +141,5 @@
         holds_leases: AtomicBool::new(false),
     });
     let (store, workers) = (Arc::clone(&platform) as _, Arc::clone(&platform) as _);
-    (broken_node::with_services(store, workers), platform)
+    (broken_node::node_with(store, workers), platform)
 }
