--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -15,9 +15,8 @@
 use reachhead_jobs::{
     candidate::Candidate,
     claim::{TakeoverProgress, is_serving, is_write_stalled, probe_pause},
-    clock::Tick,
+    clock::{Tick, with_drift},
     liveness::StoreAnswers,
-    pool::RecoveredState,
     ports::FeedError,
     record::{fence_key, job_prefix, progress_prefix},
     shard::Shard,
@@ -34,7 +33,12 @@
 use tokio::time;
 
 use crate::{
-    election, fleet, follow::LEASE_TABLE, node::Node, owner::OwnerHandle, takeover, view::LeaseView,
+    election, fleet,
+    follow::LEASE_TABLE,
+    node::Node,
+    owner::{Outcome, OwnerHandle},
+    takeover,
+    view::LeaseView,
 };
 
 /// Interval between two checks of the takeovers.
@@ -74,8 +78,8 @@
     pub rows: usize,
     /// Number of shards that have been read.
     pub shards: usize,
-    /// The roster has been read.
-    pub has_roster: bool,
+    /// Number of workers in the roster, once that has been read.
+    pub roster: Option<usize>,
     /// The last error.
     pub error: Option<StoreError>,
     /// Number of takeovers in a row that were abandoned before this one.
@@ -93,7 +97,7 @@
             progressed: now,
             rows: 0,
             shards: 0,
-            has_roster: false,
+            roster: None,
             error: None,
             abandoned: lease.record.abandoned,
             unanswered: Millis(0),
@@ -128,7 +132,7 @@
 impl Display for Takeover {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let (token, shards, all) = (self.token, self.shards, Self::shard_count());
-        let (rows, roster) = (self.rows, self.has_roster);
+        let (rows, roster) = (self.rows, self.roster.is_some());
         write!(f, "token={token} rows={rows} shards={shards}/{all} roster={roster}")?;
         match &self.error {
             Some(error) => write!(f, " error=\"{error}\""),
@@ -278,7 +282,8 @@
     /// Those that it claims, with its fencing tokens: their owners serve them, or their takeovers were
     /// not given up.
     pub claimed: BTreeMap<PoolName, Revision>,
-    /// Those whose owner is stalled or can record nothing. It may go on and give orders.
+    /// Those whose owner is stalled or can record nothing, or whose lease is being written. The owner
+    /// may go on and give orders.
     pub stalled: BTreeSet<PoolName>,
 }
 
@@ -288,6 +293,7 @@
     let now = node.now();
     let running_since = node.ability().running_since(now);
     let mut claims = Claims::default();
+    claims.stalled.extend(node.taking().iter().cloned());
     for (pool, takeover) in node.loading().iter() {
         claims.claimed.insert(pool.clone(), takeover.token);
     }
@@ -357,29 +363,42 @@
 
 /// How the reads of a takeover ended.
 #[derive(Debug)]
-pub enum Loaded {
-    /// The state was read; `None` if the lease is lost.
-    Ended(Option<RecoveredState>),
+pub enum Reads<T> {
+    /// What they have recovered; `None` if the lease is lost or the owner has ended.
+    Ended(Option<T>),
     /// They were given up, since this process can't read the pool's rows.
     Stuck,
     /// They were given up, since shutdown was requested.
     Stopping,
 }
 
-/// Ends a takeover, and returns the pool's state if it succeeded. The lease of one that was given up
-/// is released.
-pub async fn end_takeover(
+impl<T> Reads<T> {
+    /// Returns the end of reads that have recovered nothing.
+    pub fn without_result<U>(self) -> Reads<U> {
+        match self {
+            Self::Ended(_) => Reads::Ended(None),
+            Self::Stuck => Reads::Stuck,
+            Self::Stopping => Reads::Stopping,
+        }
+    }
+}
+
+/// Ends a takeover, and returns what it has recovered. The lease of one that was given up is released.
+/// If the roster had been read, workers' leases may have been renewed.
+pub async fn end_takeover<T>(
     node: &Node,
     pool: &PoolName,
     lease: &LeaseView,
     order_effect: Millis,
-    loaded: Loaded,
-) -> Option<RecoveredState> {
-    // A process that is shutting down waits until no takeover is left here.
+    reads: Reads<T>,
+) -> Option<T> {
     let takeover = node.loading().get(pool).cloned();
-    let recovered = match loaded {
-        Loaded::Ended(recovered) => recovered,
-        Loaded::Stuck => {
+    let has_renewed = takeover.as_ref().is_some_and(|takeover| takeover.roster.is_some());
+    let renewal_effect = with_drift(election::timeouts(node).hold);
+    let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
+    let recovered = match reads {
+        Reads::Ended(recovered) => recovered,
+        Reads::Stuck => {
             let now = node.now();
             node.ability().record_unreadable(pool, now);
             if let Some(takeover) = takeover {
@@ -390,12 +409,13 @@
                 );
             }
             node.loading().remove(pool);
-            takeover::release(node, pool, lease, lease.record.abandoned(order_effect)).await;
+            takeover::release(node, pool, lease, lease.record.abandoned(effect)).await;
             return None;
         }
-        Loaded::Stopping => {
+        Reads::Stopping => {
             log::info!("pool={pool} token={} takeover ended by shutdown", lease.revision);
-            takeover::release(node, pool, lease, lease.record.returned(order_effect)).await;
+            takeover::release(node, pool, lease, lease.record.returned(effect)).await;
+            // A process that is shutting down waits until no takeover is left.
             node.loading().remove(pool);
             return None;
         }
@@ -511,7 +531,7 @@
         let replaced =
             node.view().leases.get(&pool).is_some_and(|lease| lease.revision > owner.token);
         if replaced && !is_serving(owner.pulse.turned(), running_since, now) {
-            election::release(node, &pool, owner.token);
+            election::release(node, &pool, owner.token, Outcome::GivenUp);
         }
     }
 }
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -5,7 +5,7 @@
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
     incarnation::Incarnation,
-    pool::{Batch, DrainMode, DrainProgress, PoolLoad, StateReply, UnplacedSummary},
+    pool::{Batch, DrainMode, DrainProgress, PoolLoad, RecoveredJobs, StateReply, UnplacedSummary},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     quota::{Allotment, UsageReport},
     task::{StepId, TaskId},
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
+use super::ReleaseRequest;
 use crate::{claim::Pulse, lock::locked, peer::AcceptedJob};
 
 /// The outcome of a cancellation.
@@ -70,6 +71,8 @@
     AdviceReceived(StepId, Option<Vec<Approval>>, Tick),
     /// The store decided on a transaction, or the call failed.
     Committed(Box<Batch>, Result<Commit, StoreError>),
+    /// The stored jobs were read that the previous owner left.
+    JobsRecovered(Box<RecoveredJobs>),
     /// A page of stored jobs was read, or the call failed.
     JobsScanned(Result<Page, StoreError>),
     /// The rows of jobs of which workers report runs were read, or the call failed.
@@ -79,9 +82,9 @@
     /// A call in the background panicked, so its result never comes.
     CallFailed,
     /// Releases the pool.
-    Release(oneshot::Sender<()>),
+    Release(ReleaseRequest),
     /// Releases the pool to a better owner, unless that would delay its jobs.
-    Yield(oneshot::Sender<()>),
+    Yield(ReleaseRequest),
 }
 
 /// Handle to an owner in this process.
--- a/reachhead_node/src/tests/broken_node.rs
+++ b/reachhead_node/src/tests/broken_node.rs
@@ -92,7 +92,7 @@
 }
 
 /// A platform that answers nothing, and whose workers' reports make the call panic.
-struct Silent;
+pub struct Silent;
 
 impl TableFeed for Silent {
     fn table(&self, _: &'static str) -> BoxFuture<'_, Result<FeedPage, StoreError>> {
@@ -160,10 +160,25 @@
         scan_time: AtomicU64::new(0),
         commits: AtomicU32::new(0),
     });
+    let (stop, stopping) = watch::channel(false);
+    let node = new_node(Arc::<BrokenStore>::clone(&store), Arc::new(Silent), stopping);
+    (node, store, stop)
+}
+
+/// Returns a process with this store and these workers, on a platform that answers nothing else.
+pub fn node_with(store: Arc<dyn Store>, workers: Arc<dyn WorkerAgent>) -> Arc<Node> {
+    new_node(store, workers, watch::channel(false).1)
+}
+
+fn new_node(
+    store: Arc<dyn Store>,
+    workers: Arc<dyn WorkerAgent>,
+    stopping: watch::Receiver<bool>,
+) -> Arc<Node> {
     let services = Services {
-        store: Arc::<BrokenStore>::clone(&store),
+        store,
         feed: Arc::new(Silent),
-        workers: Arc::new(Silent),
+        workers,
         hosts: None,
         advisor: None,
         row_format: Arc::new(PlatformRowFormat::new()),
@@ -171,6 +186,5 @@
     let metrics = Metrics::new(&mut prometheus_client::registry::Registry::default());
     let peers = PeerClient::new(Arc::new(HttpClient::new()));
     let settings = Settings::parse(SETTINGS).unwrap();
-    let (stop, stopping) = watch::channel(false);
-    (Arc::new(Node::new(settings, services, peers, metrics, stopping)), store, stop)
+    Arc::new(Node::new(settings, services, peers, metrics, stopping))
 }
