A takeover shows the error of a read as soon as the read has failed

The error of a takeover was set once all reads side by side had ended. Two pools' pages wait for each other on the process's link, and now that each pool's pages are requested together, behind its roster, the second pool's last page fails after 2.1 s.

--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -391,6 +391,9 @@
                 Ok(page) => page,
                 Err(error) => {
                     pages.page_size.record_failure(limit);
+                    // The reads beside it may go on for seconds.
+                    let known = Some(error.clone());
+                    claim::update(self.node, self.pool, |takeover| takeover.error = known);
                     return Err(error);
                 }
             };
