Read the roster again while the shards are read if its first read has failed

Callers saw: long-running tasks on healthy workers still lapse when all processes restart on narrow links and their pools' rows are many.

Cause: after a failed read of the roster the shards were read, and the roster only when all of them had ended. On a link of 2 Mbit/s the first read times out behind the tables that a restarted process reads.

The roster is now read again while the shards are, which wait for its first read only. a_worker_is_renewed_while_the_jobs_are_read_although_a_read_of_the_roster_failed failed before and passes.

--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -15,7 +15,7 @@
     ports::{
         HoldOrder, RunningEntry, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
     },
-    record::{LeaseRecord, RosterEntry, job_prefix, lease_key, roster_key, value},
+    record::{LeaseRecord, RosterEntry, job_prefix, lease_key, roster_key, roster_prefix, value},
     shard::Shard,
     task::{StepId, TaskId},
 };
@@ -48,6 +48,8 @@
 #[derive(Default)]
 struct SlowStore {
     rows: MemoryStore,
+    /// Number of reads of the roster that fail.
+    roster_failures: AtomicU32,
     /// Number of pages of jobs that were read.
     pages: AtomicU32,
 }
@@ -59,7 +61,13 @@
 
     fn scan(&self, scan: Scan) -> BoxFuture<'_, Result<Page, StoreError>> {
         let of_jobs = Shard::all().any(|shard| scan.prefix == job_prefix(&pool(), shard));
+        let of_roster = scan.prefix == roster_prefix(&pool());
         async move {
+            let left = &self.roster_failures;
+            let fail = |left: u32| left.checked_sub(1).filter(|_| of_roster);
+            if left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, fail).is_ok() {
+                return Err(StoreError::Lost("lost by the test".to_owned()));
+            }
             if of_jobs {
                 time::sleep(READ_TIME).await;
                 self.pages.fetch_add(1, Ordering::Relaxed);
@@ -237,6 +245,20 @@
     });
 }
 
+/// Guards against a roster that is read again only after the jobs: its first read may fail on a narrow
+/// link, and reading the jobs there takes longer than a lease.
+#[test]
+fn a_worker_is_renewed_while_the_jobs_are_read_although_a_read_of_the_roster_failed() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store, workers) = successor(false).await;
+        store.roster_failures.store(2, Ordering::Relaxed);
+        tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
+        let renewed = holds_within(RENEWAL_LIMIT, || workers.renewed(&worker()).is_some()).await;
+        assert_eq!(store.pages.load(Ordering::Relaxed), 0, "the jobs are still being read");
+        assert!(renewed, "the lease would end before the jobs are read");
+    });
+}
+
 /// Guards against a process that claims a pool which nobody renews and reads on.
 #[test]
 fn a_takeover_whose_call_to_a_worker_panicked_ends_with_its_claim() {
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -43,7 +43,10 @@
 /// Maximum attempts to release the lease of an abandoned takeover.
 const MAX_RELEASE_ATTEMPTS: usize = 5;
 
-/// Pause between two of these attempts.
+/// Pause before the roster is read again after a failure.
+const ROSTER_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause between two attempts to release a lease.
 const RELEASE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// The time in which this process writes the lease of a pool. It may become the owner without knowing
@@ -281,23 +284,22 @@
     /// Reads the missing rows; returns `false` if a later owner has fenced a shard.
     async fn read_missing(&mut self) -> Result<bool, StoreError> {
         let Self { reader, shards, roster, roster_sender } = self;
-        let (roster_ended, ended) = watch::channel(roster.complete);
-        let roster = async {
-            let result = reader.read_roster(roster, roster_sender).await;
-            roster_ended.send_replace(true);
-            result
-        };
+        let (roster_tried, tried) = watch::channel(roster.complete);
+        let (shards_ended, ended) = watch::channel(false);
+        let roster = reader.read_roster(roster, roster_sender, roster_tried, ended);
         let missing: Vec<(Shard, &mut ShardRows)> = shards
             .iter_mut()
             .filter(|(_, rows)| !rows.is_complete())
             .map(|(shard, rows)| (*shard, rows))
             .collect();
         let shards = async {
-            if reader.sequential {
-                reader.read_in_turn(missing, ended).await
+            let results = if reader.sequential {
+                reader.read_in_turn(missing, tried).await
             } else {
-                reader.read_together(missing, ended).await
-            }
+                reader.read_together(missing, tried).await
+            };
+            shards_ended.send_replace(true);
+            results
         };
         let (shards, roster) = join(shards, roster).await;
         let mut failed = roster.err();
@@ -314,13 +316,27 @@
 
 impl Reader<'_> {
     /// Reads the missing rows of the roster, and sends the roster once it is complete. It is in the
-    /// same partition of the store as the lease, so the lease alone fences it.
+    /// same partition of the store as the lease, so the lease alone fences it. A read that fails is
+    /// repeated for as long as the shards are being read: leases of workers end meanwhile.
     async fn read_roster(
         &self,
         pages: &mut Pages,
         sender: &mut Option<oneshot::Sender<StoredRoster>>,
+        tried: watch::Sender<bool>,
+        shards_ended: watch::Receiver<bool>,
     ) -> Result<(), StoreError> {
-        self.read_rows(roster_prefix(self.pool), pages).await?;
+        loop {
+            let result = self.read_rows(roster_prefix(self.pool), pages).await;
+            tried.send_replace(true);
+            match result {
+                Ok(()) => break,
+                Err(error) if *shards_ended.borrow() => return Err(error),
+                Err(error) => {
+                    log::info!("pool={} the roster can't be read, retrying: {error}", self.pool);
+                }
+            }
+            time::sleep(ROSTER_RETRY_PAUSE).await;
+        }
         if let Some(sender) = sender.take() {
             let (roster, errors) = StoredRoster::read(&pages.rows);
             let workers = roster.workers.len();
@@ -338,13 +354,13 @@
     async fn read_together(
         &self,
         missing: Vec<(Shard, &mut ShardRows)>,
-        roster_ended: watch::Receiver<bool>,
+        roster_tried: watch::Receiver<bool>,
     ) -> Vec<Result<bool, StoreError>> {
         let reads = missing.into_iter().map(|(shard, rows)| {
-            let roster_ended = roster_ended.clone();
+            let roster_tried = roster_tried.clone();
             async move {
                 let fenced = self.fence_shard(shard, rows).await;
-                wait_until_ended(roster_ended).await;
+                wait_until_tried(roster_tried).await;
                 if matches!(fenced, Ok(true)) { self.read_shard(shard, rows).await } else { fenced }
             }
         });
@@ -356,14 +372,14 @@
     async fn read_in_turn(
         &self,
         missing: Vec<(Shard, &mut ShardRows)>,
-        roster_ended: watch::Receiver<bool>,
+        roster_tried: watch::Receiver<bool>,
     ) -> Vec<Result<bool, StoreError>> {
         let fences = missing.into_iter().map(|(shard, rows)| async move {
             let fenced = self.fence_shard(shard, rows).await;
             (shard, rows, fenced)
         });
         let fenced = join_all(fences).await;
-        wait_until_ended(roster_ended).await;
+        wait_until_tried(roster_tried).await;
         let mut results = Vec::new();
         for (shard, rows, fenced) in fenced {
             results.push(match fenced {
@@ -437,11 +453,11 @@
     }
 }
 
-/// Waits until the roster has been read, or could not be read. On a narrow link the workers' leases
+/// Waits until the roster has been read, or a read of it has failed. On a narrow link the workers' leases
 /// would end while the larger rows of jobs arrive before it.
-async fn wait_until_ended(mut roster_ended: watch::Receiver<bool>) {
+async fn wait_until_tried(mut roster_tried: watch::Receiver<bool>) {
     // The sender is dropped only together with the takeover.
-    let _ = roster_ended.wait_for(|ended| *ended).await;
+    let _ = roster_tried.wait_for(|tried| *tried).await;
 }
 
 /// Raises the fence of a shard; returns `None` if a later owner has raised it.
