--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -93,7 +93,8 @@
     MinionLeaving 502 Info;
     /// This host became the owner of a pool: the owner before, how long the takeover took, and for how long orders of earlier owners may have effect.
     LeaseTaken 600 Info;
-    /// This host is no longer the owner of a pool.
+    /// This host is no longer the owner of a pool: whether it gave the pool back, and how long that took
+    /// since the request, or its lease was lost, or it failed.
     LeaseEnded 601 Info;
     /// This process handed a pool over to one with more capacity.
     PoolYielded 602 Info;
