--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -25,6 +25,15 @@
 /// for several seconds at a time.
 const WIDE_SCHEDULES: u64 = 16;
 
+/// Number of schedules with slow takeovers.
+const SLOW_SCHEDULES: u64 = 16;
+
+/// Number of schedules of planned changes of the owner.
+const PLANNED_SCHEDULES: u64 = 12;
+
+/// Maximum number of acts in a schedule of planned changes of the owner.
+const MAX_PLANNED_ACTS: usize = 16;
+
 /// A schedule on a pool of this many workers. It is not shrunk, since hundreds of such schedules
 /// take minutes.
 #[derive(Debug, Clone)]
@@ -156,6 +165,42 @@
     check("wide steps", WIDE_SCHEDULES, run as fn(WideSchedule) -> bool);
 }
 
+/// Takeovers take seconds, owners are killed and released in a row, also in the middle of a takeover, and
+/// workers stop answering for good. Guards against long-running tasks that wait for longer than the rule
+/// allows from the last of these: the successor called no worker before it had read all jobs, and counted
+/// the time for which orders of earlier owners have effect from then on.
+#[test]
+fn no_long_running_task_waits_after_slow_takeovers() {
+    fn run(schedule: WideSchedule) -> bool {
+        let text = format!("{schedule:?}");
+        let simulation = Simulation::new().with_wide_steps(schedule.workers).with_slow_takeovers();
+        let holds = holds(simulation, schedule.acts);
+        if !holds {
+            eprintln!("{text}");
+        }
+        holds
+    }
+    check("slow takeovers", SLOW_SCHEDULES, run as fn(WideSchedule) -> bool);
+}
+
+/// Owners give the pool back one at a time, and nothing else happens. Guards against runs on healthy
+/// workers whose leases end while the successor is still reading.
+#[test]
+fn no_run_lapses_in_a_planned_change_of_the_owner() {
+    fn run(schedule: WideSchedule) -> bool {
+        let text = format!("{schedule:?}");
+        let simulation = Simulation::new().with_wide_steps(schedule.workers);
+        let simulation = simulation.with_slow_takeovers().with_planned_changes();
+        let acts = schedule.acts.into_iter().take(MAX_PLANNED_ACTS).collect();
+        let holds = holds(simulation, acts);
+        if !holds {
+            eprintln!("{text}");
+        }
+        holds
+    }
+    check("planned changes", PLANNED_SCHEDULES, run as fn(WideSchedule) -> bool);
+}
+
 /// Workers crash in groups, answer no call for about a second, and others answer at their addresses
 /// then. Guards against counting a worker's death against tasks that were ordered after it: the
 /// order was the first call that found the worker replaced, and three of these ended a job as failed.
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -37,6 +37,7 @@
 mod messages;
 mod outages;
 mod plans;
+mod slow_takeover;
 mod submissions;
 mod takeover;
 mod waiting;
@@ -44,6 +45,7 @@
 use faults::WorkerFaults;
 use fleet::FleetOwner;
 use outages::{LongPoll, Outages};
+use slow_takeover::SlowTakeovers;
 use waiting::WaitingTasks;
 
 /// Time between two steps of the simulation, in milliseconds.
@@ -209,6 +211,8 @@
     outages: Option<Outages>,
     /// The fleet owner, in schedules with one.
     fleet: Option<FleetOwner>,
+    /// Slow takeovers, in schedules with them.
+    slow: Option<SlowTakeovers>,
     /// Long-running tasks that wait, and what disturbed the pool.
     waiting: WaitingTasks,
     pub violations: Vec<String>,
@@ -277,6 +281,7 @@
             faults: None,
             outages: None,
             fleet: None,
+            slow: None,
             waiting: WaitingTasks::default(),
             violations: Vec::new(),
         };
--- a/reachhead_jobs/tests/random_schedules/simulation/acts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/acts.rs
@@ -19,6 +19,9 @@
     /// Performs one random act.
     pub fn act(&mut self, (kind, choice, time): (u8, u8, u8)) {
         let span = u64::from(time) * 20;
+        if self.slow.is_some() {
+            return self.act_with_slow_takeovers(kind, choice, span);
+        }
         if self.outages.is_some() && kind % OUTAGE_PERIOD == 0 {
             self.begin_outage(choice, span);
             return self.run(span % 700);
--- a/reachhead_jobs/tests/random_schedules/simulation/faults.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/faults.rs
@@ -113,13 +113,15 @@
         self.run(span % 700);
     }
 
-    fn submit_wide(&mut self, choice: u8) {
+    pub(super) fn submit_wide(&mut self, choice: u8) {
         let is_open = |id| !self.cancelled.contains(id);
         let open = self.jobs.iter().filter(|(id, plan)| is_open(*id) && plan.is_long_running());
         let (is_wide, kind) = (choice % 2 == 0 && open.count() < MAX_WIDE_JOBS, choice / 2);
         let workers = self.workers.len() as u32;
         let plan = if is_wide { wide_plan(kind, workers) } else { plan(kind % 2) };
-        let queue = if kind % 5 == 0 { advised_queue() } else { queue() };
+        // The rule for waiting tasks knows of approvals only while an owner knows the job.
+        let is_advised = kind % 5 == 0 && self.slow.is_none();
+        let queue = if is_advised { advised_queue() } else { queue() };
         self.submit_plan(choice, queue, plan);
     }
 
--- a/reachhead_jobs/tests/random_schedules/simulation/invariants.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/invariants.rs
@@ -82,6 +82,12 @@
                         let observed = self.tasks.entry(task).or_default();
                         observed.running.remove(id);
                         observed.done |= end == RunEnd::Done;
+                        let slow = self.slow.as_ref().filter(|_| end == RunEnd::Lapsed);
+                        if let Some(since) = slow.and_then(|slow| slow.planned_change(id)) {
+                            let time = self.now - since;
+                            self.violations
+                                .push(format!("{task} lapses on {id} {time} ms after a release"));
+                        }
                     }
                 }
             }
--- a/reachhead_jobs/tests/random_schedules/simulation/outages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/outages.rs
@@ -89,6 +89,7 @@
     /// Returns the timeouts of owners.
     pub(super) fn timeouts(&self) -> PoolTimeouts {
         match &self.outages {
+            _ if self.slow.is_some() => Self::slow_timeouts(),
             Some(_) => PoolTimeouts { hold: LEASE, wait: POLL_WAIT, ..timeouts() },
             None => timeouts(),
         }
@@ -157,18 +158,22 @@
     /// Returns the result of a call to a worker that has gone dark, and the delay of that result. The
     /// call waits for at most `wait` milliseconds.
     pub(super) fn dark_result(&self, id: &WorkerId, wait: u64) -> Option<(WorkerError, u64)> {
+        let silent = || WorkerError::Lost("the worker is dark".to_owned());
+        if self.is_silent(id) {
+            return Some((silent(), wait + CALL_TIMEOUT));
+        }
         let worker = self.outages.as_ref()?.workers.get(id)?;
         Some(if worker.until <= self.now {
             (WorkerError::Replaced, 0)
         } else {
-            (WorkerError::Lost("the worker is dark".to_owned()), wait + CALL_TIMEOUT)
+            (silent(), wait + CALL_TIMEOUT)
         })
     }
 
     /// Returns how long a call waits at its worker, in milliseconds.
     pub(super) fn poll_wait(&self, action: &Action) -> u64 {
         match action {
-            Action::Hold(_, order) if self.outages.is_some() => order.wait.0,
+            Action::Hold(_, order) if self.outages.is_some() || self.slow.is_some() => order.wait.0,
             _ => 0,
         }
     }
@@ -201,7 +206,8 @@
     pub(super) fn continue_poll(&mut self, poll: LongPoll) {
         let LongPoll { owner, target, order, sent, answered, until } = poll;
         let now = self.now;
-        let result = match self.workers.get_mut(&target.id) {
+        let is_silent = self.is_silent(&target.id);
+        let result = match self.workers.get_mut(&target.id).filter(|_| !is_silent) {
             Some(incarnation) => incarnation.hold(target.token, &order, now),
             None => {
                 // The connection ends with the process, but not if the host has gone dark.
--- /dev/null
+++ b/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
@@ -0,0 +1,421 @@
+//! Takeovers that take time: the lease, the fences, the roster and the rows of the shards are read over a
+//! slow link, while workers, leases and other owners go on. Owners are killed and released in a row, also
+//! in the middle of a takeover, and workers stop answering for good. See
+//! docs/incidents/long-running-tasks-after-a-change-of-owner.md.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use reachhead_jobs::{
+    clock::Tick,
+    fence::FenceStep,
+    pool::{Due, Pool, PoolTimeouts, RecoveredState, StoredRoster},
+    record::{LeaseRecord, fence_key, lease_key, roster_prefix, value},
+    shard::Shard,
+};
+use reachhead_store::row::{Commit, Txn};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::{FencingToken, Millis, Revision},
+};
+
+use super::{
+    Answer, Event, MAX_SCAN_DELAY, Owner, STEP, Simulation,
+    plans::{plan, queue},
+    pool_name,
+    takeover::fence,
+    timeouts,
+};
+
+/// Lease duration and wait of the long polls. Detection, trust and a lease end within the bound of the
+/// rule for waiting tasks; in production they may take 10 s.
+const LEASE: Millis = Millis(2500);
+const POLL_WAIT: Millis = Millis(1250);
+
+/// Shortest and longest time until another process finds that an owner is lost, in milliseconds.
+const MIN_DETECTION: u64 = 300;
+const MAX_DETECTION: u64 = 900;
+
+/// Longest time that the release of the lease takes, in milliseconds.
+const MAX_RELEASE: u64 = 400;
+
+/// Longest time until another process sees that the lease is released, in milliseconds.
+const MAX_HANDOVER: u64 = 300;
+
+/// Largest number of pages of a shard, and longest time in which one arrives, in milliseconds. All pages
+/// take at most 4 s, so that a killed owner's successor has read the jobs within the bound of the rule for
+/// waiting tasks.
+const MAX_PAGES: u64 = 10;
+const MAX_PAGE_TIME: u64 = 100;
+
+/// Maximum number of changes of the owner in a row.
+const MAX_CHANGES: u8 = 4;
+
+/// One in this number of the workers may stop answering for good.
+const SILENT_SHARE: usize = 4;
+
+/// Time in which nothing happens, in milliseconds: longer than the bound of the rule for waiting tasks.
+const CALM_TIME: u64 = 8000;
+
+/// Time in which nothing else may happen before a planned change of the owner in which no run may lapse,
+/// in milliseconds.
+const MIN_CALM_TIME: u64 = 4000;
+
+/// How the rows of a pool are read.
+#[derive(Debug, Clone, Copy)]
+struct Reads {
+    /// Number of pages of each shard; most hold short jobs that wait.
+    pages: u64,
+    /// Time in which one page arrives, in milliseconds.
+    page_time: u64,
+}
+
+impl Reads {
+    fn new(choice: u8, span: u64) -> Self {
+        Self {
+            pages: 1 + u64::from(choice) % MAX_PAGES,
+            page_time: STEP + span % (MAX_PAGE_TIME - STEP + 1),
+        }
+    }
+
+    fn time(self) -> u64 {
+        self.pages * self.page_time * Shard::all().count() as u64
+    }
+}
+
+/// State of schedules with slow takeovers.
+#[derive(Default)]
+pub(super) struct SlowTakeovers {
+    /// Workers that answer nothing any more.
+    silent: BTreeSet<WorkerId>,
+    /// Jobs that were stored while a takeover was reading.
+    unread: Vec<JobId>,
+    /// When the only recent change of the owner began, if that was planned and nothing else happened.
+    planned: Option<u64>,
+    /// Nothing else happens than planned changes.
+    is_planned: bool,
+    /// When the time for which the pool has had the same owner began.
+    settled_since: u64,
+}
+
+impl SlowTakeovers {
+    /// Returns the begin of the planned change in which a lapse on this worker breaks the rule.
+    pub(super) fn planned_change(&self, worker: &WorkerId) -> Option<u64> {
+        self.planned.filter(|_| !self.silent.contains(worker))
+    }
+}
+
+impl Simulation {
+    /// Lets takeovers take time and workers stop answering for good.
+    pub fn with_slow_takeovers(mut self) -> Self {
+        self.slow = Some(SlowTakeovers::default());
+        // The owner so far has other timeouts.
+        self.newest().alive = false;
+        self.take_over();
+        self.run(400);
+        self
+    }
+
+    /// Lets nothing else happen than planned changes of the owner.
+    pub fn with_planned_changes(mut self) -> Self {
+        if let Some(slow) = &mut self.slow {
+            slow.is_planned = true;
+        }
+        self
+    }
+
+    /// Returns the timeouts of owners in schedules with slow takeovers.
+    pub(super) fn slow_timeouts() -> PoolTimeouts {
+        PoolTimeouts { hold: LEASE, wait: POLL_WAIT, ..timeouts() }
+    }
+
+    /// Returns whether the worker has stopped answering for good.
+    pub(super) fn is_silent(&self, id: &WorkerId) -> bool {
+        self.slow.as_ref().is_some_and(|slow| slow.silent.contains(id))
+    }
+
+    /// Performs a random act of a schedule with slow takeovers.
+    pub(super) fn act_with_slow_takeovers(&mut self, kind: u8, choice: u8, span: u64) {
+        if self.slow.as_ref().is_some_and(|slow| slow.is_planned) {
+            return self.change_owner_or_submit(kind, choice, span);
+        }
+        match kind % 16 {
+            0..=3 => self.submit_wide(choice),
+            4..=6 => self.kill_owners(choice, span),
+            7..=9 => self.release_owners(choice, span),
+            10..=11 => self.silence_workers(choice),
+            12 => self.isolate_owner(choice, span),
+            13 => self.disturb_messages(choice),
+            14 => self.replace_worker(choice),
+            _ => self.run(CALM_TIME + span),
+        }
+        self.run(span % 700);
+    }
+
+    /// Submits a job, or changes the owner as planned with nothing else before and after it.
+    fn change_owner_or_submit(&mut self, kind: u8, choice: u8, span: u64) {
+        match kind % 4 {
+            0 | 1 => self.submit_wide(choice),
+            _ => {
+                self.run(CALM_TIME);
+                self.release_owner(Reads::new(choice, span), span);
+                self.run(CALM_TIME);
+            }
+        }
+    }
+
+    /// Records a disturbance that is no planned change of the owner.
+    fn disturb_all(&mut self) {
+        let now = self.now;
+        if let Some(slow) = &mut self.slow {
+            slow.planned = None;
+            slow.settled_since = now;
+        }
+        self.disturb();
+    }
+
+    /// Kills some owners in a row. All but the last successor may be killed in the middle of its takeover.
+    fn kill_owners(&mut self, choice: u8, span: u64) {
+        let changes = 1 + choice % MAX_CHANGES;
+        let reads = Reads::new(choice / MAX_CHANGES, span);
+        if choice % 2 == 0 {
+            self.silence_workers(choice);
+            self.run(span % 900);
+        }
+        for change in 1..=changes {
+            self.kill_owner(span * u64::from(change));
+            let is_last = change == changes;
+            let end = span * u64::from(change) % (2 * reads.time());
+            self.take_over_slowly(
+                self.timeouts().takeover_delay(),
+                reads,
+                (!is_last).then_some(end),
+            );
+            if !is_last {
+                self.run(end / 4);
+            }
+        }
+        self.rest(choice, span);
+    }
+
+    /// Kills the newest owner and lets time pass until this is noticed.
+    fn kill_owner(&mut self, span: u64) {
+        self.newest().alive = false;
+        self.disturb_all();
+        self.run(MIN_DETECTION + span % (MAX_DETECTION - MIN_DETECTION));
+    }
+
+    /// Lets some owners give the pool back in a row.
+    fn release_owners(&mut self, choice: u8, span: u64) {
+        for change in 0..1 + choice % MAX_CHANGES {
+            let span = span + u64::from(change) * 140;
+            self.release_owner(Reads::new(choice / MAX_CHANGES, span), span);
+            self.run(span % 1500);
+        }
+        self.rest(choice, span);
+    }
+
+    /// Lets time pass after changes of the owner, mostly enough of it that the rule for waiting tasks applies.
+    fn rest(&mut self, choice: u8, span: u64) {
+        if choice % 3 != 0 {
+            self.run(CALM_TIME + span);
+        }
+    }
+
+    /// Lets the newest owner end as [`kill_owner`](Self::kill_owner) does if it is not in office, or as a
+    /// process that is asked to: it sends what it has to record and releases the lease.
+    fn release_owner(&mut self, reads: Reads, span: u64) {
+        let now = self.now;
+        let lease = self.read(lease_key(&pool_name())).map(|row| row.revision);
+        let owner = self.newest();
+        let is_up = owner.alive && owner.paused_until <= now && owner.store_cut_until <= now;
+        if !is_up || lease != Some(owner.token) {
+            self.kill_owner(span);
+            return self.take_over_slowly(self.timeouts().takeover_delay(), reads, None);
+        }
+        let is_single =
+            self.slow.as_ref().is_some_and(|slow| now >= slow.settled_since + MIN_CALM_TIME);
+        self.disturb_all();
+        if let Some(slow) = &mut self.slow {
+            slow.planned = is_single.then_some(now);
+        }
+        let record = self.release_lease(span % MAX_RELEASE);
+        self.run(span % MAX_HANDOVER);
+        let effect = self.timeouts().after_release(&record);
+        self.take_over_slowly(effect, reads, None);
+    }
+
+    /// Releases the lease as `Owner::release_lease` of reachhead_node does, and returns its row.
+    fn release_lease(&mut self, release_time: u64) -> LeaseRecord {
+        let now = self.now;
+        let key = lease_key(&pool_name());
+        let known: LeaseRecord = self.read(key.clone()).unwrap().parse().unwrap();
+        let owner = self.newest();
+        // It leaves its event loop, so it gives no orders and gets no answers.
+        owner.alive = false;
+        let due = owner.pool.due();
+        let batches =
+            due.iter().filter_map(|&Due { lane, .. }| owner.pool.batch(lane, Millis(now)));
+        let batches: Vec<_> = batches.collect();
+        self.run(release_time);
+        for batch in batches {
+            let commit = self.commit(batch.txn.clone());
+            let now = Tick(self.now);
+            self.newest().pool.decided(&batch, &commit, now);
+        }
+        let now = Tick(self.now);
+        let owner = self.newest();
+        let token = owner.token;
+        let record = LeaseRecord {
+            owner: None,
+            address: None,
+            term: known.term,
+            settled: owner.pool.unsettled() == 0,
+            unsettled_for: Some(owner.pool.remaining_takeover_delay(now)),
+            abandoned: 0,
+            knows_storer: false,
+        };
+        let txn = Txn::new().with_check(key.clone(), Some(token)).with_write(key, value(&record));
+        assert!(matches!(self.commit(txn), Commit::Done(_)), "nobody else takes the lease now");
+        record
+    }
+
+    /// Lets a new process take the lease, raise the fences and read the rows. It is killed after `end`
+    /// milliseconds, if that is given and it is not ready by then.
+    fn take_over_slowly(&mut self, effect: Millis, reads: Reads, end: Option<u64>) {
+        let verified = Tick(self.now);
+        let end = end.map_or(u64::MAX, |end| self.now + end);
+        // The change of the owner has been disturbing the pool since the owner was killed or released.
+        let disturbed = self.waiting.disturbed();
+        let (token, term) = self.take_lease();
+        self.waiting.set_disturbed(disturbed);
+        let mut found =
+            RecoveredState { verified, effect, knows_storer: true, ..RecoveredState::default() };
+        for shard in Shard::all() {
+            if self.now >= end {
+                // The transaction that it has just sent arrives later.
+                let known = self.read(fence_key(&pool_name(), shard));
+                if let Ok(FenceStep::Write(txn)) = fence(token, shard).next(known.as_ref()) {
+                    self.push(reads.time(), Event::Raise(txn));
+                }
+                return;
+            }
+            let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
+            found.fences.insert(shard, fence);
+        }
+        self.run(reads.page_time);
+        let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
+        assert!(errors.is_empty(), "{errors:?}");
+        found.roster = roster;
+        for shard in Shard::all() {
+            for page in 0..reads.pages {
+                if self.now >= end {
+                    return;
+                }
+                self.run(reads.page_time);
+                if page == 0 {
+                    found.jobs.append(&mut self.stored_jobs(shard));
+                }
+            }
+            self.submit_during_takeover(reads, shard);
+        }
+        let (now, wall) = (Tick(self.now), Millis(self.now));
+        let pool = Pool::new(pool_name(), token, term, self.timeouts(), found, now, wall);
+        self.add_owner(pool, token);
+        self.notify_of_unread_jobs();
+    }
+
+    fn add_owner(&mut self, pool: Pool, token: FencingToken) {
+        self.owners.push(Owner {
+            pool,
+            token: Revision(token.0),
+            recording: BTreeSet::new(),
+            paused_until: 0,
+            alive: true,
+            workers_cut: BTreeMap::new(),
+            store_cut_until: 0,
+            rejected_until: 0,
+            owner_since: self.now,
+        });
+        self.list();
+    }
+
+    /// Lets a client submit a job during a takeover. It reaches the predecessor, if that is alive.
+    fn submit_during_takeover(&mut self, reads: Reads, shard: Shard) {
+        if reads.pages % 4 != 0 || shard != Shard::of(JobId(reads.page_time)) {
+            return;
+        }
+        let id = JobId(self.jobs.len() as u64 + 1);
+        self.submit_plan(1, queue(), plan(reads.page_time as u8));
+        if let Some(slow) = &mut self.slow {
+            slow.unread.push(id);
+        }
+    }
+
+    /// Lets the newest owner find the jobs that were stored during its takeover.
+    fn notify_of_unread_jobs(&mut self) {
+        let unread = self.slow.as_mut().map(|slow| std::mem::take(&mut slow.unread));
+        let unread = unread.unwrap_or_default();
+        if !unread.is_empty() {
+            let stored = self.find(&unread);
+            let answer = Answer::Found(unread, Some(stored));
+            self.push(MAX_SCAN_DELAY, Event::Answer { owner: self.owners.len() - 1, answer });
+        }
+    }
+
+    /// Lets some workers stop answering for good. Half of them are gone, and the others go on with their
+    /// runs until these lapse.
+    fn silence_workers(&mut self, choice: u8) {
+        let silent = self.workers.keys().filter(|id| self.is_silent(id)).count();
+        let open = (self.workers.len() / SILENT_SHARE).saturating_sub(silent);
+        for number in 0..open.min(1 + usize::from(choice % 4)) {
+            let Some(id) = self.pick(choice.wrapping_add(5 * number as u8)) else { return };
+            if let Some(slow) = &mut self.slow {
+                slow.silent.insert(id.clone());
+            }
+            if (choice / 4 + number as u8) % 2 == 0 {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.running.clear();
+                }
+                for observed in self.tasks.values_mut() {
+                    observed.running.remove(&id);
+                }
+            }
+        }
+        self.disturb_all();
+    }
+
+    /// Cuts the owner off from the store, or pauses it, and lets another process take over meanwhile.
+    fn isolate_owner(&mut self, choice: u8, span: u64) {
+        let reads = Reads::new(choice / 2, span);
+        let until = self.now + MAX_DETECTION + 2 * span;
+        let owner = self.newest();
+        if choice % 2 == 0 {
+            owner.paused_until = until
+        } else {
+            owner.store_cut_until = until
+        }
+        self.disturb_all();
+        self.run(MIN_DETECTION + span % (MAX_DETECTION - MIN_DETECTION));
+        self.take_over_slowly(self.timeouts().takeover_delay(), reads, None);
+        self.rest(choice, span);
+    }
+
+    /// Lets the next messages be lost or late.
+    fn disturb_messages(&mut self, choice: u8) {
+        if choice % 2 == 0 {
+            self.lose_next = choice / 2 % 8;
+        } else {
+            self.delay_next = choice / 2 % 8;
+        }
+        self.disturb_all();
+    }
+
+    fn replace_worker(&mut self, choice: u8) {
+        let Some(id) = self.pick(choice) else { return };
+        if !self.is_silent(&id) {
+            self.crash(&id);
+            self.add_worker();
+            self.disturb_all();
+        }
+    }
+}
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -24,7 +24,7 @@
 
 use super::{Event, MIN_REJECTION, Owner, STEP, Simulation, pool_name};
 
-fn fence(token: FencingToken, shard: Shard) -> Fence {
+pub(super) fn fence(token: FencingToken, shard: Shard) -> Fence {
     Fence::new(pool_name(), shard, token, "n".parse().unwrap())
 }
 
@@ -72,7 +72,7 @@
         self.list();
     }
 
-    fn take_lease(&mut self) -> (FencingToken, u64) {
+    pub(super) fn take_lease(&mut self) -> (FencingToken, u64) {
         let key = lease_key(&pool_name());
         let known = self.read(key.clone());
         let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
@@ -95,7 +95,7 @@
     }
 
     /// Raises the fence of a shard; time passes before each transaction arrives.
-    fn raise(&mut self, token: FencingToken, shard: Shard) -> Option<Revision> {
+    pub(super) fn raise(&mut self, token: FencingToken, shard: Shard) -> Option<Revision> {
         let fence = fence(token, shard);
         let mut found = self.read(fence_key(&pool_name(), shard));
         loop {
@@ -178,12 +178,12 @@
         self.submit(choice);
     }
 
-    fn scan(&self, prefix: String) -> Vec<Row> {
+    pub(super) fn scan(&self, prefix: String) -> Vec<Row> {
         let scan = Scan { prefix, after: None, limit: u32::MAX };
         self.store.scan(scan).now_or_never().unwrap().unwrap().rows
     }
 
-    fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
+    pub(super) fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
         let id_of = |row: &Row| row.key.0.rsplit('/').next().unwrap().parse::<JobId>().unwrap();
         let progress: BTreeMap<JobId, Row> = self
             .scan(progress_prefix(&pool_name(), shard))
--- a/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
@@ -53,6 +53,16 @@
 }
 
 impl WaitingTasks {
+    /// Returns when the pool was last disturbed.
+    pub(super) const fn disturbed(&self) -> u64 {
+        self.disturbed
+    }
+
+    /// Sets when the pool was last disturbed.
+    pub(super) const fn set_disturbed(&mut self, disturbed: u64) {
+        self.disturbed = disturbed;
+    }
+
     pub(super) fn keep_notes(&mut self, now: u64, notes: Vec<Note>) {
         for Note { kind, text } in notes {
             if self.notes.len() >= MAX_NOTES {
@@ -119,7 +129,8 @@
     fn is_undisturbed_since(&self, then: u64) -> bool {
         let Some(owner) = self.owners.last() else { return false };
         let ended = |until: u64| until <= then || until > self.now;
-        owner.alive
+        // A slow takeover is part of the wait that the rule limits.
+        (owner.alive || self.slow.is_some())
             && self.waiting.disturbed <= then
             && owner.paused_until <= then
             && owner.store_cut_until <= then
@@ -156,6 +167,7 @@
             owner.pool.jobs().get(&task.job).is_some_and(|job| job.queue.advice.is_some());
         !is_cut
             && !self.is_faulty(id)
+            && !self.is_silent(id)
             && !self.draining.contains(id)
             && has_label
             && is_apart
