--- a/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
@@ -3,23 +3,23 @@
 //! in the middle of a takeover, and workers stop answering for good. See
 //! docs/incidents/long-running-tasks-after-a-change-of-owner.md.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use reachhead_jobs::{
     clock::Tick,
     fence::FenceStep,
-    pool::{Due, Pool, PoolTimeouts, RecoveredState, StoredRoster},
+    pool::{Due, Pool, PoolTimeouts, RecoveredJobs, RecoveredState, StoredRoster},
     record::{LeaseRecord, fence_key, lease_key, roster_prefix, value},
     shard::Shard,
 };
 use reachhead_store::row::{Commit, Txn};
 use reachhead_types::{
     id::{JobId, WorkerId},
-    size::{FencingToken, Millis, Revision},
+    size::Millis,
 };
 
 use super::{
-    Answer, Event, MAX_SCAN_DELAY, Owner, STEP, Simulation,
+    Event, STEP, Simulation,
     plans::{plan, queue},
     pool_name,
     takeover::fence,
@@ -87,8 +87,6 @@
 pub(super) struct SlowTakeovers {
     /// Workers that answer nothing any more.
     silent: BTreeSet<WorkerId>,
-    /// Jobs that were stored while a takeover was reading.
-    unread: Vec<JobId>,
     /// When the only recent change of the owner began, if that was planned and nothing else happened.
     planned: Option<u64>,
     /// Nothing else happens than planned changes.
@@ -183,15 +181,10 @@
         }
         for change in 1..=changes {
             self.kill_owner(span * u64::from(change));
-            let is_last = change == changes;
-            let end = span * u64::from(change) % (2 * reads.time());
-            self.take_over_slowly(
-                self.timeouts().takeover_delay(),
-                reads,
-                (!is_last).then_some(end),
-            );
-            if !is_last {
-                self.run(end / 4);
+            let limit = span * u64::from(change) % (2 * reads.time());
+            let limit = (change < changes).then_some(limit);
+            if self.take_over_in_pages(self.timeouts().takeover_delay(), reads, limit) {
+                self.run(span / 4);
             }
         }
         self.rest(choice, span);
@@ -230,7 +223,8 @@
         let is_up = owner.alive && owner.paused_until <= now && owner.store_cut_until <= now;
         if !is_up || lease != Some(owner.token) {
             self.kill_owner(span);
-            return self.take_over_slowly(self.timeouts().takeover_delay(), reads, None);
+            self.take_over_in_pages(self.timeouts().takeover_delay(), reads, None);
+            return;
         }
         let is_single =
             self.slow.as_ref().is_some_and(|slow| now >= slow.settled_since + MIN_CALM_TIME);
@@ -241,7 +235,7 @@
         let record = self.release_lease(span % MAX_RELEASE);
         self.run(span % MAX_HANDOVER);
         let effect = self.timeouts().after_release(&record);
-        self.take_over_slowly(effect, reads, None);
+        self.take_over_in_pages(effect, reads, None);
     }
 
     /// Releases the lease as `Owner::release_lease` of reachhead_node does, and returns its row.
@@ -279,17 +273,27 @@
         record
     }
 
-    /// Lets a new process take the lease, raise the fences and read the rows. It is killed after `end`
-    /// milliseconds, if that is given and it is not ready by then.
-    fn take_over_slowly(&mut self, effect: Millis, reads: Reads, end: Option<u64>) {
+    /// Lets a new process take the lease, read the roster and call the workers, raise the fences and read
+    /// the jobs, as reachhead_node does. Returns `false` if it has not got there in `limit` milliseconds.
+    fn take_over_in_pages(&mut self, effect: Millis, reads: Reads, limit: Option<u64>) -> bool {
         let verified = Tick(self.now);
-        let end = end.map_or(u64::MAX, |end| self.now + end);
-        // The change of the owner has been disturbing the pool since the owner was killed or released.
-        let disturbed = self.waiting.disturbed();
-        let (token, term) = self.take_lease();
-        self.waiting.set_disturbed(disturbed);
-        let mut found =
-            RecoveredState { verified, effect, knows_storer: true, ..RecoveredState::default() };
+        let end = limit.map_or(u64::MAX, |limit| self.now + limit);
+        let (token, term) = self.undisturbed(Self::take_lease);
+        self.run(reads.page_time);
+        let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
+        assert!(errors.is_empty(), "{errors:?}");
+        let found = RecoveredState {
+            roster,
+            verified,
+            effect,
+            knows_storer: true,
+            ..RecoveredState::default()
+        };
+        let (now, wall) = (Tick(self.now), Millis(self.now));
+        let timeouts = self.timeouts();
+        let pool = Pool::recovering(pool_name(), token, term, timeouts, found, now, wall);
+        self.undisturbed(|simulation| simulation.add_owner(pool));
+        let mut found = RecoveredJobs::default();
         for shard in Shard::all() {
             if self.now >= end {
                 // The transaction that it has just sent arrives later.
@@ -297,19 +301,16 @@
                 if let Ok(FenceStep::Write(txn)) = fence(token, shard).next(known.as_ref()) {
                     self.push(reads.time(), Event::Raise(txn));
                 }
-                return;
+                return false;
             }
             let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
             found.fences.insert(shard, fence);
         }
-        self.run(reads.page_time);
-        let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
-        assert!(errors.is_empty(), "{errors:?}");
-        found.roster = roster;
+        found.fenced_at = Tick(self.now);
         for shard in Shard::all() {
             for page in 0..reads.pages {
                 if self.now >= end {
-                    return;
+                    return false;
                 }
                 self.run(reads.page_time);
                 if page == 0 {
@@ -319,46 +320,26 @@
             self.submit_during_takeover(reads, shard);
         }
         let (now, wall) = (Tick(self.now), Millis(self.now));
-        let pool = Pool::new(pool_name(), token, term, self.timeouts(), found, now, wall);
-        self.add_owner(pool, token);
-        self.notify_of_unread_jobs();
+        self.newest().pool.recover_jobs(found, now, wall);
+        true
     }
 
-    fn add_owner(&mut self, pool: Pool, token: FencingToken) {
-        self.owners.push(Owner {
-            pool,
-            token: Revision(token.0),
-            recording: BTreeSet::new(),
-            paused_until: 0,
-            alive: true,
-            workers_cut: BTreeMap::new(),
-            store_cut_until: 0,
-            rejected_until: 0,
-            owner_since: self.now,
-        });
-        self.list();
+    /// Performs a step of a takeover. The change of the owner has been disturbing the pool since the
+    /// owner before was killed or released.
+    fn undisturbed<T>(&mut self, step: impl FnOnce(&mut Self) -> T) -> T {
+        let disturbed = self.waiting.disturbed();
+        let result = step(self);
+        self.waiting.set_disturbed(disturbed);
+        result
     }
 
-    /// Lets a client submit a job during a takeover. It reaches the predecessor, if that is alive.
+    /// Lets a client submit a job during a takeover. It reaches the predecessor, if that is alive, and
+    /// the successor later.
     fn submit_during_takeover(&mut self, reads: Reads, shard: Shard) {
-        if reads.pages % 4 != 0 || shard != Shard::of(JobId(reads.page_time)) {
-            return;
-        }
-        let id = JobId(self.jobs.len() as u64 + 1);
-        self.submit_plan(1, queue(), plan(reads.page_time as u8));
-        if let Some(slow) = &mut self.slow {
-            slow.unread.push(id);
-        }
-    }
-
-    /// Lets the newest owner find the jobs that were stored during its takeover.
-    fn notify_of_unread_jobs(&mut self) {
-        let unread = self.slow.as_mut().map(|slow| std::mem::take(&mut slow.unread));
-        let unread = unread.unwrap_or_default();
-        if !unread.is_empty() {
-            let stored = self.find(&unread);
-            let answer = Answer::Found(unread, Some(stored));
-            self.push(MAX_SCAN_DELAY, Event::Answer { owner: self.owners.len() - 1, answer });
+        if reads.pages % 4 == 0 && shard == Shard::of(JobId(reads.page_time)) {
+            self.late_notices = true;
+            self.submit_plan(1, queue(), plan(reads.page_time as u8));
+            self.late_notices = false;
         }
     }
 
@@ -396,7 +377,7 @@
         }
         self.disturb_all();
         self.run(MIN_DETECTION + span % (MAX_DETECTION - MIN_DETECTION));
-        self.take_over_slowly(self.timeouts().takeover_delay(), reads, None);
+        self.take_over_in_pages(self.timeouts().takeover_delay(), reads, None);
         self.rest(choice, span);
     }
 
