--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -27,6 +27,7 @@
 mod restarted_worker;
 mod roster;
 mod round_outcome;
+mod settled;
 mod starts;
 mod unclaimed;
 mod unplaced;
@@ -169,6 +170,8 @@
     /// Where the next round goes on to search the long-running jobs.
     search_from: usize,
     roster: roster::RosterState,
+    /// Whether the store shows that no order of a predecessor can have effect any more.
+    settlement: settled::Settlement,
     /// Jobs with changes to write to the store.
     dirty: BTreeSet<JobId>,
     refusals: refusal::Refusals,
@@ -236,16 +239,6 @@
         self.pending.len()
     }
 
-    /// Returns for how long runs of a predecessor may still be active on workers that have not
-    /// answered.
-    pub fn remaining_takeover_delay(&self, now: Tick) -> Millis {
-        if let Some(recovery) = &self.recovery {
-            return recovery.effect;
-        }
-        let last = self.pending.values().map(|pending| pending.until).max();
-        last.map_or(Millis(0), |until| until.since(now))
-    }
-
     /// Records that this owner's lease was in force at `at`.
     pub fn verify(&mut self, at: Tick) {
         self.verified = self.verified.max(at);
--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -56,6 +56,8 @@
 /// What an owner can't know about the orders of its predecessors, and the lookups of unknown jobs.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(super) struct PredecessorOrders {
+    /// When this owner took over.
+    since: Tick,
     /// When the last order of a predecessor may be given.
     given_until: Tick,
     /// When the last order of a predecessor has lost its effect.
@@ -66,10 +68,11 @@
 impl PredecessorOrders {
     /// Returns the state of a new owner. Orders of predecessors have effect for `effect`, and each
     /// of them for at most `lease`.
-    pub(super) fn new(effect: Millis, lease: Millis, now: Tick) -> Self {
+    pub(super) fn new(effect: Millis, lease: Millis, fenced_at: Tick, since: Tick) -> Self {
         Self {
-            given_until: now + Millis(effect.0.saturating_sub(lease.0)),
-            effective_until: now + effect,
+            since,
+            given_until: fenced_at + Millis(effect.0.saturating_sub(lease.0)),
+            effective_until: fenced_at + effect,
             lookups: BTreeMap::new(),
         }
     }
@@ -84,6 +87,16 @@
         self.effective_until = self.effective_until.max(until);
     }
 
+    /// Returns when this owner took over.
+    pub(super) fn since(&self) -> Tick {
+        self.since
+    }
+
+    /// Returns when the last order of a predecessor has lost its effect.
+    pub(super) fn effective_until(&self) -> Tick {
+        self.effective_until
+    }
+
     /// Returns whether a run of the job is to be kept while the job is looked up.
     fn keeps_runs(&self, job: JobId, now: Tick) -> bool {
         now < self.effective_until
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -9,13 +9,14 @@
 };
 
 use super::{
-    advice, confirmation, drain, load, orphans, quota, refusal, roster, unclaimed, unplaced,
-    weights,
+    advice, confirmation, drain, load, orphans, quota, refusal, roster, settled, unclaimed,
+    unplaced, weights,
 };
 use crate::{
     clock::{Tick, with_drift},
     job::{Job, Phase, Run},
     order::DurationEstimator,
+    order_effect::OrderEffect,
     outage::OutageDetector,
     poll_pace::PollBudget,
     pool::{
@@ -28,10 +29,12 @@
 };
 
 /// State of a pool whose stored jobs are still being read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Recovery {
     /// For how long orders of predecessors have effect once the shards are fenced.
-    pub(super) effect: Millis,
+    pub(super) effect: OrderEffect,
+    /// When this owner began to call workers.
+    pub(super) since: Tick,
 }
 
 impl Pool {
@@ -70,11 +73,12 @@
         now: Tick,
         wall: Millis,
     ) -> Self {
+        let effect = OrderEffect { usual: found.effect, silent: found.silent };
         let mut pool = Self {
             name,
             token,
             fences: BTreeMap::new(),
-            recovery: Some(Recovery { effect: found.effect }),
+            recovery: Some(Recovery { effect, since: now }),
             term,
             timeouts,
             jobs: BTreeMap::new(),
@@ -94,6 +98,7 @@
             round: RoundOutcome::default(),
             search_from: 0,
             roster: roster::RosterState::new(found.roster),
+            settlement: settled::Settlement::Unrecorded,
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
             dead_incarnations: BTreeMap::new(),
@@ -129,16 +134,17 @@
     /// predecessor's commits could confirm its trust in its lease, and the time that reading took has
     /// passed for its orders too.
     pub fn recover_jobs(&mut self, found: RecoveredJobs, now: Tick, wall: Millis) {
-        let Some(Recovery { effect }) = self.recovery.take() else {
+        let Some(Recovery { effect, since }) = self.recovery.take() else {
             return;
         };
         self.fences = found.fences;
-        let effective_until = found.fenced_at + effect;
-        for pending in self.pending.values_mut() {
-            pending.until = pending.until.max(effective_until);
+        for (id, pending) in &mut self.pending {
+            let effect = effect.silent.get(id).copied().unwrap_or(effect.usual);
+            pending.until = pending.until.max(found.fenced_at + effect);
         }
         let lease = with_drift(self.timeouts.hold);
-        self.predecessor = orphans::PredecessorOrders::new(effect, lease, found.fenced_at);
+        self.predecessor =
+            orphans::PredecessorOrders::new(effect.longest(), lease, found.fenced_at, since);
         for stored in found.jobs {
             self.recover_job(stored, now, wall);
         }
--- a/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
@@ -8,14 +8,15 @@
 use reachhead_jobs::{
     clock::Tick,
     fence::FenceStep,
+    order_effect::{OrderEffect, Predecessor, order_effect},
     pool::{Due, Pool, PoolTimeouts, RecoveredJobs, RecoveredState, StoredRoster},
-    record::{LeaseRecord, fence_key, lease_key, roster_prefix, value},
+    record::{LeaseRecord, SettledRecord, fence_key, lease_key, roster_prefix, settled_key, value},
     shard::Shard,
 };
 use reachhead_store::row::{Commit, Txn};
 use reachhead_types::{
     id::{JobId, WorkerId},
-    size::Millis,
+    size::{FencingToken, Millis},
 };
 
 use super::{
@@ -183,7 +184,8 @@
             self.kill_owner(span * u64::from(change));
             let limit = span * u64::from(change) % (2 * reads.time());
             let limit = (change < changes).then_some(limit);
-            if self.take_over_in_pages(self.timeouts().takeover_delay(), reads, limit) {
+            let effect = self.order_effect(span / STEP + u64::from(change));
+            if self.take_over_in_pages(effect, reads, limit) {
                 self.run(span / 4);
             }
         }
@@ -223,7 +225,8 @@
         let is_up = owner.alive && owner.paused_until <= now && owner.store_cut_until <= now;
         if !is_up || lease != Some(owner.token) {
             self.kill_owner(span);
-            self.take_over_in_pages(self.timeouts().takeover_delay(), reads, None);
+            let effect = self.order_effect(span);
+            self.take_over_in_pages(effect, reads, None);
             return;
         }
         let is_single =
@@ -232,14 +235,14 @@
         if let Some(slow) = &mut self.slow {
             slow.planned = is_single.then_some(now);
         }
-        let record = self.release_lease(span % MAX_RELEASE);
+        self.release_lease(span % MAX_RELEASE);
         self.run(span % MAX_HANDOVER);
-        let effect = self.timeouts().after_release(&record);
+        let effect = self.order_effect(span);
         self.take_over_in_pages(effect, reads, None);
     }
 
-    /// Releases the lease as `Owner::release_lease` of reachhead_node does, and returns its row.
-    fn release_lease(&mut self, release_time: u64) -> LeaseRecord {
+    /// Releases the lease as `Owner::release_lease` of reachhead_node does.
+    fn release_lease(&mut self, release_time: u64) {
         let now = self.now;
         let key = lease_key(&pool_name());
         let known: LeaseRecord = self.read(key.clone()).unwrap().parse().unwrap();
@@ -267,25 +270,48 @@
             unsettled_for: Some(owner.pool.remaining_takeover_delay(now)),
             abandoned: 0,
             knows_storer: false,
+            silent: owner.pool.silent_workers(now),
         };
         let txn = Txn::new().with_check(key.clone(), Some(token)).with_write(key, value(&record));
         assert!(matches!(self.commit(txn), Commit::Done(_)), "nobody else takes the lease now");
-        record
+    }
+
+    /// Returns how long orders of earlier owners may have effect, by what the process that takes the
+    /// lease knows. In two of three cases it knows of an owner that has ended.
+    fn order_effect(&self, choice: u64) -> OrderEffect {
+        let lease = self.read(lease_key(&pool_name())).unwrap();
+        let settled = self.read(settled_key(&pool_name()));
+        let settled = settled.map(|row| row.parse::<SettledRecord>().unwrap().token);
+        let record: LeaseRecord = lease.parse().unwrap();
+        let predecessor = Predecessor {
+            record: &record,
+            has_ended: choice % 3 != 0 && self.owners.last().is_none_or(|owner| !owner.alive),
+            is_settled: settled == Some(FencingToken(lease.revision.0)),
+        };
+        order_effect(&self.timeouts(), Some(predecessor))
     }
 
     /// Lets a new process take the lease, read the roster and call the workers, raise the fences and read
     /// the jobs, as reachhead_node does. Returns `false` if it has not got there in `limit` milliseconds.
-    fn take_over_in_pages(&mut self, effect: Millis, reads: Reads, limit: Option<u64>) -> bool {
+    fn take_over_in_pages(
+        &mut self,
+        effect: OrderEffect,
+        reads: Reads,
+        limit: Option<u64>,
+    ) -> bool {
         let verified = Tick(self.now);
         let end = limit.map_or(u64::MAX, |limit| self.now + limit);
-        let (token, term) = self.undisturbed(Self::take_lease);
+        let (owner, counted) = ("n".parse().ok(), Some(effect.longest()));
+        let (token, term) =
+            self.undisturbed(|simulation| simulation.take_lease_with(owner, counted));
         self.run(reads.page_time);
         let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
         assert!(errors.is_empty(), "{errors:?}");
         let found = RecoveredState {
             roster,
             verified,
-            effect,
+            effect: effect.usual,
+            silent: effect.silent,
             knows_storer: true,
             ..RecoveredState::default()
         };
@@ -377,7 +403,8 @@
         }
         self.disturb_all();
         self.run(MIN_DETECTION + span % (MAX_DETECTION - MIN_DETECTION));
-        self.take_over_in_pages(self.timeouts().takeover_delay(), reads, None);
+        let effect = self.order_effect(span);
+        self.take_over_in_pages(effect, reads, None);
         self.rest(choice, span);
     }
 
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -18,7 +18,7 @@
     row::{Commit, Row, Scan, Txn},
 };
 use reachhead_types::{
-    id::JobId,
+    id::{JobId, NodeName},
     size::{FencingToken, Millis, Revision},
 };
 
@@ -129,18 +129,29 @@
         self.disturb();
     }
 
-    pub(super) fn take_lease(&mut self) -> (FencingToken, u64) {
+    fn take_lease(&mut self) -> (FencingToken, u64) {
+        self.take_lease_with(None, None)
+    }
+
+    /// Lets a process take the lease, with its name and the time for which orders of earlier owners may
+    /// have effect.
+    pub(super) fn take_lease_with(
+        &mut self,
+        owner: Option<NodeName>,
+        unsettled_for: Option<Millis>,
+    ) -> (FencingToken, u64) {
         let key = lease_key(&pool_name());
         let known = self.read(key.clone());
         let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
         let record = LeaseRecord {
-            owner: None,
+            owner,
             address: None,
             term,
             settled: false,
-            unsettled_for: None,
+            unsettled_for,
             abandoned: 0,
             knows_storer: true,
+            silent: None,
         };
         let txn = Txn::new()
             .with_check(key.clone(), known.as_ref().map(|row| row.revision))
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -5,10 +5,11 @@
 
 use reachhead_jobs::{
     candidate::{self, Candidate},
-    clock::{Tick, with_drift},
+    clock::Tick,
     isolation,
     liveness::StoreReachability,
     model::PoolPolicy,
+    order_effect::{self, OrderEffect},
     pool::PoolTimeouts,
     silence::{OWNER_TIMEOUT, RunningTime, is_owners_fault, is_silent},
 };
@@ -295,28 +296,12 @@
     }
 }
 
-/// Returns how long orders of the previous owner may still have effect on a worker that does not
-/// answer. A previous owner that gave the pool back, or that is alive and does not own it, gives no
-/// more orders.
-pub fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> Millis {
-    let timeouts = timeouts(node);
-    let Some(lease) = known else {
-        return Millis(0);
-    };
-    let Some(owner) = &lease.record.owner else {
-        return timeouts.after_release(&lease.record);
-    };
-    let now = node.now();
-    let view = node.view();
-    let has_yielded = view.peers.get(owner).is_some_and(|status| {
-        let absent = status.pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
-        absent && !status.pong.stalled.contains(pool) && status.at > lease.since
-    });
-    if has_yielded && now.since(lease.since) >= timeouts.takeover_delay() {
-        with_drift(timeouts.hold)
-    } else {
-        timeouts.takeover_delay()
-    }
+/// Returns how long orders of the previous owners may still have effect on workers that do not
+/// answer. It has to be known before the lease is taken: afterwards a previous owner that goes on
+/// may no longer be reported.
+pub fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> OrderEffect {
+    let predecessor = known.map(|lease| node.view().predecessor(pool, lease, &node.settings));
+    order_effect::order_effect(&timeouts(node), predecessor)
 }
 
 /// Takes over a pool, and gives up the claim to it if that panics.
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -10,12 +10,13 @@
 use reachhead_jobs::{
     clock::Tick,
     model::PoolPolicy,
+    order_effect::OrderEffect,
     pool::{Pool, RecoveredJobs, RecoveredState, StoredRoster},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     id::PoolName,
-    size::{FencingToken, Millis, Revision},
+    size::{FencingToken, Revision},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -51,8 +52,10 @@
     policy: Option<PoolPolicy>,
     known: Option<LeaseView>,
 ) {
+    let effect = election::order_effect(&node, &pool, known.as_ref());
+    let counted = policy.is_some().then(|| effect.longest());
     let lease_sent_at = node.now();
-    let lease = match takeover::take(&node, &pool, known.as_ref()).await {
+    let lease = match takeover::take(&node, &pool, known.as_ref(), counted).await {
         Ok(Some(lease)) => lease,
         Ok(None) => return,
         Err(error) => {
@@ -70,7 +73,7 @@
     }
     node.loading().insert(pool.clone(), Takeover::new(&lease, node.now()));
     node.pool_acquired.notify_one();
-    let effect = election::order_effect(&node, &pool, known.as_ref());
+    let longest_effect = effect.longest();
     let (sender, roster) = oneshot::channel();
     let recovering = RecoveringOwner {
         node: Arc::clone(&node),
@@ -107,7 +110,8 @@
         }
     };
     let workers = node.loading().get(&pool).and_then(|takeover| takeover.roster);
-    let Some((jobs, owner)) = claim::end_takeover(&node, &pool, &lease, effect, loaded).await
+    let Some((jobs, owner)) =
+        claim::end_takeover(&node, &pool, &lease, longest_effect, loaded).await
     else {
         return;
     };
@@ -135,7 +139,7 @@
     lease: LeaseView,
     lease_sent_at: Tick,
     /// How long orders of previous owners may have effect once all shards are fenced.
-    effect: Millis,
+    effect: OrderEffect,
     handle: OwnerHandle,
     inputs: mpsc::UnboundedReceiver<Input>,
     roster: oneshot::Receiver<StoredRoster>,
@@ -162,7 +166,8 @@
         let found = RecoveredState {
             roster,
             verified: self.lease_sent_at,
-            effect: self.effect,
+            effect: self.effect.usual,
+            silent: self.effect.silent,
             knows_storer: lease.record.knows_storer,
             ..RecoveredState::default()
         };
--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -12,6 +12,7 @@
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
     clock::WorkerTime,
+    clock::with_drift,
     ports::{
         HoldOrder, RunningEntry, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
     },
@@ -280,7 +281,7 @@
     runtime::current_thread().unwrap().block_on(async {
         for (roster, expected) in [(None, Millis(0)), (Some(1), with_drift(MAX_WORKER_LEASE))] {
             let (node, store, _) = successor(false).await;
-            let lease = takeover::take(&node, &pool(), None).await.unwrap().unwrap();
+            let lease = takeover::take(&node, &pool(), None, None).await.unwrap().unwrap();
             let mut takeover = Takeover::new(&lease, node.now());
             takeover.roster = roster;
             node.loading().insert(pool(), takeover);
