--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -25,6 +25,15 @@
 /// for several seconds at a time.
 const WIDE_SCHEDULES: u64 = 16;
 
+/// Number of schedules with slow takeovers.
+const SLOW_SCHEDULES: u64 = 16;
+
+/// Number of schedules of planned changes of the owner.
+const PLANNED_SCHEDULES: u64 = 12;
+
+/// Maximum number of acts in a schedule of planned changes of the owner.
+const MAX_PLANNED_ACTS: usize = 16;
+
 /// A schedule on a pool of this many workers. It is not shrunk, since hundreds of such schedules
 /// take minutes.
 #[derive(Debug, Clone)]
@@ -111,12 +120,15 @@
 }
 
 /// Successors call their workers before they know the stored jobs, which takes longer than a worker's
-/// lease. Guards against orders for jobs that are not known yet, acknowledged ends that no row holds,
-/// and reported runs and ends that are lost or counted twice.
+/// lease; in half of the schedules some takeovers are given up. Guards against orders for jobs that are
+/// not known yet, acknowledged ends that no row holds, reported runs and ends that are lost or counted
+/// twice, and leases renewed by a takeover that its successor does not count.
 #[test]
 fn no_task_runs_twice_or_is_lost_while_successors_read_slowly() {
     fn run(acts: Vec<(u8, u8, u8)>) -> bool {
-        holds(Simulation::new().with_slow_reads(), acts)
+        let simulation = Simulation::new().with_slow_reads();
+        let is_abandoning = acts.len() % 2 == 1;
+        holds(if is_abandoning { simulation.with_abandoned_takeovers() } else { simulation }, acts)
     }
     check("slow reads", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
@@ -167,6 +179,42 @@
     check("wide steps", WIDE_SCHEDULES, run as fn(WideSchedule) -> bool);
 }
 
+/// Takeovers take seconds, owners are killed and released in a row, also in the middle of a takeover, and
+/// workers stop answering for good. Guards against long-running tasks that wait for longer than the rule
+/// allows from the last of these: the successor called no worker before it had read all jobs, and counted
+/// the time for which orders of earlier owners have effect from then on.
+#[test]
+fn no_long_running_task_waits_after_slow_takeovers() {
+    fn run(schedule: WideSchedule) -> bool {
+        let text = format!("{schedule:?}");
+        let simulation = Simulation::new().with_wide_steps(schedule.workers).with_slow_takeovers();
+        let holds = holds(simulation, schedule.acts);
+        if !holds {
+            eprintln!("{text}");
+        }
+        holds
+    }
+    check("slow takeovers", SLOW_SCHEDULES, run as fn(WideSchedule) -> bool);
+}
+
+/// Owners give the pool back one at a time, and nothing else happens. Guards against runs on healthy
+/// workers whose leases end while the successor is still reading.
+#[test]
+fn no_run_lapses_in_a_planned_change_of_the_owner() {
+    fn run(schedule: WideSchedule) -> bool {
+        let text = format!("{schedule:?}");
+        let simulation = Simulation::new().with_wide_steps(schedule.workers);
+        let simulation = simulation.with_slow_takeovers().with_planned_changes();
+        let acts = schedule.acts.into_iter().take(MAX_PLANNED_ACTS).collect();
+        let holds = holds(simulation, acts);
+        if !holds {
+            eprintln!("{text}");
+        }
+        holds
+    }
+    check("planned changes", PLANNED_SCHEDULES, run as fn(WideSchedule) -> bool);
+}
+
 /// Workers crash in groups, answer no call for about a second, and others answer at their addresses
 /// then. Guards against counting a worker's death against tasks that were ordered after it: the
 /// order was the first call that found the worker replaced, and three of these ended a job as failed.
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -4,7 +4,7 @@
 
 use futures::FutureExt;
 use reachhead_jobs::{
-    clock::Tick,
+    clock::{Tick, with_drift},
     fence::{Fence, FenceStep},
     pool::{Pool, RecoveredJobs, RecoveredState, StoredJob, StoredProgress, StoredRoster},
     record::{
@@ -18,7 +18,7 @@
     row::{Commit, Row, Scan, Txn},
 };
 use reachhead_types::{
-    id::JobId,
+    id::{JobId, NodeName},
     size::{FencingToken, Millis, Revision},
 };
 
@@ -28,7 +28,7 @@
 /// worker's lease.
 const MAX_READ_TIME: u64 = 1500;
 
-fn fence(token: FencingToken, shard: Shard) -> Fence {
+pub(super) fn fence(token: FencingToken, shard: Shard) -> Fence {
     Fence::new(pool_name(), shard, token, "n".parse().unwrap())
 }
 
@@ -67,7 +67,7 @@
         self.add_owner(pool);
     }
 
-    fn add_owner(&mut self, pool: Pool) {
+    pub(super) fn add_owner(&mut self, pool: Pool) {
         self.owners.push(Owner {
             token: Revision(pool.token().0),
             pool,
@@ -83,23 +83,28 @@
         self.list();
     }
 
-    /// Lets a new process take the lease and read the roster, so that it calls the workers, and the jobs
-    /// of each shard late. Meanwhile jobs are stored, and a worker crashes or is cut off.
-    fn take_over_slowly(&mut self, effect: Millis) {
-        let verified = Tick(self.now);
-        let (token, term) = self.take_lease();
+    /// Adds an owner that knows the roster and no jobs yet, so that it calls the workers.
+    fn add_recovering_owner(&mut self, token: FencingToken, term: u64, effect: Millis) {
         let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
         assert!(errors.is_empty(), "{errors:?}");
+        let now = Tick(self.now);
         let found = RecoveredState {
             roster,
-            verified,
+            verified: now,
             effect,
             knows_storer: true,
             ..RecoveredState::default()
         };
-        let (now, wall) = (Tick(self.now), Millis(self.now));
-        let timeouts = self.timeouts();
-        self.add_owner(Pool::recovering(pool_name(), token, term, timeouts, found, now, wall));
+        let (timeouts, wall) = (self.timeouts(), Millis(self.now));
+        let pool = Pool::recovering(pool_name(), token, term, timeouts, found, now, wall);
+        self.add_owner(pool);
+    }
+
+    /// Lets a new process take the lease and read the roster, so that it calls the workers, and the jobs
+    /// of each shard late. Meanwhile jobs are stored, and a worker crashes or is cut off.
+    fn take_over_slowly(&mut self, effect: Millis) {
+        let (token, term) = self.take_lease();
+        self.add_recovering_owner(token, term, effect);
         let mut found = RecoveredJobs::default();
         for shard in Shard::all() {
             let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
@@ -108,7 +113,8 @@
         found.fenced_at = Tick(self.now);
         let choice = self.owners.len() as u64 * 37;
         for (turn, shard) in (0..).zip(Shard::all()) {
-            self.run((choice + turn) % 5 * MAX_READ_TIME / 4);
+            // A third of the takeovers read at once.
+            self.run(choice % 3 * ((choice + turn) % 5) * MAX_READ_TIME / 8);
             found.jobs.append(&mut self.stored_jobs(shard));
             let choice = (choice + turn) as u8;
             match (choice + turn as u8) % 7 {
@@ -124,15 +130,25 @@
     }
 
     fn take_lease(&mut self) -> (FencingToken, u64) {
+        self.take_lease_with(None, None)
+    }
+
+    /// Lets a process take the lease, with its name and the time for which orders of earlier owners may
+    /// have effect.
+    pub(super) fn take_lease_with(
+        &mut self,
+        owner: Option<NodeName>,
+        unsettled_for: Option<Millis>,
+    ) -> (FencingToken, u64) {
         let key = lease_key(&pool_name());
         let known = self.read(key.clone());
         let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
         let record = LeaseRecord {
-            owner: None,
+            owner,
             address: None,
             term,
             settled: false,
-            unsettled_for: None,
+            unsettled_for,
             abandoned: 0,
             knows_storer: true,
             silent: None,
@@ -147,7 +163,7 @@
     }
 
     /// Raises the fence of a shard; time passes before each transaction arrives.
-    fn raise(&mut self, token: FencingToken, shard: Shard) -> Option<Revision> {
+    pub(super) fn raise(&mut self, token: FencingToken, shard: Shard) -> Option<Revision> {
         let fence = fence(token, shard);
         let mut found = self.read(fence_key(&pool_name(), shard));
         loop {
@@ -195,10 +211,17 @@
         let mut effect = self.timeouts().takeover_delay();
         for raised_shards in 0..usize::from(choice % 3) {
             let (token, term) = self.take_lease();
+            if self.slow_reads {
+                self.add_recovering_owner(token, term, effect);
+            }
             for shard in Shard::all().take(raised_shards) {
                 self.raise(token, shard);
             }
             self.run(span / 2);
+            if self.slow_reads {
+                self.newest().alive = false;
+                effect = effect.max(with_drift(self.timeouts().hold));
+            }
             let key = lease_key(&pool_name());
             let lease: LeaseRecord = self.read(key.clone()).unwrap().parse().unwrap();
             assert_eq!(lease.term, term);
@@ -230,12 +253,12 @@
         self.submit(choice);
     }
 
-    fn scan(&self, prefix: String) -> Vec<Row> {
+    pub(super) fn scan(&self, prefix: String) -> Vec<Row> {
         let scan = Scan { prefix, after: None, limit: u32::MAX };
         self.store.scan(scan).now_or_never().unwrap().unwrap().rows
     }
 
-    fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
+    pub(super) fn stored_jobs(&self, shard: Shard) -> Vec<StoredJob> {
         let id_of = |row: &Row| row.key.0.rsplit('/').next().unwrap().parse::<JobId>().unwrap();
         let progress: BTreeMap<JobId, Row> = self
             .scan(progress_prefix(&pool_name(), shard))
