A recovering owner polls workers with ends a few times in a lease, and looks up no ended jobs at once

Found by reading: while the stored jobs are read no end can be acknowledged, and a worker answers at once as long as it has such ends, so each would be polled every 150 ms: 40,000 polls a second for 6,000 workers, beside the reads. They are polled four times in a lease now. And ends of jobs that are not stored were due for a lookup five seconds after they were reported, which is the moment in which a long read ends; the time counts from then. Two tests in tests/pool/recovering.rs.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -22,6 +22,10 @@
 /// Longest pause between polls of a worker that does not answer.
 const MAX_POLL_BACKOFF: Millis = Millis(800);
 
+/// Number of polls in a lease of a worker with ends that can't be recorded yet, since the stored jobs are
+/// being read. Thousands of workers that answer at once would take the processor from that.
+const RECOVERY_POLLS_PER_LEASE: u64 = 4;
+
 /// Shortest time between two reports from which a worker's speed is derived, since progress is
 /// reported in whole percent.
 const MIN_SPEED_SPAN: Millis = Millis(150);
@@ -142,6 +146,10 @@
         if is_complete {
             self.drop_missing_runs(id, sent, &report);
         }
+        let record_pause = match self.is_recovering() {
+            true => Millis(self.timeouts.hold.0 / RECOVERY_POLLS_PER_LEASE),
+            false => RECORD_PAUSE,
+        };
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -149,7 +157,7 @@
         worker.last_processed = worker.last_processed.max(last);
         worker.advance_acknowledged();
         let pause =
-            if worker.acknowledged < worker.last_processed { RECORD_PAUSE } else { Millis(0) };
+            if worker.acknowledged < worker.last_processed { record_pause } else { Millis(0) };
         worker.poll = Poll::Due(now + pause);
     }
 
--- a/reachhead_jobs/src/pool/unclaimed.rs
+++ b/reachhead_jobs/src/pool/unclaimed.rs
@@ -164,6 +164,10 @@
                 self.claim_ends(job, now);
             }
         }
+        // Those left are jobs that have ended, or that the regular reads find from now on.
+        for job in self.unclaimed_ends.jobs.values_mut() {
+            job.lookup = Lookup::Due(now + LOOKUP_DELAY);
+        }
         let mut dropped = Vec::new();
         self.unclaimed_ends.retain(|end| {
             let is_kept = counts(end.entry.end);
--- a/reachhead_jobs/tests/pool/recovering.rs
+++ b/reachhead_jobs/tests/pool/recovering.rs
@@ -73,6 +73,40 @@
     assert!(remaining >= Millis(timeouts().hold.0 / 2), "{remaining}");
 }
 
+/// Guards against polls that take the processor from the reads: a worker answers at once as long as it has
+/// ends that are not acknowledged, and none can be.
+#[test]
+fn a_worker_with_ends_is_polled_a_few_times_in_a_lease_until_the_jobs_are_known() {
+    let mut fixture = reported();
+    fixture.end(&worker("w"), id(), 3, RunEnd::Done);
+    let mut polls = 0;
+    for _ in 0..timeouts().hold.0 / 20 {
+        fixture.advance(20);
+        for action in fixture.poll() {
+            if let Action::Hold(target, _) = action {
+                polls += usize::from(target.id == worker("w"));
+                fixture.report(&target.id);
+            }
+        }
+        let remaining = fixture.pool.workers()[&worker("w")].remaining_lease(fixture.now);
+        assert!(remaining >= Millis(timeouts().hold.0 / 2), "{remaining}");
+    }
+    assert!((3..=5).contains(&polls), "{polls}");
+}
+
+/// Guards against lookups of many ended jobs in the moment in which an owner begins to serve.
+#[test]
+fn jobs_of_kept_ends_that_are_not_stored_are_looked_up_some_seconds_after_recovery() {
+    let mut fixture = reported();
+    fixture.end(&worker("w"), id(), 3, RunEnd::Done);
+    pass(&mut fixture, 8);
+    fixture.recover_jobs(vec![], fixture.now);
+    let is_lookup = |action: &Action| matches!(action, Action::FindJobs(_));
+    assert!(!fixture.poll().iter().any(is_lookup));
+    fixture.advance(5000);
+    assert!(fixture.poll().iter().any(is_lookup));
+}
+
 /// Guards against a second run of a task, and against a stop, while its job is unknown.
 #[test]
 fn a_run_that_was_reported_before_its_job_is_known_is_adopted() {
