--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -56,6 +56,8 @@
 /// What an owner can't know about the orders of its predecessors, and the lookups of unknown jobs.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(super) struct PredecessorOrders {
+    /// From when on this owner has called workers.
+    since: Tick,
     /// When the last order of a predecessor may be given.
     given_until: Tick,
     /// When the last order of a predecessor has lost its effect.
@@ -64,12 +66,13 @@
 }
 
 impl PredecessorOrders {
-    /// Returns the state of a new owner. Orders of predecessors have effect for `effect`, and each
-    /// of them for at most `lease`.
-    pub(super) fn new(effect: Millis, lease: Millis, now: Tick) -> Self {
+    /// Returns the state of an owner that called workers from `since` on. Orders of predecessors have
+    /// effect for `effect` after `fenced_at`, and each of them for at most `lease`.
+    pub(super) fn new(effect: Millis, lease: Millis, since: Tick, fenced_at: Tick) -> Self {
         Self {
-            given_until: now + Millis(effect.0.saturating_sub(lease.0)),
-            effective_until: now + effect,
+            since,
+            given_until: fenced_at + Millis(effect.0.saturating_sub(lease.0)),
+            effective_until: fenced_at + effect,
             lookups: BTreeMap::new(),
         }
     }
@@ -79,6 +82,16 @@
         now < self.given_until
     }
 
+    /// Returns from when on this owner has called workers.
+    pub(super) fn since(&self) -> Tick {
+        self.since
+    }
+
+    /// Returns when the last order of a predecessor has lost its effect.
+    pub(super) fn effective_until(&self) -> Tick {
+        self.effective_until
+    }
+
     /// Keeps runs of unknown jobs at least until `until`, for the time of a lookup.
     fn keep_runs_until(&mut self, until: Tick) {
         self.effective_until = self.effective_until.max(until);
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -9,8 +9,8 @@
 };
 
 use super::{
-    advice, confirmation, drain, load, orphans, quota, refusal, roster, unclaimed, unplaced,
-    weights,
+    advice, confirmation, drain, load, orphans, quota, refusal, roster, settled, unclaimed,
+    unplaced, weights,
 };
 use crate::{
     clock::{Tick, with_drift},
@@ -28,10 +28,26 @@
 };
 
 /// State of a pool whose stored jobs are still being read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Recovery {
-    /// For how long orders of predecessors have effect once the shards are fenced.
-    pub(super) effect: Millis,
+    /// When the pool was created, with the workers of the roster.
+    since: Tick,
+    /// For how long orders of predecessors have effect once the shards are fenced, at workers that are
+    /// not in `silent`.
+    effect: Millis,
+    /// The same for workers that did not answer the predecessor either.
+    silent: BTreeMap<WorkerId, Millis>,
+}
+
+impl Recovery {
+    fn effect_at(&self, worker: &WorkerId) -> Millis {
+        self.silent.get(worker).copied().unwrap_or(self.effect)
+    }
+
+    /// Returns how long orders of predecessors have effect on any worker.
+    pub(super) fn longest_effect(&self) -> Millis {
+        self.silent.values().copied().fold(self.effect, Millis::max)
+    }
 }
 
 impl Pool {
@@ -74,7 +90,7 @@
             name,
             token,
             fences: BTreeMap::new(),
-            recovery: Some(Recovery { effect: found.effect }),
+            recovery: Some(Recovery { since: now, effect: found.effect, silent: found.silent }),
             term,
             timeouts,
             jobs: BTreeMap::new(),
@@ -94,6 +110,7 @@
             round: RoundOutcome::default(),
             search_from: 0,
             roster: roster::RosterState::new(found.roster),
+            settlement: settled::Settlement::Unrecorded,
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
             dead_incarnations: BTreeMap::new(),
@@ -129,16 +146,20 @@
     /// predecessor's commits could confirm its trust in its lease, and the time that reading took has
     /// passed for its orders too.
     pub fn recover_jobs(&mut self, found: RecoveredJobs, now: Tick, wall: Millis) {
-        let Some(Recovery { effect }) = self.recovery.take() else {
+        let Some(recovery) = self.recovery.take() else {
             return;
         };
         self.fences = found.fences;
-        let effective_until = found.fenced_at + effect;
-        for pending in self.pending.values_mut() {
-            pending.until = pending.until.max(effective_until);
+        for (id, pending) in &mut self.pending {
+            pending.until = pending.until.max(found.fenced_at + recovery.effect_at(id));
         }
         let lease = with_drift(self.timeouts.hold);
-        self.predecessor = orphans::PredecessorOrders::new(effect, lease, found.fenced_at);
+        self.predecessor = orphans::PredecessorOrders::new(
+            recovery.longest_effect(),
+            lease,
+            recovery.since,
+            found.fenced_at,
+        );
         for stored in found.jobs {
             self.recover_job(stored, now, wall);
         }
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -33,7 +33,12 @@
 use tokio::time;
 
 use crate::{
-    election, fleet, follow::LEASE_TABLE, node::Node, owner::OwnerHandle, takeover, view::LeaseView,
+    election, fleet,
+    follow::LEASE_TABLE,
+    node::Node,
+    owner::{Outcome, OwnerHandle},
+    takeover,
+    view::LeaseView,
 };
 
 /// Interval between two checks of the takeovers.
@@ -277,7 +282,8 @@
     /// Those that it claims, with its fencing tokens: their owners serve them, or their takeovers were
     /// not given up.
     pub claimed: BTreeMap<PoolName, Revision>,
-    /// Those whose owner is stalled or can record nothing. It may go on and give orders.
+    /// Those whose owner is stalled or can record nothing, or whose lease is being written. The owner
+    /// may go on and give orders.
     pub stalled: BTreeSet<PoolName>,
 }
 
@@ -287,6 +293,7 @@
     let now = node.now();
     let running_since = node.ability().running_since(now);
     let mut claims = Claims::default();
+    claims.stalled.extend(node.taking().iter().cloned());
     for (pool, takeover) in node.loading().iter() {
         claims.claimed.insert(pool.clone(), takeover.token);
     }
@@ -354,36 +361,70 @@
     }
 }
 
-/// Ends a takeover, and returns what it has recovered. `result` is `None` if it has been given up;
-/// then the lease is released. If the roster had been read, workers' leases may have been renewed.
+/// How the reads of a takeover ended.
+#[derive(Debug)]
+pub enum Reads<T> {
+    /// What they have recovered; `None` if the lease is lost or the owner has ended.
+    Ended(Option<T>),
+    /// They were given up, since this process can't read the pool's rows.
+    Stuck,
+    /// They were given up, since shutdown was requested.
+    Stopping,
+}
+
+impl<T> Reads<T> {
+    /// Returns the end of reads that have recovered nothing.
+    pub fn without_result<U>(self) -> Reads<U> {
+        match self {
+            Self::Ended(_) => Reads::Ended(None),
+            Self::Stuck => Reads::Stuck,
+            Self::Stopping => Reads::Stopping,
+        }
+    }
+}
+
+/// Ends a takeover, and returns what it has recovered. The lease of one that was given up is released.
+/// If the roster had been read, workers' leases may have been renewed.
 pub async fn end_takeover<T>(
     node: &Node,
     pool: &PoolName,
     lease: &LeaseView,
     order_effect: Millis,
-    result: Option<Option<T>>,
+    reads: Reads<T>,
 ) -> Option<T> {
-    let takeover = node.loading().remove(pool);
-    let Some(recovered) = result else {
-        let now = node.now();
-        node.ability().record_unreadable(pool, now);
-        if let Some(takeover) = &takeover {
-            let age = now.since(takeover.started);
-            emit(Event::TakeoverSlow, format_args!("pool={pool} {takeover} age={age}ms given up"));
+    let takeover = node.loading().get(pool).cloned();
+    let has_renewed = takeover.as_ref().is_some_and(|takeover| takeover.roster.is_some());
+    let renewal_effect = with_drift(election::timeouts(node).hold);
+    let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
+    let recovered = match reads {
+        Reads::Ended(recovered) => recovered,
+        Reads::Stuck => {
+            let now = node.now();
+            node.ability().record_unreadable(pool, now);
+            if let Some(takeover) = takeover {
+                let age = now.since(takeover.started);
+                emit(
+                    Event::TakeoverSlow,
+                    format_args!("pool={pool} {takeover} age={age}ms given up"),
+                );
+            }
+            node.loading().remove(pool);
+            takeover::release(node, pool, lease, lease.record.abandoned(effect)).await;
+            return None;
+        }
+        Reads::Stopping => {
+            log::info!("pool={pool} token={} takeover ended by shutdown", lease.revision);
+            takeover::release(node, pool, lease, lease.record.returned(effect)).await;
+            // A process that is shutting down waits until no takeover is left.
+            node.loading().remove(pool);
+            return None;
         }
-        let renewal_effect = with_drift(election::timeouts(node).hold);
-        let has_renewed = takeover.is_some_and(|takeover| takeover.roster.is_some());
-        let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
-        takeover::abandon(node, pool, lease, effect).await;
-        return None;
     };
+    node.loading().remove(pool);
     if recovered.is_some() {
         node.ability().record_readable(pool);
     } else {
-        log::info!(
-            "pool={pool} token={} takeover abandoned, the lease is lost or the process is stopping",
-            lease.revision
-        );
+        log::info!("pool={pool} token={} takeover abandoned, the lease is lost", lease.revision);
     }
     recovered
 }
@@ -490,7 +531,7 @@
         let replaced =
             node.view().leases.get(&pool).is_some_and(|lease| lease.revision > owner.token);
         if replaced && !is_serving(owner.pulse.turned(), running_since, now) {
-            election::release(node, &pool, owner.token);
+            election::release(node, &pool, owner.token, Outcome::GivenUp);
         }
     }
 }
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -10,12 +10,13 @@
 use reachhead_jobs::{
     clock::Tick,
     model::PoolPolicy,
+    order_effect::OrderEffect,
     pool::{Pool, RecoveredJobs, RecoveredState, StoredRoster},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     id::PoolName,
-    size::{FencingToken, Millis, Revision},
+    size::{FencingToken, Revision},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -23,7 +24,7 @@
 };
 
 use crate::{
-    claim::{self, Takeover},
+    claim::{self, Reads, Takeover},
     election, fleet,
     node::Node,
     owner::{Input, Outcome, Owner, OwnerHandle},
@@ -34,16 +35,6 @@
 /// Pause before the rows of a pool are read again after a failure.
 const LOAD_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// How a takeover ended.
-enum TakeoverEnd {
-    /// The jobs were read; `None` if the lease is lost or the process is stopping.
-    Loaded(Option<RecoveredJobs>),
-    /// It made no progress.
-    Stuck,
-    /// The owner ended before the jobs were read.
-    OwnerEnded(Outcome),
-}
-
 /// Takes the lease of a pool, recovers the pool's state and starts its owner.
 pub async fn take_over(
     node: Arc<Node>,
@@ -51,8 +42,10 @@
     policy: Option<PoolPolicy>,
     known: Option<LeaseView>,
 ) {
+    let effect = election::order_effect(&node, &pool, known.as_ref());
+    let counted = policy.is_some().then(|| effect.longest());
     let lease_sent_at = node.now();
-    let lease = match takeover::take(&node, &pool, known.as_ref()).await {
+    let lease = match takeover::take(&node, &pool, known.as_ref(), counted).await {
         Ok(Some(lease)) => lease,
         Ok(None) => return,
         Err(error) => {
@@ -70,7 +63,7 @@
     }
     node.loading().insert(pool.clone(), Takeover::new(&lease, node.now()));
     node.pool_acquired.notify_one();
-    let effect = election::order_effect(&node, &pool, known.as_ref());
+    let longest_effect = effect.longest();
     let (sender, roster) = oneshot::channel();
     let recovering = RecoveringOwner {
         node: Arc::clone(&node),
@@ -83,43 +76,43 @@
         roster,
     };
     let mut owner = Box::pin(recovering.run());
-    let end = tokio::select! {
-        loaded = load(&node, &pool, lease.revision, sender) => TakeoverEnd::Loaded(loaded),
-        () = claim::wait_until_stuck(&node, &pool) => TakeoverEnd::Stuck,
-        outcome = &mut owner => TakeoverEnd::OwnerEnded(outcome),
+    let reads = tokio::select! {
+        loaded = load(&node, &pool, lease.revision, sender) => Reads::Ended(loaded),
+        () = claim::wait_until_stuck(&node, &pool) => Reads::Stuck,
+        () = node.stopped() => Reads::Stopping,
+        outcome = &mut owner => {
+            if outcome == Outcome::Failed {
+                node.loading().remove(&pool);
+                node.record_owner_failure(&pool);
+                return;
+            }
+            Reads::Ended(None)
+        }
     };
-    let loaded = match end {
-        TakeoverEnd::Loaded(Some(jobs)) => Some(Some((jobs, owner))),
+    let reads = match reads {
+        Reads::Ended(Some(jobs)) => Reads::Ended(Some((jobs, owner))),
         // No order may be given once the claim has ended.
-        TakeoverEnd::Loaded(None) | TakeoverEnd::OwnerEnded(Outcome::GivenUp) => {
+        ended => {
             drop(owner);
-            Some(None)
-        }
-        TakeoverEnd::Stuck => {
-            drop(owner);
-            None
-        }
-        TakeoverEnd::OwnerEnded(Outcome::CallFailed) => {
-            drop(owner);
-            node.loading().remove(&pool);
-            node.record_owner_failure(&pool);
-            return;
+            ended.without_result()
         }
     };
     let workers = node.loading().get(&pool).and_then(|takeover| takeover.roster);
-    let Some((jobs, owner)) = claim::end_takeover(&node, &pool, &lease, effect, loaded).await
+    let Some((jobs, owner)) =
+        claim::end_takeover(&node, &pool, &lease, longest_effect, reads).await
     else {
         return;
     };
     emit(
         Event::LeaseTaken,
         format_args!(
-            "pool={pool} token={} term={} jobs={} workers={} before={:?}",
+            "pool={pool} token={} term={} jobs={} workers={} before={:?} took={}ms effect={longest_effect}ms",
             lease.revision,
             lease.record.term,
             jobs.jobs.len(),
             workers.unwrap_or_default(),
-            known.and_then(|known| known.record.owner)
+            known.and_then(|known| known.record.owner),
+            node.now().since(lease_sent_at)
         ),
     );
     // Inputs keep their order, so callers that find the owner from now on find its jobs.
@@ -135,7 +128,7 @@
     lease: LeaseView,
     lease_sent_at: Tick,
     /// How long orders of previous owners may have effect once all shards are fenced.
-    effect: Millis,
+    effect: OrderEffect,
     handle: OwnerHandle,
     inputs: mpsc::UnboundedReceiver<Input>,
     roster: oneshot::Receiver<StoredRoster>,
@@ -162,7 +155,8 @@
         let found = RecoveredState {
             roster,
             verified: self.lease_sent_at,
-            effect: self.effect,
+            effect: self.effect.usual,
+            silent: self.effect.silent,
             knows_storer: lease.record.knows_storer,
             ..RecoveredState::default()
         };
@@ -205,7 +199,7 @@
         }
         time::sleep(LOAD_RETRY_PAUSE).await;
         let held = node.view().leases.get(pool).is_some_and(|lease| lease.revision == token);
-        if !held || node.is_stopping() {
+        if !held {
             return None;
         }
     }
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -91,9 +91,9 @@
     MinionRestored 501 Info;
     /// A minion announced that it is shutting down.
     MinionLeaving 502 Info;
-    /// This host became the owner of a pool.
+    /// This host became the owner of a pool: the owner before, how long the takeover took, and for how long orders of earlier owners may have effect.
     LeaseTaken 600 Info;
-    /// This host is no longer the owner of a pool.
+    /// This host is no longer the owner of a pool: whether it gave the pool back, and how long that took since the request, or its lease was lost, or it failed.
     LeaseEnded 601 Info;
     /// This process handed a pool over to one with more capacity.
     PoolYielded 602 Info;
@@ -149,7 +149,7 @@
     DispatchChanged 717 Info;
     /// A process that sends orders for the owner of a pool is excluded for a while: why, and how many orders it had.
     DispatcherExcluded 718 Warn;
-    /// Long-running tasks of a step have had no run for a while: how many, for how long, why, and what keeps each worker from taking them.
+    /// Long-running tasks of a step have had no run for a while: how many, for how long, why, what keeps each worker from taking them, and the predecessors' workers that have not answered.
     TaskUnplaced 719 Warn;
     /// A maintenance wave started, continued under another owner, or completed.
     WaveChanged 720 Info;
