Stop runs of cancelled jobs before the release of their pool is written

Callers would see: a job whose cancellation was acknowledged while its pool was given back goes on, until the successor has read all jobs.

Cause: the release was due as soon as the last record was stored, and the round that orders the stops did not come any more. The missing stop is older; the run's lease ended it until now, and a successor that renews before it reads does not let it end.

Found by the review. an_owner_stops_what_is_cancelled_before_it_writes_the_release failed before and passes: the owner sends the orders that follow from its last records, and then the release.

--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -169,6 +169,7 @@
                 self.take(input);
             }
             if self.is_release_due(self.node.now()) {
+                self.order_last_stops().await;
                 break;
             }
             let begun = time::Instant::now();
--- a/reachhead_node/src/owner/release.rs
+++ b/reachhead_node/src/owner/release.rs
@@ -16,7 +16,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::row::Txn;
 use reachhead_types::size::Millis;
-use tokio::{sync::oneshot, time};
+use tokio::{sync::oneshot, task, time};
 
 use super::{Outcome, Owner};
 
@@ -98,6 +98,16 @@
         release.until <= now || (self.recording.is_empty() && !has_records())
     }
 
+    /// Sends the orders that follow from the last records, before the release is written. A successor
+    /// renews the runs of jobs that were cancelled until it has read all jobs.
+    pub(super) async fn order_last_stops(&mut self) {
+        for action in self.poll(self.node.now()) {
+            self.execute(action);
+        }
+        // The calls begin in tasks of their own.
+        task::yield_now().await;
+    }
+
     /// Writes the release, so that a peer takes the pool over at once.
     pub(super) async fn finish_release(&mut self, release: Release) -> Outcome {
         let name = self.pool.name().clone();
--- a/reachhead_node/src/owner/release_tests.rs
+++ b/reachhead_node/src/owner/release_tests.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use reachhead_ops::runtime;
+use reachhead_types::id::JobId;
 use tokio::time::Instant;
 
 use super::*;
 use crate::{
     owner::{
-        Input,
+        CancelReply, Input,
         tests::{self, owner_in},
     },
     tests::recorded_node::{self, Call, Platform},
@@ -108,3 +109,30 @@
         assert!(time < Duration::from_millis(500), "the release took {time:?}");
     });
 }
+
+/// Guards against a run that goes on after its job was cancelled: the owner that gave the pool back
+/// answered the caller and ordered no stop, and its successor renews the run until it has read all jobs.
+#[test]
+fn an_owner_stops_what_is_cancelled_before_it_writes_the_release() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, platform) = recorded_node::node(&"a".parse().unwrap());
+        let now = node.now();
+        node.view().config_current_at = now;
+        let owner = owner_in(node).await;
+        let handle = owner.handle.clone();
+        let running = tokio::spawn(owner.run());
+        handle.send(Input::Submit(vec![tests::job(1)]));
+        time::sleep(SETTLE_TIME).await;
+        let (reply, cancelled) = oneshot::channel();
+        handle.send(Input::Cancel(JobId(1), None, reply));
+        let (request, receiver) = ReleaseRequest::new(now);
+        handle.send(Input::Release(request));
+        let answer = time::timeout(Duration::from_secs(5), cancelled).await.unwrap().unwrap();
+        assert!(matches!(answer, CancelReply::Ended), "the cancellation is acknowledged");
+        receiver.await.unwrap();
+        running.await.unwrap();
+        time::sleep(SETTLE_TIME).await;
+        let calls: Vec<Call> = platform.calls().into_iter().map(|(call, _)| call).collect();
+        assert!(calls.contains(&Call::Stop), "{calls:?}");
+    });
+}
--- a/reachhead_node/src/tests/recorded_node.rs
+++ b/reachhead_node/src/tests/recorded_node.rs
@@ -9,7 +9,9 @@
 use futures::future::{self, BoxFuture, FutureExt};
 use reachhead_jobs::{
     clock::WorkerTime,
-    ports::{HoldOrder, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget},
+    ports::{
+        HoldOrder, RunningEntry, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
+    },
     record::lease_key,
     task::TaskId,
 };
@@ -18,7 +20,10 @@
     memory::MemoryStore,
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
-use reachhead_types::{id::PoolName, size::RunNumber};
+use reachhead_types::{
+    id::{PoolName, WorkerId},
+    size::RunNumber,
+};
 use tokio::time::{self, Instant};
 
 use super::broken_node;
@@ -33,6 +38,8 @@
     Poll,
     /// A start order.
     Start,
+    /// A stop order.
+    Stop,
     /// A transaction on the lease.
     Lease,
     /// Another transaction.
@@ -45,6 +52,8 @@
     lease: Key,
     started: Instant,
     calls: Mutex<Vec<(Call, Instant)>>,
+    /// What was started and not stopped, by worker.
+    running: Mutex<Vec<(WorkerId, RunningEntry)>>,
     /// No transaction on other rows than the lease is decided.
     pub holds_records: AtomicBool,
     /// No transaction on the lease is decided.
@@ -89,32 +98,40 @@
 impl WorkerAgent for Platform {
     fn start(
         &self,
-        _: WorkerTarget,
-        _: StartOrder,
+        target: WorkerTarget,
+        order: StartOrder,
     ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
         self.record(Call::Start);
+        let StartOrder { task, run, .. } = order;
+        let entry = RunningEntry { task, run, checkpoint: None, percent: 0, metric: 0 };
+        locked(&self.running).push((target.id, entry));
         async { Ok(self.clock()) }.boxed()
     }
 
     fn stop(
         &self,
         _: WorkerTarget,
-        _: TaskId,
+        task: TaskId,
         _: RunNumber,
     ) -> BoxFuture<'_, Result<WorkerTime, WorkerError>> {
+        self.record(Call::Stop);
+        locked(&self.running).retain(|(_, entry)| entry.task != task);
         async { Ok(self.clock()) }.boxed()
     }
 
     fn hold(
         &self,
-        _: WorkerTarget,
+        target: WorkerTarget,
         order: HoldOrder,
     ) -> BoxFuture<'_, Result<WorkerReport, WorkerError>> {
         self.record(if order.deadline.is_some() { Call::Renewal } else { Call::Poll });
         async move {
             time::sleep(order.wait.duration()).await;
-            let (running, ended) = Default::default();
-            Ok(WorkerReport { started_at: None, clock: self.clock(), running, ended })
+            let running = locked(&self.running).clone().into_iter();
+            let own = running.filter(|(worker, _)| *worker == target.id);
+            let running = own.map(|(_, entry)| entry).collect();
+            let (clock, ended) = (self.clock(), Vec::new());
+            Ok(WorkerReport { started_at: None, clock, running, ended })
         }
         .boxed()
     }
@@ -137,6 +154,7 @@
         lease: lease_key(pool),
         started: Instant::now(),
         calls: Mutex::default(),
+        running: Mutex::default(),
         holds_records: AtomicBool::new(false),
         holds_leases: AtomicBool::new(false),
     });
