An owner has ended only if a process at its own address says so

A status of a peer is kept by name. A process that was started anew at another address, while the one before it is frozen, made a successor count a lease instead of the trust time of that one as well, and a task could start beside a run that it prolongs when it goes on (TWICE).

Found by the review: an_owner_has_not_ended_because_a_process_at_another_address_answers and ..._because_another_process_answers_at_its_address failed before and pass. The address has to be that in the lease, and the answer has to name the owner.

--- a/reachhead_node/src/predecessor.rs
+++ b/reachhead_node/src/predecessor.rs
@@ -23,8 +23,10 @@
     }
 
     /// Returns whether the owner that a pool's lease names has certainly ended: this process listens at
-    /// its address, or it has answered since that it neither owns the pool nor may go on. An earlier
-    /// release does not tell that it is writing a lease, and its leases show nothing else either.
+    /// its address, or it has answered there since that it neither owns the pool nor may go on. A process
+    /// of its name at another address does not show that the one before has ended. An earlier release
+    /// does not report that it is writing a lease, but its leases have no time for earlier owners either,
+    /// and its successor counts the full time.
     fn has_ended(&self, pool: &PoolName, lease: &LeaseView, own: &Settings) -> bool {
         let Some(owner) = &lease.record.owner else {
             return true;
@@ -34,8 +36,9 @@
         }
         self.peers.get(owner).is_some_and(|status| {
             let pong = &status.pong;
+            let is_owner = lease.record.address == Some(status.address) && pong.is_of(owner);
             let is_absent = pong.owned.get(pool).is_none_or(|token| *token < lease.revision);
-            is_absent && !pong.stalled.contains(pool) && status.asked > lease.since
+            is_owner && is_absent && !pong.stalled.contains(pool) && status.asked > lease.since
         })
     }
 }
--- a/reachhead_node/src/predecessor_tests.rs
+++ b/reachhead_node/src/predecessor_tests.rs
@@ -53,6 +53,26 @@
     assert!(!has_ended_by(&node, later, Pong { stalled, ..absent }), "it may go on");
 }
 
+/// A process that was started anew at another address says nothing about the one before it, which may
+/// be frozen and go on. A status is kept by name, whichever address it is from.
+#[test]
+fn an_owner_has_not_ended_because_a_process_at_another_address_answers() {
+    let (node, _) = broken_node::node();
+    let name: reachhead_types::id::NodeName = "front-b-1".parse().unwrap();
+    let pong = Pong { node: Some(name.clone()), ..Pong::default() };
+    assert!(has_ended_by(&node, Tick(SINCE.0 + 1), pong));
+    let lease = lease("front-b-1", "127.0.0.2:7060");
+    assert!(!node.view().predecessor(&pool(), &lease, &node.settings).has_ended);
+}
+
+/// The address of an owner may have been given to another process.
+#[test]
+fn an_owner_has_not_ended_because_another_process_answers_at_its_address() {
+    let (node, _) = broken_node::node();
+    let pong = Pong { node: Some("front-c-1".parse().unwrap()), ..Pong::default() };
+    assert!(!has_ended_by(&node, Tick(SINCE.0 + 1), pong));
+}
+
 /// A process whose write of the lease is not answered yet becomes the owner with the answer, though
 /// others have known its lease for long.
 #[test]
