Claim a pool without a gap from the write of its lease to its owner

A ping that is answered between two of the states of a takeover denied the pool: after the lease was written and before the takeover was recorded, and after the takeover had ended and before its owner was. Peers then took the pool from a healthy owner, and counted that one as ended. A shutdown between the check and the insertion of a new owner left the pool unreleased.

Each state begins before the one before it ends, and the owner is inserted before the check for shutdown.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -383,8 +383,9 @@
     }
 }
 
-/// Ends a takeover, and returns what it has recovered. The lease of one that was given up is released.
-/// If the roster had been read, workers' leases may have been renewed.
+/// Ends a takeover, and returns what it has recovered; this process then goes on claiming the pool. The
+/// lease of one that was given up is released. If the roster had been read, workers' leases may have
+/// been renewed.
 pub async fn end_takeover<T>(
     node: &Node,
     pool: &PoolName,
@@ -420,10 +421,10 @@
             return None;
         }
     };
-    node.loading().remove(pool);
     if recovered.is_some() {
         node.ability().record_readable(pool);
     } else {
+        node.loading().remove(pool);
         log::info!("pool={pool} token={} takeover abandoned, the lease is lost", lease.revision);
     }
     recovered
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -327,11 +327,11 @@
     owner: impl Future<Output = Outcome> + Send + 'static,
 ) {
     let token = handle.token;
+    node.owned().insert(pool.clone(), handle.clone());
     if node.is_stopping() {
         // The lease was taken while shutdown began, and the other owners have been released.
         handle.send(Input::Release(ReleaseRequest::new(node.now()).0));
     }
-    node.owned().insert(pool.clone(), handle);
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let ended = supervise::run(format!("owner of pool {pool}"), owner).await;
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -28,7 +28,7 @@
     election, fleet,
     node::Node,
     owner::{Input, Outcome, Owner, OwnerHandle},
-    takeover::{self, Loader},
+    takeover::{self, Loader, Taking},
     view::LeaseView,
 };
 
@@ -45,6 +45,7 @@
     let effect = election::order_effect(&node, &pool, known.as_ref());
     let counted = policy.is_some().then(|| effect.longest());
     let lease_sent_at = node.now();
+    let taking = Taking::new(&node, &pool);
     let lease = match takeover::take(&node, &pool, known.as_ref(), counted).await {
         Ok(Some(lease)) => lease,
         Ok(None) => return,
@@ -58,10 +59,11 @@
     if policy.is_none() {
         node.pool_acquired.notify_one();
         let owner = fleet::run(Arc::clone(&node), handle.clone(), inputs, lease, known);
-        election::start_owner(&node, pool, handle, owner);
+        election::start_owner(&node, pool.clone(), handle, owner);
         return;
     }
     node.loading().insert(pool.clone(), Takeover::new(&lease, node.now()));
+    drop(taking);
     node.pool_acquired.notify_one();
     let longest_effect = effect.longest();
     let (sender, roster) = oneshot::channel();
@@ -118,7 +120,9 @@
     // Inputs keep their order, so callers that find the owner from now on find its jobs.
     handle.pulse.record_turn(node.now());
     handle.send(Input::JobsRecovered(Box::new(jobs)));
-    election::start_owner(&node, pool, handle, owner);
+    election::start_owner(&node, pool.clone(), handle, owner);
+    // Peers must not see the pool denied between the two.
+    node.loading().remove(&pool);
 }
 
 /// An owner that waits for the roster.
--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -35,7 +35,7 @@
     claim::{self, Reads, Takeover},
     lock::locked,
     takeover,
-    tests::broken_node,
+    tests::{broken_node, recorded_node},
 };
 
 /// How long a page of jobs takes.
@@ -315,3 +315,31 @@
         }
     });
 }
+
+/// Guards against a process that denies a pool which it has taken and goes on to serve: a peer that is
+/// answered so takes the pool, and counts on no order of this process.
+#[test]
+fn a_process_does_not_deny_a_pool_during_a_takeover() {
+    let mut denied = 0;
+    for _ in 0..100 {
+        let (node, _) = recorded_node::node(&pool());
+        let sampled = Arc::clone(&node);
+        let sampler = std::thread::spawn(move || {
+            let (mut began, mut denials) = (false, 0);
+            while !sampled.owned().contains_key(&pool()) {
+                let claims = claim::claims(&sampled);
+                let claims_pool = claims.claimed.contains_key(&pool());
+                let is_denied = !claims_pool && !claims.stalled.contains(&pool());
+                denials += u32::from(began && is_denied);
+                began |= !is_denied;
+            }
+            denials
+        });
+        runtime::current_thread().unwrap().block_on(async {
+            run_takeover(Arc::clone(&node), pool(), Some(policy()), None).await;
+            assert!(node.owned().contains_key(&pool()));
+        });
+        denied += u32::from(sampler.join().unwrap() > 0);
+    }
+    assert_eq!(denied, 0, "takeovers of 100 in which the process denied the pool");
+}
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -73,6 +73,7 @@
 /// Writes the lease of a pool; returns `None` if another process wrote it first. `order_effect` is how
 /// long orders of earlier owners can have effect, for the case that this process ends before it is
 /// settled; the fleet owner has none.
+/// The caller keeps a [`Taking`] until the process claims the pool.
 ///
 /// # Errors
 ///
@@ -98,7 +99,6 @@
         silent: None,
     };
     let key = lease_key(pool);
-    let _taking = Taking::new(node, pool);
     let txn = Txn::new()
         .with_check(key.clone(), known.map(|known| known.revision))
         .with_write(key.clone(), value(&record));
