List workers with longer leases, too, when a pool is given back

The released lease lists workers that do not answer, with the time that is left. A worker with partial reports was listed with the time since its last report, though it had got a renewal since, and one with leases longer than usual, by a late call for its incarnation before, was not listed at all.

Found by the review: a_worker_with_a_partial_report_counts_until_its_last_renewal_ends and a_worker_that_expects_late_calls_counts_until_the_longest_lease_ends failed before and pass. The list takes the later of both times, and has each worker whose leases end later than a lease from now.

--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -66,17 +66,19 @@
         last.map_or(Millis(0), |until| until.since(now))
     }
 
-    /// Returns the workers of the roster that do not answer, with how long something may still run
-    /// there, for the lease of an owner that gives its pool back now. Runs on all others end with the
-    /// leases that this owner gave. It must give no order after that. `None` if there are too many, or if orders of predecessors may
-    /// come to other workers, too, since not all shards are fenced.
+    /// Returns the workers of the roster on which something may run for another time than a lease from
+    /// now, with that time, for the lease of an owner that gives its pool back now. It must give no
+    /// order after that. They are those that do not answer, and those with longer leases. `None` if
+    /// there are too many, or if orders of predecessors may come to other workers, too, since not all
+    /// shards are fenced.
     pub fn silent_workers(&self, now: Tick) -> Option<BTreeMap<WorkerId, Millis>> {
         if !self.is_fenced() {
             return None;
         }
         let until = |id: &WorkerId| {
             let pending = self.pending.get(id).map(|pending| pending.until);
-            pending.or_else(|| self.silent_until(self.workers.get(id)?))
+            let worker = self.workers.get(id);
+            pending.max(worker.and_then(|worker| self.leased_until(worker, pending.is_some(), now)))
         };
         let ids = self.roster.stored.workers.keys();
         let silent: BTreeMap<WorkerId, Millis> =
@@ -84,17 +86,19 @@
         (silent.len() <= MAX_SILENT_WORKERS).then_some(silent)
     }
 
-    /// Returns until when something may run on a worker that does not answer and for which no order
-    /// of a predecessor is counted any more; `None` if it answers.
-    fn silent_until(&self, worker: &Worker) -> Option<Tick> {
+    /// Returns until when something that this owner gave a worker may run there; `None` if that is for
+    /// a lease from now at most, as it is where a worker answers. One that is pending answers with
+    /// partial reports, or not at all.
+    fn leased_until(&self, worker: &Worker, is_pending: bool, now: Tick) -> Option<Tick> {
+        let lease = with_drift(self.timeouts.hold);
         if worker.answered {
-            return worker.leases_expire_at().filter(|_| worker.silent);
+            let is_listed = |expiry: &Tick| worker.silent || is_pending || *expiry > now + lease;
+            return worker.leases_expire_at().filter(is_listed);
         }
         // This owner gave it nothing, but may have given something to an earlier incarnation.
         if worker.joined <= self.predecessor.since() {
             return Some(Tick(0));
         }
-        let given = worker.joined + with_drift(self.timeouts.hold);
-        Some(given.max(self.predecessor.effective_until()))
+        Some((worker.joined + lease).max(self.predecessor.effective_until()))
     }
 }
--- a/reachhead_jobs/tests/pool/released.rs
+++ b/reachhead_jobs/tests/pool/released.rs
@@ -1,13 +1,17 @@
 //! What the owner that gives a pool back knows of its workers, and how long its successor waits.
 
 use reachhead_jobs::{
+    clock::with_drift,
+    model::Step,
     order_effect::{OrderEffect, Predecessor, order_effect},
-    pool::{DeathEvidence, RecoveredState},
+    poll_pace::PollPacer,
+    pool::{Action, DeathEvidence, RecoveredState},
+    ports::{MAX_REPORTED_ENDS, RunEnd},
     record::LeaseRecord,
 };
-use reachhead_types::size::Millis;
+use reachhead_types::size::{ByteRate, Millis};
 
-use crate::fixture::{Fixture, info, recovered, step, timeouts, worker};
+use crate::fixture::{Fixture, info, recovered, step, task, timeouts, worker};
 
 /// Returns the lease as the owner leaves it.
 fn release(fixture: &Fixture) -> LeaseRecord {
@@ -158,3 +162,67 @@
     let silent = release(&fixture).silent.unwrap();
     assert!(silent[&worker("w")] >= timeouts().hold, "{silent:?}");
 }
+
+/// A worker of the predecessor that answers, but lists only some of its ends, gets renewals all the
+/// while. The release listed it with the time since its last report, and not with that of the renewal
+/// after it: a successor that can't reach it starts its tasks beside their runs.
+#[test]
+fn a_worker_with_a_partial_report_counts_until_its_last_renewal_ends() {
+    let found = RecoveredState {
+        effect: with_drift(timeouts().hold),
+        ..recovered(vec![(1, vec![step(1)])], vec![("w", None)])
+    };
+    let mut fixture = Fixture::new(found, vec![info("w", 4)]);
+    fixture.poll();
+    fixture.flush();
+    fixture.advance(1000);
+    fixture.set_running(&worker("w"), task(1, 0, 0), 1, 0);
+    for index in 0..MAX_REPORTED_ENDS as u32 {
+        fixture.end(&worker("w"), task(2, 0, index), 1, RunEnd::Done);
+    }
+    fixture.report(&worker("w"));
+    let renewal = |action| match action {
+        Action::Hold(_, order) => order.deadline,
+        _ => None,
+    };
+    // The link is busy, so polls of workers that list their ends again wait for half of a lease.
+    let mut full = PollPacer::new(ByteRate(1), fixture.now).budget(fixture.now);
+    full.take(MAX_REPORTED_ENDS);
+    let deadline = loop {
+        fixture.advance(50);
+        fixture.pool.set_poll_budget(full);
+        if let Some(deadline) = fixture.poll().into_iter().find_map(renewal) {
+            break deadline;
+        }
+    };
+    let left = Millis(deadline.0 - fixture.clock().0);
+    let record = release(&fixture);
+    let predecessor = Predecessor { record: &record, has_ended: true, is_settled: false };
+    let OrderEffect { usual, silent } = order_effect(&timeouts(), Some(predecessor));
+    let counted = silent.get(&worker("w")).copied().unwrap_or(usual);
+    assert!(counted >= left, "a successor counts {counted}ms, and the lease lasts {left}ms");
+}
+
+/// A call for the incarnation before the last may come late and prolong the leases of the one that
+/// answers, for as long as a worker grants. The owner that released the pool knew, but listed silent
+/// workers alone.
+#[test]
+fn a_worker_that_expects_late_calls_counts_until_the_longest_lease_ends() {
+    let mut fixture = Fixture::ready(vec![info("w", 4)]);
+    fixture.infos[0].started_at = Some(Millis(1000));
+    fixture.list();
+    fixture.report(&worker("w"));
+    fixture.fail_poll(&worker("w"));
+    fixture.infos[0].started_at = Some(Millis(2000));
+    fixture.report(&worker("w"));
+    fixture.list();
+    let lasting = Step { long_running: true, ..step(1) };
+    fixture.submit_and_start(1, vec![lasting]);
+    assert_eq!(fixture.running[&worker("w")].len(), 1, "it runs a long-running task");
+    let record = release(&fixture);
+    let predecessor = Predecessor { record: &record, has_ended: true, is_settled: false };
+    let OrderEffect { usual, silent } = order_effect(&timeouts(), Some(predecessor));
+    let counted = silent.get(&worker("w")).copied().unwrap_or(usual);
+    let grant = timeouts().grant;
+    assert!(counted >= grant, "a successor counts {counted}ms, and a lease may last {grant}ms");
+}
