A late submission of a job that was stored before its shard was fenced is ignored

By reading: a job that is stored after the lease was taken and before its shard is fenced may have been run and ended by the predecessor. Only jobs stored before the lease counted as ended so far.

The shard is read after its fence, so a job whose row is older than the fence and was not found has ended. a_job_that_was_stored_before_the_fences_and_was_not_read_has_ended failed before and passes.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -255,7 +255,7 @@
         now: Tick,
         wall: Millis,
     ) {
-        let ended = row < Revision(self.token.0);
+        let ended = row < self.read_until(id);
         if self.is_recovering()
             || self.is_replaced(record)
             || ended
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -4,8 +4,8 @@
 
 use reachhead_plan::amount::Amount;
 use reachhead_types::{
-    id::{PoolName, WorkerId},
-    size::{FencingToken, Millis},
+    id::{JobId, PoolName, WorkerId},
+    size::{FencingToken, Millis, Revision},
 };
 
 use super::{
@@ -23,6 +23,7 @@
         StoredJob,
     },
     ports::{RunningEntry, WorkerInfo},
+    shard::Shard,
     start_pace::StartBudget,
     worker::Worker,
 };
@@ -219,6 +220,13 @@
         }
     }
 
+    /// Returns the revision up to which the stored jobs in a job's shard are known: the shard was read
+    /// after its fence was raised, and the lease was taken before.
+    pub(super) fn read_until(&self, job: JobId) -> Revision {
+        let fence = self.fences.get(&Shard::of(job)).copied().unwrap_or_default();
+        fence.max(Revision(self.token.0))
+    }
+
     /// Returns whether a task of the job that no worker reports may still run on a pending worker.
     pub(super) fn may_run_elsewhere(&self, job: &Job) -> bool {
         job.maybe_started
--- a/reachhead_jobs/tests/pool/recovering.rs
+++ b/reachhead_jobs/tests/pool/recovering.rs
@@ -1,16 +1,17 @@
 //! Tests of a pool that renews its workers before its stored jobs are known.
 
 use reachhead_jobs::{
-    pool::{Action, Lane},
+    pool::{Action, Lane, RecoveredJobs},
     ports::RunEnd,
+    shard::Shard,
     task::TaskId,
 };
 use reachhead_types::{
     id::JobId,
-    size::{Millis, RunNumber},
+    size::{Millis, Revision, RunNumber},
 };
 
-use crate::fixture::{Fixture, info, step, task, timeouts, worker};
+use crate::fixture::{Fixture, info, record, step, task, timeouts, worker};
 
 const TASK: (u64, u32, u32) = (1, 0, 0);
 
@@ -268,3 +269,20 @@
     fixture.recover_jobs(vec![(1, vec![step(1)])], fixture.now);
     assert_eq!(fixture.pool.jobs().len(), 1);
 }
+
+/// Guards against a job that runs again: it was stored and ended by the predecessor after this owner had
+/// taken the lease and before it had fenced the job's shard, and its submission arrived late.
+#[test]
+fn a_job_that_was_stored_before_the_fences_and_was_not_read_has_ended() {
+    let mut fixture = reported();
+    let taken = fixture.pool.token().0;
+    let fences = Shard::all().map(|shard| (shard, Revision(taken + 100))).collect();
+    let found = RecoveredJobs { jobs: Vec::new(), fences, fenced_at: fixture.now };
+    fixture.pool.recover_jobs(found, fixture.now, Millis(fixture.now.0));
+    for (id, row, known) in [(1, taken + 50, false), (2, taken + 150, true)] {
+        let record = record(vec![step(1)], fixture.now.0);
+        let wall = Millis(fixture.now.0);
+        fixture.pool.submit(JobId(id), &record, Revision(row), fixture.now, wall);
+        assert_eq!(fixture.pool.jobs().contains_key(&JobId(id)), known, "job {id}");
+    }
+}
