Keep jobs of which an owner is notified while it reads the stored jobs

Callers would see: a job that is stored during a takeover starts up to five times the duration of the takeover's reads later.

Cause: an owner that still reads refused notifications, and the notifier gives up after 0.6 s. The regular reads of stored jobs then find the job, and they pause for four times the duration of each page.

The recovering owner now takes notifications and submits the jobs once it knows which were stored; whether one has ended already is decided by its fences. an_owner_knows_the_jobs_of_which_it_was_notified_during_its_takeover fails with the owner's handle hidden from notifications and passes with it.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -84,6 +84,8 @@
     pub error: Option<StoreError>,
     /// Number of takeovers in a row that were abandoned before this one.
     pub abandoned: u32,
+    /// The owner that serves the pool once its rows are read.
+    pub owner: Option<OwnerHandle>,
     /// Time since the last progress in which the store did not answer test calls.
     unanswered: Millis,
 }
@@ -100,10 +102,16 @@
             roster: None,
             error: None,
             abandoned: lease.record.abandoned,
+            owner: None,
             unanswered: Millis(0),
         }
     }
 
+    /// Returns the takeover with its owner.
+    pub fn with_owner(self, owner: OwnerHandle) -> Self {
+        Self { owner: Some(owner), ..self }
+    }
+
     /// Records that the store answered, with this number of rows.
     pub fn record_progress(&mut self, rows: usize, now: Tick) {
         self.progressed = now;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -234,6 +234,13 @@
         self.owned().get(pool).cloned()
     }
 
+    /// Returns the owner to notify of stored jobs of a pool, if it runs in this process. One that still
+    /// reads the stored jobs keeps the others for later.
+    pub fn notified_owner(&self, pool: &PoolName) -> Option<OwnerHandle> {
+        let recovering = || self.loading().get(pool).and_then(|takeover| takeover.owner.clone());
+        self.local_owner(pool).or_else(recovering)
+    }
+
     /// Returns the workers of a pool as its owner in this process calls them, if it runs.
     pub fn dispatched(&self, pool: &PoolName) -> Option<Arc<DispatchedWorkers>> {
         locked(&self.dispatched).get(pool)?.upgrade()
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -88,7 +88,7 @@
 }
 
 /// Handle to an owner in this process.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct OwnerHandle {
     /// The revision of the owner's lease, which is its fencing token.
     pub token: Revision,
--- a/reachhead_node/src/owner/job_reads.rs
+++ b/reachhead_node/src/owner/job_reads.rs
@@ -1,6 +1,6 @@
 //! Reads of stored jobs that the owner was not notified of.
 
-use std::sync::Arc;
+use std::{mem, sync::Arc};
 
 use reachhead_jobs::{clock::Tick, pool::RecoveredJobs, record::JobRecord};
 use reachhead_ops::event::{Event, emit};
@@ -11,12 +11,23 @@
 use reachhead_types::id::JobId;
 
 use super::{Input, Owner, id_of, job_scan::JobScan};
+use crate::peer::AcceptedJob;
 
 impl Owner {
     /// Adds the jobs that the previous owner left. From here on the owner serves the pool.
     pub(super) fn recover_jobs(&mut self, found: RecoveredJobs, now: Tick) {
         self.pool.recover_jobs(found, now, self.node.clock.wall());
         self.job_scan = JobScan::new(self.node.bulk_reads.capacity(), now);
+        let early_jobs = mem::take(&mut self.early_jobs);
+        self.submit(early_jobs, now);
+    }
+
+    /// Adds jobs that were accepted and stored.
+    pub(super) fn submit(&mut self, jobs: Vec<AcceptedJob>, now: Tick) {
+        let wall = self.node.clock.wall();
+        for AcceptedJob { id, record, row } in jobs {
+            self.pool.submit(id, &record, row, now, wall);
+        }
     }
 
     /// Reads the next page of stored jobs when it is due.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -102,6 +102,8 @@
     handle: OwnerHandle,
     inputs: mpsc::UnboundedReceiver<Input>,
     pending_cancels: Vec<PendingCancel>,
+    /// Jobs of which this owner was notified while the stored jobs were being read.
+    early_jobs: Vec<AcceptedJob>,
     /// The lanes with a transaction in progress, and when it started.
     recording: BTreeMap<Lane, Tick>,
     /// When each lane may start its next transaction that no caller waits for.
@@ -138,6 +140,7 @@
             handle,
             inputs,
             pending_cancels: Vec::new(),
+            early_jobs: Vec::new(),
             recording: BTreeMap::new(),
             next_record: BTreeMap::new(),
             job_scan: JobScan::new(rows, now),
@@ -280,12 +283,9 @@
     fn take(&mut self, input: Input) {
         let now = self.node.now();
         match input {
-            Input::Submit(jobs) => {
-                let wall = self.node.clock.wall();
-                for AcceptedJob { id, record, row } in jobs {
-                    self.pool.submit(id, &record, row, now, wall);
-                }
-            }
+            // Whether they have ended shows only once the stored jobs are known.
+            Input::Submit(jobs) if self.pool.is_recovering() => self.early_jobs.extend(jobs),
+            Input::Submit(jobs) => self.submit(jobs, now),
             Input::State(id, requester, reply) => {
                 let _ = reply.send(self.pool.state_for(id, requester.as_ref()));
             }
@@ -481,4 +481,4 @@
 
 #[cfg(test)]
 #[path = "tests.rs"]
-mod tests;
+pub(crate) mod tests;
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -35,7 +35,7 @@
 }
 
 /// Returns a job of one task that needs nothing.
-pub(super) fn job(id: u64) -> AcceptedJob {
+pub(crate) fn job(id: u64) -> AcceptedJob {
     let queue = Queue {
         name: "q".parse().unwrap(),
         host: "h".to_owned(),
--- a/reachhead_node/src/owner_call.rs
+++ b/reachhead_node/src/owner_call.rs
@@ -17,7 +17,7 @@
 use crate::{
     follow,
     node::Node,
-    peer::{PeerReply, PeerRequest, PoolRequest, call_local_owner},
+    peer::{PeerReply, PeerRequest, PoolRequest, call_local_owner, local_owner_for},
 };
 
 /// Timeout of an owner's answer about one job; the store can answer too.
@@ -118,7 +118,7 @@
     pool: &PoolName,
     request: PoolRequest,
 ) -> Result<PeerReply, OwnerError> {
-    if let Some(owner) = node.local_owner(pool) {
+    if let Some(owner) = local_owner_for(node, pool, &request) {
         return match time::timeout(OWNER_TIMEOUT, call_local_owner(&owner, request)).await {
             Ok(PeerReply::NotOwner) => Err(OwnerError::NotServing),
             Ok(reply) => Ok(reply),
--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -203,7 +203,7 @@
                 PeerReply::Workers(registry::serve(&self.0, request).await)
             }
             PeerRequest::Table(request) => PeerReply::Table(relay::serve(&self.0, request).await),
-            PeerRequest::Pool(pool, request) => match self.0.local_owner(&pool) {
+            PeerRequest::Pool(pool, request) => match local_owner_for(&self.0, &pool, &request) {
                 Some(owner) => call_local_owner(&owner, request).await,
                 None => PeerReply::NotOwner,
             },
@@ -251,6 +251,14 @@
     }
 }
 
+/// Returns the owner of a pool in this process that takes a request.
+pub fn local_owner_for(node: &Node, pool: &PoolName, request: &PoolRequest) -> Option<OwnerHandle> {
+    match request {
+        PoolRequest::Submit(_) => node.notified_owner(pool),
+        _ => node.local_owner(pool),
+    }
+}
+
 /// Sends a request to an owner in this process and returns its answer.
 pub async fn call_local_owner(owner: &OwnerHandle, request: PoolRequest) -> PeerReply {
     match request {
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -62,7 +62,8 @@
         election::start_owner(&node, pool.clone(), handle, owner);
         return;
     }
-    node.loading().insert(pool.clone(), Takeover::new(&lease, node.now()));
+    let takeover = Takeover::new(&lease, node.now()).with_owner(handle.clone());
+    node.loading().insert(pool.clone(), takeover);
     drop(taking);
     node.pool_acquired.notify_one();
     let longest_effect = effect.longest();
--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -12,6 +12,7 @@
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
     clock::{WorkerTime, with_drift},
+    pool::StateReply,
     ports::{
         HoldOrder, RunningEntry, StartOrder, WorkerAgent, WorkerError, WorkerReport, WorkerTarget,
     },
@@ -34,6 +35,9 @@
 use crate::{
     claim::{self, Reads, Takeover},
     lock::locked,
+    owner,
+    owner_call::call_pool_owner,
+    peer::{PeerReply, PoolRequest},
     takeover,
     tests::{broken_node, recorded_node},
 };
@@ -259,6 +263,24 @@
     });
 }
 
+/// Guards against jobs that are stored during a takeover and found only by the reads after it, which
+/// take several times as long as those of the takeover.
+#[test]
+fn an_owner_knows_the_jobs_of_which_it_was_notified_during_its_takeover() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, _, _) = successor(false).await;
+        tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
+        time::sleep(Duration::from_millis(300)).await;
+        assert!(node.loading().contains_key(&pool()));
+        let request = PoolRequest::Submit(vec![owner::tests::job(2)]);
+        let notified = call_pool_owner(&node, &pool(), request).await;
+        assert!(notified.is_ok(), "{notified:?}");
+        assert!(holds_within(3 * READ_TIME, || node.owned().contains_key(&pool())).await);
+        let state = call_pool_owner(&node, &pool(), PoolRequest::State(JobId(2), None)).await;
+        assert!(matches!(state, Ok(PeerReply::State(StateReply::Known(_)))), "{state:?}");
+    });
+}
+
 /// Guards against a process that claims a pool which nobody renews and reads on.
 #[test]
 fn a_takeover_whose_call_to_a_worker_panicked_ends_with_its_claim() {
