Random schedules with owners that end one after the other or give the pool back

Successors know that the owner before them has ended, settled or not, and use what it recorded; half of the killed owners of all schedules count as ended. An earlier owner may go on without the store, and a worker may be silent for its successors.

It does not find a pool that is recorded as settled before its workers have answered; tests/pool/ order_effect.rs does.

--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -121,6 +121,17 @@
     check("abandoned", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+/// Owners end soon one after the other, before or after they are settled, or give the pool back, while
+/// an earlier owner goes on and some workers are silent. Guards against a successor that counts on too
+/// little of what earlier owners may have ordered.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_owners_end_one_after_the_other() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_ended_owners(), acts)
+    }
+    check("ended owners", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
 /// Zones with the owner and a worker are cut off from the store and the other workers, and a process
 /// on the other side takes over. Guards against taking the expiry of a lease for the end of a run
 /// that a successor may have adopted.
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -37,6 +37,7 @@
 mod messages;
 mod outages;
 mod plans;
+mod predecessor;
 mod submissions;
 mod takeover;
 mod waiting;
@@ -186,6 +187,8 @@
     lease_changed: u64,
     /// Some takeovers are abandoned.
     abandoning: bool,
+    /// Processes know that owners have ended, and owners give the pool back.
+    ending: bool,
     /// Highest token seen in each shard's fence.
     fenced: BTreeMap<Shard, FencingToken>,
     tasks: BTreeMap<TaskId, Observed>,
@@ -264,6 +267,7 @@
             cancelled: BTreeSet::new(),
             lease_changed: 0,
             abandoning: false,
+            ending: false,
             fenced: BTreeMap::new(),
             tasks: BTreeMap::new(),
             lose_next: 0,
@@ -300,6 +304,12 @@
         self
     }
 
+    /// Lets owners end one after the other, so that their successors know it, and give the pool back.
+    pub fn with_ended_owners(mut self) -> Self {
+        self.ending = true;
+        self
+    }
+
     /// Lets workers that crash restart under their ids.
     pub fn with_restarts(mut self) -> Self {
         self.restarting = true;
--- a/reachhead_jobs/tests/random_schedules/simulation/acts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/acts.rs
@@ -26,7 +26,8 @@
         if self.faults.is_some() {
             return self.act_with_faults(kind, choice, span);
         }
-        let is_special = self.abandoning || self.cutting_zones || self.fleet.is_some();
+        let is_special =
+            self.ending || self.abandoning || self.cutting_zones || self.fleet.is_some();
         let kind = if is_special && choice % 4 == 0 { 13 } else { kind % 14 };
         self.perform(kind, choice, span);
         self.run(span % 700);
@@ -39,7 +40,7 @@
             5 => {
                 self.newest().alive = false;
                 self.run(span / 4);
-                self.take_over();
+                self.take_over_from(choice % 2 == 0);
             }
             6 => {
                 let until = self.now + span;
@@ -68,6 +69,7 @@
             10 => self.lose_next = choice % 8,
             11 => self.delay_next = choice % 8,
             12 => self.drain_and_take(choice),
+            _ if self.ending => self.end_owners(choice / 4, span),
             _ if self.abandoning => self.abandon_takeovers(choice, span),
             _ if self.cutting_zones => self.cut_zone(choice, span),
             _ if self.fleet.is_some() => self.replace_owner(choice / 4, span),
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -6,6 +6,7 @@
 use reachhead_jobs::{
     clock::Tick,
     fence::{Fence, FenceStep},
+    order_effect::OrderEffect,
     pool::{Pool, RecoveredState, StoredJob, StoredProgress, StoredRoster},
     record::{
         JobRecord, LeaseRecord, fence_key, job_prefix, lease_key, progress_prefix, roster_prefix,
@@ -31,15 +32,17 @@
 impl Simulation {
     /// Lets a new process take the lease, whatever the previous owner is doing.
     pub(super) fn take_over(&mut self) {
-        self.take_over_with(self.timeouts().takeover_delay());
+        self.take_over_from(false);
     }
 
-    /// The same, with the time for which orders of earlier owners may have effect.
-    fn take_over_with(&mut self, effect: Millis) {
+    /// The same; the process knows whether the owner before it has ended.
+    pub(super) fn take_over_from(&mut self, has_ended: bool) {
         let verified = Tick(self.now);
+        let OrderEffect { usual: effect, silent } = self.order_effect(has_ended);
+        let knows_storer = true;
         let mut found =
-            RecoveredState { verified, effect, knows_storer: true, ..RecoveredState::default() };
-        let (token, term) = self.take_lease();
+            RecoveredState { verified, effect, silent, knows_storer, ..RecoveredState::default() };
+        let (token, term) = self.take_lease(has_ended);
         for shard in Shard::all() {
             let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
             found.fences.insert(shard, fence);
@@ -72,16 +75,17 @@
         self.list();
     }
 
-    fn take_lease(&mut self) -> (FencingToken, u64) {
+    fn take_lease(&mut self, has_ended: bool) -> (FencingToken, u64) {
+        let effect = self.order_effect(has_ended).longest();
         let key = lease_key(&pool_name());
         let known = self.read(key.clone());
         let term = known.as_ref().map_or(0, |row| row.parse::<LeaseRecord>().unwrap().term + 1);
         let record = LeaseRecord {
-            owner: None,
+            owner: Some("n".parse().unwrap()),
             address: None,
             term,
             settled: false,
-            unsettled_for: None,
+            unsettled_for: Some(effect),
             abandoned: 0,
             knows_storer: true,
             silent: None,
@@ -117,7 +121,7 @@
     /// `raised_shards` shards. The fence transaction that it had just sent arrives `delay`
     /// milliseconds later. Another process takes over meanwhile, and then the paused one continues.
     pub(super) fn take_over_partially(&mut self, raised_shards: usize, delay: u64) {
-        let (token, _) = self.take_lease();
+        let (token, _) = self.take_lease(false);
         let mut shards = Shard::all();
         for shard in shards.by_ref().take(raised_shards) {
             self.raise(token, shard);
@@ -141,9 +145,9 @@
     pub(super) fn abandon_takeovers(&mut self, choice: u8, span: u64) {
         let until = self.now + 2 * span;
         self.newest().store_cut_until = until;
-        let mut effect = self.timeouts().takeover_delay();
         for raised_shards in 0..usize::from(choice % 3) {
-            let (token, term) = self.take_lease();
+            let effect = self.order_effect(false).longest();
+            let (token, term) = self.take_lease(false);
             for shard in Shard::all().take(raised_shards) {
                 self.raise(token, shard);
             }
@@ -152,13 +156,12 @@
             let lease: LeaseRecord = self.read(key.clone()).unwrap().parse().unwrap();
             assert_eq!(lease.term, term);
             let record = lease.abandoned(effect);
-            effect = self.timeouts().after_release(&record);
             let txn = Txn::new()
                 .with_check(key.clone(), Some(Revision(token.0)))
                 .with_write(key, value(&record));
             assert!(matches!(self.commit(txn), Commit::Done(_)));
         }
-        self.take_over_with(effect);
+        self.take_over();
         // The successor does not learn from this worker what the owner before has started there.
         if let Some(id) = self.pick(choice) {
             self.newest().workers_cut.insert(id, until);
