--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -37,6 +37,7 @@
 mod messages;
 mod outages;
 mod plans;
+mod predecessor;
 mod slow_takeover;
 mod submissions;
 mod takeover;
@@ -188,6 +189,8 @@
     lease_changed: u64,
     /// Some takeovers are abandoned.
     abandoning: bool,
+    /// Processes know that owners have ended, and owners give the pool back.
+    ending: bool,
     /// Highest token seen in each shard's fence.
     fenced: BTreeMap<Shard, FencingToken>,
     tasks: BTreeMap<TaskId, Observed>,
@@ -270,6 +273,7 @@
             cancelled: BTreeSet::new(),
             lease_changed: 0,
             abandoning: false,
+            ending: false,
             fenced: BTreeMap::new(),
             tasks: BTreeMap::new(),
             lose_next: 0,
--- a/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/waiting.rs
@@ -132,6 +132,7 @@
         // A slow takeover is part of the wait that the rule limits.
         (owner.alive || self.slow.is_some())
             && self.waiting.disturbed <= then
+            && self.slow.as_ref().is_none_or(|slow| slow.is_calm_since(then, self.now))
             && owner.paused_until <= then
             && owner.store_cut_until <= then
             && owner.workers_cut.values().all(|until| ended(*until))
