--- a/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
@@ -3,20 +3,19 @@
 //! in the middle of a takeover, and workers stop answering for good. See
 //! docs/incidents/long-running-tasks-after-a-change-of-owner.md.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use reachhead_jobs::{
-    clock::Tick,
+    clock::{Tick, with_drift},
     fence::FenceStep,
-    order_effect::{OrderEffect, Predecessor, order_effect},
     pool::{Due, Pool, PoolTimeouts, RecoveredJobs, RecoveredState, StoredRoster},
-    record::{LeaseRecord, SettledRecord, fence_key, lease_key, roster_prefix, settled_key, value},
+    record::{LeaseRecord, fence_key, lease_key, roster_prefix, value},
     shard::Shard,
 };
 use reachhead_store::row::{Commit, Txn};
 use reachhead_types::{
     id::{JobId, WorkerId},
-    size::{FencingToken, Millis},
+    size::Millis,
 };
 
 use super::{
@@ -61,6 +60,15 @@
 /// in milliseconds.
 const MIN_CALM_TIME: u64 = 4000;
 
+/// End of the silence of a worker that answers nothing any more.
+const FOR_GOOD: u64 = u64::MAX;
+
+/// Choices from here on let workers answer nothing for a while instead of for good.
+const FIRST_SHORT_CHOICE: u8 = 160;
+
+/// Shortest time for which a worker answers nothing, in milliseconds.
+const MIN_SILENCE: u64 = 500;
+
 /// How the rows of a pool are read.
 #[derive(Debug, Clone, Copy)]
 struct Reads {
@@ -86,8 +94,8 @@
 /// State of schedules with slow takeovers.
 #[derive(Default)]
 pub(super) struct SlowTakeovers {
-    /// Workers that answer nothing any more.
-    silent: BTreeSet<WorkerId>,
+    /// Workers that answer nothing, and until when.
+    silent: BTreeMap<WorkerId, u64>,
     /// When the only recent change of the owner began, if that was planned and nothing else happened.
     planned: Option<u64>,
     /// Nothing else happens than planned changes.
@@ -97,9 +105,23 @@
 }
 
 impl SlowTakeovers {
+    fn is_silent(&self, id: &WorkerId, now: u64) -> bool {
+        self.silent.get(id).is_some_and(|until| *until > now)
+    }
+
     /// Returns the begin of the planned change in which a lapse on this worker breaks the rule.
     pub(super) fn planned_change(&self, worker: &WorkerId) -> Option<u64> {
-        self.planned.filter(|_| !self.silent.contains(worker))
+        self.planned.filter(|_| !self.silent.contains_key(worker))
+    }
+
+    /// Returns whether no worker has begun to answer again since then, or will later.
+    pub(super) fn is_over_since(&self, then: u64) -> bool {
+        self.silent.values().all(|until| *until <= then || *until == FOR_GOOD)
+    }
+
+    /// Returns whether no worker has begun to answer again since then.
+    pub(super) fn is_calm_since(&self, then: u64, now: u64) -> bool {
+        self.silent.values().all(|until| *until <= then || *until > now)
     }
 }
 
@@ -129,7 +151,7 @@
 
     /// Returns whether the worker has stopped answering for good.
     pub(super) fn is_silent(&self, id: &WorkerId) -> bool {
-        self.slow.as_ref().is_some_and(|slow| slow.silent.contains(id))
+        self.slow.as_ref().is_some_and(|slow| slow.is_silent(id, self.now))
     }
 
     /// Performs a random act of a schedule with slow takeovers.
@@ -137,14 +159,22 @@
         if self.slow.as_ref().is_some_and(|slow| slow.is_planned) {
             return self.change_owner_or_submit(kind, choice, span);
         }
-        match kind % 16 {
+        match kind % 18 {
             0..=3 => self.submit_wide(choice),
             4..=6 => self.kill_owners(choice, span),
             7..=9 => self.release_owners(choice, span),
-            10..=11 => self.silence_workers(choice),
+            10..=11 => self.silence_workers(choice, span),
             12 => self.isolate_owner(choice, span),
             13 => self.disturb_messages(choice),
             14 => self.replace_worker(choice),
+            15 => {
+                self.delay_next = 1 + choice % 16;
+                self.kill_owners(choice, span);
+            }
+            16 => {
+                self.isolate_owner(choice, span);
+                self.kill_owners(choice / 2, span / 4);
+            }
             _ => self.run(CALM_TIME + span),
         }
         self.run(span % 700);
@@ -177,23 +207,25 @@
         let changes = 1 + choice % MAX_CHANGES;
         let reads = Reads::new(choice / MAX_CHANGES, span);
         if choice % 2 == 0 {
-            self.silence_workers(choice);
+            self.silence_workers(choice, span);
             self.run(span % 900);
         }
         for change in 1..=changes {
-            self.kill_owner(span * u64::from(change));
+            self.lose_owner(span * u64::from(change));
             let limit = span * u64::from(change) % (2 * reads.time());
             let limit = (change < changes).then_some(limit);
-            let effect = self.order_effect(span / STEP + u64::from(change));
-            if self.take_over_in_pages(effect, reads, limit) {
+            let has_ended = self.knows_end(span / STEP + u64::from(change));
+            if self.take_over_in_pages(has_ended, reads, limit) {
                 self.run(span / 4);
+            } else if reads.pages % 2 == 0 {
+                self.abandon_takeover();
             }
         }
         self.rest(choice, span);
     }
 
     /// Kills the newest owner and lets time pass until this is noticed.
-    fn kill_owner(&mut self, span: u64) {
+    fn lose_owner(&mut self, span: u64) {
         self.newest().alive = false;
         self.disturb_all();
         self.run(MIN_DETECTION + span % (MAX_DETECTION - MIN_DETECTION));
@@ -216,7 +248,7 @@
         }
     }
 
-    /// Lets the newest owner end as [`kill_owner`](Self::kill_owner) does if it is not in office, or as a
+    /// Lets the newest owner end as [`lose_owner`](Self::lose_owner) does if it is not in office, or as a
     /// process that is asked to: it sends what it has to record and releases the lease.
     fn release_owner(&mut self, reads: Reads, span: u64) {
         let now = self.now;
@@ -224,21 +256,23 @@
         let owner = self.newest();
         let is_up = owner.alive && owner.paused_until <= now && owner.store_cut_until <= now;
         if !is_up || lease != Some(owner.token) {
-            self.kill_owner(span);
-            let effect = self.order_effect(span);
-            self.take_over_in_pages(effect, reads, None);
+            self.lose_owner(span);
+            let has_ended = self.knows_end(span);
+            self.take_over_in_pages(has_ended, reads, None);
             return;
         }
-        let is_single =
-            self.slow.as_ref().is_some_and(|slow| now >= slow.settled_since + MIN_CALM_TIME);
+        let is_single = self.slow.as_ref().is_some_and(|slow| {
+            let then = now - MIN_CALM_TIME;
+            slow.settled_since <= then && slow.is_over_since(then)
+        });
         self.disturb_all();
         if let Some(slow) = &mut self.slow {
             slow.planned = is_single.then_some(now);
         }
         self.release_lease(span % MAX_RELEASE);
         self.run(span % MAX_HANDOVER);
-        let effect = self.order_effect(span);
-        self.take_over_in_pages(effect, reads, None);
+        let has_ended = self.knows_end(span);
+        self.take_over_in_pages(has_ended, reads, None);
     }
 
     /// Releases the lease as `Owner::release_lease` of reachhead_node does.
@@ -276,34 +310,19 @@
         assert!(matches!(self.commit(txn), Commit::Done(_)), "nobody else takes the lease now");
     }
 
-    /// Returns how long orders of earlier owners may have effect, by what the process that takes the
-    /// lease knows. In two of three cases it knows of an owner that has ended.
-    fn order_effect(&self, choice: u64) -> OrderEffect {
-        let lease = self.read(lease_key(&pool_name())).unwrap();
-        let settled = self.read(settled_key(&pool_name()));
-        let settled = settled.map(|row| row.parse::<SettledRecord>().unwrap().token);
-        let record: LeaseRecord = lease.parse().unwrap();
-        let predecessor = Predecessor {
-            record: &record,
-            has_ended: choice % 3 != 0 && self.owners.last().is_none_or(|owner| !owner.alive),
-            is_settled: settled == Some(FencingToken(lease.revision.0)),
-        };
-        order_effect(&self.timeouts(), Some(predecessor))
+    /// Returns whether the process that takes the lease knows that the owner before it has ended; in two
+    /// of three cases it does.
+    fn knows_end(&self, choice: u64) -> bool {
+        choice % 3 != 0 && self.owners.last().is_none_or(|owner| !owner.alive)
     }
 
     /// Lets a new process take the lease, read the roster and call the workers, raise the fences and read
     /// the jobs, as reachhead_node does. Returns `false` if it has not got there in `limit` milliseconds.
-    fn take_over_in_pages(
-        &mut self,
-        effect: OrderEffect,
-        reads: Reads,
-        limit: Option<u64>,
-    ) -> bool {
+    fn take_over_in_pages(&mut self, has_ended: bool, reads: Reads, limit: Option<u64>) -> bool {
         let verified = Tick(self.now);
         let end = limit.map_or(u64::MAX, |limit| self.now + limit);
-        let (owner, counted) = ("n".parse().ok(), Some(effect.longest()));
-        let (token, term) =
-            self.undisturbed(|simulation| simulation.take_lease_with(owner, counted));
+        let effect = self.order_effect(has_ended);
+        let (token, term) = self.undisturbed(|simulation| simulation.take_lease(has_ended));
         self.run(reads.page_time);
         let (roster, errors) = StoredRoster::read(&self.scan(roster_prefix(&pool_name())));
         assert!(errors.is_empty(), "{errors:?}");
@@ -350,6 +369,19 @@
         true
     }
 
+    /// Lets a process give up its takeover, in which it may have renewed leases.
+    fn abandon_takeover(&mut self) {
+        let leases = with_drift(self.timeouts().hold);
+        let key = lease_key(&pool_name());
+        let row = self.read(key.clone()).unwrap();
+        let held: LeaseRecord = row.parse().unwrap();
+        let effect = held.unsettled_for.unwrap_or_default().max(leases);
+        self.newest().alive = false;
+        let record = held.abandoned(effect);
+        let txn = Txn::new().with_check(key.clone(), Some(row.revision));
+        assert!(matches!(self.commit(txn.with_write(key, value(&record))), Commit::Done(_)));
+    }
+
     /// Performs a step of a takeover. The change of the owner has been disturbing the pool since the
     /// owner before was killed or released.
     fn undisturbed<T>(&mut self, step: impl FnOnce(&mut Self) -> T) -> T {
@@ -369,17 +401,22 @@
         }
     }
 
-    /// Lets some workers stop answering for good. Half of them are gone, and the others go on with their
-    /// runs until these lapse.
-    fn silence_workers(&mut self, choice: u8) {
+    /// Lets some workers stop answering, for good or for a while. Half of those that stop for good are
+    /// gone, and the others go on with their runs until these lapse.
+    fn silence_workers(&mut self, choice: u8, span: u64) {
         let silent = self.workers.keys().filter(|id| self.is_silent(id)).count();
         let open = (self.workers.len() / SILENT_SHARE).saturating_sub(silent);
+        let is_short = choice >= FIRST_SHORT_CHOICE;
+        let until = if is_short { self.now + MIN_SILENCE + 2 * span } else { FOR_GOOD };
         for number in 0..open.min(1 + usize::from(choice % 4)) {
             let Some(id) = self.pick(choice.wrapping_add(5 * number as u8)) else { return };
+            if self.is_silent(&id) {
+                continue;
+            }
             if let Some(slow) = &mut self.slow {
-                slow.silent.insert(id.clone());
+                slow.silent.insert(id.clone(), until);
             }
-            if (choice / 4 + number as u8) % 2 == 0 {
+            if !is_short && (choice / 4 + number as u8) % 2 == 0 {
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.running.clear();
                 }
@@ -403,8 +440,8 @@
         }
         self.disturb_all();
         self.run(MIN_DETECTION + span % (MAX_DETECTION - MIN_DETECTION));
-        let effect = self.order_effect(span);
-        self.take_over_in_pages(effect, reads, None);
+        let has_ended = self.knows_end(span);
+        self.take_over_in_pages(has_ended, reads, None);
         self.rest(choice, span);
     }
 
