Split the writes of a lease and the end of a takeover from longer files; wording

lease.rs has the writes of a lease, recovery.rs the end of a takeover; takeover.rs and claim.rs are shorter again. The time for which runs of unknown jobs are kept is a field of its own beside that of predecessors' orders. No other change of behaviour.

--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -3,7 +3,8 @@
 //! A job may be stored after a takeover has read its shard, and be started by a predecessor that has
 //! not noticed the takeover. Such a run is kept until the store tells whether its job is stored. A
 //! run that was ordered to stop is remembered until its worker reports the end, so that its task
-//! does not start elsewhere before that. While the stored jobs are still being read, all runs are kept. See [Platform](../../../docs/PLATFORM.md).
+//! does not start elsewhere before that. While the stored jobs are still being read, all runs are
+//! kept. See [Platform](../../../docs/PLATFORM.md).
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
@@ -62,6 +63,8 @@
     given_until: Tick,
     /// When the last order of a predecessor has lost its effect.
     effective_until: Tick,
+    /// Until when runs of unknown jobs are kept at least.
+    kept_until: Tick,
     lookups: BTreeMap<JobId, Lookup>,
 }
 
@@ -73,6 +76,7 @@
             since,
             given_until: fenced_at + Millis(effect.0.saturating_sub(lease.0)),
             effective_until: fenced_at + effect,
+            kept_until: Tick(0),
             lookups: BTreeMap::new(),
         }
     }
@@ -94,12 +98,12 @@
 
     /// Keeps runs of unknown jobs at least until `until`, for the time of a lookup.
     fn keep_runs_until(&mut self, until: Tick) {
-        self.effective_until = self.effective_until.max(until);
+        self.kept_until = until;
     }
 
     /// Returns whether a run of the job is to be kept while the job is looked up.
     fn keeps_runs(&self, job: JobId, now: Tick) -> bool {
-        now < self.effective_until
+        now < self.effective_until.max(self.kept_until)
             && self.lookups.get(&job).is_none_or(|lookup| lookup.state != LookupState::Absent)
     }
 
@@ -131,7 +135,7 @@
 
     /// Drops the lookups that no run needs any more.
     pub(super) fn expire(&mut self, now: Tick) {
-        if self.effective_until <= now {
+        if self.effective_until.max(self.kept_until) <= now {
             self.lookups.clear();
         }
     }
@@ -216,9 +220,8 @@
     }
 
     /// Applies all runs that were reported while the stored jobs were read. A job that was not read
-    /// has ended, or it was stored after its shard was read and a predecessor has started it. When a
-    /// page was read tells little: a run is known from its worker's first report, which comes while
-    /// the first pages are read. So these jobs are looked up, however long the reads took.
+    /// has ended, or it was stored after its shard was read and a predecessor has started it. A report
+    /// that came before the read of its shard does not show which, so these jobs are looked up.
     pub(super) fn claim_all_runs(&mut self, now: Tick) {
         let of_worker = |worker: &Worker| {
             let id = worker.info.id.clone();
--- a/reachhead_jobs/src/pool/refusal.rs
+++ b/reachhead_jobs/src/pool/refusal.rs
@@ -94,7 +94,7 @@
             return;
         }
         if count == 0 {
-            self.withhold_settlement();
+            self.record_rejected_settlement();
         }
         for id in batch.jobs.iter().map(|entry| entry.id) {
             let pause = self.refusals.hold_job(id, now);
--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -25,8 +25,8 @@
     Unrecorded,
     /// The store has it.
     Recorded,
-    /// The store rejects it, so successors count on orders that have no effect any more.
-    Withheld,
+    /// The store rejected it, so it is not written again, and successors wait for longer than needed.
+    Rejected,
 }
 
 impl Pool {
@@ -50,9 +50,9 @@
     }
 
     /// Records that the store rejects the [`SettledRecord`].
-    pub(super) fn withhold_settlement(&mut self) {
+    pub(super) fn record_rejected_settlement(&mut self) {
         if self.settlement == Settlement::Unrecorded {
-            self.settlement = Settlement::Withheld;
+            self.settlement = Settlement::Rejected;
         }
     }
 
--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -15,7 +15,7 @@
 use reachhead_jobs::{
     candidate::Candidate,
     claim::{TakeoverProgress, is_serving, is_write_stalled, probe_pause},
-    clock::{Tick, with_drift},
+    clock::Tick,
     liveness::StoreAnswers,
     ports::FeedError,
     record::{fence_key, job_prefix, progress_prefix},
@@ -37,7 +37,6 @@
     follow::LEASE_TABLE,
     node::Node,
     owner::{Outcome, OwnerHandle},
-    takeover,
     view::LeaseView,
 };
 
@@ -253,7 +252,7 @@
     }
 
     /// Records that the pool's rows can be read.
-    fn record_readable(&mut self, pool: &PoolName) {
+    pub fn record_readable(&mut self, pool: &PoolName) {
         self.unreadable.remove(pool);
     }
 
@@ -369,75 +368,6 @@
     }
 }
 
-/// How the reads of a takeover ended.
-#[derive(Debug)]
-pub enum Reads<T> {
-    /// What they have recovered; `None` if the lease is lost or the owner has ended.
-    Ended(Option<T>),
-    /// They were given up, since this process can't read the pool's rows.
-    Stuck,
-    /// They were given up, since shutdown was requested.
-    Stopping,
-}
-
-impl<T> Reads<T> {
-    /// Returns the end of reads that have recovered nothing.
-    pub fn without_result<U>(self) -> Reads<U> {
-        match self {
-            Self::Ended(_) => Reads::Ended(None),
-            Self::Stuck => Reads::Stuck,
-            Self::Stopping => Reads::Stopping,
-        }
-    }
-}
-
-/// Ends a takeover, and returns what it has recovered; this process then goes on claiming the pool. The
-/// lease of one that was given up is released. If the roster had been read, workers' leases may have
-/// been renewed.
-pub async fn end_takeover<T>(
-    node: &Node,
-    pool: &PoolName,
-    lease: &LeaseView,
-    order_effect: Millis,
-    reads: Reads<T>,
-) -> Option<T> {
-    let takeover = node.loading().get(pool).cloned();
-    let has_renewed = takeover.as_ref().is_some_and(|takeover| takeover.roster.is_some());
-    let renewal_effect = with_drift(election::timeouts(node).hold);
-    let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
-    let recovered = match reads {
-        Reads::Ended(recovered) => recovered,
-        Reads::Stuck => {
-            let now = node.now();
-            node.ability().record_unreadable(pool, now);
-            if let Some(takeover) = takeover {
-                let age = now.since(takeover.started);
-                emit(
-                    Event::TakeoverSlow,
-                    format_args!("pool={pool} {takeover} age={age}ms given up"),
-                );
-            }
-            node.loading().remove(pool);
-            takeover::release(node, pool, lease, lease.record.abandoned(effect)).await;
-            return None;
-        }
-        Reads::Stopping => {
-            log::info!("pool={pool} token={} takeover ended by shutdown", lease.revision);
-            takeover::release(node, pool, lease, lease.record.returned(effect)).await;
-            // A process that is shutting down waits until no takeover is left.
-            node.loading().remove(pool);
-            return None;
-        }
-    };
-    if recovered.is_some() {
-        node.ability().record_readable(pool);
-    } else {
-        node.loading().remove(pool);
-        log::info!("pool={pool} token={} takeover abandoned, the lease is lost", lease.revision);
-    }
-    recovered
-}
-
 /// Returns whether this process can list the platform's hosts.
 pub async fn can_list_hosts(node: &Node) -> bool {
     let Some(api) = &node.services.hosts else {
@@ -499,8 +429,8 @@
     join_all(probes).await
 }
 
-/// Probes whether an owner whose transactions get no answer can write at all. One shard that is away alone is no reason to
-/// change the owner: the next one could not take that shard over.
+/// Probes whether an owner whose transactions get no answer can write at all. One shard that is away
+/// alone is no reason to change the owner: the next one could not take that shard over.
 async fn probe_owner(node: Arc<Node>, pool: PoolName, owner: OwnerHandle) {
     let pulse = &owner.pulse;
     if probe_writes(&node, &pool).await.contains(&true) {
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod frontend;
 mod handover;
+mod lease;
 mod lock;
 mod membership;
 mod metrics;
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -71,7 +71,7 @@
     AdviceReceived(StepId, Option<Vec<Approval>>, Tick),
     /// The store decided on a transaction, or the call failed.
     Committed(Box<Batch>, Result<Commit, StoreError>),
-    /// The stored jobs were read that the previous owner left.
+    /// The stored jobs that the previous owner left have been read.
     JobsRecovered(Box<RecoveredJobs>),
     /// A page of stored jobs was read, or the call failed.
     JobsScanned(Result<Page, StoreError>),
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -10,7 +10,7 @@
 use reachhead_types::size::Revision;
 
 use super::*;
-use crate::{takeover, tests::broken_node};
+use crate::{lease, tests::broken_node};
 
 pub(super) fn worker() -> WorkerInfo {
     worker_named("w")
@@ -58,7 +58,7 @@
 /// Returns the owner of pool "a" in this process.
 pub(super) async fn owner_in(node: Arc<Node>) -> Owner {
     let name = "a".parse().unwrap();
-    let token = takeover::take(&node, &name, None, None).await.unwrap().unwrap().revision;
+    let token = lease::take(&node, &name, None, None).await.unwrap().unwrap().revision;
     let timeouts = PoolTimeouts {
         hold: Millis(4000),
         trust: Millis(4000),
--- a/reachhead_node/src/predecessor_tests.rs
+++ b/reachhead_node/src/predecessor_tests.rs
@@ -11,9 +11,7 @@
 use serde_json::json;
 
 use super::*;
-use crate::{
-    claim, node::Node, peer::Pong, takeover::Taking, tests::broken_node, view::PeerStatus,
-};
+use crate::{claim, lease::Taking, node::Node, peer::Pong, tests::broken_node, view::PeerStatus};
 
 /// When the lease was first seen.
 const SINCE: Tick = Tick(5000);
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -8,7 +8,7 @@
 use std::{future, sync::Arc, time::Duration};
 
 use reachhead_jobs::{
-    clock::Tick,
+    clock::{Tick, with_drift},
     model::PoolPolicy,
     order_effect::OrderEffect,
     pool::{Pool, RecoveredJobs, RecoveredState, StoredRoster},
@@ -16,7 +16,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
     id::PoolName,
-    size::{FencingToken, Revision},
+    size::{FencingToken, Millis, Revision},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -24,11 +24,12 @@
 };
 
 use crate::{
-    claim::{self, Reads, Takeover},
+    claim::{self, Takeover},
     election, fleet,
+    lease::{self, Taking},
     node::Node,
     owner::{Input, Outcome, Owner, OwnerHandle},
-    takeover::{self, Loader, Taking},
+    takeover::Loader,
     view::LeaseView,
 };
 
@@ -46,7 +47,7 @@
     let counted = policy.is_some().then(|| effect.longest());
     let lease_sent_at = node.now();
     let taking = Taking::new(&node, &pool);
-    let lease = match takeover::take(&node, &pool, known.as_ref(), counted).await {
+    let lease = match lease::take(&node, &pool, known.as_ref(), counted).await {
         Ok(Some(lease)) => lease,
         Ok(None) => return,
         Err(error) => {
@@ -101,8 +102,7 @@
         }
     };
     let workers = node.loading().get(&pool).and_then(|takeover| takeover.roster);
-    let Some((jobs, owner)) =
-        claim::end_takeover(&node, &pool, &lease, longest_effect, reads).await
+    let Some((jobs, owner)) = end_takeover(&node, &pool, &lease, longest_effect, reads).await
     else {
         return;
     };
@@ -126,6 +126,75 @@
     node.loading().remove(&pool);
 }
 
+/// How the reads of a takeover ended.
+#[derive(Debug)]
+pub enum Reads<T> {
+    /// What they have recovered; `None` if the lease is lost or the owner has ended.
+    Ended(Option<T>),
+    /// They were given up, since this process can't read the pool's rows.
+    Stuck,
+    /// They were given up, since shutdown was requested.
+    Stopping,
+}
+
+impl<T> Reads<T> {
+    /// Returns the end of reads that have recovered nothing.
+    pub fn without_result<U>(self) -> Reads<U> {
+        match self {
+            Self::Ended(_) => Reads::Ended(None),
+            Self::Stuck => Reads::Stuck,
+            Self::Stopping => Reads::Stopping,
+        }
+    }
+}
+
+/// Ends a takeover, and returns what it has recovered; this process then goes on claiming the pool. The
+/// lease of one that was given up is released. If the roster had been read, workers' leases may have
+/// been renewed.
+pub async fn end_takeover<T>(
+    node: &Node,
+    pool: &PoolName,
+    lease: &LeaseView,
+    order_effect: Millis,
+    reads: Reads<T>,
+) -> Option<T> {
+    let takeover = node.loading().get(pool).cloned();
+    let has_renewed = takeover.as_ref().is_some_and(|takeover| takeover.roster.is_some());
+    let renewal_effect = with_drift(election::timeouts(node).hold);
+    let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
+    let recovered = match reads {
+        Reads::Ended(recovered) => recovered,
+        Reads::Stuck => {
+            let now = node.now();
+            node.ability().record_unreadable(pool, now);
+            if let Some(takeover) = takeover {
+                let age = now.since(takeover.started);
+                emit(
+                    Event::TakeoverSlow,
+                    format_args!("pool={pool} {takeover} age={age}ms given up"),
+                );
+            }
+            node.loading().remove(pool);
+            lease::release(node, pool, lease, lease.record.abandoned(effect)).await;
+            return None;
+        }
+        Reads::Stopping => {
+            log::info!("pool={pool} token={} takeover ended by shutdown", lease.revision);
+            lease::release(node, pool, lease, lease.record.returned(effect)).await;
+            // A process that is shutting down waits until no takeover is left.
+            node.loading().remove(pool);
+            return None;
+        }
+    };
+    if recovered.is_some() {
+        node.ability().record_readable(pool);
+    } else {
+        node.loading().remove(pool);
+        log::info!("pool={pool} token={} takeover abandoned, the lease is lost", lease.revision);
+    }
+    recovered
+}
+
 /// An owner that waits for the roster.
 struct RecoveringOwner {
     node: Arc<Node>,
--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -33,12 +33,12 @@
 
 use super::*;
 use crate::{
-    claim::{self, Reads, Takeover},
+    claim::{self, Takeover},
+    lease,
     lock::locked,
     owner,
     owner_call::call_pool_owner,
     peer::{PeerReply, PoolRequest},
-    takeover,
     tests::{broken_node, recorded_node},
 };
 
@@ -324,12 +324,18 @@
     runtime::current_thread().unwrap().block_on(async {
         for (roster, expected) in [(None, Millis(0)), (Some(1), with_drift(MAX_WORKER_LEASE))] {
             let (node, store, _) = successor(false).await;
-            let lease = takeover::take(&node, &pool(), None, None).await.unwrap().unwrap();
+            let lease = lease::take(&node, &pool(), None, None).await.unwrap().unwrap();
             let mut takeover = Takeover::new(&lease, node.now());
             takeover.roster = roster;
             node.loading().insert(pool(), takeover);
-            let ended =
-                claim::end_takeover(&node, &pool(), &lease, Millis(0), Reads::<()>::Stuck).await;
+            let ended = recovery::end_takeover(
+                &node,
+                &pool(),
+                &lease,
+                Millis(0),
+                recovery::Reads::<()>::Stuck,
+            )
+            .await;
             assert_eq!(ended, None);
             let rows = store.read(vec![lease_key(&pool())]).await.unwrap();
             let record: LeaseRecord = rows[0].as_ref().unwrap().parse().unwrap();
