Random schedules: an owner that goes on beside a silent worker is not told of its successor

Workers that had answered a successor rejected the earlier owner's orders, which then gave up, so that nothing was left to wait for. It now reaches the silent worker alone, and a long-running task may run there.

--- a/reachhead_jobs/tests/random_schedules/simulation/predecessor.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/predecessor.rs
@@ -13,6 +13,12 @@
 /// milliseconds: the last successor has waited for its leases by then.
 const MIN_SILENCE: u64 = 4000;
 
+/// A kind of jobs that are long-running.
+const LONG_RUNNING_KIND: u8 = 2;
+
+/// Time in which a job starts, in milliseconds.
+const START_TIME: u64 = 400;
+
 /// Time between two ends of owners, in parts of the span of an act.
 const END_PAUSES: u64 = 8;
 
@@ -32,14 +38,22 @@
     /// Lets owners end one after the other. The first one may go on without noticing that it is
     /// replaced, and a worker may be silent for the others.
     pub(super) fn end_owners(&mut self, choice: u8, span: u64) {
+        // Something has to run at the silent worker.
+        self.submit(LONG_RUNNING_KIND);
+        self.run(START_TIME);
         let until = self.now + MIN_SILENCE + span;
         let goes_on = choice & 1 == 0;
+        let silent = (choice & 2 == 0).then(|| self.pick(choice / 8)).flatten();
         if goes_on {
-            self.newest().store_cut_until = until;
+            // Workers that have answered a successor would tell it.
+            let others = self.workers.keys().filter(|id| Some(*id) != silent.as_ref());
+            let cut = others.map(|id| (id.clone(), until)).collect::<Vec<_>>();
+            let owner = self.newest();
+            owner.store_cut_until = until;
+            owner.workers_cut.extend(cut);
             self.run(span / END_PAUSES);
             self.take_over();
         }
-        let silent = (choice & 2 == 0).then(|| self.pick(choice / 8)).flatten();
         for end in 0..=choice / 4 % 4 {
             if let Some(id) = &silent {
                 self.newest().workers_cut.insert(id.clone(), until);
