--- a/reachhead_jobs/src/order_effect.rs
+++ b/reachhead_jobs/src/order_effect.rs
@@ -27,7 +27,7 @@
 pub struct OrderEffect {
     /// At a worker that is not in `silent`.
     pub usual: Millis,
-    /// At workers that did not answer the owner that released the pool, by its knowledge.
+    /// At the workers that the released lease lists; see [`LeaseRecord::silent`].
     pub silent: BTreeMap<WorkerId, Millis>,
 }
 
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -36,7 +36,7 @@
     /// For how long orders of predecessors have effect once the shards are fenced, at workers that are
     /// not in `silent`.
     effect: Millis,
-    /// The same for workers that did not answer the predecessor either.
+    /// The same for the workers that the predecessor listed.
     silent: BTreeMap<WorkerId, Millis>,
 }
 
--- a/reachhead_jobs/src/pool/recovered_state.rs
+++ b/reachhead_jobs/src/pool/recovered_state.rs
@@ -48,7 +48,7 @@
     /// not in `silent`; see [`OrderEffect`](crate::order_effect::OrderEffect). The time counts from when
     /// all shards are fenced.
     pub effect: Millis,
-    /// The same for workers that did not answer the predecessor either.
+    /// The same for the workers that the predecessor listed.
     pub silent: BTreeMap<WorkerId, Millis>,
     /// See [`LeaseRecord::knows_storer`](crate::record::LeaseRecord::knows_storer) of this owner's lease.
     pub knows_storer: bool,
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -204,9 +204,9 @@
     /// stored by an owner with a higher token. Earlier releases do not know who stored a job.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub knows_storer: bool,
-    /// For a lease that was released: the workers that do not answer, and how long a run may still be
-    /// active there. Runs elsewhere have leases of the owner that released it. `None` if it did not
-    /// list them.
+    /// For a lease that was released: the workers that do not answer or have longer leases than usual,
+    /// and how long a run may still be active there. Runs elsewhere have usual leases of the owner that
+    /// released it. `None` if it did not list them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silent: Option<BTreeMap<WorkerId, Millis>>,
 }
