--- /dev/null
+++ b/review/common-2/src/lib.rs
@@ -0,0 +1,280 @@
+//! What the cases share: processes of the product with settings of a small deployment, on loopback.
+
+pub mod hosts;
+
+use std::{
+    fmt::Display,
+    fs::{self, File},
+    io::Write,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::Mutex,
+    time::Duration,
+};
+
+use hyper::Method;
+use reachhead_site::{caller::Caller, site::Site};
+use tokio::time::{self, Instant};
+
+/// Exit code of a case that could not run.
+pub const NOT_RUN: i32 = 2;
+
+/// The record of a case, with the time since its start in front of each line.
+pub struct Record {
+    file: Mutex<File>,
+    start: Instant,
+}
+
+impl Record {
+    /// Creates the record at the path in `RECORD`.
+    pub fn create() -> Self {
+        let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
+        let file = File::create(path).unwrap_or_else(|error| give_up(error));
+        Self { file: Mutex::new(file), start: Instant::now() }
+    }
+
+    /// Adds a line to the record, and prints it.
+    pub fn line(&self, text: impl Display) {
+        let line = format!("{:8.3} {text}", self.start.elapsed().as_secs_f64());
+        println!("{line}");
+        if let Ok(mut file) = self.file.lock() {
+            let _ = writeln!(file, "{line}");
+        }
+    }
+
+    /// Adds a line to the record without printing it.
+    pub fn detail(&self, text: impl Display) {
+        if let Ok(mut file) = self.file.lock() {
+            let _ = writeln!(file, "{:8.3} {text}", self.start.elapsed().as_secs_f64());
+        }
+    }
+}
+
+/// Ends the case as one that could not run.
+pub fn give_up(why: impl Display) -> ! {
+    eprintln!("the case could not run: {why}");
+    std::process::exit(NOT_RUN)
+}
+
+/// Returns whether the disruption is to happen.
+pub fn with_trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
+/// A process of the deploy file.
+pub struct Node {
+    pub name: String,
+    pub front: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// Ports of a process, each of which has an address of its own.
+const PORTS: [u16; 4] = [8624, 8622, 8623, 9464];
+
+impl Node {
+    /// Writes the settings of process `number` into `folder`, with these addresses of the store and of the host service, and
+    /// starts it.
+    pub fn start(
+        folder: &Path,
+        number: usize,
+        store: SocketAddr,
+        hosts: SocketAddr,
+        fencing: bool,
+    ) -> Self {
+        let ip = free_address(number);
+        let name = format!("front-hall-{number}");
+        let settings = folder.join(format!("{name}.toml"));
+        let text = settings_text(&name, &ip, store, hosts, fencing);
+        fs::write(&settings, text).unwrap_or_else(|error| give_up(error));
+        let log = folder.join(format!("{name}.log"));
+        let front = format!("{ip}:{}", PORTS[0]).parse().unwrap_or_else(|_| give_up("address"));
+        let mut node = Self { name, front, settings, log, child: None };
+        node.spawn();
+        node
+    }
+
+    /// Starts the process with the command of the deploy file, in the repository's root.
+    pub fn spawn(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log);
+        let log = log.unwrap_or_else(|error| give_up(error));
+        let errors = log.try_clone().unwrap_or_else(|error| give_up(error));
+        let child = Command::new("target/release/reachhead-node")
+            .env("REACHHEAD_CONFIG", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn();
+        self.child = Some(child.unwrap_or_else(|error| give_up(error)));
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Returns the process's log.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns a loopback address on which all ports of a process are free.
+fn free_address(number: usize) -> String {
+    let own = std::process::id() as usize;
+    for attempt in 0..200 {
+        let ip =
+            format!("127.{}.{}.{}", 1 + own % 250, 1 + (own / 250 + attempt) % 250, 10 + number);
+        if PORTS.iter().all(|port| TcpListener::bind((ip.as_str(), *port)).is_ok()) {
+            return ip;
+        }
+    }
+    give_up("no free loopback address")
+}
+
+/// Returns the settings of a process in a small deployment, in the platform's format.
+fn settings_text(
+    name: &str,
+    ip: &str,
+    store: SocketAddr,
+    hosts: SocketAddr,
+    fencing: bool,
+) -> String {
+    format!(
+        r#"nodeName = "{name}"
+role = "node"
+machineClass = "front"
+serves = ["front"]
+ipAddress = "{ip}"
+zone = "hall"
+region = "place"
+internalPortRange = [8623, 8638]
+seedNodes = []
+firstStart = true
+discovery = "platform"
+entryKind = "virtual_ip"
+heartbeatIntervalMs = 1500
+orders = "request"
+[zones]
+hall = "place"
+[listenAddresses]
+front = "{ip}:8624"
+ready = "{ip}:8622"
+[limits]
+cpuShare = 0.25
+cpuCores = 1
+memoryMb = 260
+fileDescriptors = 4100
+linkBandwidthMbps = 1000.0
+diskMb = 0
+[bounds]
+touchMs = 3000
+confirmMs = 4000
+drainMs = 2000
+gracePeriodS = 6
+lossSlackMs = 200
+configApplyMs = 2000
+rollbackSlackMs = 250
+maxStretchMs = 5000
+recoveryS = 12
+maxHoldMs = 6000
+stopTimeoutMs = 900
+gangTimeoutMs = 3000
+cancel_ms = 3000
+visible_ms = 3000
+early_ms = 250
+finish_s = 14
+status_s = 120
+remotePenalty = 2
+checkpointIntervalS = 1
+restoreMs = 250
+noticePeriodMs = 4500
+migrationS = 1.5
+maintenanceS = 2
+fencingEnforced = {fencing}
+leaseDurationMs = 3000
+thawSlackMs = 300
+pacingMs = 100
+harmMs = 4000
+[platform]
+address = "{store}"
+form = "table"
+writesPerS = 600
+readsPerS = 2000
+transactionMs = 3.0
+partitionWritesS = 300
+rowBytes = 65536
+across = true
+historyRetentionS = 20
+[cloudApi]
+address = "{hosts}"
+ratePerS = 64.0
+dutyPerS = 64.0
+"#
+    )
+}
+
+/// Starts a folder of its own for the case.
+pub fn work_folder() -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("reachhead-review-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap_or_else(|error| give_up(error));
+    folder
+}
+
+/// Waits until all processes answer for a queue.
+pub async fn wait_ready(nodes: &[Node], caller: &Caller, queue: &str) {
+    let end = Instant::now() + Duration::from_secs(25);
+    for node in nodes {
+        let path = format!("/{queue}/00000000000000ff");
+        loop {
+            if let Ok(response) = caller.call(node.front, Method::GET, &path, "").await
+                && response.status == 410
+            {
+                break;
+            }
+            if Instant::now() > end {
+                give_up("the processes were not ready in time");
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Returns the state of a job as a caller sees it, or the status of the answer.
+pub async fn state(caller: &Caller, node: &Node, path: &str) -> String {
+    match caller.call(node.front, Method::GET, path, "").await {
+        Ok(response) if response.status == 200 => {
+            response.body["state"].as_str().unwrap_or("?").to_owned()
+        }
+        Ok(response) => response.status.to_string(),
+        Err(error) => format!("no answer ({error})"),
+    }
+}
+
+/// Returns the number of runs on all workers of a pool.
+pub fn runs(site: &Site, pool: &str) -> usize {
+    site.run_count(pool)
+}
