--- a/review/common-2/src/bin/hopeless.rs
+++ b/review/common-2/src/bin/hopeless.rs
@@ -51,17 +51,20 @@
     let caller = Caller::new();
     wait_ready(&nodes, &caller, POOL).await;
     record.line(format!("{} processes are ready, trouble={}", nodes.len(), with_trouble()));
+    let one = std::env::var("ONE").as_deref() == Ok("1");
     let mut hopeless = 0;
     let mut refused = 0;
     for number in 1..=JOBS {
-        let is_hopeless = number % HOPELESS_EACH == 0;
+        // With ONE=1 there is one hopeless job, of 30 steps that don't depend on each other.
+        let is_hopeless = if one { number == HOPELESS_EACH } else { number % HOPELESS_EACH == 0 };
         let mut step = json!({ "count": 1, "cpu": 500, "requestedMemoryMb": 64, "estimatedMs": 100 });
         if is_hopeless && with_trouble() {
             // No minion has this label.
             step["requirements"] = json!("no-such-kind");
             hopeless += 1;
         }
-        let body = json!({ "specification": "ms=100", "steps": [step] }).to_string();
+        let steps = if is_hopeless && one { 30 } else { 1 };
+        let body = json!({ "specification": "ms=100", "steps": vec![step; steps] }).to_string();
         let node = &nodes[number as usize % nodes.len()];
         let path = format!("/{POOL}/{number:016x}");
         let answer = caller.call(node.front, Method::POST, &path, &body).await;
