Review case 8: a start order that is carried out late runs a task twice

Cause: an owner that learns of a worker's end forgets its orders without an answer; when the worker is back under its id, the run is not barred there. Done: a script with a minion that crashes with a start order unanswered, comes back and carries the order out 3 s late.

--- a/review/common-2/src/lib.rs
+++ b/review/common-2/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the cases share: processes of the product with settings of a small deployment, on loopback.
 
 pub mod hosts;
+pub mod minion;
 
 use std::{
     fmt::Display,
