Review cases 4 to 7: the gravest first, and a script for case 6

Cause: the cases were numbered as they were found; the late order for an upkeep is already shown by review/tried/late_upkeep.py.

--- a/review/common-2/src/bin/hopeless.rs
+++ b/review/common-2/src/bin/hopeless.rs
@@ -1,4 +1,4 @@
-//! Case 6: a few hopeless jobs keep an accepted job from running, for as long as they are there.
+//! A few hopeless jobs keep an accepted job from running, for as long as they are there.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/review/common-2/src/bin/late_start.rs
+++ b/review/common-2/src/bin/late_start.rs
@@ -1,4 +1,4 @@
-//! Case 8: a start order that is carried out late, by the next life of its minion, runs a task twice at the same time.
+//! A start order that is carried out late, by the next life of its minion, runs a task twice at the same time.
 
 use std::{sync::Arc, time::Duration};
 
--- a/review/common-2/src/hosts.rs
+++ b/review/common-2/src/hosts.rs
@@ -1,8 +1,7 @@
-//! A host service by the platform's pages, whose maintenance takes `maintenanceS`, and which can leave one order without an answer
-//! and carry it out later.
+//! A host service by the platform's pages, whose maintenance takes `maintenanceS`, and which can stop a process that reads the list of
+//! hosts.
 
 use std::{
-    future,
     net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex},
@@ -25,6 +24,12 @@
 
 type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
+/// Time from the start of the stand-in's minion to its entry.
+const REGISTRATION: Duration = Duration::from_millis(400);
+
+/// Time from the minion's entry until the list shows its host as up.
+const LIST_DELAY: Duration = Duration::from_millis(250);
+
 /// An order about a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
@@ -38,11 +43,10 @@
 pub struct HostService {
     site: Arc<Site>,
     record: Arc<Record>,
-    /// The next order gets no answer, and is kept.
-    keep_next: Mutex<bool>,
-    kept: Mutex<Option<Order>>,
     /// Maximum number of hosts that were down for the wave at once.
     max_down: Mutex<usize>,
+    /// The process to stop when it asks for the list of hosts next.
+    freeze_reader: Mutex<Option<u32>>,
 }
 
 impl HostService {
@@ -51,9 +55,8 @@
         let service = Arc::new(Self {
             site,
             record,
-            keep_next: Mutex::new(false),
-            kept: Mutex::new(None),
             max_down: Mutex::new(0),
+            freeze_reader: Mutex::new(None),
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap_or_else(|e| give_up(e));
         let address = listener.local_addr().unwrap_or_else(|e| give_up(e));
@@ -65,14 +68,14 @@
         (service, address)
     }
 
-    /// Leaves the next order for maintenance without an answer, and keeps it.
-    pub fn keep_next(&self) {
-        *self.keep_next.lock().unwrap() = true;
+    /// Stops this process as soon as the list of hosts is asked for next; the list is answered at once.
+    pub fn freeze_reader(&self, process: u32) {
+        *self.freeze_reader.lock().unwrap() = Some(process);
     }
 
-    /// Returns the order that was kept.
-    pub fn kept(&self) -> Option<Order> {
-        self.kept.lock().unwrap().clone()
+    /// Returns whether the process was not stopped yet.
+    pub fn waits_for_reader(&self) -> bool {
+        self.freeze_reader.lock().unwrap().is_some()
     }
 
     /// Returns how many hosts are down for maintenance.
@@ -85,8 +88,8 @@
         *self.max_down.lock().unwrap()
     }
 
-    /// Carries out an order now, and returns the answer.
-    pub fn carry_out(self: &Arc<Self>, order: &Order) -> (StatusCode, Value) {
+    /// Carries out an order, and returns the answer.
+    fn carry_out(self: &Arc<Self>, order: &Order) -> (StatusCode, Value) {
         let conflict = |reason: &str| (StatusCode::CONFLICT, json!({ "reason": reason }));
         let worker = {
             let mut hosts = self.site.hosts.hosts();
@@ -117,10 +120,10 @@
         };
         // Everything there ends, and a new minion joins the pool afterwards.
         self.site.store.delete(RowName::new("servers", "", &worker));
-        self.site.crash_in_place(&worker, MAINTENANCE);
+        self.site.crash_in_place(&worker, MAINTENANCE - REGISTRATION);
         let (service, machine) = (Arc::clone(self), order.machine.clone());
         tokio::spawn(async move {
-            time::sleep(MAINTENANCE).await;
+            time::sleep(MAINTENANCE + LIST_DELAY).await;
             if let Some(host) = service.site.hosts.hosts().get_mut(&machine) {
                 host.state = "up";
             }
@@ -140,7 +143,7 @@
         json!({ "machines": hosts.iter().map(entry).collect::<Vec<Value>>(), "nextPageToken": null })
     }
 
-    async fn maintain(self: &Arc<Self>, request: &BufferedRequest) -> BufferedResponse {
+    fn maintain(self: &Arc<Self>, request: &BufferedRequest) -> BufferedResponse {
         let header = |name: &str| {
             let value = request.headers.get(name).and_then(|value| value.to_str().ok());
             value.unwrap_or_default().to_owned()
@@ -154,12 +157,6 @@
             holder: header("X-Duty-Holder"),
             token: header("X-Fencing-Token").parse().unwrap_or_default(),
         };
-        let keeps = std::mem::take(&mut *self.keep_next.lock().unwrap());
-        if keeps {
-            self.record.line(format!("{order:?} arrives, is not answered and is carried out later"));
-            *self.kept.lock().unwrap() = Some(order);
-            return future::pending().await;
-        }
         let (status, answer) = self.carry_out(&order);
         self.record.detail(format!("{order:?} is answered {status} {answer}"));
         http::json(status, &answer)
@@ -172,8 +169,14 @@
     fn handle(&self, request: BufferedRequest) -> BoxFuture<'_, BufferedResponse> {
         Box::pin(async move {
             match (&request.method, request.path.as_str()) {
-                (&Method::GET, "/machines") => http::json(StatusCode::OK, &self.0.list()),
-                (&Method::POST, "/machine-upkeep") => self.0.maintain(&request).await,
+                (&Method::GET, "/machines") => {
+                    if let Some(process) = self.0.freeze_reader.lock().unwrap().take() {
+                        crate::signal(process, "STOP");
+                        self.0.record.line("the list is read; its reader freezes");
+                    }
+                    http::json(StatusCode::OK, &self.0.list())
+                }
+                (&Method::POST, "/machine-upkeep") => self.0.maintain(&request),
                 // No machine may be moved: there is one pool.
                 (&Method::POST, "/machine-move") => http::json(StatusCode::BAD_REQUEST, &json!({})),
                 _ => http::text(StatusCode::NOT_FOUND, "no such call\n"),
--- a/review/common-2/src/lib.rs
+++ b/review/common-2/src/lib.rs
@@ -111,11 +111,9 @@
         self.child = Some(child.unwrap_or_else(|error| give_up(error)));
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
-        }
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
     }
 
     /// Kills the process and waits for its end.
@@ -137,6 +135,25 @@
     }
 }
 
+/// Sends a signal by its name to a process that the case started.
+pub fn signal(process: u32, name: &str) {
+    let _ = Command::new("kill").arg(format!("-{name}")).arg(process.to_string()).status();
+}
+
+/// Returns the process that has taken a pool last, as far as the logs show.
+pub fn find_owner(nodes: &[Node], pool: &str) -> Option<String> {
+    let taken = format!("LeaseTaken: pool={pool} ");
+    let token = |line: &str| {
+        let text = line.split("token=").nth(1)?.split(' ').next()?;
+        text.parse::<u64>().ok()
+    };
+    let last = |node: &Node| {
+        node.log().lines().filter(|line| line.contains(&taken)).filter_map(token).max()
+    };
+    let owners = nodes.iter().filter_map(|node| Some((last(node)?, node.name.clone())));
+    owners.max().map(|(_, name)| name)
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         self.kill();
