--- a/review/common-2/src/bin/late_start.rs
+++ b/review/common-2/src/bin/late_start.rs
@@ -22,7 +22,10 @@
 const DOWN: Duration = Duration::from_millis(2500);
 
 /// How late the order is carried out; 2 to 12 s are allowed.
-const DELAY: Duration = Duration::from_millis(3000);
+const DELAY: Duration = Duration::from_millis(3600);
+
+/// Time from the order to the crash: the owner has given up waiting for the answer, and has sent the order again.
+const CRASH_AFTER: Duration = Duration::from_millis(600);
 
 /// Time from the start of the minion to its entry.
 const ENTRY: Duration = Duration::from_millis(100);
@@ -72,6 +75,8 @@
             order = minion.kept();
         }
         arrived = Instant::now();
+        time::sleep(CRASH_AFTER).await;
+        record.line(format!("{:?} runs on the minion", minion.running()));
         minion.crash();
     }
     let crashed = Instant::now();
