--- a/review/common-2/src/bin/hopeless.rs
+++ b/review/common-2/src/bin/hopeless.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::Method;
-use reachhead_review_2::{NOT_RUN, Node, Record, give_up, runs, state, wait_ready, with_trouble, work_folder};
+use reachhead_review_2::{
+    Node, Record, give_up, run_case, state, wait_ready, with_trouble, work_folder,
+};
 use reachhead_site::{caller::Caller, site::Site};
 use serde_json::json;
 use tokio::time::{self, Instant};
@@ -32,9 +34,7 @@
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() {
-    // The processes are ended with the future.
-    let code = time::timeout(Duration::from_secs(112), run()).await.unwrap_or(NOT_RUN);
-    std::process::exit(code);
+    run_case(run()).await
 }
 
 async fn run() -> i32 {
@@ -57,7 +57,8 @@
     for number in 1..=JOBS {
         // With ONE=1 there is one hopeless job, of 30 steps that don't depend on each other.
         let is_hopeless = if one { number == HOPELESS_EACH } else { number % HOPELESS_EACH == 0 };
-        let mut step = json!({ "count": 1, "cpu": 500, "requestedMemoryMb": 64, "estimatedMs": 100 });
+        let mut step =
+            json!({ "count": 1, "cpu": 500, "requestedMemoryMb": 64, "estimatedMs": 100 });
         if is_hopeless && with_trouble() {
             // No minion has this label.
             step["requirements"] = json!("no-such-kind");
@@ -82,22 +83,27 @@
     let body = json!({ "specification": "ms=1000", "steps": [step] }).to_string();
     let sent = Instant::now();
     let status = caller.call(nodes[0].front, Method::POST, &path, &body).await;
-    record.line(format!("large job of {TASKS} tasks sent, answered {:?}", status.map(|a| a.status)));
+    record
+        .line(format!("large job of {TASKS} tasks sent, answered {:?}", status.map(|a| a.status)));
     // A job with one occurrence, due eight seconds later.
-    let due = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_millis() as u64) + 8000;
+    let due =
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_millis() as u64) + 8000;
     let step = json!({ "count": 1, "cpu": 500, "requestedMemoryMb": 64, "estimatedMs": 100 });
     let body = json!({ "specification": "ms=100", "steps": [step], "repetitions": 1, "startAtMs": due,
         "intervalMs": 1000 });
     let timed = format!("/{POOL}/00000000000f0002");
     let status = caller.call(nodes[0].front, Method::POST, &timed, &body.to_string()).await;
-    record.line(format!("job with a time, due in 8 s, sent, answered {:?}", status.map(|a| a.status)));
+    record.line(format!(
+        "job with a time, due in 8 s, sent, answered {:?}",
+        status.map(|a| a.status)
+    ));
     let mut idle_since: Option<Instant> = None;
     let mut longest_idle = Duration::ZERO;
     let mut last = String::new();
     while sent.elapsed() < FINISH + OBSERVED {
         time::sleep(Duration::from_millis(250)).await;
         last = state(&caller, &nodes[1], &path).await;
-        let running = runs(&site, POOL);
+        let running = site.run_count(POOL);
         record.detail(format!("state={last} runs={running}"));
         if last == "completed" {
             break;
--- a/review/common-2/src/bin/late_start.rs
+++ b/review/common-2/src/bin/late_start.rs
@@ -4,8 +4,8 @@
 
 use reachhead_plan::amount::Amount;
 use reachhead_review_2::{
-    NOT_RUN, Node, Record, give_up, hosts::HostService, minion::Minion, state, wait_ready,
-    with_trouble, work_folder,
+    NOT_RUN, Node, Record, give_up, hosts::HostService, minion::Minion, run_case, state,
+    wait_ready, with_trouble, work_folder,
 };
 use reachhead_site::{caller::Caller, site::Site};
 use tokio::time::{self, Instant};
@@ -32,9 +32,7 @@
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() {
-    // The processes are ended with the future.
-    let code = time::timeout(Duration::from_secs(110), run()).await.unwrap_or(NOT_RUN);
-    std::process::exit(code);
+    run_case(run()).await
 }
 
 async fn run() -> i32 {
@@ -48,7 +46,8 @@
     let (_service, address) = HostService::start(Arc::clone(&site), Arc::clone(&record)).await;
     // The smallest minion that fits is taken first.
     let capacity = Amount::new(1000, 8192, 0);
-    let minion = Minion::start(Arc::clone(&site), Arc::clone(&record), "i-900", POOL, capacity).await;
+    let minion =
+        Minion::start(Arc::clone(&site), Arc::clone(&record), "i-900", POOL, capacity).await;
     let nodes: Vec<Node> = (1..=3)
         .map(|number| Node::start(&folder, number, site.store_address, address, true))
         .collect();
@@ -61,7 +60,10 @@
     }
     let path = format!("/{POOL}/00000000000000b1");
     let sent = caller.submit(nodes[0].front, &path, &format!("ms={TASK_MS}"), &[1]).await;
-    record.line(format!("a job of one task is sent, answered {:?}", sent.map(|answer| answer.status)));
+    record.line(format!(
+        "a job of one task is sent, answered {:?}",
+        sent.map(|answer| answer.status)
+    ));
     let begun = Instant::now();
     let mut order = None;
     let mut arrived = Instant::now();
@@ -80,7 +82,8 @@
         minion.crash();
     }
     let crashed = Instant::now();
-    let (mut is_up, mut carried_out, mut registered) = (!with_trouble(), !with_trouble(), !with_trouble());
+    let (mut is_up, mut carried_out, mut registered) =
+        (!with_trouble(), !with_trouble(), !with_trouble());
     let mut both: Option<Instant> = None;
     let mut overlap = Duration::ZERO;
     let mut last = String::new();
@@ -107,7 +110,10 @@
         let elsewhere = site.run_count(POOL);
         if !here.is_empty() && elsewhere > 0 {
             if both.is_none() {
-                record.line(format!("{here:?} runs on the minion, and {:?} on others", site.running()));
+                record.line(format!(
+                    "{here:?} runs on the minion, and {:?} on others",
+                    site.running()
+                ));
             }
             both.get_or_insert_with(Instant::now);
         } else if let Some(since) = both.take() {
--- a/review/common-2/src/bin/stale_owner.rs
+++ b/review/common-2/src/bin/stale_owner.rs
@@ -4,8 +4,8 @@
 
 use hyper::Method;
 use reachhead_review_2::{
-    NOT_RUN, Node, Record, find_owner, give_up, hosts::HostService, signal, wait_ready, with_trouble,
-    work_folder,
+    NOT_RUN, Node, Record, find_owner, give_up, hosts::HostService, run_case, signal, wait_ready,
+    with_trouble, work_folder,
 };
 use reachhead_site::{caller::Caller, site::Site};
 use serde_json::json;
@@ -27,9 +27,7 @@
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() {
-    // The processes are ended with the future.
-    let code = time::timeout(Duration::from_secs(110), run()).await.unwrap_or(NOT_RUN);
-    std::process::exit(code);
+    run_case(run()).await
 }
 
 async fn run() -> i32 {
@@ -47,7 +45,10 @@
     time::sleep(Duration::from_secs(6)).await;
     let owner = find_owner(&nodes, ".hosts");
     let owners = (owner.clone(), find_owner(&nodes, POOL));
-    record.line(format!("ready, trouble={}, owners of .hosts and {POOL}: {owners:?}", with_trouble()));
+    record.line(format!(
+        "ready, trouble={}, owners of .hosts and {POOL}: {owners:?}",
+        with_trouble()
+    ));
     let Some(owner) = nodes.iter().find(|node| Some(&node.name) == owner.as_ref()) else {
         return NOT_RUN;
     };
@@ -66,17 +67,24 @@
     let body = json!({ "specification": format!("ms={TASK_MS}"), "steps": [step] }).to_string();
     let path = format!("/{POOL}/00000000000000c1");
     let sent = caller.call(nodes[0].front, Method::POST, &path, &body).await;
-    record.line(format!("a job of three tasks is sent, answered {:?}", sent.map(|answer| answer.status)));
+    record.line(format!(
+        "a job of three tasks is sent, answered {:?}",
+        sent.map(|answer| answer.status)
+    ));
     while site.run_count(POOL) < 3 && down.elapsed() < Duration::from_secs(1) {
         time::sleep(Duration::from_millis(2)).await;
     }
     record.line(format!("{} minions are busy", site.run_count(POOL)));
     // One more task waits for the host that is down.
-    let step = json!({ "count": 1, "cpu": 4000, "requestedMemoryMb": 64, "estimatedMs": WAITING_MS });
+    let step =
+        json!({ "count": 1, "cpu": 4000, "requestedMemoryMb": 64, "estimatedMs": WAITING_MS });
     let body = json!({ "specification": format!("ms={WAITING_MS}"), "steps": [step] }).to_string();
     let path = format!("/{POOL}/00000000000000c2");
     let sent = caller.call(nodes[0].front, Method::POST, &path, &body).await;
-    record.line(format!("a job of one task is sent, answered {:?}", sent.map(|answer| answer.status)));
+    record.line(format!(
+        "a job of one task is sent, answered {:?}",
+        sent.map(|answer| answer.status)
+    ));
     site.request_wave(2, &hosts, 1);
     record.line(format!("wave 2 over {hosts:?} is requested, maxCount 1"));
     if with_trouble() {
--- a/review/common-2/src/hosts.rs
+++ b/review/common-2/src/hosts.rs
@@ -10,10 +10,7 @@
 
 use hyper::{Method, StatusCode};
 use reachhead_ops::http::{self, BufferedRequest, BufferedResponse, Handler};
-use reachhead_site::{
-    site::Site,
-    store::RowName,
-};
+use reachhead_site::{site::Site, store::RowName};
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::watch, time};
 
--- a/review/common-2/src/lib.rs
+++ b/review/common-2/src/lib.rs
@@ -15,7 +15,7 @@
 };
 
 use hyper::Method;
-use reachhead_site::{caller::Caller, site::Site};
+use reachhead_site::caller::Caller;
 use tokio::time::{self, Instant};
 
 /// Exit code of a case that could not run.
@@ -52,10 +52,9 @@
     }
 }
 
-/// Ends the case as one that could not run.
+/// Ends the case as one that could not run, and its processes with it.
 pub fn give_up(why: impl Display) -> ! {
-    eprintln!("the case could not run: {why}");
-    std::process::exit(NOT_RUN)
+    panic!("the case could not run: {why}")
 }
 
 /// Returns whether the disruption is to happen.
@@ -124,11 +123,6 @@
         }
     }
 
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     /// Returns the process's log.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -255,13 +249,33 @@
     )
 }
 
-/// Starts a folder of its own for the case.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("reachhead-review-{}", std::process::id()))
+}
+
+/// Creates a folder for the settings and logs of the case's processes.
 pub fn work_folder() -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("reachhead-review-{}", std::process::id()));
+    let folder = folder();
     fs::create_dir_all(&folder).unwrap_or_else(|error| give_up(error));
     folder
 }
 
+/// Runs a case within the time that it may take, ends its processes with it, and exits with its code.
+pub async fn run_case(case: impl Future<Output = i32> + Send + 'static) -> ! {
+    let mut task = tokio::spawn(case);
+    let code = match time::timeout(Duration::from_secs(112), &mut task).await {
+        Ok(Ok(code)) => code,
+        Ok(Err(_)) => NOT_RUN,
+        Err(_) => {
+            task.abort();
+            let _ = task.await;
+            NOT_RUN
+        }
+    };
+    let _ = fs::remove_dir_all(folder());
+    std::process::exit(code)
+}
+
 /// Waits until all processes answer for a queue.
 pub async fn wait_ready(nodes: &[Node], caller: &Caller, queue: &str) {
     let end = Instant::now() + Duration::from_secs(25);
@@ -291,8 +305,3 @@
         Err(error) => format!("no answer ({error})"),
     }
 }
-
-/// Returns the number of runs on all workers of a pool.
-pub fn runs(site: &Site, pool: &str) -> usize {
-    site.run_count(pool)
-}
--- a/review/common-2/src/minion.rs
+++ b/review/common-2/src/minion.rs
@@ -297,13 +297,21 @@
                         let running: Vec<Value> = report
                             .running
                             .iter()
-                            .map(|run| json!([run.task.to_string(), run.run.0, "", run.percent, 500]))
+                            .map(|run| {
+                                json!([run.task.to_string(), run.run.0, "", run.percent, 500])
+                            })
                             .collect();
                         let ended: Vec<Value> = report
                             .ended
                             .iter()
                             .map(|run| {
-                                json!([run.number, run.task.to_string(), run.run.0, how(run.end), ""])
+                                json!([
+                                    run.number,
+                                    run.task.to_string(),
+                                    run.run.0,
+                                    how(run.end),
+                                    ""
+                                ])
                             })
                             .collect();
                         return http::json(
