Review case 6: after one turn of demand no job of an advised queue runs

Cause: each waiting step has its own call for advice under way, without a bound; once 32 wait, each is given up just before its turn.

--- a/review/common-2/src/bin/hopeless.rs
+++ b/review/common-2/src/bin/hopeless.rs
@@ -46,7 +46,7 @@
     }
     site.configure(1, &[POOL]);
     let nodes: Vec<Node> = (1..=3)
-        .map(|number| Node::start(&folder, number, site.store_address, site.host_api_address, true))
+        .map(|number| Node::start(&folder, number, site.store_address, site.host_api_address, None))
         .collect();
     let caller = Caller::new();
     wait_ready(&nodes, &caller, POOL).await;
--- a/review/common-2/src/bin/late_start.rs
+++ b/review/common-2/src/bin/late_start.rs
@@ -49,7 +49,7 @@
     let minion =
         Minion::start(Arc::clone(&site), Arc::clone(&record), "i-900", POOL, capacity).await;
     let nodes: Vec<Node> = (1..=3)
-        .map(|number| Node::start(&folder, number, site.store_address, address, true))
+        .map(|number| Node::start(&folder, number, site.store_address, address, None))
         .collect();
     let caller = Caller::new();
     wait_ready(&nodes, &caller, POOL).await;
--- a/review/common-2/src/bin/stale_owner.rs
+++ b/review/common-2/src/bin/stale_owner.rs
@@ -38,7 +38,7 @@
     site.configure(1, &[POOL]);
     let (service, address) = HostService::start(Arc::clone(&site), Arc::clone(&record)).await;
     let nodes: Vec<Node> = (1..=3)
-        .map(|number| Node::start(&folder, number, site.store_address, address, true))
+        .map(|number| Node::start(&folder, number, site.store_address, address, None))
         .collect();
     let caller = Caller::new();
     wait_ready(&nodes, &caller, POOL).await;
--- a/review/common-2/src/lib.rs
+++ b/review/common-2/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the cases share: processes of the product with settings of a small deployment, on loopback.
 
+pub mod advice;
 pub mod hosts;
 pub mod minion;
 
@@ -75,19 +76,19 @@
 const PORTS: [u16; 4] = [8624, 8622, 8623, 9464];
 
 impl Node {
-    /// Writes the settings of process `number` into `folder`, with these addresses of the store and of the host service, and
-    /// starts it.
+    /// Writes the settings of process `number` into `folder`, with these addresses of the store, the host service and the
+    /// advice, and starts it.
     pub fn start(
         folder: &Path,
         number: usize,
         store: SocketAddr,
         hosts: SocketAddr,
-        fencing: bool,
+        advice: Option<SocketAddr>,
     ) -> Self {
         let ip = free_address(number);
         let name = format!("front-hall-{number}");
         let settings = folder.join(format!("{name}.toml"));
-        let text = settings_text(&name, &ip, store, hosts, fencing);
+        let text = settings_text(&name, &ip, store, hosts, advice);
         fs::write(&settings, text).unwrap_or_else(|error| give_up(error));
         let log = folder.join(format!("{name}.log"));
         let front = format!("{ip}:{}", PORTS[0]).parse().unwrap_or_else(|_| give_up("address"));
@@ -173,8 +174,9 @@
     ip: &str,
     store: SocketAddr,
     hosts: SocketAddr,
-    fencing: bool,
+    advice: Option<SocketAddr>,
 ) -> String {
+    let advice = advice.map(|address| format!("advice = \"{address}\"\n")).unwrap_or_default();
     format!(
         r#"nodeName = "{name}"
 role = "node"
@@ -190,7 +192,7 @@
 entryKind = "virtual_ip"
 heartbeatIntervalMs = 1500
 orders = "request"
-[zones]
+{advice}[zones]
 hall = "place"
 [listenAddresses]
 front = "{ip}:8624"
@@ -226,7 +228,7 @@
 noticePeriodMs = 4500
 migrationS = 1.5
 maintenanceS = 2
-fencingEnforced = {fencing}
+fencingEnforced = true
 leaseDurationMs = 3000
 thawSlackMs = 300
 pacingMs = 100
