E600 tells whether the owner before may go on, and E607 when all shards are fenced

E607 is logged before the stored jobs have been read.

No decision is changed. The fences that a takeover has raised are kept in reachhead_node::fences, since more than the loader is to use the time of the last one.

--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod election;
 mod failure_detector;
+mod fences;
 mod fleet;
 mod follow;
 mod frontend;
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -15,7 +15,7 @@
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
-    id::PoolName,
+    id::{NodeName, PoolName},
     size::{FencingToken, Millis, Revision},
 };
 use tokio::{
@@ -25,7 +25,9 @@
 
 use crate::{
     claim::{self, Takeover},
-    election, fleet,
+    election,
+    fences::Fences,
+    fleet,
     lease::{self, Taking},
     node::Node,
     owner::{Input, Outcome, Owner, OwnerHandle},
@@ -68,6 +70,8 @@
     drop(taking);
     node.pool_acquired.notify_one();
     let longest_effect = effect.longest();
+    let goes_on = open_owner(&node, &pool, known.as_ref());
+    let fences = Fences::default();
     let (sender, roster) = oneshot::channel();
     let recovering = RecoveringOwner {
         node: Arc::clone(&node),
@@ -81,7 +85,7 @@
     };
     let mut owner = Box::pin(recovering.run());
     let reads = tokio::select! {
-        loaded = load(&node, &pool, lease.revision, sender) => Reads::Ended(loaded),
+        loaded = load(&node, &pool, lease.revision, &fences, sender) => Reads::Ended(loaded),
         () = claim::wait_until_stuck(&node, &pool) => Reads::Stuck,
         () = node.stopped() => Reads::Stopping,
         outcome = &mut owner => {
@@ -109,7 +113,7 @@
     emit(
         Event::LeaseTaken,
         format_args!(
-            "pool={pool} token={} term={} jobs={} workers={} before={:?} took={}ms effect={longest_effect}ms",
+            "pool={pool} token={} term={} jobs={} workers={} before={:?} open={goes_on} took={}ms effect={longest_effect}ms",
             lease.revision,
             lease.record.term,
             jobs.jobs.len(),
@@ -126,6 +130,14 @@
     node.loading().remove(&pool);
 }
 
+/// Returns the owner before this process if it may go on, for the log.
+fn open_owner(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> String {
+    let open =
+        known.filter(|lease| !node.view().predecessor(pool, lease, &node.settings).has_ended);
+    let owner = open.and_then(|lease| lease.record.owner.as_ref());
+    owner.map_or_else(|| "-".to_owned(), NodeName::to_string)
+}
+
 /// How the reads of a takeover ended.
 #[derive(Debug)]
 pub enum Reads<T> {
@@ -260,9 +272,10 @@
     node: &Node,
     pool: &PoolName,
     token: Revision,
+    fences: &Fences,
     roster: oneshot::Sender<StoredRoster>,
 ) -> Option<RecoveredJobs> {
-    let mut loader = Loader::new(node, pool, token, roster);
+    let mut loader = Loader::new(node, pool, token, fences, roster);
     loop {
         match loader.load().await {
             Ok(recovered) => return recovered,
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -26,7 +26,7 @@
     time,
 };
 
-use crate::{claim, node::Node, owner::id_of};
+use crate::{claim, fences::Fences, node::Node, owner::id_of};
 
 /// Maximum attempts to raise the fence of one shard; each further one needs a lost answer or
 /// another candidate's raise before it.
@@ -95,6 +95,7 @@
     node: &'a Node,
     pool: &'a PoolName,
     token: Revision,
+    fences: &'a Fences,
     /// A read has failed, so shards are read one at a time.
     sequential: bool,
 }
@@ -105,10 +106,11 @@
         node: &'a Node,
         pool: &'a PoolName,
         token: Revision,
+        fences: &'a Fences,
         roster_sender: oneshot::Sender<StoredRoster>,
     ) -> Self {
         Self {
-            reader: Reader { node, pool, token, sequential: false },
+            reader: Reader { node, pool, token, fences, sequential: false },
             shards: Shard::all().map(|shard| (shard, ShardRows::new(node))).collect(),
             roster: Pages::new(node),
             roster_sender: Some(roster_sender),
@@ -256,8 +258,16 @@
         }
         let fence = raise_fence(self.node, self.pool, self.token, shard).await?;
         rows.fence = fence.map(|revision| RaisedFence { revision, at: self.node.now() });
-        if rows.fence.is_some() {
+        if let Some(RaisedFence { at, .. }) = rows.fence {
             self.record_progress(0);
+            if self.fences.record(shard, at) {
+                let lease = self.node.loading().get(self.pool).map(|takeover| takeover.started);
+                let age = at.since(lease.unwrap_or(at));
+                emit(
+                    Event::PoolFenced,
+                    format_args!("pool={} token={} lease_age={age}ms", self.pool, self.token),
+                );
+            }
         }
         Ok(rows.fence.is_some())
     }
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -91,7 +91,7 @@
     MinionRestored 501 Info;
     /// A minion announced that it is shutting down.
     MinionLeaving 502 Info;
-    /// This host became the owner of a pool: the owner before, how long the takeover took, and for how long orders of earlier owners may have effect.
+    /// This host became the owner of a pool: the owner before, whether it may go on, how long the takeover took, and for how long orders of earlier owners may have effect.
     LeaseTaken 600 Info;
     /// This host is no longer the owner of a pool: whether it gave the pool back, and how long that took since the request, or its lease was lost, or it failed.
     LeaseEnded 601 Info;
@@ -105,6 +105,8 @@
     TaskFailed 605 Error;
     /// The next owner of a pool began to renew what runs on its workers, before it has read the stored jobs: how many workers it knows of, and for how long it has had the lease.
     RenewalBegan 606 Info;
+    /// The next owner of a pool has fenced all its shards, so that earlier owners record nothing any more: for how long it had had the lease.
+    PoolFenced 607 Info;
     /// A host of a pool entered another phase.
     HostEntered 610 Info;
     /// A host moved to another pool.
