--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -1,5 +1,6 @@
 //! `reachhead-node`: the process that runs on each entry host of the users' platform.
 
+mod ability;
 mod admission;
 mod bulk_reads;
 mod claim;
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -24,9 +24,10 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    ability::Ability,
     admission::AdmissionControl,
     bulk_reads::BulkReads,
-    claim::{Ability, Takeover},
+    claim::Takeover,
     clock::Clock,
     config_reads::ConfigReads,
     dispatch::{DispatchServer, DispatchedWorkers, PeerLink},
