Log how many takeovers share the link, and how long a roster waited for its turn

E606 and E604 tell how late a roster is, and not why: whether one takeover is under way or several, and whether its reads waited in this process or at the store. Both events now name the takeovers under way (takeovers) and the time that the roster's reads waited for their turn on the link (queued). E604 of a takeover that is given up names the takeovers, too. No change of behaviour.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -76,6 +76,8 @@
     pub shards: usize,
     /// Number of workers in the roster, once that has been read.
     pub roster: Option<usize>,
+    /// How long the reads of the roster have waited for their turn on the link.
+    pub queued: Millis,
     /// The last error.
     pub error: Option<StoreError>,
     /// Number of takeovers in a row that were abandoned before this one.
@@ -96,6 +98,7 @@
             rows: 0,
             shards: 0,
             roster: None,
+            queued: Millis(0),
             error: None,
             abandoned: lease.record.abandoned,
             owner: None,
@@ -136,8 +139,11 @@
 impl Display for Takeover {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let (token, shards, all) = (self.token, self.shards, Self::shard_count());
-        let (rows, roster) = (self.rows, self.roster.is_some());
-        write!(f, "token={token} rows={rows} shards={shards}/{all} roster={roster}")?;
+        let (rows, roster, queued) = (self.rows, self.roster.is_some(), self.queued);
+        write!(
+            f,
+            "token={token} rows={rows} shards={shards}/{all} roster={roster} queued={queued}ms"
+        )?;
         match &self.error {
             Some(error) => write!(f, " error=\"{error}\""),
             None => Ok(()),
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -181,9 +181,12 @@
             node.ability().record_unreadable(pool, now);
             if let Some(takeover) = takeover {
                 let age = now.since(takeover.started);
+                let takeovers = node.loading().len();
                 emit(
                     Event::TakeoverSlow,
-                    format_args!("pool={pool} {takeover} age={age}ms given up"),
+                    format_args!(
+                        "pool={pool} {takeover} age={age}ms takeovers={takeovers} given up"
+                    ),
                 );
             }
             node.loading().remove(pool);
@@ -228,10 +231,14 @@
             // The takeover has ended, and with it this task.
             return future::pending().await;
         };
+        let (takeovers, queued) = {
+            let loading = node.loading();
+            (loading.len(), loading.get(&pool).map_or(Millis(0), |takeover| takeover.queued))
+        };
         emit(
             Event::RenewalBegan,
             format_args!(
-                "pool={pool} token={} workers={} lease_age={}ms",
+                "pool={pool} token={} workers={} lease_age={}ms takeovers={takeovers} queued={queued}ms",
                 lease.revision,
                 roster.workers.len(),
                 node.now().since(self.lease_sent_at)
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -90,6 +90,15 @@
     roster_sender: Option<oneshot::Sender<StoredRoster>>,
 }
 
+/// What rows of a pool are about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    /// The workers whose leases end if their calls are late.
+    Roster,
+    /// Stored jobs and their progress.
+    Jobs,
+}
+
 /// Reads pages of a pool's rows.
 struct Reader<'a> {
     node: &'a Node,
@@ -186,7 +195,7 @@
         shards_ended: watch::Receiver<bool>,
     ) -> Result<(), StoreError> {
         loop {
-            let result = self.read_rows(roster_prefix(self.pool), pages).await;
+            let result = self.read_rows(Part::Roster, roster_prefix(self.pool), pages).await;
             tried.send_replace(true);
             match result {
                 Ok(()) => break,
@@ -275,8 +284,9 @@
     /// Reads the missing rows of a shard that is fenced: rows that are read before the fence is raised
     /// may still change.
     async fn read_shard(&self, shard: Shard, rows: &mut ShardRows) -> Result<bool, StoreError> {
-        let jobs = self.read_rows(job_prefix(self.pool, shard), &mut rows.jobs);
-        let progress = self.read_rows(progress_prefix(self.pool, shard), &mut rows.progress);
+        let jobs = self.read_rows(Part::Jobs, job_prefix(self.pool, shard), &mut rows.jobs);
+        let progress =
+            self.read_rows(Part::Jobs, progress_prefix(self.pool, shard), &mut rows.progress);
         if self.sequential {
             jobs.await?;
             progress.await?;
@@ -288,11 +298,21 @@
     }
 
     /// Reads the missing pages of the rows with a key prefix.
-    async fn read_rows(&self, prefix: String, pages: &mut Pages) -> Result<(), StoreError> {
+    async fn read_rows(
+        &self,
+        part: Part,
+        prefix: String,
+        pages: &mut Pages,
+    ) -> Result<(), StoreError> {
         while !pages.complete {
             let after = pages.rows.last().map(|row| row.key.clone());
             let limit = pages.page_size.rows();
+            let queued_at = self.node.now();
             let _permit = self.node.bulk_reads.acquire(limit).await;
+            if part == Part::Roster {
+                let queued = self.node.now().since(queued_at);
+                claim::update(self.node, self.pool, |takeover| takeover.queued.0 += queued.0);
+            }
             let started = time::Instant::now();
             let scan = Scan { prefix: prefix.clone(), after, limit };
             let page = match self.node.services.store.scan(scan).await {
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -99,11 +99,16 @@
     PoolYielded 602 Info;
     /// This process learned that another process owns a pool.
     OwnerKnown 603 Info;
-    /// The takeover of a pool has not ended for long: its age, what it has read, and the last error.
+    /// The takeover of a pool has not ended for long: its age, what it has read, how long the roster's reads
+    /// waited for their turn on the link (`queued`), the takeovers that the process has under way, and the
+    /// last error.
     TakeoverSlow 604 Warn;
     /// A task of this process panicked, or ended although the process needs it: which, where and why.
     TaskFailed 605 Error;
-    /// The next owner of a pool began to renew what runs on its workers, before it has read the stored jobs: how many workers it knows of, and for how long it has had the lease.
+    /// The next owner of a pool began to renew what runs on its workers, before it has read the stored
+    /// jobs: how many workers it knows of, for how long it has had the lease, the takeovers that the
+    /// process has under way, and how long the roster's reads waited for their turn on the link
+    /// (`queued`).
     RenewalBegan 606 Info;
     /// The next owner of a pool has fenced all its shards, so that earlier owners record nothing any more: for how long it had had the lease.
     PoolFenced 607 Info;
