A random schedule of owners that are killed in series after a silent one

Callers saw long-running tasks wait with room for them, after an owner had been cut off or frozen and its successors had been killed soon: each counted the silent owner's trust and a lease anew from its own last fence.

The schedule silences workers for good, cuts the owner off or freezes it, and kills its successors one to three times in a row, also in the middle of their reads. Before the last kill the silent owner has answered that it gave up or restarted, or one owner has had all fences for the time of trust. Either way nothing is left of its orders a lease later, which is what the killed owner leaves anyway, so the target of docs/PLATFORM.md applies. Trust and lease are those of production: 8.6 s together, while 7 s are allowed. Simulation::earlier_owners gives what a successor may know of earlier owners, with times.

--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -34,6 +34,11 @@
 /// Maximum number of acts in a schedule of planned changes of the owner.
 const MAX_PLANNED_ACTS: usize = 16;
 
+/// Number of schedules with series of killed owners, and maximum number of acts in one. Each series takes
+/// some 20 s of simulated time.
+const SERIES_SCHEDULES: u64 = 8;
+const MAX_SERIES_ACTS: usize = 6;
+
 /// A schedule on a pool of this many workers. It is not shrunk, since hundreds of such schedules
 /// take minutes.
 #[derive(Debug, Clone)]
@@ -208,6 +213,24 @@
     check("slow takeovers", SLOW_SCHEDULES, run as fn(WideSchedule) -> bool);
 }
 
+/// Workers fall silent for good, an owner is cut off or frozen and later answers that it gave up or has
+/// restarted, and its successors are killed in a row, also in the middle of their reads. Guards against a
+/// wait for the orders of earlier owners that starts anew at its full length with each successor.
+#[test]
+fn no_long_running_task_waits_after_a_series_of_killed_owners() {
+    fn run(schedule: WideSchedule) -> bool {
+        let text = format!("{schedule:?}");
+        let simulation = Simulation::new().with_wide_steps(schedule.workers).with_owner_series();
+        let acts = schedule.acts.into_iter().take(MAX_SERIES_ACTS).collect();
+        let holds = holds(simulation, acts);
+        if !holds {
+            eprintln!("{text}");
+        }
+        holds
+    }
+    check("owner series", SERIES_SCHEDULES, run as fn(WideSchedule) -> bool);
+}
+
 /// Owners give the pool back one at a time, and nothing else happens. Guards against runs on healthy
 /// workers whose leases end while the successor is still reading.
 #[test]
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -421,6 +421,7 @@
             self.run_fleet();
             self.poll_owners();
             self.check_waiting_tasks();
+            self.observe_owners();
         }
     }
 
--- a/reachhead_jobs/tests/random_schedules/simulation/invariants.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/invariants.rs
@@ -107,7 +107,7 @@
         for owner in &mut self.owners {
             owner.alive = false;
         }
-        self.take_over();
+        self.take_over_from(self.is_in_series());
         if self.faults.is_some() {
             self.end_faults();
             self.run(CALM_TIME);
--- a/reachhead_jobs/tests/random_schedules/simulation/outages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/outages.rs
@@ -89,7 +89,7 @@
     /// Returns the timeouts of owners.
     pub(super) fn timeouts(&self) -> PoolTimeouts {
         match &self.outages {
-            _ if self.slow.is_some() => Self::slow_timeouts(),
+            _ if self.slow.is_some() => self.slow_timeouts(),
             Some(_) => PoolTimeouts { hold: LEASE, wait: POLL_WAIT, ..timeouts() },
             None => timeouts(),
         }
--- a/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/slow_takeover.rs
@@ -18,6 +18,10 @@
     size::Millis,
 };
 
+mod owner_series;
+
+use owner_series::OwnerSeries;
+
 use super::{
     Event, STEP, Simulation,
     plans::{plan, queue},
@@ -102,6 +106,8 @@
     is_planned: bool,
     /// When the time for which the pool has had the same owner began.
     settled_since: u64,
+    /// Series of killed owners, in schedules with them.
+    series: Option<OwnerSeries>,
 }
 
 impl SlowTakeovers {
@@ -145,7 +151,10 @@
     }
 
     /// Returns the timeouts of owners in schedules with slow takeovers.
-    pub(super) fn slow_timeouts() -> PoolTimeouts {
+    pub(super) fn slow_timeouts(&self) -> PoolTimeouts {
+        if self.is_in_series() {
+            return Self::series_timeouts();
+        }
         PoolTimeouts { hold: LEASE, wait: POLL_WAIT, ..timeouts() }
     }
 
@@ -159,6 +168,9 @@
         if self.slow.as_ref().is_some_and(|slow| slow.is_planned) {
             return self.change_owner_or_submit(kind, choice, span);
         }
+        if self.is_in_series() {
+            return self.act_in_series(kind, choice, span);
+        }
         match kind % 18 {
             0..=3 => self.submit_wide(choice),
             4..=6 => self.kill_owners(choice, span),
