Read rosters before the jobs of all pools

Callers saw: long-running tasks on healthy workers lose their runs after a process that holds several pools restarts on a narrow link.

Cause: the roster went first within a pool only. Pages of jobs of one pool, and an owner's reads of stored jobs, were requested before the roster of another, and up to all shards of all pools waited before it in the queue for the link.

A takeover now announces its roster. While one is announced, for 2 s at most, other pages wait, and of those that wait one stands in the queue for the link, so that at most one page goes before a roster. One page in half a second still arrives. A roster's first page has the rows that the link carries in 100 ms by their own size, a tenth of a job's, and not by that of jobs. A takeover whose jobs wait for rosters doesn't count as one without progress.

a_roster_goes_before_the_waiting_pages_of_jobs failed with the wait taken out (20 pages went before the roster) and passes.

--- a/reachhead_node/src/claim.rs
+++ b/reachhead_node/src/claim.rs
@@ -263,6 +263,11 @@
         let Some(takeover) = node.loading().get(pool).cloned() else {
             continue;
         };
+        if takeover.roster.is_some() && node.bulk_reads.has_urgent() {
+            // Rosters of other pools are read first, and no row of this one may arrive meanwhile.
+            update(node, pool, |takeover| takeover.record_progress(0, now));
+            continue;
+        }
         let answers = node.view().store_answers.clone();
         let is_idle = now.since(takeover.progressed) > MIN_IDLE_TIME;
         let is_stuck = takeover.is_stuck(&answers, is_outmatched(node), now);
--- a/reachhead_node/src/takeover.rs
+++ b/reachhead_node/src/takeover.rs
@@ -26,7 +26,7 @@
     time,
 };
 
-use crate::{claim, fences::Fences, node::Node, owner::id_of};
+use crate::{bulk_reads::UrgentRead, claim, fences::Fences, node::Node, owner::id_of};
 
 /// Maximum attempts to raise the fence of one shard; each further one needs a lost answer or
 /// another candidate's raise before it.
@@ -44,8 +44,9 @@
 }
 
 impl Pages {
-    fn new(node: &Node) -> Self {
-        let page_size = PageSize::starting_at(node.bulk_reads.capacity());
+    /// Returns rows of which none is read, with a first page of `rows` rows.
+    fn new(rows: u32) -> Self {
+        let page_size = PageSize::starting_at(rows);
         Self { rows: Vec::new(), complete: false, page_size }
     }
 }
@@ -67,7 +68,8 @@
 
 impl ShardRows {
     fn new(node: &Node) -> Self {
-        Self { fence: None, jobs: Pages::new(node), progress: Pages::new(node) }
+        let rows = node.bulk_reads.capacity();
+        Self { fence: None, jobs: Pages::new(rows), progress: Pages::new(rows) }
     }
 
     fn is_complete(&self) -> bool {
@@ -86,6 +88,8 @@
     reader: Reader<'a>,
     shards: BTreeMap<Shard, ShardRows>,
     roster: Pages,
+    /// Holds back jobs of all pools until the roster has been read.
+    announced: Option<UrgentRead<'a>>,
     /// Where the roster is sent once it has been read.
     roster_sender: Option<oneshot::Sender<StoredRoster>>,
 }
@@ -121,7 +125,8 @@
         Self {
             reader: Reader { node, pool, token, fences, sequential: false },
             shards: Shard::all().map(|shard| (shard, ShardRows::new(node))).collect(),
-            roster: Pages::new(node),
+            roster: Pages::new(node.bulk_reads.roster_capacity()),
+            announced: Some(node.bulk_reads.announce()),
             roster_sender: Some(roster_sender),
         }
     }
@@ -152,10 +157,14 @@
 
     /// Reads the missing rows; returns `false` if a later owner has fenced a shard.
     async fn read_missing(&mut self) -> Result<bool, StoreError> {
-        let Self { reader, shards, roster, roster_sender } = self;
+        let Self { reader, shards, roster, announced, roster_sender } = self;
         let (roster_tried, tried) = watch::channel(roster.complete);
         let (shards_ended, ended) = watch::channel(false);
-        let roster = reader.read_roster(roster, roster_sender, roster_tried, ended);
+        let roster = async {
+            reader.read_roster(roster, roster_sender, roster_tried, ended).await?;
+            *announced = None;
+            Ok(())
+        };
         let missing: Vec<(Shard, &mut ShardRows)> = shards
             .iter_mut()
             .filter(|(_, rows)| !rows.is_complete())
@@ -308,7 +317,11 @@
             let after = pages.rows.last().map(|row| row.key.clone());
             let limit = pages.page_size.rows();
             let queued_at = self.node.now();
-            let _permit = self.node.bulk_reads.acquire(limit).await;
+            let reads = &self.node.bulk_reads;
+            let _permit = match part {
+                Part::Roster => reads.acquire_urgent(limit).await,
+                Part::Jobs => reads.acquire(limit).await,
+            };
             if part == Part::Roster {
                 let queued = self.node.now().since(queued_at);
                 claim::update(self.node, self.pool, |takeover| takeover.queued.0 += queued.0);
