Take back as many own pools at a time as the link carries

Callers saw: after a kill, long-running tasks on healthy workers lose their runs, although processes with idle links could have taken their pools.

Cause: a process took back all pools whose leases name it, at once, without a delay, an order or a bound. On a narrow link they delay each other past the workers' leases.

The process takes back as many as a third of the workers' lease carries over the link in the settings (two on 2 Mbit/s, 1,116 on 1,000 Mbit/s, by calculation). It releases the leases of the others at once, one for each member that has less load, was heard and reaches the store, and comes after all others for these pools for 5 s, so that they don't go back and forth. Without such members it takes the others in turn, each as soon as a roster has been read, since jobs wait for rosters. The release tells the same effect of earlier orders as a takeover by this process would count with.

pools_that_a_narrow_link_does_not_carry_are_left_to_peers_at_once and a_process_without_peers_takes_its_pools_one_after_the_other failed with the bound taken out (five takeovers at once) and pass.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod record;
 pub mod registry;
 pub mod relay;
+pub mod retake;
 pub mod shard;
 pub mod silence;
 pub mod start_pace;
--- /dev/null
+++ b/reachhead_jobs/src/retake.rs
@@ -0,0 +1,76 @@
+//! Bounds how many of its own pools a restarted process takes back at the same time.
+//!
+//! The process takes its pools back over one link. Leases of their workers end while the rosters are
+//! read and the workers are called, and other processes with idle links could take some of the pools.
+//! See [Platform](../../docs/PLATFORM.md), "How a pool changes its owner".
+
+use reachhead_types::size::{ByteRate, Millis};
+
+/// Part of a worker's lease in which rosters are read and workers called. A restart with the reads of
+/// the leases and the configuration takes another third, and a lost call the last one.
+const LEASE_DIVISOR: u64 = 3;
+
+/// Assumed number of workers of a pool. The roster tells it only once it has been read.
+const WORKERS_PER_POOL: u64 = 160;
+
+/// Bytes of a worker that cross the link before the first renewal: its row of the roster, and the first
+/// call with its answer.
+const WORKER_BYTES: u64 = 1_000;
+
+/// Bytes of the lease and of the fences of all shards: a read and a transaction each.
+const FENCE_BYTES: u64 = 8_000;
+
+/// How long after its start a process takes no more pools back than its link carries at once. It hears
+/// its peers within that time, if there are any.
+const HEARING_TIME: Millis = Millis(600);
+
+/// Returns how many pools a process takes back at the same time over a link with this bandwidth, if
+/// its workers have leases of `lease`.
+pub fn limit(bandwidth: ByteRate, lease: Millis) -> usize {
+    let carried = bandwidth.0.saturating_mul(lease.0) / LEASE_DIVISOR / 1000;
+    let bytes = WORKERS_PER_POOL * WORKER_BYTES + FENCE_BYTES;
+    (carried / bytes).max(1) as usize
+}
+
+/// What to do with a pool whose lease names this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Retake {
+    /// Take it now.
+    Take,
+    /// Release its lease, since a peer can take it at once.
+    Leave,
+    /// Decide later.
+    Wait,
+}
+
+/// The takeovers of a process that has pools to take back, and who else could take them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Retakes {
+    /// Number of takeovers that the link carries at the same time.
+    pub limit: usize,
+    /// Number of takeovers under way.
+    pub running: usize,
+    /// Those of them that have not read their roster.
+    pub unread: usize,
+    /// Number of peers that were heard and have less load. Each may take one pool.
+    pub free_peers: usize,
+    /// Number of pools that were left to them and that nobody has taken yet.
+    pub left: usize,
+}
+
+impl Retakes {
+    /// Decides about a pool that has been without an owner for `vacant_for`. Without peers the process
+    /// takes its pools one after the other: as soon as a roster has been read, its jobs wait for the
+    /// next one's.
+    pub fn decide(&self, vacant_for: Millis) -> Retake {
+        if self.running < self.limit {
+            Retake::Take
+        } else if self.left < self.free_peers {
+            Retake::Leave
+        } else if vacant_for >= HEARING_TIME && self.unread < self.limit {
+            Retake::Take
+        } else {
+            Retake::Wait
+        }
+    }
+}
--- a/reachhead_node/src/ability.rs
+++ b/reachhead_node/src/ability.rs
@@ -9,6 +9,9 @@
 /// Gap between two checks from which the process counts as having paused.
 const DELAYED_CHECK_GAP: Millis = Millis(350);
 
+/// How long a process that has left a pool to its peers takes it only after all of them.
+const DECLINED_TIME: Millis = Millis(5000);
+
 /// A pool whose rows this process could not read.
 #[derive(Debug, Clone, Copy)]
 struct Unreadable {
@@ -26,6 +29,8 @@
     checked_at: Tick,
     /// The pools whose rows it could not read; they are probed until it can.
     unreadable: BTreeMap<PoolName, Unreadable>,
+    /// When this process left a pool to peers, since its link did not carry the takeover in time.
+    declined: BTreeMap<PoolName, Tick>,
 }
 
 impl Ability {
@@ -42,6 +47,19 @@
         self.checked_at = now;
     }
 
+    /// Records that this process leaves a pool to peers.
+    pub fn record_declined(&mut self, pool: &PoolName, now: Tick) {
+        self.declined.retain(|_, declined| now.since(*declined) < DECLINED_TIME);
+        self.declined.insert(pool.clone(), now);
+    }
+
+    /// Returns whether other processes should take a pool before this one: it could not read the rows,
+    /// or has just left the pool to them.
+    pub fn is_unable(&self, pool: &PoolName, now: Tick) -> bool {
+        let declined = self.declined.get(pool);
+        self.is_unreadable(pool) || declined.is_some_and(|at| now.since(*at) < DECLINED_TIME)
+    }
+
     /// Returns the pools whose rows this process could not read.
     pub fn unreadable(&self) -> BTreeSet<PoolName> {
         self.unreadable.keys().cloned().collect()
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -11,6 +11,7 @@
     model::PoolPolicy,
     order_effect::{self, OrderEffect},
     pool::PoolTimeouts,
+    retake::Retake,
     silence::{OWNER_TIMEOUT, RunningTime, is_owners_fault, is_silent},
 };
 use reachhead_ops::{
@@ -27,7 +28,7 @@
     fleet,
     node::Node,
     owner::{Input, Outcome, OwnerHandle, ReleaseRequest},
-    recovery,
+    recovery, retakes,
     view::{LeaseView, View},
 };
 
@@ -64,17 +65,7 @@
 
 /// Takes pools for as long as the process runs.
 pub async fn run(node: Arc<Node>) {
-    let mut election = Election {
-        started: node.now(),
-        watching_since: node.now(),
-        vacant_since: BTreeMap::new(),
-        takeovers: BTreeMap::new(),
-        logged: BTreeMap::new(),
-        running: RunningTime::new(node.now()),
-        heard: node.now(),
-        delay_logged: Tick(0),
-        node,
-    };
+    let mut election = Election::new(node);
     loop {
         time::sleep(CHECK_PERIOD).await;
         if !election.node.is_stopping() {
@@ -93,6 +84,9 @@
     /// Pools being taken over. They run concurrently: after a restart of all processes each takes
     /// several, and the jobs of the last pool would wait for all the others.
     takeovers: BTreeMap<PoolName, JoinHandle<()>>,
+    /// Pools of this process that it has left to peers and that nobody has taken yet, with the release of
+    /// their leases.
+    left: BTreeMap<PoolName, JoinHandle<()>>,
     /// The lease of each pool whose owner was last logged as lost, so that each loss is logged
     /// once.
     logged: BTreeMap<PoolName, Revision>,
@@ -122,6 +116,23 @@
 }
 
 impl Election {
+    /// Returns an election that has seen nothing yet.
+    fn new(node: Arc<Node>) -> Self {
+        let now = node.now();
+        Self {
+            started: now,
+            watching_since: now,
+            vacant_since: BTreeMap::new(),
+            takeovers: BTreeMap::new(),
+            left: BTreeMap::new(),
+            logged: BTreeMap::new(),
+            running: RunningTime::new(now),
+            heard: now,
+            delay_logged: Tick(0),
+            node,
+        }
+    }
+
     fn check_pools(&mut self) {
         let now = self.node.now();
         self.node.record_store_progress();
@@ -134,6 +145,11 @@
             self.watching_since = now;
         }
         self.takeovers.retain(|_, takeover| !takeover.is_finished());
+        self.left.retain(|pool, _| {
+            let view = self.node.view();
+            let owner = view.leases.get(pool).and_then(|lease| lease.record.owner.as_ref());
+            owner.is_none_or(|owner| *owner == self.node.settings.node)
+        });
         let start_delay =
             if self.node.view().started_without_members { FIRST_START_DELAY } else { START_DELAY };
         let early = now.since(self.started) < start_delay;
@@ -142,11 +158,15 @@
         };
         let mut pools: Vec<PoolName> =
             config.pools.values().map(|pool| pool.name.clone()).collect();
+        // Nothing runs in spare pools, so the link carries the others first.
+        pools.sort_by_key(|pool| config.pools.get(pool).is_some_and(|policy| policy.spare));
         if fleet::is_needed(&self.node) {
             pools.push(fleet::name());
         }
         for pool in pools {
-            if self.takeovers.contains_key(&pool) || self.node.leaves_to_others(&pool, now) {
+            let releases = self.left.get(&pool).is_some_and(|release| !release.is_finished());
+            let leaves = releases || self.node.leaves_to_others(&pool, now);
+            if self.takeovers.contains_key(&pool) || leaves {
                 continue;
             }
             let own = self.is_own(&pool);
@@ -156,11 +176,25 @@
             if let Some(why) = self.vacancy(&pool, now) {
                 let since = *self.vacant_since.entry(pool.clone()).or_insert(now);
                 self.log_vacant_once(&pool, why, now);
-                let retakes = own && !self.node.ability().is_unreadable(&pool);
-                if retakes || now.since(since) >= self.candidate_delay(&pool, now) {
+                let known = self.node.view().leases.get(&pool).cloned();
+                let policy = config.pools.get(&pool).cloned();
+                let decided = if own && !self.node.ability().is_unreadable(&pool) {
+                    self.decide_retake(&pool, policy.is_some(), now.since(since))
+                } else if now.since(since) >= self.candidate_delay(&pool, now) {
+                    Retake::Take
+                } else {
+                    Retake::Wait
+                };
+                if decided == Retake::Leave
+                    && let Some(lease) = known
+                {
                     self.vacant_since.remove(&pool);
-                    let known = self.node.view().leases.get(&pool).cloned();
-                    let policy = config.pools.get(&pool).cloned();
+                    self.node.ability().record_declined(&pool, now);
+                    let release = retakes::leave(Arc::clone(&self.node), pool.clone(), lease);
+                    self.left.insert(pool, tokio::spawn(release));
+                } else if decided == Retake::Take {
+                    self.vacant_since.remove(&pool);
+                    self.left.remove(&pool);
                     let task = run_takeover(Arc::clone(&self.node), pool.clone(), policy, known);
                     self.takeovers.insert(pool, tokio::spawn(task));
                 }
@@ -194,6 +228,15 @@
         owner == Some(&self.node.settings.node)
     }
 
+    /// Decides about a vacant pool whose lease names this process. The fleet owner reads no roster.
+    fn decide_retake(&self, pool: &PoolName, has_roster: bool, vacant_for: Millis) -> Retake {
+        if !has_roster {
+            return Retake::Take;
+        }
+        let (running, left) = (self.takeovers.len(), self.left.len());
+        retakes::retakes(&self.node, pool, running, left).decide(vacant_for)
+    }
+
     /// Logs a delay of this process.
     fn log_delay(&mut self, gap: Millis, now: Tick) {
         self.node.metrics.delays.inc();
@@ -291,7 +334,7 @@
             .map(|(other, member)| view.candidate(other, &member.record));
         let member = view.members.contains_key(&node.settings.node);
         let delay = candidate::delay(pool, &own, member, others);
-        let unable = node.ability().is_unreadable(pool);
+        let unable = node.ability().is_unable(pool, now);
         if unable { Millis(delay.0 + candidate::UNABLE_DELAY.0) } else { delay }
     }
 }
@@ -374,3 +417,7 @@
 #[cfg(test)]
 #[path = "renewal_tests.rs"]
 mod renewal_tests;
+
+#[cfg(test)]
+#[path = "retakes_tests.rs"]
+mod retakes_tests;
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -30,6 +30,7 @@
 mod recovery;
 mod registry;
 mod relay;
+mod retakes;
 mod submit;
 mod takeover;
 #[cfg(test)]
--- /dev/null
+++ b/reachhead_node/src/retakes.rs
@@ -0,0 +1,60 @@
+//! Pools of this process that its link can't carry in time, and that peers take instead.
+
+use std::sync::Arc;
+
+use reachhead_jobs::{
+    candidate::Candidate,
+    retake::{Retakes, limit},
+    silence::OWNER_TIMEOUT,
+};
+use reachhead_types::id::{NodeName, PoolName};
+
+use crate::{
+    election, lease,
+    node::{Node, bandwidth},
+    view::{LeaseView, PeerStatus},
+};
+
+/// Maximum age of the store's last answer to a peer for it to take a pool, in milliseconds.
+const MAX_STORE_AGE_MS: u64 = 1800;
+
+/// Returns the state in which the process decides about a pool of its own. `running` is the number of its
+/// takeovers under way, and `left` that of the pools that it has left to peers.
+pub fn retakes(node: &Node, pool: &PoolName, running: usize, left: usize) -> Retakes {
+    let read = node.loading().values().filter(|takeover| takeover.roster.is_some()).count();
+    Retakes {
+        limit: limit(bandwidth(&node.settings), election::timeouts(node).hold),
+        running,
+        unread: running.saturating_sub(read),
+        free_peers: free_peers(node, pool, running),
+        left,
+    }
+}
+
+/// Returns how many members would have less load with the pool than this process with `running`
+/// takeovers, were heard lately, and are able to take it.
+fn free_peers(node: &Node, pool: &PoolName, running: usize) -> usize {
+    let now = node.now();
+    let (name, owned) = (&node.settings.node, node.owned().len() + running);
+    let own = Candidate { node: name, strength: node.strength(), owned };
+    let view = node.view();
+    let is_able = |status: &PeerStatus| {
+        let pong = &status.pong;
+        let reaches_store = pong.store_age <= MAX_STORE_AGE_MS && !pong.failing;
+        let is_heard = now.since(status.at) <= OWNER_TIMEOUT;
+        is_heard && reaches_store && !pong.stopping && !pong.unreadable.contains(pool)
+    };
+    let is_free = |other: &NodeName| view.peers.get(other).is_some_and(is_able);
+    let others = view.members.iter().filter(|(other, _)| *other != name && is_free(other));
+    others
+        .filter(|(other, member)| view.candidate(other, &member.record).precedes(&own, pool))
+        .count()
+}
+
+/// Releases the lease of a pool that this process held before it restarted, so that a peer takes it at
+/// once.
+pub async fn leave(node: Arc<Node>, pool: PoolName, lease: LeaseView) {
+    let effect = election::order_effect(&node, &pool, Some(&lease)).longest();
+    log::info!("pool={pool} left to peers, since other takeovers fill the link of this process");
+    lease::release(&node, &pool, &lease, lease.record.returned(effect)).await;
+}
--- /dev/null
+++ b/reachhead_node/src/retakes_tests.rs
@@ -0,0 +1,88 @@
+//! A restarted process takes back no more of its pools than its link carries in time.
+
+use std::sync::atomic::Ordering;
+
+use reachhead_jobs::{
+    model::{CallLimits, Configuration},
+    record::MemberRecord,
+};
+use reachhead_ops::runtime;
+use reachhead_types::size::{Strength, Version};
+
+use super::*;
+use crate::{
+    lease,
+    peer::Pong,
+    tests::broken_node,
+    view::{MemberView, PeerStatus},
+};
+
+/// Returns the election of a process on a link of 2 Mbit/s whose name holds five pools, and which reads
+/// no roster in time. `peers` members own nothing and were heard.
+async fn restarted(peers: usize) -> Election {
+    let (mut node, store) = broken_node::node();
+    store.scan_time.store(60_000, Ordering::Relaxed);
+    Arc::get_mut(&mut node).unwrap().settings.link_mbps = 2.0;
+    let names = ["a", "b", "c", "d", "e"].map(|name| name.parse::<PoolName>().unwrap());
+    let policy = |name| PoolPolicy { name, rejects_overload: false, spare: false };
+    let pools = names.into_iter().map(|name| (name.clone(), policy(name))).collect();
+    let limits = CallLimits { head: 1, body: 1, head_time: Millis(1), idle_time: Millis(1) };
+    let (version, queues, customers) = (Version(1), Vec::new(), Arc::default());
+    let config = Configuration { version, queues, pools, limits, customers };
+    for pool in config.pools.keys() {
+        assert!(lease::take(&node, pool, None, None).await.unwrap().is_some());
+    }
+    node.view().update_config(config, Revision(1));
+    for number in 0..peers {
+        let (name, address) = (format!("front-b-{number}"), node.settings.peer);
+        let name: NodeName = name.parse().unwrap();
+        let record = MemberRecord { address, strength: Strength(250) };
+        let member = MemberView { record, revision: Revision(1) };
+        let now = node.now();
+        let status = PeerStatus { asked: now, at: now, address, pong: Pong::default() };
+        node.view().members.insert(name.clone(), member);
+        node.view().peers.insert(name, status);
+    }
+    Election::new(node)
+}
+
+/// Returns how many pools the process takes over, and how many leases name nobody.
+async fn counts(election: &Election) -> (usize, usize) {
+    time::sleep(Duration::from_millis(50)).await;
+    let view = election.node.view();
+    let released = view.leases.values().filter(|lease| lease.record.owner.is_none()).count();
+    (election.takeovers.len(), released)
+}
+
+/// Guards against a process that takes all its pools back over one narrow link, so that leases of healthy
+/// workers end, while peers with idle links stand by.
+#[test]
+fn pools_that_a_narrow_link_does_not_carry_are_left_to_peers_at_once() {
+    runtime::current_thread().unwrap().block_on(async {
+        for (peers, expected) in [(3, (2, 3)), (1, (2, 1))] {
+            let mut election = restarted(peers).await;
+            election.check_pools();
+            assert_eq!(counts(&election).await, expected, "with {peers} peers");
+            election.check_pools();
+            assert_eq!(counts(&election).await, expected, "it took back what it has left");
+        }
+    });
+}
+
+/// Guards against pools that nobody owns, or that share the link, after a restart of all processes.
+#[test]
+fn a_process_without_peers_takes_its_pools_one_after_the_other() {
+    runtime::current_thread().unwrap().block_on(async {
+        let mut election = restarted(0).await;
+        for expected in [2, 2] {
+            election.check_pools();
+            assert_eq!(counts(&election).await, (expected, 0));
+            time::sleep(Duration::from_millis(700)).await;
+        }
+        for takeover in election.node.loading().values_mut() {
+            takeover.roster = Some(1);
+        }
+        election.check_pools();
+        assert_eq!(counts(&election).await, (4, 0), "the rosters of the first two are known");
+    });
+}
