Give a takeover without its roster back after a second if others go before it

Callers saw: pools without an owner for 9 to 16 s after a kill, and then for two more until an idle process had read them.

Cause: a takeover that other takeovers of its process kept from the link was given up only after 3 s without any row, or after 10 s where a much stronger member is there; a row now and then kept it going.

A takeover that has no roster after 1 s is released if earlier ones of the process are under way, together they are half of what the link carries or more, and a member that has less load was heard. The release counts as an abandoned takeover, and a takeover after an abandoned one is kept, so that it changes hands once.

a_takeover_behind_others_is_given_back_once_while_a_peer_is_free failed with the check taken out of the takeover (both went on) and passes.

--- a/reachhead_jobs/src/retake.rs
+++ b/reachhead_jobs/src/retake.rs
@@ -24,6 +24,10 @@
 /// its peers within that time, if there are any.
 const HEARING_TIME: Millis = Millis(600);
 
+/// Age at which a takeover without its roster is given back, if others in the process go before it: a
+/// third of what is left of workers' leases after a restart, so that the next owner is in time.
+const MAX_CROWDED_AGE: Millis = Millis(1000);
+
 /// Returns how many pools a process takes back at the same time over a link with this bandwidth, if
 /// its workers have leases of `lease`.
 pub fn limit(bandwidth: ByteRate, lease: Millis) -> usize {
@@ -73,4 +77,14 @@
             Retake::Wait
         }
     }
+
+    /// Returns whether a takeover of this age that has not read its roster should be given back to a free
+    /// peer: `earlier` of the others go before it, and together they use much of the link. After an
+    /// abandoned takeover it is kept, so that processes that are all too slow don't pass a pool on for
+    /// ever.
+    pub fn is_crowded_out(&self, age: Millis, earlier: usize, abandoned: u32) -> bool {
+        let fills_link = 2 * self.running >= self.limit;
+        let is_late = age >= MAX_CROWDED_AGE && earlier > 0;
+        is_late && fills_link && self.free_peers > 0 && abandoned == 0
+    }
 }
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -31,6 +31,7 @@
     lease::{self, Taking},
     node::Node,
     owner::{Input, Outcome, Owner, OwnerHandle},
+    retakes,
     takeover::Loader,
     view::LeaseView,
 };
@@ -87,6 +88,7 @@
     let reads = tokio::select! {
         loaded = load(&node, &pool, lease.revision, &fences, sender) => Reads::Ended(loaded),
         () = claim::wait_until_stuck(&node, &pool) => Reads::Stuck,
+        () = retakes::wait_until_crowded_out(&node, &pool) => Reads::CrowdedOut,
         () = node.stopped() => Reads::Stopping,
         outcome = &mut owner => {
             if outcome == Outcome::Failed {
@@ -145,6 +147,8 @@
     Ended(Option<T>),
     /// They were given up, since this process can't read the pool's rows.
     Stuck,
+    /// They were given up, since other takeovers of this process go before this one and a peer is free.
+    CrowdedOut,
     /// They were given up, since shutdown was requested.
     Stopping,
 }
@@ -155,6 +159,7 @@
         match self {
             Self::Ended(_) => Reads::Ended(None),
             Self::Stuck => Reads::Stuck,
+            Self::CrowdedOut => Reads::CrowdedOut,
             Self::Stopping => Reads::Stopping,
         }
     }
@@ -176,9 +181,12 @@
     let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
     let recovered = match reads {
         Reads::Ended(recovered) => recovered,
-        Reads::Stuck => {
+        Reads::Stuck | Reads::CrowdedOut => {
             let now = node.now();
-            node.ability().record_unreadable(pool, now);
+            match reads {
+                Reads::CrowdedOut => node.ability().record_declined(pool, now),
+                _ => node.ability().record_unreadable(pool, now),
+            }
             if let Some(takeover) = takeover {
                 let age = now.since(takeover.started);
                 let takeovers = node.loading().len();
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -1,13 +1,17 @@
 //! Pools of this process that its link can't carry in time, and that peers take instead.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use reachhead_jobs::{
     candidate::Candidate,
     retake::{Retakes, limit},
     silence::OWNER_TIMEOUT,
 };
-use reachhead_types::id::{NodeName, PoolName};
+use reachhead_types::{
+    id::{NodeName, PoolName},
+    size::Millis,
+};
+use tokio::time;
 
 use crate::{
     election, lease,
@@ -15,6 +19,9 @@
     view::{LeaseView, PeerStatus},
 };
 
+/// Interval between two checks of a takeover.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Maximum age of the store's last answer to a peer for it to take a pool, in milliseconds.
 const MAX_STORE_AGE_MS: u64 = 1800;
 
@@ -58,3 +65,32 @@
     log::info!("pool={pool} left to peers, since other takeovers fill the link of this process");
     lease::release(&node, &pool, &lease, lease.record.returned(effect)).await;
 }
+
+/// Waits until the takeover of a pool should be given back, since other takeovers of this process are
+/// before it and a peer is free.
+pub async fn wait_until_crowded_out(node: &Node, pool: &PoolName) {
+    loop {
+        time::sleep(CHECK_PERIOD).await;
+        let (age, earlier, abandoned, running) = {
+            let loading = node.loading();
+            let Some(takeover) = loading.get(pool).filter(|takeover| takeover.roster.is_none())
+            else {
+                continue;
+            };
+            let is_earlier = |(other, started)| (started, other) < (takeover.started, pool);
+            let others = loading.iter().map(|(other, takeover)| (other, takeover.started));
+            let age: Millis = node.now().since(takeover.started);
+            (
+                age,
+                others.filter(|other| is_earlier(*other)).count(),
+                takeover.abandoned,
+                loading.len(),
+            )
+        };
+        // This takeover is one of those that run.
+        let others = retakes(node, pool, running - 1, 0);
+        if others.is_crowded_out(age, earlier, abandoned) {
+            return;
+        }
+    }
+}
--- a/reachhead_node/src/retakes_tests.rs
+++ b/reachhead_node/src/retakes_tests.rs
@@ -86,3 +86,25 @@
         assert_eq!(counts(&election).await, (4, 0), "the rosters of the first two are known");
     });
 }
+
+/// Guards against a takeover that goes on for many seconds behind others of the process, while a peer with an idle
+/// link could take the pool; and against processes that pass such a pool on.
+#[test]
+fn a_takeover_behind_others_is_given_back_once_while_a_peer_is_free() {
+    runtime::current_thread().unwrap().block_on(async {
+        for (abandoned, expected) in [(0, (1, 2)), (1, (2, 1))] {
+            let mut election = restarted(1).await;
+            election.check_pools();
+            assert_eq!(counts(&election).await, (2, 1));
+            for takeover in election.node.loading().values_mut() {
+                takeover.abandoned = abandoned;
+            }
+            time::sleep(Duration::from_millis(900)).await;
+            let now = election.node.now();
+            election.node.view().peers.values_mut().for_each(|status| status.at = now);
+            time::sleep(Duration::from_millis(400)).await;
+            let running = election.node.loading().len();
+            assert_eq!((running, counts(&election).await.1), expected);
+        }
+    });
+}
