Count the jobs of a pool in how many pools a process takes back

Callers saw: pools of a restarted process on a narrow link start nothing for ten seconds and more, while peers with idle links stand by.

Cause: the bound on retakes counted what has to arrive before leases are renewed and not the stored jobs that have to arrive before anything is started.

Evidence: a trial of a system test with four pools of 205 jobs of 6 KB and three processes standing by: the restarted process took two pools at once over 2 Mbit/s, had read 96 rows of one after 9.1 s and served neither after 10 s. The other two were served by a process with an idle link after 360 and 650 ms.

The bound for pools counts 400 KB of jobs, that for rosters doesn't, and holds where no peer is free. By calculation it is one pool at a time on 2 Mbit/s, 6 on 20 and 330 on 1,000.

pools_that_a_narrow_link_does_not_carry_are_left_to_peers_at_once, a_process_without_peers_takes_its_pools_one_after_the_other and the_bound_follows_the_link fail with the jobs not counted and pass.

--- a/reachhead_jobs/src/retake.rs
+++ b/reachhead_jobs/src/retake.rs
@@ -20,6 +20,10 @@
 /// Bytes of the lease and of the fences of all shards: a read and a transaction each.
 const FENCE_BYTES: u64 = 8_000;
 
+/// Bytes of a pool's stored jobs that are assumed: a hundred that wait, of the size that
+/// `BulkReads` assumes.
+const JOB_BYTES: u64 = 400_000;
+
 /// How long after its start a process takes no more pools back than its link carries at once. It hears
 /// its peers within that time, if there are any.
 const HEARING_TIME: Millis = Millis(600);
@@ -28,11 +32,22 @@
 /// third of what is left of workers' leases after a restart, so that the next owner is in time.
 const MAX_CROWDED_AGE: Millis = Millis(1000);
 
-/// Returns how many pools a process takes back at the same time over a link with this bandwidth, if
-/// its workers have leases of `lease`.
-pub fn limit(bandwidth: ByteRate, lease: Millis) -> usize {
+/// Returns how many rosters of pools a process reads at the same time over a link with this bandwidth,
+/// if its workers have leases of `lease`.
+pub fn roster_limit(bandwidth: ByteRate, lease: Millis) -> usize {
+    carried(bandwidth, lease, 0)
+}
+
+/// Returns how many pools a process takes back with their jobs at the same time. Leases are renewed
+/// before the jobs are read, but until then nothing is started: a peer with an idle link reads a pool
+/// in a fraction of the time that several of them take on one.
+pub fn pool_limit(bandwidth: ByteRate, lease: Millis) -> usize {
+    carried(bandwidth, lease, JOB_BYTES)
+}
+
+fn carried(bandwidth: ByteRate, lease: Millis, jobs: u64) -> usize {
     let carried = bandwidth.0.saturating_mul(lease.0) / LEASE_DIVISOR / 1000;
-    let bytes = WORKERS_PER_POOL * WORKER_BYTES + FENCE_BYTES;
+    let bytes = WORKERS_PER_POOL * WORKER_BYTES + FENCE_BYTES + jobs;
     (carried / bytes).max(1) as usize
 }
 
@@ -50,8 +65,10 @@
 /// The takeovers of a process that has pools to take back, and who else could take them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Retakes {
-    /// Number of takeovers that the link carries at the same time.
-    pub limit: usize,
+    /// Number of pools that the link carries at the same time.
+    pub pools: usize,
+    /// Number of rosters that it carries at the same time.
+    pub rosters: usize,
     /// Number of takeovers under way.
     pub running: usize,
     /// Those of them that have not read their roster.
@@ -67,11 +84,11 @@
     /// takes its pools one after the other: as soon as a roster has been read, its jobs wait for the
     /// next one's.
     pub fn decide(&self, vacant_for: Millis) -> Retake {
-        if self.running < self.limit {
+        if self.running < self.pools {
             Retake::Take
         } else if self.left < self.free_peers {
             Retake::Leave
-        } else if vacant_for >= HEARING_TIME && self.unread < self.limit {
+        } else if vacant_for >= HEARING_TIME && self.unread < self.rosters {
             Retake::Take
         } else {
             Retake::Wait
@@ -83,7 +100,7 @@
     /// abandoned takeover it is kept, so that processes that are all too slow don't pass a pool on for
     /// ever.
     pub fn is_crowded_out(&self, age: Millis, earlier: usize, abandoned: u32) -> bool {
-        let fills_link = 2 * self.running >= self.limit;
+        let fills_link = 2 * self.running >= self.rosters;
         let is_late = age >= MAX_CROWDED_AGE && earlier > 0;
         is_late && fills_link && self.free_peers > 0 && abandoned == 0
     }
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -4,7 +4,7 @@
 
 use reachhead_jobs::{
     candidate::Candidate,
-    retake::{Retakes, limit},
+    retake::{Retakes, pool_limit, roster_limit},
     silence::OWNER_TIMEOUT,
 };
 use reachhead_types::{
@@ -15,7 +15,7 @@
 
 use crate::{
     election, lease,
-    node::{Node, bandwidth},
+    node::{self, Node},
     view::{LeaseView, PeerStatus},
 };
 
@@ -28,9 +28,11 @@
 /// Returns the state in which the process decides about a pool of its own. `running` is the number of its
 /// takeovers under way, and `left` that of the pools that it has left to peers.
 pub fn retakes(node: &Node, pool: &PoolName, running: usize, left: usize) -> Retakes {
+    let (bandwidth, lease) = (node::bandwidth(&node.settings), election::timeouts(node).hold);
     let read = node.loading().values().filter(|takeover| takeover.roster.is_some()).count();
     Retakes {
-        limit: limit(bandwidth(&node.settings), election::timeouts(node).hold),
+        pools: pool_limit(bandwidth, lease),
+        rosters: roster_limit(bandwidth, lease),
         running,
         unread: running.saturating_sub(read),
         free_peers: free_peers(node, pool, running),
--- a/reachhead_node/src/retakes_tests.rs
+++ b/reachhead_node/src/retakes_tests.rs
@@ -59,7 +59,7 @@
 #[test]
 fn pools_that_a_narrow_link_does_not_carry_are_left_to_peers_at_once() {
     runtime::current_thread().unwrap().block_on(async {
-        for (peers, expected) in [(3, (2, 3)), (1, (2, 1))] {
+        for (peers, expected) in [(3, (1, 3)), (1, (1, 1))] {
             let mut election = restarted(peers).await;
             election.check_pools();
             assert_eq!(counts(&election).await, expected, "with {peers} peers");
@@ -74,7 +74,7 @@
 fn a_process_without_peers_takes_its_pools_one_after_the_other() {
     runtime::current_thread().unwrap().block_on(async {
         let mut election = restarted(0).await;
-        for expected in [2, 2] {
+        for expected in [1, 2] {
             election.check_pools();
             assert_eq!(counts(&election).await, (expected, 0));
             time::sleep(Duration::from_millis(700)).await;
@@ -95,6 +95,9 @@
         for (abandoned, expected) in [(0, (1, 2)), (1, (2, 1))] {
             let mut election = restarted(1).await;
             election.check_pools();
+            assert_eq!(counts(&election).await, (1, 1));
+            time::sleep(Duration::from_millis(600)).await;
+            election.check_pools();
             assert_eq!(counts(&election).await, (2, 1));
             for takeover in election.node.loading().values_mut() {
                 takeover.abandoned = abandoned;
