Give the last takeovers on a full link back also after their rosters

Callers saw: pools of a restarted process on a narrow link whose runs are renewed and that start nothing for ten seconds and more, while peers with idle links stand by.

Cause: a process that had heard no peer in its first 0.6 s takes all its pools in turn, and reads the jobs of all of them over one link to the end, whoever is heard later.

A takeover that waits for its jobs is given back after 1 s, too, if more are under way than the link carries with their jobs: the last ones, one for each free peer, once. Its runs are renewed until then.

a_takeover_behind_others_is_given_back_once_while_a_peer_is_free failed with takeovers that have their roster left out (both went on) and passes.

--- a/reachhead_jobs/src/retake.rs
+++ b/reachhead_jobs/src/retake.rs
@@ -28,8 +28,8 @@
 /// its peers within that time, if there are any.
 const HEARING_TIME: Millis = Millis(600);
 
-/// Age at which a takeover without its roster is given back, if others in the process go before it: a
-/// third of what is left of workers' leases after a restart, so that the next owner is in time.
+/// Age at which a takeover is given back, if others in the process go before it: a third of what is left of
+/// workers' leases after a restart, so that the next owner is in time.
 const MAX_CROWDED_AGE: Millis = Millis(1000);
 
 /// Returns how many rosters of pools a process reads at the same time over a link with this bandwidth,
@@ -95,13 +95,31 @@
         }
     }
 
-    /// Returns whether a takeover of this age that has not read its roster should be given back to a free
-    /// peer: `earlier` of the others go before it, and together they use much of the link. After an
-    /// abandoned takeover it is kept, so that processes that are all too slow don't pass a pool on for
-    /// ever.
-    pub fn is_crowded_out(&self, age: Millis, earlier: usize, abandoned: u32) -> bool {
-        let fills_link = 2 * self.running >= self.rosters;
-        let is_late = age >= MAX_CROWDED_AGE && earlier > 0;
-        is_late && fills_link && self.free_peers > 0 && abandoned == 0
+    /// Returns whether a takeover should be given back to a free peer, since others go before it and use
+    /// much of the link. The last ones are given back, one for each free peer. After an abandoned
+    /// takeover it is kept, so that processes that are all too slow don't pass a pool on for ever.
+    pub fn is_crowded_out(&self, waiting: &WaitingTakeover) -> bool {
+        let fills_link = if waiting.has_roster {
+            self.running >= self.pools
+        } else {
+            2 * self.running >= self.rosters
+        };
+        let is_late = waiting.age >= MAX_CROWDED_AGE && waiting.earlier > 0;
+        is_late && fills_link && waiting.later < self.free_peers && waiting.abandoned == 0
     }
 }
+
+/// A takeover that shares the link with others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingTakeover {
+    /// Time since the lease was taken.
+    pub age: Millis,
+    /// Number of the others that began before it.
+    pub earlier: usize,
+    /// Number of the others that began after it.
+    pub later: usize,
+    /// It has read its roster, so that leases of workers are renewed while it waits for the jobs.
+    pub has_roster: bool,
+    /// Number of takeovers of the pool in a row that were abandoned before it.
+    pub abandoned: u32,
+}
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -4,13 +4,10 @@
 
 use reachhead_jobs::{
     candidate::Candidate,
-    retake::{Retakes, pool_limit, roster_limit},
+    retake::{Retakes, WaitingTakeover, pool_limit, roster_limit},
     silence::OWNER_TIMEOUT,
 };
-use reachhead_types::{
-    id::{NodeName, PoolName},
-    size::Millis,
-};
+use reachhead_types::id::{NodeName, PoolName};
 use tokio::time;
 
 use crate::{
@@ -73,26 +70,27 @@
 pub async fn wait_until_crowded_out(node: &Node, pool: &PoolName) {
     loop {
         time::sleep(CHECK_PERIOD).await;
-        let (age, earlier, abandoned, running) = {
-            let loading = node.loading();
-            let Some(takeover) = loading.get(pool).filter(|takeover| takeover.roster.is_none())
-            else {
-                continue;
-            };
-            let is_earlier = |(other, started)| (started, other) < (takeover.started, pool);
-            let others = loading.iter().map(|(other, takeover)| (other, takeover.started));
-            let age: Millis = node.now().since(takeover.started);
-            (
-                age,
-                others.filter(|other| is_earlier(*other)).count(),
-                takeover.abandoned,
-                loading.len(),
-            )
+        let Some(waiting) = waiting_takeover(node, pool) else {
+            continue;
         };
-        // This takeover is one of those that run.
-        let others = retakes(node, pool, running - 1, 0);
-        if others.is_crowded_out(age, earlier, abandoned) {
+        let others = waiting.earlier + waiting.later;
+        if retakes(node, pool, others, 0).is_crowded_out(&waiting) {
             return;
         }
     }
 }
+
+fn waiting_takeover(node: &Node, pool: &PoolName) -> Option<WaitingTakeover> {
+    let loading = node.loading();
+    let takeover = loading.get(pool)?;
+    let is_earlier = |(other, started)| (started, other) < (takeover.started, pool);
+    let others = loading.iter().map(|(other, takeover)| (other, takeover.started));
+    let earlier = others.filter(|other| is_earlier(*other)).count();
+    Some(WaitingTakeover {
+        age: node.now().since(takeover.started),
+        earlier,
+        later: loading.len() - earlier - 1,
+        has_roster: takeover.roster.is_some(),
+        abandoned: takeover.abandoned,
+    })
+}
--- a/reachhead_node/src/retakes_tests.rs
+++ b/reachhead_node/src/retakes_tests.rs
@@ -92,7 +92,9 @@
 #[test]
 fn a_takeover_behind_others_is_given_back_once_while_a_peer_is_free() {
     runtime::current_thread().unwrap().block_on(async {
-        for (abandoned, expected) in [(0, (1, 2)), (1, (2, 1))] {
+        for (abandoned, roster, expected) in
+            [(0, None, (1, 2)), (1, None, (2, 1)), (0, Some(1), (1, 2))]
+        {
             let mut election = restarted(1).await;
             election.check_pools();
             assert_eq!(counts(&election).await, (1, 1));
@@ -101,6 +103,7 @@
             assert_eq!(counts(&election).await, (2, 1));
             for takeover in election.node.loading().values_mut() {
                 takeover.abandoned = abandoned;
+                takeover.roster = roster;
             }
             time::sleep(Duration::from_millis(900)).await;
             let now = election.node.now();
