The wait for orders of a silent owner passes on with the time that is left

Cause: each successor counted the trust in a lease and a worker's lease, 8.6 s, from its own last fence, for all owners before it. Nothing recorded that an owner between them had fenced all shards, and an owner was asked only once, when its lease was taken, whether it had ended.

Now the ends are points in time (reachhead_jobs::order_effect). A lease lists the earlier owners that may go on, with address and token, and tells for how long orders of the others have effect. The process that has taken the pool asks the listed ones at their addresses until they answer that they gave up, and the row lease/POOL/fenced tells, from when all shards are fenced and before the stored jobs have been read, for how long orders of the owners before that token have effect. Times count from when a reader saw a row, which is later than when it was written, so no clock is shared. The row is written again every two seconds, since a restarted process has seen nothing.

Why it is sound: an owner that may go on gets no confirmation of its lease after all shards are fenced by any later owner, whichever that is. An owner that has answered gave its last order before the answer, so its leases end a lease later. It may have started a job that is found only after the answer, so jobs found until then count as possibly started. The row counts only for owners with a lower token.

Rolling upgrade: an earlier release skips the new row (it has no term) and the new field, and still finds the longest time in `open`. Rows of earlier releases, and leases after more than eight owners that may go on, are counted as before.

Evidence: with the parts taken out one at a time (the row, its token order, the minimum of own and earlier fences, the time for jobs found after an answer, the pings, the address of the answer) one of the new tests fails each time. The library's pool tests and the tests of reachhead_node pass.

--- a/reachhead_jobs/src/pool/confirmation.rs
+++ b/reachhead_jobs/src/pool/confirmation.rs
@@ -47,7 +47,8 @@
         let silent = self.workers.values().filter(|worker| worker.silent);
         let leases =
             silent.filter(|worker| !worker.runs.is_empty()).filter_map(Worker::leases_expire_at);
-        let orders = self.pending.values().map(|pending| pending.until);
+        let orders =
+            self.pending.iter().filter_map(|(id, pending)| self.pending_until(id, pending));
         leases.chain(orders).any(|expiry| expiry <= now && !self.has_ended(expiry))
     }
 
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -33,7 +33,10 @@
 mod unplaced;
 mod weights;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
 
 pub use action::{Action, Note, NoteKind, StopReason};
 pub use backlog::StartBacklog;
@@ -135,7 +138,7 @@
     /// Revisions of the shards' fences after this owner raised them.
     fences: BTreeMap<Shard, Revision>,
     /// Set until the stored jobs are known.
-    recovery: Option<recover::Recovery>,
+    recovering: bool,
     /// Number of ownership changes before this owner; run numbers derive from it.
     term: u64,
     timeouts: PoolTimeouts,
@@ -207,8 +210,8 @@
 /// A worker of the predecessor that has not answered this owner yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PendingWorker {
-    /// When everything that the predecessor started there has expired.
-    until: Tick,
+    /// When runs that its last report leaves out have ended; zero without a report.
+    answer_until: Tick,
     /// No job whose row is newer than this was started there.
     closed: Option<Revision>,
 }
@@ -399,7 +402,11 @@
     fn expire(&mut self, now: Tick) {
         if !self.is_recovering() {
             let verified = self.verified;
-            self.pending.retain(|_, pending| pending.until > verified);
+            let mut pending = mem::take(&mut self.pending);
+            pending.retain(|id, left| {
+                self.pending_until(id, left).is_none_or(|until| until > verified)
+            });
+            self.pending = pending;
         }
         if self.pending.is_empty() {
             self.all_answered_at.get_or_insert(now);
--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -16,6 +16,7 @@
 use crate::{
     clock::Tick,
     job::Phase,
+    order_effect::OrderEffect,
     orphan::{Orphan, StopOrder},
     pool::{
         Action, NoteKind, Pool,
@@ -55,35 +56,36 @@
 }
 
 /// What an owner can't know about the orders of its predecessors, and the lookups of unknown jobs.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct PredecessorOrders {
     /// From when on this owner has called workers.
     since: Tick,
-    /// When the last order of a predecessor may be given.
-    given_until: Tick,
-    /// When the last order of a predecessor has lost its effect.
-    effective_until: Tick,
+    /// Until when orders of predecessors can have effect.
+    effect: OrderEffect,
     /// Until when runs of unknown jobs are kept at least.
     kept_until: Tick,
     lookups: BTreeMap<JobId, Lookup>,
 }
 
 impl PredecessorOrders {
-    /// Returns the state of an owner that called workers from `since` on. Orders of predecessors have
-    /// effect for `effect` after `fenced_at`, and each of them for at most `lease`.
-    pub(super) fn new(effect: Millis, lease: Millis, since: Tick, fenced_at: Tick) -> Self {
-        Self {
-            since,
-            given_until: fenced_at + Millis(effect.0.saturating_sub(lease.0)),
-            effective_until: fenced_at + effect,
-            kept_until: Tick(0),
-            lookups: BTreeMap::new(),
-        }
+    /// Returns the state of an owner that called workers from `since` on.
+    pub(super) fn new(effect: OrderEffect, since: Tick) -> Self {
+        Self { since, effect, kept_until: Tick(0), lookups: BTreeMap::new() }
+    }
+
+    /// Records that all shards were fenced by `at`.
+    pub(super) fn fence(&mut self, at: Tick) {
+        self.effect.fence(at);
+    }
+
+    /// Replaces what is known of the orders of predecessors.
+    pub(super) fn know_effect(&mut self, effect: OrderEffect) {
+        self.effect = effect;
     }
 
     /// Returns whether a predecessor may start tasks of a job that is stored now.
     pub(super) fn may_be_given(&self, now: Tick) -> bool {
-        now < self.given_until
+        self.effect.given_until().is_none_or(|until| now < until)
     }
 
     /// Returns from when on this owner has called workers.
@@ -91,9 +93,14 @@
         self.since
     }
 
-    /// Returns when the last order of a predecessor has lost its effect.
-    pub(super) fn effective_until(&self) -> Tick {
-        self.effective_until
+    /// Returns until when orders of predecessors can have effect.
+    pub(super) fn effect(&self) -> &OrderEffect {
+        &self.effect
+    }
+
+    /// Returns whether runs of unknown jobs are kept.
+    fn is_keeping_runs(&self, now: Tick) -> bool {
+        now < self.kept_until || self.effect.until().is_none_or(|until| now < until)
     }
 
     /// Keeps runs of unknown jobs at least until `until`, for the time of a lookup.
@@ -103,7 +110,7 @@
 
     /// Returns whether a run of the job is to be kept while the job is looked up.
     fn keeps_runs(&self, job: JobId, now: Tick) -> bool {
-        now < self.effective_until.max(self.kept_until)
+        self.is_keeping_runs(now)
             && self.lookups.get(&job).is_none_or(|lookup| lookup.state != LookupState::Absent)
     }
 
@@ -135,7 +142,7 @@
 
     /// Drops the lookups that no run needs any more.
     pub(super) fn expire(&mut self, now: Tick) {
-        if self.effective_until.max(self.kept_until) <= now {
+        if !self.is_keeping_runs(now) {
             self.lookups.clear();
         }
     }
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -1,6 +1,9 @@
 //! Recovery of a predecessor's jobs, workers and runs after an ownership change.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
 
 use reachhead_plan::amount::Amount;
 use reachhead_types::{
@@ -13,7 +16,7 @@
     unplaced, weights,
 };
 use crate::{
-    clock::{Tick, with_drift},
+    clock::Tick,
     job::{Job, Phase, Run},
     order::DurationEstimator,
     outage::OutageDetector,
@@ -28,29 +31,6 @@
     worker::Worker,
 };
 
-/// State of a pool whose stored jobs are still being read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Recovery {
-    /// When the pool was created, with the workers of the roster.
-    since: Tick,
-    /// For how long orders of predecessors have effect once the shards are fenced, at workers that are
-    /// not in `silent`.
-    effect: Millis,
-    /// The same for the workers that the predecessor listed.
-    silent: BTreeMap<WorkerId, Millis>,
-}
-
-impl Recovery {
-    fn effect_at(&self, worker: &WorkerId) -> Millis {
-        self.silent.get(worker).copied().unwrap_or(self.effect)
-    }
-
-    /// Returns how long orders of predecessors have effect on any worker.
-    pub(super) fn longest_effect(&self) -> Millis {
-        self.silent.values().copied().fold(self.effect, Millis::max)
-    }
-}
-
 impl Pool {
     /// Creates the pool `name` for the owner that holds `token`, from the state found in the store.
     /// `wall` is the time of day in milliseconds since 1970.
@@ -64,8 +44,8 @@
         wall: Millis,
     ) -> Self {
         let jobs = RecoveredJobs {
-            jobs: std::mem::take(&mut found.jobs),
-            fences: std::mem::take(&mut found.fences),
+            jobs: mem::take(&mut found.jobs),
+            fences: mem::take(&mut found.fences),
             fenced_at: now,
         };
         let mut pool = Self::recovering(name, token, term, timeouts, found, now, wall);
@@ -91,14 +71,14 @@
             name,
             token,
             fences: BTreeMap::new(),
-            recovery: Some(Recovery { since: now, effect: found.effect, silent: found.silent }),
+            recovering: true,
             term,
             timeouts,
             jobs: BTreeMap::new(),
             closed: BTreeMap::new(),
             workers: BTreeMap::new(),
             pending: BTreeMap::new(),
-            predecessor: orphans::PredecessorOrders::default(),
+            predecessor: orphans::PredecessorOrders::new(found.effect, now),
             predecessors_know_storer: found.knows_storer,
             unclaimed_ends: unclaimed::UnclaimedEnds::default(),
             workers_listed: false,
@@ -139,28 +119,19 @@
 
     /// Returns whether the stored jobs are not known yet.
     pub fn is_recovering(&self) -> bool {
-        self.recovery.is_some()
+        self.recovering
     }
 
     /// Adds the stored jobs to a pool that is recovering, and applies what workers have reported of
-    /// them. Orders of predecessors count from the time at which all shards were fenced: until then a
-    /// predecessor's commits could confirm its trust in its lease, and the time that reading took has
-    /// passed for its orders too.
+    /// them. Orders of predecessors that may go on count from the time at which all shards were fenced:
+    /// until then a predecessor's commits could confirm its trust in its lease, and the time that
+    /// reading took has passed for its orders too.
     pub fn recover_jobs(&mut self, found: RecoveredJobs, now: Tick, wall: Millis) {
-        let Some(recovery) = self.recovery.take() else {
+        if !mem::take(&mut self.recovering) {
             return;
-        };
-        self.fences = found.fences;
-        for (id, pending) in &mut self.pending {
-            pending.until = pending.until.max(found.fenced_at + recovery.effect_at(id));
         }
-        let lease = with_drift(self.timeouts.hold);
-        self.predecessor = orphans::PredecessorOrders::new(
-            recovery.longest_effect(),
-            lease,
-            recovery.since,
-            found.fenced_at,
-        );
+        self.fences = found.fences;
+        self.predecessor.fence(found.fenced_at);
         for stored in found.jobs {
             self.recover_job(stored, now, wall);
         }
@@ -192,13 +163,13 @@
 
     /// Creates the workers that the predecessor may have used, as pending. Each has to answer the
     /// new token, or its leases have to expire, before a recovered task that no worker reports is
-    /// restarted. How long that takes is known once the shards are fenced.
+    /// restarted.
     fn recover_workers(&mut self, now: Tick) {
-        let until = Tick(0);
+        let answer_until = Tick(0);
         for (id, stored) in self.roster.stored.workers.clone() {
             let Some(entry) = stored.entry else {
                 // Its address is unknown, so it can't be queried before it registers again.
-                self.pending.insert(id, PendingWorker { until, closed: None });
+                self.pending.insert(id, PendingWorker { answer_until, closed: None });
                 continue;
             };
             let info = WorkerInfo {
@@ -216,7 +187,7 @@
             worker.listed = false;
             worker.rostered = entry.closed.is_none();
             self.workers.insert(entry.worker.clone(), worker);
-            self.pending.insert(entry.worker, PendingWorker { until, closed: entry.closed });
+            self.pending.insert(entry.worker, PendingWorker { answer_until, closed: entry.closed });
         }
     }
 
--- a/reachhead_jobs/src/pool/recovered_state.rs
+++ b/reachhead_jobs/src/pool/recovered_state.rs
@@ -2,13 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use reachhead_types::{
-    id::{JobId, WorkerId},
-    size::{Millis, Revision},
-};
+use reachhead_types::{id::JobId, size::Revision};
 
 use crate::{
-    clock::Tick, pool::StoredRoster, progress::ProgressRecord, record::JobRecord, shard::Shard,
+    clock::Tick, order_effect::OrderEffect, pool::StoredRoster, progress::ProgressRecord,
+    record::JobRecord, shard::Shard,
 };
 
 /// A job as stored.
@@ -34,7 +32,7 @@
 }
 
 /// State that a new owner reads when it takes over a pool.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RecoveredState {
     /// The jobs that have not ended.
     pub jobs: Vec<StoredJob>,
@@ -44,16 +42,33 @@
     pub fences: BTreeMap<Shard, Revision>,
     /// When the lease was last confirmed; reading the rest may have taken long.
     pub verified: Tick,
-    /// How long orders of the predecessor may still take effect on workers that do not answer and are
-    /// not in `silent`; see [`OrderEffect`](crate::order_effect::OrderEffect). The time counts from when
-    /// all shards are fenced.
-    pub effect: Millis,
-    /// The same for the workers that the predecessor listed.
-    pub silent: BTreeMap<WorkerId, Millis>,
+    /// Until when orders of predecessors can have effect on workers that do not answer.
+    pub effect: OrderEffect,
     /// See [`LeaseRecord::knows_storer`](crate::record::LeaseRecord::knows_storer) of this owner's lease.
     pub knows_storer: bool,
 }
 
+impl RecoveredState {
+    /// Returns the state of a pool with this roster, of an owner whose lease was last confirmed at
+    /// `verified`, before the stored jobs are known.
+    pub fn new(roster: StoredRoster, effect: OrderEffect, verified: Tick) -> Self {
+        Self {
+            jobs: Vec::new(),
+            roster,
+            fences: BTreeMap::new(),
+            verified,
+            effect,
+            knows_storer: false,
+        }
+    }
+
+    /// Returns the state with what is known of the predecessors' knowledge of who stored a job.
+    #[must_use]
+    pub fn with_knows_storer(self, knows_storer: bool) -> Self {
+        Self { knows_storer, ..self }
+    }
+}
+
 /// What a new owner reads of a pool that is recovering.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct RecoveredJobs {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -132,7 +132,7 @@
             self.pending.remove(id);
         } else if let Some(pending) = self.pending.get_mut(id) {
             // An end that the report does not list may be one of a recovered task.
-            pending.until = pending.until.max(now + self.timeouts.hold);
+            pending.answer_until = now + self.timeouts.hold;
         }
         for entry in &report.ended {
             if entry.number > processed {
--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -8,8 +8,9 @@
 
 use crate::{
     clock::{Tick, with_drift},
-    pool::Pool,
-    record::SettledRecord,
+    order_effect::OrderEffect,
+    pool::{PendingWorker, Pool},
+    record::{EarlierOwners, SettledRecord},
     shard::Shard,
     worker::Worker,
 };
@@ -59,11 +60,39 @@
     /// Returns for how long runs of a predecessor may still be active on workers that have not
     /// answered.
     pub fn remaining_takeover_delay(&self, now: Tick) -> Millis {
-        if let Some(recovery) = &self.recovery {
-            return recovery.longest_effect();
+        if self.is_recovering() {
+            return self.predecessor.effect().longest(now);
         }
-        let last = self.pending.values().map(|pending| pending.until).max();
-        last.map_or(Millis(0), |until| until.since(now))
+        let until = |(id, pending)| self.pending_until(id, pending).map(|until| until.since(now));
+        let longest = || self.predecessor.effect().longest(now);
+        self.pending
+            .iter()
+            .map(|left| until(left).unwrap_or_else(longest))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Returns when everything that predecessors started on a pending worker has expired; `None` if that
+    /// is known only once all shards are fenced.
+    pub(super) fn pending_until(&self, id: &WorkerId, pending: &PendingWorker) -> Option<Tick> {
+        Some(self.predecessor.effect().until_at(id)?.max(pending.answer_until))
+    }
+
+    /// Returns the owners before this one whose orders may still have effect, for the lease of an owner
+    /// that gives its pool back now. Those of this owner have effect for a lease.
+    pub fn earlier_owners(&self, now: Tick) -> Option<EarlierOwners> {
+        let effect = self.predecessor.effect();
+        effect.until()?;
+        let leases = with_drift(self.timeouts.hold);
+        let left = self.remaining_takeover_delay(now).max(effect.longest(now));
+        let ended = if self.is_settled() { leases } else { leases.max(left) };
+        Some(EarlierOwners { open: Vec::new(), ended })
+    }
+
+    /// Replaces what is known of the orders of predecessors: an owner that may have gone on has ended,
+    /// or all shards are fenced.
+    pub fn know_effect(&mut self, effect: OrderEffect) {
+        self.predecessor.know_effect(effect);
     }
 
     /// Returns the workers of the roster on which something may run for another time than a lease from
@@ -72,13 +101,15 @@
     /// there are too many, or if orders of predecessors may come to other workers, too, since not all
     /// shards are fenced.
     pub fn silent_workers(&self, now: Tick) -> Option<BTreeMap<WorkerId, Millis>> {
-        if !self.is_fenced() {
+        if !self.is_fenced() || self.predecessor.effect().until().is_none() {
             return None;
         }
         let until = |id: &WorkerId| {
-            let pending = self.pending.get(id).map(|pending| pending.until);
+            let pending = self.pending.get(id);
             let worker = self.workers.get(id);
-            pending.max(worker.and_then(|worker| self.leased_until(worker, pending.is_some(), now)))
+            let is_pending = pending.is_some();
+            let pending = pending.and_then(|pending| self.pending_until(id, pending));
+            pending.max(worker.and_then(|worker| self.leased_until(worker, is_pending, now)))
         };
         let ids = self.roster.stored.workers.keys();
         let silent: BTreeMap<WorkerId, Millis> =
@@ -99,6 +130,6 @@
         if worker.joined <= self.predecessor.since() {
             return Some(Tick(0));
         }
-        Some((worker.joined + lease).max(self.predecessor.effective_until()))
+        Some((worker.joined + lease).max(self.predecessor.effect().until()?))
     }
 }
--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -253,7 +253,8 @@
             self.pending.keys().take(MAX_NAMED_WORKERS).map(WorkerId::as_str).collect();
         let others = self.pending.len().saturating_sub(MAX_NAMED_WORKERS);
         let left = self.remaining_takeover_delay(now);
-        format!(" awaited={} others={others} left={left}ms", named.join(","))
+        let open = self.predecessor.effect().describe_open();
+        format!(" awaited={} others={others} left={left}ms{open}", named.join(","))
     }
 
     /// Returns the long-running tasks without a run whose steps are ready, by step.
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -84,6 +84,11 @@
     Key(format!("lease/{pool}/{SETTLED_ROW}"))
 }
 
+/// Returns the key of a pool's [`FencedRecord`], which lies beside its [`SettledRecord`].
+pub fn fenced_key(pool: &PoolName) -> Key {
+    Key(format!("lease/{pool}/{FENCED_ROW}"))
+}
+
 /// Returns the key of the record of host usage that the owner of all hosts leaves to its successor.
 pub fn usage_key(hosts: &PoolName) -> Key {
     Key(format!("balance/{hosts}/use"))
@@ -108,6 +113,9 @@
 /// Last part of the key of a pool's [`SettledRecord`].
 pub const SETTLED_ROW: &str = "settled";
 
+/// Last part of the key of a pool's [`FencedRecord`].
+pub const FENCED_ROW: &str = "fenced";
+
 /// Partition of the lease table that holds the membership list.
 pub const MEMBER_PART: &str = "members";
 
@@ -209,6 +217,35 @@
     /// released it. `None` if it did not list them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silent: Option<BTreeMap<WorkerId, Millis>>,
+    /// The owners before this lease whose orders may still have effect, from when the row was written.
+    /// `None` if they can't be listed, as in rows of earlier releases; then `unsettled_for` counts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier: Option<EarlierOwners>,
+}
+
+/// The owners before a lease whose orders may still have effect. Times count from when the row was
+/// written, which a reader has seen later, so no clock is shared.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EarlierOwners {
+    /// Those that are not known to have ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub open: Vec<EarlierOwner>,
+    /// For how long orders of all others have effect.
+    pub ended: Millis,
+}
+
+/// An earlier owner that is not known to have ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierOwner {
+    /// Name of its process.
+    pub node: NodeName,
+    /// Peer address of its process.
+    pub address: SocketAddr,
+    /// Token of its lease.
+    pub token: FencingToken,
+    /// For how long its orders have effect; `None` if no later owner is known to have fenced all shards.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub left: Option<Millis>,
 }
 
 impl LeaseRecord {
@@ -220,17 +257,16 @@
     /// Returns the record with which a process releases this lease because it could not read the
     /// pool's rows; see [`LeaseRecord::returned`].
     #[must_use]
-    pub fn abandoned(&self, order_effect: Millis) -> Self {
-        Self { abandoned: self.abandoned + 1, ..self.returned(order_effect) }
+    pub fn abandoned(&self, order_effect: Millis, earlier: Option<EarlierOwners>) -> Self {
+        Self { abandoned: self.abandoned + 1, ..self.returned(order_effect, earlier) }
     }
 
     /// Returns the record with which a process releases this lease before it has read the pool's rows.
     /// It has started nothing, but it may have renewed what runs on workers: orders have effect for
-    /// `order_effect`, which is at least a worker's lease then. Those of earlier owners could have effect
-    /// for that long when it took the lease. None of that time counts as passed: as long as a shard is
-    /// not fenced, an owner that does not see the lease takes its commits there as a confirmation.
+    /// `order_effect` from when a successor has fenced all shards, which is at least a worker's lease
+    /// then, and those of the owners in `earlier` no longer than listed there.
     #[must_use]
-    pub const fn returned(&self, order_effect: Millis) -> Self {
+    pub fn returned(&self, order_effect: Millis, earlier: Option<EarlierOwners>) -> Self {
         Self {
             owner: None,
             address: None,
@@ -240,6 +276,7 @@
             abandoned: self.abandoned,
             knows_storer: self.knows_storer,
             silent: None,
+            earlier,
         }
     }
 }
@@ -252,6 +289,16 @@
     pub token: FencingToken,
 }
 
+/// Shows that all shards are fenced at this token or above: owners before it that may go on get no
+/// confirmation of their leases any more. So the time of their orders passes, whoever owns the pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FencedRecord {
+    /// Token of the owner that has fenced the shards.
+    pub token: FencingToken,
+    /// For how long orders of the owners before it have effect, from when the row was written.
+    pub left: Millis,
+}
+
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -46,6 +46,7 @@
 use faults::WorkerFaults;
 use fleet::FleetOwner;
 use outages::{LongPoll, Outages};
+use predecessor::EarlierOrders;
 use slow_takeover::SlowTakeovers;
 use waiting::WaitingTasks;
 
@@ -187,6 +188,8 @@
     cancelled: BTreeSet<JobId>,
     /// When the lease was last taken.
     lease_changed: u64,
+    /// What is known of orders of earlier owners.
+    earlier: EarlierOrders,
     /// Some takeovers are abandoned.
     abandoning: bool,
     /// Processes know that owners have ended, and owners give the pool back.
@@ -272,6 +275,7 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             lease_changed: 0,
+            earlier: EarlierOrders::default(),
             abandoning: false,
             ending: false,
             fenced: BTreeMap::new(),
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -339,12 +339,16 @@
     }
 }
 
-/// Returns how long orders of the previous owners may still have effect on workers that do not
-/// answer. It has to be known before the lease is taken: afterwards a previous owner that goes on
+/// Returns until when orders of the previous owners may have effect on workers that do not answer. It has to be known before the lease is taken: afterwards a previous owner that goes on
 /// may no longer be reported.
 pub fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> OrderEffect {
-    let predecessor = known.map(|lease| node.view().predecessor(pool, lease, &node.settings));
-    order_effect::order_effect(&timeouts(node), predecessor)
+    let (view, settings, now) = (node.view(), &node.settings, node.now());
+    let predecessor = known.map(|lease| view.predecessor(pool, lease, settings));
+    let mut effect = order_effect::order_effect(&timeouts(node), predecessor, now);
+    if let Some(lease) = known {
+        view.end_owners(&mut effect, pool, lease.since, settings, now);
+    }
+    effect
 }
 
 /// Takes over a pool, and gives up the claim to it if that panics.
--- a/reachhead_node/src/failure_detector.rs
+++ b/reachhead_node/src/failure_detector.rs
@@ -11,14 +11,14 @@
 use reachhead_ops::client::{CallError, within_deadline};
 use reachhead_types::{
     id::{NodeName, PoolName},
-    size::Millis,
+    size::{FencingToken, Millis},
 };
 use tokio::time;
 
 use crate::{
     node::Node,
     peer::{PeerReply, PeerRequest},
-    view::{PeerStatus, View},
+    view::{LeaseView, PeerStatus, View},
 };
 
 /// Interval between two heartbeat rounds.
@@ -150,7 +150,7 @@
 }
 
 /// Returns the peers to ping in this round.
-fn ping_targets(
+pub fn ping_targets(
     node: &Node,
     next_member_ping: &mut Tick,
     now: Tick,
@@ -181,6 +181,9 @@
         let members = view.members.iter();
         targets.extend(members.map(|(name, member)| (name.clone(), member.record.address)));
     }
+    for (owner, address) in view.open_owners(own) {
+        targets.entry(owner).or_insert(address);
+    }
     targets.remove(own);
     targets
 }
@@ -192,6 +195,19 @@
 }
 
 impl View {
+    /// Returns the earlier owners that may go on of the pools that this process has taken: once they
+    /// answer that they gave up, tasks wait for them no more.
+    fn open_owners(&self, own: &NodeName) -> Vec<(NodeName, SocketAddr)> {
+        let is_open = |(pool, lease): &(&PoolName, &LeaseView)| {
+            let is_settled = self.settled.get(*pool) == Some(&FencingToken(lease.revision.0));
+            lease.record.owner.as_ref() == Some(own) && !is_settled
+        };
+        let held = self.leases.iter().filter(is_open);
+        let earlier = held.filter_map(|(_, lease)| lease.record.earlier.as_ref());
+        let open = earlier.flat_map(|earlier| &earlier.open);
+        open.map(|owner| (owner.node.clone(), owner.address)).collect()
+    }
+
     /// Returns whether this process must detect failed owners itself, because it is a member or no
     /// member reports that it does so.
     pub fn is_watching_owners(&self, own: &NodeName, now: Tick) -> bool {
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -315,6 +315,7 @@
             abandoned: 0,
             knows_storer: false,
             silent: None,
+            earlier: None,
         };
         let txn = Txn::new()
             .with_check(lease_key(&name()), Some(self.token))
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -7,7 +7,7 @@
 use reachhead_jobs::{
     clock::Tick,
     ports::{Change, FeedError, FeedPage, OperatorRow},
-    record::{LeaseRecord, MEMBER_PART, MemberRecord, SETTLED_ROW, SettledRecord},
+    record::{FENCED_ROW, LeaseRecord, MEMBER_PART, MemberRecord, SETTLED_ROW, SettledRecord},
     registry::WorkerChange,
 };
 use reachhead_ops::event::{Event, emit};
@@ -292,14 +292,16 @@
                     Err(error) => emit(Event::RowRefused, error),
                 }
             }
-            Some(LeaseKey::Settled(pool)) if !change.deleted => {
-                match change.row.parse::<SettledRecord>() {
-                    Ok(SettledRecord { token }) => {
-                        self.0.view().settled.insert(pool, token);
-                    }
-                    Err(error) => emit(Event::RowRefused, error),
+            Some(LeaseKey::Settled(pool)) if !change.deleted => match change.row.parse() {
+                Ok(SettledRecord { token }) => _ = self.0.view().settled.insert(pool, token),
+                Err(error) => emit(Event::RowRefused, error),
+            },
+            Some(LeaseKey::Fenced(pool)) if !change.deleted => match change.row.parse() {
+                Ok(record) => {
+                    self.0.view().update_fenced(pool, record, change.row.revision, now);
                 }
-            }
+                Err(error) => emit(Event::RowRefused, error),
+            },
             _ => {}
         }
     }
@@ -378,6 +380,7 @@
     Member(NodeName),
     Pool(PoolName),
     Settled(PoolName),
+    Fenced(PoolName),
 }
 
 fn parse_lease_key(key: &Key) -> Option<LeaseKey> {
@@ -386,7 +389,11 @@
     if part == MEMBER_PART {
         return rest.parse().ok().map(LeaseKey::Member);
     }
-    let kind = if rest == SETTLED_ROW { LeaseKey::Settled } else { LeaseKey::Pool };
+    let kind = match rest {
+        SETTLED_ROW => LeaseKey::Settled,
+        FENCED_ROW => LeaseKey::Fenced,
+        _ => LeaseKey::Pool,
+    };
     part.parse().ok().map(kind)
 }
 
--- a/reachhead_node/src/lease.rs
+++ b/reachhead_node/src/lease.rs
@@ -6,15 +6,15 @@
 
 use std::time::Duration;
 
-use reachhead_jobs::record::{LeaseRecord, lease_key, value};
+use reachhead_jobs::{
+    order_effect::OrderEffect,
+    record::{LeaseRecord, lease_key, value},
+};
 use reachhead_store::{
     StoreError,
     row::{Commit, Txn},
 };
-use reachhead_types::{
-    id::PoolName,
-    size::{Millis, Revision},
-};
+use reachhead_types::{id::PoolName, size::Revision};
 use tokio::time;
 
 use crate::{node::Node, view::LeaseView};
@@ -46,8 +46,8 @@
     }
 }
 
-/// Writes the lease of a pool; returns `None` if another process wrote it first. `order_effect` is how
-/// long orders of earlier owners can have effect, for the case that this process ends before it is
+/// Writes the lease of a pool; returns `None` if another process wrote it first. `order_effect` is
+/// what is known of the orders of earlier owners, for the case that this process ends before it is
 /// settled; the fleet owner has none.
 /// The caller keeps a [`Taking`] until the process claims the pool.
 ///
@@ -58,10 +58,11 @@
     node: &Node,
     pool: &PoolName,
     known: Option<&LeaseView>,
-    order_effect: Option<Millis>,
+    order_effect: Option<&OrderEffect>,
 ) -> Result<Option<LeaseView>, StoreError> {
     let term = known.map_or(0, |known| known.record.term + 1);
     let abandoned = known.map_or(0, |known| abandoned_before(node, pool, known));
+    let now = node.now();
     let owner = Some(node.settings.node.clone());
     let address = Some(node.settings.peer);
     let record = LeaseRecord {
@@ -69,10 +70,11 @@
         address,
         term,
         settled: false,
-        unsettled_for: order_effect,
+        unsettled_for: order_effect.map(|effect| effect.longest(now)),
         abandoned,
         knows_storer: known.is_none_or(|known| known.record.successor_knows_storer()),
         silent: None,
+        earlier: order_effect.and_then(|effect| effect.earlier_owners(now)),
     };
     let key = lease_key(pool);
     let txn = Txn::new()
--- a/reachhead_node/src/main.rs
+++ b/reachhead_node/src/main.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod config_reads;
 mod dispatch;
+mod earlier_owners;
 mod election;
 mod failure_detector;
 mod fences;
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -5,6 +5,7 @@
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
     incarnation::Incarnation,
+    order_effect::OrderEffect,
     pool::{Batch, DrainMode, DrainProgress, PoolLoad, RecoveredJobs, StateReply, UnplacedSummary},
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     quota::{Allotment, UsageReport},
@@ -73,6 +74,8 @@
     Committed(Box<Batch>, Result<Commit, StoreError>),
     /// The stored jobs that the previous owner left have been read.
     JobsRecovered(Box<RecoveredJobs>),
+    /// More is known of the orders of earlier owners: one has ended, or all shards are fenced.
+    EffectKnown(Box<OrderEffect>),
     /// A page of stored jobs was read, or the call failed.
     JobsScanned(Result<Page, StoreError>),
     /// The rows of jobs of which workers report runs were read, or the call failed.
--- a/reachhead_node/src/owner/release.rs
+++ b/reachhead_node/src/owner/release.rs
@@ -121,6 +121,7 @@
             abandoned: 0,
             knows_storer: false,
             silent: self.pool.silent_workers(self.node.now()),
+            earlier: self.pool.earlier_owners(self.node.now()),
         };
         let txn = Txn::new()
             .with_check(lease_key(&name), Some(self.handle.token))
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -2,7 +2,8 @@
 
 use reachhead_jobs::{
     model::{Plan, Queue, Step},
-    pool::{PoolTimeouts, RecoveredState},
+    order_effect::OrderEffect,
+    pool::{PoolTimeouts, RecoveredState, StoredRoster},
     ports::WorkerInfo,
     record::{JobRecord, lease_key},
 };
@@ -71,7 +72,9 @@
     };
     let (handle, inputs) = OwnerHandle::new(token);
     handle.send(Input::WorkersListed(vec![worker()]));
-    let (found, now, wall) = (RecoveredState::default(), node.now(), node.clock.wall());
+    let (now, wall) = (node.now(), node.clock.wall());
+    let effect = OrderEffect::new(&timeouts);
+    let found = RecoveredState::new(StoredRoster::default(), effect, Tick(0));
     let pool = Pool::new(name, FencingToken(token.0), 0, timeouts, found, now, wall);
     Owner::new(node, pool, 0, handle, inputs)
 }
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -8,23 +8,24 @@
 use std::{future, sync::Arc, time::Duration};
 
 use reachhead_jobs::{
-    clock::{Tick, with_drift},
+    clock::Tick,
     model::PoolPolicy,
     order_effect::OrderEffect,
     pool::{Pool, RecoveredJobs, RecoveredState, StoredRoster},
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_types::{
-    id::{NodeName, PoolName},
+    id::PoolName,
     size::{FencingToken, Millis, Revision},
 };
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time,
 };
 
 use crate::{
     claim::{self, Takeover},
+    earlier_owners::EarlierOwners,
     election,
     fences::Fences,
     fleet,
@@ -47,7 +48,7 @@
     known: Option<LeaseView>,
 ) {
     let effect = election::order_effect(&node, &pool, known.as_ref());
-    let counted = policy.is_some().then(|| effect.longest());
+    let counted = policy.is_some().then_some(&effect);
     let lease_sent_at = node.now();
     let taking = Taking::new(&node, &pool);
     let lease = match lease::take(&node, &pool, known.as_ref(), counted).await {
@@ -70,19 +71,19 @@
     node.loading().insert(pool.clone(), takeover);
     drop(taking);
     node.pool_acquired.notify_one();
-    let longest_effect = effect.longest();
-    let goes_on = open_owner(&node, &pool, known.as_ref());
-    let fences = Fences::default();
+    let fences = Arc::new(Fences::default());
+    let effect = Arc::new(watch::Sender::new(effect));
     let (sender, roster) = oneshot::channel();
     let recovering = RecoveringOwner {
         node: Arc::clone(&node),
         pool: pool.clone(),
         lease: lease.clone(),
         lease_sent_at,
-        effect,
+        effect: Arc::clone(&effect),
         handle: handle.clone(),
         inputs,
         roster,
+        fences: Arc::clone(&fences),
     };
     let mut owner = Box::pin(recovering.run());
     let reads = tokio::select! {
@@ -108,20 +109,22 @@
         }
     };
     let workers = node.loading().get(&pool).and_then(|takeover| takeover.roster);
-    let Some((jobs, owner)) = end_takeover(&node, &pool, &lease, longest_effect, reads).await
-    else {
+    let known_effect = effect.borrow().clone();
+    let Some((jobs, owner)) = end_takeover(&node, &pool, &lease, known_effect, reads).await else {
         return;
     };
     emit(
         Event::LeaseTaken,
         format_args!(
-            "pool={pool} token={} term={} jobs={} workers={} before={:?} open={goes_on} took={}ms effect={longest_effect}ms",
+            "pool={pool} token={} term={} jobs={} workers={} before={:?} took={}ms effect={}ms{}",
             lease.revision,
             lease.record.term,
             jobs.jobs.len(),
             workers.unwrap_or_default(),
             known.and_then(|known| known.record.owner),
-            node.now().since(lease_sent_at)
+            node.now().since(lease_sent_at),
+            effect.borrow().longest(node.now()),
+            effect.borrow().describe_open()
         ),
     );
     // Inputs keep their order, so callers that find the owner from now on find its jobs.
@@ -132,14 +135,6 @@
     node.loading().remove(&pool);
 }
 
-/// Returns the owner before this process if it may go on, for the log.
-fn open_owner(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> String {
-    let open =
-        known.filter(|lease| !node.view().predecessor(pool, lease, &node.settings).has_ended);
-    let owner = open.and_then(|lease| lease.record.owner.as_ref());
-    owner.map_or_else(|| "-".to_owned(), NodeName::to_string)
-}
-
 /// How the reads of a takeover ended.
 #[derive(Debug)]
 pub enum Reads<T> {
@@ -172,17 +167,18 @@
     node: &Node,
     pool: &PoolName,
     lease: &LeaseView,
-    order_effect: Millis,
+    mut effect: OrderEffect,
     reads: Reads<T>,
 ) -> Option<T> {
     let takeover = node.loading().get(pool).cloned();
-    let has_renewed = takeover.as_ref().is_some_and(|takeover| takeover.roster.is_some());
-    let renewal_effect = with_drift(election::timeouts(node).hold);
-    let effect = if has_renewed { order_effect.max(renewal_effect) } else { order_effect };
+    let now = node.now();
+    if takeover.as_ref().is_some_and(|takeover| takeover.roster.is_some()) {
+        effect.renew(now);
+    }
+    let (longest, earlier) = (effect.longest(now), effect.earlier_owners(now));
     let recovered = match reads {
         Reads::Ended(recovered) => recovered,
         Reads::Stuck | Reads::CrowdedOut => {
-            let now = node.now();
             match reads {
                 Reads::CrowdedOut => node.ability().record_declined(pool, now),
                 _ => node.ability().record_unreadable(pool, now),
@@ -198,12 +194,12 @@
                 );
             }
             node.loading().remove(pool);
-            lease::release(node, pool, lease, lease.record.abandoned(effect)).await;
+            lease::release(node, pool, lease, lease.record.abandoned(longest, earlier)).await;
             return None;
         }
         Reads::Stopping => {
             log::info!("pool={pool} token={} takeover ended by shutdown", lease.revision);
-            lease::release(node, pool, lease, lease.record.returned(effect)).await;
+            lease::release(node, pool, lease, lease.record.returned(longest, earlier)).await;
             // A process that is shutting down waits until no takeover is left.
             node.loading().remove(pool);
             return None;
@@ -224,16 +220,33 @@
     pool: PoolName,
     lease: LeaseView,
     lease_sent_at: Tick,
-    /// How long orders of previous owners may have effect once all shards are fenced.
-    effect: OrderEffect,
+    /// Until when orders of previous owners may have effect.
+    effect: Arc<watch::Sender<OrderEffect>>,
     handle: OwnerHandle,
     inputs: mpsc::UnboundedReceiver<Input>,
     roster: oneshot::Receiver<StoredRoster>,
+    fences: Arc<Fences>,
 }
 
 impl RecoveringOwner {
-    /// Runs the owner from when the roster is known. It serves the pool once it has got the stored jobs.
+    /// Runs the owner, and watches the owners before it meanwhile.
     async fn run(self) -> Outcome {
+        let effect = Arc::clone(&self.effect);
+        let earlier = EarlierOwners {
+            node: Arc::clone(&self.node),
+            pool: self.pool.clone(),
+            lease: self.lease.clone(),
+            fences: Arc::clone(&self.fences),
+            handle: self.handle.clone(),
+        };
+        tokio::select! {
+            outcome = self.serve() => outcome,
+            () = earlier.watch(&effect) => Outcome::GivenUp,
+        }
+    }
+
+    /// Runs the owner from when the roster is known. It serves the pool once it has got the stored jobs.
+    async fn serve(self) -> Outcome {
         let Self { node, pool, lease, handle, .. } = self;
         let Ok(roster) = self.roster.await else {
             // The takeover has ended, and with it this task.
@@ -253,14 +266,9 @@
             ),
         );
         let term = lease.record.term;
-        let found = RecoveredState {
-            roster,
-            verified: self.lease_sent_at,
-            effect: self.effect.usual,
-            silent: self.effect.silent,
-            knows_storer: lease.record.knows_storer,
-            ..RecoveredState::default()
-        };
+        let effect = self.effect.borrow().clone();
+        let found = RecoveredState::new(roster, effect, self.lease_sent_at)
+            .with_knows_storer(lease.record.knows_storer);
         let state = Pool::recovering(
             pool.clone(),
             FencingToken(lease.revision.0),
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -60,9 +60,11 @@
 /// Releases the lease of a pool that this process held before it restarted, so that a peer takes it at
 /// once.
 pub async fn leave(node: Arc<Node>, pool: PoolName, lease: LeaseView) {
-    let effect = election::order_effect(&node, &pool, Some(&lease)).longest();
+    let effect = election::order_effect(&node, &pool, Some(&lease));
+    let now = node.now();
     log::info!("pool={pool} left to peers, since other takeovers fill the link of this process");
-    lease::release(&node, &pool, &lease, lease.record.returned(effect)).await;
+    let record = lease.record.returned(effect.longest(now), effect.earlier_owners(now));
+    lease::release(&node, &pool, &lease, record).await;
 }
 
 /// Waits until the takeover of a pool should be given back, since other takeovers of this process are
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -15,8 +15,9 @@
     isolation,
     liveness::StoreAnswers,
     model::Configuration,
+    order_effect::FencedBound,
     ports::WorkerInfo,
-    record::{LeaseRecord, MemberRecord},
+    record::{FencedRecord, LeaseRecord, MemberRecord},
     silence::{MissedHeartbeats, OWNER_TIMEOUT},
     wave::WaveOrder,
 };
@@ -40,6 +41,15 @@
     pub taken_from: Option<NodeName>,
 }
 
+/// The row of a pool whose shards are all fenced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FencedView {
+    /// Until when orders have effect, counted from when this revision of the row was first seen.
+    pub bound: FencedBound,
+    /// The row's revision.
+    pub revision: Revision,
+}
+
 /// A member of the cluster as last read from the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberView {
@@ -97,6 +107,8 @@
     pub leases: BTreeMap<PoolName, LeaseView>,
     /// The token of the owner that last recorded that its pool is settled, by pool.
     pub settled: BTreeMap<PoolName, FencingToken>,
+    /// What the last owner with fences on all shards has recorded, by pool.
+    pub fenced: BTreeMap<PoolName, FencedView>,
     /// When the leases were first read. Their age before that is unknown.
     pub leases_first_read_at: Option<Tick>,
     /// The membership list was empty when it was first read.
@@ -264,6 +276,21 @@
         }
     }
 
+    /// Replaces what is known of a pool's fences if the row is newer.
+    pub fn update_fenced(
+        &mut self,
+        pool: PoolName,
+        record: FencedRecord,
+        revision: Revision,
+        now: Tick,
+    ) {
+        if self.fenced.get(&pool).is_none_or(|known| known.revision < revision) {
+            let FencedRecord { token, left } = record;
+            let bound = FencedBound { token, until: now + left };
+            self.fenced.insert(pool, FencedView { bound, revision });
+        }
+    }
+
     /// Replaces a lease if the row is newer; returns whether the owner changed.
     pub fn update_lease(
         &mut self,
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -91,7 +91,7 @@
     MinionRestored 501 Info;
     /// A minion announced that it is shutting down.
     MinionLeaving 502 Info;
-    /// This host became the owner of a pool: the owner before, whether it may go on, how long the takeover took, and for how long orders of earlier owners may have effect.
+    /// This host became the owner of a pool: the owner before, how long the takeover took, for how long orders of earlier owners may have effect, and which of them may go on (`open`).
     LeaseTaken 600 Info;
     /// This host is no longer the owner of a pool: whether it gave the pool back, and how long that took since the request, or its lease was lost, or it failed.
     LeaseEnded 601 Info;
@@ -156,7 +156,7 @@
     DispatchChanged 717 Info;
     /// A process that sends orders for the owner of a pool is excluded for a while: why, and how many orders it had.
     DispatcherExcluded 718 Warn;
-    /// Long-running tasks of a step have had no run for a while: how many, for how long, why, what keeps each worker from taking them, and the predecessors' workers that have not answered.
+    /// Long-running tasks of a step have had no run for a while: how many, for how long, why, what keeps each worker from taking them, the predecessors' workers that have not answered, and the earlier owners that may go on.
     TaskUnplaced 719 Warn;
     /// A maintenance wave started, continued under another owner, or completed.
     WaveChanged 720 Info;
