A pool is handed over two seconds after it is settled, when its tasks have started

What callers saw: tasks that had waited for orders of earlier owners waited for a change of the owner as well (E602 at 22.67 s within a tenth of a second of the end of predecessor-workers; the tasks started at 24.7 s, after the E600 of the next owner).

Cause: a hand-over was only refused until the pool was settled, which is the moment at which these tasks may start. The three seconds for which an owner keeps a pool count from the lease, and are over by then.

Now it is also refused for two seconds after the last worker of a predecessor has answered or expired, and after the stored jobs are known. A condition on waiting tasks instead of a time would keep a pool at an owner that is overloaded, which is the reason for the hand-over.

Evidence: both tests fail with the time taken out, the second one also if it counts from the answers alone.

--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -139,6 +139,8 @@
     fences: BTreeMap<Shard, Revision>,
     /// Set until the stored jobs are known.
     recovering: bool,
+    /// When they became known.
+    recovered_at: Tick,
     /// Number of ownership changes before this owner; run numbers derive from it.
     term: u64,
     timeouts: PoolTimeouts,
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -72,6 +72,7 @@
             token,
             fences: BTreeMap::new(),
             recovering: true,
+            recovered_at: now,
             term,
             timeouts,
             jobs: BTreeMap::new(),
@@ -130,6 +131,7 @@
         if !mem::take(&mut self.recovering) {
             return;
         }
+        self.recovered_at = now;
         self.fences = found.fences;
         self.predecessor.fence(found.fenced_at);
         for stored in found.jobs {
--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -19,6 +19,10 @@
 /// all processes read the row, and where more are silent a link is cut and they may answer soon.
 const MAX_SILENT_WORKERS: usize = 64;
 
+/// Time in which the tasks that waited for orders of predecessors start: a few rounds of the start
+/// budget on a link that carries some tens of orders a second.
+const START_TIME: Millis = Millis(2000);
+
 /// State of the pool's [`SettledRecord`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Settlement {
@@ -37,6 +41,13 @@
         self.pending.is_empty() && self.is_fenced()
     }
 
+    /// Returns whether the pool can be given to another owner without a task that waits longer for it:
+    /// the tasks that waited for orders of predecessors had time to start after it was settled.
+    pub fn may_change_owner(&self, now: Tick) -> bool {
+        let since = self.all_answered_at.filter(|_| self.is_settled());
+        since.is_some_and(|at| now.since(at.max(self.recovered_at)) >= START_TIME)
+    }
+
     fn is_fenced(&self) -> bool {
         Shard::all().all(|shard| self.fences.contains_key(&shard))
     }
--- a/reachhead_jobs/tests/pool/order_effect.rs
+++ b/reachhead_jobs/tests/pool/order_effect.rs
@@ -129,6 +129,22 @@
     assert!(fixture.starts().is_empty(), "a lease of that owner may last, for the new job as well");
     fixture.advance(200);
     assert_eq!(fixture.starts().len(), 2);
+    assert!(!fixture.pool.may_change_owner(fixture.now), "others have to start as well");
+    fixture.advance(3000);
+    fixture.poll();
+    assert!(fixture.pool.may_change_owner(fixture.now));
+}
+
+/// Guards against a hand-over as soon as the stored jobs are known, when no task has started yet.
+#[test]
+fn a_pool_whose_workers_answered_during_the_read_is_kept_for_a_while_after_it() {
+    let mut fixture = Fixture::recovering(vec![("w", None)], vec![info("w", 4)]);
+    fixture.report(&worker("w"));
+    fixture.poll();
+    fixture.advance(5000);
+    fixture.recover_jobs(vec![(1, vec![step(1)])], fixture.now);
+    fixture.poll();
+    assert!(fixture.pool.is_settled() && !fixture.pool.may_change_owner(fixture.now));
 }
 
 /// Returns whether a transaction records that the pool is settled, and depends on the lease then.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -329,8 +329,8 @@
             Input::LeaseRead(asked, result) => self.handle_lease(asked, result, now),
             Input::CallFailed => self.call_failed = true,
             Input::Release(request) => self.begin_release(request, now),
-            // A successor would have to wait again for the workers that have not answered.
-            Input::Yield(_) if !self.pool.is_settled() => {}
+            // A successor would have to wait for the workers that have not answered.
+            Input::Yield(_) if !self.pool.may_change_owner(now) => {}
             Input::Yield(request) => self.begin_release(request, now),
         }
     }
