Renew a worker's runs for the first time without waiting for the poll budget

Callers saw: runs lapse on workers that answer their pool's new owner in time.

Cause, found by reading: the first call of a worker is urgent, and can't renew, since it brings the worker's clock. The second renews, and waited for the poll budget, which the first calls of all workers had used up: on a narrow link up to 600 ms of what is left of a predecessor's lease.

The poll that renews a worker's runs for the first time is sent at once, like that of a worker that has not answered. Later ones, and those of workers without runs, wait for the budget as before.

the_first_renewal_of_a_worker_does_not_wait_for_the_budget failed before and passes.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -71,8 +71,11 @@
             let ends = worker.repeated_ends();
             let may_wait = ends > 0 && worker.remaining_lease(now) >= Millis(hold.0 / 2);
             let max_delay = if may_wait { MAX_REPEATED_POLL_DELAY } else { MAX_POLL_DELAY };
-            // The lease of a worker that has not answered expires soon.
-            let is_urgent = worker.silent || !worker.answered || now.since(due) >= max_delay;
+            // The lease of a worker that has not answered expires soon, and so does one of a predecessor.
+            let is_unknown = worker.silent || !worker.answered;
+            let has_runs = !worker.runs.is_empty() || !worker.orphans.is_empty();
+            let is_due = (has_runs && !worker.renewed) || now.since(due) >= max_delay;
+            let is_urgent = is_unknown || is_due;
             if !self.poll_budget.has_room() && !is_urgent {
                 continue;
             }
@@ -92,6 +95,7 @@
             {
                 worker.poll = Poll::InFlight;
                 worker.max_deadline = worker.max_deadline.max(order.deadline.unwrap_or_default());
+                worker.renewed |= order.deadline.is_some();
             }
         }
         self.actions.append(&mut actions);
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -206,6 +206,9 @@
     pub unhosted: Option<Incarnation>,
     /// It has answered this owner, so orders of predecessors have no effect there any more.
     pub answered: bool,
+    /// This owner has ordered it to prolong what runs there. Until then that has a lease of a
+    /// predecessor.
+    pub renewed: bool,
     /// State of its long-polling call.
     pub poll: Poll,
     /// Consecutive failed calls.
@@ -310,6 +313,7 @@
             port_closed: false,
             unhosted: None,
             answered: false,
+            renewed: false,
             poll: Poll::Due(now),
             failed_calls: 0,
             last_processed: 0,
--- a/reachhead_jobs/tests/pool/poll_budget.rs
+++ b/reachhead_jobs/tests/pool/poll_budget.rs
@@ -127,3 +127,22 @@
         "a poll that waits has a longer timeout: {waits:?}"
     );
 }
+
+/// Guards against runs that lapse right after a change of the owner, since the first polls of all workers
+/// use the budget up and their renewals wait.
+#[test]
+fn the_first_renewal_of_a_worker_does_not_wait_for_the_budget() {
+    let mut fixture = Fixture::recovering(vec![("w", None)], vec![info("w", 4)]);
+    assert_eq!(polls(fixture.poll()).len(), 1);
+    fixture.set_running(&worker("w"), task(1, 0, 0), 3, 50);
+    fixture.report(&worker("w"));
+    let mut budget = PollPacer::new(ByteRate(1), fixture.now).budget(fixture.now);
+    budget.take(1);
+    fixture.pool.set_poll_budget(budget);
+    let renewed = polls(fixture.poll());
+    assert!(renewed.first().is_some_and(|(_, order)| order.deadline.is_some()), "{renewed:?}");
+    fixture.report(&worker("w"));
+    fixture.advance(100);
+    fixture.pool.set_poll_budget(budget);
+    assert_eq!(polls(fixture.poll()), [], "later ones do");
+}
