Drop earlier owners from leases once their orders have lost their effect

Callers could see: tasks wait for the full time of a silent owner again, after more than eight owners that were never heard of again.

Cause: an owner that never answers stayed in the list of those that may go on, also when its time had passed. With more than eight the list is left out, and each successor counts the time from its own fences.

owners_whose_orders_have_lost_their_effect_are_listed_no_more fails with the removal taken out and passes.

--- a/reachhead_jobs/src/order_effect.rs
+++ b/reachhead_jobs/src/order_effect.rs
@@ -148,6 +148,19 @@
         true
     }
 
+    /// Drops the owners whose orders have lost their effect, so that they take no room in the leases of
+    /// later owners.
+    pub fn expire(&mut self, now: Tick) {
+        let ended = &mut self.ended;
+        self.open.retain(|open| match open.until {
+            Some(until) if until <= now => {
+                *ended = (*ended).max(until);
+                false
+            }
+            _ => true,
+        });
+    }
+
     /// Records that this owner has renewed leases by `now`, for its successor.
     pub fn renew(&mut self, now: Tick) {
         self.ended = self.ended.max(now + self.leases);
@@ -261,12 +274,16 @@
                 effect.silent =
                     silent.iter().map(|(id, left)| (id.clone(), since + *left)).collect();
             }
-            (None, Some(earlier)) => effect.include(earlier, &lease),
+            (None, Some(earlier)) => {
+                effect.include(earlier, &lease);
+                effect.expire(now);
+            }
             (None, None) => return effect.with_unknown(timeouts.after_release(record)),
         }
         return effect;
     };
     effect = effect.include_before(&lease);
+    effect.expire(now);
     match record.address {
         _ if lease.has_ended => effect.ended = effect.ended.max(now + effect.leases),
         Some(address) => {
--- a/reachhead_jobs/tests/pool/order_effect.rs
+++ b/reachhead_jobs/tests/pool/order_effect.rs
@@ -199,3 +199,23 @@
     fixture.pool.rejected(&batch, fixture.now);
     assert_eq!(settlements(&mut fixture), 0);
 }
+
+/// Guards against owners that were never heard again and fill the list of those that may go on: with more
+/// than it holds, each successor counts their time from its own fences.
+#[test]
+fn owners_whose_orders_have_lost_their_effect_are_listed_no_more() {
+    let mut record: LeaseRecord =
+        serde_json::from_value(json!({ "owner": "n", "address": "127.0.0.1:1", "term": 1,
+            "earlier": { "ended": 0 } }))
+        .unwrap();
+    let mut seen = START;
+    for token in 1..12 {
+        let now = seen + full();
+        let lease = Predecessor { has_ended: false, ..lease(&record, token, seen) };
+        let mut effect = order_effect(&timeouts(), Some(lease), now);
+        effect.fence(now);
+        record.earlier = effect.earlier_owners(now);
+        seen = now;
+    }
+    assert!(record.earlier.is_some_and(|earlier| earlier.open.len() == 1));
+}
--- a/reachhead_node/src/earlier_owners.rs
+++ b/reachhead_node/src/earlier_owners.rs
@@ -72,6 +72,7 @@
             }
             let settings = &self.node.settings;
             self.node.view().end_owners(&mut known, &self.pool, self.lease.since, settings, now);
+            known.expire(now);
             if *effect.borrow() != known {
                 log::info!(
                     "pool={} token={} orders of earlier owners have effect for {}ms{}",
