Write the row of fenced shards at once, and soon after a failed write

Callers could see: tasks wait for the time of a silent owner from the start, since its successor was killed soon after it had fenced all shards.

Cause: the writer of lease/POOL/fenced waited for a change of what is known of earlier owners. Where none of them may go on, the fences change nothing, and the row was written up to two periods later. After a failed write it waited for the pause and then for another period.

--- a/reachhead_node/src/earlier_owners.rs
+++ b/reachhead_node/src/earlier_owners.rs
@@ -67,7 +67,8 @@
         loop {
             let now = self.node.now();
             let mut known = effect.borrow().clone();
-            if let Some(at) = self.fences.complete_at() {
+            let fenced_at = self.fences.complete_at();
+            if let Some(at) = fenced_at {
                 known.fence(at);
             }
             let settings = &self.node.settings;
@@ -82,38 +83,40 @@
                     known.describe_open()
                 );
                 effect.send_replace(known.clone());
-                self.handle.send(Input::EffectKnown(Box::new(known)));
+                self.handle.send(Input::EffectKnown(Box::new(known.clone())));
             }
-            let known = effect.borrow().clone();
-            if self.fences.complete_at().is_some() && known.open().is_empty() {
+            if fenced_at.is_some() && known.open().is_empty() {
                 return;
             }
             time::sleep(CHECK_PERIOD).await;
         }
     }
 
-    /// Writes the row once all shards are fenced, and again while orders have effect.
-    async fn record(&self, mut effect: watch::Receiver<OrderEffect>) {
+    /// Writes the row once all shards are fenced, and again while orders have effect. It looks for the
+    /// fences itself: where no earlier owner may go on, the effect does not change with them.
+    async fn record(&self, effect: watch::Receiver<OrderEffect>) {
         let mut written = None;
         let mut written_at = Tick(0);
         while !self.is_settled() {
-            let until = effect.borrow_and_update().until();
             let now = self.node.now();
-            if let Some(until) = until.filter(|_| self.fences.complete_at().is_some())
-                && written.is_none_or(|stored| {
+            let is_due = |until: &Tick| {
+                written.is_none_or(|stored: Tick| {
                     let is_old = now.since(written_at) >= REFRESH_PERIOD && stored > written_at;
-                    stored > until + MIN_GAIN || is_old
+                    stored > *until + MIN_GAIN || is_old
                 })
-            {
-                match self.write(FencedRecord { token: self.token(), left: until.since(now) }).await
-                {
+            };
+            let until = effect.borrow().until().filter(|_| self.fences.complete_at().is_some());
+            let mut pause = CHECK_PERIOD;
+            if let Some(until) = until.filter(is_due) {
+                let record = FencedRecord { token: self.token(), left: until.since(now) };
+                match self.write(record).await {
                     Some(Commit::Done(_)) => (written, written_at) = (Some(until), now),
                     // Another process has the lease.
                     Some(Commit::Conflict(_)) => break,
-                    None => time::sleep(RETRY_PAUSE).await,
+                    None => pause = RETRY_PAUSE,
                 }
             }
-            let _ = time::timeout(REFRESH_PERIOD.duration(), effect.changed()).await;
+            time::sleep(pause).await;
         }
     }
 
--- a/reachhead_node/src/earlier_owners_tests.rs
+++ b/reachhead_node/src/earlier_owners_tests.rs
@@ -1,12 +1,18 @@
 //! Earlier owners that answer, and the row that a successor counts on from.
 
-use reachhead_jobs::record::{LeaseRecord, part_of};
+use std::sync::atomic::Ordering;
+
+use reachhead_jobs::{
+    record::{LeaseRecord, part_of},
+    shard::Shard,
+};
+use reachhead_ops::runtime;
 use reachhead_store::row::Row;
 use reachhead_types::size::Revision;
 use serde_json::json;
 
 use super::*;
-use crate::{election, failure_detector, peer::Pong, tests::broken_node, view::PeerStatus};
+use crate::{election, failure_detector, lease, peer::Pong, tests::broken_node, view::PeerStatus};
 
 fn pool() -> PoolName {
     "a".parse().unwrap()
@@ -63,3 +69,31 @@
     assert!(row.parse::<LeaseRecord>().is_err());
     assert_eq!(part_of(&row.key.0), part_of(&lease_key(&pool()).0), "they are written together");
 }
+
+/// A process that was killed soon after it had fenced all shards left no row, so its successor counted the
+/// time from the start: the row waited for a period, where no owner may go on or an answer was lost.
+#[test]
+fn the_row_of_fences_is_written_at_once_and_again_after_a_lost_answer() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store) = broken_node::node();
+        let lease = lease::take(&node, &pool(), None, None).await.unwrap().unwrap();
+        let fences = Arc::new(Fences::default());
+        let mut effect = election::order_effect(&node, &pool(), None);
+        effect.renew(node.now());
+        let handle = OwnerHandle::new(lease.revision).0;
+        let fences_seen = Arc::clone(&fences);
+        let earlier =
+            EarlierOwners { node: Arc::clone(&node), pool: pool(), lease, fences, handle };
+        let watching =
+            tokio::spawn(async move { earlier.watch(&watch::Sender::new(effect)).await });
+        time::sleep(Duration::from_millis(100)).await;
+        store.lost.store(1, Ordering::Relaxed);
+        for shard in Shard::all() {
+            fences_seen.record(shard, node.now());
+        }
+        time::sleep(Duration::from_millis(500)).await;
+        let rows = node.services.store.read(vec![fenced_key(&pool())]).await.unwrap();
+        assert!(rows[0].is_some(), "nothing was written");
+        watching.abort();
+    });
+}
--- a/reachhead_node/src/tests/broken_node.rs
+++ b/reachhead_node/src/tests/broken_node.rs
@@ -60,6 +60,8 @@
     pub scan_time: AtomicU64,
     /// Number of commits that panic.
     pub commits: AtomicU32,
+    /// Number of commits that are lost.
+    pub lost: AtomicU32,
 }
 
 /// Panics if any panic is left.
@@ -85,6 +87,10 @@
     fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, StoreError>> {
         async move {
             panic_once(&self.commits);
+            let take = |left: u32| left.checked_sub(1);
+            if self.lost.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok() {
+                return Err(StoreError::Lost("lost by the test".to_owned()));
+            }
             self.rows.commit(txn).await
         }
         .boxed()
@@ -159,6 +165,7 @@
         scans: AtomicU32::new(0),
         scan_time: AtomicU64::new(0),
         commits: AtomicU32::new(0),
+        lost: AtomicU32::new(0),
     });
     let (stop, stopping) = watch::channel(false);
     let node = new_node(Arc::<BrokenStore>::clone(&store), Arc::new(Silent), stopping);
