Take only the owner's row of a pool as its lease

Each row of the table of leases but those known by name was read as a lease. Earlier releases do so with lease/POOL/fenced, too, and refuse it (E713) only because it has no term. Rows of later releases are skipped now, and the record says why it has no such field. Found by the review, by reading. The text of LeaseRecord::abandoned covers takeovers that were given back beside others.

--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -75,7 +75,7 @@
 
 /// Returns the key of a pool's lease.
 pub fn lease_key(pool: &PoolName) -> Key {
-    Key(format!("lease/{pool}/owner"))
+    Key(format!("lease/{pool}/{OWNER_ROW}"))
 }
 
 /// Returns the key of a pool's [`SettledRecord`]. It is in the lease's partition, so that it can
@@ -110,6 +110,9 @@
 /// Prefix of a worker's id in the keys of a roster.
 const ROSTER_WORKER_PREFIX: &str = "worker/";
 
+/// Last part of the key of a pool's [`LeaseRecord`].
+pub const OWNER_ROW: &str = "owner";
+
 /// Last part of the key of a pool's [`SettledRecord`].
 pub const SETTLED_ROW: &str = "settled";
 
@@ -205,7 +208,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "open")]
     pub unsettled_for: Option<Millis>,
-    /// Number of takeovers in a row that were abandoned because the pool's rows could not be read.
+    /// Number of takeovers in a row that were abandoned because the pool's rows could not be read, or not
+    /// in time beside other takeovers of the process.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub abandoned: u32,
     /// The owner, and every earlier one that may still give orders, starts nothing of jobs that were
@@ -290,7 +294,8 @@
 }
 
 /// Shows that all shards are fenced at this token or above: owners before it that may go on get no
-/// confirmation of their leases any more. So the time of their orders passes, whoever owns the pool.
+/// confirmation of their leases any more. So the time of their orders passes, whoever owns the pool. It has
+/// no `term`, since earlier releases take each row that has one for the pool's lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FencedRecord {
     /// Token of the owner that has fenced the shards.
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -7,7 +7,9 @@
 use reachhead_jobs::{
     clock::Tick,
     ports::{Change, FeedError, FeedPage, OperatorRow},
-    record::{FENCED_ROW, LeaseRecord, MEMBER_PART, MemberRecord, SETTLED_ROW, SettledRecord},
+    record::{
+        FENCED_ROW, LeaseRecord, MEMBER_PART, MemberRecord, OWNER_ROW, SETTLED_ROW, SettledRecord,
+    },
     registry::WorkerChange,
 };
 use reachhead_ops::event::{Event, emit};
@@ -390,9 +392,11 @@
         return rest.parse().ok().map(LeaseKey::Member);
     }
     let kind = match rest {
+        OWNER_ROW => LeaseKey::Pool,
         SETTLED_ROW => LeaseKey::Settled,
         FENCED_ROW => LeaseKey::Fenced,
-        _ => LeaseKey::Pool,
+        // A later release may write other rows.
+        _ => return None,
     };
     part.parse().ok().map(kind)
 }
