Count longer leases in a release that lists no silent workers

A worker that has restarted may carry out a late call with a longer lease than usual. A release with more than 64 silent workers lists none of them, and told its successor of a usual lease, so that a task could start again while it may still run there. The time for all workers is now the longest of them. No test of its own; the tests of released leases pass.

--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -97,7 +97,10 @@
         let leases = with_drift(self.timeouts.hold);
         let left = self.remaining_takeover_delay(now).max(effect.longest(now));
         let ended = if self.is_settled() { leases } else { leases.max(left) };
-        Some(EarlierOwners { open: Vec::new(), ended })
+        // Leases of workers that have restarted may be longer than usual.
+        let ids = self.roster.stored.workers.keys();
+        let occupied = ids.filter_map(|id| Some(self.occupied_until(id, now)?.since(now)));
+        Some(EarlierOwners { open: Vec::new(), ended: occupied.fold(ended, Millis::max) })
     }
 
     /// Replaces what is known of the orders of predecessors: an owner that may have gone on has ended,
@@ -115,19 +118,23 @@
         if !self.is_fenced() || self.predecessor.effect().until().is_none() {
             return None;
         }
-        let until = |id: &WorkerId| {
-            let pending = self.pending.get(id);
-            let worker = self.workers.get(id);
-            let is_pending = pending.is_some();
-            let pending = pending.and_then(|pending| self.pending_until(id, pending));
-            pending.max(worker.and_then(|worker| self.leased_until(worker, is_pending, now)))
-        };
+        let until = |id: &WorkerId| self.occupied_until(id, now);
         let ids = self.roster.stored.workers.keys();
         let silent: BTreeMap<WorkerId, Millis> =
             ids.filter_map(|id| Some((id.clone(), until(id)?.since(now)))).collect();
         (silent.len() <= MAX_SILENT_WORKERS).then_some(silent)
     }
 
+    /// Returns until when something may run on a worker of the roster; `None` if that is for a lease from
+    /// now at most.
+    fn occupied_until(&self, id: &WorkerId, now: Tick) -> Option<Tick> {
+        let pending = self.pending.get(id);
+        let worker = self.workers.get(id);
+        let is_pending = pending.is_some();
+        let pending = pending.and_then(|pending| self.pending_until(id, pending));
+        pending.max(worker.and_then(|worker| self.leased_until(worker, is_pending, now)))
+    }
+
     /// Returns until when something that this owner gave a worker may run there; `None` if that is for
     /// a lease from now at most, as it is where a worker answers. One that is pending answers with
     /// partial reports, or not at all.
