Name what releases pools for peers by the usual terms, and bound how long a roster holds others back

A takeover that could not read its roster kept the other pools of a process without peers waiting for as long as it was not given up, on a link that carries one roster. Found by the review, by reading; no test of its own.

The names of the states in which a pool is released for peers, and of two limits, follow their documentation; the limit on waiting for peers is documented as what it is, a time since the pools were found vacant.

--- a/reachhead_jobs/src/retake.rs
+++ b/reachhead_jobs/src/retake.rs
@@ -24,13 +24,13 @@
 /// `BulkReads` assumes.
 const JOB_BYTES: u64 = 400_000;
 
-/// How long after its start a process takes no more pools back than its link carries at once. It hears
-/// its peers within that time, if there are any.
-const HEARING_TIME: Millis = Millis(600);
+/// How long after it has found its pools vacant a process takes no more of them back than its link
+/// carries at once. It hears its peers within that time, if there are any.
+const DISCOVERY_TIME: Millis = Millis(600);
 
 /// Age at which a takeover is given back, if others in the process go before it: a third of what is left of
 /// workers' leases after a restart, so that the next owner is in time.
-const MAX_CROWDED_AGE: Millis = Millis(1000);
+const GIVE_BACK_AGE: Millis = Millis(1000);
 
 /// Returns how many rosters of pools a process reads at the same time over a link with this bandwidth,
 /// if its workers have leases of `lease`.
@@ -57,7 +57,7 @@
     /// Take it now.
     Take,
     /// Release its lease, since a peer can take it at once.
-    Leave,
+    Release,
     /// Decide later.
     Wait,
 }
@@ -75,8 +75,8 @@
     pub unread: usize,
     /// Number of peers that were heard and have less load. Each may take one pool.
     pub free_peers: usize,
-    /// Number of pools that were left to them and that nobody has taken yet.
-    pub left: usize,
+    /// Number of pools that were released for them and that nobody has taken yet.
+    pub released: usize,
 }
 
 impl Retakes {
@@ -86,9 +86,9 @@
     pub fn decide(&self, vacant_for: Millis) -> Retake {
         if self.running < self.pools {
             Retake::Take
-        } else if self.left < self.free_peers {
-            Retake::Leave
-        } else if vacant_for >= HEARING_TIME && self.unread < self.rosters {
+        } else if self.released < self.free_peers {
+            Retake::Release
+        } else if vacant_for >= DISCOVERY_TIME && self.unread < self.rosters {
             Retake::Take
         } else {
             Retake::Wait
@@ -98,13 +98,13 @@
     /// Returns whether a takeover should be given back to a free peer, since others go before it and use
     /// much of the link. The last ones are given back, one for each free peer. After an abandoned
     /// takeover it is kept, so that processes that are all too slow don't pass a pool on for ever.
-    pub fn is_crowded_out(&self, waiting: &WaitingTakeover) -> bool {
+    pub fn is_to_give_back(&self, waiting: &WaitingTakeover) -> bool {
         let fills_link = if waiting.has_roster {
             self.running >= self.pools
         } else {
             2 * self.running >= self.rosters
         };
-        let is_late = waiting.age >= MAX_CROWDED_AGE && waiting.earlier > 0;
+        let is_late = waiting.age >= GIVE_BACK_AGE && waiting.earlier > 0;
         is_late && fills_link && waiting.later < self.free_peers && waiting.abandoned == 0
     }
 }
--- a/reachhead_node/src/bulk_reads.rs
+++ b/reachhead_node/src/bulk_reads.rs
@@ -127,29 +127,29 @@
     /// may be in flight is requested alone.
     pub async fn acquire(&self, rows: u32) -> Option<SemaphorePermit<'_>> {
         let _turn = self.background.lock().await;
-        let patience = Instant::now() + MAX_BACKGROUND_WAIT;
+        let wait_until = Instant::now() + MAX_BACKGROUND_WAIT;
         loop {
-            self.wait_for_urgent(patience).await;
+            self.wait_for_urgent(wait_until).await;
             let mut urgent = self.urgent.subscribe();
             tokio::select! {
                 biased;
                 permit = self.acquire_rows(rows) => return permit,
                 // A roster that is announced meanwhile goes first.
-                _ = urgent.changed(), if Instant::now() < patience => {}
+                _ = urgent.changed(), if Instant::now() < wait_until => {}
             }
         }
     }
 
-    async fn wait_for_urgent(&self, patience: Instant) {
+    async fn wait_for_urgent(&self, wait_until: Instant) {
         let mut urgent = self.urgent.subscribe();
         loop {
             let Some(deadline) = urgent.borrow_and_update().deadline(Instant::now()) else {
                 return;
             };
-            let limit = deadline.min(patience);
+            let limit = deadline.min(wait_until);
             // The state is checked again after a change as well as after the timeout.
             let _ = time::timeout_at(limit, urgent.changed()).await;
-            if Instant::now() >= patience {
+            if Instant::now() >= wait_until {
                 return;
             }
         }
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -84,9 +84,9 @@
     /// Pools being taken over. They run concurrently: after a restart of all processes each takes
     /// several, and the jobs of the last pool would wait for all the others.
     takeovers: BTreeMap<PoolName, JoinHandle<()>>,
-    /// Pools of this process that it has left to peers and that nobody has taken yet, with the release of
+    /// Pools of this process that it releases for peers and that nobody has taken yet, with the release of
     /// their leases.
-    left: BTreeMap<PoolName, JoinHandle<()>>,
+    released: BTreeMap<PoolName, JoinHandle<()>>,
     /// The lease of each pool whose owner was last logged as lost, so that each loss is logged
     /// once.
     logged: BTreeMap<PoolName, Revision>,
@@ -124,7 +124,7 @@
             watching_since: now,
             vacant_since: BTreeMap::new(),
             takeovers: BTreeMap::new(),
-            left: BTreeMap::new(),
+            released: BTreeMap::new(),
             logged: BTreeMap::new(),
             running: RunningTime::new(now),
             heard: now,
@@ -145,7 +145,7 @@
             self.watching_since = now;
         }
         self.takeovers.retain(|_, takeover| !takeover.is_finished());
-        self.left.retain(|pool, _| {
+        self.released.retain(|pool, _| {
             let view = self.node.view();
             let owner = view.leases.get(pool).and_then(|lease| lease.record.owner.as_ref());
             owner.is_none_or(|owner| *owner == self.node.settings.node)
@@ -164,7 +164,7 @@
             pools.push(fleet::name());
         }
         for pool in pools {
-            let releases = self.left.get(&pool).is_some_and(|release| !release.is_finished());
+            let releases = self.released.get(&pool).is_some_and(|release| !release.is_finished());
             let leaves = releases || self.node.leaves_to_others(&pool, now);
             if self.takeovers.contains_key(&pool) || leaves {
                 continue;
@@ -185,16 +185,16 @@
                 } else {
                     Retake::Wait
                 };
-                if decided == Retake::Leave
+                if decided == Retake::Release
                     && let Some(lease) = known
                 {
                     self.vacant_since.remove(&pool);
                     self.node.ability().record_declined(&pool, now);
-                    let release = retakes::leave(Arc::clone(&self.node), pool.clone(), lease);
-                    self.left.insert(pool, tokio::spawn(release));
+                    let release = retakes::release(Arc::clone(&self.node), pool.clone(), lease);
+                    self.released.insert(pool, tokio::spawn(release));
                 } else if decided == Retake::Take {
                     self.vacant_since.remove(&pool);
-                    self.left.remove(&pool);
+                    self.released.remove(&pool);
                     let task = run_takeover(Arc::clone(&self.node), pool.clone(), policy, known);
                     self.takeovers.insert(pool, tokio::spawn(task));
                 }
@@ -233,8 +233,8 @@
         if !has_roster {
             return Retake::Take;
         }
-        let (running, left) = (self.takeovers.len(), self.left.len());
-        retakes::retakes(&self.node, pool, running, left).decide(vacant_for)
+        let (running, released) = (self.takeovers.len(), self.released.len());
+        retakes::retakes(&self.node, pool, running, released).decide(vacant_for)
     }
 
     /// Logs a delay of this process.
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -89,7 +89,7 @@
     let reads = tokio::select! {
         loaded = load(&node, &pool, lease.revision, &fences, sender) => Reads::Ended(loaded),
         () = claim::wait_until_stuck(&node, &pool) => Reads::Stuck,
-        () = retakes::wait_until_crowded_out(&node, &pool) => Reads::CrowdedOut,
+        () = retakes::wait_until_given_back(&node, &pool) => Reads::GivenBack,
         () = node.stopped() => Reads::Stopping,
         outcome = &mut owner => {
             if outcome == Outcome::Failed {
@@ -143,7 +143,7 @@
     /// They were given up, since this process can't read the pool's rows.
     Stuck,
     /// They were given up, since other takeovers of this process go before this one and a peer is free.
-    CrowdedOut,
+    GivenBack,
     /// They were given up, since shutdown was requested.
     Stopping,
 }
@@ -154,7 +154,7 @@
         match self {
             Self::Ended(_) => Reads::Ended(None),
             Self::Stuck => Reads::Stuck,
-            Self::CrowdedOut => Reads::CrowdedOut,
+            Self::GivenBack => Reads::GivenBack,
             Self::Stopping => Reads::Stopping,
         }
     }
@@ -178,9 +178,9 @@
     let (longest, earlier) = (effect.longest(now), effect.earlier_owners(now));
     let recovered = match reads {
         Reads::Ended(recovered) => recovered,
-        Reads::Stuck | Reads::CrowdedOut => {
+        Reads::Stuck | Reads::GivenBack => {
             match reads {
-                Reads::CrowdedOut => node.ability().record_declined(pool, now),
+                Reads::GivenBack => node.ability().record_declined(pool, now),
                 _ => node.ability().record_unreadable(pool, now),
             }
             if let Some(takeover) = takeover {
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -7,10 +7,14 @@
     retake::{Retakes, WaitingTakeover, pool_limit, roster_limit},
     silence::OWNER_TIMEOUT,
 };
-use reachhead_types::id::{NodeName, PoolName};
+use reachhead_types::{
+    id::{NodeName, PoolName},
+    size::Millis,
+};
 use tokio::time;
 
 use crate::{
+    claim::Takeover,
     election, lease,
     node::{self, Node},
     view::{LeaseView, PeerStatus},
@@ -19,21 +23,28 @@
 /// Interval between two checks of a takeover.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Age from which a takeover without its roster keeps no other pool waiting: its rows may be unreadable.
+const MAX_ROSTER_TIME: Millis = Millis(2000);
+
 /// Maximum age of the store's last answer to a peer for it to take a pool, in milliseconds.
 const MAX_STORE_AGE_MS: u64 = 1800;
 
 /// Returns the state in which the process decides about a pool of its own. `running` is the number of its
-/// takeovers under way, and `left` that of the pools that it has left to peers.
-pub fn retakes(node: &Node, pool: &PoolName, running: usize, left: usize) -> Retakes {
+/// takeovers under way, and `released` that of the pools that it has released for peers.
+pub fn retakes(node: &Node, pool: &PoolName, running: usize, released: usize) -> Retakes {
     let (bandwidth, lease) = (node::bandwidth(&node.settings), election::timeouts(node).hold);
-    let read = node.loading().values().filter(|takeover| takeover.roster.is_some()).count();
+    let now = node.now();
+    let has_read = |takeover: &&Takeover| {
+        takeover.roster.is_some() || now.since(takeover.started) >= MAX_ROSTER_TIME
+    };
+    let read = node.loading().values().filter(has_read).count();
     Retakes {
         pools: pool_limit(bandwidth, lease),
         rosters: roster_limit(bandwidth, lease),
         running,
         unread: running.saturating_sub(read),
         free_peers: free_peers(node, pool, running),
-        left,
+        released,
     }
 }
 
@@ -59,24 +70,26 @@
 
 /// Releases the lease of a pool that this process held before it restarted, so that a peer takes it at
 /// once.
-pub async fn leave(node: Arc<Node>, pool: PoolName, lease: LeaseView) {
+pub async fn release(node: Arc<Node>, pool: PoolName, lease: LeaseView) {
     let effect = election::order_effect(&node, &pool, Some(&lease));
     let now = node.now();
-    log::info!("pool={pool} left to peers, since other takeovers fill the link of this process");
+    log::info!(
+        "pool={pool} released for peers, since other takeovers fill the link of this process"
+    );
     let record = lease.record.returned(effect.longest(now), effect.earlier_owners(now));
     lease::release(&node, &pool, &lease, record).await;
 }
 
 /// Waits until the takeover of a pool should be given back, since other takeovers of this process are
 /// before it and a peer is free.
-pub async fn wait_until_crowded_out(node: &Node, pool: &PoolName) {
+pub async fn wait_until_given_back(node: &Node, pool: &PoolName) {
     loop {
         time::sleep(CHECK_PERIOD).await;
         let Some(waiting) = waiting_takeover(node, pool) else {
             continue;
         };
         let others = waiting.earlier + waiting.later;
-        if retakes(node, pool, others, 0).is_crowded_out(&waiting) {
+        if retakes(node, pool, others, 0).is_to_give_back(&waiting) {
             return;
         }
     }
