--- a/reachhead_bench/src/jobs/site.rs
+++ b/reachhead_bench/src/jobs/site.rs
@@ -13,7 +13,10 @@
     clock::{Tick, WorkerTime},
     customer::Customers,
     model::Queue,
-    pool::{Batch, Due, JobState, Lane, Pool, PoolTimeouts, RecoveredState, StoredJob},
+    order_effect::OrderEffect,
+    pool::{
+        Batch, Due, JobState, Lane, Pool, PoolTimeouts, RecoveredState, StoredJob, StoredRoster,
+    },
     ports::{EndedEntry, RunEnd, WorkerInfo},
     record::{Ending, JobRecord},
     task::TaskId,
@@ -158,7 +161,8 @@
         grant: Millis(6000),
         drain: Millis(4000),
     };
-    let found = RecoveredState { jobs, verified: now, ..RecoveredState::default() };
+    let (roster, effect) = (StoredRoster::default(), OrderEffect::new(&timeouts));
+    let found = RecoveredState { jobs, ..RecoveredState::new(roster, effect, now) };
     Pool::new(pool_name(), FencingToken(7), 0, timeouts, found, now, Millis(now.0))
 }
 
