Bound the takeovers of a restarted process by the recorded size of its pools

On 20 Mbit/s a restarted process that holds five pools of 1,451 workers takes all five back at once.

Cause: a roster tells the number of workers only once it has been read, so the bound assumed 160 workers for every pool.

The row lease/POOL/settled, which every process follows, tells the number now. The owner writes it together with the changes of the roster, again only when the number has more than doubled or halved and is 20 at least. The bound adds bytes in place of counting pools. Without a recorded size nothing changes but for the point at which a takeover without its roster is given back: jobs of the others count, as they do for one with its roster.

large_pools_are_left_to_peers_by_their_recorded_size fails if the recorded number is ignored: (5, 0) pools are taken and left in place of (2, 3). Rows of earlier releases have no number, and these ignore the field.

--- a/reachhead_jobs/src/pool/refusal.rs
+++ b/reachhead_jobs/src/pool/refusal.rs
@@ -93,7 +93,7 @@
         if count > 1 {
             return;
         }
-        if count == 0 {
+        if count == 0 && batch.roster.as_ref().is_some_and(|update| update.settled.is_some()) {
             self.record_rejected_settlement();
         }
         for id in batch.jobs.iter().map(|entry| entry.id) {
--- a/reachhead_jobs/src/pool/roster.rs
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -8,7 +8,7 @@
 use reachhead_store::row::{Conflict, Key, Row, Txn};
 use reachhead_types::{
     id::WorkerId,
-    size::{Millis, Revision},
+    size::{Millis, Revision, WorkerCount},
 };
 
 use crate::{
@@ -104,8 +104,9 @@
     changes: Vec<Change>,
     /// The row of the whole roster is deleted.
     whole: bool,
-    /// The pool's [`SettledRecord`](crate::record::SettledRecord) is written.
-    pub(super) settled: bool,
+    /// The pool's [`SettledRecord`](crate::record::SettledRecord) is written, with this number of
+    /// workers.
+    pub(super) settled: Option<WorkerCount>,
 }
 
 impl RosterUpdate {
@@ -139,6 +140,20 @@
             && self.stored.workers.get(worker).is_some_and(StoredWorker::is_open)
     }
 
+    /// Returns the number of workers in the stored roster.
+    pub(super) fn worker_count(&self) -> WorkerCount {
+        WorkerCount(self.stored.workers.len() as u32)
+    }
+
+    /// Returns the number of workers in the stored roster once an update of it is performed.
+    fn count_after(&self, update: &RosterUpdate) -> WorkerCount {
+        let is_stored = |change: &&Change| self.stored.workers.contains_key(&change.worker);
+        let (known, new): (Vec<_>, Vec<_>) = update.changes.iter().partition(is_stored);
+        let removed = known.iter().filter(|change| change.entry.is_none()).count();
+        let added = new.iter().filter(|change| change.entry.is_some()).count();
+        WorkerCount((self.stored.workers.len() + added - removed) as u32)
+    }
+
     /// Returns whether there are changes to write.
     pub(super) fn is_due(&self) -> bool {
         !self.wanted.changes.is_empty() || self.wanted.whole
@@ -166,8 +181,9 @@
             update.changes.push(change.clone());
         }
         if self.is_settlement_due() {
-            txn = txn.with_write(settled_key(&self.name), value(&self.settled_record()));
-            update.settled = true;
+            let workers = self.roster.count_after(&update);
+            txn = txn.with_write(settled_key(&self.name), value(&self.settled_record(workers)));
+            update.settled = Some(workers);
         }
         if update.changes.is_empty() && self.roster.wanted.whole {
             let key = whole_roster_key(&self.name);
@@ -231,7 +247,7 @@
             }
         }
         let whole = changes.is_empty() && stored.whole.is_some();
-        RosterUpdate { changes, whole, settled: false }
+        RosterUpdate { changes, whole, settled: None }
     }
 
     fn roster_entry(
@@ -260,8 +276,8 @@
         if update.whole {
             self.roster.stored.whole = None;
         }
-        if update.settled {
-            self.settlement = Settlement::Recorded;
+        if let Some(workers) = update.settled {
+            self.settlement = Settlement::Recorded(workers);
         }
         for Change { worker, entry } in &update.changes {
             self.roster.withdrawn.remove(worker);
--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -4,7 +4,10 @@
 
 use std::collections::BTreeMap;
 
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_types::{
+    id::WorkerId,
+    size::{Millis, WorkerCount},
+};
 
 use crate::{
     clock::{Tick, with_drift},
@@ -23,13 +26,17 @@
 /// budget on a link that carries some tens of orders a second.
 const START_TIME: Millis = Millis(2000);
 
+/// Number of workers up to which the pool's recorded size is not corrected: their rows cross the slowest
+/// links in a tenth of a second.
+const MIN_RECORDED_WORKERS: u32 = 20;
+
 /// State of the pool's [`SettledRecord`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Settlement {
     /// It is written once the pool is settled.
     Unrecorded,
-    /// The store has it.
-    Recorded,
+    /// The store has it, with this number of workers.
+    Recorded(WorkerCount),
     /// The store rejected it, so it is not written again, and successors wait for longer than needed.
     Rejected,
 }
@@ -52,20 +59,24 @@
         Shard::all().all(|shard| self.fences.contains_key(&shard))
     }
 
-    /// Returns whether the pool's [`SettledRecord`] is to be written.
+    /// Returns whether the pool's [`SettledRecord`] is to be written: the store has none of this owner, or
+    /// its number of workers is less than half or more than twice the present one.
     pub(super) fn is_settlement_due(&self) -> bool {
-        self.settlement == Settlement::Unrecorded && self.is_settled()
+        let is_due = match self.settlement {
+            Settlement::Unrecorded => true,
+            Settlement::Recorded(recorded) => is_outdated(recorded, self.roster.worker_count()),
+            Settlement::Rejected => false,
+        };
+        is_due && self.is_settled()
     }
 
-    pub(super) fn settled_record(&self) -> SettledRecord {
-        SettledRecord { token: self.token }
+    pub(super) fn settled_record(&self, workers: WorkerCount) -> SettledRecord {
+        SettledRecord::new(self.token).with_workers(workers)
     }
 
     /// Records that the store rejects the [`SettledRecord`].
     pub(super) fn record_rejected_settlement(&mut self) {
-        if self.settlement == Settlement::Unrecorded {
-            self.settlement = Settlement::Rejected;
-        }
+        self.settlement = Settlement::Rejected;
     }
 
     /// Returns for how long runs of a predecessor may still be active on workers that have not
@@ -151,3 +162,8 @@
         Some((worker.joined + lease).max(self.predecessor.effect().until()?))
     }
 }
+
+fn is_outdated(recorded: WorkerCount, workers: WorkerCount) -> bool {
+    let (less, more) = (recorded.min(workers).0, recorded.max(workers).0);
+    more >= MIN_RECORDED_WORKERS && more > less.saturating_mul(2)
+}
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -5,7 +5,7 @@
 use reachhead_store::row::Key;
 use reachhead_types::{
     id::{CustomerName, JobId, NodeName, PoolName, RouteName, WorkerId},
-    size::{FencingToken, Millis, Revision, Strength},
+    size::{FencingToken, Millis, Revision, Strength, WorkerCount},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -287,10 +287,28 @@
 
 /// Shows that no order of the owners before the one with this token can have effect any more: each
 /// worker has answered that owner, or what was ordered there has expired, and all shards are fenced.
+/// It also tells the size of the pool, which a process needs before it reads the roster; see
+/// [`retake`](crate::retake).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SettledRecord {
     /// Token of the owner's lease.
     pub token: FencingToken,
+    /// Number of workers in the roster when the row was written; `None` in rows of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workers: Option<WorkerCount>,
+}
+
+impl SettledRecord {
+    /// Returns the record of the owner with this token.
+    pub const fn new(token: FencingToken) -> Self {
+        Self { token, workers: None }
+    }
+
+    /// Returns the record with the number of workers in the roster.
+    #[must_use]
+    pub const fn with_workers(self, workers: WorkerCount) -> Self {
+        Self { workers: Some(workers), ..self }
+    }
 }
 
 /// Shows that all shards are fenced at this token or above: owners before it that may go on get no
--- a/reachhead_jobs/src/retake.rs
+++ b/reachhead_jobs/src/retake.rs
@@ -4,14 +4,14 @@
 //! read and the workers are called, and other processes with idle links could take some of the pools.
 //! See [Platform](../../docs/PLATFORM.md), "How a pool changes its owner".
 
-use reachhead_types::size::{ByteRate, Millis};
+use reachhead_types::size::{ByteRate, Bytes, Millis, WorkerCount};
 
 /// Part of a worker's lease in which rosters are read and workers called. A restart with the reads of
 /// the leases and the configuration takes another third, and a lost call the last one.
 const LEASE_DIVISOR: u64 = 3;
 
-/// Assumed number of workers of a pool. The roster tells it only once it has been read.
-const WORKERS_PER_POOL: u64 = 160;
+/// Number of workers that is assumed for a pool of which none is recorded.
+const DEFAULT_WORKERS: WorkerCount = WorkerCount(160);
 
 /// Bytes of a worker that cross the link before the first renewal: its row of the roster, and the first
 /// call with its answer.
@@ -32,23 +32,17 @@
 /// workers' leases after a restart, so that the next owner is in time.
 const GIVE_BACK_AGE: Millis = Millis(1000);
 
-/// Returns how many rosters of pools a process reads at the same time over a link with this bandwidth,
-/// if its workers have leases of `lease`.
-pub fn roster_limit(bandwidth: ByteRate, lease: Millis) -> usize {
-    carried(bandwidth, lease, 0)
+/// Returns how many bytes a link with this bandwidth carries in the time in which rosters are read and
+/// workers called, if these have leases of `lease`.
+pub fn carried_bytes(bandwidth: ByteRate, lease: Millis) -> Bytes {
+    Bytes(bandwidth.0.saturating_mul(lease.0) / LEASE_DIVISOR / 1000)
 }
 
-/// Returns how many pools a process takes back with their jobs at the same time. Leases are renewed
-/// before the jobs are read, but until then nothing is started: a peer with an idle link reads a pool
-/// in a fraction of the time that several of them take on one.
-pub fn pool_limit(bandwidth: ByteRate, lease: Millis) -> usize {
-    carried(bandwidth, lease, JOB_BYTES)
-}
-
-fn carried(bandwidth: ByteRate, lease: Millis, jobs: u64) -> usize {
-    let carried = bandwidth.0.saturating_mul(lease.0) / LEASE_DIVISOR / 1000;
-    let bytes = WORKERS_PER_POOL * WORKER_BYTES + FENCE_BYTES + jobs;
-    (carried / bytes).max(1) as usize
+/// Returns the bytes of a pool that cross the link before all its workers are renewed, by the number of
+/// workers that is known.
+pub fn roster_bytes(workers: Option<WorkerCount>) -> Bytes {
+    let workers = workers.unwrap_or(DEFAULT_WORKERS);
+    Bytes(u64::from(workers.0) * WORKER_BYTES + FENCE_BYTES)
 }
 
 /// What to do with a pool whose lease names this process.
@@ -62,17 +56,39 @@
     Wait,
 }
 
+/// Takeovers under way that share a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Takeovers {
+    /// Their number.
+    pub count: usize,
+    /// Their [`roster_bytes`].
+    pub bytes: Bytes,
+}
+
+impl Takeovers {
+    /// Returns these takeovers with one more.
+    #[must_use]
+    pub fn with(self, bytes: Bytes) -> Self {
+        Self { count: self.count + 1, bytes: Bytes(self.bytes.0.saturating_add(bytes.0)) }
+    }
+
+    /// Returns the bytes with those of the jobs. Leases are renewed before the jobs are read, but until
+    /// then nothing is started: a peer with an idle link reads a pool in a fraction of the time that
+    /// several of them take on one.
+    fn bytes_with_jobs(self) -> Bytes {
+        Bytes(self.bytes.0.saturating_add(self.count as u64 * JOB_BYTES))
+    }
+}
+
 /// The takeovers of a process that has pools to take back, and who else could take them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Retakes {
-    /// Number of pools that the link carries at the same time.
-    pub pools: usize,
-    /// Number of rosters that it carries at the same time.
-    pub rosters: usize,
-    /// Number of takeovers under way.
-    pub running: usize,
+    /// What the link carries before workers' leases end; see [`carried_bytes`].
+    pub carried: Bytes,
+    /// The takeovers under way.
+    pub running: Takeovers,
     /// Those of them that have not read their roster.
-    pub unread: usize,
+    pub unread: Takeovers,
     /// Number of peers that were heard and have less load. Each may take one pool.
     pub free_peers: usize,
     /// Number of pools that were released for them and that nobody has taken yet.
@@ -80,29 +96,41 @@
 }
 
 impl Retakes {
-    /// Decides about a pool that has been without an owner for `vacant_for`. Without peers the process
-    /// takes its pools one after the other: as soon as a roster has been read, its jobs wait for the
-    /// next one's.
-    pub fn decide(&self, vacant_for: Millis) -> Retake {
-        if self.running < self.pools {
+    /// Decides about a pool with these [`roster_bytes`] that has been without an owner for `vacant_for`.
+    /// Without peers the process takes its pools one after the other: as soon as a roster has been read,
+    /// its jobs wait for the next one's.
+    pub fn decide(&self, pool: Bytes, vacant_for: Millis) -> Retake {
+        if self.carries_pool(pool) {
             Retake::Take
         } else if self.released < self.free_peers {
             Retake::Release
-        } else if vacant_for >= DISCOVERY_TIME && self.unread < self.rosters {
+        } else if vacant_for >= DISCOVERY_TIME && self.carries_roster(pool) {
             Retake::Take
         } else {
             Retake::Wait
         }
     }
 
+    /// Returns whether the link carries a pool with its jobs beside the takeovers under way. A pool that is
+    /// too large for it is taken alone.
+    fn carries_pool(&self, pool: Bytes) -> bool {
+        self.running.count == 0 || self.running.with(pool).bytes_with_jobs() <= self.carried
+    }
+
+    /// Returns whether the link carries a roster beside those that are read.
+    fn carries_roster(&self, pool: Bytes) -> bool {
+        self.unread.count == 0 || self.unread.with(pool).bytes <= self.carried
+    }
+
     /// Returns whether a takeover should be given back to a free peer, since others go before it and use
     /// much of the link. The last ones are given back, one for each free peer. After an abandoned
     /// takeover it is kept, so that processes that are all too slow don't pass a pool on for ever.
     pub fn is_to_give_back(&self, waiting: &WaitingTakeover) -> bool {
         let fills_link = if waiting.has_roster {
-            self.running >= self.pools
+            !self.carries_pool(waiting.bytes)
         } else {
-            2 * self.running >= self.rosters
+            let others = self.running.bytes_with_jobs().0.saturating_mul(2);
+            others.saturating_add(waiting.bytes.0) > self.carried.0
         };
         let is_late = waiting.age >= GIVE_BACK_AGE && waiting.earlier > 0;
         is_late && fills_link && waiting.later < self.free_peers && waiting.abandoned == 0
@@ -112,6 +140,8 @@
 /// A takeover that shares the link with others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitingTakeover {
+    /// Its [`roster_bytes`].
+    pub bytes: Bytes,
     /// Time since the lease was taken.
     pub age: Millis,
     /// Number of the others that began before it.
--- a/reachhead_jobs/tests/pool/order_effect.rs
+++ b/reachhead_jobs/tests/pool/order_effect.rs
@@ -3,7 +3,7 @@
 use reachhead_jobs::{
     clock::{Tick, with_drift},
     order_effect::{FencedBound, OrderEffect, Predecessor, order_effect},
-    record::{EarlierOwners, LeaseRecord, lease_key, settled_key},
+    record::{EarlierOwners, LeaseRecord, SettledRecord, lease_key, settled_key},
 };
 use reachhead_store::row::{Commit, Txn};
 use reachhead_types::size::{FencingToken, Millis, Revision};
@@ -170,6 +170,27 @@
     count
 }
 
+/// Performs all transactions, and returns the numbers of workers that they record.
+fn recorded_sizes(fixture: &mut Fixture) -> Vec<u32> {
+    let mut sizes = Vec::new();
+    for revision in 300..310 {
+        fixture.advance(50);
+        fixture.poll();
+        while let Some(batch) = fixture.batch() {
+            let writes = batch.txn.writes.iter();
+            let settled = writes.filter(|write| write.key == settled_key(&pool_name()));
+            for write in settled {
+                let value = write.value.clone().unwrap();
+                let record: SettledRecord = serde_json::from_value(value).unwrap();
+                sizes.push(record.workers.unwrap().0);
+            }
+            let commit = Commit::Done(Revision(revision));
+            assert!(fixture.pool.decided(&batch, &commit, fixture.now));
+        }
+    }
+    sizes
+}
+
 /// A successor that finds the row waits for the leases of this owner alone.
 #[test]
 fn a_pool_is_recorded_as_settled_once_no_predecessors_order_is_left() {
@@ -189,6 +210,19 @@
     assert_eq!(settlements(&mut fixture), 0, "an owner may take its commits for a confirmation");
 }
 
+/// Guards against a size of the pool that was recorded when it was small: a restarted process would take it
+/// back beside others on a link that does not carry it.
+#[test]
+fn the_recorded_size_of_a_pool_follows_it() {
+    let workers = |count: usize| (0..count).map(|n| info(&format!("w{n}"), 4)).collect();
+    let mut fixture = Fixture::new(recovered(vec![], vec![]), workers(10));
+    assert_eq!(recorded_sizes(&mut fixture), [10]);
+    fixture.pool.list(workers(19), fixture.now);
+    assert!(recorded_sizes(&mut fixture).is_empty(), "it is small");
+    fixture.pool.list(workers(60), fixture.now);
+    assert_eq!(recorded_sizes(&mut fixture).last(), Some(&60));
+}
+
 /// A transaction that the store rejects for its content is repeated without end.
 #[test]
 fn a_rejected_settled_row_is_not_written_again() {
--- a/reachhead_node/src/earlier_owners.rs
+++ b/reachhead_node/src/earlier_owners.rs
@@ -127,7 +127,7 @@
     /// Returns whether nothing has to be recorded: no order of an earlier owner is left.
     fn is_settled(&self) -> bool {
         let is_first = self.lease.record.unsettled_for == Some(Millis(0));
-        is_first || self.node.view().settled.get(&self.pool) == Some(&self.token())
+        is_first || self.node.view().is_settled(&self.pool, self.token())
     }
 
     async fn write(&self, record: FencedRecord) -> Option<Commit> {
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -233,8 +233,9 @@
         if !has_roster {
             return Retake::Take;
         }
-        let (running, released) = (self.takeovers.len(), self.released.len());
-        retakes::retakes(&self.node, pool, running, released).decide(vacant_for)
+        let running: Vec<PoolName> = self.takeovers.keys().cloned().collect();
+        let retakes = retakes::retakes(&self.node, pool, &running, self.released.len());
+        retakes.decide(retakes::roster_bytes_of(&self.node, pool), vacant_for)
     }
 
     /// Logs a delay of this process.
--- a/reachhead_node/src/failure_detector.rs
+++ b/reachhead_node/src/failure_detector.rs
@@ -199,7 +199,7 @@
     /// answer that they gave up, tasks wait for them no more.
     fn open_owners(&self, own: &NodeName) -> Vec<(NodeName, SocketAddr)> {
         let is_open = |(pool, lease): &(&PoolName, &LeaseView)| {
-            let is_settled = self.settled.get(*pool) == Some(&FencingToken(lease.revision.0));
+            let is_settled = self.is_settled(pool, FencingToken(lease.revision.0));
             lease.record.owner.as_ref() == Some(own) && !is_settled
         };
         let held = self.leases.iter().filter(is_open);
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -7,9 +7,7 @@
 use reachhead_jobs::{
     clock::Tick,
     ports::{Change, FeedError, FeedPage, OperatorRow},
-    record::{
-        FENCED_ROW, LeaseRecord, MEMBER_PART, MemberRecord, OWNER_ROW, SETTLED_ROW, SettledRecord,
-    },
+    record::{FENCED_ROW, LeaseRecord, MEMBER_PART, MemberRecord, OWNER_ROW, SETTLED_ROW},
     registry::WorkerChange,
 };
 use reachhead_ops::event::{Event, emit};
@@ -295,7 +293,7 @@
                 }
             }
             Some(LeaseKey::Settled(pool)) if !change.deleted => match change.row.parse() {
-                Ok(SettledRecord { token }) => _ = self.0.view().settled.insert(pool, token),
+                Ok(record) => _ = self.0.view().settled.insert(pool, record),
                 Err(error) => emit(Event::RowRefused, error),
             },
             Some(LeaseKey::Fenced(pool)) if !change.deleted => match change.row.parse() {
--- a/reachhead_node/src/predecessor.rs
+++ b/reachhead_node/src/predecessor.rs
@@ -24,7 +24,7 @@
             token: FencingToken(lease.revision.0),
             since: lease.since,
             has_ended: self.has_ended(pool, lease, own),
-            is_settled: self.settled.get(pool) == Some(&FencingToken(lease.revision.0)),
+            is_settled: self.is_settled(pool, FencingToken(lease.revision.0)),
             fenced: self.fenced.get(pool).map(|fenced| fenced.bound),
         }
     }
--- a/reachhead_node/src/predecessor_tests.rs
+++ b/reachhead_node/src/predecessor_tests.rs
@@ -7,7 +7,7 @@
     record::{LeaseRecord, SettledRecord, lease_key, settled_key, value},
 };
 use reachhead_store::row::Row;
-use reachhead_types::size::Revision;
+use reachhead_types::size::{Revision, WorkerCount};
 use serde_json::json;
 
 use super::*;
@@ -100,7 +100,7 @@
 /// An earlier release follows the table of leases, too, and would take the row for a pool's lease.
 #[test]
 fn the_row_of_a_settled_pool_is_no_lease_for_an_earlier_release() {
-    let record = SettledRecord { token: FencingToken(7) };
+    let record = SettledRecord::new(FencingToken(7)).with_workers(WorkerCount(3));
     let row = Row { key: settled_key(&pool()), value: value(&record), revision: Revision(8) };
     assert!(row.parse::<LeaseRecord>().is_err());
     let part = reachhead_jobs::record::part_of;
@@ -114,8 +114,8 @@
     let lease = lease("front-b-1", "127.0.0.1:7060");
     let is_settled = || node.view().predecessor(&pool(), &lease, &node.settings).is_settled;
     assert!(!is_settled());
-    node.view().settled.insert(pool(), FencingToken(6));
+    node.view().settled.insert(pool(), SettledRecord::new(FencingToken(6)));
     assert!(!is_settled(), "the owner before it was settled");
-    node.view().settled.insert(pool(), FencingToken(7));
+    node.view().settled.insert(pool(), SettledRecord::new(FencingToken(7)));
     assert!(is_settled());
 }
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -4,12 +4,12 @@
 
 use reachhead_jobs::{
     candidate::Candidate,
-    retake::{Retakes, WaitingTakeover, pool_limit, roster_limit},
+    retake::{Retakes, Takeovers, WaitingTakeover, carried_bytes, roster_bytes},
     silence::OWNER_TIMEOUT,
 };
 use reachhead_types::{
     id::{NodeName, PoolName},
-    size::Millis,
+    size::{Bytes, Millis, WorkerCount},
 };
 use tokio::time;
 
@@ -29,25 +29,34 @@
 /// Maximum age of the store's last answer to a peer for it to take a pool, in milliseconds.
 const MAX_STORE_AGE_MS: u64 = 1800;
 
-/// Returns the state in which the process decides about a pool of its own. `running` is the number of its
-/// takeovers under way, and `released` that of the pools that it has released for peers.
-pub fn retakes(node: &Node, pool: &PoolName, running: usize, released: usize) -> Retakes {
+/// Returns the state in which the process decides about a pool of its own. `running` are the pools of
+/// its takeovers under way, and `released` is the number of those that it has released for peers.
+pub fn retakes(node: &Node, pool: &PoolName, running: &[PoolName], released: usize) -> Retakes {
     let (bandwidth, lease) = (node::bandwidth(&node.settings), election::timeouts(node).hold);
     let now = node.now();
-    let has_read = |takeover: &&Takeover| {
+    let has_read = |takeover: &Takeover| {
         takeover.roster.is_some() || now.since(takeover.started) >= MAX_ROSTER_TIME
     };
-    let read = node.loading().values().filter(has_read).count();
+    let is_unread = |pool: &&PoolName| !node.loading().get(*pool).is_some_and(has_read);
+    let add = |all: Takeovers, pool: &PoolName| all.with(roster_bytes_of(node, pool));
     Retakes {
-        pools: pool_limit(bandwidth, lease),
-        rosters: roster_limit(bandwidth, lease),
-        running,
-        unread: running.saturating_sub(read),
-        free_peers: free_peers(node, pool, running),
+        carried: carried_bytes(bandwidth, lease),
+        running: running.iter().fold(Takeovers::default(), add),
+        unread: running.iter().filter(is_unread).fold(Takeovers::default(), add),
+        free_peers: free_peers(node, pool, running.len()),
         released,
     }
 }
 
+/// Returns the bytes of a pool's roster and first calls, by the roster if it has been read, or else by what
+/// an owner has recorded.
+pub fn roster_bytes_of(node: &Node, pool: &PoolName) -> Bytes {
+    let read = node.loading().get(pool).and_then(|takeover| takeover.roster);
+    let read = read.map(|workers| WorkerCount(workers as u32));
+    let recorded = || node.view().settled.get(pool).and_then(|record| record.workers);
+    roster_bytes(read.or_else(recorded))
+}
+
 /// Returns how many members would have less load with the pool than this process with `running`
 /// takeovers, were heard lately, and are able to take it.
 fn free_peers(node: &Node, pool: &PoolName, running: usize) -> usize {
@@ -88,20 +97,23 @@
         let Some(waiting) = waiting_takeover(node, pool) else {
             continue;
         };
-        let others = waiting.earlier + waiting.later;
-        if retakes(node, pool, others, 0).is_to_give_back(&waiting) {
+        let others: Vec<PoolName> =
+            node.loading().keys().filter(|other| *other != pool).cloned().collect();
+        if retakes(node, pool, &others, 0).is_to_give_back(&waiting) {
             return;
         }
     }
 }
 
 fn waiting_takeover(node: &Node, pool: &PoolName) -> Option<WaitingTakeover> {
+    let bytes = roster_bytes_of(node, pool);
     let loading = node.loading();
     let takeover = loading.get(pool)?;
     let is_earlier = |(other, started)| (started, other) < (takeover.started, pool);
     let others = loading.iter().map(|(other, takeover)| (other, takeover.started));
     let earlier = others.filter(|other| is_earlier(*other)).count();
     Some(WaitingTakeover {
+        bytes,
         age: node.now().since(takeover.started),
         earlier,
         later: loading.len() - earlier - 1,
--- a/reachhead_node/src/retakes_tests.rs
+++ b/reachhead_node/src/retakes_tests.rs
@@ -4,10 +4,10 @@
 
 use reachhead_jobs::{
     model::{CallLimits, Configuration},
-    record::MemberRecord,
+    record::{MemberRecord, SettledRecord},
 };
 use reachhead_ops::runtime;
-use reachhead_types::size::{Strength, Version};
+use reachhead_types::size::{FencingToken, Strength, Version, WorkerCount};
 
 use super::*;
 use crate::{
@@ -20,9 +20,14 @@
 /// Returns the election of a process on a link of 2 Mbit/s whose name holds five pools, and which reads
 /// no roster in time. `peers` members own nothing and were heard.
 async fn restarted(peers: usize) -> Election {
+    restarted_on(2.0, peers).await
+}
+
+/// Returns the same election on a link of `mbps`.
+async fn restarted_on(mbps: f64, peers: usize) -> Election {
     let (mut node, store) = broken_node::node();
     store.scan_time.store(60_000, Ordering::Relaxed);
-    Arc::get_mut(&mut node).unwrap().settings.link_mbps = 2.0;
+    Arc::get_mut(&mut node).unwrap().settings.link_mbps = mbps;
     let names = ["a", "b", "c", "d", "e"].map(|name| name.parse::<PoolName>().unwrap());
     let policy = |name| PoolPolicy { name, rejects_overload: false, spare: false };
     let pools = names.into_iter().map(|name| (name.clone(), policy(name))).collect();
@@ -36,7 +41,8 @@
     for number in 0..peers {
         let (name, address) = (format!("front-b-{number}"), node.settings.peer);
         let name: NodeName = name.parse().unwrap();
-        let record = MemberRecord { address, strength: Strength(250) };
+        let strength = node.strength().max(Strength(250));
+        let record = MemberRecord { address, strength };
         let member = MemberView { record, revision: Revision(1) };
         let now = node.now();
         let status = PeerStatus { asked: now, at: now, address, pong: Pong::default() };
@@ -69,6 +75,25 @@
     });
 }
 
+/// Guards against a process that takes pools of thousands of workers back as if they were small, so that
+/// leases end before their workers are called, while peers with idle links stand by.
+#[test]
+fn large_pools_are_left_to_peers_by_their_recorded_size() {
+    runtime::current_thread().unwrap().block_on(async {
+        for (workers, expected) in [(None, (5, 0)), (Some(1451), (2, 3)), (Some(20_000), (1, 4))] {
+            let mut election = restarted_on(20.0, 4).await;
+            for pool in ["a", "b", "c", "d", "e"] {
+                let record = SettledRecord::new(FencingToken(1));
+                let record =
+                    workers.map_or(record, |workers| record.with_workers(WorkerCount(workers)));
+                election.node.view().settled.insert(pool.parse().unwrap(), record);
+            }
+            election.check_pools();
+            assert_eq!(counts(&election).await, expected, "pools of {workers:?} workers");
+        }
+    });
+}
+
 /// Guards against pools that nobody owns, or that share the link, after a restart of all processes.
 #[test]
 fn a_process_without_peers_takes_its_pools_one_after_the_other() {
--- a/reachhead_node/src/view.rs
+++ b/reachhead_node/src/view.rs
@@ -17,7 +17,7 @@
     model::Configuration,
     order_effect::FencedBound,
     ports::WorkerInfo,
-    record::{FencedRecord, LeaseRecord, MemberRecord},
+    record::{FencedRecord, LeaseRecord, MemberRecord, SettledRecord},
     silence::{MissedHeartbeats, OWNER_TIMEOUT},
     wave::WaveOrder,
 };
@@ -105,8 +105,8 @@
     pub operator_rows: AppliedRows,
     /// The leases, by pool.
     pub leases: BTreeMap<PoolName, LeaseView>,
-    /// The token of the owner that last recorded that its pool is settled, by pool.
-    pub settled: BTreeMap<PoolName, FencingToken>,
+    /// What the owner that last had its pool settled has recorded, by pool.
+    pub settled: BTreeMap<PoolName, SettledRecord>,
     /// What the last owner with fences on all shards has recorded, by pool.
     pub fenced: BTreeMap<PoolName, FencedView>,
     /// When the leases were first read. Their age before that is unknown.
@@ -276,6 +276,11 @@
         }
     }
 
+    /// Returns whether the owner with this token has recorded that its pool is settled.
+    pub fn is_settled(&self, pool: &PoolName, token: FencingToken) -> bool {
+        self.settled.get(pool).is_some_and(|record| record.token == token)
+    }
+
     /// Replaces what is known of a pool's fences if the row is newer.
     pub fn update_fenced(
         &mut self,
--- a/reachhead_types/src/size.rs
+++ b/reachhead_types/src/size.rs
@@ -90,6 +90,10 @@
     /// Capacity weight of a process: the task starts per second that its processor and link allow.
     Strength, u32
 }
+count_type! {
+    /// Number of workers of a pool.
+    WorkerCount, u32
+}
 count_type! {
     /// Revision that the store assigned to the last write of a row.
     Revision, u64
