Log reads of the operators' rows that take long, and how many versions in them are superseded

Callers see long-running tasks without a run on links of 2 Mbit/s after a storm of large configurations. The logs show neither how long the rows arrived nor which read they answered, so that superseded versions, duplicate reads and reads of other tables can't be told apart.

--- a/reachhead_node/src/config_reads.rs
+++ b/reachhead_node/src/config_reads.rs
@@ -4,10 +4,14 @@
 //! give up after 300 ms. If each read ended with its caller, and each call began another one, they
 //! would fill the link and none would ever end (docs/design/large-reads.md).
 
-use std::{pin::pin, sync::Arc};
+use std::{collections::BTreeSet, pin::pin, sync::Arc};
 
 use futures::future::{self, BoxFuture, Either};
-use reachhead_jobs::ports::{FeedError, FeedPage};
+use reachhead_jobs::{
+    clock::Tick,
+    ports::{FeedError, FeedPage},
+};
+use reachhead_ops::event::{Event, emit};
 use reachhead_store::{StoreError, progress::Progress};
 use reachhead_types::size::{Millis, Revision};
 use tokio::sync::{Mutex, OwnedMutexGuard, oneshot};
@@ -18,6 +22,9 @@
     relay,
 };
 
+/// Time from which the arrival of the operators' rows is logged.
+const SLOW_ARRIVAL: Millis = Millis(500);
+
 /// The reads of the operators' table.
 #[derive(Debug, Default)]
 pub struct ConfigReads {
@@ -111,6 +118,7 @@
     let page = operator_changes(&node, operators.table(), known).await;
     node.record_store_result(&page);
     let page = page.map_err(|error| error.to_string())?;
+    record_arrival(&node, "refresh", &page, sent);
     operators.apply(&page.changes);
     operators.confirm_current(sent, page.revision);
     Ok(page)
@@ -156,5 +164,31 @@
     };
     // A read that runs already goes on beside it.
     let _permit = has_begun.then(|| node.config_reads.try_begin()).flatten();
-    poll.await
+    let began = node.now();
+    let page = poll.await?;
+    record_arrival(node, "poll", &page, began);
+    Ok(page)
+}
+
+/// Records an answer with rows of the operators' table that began to arrive at `began`, or was requested
+/// then.
+pub fn record_arrival(node: &Node, read: &str, page: &FeedPage, began: Tick) {
+    let arrival = node.now().since(began);
+    if arrival >= SLOW_ARRIVAL {
+        emit(
+            Event::ConfigReadSlow,
+            format_args!(
+                "read={read} rows={} superseded={} arrival={arrival}ms revision={}",
+                page.changes.len(),
+                superseded(page),
+                page.revision
+            ),
+        );
+    }
+}
+
+/// Returns how many changes of a page are replaced by later ones of the same rows.
+fn superseded(page: &FeedPage) -> usize {
+    let keys: BTreeSet<_> = page.changes.iter().map(|change| &change.row.key).collect();
+    page.changes.len() - keys.len()
 }
--- a/reachhead_node/src/relay.rs
+++ b/reachhead_node/src/relay.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     admission::max_config_age,
-    config_reads::poll_operators,
+    config_reads::{poll_operators, record_arrival},
     follow::LEASE_TABLE,
     lock::locked,
     node::Node,
@@ -209,6 +209,9 @@
     }
     let at = node.now();
     let page = node.services.feed.table(table).await?;
+    if table == node.services.row_format.operator_table() {
+        record_arrival(node, "table", &page, at);
+    }
     node.relay.record_table(table, &page, at);
     if allows_relayed_age(node) && relayed_tables(node).contains(&table) {
         // Who has the table passes it on; a second read for others would fill the link again.
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -172,6 +172,9 @@
     StartsLimited 725 Info;
     /// Workers of a pool die for a cause that is not what they run, so that these deaths are no evidence against a task: how many workers are left.
     WorkerOutage 726 Warn;
+    /// The operators' rows took long to arrive: which read they answer, for how long, and how many of the
+    /// versions of the configuration in the answer a later one replaces (`superseded`).
+    ConfigReadSlow 727 Info;
     /// Log lines were dropped because there were too many.
     LinesDropped 730 Warn;
     /// This process was late itself: its check of the pools ran long after it was due.
