Skip superseded versions of a large configuration on narrow links

Owners had no current operators' table and no confirmed lease for up to 17 s after the last change.

Cause: the platform's feed returns each version of a row. Nothing else passed meanwhile.

After an answer that took half a second or more to arrive the follower reads the whole table in place of its changes, after a pause of half that time, until nothing has changed. It keeps the permit for reads of the table meanwhile, so a refresh does not read the same rows. One version at a time arrives, the newest, and a third of the link is left to other calls.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod retake;
 pub mod shard;
 pub mod silence;
+pub mod slow_reads;
 pub mod start_pace;
 pub mod task;
 pub mod wave;
--- a/reachhead_node/src/config_reads.rs
+++ b/reachhead_node/src/config_reads.rs
@@ -10,6 +10,7 @@
 use reachhead_jobs::{
     clock::Tick,
     ports::{FeedError, FeedPage},
+    slow_reads::SLOW_ARRIVAL,
 };
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::{StoreError, progress::Progress};
@@ -22,9 +23,6 @@
     relay,
 };
 
-/// Time from which the arrival of the operators' rows is logged.
-const SLOW_ARRIVAL: Millis = Millis(500);
-
 /// The reads of the operators' table.
 #[derive(Debug, Default)]
 pub struct ConfigReads {
@@ -118,7 +116,7 @@
     let page = operator_changes(&node, operators.table(), known).await;
     node.record_store_result(&page);
     let page = page.map_err(|error| error.to_string())?;
-    record_arrival(&node, "refresh", &page, sent);
+    log_arrival(&node, "refresh", &page, sent);
     operators.apply(&page.changes);
     operators.confirm_current(sent, page.revision);
     Ok(page)
@@ -142,8 +140,9 @@
     }
 }
 
-/// Waits for changes of the operators' table. As soon as an answer begins to arrive, no other read
-/// begins, since it would carry the same changes over the same link.
+/// Waits for changes of the operators' table, and returns them with the time that they took to arrive.
+/// As soon as an answer begins to arrive, no other read begins, since it would carry the same changes
+/// over the same link.
 ///
 /// # Errors
 ///
@@ -153,26 +152,26 @@
     table: &'static str,
     revision: Revision,
     wait: Millis,
-) -> Result<FeedPage, FeedError> {
+) -> Result<(FeedPage, Millis), FeedError> {
     let progress = Progress::new();
     let mut parts = progress.parts();
     let mut poll = node.services.feed.changes_with_progress(table, revision, wait, progress);
     let first_part = pin!(parts.changed());
     let has_begun = match future::select(&mut poll, first_part).await {
-        Either::Left((result, _)) => return result,
+        Either::Left((result, _)) => return Ok((result?, Millis(0))),
         Either::Right((part, _)) => part.is_ok(),
     };
     // A read that runs already goes on beside it.
     let _permit = has_begun.then(|| node.config_reads.try_begin()).flatten();
     let began = node.now();
     let page = poll.await?;
-    record_arrival(node, "poll", &page, began);
-    Ok(page)
+    let arrival = log_arrival(node, "poll", &page, began);
+    Ok((page, arrival))
 }
 
-/// Records an answer with rows of the operators' table that began to arrive at `began`, or was requested
-/// then.
-pub fn record_arrival(node: &Node, read: &str, page: &FeedPage, began: Tick) {
+/// Returns how long an answer with rows of the operators' table took, which began to arrive at `began` or
+/// was requested then, and logs it if that was long.
+pub fn log_arrival(node: &Node, read: &str, page: &FeedPage, began: Tick) -> Millis {
     let arrival = node.now().since(began);
     if arrival >= SLOW_ARRIVAL {
         emit(
@@ -185,6 +184,7 @@
             ),
         );
     }
+    arrival
 }
 
 /// Returns how many changes of a page are replaced by later ones of the same rows.
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -9,9 +9,13 @@
     ports::{Change, FeedError, FeedPage, OperatorRow},
     record::{FENCED_ROW, LeaseRecord, MEMBER_PART, MemberRecord, OWNER_ROW, SETTLED_ROW},
     registry::WorkerChange,
+    slow_reads::{pause_after, skips_versions},
 };
 use reachhead_ops::event::{Event, emit};
-use reachhead_store::row::{Key, Row};
+use reachhead_store::{
+    StoreError,
+    row::{Key, Row},
+};
 use reachhead_types::{
     id::{NodeName, PoolName, ZoneName},
     size::{Millis, Revision},
@@ -91,6 +95,11 @@
     /// Records that the state matched the table at `at`, and at this revision.
     fn confirm_current(&self, at: Tick, revision: Revision);
 
+    /// Returns whether rows may be so large that superseded versions of them are skipped on a narrow link.
+    fn has_large_rows(&self) -> bool {
+        false
+    }
+
     /// Marks the state as stale, because the table is no longer followed.
     fn mark_stale(&self) {}
 }
@@ -108,20 +117,10 @@
             let result = relay::read_table(&node, follower.table()).await;
             node.record_store_result(&result);
             match result {
-                Ok(DatedPage { page, at }) => {
-                    emit(
-                        Event::TableRead,
-                        format_args!(
-                            "table={} rows={} revision={}",
-                            follower.table(),
-                            page.changes.len(),
-                            page.revision
-                        ),
-                    );
-                    follower.reset(&page);
-                    follower.confirm_current(at, page.revision);
+                Ok(answer) => {
+                    take_table(&*follower, &answer);
                     pause = MIN_RETRY_PAUSE;
-                    poll(&node, &*follower, page).await;
+                    poll(&node, &*follower, answer.page).await;
                 }
                 Err(error) => {
                     log::info!("table={} read failed, retrying: {error}", follower.table());
@@ -137,6 +136,46 @@
     })
 }
 
+/// Applies a read of a whole table.
+fn take_table(follower: &dyn Follower, answer: &DatedPage) {
+    let (table, page) = (follower.table(), &answer.page);
+    emit(
+        Event::TableRead,
+        format_args!("table={table} rows={} revision={}", page.changes.len(), page.revision),
+    );
+    follower.reset(page);
+    follower.confirm_current(answer.at, page.revision);
+}
+
+/// Reads the whole operators' table with pauses, until it has not changed from one read to the next or
+/// arrives quickly, and returns the revision from which its feed is followed again. No other read of the table runs meanwhile:
+/// each would carry the same rows.
+async fn skip_versions(
+    node: &Node,
+    follower: &dyn Follower,
+    last: DatedPage,
+) -> Result<Revision, StoreError> {
+    let _permit = node.config_reads.begin().await;
+    let (mut arrival, mut revision) = (last.arrival, last.page.revision);
+    let mut newest = newest_row(&last.page);
+    loop {
+        time::sleep(pause_after(arrival).duration()).await;
+        let answer = relay::read_table_with_permit(node, follower.table()).await?;
+        take_table(follower, &answer);
+        (arrival, revision) = (answer.arrival, revision.max(answer.page.revision));
+        let known = newest.max(newest_row(&answer.page));
+        if known == newest || !skips_versions(arrival) {
+            return Ok(revision);
+        }
+        newest = known;
+    }
+}
+
+/// Returns the revision of the row that changed last.
+fn newest_row(page: &FeedPage) -> Revision {
+    page.changes.iter().map(|change| change.row.revision).max().unwrap_or_default()
+}
+
 /// Polls for changes until the table has to be read in full or is no longer needed.
 async fn poll(node: &Node, follower: &dyn Follower, start: FeedPage) {
     let mut revision = start.revision;
@@ -148,16 +187,25 @@
         // return only when its wait is over.
         poll_wait = if result.is_ok() { follower.poll_wait() } else { Millis(0) };
         match result {
-            Ok(DatedPage { page, at }) => {
+            Ok(answer) => {
                 node.record_store_result(&Ok(()));
-                revision = revision.max(page.revision);
-                let changed = !page.changes.is_empty();
+                revision = revision.max(answer.page.revision);
+                let changed = !answer.page.changes.is_empty();
                 if changed {
-                    follower.apply(&page.changes);
+                    follower.apply(&answer.page.changes);
                 }
-                follower.confirm_current(at, revision);
+                follower.confirm_current(answer.at, revision);
                 pause = MIN_RETRY_PAUSE;
-                if changed {
+                if changed && follower.has_large_rows() && skips_versions(answer.arrival) {
+                    match skip_versions(node, follower, answer).await {
+                        Ok(read) => revision = revision.max(read),
+                        Err(error) => {
+                            let table = follower.table();
+                            log::info!("table={table} read failed, its feed goes on: {error}");
+                            node.record_store_result::<()>(&Err(error));
+                        }
+                    }
+                } else if changed {
                     time::sleep(follower.pause_after_changes().duration()).await;
                 }
             }
@@ -255,6 +303,10 @@
         self.take_all(&newer);
     }
 
+    fn has_large_rows(&self) -> bool {
+        true
+    }
+
     fn confirm_current(&self, at: Tick, revision: Revision) {
         let mut view = self.0.view();
         view.config_current_at = view.config_current_at.max(at);
--- a/reachhead_node/src/follow_tests.rs
+++ b/reachhead_node/src/follow_tests.rs
@@ -1,22 +1,37 @@
 //! Several reads of a followed table can be under way at once, so an older one may be applied after
 //! a newer one.
 
-use std::sync::Arc;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
+use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
     clock::Tick,
-    ports::{Change, FeedPage},
+    ports::{Change, FeedError, FeedPage, TableFeed},
     record::{MemberRecord, member_key, value},
 };
-use reachhead_store::row::{Key, Row};
+use reachhead_store::{
+    StoreError,
+    progress::Progress,
+    row::{Key, Row},
+};
 use reachhead_types::{
     id::NodeName,
-    size::{Revision, Strength},
+    size::{Millis, Revision, Strength, Version},
 };
 use serde_json::{Value, json};
+use tokio::time;
 
-use super::{Follower, Leases, Operators};
-use crate::{node::Node, tests::idle_node};
+use super::{Follower, Leases, Operators, follow};
+use crate::{
+    node::Node,
+    tests::{broken_node, idle_node},
+};
 
 /// Nothing is read from the store.
 const UNUSED_STORE: &str = "127.0.0.1:1";
@@ -114,3 +129,94 @@
     assert_eq!(version(), Some(9));
     assert_eq!(node.view().config_row, Revision(20));
 }
+
+/// Time that a version of the configuration takes on the link.
+const VERSION_TIME: Duration = Duration::from_millis(600);
+
+/// A feed of the configuration over a narrow link, which carries one version after the other.
+#[derive(Default)]
+struct NarrowFeed {
+    newest: AtomicU64,
+    /// The largest number of versions in an answer.
+    most_rows: AtomicUsize,
+}
+
+impl NarrowFeed {
+    async fn carry(
+        &self,
+        versions: std::ops::RangeInclusive<u64>,
+        progress: &Progress,
+    ) -> FeedPage {
+        let revision = Revision(*versions.end());
+        let changes: Vec<Change> =
+            versions.map(|version| configuration(version, version)).collect();
+        self.most_rows.fetch_max(changes.len(), Ordering::Relaxed);
+        progress.record_part();
+        time::sleep(VERSION_TIME * changes.len() as u32).await;
+        FeedPage { changes, revision }
+    }
+}
+
+impl TableFeed for NarrowFeed {
+    fn table(&self, _: &'static str) -> BoxFuture<'_, Result<FeedPage, StoreError>> {
+        async move {
+            let newest = self.newest.load(Ordering::Relaxed);
+            Ok(self.carry(newest..=newest, &Progress::new()).await)
+        }
+        .boxed()
+    }
+
+    fn changes(
+        &self,
+        table: &'static str,
+        after: Revision,
+        wait: Millis,
+    ) -> BoxFuture<'_, Result<FeedPage, FeedError>> {
+        self.changes_with_progress(table, after, wait, Progress::new())
+    }
+
+    fn changes_with_progress(
+        &self,
+        _: &'static str,
+        after: Revision,
+        _: Millis,
+        progress: Progress,
+    ) -> BoxFuture<'_, Result<FeedPage, FeedError>> {
+        async move {
+            while self.newest.load(Ordering::Relaxed) <= after.0 {
+                time::sleep(Duration::from_millis(5)).await;
+            }
+            let newest = self.newest.load(Ordering::Relaxed);
+            Ok(self.carry(after.0 + 1..=newest, &progress).await)
+        }
+        .boxed()
+    }
+}
+
+/// Guards against a process on a narrow link that reads every version of a configuration which changes quickly: it
+/// knew the last one many seconds late, and nothing else passed meanwhile.
+#[tokio::test]
+async fn superseded_versions_of_a_large_configuration_are_skipped_on_a_narrow_link() {
+    const VERSIONS: u64 = 10;
+    let feed = Arc::new(NarrowFeed { newest: AtomicU64::new(1), ..NarrowFeed::default() });
+    let (mut node, _) = broken_node::node();
+    Arc::get_mut(&mut node).unwrap().services.feed = Arc::clone(&feed) as _;
+    let node: Arc<Node> = node;
+    let follower = Arc::new(Operators(Arc::clone(&node)));
+    let followed = tokio::spawn(follow(Arc::clone(&node), follower));
+    let version = || node.view().config.as_ref().map(|config| config.version);
+    while version().is_none() {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    for newest in 2..=VERSIONS {
+        feed.newest.store(newest, Ordering::Relaxed);
+        time::sleep(Duration::from_millis(150)).await;
+    }
+    let published = Instant::now();
+    while version() != Some(Version(VERSIONS)) {
+        assert!(published.elapsed() < 3 * VERSION_TIME, "only {:?} is known", version());
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(feed.most_rows.load(Ordering::Relaxed), 1, "an answer has superseded versions");
+    followed.abort();
+}
--- a/reachhead_node/src/relay.rs
+++ b/reachhead_node/src/relay.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     admission::max_config_age,
-    config_reads::{poll_operators, record_arrival},
+    config_reads::{log_arrival, poll_operators},
     follow::LEASE_TABLE,
     lock::locked,
     node::Node,
@@ -80,6 +80,8 @@
     pub page: FeedPage,
     /// When the table was in this state.
     pub at: Tick,
+    /// How long the rows took to arrive; not measured for tables of the store other than the operators'.
+    pub arrival: Millis,
 }
 
 /// A table that this process relays.
@@ -200,24 +202,37 @@
         true => Some(node.config_reads.begin().await),
         false => None,
     };
+    read_table_with_permit(node, table).await
+}
+
+/// As [`read_table`], for a caller that keeps other reads of the operators' table from beginning.
+///
+/// # Errors
+///
+/// Any [`StoreError`].
+pub async fn read_table_with_permit(
+    node: &Node,
+    table: &'static str,
+) -> Result<DatedPage, StoreError> {
     let at = node.now();
     if uses_relay(node)
         && let Some(TableReply::Page { page, held, age }) =
             request_table(node, table, None, MAX_HOLD).await
     {
-        return Ok(dated(at, page, held, age));
+        return Ok(dated(node, at, page, held, age));
     }
     let at = node.now();
     let page = node.services.feed.table(table).await?;
-    if table == node.services.row_format.operator_table() {
-        record_arrival(node, "table", &page, at);
-    }
+    let arrival = match table == node.services.row_format.operator_table() {
+        true => log_arrival(node, "table", &page, at),
+        false => Millis(0),
+    };
     node.relay.record_table(table, &page, at);
     if allows_relayed_age(node) && relayed_tables(node).contains(&table) {
         // Who has the table passes it on; a second read for others would fill the link again.
         node.relay.start_relaying(table, page.clone(), at);
     }
-    Ok(DatedPage { page, at })
+    Ok(DatedPage { page, at, arrival })
 }
 
 /// Waits for changes of a table, from a member or the store.
@@ -234,24 +249,27 @@
     let at = node.now();
     if uses_relay(node) {
         match request_table(node, table, Some(revision), MAX_HOLD).await {
-            Some(TableReply::Page { page, held, age }) => return Ok(dated(at, page, held, age)),
+            Some(TableReply::Page { page, held, age }) => {
+                return Ok(dated(node, at, page, held, age));
+            }
             Some(TableReply::Forgotten) => return Err(FeedError::Forgotten),
             Some(TableReply::Unknown) | None => {}
         }
     }
     let at = node.now();
-    let page = match table == node.services.row_format.operator_table() {
+    let (page, arrival) = match table == node.services.row_format.operator_table() {
         true => poll_operators(node, table, revision, wait).await?,
-        false => node.services.feed.changes(table, revision, wait).await?,
+        false => (node.services.feed.changes(table, revision, wait).await?, Millis(0)),
     };
     node.relay.record_changes(table, revision, &page, at);
-    Ok(DatedPage { page, at })
+    Ok(DatedPage { page, at, arrival })
 }
 
 /// Dates a relayed page: the answer was made `held` after the request, which was sent at `sent`,
 /// from state that was `age` old then.
-fn dated(sent: Tick, page: FeedPage, held: u64, age: u64) -> DatedPage {
-    DatedPage { page, at: (sent + Millis(held)) - Millis(age) }
+fn dated(node: &Node, sent: Tick, page: FeedPage, held: u64, age: u64) -> DatedPage {
+    let made = sent + Millis(held);
+    DatedPage { page, at: made - Millis(age), arrival: node.now().since(made) }
 }
 
 /// Requests a table from a member; returns `None` if there is no member or it does not answer.
@@ -347,7 +365,7 @@
     }
     let at = node.now();
     match request_table(node, table, Some(after), Millis(0)).await {
-        Some(TableReply::Page { page, held, age }) => Some(dated(at, page, held, age)),
+        Some(TableReply::Page { page, held, age }) => Some(dated(node, at, page, held, age)),
         _ => None,
     }
 }
