Wait for the process's own link before a call to the store is repeated

Cause: the adaptive timeout follows the store's latency and knows nothing of the process's own link. A page whose answer waits behind a large one was given up after 0.4 to 1 s, the link carried it all the same, and short calls that timed out there opened the breaker of a store that was well.

A call waits for up to 2 s beyond its adaptive timeout while a large answer fills the link, within its own deadline. What fails then does not count as a failure of the store, nor its latency as the store's.

calls_that_wait_behind_a_large_answer_are_neither_repeated_nor_counted_as_failures fails without it.

--- a/reachhead_node/src/peer.rs
+++ b/reachhead_node/src/peer.rs
@@ -28,8 +28,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-pub use self::client::PeerClient;
 use self::client::{CONFIG_HEADER, READER_HEADER};
+pub use self::client::{OwnLink, PeerClient};
 use crate::{
     admission::read_for_peer,
     claim::{self, Claims},
--- a/reachhead_node/src/peer/client.rs
+++ b/reachhead_node/src/peer/client.rs
@@ -19,6 +19,7 @@
     client::{CallError, HttpClient},
     traffic::Totals,
 };
+use reachhead_store::link::LinkUse;
 use reachhead_types::{
     id::NodeName,
     size::{Millis, Version},
@@ -48,6 +49,16 @@
     config_version: Arc<AtomicU64>,
 }
 
+/// The link of this process, as the calls of its client show it.
+pub struct OwnLink(pub Arc<HttpClient>);
+
+impl LinkUse for OwnLink {
+    fn is_filled(&self) -> bool {
+        let is_quick = |age| age < MAX_QUICK_AGE;
+        self.0.arrivals().is_filling_link() && !self.0.quick_answer_age().is_some_and(is_quick)
+    }
+}
+
 impl PeerClient {
     /// Returns a client over `client`.
     pub fn new(client: Arc<HttpClient>) -> Self {
@@ -74,9 +85,7 @@
     /// Returns whether a large answer occupies this process's own link: one is arriving, and no call
     /// was answered quickly meanwhile.
     pub fn is_link_filled(&self) -> bool {
-        let is_quick = |age| age < MAX_QUICK_AGE;
-        self.client.arrivals().is_filling_link()
-            && !self.client.quick_answer_age().is_some_and(is_quick)
+        OwnLink(Arc::clone(&self.client)).is_filled()
     }
 
     /// Returns whether a large answer is arriving or has just arrived.
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -38,7 +38,7 @@
     metrics::Metrics,
     node::{Node, Services, bandwidth},
     owner::{Input, ReleaseRequest},
-    peer::{PeerClient, PeerHandler},
+    peer::{OwnLink, PeerClient, PeerHandler},
     registry,
 };
 
@@ -172,7 +172,8 @@
             GuardedStore::new(table(STORE_TIMEOUT), MAX_STORE_CALLS_PER_S)
                 .with_partitions(part_of)
                 .with_adaptive_timeouts()
-                .with_max_probe_pause(MAX_PROBE_PAUSE),
+                .with_max_probe_pause(MAX_PROBE_PAUSE)
+                .with_link(Arc::new(OwnLink(Arc::clone(client)))),
         ),
         feed: Arc::new(table(FEED_TIMEOUT)),
         workers: Arc::new(HttpWorkers::new(
--- a/reachhead_store/src/guarded.rs
+++ b/reachhead_store/src/guarded.rs
@@ -16,6 +16,7 @@
     Store, StoreError,
     adaptive_timeout::{AdaptiveTimeouts, CallKind},
     breaker::{Admission, Breaker, MAX_PROBE_PAUSE},
+    link::{IdleLink, LinkUse},
     progress::Progress,
     row::{Commit, Key, Page, Row, Scan, Txn},
 };
@@ -24,6 +25,13 @@
 /// a silent connection earlier and reports why; this bounds a store that does not.
 const MAX_PART_PAUSE: Duration = Duration::from_millis(2000);
 
+/// How long a call waits beyond its timeout while a large answer fills the link: its own answer is mostly
+/// there once that one has passed, and to repeat the call would fill the link further.
+const MAX_LINK_WAIT: Duration = Duration::from_millis(2000);
+
+/// Interval at which a call that waits for the link checks whether it is still filled.
+const LINK_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Returns the partition of the store that a key or key prefix belongs to.
 pub type PartitionOf = fn(&str) -> &str;
 
@@ -32,6 +40,7 @@
     inner: Arc<S>,
     breakers: Arc<Mutex<Breakers>>,
     partition_of: PartitionOf,
+    link: Arc<dyn LinkUse>,
 }
 
 /// The breakers and adaptive timeouts of a store.
@@ -89,9 +98,17 @@
             inner: Arc::new(inner),
             breakers: Arc::new(Mutex::new(breakers)),
             partition_of: |_| "",
+            link: Arc::new(IdleLink),
         }
     }
 
+    /// Waits longer for answers while this link is filled, and does not count calls that fail then as
+    /// failures of the store.
+    #[must_use]
+    pub fn with_link(self, link: Arc<dyn LinkUse>) -> Self {
+        Self { link, ..self }
+    }
+
     /// Gives each partition of the store a breaker of its own, so that an unavailable partition
     /// does not block the pools whose rows are in other partitions.
     #[must_use]
@@ -122,7 +139,8 @@
     /// Makes a call to the partition of `key`, unless the store is down or the rate limit is
     /// exceeded.
     ///
-    /// The adaptive timeout bounds the time until the answer begins to arrive. From then on the
+    /// The adaptive timeout bounds the time until the answer begins to arrive, and [`MAX_LINK_WAIT`] the
+    /// time for which it may wait behind a large answer on the link. From then on the
     /// call itself gives up an answer that stops arriving, and [`MAX_PART_PAUSE`] bounds its pauses: a scan
     /// takes as long as its rows take on this process's link, of which its timeout knows nothing.
     async fn call<T: Send + 'static>(
@@ -141,7 +159,9 @@
             }
             Admission::Down => return Err(StoreError::NotDone("the store is down".to_owned())),
         }
-        let mut in_flight = CallInFlight::new(Arc::clone(&self.breakers), partition, kind);
+        let link = Arc::clone(&self.link);
+        let mut in_flight =
+            CallInFlight::new(Arc::clone(&self.breakers), partition, kind, Arc::clone(&link));
         let (is_probe, call_timeout) = {
             let mut breakers = lock_breakers(&self.breakers);
             let is_probe =
@@ -159,6 +179,7 @@
         let mut call = call(Arc::clone(&self.inner), progress);
         let recorded_call = async move {
             let mut timeout = call_timeout;
+            let mut link_wait = Duration::ZERO;
             loop {
                 let step = async {
                     let part = pin!(next_part(&mut parts));
@@ -176,6 +197,11 @@
                         in_flight.record_part();
                         timeout = call_timeout.max(MAX_PART_PAUSE);
                     }
+                    Err(_) if link_wait < MAX_LINK_WAIT && link.is_filled() => {
+                        timeout = LINK_CHECK_PERIOD;
+                        link_wait += timeout;
+                        in_flight.is_delayed = true;
+                    }
                     Err(_) => {
                         in_flight.record_timeout();
                         tokio::spawn(in_flight.into_late_call().observe(call, parts));
@@ -209,15 +235,23 @@
     started: Instant,
     /// When the first part of the answer arrived.
     answered: Option<Instant>,
+    /// The answer waits for the link, which says nothing about the latency of the store.
+    is_delayed: bool,
+    link: Arc<dyn LinkUse>,
     number: u64,
 }
 
 impl CallInFlight {
-    fn new(breakers: Arc<Mutex<Breakers>>, partition: &str, kind: CallKind) -> Self {
+    fn new(
+        breakers: Arc<Mutex<Breakers>>,
+        partition: &str,
+        kind: CallKind,
+        link: Arc<dyn LinkUse>,
+    ) -> Self {
         let started = now();
         let number = lock_breakers(&breakers).whole.start_call(started);
         let partition = partition.to_owned();
-        Self { breakers, partition, kind, started, answered: None, number }
+        Self { breakers, partition, kind, started, answered: None, is_delayed: false, link, number }
     }
 
     /// Records that a part of the answer arrived, which shows that the store is not stalled.
@@ -234,7 +268,9 @@
             breakers.whole.record_success(now);
             let answered = self.answered.unwrap_or(now);
             let latency = answered.saturating_duration_since(self.started);
-            if let Some(timeouts) = &mut breakers.adaptive_timeouts {
+            if let Some(timeouts) = &mut breakers.adaptive_timeouts
+                && !self.is_delayed
+            {
                 timeouts.record_answer(&self.partition, self.kind, latency);
             }
         }
@@ -243,11 +279,16 @@
             Ok(_) | Err(StoreError::Refused(_)) => breaker.record_success(now),
             // A busy store answers at once, so further calls delay no caller.
             Err(StoreError::Busy(_)) => {}
+            // The answer may wait behind a large one.
+            Err(StoreError::Lost(_)) if self.link.is_filled() => {}
             Err(_) => breaker.record_failure(now, rand::random()),
         }
     }
 
     fn record_timeout(&self) {
+        if self.link.is_filled() {
+            return;
+        }
         let mut breakers = lock_breakers(&self.breakers);
         if let Some(timeouts) = &mut breakers.adaptive_timeouts {
             timeouts.record_timeout(self.kind);
--- a/reachhead_store/src/lib.rs
+++ b/reachhead_store/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hosts;
 pub mod http;
 pub mod keys;
+pub mod link;
 pub mod memory;
 pub mod page_size;
 pub mod platform;
--- a/reachhead_store/tests/guarded.rs
+++ b/reachhead_store/tests/guarded.rs
@@ -14,6 +14,7 @@
 use reachhead_store::{
     Store, StoreError,
     guarded::GuardedStore,
+    link::LinkUse,
     memory::MemoryStore,
     progress::Progress,
     row::{Commit, Key, Page, Row, Scan, Txn},
@@ -322,3 +323,46 @@
     }
     assert!(committed, "the transaction never succeeds");
 }
+
+/// A link that a large answer fills while the flag is set.
+struct SharedLink(Arc<AtomicBool>);
+
+impl LinkUse for SharedLink {
+    fn is_filled(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Guards against calls that are repeated while their answers wait behind a large answer on the process's own link, which then
+/// carries each of them twice, and against a store that counts as down for that.
+#[tokio::test(start_paused = true)]
+async fn calls_that_wait_behind_a_large_answer_are_neither_repeated_nor_counted_as_failures() {
+    let (silent, filled) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let failing = FailingStore { silent: Arc::clone(&silent), ..FailingStore::default() };
+    let store = GuardedStore::new(failing, 1000)
+        .with_partitions(partition_of)
+        .with_adaptive_timeouts()
+        .with_link(Arc::new(SharedLink(Arc::clone(&filled))));
+    for _ in 0..10 {
+        read_keys(&store, "silent").await.unwrap();
+    }
+    for passes_after in [1500, 4000] {
+        for flag in [&silent, &filled] {
+            flag.store(true, Ordering::Relaxed);
+        }
+        let pass = async {
+            time::sleep(Duration::from_millis(passes_after)).await;
+            for flag in [&silent, &filled] {
+                flag.store(false, Ordering::Relaxed);
+            }
+        };
+        let (answer, ()) = tokio::join!(read_keys(&store, "silent"), pass);
+        assert_eq!(answer.is_ok(), passes_after < 2000, "{answer:?}");
+        assert!(!store.is_down());
+        read_keys(&store, "silent").await.unwrap();
+    }
+    silent.store(true, Ordering::Relaxed);
+    let begun = time::Instant::now();
+    assert!(read_keys(&store, "silent").await.is_err());
+    assert!(begun.elapsed() < Duration::from_millis(1000), "the link is idle");
+}
