Give a takeover back by the same bound by which pools are taken

Found by review: a process on 20 Mbit/s takes two pools of 1,451 workers side by side, since its link carries them by their recorded sizes, and gave the second one back after a second, since it was behind half of what the link carries. The next owner begins a second later, with that much less left of the workers' leases.

A takeover behind others is given back if the link does not carry it beside them, whether its roster has been read or not.

--- a/reachhead_jobs/src/retake.rs
+++ b/reachhead_jobs/src/retake.rs
@@ -126,14 +126,11 @@
     /// much of the link. The last ones are given back, one for each free peer. After an abandoned
     /// takeover it is kept, so that processes that are all too slow don't pass a pool on for ever.
     pub fn is_to_give_back(&self, waiting: &WaitingTakeover) -> bool {
-        let fills_link = if waiting.has_roster {
-            !self.carries_pool(waiting.bytes)
-        } else {
-            let others = self.running.bytes_with_jobs().0.saturating_mul(2);
-            others.saturating_add(waiting.bytes.0) > self.carried.0
-        };
         let is_late = waiting.age >= GIVE_BACK_AGE && waiting.earlier > 0;
-        is_late && fills_link && waiting.later < self.free_peers && waiting.abandoned == 0
+        is_late
+            && !self.carries_pool(waiting.bytes)
+            && waiting.later < self.free_peers
+            && waiting.abandoned == 0
     }
 }
 
@@ -148,8 +145,6 @@
     pub earlier: usize,
     /// Number of the others that began after it.
     pub later: usize,
-    /// It has read its roster, so that leases of workers are renewed while it waits for the jobs.
-    pub has_roster: bool,
     /// Number of takeovers of the pool in a row that were abandoned before it.
     pub abandoned: u32,
 }
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -117,7 +117,6 @@
         age: node.now().since(takeover.started),
         earlier,
         later: loading.len() - earlier - 1,
-        has_roster: takeover.roster.is_some(),
         abandoned: takeover.abandoned,
     })
 }
