A job that a read finds late waits for the leases of an owner that may go on

What callers would see: a task that runs on two workers at the same time (TWICE). An owner loses the store and still reaches a worker that its successor does not reach. A process that has not heard of the successor stores a job itself and notifies the old owner, which starts it right before its trust in its lease ends. The successor finds the job by a read after that and starts it elsewhere at once, while the first run may last for another lease.

Cause: whether an earlier owner may have started a job was decided by when the successor took the job in, as if it had been stored then. Reads of stored jobs come late when pages are slow, fail or queue, and nobody tells when the job was stored.

The leases of an owner that had ended before the pool was taken don't count: it started nothing that was stored after that. They are kept apart for this (OrderEffect::predecessor). A job that the owner stored itself still starts at once, and one of a later owner still ends the owner.

Not changed: a job of which the owner is notified counts as just stored. A notification can be late as well, by four attempts and their pauses, or when a cancellation reads the job.

Evidence: a_job_that_is_found_late_waits_for_the_leases_of_a_silent_owner. The other new test checks owners that can't have started the job.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -174,7 +174,7 @@
     pub revision: Option<Revision>,
     /// Revision of its job row, if known.
     pub row: Option<Revision>,
-    /// It was stored before the predecessors' last order, so one of them may have started tasks.
+    /// It may have been stored before the predecessors' last order, so one of them may have started tasks.
     pub maybe_started: bool,
     /// A worker has confirmed a run of one of its tasks, or a stored record shows that one has ended.
     /// An order without an answer may never have arrived, so it is no evidence.
--- a/reachhead_jobs/src/order_effect.rs
+++ b/reachhead_jobs/src/order_effect.rs
@@ -73,6 +73,9 @@
     /// When the last order of an owner that has ended since it was listed has lost its effect: jobs that
     /// are found by then may have been started by it.
     answered: Tick,
+    /// When orders of an owner that had ended before this process took the pool have lost their effect. It
+    /// started no job that was stored after that.
+    predecessor: Tick,
     /// When orders of all others have lost their effect at a worker that is not in `silent`.
     ended: Tick,
     /// The same at the workers that the released lease lists; see [`LeaseRecord::silent`].
@@ -95,6 +98,7 @@
             open: Vec::new(),
             unknown: None,
             answered: Tick(0),
+            predecessor: Tick(0),
             ended: Tick(0),
             silent: BTreeMap::new(),
         }
@@ -177,7 +181,8 @@
         if self.unknown.is_some() {
             return None;
         }
-        self.open.iter().try_fold(self.ended, |last, open| Some(last.max(open.until?)))
+        let ended = self.ended.max(self.predecessor);
+        self.open.iter().try_fold(ended, |last, open| Some(last.max(open.until?)))
     }
 
     /// Returns when orders have lost their effect at all workers; `None` if that is known only once all
@@ -187,20 +192,28 @@
         Some(self.silent.values().copied().fold(usual, Tick::max))
     }
 
-    /// Returns until when a job that is found may have been started by an earlier owner; `None` if that is
-    /// known only once all shards are fenced. An order has effect for at most a lease. An owner that has
+    /// Returns until when a job that has just been stored may be started by an earlier owner; `None` if that
+    /// is known only once all shards are fenced. An order has effect for at most a lease. An owner that has
     /// answered may have started a job that is found only after its answer.
     pub fn given_until(&self) -> Option<Tick> {
         Some((self.until()? - self.leases).max(self.answered))
     }
 
+    /// Returns until when a run by an earlier owner may be active of a job that was stored after this process
+    /// took the pool; `None` if that is known only once all shards are fenced. A read may find the job long
+    /// after it was stored, so the time that is left of the last lease counts as well.
+    pub fn started_until(&self) -> Option<Tick> {
+        Self { predecessor: Tick(0), ..self.clone() }.until()
+    }
+
     /// Returns for how long orders have effect at any worker, from now or from when all shards are
     /// fenced, whichever is later.
     pub fn longest(&self, now: Tick) -> Millis {
         let open =
             self.open.iter().map(|open| open.until.map_or(self.full, |until| until.since(now)));
         let silent = self.silent.values().map(|until| until.since(now));
-        let ended = self.ended.since(now).max(self.unknown.unwrap_or_default());
+        let ended = self.ended.max(self.predecessor).since(now);
+        let ended = ended.max(self.unknown.unwrap_or_default());
         open.chain(silent).fold(ended, Millis::max)
     }
 
@@ -215,7 +228,7 @@
             ..owner.clone()
         });
         let silent = self.silent.values().copied();
-        let ended = silent.fold(self.ended, Tick::max).since(now);
+        let ended = silent.fold(self.ended.max(self.predecessor), Tick::max).since(now);
         Some(EarlierOwners { open: open.collect(), ended })
     }
 
@@ -270,7 +283,7 @@
         match (&record.silent, &record.earlier) {
             // It is listed only by an owner that had fenced all shards.
             (Some(silent), _) => {
-                effect.ended = since + effect.leases;
+                effect.predecessor = since + effect.leases;
                 effect.silent =
                     silent.iter().map(|(id, left)| (id.clone(), since + *left)).collect();
             }
@@ -285,7 +298,7 @@
     effect = effect.include_before(&lease);
     effect.expire(now);
     match record.address {
-        _ if lease.has_ended => effect.ended = effect.ended.max(now + effect.leases),
+        _ if lease.has_ended => effect.predecessor = now + effect.leases,
         Some(address) => {
             let owner = EarlierOwner { node: name.clone(), address, token, left: None };
             effect.open.push(OpenOwner { owner, until: None });
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -131,6 +131,15 @@
     at: Tick,
 }
 
+/// How an owner has learned of a job that was stored after its takeover.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobSource {
+    /// It was notified of the job.
+    Notification,
+    /// A read of the store has found the job.
+    Read,
+}
+
 /// A pool, with all state that its owner keeps about it.
 pub struct Pool {
     name: PoolName,
@@ -249,9 +258,10 @@
         self.verified = self.verified.max(at);
     }
 
-    /// Adds an accepted job; a known job is left unchanged. A job that was stored before this owner
-    /// took over, but whose row it did not find, had already ended: its submission is late and is
-    /// ignored. While the pool is recovering no job is added; the owner finds it by its next reads.
+    /// Adds an accepted job of which the owner is notified once it is stored; a known job is left
+    /// unchanged. A job that was stored before this owner took over, but whose row it did not find, had
+    /// already ended: its submission is late and is ignored. While the pool is recovering no job is added;
+    /// the owner finds it by its next reads.
     pub fn submit(
         &mut self,
         id: JobId,
@@ -259,6 +269,31 @@
         row: Revision,
         now: Tick,
         wall: Millis,
+    ) {
+        self.add_job(id, record, row, JobSource::Notification, now, wall);
+    }
+
+    /// Adds a job that a read of the store has found, as [`Pool::submit`] does. It may have been stored long
+    /// before, and a predecessor may have been notified of it.
+    pub fn submit_found(
+        &mut self,
+        id: JobId,
+        record: &JobRecord,
+        row: Revision,
+        now: Tick,
+        wall: Millis,
+    ) {
+        self.add_job(id, record, row, JobSource::Read, now, wall);
+    }
+
+    fn add_job(
+        &mut self,
+        id: JobId,
+        record: &JobRecord,
+        row: Revision,
+        source: JobSource,
+        now: Tick,
+        wall: Millis,
     ) {
         let ended = row < self.read_until(id);
         if self.is_recovering()
@@ -277,7 +312,11 @@
         let accepted = now - Millis(wall.0.saturating_sub(record.accepted.0));
         let mut job = Job::new(id, record, accepted);
         job.row = Some(row);
-        job.maybe_started = self.predecessor.may_be_given(now) && !self.is_own_job(record);
+        let maybe_started = match source {
+            JobSource::Notification => self.predecessor.may_be_given(now),
+            JobSource::Read => self.predecessor.may_be_started(now),
+        };
+        job.maybe_started = maybe_started && !self.is_own_job(record);
         job.over_share = self.is_beyond_weight(record.customer.as_ref(), now);
         job.add_due_occurrences(wall);
         self.jobs.insert(id, job);
--- a/reachhead_jobs/src/pool/orphans.rs
+++ b/reachhead_jobs/src/pool/orphans.rs
@@ -88,6 +88,11 @@
         self.effect.given_until().is_none_or(|until| now < until)
     }
 
+    /// Returns whether a run by a predecessor may be active of a job that a read of the store has found.
+    pub(super) fn may_be_started(&self, now: Tick) -> bool {
+        self.effect.started_until().is_none_or(|until| now < until)
+    }
+
     /// Returns from when on this owner has called workers.
     pub(super) fn since(&self) -> Tick {
         self.since
--- a/reachhead_jobs/tests/pool/order_effect.rs
+++ b/reachhead_jobs/tests/pool/order_effect.rs
@@ -3,13 +3,16 @@
 use reachhead_jobs::{
     clock::{Tick, with_drift},
     order_effect::{FencedBound, OrderEffect, Predecessor, order_effect},
-    record::{EarlierOwners, LeaseRecord, SettledRecord, lease_key, settled_key},
+    record::{EarlierOwners, JobRecord, LeaseRecord, SettledRecord, lease_key, settled_key},
 };
 use reachhead_store::row::{Commit, Txn};
-use reachhead_types::size::{FencingToken, Millis, Revision};
+use reachhead_types::{
+    id::JobId,
+    size::{FencingToken, Millis, Revision},
+};
 use serde_json::json;
 
-use crate::fixture::{Fixture, START, info, pool_name, recovered, step, timeouts, worker};
+use crate::fixture::{self, Fixture, START, info, pool_name, recovered, step, timeouts, worker};
 
 /// Returns how long the leases of an owner last.
 fn leases() -> Millis {
@@ -135,6 +138,62 @@
     assert!(fixture.pool.may_change_owner(fixture.now));
 }
 
+/// Returns the pool of an owner one of whose workers does not answer, after an owner that has ended or may
+/// go on.
+fn successor_of(has_ended: bool) -> Fixture {
+    let mut found = recovered(vec![], vec![("w", None), ("gone", None)]);
+    let address = Some("127.0.0.1:7060".parse().unwrap());
+    let record = LeaseRecord { address, ..held(Some(Millis(0))) };
+    let before = Predecessor { has_ended, is_settled: true, ..lease(&record, 1, START) };
+    found.effect = order_effect(&timeouts(), Some(before), START);
+    found.knows_storer = true;
+    let mut fixture = Fixture::new(found, vec![info("w", 4)]);
+    settlements(&mut fixture);
+    fixture.report(&worker("w"));
+    fixture
+}
+
+/// Lets a read of the store find a job that the owner with this token has stored.
+fn find(fixture: &mut Fixture, stored_by: Option<u64>) {
+    let record = JobRecord {
+        stored_by: stored_by.map(FencingToken),
+        ..fixture::record(vec![step(1)], START.0 + 1000)
+    };
+    let (now, wall) = (fixture.now, Millis(fixture.now.0));
+    fixture.pool.submit_found(JobId(1), &record, Revision(60), now, wall);
+}
+
+/// Guards against a second run of a task whose job is found late: the silent owner may have started it on
+/// a worker that does not answer, right before its trust in its lease ended.
+#[test]
+fn a_job_that_is_found_late_waits_for_the_leases_of_a_silent_owner() {
+    let mut fixture = successor_of(false);
+    let late = START + timeouts().trust + Millis(100);
+    fixture.advance(late.since(fixture.now).0);
+    find(&mut fixture, None);
+    while fixture.now < START + Millis(full().0 - 100) {
+        fixture.report(&worker("w"));
+        let after = fixture.now.since(START);
+        assert!(fixture.starts().is_empty(), "after {after}: a lease of that owner may last");
+        fixture.advance(100);
+    }
+    fixture.advance(200);
+    fixture.report(&worker("w"));
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// Guards against a wait for an owner that can't have started the job: it had ended when the job was stored,
+/// or it does not start what its successor has stored.
+#[test]
+fn a_job_that_is_found_waits_for_no_owner_that_can_not_have_started_it() {
+    for (has_ended, stored_by) in [(true, None), (false, Some(7))] {
+        let mut fixture = successor_of(has_ended);
+        find(&mut fixture, stored_by);
+        assert_eq!(fixture.pool.unsettled(), 1);
+        assert_eq!(fixture.starts().len(), 1, "{has_ended} {stored_by:?}");
+    }
+}
+
 /// Guards against a hand-over as soon as the stored jobs are known, when no task has started yet.
 #[test]
 fn a_pool_whose_workers_answered_during_the_read_is_kept_for_a_while_after_it() {
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -247,7 +247,7 @@
             }
             Answer::Found(jobs, stored) => {
                 for StoredRow { id, record, row } in stored.iter().flatten() {
-                    owner.pool.submit(*id, record, *row, now, Millis(now.0));
+                    owner.pool.submit_found(*id, record, *row, now, Millis(now.0));
                 }
                 owner.pool.jobs_found(&jobs, stored.is_some(), now);
             }
--- a/reachhead_node/src/owner/job_reads.rs
+++ b/reachhead_node/src/owner/job_reads.rs
@@ -87,7 +87,8 @@
             }
             match row.parse::<JobRecord>() {
                 Ok(record) => {
-                    self.pool.submit(id, &record, row.revision, now, self.node.clock.wall());
+                    let wall = self.node.clock.wall();
+                    self.pool.submit_found(id, &record, row.revision, now, wall);
                 }
                 Err(error) => emit(Event::RowRefused, error),
             }
