The pause between reads of stored jobs does not count their wait for other reads

What callers would see: a job that its owner was not notified of starts seconds later than it could, where the owner's process takes other pools at the same time.

Cause: the duration of a read counted from when the owner wanted it, and not from when its page was requested. Pages of jobs wait for rosters and for other pages of the process (BulkReads::acquire). The pause after a read is four times its duration, so a wait of two seconds gave eight seconds without a read, and the next page did not grow.

Now the duration counts from when the page is requested. A read that takes long still gives a long pause: the link is busy with it, which the wait does not show.

Evidence: an_owner_whose_read_waited_for_other_reads_soon_reads_on, whose read waits a second, failed before: the next one was not due two seconds later. The test beside it guards the pause after slow reads and passed before. The tests of reachhead_node pass.

--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -76,8 +76,8 @@
     JobsRecovered(Box<RecoveredJobs>),
     /// More is known of the orders of earlier owners: one has ended, or all shards are fenced.
     EffectKnown(Box<OrderEffect>),
-    /// A page of stored jobs was read, or the call failed.
-    JobsScanned(Result<Page, StoreError>),
+    /// A page of stored jobs that was requested at the time given was read, or the call failed.
+    JobsScanned(Tick, Result<Page, StoreError>),
     /// The rows of jobs of which workers report runs were read, or the call failed.
     JobsFound(Vec<JobId>, Result<Vec<Option<Row>>, StoreError>),
     /// The owner's lease was read at the time given, or the call failed.
--- a/reachhead_node/src/owner/job_reads.rs
+++ b/reachhead_node/src/owner/job_reads.rs
@@ -41,14 +41,15 @@
         let node = Arc::clone(&self.node);
         self.spawn_call(async move {
             let _permit = node.bulk_reads.acquire(scan.limit).await;
+            let sent = node.now();
             let page = node.services.store.scan(scan).await;
             node.record_store_result(&page);
-            Some(Input::JobsScanned(page))
+            Some(Input::JobsScanned(sent, page))
         });
     }
 
-    pub(super) fn handle_scan(&mut self, result: Result<Page, StoreError>, now: Tick) {
-        self.job_scan.record(&result, now);
+    pub(super) fn handle_scan(&mut self, sent: Tick, result: Result<Page, StoreError>, now: Tick) {
+        self.job_scan.record(&result, sent, now);
         let rows = match result {
             Ok(page) => page.rows,
             Err(error) => {
--- a/reachhead_node/src/owner/job_scan.rs
+++ b/reachhead_node/src/owner/job_scan.rs
@@ -22,8 +22,8 @@
 /// The reads of a pool's stored jobs, page by page and shard by shard.
 pub(super) struct JobScan {
     next: Tick,
-    /// When the read in progress started.
-    begun: Option<Tick>,
+    /// A read is in progress, or waits for room on the process's link.
+    is_reading: bool,
     /// The shards in the order in which they are read next.
     order: VecDeque<Shard>,
     /// The last key that was read of the first of them, if its next page is due.
@@ -36,7 +36,7 @@
     pub(super) fn new(rows: u32, now: Tick) -> Self {
         Self {
             next: now + MIN_PAUSE,
-            begun: None,
+            is_reading: false,
             order: Shard::all().collect(),
             position: None,
             page_size: PageSize::starting_at(rows),
@@ -45,18 +45,20 @@
 
     /// Returns the next read if it is due and the last one has ended.
     pub(super) fn next(&mut self, pool: &PoolName, now: Tick) -> Option<Scan> {
-        if self.begun.is_some() || self.next > now {
+        if self.is_reading || self.next > now {
             return None;
         }
         let shard = self.order.front()?;
-        self.begun = Some(now);
+        self.is_reading = true;
         let after = self.position.clone();
         Some(Scan { prefix: job_prefix(pool, *shard), after, limit: self.page_size.rows() })
     }
 
-    /// Records the result of a read.
-    pub(super) fn record(&mut self, result: &Result<Page, StoreError>, now: Tick) {
-        let duration = now.since(self.begun.take().unwrap_or(now));
+    /// Records the result of a read that was requested at `sent`. Time in which it waited for other reads
+    /// of the process does not count: it says nothing about the link.
+    pub(super) fn record(&mut self, result: &Result<Page, StoreError>, sent: Tick, now: Tick) {
+        self.is_reading = false;
+        let duration = now.since(sent);
         let pause = Millis(duration.0 * PAUSE_FACTOR);
         let Ok(page) = result else {
             self.page_size.record_failure(self.page_size.rows());
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -324,7 +324,7 @@
             Input::Committed(batch, result) => self.handle_commit(&batch, result, now),
             Input::JobsRecovered(found) => self.recover_jobs(*found, now),
             Input::EffectKnown(effect) => self.pool.know_effect(*effect),
-            Input::JobsScanned(result) => self.handle_scan(result, now),
+            Input::JobsScanned(sent, result) => self.handle_scan(sent, result, now),
             Input::JobsFound(jobs, result) => self.handle_lookup(&jobs, result, now),
             Input::LeaseRead(asked, result) => self.handle_lease(asked, result, now),
             Input::CallFailed => self.call_failed = true,
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -1,4 +1,7 @@
-//! An owner that waits for a result that never comes, or learns of a successor, gives its pool up.
+//! An owner that waits for a result that never comes, or learns of a successor, gives its pool up. One
+//! whose reads have to wait reads on soon.
+
+use std::sync::atomic::Ordering;
 
 use reachhead_jobs::{
     model::{Plan, Queue, Step},
@@ -13,6 +16,9 @@
 use super::*;
 use crate::{lease, tests::broken_node};
 
+/// Time after which the first read of stored jobs is due.
+const FIRST_SCAN: Duration = Duration::from_millis(500);
+
 pub(super) fn worker() -> WorkerInfo {
     worker_named("w")
 }
@@ -106,3 +112,56 @@
         assert!(owner.lease_lost);
     });
 }
+
+/// Processes the inputs of the owner up to the next page of stored jobs, and returns whether there is one.
+async fn take_scan(owner: &mut Owner) -> bool {
+    let wait = Duration::from_millis(500);
+    while let Ok(Some(input)) = time::timeout(wait, owner.inputs.recv()).await {
+        let is_page = matches!(input, Input::JobsScanned(..));
+        owner.take(input);
+        if is_page {
+            return true;
+        }
+    }
+    false
+}
+
+/// Guards against jobs that are found late: a read that had waited for takeovers of the same process was
+/// followed by a pause of four times that wait, as after a read over a slow link.
+#[test]
+fn an_owner_whose_read_waited_for_other_reads_soon_reads_on() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store) = broken_node::node();
+        store.scan_time.store(20, Ordering::Relaxed);
+        let mut owner = owner_in(Arc::clone(&node)).await;
+        time::sleep(FIRST_SCAN).await;
+        let others = node.bulk_reads.acquire(node.bulk_reads.capacity()).await;
+        owner.scan(node.now());
+        assert!(!take_scan(&mut owner).await, "the link has no room for it");
+        time::sleep(Duration::from_millis(500)).await;
+        drop(others);
+        assert!(take_scan(&mut owner).await, "the read goes on once the others have ended");
+        // With the wait, which took a second, the pause would be four seconds.
+        owner.scan(node.now() + Millis(2000));
+        assert!(take_scan(&mut owner).await, "the next read is not due");
+    });
+}
+
+/// Guards against reads that fill a narrow link, one right after the other.
+#[test]
+fn an_owner_whose_read_took_long_pauses_for_longer() {
+    runtime::current_thread().unwrap().block_on(async {
+        let (node, store) = broken_node::node();
+        store.scan_time.store(300, Ordering::Relaxed);
+        let mut owner = owner_in(Arc::clone(&node)).await;
+        time::sleep(FIRST_SCAN).await;
+        let begun = node.now();
+        owner.scan(begun);
+        assert!(take_scan(&mut owner).await);
+        let ended = node.now();
+        owner.scan(ended + Millis(600));
+        assert!(!take_scan(&mut owner).await, "the link has no time for anything else");
+        owner.scan(ended + Millis(4 * ended.since(begun).0));
+        assert!(take_scan(&mut owner).await);
+    });
+}
