End refreshes of the configuration while the follower catches up

A refresh does not read while the follower catches up. Its callers are decided as after any failed refresh; the follower confirms the configuration with each of its reads.

The test of the storm has a refresh every 20 ms now, and fails without this: version 5 of 10 is known three reads after the last one.

--- a/reachhead_node/src/config_reads.rs
+++ b/reachhead_node/src/config_reads.rs
@@ -4,7 +4,14 @@
 //! give up after 300 ms. If each read ended with its caller, and each call began another one, they
 //! would fill the link and none would ever end (docs/design/large-reads.md).
 
-use std::{collections::BTreeSet, pin::pin, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use futures::future::{self, BoxFuture, Either};
 use reachhead_jobs::{
@@ -27,6 +34,17 @@
 #[derive(Debug, Default)]
 pub struct ConfigReads {
     running: Arc<Mutex<()>>,
+    /// The follower reads the whole table until it has caught up.
+    catching_up: AtomicBool,
+}
+
+/// Shows that the follower reads the whole table until it has caught up; ends when it is dropped.
+pub struct CatchUp<'a>(&'a ConfigReads);
+
+impl Drop for CatchUp<'_> {
+    fn drop(&mut self) {
+        self.0.catching_up.store(false, Ordering::Relaxed);
+    }
 }
 
 impl ConfigReads {
@@ -35,6 +53,18 @@
         Arc::clone(&self.running).lock_owned().await
     }
 
+    /// Begins to read the whole table until it has caught up. Other reads that wait for the permit end
+    /// without one: they would read superseded versions first.
+    pub fn catch_up(&self) -> CatchUp<'_> {
+        self.catching_up.store(true, Ordering::Relaxed);
+        CatchUp(self)
+    }
+
+    /// Returns whether the follower reads the whole table until it has caught up.
+    pub fn is_catching_up(&self) -> bool {
+        self.catching_up.load(Ordering::Relaxed)
+    }
+
     /// Returns a permit if no read runs.
     pub fn try_begin(&self) -> Option<OwnedMutexGuard<()>> {
         Arc::clone(&self.running).try_lock_owned().ok()
@@ -99,8 +129,11 @@
 ///
 /// # Errors
 ///
-/// The text of any [`StoreError`].
+/// The text of any [`StoreError`], or that the follower catches up.
 pub async fn read_from_store(node: Arc<Node>) -> Result<(), String> {
+    if node.config_reads.is_catching_up() {
+        return Err("the whole table is read".to_owned());
+    }
     let known = node.view().config_revision;
     read_changes(node, known).await.map(drop)
 }
--- a/reachhead_node/src/follow.rs
+++ b/reachhead_node/src/follow.rs
@@ -155,6 +155,7 @@
     follower: &dyn Follower,
     last: DatedPage,
 ) -> Result<Revision, StoreError> {
+    let _catch_up = node.config_reads.catch_up();
     let _permit = node.config_reads.begin().await;
     let (mut arrival, mut revision) = (last.arrival, last.page.revision);
     let mut newest = newest_row(&last.page);
--- a/reachhead_node/src/follow_tests.rs
+++ b/reachhead_node/src/follow_tests.rs
@@ -29,6 +29,7 @@
 
 use super::{Follower, Leases, Operators, follow};
 use crate::{
+    config_reads::{read_from_store, run_to_end},
     node::Node,
     tests::{broken_node, idle_node},
 };
@@ -133,6 +134,9 @@
 /// Time that a version of the configuration takes on the link.
 const VERSION_TIME: Duration = Duration::from_millis(600);
 
+/// Time for which a caller waits for a refresh.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// A feed of the configuration over a narrow link, which carries one version after the other.
 #[derive(Default)]
 struct NarrowFeed {
@@ -179,11 +183,15 @@
         &self,
         _: &'static str,
         after: Revision,
-        _: Millis,
+        wait: Millis,
         progress: Progress,
     ) -> BoxFuture<'_, Result<FeedPage, FeedError>> {
         async move {
+            let end = Instant::now() + wait.duration();
             while self.newest.load(Ordering::Relaxed) <= after.0 {
+                if Instant::now() >= end {
+                    return Ok(FeedPage { changes: Vec::new(), revision: after });
+                }
                 time::sleep(Duration::from_millis(5)).await;
             }
             let newest = self.newest.load(Ordering::Relaxed);
@@ -204,6 +212,14 @@
     let node: Arc<Node> = node;
     let follower = Arc::new(Operators(Arc::clone(&node)));
     let followed = tokio::spawn(follow(Arc::clone(&node), follower));
+    let refreshing = Arc::clone(&node);
+    let refreshed = tokio::spawn(async move {
+        loop {
+            let read = run_to_end(&refreshing, |node| read_from_store(node).boxed());
+            let _ = time::timeout(REFRESH_TIMEOUT, read).await;
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    });
     let version = || node.view().config.as_ref().map(|config| config.version);
     while version().is_none() {
         time::sleep(Duration::from_millis(5)).await;
@@ -219,4 +235,5 @@
     }
     assert_eq!(feed.most_rows.load(Ordering::Relaxed), 1, "an answer has superseded versions");
     followed.abort();
+    refreshed.abort();
 }
