Take slots of a wave in the store before its hosts are ordered down

Cause: how many hosts are down was known to one process only, from its list of hosts and its orders of the last 0.4 s. A fleet owner that was replaced while it stood still counts by a list from before its pause; a successor does not know of an order that is still open; a single owner forgot one once the list showed its host as up. A fencing token counts for one host and does not keep a limit over several.

Why the fix works: the wave's row lists the hosts that may be down. A slot is taken by a transaction that checks the lease and the row's revision, before the order is sent, and is freed when the order was answered and the host is up again, or had certainly no effect. So whoever sends an order, however late, sends it for a host that every owner counts; a successor repeats the open orders.

--- a/reachhead_jobs/src/authority.rs
+++ b/reachhead_jobs/src/authority.rs
@@ -1,9 +1,10 @@
-//! Leases for orders to a platform that may not check fencing tokens.
+//! Leases for orders about hosts.
 //!
-//! Where the platform rejects lower tokens, an order of a paused holder does no harm. Where it does
-//! not, two processes must never give orders at the same time. So the holder gives orders only
-//! within [`ORDER_WINDOW`] after it asked the store and found its lease in force, and a successor
-//! waits for as long after it took the lease.
+//! A platform that rejects lower tokens does so for each host by itself: an order of a paused holder
+//! for a host that its successor has not named is accepted. So the holder gives orders only within
+//! [`ORDER_WINDOW`] after it asked the store and found its lease in force. Where tokens are not
+//! checked, two processes must never give orders at the same time, and a successor also waits for as
+//! long after it took the lease.
 
 use reachhead_types::{
     boot_instant::BootInstant,
@@ -33,9 +34,11 @@
 pub struct OrderPermit {
     /// Fencing token of the holder.
     pub token: FencingToken,
-    /// Deadline for sending the order, after which no byte of it leaves the process; `None` where
-    /// tokens are checked.
-    pub until: Option<BootInstant>,
+    /// Deadline for sending the order.
+    pub until: BootInstant,
+    /// The platform rejects tokens that are lower than an earlier one for the same host. Where it does
+    /// not, no byte of the order may leave the process after the deadline.
+    pub is_fenced: bool,
 }
 
 /// The store's latest confirmation that the lease is in force.
--- a/reachhead_node/src/fleet/mod.rs
+++ b/reachhead_node/src/fleet/mod.rs
@@ -119,6 +119,7 @@
         term: lease.record.term,
         waves: BTreeMap::new(),
         platform_hosts: BTreeMap::new(),
+        listed_at: Tick(0),
         ended_workers: EndedWorkers::new(),
         usage: UsageStore::default(),
         ended_hosts: BTreeSet::new(),
@@ -143,6 +144,8 @@
     orders_start_at: Tick,
     waves: BTreeMap<WaveName, ActiveWave>,
     platform_hosts: BTreeMap<HostId, PlatformHost>,
+    /// When the list of hosts was requested; it shows their states at some time after that.
+    listed_at: Tick,
     ended_workers: EndedWorkers,
     usage: UsageStore,
     /// Hosts whose worker has ended after a maintenance order that was not answered yet.
@@ -271,7 +274,7 @@
     async fn move_hosts(&mut self) {
         let waves: Vec<&Wave> = self.waves.values().map(|active| &active.wave).collect();
         let is_held = |host: &HostId| {
-            self.ended_workers.is_open(host) || waves.iter().any(|wave| wave.is_draining(host))
+            self.ended_workers.is_open(host) || waves.iter().any(|wave| wave.is_held(host))
         };
         let moved = self.moves.round(&self.platform_hosts, is_held).await;
         for moved in moved {
@@ -288,9 +291,11 @@
         let Some(api) = &self.node.services.hosts else {
             return false;
         };
+        let requested_at = self.node.now();
         match api.list().await {
             Ok(list) => {
                 self.unlisted_since = None;
+                self.listed_at = requested_at;
                 self.platform_hosts = list
                     .into_iter()
                     .map(|platform_host| (platform_host.host.clone(), platform_host))
--- a/reachhead_node/src/fleet/waves.rs
+++ b/reachhead_node/src/fleet/waves.rs
@@ -12,6 +12,7 @@
 use reachhead_ops::event::{Event, emit};
 use reachhead_store::row::{Commit, Key, Txn};
 use reachhead_types::{
+    boot_instant::BootInstant,
     id::{HostId, WaveName},
     size::Revision,
 };
@@ -27,12 +28,16 @@
     pub(super) wave: Wave,
     /// The revision of the wave's row, if there is one.
     pub(super) revision: Option<Revision>,
+    /// Whether the status that operators see says completed, if this process has written it.
+    reported: Option<bool>,
 }
 
 /// A host whose maintenance is being ordered.
 struct OrderedHost {
     host: HostId,
     progress: DrainProgress,
+    /// An earlier order of the wave for the host may still be carried out.
+    repeated: bool,
     /// No earlier order about the host is open.
     first: bool,
 }
@@ -68,10 +73,11 @@
             emit(
                 Event::WaveChanged,
                 format_args!(
-                    "wave={} hosts={} begun={} within={}ms most={}",
+                    "wave={} hosts={} begun={} slots={:?} within={}ms most={}",
                     order.name,
                     order.hosts.len(),
                     record.begun.len(),
+                    record.slots,
                     order.within,
                     order.max_down
                 ),
@@ -84,7 +90,8 @@
                 continue;
             }
             let wave = Wave::new(order.clone(), record, self.node.now());
-            let active = ActiveWave { wave, revision: row.map(|row| row.revision) };
+            let revision = row.map(|row| row.revision);
+            let active = ActiveWave { wave, revision, reported: None };
             self.waves.insert(order.name.clone(), active);
             self.save(&order.name).await;
         }
@@ -100,70 +107,106 @@
         let Some(active) = self.waves.get_mut(name) else {
             return;
         };
-        let step = active.wave.next(&self.platform_hosts, now);
-        let mut changed = !step.missing.is_empty();
+        let step = active.wave.next(&self.platform_hosts, self.listed_at, now);
         for host in &step.missing {
-            active.wave.record_begun(host);
+            active.wave.record_gone(host);
         }
-        changed |= self.take_hosts(name, step.to_drain).await;
-        let done = self.waves.get(name).is_some_and(|active| active.wave.is_done());
-        if changed || done {
+        let hosts = self.drain_hosts(name, step.to_drain).await;
+        let ordered = self.reserve_slots(name, hosts).await;
+        self.order_maintenance(name, ordered).await;
+        let has_changed = |active: &ActiveWave| !step.missing.is_empty() || active.wave.is_done();
+        if self.waves.get(name).is_some_and(has_changed) {
             self.save(name).await;
         }
     }
 
-    /// Drains hosts and orders the maintenance of those that may be taken; returns whether the
-    /// maintenance of any host has begun.
-    async fn take_hosts(&mut self, name: &WaveName, hosts: Vec<HostId>) -> bool {
-        let mut candidates: Vec<PlatformHost> = Vec::new();
-        for host in &hosts {
-            candidates.extend(self.platform_hosts.get(host).cloned());
-        }
-        // A host whose worker ended after an order was most likely taken down by it: the order is
-        // repeated only for its answer.
+    /// Drains hosts, and returns them with the progress.
+    async fn drain_hosts(
+        &self,
+        name: &WaveName,
+        hosts: Vec<HostId>,
+    ) -> Vec<(HostId, DrainProgress)> {
         let now = self.node.now();
         let mode = |host: &HostId| {
             let active = self.waves.get(name);
             active.map_or(DrainMode::Graceful, |active| active.wave.drain_mode(host, now))
         };
-        let drain_statuses = join_all(candidates.iter().map(|platform_host| async {
-            if self.ended_hosts.contains(&platform_host.host) {
-                DrainProgress::Empty
-            } else {
-                self.request_drain(platform_host, mode(&platform_host.host)).await
-            }
-        }))
-        .await;
+        let drains = hosts.into_iter().map(|host| async {
+            // A host whose worker ended after an order was most likely taken down by it: the order is
+            // repeated only for its answer.
+            let progress = match self.platform_hosts.get(&host) {
+                Some(platform_host) if !self.ended_hosts.contains(&host) => {
+                    self.request_drain(platform_host, mode(&host)).await
+                }
+                _ => DrainProgress::Empty,
+            };
+            (host, progress)
+        });
+        join_all(drains).await
+    }
+
+    /// Takes slots for drained hosts, and stores them. Without the store no host is taken, also if the
+    /// wave is late: another process may have replaced this one. Returns the hosts to order down.
+    async fn reserve_slots(
+        &mut self,
+        name: &WaveName,
+        hosts: Vec<(HostId, DrainProgress)>,
+    ) -> Vec<OrderedHost> {
         let now = self.node.now();
         let mut ordered: Vec<OrderedHost> = Vec::new();
-        for (platform_host, progress) in candidates.into_iter().zip(drain_statuses) {
-            let Some(active) = self.waves.get_mut(name) else {
-                return false;
-            };
-            if !active.wave.can_maintain(progress, &self.platform_hosts) {
-                if let Some(waited) = active.wave.record_held(&platform_host.host, now) {
-                    emit(
-                        Event::HostHeld,
-                        format_args!(
-                            "wave={name} host={} pool={} worker={:?} vacancy={progress:?} for={waited}ms",
-                            platform_host.host, platform_host.pool, platform_host.worker
-                        ),
-                    );
-                }
+        let Some(active) = self.waves.get_mut(name) else {
+            return ordered;
+        };
+        for (host, progress) in hosts {
+            let repeated = active.wave.is_open(&host);
+            if active.wave.reserve(&host, progress, &self.platform_hosts) {
+                let first = !self.ended_workers.is_open(&host);
+                ordered.push(OrderedHost { host, progress, repeated, first });
                 continue;
             }
-            active.wave.record_ordered(&platform_host.host, now);
-            let first = !self.ended_workers.is_open(&platform_host.host);
-            if let Some(worker) = platform_host.worker.filter(|_| first) {
-                let incarnation = self.registered_incarnation(worker);
-                let order = OpenOrder { pool: platform_host.pool, incarnation, maintenance: true };
-                self.ended_workers.record_order(&platform_host.host, order);
+            let listed = self.platform_hosts.get(&host);
+            if let Some(waited) = active.wave.record_held(&host, now)
+                && let Some(PlatformHost { pool, worker, .. }) = listed
+            {
+                let taken = active.wave.taken_slots();
+                emit(
+                    Event::HostHeld,
+                    format_args!(
+                        "wave={name} host={host} pool={pool} worker={worker:?} vacancy={progress:?} slots={taken} for={waited}ms"
+                    ),
+                );
             }
-            ordered.push(OrderedHost { host: platform_host.host, progress, first });
         }
+        if ordered.iter().all(|host| host.repeated) || self.save(name).await {
+            return ordered;
+        }
+        if let Some(active) = self.waves.get_mut(name) {
+            for host in ordered.iter().filter(|host| !host.repeated) {
+                active.wave.record_not_taken(&host.host);
+            }
+        }
+        ordered.retain(|host| host.repeated);
+        ordered
+    }
+
+    /// Orders the maintenance of hosts that have slots.
+    async fn order_maintenance(&mut self, name: &WaveName, ordered: Vec<OrderedHost>) {
         let Some(api) = self.node.services.hosts.clone() else {
-            return false;
+            return;
         };
+        if self.fenced {
+            return;
+        }
+        for OrderedHost { host, .. } in ordered.iter().filter(|host| host.first) {
+            if let Some(platform_host) = self.platform_hosts.get(host)
+                && let Some(worker) = platform_host.worker.clone()
+            {
+                let incarnation = self.registered_incarnation(worker);
+                let pool = platform_host.pool.clone();
+                let order = OpenOrder { pool, incarnation, maintenance: true };
+                self.ended_workers.record_order(host, order);
+            }
+        }
         let permit_issuer = &self.permit_issuer;
         let orders = ordered.iter().map(|ordered_host| async {
             match permit_issuer.permit().await {
@@ -172,51 +215,47 @@
             }
         });
         let results = join_all(orders).await;
-        let mut begun = false;
         for (ordered_host, result) in ordered.iter().zip(results) {
-            begun |= self.handle_order_result(name, ordered_host, result);
+            self.handle_order_result(name, ordered_host, result);
         }
-        begun
     }
 
-    /// Processes the result of a maintenance order; returns whether the host's maintenance has
-    /// begun.
     fn handle_order_result(
         &mut self,
         name: &WaveName,
         ordered_host: &OrderedHost,
         result: Result<(), HostOrderError>,
-    ) -> bool {
-        let OrderedHost { host, progress, first } = ordered_host;
+    ) {
+        let OrderedHost { host, progress, repeated, first } = ordered_host;
         emit(
             Event::HostOrdered,
             format_args!(
-                "wave={name} host={host} vacancy={progress:?} token={} {result:?}",
+                "wave={name} host={host} vacancy={progress:?} token={} repeated={repeated} {result:?}",
                 self.token
             ),
         );
+        let now = self.node.now();
         let Some(active) = self.waves.get_mut(name) else {
-            return false;
+            return;
         };
         match result {
-            Ok(()) | Err(HostOrderError::Unknown | HostOrderError::Foreign) => {
-                active.wave.record_begun(host);
+            Ok(()) => {
+                active.wave.record_begun(host, now);
                 self.ended_hosts.remove(host);
-                true
             }
-            Err(HostOrderError::Fenced) => {
-                self.fenced = true;
-                false
+            Err(HostOrderError::Unknown | HostOrderError::Foreign) => {
+                active.wave.record_gone(host);
+                self.ended_hosts.remove(host);
             }
+            Err(HostOrderError::Fenced) => self.fenced = true,
             Err(HostOrderError::Busy | HostOrderError::NotDone(_)) => {
                 active.wave.record_not_taken(host);
                 if *first {
                     self.ended_workers.withdraw_order(host);
                 }
-                false
             }
             // The order may have had effect; it is repeated, and the answer then shows that.
-            Err(HostOrderError::Lost(_)) => false,
+            Err(HostOrderError::Lost(_)) => active.wave.record_lost(host),
         }
     }
 
@@ -232,42 +271,56 @@
         }
     }
 
-    /// Records a wave, and its status for operators.
-    async fn save(&mut self, wave: &WaveName) {
+    /// Records a wave and its slots, and its status for operators; returns whether the row was written.
+    /// That also confirms the lease to the permit issuer.
+    async fn save(&mut self, wave: &WaveName) -> bool {
         let Some(active) = self.waves.get_mut(wave) else {
-            return;
+            return false;
         };
         let done = active.wave.is_done();
-        let record = WaveRecord { completed: done, ..active.wave.record.clone() };
+        let record = WaveRecord { completed: done, ..active.wave.to_record() };
         let key = wave_key(wave);
         let txn = Txn::new()
             .with_check(lease_key(&name()), Some(self.token))
             .with_check(key.clone(), active.revision)
             .with_write(key.clone(), value(&record));
+        let sent = BootInstant::now();
         let result = self.node.services.store.commit(txn).await;
         self.node.record_store_result(&result);
         match result {
             Ok(Commit::Done(revision)) => {
                 active.revision = Some(revision);
-                if self.write_status(wave, done).await {
+                let is_reported = active.reported == Some(done);
+                self.permit_issuer.record_confirmed(sent).await;
+                if is_reported || self.write_status(wave, done).await {
                     self.finish_wave(wave, done);
                 }
+                true
             }
             Ok(Commit::Conflict(conflicts)) => {
                 for conflict in conflicts {
                     let found = conflict.row.map(|row| row.revision);
                     if conflict.key == key {
+                        // A write without an answer was carried out. Only this owner can have sent
+                        // it, and it has sent no order for a slot that it does not know as stored.
                         active.revision = found;
                     } else {
                         self.fenced = true;
                     }
                 }
+                false
+            }
+            Err(error) => {
+                emit(Event::RecordFailed, format_args!("wave={wave} {error}"));
+                false
             }
-            Err(error) => emit(Event::RecordFailed, format_args!("wave={wave} {error}")),
         }
     }
 
     fn finish_wave(&mut self, wave: &WaveName, done: bool) {
+        if let Some(active) = self.waves.get_mut(wave) {
+            active.reported = Some(done);
+        }
         if !done {
             return;
         }
--- a/reachhead_node/src/order_permit.rs
+++ b/reachhead_node/src/order_permit.rs
@@ -9,7 +9,11 @@
     authority::{LeaseConfirmation, ORDER_WINDOW, OrderPermit},
     record::lease_key,
 };
-use reachhead_types::{boot_instant::BootInstant, id::PoolName, size::FencingToken};
+use reachhead_types::{
+    boot_instant::BootInstant,
+    id::PoolName,
+    size::{FencingToken, Revision},
+};
 use tokio::{sync::Mutex, time};
 
 use crate::node::Node;
@@ -33,14 +37,9 @@
     /// Returns a permit, or `None` if the store does not confirm the lease now. The caller must not
     /// wait for anything between this and the order.
     pub async fn permit(&self) -> Option<OrderPermit> {
-        let platform_checks_token =
-            self.node.settings.host_api.is_none_or(|hosts| hosts.fencing_enforced);
-        if platform_checks_token {
-            return Some(OrderPermit { token: self.token, until: None });
-        }
         let mut confirmation = self.confirmation.lock().await;
         if let Some(until) = confirmation.until(BootInstant::now()) {
-            return Some(OrderPermit { token: self.token, until: Some(until) });
+            return Some(self.permit_until(until));
         }
         let sent = BootInstant::now();
         let read = self.node.services.store.read(vec![lease_key(&self.lease)]);
@@ -64,7 +63,17 @@
             return None;
         }
         let until = confirmation.until(BootInstant::now())?;
-        Some(OrderPermit { token: self.token, until: Some(until) })
+        Some(self.permit_until(until))
+    }
+
+    fn permit_until(&self, until: BootInstant) -> OrderPermit {
+        let is_fenced = self.node.settings.host_api.is_none_or(|hosts| hosts.fencing_enforced);
+        OrderPermit { token: self.token, until, is_fenced }
+    }
+
+    /// Records that the store committed a transaction that checks the lease and was sent at `sent`.
+    pub async fn record_confirmed(&self, sent: BootInstant) {
+        self.confirmation.lock().await.record(sent, Some(Revision(self.token.0)), self.token);
     }
 
     /// Returns whether the store reported another holder of the lease.
--- a/reachhead_ops/src/deadline.rs
+++ b/reachhead_ops/src/deadline.rs
@@ -57,7 +57,8 @@
         self.until.duration_since((self.clock)())
     }
 
-    fn has_passed(self) -> bool {
+    /// Returns whether the deadline has passed.
+    pub fn has_passed(self) -> bool {
         self.remaining().is_zero()
     }
 
