Pace calls for approvals over all pools of a process, and await late answers

Cause: each step that waited had a call of its own under way and gave it up after 4 s. The service decides the calls of a process one after the other, also those that were given up. With 32 of 140 ms waiting each was given up just before its turn and made again behind all others.

Why the fix works: a process has two calls under way, and a call counts until its answer, which is used however late. Whether the service is slow follows from the cost of the calls ahead; then, and after failures, calls pause, and never more than eight have no answer.

One older test looked for the repeated call 300 ms after a restart of a worker; it is made at once now.

--- a/reachhead_jobs/src/lib.rs
+++ b/reachhead_jobs/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate is pure logic over explicit state and time, without I/O. docs/PLATFORM.md describes
 //! how the programs use it.
 
+pub mod advice_pace;
 pub mod applied_rows;
 pub mod authority;
 pub mod backoff;
--- a/reachhead_jobs/src/pool/action.rs
+++ b/reachhead_jobs/src/pool/action.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    advice_pace::CallTerms,
     ports::{HoldOrder, StartOrder, WorkerTarget},
     task::{StepId, TaskId},
 };
@@ -24,7 +25,7 @@
     /// Read these jobs, which workers report runs of and this owner does not know.
     FindJobs(Vec<JobId>),
     /// Request approval of workers for a step.
-    Advise(StepId, Vec<WorkerId>),
+    Advise(StepId, Vec<WorkerId>, CallTerms),
     /// Read this owner's lease, since leases of workers have expired after it was last confirmed.
     ConfirmLease,
     /// A worker rejected this owner's fencing token because it has seen a higher one, so there is a
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -39,6 +39,7 @@
 };
 
 pub use action::{Action, Note, NoteKind, StopReason};
+pub use advice::AdviceSummary;
 pub use backlog::StartBacklog;
 pub use callers::{Cancelled, JobState, StateReply, is_foreign};
 pub use crash::DeathEvidence;
@@ -56,6 +57,7 @@
 };
 
 use crate::{
+    advice_pace::AdviceBudget,
     clock::{Tick, with_drift},
     incarnation::{Incarnation, is_newer},
     job::Job,
@@ -179,6 +181,8 @@
     start_budget: StartBudget,
     /// Reports that may be requested in this round.
     poll_budget: PollBudget,
+    /// Calls for approvals that may be sent now.
+    advice_budget: AdviceBudget,
     /// What the last round ordered.
     round: RoundOutcome,
     /// Where the next round goes on to search the long-running jobs.
@@ -393,6 +397,11 @@
         self.poll_budget
     }
 
+    /// Sets the calls for approvals that the next round may send.
+    pub fn set_advice_budget(&mut self, budget: AdviceBudget) {
+        self.advice_budget = budget;
+    }
+
     /// Returns how many starts the last round ordered, and whether only its budget limited them.
     pub fn round_outcome(&self) -> RoundOutcome {
         self.round
@@ -411,6 +420,7 @@
         }
         if self.can_order(now) && self.drained.is_current(now) && !self.is_recovering() {
             self.place_tasks(now);
+            self.send_advice_calls(now);
         }
         self.check_unplaced(now);
         self.send_polls(now);
@@ -457,7 +467,7 @@
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_JOB_RETENTION);
         self.expire_workers(now);
         self.refusals.expire(now, |id| self.jobs.contains_key(&id));
-        self.advice.expire(now);
+        self.advice.expire(|id| self.jobs.contains_key(&id));
     }
 
     /// Marks a job's progress as changed, to be written to the store.
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -16,6 +16,7 @@
     unplaced, weights,
 };
 use crate::{
+    advice_pace::AdviceBudget,
     clock::Tick,
     job::{Job, Phase, Run},
     order::DurationEstimator,
@@ -89,6 +90,7 @@
             all_answered_at: None,
             start_budget: StartBudget::unlimited(),
             poll_budget: PollBudget::unlimited(),
+            advice_budget: AdviceBudget::unlimited(),
             round: RoundOutcome::default(),
             search_from: 0,
             roster: roster::RosterState::new(found.roster),
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -60,6 +60,7 @@
     /// Starts tasks in rank order.
     pub(super) fn place_tasks(&mut self, now: Tick) {
         self.begin_quota_round(now);
+        self.advice.begin_round();
         let mut ranked: Vec<Ranked> = self
             .jobs
             .values()
--- a/reachhead_jobs/src/pool/unplaced.rs
+++ b/reachhead_jobs/src/pool/unplaced.rs
@@ -61,6 +61,8 @@
     GangIncomplete,
     /// The service that decides on the placement has approved no worker at present.
     AwaitingApproval,
+    /// The same, and calls to the service pause, since it fails or does not answer.
+    AdvisorUnavailable,
     /// The customer's quota is used up.
     Quota,
     /// No worker can take a task.
@@ -85,6 +87,7 @@
             Self::RetryPause => "retry-pause",
             Self::GangIncomplete => "gang-incomplete",
             Self::AwaitingApproval => "awaiting-approval",
+            Self::AdvisorUnavailable => "advisor-unavailable",
             Self::Quota => "quota",
             Self::NoPlace => "no-place",
             Self::StartBudget => "start-budget",
@@ -232,8 +235,9 @@
             let Some(step) = self.unplaced.steps.get_mut(&id) else {
                 continue;
             };
-            let line = (logged < MAX_LOGGED_STEPS && step.is_log_due(now))
-                .then(|| describe(id, step, &finding, now) + &awaited);
+            let line = (logged < MAX_LOGGED_STEPS && step.is_log_due(now)).then(|| {
+                describe(id, step, &finding, now) + &self.advice.describe(id, now) + &awaited
+            });
             step.finding = Some(finding);
             if let Some(line) = line {
                 step.logged_at = Some(now);
@@ -324,7 +328,10 @@
         } else if startable.is_empty() {
             WaitReason::RetryPause
         } else if approved.is_some_and(BTreeSet::is_empty) {
-            WaitReason::AwaitingApproval
+            match self.advice_budget.is_paused() {
+                true => WaitReason::AdvisorUnavailable,
+                false => WaitReason::AwaitingApproval,
+            }
         } else if step.gang && !self.is_gang_settled(id, now) {
             WaitReason::GangIncomplete
         } else if !self.within_quota(id.job, need) {
--- a/reachhead_jobs/src/ports/advice.rs
+++ b/reachhead_jobs/src/ports/advice.rs
@@ -1,5 +1,7 @@
 //! External service that decides which workers may run a step.
 
+use std::time::Duration;
+
 use futures::future::BoxFuture;
 use reachhead_store::StoreError;
 use reachhead_types::id::WorkerId;
@@ -17,14 +19,17 @@
 
 /// External service that decides which workers may run a step.
 pub trait Advisor: Send + Sync {
-    /// Returns the approvals for those of `workers` that may run the step.
+    /// Returns the approvals for those of `workers` that may run the step. The answer is awaited for at
+    /// most `limit`.
     ///
     /// # Errors
     ///
-    /// The store error that best describes the failure; the call has no effect and may be repeated.
+    /// The store error that best describes the failure; the call has no effect and may be repeated. After
+    /// `Lost` the service may still spend its time on the call, and with `Busy` too many calls wait there.
     fn advise(
         &self,
         step: StepId,
         workers: Vec<WorkerId>,
+        limit: Duration,
     ) -> BoxFuture<'_, Result<Vec<Approval>, StoreError>>;
 }
--- a/reachhead_jobs/tests/pool/arbitrary_inputs.rs
+++ b/reachhead_jobs/tests/pool/arbitrary_inputs.rs
@@ -174,7 +174,7 @@
                 self.fixture.pool.jobs_found(&jobs, result.is_ok(), self.fixture.now)
             }
             Action::Pace(_, task, run, _) => self.fixture.pool.pace_failed(task, run),
-            Action::Advise(step, workers) => {
+            Action::Advise(step, workers, _) => {
                 let approval = |worker| Approval { worker, ticket: "t".to_owned() };
                 let approvals = workers.into_iter().map(approval).collect();
                 self.fixture.pool.advised(step, Some(approvals), now, now);
--- a/reachhead_jobs/tests/pool/ended_incarnation.rs
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -239,9 +239,10 @@
     fixture.report(&worker("w"));
     fixture.list();
     approve(&mut fixture, sent);
-    assert_eq!(fixture.starts().len(), 0, "the ticket may be of the old incarnation");
-    fixture.advance(300);
-    let asks = fixture.poll().iter().any(|action| matches!(action, Action::Advise(..)));
+    let actions = fixture.poll();
+    let starts = actions.iter().any(|action| matches!(action, Action::Start(..)));
+    assert!(!starts, "the ticket may be of the old incarnation");
+    let asks = actions.iter().any(|action| matches!(action, Action::Advise(..)));
     assert!(asks, "the approval does not count");
     let sent = fixture.now;
     approve(&mut fixture, sent);
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that can't go on has failed")]
 
+mod advice;
 mod arbitrary_inputs;
 mod balance;
 mod candidate;
--- a/reachhead_jobs/tests/pool/unplaced.rs
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -200,7 +200,7 @@
                     fixture.accept(&target.id, &order);
                     fixture.set_running(&target.id, order.task, order.run.0, 100);
                 }
-                Action::Advise(step, asked) => {
+                Action::Advise(step, asked, _) => {
                     assert!(asked.len() <= 100, "more workers than a call may name");
                     let approved = asked.into_iter().filter(&is_approved);
                     let approval = |worker| Approval { worker, ticket: "t".to_owned() };
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -45,7 +45,7 @@
             let answer = match &action {
                 Action::FindJobs(jobs) => Answer::Found(jobs.clone(), None),
                 Action::ConfirmLease => Answer::LeaseRead(None),
-                Action::Advise(step, _) => Answer::Advised(*step, sent, None),
+                Action::Advise(step, ..) => Answer::Advised(*step, sent, None),
                 action => match failure(action, sent, error) {
                     Some(answer) => answer,
                     None => return,
@@ -182,7 +182,7 @@
                 let is_own = owner.store_cut_until <= now && lease == Some(owner.token);
                 Some(Answer::LeaseRead(is_own.then_some(sent)))
             }
-            Action::Advise(step, workers) => {
+            Action::Advise(step, workers, _) => {
                 Some(Answer::Advised(*step, sent, Some(self.approvals(*step, workers))))
             }
             _ => None,
--- a/reachhead_node/src/metrics.rs
+++ b/reachhead_node/src/metrics.rs
@@ -8,11 +8,12 @@
     registry::Registry,
 };
 use reachhead_jobs::{
+    advice_pace::CallOutcome,
     clock::Tick,
     ports::{Answer, WorkerError},
 };
 use reachhead_ops::latency::{LatencyHistograms, latency_histograms};
-use reachhead_types::id::PoolName;
+use reachhead_types::{id::PoolName, size::Millis};
 
 use crate::{dispatch::DispatchMetrics, owner::OwnerHandle, view::View};
 
@@ -44,6 +45,11 @@
     why: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PoolLabels {
     pool: String,
@@ -59,6 +65,8 @@
     table_age: Family<TableLabels, Gauge>,
     unplaced: Family<UnplacedLabels, Gauge>,
     ended_workers: Family<PoolLabels, Gauge>,
+    advice_waiting: Family<PoolLabels, Gauge>,
+    advice_calls: LatencyHistograms<OutcomeLabels>,
     /// Number of times that this process took over a pool.
     pub pools_taken: Counter,
     /// Transactions that the store refused as invalid, such as a row that is too long.
@@ -81,6 +89,8 @@
             table_age: Family::default(),
             unplaced: Family::default(),
             ended_workers: Family::default(),
+            advice_waiting: Family::default(),
+            advice_calls: latency_histograms(),
             pools_taken: Counter::default(),
             store_refusals: Counter::default(),
             delays: Counter::default(),
@@ -137,6 +147,16 @@
             "Registered workers of the pools that this process owns that are not used, as their registered incarnations have ended",
             metrics.ended_workers.clone(),
         );
+        registry.register(
+            "reachhead_advice_waiting_steps",
+            "Steps that wait for a call to the service that approves placements, in the pools that this process owns",
+            metrics.advice_waiting.clone(),
+        );
+        registry.register(
+            "reachhead_advice_call_seconds",
+            "Time of calls to the service that approves placements, by what came of them",
+            metrics.advice_calls.clone(),
+        );
         metrics.dispatch.register(registry);
         metrics
     }
@@ -160,15 +180,17 @@
         }
     }
 
-    /// Sets the gauges of tasks without a run and of workers that are not used from the owners of pools
-    /// in this process. Those of other pools are removed: their owners count them.
-    pub fn record_unplaced(&self, owners: &BTreeMap<PoolName, OwnerHandle>) {
+    /// Sets the gauges of what waits and of workers that are not used from the owners of pools in this
+    /// process. Those of other pools are removed: their owners count them.
+    pub fn record_waiting(&self, owners: &BTreeMap<PoolName, OwnerHandle>) {
         self.unplaced.clear();
         self.ended_workers.clear();
+        self.advice_waiting.clear();
         for (pool, owner) in owners {
             let summary = owner.unplaced();
             let labels = PoolLabels { pool: pool.to_string() };
             self.ended_workers.get_or_create(&labels).set(summary.ended.into());
+            self.advice_waiting.get_or_create(&labels).set(owner.advice().steps as i64);
             for (why, tasks) in summary.reasons {
                 let labels = UnplacedLabels { pool: pool.to_string(), why: why.name() };
                 self.unplaced.get_or_create(&labels).set(tasks.into());
@@ -189,6 +211,12 @@
         self.orders.get_or_create(&OrderLabels { order, result }).inc();
     }
 
+    /// Records a call for approvals.
+    pub fn advice_call(&self, outcome: CallOutcome, time: Millis) {
+        let labels = OutcomeLabels { outcome: outcome.name() };
+        self.advice_calls.get_or_create(&labels).observe(time.duration().as_secs_f64());
+    }
+
     /// Counts an answer to a caller, and records its latency in seconds.
     pub fn answer(&self, call: &'static str, answer: &Answer, seconds: f64) {
         let label = match answer {
--- a/reachhead_node/src/metrics_tests.rs
+++ b/reachhead_node/src/metrics_tests.rs
@@ -24,10 +24,10 @@
         ended: 2,
         ..UnplacedSummary::default()
     });
-    metrics.record_unplaced(&BTreeMap::from([("a".parse().unwrap(), owner)]));
+    metrics.record_waiting(&BTreeMap::from([("a".parse().unwrap(), owner)]));
     let gauge = "reachhead_unplaced_tasks{pool=\"a\",why=\"no-place\"} 3";
     assert!(text().contains(gauge), "{}", text());
     assert!(text().contains("reachhead_ended_workers{pool=\"a\"} 2"), "{}", text());
-    metrics.record_unplaced(&BTreeMap::new());
+    metrics.record_waiting(&BTreeMap::new());
     assert!(!text().contains("pool=\"a\""), "{}", text());
 }
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -7,6 +7,7 @@
 };
 
 use reachhead_jobs::{
+    advice_pace::AdvicePacer,
     clock::Tick,
     liveness::MIN_OUTAGE,
     owner_failures::OwnerFailures,
@@ -119,6 +120,7 @@
     owner_failures: Mutex<OwnerFailures>,
     start_pacer: Mutex<StartPacer>,
     poll_pacer: Mutex<PollPacer>,
+    advice_pacer: Mutex<AdvicePacer>,
 }
 
 /// Returns the bandwidth of the process's link.
@@ -167,6 +169,7 @@
             owner_failures: Mutex::new(OwnerFailures::new()),
             start_pacer,
             poll_pacer,
+            advice_pacer: Mutex::default(),
         }
     }
 
@@ -225,6 +228,11 @@
         locked(&self.poll_pacer)
     }
 
+    /// Locks the pacer of the calls for approvals of all pools that this process owns.
+    pub fn advice_pacer(&self) -> MutexGuard<'_, AdvicePacer> {
+        locked(&self.advice_pacer)
+    }
+
     /// Locks what this process knows about its ability to serve pools.
     pub fn ability(&self) -> MutexGuard<'_, Ability> {
         locked(&self.ability)
--- a/reachhead_node/src/observe.rs
+++ b/reachhead_node/src/observe.rs
@@ -35,7 +35,7 @@
         // The gauges of waiting tasks are replaced as a whole, so no other request may be encoding.
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         self.node.metrics.record_view(&self.node.view(), self.node.now());
-        self.node.metrics.record_unplaced(&self.node.owned());
+        self.node.metrics.record_waiting(&self.node.owned());
         let mut body = String::new();
         match encode(&mut body, &registry) {
             Ok(()) => http::with_content_type(StatusCode::OK, METRICS_TYPE, body.into_bytes()),
@@ -74,7 +74,8 @@
                 json!({ "pool": pool, "token": owner.token,
                     "turned_age_ms": age(owner.pulse.turned()),
                     "recorded_age_ms": owner.pulse.recorded().map(age),
-                    "dispatchers": self.dispatchers(pool), "unplaced": owner.unplaced() })
+                    "dispatchers": self.dispatchers(pool), "unplaced": owner.unplaced(),
+                    "advice": owner.advice() })
             })
             .collect();
         let loading: Vec<Value> = self
@@ -112,6 +113,7 @@
             "owners": owners,
             "loading": loading,
             "dispatching": self.dispatching(),
+            "advice": self.node.advice_pacer().status(now),
             "leases": leases,
             "members": view.members.len(),
             "workers": view.workers.len(),
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -50,21 +50,13 @@
             node.record_store_result(&rows);
             Some(Input::JobsFound(ids, rows))
         }
-        Action::Advise(step, ids) => {
-            let approvals = match &node.services.advisor {
-                Some(advisor) => advisor.advise(step, ids).await.map_err(|error| {
-                    log::info!("step={step} the advisor did not answer: {error}");
-                }),
-                None => Err(()),
-            };
-            Some(Input::AdviceReceived(step, approvals.ok(), sent))
-        }
         Action::ConfirmLease => {
             let rows = node.services.store.read(vec![lease_key(pool)]).await;
             node.record_store_result(&rows);
             Some(Input::LeaseRead(sent, rows))
         }
-        Action::Fenced => None,
+        // The event loop carries these out itself.
+        Action::Advise(..) | Action::Fenced => None,
     }
 }
 
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -6,7 +6,10 @@
     clock::{Tick, WorkerTime},
     incarnation::Incarnation,
     order_effect::OrderEffect,
-    pool::{Batch, DrainMode, DrainProgress, PoolLoad, RecoveredJobs, StateReply, UnplacedSummary},
+    pool::{
+        AdviceSummary, Batch, DrainMode, DrainProgress, PoolLoad, RecoveredJobs, StateReply,
+        UnplacedSummary,
+    },
     ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
     quota::{Allotment, UsageReport},
     task::{StepId, TaskId},
@@ -98,6 +101,7 @@
     /// Signs of life of the owner.
     pub pulse: Arc<Pulse>,
     unplaced: Arc<Mutex<UnplacedSummary>>,
+    advice: Arc<Mutex<AdviceSummary>>,
     sender: mpsc::UnboundedSender<Input>,
 }
 
@@ -105,7 +109,14 @@
     /// Returns a handle and the receiver of its inputs.
     pub fn new(token: Revision) -> (Self, mpsc::UnboundedReceiver<Input>) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { token, pulse: Arc::default(), unplaced: Arc::default(), sender }, receiver)
+        let handle = Self {
+            token,
+            pulse: Arc::default(),
+            unplaced: Arc::default(),
+            advice: Arc::default(),
+            sender,
+        };
+        (handle, receiver)
     }
 
     /// Sends an input to the owner. An owner that has ended needs no more inputs.
@@ -123,4 +134,14 @@
     pub fn unplaced(&self) -> UnplacedSummary {
         locked(&self.unplaced).clone()
     }
+
+    /// Publishes the steps that wait for a call for approvals, as of the owner's last round.
+    pub fn publish_advice(&self, summary: AdviceSummary) {
+        *locked(&self.advice) = summary;
+    }
+
+    /// Returns the steps that wait for a call for approvals, as of the owner's last round.
+    pub fn advice(&self) -> AdviceSummary {
+        *locked(&self.advice)
+    }
 }
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of a pool: the event loop that feeds inputs to the scheduler and executes its actions.
 
 mod actions;
+mod advice;
 mod backlog_log;
 mod dispatching;
 mod input;
@@ -217,6 +218,7 @@
         if starts {
             self.dispatching.update(&self.node, &self.pool, &self.workers, now);
         }
+        self.update_advice_budget(now);
         let mut pacer = self.node.start_pacer();
         pacer.adapt(self.node.peers.link_delay(), now);
         pacer.record_payload(self.workers.take_link_bytes());
@@ -227,6 +229,7 @@
         let mut poll_pacer = self.node.poll_pacer();
         self.pool.set_poll_budget(poll_pacer.budget(now));
         let actions = self.pool.poll(now, self.node.clock.wall());
+        self.record_advice(now);
         poll_pacer.record(self.pool.poll_budget());
         if starts {
             pacer.record(self.pool.start_budget());
@@ -397,6 +400,10 @@
             self.lease_lost = true;
             return;
         }
+        if let Action::Advise(step, workers, terms) = action {
+            self.advise(step, workers, terms);
+            return;
+        }
         let node = Arc::clone(&self.node);
         let workers = Arc::clone(&self.workers);
         let pool = self.pool.name().clone();
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -67,9 +67,6 @@
 /// Timeout of a call about hosts.
 const HOST_API_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Timeout of a call to the advisor: one call covers thirty workers, and some calls wait before it.
-const ADVICE_TIMEOUT: Duration = Duration::from_millis(4000);
-
 /// Maximum pause between two probes of a partition of the store that failed. All jobs of a pool
 /// wait until the last of its partitions is back, and two probes a second by the owner cost the
 /// store nothing.
@@ -186,9 +183,9 @@
             Arc::new(HttpHostApi::new(Arc::clone(client), hosts.address, node, HOST_API_TIMEOUT))
                 as _
         }),
-        advisor: settings.advice.map(|address| {
-            Arc::new(HttpAdvisor::new(Arc::clone(client), address, ADVICE_TIMEOUT)) as _
-        }),
+        advisor: settings
+            .advice
+            .map(|address| Arc::new(HttpAdvisor::new(Arc::clone(client), address)) as _),
         row_format: Arc::new(PlatformRowFormat::new()),
     }
 }
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -179,6 +179,9 @@
     LinesDropped 730 Warn;
     /// This process was late itself: its check of the pools ran long after it was due.
     ProcessDelayed 731 Info;
+    /// A call to the service that approves placements failed, is overdue or was rejected, so calls pause: why, the calls without an
+    /// answer, and for how long.
+    AdviceDelayed 732 Warn;
 }
 
 /// Logs `event` with `details`.
