Saturate sums of amounts and times that callers and registrations choose

What callers would see: a debug build ends, and a release build goes on with a sum that wrapped around, as a pool with a worker of the largest capacity that counts as one without any.

Cause: the capacity for expiring jobs, the balance, a job's objective, the age of a wave and the pacing of calls for approvals added and multiplied plainly.

Evidence and tests: three new tests of the library failed on ("attempt to add with overflow", "attempt to multiply with overflow") and pass.

--- a/reachhead_jobs/src/advice_pace.rs
+++ b/reachhead_jobs/src/advice_pace.rs
@@ -85,7 +85,7 @@
     /// half of its tickets' validity passes, it is sent later.
     pub fn allows(self, terms: CallTerms) -> bool {
         let is_useful =
-            |ahead: Millis| 2 * ahead.0.saturating_add(terms.cost.0) <= terms.validity.0;
+            |ahead: Millis| ahead.0.saturating_add(terms.cost.0) <= terms.validity.0 / 2;
         self.has_room() && self.ahead.is_none_or(is_useful)
     }
 
@@ -239,7 +239,7 @@
         self.next_call += 1;
         let last = self.calls.values().map(|call| call.due).max().unwrap_or_default();
         let due = last.max(now) + terms.cost;
-        let patience = (PATIENCE_FACTOR * due.since(now).0).max(MIN_PATIENCE.0);
+        let patience = due.since(now).0.saturating_mul(PATIENCE_FACTOR).max(MIN_PATIENCE.0);
         let overdue_at = now + Millis(patience);
         let call = Call { due, overdue_at, expires_at: overdue_at + MAX_WAIT, is_overdue: false };
         self.calls.insert(id, call);
--- a/reachhead_jobs/src/balance/mod.rs
+++ b/reachhead_jobs/src/balance/mod.rs
@@ -239,7 +239,7 @@
         free.sort_by(|a, b| a.host.cmp(&b.host));
         let claim = claim_of(&state.load, size);
         let want = claim.total;
-        let used: u64 = state.load.workers.iter().map(|load| load.used).sum();
+        let used = state.load.workers.iter().map(|load| load.used).fold(0, u64::saturating_add);
         let busy = used.div_ceil(size.max(1)) as usize;
         let has_seen_work = state.load.begun;
         Account { pool: pool.clone(), have, claim, want, busy, has_seen_work, free, drained_hosts }
--- a/reachhead_jobs/src/expiring_budget.rs
+++ b/reachhead_jobs/src/expiring_budget.rs
@@ -19,7 +19,7 @@
 impl ExpiringBudget {
     /// Creates the budget of a pool with `capacity`, of which late jobs already have `used`.
     pub fn new(capacity: u64, used: u64) -> Self {
-        Self { remaining: (capacity * MAX_PERCENT / 100).saturating_sub(used) }
+        Self { remaining: (capacity.saturating_mul(MAX_PERCENT) / 100).saturating_sub(used) }
     }
 
     /// Takes capacity for a job unless the budget is used up. The last job may exceed it, so that a
--- a/reachhead_jobs/src/order.rs
+++ b/reachhead_jobs/src/order.rs
@@ -153,7 +153,7 @@
     /// Returns the time after acceptance within which the job is in time.
     pub fn objective(&self, queue: &Arc<Queue>, plan: &Plan) -> Millis {
         let chain = plan.critical_path(|step| self.predict(&queue.name, step));
-        Millis(queue.target.0 + (chain.0 as f64 * queue.stretch) as u64)
+        Millis(queue.target.0.saturating_add((chain.0 as f64 * queue.stretch) as u64))
     }
 
     /// Returns the job's rank for placement; the smallest comes first.
--- a/reachhead_jobs/src/pool/expiring.rs
+++ b/reachhead_jobs/src/pool/expiring.rs
@@ -32,13 +32,13 @@
 
     fn usable_cores(&self, now: Tick) -> u64 {
         let usable = self.workers.values().filter(|worker| worker.accepts(now));
-        usable.map(|worker| worker.info.capacity.cores).sum()
+        saturating_sum(usable.map(|worker| worker.info.capacity.cores))
     }
 
     /// Returns the cores held by runs that were started too late for their jobs to be in time.
     fn late_cores(&self) -> u64 {
         let short = self.jobs.values().filter(|job| !job.plan.is_long_running());
-        short.map(|job| self.late_cores_of(job)).sum()
+        saturating_sum(short.map(|job| self.late_cores_of(job)))
     }
 
     fn late_cores_of(&self, job: &Job) -> u64 {
@@ -47,9 +47,10 @@
             let step = job.step(*id);
             let time = self.estimator.predict(&job.queue.name, step);
             let runs = state.tasks.iter().flat_map(|task| &task.runs);
-            step.charge().cores * runs.filter(|run| run.ordered_at + time > limit).count() as u64
+            let late = runs.filter(|run| run.ordered_at + time > limit).count() as u64;
+            step.charge().cores.saturating_mul(late)
         };
-        job.steps.iter().map(of_step).sum()
+        saturating_sum(job.steps.iter().map(of_step))
     }
 
     /// Returns the cores that a job's ready tasks would take.
@@ -57,8 +58,13 @@
         let job = &self.jobs[&id];
         let of_step = |(id, state): (&StepId, &StepState)| {
             let waiting = state.tasks.iter().filter(|task| !task.done && task.runs.is_empty());
-            job.step(*id).charge().cores * waiting.count() as u64
+            job.step(*id).charge().cores.saturating_mul(waiting.count() as u64)
         };
-        job.steps.iter().filter(|(id, _)| job.is_ready(**id)).map(of_step).sum()
+        saturating_sum(job.steps.iter().filter(|(id, _)| job.is_ready(**id)).map(of_step))
     }
 }
+
+/// Returns the sum of amounts, which callers and registrations may make as large as a number can be.
+fn saturating_sum(amounts: impl Iterator<Item = u64>) -> u64 {
+    amounts.fold(0, u64::saturating_add)
+}
--- a/reachhead_jobs/src/wave.rs
+++ b/reachhead_jobs/src/wave.rs
@@ -211,7 +211,8 @@
     /// Returns how to treat short tasks on a host that is being drained.
     pub fn drain_mode(&self, host: &HostId, now: Tick) -> DrainMode {
         let waited = self.draining.get(host).map_or(Millis(0), |since| now.since(*since));
-        let is_late = now.since(self.since).0 * 100 > self.order.within.0 * FORCE_DRAIN_PERCENT;
+        let age = now.since(self.since).0.saturating_mul(100);
+        let is_late = age > self.order.within.0.saturating_mul(FORCE_DRAIN_PERCENT);
         if is_late || waited >= MAX_SHORT_TASK_DELAY {
             DrainMode::Forced
         } else {
--- a/reachhead_jobs/tests/pool/advice.rs
+++ b/reachhead_jobs/tests/pool/advice.rs
@@ -325,3 +325,14 @@
     assert!(!pacer.budget(&pool_name(), Tick(0)).allows(terms));
     assert!(pacer.budget(&pool_name(), Tick(200)).allows(terms));
 }
+
+#[test]
+fn the_largest_times_of_a_policy_are_paced() {
+    let mut pacer = AdvicePacer::new();
+    let terms = CallTerms { cost: Millis(u64::MAX), validity: Millis(u64::MAX) };
+    let call = pacer.begin(&pool_name(), terms, Tick(1000));
+    assert!(!pacer.budget(&pool_name(), Tick(1000)).allows(terms));
+    pacer.check_overdue(Tick(100_000));
+    pacer.end(call, CallOutcome::Answered, Tick(100_000));
+    assert!(pacer.budget(&pool_name(), Tick(100_000)).allows(terms));
+}
--- a/reachhead_jobs/tests/pool/expiring_budget.rs
+++ b/reachhead_jobs/tests/pool/expiring_budget.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 
 use reachhead_jobs::{
-    clock::Tick, expiring_budget::ExpiringBudget, pool::JobState, ports::RunEnd, task::TaskId,
+    clock::Tick, expiring_budget::ExpiringBudget, model::Step, pool::JobState, ports::RunEnd,
+    task::TaskId,
 };
+use reachhead_plan::amount::Amount;
 use reachhead_types::{
     id::{JobId, WorkerId},
     size::{Millis, RunNumber},
@@ -135,3 +137,29 @@
     assert!(!budget.take(100));
     assert!(!ExpiringBudget::new(16_000, 4000).take(100));
 }
+
+/// Guards against sums of capacities and requests that exceed a number: a registration of another writer, or a caller, may name
+/// any amount. A debug build ended; a release build took the pool for one without capacity.
+#[test]
+fn the_largest_amounts_that_a_registration_and_a_job_can_name_are_summed() {
+    let mut fixture = Fixture::ready(vec![info("w", 4), info("x", 4)]);
+    fixture.infos[0].capacity.cores = u64::MAX;
+    fixture.list();
+    let huge = Step { need: Amount::new(u64::MAX, 1, 0), ..step(3) };
+    let endless = Step { estimate: Millis(u64::MAX), ..step(1) };
+    for id in 1..=3 {
+        fixture.submit(id, vec![huge.clone()]);
+    }
+    fixture.submit(4, vec![step(1)]);
+    fixture.submit(5, vec![endless]);
+    for _ in 0..400 {
+        fixture.advance(100);
+        fixture.poll();
+        fixture.flush();
+        for info in fixture.infos.clone() {
+            fixture.report(&info.id);
+        }
+        let now = fixture.now;
+        fixture.pool.load(now);
+    }
+}
--- a/reachhead_jobs/tests/pool/wave.rs
+++ b/reachhead_jobs/tests/pool/wave.rs
@@ -149,3 +149,13 @@
     assert!(!wave.is_due(&first));
     assert_eq!(wave.taken_slots(), 0);
 }
+
+#[test]
+fn a_wave_may_have_the_longest_time_that_can_be_written() {
+    let hosts = hosts(&[PlatformHostState::Up]);
+    let mut wave = wave(&hosts, u32::MAX);
+    wave.order.within = Millis(u64::MAX);
+    wave.next(&hosts, Tick(0), Tick(0));
+    let host = hosts.keys().next().unwrap();
+    assert_eq!(wave.drain_mode(host, Tick(100)), DrainMode::Graceful);
+}
