--- a/reachhead_jobs/src/pool/advice.rs
+++ b/reachhead_jobs/src/pool/advice.rs
@@ -112,7 +112,7 @@
         self.waiting.retain(|id| is_open(id.job));
     }
 
-    /// Forgets which steps wait, before a round finds them anew.
+    /// Clears the steps that wait, which the next round determines again.
     pub(super) fn begin_round(&mut self) {
         self.waiting.clear();
     }
