--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -37,5 +37,6 @@
 mod runs;
 mod trials;
 mod unclaimed;
+mod unnoticed_incarnation;
 mod unplaced;
 mod wave;
--- /dev/null
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -0,0 +1,240 @@
+//! Tests of workers that restart under their id without being noticed and then can't be reached. See
+//! `docs/design/restarted-workers.md`.
+
+use reachhead_jobs::{
+    clock::WorkerTime,
+    incarnation::Incarnation,
+    pool::Action,
+    ports::{StartOrder, WorkerError, WorkerInfo},
+};
+use reachhead_types::{id::WorkerId, size::Millis};
+
+use crate::fixture::{Fixture, START, info, recovered, step, timeouts, worker};
+
+/// Start time of incarnations that have been up for long.
+const OLD_START: u64 = 1000;
+
+/// Start time of an incarnation that has been up for five seconds when the tests begin.
+const YOUNG_START: u64 = START.0 - 5000;
+
+/// Bound on the time after which a task may start elsewhere, beyond the lease: the drift of the
+/// worker's clock, and the step of the tests.
+const SLACK: u64 = 500;
+
+const STEP: u64 = 100;
+
+fn listed(name: &str, started_at: u64) -> WorkerInfo {
+    WorkerInfo { started_at: Some(Millis(started_at)), ..info(name, 4) }
+}
+
+/// Returns a pool with a worker `w` whose start time is known, and an order to start a task there.
+fn ordered() -> (Fixture, StartOrder) {
+    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
+    fixture.submit(1, vec![step(1)]);
+    let (_, order) = fixture.starts().remove(0);
+    (fixture, order)
+}
+
+/// Adds a worker `v` that answers, while `w` does not any more.
+fn add_other(fixture: &mut Fixture) {
+    fixture.infos.push(listed("v", OLD_START));
+    fixture.list();
+    fixture.poll();
+    fixture.flush();
+    fixture.report(&worker("v"));
+}
+
+/// Returns for how long the task waits before it starts on `v`, while no poll of `w` is sent.
+fn wait_for_move(fixture: &mut Fixture) -> Millis {
+    let begun = fixture.now;
+    let unreachable = || Err(WorkerError::Unreachable("cut off".to_owned()));
+    while Fixture::started_on(fixture.poll()).is_empty() {
+        assert!(fixture.now.since(begun) < Millis(60_000), "the task never starts");
+        fixture.advance(STEP);
+        fixture.pool.held(&worker("w"), fixture.now, unreachable(), fixture.now);
+        fixture.report(&worker("v"));
+        fixture.flush();
+    }
+    fixture.now.since(begun)
+}
+
+fn assert_about(wait: Millis, expected: Millis) {
+    assert!(wait >= expected, "{wait} is less than the lease of {expected}");
+    assert!(wait.0 <= expected.0 + SLACK, "{wait} is longer than the lease of {expected}");
+}
+
+fn polls_of(actions: &[Action], id: &WorkerId) -> usize {
+    let is_poll = |action: &&Action| matches!(action, Action::Hold(target, _) if target.id == *id);
+    actions.iter().filter(is_poll).count()
+}
+
+/// A worker had restarted, confirmed a start and was cut off before the poll that would have shown the
+/// restart. It held the run for the longest lease that it grants, as it read the deadline by its own
+/// clock, and the task started elsewhere after the usual lease.
+#[test]
+fn a_task_is_not_moved_while_an_unnoticed_incarnation_may_run_it() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    add_other(&mut fixture);
+    assert_about(wait_for_move(&mut fixture), timeouts().grant);
+}
+
+/// As above, when the answer to the start was lost with the path.
+#[test]
+fn a_task_is_not_moved_while_an_unnoticed_incarnation_may_have_got_its_order() {
+    let (mut fixture, order) = ordered();
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    add_other(&mut fixture);
+    fixture.advance(STEP);
+    fixture.pool.started(&worker("w"), order.task, order.run, lost, fixture.now);
+    assert_about(wait_for_move(&mut fixture), timeouts().grant);
+}
+
+/// The same for an order whose connection has ended, which may have been carried out before.
+#[test]
+fn a_task_is_not_moved_while_an_unnoticed_incarnation_may_have_got_a_broken_order() {
+    let (mut fixture, order) = ordered();
+    let broken = Err(WorkerError::Broken("reset".to_owned()));
+    add_other(&mut fixture);
+    fixture.pool.started(&worker("w"), order.task, order.run, broken, fixture.now);
+    assert_about(wait_for_move(&mut fixture), timeouts().grant);
+}
+
+/// A poll that was sent before the restart was noticed prolonged the lease there by the old clock.
+#[test]
+fn a_poll_without_an_answer_counts_as_a_lease_of_an_unnoticed_incarnation() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    add_other(&mut fixture);
+    fixture.advance(1500);
+    fixture.fail_poll(&worker("w"));
+    assert_about(wait_for_move(&mut fixture), timeouts().grant);
+}
+
+/// A report that lists the run names its incarnation, so the task waits no longer than for its lease.
+#[test]
+fn a_reported_run_waits_for_its_lease_only() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    fixture.report(&worker("w"));
+    add_other(&mut fixture);
+    assert_about(wait_for_move(&mut fixture), timeouts().hold);
+}
+
+/// A run whose start was answered after the last report does not prolong the wait of one that the
+/// report has listed.
+#[test]
+fn an_unreported_run_does_not_delay_a_reported_one() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    fixture.report(&worker("w"));
+    fixture.submit(2, vec![step(1)]);
+    let (_, later) = fixture.starts().remove(0);
+    fixture.accept(&worker("w"), &later);
+    add_other(&mut fixture);
+    assert_about(wait_for_move(&mut fixture), timeouts().hold);
+    assert_eq!(fixture.pool.workers()[&worker("w")].runs.len(), 1);
+}
+
+/// The answer to a start showed the clock of a worker that had just started. The poll under way would
+/// have shown that only seconds later.
+#[test]
+fn a_clock_that_is_behind_shows_a_restart_at_once() {
+    let (mut fixture, order) = ordered();
+    fixture.advance(500);
+    let fresh = Ok(WorkerTime(700));
+    fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
+    fixture.submit(2, vec![step(1)]);
+    let actions = fixture.poll();
+    assert_eq!(polls_of(&actions, &worker("w")), 1, "a poll is under way");
+    assert_eq!(Fixture::started_on(actions), [], "which incarnation is there is not known");
+}
+
+/// The poll that was under way as the restart showed ends without an answer, after the new incarnation
+/// has reported: the worker stays in use and is polled once at a time.
+#[test]
+fn a_poll_of_the_ended_incarnation_does_not_silence_the_new_one() {
+    let (mut fixture, order) = ordered();
+    let sent = fixture.now;
+    fixture.advance(500);
+    fixture.set_running(&worker("w"), order.task, order.run.0, 0);
+    let fresh = Ok(WorkerTime(700));
+    fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
+    fixture.poll();
+    fixture.infos[0].started_at = Some(Millis(OLD_START + 1000));
+    fixture.report(&worker("w"));
+    fixture.list();
+    fixture.poll();
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.held(&worker("w"), sent, lost, fixture.now);
+    assert!(!fixture.pool.workers()[&worker("w")].silent);
+    assert_eq!(polls_of(&fixture.poll(), &worker("w")), 0, "a poll is under way");
+}
+
+/// Clocks lose up to 2%, and an answer may come late: neither shows a restart.
+#[test]
+fn a_slow_clock_shows_no_restart() {
+    let (mut fixture, order) = ordered();
+    let shown = fixture.clock().0;
+    fixture.advance(10_000);
+    let slow = Ok(WorkerTime(shown));
+    fixture.pool.started(&worker("w"), order.task, order.run, slow, fixture.now);
+    fixture.submit(2, vec![step(1)]);
+    assert_eq!(Fixture::started_on(fixture.poll()), [worker("w")]);
+}
+
+/// A successor waited for the usual lease of a worker that it could not reach, whose restart its
+/// predecessor had not noticed.
+#[test]
+fn a_successor_waits_for_the_longest_lease_of_a_young_incarnation_that_does_not_answer() {
+    let wait = |started_at| {
+        let found = recovered(vec![(1, vec![step(1)])], vec![("w", None)]);
+        let mut fixture = Fixture::new(found, vec![listed("w", started_at)]);
+        add_other(&mut fixture);
+        wait_for_move(&mut fixture)
+    };
+    let trust = timeouts().trust;
+    assert_about(wait(YOUNG_START), Millis(trust.0 + timeouts().grant.0));
+    assert_about(wait(OLD_START), Millis(trust.0 + timeouts().hold.0));
+}
+
+/// The end of a worker, known from a list of hosts that was read while it was down, was applied to the
+/// run that its next incarnation had got meanwhile.
+#[test]
+fn the_end_of_a_worker_does_not_end_a_run_that_its_next_incarnation_may_have() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
+    fixture.pool.worker_unhosted(&ended, fixture.now);
+    add_other(&mut fixture);
+    assert_about(wait_for_move(&mut fixture), timeouts().grant);
+}
+
+/// A host that refused a connection after the start was confirmed, and that has no worker by a list
+/// read after that, runs nothing: the task does not wait.
+#[test]
+fn the_end_of_a_worker_whose_port_was_closed_ends_all_its_runs() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    add_other(&mut fixture);
+    fixture.advance(STEP);
+    fixture.refuse_connection(&worker("w"));
+    fixture.advance(STEP);
+    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
+    fixture.pool.worker_unhosted(&ended, fixture.now);
+    fixture.flush();
+    assert_eq!(Fixture::started_on(fixture.poll()), [worker("v")]);
+}
+
+/// The lease of an owner that gave its pool back counted the usual lease for a worker that may have
+/// restarted unnoticed.
+#[test]
+fn a_release_tells_of_runs_that_no_report_has_listed() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    let left = |fixture: &Fixture| fixture.pool.silent_workers(fixture.now).unwrap();
+    assert!(left(&fixture)[&worker("w")] >= timeouts().grant);
+    fixture.report(&worker("w"));
+    fixture.advance(200);
+    assert!(left(&fixture).is_empty());
+}
