Count the longest lease for runs that no report has listed

Cause: only a report names the incarnation that sent it. The answer to a start does not, nor does a call without an answer tell which incarnation it reached. The owner counted its usual lease by the clock of the last report for all of them; a new incarnation reads that deadline by its own clock and holds what it runs for the longest lease that it grants.

Fix: a run keeps the usual bound once a report has listed it, which names its incarnation; until then it counts as leased for the longest time from the last call that may have begun or prolonged a lease there. Runs wait longer only if they were started after the last report before the cut; the others on the same worker lapse as before. E703 says how many were kept and when the worker was last heard.

Evidence: five tests of tests/pool/unnoticed_incarnation.rs failed before (moved after 4.1 to 4.2 s, the lease being 6 s, and 2.7 s after a poll without an answer) and pass now. A sixth guards against a wait that each poll of a silent worker puts off.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -69,6 +69,9 @@
     pub adopted: bool,
     /// The worker has confirmed or reported the run.
     pub confirmed: bool,
+    /// A report, which names its incarnation, has listed the run. Until then it may run on an
+    /// incarnation that this owner has not noticed, with a lease by another clock.
+    pub reported: bool,
     /// The run was reported when this owner first heard of it, so the worker had survived its start.
     pub inherited: bool,
     /// The incarnation that may have had the run is dead. Its late order is barred at the next one,
--- a/reachhead_jobs/src/pool/confirmation.rs
+++ b/reachhead_jobs/src/pool/confirmation.rs
@@ -9,7 +9,6 @@
 use crate::{
     clock::Tick,
     pool::{Action, Pool},
-    worker::Worker,
 };
 
 /// Pause between two requests. Leases of many workers expire one after the other when a link is cut,
@@ -45,8 +44,10 @@
 
     fn awaits_confirmation(&self, now: Tick) -> bool {
         let silent = self.workers.values().filter(|worker| worker.silent);
-        let leases =
-            silent.filter(|worker| !worker.runs.is_empty()).filter_map(Worker::leases_expire_at);
+        let leases = silent.filter(|worker| !worker.runs.is_empty()).flat_map(|worker| {
+            let unreported = worker.unreported_expire_at(self.timeouts.grant);
+            [worker.leases_expire_at(), unreported].into_iter().flatten()
+        });
         let orders =
             self.pending.iter().filter_map(|(id, pending)| self.pending_until(id, pending));
         leases.chain(orders).any(|expiry| expiry <= now && !self.has_ended(expiry))
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -329,7 +329,7 @@
         self.run_on(worker, task).is_some_and(|run| run.barred)
     }
 
-    fn run_on(&self, worker: &Worker, id: TaskId) -> Option<&Run> {
+    pub(super) fn run_on(&self, worker: &Worker, id: TaskId) -> Option<&Run> {
         let step = self.jobs.get(&id.job)?.steps.get(&id.step_id())?;
         let task = step.tasks.get(id.index as usize)?;
         task.runs.iter().find(|run| run.worker == worker.info.id)
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -33,6 +33,20 @@
         (run.worker == *id).then_some(run)
     }
 
+    /// Records that a start order has ended. Its answer names no incarnation.
+    fn record_start(&mut self, id: &WorkerId, result: &Result<WorkerTime, WorkerError>, now: Tick) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let is_refused = matches!(
+            result,
+            Err(WorkerError::Unreachable(_) | WorkerError::PortClosed(_) | WorkerError::Replaced)
+        );
+        if !is_refused {
+            worker.record_unidentified(now, matches!(result, Err(WorkerError::Lost(_))));
+        }
+    }
+
     fn record_contact(&mut self, id: &WorkerId, shown: WorkerTime, now: Tick) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.last_contact = now;
@@ -72,6 +86,7 @@
             Err(WorkerError::Rejected(_)) => self.record_rejection(id, now),
             Err(_) => {}
         }
+        self.record_start(id, &result, now);
         let Some(run) = self.run_of(id, task, number) else {
             return;
         };
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -1,6 +1,9 @@
 //! Long polls that renew workers' leases, resending of orders, and detection of stuck runs.
 
-use reachhead_types::{id::WorkerId, size::Millis};
+use reachhead_types::{
+    id::WorkerId,
+    size::{Millis, RunNumber},
+};
 
 use crate::{
     clock::{Tick, WorkerTime},
@@ -96,6 +99,7 @@
                 worker.poll = Poll::InFlight;
                 worker.max_deadline = worker.max_deadline.max(order.deadline.unwrap_or_default());
                 worker.renewed |= order.deadline.is_some();
+                worker.renewing = order.deadline.is_some();
             }
         }
         self.actions.append(&mut actions);
@@ -132,42 +136,65 @@
     /// that are gone.
     pub(super) fn expire_workers(&mut self, now: Tick) {
         let mut gone: Vec<WorkerId> = Vec::new();
-        let mut expired: Vec<WorkerId> = Vec::new();
+        let mut expired: Vec<(WorkerId, Vec<TaskId>)> = Vec::new();
         for worker in self.workers.values().filter(|worker| worker.silent) {
             let has_expired = worker.leases_expire_at().is_none_or(|expiry| self.has_ended(expiry));
             let is_pending = self.pending.contains_key(&worker.info.id);
             if has_expired && !is_pending {
                 if !worker.runs.is_empty() {
-                    expired.push(worker.info.id.clone());
+                    let tasks = self.expired_tasks(worker);
+                    if !tasks.is_empty() {
+                        expired.push((worker.info.id.clone(), tasks));
+                    }
                 } else if !worker.listed {
                     gone.push(worker.info.id.clone());
                 }
             }
         }
-        for id in expired {
-            self.expire_runs(&id);
+        for (id, tasks) in expired {
+            self.expire_runs(&id, &tasks, now);
         }
         for id in gone {
             self.worker_died(&id, DeathEvidence::OffList, now);
         }
     }
 
-    /// Removes the runs of an unreachable worker, whose leases have all expired.
-    fn expire_runs(&mut self, id: &WorkerId) {
+    /// Returns the tasks of an unreachable worker whose leases have certainly ended, where those given
+    /// to its known incarnation have. A run that no report has listed may be on a later incarnation.
+    fn expired_tasks(&self, worker: &Worker) -> Vec<TaskId> {
+        let expiry = worker.unreported_expire_at(self.timeouts.grant);
+        let has_expired = expiry.is_none_or(|expiry| self.has_ended(expiry));
+        let is_over = |task: &TaskId| {
+            self.run_on(worker, *task).is_none_or(|run| {
+                let is_on_its_way = run.phase == Phase::Ordered && run.order_in_flight;
+                run.reported || has_expired && !is_on_its_way
+            })
+        };
+        worker.runs.keys().copied().filter(is_over).collect()
+    }
+
+    /// Removes runs of an unreachable worker, whose leases have expired.
+    fn expire_runs(&mut self, id: &WorkerId, tasks: &[TaskId], now: Tick) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let runs = worker.runs.clone();
         // The runs ended with the leases, so a crash that is noticed later may have come after them.
-        let starting = self.starting_tasks(worker).into_iter();
-        let suspects =
+        let starting = self.starting_tasks(worker).into_iter().filter(|task| tasks.contains(task));
+        let suspects: Vec<CrashSuspect> =
             starting.map(|task| CrashSuspect { task, role: CrashRole::Unproven }).collect();
+        let runs: Vec<(TaskId, RunNumber)> =
+            tasks.iter().map(|task| (*task, worker.runs[task].run)).collect();
+        let kept = worker.runs.len() - runs.len();
+        let heard = now.since(worker.last_contact);
+        let born = worker.started_at;
+        let text =
+            format!("worker={id} lapsed={} kept={kept} heard={heard}ms born={born:?}", runs.len());
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.crash_suspects = suspects;
+            worker.crash_suspects.extend(suspects);
         }
-        self.note(NoteKind::RunLost, format!("worker={id} lapsed={}", runs.len()));
-        for (task, charge) in runs {
-            self.remove_run(id, task, charge.run);
+        self.note(NoteKind::RunLost, text);
+        for (task, run) in runs {
+            self.remove_run(id, task, run);
         }
     }
 
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -268,6 +268,7 @@
             ticket: None,
             adopted: true,
             confirmed: true,
+            reported: true,
             inherited: true,
             barred: false,
         });
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -68,6 +68,10 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let is_lost = matches!(error, WorkerError::Lost(_));
+        if worker.renewing && (is_lost || matches!(error, WorkerError::Broken(_))) {
+            worker.record_unidentified(now, is_lost);
+        }
         let pause = MIN_POLL_BACKOFF.0 << worker.failed_calls.min(8);
         worker.failed_calls += 1;
         worker.poll = Poll::Due(now + Millis(pause.min(MAX_POLL_BACKOFF.0)));
@@ -198,6 +202,7 @@
             return;
         };
         run.confirmed = true;
+        run.reported = true;
         // An order to stop a run may be the answer to a lost order to start it.
         let is_first_sign = run.phase != Phase::Working;
         if run.phase == Phase::Ordered {
--- a/reachhead_jobs/src/pool/starts.rs
+++ b/reachhead_jobs/src/pool/starts.rs
@@ -343,6 +343,7 @@
             ticket: ticket.clone(),
             adopted: checkpoint.is_some(),
             confirmed: false,
+            reported: false,
             inherited: false,
             barred: false,
         });
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -244,6 +244,12 @@
     pub lost_orders: Vec<LostOrder>,
     /// When the last call ended without an answer.
     pub unanswered_at: Option<Tick>,
+    /// The last poll was to prolong its leases.
+    pub renewing: bool,
+    /// When the last call ended that may have begun or prolonged a lease and named no incarnation.
+    pub unidentified_at: Option<Tick>,
+    /// When the last one of these ended without an answer, so that it may still be carried out.
+    pub lost_at: Option<Tick>,
     /// When its last restart was noticed.
     pub restarted_at: Option<Tick>,
     /// Calls to its previous incarnation may arrive until then. Such a call may make it forget ends
@@ -330,6 +336,9 @@
             paced_at: Tick(0),
             lost_orders: Vec::new(),
             unanswered_at: None,
+            renewing: false,
+            unidentified_at: None,
+            lost_at: None,
             restarted_at: None,
             late_calls_until: Tick(0),
             late_leases_until: Tick(0),
@@ -390,6 +399,14 @@
         }
     }
 
+    /// Records that a call which may have begun or prolonged a lease ended at `at`, without a report that
+    /// names the incarnation. One that has not been noticed may have carried it out, or still may if no
+    /// answer came (`lost`).
+    pub fn record_unidentified(&mut self, at: Tick, lost: bool) {
+        self.unidentified_at = self.unidentified_at.max(Some(at));
+        self.lost_at = if lost { Some(at) } else { self.lost_at };
+    }
+
     /// Records that a new incarnation answers. `grant` is the longest lease that a worker grants.
     pub fn begin_incarnation(&mut self, at: Tick, grant: Millis) {
         self.restarted_at = Some(at);
@@ -480,12 +497,25 @@
         Millis(self.max_deadline.0.saturating_sub(time))
     }
 
-    /// Returns when every lease given to the worker has certainly expired. `None` if no clock
-    /// sample was ever received, when no lease was given.
+    /// Returns when every lease given to the known incarnation has certainly expired. `None` if no
+    /// clock sample was ever received, when no lease was given.
     pub fn leases_expire_at(&self) -> Option<Tick> {
         self.clock.map(|sample| sample.surely_past(self.max_deadline).max(self.late_leases_until))
     }
 
+    /// Returns when a run has certainly expired that no report has listed. It may be on an incarnation
+    /// that was not noticed, and that grants its longest lease, `grant`, for a deadline by an earlier
+    /// clock. `None` as for [`Worker::leases_expire_at`].
+    pub fn unreported_expire_at(&self, grant: Millis) -> Option<Tick> {
+        let known = self.leases_expire_at()?;
+        let lease = with_drift(grant);
+        let unnoticed = self.unidentified_at.filter(|_| self.started_at.is_some());
+        // As after a restart that a report has shown: see `expect_late_calls`.
+        let late = self.lost_at.filter(|_| is_newer(self.info.started_at, self.started_at));
+        let late = late.map(|at| at + MAX_ORDER_DELAY);
+        Some(unnoticed.max(late).map_or(known, |last| known.max(last + lease)))
+    }
+
     /// Records that the worker may be gone; it gets nothing until it answers.
     pub fn mark_suspect(&mut self, now: Tick) {
         if !self.silent {
--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -238,3 +238,21 @@
     fixture.advance(200);
     assert!(left(&fixture).is_empty());
 }
+
+/// Polls of a worker that does not answer prolong no lease there: each of them put the end of the wait
+/// off again.
+#[test]
+fn polls_of_a_silent_worker_do_not_prolong_the_wait_for_its_leases() {
+    let (mut fixture, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    add_other(&mut fixture);
+    let begun = fixture.now;
+    while Fixture::started_on(fixture.poll()).is_empty() {
+        assert!(fixture.now.since(begun) < Millis(60_000), "the task never starts");
+        fixture.fail_poll(&worker("w"));
+        fixture.advance(STEP);
+        fixture.report(&worker("v"));
+        fixture.flush();
+    }
+    assert_about(fixture.now.since(begun), timeouts().grant);
+}
