Notice a restart by the clock in the answer to a start

A restart under the same id showed only once the poll of the ended incarnation had timed out, up to more than two seconds later, and until then the worker got tasks by the old clock.

Cause: the clock in the answer to a start was not looked at where incarnations are known, since it doesn't say whose it is.

Fix: a reading that the clock of the last report can't have reached (it never goes back, and loses 2% at most) is that of another incarnation. The worker then gets nothing until it reports, and is polled at once, beside the poll under way, whose result no longer counts for the worker's state. A reading that fits proves nothing and changes nothing.

--- a/reachhead_jobs/src/clock.rs
+++ b/reachhead_jobs/src/clock.rs
@@ -79,6 +79,16 @@
         let remaining = deadline.0.saturating_sub(self.worker_time.0);
         self.at + with_drift(Millis(remaining)) + EXPIRY_SLACK
     }
+
+    /// Returns whether the worker's clock can't have shown `shown` at `since` or later: it never goes
+    /// back, and loses no more than the contract allows. A reading that the clock can show proves
+    /// nothing, since that of another incarnation may be as far.
+    pub fn excludes(self, shown: WorkerTime, since: Tick) -> bool {
+        let passed = since.since(self.at).0;
+        let least = passed - (passed * MAX_DRIFT_PER_MILLE).div_ceil(1000);
+        let earliest = (self.worker_time.0 + least).saturating_sub(self.at.since(since).0);
+        shown.0 + EXPIRY_SLACK.0 < earliest
+    }
 }
 
 /// Returns the longest real time that a span on a worker's clock can take.
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -33,8 +33,15 @@
         (run.worker == *id).then_some(run)
     }
 
-    /// Records that a start order has ended. Its answer names no incarnation.
-    fn record_start(&mut self, id: &WorkerId, result: &Result<WorkerTime, WorkerError>, now: Tick) {
+    /// Records that a start order, which was sent at `sent` or later, has ended. Its answer names no
+    /// incarnation, but may show the clock of another one than the known.
+    fn record_start(
+        &mut self,
+        id: &WorkerId,
+        sent: Tick,
+        result: &Result<WorkerTime, WorkerError>,
+        now: Tick,
+    ) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -45,6 +52,19 @@
         if !is_refused {
             worker.record_unidentified(now, matches!(result, Err(WorkerError::Lost(_))));
         }
+        let sample = worker.clock;
+        if let Ok(shown) = result
+            && worker.notice_restart(*shown, sent, now)
+        {
+            let expected = sample.map(|sample| sample.estimate(now).0);
+            let born = worker.started_at;
+            let text = format!(
+                "worker={id} born={born:?} shown={} expected={expected:?} why=\"an answer shows \
+                 another clock\"",
+                shown.0
+            );
+            self.note(NoteKind::WorkerDoubted, text);
+        }
     }
 
     fn record_contact(&mut self, id: &WorkerId, shown: WorkerTime, now: Tick) {
@@ -86,7 +106,9 @@
             Err(WorkerError::Rejected(_)) => self.record_rejection(id, now),
             Err(_) => {}
         }
-        self.record_start(id, &result, now);
+        // An order for a run that is not known any more was sent before that was removed.
+        let sent = self.run_of(id, task, number).map(|run| run.ordered_at).unwrap_or_default();
+        self.record_start(id, sent, &result, now);
         let Some(run) = self.run_of(id, task, number) else {
             return;
         };
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -51,7 +51,7 @@
             Ok(report) => self.apply_report(id, sent, report, now),
             Err(WorkerError::Replaced) => {
                 if let Some(worker) = self.workers.get_mut(id) {
-                    worker.poll = Poll::Due(now);
+                    worker.end_poll(sent, now);
                 }
                 self.worker_replaced(id, sent, now);
             }
@@ -69,9 +69,19 @@
             return;
         };
         let is_lost = matches!(error, WorkerError::Lost(_));
-        if worker.renewing && (is_lost || matches!(error, WorkerError::Broken(_))) {
+        let is_superseded = worker.is_superseded(sent);
+        if (worker.renewing || is_superseded)
+            && (is_lost || matches!(error, WorkerError::Broken(_)))
+        {
             worker.record_unidentified(now, is_lost);
         }
+        if is_superseded {
+            // A later poll has told, or will tell, what became of the worker.
+            if is_lost {
+                worker.record_unanswered(sent, now, self.timeouts.grant);
+            }
+            return;
+        }
         let pause = MIN_POLL_BACKOFF.0 << worker.failed_calls.min(8);
         worker.failed_calls += 1;
         worker.poll = Poll::Due(now + Millis(pause.min(MAX_POLL_BACKOFF.0)));
@@ -108,7 +118,7 @@
         if is_newer(worker.started_at, report.started_at) {
             // This is the late answer of a dead incarnation. The ends that it lists were never
             // acknowledged, and count as lost with it.
-            worker.poll = Poll::Due(now);
+            worker.end_poll(sent, now);
             return;
         }
         if is_newer(report.started_at, worker.started_at) {
@@ -162,7 +172,7 @@
         worker.advance_acknowledged();
         let pause =
             if worker.acknowledged < worker.last_processed { record_pause } else { Millis(0) };
-        worker.poll = Poll::Due(now + pause);
+        worker.end_poll(sent, now + pause);
     }
 
     /// Updates the worker's speed estimate from a run's progress.
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -250,6 +250,9 @@
     pub unidentified_at: Option<Tick>,
     /// When the last one of these ended without an answer, so that it may still be carried out.
     pub lost_at: Option<Tick>,
+    /// When an answer showed that its incarnation had ended. Polls that were sent before wait for that
+    /// one.
+    pub repolled_at: Option<Tick>,
     /// When its last restart was noticed.
     pub restarted_at: Option<Tick>,
     /// Calls to its previous incarnation may arrive until then. Such a call may make it forget ends
@@ -339,6 +342,7 @@
             renewing: false,
             unidentified_at: None,
             lost_at: None,
+            repolled_at: None,
             restarted_at: None,
             late_calls_until: Tick(0),
             late_leases_until: Tick(0),
@@ -407,6 +411,35 @@
         self.lost_at = if lost { Some(at) } else { self.lost_at };
     }
 
+    /// Notes that an answer to an order that was sent at `sent` or later shows the clock of another
+    /// incarnation, and returns whether that is new. The worker gets nothing more until it reports, and
+    /// the next poll does not wait for the one under way.
+    pub fn notice_restart(&mut self, shown: WorkerTime, sent: Tick, now: Tick) -> bool {
+        let Some(sample) = self.clock.filter(|_| self.started_at.is_some()) else {
+            return false;
+        };
+        let is_known = self.repolled_at.is_some_and(|at| at > sample.at);
+        if is_known || !sample.excludes(shown, sent) {
+            return false;
+        }
+        self.mark_suspect(now);
+        self.repolled_at = Some(now);
+        self.poll = Poll::Due(now);
+        true
+    }
+
+    /// Makes the next poll due, after the result of one that was sent at `sent`.
+    pub fn end_poll(&mut self, sent: Tick, due: Tick) {
+        if !self.is_superseded(sent) {
+            self.poll = Poll::Due(due);
+        }
+    }
+
+    /// Returns whether a later poll was sent without waiting for the one that was sent at `sent`.
+    pub fn is_superseded(&self, sent: Tick) -> bool {
+        self.repolled_at.is_some_and(|at| sent < at)
+    }
+
     /// Records that a new incarnation answers. `grant` is the longest lease that a worker grants.
     pub fn begin_incarnation(&mut self, at: Tick, grant: Millis) {
         self.restarted_at = Some(at);
