Count the longest lease for young workers that do not answer a successor

Cause: a successor took the age of an incarnation into account in its first report only. A worker that is cut off sends none.

Fix: where the registered incarnation was younger than 20 s when the successor began to call workers, what predecessors may have started there counts for the longest lease, as it does for one that answers.

--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -20,7 +20,7 @@
 
 /// Age up to which an incarnation may have received orders meant for the previous one, from a
 /// process that had not noticed the restart.
-const YOUNG_INCARNATION_AGE: Millis = Millis(20_000);
+pub(super) const YOUNG_INCARNATION_AGE: Millis = Millis(20_000);
 
 impl Pool {
     /// Replaces the known incarnation of a worker by the one that sent `report`. The runs of the
--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::{Tick, with_drift},
     order_effect::OrderEffect,
-    pool::{PendingWorker, Pool},
+    pool::{PendingWorker, Pool, PoolTimeouts, restarted_worker::YOUNG_INCARNATION_AGE},
     record::{EarlierOwners, SettledRecord},
     shard::Shard,
     worker::Worker,
@@ -97,7 +97,20 @@
     /// Returns when everything that predecessors started on a pending worker has expired; `None` if that
     /// is known only once all shards are fenced.
     pub(super) fn pending_until(&self, id: &WorkerId, pending: &PendingWorker) -> Option<Tick> {
-        Some(self.predecessor.effect().until_at(id)?.max(pending.answer_until))
+        let usual = self.predecessor.effect().until_at(id)?.max(pending.answer_until);
+        // A predecessor may not have noticed the restart, and such an incarnation grants its longest
+        // lease for a deadline by the earlier clock.
+        let PoolTimeouts { hold, grant, .. } = self.timeouts;
+        let longer = with_drift(grant).0.saturating_sub(with_drift(hold).0);
+        Some(if self.was_young(id) { usual + Millis(longer) } else { usual })
+    }
+
+    /// Returns whether the registered incarnation of a worker was young when this owner began to call
+    /// workers, so that its predecessors may not have noticed that it is a new one.
+    fn was_young(&self, id: &WorkerId) -> bool {
+        let started = self.workers.get(id).and_then(Worker::newest_start);
+        let began = Millis(self.wall_offset.0 + self.predecessor.since().0);
+        started.is_some_and(|at| began.0 < at.0.saturating_add(YOUNG_INCARNATION_AGE.0))
     }
 
     /// Returns the owners before this one whose orders may still have effect, for the lease of an owner
