Apply the end of a worker to runs of its known incarnation only

Cause: the platform's list of hosts, read while the worker was down, proves the end of the incarnation that was known then. It was applied to all runs of the worker with the next call that found no path to it, also to those that its next incarnation had got without being noticed.

Fix: the end covers the runs that a report has listed. The others count until the longest lease has expired, unless the worker's port was found closed after the last call that may have reached it: then nothing is left there, and no task waits.

Evidence: the test failed before (moved after 101 ms) and passes now; another checks that a closed port ends all runs at once.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -81,6 +81,21 @@
         );
         self.note(NoteKind::WorkerDoubted, text);
         if is_unhosted && silent && self.is_listing_known(id) {
+            self.end_unhosted(id, now);
+        }
+    }
+
+    /// Removes a worker of which the platform was reported to have no host. A run that no report has
+    /// listed may be on an incarnation that has started since: unless its port was found closed after the
+    /// last call that may have reached it, the run counts until that one's longest lease has expired.
+    pub(super) fn end_unhosted(&mut self, id: &WorkerId, now: Tick) {
+        let may_run_unnoticed = self.workers.get(id).is_some_and(|worker| {
+            let is_known = worker.started_at.is_some();
+            is_known && !worker.closed && !self.unreported_tasks(worker).is_empty()
+        });
+        if may_run_unnoticed {
+            self.end_reported_runs(id, now);
+        } else {
             self.worker_died(id, DeathEvidence::Unhosted, now);
         }
     }
@@ -101,6 +116,35 @@
         is_known || self.workers_listed
     }
 
+    /// Removes the runs of a worker's known incarnation, which has ended.
+    fn end_reported_runs(&mut self, id: &WorkerId, now: Tick) {
+        let Some(mut ended) = self.workers.get(id).cloned() else {
+            return;
+        };
+        for task in self.unreported_tasks(&ended) {
+            ended.release(task);
+        }
+        if ended.runs.is_empty() {
+            return;
+        }
+        self.log_crash(&ended, now);
+        let suspects = self.suspects_of_death(&ended, now);
+        for (task, charge) in &ended.runs {
+            self.remove_run(id, *task, charge.run);
+        }
+        for suspect in suspects {
+            self.count_crash(suspect, now);
+        }
+        self.review = true;
+    }
+
+    /// Returns the worker's tasks that no report has listed.
+    pub(super) fn unreported_tasks(&self, worker: &Worker) -> Vec<TaskId> {
+        let is_unreported =
+            |task: &TaskId| self.run_on(worker, *task).is_some_and(|run| !run.reported);
+        worker.runs.keys().copied().filter(is_unreported).collect()
+    }
+
     /// Removes a dead worker incarnation and all its runs.
     pub fn worker_died(&mut self, id: &WorkerId, evidence: DeathEvidence, now: Tick) {
         let Some(worker) = self.workers.remove(id) else {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -9,7 +9,7 @@
     clock::{ClockSample, Tick},
     incarnation::is_newer,
     job::{Phase, Run},
-    pool::{Action, DeathEvidence, Note, NoteKind, Pool},
+    pool::{Action, Note, NoteKind, Pool},
     ports::{EndedEntry, Rejection, RunEnd, RunningEntry, UNLISTED_END, WorkerError, WorkerReport},
     record::Ending,
     task::TaskId,
@@ -91,6 +91,9 @@
         }
         worker.silent = true;
         worker.port_closed = matches!(error, WorkerError::PortClosed(_));
+        if worker.port_closed {
+            worker.record_closed_port(sent);
+        }
         if matches!(error, WorkerError::Lost(_)) {
             worker.record_unanswered(sent, now, self.timeouts.grant);
         }
@@ -102,7 +105,7 @@
             self.note(NoteKind::WorkerDoubted, text);
         }
         if unhosted && self.is_listing_known(id) {
-            self.worker_died(id, DeathEvidence::Unhosted, now);
+            self.end_unhosted(id, now);
         }
     }
 
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -250,6 +250,8 @@
     pub unidentified_at: Option<Tick>,
     /// When the last one of these ended without an answer, so that it may still be carried out.
     pub lost_at: Option<Tick>,
+    /// No call after that has reached it, and one has found its port closed.
+    pub closed: bool,
     /// When an answer showed that its incarnation had ended. Polls that were sent before wait for that
     /// one.
     pub repolled_at: Option<Tick>,
@@ -342,6 +344,7 @@
             renewing: false,
             unidentified_at: None,
             lost_at: None,
+            closed: false,
             repolled_at: None,
             restarted_at: None,
             late_calls_until: Tick(0),
@@ -409,6 +412,12 @@
     pub fn record_unidentified(&mut self, at: Tick, lost: bool) {
         self.unidentified_at = self.unidentified_at.max(Some(at));
         self.lost_at = if lost { Some(at) } else { self.lost_at };
+        self.closed = false;
+    }
+
+    /// Records that a call which was sent at `sent` found that nothing listens at its address.
+    pub fn record_closed_port(&mut self, sent: Tick) {
+        self.closed |= self.unidentified_at.is_none_or(|at| at <= sent);
     }
 
     /// Notes that an answer to an order that was sent at `sent` or later shows the clock of another
