--- a/reachhead_jobs/src/pool/settled.rs
+++ b/reachhead_jobs/src/pool/settled.rs
@@ -166,7 +166,8 @@
         let lease = with_drift(self.timeouts.hold);
         if worker.answered {
             let is_listed = |expiry: &Tick| worker.silent || is_pending || *expiry > now + lease;
-            return worker.leases_expire_at().filter(is_listed);
+            let known = worker.leases_expire_at();
+            return known.max(self.unreported_until(worker, now)).filter(is_listed);
         }
         // This owner gave it nothing, but may have given something to an earlier incarnation.
         if worker.joined <= self.predecessor.since() {
@@ -174,6 +175,17 @@
         }
         Some((worker.joined + lease).max(self.predecessor.effect().until()?))
     }
+
+    /// Returns until when a run may be active that no report has listed, on an incarnation that was not
+    /// noticed; orders for it may be on their way. `None` without such a run.
+    fn unreported_until(&self, worker: &Worker, now: Tick) -> Option<Tick> {
+        let grant = self.timeouts.grant;
+        if worker.started_at.is_none() || self.unreported_tasks(worker).is_empty() {
+            return None;
+        }
+        let on_its_way = (!worker.silent).then_some(now + with_drift(grant));
+        worker.unreported_expire_at(grant).max(on_its_way)
+    }
 }
 
 fn is_outdated(recorded: WorkerCount, workers: WorkerCount) -> bool {
