Ask for a report after the start of a long-running task

Cause: a poll of a worker without short tasks is held open for up to two seconds, so that a start beside it was shown by a report only then.

Fix: once such a start is confirmed, a poll is sent that the worker answers at once, beside the one that it holds open. It also shows an unnoticed restart whose clock fits. A report whose poll was sent before that of the last applied report is ignored, since it shows an earlier state.

Evidence: two tests, one for the request and the wait, one for a report that was overtaken, which brought an ended run back.

--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -124,6 +124,12 @@
                 }
                 run.settled_at = run.settled_at.or(Some(now));
                 self.mark_started(task.job);
+                if let Some(worker) = self.workers.get(id)
+                    && self.awaits_report(worker)
+                    && let Some(worker) = self.workers.get_mut(id)
+                {
+                    worker.request_report(now);
+                }
             }
             Err(error @ WorkerError::Replaced) => {
                 // The incarnation that died never had the run: its successor refused the only order.
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -100,6 +100,7 @@
                 worker.max_deadline = worker.max_deadline.max(order.deadline.unwrap_or_default());
                 worker.renewed |= order.deadline.is_some();
                 worker.renewing = order.deadline.is_some();
+                worker.poll_wait = order.wait;
             }
         }
         self.actions.append(&mut actions);
@@ -110,6 +111,9 @@
             let is_slow = worker.failed_calls >= MIN_UNANSWERED_POLLS && !worker.port_closed;
             return if is_slow { UNANSWERED_POLL_WAIT } else { Millis(0) };
         }
+        if self.awaits_report(worker) {
+            return Millis(0);
+        }
         if worker.trial.is_some() {
             return TRIAL_POLL_WAIT;
         }
@@ -123,6 +127,16 @@
         }
     }
 
+    /// Returns whether the worker has confirmed the start of a long-running task that no report has
+    /// listed. If it were lost before one did, the task would wait for the longest lease.
+    pub(super) fn awaits_report(&self, worker: &Worker) -> bool {
+        let is_unreported = |task: &TaskId| {
+            self.is_long_running(*task)
+                && self.run_on(worker, *task).is_some_and(|run| run.confirmed && !run.reported)
+        };
+        worker.started_at.is_some() && worker.runs.keys().any(is_unreported)
+    }
+
     /// Returns whether the worker has a short task.
     fn has_short_tasks(&self, worker: &Worker) -> bool {
         let is_short = |task: &TaskId| {
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -118,6 +118,11 @@
             }
             return;
         };
+        if sent < worker.report_sent {
+            // A poll that was sent later has been answered, and shows what came after this report.
+            worker.end_poll(sent, now);
+            return;
+        }
         if is_newer(worker.started_at, report.started_at) {
             // This is the late answer of a dead incarnation. The ends that it lists were never
             // acknowledged, and count as lost with it.
@@ -134,6 +139,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.report_sent = sent;
         worker.clock = Some(ClockSample { worker_time: report.clock, at: now });
         worker.silent = false;
         worker.port_closed = false;
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -252,9 +252,12 @@
     pub lost_at: Option<Tick>,
     /// No call after that has reached it, and one has found its port closed.
     pub closed: bool,
-    /// When an answer showed that its incarnation had ended. Polls that were sent before wait for that
-    /// one.
+    /// How long it may hold the last poll open.
+    pub poll_wait: Millis,
+    /// When a poll was last requested without waiting for the one under way.
     pub repolled_at: Option<Tick>,
+    /// When the poll was sent whose report was applied last.
+    pub report_sent: Tick,
     /// When its last restart was noticed.
     pub restarted_at: Option<Tick>,
     /// Calls to its previous incarnation may arrive until then. Such a call may make it forget ends
@@ -345,7 +348,9 @@
             unidentified_at: None,
             lost_at: None,
             closed: false,
+            poll_wait: Millis(0),
             repolled_at: None,
+            report_sent: Tick(0),
             restarted_at: None,
             late_calls_until: Tick(0),
             late_leases_until: Tick(0),
@@ -427,7 +432,7 @@
         let Some(sample) = self.clock.filter(|_| self.started_at.is_some()) else {
             return false;
         };
-        let is_known = self.repolled_at.is_some_and(|at| at > sample.at);
+        let is_known = self.silent && self.repolled_at.is_some_and(|at| at > sample.at);
         if is_known || !sample.excludes(shown, sent) {
             return false;
         }
@@ -437,6 +442,14 @@
         true
     }
 
+    /// Requests a report without waiting for the poll under way, which the worker may hold open.
+    pub fn request_report(&mut self, now: Tick) {
+        if self.poll == Poll::InFlight && self.poll_wait > Millis(0) {
+            self.repolled_at = Some(now);
+            self.poll = Poll::Due(now);
+        }
+    }
+
     /// Makes the next poll due, after the result of one that was sent at `sent`.
     pub fn end_poll(&mut self, sent: Tick, due: Tick) {
         if !self.is_superseded(sent) {
--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -4,8 +4,9 @@
 use reachhead_jobs::{
     clock::WorkerTime,
     incarnation::Incarnation,
+    model::Step,
     pool::Action,
-    ports::{StartOrder, WorkerError, WorkerInfo},
+    ports::{RunEnd, StartOrder, WorkerError, WorkerInfo},
 };
 use reachhead_types::{id::WorkerId, size::Millis};
 
@@ -256,3 +257,49 @@
     }
     assert_about(fixture.now.since(begun), timeouts().grant);
 }
+
+fn lasting() -> Step {
+    Step { long_running: true, ..step(1) }
+}
+
+/// A long-running task was started beside a poll that the worker held open for seconds. Lost within
+/// these, it waited for the longest lease although nobody had restarted the worker.
+#[test]
+fn the_start_of_a_long_running_task_is_followed_by_a_report() {
+    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
+    fixture.poll();
+    fixture.submit(1, vec![lasting()]);
+    let (_, order) = fixture.starts().remove(0);
+    let held = fixture.now;
+    fixture.advance(10);
+    fixture.accept(&worker("w"), &order);
+    let actions = fixture.poll();
+    assert_eq!(polls_of(&actions, &worker("w")), 1, "a poll is held open");
+    fixture.report(&worker("w"));
+    fixture.advance(10);
+    assert_eq!(polls_of(&fixture.poll(), &worker("w")), 1);
+    fixture.advance(10);
+    fixture.report_sent(&worker("w"), held);
+    assert_eq!(polls_of(&fixture.poll(), &worker("w")), 0, "one poll at a time");
+    add_other(&mut fixture);
+    assert_about(wait_for_move(&mut fixture), timeouts().hold);
+}
+
+/// The report of a poll that was overtaken listed a run that had ended since, which was adopted again.
+#[test]
+fn a_report_that_was_overtaken_brings_no_run_back() {
+    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
+    fixture.poll();
+    fixture.submit(1, vec![lasting()]);
+    let (_, order) = fixture.starts().remove(0);
+    let held = fixture.now;
+    fixture.advance(10);
+    fixture.accept(&worker("w"), &order);
+    fixture.poll();
+    let listing = fixture.running.clone();
+    fixture.end(&worker("w"), order.task, order.run.0, RunEnd::Failed);
+    fixture.report(&worker("w"));
+    fixture.running = listing;
+    fixture.report_sent(&worker("w"), held);
+    assert!(fixture.pool.workers()[&worker("w")].runs.is_empty());
+}
