Tell polls that are not waited for from the next one

A worker whose restart an answer to a start had shown could be polled twice at a time for as long as it was up. The poll of the ended incarnation could also make the new one count as silent.

Cause: after such an answer the next poll does not wait for the one under way, and the two are told apart by the time at which they were sent. A poll that was sent in the same millisecond as the answer came counted as the later one. The owner read the time of sending in the task that sends the poll, which may begin after later answers have been processed, so that the two could be confused over more than a millisecond.

Fix: the next poll is sent a millisecond later, one that was sent by then is not the next one, and the time of sending is read before the task is spawned. Each use of that time asks whether something came before the call, so an earlier time is the safe side. Polls under way are counted, and the last of them makes the next one due, so that a worker is never left without polls.

Evidence: `a_poll_sent_just_before_a_restart_is_noticed_is_not_the_next_one` failed before (a poll is sent while one is under way) and passes now. `a_worker_is_polled_again_after_polls_that_were_not_waited_for` guards the count. The change in the owner's loop has no test of its own. Two tests of unnoticed_incarnation.rs let a millisecond pass before the next poll; what they assert is unchanged.

--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -97,6 +97,7 @@
                 && let Some(worker) = self.workers.get_mut(&target.id)
             {
                 worker.poll = Poll::InFlight;
+                worker.polls += 1;
                 worker.max_deadline = worker.max_deadline.max(order.deadline.unwrap_or_default());
                 worker.renewed |= order.deadline.is_some();
                 worker.renewing = order.deadline.is_some();
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -47,6 +47,9 @@
         result: Result<WorkerReport, WorkerError>,
         now: Tick,
     ) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.polls = worker.polls.saturating_sub(1);
+        }
         match result {
             Ok(report) => self.apply_report(id, sent, report, now),
             Err(WorkerError::Replaced) => {
@@ -80,6 +83,7 @@
             if is_lost {
                 worker.record_unanswered(sent, now, self.timeouts.grant);
             }
+            worker.end_poll(sent, now);
             return;
         }
         let pause = MIN_POLL_BACKOFF.0 << worker.failed_calls.min(8);
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -211,6 +211,8 @@
     pub renewed: bool,
     /// State of its long-polling call.
     pub poll: Poll,
+    /// Polls under way: more than one after a poll that did not wait for the one before.
+    pub polls: u32,
     /// Consecutive failed calls.
     pub failed_calls: u32,
     /// Number of the last end that was processed.
@@ -326,6 +328,7 @@
             answered: false,
             renewed: false,
             poll: Poll::Due(now),
+            polls: 0,
             failed_calls: 0,
             last_processed: 0,
             acknowledged: 0,
@@ -433,20 +436,22 @@
         }
         self.mark_suspect(now);
         self.repolled_at = Some(now);
-        self.poll = Poll::Due(now);
+        // It must be told from a poll that was sent in this millisecond, before the answer came.
+        self.poll = Poll::Due(now + Millis(1));
         true
     }
 
     /// Makes the next poll due, after the result of one that was sent at `sent`.
     pub fn end_poll(&mut self, sent: Tick, due: Tick) {
-        if !self.is_superseded(sent) {
+        let is_last = self.polls == 0 && self.poll == Poll::InFlight;
+        if !self.is_superseded(sent) || is_last {
             self.poll = Poll::Due(due);
         }
     }
 
-    /// Returns whether a later poll was sent without waiting for the one that was sent at `sent`.
+    /// Returns whether a later poll is sent without waiting for the one that was sent at `sent`.
     pub fn is_superseded(&self, sent: Tick) -> bool {
-        self.repolled_at.is_some_and(|at| sent < at)
+        self.repolled_at.is_some_and(|at| sent <= at)
     }
 
     /// Records that a new incarnation answers. `grant` is the longest lease that a worker grants.
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -37,6 +37,7 @@
 mod runs;
 mod trials;
 mod unclaimed;
+mod unnoticed_effects;
 mod unnoticed_incarnation;
 mod unplaced;
 mod wave;
--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -145,6 +145,7 @@
     let fresh = Ok(WorkerTime(700));
     fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
     fixture.submit(2, vec![step(1)]);
+    fixture.advance(1);
     let actions = fixture.poll();
     assert_eq!(polls_of(&actions, &worker("w")), 1, "a poll is under way");
     assert_eq!(Fixture::started_on(actions), [], "which incarnation is there is not known");
@@ -160,6 +161,7 @@
     fixture.set_running(&worker("w"), order.task, order.run.0, 0);
     let fresh = Ok(WorkerTime(700));
     fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
+    fixture.advance(1);
     fixture.poll();
     fixture.infos[0].started_at = Some(Millis(OLD_START + 1000));
     fixture.report(&worker("w"));
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -407,10 +407,9 @@
         let node = Arc::clone(&self.node);
         let workers = Arc::clone(&self.workers);
         let pool = self.pool.name().clone();
-        self.spawn_call(async move {
-            let sent = node.now();
-            perform(&node, &*workers, &pool, action, sent).await
-        });
+        // The call begins later, and results of other calls may be processed before.
+        let sent = node.now();
+        self.spawn_call(async move { perform(&node, &*workers, &pool, action, sent).await });
     }
 
     /// Starts transactions that are due, one at a time in each lane.
