Count a poll that is not waited for as a late call

A task that was done could start again (TWICE) on a worker whose restart an answer to a start had shown.

Cause: after such an answer the next poll does not wait for the one under way. Its report names the new incarnation, and the worker got tasks at once, since no call had ended without an answer. The earlier poll, which acknowledges ends of the old incarnation by numbers that the new one uses again, could still arrive and make it forget the end of such a task unread.

Fix: until the earlier poll has ended the worker gets long-running tasks only, as it does after a call without an answer. If the poll ends without one, the 15 s for late calls follow; if it is answered or its connection has ended, nothing of it can arrive later.

--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -454,6 +454,14 @@
         self.repolled_at.is_some_and(|at| sent <= at)
     }
 
+    /// Returns whether a poll of the previous incarnation is under way: the one that named the present
+    /// incarnation did not wait for it.
+    fn awaits_superseded_poll(&self) -> bool {
+        let current = u32::from(self.poll == Poll::InFlight);
+        let is_restarted = self.repolled_at.is_some() && self.restarted_at >= self.repolled_at;
+        is_restarted && self.polls > current
+    }
+
     /// Records that a new incarnation answers. `grant` is the longest lease that a worker grants.
     pub fn begin_incarnation(&mut self, at: Tick, grant: Millis) {
         self.restarted_at = Some(at);
@@ -469,7 +477,7 @@
 
     /// Returns whether calls to the worker's previous incarnation may still arrive.
     pub fn expects_late_calls(&self, now: Tick) -> bool {
-        self.late_calls_until > now
+        self.late_calls_until > now || self.awaits_superseded_poll()
     }
 
     /// Returns the resources that late orders to the worker's previous incarnation may take.
