Count calls to the previous incarnation as leases of the present one

A task could start elsewhere up to an order's timeout before its run had ended, on a worker that had restarted and was then cut off.

Cause: when a report shows a restart, the new incarnation's leases count as the longest from that report on. A start, or a poll that was not waited for, that had been sent before with a deadline by the old clock may be carried out after it, and prolongs everything on the worker for the longest lease from then. A run that the report had listed was taken for lost by the earlier bound. Calls without any answer counted already (`expect_late_calls`); those that were answered, or whose connection ended, did not.

Fix: a call that was sent before the restart was noticed, and ends after it, counts as the longest lease from its end.

Evidence: `a_start_sent_before_a_noticed_restart_counts_as_a_lease_of_reported_runs` and `a_poll_sent_before_a_noticed_restart_counts_as_a_lease_of_reported_runs` failed before (moved 4.7 s after the call, the lease being 6 s) and pass now.

--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -42,6 +42,7 @@
         result: &Result<WorkerTime, WorkerError>,
         now: Tick,
     ) {
+        let grant = self.timeouts.grant;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -51,6 +52,7 @@
         );
         if !is_refused {
             worker.record_unidentified(now, matches!(result, Err(WorkerError::Lost(_))));
+            worker.record_earlier_call(sent, now, grant);
         }
         let sample = worker.clock;
         if let Ok(shown) = result
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -77,6 +77,7 @@
             && (is_lost || matches!(error, WorkerError::Broken(_)))
         {
             worker.record_unidentified(now, is_lost);
+            worker.record_earlier_call(sent, now, self.timeouts.grant);
         }
         if is_superseded {
             // A later poll has told, or will tell, what became of the worker.
@@ -132,6 +133,9 @@
             self.begin_incarnation(id, &report, now);
         } else {
             worker.started_at = report.started_at.or(worker.started_at);
+            if worker.is_superseded(sent) {
+                worker.record_earlier_call(sent, now, self.timeouts.grant);
+            }
             self.apply_first_report(id, &report, now);
         }
         self.excuse_silence(id, now);
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -262,7 +262,7 @@
     /// Calls to its previous incarnation may arrive until then. Such a call may make it forget ends
     /// that no owner has read, so it gets only long-running tasks, whose ends may be forgotten.
     pub late_calls_until: Tick,
-    /// Such a call may also prolong the leases there, by the clock of the previous incarnation; until
+    /// Calls to its previous incarnation may also prolong the leases there, by the clock of that one; until
     /// then at most.
     pub late_leases_until: Tick,
     /// Task on trial: it may crash the worker and has not started working. Nothing else is started
@@ -402,13 +402,27 @@
     /// worker grants.
     pub fn record_unanswered(&mut self, sent: Tick, at: Tick, grant: Millis) {
         self.unanswered_at = Some(at);
-        let is_for_previous =
-            |restarted: Tick| sent <= restarted && at.since(restarted) < MAX_ORDER_DELAY;
-        if self.restarted_at.is_some_and(is_for_previous) {
+        if self.is_for_previous(sent, at) {
             self.expect_late_calls(grant);
         }
     }
 
+    /// Returns whether a call that was sent at `sent` and ended at `at` was meant for the previous
+    /// incarnation.
+    fn is_for_previous(&self, sent: Tick, at: Tick) -> bool {
+        let was_sent_before =
+            |restarted: Tick| sent <= restarted && at.since(restarted) < MAX_ORDER_DELAY;
+        self.restarted_at.is_some_and(was_sent_before)
+    }
+
+    /// Records that a call which was sent at `sent` may have prolonged leases, and ended at `at`. If it was
+    /// meant for the previous incarnation, the present one has read the deadline by its own clock.
+    pub fn record_earlier_call(&mut self, sent: Tick, at: Tick, grant: Millis) {
+        if self.is_for_previous(sent, at) {
+            self.late_leases_until = self.late_leases_until.max(at + with_drift(grant));
+        }
+    }
+
     /// Records that a call which may have begun or prolonged a lease ended at `at`, without a report that
     /// names the incarnation. One that has not been noticed may have carried it out, or still may if no
     /// answer came (`lost`).
@@ -471,7 +485,8 @@
     fn expect_late_calls(&mut self, grant: Millis) {
         if let Some(unanswered) = self.unanswered_at {
             self.late_calls_until = self.late_calls_until.max(unanswered + MAX_ORDER_DELAY);
-            self.late_leases_until = self.late_calls_until + with_drift(grant);
+            let late = self.late_calls_until + with_drift(grant);
+            self.late_leases_until = self.late_leases_until.max(late);
         }
     }
 
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -4,11 +4,11 @@
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
     pool::Action,
-    ports::{StartOrder, WorkerInfo},
+    ports::{StartOrder, WorkerError, WorkerInfo},
 };
 use reachhead_types::{id::WorkerId, size::Millis};
 
-use crate::fixture::{Fixture, info, step, worker};
+use crate::fixture::{Fixture, info, step, timeouts, worker};
 
 /// Start time of the incarnation that is known first.
 const OLD_START: u64 = 1000;
@@ -16,6 +16,10 @@
 /// Start time of the next one.
 const NEW_START: u64 = 2000;
 
+/// Bound on the time after which a task may start elsewhere, beyond the lease: the drift of the
+/// worker's clock, and the step of the tests.
+const SLACK: u64 = 500;
+
 const STEP: u64 = 100;
 
 fn listed(name: &str, started_at: u64) -> WorkerInfo {
@@ -46,6 +50,31 @@
     fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
 }
 
+/// Adds a worker `v` that answers, while `w` does not any more.
+fn add_other(fixture: &mut Fixture) {
+    fixture.infos.push(listed("v", OLD_START));
+    fixture.list();
+    fixture.poll();
+    fixture.flush();
+    fixture.report(&worker("v"));
+}
+
+/// Asserts that the task waits for the longest lease before it starts on `v`, while no poll of `w` is sent.
+fn assert_longest_lease(fixture: &mut Fixture) {
+    let begun = fixture.now;
+    let unreachable = || Err(WorkerError::Unreachable("cut off".to_owned()));
+    while Fixture::started_on(fixture.poll()).is_empty() {
+        assert!(fixture.now.since(begun) < Millis(60_000), "the task never starts");
+        fixture.advance(STEP);
+        fixture.pool.held(&worker("w"), fixture.now, unreachable(), fixture.now);
+        fixture.report(&worker("v"));
+        fixture.flush();
+    }
+    let wait = fixture.now.since(begun);
+    assert!(wait >= timeouts().grant, "{wait} is less than the longest lease");
+    assert!(wait.0 <= timeouts().grant.0 + SLACK, "{wait} is longer than the longest lease");
+}
+
 fn polls_of(actions: &[Action], id: &WorkerId) -> usize {
     let is_poll = |action: &&Action| matches!(action, Action::Hold(target, _) if target.id == *id);
     actions.iter().filter(is_poll).count()
@@ -95,3 +124,37 @@
     fixture.report_sent(&worker("w"), sent);
     assert_eq!(Fixture::started_on(fixture.poll()), [worker("w")], "no call is under way");
 }
+
+/// A start that was sent before a restart was noticed arrived after the report that showed it. It
+/// prolonged, by the old clock, the lease of a run that the report had listed, and that task started
+/// elsewhere before the end of the lease.
+#[test]
+fn a_start_sent_before_a_noticed_restart_counts_as_a_lease_of_reported_runs() {
+    let (mut fixture, sent, order) = ordered();
+    fixture.accept(&worker("w"), &order);
+    fixture.submit(2, vec![step(1)]);
+    let (_, late) = fixture.starts().remove(0);
+    fixture.infos[0].started_at = Some(Millis(NEW_START));
+    fixture.report_sent(&worker("w"), sent);
+    fixture.list();
+    fixture.advance(1500);
+    let broken = Err(WorkerError::Broken("reset".to_owned()));
+    fixture.pool.started(&worker("w"), late.task, late.run, broken, fixture.now);
+    add_other(&mut fixture);
+    assert_longest_lease(&mut fixture);
+}
+
+/// The same for a poll that the new incarnation answered after the one that did not wait for it.
+#[test]
+fn a_poll_sent_before_a_noticed_restart_counts_as_a_lease_of_reported_runs() {
+    let (mut fixture, sent, order) = ordered();
+    fixture.advance(500);
+    show_restart(&mut fixture, &order);
+    fixture.advance(STEP);
+    fixture.poll();
+    restart(&mut fixture);
+    fixture.advance(1500);
+    fixture.report_sent(&worker("w"), sent);
+    add_other(&mut fixture);
+    assert_longest_lease(&mut fixture);
+}
