Wait for an order under way before a closed port ends its run

A task could start elsewhere beside its run, where an order was under way as its worker was down and reached the next incarnation.

Cause: a closed port, found after the last call that may have reached the worker, is taken as proof that the host runs nothing. A start that has not ended yet was not counted as such a call, though its connection may be tried again until the worker is back.

Fix: the proof covers no run whose start is in flight. Its result follows within the timeout of an order: one that finds the port closed as well ends the run at once, and any other counts as a call that may have reached the next incarnation.

Evidence: `a_closed_port_does_not_end_a_run_whose_order_is_under_way` failed before (the task starts elsewhere at once) and passes now; `an_order_that_finds_the_port_closed_ends_the_wait_for_it` guards against a longer wait and passed before.

--- a/reachhead_jobs/src/job.rs
+++ b/reachhead_jobs/src/job.rs
@@ -88,6 +88,11 @@
             || self.last_reported.since(self.ordered_at) >= MAX_STARTUP_TIME
     }
 
+    /// Returns whether an order to start the run is in flight.
+    pub fn is_start_in_flight(&self) -> bool {
+        self.phase == Phase::Ordered && self.order_in_flight
+    }
+
     /// Returns whether a run of a long-running task has started up.
     pub fn at_work(&self) -> bool {
         self.phase == Phase::Working && self.percent >= 100
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -90,8 +90,11 @@
     /// last call that may have reached it, the run counts until that one's longest lease has expired.
     pub(super) fn end_unhosted(&mut self, id: &WorkerId, now: Tick) {
         let may_run_unnoticed = self.workers.get(id).is_some_and(|worker| {
-            let is_known = worker.started_at.is_some();
-            is_known && !worker.closed && !self.unreported_tasks(worker).is_empty()
+            let is_on_its_way =
+                |task: &TaskId| self.run_on(worker, *task).is_some_and(Run::is_start_in_flight);
+            let tasks = self.unreported_tasks(worker);
+            let is_over = worker.closed && !tasks.iter().any(is_on_its_way);
+            worker.started_at.is_some() && !is_over && !tasks.is_empty()
         });
         if may_run_unnoticed {
             self.end_reported_runs(id, now);
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -166,10 +166,8 @@
         let expiry = worker.unreported_expire_at(self.timeouts.grant);
         let has_expired = expiry.is_none_or(|expiry| self.has_ended(expiry));
         let is_over = |task: &TaskId| {
-            self.run_on(worker, *task).is_none_or(|run| {
-                let is_on_its_way = run.phase == Phase::Ordered && run.order_in_flight;
-                run.reported || has_expired && !is_on_its_way
-            })
+            self.run_on(worker, *task)
+                .is_none_or(|run| run.reported || has_expired && !run.is_start_in_flight())
         };
         worker.runs.keys().copied().filter(is_over).collect()
     }
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -3,6 +3,7 @@
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
+    incarnation::Incarnation,
     pool::Action,
     ports::{StartOrder, WorkerError, WorkerInfo},
 };
@@ -158,3 +159,39 @@
     add_other(&mut fixture);
     assert_longest_lease(&mut fixture);
 }
+
+/// The port of a worker was closed while it was down, and an order that was under way reached its next
+/// incarnation. The end of the worker was applied to that run, and the task started elsewhere beside it.
+#[test]
+fn a_closed_port_does_not_end_a_run_whose_order_is_under_way() {
+    let (mut fixture, _, order) = ordered();
+    add_other(&mut fixture);
+    fixture.advance(STEP);
+    fixture.refuse_connection(&worker("w"));
+    fixture.advance(STEP);
+    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
+    fixture.pool.worker_unhosted(&ended, fixture.now);
+    fixture.flush();
+    assert_eq!(Fixture::started_on(fixture.poll()), [], "the order is under way");
+    let broken = Err(WorkerError::Broken("reset".to_owned()));
+    fixture.pool.started(&worker("w"), order.task, order.run, broken, fixture.now);
+    assert_longest_lease(&mut fixture);
+}
+
+/// The same order finds the port closed as well: nothing has it, and the task does not wait.
+#[test]
+fn an_order_that_finds_the_port_closed_ends_the_wait_for_it() {
+    let (mut fixture, _, order) = ordered();
+    add_other(&mut fixture);
+    fixture.advance(STEP);
+    fixture.refuse_connection(&worker("w"));
+    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
+    fixture.pool.worker_unhosted(&ended, fixture.now);
+    let refused = Err(WorkerError::PortClosed("connection refused".to_owned()));
+    fixture.pool.started(&worker("w"), order.task, order.run, refused, fixture.now);
+    fixture.advance(STEP);
+    fixture.flush();
+    assert_eq!(Fixture::started_on(fixture.poll()), [worker("v")]);
+    fixture.refuse_connection(&worker("w"));
+    assert!(!fixture.pool.workers().contains_key(&worker("w")), "the worker has ended");
+}
