Count a crash of a worker that was kept for unnoticed runs

A task that crashed each of its workers was never given up, and took a pool down worker by worker, where the hosts of dead workers take no connection instead of refusing it.

Cause: the end of a worker is applied to runs that a report has listed; others count until the longest lease has expired. They were then removed as runs of a worker that is merely unreachable, whose crash is no evidence against its tasks. A task that crashes its worker at its start is always such a run.

Fix: a worker that is kept for such runs, and is still reported to have no host when they have expired, ends then as by that report: its crash is counted as it would have been at once.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -97,6 +97,9 @@
             worker.started_at.is_some() && !is_over && !tasks.is_empty()
         });
         if may_run_unnoticed {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.ended = true;
+            }
             self.end_reported_runs(id, now);
         } else {
             self.worker_died(id, DeathEvidence::Unhosted, now);
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -137,6 +137,7 @@
     /// that are gone.
     pub(super) fn expire_workers(&mut self, now: Tick) {
         let mut gone: Vec<WorkerId> = Vec::new();
+        let mut ended: Vec<WorkerId> = Vec::new();
         let mut expired: Vec<(WorkerId, Vec<TaskId>)> = Vec::new();
         for worker in self.workers.values().filter(|worker| worker.silent) {
             let has_expired = worker.leases_expire_at().is_none_or(|expiry| self.has_ended(expiry));
@@ -144,7 +145,12 @@
             if has_expired && !is_pending {
                 if !worker.runs.is_empty() {
                     let tasks = self.expired_tasks(worker);
-                    if !tasks.is_empty() {
+                    if worker.ended && worker.is_unhosted() {
+                        // Only its end tells why the last of its runs have ended.
+                        if tasks.len() == worker.runs.len() {
+                            ended.push(worker.info.id.clone());
+                        }
+                    } else if !tasks.is_empty() {
                         expired.push((worker.info.id.clone(), tasks));
                     }
                 } else if !worker.listed {
@@ -155,6 +161,9 @@
         for (id, tasks) in expired {
             self.expire_runs(&id, &tasks, now);
         }
+        for id in ended {
+            self.worker_died(&id, DeathEvidence::Unhosted, now);
+        }
         for id in gone {
             self.worker_died(&id, DeathEvidence::OffList, now);
         }
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -146,6 +146,7 @@
         worker.silent = false;
         worker.port_closed = false;
         worker.unhosted = None;
+        worker.ended = false;
         worker.answered = true;
         worker.last_contact = now;
         worker.failed_calls = 0;
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -189,6 +189,9 @@
     pub silent_since: Tick,
     /// When its address last changed, after a restart. Calls that were sent before went to the old one.
     pub moved_at: Option<Tick>,
+    /// Its known incarnation has ended, and it is kept until runs of a later one have expired that may have
+    /// started unnoticed. Counts only while it is reported to have no host.
+    pub ended: bool,
     /// When it last answered a call.
     pub last_contact: Tick,
     /// When it became known.
@@ -318,6 +321,7 @@
             rostered: false,
             silent_since: now,
             moved_at: None,
+            ended: false,
             last_contact: now,
             joined: now,
             clock: None,
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -4,12 +4,16 @@
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
     incarnation::Incarnation,
-    pool::Action,
+    pool::{Action, JobState},
     ports::{StartOrder, WorkerError, WorkerInfo},
+    record::Ending,
+};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::Millis,
 };
-use reachhead_types::{id::WorkerId, size::Millis};
 
-use crate::fixture::{Fixture, info, step, timeouts, worker};
+use crate::fixture::{Fixture, START, info, step, timeouts, worker};
 
 /// Start time of the incarnation that is known first.
 const OLD_START: u64 = 1000;
@@ -195,3 +199,37 @@
     fixture.refuse_connection(&worker("w"));
     assert!(!fixture.pool.workers().contains_key(&worker("w")), "the worker has ended");
 }
+
+/// A task crashed each of its workers before a report had listed it, and their hosts took no connection.
+/// The crashes were no evidence against it, and it took the pool down worker by worker.
+#[test]
+fn a_task_whose_workers_end_before_they_report_it_is_given_up() {
+    let infos = (0..8).map(|number| listed(&format!("w{number}"), OLD_START)).collect();
+    let mut fixture = Fixture::ready(infos);
+    fixture.submit(1, vec![step(1)]);
+    let mut tried = 0;
+    while fixture.pool.state(JobId(1)) != Some(JobState::Over(Ending::Failed)) {
+        assert!(fixture.now.since(START) < Millis(60_000), "the task is not given up");
+        for (id, order) in fixture.starts() {
+            tried += 1;
+            fixture.accept(&id, &order);
+            fixture.infos.retain(|info| info.id != id);
+            fixture.running.remove(&id);
+            let ended = Incarnation::new(id).with_start(Some(Millis(OLD_START)));
+            fixture.pool.worker_unhosted(&ended, fixture.now);
+        }
+        fixture.list();
+        fixture.advance(STEP);
+        let silent: Vec<WorkerId> = fixture.pool.workers().keys().cloned().collect();
+        for id in silent {
+            if fixture.infos.iter().any(|info| info.id == id) {
+                fixture.report(&id);
+            } else {
+                let error = WorkerError::Unreachable("no connection".to_owned());
+                fixture.pool.held(&id, fixture.now, Err(error), fixture.now);
+            }
+        }
+        fixture.flush();
+    }
+    assert!(tried <= 3, "the task takes down one worker after the other: {tried}");
+}
