Count a repeated start as one that may have reached a later incarnation

A run that a report has listed counts as leased by the clock of the incarnation that sent the report. If its start order had been repeated, the first one may have started it there, and the second one on the next incarnation, whose answer came after the report: the task then started elsewhere before that lease had ended.

Fix: the answer to a repeated start, unless nothing was reached, makes the run unlisted again until the next report.

Evidence: `a_repeated_start_may_have_reached_another_incarnation_than_the_reported_one` failed before (moved after 4.2 s, the lease being 6 s) and passes now. It was found by reading; no run on real processes has shown it.

--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -46,11 +46,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let is_refused = matches!(
-            result,
-            Err(WorkerError::Unreachable(_) | WorkerError::PortClosed(_) | WorkerError::Replaced)
-        );
-        if !is_refused {
+        if !is_refused(result) {
             worker.record_unidentified(now, matches!(result, Err(WorkerError::Lost(_))));
             worker.record_earlier_call(sent, now, grant);
         }
@@ -115,6 +111,9 @@
             return;
         };
         run.order_in_flight = false;
+        // An earlier order may have started the run that a report has listed, and this one another on a
+        // later incarnation.
+        run.reported &= !run.unconfirmed || is_refused(&result);
         // A confirmed run needs no further order; any other result may.
         let unexpected = result.is_err() || run.phase != Phase::Ordered;
         match result {
@@ -253,3 +252,11 @@
         }
     }
 }
+
+/// Returns whether an order has certainly not reached its worker.
+fn is_refused(result: &Result<WorkerTime, WorkerError>) -> bool {
+    matches!(
+        result,
+        Err(WorkerError::Unreachable(_) | WorkerError::PortClosed(_) | WorkerError::Replaced)
+    )
+}
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -233,3 +233,20 @@
     }
     assert!(tried <= 3, "the task takes down one worker after the other: {tried}");
 }
+
+/// The answer to a repeated start came after a report that had listed the run: the first order may have
+/// started it on the incarnation that sent the report, and the second one on the next.
+#[test]
+fn a_repeated_start_may_have_reached_another_incarnation_than_the_reported_one() {
+    let (mut fixture, sent, order) = ordered();
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.started(&worker("w"), order.task, order.run, lost, fixture.now);
+    fixture.advance(STEP);
+    assert_eq!(fixture.starts().len(), 1, "the order is repeated");
+    fixture.set_running(&worker("w"), order.task, order.run.0, 0);
+    fixture.report_sent(&worker("w"), sent);
+    let clock = fixture.clock();
+    fixture.pool.started(&worker("w"), order.task, order.run, Ok(clock), fixture.now);
+    add_other(&mut fixture);
+    assert_longest_lease(&mut fixture);
+}
