Ignore the end of a poll of a worker that was removed before

A worker that was listed again after its death counted as silent when a poll of its earlier incarnation ended, and was polled twice at a time for as long as it was up.

Cause: the answer to an order can show that a worker has ended while a poll of it is under way. The state of the worker is removed, and made anew once its next incarnation is listed; the end of the poll was applied to that one.

Fix: a poll that was sent before the worker became known is treated as one that the next poll did not wait for.

Evidence: `a_poll_of_an_ended_worker_says_nothing_about_the_next_incarnation` failed before (the worker counts as silent) and passes now.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -48,7 +48,7 @@
         now: Tick,
     ) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.polls = worker.polls.saturating_sub(1);
+            worker.record_poll_end(sent);
         }
         match result {
             Ok(report) => self.apply_report(id, sent, report, now),
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -467,9 +467,22 @@
         }
     }
 
+    /// Records that a poll has ended that was sent at `sent`.
+    pub fn record_poll_end(&mut self, sent: Tick) {
+        if !self.is_of_earlier_entry(sent) {
+            self.polls = self.polls.saturating_sub(1);
+        }
+    }
+
     /// Returns whether a later poll is sent without waiting for the one that was sent at `sent`.
     pub fn is_superseded(&self, sent: Tick) -> bool {
-        self.repolled_at.is_some_and(|at| sent <= at)
+        self.is_of_earlier_entry(sent) || self.repolled_at.is_some_and(|at| sent <= at)
+    }
+
+    /// Returns whether a call that was sent at `sent` went to an incarnation that was removed before this one
+    /// became known.
+    fn is_of_earlier_entry(&self, sent: Tick) -> bool {
+        sent < self.joined
     }
 
     /// Returns whether a poll of the previous incarnation is under way: the one that named the present
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -250,3 +250,28 @@
     add_other(&mut fixture);
     assert_longest_lease(&mut fixture);
 }
+
+/// A worker was found dead by the answer to a start while a poll was under way, and was listed again. The
+/// end of that poll made the next incarnation count as silent, and it was polled twice at a time.
+#[test]
+fn a_poll_of_an_ended_worker_says_nothing_about_the_next_incarnation() {
+    let (mut fixture, sent, order) = ordered();
+    fixture.advance(STEP);
+    fixture.pool.started(
+        &worker("w"),
+        order.task,
+        order.run,
+        Err(WorkerError::Replaced),
+        fixture.now,
+    );
+    assert!(!fixture.pool.workers().contains_key(&worker("w")));
+    fixture.infos[0].started_at = Some(Millis(NEW_START));
+    fixture.list();
+    assert_eq!(polls_of(&fixture.poll(), &worker("w")), 1);
+    fixture.advance(STEP);
+    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    fixture.pool.held(&worker("w"), sent, lost, fixture.now);
+    assert!(!fixture.pool.workers()[&worker("w")].silent);
+    fixture.advance(STEP);
+    assert_eq!(polls_of(&fixture.poll(), &worker("w")), 0, "a poll is under way");
+}
