--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -97,6 +97,7 @@
                 && let Some(worker) = self.workers.get_mut(&target.id)
             {
                 worker.poll = Poll::InFlight;
+                worker.polls += 1;
                 worker.max_deadline = worker.max_deadline.max(order.deadline.unwrap_or_default());
                 worker.renewed |= order.deadline.is_some();
                 worker.renewing = order.deadline.is_some();
@@ -150,6 +151,7 @@
     /// that are gone.
     pub(super) fn expire_workers(&mut self, now: Tick) {
         let mut gone: Vec<WorkerId> = Vec::new();
+        let mut ended: Vec<WorkerId> = Vec::new();
         let mut expired: Vec<(WorkerId, Vec<TaskId>)> = Vec::new();
         for worker in self.workers.values().filter(|worker| worker.silent) {
             let has_expired = worker.leases_expire_at().is_none_or(|expiry| self.has_ended(expiry));
@@ -157,7 +159,12 @@
             if has_expired && !is_pending {
                 if !worker.runs.is_empty() {
                     let tasks = self.expired_tasks(worker);
-                    if !tasks.is_empty() {
+                    if worker.ended && worker.is_unhosted() {
+                        // Only its end tells why the last of its runs have ended.
+                        if tasks.len() == worker.runs.len() {
+                            ended.push(worker.info.id.clone());
+                        }
+                    } else if !tasks.is_empty() {
                         expired.push((worker.info.id.clone(), tasks));
                     }
                 } else if !worker.listed {
@@ -168,6 +175,9 @@
         for (id, tasks) in expired {
             self.expire_runs(&id, &tasks, now);
         }
+        for id in ended {
+            self.worker_died(&id, DeathEvidence::Unhosted, now);
+        }
         for id in gone {
             self.worker_died(&id, DeathEvidence::OffList, now);
         }
@@ -179,10 +189,8 @@
         let expiry = worker.unreported_expire_at(self.timeouts.grant);
         let has_expired = expiry.is_none_or(|expiry| self.has_ended(expiry));
         let is_over = |task: &TaskId| {
-            self.run_on(worker, *task).is_none_or(|run| {
-                let is_on_its_way = run.phase == Phase::Ordered && run.order_in_flight;
-                run.reported || has_expired && !is_on_its_way
-            })
+            self.run_on(worker, *task)
+                .is_none_or(|run| run.reported || has_expired && !run.is_start_in_flight())
         };
         worker.runs.keys().copied().filter(is_over).collect()
     }
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -47,6 +47,9 @@
         result: Result<WorkerReport, WorkerError>,
         now: Tick,
     ) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.record_poll_end(sent);
+        }
         match result {
             Ok(report) => self.apply_report(id, sent, report, now),
             Err(WorkerError::Replaced) => {
@@ -74,12 +77,14 @@
             && (is_lost || matches!(error, WorkerError::Broken(_)))
         {
             worker.record_unidentified(now, is_lost);
+            worker.record_earlier_call(sent, now, self.timeouts.grant);
         }
         if is_superseded {
             // A later poll has told, or will tell, what became of the worker.
             if is_lost {
                 worker.record_unanswered(sent, now, self.timeouts.grant);
             }
+            worker.end_poll(sent, now);
             return;
         }
         let pause = MIN_POLL_BACKOFF.0 << worker.failed_calls.min(8);
@@ -133,6 +138,9 @@
             self.begin_incarnation(id, &report, now);
         } else {
             worker.started_at = report.started_at.or(worker.started_at);
+            if worker.is_superseded(sent) {
+                worker.record_earlier_call(sent, now, self.timeouts.grant);
+            }
             self.apply_first_report(id, &report, now);
         }
         self.excuse_silence(id, now);
@@ -144,6 +152,7 @@
         worker.silent = false;
         worker.port_closed = false;
         worker.unhosted = None;
+        worker.ended = false;
         worker.answered = true;
         worker.last_contact = now;
         worker.failed_calls = 0;
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -189,6 +189,9 @@
     pub silent_since: Tick,
     /// When its address last changed, after a restart. Calls that were sent before went to the old one.
     pub moved_at: Option<Tick>,
+    /// Its known incarnation has ended, and it is kept until runs of a later one have expired that may have
+    /// started unnoticed. Counts only while it is reported to have no host.
+    pub ended: bool,
     /// When it last answered a call.
     pub last_contact: Tick,
     /// When it became known.
@@ -211,6 +214,8 @@
     pub renewed: bool,
     /// State of its long-polling call.
     pub poll: Poll,
+    /// Polls under way: more than one after a poll that did not wait for the one before.
+    pub polls: u32,
     /// Consecutive failed calls.
     pub failed_calls: u32,
     /// Number of the last end that was processed.
@@ -263,7 +268,7 @@
     /// Calls to its previous incarnation may arrive until then. Such a call may make it forget ends
     /// that no owner has read, so it gets only long-running tasks, whose ends may be forgotten.
     pub late_calls_until: Tick,
-    /// Such a call may also prolong the leases there, by the clock of the previous incarnation; until
+    /// Calls to its previous incarnation may also prolong the leases there, by the clock of that one; until
     /// then at most.
     pub late_leases_until: Tick,
     /// Task on trial: it may crash the worker and has not started working. Nothing else is started
@@ -319,6 +324,7 @@
             rostered: false,
             silent_since: now,
             moved_at: None,
+            ended: false,
             last_contact: now,
             joined: now,
             clock: None,
@@ -329,6 +335,7 @@
             answered: false,
             renewed: false,
             poll: Poll::Due(now),
+            polls: 0,
             failed_calls: 0,
             last_processed: 0,
             acknowledged: 0,
@@ -404,13 +411,27 @@
     /// worker grants.
     pub fn record_unanswered(&mut self, sent: Tick, at: Tick, grant: Millis) {
         self.unanswered_at = Some(at);
-        let is_for_previous =
-            |restarted: Tick| sent <= restarted && at.since(restarted) < MAX_ORDER_DELAY;
-        if self.restarted_at.is_some_and(is_for_previous) {
+        if self.is_for_previous(sent, at) {
             self.expect_late_calls(grant);
         }
     }
 
+    /// Returns whether a call that was sent at `sent` and ended at `at` was meant for the previous
+    /// incarnation.
+    fn is_for_previous(&self, sent: Tick, at: Tick) -> bool {
+        let was_sent_before =
+            |restarted: Tick| sent <= restarted && at.since(restarted) < MAX_ORDER_DELAY;
+        self.restarted_at.is_some_and(was_sent_before)
+    }
+
+    /// Records that a call which was sent at `sent` may have prolonged leases, and ended at `at`. If it was
+    /// meant for the previous incarnation, the present one has read the deadline by its own clock.
+    pub fn record_earlier_call(&mut self, sent: Tick, at: Tick, grant: Millis) {
+        if self.is_for_previous(sent, at) {
+            self.late_leases_until = self.late_leases_until.max(at + with_drift(grant));
+        }
+    }
+
     /// Records that a call which may have begun or prolonged a lease ended at `at`, without a report that
     /// names the incarnation. One that has not been noticed may have carried it out, or still may if no
     /// answer came (`lost`).
@@ -438,7 +459,8 @@
         }
         self.mark_suspect(now);
         self.repolled_at = Some(now);
-        self.poll = Poll::Due(now);
+        // It must be told from a poll that was sent in this millisecond, before the answer came.
+        self.poll = Poll::Due(now + Millis(1));
         true
     }
 
@@ -452,14 +474,36 @@
 
     /// Makes the next poll due, after the result of one that was sent at `sent`.
     pub fn end_poll(&mut self, sent: Tick, due: Tick) {
-        if !self.is_superseded(sent) {
+        let is_last = self.polls == 0 && self.poll == Poll::InFlight;
+        if !self.is_superseded(sent) || is_last {
             self.poll = Poll::Due(due);
         }
     }
 
-    /// Returns whether a later poll was sent without waiting for the one that was sent at `sent`.
+    /// Records that a poll has ended that was sent at `sent`.
+    pub fn record_poll_end(&mut self, sent: Tick) {
+        if !self.is_of_earlier_entry(sent) {
+            self.polls = self.polls.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether a later poll is sent without waiting for the one that was sent at `sent`.
     pub fn is_superseded(&self, sent: Tick) -> bool {
-        self.repolled_at.is_some_and(|at| sent < at)
+        self.is_of_earlier_entry(sent) || self.repolled_at.is_some_and(|at| sent <= at)
+    }
+
+    /// Returns whether a call that was sent at `sent` went to an incarnation that was removed before this one
+    /// became known.
+    fn is_of_earlier_entry(&self, sent: Tick) -> bool {
+        sent < self.joined
+    }
+
+    /// Returns whether a poll of the previous incarnation is under way: the one that named the present
+    /// incarnation did not wait for it.
+    fn awaits_superseded_poll(&self) -> bool {
+        let current = u32::from(self.poll == Poll::InFlight);
+        let is_restarted = self.repolled_at.is_some() && self.restarted_at >= self.repolled_at;
+        is_restarted && self.polls > current
     }
 
     /// Records that a new incarnation answers. `grant` is the longest lease that a worker grants.
@@ -471,13 +515,14 @@
     fn expect_late_calls(&mut self, grant: Millis) {
         if let Some(unanswered) = self.unanswered_at {
             self.late_calls_until = self.late_calls_until.max(unanswered + MAX_ORDER_DELAY);
-            self.late_leases_until = self.late_calls_until + with_drift(grant);
+            let late = self.late_calls_until + with_drift(grant);
+            self.late_leases_until = self.late_leases_until.max(late);
         }
     }
 
     /// Returns whether calls to the worker's previous incarnation may still arrive.
     pub fn expects_late_calls(&self, now: Tick) -> bool {
-        self.late_calls_until > now
+        self.late_calls_until > now || self.awaits_superseded_poll()
     }
 
     /// Returns the resources that late orders to the worker's previous incarnation may take.
