Tell a requested report from the poll that it does not wait for

The report that is asked for after the start of a long-running task does the same, and a report that was overtaken still counts as a call that may have prolonged leases: `a_poll_sent_before_a_noticed_restart_counts_as_a_lease_of_reported_runs` failed without that and passes now. Two tests let a millisecond pass before the next poll; what they assert is unchanged.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -125,6 +125,7 @@
         };
         if sent < worker.report_sent {
             // A poll that was sent later has been answered, and shows what came after this report.
+            worker.record_earlier_call(sent, now, self.timeouts.grant);
             worker.end_poll(sent, now);
             return;
         }
@@ -138,9 +139,6 @@
             self.begin_incarnation(id, &report, now);
         } else {
             worker.started_at = report.started_at.or(worker.started_at);
-            if worker.is_superseded(sent) {
-                worker.record_earlier_call(sent, now, self.timeouts.grant);
-            }
             self.apply_first_report(id, &report, now);
         }
         self.excuse_silence(id, now);
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -458,17 +458,21 @@
             return false;
         }
         self.mark_suspect(now);
+        self.repoll(now);
+        true
+    }
+
+    /// Makes the next poll due, whether or not one is under way.
+    fn repoll(&mut self, now: Tick) {
         self.repolled_at = Some(now);
         // It must be told from a poll that was sent in this millisecond, before the answer came.
         self.poll = Poll::Due(now + Millis(1));
-        true
     }
 
     /// Requests a report without waiting for the poll under way, which the worker may hold open.
     pub fn request_report(&mut self, now: Tick) {
         if self.poll == Poll::InFlight && self.poll_wait > Millis(0) {
-            self.repolled_at = Some(now);
-            self.poll = Poll::Due(now);
+            self.repoll(now);
         }
     }
 
--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -275,6 +275,7 @@
     let held = fixture.now;
     fixture.advance(10);
     fixture.accept(&worker("w"), &order);
+    fixture.advance(1);
     let actions = fixture.poll();
     assert_eq!(polls_of(&actions, &worker("w")), 1, "a poll is held open");
     fixture.report(&worker("w"));
@@ -297,6 +298,7 @@
     let held = fixture.now;
     fixture.advance(10);
     fixture.accept(&worker("w"), &order);
+    fixture.advance(1);
     fixture.poll();
     let listing = fixture.running.clone();
     fixture.end(&worker("w"), order.task, order.run.0, RunEnd::Failed);
