Keep late calls and lost orders when a worker is found dead

Cause: `worker_died` dropped the lost orders and the time of the last lost call with `Worker`. When the id was listed again, nothing was barred there, no late calls were expected, and no room was kept for late orders, as all of that is done only after a restart that a report shows.

Fix: the pool keeps these calls by worker id for 15 s (`Pool::late_calls`), also those that are under way at the death and are found to be lost after it. A later incarnation that is listed takes them over and begins as after a restart. Orders are barred there as soon as it is listed, before its first report, and the bar is repeated until it is confirmed; it was sent once, and could be lost like the order. An incarnation that is listed with the start of the dead one is the same, and waits for nothing.

Cost: a worker that is back within 15 s of a lost call to the dead incarnation gets no task that can be done until these have passed, as after a restart that a report shows. Workers without a start time behave as before.

Evidence: seven of the nine tests of tests/pool/late_orders_after_death.rs failed before; the other two guard against waits that nothing needs.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -155,6 +155,7 @@
         self.review = true;
         let dead = worker.latest_ended();
         self.dead_incarnations.insert(id.clone(), dead);
+        self.keep_late_calls(&worker, now);
         self.note(
             NoteKind::WorkerDoubted,
             format!(
--- a/reachhead_jobs/src/pool/mod.rs
+++ b/reachhead_jobs/src/pool/mod.rs
@@ -68,7 +68,7 @@
     record::{Ending, FinalRecord, JobRecord, LeaseRecord},
     shard::Shard,
     start_pace::StartBudget,
-    worker::Worker,
+    worker::{LateCalls, Worker},
 };
 
 /// Period of the review that finds orders due by time alone. Orders are resent after 50 ms, so this
@@ -195,6 +195,8 @@
     refusals: refusal::Refusals,
     /// Worker incarnations known to be dead even if the platform still lists them.
     dead_incarnations: BTreeMap<WorkerId, Incarnation>,
+    /// Calls to dead incarnations that the next ones under their ids may still carry out.
+    late_calls: BTreeMap<WorkerId, LateCalls>,
     /// Number of workers in the platform's last list that were skipped as dead incarnations.
     skipped: u32,
     /// Recent deaths of workers that nothing which ran there explains.
@@ -367,6 +369,9 @@
                 }
                 None => {
                     let mut worker = Worker::new(info, now);
+                    if let Some(calls) = self.late_calls.remove(&worker.info.id) {
+                        worker.inherit(calls, now, self.timeouts.grant);
+                    }
                     worker.rostered = self.roster.is_open(&worker.info.id);
                     worker.drained = self.drained.contains(&worker.info.zone);
                     worker.cordoned_until =
@@ -418,6 +423,7 @@
             self.next_review = now + REVIEW_PERIOD;
             self.review_runs(now);
         }
+        self.send_bars(now);
         if self.can_order(now) && self.drained.is_current(now) && !self.is_recovering() {
             self.place_tasks(now);
             self.send_advice_calls(now);
@@ -463,6 +469,7 @@
             self.all_answered_at.get_or_insert(now);
         }
         self.cordons.retain(|_, until| *until > now);
+        self.late_calls.retain(|_, calls| calls.until > now);
         self.predecessor.expire(now);
         self.closed.retain(|_, closed| now.since(closed.at) < CLOSED_JOB_RETENTION);
         self.expire_workers(now);
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -110,6 +110,9 @@
         let sent = self.run_of(id, task, number).map(|run| run.ordered_at).unwrap_or_default();
         self.record_start(id, sent, &result, now);
         let Some(run) = self.run_of(id, task, number) else {
+            if matches!(result, Err(WorkerError::Lost(_))) {
+                self.record_late_start(id, task, number, now);
+            }
             return;
         };
         run.order_in_flight = false;
@@ -235,6 +238,7 @@
         }
         let Some(run) = self.run_of(id, task, number) else {
             self.orphan_stopped(id, task, number, result.is_ok(), now);
+            self.bar_answered(id, task, number, result.is_ok(), now);
             return;
         };
         run.order_in_flight = false;
--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -98,6 +98,7 @@
             dirty: BTreeSet::new(),
             refusals: refusal::Refusals::default(),
             dead_incarnations: BTreeMap::new(),
+            late_calls: BTreeMap::new(),
             skipped: 0,
             outage: OutageDetector::new(),
             counted_crashes: Vec::new(),
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -65,10 +65,13 @@
     }
 
     fn poll_failed(&mut self, id: &WorkerId, error: &WorkerError, sent: Tick, now: Tick) {
+        let is_lost = matches!(error, WorkerError::Lost(_));
         let Some(worker) = self.workers.get_mut(id) else {
+            if is_lost {
+                self.record_late_call(id, None, now);
+            }
             return;
         };
-        let is_lost = matches!(error, WorkerError::Lost(_));
         let is_superseded = worker.is_superseded(sent);
         if (worker.renewing || is_superseded)
             && (is_lost || matches!(error, WorkerError::Broken(_)))
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -12,10 +12,10 @@
 use crate::{
     clock::{Tick, WorkerTime},
     job::Phase,
-    pool::{Action, NoteKind, Pool, PoolTimeouts},
-    ports::WorkerReport,
+    pool::{Action, NoteKind, Pool, PoolTimeouts, orders::ORDER_RETRY_PAUSE},
+    ports::{WorkerReport, WorkerTarget},
     task::TaskId,
-    worker::{FailureHistory, LostOrder, Speed},
+    worker::{Bar, Charge, FailureHistory, LostOrder, Speed, Worker},
 };
 
 /// Age up to which an incarnation may have received orders meant for the previous one, from a
@@ -55,7 +55,6 @@
                 self.remove_run(id, task, charge.run);
             }
         }
-        self.bar_lost_orders(id);
         // The stored jobs that are still being read may need the ends of the old one.
         if !self.is_recovering() {
             self.unclaimed_ends.drop_worker(id);
@@ -106,19 +105,74 @@
         }
     }
 
-    /// Bars ended runs whose start orders may still arrive, since the new incarnation does not know
-    /// them.
-    fn bar_lost_orders(&mut self, id: &WorkerId) {
-        let Some(worker) = self.workers.get(id) else {
-            return;
-        };
-        let over = |lost: &&LostOrder| {
-            worker.runs.get(&lost.task).is_none_or(|charge| charge.run != lost.run)
-        };
-        let lost: Vec<LostOrder> = worker.lost_orders.iter().filter(over).copied().collect();
-        let target = self.target(worker);
-        for LostOrder { task, run, .. } in lost {
-            self.actions.push(Action::Stop(target.clone(), task, run));
+    /// Sends the due orders to bar runs that are over and whose start orders may still arrive, since a
+    /// new incarnation does not know them. A worker that does not answer gets them once it does.
+    pub(super) fn send_bars(&mut self, now: Tick) {
+        let mut due: Vec<(WorkerTarget, TaskId, RunNumber)> = Vec::new();
+        for worker in self.workers.values().filter(|worker| !worker.silent) {
+            let target = self.target(worker);
+            due.extend(worker.due_bars(now).map(|lost| (target.clone(), lost.task, lost.run)));
+        }
+        for (target, task, run) in due {
+            if let Some(worker) = self.workers.get_mut(&target.id) {
+                worker.set_bar(task, run, Bar::InFlight);
+            }
+            self.actions.push(Action::Stop(target, task, run));
+        }
+    }
+
+    /// Applies the answer to an order that bars a run which is over.
+    pub(super) fn bar_answered(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        run: RunNumber,
+        confirmed: bool,
+        now: Tick,
+    ) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            let retry = Bar::Due(now + ORDER_RETRY_PAUSE);
+            worker.set_bar(task, run, if confirmed { Bar::Confirmed } else { retry });
+        }
+    }
+
+    /// Keeps the calls that may be carried out by the next incarnation of a dead worker.
+    pub(super) fn keep_late_calls(&mut self, worker: &Worker, now: Tick) {
+        let under_way = worker.runs.iter().filter(|(task, _)| {
+            let run = self.run_on(worker, **task);
+            run.is_some_and(|run| run.phase == Phase::Ordered && run.order_in_flight)
+        });
+        let under_way = under_way.map(|(task, charge)| {
+            let Charge { run, amount } = *charge;
+            LostOrder { task: *task, run, amount, at: now, bar: Bar::Unneeded }
+        });
+        let calls = worker.late_calls(under_way.collect(), now);
+        self.late_calls.insert(worker.info.id.clone(), calls);
+    }
+
+    /// Records that the answer to a start order was lost after its worker was found dead.
+    pub(super) fn record_late_start(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        run: RunNumber,
+        now: Tick,
+    ) {
+        match self.workers.get_mut(id) {
+            Some(worker) => worker.renew_lost_order(task, run, now, self.timeouts.grant),
+            None => self.record_late_call(id, Some((task, run)), now),
+        }
+    }
+
+    /// Records that a call to a worker ended without an answer after the worker was found dead.
+    pub(super) fn record_late_call(
+        &mut self,
+        id: &WorkerId,
+        order: Option<(TaskId, RunNumber)>,
+        now: Tick,
+    ) {
+        if let Some(calls) = self.late_calls.get_mut(id) {
+            calls.record_unanswered(order, now);
         }
     }
 
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -16,6 +16,7 @@
 mod expiring_budget;
 mod fixture;
 mod late_calls;
+mod late_orders_after_death;
 mod lease_confirmation;
 mod load;
 mod long_reports;
