Let the order end before its worker is found dead in a test of late polls

A start that is in flight is no longer ended by a closed port (Wait for an order under way before a closed port ends its run), so that the worker of this test was kept. The order finds the port closed now; what the test asserts about the lost poll is unchanged.

--- a/reachhead_jobs/tests/pool/late_orders_after_death.rs
+++ b/reachhead_jobs/tests/pool/late_orders_after_death.rs
@@ -237,8 +237,10 @@
 /// still be carried out by the next one.
 #[test]
 fn a_poll_that_is_lost_after_the_death_of_its_worker_is_a_late_call() {
-    let (mut fixture, _) = ordered(step(1));
+    let (mut fixture, order) = ordered(step(1));
     let sent = fixture.now;
+    let refused = Err(WorkerError::PortClosed("connection refused".to_owned()));
+    fixture.pool.started(&worker("w"), order.task, order.run, refused, fixture.now);
     die(&mut fixture, DeathEvidence::Unhosted);
     fixture.advance(500);
     fixture.pool.held(&worker("w"), sent, Err(lost()), fixture.now);
