Random schedules with restarts that nobody has noticed

New kind: a long poll under way gets no answer, calls that are sent while the worker is down wait until it is back, and its clock begins anew. Often it is cut off from all owners 0.06 to 1.5 s after its return, with and without a change of the owner (killed, frozen, cut off from the store, pool given back), and its registration and the report of an earlier list of hosts may come later. Tasks last as long as their estimate, so that some outlast the longest lease.

--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -21,6 +21,10 @@
 /// Number of schedules with outages.
 const OUTAGE_SCHEDULES: u64 = 40;
 
+/// Number of schedules with restarts that are not noticed. They take more time, since each restart lasts
+/// for seconds and the pool is larger.
+const UNNOTICED_SCHEDULES: u64 = 30;
+
 /// Number of schedules with wide steps. They take more time, since their pools are larger and calm
 /// for several seconds at a time.
 const WIDE_SCHEDULES: u64 = 16;
@@ -102,6 +106,30 @@
     check("restarts", SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+/// Workers restart under their ids while long polls are under way, which get no answer, and are often cut
+/// off from all owners before the next poll, with and without a change of the owner; a new owner finds the
+/// registrations of the incarnations that are up. Guards against counting the usual lease for runs on an
+/// incarnation that no report has shown: it reads the deadline by its own clock, held them for the longest
+/// lease, and their tasks started elsewhere meanwhile.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_restarts_are_not_noticed() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_unnoticed_restarts(), acts)
+    }
+    check("unnoticed restarts", UNNOTICED_SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+/// The same while a new owner may find the registrations of earlier incarnations, and is told of the end of
+/// one by a list of hosts that was read before the next one started. Guards against counting the usual
+/// lease, or none, for the orders of a predecessor to an incarnation that its successor does not know.
+#[test]
+fn no_task_runs_twice_or_is_lost_when_successors_do_not_know_of_restarts() {
+    fn run(acts: Vec<(u8, u8, u8)>) -> bool {
+        holds(Simulation::new().with_unnoticed_restarts().with_uninformed_successors(), acts)
+    }
+    check("unknown restarts", UNNOTICED_SCHEDULES, run as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
 /// A fleet owner notifies the newest owner of workers that have ended, late and repeatedly, while they
 /// are down for a while, back under their ids, or cut off. Guards against taking the end of one
 /// incarnation for that of the next: its tasks were started elsewhere beside their runs, or it was
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -41,6 +41,7 @@
 mod slow_takeover;
 mod submissions;
 mod takeover;
+mod unnoticed_restarts;
 mod waiting;
 
 use faults::WorkerFaults;
@@ -48,6 +49,7 @@
 use outages::{LongPoll, Outages};
 use predecessor::EarlierOrders;
 use slow_takeover::SlowTakeovers;
+use unnoticed_restarts::UnnoticedRestarts;
 use waiting::WaitingTasks;
 
 /// Time between two steps of the simulation, in milliseconds.
@@ -115,6 +117,14 @@
     Notice { owner: usize, ended: Vec<Incarnation> },
     /// A worker that is down starts again under its id.
     Restart(WorkerId),
+    /// A worker that is down starts again under its id, and registers after this time.
+    Return(WorkerId, u64),
+    /// The registration of an incarnation that started then reaches the owners.
+    Register(WorkerId, Millis),
+    /// Owners learn that a worker is dead by a list that was read when there had been so many of them.
+    OldList(Incarnation, usize),
+    /// A worker can't be reached for this time.
+    CutOff(WorkerId, u64),
     /// A worker joins.
     Join,
     /// The workers of a rack go dark for this time.
@@ -221,6 +231,8 @@
     fleet: Option<FleetOwner>,
     /// Slow takeovers, in schedules with them.
     slow: Option<SlowTakeovers>,
+    /// Workers whose restarts are not noticed at once, in schedules with them.
+    unnoticed: Option<UnnoticedRestarts>,
     /// Long-running tasks that wait, and what disturbed the pool.
     waiting: WaitingTasks,
     pub violations: Vec<String>,
@@ -293,6 +305,7 @@
             outages: None,
             fleet: None,
             slow: None,
+            unnoticed: None,
             waiting: WaitingTasks::default(),
             violations: Vec::new(),
         };
@@ -358,7 +371,7 @@
         self.incarnations += 1;
         let id = format!("w{}", self.incarnations).parse().unwrap();
         let capacity = self.next_capacity();
-        let mut incarnation = WorkerIncarnation::new(self.incarnations * 10_000, capacity);
+        let mut incarnation = WorkerIncarnation::new(self.clock_offset(), capacity);
         incarnation.born = self.restarting.then_some(Millis(self.now + self.incarnations));
         self.workers.insert(id, incarnation);
         self.list();
@@ -388,7 +401,8 @@
         };
         let dark = self.outages.iter().flat_map(Outages::infos);
         let down = self.fleet.iter().flat_map(|fleet| fleet.infos(self.now));
-        self.workers.iter().map(info).chain(dark).chain(down).collect()
+        let infos = self.workers.iter().map(info).chain(dark).chain(down).collect();
+        self.with_earlier_registrations(infos)
     }
 
     fn list(&mut self) {
--- a/reachhead_jobs/tests/random_schedules/simulation/acts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/acts.rs
@@ -29,8 +29,11 @@
         if self.faults.is_some() {
             return self.act_with_faults(kind, choice, span);
         }
-        let is_special =
-            self.ending || self.abandoning || self.cutting_zones || self.fleet.is_some();
+        let is_special = self.ending
+            || self.abandoning
+            || self.cutting_zones
+            || self.fleet.is_some()
+            || self.unnoticed.is_some();
         let kind = if is_special && choice % 4 == 0 { 13 } else { kind % 14 };
         self.perform(kind, choice, span);
         self.run(span % 700);
@@ -62,6 +65,8 @@
                 }
             }
             8 => self.cut_worker(choice, self.now + span),
+            // Late calls would reach the next incarnation of a worker, which is another fault.
+            9 | 11 if self.unnoticed.is_some() => self.restart_unnoticed(choice / 4, span),
             9 if self.fleet.is_some() => self.crash_for_a_while(choice, span),
             9 => {
                 if let Some(id) = self.pick(choice) {
@@ -72,6 +77,7 @@
             10 => self.lose_next = choice % 8,
             11 => self.delay_next = choice % 8,
             12 => self.drain_and_take(choice),
+            _ if self.unnoticed.is_some() => self.restart_unnoticed(choice / 4, span),
             _ if self.ending => self.end_owners(choice / 4, span),
             _ if self.abandoning => self.abandon_takeovers(choice, span),
             _ if self.cutting_zones => self.cut_zone(choice, span),
--- a/reachhead_jobs/tests/random_schedules/simulation/faults.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/faults.rs
@@ -295,7 +295,7 @@
 
     /// Returns how a run behaves that the worker starts now.
     pub(super) fn behavior(&mut self, id: &WorkerId, order: &StartOrder) -> TaskBehavior {
-        let time = (!self.is_long_running(&order.task)).then_some(TASK_TIME);
+        let time = (!self.is_long_running(&order.task)).then(|| self.duration(&order.task));
         let healthy = TaskBehavior { time, fails: false, crashes: false };
         match self.fault_of(id) {
             Some(WorkerFault::Failing) => {
@@ -311,6 +311,11 @@
         }
     }
 
+    fn duration(&self, task: &TaskId) -> u64 {
+        let plan = self.jobs.get(&task.job);
+        plan.map_or(TASK_TIME, |plan| plan.steps[task.step as usize].estimate.0)
+    }
+
     /// Removes the progress of hung runs from a report.
     pub(super) fn hide_progress(&self, report: &mut WorkerReport) {
         let Some(faults) = &self.faults else { return };
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -8,9 +8,7 @@
 
 use super::{
     Answer, Event, LongPoll, MAX_SCAN_DELAY, MIN_UNDISTURBED_TIME, NETWORK_DELAY,
-    REPLACEMENT_DELAY, Simulation, StoredRow, WorkerIncarnation,
-    outages::{CALL_TIMEOUT, failure},
-    pool_name,
+    REPLACEMENT_DELAY, Simulation, StoredRow, WorkerIncarnation, outages::failure, pool_name,
 };
 
 /// Number of messages that are lost in a row from which on a loss counts as a cut of the network.
@@ -51,10 +49,7 @@
                     None => return,
                 },
             };
-            self.push(
-                self.poll_wait(&action) + CALL_TIMEOUT,
-                Event::Answer { owner: index, answer },
-            );
+            self.push(self.call_timeout(&action), Event::Answer { owner: index, answer });
         }
         self.push(
             NETWORK_DELAY + delay,
@@ -69,7 +64,9 @@
             }
             match entry.remove() {
                 Event::Order { owner, action, sent, answered } => {
-                    if self.fail_dark_call(owner, &action, sent, answered) {
+                    if self.fail_dark_call(owner, &action, sent, answered)
+                        || self.hold_up_call(owner, &action, sent, answered)
+                    {
                         continue;
                     }
                     if let Some(poll) = self.long_poll(owner, &action, sent, answered) {
@@ -93,6 +90,10 @@
                 Event::Dead(ended) => self.report_dead(&ended),
                 Event::Notice { owner, ended } => self.notify_of_ends(owner, ended),
                 Event::Restart(id) => self.restart_after_crash(id),
+                Event::Return(id, delay) => self.return_unnoticed(id, delay),
+                Event::Register(id, born) => self.register(&id, born),
+                Event::OldList(ended, reader) => self.report_old_list(&ended, reader),
+                Event::CutOff(id, time) => self.cut_off(id, time),
                 Event::Join => self.add_worker(),
                 Event::DarkenRack(rack, dark_time) => self.darken_rack(rack, dark_time),
                 Event::Replace(id) => self.replace(&id),
@@ -114,12 +115,14 @@
         let Action::Hold(target, order) = action else { return None };
         let cut = self.owners[owner].workers_cut.get(&target.id);
         let is_cut = cut.is_some_and(|until| *until > self.now);
-        if is_cut || self.poll_wait(action) == 0 || !self.workers.contains_key(&target.id) {
+        let incarnation = self.workers.get(&target.id)?;
+        if is_cut || self.poll_wait(action) == 0 {
             return None;
         }
+        let born = incarnation.born;
         let (target, order) = (target.clone(), *order);
         let until = self.now + order.wait.0;
-        Some(LongPoll { owner, target, order, sent, answered, until })
+        Some(LongPoll { owner, target, order, born, sent, answered, until })
     }
 
     fn carry_out(&mut self, owner: usize, action: &Action, sent: Tick) -> Option<Answer> {
@@ -208,7 +211,7 @@
         self.push(REPLACEMENT_DELAY, Event::Join);
     }
 
-    fn report_dead(&mut self, ended: &Incarnation) {
+    pub(super) fn report_dead(&mut self, ended: &Incarnation) {
         let now = self.now;
         for owner in self.owners.iter_mut().filter(|owner| owner.alive && owner.paused_until <= now)
         {
--- a/reachhead_jobs/tests/random_schedules/simulation/outages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/outages.rs
@@ -90,6 +90,9 @@
     pub(super) fn timeouts(&self) -> PoolTimeouts {
         match &self.outages {
             _ if self.slow.is_some() => self.slow_timeouts(),
+            _ if self.unnoticed.is_some() => {
+                PoolTimeouts { hold: LEASE, wait: POLL_WAIT, ..timeouts() }
+            }
             Some(_) => PoolTimeouts { hold: LEASE, wait: POLL_WAIT, ..timeouts() },
             None => timeouts(),
         }
@@ -173,11 +176,15 @@
     /// Returns how long a call waits at its worker, in milliseconds.
     pub(super) fn poll_wait(&self, action: &Action) -> u64 {
         match action {
-            Action::Hold(_, order) if self.outages.is_some() || self.slow.is_some() => order.wait.0,
+            Action::Hold(_, order) if self.has_long_polls() => order.wait.0,
             _ => 0,
         }
     }
 
+    const fn has_long_polls(&self) -> bool {
+        self.outages.is_some() || self.slow.is_some() || self.unnoticed.is_some()
+    }
+
     /// Sends the failure of a call to a worker that has gone dark, and returns whether it has.
     pub(super) fn fail_dark_call(
         &mut self,
@@ -204,7 +211,10 @@
 
     /// Continues a long poll until a run has ended or its wait is over.
     pub(super) fn continue_poll(&mut self, poll: LongPoll) {
-        let LongPoll { owner, target, order, sent, answered, until } = poll;
+        if self.fail_unnoticed_poll(&poll) {
+            return;
+        }
+        let LongPoll { owner, target, order, born, sent, answered, until } = poll;
         let now = self.now;
         let is_silent = self.is_silent(&target.id);
         let result = match self.workers.get_mut(&target.id).filter(|_| !is_silent) {
@@ -227,7 +237,8 @@
         };
         let has_result = !matches!(&result, Ok(report) if report.ended.is_empty());
         if !has_result && now < until {
-            let poll = LongPoll { owner, target, order, sent, answered, until };
+            let order = self.rest_of_poll(order);
+            let poll = LongPoll { owner, target, order, born, sent, answered, until };
             self.push(STEP, Event::LongPoll(poll));
         } else if answered {
             let mut result = result;
@@ -250,6 +261,8 @@
     pub owner: usize,
     pub target: WorkerTarget,
     pub order: HoldOrder,
+    /// Start of the incarnation that has received it.
+    pub born: Option<Millis>,
     pub sent: Tick,
     /// The answer gets back.
     pub answered: bool,
--- a/reachhead_jobs/tests/random_schedules/simulation/plans.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/plans.rs
@@ -39,6 +39,12 @@
     Arc::new(Plan { payload: "x".into(), steps, schedule: None })
 }
 
+/// Returns a job whose tasks last for this time.
+pub(super) fn lasting_plan(count: u32, time: Millis) -> Arc<Plan> {
+    let step = Step { count, need: need(), estimate: time, ..Step::default() };
+    Arc::new(Plan { payload: "x".into(), steps: vec![step], schedule: None })
+}
+
 /// Label of some workers.
 pub(super) const LABEL: &str = "fast";
 
--- a/reachhead_jobs/tests/random_schedules/simulation/predecessor.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/predecessor.rs
@@ -157,14 +157,14 @@
     }
 
     /// Ends the newest owner, and returns that it has ended.
-    fn kill_owner(&mut self) -> bool {
+    pub(super) fn kill_owner(&mut self) -> bool {
         self.newest().alive = false;
         true
     }
 
     /// Lets the newest owner give the pool back, if it runs and reaches the store. Returns whether it
     /// has certainly ended.
-    fn release_pool(&mut self) -> bool {
+    pub(super) fn release_pool(&mut self) -> bool {
         let now = self.now;
         let owner = self.newest();
         if !owner.alive || owner.paused_until > now || owner.store_cut_until > now {
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -88,6 +88,7 @@
             rejected_until: 0,
             owner_since: self.now,
         });
+        self.inform_successor();
         self.disturb();
         self.list();
     }
