Test of a worker's end that is reported to a successor, which fails

A successor took the end of a worker, by a list of hosts that was read while the worker was down, as proof that nothing of its predecessor was left there: `end_unhosted` keeps unreported runs of this owner only, and drops what is pending.

The message does not say when the list was read, so the two cases look alike.

--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -256,3 +256,16 @@
     }
     assert_about(fixture.now.since(begun), timeouts().grant);
 }
+
+/// A successor took the end of a worker, known from a list of hosts that was read while the worker was down,
+/// as proof that nothing of its predecessor was left there. The next incarnation, which was not registered
+/// yet, had got an order of the predecessor, and could not be reached.
+#[test]
+fn the_end_of_a_worker_tells_a_successor_nothing_about_its_next_incarnation() {
+    let found = recovered(vec![(1, vec![step(1)])], vec![("w", None)]);
+    let mut fixture = Fixture::new(found, vec![listed("w", OLD_START)]);
+    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
+    fixture.pool.worker_unhosted(&ended, fixture.now);
+    add_other(&mut fixture);
+    assert_about(wait_for_move(&mut fixture), Millis(timeouts().trust.0 + timeouts().grant.0));
+}
