Record restarts that are not registered yet in the roster

Cause: a successor knows an incarnation by the registration alone until the worker answers. That of an earlier incarnation is old, so `was_young` counted the usual lease for orders which the new one holds for its longest lease, and the end of the earlier incarnation ended the wait. The owner before it had mostly noticed the restart: a clock that is behind in the answer to a start is followed by a poll at once.

An owner that gets the report of an incarnation later than the registered one writes its start to the worker's roster row. A successor takes the worker for that incarnation: it counts the longest lease while it is young, and ignores reports, registrations and ends of the earlier one. Restarts that the registration shows are not written, and a start stays in its row until the next one, so that a zone that restarts costs no writes. Earlier releases ignore the field.

Open: an owner that ends before the row is written, about two round trips and a write after the first order on the new incarnation.

--- a/reachhead_jobs/src/pool/recover.rs
+++ b/reachhead_jobs/src/pool/recover.rs
@@ -179,7 +179,7 @@
             };
             let info = WorkerInfo {
                 id: entry.worker.clone(),
-                started_at: None,
+                started_at: entry.started_at,
                 pool: self.name.clone(),
                 address: entry.address,
                 zone: unknown_zone(),
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -73,6 +73,8 @@
             worker.begin_incarnation(now, self.timeouts.grant);
         }
         self.review = true;
+        // A successor may read the registration of the old one.
+        self.roster.next = now;
         self.note(
             NoteKind::WorkerDoubted,
             format!(
--- a/reachhead_jobs/src/pool/roster.rs
+++ b/reachhead_jobs/src/pool/roster.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock::Tick,
     pool::{Batch, Lane, Pool, settled::Settlement},
+    ports::WorkerInfo,
     record::{
         Roster, RosterEntry, lease_key, roster_key, roster_worker, settled_key, value,
         whole_roster_key,
@@ -257,14 +258,21 @@
         now: Tick,
     ) -> RosterEntry {
         let is_unreachable = worker.silent && now.since(worker.silent_since) >= CLOSE_DELAY;
-        let closed = known.and_then(|known| known.entry.as_ref()).and_then(|entry| entry.closed);
+        let known = known.and_then(|known| known.entry.as_ref());
+        let closed = known.and_then(|entry| entry.closed);
         let closed = match closed {
             // A closed worker stays closed until it answers.
             Some(closed) if worker.silent || !worker.answered => Some(closed),
             _ if is_unreachable && worker.answered => Some(self.newest_row()),
             _ => None,
         };
-        RosterEntry { worker: worker.info.id.clone(), address: worker.info.address, closed }
+        // A start that was recorded stays until the next one, as removing it would be another write.
+        let started_at = match worker.unregistered_start() {
+            None => known.and_then(|entry| entry.started_at),
+            started_at => started_at,
+        };
+        let WorkerInfo { id, address, .. } = &worker.info;
+        RosterEntry { worker: id.clone(), address: *address, closed, started_at }
     }
 
     fn newest_row(&self) -> Revision {
--- a/reachhead_jobs/src/record.rs
+++ b/reachhead_jobs/src/record.rs
@@ -177,6 +177,11 @@
     /// revision than this were never started there.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub closed: Option<Revision>,
+    /// Start of its incarnation, in milliseconds since 1970, if the owner noticed a restart before the
+    /// worker was registered again. A successor reads the registration of the earlier incarnation by then. See
+    /// [docs/design/restarted-workers.md](../../docs/design/restarted-workers.md).
+    #[serde(rename = "born", default, skip_serializing_if = "Option::is_none")]
+    pub started_at: Option<Millis>,
 }
 
 /// Roster of a pool in a single row, as an earlier release kept it.
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -423,6 +423,11 @@
         self.started_at.max(self.info.started_at)
     }
 
+    /// Returns when its incarnation started, if the registration is that of an earlier one.
+    pub fn unregistered_start(&self) -> Option<Millis> {
+        self.started_at.filter(|_| is_newer(self.started_at, self.info.started_at))
+    }
+
     /// Returns the latest incarnation known to have ended, if the worker is dead. Before its first
     /// answer the start is known from its registration or from the report of its end alone.
     pub fn latest_ended(&self) -> Incarnation {
@@ -771,7 +776,7 @@
     pub fn obstacle(&self, now: Tick) -> Option<Obstacle> {
         let checks = [
             (!self.listed, Obstacle::Unlisted),
-            (is_newer(self.started_at, self.info.started_at), Obstacle::Unregistered),
+            (self.unregistered_start().is_some(), Obstacle::Unregistered),
             (!self.answered, Obstacle::Unanswered),
             (self.silent, Obstacle::Silent),
             (!self.rostered, Obstacle::Unrostered),
--- a/reachhead_jobs/tests/pool/fixture.rs
+++ b/reachhead_jobs/tests/pool/fixture.rs
@@ -105,6 +105,7 @@
             worker: worker(name),
             address: "127.0.0.1:1".parse().unwrap(),
             closed: closed.map(Revision),
+            started_at: None,
         };
         (worker(name), StoredWorker { entry: Some(entry), revision: Some(Revision(1)) })
     };
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -26,6 +26,7 @@
 mod pace;
 mod poll_budget;
 mod quota;
+mod recorded_restart;
 mod records;
 mod recover;
 mod recovering;
--- a/reachhead_jobs/tests/pool/roster.rs
+++ b/reachhead_jobs/tests/pool/roster.rs
@@ -88,6 +88,7 @@
         worker: worker(name),
         address: "127.0.0.1:1".parse().unwrap(),
         closed: closed.map(Revision),
+        started_at: None,
     };
     let whole = Roster { workers: vec![entry("a", None), entry("b", Some(5))] };
     let row = |key, value, revision| Row { key, value, revision: Revision(revision) };
@@ -112,8 +113,12 @@
 /// wait.
 #[test]
 fn an_unreadable_roster_row_blocks_recovered_tasks_and_loses_no_other_row() {
-    let good =
-        RosterEntry { worker: worker("a"), address: "127.0.0.1:1".parse().unwrap(), closed: None };
+    let good = RosterEntry {
+        worker: worker("a"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        closed: None,
+        started_at: None,
+    };
     let key = |name: &str| roster_key(&pool_name(), &worker(name));
     let rows = [
         Row { key: key("a"), value: value(&good), revision: Revision(3) },
--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -204,7 +204,7 @@
         Arc::<Workers>::clone(&workers) as Arc<dyn WorkerAgent>,
     );
     let address = "127.0.0.1:1".parse().unwrap();
-    let entry = RosterEntry { worker: worker(), address, closed: None };
+    let entry = RosterEntry { worker: worker(), address, closed: None, started_at: None };
     let txn = Txn::new().with_write(roster_key(&pool(), &worker()), value(&entry));
     assert!(matches!(store.commit(txn).await, Ok(Commit::Done(_))));
     (node, store, workers)
