Judge the crash of a worker once, by all of its runs

Cause: since the end of a worker ends only the runs that a report has listed, `end_reported_runs` judged the crash by these, without the task whose start had not been reported. That was a death which no starting task explains. The starting task was judged later, as `Unproven`. The log shows each death twice, first with `fresh=0`.

The end of an incarnation is now judged when it is first applied, by all runs of the worker. What is removed later, with its death or the next incarnation, is not judged again.

Evidence: `workers_that_a_starting_task_crashes_beside_reported_runs_are_no_outage` failed before with the notes of that log, and passes. The other tests of the owner's state machine pass.

--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -97,9 +97,6 @@
             worker.started_at.is_some() && !is_over && !tasks.is_empty()
         });
         if may_run_unnoticed {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.ended = true;
-            }
             self.end_reported_runs(id, now);
         } else {
             self.worker_died(id, DeathEvidence::Unhosted, now);
@@ -122,21 +119,20 @@
         is_known || self.workers_listed
     }
 
-    /// Removes the runs of a worker's known incarnation, which has ended.
+    /// Removes the runs of a worker's known incarnation, which has ended. The others may have caused its
+    /// end, so the crash is judged by all of them, and not again once they are over.
     fn end_reported_runs(&mut self, id: &WorkerId, now: Tick) {
-        let Some(mut ended) = self.workers.get(id).cloned() else {
+        let Some(known) = self.workers.get_mut(id).filter(|worker| !worker.ended) else {
             return;
         };
-        for task in self.unreported_tasks(&ended) {
-            ended.release(task);
-        }
-        if ended.runs.is_empty() {
-            return;
-        }
-        self.log_crash(&ended, now);
-        let suspects = self.suspects_of_death(&ended, now);
-        for (task, charge) in &ended.runs {
-            self.remove_run(id, *task, charge.run);
+        let worker = known.clone();
+        known.ended = true;
+        let suspects = self.judge_crash(&worker, now);
+        let unreported = self.unreported_tasks(&worker);
+        for (task, charge) in &worker.runs {
+            if !unreported.contains(task) {
+                self.remove_run(id, *task, charge.run);
+            }
         }
         for suspect in suspects {
             self.count_crash(suspect, now);
@@ -144,6 +140,16 @@
         self.review = true;
     }
 
+    /// Logs the crash of a worker and returns the tasks that may have caused it; none if the crash has been
+    /// judged before.
+    pub(super) fn judge_crash(&mut self, worker: &Worker, now: Tick) -> Vec<CrashSuspect> {
+        if worker.ended {
+            return Vec::new();
+        }
+        self.log_crash(worker, now);
+        self.suspects_of_death(worker, now)
+    }
+
     /// Returns the worker's tasks that no report has listed.
     pub(super) fn unreported_tasks(&self, worker: &Worker) -> Vec<TaskId> {
         let is_unreported =
@@ -171,15 +177,13 @@
                 worker.info.started_at
             ),
         );
-        if !worker.runs.is_empty() {
-            self.log_crash(&worker, now);
-        }
-        // A worker that is merely unreachable did not crash because of its tasks.
         let suspects = match evidence {
-            DeathEvidence::OffList => Vec::new(),
-            DeathEvidence::Replaced | DeathEvidence::Unhosted => {
-                self.suspects_of_death(&worker, now)
+            // A worker that is merely unreachable did not crash because of its tasks.
+            DeathEvidence::OffList => {
+                self.log_crash(&worker, now);
+                Vec::new()
             }
+            DeathEvidence::Replaced | DeathEvidence::Unhosted => self.judge_crash(&worker, now),
         };
         for (task, charge) in &worker.runs {
             self.remove_run(id, *task, charge.run);
@@ -193,7 +197,7 @@
 
     /// Returns the tasks that may have caused the death of a worker, and recognizes outages. A worker
     /// that ends by planned work was not crashed by its tasks.
-    pub(super) fn suspects_of_death(&mut self, worker: &Worker, now: Tick) -> Vec<CrashSuspect> {
+    fn suspects_of_death(&mut self, worker: &Worker, now: Tick) -> Vec<CrashSuspect> {
         // A planned end may be noticed long after the cordon, but the worker has not answered since.
         if worker.info.draining || worker.cordoned_until > worker.last_contact {
             return Vec::new();
@@ -338,7 +342,10 @@
 
     /// Logs a crash with the runs that were still starting, since starting one of them may have
     /// caused it.
-    pub(super) fn log_crash(&mut self, worker: &Worker, now: Tick) {
+    fn log_crash(&mut self, worker: &Worker, now: Tick) {
+        if worker.runs.is_empty() {
+            return;
+        }
         let fresh = self.starting_tasks(worker);
         let named: Vec<String> = fresh
             .iter()
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -45,11 +45,8 @@
         for task in kept {
             worker.release(task);
         }
-        if !worker.runs.is_empty() {
-            self.log_crash(&worker, now);
-        }
         let runs = worker.runs.clone();
-        let suspects = self.suspects_of_death(&worker, now);
+        let suspects = self.judge_crash(&worker, now);
         for (task, charge) in runs {
             if !self.bar_run(task, id) {
                 self.remove_run(id, task, charge.run);
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -190,7 +190,7 @@
     /// When its address last changed, after a restart. Calls that were sent before went to the old one.
     pub moved_at: Option<Tick>,
     /// Its known incarnation has ended, and it is kept until runs of a later one have expired that may have
-    /// started unnoticed. Counts only while it is reported to have no host.
+    /// started unnoticed. Counts only while it is reported to have no host. Its crash was judged then.
     pub ended: bool,
     /// When it last answered a call.
     pub last_contact: Tick,
--- a/reachhead_jobs/tests/pool/crash_evidence.rs
+++ b/reachhead_jobs/tests/pool/crash_evidence.rs
@@ -2,12 +2,16 @@
 
 use reachhead_jobs::{
     crashes::{CrashRole, Crashes},
+    incarnation::Incarnation,
     model::Step,
-    pool::{DeathEvidence, JobState},
-    ports::WorkerError,
+    pool::{DeathEvidence, JobState, NoteKind},
+    ports::{WorkerError, WorkerInfo},
     record::Ending,
 };
-use reachhead_types::id::{JobId, WorkerId};
+use reachhead_types::{
+    id::{JobId, WorkerId},
+    size::Millis,
+};
 
 use crate::fixture::{Fixture, info, recovered, step, task, worker};
 
@@ -241,6 +245,49 @@
     assert_eq!((crashes.own, crashes.unproven), (1, 0));
 }
 
+/// The end of a worker ends the runs that a report has listed at once, and the others later. Guards against
+/// taking the first part for a death that no starting task explains: three of them were an outage, in which
+/// the crashes by a task counted as chance, and it took down one worker after the other.
+#[test]
+fn workers_that_a_starting_task_crashes_beside_reported_runs_are_no_outage() {
+    let listed = |cores| {
+        let listed = |name| WorkerInfo { started_at: Some(Millis(1)), ..info(name, cores) };
+        ["w0", "w1", "w2"].map(listed).to_vec()
+    };
+    let mut fixture = Fixture::ready(listed(1));
+    fixture.submit_and_start(2, vec![step(3)]);
+    let working: Vec<WorkerId> = fixture.running.keys().cloned().collect();
+    assert_eq!(working.len(), 3);
+    for id in &working {
+        let run = fixture.running[id][0].clone();
+        fixture.set_running(id, run.task, run.run.0, 30);
+    }
+    fixture.infos = listed(2);
+    fixture.list();
+    report_all(&mut fixture);
+    fixture.submit(1, vec![step(3)]);
+    let tried = fail_starts(&mut fixture, &WorkerError::Lost("no answer".to_owned()));
+    assert_eq!(tried.len(), 3);
+    for id in &tried {
+        let ended = Incarnation::new(id.clone()).with_start(Some(Millis(1)));
+        fixture.fail_poll(id);
+        fixture.pool.worker_unhosted(&ended, fixture.now);
+    }
+    for id in &tried {
+        fixture.advance(100);
+        fixture.refuse_connection(id);
+    }
+    assert!(tried.iter().all(|id| !fixture.pool.workers().contains_key(id)));
+    let notes = fixture.pool.take_notes();
+    assert!(notes.iter().all(|note| note.kind != NoteKind::WorkerOutage), "{notes:?}");
+    let crashed = notes.iter().filter(|note| note.kind == NoteKind::WorkerCrashed).count();
+    assert_eq!(crashed, 3, "each crash is logged once: {notes:?}");
+    let tasks = &fixture.pool.jobs()[&JobId(1)].steps[&task(1, 0, 0).step_id()].tasks;
+    for state in tasks {
+        assert_eq!((state.crashes.own, state.crashes.total, state.crashes.unproven), (1, 1, 0));
+    }
+}
+
 /// Guards against more lost workers than three by a task whose first crash fell into an outage.
 #[test]
 fn an_unproven_crash_counts_beside_two_of_the_task_alone() {
