Compute the effect of earlier orders at a moment that the caller passes

Cause: `election::order_effect` read the clock for the points in time, and the test read it again for the time that is left. A millisecond that passes in between is missing.

`order_effect` takes the moment as a parameter now, and each caller reads the clock once.

In `recovery::take_over` the moment is also that from which the lease is counted, which was read right after it. The process runs on one thread without a wait between the reading and the lock of the view, so no answer in the view is later than the moment. The lease counts from the same time or an instant earlier, which is the safe direction. `retakes::release` tells a time that is as long or an instant longer.

--- a/reachhead_node/src/earlier_owners_tests.rs
+++ b/reachhead_node/src/earlier_owners_tests.rs
@@ -25,11 +25,12 @@
     let earlier = serde_json::from_value(earlier).unwrap();
     node.view().update_lease(pool(), earlier, Revision(7), Tick(10));
     let known = node.view().leases[&pool()].clone();
-    let effect = election::order_effect(node, &pool(), Some(&known));
+    let now = node.now();
+    let effect = election::order_effect(node, &pool(), Some(&known), now);
     let record = LeaseRecord {
         owner: Some(node.settings.node.clone()),
         address: Some(node.settings.peer),
-        earlier: effect.earlier_owners(node.now()),
+        earlier: effect.earlier_owners(now),
         ..known.record
     };
     node.view().update_lease(pool(), record, Revision(9), Tick(20));
@@ -43,7 +44,7 @@
     let earlier: LeaseRecord = node.view().leases[&pool()].record.clone();
     let held =
         LeaseView { record: earlier, revision: Revision(9), since: Tick(20), taken_from: None };
-    let effect = election::order_effect(node, &pool(), Some(&held));
+    let effect = election::order_effect(node, &pool(), Some(&held), node.now());
     effect.open().is_empty()
 }
 
@@ -78,8 +79,9 @@
         let (node, store) = broken_node::node();
         let lease = lease::take(&node, &pool(), None, None).await.unwrap().unwrap();
         let fences = Arc::new(Fences::default());
-        let mut effect = election::order_effect(&node, &pool(), None);
-        effect.renew(node.now());
+        let now = node.now();
+        let mut effect = election::order_effect(&node, &pool(), None, now);
+        effect.renew(now);
         let handle = OwnerHandle::new(lease.revision).0;
         let fences_seen = Arc::clone(&fences);
         let earlier =
--- a/reachhead_node/src/election.rs
+++ b/reachhead_node/src/election.rs
@@ -340,10 +340,16 @@
     }
 }
 
-/// Returns until when orders of the previous owners may have effect on workers that do not answer. It has to be known before the lease is taken: afterwards a previous owner that goes on
-/// may no longer be reported.
-pub fn order_effect(node: &Node, pool: &PoolName, known: Option<&LeaseView>) -> OrderEffect {
-    let (view, settings, now) = (node.view(), &node.settings, node.now());
+/// Returns until when orders of the previous owners may have effect on workers that do not answer, for
+/// a process that takes the lease at `now`. It has to be known before the lease is taken: afterwards a
+/// previous owner that goes on may no longer be reported.
+pub fn order_effect(
+    node: &Node,
+    pool: &PoolName,
+    known: Option<&LeaseView>,
+    now: Tick,
+) -> OrderEffect {
+    let (view, settings) = (node.view(), &node.settings);
     let predecessor = known.map(|lease| view.predecessor(pool, lease, settings));
     let mut effect = order_effect::order_effect(&timeouts(node), predecessor, now);
     if let Some(lease) = known {
--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -169,7 +169,8 @@
 /// Returns how long a process that takes the pool now counts on orders of the owners before it.
 fn effect(node: &Node) -> Millis {
     let known = node.view().leases.get(&pool()).cloned();
-    order_effect(node, &pool(), known.as_ref()).longest(node.now())
+    let now = node.now();
+    order_effect(node, &pool(), known.as_ref(), now).longest(now)
 }
 
 /// Returns how long the leases of an owner last that gives no more orders.
--- a/reachhead_node/src/recovery.rs
+++ b/reachhead_node/src/recovery.rs
@@ -47,9 +47,9 @@
     policy: Option<PoolPolicy>,
     known: Option<LeaseView>,
 ) {
-    let effect = election::order_effect(&node, &pool, known.as_ref());
-    let counted = policy.is_some().then_some(&effect);
     let lease_sent_at = node.now();
+    let effect = election::order_effect(&node, &pool, known.as_ref(), lease_sent_at);
+    let counted = policy.is_some().then_some(&effect);
     let taking = Taking::new(&node, &pool);
     let lease = match lease::take(&node, &pool, known.as_ref(), counted).await {
         Ok(Some(lease)) => lease,
--- a/reachhead_node/src/retakes.rs
+++ b/reachhead_node/src/retakes.rs
@@ -80,8 +80,8 @@
 /// Releases the lease of a pool that this process held before it restarted, so that a peer takes it at
 /// once.
 pub async fn release(node: Arc<Node>, pool: PoolName, lease: LeaseView) {
-    let effect = election::order_effect(&node, &pool, Some(&lease));
     let now = node.now();
+    let effect = election::order_effect(&node, &pool, Some(&lease), now);
     log::info!(
         "pool={pool} released for peers, since other takeovers fill the link of this process"
     );
