Count an answer to a stop only at the incarnation that has got it

Cause: an answer to an order names no incarnation, but counted for the one that was known when it arrived. A run or a lost order is barred at the first new incarnation; if that one restarts while the order is under way, its answer confirmed the bar at the next one. Where it had been confirmed before, a run that no report lacked yet was removed as one that had ended with its worker, and the task started elsewhere before the next incarnation had a bar. The answer to a repeated start settled a run in the same way, although the first order was lost. And a start that was under way over two restarts was forgotten if the first new incarnation was found dead.

Fix: the result of a stop order comes with the time at which the order was sent, as that of a poll does. An answer settles a run or counts as a bar only if the order was sent after the present incarnation was noticed: then it is from that one, or from one whose restart is noticed later, which starts all bars anew. A run stays until it is barred for as long as one of its start orders may still be carried out, whatever an earlier incarnation has confirmed. An order of the same millisecond as the report of a restart counts as sent to the new incarnation, since a worker takes longer to start.

A task whose worker restarts while its start is under way waits for one more round trip to the worker.

--- a/reachhead_bench/src/jobs/site.rs
+++ b/reachhead_bench/src/jobs/site.rs
@@ -285,7 +285,7 @@
                 self.process_message(|pool, now| pool.started(&id, task, run, Ok(clock), now));
             }
             Event::StopConfirmed(id, task, run) => {
-                self.process_message(|pool, now| pool.stopped(&id, task, run, Ok(clock), now));
+                self.process_message(|pool, now| pool.stopped(&id, task, run, now, Ok(clock), now));
             }
             Event::Report(id, sent) => self.send_report(&id, sent),
             Event::PollExpired(id, number) => {
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -107,6 +107,7 @@
         // An order for a run that is not known any more was sent before that was removed.
         let sent = self.run_of(id, task, number).map(|run| run.ordered_at).unwrap_or_default();
         self.record_start(id, sent, &result, now);
+        let is_current = self.is_past_restart(id, sent);
         let Some(run) = self.run_of(id, task, number) else {
             if matches!(result, Err(WorkerError::Lost(_))) {
                 self.record_late_start(id, task, number, now);
@@ -126,7 +127,11 @@
                     run.phase = Phase::Working;
                     run.progressed_at = now;
                 }
-                run.settled_at = run.settled_at.or(Some(now));
+                // A lost copy of the order may still start the run on a later incarnation than the one
+                // that has confirmed it.
+                if is_current {
+                    run.settled_at = run.settled_at.or(Some(now));
+                }
                 self.mark_started(task.job);
                 if let Some(worker) = self.workers.get(id)
                     && self.awaits_report(worker)
@@ -164,7 +169,8 @@
                 self.actions.push(Action::Fenced);
             }
             // The run is barred there or has ended; the next report shows which.
-            Err(WorkerError::Rejected(Rejection::Old)) => run.settled_at = Some(now),
+            Err(WorkerError::Rejected(Rejection::Old)) if is_current => run.settled_at = Some(now),
+            Err(WorkerError::Rejected(Rejection::Old)) => run.retry_at = now,
             Err(WorkerError::Rejected(_)) if run.unconfirmed => {
                 run.phase = Phase::Stopping;
                 run.retry_at = now;
@@ -223,12 +229,19 @@
         }
     }
 
-    /// Applies the result of a stop order.
+    /// Returns whether a call that was sent at `sent` has certainly not reached an incarnation before the
+    /// present one of a known worker.
+    fn is_past_restart(&self, id: &WorkerId, sent: Tick) -> bool {
+        self.workers.get(id).is_some_and(|worker| worker.is_past_restart(sent))
+    }
+
+    /// Applies the result of a stop order that was sent at `sent`.
     pub fn stopped(
         &mut self,
         id: &WorkerId,
         task: TaskId,
         number: RunNumber,
+        sent: Tick,
         result: Result<WorkerTime, WorkerError>,
         now: Tick,
     ) {
@@ -243,9 +256,10 @@
         if result == Err(WorkerError::Rejected(Rejection::Fenced)) {
             self.actions.push(Action::Fenced);
         }
+        let is_current = self.is_past_restart(id, sent);
         let Some(run) = self.run_of(id, task, number) else {
             self.orphan_stopped(id, task, number, result.is_ok(), now);
-            self.bar_answered(id, task, number, result.is_ok(), now);
+            self.bar_answered(id, task, number, sent, result.is_ok(), now);
             return;
         };
         run.order_in_flight = false;
@@ -253,11 +267,13 @@
             // The run is barred permanently: it is gone once a report requested after this time
             // lacks it. The first confirmation counts, since the run is barred again while a poll
             // is in flight.
-            Ok(_) => {
+            Ok(_) if is_current => {
                 run.settled_at = run.settled_at.or(Some(now));
                 run.unconfirmed = false;
                 run.retry_at = now + STOP_RECHECK_PAUSE;
             }
+            // An earlier incarnation may have confirmed it, of which the present one knows nothing.
+            Ok(_) => run.retry_at = now,
             Err(_) => run.retry_at = now + ORDER_RETRY_PAUSE,
         }
     }
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::{Tick, WorkerTime},
-    job::Phase,
+    job::{Phase, Run},
     pool::{Action, NoteKind, Pool, PoolTimeouts, orders::ORDER_RETRY_PAUSE},
     ports::{WorkerReport, WorkerTarget},
     task::TaskId,
@@ -51,7 +51,7 @@
         let runs = worker.runs.clone();
         let suspects = self.suspects_of_death(&worker, now);
         for (task, charge) in runs {
-            if !self.bar_run(task, id) {
+            if !self.bar_run(task, id, now) {
                 self.remove_run(id, task, charge.run);
             }
         }
@@ -121,16 +121,20 @@
         }
     }
 
-    /// Applies the answer to an order that bars a run which is over.
+    /// Applies the answer to an order that bars a run which is over, and that was sent at `sent`. An earlier
+    /// incarnation may have answered if that was before the restart; the present one gets an order of its
+    /// own.
     pub(super) fn bar_answered(
         &mut self,
         id: &WorkerId,
         task: TaskId,
         run: RunNumber,
+        sent: Tick,
         confirmed: bool,
         now: Tick,
     ) {
-        if let Some(worker) = self.workers.get_mut(id) {
+        if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.is_past_restart(sent))
+        {
             let retry = Bar::Due(now + ORDER_RETRY_PAUSE);
             worker.set_bar(task, run, if confirmed { Bar::Confirmed } else { retry });
         }
@@ -140,7 +144,10 @@
     pub(super) fn keep_late_calls(&mut self, worker: &Worker, now: Tick) {
         let under_way = worker.runs.iter().filter(|(task, _)| {
             let run = self.run_on(worker, **task);
-            run.is_some_and(|run| run.phase == Phase::Ordered && run.order_in_flight)
+            // The start of a barred run may have been under way since before an earlier restart.
+            run.is_some_and(|run| {
+                run.order_in_flight && (run.phase == Phase::Ordered || run.barred)
+            })
         });
         let under_way = under_way.map(|(task, charge)| {
             let Charge { run, amount } = *charge;
@@ -176,11 +183,18 @@
         }
     }
 
-    /// Bars a run whose start order may still arrive, and returns whether there was one.
-    fn bar_run(&mut self, id: TaskId, worker: &WorkerId) -> bool {
+    /// Bars a run whose start order may still arrive, and returns whether there was one. What the previous
+    /// incarnation has barred may still start on the next one.
+    fn bar_run(&mut self, id: TaskId, worker: &WorkerId, now: Tick) -> bool {
+        let known = self.workers.get(worker);
         let task = self.jobs.get_mut(&id.job).and_then(|job| job.task(id));
         let run = task.and_then(|task| task.runs.iter_mut().find(|run| run.worker == *worker));
-        let Some(run) = run.filter(|run| run.settled_at.is_none() || run.unconfirmed) else {
+        let may_arrive = |run: &Run| {
+            run.settled_at.is_none()
+                || run.unconfirmed
+                || known.is_some_and(|known| known.may_start_late(id, run.number, now))
+        };
+        let Some(run) = run.filter(|run| may_arrive(run)) else {
             return false;
         };
         run.barred = true;
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -521,6 +521,19 @@
         }
     }
 
+    /// Returns whether a call that was sent at `sent` has certainly not reached an incarnation before the
+    /// present one. A worker takes longer than a tick to start, so this holds for calls of the tick in which
+    /// the present one was noticed.
+    pub fn is_past_restart(&self, sent: Tick) -> bool {
+        self.restarted_at.is_none_or(|restarted| restarted <= sent)
+    }
+
+    /// Returns whether an order to start the run had no answer and may still be carried out.
+    pub fn may_start_late(&self, task: TaskId, run: RunNumber, now: Tick) -> bool {
+        let is_meant = |lost: &LostOrder| (lost.task, lost.run) == (task, run);
+        self.lost_orders.iter().any(|lost| is_meant(lost) && now.since(lost.at) < MAX_ORDER_DELAY)
+    }
+
     /// Returns whether a call that was sent at `sent` and ended at `at` was meant for the previous
     /// incarnation.
     fn is_for_previous(&self, sent: Tick, at: Tick) -> bool {
--- a/reachhead_jobs/tests/pool/arbitrary_inputs.rs
+++ b/reachhead_jobs/tests/pool/arbitrary_inputs.rs
@@ -164,7 +164,7 @@
                 if result.is_ok() {
                     self.fixture.end(&target.id, task, run.0, RunEnd::Stopped);
                 }
-                self.fixture.pool.stopped(&target.id, task, run, result, now);
+                self.fixture.pool.stopped(&target.id, task, run, now, result, now);
             }
             Action::Hold(target, _) if result.is_ok() => self.fixture.report(&target.id),
             Action::Hold(target, _) => {
--- a/reachhead_jobs/tests/pool/ended_incarnation.rs
+++ b/reachhead_jobs/tests/pool/ended_incarnation.rs
@@ -178,7 +178,7 @@
     for task in [task(1, 0, 0), task(2, 0, 0)] {
         let (run, replaced) = (RunNumber(1), || Err(WorkerError::Replaced));
         fixture.pool.started(&worker("w"), task, run, replaced(), fixture.now);
-        fixture.pool.stopped(&worker("w"), task, run, replaced(), fixture.now);
+        fixture.pool.stopped(&worker("w"), task, run, fixture.now, replaced(), fixture.now);
     }
     assert!(fixture.pool.workers().contains_key(&worker("w")), "orders");
     fixture.report(&worker("w"));
--- a/reachhead_jobs/tests/pool/late_calls.rs
+++ b/reachhead_jobs/tests/pool/late_calls.rs
@@ -123,7 +123,7 @@
     fixture.advance(200);
     assert_eq!(fixture.stops(), [(id.clone(), task(1, 0, 0))]);
     let clock = fixture.clock();
-    fixture.pool.stopped(&id, order.task, order.run, Ok(clock), fixture.now);
+    fixture.pool.stopped(&id, order.task, order.run, fixture.now, Ok(clock), fixture.now);
     fixture.advance(100);
     fixture.report(&id);
     restart(&mut fixture, "w");
--- a/reachhead_jobs/tests/pool/late_orders_after_death.rs
+++ b/reachhead_jobs/tests/pool/late_orders_after_death.rs
@@ -145,12 +145,19 @@
     for _ in 0..3 {
         assert_eq!(stops(&mut fixture), [bar()]);
         assert_eq!(stops(&mut fixture), [], "the answer is outstanding");
-        fixture.pool.stopped(&worker("w"), order.task, order.run, Err(lost()), fixture.now);
+        fixture.pool.stopped(
+            &worker("w"),
+            order.task,
+            order.run,
+            fixture.now,
+            Err(lost()),
+            fixture.now,
+        );
         fixture.advance(100);
     }
     assert_eq!(stops(&mut fixture), [bar()]);
     let clock = fixture.clock();
-    fixture.pool.stopped(&worker("w"), order.task, order.run, Ok(clock), fixture.now);
+    fixture.pool.stopped(&worker("w"), order.task, order.run, fixture.now, Ok(clock), fixture.now);
     fixture.advance(100);
     assert_eq!(stops(&mut fixture), []);
 }
@@ -165,7 +172,14 @@
         list_again(&mut fixture, SECOND_START + incarnation);
         assert_eq!(stops(&mut fixture), [(worker("w"), order.task, order.run)]);
         let clock = fixture.clock();
-        fixture.pool.stopped(&worker("w"), order.task, order.run, Ok(clock), fixture.now);
+        fixture.pool.stopped(
+            &worker("w"),
+            order.task,
+            order.run,
+            fixture.now,
+            Ok(clock),
+            fixture.now,
+        );
     }
 }
 
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -5,6 +5,7 @@
 mod advice;
 mod arbitrary_inputs;
 mod balance;
+mod bars;
 mod candidate;
 mod capacity;
 mod crash;
--- a/reachhead_jobs/tests/pool/orphans.rs
+++ b/reachhead_jobs/tests/pool/orphans.rs
@@ -175,7 +175,14 @@
     assert_eq!(fixture.stops(), [(worker("w"), task(1, 0, 0))]);
     fixture.submit(1, vec![step(1)]);
     let clock = fixture.clock();
-    fixture.pool.stopped(&worker("w"), task(1, 0, 0), RunNumber(3), Ok(clock), fixture.now);
+    fixture.pool.stopped(
+        &worker("w"),
+        task(1, 0, 0),
+        RunNumber(3),
+        fixture.now,
+        Ok(clock),
+        fixture.now,
+    );
     for _ in 0..5 {
         assert!(fixture.starts().is_empty(), "the stopped run has not ended");
         fixture.report(&worker("w"));
@@ -195,7 +202,14 @@
     fixture.report(&worker("w"));
     assert!(fixture.stops().is_empty(), "the order is in flight");
     let lost = WorkerError::Lost("no answer".to_owned());
-    fixture.pool.stopped(&worker("w"), task(99, 0, 0), RunNumber(5), Err(lost), fixture.now);
+    fixture.pool.stopped(
+        &worker("w"),
+        task(99, 0, 0),
+        RunNumber(5),
+        fixture.now,
+        Err(lost),
+        fixture.now,
+    );
     fixture.advance(100);
     fixture.report(&worker("w"));
     assert_eq!(fixture.stops().len(), 1);
--- a/reachhead_jobs/tests/pool/restarted_worker.rs
+++ b/reachhead_jobs/tests/pool/restarted_worker.rs
@@ -130,7 +130,7 @@
     fixture.advance(100);
     assert_eq!(fixture.stops(), [(id.clone(), order.task)]);
     let clock = fixture.clock();
-    fixture.pool.stopped(&id, order.task, order.run, Ok(clock), fixture.now);
+    fixture.pool.stopped(&id, order.task, order.run, fixture.now, Ok(clock), fixture.now);
     fixture.advance(50);
     assert!(starts_on(&mut fixture).is_empty(), "no report has shown that it is gone");
     fixture.report(&id);
@@ -241,7 +241,14 @@
                 }
                 Action::Stop(target, task, run) => {
                     let clock = fixture.clock();
-                    fixture.pool.stopped(&target.id, task, run, Ok(clock), fixture.now);
+                    fixture.pool.stopped(
+                        &target.id,
+                        task,
+                        run,
+                        fixture.now,
+                        Ok(clock),
+                        fixture.now,
+                    );
                 }
                 _ => {}
             }
--- a/reachhead_jobs/tests/pool/runs.rs
+++ b/reachhead_jobs/tests/pool/runs.rs
@@ -129,7 +129,7 @@
     assert!(actions.iter().any(|action| matches!(action, Action::Stop(..))), "{actions:?}");
     assert!(!actions.iter().any(|action| matches!(action, Action::Start(..))), "{actions:?}");
     let clock = fixture.clock();
-    fixture.pool.stopped(&id, order.task, order.run, Ok(clock), fixture.now);
+    fixture.pool.stopped(&id, order.task, order.run, fixture.now, Ok(clock), fixture.now);
     fixture.advance(5);
     fixture.report(&id);
     assert_eq!(fixture.starts().len(), 1);
@@ -150,7 +150,7 @@
     let bar = |fixture: &mut Fixture| {
         assert_eq!(fixture.stops().len(), 1);
         let clock = fixture.clock();
-        fixture.pool.stopped(&id, order.task, order.run, Ok(clock), fixture.now);
+        fixture.pool.stopped(&id, order.task, order.run, fixture.now, Ok(clock), fixture.now);
     };
     bar(&mut fixture);
     fixture.advance(500);
@@ -532,7 +532,14 @@
                 }
                 Action::Stop(target, task, run) => {
                     let clock = fixture.clock();
-                    fixture.pool.stopped(&target.id, task, run, Ok(clock), fixture.now);
+                    fixture.pool.stopped(
+                        &target.id,
+                        task,
+                        run,
+                        fixture.now,
+                        Ok(clock),
+                        fixture.now,
+                    );
                     fixture.end(&target.id, task, run.0, RunEnd::Stopped);
                 }
                 _ => {}
--- a/reachhead_jobs/tests/pool/unplaced.rs
+++ b/reachhead_jobs/tests/pool/unplaced.rs
@@ -133,7 +133,14 @@
                 }
                 Action::Stop(target, task, run) => {
                     let clock = fixture.clock();
-                    fixture.pool.stopped(&target.id, task, run, Ok(clock), fixture.now);
+                    fixture.pool.stopped(
+                        &target.id,
+                        task,
+                        run,
+                        fixture.now,
+                        Ok(clock),
+                        fixture.now,
+                    );
                     fixture.end(&target.id, task, run.0, RunEnd::Stopped);
                 }
                 _ => {}
--- a/reachhead_jobs/tests/random_schedules/simulation.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation.rs
@@ -140,7 +140,13 @@
 enum Answer {
     Held(WorkerId, Tick, Result<reachhead_jobs::ports::WorkerReport, WorkerError>),
     Started(WorkerId, TaskId, RunNumber, Result<reachhead_jobs::clock::WorkerTime, WorkerError>),
-    Stopped(WorkerId, TaskId, RunNumber, Result<reachhead_jobs::clock::WorkerTime, WorkerError>),
+    Stopped(
+        WorkerId,
+        TaskId,
+        RunNumber,
+        Tick,
+        Result<reachhead_jobs::clock::WorkerTime, WorkerError>,
+    ),
     Committed(Box<Batch>, Result<Commit, StoreError>),
     Advised(StepId, Tick, Option<Vec<Approval>>),
     /// When the lease was confirmed on request; `None` if the store did not answer.
--- a/reachhead_jobs/tests/random_schedules/simulation/messages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/messages.rs
@@ -172,7 +172,7 @@
                 let result = incarnation.map_or(Err(gone()), |incarnation| {
                     incarnation.stop(target.token, *task, *run, now)
                 });
-                Some(Answer::Stopped(target.id.clone(), *task, *run, result))
+                Some(Answer::Stopped(target.id.clone(), *task, *run, sent, result))
             }
             Action::FindJobs(jobs) => {
                 let owner = &self.owners[owner];
@@ -240,8 +240,8 @@
             Answer::Started(id, task, run, result) => {
                 owner.pool.started(&id, task, run, result, now);
             }
-            Answer::Stopped(id, task, run, result) => {
-                owner.pool.stopped(&id, task, run, result, now);
+            Answer::Stopped(id, task, run, sent, result) => {
+                owner.pool.stopped(&id, task, run, sent, result, now);
             }
             // The owner finds the jobs by its regular reads, which begin once it has recovered.
             Answer::Found(jobs, stored) if owner.pool.is_recovering() => {
--- a/reachhead_jobs/tests/random_schedules/simulation/outages.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/outages.rs
@@ -277,7 +277,7 @@
             Answer::Started(target.id.clone(), order.task, order.run, Err(error))
         }
         Action::Stop(target, task, run) => {
-            Answer::Stopped(target.id.clone(), *task, *run, Err(error))
+            Answer::Stopped(target.id.clone(), *task, *run, sent, Err(error))
         }
         _ => return None,
     })
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -31,7 +31,7 @@
             let id = target.id.clone();
             let result = workers.stop(target, task, run).await;
             node.metrics.order("stop", &result);
-            Some(Input::StopAnswered(id, task, run, result))
+            Some(Input::StopAnswered(id, task, run, sent, result))
         }
         Action::Pace(target, task, run, percent) => {
             let result = workers.pace(target, task, run, percent).await;
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -67,8 +67,8 @@
     PollAnswered(WorkerId, Tick, Result<WorkerReport, WorkerError>),
     /// A start order was answered.
     StartAnswered(WorkerId, TaskId, RunNumber, Result<WorkerTime, WorkerError>),
-    /// A stop order was answered.
-    StopAnswered(WorkerId, TaskId, RunNumber, Result<WorkerTime, WorkerError>),
+    /// A stop order, which was sent at this time, was answered.
+    StopAnswered(WorkerId, TaskId, RunNumber, Tick, Result<WorkerTime, WorkerError>),
     /// A change of pace was not confirmed.
     PaceFailed(TaskId, RunNumber),
     /// The advisor answered, or the call failed.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -317,8 +317,8 @@
             Input::StartAnswered(worker, task, run, result) => {
                 self.pool.started(&worker, task, run, result, now);
             }
-            Input::StopAnswered(worker, task, run, result) => {
-                self.pool.stopped(&worker, task, run, result, now);
+            Input::StopAnswered(worker, task, run, sent, result) => {
+                self.pool.stopped(&worker, task, run, sent, result, now);
             }
             Input::PaceFailed(task, run) => self.pool.pace_failed(task, run),
             Input::AdviceReceived(step, approvals, sent) => {
