Tell the pool of polls that a dispatcher may still send

Cause: if a dispatcher gives no result of a poll, the owner repeats it itself, and the pool was told of that result alone. The dispatcher may have sent the poll, or still may: to the next incarnation it acknowledges ends that no owner has read, and prolongs leases there by the clock of the earlier one. Starts without a result are reported as lost; polls can't be, since their workers would count as silent each time a dispatcher is lost.

Fix: the result of a poll says whether the owner has repeated it. The pool then counts the first copy as a call without an answer that was given up when the repetition ended, before it applies the result of that: the next incarnation gets only long-running tasks for 15 s, and runs that no report has listed count for the longest lease. A poll that the dispatcher has certainly not sent counts for nothing.

Ruled out: late stop and pace orders of a dispatcher. A stop bars a run that is over, and a pace order names a run that a later incarnation does not have.

--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -183,6 +183,16 @@
         }
     }
 
+    /// Records that a poll which was sent at `sent` was repeated without knowing what had become of it: it
+    /// may still be carried out, by whatever incarnation is there by then. The result of the repetition
+    /// follows.
+    pub fn poll_repeated(&mut self, id: &WorkerId, sent: Tick, now: Tick) {
+        match self.workers.get_mut(id) {
+            Some(worker) => worker.record_lost_poll(sent, now, self.timeouts.grant),
+            None => self.record_late_call(id, None, now),
+        }
+    }
+
     /// Bars a run whose start order may still arrive, and returns whether there was one. What the previous
     /// incarnation has barred may still start on the next one.
     fn bar_run(&mut self, id: TaskId, worker: &WorkerId, now: Tick) -> bool {
--- a/reachhead_jobs/src/worker.rs
+++ b/reachhead_jobs/src/worker.rs
@@ -559,6 +559,16 @@
         self.closed = false;
     }
 
+    /// Records that a poll which was sent at `sent` is given up at `at` without an answer. It may still
+    /// prolong leases and acknowledge ends.
+    pub fn record_lost_poll(&mut self, sent: Tick, at: Tick, grant: Millis) {
+        if self.renewing || self.is_superseded(sent) {
+            self.record_unidentified(at, true);
+            self.record_earlier_call(sent, at, grant);
+        }
+        self.record_unanswered(sent, at, grant);
+    }
+
     /// Records that a call which was sent at `sent` found that nothing listens at its address.
     pub fn record_closed_port(&mut self, sent: Tick) {
         self.closed |= self.unidentified_at.is_none_or(|at| at <= sent);
--- a/reachhead_jobs/tests/pool/late_calls.rs
+++ b/reachhead_jobs/tests/pool/late_calls.rs
@@ -137,3 +137,52 @@
     fixture.report(&id);
     assert_eq!(start_all(&mut fixture).len(), 1);
 }
+
+/// A dispatcher gave no result of a poll, which the owner repeated. The worker answered that and restarted; the
+/// dispatcher's poll could still make the new incarnation forget ends that no owner had read.
+#[test]
+fn a_poll_that_a_dispatcher_may_still_send_is_a_late_call() {
+    let mut fixture = pool_of(&["w"]);
+    let id = worker("w");
+    let sent = fixture.now;
+    fixture.poll();
+    fixture.advance(500);
+    fixture.pool.poll_repeated(&id, sent, fixture.now);
+    let repeated = fixture.now;
+    fixture.report_sent(&id, sent);
+    restart(&mut fixture, "w");
+    fixture.submit(1, vec![step(1)]);
+    while start_all(&mut fixture).is_empty() {
+        assert!(fixture.now.since(repeated) < Millis(30_000), "the task never starts");
+        fixture.advance(100);
+        fixture.report(&id);
+        fixture.flush();
+    }
+    let wait = fixture.now.since(repeated).0;
+    assert!(wait >= MAX_CALL_DELAY, "started after {wait} ms");
+    assert!(wait <= MAX_CALL_DELAY + 500, "started after {wait} ms");
+}
+
+/// The same where the restart is noticed by the repeated poll itself, or before that ends.
+#[test]
+fn a_repeated_poll_is_a_late_call_when_the_restart_is_noticed_first() {
+    for is_removed in [false, true] {
+        let mut fixture = pool_of(&["w"]);
+        let id = worker("w");
+        let sent = fixture.now;
+        fixture.poll();
+        fixture.advance(500);
+        if is_removed {
+            fixture.pool.held(&id, fixture.now, Err(WorkerError::Replaced), fixture.now);
+        }
+        fixture.infos[0].started_at = Some(Millis(2000));
+        fixture.pool.poll_repeated(&id, sent, fixture.now);
+        if is_removed {
+            fixture.list();
+        }
+        fixture.report_sent(&id, sent);
+        fixture.list();
+        let known = &fixture.pool.workers()[&id];
+        assert!(known.expects_late_calls(fixture.now), "removed: {is_removed}");
+    }
+}
--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -112,6 +112,21 @@
     assert_about(wait_for_move(&mut fixture), timeouts().grant);
 }
 
+/// The same for a poll of which a dispatcher gave no result, and whose repetition found no way to the worker:
+/// the dispatcher may have sent it.
+#[test]
+fn a_poll_that_a_dispatcher_may_have_sent_counts_as_a_lease_of_an_unnoticed_incarnation() {
+    let (mut fixture, order) = ordered();
+    let sent = fixture.now;
+    fixture.accept(&worker("w"), &order);
+    add_other(&mut fixture);
+    fixture.advance(1500);
+    fixture.pool.poll_repeated(&worker("w"), sent, fixture.now);
+    let unreachable = Err(WorkerError::Unreachable("cut off".to_owned()));
+    fixture.pool.held(&worker("w"), sent, unreachable, fixture.now);
+    assert_about(wait_for_move(&mut fixture), timeouts().grant);
+}
+
 /// A report that lists the run names its incarnation, so the task waits no longer than for its lease.
 #[test]
 fn a_reported_run_waits_for_its_lease_only() {
--- a/reachhead_node/src/dispatch/agent.rs
+++ b/reachhead_node/src/dispatch/agent.rs
@@ -134,6 +134,30 @@
         }
     }
 
+    /// Polls a worker. A poll without a result of its dispatcher is repeated directly.
+    pub async fn poll(&self, target: WorkerTarget, order: HoldOrder) -> PollOutcome {
+        let sent = self.0.clock.now();
+        let Some(pending) = self.0.queue(&target, || OrderCall::hold(order), None) else {
+            let result = self.0.direct.hold(target, order).await;
+            return PollOutcome { result, is_repeated: false };
+        };
+        let missing = match self.outcome(pending).await {
+            Ok(Outcome::Report(report)) => {
+                return PollOutcome { result: Ok(report), is_repeated: false };
+            }
+            Ok(Outcome::Failed(error)) => {
+                return PollOutcome { result: Err(error), is_repeated: false };
+            }
+            Ok(_) => NoOutcome::Unsent,
+            Err(missing) => missing,
+        };
+        // The poll ends when it would have, so that a dead worker is found as soon.
+        let passed = self.0.clock.now().since(sent);
+        let wait = Millis(order.wait.0.saturating_sub(passed.0));
+        let result = self.0.direct.hold(target, HoldOrder { wait, ..order }).await;
+        PollOutcome { result, is_repeated: missing == NoOutcome::Unknown }
+    }
+
     /// Sends a start order to the worker, which the dispatcher has not sent.
     async fn start_directly(
         &self,
@@ -153,6 +177,16 @@
     }
 }
 
+/// How a poll ended.
+#[derive(Debug, PartialEq, Eq)]
+pub struct PollOutcome {
+    /// The worker's report, or why there is none.
+    pub result: Result<WorkerReport, WorkerError>,
+    /// The owner has repeated the poll, since a dispatcher gave no result of it. That one may have sent
+    /// it, or still may, whatever came of the repetition.
+    pub is_repeated: bool,
+}
+
 /// Why an order that was given to a dispatcher has no outcome.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NoOutcome {
@@ -229,23 +263,7 @@
         target: WorkerTarget,
         order: HoldOrder,
     ) -> BoxFuture<'_, Result<WorkerReport, WorkerError>> {
-        let sent = self.0.clock.now();
-        let Some(pending) = self.0.queue(&target, || OrderCall::hold(order), None) else {
-            return self.0.direct.hold(target, order);
-        };
-        async move {
-            match self.outcome(pending).await {
-                Ok(Outcome::Report(report)) => Ok(report),
-                Ok(Outcome::Failed(error)) => Err(error),
-                _ => {
-                    // The poll ends when it would have, so that a dead worker is found as soon.
-                    let passed = self.0.clock.now().since(sent);
-                    let wait = Millis(order.wait.0.saturating_sub(passed.0));
-                    self.0.direct.hold(target, HoldOrder { wait, ..order }).await
-                }
-            }
-        }
-        .boxed()
+        async move { self.poll(target, order).await.result }.boxed()
     }
 
     fn pace(
--- a/reachhead_node/src/dispatch/agent_tests.rs
+++ b/reachhead_node/src/dispatch/agent_tests.rs
@@ -15,10 +15,11 @@
 use tokio::time::{self, Instant};
 
 use super::{
-    PeerLink,
+    OrderResult, PeerLink,
     fakes::{
         Delivery, FakeWorkers, Fixture, TOKEN, assign_to, hold_order, owner, start_order, target,
     },
+    messages::Outcome,
 };
 use crate::{peer::PeerClient, tests::idle_node::serve};
 
@@ -101,6 +102,31 @@
     assert!(early.is_err(), "a result of an ended session was taken: {early:?}");
 }
 
+/// Guards against a poll that a dispatcher sends late, to the worker's next incarnation, and that nobody expects
+/// since the owner's own poll was answered.
+#[tokio::test]
+async fn poll_without_a_result_is_repeated_and_may_still_be_sent() {
+    let fixture = Fixture::new(1, Some(Ok(())));
+    let poll = || fixture.owner().poll(target(0), hold_order(Millis(0)));
+    let outcome = poll().await;
+    assert!(outcome.result.is_ok() && !outcome.is_repeated, "{outcome:?}");
+    *fixture.dispatched.answer.lock().unwrap() = None;
+    let dropped = async {
+        time::sleep(Duration::from_millis(100)).await;
+        let (session, id) = {
+            let batches = fixture.link.batches.lock().unwrap();
+            let batch = batches.last().unwrap();
+            (batch.session, batch.orders[0].id)
+        };
+        fixture.owner().receive(session, vec![OrderResult(id, Outcome::Expired)]);
+    };
+    let (outcome, ()) = tokio::join!(poll(), dropped);
+    assert!(outcome.result.is_ok() && !outcome.is_repeated, "not sent: {outcome:?}");
+    let outcome = poll().await;
+    assert!(outcome.result.is_ok() && outcome.is_repeated, "no result: {outcome:?}");
+    assert_eq!(fixture.direct.count(), 2);
+}
+
 /// Guards against the exclusion of a dispatcher that works because one result of it was lost.
 #[tokio::test]
 async fn lost_result_costs_one_start_and_not_the_dispatcher() {
--- a/reachhead_node/src/dispatch/mod.rs
+++ b/reachhead_node/src/dispatch/mod.rs
@@ -22,7 +22,7 @@
 mod server_tests;
 
 pub use self::{
-    agent::DispatchedWorkers,
+    agent::{DispatchedWorkers, PollOutcome},
     link::PeerLink,
     messages::{DispatchBatch, OrderResult, ResultBatch},
     metrics::DispatchMetrics,
--- a/reachhead_node/src/owner/actions.rs
+++ b/reachhead_node/src/owner/actions.rs
@@ -10,12 +10,12 @@
 use reachhead_types::id::PoolName;
 
 use super::Input;
-use crate::node::Node;
+use crate::{dispatch::DispatchedWorkers, node::Node};
 
 /// Executes an action and returns the input for the owner that results from it.
 pub(super) async fn perform(
     node: &Node,
-    workers: &dyn WorkerAgent,
+    workers: &DispatchedWorkers,
     pool: &PoolName,
     action: Action,
     sent: Tick,
@@ -40,9 +40,9 @@
         }
         Action::Hold(target, order) => {
             let id = target.id.clone();
-            let result = workers.hold(target, order).await;
-            node.metrics.order("hold", &result);
-            Some(Input::PollAnswered(id, sent, result))
+            let outcome = workers.poll(target, order).await;
+            node.metrics.order("hold", &outcome.result);
+            Some(Input::PollAnswered(id, sent, outcome))
         }
         Action::FindJobs(ids) => {
             let keys = ids.iter().map(|id| job_key(pool, *id)).collect();
--- a/reachhead_node/src/owner/input.rs
+++ b/reachhead_node/src/owner/input.rs
@@ -10,7 +10,7 @@
         AdviceSummary, Batch, DrainMode, DrainProgress, PoolLoad, RecoveredJobs, StateReply,
         UnplacedSummary,
     },
-    ports::{Approval, WorkerError, WorkerInfo, WorkerReport},
+    ports::{Approval, WorkerError, WorkerInfo},
     quota::{Allotment, UsageReport},
     task::{StepId, TaskId},
 };
@@ -26,7 +26,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::ReleaseRequest;
-use crate::{claim::Pulse, lock::locked, peer::AcceptedJob};
+use crate::{claim::Pulse, dispatch::PollOutcome, lock::locked, peer::AcceptedJob};
 
 /// The outcome of a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,7 +64,7 @@
     /// The registered workers changed.
     WorkersListed(Vec<WorkerInfo>),
     /// A long poll of a worker ended.
-    PollAnswered(WorkerId, Tick, Result<WorkerReport, WorkerError>),
+    PollAnswered(WorkerId, Tick, PollOutcome),
     /// A start order was answered.
     StartAnswered(WorkerId, TaskId, RunNumber, Result<WorkerTime, WorkerError>),
     /// A stop order, which was sent at this time, was answered.
--- a/reachhead_node/src/owner/mod.rs
+++ b/reachhead_node/src/owner/mod.rs
@@ -313,7 +313,12 @@
                 }
             }
             Input::WorkersListed(workers) => self.pool.list(workers, now),
-            Input::PollAnswered(worker, sent, result) => self.pool.held(&worker, sent, result, now),
+            Input::PollAnswered(worker, sent, outcome) => {
+                if outcome.is_repeated {
+                    self.pool.poll_repeated(&worker, sent, now);
+                }
+                self.pool.held(&worker, sent, outcome.result, now);
+            }
             Input::StartAnswered(worker, task, run, result) => {
                 self.pool.started(&worker, task, run, result, now);
             }
@@ -409,7 +414,7 @@
         let pool = self.pool.name().clone();
         // The call begins later, and results of other calls may be processed before.
         let sent = node.now();
-        self.spawn_call(async move { perform(&node, &*workers, &pool, action, sent).await });
+        self.spawn_call(async move { perform(&node, &workers, &pool, action, sent).await });
     }
 
     /// Starts transactions that are due, one at a time in each lane.
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -7,14 +7,14 @@
     model::{Plan, Queue, Step},
     order_effect::OrderEffect,
     pool::{PoolTimeouts, RecoveredState, StoredRoster},
-    ports::WorkerInfo,
+    ports::{WorkerError, WorkerInfo},
     record::{JobRecord, lease_key},
 };
 use reachhead_ops::runtime;
 use reachhead_types::size::Revision;
 
 use super::*;
-use crate::{lease, tests::broken_node};
+use crate::{dispatch::PollOutcome, lease, tests::broken_node};
 
 /// Time after which the first read of stored jobs is due.
 const FIRST_SCAN: Duration = Duration::from_millis(500);
@@ -113,6 +113,25 @@
     });
 }
 
+/// Guards against a late poll of a dispatcher that the pool does not expect, since it was told of the
+/// owner's own poll alone.
+#[test]
+fn an_owner_that_repeats_a_poll_of_a_dispatcher_expects_that_one_to_be_late() {
+    runtime::current_thread().unwrap().block_on(async {
+        let mut owner = owner().await;
+        owner.take(Input::WorkersListed(vec![worker()]));
+        let id = worker().id;
+        for is_repeated in [false, true] {
+            let now = owner.node.now();
+            let result = Err(WorkerError::Unreachable("no route".to_owned()));
+            let outcome = PollOutcome { result, is_repeated };
+            owner.take(Input::PollAnswered(id.clone(), now, outcome));
+            let known = &owner.pool.workers()[&id];
+            assert_eq!(known.unanswered_at.is_some(), is_repeated);
+        }
+    });
+}
+
 /// Processes the inputs of the owner up to the next page of stored jobs, and returns whether there is one.
 async fn take_scan(owner: &mut Owner) -> bool {
     let wait = Duration::from_millis(500);
