Share the fixture of tests of restarted workers

Cause: three files of tests had the same start times, orders, waits and bounds, each in a copy of its own. They are in `tests/pool/restart_fixture.rs` now. The tests, their assertions and their bounds are the same; the message of one bound names the lease by its length instead of as the longest one.

--- a/reachhead_jobs/tests/pool/late_calls.rs
+++ b/reachhead_jobs/tests/pool/late_calls.rs
@@ -1,21 +1,15 @@
 //! Tests of restarted workers to which calls for the previous incarnation may still arrive.
 
-use reachhead_jobs::{model::Step, ports::WorkerError};
-use reachhead_plan::amount::Amount;
+use reachhead_jobs::ports::WorkerError;
 use reachhead_types::{
     id::{JobId, WorkerId},
     size::Millis,
 };
 
-use crate::fixture::{Fixture, info, step, task, timeouts, worker};
-
-/// Longest time for which a call without an answer may be on its way.
-const MAX_CALL_DELAY: u64 = 15_000;
-
-fn lasting(cores: u64) -> Step {
-    let need = Amount::new(cores * 1000, 100, 0);
-    Step { long_running: true, need, ..step(1) }
-}
+use crate::{
+    fixture::{Fixture, info, task, timeouts, worker},
+    restart_fixture::{MAX_CALL_DELAY, lasting},
+};
 
 /// Returns a pool whose workers report their start times.
 fn pool_of(names: &[&str]) -> Fixture {
--- a/reachhead_jobs/tests/pool/late_orders_after_death.rs
+++ b/reachhead_jobs/tests/pool/late_orders_after_death.rs
@@ -2,10 +2,8 @@
 //! back under their ids. See `docs/design/restarted-workers.md`.
 
 use reachhead_jobs::{
-    incarnation::Incarnation,
-    model::Step,
     pool::{Action, DeathEvidence},
-    ports::{StartOrder, WorkerError, WorkerInfo},
+    ports::WorkerError,
     task::TaskId,
 };
 use reachhead_plan::amount::Amount;
@@ -14,42 +12,17 @@
     size::{Millis, RunNumber},
 };
 
-use crate::fixture::{Fixture, info, step, task, worker};
-
-const FIRST_START: u64 = 1000;
-const SECOND_START: u64 = 2000;
-
-/// Longest time for which a call without an answer may be on its way.
-const MAX_CALL_DELAY: u64 = 15_000;
+use crate::{
+    fixture::{Fixture, step, task, worker},
+    restart_fixture::{
+        FIRST_START, MAX_CALL_DELAY, SECOND_START, lasting, listed, lose_start, lost, ordered,
+        report_end,
+    },
+};
 
 const EVIDENCE: [DeathEvidence; 3] =
     [DeathEvidence::Unhosted, DeathEvidence::Replaced, DeathEvidence::OffList];
 
-fn listed(name: &str, started_at: u64) -> WorkerInfo {
-    WorkerInfo { started_at: Some(Millis(started_at)), ..info(name, 4) }
-}
-
-fn lost() -> WorkerError {
-    WorkerError::Lost("no answer".to_owned())
-}
-
-fn lasting(cores: u64) -> Step {
-    let need = Amount::new(cores * 1000, 100, 0);
-    Step { long_running: true, need, ..step(1) }
-}
-
-/// Returns a pool with one worker, and an order to start a task of this step there, which is under way.
-fn ordered(step: Step) -> (Fixture, StartOrder) {
-    let mut fixture = Fixture::ready(vec![listed("w", FIRST_START)]);
-    fixture.submit(1, vec![step]);
-    let (_, order) = fixture.starts().remove(0);
-    (fixture, order)
-}
-
-fn lose_start(fixture: &mut Fixture, order: &StartOrder) {
-    fixture.pool.started(&worker("w"), order.task, order.run, Err(lost()), fixture.now);
-}
-
 /// Lets the owner find the worker dead.
 fn die(fixture: &mut Fixture, evidence: DeathEvidence) {
     let id = worker("w");
@@ -57,8 +30,7 @@
         DeathEvidence::Unhosted => {
             fixture.advance(1);
             fixture.refuse_connection(&id);
-            let ended = Incarnation::new(id).with_start(Some(Millis(FIRST_START)));
-            fixture.pool.worker_unhosted(&ended, fixture.now);
+            report_end(fixture, id);
         }
         DeathEvidence::Replaced => {
             fixture.pool.held(&id, fixture.now, Err(WorkerError::Replaced), fixture.now);
--- a/reachhead_jobs/tests/pool/main.rs
+++ b/reachhead_jobs/tests/pool/main.rs
@@ -31,6 +31,7 @@
 mod recovering;
 mod refusal;
 mod released;
+mod restart_fixture;
 mod restarted_worker;
 mod review;
 mod roster;
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -3,9 +3,8 @@
 
 use reachhead_jobs::{
     clock::{Tick, WorkerTime},
-    incarnation::Incarnation,
-    pool::{Action, JobState},
-    ports::{StartOrder, WorkerError, WorkerInfo},
+    pool::JobState,
+    ports::{StartOrder, WorkerError},
     record::Ending,
 };
 use reachhead_types::{
@@ -13,41 +12,21 @@
     size::Millis,
 };
 
-use crate::fixture::{Fixture, START, info, step, timeouts, worker};
-
-/// Start time of the incarnation that is known first.
-const OLD_START: u64 = 1000;
-
-/// Start time of the next one.
-const NEW_START: u64 = 2000;
-
-/// Bound on the time after which a task may start elsewhere, beyond the lease: the drift of the
-/// worker's clock, and the step of the tests.
-const SLACK: u64 = 500;
-
-const STEP: u64 = 100;
-
-fn listed(name: &str, started_at: u64) -> WorkerInfo {
-    WorkerInfo { started_at: Some(Millis(started_at)), ..info(name, 4) }
-}
+use crate::{
+    fixture::{Fixture, START, step, timeouts, worker},
+    restart_fixture::{
+        FIRST_START, SECOND_START, STEP, add_other, assert_about, broken, listed, lose_start, lost,
+        ordered, polls_of, report_end, restart, wait_for_move,
+    },
+};
 
-/// Returns a pool with a worker `w` whose start time is known, a poll of it that is under way, when that
-/// was sent, and an order to start a task there.
-fn ordered() -> (Fixture, Tick, StartOrder) {
-    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
-    fixture.submit(1, vec![step(1)]);
+/// Returns the pool and the order of [`ordered`], with the time at which the poll was sent that is under way.
+fn ordered_during_poll() -> (Fixture, Tick, StartOrder) {
+    let (fixture, order) = ordered(step(1));
     let sent = fixture.now;
-    let (_, order) = fixture.starts().remove(0);
     (fixture, sent, order)
 }
 
-/// Lets the next incarnation of `w` register and answer a poll that is sent now.
-fn restart(fixture: &mut Fixture) {
-    fixture.infos[0].started_at = Some(Millis(NEW_START));
-    fixture.report(&worker("w"));
-    fixture.list();
-}
-
 /// Lets the answer to the start order show the clock of a worker that has just started.
 fn show_restart(fixture: &mut Fixture, order: &StartOrder) {
     fixture.set_running(&worker("w"), order.task, order.run.0, 0);
@@ -55,41 +34,16 @@
     fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
 }
 
-/// Adds a worker `v` that answers, while `w` does not any more.
-fn add_other(fixture: &mut Fixture) {
-    fixture.infos.push(listed("v", OLD_START));
-    fixture.list();
-    fixture.poll();
-    fixture.flush();
-    fixture.report(&worker("v"));
-}
-
 /// Asserts that the task waits for the longest lease before it starts on `v`, while no poll of `w` is sent.
 fn assert_longest_lease(fixture: &mut Fixture) {
-    let begun = fixture.now;
-    let unreachable = || Err(WorkerError::Unreachable("cut off".to_owned()));
-    while Fixture::started_on(fixture.poll()).is_empty() {
-        assert!(fixture.now.since(begun) < Millis(60_000), "the task never starts");
-        fixture.advance(STEP);
-        fixture.pool.held(&worker("w"), fixture.now, unreachable(), fixture.now);
-        fixture.report(&worker("v"));
-        fixture.flush();
-    }
-    let wait = fixture.now.since(begun);
-    assert!(wait >= timeouts().grant, "{wait} is less than the longest lease");
-    assert!(wait.0 <= timeouts().grant.0 + SLACK, "{wait} is longer than the longest lease");
-}
-
-fn polls_of(actions: &[Action], id: &WorkerId) -> usize {
-    let is_poll = |action: &&Action| matches!(action, Action::Hold(target, _) if target.id == *id);
-    actions.iter().filter(is_poll).count()
+    assert_about(wait_for_move(fixture), timeouts().grant);
 }
 
 /// A poll was sent in the same millisecond as the answer to a start showed a restart, and was taken for the
 /// next one, which did not wait for it: from then on the worker was always polled twice at a time.
 #[test]
 fn a_poll_sent_just_before_a_restart_is_noticed_is_not_the_next_one() {
-    let (mut fixture, sent, order) = ordered();
+    let (mut fixture, sent, order) = ordered_during_poll();
     show_restart(&mut fixture, &order);
     fixture.advance(1);
     assert_eq!(polls_of(&fixture.poll(), &worker("w")), 1);
@@ -101,9 +55,9 @@
 /// The worker's new registration made the next poll due at once. It is polled again after both polls.
 #[test]
 fn a_worker_is_polled_again_after_polls_that_were_not_waited_for() {
-    let (mut fixture, sent, order) = ordered();
+    let (mut fixture, sent, order) = ordered_during_poll();
     show_restart(&mut fixture, &order);
-    fixture.infos[0].started_at = Some(Millis(NEW_START));
+    fixture.infos[0].started_at = Some(Millis(SECOND_START));
     fixture.list();
     assert_eq!(polls_of(&fixture.poll(), &worker("w")), 1);
     fixture.advance(STEP);
@@ -117,7 +71,7 @@
 /// was started meanwhile: the task started again after it was done.
 #[test]
 fn a_poll_that_is_not_waited_for_keeps_tasks_that_can_be_done_away() {
-    let (mut fixture, sent, order) = ordered();
+    let (mut fixture, sent, order) = ordered_during_poll();
     fixture.advance(500);
     show_restart(&mut fixture, &order);
     fixture.advance(1);
@@ -135,16 +89,15 @@
 /// elsewhere before the end of the lease.
 #[test]
 fn a_start_sent_before_a_noticed_restart_counts_as_a_lease_of_reported_runs() {
-    let (mut fixture, sent, order) = ordered();
+    let (mut fixture, sent, order) = ordered_during_poll();
     fixture.accept(&worker("w"), &order);
     fixture.submit(2, vec![step(1)]);
     let (_, late) = fixture.starts().remove(0);
-    fixture.infos[0].started_at = Some(Millis(NEW_START));
+    fixture.infos[0].started_at = Some(Millis(SECOND_START));
     fixture.report_sent(&worker("w"), sent);
     fixture.list();
     fixture.advance(1500);
-    let broken = Err(WorkerError::Broken("reset".to_owned()));
-    fixture.pool.started(&worker("w"), late.task, late.run, broken, fixture.now);
+    fixture.pool.started(&worker("w"), late.task, late.run, Err(broken()), fixture.now);
     add_other(&mut fixture);
     assert_longest_lease(&mut fixture);
 }
@@ -152,7 +105,7 @@
 /// The same for a poll that the new incarnation answered after the one that did not wait for it.
 #[test]
 fn a_poll_sent_before_a_noticed_restart_counts_as_a_lease_of_reported_runs() {
-    let (mut fixture, sent, order) = ordered();
+    let (mut fixture, sent, order) = ordered_during_poll();
     fixture.advance(500);
     show_restart(&mut fixture, &order);
     fixture.advance(STEP);
@@ -168,29 +121,26 @@
 /// incarnation. The end of the worker was applied to that run, and the task started elsewhere beside it.
 #[test]
 fn a_closed_port_does_not_end_a_run_whose_order_is_under_way() {
-    let (mut fixture, _, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     add_other(&mut fixture);
     fixture.advance(STEP);
     fixture.refuse_connection(&worker("w"));
     fixture.advance(STEP);
-    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
-    fixture.pool.worker_unhosted(&ended, fixture.now);
+    report_end(&mut fixture, worker("w"));
     fixture.flush();
     assert_eq!(Fixture::started_on(fixture.poll()), [], "the order is under way");
-    let broken = Err(WorkerError::Broken("reset".to_owned()));
-    fixture.pool.started(&worker("w"), order.task, order.run, broken, fixture.now);
+    fixture.pool.started(&worker("w"), order.task, order.run, Err(broken()), fixture.now);
     assert_longest_lease(&mut fixture);
 }
 
 /// The same order finds the port closed as well: nothing has it, and the task does not wait.
 #[test]
 fn an_order_that_finds_the_port_closed_ends_the_wait_for_it() {
-    let (mut fixture, _, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     add_other(&mut fixture);
     fixture.advance(STEP);
     fixture.refuse_connection(&worker("w"));
-    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
-    fixture.pool.worker_unhosted(&ended, fixture.now);
+    report_end(&mut fixture, worker("w"));
     let refused = Err(WorkerError::PortClosed("connection refused".to_owned()));
     fixture.pool.started(&worker("w"), order.task, order.run, refused, fixture.now);
     fixture.advance(STEP);
@@ -204,7 +154,7 @@
 /// The crashes were no evidence against it, and it took the pool down worker by worker.
 #[test]
 fn a_task_whose_workers_end_before_they_report_it_is_given_up() {
-    let infos = (0..8).map(|number| listed(&format!("w{number}"), OLD_START)).collect();
+    let infos = (0..8).map(|number| listed(&format!("w{number}"), FIRST_START)).collect();
     let mut fixture = Fixture::ready(infos);
     fixture.submit(1, vec![step(1)]);
     let mut tried = 0;
@@ -215,8 +165,7 @@
             fixture.accept(&id, &order);
             fixture.infos.retain(|info| info.id != id);
             fixture.running.remove(&id);
-            let ended = Incarnation::new(id).with_start(Some(Millis(OLD_START)));
-            fixture.pool.worker_unhosted(&ended, fixture.now);
+            report_end(&mut fixture, id);
         }
         fixture.list();
         fixture.advance(STEP);
@@ -238,9 +187,8 @@
 /// started it on the incarnation that sent the report, and the second one on the next.
 #[test]
 fn a_repeated_start_may_have_reached_another_incarnation_than_the_reported_one() {
-    let (mut fixture, sent, order) = ordered();
-    let lost = Err(WorkerError::Lost("no answer".to_owned()));
-    fixture.pool.started(&worker("w"), order.task, order.run, lost, fixture.now);
+    let (mut fixture, sent, order) = ordered_during_poll();
+    lose_start(&mut fixture, &order);
     fixture.advance(STEP);
     assert_eq!(fixture.starts().len(), 1, "the order is repeated");
     fixture.set_running(&worker("w"), order.task, order.run.0, 0);
@@ -255,7 +203,7 @@
 /// end of that poll made the next incarnation count as silent, and it was polled twice at a time.
 #[test]
 fn a_poll_of_an_ended_worker_says_nothing_about_the_next_incarnation() {
-    let (mut fixture, sent, order) = ordered();
+    let (mut fixture, sent, order) = ordered_during_poll();
     fixture.advance(STEP);
     fixture.pool.started(
         &worker("w"),
@@ -265,12 +213,11 @@
         fixture.now,
     );
     assert!(!fixture.pool.workers().contains_key(&worker("w")));
-    fixture.infos[0].started_at = Some(Millis(NEW_START));
+    fixture.infos[0].started_at = Some(Millis(SECOND_START));
     fixture.list();
     assert_eq!(polls_of(&fixture.poll(), &worker("w")), 1);
     fixture.advance(STEP);
-    let lost = Err(WorkerError::Lost("no answer".to_owned()));
-    fixture.pool.held(&worker("w"), sent, lost, fixture.now);
+    fixture.pool.held(&worker("w"), sent, Err(lost()), fixture.now);
     assert!(!fixture.pool.workers()[&worker("w")].silent);
     fixture.advance(STEP);
     assert_eq!(polls_of(&fixture.poll(), &worker("w")), 0, "a poll is under way");
--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -1,80 +1,26 @@
 //! Tests of workers that restart under their id without being noticed and then can't be reached. See
 //! `docs/design/restarted-workers.md`.
 
-use reachhead_jobs::{
-    clock::WorkerTime,
-    incarnation::Incarnation,
-    model::Step,
-    pool::Action,
-    ports::{RunEnd, StartOrder, WorkerError, WorkerInfo},
+use reachhead_jobs::{clock::WorkerTime, ports::RunEnd};
+use reachhead_types::size::Millis;
+
+use crate::{
+    fixture::{Fixture, START, recovered, step, timeouts, worker},
+    restart_fixture::{
+        FIRST_START, STEP, add_other, assert_about, broken, lasting, listed, lose_start, lost,
+        ordered, polls_of, report_end, restart, wait_for_move, wait_for_move_during,
+    },
 };
-use reachhead_types::{id::WorkerId, size::Millis};
-
-use crate::fixture::{Fixture, START, info, recovered, step, timeouts, worker};
-
-/// Start time of incarnations that have been up for long.
-const OLD_START: u64 = 1000;
 
 /// Start time of an incarnation that has been up for five seconds when the tests begin.
 const YOUNG_START: u64 = START.0 - 5000;
 
-/// Bound on the time after which a task may start elsewhere, beyond the lease: the drift of the
-/// worker's clock, and the step of the tests.
-const SLACK: u64 = 500;
-
-const STEP: u64 = 100;
-
-fn listed(name: &str, started_at: u64) -> WorkerInfo {
-    WorkerInfo { started_at: Some(Millis(started_at)), ..info(name, 4) }
-}
-
-/// Returns a pool with a worker `w` whose start time is known, and an order to start a task there.
-fn ordered() -> (Fixture, StartOrder) {
-    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
-    fixture.submit(1, vec![step(1)]);
-    let (_, order) = fixture.starts().remove(0);
-    (fixture, order)
-}
-
-/// Adds a worker `v` that answers, while `w` does not any more.
-fn add_other(fixture: &mut Fixture) {
-    fixture.infos.push(listed("v", OLD_START));
-    fixture.list();
-    fixture.poll();
-    fixture.flush();
-    fixture.report(&worker("v"));
-}
-
-/// Returns for how long the task waits before it starts on `v`, while no poll of `w` is sent.
-fn wait_for_move(fixture: &mut Fixture) -> Millis {
-    let begun = fixture.now;
-    let unreachable = || Err(WorkerError::Unreachable("cut off".to_owned()));
-    while Fixture::started_on(fixture.poll()).is_empty() {
-        assert!(fixture.now.since(begun) < Millis(60_000), "the task never starts");
-        fixture.advance(STEP);
-        fixture.pool.held(&worker("w"), fixture.now, unreachable(), fixture.now);
-        fixture.report(&worker("v"));
-        fixture.flush();
-    }
-    fixture.now.since(begun)
-}
-
-fn assert_about(wait: Millis, expected: Millis) {
-    assert!(wait >= expected, "{wait} is less than the lease of {expected}");
-    assert!(wait.0 <= expected.0 + SLACK, "{wait} is longer than the lease of {expected}");
-}
-
-fn polls_of(actions: &[Action], id: &WorkerId) -> usize {
-    let is_poll = |action: &&Action| matches!(action, Action::Hold(target, _) if target.id == *id);
-    actions.iter().filter(is_poll).count()
-}
-
 /// A worker had restarted, confirmed a start and was cut off before the poll that would have shown the
 /// restart. It held the run for the longest lease that it grants, as it read the deadline by its own
 /// clock, and the task started elsewhere after the usual lease.
 #[test]
 fn a_task_is_not_moved_while_an_unnoticed_incarnation_may_run_it() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
     add_other(&mut fixture);
     assert_about(wait_for_move(&mut fixture), timeouts().grant);
@@ -83,28 +29,26 @@
 /// As above, when the answer to the start was lost with the path.
 #[test]
 fn a_task_is_not_moved_while_an_unnoticed_incarnation_may_have_got_its_order() {
-    let (mut fixture, order) = ordered();
-    let lost = Err(WorkerError::Lost("no answer".to_owned()));
+    let (mut fixture, order) = ordered(step(1));
     add_other(&mut fixture);
     fixture.advance(STEP);
-    fixture.pool.started(&worker("w"), order.task, order.run, lost, fixture.now);
+    lose_start(&mut fixture, &order);
     assert_about(wait_for_move(&mut fixture), timeouts().grant);
 }
 
 /// The same for an order whose connection has ended, which may have been carried out before.
 #[test]
 fn a_task_is_not_moved_while_an_unnoticed_incarnation_may_have_got_a_broken_order() {
-    let (mut fixture, order) = ordered();
-    let broken = Err(WorkerError::Broken("reset".to_owned()));
+    let (mut fixture, order) = ordered(step(1));
     add_other(&mut fixture);
-    fixture.pool.started(&worker("w"), order.task, order.run, broken, fixture.now);
+    fixture.pool.started(&worker("w"), order.task, order.run, Err(broken()), fixture.now);
     assert_about(wait_for_move(&mut fixture), timeouts().grant);
 }
 
 /// A poll that was sent before the restart was noticed prolonged the lease there by the old clock.
 #[test]
 fn a_poll_without_an_answer_counts_as_a_lease_of_an_unnoticed_incarnation() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
     add_other(&mut fixture);
     fixture.advance(1500);
@@ -115,7 +59,7 @@
 /// A report that lists the run names its incarnation, so the task waits no longer than for its lease.
 #[test]
 fn a_reported_run_waits_for_its_lease_only() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
     fixture.report(&worker("w"));
     add_other(&mut fixture);
@@ -126,7 +70,7 @@
 /// report has listed.
 #[test]
 fn an_unreported_run_does_not_delay_a_reported_one() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
     fixture.report(&worker("w"));
     fixture.submit(2, vec![step(1)]);
@@ -141,7 +85,7 @@
 /// have shown that only seconds later.
 #[test]
 fn a_clock_that_is_behind_shows_a_restart_at_once() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.advance(500);
     let fresh = Ok(WorkerTime(700));
     fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
@@ -156,7 +100,7 @@
 /// has reported: the worker stays in use and is polled once at a time.
 #[test]
 fn a_poll_of_the_ended_incarnation_does_not_silence_the_new_one() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     let sent = fixture.now;
     fixture.advance(500);
     fixture.set_running(&worker("w"), order.task, order.run.0, 0);
@@ -164,12 +108,9 @@
     fixture.pool.started(&worker("w"), order.task, order.run, fresh, fixture.now);
     fixture.advance(1);
     fixture.poll();
-    fixture.infos[0].started_at = Some(Millis(OLD_START + 1000));
-    fixture.report(&worker("w"));
-    fixture.list();
+    restart(&mut fixture);
     fixture.poll();
-    let lost = Err(WorkerError::Lost("no answer".to_owned()));
-    fixture.pool.held(&worker("w"), sent, lost, fixture.now);
+    fixture.pool.held(&worker("w"), sent, Err(lost()), fixture.now);
     assert!(!fixture.pool.workers()[&worker("w")].silent);
     assert_eq!(polls_of(&fixture.poll(), &worker("w")), 0, "a poll is under way");
 }
@@ -177,7 +118,7 @@
 /// Clocks lose up to 2%, and an answer may come late: neither shows a restart.
 #[test]
 fn a_slow_clock_shows_no_restart() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     let shown = fixture.clock().0;
     fixture.advance(10_000);
     let slow = Ok(WorkerTime(shown));
@@ -198,17 +139,16 @@
     };
     let trust = timeouts().trust;
     assert_about(wait(YOUNG_START), Millis(trust.0 + timeouts().grant.0));
-    assert_about(wait(OLD_START), Millis(trust.0 + timeouts().hold.0));
+    assert_about(wait(FIRST_START), Millis(trust.0 + timeouts().hold.0));
 }
 
 /// The end of a worker, known from a list of hosts that was read while it was down, was applied to the
 /// run that its next incarnation had got meanwhile.
 #[test]
 fn the_end_of_a_worker_does_not_end_a_run_that_its_next_incarnation_may_have() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
-    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
-    fixture.pool.worker_unhosted(&ended, fixture.now);
+    report_end(&mut fixture, worker("w"));
     add_other(&mut fixture);
     assert_about(wait_for_move(&mut fixture), timeouts().grant);
 }
@@ -217,14 +157,13 @@
 /// read after that, runs nothing: the task does not wait.
 #[test]
 fn the_end_of_a_worker_whose_port_was_closed_ends_all_its_runs() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
     add_other(&mut fixture);
     fixture.advance(STEP);
     fixture.refuse_connection(&worker("w"));
     fixture.advance(STEP);
-    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
-    fixture.pool.worker_unhosted(&ended, fixture.now);
+    report_end(&mut fixture, worker("w"));
     fixture.flush();
     assert_eq!(Fixture::started_on(fixture.poll()), [worker("v")]);
 }
@@ -233,7 +172,7 @@
 /// restarted unnoticed.
 #[test]
 fn a_release_tells_of_runs_that_no_report_has_listed() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
     let left = |fixture: &Fixture| fixture.pool.silent_workers(fixture.now).unwrap();
     assert!(left(&fixture)[&worker("w")] >= timeouts().grant);
@@ -246,31 +185,23 @@
 /// off again.
 #[test]
 fn polls_of_a_silent_worker_do_not_prolong_the_wait_for_its_leases() {
-    let (mut fixture, order) = ordered();
+    let (mut fixture, order) = ordered(step(1));
     fixture.accept(&worker("w"), &order);
     add_other(&mut fixture);
-    let begun = fixture.now;
-    while Fixture::started_on(fixture.poll()).is_empty() {
-        assert!(fixture.now.since(begun) < Millis(60_000), "the task never starts");
+    let wait = wait_for_move_during(&mut fixture, |fixture| {
         fixture.fail_poll(&worker("w"));
         fixture.advance(STEP);
-        fixture.report(&worker("v"));
-        fixture.flush();
-    }
-    assert_about(fixture.now.since(begun), timeouts().grant);
-}
-
-fn lasting() -> Step {
-    Step { long_running: true, ..step(1) }
+    });
+    assert_about(wait, timeouts().grant);
 }
 
 /// A long-running task was started beside a poll that the worker held open for seconds. Lost within
 /// these, it waited for the longest lease although nobody had restarted the worker.
 #[test]
 fn the_start_of_a_long_running_task_is_followed_by_a_report() {
-    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
+    let mut fixture = Fixture::ready(vec![listed("w", FIRST_START)]);
     fixture.poll();
-    fixture.submit(1, vec![lasting()]);
+    fixture.submit(1, vec![lasting(1)]);
     let (_, order) = fixture.starts().remove(0);
     let held = fixture.now;
     fixture.advance(10);
@@ -291,9 +222,9 @@
 /// The report of a poll that was overtaken listed a run that had ended since, which was adopted again.
 #[test]
 fn a_report_that_was_overtaken_brings_no_run_back() {
-    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
+    let mut fixture = Fixture::ready(vec![listed("w", FIRST_START)]);
     fixture.poll();
-    fixture.submit(1, vec![lasting()]);
+    fixture.submit(1, vec![lasting(1)]);
     let (_, order) = fixture.starts().remove(0);
     let held = fixture.now;
     fixture.advance(10);
@@ -314,9 +245,8 @@
 #[test]
 fn the_end_of_a_worker_tells_a_successor_nothing_about_its_next_incarnation() {
     let found = recovered(vec![(1, vec![step(1)])], vec![("w", None)]);
-    let mut fixture = Fixture::new(found, vec![listed("w", OLD_START)]);
-    let ended = Incarnation::new(worker("w")).with_start(Some(Millis(OLD_START)));
-    fixture.pool.worker_unhosted(&ended, fixture.now);
+    let mut fixture = Fixture::new(found, vec![listed("w", FIRST_START)]);
+    report_end(&mut fixture, worker("w"));
     add_other(&mut fixture);
     assert_about(wait_for_move(&mut fixture), Millis(timeouts().trust.0 + timeouts().grant.0));
 }
