State the bound in place of a wait that was not measured

Cause: the comment of a test of released pools gave 4.1 s for one of its cases, which was derived. It names the longest lease as the bound now.

--- a/reachhead_jobs/tests/pool/released.rs
+++ b/reachhead_jobs/tests/pool/released.rs
@@ -66,7 +66,7 @@
     fixture.now.since(begun)
 }
 
-/// Processes were stopped in turn, and each successor waited anew for a worker that had been silent
+/// Processes were stopped in turn, and each successor waited again for a worker that had been silent
 /// since before the first of them: tasks had no run for 14.6 s.
 #[test]
 fn successive_releases_do_not_add_up_for_a_silent_worker() {
@@ -237,10 +237,10 @@
     assert!(counted >= grant, "a successor counts {counted}ms, and a lease may last {grant}ms");
 }
 
-/// The lease of an owner that gives its pool back lists workers with runs that no report had listed. Jobs
-/// that were stored after that waited for a worker that had crashed meanwhile, though none of them can be
-/// there: 4.1 s where the crashed one had reported all its runs, and else 6.1 s. The same where there were too
-/// many of these workers to be listed.
+/// The lease of an owner that releases its pool lists workers with runs that no report had listed. Jobs
+/// that were stored after the release waited for such a worker that had crashed, for up to the longest lease,
+/// although none of their tasks can run there. They also waited where there were too many of these workers to
+/// be listed.
 #[test]
 fn a_job_stored_after_a_release_does_not_wait_for_runs_that_were_not_reported() {
     let roster = || vec![("gone", None), ("w", None)];
