--- a/reachhead_jobs/src/clock.rs
+++ b/reachhead_jobs/src/clock.rs
@@ -81,8 +81,8 @@
     }
 
     /// Returns whether the worker's clock can't have shown `shown` at `since` or later: it never goes
-    /// back, and loses no more than the contract allows. A reading that the clock can show proves
-    /// nothing, since that of another incarnation may be as far.
+    /// back, and loses no more than the contract allows. A reading that is not excluded does not identify
+    /// the incarnation, since the clock of another one may show the same.
     pub fn excludes(self, shown: WorkerTime, since: Tick) -> bool {
         let passed = since.since(self.at).0;
         let least = passed - (passed * MAX_DRIFT_PER_MILLE).div_ceil(1000);
--- a/reachhead_jobs/src/order_effect.rs
+++ b/reachhead_jobs/src/order_effect.rs
@@ -2,7 +2,7 @@
 //!
 //! Tasks that no worker reports wait for that time where a worker does not answer, so each takeover
 //! counts it as short as what is known of the owners before it allows. It is kept as points in time:
-//! a wait that each owner counts anew from its own fences never ends while owners are lost in a row.
+//! a wait that each owner restarts at its own fences never ends while owners are lost in a row.
 //! See "How a pool changes its owner" in [Platform](../../docs/PLATFORM.md).
 
 use std::collections::BTreeMap;
@@ -80,8 +80,8 @@
     ended: Tick,
     /// The same at the workers that the released lease lists; see [`LeaseRecord::silent`].
     silent: BTreeMap<WorkerId, Tick>,
-    /// When the owner before this one had released the pool, if no order of one before it could have effect
-    /// then: all that is left are its leases.
+    /// When the owner before this one had released the pool, if orders of earlier owners had no effect any
+    /// more by then. Only leases that the releasing owner granted can remain.
     released_at: Option<Tick>,
 }
 
--- a/reachhead_jobs/src/pool/crash.rs
+++ b/reachhead_jobs/src/pool/crash.rs
@@ -85,9 +85,9 @@
         }
     }
 
-    /// Removes a worker of which the platform was reported to have no host. A run that no report has
-    /// listed may be on an incarnation that has started since: unless its port was found closed after the
-    /// last call that may have reached it, the run counts until that one's longest lease has expired.
+    /// Removes a worker that has no host, according to the platform. A run that no report has listed may be
+    /// on an incarnation that has started since: unless the port was found closed after the last call that may
+    /// have reached that incarnation, the run counts until its longest lease has expired.
     pub(super) fn end_unhosted(&mut self, id: &WorkerId, now: Tick) {
         let may_run_unnoticed = self.workers.get(id).is_some_and(|worker| {
             let is_on_its_way =
--- a/reachhead_jobs/src/pool/orders.rs
+++ b/reachhead_jobs/src/pool/orders.rs
@@ -33,8 +33,8 @@
         (run.worker == *id).then_some(run)
     }
 
-    /// Records that a start order, which was sent at `sent` or later, has ended. Its answer names no
-    /// incarnation, but may show the clock of another one than the known.
+    /// Records the result of a start order that was sent at `sent` or later. Its answer does not name the
+    /// incarnation, but its clock reading may rule out the known one.
     fn record_start(
         &mut self,
         id: &WorkerId,
@@ -104,7 +104,7 @@
             Err(WorkerError::Rejected(_)) => self.record_rejection(id, now),
             Err(_) => {}
         }
-        // An order for a run that is not known any more was sent before that was removed.
+        // If the run was removed meanwhile, the time of the order is unknown, and zero is a lower bound.
         let sent = self.run_of(id, task, number).map(|run| run.ordered_at).unwrap_or_default();
         self.record_start(id, sent, &result, now);
         let Some(run) = self.run_of(id, task, number) else {
--- a/reachhead_jobs/src/pool/polls.rs
+++ b/reachhead_jobs/src/pool/polls.rs
@@ -47,7 +47,7 @@
 
 /// Poll wait at a worker that has not answered several polls. Unlike a poll that does not wait, it
 /// has the timeout of a long poll: on a narrow link a report with many ends takes longer than the
-/// timeout of an order, and each attempt would send it in vain.
+/// timeout of an order, and each attempt would fail before the report has arrived.
 const UNANSWERED_POLL_WAIT: Millis = Millis(1);
 
 /// Number of unanswered polls after which the next ones have a longer timeout. Until then a lost
@@ -160,7 +160,7 @@
                 if !worker.runs.is_empty() {
                     let tasks = self.expired_tasks(worker);
                     if worker.ended && worker.is_unhosted() {
-                        // Only its end tells why the last of its runs have ended.
+                        // All its runs are removed together, so that the crash is recorded as their cause.
                         if tasks.len() == worker.runs.len() {
                             ended.push(worker.info.id.clone());
                         }
--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -84,7 +84,7 @@
             worker.record_earlier_call(sent, now, self.timeouts.grant);
         }
         if is_superseded {
-            // A later poll has told, or will tell, what became of the worker.
+            // The result of a later poll decides whether the worker is silent.
             if is_lost {
                 worker.record_unanswered(sent, now, self.timeouts.grant);
             }
@@ -128,7 +128,7 @@
             return;
         };
         if sent < worker.report_sent {
-            // A poll that was sent later has been answered, and shows what came after this report.
+            // A report that was requested later has been applied, so this one is outdated.
             worker.record_earlier_call(sent, now, self.timeouts.grant);
             worker.end_poll(sent, now);
             return;
--- a/reachhead_jobs/tests/pool/late_orders_after_death.rs
+++ b/reachhead_jobs/tests/pool/late_orders_after_death.rs
@@ -141,7 +141,7 @@
     }
 }
 
-/// A call to the dead incarnation could make the next one forget ends that no owner had read.
+/// A call to the dead incarnation could acknowledge ends of the next one that no owner had read.
 #[test]
 fn late_calls_are_expected_at_the_next_incarnation_of_a_dead_worker() {
     for evidence in EVIDENCE {
@@ -221,8 +221,8 @@
     assert!(fixture.pool.workers()[&worker("w")].expects_late_calls(fixture.now));
 }
 
-/// A worker that was cut off until it left the list comes back as the same incarnation, which knows
-/// what it was told: it must not wait for calls to an earlier one.
+/// A worker that was cut off until it left the list returns as the same incarnation. No call to an
+/// earlier one is on its way, so it must not wait for late calls.
 #[test]
 fn the_same_incarnation_does_not_wait_for_late_calls() {
     let (mut fixture, order) = ordered(step(1));
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -133,7 +133,7 @@
     assert_longest_lease(&mut fixture);
 }
 
-/// The same order finds the port closed as well: nothing has it, and the task does not wait.
+/// The same order finds the port closed as well: it has reached no incarnation, and the task does not wait.
 #[test]
 fn an_order_that_finds_the_port_closed_ends_the_wait_for_it() {
     let (mut fixture, order) = ordered(step(1));
@@ -151,7 +151,7 @@
 }
 
 /// A task crashed each of its workers before a report had listed it, and their hosts took no connection.
-/// The crashes were no evidence against it, and it took the pool down worker by worker.
+/// The crashes were not counted against it, and it crashed one worker after the other.
 #[test]
 fn a_task_whose_workers_end_before_they_report_it_is_given_up() {
     let infos = (0..8).map(|number| listed(&format!("w{number}"), FIRST_START)).collect();
--- a/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_incarnation.rs
@@ -26,7 +26,7 @@
     assert_about(wait_for_move(&mut fixture), timeouts().grant);
 }
 
-/// As above, when the answer to the start was lost with the path.
+/// As above, when the answer to the start was lost with the connection.
 #[test]
 fn a_task_is_not_moved_while_an_unnoticed_incarnation_may_have_got_its_order() {
     let (mut fixture, order) = ordered(step(1));
@@ -181,8 +181,8 @@
     assert!(left(&fixture).is_empty());
 }
 
-/// Polls of a worker that does not answer prolong no lease there: each of them put the end of the wait
-/// off again.
+/// Polls of a worker that does not answer prolong no lease there. Each of them delayed the end of the wait
+/// again.
 #[test]
 fn polls_of_a_silent_worker_do_not_prolong_the_wait_for_its_leases() {
     let (mut fixture, order) = ordered(step(1));
@@ -196,7 +196,7 @@
 }
 
 /// A long-running task was started beside a poll that the worker held open for seconds. Lost within
-/// these, it waited for the longest lease although nobody had restarted the worker.
+/// these, it waited for the longest lease although the worker had not restarted.
 #[test]
 fn the_start_of_a_long_running_task_is_followed_by_a_report() {
     let mut fixture = Fixture::ready(vec![listed("w", FIRST_START)]);
--- a/reachhead_jobs/tests/random_schedules/main.rs
+++ b/reachhead_jobs/tests/random_schedules/main.rs
@@ -241,9 +241,9 @@
     check("slow takeovers", SLOW_SCHEDULES, run as fn(WideSchedule) -> bool);
 }
 
-/// Workers fall silent for good, an owner is cut off or frozen and later answers that it gave up or has
+/// Workers stop answering for good, an owner is cut off or frozen and later answers that it gave up or has
 /// restarted, and its successors are killed in a row, also in the middle of their reads. Guards against a
-/// wait for the orders of earlier owners that starts anew at its full length with each successor.
+/// wait for the orders of earlier owners that starts again at its full length with each successor.
 #[test]
 fn no_long_running_task_waits_after_a_series_of_killed_owners() {
     fn run(schedule: WideSchedule) -> bool {
--- a/reachhead_jobs/tests/random_schedules/simulation/predecessor.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/predecessor.rs
@@ -71,7 +71,7 @@
     /// Writes the lease row.
     pub(super) fn write_lease(&mut self, txn: Txn) -> Revision {
         let Commit::Done(revision) = self.commit(txn) else {
-            unreachable!("nobody else writes the lease now")
+            unreachable!("no other process writes the lease now")
         };
         self.earlier.lease_written = Tick(self.now);
         revision
--- a/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/takeover.rs
@@ -40,7 +40,7 @@
 }
 
 impl Simulation {
-    /// Lets a new process take the lease, whatever the previous owner is doing.
+    /// Lets a new process take the lease, independently of the state of the previous owner.
     pub(super) fn take_over(&mut self) {
         self.take_over_from(false);
     }
@@ -56,7 +56,9 @@
             RecoveredState::new(StoredRoster::default(), effect, verified).with_knows_storer(true);
         let (token, term) = self.take_lease(&found.effect);
         for shard in Shard::all() {
-            let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
+            let Some(fence) = self.raise(token, shard) else {
+                unreachable!("no other process took it")
+            };
             found.fences.insert(shard, fence);
             found.jobs.append(&mut self.stored_jobs(shard));
         }
@@ -112,7 +114,9 @@
         self.add_recovering_owner(token, term, effect.clone());
         let mut found = RecoveredJobs::default();
         for shard in Shard::all() {
-            let Some(fence) = self.raise(token, shard) else { unreachable!("nobody else took it") };
+            let Some(fence) = self.raise(token, shard) else {
+                unreachable!("no other process took it")
+            };
             found.fences.insert(shard, fence);
         }
         found.fenced_at = Tick(self.now);
--- a/reachhead_jobs/tests/random_schedules/simulation/unnoticed_restarts.rs
+++ b/reachhead_jobs/tests/random_schedules/simulation/unnoticed_restarts.rs
@@ -76,9 +76,9 @@
 enum OwnerChange {
     None,
     Killed,
-    /// It stands still, and goes on later.
+    /// Its process is frozen, and continues later.
     Frozen,
-    /// It is cut off from the store, and goes on.
+    /// It is cut off from the store, and continues to give orders.
     CutOff,
     Released,
 }
@@ -123,14 +123,14 @@
     down: BTreeMap<WorkerId, DownWorker>,
     /// Registrations of earlier incarnations that are still listed.
     registrations: BTreeMap<WorkerId, WorkerInfo>,
-    /// Workers that no owner reaches, and until when.
+    /// Workers that no owner can reach, and the end of each cut.
     cut: BTreeMap<WorkerId, u64>,
     /// A successor may know of no restart: a registration arrives after its takeover, and so does the
     /// report of a list of hosts that was read before it.
     uninformed: bool,
 }
 
-/// Takes one of the values off a mixed-radix number.
+/// Chooses one of the values by the lowest digit of a mixed-radix number, and removes that digit.
 fn draw<T: Copy>(number: &mut u64, values: &[T]) -> T {
     let count = values.len() as u64;
     let value = values[(*number % count) as usize];
