Run the timer tests of reachhead_node on a paused clock

Cause: these tests sleep for real and compare what tasks of the same thread have done by then, and the code under test reads the boot-time clock besides. If the thread gets no processor for longer than the margin, two timers are due at once and the task that the test waits for has not run, or the process rightly counts itself as paused.

A clock counts from a `Start` now, which is a reading of the boot-time clock in a process and one of Tokio's clock in tests. The tests that wait for timers alone run with Tokio's clock paused: it advances to the next timer once all tasks wait, so that no delay of the thread counts. No assertion, bound or sleep is changed. A process passes its clock to its dispatchers, which had one of their own that began later; ages of orders are relative to the fastest message of a session, so that the start does not matter.

The tests with real sockets (admission, process, owner_call, the_first_answer_after_a_pause_claims_the_pool) keep the real clock: Tokio advances a paused clock without regard to sockets that are ready.

--- a/reachhead_node/src/bulk_reads_tests.rs
+++ b/reachhead_node/src/bulk_reads_tests.rs
@@ -1,15 +1,15 @@
 use std::{sync::Arc, time::Duration};
 
-use reachhead_ops::runtime;
 use tokio::{task::JoinHandle, time};
 
 use super::*;
+use crate::tests::paused_runtime;
 
 /// Takeovers read all shards of their pools at once; the pages filled a narrow link for seconds, and
 /// the process was taken for dead.
 #[test]
 fn pages_of_a_takeover_do_not_fill_a_narrow_link_together() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let reads = BulkReads::new(ByteRate(250_000));
         let first = reads.acquire(reads.capacity()).await;
         let second = time::timeout(Duration::from_millis(20), reads.acquire(1)).await;
@@ -21,7 +21,7 @@
 
 #[test]
 fn a_page_larger_than_the_limit_is_read_alone() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let reads = BulkReads::new(ByteRate(250_000));
         let large = time::timeout(Duration::from_secs(1), reads.acquire(500)).await;
         assert!(large.is_ok_and(|permit| permit.is_some()));
@@ -30,7 +30,7 @@
 
 #[test]
 fn all_shards_are_read_at_once_on_a_fast_link() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let reads = BulkReads::new(ByteRate(125_000_000));
         let pages = [reads.acquire(500).await, reads.acquire(500).await, reads.acquire(500).await];
         let fourth = time::timeout(Duration::from_millis(20), reads.acquire(500)).await;
@@ -42,7 +42,7 @@
 /// them: the leases of its workers ended.
 #[test]
 fn a_roster_goes_before_the_waiting_pages_of_jobs() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let reads = Arc::new(BulkReads::new(ByteRate(250_000)));
         let in_flight = reads.acquire(reads.capacity()).await;
         let waiting: Vec<_> = (0..20)
--- a/reachhead_node/src/dispatch/agent.rs
+++ b/reachhead_node/src/dispatch/agent.rs
@@ -58,6 +58,12 @@
         self.with(|shared| shared.bandwidth = Some(bandwidth))
     }
 
+    /// Sets the clock.
+    #[must_use]
+    pub fn with_clock(self, clock: Clock) -> Self {
+        self.with(|shared| shared.clock = clock)
+    }
+
     /// Sets the metrics.
     #[must_use]
     pub fn with_metrics(self, metrics: DispatchMetrics) -> Self {
--- a/reachhead_node/src/dispatch/agent_tests.rs
+++ b/reachhead_node/src/dispatch/agent_tests.rs
@@ -31,7 +31,7 @@
 
 /// Guards against orders or results that dispatch changes, and against calls by the owner itself while
 /// its dispatchers work.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn dispatcher_sends_orders_unchanged_and_owner_sends_none() {
     let fixture = Fixture::new(1, Some(Ok(())));
     let results = join_all((0..3).map(|worker| fixture.start(worker))).await;
@@ -46,7 +46,7 @@
 }
 
 /// Guards against orders of a killed dispatcher that wait for their own time-outs one after the other.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn orders_of_a_killed_dispatcher_are_sent_directly_at_once() {
     let fixture = Fixture::new(1, None);
     let begun = Instant::now();
@@ -67,7 +67,7 @@
 
 /// Guards against starts that are lost with a batch and never repeated, and against a repeated order that
 /// differs.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn starts_lost_with_their_batch_are_repeated_directly() {
     let fixture = Fixture::new(1, Some(Ok(())));
     *fixture.link.orders.lock().unwrap() = Delivery::Lost;
@@ -80,7 +80,7 @@
 
 /// Guards against a wait for results that can't arrive, against a start that counts as not sent although
 /// the dispatcher has sent it, and against results that count after their session has ended.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn dispatcher_cut_off_from_the_owner_is_replaced_and_its_results_are_ignored() {
     let fixture = Fixture::new(1, Some(Ok(())));
     *fixture.link.orders.lock().unwrap() = Delivery::AnswerLost;
@@ -102,7 +102,7 @@
 }
 
 /// Guards against the exclusion of a dispatcher that works because one result of it was lost.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn lost_result_costs_one_start_and_not_the_dispatcher() {
     let fixture = Fixture::new(1, Some(Ok(())));
     *fixture.dispatched.answer.lock().unwrap() = None;
@@ -121,7 +121,7 @@
 }
 
 /// Guards against a dispatcher that makes the owner believe for long that its workers are unreachable.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn dispatcher_cut_off_from_workers_is_excluded() {
     let unreachable = WorkerError::Unreachable("no route".to_owned());
     let fixture = Fixture::new(1, Some(Err(unreachable.clone())));
@@ -137,7 +137,7 @@
 
 /// Guards against a replaced owner that has its orders carried out by a dispatcher, or does not learn
 /// that it was replaced.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn workers_see_the_token_and_the_owner_sees_their_rejection() {
     let fenced = Err(WorkerError::Rejected(Rejection::Fenced));
     let fixture = Fixture::new(1, Some(fenced));
@@ -149,7 +149,7 @@
 
 /// Guards against an owner that excludes one dispatcher after the other because its own link is full, and sends
 /// each of them the payloads again.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn full_link_of_the_owner_excludes_no_dispatcher() {
     let fixture = Fixture::new(1, Some(Ok(())));
     fixture.link.filled.store(true, Ordering::Relaxed);
@@ -166,7 +166,7 @@
 }
 
 /// Guards against an owner that depends on dispatchers when all of them are gone.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn owner_without_dispatchers_sends_everything_itself() {
     let fixture = Fixture::new(2, Some(Ok(())));
     *fixture.link.orders.lock().unwrap() = Delivery::Refused;
--- a/reachhead_node/src/dispatch/fakes_tests.rs
+++ b/reachhead_node/src/dispatch/fakes_tests.rs
@@ -27,6 +27,7 @@
     DispatchBatch, DispatchServer, DispatchedWorkers, OrderResult, ResultBatch, link::DispatchLink,
     sessions::Candidate,
 };
+use crate::tests::tokio_clock;
 
 pub const TOKEN: FencingToken = FencingToken(7);
 
@@ -217,7 +218,8 @@
         let link = Arc::new(FakeLink::default());
         let direct = FakeWorkers::answering(Some(Ok(())));
         let dispatched = FakeWorkers::answering(answer);
-        let server = DispatchServer::new(Arc::clone(&dispatched) as _, Arc::clone(&link) as _);
+        let server = DispatchServer::new(Arc::clone(&dispatched) as _, Arc::clone(&link) as _)
+            .with_clock(tokio_clock());
         let _ = link.server.set(server);
         let owner = owner(Arc::clone(&direct), Arc::clone(&link) as _);
         let addresses: Vec<SocketAddr> = (0..dispatchers).map(address).collect();
@@ -244,6 +246,7 @@
 
 pub fn owner(direct: Arc<FakeWorkers>, link: Arc<dyn DispatchLink>) -> DispatchedWorkers {
     DispatchedWorkers::new("a".parse().unwrap(), TOKEN, address(OWNER), direct as _, link)
+        .with_clock(tokio_clock())
 }
 
 /// Assigns workers 0 to 7 to dispatchers at these addresses.
--- a/reachhead_node/src/dispatch/server.rs
+++ b/reachhead_node/src/dispatch/server.rs
@@ -110,11 +110,21 @@
         }))
     }
 
+    /// Sets the clock.
+    #[must_use]
+    pub fn with_clock(self, clock: Clock) -> Self {
+        self.with(|shared| shared.clock = clock)
+    }
+
     /// Sets the metrics.
     #[must_use]
-    pub fn with_metrics(mut self, metrics: DispatchMetrics) -> Self {
+    pub fn with_metrics(self, metrics: DispatchMetrics) -> Self {
+        self.with(|shared| shared.metrics = metrics)
+    }
+
+    fn with(mut self, change: impl FnOnce(&mut Shared)) -> Self {
         if let Some(shared) = Arc::get_mut(&mut self.0) {
-            shared.metrics = metrics;
+            change(shared);
         }
         self
     }
--- a/reachhead_node/src/dispatch/server_tests.rs
+++ b/reachhead_node/src/dispatch/server_tests.rs
@@ -33,7 +33,7 @@
 
 /// Guards against a dispatcher that sends orders which its owner has long sent itself, after it was
 /// suspended or its link was slow.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn orders_that_arrive_late_are_dropped() {
     let fixture = Fixture::new(1, Some(Ok(())));
     let server = fixture.link.server.get().unwrap();
@@ -46,7 +46,7 @@
 
 /// Guards against tasks that are never started, or started by the owner, because a dispatcher has
 /// dropped a payload that the owner counts as sent.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn payload_that_a_dispatcher_does_not_have_is_sent_again() {
     let fixture = Fixture::new(1, Some(Ok(())));
     assert!(fixture.start(0).await.is_ok());
@@ -59,7 +59,7 @@
 }
 
 /// Guards against a burst that fills a dispatcher's memory with orders which it can't send in time.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn orders_beyond_the_limit_are_left_to_the_owner() {
     let fixture = Fixture::new(1, None);
     let server = fixture.link.server.get().unwrap();
@@ -71,7 +71,7 @@
 }
 
 /// Guards against results that are lost because the owner could not be reached for a moment.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn results_that_could_not_be_sent_come_with_the_next_answer() {
     let fixture = Fixture::new(1, Some(Ok(())));
     *fixture.link.results.lock().unwrap() = super::fakes::Delivery::Refused;
--- a/reachhead_node/src/earlier_owners_tests.rs
+++ b/reachhead_node/src/earlier_owners_tests.rs
@@ -6,13 +6,17 @@
     record::{LeaseRecord, part_of},
     shard::Shard,
 };
-use reachhead_ops::runtime;
 use reachhead_store::row::Row;
 use reachhead_types::size::Revision;
 use serde_json::json;
 
 use super::*;
-use crate::{election, failure_detector, lease, peer::Pong, tests::broken_node, view::PeerStatus};
+use crate::{
+    election, failure_detector, lease,
+    peer::Pong,
+    tests::{broken_node, paused_runtime},
+    view::PeerStatus,
+};
 
 fn pool() -> PoolName {
     "a".parse().unwrap()
@@ -75,7 +79,7 @@
 /// time from the start: the row waited for a period, where no owner may go on or an answer was lost.
 #[test]
 fn the_row_of_fences_is_written_at_once_and_again_after_a_lost_answer() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store) = broken_node::node();
         let lease = lease::take(&node, &pool(), None, None).await.unwrap().unwrap();
         let fences = Arc::new(Fences::default());
--- a/reachhead_node/src/election_tests.rs
+++ b/reachhead_node/src/election_tests.rs
@@ -28,7 +28,7 @@
     follow::{Follower, Leases},
     peer::PeerHandler,
     process,
-    tests::broken_node,
+    tests::{broken_node, paused_runtime},
 };
 
 /// How long a process is paused: longer than the event loop of an owner may stand still.
@@ -46,7 +46,7 @@
 
 #[test]
 fn a_process_does_not_claim_a_pool_whose_owner_has_panicked() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, _) = broken_node::node();
         for failure in 0..2 {
             assert!(!node.leaves_to_others(&pool(), node.now()), "after {failure} failures");
@@ -65,7 +65,7 @@
 
 #[test]
 fn a_process_does_not_claim_a_pool_whose_takeover_has_panicked() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store) = broken_node::node();
         store.scans.store(u32::MAX, Ordering::Relaxed);
         let policy = PoolPolicy { name: pool(), rejects_overload: false, spare: false };
@@ -84,7 +84,7 @@
 /// released, and kept the pool until the process ended without giving it back.
 #[test]
 fn a_process_that_is_asked_to_end_gives_back_the_pool_that_it_is_taking_over() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store, stop) = broken_node::stoppable_node();
         store.scan_time.store(500, Ordering::Relaxed);
         let policy = PoolPolicy { name: pool(), rejects_overload: false, spare: false };
@@ -152,7 +152,7 @@
 
 #[test]
 fn an_owner_that_stands_still_is_not_claimed_and_may_go_on() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, _) = broken_node::node();
         let (handle, inputs) = OwnerHandle::new(Revision(7));
         tokio::spawn(claim::run(Arc::clone(&node)));
@@ -220,7 +220,7 @@
 /// Two restarts in a row let tasks wait twice: the process between them had not even read the rows.
 #[test]
 fn a_takeover_that_was_cut_off_does_not_lengthen_the_wait() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store) = broken_node::node();
         store.scans.store(u32::MAX, Ordering::Relaxed);
         let policy = PoolPolicy { name: pool(), rejects_overload: false, spare: false };
--- a/reachhead_node/src/follow_tests.rs
+++ b/reachhead_node/src/follow_tests.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use futures::future::{BoxFuture, FutureExt};
@@ -25,7 +25,7 @@
     size::{Millis, Revision, Strength, Version},
 };
 use serde_json::{Value, json};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::{Follower, Leases, Operators, follow};
 use crate::{
@@ -203,7 +203,7 @@
 
 /// Guards against a process on a narrow link that reads every version of a configuration which changes quickly: it
 /// knew the last one many seconds late, and nothing else passed meanwhile.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn superseded_versions_of_a_large_configuration_are_skipped_on_a_narrow_link() {
     const VERSIONS: u64 = 10;
     let feed = Arc::new(NarrowFeed { newest: AtomicU64::new(1), ..NarrowFeed::default() });
--- a/reachhead_node/src/node.rs
+++ b/reachhead_node/src/node.rs
@@ -143,6 +143,7 @@
         let poll_pacer = Mutex::new(PollPacer::new(bandwidth, clock.now()));
         let link = Arc::new(PeerLink(peers.clone()));
         let dispatch_server = DispatchServer::new(Arc::clone(&services.workers), link)
+            .with_clock(clock.clone())
             .with_metrics(metrics.dispatch.clone());
         Self {
             settings,
@@ -261,6 +262,7 @@
         let link = Arc::new(PeerLink(self.peers.clone()));
         let workers = DispatchedWorkers::new(pool.clone(), token, self.settings.peer, direct, link)
             .with_bandwidth(bandwidth(&self.settings))
+            .with_clock(self.clock.clone())
             .with_metrics(self.metrics.dispatch.clone());
         let workers = Arc::new(workers);
         locked(&self.dispatched).insert(pool.clone(), Arc::downgrade(&workers));
--- a/reachhead_node/src/owner/release_tests.rs
+++ b/reachhead_node/src/owner/release_tests.rs
@@ -3,7 +3,6 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use reachhead_ops::runtime;
 use reachhead_types::id::JobId;
 use tokio::time::Instant;
 
@@ -13,7 +12,10 @@
         CancelReply, Input,
         tests::{self, owner_in},
     },
-    tests::recorded_node::{self, Call, Platform},
+    tests::{
+        paused_runtime,
+        recorded_node::{self, Call, Platform},
+    },
 };
 
 /// Time in which an owner has its workers in the roster and polls them.
@@ -70,7 +72,7 @@
 /// much older when the successor called.
 #[test]
 fn an_owner_renews_leases_until_it_writes_the_release() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let released = release(|platform| platform.holds_records.store(true, Ordering::Relaxed));
         let released = released.await;
         let written = released.times(Call::Lease)[0];
@@ -85,7 +87,7 @@
 /// release, which may be stored although its answer is lost.
 #[test]
 fn an_owner_orders_nothing_after_it_has_written_the_release() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let released = release(|platform| platform.holds_leases.store(true, Ordering::Relaxed));
         let released = released.await;
         let written = released.times(Call::Lease)[0];
@@ -103,7 +105,7 @@
 /// Guards against a release that waits for its timeout although everything is stored.
 #[test]
 fn an_owner_without_open_records_releases_its_pool_at_once() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let released = release(|_| ()).await;
         let time = released.ended_at - released.asked_at;
         assert!(time < Duration::from_millis(500), "the release took {time:?}");
@@ -114,7 +116,7 @@
 /// answered the caller and ordered no stop, and its successor renews the run until it has read all jobs.
 #[test]
 fn an_owner_stops_what_is_cancelled_before_it_writes_the_release() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, platform) = recorded_node::node(&"a".parse().unwrap());
         let now = node.now();
         node.view().config_current_at = now;
--- a/reachhead_node/src/owner/tests.rs
+++ b/reachhead_node/src/owner/tests.rs
@@ -10,11 +10,13 @@
     ports::WorkerInfo,
     record::{JobRecord, lease_key},
 };
-use reachhead_ops::runtime;
 use reachhead_types::size::Revision;
 
 use super::*;
-use crate::{lease, tests::broken_node};
+use crate::{
+    lease,
+    tests::{broken_node, paused_runtime},
+};
 
 /// Time after which the first read of stored jobs is due.
 const FIRST_SCAN: Duration = Duration::from_millis(500);
@@ -87,7 +89,7 @@
 
 #[test]
 fn an_owner_whose_call_to_a_worker_panicked_gives_its_pool_up() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let outcome = time::timeout(Duration::from_secs(2), owner().await.run()).await;
         assert_eq!(outcome, Ok(Outcome::Failed), "the worker is never called again");
     });
@@ -97,7 +99,7 @@
 /// the followed table does.
 #[test]
 fn an_owner_that_reads_the_lease_of_a_successor_gives_its_pool_up() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let mut owner = owner().await;
         let key = lease_key(owner.pool.name());
         let mut rows = owner.node.services.store.read(vec![key]).await.unwrap();
@@ -130,7 +132,7 @@
 /// followed by a pause of four times that wait, as after a read over a slow link.
 #[test]
 fn an_owner_whose_read_waited_for_other_reads_soon_reads_on() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store) = broken_node::node();
         store.scan_time.store(20, Ordering::Relaxed);
         let mut owner = owner_in(Arc::clone(&node)).await;
@@ -150,7 +152,7 @@
 /// Guards against reads that fill a narrow link, one right after the other.
 #[test]
 fn an_owner_whose_read_took_long_pauses_for_longer() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store) = broken_node::node();
         store.scan_time.store(300, Ordering::Relaxed);
         let mut owner = owner_in(Arc::clone(&node)).await;
--- a/reachhead_node/src/renewal_tests.rs
+++ b/reachhead_node/src/renewal_tests.rs
@@ -6,7 +6,6 @@
         Mutex,
         atomic::{AtomicU32, Ordering},
     },
-    time::Instant,
 };
 
 use futures::future::{BoxFuture, FutureExt};
@@ -30,6 +29,7 @@
     id::{JobId, WorkerId},
     size::RunNumber,
 };
+use tokio::time::Instant;
 
 use super::*;
 use crate::{
@@ -39,7 +39,7 @@
     owner,
     owner_call::call_pool_owner,
     peer::{PeerReply, PoolRequest},
-    tests::{broken_node, recorded_node},
+    tests::{broken_node, paused_runtime, recorded_node},
 };
 
 /// How long a page of jobs takes.
@@ -230,7 +230,7 @@
 /// reads its rows.
 #[test]
 fn a_worker_is_renewed_while_the_stored_jobs_are_read() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store, workers) = successor(false).await;
         tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
         let renewed = holds_within(RENEWAL_LIMIT, || workers.renewed(&worker()).is_some()).await;
@@ -253,7 +253,7 @@
 /// link, and reading the jobs there takes longer than a lease.
 #[test]
 fn a_worker_is_renewed_while_the_jobs_are_read_although_a_read_of_the_roster_failed() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store, workers) = successor(false).await;
         store.roster_failures.store(2, Ordering::Relaxed);
         tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
@@ -267,7 +267,7 @@
 /// take several times as long as those of the takeover.
 #[test]
 fn an_owner_knows_the_jobs_of_which_it_was_notified_during_its_takeover() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, _, _) = successor(false).await;
         tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
         time::sleep(Duration::from_millis(300)).await;
@@ -284,7 +284,7 @@
 /// Guards against a process that claims a pool which nobody renews and reads on.
 #[test]
 fn a_takeover_whose_call_to_a_worker_panicked_ends_with_its_claim() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store, _) = successor(true).await;
         for failure in 0..2 {
             assert!(!node.leaves_to_others(&pool(), node.now()), "after {failure} failures");
@@ -301,7 +301,7 @@
 /// Guards against renewals beside those of a successor.
 #[test]
 fn a_takeover_ends_when_another_process_has_taken_the_lease() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let (node, store, workers) = successor(false).await;
         let takeover = tokio::spawn(run_takeover(Arc::clone(&node), pool(), Some(policy()), None));
         assert!(holds_within(RENEWAL_LIMIT, || workers.renewed(&worker()).is_some()).await);
@@ -321,7 +321,7 @@
 /// Guards against a successor that does not wait for the runs that an abandoned takeover has renewed.
 #[test]
 fn the_release_of_an_abandoned_takeover_tells_the_leases_that_it_may_have_renewed() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         for (roster, expected) in [(None, Millis(0)), (Some(1), with_drift(MAX_WORKER_LEASE))] {
             let (node, store, _) = successor(false).await;
             let lease = lease::take(&node, &pool(), None, None).await.unwrap().unwrap();
--- a/reachhead_node/src/retakes_tests.rs
+++ b/reachhead_node/src/retakes_tests.rs
@@ -6,14 +6,13 @@
     model::{CallLimits, Configuration},
     record::{MemberRecord, SettledRecord},
 };
-use reachhead_ops::runtime;
 use reachhead_types::size::{FencingToken, Strength, Version, WorkerCount};
 
 use super::*;
 use crate::{
     lease,
     peer::Pong,
-    tests::broken_node,
+    tests::{broken_node, paused_runtime},
     view::{MemberView, PeerStatus},
 };
 
@@ -64,7 +63,7 @@
 /// workers end, while peers with idle links stand by.
 #[test]
 fn pools_that_a_narrow_link_does_not_carry_are_left_to_peers_at_once() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         for (peers, expected) in [(3, (1, 3)), (1, (1, 1))] {
             let mut election = restarted(peers).await;
             election.check_pools();
@@ -79,7 +78,7 @@
 /// leases end before their workers are called, while peers with idle links stand by.
 #[test]
 fn large_pools_are_left_to_peers_by_their_recorded_size() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         for (workers, expected) in [(None, (5, 0)), (Some(1451), (2, 3)), (Some(20_000), (1, 4))] {
             let mut election = restarted_on(20.0, 4).await;
             for pool in ["a", "b", "c", "d", "e"] {
@@ -97,7 +96,7 @@
 /// Guards against pools that nobody owns, or that share the link, after a restart of all processes.
 #[test]
 fn a_process_without_peers_takes_its_pools_one_after_the_other() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         let mut election = restarted(0).await;
         for expected in [1, 2] {
             election.check_pools();
@@ -116,7 +115,7 @@
 /// link could take the pool; and against processes that pass such a pool on.
 #[test]
 fn a_takeover_behind_others_is_given_back_once_while_a_peer_is_free() {
-    runtime::current_thread().unwrap().block_on(async {
+    paused_runtime().block_on(async {
         for (abandoned, roster, expected) in
             [(0, None, (1, 2)), (1, None, (2, 1)), (0, Some(1), (1, 2))]
         {
--- a/reachhead_node/src/tests/broken_node.rs
+++ b/reachhead_node/src/tests/broken_node.rs
@@ -193,5 +193,7 @@
     let metrics = Metrics::new(&mut prometheus_client::registry::Registry::default());
     let peers = PeerClient::new(Arc::new(HttpClient::new()));
     let settings = Settings::parse(SETTINGS).unwrap();
-    Arc::new(Node::new(settings, services, peers, metrics, stopping))
+    let mut node = Node::new(settings, services, peers, metrics, stopping);
+    node.clock = super::tokio_clock();
+    Arc::new(node)
 }
