Answer the read that outlasts its callers when the test says so

Seen: admission::tests::read_that_outlasts_its_callers_is_kept failed in 1 of 10 runs beside 8 busy processes and other builds (load 27), "the first read has ended".

Cause: the store answered after 700 ms of real time, the callers give up after 600 ms, and the test looked after 900 ms. A delay of the server's thread or of the process by more than the rest of 200 ms fails the test.

The store answers now once the test has seen that the callers gave up, and the test waits until the answer has confirmed the configuration. No caller begins another read meanwhile, so that only the first one can do that. A read that ends with its caller, tried by awaiting it in `config_reads::run_with`, is found: the test fails, "the first read has ended with its caller".

--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -1,14 +1,20 @@
 //! Calls that arrive while the newest configuration is unknown or slow to come.
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, mpsc},
+    thread,
+    time::Duration,
+};
 
 use reachhead_jobs::{clock::Tick, ports::Admission};
 use reachhead_types::{error::ErrorKind, id::NodeName, size::Millis};
+use tokio::time::{self, Instant};
 
 use crate::{
     node::Node,
     peer::Pong,
-    tests::idle_node::{self, apply_config, serve},
+    tests::idle_node::{self, apply_config, serve, serve_with},
     view::PeerStatus,
 };
 
@@ -75,7 +81,7 @@
     let node = node_with_config(store, Millis(3500));
     let before = node.now();
     let paused = async {
-        tokio::time::sleep(Duration::from_millis(3)).await;
+        time::sleep(Duration::from_millis(3)).await;
         thread::sleep(Duration::from_millis(500));
     };
     let (admitted, ()) = tokio::join!(admit(&node), paused);
@@ -100,12 +106,19 @@
 /// caller waits, so that none of them ever ended and all calls were refused.
 #[tokio::test]
 async fn read_that_outlasts_its_callers_is_kept() {
-    let store = serve(Some((Duration::from_millis(700), "{\"rows\":[],\"versionNumber\":9}")));
+    let (open, gate) = mpsc::channel();
+    let answer = move || gate.recv().ok().map(|()| "{\"rows\":[],\"versionNumber\":9}");
+    let store = serve_with(answer);
     let node = node_with_config(store, Millis(3500));
     add_peer(&node, serve(None), 20);
     let before = node.now();
     assert_eq!(admit(&node).await.unwrap_err(), ErrorKind::NotReady, "not read in time");
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    open.send(()).unwrap();
+    // No caller begins another read meanwhile.
+    let end = Instant::now() + Duration::from_secs(5);
+    while node.view().config_current_at < before {
+        assert!(Instant::now() < end, "the first read has ended with its caller");
+        time::sleep(Duration::from_millis(10)).await;
+    }
     assert!(admit(&node).await.is_ok(), "the first read has ended");
-    assert!(node.view().config_current_at >= before);
 }
--- a/reachhead_node/src/tests/idle_node.rs
+++ b/reachhead_node/src/tests/idle_node.rs
@@ -93,6 +93,18 @@
 
 /// Starts a server on a thread of its own, which goes on while the test's thread is blocked.
 pub(crate) fn serve(reply: Reply) -> SocketAddr {
+    serve_with(move || {
+        let (delay, body) = reply?;
+        thread::sleep(delay);
+        Some(body)
+    })
+}
+
+/// Starts such a server that answers each call with the result of `answer`, once that returns. `None`
+/// never answers.
+pub(crate) fn serve_with(
+    mut answer: impl FnMut() -> Option<&'static str> + Send + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -100,8 +112,7 @@
         while let Ok((mut stream, _)) = listener.accept() {
             let mut request = [0; 4096];
             let _ = stream.read(&mut request);
-            if let Some((delay, body)) = reply {
-                thread::sleep(delay);
+            if let Some(body) = answer() {
                 let _ = write!(
                     stream,
                     "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
