Pass the moment to the control process's view of results and members

Seen by reading: the tests of the view sleep for real, while `View::record_store_result` and `View::process_members` read the clock themselves. A delay between two calls of a test counts as silence of the members. Trial on the code before, with 2.5 s between the last two calls of an_outage_is_no_evidence_against_members: it fails, since a member may be silent for 2.18 s with these settings. No run without the trial was seen to fail.

Both functions take the moment as a parameter; the follower, their only caller, reads the clock right before the call, on its one thread. The tests count the same steps and limits on moments of their own, without sleeps, and take 0.03 s, where one of them slept for 5 s. That they still find what they guard against was tried: without `excuse_outage` an_outage_is_no_evidence_against_members fails, and with a full excuse for each outage a_dead_member_is_removed_although_the_store_fails_now_and_then fails.

--- a/reachhead_control/src/follower.rs
+++ b/reachhead_control/src/follower.rs
@@ -156,7 +156,7 @@
         if let Err(error) = &result {
             debug!("polling the store failed: {error}");
         }
-        self.view.record_store_result(result.is_ok());
+        self.view.record_store_result(result.is_ok(), BootInstant::now());
     }
 
     /// Increments the counter in this host's row, or rejoins if the row was removed.
@@ -207,7 +207,8 @@
         let rows: Vec<(Member, Revision)> = page.rows.iter().filter_map(parse).collect();
         self.update_own_row(&rows, page.revision);
         let members = rows.into_iter().map(|(member, _)| member).collect();
-        for host in self.view.process_members(members, page.revision, started_at) {
+        let now = BootInstant::now();
+        for host in self.view.process_members(members, page.revision, started_at, now) {
             let key = keys::member(&host);
             let seen = page.rows.iter().find(|row| row.key == key).map(|row| row.revision);
             emit(Event::MemberGone, &host);
--- a/reachhead_control/src/view.rs
+++ b/reachhead_control/src/view.rs
@@ -155,10 +155,9 @@
         (state.snapshot.version() > have).then(|| state.snapshot.since(have))
     }
 
-    /// Records whether a call to the store was answered.
-    pub fn record_store_result(&self, answered: bool) {
+    /// Records whether a call to the store was answered, which is known at `now`.
+    pub fn record_store_result(&self, answered: bool, now: BootInstant) {
         let mut state = self.state();
-        let now = BootInstant::now();
         if !answered && !state.store_lost {
             // The failed call may have begun with the outage, and ended with its deadline.
             let earliest = now - self.timeouts.store_deadline();
@@ -203,16 +202,16 @@
     }
 
     /// Applies the member rows of a read that started at `started_at`, and returns the hosts whose
-    /// heartbeat has timed out.
+    /// heartbeat has timed out at `now`.
     pub fn process_members(
         &self,
         rows: Vec<Member>,
         revision: Revision,
         started_at: BootInstant,
+        now: BootInstant,
     ) -> Vec<HostId> {
         let mut state = self.state();
         state.list_confirmed_at = state.list_confirmed_at.max(Some(started_at));
-        let now = BootInstant::now();
         if state.members.process_rows(rows, revision, now) {
             log_members(&state);
         }
--- a/reachhead_control/src/view_tests.rs
+++ b/reachhead_control/src/view_tests.rs
@@ -1,6 +1,6 @@
 //! Members whose heartbeat stops are removed, however often the store is away for a moment.
 
-use std::{num::NonZeroU64, path::Path, thread, time::Duration};
+use std::{num::NonZeroU64, path::Path, time::Duration};
 
 use reachhead_config::control::ControlSettings;
 use reachhead_types::{
@@ -38,22 +38,23 @@
 fn removed_hosts(fails: bool) -> Option<(Duration, Vec<String>)> {
     let view = View::new("observer".parse().unwrap(), Timeouts::new(&settings()));
     let started = BootInstant::now();
+    let mut now = started;
     for step in 0.. {
         if fails && step % 10 == 9 {
-            view.record_store_result(false);
-            thread::sleep(STEP);
+            view.record_store_result(false, now);
+            now += STEP;
         }
-        view.record_store_result(true);
+        view.record_store_result(true, now);
         let rows = vec![member("alive", step), member("dead", 1)];
-        let removed = view.process_members(rows, Revision(step), BootInstant::now());
+        let removed = view.process_members(rows, Revision(step), now, now);
         if !removed.is_empty() {
             let names = removed.iter().map(|host| host.as_str().to_owned()).collect();
-            return Some((started.elapsed(), names));
+            return Some((now.duration_since(started), names));
         }
-        if started.elapsed() > LIMIT {
+        if now.duration_since(started) > LIMIT {
             break;
         }
-        thread::sleep(STEP);
+        now += STEP;
     }
     None
 }
@@ -70,10 +71,11 @@
 fn an_outage_is_no_evidence_against_members() {
     let view = View::new("observer".parse().unwrap(), Timeouts::new(&settings()));
     let rows = || vec![member("one", 1), member("two", 1)];
-    view.record_store_result(true);
-    assert!(view.process_members(rows(), Revision(1), BootInstant::now()).is_empty());
-    view.record_store_result(false);
-    thread::sleep(LIMIT);
-    view.record_store_result(true);
-    assert!(view.process_members(rows(), Revision(1), BootInstant::now()).is_empty());
+    let mut now = BootInstant::now();
+    view.record_store_result(true, now);
+    assert!(view.process_members(rows(), Revision(1), now, now).is_empty());
+    view.record_store_result(false, now);
+    now += LIMIT;
+    view.record_store_result(true, now);
+    assert!(view.process_members(rows(), Revision(1), now, now).is_empty());
 }
