Let the deadline of an unanswered call pass once the server has the call

Seen by reading: an_unanswered_call_is_lost_and_its_connection_is_reset has a deadline 60 ms ahead, by which the call has to be written; a call that was not is `NotSent`, as it should be, and the test fails.

The deadline has a clock of the test now, as those of the tests of a suspended host, which reaches it once the server has read data. What is asserted is the same.

--- a/reachhead_ops/tests/deadline.rs
+++ b/reachhead_ops/tests/deadline.rs
@@ -33,6 +33,14 @@
 /// Accepts one connection, responds if `answers`, and reports the bytes read and whether the
 /// connection was reset.
 async fn server(answers: bool) -> (SocketAddr, oneshot::Receiver<(usize, bool)>) {
+    server_with(answers, || ()).await
+}
+
+/// As [`server`], with a function that is called after each read of data.
+async fn server_with(
+    answers: bool,
+    on_data: fn(),
+) -> (SocketAddr, oneshot::Receiver<(usize, bool)>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (sender, report) = oneshot::channel();
@@ -43,7 +51,10 @@
         let reset = loop {
             match stream.read(&mut buffer).await {
                 Ok(0) => break false,
-                Ok(read) => count += read,
+                Ok(read) => {
+                    count += read;
+                    on_data();
+                }
                 Err(_) => break true,
             }
             if answers {
@@ -124,9 +135,16 @@
 
 #[tokio::test]
 async fn an_unanswered_call_is_lost_and_its_connection_is_reset() {
-    let (address, report) = server(false).await;
-    let until = BootInstant::now() + Duration::from_millis(60);
-    let result = call_with_deadline(address, order(address), Deadline::new(until)).await;
+    static RECEIVED: AtomicBool = AtomicBool::new(false);
+    const LIMIT: Duration = Duration::from_millis(60);
+    /// A clock that reaches the deadline once the server has got the call, however late that is.
+    fn clock() -> BootInstant {
+        let passed = if RECEIVED.load(Ordering::Relaxed) { LIMIT } else { Duration::ZERO };
+        BootInstant::default() + passed
+    }
+    let (address, report) = server_with(false, || RECEIVED.store(true, Ordering::Relaxed)).await;
+    let deadline = Deadline::new(BootInstant::default() + LIMIT).with_clock(clock);
+    let result = call_with_deadline(address, order(address), deadline).await;
     assert!(matches!(result, Err(CallError::Lost(_))), "{result:?}");
     let (count, reset) = time::timeout(Duration::from_secs(5), report).await.unwrap().unwrap();
     assert!(count > 0 && reset, "expected data and a reset: got {count} bytes, reset {reset}");
