Let a new quota ledger wait for runs of unnoticed incarnations

Cause: a new ledger waits for the owners that do not answer it until what they have started has certainly ended: 4 s in which an owner may not have noticed the ledger, 2 s until its limits expire, and a lease. It counted the lease that owners order (4.5 s). A worker that has restarted unnoticed holds a run for the longest lease that it grants.

Fix: the longest lease counts (`quota::max_orphan_time`): 16.2 s instead of 10.6 s where workers grant 10 s, 12.1 s where they grant 6 s.

Cost: a ledger that all owners have answered waits for nothing, so no limit is raised later at a usual takeover; it is longer only while a pool has no owner that the ledger reaches for more than 10.6 s. Owners that answer keep the limits that they have meanwhile; one that has just taken its pool has none. To wait less, the ledger would have to know of which runs a report has told, as `Run::reported` says, and only the owner that does not answer knows that. Runs that a new owner of the pool counts are not part of this: it answers the ledger, and counts by its own bounds.

--- a/reachhead_jobs/src/quota/ledger.rs
+++ b/reachhead_jobs/src/quota/ledger.rs
@@ -9,12 +9,13 @@
 };
 
 use super::{
-    Allotment, CustomerUsage, UsageReport,
+    Allotment, CustomerUsage, LIMIT_EXPIRY, UsageReport,
     share::{Claim, shares},
 };
 use crate::{
-    clock::Tick,
+    clock::{Tick, with_drift},
     customer::{Customers, Quota},
+    pool::PoolTimeouts,
 };
 
 /// Allotments and usage of one pool.
@@ -57,6 +58,14 @@
     }
 }
 
+/// Returns for how long a pool whose owner does not answer a new ledger may use what it was allotted
+/// before. The owner learns of the ledger within the time for which it trusts its own lease, and starts
+/// tasks until its limits have expired. A worker that had restarted unnoticed reads the deadlines of these
+/// orders by another clock, and holds the runs for the longest lease that it grants.
+pub fn max_orphan_time(timeouts: &PoolTimeouts) -> Millis {
+    Millis(timeouts.trust.0 + LIMIT_EXPIRY.0 + with_drift(timeouts.grant).0)
+}
+
 /// Allotments of all pools, kept by the one process that owns the ledger.
 #[derive(Debug, Clone)]
 pub struct Ledger {
--- a/reachhead_jobs/src/quota/mod.rs
+++ b/reachhead_jobs/src/quota/mod.rs
@@ -22,7 +22,7 @@
 
 pub use self::{
     allowance::{CustomerLimits, Demand, LIMIT_EXPIRY},
-    ledger::Ledger,
+    ledger::{Ledger, max_orphan_time},
 };
 
 /// Limits of the customers in a pool, sent by the ledger to the pool's owner.
--- a/reachhead_jobs/tests/quota/main.rs
+++ b/reachhead_jobs/tests/quota/main.rs
@@ -5,14 +5,24 @@
 
 mod simulation;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use reachhead_jobs::{
-    clock::Tick,
-    quota::{CustomerUsage, Ledger, UsageReport},
+    clock::{Tick, WorkerTime},
+    pool::PoolTimeouts,
+    ports::StartOrder,
+    quota::{
+        Allotment, CustomerLimits, CustomerUsage, LIMIT_EXPIRY, Ledger, UsageReport,
+        max_orphan_time,
+    },
+    task::TaskId,
 };
 use reachhead_plan::amount::Amount;
-use reachhead_types::size::{FencingToken, Millis};
+use reachhead_site::incarnation::{TaskBehavior, WorkerIncarnation};
+use reachhead_types::{
+    id::JobId,
+    size::{FencingToken, Millis, RunNumber},
+};
 
 use self::simulation::{POOLS, Simulation, customer, customers, pool};
 
@@ -122,3 +132,78 @@
     let messages = ledger.round(pools.iter(), &customers(8000), Tick(10_000));
     assert!(messages.iter().any(|(_, message)| !message.limits.is_empty()));
 }
+
+/// Returns the timeouts of a deployment whose workers grant a longer lease than owners order.
+fn timeouts() -> PoolTimeouts {
+    PoolTimeouts {
+        hold: Millis(4500),
+        trust: Millis(4000),
+        wait: Millis(1000),
+        notice: Millis(4500),
+        gang: Millis(3000),
+        stop: Millis(400),
+        grant: Millis(10_000),
+        drain: Millis(4000),
+    }
+}
+
+/// Returns whether a round of the ledger raises a limit, where the owners of all pools but the first one
+/// answer and have tasks that wait.
+fn raises(ledger: &mut Ledger, quota: u64, now: Tick) -> bool {
+    let pools: Vec<_> = (0..POOLS).map(pool).collect();
+    let messages = ledger.round(pools.iter(), &customers(quota), now);
+    let has_raised = messages.iter().any(|(_, message)| !message.limits.is_empty());
+    for (name, message) in messages.into_iter().filter(|(name, _)| *name != pool(0)) {
+        let customers = BTreeMap::from([(customer(), usage(0, 0, quota))]);
+        let report = UsageReport { owner: FencingToken(9), whole: true, customers };
+        ledger.process_report(&name, &message, report, now);
+    }
+    has_raised
+}
+
+/// An owner and the ledger were lost together. The owner had started a task as its limits expired, on a worker
+/// that had restarted unnoticed and held the run for the longest lease. The new ledger counted the usual lease,
+/// and gave the whole quota to other pools beside that run.
+#[test]
+fn a_new_ledger_raises_nothing_beside_a_run_of_an_unnoticed_incarnation() {
+    let (quota, timeouts, begun) = (8000, timeouts(), Tick(1000));
+    let mut limits = CustomerLimits::new();
+    limits.configure(&Arc::new(customers(quota)));
+    let earlier = Allotment {
+        ledger: FencingToken(1),
+        round: 1,
+        owner: Some(FencingToken(5)),
+        limits: BTreeMap::from([(customer(), cores(quota))]),
+        last_report: 0,
+    };
+    limits.apply(&earlier, FencingToken(5));
+    // It reads the leases as late as it trusts its own.
+    let noticed = begun + timeouts.trust;
+    limits.observe_ledger(FencingToken(2), noticed);
+    let last = noticed + LIMIT_EXPIRY;
+    limits.expire(last);
+    assert!(limits.allows(&customer(), cores(0), cores(quota)), "the last moment of the limits");
+    let order = StartOrder {
+        task: TaskId { job: JobId(1), occurrence: 0, step: 0, index: 0 },
+        run: RunNumber(1),
+        payload: "x".into(),
+        // By the clock of the incarnation that the owner knows, which had run for long.
+        deadline: WorkerTime(1_000_000 + timeouts.hold.0),
+        checkpoint: None,
+        ticket: None,
+    };
+    let behavior = TaskBehavior { time: None, fails: false, crashes: false };
+    let mut incarnation = WorkerIncarnation::new(0, cores(quota)).with_max_lease(timeouts.grant.0);
+    incarnation.start(FencingToken(5), &order, behavior, last.0).unwrap();
+    let mut ledger = Ledger::new(FencingToken(2), max_orphan_time(&timeouts), begun);
+    let end = last + timeouts.grant + Millis(1000);
+    for now in (begun.0..end.0).step_by(50).map(Tick) {
+        incarnation.advance(now.0);
+        let is_running = now < last || !incarnation.running.is_empty();
+        if raises(&mut ledger, quota, now) {
+            assert!(!is_running, "raised {} after the start", now.since(last));
+            return;
+        }
+    }
+    panic!("the ledger waits for too long");
+}
--- a/reachhead_node/src/fleet/quotas.rs
+++ b/reachhead_node/src/fleet/quotas.rs
@@ -4,19 +4,16 @@
 use std::{sync::Arc, time::Duration};
 
 use futures::future::join_all;
-use reachhead_jobs::{
-    clock::with_drift,
-    quota::{Allotment, LIMIT_EXPIRY, Ledger, UsageReport},
-};
+use reachhead_jobs::quota::{Allotment, Ledger, UsageReport, max_orphan_time};
 use reachhead_types::{
     id::PoolName,
-    size::{FencingToken, Millis, Revision},
+    size::{FencingToken, Revision},
 };
 use tokio::time;
 
 use super::name;
 use crate::{
-    election::{LEASE_TRUST_TIME, MAX_WORKER_LEASE},
+    election,
     node::Node,
     owner_call::call_pool_owner,
     peer::{PeerReply, PoolRequest},
@@ -39,11 +36,8 @@
 
 /// Keeps the ledger for as long as this process owns the fleet lease with this token.
 pub async fn run(node: Arc<Node>, token: Revision) {
-    // An owner sees a new ledger within the time for which it trusts its own lease. The runs that it
-    // starts until its limits expire end with the worker's lease at the latest, unless that is
-    // renewed.
-    let effect = Millis(LEASE_TRUST_TIME.0 + LIMIT_EXPIRY.0 + with_drift(MAX_WORKER_LEASE).0);
-    let mut ledger = Ledger::new(FencingToken(token.0), effect, node.now());
+    let max_orphan_time = max_orphan_time(&election::timeouts(&node));
+    let mut ledger = Ledger::new(FencingToken(token.0), max_orphan_time, node.now());
     while node.local_owner(&name()).is_some_and(|handle| handle.token == token) {
         // The owner of each lease that is older than this one must be known before a round, see
         // `Owner::allot`.
