Run the tests of silent stores and peers on a paused clock

Seen: beside 8 busy processes and other builds (load 42 to 56) one or both of these tests failed in 4 of 10 runs on: call_is_refused_under_an_outdated_configuration_if_a_newer_one_may_be_in_force and read_that_outlasts_its_callers_is_kept of admission.

Cause: the callers wait 600 ms of real time for a store and a peer that never answer, and decide after that by ages that they read from the clock again: a peer counts for 1.5 s, the configuration for 3 s. A delay of 0.9 s in between makes the peer too old, and the call is rightly admitted in place of refused.

What never answers has the same result at any time, so these tests run with Tokio's clock paused, and the clock of `tests::idle_node` follows it. The test of a kept read lets the clock go on before the store answers. The test of a call to an owner in the same process, which waits for a timer alone, is paused as well. No assertion or bound is changed.

That the tests still find what they guard against was tried with faults put in: a configuration that always counts as too old, peers that always count as reaching the store, and a timeout of 10 s for an owner in the same process; the test of each fails.

--- a/reachhead_node/src/admission_tests.rs
+++ b/reachhead_node/src/admission_tests.rs
@@ -40,7 +40,7 @@
     node.admission.admit(node, "site.example", "/a/0000000000000001", None).await
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn call_is_refused_under_an_outdated_configuration_if_a_newer_one_may_be_in_force() {
     let silent = serve(None);
     let node = node_with_config(silent, Millis(3500));
@@ -59,7 +59,7 @@
     assert!(admit(&node).await.is_ok(), "nobody can write it either");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn call_is_admitted_by_a_configuration_that_may_still_be_used() {
     let silent = serve(None);
     let node = node_with_config(silent, Millis(1600));
@@ -67,7 +67,7 @@
     assert!(admit(&node).await.is_ok(), "a version takes effect within three seconds");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn call_is_admitted_in_an_outage_of_the_store_for_all_processes() {
     let silent = serve(None);
     let node = node_with_config(silent, Millis(9000));
@@ -104,7 +104,7 @@
 
 /// Guards against reads that end with the callers that wait for them: on a narrow link the configuration takes longer than any
 /// caller waits, so that none of them ever ended and all calls were refused.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn read_that_outlasts_its_callers_is_kept() {
     let (open, gate) = mpsc::channel();
     let answer = move || gate.recv().ok().map(|()| "{\"rows\":[],\"versionNumber\":9}");
@@ -113,6 +113,8 @@
     add_peer(&node, serve(None), 20);
     let before = node.now();
     assert_eq!(admit(&node).await.unwrap_err(), ErrorKind::NotReady, "not read in time");
+    // The answer arrives in real time.
+    time::resume();
     open.send(()).unwrap();
     // No caller begins another read meanwhile.
     let end = Instant::now() + Duration::from_secs(5);
--- a/reachhead_node/src/owner_call_tests.rs
+++ b/reachhead_node/src/owner_call_tests.rs
@@ -70,7 +70,7 @@
     assert_eq!(node.view().leases[&pool()].revision, Revision(7));
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_call_to_an_owner_in_this_process_that_does_not_answer_ends() {
     let node = idle_node::new("127.0.0.1:1");
     let (handle, _inputs) = OwnerHandle::new(Revision(7));
--- a/reachhead_node/src/tests/idle_node.rs
+++ b/reachhead_node/src/tests/idle_node.rs
@@ -64,7 +64,9 @@
     let services = process::services(&settings, &client);
     let metrics = Metrics::new(&mut prometheus_client::registry::Registry::default());
     let (_, stopping) = watch::channel(false);
-    Arc::new(Node::new(settings, services, PeerClient::new(client), metrics, stopping))
+    let mut node = Node::new(settings, services, PeerClient::new(client), metrics, stopping);
+    node.clock = super::tokio_clock();
+    Arc::new(node)
 }
 
 /// Applies a version of the configuration that was confirmed `age` ago, with a route and a pool for
--- a/reachhead_node/src/tests/mod.rs
+++ b/reachhead_node/src/tests/mod.rs
@@ -25,8 +25,8 @@
 }
 
 /// Returns a runtime whose clock is paused: time passes only while all tasks wait, up to the next timer.
-/// A test that waits for nothing but timers has the same result at any load. The calls of a test on real
-/// sockets would time out at once.
+/// A test that waits for nothing but timers has the same result at any load. Calls on real sockets time out
+/// at once, so that only those which are never answered have their usual result.
 pub fn paused_runtime() -> Runtime {
     Builder::new_current_thread().enable_all().start_paused(true).build().unwrap()
 }
