--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -275,3 +275,26 @@
     fixture.advance(STEP);
     assert_eq!(polls_of(&fixture.poll(), &worker("w")), 0, "a poll is under way");
 }
+
+/// An answer showed the restart while another start was under way. The report that was requested then was made before the new
+/// incarnation carried that start out, and arrived after its answer: the run counted as one of the ended incarnation, and the task
+/// started elsewhere.
+#[test]
+fn a_start_confirmed_after_a_report_was_requested_is_not_ended_by_that_report() {
+    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
+    fixture.submit(1, vec![step(2)]);
+    let orders: Vec<StartOrder> = fixture.starts().into_iter().map(|(_, order)| order).collect();
+    fixture.advance(STEP);
+    show_restart(&mut fixture, &orders[0]);
+    fixture.advance(1);
+    assert_eq!(polls_of(&fixture.poll(), &worker("w")), 1, "a report is requested");
+    let requested = fixture.now;
+    fixture.advance(1);
+    let confirmed = Ok(WorkerTime(702));
+    let StartOrder { task, run, .. } = orders[1];
+    fixture.pool.started(&worker("w"), task, run, confirmed, fixture.now);
+    fixture.infos[0].started_at = Some(Millis(NEW_START));
+    fixture.report_sent(&worker("w"), requested);
+    add_other(&mut fixture);
+    assert_longest_lease(&mut fixture);
+}
