Keep a start that was answered after the report of a restart was requested

Cause: an answer that shows a restart is followed by a poll at once. Another start under way can be carried out by the new incarnation after it has made that report, and be answered before the report arrives. The report lacks the run, and `begin_incarnation` took it for one of the ended incarnation and started the task elsewhere.

A report says nothing about a start that was answered at or after the time at which the poll was sent. Such a run is barred at the new incarnation before the task starts elsewhere, as one without an answer is.

--- a/reachhead_jobs/src/pool/reports.rs
+++ b/reachhead_jobs/src/pool/reports.rs
@@ -140,7 +140,7 @@
             return;
         }
         if is_newer(report.started_at, worker.started_at) {
-            self.begin_incarnation(id, &report, now);
+            self.begin_incarnation(id, sent, &report, now);
         } else {
             worker.started_at = report.started_at.or(worker.started_at);
             self.apply_first_report(id, &report, now);
--- a/reachhead_jobs/src/pool/restarted_worker.rs
+++ b/reachhead_jobs/src/pool/restarted_worker.rs
@@ -23,10 +23,17 @@
 pub(super) const YOUNG_INCARNATION_AGE: Millis = Millis(20_000);
 
 impl Pool {
-    /// Replaces the known incarnation of a worker by the one that sent `report`. The runs of the
-    /// old one have ended as in a crash. Unanswered orders may still reach the new one, so they are
-    /// barred there.
-    pub(super) fn begin_incarnation(&mut self, id: &WorkerId, report: &WorkerReport, now: Tick) {
+    /// Replaces the known incarnation of a worker by the one that answered a poll, which was sent at
+    /// `sent`, with `report`. The runs of the old one have ended as in a crash. Unanswered orders may
+    /// still reach the new one, and those answered since the poll was sent may have reached it after
+    /// the report, so they are barred there.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        id: &WorkerId,
+        sent: Tick,
+        report: &WorkerReport,
+        now: Tick,
+    ) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -49,7 +56,7 @@
         let mut suspects = self.judge_crash(&worker, now);
         suspects.retain(|suspect| !kept.contains(&suspect.task));
         for (task, charge) in runs {
-            if !self.bar_run(task, id, now) {
+            if !self.bar_run(task, id, sent, now) {
                 self.remove_run(id, task, charge.run);
             }
         }
@@ -194,14 +201,14 @@
         }
     }
 
-    /// Bars a run whose start order may still arrive, and returns whether there was one. What the previous
-    /// incarnation has barred may still start on the next one.
-    fn bar_run(&mut self, id: TaskId, worker: &WorkerId, now: Tick) -> bool {
+    /// Bars a run whose start order may still arrive, or was answered at `since` or later, and returns
+    /// whether there was one. What the previous incarnation has barred may still start on the next one.
+    fn bar_run(&mut self, id: TaskId, worker: &WorkerId, since: Tick, now: Tick) -> bool {
         let known = self.workers.get(worker);
         let task = self.jobs.get_mut(&id.job).and_then(|job| job.task(id));
         let run = task.and_then(|task| task.runs.iter_mut().find(|run| run.worker == *worker));
         let may_arrive = |run: &Run| {
-            run.settled_at.is_none()
+            run.settled_at.is_none_or(|settled| settled >= since)
                 || run.unconfirmed
                 || known.is_some_and(|known| known.may_start_late(id, run.number, now))
         };
--- a/reachhead_jobs/tests/pool/unnoticed_effects.rs
+++ b/reachhead_jobs/tests/pool/unnoticed_effects.rs
@@ -228,7 +228,7 @@
 /// started elsewhere.
 #[test]
 fn a_start_confirmed_after_a_report_was_requested_is_not_ended_by_that_report() {
-    let mut fixture = Fixture::ready(vec![listed("w", OLD_START)]);
+    let mut fixture = Fixture::ready(vec![listed("w", FIRST_START)]);
     fixture.submit(1, vec![step(2)]);
     let orders: Vec<StartOrder> = fixture.starts().into_iter().map(|(_, order)| order).collect();
     fixture.advance(STEP);
@@ -240,7 +240,7 @@
     let confirmed = Ok(WorkerTime(702));
     let StartOrder { task, run, .. } = orders[1];
     fixture.pool.started(&worker("w"), task, run, confirmed, fixture.now);
-    fixture.infos[0].started_at = Some(Millis(NEW_START));
+    fixture.infos[0].started_at = Some(Millis(SECOND_START));
     fixture.report_sent(&worker("w"), requested);
     add_other(&mut fixture);
     assert_longest_lease(&mut fixture);
