--- a/reachhead_node/src/dispatch/agent_tests.rs
+++ b/reachhead_node/src/dispatch/agent_tests.rs
@@ -102,8 +102,8 @@
     assert!(early.is_err(), "a result of an ended session was taken: {early:?}");
 }
 
-/// Guards against a poll that a dispatcher sends late, to the worker's next incarnation, and that nobody expects
-/// since the owner's own poll was answered.
+/// Guards against a poll that a dispatcher sends late, to the worker's next incarnation, and that the owner
+/// does not expect since its own poll was answered.
 #[tokio::test]
 async fn poll_without_a_result_is_repeated_and_may_still_be_sent() {
     let fixture = Fixture::new(1, Some(Ok(())));
