Bound what clients' connections hold on all listeners of reachhead-node

What callers saw: a process ended when clients kept many incomplete requests open, and every request in it was lost. Before that, each connection that a crowd held was one less descriptor for calls to the store, peers and workers.

Cause: nothing counted what connections hold. reachhead_ops::http::serve accepted every connection, let Hyper buffer heads of 400 KB, collected bodies frame by frame up to 4 MiB, and compared them with the configuration once they were whole. memoryMb, fileDescriptors, headerTimeoutMs and idleTimeoutMs were not used.

Fix: connections, incomplete requests and decoded jobs are counted in a ledger, one for callers, one for peers and one for the probe and the metrics, with limits that follow from the settings. The ledger decides without input or output: a connection over the limit closes the one that has been silent for longest, memory over the limit gives up the incomplete request that has been silent for longest, and whole requests are never given up. Bodies are copied into one buffer, and are refused by their announced length.

Why it works: each byte that a client can make the process keep is in one of the sums, and each sum has a rule for its end that frees memory at once. Clients that send win against those that wait.

--- a/reachhead_jobs/src/ports/caller.rs
+++ b/reachhead_jobs/src/ports/caller.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    model::{Plan, Queue},
+    model::{CallLimits, Plan, Queue},
     pool::JobState,
 };
 
@@ -100,8 +100,8 @@
         kind.answer().retry_after
     }
 
-    /// Returns the maximum size of a body, in bytes.
-    fn body_limit(&self) -> usize;
+    /// Returns the limits on requests, if a configuration is known.
+    fn limits(&self) -> Option<CallLimits>;
 
     /// Returns whether the process should get new callers.
     fn is_ready(&self) -> bool;
--- a/reachhead_node/src/frontend.rs
+++ b/reachhead_node/src/frontend.rs
@@ -10,7 +10,7 @@
 use futures::future::{BoxFuture, FutureExt};
 use reachhead_jobs::{
     backoff,
-    model::Queue,
+    model::{CallLimits, Queue},
     pool::{JobState, StateReply, is_foreign},
     ports::{Admission, Answer, Call, CallKind, Frontend},
     progress::ProgressRecord,
@@ -328,8 +328,8 @@
         Some(backoff::retry_after(base, self.0.store_outage().unwrap_or_default()))
     }
 
-    fn body_limit(&self) -> usize {
-        self.0.view().config.as_ref().map_or(usize::MAX, |config| config.limits.body)
+    fn limits(&self) -> Option<CallLimits> {
+        self.0.view().config.as_ref().map(|config| config.limits)
     }
 
     fn is_ready(&self) -> bool {
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -6,10 +6,12 @@
 use reachhead_jobs::{ports::Frontend, record::part_of};
 use reachhead_ops::{
     client::HttpClient,
+    connections::{Budget, BudgetLimits, ConnectionMetrics},
     event::{Event, emit},
     http::{self, Handler},
     link_delay::CallLimit,
     runtime,
+    server::Server,
     supervise::{RequiredTasks, TaskFailure},
 };
 use reachhead_platform::{
@@ -22,7 +24,7 @@
     workers::HttpWorkers,
 };
 use reachhead_store::guarded::GuardedStore;
-use reachhead_types::size::{ByteRate, Millis};
+use reachhead_types::size::{ByteRate, Bytes, Millis};
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -37,6 +39,7 @@
     handover, membership,
     metrics::Metrics,
     node::{Node, Services, bandwidth},
+    observe::ObserveHandler,
     owner::{Input, ReleaseRequest},
     peer::{OwnLink, PeerClient, PeerHandler},
     registry,
@@ -76,8 +79,8 @@
 /// limit.
 const MAX_STORE_CALLS_PER_S: u32 = 250;
 
-/// Maximum size of a request body in bytes; the configuration's own limit is checked afterwards.
-const MAX_BODY_BYTES: usize = 4 << 20;
+/// Maximum size of a request body; the configuration's own limit holds for callers.
+const MAX_BODY: Bytes = Bytes(4 << 20);
 
 /// Port of the metrics, as in the deploy file.
 const METRICS_PORT: u16 = 9464;
@@ -122,12 +125,13 @@
     let (close, closing) = watch::channel(false);
     let mut registry = prometheus_client::registry::Registry::default();
     let metrics = Metrics::new(&mut registry);
+    let budgets = Budgets::new(&settings, &mut registry);
     let client = Arc::new(HttpClient::new());
     let services = services(&settings, &client);
     let peers = PeerClient::new(client);
     let node = Arc::new(Node::new(settings, services, peers, metrics, stopping));
     let mut tasks = RequiredTasks::new();
-    let mut listeners = listen(&node, registry, &closing, &mut tasks).await?;
+    let mut listeners = listen(&node, budgets, registry, &closing, &mut tasks).await?;
     start_tasks(&node, &mut tasks);
     emit(Event::Started, format_args!("node={} zone={}", node.settings.node, node.settings.zone));
     loop {
@@ -190,38 +194,70 @@
     }
 }
 
+/// Limits on what clients hold, by who calls a listener.
+struct Budgets {
+    callers: Arc<Budget>,
+    peers: Arc<Budget>,
+    operators: Arc<Budget>,
+}
+
+impl Budgets {
+    fn new(settings: &Settings, registry: &mut prometheus_client::registry::Registry) -> Self {
+        let metrics = ConnectionMetrics::new(registry);
+        let budget = |name, limits| Arc::new(Budget::new(name, limits).with_metrics(&metrics));
+        let share = BudgetLimits::share_of(settings.memory, settings.descriptors);
+        let bodiless = BudgetLimits::without_bodies(settings.descriptors);
+        Self {
+            callers: budget("callers", share),
+            peers: budget("peers", share),
+            operators: budget("operators", bodiless),
+        }
+    }
+
+    fn server_with_bodies(&self, handler: Arc<dyn Handler>, budget: &Arc<Budget>) -> Server {
+        Server::new(handler).with_body_limit(MAX_BODY).with_budget(Arc::clone(budget))
+    }
+
+    fn probe_server(&self, handler: Arc<dyn Handler>) -> Server {
+        Server::new(handler).with_budget(Arc::clone(&self.operators))
+    }
+}
+
 async fn listen(
     node: &Arc<Node>,
+    budgets: Budgets,
     registry: prometheus_client::registry::Registry,
     closing: &watch::Receiver<bool>,
     tasks: &mut RequiredTasks,
 ) -> Result<RequiredTasks, ProcessError> {
     let frontend: Arc<dyn Frontend> = Arc::new(NodeFrontend(Arc::clone(node)));
     let mut listeners = RequiredTasks::new();
-    let mut handlers: Vec<(SocketAddr, Arc<dyn Handler>)> = Vec::new();
+    let mut servers = Vec::new();
     if let Some(address) = node.settings.front {
-        handlers.push((address, Arc::new(FrontHandler::new(Arc::clone(&frontend)))));
+        let handler = Arc::new(FrontHandler::new(Arc::clone(&frontend)));
+        servers.push((address, budgets.server_with_bodies(handler, &budgets.callers)));
     }
     if let Some(address) = node.settings.ready {
-        handlers.push((address, Arc::new(ReadyHandler::new(frontend))));
+        servers.push((address, budgets.probe_server(Arc::new(ReadyHandler::new(frontend)))));
     }
-    for (address, handler) in handlers {
+    for (address, server) in servers {
         let listener = http::listen(address).await?;
-        let serving = http::serve(listener, handler, MAX_BODY_BYTES, closing.clone());
-        listeners.spawn(format!("listener {address}"), serving);
+        listeners.spawn(format!("listener {address}"), server.serve(listener, closing.clone()));
     }
     // Peers and operators are served until the process ends.
     let metrics = SocketAddr::new(node.settings.peer.ip(), METRICS_PORT);
-    let internal: [(SocketAddr, Arc<dyn Handler>); 2] = [
-        (node.settings.peer, Arc::new(PeerHandler(Arc::clone(node)))),
-        (metrics, Arc::new(crate::observe::ObserveHandler::new(Arc::clone(node), registry))),
+    let observe = Arc::new(ObserveHandler::new(Arc::clone(node), registry));
+    let peers = Arc::new(PeerHandler(Arc::clone(node)));
+    let internal = [
+        (node.settings.peer, budgets.server_with_bodies(peers, &budgets.peers)),
+        (metrics, budgets.probe_server(observe)),
     ];
-    for (address, handler) in internal {
+    for (address, server) in internal {
         let listener = http::listen(address).await?;
         let never_closing = watch::channel(false);
         tasks.spawn(format!("listener {address}"), async move {
             let _keep = never_closing.0;
-            http::serve(listener, handler, MAX_BODY_BYTES, never_closing.1).await;
+            server.serve(listener, never_closing.1).await;
         });
     }
     Ok(listeners)
--- /dev/null
+++ b/reachhead_ops/src/connections/account.rs
@@ -0,0 +1,395 @@
+//! What one connection is doing, until when it may, and what it holds of the budget.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, Waker},
+    time::Duration,
+};
+
+use futures::future;
+use reachhead_types::error::ErrorKind;
+use tokio::{
+    sync::{Notify, SemaphorePermit},
+    time::{self, Instant},
+};
+
+use super::{
+    budget::{Budget, Opened},
+    ledger::{ConnectionId, Phase},
+};
+
+/// Time for incomplete requests after their listener was closed.
+const SHUTDOWN_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which a refused client may go on sending, so that the answer reaches it.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Pause after a pipelined request, during which its permit is held.
+const PIPELINE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Memory of a request that is counted with its connection, in bytes; larger ones take more.
+const FREE_MEMORY: u64 = 16 << 10;
+
+/// Shortest interval between two checks of a connection's time limits.
+const MIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time limits of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionTimes {
+    /// From the first byte of a request head to its last one.
+    pub head: Duration,
+    /// Between two requests.
+    pub idle: Duration,
+    /// From the head to the last byte of the body.
+    pub body: Duration,
+    /// While the client takes nothing of an answer.
+    pub write: Duration,
+}
+
+impl ConnectionTimes {
+    /// Returns the shortest of the limits, after which they are checked again.
+    fn check_period(&self) -> Duration {
+        self.head.min(self.idle).min(self.body).min(self.write).max(MIN_CHECK_PERIOD)
+    }
+}
+
+impl Default for ConnectionTimes {
+    fn default() -> Self {
+        Self {
+            head: Duration::from_secs(10),
+            idle: Duration::from_secs(10),
+            body: Duration::from_secs(30),
+            write: Duration::from_secs(15),
+        }
+    }
+}
+
+/// How a connection ends whose time is over or that is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Expiry {
+    /// It is closed without an answer, as nothing of a request has arrived or nothing is read.
+    Close,
+    /// The incomplete head is answered.
+    Answer(ErrorKind),
+}
+
+#[derive(Debug)]
+struct State {
+    phase: Phase,
+    /// End of the phase's time, if it is limited.
+    deadline: Option<Instant>,
+    /// Why the request is refused at the deadline.
+    late: ErrorKind,
+    /// Why the incomplete request is refused, once that is decided.
+    refusal: Option<ErrorKind>,
+    /// Wakes the reader of the body once the request is refused.
+    reader: Option<Waker>,
+    /// Begin of the time in which the client has taken nothing of an answer.
+    blocked: Option<Instant>,
+    /// Something was received since the last answer.
+    has_read: bool,
+    stopping: bool,
+    /// Memory that is held beyond the free one.
+    held: u64,
+    /// A request was answered before all of it was read.
+    is_unread: bool,
+}
+
+/// The account of one connection; dropping it ends the connection in the ledger.
+#[derive(Debug)]
+pub(crate) struct Account {
+    budget: Arc<Budget>,
+    id: ConnectionId,
+    given_up: Arc<Notify>,
+    times: ConnectionTimes,
+    state: Mutex<State>,
+    /// Notified when the client takes its answers again.
+    unblocked: Notify,
+}
+
+impl Account {
+    pub(crate) fn new(budget: Arc<Budget>, opened: Opened, times: ConnectionTimes) -> Self {
+        Self {
+            budget,
+            id: opened.id,
+            given_up: opened.signal,
+            times,
+            state: Mutex::new(State {
+                phase: Phase::Idle,
+                deadline: Some(Instant::now() + times.idle),
+                late: ErrorKind::TooSlow,
+                refusal: None,
+                reader: None,
+                blocked: None,
+                has_read: false,
+                stopping: false,
+                held: 0,
+                is_unread: false,
+            }),
+            unblocked: Notify::new(),
+        }
+    }
+
+    pub(crate) fn budget(&self) -> &Arc<Budget> {
+        &self.budget
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets a phase that ends at the latest after `limit`, except for work.
+    fn set_phase(&self, state: &mut State, phase: Phase, limit: Option<Duration>) {
+        state.phase = phase;
+        let limit = match phase {
+            Phase::Work => None,
+            _ if state.stopping => Some(limit.map_or(SHUTDOWN_TIME, |l| l.min(SHUTDOWN_TIME))),
+            _ => limit,
+        };
+        state.deadline = limit.map(|limit| Instant::now() + limit);
+    }
+
+    /// Records that bytes were received.
+    pub(crate) fn record_read(&self) {
+        let mut state = self.state();
+        state.has_read = true;
+        match state.phase {
+            Phase::Idle => {
+                self.set_phase(&mut state, Phase::Head, Some(self.times.head));
+                self.budget.enter(self.id, Phase::Head);
+            }
+            Phase::Head | Phase::Body => self.budget.touch(self.id),
+            _ => {}
+        }
+    }
+
+    /// Records whether the client took a part of an answer.
+    pub(crate) fn record_write(&self, is_blocked: bool) {
+        let mut state = self.state();
+        if is_blocked {
+            if state.blocked.is_none() {
+                state.blocked = Some(Instant::now());
+                if matches!(state.phase, Phase::Idle | Phase::Head) {
+                    self.set_phase(&mut state, Phase::Unread, None);
+                    self.budget.enter(self.id, Phase::Unread);
+                }
+            }
+        } else if state.blocked.take().is_some() {
+            if state.phase == Phase::Unread {
+                self.set_phase(&mut state, Phase::Idle, Some(self.times.idle));
+                self.budget.enter(self.id, Phase::Idle);
+            }
+            self.unblocked.notify_waiters();
+        }
+    }
+
+    /// Begins to receive a request whose head has arrived, in at most `limit`.
+    pub(crate) fn begin_request(&self, limit: Option<Duration>) {
+        let limit = limit.unwrap_or(self.times.body).min(self.times.body);
+        let mut state = self.state();
+        state.late = ErrorKind::TooSlow;
+        self.set_phase(&mut state, Phase::Body, Some(limit));
+        self.budget.enter(self.id, Phase::Body);
+    }
+
+    /// Waits until the client has taken earlier answers and, for a pipelined request, until it is its turn.
+    ///
+    /// # Errors
+    ///
+    /// If the request is refused meanwhile.
+    pub(crate) async fn wait_turn(&self) -> Result<Option<SemaphorePermit<'_>>, ErrorKind> {
+        loop {
+            let unblocked = self.unblocked.notified();
+            if self.state().blocked.is_none() {
+                break;
+            }
+            self.unless_refused(unblocked).await?;
+        }
+        {
+            let mut state = self.state();
+            if state.has_read {
+                return Ok(None);
+            }
+            state.late = ErrorKind::Overloaded;
+        }
+        let permit = self.unless_refused(self.budget.pipelined.acquire()).await?;
+        Ok(permit.ok())
+    }
+
+    /// Holds the permit of a pipelined request for a while.
+    pub(crate) async fn end_turn(&self, permit: Option<SemaphorePermit<'_>>) {
+        if let Some(permit) = permit {
+            time::sleep(PIPELINE_PAUSE).await;
+            drop(permit);
+        }
+    }
+
+    /// Takes memory for a request of `bytes` in total.
+    ///
+    /// # Errors
+    ///
+    /// If there is no memory, or the request is refused meanwhile.
+    pub(crate) async fn hold(&self, bytes: u64) -> Result<(), ErrorKind> {
+        let wanted = bytes.saturating_sub(FREE_MEMORY);
+        let more = wanted.saturating_sub(self.state().held);
+        if more > 0 {
+            self.unless_refused(self.budget.grow(self.id, more)).await??;
+            self.state().held += more;
+        }
+        Ok(())
+    }
+
+    /// Polls `work` until it is done or the request is refused.
+    pub(crate) async fn unless_refused<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> Result<T, ErrorKind> {
+        tokio::pin!(work);
+        future::poll_fn(|context| {
+            if let Poll::Ready(kind) = self.poll_refusal(context) {
+                return Poll::Ready(Err(kind));
+            }
+            work.as_mut().poll(context).map(Ok)
+        })
+        .await
+    }
+
+    fn poll_refusal(&self, context: &Context<'_>) -> Poll<ErrorKind> {
+        let mut state = self.state();
+        match state.refusal {
+            Some(kind) => Poll::Ready(kind),
+            None => {
+                let waker = context.waker();
+                if !state.reader.as_ref().is_some_and(|reader| reader.will_wake(waker)) {
+                    state.reader = Some(waker.clone());
+                }
+                Poll::Pending
+            }
+        }
+    }
+
+    /// Begins to work on a whole request.
+    ///
+    /// # Errors
+    ///
+    /// If the request was refused before it was whole.
+    pub(crate) fn begin_work(&self) -> Result<(), ErrorKind> {
+        let mut state = self.state();
+        if let Some(kind) = state.refusal {
+            return Err(kind);
+        }
+        if self.budget.is_given_up(self.id) {
+            return Err(ErrorKind::Overloaded);
+        }
+        self.set_phase(&mut state, Phase::Work, None);
+        self.budget.enter(self.id, Phase::Work);
+        Ok(())
+    }
+
+    /// Ends a request whose answer is known.
+    pub(crate) fn end_request(&self) {
+        let mut state = self.state();
+        state.has_read = false;
+        state.held = 0;
+        let (phase, limit) = match state.blocked {
+            Some(_) => (Phase::Unread, None),
+            None => (Phase::Idle, Some(self.times.idle)),
+        };
+        self.set_phase(&mut state, phase, limit);
+        self.budget.release(self.id, phase);
+    }
+
+    /// Records that a request is answered before all of it was read.
+    pub(crate) fn mark_unread(&self) {
+        self.state().is_unread = true;
+    }
+
+    /// Returns whether a request was answered before all of it was read.
+    pub(crate) fn is_unread(&self) -> bool {
+        self.state().is_unread
+    }
+
+    /// Begins to drop the rest of a request.
+    pub(crate) fn begin_closing(&self) {
+        let mut state = self.state();
+        self.set_phase(&mut state, Phase::Closing, Some(LINGER_TIME));
+        self.budget.release(self.id, Phase::Closing);
+    }
+
+    /// Shortens the time of an incomplete request, since its listener was closed.
+    pub(crate) fn begin_shutdown(&self) {
+        let end = Instant::now() + SHUTDOWN_TIME;
+        let mut state = self.state();
+        state.stopping = true;
+        if state.phase != Phase::Work {
+            state.deadline = Some(state.deadline.map_or(end, |deadline| deadline.min(end)));
+        }
+    }
+
+    /// Waits until the connection is given up for another one.
+    pub(crate) async fn given_up(&self) {
+        self.given_up.notified().await;
+    }
+
+    /// Returns when to call [`Account::expire`] next.
+    pub(crate) fn next_check(&self) -> Instant {
+        let state = self.state();
+        let latest = Instant::now() + self.times.check_period();
+        let write = state.blocked.map(|blocked| blocked + self.times.write);
+        [state.deadline, write].into_iter().flatten().fold(latest, Instant::min)
+    }
+
+    /// Ends the connection's phase if its time is over; returns how the connection ends if it does.
+    pub(crate) fn expire(&self) -> Option<Expiry> {
+        let (kind, is_unread) = {
+            let state = self.state();
+            let now = Instant::now();
+            let is_unread = state.blocked.is_some_and(|blocked| now >= blocked + self.times.write);
+            if !is_unread && state.deadline.is_none_or(|deadline| now < deadline) {
+                return None;
+            }
+            let late = if state.phase == Phase::Body { state.late } else { ErrorKind::TooSlow };
+            (if state.stopping { ErrorKind::NotReady } else { late }, is_unread)
+        };
+        if is_unread {
+            self.budget.record_refusal("answer-not-taken");
+            return Some(Expiry::Close);
+        }
+        self.refuse(kind)
+    }
+
+    /// Refuses what is incomplete; returns how the connection ends, unless the request itself answers.
+    pub(crate) fn refuse(&self, kind: ErrorKind) -> Option<Expiry> {
+        let mut state = self.state();
+        match state.phase {
+            Phase::Work => None,
+            Phase::Body => {
+                state.refusal.get_or_insert(kind);
+                state.deadline = None;
+                if let Some(reader) = state.reader.take() {
+                    reader.wake();
+                }
+                None
+            }
+            Phase::Head => {
+                drop(state);
+                self.budget.record_refusal(kind.as_str());
+                Some(Expiry::Answer(kind))
+            }
+            Phase::Idle | Phase::Unread | Phase::Closing => {
+                drop(state);
+                // A client that is idle for as long as it may loses nothing by the end of its connection.
+                if kind == ErrorKind::Overloaded {
+                    self.budget.record_refusal("connection-limit");
+                }
+                Some(Expiry::Close)
+            }
+        }
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        self.budget.close(self.id);
+    }
+}
--- a/reachhead_ops/src/event.rs
+++ b/reachhead_ops/src/event.rs
@@ -51,6 +51,8 @@
     ShutdownCut 103 Warn;
     /// A listener could not accept a connection.
     AcceptFailed 110 Warn;
+    /// Requests were refused or connections closed by the limits of their listener, with the latest cause; at most one line a second for each group of listeners.
+    ConnectionRefused 111 Warn;
     /// A configuration version is in force in this process.
     ConfigInForce 200 Info;
     /// A configuration was rejected; the previous one stays in force.
--- a/reachhead_ops/src/http.rs
+++ b/reachhead_ops/src/http.rs
@@ -1,38 +1,27 @@
-//! Small HTTP server with buffered bodies and graceful shutdown.
+//! Requests and responses with buffered bodies, and what handles them.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::Bytes as BodyBytes;
 use futures::future::BoxFuture;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
-    Method, Request, Response, StatusCode,
-    body::Incoming,
+    Method, Response, StatusCode,
     header::{self, HeaderMap, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
+    http::request::Parts,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
-use serde::Serialize;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-    time,
-};
-
-use crate::{
-    event::{Event, emit},
-    runtime,
+use reachhead_types::{
+    error::{ErrorKind, KIND_HEADER, OUTCOME_HEADER},
+    size::Bytes,
 };
+use serde::Serialize;
+use serde_json::json;
+use tokio::{net::TcpListener, sync::watch};
 
-/// Timeout for receiving a request head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Timeout for receiving a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+use crate::{connections::ConnectionTimes, server::Server};
 
-/// Pause after a failed accept, which avoids a busy loop while file descriptors are exhausted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Maximum size of a request head by default.
+const DEFAULT_HEAD: Bytes = Bytes(16 << 10);
 
 /// A request with its complete body.
 #[derive(Debug)]
@@ -46,16 +35,66 @@
     /// The headers.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: BodyBytes,
 }
 
 /// A response with its complete body.
-pub type BufferedResponse = Response<Full<Bytes>>;
+pub type BufferedResponse = Response<Full<BodyBytes>>;
+
+/// Limits of a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionRules {
+    /// Maximum size of a request head.
+    pub head: Bytes,
+    /// Time limits.
+    pub times: ConnectionTimes,
+}
+
+impl Default for ConnectionRules {
+    fn default() -> Self {
+        Self { head: DEFAULT_HEAD, times: ConnectionTimes::default() }
+    }
+}
+
+/// Limits of a request's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyRules {
+    /// Maximum size.
+    pub limit: Bytes,
+    /// Time for the body to arrive, if the client waits for less than the connection's limit.
+    pub time: Option<Duration>,
+}
+
+impl Default for BodyRules {
+    fn default() -> Self {
+        Self { limit: Bytes(u64::MAX), time: None }
+    }
+}
 
 /// A request handler.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to `request`.
     fn handle(&self, request: BufferedRequest) -> BoxFuture<'_, BufferedResponse>;
+
+    /// Returns the limits of a new connection.
+    fn connection_rules(&self) -> ConnectionRules {
+        ConnectionRules::default()
+    }
+
+    /// Returns the limits of the body of a request with this head. The listener's own limit holds as well.
+    fn body_rules(&self, _head: &Parts) -> BodyRules {
+        BodyRules::default()
+    }
+
+    /// Returns an upper bound of the memory that handling a request takes besides its body.
+    fn working_memory(&self, _request: &BufferedRequest) -> Bytes {
+        Bytes(0)
+    }
+
+    /// Returns the answer to a request that the listener refuses.
+    fn refusal(&self, kind: ErrorKind) -> BufferedResponse {
+        refusal(kind, kind.answer().retry_after)
+    }
 }
 
 /// Returns a response with `value` as JSON.
@@ -77,105 +116,37 @@
     content_type: &'static str,
     body: Vec<u8>,
 ) -> BufferedResponse {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(Full::new(BodyBytes::from(body)));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
 }
 
-/// Serves `handler` on `listener` until `stop` turns true, then waits for requests in flight.
+/// Returns the answer to a request that is refused for this reason; see docs/OUTCOMES.md.
+pub fn refusal(kind: ErrorKind, retry_after: Option<u32>) -> BufferedResponse {
+    let answer = kind.answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = json(status, &json!({ "error": kind.as_str() }));
+    let headers = response.headers_mut();
+    headers.insert(KIND_HEADER, HeaderValue::from_static(kind.as_str()));
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(answer.outcome.as_str()));
+    if let Some(seconds) = retry_after {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// Serves `handler` on `listener` with default limits until `stop` turns true, then waits for requests in
+/// flight.
 ///
 /// Larger request bodies than `body_limit` bytes are rejected.
 pub async fn serve(
     listener: TcpListener,
-    handler: Arc<dyn Handler>,
-    body_limit: usize,
-    mut stop: watch::Receiver<bool>,
-) {
-    // Each connection holds a receiver; the channel closes when the last of them has ended.
-    let (open, open_receiver) = watch::channel(());
-    loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = runtime::wait_for_stop(&mut stop) => break,
-        };
-        match stream {
-            Ok((stream, _)) => {
-                let connection = Connection {
-                    handler: Arc::clone(&handler),
-                    body_limit,
-                    stop: stop.clone(),
-                    _open: open_receiver.clone(),
-                };
-                tokio::spawn(connection.run(stream));
-            }
-            Err(error) => {
-                emit(Event::AcceptFailed, error);
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-    drop(open_receiver);
-    open.closed().await;
-}
-
-struct Connection {
     handler: Arc<dyn Handler>,
     body_limit: usize,
     stop: watch::Receiver<bool>,
-    _open: watch::Receiver<()>,
-}
-
-impl Connection {
-    async fn run(mut self, stream: TcpStream) {
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
-        let handler = Arc::clone(&self.handler);
-        let limit = self.body_limit;
-        let service = service_fn(move |request| {
-            let handler = Arc::clone(&handler);
-            async move { Ok::<_, Infallible>(respond(&*handler, request, limit).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        let stopped = tokio::select! {
-            // Errors on a connection concern only its client.
-            _ = connection.as_mut() => false,
-            () = runtime::wait_for_stop(&mut self.stop) => true,
-        };
-        if stopped {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-        }
-    }
-}
-
-async fn respond(
-    handler: &dyn Handler,
-    request: Request<Incoming>,
-    limit: usize,
-) -> BufferedResponse {
-    let (head, body) = request.into_parts();
-    let body = match time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
-        }
-        Ok(Err(error)) => return text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
-        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time\n"),
-    };
-    let request = BufferedRequest {
-        method: head.method,
-        path: head.uri.path().to_owned(),
-        query: head.uri.query().unwrap_or_default().to_owned(),
-        headers: head.headers,
-        body,
-    };
-    handler.handle(request).await
+) {
+    Server::new(handler).with_body_limit(Bytes(body_limit as u64)).serve(listener, stop).await;
 }
 
 /// Binds a listener to `address`.
--- a/reachhead_ops/src/lib.rs
+++ b/reachhead_ops/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod arrivals;
 pub mod cli;
 pub mod client;
+pub mod connections;
 pub mod deadline;
 pub mod event;
 pub mod http;
@@ -12,5 +13,6 @@
 pub mod listener;
 pub mod logs;
 pub mod runtime;
+pub mod server;
 pub mod supervise;
 pub mod traffic;
