Bound what clients' connections hold at the entry and admin processes

What callers saw, by tests: with incomplete bodies on 250 connections the entry process used 287 MB; with as many idle connections or incomplete heads as callers.connections, other callers got no answer for a minute. The admin process had 785 descriptors open with idle connections.

The entry process had limits of its own for heads, times and connections, but no sum over bodies, and it stopped to accept at its limit of connections.

Fix: both use the ledger and the accounts of reachhead_ops::connections, with limits from their settings (callers.memory, api.connections, api.memory are new), and the listeners for operators have 64 connections. The silent connection is closed for a new one. WriteTimeout is replaced by the account's limit on answers that are not taken, with the same setting. A streamed answer keeps its connection at work until its last byte.

In the shared module: the body reader and the drain of refused requests are used by both servers, the drain takes 4 MiB and 2 s as the entry process did, ends soon after the listener is closed, and the time of a client that is shorter than the connection's is checked in time.

Tests use the crowd of reachhead_harness now.

--- a/reachhead_admin/src/process.rs
+++ b/reachhead_admin/src/process.rs
@@ -7,13 +7,16 @@
 use prometheus_client::registry::Registry;
 use reachhead_config::admin::AdminSettings;
 use reachhead_ops::{
+    connections::{Budget, BudgetLimits, ConnectionMetrics},
     event::{Event, emit},
     http,
     listener::{self, ProcessStatus},
     runtime,
+    server::Server,
     supervise::RequiredTasks,
 };
 use reachhead_store::{Store, guarded::GuardedStore, http::HttpStore};
+use reachhead_types::size::Connections;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -49,6 +52,7 @@
 pub fn run(settings: AdminSettings) -> io::Result<()> {
     let mut registry = Registry::default();
     let metrics = Metrics::new(&mut registry);
+    let connections = ConnectionMetrics::new(&mut registry);
     let http = HttpStore::new(settings.store.address, settings.store.deadline.duration());
     let store = Arc::new(GuardedStore::new(http, settings.store.rate.get()));
     let shared: Arc<dyn Store> = Arc::<GuardedStore<HttpStore>>::clone(&store);
@@ -63,9 +67,12 @@
     runtime::current_thread()?.block_on(async move {
         let listener = http::listen(settings.api.address).await?;
         emit(Event::Started, format_args!("admin on {}", settings.api.address));
-        let limit = settings.api.body.0 as usize;
+        let limits =
+            BudgetLimits::new(Connections(settings.api.connections.get()), settings.api.memory);
+        let budget = Arc::new(Budget::new("operators", limits).with_metrics(&connections));
+        let server = Server::new(api).with_body_limit(settings.api.body).with_budget(budget);
         let mut tasks = RequiredTasks::new();
-        tasks.spawn("listener", http::serve(listener, api, limit, stopping));
+        tasks.spawn("listener", server.serve(listener, stopping));
         tokio::select! {
             signal = runtime::shutdown_signal() => signal?,
             failure = tasks.failure() => return Err(io::Error::other(failure)),
--- a/reachhead_config/src/admin.rs
+++ b/reachhead_config/src/admin.rs
@@ -16,6 +16,10 @@
         address: SocketAddr;
         /// Maximum size of a request body, in bytes.
         body: Bytes = Bytes(8_388_608);
+        /// Maximum number of open connections; a further one closes the one that has been silent for longest.
+        connections: NonZeroU32 = nonzero(256);
+        /// Maximum memory of all request bodies that are being received, in bytes.
+        memory: Bytes = Bytes(67_108_864);
         /// Minimum number of versions kept in the configuration log; the default is about two weeks at 13,000 changes a day.
         keep: NonZeroU32 = nonzero(200_000);
         /// SHA-256 of `token_salt` followed by the root bearer token, in hexadecimal.
--- a/reachhead_config/src/entry.rs
+++ b/reachhead_config/src/entry.rs
@@ -19,7 +19,7 @@
     CallerSettings {
         /// Address to listen on.
         address: SocketAddr;
-        /// Maximum number of open connections; further ones wait in the listener's backlog.
+        /// Maximum number of open connections; a further one closes the one that has been silent for longest.
         connections: NonZeroU32 = nonzero(4096);
         /// Maximum size of a request head, in bytes; at least 8192.
         head: Bytes = Bytes(16_384);
@@ -31,6 +31,8 @@
         body: Bytes = Bytes(1_048_576);
         /// Timeout for receiving a request body, in milliseconds.
         body_time: NonZeroU64 = nonzero_millis(15_000);
+        /// Maximum memory of all request bodies that are being received or handled, in bytes; a body of up to 16 KiB takes none.
+        memory: Bytes = Bytes(67_108_864);
         /// Maximum time without progress while sending an answer to a caller, in milliseconds.
         stall_time: NonZeroU64 = nonzero_millis(15_000);
     }
--- a/reachhead_entry/src/connection/accept.rs
+++ b/reachhead_entry/src/connection/accept.rs
@@ -1,18 +1,21 @@
 //! Accepts callers' connections and serves them, with limits on request heads and a graceful
 //! shutdown.
 
-use std::{cell::Cell, convert::Infallible, future::Future, pin::Pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future::Future, pin::Pin, rc::Rc, sync::Arc, time::Duration,
+};
 
 use futures::future;
 use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use log::debug;
 use reachhead_ops::{
+    connections::{Account, AccountedStream, ConnectionTimes, Expiry, drain},
     event::{Event, emit},
     runtime,
 };
+use reachhead_types::error::ErrorKind;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
     task::{self, spawn_local},
@@ -23,7 +26,6 @@
     connection::{
         head_inspector::{CallerStream, HeadInspector},
         shutdown::ShutdownNotifier,
-        write_timeout::WriteTimeout,
     },
     process::proxy::Proxy,
     request::{self, response},
@@ -32,11 +34,11 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Limit on reading the rest of a rejected request before its connection is closed.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for incomplete requests after the listener was closed.
+const SHUTDOWN_TIME: Duration = Duration::from_secs(2);
 
-/// Buffer size, in bytes, for discarding the rest of a rejected request.
-const LINGER_BUFFER_SIZE: usize = 16 << 10;
+/// Cause of a refusal because no connection may be given up.
+const ALL_AT_WORK: &str = "all-at-work";
 
 /// Limit on header fields that Hyper applies by default.
 const HYPER_MAX_HEADERS: u32 = 100;
@@ -70,15 +72,19 @@
 /// of them are closed.
 pub async fn run(proxy: Rc<Proxy>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
     let connections = Rc::new(OpenConnections::default());
-    let limit = proxy.settings.callers.connections.get();
     loop {
-        let is_below_limit = connections.count.get() < limit;
         tokio::select! {
             () = runtime::wait_for_stop(&mut stop) => break,
-            accepted = listener.accept(), if is_below_limit => match accepted {
+            accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let guard = ConnectionGuard::new(&connections);
-                    spawn_local(serve(Rc::clone(&proxy), stream, guard));
+                    let account = tokio::select! {
+                        account = open(&proxy, &stream) => account,
+                        () = runtime::wait_for_stop(&mut stop) => break,
+                    };
+                    if let Some(account) = account {
+                        let guard = ConnectionGuard::new(&connections);
+                        spawn_local(serve(Rc::clone(&proxy), stream, account, guard));
+                    }
                     // A burst of connections from one group must not delay requests of the others.
                     task::yield_now().await;
                 }
@@ -87,7 +93,6 @@
                     time::sleep(ACCEPT_PAUSE).await;
                 }
             },
-            () = connections.closed.notified(), if !is_below_limit => {}
         }
     }
     drop(listener);
@@ -101,16 +106,32 @@
     }
 }
 
-async fn serve(proxy: Rc<Proxy>, stream: TcpStream, guard: ConnectionGuard) {
+/// Returns the account of a new connection, or refuses it because all others are at work.
+async fn open(proxy: &Proxy, stream: &TcpStream) -> Option<Arc<Account>> {
+    let Some(opened) = proxy.budget.open().await else {
+        let _ = stream.try_write(response::refusal_head(ErrorKind::Overloaded).as_bytes());
+        proxy.budget.record_refusal(ALL_AT_WORK);
+        return None;
+    };
+    let callers = &proxy.settings.callers;
+    let head = Duration::from_millis(callers.head_time.get());
+    let times = ConnectionTimes {
+        head,
+        idle: head,
+        body: Duration::from_millis(callers.body_time.get()),
+        write: Duration::from_millis(callers.stall_time.get()),
+        shutdown: SHUTDOWN_TIME,
+    };
+    Some(Arc::new(Account::new(Arc::clone(&proxy.budget), opened, times)))
+}
+
+async fn serve(proxy: Rc<Proxy>, stream: TcpStream, account: Arc<Account>, guard: ConnectionGuard) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let callers = &proxy.settings.callers;
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(callers.head_time.get()))
-        .max_buf_size(callers.head.0 as usize);
+    builder.header_read_timeout(None).max_buf_size(callers.head.0 as usize);
     if callers.fields.get() != HYPER_MAX_HEADERS {
         // With a limit other than the default, Hyper allocates memory for each request head.
         builder.max_headers(callers.fields.get() as usize);
@@ -118,44 +139,51 @@
     let inspector = HeadInspector::new();
     let service = {
         let (proxy, inspector) = (Rc::clone(&proxy), Rc::clone(&inspector));
+        let account = Arc::clone(&account);
         service_fn(move |request| {
             let (proxy, inspector) = (Rc::clone(&proxy), Rc::clone(&inspector));
-            async move { Ok::<_, Infallible>(request::handle(proxy, request, &inspector).await) }
+            let account = Arc::clone(&account);
+            async move {
+                let response = request::handle(proxy, request, &inspector, account).await;
+                Ok::<_, Infallible>(response)
+            }
         })
     };
-    let write_timeout = WriteTimeout::new(Duration::from_millis(callers.stall_time.get()));
-    let stream = TokioIo::new(CallerStream::new(stream, Rc::clone(&inspector), write_timeout));
+    let stream = AccountedStream::new(stream, Arc::clone(&account));
+    let stream = TokioIo::new(CallerStream::new(stream, Rc::clone(&inspector)));
     let mut connection = builder.serve_connection(stream, service);
     let mut shutdown = guard.0.shutdown.subscribe();
-    let result = future::poll_fn(|context| {
-        if shutdown.is_notified(context) {
-            Pin::new(&mut connection).graceful_shutdown();
+    let end = loop {
+        let driven = future::poll_fn(|context| {
+            if shutdown.is_notified(context) {
+                Pin::new(&mut connection).graceful_shutdown();
+                account.begin_shutdown();
+            }
+            Pin::new(&mut connection).poll(context)
+        });
+        let end = tokio::select! {
+            result = driven => {
+                if let Err(error) = result {
+                    debug!("caller connection failed: {error}");
+                }
+                break None;
+            }
+            () = account.signal() => account.handle_signal(),
+            () = time::sleep_until(account.next_check()) => account.expire(),
+        };
+        if end.is_some() {
+            break end;
         }
-        Pin::new(&mut connection).poll(context)
-    })
-    .await;
+    };
     drop(shutdown);
-    let stream = connection.into_parts().io.into_inner();
-    match result {
-        Ok(()) if inspector.has_unread_body() => linger(stream).await,
-        Ok(()) => {}
-        Err(error) if error.is_timeout() => send_head_timeout(stream).await,
-        Err(error) => debug!("caller connection failed: {error}"),
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    match end {
+        Some(Expiry::Close) => {}
+        Some(Expiry::Answer(kind)) => {
+            stream.write_now(response::refusal_head(kind).as_bytes());
+            drain(stream, &account).await;
+        }
+        None if inspector.has_unread_body() => drain(stream, &account).await,
+        None => {}
     }
 }
-
-/// Answers a request whose head timed out; Hyper closes the connection without a response.
-async fn send_head_timeout(mut stream: CallerStream) {
-    let _ = stream.write_all(response::head_timeout().as_bytes()).await;
-    let _ = stream.shutdown().await;
-}
-
-/// Discards the rest of a rejected request before the connection is closed.
-///
-/// Closing it with unread bytes would reset the connection, and the caller could lose the response.
-async fn linger(mut stream: CallerStream) {
-    let mut buffer = vec![0; LINGER_BUFFER_SIZE];
-    let discard = async { while let Ok(1..) = stream.read(&mut buffer).await {} };
-    // By the time limit, the caller has had enough time to receive the response.
-    let _ = time::timeout(LINGER_TIMEOUT, discard).await;
-}
--- a/reachhead_entry/src/connection/head_inspector.rs
+++ b/reachhead_entry/src/connection/head_inspector.rs
@@ -13,12 +13,8 @@
     task::{Context, Poll},
 };
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
-
-use crate::connection::write_timeout::WriteTimeout;
+use reachhead_ops::connections::AccountedStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Start of the line with the length of the body, in lower case.
 const CONTENT_LENGTH: &[u8] = b"content-length:";
@@ -112,21 +108,21 @@
     }
 }
 
-/// A caller's stream that inspects the bytes read and limits the time of pending writes.
+/// A caller's stream that inspects the bytes read.
 pub struct CallerStream {
-    stream: TcpStream,
+    stream: AccountedStream,
     inspector: Rc<HeadInspector>,
-    write_timeout: WriteTimeout,
 }
 
 impl CallerStream {
-    /// Returns `stream` with `inspector` on its reads and `write_timeout` on its writes.
-    pub fn new(
-        stream: TcpStream,
-        inspector: Rc<HeadInspector>,
-        write_timeout: WriteTimeout,
-    ) -> Self {
-        Self { stream, inspector, write_timeout }
+    /// Returns `stream` with `inspector` on its reads.
+    pub fn new(stream: AccountedStream, inspector: Rc<HeadInspector>) -> Self {
+        Self { stream, inspector }
+    }
+
+    /// Returns the stream without its inspector.
+    pub fn into_inner(self) -> AccountedStream {
+        self.stream
     }
 }
 
@@ -151,8 +147,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.write_timeout.check(context, written)
+        Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -168,8 +163,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
-        self.write_timeout.check(context, written)
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/reachhead_entry/src/connection/mod.rs
+++ b/reachhead_entry/src/connection/mod.rs
@@ -4,4 +4,3 @@
 pub mod head_inspector;
 pub mod minion_client;
 mod shutdown;
-pub mod write_timeout;
--- a/reachhead_entry/src/process/mod.rs
+++ b/reachhead_entry/src/process/mod.rs
@@ -28,10 +28,11 @@
 use reachhead_config::entry::EntrySettings;
 use reachhead_link::server::{self, LinkError};
 use reachhead_ops::{
+    connections::{Budget, BudgetLimits, ConnectionMetrics},
     event::{Event, emit},
     listener, runtime,
 };
-use reachhead_types::id::Incarnation;
+use reachhead_types::{id::Incarnation, size::Connections};
 use tokio::{
     sync::{mpsc, watch},
     task::LocalSet,
@@ -53,6 +54,7 @@
 pub fn run(settings: EntrySettings) -> Result<(), LinkError> {
     let mut registry = Registry::default();
     let metrics = Metrics::new(&mut registry);
+    let connections = ConnectionMetrics::new(&mut registry);
     let incarnation = Incarnation(rand::random());
     let (requests, path_requests) = mpsc::channel(CHANNEL_CAPACITY);
     let (readiness, status) = EntryStatus::new(requests.clone());
@@ -63,7 +65,11 @@
     let peer_client = peer_client::start(&settings)?;
 
     let runtime = runtime::current_thread()?;
-    let proxy = Proxy::new(settings, incarnation, metrics, claim_writer, peer_client, readiness);
+    let callers = &settings.callers;
+    let limits = BudgetLimits::new(Connections(callers.connections.get()), callers.memory);
+    let budget = Arc::new(Budget::new("callers", limits).with_metrics(&connections));
+    let proxy =
+        Proxy::new(settings, incarnation, metrics, budget, claim_writer, peer_client, readiness);
     LocalSet::new().block_on(&runtime, run_path(proxy, updates, path_requests))?;
     Ok(())
 }
--- a/reachhead_entry/src/process/proxy.rs
+++ b/reachhead_entry/src/process/proxy.rs
@@ -3,11 +3,15 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    sync::Arc,
 };
 
 use reachhead_config::entry::EntrySettings;
 use reachhead_link::message::EntryReply;
-use reachhead_ops::event::{Event, emit};
+use reachhead_ops::{
+    connections::Budget,
+    event::{Event, emit},
+};
 use reachhead_path::claim::ClaimTable;
 use reachhead_types::{
     boot_instant::BootInstant,
@@ -38,6 +42,8 @@
     pub incarnation: Incarnation,
     /// The metrics of the process.
     pub metrics: Metrics,
+    /// Limits on what callers' connections hold.
+    pub budget: Arc<Budget>,
     /// Writes idempotency claims to the store.
     pub claim_writer: ClaimWriter,
     /// Sends requests to other entry hosts.
@@ -73,6 +79,7 @@
         settings: EntrySettings,
         incarnation: Incarnation,
         metrics: Metrics,
+        budget: Arc<Budget>,
         claim_writer: ClaimWriter,
         peer_client: PeerClient,
         readiness: Readiness,
@@ -83,6 +90,7 @@
             settings,
             incarnation,
             metrics,
+            budget,
             claim_writer,
             peer_client,
             borrower,
--- a/reachhead_entry/src/request/mod.rs
+++ b/reachhead_entry/src/request/mod.rs
@@ -7,15 +7,15 @@
 mod response_body;
 mod send;
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Method, Request, Response,
     body::{Body, Incoming},
     http::request::Parts,
 };
+use reachhead_ops::connections::{Account, read_body};
 use reachhead_path::fair::QueueRequest;
 use reachhead_types::{
     boot_instant::BootInstant,
@@ -23,11 +23,12 @@
     fleet::IdempotencyMode,
     id::IdempotencyKey,
 };
-use tokio::time;
 
 use crate::{
-    connection::head_inspector::HeadInspector, process::proxy::Proxy,
-    request::response_body::ResponseBody, route_table::Route,
+    connection::head_inspector::HeadInspector,
+    process::proxy::Proxy,
+    request::response_body::{ResponseBody, Work},
+    route_table::Route,
 };
 
 /// A request whose head and body were received completely.
@@ -66,13 +67,14 @@
     proxy: Rc<Proxy>,
     request: Request<Incoming>,
     inspector: &HeadInspector,
+    account: Arc<Account>,
 ) -> Response<ResponseBody> {
     let started = BootInstant::now();
     // The length is `None` for a chunked body, whose end only Hyper knows.
     let length = request.body().size_hint().exact();
     let received = match inspector.is_ambiguous() {
         true => Err(ErrorKind::Malformed),
-        false => receive(&proxy, request, started).await,
+        false => receive(&proxy, request, started, &account).await,
     };
     // If the body was not read completely, its rest follows, not the head of the next request.
     let is_body_read = received.is_ok() || length == Some(0);
@@ -87,12 +89,15 @@
             route.metrics.latency.observe(started.elapsed().as_secs_f64());
             response
         }
-        Err(kind) => response::error(&proxy, kind),
+        Err(kind) => {
+            account.record_refusal(kind);
+            response::error(&proxy, kind)
+        }
     };
     if proxy.is_stopping() || !is_next_head_inspected {
         response::close_connection(&mut response);
     }
-    response
+    response.map(|body| body.with_work(Work::new(account)))
 }
 
 async fn handle_received(proxy: &Rc<Proxy>, received: ReceivedRequest) -> Response<ResponseBody> {
@@ -129,6 +134,7 @@
     proxy: &Proxy,
     request: Request<Incoming>,
     started: BootInstant,
+    account: &Account,
 ) -> Result<ReceivedRequest, ErrorKind> {
     let (head, body) = request.into_parts();
     if !proxy.is_fresh() {
@@ -138,7 +144,9 @@
     let route = routes.find(head.uri.path()).ok_or(ErrorKind::NoRoute)?;
     let route = Rc::clone(route);
     let deadline = started + time_limit(&head, &route)?;
-    let body = read_body(proxy, body).await?;
+    account.begin_request(None);
+    let body = read_body(account, body, proxy.settings.callers.body).await?;
+    account.begin_work()?;
     Ok(ReceivedRequest { head, body, route, deadline })
 }
 
@@ -152,21 +160,3 @@
     let millis = text.parse().map_err(|_| ErrorKind::Malformed)?;
     Ok(limit.min(Duration::from_millis(millis)))
 }
-
-async fn read_body(proxy: &Proxy, body: Incoming) -> Result<Bytes, ErrorKind> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let callers = &proxy.settings.callers;
-    if body.size_hint().lower() > callers.body.0 {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    let limited = Limited::new(body, callers.body.0 as usize);
-    let limit = Duration::from_millis(callers.body_time.get());
-    match time::timeout(limit, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
-        Ok(Err(_)) => Err(ErrorKind::Malformed),
-        Err(_) => Err(ErrorKind::TooSlow),
-    }
-}
--- a/reachhead_entry/src/request/response.rs
+++ b/reachhead_entry/src/request/response.rs
@@ -49,14 +49,17 @@
     response
 }
 
-/// Returns the response to a request whose head timed out, as raw HTTP for a connection that Hyper
-/// no longer serves.
-pub fn head_timeout() -> String {
-    let kind = ErrorKind::TooSlow;
-    let ErrorAnswer { status, outcome, .. } = kind.answer();
+/// Returns the response to a request that is refused before its head is whole, as raw HTTP for a
+/// connection that Hyper no longer serves.
+pub fn refusal_head(kind: ErrorKind) -> String {
+    let ErrorAnswer { status, outcome, retry_after } = kind.answer();
+    let reason = StatusCode::from_u16(status).ok().and_then(|status| status.canonical_reason());
+    let retry_after =
+        retry_after.map_or_else(String::new, |seconds| format!("retry-after: {seconds}\r\n"));
     format!(
-        "HTTP/1.1 {status} Request Timeout\r\n{OUTCOME_HEADER}: {outcome}\r\n\
-         {KIND_HEADER}: {kind}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+        "HTTP/1.1 {status} {}\r\n{OUTCOME_HEADER}: {outcome}\r\n{KIND_HEADER}: {kind}\r\n\
+         {retry_after}connection: close\r\ncontent-length: 0\r\n\r\n",
+        reason.unwrap_or_default()
     )
 }
 
@@ -70,7 +73,7 @@
     let body = match body {
         ProxiedBody::Buffered(body) => ResponseBody::buffered(body),
         ProxiedBody::Streaming { first, rest, connection } => {
-            ResponseBody::Streaming(Box::new(StreamingBody::new(first, rest, connection)))
+            ResponseBody::streaming(StreamingBody::new(first, rest, connection))
         }
     };
     Response::from_parts(head, body)
--- a/reachhead_entry/src/request/response_body.rs
+++ b/reachhead_entry/src/request/response_body.rs
@@ -3,12 +3,14 @@
 use std::{
     io,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use reachhead_ops::connections::Account;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::request::send::HeldConnection;
@@ -16,8 +18,30 @@
 /// Limit on the time between two frames of a streaming body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The body of a response to a caller.
-pub enum ResponseBody {
+/// The body of a response to a caller. Its connection is at work until it is dropped.
+pub struct ResponseBody {
+    content: Content,
+    /// Dropped with the body.
+    _work: Option<Work>,
+}
+
+/// Ends the work on a request when it is dropped.
+pub struct Work(Arc<Account>);
+
+impl Work {
+    /// Returns the work on the request of a connection.
+    pub fn new(account: Arc<Account>) -> Self {
+        Self(account)
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
+}
+
+enum Content {
     /// The complete body; `None` if it is empty or already sent.
     Buffered(Option<Bytes>),
     /// A body that is still being received from the minion.
@@ -27,7 +51,24 @@
 impl ResponseBody {
     /// Returns a complete body.
     pub fn buffered(bytes: Bytes) -> Self {
-        Self::Buffered((!bytes.is_empty()).then_some(bytes))
+        Self::from(Content::Buffered((!bytes.is_empty()).then_some(bytes)))
+    }
+
+    /// Returns a body that is still being received.
+    pub fn streaming(body: StreamingBody) -> Self {
+        Self::from(Content::Streaming(Box::new(body)))
+    }
+
+    /// Keeps the connection at work until the body is dropped.
+    #[must_use]
+    pub fn with_work(self, work: Work) -> Self {
+        Self { _work: Some(work), ..self }
+    }
+}
+
+impl From<Content> for ResponseBody {
+    fn from(content: Content) -> Self {
+        Self { content, _work: None }
     }
 }
 
@@ -84,25 +125,27 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        match &mut *self {
-            Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streaming(body) => body.poll(context),
+        match &mut self.content {
+            Content::Buffered(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Content::Streaming(body) => body.poll(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Buffered(bytes) => bytes.is_none(),
-            Self::Streaming(body) => body.first.is_none() && body.rest.is_end_stream(),
+        match &self.content {
+            Content::Buffered(bytes) => bytes.is_none(),
+            Content::Streaming(body) => body.first.is_none() && body.rest.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Buffered(bytes) => {
+        match &self.content {
+            Content::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Streaming(body) => {
+            Content::Streaming(body) => {
                 let first = body.first.as_ref().map_or(0, |first| first.len() as u64);
                 match body.rest.size_hint().exact() {
                     Some(rest) => SizeHint::with_exact(first + rest),
--- a/reachhead_harness/src/cluster/mod.rs
+++ b/reachhead_harness/src/cluster/mod.rs
@@ -88,13 +88,16 @@
     pub hosts: Vec<Host>,
     /// Address of the first admin's API.
     pub admin: SocketAddr,
-    admins: Vec<Admin>,
+    /// Admins in the order of their start.
+    pub admins: Vec<Admin>,
 }
 
 /// Admin process.
-struct Admin {
-    address: SocketAddr,
-    _process: Process,
+pub struct Admin {
+    /// Address of the API.
+    pub address: SocketAddr,
+    /// Process of `reachhead-admin`.
+    pub process: Process,
 }
 
 impl ClusterConfig {
@@ -157,7 +160,7 @@
     let args = write_settings(folder, &name, &settings);
     let process = Process::start(folder, &name, "reachhead-admin", &args);
     wait_listening(address).await;
-    Admin { address, _process: process }
+    Admin { address, process }
 }
 
 /// Returns a loopback address that no other test uses.
--- a/platform/standin/tests/crowds/crowd.rs
+++ b/reachhead_harness/src/crowd.rs
@@ -24,7 +24,7 @@
 const ONE_BYTE_CHUNK: &[u8] = b"1\r\nx\r\n";
 
 /// What a client sends, and in pieces of which size.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct Message {
     bytes: Arc<[u8]>,
     piece: usize,
@@ -91,12 +91,19 @@
 }
 
 /// Clients that are connected until the crowd is dropped.
+#[derive(Debug)]
 pub struct Crowd {
     clients: JoinSet<()>,
     /// Closed when all clients have sent their messages.
     sending: watch::Sender<()>,
 }
 
+impl Default for Crowd {
+    fn default() -> Self {
+        Self { clients: JoinSet::new(), sending: watch::channel(()).0 }
+    }
+}
+
 impl Crowd {
     /// Opens `count` connections to `address`, each of which sends `message` and stays open.
     pub fn open(address: SocketAddr, count: usize, message: &Message) -> Self {
@@ -107,7 +114,7 @@
 
     /// Returns a crowd without clients.
     pub fn new() -> Self {
-        Self { clients: JoinSet::new(), sending: watch::channel(()).0 }
+        Self::default()
     }
 
     /// Adds clients as [`Crowd::open`] does.
--- a/reachhead_harness/src/lib.rs
+++ b/reachhead_harness/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod crowd;
 pub mod process;
 pub mod proxy;
 
--- a/reachhead_harness/src/process.rs
+++ b/reachhead_harness/src/process.rs
@@ -111,6 +111,20 @@
         eventually(&what, async || child.try_wait().expect("a child can be waited for")).await
     }
 
+    /// Returns the highest resident memory so far, in bytes; `None` if the process has ended.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
+    /// Returns the number of open file descriptors; zero if the process has ended.
+    pub fn open_descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// Returns the resource usage so far.
     ///
     /// # Panics
--- a/reachhead_ops/src/connections/account.rs
+++ b/reachhead_ops/src/connections/account.rs
@@ -18,11 +18,8 @@
     ledger::{ConnectionId, Phase},
 };
 
-/// Time for incomplete requests after their listener was closed.
-const SHUTDOWN_TIME: Duration = Duration::from_millis(300);
-
 /// Time for which a refused client may go on sending, so that the answer reaches it.
-const LINGER_TIME: Duration = Duration::from_secs(1);
+const LINGER_TIME: Duration = Duration::from_secs(2);
 
 /// Pause after a pipelined request, during which its permit is held.
 const PIPELINE_PAUSE: Duration = Duration::from_millis(20);
@@ -44,6 +41,8 @@
     pub body: Duration,
     /// While the client takes nothing of an answer.
     pub write: Duration,
+    /// From the end of the listener to the end of incomplete requests.
+    pub shutdown: Duration,
 }
 
 impl ConnectionTimes {
@@ -60,13 +59,14 @@
             idle: Duration::from_secs(10),
             body: Duration::from_secs(30),
             write: Duration::from_secs(15),
+            shutdown: Duration::from_millis(300),
         }
     }
 }
 
 /// How a connection ends whose time is over or that is given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Expiry {
+pub enum Expiry {
     /// It is closed without an answer, as nothing of a request has arrived or nothing is read.
     Close,
     /// The incomplete head is answered.
@@ -78,6 +78,8 @@
     phase: Phase,
     /// End of the phase's time, if it is limited.
     deadline: Option<Instant>,
+    /// When the deadline is checked next.
+    next_check: Instant,
     /// Why the request is refused at the deadline.
     late: ErrorKind,
     /// Why the incomplete request is refused, once that is decided.
@@ -97,10 +99,11 @@
 
 /// The account of one connection; dropping it ends the connection in the ledger.
 #[derive(Debug)]
-pub(crate) struct Account {
+pub struct Account {
     budget: Arc<Budget>,
     id: ConnectionId,
-    given_up: Arc<Notify>,
+    /// Notified when the connection is given up, or its deadline is earlier than the next check.
+    signal: Arc<Notify>,
     times: ConnectionTimes,
     state: Mutex<State>,
     /// Notified when the client takes its answers again.
@@ -108,15 +111,17 @@
 }
 
 impl Account {
-    pub(crate) fn new(budget: Arc<Budget>, opened: Opened, times: ConnectionTimes) -> Self {
+    /// Returns the account of a connection that was opened in `budget`.
+    pub fn new(budget: Arc<Budget>, opened: Opened, times: ConnectionTimes) -> Self {
         Self {
             budget,
             id: opened.id,
-            given_up: opened.signal,
+            signal: opened.signal,
             times,
             state: Mutex::new(State {
                 phase: Phase::Idle,
                 deadline: Some(Instant::now() + times.idle),
+                next_check: Instant::now(),
                 late: ErrorKind::TooSlow,
                 refusal: None,
                 reader: None,
@@ -143,14 +148,19 @@
         state.phase = phase;
         let limit = match phase {
             Phase::Work => None,
-            _ if state.stopping => Some(limit.map_or(SHUTDOWN_TIME, |l| l.min(SHUTDOWN_TIME))),
+            _ if state.stopping => Some(limit.unwrap_or(Duration::MAX).min(self.times.shutdown)),
             _ => limit,
         };
         state.deadline = limit.map(|limit| Instant::now() + limit);
     }
 
+    /// Counts and logs a request that is refused for this reason.
+    pub fn record_refusal(&self, kind: ErrorKind) {
+        self.budget.record_refusal(kind.as_str());
+    }
+
     /// Records that bytes were received.
-    pub(crate) fn record_read(&self) {
+    pub fn record_read(&self) {
         let mut state = self.state();
         state.has_read = true;
         match state.phase {
@@ -164,7 +174,7 @@
     }
 
     /// Records whether the client took a part of an answer.
-    pub(crate) fn record_write(&self, is_blocked: bool) {
+    pub fn record_write(&self, is_blocked: bool) {
         let mut state = self.state();
         if is_blocked {
             if state.blocked.is_none() {
@@ -184,7 +194,7 @@
     }
 
     /// Begins to receive a request whose head has arrived, in at most `limit`.
-    pub(crate) fn begin_request(&self, limit: Option<Duration>) {
+    pub fn begin_request(&self, limit: Option<Duration>) {
         let limit = limit.unwrap_or(self.times.body).min(self.times.body);
         let mut state = self.state();
         state.late = ErrorKind::TooSlow;
@@ -197,7 +207,7 @@
     /// # Errors
     ///
     /// If the request is refused meanwhile.
-    pub(crate) async fn wait_turn(&self) -> Result<Option<SemaphorePermit<'_>>, ErrorKind> {
+    pub async fn wait_turn(&self) -> Result<Option<SemaphorePermit<'_>>, ErrorKind> {
         loop {
             let unblocked = self.unblocked.notified();
             if self.state().blocked.is_none() {
@@ -217,7 +227,7 @@
     }
 
     /// Holds the permit of a pipelined request for a while.
-    pub(crate) async fn end_turn(&self, permit: Option<SemaphorePermit<'_>>) {
+    pub async fn end_turn(&self, permit: Option<SemaphorePermit<'_>>) {
         if let Some(permit) = permit {
             time::sleep(PIPELINE_PAUSE).await;
             drop(permit);
@@ -229,7 +239,7 @@
     /// # Errors
     ///
     /// If there is no memory, or the request is refused meanwhile.
-    pub(crate) async fn hold(&self, bytes: u64) -> Result<(), ErrorKind> {
+    pub async fn hold(&self, bytes: u64) -> Result<(), ErrorKind> {
         let wanted = bytes.saturating_sub(FREE_MEMORY);
         let more = wanted.saturating_sub(self.state().held);
         if more > 0 {
@@ -240,20 +250,31 @@
     }
 
     /// Polls `work` until it is done or the request is refused.
-    pub(crate) async fn unless_refused<T>(
-        &self,
-        work: impl Future<Output = T>,
-    ) -> Result<T, ErrorKind> {
+    pub async fn unless_refused<T>(&self, work: impl Future<Output = T>) -> Result<T, ErrorKind> {
         tokio::pin!(work);
         future::poll_fn(|context| {
             if let Poll::Ready(kind) = self.poll_refusal(context) {
                 return Poll::Ready(Err(kind));
             }
-            work.as_mut().poll(context).map(Ok)
+            let work = work.as_mut().poll(context);
+            if work.is_pending() {
+                self.request_check();
+            }
+            work.map(Ok)
         })
         .await
     }
 
+    /// Has the deadline checked in time if it is earlier than the next check. Most requests are whole at once
+    /// and need no check.
+    fn request_check(&self) {
+        let mut state = self.state();
+        if let Some(deadline) = state.deadline.filter(|&deadline| deadline < state.next_check) {
+            state.next_check = deadline;
+            self.signal.notify_one();
+        }
+    }
+
     fn poll_refusal(&self, context: &Context<'_>) -> Poll<ErrorKind> {
         let mut state = self.state();
         match state.refusal {
@@ -273,7 +294,7 @@
     /// # Errors
     ///
     /// If the request was refused before it was whole.
-    pub(crate) fn begin_work(&self) -> Result<(), ErrorKind> {
+    pub fn begin_work(&self) -> Result<(), ErrorKind> {
         let mut state = self.state();
         if let Some(kind) = state.refusal {
             return Err(kind);
@@ -287,7 +308,7 @@
     }
 
     /// Ends a request whose answer is known.
-    pub(crate) fn end_request(&self) {
+    pub fn end_request(&self) {
         let mut state = self.state();
         state.has_read = false;
         state.held = 0;
@@ -299,26 +320,31 @@
         self.budget.release(self.id, phase);
     }
 
+    /// Returns how long incomplete requests are waited for once the listener is closed.
+    pub fn shutdown_time(&self) -> Duration {
+        self.times.shutdown
+    }
+
     /// Records that a request is answered before all of it was read.
-    pub(crate) fn mark_unread(&self) {
+    pub fn mark_unread(&self) {
         self.state().is_unread = true;
     }
 
     /// Returns whether a request was answered before all of it was read.
-    pub(crate) fn is_unread(&self) -> bool {
+    pub fn is_unread(&self) -> bool {
         self.state().is_unread
     }
 
     /// Begins to drop the rest of a request.
-    pub(crate) fn begin_closing(&self) {
+    pub fn begin_closing(&self) {
         let mut state = self.state();
         self.set_phase(&mut state, Phase::Closing, Some(LINGER_TIME));
         self.budget.release(self.id, Phase::Closing);
     }
 
     /// Shortens the time of an incomplete request, since its listener was closed.
-    pub(crate) fn begin_shutdown(&self) {
-        let end = Instant::now() + SHUTDOWN_TIME;
+    pub fn begin_shutdown(&self) {
+        let end = Instant::now() + self.times.shutdown;
         let mut state = self.state();
         state.stopping = true;
         if state.phase != Phase::Work {
@@ -326,21 +352,34 @@
         }
     }
 
-    /// Waits until the connection is given up for another one.
-    pub(crate) async fn given_up(&self) {
-        self.given_up.notified().await;
+    /// Waits until [`Account::handle_signal`] is to be called.
+    pub async fn signal(&self) {
+        self.signal.notified().await;
+    }
+
+    /// Waits until the connection is given up.
+    pub(super) async fn given_up(&self) {
+        while !self.budget.is_given_up(self.id) {
+            self.signal().await;
+        }
+    }
+
+    /// Refuses what is incomplete if the connection is given up; returns how the connection ends if it does.
+    pub fn handle_signal(&self) -> Option<Expiry> {
+        self.budget.is_given_up(self.id).then(|| self.refuse(ErrorKind::Overloaded)).flatten()
     }
 
     /// Returns when to call [`Account::expire`] next.
-    pub(crate) fn next_check(&self) -> Instant {
-        let state = self.state();
+    pub fn next_check(&self) -> Instant {
+        let mut state = self.state();
         let latest = Instant::now() + self.times.check_period();
         let write = state.blocked.map(|blocked| blocked + self.times.write);
-        [state.deadline, write].into_iter().flatten().fold(latest, Instant::min)
+        state.next_check = [state.deadline, write].into_iter().flatten().fold(latest, Instant::min);
+        state.next_check
     }
 
     /// Ends the connection's phase if its time is over; returns how the connection ends if it does.
-    pub(crate) fn expire(&self) -> Option<Expiry> {
+    pub fn expire(&self) -> Option<Expiry> {
         let (kind, is_unread) = {
             let state = self.state();
             let now = Instant::now();
@@ -359,7 +398,7 @@
     }
 
     /// Refuses what is incomplete; returns how the connection ends, unless the request itself answers.
-    pub(crate) fn refuse(&self, kind: ErrorKind) -> Option<Expiry> {
+    pub fn refuse(&self, kind: ErrorKind) -> Option<Expiry> {
         let mut state = self.state();
         match state.phase {
             Phase::Work => None,
@@ -373,7 +412,7 @@
             }
             Phase::Head => {
                 drop(state);
-                self.budget.record_refusal(kind.as_str());
+                self.record_refusal(kind);
                 Some(Expiry::Answer(kind))
             }
             Phase::Idle | Phase::Unread | Phase::Closing => {
--- a/reachhead_ops/src/connections/budget.rs
+++ b/reachhead_ops/src/connections/budget.rs
@@ -33,7 +33,7 @@
 const MAX_LINGERING: usize = 32;
 
 /// Limits of listeners that no settings bound.
-const DEFAULT_LIMITS: BudgetLimits = BudgetLimits::new(Connections(4096), Bytes(64 << 20));
+const DEFAULT_LIMITS: BudgetLimits = BudgetLimits::new(Connections(16_384), Bytes(64 << 20));
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RefusalLabels {
@@ -91,7 +91,8 @@
 }
 
 /// A connection that was entered in the ledger.
-pub(crate) struct Opened {
+#[derive(Debug)]
+pub struct Opened {
     pub(crate) id: ConnectionId,
     pub(crate) signal: Arc<Notify>,
 }
@@ -135,7 +136,7 @@
     }
 
     /// Enters a connection in the ledger once there is room, or returns `None` if there will be none.
-    pub(crate) async fn open(&self) -> Option<Opened> {
+    pub async fn open(&self) -> Option<Opened> {
         loop {
             let released = self.released.notified();
             {
@@ -205,7 +206,7 @@
     }
 
     /// Counts a refusal or a closed connection, and logs at most one line a second.
-    pub(crate) fn record_refusal(&self, cause: &'static str) {
+    pub fn record_refusal(&self, cause: &'static str) {
         let labels = RefusalLabels { listener: self.name, cause };
         self.metrics.refusals.get_or_create(&labels).inc();
         let now = Instant::now();
--- a/reachhead_ops/src/connections/linger.rs
+++ b/reachhead_ops/src/connections/linger.rs
@@ -1,14 +1,14 @@
 //! Drops the rest of a refused request before its connection is closed.
 
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     time,
 };
 
-use super::{account::Account, stream::AccountedStream};
+use super::account::Account;
 
 /// Most bytes that are read of a refused request.
-const MAX_BYTES: usize = 256 << 10;
+const MAX_BYTES: usize = 4 << 20;
 
 /// Size of the buffer into which they are read, in bytes.
 const BUFFER_SIZE: usize = 8 << 10;
@@ -16,7 +16,7 @@
 /// Reads and drops what the client still sends, within limits on time, bytes and connections.
 ///
 /// Closing a connection with unread bytes resets it, and the client could lose the answer.
-pub(crate) async fn drain(mut stream: AccountedStream, account: &Account) {
+pub async fn drain(mut stream: impl AsyncRead + AsyncWrite + Unpin, account: &Account) {
     let Ok(_permit) = account.budget().lingering.try_acquire() else { return };
     account.begin_closing();
     let _ = stream.shutdown().await;
--- a/reachhead_ops/src/connections/mod.rs
+++ b/reachhead_ops/src/connections/mod.rs
@@ -3,18 +3,17 @@
 //! docs/design/client-limits.md describes the limits and whom they refuse.
 
 mod account;
+mod body;
 mod budget;
 mod ledger;
 mod linger;
 mod stream;
 
 pub use self::{
-    account::ConnectionTimes,
-    budget::{Budget, ConnectionMetrics},
+    account::{Account, ConnectionTimes, Expiry},
+    body::read_body,
+    budget::{Budget, ConnectionMetrics, Opened},
     ledger::{BudgetLimits, ConnectionId, Growth, Ledger, Opening, Phase},
-};
-pub(crate) use self::{
-    account::{Account, Expiry},
     linger::drain,
     stream::AccountedStream,
 };
--- a/reachhead_ops/src/connections/stream.rs
+++ b/reachhead_ops/src/connections/stream.rs
@@ -15,18 +15,19 @@
 use super::account::Account;
 
 /// A stream with an account.
-pub(crate) struct AccountedStream {
+pub struct AccountedStream {
     stream: TcpStream,
     account: Arc<Account>,
 }
 
 impl AccountedStream {
-    pub(crate) fn new(stream: TcpStream, account: Arc<Account>) -> Self {
+    /// Returns `stream` with `account`.
+    pub fn new(stream: TcpStream, account: Arc<Account>) -> Self {
         Self { stream, account }
     }
 
     /// Writes as much of `bytes` as the client takes at once.
-    pub(crate) fn write_now(&self, bytes: &[u8]) {
+    pub fn write_now(&self, bytes: &[u8]) {
         let _ = self.stream.try_write(bytes);
     }
 }
--- a/reachhead_ops/src/listener.rs
+++ b/reachhead_ops/src/listener.rs
@@ -10,14 +10,20 @@
 use futures::future::{BoxFuture, FutureExt};
 use hyper::{Method, StatusCode};
 use prometheus_client::{encoding::text::encode, registry::Registry};
+use reachhead_types::size::{Bytes, Connections};
 use serde_json::Value;
 use tokio::sync::watch;
 
 use crate::{
+    connections::{Budget, BudgetLimits},
     http::{self, BufferedRequest, BufferedResponse, Handler},
     runtime,
+    server::Server,
 };
 
+/// Limits of the listener; requests have no body.
+const LIMITS: BudgetLimits = BudgetLimits::new(Connections(64), Bytes(0));
+
 /// Media type of `/metrics`.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -92,12 +98,13 @@
     })?;
     listener.set_nonblocking(true)?;
     let handler = Arc::new(OpsHandler { status, registry: Mutex::new(registry) });
+    let server = Server::new(handler).with_budget(Arc::new(Budget::new("operators", LIMITS)));
     let runtime = runtime::current_thread()?;
     thread::Builder::new().name("ops".to_owned()).spawn(move || {
         runtime.block_on(async move {
             let (_stop_sender, stop) = watch::channel(false);
             match tokio::net::TcpListener::from_std(listener) {
-                Ok(listener) => http::serve(listener, handler, 0, stop).await,
+                Ok(listener) => server.serve(listener, stop).await,
                 Err(error) => log::error!("starting the ops listener failed: {error}"),
             }
         });
--- a/reachhead_ops/src/server.rs
+++ b/reachhead_ops/src/server.rs
@@ -4,8 +4,6 @@
 
 use std::{convert::Infallible, future::Future, pin::Pin, sync::Arc, time::Duration};
 
-use bytes::Bytes as BodyBytes;
-use http_body_util::BodyExt;
 use hyper::{
     Request,
     body::{Body, Incoming},
@@ -22,7 +20,7 @@
 };
 
 use crate::{
-    connections::{Account, AccountedStream, Budget, Expiry, drain},
+    connections::{Account, AccountedStream, Budget, Expiry, drain, read_body},
     event::{Event, emit},
     http::{BodyRules, BufferedRequest, BufferedResponse, Handler},
     runtime,
@@ -34,9 +32,6 @@
 /// Smallest size of a read buffer that Hyper supports, in bytes.
 const MIN_READ_BUFFER: usize = 8 << 10;
 
-/// Initial size of the buffer of a body that does not arrive at once, in bytes.
-const MIN_BODY_BUFFER: usize = 8 << 10;
-
 /// Name of the budget of a server without one of its own.
 const DEFAULT_BUDGET: &str = "default";
 
@@ -149,13 +144,26 @@
             Some(Expiry::Close) => {}
             Some(Expiry::Answer(kind)) => {
                 stream.write_now(&head_of(&self.handler.refusal(kind)));
-                drain(stream, &self.account).await;
+                self.linger(stream).await;
             }
-            None if self.account.is_unread() => drain(stream, &self.account).await,
+            None if self.account.is_unread() => self.linger(stream).await,
             None => {}
         }
     }
 
+    /// Drops the rest of a refused request, for a shorter time once the listener is closed.
+    async fn linger(&mut self, stream: AccountedStream) {
+        let account = &self.account;
+        let stopped = async {
+            runtime::wait_for_stop(&mut self.stop).await;
+            time::sleep(account.shutdown_time()).await;
+        };
+        tokio::select! {
+            () = drain(stream, account) => {}
+            () = stopped => {}
+        }
+    }
+
     /// Drives a connection until it ends; returns how, unless by itself.
     async fn wait<C>(&mut self, connection: &mut C) -> Option<Expiry>
     where
@@ -166,7 +174,7 @@
             let end = tokio::select! {
                 // Errors on a connection concern only its client.
                 _ = &mut *connection => return None,
-                () = self.account.given_up() => self.account.refuse(ErrorKind::Overloaded),
+                () = self.account.signal() => self.account.handle_signal(),
                 () = time::sleep_until(self.account.next_check()) => self.account.expire(),
                 () = runtime::wait_for_stop(&mut self.stop), if !is_stopping => {
                     is_stopping = true;
@@ -217,7 +225,7 @@
         };
         self.account.end_request();
         response.unwrap_or_else(|kind| {
-            self.account.budget().record_refusal(kind.as_str());
+            self.account.record_refusal(kind);
             if !is_bodiless {
                 self.account.mark_unread();
             }
@@ -232,7 +240,7 @@
         let (head, body) = request.into_parts();
         let BodyRules { limit, time } = self.handler.body_rules(&head);
         self.account.begin_request(time);
-        let body = self.read_body(body, limit.min(self.body_limit)).await?;
+        let body = read_body(&self.account, body, limit.min(self.body_limit)).await?;
         Ok(BufferedRequest {
             method: head.method,
             path: head.uri.path().to_owned(),
@@ -242,34 +250,6 @@
         })
     }
 
-    /// Copies a body into one buffer, since a frame is a view of the buffer that it was read into and keeps it.
-    async fn read_body(&self, mut body: Incoming, limit: Bytes) -> Result<BodyBytes, ErrorKind> {
-        let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
-        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-        if announced > limit {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-        let mut buffer = Vec::new();
-        while !body.is_end_stream() {
-            let Some(frame) = self.account.unless_refused(body.frame()).await? else { break };
-            let frame = frame.map_err(|_| ErrorKind::Malformed)?;
-            let Ok(data) = frame.into_data() else { continue };
-            let len = buffer.len() + data.len();
-            if len > limit {
-                return Err(ErrorKind::BodyTooLarge);
-            }
-            if len > buffer.capacity() {
-                let grown = len.max(2 * buffer.capacity()).max(MIN_BODY_BUFFER.min(announced));
-                let capacity = grown.min(limit);
-                // The allocator keeps the pages of the smaller buffer for a while.
-                self.account.hold((capacity + buffer.capacity()) as u64).await?;
-                buffer.reserve_exact(capacity - buffer.len());
-            }
-            buffer.extend_from_slice(&data);
-        }
-        Ok(BodyBytes::from(buffer))
-    }
-
     async fn handle(
         &self,
         request: BufferedRequest,
--- a/reachhead_ops/tests/server.rs
+++ b/reachhead_ops/tests/server.rs
@@ -5,10 +5,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::{BoxFuture, FutureExt};
-use hyper::StatusCode;
+use hyper::{StatusCode, http::request::Parts};
 use reachhead_ops::{
     connections::{Budget, BudgetLimits, ConnectionTimes},
-    http::{BufferedRequest, BufferedResponse, ConnectionRules, Handler, text},
+    http::{BodyRules, BufferedRequest, BufferedResponse, ConnectionRules, Handler, text},
     server::Server,
 };
 use reachhead_property::check;
@@ -37,11 +37,18 @@
     permits: Semaphore,
     times: ConnectionTimes,
     answer_size: usize,
+    /// Time for bodies to arrive.
+    body_time: Option<Duration>,
 }
 
 impl Default for Echo {
     fn default() -> Self {
-        Self { permits: Semaphore::new(0), times: ConnectionTimes::default(), answer_size: 0 }
+        Self {
+            permits: Semaphore::new(0),
+            times: ConnectionTimes::default(),
+            answer_size: 0,
+            body_time: None,
+        }
     }
 }
 
@@ -60,6 +67,10 @@
     fn connection_rules(&self) -> ConnectionRules {
         ConnectionRules { times: self.times, ..ConnectionRules::default() }
     }
+
+    fn body_rules(&self, _head: &Parts) -> BodyRules {
+        BodyRules { time: self.body_time, ..BodyRules::default() }
+    }
 }
 
 /// A server that runs until it is dropped.
@@ -278,3 +289,16 @@
     assert!(answer.contains("reachhead-error: body-too-large"), "{answer}");
     server.expect_empty().await;
 }
+
+/// The connection's own limits are checked seldom, and a shorter one of a request is still kept.
+#[tokio::test]
+async fn body_is_refused_when_the_time_of_its_client_is_over() {
+    let long = Duration::from_secs(120);
+    let times = ConnectionTimes { head: long, idle: long, body: long, write: long, shutdown: long };
+    let body_time = Some(Duration::from_millis(200));
+    let server = Running::with_handler(Echo { times, body_time, ..Echo::default() }).await;
+    let mut stream = server.send(&submission("/", 10, 9)).await;
+    let answer = answer(&mut stream).await;
+    assert!(answer.starts_with("http/1.1 408 "), "{answer}");
+    assert!(answer.contains("reachhead-error: too-slow"), "{answer}");
+}
