Count answers that clients don't take

What callers would see, by reading: memory of answers whose clients read nothing was limited by the time of each connection only, so that many large ones (a peer's tables, /state) add up. Also, a time limit of the configuration or of the settings that is beyond the range of the clock ended the process.

Cause: the account of a connection gave all its memory back when its answer was known, and not when it was taken; deadlines were added without a check.

Fix: an answer that can't be written is counted until its client takes it again. Beyond the limit, the connection with memory that has been silent for longest is closed; the one that is counted is not. The probe and the metrics have 1/32 of the memory for that.

--- a/reachhead_entry/src/request/response_body.rs
+++ b/reachhead_entry/src/request/response_body.rs
@@ -26,18 +26,22 @@
 }
 
 /// Ends the work on a request when it is dropped.
-pub struct Work(Arc<Account>);
+pub struct Work {
+    account: Arc<Account>,
+    /// Size of the answer if it is buffered, in bytes.
+    answer: u64,
+}
 
 impl Work {
     /// Returns the work on the request of a connection.
     pub fn new(account: Arc<Account>) -> Self {
-        Self(account)
+        Self { account, answer: 0 }
     }
 }
 
 impl Drop for Work {
     fn drop(&mut self) {
-        self.0.end_request();
+        self.account.end_request(self.answer);
     }
 }
 
@@ -62,6 +66,11 @@
     /// Keeps the connection at work until the body is dropped.
     #[must_use]
     pub fn with_work(self, work: Work) -> Self {
+        let mut work = work;
+        if let Content::Buffered(Some(bytes)) = &self.content {
+            // Of a streamed answer, a part is read once the caller has taken the one before.
+            work.answer = bytes.len() as u64;
+        }
         Self { _work: Some(work), ..self }
     }
 }
--- a/reachhead_node/src/process.rs
+++ b/reachhead_node/src/process.rs
@@ -206,7 +206,7 @@
         let metrics = ConnectionMetrics::new(registry);
         let budget = |name, limits| Arc::new(Budget::new(name, limits).with_metrics(&metrics));
         let share = BudgetLimits::share_of(settings.memory, settings.descriptors);
-        let bodiless = BudgetLimits::without_bodies(settings.descriptors);
+        let bodiless = BudgetLimits::without_bodies(settings.memory, settings.descriptors);
         Self {
             callers: budget("callers", share),
             peers: budget("peers", share),
--- a/reachhead_ops/src/connections/account.rs
+++ b/reachhead_ops/src/connections/account.rs
@@ -27,8 +27,13 @@
 /// Memory of a request that is counted with its connection, in bytes; larger ones take more.
 const FREE_MEMORY: u64 = 16 << 10;
 
-/// Shortest interval between two checks of a connection's time limits.
+/// Shortest and longest interval between two checks of a connection's time limits.
 const MIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
+const MAX_CHECK_PERIOD: Duration = Duration::from_secs(60);
+
+/// Causes of closed connections, beside the kinds of refusals.
+const ANSWER_NOT_TAKEN: &str = "answer-not-taken";
+const CONNECTION_LIMIT: &str = "connection-limit";
 
 /// Time limits of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,7 +53,8 @@
 impl ConnectionTimes {
     /// Returns the shortest of the limits, after which they are checked again.
     fn check_period(&self) -> Duration {
-        self.head.min(self.idle).min(self.body).min(self.write).max(MIN_CHECK_PERIOD)
+        let shortest = self.head.min(self.idle).min(self.body).min(self.write);
+        shortest.clamp(MIN_CHECK_PERIOD, MAX_CHECK_PERIOD)
     }
 }
 
@@ -93,6 +99,8 @@
     stopping: bool,
     /// Memory that is held beyond the free one.
     held: u64,
+    /// Size of the latest answer, in bytes.
+    answer: u64,
     /// A request was answered before all of it was read.
     is_unread: bool,
 }
@@ -129,6 +137,7 @@
                 has_read: false,
                 stopping: false,
                 held: 0,
+                answer: 0,
                 is_unread: false,
             }),
             unblocked: Notify::new(),
@@ -151,7 +160,8 @@
             _ if state.stopping => Some(limit.unwrap_or(Duration::MAX).min(self.times.shutdown)),
             _ => limit,
         };
-        state.deadline = limit.map(|limit| Instant::now() + limit);
+        // A limit beyond the range of the clock is none.
+        state.deadline = limit.and_then(|limit| Instant::now().checked_add(limit));
     }
 
     /// Counts and logs a request that is refused for this reason.
@@ -182,12 +192,13 @@
                 if matches!(state.phase, Phase::Idle | Phase::Head) {
                     self.set_phase(&mut state, Phase::Unread, None);
                     self.budget.enter(self.id, Phase::Unread);
+                    self.budget.charge(self.id, state.answer);
                 }
             }
         } else if state.blocked.take().is_some() {
             if state.phase == Phase::Unread {
                 self.set_phase(&mut state, Phase::Idle, Some(self.times.idle));
-                self.budget.enter(self.id, Phase::Idle);
+                self.budget.release(self.id, Phase::Idle);
             }
             self.unblocked.notify_waiters();
         }
@@ -307,17 +318,19 @@
         Ok(())
     }
 
-    /// Ends a request whose answer is known.
-    pub fn end_request(&self) {
+    /// Ends a request whose answer of this size is known.
+    pub fn end_request(&self, answer: u64) {
         let mut state = self.state();
-        state.has_read = false;
-        state.held = 0;
+        (state.has_read, state.held, state.answer) = (false, 0, answer);
         let (phase, limit) = match state.blocked {
             Some(_) => (Phase::Unread, None),
             None => (Phase::Idle, Some(self.times.idle)),
         };
         self.set_phase(&mut state, phase, limit);
         self.budget.release(self.id, phase);
+        if phase == Phase::Unread {
+            self.budget.charge(self.id, answer);
+        }
     }
 
     /// Returns how long incomplete requests are waited for once the listener is closed.
@@ -373,7 +386,7 @@
     pub fn next_check(&self) -> Instant {
         let mut state = self.state();
         let latest = Instant::now() + self.times.check_period();
-        let write = state.blocked.map(|blocked| blocked + self.times.write);
+        let write = state.blocked.and_then(|blocked| blocked.checked_add(self.times.write));
         state.next_check = [state.deadline, write].into_iter().flatten().fold(latest, Instant::min);
         state.next_check
     }
@@ -383,7 +396,7 @@
         let (kind, is_unread) = {
             let state = self.state();
             let now = Instant::now();
-            let is_unread = state.blocked.is_some_and(|blocked| now >= blocked + self.times.write);
+            let is_unread = state.blocked.is_some_and(|blocked| now - blocked >= self.times.write);
             if !is_unread && state.deadline.is_none_or(|deadline| now < deadline) {
                 return None;
             }
@@ -391,7 +404,7 @@
             (if state.stopping { ErrorKind::NotReady } else { late }, is_unread)
         };
         if is_unread {
-            self.budget.record_refusal("answer-not-taken");
+            self.budget.record_refusal(ANSWER_NOT_TAKEN);
             return Some(Expiry::Close);
         }
         self.refuse(kind)
@@ -415,11 +428,16 @@
                 self.record_refusal(kind);
                 Some(Expiry::Answer(kind))
             }
-            Phase::Idle | Phase::Unread | Phase::Closing => {
+            Phase::Unread => {
+                drop(state);
+                self.budget.record_refusal(ANSWER_NOT_TAKEN);
+                Some(Expiry::Close)
+            }
+            Phase::Idle | Phase::Closing => {
                 drop(state);
                 // A client that is idle for as long as it may loses nothing by the end of its connection.
                 if kind == ErrorKind::Overloaded {
-                    self.budget.record_refusal("connection-limit");
+                    self.budget.record_refusal(CONNECTION_LIMIT);
                 }
                 Some(Expiry::Close)
             }
--- a/reachhead_ops/src/connections/budget.rs
+++ b/reachhead_ops/src/connections/budget.rs
@@ -176,6 +176,14 @@
         }
     }
 
+    /// Counts the memory of an answer that is not taken.
+    pub(crate) fn charge(&self, id: ConnectionId, bytes: u64) {
+        let mut state = self.state();
+        for victim in state.ledger.charge(id, bytes) {
+            state.signal(victim);
+        }
+    }
+
     pub(crate) fn enter(&self, id: ConnectionId, phase: Phase) {
         self.state().ledger.enter(id, phase);
     }
--- a/reachhead_ops/src/connections/ledger.rs
+++ b/reachhead_ops/src/connections/ledger.rs
@@ -21,7 +21,7 @@
 pub struct BudgetLimits {
     /// Maximum number of open connections.
     pub connections: Connections,
-    /// Maximum memory of bodies and decoded requests, in bytes.
+    /// Maximum memory of bodies, decoded requests and answers that are not taken, in bytes.
     pub memory: Bytes,
 }
 
@@ -40,8 +40,8 @@
     }
 
     /// Returns the limits of a group whose requests have no bodies, as those of operators.
-    pub fn without_bodies(descriptors: u64) -> Self {
-        Self::new(connection_count(sockets(descriptors) / 32), Bytes(0))
+    pub fn without_bodies(memory: Bytes, descriptors: u64) -> Self {
+        Self::new(connection_count(sockets(descriptors) / 32), Bytes(memory.0 / 32))
     }
 }
 
@@ -124,8 +124,8 @@
     entries: HashMap<ConnectionId, Entry>,
     /// Connections that may be given up, in this order.
     order: BTreeSet<Place>,
-    /// Those among them with an incomplete request that holds memory.
-    bodies: BTreeSet<Place>,
+    /// Those among them that hold memory for an incomplete request or an answer that is not taken.
+    holders: BTreeSet<Place>,
     /// Number of events so far.
     events: u64,
     next: u64,
@@ -143,7 +143,7 @@
             limits,
             entries: HashMap::new(),
             order: BTreeSet::new(),
-            bodies: BTreeSet::new(),
+            holders: BTreeSet::new(),
             events: 0,
             next: 0,
             held: 0,
@@ -203,8 +203,8 @@
         let Some(entry) = self.entries.get(&id) else { return };
         if entry.phase != Phase::Work && !entry.given_up {
             self.order.insert(entry.place(id));
-            if entry.phase == Phase::Body && entry.held > 0 {
-                self.bodies.insert(entry.place(id));
+            if matches!(entry.phase, Phase::Body | Phase::Unread) && entry.held > 0 {
+                self.holders.insert(entry.place(id));
             }
         }
     }
@@ -212,7 +212,7 @@
     fn unplace(&mut self, id: ConnectionId) {
         if let Some(entry) = self.entries.get(&id) {
             self.order.remove(&entry.place(id));
-            self.bodies.remove(&entry.place(id));
+            self.holders.remove(&entry.place(id));
         }
     }
 
@@ -223,8 +223,8 @@
         }
     }
 
-    /// Takes `bytes` of memory for a connection. If there is no room, incomplete requests are given up, the
-    /// one without progress for longest first.
+    /// Takes `bytes` of memory for a connection. If there is no room, incomplete requests and answers that are
+    /// not taken are given up, the one without progress for longest first.
     pub fn grow(&mut self, id: ConnectionId, bytes: u64) -> Growth {
         let Some(entry) = self.entries.get(&id) else { return Growth::Refused };
         if entry.given_up {
@@ -239,9 +239,40 @@
             self.place(id);
             return Growth::Granted;
         }
-        let mut missing = wanted.saturating_sub(self.limits.memory.0 + self.releasing);
+        let missing = wanted.saturating_sub(self.limits.memory.0 + self.releasing);
+        let (victims, missing) = self.victims(id, missing);
+        if missing > 0 {
+            return Growth::Refused;
+        }
+        for &victim in &victims {
+            self.give_up(victim);
+        }
+        Growth::Wait(victims)
+    }
+
+    /// Counts memory that a connection already holds, for an answer that is not taken. Returns the connections
+    /// that are given up since the sum exceeds the limit.
+    pub fn charge(&mut self, id: ConnectionId, bytes: u64) -> Vec<ConnectionId> {
+        let Some(entry) = self.entries.get_mut(&id) else { return Vec::new() };
+        entry.held += bytes;
+        self.held += bytes;
+        if entry.given_up {
+            self.releasing += bytes;
+        }
+        self.place(id);
+        let excess = self.held.saturating_sub(self.limits.memory.0 + self.releasing);
+        let (victims, _) = self.victims(id, excess);
+        for &victim in &victims {
+            self.give_up(victim);
+        }
+        victims
+    }
+
+    /// Returns the connections to give up, except `id`, to release `missing` bytes, and what is missing then.
+    fn victims(&self, id: ConnectionId, missing: u64) -> (Vec<ConnectionId>, u64) {
+        let mut missing = missing;
         let mut victims = Vec::new();
-        for &(_, _, other) in &self.bodies {
+        for &(_, _, other) in &self.holders {
             if missing == 0 {
                 break;
             }
@@ -251,13 +282,7 @@
                 victims.push(other);
             }
         }
-        if missing > 0 {
-            return Growth::Refused;
-        }
-        for &victim in &victims {
-            self.give_up(victim);
-        }
-        Growth::Wait(victims)
+        (victims, missing)
     }
 
     /// Gives back all memory of a connection.
--- a/reachhead_ops/src/listener.rs
+++ b/reachhead_ops/src/listener.rs
@@ -21,8 +21,8 @@
     server::Server,
 };
 
-/// Limits of the listener; requests have no body.
-const LIMITS: BudgetLimits = BudgetLimits::new(Connections(64), Bytes(0));
+/// Limits of the listener; requests have no body, and answers that are not taken count.
+const LIMITS: BudgetLimits = BudgetLimits::new(Connections(64), Bytes(8 << 20));
 
 /// Media type of `/metrics`.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- a/reachhead_ops/src/server.rs
+++ b/reachhead_ops/src/server.rs
@@ -20,9 +20,9 @@
 };
 
 use crate::{
-    connections::{Account, AccountedStream, Budget, Expiry, drain, read_body},
+    connections::{Account, AccountedStream, Budget, ConnectionTimes, Expiry, drain, read_body},
     event::{Event, emit},
-    http::{BodyRules, BufferedRequest, BufferedResponse, Handler},
+    http::{BodyRules, BufferedRequest, BufferedResponse, ConnectionRules, Handler},
     runtime,
 };
 
@@ -72,13 +72,15 @@
             };
             match accepted {
                 Ok((stream, _)) => {
+                    let ConnectionRules { head, times } = self.handler.connection_rules();
                     let account = tokio::select! {
-                        account = self.open(&stream) => account,
+                        account = self.open(&stream, times) => account,
                         () = runtime::wait_for_stop(&mut stop) => break,
                     };
                     if let Some(account) = account {
                         let connection = Connection {
                             handler: Arc::clone(&self.handler),
+                            head_limit: head,
                             body_limit: self.body_limit,
                             account,
                             stop: stop.clone(),
@@ -98,20 +100,20 @@
         open.closed().await;
     }
 
-    /// Returns the account of a new connection, or refuses it.
-    async fn open(&self, stream: &TcpStream) -> Option<Arc<Account>> {
+    /// Returns the account of a new connection with these time limits, or refuses it.
+    async fn open(&self, stream: &TcpStream, times: ConnectionTimes) -> Option<Arc<Account>> {
         let Some(opened) = self.budget.open().await else {
             let _ = stream.try_write(&head_of(&self.handler.refusal(ErrorKind::Overloaded)));
             self.budget.record_refusal("all-at-work");
             return None;
         };
-        let times = self.handler.connection_rules().times;
         Some(Arc::new(Account::new(Arc::clone(&self.budget), opened, times)))
     }
 }
 
 struct Connection {
     handler: Arc<dyn Handler>,
+    head_limit: Bytes,
     body_limit: Bytes,
     account: Arc<Account>,
     stop: watch::Receiver<bool>,
@@ -132,7 +134,7 @@
             let exchange = exchange.clone();
             async move { Ok::<_, Infallible>(exchange.respond(request).await) }
         });
-        let head_limit = self.handler.connection_rules().head.0 as usize;
+        let head_limit = self.head_limit.0 as usize;
         let stream = AccountedStream::new(stream, Arc::clone(&self.account));
         let mut connection = http1::Builder::new()
             .header_read_timeout(None)
@@ -223,8 +225,7 @@
             Ok(request) => self.handle(request, is_bodiless).await,
             Err(kind) => Err(kind),
         };
-        self.account.end_request();
-        response.unwrap_or_else(|kind| {
+        let response = response.unwrap_or_else(|kind| {
             self.account.record_refusal(kind);
             if !is_bodiless {
                 self.account.mark_unread();
@@ -232,7 +233,9 @@
             let mut response = self.handler.refusal(kind);
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             response
-        })
+        });
+        self.account.end_request(response.body().size_hint().lower());
+        response
     }
 
     /// Receives the rest of a request whose head has arrived.
--- a/reachhead_ops/tests/server.rs
+++ b/reachhead_ops/tests/server.rs
@@ -122,6 +122,16 @@
         assert!(is_empty, "still open and held: {:?}", self.budget.usage());
     }
 
+    /// Waits until answers of about this many bytes are held.
+    async fn expect_held(&self, bytes: u64) {
+        let held = async {
+            while self.budget.usage().1.0 / bytes != 1 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        assert!(timeout(WAIT_TIMEOUT, held).await.is_ok(), "{:?} held", self.budget.usage());
+    }
+
     /// Waits until this many connections are open.
     async fn expect_open(&self, count: usize) {
         let open = async {
@@ -302,3 +312,20 @@
     assert!(answer.starts_with("http/1.1 408 "), "{answer}");
     assert!(answer.contains("reachhead-error: too-slow"), "{answer}");
 }
+
+/// Guards against memory of answers that nobody reads, which is only limited by the time of each.
+#[tokio::test]
+async fn oldest_answer_that_is_not_taken_is_given_up_for_others() {
+    let handler = Echo { answer_size: 20 << 20, ..Echo::default() };
+    let times = ConnectionTimes { write: Duration::from_secs(120), ..handler.times };
+    let server = Running::with_handler(Echo { times, ..handler }).await;
+    let mut unread = Vec::new();
+    for count in 1..=3 {
+        unread.push(server.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await);
+        server.expect_held(20 << 20).await;
+        assert!(server.budget.usage().0 <= count);
+    }
+    server.expect_open(1).await;
+    drop(unread);
+    server.expect_empty().await;
+}
