--- a/reachhead_ops/tests/server.rs
+++ b/reachhead_ops/tests/server.rs
@@ -313,7 +313,7 @@
     assert!(answer.contains("reachhead-error: too-slow"), "{answer}");
 }
 
-/// Guards against memory of answers that nobody reads, which is only limited by the time of each.
+/// Guards against answers whose clients don't read them and that add up without a limit.
 #[tokio::test]
 async fn oldest_answer_that_is_not_taken_is_given_up_for_others() {
     let handler = Echo { answer_size: 20 << 20, ..Echo::default() };
